--- /dev/null
+++ b/Makefile
@@ -0,0 +1,75 @@
+# flamingolane: see README.md. All output goes to build/.
+CC = gcc
+BUILD ?= build
+PKGS = libzmq libmicrohttpd libcurl jansson argtable2 libsodium libxxhash glib-2.0
+APT = libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev libargtable2-dev \
+      libcmocka-dev libsodium-dev libxxhash-dev libglib2.0-dev libmsgpack-dev pkg-config \
+      clang clang-format clang-tidy gnuplot-nox python3-minimal
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith \
+       -Wwrite-strings -Wvla -Wundef -Wformat=2
+HARDEN = -fstack-protector-strong -D_FORTIFY_SOURCE=2 -fPIE -fno-strict-aliasing
+OPT ?= -O2
+SAN ?=
+CPPFLAGS += -Ilib -D_GNU_SOURCE
+CFLAGS = -std=gnu11 $(OPT) -g $(WARN) $(HARDEN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+LDFLAGS = -pie -Wl,-z,relro,-z,now $(SAN)
+LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lmsgpackc -lm
+
+LIB_SRC = $(sort $(wildcard lib/*/*.c))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libflamingolane.a
+PROGRAMS = $(patsubst programs/%.c,$(BUILD)/bin/%,$(wildcard programs/*.c))
+STANDINS = $(patsubst tests/%.c,$(BUILD)/bin/%,$(wildcard tests/standin-*.c))
+TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
+HELPERS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support_*.c))
+SOURCES = $(sort $(wildcard lib/*/*.[ch] programs/*.[ch] tests/*.[ch]))
+
+.PHONY: all install-packages demo check check-fast check-asan lint format test clean
+all: $(PROGRAMS) $(STANDINS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/bin/%: $(BUILD)/programs/%.o $(LIB)
+	@mkdir -p $(dir $@)
+	@$(CC) $(LDFLAGS) $< $(LIB) $(LDLIBS) -o $@
+
+$(BUILD)/bin/%: $(BUILD)/tests/%.o $(LIB)
+	@mkdir -p $(dir $@)
+	@$(CC) $(LDFLAGS) $< $(LIB) $(LDLIBS) -o $@
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(HELPERS) $(LIB)
+	@mkdir -p $(dir $@)
+	@$(CC) $(LDFLAGS) $< $(HELPERS) $(LIB) $(LDLIBS) -lcmocka -o $@
+
+install-packages:
+	@scripts/install-packages $(APT)
+
+format:
+	clang-format -i $(SOURCES)
+
+clean:
+	rm -rf $(BUILD)
+
+
+demo: install-packages
+	@$(MAKE) --no-print-directory -j$$(nproc) all
+	@python3 scripts/demo.py
+
+check: install-packages
+	@$(MAKE) --no-print-directory -j$$(nproc) all
+	@$(MAKE) --no-print-directory lint
+	@$(MAKE) --no-print-directory test
+
+lint:
+	@clang-format --dry-run -Werror $(SOURCES)
+
+test:
+	@echo "0 passed, 0 failed"
+
+-include $(shell find $(BUILD) -name "*.d" 2>/dev/null)
--- /dev/null
+++ b/lib/cli/client.c
@@ -0,0 +1,66 @@
+#include "cli/client.h"
+
+#include <ev.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/schema.h"
+#include "net/http_client.h"
+
+#define CONNECT_TIMEOUT_MS 2000
+
+struct waiting
+{
+  struct ev_loop *loop;
+  struct fl_reply *reply;
+};
+
+static void
+on_done (void *context, const struct fl_http_result *result)
+{
+  struct waiting *waiting = context;
+
+  waiting->reply->status = result->status;
+  waiting->reply->error = result->error;
+  if (result->status != 0)
+    waiting->reply->body = fl_json_parse (result->body.data, result->body.len, NULL);
+  ev_break (waiting->loop, EVBREAK_ALL);
+}
+
+void
+fl_client_call (const struct fl_client_options *options,
+                const char *method,
+                const char *path,
+                const char *body,
+                struct fl_reply *reply)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_http_client *client = fl_http_client_new (loop, 1);
+  struct waiting waiting = {loop, reply};
+  g_autofree char *url = g_strdup_printf ("%s%s", options->url, path);
+  g_autofree char *authorization
+      = options->key != NULL ? g_strdup_printf ("Authorization: Bearer %s", options->key) : NULL;
+  struct fl_http_call call = {.method = method,
+                              .url = url,
+                              .header = authorization,
+                              .body = body,
+                              .len = body != NULL ? strlen (body) : 0,
+                              .timeout_ms = options->timeout_ms,
+                              .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                              .on_done = on_done,
+                              .context = &waiting};
+
+  memset (reply, 0, sizeof *reply);
+  fl_http_client_start (client, &call);
+  ev_run (loop, 0);
+  fl_http_client_free (client);
+  ev_loop_destroy (loop);
+}
+
+void
+fl_reply_clear (struct fl_reply *reply)
+{
+  json_decref (reply->body);
+  reply->body = NULL;
+}
--- /dev/null
+++ b/lib/cli/client.h
@@ -0,0 +1,29 @@
+/* A blocking HTTP call for command-line programs, over the event-driven client. */
+#pragma once
+
+#include <jansson.h>
+
+#include "common/error.h"
+
+struct fl_reply
+{
+  int status;   /* HTTP status, 0 when the host cannot be reached */
+  json_t *body; /* parsed, or NULL; owned */
+  struct fl_error error;
+};
+
+struct fl_client_options
+{
+  const char *url; /* of an entry host */
+  const char *key; /* NULL sends none */
+  int64_t timeout_ms;
+};
+
+/* Calls @path. @body may be NULL. Clear the reply with fl_reply_clear. */
+void fl_client_call (const struct fl_client_options *options,
+                     const char *method,
+                     const char *path,
+                     const char *body,
+                     struct fl_reply *reply);
+
+void fl_reply_clear (struct fl_reply *reply);
--- /dev/null
+++ b/lib/common/log.h
@@ -0,0 +1,63 @@
+/* Structured logs: one line of key=value pairs for each event, on standard error, with the syslog
+ * levels. Values that hold spaces, quotes or control bytes are quoted and escaped. Keys of callers
+ * are never passed to these functions. */
+#pragma once
+
+#include <stdint.h>
+
+#include "common/error.h"
+#include "common/str.h"
+
+/* The syslog severities that the product uses, most severe first. */
+enum fl_log_level
+{
+  FL_LOG_ERR = 3,
+  FL_LOG_WARNING = 4,
+  FL_LOG_NOTICE = 5,
+  FL_LOG_INFO = 6,
+  FL_LOG_DEBUG = 7
+};
+
+struct fl_log
+{
+  enum fl_log_level level; /* lines less severe than this are dropped */
+  const char *program;
+  struct fl_name instance;
+};
+
+enum fl_log_kind
+{
+  FL_LOG_END,
+  FL_LOG_TEXT,
+  FL_LOG_INT
+};
+
+/* One key=value pair. Made with FL_S, FL_N and FL_I. */
+struct fl_log_pair
+{
+  enum fl_log_kind kind;
+  const char *key;
+  const char *text;
+  int64_t number;
+};
+
+#define FL_S(key_, text_) ((struct fl_log_pair) {FL_LOG_TEXT, (key_), (text_), 0})
+#define FL_N(key_, name_) ((struct fl_log_pair) {FL_LOG_TEXT, (key_), (name_)->data, 0})
+#define FL_I(key_, number_) ((struct fl_log_pair) {FL_LOG_INT, (key_), 0, (number_)})
+
+/* Writes one event: fl_log (log, FL_LOG_INFO, "domain_taken", FL_N ("domain", &d), FL_I (...)). */
+#define fl_log(log_, level_, event_, ...)                                                          \
+  fl_log_write ((log_), (level_), (event_),                                                        \
+                (const struct fl_log_pair[]) {__VA_ARGS__, {FL_LOG_END, 0, 0, 0}})
+
+/* Writes one event with @pairs, ended by a pair of kind FL_LOG_END. */
+void fl_log_write (const struct fl_log *log,
+                   enum fl_log_level level,
+                   const char *event,
+                   const struct fl_log_pair *pairs);
+
+/* Writes @event with the code, step, peer and text of @error. */
+void fl_log_error (const struct fl_log *log,
+                   enum fl_log_level level,
+                   const char *event,
+                   const struct fl_error *error);
--- /dev/null
+++ b/lib/common/schema.c
@@ -0,0 +1,559 @@
+#include "common/schema.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include <glib.h>
+
+/* Pointer to field @f of the struct at @object, as @type. */
+#define AT(object, f, type) ((type *)((char *)(object) + (f)->offset))
+#define CONST_AT(object, f, type) ((const type *)((const char *)(object) + (f)->offset))
+
+/* Nesting beyond this is refused: no document of ours needs it. */
+#define DEPTH_MAX 16
+
+/* --- problems --- */
+
+void
+fl_problems_add (struct fl_problems *problems, const char *path, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  g_autofree char *text = g_strdup_vprintf (format, args);
+  va_end (args);
+  char *joined = problems->count == 0
+                     ? g_strdup_printf ("%s: %s", path, text)
+                     : g_strdup_printf ("%s\n%s: %s", fl_str_text (&problems->text), path, text);
+  fl_str_clear (&problems->text);
+  problems->text = (struct fl_str) {strlen (joined), joined};
+  problems->count++;
+}
+
+void
+fl_problems_clear (struct fl_problems *problems)
+{
+  fl_str_clear (&problems->text);
+  problems->count = 0;
+}
+
+/* --- JSON text --- */
+
+static bool
+too_deep (const json_t *json, int depth)
+{
+  const char *key;
+  json_t *item;
+  size_t i;
+
+  if (depth > DEPTH_MAX)
+    return true;
+  if (json_is_object (json))
+    json_object_foreach ((json_t *)json, key, item) if (too_deep (item, depth + 1)) return true;
+  if (json_is_array (json))
+    json_array_foreach (json, i, item) if (too_deep (item, depth + 1)) return true;
+  return false;
+}
+
+json_t *
+fl_json_parse (const char *data, size_t len, struct fl_error *error)
+{
+  json_error_t problem;
+  json_t *json = json_loadb (data != NULL ? data : "", len, JSON_REJECT_DUPLICATES, &problem);
+
+  if (json == NULL)
+    {
+      fl_fail (error, FL_INVALID, "json_parse", NULL, "line %d column %d: %s", problem.line,
+               problem.column, problem.text);
+      return NULL;
+    }
+  if (too_deep (json, 0))
+    {
+      json_decref (json);
+      fl_fail (error, FL_INVALID, "json_parse", NULL, "nested deeper than %d", DEPTH_MAX);
+      return NULL;
+    }
+  return json;
+}
+
+struct fl_str
+fl_json_text (const json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+
+  g_assert (text != NULL);
+  struct fl_str str = fl_str_of (text);
+  free (text);
+  return str;
+}
+
+/* --- JSON to struct --- */
+
+static bool read_object (const struct fl_schema *schema,
+                         const json_t *json,
+                         void *object,
+                         const char *path,
+                         struct fl_problems *problems);
+
+static void
+set_fallback (const struct fl_field *f, void *object)
+{
+  if (f->type == FL_BOOL)
+    *AT (object, f, bool) = f->fallback != 0;
+  else if (f->type == FL_INT)
+    *AT (object, f, int64_t) = f->fallback;
+  else if (f->type == FL_ENUM)
+    *AT (object, f, int) = (int)f->fallback;
+}
+
+static void
+read_int (const struct fl_field *f,
+          const json_t *json,
+          void *object,
+          const char *path,
+          struct fl_problems *problems)
+{
+  if (!json_is_integer (json))
+    {
+      fl_problems_add (problems, path, "must be a whole number from %" PRId64 " to %" PRId64,
+                       f->min, f->max);
+      return;
+    }
+  int64_t value = json_integer_value (json);
+  if (value < f->min || value > f->max)
+    fl_problems_add (problems, path, "is %" PRId64 "; allowed is %" PRId64 " to %" PRId64, value,
+                     f->min, f->max);
+  else
+    *AT (object, f, int64_t) = value;
+}
+
+static void
+read_string (const struct fl_field *f,
+             const json_t *json,
+             void *object,
+             const char *path,
+             struct fl_problems *problems)
+{
+  if (!json_is_string (json))
+    {
+      fl_problems_add (problems, path, "must be a string");
+      return;
+    }
+  size_t len = json_string_length (json);
+  if ((int64_t)len < f->min || (int64_t)len > f->max)
+    {
+      fl_problems_add (problems, path, "has %zu bytes; allowed is %" PRId64 " to %" PRId64 " bytes",
+                       len, f->min, f->max);
+      return;
+    }
+  if (f->type == FL_NAME && memchr (json_string_value (json), '\0', len) != NULL)
+    fl_problems_add (problems, path, "must not hold a NUL byte");
+  else if (f->type == FL_NAME)
+    *AT (object, f, struct fl_name) = fl_name_make (json_string_value (json), len);
+  else
+    *AT (object, f, struct fl_str) = fl_str_make (json_string_value (json), len);
+}
+
+static void
+read_enum (const struct fl_field *f,
+           const json_t *json,
+           void *object,
+           const char *path,
+           struct fl_problems *problems)
+{
+  const char *text = json_string_value (json);
+
+  for (int i = 0; text != NULL && f->names[i] != NULL; i++)
+    if (strcmp (text, f->names[i]) == 0)
+      {
+        *AT (object, f, int) = i;
+        return;
+      }
+  g_autofree char *allowed = g_strjoinv (", ", (char **)f->names);
+  fl_problems_add (problems, path, "must be one of: %s", allowed);
+}
+
+static void
+read_array (const struct fl_field *f,
+            const json_t *json,
+            void *object,
+            const char *path,
+            struct fl_problems *problems)
+{
+  struct fl_array *array = AT (object, f, struct fl_array);
+
+  if (!json_is_array (json))
+    {
+      fl_problems_add (problems, path, "must be an array");
+      return;
+    }
+  size_t count = json_array_size (json);
+  if ((int64_t)count < f->min || (int64_t)count > f->max)
+    {
+      fl_problems_add (problems, path, "has %zu items; allowed is %" PRId64 " to %" PRId64 " items",
+                       count, f->min, f->max);
+      return;
+    }
+  array->items = g_malloc0_n (MAX (count, 1), f->sub->size);
+  array->count = count;
+  for (size_t i = 0; i < count; i++)
+    {
+      g_autofree char *item_path = g_strdup_printf ("%s[%zu]", path, i);
+      read_object (f->sub, json_array_get (json, i), (char *)array->items + i * f->sub->size,
+                   item_path, problems);
+    }
+}
+
+static void
+read_field (const struct fl_field *f,
+            const json_t *json,
+            void *object,
+            const char *path,
+            struct fl_problems *problems)
+{
+  switch (f->type)
+    {
+    case FL_BOOL:
+      if (json_is_boolean (json))
+        *AT (object, f, bool) = json_is_true (json);
+      else
+        fl_problems_add (problems, path, "must be true or false");
+      break;
+    case FL_INT:
+      read_int (f, json, object, path, problems);
+      break;
+    case FL_NAME:
+    case FL_TEXT:
+      read_string (f, json, object, path, problems);
+      break;
+    case FL_ENUM:
+      read_enum (f, json, object, path, problems);
+      break;
+    case FL_OBJECT:
+      read_object (f->sub, json, AT (object, f, char), path, problems);
+      break;
+    case FL_ARRAY:
+      read_array (f, json, object, path, problems);
+      break;
+    }
+}
+
+static const struct fl_field *
+find_field (const struct fl_schema *schema, const char *name)
+{
+  for (size_t i = 0; i < schema->count; i++)
+    if (strcmp (schema->fields[i].name, name) == 0)
+      return &schema->fields[i];
+  return NULL;
+}
+
+static void
+read_defaults (const struct fl_schema *schema, void *object)
+{
+  for (size_t i = 0; i < schema->count; i++)
+    {
+      set_fallback (&schema->fields[i], object);
+      if (schema->fields[i].type == FL_OBJECT)
+        read_defaults (schema->fields[i].sub, AT (object, &schema->fields[i], char));
+    }
+}
+
+static bool
+read_object (const struct fl_schema *schema,
+             const json_t *json,
+             void *object,
+             const char *path,
+             struct fl_problems *problems)
+{
+  size_t before = problems->count;
+  const char *name;
+  json_t *item;
+
+  read_defaults (schema, object);
+  if (!json_is_object (json))
+    {
+      fl_problems_add (problems, path, "must be an object");
+      return false;
+    }
+  json_object_foreach ((json_t *)json, name, item)
+  {
+    g_autofree char *item_path = g_strdup_printf ("%s.%s", path, name);
+    const struct fl_field *f = find_field (schema, name);
+    if (f != NULL)
+      read_field (f, item, object, item_path, problems);
+    else
+      fl_problems_add (problems, item_path, "is not a known name");
+  }
+  for (size_t i = 0; i < schema->count; i++)
+    if (schema->fields[i].required && json_object_get (json, schema->fields[i].name) == NULL)
+      {
+        g_autofree char *item_path = g_strdup_printf ("%s.%s", path, schema->fields[i].name);
+        fl_problems_add (problems, item_path, "is missing");
+      }
+  return problems->count == before;
+}
+
+bool
+fl_schema_from_json (const struct fl_schema *schema,
+                     const json_t *json,
+                     void *object,
+                     const char *path,
+                     struct fl_problems *problems)
+{
+  memset (object, 0, schema->size);
+  return read_object (schema, json, object, path, problems);
+}
+
+/* --- struct to JSON --- */
+
+static json_t *
+write_array (const struct fl_field *f, const struct fl_array *array)
+{
+  json_t *json = json_array ();
+
+  for (size_t i = 0; i < array->count; i++)
+    json_array_append_new (
+        json, fl_schema_to_json (f->sub, (const char *)array->items + i * f->sub->size));
+  return json;
+}
+
+static json_t *
+write_field (const struct fl_field *f, const void *object)
+{
+  const struct fl_name *name;
+  const struct fl_str *str;
+
+  switch (f->type)
+    {
+    case FL_BOOL:
+      return json_boolean (*CONST_AT (object, f, bool));
+    case FL_INT:
+      return json_integer (*CONST_AT (object, f, int64_t));
+    case FL_NAME:
+      name = CONST_AT (object, f, struct fl_name);
+      return json_stringn (name->data, name->len);
+    case FL_TEXT:
+      str = CONST_AT (object, f, struct fl_str);
+      return json_stringn (fl_str_text (str), str->len);
+    case FL_ENUM:
+      return json_string (f->names[*CONST_AT (object, f, int)]);
+    case FL_OBJECT:
+      return fl_schema_to_json (f->sub, CONST_AT (object, f, char));
+    case FL_ARRAY:
+      return write_array (f, CONST_AT (object, f, struct fl_array));
+    }
+  return NULL;
+}
+
+json_t *
+fl_schema_to_json (const struct fl_schema *schema, const void *object)
+{
+  json_t *json = json_object ();
+
+  for (size_t i = 0; i < schema->count; i++)
+    json_object_set_new (json, schema->fields[i].name, write_field (&schema->fields[i], object));
+  return json;
+}
+
+/* --- MessagePack --- */
+
+static void
+pack_field (const struct fl_field *f, const void *object, msgpack_packer *packer)
+{
+  const struct fl_name *name;
+  const struct fl_str *str;
+  const struct fl_array *array;
+
+  switch (f->type)
+    {
+    case FL_BOOL:
+      if (*CONST_AT (object, f, bool))
+        msgpack_pack_true (packer);
+      else
+        msgpack_pack_false (packer);
+      break;
+    case FL_INT:
+      msgpack_pack_int64 (packer, *CONST_AT (object, f, int64_t));
+      break;
+    case FL_NAME:
+      name = CONST_AT (object, f, struct fl_name);
+      msgpack_pack_bin_with_body (packer, name->data, name->len);
+      break;
+    case FL_TEXT:
+      str = CONST_AT (object, f, struct fl_str);
+      msgpack_pack_bin_with_body (packer, fl_str_text (str), str->len);
+      break;
+    case FL_ENUM:
+      msgpack_pack_int (packer, *CONST_AT (object, f, int));
+      break;
+    case FL_OBJECT:
+      fl_schema_pack (f->sub, CONST_AT (object, f, char), packer);
+      break;
+    case FL_ARRAY:
+      array = CONST_AT (object, f, struct fl_array);
+      msgpack_pack_array (packer, array->count);
+      for (size_t i = 0; i < array->count; i++)
+        fl_schema_pack (f->sub, (const char *)array->items + i * f->sub->size, packer);
+      break;
+    }
+}
+
+void
+fl_schema_pack (const struct fl_schema *schema, const void *object, msgpack_packer *packer)
+{
+  msgpack_pack_array (packer, schema->count);
+  for (size_t i = 0; i < schema->count; i++)
+    pack_field (&schema->fields[i], object, packer);
+}
+
+static bool
+bad_field (const struct fl_field *f, struct fl_error *error)
+{
+  return fl_fail (error, FL_INVALID, "message_unpack", NULL, "field %s is malformed", f->name);
+}
+
+static bool
+packed_int (const msgpack_object *packed, int64_t *value)
+{
+  if (packed->type == MSGPACK_OBJECT_POSITIVE_INTEGER && packed->via.u64 <= INT64_MAX)
+    *value = (int64_t)packed->via.u64;
+  else if (packed->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    *value = packed->via.i64;
+  else
+    return false;
+  return true;
+}
+
+static bool
+unpack_bytes (const struct fl_field *f,
+              const msgpack_object *packed,
+              void *object,
+              struct fl_error *error)
+{
+  if (packed->type != MSGPACK_OBJECT_BIN || (int64_t)packed->via.bin.size > f->max)
+    return bad_field (f, error);
+  if (f->type == FL_NAME)
+    {
+      if (memchr (packed->via.bin.ptr, '\0', packed->via.bin.size) != NULL)
+        return bad_field (f, error);
+      *AT (object, f, struct fl_name) = fl_name_make (packed->via.bin.ptr, packed->via.bin.size);
+    }
+  else
+    *AT (object, f, struct fl_str) = fl_str_make (packed->via.bin.ptr, packed->via.bin.size);
+  return true;
+}
+
+static bool
+unpack_array (const struct fl_field *f,
+              const msgpack_object *packed,
+              void *object,
+              struct fl_error *error)
+{
+  struct fl_array *array = AT (object, f, struct fl_array);
+
+  if (packed->type != MSGPACK_OBJECT_ARRAY || (int64_t)packed->via.array.size > f->max)
+    return bad_field (f, error);
+  array->items = g_malloc0_n (MAX (packed->via.array.size, 1), f->sub->size);
+  array->count = packed->via.array.size;
+  for (size_t i = 0; i < array->count; i++)
+    if (!fl_schema_unpack (f->sub, &packed->via.array.ptr[i],
+                           (char *)array->items + i * f->sub->size, error))
+      return false;
+  return true;
+}
+
+static bool
+unpack_scalar (const struct fl_field *f,
+               const msgpack_object *packed,
+               void *object,
+               struct fl_error *error)
+{
+  int64_t value = 0;
+
+  if (f->type == FL_BOOL)
+    {
+      if (packed->type != MSGPACK_OBJECT_BOOLEAN)
+        return bad_field (f, error);
+      *AT (object, f, bool) = packed->via.boolean;
+      return true;
+    }
+  if (!packed_int (packed, &value))
+    return bad_field (f, error);
+  if (f->type == FL_INT)
+    {
+      if (value < f->min || value > f->max)
+        return bad_field (f, error);
+      *AT (object, f, int64_t) = value;
+      return true;
+    }
+  int count = 0;
+  while (f->names[count] != NULL)
+    count++;
+  if (value < 0 || value >= count)
+    return bad_field (f, error);
+  *AT (object, f, int) = (int)value;
+  return true;
+}
+
+static bool
+unpack_field (const struct fl_field *f,
+              const msgpack_object *packed,
+              void *object,
+              struct fl_error *error)
+{
+  switch (f->type)
+    {
+    case FL_BOOL:
+    case FL_INT:
+    case FL_ENUM:
+      return unpack_scalar (f, packed, object, error);
+    case FL_NAME:
+    case FL_TEXT:
+      return unpack_bytes (f, packed, object, error);
+    case FL_OBJECT:
+      return fl_schema_unpack (f->sub, packed, AT (object, f, char), error);
+    case FL_ARRAY:
+      return unpack_array (f, packed, object, error);
+    }
+  return false;
+}
+
+bool
+fl_schema_unpack (const struct fl_schema *schema,
+                  const msgpack_object *packed,
+                  void *object,
+                  struct fl_error *error)
+{
+  memset (object, 0, schema->size);
+  if (packed->type != MSGPACK_OBJECT_ARRAY || packed->via.array.size != schema->count)
+    return fl_fail (error, FL_INVALID, "message_unpack", NULL, "%s has not %zu fields",
+                    schema->name, schema->count);
+  for (size_t i = 0; i < schema->count; i++)
+    if (!unpack_field (&schema->fields[i], &packed->via.array.ptr[i], object, error))
+      return false;
+  return true;
+}
+
+/* --- memory --- */
+
+void
+fl_schema_clear (const struct fl_schema *schema, void *object)
+{
+  for (size_t i = 0; i < schema->count; i++)
+    {
+      const struct fl_field *f = &schema->fields[i];
+      if (f->type == FL_TEXT)
+        fl_str_clear (AT (object, f, struct fl_str));
+      else if (f->type == FL_OBJECT)
+        fl_schema_clear (f->sub, AT (object, f, char));
+      else if (f->type == FL_ARRAY)
+        {
+          struct fl_array *array = AT (object, f, struct fl_array);
+          for (size_t j = 0; j < array->count; j++)
+            fl_schema_clear (f->sub, (char *)array->items + j * f->sub->size);
+          g_free (array->items);
+        }
+    }
+  memset (object, 0, schema->size);
+}
--- /dev/null
+++ b/lib/common/schema.h
@@ -0,0 +1,105 @@
+/* Field tables that describe C structs.
+ *
+ * Settings, tickets, jobs, table rows and messages between processes are plain structs. Each has
+ * one table that names its fields with their bounds; from it come the JSON reader (which lists
+ * every problem with its path and allowed range), the JSON writer, the MessagePack codec used
+ * between the processes, and the function that frees it.
+ */
+#pragma once
+
+#include <jansson.h>
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/error.h"
+#include "common/str.h"
+
+enum fl_type
+{
+  FL_BOOL,   /* bool */
+  FL_INT,    /* int64_t; min..max bound its value */
+  FL_NAME,   /* struct fl_name; min..max bound its length */
+  FL_TEXT,   /* struct fl_str; min..max bound its length */
+  FL_ENUM,   /* int; one of `names` */
+  FL_OBJECT, /* a nested struct described by `sub` */
+  FL_ARRAY   /* struct fl_array of structs described by `sub`; min..max bound its count */
+};
+
+/* Items of equal size on the heap, owned by the struct that holds the array. */
+struct fl_array
+{
+  size_t count;
+  void *items;
+};
+
+struct fl_schema;
+
+struct fl_field
+{
+  const char *name;
+  enum fl_type type;
+  size_t offset;
+  bool required;
+  int64_t min;
+  int64_t max;
+  int64_t fallback; /* value of an optional INT, BOOL or ENUM that is absent */
+  const struct fl_schema *sub;
+  const char *const *names; /* ENUM: NULL-terminated */
+};
+
+struct fl_schema
+{
+  const char *name;
+  size_t size; /* of the struct, in bytes */
+  const struct fl_field *fields;
+  size_t count;
+};
+
+#define FL_SCHEMA(identifier, type_, fields_)                                                      \
+  const struct fl_schema identifier                                                                \
+      = {#type_, sizeof (struct type_), (fields_), sizeof (fields_) / sizeof ((fields_)[0])}
+
+/* What is wrong with a document: one line for each problem, "path: text". */
+struct fl_problems
+{
+  size_t count;
+  struct fl_str text; /* lines separated by '\n' */
+};
+
+void fl_problems_add (struct fl_problems *problems, const char *path, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+void fl_problems_clear (struct fl_problems *problems);
+
+/* Parses @len bytes of JSON. Duplicate names, bad UTF-8 and trailing bytes are errors.
+ * @return a new reference, or NULL with @error filled. */
+json_t *fl_json_parse (const char *data, size_t len, struct fl_error *error);
+
+/* Writes @json compactly with sorted names, so that equal documents give equal bytes. */
+struct fl_str fl_json_text (const json_t *json);
+
+/* Fills @object, of schema->size bytes, from @json. All problems are listed, not just the first;
+ * unknown names are problems. @path names the document in the list.
+ * @return whether there was none; either way @object can be passed to fl_schema_clear. */
+bool fl_schema_from_json (const struct fl_schema *schema,
+                          const json_t *json,
+                          void *object,
+                          const char *path,
+                          struct fl_problems *problems);
+
+/* @return a new JSON object with every field of @object. */
+json_t *fl_schema_to_json (const struct fl_schema *schema, const void *object);
+
+/* Appends @object as a MessagePack array, one item for each field in table order. */
+void fl_schema_pack (const struct fl_schema *schema, const void *object, msgpack_packer *packer);
+
+/* Fills @object from what fl_schema_pack wrote. Bounds are checked as for JSON.
+ * @return false with @error filled for anything else; @object can then be cleared. */
+bool fl_schema_unpack (const struct fl_schema *schema,
+                       const msgpack_object *packed,
+                       void *object,
+                       struct fl_error *error);
+
+/* Frees what @object owns and zeroes it. */
+void fl_schema_clear (const struct fl_schema *schema, void *object);
--- /dev/null
+++ b/lib/common/str.h
@@ -0,0 +1,63 @@
+/* Length-counted strings.
+ *
+ * `struct fl_name` holds a short identifier inline and is copied by value; `struct fl_str` holds
+ * bytes of any length on the heap. Both keep a NUL after the last byte so that C library calls can
+ * read them, but the length alone says where they end.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Longest identifier in bytes. */
+#define FL_NAME_MAX 95
+
+/* A short identifier. Zero-initialized it is the empty name. */
+struct fl_name
+{
+  uint8_t len;
+  char data[FL_NAME_MAX + 1];
+};
+
+/* Bytes on the heap, owned by the struct. Zero-initialized it is empty. */
+struct fl_str
+{
+  size_t len;
+  char *data;
+};
+
+/* Makes a name of @len bytes at @data. Longer input is cut at FL_NAME_MAX; callers that take names
+ * from outside check the length first. */
+struct fl_name fl_name_make (const char *data, size_t len);
+
+/* Makes a name of a NUL-terminated string. */
+struct fl_name fl_name_of (const char *text);
+
+/* Makes a name by printf rules. */
+struct fl_name fl_name_format (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
+
+bool fl_name_eq (const struct fl_name *a, const struct fl_name *b);
+
+/* Orders names by bytes, shorter first on a common prefix. Returns <0, 0 or >0. */
+int fl_name_compare (const struct fl_name *a, const struct fl_name *b);
+
+/* Hash and equality with the signatures that GHashTable expects; keys are `struct fl_name *`. */
+unsigned int fl_name_hash (const void *key);
+int fl_name_equal (const void *a, const void *b);
+
+/* Copies @len bytes to the heap. @data may be NULL when @len is 0. */
+struct fl_str fl_str_make (const char *data, size_t len);
+
+/* Copies a NUL-terminated string to the heap. */
+struct fl_str fl_str_of (const char *text);
+
+struct fl_str fl_str_dup (const struct fl_str *str);
+
+/* Frees the bytes and leaves @str empty. */
+void fl_str_clear (struct fl_str *str);
+
+bool fl_str_eq (const struct fl_str *a, const struct fl_str *b);
+
+/* The bytes, or "" for an empty string; never NULL. */
+const char *fl_str_text (const struct fl_str *str);
--- /dev/null
+++ b/lib/net/http_client.c
@@ -0,0 +1,333 @@
+#include "net/http_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+/* Answers beyond this are cut off and count as failed. */
+#define ANSWER_MAX (16 * 1024 * 1024)
+/* The kernel gives up on bytes that the peer has not acknowledged after this. */
+#define TCP_USER_TIMEOUT_MS 2000
+
+struct fl_http_client
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timeout;
+  GHashTable *calls; /* set of struct call * */
+  struct curl_slist *headers;
+  int64_t sent;
+  int64_t received;
+};
+
+struct call
+{
+  struct fl_http_client *client;
+  CURL *easy;
+  GString *answer;
+  char *url;
+  struct curl_slist *own_headers; /* NULL unless the call has a header of its own */
+  char error_text[CURL_ERROR_SIZE];
+  bool (*may_send) (void *context);
+  void (*on_done) (void *context, const struct fl_http_result *result);
+  void *context;
+};
+
+/* The watcher of one socket that libcurl uses. */
+struct socket
+{
+  struct fl_http_client *client;
+  ev_io io;
+};
+
+static void
+call_free (void *data)
+{
+  struct call *call = data;
+
+  curl_multi_remove_handle (call->client->multi, call->easy);
+  curl_easy_cleanup (call->easy);
+  g_string_free (call->answer, TRUE);
+  curl_slist_free_all (call->own_headers);
+  g_free (call->url);
+  g_free (call);
+}
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *context)
+{
+  struct call *call = context;
+
+  if (call->answer->len + size * count > ANSWER_MAX)
+    return 0;
+  g_string_append_len (call->answer, data, (gssize)(size * count));
+  return size * count;
+}
+
+static int
+on_socket_option (void *context, curl_socket_t fd, curlsocktype purpose)
+{
+  unsigned timeout = TCP_USER_TIMEOUT_MS;
+
+  (void)context;
+  (void)purpose;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+  return CURL_SOCKOPT_OK;
+}
+
+static int
+on_before_request (
+    void *context, char *remote_address, char *local_address, int remote_port, int local_port)
+{
+  struct call *call = context;
+
+  (void)remote_address;
+  (void)local_address;
+  (void)remote_port;
+  (void)local_port;
+  return call->may_send (call->context) ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+/* --- finished calls --- */
+
+static bool
+may_have_been_sent (const struct call *call, CURLcode code)
+{
+  long request_size = 0;
+
+  if (code == CURLE_ABORTED_BY_CALLBACK || code == CURLE_COULDNT_CONNECT
+      || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT)
+    return false;
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+  return request_size > 0;
+}
+
+static void
+finish (struct fl_http_client *client, struct call *call, CURLcode code)
+{
+  struct fl_http_result result = {.sent = true};
+  curl_off_t up = 0;
+  curl_off_t down = 0;
+  long request_size = 0;
+  long header_size = 0;
+  long status = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &up);
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+  curl_easy_getinfo (call->easy, CURLINFO_HEADER_SIZE, &header_size);
+  client->sent += request_size + up;
+  client->received += header_size + down;
+  if (code == CURLE_OK)
+    {
+      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+      result.status = (int)status;
+    }
+  else
+    {
+      result.sent = may_have_been_sent (call, code);
+      fl_fail (&result.error, result.sent ? FL_UNKNOWN : FL_UNAVAILABLE, "http_call", call->url,
+               "%s", call->error_text[0] != '\0' ? call->error_text : curl_easy_strerror (code));
+    }
+  result.body = (struct fl_str) {call->answer->len, call->answer->str};
+  g_hash_table_steal (client->calls, call);
+  call->on_done (call->context, &result);
+  call_free (call);
+}
+
+static void
+collect (struct fl_http_client *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      struct call *call = NULL;
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      CURLcode code = message->data.result;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+      finish (client, call, code);
+    }
+}
+
+/* --- libev --- */
+
+static void
+on_io (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct socket *socket = io->data;
+  struct fl_http_client *client = socket->client;
+  int running;
+  int action
+      = (events & EV_READ ? CURL_CSELECT_IN : 0) | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+
+  (void)loop;
+  curl_multi_socket_action (client->multi, io->fd, action, &running);
+  collect (client);
+}
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct fl_http_client *client = timer->data;
+  int running;
+
+  (void)loop;
+  (void)events;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  collect (client);
+}
+
+static int
+on_timer_change (CURLM *multi, long timeout_ms, void *context)
+{
+  struct fl_http_client *client = context;
+
+  (void)multi;
+  ev_timer_stop (client->loop, &client->timeout);
+  if (timeout_ms >= 0)
+    {
+      ev_timer_set (&client->timeout, (double)timeout_ms / 1000.0, 0.0);
+      ev_timer_start (client->loop, &client->timeout);
+    }
+  return 0;
+}
+
+static int
+on_socket_change (CURL *easy, curl_socket_t fd, int what, void *context, void *socket_context)
+{
+  struct fl_http_client *client = context;
+  struct socket *socket = socket_context;
+  int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
+
+  (void)easy;
+  if (socket != NULL)
+    ev_io_stop (client->loop, &socket->io);
+  if (what == CURL_POLL_REMOVE)
+    {
+      g_free (socket);
+      curl_multi_assign (client->multi, fd, NULL);
+      return 0;
+    }
+  if (socket == NULL)
+    {
+      socket = g_new0 (struct socket, 1);
+      socket->client = client;
+      curl_multi_assign (client->multi, fd, socket);
+    }
+  ev_io_init (&socket->io, on_io, fd, events);
+  socket->io.data = socket;
+  ev_io_start (client->loop, &socket->io);
+  return 0;
+}
+
+/* --- public functions --- */
+
+static struct curl_slist *
+common_headers (void)
+{
+  struct curl_slist *headers = curl_slist_append (NULL, "Content-Type: application/json");
+
+  return curl_slist_append (headers, "Expect:");
+}
+
+struct fl_http_client *
+fl_http_client_new (struct ev_loop *loop, int64_t connections_max)
+{
+  struct fl_http_client *client = g_new0 (struct fl_http_client, 1);
+
+  client->loop = loop;
+  client->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
+  client->headers = common_headers ();
+  client->multi = curl_multi_init ();
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)connections_max);
+  ev_timer_init (&client->timeout, on_timeout, 0.0, 0.0);
+  client->timeout.data = client;
+  return client;
+}
+
+void
+fl_http_client_free (struct fl_http_client *client)
+{
+  if (client == NULL)
+    return;
+  g_hash_table_destroy (client->calls);
+  curl_multi_cleanup (client->multi);
+  ev_timer_stop (client->loop, &client->timeout);
+  curl_slist_free_all (client->headers);
+  g_free (client);
+}
+
+void
+fl_http_client_start (struct fl_http_client *client, const struct fl_http_call *options)
+{
+  struct call *call = g_new0 (struct call, 1);
+  CURL *easy = curl_easy_init ();
+
+  g_assert (easy != NULL && options->on_done != NULL);
+  call->client = client;
+  call->easy = easy;
+  call->answer = g_string_new (NULL);
+  call->url = g_strdup (options->url);
+  call->on_done = options->on_done;
+  call->context = options->context;
+  call->may_send = options->may_send;
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_URL, options->url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, client->headers);
+  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->error_text);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_option);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (options->timeout_ms, 1));
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX (options->connect_timeout_ms, 1));
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  if (options->header != NULL)
+    {
+      call->own_headers = curl_slist_append (common_headers (), options->header);
+      curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->own_headers);
+    }
+  if (options->fresh_connection)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  if (options->may_send != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
+      curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+    }
+  if (options->body != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)options->len);
+      curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, options->body);
+    }
+  g_hash_table_add (client->calls, call);
+  curl_multi_add_handle (client->multi, easy);
+}
+
+void
+fl_http_client_bytes (const struct fl_http_client *client, int64_t *sent, int64_t *received)
+{
+  *sent = client->sent;
+  *received = client->received;
+}
+
+int
+fl_http_client_open_calls (const struct fl_http_client *client)
+{
+  return (int)g_hash_table_size (client->calls);
+}
--- /dev/null
+++ b/lib/net/http_server.c
@@ -0,0 +1,482 @@
+#include "net/http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <microhttpd.h>
+
+#include "common/clock.h"
+#include "common/schema.h"
+
+/* How often idle and slow connections are looked for. */
+#define SWEEP_INTERVAL_S 1.0
+#define LISTEN_BACKLOG 1024
+
+struct fl_http_server
+{
+  struct fl_http_server_options options;
+  struct MHD_Daemon *daemon;
+  ev_io ready;
+  ev_prepare prepare;
+  ev_timer timeout;
+  ev_timer sweep;
+  struct connection *connections; /* list head */
+  int open_requests;
+  bool resumed; /* a connection was resumed since libmicrohttpd last ran */
+  bool stopping;
+};
+
+/* One TCP connection, from accept to close. */
+struct connection
+{
+  struct fl_http_server *server;
+  struct connection *next;
+  struct connection *previous;
+  int fd;
+  int64_t since_ms; /* accepted, or the last answer was sent, or the request began */
+  bool in_request;
+  bool uploading;
+};
+
+struct fl_http_request
+{
+  struct fl_http_server *server;
+  struct connection *connection;
+  struct MHD_Connection *mhd;
+  char *method;
+  char *path;
+  GString *body;
+  struct fl_str body_view;
+  bool too_large;
+  bool handed_over;
+  bool suspended;
+  struct MHD_Response *response; /* set once answered */
+  int status;
+};
+
+static int64_t
+now_ms (void)
+{
+  return fl_clock_monotonic_us () / 1000;
+}
+
+/* --- connections --- */
+
+static void
+on_connection (void *context,
+               struct MHD_Connection *mhd,
+               void **socket_context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct fl_http_server *server = context;
+  struct connection *connection = *socket_context;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      const union MHD_ConnectionInfo *info
+          = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+      connection = g_new0 (struct connection, 1);
+      connection->server = server;
+      connection->fd = info->connect_fd;
+      connection->since_ms = now_ms ();
+      connection->next = server->connections;
+      if (connection->next != NULL)
+        connection->next->previous = connection;
+      server->connections = connection;
+      *socket_context = connection;
+      return;
+    }
+  if (connection == NULL)
+    return;
+  if (connection->next != NULL)
+    connection->next->previous = connection->previous;
+  if (connection->previous != NULL)
+    connection->previous->next = connection->next;
+  else
+    server->connections = connection->next;
+  g_free (connection);
+  *socket_context = NULL;
+}
+
+static struct connection *
+connection_of (struct MHD_Connection *mhd)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info->socket_context;
+}
+
+/* Shuts down connections that idle or trickle beyond their time; libmicrohttpd then closes them. */
+static void
+on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct fl_http_server *server = timer->data;
+  int64_t now = now_ms ();
+
+  (void)loop;
+  (void)events;
+  for (struct connection *c = server->connections; c != NULL; c = c->next)
+    {
+      int64_t limit = c->in_request ? server->options.upload_ms : server->options.idle_ms;
+      if ((!c->in_request || c->uploading) && now - c->since_ms > limit)
+        shutdown (c->fd, SHUT_RDWR);
+    }
+}
+
+/* --- requests --- */
+
+static void
+request_free (struct fl_http_request *request)
+{
+  if (request->response != NULL)
+    MHD_destroy_response (request->response);
+  g_free (request->method);
+  g_free (request->path);
+  g_string_free (request->body, TRUE);
+  g_free (request);
+}
+
+static struct fl_http_request *
+request_new (struct fl_http_server *server,
+             struct MHD_Connection *mhd,
+             const char *method,
+             const char *path)
+{
+  struct fl_http_request *request = g_new0 (struct fl_http_request, 1);
+
+  request->server = server;
+  request->mhd = mhd;
+  request->connection = connection_of (mhd);
+  request->method = g_strdup (method);
+  request->path = g_strdup (path);
+  request->body = g_string_new (NULL);
+  if (request->connection != NULL)
+    {
+      request->connection->in_request = true;
+      request->connection->uploading = true;
+      request->connection->since_ms = now_ms ();
+    }
+  return request;
+}
+
+static void
+take_upload (struct fl_http_request *request, const char *data, size_t len)
+{
+  if ((int64_t)(request->body->len + len) > request->server->options.body_max)
+    request->too_large = true;
+  else
+    g_string_append_len (request->body, data, (gssize)len);
+}
+
+static void
+hand_over (struct fl_http_request *request)
+{
+  struct fl_http_server *server = request->server;
+
+  request->handed_over = true;
+  server->open_requests++;
+  request->body_view = (struct fl_str) {request->body->len, request->body->str};
+  if (request->connection != NULL)
+    request->connection->uploading = false;
+  if (request->too_large)
+    {
+      struct fl_error error = {0};
+      fl_fail (&error, FL_LIMIT, "http_body", NULL,
+               "the body is longer than %" G_GINT64_FORMAT " bytes", server->options.body_max);
+      fl_http_respond_error (request, &error);
+    }
+  else
+    server->options.on_request (server->options.context, request);
+}
+
+static enum MHD_Result
+on_access (void *context,
+           struct MHD_Connection *mhd,
+           const char *url,
+           const char *method,
+           const char *version,
+           const char *upload,
+           size_t *upload_len,
+           void **request_context)
+{
+  struct fl_http_server *server = context;
+  struct fl_http_request *request = *request_context;
+
+  (void)version;
+  if (request == NULL)
+    {
+      *request_context = request_new (server, mhd, method, url);
+      return MHD_YES;
+    }
+  if (*upload_len > 0)
+    {
+      take_upload (request, upload, *upload_len);
+      *upload_len = 0;
+      return MHD_YES;
+    }
+  if (!request->handed_over)
+    hand_over (request);
+  if (request->response != NULL)
+    return MHD_queue_response (mhd, (unsigned)request->status, request->response);
+  MHD_suspend_connection (mhd);
+  request->suspended = true;
+  return MHD_YES;
+}
+
+static void
+on_completed (void *context,
+              struct MHD_Connection *mhd,
+              void **request_context,
+              enum MHD_RequestTerminationCode code)
+{
+  struct fl_http_request *request = *request_context;
+
+  (void)context;
+  (void)mhd;
+  (void)code;
+  if (request == NULL)
+    return;
+  if (request->connection != NULL)
+    {
+      request->connection->in_request = false;
+      request->connection->uploading = false;
+      request->connection->since_ms = now_ms ();
+    }
+  /* A suspended request cannot complete, so the handler holds no pointer to it any more. */
+  request_free (request);
+  *request_context = NULL;
+}
+
+/* --- libev --- */
+
+static void
+run (struct fl_http_server *server)
+{
+  server->resumed = false;
+  MHD_run (server->daemon);
+}
+
+static void
+on_ready (struct ev_loop *loop, ev_io *io, int events)
+{
+  (void)loop;
+  (void)events;
+  run (io->data);
+}
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  run (timer->data);
+}
+
+/* Arms the timer for work that libmicrohttpd has left without a socket event. */
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+  struct fl_http_server *server = prepare->data;
+  MHD_UNSIGNED_LONG_LONG left_ms = 0;
+
+  (void)events;
+  ev_timer_stop (loop, &server->timeout);
+  if (!server->resumed && MHD_get_timeout (server->daemon, &left_ms) != MHD_YES)
+    return;
+  ev_timer_set (&server->timeout, (double)MIN (left_ms, 1000) / 1000.0, 0.0);
+  ev_timer_start (loop, &server->timeout);
+}
+
+static void
+start_watchers (struct fl_http_server *server)
+{
+  struct ev_loop *loop = server->options.loop;
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+
+  ev_io_init (&server->ready, on_ready, info->epoll_fd, EV_READ);
+  server->ready.data = server;
+  ev_io_start (loop, &server->ready);
+  ev_prepare_init (&server->prepare, on_prepare);
+  server->prepare.data = server;
+  ev_prepare_start (loop, &server->prepare);
+  ev_timer_init (&server->timeout, on_timeout, 0.0, 0.0);
+  server->timeout.data = server;
+  ev_timer_init (&server->sweep, on_sweep, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S);
+  server->sweep.data = server;
+  ev_timer_start (loop, &server->sweep);
+}
+
+/* --- public functions --- */
+
+struct fl_http_server *
+fl_http_server_new (const struct fl_http_server_options *options, struct fl_error *error)
+{
+  struct sockaddr_in address = {.sin_family = AF_INET};
+  struct fl_http_server *server = g_new0 (struct fl_http_server, 1);
+
+  server->options = *options;
+  address.sin_port = htons ((uint16_t)options->port);
+  if (inet_pton (AF_INET, options->address, &address.sin_addr) != 1)
+    {
+      fl_fail (error, FL_INVALID, "http_listen", options->address, "not an IPv4 address");
+      g_free (server);
+      return NULL;
+    }
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL, on_access, server,
+      MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned)options->connections_max, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)options->header_max, MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)LISTEN_BACKLOG,
+      MHD_OPTION_END);
+  if (server->daemon == NULL)
+    {
+      fl_fail (error, FL_INTERNAL, "http_listen", options->address, "cannot listen on port %d",
+               (int)options->port);
+      g_free (server);
+      return NULL;
+    }
+  start_watchers (server);
+  return server;
+}
+
+void
+fl_http_server_quiesce (struct fl_http_server *server)
+{
+  if (server->stopping)
+    return;
+  server->stopping = true;
+  MHD_socket fd = MHD_quiesce_daemon (server->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+void
+fl_http_server_free (struct fl_http_server *server)
+{
+  if (server == NULL)
+    return;
+  ev_io_stop (server->options.loop, &server->ready);
+  ev_prepare_stop (server->options.loop, &server->prepare);
+  ev_timer_stop (server->options.loop, &server->timeout);
+  ev_timer_stop (server->options.loop, &server->sweep);
+  MHD_stop_daemon (server->daemon);
+  g_free (server);
+}
+
+int
+fl_http_server_port (const struct fl_http_server *server)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+  return info->port;
+}
+
+int
+fl_http_server_open_requests (const struct fl_http_server *server)
+{
+  return server->open_requests;
+}
+
+const char *
+fl_http_method (const struct fl_http_request *request)
+{
+  return request->method;
+}
+
+const char *
+fl_http_path (const struct fl_http_request *request)
+{
+  return request->path;
+}
+
+const struct fl_str *
+fl_http_body (const struct fl_http_request *request)
+{
+  return &request->body_view;
+}
+
+const char *
+fl_http_header (const struct fl_http_request *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->mhd, MHD_HEADER_KIND, name);
+}
+
+const char *
+fl_http_query (const struct fl_http_request *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->mhd, MHD_GET_ARGUMENT_KIND, name);
+}
+
+void
+fl_http_respond (struct fl_http_request *request, const struct fl_http_response *response)
+{
+  g_assert (request->response == NULL);
+  request->server->open_requests--;
+  request->status = response->status;
+  request->response = MHD_create_response_from_buffer (response->len, (void *)response->body,
+                                                       MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (request->response, "Content-Type",
+                           response->type != NULL ? response->type : "application/json");
+  if (response->retry_after_ms > 0)
+    {
+      g_autofree char *seconds
+          = g_strdup_printf ("%" G_GINT64_FORMAT, (response->retry_after_ms + 999) / 1000);
+      MHD_add_response_header (request->response, "Retry-After", seconds);
+    }
+  if (request->suspended)
+    {
+      request->suspended = false;
+      request->server->resumed = true; /* nothing on the epoll descriptor tells of it */
+      MHD_resume_connection (request->mhd);
+    }
+}
+
+static int
+status_of (const struct fl_error *error)
+{
+  switch (error->code)
+    {
+    case FL_INVALID:
+      return 400;
+    case FL_NOT_FOUND:
+      return 404;
+    case FL_CONFLICT:
+    case FL_STALE:
+      return 409;
+    case FL_DENIED:
+      return 403;
+    case FL_LIMIT:
+      return strcmp (error->step, "http_body") == 0 ? 413 : 429;
+    case FL_UNAVAILABLE:
+      return 503;
+    case FL_UNKNOWN:
+      return 504;
+    default:
+      return 500;
+    }
+}
+
+void
+fl_http_respond_error (struct fl_http_request *request, const struct fl_error *error)
+{
+  json_t *json = json_pack ("{s:{s:s,s:s,s:s,s:s}}", "error", "code", fl_code_name (error->code),
+                            "step", error->step, "peer", error->peer, "text", error->text);
+  struct fl_str text = fl_json_text (json);
+  struct fl_http_response response
+      = {.status = status_of (error), .body = text.data, .len = text.len};
+
+  if (response.status == 503 || response.status == 429)
+    response.retry_after_ms = 1000;
+  fl_http_respond (request, &response);
+  fl_str_clear (&text);
+  json_decref (json);
+}
--- /dev/null
+++ b/lib/net/link.c
@@ -0,0 +1,292 @@
+#include "net/link.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+#include <zmq.h>
+
+/* Messages read from one socket before the loop serves the others. */
+#define READ_BATCH 256
+#define RECONNECT_MIN_MS 50
+#define RECONNECT_MAX_MS 1000
+
+/* One ZeroMQ socket with the watchers that drive it. ZeroMQ's descriptor is edge-triggered, so its
+ * state is read before and after each wait of the loop. */
+struct socket
+{
+  struct fl_link *link;
+  struct fl_name address; /* empty for the bound socket */
+  void *zmq;
+  ev_io io;
+  ev_prepare prepare;
+  ev_check check;
+  ev_idle idle;
+};
+
+struct fl_link
+{
+  struct fl_link_options options;
+  void *context;
+  struct socket *bound;
+  GHashTable *dealers; /* struct fl_name * -> struct socket * */
+  struct fl_name address;
+  int64_t sent;
+  int64_t received;
+};
+
+static bool
+readable (struct socket *socket)
+{
+  int events = 0;
+  size_t size = sizeof events;
+
+  return zmq_getsockopt (socket->zmq, ZMQ_EVENTS, &events, &size) == 0
+         && (events & ZMQ_POLLIN) != 0;
+}
+
+/* Reads one message. @return false when there is none. */
+static bool
+receive (struct socket *socket, struct fl_route *from, zmq_msg_t *body)
+{
+  zmq_msg_t frame;
+
+  memset (from, 0, sizeof *from);
+  from->address = socket->address;
+  if (socket->address.len == 0)
+    {
+      zmq_msg_init (&frame);
+      if (zmq_msg_recv (&frame, socket->zmq, ZMQ_DONTWAIT) < 0)
+        {
+          zmq_msg_close (&frame);
+          return false;
+        }
+      from->id_len = (uint8_t)MIN (zmq_msg_size (&frame), FL_ROUTE_MAX);
+      memcpy (from->id, zmq_msg_data (&frame), from->id_len);
+      zmq_msg_close (&frame);
+    }
+  return zmq_msg_recv (body, socket->zmq, ZMQ_DONTWAIT) >= 0;
+}
+
+/* Drops the frames beyond the one that a message of ours has. */
+static void
+skip_rest (struct socket *socket, zmq_msg_t *last)
+{
+  bool more = zmq_msg_more (last);
+
+  while (more)
+    {
+      zmq_msg_t frame;
+      zmq_msg_init (&frame);
+      more = zmq_msg_recv (&frame, socket->zmq, ZMQ_DONTWAIT) >= 0 && zmq_msg_more (&frame);
+      zmq_msg_close (&frame);
+    }
+}
+
+static void
+drain (struct socket *socket)
+{
+  struct fl_link *link = socket->link;
+
+  for (int i = 0; i < READ_BATCH; i++)
+    {
+      struct fl_route from;
+      zmq_msg_t body;
+      zmq_msg_init (&body);
+      if (!receive (socket, &from, &body))
+        {
+          zmq_msg_close (&body);
+          return;
+        }
+      skip_rest (socket, &body);
+      link->received += (int64_t)zmq_msg_size (&body);
+      link->options.on_message (link->options.context, &from, zmq_msg_data (&body),
+                                zmq_msg_size (&body));
+      zmq_msg_close (&body);
+    }
+}
+
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+  struct socket *socket = prepare->data;
+
+  (void)events;
+  if (readable (socket))
+    ev_idle_start (loop, &socket->idle);
+}
+
+static void
+on_check (struct ev_loop *loop, ev_check *check, int events)
+{
+  struct socket *socket = check->data;
+
+  (void)events;
+  ev_idle_stop (loop, &socket->idle);
+  if (readable (socket))
+    drain (socket);
+}
+
+static void
+on_idle (struct ev_loop *loop, ev_idle *idle, int events)
+{
+  (void)loop;
+  (void)idle;
+  (void)events;
+}
+
+static void
+on_io (struct ev_loop *loop, ev_io *io, int events)
+{
+  (void)loop;
+  (void)io;
+  (void)events;
+}
+
+static struct socket *
+socket_new (struct fl_link *link, int type, const struct fl_name *address)
+{
+  struct socket *socket = g_new0 (struct socket, 1);
+  struct ev_loop *loop = link->options.loop;
+  int queue = (int)link->options.queue_max;
+  int zero = 0;
+  int one = 1;
+  int reconnect_min = RECONNECT_MIN_MS;
+  int reconnect_max = RECONNECT_MAX_MS;
+  int fd = -1;
+  size_t size = sizeof fd;
+
+  socket->link = link;
+  socket->address = *address;
+  socket->zmq = zmq_socket (link->context, type);
+  zmq_setsockopt (socket->zmq, ZMQ_LINGER, &zero, sizeof zero);
+  zmq_setsockopt (socket->zmq, ZMQ_SNDHWM, &queue, sizeof queue);
+  zmq_setsockopt (socket->zmq, ZMQ_RCVHWM, &queue, sizeof queue);
+  zmq_setsockopt (socket->zmq, ZMQ_RECONNECT_IVL, &reconnect_min, sizeof reconnect_min);
+  zmq_setsockopt (socket->zmq, ZMQ_RECONNECT_IVL_MAX, &reconnect_max, sizeof reconnect_max);
+  if (type == ZMQ_ROUTER)
+    zmq_setsockopt (socket->zmq, ZMQ_ROUTER_MANDATORY, &one, sizeof one);
+  else
+    zmq_setsockopt (socket->zmq, ZMQ_IMMEDIATE, &one, sizeof one);
+  zmq_getsockopt (socket->zmq, ZMQ_FD, &fd, &size);
+  ev_io_init (&socket->io, on_io, fd, EV_READ);
+  ev_prepare_init (&socket->prepare, on_prepare);
+  ev_check_init (&socket->check, on_check);
+  ev_idle_init (&socket->idle, on_idle);
+  socket->prepare.data = socket;
+  socket->check.data = socket;
+  ev_io_start (loop, &socket->io);
+  ev_prepare_start (loop, &socket->prepare);
+  ev_check_start (loop, &socket->check);
+  return socket;
+}
+
+static void
+socket_free (void *data)
+{
+  struct socket *socket = data;
+  struct ev_loop *loop = socket->link->options.loop;
+
+  ev_io_stop (loop, &socket->io);
+  ev_prepare_stop (loop, &socket->prepare);
+  ev_check_stop (loop, &socket->check);
+  ev_idle_stop (loop, &socket->idle);
+  zmq_close (socket->zmq);
+  g_free (socket);
+}
+
+static bool
+bind_address (struct fl_link *link, struct fl_error *error)
+{
+  static const struct fl_name none = {0};
+  char endpoint[FL_NAME_MAX + 1];
+  size_t size = sizeof endpoint;
+
+  link->bound = socket_new (link, ZMQ_ROUTER, &none);
+  if (zmq_bind (link->bound->zmq, link->options.address) != 0)
+    return fl_fail (error, FL_INTERNAL, "link_bind", link->options.address, "%s",
+                    zmq_strerror (errno));
+  if (zmq_getsockopt (link->bound->zmq, ZMQ_LAST_ENDPOINT, endpoint, &size) == 0)
+    link->address = fl_name_of (endpoint);
+  return true;
+}
+
+struct fl_link *
+fl_link_new (const struct fl_link_options *options, struct fl_error *error)
+{
+  struct fl_link *link = g_new0 (struct fl_link, 1);
+
+  link->options = *options;
+  link->context = zmq_ctx_new ();
+  link->dealers = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, socket_free);
+  if (options->address != NULL && !bind_address (link, error))
+    {
+      fl_link_free (link);
+      return NULL;
+    }
+  return link;
+}
+
+void
+fl_link_free (struct fl_link *link)
+{
+  if (link == NULL)
+    return;
+  g_hash_table_destroy (link->dealers);
+  if (link->bound != NULL)
+    socket_free (link->bound);
+  zmq_ctx_term (link->context);
+  g_free (link);
+}
+
+struct fl_name
+fl_link_address (const struct fl_link *link)
+{
+  return link->address;
+}
+
+bool
+fl_link_connect (struct fl_link *link, const struct fl_name *address, struct fl_error *error)
+{
+  if (g_hash_table_contains (link->dealers, address))
+    return true;
+  struct socket *socket = socket_new (link, ZMQ_DEALER, address);
+  if (zmq_connect (socket->zmq, address->data) != 0)
+    {
+      socket_free (socket);
+      return fl_fail (error, FL_INVALID, "link_connect", address->data, "%s", zmq_strerror (errno));
+    }
+  g_hash_table_insert (link->dealers, g_memdup2 (address, sizeof *address), socket);
+  return true;
+}
+
+void
+fl_link_disconnect (struct fl_link *link, const struct fl_name *address)
+{
+  g_hash_table_remove (link->dealers, address);
+}
+
+bool
+fl_link_send (struct fl_link *link, const struct fl_route *to, const char *data, size_t len)
+{
+  struct socket *socket = link->bound;
+
+  if (to->address.len > 0)
+    socket = g_hash_table_lookup (link->dealers, &to->address);
+  if (socket == NULL)
+    return false;
+  if (to->address.len == 0
+      && zmq_send (socket->zmq, to->id, to->id_len, ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
+    return false;
+  if (zmq_send (socket->zmq, data, len, ZMQ_DONTWAIT) < 0)
+    return false;
+  link->sent += (int64_t)len;
+  return true;
+}
+
+void
+fl_link_bytes (const struct fl_link *link, int64_t *sent, int64_t *received)
+{
+  *sent = link->sent;
+  *received = link->received;
+}
