--- a/Makefile
+++ b/Makefile
@@ -62,14 +62,14 @@
 	@python3 scripts/demo.py
 
 check: install-packages
-	@$(MAKE) --no-print-directory -j$$(nproc) all
+	@$(MAKE) --no-print-directory -j$$(nproc) all $(TESTS)
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory test
 
 lint:
 	@clang-format --dry-run -Werror $(SOURCES)
 
-test:
-	@echo "0 passed, 0 failed"
+test: $(TESTS)
+	@scripts/run-tests $(TESTS)
 
 -include $(shell find $(BUILD) -name "*.d" 2>/dev/null)
--- a/lib/cli/client.c
+++ b/lib/cli/client.c
@@ -37,19 +37,19 @@
 {
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
   struct fl_http_client *client = fl_http_client_new (loop, 1);
-  struct waiting waiting = {loop, reply};
+  struct waiting waiting = { loop, reply };
   g_autofree char *url = g_strdup_printf ("%s%s", options->url, path);
   g_autofree char *authorization
       = options->key != NULL ? g_strdup_printf ("Authorization: Bearer %s", options->key) : NULL;
-  struct fl_http_call call = {.method = method,
-                              .url = url,
-                              .header = authorization,
-                              .body = body,
-                              .len = body != NULL ? strlen (body) : 0,
-                              .timeout_ms = options->timeout_ms,
-                              .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                              .on_done = on_done,
-                              .context = &waiting};
+  struct fl_http_call call = { .method = method,
+                               .url = url,
+                               .header = authorization,
+                               .body = body,
+                               .len = body != NULL ? strlen (body) : 0,
+                               .timeout_ms = options->timeout_ms,
+                               .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                               .on_done = on_done,
+                               .context = &waiting };
 
   memset (reply, 0, sizeof *reply);
   fl_http_client_start (client, &call);
--- a/lib/cli/daemon.c
+++ b/lib/cli/daemon.c
@@ -21,7 +21,7 @@
 run (const struct fl_daemon *daemon, const char *path, bool check_only)
 {
   struct fl_settings settings;
-  struct fl_problems problems = {0};
+  struct fl_problems problems = { 0 };
   int code = FL_EXIT_OK;
 
   if (!fl_settings_load (path, &settings, &problems))
@@ -46,7 +46,7 @@
   struct arg_lit *check = arg_lit0 (NULL, "check", "check the settings and exit");
   struct arg_file *settings = arg_file1 ("s", "settings", "FILE", "JSON settings");
   struct arg_end *end = arg_end (5);
-  void *table[] = {help, check, settings, end};
+  void *table[] = { help, check, settings, end };
   int errors = arg_parse (argc, argv, table);
   int code;
 
--- a/lib/cli/table.c
+++ b/lib/cli/table.c
@@ -39,7 +39,7 @@
 void
 fl_table_print (FILE *out, const json_t *items, const struct fl_column *columns)
 {
-  int widths[COLUMNS_MAX] = {0};
+  int widths[COLUMNS_MAX] = { 0 };
   size_t i;
   json_t *item;
 
--- a/lib/common/clock.c
+++ b/lib/common/clock.c
@@ -22,7 +22,7 @@
 struct fl_clock
 fl_clock_monotonic (void)
 {
-  return (struct fl_clock) {read_monotonic_ms, NULL};
+  return (struct fl_clock){ read_monotonic_ms, NULL };
 }
 
 int64_t
--- a/lib/common/error.c
+++ b/lib/common/error.c
@@ -30,8 +30,8 @@
 fl_code_name (enum fl_code code)
 {
   static const char *const names[FL_CODES]
-      = {"ok",     "invalid",     "not_found", "conflict", "stale",
-         "denied", "unavailable", "unknown",   "limit",    "internal"};
+      = { "ok",     "invalid",     "not_found", "conflict", "stale",
+          "denied", "unavailable", "unknown",   "limit",    "internal" };
 
   return (unsigned)code < FL_CODES ? names[code] : "invalid_code";
 }
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -12,7 +12,7 @@
 level_name (enum fl_log_level level)
 {
   static const char *const names[]
-      = {"emerg", "alert", "crit", "err", "warning", "notice", "info", "debug"};
+      = { "emerg", "alert", "crit", "err", "warning", "notice", "info", "debug" };
 
   return names[level];
 }
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -41,14 +41,14 @@
   int64_t number;
 };
 
-#define FL_S(key_, text_) ((struct fl_log_pair) {FL_LOG_TEXT, (key_), (text_), 0})
-#define FL_N(key_, name_) ((struct fl_log_pair) {FL_LOG_TEXT, (key_), (name_)->data, 0})
-#define FL_I(key_, number_) ((struct fl_log_pair) {FL_LOG_INT, (key_), 0, (number_)})
+#define FL_S(key_, text_) ((struct fl_log_pair){ FL_LOG_TEXT, (key_), (text_), 0 })
+#define FL_N(key_, name_) ((struct fl_log_pair){ FL_LOG_TEXT, (key_), (name_)->data, 0 })
+#define FL_I(key_, number_) ((struct fl_log_pair){ FL_LOG_INT, (key_), 0, (number_) })
 
 /* Writes one event: fl_log (log, FL_LOG_INFO, "domain_taken", FL_N ("domain", &d), FL_I (...)). */
 #define fl_log(log_, level_, event_, ...)                                                          \
   fl_log_write ((log_), (level_), (event_),                                                        \
-                (const struct fl_log_pair[]) {__VA_ARGS__, {FL_LOG_END, 0, 0, 0}})
+                (const struct fl_log_pair[]){ __VA_ARGS__, { FL_LOG_END, 0, 0, 0 } })
 
 /* Writes one event with @pairs, ended by a pair of kind FL_LOG_END. */
 void fl_log_write (const struct fl_log *log,
--- a/lib/common/schema.c
+++ b/lib/common/schema.c
@@ -27,7 +27,7 @@
                      ? g_strdup_printf ("%s: %s", path, text)
                      : g_strdup_printf ("%s\n%s: %s", fl_str_text (&problems->text), path, text);
   fl_str_clear (&problems->text);
-  problems->text = (struct fl_str) {strlen (joined), joined};
+  problems->text = (struct fl_str){ strlen (joined), joined };
   problems->count++;
 }
 
--- a/lib/common/schema.h
+++ b/lib/common/schema.h
@@ -59,7 +59,7 @@
 
 #define FL_SCHEMA(identifier, type_, fields_)                                                      \
   const struct fl_schema identifier                                                                \
-      = {#type_, sizeof (struct type_), (fields_), sizeof (fields_) / sizeof ((fields_)[0])}
+      = { #type_, sizeof (struct type_), (fields_), sizeof (fields_) / sizeof ((fields_)[0]) }
 
 /* What is wrong with a document: one line for each problem, "path: text". */
 struct fl_problems
--- a/lib/common/stats.c
+++ b/lib/common/stats.c
@@ -154,7 +154,7 @@
 static void
 append_histogram (GString *out, const char *name, const struct fl_histogram *histogram)
 {
-  static const double quantiles[] = {0.5, 0.99, 0.999};
+  static const double quantiles[] = { 0.5, 0.99, 0.999 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (quantiles); i++)
     g_string_append_printf (out, "flamingolane_%s{quantile=\"%g\"} %" PRId64 "\n", name,
--- a/lib/common/str.c
+++ b/lib/common/str.c
@@ -11,7 +11,7 @@
 struct fl_name
 fl_name_make (const char *data, size_t len)
 {
-  struct fl_name name = {0};
+  struct fl_name name = { 0 };
 
   if (len > FL_NAME_MAX)
     len = FL_NAME_MAX;
@@ -30,7 +30,7 @@
 struct fl_name
 fl_name_format (const char *format, ...)
 {
-  struct fl_name name = {0};
+  struct fl_name name = { 0 };
   va_list args;
 
   va_start (args, format);
@@ -72,7 +72,7 @@
 struct fl_str
 fl_str_make (const char *data, size_t len)
 {
-  struct fl_str str = {len, g_malloc (len + 1)};
+  struct fl_str str = { len, g_malloc (len + 1) };
 
   if (len > 0)
     memcpy (str.data, data, len);
--- a/lib/domain/domain.c
+++ b/lib/domain/domain.c
@@ -3,19 +3,19 @@
 #include <string.h>
 
 const struct fl_domain_limits fl_domain_limits_default = {
-    .task_lease_ms = 45000,
-    .drift_ppm = 1000,
-    .quarantine_failures = 3,
-    .quarantine_ms = 10000,
-    .waiting_max = 10000,
-    .gang_patience_ms = 5000,
-    .retry_tokens_max = 100,
-    .retry_ratio = 10,
-    .finished_keep_ms = 3600 * 1000,
+  .task_lease_ms = 45000,
+  .drift_ppm = 1000,
+  .quarantine_failures = 3,
+  .quarantine_ms = 10000,
+  .waiting_max = 10000,
+  .gang_patience_ms = 5000,
+  .retry_tokens_max = 100,
+  .retry_ratio = 10,
+  .finished_keep_ms = 3600 * 1000,
 };
 
 const char *const fl_outcome_names[]
-    = {"done", "failed", "not_run", "unknown", "cancelled", "accepted", NULL};
+    = { "done", "failed", "not_run", "unknown", "cancelled", "accepted", NULL };
 
 /* What waits for a record that is on its way to the table. */
 struct record
@@ -105,12 +105,12 @@
                   struct fl_request *request)
 {
   struct record *waiting = g_new0 (struct record, 1);
-  struct fl_record record = {.id = ++domain->last_id,
-                             .domain = domain->options.name,
-                             .key = {strlen (key), (char *)key},
-                             .value = value,
-                             .version = version,
-                             .persistent = persistent};
+  struct fl_record record = { .id = ++domain->last_id,
+                              .domain = domain->options.name,
+                              .key = { strlen (key), (char *)key },
+                              .value = value,
+                              .version = version,
+                              .persistent = persistent };
 
   waiting->job = job;
   waiting->request = request;
@@ -159,7 +159,7 @@
   if (waiting == NULL)
     return;
   struct record record = *waiting;
-  *waiting = (struct record) {0};
+  *waiting = (struct record){ 0 };
   g_hash_table_remove (domain->records, &id);
   if (record.abandoned_key != NULL && result == FL_COMMIT_OK)
     fl_domain_commit (domain, record.abandoned_key, json_incref (record.abandoned_value), version,
@@ -422,7 +422,7 @@
 static json_t *
 dump_requests (const struct fl_domain *domain)
 {
-  static const char *const states[] = {"waiting", "committing", "running"};
+  static const char *const states[] = { "waiting", "committing", "running" };
   json_t *list = json_array ();
   GHashTableIter iter;
   struct fl_request *r;
@@ -440,7 +440,7 @@
 json_t *
 fl_domain_dump (const struct fl_domain *domain)
 {
-  static const struct fl_name all_teams = {0};
+  static const struct fl_name all_teams = { 0 };
 
   return json_pack ("{s:s,s:I,s:b,s:b,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:o,s:o,s:o,s:o}", "domain",
                     domain->options.name.data, "epoch", domain->options.epoch, "loaded",
--- a/lib/domain/job.c
+++ b/lib/domain/job.c
@@ -14,10 +14,10 @@
 #define RETRY_AFTER_MS 1000
 
 const char *const fl_job_state_names[]
-    = {"accepting", "active", "done", "failed", "cancelled", NULL};
+    = { "accepting", "active", "done", "failed", "cancelled", NULL };
 
 static const char *const task_state_names[]
-    = {"waiting", "held", "starting", "running", "stopping", "done", "failed", NULL};
+    = { "waiting", "held", "starting", "running", "stopping", "done", "failed", NULL };
 
 /* --- making and freeing --- */
 
@@ -235,7 +235,7 @@
         const char *reason,
         bool elsewhere)
 {
-  struct fl_answer reply = {.outcome = outcome, .reason = reason, .elsewhere = elsewhere};
+  struct fl_answer reply = { .outcome = outcome, .reason = reason, .elsewhere = elsewhere };
 
   if (handle == 0)
     return;
@@ -450,7 +450,7 @@
   const char *state = json_string_value (json_object_get (row, "state"));
   const char *kind = json_string_value (json_object_get (row, "kind"));
   const char *priority = json_string_value (json_object_get (row, "priority"));
-  struct fl_problems problems = {0};
+  struct fl_problems problems = { 0 };
   struct fl_job_spec spec;
   bool ok = fl_schema_from_json (&fl_job_spec_schema, json_object_get (row, "spec"), &spec, "spec",
                                  &problems);
@@ -885,10 +885,10 @@
   int64_t n = domain->service_domains;
   int32_t wanted
       = (int32_t)(service->replicas / n + (domain->service_rank < service->replicas % n ? 1 : 0));
-  struct fl_job_spec spec = {.id = service_job_id (domain, service),
-                             .demand = service->demand,
-                             .attempts = 1,
-                             .payload = service->payload};
+  struct fl_job_spec spec = { .id = service_job_id (domain, service),
+                              .demand = service->demand,
+                              .attempts = 1,
+                              .payload = service->payload };
   struct fl_job *job = fl_domain_find_job (domain, &service->team, &spec.id);
 
   if (job == NULL)
@@ -906,7 +906,7 @@
 fl_domain_update_services (struct fl_domain *domain, int64_t now_ms)
 {
   g_autoptr (GHashTable) seen = g_hash_table_new (fl_name_hash, fl_name_equal);
-  struct service_visit visit = {domain, seen, now_ms};
+  struct service_visit visit = { domain, seen, now_ms };
   GHashTableIter iter;
   struct fl_job *job;
 
@@ -982,7 +982,7 @@
 static json_t *
 job_json (const struct fl_domain *domain, const struct fl_job *job)
 {
-  int64_t counts[FL_TASK_STATES] = {0};
+  int64_t counts[FL_TASK_STATES] = { 0 };
   json_t *tasks = json_object ();
 
   for (int32_t i = 0; i < job->task_count; i++)
--- a/lib/domain/recovery.c
+++ b/lib/domain/recovery.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-static const struct fl_resources one_slot = {{0, 0, 0, 1}};
+static const struct fl_resources one_slot = { { 0, 0, 0, 1 } };
 
 /* --- listing --- */
 
@@ -224,8 +224,8 @@
 static void
 mark_event (struct fl_target *target, struct fl_job *job, int64_t seq)
 {
-  struct fl_event_mark mark = {seq, false};
-  struct fl_ack ack = {target, seq};
+  struct fl_event_mark mark = { seq, false };
+  struct fl_ack ack = { target, seq };
 
   g_array_append_val (target->unacked, mark);
   if (job == NULL || job->work.kind == FL_WORK_SERVICE || job->record + job->dirty == 0)
@@ -407,7 +407,7 @@
       const struct fl_task_usage *usage = &report->usage[i];
       int64_t attempt = 0;
       struct fl_task *task = fl_domain_find_task (domain, &usage->id, &attempt);
-      struct fl_resources extra = {0};
+      struct fl_resources extra = { 0 };
       if (task == NULL || task->target != target || task->attempt != attempt)
         continue;
       extra.amount[FL_CPU_MILLI] = MAX (usage->cpu_milli - task->reserved.amount[FL_CPU_MILLI], 0);
--- a/lib/domain/request.c
+++ b/lib/domain/request.c
@@ -7,7 +7,7 @@
 /* Callers that may come back are told to do so after this. */
 #define RETRY_AFTER_MS 200
 
-static const struct fl_resources one_slot = {{0, 0, 0, 1}};
+static const struct fl_resources one_slot = { { 0, 0, 0, 1 } };
 
 /* --- answers --- */
 
@@ -19,10 +19,9 @@
         int64_t retry_after_ms,
         bool elsewhere)
 {
-  struct fl_answer reply = {.outcome = outcome,
-                            .reason = reason,
-                            .retry_after_ms = retry_after_ms,
-                            .elsewhere = elsewhere};
+  struct fl_answer reply = {
+    .outcome = outcome, .reason = reason, .retry_after_ms = retry_after_ms, .elsewhere = elsewhere
+  };
 
   domain->options.ops.answer (domain->options.ops.context, handle, &reply);
 }
@@ -101,7 +100,7 @@
                    const struct fl_str *result,
                    int64_t now_ms)
 {
-  struct fl_answer reply = {.outcome = outcome, .reason = reason};
+  struct fl_answer reply = { .outcome = outcome, .reason = reason };
 
   (void)now_ms;
   if (result != NULL)
@@ -290,14 +289,14 @@
 {
   const char *state = json_string_value (json_object_get (existing, "state"));
   const json_t *result = json_object_get (existing, "result");
-  struct fl_answer reply = {.outcome = FL_OUTCOME_UNKNOWN, .reason = "same_id_before"};
+  struct fl_answer reply = { .outcome = FL_OUTCOME_UNKNOWN, .reason = "same_id_before" };
 
   for (int i = 0; state != NULL && fl_outcome_names[i] != NULL; i++)
     if (strcmp (state, fl_outcome_names[i]) == 0)
       reply.outcome = i;
   if (json_is_string (result))
     reply.result
-        = (struct fl_str) {json_string_length (result), (char *)json_string_value (result)};
+        = (struct fl_str){ json_string_length (result), (char *)json_string_value (result) };
   domain->duplicates++;
   vacate (domain, request);
   domain->options.ops.answer (domain->options.ops.context, request->handle, &reply);
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -56,15 +56,15 @@
 fl_entry_new (const struct fl_settings *settings, struct fl_error *error)
 {
   struct fl_entry *entry = g_new0 (struct fl_entry, 1);
-  struct fl_node_options options = {.settings = settings,
-                                    .role = FL_PROCESS_ENTRY,
-                                    .program = "flamingo-entryd",
-                                    .on_message = fl_entry_on_message,
-                                    .on_config = on_config,
-                                    .on_http = fl_entry_on_http,
-                                    .on_metrics = on_metrics,
-                                    .on_tick = on_tick,
-                                    .context = entry};
+  struct fl_node_options options = { .settings = settings,
+                                     .role = FL_PROCESS_ENTRY,
+                                     .program = "flamingo-entryd",
+                                     .on_message = fl_entry_on_message,
+                                     .on_config = on_config,
+                                     .on_http = fl_entry_on_http,
+                                     .on_metrics = on_metrics,
+                                     .on_tick = on_tick,
+                                     .context = entry };
 
   entry->pending = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, fl_pending_free);
   entry->recorded = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -11,7 +11,7 @@
 {
   struct fl_str text = fl_json_text (body);
   struct fl_http_response response
-      = {.status = status, .body = text.data, .len = text.len, .retry_after_ms = retry_after_ms};
+      = { .status = status, .body = text.data, .len = text.len, .retry_after_ms = retry_after_ms };
 
   fl_http_respond (request, &response);
   fl_str_clear (&text);
@@ -102,7 +102,7 @@
 respond_job (struct fl_entry *entry, struct fl_pending *pending)
 {
   json_t *job = json_array_get (pending->gathered, 0);
-  struct fl_error error = {0};
+  struct fl_error error = { 0 };
 
   (void)entry;
   if (job != NULL)
@@ -303,24 +303,24 @@
   enum access access;
   void (*handle) (const struct call *call);
 } routes[] = {
-    {"POST", "/v1/requests", ACCESS_SUBMIT, take_request},
-    {"POST", "/v1/jobs", ACCESS_SUBMIT, take_job},
-    {"GET", "/v1/jobs", ACCESS_KEY, show_jobs},
-    {"GET", "/v1/jobs/", ACCESS_KEY, show_job},
-    {"DELETE", "/v1/jobs/", ACCESS_KEY, cancel_job},
-    {"POST", "/v1/tickets", ACCESS_OPERATOR, take_ticket},
-    {"GET", "/v1/tickets/", ACCESS_OPERATOR, show_ticket},
-    {"GET", "/v1/teams", ACCESS_OPERATOR, show_teams},
-    {"GET", "/v1/keys", ACCESS_OPERATOR, show_keys},
-    {"GET", "/v1/queues", ACCESS_OPERATOR, show_queues},
-    {"GET", "/v1/services", ACCESS_OPERATOR, show_services},
-    {"GET", "/v1/usage", ACCESS_OPERATOR, show_usage},
-    {"GET", "/v1/hosts", ACCESS_OPERATOR, show_hosts},
-    {"GET", "/v1/domains", ACCESS_OPERATOR, show_domains},
-    {"GET", "/v1/leases", ACCESS_OPERATOR, show_leases},
-    {"GET", "/v1/dumps", ACCESS_OPERATOR, show_dumps},
-    {"GET", "/v1/status", ACCESS_OPERATOR, show_status},
-    {"GET", "/dump", ACCESS_OPERATOR, show_status},
+  { "POST", "/v1/requests", ACCESS_SUBMIT, take_request },
+  { "POST", "/v1/jobs", ACCESS_SUBMIT, take_job },
+  { "GET", "/v1/jobs", ACCESS_KEY, show_jobs },
+  { "GET", "/v1/jobs/", ACCESS_KEY, show_job },
+  { "DELETE", "/v1/jobs/", ACCESS_KEY, cancel_job },
+  { "POST", "/v1/tickets", ACCESS_OPERATOR, take_ticket },
+  { "GET", "/v1/tickets/", ACCESS_OPERATOR, show_ticket },
+  { "GET", "/v1/teams", ACCESS_OPERATOR, show_teams },
+  { "GET", "/v1/keys", ACCESS_OPERATOR, show_keys },
+  { "GET", "/v1/queues", ACCESS_OPERATOR, show_queues },
+  { "GET", "/v1/services", ACCESS_OPERATOR, show_services },
+  { "GET", "/v1/usage", ACCESS_OPERATOR, show_usage },
+  { "GET", "/v1/hosts", ACCESS_OPERATOR, show_hosts },
+  { "GET", "/v1/domains", ACCESS_OPERATOR, show_domains },
+  { "GET", "/v1/leases", ACCESS_OPERATOR, show_leases },
+  { "GET", "/v1/dumps", ACCESS_OPERATOR, show_dumps },
+  { "GET", "/v1/status", ACCESS_OPERATOR, show_status },
+  { "GET", "/dump", ACCESS_OPERATOR, show_status },
 };
 
 static bool
@@ -355,8 +355,8 @@
 void
 fl_entry_on_http (void *context, struct fl_http_request *request)
 {
-  struct call call = {.entry = context, .request = request};
-  struct fl_error error = {0};
+  struct call call = { .entry = context, .request = request };
+  struct fl_error error = { 0 };
   bool known_path = false;
 
   if (!authenticate (call.entry, request, &call.caller, &error))
--- a/lib/entry/tickets.c
+++ b/lib/entry/tickets.c
@@ -191,7 +191,7 @@
 static void
 add_put (GArray *ops, char *key, int64_t version, json_t *value)
 {
-  struct fl_txn_op op = {FL_TXN_PUT, {strlen (key), key}, version, value};
+  struct fl_txn_op op = { FL_TXN_PUT, { strlen (key), key }, version, value };
 
   g_array_append_val (ops, op);
 }
@@ -200,7 +200,7 @@
 static void
 add_objects (GArray *ops, const json_t *ticket, int64_t number)
 {
-  static const char *const lists[] = {"teams", "keys", "queues", "services"};
+  static const char *const lists[] = { "teams", "keys", "queues", "services" };
   size_t i;
   json_t *item;
 
@@ -327,7 +327,7 @@
 check_and_commit (struct recording *r)
 {
   struct fl_table *table = fl_node_table (r->entry->node);
-  struct fl_problems problems = {0};
+  struct fl_problems problems = { 0 };
 
   if (!fl_config_check (fl_node_config (r->entry->node), &r->ticket, &problems))
     fail (r, 400, "invalid", "the ticket does not fit what is in force", problem_list (&problems));
@@ -408,7 +408,7 @@
 {
   const struct fl_str *body = fl_http_body (request);
   const char *wait = fl_http_query (request, "wait_ms");
-  struct fl_problems problems = {0};
+  struct fl_problems problems = { 0 };
   struct recording *r = g_new0 (struct recording, 1);
 
   r->entry = entry;
@@ -437,7 +437,7 @@
 on_show (void *context, const struct fl_table_result *result)
 {
   g_autofree struct show *show = context;
-  struct fl_error error = {0};
+  struct fl_error error = { 0 };
 
   if (result->code != FL_TABLE_OK || result->row_count == 0)
     {
--- a/lib/entry/work.c
+++ b/lib/entry/work.c
@@ -45,7 +45,7 @@
 static int
 status_of (enum fl_outcome outcome)
 {
-  static const int statuses[FL_OUTCOMES] = {200, 502, 503, 504, 200, 202};
+  static const int statuses[FL_OUTCOMES] = { 200, 502, 503, 504, 200, 202 };
 
   return statuses[outcome];
 }
@@ -59,10 +59,10 @@
     const char *reason;
     int status;
   } table[] = {
-      {"no_such_queue", 404},    {"no_such_job", 404},         {"not_your_queue", 403},
-      {"no_such_team", 404},     {"fits_no_host", 422},        {"gang_over_limit", 422},
-      {"id_taken", 409},         {"tasks_take_no_slots", 422}, {"malformed", 400},
-      {"too_many_waiting", 429},
+    { "no_such_queue", 404 },    { "no_such_job", 404 },         { "not_your_queue", 403 },
+    { "no_such_team", 404 },     { "fits_no_host", 422 },        { "gang_over_limit", 422 },
+    { "id_taken", 409 },         { "tasks_take_no_slots", 422 }, { "malformed", 400 },
+    { "too_many_waiting", 429 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
@@ -151,7 +151,7 @@
         continue;
       for (size_t i = 0; i < member->domains.count; i++)
         {
-          struct choice one = {member, &domains[i]};
+          struct choice one = { member, &domains[i] };
           if (domains[i].acting && !was_tried (pending, &domains[i].domain))
             g_array_append_val (choices, one);
         }
@@ -174,12 +174,12 @@
 static bool
 send_request (struct fl_entry *entry, struct fl_pending *pending)
 {
-  struct fl_request_message message = {.entry = fl_node_instance (entry->node),
-                                       .id = pending->id,
-                                       .attempt = pending->attempt,
-                                       .team = pending->team,
-                                       .domain = pending->domain,
-                                       .spec = pending->request};
+  struct fl_request_message message = { .entry = fl_node_instance (entry->node),
+                                        .id = pending->id,
+                                        .attempt = pending->attempt,
+                                        .team = pending->team,
+                                        .domain = pending->domain,
+                                        .spec = pending->request };
 
   message.spec.timeout_ms
       = MAX (pending->deadline_ms - ANSWER_GRACE_MS - fl_node_now (entry->node), 1);
@@ -189,13 +189,13 @@
 static bool
 send_call (struct fl_entry *entry, struct fl_pending *pending)
 {
-  struct fl_call_message message = {.entry = fl_node_instance (entry->node),
-                                    .id = pending->id,
-                                    .attempt = pending->attempt,
-                                    .op = pending->op,
-                                    .team = pending->team,
-                                    .domain = pending->domain,
-                                    .body = pending->body};
+  struct fl_call_message message = { .entry = fl_node_instance (entry->node),
+                                     .id = pending->id,
+                                     .attempt = pending->attempt,
+                                     .op = pending->op,
+                                     .team = pending->team,
+                                     .domain = pending->domain,
+                                     .body = pending->body };
 
   return fl_node_send_to (entry->node, &pending->address, FL_MSG_CALL, &message);
 }
@@ -237,8 +237,8 @@
            const char *path)
 {
   const struct fl_str *body = fl_http_body (request);
-  struct fl_problems problems = {0};
-  struct fl_error error = {0};
+  struct fl_problems problems = { 0 };
+  struct fl_error error = { 0 };
   json_t *json = fl_json_parse (body->data, body->len, &error);
   bool ok = json != NULL && fl_schema_from_json (schema, json, object, path, &problems);
 
--- a/lib/key/key.c
+++ b/lib/key/key.c
@@ -82,7 +82,7 @@
     }
   if (bootstrap->len > 0 && digest_matches (bootstrap, &digest) && !has_operator (config))
     {
-      *out = (struct fl_key) {.name = fl_name_of (BOOTSTRAP_NAME), .role = FL_ROLE_OPERATOR};
+      *out = (struct fl_key){ .name = fl_name_of (BOOTSTRAP_NAME), .role = FL_ROLE_OPERATOR };
       return true;
     }
   return fl_fail (error, FL_DENIED, "authenticate", NULL, "the key is unknown or withdrawn");
--- a/lib/lease/lease.c
+++ b/lib/lease/lease.c
@@ -4,17 +4,17 @@
 #include <string.h>
 
 const struct fl_lease_rules fl_lease_rules_default = {
-    .lease_ms = 3000,
-    .promise_ms = 3000,
-    .renew_ms = 1000,
-    .poll_ms = 500,
-    .delivery_ms = 500,
-    .outage_max_ms = 2 * 3600 * 1000,
-    .drift_ppm = 1000,
+  .lease_ms = 3000,
+  .promise_ms = 3000,
+  .renew_ms = 1000,
+  .poll_ms = 500,
+  .delivery_ms = 500,
+  .outage_max_ms = 2 * 3600 * 1000,
+  .drift_ppm = 1000,
 };
 
 const char *const fl_lease_state_names[]
-    = {"watching", "taking", "gathering", "holding", "lapsed", "released", NULL};
+    = { "watching", "taking", "gathering", "holding", "lapsed", "released", NULL };
 
 /* @duration as counted on a clock that may be faster than the other side's. */
 static int64_t
@@ -40,7 +40,7 @@
 void
 fl_voter_init (struct fl_voter *voter, int64_t now_ms)
 {
-  *voter = (struct fl_voter) {.started_ms = now_ms};
+  *voter = (struct fl_voter){ .started_ms = now_ms };
 }
 
 /* A process that has just started may have promised something before it stopped. */
@@ -239,8 +239,9 @@
   plan->store = FL_LEASE_WRITE;
   plan->insert = !lease->row.exists;
   plan->version = lease->row.version;
-  plan->row = (struct fl_owner_row) {
-      .exists = true, .epoch = lease->row.epoch + 1, .owner = lease->self, .voters = *live};
+  plan->row = (struct fl_owner_row){
+    .exists = true, .epoch = lease->row.epoch + 1, .owner = lease->self, .voters = *live
+  };
 }
 
 static bool
@@ -460,7 +461,7 @@
         return;
       }
   if (lease->vote_count < (int)(sizeof lease->votes / sizeof lease->votes[0]))
-    lease->votes[lease->vote_count++] = (struct fl_vote) {*voter, until_ms};
+    lease->votes[lease->vote_count++] = (struct fl_vote){ *voter, until_ms };
 }
 
 /* Forgets votes that count no more, so that voters that came and went do not fill the table. */
@@ -518,5 +519,5 @@
     return;
   plan->store = FL_LEASE_WRITE;
   plan->version = lease->row.version;
-  plan->row = (struct fl_owner_row) {.exists = true, .epoch = lease->row.epoch + 1};
+  plan->row = (struct fl_owner_row){ .exists = true, .epoch = lease->row.epoch + 1 };
 }
--- a/lib/message/message.c
+++ b/lib/message/message.c
@@ -5,9 +5,9 @@
 #define TEXT_MAX (1024 * 1024)
 #define ITEMS_MAX 100000
 
-static const char *const process_role_names[] = {"sched", "entry", NULL};
+static const char *const process_role_names[] = { "sched", "entry", NULL };
 static const char *const call_op_names[]
-    = {"submit", "cancel", "job", "jobs", "dump", "teams", "hosts", "domains", NULL};
+    = { "submit", "cancel", "job", "jobs", "dump", "teams", "hosts", "domains", NULL };
 
 #define N(type_, member_)                                                                          \
   {                                                                                                \
@@ -39,94 +39,94 @@
   }
 
 static const struct fl_field hello_fields[] = {
-    N (fl_hello, instance),    E (fl_hello, role, process_role_names),
-    N (fl_hello, address),     N (fl_hello, http),
-    N (fl_hello, domain),      N (fl_hello, region),
-    I (fl_hello, config_head), I (fl_hello, stamp_ms),
-    B (fl_hello, want_usage),  B (fl_hello, leaving),
+  N (fl_hello, instance),    E (fl_hello, role, process_role_names),
+  N (fl_hello, address),     N (fl_hello, http),
+  N (fl_hello, domain),      N (fl_hello, region),
+  I (fl_hello, config_head), I (fl_hello, stamp_ms),
+  B (fl_hello, want_usage),  B (fl_hello, leaving),
 };
 static FL_SCHEMA (hello_schema, fl_hello, hello_fields);
 
 static const struct fl_field domain_status_fields[] = {
-    N (fl_domain_status, domain),     I (fl_domain_status, epoch),
-    I (fl_domain_status, free_slots), I (fl_domain_status, free_cpu_milli),
-    I (fl_domain_status, waiting),    I (fl_domain_status, targets_ready),
-    B (fl_domain_status, acting),
+  N (fl_domain_status, domain),     I (fl_domain_status, epoch),
+  I (fl_domain_status, free_slots), I (fl_domain_status, free_cpu_milli),
+  I (fl_domain_status, waiting),    I (fl_domain_status, targets_ready),
+  B (fl_domain_status, acting),
 };
 static FL_SCHEMA (domain_status_schema, fl_domain_status, domain_status_fields);
 
 static const struct fl_field usage_item_fields[] = {
-    N (fl_usage_item, team),    N (fl_usage_item, domain),  I (fl_usage_item, cost),
-    I (fl_usage_item, running), I (fl_usage_item, waiting),
+  N (fl_usage_item, team),    N (fl_usage_item, domain),  I (fl_usage_item, cost),
+  I (fl_usage_item, running), I (fl_usage_item, waiting),
 };
 static FL_SCHEMA (usage_item_schema, fl_usage_item, usage_item_fields);
 
 static const struct fl_field status_fields[] = {
-    N (fl_status, instance),
-    N (fl_status, address),
-    N (fl_status, http),
-    N (fl_status, domain),
-    N (fl_status, region),
-    I (fl_status, config_head),
-    I (fl_status, stamp_ms),
-    I (fl_status, entries_head),
-    B (fl_status, leaving),
-    A (fl_status, domains, &domain_status_schema),
-    A (fl_status, usage, &usage_item_schema),
+  N (fl_status, instance),
+  N (fl_status, address),
+  N (fl_status, http),
+  N (fl_status, domain),
+  N (fl_status, region),
+  I (fl_status, config_head),
+  I (fl_status, stamp_ms),
+  I (fl_status, entries_head),
+  B (fl_status, leaving),
+  A (fl_status, domains, &domain_status_schema),
+  A (fl_status, usage, &usage_item_schema),
 };
 static FL_SCHEMA (status_schema, fl_status, status_fields);
 
-static const struct fl_field ticket_text_fields[] = {T (fl_ticket_text, text)};
+static const struct fl_field ticket_text_fields[] = { T (fl_ticket_text, text) };
 static FL_SCHEMA (ticket_text_schema, fl_ticket_text, ticket_text_fields);
 
 static const struct fl_field tickets_fields[]
-    = {A (fl_tickets, tickets, &ticket_text_schema), I (fl_tickets, head)};
+    = { A (fl_tickets, tickets, &ticket_text_schema), I (fl_tickets, head) };
 static FL_SCHEMA (tickets_schema, fl_tickets, tickets_fields);
 
 static const struct fl_field vote_item_fields[] = {
-    N (fl_vote_item, domain),
-    I (fl_vote_item, epoch),
-    B (fl_vote_item, support),
-    B (fl_vote_item, granted),
+  N (fl_vote_item, domain),
+  I (fl_vote_item, epoch),
+  B (fl_vote_item, support),
+  B (fl_vote_item, granted),
 };
 static FL_SCHEMA (vote_item_schema, fl_vote_item, vote_item_fields);
 
 static const struct fl_field vote_fields[] = {
-    N (fl_vote_message, instance),
-    I (fl_vote_message, stamp_ms),
-    A (fl_vote_message, items, &vote_item_schema),
+  N (fl_vote_message, instance),
+  I (fl_vote_message, stamp_ms),
+  A (fl_vote_message, items, &vote_item_schema),
 };
 static FL_SCHEMA (vote_schema, fl_vote_message, vote_fields);
 
 static const struct fl_field request_fields[] = {
-    N (fl_request_message, entry),   I (fl_request_message, id),
-    I (fl_request_message, attempt), N (fl_request_message, team),
-    N (fl_request_message, domain),  O (fl_request_message, spec, &fl_request_spec_schema),
+  N (fl_request_message, entry),   I (fl_request_message, id),
+  I (fl_request_message, attempt), N (fl_request_message, team),
+  N (fl_request_message, domain),  O (fl_request_message, spec, &fl_request_spec_schema),
 };
 static FL_SCHEMA (request_schema, fl_request_message, request_fields);
 
 static const struct fl_field answer_fields[] = {
-    N (fl_answer_message, entry),          I (fl_answer_message, id),
-    I (fl_answer_message, attempt),        I (fl_answer_message, outcome),
-    N (fl_answer_message, reason),         N (fl_answer_message, target),
-    I (fl_answer_message, retry_after_ms), B (fl_answer_message, elsewhere),
-    T (fl_answer_message, result),
+  N (fl_answer_message, entry),          I (fl_answer_message, id),
+  I (fl_answer_message, attempt),        I (fl_answer_message, outcome),
+  N (fl_answer_message, reason),         N (fl_answer_message, target),
+  I (fl_answer_message, retry_after_ms), B (fl_answer_message, elsewhere),
+  T (fl_answer_message, result),
 };
 static FL_SCHEMA (answer_schema, fl_answer_message, answer_fields);
 
 static const struct fl_field call_fields[] = {
-    N (fl_call_message, entry),   I (fl_call_message, id),
-    I (fl_call_message, attempt), E (fl_call_message, op, call_op_names),
-    N (fl_call_message, team),    N (fl_call_message, domain),
-    T (fl_call_message, body),
+  N (fl_call_message, entry),   I (fl_call_message, id),
+  I (fl_call_message, attempt), E (fl_call_message, op, call_op_names),
+  N (fl_call_message, team),    N (fl_call_message, domain),
+  T (fl_call_message, body),
 };
 static FL_SCHEMA (call_schema, fl_call_message, call_fields);
 
 static const struct fl_field result_fields[] = {
-    N (fl_result_message, entry),     I (fl_result_message, id),
-    I (fl_result_message, attempt),   I (fl_result_message, outcome),
-    N (fl_result_message, reason),    I (fl_result_message, retry_after_ms),
-    B (fl_result_message, elsewhere), T (fl_result_message, body),
+  N (fl_result_message, entry),     I (fl_result_message, id),
+  I (fl_result_message, attempt),   I (fl_result_message, outcome),
+  N (fl_result_message, reason),    I (fl_result_message, retry_after_ms),
+  B (fl_result_message, elsewhere), T (fl_result_message, body),
 };
 static FL_SCHEMA (result_schema, fl_result_message, result_fields);
 
@@ -136,15 +136,15 @@
   const struct fl_schema *schema;
   bool control;
 } types[FL_MSG_TYPES] = {
-    [FL_MSG_HELLO] = {"hello", &hello_schema, true},
-    [FL_MSG_STATUS] = {"status", &status_schema, true},
-    [FL_MSG_TICKETS] = {"tickets", &tickets_schema, true},
-    [FL_MSG_VOTE_ASK] = {"vote_ask", &vote_schema, true},
-    [FL_MSG_VOTE] = {"vote", &vote_schema, true},
-    [FL_MSG_REQUEST] = {"request", &request_schema, false},
-    [FL_MSG_ANSWER] = {"answer", &answer_schema, false},
-    [FL_MSG_CALL] = {"call", &call_schema, false},
-    [FL_MSG_RESULT] = {"result", &result_schema, false},
+  [FL_MSG_HELLO] = { "hello", &hello_schema, true },
+  [FL_MSG_STATUS] = { "status", &status_schema, true },
+  [FL_MSG_TICKETS] = { "tickets", &tickets_schema, true },
+  [FL_MSG_VOTE_ASK] = { "vote_ask", &vote_schema, true },
+  [FL_MSG_VOTE] = { "vote", &vote_schema, true },
+  [FL_MSG_REQUEST] = { "request", &request_schema, false },
+  [FL_MSG_ANSWER] = { "answer", &answer_schema, false },
+  [FL_MSG_CALL] = { "call", &call_schema, false },
+  [FL_MSG_RESULT] = { "result", &result_schema, false },
 };
 
 const struct fl_schema *
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -108,7 +108,7 @@
 static void
 finish (struct fl_http_client *client, struct call *call, CURLcode code)
 {
-  struct fl_http_result result = {.sent = true};
+  struct fl_http_result result = { .sent = true };
   curl_off_t up = 0;
   curl_off_t down = 0;
   long request_size = 0;
@@ -132,7 +132,7 @@
       fl_fail (&result.error, result.sent ? FL_UNKNOWN : FL_UNAVAILABLE, "http_call", call->url,
                "%s", call->error_text[0] != '\0' ? call->error_text : curl_easy_strerror (code));
     }
-  result.body = (struct fl_str) {call->answer->len, call->answer->str};
+  result.body = (struct fl_str){ call->answer->len, call->answer->str };
   g_hash_table_steal (client->calls, call);
   call->on_done (call->context, &result);
   call_free (call);
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -182,12 +182,12 @@
 
   request->handed_over = true;
   server->open_requests++;
-  request->body_view = (struct fl_str) {request->body->len, request->body->str};
+  request->body_view = (struct fl_str){ request->body->len, request->body->str };
   if (request->connection != NULL)
     request->connection->uploading = false;
   if (request->too_large)
     {
-      struct fl_error error = {0};
+      struct fl_error error = { 0 };
       fl_fail (&error, FL_LIMIT, "http_body", NULL,
                "the body is longer than %" G_GINT64_FORMAT " bytes", server->options.body_max);
       fl_http_respond_error (request, &error);
@@ -318,7 +318,7 @@
 struct fl_http_server *
 fl_http_server_new (const struct fl_http_server_options *options, struct fl_error *error)
 {
-  struct sockaddr_in address = {.sin_family = AF_INET};
+  struct sockaddr_in address = { .sin_family = AF_INET };
   struct fl_http_server *server = g_new0 (struct fl_http_server, 1);
 
   server->options = *options;
@@ -472,7 +472,7 @@
                             "step", error->step, "peer", error->peer, "text", error->text);
   struct fl_str text = fl_json_text (json);
   struct fl_http_response response
-      = {.status = status_of (error), .body = text.data, .len = text.len};
+      = { .status = status_of (error), .body = text.data, .len = text.len };
 
   if (response.status == 503 || response.status == 429)
     response.retry_after_ms = 1000;
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -198,7 +198,7 @@
 static bool
 bind_address (struct fl_link *link, struct fl_error *error)
 {
-  static const struct fl_name none = {0};
+  static const struct fl_name none = { 0 };
   char endpoint[FL_NAME_MAX + 1];
   size_t size = sizeof endpoint;
 
--- a/lib/node/follow.c
+++ b/lib/node/follow.c
@@ -68,7 +68,7 @@
 fl_node_apply_ticket (struct fl_node *node, const char *text, size_t len)
 {
   struct fl_ticket ticket;
-  struct fl_problems problems = {0};
+  struct fl_problems problems = { 0 };
   bool ok = fl_ticket_read (text, len, &ticket, &problems);
 
   if (ok)
@@ -101,7 +101,8 @@
   json_t *list = fl_config_since (node->config, their_head);
   size_t count = json_array_size (list);
   struct fl_ticket_text *texts = g_new0 (struct fl_ticket_text, MAX (count, 1));
-  struct fl_tickets message = {.tickets = {count, texts}, .head = fl_config_head (node->config)};
+  struct fl_tickets message
+      = { .tickets = { count, texts }, .head = fl_config_head (node->config) };
 
   for (size_t i = 0; i < count; i++)
     texts[i].text = fl_json_text (json_array_get (list, i));
--- a/lib/node/members.c
+++ b/lib/node/members.c
@@ -60,7 +60,7 @@
 connect_to (struct fl_node *node, const struct fl_name *address)
 {
   struct fl_name own = fl_node_address (node);
-  struct fl_error error = {0};
+  struct fl_error error = { 0 };
 
   if (address->len == 0 || fl_name_eq (address, &own))
     return;
@@ -80,16 +80,16 @@
 {
   const struct fl_seed *seeds = node->settings.seeds.items;
   struct fl_hello hello
-      = {.instance = node->instance,
-         .role = node->options.role,
-         .address = fl_node_address (node),
-         .http = own_http (node),
-         .domain = node->settings.domain,
-         .region = node->settings.region,
-         .config_head = fl_config_head (node->config),
-         .stamp_ms = fl_node_now (node),
-         .want_usage = node->options.role == FL_PROCESS_SCHED && node->hellos++ % USAGE_EVERY == 0,
-         .leaving = node->leaving};
+      = { .instance = node->instance,
+          .role = node->options.role,
+          .address = fl_node_address (node),
+          .http = own_http (node),
+          .domain = node->settings.domain,
+          .region = node->settings.region,
+          .config_head = fl_config_head (node->config),
+          .stamp_ms = fl_node_now (node),
+          .want_usage = node->options.role == FL_PROCESS_SCHED && node->hellos++ % USAGE_EVERY == 0,
+          .leaving = node->leaving };
   g_autoptr (GHashTable) said = g_hash_table_new (fl_name_hash, fl_name_equal);
 
   for (size_t i = 0; i < node->settings.seeds.count; i++)
@@ -126,14 +126,14 @@
 fl_node_on_hello (struct fl_node *node, const struct fl_route *from, const struct fl_hello *hello)
 {
   struct fl_member *member = find_or_add (node, &hello->instance);
-  struct fl_status status = {.instance = node->instance,
-                             .address = fl_node_address (node),
-                             .http = own_http (node),
-                             .domain = node->settings.domain,
-                             .region = node->settings.region,
-                             .config_head = fl_config_head (node->config),
-                             .stamp_ms = hello->stamp_ms,
-                             .leaving = node->leaving};
+  struct fl_status status = { .instance = node->instance,
+                              .address = fl_node_address (node),
+                              .http = own_http (node),
+                              .domain = node->settings.domain,
+                              .region = node->settings.region,
+                              .config_head = fl_config_head (node->config),
+                              .stamp_ms = hello->stamp_ms,
+                              .leaving = node->leaving };
 
   member->role = hello->role;
   member->address = hello->address;
@@ -209,7 +209,7 @@
                              fl_node_address (node).data, "http", http.data, "domain",
                              node->settings.domain.data, "region", node->settings.region.data,
                              "beat", (json_int_t)++node->row_beat);
-  struct fl_txn_op op = {FL_TXN_PUT, {strlen (key), key}, FL_ANY_VERSION, value};
+  struct fl_txn_op op = { FL_TXN_PUT, { strlen (key), key }, FL_ANY_VERSION, value };
 
   node->row_written_ms = now_ms;
   node->table->commit (node->table->self, &op, 1, on_row_written, node);
@@ -227,7 +227,7 @@
 fl_node_drop_row (struct fl_node *node)
 {
   g_autofree char *key = row_key (node);
-  struct fl_txn_op op = {FL_TXN_DELETE, {strlen (key), key}, FL_ANY_VERSION, NULL};
+  struct fl_txn_op op = { FL_TXN_DELETE, { strlen (key), key }, FL_ANY_VERSION, NULL };
 
   node->table->commit (node->table->self, &op, 1, on_row_dropped, node);
 }
@@ -279,7 +279,7 @@
       if (member->row_version > 0)
         {
           g_autofree char *key = g_strdup_printf ("member/%s", member->instance.data);
-          struct fl_txn_op op = {FL_TXN_DELETE, {strlen (key), key}, member->row_version, NULL};
+          struct fl_txn_op op = { FL_TXN_DELETE, { strlen (key), key }, member->row_version, NULL };
           node->table->commit (node->table->self, &op, 1, on_row_dropped, node);
         }
       g_ptr_array_remove_index_fast (node->members, i);
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -36,7 +36,7 @@
                  enum fl_message_type type,
                  const void *object)
 {
-  struct fl_route to = {.address = *address};
+  struct fl_route to = { .address = *address };
 
   return fl_node_send (node, &to, type, object);
 }
@@ -68,7 +68,7 @@
 on_link_message (void *context, const struct fl_route *from, const char *data, size_t len)
 {
   struct fl_node *node = context;
-  struct fl_error error = {0};
+  struct fl_error error = { 0 };
   enum fl_message_type type;
   union fl_message message;
 
@@ -89,7 +89,7 @@
 respond_text (struct fl_http_request *request, int status, const char *type, const char *text)
 {
   struct fl_http_response response
-      = {.status = status, .type = type, .body = text, .len = strlen (text)};
+      = { .status = status, .type = type, .body = text, .len = strlen (text) };
 
   fl_http_respond (request, &response);
 }
@@ -179,21 +179,21 @@
 {
   const struct fl_settings *s = &node->settings;
   bool binds = node->options.role == FL_PROCESS_SCHED;
-  struct fl_link_options link = {.loop = node->loop,
-                                 .address = binds ? s->link.data : NULL,
-                                 .queue_max = LINK_QUEUE_MAX,
-                                 .on_message = on_link_message,
-                                 .context = node};
-  struct fl_http_server_options server = {.loop = node->loop,
-                                          .address = s->http_address.data,
-                                          .port = s->http_port,
-                                          .body_max = s->body_max,
-                                          .header_max = s->header_max,
-                                          .connections_max = s->connections_max,
-                                          .idle_ms = s->idle_ms,
-                                          .upload_ms = s->upload_ms,
-                                          .on_request = on_http,
-                                          .context = node};
+  struct fl_link_options link = { .loop = node->loop,
+                                  .address = binds ? s->link.data : NULL,
+                                  .queue_max = LINK_QUEUE_MAX,
+                                  .on_message = on_link_message,
+                                  .context = node };
+  struct fl_http_server_options server = { .loop = node->loop,
+                                           .address = s->http_address.data,
+                                           .port = s->http_port,
+                                           .body_max = s->body_max,
+                                           .header_max = s->header_max,
+                                           .connections_max = s->connections_max,
+                                           .idle_ms = s->idle_ms,
+                                           .upload_ms = s->upload_ms,
+                                           .on_request = on_http,
+                                           .context = node };
 
   if (binds && s->link.len == 0)
     return fl_fail (error, FL_INVALID, "start", NULL, "a scheduler needs the setting 'link'");
@@ -236,8 +236,8 @@
   node->clock = fl_clock_monotonic ();
   node->instance = make_instance (options->settings, options->role);
   /* enum values follow log_level_names, which start at FL_LOG_ERR */
-  node->log = (struct fl_log) {(enum fl_log_level) (FL_LOG_ERR + options->settings->log_level),
-                               options->program, node->instance};
+  node->log = (struct fl_log){ (enum fl_log_level) (FL_LOG_ERR + options->settings->log_level),
+                               options->program, node->instance };
   node->stats = fl_stats_new ();
   node->config = fl_config_new ();
   node->members = g_ptr_array_new ();
--- a/lib/node/settings.c
+++ b/lib/node/settings.c
@@ -11,10 +11,10 @@
 #define SEEDS_MAX 32
 #define HOUR_MS (3600LL * 1000)
 
-static const char *const log_level_names[] = {"err", "warning", "notice", "info", "debug", NULL};
+static const char *const log_level_names[] = { "err", "warning", "notice", "info", "debug", NULL };
 
 static const struct fl_field seed_fields[] = {
-    {"address", FL_NAME, offsetof (struct fl_seed, address), true, 1, FL_NAME_MAX, 0, NULL, NULL},
+  { "address", FL_NAME, offsetof (struct fl_seed, address), true, 1, FL_NAME_MAX, 0, NULL, NULL },
 };
 static FL_SCHEMA (seed_schema, fl_seed, seed_fields);
 
@@ -29,40 +29,40 @@
   }
 
 static const struct fl_field fields[] = {
-    NAME (name, true, 1, 32),
-    NAME (domain, true, 1, 36),
-    NAME (region, true, 1, 36),
-    NAME (link, false, 0, FL_NAME_MAX),
-    NAME (http_address, true, 7, 15),
-    INT (http_port, 0, PORT_MAX, 0),
-    {"platform_url", FL_TEXT, offsetof (struct fl_settings, platform_url), true, 8, URL_MAX, 0,
-     NULL, NULL},
-    {"seeds", FL_ARRAY, offsetof (struct fl_settings, seeds), false, 0, SEEDS_MAX, 0, &seed_schema,
-     NULL},
-    {"log_level", FL_ENUM, offsetof (struct fl_settings, log_level), false, 0, 0, 3, NULL,
-     log_level_names},
-    NAME (bootstrap_operator_digest, false, 0, 64),
-    INT (body_max, 1024, 16 * 1024 * 1024, 1024 * 1024),
-    INT (header_max, 1024, 256 * 1024, 16 * 1024),
-    INT (connections_max, 8, 65536, 4096),
-    INT (idle_ms, 1000, HOUR_MS, 30000),
-    INT (upload_ms, 100, 600000, 10000),
-    INT (platform_timeout_ms, 50, 60000, 2000),
-    INT (hello_ms, 50, 10000, 1000),
-    INT (contact_ms, 200, 60000, 3000),
-    INT (host_list_ms, 200, 60000, 2000),
-    INT (lease_ms, 300, 60000, 3000),
-    INT (promise_ms, 300, 60000, 3000),
-    INT (renew_ms, 50, 20000, 1000),
-    INT (delivery_ms, 50, 20000, 500),
-    INT (outage_max_ms, 1000, 24 * HOUR_MS, 2 * HOUR_MS),
-    INT (drift_ppm, 0, 100000, 1000),
-    INT (task_lease_ms, 1000, 600000, 45000),
-    INT (poll_wait_ms, 100, 300000, 15000),
-    INT (commit_interval_ms, 0, 1000, 25),
-    INT (finished_keep_ms, 1000, 7 * 24 * HOUR_MS, HOUR_MS),
-    INT (quarantine_ms, 100, HOUR_MS, 10000),
-    INT (drain_ms, 100, 600000, 30000),
+  NAME (name, true, 1, 32),
+  NAME (domain, true, 1, 36),
+  NAME (region, true, 1, 36),
+  NAME (link, false, 0, FL_NAME_MAX),
+  NAME (http_address, true, 7, 15),
+  INT (http_port, 0, PORT_MAX, 0),
+  { "platform_url", FL_TEXT, offsetof (struct fl_settings, platform_url), true, 8, URL_MAX, 0, NULL,
+    NULL },
+  { "seeds", FL_ARRAY, offsetof (struct fl_settings, seeds), false, 0, SEEDS_MAX, 0, &seed_schema,
+    NULL },
+  { "log_level", FL_ENUM, offsetof (struct fl_settings, log_level), false, 0, 0, 3, NULL,
+    log_level_names },
+  NAME (bootstrap_operator_digest, false, 0, 64),
+  INT (body_max, 1024, 16 * 1024 * 1024, 1024 * 1024),
+  INT (header_max, 1024, 256 * 1024, 16 * 1024),
+  INT (connections_max, 8, 65536, 4096),
+  INT (idle_ms, 1000, HOUR_MS, 30000),
+  INT (upload_ms, 100, 600000, 10000),
+  INT (platform_timeout_ms, 50, 60000, 2000),
+  INT (hello_ms, 50, 10000, 1000),
+  INT (contact_ms, 200, 60000, 3000),
+  INT (host_list_ms, 200, 60000, 2000),
+  INT (lease_ms, 300, 60000, 3000),
+  INT (promise_ms, 300, 60000, 3000),
+  INT (renew_ms, 50, 20000, 1000),
+  INT (delivery_ms, 50, 20000, 500),
+  INT (outage_max_ms, 1000, 24 * HOUR_MS, 2 * HOUR_MS),
+  INT (drift_ppm, 0, 100000, 1000),
+  INT (task_lease_ms, 1000, 600000, 45000),
+  INT (poll_wait_ms, 100, 300000, 15000),
+  INT (commit_interval_ms, 0, 1000, 25),
+  INT (finished_keep_ms, 1000, 7 * 24 * HOUR_MS, HOUR_MS),
+  INT (quarantine_ms, 100, HOUR_MS, 10000),
+  INT (drain_ms, 100, 600000, 30000),
 };
 FL_SCHEMA (fl_settings_schema, fl_settings, fields);
 
@@ -105,7 +105,7 @@
                    struct fl_settings *settings,
                    struct fl_problems *problems)
 {
-  struct fl_error error = {0};
+  struct fl_error error = { 0 };
   json_t *json = fl_json_parse (data, len, &error);
 
   memset (settings, 0, sizeof *settings);
@@ -161,7 +161,7 @@
 fl_settings_describe (void)
 {
   static const char *const types[]
-      = {"true/false", "number", "text", "text", "word", "object", "list"};
+      = { "true/false", "number", "text", "text", "word", "object", "list" };
 
   puts ("Settings (JSON object):");
   for (size_t i = 0; i < fl_settings_schema.count; i++)
--- a/lib/platform/hosts.c
+++ b/lib/platform/hosts.c
@@ -6,7 +6,7 @@
 #define CONNECTIONS_MAX 100000
 #define CONNECT_TIMEOUT_MS 500
 
-static const char *const host_state_names[] = {"live", "leaving", NULL};
+static const char *const host_state_names[] = { "live", "leaving", NULL };
 
 #define NAME(member_, required_)                                                                   \
   {                                                                                                \
@@ -14,23 +14,23 @@
   }
 
 static const struct fl_field host_fields[] = {
-    NAME (name, true),
-    NAME (domain, true),
-    NAME (region, false),
-    NAME (rack, false),
-    NAME (label, false),
-    {"url", FL_TEXT, offsetof (struct fl_host, url), true, 8, 400, 0, NULL, NULL},
-    {"state", FL_ENUM, offsetof (struct fl_host, state), false, 0, 0, 0, NULL, host_state_names},
-    {"connections", FL_INT, offsetof (struct fl_host, connections), false, 1, CONNECTIONS_MAX, 64,
-     NULL, NULL},
-    {"capacity", FL_OBJECT, offsetof (struct fl_host, capacity), true, 0, 0, 0,
-     &fl_resources_schema, NULL},
+  NAME (name, true),
+  NAME (domain, true),
+  NAME (region, false),
+  NAME (rack, false),
+  NAME (label, false),
+  { "url", FL_TEXT, offsetof (struct fl_host, url), true, 8, 400, 0, NULL, NULL },
+  { "state", FL_ENUM, offsetof (struct fl_host, state), false, 0, 0, 0, NULL, host_state_names },
+  { "connections", FL_INT, offsetof (struct fl_host, connections), false, 1, CONNECTIONS_MAX, 64,
+    NULL, NULL },
+  { "capacity", FL_OBJECT, offsetof (struct fl_host, capacity), true, 0, 0, 0, &fl_resources_schema,
+    NULL },
 };
 static FL_SCHEMA (host_schema, fl_host, host_fields);
 
 static const struct fl_field list_fields[] = {
-    {"hosts", FL_ARRAY, offsetof (struct fl_host_list, hosts), true, 0, HOSTS_MAX, 0, &host_schema,
-     NULL},
+  { "hosts", FL_ARRAY, offsetof (struct fl_host_list, hosts), true, 0, HOSTS_MAX, 0, &host_schema,
+    NULL },
 };
 FL_SCHEMA (fl_host_list_schema, fl_host_list, list_fields);
 
@@ -80,7 +80,7 @@
 on_answer (void *context, const struct fl_http_result *answer)
 {
   struct fl_host_reader *reader = context;
-  struct fl_problems problems = {0};
+  struct fl_problems problems = { 0 };
   struct fl_host_list list;
   json_t *json = NULL;
 
@@ -106,12 +106,12 @@
 void
 fl_host_reader_tick (struct fl_host_reader *reader, int64_t now_ms)
 {
-  struct fl_http_call call = {.method = "GET",
-                              .url = reader->url,
-                              .timeout_ms = reader->timeout_ms,
-                              .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                              .on_done = on_answer,
-                              .context = reader};
+  struct fl_http_call call = { .method = "GET",
+                               .url = reader->url,
+                               .timeout_ms = reader->timeout_ms,
+                               .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                               .on_done = on_answer,
+                               .context = reader };
 
   if (reader->open || (reader->asked_ms != 0 && now_ms < reader->asked_ms + reader->interval_ms))
     return;
--- a/lib/platform/journal.c
+++ b/lib/platform/journal.c
@@ -285,13 +285,13 @@
   for (guint i = 0; i < fences; i++)
     {
       const struct fence *fence = journal->checked->pdata[i];
-      ops[i] = (struct fl_txn_op) {FL_TXN_CHECK, fence->key, fence->version, NULL};
+      ops[i] = (struct fl_txn_op){ FL_TXN_CHECK, fence->key, fence->version, NULL };
     }
   for (guint i = 0; i < journal->sent->len; i++)
     {
       const struct entry *entry = journal->sent->pdata[i];
-      ops[fences + i] = (struct fl_txn_op) {entry->value != NULL ? FL_TXN_PUT : FL_TXN_DELETE,
-                                            entry->key, entry->version, entry->value};
+      ops[fences + i] = (struct fl_txn_op){ entry->value != NULL ? FL_TXN_PUT : FL_TXN_DELETE,
+                                            entry->key, entry->version, entry->value };
     }
   journal->open = true;
   fl_stats_add (journal->options.stats, "journal_transactions", 1);
--- a/lib/platform/table_http.c
+++ b/lib/platform/table_http.c
@@ -36,7 +36,7 @@
 
   if (!json_is_string (key) || !json_is_integer (version))
     return false;
-  row->key = (struct fl_str) {json_string_length (key), (char *)json_string_value (key)};
+  row->key = (struct fl_str){ json_string_length (key), (char *)json_string_value (key) };
   row->version = json_integer_value (version);
   row->value = json_object_get (json, "value");
   return true;
@@ -90,7 +90,7 @@
 on_done (void *context, const struct fl_http_result *answer)
 {
   g_autofree struct table_call *call = context;
-  struct fl_table_result result = {.code = FL_TABLE_REFUSED, .error = answer->error};
+  struct fl_table_result result = { .code = FL_TABLE_REFUSED, .error = answer->error };
   json_t *json = NULL;
 
   if (answer->status == 200 || answer->status == 409)
@@ -122,12 +122,12 @@
            const struct fl_str *body,
            struct table_call *call)
 {
-  struct fl_http_call options = {.method = method,
-                                 .url = url,
-                                 .timeout_ms = self->timeout_ms,
-                                 .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                                 .on_done = on_done,
-                                 .context = call};
+  struct fl_http_call options = { .method = method,
+                                  .url = url,
+                                  .timeout_ms = self->timeout_ms,
+                                  .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                                  .on_done = on_done,
+                                  .context = call };
 
   if (body != NULL)
     {
@@ -152,7 +152,7 @@
 static json_t *
 op_json (const struct fl_txn_op *op)
 {
-  static const char *const kinds[] = {"check", "put", "delete"};
+  static const char *const kinds[] = { "check", "put", "delete" };
   json_t *json = json_pack ("{s:s,s:s%,s:I}", "op", kinds[op->kind], "key", op->key.data,
                             op->key.len, "version", (json_int_t)op->version);
 
@@ -223,7 +223,7 @@
 {
   struct http_table *self = g_new0 (struct http_table, 1);
 
-  self->table = (struct fl_table) {self, http_commit, http_get, http_scan};
+  self->table = (struct fl_table){ self, http_commit, http_get, http_scan };
   self->client = client;
   self->url = g_strdup (url);
   self->timeout_ms = timeout_ms;
--- a/lib/sched/allot.c
+++ b/lib/sched/allot.c
@@ -211,11 +211,11 @@
   g_autofree char *key = g_strdup_printf ("allot/%s", allot->team.data);
   json_t *value = json_pack ("{s:O}", "amounts", allot->give_amounts);
   g_autofree char *fence = g_strdup_printf ("epoch/%s", owned->name.data);
-  struct fl_txn_op ops[2] = {{FL_TXN_PUT, {strlen (key), key}, allot->version, value},
-                             {FL_TXN_CHECK,
-                              {strlen (fence), fence},
-                              fl_journal_fence (owned->sched->journal, &owned->name),
-                              NULL}};
+  struct fl_txn_op ops[2] = { { FL_TXN_PUT, { strlen (key), key }, allot->version, value },
+                              { FL_TXN_CHECK,
+                                { strlen (fence), fence },
+                                fl_journal_fence (owned->sched->journal, &owned->name),
+                                NULL } };
 
   call->sched = owned->sched;
   call->domain = owned->name;
@@ -311,7 +311,7 @@
   g_hash_table_iter_init (&iter, sched->owned);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
     {
-      struct give_visit visit = {owned, now_ms};
+      struct give_visit visit = { owned, now_ms };
       if (owned->domain == NULL || !owned->loaded || !fl_owned_may_act (owned))
         continue;
       settle_gives (owned, now_ms);
--- a/lib/sched/load.c
+++ b/lib/sched/load.c
@@ -162,18 +162,18 @@
 {
   const struct fl_settings *settings = fl_node_settings (owned->sched->node);
   int64_t now_ms = fl_node_now (owned->sched->node);
-  struct fl_domain_options options = {.name = owned->name,
-                                      .epoch = epoch,
-                                      .now_ms = now_ms,
-                                      .limits = fl_domain_limits_default,
-                                      .ops = {.context = owned,
-                                              .may_act = may_act,
-                                              .run = fl_sched_run,
-                                              .start = fl_sched_start,
-                                              .stop = fl_sched_stop,
-                                              .inspect = fl_sched_inspect,
-                                              .commit = commit,
-                                              .answer = fl_sched_answer}};
+  struct fl_domain_options options = { .name = owned->name,
+                                       .epoch = epoch,
+                                       .now_ms = now_ms,
+                                       .limits = fl_domain_limits_default,
+                                       .ops = { .context = owned,
+                                                .may_act = may_act,
+                                                .run = fl_sched_run,
+                                                .start = fl_sched_start,
+                                                .stop = fl_sched_stop,
+                                                .inspect = fl_sched_inspect,
+                                                .commit = commit,
+                                                .answer = fl_sched_answer } };
 
   options.limits.task_lease_ms = settings->task_lease_ms;
   options.limits.drift_ppm = settings->drift_ppm;
--- a/lib/sched/owner.c
+++ b/lib/sched/owner.c
@@ -151,7 +151,7 @@
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
     {
       const struct fl_row *row = g_hash_table_lookup (rows, &owned->name);
-      struct fl_owner_row owner_row = {0};
+      struct fl_owner_row owner_row = { 0 };
       if (!owned->lease.call_open || !owned->lease.reading)
         continue;
       if (row != NULL)
@@ -186,7 +186,7 @@
 on_written (void *context, const struct fl_table_result *result)
 {
   static const enum fl_cas_result results[]
-      = {FL_CAS_OK, FL_CAS_CONFLICT, FL_CAS_REFUSED, FL_CAS_UNKNOWN};
+      = { FL_CAS_OK, FL_CAS_CONFLICT, FL_CAS_REFUSED, FL_CAS_UNKNOWN };
   g_autofree struct write_call *call = context;
   struct fl_owned *owned = fl_sched_find (call->sched, &call->domain);
 
@@ -209,8 +209,8 @@
   json_t *owner = row_value (&plan->row);
   json_t *epoch = json_pack ("{s:I}", "epoch", (json_int_t)plan->row.epoch);
   struct fl_txn_op ops[2] = {
-      {FL_TXN_PUT, {strlen (owner_key), owner_key}, plan->insert ? 0 : plan->version, owner},
-      {FL_TXN_PUT, {strlen (epoch_key), epoch_key}, FL_ANY_VERSION, epoch},
+    { FL_TXN_PUT, { strlen (owner_key), owner_key }, plan->insert ? 0 : plan->version, owner },
+    { FL_TXN_PUT, { strlen (epoch_key), epoch_key }, FL_ANY_VERSION, epoch },
   };
   bool raises = plan->insert || plan->row.epoch != owned->lease.row.epoch;
 
@@ -256,9 +256,9 @@
 {
   const struct fl_vote_item *items = ask->items.items;
   g_autofree struct fl_vote_item *votes = g_new0 (struct fl_vote_item, MAX (ask->items.count, 1));
-  struct fl_vote_message answer = {.instance = fl_node_instance (sched->node),
-                                   .stamp_ms = ask->stamp_ms,
-                                   .items = {ask->items.count, votes}};
+  struct fl_vote_message answer = { .instance = fl_node_instance (sched->node),
+                                    .stamp_ms = ask->stamp_ms,
+                                    .items = { ask->items.count, votes } };
 
   for (size_t i = 0; i < ask->items.count; i++)
     {
@@ -294,7 +294,7 @@
 {
   GArray *items = g_hash_table_lookup (asks, voter);
   struct fl_vote_item item
-      = {.domain = owned->name, .epoch = plan->epoch, .support = plan->asks_support};
+      = { .domain = owned->name, .epoch = plan->epoch, .support = plan->asks_support };
 
   if (items == NULL)
     {
@@ -336,7 +336,7 @@
       if (fl_name_eq (voter, &self))
         {
           struct fl_vote_item item
-              = {.domain = owned->name, .epoch = plan->epoch, .support = plan->asks_support};
+              = { .domain = owned->name, .epoch = plan->epoch, .support = plan->asks_support };
           if (vote (sched, &item))
             fl_lease_on_vote (&owned->lease, &self, item.support, item.epoch, now_ms, now_ms);
         }
@@ -358,9 +358,9 @@
   while (g_hash_table_iter_next (&iter, (void **)&voter, (void **)&items))
     {
       const struct fl_member *member = fl_node_member (sched->node, voter);
-      struct fl_vote_message ask = {.instance = fl_node_instance (sched->node),
-                                    .stamp_ms = fl_node_now (sched->node),
-                                    .items = {items->len, items->data}};
+      struct fl_vote_message ask = { .instance = fl_node_instance (sched->node),
+                                     .stamp_ms = fl_node_now (sched->node),
+                                     .items = { items->len, items->data } };
       if (member != NULL)
         fl_node_send_to (sched->node, &member->address, FL_MSG_VOTE_ASK, &ask);
     }
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -87,7 +87,7 @@
   g_hash_table_iter_init (&iter, sched->owned);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
     {
-      struct fl_domain_load load = {0};
+      struct fl_domain_load load = { 0 };
       g_autofree char *free_slots = g_strdup_printf ("free_slots{domain=\"%s\"}", owned->name.data);
       g_autofree char *running = g_strdup_printf ("running_tasks{domain=\"%s\"}", owned->name.data);
       g_autofree char *waiting = g_strdup_printf ("waiting_tasks{domain=\"%s\"}", owned->name.data);
@@ -151,14 +151,14 @@
 static void
 make_parts (struct fl_sched *sched, const struct fl_settings *settings)
 {
-  struct fl_journal_options journal = {.loop = fl_node_loop (sched->node),
-                                       .table = fl_node_table (sched->node),
-                                       .stats = fl_node_stats (sched->node),
-                                       .interval_ms = settings->commit_interval_ms,
-                                       .batch_max = JOURNAL_BATCH_MAX,
-                                       .on_settled = on_settled,
-                                       .on_fenced = on_fenced,
-                                       .context = sched};
+  struct fl_journal_options journal = { .loop = fl_node_loop (sched->node),
+                                        .table = fl_node_table (sched->node),
+                                        .stats = fl_node_stats (sched->node),
+                                        .interval_ms = settings->commit_interval_ms,
+                                        .batch_max = JOURNAL_BATCH_MAX,
+                                        .on_settled = on_settled,
+                                        .on_fenced = on_fenced,
+                                        .context = sched };
 
   sched->rules = fl_settings_lease_rules (settings);
   sched->started_ms = fl_node_now (sched->node);
@@ -176,17 +176,17 @@
 fl_sched_new (const struct fl_settings *settings, struct fl_error *error)
 {
   struct fl_sched *sched = g_new0 (struct fl_sched, 1);
-  struct fl_node_options options = {.settings = settings,
-                                    .role = FL_PROCESS_SCHED,
-                                    .program = "flamingo-schedd",
-                                    .on_message = fl_sched_on_message,
-                                    .on_status = fl_sched_on_status,
-                                    .on_member = on_member,
-                                    .on_config = on_config,
-                                    .on_http = fl_sched_on_http,
-                                    .on_metrics = on_metrics,
-                                    .on_tick = on_tick,
-                                    .context = sched};
+  struct fl_node_options options = { .settings = settings,
+                                     .role = FL_PROCESS_SCHED,
+                                     .program = "flamingo-schedd",
+                                     .on_message = fl_sched_on_message,
+                                     .on_status = fl_sched_on_status,
+                                     .on_member = on_member,
+                                     .on_config = on_config,
+                                     .on_http = fl_sched_on_http,
+                                     .on_metrics = on_metrics,
+                                     .on_tick = on_tick,
+                                     .context = sched };
 
   sched->node = fl_node_new (&options, error);
   if (sched->node == NULL)
--- a/lib/sched/serve.c
+++ b/lib/sched/serve.c
@@ -34,13 +34,13 @@
              const struct fl_answer *answer,
              const struct fl_str *body)
 {
-  struct fl_result_message result = {.entry = waiter->entry,
-                                     .id = waiter->id,
-                                     .attempt = waiter->attempt,
-                                     .outcome = answer->outcome,
-                                     .reason = fl_name_of (answer->reason),
-                                     .retry_after_ms = answer->retry_after_ms,
-                                     .elsewhere = answer->elsewhere};
+  struct fl_result_message result = { .entry = waiter->entry,
+                                      .id = waiter->id,
+                                      .attempt = waiter->attempt,
+                                      .outcome = answer->outcome,
+                                      .reason = fl_name_of (answer->reason),
+                                      .retry_after_ms = answer->retry_after_ms,
+                                      .elsewhere = answer->elsewhere };
 
   if (body != NULL)
     result.body = *body;
@@ -50,15 +50,15 @@
 static void
 send_answer (struct fl_sched *sched, const struct fl_waiter *waiter, const struct fl_answer *answer)
 {
-  struct fl_answer_message message = {.entry = waiter->entry,
-                                      .id = waiter->id,
-                                      .attempt = waiter->attempt,
-                                      .outcome = answer->outcome,
-                                      .reason = fl_name_of (answer->reason),
-                                      .target = answer->target,
-                                      .retry_after_ms = answer->retry_after_ms,
-                                      .elsewhere = answer->elsewhere,
-                                      .result = answer->result};
+  struct fl_answer_message message = { .entry = waiter->entry,
+                                       .id = waiter->id,
+                                       .attempt = waiter->attempt,
+                                       .outcome = answer->outcome,
+                                       .reason = fl_name_of (answer->reason),
+                                       .target = answer->target,
+                                       .retry_after_ms = answer->retry_after_ms,
+                                       .elsewhere = answer->elsewhere,
+                                       .result = answer->result };
 
   fl_node_send (sched->node, &waiter->route, FL_MSG_ANSWER, &message);
 }
@@ -90,10 +90,10 @@
 {
   struct fl_owned *owned = fl_sched_find (sched, domain);
 
-  *refusal = (struct fl_answer) {.outcome = FL_OUTCOME_NOT_RUN,
+  *refusal = (struct fl_answer){ .outcome = FL_OUTCOME_NOT_RUN,
                                  .reason = "not_owner",
                                  .retry_after_ms = RETRY_AFTER_MS,
-                                 .elsewhere = true};
+                                 .elsewhere = true };
   if (owned == NULL || owned->domain == NULL || !owned->loaded || !fl_owned_may_act (owned))
     return NULL;
   if (fl_node_in_contact (sched->node))
@@ -113,7 +113,8 @@
   if (owned == NULL)
     {
       struct fl_waiter waiter = {
-          .route = *from, .entry = message->entry, .id = message->id, .attempt = message->attempt};
+        .route = *from, .entry = message->entry, .id = message->id, .attempt = message->attempt
+      };
       send_answer (sched, &waiter, &refusal);
       return;
     }
@@ -128,10 +129,10 @@
         uint64_t handle,
         const struct fl_call_message *call)
 {
-  struct fl_problems problems = {0};
-  struct fl_job_spec spec = {0};
+  struct fl_problems problems = { 0 };
+  struct fl_job_spec spec = { 0 };
   json_t *json = fl_json_parse (call->body.data, call->body.len, NULL);
-  struct fl_answer refusal = {.outcome = FL_OUTCOME_NOT_RUN, .reason = "malformed"};
+  struct fl_answer refusal = { .outcome = FL_OUTCOME_NOT_RUN, .reason = "malformed" };
 
   if (json != NULL && fl_schema_from_json (&fl_job_spec_schema, json, &spec, "job", &problems))
     fl_domain_submit (owned->domain, handle, &call->team, &spec, fl_node_now (sched->node));
@@ -277,8 +278,8 @@
 on_call (struct fl_sched *sched, const struct fl_route *from, const struct fl_call_message *call)
 {
   struct fl_waiter waiter
-      = {.route = *from, .entry = call->entry, .id = call->id, .attempt = call->attempt};
-  struct fl_answer answer = {.outcome = FL_OUTCOME_DONE, .reason = ""};
+      = { .route = *from, .entry = call->entry, .id = call->id, .attempt = call->attempt };
+  struct fl_answer answer = { .outcome = FL_OUTCOME_DONE, .reason = "" };
 
   if (call->op != FL_OP_SUBMIT && call->op != FL_OP_CANCEL)
     {
@@ -337,7 +338,7 @@
 fl_sched_on_http (void *context, struct fl_http_request *request)
 {
   struct fl_sched *sched = context;
-  struct fl_error error = {0};
+  struct fl_error error = { 0 };
 
   if (strcmp (fl_http_path (request), "/dump") != 0)
     {
@@ -347,7 +348,7 @@
     }
   json_t *dump = fl_sched_dump (sched);
   struct fl_str text = fl_json_text (dump);
-  struct fl_http_response response = {.status = 200, .body = text.data, .len = text.len};
+  struct fl_http_response response = { .status = 200, .body = text.data, .len = text.len };
   fl_http_respond (request, &response);
   fl_str_clear (&text);
   json_decref (dump);
@@ -371,7 +372,8 @@
 {
   struct usage_visit *visit = context;
   struct fl_usage_item item = {
-      .team = *team, .domain = visit->domain, .cost = cost, .running = running, .waiting = waiting};
+    .team = *team, .domain = visit->domain, .cost = cost, .running = running, .waiting = waiting
+  };
 
   (void)allotment;
   if (running > 0 || waiting > 0)
@@ -384,13 +386,13 @@
   struct fl_domain_load load;
 
   fl_domain_load (owned->domain, &load);
-  return (struct fl_domain_status) {.domain = owned->name,
+  return (struct fl_domain_status){ .domain = owned->name,
                                     .epoch = fl_domain_epoch (owned->domain),
                                     .free_slots = load.free_slots,
                                     .free_cpu_milli = load.free_cpu_milli,
                                     .waiting = load.waiting_requests + load.waiting_tasks,
                                     .targets_ready = load.targets_ready,
-                                    .acting = owned->loaded && fl_owned_may_act (owned)};
+                                    .acting = owned->loaded && fl_owned_may_act (owned) };
 }
 
 void
@@ -405,7 +407,7 @@
   g_hash_table_iter_init (&iter, sched->owned);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
     {
-      struct usage_visit visit = {usage, owned->name};
+      struct usage_visit visit = { usage, owned->name };
       if (owned->domain == NULL || fl_node_is_leaving (sched->node))
         continue;
       struct fl_domain_status one = domain_status (owned);
--- a/lib/sched/targets.c
+++ b/lib/sched/targets.c
@@ -76,16 +76,16 @@
 {
   g_autofree char *url = g_strdup_printf ("%s%s", fl_str_text (&target->url), path);
   struct fl_str text = fl_json_text (body);
-  struct fl_http_call options = {.method = "POST",
-                                 .url = url,
-                                 .body = text.data,
-                                 .len = text.len,
-                                 .timeout_ms = timeout_ms,
-                                 .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                                 .fresh_connection = fresh_connection,
-                                 .may_send = may_send,
-                                 .on_done = on_done,
-                                 .context = call};
+  struct fl_http_call options = { .method = "POST",
+                                  .url = url,
+                                  .body = text.data,
+                                  .len = text.len,
+                                  .timeout_ms = timeout_ms,
+                                  .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                                  .fresh_connection = fresh_connection,
+                                  .may_send = may_send,
+                                  .on_done = on_done,
+                                  .context = call };
 
   fl_http_client_start (fl_node_client (owned->sched->node), &options);
   fl_str_clear (&text);
@@ -111,7 +111,7 @@
   g_autofree struct target_call *call = context;
   struct fl_owned *owned = owned_of (call);
   enum fl_call_result result = call_result (answer);
-  struct fl_str body = {0};
+  struct fl_str body = { 0 };
   json_t *json = NULL;
 
   if (owned == NULL)
@@ -125,7 +125,7 @@
       else if (json_is_false (json_object_get (json, "ok")))
         result = FL_CALL_FAILED;
       if (json_is_string (text))
-        body = (struct fl_str) {json_string_length (text), (char *)json_string_value (text)};
+        body = (struct fl_str){ json_string_length (text), (char *)json_string_value (text) };
     }
   fl_domain_on_run (owned->domain, call->request, call->attempt, result, &body,
                     fl_node_now (call->sched->node));
@@ -238,7 +238,7 @@
   json_array_foreach (list, i, item)
   {
     struct fl_inventory_item running
-        = {fl_name_of (text_of (item, "id")), json_is_true (json_object_get (item, "request"))};
+        = { fl_name_of (text_of (item, "id")), json_is_true (json_object_get (item, "request")) };
     g_array_append_val (items, running);
   }
   return items;
@@ -255,9 +255,9 @@
   json_array_foreach (list, i, item)
   {
     struct fl_task_event event
-        = {json_integer_value (json_object_get (item, "seq")), fl_name_of (text_of (item, "id")),
-           json_is_true (json_object_get (item, "ok")),
-           json_is_true (json_object_get (item, "checkpointed"))};
+        = { json_integer_value (json_object_get (item, "seq")), fl_name_of (text_of (item, "id")),
+            json_is_true (json_object_get (item, "ok")),
+            json_is_true (json_object_get (item, "checkpointed")) };
     if (events->len < EVENTS_MAX)
       g_array_append_val (events, event);
   }
@@ -274,9 +274,9 @@
 
   json_array_foreach (list, i, item)
   {
-    struct fl_task_usage one = {fl_name_of (text_of (item, "id")),
-                                json_integer_value (json_object_get (item, "cpu_milli")),
-                                json_integer_value (json_object_get (item, "memory_mb"))};
+    struct fl_task_usage one = { fl_name_of (text_of (item, "id")),
+                                 json_integer_value (json_object_get (item, "cpu_milli")),
+                                 json_integer_value (json_object_get (item, "memory_mb")) };
     g_array_append_val (usage, one);
   }
   return usage;
@@ -289,15 +289,15 @@
   g_autoptr (GArray) events = read_events (json);
   g_autoptr (GArray) usage = read_usage (json);
   struct fl_target_report report
-      = {.instance = fl_name_of (text_of (json, "instance")),
-         .leaving = json_is_true (json_object_get (json, "leaving")),
-         .full = json_is_array (json_object_get (json, "running")),
-         .running = (const struct fl_inventory_item *)(void *)running->data,
-         .running_count = running->len,
-         .events = (const struct fl_task_event *)(void *)events->data,
-         .event_count = events->len,
-         .usage = (const struct fl_task_usage *)(void *)usage->data,
-         .usage_count = usage->len};
+      = { .instance = fl_name_of (text_of (json, "instance")),
+          .leaving = json_is_true (json_object_get (json, "leaving")),
+          .full = json_is_array (json_object_get (json, "running")),
+          .running = (const struct fl_inventory_item *)(void *)running->data,
+          .running_count = running->len,
+          .events = (const struct fl_task_event *)(void *)events->data,
+          .event_count = events->len,
+          .usage = (const struct fl_task_usage *)(void *)usage->data,
+          .usage_count = usage->len };
 
   fl_domain_on_report (owned->domain, target, &report, asked_ms, fl_node_now (owned->sched->node));
 }
--- a/lib/target/pool.c
+++ b/lib/target/pool.c
@@ -44,7 +44,7 @@
 };
 
 const char *const fl_target_state_names[]
-    = {"unknown", "ready", "leaving", "silent", "quarantined", NULL};
+    = { "unknown", "ready", "leaving", "silent", "quarantined", NULL };
 
 /* --- index by free cores --- */
 
--- a/lib/ticket/ticket.c
+++ b/lib/ticket/ticket.c
@@ -21,12 +21,12 @@
   GHashTable *entries[FL_OBJECT_KINDS]; /* struct fl_name * -> struct entry * */
 };
 
-const char *const fl_object_kind_names[] = {"team", "key", "queue", "service", NULL};
+const char *const fl_object_kind_names[] = { "team", "key", "queue", "service", NULL };
 
 static const struct fl_field removal_fields[] = {
-    {"kind", FL_ENUM, offsetof (struct fl_removal, kind), true, 0, 0, 0, NULL,
-     fl_object_kind_names},
-    {"name", FL_NAME, offsetof (struct fl_removal, name), true, 1, FL_NAME_MAX, 0, NULL, NULL},
+  { "kind", FL_ENUM, offsetof (struct fl_removal, kind), true, 0, 0, 0, NULL,
+    fl_object_kind_names },
+  { "name", FL_NAME, offsetof (struct fl_removal, name), true, 1, FL_NAME_MAX, 0, NULL, NULL },
 };
 static FL_SCHEMA (removal_schema, fl_removal, removal_fields);
 
@@ -37,12 +37,12 @@
   }
 
 static const struct fl_field ticket_fields[] = {
-    {"number", FL_INT, offsetof (struct fl_ticket, number), true, 1, INT64_MAX / 2, 0, NULL, NULL},
-    ARRAY_FIELD (teams, &fl_team_schema),
-    ARRAY_FIELD (keys, &fl_key_schema),
-    ARRAY_FIELD (queues, &fl_queue_schema),
-    ARRAY_FIELD (services, &fl_service_schema),
-    ARRAY_FIELD (removals, &removal_schema),
+  { "number", FL_INT, offsetof (struct fl_ticket, number), true, 1, INT64_MAX / 2, 0, NULL, NULL },
+  ARRAY_FIELD (teams, &fl_team_schema),
+  ARRAY_FIELD (keys, &fl_key_schema),
+  ARRAY_FIELD (queues, &fl_queue_schema),
+  ARRAY_FIELD (services, &fl_service_schema),
+  ARRAY_FIELD (removals, &removal_schema),
 };
 FL_SCHEMA (fl_ticket_schema, fl_ticket, ticket_fields);
 
@@ -56,7 +56,7 @@
 schema_of (enum fl_object_kind kind)
 {
   static const struct fl_schema *const schemas[FL_OBJECT_KINDS]
-      = {&fl_team_schema, &fl_key_schema, &fl_queue_schema, &fl_service_schema};
+      = { &fl_team_schema, &fl_key_schema, &fl_queue_schema, &fl_service_schema };
 
   return schemas[kind];
 }
@@ -65,7 +65,7 @@
 array_of (const struct fl_ticket *ticket, enum fl_object_kind kind)
 {
   const struct fl_array *const arrays[FL_OBJECT_KINDS]
-      = {&ticket->teams, &ticket->keys, &ticket->queues, &ticket->services};
+      = { &ticket->teams, &ticket->keys, &ticket->queues, &ticket->services };
 
   return arrays[kind];
 }
@@ -115,7 +115,7 @@
                 struct fl_ticket *ticket,
                 struct fl_problems *problems)
 {
-  struct fl_error error = {0};
+  struct fl_error error = { 0 };
   json_t *json = fl_json_parse (data, len, &error);
 
   memset (ticket, 0, sizeof *ticket);
@@ -224,7 +224,7 @@
 copy_object (const struct fl_schema *schema, const void *object)
 {
   void *copy = g_malloc0 (schema->size);
-  struct fl_problems problems = {0};
+  struct fl_problems problems = { 0 };
   json_t *json = fl_schema_to_json (schema, object);
   bool ok = fl_schema_from_json (schema, json, copy, "copy", &problems);
 
@@ -404,7 +404,7 @@
 json_t *
 fl_config_since (const struct fl_config *config, int64_t number)
 {
-  static const char *const lists[FL_OBJECT_KINDS] = {"teams", "keys", "queues", "services"};
+  static const char *const lists[FL_OBJECT_KINDS] = { "teams", "keys", "queues", "services" };
   GTree *tickets = g_tree_new_full (compare_numbers, NULL, g_free, NULL);
   json_t *list = json_array ();
   GHashTableIter iter;
--- a/programs/flamingo-entryd.c
+++ b/programs/flamingo-entryd.c
@@ -13,7 +13,7 @@
 static int
 serve (const struct fl_settings *settings)
 {
-  struct fl_error error = {0};
+  struct fl_error error = { 0 };
   struct fl_stop_watchers watchers;
   struct fl_entry *entry = fl_entry_new (settings, &error);
 
@@ -32,7 +32,7 @@
 main (int argc, char **argv)
 {
   static const struct fl_daemon daemon
-      = {"flamingo-entryd", "takes requests, jobs and tickets over HTTP", serve};
+      = { "flamingo-entryd", "takes requests, jobs and tickets over HTTP", serve };
 
   return fl_daemon_main (&daemon, argc, argv);
 }
--- a/programs/flamingoctl.c
+++ b/programs/flamingoctl.c
@@ -88,8 +88,9 @@
       struct fl_reply *reply)
 {
   const char *url = option_or_env (common->url, "FLAMINGO_URL");
-  struct fl_client_options options
-      = {.url = url, .key = option_or_env (common->key, "FLAMINGO_KEY"), .timeout_ms = TIMEOUT_MS};
+  struct fl_client_options options = { .url = url,
+                                       .key = option_or_env (common->key, "FLAMINGO_KEY"),
+                                       .timeout_ms = TIMEOUT_MS };
 
   memset (reply, 0, sizeof *reply);
   if (url == NULL)
@@ -189,7 +190,7 @@
   struct common c;
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, c.end };
   int code = parse (command, &c, table, argc, argv);
   if (code < 0)
     code = call_and_print (&c, "GET", command->path, NULL, command->columns);
@@ -207,7 +208,7 @@
   struct arg_file *file = arg_file1 (NULL, NULL, "FILE", "the ticket, '-' for standard input");
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, wait, file, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, wait, file, c.end };
   wait->ival[0] = 6000;
   int code = parse (command, &c, table, argc, argv);
   if (code < 0)
@@ -260,7 +261,7 @@
   struct arg_int *wait = arg_int0 ("w", "wait-ms", "N", "follow it until it is accepted");
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, wait, number, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, wait, number, c.end };
   int code = parse (command, &c, table, argc, argv);
   if (code < 0 && wait->count > 0)
     code = follow (&c, number->ival[0], wait->ival[0]);
@@ -315,7 +316,7 @@
   bool withdraw = strcmp (command->name, "key withdraw") == 0;
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, team, operator, name, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, team, operator, name, c.end };
   int code = parse (command, &c, table, argc, argv);
   if (code < 0 && (team->count > 0) == (operator->count> 0))
     {
@@ -324,7 +325,7 @@
     }
   if (code < 0)
     {
-      struct fl_key key = {.name = fl_name_of (name->sval[0]), .withdrawn = withdraw};
+      struct fl_key key = { .name = fl_name_of (name->sval[0]), .withdrawn = withdraw };
       struct fl_name text = fl_key_generate (&key.name);
       key.digest = fl_key_digest (text.data, text.len);
       key.role = operator->count> 0 ? FL_ROLE_OPERATOR : FL_ROLE_CALLER;
@@ -345,7 +346,7 @@
   struct arg_str *key = arg_str0 (NULL, NULL, "KEY", "to digest; without it a new key is made");
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, key, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, key, c.end };
   int code = parse (command, &c, table, argc, argv);
   if (code < 0)
     {
@@ -371,7 +372,7 @@
   struct arg_str *id = arg_str1 (NULL, NULL, "ID", "of the request");
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, once, timeout, payload, queue, id, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, once, timeout, payload, queue, id, c.end };
   timeout->ival[0] = 5000;
   payload->sval[0] = "";
   int code = parse (command, &c, table, argc, argv);
@@ -396,7 +397,7 @@
   struct arg_file *file = arg_file1 (NULL, NULL, "FILE", "the job, '-' for standard input");
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, file, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, file, c.end };
   int code = parse (command, &c, table, argc, argv);
   if (code < 0)
     {
@@ -416,7 +417,7 @@
   const char *method = strcmp (command->name, "job cancel") == 0 ? "DELETE" : "GET";
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, team, id, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, team, id, c.end };
   int code = parse (command, &c, table, argc, argv);
   if (code < 0)
     {
@@ -431,18 +432,18 @@
 
 /* --- status --- */
 
-static const struct fl_column member_columns[] = {{"INSTANCE", "instance"},
-                                                  {"ROLE", "role"},
-                                                  {"DOMAIN", "domain"},
-                                                  {"LIVE", "live"},
-                                                  {"LEAVING", "leaving"},
-                                                  {"CONFIG", "config_head"},
-                                                  {"HEARD MS AGO", "heard_ms_ago"},
-                                                  {NULL, NULL}};
+static const struct fl_column member_columns[] = { { "INSTANCE", "instance" },
+                                                   { "ROLE", "role" },
+                                                   { "DOMAIN", "domain" },
+                                                   { "LIVE", "live" },
+                                                   { "LEAVING", "leaving" },
+                                                   { "CONFIG", "config_head" },
+                                                   { "HEARD MS AGO", "heard_ms_ago" },
+                                                   { NULL, NULL } };
 static const struct fl_column domain_columns[]
-    = {{"DOMAIN", "domain"},   {"OWNER", "owner"},           {"EPOCH", "epoch"},
-       {"ACTING", "acting"},   {"FREE SLOTS", "free_slots"}, {"FREE CPU", "free_cpu_milli"},
-       {"WAITING", "waiting"}, {"TARGETS", "targets_ready"}, {NULL, NULL}};
+    = { { "DOMAIN", "domain" },   { "OWNER", "owner" },           { "EPOCH", "epoch" },
+        { "ACTING", "acting" },   { "FREE SLOTS", "free_slots" }, { "FREE CPU", "free_cpu_milli" },
+        { "WAITING", "waiting" }, { "TARGETS", "targets_ready" }, { NULL, NULL } };
 
 static int
 run_status (const struct command *command, int argc, char **argv)
@@ -451,7 +452,7 @@
   struct fl_reply reply;
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, c.end };
   int code = parse (command, &c, table, argc, argv);
   if (code < 0)
     {
@@ -487,7 +488,7 @@
       = arg_str0 (NULL, "process", "URL", "a scheduler's HTTP address; default: all");
 
   make_common (&c);
-  void *table[] = {c.help, c.url, c.key, c.json, of, c.end};
+  void *table[] = { c.help, c.url, c.key, c.json, of, c.end };
   int code = parse (command, &c, table, argc, argv);
   if (code < 0)
     {
@@ -508,65 +509,70 @@
 
 /* --- commands --- */
 
-static const struct fl_column team_columns[] = {
-    {"TEAM", "name"}, {"SHARE", "share"}, {"LIMIT", "limit"}, {"TICKET", "ticket"}, {NULL, NULL}};
+static const struct fl_column team_columns[] = { { "TEAM", "name" },
+                                                 { "SHARE", "share" },
+                                                 { "LIMIT", "limit" },
+                                                 { "TICKET", "ticket" },
+                                                 { NULL, NULL } };
 static const struct fl_column key_columns[]
-    = {{"KEY", "name"},      {"TEAM", "team"}, {"ROLE", "role"}, {"WITHDRAWN", "withdrawn"},
-       {"TICKET", "ticket"}, {NULL, NULL}};
-static const struct fl_column queue_columns[]
-    = {{"QUEUE", "name"},        {"TEAM", "team"},   {"KIND", "kind"},     {"OPEN", "open"},
-       {"PRIORITY", "priority"}, {"LABEL", "label"}, {"TICKET", "ticket"}, {NULL, NULL}};
+    = { { "KEY", "name" },      { "TEAM", "team" },
+        { "ROLE", "role" },     { "WITHDRAWN", "withdrawn" },
+        { "TICKET", "ticket" }, { NULL, NULL } };
+static const struct fl_column queue_columns[] = { { "QUEUE", "name" },        { "TEAM", "team" },
+                                                  { "KIND", "kind" },         { "OPEN", "open" },
+                                                  { "PRIORITY", "priority" }, { "LABEL", "label" },
+                                                  { "TICKET", "ticket" },     { NULL, NULL } };
 static const struct fl_column service_columns[]
-    = {{"SERVICE", "name"},      {"TEAM", "team"},     {"REPLICAS", "replicas"},
-       {"PRIORITY", "priority"}, {"TICKET", "ticket"}, {NULL, NULL}};
-static const struct fl_column usage_columns[] = {{"DOMAIN", "domain"},
-                                                 {"TEAM", "team"},
-                                                 {"SHARE", "share"},
-                                                 {"LIMIT", "limit"},
-                                                 {"ALLOTMENT", "allotment"},
-                                                 {"RUNNING", "running"},
-                                                 {"UNCONFIRMED", "unconfirmed"},
-                                                 {"WAITING", "waiting"},
-                                                 {NULL, NULL}};
+    = { { "SERVICE", "name" },      { "TEAM", "team" },     { "REPLICAS", "replicas" },
+        { "PRIORITY", "priority" }, { "TICKET", "ticket" }, { NULL, NULL } };
+static const struct fl_column usage_columns[] = { { "DOMAIN", "domain" },
+                                                  { "TEAM", "team" },
+                                                  { "SHARE", "share" },
+                                                  { "LIMIT", "limit" },
+                                                  { "ALLOTMENT", "allotment" },
+                                                  { "RUNNING", "running" },
+                                                  { "UNCONFIRMED", "unconfirmed" },
+                                                  { "WAITING", "waiting" },
+                                                  { NULL, NULL } };
 static const struct fl_column host_columns[]
-    = {{"HOST", "name"},           {"DOMAIN", "domain"},
-       {"RACK", "rack"},           {"STATE", "state"},
-       {"LABEL", "label"},         {"SLOTS", "capacity.slots"},
-       {"USED", "used.slots"},     {"CPU", "capacity.cpu_milli"},
-       {"USED", "used.cpu_milli"}, {NULL, NULL}};
+    = { { "HOST", "name" },           { "DOMAIN", "domain" },
+        { "RACK", "rack" },           { "STATE", "state" },
+        { "LABEL", "label" },         { "SLOTS", "capacity.slots" },
+        { "USED", "used.slots" },     { "CPU", "capacity.cpu_milli" },
+        { "USED", "used.cpu_milli" }, { NULL, NULL } };
 static const struct fl_column job_columns[]
-    = {{"TEAM", "team"},   {"JOB", "job"},     {"DOMAIN", "domain"}, {"KIND", "kind"},
-       {"STATE", "state"}, {"TASKS", "tasks"}, {"COUNTS", "counts"}, {NULL, NULL}};
-static const struct fl_column lease_columns[] = {{"DOMAIN", "domain"},
-                                                 {"STATE", "state"},
-                                                 {"OWNER", "owner"},
-                                                 {"EPOCH", "epoch"},
-                                                 {"VOTERS", "voters"},
-                                                 {"ACTING", "acting"},
-                                                 {"LEFT MS", "authority_left_ms"},
-                                                 {NULL, NULL}};
+    = { { "TEAM", "team" },   { "JOB", "job" },     { "DOMAIN", "domain" }, { "KIND", "kind" },
+        { "STATE", "state" }, { "TASKS", "tasks" }, { "COUNTS", "counts" }, { NULL, NULL } };
+static const struct fl_column lease_columns[] = { { "DOMAIN", "domain" },
+                                                  { "STATE", "state" },
+                                                  { "OWNER", "owner" },
+                                                  { "EPOCH", "epoch" },
+                                                  { "VOTERS", "voters" },
+                                                  { "ACTING", "acting" },
+                                                  { "LEFT MS", "authority_left_ms" },
+                                                  { NULL, NULL } };
 
 static const struct command commands[] = {
-    {"status", "members, owners and configuration at a glance", run_status, NULL, NULL},
-    {"ticket submit", "submit a ticket from a JSON file", run_ticket_submit, NULL, NULL},
-    {"ticket show", "tell how far a ticket has come", run_ticket_show, NULL, NULL},
-    {"key give", "make a key and record it by a ticket", run_key, NULL, NULL},
-    {"key withdraw", "withdraw a key by a ticket", run_key, NULL, NULL},
-    {"key digest", "print a key's digest, for the settings", run_key_digest, NULL, NULL},
-    {"teams", "list teams", run_list, "/v1/teams", team_columns},
-    {"keys", "list keys", run_list, "/v1/keys", key_columns},
-    {"queues", "list queues", run_list, "/v1/queues", queue_columns},
-    {"services", "list services", run_list, "/v1/services", service_columns},
-    {"usage", "list what each team runs in each domain", run_list, "/v1/usage", usage_columns},
-    {"hosts", "list targets as their owners see them", run_list, "/v1/hosts", host_columns},
-    {"domains", "list failure domains and their owners", run_list, "/v1/domains", domain_columns},
-    {"leases", "list every scheduler's view of every lease", run_list, "/v1/leases", lease_columns},
-    {"jobs", "list jobs", run_list, "/v1/jobs", job_columns},
-    {"job submit", "submit a job from a JSON file", run_job_submit, NULL, NULL},
-    {"job show", "show a job", run_job, NULL, NULL},
-    {"job cancel", "cancel a job", run_job, NULL, NULL},
-    {"request", "send a request and print its answer", run_request, NULL, NULL},
-    {"dump", "print the whole state of the schedulers", run_dump, NULL, NULL},
+  { "status", "members, owners and configuration at a glance", run_status, NULL, NULL },
+  { "ticket submit", "submit a ticket from a JSON file", run_ticket_submit, NULL, NULL },
+  { "ticket show", "tell how far a ticket has come", run_ticket_show, NULL, NULL },
+  { "key give", "make a key and record it by a ticket", run_key, NULL, NULL },
+  { "key withdraw", "withdraw a key by a ticket", run_key, NULL, NULL },
+  { "key digest", "print a key's digest, for the settings", run_key_digest, NULL, NULL },
+  { "teams", "list teams", run_list, "/v1/teams", team_columns },
+  { "keys", "list keys", run_list, "/v1/keys", key_columns },
+  { "queues", "list queues", run_list, "/v1/queues", queue_columns },
+  { "services", "list services", run_list, "/v1/services", service_columns },
+  { "usage", "list what each team runs in each domain", run_list, "/v1/usage", usage_columns },
+  { "hosts", "list targets as their owners see them", run_list, "/v1/hosts", host_columns },
+  { "domains", "list failure domains and their owners", run_list, "/v1/domains", domain_columns },
+  { "leases", "list every scheduler's view of every lease", run_list, "/v1/leases", lease_columns },
+  { "jobs", "list jobs", run_list, "/v1/jobs", job_columns },
+  { "job submit", "submit a job from a JSON file", run_job_submit, NULL, NULL },
+  { "job show", "show a job", run_job, NULL, NULL },
+  { "job cancel", "cancel a job", run_job, NULL, NULL },
+  { "request", "send a request and print its answer", run_request, NULL, NULL },
+  { "dump", "print the whole state of the schedulers", run_dump, NULL, NULL },
 };
 
 static void
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -30,7 +30,7 @@
   MODE_HANG
 };
 
-static const char *const mode_names[] = {"up", "down", "slow", "lose", "hang", NULL};
+static const char *const mode_names[] = { "up", "down", "slow", "lose", "hang", NULL };
 
 struct row
 {
@@ -80,7 +80,7 @@
 respond_now (struct fl_http_request *request, int status, json_t *body)
 {
   struct fl_str text = fl_json_text (body);
-  struct fl_http_response response = {.status = status, .body = text.data, .len = text.len};
+  struct fl_http_response response = { .status = status, .body = text.data, .len = text.len };
 
   fl_http_respond (request, &response);
   fl_str_clear (&text);
@@ -466,9 +466,9 @@
   struct arg_int *rate = arg_int0 (NULL, "writes-per-s", "N", "write limit; 0 for none");
   struct arg_int *lag = arg_int0 (NULL, "host-lag-ms", "N", "lag of the list of hosts");
   struct arg_end *end = arg_end (5);
-  void *table[] = {port, rate, lag, end};
-  struct platform p = {.loop = ev_default_loop (0)};
-  struct fl_error error = {0};
+  void *table[] = { port, rate, lag, end };
+  struct platform p = { .loop = ev_default_loop (0) };
+  struct fl_error error = { 0 };
   ev_signal term;
 
   port->ival[0] = 0;
@@ -487,16 +487,16 @@
   p.hung = g_ptr_array_new ();
   p.writes_per_s = rate->ival[0];
   p.host_lag_ms = lag->ival[0];
-  struct fl_http_server_options options = {.loop = p.loop,
-                                           .address = "127.0.0.1",
-                                           .port = port->ival[0],
-                                           .body_max = BODY_MAX,
-                                           .header_max = 32 * 1024,
-                                           .connections_max = 8192,
-                                           .idle_ms = 300000,
-                                           .upload_ms = 60000,
-                                           .on_request = on_request,
-                                           .context = &p};
+  struct fl_http_server_options options = { .loop = p.loop,
+                                            .address = "127.0.0.1",
+                                            .port = port->ival[0],
+                                            .body_max = BODY_MAX,
+                                            .header_max = 32 * 1024,
+                                            .connections_max = 8192,
+                                            .idle_ms = 300000,
+                                            .upload_ms = 60000,
+                                            .on_request = on_request,
+                                            .context = &p };
   p.server = fl_http_server_new (&options, &error);
   if (p.server == NULL)
     {
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -36,7 +36,7 @@
 };
 
 static const char *const fault_names[]
-    = {"none", "dead", "silent", "slow", "fail", "leaving", NULL};
+    = { "none", "dead", "silent", "slow", "fail", "leaving", NULL };
 
 struct target
 {
@@ -118,7 +118,7 @@
 respond (struct fl_http_request *request, int status, json_t *body)
 {
   struct fl_str text = fl_json_text (body);
-  struct fl_http_response response = {.status = status, .body = text.data, .len = text.len};
+  struct fl_http_response response = { .status = status, .body = text.data, .len = text.len };
 
   fl_http_respond (request, &response);
   fl_str_clear (&text);
@@ -227,7 +227,7 @@
 static void
 add_event (struct target *t, const struct fl_name *id, bool ok, bool checkpointed)
 {
-  struct event event = {++t->last_seq, *id, ok, checkpointed};
+  struct event event = { ++t->last_seq, *id, ok, checkpointed };
 
   g_array_append_val (t->events, event);
   answer_poll (t);
@@ -374,7 +374,7 @@
     run->demand.amount[FL_SLOTS] = 1;
   else
     {
-      struct fl_problems problems = {0};
+      struct fl_problems problems = { 0 };
       fl_schema_from_json (&fl_resources_schema, json_object_get (body, "demand"), &run->demand,
                            "demand", &problems);
       fl_problems_clear (&problems);
@@ -699,14 +699,14 @@
 {
   g_autofree char *url = g_strdup_printf ("%s/admin/hosts", platform);
   struct fl_str body = fl_json_text (hosts);
-  struct fl_http_call call = {.method = "POST",
-                              .url = url,
-                              .body = body.data,
-                              .len = body.len,
-                              .timeout_ms = 10000,
-                              .connect_timeout_ms = 5000,
-                              .on_done = on_registered,
-                              .context = cell};
+  struct fl_http_call call = { .method = "POST",
+                               .url = url,
+                               .body = body.data,
+                               .len = body.len,
+                               .timeout_ms = 10000,
+                               .connect_timeout_ms = 5000,
+                               .on_done = on_registered,
+                               .context = cell };
 
   fl_http_client_start (cell->client, &call);
   fl_str_clear (&body);
@@ -737,10 +737,10 @@
   struct arg_str *prefix = arg_str0 (NULL, "prefix", "TEXT", "of each target's name");
   struct arg_lit *guards = arg_lit0 (NULL, "guards", "refuse commands of an old epoch");
   struct arg_end *end = arg_end (5);
-  void *table[] = {port,   platform,     domains, region, count,  per_rack, cores,
-                   memory, accelerators, slots,   label,  prefix, guards,   end};
-  struct cell cell = {.loop = ev_default_loop (0)};
-  struct fl_error error = {0};
+  void *table[] = { port,   platform,     domains, region, count,  per_rack, cores,
+                    memory, accelerators, slots,   label,  prefix, guards,   end };
+  struct cell cell = { .loop = ev_default_loop (0) };
+  struct fl_error error = { 0 };
   ev_signal term;
 
   if (arg_parse (argc, argv, table) > 0)
@@ -749,11 +749,11 @@
       return 2;
     }
   signal (SIGPIPE, SIG_IGN);
-  struct shape shape = {.per_domain = count->count > 0 ? count->ival[0] : 16,
-                        .per_rack = per_rack->count > 0 ? per_rack->ival[0] : 8,
-                        .prefix = prefix->count > 0 ? prefix->sval[0] : "",
-                        .label = label->count > 0 ? label->sval[0] : "",
-                        .region = region->count > 0 ? region->sval[0] : "region"};
+  struct shape shape = { .per_domain = count->count > 0 ? count->ival[0] : 16,
+                         .per_rack = per_rack->count > 0 ? per_rack->ival[0] : 8,
+                         .prefix = prefix->count > 0 ? prefix->sval[0] : "",
+                         .label = label->count > 0 ? label->sval[0] : "",
+                         .region = region->count > 0 ? region->sval[0] : "region" };
   shape.capacity.amount[FL_CPU_MILLI] = 1000LL * (cores->count > 0 ? cores->ival[0] : 16);
   shape.capacity.amount[FL_MEMORY_MB] = memory->count > 0 ? memory->ival[0] : 32768;
   shape.capacity.amount[FL_ACCELERATORS] = accelerators->count > 0 ? accelerators->ival[0] : 0;
@@ -764,16 +764,16 @@
   cell.hung = g_ptr_array_new ();
   cell.guards = guards->count > 0;
   cell.client = fl_http_client_new (cell.loop, 16);
-  struct fl_http_server_options options = {.loop = cell.loop,
-                                           .address = "127.0.0.1",
-                                           .port = port->count > 0 ? port->ival[0] : 0,
-                                           .body_max = 4 * 1024 * 1024,
-                                           .header_max = 32 * 1024,
-                                           .connections_max = 16384,
-                                           .idle_ms = 600000,
-                                           .upload_ms = 60000,
-                                           .on_request = on_request,
-                                           .context = &cell};
+  struct fl_http_server_options options = { .loop = cell.loop,
+                                            .address = "127.0.0.1",
+                                            .port = port->count > 0 ? port->ival[0] : 0,
+                                            .body_max = 4 * 1024 * 1024,
+                                            .header_max = 32 * 1024,
+                                            .connections_max = 16384,
+                                            .idle_ms = 600000,
+                                            .upload_ms = 60000,
+                                            .on_request = on_request,
+                                            .context = &cell };
   cell.server = fl_http_server_new (&options, &error);
   if (cell.server == NULL)
     {
