--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 HARDEN = -fstack-protector-strong -D_FORTIFY_SOURCE=2 -fPIE -fno-strict-aliasing
 OPT ?= -O2
 SAN ?=
-CPPFLAGS += -Ilib -D_GNU_SOURCE
+CPPFLAGS += -Ilib -Itests -D_GNU_SOURCE
 CFLAGS = -std=gnu11 $(OPT) -g $(WARN) $(HARDEN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LDFLAGS = -pie -Wl,-z,relro,-z,now $(SAN)
 LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lmsgpackc -lm
--- a/lib/domain/domain.c
+++ b/lib/domain/domain.c
@@ -181,7 +181,7 @@
   struct fl_domain *domain = g_new0 (struct fl_domain, 1);
 
   domain->options = *options;
-  domain->pool = fl_pool_new ();
+  domain->pool = fl_pool_new (fl_task_hash);
   domain->accounts = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, account_free);
   for (int p = 0; p < FL_PRIORITIES; p++)
     domain->active[p] = g_ptr_array_new ();
--- a/lib/domain/domain_internal.h
+++ b/lib/domain/domain_internal.h
@@ -57,6 +57,7 @@
   struct fl_name label;
   bool repeatable;
   int64_t intent; /* version of its intent in the table, 0 for none */
+  bool exposed;   /* an attempt's answer was lost: it may have run */
   int64_t arrived_ms;
   int64_t deadline_ms;
   int64_t attempt;
@@ -96,7 +97,8 @@
   int64_t attempt;  /* part of its id on the target; grows with each start and epoch */
   int32_t failures; /* runs that failed */
   enum fl_task_state state;
-  bool cancel; /* STOPPING: ends as failed instead of waiting again */
+  bool cancel;     /* STOPPING: ends as failed instead of waiting again */
+  bool start_open; /* the command that starts it has not ended, so it may still arrive */
   struct fl_target *target;
   struct fl_resources reserved;
   int64_t cost;
@@ -267,6 +269,9 @@
                     int64_t attempt,
                     int64_t now_ms);
 
+/* Hash of a task by its job and index. */
+unsigned int fl_task_hash (const void *task);
+
 void fl_task_finish (struct fl_domain *domain, struct fl_task *task, bool ok, int64_t now_ms);
 void fl_task_stop (struct fl_domain *domain,
                    struct fl_task *task,
--- a/lib/domain/job.c
+++ b/lib/domain/job.c
@@ -121,6 +121,14 @@
   return fl_name_format ("%s/%x/%" PRIx64, task->job->key.data, task->index, task->attempt);
 }
 
+unsigned int
+fl_task_hash (const void *key)
+{
+  const struct fl_task *task = key;
+
+  return fl_name_hash (&task->job->key) + (unsigned int)task->index;
+}
+
 struct fl_task *
 fl_domain_find_task (const struct fl_domain *domain, const struct fl_name *id, int64_t *attempt)
 {
@@ -194,9 +202,11 @@
 {
   g_autofree char *done = ranges (job, FL_TASK_DONE);
   g_autofree char *failed = ranges (job, FL_TASK_FAILED);
+  /* Once the table has the row, the job is accepted. */
+  enum fl_job_state state = job->state == FL_JOB_ACCEPTING ? FL_JOB_ACTIVE : job->state;
 
   return json_pack ("{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:o}", "team", job->team.data, "domain",
-                    domain->options.name.data, "state", fl_job_state_names[job->state], "kind",
+                    domain->options.name.data, "state", fl_job_state_names[state], "kind",
                     fl_work_kind_names[job->work.kind], "priority",
                     fl_priority_names[job->work.priority], "done", done, "failed", failed,
                     "accepted_wall_ms", (json_int_t)job->accepted_wall_ms, "spec",
@@ -517,6 +527,7 @@
 {
   task->attempt = MAX (task->attempt, domain->options.epoch << ATTEMPTS_PER_EPOCH) + 1;
   task->state = FL_TASK_STARTING;
+  task->start_open = true;
   take_room (domain, task, target, now_ms);
   domain->placements++;
   domain->options.ops.start (domain->options.ops.context, target, task);
@@ -589,7 +600,7 @@
       if (targets[i] != NULL && fl_pool_reserve (domain->pool, targets[i], &job->spec.demand))
         continue;
       while (i-- > 0)
-        fl_pool_release (domain->pool, targets[i], &job->spec.demand);
+        fl_pool_unreserve (domain->pool, targets[i], &job->spec.demand);
       return false;
     }
   return true;
@@ -758,6 +769,7 @@
   if (task == NULL || task->attempt != attempt || task->target == NULL)
     return;
   struct fl_target *target = task->target;
+  task->start_open = false;
   fl_target_touch (domain, target, now_ms);
   if (result != FL_CALL_DONE)
     fl_target_note_start (domain, target, false, now_ms);
--- a/lib/domain/recovery.c
+++ b/lib/domain/recovery.c
@@ -176,7 +176,8 @@
 
 /* --- tasks on a target that is lost --- */
 
-/* All tasks of @target have ended without a word. */
+/* All tasks of @target have ended without a word. A task whose start is still on its way is left:
+ * it may yet arrive. */
 static void
 lose_tasks (struct fl_domain *domain, struct fl_target *target, int64_t now_ms)
 {
@@ -185,7 +186,7 @@
   for (GList *l = tasks; l != NULL; l = l->next)
     {
       struct fl_task *task = l->data;
-      if (task->target != target)
+      if (task->target != target || task->start_open)
         continue;
       domain->lapsed_tasks++;
       fl_task_requeue (domain, task, now_ms);
@@ -419,17 +420,17 @@
     relieve (domain, target, now_ms);
 }
 
-/* A target that restarted has lost its tasks and counts its events from the start. */
+/* A target that restarted counts its events from the start. Which tasks it lost is for a full
+ * inventory to say: some may have been started on the new instance already. */
 static void
 check_instance (struct fl_domain *domain,
                 struct fl_target *target,
-                const struct fl_target_report *report,
-                int64_t now_ms)
+                const struct fl_target_report *report)
 {
   if (fl_name_eq (&target->instance, &report->instance))
     return;
-  if (target->instance.len > 0)
-    lose_tasks (domain, target, now_ms);
+  if (target->instance.len > 0 && !report->full)
+    fl_pool_set_state (domain->pool, target, FL_TARGET_UNKNOWN);
   target->instance = report->instance;
   target->seen = 0;
   target->acked = 0;
@@ -444,7 +445,7 @@
                      int64_t asked_ms,
                      int64_t now_ms)
 {
-  check_instance (domain, target, report, now_ms);
+  check_instance (domain, target, report);
   target->heard_ms = now_ms;
   target->listed_leaving = target->listed_leaving || report->leaving;
   fl_target_touch (domain, target, now_ms);
--- a/lib/domain/request.c
+++ b/lib/domain/request.c
@@ -100,9 +100,11 @@
                    const struct fl_str *result,
                    int64_t now_ms)
 {
-  struct fl_answer reply = { .outcome = outcome, .reason = reason };
-
   (void)now_ms;
+  if (outcome == FL_OUTCOME_NOT_RUN && request->exposed)
+    outcome = FL_OUTCOME_UNKNOWN;
+
+  struct fl_answer reply = { .outcome = outcome, .reason = reason };
   if (result != NULL)
     reply.result = *result;
   if (request->target != NULL)
@@ -359,6 +361,7 @@
 
   /* The target may still run it: its slot stays counted until an inventory says otherwise. */
   struct fl_name run_id = fl_request_name (request);
+  request->exposed = true;
   fl_pool_adopt (domain->pool, target, &one_slot);
   fl_domain_add_ghost (domain, target, account, &run_id);
   domain->options.ops.inspect (domain->options.ops.context, target);
--- a/lib/node/members.c
+++ b/lib/node/members.c
@@ -122,6 +122,14 @@
   return head;
 }
 
+static void
+note_heard (const struct fl_node *node, struct fl_member *member)
+{
+  member->heard_ms = fl_node_now (node);
+  if (member->first_heard_ms == 0)
+    member->first_heard_ms = member->heard_ms;
+}
+
 void
 fl_node_on_hello (struct fl_node *node, const struct fl_route *from, const struct fl_hello *hello)
 {
@@ -142,7 +150,7 @@
   member->region = hello->region;
   member->leaving = hello->leaving;
   member->config_head = hello->config_head;
-  member->heard_ms = fl_node_now (node);
+  note_heard (node, member);
   if (hello->role == FL_PROCESS_SCHED)
     connect_to (node, &hello->address);
   status.entries_head = lowest_entry_head (node);
@@ -171,7 +179,7 @@
   member->leaving = status->leaving;
   member->config_head = status->config_head;
   member->entries_head = status->entries_head;
-  member->heard_ms = fl_node_now (node);
+  note_heard (node, member);
   if (status->config_head <= fl_config_head (node->config))
     member->contact_ms = MAX (member->contact_ms, status->stamp_ms);
   g_free (member->domains.items);
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -31,8 +31,9 @@
   bool leaving;
   int64_t config_head;
   int64_t entries_head;
-  int64_t heard_ms;   /* when its last message arrived; 0 for never */
-  int64_t contact_ms; /* when the hello was sent that it answered with a head not above ours */
+  int64_t first_heard_ms; /* when its first message arrived; 0 for never */
+  int64_t heard_ms;       /* when its last message arrived; 0 for never */
+  int64_t contact_ms;     /* when the hello was sent that it answered with a head not above ours */
   int64_t row_version;
   int64_t row_seen_ms;     /* when the row's version last moved */
   struct fl_array domains; /* struct fl_domain_status of its last answer */
--- a/lib/sched/owner.c
+++ b/lib/sched/owner.c
@@ -92,6 +92,7 @@
 {
   struct fl_domain *domain = owned->domain;
 
+  owned->loading_epoch = 0;
   if (domain == NULL)
     return;
   fl_log (fl_node_log (owned->sched->node), FL_LOG_WARNING, "domain_lost",
@@ -102,7 +103,6 @@
   fl_journal_close_domain (owned->sched->journal, &owned->name);
   fl_domain_close (domain, fl_node_now (owned->sched->node));
   owned->domain = NULL;
-  owned->loading_epoch = 0;
   owned->loaded = false;
   fl_domain_free (domain);
   g_hash_table_remove_all (owned->polls);
@@ -119,7 +119,9 @@
       && (lease->state == FL_LEASE_WATCHING || lease->state == FL_LEASE_TAKING
           || lease->row.epoch != fl_domain_epoch (owned->domain)))
     fl_owned_drop_domain (owned, "another process owns it");
-  if (lease->state == FL_LEASE_HOLDING && owned->domain == NULL && owned->loading_epoch == 0)
+  /* A load for an epoch that has ended is void: its answers find another epoch here. */
+  if (lease->state == FL_LEASE_HOLDING && owned->domain == NULL
+      && owned->loading_epoch != lease->row.epoch)
     {
       owned->held_ms = fl_node_now (owned->sched->node);
       fl_log (fl_node_log (owned->sched->node), FL_LOG_NOTICE, "domain_taken",
@@ -304,7 +306,8 @@
   g_array_append_val (items, item);
 }
 
-/* A voter whose instance is known to be replaced at its address cannot answer any more. */
+/* A voter whose instance is known to be replaced at its address cannot answer any more. It may have
+ * promised something up to the moment at which its successor was first heard, @known_ms. */
 static bool
 is_replaced (const struct fl_sched *sched, const struct fl_name *voter, int64_t *known_ms)
 {
@@ -316,7 +319,7 @@
     if (other != old && other->role == FL_PROCESS_SCHED && other->heard_ms > old->heard_ms
         && fl_name_eq (&other->address, &old->address) && fl_node_is_live (sched->node, other))
       {
-        *known_ms = old->heard_ms;
+        *known_ms = other->first_heard_ms;
         return true;
       }
   return false;
--- a/lib/target/pool.c
+++ b/lib/target/pool.c
@@ -38,6 +38,7 @@
   GPtrArray *targets;
   GPtrArray *groups; /* struct fl_slot_group * */
   struct fit_index fit[FIT_INDEXES];
+  GHashFunc task_hash;
   uint64_t generation;
   struct fl_resources capacity; /* of the indexed targets */
   struct fl_resources used;
@@ -208,10 +209,11 @@
 /* --- public functions --- */
 
 struct fl_pool *
-fl_pool_new (void)
+fl_pool_new (GHashFunc task_hash)
 {
   struct fl_pool *pool = g_new0 (struct fl_pool, 1);
 
+  pool->task_hash = task_hash;
   pool->by_name = g_hash_table_new (fl_name_hash, fl_name_equal);
   pool->targets = g_ptr_array_new ();
   pool->groups = g_ptr_array_new_with_free_func (g_free);
@@ -255,7 +257,7 @@
   target->label = *label;
   target->capacity = *capacity;
   target->group = group_of (pool, label);
-  target->tasks = g_hash_table_new (NULL, NULL);
+  target->tasks = g_hash_table_new (pool->task_hash, NULL);
   target->unacked = g_array_new (FALSE, FALSE, sizeof (struct fl_event_mark));
   g_hash_table_insert (pool->by_name, &target->name, target);
   g_ptr_array_add (pool->targets, target);
@@ -325,11 +327,19 @@
 }
 
 void
-fl_pool_release (struct fl_pool *pool, struct fl_target *target, const struct fl_resources *demand)
+fl_pool_unreserve (struct fl_pool *pool,
+                   struct fl_target *target,
+                   const struct fl_resources *demand)
 {
   change_used (pool, target, demand, -1);
   for (int i = 0; i < FL_RESOURCE_COUNT; i++)
     g_assert (target->used.amount[i] >= 0);
+}
+
+void
+fl_pool_release (struct fl_pool *pool, struct fl_target *target, const struct fl_resources *demand)
+{
+  fl_pool_unreserve (pool, target, demand);
   pool->generation++;
 }
 
--- a/lib/target/pool.h
+++ b/lib/target/pool.h
@@ -63,7 +63,9 @@
 
 struct fl_pool;
 
-struct fl_pool *fl_pool_new (void);
+/* @task_hash: hash of what the domain keeps in `tasks`; by content, so that a run repeats exactly.
+ */
+struct fl_pool *fl_pool_new (GHashFunc task_hash);
 void fl_pool_free (struct fl_pool *pool);
 
 /* Adds a target in state UNKNOWN. @return the new target, owned by the pool, or the one that
@@ -96,6 +98,12 @@
 void
 fl_pool_release (struct fl_pool *pool, struct fl_target *target, const struct fl_resources *demand);
 
+/* Takes back a reservation on which nothing was started. Unlike a release it does not raise the
+ * generation: there is no more room than before it was made. */
+void fl_pool_unreserve (struct fl_pool *pool,
+                        struct fl_target *target,
+                        const struct fl_resources *demand);
+
 /* @return a ready target with room for @demand, by best fit, or NULL when there is none. */
 struct fl_target *fl_pool_pick (struct fl_pool *pool, const struct fl_resources *demand);
 
