Move allotments between owners, preempt, trim, balance; count what may still run

Cause: limits were static halves; a lowered limit stopped nothing; one scheduler kept every domain; urgent work waited for batch; crash-looping services spun. The fuzzer now moves allotments and sends urgent and checkpointable jobs.

--- a/lib/domain/domain.c
+++ b/lib/domain/domain.c
@@ -66,11 +66,19 @@
 }
 
 int64_t
-fl_account_headroom (const struct fl_account *account)
+fl_account_headroom (const struct fl_domain *domain, const struct fl_account *account)
 {
   if (!account->configured)
     return 0;
-  return MIN (account->allotment, account->limit) - account->running - account->unconfirmed;
+  return MIN (account->allotment, account->limit) - account->running - account->unconfirmed
+         - domain->unknown_slots;
+}
+
+void
+fl_account_unblock (struct fl_account *account)
+{
+  for (int p = 0; p < FL_PRIORITIES; p++)
+    account->blocked_at[p] = 0;
 }
 
 int64_t
@@ -242,6 +250,7 @@
   account->configured = true;
   account->share = team->share;
   account->limit = team->limit;
+  fl_account_unblock (account);
 }
 
 void
@@ -276,8 +285,10 @@
   bool raised = amount > account->allotment;
 
   account->allotment = amount;
-  if (raised)
-    fl_domain_schedule (domain, now_ms);
+  if (!raised)
+    return;
+  fl_account_unblock (account);
+  fl_domain_schedule (domain, now_ms);
 }
 
 void
@@ -288,12 +299,27 @@
 
 /* --- time --- */
 
+/* Work that leaves room for a gang does so for a time only, which no event ends. */
+static void
+unblock_held_back (struct fl_domain *domain)
+{
+  GHashTableIter iter;
+  struct fl_account *account;
+
+  g_hash_table_iter_init (&iter, domain->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, (void **)&account))
+    if (domain->hold_for != NULL || account->hold_for != NULL)
+      fl_account_unblock (account);
+}
+
 void
 fl_domain_tick (struct fl_domain *domain, int64_t now_ms)
 {
   fl_domain_expire_requests (domain, now_ms);
   fl_domain_tick_targets (domain, now_ms);
   fl_domain_tick_jobs (domain, now_ms);
+  fl_domain_trim (domain, now_ms);
+  unblock_held_back (domain);
   fl_domain_schedule (domain, now_ms);
 }
 
@@ -353,24 +379,39 @@
     load->targets_ready += target->state == FL_TARGET_READY;
 }
 
-static int64_t
-account_waiting (const struct fl_account *account)
+/* Counts the tasks and requests that wait, and sees whether a gang among them can never start. */
+static void
+look_at_queue (const struct fl_account *account, const GQueue *queue, struct fl_team_usage *usage)
+{
+  for (const GList *l = queue->head; l != NULL; l = l->next)
+    {
+      const struct fl_work *work = l->data;
+      const struct fl_job *job = l->data;
+      int64_t tasks = work->kind == FL_WORK_REQUEST ? 1 : job->ready->len;
+      usage->waiting += tasks;
+      if (work->kind == FL_WORK_GANG && tasks > account->allotment && account->running == 0)
+        usage->stuck = true;
+    }
+}
+
+static struct fl_team_usage
+usage_of (const struct fl_domain *domain, const struct fl_account *account)
 {
-  int64_t waiting = 0;
+  /* What may still run counts as running: it must not be given away. */
+  int64_t unknown = account->unconfirmed + domain->unknown_slots;
+  struct fl_team_usage usage = { .team = account->team,
+                                 .running = account->running + unknown,
+                                 .cost = account->cost,
+                                 .allotment = account->allotment };
 
   for (int p = 0; p < FL_PRIORITIES; p++)
-    waiting += account->waiting[p].length;
-  return waiting;
+    look_at_queue (account, &account->waiting[p], &usage);
+  return usage;
 }
 
 void
 fl_domain_each_team (const struct fl_domain *domain,
-                     void (*visit) (void *context,
-                                    const struct fl_name *team,
-                                    int64_t running,
-                                    int64_t cost,
-                                    int64_t waiting,
-                                    int64_t allotment),
+                     void (*visit) (void *context, const struct fl_team_usage *usage),
                      void *context)
 {
   GHashTableIter iter;
@@ -378,8 +419,10 @@
 
   g_hash_table_iter_init (&iter, domain->accounts);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&account))
-    visit (context, &account->team, account->running, account->cost, account_waiting (account),
-           account->allotment);
+    {
+      struct fl_team_usage usage = usage_of (domain, account);
+      visit (context, &usage);
+    }
 }
 
 static json_t *
@@ -395,7 +438,7 @@
         list, json_pack ("{s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "team", a->team.data,
                          "configured", a->configured, "share", a->share, "limit", a->limit,
                          "allotment", a->allotment, "running", a->running, "unconfirmed",
-                         a->unconfirmed, "waiting", account_waiting (a), "cost", a->cost,
+                         a->unconfirmed, "waiting", usage_of (domain, a).waiting, "cost", a->cost,
                          "remote_cost", a->remote_cost, "retry_tokens", a->retry_tokens));
   return list;
 }
@@ -442,11 +485,12 @@
 {
   static const struct fl_name all_teams = { 0 };
 
-  return json_pack ("{s:s,s:I,s:b,s:b,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:o,s:o,s:o,s:o}", "domain",
-                    domain->options.name.data, "epoch", domain->options.epoch, "loaded",
+  return json_pack ("{s:s,s:I,s:b,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:o,s:o,s:o,s:o}",
+                    "domain", domain->options.name.data, "epoch", domain->options.epoch, "loaded",
                     domain->loaded, "draining", domain->draining, "held", domain->held,
                     "placements", domain->placements, "retries", domain->retries, "lapsed_tasks",
-                    domain->lapsed_tasks, "duplicates", domain->duplicates, "records_open",
+                    domain->lapsed_tasks, "preempted", domain->preempted, "trimmed",
+                    domain->trimmed, "duplicates", domain->duplicates, "records_open",
                     (int)g_hash_table_size (domain->records), "ghosts", (int)domain->ghosts->len,
                     "teams", dump_accounts (domain), "targets", dump_targets (domain), "requests",
                     dump_requests (domain), "jobs", fl_domain_jobs (domain, &all_teams));
--- a/lib/domain/domain.h
+++ b/lib/domain/domain.h
@@ -293,15 +293,20 @@
 
 void fl_domain_load (const struct fl_domain *domain, struct fl_domain_load *load);
 
-/* Calls @visit for each team with its running count, its cost in millionths of the domain, and how
- * much of its allotment is free. */
+/* A team as one domain sees it. */
+struct fl_team_usage
+{
+  struct fl_name team;
+  int64_t running; /* tasks and requests placed here */
+  int64_t cost;    /* of those, in millionths of the domain */
+  int64_t waiting; /* tasks and requests that wait */
+  int64_t allotment;
+  bool stuck; /* nothing runs, and a gang waits that the allotment can never hold */
+};
+
+/* Calls @visit for each team. */
 void fl_domain_each_team (const struct fl_domain *domain,
-                          void (*visit) (void *context,
-                                         const struct fl_name *team,
-                                         int64_t running,
-                                         int64_t cost,
-                                         int64_t waiting,
-                                         int64_t allotment),
+                          void (*visit) (void *context, const struct fl_team_usage *usage),
                           void *context);
 
 /* The state of one job, or NULL. */
--- a/lib/domain/domain_internal.h
+++ b/lib/domain/domain_internal.h
@@ -27,7 +27,8 @@
   int64_t retry_progress;             /* successes towards the next token */
   GQueue waiting[FL_PRIORITIES];      /* struct fl_work * */
   uint64_t blocked_at[FL_PRIORITIES]; /* pool generation at which nothing fitted, plus one */
-  bool active[FL_PRIORITIES];         /* stands in domain->active[priority] */
+  struct fl_job *hold_for;    /* an old gang for which the team's own lower work leaves its limit */
+  bool active[FL_PRIORITIES]; /* stands in domain->active[priority] */
 };
 
 /* What stands in a team's queue: a request, or a job that has tasks to start. */
@@ -149,7 +150,9 @@
   GArray *acks_sent; /* struct fl_ack, for the open commit */
   uint64_t cancel_handle;
   uint64_t submit_handle;
-  int64_t gang_wait_ms; /* when a gang may be tried again after a failed start */
+  int64_t retry_ms;   /* nothing of the job is started before this */
+  int64_t backoff_ms; /* services: the wait after the last short run */
+  int64_t preempt_ms; /* no further preemption for this job before this */
 };
 
 struct fl_domain
@@ -167,7 +170,8 @@
   uint64_t last_id;
   int64_t service_domains;
   int64_t service_rank;
-  int64_t held;             /* tasks in state HELD */
+  int64_t unknown_slots; /* of targets without an inventory: requests of an earlier owner may run */
+  int64_t held;          /* tasks in state HELD */
   int64_t recover_until_ms; /* silent targets' leases of the earlier owner have lapsed by then */
   struct fl_job *hold_for;  /* an old gang for which lower work leaves room */
   bool draining;
@@ -176,6 +180,8 @@
   int64_t placements;
   int64_t retries;
   int64_t lapsed_tasks;
+  int64_t preempted;
+  int64_t trimmed;
   int64_t duplicates;
 };
 
@@ -184,7 +190,10 @@
 struct fl_account *fl_domain_account (struct fl_domain *domain, const struct fl_name *team);
 
 /* How many more tasks or requests of the team may be placed here now. */
-int64_t fl_account_headroom (const struct fl_account *account);
+int64_t fl_account_headroom (const struct fl_domain *domain, const struct fl_account *account);
+
+/* Lets the team's queues be tried again although the pool has not changed: its headroom has. */
+void fl_account_unblock (struct fl_account *account);
 
 /* Sends @value (stolen; NULL deletes) to be written under @key. @return the record's id. */
 uint64_t fl_domain_commit (struct fl_domain *domain,
@@ -215,9 +224,21 @@
 void fl_work_enqueue (struct fl_domain *domain, struct fl_work *work, bool front, int64_t now_ms);
 void fl_work_dequeue (struct fl_work *work);
 
+/* Whether @a is further below its share than @b. */
+bool fl_account_is_poorer (const struct fl_account *a, const struct fl_account *b);
+
 /* Starts all that can be started now. */
 void fl_domain_schedule (struct fl_domain *domain, int64_t now_ms);
 
+/* --- preempt.c --- */
+
+/* Makes room for @job, which is urgent, by stopping checkpointable batch work of teams that are
+ * further above their share. The room shows once the stops are confirmed. */
+void fl_domain_preempt (struct fl_domain *domain, struct fl_job *job, int64_t now_ms);
+
+/* Stops the latest tasks of teams that run more than their allotment or limit allows. */
+void fl_domain_trim (struct fl_domain *domain, int64_t now_ms);
+
 /* --- request.c --- */
 
 bool fl_request_place (struct fl_domain *domain, struct fl_request *request, int64_t now_ms);
--- a/lib/domain/job.c
+++ b/lib/domain/job.c
@@ -12,6 +12,10 @@
 /* A gang whose start failed waits this long before the next try. */
 #define GANG_RETRY_MS 500
 #define RETRY_AFTER_MS 1000
+/* A replica that runs shorter than this makes its service wait before the next start. */
+#define SERVICE_SHORT_RUN_MS 5000
+#define SERVICE_BACKOFF_MIN_MS 500
+#define SERVICE_BACKOFF_MAX_MS 30000
 
 const char *const fl_job_state_names[]
     = { "accepting", "active", "done", "failed", "cancelled", NULL };
@@ -93,13 +97,22 @@
   g_free (job);
 }
 
+/* No room is kept for @job any more. */
+static void
+release_hold (struct fl_domain *domain, const struct fl_job *job)
+{
+  if (domain->hold_for == job)
+    domain->hold_for = NULL;
+  if (job->work.account->hold_for == job)
+    job->work.account->hold_for = NULL;
+}
+
 static void
 forget (struct fl_domain *domain, struct fl_job *job)
 {
   fl_work_dequeue (&job->work);
   fl_domain_detach_record (domain, job->record);
-  if (domain->hold_for == job)
-    domain->hold_for = NULL;
+  release_hold (domain, job);
   g_hash_table_remove (domain->jobs, &job->key);
 }
 
@@ -609,13 +622,13 @@
 /* Whether room is kept free for an old gang now. It is kept for one patience time out of two, so
  * that a gang that never fits does not stop the others. */
 static bool
-holds_room (const struct fl_domain *domain, int64_t now_ms)
+holds_room (const struct fl_domain *domain, const struct fl_job *gang, int64_t now_ms)
 {
   int64_t patience_ms = domain->options.limits.gang_patience_ms;
 
-  if (domain->hold_for == NULL)
+  if (gang == NULL)
     return false;
-  int64_t age_ms = now_ms - domain->hold_for->work.queued_ms;
+  int64_t age_ms = now_ms - gang->work.queued_ms;
   return age_ms >= patience_ms && (age_ms / patience_ms) % 2 == 1;
 }
 
@@ -624,9 +637,14 @@
 {
   int64_t missing = job->task_count - job->done - job->failed;
 
-  if (job->ready->len != missing || fl_account_headroom (job->work.account) < missing
-      || now_ms < job->gang_wait_ms)
+  if (job->ready->len != missing)
     return false;
+  if (fl_account_headroom (domain, job->work.account) < missing)
+    {
+      if (job->work.account->hold_for == NULL)
+        job->work.account->hold_for = job;
+      return false;
+    }
   g_autofree struct fl_target **targets = g_new (struct fl_target *, job->ready->len);
   if (!reserve_gang (domain, job, targets))
     {
@@ -634,8 +652,7 @@
         domain->hold_for = job;
       return false;
     }
-  if (domain->hold_for == job)
-    domain->hold_for = NULL;
+  release_hold (domain, job);
   fl_work_dequeue (&job->work);
   guint count = job->ready->len;
   for (guint i = 0; i < count; i++)
@@ -652,12 +669,19 @@
       fl_work_dequeue (&job->work);
       return false;
     }
+  if (now_ms < job->retry_ms)
+    return false;
   if (job->work.kind == FL_WORK_GANG)
     return place_gang (domain, job, now_ms);
   if (job->work.kind == FL_WORK_BATCH && job->work.priority != FL_URGENT
-      && holds_room (domain, now_ms))
+      && (holds_room (domain, domain->hold_for, now_ms)
+          || holds_room (domain, job->work.account->hold_for, now_ms)))
     return false;
-  return place_one (domain, job, now_ms);
+  if (place_one (domain, job, now_ms))
+    return true;
+  if (job->work.priority == FL_URGENT)
+    fl_domain_preempt (domain, job, now_ms);
+  return false;
 }
 
 /* --- what becomes of a task --- */
@@ -677,7 +701,7 @@
 static void
 stop_gang (struct fl_domain *domain, struct fl_job *job, int64_t now_ms)
 {
-  job->gang_wait_ms = now_ms + GANG_RETRY_MS;
+  job->retry_ms = now_ms + GANG_RETRY_MS;
   for (int32_t i = 0; i < job->task_count; i++)
     if (job->tasks[i]->state == FL_TASK_RUNNING || job->tasks[i]->state == FL_TASK_STARTING)
       fl_task_stop (domain, job->tasks[i], false, FL_STOP_KILL, now_ms);
@@ -701,6 +725,19 @@
     stop_gang (domain, job, now_ms);
 }
 
+/* A service whose replicas end soon after their start is not started again at once. */
+static void
+back_off (struct fl_job *job, int64_t ran_ms, int64_t now_ms)
+{
+  if (ran_ms >= SERVICE_SHORT_RUN_MS)
+    {
+      job->backoff_ms = 0;
+      return;
+    }
+  job->backoff_ms = CLAMP (2 * job->backoff_ms, SERVICE_BACKOFF_MIN_MS, SERVICE_BACKOFF_MAX_MS);
+  job->retry_ms = now_ms + job->backoff_ms;
+}
+
 void
 fl_task_finish (struct fl_domain *domain, struct fl_task *task, bool ok, int64_t now_ms)
 {
@@ -708,6 +745,7 @@
 
   if (job->work.kind == FL_WORK_SERVICE)
     {
+      back_off (job, now_ms - task->since_ms, now_ms);
       fl_task_requeue (domain, task, now_ms);
       return;
     }
@@ -838,8 +876,7 @@
   job->finished_ms = now_ms;
   job->cancel_handle = handle;
   fl_work_dequeue (&job->work);
-  if (domain->hold_for == job)
-    domain->hold_for = NULL;
+  release_hold (domain, job);
   g_array_set_size (job->ready, 0);
   for (int32_t i = 0; i < job->task_count && job->placed > 0; i++)
     if (job->tasks[i]->state == FL_TASK_RUNNING || job->tasks[i]->state == FL_TASK_STARTING)
@@ -958,7 +995,7 @@
     {
       if (job->placed > 0)
         retry_stops (domain, job, now_ms);
-      if (job->work.kind == FL_WORK_GANG && job->work.queued && now_ms >= job->gang_wait_ms)
+      if (job->retry_ms != 0 && job->work.queued && now_ms >= job->retry_ms)
         job->work.account->blocked_at[job->work.priority] = 0;
       if (job->state > FL_JOB_ACTIVE && job->placed == 0 && job->record == 0 && !job->dirty
           && now_ms >= job->finished_ms + domain->options.limits.finished_keep_ms)
--- a/lib/domain/queue.c
+++ b/lib/domain/queue.c
@@ -51,12 +51,12 @@
 {
   return account->waiting[priority].length > 0
          && account->blocked_at[priority] != fl_pool_generation (domain->pool) + 1
-         && fl_account_headroom (account) > 0;
+         && fl_account_headroom (domain, account) > 0;
 }
 
-/* Whether @a is further below its share than @b: cost/share compared without division. */
-static bool
-is_poorer (const struct fl_account *a, const struct fl_account *b)
+/* Compares cost/share without division. */
+bool
+fl_account_is_poorer (const struct fl_account *a, const struct fl_account *b)
 {
   __int128 left = (__int128)(a->cost + a->remote_cost) * b->share;
   __int128 right = (__int128)(b->cost + b->remote_cost) * a->share;
@@ -81,7 +81,8 @@
           g_ptr_array_remove_index_fast (active, i);
           continue;
         }
-      if (may_start (domain, account, priority) && (best == NULL || is_poorer (account, best)))
+      if (may_start (domain, account, priority)
+          && (best == NULL || fl_account_is_poorer (account, best)))
         best = account;
       i++;
     }
--- a/lib/domain/recovery.c
+++ b/lib/domain/recovery.c
@@ -5,6 +5,30 @@
 
 static const struct fl_resources one_slot = { { 0, 0, 0, 1 } };
 
+/* --- what an earlier owner may have left --- */
+
+/* Counts the slots of targets whose inventory has not been read: each may hold a request of any
+ * team, sent by an earlier owner. */
+static void
+count_unknown (struct fl_domain *domain)
+{
+  int64_t before = domain->unknown_slots;
+  GHashTableIter iter;
+  struct fl_account *account;
+  struct fl_target *target;
+  size_t cursor = 0;
+
+  domain->unknown_slots = 0;
+  while ((target = fl_pool_next (domain->pool, &cursor)) != NULL)
+    if (target->state == FL_TARGET_UNKNOWN)
+      domain->unknown_slots += target->capacity.amount[FL_SLOTS];
+  if (domain->unknown_slots >= before)
+    return;
+  g_hash_table_iter_init (&iter, domain->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, (void **)&account))
+    fl_account_unblock (account);
+}
+
 /* --- listing --- */
 
 /* The state that a target in good order has. */
@@ -48,6 +72,8 @@
   target->listed_leaving = target->listed_leaving || leaving;
   if (answers (target))
     settle_state (domain, target, now_ms);
+  else
+    count_unknown (domain);
   return target;
 }
 
@@ -251,6 +277,7 @@
   task->state = FL_TASK_WAITING;
   task->job->work.account->unconfirmed--;
   domain->held--;
+  fl_account_unblock (task->job->work.account);
 }
 
 /* Takes a task that waits in the queue out of it, because it turns out to have run. */
@@ -465,6 +492,7 @@
     settle_state (domain, target, now_ms);
   else
     domain->options.ops.inspect (domain->options.ops.context, target);
+  count_unknown (domain);
   fl_domain_schedule (domain, now_ms);
 }
 
@@ -524,6 +552,7 @@
       if (target->state == FL_TARGET_UNKNOWN && now_ms >= domain->recover_until_ms)
         fl_pool_set_state (domain->pool, target, FL_TARGET_SILENT);
     }
+  count_unknown (domain);
   if (domain->loaded && domain->held > 0
       && (now_ms >= domain->recover_until_ms
           || (!domain->options.patient && all_targets_answered (domain))))
--- a/lib/message/message.c
+++ b/lib/message/message.c
@@ -57,22 +57,17 @@
 
 static const struct fl_field usage_item_fields[] = {
   N (fl_usage_item, team),    N (fl_usage_item, domain),  I (fl_usage_item, cost),
-  I (fl_usage_item, running), I (fl_usage_item, waiting),
+  I (fl_usage_item, running), I (fl_usage_item, waiting), B (fl_usage_item, stuck),
 };
 static FL_SCHEMA (usage_item_schema, fl_usage_item, usage_item_fields);
 
 static const struct fl_field status_fields[] = {
-  N (fl_status, instance),
-  N (fl_status, address),
-  N (fl_status, http),
-  N (fl_status, domain),
-  N (fl_status, region),
-  I (fl_status, config_head),
-  I (fl_status, stamp_ms),
-  I (fl_status, entries_head),
-  B (fl_status, leaving),
-  A (fl_status, domains, &domain_status_schema),
-  A (fl_status, usage, &usage_item_schema),
+  N (fl_status, instance),  N (fl_status, address),
+  N (fl_status, http),      N (fl_status, domain),
+  N (fl_status, region),    I (fl_status, config_head),
+  I (fl_status, stamp_ms),  I (fl_status, entries_head),
+  B (fl_status, leaving),   A (fl_status, domains, &domain_status_schema),
+  B (fl_status, has_usage), A (fl_status, usage, &usage_item_schema),
 };
 static FL_SCHEMA (status_schema, fl_status, status_fields);
 
--- a/lib/message/message.h
+++ b/lib/message/message.h
@@ -61,6 +61,7 @@
   int64_t cost;
   int64_t running;
   int64_t waiting;
+  bool stuck; /* a gang waits that the domain's allotment can never hold */
 };
 
 struct fl_status
@@ -75,6 +76,7 @@
   int64_t entries_head; /* lowest head among the entries that the sender hears */
   bool leaving;
   struct fl_array domains; /* struct fl_domain_status */
+  bool has_usage;          /* `usage` is whole, not left out */
   struct fl_array usage;   /* struct fl_usage_item */
 };
 
--- a/lib/sched/load.c
+++ b/lib/sched/load.c
@@ -100,7 +100,7 @@
       return;
     }
   for (size_t i = 0; owned != NULL && i < result->row_count; i++)
-    fl_owned_take_allotment_row (owned, &result->rows[i]);
+    fl_allots_take_row (owned->allots, &result->rows[i]);
   finish (load);
 }
 
@@ -198,6 +198,7 @@
     }
   fl_journal_open_domain (load->sched->journal, &load->domain, result->rows[0].version);
   owned->domain = make_domain (owned, load->epoch);
+  fl_owned_open_allots (owned);
   read_jobs (load, "");
 }
 
--- a/lib/sched/owner.c
+++ b/lib/sched/owner.c
@@ -9,6 +9,8 @@
 /* Wait added for each scheduler that is preferred, and for each domain already owned. */
 #define TAKE_RANK_MS 150
 #define TAKE_OWNED_MS 100
+/* Between two looks at whether another scheduler should own some of our domains. */
+#define BALANCE_INTERVAL_MS 3000
 
 /* --- rows --- */
 
@@ -56,7 +58,7 @@
 
   fl_domain_free (owned->domain);
   g_hash_table_destroy (owned->polls);
-  g_hash_table_destroy (owned->allotments);
+  fl_allots_free (owned->allots);
   g_free (owned);
 }
 
@@ -72,7 +74,6 @@
   owned->sched = sched;
   owned->name = *name;
   owned->polls = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
-  owned->allotments = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, fl_allot_free);
   fl_lease_init (&owned->lease, &sched->rules, &self, fl_node_now (sched->node));
   g_hash_table_insert (sched->owned, &owned->name, owned);
 }
@@ -106,7 +107,8 @@
   owned->loaded = false;
   fl_domain_free (domain);
   g_hash_table_remove_all (owned->polls);
-  g_hash_table_remove_all (owned->allotments);
+  fl_allots_free (owned->allots);
+  owned->allots = NULL;
 }
 
 /* Starts or ends the domain object as the lease tells. */
@@ -182,6 +184,7 @@
   struct fl_name domain;
   struct fl_owner_row row;
   int64_t sent_ms;
+  bool handover; /* a release after which this process goes on as a candidate */
 };
 
 static void
@@ -194,6 +197,13 @@
 
   if (owned == NULL)
     return;
+  if (call->handover)
+    {
+      struct fl_name self = fl_node_instance (call->sched->node);
+      fl_lease_init (&owned->lease, &call->sched->rules, &self, fl_node_now (call->sched->node));
+      owned->releasing = false;
+      return;
+    }
   fl_lease_on_written (&owned->lease, results[result->code], &call->row,
                        result->code == FL_TABLE_OK ? result->versions[0] : 0, call->sent_ms,
                        fl_node_now (call->sched->node));
@@ -202,7 +212,7 @@
 
 /* Writes the owner row, and the epoch row that fences the domain's other writes when it changes. */
 static void
-write_row (struct fl_owned *owned, const struct fl_lease_plan *plan)
+write_row (struct fl_owned *owned, const struct fl_lease_plan *plan, bool handover)
 {
   struct fl_table *table = fl_node_table (owned->sched->node);
   struct write_call *call = g_new0 (struct write_call, 1);
@@ -219,6 +229,7 @@
   call->sched = owned->sched;
   call->domain = owned->name;
   call->row = plan->row;
+  call->handover = handover;
   call->sent_ms = fl_node_now (owned->sched->node);
   table->commit (table->self, ops, raises ? 2 : 1, on_written, call);
   json_decref (owner);
@@ -462,7 +473,7 @@
   if (plan.store == FL_LEASE_READ)
     *want_rows = true;
   else if (plan.store == FL_LEASE_WRITE)
-    write_row (owned, &plan);
+    write_row (owned, &plan, false);
   if (plan.ask)
     ask_voters (owned, &plan, asks);
   follow_lease (owned);
@@ -496,6 +507,94 @@
 
 /* --- giving up --- */
 
+/* Drains the domain and writes that it is free.
+ * @return whether that is done; until then call it again. */
+static bool
+release (struct fl_owned *owned, int64_t until_ms, bool handover, int64_t now_ms)
+{
+  struct fl_lease_plan plan;
+
+  if (owned->releasing)
+    return true;
+  if (owned->domain != NULL)
+    fl_domain_drain (owned->domain, now_ms);
+  if (owned->domain != NULL && !fl_domain_is_idle (owned->domain) && now_ms < until_ms)
+    return false;
+  if (owned->lease.call_open)
+    return false; /* a renewal on its way would make the release fail */
+  owned->releasing = true;
+  fl_lease_release (&owned->lease, &plan);
+  fl_owned_drop_domain (owned, handover ? "handed over" : "released");
+  if (plan.store == FL_LEASE_WRITE)
+    write_row (owned, &plan, handover);
+  return true;
+}
+
+/* How many domains the live scheduler with the fewest owns. */
+static int64_t
+fewest_owned (const struct fl_sched *sched)
+{
+  const struct fl_member *member;
+  size_t cursor = 0;
+  int64_t fewest = INT64_MAX;
+
+  while ((member = fl_node_next_member (sched->node, &cursor)) != NULL)
+    if (member->role == FL_PROCESS_SCHED && fl_node_is_live (sched->node, member)
+        && member->first_heard_ms + BALANCE_INTERVAL_MS < fl_node_now (sched->node))
+      fewest = MIN (fewest, (int64_t)member->domains.count);
+  return fewest;
+}
+
+/* The owned domain that prefers this scheduler least, unless one is on its way already. */
+static struct fl_owned *
+least_preferred (struct fl_sched *sched)
+{
+  GHashTableIter iter;
+  struct fl_owned *owned;
+  struct fl_owned *worst = NULL;
+
+  g_hash_table_iter_init (&iter, sched->owned);
+  while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
+    {
+      if (owned->handover_until_ms != 0)
+        return NULL;
+      if (owned->domain != NULL && owned->loaded
+          && (worst == NULL || rank (sched, &owned->name) > rank (sched, &worst->name)))
+        worst = owned;
+    }
+  return worst;
+}
+
+static void
+continue_handovers (struct fl_sched *sched, int64_t now_ms)
+{
+  GHashTableIter iter;
+  struct fl_owned *owned;
+
+  g_hash_table_iter_init (&iter, sched->owned);
+  while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
+    if (owned->handover_until_ms != 0 && release (owned, owned->handover_until_ms, true, now_ms))
+      owned->handover_until_ms = 0;
+}
+
+void
+fl_sched_balance (struct fl_sched *sched, int64_t now_ms)
+{
+  continue_handovers (sched, now_ms);
+  if (now_ms < sched->balance_ms + BALANCE_INTERVAL_MS || fl_node_is_leaving (sched->node))
+    return;
+  sched->balance_ms = now_ms;
+  int64_t fewest = fewest_owned (sched);
+  if (fewest == INT64_MAX || count_owned (sched) < fewest + 2)
+    return;
+  struct fl_owned *owned = least_preferred (sched);
+  if (owned == NULL)
+    return;
+  fl_log (fl_node_log (sched->node), FL_LOG_NOTICE, "handing_over", FL_N ("domain", &owned->name),
+          FL_I ("owned", count_owned (sched)), FL_I ("fewest", fewest));
+  owned->handover_until_ms = now_ms + fl_node_settings (sched->node)->drain_ms;
+}
+
 bool
 fl_sched_release_all (struct fl_sched *sched, int64_t now_ms)
 {
@@ -505,30 +604,6 @@
 
   g_hash_table_iter_init (&iter, sched->owned);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
-    {
-      struct fl_lease_plan plan;
-      if (owned->domain != NULL && !owned->releasing)
-        fl_domain_drain (owned->domain, now_ms);
-      if (owned->domain != NULL && !fl_domain_is_idle (owned->domain)
-          && now_ms < sched->drain_until_ms)
-        {
-          done = false;
-          continue;
-        }
-      if (!owned->releasing && owned->lease.call_open)
-        {
-          /* A renewal on its way would make the release fail. */
-          done = false;
-          continue;
-        }
-      if (!owned->releasing)
-        {
-          owned->releasing = true;
-          fl_lease_release (&owned->lease, &plan);
-          fl_owned_drop_domain (owned, "released");
-          if (plan.store == FL_LEASE_WRITE)
-            write_row (owned, &plan);
-        }
-    }
+    done = release (owned, sched->drain_until_ms, false, now_ms) && done;
   return done;
 }
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -5,6 +5,7 @@
 /* Domains are ticked this often. */
 #define DOMAIN_TICK_MS 50
 #define JOURNAL_BATCH_MAX 200
+#define USAGE_INTERVAL_MS 1000
 /* After the domains are given up, the last writes and answers get this long. */
 #define LINGER_MS 300
 
@@ -72,7 +73,9 @@
 static void
 on_member (void *context, const struct fl_member *member, const struct fl_status *status)
 {
-  fl_sched_take_usage (context, &member->address, status);
+  (void)member;
+  if (status->has_usage)
+    fl_sched_take_usage (context, status);
 }
 
 static void
@@ -117,6 +120,21 @@
       }
 }
 
+/* Usage of the domains that this process owns itself. */
+static void
+take_own_usage (struct fl_sched *sched, int64_t now_ms)
+{
+  struct fl_status status = { 0 };
+
+  if (now_ms < sched->usage_ms + USAGE_INTERVAL_MS)
+    return;
+  sched->usage_ms = now_ms;
+  fl_sched_on_status (sched, true, &status);
+  fl_sched_take_usage (sched, &status);
+  g_free (status.domains.items);
+  g_free (status.usage.items);
+}
+
 static void
 stop_when_done (struct fl_sched *sched, int64_t now_ms)
 {
@@ -141,7 +159,9 @@
       sched->tick_ms = now_ms;
       tick_domains (sched, now_ms);
       fl_sched_tick_allotments (sched, now_ms);
+      take_own_usage (sched, now_ms);
       fl_sched_give (sched, now_ms);
+      fl_sched_balance (sched, now_ms);
     }
   stop_when_done (sched, now_ms);
 }
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -7,6 +7,7 @@
 #include "platform/hosts.h"
 #include "platform/journal.h"
 #include "sched/sched.h"
+#include "team/allot.h"
 
 /* A failure domain as this process sees it, owned or not. */
 struct fl_owned
@@ -18,22 +19,10 @@
   int64_t loading_epoch;    /* epoch whose rows are being read, 0 for none */
   bool loaded;
   bool releasing;
-  int64_t held_ms;        /* when authority was last gained */
-  GHashTable *polls;      /* struct fl_name target -> struct fl_poll * */
-  GHashTable *allotments; /* struct fl_name team -> struct fl_allot * */
-};
-
-/* One team's allotment row as one domain uses it. */
-struct fl_allot
-{
-  struct fl_name team;
-  int64_t version;
-  json_t *amounts;     /* domain -> amount */
-  int64_t in_use;      /* what the domain was told */
-  bool give_open;      /* a transfer is on its way */
-  bool give_unsettled; /* its answer was lost: the same write is tried until it is settled */
-  json_t *give_amounts;
-  int64_t given_ms;
+  int64_t handover_until_ms; /* being drained to go to another scheduler; 0 when not */
+  int64_t held_ms;           /* when authority was last gained */
+  GHashTable *polls;         /* struct fl_name target -> struct fl_poll * */
+  struct fl_allots *allots;  /* NULL while no domain is being loaded or acting */
 };
 
 /* The polling of one target. */
@@ -59,8 +48,7 @@
 struct fl_remote_usage
 {
   struct fl_name domain;
-  struct fl_name address; /* of its owner */
-  GArray *items;          /* struct fl_usage_item */
+  GArray *items; /* struct fl_usage_item */
   int64_t heard_ms;
 };
 
@@ -82,6 +70,8 @@
   bool allot_open;
   int64_t drain_until_ms; /* 0 while not stopping */
   int64_t tick_ms;
+  int64_t usage_ms;
+  int64_t balance_ms;
 };
 
 /* --- owner.c --- */
@@ -101,6 +91,9 @@
 /* @return whether every domain has been given up. */
 bool fl_sched_release_all (struct fl_sched *sched, int64_t now_ms);
 
+/* Hands a domain to a scheduler that owns fewer, when this one owns more than its part. */
+void fl_sched_balance (struct fl_sched *sched, int64_t now_ms);
+
 /* --- load.c --- */
 
 /* Reads the fence, the jobs and the allotments of a domain that was just taken, then starts it. */
@@ -124,12 +117,11 @@
 /* --- allot.c --- */
 
 void fl_sched_tick_allotments (struct fl_sched *sched, int64_t now_ms);
-void fl_owned_take_allotment_row (struct fl_owned *owned, const struct fl_row *row);
-void fl_sched_take_usage (struct fl_sched *sched,
-                          const struct fl_name *address,
-                          const struct fl_status *status);
+
+/* Starts reading and giving for a domain whose fence has just been opened. */
+void fl_owned_open_allots (struct fl_owned *owned);
+void fl_sched_take_usage (struct fl_sched *sched, const struct fl_status *status);
 void fl_sched_give (struct fl_sched *sched, int64_t now_ms);
-void fl_allot_free (void *allot);
 void fl_remote_usage_free (void *remote);
 
 /* --- serve.c --- */
--- a/lib/sched/serve.c
+++ b/lib/sched/serve.c
@@ -363,20 +363,17 @@
 };
 
 static void
-add_usage (void *context,
-           const struct fl_name *team,
-           int64_t running,
-           int64_t cost,
-           int64_t waiting,
-           int64_t allotment)
+add_usage (void *context, const struct fl_team_usage *usage)
 {
   struct usage_visit *visit = context;
-  struct fl_usage_item item = {
-    .team = *team, .domain = visit->domain, .cost = cost, .running = running, .waiting = waiting
-  };
-
-  (void)allotment;
-  if (running > 0 || waiting > 0)
+  struct fl_usage_item item = { .team = usage->team,
+                                .domain = visit->domain,
+                                .cost = usage->cost,
+                                .running = usage->running,
+                                .waiting = usage->waiting,
+                                .stuck = usage->stuck };
+
+  if (usage->running > 0 || usage->waiting > 0)
     g_array_append_val (visit->items, item);
 }
 
@@ -415,6 +412,7 @@
       if (want_usage)
         fl_domain_each_team (owned->domain, add_usage, &visit);
     }
+  status->has_usage = want_usage;
   status->domains.count = domains->len;
   status->domains.items = g_array_free (domains, FALSE);
   status->usage.count = usage->len;
--- a/tests/fuzz_cell.h
+++ b/tests/fuzz_cell.h
@@ -20,6 +20,7 @@
   int64_t virtual_ms;
   int64_t requests;
   int64_t jobs;
+  int64_t gifts; /* transfers of allotments that were sent */
   int64_t answers[FL_OUTCOMES];
   const char *violation; /* NULL when every promise held */
 };
--- a/tests/support_fuzz_cell.c
+++ b/tests/support_fuzz_cell.c
@@ -20,6 +20,7 @@
 #include "fuzz_cell.h"
 #include "lease/lease.h"
 #include "platform/journal.h"
+#include "team/allot.h"
 
 enum
 {
@@ -36,7 +37,7 @@
   TRACE_LINES = 80
 };
 
-/* Each team's upper limit; every domain holds half. */
+/* Each team's upper limit; every domain holds half at the start. */
 static const int64_t limits[TEAMS] = { 6, 10, 20 };
 
 struct world;
@@ -108,6 +109,9 @@
   int64_t loading;
   bool loaded;
   struct poll_state polls[TARGETS];
+  struct fl_allots *allots;
+  bool allots_open;
+  int64_t allots_read;
 };
 
 struct proc
@@ -168,6 +172,7 @@
   uint64_t last_handle;
   int64_t last_id;
   int64_t answers[FL_OUTCOMES];
+  int64_t gifts; /* allotments sent from one domain to the other */
   char trace[TRACE_LINES][160];
   int64_t trace_count;
   const char *violation;
@@ -1059,6 +1064,8 @@
         fl_domain_epoch (core));
   fl_journal_close_domain (seat->proc->journal, fl_domain_name (core));
   fl_domain_close (core, local_now (seat->proc));
+  fl_allots_free (seat->allots);
+  seat->allots = NULL;
   seat->core = NULL;
   seat->loaded = false;
   seat->loading = 0;
@@ -1085,6 +1092,8 @@
       load->seat->loading = 0;
       fl_domain_free (load->seat->core);
       load->seat->core = NULL;
+      fl_allots_free (load->seat->allots);
+      load->seat->allots = NULL;
     }
   g_free (load);
 }
@@ -1099,11 +1108,6 @@
   seat->loading = 0;
   seat->loaded = true;
   fl_domain_set_config (seat->core, w->config, DOMAINS, seat->domain, now);
-  for (int t = 0; t < TEAMS; t++)
-    {
-      struct fl_name team = fl_name_format ("t%d", t);
-      fl_domain_set_allotment (seat->core, &team, limits[t] / DOMAINS, now);
-    }
   for (int i = 0; i < TARGETS; i++)
     {
       struct target *t = &w->targets[seat->domain][i];
@@ -1118,6 +1122,21 @@
   g_free (load);
 }
 
+static void
+on_load_allots (void *context, const struct fl_table_result *result)
+{
+  struct load *load = context;
+
+  if (result->code != FL_TABLE_OK || !load_is_current (load))
+    {
+      load_failed (load);
+      return;
+    }
+  for (size_t i = 0; i < result->row_count; i++)
+    fl_allots_take_row (load->seat->allots, &result->rows[i]);
+  finish_load (load);
+}
+
 static void
 on_load_jobs (void *context, const struct fl_table_result *result)
 {
@@ -1137,7 +1156,75 @@
                                   local_now (seat->proc)))
         violate (seat->proc->world, "a job row cannot be read");
     }
-  finish_load (load);
+  seat->proc->table.scan (seat->proc, "allot/", "", 100, on_load_allots, load);
+}
+
+/* --- schedulers: allotments --- */
+
+static void
+use_allotment (void *context, const struct fl_name *team, int64_t amount)
+{
+  struct seat *seat = context;
+
+  if (seat->core != NULL)
+    fl_domain_set_allotment (seat->core, team, amount, local_now (seat->proc));
+}
+
+static void
+on_allot_rows (void *context, const struct fl_table_result *result)
+{
+  struct seat *seat = context;
+
+  seat->allots_open = false;
+  for (size_t i = 0; result->code == FL_TABLE_OK && seat->loaded && i < result->row_count; i++)
+    fl_allots_take_row (seat->allots, &result->rows[i]);
+}
+
+static void
+note_usage (void *context, const struct fl_team_usage *usage)
+{
+  struct fl_team_usage *usages = context;
+
+  usages[usage->team.data[1] - '0'] = *usage;
+}
+
+static struct seat *find_owner (struct world *w, int domain);
+
+static void
+drive_allots (struct seat *seat)
+{
+  struct world *w = seat->proc->world;
+  int64_t now = local_now (seat->proc);
+  struct seat *other = find_owner (w, 1 - seat->domain);
+  struct fl_team_usage here[TEAMS] = { 0 };
+  struct fl_team_usage there[TEAMS] = { 0 };
+
+  if (!seat->allots_open && now >= seat->allots_read + 1000)
+    {
+      seat->allots_open = true;
+      seat->allots_read = now;
+      seat->proc->table.scan (seat->proc, "allot/", "", 100, on_allot_rows, seat);
+    }
+  if (!may_send (seat))
+    return;
+  fl_allots_settle (seat->allots, now);
+  if (other == NULL)
+    return;
+  fl_domain_each_team (seat->core, note_usage, here);
+  fl_domain_each_team (other->core, note_usage, there);
+  for (int t = 0; t < TEAMS; t++)
+    {
+      struct fl_allot_need need = { .team = fl_name_format ("t%d", t),
+                                    .running = here[t].running,
+                                    .waiting = here[t].waiting,
+                                    .stuck = here[t].stuck,
+                                    .needy = w->domain_names[other->domain],
+                                    .needy_running = there[t].running,
+                                    .needy_waiting = there[t].waiting,
+                                    .needy_stuck = there[t].stuck };
+      if (fl_allots_give (seat->allots, &need, now))
+        w->gifts++;
+    }
 }
 
 static void
@@ -1168,6 +1255,14 @@
   options.limits.finished_keep_ms = 20000;
   fl_journal_open_domain (p->journal, &options.name, result->rows[0].version);
   seat->core = fl_domain_new (&options);
+  struct fl_allots_options allots = { .table = &p->table,
+                                      .domain = options.name,
+                                      .fence_version = result->rows[0].version,
+                                      .interval_ms = 300,
+                                      .use = use_allotment,
+                                      .context = seat };
+  seat->allots = fl_allots_new (&allots);
+  seat->allots_open = false;
   p->table.scan (p, "job/", "", 1000, on_load_jobs, load);
 }
 
@@ -1454,6 +1549,7 @@
             continue;
           fl_domain_tick (seat->core, local_now (p));
           poll_targets (seat);
+          drive_allots (seat);
         }
       fl_journal_flush (p->journal);
     }
@@ -1505,6 +1601,8 @@
     {
       fl_domain_free (p->seats[d].core);
       p->seats[d].core = NULL;
+      fl_allots_free (p->seats[d].allots);
+      p->seats[d].allots = NULL;
     }
   fl_journal_free (p->journal);
   p->journal = NULL;
@@ -1659,13 +1757,15 @@
 {
   struct seat *seat = find_owner (w, roll (w, 0, DOMAINS - 1));
   int team = roll (w, 0, TEAMS - 1);
-  bool gang = chance (w, 300);
+  char kind = "gbbu"[roll (w, 0, 3)];
+  bool gang = kind == 'g';
   struct fl_name team_name = fl_name_format ("t%d", team);
   struct fl_job_spec spec = { .id = fl_name_format ("j%" PRId64, ++w->last_id),
-                              .queue = fl_name_format ("%c%d", gang ? 'g' : 'b', team),
+                              .queue = fl_name_format ("%c%d", kind, team),
                               .tasks = gang ? roll (w, 2, 3) : roll (w, 1, 6),
                               .demand = { { roll (w, 1, 4) * 500, roll (w, 1, 8) * 100, 0, 0 } },
-                              .attempts = 100 };
+                              .attempts = 100,
+                              .checkpointable = chance (w, 500) };
   g_autofree char *key = g_strdup_printf ("%s/%s", team_name.data, spec.id.data);
   struct wanted_job *job = g_new0 (struct wanted_job, 1);
 
@@ -1782,14 +1882,14 @@
       json_array_append_new (json_object_get (ticket, "teams"),
                              json_pack ("{s:s,s:i,s:I}", "name", team, "share", t + 1, "limit",
                                         (json_int_t)limits[t]));
-      for (const char *kind = "qbg"; *kind != '\0'; kind++)
+      for (const char *kind = "qbgu"; *kind != '\0'; kind++)
         {
           g_autofree char *name = g_strdup_printf ("%c%d", *kind, t);
-          json_array_append_new (json_object_get (ticket, "queues"),
-                                 json_pack ("{s:s,s:s,s:s}", "name", name, "team", team, "kind",
-                                            *kind == 'q'   ? "request"
-                                            : *kind == 'b' ? "batch"
-                                                           : "gang"));
+          json_array_append_new (
+              json_object_get (ticket, "queues"),
+              json_pack ("{s:s,s:s,s:s,s:s}", "name", name, "team", team, "kind",
+                         *kind == 'q' ? "request" : (*kind == 'g' ? "gang" : "batch"), "priority",
+                         *kind == 'u' ? "urgent" : "normal"));
         }
     }
   struct fl_str text = fl_json_text (ticket);
@@ -1837,6 +1937,14 @@
     w->domain_names[d] = fl_name_format ("d%d", d);
   make_config (w);
   make_targets (w);
+  for (int t = 0; t < TEAMS; t++)
+    {
+      struct table_row *row = g_new0 (struct table_row, 1);
+      row->version = ++w->last_version;
+      row->value = json_pack ("{s:{s:I,s:I}}", "amounts", "d0", (json_int_t)(limits[t] / 2), "d1",
+                              (json_int_t)(limits[t] - limits[t] / 2));
+      g_tree_replace (w->rows, g_strdup_printf ("allot/t%d", t), row);
+    }
   for (int i = 0; i < PROCS; i++)
     {
       struct proc *p = &w->procs[i];
@@ -1909,6 +2017,27 @@
   return undone;
 }
 
+/* What still waits, for the trace of a job that was lost. */
+static void
+note_state (struct world *w)
+{
+  for (int i = 0; i < PROCS; i++)
+    for (int d = 0; d < DOMAINS; d++)
+      {
+        const struct seat *seat = &w->procs[i].seats[d];
+        struct fl_team_usage usage[TEAMS] = { 0 };
+        note (w, "p%d d%d: %s, %s", i, d, fl_lease_state_names[seat->lease.state],
+              seat->loaded ? "serves" : "idle");
+        if (seat->core == NULL)
+          continue;
+        fl_domain_each_team (seat->core, note_usage, usage);
+        for (int t = 0; t < TEAMS; t++)
+          note (w, "  t%d allotment %" PRId64 " running %" PRId64 " waiting %" PRId64 "%s", t,
+                usage[t].allotment, usage[t].running, usage[t].waiting,
+                usage[t].stuck ? " stuck" : "");
+      }
+}
+
 bool
 fuzz_cell_run (uint32_t seed,
                int64_t steps,
@@ -1933,11 +2062,17 @@
       if (count_undone (w, false) == 0)
         break;
     }
-  if (w->violation == NULL && count_undone (w, true) > 0)
-    violate (w, "an accepted job was lost");
+  if (w->violation != NULL)
+    note_state (w);
+  else if (count_undone (w, true) > 0)
+    {
+      note_state (w);
+      violate (w, "an accepted job was lost");
+    }
   report->steps = w->steps;
   report->virtual_ms = w->now;
   report->requests = (int64_t)g_hash_table_size (w->asked);
+  report->gifts = w->gifts;
   report->jobs = (int64_t)g_hash_table_size (w->jobs);
   memcpy (report->answers, w->answers, sizeof report->answers);
   report->violation = w->violation;
--- a/tests/test_fuzz_cell.c
+++ b/tests/test_fuzz_cell.c
@@ -30,8 +30,9 @@
 print_report (uint32_t seed, const struct fuzz_report *r)
 {
   print_message ("  seed %u: %" PRId64 " steps, %" PRId64 " s, %" PRId64 " requests, %" PRId64
-                 " jobs, done %" PRId64 " not_run %" PRId64 " unknown %" PRId64 ": %s\n",
-                 seed, r->steps, r->virtual_ms / 1000, r->requests, r->jobs,
+                 " jobs, %" PRId64 " gifts, done %" PRId64 " not_run %" PRId64 " unknown %" PRId64
+                 ": %s\n",
+                 seed, r->steps, r->virtual_ms / 1000, r->requests, r->jobs, r->gifts,
                  r->answers[FL_OUTCOME_DONE], r->answers[FL_OUTCOME_NOT_RUN],
                  r->answers[FL_OUTCOME_UNKNOWN], r->violation != NULL ? r->violation : "held");
 }
