--- a/lib/cli/table.c
+++ b/lib/cli/table.c
@@ -24,6 +24,8 @@
 
   if (json_is_string (value))
     return g_strdup (json_string_value (value));
+  if (json_is_real (value))
+    return g_strdup_printf ("%.1f", json_real_value (value));
   if (json_is_integer (value))
     return g_strdup_printf ("%" PRId64, (int64_t)json_integer_value (value));
   if (json_is_boolean (value))
--- a/lib/domain/domain.c
+++ b/lib/domain/domain.c
@@ -4,6 +4,7 @@
 
 const struct fl_domain_limits fl_domain_limits_default = {
   .task_lease_ms = 45000,
+  .delivery_ms = 500,
   .drift_ppm = 1000,
   .quarantine_failures = 3,
   .quarantine_ms = 10000,
@@ -199,8 +200,8 @@
   domain->ghosts = g_ptr_array_new_with_free_func (g_free);
   domain->records = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, record_free);
   domain->service_domains = 1;
-  domain->recover_until_ms
-      = options->now_ms + fl_domain_with_drift (domain, options->limits.task_lease_ms);
+  domain->recover_until_ms = options->now_ms + options->limits.delivery_ms
+                             + fl_domain_with_drift (domain, options->limits.task_lease_ms);
   return domain;
 }
 
--- a/lib/domain/domain.h
+++ b/lib/domain/domain.h
@@ -95,6 +95,7 @@
 struct fl_domain_limits
 {
   int64_t task_lease_ms;       /* a task stops by itself when its lease is not renewed for this */
+  int64_t delivery_ms;         /* a command arrives within this or not at all */
   int64_t drift_ppm;           /* bound on clock rates, as for the ownership lease */
   int64_t quarantine_failures; /* failed starts in a row that quarantine a target */
   int64_t quarantine_ms;
@@ -237,7 +238,8 @@
 {
   struct fl_name instance; /* changes when the target has restarted and lost all */
   bool leaving;
-  bool full; /* `running` is the whole inventory */
+  bool renewed; /* the poll renewed the leases of the target's tasks */
+  bool full;    /* `running` is the whole inventory */
   const struct fl_inventory_item *running;
   size_t running_count;
   const struct fl_task_event *events;
@@ -253,8 +255,17 @@
                           int64_t asked_ms,
                           int64_t now_ms);
 
-/* A poll failed: the target takes no new work until it answers again. */
-void fl_domain_on_silent (struct fl_domain *domain, struct fl_target *target, int64_t now_ms);
+/* Whether a poll of the target is to renew the leases of its tasks. It is not while the target does
+ * not answer: else it could hear the polls for ever and its tasks would never be known to have
+ * lapsed. */
+bool fl_domain_renews (const struct fl_target *target);
+
+/* A poll failed: the target takes no new work until it answers again. @renewed: the poll would have
+ * renewed leases, and may have. */
+void fl_domain_on_silent (struct fl_domain *domain,
+                          struct fl_target *target,
+                          bool renewed,
+                          int64_t now_ms);
 
 /* @version: of the row now, for OK and EXISTS. @existing: for EXISTS, the row's value; borrowed. */
 void fl_domain_on_committed (struct fl_domain *domain,
--- a/lib/domain/domain_internal.h
+++ b/lib/domain/domain_internal.h
@@ -174,6 +174,7 @@
   int64_t held;          /* tasks in state HELD */
   int64_t recover_until_ms; /* silent targets' leases of the earlier owner have lapsed by then */
   struct fl_job *hold_for;  /* an old gang for which lower work leaves room */
+  bool recovered; /* all that an earlier owner may have left running is known or has lapsed */
   bool draining;
   bool loaded;
   /* Counters for the dump. */
--- a/lib/domain/job.c
+++ b/lib/domain/job.c
@@ -918,6 +918,19 @@
     fl_work_dequeue (&job->work);
 }
 
+/* An earlier owner may have started them. */
+static void
+hold_replicas (struct fl_domain *domain, struct fl_job *job, int32_t wanted)
+{
+  grow_tasks (job, wanted);
+  for (int32_t i = 0; i < job->task_count; i++)
+    {
+      job->tasks[i]->state = FL_TASK_HELD;
+      job->work.account->unconfirmed++;
+      domain->held++;
+    }
+}
+
 struct service_visit
 {
   struct fl_domain *domain;
@@ -935,6 +948,7 @@
   int32_t wanted
       = (int32_t)(service->replicas / n + (domain->service_rank < service->replicas % n ? 1 : 0));
   struct fl_job_spec spec = { .id = service_job_id (domain, service),
+                              .tasks = 0,
                               .demand = service->demand,
                               .attempts = 1,
                               .payload = service->payload };
@@ -946,6 +960,8 @@
                      visit->now_ms);
       job->state = FL_JOB_ACTIVE;
       job->wanted = 0;
+      if (!domain->recovered)
+        hold_replicas (domain, job, wanted);
     }
   g_hash_table_add (visit->seen, &job->key);
   scale (domain, job, wanted, visit->now_ms);
--- a/lib/domain/recovery.c
+++ b/lib/domain/recovery.c
@@ -220,10 +220,20 @@
   review_ghosts (domain, target, NULL);
 }
 
+bool
+fl_domain_renews (const struct fl_target *target)
+{
+  return answers (target);
+}
+
 void
-fl_domain_on_silent (struct fl_domain *domain, struct fl_target *target, int64_t now_ms)
+fl_domain_on_silent (struct fl_domain *domain,
+                     struct fl_target *target,
+                     bool renewed,
+                     int64_t now_ms)
 {
-  fl_target_touch (domain, target, now_ms);
+  if (renewed)
+    fl_target_touch (domain, target, now_ms);
   if (target->state != FL_TARGET_UNKNOWN)
     fl_pool_set_state (domain->pool, target, FL_TARGET_SILENT);
 }
@@ -475,7 +485,8 @@
   check_instance (domain, target, report);
   target->heard_ms = now_ms;
   target->listed_leaving = target->listed_leaving || report->leaving;
-  fl_target_touch (domain, target, now_ms);
+  if (report->renewed)
+    fl_target_touch (domain, target, now_ms);
   take_events (domain, target, report, now_ms);
   if (report->full)
     {
@@ -502,6 +513,7 @@
 fl_domain_loaded (struct fl_domain *domain, int64_t now_ms)
 {
   domain->loaded = true;
+  domain->recovered = domain->options.epoch == 1; /* there was no earlier owner */
   fl_domain_update_services (domain, now_ms);
   fl_domain_tick_targets (domain, now_ms);
   fl_domain_schedule (domain, now_ms);
@@ -520,6 +532,8 @@
       if (job->tasks[i]->state == FL_TASK_HELD)
         {
           unhold (domain, job->tasks[i]);
+          if (i >= job->wanted)
+            continue; /* a replica that is wanted no more */
           g_array_append_val (job->ready, i);
           fl_work_enqueue (domain, &job->work, false, now_ms);
         }
@@ -537,6 +551,13 @@
   return fl_pool_size (domain->pool) > 0;
 }
 
+static bool
+is_recovered (const struct fl_domain *domain, int64_t now_ms)
+{
+  return domain->options.epoch == 1 || now_ms >= domain->recover_until_ms
+         || (!domain->options.patient && all_targets_answered (domain));
+}
+
 void
 fl_domain_tick_targets (struct fl_domain *domain, int64_t now_ms)
 {
@@ -553,8 +574,9 @@
         fl_pool_set_state (domain->pool, target, FL_TARGET_SILENT);
     }
   count_unknown (domain);
-  if (domain->loaded && domain->held > 0
-      && (now_ms >= domain->recover_until_ms
-          || (!domain->options.patient && all_targets_answered (domain))))
-    release_held (domain, now_ms);
+  if (domain->loaded && !domain->recovered && is_recovered (domain, now_ms))
+    {
+      domain->recovered = true;
+      release_held (domain, now_ms);
+    }
 }
--- a/lib/sched/load.c
+++ b/lib/sched/load.c
@@ -176,6 +176,7 @@
                                                 .answer = fl_sched_answer } };
 
   options.limits.task_lease_ms = settings->task_lease_ms;
+  options.limits.delivery_ms = settings->delivery_ms;
   options.limits.drift_ppm = settings->drift_ppm;
   options.limits.quarantine_ms = settings->quarantine_ms;
   options.limits.finished_keep_ms = settings->finished_keep_ms;
--- a/lib/sched/owner.c
+++ b/lib/sched/owner.c
@@ -11,6 +11,8 @@
 #define TAKE_OWNED_MS 100
 /* Between two looks at whether another scheduler should own some of our domains. */
 #define BALANCE_INTERVAL_MS 3000
+/* The table counts as reachable for this long after it answered. */
+#define TABLE_FRESH_MS 1500
 
 /* --- rows --- */
 
@@ -444,7 +446,7 @@
 {
   /* Hears the others first, so that the first owners are spread over all hosts. */
   return !fl_node_is_leaving (sched->node) && fl_node_in_contact (sched->node)
-         && now_ms >= sched->started_ms + fl_node_settings (sched->node)->hello_ms;
+         && now_ms >= sched->started_ms + fl_node_settings (sched->node)->hello_ms * 3 / 2;
 }
 
 /* --- ticks --- */
@@ -581,7 +583,9 @@
 fl_sched_balance (struct fl_sched *sched, int64_t now_ms)
 {
   continue_handovers (sched, now_ms);
-  if (now_ms < sched->balance_ms + BALANCE_INTERVAL_MS || fl_node_is_leaving (sched->node))
+  /* Without the table nobody could take what is handed over. */
+  if (now_ms < sched->balance_ms + BALANCE_INTERVAL_MS || fl_node_is_leaving (sched->node)
+      || fl_node_table_age_ms (sched->node) > TABLE_FRESH_MS)
     return;
   sched->balance_ms = now_ms;
   int64_t fewest = fewest_owned (sched);
--- a/lib/sched/targets.c
+++ b/lib/sched/targets.c
@@ -30,6 +30,7 @@
   int64_t attempt;
   int64_t asked_ms;
   bool inspect;
+  bool renews; /* POLL: carries a lease */
 };
 
 static struct fl_owned *
@@ -283,13 +284,17 @@
 }
 
 static void
-take_report (struct fl_owned *owned, struct fl_target *target, const json_t *json, int64_t asked_ms)
+take_report (struct fl_owned *owned,
+             struct fl_target *target,
+             const json_t *json,
+             const struct target_call *call)
 {
   g_autoptr (GArray) running = read_running (json);
   g_autoptr (GArray) events = read_events (json);
   g_autoptr (GArray) usage = read_usage (json);
   struct fl_target_report report
       = { .instance = fl_name_of (text_of (json, "instance")),
+          .renewed = call->renews,
           .leaving = json_is_true (json_object_get (json, "leaving")),
           .full = json_is_array (json_object_get (json, "running")),
           .running = (const struct fl_inventory_item *)(void *)running->data,
@@ -299,7 +304,8 @@
           .usage = (const struct fl_task_usage *)(void *)usage->data,
           .usage_count = usage->len };
 
-  fl_domain_on_report (owned->domain, target, &report, asked_ms, fl_node_now (owned->sched->node));
+  fl_domain_on_report (owned->domain, target, &report, call->asked_ms,
+                       fl_node_now (owned->sched->node));
 }
 
 static struct fl_poll *
@@ -337,7 +343,7 @@
   if (json != NULL)
     {
       poll->next_ms = now_ms;
-      take_report (owned, target, json, call->asked_ms);
+      take_report (owned, target, json, call);
       /* Requests that nobody waits for are looked for again until they have ended. */
       poll->want_full = target->state == FL_TARGET_UNKNOWN;
     }
@@ -346,7 +352,7 @@
       poll->next_ms = now_ms + SILENT_RETRY_MS;
       poll->want_full = true;
       fl_stats_add (fl_node_stats (call->sched->node), "polls_failed", 1);
-      fl_domain_on_silent (owned->domain, target, now_ms);
+      fl_domain_on_silent (owned->domain, target, call->renews, now_ms);
     }
   else
     poll->next_ms = now_ms + SILENT_RETRY_MS; /* withheld for want of authority */
@@ -359,13 +365,15 @@
   const struct fl_settings *settings = fl_node_settings (owned->sched->node);
   struct target_call *call = call_new (owned, target);
   bool full = inspect || poll->want_full;
+  bool renews = fl_domain_renews (target);
   int64_t wait_ms = full ? 0 : settings->poll_wait_ms;
-  json_t *body
-      = json_pack ("{s:I,s:I,s:I,s:I,s:b,s:I}", "epoch", (json_int_t)call->epoch, "lease_ms",
-                   (json_int_t)settings->task_lease_ms, "ack", (json_int_t)target->acked, "seen",
-                   (json_int_t)target->seen, "full", full, "wait_ms", (json_int_t)wait_ms);
+  json_t *body = json_pack ("{s:I,s:I,s:I,s:I,s:b,s:I}", "epoch", (json_int_t)call->epoch,
+                            "lease_ms", renews ? (json_int_t)settings->task_lease_ms : 0, "ack",
+                            (json_int_t)target->acked, "seen", (json_int_t)target->seen, "full",
+                            full, "wait_ms", (json_int_t)wait_ms);
 
   call->inspect = inspect;
+  call->renews = renews;
   *(inspect ? &poll->inspect_open : &poll->open) = true;
   fl_stats_add (fl_node_stats (owned->sched->node), "polls", 1);
   post (owned, target, "/v1/poll", body, wait_ms + POLL_GRACE_MS, false, on_polled, call);
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -156,6 +156,13 @@
     def operate(self, method, path, body=None, host=0):
         return call(method, self.hosts[host].url + path, body, self.operator_key)
 
+    def give_key(self, team):
+        """Makes a key for a team by a ticket and returns its text."""
+        out = subprocess.run([os.path.join(BIN, "flamingoctl"), "key", "give", team + "-key", "--team",
+                              team, "--url", self.hosts[0].url, "--key", self.operator_key],
+                             check=True, capture_output=True, text=True).stdout
+        return dict(line.split(": ") for line in out.strip().splitlines())["key"]
+
     def owners(self, host=0):
         """Acting owner of each domain, as one entry host knows."""
         status, domains = self.operate("GET", "/v1/domains", host=host)
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -255,7 +255,7 @@
 static void
 poll (struct target *t, struct fl_http_request *request, const json_t *body)
 {
-  int64_t lease_ms = number (body, "lease_ms", 1000);
+  int64_t lease_ms = number (body, "lease_ms", 0);
   int64_t wait_ms = number (body, "wait_ms", 0);
   int64_t seen = number (body, "seen", 0);
   GHashTableIter iter;
@@ -264,7 +264,7 @@
   t->cell->polls++;
   forget_events (t, number (body, "ack", 0));
   g_hash_table_iter_init (&iter, t->runs);
-  while (g_hash_table_iter_next (&iter, NULL, (void **)&run))
+  while (lease_ms > 0 && g_hash_table_iter_next (&iter, NULL, (void **)&run))
     run->lease_until_ms = now_ms () + lease_ms;
   if (json_is_true (json_object_get (body, "full")) || wait_ms == 0)
     {
@@ -383,7 +383,11 @@
   fl_resources_add (&t->used, &run->demand, 1);
   cell->over_capacity += !fl_resources_fit (&t->used, &t->capacity);
   if (count_of (cell->running, run->logical) > 0)
-    *(request ? &cell->request_overlaps : &cell->overlaps) += 1;
+    {
+      *(request ? &cell->request_overlaps : &cell->overlaps) += 1;
+      fprintf (stderr, "overlap time=%" PRId64 " target=%s id=%s\n", fl_clock_wall_ms (),
+               t->name.data, run->id.data);
+    }
   add_count (cell->running, run->logical, 1);
   g_hash_table_insert (t->runs, &run->id, run);
   ev_timer_init (&run->timer, on_run_over, (double)ms / 1000.0, 0.0);
--- a/tests/support_fuzz_cell.c
+++ b/tests/support_fuzz_cell.c
@@ -693,6 +693,7 @@
   int64_t ack;
   int64_t seen;
   bool full;
+  bool renews;
   enum fl_call_result result;
   bool doubled;
   /* POLL: the report. */
@@ -752,7 +753,7 @@
   else
     {
       poll->full = true;
-      fl_domain_on_silent (seat->core, known, now);
+      fl_domain_on_silent (seat->core, known, c->renews, now);
     }
 }
 
@@ -800,10 +801,12 @@
   while (g_hash_table_iter_next (&iter, NULL, (void **)&run))
     {
       struct fl_inventory_item item = { run->id, run->request };
-      run->lease_until = t->world->now + TASK_LEASE_MS;
+      if (c->renews)
+        run->lease_until = t->world->now + TASK_LEASE_MS;
       g_array_append_val (c->running, item);
     }
   c->report = (struct fl_target_report){ .instance = t->instance,
+                                         .renewed = c->renews,
                                          .full = c->full,
                                          .running = (void *)c->running->data,
                                          .running_count = c->running->len,
@@ -838,7 +841,9 @@
   else
     {
       target_start (t, &c->id, false, &c->demand);
-      end_later (t, &c->id, roll (t->world, 50, 3000));
+      /* Replicas of services run on; tasks end soon. */
+      bool service = strstr (c->id.data, "/svc.") != NULL;
+      end_later (t, &c->id, service ? 60000 : roll (t->world, 50, 3000));
       c->result = FL_CALL_DONE;
     }
 }
@@ -1527,6 +1532,7 @@
       struct command *c = g_new0 (struct command, 1);
       c->kind = COMMAND_POLL;
       c->full = poll->full || chance (seat->proc->world, 300);
+      c->renews = fl_domain_renews (known);
       c->ack = known->acked;
       c->seen = known->seen;
       poll->open = true;
@@ -1872,7 +1878,9 @@
 static void
 make_config (struct world *w)
 {
-  json_t *ticket = json_pack ("{s:i,s:[],s:[]}", "number", 1, "teams", "queues");
+  json_t *ticket = json_pack ("{s:i,s:[],s:[],s:[{s:s,s:s,s:i,s:{s:i,s:i}}]}", "number", 1, "teams",
+                              "queues", "services", "name", "svc", "team", "t2", "replicas", 3,
+                              "demand", "cpu_milli", 500, "memory_mb", 100);
   struct fl_ticket parsed;
   struct fl_problems problems = { 0 };
 
