Ping owners that are slow to answer

Cause: an entry noticed a paused owner only after the contact period of 3 s, too late for urgent work (1.5 s). Change: an owner that holds a request and has not been heard for 300 ms is pinged; it stops counting as live when nothing comes from it within 400 ms.

--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -24,6 +24,7 @@
   struct fl_name address; /* of the owner it was last sent to */
   struct fl_name tried[FL_TRIES_MAX];
   int tries;
+  int64_t sent_ms;
   bool sent;    /* the last attempt may have reached an owner */
   bool exposed; /* an earlier attempt may still come to run */
   bool is_call;
--- a/lib/entry/work.c
+++ b/lib/entry/work.c
@@ -6,6 +6,8 @@
 /* An owner's answer may come this much after the caller's deadline. */
 #define ANSWER_GRACE_MS 250
 #define CALL_TIMEOUT_MS 5000
+/* An owner that has not been heard for this while it holds a request is pinged. */
+#define PROBE_AFTER_MS 300
 #define FAN_OUT_TIMEOUT_MS 1500
 /* Named to callers when nothing better is known. */
 #define RETRY_AFTER_MS 500
@@ -212,6 +214,7 @@
       pending->address = choice.member->address;
       pending->tried[pending->tries++] = pending->domain;
       pending->attempt++;
+      pending->sent_ms = fl_node_now (entry->node);
       pending->sent = pending->is_call ? send_call (entry, pending) : send_request (entry, pending);
       if (pending->sent)
         return true;
@@ -496,6 +499,18 @@
     finish (entry, pending, FL_OUTCOME_UNKNOWN, "owner_lost", NULL, NULL, 0);
 }
 
+/* A paused or dead owner is noticed well within the time in which urgent work has to start. */
+static void
+watch_owner (struct fl_entry *entry, struct fl_pending *pending, int64_t now_ms)
+{
+  const struct fl_member *owner = member_at (entry, &pending->address);
+
+  if (owner == NULL)
+    on_owner_lost (entry, pending);
+  else if (now_ms - MAX (pending->sent_ms, owner->heard_ms) > PROBE_AFTER_MS)
+    fl_node_probe (entry->node, owner);
+}
+
 static void
 review (struct fl_entry *entry, struct fl_pending *pending, int64_t now_ms)
 {
@@ -509,8 +524,8 @@
     finish (entry, pending,
             pending->sent || pending->exposed ? FL_OUTCOME_UNKNOWN : FL_OUTCOME_NOT_RUN,
             "no_answer", NULL, NULL, 0);
-  else if (pending->sent && member_at (entry, &pending->address) == NULL)
-    on_owner_lost (entry, pending);
+  else if (pending->sent)
+    watch_owner (entry, pending, now_ms);
 }
 
 void
--- a/lib/message/message.c
+++ b/lib/message/message.c
@@ -47,6 +47,9 @@
 };
 static FL_SCHEMA (hello_schema, fl_hello, hello_fields);
 
+static const struct fl_field ping_fields[] = { N (fl_ping, instance) };
+static FL_SCHEMA (ping_schema, fl_ping, ping_fields);
+
 static const struct fl_field domain_status_fields[] = {
   N (fl_domain_status, domain),     I (fl_domain_status, epoch),
   I (fl_domain_status, free_slots), I (fl_domain_status, free_cpu_milli),
@@ -140,6 +143,8 @@
   [FL_MSG_ANSWER] = { "answer", &answer_schema, false },
   [FL_MSG_CALL] = { "call", &call_schema, false },
   [FL_MSG_RESULT] = { "result", &result_schema, false },
+  [FL_MSG_PING] = { "ping", &ping_schema, true },
+  [FL_MSG_PONG] = { "pong", &ping_schema, true },
 };
 
 const struct fl_schema *
--- a/lib/message/message.h
+++ b/lib/message/message.h
@@ -19,6 +19,8 @@
   FL_MSG_ANSWER,   /* the owner's answer */
   FL_MSG_CALL,     /* an entry to a scheduler: jobs and looking in */
   FL_MSG_RESULT,   /* the scheduler's answer */
+  FL_MSG_PING,     /* an entry to an owner that is slow to answer */
+  FL_MSG_PONG,     /* the owner's answer: it runs */
   FL_MSG_TYPES
 };
 
@@ -42,6 +44,11 @@
   bool leaving;
 };
 
+struct fl_ping
+{
+  struct fl_name instance; /* of the sender */
+};
+
 /* What one owned domain has to offer. */
 struct fl_domain_status
 {
@@ -182,6 +189,7 @@
 {
   struct fl_hello hello;
   struct fl_status status;
+  struct fl_ping ping;
   struct fl_tickets tickets;
   struct fl_vote_message vote;
   struct fl_request_message request;
--- a/lib/node/members.c
+++ b/lib/node/members.c
@@ -9,6 +9,8 @@
 #define ROWS_MAX 500
 /* Every so many hellos ask for usage as well. */
 #define USAGE_EVERY 2
+/* A member that runs answers a ping within this. */
+#define PING_TIMEOUT_MS 400
 
 static struct fl_member *
 find (const struct fl_node *node, const struct fl_name *instance)
@@ -47,11 +49,44 @@
   return find (node, instance);
 }
 
+static void
+note_heard (const struct fl_node *node, struct fl_member *member)
+{
+  member->heard_ms = fl_node_now (node);
+  member->ping_ms = 0;
+  if (member->first_heard_ms == 0)
+    member->first_heard_ms = member->heard_ms;
+}
+
 bool
 fl_node_is_live (const struct fl_node *node, const struct fl_member *member)
 {
+  int64_t now_ms = fl_node_now (node);
+
   return member->heard_ms > 0 && !member->leaving
-         && fl_node_now (node) - member->heard_ms < node->settings.contact_ms;
+         && now_ms - member->heard_ms < node->settings.contact_ms
+         && (member->ping_ms == 0 || now_ms - member->ping_ms < PING_TIMEOUT_MS);
+}
+
+void
+fl_node_probe (struct fl_node *node, const struct fl_member *probed)
+{
+  struct fl_member *member = find (node, &probed->instance);
+  struct fl_ping ping = { .instance = node->instance };
+
+  if (member == NULL || member->ping_ms != 0)
+    return;
+  member->ping_ms = fl_node_now (node);
+  fl_node_send_to (node, &member->address, FL_MSG_PING, &ping);
+}
+
+void
+fl_node_on_pong (struct fl_node *node, const struct fl_ping *pong)
+{
+  struct fl_member *member = find (node, &pong->instance);
+
+  if (member != NULL)
+    note_heard (node, member);
 }
 
 /* --- hellos --- */
@@ -122,14 +157,6 @@
   return head;
 }
 
-static void
-note_heard (const struct fl_node *node, struct fl_member *member)
-{
-  member->heard_ms = fl_node_now (node);
-  if (member->first_heard_ms == 0)
-    member->first_heard_ms = member->heard_ms;
-}
-
 void
 fl_node_on_hello (struct fl_node *node, const struct fl_route *from, const struct fl_hello *hello)
 {
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -55,6 +55,12 @@
     case FL_MSG_STATUS:
       fl_node_on_status (node, &message->status);
       break;
+    case FL_MSG_PING:
+      fl_node_send (node, from, FL_MSG_PONG, &(struct fl_ping){ .instance = node->instance });
+      break;
+    case FL_MSG_PONG:
+      fl_node_on_pong (node, &message->ping);
+      break;
     case FL_MSG_TICKETS:
       fl_node_on_tickets (node, &message->tickets);
       break;
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -33,6 +33,7 @@
   int64_t entries_head;
   int64_t first_heard_ms; /* when its first message arrived; 0 for never */
   int64_t heard_ms;       /* when its last message arrived; 0 for never */
+  int64_t ping_ms;        /* when a ping was sent that nothing has answered yet; 0 for none */
   int64_t contact_ms;     /* when the hello was sent that it answered with a head not above ours */
   int64_t row_version;
   int64_t row_seen_ms;     /* when the row's version last moved */
@@ -113,6 +114,10 @@
 const struct fl_member *fl_node_next_member (const struct fl_node *node, size_t *cursor);
 const struct fl_member *fl_node_member (const struct fl_node *node, const struct fl_name *instance);
 
+/* Asks a member that is slow to answer whether it runs. It stops counting as live when nothing
+ * comes from it within the ping time, until it is heard again. */
+void fl_node_probe (struct fl_node *node, const struct fl_member *member);
+
 /* Whether the member was heard from within the contact period. */
 bool fl_node_is_live (const struct fl_node *node, const struct fl_member *member);
 
--- a/lib/node/node_internal.h
+++ b/lib/node/node_internal.h
@@ -47,6 +47,7 @@
 void
 fl_node_on_hello (struct fl_node *node, const struct fl_route *from, const struct fl_hello *hello);
 void fl_node_on_status (struct fl_node *node, const struct fl_status *status);
+void fl_node_on_pong (struct fl_node *node, const struct fl_ping *pong);
 void fl_node_drop_row (struct fl_node *node);
 
 /* --- follow.c --- */
