--- a/lib/bench/load.c
+++ b/lib/bench/load.c
@@ -91,6 +91,17 @@
   return -1;
 }
 
+static void
+count_reason (struct fl_stream_result *result, const json_t *json)
+{
+  const char *reason = json_string_value (json_object_get (json, "reason"));
+
+  reason = reason != NULL && *reason != '\0' ? reason : "other";
+  json_object_set_new (
+      result->reasons, reason,
+      json_integer (1 + json_integer_value (json_object_get (result->reasons, reason))));
+}
+
 static void
 on_answer (void *context, const struct fl_http_result *answer)
 {
@@ -113,6 +124,8 @@
   result->outcomes[sent->outcome]++;
   if (sent->outcome == FL_OUTCOME_DONE || sent->outcome == FL_OUTCOME_ACCEPTED)
     fl_histogram_record (&result->wait_us, fl_clock_monotonic_us () - sent->start_us);
+  else
+    count_reason (result, json);
   json_decref (json);
 }
 
@@ -427,6 +440,7 @@
       stream->result = &load->results[i];
       stream->result->name = plans[i].name;
       stream->result->kind = plans[i].kind;
+      stream->result->reasons = json_object ();
       stream->sent = g_ptr_array_new_with_free_func (g_free);
       ev_timer_init (&stream->arrival, on_arrival, 0.0, 0.0);
       stream->arrival.data = stream;
@@ -472,7 +486,10 @@
     return;
   fl_http_client_free (load->client);
   for (size_t i = 0; i < load->count; i++)
-    g_ptr_array_free (load->streams[i].sent, TRUE);
+    {
+      g_ptr_array_free (load->streams[i].sent, TRUE);
+      json_decref (load->results[i].reasons);
+    }
   g_free (load->streams);
   g_free (load->results);
   g_rand_free (load->random);
--- a/lib/bench/load.h
+++ b/lib/bench/load.h
@@ -26,6 +26,7 @@
   int64_t unreachable;         /* no entry host answered */
   struct fl_histogram wait_us; /* requests: to the answer; jobs: to acceptance */
   int64_t jobs_done;
+  json_t *reasons;       /* reason -> count, of answers that were not done or accepted */
   int64_t lost;          /* accepted or answered done, but never ran */
   int64_t doubled;       /* ran more than once although it must not */
   int64_t false_not_run; /* answered not_run, but ran */
--- a/lib/lease/lease.c
+++ b/lib/lease/lease.c
@@ -220,13 +220,13 @@
 static bool
 may_take_now (const struct fl_lease *lease, int64_t now_ms)
 {
-  int64_t wait_ms = lease->take_delay_ms;
+  int64_t free_ms = lease->row_seen_ms;
 
   if (!lease->row_known)
     return false;
   if (lease->row.exists && lease->row.owner.len > 0 && !lease->rules.mutate_no_wait)
-    wait_ms += with_drift (&lease->rules, lease->rules.lease_ms);
-  return now_ms >= lease->row_seen_ms + wait_ms;
+    free_ms += with_drift (&lease->rules, lease->rules.lease_ms);
+  return now_ms >= max64 (free_ms, lease->eligible_ms) + lease->take_delay_ms;
 }
 
 static void
@@ -338,6 +338,8 @@
   memset (plan, 0, sizeof *plan);
   expire (lease, now_ms);
   try_hold (lease, now_ms);
+  if (!may_take)
+    lease->eligible_ms = now_ms;
   plan_store (lease, live, may_take, now_ms, plan);
   plan_ask (lease, now_ms, plan);
 }
@@ -366,7 +368,14 @@
 {
   lease->call_open = false;
   expire (lease, now_ms);
-  if (!ok || lease->state == FL_LEASE_RELEASED)
+  if (!ok)
+    {
+      /* An owner cannot renew a row that nobody can read: what stands still during an outage of the
+       * table says nothing about its owner, so the wait starts anew. */
+      lease->row_seen_ms = now_ms;
+      return;
+    }
+  if (lease->state == FL_LEASE_RELEASED)
     return;
   bool ours = row->exists && fl_name_eq (&row->owner, &lease->self);
   if (!ours)
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -128,6 +128,7 @@
   bool renewal_unsettled; /* the last one's answer was lost: read before the next */
   int64_t last_call_ms;
   int64_t last_ask_ms;
+  int64_t eligible_ms;   /* since when this process wants the domain */
   int64_t take_delay_ms; /* extra wait before taking, so that the preferred host is first */
 };
 
--- a/lib/sched/load.c
+++ b/lib/sched/load.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define PAGE 500
+/* After a load that failed. */
+#define LOAD_RETRY_MS 250
 
 /* One load: valid while the domain stands at the epoch it was started for. */
 struct load
@@ -33,11 +35,15 @@
 {
   struct fl_owned *owned = owned_of (load);
 
-  fl_log_error (fl_node_log (load->sched->node), FL_LOG_WARNING, "domain_load_failed",
-                &result->error);
+  struct fl_error error = result->error;
+  if (error.code == FL_OK)
+    fl_fail (&error, FL_CONFLICT, "domain_load", load->domain.data,
+             "epoch %" G_GINT64_FORMAT " has ended", load->epoch);
+  fl_log_error (fl_node_log (load->sched->node), FL_LOG_WARNING, "domain_load_failed", &error);
   if (owned != NULL)
     {
       owned->loading_epoch = 0;
+      owned->load_after_ms = fl_node_now (load->sched->node) + LOAD_RETRY_MS;
       fl_domain_free (owned->domain);
       owned->domain = NULL;
     }
--- a/lib/sched/owner.c
+++ b/lib/sched/owner.c
@@ -11,6 +11,8 @@
 #define TAKE_OWNED_MS 100
 /* Between two looks at whether another scheduler should own some of our domains. */
 #define BALANCE_INTERVAL_MS 3000
+/* Others get this long to take a domain that was handed over. */
+#define HANDOVER_ABSTAIN_MS 3000
 /* The table counts as reachable for this long after it answered. */
 #define TABLE_FRESH_MS 1500
 
@@ -125,7 +127,8 @@
     fl_owned_drop_domain (owned, "another process owns it");
   /* A load for an epoch that has ended is void: its answers find another epoch here. */
   if (lease->state == FL_LEASE_HOLDING && owned->domain == NULL
-      && owned->loading_epoch != lease->row.epoch)
+      && owned->loading_epoch != lease->row.epoch
+      && fl_node_now (owned->sched->node) >= owned->load_after_ms)
     {
       owned->held_ms = fl_node_now (owned->sched->node);
       fl_log (fl_node_log (owned->sched->node), FL_LOG_NOTICE, "domain_taken",
@@ -204,6 +207,7 @@
       struct fl_name self = fl_node_instance (call->sched->node);
       fl_lease_init (&owned->lease, &call->sched->rules, &self, fl_node_now (call->sched->node));
       owned->releasing = false;
+      owned->abstain_until_ms = fl_node_now (call->sched->node) + HANDOVER_ABSTAIN_MS;
       return;
     }
   fl_lease_on_written (&owned->lease, results[result->code], &call->row,
@@ -500,7 +504,7 @@
     {
       if (owned->lease.state == FL_LEASE_WATCHING)
         owned->lease.take_delay_ms = rank (sched, &owned->name) * TAKE_RANK_MS + owned_delay_ms;
-      drive (owned, &live, take, asks, &want_rows);
+      drive (owned, &live, take && now_ms >= owned->abstain_until_ms, asks, &want_rows);
     }
   if (want_rows)
     read_rows (sched);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -17,8 +17,10 @@
   struct fl_lease lease;
   struct fl_domain *domain; /* NULL unless owned and being loaded or acting */
   int64_t loading_epoch;    /* epoch whose rows are being read, 0 for none */
+  int64_t load_after_ms;    /* not loaded again before this */
   bool loaded;
   bool releasing;
+  int64_t abstain_until_ms;  /* not taken back before this after a hand-over */
   int64_t handover_until_ms; /* being drained to go to another scheduler; 0 when not */
   int64_t held_ms;           /* when authority was last gained */
   GHashTable *polls;         /* struct fl_name target -> struct fl_poll * */
--- a/programs/flamingo-bench.c
+++ b/programs/flamingo-bench.c
@@ -17,19 +17,20 @@
 static json_t *
 result_json (const struct fl_stream_result *r, double seconds)
 {
-  return json_pack (
-      "{s:s,s:s,s:I,s:f,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:f,s:f,s:I,s:I,s:I}", "stream",
-      r->name.data, "kind", fl_work_kind_names[r->kind], "sent", (json_int_t)r->sent, "per_s",
-      (double)r->sent / seconds, "done", (json_int_t)r->outcomes[FL_OUTCOME_DONE], "failed",
-      (json_int_t)r->outcomes[FL_OUTCOME_FAILED], "not_run",
-      (json_int_t)r->outcomes[FL_OUTCOME_NOT_RUN], "unknown",
-      (json_int_t)r->outcomes[FL_OUTCOME_UNKNOWN], "accepted",
-      (json_int_t)r->outcomes[FL_OUTCOME_ACCEPTED], "jobs_done", (json_int_t)r->jobs_done,
-      "unreachable", (json_int_t)r->unreachable, "p50_ms",
-      (double)fl_histogram_quantile (&r->wait_us, 0.5) / 1000.0, "p99_ms",
-      (double)fl_histogram_quantile (&r->wait_us, 0.99) / 1000.0, "p999_ms",
-      (double)fl_histogram_quantile (&r->wait_us, 0.999) / 1000.0, "lost", (json_int_t)r->lost,
-      "doubled", (json_int_t)r->doubled, "false_not_run", (json_int_t)r->false_not_run);
+  return json_pack ("{s:s,s:s,s:I,s:f,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:f,s:f,s:I,s:I,s:I,s:O}",
+                    "stream", r->name.data, "kind", fl_work_kind_names[r->kind], "sent",
+                    (json_int_t)r->sent, "per_s", (double)r->sent / seconds, "done",
+                    (json_int_t)r->outcomes[FL_OUTCOME_DONE], "failed",
+                    (json_int_t)r->outcomes[FL_OUTCOME_FAILED], "not_run",
+                    (json_int_t)r->outcomes[FL_OUTCOME_NOT_RUN], "unknown",
+                    (json_int_t)r->outcomes[FL_OUTCOME_UNKNOWN], "accepted",
+                    (json_int_t)r->outcomes[FL_OUTCOME_ACCEPTED], "jobs_done",
+                    (json_int_t)r->jobs_done, "unreachable", (json_int_t)r->unreachable, "p50_ms",
+                    (double)fl_histogram_quantile (&r->wait_us, 0.5) / 1000.0, "p99_ms",
+                    (double)fl_histogram_quantile (&r->wait_us, 0.99) / 1000.0, "p999_ms",
+                    (double)fl_histogram_quantile (&r->wait_us, 0.999) / 1000.0, "lost",
+                    (json_int_t)r->lost, "doubled", (json_int_t)r->doubled, "false_not_run",
+                    (json_int_t)r->false_not_run, "reasons", r->reasons);
 }
 
 static void
--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -203,7 +203,7 @@
         for r in results:
             print("  %(stream)-9s sent %(sent)5d done %(done)5d failed %(failed)3d not_run "
                   "%(not_run)4d unknown %(unknown)3d accepted %(accepted)3d jobs_done "
-                  "%(jobs_done)3d p50 %(p50_ms).0f p99 %(p99_ms).0f p99.9 %(p999_ms).0f ms" % r)
+                  "%(jobs_done)3d p50 %(p50_ms).0f p99 %(p99_ms).0f p99.9 %(p999_ms).0f ms" % r, r["reasons"] or "")
         sys.stdout.flush()
     print("%d passed, %d failed" % (passed, failed))
     return 1 if failed else 0
