--- a/lib/domain/domain.c
+++ b/lib/domain/domain.c
@@ -199,6 +199,7 @@
   domain->jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, fl_job_free);
   domain->ghosts = g_ptr_array_new_with_free_func (g_free);
   domain->records = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, record_free);
+  domain->reserved = g_ptr_array_new ();
   domain->service_domains = 1;
   domain->recover_until_ms = options->now_ms + options->limits.delivery_ms
                              + fl_domain_with_drift (domain, options->limits.task_lease_ms);
@@ -215,6 +216,7 @@
   g_hash_table_destroy (domain->jobs);
   g_hash_table_destroy (domain->records);
   g_ptr_array_free (domain->ghosts, TRUE);
+  g_ptr_array_free (domain->reserved, TRUE);
   for (int p = 0; p < FL_PRIORITIES; p++)
     g_ptr_array_free (domain->active[p], TRUE);
   g_hash_table_destroy (domain->accounts);
@@ -319,6 +321,7 @@
   fl_domain_expire_requests (domain, now_ms);
   fl_domain_tick_targets (domain, now_ms);
   fl_domain_tick_jobs (domain, now_ms);
+  fl_domain_tick_reserved (domain, now_ms);
   fl_domain_trim (domain, now_ms);
   unblock_held_back (domain);
   fl_domain_schedule (domain, now_ms);
@@ -390,7 +393,7 @@
       const struct fl_job *job = l->data;
       int64_t tasks = work->kind == FL_WORK_REQUEST ? 1 : job->ready->len;
       usage->waiting += tasks;
-      if (work->kind == FL_WORK_GANG && tasks > account->allotment && account->running == 0)
+      if (work->kind == FL_WORK_GANG && tasks > account->allotment && usage->running == 0)
         usage->stuck = true;
     }
 }
--- a/lib/domain/domain_internal.h
+++ b/lib/domain/domain_internal.h
@@ -83,6 +83,7 @@
 {
   FL_TASK_WAITING,
   FL_TASK_HELD,     /* an earlier owner may have started it; see recovery.c */
+  FL_TASK_RESERVED, /* its room is counted, but others have to leave it first */
   FL_TASK_STARTING, /* the command is on its way */
   FL_TASK_RUNNING,
   FL_TASK_STOPPING, /* must be confirmed as stopped before anything else happens to it */
@@ -182,6 +183,7 @@
   int64_t retries;
   int64_t lapsed_tasks;
   int64_t preempted;
+  GPtrArray *reserved; /* struct fl_task * in state RESERVED */
   int64_t trimmed;
   int64_t duplicates;
 };
@@ -237,6 +239,12 @@
  * further above their share. The room shows once the stops are confirmed. */
 void fl_domain_preempt (struct fl_domain *domain, struct fl_job *job, int64_t now_ms);
 
+/* Starts the reserved tasks on @target whose room is free by now. */
+void fl_target_start_reserved (struct fl_domain *domain, struct fl_target *target, int64_t now_ms);
+
+/* Gives up reservations that have waited too long. */
+void fl_domain_tick_reserved (struct fl_domain *domain, int64_t now_ms);
+
 /* Stops the latest tasks of teams that run more than their allotment or limit allows. */
 void fl_domain_trim (struct fl_domain *domain, int64_t now_ms);
 
@@ -284,6 +292,16 @@
 /* Gives back the room a task has on its target. */
 void fl_task_vacate (struct fl_domain *domain, struct fl_task *task);
 
+/* Sends the command that starts @task, whose room on its target is counted already. */
+void fl_task_send_start (struct fl_domain *domain, struct fl_task *task, int64_t now_ms);
+
+/* Counts the room of the job's next task on @target, whether or not it is free yet.
+ * @return the task, in state RESERVED. */
+struct fl_task *fl_job_reserve_next (struct fl_domain *domain,
+                                     struct fl_job *job,
+                                     struct fl_target *target,
+                                     int64_t now_ms);
+
 /* Puts a task that was found running on @target into the books. */
 void fl_task_adopt (struct fl_domain *domain,
                     struct fl_task *task,
--- a/lib/domain/job.c
+++ b/lib/domain/job.c
@@ -21,7 +21,7 @@
     = { "accepting", "active", "done", "failed", "cancelled", NULL };
 
 static const char *const task_state_names[]
-    = { "waiting", "held", "starting", "running", "stopping", "done", "failed", NULL };
+    = { "waiting", "held", "reserved", "starting", "running", "stopping", "done", "failed", NULL };
 
 /* --- making and freeing --- */
 
@@ -527,6 +527,8 @@
 
   if (task->target == NULL)
     return;
+  if (task->state == FL_TASK_RESERVED)
+    g_ptr_array_remove_fast (domain->reserved, task);
   g_hash_table_remove (task->target->tasks, task);
   fl_pool_release (domain->pool, task->target, &task->reserved);
   account->running--;
@@ -535,15 +537,48 @@
   task->target = NULL;
 }
 
-static void
-start (struct fl_domain *domain, struct fl_task *task, struct fl_target *target, int64_t now_ms)
+void
+fl_task_send_start (struct fl_domain *domain, struct fl_task *task, int64_t now_ms)
 {
   task->attempt = MAX (task->attempt, domain->options.epoch << ATTEMPTS_PER_EPOCH) + 1;
   task->state = FL_TASK_STARTING;
   task->start_open = true;
-  take_room (domain, task, target, now_ms);
+  task->since_ms = now_ms;
   domain->placements++;
-  domain->options.ops.start (domain->options.ops.context, target, task);
+  domain->options.ops.start (domain->options.ops.context, task->target, task);
+}
+
+static void
+start (struct fl_domain *domain, struct fl_task *task, struct fl_target *target, int64_t now_ms)
+{
+  take_room (domain, task, target, now_ms);
+  fl_task_send_start (domain, task, now_ms);
+}
+
+/* Takes the next task that is ready out of the job's list. */
+static struct fl_task *
+pop_ready (struct fl_job *job)
+{
+  int32_t index = g_array_index (job->ready, int32_t, job->ready->len - 1);
+
+  g_array_set_size (job->ready, job->ready->len - 1);
+  if (job->ready->len == 0)
+    fl_work_dequeue (&job->work);
+  return job->tasks[index];
+}
+
+struct fl_task *
+fl_job_reserve_next (struct fl_domain *domain,
+                     struct fl_job *job,
+                     struct fl_target *target,
+                     int64_t now_ms)
+{
+  struct fl_task *task = pop_ready (job);
+
+  fl_pool_adopt (domain->pool, target, &job->spec.demand);
+  take_room (domain, task, target, now_ms);
+  task->state = FL_TASK_RESERVED;
+  return task;
 }
 
 /* Spreads replicas over racks, then over hosts. */
@@ -593,11 +628,7 @@
 
   if (target == NULL || !fl_pool_reserve (domain->pool, target, &job->spec.demand))
     return false;
-  int32_t index = g_array_index (job->ready, int32_t, job->ready->len - 1);
-  g_array_set_size (job->ready, job->ready->len - 1);
-  if (job->ready->len == 0)
-    fl_work_dequeue (&job->work);
-  start (domain, job->tasks[index], target, now_ms);
+  start (domain, pop_ready (job), target, now_ms);
   return true;
 }
 
@@ -842,10 +873,12 @@
 
   if (task == NULL || task->attempt != attempt || task->state != FL_TASK_STOPPING)
     return;
+  struct fl_target *target = task->target;
   if (result == FL_CALL_DONE)
     fl_task_requeue (domain, task, now_ms);
   else if (result == FL_CALL_FAILED)
     task->state = FL_TASK_RUNNING; /* it had ended: its event says how */
+  fl_target_start_reserved (domain, target, now_ms);
   fl_domain_schedule (domain, now_ms);
 }
 
@@ -881,6 +914,8 @@
   for (int32_t i = 0; i < job->task_count && job->placed > 0; i++)
     if (job->tasks[i]->state == FL_TASK_RUNNING || job->tasks[i]->state == FL_TASK_STARTING)
       fl_task_stop (domain, job->tasks[i], true, FL_STOP_KILL, now_ms);
+    else if (job->tasks[i]->state == FL_TASK_RESERVED)
+      fl_task_requeue (domain, job->tasks[i], now_ms); /* nothing was sent */
   fl_job_mark_dirty (domain, job);
 }
 
--- a/lib/domain/preempt.c
+++ b/lib/domain/preempt.c
@@ -3,6 +3,8 @@
 
 /* Between two rounds of preemption for one job: the stops of a round need this long to show. */
 #define PREEMPT_INTERVAL_MS 500
+/* A reservation whose room is not free by then is given up. */
+#define RESERVATION_MS 3000
 /* Most tasks that give way to one urgent task. */
 #define VICTIMS_MAX 8
 
@@ -51,7 +53,7 @@
   g_hash_table_iter_init (&iter, target->tasks);
   while (g_hash_table_iter_next (&iter, (void **)&task, NULL))
     {
-      if (task->state == FL_TASK_STOPPING)
+      if (task->state == FL_TASK_STOPPING || task->state == FL_TASK_RESERVED)
         return false; /* room is being made here already */
       if (may_give_way (task, job->work.account))
         g_ptr_array_add (candidates, task);
@@ -70,8 +72,9 @@
 
 /* Makes room for one task on the target where the fewest have to give way. */
 static bool
-make_room (struct fl_domain *domain, const struct fl_job *job, int64_t now_ms)
+make_room (struct fl_domain *domain, struct fl_job *job, int64_t now_ms)
 {
+  struct fl_target *chosen = NULL;
   struct victims best = { .count = VICTIMS_MAX + 1 };
   struct fl_target *target;
   size_t cursor = 0;
@@ -81,10 +84,15 @@
       struct victims victims;
       if (target->state == FL_TARGET_READY && choose_on (target, job, &victims)
           && victims.count < best.count)
-        best = victims;
+        {
+          best = victims;
+          chosen = target;
+        }
     }
   if (best.count > VICTIMS_MAX)
     return false;
+  /* The room is counted from now on, so that nobody else, the preempted least of all, takes it. */
+  g_ptr_array_add (domain->reserved, fl_job_reserve_next (domain, job, chosen, now_ms));
   for (int i = 0; i < best.count; i++)
     {
       domain->preempted++;
@@ -99,11 +107,44 @@
   if (now_ms < job->preempt_ms)
     return;
   job->preempt_ms = now_ms + PREEMPT_INTERVAL_MS;
-  for (guint i = 0; i < job->ready->len; i++)
+  while (job->ready->len > 0 && fl_account_headroom (domain, job->work.account) > 0)
     if (!make_room (domain, job, now_ms))
       return;
 }
 
+void
+fl_target_start_reserved (struct fl_domain *domain, struct fl_target *target, int64_t now_ms)
+{
+  if (!fl_resources_fit (&target->used, &target->capacity)
+      || !domain->options.ops.may_act (domain->options.ops.context))
+    return;
+  for (guint i = domain->reserved->len; i-- > 0;)
+    {
+      struct fl_task *task = domain->reserved->pdata[i];
+      if (task->target != target)
+        continue;
+      g_ptr_array_remove_index_fast (domain->reserved, i);
+      fl_task_send_start (domain, task, now_ms);
+    }
+}
+
+void
+fl_domain_tick_reserved (struct fl_domain *domain, int64_t now_ms)
+{
+  g_autoptr (GPtrArray) tasks = g_ptr_array_copy (domain->reserved, NULL, NULL);
+
+  for (guint i = 0; i < tasks->len; i++)
+    {
+      struct fl_task *task = tasks->pdata[i];
+      if (task->state != FL_TASK_RESERVED)
+        continue; /* started together with another one of its target */
+      if (now_ms >= task->since_ms + RESERVATION_MS || task->target->state != FL_TARGET_READY)
+        fl_task_requeue (domain, task, now_ms);
+      else
+        fl_target_start_reserved (domain, task->target, now_ms);
+    }
+}
+
 /* --- teams above their limit --- */
 
 static void
--- a/lib/domain/queue.c
+++ b/lib/domain/queue.c
@@ -108,7 +108,9 @@
 {
   GList *link = account->waiting[priority].head;
 
-  for (int i = 0; link != NULL && i < FL_BACKFILL_DEPTH; i++)
+  /* An element that does not fit may still use up headroom: urgent work reserves room. */
+  for (int i = 0;
+       link != NULL && i < FL_BACKFILL_DEPTH && fl_account_headroom (domain, account) > 0; i++)
     {
       GList *next = link->next;
       if (place (domain, link->data, now_ms))
--- a/lib/domain/recovery.c
+++ b/lib/domain/recovery.c
@@ -422,7 +422,7 @@
   g_hash_table_iter_init (&iter, target->tasks);
   while (g_hash_table_iter_next (&iter, (void **)&task, NULL))
     {
-      if (task->state == FL_TASK_STOPPING)
+      if (task->state == FL_TASK_STOPPING || task->state == FL_TASK_RESERVED)
         return; /* one at a time */
       if (task->state == FL_TASK_RUNNING && task->job->work.kind == FL_WORK_BATCH
           && (latest == NULL || task->since_ms > latest->since_ms))
@@ -498,6 +498,7 @@
       review_ghosts (domain, target, report);
       find_missing (domain, target, report, asked_ms, now_ms);
     }
+  fl_target_start_reserved (domain, target, now_ms);
   take_usage (domain, target, report, now_ms);
   if (report->full || answers (target))
     settle_state (domain, target, now_ms);
