Carry the design size: usage as changes, host list by version, dead targets noticed sooner

Cause: scripts/scale.py (9 hosts, 1,903 targets, 11 domains, 76 teams) showed a quiet scheduler at 2.13 % of a core with 11.3 KB/s of link control and 220 KB/s received, most of it usage sent whole and the list of hosts; requests on a dead domain waited for their deadline (worst stream p99 1901 ms).

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libflamingolane.a
 PROGRAMS = $(patsubst programs/%.c,$(BUILD)/bin/%,$(wildcard programs/*.c))
-STANDINS = $(patsubst tests/%.c,$(BUILD)/bin/%,$(wildcard tests/standin-*.c))
+STANDINS = $(patsubst tests/%.c,$(BUILD)/bin/%,$(wildcard tests/standin-*.c tests/bench-*.c))
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 HELPERS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support_*.c))
 SOURCES = $(sort $(wildcard lib/*/*.[ch] programs/*.[ch] tests/*.[ch]))
@@ -66,10 +66,37 @@
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory test
 
+TIDY_FLAGS = $(CPPFLAGS) -std=gnu11 $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 lint:
 	@clang-format --dry-run -Werror $(SOURCES)
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $$(nproc) -n 3 \
+	  sh -c 'clang-tidy --quiet "$$@" -- $(TIDY_FLAGS) 2>/dev/null' _
 
 test: $(TESTS)
 	@scripts/run-tests $(TESTS)
 
 -include $(shell find $(BUILD) -name "*.d" 2>/dev/null)
+
+.PHONY: fuzz e2e bench slopes mutants check-asan
+fuzz: $(BUILD)/tests/test_fuzz_cell
+	@$< $(or $(SEED),1) $(or $(STEPS),1000000)
+
+e2e: all
+	@python3 tests/e2e.py
+
+bench: all
+	@$(BUILD)/bin/bench-core decide
+	@$(BUILD)/bin/bench-core requests
+	@$(BUILD)/bin/bench-core packing
+	@$(BUILD)/bin/bench-core fairness
+
+slopes: all
+	@python3 scripts/slopes.py
+
+mutants:
+	@scripts/mutants
+
+# Leaks are not looked for: the fuzzer leaves its world to the end of the process.
+check-asan: install-packages
+	@ASAN_OPTIONS=detect_leaks=0 $(MAKE) --no-print-directory -j$$(nproc) BUILD=build-asan OPT=-O1 \
+	  SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" test
--- a/lib/bench/load.c
+++ b/lib/bench/load.c
@@ -22,6 +22,7 @@
   const struct fl_stream *plan;
   struct fl_stream_result *result;
   ev_timer arrival;
+  double next_s; /* when the next arrival is planned, on the loop's clock */
   int64_t last_id;
   GPtrArray *sent; /* struct sent * */
   int64_t csv_sent;
@@ -184,15 +185,13 @@
   json_decref (json);
 }
 
-/* Exponential gaps: arrivals do not wait for answers. */
+/* Exponential gaps between planned times: arrivals wait neither for answers nor for a late loop. */
 static void
 arm (struct stream *stream)
 {
   double mean_s = 60.0 / (double)stream->plan->per_minute;
-  double gap_s = -mean_s * log (1.0 - g_rand_double (stream->load->random));
 
-  ev_timer_set (&stream->arrival, gap_s, 0.0);
-  ev_timer_start (stream->load->loop, &stream->arrival);
+  stream->next_s += -mean_s * log (1.0 - g_rand_double (stream->load->random));
 }
 
 static void
@@ -200,10 +199,15 @@
 {
   struct stream *stream = timer->data;
 
-  (void)loop;
   (void)events;
-  send_one (stream);
-  arm (stream);
+  ev_now_update (loop);
+  while (stream->next_s <= ev_now (loop))
+    {
+      send_one (stream);
+      arm (stream);
+    }
+  ev_timer_set (timer, stream->next_s - ev_now (loop), 0.0);
+  ev_timer_start (loop, timer);
 }
 
 /* --- jobs --- */
@@ -456,7 +460,13 @@
   load->start_ms = fl_clock_monotonic_us () / 1000;
   ev_now_update (load->loop);
   for (size_t i = 0; i < load->count; i++)
-    arm (&load->streams[i]);
+    {
+      struct stream *stream = &load->streams[i];
+      stream->next_s = ev_now (load->loop);
+      arm (stream);
+      ev_timer_set (&stream->arrival, stream->next_s - ev_now (load->loop), 0.0);
+      ev_timer_start (load->loop, &stream->arrival);
+    }
   ev_timer_init (&load->stop, on_stop, duration_s, 0.0);
   load->stop.data = load;
   ev_timer_start (load->loop, &load->stop);
--- a/lib/domain/domain.c
+++ b/lib/domain/domain.c
@@ -319,6 +319,7 @@
 fl_domain_tick (struct fl_domain *domain, int64_t now_ms)
 {
   fl_domain_expire_requests (domain, now_ms);
+  fl_domain_watch_runs (domain, now_ms);
   fl_domain_tick_targets (domain, now_ms);
   fl_domain_tick_jobs (domain, now_ms);
   fl_domain_tick_reserved (domain, now_ms);
--- a/lib/domain/domain_internal.h
+++ b/lib/domain/domain_internal.h
@@ -60,6 +60,7 @@
   int64_t intent; /* version of its intent in the table, 0 for none */
   bool exposed;   /* an attempt's answer was lost: it may have run */
   int64_t arrived_ms;
+  int64_t sent_ms; /* the last attempt */
   int64_t deadline_ms;
   int64_t attempt;
   int64_t cost;
@@ -265,6 +266,12 @@
                               int64_t now_ms);
 void fl_request_free (void *request);
 void fl_domain_expire_requests (struct fl_domain *domain, int64_t now_ms);
+/* The target does not answer: repeatable requests on it are tried elsewhere. */
+void
+fl_domain_leave_target (struct fl_domain *domain, const struct fl_target *target, int64_t now_ms);
+
+/* Asks targets that are slow to answer a request whether they are there. */
+void fl_domain_watch_runs (struct fl_domain *domain, int64_t now_ms);
 void fl_domain_close_requests (struct fl_domain *domain, int64_t now_ms);
 
 /* --- job.c --- */
--- a/lib/domain/job.c
+++ b/lib/domain/job.c
@@ -44,6 +44,7 @@
 {
   if (count <= job->task_count)
     return;
+  g_assert (count > 0);
   job->tasks = g_renew (struct fl_task *, job->tasks, count);
   for (int32_t i = job->task_count; i < count; i++)
     {
@@ -632,22 +633,23 @@
   return true;
 }
 
-/* Reserves room for every task of the gang, or for none. */
+/* Reserves room for every task of the gang, or for none.
+ * @targets: empty; gets one struct fl_target * for each task. */
 static bool
-reserve_gang (struct fl_domain *domain, struct fl_job *job, struct fl_target **targets)
+reserve_gang (struct fl_domain *domain, const struct fl_job *job, GPtrArray *targets)
 {
-  guint count = job->ready->len;
-
-  for (guint i = 0; i < count; i++)
+  while (targets->len < job->ready->len)
     {
-      targets[i] = fl_pool_pick (domain->pool, &job->spec.demand);
-      if (targets[i] != NULL && fl_pool_reserve (domain->pool, targets[i], &job->spec.demand))
-        continue;
-      while (i-- > 0)
-        fl_pool_unreserve (domain->pool, targets[i], &job->spec.demand);
-      return false;
+      struct fl_target *target = fl_pool_pick (domain->pool, &job->spec.demand);
+      if (target == NULL || !fl_pool_reserve (domain->pool, target, &job->spec.demand))
+        break;
+      g_ptr_array_add (targets, target);
     }
-  return true;
+  if (targets->len == job->ready->len)
+    return true;
+  for (guint i = 0; i < targets->len; i++)
+    fl_pool_unreserve (domain->pool, targets->pdata[i], &job->spec.demand);
+  return false;
 }
 
 /* Whether room is kept free for an old gang now. It is kept for one patience time out of two, so
@@ -676,7 +678,7 @@
         job->work.account->hold_for = job;
       return false;
     }
-  g_autofree struct fl_target **targets = g_new (struct fl_target *, job->ready->len);
+  g_autoptr (GPtrArray) targets = g_ptr_array_new ();
   if (!reserve_gang (domain, job, targets))
     {
       if (domain->hold_for == NULL)
@@ -687,7 +689,7 @@
   fl_work_dequeue (&job->work);
   guint count = job->ready->len;
   for (guint i = 0; i < count; i++)
-    start (domain, job->tasks[g_array_index (job->ready, int32_t, i)], targets[i], now_ms);
+    start (domain, job->tasks[g_array_index (job->ready, int32_t, i)], targets->pdata[i], now_ms);
   g_array_set_size (job->ready, 0);
   return true;
 }
--- a/lib/domain/recovery.c
+++ b/lib/domain/recovery.c
@@ -236,6 +236,7 @@
     fl_target_touch (domain, target, now_ms);
   if (target->state != FL_TARGET_UNKNOWN)
     fl_pool_set_state (domain->pool, target, FL_TARGET_SILENT);
+  fl_domain_leave_target (domain, target, now_ms);
 }
 
 /* --- reports --- */
--- a/lib/domain/request.c
+++ b/lib/domain/request.c
@@ -6,6 +6,8 @@
 
 /* Callers that may come back are told to do so after this. */
 #define RETRY_AFTER_MS 200
+/* A target that has not been heard for this, and holds a request for longer, is asked. */
+#define SLOW_RUN_MS 500
 
 static const struct fl_resources one_slot = { { 0, 0, 0, 1 } };
 
@@ -212,9 +214,10 @@
 /* --- placing and running --- */
 
 static void
-run (struct fl_domain *domain, struct fl_request *request)
+run (struct fl_domain *domain, struct fl_request *request, int64_t now_ms)
 {
   request->state = FL_REQUEST_RUNNING;
+  request->sent_ms = now_ms;
   request->attempt++;
   domain->placements++;
   domain->options.ops.run (domain->options.ops.context, request->target, request);
@@ -236,7 +239,6 @@
   struct fl_account *account = request->work.account;
   struct fl_target *target = fl_pool_pick_slot (domain->pool, &request->label, request->avoid);
 
-  (void)now_ms;
   if (target == NULL || !fl_pool_reserve (domain->pool, target, &one_slot))
     return false;
   fl_work_dequeue (&request->work);
@@ -247,7 +249,7 @@
   request->target = target;
   if (request->repeatable || request->intent > 0)
     {
-      run (domain, request);
+      run (domain, request, now_ms);
       return true;
     }
   request->state = FL_REQUEST_COMMITTING;
@@ -333,7 +335,7 @@
       else if (request->target->state != FL_TARGET_READY)
         wait_again (domain, request, now_ms);
       else
-        run (domain, request);
+        run (domain, request, now_ms);
       break;
     case FL_COMMIT_EXISTS:
       if (did_not_run (existing))
@@ -444,6 +446,49 @@
     }
 }
 
+/* The requests on @target (NULL: on any) that run and are repeatable, or all that run. */
+static GPtrArray *
+running_on (const struct fl_domain *domain, const struct fl_target *target, bool repeatable_only)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  struct fl_request *request;
+
+  g_hash_table_iter_init (&iter, domain->requests);
+  while (g_hash_table_iter_next (&iter, NULL, (void **)&request))
+    if (request->state == FL_REQUEST_RUNNING && (target == NULL || request->target == target)
+        && (request->repeatable || !repeatable_only))
+      g_ptr_array_add (found, request);
+  return found;
+}
+
+void
+fl_domain_leave_target (struct fl_domain *domain, const struct fl_target *target, int64_t now_ms)
+{
+  g_autoptr (GPtrArray) requests = running_on (domain, target, true);
+
+  for (guint i = 0; i < requests->len; i++)
+    on_unknown (domain, requests->pdata[i], now_ms);
+}
+
+void
+fl_domain_watch_runs (struct fl_domain *domain, int64_t now_ms)
+{
+  g_autoptr (GPtrArray) requests = running_on (domain, NULL, false);
+
+  for (guint i = 0; i < requests->len; i++)
+    {
+      const struct fl_request *request = requests->pdata[i];
+      struct fl_target *target = request->target;
+      if (target->state == FL_TARGET_READY && now_ms - request->sent_ms > SLOW_RUN_MS
+          && now_ms - MAX (target->heard_ms, target->inspected_ms) > SLOW_RUN_MS)
+        {
+          target->inspected_ms = now_ms;
+          domain->options.ops.inspect (domain->options.ops.context, target);
+        }
+    }
+}
+
 void
 fl_domain_close_requests (struct fl_domain *domain, int64_t now_ms)
 {
--- a/lib/entry/tickets.c
+++ b/lib/entry/tickets.c
@@ -153,36 +153,41 @@
 
 /* --- allotments --- */
 
-/* Splits @limit over the domains: what each has stays in proportion, what is added goes round. The
- * sum of the amounts is @limit exactly. */
+/* Sets what is left of @limit evenly on top of @amounts, over the listed domains. */
+static void
+spread_rest (json_t *amounts, const GArray *domains, int64_t rest)
+{
+  for (guint left = domains->len; left > 0; left--)
+    {
+      const struct fl_name *domain = &g_array_index (domains, struct fl_name, domains->len - left);
+      int64_t share = (rest + left - 1) / left;
+      int64_t before = json_integer_value (json_object_get (amounts, domain->data));
+      json_object_set_new (amounts, domain->data, json_integer (before + share));
+      rest -= share;
+    }
+}
+
+/* Splits @limit over the domains: what each has stays, or shrinks in proportion, and what is added
+ * goes round. A domain that is not listed any more keeps its part, since work may still run there;
+ * its owner gives the part away when others need it. The sum never exceeds @limit. */
 static json_t *
 split_limit (int64_t limit, const json_t *before, const GArray *domains)
 {
   json_t *amounts = json_object ();
-  int64_t count = domains->len;
   int64_t sum = 0;
   int64_t given = 0;
   const char *name;
   json_t *amount;
 
   json_object_foreach ((json_t *)before, name, amount) sum += json_integer_value (amount);
-  for (int64_t i = 0; i < count; i++)
-    {
-      const struct fl_name *domain = &g_array_index (domains, struct fl_name, i);
-      int64_t old = json_integer_value (json_object_get (before, domain->data));
-      int64_t amount_now = sum > limit ? old * limit / sum : old;
-      json_object_set_new (amounts, domain->data, json_integer (amount_now));
-      given += amount_now;
-    }
-  /* Whatever is left, also from domains that are no more, goes evenly to those that are. */
-  for (int64_t i = 0; count > 0 && i < count; i++)
-    {
-      const struct fl_name *domain = &g_array_index (domains, struct fl_name, i);
-      int64_t old = json_integer_value (json_object_get (amounts, domain->data));
-      int64_t share = (limit - given) / (count - i) + ((limit - given) % (count - i) > 0 ? 1 : 0);
-      json_object_set_new (amounts, domain->data, json_integer (old + share));
-      given += share;
-    }
+  json_object_foreach ((json_t *)before, name, amount)
+  {
+    int64_t old = json_integer_value (amount);
+    int64_t kept = sum > limit ? old * limit / sum : old;
+    json_object_set_new (amounts, name, json_integer (kept));
+    given += kept;
+  }
+  spread_rest (amounts, domains, limit - given);
   return amounts;
 }
 
--- a/lib/message/message.c
+++ b/lib/message/message.c
@@ -43,7 +43,7 @@
   N (fl_hello, address),     N (fl_hello, http),
   N (fl_hello, domain),      N (fl_hello, region),
   I (fl_hello, config_head), I (fl_hello, stamp_ms),
-  B (fl_hello, want_usage),  B (fl_hello, leaving),
+  I (fl_hello, usage_seen),  B (fl_hello, leaving),
 };
 static FL_SCHEMA (hello_schema, fl_hello, hello_fields);
 
@@ -65,12 +65,12 @@
 static FL_SCHEMA (usage_item_schema, fl_usage_item, usage_item_fields);
 
 static const struct fl_field status_fields[] = {
-  N (fl_status, instance),  N (fl_status, address),
-  N (fl_status, http),      N (fl_status, domain),
-  N (fl_status, region),    I (fl_status, config_head),
-  I (fl_status, stamp_ms),  I (fl_status, entries_head),
-  B (fl_status, leaving),   A (fl_status, domains, &domain_status_schema),
-  B (fl_status, has_usage), A (fl_status, usage, &usage_item_schema),
+  N (fl_status, instance),      N (fl_status, address),
+  N (fl_status, http),          N (fl_status, domain),
+  N (fl_status, region),        I (fl_status, config_head),
+  I (fl_status, stamp_ms),      I (fl_status, entries_head),
+  B (fl_status, leaving),       A (fl_status, domains, &domain_status_schema),
+  I (fl_status, usage_version), A (fl_status, usage, &usage_item_schema),
 };
 static FL_SCHEMA (status_schema, fl_status, status_fields);
 
--- a/lib/message/message.h
+++ b/lib/message/message.h
@@ -39,8 +39,8 @@
   struct fl_name domain;
   struct fl_name region;
   int64_t config_head;
-  int64_t stamp_ms; /* the sender's clock; comes back in the answer */
-  bool want_usage;
+  int64_t stamp_ms;   /* the sender's clock; comes back in the answer */
+  int64_t usage_seen; /* version of the receiver's usage that the sender has; -1 wants none */
   bool leaving;
 };
 
@@ -83,8 +83,8 @@
   int64_t entries_head; /* lowest head among the entries that the sender hears */
   bool leaving;
   struct fl_array domains; /* struct fl_domain_status */
-  bool has_usage;          /* `usage` is whole, not left out */
-  struct fl_array usage;   /* struct fl_usage_item */
+  int64_t usage_version;
+  struct fl_array usage; /* struct fl_usage_item: what has changed since `usage_seen` */
 };
 
 struct fl_ticket_text
--- a/lib/node/members.c
+++ b/lib/node/members.c
@@ -9,6 +9,8 @@
 #define ROWS_MAX 500
 /* Every so many hellos ask for usage as well. */
 #define USAGE_EVERY 2
+/* Asked for by processes that need no usage. */
+#define NO_USAGE (-1)
 /* A member that runs answers a ping within this. */
 #define PING_TIMEOUT_MS 400
 
@@ -110,27 +112,51 @@
                          fl_http_server_port (node->server));
 }
 
+/* The newest member at @address, or NULL. */
+static const struct fl_member *
+find_at (const struct fl_node *node, const struct fl_name *address)
+{
+  const struct fl_member *newest = NULL;
+
+  for (guint i = 0; i < node->members->len; i++)
+    {
+      const struct fl_member *member = node->members->pdata[i];
+      if (fl_name_eq (&member->address, address)
+          && (newest == NULL || member->heard_ms > newest->heard_ms))
+        newest = member;
+    }
+  return newest;
+}
+
+static int64_t
+usage_wanted (const struct fl_node *node, const struct fl_member *member)
+{
+  if (node->options.role != FL_PROCESS_SCHED || node->hellos % USAGE_EVERY != 0)
+    return NO_USAGE;
+  return member != NULL ? member->usage_seen : 0;
+}
+
 void
 fl_node_say_hello (struct fl_node *node)
 {
   const struct fl_seed *seeds = node->settings.seeds.items;
-  struct fl_hello hello
-      = { .instance = node->instance,
-          .role = node->options.role,
-          .address = fl_node_address (node),
-          .http = own_http (node),
-          .domain = node->settings.domain,
-          .region = node->settings.region,
-          .config_head = fl_config_head (node->config),
-          .stamp_ms = fl_node_now (node),
-          .want_usage = node->options.role == FL_PROCESS_SCHED && node->hellos++ % USAGE_EVERY == 0,
-          .leaving = node->leaving };
+  struct fl_hello hello = { .instance = node->instance,
+                            .role = node->options.role,
+                            .address = fl_node_address (node),
+                            .http = own_http (node),
+                            .domain = node->settings.domain,
+                            .region = node->settings.region,
+                            .config_head = fl_config_head (node->config),
+                            .stamp_ms = fl_node_now (node),
+
+                            .leaving = node->leaving };
   g_autoptr (GHashTable) said = g_hash_table_new (fl_name_hash, fl_name_equal);
 
   for (size_t i = 0; i < node->settings.seeds.count; i++)
     {
       connect_to (node, &seeds[i].address);
       g_hash_table_add (said, (void *)&seeds[i].address);
+      hello.usage_seen = usage_wanted (node, find_at (node, &seeds[i].address));
       fl_node_send_to (node, &seeds[i].address, FL_MSG_HELLO, &hello);
     }
   for (guint i = 0; i < node->members->len; i++)
@@ -139,8 +165,12 @@
       if (member->role == FL_PROCESS_SCHED && member->address.len > 0
           && !fl_name_eq (&member->instance, &node->instance)
           && g_hash_table_add (said, &member->address))
-        fl_node_send_to (node, &member->address, FL_MSG_HELLO, &hello);
+        {
+          hello.usage_seen = usage_wanted (node, member);
+          fl_node_send_to (node, &member->address, FL_MSG_HELLO, &hello);
+        }
     }
+  node->hellos++;
 }
 
 static int64_t
@@ -182,7 +212,7 @@
     connect_to (node, &hello->address);
   status.entries_head = lowest_entry_head (node);
   if (node->options.on_status != NULL)
-    node->options.on_status (node->options.context, hello->want_usage, &status);
+    node->options.on_status (node->options.context, hello->usage_seen, &status);
   fl_node_send (node, from, FL_MSG_STATUS, &status);
   g_free (status.domains.items);
   g_free (status.usage.items);
@@ -206,6 +236,7 @@
   member->leaving = status->leaving;
   member->config_head = status->config_head;
   member->entries_head = status->entries_head;
+  member->usage_seen = MAX (member->usage_seen, status->usage_version);
   note_heard (node, member);
   if (status->config_head <= fl_config_head (node->config))
     member->contact_ms = MAX (member->contact_ms, status->stamp_ms);
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -35,6 +35,7 @@
   int64_t heard_ms;       /* when its last message arrived; 0 for never */
   int64_t ping_ms;        /* when a ping was sent that nothing has answered yet; 0 for none */
   int64_t contact_ms;     /* when the hello was sent that it answered with a head not above ours */
+  int64_t usage_seen;     /* version of its usage that has arrived */
   int64_t row_version;
   int64_t row_seen_ms;     /* when the row's version last moved */
   struct fl_array domains; /* struct fl_domain_status of its last answer */
@@ -53,7 +54,7 @@
                       const struct fl_route *from,
                       const union fl_message *message);
   /* Fills in the domains and usage of an answer to a hello. */
-  void (*on_status) (void *context, bool want_usage, struct fl_status *status);
+  void (*on_status) (void *context, int64_t usage_seen, struct fl_status *status);
   /* A scheduler answered a hello. */
   void (*on_member) (void *context, const struct fl_member *member, const struct fl_status *status);
   /* Tickets have been applied. */
--- a/lib/platform/hosts.c
+++ b/lib/platform/hosts.c
@@ -29,7 +29,10 @@
 static FL_SCHEMA (host_schema, fl_host, host_fields);
 
 static const struct fl_field list_fields[] = {
-  { "hosts", FL_ARRAY, offsetof (struct fl_host_list, hosts), true, 0, HOSTS_MAX, 0, &host_schema,
+  { "version", FL_INT, offsetof (struct fl_host_list, version), false, 0, INT64_MAX, 0, NULL,
+    NULL },
+  { "unchanged", FL_BOOL, offsetof (struct fl_host_list, unchanged), false, 0, 1, 0, NULL, NULL },
+  { "hosts", FL_ARRAY, offsetof (struct fl_host_list, hosts), false, 0, HOSTS_MAX, 0, &host_schema,
     NULL },
 };
 FL_SCHEMA (fl_host_list_schema, fl_host_list, list_fields);
@@ -89,7 +92,8 @@
     json = fl_json_parse (answer->body.data, answer->body.len, NULL);
   if (json == NULL)
     return;
-  if (fl_schema_from_json (&fl_host_list_schema, json, &list, "hosts", &problems))
+  if (fl_schema_from_json (&fl_host_list_schema, json, &list, "hosts", &problems)
+      && !list.unchanged)
     {
       /* The old list is freed after the receiver has let go of it. */
       struct fl_host_list old = reader->list;
@@ -106,8 +110,10 @@
 void
 fl_host_reader_tick (struct fl_host_reader *reader, int64_t now_ms)
 {
+  g_autofree char *url
+      = g_strdup_printf ("%s?version=%" G_GINT64_FORMAT, reader->url, reader->list.version);
   struct fl_http_call call = { .method = "GET",
-                               .url = reader->url,
+                               .url = url,
                                .timeout_ms = reader->timeout_ms,
                                .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                .on_done = on_answer,
--- a/lib/platform/hosts.h
+++ b/lib/platform/hosts.h
@@ -28,6 +28,8 @@
 /* Hosts in the order of the platform. */
 struct fl_host_list
 {
+  int64_t version;       /* grows with each change; 0 when the platform gives none */
+  bool unchanged;        /* the answer to a version that is still the newest; `hosts` is empty */
   struct fl_array hosts; /* struct fl_host */
 };
 
--- a/lib/sched/allot.c
+++ b/lib/sched/allot.c
@@ -123,6 +123,22 @@
   return remote;
 }
 
+/* Items are told only when they change, so each replaces the one before. */
+static void
+put_item (struct fl_remote_usage *remote, const struct fl_usage_item *item)
+{
+  for (guint i = 0; i < remote->items->len; i++)
+    {
+      struct fl_usage_item *known = &g_array_index (remote->items, struct fl_usage_item, i);
+      if (fl_name_eq (&known->team, &item->team))
+        {
+          *known = *item;
+          return;
+        }
+    }
+  g_array_append_val (remote->items, *item);
+}
+
 /* Notes the usage in @status, from another process or from this one. */
 void
 fl_sched_take_usage (struct fl_sched *sched, const struct fl_status *status)
@@ -136,10 +152,13 @@
     {
       struct fl_remote_usage *remote = remote_of (sched, &domains[i].domain);
       remote->heard_ms = fl_node_now (sched->node);
+      if (remote->epoch == domains[i].epoch)
+        continue;
+      remote->epoch = domains[i].epoch; /* another owner tells all anew */
       g_array_set_size (remote->items, 0);
     }
   for (size_t i = 0; i < status->usage.count; i++)
-    g_array_append_val (remote_of (sched, &items[i].domain)->items, items[i]);
+    put_item (remote_of (sched, &items[i].domain), &items[i]);
   g_hash_table_iter_init (&iter, sched->owned);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
     if (owned->domain != NULL)
--- a/lib/sched/owner.c
+++ b/lib/sched/owner.c
@@ -113,6 +113,7 @@
   g_hash_table_remove_all (owned->polls);
   fl_allots_free (owned->allots);
   owned->allots = NULL;
+  fl_sched_forget_usage (owned->sched, &owned->name);
 }
 
 /* Starts or ends the domain object as the lease tells. */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -74,8 +74,7 @@
 on_member (void *context, const struct fl_member *member, const struct fl_status *status)
 {
   (void)member;
-  if (status->has_usage)
-    fl_sched_take_usage (context, status);
+  fl_sched_take_usage (context, status);
 }
 
 static void
@@ -129,7 +128,8 @@
   if (now_ms < sched->usage_ms + USAGE_INTERVAL_MS)
     return;
   sched->usage_ms = now_ms;
-  fl_sched_on_status (sched, true, &status);
+  fl_sched_count_usage (sched);
+  fl_sched_on_status (sched, 0, &status);
   fl_sched_take_usage (sched, &status);
   g_free (status.domains.items);
   g_free (status.usage.items);
@@ -189,6 +189,7 @@
   sched->owned = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, fl_owned_free);
   sched->voters = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
   sched->waiters = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  sched->told = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   sched->remote = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, fl_remote_usage_free);
 }
 
@@ -250,6 +251,7 @@
   g_hash_table_destroy (sched->voters);
   g_hash_table_destroy (sched->waiters);
   g_hash_table_destroy (sched->remote);
+  g_hash_table_destroy (sched->told);
   fl_journal_free (sched->journal);
   struct fl_node *node = sched->node;
   struct fl_host_reader *hosts = sched->hosts;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -50,6 +50,7 @@
 struct fl_remote_usage
 {
   struct fl_name domain;
+  int64_t epoch;
   GArray *items; /* struct fl_usage_item */
   int64_t heard_ms;
 };
@@ -65,6 +66,8 @@
   GHashTable *voters;  /* struct fl_name domain -> struct fl_voter * */
   GHashTable *waiters; /* uint64_t handle -> struct fl_waiter * */
   GHashTable *remote;  /* struct fl_name domain -> struct fl_remote_usage * */
+  GHashTable *told;    /* struct fl_name "domain/team" -> struct told *, see serve.c */
+  int64_t usage_version;
   uint64_t last_handle;
   bool rows_open; /* a scan of the owner rows is on its way */
   int64_t rows_asked_ms;
@@ -133,6 +136,10 @@
                           const struct fl_route *from,
                           const union fl_message *message);
 void fl_sched_on_http (void *sched, struct fl_http_request *request);
-void fl_sched_on_status (void *sched, bool want_usage, struct fl_status *status);
+void fl_sched_on_status (void *sched, int64_t usage_seen, struct fl_status *status);
+void fl_sched_count_usage (struct fl_sched *sched);
+
+/* Forgets what was told of a domain that is given up. */
+void fl_sched_forget_usage (struct fl_sched *sched, const struct fl_name *domain);
 void fl_sched_answer (void *owned, uint64_t handle, const struct fl_answer *answer);
 json_t *fl_sched_dump (struct fl_sched *sched);
--- a/lib/sched/serve.c
+++ b/lib/sched/serve.c
@@ -356,25 +356,59 @@
 
 /* --- status --- */
 
-struct usage_visit
+/* What was last told of one team in one owned domain, and since which version. */
+struct told
 {
-  GArray *items;
-  struct fl_name domain;
+  struct fl_name key; /* "domain/team" */
+  struct fl_usage_item item;
+  int64_t version;
 };
 
+/* Differences below a tenth are not worth telling. */
+static bool
+is_close (int64_t a, int64_t b)
+{
+  return ABS (a - b) * 10 <= MAX (a, b);
+}
+
+static bool
+differs (const struct fl_usage_item *a, const struct fl_usage_item *b)
+{
+  return !is_close (a->cost, b->cost) || !is_close (a->running, b->running)
+         || !is_close (a->waiting, b->waiting) || a->stuck != b->stuck;
+}
+
+static void
+note_usage (struct fl_sched *sched, const struct fl_usage_item *item)
+{
+  struct fl_name key = fl_name_format ("%s/%s", item->domain.data, item->team.data);
+  struct told *told = g_hash_table_lookup (sched->told, &key);
+
+  if (told == NULL)
+    {
+      told = g_new0 (struct told, 1);
+      told->key = key;
+      told->item = (struct fl_usage_item){ .team = item->team, .domain = item->domain };
+      g_hash_table_insert (sched->told, &told->key, told);
+    }
+  if (!differs (&told->item, item))
+    return;
+  told->item = *item;
+  told->version = sched->usage_version;
+}
+
 static void
 add_usage (void *context, const struct fl_team_usage *usage)
 {
-  struct usage_visit *visit = context;
+  GArray *items = context;
   struct fl_usage_item item = { .team = usage->team,
-                                .domain = visit->domain,
+
                                 .cost = usage->cost,
                                 .running = usage->running,
                                 .waiting = usage->waiting,
                                 .stuck = usage->stuck };
 
-  if (usage->running > 0 || usage->waiting > 0)
-    g_array_append_val (visit->items, item);
+  g_array_append_val (items, item);
 }
 
 static struct fl_domain_status
@@ -392,29 +426,85 @@
                                     .acting = owned->loaded && fl_owned_may_act (owned) };
 }
 
+/* Takes stock of what each team uses in the owned domains, as a new version. */
+void
+fl_sched_count_usage (struct fl_sched *sched)
+{
+  GHashTableIter iter;
+  struct fl_owned *owned;
+
+  sched->usage_version++;
+  g_hash_table_iter_init (&iter, sched->owned);
+  while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
+    {
+      g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (struct fl_usage_item));
+      if (owned->domain == NULL)
+        continue;
+      fl_domain_each_team (owned->domain, add_usage, items);
+      for (guint i = 0; i < items->len; i++)
+        {
+          struct fl_usage_item *item = &g_array_index (items, struct fl_usage_item, i);
+          item->domain = owned->name;
+          note_usage (sched, item);
+        }
+    }
+}
+
+static int
+is_of_domain (void *key, void *value, void *domain)
+{
+  const struct told *told = value;
+
+  (void)key;
+  return fl_name_eq (&told->item.domain, domain);
+}
+
 void
-fl_sched_on_status (void *context, bool want_usage, struct fl_status *status)
+fl_sched_forget_usage (struct fl_sched *sched, const struct fl_name *domain)
+{
+  g_hash_table_foreach_remove (sched->told, is_of_domain, (void *)domain);
+}
+
+/* The usage of owned domains that has changed after version @seen. */
+static GArray *
+usage_since (struct fl_sched *sched, int64_t seen)
+{
+  GArray *items = g_array_new (FALSE, FALSE, sizeof (struct fl_usage_item));
+  GHashTableIter iter;
+  struct told *told;
+
+  g_hash_table_iter_init (&iter, sched->told);
+  while (g_hash_table_iter_next (&iter, NULL, (void **)&told))
+    {
+      const struct fl_owned *owned = fl_sched_find (sched, &told->item.domain);
+      if (told->version > seen && owned != NULL && owned->domain != NULL)
+        g_array_append_val (items, told->item);
+    }
+  return items;
+}
+
+void
+fl_sched_on_status (void *context, int64_t usage_seen, struct fl_status *status)
 {
   struct fl_sched *sched = context;
   GArray *domains = g_array_new (FALSE, FALSE, sizeof (struct fl_domain_status));
-  GArray *usage = g_array_new (FALSE, FALSE, sizeof (struct fl_usage_item));
   GHashTableIter iter;
   struct fl_owned *owned;
 
   g_hash_table_iter_init (&iter, sched->owned);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
     {
-      struct usage_visit visit = { usage, owned->name };
       if (owned->domain == NULL || fl_node_is_leaving (sched->node))
         continue;
       struct fl_domain_status one = domain_status (owned);
       g_array_append_val (domains, one);
-      if (want_usage)
-        fl_domain_each_team (owned->domain, add_usage, &visit);
     }
-  status->has_usage = want_usage;
   status->domains.count = domains->len;
   status->domains.items = g_array_free (domains, FALSE);
+  if (usage_seen < 0)
+    return;
+  GArray *usage = usage_since (sched, usage_seen);
+  status->usage_version = sched->usage_version;
   status->usage.count = usage->len;
   status->usage.items = g_array_free (usage, FALSE);
 }
--- a/lib/sched/targets.c
+++ b/lib/sched/targets.c
@@ -11,6 +11,8 @@
 #define CONNECT_TIMEOUT_MS 500
 /* An answer to a poll may be this late before the target counts as silent. */
 #define POLL_GRACE_MS 2000
+/* A target that runs answers an inventory asked out of turn within this. */
+#define INSPECT_TIMEOUT_MS 1000
 /* Between two polls of a target that does not answer. */
 #define SILENT_RETRY_MS 1000
 /* Spreads first polls, so that a new owner does not open all connections in one instant. */
@@ -170,13 +172,13 @@
   struct target_call *call = call_new (owned, target);
   const struct fl_str *payload = fl_task_payload (task);
   int64_t authority_ms = fl_lease_authority_ms (&owned->lease) - call->asked_ms;
+  json_int_t not_after_ms = fl_clock_wall_ms () + authority_ms;
   json_t *body = json_pack (
       "{s:s,s:I,s:I,s:I,s:o,s:I,s:s%}", "id", fl_task_id (task).data, "epoch",
       (json_int_t)call->epoch, "lease_ms",
       (json_int_t)fl_node_settings (owned->sched->node)->task_lease_ms, "not_after_wall_ms",
-      (json_int_t)(fl_clock_wall_ms () + authority_ms), "demand",
-      fl_schema_to_json (&fl_resources_schema, fl_task_demand (task)), "run_ms",
-      (json_int_t)fl_task_run_ms (task), "payload", fl_str_text (payload), payload->len);
+      not_after_ms, "demand", fl_schema_to_json (&fl_resources_schema, fl_task_demand (task)),
+      "run_ms", (json_int_t)fl_task_run_ms (task), "payload", fl_str_text (payload), payload->len);
 
   call->task = fl_task_id (task);
   post (owned, target, "/v1/start", body, COMMAND_TIMEOUT_MS, true, on_started, call);
@@ -376,7 +378,8 @@
   call->renews = renews;
   *(inspect ? &poll->inspect_open : &poll->open) = true;
   fl_stats_add (fl_node_stats (owned->sched->node), "polls", 1);
-  post (owned, target, "/v1/poll", body, wait_ms + POLL_GRACE_MS, false, on_polled, call);
+  post (owned, target, "/v1/poll", body, wait_ms + (inspect ? INSPECT_TIMEOUT_MS : POLL_GRACE_MS),
+        false, on_polled, call);
 }
 
 void
--- a/lib/target/pool.h
+++ b/lib/target/pool.h
@@ -42,6 +42,7 @@
   enum fl_target_state state;
   bool listed_leaving;    /* the platform's list or the target itself says so */
   bool listed;            /* stands in the platform's list */
+  int64_t inspected_ms;   /* when it was last asked out of turn */
   int64_t heard_ms;       /* when a call to it was last answered */
   int64_t lease_until_ms; /* by then its tasks have lapsed unless their leases are renewed */
   int64_t quarantined_until_ms;
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -47,6 +47,7 @@
   int64_t last_version;
   json_t *hosts;         /* object name -> host, as things are */
   json_t *visible_hosts; /* as the list shows them */
+  int64_t hosts_version; /* of the visible list */
   bool hosts_dirty;
   enum mode mode;
   int64_t delay_ms;
@@ -293,6 +294,7 @@
   (void)events;
   json_decref (delayed->platform->visible_hosts);
   delayed->platform->visible_hosts = delayed->body;
+  delayed->platform->hosts_version++;
   g_free (delayed);
 }
 
@@ -333,12 +335,21 @@
 static void
 list_hosts (struct platform *p, struct fl_http_request *request)
 {
+  const char *known = fl_http_query (request, "version");
   json_t *hosts = json_array ();
   const char *name;
   json_t *host;
 
+  if (known != NULL && p->hosts_version > 0 && atoll (known) == p->hosts_version)
+    {
+      json_decref (hosts);
+      respond (p, request, 200,
+               json_pack ("{s:I,s:b}", "version", (json_int_t)p->hosts_version, "unchanged", true));
+      return;
+    }
   json_object_foreach (p->visible_hosts, name, host) json_array_append (hosts, host);
-  respond (p, request, 200, json_pack ("{s:o}", "hosts", hosts));
+  respond (p, request, 200,
+           json_pack ("{s:I,s:o}", "version", (json_int_t)p->hosts_version, "hosts", hosts));
 }
 
 /* --- control --- */
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -610,7 +610,7 @@
   struct fl_name name = fl_name_make (path, slash != NULL ? (size_t)(slash - path) : 0);
   struct target *t = g_hash_table_lookup (cell->targets, &name);
 
-  if (t == NULL)
+  if (t == NULL || slash == NULL)
     respond (request, 404, json_pack ("{s:s}", "refused", "no such target"));
   else if (t->fault == FAULT_DEAD)
     g_ptr_array_add (cell->hung, request);
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -353,9 +353,10 @@
 {
   struct fl_usage_item items[2] = { { .team = fl_name_of ("a"), .cost = -1, .running = 3 },
                                     { .team = fl_name_of ("b"), .stuck = true } };
-  struct fl_status status = {
-    .instance = fl_name_of ("i"), .config_head = INT64_MAX, .has_usage = true, .usage = { 2, items }
-  };
+  struct fl_status status = { .instance = fl_name_of ("i"),
+                              .config_head = INT64_MAX,
+                              .usage_version = 5,
+                              .usage = { 2, items } };
   struct fl_error error = { 0 };
   enum fl_message_type type;
   union fl_message out;
