Split lib/domain/job.c; cheaper scheduler ticks and scans

Schedulers tick every 50 ms, read owner rows once a second and allotments every 3 s (at once after a ticket).

--- a/lib/domain/domain_internal.h
+++ b/lib/domain/domain_internal.h
@@ -274,7 +274,7 @@
 void fl_domain_watch_runs (struct fl_domain *domain, int64_t now_ms);
 void fl_domain_close_requests (struct fl_domain *domain, int64_t now_ms);
 
-/* --- job.c --- */
+/* --- job.c, task.c, service.c --- */
 
 /* Starts what fits. @return whether anything was started. */
 bool fl_job_place (struct fl_domain *domain, struct fl_job *job, int64_t now_ms);
@@ -284,6 +284,19 @@
                           int64_t version,
                           const json_t *existing,
                           int64_t now_ms);
+/* Makes a job of @spec (copied) and enters it under its key. */
+struct fl_job *fl_job_new (struct fl_domain *domain,
+                           const struct fl_name *team,
+                           const struct fl_job_spec *spec,
+                           enum fl_work_kind kind,
+                           enum fl_priority priority,
+                           int64_t now_ms);
+
+/* Makes room for @count tasks; new ones are WAITING but not in the queue yet. */
+void fl_job_grow (struct fl_job *job, int32_t count);
+
+/* No room is kept for @job any more. */
+void fl_job_release_hold (struct fl_domain *domain, const struct fl_job *job);
 struct fl_job *fl_domain_find_job (const struct fl_domain *domain,
                                    const struct fl_name *team,
                                    const struct fl_name *id);
--- a/lib/entry/tickets.c
+++ b/lib/entry/tickets.c
@@ -183,7 +183,7 @@
   json_object_foreach ((json_t *)before, name, amount)
   {
     int64_t old = json_integer_value (amount);
-    int64_t kept = sum > limit ? old * limit / sum : old;
+    int64_t kept = sum > limit && sum > 0 ? old * limit / sum : old;
     json_object_set_new (amounts, name, json_integer (kept));
     given += kept;
   }
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -7,7 +7,9 @@
 #include <curl/curl.h>
 #include <sodium.h>
 
-#define TICK_S 0.02
+/* Entries watch the deadlines of many requests; schedulers' intervals are longer. */
+#define ENTRY_TICK_S 0.02
+#define SCHED_TICK_S 0.05
 #define CLIENT_CONNECTIONS_MAX 4096
 #define LINK_QUEUE_MAX 20000
 
@@ -215,7 +217,9 @@
 {
   double hello_s = (double)node->settings.hello_ms / 1000.0;
 
-  ev_timer_init (&node->tick, on_tick, TICK_S, TICK_S);
+  double tick_s = node->options.role == FL_PROCESS_ENTRY ? ENTRY_TICK_S : SCHED_TICK_S;
+
+  ev_timer_init (&node->tick, on_tick, tick_s, tick_s);
   node->tick.data = node;
   ev_timer_start (node->loop, &node->tick);
   ev_timer_init (&node->hello, on_hello_timer, hello_s / 10.0, hello_s);
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -63,7 +63,7 @@
   void (*on_http) (void *context, struct fl_http_request *request);
   /* Adds counters that are kept elsewhere before /metrics is written. */
   void (*on_metrics) (void *context);
-  /* Called about every 20 ms. */
+  /* Called about every 20 ms (entries) or 50 ms (schedulers). */
   void (*on_tick) (void *context, int64_t now_ms);
   void *context;
 };
--- a/lib/node/settings.c
+++ b/lib/node/settings.c
@@ -150,7 +150,7 @@
   rules.lease_ms = s->lease_ms;
   rules.promise_ms = s->promise_ms;
   rules.renew_ms = s->renew_ms;
-  rules.poll_ms = MAX (s->renew_ms / 2, 20);
+  rules.poll_ms = s->renew_ms;
   rules.delivery_ms = s->delivery_ms;
   rules.outage_max_ms = s->outage_max_ms;
   rules.drift_ppm = s->drift_ppm;
--- a/lib/sched/allot.c
+++ b/lib/sched/allot.c
@@ -3,7 +3,9 @@
 
 #include <string.h>
 
-#define SCAN_INTERVAL_MS 1000
+/* A receiver may use what it was given after this at the latest; a ticket is followed by a scan at
+ * once. */
+#define SCAN_INTERVAL_MS 3000
 #define GIVE_INTERVAL_MS 500
 #define ROWS_MAX 5000
 /* Usage that is older than this is no ground for giving. */
