Check the counts of a message before the library allocates for them

Cause: make check-asan: a damaged array count made the MessagePack library ask for 137 GB. Change: counts are compared with the bytes that are left first. The stand-in answered polls of a new owner at once for ever, since acknowledged events still counted as news.

--- a/lib/message/message.c
+++ b/lib/message/message.c
@@ -4,6 +4,8 @@
 
 #define TEXT_MAX (1024 * 1024)
 #define ITEMS_MAX 100000
+/* Deeper than any message of ours. */
+#define DEPTH_MAX 8
 
 static const char *const process_role_names[] = { "sched", "entry", NULL };
 static const char *const call_op_names[]
@@ -177,6 +179,68 @@
   fl_schema_pack (types[type].schema, object, &packer);
 }
 
+/* --- counts --- */
+
+/* Bytes that are left of a message. */
+struct rest
+{
+  const unsigned char *at;
+  size_t len;
+};
+
+static bool
+skip (struct rest *rest, uint64_t bytes)
+{
+  if (bytes > rest->len)
+    return false;
+  rest->at += bytes;
+  rest->len -= bytes;
+  return true;
+}
+
+/* Reads a big-endian number of @bytes bytes. */
+static bool
+read_count (struct rest *rest, int bytes, uint64_t *count)
+{
+  *count = 0;
+  for (int i = 0; i < bytes; i++)
+    {
+      if (rest->len == 0)
+        return false;
+      *count = *count << 8 | *rest->at;
+      skip (rest, 1);
+    }
+  return true;
+}
+
+/* Whether one value of the types that fl_schema_pack writes stands at @rest, with no count beyond
+ * the bytes that are left. The library allocates for a count before it looks at the items, so a
+ * damaged count would cost any amount of memory. */
+static bool
+counts_are_true (struct rest *rest, int depth)
+{
+  uint64_t count = 0;
+
+  if (rest->len == 0 || depth > DEPTH_MAX)
+    return false;
+  unsigned char type = *rest->at;
+  skip (rest, 1);
+  if (type <= 0x7f || type >= 0xe0 || type == 0xc2 || type == 0xc3)
+    return true; /* small integers, false, true */
+  if (type >= 0xc4 && type <= 0xc6)
+    return read_count (rest, 1 << (type - 0xc4), &count) && skip (rest, count); /* bytes */
+  if (type >= 0xcc && type <= 0xd3)
+    return skip (rest, 1ULL << ((type - 0xcc) % 4)); /* integers of 1 to 8 bytes */
+  if (type >= 0x90 && type <= 0x9f)
+    count = type & 0x0f;
+  else if ((type != 0xdc && type != 0xdd) || !read_count (rest, type == 0xdc ? 2 : 4, &count))
+    return false;
+  for (uint64_t i = 0; i < count; i++)
+    if (!counts_are_true (rest, depth + 1))
+      return false;
+  return true;
+}
+
 static bool
 read_packed (const msgpack_object *root,
              enum fl_message_type *type,
@@ -205,6 +269,10 @@
   size_t offset = 0;
   bool ok;
 
+  struct rest rest = { (const unsigned char *)data, len };
+
+  if (!counts_are_true (&rest, 0) || rest.len > 0)
+    return fl_fail (error, FL_INVALID, "message_unpack", NULL, "not one whole message");
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, data, len, &offset) != MSGPACK_UNPACK_SUCCESS
       || offset != len)
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -276,7 +276,10 @@
   t->poll = request;
   t->poll_seen = seen;
   t->poll_until_ms = now_ms () + wait_ms;
-  if (t->last_seq > seen || t->fault == FAULT_LEAVING)
+  /* Events that were acknowledged are gone, however old what the poller has seen. */
+  bool news = t->events->len > 0
+              && g_array_index (t->events, struct event, t->events->len - 1).seq > seen;
+  if (news || t->fault == FAULT_LEAVING)
     answer_poll (t);
 }
 
