Route by what an entry has sent since a domain's last status

Cause: statuses are up to a second old, so entries filled one domain while another had room: at 80 % load requests waited behind each other. Change: an entry corrects a domain's free slots by its own requests since the status, times the live hosts, as the balancer spreads callers evenly.

--- a/lib/domain/domain.c
+++ b/lib/domain/domain.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 const struct fl_domain_limits fl_domain_limits_default = {
-  .task_lease_ms = 45000,
+  .task_lease_ms = 60000,
   .delivery_ms = 500,
   .drift_ppm = 1000,
   .quarantine_failures = 3,
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -60,6 +60,7 @@
                                      .role = FL_PROCESS_ENTRY,
                                      .program = "flamingo-entryd",
                                      .on_message = fl_entry_on_message,
+                                     .on_member = fl_entry_on_member,
                                      .on_config = on_config,
                                      .on_http = fl_entry_on_http,
                                      .on_metrics = on_metrics,
@@ -67,6 +68,7 @@
                                      .context = entry };
 
   entry->pending = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, fl_pending_free);
+  entry->sent = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   entry->recorded = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   entry->waits = g_ptr_array_new ();
   entry->node = fl_node_new (&options, error);
@@ -111,6 +113,7 @@
   fl_node_free (entry->node);
   fl_host_reader_free (entry->hosts);
   g_hash_table_destroy (entry->pending);
+  g_hash_table_destroy (entry->sent);
   g_hash_table_destroy (entry->recorded);
   g_ptr_array_set_free_func (entry->waits, g_free);
   g_ptr_array_free (entry->waits, TRUE);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -25,6 +25,7 @@
   struct fl_name tried[FL_TRIES_MAX];
   int tries;
   int64_t sent_ms;
+  bool counted; /* in the entry's count for `domain` */
   bool sent;    /* the last attempt may have reached an owner */
   bool exposed; /* an earlier attempt may still come to run */
   bool is_call;
@@ -38,11 +39,20 @@
   void (*on_gathered) (struct fl_entry *entry, struct fl_pending *pending);
 };
 
+/* Requests of this entry that a domain has, to correct the figures of its last status. */
+struct fl_sent_count
+{
+  struct fl_name domain;
+  int64_t now;
+  int64_t at_status;
+};
+
 struct fl_entry
 {
   struct fl_node *node;
   struct fl_host_reader *hosts;
   GHashTable *pending; /* int64_t id -> struct fl_pending * */
+  GHashTable *sent;    /* struct fl_name domain -> struct fl_sent_count * */
   int64_t last_id;
   GHashTable *recorded; /* int64_t ticket number -> int64_t ms when it was known to be recorded */
   GPtrArray *waits;     /* struct ticket_wait *, see tickets.c */
@@ -76,6 +86,10 @@
 void fl_entry_tick_pending (struct fl_entry *entry, int64_t now_ms);
 void fl_pending_free (void *pending);
 
+/* Takes note that a fresh status of @member has come. */
+void
+fl_entry_on_member (void *entry, const struct fl_member *member, const struct fl_status *status);
+
 /* Asks every live scheduler; the answers, JSON arrays, are joined and handed to @on_gathered, which
  * answers the HTTP request. */
 void fl_entry_fan_out (struct fl_entry *entry,
--- a/lib/entry/work.c
+++ b/lib/entry/work.c
@@ -42,6 +42,67 @@
   return pending;
 }
 
+/* --- counts by domain --- */
+
+static struct fl_sent_count *
+count_of (struct fl_entry *entry, const struct fl_name *domain)
+{
+  struct fl_sent_count *count = g_hash_table_lookup (entry->sent, domain);
+
+  if (count != NULL)
+    return count;
+  count = g_new0 (struct fl_sent_count, 1);
+  count->domain = *domain;
+  g_hash_table_insert (entry->sent, &count->domain, count);
+  return count;
+}
+
+static void
+count_sent (struct fl_entry *entry, struct fl_pending *pending)
+{
+  pending->counted = true;
+  count_of (entry, &pending->domain)->now++;
+}
+
+/* The domain has answered, or is not waited for any more. */
+static void
+count_back (struct fl_entry *entry, struct fl_pending *pending)
+{
+  if (!pending->counted)
+    return;
+  pending->counted = false;
+  count_of (entry, &pending->domain)->now--;
+}
+
+void
+fl_entry_on_member (void *context, const struct fl_member *member, const struct fl_status *status)
+{
+  struct fl_entry *entry = context;
+  const struct fl_domain_status *domains = status->domains.items;
+
+  (void)member;
+  for (size_t i = 0; i < status->domains.count; i++)
+    {
+      struct fl_sent_count *count = count_of (entry, &domains[i].domain);
+      count->at_status = count->now;
+    }
+}
+
+/* How many more requests all entries together have probably sent to the domain since its status:
+ * the balancer spreads callers evenly, so the others did what this one did. */
+static int64_t
+sent_since_status (struct fl_entry *entry, const struct fl_name *domain)
+{
+  const struct fl_sent_count *count = count_of (entry, domain);
+  const struct fl_member *member;
+  size_t cursor = 0;
+  int64_t hosts = 0;
+
+  while ((member = fl_node_next_member (entry->node, &cursor)) != NULL)
+    hosts += member->role == FL_PROCESS_SCHED && fl_node_is_live (entry->node, member);
+  return (count->now - count->at_status) * MAX (hosts, 1);
+}
+
 /* --- final answers --- */
 
 static int
@@ -83,6 +144,8 @@
         int64_t retry_after_ms)
 {
   struct fl_stats *stats = fl_node_stats (entry->node);
+
+  count_back (entry, pending);
   g_autofree char *name = g_strdup_printf ("outcomes{outcome=\"%s\"}", fl_outcome_names[outcome]);
   int64_t took_ms = fl_node_now (entry->node) - pending->arrived_ms;
   json_t *body = json_pack ("{s:s,s:s,s:I,s:i}", "outcome", fl_outcome_names[outcome], "reason",
@@ -119,7 +182,7 @@
 }
 
 static int64_t
-score (const struct fl_entry *entry,
+score (struct fl_entry *entry,
        const struct fl_pending *pending,
        const struct fl_member *member,
        const struct fl_domain_status *status)
@@ -127,6 +190,8 @@
   int64_t room = pending->is_call ? status->free_cpu_milli / 1000 : status->free_slots;
   bool near = fl_name_eq (&member->region, &fl_node_settings (entry->node)->region);
 
+  if (!pending->is_call)
+    room -= sent_since_status (entry, &status->domain);
   return room - status->waiting - (near ? 0 : REGION_PENALTY);
 }
 
@@ -140,7 +205,7 @@
 /* Picks the better of two domains drawn at random, so that entries that all know the same slightly
  * old figures do not all choose the same domain. */
 static bool
-choose (const struct fl_entry *entry, const struct fl_pending *pending, struct choice *best)
+choose (struct fl_entry *entry, const struct fl_pending *pending, struct choice *best)
 {
   g_autoptr (GArray) choices = g_array_new (FALSE, FALSE, sizeof (struct choice));
   const struct fl_member *member;
@@ -208,6 +273,7 @@
 {
   struct choice choice;
 
+  count_back (entry, pending);
   while (pending->tries < FL_TRIES_MAX && choose (entry, pending, &choice))
     {
       pending->domain = choice.status->domain;
@@ -216,8 +282,11 @@
       pending->attempt++;
       pending->sent_ms = fl_node_now (entry->node);
       pending->sent = pending->is_call ? send_call (entry, pending) : send_request (entry, pending);
-      if (pending->sent)
-        return true;
+      if (!pending->sent)
+        continue;
+      if (!pending->is_call)
+        count_sent (entry, pending);
+      return true;
     }
   return false;
 }
