--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -14,6 +14,8 @@
 import sys
 import threading
 import time
+import urllib.error
+import urllib.request
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
 from cell import BIN, Cell, Process, call, wait_for  # noqa: E402
@@ -145,6 +147,60 @@
 MAY_RUN_TASKS_AGAIN = {"rack_dies", "domain_silent", "bad_workers"}
 
 
+def slow_sender(cell):
+    """A caller that never ends its request is cut off; others are served meanwhile."""
+    import socket
+    with socket.create_connection(("127.0.0.1", cell.hosts[0].http)) as slow:
+        slow.sendall(b"POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{")
+        slow.settimeout(15)
+        began = time.monotonic()
+        try:
+            while slow.recv(1000):
+                pass
+        except ConnectionError:
+            pass
+        return time.monotonic() - began < 14
+
+
+def bad_input(cell):
+    """Bad input of many kinds: each gets a clear 4xx and changes nothing."""
+    key = cell.give_key("agenda")
+    cases = [
+        ("POST", "/v1/requests", b"{", 400), ("POST", "/v1/requests", b"", 400),
+        ("POST", "/v1/requests", b"[" * 5000, 400), ("POST", "/v1/requests", b"\xff\xfe", 400),
+        ("POST", "/v1/requests", b'{"id":"a","queue":"checks","timeout_ms":1e99}', 400),
+        ("POST", "/v1/requests", b'{"id":"a","queue":"checks","timeout_ms":99999999999999999999}', 400),
+        ("POST", "/v1/requests", b'{"id":"a","queue":"nowhere"}', 404),
+        ("POST", "/v1/requests", b'{"id":"a","queue":"checks","x":1}', 400),
+        ("POST", "/v1/requests", b'{"id":"' + b"a" * 99 + b'","queue":"checks"}', 400),
+        ("POST", "/v1/requests", b'{"payload":"' + b"a" * 2000000 + b'"}', 413),
+        ("POST", "/v1/jobs", b'{"id":"j","queue":"rebuild","tasks":0}', 400),
+        ("POST", "/v1/jobs", b'{"id":"j","queue":"rebuild","demand":{"cpu_milli":900000}}', 422),
+        ("POST", "/v1/jobs", b'{"id":"j","queue":"rebuild","demand":{"slots":1}}', 422),
+        ("POST", "/v1/tickets", b'{"number":99}', 403), ("GET", "/v1/nothing", None, 404),
+        ("GET", "/v1/jobs/none", None, 404), ("PUT", "/v1/jobs", b"{}", 404),
+    ]
+    bad = []
+    for method, path, body, expected in cases:
+        request = urllib.request.Request(cell.hosts[0].url + path, data=body, method=method)
+        request.add_header("Authorization", "Bearer " + key)
+        try:
+            status = urllib.request.urlopen(request, timeout=10).status
+        except urllib.error.HTTPError as error:
+            status = error.code
+        except OSError as error:
+            status = str(error)
+        if status != expected:
+            bad.append("%s %s %r: %s instead of %d" % (method, path, (body or b"")[:40], status,
+                                                       expected))
+    head = cell.operate("GET", "/v1/status")[1]["config_head"]
+    if head != 2:
+        bad.append("the configuration moved to %d" % head)
+    if not slow_sender(cell):
+        bad.append("a slow sender was not cut off")
+    return bad
+
+
 def run_bench(cell, plan):
     path = os.path.join(cell.dir, "plan.json")
     with open(path, "w") as file:
@@ -192,10 +248,26 @@
     return bad
 
 
+def run_bad_input():
+    cell = Cell(DOMAINS, hosts=1)
+    try:
+        cell.wait_ready()
+        status, answer = cell.operate("POST", "/v1/tickets?wait_ms=6000", TICKET)
+        assert status == 200, answer
+        return bad_input(cell)
+    finally:
+        cell.stop()
+
+
 def main():
-    names = sys.argv[1:] or list(SCENARIOS)
+    names = sys.argv[1:] or list(SCENARIOS) + ["bad_input"]
     passed = failed = 0
     for name in names:
+        if name == "bad_input":
+            bad = run_bad_input()
+            passed, failed = (passed + 1, failed) if not bad else (passed, failed + 1)
+            print("bad_input: %s" % ("held" if not bad else "; ".join(bad)), flush=True)
+            continue
         results, summary = run_scenario(name)
         bad = judge(name, results, summary)
         passed, failed = (passed + 1, failed) if not bad else (passed, failed + 1)
--- a/tests/test_domain.c
+++ b/tests/test_domain.c
@@ -457,6 +457,35 @@
   assert_int_equal (count (f, 'c'), 1);
 }
 
+static void
+start_on_its_way_is_not_lost (struct fixture *f)
+{
+  submit (f, "a", "batch", "j", 1, 1000);
+  struct command first = g_array_index (f->commands, struct command, 0);
+  /* The target stops answering and its lease lapses while the start has not been answered. */
+  fl_domain_on_silent (f->domain, first.target, true, f->now);
+  advance (f, 3 * LEASE_MS);
+  assert_int_equal (count (f, 's'), 1);
+  fl_domain_on_started (f->domain, &first.id, FL_CALL_NOT_SENT, f->now);
+  advance (f, 100);
+  assert_int_equal (count (f, 's'), 2);
+}
+
+static void
+unread_targets_count_against_the_limit (struct fixture *f)
+{
+  struct fl_name name = fl_name_of ("t9");
+  struct fl_name team = fl_name_of ("a");
+  struct fl_name none = { 0 };
+  struct fl_resources capacity = { { 4000, 4000, 0, 2 } };
+
+  /* A fifth target whose inventory is not read yet may hold two requests of an earlier owner. */
+  fl_domain_list_target (f->domain, &name, &none, &none, "http://t", &capacity, false, f->now);
+  fl_domain_set_allotment (f->domain, &team, 3, f->now);
+  submit (f, "a", "batch", "j", 4, 1000);
+  assert_int_equal (count (f, 's'), 1);
+}
+
 static const struct
 {
   const char *name;
@@ -474,6 +503,8 @@
   { "what may have run is never called not_run", unknown_is_never_called_not_run },
   { "nothing is sent without authority", nothing_without_authority },
   { "a task beyond its size is moved", task_beyond_its_size_is_moved },
+  { "a start on its way is not lost", start_on_its_way_is_not_lost },
+  { "targets that were not read count against the limit", unread_targets_count_against_the_limit },
 };
 
 static void
