Leave domains without targets, notice dead ones sooner

Change: what waits in a domain of which no target takes work goes on to another domain at once, repeatable requests also when an attempt may have run; a target is asked after 400 ms and counts as silent after 600 ms more; the owner row's JSON stands once (lib/lease/owner_row), not in the scheduler and the fuzzer. Still missed: 1.5 s when the second target is silent too.

--- a/lib/domain/domain.h
+++ b/lib/domain/domain.h
@@ -36,7 +36,7 @@
   struct fl_str result;   /* what the target answered; borrowed */
   struct fl_name target;  /* where it ran, if anywhere */
   int64_t retry_after_ms; /* when a NOT_RUN may be tried again; 0: not by waiting */
-  bool elsewhere;         /* NOT_RUN here, but another domain may still take it */
+  bool elsewhere;         /* NOT_RUN, or UNKNOWN but repeatable: another domain may take it */
 };
 
 /* How a command to a target ended. */
--- a/lib/domain/request.c
+++ b/lib/domain/request.c
@@ -7,7 +7,7 @@
 /* Callers that may come back are told to do so after this. */
 #define RETRY_AFTER_MS 200
 /* A target that has not been heard for this, and holds a request for longer, is asked. */
-#define SLOW_RUN_MS 500
+#define SLOW_RUN_MS 400
 
 static const struct fl_resources one_slot = { { 0, 0, 0, 1 } };
 
@@ -103,6 +103,9 @@
                    int64_t now_ms)
 {
   (void)now_ms;
+  /* Where an attempt may have run, the last refusal makes no "not run"; but repeatable work may go
+   * on to another domain. */
+  bool elsewhere = outcome == FL_OUTCOME_NOT_RUN && (!request->exposed || request->repeatable);
   if (outcome == FL_OUTCOME_NOT_RUN && request->exposed)
     outcome = FL_OUTCOME_UNKNOWN;
 
@@ -111,11 +114,9 @@
     reply.result = *result;
   if (request->target != NULL)
     reply.target = request->target->name;
+  reply.elsewhere = elsewhere;
   if (outcome == FL_OUTCOME_NOT_RUN)
-    {
-      reply.retry_after_ms = RETRY_AFTER_MS;
-      reply.elsewhere = true;
-    }
+    reply.retry_after_ms = RETRY_AFTER_MS;
   if (request->intent > 0)
     {
       /* Keeps the outcome for callers that ask again under the same id. Bound to the version of
@@ -419,11 +420,24 @@
 
 /* --- time --- */
 
+/* Whether no target of the domain takes work, and none is about to be heard for the first time:
+ * what waits here is better off in another domain. */
+static bool
+has_no_targets (const struct fl_domain *domain)
+{
+  struct fl_resources capacity;
+  struct fl_resources used;
+
+  fl_pool_totals (domain->pool, &capacity, &used);
+  return capacity.amount[FL_SLOTS] == 0 && domain->unknown_slots == 0;
+}
+
 /* Finishes what has not been sent by its deadline, and all of it while this process may not act. */
 void
 fl_domain_expire_requests (struct fl_domain *domain, int64_t now_ms)
 {
   bool may_act = domain->options.ops.may_act (domain->options.ops.context);
+  bool no_targets = has_no_targets (domain);
   g_autoptr (GPtrArray) expired = g_ptr_array_new ();
   GHashTableIter iter;
   struct fl_request *request;
@@ -432,14 +446,14 @@
   while (g_hash_table_iter_next (&iter, NULL, (void **)&request))
     if (request->state != FL_REQUEST_RUNNING
         && (now_ms >= request->deadline_ms || !may_act
-            || (domain->draining && request->state == FL_REQUEST_WAITING)))
+            || ((domain->draining || no_targets) && request->state == FL_REQUEST_WAITING)))
       g_ptr_array_add (expired, request);
   for (guint i = 0; i < expired->len; i++)
     {
       request = expired->pdata[i];
       const char *reason = "no_capacity";
       if (now_ms < request->deadline_ms)
-        reason = domain->draining ? "draining" : "not_owner";
+        reason = domain->draining ? "draining" : may_act ? "no_targets" : "not_owner";
       else if (request->state == FL_REQUEST_COMMITTING)
         reason = "store_slow";
       fl_request_finish (domain, request, FL_OUTCOME_NOT_RUN, reason, NULL, now_ms);
--- a/lib/entry/work.c
+++ b/lib/entry/work.c
@@ -505,8 +505,8 @@
   if (outcome < 0 || outcome >= FL_OUTCOMES)
     outcome = FL_OUTCOME_UNKNOWN;
   pending->sent = false;
-  if (outcome == FL_OUTCOME_NOT_RUN && elsewhere && now_ms < pending->deadline_ms - ANSWER_GRACE_MS
-      && try_next (entry, pending))
+  pending->exposed = pending->exposed || outcome == FL_OUTCOME_UNKNOWN;
+  if (elsewhere && now_ms < pending->deadline_ms - ANSWER_GRACE_MS && try_next (entry, pending))
     return;
   conclude (entry, pending, (enum fl_outcome)outcome, reason, result, target, retry_after_ms);
 }
--- a/lib/sched/owner.c
+++ b/lib/sched/owner.c
@@ -1,6 +1,8 @@
 /* Driving the ownership leases: table rows, votes, taking and losing domains. */
 #include "sched/sched_internal.h"
 
+#include "lease/owner_row.h"
+
 #include <string.h>
 
 #include <xxhash.h>
@@ -18,37 +20,6 @@
 
 /* --- rows --- */
 
-static json_t *
-row_value (const struct fl_owner_row *row)
-{
-  json_t *voters = json_array ();
-
-  for (int i = 0; i < row->voters.count; i++)
-    json_array_append_new (voters, json_string (row->voters.names[i].data));
-  return json_pack ("{s:s,s:I,s:o}", "owner", row->owner.data, "epoch", (json_int_t)row->epoch,
-                    "voters", voters);
-}
-
-static void
-read_row (const struct fl_row *from, struct fl_owner_row *row)
-{
-  const json_t *voters = json_object_get (from->value, "voters");
-  const char *owner = json_string_value (json_object_get (from->value, "owner"));
-  size_t i;
-  json_t *voter;
-
-  memset (row, 0, sizeof *row);
-  row->exists = true;
-  row->version = from->version;
-  row->epoch = json_integer_value (json_object_get (from->value, "epoch"));
-  row->owner = fl_name_of (owner != NULL ? owner : "");
-  json_array_foreach (voters, i, voter)
-  {
-    if (json_is_string (voter) && row->voters.count < FL_VOTERS_MAX)
-      row->voters.names[row->voters.count++] = fl_name_of (json_string_value (voter));
-  }
-}
-
 struct fl_owned *
 fl_sched_find (const struct fl_sched *sched, const struct fl_name *domain)
 {
@@ -165,7 +136,7 @@
       if (!owned->lease.call_open || !owned->lease.reading)
         continue;
       if (row != NULL)
-        read_row (row, &owner_row);
+        fl_owner_row_from_json (row->value, row->version, &owner_row);
       fl_lease_on_row (&owned->lease, result->code == FL_TABLE_OK, &owner_row, now_ms);
       follow_lease (owned);
     }
@@ -225,7 +196,7 @@
   struct write_call *call = g_new0 (struct write_call, 1);
   g_autofree char *owner_key = g_strdup_printf ("owner/%s", owned->name.data);
   g_autofree char *epoch_key = g_strdup_printf ("epoch/%s", owned->name.data);
-  json_t *owner = row_value (&plan->row);
+  json_t *owner = fl_owner_row_to_json (&plan->row);
   json_t *epoch = json_pack ("{s:I}", "epoch", (json_int_t)plan->row.epoch);
   struct fl_txn_op ops[2] = {
     { FL_TXN_PUT, { strlen (owner_key), owner_key }, plan->insert ? 0 : plan->version, owner },
--- a/lib/sched/targets.c
+++ b/lib/sched/targets.c
@@ -12,7 +12,7 @@
 /* An answer to a poll may be this late before the target counts as silent. */
 #define POLL_GRACE_MS 2000
 /* A target that runs answers an inventory asked out of turn within this. */
-#define INSPECT_TIMEOUT_MS 1000
+#define INSPECT_TIMEOUT_MS 600
 /* Between two polls of a target that does not answer. */
 #define SILENT_RETRY_MS 1000
 /* Spreads first polls, so that a new owner does not open all connections in one instant. */
--- a/tests/support_fuzz_cell.c
+++ b/tests/support_fuzz_cell.c
@@ -19,6 +19,7 @@
 #include "domain/domain.h"
 #include "fuzz_cell.h"
 #include "lease/lease.h"
+#include "lease/owner_row.h"
 #include "platform/journal.h"
 #include "team/allot.h"
 
@@ -1320,43 +1321,15 @@
 
 /* --- schedulers: lease rows and votes --- */
 
-static json_t *
-owner_value (const struct fl_owner_row *row)
-{
-  json_t *voters = json_array ();
-
-  for (int i = 0; i < row->voters.count; i++)
-    json_array_append_new (voters, json_string (row->voters.names[i].data));
-  return json_pack ("{s:s,s:I,s:o}", "owner", row->owner.data, "epoch", (json_int_t)row->epoch,
-                    "voters", voters);
-}
-
-static void
-read_owner (const struct fl_table_result *result, struct fl_owner_row *row)
-{
-  size_t i;
-  json_t *voter;
-
-  memset (row, 0, sizeof *row);
-  if (result->row_count == 0)
-    return;
-  const json_t *value = result->rows[0].value;
-  row->exists = true;
-  row->version = result->rows[0].version;
-  row->epoch = json_integer_value (json_object_get (value, "epoch"));
-  row->owner = fl_name_of (json_string_value (json_object_get (value, "owner")));
-  json_array_foreach (json_object_get (value, "voters"), i, voter)
-      row->voters.names[row->voters.count++]
-      = fl_name_of (json_string_value (voter));
-}
-
 static void
 on_owner_row (void *context, const struct fl_table_result *result)
 {
   struct seat *seat = context;
   struct fl_owner_row row;
 
-  read_owner (result, &row);
+  memset (&row, 0, sizeof row);
+  if (result->row_count > 0)
+    fl_owner_row_from_json (result->rows[0].value, result->rows[0].version, &row);
   fl_lease_on_row (&seat->lease, result->code == FL_TABLE_OK, &row, local_now (seat->proc));
   follow_lease (seat);
 }
@@ -1389,7 +1362,7 @@
   struct owner_write *write = g_new0 (struct owner_write, 1);
   g_autofree char *owner_key = g_strdup_printf ("owner/%s", domain);
   g_autofree char *epoch_key = g_strdup_printf ("epoch/%s", domain);
-  json_t *owner = owner_value (&plan->row);
+  json_t *owner = fl_owner_row_to_json (&plan->row);
   json_t *epoch = json_pack ("{s:I}", "epoch", (json_int_t)plan->row.epoch);
   struct fl_txn_op ops[2] = {
     { FL_TXN_PUT, { strlen (owner_key), owner_key }, plan->insert ? 0 : plan->version, owner },
