--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PKGS = libzmq libmicrohttpd libcurl jansson argtable2 libsodium libxxhash glib-2.0
 APT = libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev libargtable2-dev \
       libcmocka-dev libsodium-dev libxxhash-dev libglib2.0-dev libmsgpack-dev pkg-config \
-      clang clang-format clang-tidy gnuplot-nox python3-minimal
+      clang clang-format clang-tidy libclang-rt-14-dev gnuplot-nox python3-minimal
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith \
        -Wwrite-strings -Wvla -Wundef -Wformat=2
 HARDEN = -fstack-protector-strong -D_FORTIFY_SOURCE=2 -fPIE -fno-strict-aliasing
@@ -100,3 +100,13 @@
 check-asan: install-packages
 	@ASAN_OPTIONS=detect_leaks=0 $(MAKE) --no-print-directory -j$$(nproc) BUILD=build-asan OPT=-O1 \
 	  SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" test
+
+.PHONY: fuzz-decoders
+# Coverage-guided fuzzing of every decoder for RUNS inputs.
+fuzz-decoders: install-packages
+	@mkdir -p $(BUILD)/corpus
+	@clang $(CPPFLAGS) -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
+	  $(shell pkg-config --cflags $(PKGS) 2>/dev/null) tests/libfuzzer-decoders.c \
+	  lib/common/*.c lib/message/*.c lib/ticket/*.c lib/node/settings.c lib/lease/lease.c \
+	  $(LDLIBS) -o $(BUILD)/fuzz-decoders
+	@$(BUILD)/fuzz-decoders -seed=1 -runs=$(or $(RUNS),200000) -max_len=2048 $(BUILD)/corpus
