--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,8 @@
 HELPERS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support_*.c))
 SOURCES = $(sort $(wildcard lib/*/*.[ch] programs/*.[ch] tests/*.[ch]))
 
+# Objects of the tests are kept between runs.
+.SECONDARY:
 .PHONY: all install-packages demo check check-fast check-asan lint format test clean
 all: $(PROGRAMS) $(STANDINS)
 
