Read once more: one piece of code where two stood, less work on ticks, dead code out

- The k-th largest of a list stood in the lease and in the contact rules: now common/order.
The resources of one slot stood three times: now in ticket/objects.
- Every scheduler tick (20 a second) hashed and sorted the whole list of hosts to find its domains; that now happens when the list changes.
- Every domain tick copied the running requests into an array to look at them; it looks at them in place.
An inventory formatted the name of every open request for each line; it now looks the request up by the number in its id.
The processor time saved was not measured.

--- a/lib/common/stats.c
+++ b/lib/common/stats.c
@@ -64,16 +64,6 @@
   return histogram->max;
 }
 
-void
-fl_histogram_merge (struct fl_histogram *into, const struct fl_histogram *from)
-{
-  into->count += from->count;
-  into->sum += from->sum;
-  into->max = MAX (into->max, from->max);
-  for (int i = 0; i < FL_HISTOGRAM_BUCKETS; i++)
-    into->buckets[i] += from->buckets[i];
-}
-
 /* --- counters --- */
 
 struct fl_stats *
--- a/lib/common/stats.h
+++ b/lib/common/stats.h
@@ -27,9 +27,6 @@
 /* @q in 0..1. @return the value at that quantile, 0 when nothing was recorded. */
 int64_t fl_histogram_quantile (const struct fl_histogram *histogram, double q);
 
-/* Adds all that @from counted to @into. */
-void fl_histogram_merge (struct fl_histogram *into, const struct fl_histogram *from);
-
 /* Named counters and gauges of one process. */
 struct fl_stats;
 
--- a/lib/common/str.c
+++ b/lib/common/str.c
@@ -100,12 +100,6 @@
   str->len = 0;
 }
 
-bool
-fl_str_eq (const struct fl_str *a, const struct fl_str *b)
-{
-  return a->len == b->len && (a->len == 0 || memcmp (a->data, b->data, a->len) == 0);
-}
-
 const char *
 fl_str_text (const struct fl_str *str)
 {
--- a/lib/common/str.h
+++ b/lib/common/str.h
@@ -57,7 +57,5 @@
 /* Frees the bytes and leaves @str empty. */
 void fl_str_clear (struct fl_str *str);
 
-bool fl_str_eq (const struct fl_str *a, const struct fl_str *b);
-
 /* The bytes, or "" for an empty string; never NULL. */
 const char *fl_str_text (const struct fl_str *str);
--- a/lib/domain/domain_internal.h
+++ b/lib/domain/domain_internal.h
@@ -266,6 +266,9 @@
                               int64_t now_ms);
 void fl_request_free (void *request);
 void fl_domain_expire_requests (struct fl_domain *domain, int64_t now_ms);
+/* Whether @id, as a target lists it, is the current attempt of a request that runs here. */
+bool fl_domain_runs_request (const struct fl_domain *domain, const struct fl_name *id);
+
 /* The target does not answer: repeatable requests on it are tried elsewhere. */
 void
 fl_domain_leave_target (struct fl_domain *domain, const struct fl_target *target, int64_t now_ms);
--- a/lib/domain/recovery.c
+++ b/lib/domain/recovery.c
@@ -3,8 +3,6 @@
 
 #include <string.h>
 
-static const struct fl_resources one_slot = { { 0, 0, 0, 1 } };
-
 /* --- what an earlier owner may have left --- */
 
 /* Counts the slots of targets whose inventory has not been read: each may hold a request of any
@@ -135,7 +133,7 @@
   struct fl_ghost *ghost = domain->ghosts->pdata[i];
 
   ghost->account->unconfirmed--;
-  fl_pool_release (domain->pool, ghost->target, &one_slot);
+  fl_pool_release (domain->pool, ghost->target, &fl_one_slot);
   g_ptr_array_remove_index_fast (domain->ghosts, i);
 }
 
@@ -171,22 +169,6 @@
   return false;
 }
 
-static bool
-is_own_request (const struct fl_domain *domain, const struct fl_name *id)
-{
-  GHashTableIter iter;
-  struct fl_request *request;
-
-  g_hash_table_iter_init (&iter, domain->requests);
-  while (g_hash_table_iter_next (&iter, NULL, (void **)&request))
-    {
-      struct fl_name name = fl_request_name (request);
-      if (request->state == FL_REQUEST_RUNNING && fl_name_eq (&name, id))
-        return true;
-    }
-  return false;
-}
-
 static void
 note_foreign_request (struct fl_domain *domain, struct fl_target *target, const struct fl_name *id)
 {
@@ -194,9 +176,9 @@
   size_t len = slash != NULL ? (size_t)(slash - id->data) : id->len;
   struct fl_name team = fl_name_make (id->data, len);
 
-  if (is_ghost (domain, id) || is_own_request (domain, id))
+  if (is_ghost (domain, id) || fl_domain_runs_request (domain, id))
     return;
-  fl_pool_adopt (domain->pool, target, &one_slot);
+  fl_pool_adopt (domain->pool, target, &fl_one_slot);
   fl_domain_add_ghost (domain, target, fl_domain_account (domain, &team), id);
 }
 
--- a/lib/domain/request.c
+++ b/lib/domain/request.c
@@ -2,6 +2,7 @@
 #include "domain/domain_internal.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Callers that may come back are told to do so after this. */
@@ -9,8 +10,6 @@
 /* A target that has not been heard for this, and holds a request for longer, is asked. */
 #define SLOW_RUN_MS 400
 
-static const struct fl_resources one_slot = { { 0, 0, 0, 1 } };
-
 /* --- answers --- */
 
 static void
@@ -69,7 +68,7 @@
 
   if (request->target == NULL)
     return;
-  fl_pool_release (domain->pool, request->target, &one_slot);
+  fl_pool_release (domain->pool, request->target, &fl_one_slot);
   account->running--;
   account->cost -= request->cost;
   request->target = NULL;
@@ -240,12 +239,12 @@
   struct fl_account *account = request->work.account;
   struct fl_target *target = fl_pool_pick_slot (domain->pool, &request->label, request->avoid);
 
-  if (target == NULL || !fl_pool_reserve (domain->pool, target, &one_slot))
+  if (target == NULL || !fl_pool_reserve (domain->pool, target, &fl_one_slot))
     return false;
   fl_work_dequeue (&request->work);
   account->waiting_requests--;
   account->running++;
-  request->cost = fl_domain_cost (domain, &one_slot);
+  request->cost = fl_domain_cost (domain, &fl_one_slot);
   account->cost += request->cost;
   request->target = target;
   if (request->repeatable || request->intent > 0)
@@ -365,7 +364,7 @@
   /* The target may still run it: its slot stays counted until an inventory says otherwise. */
   struct fl_name run_id = fl_request_name (request);
   request->exposed = true;
-  fl_pool_adopt (domain->pool, target, &one_slot);
+  fl_pool_adopt (domain->pool, target, &fl_one_slot);
   fl_domain_add_ghost (domain, target, account, &run_id);
   domain->options.ops.inspect (domain->options.ops.context, target);
   if (again)
@@ -460,46 +459,37 @@
     }
 }
 
-/* The requests on @target (NULL: on any) that run and are repeatable, or all that run. */
-static GPtrArray *
-running_on (const struct fl_domain *domain, const struct fl_target *target, bool repeatable_only)
+void
+fl_domain_leave_target (struct fl_domain *domain, const struct fl_target *target, int64_t now_ms)
 {
-  GPtrArray *found = g_ptr_array_new ();
+  g_autoptr (GPtrArray) left = g_ptr_array_new ();
   GHashTableIter iter;
   struct fl_request *request;
 
   g_hash_table_iter_init (&iter, domain->requests);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&request))
-    if (request->state == FL_REQUEST_RUNNING && (target == NULL || request->target == target)
-        && (request->repeatable || !repeatable_only))
-      g_ptr_array_add (found, request);
-  return found;
-}
-
-void
-fl_domain_leave_target (struct fl_domain *domain, const struct fl_target *target, int64_t now_ms)
-{
-  g_autoptr (GPtrArray) requests = running_on (domain, target, true);
-
-  for (guint i = 0; i < requests->len; i++)
-    on_unknown (domain, requests->pdata[i], now_ms);
+    if (request->state == FL_REQUEST_RUNNING && request->target == target && request->repeatable)
+      g_ptr_array_add (left, request);
+  for (guint i = 0; i < left->len; i++)
+    on_unknown (domain, left->pdata[i], now_ms);
 }
 
 void
 fl_domain_watch_runs (struct fl_domain *domain, int64_t now_ms)
 {
-  g_autoptr (GPtrArray) requests = running_on (domain, NULL, false);
+  GHashTableIter iter;
+  struct fl_request *request;
 
-  for (guint i = 0; i < requests->len; i++)
+  g_hash_table_iter_init (&iter, domain->requests);
+  while (g_hash_table_iter_next (&iter, NULL, (void **)&request))
     {
-      const struct fl_request *request = requests->pdata[i];
       struct fl_target *target = request->target;
-      if (target->state == FL_TARGET_READY && now_ms - request->sent_ms > SLOW_RUN_MS
-          && now_ms - MAX (target->heard_ms, target->inspected_ms) > SLOW_RUN_MS)
-        {
-          target->inspected_ms = now_ms;
-          domain->options.ops.inspect (domain->options.ops.context, target);
-        }
+      if (request->state != FL_REQUEST_RUNNING || target->state != FL_TARGET_READY
+          || now_ms - request->sent_ms <= SLOW_RUN_MS
+          || now_ms - MAX (target->heard_ms, target->inspected_ms) <= SLOW_RUN_MS)
+        continue;
+      target->inspected_ms = now_ms;
+      domain->options.ops.inspect (domain->options.ops.context, target);
     }
 }
 
@@ -539,6 +529,19 @@
                          request->name.data, request->id, request->attempt);
 }
 
+bool
+fl_domain_runs_request (const struct fl_domain *domain, const struct fl_name *id)
+{
+  const char *last = strrchr (id->data, '/');
+  uint64_t number = last != NULL ? strtoull (last + 1, NULL, 16) : 0;
+  const struct fl_request *request = g_hash_table_lookup (domain->requests, &number);
+
+  if (request == NULL || request->state != FL_REQUEST_RUNNING)
+    return false;
+  struct fl_name name = fl_request_name (request);
+  return fl_name_eq (&name, id);
+}
+
 const struct fl_str *
 fl_request_payload (const struct fl_request *request)
 {
--- a/lib/lease/lease.c
+++ b/lib/lease/lease.c
@@ -3,6 +3,8 @@
 #include <assert.h>
 #include <string.h>
 
+#include "common/order.h"
+
 const struct fl_lease_rules fl_lease_rules_default = {
   .lease_ms = 3000,
   .promise_ms = 3000,
@@ -120,17 +122,9 @@
   for (int i = 0; i < lease->vote_count; i++)
     if (find_voter (voters, &lease->votes[i].voter) >= 0)
       until[count++] = lease->votes[i].until_ms;
-  if (voters->count == 0 || count < need)
+  if (voters->count == 0)
     return 0;
-  /* The need-th largest: sort descending by insertion, the lists are short. */
-  for (int i = 1; i < count; i++)
-    for (int j = i; j > 0 && until[j] > until[j - 1]; j--)
-      {
-        int64_t swap = until[j];
-        until[j] = until[j - 1];
-        until[j - 1] = swap;
-      }
-  return until[need - 1];
+  return fl_kth_largest (until, (size_t)count, (size_t)need);
 }
 
 /* Authority from promises. While a renewal with other voters is unsettled, a taker may count by
--- a/lib/message/message.c
+++ b/lib/message/message.c
@@ -132,35 +132,17 @@
 
 static const struct
 {
-  const char *name;
   const struct fl_schema *schema;
   bool control;
 } types[FL_MSG_TYPES] = {
-  [FL_MSG_HELLO] = { "hello", &hello_schema, true },
-  [FL_MSG_STATUS] = { "status", &status_schema, true },
-  [FL_MSG_TICKETS] = { "tickets", &tickets_schema, true },
-  [FL_MSG_VOTE_ASK] = { "vote_ask", &vote_schema, true },
-  [FL_MSG_VOTE] = { "vote", &vote_schema, true },
-  [FL_MSG_REQUEST] = { "request", &request_schema, false },
-  [FL_MSG_ANSWER] = { "answer", &answer_schema, false },
-  [FL_MSG_CALL] = { "call", &call_schema, false },
-  [FL_MSG_RESULT] = { "result", &result_schema, false },
-  [FL_MSG_PING] = { "ping", &ping_schema, true },
-  [FL_MSG_PONG] = { "pong", &ping_schema, true },
+  [FL_MSG_HELLO] = { &hello_schema, true },     [FL_MSG_STATUS] = { &status_schema, true },
+  [FL_MSG_TICKETS] = { &tickets_schema, true }, [FL_MSG_VOTE_ASK] = { &vote_schema, true },
+  [FL_MSG_VOTE] = { &vote_schema, true },       [FL_MSG_REQUEST] = { &request_schema, false },
+  [FL_MSG_ANSWER] = { &answer_schema, false },  [FL_MSG_CALL] = { &call_schema, false },
+  [FL_MSG_RESULT] = { &result_schema, false },  [FL_MSG_PING] = { &ping_schema, true },
+  [FL_MSG_PONG] = { &ping_schema, true },
 };
 
-const struct fl_schema *
-fl_message_schema (enum fl_message_type type)
-{
-  return types[type].schema;
-}
-
-const char *
-fl_message_name (enum fl_message_type type)
-{
-  return types[type].name;
-}
-
 bool
 fl_message_is_control (enum fl_message_type type)
 {
--- a/lib/message/message.h
+++ b/lib/message/message.h
@@ -172,12 +172,6 @@
   struct fl_str body; /* JSON */
 };
 
-/* The schema of each type; the struct is as commented in the enum. */
-const struct fl_schema *fl_message_schema (enum fl_message_type type);
-
-/* The lower-case name of a type. */
-const char *fl_message_name (enum fl_message_type type);
-
 /* Whether a message counts as control rather than carried work. */
 bool fl_message_is_control (enum fl_message_type type);
 
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -325,9 +325,3 @@
   *sent = client->sent;
   *received = client->received;
 }
-
-int
-fl_http_client_open_calls (const struct fl_http_client *client)
-{
-  return (int)g_hash_table_size (client->calls);
-}
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -48,5 +48,3 @@
 
 /* Bytes sent and received by all calls so far, headers included. */
 void fl_http_client_bytes (const struct fl_http_client *client, int64_t *sent, int64_t *received);
-
-int fl_http_client_open_calls (const struct fl_http_client *client);
--- a/lib/node/follow.c
+++ b/lib/node/follow.c
@@ -4,6 +4,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "common/order.h"
+
 #define HEAD_INTERVAL_MS 1000
 #define PAGE 500
 
@@ -39,15 +41,8 @@
   guint need = schedulers / 2 + 1;
   if (schedulers < 2 || contacts->len < need)
     return;
-  int64_t *times = (int64_t *)(void *)contacts->data;
-  for (guint i = 1; i < contacts->len; i++)
-    for (guint j = i; j > 0 && times[j] > times[j - 1]; j--)
-      {
-        int64_t swap = times[j];
-        times[j] = times[j - 1];
-        times[j - 1] = swap;
-      }
-  node->contact_ms = MAX (node->contact_ms, times[need - 1]);
+  int64_t contact_ms = fl_kth_largest ((int64_t *)(void *)contacts->data, contacts->len, need);
+  node->contact_ms = MAX (node->contact_ms, contact_ms);
 }
 
 bool
--- a/lib/sched/owner.c
+++ b/lib/sched/owner.c
@@ -427,8 +427,8 @@
 
 /* --- ticks --- */
 
-static void
-add_listed_domains (struct fl_sched *sched)
+void
+fl_sched_add_listed_domains (struct fl_sched *sched)
 {
   g_autoptr (GArray) domains = fl_host_list_domains (fl_host_reader_list (sched->hosts));
 
@@ -469,7 +469,6 @@
   bool take = may_take (sched, now_ms);
   int64_t owned_delay_ms = count_owned (sched) * TAKE_OWNED_MS;
 
-  add_listed_domains (sched);
   live_schedulers (sched, &live);
   g_hash_table_iter_init (&iter, sched->owned);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -47,6 +47,7 @@
   struct fl_owned *owned;
 
   (void)list;
+  fl_sched_add_listed_domains (sched);
   g_hash_table_iter_init (&iter, sched->owned);
   while (g_hash_table_iter_next (&iter, NULL, (void **)&owned))
     if (owned->domain != NULL && owned->loaded)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -81,6 +81,8 @@
 
 /* --- owner.c --- */
 
+/* Competes from now on for every domain in the platform's list. */
+void fl_sched_add_listed_domains (struct fl_sched *sched);
 void fl_sched_tick_owners (struct fl_sched *sched, int64_t now_ms);
 void fl_sched_on_vote_ask (struct fl_sched *sched,
                            const struct fl_route *from,
--- a/lib/target/pool.c
+++ b/lib/target/pool.c
@@ -264,15 +264,6 @@
   return target;
 }
 
-void
-fl_pool_remove (struct fl_pool *pool, struct fl_target *target)
-{
-  fl_pool_set_state (pool, target, FL_TARGET_UNKNOWN);
-  g_hash_table_remove (pool->by_name, &target->name);
-  g_ptr_array_remove_fast (pool->targets, target);
-  target_free (target);
-}
-
 struct fl_target *
 fl_pool_find (const struct fl_pool *pool, const struct fl_name *name)
 {
--- a/lib/target/pool.h
+++ b/lib/target/pool.h
@@ -46,8 +46,7 @@
   int64_t heard_ms;       /* when a call to it was last answered */
   int64_t lease_until_ms; /* by then its tasks have lapsed unless their leases are renewed */
   int64_t quarantined_until_ms;
-  int failures; /* starts that failed since one succeeded */
-  int64_t connections_max;
+  int failures;            /* starts that failed since one succeeded */
   struct fl_name instance; /* as its last report gave it */
   int64_t seen;            /* sequence number of the last event taken in */
   int64_t acked;           /* sequence number up to which events may be forgotten */
@@ -76,9 +75,6 @@
                                const struct fl_name *label,
                                const struct fl_resources *capacity);
 
-/* Frees a target. Nothing may be reserved on it. */
-void fl_pool_remove (struct fl_pool *pool, struct fl_target *target);
-
 struct fl_target *fl_pool_find (const struct fl_pool *pool, const struct fl_name *name);
 size_t fl_pool_size (const struct fl_pool *pool);
 
--- a/lib/ticket/objects.c
+++ b/lib/ticket/objects.c
@@ -122,6 +122,8 @@
 };
 FL_SCHEMA (fl_request_spec_schema, fl_request_spec, request_spec_fields);
 
+const struct fl_resources fl_one_slot = { { [FL_SLOTS] = 1 } };
+
 bool
 fl_resources_fit (const struct fl_resources *need, const struct fl_resources *free)
 {
--- a/lib/ticket/objects.h
+++ b/lib/ticket/objects.h
@@ -118,6 +118,9 @@
 extern const char *const fl_work_kind_names[];
 extern const char *const fl_role_names[];
 
+/* What a request takes of its target. */
+extern const struct fl_resources fl_one_slot;
+
 /* Whether @need fits into @free in every resource. */
 bool fl_resources_fit (const struct fl_resources *need, const struct fl_resources *free);
 
--- a/lib/ticket/ticket.h
+++ b/lib/ticket/ticket.h
@@ -26,14 +26,6 @@
   struct fl_name name;
 };
 
-/* A team's allotment in one domain, worked out when the ticket is recorded. */
-struct fl_allotment
-{
-  struct fl_name team;
-  struct fl_name domain;
-  int64_t amount;
-};
-
 struct fl_ticket
 {
   int64_t number;
--- a/tests/support_fuzz_cell.c
+++ b/tests/support_fuzz_cell.c
@@ -972,7 +972,6 @@
 static void
 run_arrive (struct world *w, void *data)
 {
-  static const struct fl_resources one_slot = { { 0, 0, 0, 1 } };
   struct run_call *call = data;
   struct target *t = call->target;
 
@@ -986,7 +985,7 @@
       deliver_run (w, call, FL_CALL_REFUSED);
       return;
     }
-  target_start (t, &call->id, true, &one_slot)->call = call;
+  target_start (t, &call->id, true, &fl_one_slot)->call = call;
   end_later (t, &call->id, call->duration);
 }
 
--- a/tests/test_domain.c
+++ b/tests/test_domain.c
@@ -34,7 +34,6 @@
   int64_t answers[FL_OUTCOMES];
   char reason[64];
   bool may_act;
-  bool confirms_commits;
   int64_t now;
 };
 
