--- a/Makefile
+++ b/Makefile
@@ -10,25 +10,29 @@
 HARDEN = -fstack-protector-strong -D_FORTIFY_SOURCE=2 -fPIE -fno-strict-aliasing
 OPT ?= -O2
 SAN ?=
-CPPFLAGS += -Ilib -Itests -D_GNU_SOURCE
+CPPFLAGS += -Ilib -I. -Itests -D_GNU_SOURCE
 CFLAGS = -std=gnu11 $(OPT) -g $(WARN) $(HARDEN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LDFLAGS = -pie -Wl,-z,relro,-z,now $(SAN)
 LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lmsgpackc -lm
 
-LIB_SRC = $(sort $(wildcard lib/*/*.c))
+LIB_SRC = $(sort $(wildcard lib/*/*.c platform/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libflamingolane.a
 PROGRAMS = $(patsubst programs/%.c,$(BUILD)/bin/%,$(wildcard programs/*.c))
 STANDINS = $(patsubst tests/%.c,$(BUILD)/bin/%,$(wildcard tests/standin-*.c tests/bench-*.c))
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 HELPERS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support_*.c))
-SOURCES = $(sort $(wildcard lib/*/*.[ch] programs/*.[ch] tests/*.[ch]))
+SOURCES = $(sort $(wildcard lib/*/*.[ch] platform/*.[ch] programs/*.[ch] tests/*.[ch]))
 
 # Objects of the tests are kept between runs.
 .SECONDARY:
 .PHONY: all install-packages demo check check-fast check-asan lint format test clean
 all: $(PROGRAMS) $(STANDINS)
 
+# What the deploy file runs.
+.PHONY: daemons
+daemons: $(BUILD)/bin/flamingo-frontd $(BUILD)/bin/flamingo-poold
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
 	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
--- a/lib/common/clock.c
+++ b/lib/common/clock.c
@@ -31,6 +31,12 @@
   return clock->read (clock->context);
 }
 
+int64_t
+fl_clock_boot_ms (void)
+{
+  return read_us (CLOCK_BOOTTIME) / 1000;
+}
+
 int64_t
 fl_clock_monotonic_us (void)
 {
--- a/lib/common/clock.h
+++ b/lib/common/clock.h
@@ -17,6 +17,9 @@
 /* Reads @clock: milliseconds since an arbitrary fixed point. */
 int64_t fl_clock_now (const struct fl_clock *clock);
 
+/* Milliseconds of CLOCK_BOOTTIME, which goes on while the host is suspended: for leases. */
+int64_t fl_clock_boot_ms (void);
+
 /* Monotonic microseconds, for measuring short durations. */
 int64_t fl_clock_monotonic_us (void);
 
--- /dev/null
+++ b/lib/core/advice.c
@@ -0,0 +1,239 @@
+/* Advice: which targets to ask about for a step, and what the answers permit.
+ *
+ * The service answers one question at a time for each calling host and takes longer the more targets
+ * are named, so that questions name few targets, those likely to be used. Whether a target is good
+ * for a step does not change; only tickets run out. */
+#include <math.h>
+#include <string.h>
+
+#include "core/core_internal.h"
+
+/* A ticket is not used when it runs out within the time that an order may take to arrive. */
+#define TICKET_MARGIN_MS 150
+/* Share of good targets that is presumed before any answer. */
+#define GOOD_SHARE_START 0.5
+#define GOOD_SHARE_MIN 0.1
+/* Weight of one answer in the learned share. */
+#define GOOD_SHARE_WEIGHT 0.1
+/* Asked-for room over needed room, for good targets whose room is gone when the answer comes. */
+#define ASK_SURPLUS 1.3
+/* Targets in one question: the objective allows for a question about 30. */
+#define ASK_TARGETS_MAX 30
+
+/* A target that a question may name. */
+struct candidate
+{
+  struct core_target *target;
+  int64_t fits;
+  double chance; /* that it is good */
+  int64_t free_cpu_milli;
+};
+
+static double *
+good_share (struct fl_core *core, const struct fl_name *queue)
+{
+  double *share = g_hash_table_lookup (core->good_share, queue);
+
+  if (share == NULL)
+    {
+      share = g_new (double, 1);
+      *share = GOOD_SHARE_START;
+      g_hash_table_insert (core->good_share, g_memdup2 (queue, sizeof *queue), share);
+    }
+  return share;
+}
+
+static struct core_advice *
+advice_of (const struct core_step *step, const struct core_target *target)
+{
+  struct core_advice *advice = g_hash_table_lookup (step->advice, &target->entry.id);
+
+  return advice != NULL && advice->born_ms == target->born_ms ? advice : NULL;
+}
+
+const char *
+core_advice_ticket (const struct core_step *step, const struct core_target *target)
+{
+  const struct core_advice *advice;
+
+  if (!step->job->queue.advice.required)
+    return "";
+  advice = advice_of (step, target);
+  if (advice == NULL || !advice->good
+      || advice->valid_until_ms < step->job->core->now_ms + TICKET_MARGIN_MS)
+    return NULL;
+  return advice->ticket.data;
+}
+
+void
+core_advice_forget (struct core_step *step, const struct core_target *target)
+{
+  struct core_advice *advice = advice_of (step, target);
+
+  if (advice != NULL)
+    advice->valid_until_ms = 0;
+}
+
+/* --- questions --- */
+
+static gint
+compare_candidates (const void *a, const void *b)
+{
+  const struct candidate *x = a;
+  const struct candidate *y = b;
+
+  if (x->chance < y->chance || x->chance > y->chance)
+    return x->chance > y->chance ? -1 : 1;
+  if (x->free_cpu_milli != y->free_cpu_milli)
+    return x->free_cpu_milli > y->free_cpu_milli ? -1 : 1;
+  return 0;
+}
+
+static GArray *
+collect_candidates (struct core_step *step, double share)
+{
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, step->job->core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_target *target = value;
+      const struct core_advice *advice = advice_of (step, target);
+      struct candidate candidate
+          = { target, core_target_fits (target, step, true), advice != NULL ? 1.0 : share,
+              target->entry.room.cpu_milli - target->used.cpu_milli - target->filler_cpu_milli
+                  - target->claimed_cpu_milli };
+      bool is_bad = advice != NULL && !advice->good;
+      bool has_ticket = core_advice_ticket (step, target) != NULL;
+      if (candidate.fits > 0 && !is_bad && !has_ticket)
+        g_array_append_val (candidates, candidate);
+    }
+  g_array_sort (candidates, compare_candidates);
+  return candidates;
+}
+
+static void
+claim (struct core_step *step, const GArray *asked, int64_t cpu_milli)
+{
+  for (guint i = 0; i < asked->len; i++)
+    {
+      struct core_target *target
+          = core_find_target (step->job->core, &g_array_index (asked, struct fl_name, i));
+      if (target != NULL)
+        target->claimed_cpu_milli += cpu_milli;
+    }
+}
+
+void
+core_advice_ask (struct core_step *step, int64_t waiting)
+{
+  struct fl_core *core = step->job->core;
+  const struct fl_advice_terms *terms = &step->job->queue.advice;
+  double share = *good_share (core, &step->job->queue.name);
+  struct fl_name name = core_step_name (step);
+  double covered = 0;
+  GArray *candidates;
+  GArray *asked;
+
+  if (step->asking)
+    return;
+  candidates = collect_candidates (step, share);
+  asked = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
+  for (guint i = 0; i < candidates->len && asked->len < ASK_TARGETS_MAX
+                    && covered < (double)waiting * ASK_SURPLUS;
+       i++)
+    {
+      const struct candidate *candidate = &g_array_index (candidates, struct candidate, i);
+      covered += candidate->chance * (double)MIN (candidate->fits, waiting);
+      g_array_append_val (asked, candidate->target->entry.id);
+    }
+  g_array_unref (candidates);
+  int64_t expected_ms = (int64_t)ceil (terms->decide_ms + terms->per_target_ms * asked->len);
+  if (asked->len == 0
+      || !core->options.actions.ask (core->options.context, &name, (struct fl_name *)asked->data,
+                                     asked->len, expected_ms))
+    {
+      g_array_unref (asked);
+      return;
+    }
+  step->asking = true;
+  step->asked = asked;
+  step->claim_cpu_milli
+      = step->spec->fills ? 0 : step->spec->cpu_milli * waiting / (int64_t)asked->len;
+  claim (step, asked, step->claim_cpu_milli);
+  fl_stats_add (core->options.stats, "advice_asked_total", 1);
+  fl_stats_add (core->options.stats, "advice_targets_total", asked->len);
+}
+
+void
+core_advice_abandon (struct core_step *step)
+{
+  if (!step->asking)
+    return;
+  claim (step, step->asked, -step->claim_cpu_milli);
+  g_array_unref (step->asked);
+  step->asked = NULL;
+  step->asking = false;
+}
+
+/* --- answers --- */
+
+static void
+learn (struct core_step *step, const struct core_target *target, int64_t now_ms)
+{
+  struct core_advice *advice = g_hash_table_lookup (step->advice, &target->entry.id);
+
+  if (advice == NULL)
+    {
+      advice = g_new0 (struct core_advice, 1);
+      advice->target = target->entry.id;
+      g_hash_table_insert (step->advice, &advice->target, advice);
+    }
+  advice->good = false;
+  advice->born_ms = target->born_ms;
+  advice->valid_until_ms = now_ms;
+}
+
+static void
+accept_ticket (struct core_step *step, const struct fl_advice_row *row, int64_t valid_until_ms)
+{
+  struct core_advice *advice = g_hash_table_lookup (step->advice, &row->target);
+
+  if (advice == NULL)
+    return;
+  advice->good = true;
+  advice->ticket = row->ticket;
+  advice->valid_until_ms = valid_until_ms;
+}
+
+void
+fl_core_advice_answered (struct fl_core *core,
+                         const struct fl_name *step_name,
+                         const struct fl_name *asked,
+                         size_t asked_count,
+                         const struct fl_advice_reply *reply,
+                         int64_t now_ms)
+{
+  struct core_step *step = core_find_step (core, step_name);
+  double *share;
+
+  core->now_ms = now_ms;
+  if (step == NULL || !step->asking)
+    return;
+  core_advice_abandon (step);
+  if (!reply->answered)
+    return;
+  for (size_t i = 0; i < asked_count; i++)
+    {
+      const struct core_target *target = core_find_target (core, &asked[i]);
+      if (target != NULL)
+        learn (step, target, now_ms);
+    }
+  for (size_t i = 0; i < reply->count; i++)
+    accept_ticket (step, &reply->rows[i], now_ms + reply->valid_ms);
+  share = good_share (core, &step->job->queue.name);
+  *share += GOOD_SHARE_WEIGHT * ((double)reply->count / (double)asked_count - *share);
+  *share = MAX (*share, GOOD_SHARE_MIN);
+}
--- /dev/null
+++ b/lib/core/core.c
@@ -0,0 +1,527 @@
+#include "core/core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/core_internal.h"
+
+/* Run numbers of one owner: enough for a task that restarts each second for a day. */
+#define RUNS_PER_OWNER 100000
+/* The clock of a target may be 2 % slow; the rest covers rounding and the way of an answer. */
+#define LAPSE_PERCENT 104
+#define LAPSE_MARGIN_MS 50
+/* With ends listed that are not recorded yet, the next hold waits for the record at most this long:
+ * a hold sent before would return at once. */
+#define RECORD_WAIT_MS 300
+/* Time between holds of a target that does not answer. */
+#define SILENT_RETRY_MS 300
+/* Longest wait of one hold. Tasks are held anew at each, so that it stays well below the lease. */
+#define HOLD_WAIT_MS 1000
+/* A target with serving and filling tasks is looked at more often: figures change each 500 ms. */
+#define HOLD_WAIT_PACED_MS 500
+
+/* --- creation --- */
+
+static void
+advice_free (void *data)
+{
+  g_free (data);
+}
+
+static void
+step_clear (struct core_step *step)
+{
+  for (int64_t i = 0; i < step->spec->count; i++)
+    fl_str_clear (&step->tasks[i].checkpoint);
+  g_free (step->tasks);
+  g_hash_table_destroy (step->advice);
+  if (step->asked != NULL)
+    g_array_unref (step->asked);
+}
+
+static void
+job_free (void *data)
+{
+  struct core_job *job = data;
+
+  for (size_t i = 0; i < job->step_count; i++)
+    step_clear (&job->steps[i]);
+  g_free (job->steps);
+  fl_schema_clear (&fl_job_row_schema, &job->spec);
+  g_free (job);
+}
+
+static void
+target_free (void *data)
+{
+  struct core_target *target = data;
+
+  g_ptr_array_unref (target->runs);
+  g_free (target);
+}
+
+struct fl_core *
+fl_core_new (const struct fl_core_options *options)
+{
+  struct fl_core *core = g_new0 (struct fl_core, 1);
+
+  core->options = *options;
+  core->first_run = (options->fencing_token - 1) * RUNS_PER_OWNER + 1;
+  core->targets = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, target_free);
+  core->jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, job_free);
+  core->finished = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
+  core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
+  core->good_share = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
+  return core;
+}
+
+void
+fl_core_free (struct fl_core *core)
+{
+  if (core == NULL)
+    return;
+  g_hash_table_destroy (core->jobs);
+  g_hash_table_destroy (core->targets);
+  g_hash_table_destroy (core->finished);
+  g_hash_table_destroy (core->teams);
+  g_hash_table_destroy (core->good_share);
+  fl_configuration_unref (core->configuration);
+  g_free (core);
+}
+
+/* --- names --- */
+
+struct fl_name
+core_step_name (const struct core_step *step)
+{
+  return fl_name_format ("%s.%" G_GINT64_FORMAT ".%" G_GINT64_FORMAT, step->job->spec.id.data,
+                         step->occurrence, step->number);
+}
+
+struct fl_name
+core_task_name (const struct core_task *task)
+{
+  return fl_name_format ("%s.%" G_GINT64_FORMAT ".%" G_GINT64_FORMAT ".%" G_GINT64_FORMAT,
+                         task->step->job->spec.id.data, task->step->occurrence, task->step->number,
+                         task->index);
+}
+
+/* Splits ID.K.STEP[.INDEX] into the job and @count numbers. */
+static struct core_job *
+parse_name (struct fl_core *core, const struct fl_name *name, int64_t *numbers, int count)
+{
+  const char *rest = memchr (name->data, '.', name->len);
+  struct fl_name id;
+
+  if (rest == NULL)
+    return NULL;
+  id = fl_name_make (name->data, (size_t)(rest - name->data));
+  for (int i = 0; i < count; i++)
+    {
+      char *end;
+      if (*rest != '.' || !g_ascii_isdigit (rest[1]))
+        return NULL;
+      numbers[i] = strtoll (rest + 1, &end, 10);
+      rest = end;
+    }
+  return *rest == '\0' ? g_hash_table_lookup (core->jobs, &id) : NULL;
+}
+
+static struct core_step *
+step_at (struct core_job *job, int64_t occurrence, int64_t number)
+{
+  int64_t steps = (int64_t)job->spec.steps.count;
+
+  if (occurrence < 0 || occurrence >= fl_job_spec_occurrences (&job->spec) || number < 0
+      || number >= steps)
+    return NULL;
+  return &job->steps[occurrence * steps + number];
+}
+
+struct core_step *
+core_find_step (struct fl_core *core, const struct fl_name *name)
+{
+  int64_t numbers[2];
+  struct core_job *job = parse_name (core, name, numbers, 2);
+
+  return job != NULL ? step_at (job, numbers[0], numbers[1]) : NULL;
+}
+
+struct core_task *
+core_find_task (struct fl_core *core, const struct fl_name *name)
+{
+  int64_t numbers[3];
+  struct core_job *job = parse_name (core, name, numbers, 3);
+  struct core_step *step = job != NULL ? step_at (job, numbers[0], numbers[1]) : NULL;
+
+  if (step == NULL || numbers[2] < 0 || numbers[2] >= step->spec->count)
+    return NULL;
+  return &step->tasks[numbers[2]];
+}
+
+struct core_target *
+core_find_target (const struct fl_core *core, const struct fl_name *id)
+{
+  return g_hash_table_lookup (core->targets, id);
+}
+
+/* --- configuration --- */
+
+static void
+refresh_queue (struct core_job *job)
+{
+  const struct fl_queue *queue
+      = job->core->configuration != NULL
+            ? fl_configuration_queue (job->core->configuration, &job->spec.queue)
+            : NULL;
+
+  /* A queue that was removed keeps its last terms for the jobs that it accepted. */
+  if (queue != NULL)
+    job->queue = *queue;
+}
+
+void
+fl_core_configure (struct fl_core *core, struct fl_configuration *configuration)
+{
+  GHashTableIter iter;
+  void *job;
+
+  fl_configuration_unref (core->configuration);
+  core->configuration = fl_configuration_ref (configuration);
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &job))
+    refresh_queue (job);
+}
+
+/* --- targets --- */
+
+static struct core_target *
+target_get (struct fl_core *core, const struct fl_name *id)
+{
+  struct core_target *target = core_find_target (core, id);
+
+  if (target == NULL)
+    {
+      target = g_new0 (struct core_target, 1);
+      target->entry.id = *id;
+      target->runs = g_ptr_array_new_with_free_func (g_free);
+      g_hash_table_insert (core->targets, &target->entry.id, target);
+    }
+  return target;
+}
+
+void
+fl_core_target_seen (struct fl_core *core, const struct fl_target_entry *entry)
+{
+  struct core_target *target = target_get (core, &entry->id);
+
+  target->entry = *entry;
+  target->registered = true;
+}
+
+void
+core_target_drop_if_unused (struct fl_core *core, struct core_target *target)
+{
+  bool settled = !target->inherited || target->reported
+                 || core->now_ms >= core->options.settled_at_ms;
+
+  if (!target->registered && target->runs->len == 0 && settled)
+    g_hash_table_remove (core->targets, &target->entry.id);
+}
+
+void
+fl_core_target_removed (struct fl_core *core, const struct fl_name *id)
+{
+  struct core_target *target = core_find_target (core, id);
+
+  if (target == NULL)
+    return;
+  target->registered = false;
+  core_target_drop_if_unused (core, target);
+}
+
+void
+fl_core_target_inherited (struct fl_core *core,
+                          const struct fl_name *id,
+                          const struct fl_name *address)
+{
+  struct core_target *target = target_get (core, id);
+
+  target->inherited = true;
+  target->recorded = true;
+  if (target->entry.address.len == 0)
+    target->entry.address = *address;
+}
+
+GPtrArray *
+fl_core_target_ids (const struct fl_core *core)
+{
+  GPtrArray *ids = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  void *key;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_ptr_array_add (ids, g_memdup2 (key, sizeof (struct fl_name)));
+  return ids;
+}
+
+int64_t
+core_target_clock (const struct core_target *target, int64_t now_ms)
+{
+  return target->clock_ms + (now_ms - target->clock_at_ms);
+}
+
+static bool
+is_paced (const struct core_target *target)
+{
+  bool serving = false;
+  bool filling = false;
+
+  for (guint i = 0; i < target->runs->len; i++)
+    {
+      const struct core_run *run = g_ptr_array_index (target->runs, i);
+      serving = serving || run->task->step->spec->latency_bound_ms > 0;
+      filling = filling || run->task->step->spec->fills;
+    }
+  return serving && filling;
+}
+
+static bool
+hold_is_due (const struct core_target *target, int64_t now_ms)
+{
+  if (target->silent)
+    return now_ms - target->lists_at_ms >= SILENT_RETRY_MS;
+  return target->applied_end == target->seen_end || now_ms - target->lists_at_ms >= RECORD_WAIT_MS;
+}
+
+bool
+fl_core_next_hold (struct fl_core *core,
+                   const struct fl_name *id,
+                   int64_t now_ms,
+                   struct fl_hold_order *order)
+{
+  struct core_target *target = core_find_target (core, id);
+
+  if (target == NULL || target->entry.address.len == 0 || !hold_is_due (target, now_ms))
+    return false;
+  *order = (struct fl_hold_order){
+    .target = target->entry.id,
+    .address = target->entry.address,
+    .fencing_token = core->options.fencing_token,
+    .last_seen = target->seen_end,
+  };
+  if (target->clock_at_ms == 0 || target->silent)
+    return true;
+  order->deadline_ms = core_target_clock (target, now_ms) + core->options.hold_ms;
+  order->wait_ms = is_paced (target) ? HOLD_WAIT_PACED_MS : HOLD_WAIT_MS;
+  target->lapse_at_ms
+      = MAX (target->lapse_at_ms,
+             now_ms + core->options.hold_ms * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS);
+  return true;
+}
+
+/* --- jobs --- */
+
+static struct core_team *
+team_get (struct fl_core *core, const struct fl_name *name)
+{
+  struct core_team *team = g_hash_table_lookup (core->teams, name);
+
+  if (team == NULL)
+    {
+      team = g_new0 (struct core_team, 1);
+      team->name = *name;
+      g_hash_table_insert (core->teams, &team->name, team);
+    }
+  return team;
+}
+
+static void
+step_init (struct core_step *step, struct core_job *job, int64_t occurrence, int64_t number)
+{
+  step->job = job;
+  step->spec = fl_job_spec_step (&job->spec, (size_t)number);
+  step->occurrence = occurrence;
+  step->number = number;
+  if (job->spec.repeat_count > 0)
+    step->due_wall_ms = job->spec.start_at_ms + occurrence * job->spec.interval_ms;
+  step->tasks = g_new0 (struct core_task, (size_t)step->spec->count);
+  step->open_count = step->spec->count;
+  step->advice = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, advice_free);
+  for (int64_t i = 0; i < step->spec->count; i++)
+    {
+      step->tasks[i].step = step;
+      step->tasks[i].index = i;
+    }
+}
+
+static void
+apply_progress (struct core_job *job, const struct fl_job_progress *progress)
+{
+  const struct fl_task_progress *rows = progress->tasks.items;
+
+  job->state = (enum fl_job_state)progress->state;
+  job->begun = job->state != FL_JOB_QUEUED;
+  for (size_t i = 0; i < progress->tasks.count; i++)
+    {
+      struct core_step *step = step_at (job, rows[i].occurrence, rows[i].step);
+      if (step == NULL || rows[i].index >= step->spec->count)
+        continue;
+      struct core_task *task = &step->tasks[rows[i].index];
+      if (rows[i].done && !task->done)
+        step->open_count--;
+      task->done = rows[i].done;
+      task->failures = rows[i].failures;
+      fl_str_clear (&task->checkpoint);
+      task->checkpoint = fl_str_dup (&rows[i].checkpoint);
+    }
+}
+
+void
+fl_core_job_added (struct fl_core *core,
+                   struct fl_job_spec *spec,
+                   int64_t version,
+                   const struct fl_job_progress *progress)
+{
+  struct core_job *job;
+  size_t steps = spec->steps.count;
+
+  if (g_hash_table_contains (core->jobs, &spec->id) || g_hash_table_contains (core->finished, &spec->id))
+    {
+      fl_schema_clear (&fl_job_row_schema, spec);
+      return;
+    }
+  if (progress != NULL && fl_job_state_is_final ((enum fl_job_state)progress->state))
+    {
+      g_hash_table_add (core->finished, g_memdup2 (&spec->id, sizeof spec->id));
+      fl_schema_clear (&fl_job_row_schema, spec);
+      return;
+    }
+  job = g_new0 (struct core_job, 1);
+  job->core = core;
+  job->spec = *spec;
+  job->version = version;
+  job->queue.name = spec->queue;
+  job->queue.attempts = 1;
+  job->team = team_get (core, &spec->team);
+  job->step_count = steps * (size_t)fl_job_spec_occurrences (spec);
+  job->steps = g_new0 (struct core_step, job->step_count);
+  for (size_t i = 0; i < job->step_count; i++)
+    step_init (&job->steps[i], job, (int64_t)(i / steps), (int64_t)(i % steps));
+  if (progress != NULL)
+    apply_progress (job, progress);
+  for (size_t i = 0; i < job->step_count; i++)
+    job->open_steps += job->steps[i].open_count > 0 ? 1 : 0;
+  refresh_queue (job);
+  g_hash_table_insert (core->jobs, &job->spec.id, job);
+  memset (spec, 0, sizeof *spec);
+  fl_log (core->options.log, FL_LOG_INFO, "job_known", FL_N ("job", &job->spec.id),
+          FL_N ("queue", &job->spec.queue), FL_N ("team", &job->spec.team),
+          FL_I ("version", version), FL_I ("steps", (int64_t)job->step_count));
+  if (job->open_steps == 0)
+    core_job_finish (job, FL_JOB_COMPLETED);
+}
+
+void
+fl_core_job_cancelled (struct fl_core *core, const struct fl_name *id)
+{
+  struct core_job *job = g_hash_table_lookup (core->jobs, id);
+
+  if (job != NULL && !fl_job_state_is_final (job->state))
+    core_job_finish (job, FL_JOB_CANCELLED);
+}
+
+bool
+core_step_is_due (const struct core_step *step)
+{
+  const struct fl_step_link *links = step->spec->after.items;
+  const struct core_step *first
+      = step->job->steps + step->occurrence * (int64_t)step->job->spec.steps.count;
+
+  if (step->due_wall_ms > step->job->core->wall_ms)
+    return false;
+  for (size_t i = 0; i < step->spec->after.count; i++)
+    if (first[links[i].step].open_count > 0)
+      return false;
+  return true;
+}
+
+GHashTable *
+fl_core_pending (const struct fl_core *core)
+{
+  GHashTable *counts = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, NULL);
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_job *job = value;
+      if (job->begun || fl_job_state_is_final (job->state))
+        continue;
+      intptr_t count = (intptr_t)g_hash_table_lookup (counts, &job->spec.queue);
+      g_hash_table_insert (counts, &job->spec.queue, (void *)(count + 1));
+    }
+  return counts;
+}
+
+/* --- time --- */
+
+/* Gives up the runs of targets whose lease has lapsed, and forgets targets that are gone. */
+static void
+expire_targets (struct fl_core *core)
+{
+  g_autoptr (GPtrArray) ids = fl_core_target_ids (core);
+
+  for (guint i = 0; i < ids->len; i++)
+    {
+      struct core_target *target = core_find_target (core, g_ptr_array_index (ids, i));
+      if (target->runs->len > 0 && core->now_ms >= target->lapse_at_ms)
+        core_target_lose_runs (target, "lease_lapsed");
+      core_target_drop_if_unused (core, target);
+    }
+}
+
+void
+fl_core_tick (struct fl_core *core, int64_t now_ms, int64_t wall_ms)
+{
+  core->now_ms = now_ms;
+  core->wall_ms = wall_ms;
+  expire_targets (core);
+  core_runs_tick (core);
+  if (core->configuration != NULL)
+    core_place_tick (core);
+}
+
+/* --- dump --- */
+
+void
+fl_core_dump (const struct fl_core *core, GString *out)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_target *target = value;
+      g_string_append_printf (
+          out,
+          "{\"target\":\"%s\",\"registered\":%s,\"draining\":%s,\"silent\":%s,\"runs\":%u,"
+          "\"cpu_used\":%" G_GINT64_FORMAT ",\"cpu\":%" G_GINT64_FORMAT "}\n",
+          target->entry.id.data, target->registered ? "true" : "false",
+          target->entry.draining ? "true" : "false", target->silent ? "true" : "false",
+          target->runs->len, target->used.cpu_milli, target->entry.room.cpu_milli);
+    }
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_job *job = value;
+      g_string_append_printf (out,
+                              "{\"job\":\"%s\",\"queue\":\"%s\",\"state\":\"%s\",\"open_steps\":"
+                              "%" G_GINT64_FORMAT ",\"runs\":%" G_GINT64_FORMAT "}\n",
+                              job->spec.id.data, job->spec.queue.data,
+                              fl_job_state_name (job->state), job->open_steps, job->run_count);
+    }
+}
--- /dev/null
+++ b/lib/core/core.h
@@ -0,0 +1,147 @@
+/* The decisions of the pool's owner: which task runs where and when. Pure: it is handed the time
+ * and what was observed, and gives its orders through callbacks, so that tests drive it on a
+ * virtual clock. Times are milliseconds of the boot clock but where `wall` stands in the name.
+ *
+ * Invariants that it keeps, in every order of events:
+ * - a task has at most one run that may be in effect;
+ * - room of a target and of a team stays charged from the order of a start until its end is listed
+ *   or can no longer come;
+ * - an end is forgotten at its target only after what it means is recorded in the store.
+ */
+#pragma once
+
+#include <glib.h>
+
+#include "common/log.h"
+#include "common/stats.h"
+#include "configuration/configuration.h"
+#include "job/job_spec.h"
+#include "targets/calls.h"
+
+struct fl_core;
+
+/* Orders that the core gives. Each start and stop is answered by a call of fl_core_start_answered
+ * or fl_core_stop_answered. None is called back before the function that led to it returns. */
+struct fl_core_actions
+{
+  void (*start) (void *context, const struct fl_start_order *order);
+  void (*stop) (void *context, const struct fl_run_order *order);
+  void (*pace) (void *context, const struct fl_run_order *order);
+  /* Asks which of @targets may run @step; the answer takes about @expected_ms. @return false when
+   * no channel to the advice service is free for a question of that length. */
+  bool (*ask) (void *context,
+               const struct fl_name *step,
+               const struct fl_name *targets,
+               size_t count,
+               int64_t expected_ms);
+};
+
+struct fl_core_options
+{
+  const struct fl_log *log;
+  struct fl_stats *stats;
+  struct fl_core_actions actions;
+  void *context;
+  int64_t fencing_token;
+  /* Jobs accepted at a later store version were never started by an earlier owner. */
+  int64_t taken_version;
+  /* Until then orders of an earlier owner may be in effect on targets that have not reported. */
+  int64_t settled_at_ms;
+  int64_t hold_ms; /* lease that each hold gives */
+};
+
+struct fl_core *fl_core_new (const struct fl_core_options *options);
+void fl_core_free (struct fl_core *core);
+
+/* --- what is observed --- */
+
+void fl_core_configure (struct fl_core *core, struct fl_configuration *configuration);
+
+/* The registry shows @entry. A target that is new to the core is not used before
+ * fl_core_targets_recorded. */
+void fl_core_target_seen (struct fl_core *core, const struct fl_target_entry *entry);
+
+/* The registry shows @id no longer. It is held while it answers and runs something. */
+void fl_core_target_removed (struct fl_core *core, const struct fl_name *id);
+
+/* A target that an earlier owner used; it blocks unseen tasks until it reports or the time is
+ * up. */
+void fl_core_target_inherited (struct fl_core *core,
+                               const struct fl_name *id,
+                               const struct fl_name *address);
+
+/* A job as stored; @progress is NULL when nothing is recorded of it. Known jobs are ignored. Takes
+ * over what @spec owns. */
+void fl_core_job_added (struct fl_core *core,
+                        struct fl_job_spec *spec,
+                        int64_t version,
+                        const struct fl_job_progress *progress);
+
+void fl_core_job_cancelled (struct fl_core *core, const struct fl_name *id);
+
+void fl_core_start_answered (struct fl_core *core,
+                             const struct fl_name *task,
+                             int64_t run,
+                             enum fl_order_result result,
+                             int64_t now_ms);
+void fl_core_stop_answered (struct fl_core *core,
+                            const struct fl_name *task,
+                            int64_t run,
+                            enum fl_order_result result,
+                            int64_t now_ms);
+
+/* The answer to a hold that was sent at @sent_ms; @lists is NULL when none came. */
+void fl_core_hold_answered (struct fl_core *core,
+                            const struct fl_name *target,
+                            const struct fl_target_lists *lists,
+                            int64_t sent_ms,
+                            int64_t now_ms);
+
+void fl_core_advice_answered (struct fl_core *core,
+                              const struct fl_name *step,
+                              const struct fl_name *asked,
+                              size_t asked_count,
+                              const struct fl_advice_reply *reply,
+                              int64_t now_ms);
+
+/* --- what follows from it --- */
+
+/* Decides. Called after observations and at least every 50 ms. */
+void fl_core_tick (struct fl_core *core, int64_t now_ms, int64_t wall_ms);
+
+/* Fills @order with the hold that @target is due.
+ * @return false when the core does not know the target any more. */
+bool fl_core_next_hold (struct fl_core *core,
+                        const struct fl_name *target,
+                        int64_t now_ms,
+                        struct fl_hold_order *order);
+
+/* Ids of all targets to hold; free with g_ptr_array_unref. */
+GPtrArray *fl_core_target_ids (const struct fl_core *core);
+
+/* --- records --- */
+
+struct fl_core_record
+{
+  struct fl_name job;
+  struct fl_str progress; /* encoded struct fl_job_progress, owned by the record */
+};
+
+/* Takes up to @max records that are to be stored in one transaction; they count as under way until
+ * fl_core_records_stored. @return how many; 0 with nothing to store. */
+size_t fl_core_take_records (struct fl_core *core, struct fl_core_record *records, size_t max);
+
+/* The records taken last are stored, or (@stored false) have to be taken again. */
+void fl_core_records_done (struct fl_core *core, bool stored);
+
+/* Whether targets have come since the last list of targets was recorded; the list follows as
+ * alternating ids and addresses (struct fl_name). */
+bool fl_core_targets_unrecorded (const struct fl_core *core);
+GArray *fl_core_targets_to_record (struct fl_core *core);
+void fl_core_targets_recorded (struct fl_core *core);
+
+/* Waiting jobs by queue: queue name (struct fl_name *) to count. Unref when done. */
+GHashTable *fl_core_pending (const struct fl_core *core);
+
+/* One line of JSON for each object, for people. */
+void fl_core_dump (const struct fl_core *core, GString *out);
--- /dev/null
+++ b/lib/core/core_internal.h
@@ -0,0 +1,202 @@
+/* Objects of the decision core. */
+#pragma once
+
+#include "core/core.h"
+
+/* A target that answers no hold for this long gets no new tasks. */
+#define CORE_QUARANTINE_MS 5000
+
+struct core_run;
+
+struct core_team
+{
+  struct fl_name name;
+  struct fl_room used; /* by all runs that may be in effect */
+};
+
+struct core_target
+{
+  struct fl_target_entry entry;
+  bool registered; /* the registry shows it */
+  bool recorded;   /* stands in the recorded list of targets */
+  bool recording;  /* stands in the list that is being recorded */
+  bool inherited;  /* an earlier owner may have used it */
+  bool reported;   /* has listed its runs to this owner */
+  bool silent;     /* did not answer the last hold */
+  int64_t born_ms;
+  int64_t clock_ms;    /* its clock, as of clock_at_ms */
+  int64_t clock_at_ms; /* 0 when its clock is not known */
+  int64_t lapse_at_ms; /* by then all that runs there has lapsed, if it is not held again */
+  int64_t lists_at_ms; /* when it last listed its runs */
+  int64_t applied_end; /* ends up to this number are taken into account */
+  int64_t storing_end; /* ends up to this number are covered by the records under way */
+  int64_t seen_end;    /* ends up to this number are recorded */
+  struct fl_room used;
+  int64_t filler_cpu_milli;  /* asked for by tasks that take what others leave */
+  int64_t claimed_cpu_milli; /* likely to be taken by steps that wait for advice */
+  GPtrArray *runs;           /* struct core_run *, owned */
+  int failures_in_row;
+  struct fl_name failed_job; /* of the last failure, so that one bad job does not condemn a target */
+  int64_t quarantined_until_ms;
+};
+
+enum core_run_state
+{
+  CORE_RUN_ORDERED, /* the start is on its way or not answered */
+  CORE_RUN_PLACED,  /* the target has it */
+  CORE_RUN_STOPPING /* is to end; a stop is sent until the end is listed */
+};
+
+/* One run of a task that may be in effect at a target. */
+struct core_run
+{
+  struct core_task *task;
+  struct core_target *target;
+  int64_t run;
+  enum core_run_state state;
+  int64_t confirmed_ms; /* when the target answered the last order about it; 0 for not yet */
+  int64_t order_at_ms;  /* when the last order about it was given */
+  int attempts;         /* starts without an answer */
+  bool order_open;      /* an order about it is not answered */
+  bool listed;          /* was in a list of runs */
+  int64_t percent;
+  int64_t gauge;
+  int64_t pace_percent;
+};
+
+struct core_task
+{
+  struct core_step *step;
+  int64_t index;
+  bool done;
+  int64_t failures;
+  int64_t last_run;
+  struct core_run *run; /* NULL while it waits or is done */
+  struct fl_str checkpoint;
+  struct fl_name failed_target; /* where its last run failed */
+  int64_t not_before_ms;
+};
+
+/* What is known of one target's fitness for a step. */
+struct core_advice
+{
+  struct fl_name target;
+  bool good;
+  int64_t born_ms; /* boot that the ticket is for */
+  struct fl_name ticket;
+  int64_t valid_until_ms;
+};
+
+struct core_step
+{
+  struct core_job *job;
+  const struct fl_step_spec *spec;
+  int64_t occurrence;
+  int64_t number;
+  int64_t due_wall_ms; /* 0 for at once */
+  struct core_task *tasks;
+  int64_t open_count;   /* tasks that are not done */
+  int64_t failed_run;   /* gang: the run whose failure is counted */
+  GHashTable *advice;   /* target id -> struct core_advice */
+  bool asking;          /* a question is open */
+  GArray *asked;        /* struct fl_name: targets claimed by the open question */
+  int64_t claim_cpu_milli; /* on each asked target */
+};
+
+struct core_job
+{
+  struct fl_core *core;
+  struct fl_job_spec spec;
+  struct fl_queue queue; /* as last configured */
+  struct core_team *team;
+  int64_t version; /* of the store, at acceptance */
+  enum fl_job_state state;
+  struct core_step *steps; /* occurrence-major */
+  size_t step_count;
+  int64_t open_steps;
+  int64_t run_count; /* runs that may be in effect */
+  bool begun;
+  bool dirty;     /* its progress is not recorded */
+  bool recording; /* its progress is being recorded */
+};
+
+struct fl_core
+{
+  struct fl_core_options options;
+  struct fl_configuration *configuration; /* NULL until the first */
+  GHashTable *targets;  /* id -> struct core_target */
+  GHashTable *jobs;     /* id -> struct core_job */
+  GHashTable *finished; /* ids of jobs whose final state is recorded */
+  GHashTable *teams;    /* name -> struct core_team */
+  GHashTable *good_share; /* queue name -> double: share of asked targets that are good */
+  int64_t now_ms;
+  int64_t wall_ms;
+  int64_t first_run; /* lowest run number of this owner */
+  bool records_open; /* records taken and not done */
+  bool records_cover_ends; /* the records taken cover all ends applied before */
+};
+
+/* --- core.c --- */
+
+struct core_step *core_find_step (struct fl_core *core, const struct fl_name *name);
+struct core_task *core_find_task (struct fl_core *core, const struct fl_name *name);
+struct fl_name core_task_name (const struct core_task *task);
+struct fl_name core_step_name (const struct core_step *step);
+struct core_target *core_find_target (const struct fl_core *core, const struct fl_name *id);
+void core_target_drop_if_unused (struct fl_core *core, struct core_target *target);
+
+/* The target's clock now, by its last answer. */
+int64_t core_target_clock (const struct core_target *target, int64_t now_ms);
+
+/* Whether all earlier steps that @step waits for are done and its time has come. */
+bool core_step_is_due (const struct core_step *step);
+
+/* --- runs.c --- */
+
+/* Charges room for a run of @task on @target and makes it; @run is its number. */
+struct core_run *core_run_new (struct core_task *task, struct core_target *target, int64_t run);
+
+/* Returns the room of a run that is over. */
+void core_run_release (struct core_run *run);
+
+void core_run_order_start (struct core_run *run, const char *ticket);
+void core_run_stop (struct core_run *run);
+
+/* Ends all runs of @target at once: its boot is over or its lease has lapsed. */
+void core_target_lose_runs (struct core_target *target, const char *reason);
+
+/* Sends orders again that were not answered or not followed. */
+void core_runs_tick (struct fl_core *core);
+
+/* --- ends.c --- */
+
+void core_job_finish (struct core_job *job, enum fl_job_state state);
+void core_job_touch (struct core_job *job);
+
+/* --- place.c --- */
+
+void core_place_tick (struct fl_core *core);
+
+/* --- advice.c --- */
+
+/* @return the ticket that permits @step on @target, "" when its queue needs none, NULL when there
+ * is none. */
+const char *core_advice_ticket (const struct core_step *step, const struct core_target *target);
+
+/* Asks for targets for @waiting tasks of @step unless a question is open. */
+void core_advice_ask (struct core_step *step, int64_t waiting);
+void core_advice_forget (struct core_step *step, const struct core_target *target);
+
+/* Gives up the open question of @step, if any; its answer is then ignored. */
+void core_advice_abandon (struct core_step *step);
+
+/* --- place.c, used by advice.c --- */
+
+/* How many tasks of @step the target could take now, by room, label and limits of the step; 0 when
+ * it takes no tasks. @claims counts room that others are likely to take as taken. */
+int64_t core_target_fits (const struct core_target *target, const struct core_step *step, bool claims);
+
+/* --- pace.c --- */
+
+/* Paces filling tasks beside serving tasks by their last figures. */
+void core_pace_target (struct core_target *target);
--- /dev/null
+++ b/lib/core/ends.c
@@ -0,0 +1,463 @@
+/* What targets list: runs and ends; and what is recorded of them. */
+#include <string.h>
+
+#include "core/core_internal.h"
+
+/* Failures without a success between them, of two jobs at least, that make a target suspect. */
+#define FAILURES_SUSPECT 3
+
+void
+core_job_touch (struct core_job *job)
+{
+  job->dirty = true;
+}
+
+void
+core_job_finish (struct core_job *job, enum fl_job_state state)
+{
+  struct fl_core *core = job->core;
+
+  job->state = state;
+  core_job_touch (job);
+  fl_log (core->options.log, FL_LOG_INFO, "job_ended", FL_N ("job", &job->spec.id),
+          FL_S ("state", fl_job_state_name (state)),
+          FL_I ("age_ms", core->wall_ms - job->spec.accepted_ms));
+  for (size_t i = 0; i < job->step_count; i++)
+    {
+      core_advice_abandon (&job->steps[i]);
+      for (int64_t j = 0; j < job->steps[i].spec->count; j++)
+        if (job->steps[i].tasks[j].run != NULL)
+          core_run_stop (job->steps[i].tasks[j].run);
+    }
+}
+
+/* --- ends --- */
+
+static void
+mark_done (struct core_task *task)
+{
+  struct core_step *step = task->step;
+  struct core_job *job = step->job;
+
+  if (task->done)
+    return;
+  task->done = true;
+  core_job_touch (job);
+  if (--step->open_count > 0 || --job->open_steps > 0)
+    return;
+  if (!fl_job_state_is_final (job->state))
+    core_job_finish (job, FL_JOB_COMPLETED);
+}
+
+static void
+on_done (struct core_task *task)
+{
+  struct core_step *step = task->step;
+
+  if (!step->spec->gang)
+    {
+      mark_done (task);
+      return;
+    }
+  for (int64_t i = 0; i < step->spec->count; i++)
+    mark_done (&step->tasks[i]);
+}
+
+/* Counts a failure; a gang fails as one. */
+static int64_t
+count_failure (struct core_task *task, int64_t run)
+{
+  struct core_step *step = task->step;
+
+  if (!step->spec->gang)
+    return ++task->failures;
+  if (step->failed_run < run)
+    {
+      step->failed_run = run;
+      for (int64_t i = 0; i < step->spec->count; i++)
+        step->tasks[i].failures++;
+    }
+  return task->failures;
+}
+
+static void
+note_target_failure (struct core_target *target, const struct core_task *task)
+{
+  struct fl_core *core = task->step->job->core;
+
+  target->failures_in_row++;
+  if (target->failures_in_row >= FAILURES_SUSPECT
+      && !fl_name_eq (&target->failed_job, &task->step->job->spec.id))
+    {
+      target->quarantined_until_ms = core->now_ms + CORE_QUARANTINE_MS;
+      fl_log (core->options.log, FL_LOG_NOTICE, "target_quarantined",
+              FL_N ("target", &target->entry.id), FL_I ("failures", target->failures_in_row));
+    }
+  target->failed_job = task->step->job->spec.id;
+}
+
+static void
+on_failed (struct core_target *target, struct core_task *task, int64_t run)
+{
+  struct core_job *job = task->step->job;
+
+  note_target_failure (target, task);
+  task->failed_target = target->entry.id;
+  if (task->step->spec->long_running || task->done)
+    return;
+  core_job_touch (job);
+  if (count_failure (task, run) >= job->queue.attempts && !fl_job_state_is_final (job->state))
+    core_job_finish (job, FL_JOB_FAILED);
+}
+
+static void
+keep_checkpoint (struct core_task *task, const struct fl_str *checkpoint)
+{
+  struct core_step *step = task->step;
+  int64_t first = step->spec->gang ? 0 : task->index;
+  int64_t last = step->spec->gang ? step->spec->count - 1 : task->index;
+
+  if (checkpoint->len == 0 || task->done)
+    return;
+  for (int64_t i = first; i <= last; i++)
+    {
+      fl_str_clear (&step->tasks[i].checkpoint);
+      step->tasks[i].checkpoint = fl_str_dup (checkpoint);
+    }
+}
+
+static void
+apply_end (struct fl_core *core, struct core_target *target, const struct fl_end_row *end)
+{
+  struct core_task *task = core_find_task (core, &end->task);
+
+  if (task == NULL)
+    return;
+  task->last_run = MAX (task->last_run, end->run);
+  bool current = task->run != NULL && task->run->target == target && task->run->run == end->run;
+  if (current)
+    core_run_release (task->run);
+  if (end->cause == FL_END_DONE)
+    {
+      target->failures_in_row = 0;
+      on_done (task);
+      if (task->run != NULL)
+        core_run_stop (task->run);
+    }
+  else
+    {
+      keep_checkpoint (task, &end->checkpoint);
+      if (end->cause == FL_END_FAILED)
+        on_failed (target, task, end->run);
+      else if (task->step->spec->checkpoints && !task->done)
+        core_job_touch (task->step->job);
+    }
+}
+
+static void
+apply_ends (struct fl_core *core, struct core_target *target, const struct fl_target_lists *lists)
+{
+  for (size_t i = 0; i < lists->end_count; i++)
+    if (lists->ends[i].number > target->applied_end)
+      {
+        apply_end (core, target, &lists->ends[i]);
+        target->applied_end = lists->ends[i].number;
+      }
+}
+
+/* --- runs --- */
+
+static void
+stop_unknown (struct fl_core *core, const struct core_target *target, const struct fl_run_row *row)
+{
+  struct fl_run_order order = {
+    .target = target->entry.id,
+    .address = target->entry.address,
+    .task = row->task,
+    .run = row->run,
+    .fencing_token = core->options.fencing_token,
+  };
+
+  fl_log (core->options.log, FL_LOG_NOTICE, "stop_unknown", FL_N ("task", &row->task),
+          FL_I ("run", row->run), FL_N ("target", &target->entry.id));
+  core->options.actions.stop (core->options.context, &order);
+}
+
+static void
+apply_run (struct fl_core *core,
+           struct core_target *target,
+           const struct fl_run_row *row,
+           int64_t sent_ms)
+{
+  struct core_task *task = core_find_task (core, &row->task);
+  struct core_run *run = task != NULL ? task->run : NULL;
+
+  if (task == NULL || (run == NULL && (task->done || fl_job_state_is_final (task->step->job->state))))
+    {
+      stop_unknown (core, target, row);
+      return;
+    }
+  if (run == NULL && row->run >= task->last_run)
+    {
+      run = core_run_new (task, target, row->run);
+      run->state = CORE_RUN_PLACED;
+      run->confirmed_ms = sent_ms;
+      task->step->job->begun = true;
+      /* An earlier owner may have held the target for as long as this one does. */
+      target->lapse_at_ms = MAX (target->lapse_at_ms, core->now_ms + core->options.hold_ms);
+      fl_log (core->options.log, FL_LOG_INFO, "run_adopted", FL_N ("task", &row->task),
+              FL_I ("run", row->run), FL_N ("target", &target->entry.id));
+    }
+  if (run == NULL || run->target != target || run->run != row->run)
+    {
+      stop_unknown (core, target, row);
+      return;
+    }
+  run->listed = true;
+  run->percent = row->percent;
+  run->gauge = row->gauge;
+  if (run->state == CORE_RUN_ORDERED && !run->order_open)
+    run->state = CORE_RUN_PLACED;
+  keep_checkpoint (task, &row->checkpoint);
+}
+
+/* Releases runs that the target had confirmed before the hold was sent and that it lists neither as
+ * running nor as ended. */
+static void
+release_vanished (struct fl_core *core, struct core_target *target, int64_t sent_ms)
+{
+  for (guint i = target->runs->len; i > 0; i--)
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, i - 1);
+      if (run->listed || run->order_open || run->confirmed_ms == 0 || run->confirmed_ms >= sent_ms)
+        continue;
+      struct fl_name name = core_task_name (run->task);
+      fl_log (core->options.log, FL_LOG_INFO, "run_absent", FL_N ("task", &name),
+              FL_I ("run", run->run), FL_N ("target", &target->entry.id));
+      core_run_release (run);
+    }
+}
+
+static void
+note_boot (struct core_target *target, const struct fl_target_lists *lists)
+{
+  if (target->reported && target->born_ms == lists->born_ms)
+    return;
+  if (target->reported)
+    core_target_lose_runs (target, "target_restarted");
+  target->born_ms = lists->born_ms;
+  target->applied_end = 0;
+  target->storing_end = 0;
+  target->seen_end = 0;
+  target->failures_in_row = 0;
+}
+
+void
+fl_core_hold_answered (struct fl_core *core,
+                       const struct fl_name *id,
+                       const struct fl_target_lists *lists,
+                       int64_t sent_ms,
+                       int64_t now_ms)
+{
+  struct core_target *target = core_find_target (core, id);
+
+  core->now_ms = now_ms;
+  if (target == NULL)
+    return;
+  target->lists_at_ms = now_ms;
+  if (lists == NULL)
+    {
+      target->silent = true;
+      return;
+    }
+  note_boot (target, lists);
+  target->reported = true;
+  target->silent = false;
+  target->clock_ms = lists->clock_ms;
+  target->clock_at_ms = now_ms;
+  for (guint i = 0; i < target->runs->len; i++)
+    ((struct core_run *)g_ptr_array_index (target->runs, i))->listed = false;
+  apply_ends (core, target, lists);
+  for (size_t i = 0; i < lists->run_count; i++)
+    apply_run (core, target, &lists->runs[i], sent_ms);
+  release_vanished (core, target, sent_ms);
+  core_pace_target (target);
+}
+
+/* --- records --- */
+
+static bool
+has_progress (const struct core_task *task)
+{
+  return task->done || task->failures > 0 || task->checkpoint.len > 0;
+}
+
+static struct fl_str
+encode_progress (const struct core_job *job)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct fl_task_progress));
+  struct fl_job_progress progress = { .state = job->state };
+
+  for (size_t i = 0; i < job->step_count; i++)
+    for (int64_t j = 0; j < job->steps[i].spec->count; j++)
+      {
+        const struct core_task *task = &job->steps[i].tasks[j];
+        struct fl_task_progress row
+            = { job->steps[i].occurrence, job->steps[i].number, j, task->done, task->failures,
+                { 0 } };
+        if (!task->done)
+          row.checkpoint = task->checkpoint; /* borrowed */
+        if (has_progress (task))
+          g_array_append_val (rows, row);
+      }
+  /* Of a job that is over only the state is of use. */
+  if (!fl_job_state_is_final (job->state))
+    progress.tasks = (struct fl_array){ rows->len, rows->data };
+  struct fl_str text = fl_record_encode (&fl_job_progress_schema, &progress);
+  g_array_unref (rows);
+  return text;
+}
+
+static bool
+any_dirty (const struct fl_core *core)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct core_job *)value)->dirty)
+      return true;
+  return false;
+}
+
+static void
+mark_ends (struct fl_core *core, bool stored)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_target *target = value;
+      if (stored)
+        target->seen_end = MAX (target->seen_end, target->storing_end);
+      else
+        target->storing_end = target->applied_end;
+    }
+}
+
+size_t
+fl_core_take_records (struct fl_core *core, struct fl_core_record *records, size_t max)
+{
+  GHashTableIter iter;
+  void *value;
+  size_t count = 0;
+
+  g_assert (!core->records_open);
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_job *job = value;
+      if (!job->dirty)
+        continue;
+      job->dirty = false;
+      job->recording = true;
+      records[count++] = (struct fl_core_record){ job->spec.id, encode_progress (job) };
+    }
+  core->records_cover_ends = !any_dirty (core);
+  if (core->records_cover_ends)
+    mark_ends (core, false);
+  core->records_open = count > 0;
+  if (count == 0)
+    mark_ends (core, true);
+  return count;
+}
+
+static bool
+drop_recorded (void *key, void *value, void *context)
+{
+  struct core_job *job = value;
+  struct fl_core *core = context;
+
+  (void)key;
+  if (!fl_job_state_is_final (job->state) || job->dirty || job->recording || job->run_count > 0)
+    return false;
+  g_hash_table_add (core->finished, g_memdup2 (&job->spec.id, sizeof job->spec.id));
+  return true;
+}
+
+static gboolean
+drop_recorded_job (void *key, void *value, void *context)
+{
+  return drop_recorded (key, value, context);
+}
+
+void
+fl_core_records_done (struct fl_core *core, bool stored)
+{
+  GHashTableIter iter;
+  void *value;
+
+  core->records_open = false;
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_job *job = value;
+      if (job->recording && !stored)
+        job->dirty = true;
+      job->recording = false;
+    }
+  if (!stored)
+    return;
+  if (core->records_cover_ends)
+    mark_ends (core, true);
+  g_hash_table_foreach_remove (core->jobs, drop_recorded_job, core);
+}
+
+bool
+fl_core_targets_unrecorded (const struct fl_core *core)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!((struct core_target *)value)->recorded)
+      return true;
+  return false;
+}
+
+GArray *
+fl_core_targets_to_record (struct fl_core *core)
+{
+  GArray *names = g_array_new (FALSE, TRUE, sizeof (struct fl_name));
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_target *target = value;
+      target->recording = true;
+      g_array_append_val (names, target->entry.id);
+      g_array_append_val (names, target->entry.address);
+    }
+  return names;
+}
+
+void
+fl_core_targets_recorded (struct fl_core *core)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_target *target = value;
+      target->recorded = target->recorded || target->recording;
+      target->recording = false;
+    }
+}
--- /dev/null
+++ b/lib/core/pace.c
@@ -0,0 +1,71 @@
+/* Pacing: keeps the tail latency of serving tasks under their bound by slowing the filling tasks
+ * beside them.
+ *
+ * Load pattern: the disturbance by fillers and the load of a serving task change within seconds.
+ * Fillers are halved well before the bound and come back in steps only below a lower mark, so that
+ * they do not switch at every report. */
+#include "core/core_internal.h"
+
+#define SLOW_DOWN_PERCENT 80 /* of the bound */
+#define SPEED_UP_PERCENT 55  /* of the bound */
+#define SPEED_UP_STEP 20
+#define PACE_MIN_WORKING 10 /* below this a filler rests */
+
+/* The highest tail of a serving task on @target in percent of its bound; -1 without one. */
+static int64_t
+worst_tail_percent (const struct core_target *target)
+{
+  int64_t worst = -1;
+
+  for (guint i = 0; i < target->runs->len; i++)
+    {
+      const struct core_run *run = g_ptr_array_index (target->runs, i);
+      int64_t bound = run->task->step->spec->latency_bound_ms;
+      if (bound > 0 && run->listed)
+        worst = MAX (worst, run->gauge * 100 / bound);
+    }
+  return worst;
+}
+
+static int64_t
+next_pace (int64_t pace, int64_t tail_percent)
+{
+  if (tail_percent >= SLOW_DOWN_PERCENT)
+    return pace / 2 >= PACE_MIN_WORKING ? pace / 2 : 0;
+  if (tail_percent <= SPEED_UP_PERCENT)
+    return MIN (pace + SPEED_UP_STEP, 100);
+  return pace;
+}
+
+static void
+set_pace (struct core_run *run, int64_t percent)
+{
+  struct fl_core *core = run->task->step->job->core;
+  struct fl_run_order order = {
+    .target = run->target->entry.id,
+    .address = run->target->entry.address,
+    .task = core_task_name (run->task),
+    .run = run->run,
+    .fencing_token = core->options.fencing_token,
+    .percent = percent,
+  };
+
+  if (run->pace_percent == percent)
+    return;
+  run->pace_percent = percent;
+  fl_stats_add (core->options.stats, "paces_total", 1);
+  core->options.actions.pace (core->options.context, &order);
+}
+
+void
+core_pace_target (struct core_target *target)
+{
+  int64_t tail = worst_tail_percent (target);
+
+  for (guint i = 0; i < target->runs->len; i++)
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, i);
+      if (run->task->step->spec->fills && run->state == CORE_RUN_PLACED)
+        set_pace (run, next_pace (run->pace_percent, tail));
+    }
+}
--- /dev/null
+++ b/lib/core/place.c
@@ -0,0 +1,351 @@
+/* Placement: which waiting step comes next, and on which target each task runs. */
+#include <string.h>
+
+#include "core/core_internal.h"
+
+/* Score of what is avoided unless nothing else fits; above any room of a target. */
+#define AVOID_MILLI INT64_C (1000000000)
+/* Position of the rack among the labels of a target: its kind comes first. */
+#define RACK_LABEL 1
+
+/* --- fit --- */
+
+static bool
+has_label (const struct core_target *target, const struct fl_name *label)
+{
+  for (size_t i = 0; i < target->entry.label_count; i++)
+    if (fl_name_eq (&target->entry.labels[i], label))
+      return true;
+  return false;
+}
+
+static bool
+takes_tasks (const struct core_target *target, const struct core_step *step)
+{
+  const struct fl_core *core = step->job->core;
+
+  return target->registered && target->recorded && target->reported && !target->silent
+         && !target->entry.draining && core->now_ms >= target->quarantined_until_ms
+         && fl_name_eq (&target->entry.service, &step->job->queue.service)
+         && (step->spec->label.len == 0 || has_label (target, &step->spec->label));
+}
+
+/* How often @need goes into @left; a need of 0 fits always. */
+static int64_t
+times_in (int64_t left, int64_t need)
+{
+  if (need <= 0)
+    return FL_STEP_TASKS_MAX;
+  return left < need ? 0 : left / need;
+}
+
+static int64_t
+runs_of_step (const struct core_target *target, const struct core_step *step)
+{
+  int64_t count = 0;
+
+  for (guint i = 0; i < target->runs->len; i++)
+    count += ((struct core_run *)g_ptr_array_index (target->runs, i))->task->step == step ? 1 : 0;
+  return count;
+}
+
+int64_t
+core_target_fits (const struct core_target *target, const struct core_step *step, bool claims)
+{
+  const struct fl_step_spec *spec = step->spec;
+  const struct fl_room *room = &target->entry.room;
+  int64_t cpu_left = room->cpu_milli - target->used.cpu_milli;
+  int64_t fits;
+
+  if (!takes_tasks (target, step))
+    return 0;
+  if (spec->fills)
+    cpu_left -= target->filler_cpu_milli;
+  if (claims)
+    cpu_left -= target->claimed_cpu_milli;
+  fits = times_in (cpu_left, spec->cpu_milli);
+  fits = MIN (fits, times_in (room->memory_mb - target->used.memory_mb, spec->memory_mb));
+  fits = MIN (fits, times_in (room->gpu - target->used.gpu, spec->gpu));
+  if (spec->per_target_max > 0)
+    fits = MIN (fits, spec->per_target_max - runs_of_step (target, step));
+  return MAX (fits, 0);
+}
+
+static bool
+under_cap (int64_t used, int64_t need, int64_t cap)
+{
+  return cap <= 0 || used + need <= cap;
+}
+
+static bool
+team_has_room (const struct core_step *step)
+{
+  const struct core_job *job = step->job;
+  const struct fl_team_terms *terms
+      = fl_configuration_team (job->core->configuration, &job->team->name);
+  const struct fl_room *used = &job->team->used;
+  const struct fl_step_spec *spec = step->spec;
+
+  return terms == NULL
+         || (under_cap (used->cpu_milli, spec->cpu_milli, terms->cap.cpu_milli)
+             && under_cap (used->memory_mb, spec->memory_mb, terms->cap.memory_mb)
+             && under_cap (used->gpu, spec->gpu, terms->cap.gpu));
+}
+
+/* --- choice --- */
+
+static bool
+serves (const struct core_target *target)
+{
+  for (guint i = 0; i < target->runs->len; i++)
+    if (((struct core_run *)g_ptr_array_index (target->runs, i))->task->step->spec->latency_bound_ms
+        > 0)
+      return true;
+  return false;
+}
+
+/* Higher is better: the most room left, since tasks on one target slow each other down. */
+static int64_t
+score (const struct core_target *target, const struct core_task *task)
+{
+  const struct fl_step_spec *spec = task->step->spec;
+  int64_t value = target->entry.room.cpu_milli - target->used.cpu_milli - target->filler_cpu_milli;
+
+  if (spec->fills && serves (target))
+    value -= AVOID_MILLI;
+  if (spec->rack.len > 0 && !has_label (target, &spec->rack))
+    value -= AVOID_MILLI;
+  if (fl_name_eq (&task->failed_target, &target->entry.id))
+    value -= AVOID_MILLI;
+  return value;
+}
+
+/* @rack limits the choice to one rack unless it is NULL. */
+static struct core_target *
+choose_target (const struct core_task *task, const struct fl_name *rack)
+{
+  const struct core_step *step = task->step;
+  struct core_target *best = NULL;
+  int64_t best_score = 0;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, step->job->core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_target *target = value;
+      if ((rack != NULL && !has_label (target, rack)) || core_target_fits (target, step, false) == 0
+          || core_advice_ticket (step, target) == NULL)
+        continue;
+      int64_t target_score = score (target, task);
+      if (best == NULL || target_score > best_score)
+        {
+          best = target;
+          best_score = target_score;
+        }
+    }
+  return best;
+}
+
+static int64_t
+next_run (const struct core_task *task)
+{
+  return MAX (task->last_run + 1, task->step->job->core->first_run);
+}
+
+static bool
+may_start (const struct core_task *task)
+{
+  return !task->done && task->run == NULL && task->not_before_ms <= task->step->job->core->now_ms;
+}
+
+/* Places what can be placed. @return how many tasks still wait. */
+static int64_t
+place_tasks (struct core_step *step)
+{
+  int64_t waiting = 0;
+
+  for (int64_t i = 0; i < step->spec->count; i++)
+    {
+      struct core_task *task = &step->tasks[i];
+      struct core_target *target;
+      if (!may_start (task))
+        continue;
+      target = waiting == 0 && team_has_room (step) ? choose_target (task, NULL) : NULL;
+      if (target == NULL)
+        {
+          waiting++;
+          continue;
+        }
+      core_run_order_start (core_run_new (task, target, next_run (task)),
+                            core_advice_ticket (step, target));
+    }
+  return waiting;
+}
+
+/* --- gangs --- */
+
+/* Charges room for all tasks of a gang on targets of @rack, or anywhere when it is NULL.
+ * @return false with nothing charged when not all of them fit. */
+static bool
+reserve_gang (struct core_step *step, const struct fl_name *rack)
+{
+  int64_t number = step->job->core->first_run;
+  int64_t placed = 0;
+
+  for (int64_t i = 0; i < step->spec->count; i++)
+    number = MAX (number, next_run (&step->tasks[i]));
+  for (; placed < step->spec->count; placed++)
+    {
+      struct core_task *task = &step->tasks[placed];
+      struct core_target *target = team_has_room (step) ? choose_target (task, rack) : NULL;
+      if (target == NULL)
+        break;
+      core_run_new (task, target, number);
+    }
+  if (placed == step->spec->count)
+    return true;
+  while (placed > 0)
+    core_run_release (step->tasks[--placed].run);
+  return false;
+}
+
+static bool
+reserve_on_one_rack (struct core_step *step)
+{
+  g_autoptr (GHashTable) tried = g_hash_table_new (fl_name_hash, fl_name_equal);
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, step->job->core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_target *target = value;
+      const struct fl_name *rack = &target->entry.labels[RACK_LABEL];
+      if (target->entry.label_count <= RACK_LABEL || !g_hash_table_add (tried, (void *)rack))
+        continue;
+      if (reserve_gang (step, rack))
+        return true;
+    }
+  return false;
+}
+
+/* Starts all tasks of a gang or none. @return how many wait. */
+static int64_t
+place_gang (struct core_step *step)
+{
+  for (int64_t i = 0; i < step->spec->count; i++)
+    if (!may_start (&step->tasks[i]))
+      return 0;
+  if (!(step->spec->rack_bound && reserve_on_one_rack (step)) && !reserve_gang (step, NULL))
+    return step->spec->count;
+  for (int64_t i = 0; i < step->spec->count; i++)
+    core_run_order_start (step->tasks[i].run,
+                          core_advice_ticket (step, step->tasks[i].run->target));
+  return 0;
+}
+
+/* --- order of waiting work --- */
+
+static double
+team_ratio (const struct core_job *job)
+{
+  const struct fl_team_terms *terms
+      = fl_configuration_team (job->core->configuration, &job->team->name);
+
+  return (double)job->team->used.cpu_milli / (double)(terms != NULL ? MAX (terms->weight, 1) : 1);
+}
+
+struct waiting_step
+{
+  struct core_step *step;
+  double ratio;
+};
+
+/* Priority, then the team that has least against its weight, then age: a team that sends many times
+ * its usual waits behind its own work, not in front of the others'. */
+static gint
+compare_waiting (const void *a, const void *b)
+{
+  const struct waiting_step *x = a;
+  const struct waiting_step *y = b;
+  const struct core_job *job_x = x->step->job;
+  const struct core_job *job_y = y->step->job;
+
+  if (job_x->queue.priority != job_y->queue.priority)
+    return job_x->queue.priority < job_y->queue.priority ? -1 : 1;
+  if (x->ratio < y->ratio || x->ratio > y->ratio)
+    return x->ratio < y->ratio ? -1 : 1;
+  return job_x->version < job_y->version ? -1 : job_x->version > job_y->version;
+}
+
+static bool
+has_waiting_task (const struct core_step *step)
+{
+  for (int64_t i = 0; i < step->spec->count; i++)
+    if (may_start (&step->tasks[i]))
+      return true;
+  return false;
+}
+
+/* Whether an earlier owner's orders may be in effect at a target that has not reported. */
+static bool
+is_unsettled (const struct fl_core *core)
+{
+  GHashTableIter iter;
+  void *value;
+
+  if (core->now_ms >= core->options.settled_at_ms)
+    return false;
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_target *target = value;
+      if (target->inherited && !target->reported)
+        return true;
+    }
+  return false;
+}
+
+static GArray *
+collect_waiting (struct fl_core *core)
+{
+  GArray *waiting = g_array_new (FALSE, FALSE, sizeof (struct waiting_step));
+  bool unsettled = is_unsettled (core);
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_job *job = value;
+      if (fl_job_state_is_final (job->state)
+          || (unsettled && job->version <= core->options.taken_version))
+        continue;
+      for (size_t i = 0; i < job->step_count; i++)
+        {
+          struct waiting_step entry = { &job->steps[i], team_ratio (job) };
+          if (entry.step->open_count > 0 && core_step_is_due (entry.step)
+              && has_waiting_task (entry.step))
+            g_array_append_val (waiting, entry);
+        }
+    }
+  g_array_sort (waiting, compare_waiting);
+  return waiting;
+}
+
+void
+core_place_tick (struct fl_core *core)
+{
+  GArray *waiting = collect_waiting (core);
+
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      struct core_step *step = g_array_index (waiting, struct waiting_step, i).step;
+      int64_t left = step->spec->gang ? place_gang (step) : place_tasks (step);
+      if (left > 0 && step->job->queue.advice.required && team_has_room (step))
+        core_advice_ask (step, left);
+    }
+  fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
+  g_array_unref (waiting);
+}
--- /dev/null
+++ b/lib/core/runs.c
@@ -0,0 +1,265 @@
+/* Runs: from the order of a start to its end. */
+#include <string.h>
+
+#include "core/core_internal.h"
+
+/* A start is refused by the target when it arrives later than this: bounds how long an order that
+ * was delayed on its way can still take effect. Covers two time-outs of an order. */
+#define START_DEADLINE_MS 1500
+#define START_ATTEMPTS_MAX 3
+/* A stop is sent again after this while no end is listed. */
+#define STOP_RETRY_MS 700
+/* A target that declines work or has no room is left alone for this long. */
+#define DECLINED_PAUSE_MS 300
+#define LAPSE_PERCENT 104
+#define LAPSE_MARGIN_MS 50
+
+static void
+charge (struct core_run *run, int sign)
+{
+  const struct fl_step_spec *spec = run->task->step->spec;
+  struct fl_room *target = &run->target->used;
+  struct fl_room *team = &run->task->step->job->team->used;
+
+  if (spec->fills)
+    run->target->filler_cpu_milli += sign * spec->cpu_milli;
+  else
+    target->cpu_milli += sign * spec->cpu_milli;
+  target->memory_mb += sign * spec->memory_mb;
+  target->gpu += sign * spec->gpu;
+  team->cpu_milli += sign * spec->cpu_milli;
+  team->memory_mb += sign * spec->memory_mb;
+  team->gpu += sign * spec->gpu;
+}
+
+struct core_run *
+core_run_new (struct core_task *task, struct core_target *target, int64_t number)
+{
+  struct core_run *run = g_new0 (struct core_run, 1);
+
+  g_assert (task->run == NULL);
+  run->task = task;
+  run->target = target;
+  run->run = number;
+  run->pace_percent = 100;
+  task->run = run;
+  task->last_run = MAX (task->last_run, number);
+  task->step->job->run_count++;
+  g_ptr_array_add (target->runs, run);
+  charge (run, 1);
+  return run;
+}
+
+void
+core_run_release (struct core_run *run)
+{
+  charge (run, -1);
+  run->task->run = NULL;
+  run->task->step->job->run_count--;
+  g_ptr_array_remove_fast (run->target->runs, run);
+}
+
+void
+core_run_order_start (struct core_run *run, const char *ticket)
+{
+  struct core_job *job = run->task->step->job;
+  struct fl_core *core = job->core;
+  struct core_target *target = run->target;
+  struct fl_start_order order = {
+    .target = target->entry.id,
+    .address = target->entry.address,
+    .task = core_task_name (run->task),
+    .run = run->run,
+    .fencing_token = core->options.fencing_token,
+    .deadline_ms = core_target_clock (target, core->now_ms) + START_DEADLINE_MS,
+    .text = fl_str_text (&job->spec.text),
+    .text_len = job->spec.text.len,
+    .checkpoint = fl_str_text (&run->task->checkpoint),
+    .ticket = ticket,
+  };
+
+  run->state = CORE_RUN_ORDERED;
+  run->order_open = true;
+  run->order_at_ms = core->now_ms;
+  target->lapse_at_ms
+      = MAX (target->lapse_at_ms,
+             core->now_ms + START_DEADLINE_MS * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS);
+  if (!job->begun)
+    {
+      job->begun = true;
+      job->state = FL_JOB_RUNNING;
+      core_job_touch (job);
+    }
+  fl_stats_add (core->options.stats, "starts_total", 1);
+  fl_log (core->options.log, FL_LOG_DEBUG, "start", FL_N ("task", &order.task),
+          FL_I ("run", run->run), FL_N ("target", &target->entry.id));
+  core->options.actions.start (core->options.context, &order);
+}
+
+static void
+send_stop (struct core_run *run)
+{
+  struct fl_core *core = run->task->step->job->core;
+  struct fl_run_order order = {
+    .target = run->target->entry.id,
+    .address = run->target->entry.address,
+    .task = core_task_name (run->task),
+    .run = run->run,
+    .fencing_token = core->options.fencing_token,
+  };
+
+  run->order_open = true;
+  run->order_at_ms = core->now_ms;
+  run->confirmed_ms = 0;
+  fl_stats_add (core->options.stats, "stops_total", 1);
+  core->options.actions.stop (core->options.context, &order);
+}
+
+void
+core_run_stop (struct core_run *run)
+{
+  if (run->state == CORE_RUN_STOPPING)
+    return;
+  run->state = CORE_RUN_STOPPING;
+  send_stop (run);
+}
+
+void
+core_target_lose_runs (struct core_target *target, const char *reason)
+{
+  while (target->runs->len > 0)
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, target->runs->len - 1);
+      struct fl_core *core = run->task->step->job->core;
+      struct fl_name name = core_task_name (run->task);
+      fl_log (core->options.log, FL_LOG_NOTICE, "run_lost", FL_N ("task", &name),
+              FL_I ("run", run->run), FL_N ("target", &target->entry.id), FL_S ("reason", reason));
+      fl_stats_add (core->options.stats, "runs_lost_total", 1);
+      core_run_release (run);
+    }
+}
+
+/* Stops the other members when one member of a gang could not be started. */
+static void
+abort_gang (struct core_step *step)
+{
+  for (int64_t i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].run != NULL)
+      core_run_stop (step->tasks[i].run);
+}
+
+/* The start did certainly not take effect. */
+static void
+take_back (struct core_run *run, enum fl_order_result result)
+{
+  struct core_task *task = run->task;
+  struct core_target *target = run->target;
+  struct fl_core *core = task->step->job->core;
+  struct fl_name name = core_task_name (task);
+
+  fl_log (core->options.log, FL_LOG_INFO, "start_refused", FL_N ("task", &name),
+          FL_I ("run", run->run), FL_N ("target", &target->entry.id),
+          FL_S ("reason", fl_order_result_name (result)));
+  fl_stats_add (core->options.stats, "starts_refused_total", 1);
+  if (result == FL_ORDER_NO_TICKET)
+    core_advice_forget (task->step, target);
+  if (result == FL_ORDER_NO_ROOM || result == FL_ORDER_UNHEALTHY || result == FL_ORDER_OTHER_BOOT
+      || result == FL_ORDER_NOT_SENT)
+    target->quarantined_until_ms
+        = MAX (target->quarantined_until_ms, core->now_ms + DECLINED_PAUSE_MS);
+  if (result == FL_ORDER_INVALID)
+    task->not_before_ms = core->now_ms + DECLINED_PAUSE_MS;
+  core_run_release (run);
+  if (task->step->spec->gang)
+    abort_gang (task->step);
+}
+
+static struct core_run *
+find_run (struct fl_core *core, const struct fl_name *name, int64_t number)
+{
+  struct core_task *task = core_find_task (core, name);
+
+  return task != NULL && task->run != NULL && task->run->run == number ? task->run : NULL;
+}
+
+void
+fl_core_start_answered (struct fl_core *core,
+                        const struct fl_name *name,
+                        int64_t number,
+                        enum fl_order_result result,
+                        int64_t now_ms)
+{
+  struct core_run *run = find_run (core, name, number);
+
+  core->now_ms = now_ms;
+  if (run == NULL || run->state != CORE_RUN_ORDERED)
+    return;
+  run->order_open = false;
+  switch (result)
+    {
+    case FL_ORDER_DONE:
+    case FL_ORDER_OLD_RUN: /* it has ended there: the lists tell how */
+      run->confirmed_ms = now_ms;
+      run->state = CORE_RUN_PLACED;
+      break;
+    case FL_ORDER_UNANSWERED:
+    case FL_ORDER_FENCED: /* a successor decides; nothing may be presumed */
+      break;
+    default:
+      /* After an unanswered start the earlier order may still take effect. */
+      if (run->attempts == 0)
+        take_back (run, result);
+      else
+        core_run_stop (run);
+      break;
+    }
+}
+
+void
+fl_core_stop_answered (struct fl_core *core,
+                       const struct fl_name *name,
+                       int64_t number,
+                       enum fl_order_result result,
+                       int64_t now_ms)
+{
+  struct core_run *run = find_run (core, name, number);
+
+  core->now_ms = now_ms;
+  if (run == NULL || run->state != CORE_RUN_STOPPING)
+    return;
+  run->order_open = false;
+  if (result == FL_ORDER_DONE || result == FL_ORDER_OLD_RUN)
+    run->confirmed_ms = now_ms;
+}
+
+static void
+tick_run (struct core_run *run, int64_t now_ms)
+{
+  if (run->order_open)
+    return;
+  if (run->state == CORE_RUN_STOPPING && now_ms - run->order_at_ms >= STOP_RETRY_MS)
+    send_stop (run);
+  if (run->state != CORE_RUN_ORDERED)
+    return;
+  run->attempts++;
+  const char *ticket = core_advice_ticket (run->task->step, run->target);
+  if (run->attempts < START_ATTEMPTS_MAX && ticket != NULL && !run->target->silent)
+    core_run_order_start (run, ticket);
+  else
+    core_run_stop (run);
+}
+
+void
+core_runs_tick (struct fl_core *core)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_target *target = value;
+      for (guint i = 0; i < target->runs->len; i++)
+        tick_run (g_ptr_array_index (target->runs, i), core->now_ms);
+    }
+}
--- /dev/null
+++ b/lib/frontd/call.c
@@ -0,0 +1,132 @@
+/* A request of a client while it waits for the store. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/clock.h"
+#include "frontd/frontd_internal.h"
+
+/* How long a client waits that does not say so, and the longest that is granted. */
+#define DEADLINE_MS 3000
+/* The answer leaves this much before the client stops waiting. */
+#define ANSWER_MARGIN_MS 150
+/* One call to the store; a request has time for two and more. */
+#define STORE_TIMEOUT_MS 1000
+#define RETRY_PAUSE_MS 100
+#define DEADLINE_HEADER "Deadline-Ms"
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct front_call *call = timer->data;
+
+  (void)loop;
+  (void)events;
+  call->retry (call);
+}
+
+static int64_t
+granted_ms (struct fl_http_request *request)
+{
+  const char *text = fl_http_header (request, DEADLINE_HEADER);
+  int64_t value = text != NULL ? strtoll (text, NULL, 10) : 0;
+
+  return value > 0 ? MIN (value, DEADLINE_MS) : DEADLINE_MS;
+}
+
+struct front_call *
+front_call_new (struct fl_frontd *frontd,
+                struct fl_http_request *request,
+                const struct fl_name *id,
+                const struct fl_queue *queue)
+{
+  struct front_call *call = g_new0 (struct front_call, 1);
+
+  call->frontd = frontd;
+  call->request = request;
+  call->id = *id;
+  call->queue = queue->name;
+  call->started_ms = fl_clock_boot_ms ();
+  call->expires_ms = call->started_ms + granted_ms (request) - ANSWER_MARGIN_MS;
+  ev_timer_init (&call->timer, on_timer, 0.0, 0.0);
+  call->timer.data = call;
+  return call;
+}
+
+static void
+note_answer (const struct front_call *call, int status)
+{
+  struct fl_host *host = call->frontd->host;
+  int64_t took_ms = fl_clock_boot_ms () - call->started_ms;
+
+  fl_stats_record (host->stats, "request_ms", took_ms);
+  fl_log (&host->log, status < 500 ? FL_LOG_DEBUG : FL_LOG_INFO, "answered",
+          FL_S ("method", fl_http_method (call->request)), FL_N ("job", &call->id),
+          FL_N ("queue", &call->queue), FL_I ("status", status), FL_I ("took_ms", took_ms));
+}
+
+void
+front_call_answer (struct front_call *call, int status, const struct fl_str *body)
+{
+  struct fl_http_response response = { .status = status,
+                                       .body = body != NULL ? body->data : "{}",
+                                       .len = body != NULL ? body->len : 2,
+                                       .closes = call->frontd->stopping };
+
+  if (status == 503 || status == 429)
+    response.retry_after_ms = FRONT_RETRY_AFTER_MS;
+  note_answer (call, status);
+  fl_http_respond (call->request, &response);
+  ev_timer_stop (call->frontd->host->loop, &call->timer);
+  fl_str_clear (&call->record);
+  g_free (call);
+}
+
+void
+front_call_retry (struct front_call *call,
+                  void (*retry) (struct front_call *call),
+                  int late_status)
+{
+  if (fl_clock_boot_ms () + RETRY_PAUSE_MS >= call->expires_ms)
+    {
+      front_call_answer (call, late_status, NULL);
+      return;
+    }
+  call->retry = retry;
+  ev_timer_set (&call->timer, RETRY_PAUSE_MS / 1000.0, 0.0);
+  ev_timer_start (call->frontd->host->loop, &call->timer);
+}
+
+int64_t
+front_call_timeout (const struct front_call *call)
+{
+  int64_t left_ms = call->expires_ms - fl_clock_boot_ms ();
+
+  return CLAMP (left_ms, 1, STORE_TIMEOUT_MS);
+}
+
+bool
+front_reply_has_job (const struct front_call *call,
+                     const struct fl_store_reply *reply,
+                     bool *cancelled,
+                     int64_t *version)
+{
+  bool found = false;
+
+  *cancelled = false;
+  *version = 0;
+  for (size_t i = 0; i < reply->count; i++)
+    {
+      const struct fl_store_row *row = &reply->rows[i];
+      bool is_mark = row->value.len <= strlen (FL_MARK_VALUE);
+      if (fl_name_eq (&row->key, &call->id))
+        {
+          found = !is_mark;
+          *version = row->version;
+        }
+      else if (g_str_has_suffix (row->key.data, FL_CANCEL_SUFFIX))
+        *cancelled = true;
+    }
+  return found;
+}
--- /dev/null
+++ b/lib/frontd/frontd.c
@@ -0,0 +1,276 @@
+#include "frontd/frontd.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/clock.h"
+#include "frontd/frontd_internal.h"
+
+/* Without a confirmation for this long the configuration may have been replaced: requests are
+ * refused rather than handled by an old one. Covers a feed's wait and a renewed connection. */
+#define CONFIRMED_WITHIN_MS 4000
+/* Limits of client connections: the platform's own limits are of this size. */
+#define BODY_MAX (256 * 1024)
+#define HEADER_MAX (32 * 1024)
+#define CONNECTIONS_MAX 3000
+#define IDLE_MS 15000
+#define UPLOAD_MS 3000
+/* After a SIGTERM requests are taken until this much before the process would be killed. */
+#define STOP_MARGIN_MS 1200
+#define JOB_ID_LEN 16
+
+bool
+front_is_current (const struct fl_frontd *frontd)
+{
+  return frontd->configuration != NULL
+         && fl_clock_boot_ms () - frontd->confirmed_ms <= CONFIRMED_WITHIN_MS;
+}
+
+/* --- configuration --- */
+
+static void
+on_configuration_row (void *context, const struct fl_store_row *row)
+{
+  struct fl_frontd *frontd = context;
+  struct fl_configuration *configuration;
+  struct fl_error error = { 0 };
+
+  if (row->removed || strcmp (row->key.data, FL_PLATFORM_CONFIGURATION_KEY) != 0)
+    return;
+  configuration = fl_platform_decode_configuration (&row->value, &error);
+  if (configuration == NULL)
+    {
+      fl_log_error (&frontd->host->log, FL_LOG_ERR, "configuration_unreadable", &error);
+      return;
+    }
+  if (frontd->configuration != NULL
+      && fl_configuration_version (configuration) < fl_configuration_version (frontd->configuration))
+    {
+      fl_configuration_unref (configuration);
+      return;
+    }
+  fl_configuration_unref (frontd->configuration);
+  frontd->configuration = configuration;
+  fl_log (&frontd->host->log, FL_LOG_NOTICE, "configuration_in_force",
+          FL_I ("version", fl_configuration_version (configuration)));
+}
+
+static void
+on_confirmed (void *context, int64_t sent_ms)
+{
+  struct fl_frontd *frontd = context;
+
+  frontd->confirmed_ms = sent_ms;
+}
+
+static void
+ignore (void *context)
+{
+  (void)context;
+}
+
+/* --- requests --- */
+
+static void
+respond (struct fl_frontd *frontd, struct fl_http_request *request, int status)
+{
+  struct fl_http_response response
+      = { .status = status, .body = "{}", .len = 2, .closes = frontd->stopping };
+
+  if (status == 503)
+    response.retry_after_ms = FRONT_RETRY_AFTER_MS;
+  fl_http_respond (request, &response);
+}
+
+static bool
+is_job_id (const char *text)
+{
+  return strlen (text) == JOB_ID_LEN && strspn (text, "0123456789abcdef") == JOB_ID_LEN;
+}
+
+/* @return whether the key of @request permits calls of @queue; fills the team it belongs to. */
+static bool
+check_key (const struct fl_frontd *frontd,
+           struct fl_http_request *request,
+           const struct fl_queue *queue,
+           struct fl_name *team)
+{
+  struct fl_name key = fl_platform_decode_key (fl_http_header (request, "Authorization"));
+  const struct fl_name *holder = fl_configuration_team_of_key (frontd->configuration, &key);
+
+  *team = holder != NULL ? *holder : fl_name_of ("");
+  return queue->is_public || holder != NULL;
+}
+
+static void
+handle_job (struct fl_frontd *frontd,
+            struct fl_http_request *request,
+            const char *id_text,
+            const struct fl_queue *queue,
+            const struct fl_name *team)
+{
+  const char *method = fl_http_method (request);
+  struct fl_name id = fl_name_of (id_text);
+
+  if (strcmp (method, "POST") == 0)
+    front_submit (frontd, request, &id, queue, team);
+  else if (strcmp (method, "GET") == 0)
+    front_show (frontd, request, &id, queue);
+  else if (strcmp (method, "DELETE") == 0)
+    front_cancel (frontd, request, &id, queue);
+  else
+    respond (frontd, request, 405);
+}
+
+static void
+on_request (void *context, struct fl_http_request *request)
+{
+  struct fl_frontd *frontd = context;
+  const char *host = fl_http_header (request, "Host");
+  const char *path = fl_http_path (request);
+  const struct fl_queue *queue;
+  struct fl_name team;
+  const char *rest;
+
+  if (!front_is_current (frontd))
+    {
+      respond (frontd, request, 503);
+      return;
+    }
+  queue = fl_configuration_route (frontd->configuration, host != NULL ? host : "", path);
+  rest = queue != NULL ? path + queue->prefix.len : "";
+  if (queue == NULL)
+    respond (frontd, request, 404);
+  else if (!check_key (frontd, request, queue, &team))
+    respond (frontd, request, 401);
+  else if (*rest == '\0' && strcmp (fl_http_method (request), "GET") == 0)
+    front_count (frontd, request, queue);
+  else if (!is_job_id (rest))
+    respond (frontd, request, 400);
+  else
+    handle_job (frontd, request, rest, queue, &team);
+}
+
+static void
+on_ready_request (void *context, struct fl_http_request *request)
+{
+  struct fl_frontd *frontd = context;
+
+  respond (frontd, request, front_is_current (frontd) && !frontd->stopping ? 200 : 503);
+}
+
+/* --- start and stop --- */
+
+static struct fl_http_server *
+listen_at (struct fl_frontd *frontd,
+           const struct fl_name *endpoint,
+           void (*on_request_) (void *context, struct fl_http_request *request),
+           struct fl_error *error)
+{
+  struct fl_name address;
+  struct fl_http_server_options options = {
+    .loop = frontd->host->loop,
+    .body_max = BODY_MAX,
+    .header_max = HEADER_MAX,
+    .connections_max = CONNECTIONS_MAX,
+    .idle_ms = IDLE_MS,
+    .upload_ms = UPLOAD_MS,
+    .on_request = on_request_,
+    .context = frontd,
+  };
+
+  if (!fl_host_endpoint (endpoint, &address, &options.port))
+    {
+      fl_fail (error, FL_INVALID, "listen", endpoint->data, "the settings name no such endpoint");
+      return NULL;
+    }
+  options.address = address.data;
+  return fl_http_server_new (&options, error);
+}
+
+static void
+on_stop_time (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)timer;
+  (void)events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Requests on open connections are still taken; the balancer learns from the ready address. */
+static void
+on_stop (void *context)
+{
+  struct fl_frontd *frontd = context;
+  int64_t serve_ms = frontd->host->settings.graceful_stop_s * 1000 - STOP_MARGIN_MS;
+
+  if (frontd->stopping)
+    return;
+  frontd->stopping = true;
+  fl_log (&frontd->host->log, FL_LOG_NOTICE, "stopping", FL_I ("serve_ms", serve_ms));
+  ev_timer_set (&frontd->stop, (double)MAX (serve_ms, 0) / 1000.0, 0.0);
+  ev_timer_start (frontd->host->loop, &frontd->stop);
+}
+
+static void
+dump (void *context, GString *out)
+{
+  const struct fl_frontd *frontd = context;
+  int64_t version
+      = frontd->configuration != NULL ? fl_configuration_version (frontd->configuration) : 0;
+
+  g_string_append_printf (out,
+                          "{\"configuration\":%" G_GINT64_FORMAT ",\"confirmed_ms_ago\":"
+                          "%" G_GINT64_FORMAT ",\"open_requests\":%d}\n",
+                          version, fl_clock_boot_ms () - frontd->confirmed_ms,
+                          fl_http_server_open_requests (frontd->front));
+}
+
+static bool
+open_listeners (struct fl_frontd *frontd, struct fl_error *error)
+{
+  const struct fl_host_settings *settings = &frontd->host->settings;
+
+  frontd->front = listen_at (frontd, &settings->front, on_request, error);
+  if (frontd->front == NULL)
+    return false;
+  frontd->ready = listen_at (frontd, &settings->ready, on_ready_request, error);
+  return frontd->ready != NULL
+         && fl_host_serve_metrics (frontd->host, settings->front_metrics_port, dump, frontd, error);
+}
+
+int
+fl_frontd_serve (struct fl_host *host)
+{
+  struct fl_frontd frontd = { .host = host };
+  struct fl_error error = { 0 };
+  struct fl_follower_options follower = {
+    .loop = host->loop,
+    .store = host->store,
+    .table = FL_PLATFORM_OPERATOR_TABLE,
+    .on_row = on_configuration_row,
+    .on_read_begin = ignore,
+    .on_read_end = ignore,
+    .on_confirmed = on_confirmed,
+    .context = &frontd,
+  };
+  int code = FL_PROGRAM_OK;
+
+  ev_timer_init (&frontd.stop, on_stop_time, 0.0, 0.0);
+  if (open_listeners (&frontd, &error))
+    {
+      fl_stop_signals_start (&frontd.signals, host->loop, on_stop, &frontd);
+      frontd.configuration_follower = fl_follower_new (&follower);
+      ev_run (host->loop, 0);
+    }
+  else
+    {
+      fl_log_error (&host->log, FL_LOG_ERR, "start_failed", &error);
+      code = FL_PROGRAM_FAILED;
+    }
+  fl_follower_free (frontd.configuration_follower);
+  fl_http_server_free (frontd.front);
+  fl_http_server_free (frontd.ready);
+  fl_configuration_unref (frontd.configuration);
+  return code;
+}
--- /dev/null
+++ b/lib/frontd/frontd_internal.h
@@ -0,0 +1,87 @@
+/* State of flamingo-frontd. */
+#pragma once
+
+#include "frontd/frontd.h"
+#include "store/follower.h"
+#include "store/tables.h"
+
+/* A client comes back after this when nothing better is known: about the time that the platform's
+ * balancer takes to leave out a host that is not ready. */
+#define FRONT_RETRY_AFTER_MS 1000
+
+struct fl_frontd
+{
+  struct fl_host *host;
+  struct fl_http_server *front;
+  struct fl_http_server *ready;
+  struct fl_follower *configuration_follower;
+  struct fl_configuration *configuration; /* NULL until the first */
+  int64_t confirmed_ms; /* the configuration in force is the newest as of then */
+  struct fl_stop_signals signals;
+  ev_timer stop;
+  bool stopping;
+};
+
+/* A request of a client while it waits for the store. */
+struct front_call
+{
+  struct fl_frontd *frontd;
+  struct fl_http_request *request;
+  struct fl_name id;    /* of the job */
+  struct fl_name queue;
+  int64_t started_ms;
+  int64_t expires_ms;  /* the client waits no longer */
+  struct fl_str record; /* POST: the job's row */
+  int64_t expected;     /* POST: version of the row that the record replaces */
+  bool unsettled;       /* POST: a write without an answer may still come into effect */
+  void (*retry) (struct front_call *call);
+  ev_timer timer;
+};
+
+/* --- frontd.c --- */
+
+/* Whether the configuration is known well enough to take requests. */
+bool front_is_current (const struct fl_frontd *frontd);
+
+/* --- call.c --- */
+
+struct front_call *front_call_new (struct fl_frontd *frontd,
+                                   struct fl_http_request *request,
+                                   const struct fl_name *id,
+                                   const struct fl_queue *queue);
+
+/* Answers and frees @call. @body may be NULL. */
+void front_call_answer (struct front_call *call, int status, const struct fl_str *body);
+
+/* Calls @retry after a pause; answers @late_status when the client's time is up before. */
+void front_call_retry (struct front_call *call,
+                       void (*retry) (struct front_call *call),
+                       int late_status);
+
+/* Time-out of the next call to the store. */
+int64_t front_call_timeout (const struct front_call *call);
+
+/* Whether the rows of a reply hold the job of @call; @cancelled tells of a mark to cancel it. */
+bool front_reply_has_job (const struct front_call *call,
+                          const struct fl_store_reply *reply,
+                          bool *cancelled,
+                          int64_t *version);
+
+/* --- jobs.c --- */
+
+void front_submit (struct fl_frontd *frontd,
+                   struct fl_http_request *request,
+                   const struct fl_name *id,
+                   const struct fl_queue *queue,
+                   const struct fl_name *team);
+void front_show (struct fl_frontd *frontd,
+                 struct fl_http_request *request,
+                 const struct fl_name *id,
+                 const struct fl_queue *queue);
+void front_cancel (struct fl_frontd *frontd,
+                   struct fl_http_request *request,
+                   const struct fl_name *id,
+                   const struct fl_queue *queue);
+void front_count (struct fl_frontd *frontd,
+                  struct fl_http_request *request,
+                  const struct fl_queue *queue);
--- /dev/null
+++ b/lib/host/host.c
@@ -0,0 +1,187 @@
+#include "host/host.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <argtable2.h>
+
+/* Kept connections to targets and the store; libcurl closes the least recently used above this. */
+#define CLIENT_CONNECTIONS_MAX 1024
+/* Bounds of the metrics server: it is asked by one scraper with short requests. */
+#define METRICS_BODY_MAX 1024
+#define METRICS_HEADER_MAX 8192
+#define METRICS_CONNECTIONS_MAX 16
+#define METRICS_IDLE_MS 10000
+#define METRICS_UPLOAD_MS 2000
+
+/* --- metrics --- */
+
+struct metrics
+{
+  struct fl_host *host;
+  void (*dump) (void *context, GString *out);
+  void *context;
+};
+
+static void
+on_metrics_request (void *context, struct fl_http_request *request)
+{
+  struct metrics *metrics = context;
+  GString *text = g_string_new (NULL);
+  struct fl_http_response response = { .status = 200, .type = "text/plain" };
+
+  if (strcmp (fl_http_path (request), "/metrics") == 0)
+    fl_stats_text (metrics->host->stats, text);
+  else if (strcmp (fl_http_path (request), "/dump") == 0)
+    metrics->dump (metrics->context, text);
+  else
+    response.status = 404;
+  response.body = text->str;
+  response.len = text->len;
+  fl_http_respond (request, &response);
+  g_string_free (text, TRUE);
+}
+
+bool
+fl_host_serve_metrics (struct fl_host *host,
+                       int64_t port,
+                       void (*dump) (void *context, GString *out),
+                       void *context,
+                       struct fl_error *error)
+{
+  struct metrics *metrics;
+
+  if (port == 0)
+    return true;
+  metrics = g_new0 (struct metrics, 1);
+  *metrics = (struct metrics){ host, dump, context };
+  struct fl_http_server_options options = {
+    .loop = host->loop,
+    .address = host->settings.address.data,
+    .port = port,
+    .body_max = METRICS_BODY_MAX,
+    .header_max = METRICS_HEADER_MAX,
+    .connections_max = METRICS_CONNECTIONS_MAX,
+    .idle_ms = METRICS_IDLE_MS,
+    .upload_ms = METRICS_UPLOAD_MS,
+    .on_request = on_metrics_request,
+    .context = metrics,
+  };
+  host->metrics = fl_http_server_new (&options, error);
+  return host->metrics != NULL;
+}
+
+/* --- signals --- */
+
+static void
+on_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  struct fl_stop_signals *signals = watcher->data;
+
+  (void)loop;
+  (void)events;
+  signals->on_stop (signals->context);
+}
+
+void
+fl_stop_signals_start (struct fl_stop_signals *signals,
+                       struct ev_loop *loop,
+                       void (*on_stop) (void *context),
+                       void *context)
+{
+  signals->on_stop = on_stop;
+  signals->context = context;
+  ev_signal_init (&signals->term, on_signal, SIGTERM);
+  ev_signal_init (&signals->interrupt, on_signal, SIGINT);
+  signals->term.data = signals;
+  signals->interrupt.data = signals;
+  ev_signal_start (loop, &signals->term);
+  ev_signal_start (loop, &signals->interrupt);
+}
+
+/* --- main --- */
+
+static void
+host_init (struct fl_host *host, const char *program)
+{
+  host->loop = ev_default_loop (EVFLAG_AUTO);
+  host->log = (struct fl_log){ fl_host_settings_log_level (&host->settings), program,
+                               host->settings.name };
+  host->stats = fl_stats_new ();
+  host->client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX);
+  host->platform_store = fl_platform_store_new (host->client, host->settings.store.data);
+  host->store = fl_platform_store_interface (host->platform_store);
+}
+
+static void
+host_clear (struct fl_host *host)
+{
+  fl_http_server_free (host->metrics);
+  fl_platform_store_free (host->platform_store);
+  fl_http_client_free (host->client);
+  fl_stats_free (host->stats);
+}
+
+static int
+run (const struct fl_program *program, const char *path, bool check_only)
+{
+  struct fl_host host = { 0 };
+  struct fl_problems problems = { 0 };
+  int code = FL_PROGRAM_OK;
+
+  if (!fl_host_settings_load (path, &host.settings, &problems))
+    {
+      fprintf (stderr, "%s: %zu problem(s) in %s:\n%s\n", program->name, problems.count, path,
+               fl_str_text (&problems.text));
+      code = FL_PROGRAM_USAGE;
+    }
+  else if (check_only)
+    printf ("%s: settings are good\n", path);
+  else
+    {
+      signal (SIGPIPE, SIG_IGN);
+      host_init (&host, program->name);
+      fl_log (&host.log, FL_LOG_NOTICE, "started", FL_N ("domain", &host.settings.domain),
+              FL_N ("store", &host.settings.store));
+      code = program->serve (&host);
+      fl_log (&host.log, FL_LOG_NOTICE, "stopped", FL_I ("code", code));
+      host_clear (&host);
+    }
+  fl_host_settings_clear (&host.settings);
+  fl_problems_clear (&problems);
+  return code;
+}
+
+int
+fl_program_main (const struct fl_program *program, int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this text and exit");
+  struct arg_lit *check = arg_lit0 (NULL, "check", "check the settings and exit");
+  struct arg_file *settings = arg_file1 ("s", "settings", "FILE", "JSON settings");
+  struct arg_end *end = arg_end (5);
+  void *table[] = { help, check, settings, end };
+  int errors = arg_parse (argc, argv, table);
+  int code = FL_PROGRAM_USAGE;
+
+  if (help->count > 0)
+    {
+      printf ("%s - %s\n\nUsage: %s", program->name, program->summary, program->name);
+      arg_print_syntax (stdout, table, "\n\nOptions:\n");
+      arg_print_glossary (stdout, table, "  %-28s %s\n");
+      puts ("");
+      fl_host_settings_describe ();
+      puts ("\nSignals: SIGTERM and SIGINT stop gracefully.\n"
+            "Exit codes: 0 stopped as asked, 1 failed, 2 bad arguments or settings.");
+      code = FL_PROGRAM_OK;
+    }
+  else if (errors > 0)
+    {
+      arg_print_errors (stderr, end, program->name);
+      fprintf (stderr, "Try '%s --help'.\n", program->name);
+    }
+  else
+    code = run (program, settings->filename[0], check->count > 0);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return code;
+}
--- /dev/null
+++ b/lib/host/settings.c
@@ -0,0 +1,128 @@
+#include "host/settings.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#define PORT_MAX 65535
+
+static const char *const log_level_names[] = { "err", "warning", "notice", "info", "debug", NULL };
+
+#define NAME(member_, required_, max_)                                                             \
+  {                                                                                                \
+#member_, FL_NAME, offsetof(struct fl_host_settings, member_), required_, required_ ? 1 : 0,   \
+        max_, 0, NULL, NULL                                                                        \
+  }
+#define INT(member_, min_, max_, default_)                                                         \
+  {                                                                                                \
+#member_, FL_INT, offsetof(struct fl_host_settings, member_), false, min_, max_, default_,     \
+        NULL, NULL                                                                                 \
+  }
+
+static const struct fl_field fields[] = {
+  NAME (name, true, FL_NAME_MAX),
+  NAME (domain, true, FL_NAME_MAX),
+  NAME (region, false, FL_NAME_MAX),
+  NAME (address, true, 15),
+  NAME (front, false, 21),
+  NAME (ready, false, 21),
+  NAME (store, true, 21),
+  NAME (advice, false, 21),
+  INT (link_port, 0, PORT_MAX, 0),
+  INT (pool_metrics_port, 0, PORT_MAX, 0),
+  INT (front_metrics_port, 0, PORT_MAX, 0),
+  INT (hold_max_ms, 1000, 600000, 6000),
+  INT (graceful_stop_s, 1, 600, 6),
+  INT (configuration_apply_ms, 100, 600000, 2000),
+  { "log_level", FL_ENUM, offsetof (struct fl_host_settings, log_level), false, 0, 0, 3, NULL,
+    log_level_names },
+};
+static FL_SCHEMA (settings_schema, fl_host_settings, fields);
+
+bool
+fl_host_endpoint (const struct fl_name *endpoint, struct fl_name *address, int64_t *port)
+{
+  const char *colon = strchr (endpoint->data, ':');
+  struct in_addr number;
+  char *end;
+
+  if (colon == NULL || !g_ascii_isdigit (colon[1]))
+    return false;
+  *address = fl_name_make (endpoint->data, (size_t)(colon - endpoint->data));
+  *port = strtol (colon + 1, &end, 10);
+  return *end == '\0' && *port <= PORT_MAX && inet_pton (AF_INET, address->data, &number) == 1;
+}
+
+static void
+check_endpoint (const char *path, const struct fl_name *endpoint, struct fl_problems *problems)
+{
+  struct fl_name address;
+  int64_t port;
+
+  if (endpoint->len > 0 && !fl_host_endpoint (endpoint, &address, &port))
+    fl_problems_add (problems, path, "is \"%s\"; must be an IPv4 number and a port", endpoint->data);
+}
+
+bool
+fl_host_settings_load (const char *path,
+                       struct fl_host_settings *settings,
+                       struct fl_problems *problems)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) file_error = NULL;
+  struct fl_error error = { 0 };
+  size_t len = 0;
+  json_t *json;
+
+  memset (settings, 0, sizeof *settings);
+  if (!g_file_get_contents (path, &text, &len, &file_error))
+    {
+      fl_problems_add (problems, "settings", "%s", file_error->message);
+      return false;
+    }
+  json = fl_json_parse (text, len, &error);
+  if (json == NULL)
+    {
+      fl_problems_add (problems, "settings", "%s", error.text);
+      return false;
+    }
+  fl_schema_from_json (&settings_schema, json, settings, "settings", problems);
+  check_endpoint ("settings.front", &settings->front, problems);
+  check_endpoint ("settings.ready", &settings->ready, problems);
+  check_endpoint ("settings.store", &settings->store, problems);
+  check_endpoint ("settings.advice", &settings->advice, problems);
+  json_decref (json);
+  return problems->count == 0;
+}
+
+void
+fl_host_settings_clear (struct fl_host_settings *settings)
+{
+  fl_schema_clear (&settings_schema, settings);
+}
+
+void
+fl_host_settings_describe (void)
+{
+  puts ("Settings (JSON object):");
+  for (size_t i = 0; i < settings_schema.count; i++)
+    {
+      const struct fl_field *f = &fields[i];
+      printf ("  %-24s ", f->name);
+      if (f->type == FL_INT)
+        printf ("number, %" PRId64 " to %" PRId64 ", default %" PRId64 "\n", f->min, f->max,
+                f->fallback);
+      else
+        puts (f->required ? "text, required" : "text");
+    }
+}
+
+enum fl_log_level
+fl_host_settings_log_level (const struct fl_host_settings *settings)
+{
+  return (enum fl_log_level)(FL_LOG_ERR + settings->log_level);
+}
--- /dev/null
+++ b/lib/job/job_spec.c
@@ -0,0 +1,154 @@
+#include "job/job_spec.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#define DAY_MS (24LL * 3600 * 1000)
+#define TIME_MAX INT64_C (9000000000000)
+#define AMOUNT_MAX INT64_C (1000000000)
+#define REPEAT_MAX 1000
+#define RECORDED_TASKS_MAX 20000
+
+#define FIELD(owner_, member_, type_, required_, min_, max_, fallback_)                            \
+  {                                                                                                \
+#member_, type_, offsetof(struct owner_, member_), required_, min_, max_, fallback_, NULL, NULL \
+  }
+#define LIST(owner_, member_, min_, max_, schema_)                                                 \
+  {                                                                                                \
+#member_, FL_ARRAY, offsetof(struct owner_, member_), true, min_, max_, 0, schema_, NULL       \
+  }
+
+static const struct fl_field link_fields[] = {
+  FIELD (fl_step_link, step, FL_INT, true, 0, FL_STEPS_MAX, 0),
+};
+static FL_SCHEMA (link_schema, fl_step_link, link_fields);
+
+static const struct fl_field step_fields[] = {
+  FIELD (fl_step_spec, count, FL_INT, true, 1, FL_STEP_TASKS_MAX, 0),
+  FIELD (fl_step_spec, cpu_milli, FL_INT, false, 0, AMOUNT_MAX, 0),
+  FIELD (fl_step_spec, memory_mb, FL_INT, false, 0, AMOUNT_MAX, 0),
+  FIELD (fl_step_spec, gpu, FL_INT, false, 0, AMOUNT_MAX, 0),
+  FIELD (fl_step_spec, estimate_ms, FL_INT, false, 0, 30 * DAY_MS, 0),
+  LIST (fl_step_spec, after, 0, FL_STEPS_MAX, &link_schema),
+  FIELD (fl_step_spec, gang, FL_BOOL, false, 0, 0, 0),
+  FIELD (fl_step_spec, rack_bound, FL_BOOL, false, 0, 0, 0),
+  FIELD (fl_step_spec, speculative, FL_BOOL, false, 0, 0, 0),
+  FIELD (fl_step_spec, long_running, FL_BOOL, false, 0, 0, 0),
+  FIELD (fl_step_spec, checkpoints, FL_BOOL, false, 0, 0, 0),
+  FIELD (fl_step_spec, fills, FL_BOOL, false, 0, 0, 0),
+  FIELD (fl_step_spec, label, FL_NAME, false, 0, FL_NAME_MAX, 0),
+  FIELD (fl_step_spec, rack, FL_NAME, false, 0, FL_NAME_MAX, 0),
+  FIELD (fl_step_spec, image, FL_NAME, false, 0, FL_NAME_MAX, 0),
+  FIELD (fl_step_spec, per_target_max, FL_INT, false, 0, FL_STEP_TASKS_MAX, 0),
+  FIELD (fl_step_spec, latency_bound_ms, FL_INT, false, 0, DAY_MS, 0),
+  FIELD (fl_step_spec, disruptions_max, FL_INT, false, -1, FL_STEP_TASKS_MAX, -1),
+};
+static FL_SCHEMA (step_schema, fl_step_spec, step_fields);
+
+static const struct fl_field spec_fields[] = {
+  FIELD (fl_job_spec, id, FL_NAME, true, 1, FL_NAME_MAX, 0),
+  FIELD (fl_job_spec, queue, FL_NAME, true, 1, FL_NAME_MAX, 0),
+  FIELD (fl_job_spec, team, FL_NAME, false, 0, FL_NAME_MAX, 0),
+  FIELD (fl_job_spec, accepted_ms, FL_INT, false, 0, TIME_MAX, 0),
+  FIELD (fl_job_spec, text, FL_TEXT, false, 0, FL_SPEC_MAX, 0),
+  LIST (fl_job_spec, steps, 1, FL_STEPS_MAX, &step_schema),
+  FIELD (fl_job_spec, repeat_count, FL_INT, false, 0, REPEAT_MAX, 0),
+  FIELD (fl_job_spec, start_at_ms, FL_INT, false, 0, TIME_MAX, 0),
+  FIELD (fl_job_spec, interval_ms, FL_INT, false, 0, 30 * DAY_MS, 0),
+};
+FL_SCHEMA (fl_job_row_schema, fl_job_spec, spec_fields);
+
+static const struct fl_field task_fields[] = {
+  FIELD (fl_task_progress, occurrence, FL_INT, false, 0, REPEAT_MAX, 0),
+  FIELD (fl_task_progress, step, FL_INT, false, 0, FL_STEPS_MAX, 0),
+  FIELD (fl_task_progress, index, FL_INT, false, 0, FL_STEP_TASKS_MAX, 0),
+  FIELD (fl_task_progress, done, FL_BOOL, false, 0, 0, 0),
+  FIELD (fl_task_progress, failures, FL_INT, false, 0, AMOUNT_MAX, 0),
+  FIELD (fl_task_progress, checkpoint, FL_TEXT, false, 0, FL_SPEC_MAX, 0),
+};
+static FL_SCHEMA (task_schema, fl_task_progress, task_fields);
+
+static const char *const state_names[]
+    = { "queued", "running", "completed", "failed", "cancelled", NULL };
+
+static const struct fl_field progress_fields[] = {
+  { "state", FL_ENUM, offsetof (struct fl_job_progress, state), true, 0, 0, 0, NULL, state_names },
+  LIST (fl_job_progress, tasks, 0, RECORDED_TASKS_MAX, &task_schema),
+};
+FL_SCHEMA (fl_job_progress_schema, fl_job_progress, progress_fields);
+
+const char *
+fl_job_state_name (enum fl_job_state state)
+{
+  return state_names[state];
+}
+
+bool
+fl_job_state_is_final (enum fl_job_state state)
+{
+  return state == FL_JOB_COMPLETED || state == FL_JOB_FAILED || state == FL_JOB_CANCELLED;
+}
+
+const struct fl_step_spec *
+fl_job_spec_step (const struct fl_job_spec *spec, size_t number)
+{
+  g_assert (number < spec->steps.count);
+  return (const struct fl_step_spec *)spec->steps.items + number;
+}
+
+int64_t
+fl_job_spec_occurrences (const struct fl_job_spec *spec)
+{
+  return MAX (spec->repeat_count, 1);
+}
+
+bool
+fl_job_spec_check (const struct fl_job_spec *spec, struct fl_error *error)
+{
+  for (size_t i = 0; i < spec->steps.count; i++)
+    {
+      const struct fl_step_spec *step = fl_job_spec_step (spec, i);
+      const struct fl_step_link *links = step->after.items;
+      for (size_t j = 0; j < step->after.count; j++)
+        if (links[j].step >= (int64_t)i)
+          return fl_fail (error, FL_INVALID, "job_check", NULL,
+                          "step %zu waits for step %d, which is not an earlier one", i,
+                          (int)links[j].step);
+    }
+  return true;
+}
+
+bool
+fl_record_decode (const struct fl_schema *schema,
+                  const char *data,
+                  size_t len,
+                  void *object,
+                  struct fl_error *error)
+{
+  struct fl_problems problems = { 0 };
+  json_t *json = fl_json_parse (data, len, error);
+
+  memset (object, 0, schema->size);
+  if (json == NULL)
+    return false;
+  bool good = fl_schema_from_json (schema, json, object, schema->name, &problems);
+  if (!good)
+    {
+      fl_fail (error, FL_INVALID, "record_decode", NULL, "%s", fl_str_text (&problems.text));
+      fl_schema_clear (schema, object);
+    }
+  fl_problems_clear (&problems);
+  json_decref (json);
+  return good;
+}
+
+struct fl_str
+fl_record_encode (const struct fl_schema *schema, const void *object)
+{
+  json_t *json = fl_schema_to_json (schema, object);
+  struct fl_str text = fl_json_text (json);
+
+  json_decref (json);
+  return text;
+}
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -32,6 +32,7 @@
   struct curl_slist *own_headers; /* NULL unless the call has a header of its own */
   char error_text[CURL_ERROR_SIZE];
   bool (*may_send) (void *context);
+  void *may_send_context;
   void (*on_done) (void *context, const struct fl_http_result *result);
   void *context;
 };
@@ -88,7 +89,7 @@
   (void)local_address;
   (void)remote_port;
   (void)local_port;
-  return call->may_send (call->context) ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  return call->may_send (call->may_send_context) ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
 /* --- finished calls --- */
@@ -281,6 +282,7 @@
   call->on_done = options->on_done;
   call->context = options->context;
   call->may_send = options->may_send;
+  call->may_send_context = options->may_send_context;
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (easy, CURLOPT_URL, options->url);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -34,6 +34,7 @@
   /* Asked right before the request is sent, after any wait for a connection; false sends nothing.
    * NULL permits always. */
   bool (*may_send) (void *context);
+  void *may_send_context;
   void (*on_done) (void *context, const struct fl_http_result *result);
   void *context;
 };
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -432,6 +432,8 @@
           = g_strdup_printf ("%" G_GINT64_FORMAT, (response->retry_after_ms + 999) / 1000);
       MHD_add_response_header (request->response, "Retry-After", seconds);
     }
+  if (response->closes)
+    MHD_add_response_header (request->response, "Connection", "close");
   if (request->suspended)
     {
       request->suspended = false;
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <ev.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -35,6 +36,7 @@
   const char *body; /* copied */
   size_t len;
   int64_t retry_after_ms; /* when positive, sent as Retry-After in whole seconds, rounded up */
+  bool closes;            /* the connection ends with this response */
 };
 
 /* @return NULL with @error filled when the address cannot be bound. */
--- /dev/null
+++ b/lib/poold/advisors.h
@@ -0,0 +1,44 @@
+/* Questions to the advice service, spread over the hosts.
+ *
+ * The service answers one question at a time for each calling host. The owner therefore hands
+ * questions to its peers, one at a time each; every flamingo-poold answers such requests. */
+#pragma once
+
+#include "host/host.h"
+#include "targets/calls.h"
+
+struct fl_advisors;
+
+struct fl_advisors_options
+{
+  struct fl_host *host;
+  const struct fl_advice_calls *calls; /* from this host */
+  /* An answer to a question asked by fl_advisors_ask; valid during the callback only. */
+  void (*on_answer) (void *context,
+                     const struct fl_name *step,
+                     const struct fl_name *asked,
+                     size_t asked_count,
+                     const struct fl_advice_reply *reply);
+  void *context;
+};
+
+/* @return NULL with @error filled when the link address cannot be bound. */
+struct fl_advisors *fl_advisors_new (const struct fl_advisors_options *options,
+                                     struct fl_error *error);
+void fl_advisors_free (struct fl_advisors *advisors);
+
+/* The address that peers send questions to. */
+struct fl_name fl_advisors_address (const struct fl_advisors *advisors);
+
+/* A peer is reached at @address, or (empty @address) is gone. */
+void fl_advisors_set_peer (struct fl_advisors *advisors,
+                           const struct fl_name *host,
+                           const struct fl_name *address);
+
+/* Hands the question to a free host. @return false when none is free for a question that takes
+ * @expected_ms. */
+bool fl_advisors_ask (struct fl_advisors *advisors,
+                      const struct fl_name *step,
+                      const struct fl_name *targets,
+                      size_t count,
+                      int64_t expected_ms);
--- /dev/null
+++ b/lib/poold/ownership.h
@@ -0,0 +1,49 @@
+/* Ownership of the pool by a lease in the store: see docs/DESIGN.md. */
+#pragma once
+
+#include <ev.h>
+
+#include "common/log.h"
+#include "store/store.h"
+
+/* Table and rows of ownership. */
+#define FL_OWNER_TABLE "owner"
+#define FL_OWNER_POOL_KEY "pool"
+#define FL_OWNER_LEASE_KEY "lease"
+
+struct fl_ownership;
+
+struct fl_ownership_options
+{
+  struct ev_loop *loop;
+  const struct fl_log *log;
+  const struct fl_store *store;
+  struct fl_name host;
+  /* The pool was taken with @token by the transaction of @version. */
+  void (*on_taken) (void *context, int64_t token, int64_t version);
+  /* Another host has the pool now. */
+  void (*on_lost) (void *context);
+  void *context;
+};
+
+struct fl_ownership *fl_ownership_new (const struct fl_ownership_options *options);
+void fl_ownership_free (struct fl_ownership *ownership);
+
+/* Whether orders may leave now. */
+bool fl_ownership_has_authority (const struct fl_ownership *ownership);
+
+/* When the last confirmed authority ends, by the boot clock. */
+int64_t fl_ownership_authority_until (const struct fl_ownership *ownership);
+
+/* The condition that every write of the owner carries. */
+struct fl_store_condition fl_ownership_condition (const struct fl_ownership *ownership);
+
+/* Gives the pool up and stops competing; calls @done when the store has it or did not answer. */
+void fl_ownership_release (struct fl_ownership *ownership, void (*done) (void *context), void *context);
+
+/* How long a taker waits, in milliseconds, until orders of the previous owner to targets that do
+ * not report can no longer be in effect, given the longest lease @hold_ms. */
+int64_t fl_ownership_settle_ms (int64_t hold_ms);
+
+/* How long an owner without authority goes on holding what runs. */
+int64_t fl_ownership_hold_on_ms (void);
--- /dev/null
+++ b/lib/poold/poold.c
@@ -0,0 +1,279 @@
+#include "poold/poold.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/clock.h"
+#include "poold/poold_internal.h"
+
+/* Longest time between decisions: covers what only time brings about. */
+#define TICK_MS 50
+/* The row that announces this host; written again after the pause when the store did not take it. */
+#define ANNOUNCE_TIMEOUT_MS 1000
+#define ANNOUNCE_PAUSE_MS 500
+
+/* --- ownership --- */
+
+static void
+on_taken (void *context, int64_t token, int64_t version)
+{
+  struct fl_poold *poold = context;
+
+  fl_stats_set (poold->host->stats, "pool_owned", 1);
+  poold->term = fl_term_new (poold, token, version);
+}
+
+static void
+end_term (struct fl_poold *poold)
+{
+  struct fl_term *term = poold->term;
+
+  poold->term = NULL;
+  fl_stats_set (poold->host->stats, "pool_owned", 0);
+  if (term != NULL)
+    fl_term_end (term);
+}
+
+static void
+on_lost (void *context)
+{
+  end_term (context);
+}
+
+static bool
+may_send (void *context)
+{
+  const struct fl_poold *poold = context;
+
+  return fl_ownership_has_authority (poold->ownership);
+}
+
+/* --- configuration --- */
+
+static void
+on_configuration_row (void *context, const struct fl_store_row *row)
+{
+  struct fl_poold *poold = context;
+  struct fl_configuration *configuration;
+  struct fl_error error = { 0 };
+
+  if (row->removed || strcmp (row->key.data, FL_PLATFORM_CONFIGURATION_KEY) != 0)
+    return;
+  configuration = fl_platform_decode_configuration (&row->value, &error);
+  if (configuration == NULL)
+    {
+      fl_log_error (&poold->host->log, FL_LOG_ERR, "configuration_unreadable", &error);
+      return;
+    }
+  if (poold->configuration != NULL
+      && fl_configuration_version (configuration) < fl_configuration_version (poold->configuration))
+    {
+      fl_configuration_unref (configuration);
+      return;
+    }
+  fl_configuration_unref (poold->configuration);
+  poold->configuration = configuration;
+  poold->changed = true;
+  fl_log (&poold->host->log, FL_LOG_NOTICE, "configuration_in_force",
+          FL_I ("version", fl_configuration_version (configuration)));
+  if (poold->term != NULL)
+    fl_core_configure (poold->term->core, configuration);
+}
+
+static void
+ignore (void *context)
+{
+  (void)context;
+}
+
+static void
+ignore_confirmed (void *context, int64_t sent_ms)
+{
+  (void)context;
+  (void)sent_ms;
+}
+
+static struct fl_follower *
+follow_configuration (struct fl_poold *poold)
+{
+  struct fl_follower_options options = {
+    .loop = poold->host->loop,
+    .store = poold->host->store,
+    .table = FL_PLATFORM_OPERATOR_TABLE,
+    .on_row = on_configuration_row,
+    .on_read_begin = ignore,
+    .on_read_end = ignore,
+    .on_confirmed = ignore_confirmed,
+    .context = poold,
+  };
+
+  return fl_follower_new (&options);
+}
+
+/* --- this host --- */
+
+static void
+on_announced (void *context, const struct fl_store_reply *reply)
+{
+  struct fl_poold *poold = context;
+
+  poold->announced = reply->status == FL_STORE_OK;
+  poold->announcing = false;
+}
+
+/* Tells the owner where this host takes questions. */
+static void
+announce (struct fl_poold *poold)
+{
+  const struct fl_store *store = poold->host->store;
+  struct fl_name address = fl_advisors_address (poold->advisors);
+  struct fl_store_write write
+      = { FL_TABLE_HOSTS, poold->host->settings.name, { address.len, address.data }, false };
+  struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
+
+  poold->announcing = true;
+  poold->announced_at_ms = fl_clock_boot_ms ();
+  store->transact (store->context, &transaction, ANNOUNCE_TIMEOUT_MS, on_announced, poold);
+}
+
+static void
+on_advice (void *context,
+           const struct fl_name *step,
+           const struct fl_name *asked,
+           size_t asked_count,
+           const struct fl_advice_reply *reply)
+{
+  struct fl_poold *poold = context;
+
+  poold->changed = true;
+  if (poold->term != NULL)
+    fl_core_advice_answered (poold->term->core, step, asked, asked_count, reply,
+                             fl_clock_boot_ms ());
+}
+
+/* --- loop --- */
+
+static void
+tick (struct fl_poold *poold)
+{
+  poold->changed = false;
+  if (!poold->announced && !poold->announcing
+      && fl_clock_boot_ms () - poold->announced_at_ms >= ANNOUNCE_PAUSE_MS)
+    announce (poold);
+  if (poold->term != NULL)
+    fl_term_tick (poold->term);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  tick (timer->data);
+}
+
+/* Decides once for all that was observed in one turn of the loop. */
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+  struct fl_poold *poold = prepare->data;
+
+  (void)loop;
+  (void)events;
+  if (poold->changed)
+    tick (poold);
+}
+
+static void
+on_released (void *context)
+{
+  struct fl_poold *poold = context;
+
+  ev_break (poold->host->loop, EVBREAK_ALL);
+}
+
+static void
+on_stop (void *context)
+{
+  struct fl_poold *poold = context;
+
+  if (poold->stopping)
+    return;
+  poold->stopping = true;
+  end_term (poold);
+  fl_ownership_release (poold->ownership, on_released, poold);
+}
+
+static void
+dump (void *context, GString *out)
+{
+  struct fl_poold *poold = context;
+
+  if (poold->term != NULL)
+    fl_core_dump (poold->term->core, out);
+}
+
+static void
+start_watchers (struct fl_poold *poold)
+{
+  ev_timer_init (&poold->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
+  poold->tick.data = poold;
+  ev_timer_start (poold->host->loop, &poold->tick);
+  ev_prepare_init (&poold->prepare, on_prepare);
+  poold->prepare.data = poold;
+  ev_prepare_start (poold->host->loop, &poold->prepare);
+  fl_stop_signals_start (&poold->signals, poold->host->loop, on_stop, poold);
+}
+
+static bool
+open_links (struct fl_poold *poold, struct fl_error *error)
+{
+  struct fl_advisors_options options = { .host = poold->host,
+                                         .calls = fl_platform_targets_advice (poold->targets),
+                                         .on_answer = on_advice,
+                                         .context = poold };
+
+  poold->advisors = fl_advisors_new (&options, error);
+  return poold->advisors != NULL
+         && fl_host_serve_metrics (poold->host, poold->host->settings.pool_metrics_port, dump,
+                                   poold, error);
+}
+
+int
+fl_poold_serve (struct fl_host *host)
+{
+  struct fl_poold poold = { .host = host };
+  struct fl_error error = { 0 };
+  struct fl_ownership_options ownership = {
+    .loop = host->loop,
+    .log = &host->log,
+    .store = host->store,
+    .host = host->settings.name,
+    .on_taken = on_taken,
+    .on_lost = on_lost,
+    .context = &poold,
+  };
+
+  poold.targets
+      = fl_platform_targets_new (host->client, host->settings.advice.data, may_send, &poold);
+  poold.calls = fl_platform_targets_calls (poold.targets);
+  if (!open_links (&poold, &error))
+    {
+      fl_log_error (&host->log, FL_LOG_ERR, "start_failed", &error);
+      fl_advisors_free (poold.advisors);
+      fl_platform_targets_free (poold.targets);
+      return FL_PROGRAM_FAILED;
+    }
+  start_watchers (&poold);
+  poold.configuration_follower = follow_configuration (&poold);
+  poold.ownership = fl_ownership_new (&ownership);
+  ev_run (host->loop, 0);
+  fl_follower_free (poold.configuration_follower);
+  fl_ownership_free (poold.ownership);
+  fl_advisors_free (poold.advisors);
+  fl_configuration_unref (poold.configuration);
+  fl_platform_targets_free (poold.targets);
+  return FL_PROGRAM_OK;
+}
--- /dev/null
+++ b/lib/poold/records.c
@@ -0,0 +1,170 @@
+/* Group commit: one transaction at a time, holding all that came meanwhile. */
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "common/clock.h"
+#include "common/schema.h"
+#include "poold/poold_internal.h"
+
+#define STORE_TIMEOUT_MS 1000
+/* Bytes of records in one transaction: the store takes 1 MB, encoded a third longer. */
+#define RECORDS_MAX (FL_STORE_ENTRIES_MAX - 1)
+/* The counts of waiting jobs may be 2 s old when they are read. */
+#define PENDING_INTERVAL_MS 500
+
+static void
+commit (struct fl_term *term,
+        const struct fl_store_write *writes,
+        size_t count,
+        void (*done) (void *context, const struct fl_store_reply *reply))
+{
+  const struct fl_store *store = term->poold->host->store;
+  struct fl_store_condition condition = fl_ownership_condition (term->poold->ownership);
+  struct fl_store_transaction transaction = { &condition, 1, writes, count };
+
+  term->references++;
+  store->transact (store->context, &transaction, STORE_TIMEOUT_MS, done, term);
+}
+
+static void
+note_failure (struct fl_term *term, const char *what, const struct fl_store_reply *reply)
+{
+  if (reply->status == FL_STORE_OK)
+    return;
+  fl_stats_add (term->poold->host->stats, "records_failed_total", 1);
+  fl_log (&term->poold->host->log, FL_LOG_WARNING, "record_failed", FL_S ("what", what),
+          FL_I ("status", reply->status), FL_S ("text", reply->error.text));
+}
+
+/* --- progress of jobs --- */
+
+static void
+on_records_stored (void *context, const struct fl_store_reply *reply)
+{
+  struct fl_term *term = context;
+
+  term->records_open = false;
+  term->poold->changed = true;
+  note_failure (term, "progress", reply);
+  if (!term->ended)
+    fl_core_records_done (term->core, reply->status == FL_STORE_OK);
+  fl_term_unref (term);
+}
+
+static void
+store_progress (struct fl_term *term)
+{
+  struct fl_core_record records[RECORDS_MAX];
+  struct fl_store_write writes[RECORDS_MAX];
+  size_t count = fl_core_take_records (term->core, records, RECORDS_MAX);
+
+  if (count == 0)
+    return;
+  for (size_t i = 0; i < count; i++)
+    writes[i] = (struct fl_store_write){ FL_TABLE_PROGRESS, records[i].job, records[i].progress,
+                                         false };
+  term->records_open = true;
+  fl_stats_add (term->poold->host->stats, "records_total", (int64_t)count);
+  commit (term, writes, count, on_records_stored);
+  for (size_t i = 0; i < count; i++)
+    fl_str_clear (&records[i].progress);
+}
+
+/* --- targets that orders may go to --- */
+
+static void
+on_targets_stored (void *context, const struct fl_store_reply *reply)
+{
+  struct fl_term *term = context;
+
+  term->targets_open = false;
+  term->poold->changed = true;
+  note_failure (term, "targets", reply);
+  if (!term->ended && reply->status == FL_STORE_OK)
+    fl_core_targets_recorded (term->core);
+  fl_term_unref (term);
+}
+
+static void
+store_targets (struct fl_term *term)
+{
+  GArray *names = fl_core_targets_to_record (term->core);
+  json_t *json = json_array ();
+
+  for (guint i = 0; i < names->len; i++)
+    json_array_append_new (json, json_string (g_array_index (names, struct fl_name, i).data));
+  struct fl_str value = fl_json_text (json);
+  struct fl_store_write write
+      = { FL_TABLE_SUMMARY, fl_name_of (FL_SUMMARY_TARGETS), value, false };
+  term->targets_open = true;
+  commit (term, &write, 1, on_targets_stored);
+  fl_str_clear (&value);
+  json_decref (json);
+  g_array_unref (names);
+}
+
+void
+fl_term_store_records (struct fl_term *term)
+{
+  if (!term->records_open)
+    store_progress (term);
+  if (!term->targets_open && fl_core_targets_unrecorded (term->core))
+    store_targets (term);
+}
+
+/* --- counts --- */
+
+static void
+on_pending_stored (void *context, const struct fl_store_reply *reply)
+{
+  struct fl_term *term = context;
+
+  term->pending_open = false;
+  note_failure (term, "pending", reply);
+  if (reply->status != FL_STORE_OK)
+    fl_str_clear (&term->pending);
+  fl_term_unref (term);
+}
+
+static struct fl_str
+encode_pending (const struct fl_core *core)
+{
+  GHashTable *counts = fl_core_pending (core);
+  json_t *json = json_object ();
+  GHashTableIter iter;
+  void *key;
+  void *value;
+
+  g_hash_table_iter_init (&iter, counts);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_object_set_new (json, ((struct fl_name *)key)->data, json_integer ((intptr_t)value));
+  struct fl_str text = fl_json_text (json);
+  json_decref (json);
+  g_hash_table_destroy (counts);
+  return text;
+}
+
+void
+fl_term_store_pending (struct fl_term *term)
+{
+  int64_t now_ms = fl_clock_boot_ms ();
+
+  if (term->pending_open || now_ms - term->pending_at_ms < PENDING_INTERVAL_MS)
+    return;
+  term->pending_at_ms = now_ms;
+  struct fl_str value = encode_pending (term->core);
+  if (value.len == term->pending.len
+      && memcmp (value.data, fl_str_text (&term->pending), value.len) == 0)
+    {
+      fl_str_clear (&value);
+      return;
+    }
+  fl_str_clear (&term->pending);
+  term->pending = value;
+  struct fl_store_write write
+      = { FL_TABLE_SUMMARY, fl_name_of (FL_SUMMARY_PENDING), value, false };
+  term->pending_open = true;
+  commit (term, &write, 1, on_pending_stored);
+}
--- a/lib/sched/targets.c
+++ b/lib/sched/targets.c
@@ -87,6 +87,7 @@
                                   .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                   .fresh_connection = fresh_connection,
                                   .may_send = may_send,
+                                  .may_send_context = call,
                                   .on_done = on_done,
                                   .context = call };
 
--- /dev/null
+++ b/programs/flamingo-frontd.c
@@ -0,0 +1,11 @@
+/* flamingo-frontd: takes jobs, questions about them and cancellations from clients. */
+#include "frontd/frontd.h"
+
+int
+main (int argc, char **argv)
+{
+  static const struct fl_program program
+      = { "flamingo-frontd", "takes jobs from clients and tells their state", fl_frontd_serve };
+
+  return fl_program_main (&program, argc, argv);
+}
--- /dev/null
+++ b/programs/flamingo-poold.c
@@ -0,0 +1,11 @@
+/* flamingo-poold: decides what runs where while its host owns the pool. */
+#include "poold/poold.h"
+
+int
+main (int argc, char **argv)
+{
+  static const struct fl_program program
+      = { "flamingo-poold", "owns the pool of targets, or stands by", fl_poold_serve };
+
+  return fl_program_main (&program, argc, argv);
+}
