Keep runs that were ordered since a target restarted

A start that the new boot accepted was given up with the runs of the old one when its first lists came (seed 2338 of the cell: a second run beside the first). Absence from the lists decides instead.

--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -243,13 +243,13 @@
     }
 }
 
+/* Numbers of ends start anew with each boot. Runs of the boot before are absent from the lists and
+ * go like any that vanished; those ordered since may be in the new boot. */
 static void
 note_boot (struct core_target *target, const struct fl_target_lists *lists)
 {
   if (target->reported && target->born_ms == lists->born_ms)
     return;
-  if (target->reported)
-    core_target_lose_runs (target, "target_restarted");
   target->born_ms = lists->born_ms;
   target->applied_end = 0;
   target->storing_end = 0;
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -141,6 +141,7 @@
   GArray *recorded_targets; /* struct fl_name pairs */
   struct fl_configuration *configuration;
   struct fl_stats *stats;
+  struct fl_log log;
   struct cell_result result;
 };
 
@@ -170,6 +171,14 @@
               (int)cell->now_ms, what->data);
 }
 
+static void
+trace (const struct cell *cell, const char *what, const struct fl_name *task, int64_t run,
+       const struct fl_name *where)
+{
+  if (cell->options.trace != NULL && g_str_has_prefix (task->data, cell->options.trace))
+    printf ("%6d %s %s run %d at %s\n", (int)cell->now_ms, what, task->data, (int)run, where->data);
+}
+
 static gint
 compare_events (gconstpointer a, gconstpointer b, gpointer context)
 {
@@ -258,6 +267,8 @@
   struct fake_end end
       = { .number = ++target->last_end, .task = run.task, .run = run.run, .cause = cause };
 
+  static const char *const causes[] = { "done", "failed", "stopped", "lapsed" };
+  trace (cell, causes[cause], &run.task, run.run, &target->id);
   g_array_remove_index_fast (target->runs, index);
   g_array_append_val (target->ends, end);
   g_hash_table_insert (target->barred, g_memdup2 (&run.task, sizeof run.task),
@@ -424,6 +435,7 @@
 {
   struct fake_job *job = job_of_task (cell, &order->task);
 
+  trace (cell, "start arrives", &order->task, order->run, &target->id);
   if (!fl_name_eq (&target->id, &order->target))
     return FL_ORDER_OTHER_BOOT;
   if (order->fencing_token < target->token)
@@ -457,6 +469,7 @@
 static enum fl_order_result
 target_stop (struct cell *cell, struct fake_target *target, const struct fl_run_order *order)
 {
+  trace (cell, "stop arrives", &order->task, order->run, &target->id);
   if (!fl_name_eq (&target->id, &order->target))
     return FL_ORDER_OTHER_BOOT;
   if (order->fencing_token < target->token)
@@ -513,6 +526,7 @@
   struct owner *owner;
   struct fl_start_order start;
   char *text;
+  int boot; /* of the target that took the order to carry it out late */
   struct fl_name ticket;
   struct fl_run_order run;
   struct fl_hold_order hold;
@@ -687,7 +701,7 @@
   struct call *call = data;
   struct fake_target *target = target_at (cell, &call->address);
 
-  if (target != NULL && target->up)
+  if (target != NULL && target->up && target->boot == call->boot)
     {
       target_advance (cell, target);
       if (call->kind == CALL_START)
@@ -705,8 +719,10 @@
   if (call->kind != CALL_HOLD && faults_on (cell)
       && happens (cell, cell->options.faults.order_late))
     {
+      const struct fake_target *target = target_at (cell, &call->address);
       struct call *late = g_new0 (struct call, 1);
       *late = *call;
+      late->boot = target != NULL ? target->boot : -1;
       late->text = g_strdup (call->text);
       late->start.text = late->text;
       late->start.ticket = late->ticket.data;
@@ -739,6 +755,7 @@
   call->start.ticket = call->ticket.data;
   call->start.checkpoint = "";
   call->address = order->address;
+  trace (owner->cell, "start sent", &order->task, order->run, &order->target);
   if (has_authority (owner))
     send_call (owner->cell, call);
   else
@@ -759,6 +776,7 @@
   call->owner = owner;
   call->run = *order;
   call->address = order->address;
+  trace (owner->cell, "stop sent", &order->task, order->run, &order->target);
   send_call (owner->cell, call);
 }
 
@@ -1092,9 +1110,8 @@
 owner_take (struct cell *cell)
 {
   struct owner *owner = g_new0 (struct owner, 1);
-  static const struct fl_log silent = { 0 };
   struct fl_core_options options = {
-    .log = &silent,
+    .log = &cell->log,
     .stats = cell->stats,
     .actions = { action_start, action_stop, action_pace, action_ask },
     .context = owner,
@@ -1375,6 +1392,7 @@
   cell.tasks = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
   cell.recorded_targets = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
   cell.stats = fl_stats_new ();
+  cell.log = (struct fl_log){ options->trace != NULL ? FL_LOG_INFO : 0, "cell", { 0 } };
   configure (&cell);
   for (int i = 0; i < options->targets; i++)
     g_ptr_array_add (cell.targets, target_new (&cell, i));
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -33,6 +33,7 @@
   int64_t length_ms;   /* faults and new jobs stop after this; what is accepted has to end then */
   bool advice;         /* starts need tickets */
   struct cell_faults faults;
+  const char *trace; /* prints what concerns tasks whose names begin so; NULL for nothing */
 };
 
 struct cell_result
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -1,5 +1,6 @@
 /* Stateful fuzzing of lib/core in a small cell: see support_cell.h. Without arguments a table of
- * kinds of trouble, each with some seeds; with SEED and COUNT, COUNT runs of everything at once. */
+ * kinds of trouble, each with some seeds; with SEED COUNT [TASK], COUNT runs of everything
+ * at once, printing what concerns TASK. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -53,14 +54,15 @@
                                                .task_failed = 40 };
 
 static struct cell_result
-play (uint64_t seed, const struct cell_faults *faults, bool advice)
+play (uint64_t seed, const struct cell_faults *faults, bool advice, const char *trace)
 {
   struct cell_options options = { .seed = seed,
                                   .targets = 6,
                                   .jobs = 60,
                                   .length_ms = 30000,
                                   .advice = advice,
-                                  .faults = *faults };
+                                  .faults = *faults,
+                                  .trace = trace };
 
   return cell_play (&options);
 }
@@ -74,7 +76,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (troubles); i++)
     for (uint64_t seed = 1; seed <= SEEDS; seed++)
       {
-        struct cell_result result = play (seed, &troubles[i].faults, troubles[i].advice);
+        struct cell_result result = play (seed, &troubles[i].faults, troubles[i].advice, NULL);
         if (result.broken[0] == '\0')
           continue;
         printf ("%s, seed %d: %s\n", troubles[i].name, (int)seed, result.broken);
@@ -91,7 +93,7 @@
   (void)state;
   for (uint64_t seed = 1; seed <= 10 * SEEDS; seed++)
     {
-      struct cell_result result = play (seed, &everything, seed % 4 != 0);
+      struct cell_result result = play (seed, &everything, seed % 4 != 0, NULL);
       if (result.broken[0] == '\0')
         continue;
       printf ("everything, seed %d: %s\n", (int)seed, result.broken);
@@ -101,13 +103,13 @@
 }
 
 static int
-play_many (uint64_t first, int count)
+play_many (uint64_t first, int count, const char *trace)
 {
   int failed = 0;
 
   for (int i = 0; i < count; i++)
     {
-      struct cell_result result = play (first + (uint64_t)i, &everything, (first + i) % 4 != 0);
+      struct cell_result result = play (first + (uint64_t)i, &everything, (first + i) % 4 != 0, trace);
       printf ("seed=%d accepted=%d ended=%d starts=%d lost=%d owners=%d %s\n", (int)(first + i),
               result.accepted, result.ended, (int)result.starts, (int)result.lost_runs,
               result.owners, result.broken);
@@ -123,7 +125,7 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_troubles), cmocka_unit_test (test_everything) };
 
-  if (argc == 3)
-    return play_many (strtoull (argv[1], NULL, 10), atoi (argv[2]));
+  if (argc >= 3)
+    return play_many (strtoull (argv[1], NULL, 10), atoi (argv[2]), argc > 3 ? argv[3] : NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
