Faster and surer change of owner

The list is rewritten when targets go; the wait counts from the taking and leaves out the hold-on time when the previous owner is known to be over; a restarted process on the owner's host takes at once; the pool lease is 1.5 s.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -225,8 +225,10 @@
   bool settled = !target->inherited || target->reported
                  || core->now_ms >= core->options.settled_at_ms;
 
-  if (!target->registered && target->runs->len == 0 && settled)
-    g_hash_table_remove (core->targets, &target->entry.id);
+  if (target->registered || target->runs->len > 0 || !settled)
+    return;
+  core->targets_dropped = core->targets_dropped || target->recorded;
+  g_hash_table_remove (core->targets, &target->entry.id);
 }
 
 void
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -135,8 +135,9 @@
 /* The records taken last are stored, or (@stored false) have to be taken again. */
 void fl_core_records_done (struct fl_core *core, bool stored);
 
-/* Whether targets have come since the last list of targets was recorded; the list follows as
- * alternating ids and addresses (struct fl_name). */
+/* Whether targets have come or gone since the last list of targets was recorded; the list follows
+ * as alternating ids and addresses (struct fl_name). One that is gone would make a successor wait
+ * for it. */
 bool fl_core_targets_unrecorded (const struct fl_core *core);
 GArray *fl_core_targets_to_record (struct fl_core *core);
 void fl_core_targets_recorded (struct fl_core *core);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -141,6 +141,7 @@
   int64_t now_ms;
   int64_t wall_ms;
   int64_t first_run; /* lowest run number of this owner */
+  bool targets_dropped; /* the recorded list names targets that are gone */
   bool records_open; /* records taken and not done */
   bool records_cover_ends; /* the records taken cover all ends applied before */
 };
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -445,6 +445,8 @@
   GHashTableIter iter;
   void *value;
 
+  if (core->targets_dropped)
+    return true;
   g_hash_table_iter_init (&iter, core->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!((struct core_target *)value)->recorded)
@@ -459,6 +461,7 @@
   GHashTableIter iter;
   void *value;
 
+  core->targets_dropped = false;
   g_hash_table_iter_init (&iter, core->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -8,16 +8,16 @@
 #include "common/schema.h"
 #include "job/job_spec.h"
 
-/* Authority that a confirmed renewal gives, counted from its sending. Four renewals may fail in a
- * row; a store that is 60 times slower than usual still answers in time. */
-#define LEASE_MS 2000
-#define RENEW_MS 400
+/* Authority that a confirmed renewal gives, counted from its sending. Some renewals may fail in a
+ * row; a store that is 60 times slower than usual (0.3 s an answer) still answers in time. */
+#define LEASE_MS 1500
+#define RENEW_MS 300
 #define RENEW_TIMEOUT_MS 700
 #define RENEW_RETRY_MS 100
 /* A standby takes over when the lease row stands still for this long: the lease, lengthened for
  * clocks that differ by 2 %. */
-#define TAKE_AFTER_MS 2050
-#define STANDBY_POLL_MS 500
+#define TAKE_AFTER_MS 1540
+#define STANDBY_POLL_MS 300
 #define READ_TIMEOUT_MS 700
 #define RELEASE_TIMEOUT_MS 500
 /* While the store is away an owner without authority keeps what runs alive for this long: with the
@@ -78,6 +78,7 @@
   int64_t seen_pool_version;
   int64_t seen_lease_version;
   int64_t still_since_ms; /* first read that showed this lease version; 0 for none */
+  bool held_on;           /* the previous owner may be alive */
   void (*released) (void *context);
   void *released_context;
 };
@@ -131,7 +132,8 @@
   fl_log (ownership->options.log, FL_LOG_NOTICE, "pool_taken", FL_I ("token", ownership->token),
           FL_I ("version", version));
   schedule (ownership, RENEW_MS);
-  ownership->options.on_taken (ownership->options.context, ownership->token, version);
+  ownership->options.on_taken (ownership->options.context, ownership->token, version,
+                               ownership->held_on);
 }
 
 static void
@@ -263,6 +265,14 @@
   return !owned || lease.released;
 }
 
+/* Whether the owner was an earlier process on this host: it is over, or this one could not run. */
+static bool
+was_owned_here (const struct fl_ownership *ownership)
+{
+  return fl_name_eq (&ownership->seen_owner.holder, &ownership->options.host)
+         && !fl_name_eq (&ownership->seen_owner.incarnation, &ownership->incarnation);
+}
+
 static void
 on_read (void *context, const struct fl_store_reply *reply)
 {
@@ -286,7 +296,8 @@
       ownership->seen_lease_version = lease_version;
       ownership->still_since_ms = fl_clock_boot_ms ();
     }
-  if (is_free || ownership->sent_ms - ownership->still_since_ms >= TAKE_AFTER_MS)
+  ownership->held_on = !is_free && !was_owned_here (ownership);
+  if (!ownership->held_on || ownership->sent_ms - ownership->still_since_ms >= TAKE_AFTER_MS)
     take (ownership);
   else
     schedule (ownership, STANDBY_POLL_MS);
@@ -380,7 +391,7 @@
 }
 
 int64_t
-fl_ownership_settle_ms (int64_t hold_ms)
+fl_ownership_settle_ms (int64_t hold_ms, bool held_on)
 {
-  return LEASE_MS + HOLD_ON_MS + hold_ms * CLOCK_PERCENT / 100;
+  return (held_on ? HOLD_ON_MS : 0) + hold_ms * CLOCK_PERCENT / 100;
 }
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -19,8 +19,9 @@
   const struct fl_log *log;
   const struct fl_store *store;
   struct fl_name host;
-  /* The pool was taken with @token by the transaction of @version. */
-  void (*on_taken) (void *context, int64_t token, int64_t version);
+  /* The pool was taken with @token by the transaction of @version. @held_on tells that the previous
+   * owner may be alive and hold on to what it started. */
+  void (*on_taken) (void *context, int64_t token, int64_t version, bool held_on);
   /* Another host has the pool now. */
   void (*on_lost) (void *context);
   void *context;
@@ -41,9 +42,9 @@
 /* Gives the pool up and stops competing; calls @done when the store has it or did not answer. */
 void fl_ownership_release (struct fl_ownership *ownership, void (*done) (void *context), void *context);
 
-/* How long a taker waits, in milliseconds, until orders of the previous owner to targets that do
- * not report can no longer be in effect, given the longest lease @hold_ms. */
-int64_t fl_ownership_settle_ms (int64_t hold_ms);
+/* How long after the taking, in milliseconds, orders of the previous owner to targets that do not
+ * report may be in effect, given the lease @hold_ms of its holds. */
+int64_t fl_ownership_settle_ms (int64_t hold_ms, bool held_on);
 
 /* How long an owner without authority goes on holding what runs. */
 int64_t fl_ownership_hold_on_ms (void);
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -17,12 +17,12 @@
 /* --- ownership --- */
 
 static void
-on_taken (void *context, int64_t token, int64_t version)
+on_taken (void *context, int64_t token, int64_t version, bool held_on)
 {
   struct fl_poold *poold = context;
 
   fl_stats_set (poold->host->stats, "pool_owned", 1);
-  poold->term = fl_term_new (poold, token, version);
+  poold->term = fl_term_new (poold, token, version, held_on);
 }
 
 static void
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -57,7 +57,7 @@
 
 /* --- term.c --- */
 
-struct fl_term *fl_term_new (struct fl_poold *poold, int64_t token, int64_t version);
+struct fl_term *fl_term_new (struct fl_poold *poold, int64_t token, int64_t version, bool held_on);
 void fl_term_end (struct fl_term *term);
 void fl_term_unref (struct fl_term *term);
 
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -239,7 +239,7 @@
 /* --- public functions --- */
 
 struct fl_term *
-fl_term_new (struct fl_poold *poold, int64_t token, int64_t version)
+fl_term_new (struct fl_poold *poold, int64_t token, int64_t version, bool held_on)
 {
   struct fl_term *term = g_new0 (struct fl_term, 1);
   int64_t hold_ms = MIN (TASK_LEASE_MS, poold->host->settings.hold_max_ms);
@@ -250,7 +250,7 @@
     .context = term,
     .fencing_token = token,
     .taken_version = version,
-    .settled_at_ms = fl_clock_boot_ms () + fl_ownership_settle_ms (hold_ms),
+    .settled_at_ms = fl_clock_boot_ms () + fl_ownership_settle_ms (hold_ms, held_on),
     .hold_ms = hold_ms,
     .hold_max_ms = poold->host->settings.hold_max_ms,
   };
