Ordered writes of the owner: a late one no longer brings old progress back

Each lane of writes expects and rewrites a row of its own. tests/test_store_lane.c holds a write back and applies it late.

--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -6,6 +6,7 @@
 #include "poold/ownership.h"
 #include "poold/poold.h"
 #include "store/follower.h"
+#include "store/lane.h"
 #include "store/tables.h"
 
 /* One term of owning the pool. Calls that were sent in it hold a reference, so that an answer that
@@ -28,9 +29,9 @@
   int64_t targets_read_at_ms;
   bool progress_read;
   bool jobs_read;
-  bool records_open;
-  bool targets_open;
-  bool pending_open;
+  struct fl_store_lane *progress_lane;
+  struct fl_store_lane *targets_lane;
+  struct fl_store_lane *pending_lane;
   int64_t pending_at_ms;
   struct fl_str pending; /* as last stored */
 };
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -9,23 +9,22 @@
 #include "poold/poold_internal.h"
 
 #define STORE_TIMEOUT_MS 1000
-/* Bytes of records in one transaction: the store takes 1 MB, encoded a third longer. */
-#define RECORDS_MAX (FL_STORE_ENTRIES_MAX - 1)
+/* Records in one transaction: its entries, less the conditions and the lane's row. */
+#define RECORDS_MAX (FL_STORE_ENTRIES_MAX - 3)
 /* The counts of waiting jobs may be 2 s old when they are read. */
 #define PENDING_INTERVAL_MS 500
 
 static void
 commit (struct fl_term *term,
+        struct fl_store_lane *lane,
         const struct fl_store_write *writes,
         size_t count,
         void (*done) (void *context, const struct fl_store_reply *reply))
 {
-  const struct fl_store *store = term->poold->host->store;
   struct fl_store_condition condition = fl_ownership_condition (term->poold->ownership);
-  struct fl_store_transaction transaction = { &condition, 1, writes, count };
 
   term->references++;
-  store->transact (store->context, &transaction, STORE_TIMEOUT_MS, done, term);
+  fl_store_lane_write (lane, &condition, writes, count, STORE_TIMEOUT_MS, done, term);
 }
 
 static void
@@ -45,7 +44,6 @@
 {
   struct fl_term *term = context;
 
-  term->records_open = false;
   term->poold->changed = true;
   note_failure (term, "progress", reply);
   if (!term->ended)
@@ -65,9 +63,8 @@
   for (size_t i = 0; i < count; i++)
     writes[i] = (struct fl_store_write){ FL_TABLE_PROGRESS, records[i].job, records[i].progress,
                                          false };
-  term->records_open = true;
   fl_stats_add (term->poold->host->stats, "records_total", (int64_t)count);
-  commit (term, writes, count, on_records_stored);
+  commit (term, term->progress_lane, writes, count, on_records_stored);
   for (size_t i = 0; i < count; i++)
     fl_str_clear (&records[i].progress);
 }
@@ -79,7 +76,6 @@
 {
   struct fl_term *term = context;
 
-  term->targets_open = false;
   term->poold->changed = true;
   note_failure (term, "targets", reply);
   if (!term->ended && reply->status == FL_STORE_OK)
@@ -98,8 +94,7 @@
   struct fl_str value = fl_json_text (json);
   struct fl_store_write write
       = { FL_TABLE_SUMMARY, fl_name_of (FL_SUMMARY_TARGETS), value, false };
-  term->targets_open = true;
-  commit (term, &write, 1, on_targets_stored);
+  commit (term, term->targets_lane, &write, 1, on_targets_stored);
   fl_str_clear (&value);
   json_decref (json);
   g_array_unref (names);
@@ -108,9 +103,9 @@
 void
 fl_term_store_records (struct fl_term *term)
 {
-  if (!term->records_open)
+  if (!fl_store_lane_is_busy (term->progress_lane))
     store_progress (term);
-  if (!term->targets_open && fl_core_targets_unrecorded (term->core))
+  if (!fl_store_lane_is_busy (term->targets_lane) && fl_core_targets_unrecorded (term->core))
     store_targets (term);
 }
 
@@ -121,7 +116,6 @@
 {
   struct fl_term *term = context;
 
-  term->pending_open = false;
   note_failure (term, "pending", reply);
   if (reply->status != FL_STORE_OK)
     fl_str_clear (&term->pending);
@@ -151,7 +145,7 @@
 {
   int64_t now_ms = fl_clock_boot_ms ();
 
-  if (term->pending_open || now_ms - term->pending_at_ms < PENDING_INTERVAL_MS)
+  if (fl_store_lane_is_busy (term->pending_lane) || now_ms - term->pending_at_ms < PENDING_INTERVAL_MS)
     return;
   term->pending_at_ms = now_ms;
   struct fl_str value = encode_pending (term->core);
@@ -165,6 +159,5 @@
   term->pending = value;
   struct fl_store_write write
       = { FL_TABLE_SUMMARY, fl_name_of (FL_SUMMARY_PENDING), value, false };
-  term->pending_open = true;
-  commit (term, &write, 1, on_pending_stored);
+  commit (term, term->pending_lane, &write, 1, on_pending_stored);
 }
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -260,6 +260,9 @@
   term->core = fl_core_new (&options);
   term->recorded = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, progress_free);
   term->held = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
+  term->progress_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, "progress");
+  term->targets_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, "targets");
+  term->pending_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, "pending");
   if (poold->configuration != NULL)
     fl_core_configure (term->core, poold->configuration);
   term->progress = follow (term, FL_TABLE_PROGRESS, on_progress_row, ignore, on_progress_read);
@@ -286,6 +289,9 @@
 {
   if (--term->references > 0)
     return;
+  fl_store_lane_free (term->progress_lane);
+  fl_store_lane_free (term->targets_lane);
+  fl_store_lane_free (term->pending_lane);
   fl_core_free (term->core);
   g_hash_table_destroy (term->recorded);
   g_hash_table_destroy (term->held);
--- /dev/null
+++ b/tests/test_store_lane.c
@@ -0,0 +1,105 @@
+/* Ordered writes when the store loses answers and applies late. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "store/lane.h"
+#include "support_store.h"
+
+/* What happens to each of three writes of "1", "2" and "3", and the value that must stand at the
+ * end, after the one that was held back has come. */
+struct lane_case
+{
+  enum fl_store_status outcomes[3];
+  const char *value;
+  const char *late_value; /* after the late write */
+};
+
+static const struct lane_case cases[] = {
+  { { FL_STORE_OK, FL_STORE_OK, FL_STORE_OK }, "3", "3" },
+  { { FL_STORE_REFUSED, FL_STORE_OK, FL_STORE_OK }, "3", "3" },
+  { { FL_STORE_UNKNOWN, FL_STORE_OK, FL_STORE_OK }, "3", "3" },
+  { { FL_STORE_OK, FL_STORE_UNKNOWN, FL_STORE_OK }, "3", "3" },
+  { { FL_STORE_OK, FL_STORE_OK, FL_STORE_UNKNOWN }, "2", "3" },
+};
+
+static void
+on_done (void *context, const struct fl_store_reply *reply)
+{
+  *(enum fl_store_status *)context = reply->status;
+}
+
+static void
+write_value (struct fl_store_lane *lane, const char *value, enum fl_store_status *status)
+{
+  struct fl_store_condition condition = { "owner", fl_name_of ("pool"), 0 };
+  struct fl_store_write write
+      = { "progress", fl_name_of ("job"), { strlen (value), (char *)value }, false };
+
+  fl_store_lane_write (lane, &condition, &write, 1, 100, on_done, status);
+  /* A conflict teaches the lane its version: the write is repeated, as by its users. */
+  if (*status == FL_STORE_CONFLICT)
+    fl_store_lane_write (lane, &condition, &write, 1, 100, on_done, status);
+}
+
+static void
+test_late_writes (void **state)
+{
+  static const char *const values[] = { "1", "2", "3" };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct fake_store *store = fake_store_new ();
+      struct fl_store_lane *lane
+          = fl_store_lane_new (fake_store_interface (store), "owner", "progress");
+      bool held = false;
+      for (int j = 0; j < 3; j++)
+        {
+          enum fl_store_status status;
+          fake_store_next (store, cases[i].outcomes[j]);
+          held = held || cases[i].outcomes[j] == FL_STORE_UNKNOWN;
+          write_value (lane, values[j], &status);
+          assert_int_equal (status, cases[i].outcomes[j]);
+        }
+      assert_string_equal (fake_store_value (store, "progress", "job"), cases[i].value);
+      if (held)
+        fake_store_apply_held (store);
+      assert_string_equal (fake_store_value (store, "progress", "job"), cases[i].late_value);
+      fl_store_lane_free (lane);
+      fake_store_free (store);
+    }
+}
+
+static void
+test_learns_version (void **state)
+{
+  struct fake_store *store = fake_store_new ();
+  struct fl_store_lane *first
+      = fl_store_lane_new (fake_store_interface (store), "owner", "progress");
+  struct fl_store_lane *second
+      = fl_store_lane_new (fake_store_interface (store), "owner", "progress");
+  enum fl_store_status status;
+
+  (void)state;
+  write_value (first, "1", &status);
+  write_value (second, "2", &status);
+  assert_int_equal (status, FL_STORE_OK);
+  assert_string_equal (fake_store_value (store, "progress", "job"), "2");
+  fl_store_lane_free (first);
+  fl_store_lane_free (second);
+  fake_store_free (store);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_late_writes), cmocka_unit_test (test_learns_version) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
