--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -126,7 +126,7 @@
     }
 }
 
-void
+enum core_wait
 core_advice_ask (struct core_step *step, int64_t waiting)
 {
   struct fl_core *core = step->job->core;
@@ -138,7 +138,7 @@
   GArray *asked;
 
   if (step->asking)
-    return;
+    return CORE_WAIT_ADVICE;
   candidates = collect_candidates (step, share);
   asked = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
   for (guint i = 0; i < candidates->len && asked->len < ASK_TARGETS_MAX
@@ -151,13 +151,16 @@
     }
   g_array_unref (candidates);
   int64_t expected_ms = (int64_t)ceil (terms->decide_ms + terms->per_target_ms * asked->len);
-  if (asked->len == 0
+  bool any = asked->len > 0;
+  if (!any
       || !core->options.actions.ask (core->options.context, &name, (struct fl_name *)asked->data,
                                      asked->len, expected_ms))
     {
       g_array_unref (asked);
-      return;
+      return any ? CORE_WAIT_ADVICE : CORE_WAIT_ROOM;
     }
+  fl_log (core->options.log, FL_LOG_DEBUG, "advice_asked", FL_N ("step", &name),
+          FL_I ("targets", asked->len), FL_I ("waiting", waiting), FL_I ("expected_ms", expected_ms));
   step->asking = true;
   step->asked = asked;
   step->claim_cpu_milli
@@ -165,6 +168,7 @@
   claim (step, asked, step->claim_cpu_milli);
   fl_stats_add (core->options.stats, "advice_asked_total", 1);
   fl_stats_add (core->options.stats, "advice_targets_total", asked->len);
+  return CORE_WAIT_ADVICE;
 }
 
 void
@@ -223,6 +227,8 @@
   if (step == NULL || !step->asking)
     return;
   core_advice_abandon (step);
+  fl_log (core->options.log, FL_LOG_DEBUG, "advice_answered", FL_N ("step", step_name),
+          FL_I ("asked", (int64_t)asked_count), FL_I ("good", (int64_t)reply->count));
   if (!reply->answered)
     return;
   for (size_t i = 0; i < asked_count; i++)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -15,7 +15,9 @@
 struct core_team
 {
   struct fl_name name;
-  struct fl_room used; /* by all runs that may be in effect */
+  struct fl_room used;        /* by all runs that may be in effect */
+  struct fl_room urgent;      /* of that, by runs of the first priority */
+  struct fl_room urgent_peak; /* recent highest, decaying */
   /* Asked for by tasks that an earlier owner may have started on a target that has not reported. */
   struct fl_room unsettled;
 };
@@ -71,6 +73,7 @@
   int64_t percent;
   int64_t gauge;
   int64_t pace_percent;
+  bool is_urgent; /* of the first priority when it was started */
 };
 
 struct core_task
@@ -97,6 +100,17 @@
   int64_t valid_until_ms;
 };
 
+/* Why the tasks of a step wait. */
+enum core_wait
+{
+  CORE_WAIT_NONE,
+  CORE_WAIT_TEAM_LIMIT, /* its team runs as much as it may */
+  CORE_WAIT_ROOM,       /* no target that may run it has room */
+  CORE_WAIT_ADVICE,     /* the answer to a question is due, or no host is free to ask */
+  CORE_WAIT_SETTLING,   /* an earlier owner may have started it where nothing is heard from */
+  CORE_WAITS
+};
+
 struct core_step
 {
   struct core_job *job;
@@ -110,6 +124,8 @@
   bool asking;          /* a question is open */
   GArray *asked;        /* struct fl_name: targets claimed by the open question */
   int64_t claim_cpu_milli; /* on each asked target */
+  enum core_wait wait;
+  int64_t wait_since_ms;
 };
 
 struct core_job
@@ -139,6 +155,7 @@
   GHashTable *teams;    /* name -> struct core_team */
   GHashTable *good_share; /* queue name -> double: share of asked targets that are good */
   int64_t now_ms;
+  int64_t peaks_at_ms; /* when the peaks of the teams last decayed */
   int64_t wall_ms;
   int64_t first_run; /* lowest run number of this owner */
   bool targets_dropped; /* the recorded list names targets that are gone */
@@ -199,8 +216,9 @@
  * is none. */
 const char *core_advice_ticket (const struct core_step *step, const struct core_target *target);
 
-/* Asks for targets for @waiting tasks of @step unless a question is open. */
-void core_advice_ask (struct core_step *step, int64_t waiting);
+/* Asks for targets for @waiting tasks of @step unless a question is open.
+ * @return what the step waits for then. */
+enum core_wait core_advice_ask (struct core_step *step, int64_t waiting);
 void core_advice_forget (struct core_step *step, const struct core_target *target);
 
 /* Gives up the open question of @step, if any; its answer is then ignored. */
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -127,6 +127,14 @@
     }
 }
 
+static const char *
+end_cause_name (enum fl_end_cause cause)
+{
+  static const char *const names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+  return names[cause];
+}
+
 static void
 apply_end (struct fl_core *core, struct core_target *target, const struct fl_end_row *end)
 {
@@ -135,6 +143,8 @@
   if (task == NULL)
     return;
   task->last_run = MAX (task->last_run, end->run);
+  fl_log (core->options.log, FL_LOG_DEBUG, "end", FL_N ("task", &end->task), FL_I ("run", end->run),
+          FL_N ("target", &target->entry.id), FL_S ("cause", end_cause_name (end->cause)));
   bool current = task->run != NULL && task->run->target == target && task->run->run == end->run;
   if (current)
     core_run_release (task->run);
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -1,10 +1,15 @@
 /* Placement: which waiting step comes next, and on which target each task runs. */
+#include <math.h>
 #include <string.h>
 
 #include "core/core_internal.h"
 
 /* Score of what is avoided unless nothing else fits; above any room of a target. */
 #define AVOID_MILLI INT64_C (1000000000)
+/* Time in which the recent peak of a team's urgent work decays to a third: some bursts long. */
+#define URGENT_PEAK_MS 10000.0
+/* Waits shorter than this are not logged at level info: advice for a quick step takes some 30 ms. */
+#define WAIT_LOGGED_MS 100
 /* Position of the rack among the labels of a target: its kind comes first. */
 #define RACK_LABEL 1
 
@@ -72,27 +77,60 @@
   return MAX (fits, 0);
 }
 
+/* What a team keeps free of its limit for its urgent work: as much as that took recently.
+ *
+ * Load pattern: a team whose long jobs of lower priority fill its limit; its urgent jobs, which come
+ * all the time and last a second, then wait for the end of tasks that last many. */
+static int64_t
+kept_free (const struct core_step *step, int64_t urgent, int64_t peak)
+{
+  return step->job->queue.priority == 0 ? 0 : MAX (peak - urgent, 0);
+}
+
 static bool
-under_cap (int64_t used, int64_t need, int64_t cap)
+under_cap (int64_t used, int64_t need, int64_t kept, int64_t cap)
 {
-  return cap <= 0 || used + need <= cap;
+  return cap <= 0 || used + need + kept <= cap;
 }
 
 static bool
 team_has_room (const struct core_step *step)
 {
   const struct core_job *job = step->job;
-  const struct fl_team_terms *terms
-      = fl_configuration_team (job->core->configuration, &job->team->name);
-  const struct fl_room *sure = &job->team->used;
-  const struct fl_room *maybe = &job->team->unsettled;
+  const struct core_team *team = job->team;
+  const struct fl_team_terms *terms = fl_configuration_team (job->core->configuration, &team->name);
   const struct fl_step_spec *spec = step->spec;
 
-  return terms == NULL
-         || (under_cap (sure->cpu_milli + maybe->cpu_milli, spec->cpu_milli, terms->cap.cpu_milli)
-             && under_cap (sure->memory_mb + maybe->memory_mb, spec->memory_mb,
-                           terms->cap.memory_mb)
-             && under_cap (sure->gpu + maybe->gpu, spec->gpu, terms->cap.gpu));
+  if (terms == NULL)
+    return true;
+  return under_cap (team->used.cpu_milli + team->unsettled.cpu_milli, spec->cpu_milli,
+                    kept_free (step, team->urgent.cpu_milli, team->urgent_peak.cpu_milli),
+                    terms->cap.cpu_milli)
+         && under_cap (team->used.memory_mb + team->unsettled.memory_mb, spec->memory_mb,
+                       kept_free (step, team->urgent.memory_mb, team->urgent_peak.memory_mb),
+                       terms->cap.memory_mb)
+         && under_cap (team->used.gpu + team->unsettled.gpu, spec->gpu,
+                       kept_free (step, team->urgent.gpu, team->urgent_peak.gpu), terms->cap.gpu);
+}
+
+/* Raises the peaks to the present use and lets them decay. */
+static void
+update_peaks (struct fl_core *core)
+{
+  double left = exp (-(double)(core->now_ms - core->peaks_at_ms) / URGENT_PEAK_MS);
+  GHashTableIter iter;
+  void *value;
+
+  core->peaks_at_ms = core->now_ms;
+  g_hash_table_iter_init (&iter, core->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_team *team = value;
+      struct fl_room *peak = &team->urgent_peak;
+      peak->cpu_milli = MAX (team->urgent.cpu_milli, (int64_t)((double)peak->cpu_milli * left));
+      peak->memory_mb = MAX (team->urgent.memory_mb, (int64_t)((double)peak->memory_mb * left));
+      peak->gpu = MAX (team->urgent.gpu, (int64_t)((double)peak->gpu * left));
+    }
 }
 
 /* --- choice --- */
@@ -291,6 +329,30 @@
   return false;
 }
 
+/* Tells what a step waited for when that changes. */
+static void
+note_wait (struct core_step *step, enum core_wait wait)
+{
+  static const char *const names[CORE_WAITS]
+      = { "none", "team_limit", "room", "advice", "settling" };
+  struct fl_core *core = step->job->core;
+  int64_t waited_ms = core->now_ms - step->wait_since_ms;
+
+  if (step->wait == wait)
+    return;
+  if (step->wait != CORE_WAIT_NONE && waited_ms > 0)
+    {
+      struct fl_name name = core_step_name (step);
+      g_autofree char *stat = g_strdup_printf ("step_wait_ms{for=\"%s\"}", names[step->wait]);
+      fl_stats_record (core->options.stats, stat, waited_ms);
+      fl_log (core->options.log, waited_ms >= WAIT_LOGGED_MS ? FL_LOG_INFO : FL_LOG_DEBUG,
+              "step_waited", FL_N ("step", &name), FL_S ("for", names[step->wait]),
+              FL_I ("ms", waited_ms), FL_S ("then", names[wait]));
+    }
+  step->wait = wait;
+  step->wait_since_ms = core->now_ms;
+}
+
 static void
 clear_unsettled (struct fl_core *core)
 {
@@ -340,7 +402,10 @@
               || !has_waiting_task (entry.step))
             continue;
           if (blocked)
-            count_unsettled (entry.step);
+            {
+              count_unsettled (entry.step);
+              note_wait (entry.step, CORE_WAIT_SETTLING);
+            }
           else
             g_array_append_val (waiting, entry);
         }
@@ -352,14 +417,22 @@
 void
 core_place_tick (struct fl_core *core)
 {
-  GArray *waiting = collect_waiting (core);
+  GArray *waiting;
 
+  update_peaks (core);
+  waiting = collect_waiting (core);
   for (guint i = 0; i < waiting->len; i++)
     {
       struct core_step *step = g_array_index (waiting, struct waiting_step, i).step;
       int64_t left = step->spec->gang ? place_gang (step) : place_tasks (step);
-      if (left > 0 && step->job->queue.advice.required && team_has_room (step))
-        core_advice_ask (step, left);
+      enum core_wait wait = CORE_WAIT_NONE;
+      if (left > 0 && !team_has_room (step))
+        wait = CORE_WAIT_TEAM_LIMIT;
+      else if (left > 0 && step->job->queue.advice.required)
+        wait = core_advice_ask (step, left);
+      else if (left > 0)
+        wait = CORE_WAIT_ROOM;
+      note_wait (step, wait);
     }
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -14,22 +14,29 @@
 /* A target that declines work or has no room is left alone for this long. */
 #define DECLINED_PAUSE_MS 300
 
+static void
+add_room (struct fl_room *room, const struct fl_step_spec *spec, int sign)
+{
+  room->cpu_milli += sign * spec->cpu_milli;
+  room->memory_mb += sign * spec->memory_mb;
+  room->gpu += sign * spec->gpu;
+}
+
 static void
 charge (struct core_run *run, int sign)
 {
   const struct fl_step_spec *spec = run->task->step->spec;
-  struct fl_room *target = &run->target->used;
-  struct fl_room *team = &run->task->step->job->team->used;
+  struct core_team *team = run->task->step->job->team;
 
+  add_room (&run->target->used, spec, sign);
   if (spec->fills)
-    run->target->filler_cpu_milli += sign * spec->cpu_milli;
-  else
-    target->cpu_milli += sign * spec->cpu_milli;
-  target->memory_mb += sign * spec->memory_mb;
-  target->gpu += sign * spec->gpu;
-  team->cpu_milli += sign * spec->cpu_milli;
-  team->memory_mb += sign * spec->memory_mb;
-  team->gpu += sign * spec->gpu;
+    {
+      run->target->used.cpu_milli -= sign * spec->cpu_milli;
+      run->target->filler_cpu_milli += sign * spec->cpu_milli;
+    }
+  add_room (&team->used, spec, sign);
+  if (run->is_urgent)
+    add_room (&team->urgent, spec, sign);
 }
 
 struct core_run *
@@ -42,6 +49,7 @@
   run->target = target;
   run->run = number;
   run->pace_percent = 100;
+  run->is_urgent = task->step->job->queue.priority == 0;
   task->run = run;
   task->last_run = MAX (task->last_run, number);
   task->step->job->run_count++;
