--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -248,6 +248,7 @@
     .loop = host->loop,
     .store = host->store,
     .table = FL_PLATFORM_OPERATOR_TABLE,
+    .parts = fl_common_parts,
     .on_row = on_configuration_row,
     .on_read_begin = ignore,
     .on_read_end = ignore,
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -61,8 +61,8 @@
            void (*done) (void *context, const struct fl_store_reply *reply))
 {
   const struct fl_store *store = call->frontd->host->store;
-  struct fl_store_condition condition = { FL_TABLE_JOBS, call->id, call->expected };
-  struct fl_store_write write = { FL_TABLE_JOBS, call->id, *value, false };
+  struct fl_store_condition condition = { FL_TABLE_JOBS, fl_job_part (&call->id), call->id, call->expected };
+  struct fl_store_write write = { FL_TABLE_JOBS, fl_job_part (&call->id), call->id, *value, false };
   struct fl_store_transaction transaction = { &condition, 1, &write, 1 };
 
   store->transact (store->context, &transaction, front_call_timeout (call), done, call);
@@ -145,13 +145,14 @@
 static void
 read_rows (struct front_call *call,
            const char *table,
+           const char *part,
            void (*done) (void *context, const struct fl_store_reply *reply))
 {
   const struct fl_store *store = call->frontd->host->store;
   struct fl_name end = fl_name_format ("%s0", call->id.data); /* '0' follows '/' */
 
-  store->read (store->context, table, call->id.data, end.data, front_call_timeout (call), done,
-               call);
+  store->read (store->context, table, part, call->id.data, end.data, front_call_timeout (call),
+               done, call);
 }
 
 static void
@@ -181,7 +182,7 @@
 static void
 look_at_job (struct front_call *call)
 {
-  read_rows (call, FL_TABLE_JOBS, on_job_row);
+  read_rows (call, FL_TABLE_JOBS, fl_job_part (&call->id), on_job_row);
 }
 
 static void
@@ -211,7 +212,7 @@
 static void
 look_at_progress (struct front_call *call)
 {
-  read_rows (call, FL_TABLE_PROGRESS, on_progress_row);
+  read_rows (call, FL_TABLE_PROGRESS, FL_PART_OWNER, on_progress_row);
 }
 
 void
@@ -244,7 +245,7 @@
 {
   const struct fl_store *store = call->frontd->host->store;
   struct fl_store_write write
-      = { FL_TABLE_JOBS, fl_name_format ("%s%s", call->id.data, FL_CANCEL_SUFFIX),
+      = { FL_TABLE_JOBS, fl_job_part (&call->id), fl_name_format ("%s%s", call->id.data, FL_CANCEL_SUFFIX),
           { strlen (FL_MARK_VALUE), (char *)FL_MARK_VALUE }, false };
   struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
 
@@ -271,7 +272,7 @@
 static void
 find_job (struct front_call *call)
 {
-  read_rows (call, FL_TABLE_JOBS, on_found);
+  read_rows (call, FL_TABLE_JOBS, fl_job_part (&call->id), on_found);
 }
 
 void
@@ -322,8 +323,8 @@
 {
   const struct fl_store *store = call->frontd->host->store;
 
-  store->read (store->context, FL_TABLE_SUMMARY, FL_SUMMARY_PENDING, FL_SUMMARY_PENDING "0",
-               front_call_timeout (call), on_counts, call);
+  store->read (store->context, FL_TABLE_SUMMARY, FL_PART_OWNER, FL_SUMMARY_PENDING,
+               FL_SUMMARY_PENDING "0", front_call_timeout (call), on_counts, call);
 }
 
 void
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "common/schema.h"
 #include "job/job_spec.h"
+#include "store/tables.h"
 
 /* Authority that a confirmed renewal gives, counted from its sending. Some renewals may fail in a
  * row; a store that is 60 times slower than usual (0.3 s an answer) still answers in time. */
@@ -110,7 +111,7 @@
 static struct fl_store_write
 row_write (const char *key, const struct fl_str *value)
 {
-  return (struct fl_store_write){ .table = FL_OWNER_TABLE, .key = fl_name_of (key), .value = *value };
+  return (struct fl_store_write){ .table = FL_OWNER_TABLE, .part = FL_PART_OWNER, .key = fl_name_of (key), .value = *value };
 }
 
 static struct fl_str
@@ -224,8 +225,8 @@
   struct fl_store_write writes[]
       = { row_write (FL_OWNER_POOL_KEY, &owner), row_write (FL_OWNER_LEASE_KEY, &lease) };
   struct fl_store_condition conditions[] = {
-    { FL_OWNER_TABLE, fl_name_of (FL_OWNER_POOL_KEY), ownership->seen_pool_version },
-    { FL_OWNER_TABLE, fl_name_of (FL_OWNER_LEASE_KEY), ownership->seen_lease_version },
+    { FL_OWNER_TABLE, FL_PART_OWNER, fl_name_of (FL_OWNER_POOL_KEY), ownership->seen_pool_version },
+    { FL_OWNER_TABLE, FL_PART_OWNER, fl_name_of (FL_OWNER_LEASE_KEY), ownership->seen_lease_version },
   };
   struct fl_store_transaction transaction = { conditions, 2, writes, 2 };
   const struct fl_store *store = ownership->options.store;
@@ -312,7 +313,7 @@
     return;
   ownership->sent_ms = fl_clock_boot_ms ();
   ownership->open = true;
-  store->read (store->context, FL_OWNER_TABLE, "", "", READ_TIMEOUT_MS, on_read, ownership);
+  store->read (store->context, FL_OWNER_TABLE, FL_PART_OWNER, "", "", READ_TIMEOUT_MS, on_read, ownership);
 }
 
 /* --- public functions --- */
@@ -355,7 +356,7 @@
 struct fl_store_condition
 fl_ownership_condition (const struct fl_ownership *ownership)
 {
-  return (struct fl_store_condition){ FL_OWNER_TABLE, fl_name_of (FL_OWNER_POOL_KEY),
+  return (struct fl_store_condition){ FL_OWNER_TABLE, FL_PART_OWNER, fl_name_of (FL_OWNER_POOL_KEY),
                                       ownership->pool_version };
 }
 
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -102,6 +102,7 @@
     .loop = poold->host->loop,
     .store = poold->host->store,
     .table = FL_PLATFORM_OPERATOR_TABLE,
+    .parts = fl_common_parts,
     .on_row = on_configuration_row,
     .on_read_begin = ignore,
     .on_read_end = ignore,
@@ -130,7 +131,7 @@
   const struct fl_store *store = poold->host->store;
   struct fl_name address = fl_advisors_address (poold->advisors);
   struct fl_store_write write
-      = { FL_TABLE_HOSTS, poold->host->settings.name, { address.len, address.data }, false };
+      = { FL_TABLE_HOSTS, FL_PART_COMMON, poold->host->settings.name, { address.len, address.data }, false };
   struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
 
   poold->announcing = true;
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -61,7 +61,7 @@
   if (count == 0)
     return;
   for (size_t i = 0; i < count; i++)
-    writes[i] = (struct fl_store_write){ FL_TABLE_PROGRESS, records[i].job, records[i].progress,
+    writes[i] = (struct fl_store_write){ FL_TABLE_PROGRESS, FL_PART_OWNER, records[i].job, records[i].progress,
                                          false };
   fl_stats_add (term->poold->host->stats, "records_total", (int64_t)count);
   commit (term, term->progress_lane, writes, count, on_records_stored);
@@ -93,7 +93,7 @@
     json_array_append_new (json, json_string (g_array_index (names, struct fl_name, i).data));
   struct fl_str value = fl_json_text (json);
   struct fl_store_write write
-      = { FL_TABLE_SUMMARY, fl_name_of (FL_SUMMARY_TARGETS), value, false };
+      = { FL_TABLE_SUMMARY, FL_PART_OWNER, fl_name_of (FL_SUMMARY_TARGETS), value, false };
   commit (term, term->targets_lane, &write, 1, on_targets_stored);
   fl_str_clear (&value);
   json_decref (json);
@@ -158,6 +158,6 @@
   fl_str_clear (&term->pending);
   term->pending = value;
   struct fl_store_write write
-      = { FL_TABLE_SUMMARY, fl_name_of (FL_SUMMARY_PENDING), value, false };
+      = { FL_TABLE_SUMMARY, FL_PART_OWNER, fl_name_of (FL_SUMMARY_PENDING), value, false };
   commit (term, term->pending_lane, &write, 1, on_pending_stored);
 }
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -165,6 +165,7 @@
 static struct fl_follower *
 follow (struct fl_term *term,
         const char *table,
+        const char *const *parts,
         void (*on_row) (void *context, const struct fl_store_row *row),
         void (*on_read_begin) (void *context),
         void (*on_read_end) (void *context))
@@ -173,6 +174,7 @@
     .loop = term->poold->host->loop,
     .store = term->poold->host->store,
     .table = table,
+    .parts = parts,
     .on_row = on_row,
     .on_read_begin = on_read_begin,
     .on_read_end = on_read_end,
@@ -233,7 +235,7 @@
   term->references++;
   term->targets_reading = true;
   term->targets_read_at_ms = fl_clock_boot_ms ();
-  store->read (store->context, FL_TABLE_SUMMARY, "", "", READ_TIMEOUT_MS, on_inherited, term);
+  store->read (store->context, FL_TABLE_SUMMARY, FL_PART_OWNER, "", "", READ_TIMEOUT_MS, on_inherited, term);
 }
 
 /* --- public functions --- */
@@ -260,15 +262,15 @@
   term->core = fl_core_new (&options);
   term->recorded = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, progress_free);
   term->held = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
-  term->progress_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, "progress");
-  term->targets_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, "targets");
-  term->pending_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, "pending");
+  term->progress_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "progress");
+  term->targets_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "targets");
+  term->pending_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "pending");
   if (poold->configuration != NULL)
     fl_core_configure (term->core, poold->configuration);
-  term->progress = follow (term, FL_TABLE_PROGRESS, on_progress_row, ignore, on_progress_read);
-  term->registry = follow (term, FL_PLATFORM_REGISTRY_TABLE, on_registry_row,
+  term->progress = follow (term, FL_TABLE_PROGRESS, fl_owner_parts, on_progress_row, ignore, on_progress_read);
+  term->registry = follow (term, FL_PLATFORM_REGISTRY_TABLE, fl_common_parts, on_registry_row,
                            on_registry_read_begin, on_registry_read_end);
-  term->hosts = follow (term, FL_TABLE_HOSTS, on_host_row, ignore, ignore);
+  term->hosts = follow (term, FL_TABLE_HOSTS, fl_common_parts, on_host_row, ignore, ignore);
   return term;
 }
 
@@ -308,7 +310,7 @@
     {
       fl_follower_free (term->progress);
       term->progress = NULL;
-      term->jobs = follow (term, FL_TABLE_JOBS, on_job_row, ignore, on_jobs_read);
+      term->jobs = follow (term, FL_TABLE_JOBS, fl_job_parts, on_job_row, ignore, on_jobs_read);
     }
   if (!term->targets_read && !term->targets_reading
       && fl_clock_boot_ms () - term->targets_read_at_ms >= READ_PAUSE_MS)
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -21,6 +21,7 @@
   int64_t sent_ms;    /* when the open call was sent */
   int64_t delay_ms;   /* before the next retry */
   bool reading;       /* a whole read is under way */
+  size_t part;         /* that is being read */
   struct fl_name from; /* first key of the next page */
   struct follower_call *call; /* the open call */
 };
@@ -57,6 +58,7 @@
 {
   follower->reading = true;
   follower->version = 0;
+  follower->part = 0;
   follower->from = fl_name_of ("");
   follower->options.on_read_begin (follower->options.context);
 }
@@ -90,6 +92,11 @@
       follower->from = key_after (&reply->rows[reply->count - 1].key);
       return;
     }
+  if (follower->options.parts[++follower->part] != NULL)
+    {
+      follower->from = fl_name_of ("");
+      return;
+    }
   follower->reading = false;
   follower->options.on_read_end (follower->options.context);
 }
@@ -133,7 +140,8 @@
   follower->call->follower = follower;
   follower->sent_ms = fl_clock_boot_ms ();
   if (follower->reading)
-    store->read (store->context, follower->options.table, follower->from.data, "", READ_TIMEOUT_MS,
+    store->read (store->context, follower->options.table,
+                 follower->options.parts[follower->part], follower->from.data, "", READ_TIMEOUT_MS,
                  on_reply, follower->call);
   else
     store->feed (store->context, follower->options.table, follower->version, FEED_WAIT_MS,
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -13,6 +13,7 @@
   struct ev_loop *loop;
   const struct fl_store *store;
   const char *table;
+  const char *const *parts; /* partitions to read, ended by NULL; the feed brings all */
   /* A row as read or changed; removed rows come from the feed only. */
   void (*on_row) (void *context, const struct fl_store_row *row);
   /* A whole read begins; rows known before that do not come again until on_read_end are gone. */
--- a/lib/store/lane.c
+++ b/lib/store/lane.c
@@ -10,6 +10,7 @@
 {
   const struct fl_store *store;
   const char *table;
+  const char *part;
   struct fl_name key;
   int64_t version; /* of the lane's row; 0 until it is known */
   bool busy;
@@ -19,12 +20,16 @@
 };
 
 struct fl_store_lane *
-fl_store_lane_new (const struct fl_store *store, const char *table, const char *key)
+fl_store_lane_new (const struct fl_store *store,
+                   const char *table,
+                   const char *part,
+                   const char *key)
 {
   struct fl_store_lane *lane = g_new0 (struct fl_store_lane, 1);
 
   lane->store = store;
   lane->table = table;
+  lane->part = part;
   lane->key = fl_name_of (key);
   return lane;
 }
@@ -79,14 +84,14 @@
                      void *context)
 {
   struct fl_store_condition conditions[2]
-      = { *condition, { lane->table, lane->key, lane->version } };
+      = { *condition, { lane->table, lane->part, lane->key, lane->version } };
   struct fl_store_write all[FL_STORE_ENTRIES_MAX];
   struct fl_store_transaction transaction = { conditions, 2, all, count + 1 };
 
   g_assert (!lane->busy && count + 3 <= FL_STORE_ENTRIES_MAX);
   memcpy (all, writes, count * sizeof writes[0]);
   all[count] = (struct fl_store_write){
-    lane->table, lane->key, { strlen (FL_MARK_VALUE), (char *)FL_MARK_VALUE }, false
+    lane->table, lane->part, lane->key, { strlen (FL_MARK_VALUE), (char *)FL_MARK_VALUE }, false
   };
   lane->busy = true;
   lane->done = done;
--- a/lib/store/lane.h
+++ b/lib/store/lane.h
@@ -9,9 +9,10 @@
 
 struct fl_store_lane;
 
-/* A lane whose row is @table, @key. */
+/* A lane whose row is @table, @part, @key. */
 struct fl_store_lane *fl_store_lane_new (const struct fl_store *store,
                                          const char *table,
+                                         const char *part,
                                          const char *key);
 
 /* Frees the lane; an open transaction is still answered. */
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -1,6 +1,9 @@
 /* The store that keeps what must last: tables of rows with versions, linearizable, with
  * transactions under conditions and a feed of changes. This is the interface that the product
- * uses; an adapter or a fake implements it. All rows lie in one partition. */
+ * uses; an adapter or a fake implements it.
+ *
+ * A row lies in a partition of its table. Transactions of one partition are carried out one after
+ * another; all entries of a transaction lie in the same one. */
 #pragma once
 
 #include <stdbool.h>
@@ -16,6 +19,7 @@
 struct fl_store_row
 {
   struct fl_name table;
+  struct fl_name part;
   struct fl_name key;
   int64_t version;
   bool removed;        /* in feeds: the row is gone */
@@ -47,6 +51,7 @@
 struct fl_store_condition
 {
   const char *table;
+  const char *part;
   struct fl_name key;
   int64_t version;
 };
@@ -54,6 +59,7 @@
 struct fl_store_write
 {
   const char *table;
+  const char *part;
   struct fl_name key;
   struct fl_str value; /* borrowed */
   bool removes;        /* removes the row instead; @value is not used */
@@ -76,15 +82,17 @@
                     int64_t timeout_ms,
                     void (*done) (void *context, const struct fl_store_reply *reply),
                     void *done_context);
-  /* Reads rows of @table with keys from @from on (inclusive) up to @to (exclusive; "" for all). */
+  /* Reads rows of one partition with keys from @from on (inclusive) up to @to (exclusive; "" for
+   * all). */
   void (*read) (void *context,
                 const char *table,
+                const char *part,
                 const char *from,
                 const char *to,
                 int64_t timeout_ms,
                 void (*done) (void *context, const struct fl_store_reply *reply),
                 void *done_context);
-  /* Waits up to @wait_ms for changes of @table after version @after. */
+  /* Waits up to @wait_ms for changes of @table, in any partition, after version @after. */
   void (*feed) (void *context,
                 const char *table,
                 int64_t after,
--- a/tests/support_store.c
+++ b/tests/support_store.c
@@ -102,7 +102,7 @@
       const struct fl_store_condition *condition = &transaction->conditions[i];
       const struct row *row = find_row (store, condition->table, condition->key.data);
       if (row != NULL)
-        rows[reply.count++] = (struct fl_store_row){ fl_name_of (condition->table), condition->key,
+        rows[reply.count++] = (struct fl_store_row){ fl_name_of (condition->table), fl_name_of (condition->part), condition->key,
                                                      row->version, false, row->value };
     }
   done (done_context, &reply);
--- a/tests/test_store_lane.c
+++ b/tests/test_store_lane.c
@@ -36,9 +36,9 @@
 static void
 write_value (struct fl_store_lane *lane, const char *value, enum fl_store_status *status)
 {
-  struct fl_store_condition condition = { "owner", fl_name_of ("pool"), 0 };
+  struct fl_store_condition condition = { "owner", "", fl_name_of ("pool"), 0 };
   struct fl_store_write write
-      = { "progress", fl_name_of ("job"), { strlen (value), (char *)value }, false };
+      = { "progress", "", fl_name_of ("job"), { strlen (value), (char *)value }, false };
 
   fl_store_lane_write (lane, &condition, &write, 1, 100, on_done, status);
   /* A conflict teaches the lane its version: the write is repeated, as by its users. */
@@ -56,7 +56,7 @@
     {
       struct fake_store *store = fake_store_new ();
       struct fl_store_lane *lane
-          = fl_store_lane_new (fake_store_interface (store), "owner", "progress");
+          = fl_store_lane_new (fake_store_interface (store), "owner", "", "progress");
       bool held = false;
       for (int j = 0; j < 3; j++)
         {
@@ -80,9 +80,9 @@
 {
   struct fake_store *store = fake_store_new ();
   struct fl_store_lane *first
-      = fl_store_lane_new (fake_store_interface (store), "owner", "progress");
+      = fl_store_lane_new (fake_store_interface (store), "owner", "", "progress");
   struct fl_store_lane *second
-      = fl_store_lane_new (fake_store_interface (store), "owner", "progress");
+      = fl_store_lane_new (fake_store_interface (store), "owner", "", "progress");
   enum fl_store_status status;
 
   (void)state;
