--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -215,6 +215,8 @@
 {
   struct core_target *target = target_get (core, &entry->id);
 
+  if (entry->draining && !target->entry.draining)
+    target->leaves_at_ms = core->now_ms + entry->leaves_ms;
   target->entry = *entry;
   target->registered = true;
 }
@@ -400,6 +402,12 @@
     }
 }
 
+void
+fl_core_job_completed (struct fl_core *core, const struct fl_name *id)
+{
+  g_hash_table_add (core->finished, g_memdup2 (id, sizeof *id));
+}
+
 void
 fl_core_job_added (struct fl_core *core,
                    struct fl_job_spec *spec,
@@ -417,7 +425,7 @@
   /* Of jobs that were cancelled or failed runs may still be listed, and are to be stopped. */
   if (progress != NULL && progress->state == FL_JOB_COMPLETED)
     {
-      g_hash_table_add (core->finished, g_memdup2 (&spec->id, sizeof spec->id));
+      fl_core_job_completed (core, &spec->id);
       fl_schema_clear (&fl_job_row_schema, spec);
       return;
     }
@@ -501,6 +509,8 @@
     {
       struct core_target *target = core_find_target (core, g_ptr_array_index (ids, i));
       core_target_expire_runs (target, core->now_ms);
+      if (target->entry.draining && target->reported && !target->silent)
+        core_drain_target (target);
       core_target_drop_if_unused (core, target);
     }
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -34,6 +34,7 @@
   int64_t born_ms;
   int64_t clock_ms;    /* its clock, as of clock_at_ms */
   int64_t clock_at_ms; /* 0 when its clock is not known */
+  int64_t leaves_at_ms; /* while it drains: it stays at least until then */
   int64_t lapse_at_ms; /* by then all that runs there has lapsed, if it is not held again */
   int64_t lists_at_ms; /* when it last listed its runs */
   int64_t applied_end; /* ends up to this number are taken into account */
@@ -230,6 +231,11 @@
  * it takes no tasks. @claims counts room that others are likely to take as taken. */
 int64_t core_target_fits (const struct core_target *target, const struct core_step *step, bool claims);
 
+/* --- drain.c --- */
+
+/* Moves tasks off a target that drains, as far as that saves their work. */
+void core_drain_target (struct core_target *target);
+
 /* --- pace.c --- */
 
 /* Paces filling tasks beside serving tasks by their last figures. */
--- /dev/null
+++ b/lib/core/drain.c
@@ -0,0 +1,52 @@
+/* Evacuation of targets that are about to leave.
+ *
+ * Load pattern: targets are replaced one after another while long tasks run on them. What ends when
+ * its target leaves starts over; what is stopped in time goes on elsewhere from its checkpoint. Tasks
+ * that end before their target leaves stay, and so do those that could save nothing. */
+#include "core/core_internal.h"
+
+/* A stop and its listing take about this long at most; work is saved up to the stop. */
+#define STOP_TIME_MS 1000
+
+/* Time that @run still needs by its progress; INT64_MAX when that is not known. */
+static int64_t
+time_left_ms (const struct core_run *run, int64_t now_ms)
+{
+  int64_t elapsed_ms = now_ms - run->started_at_ms;
+
+  if (run->percent <= 0 || run->started_at_ms == 0)
+    return INT64_MAX;
+  return elapsed_ms * (100 - run->percent) / run->percent;
+}
+
+static bool
+has_to_move (const struct core_run *run, int64_t now_ms)
+{
+  const struct fl_step_spec *spec = run->task->step->spec;
+  int64_t leaves_in_ms = run->target->leaves_at_ms - now_ms;
+
+  if (run->state != CORE_RUN_PLACED || spec->gang)
+    return false;
+  if (spec->long_running)
+    return true;
+  return spec->checkpoints && leaves_in_ms <= 2 * STOP_TIME_MS
+         && time_left_ms (run, now_ms) > leaves_in_ms;
+}
+
+void
+core_drain_target (struct core_target *target)
+{
+  for (guint i = 0; i < target->runs->len; i++)
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, i);
+      struct fl_core *core = run->task->step->job->core;
+      if (!has_to_move (run, core->now_ms))
+        continue;
+      struct fl_name name = core_task_name (run->task);
+      fl_log (core->options.log, FL_LOG_INFO, "evacuate", FL_N ("task", &name),
+              FL_N ("target", &target->entry.id), FL_I ("percent", run->percent),
+              FL_I ("leaves_in_ms", target->leaves_at_ms - core->now_ms));
+      fl_stats_add (core->options.stats, "evacuations_total", 1);
+      core_run_stop (run);
+    }
+}
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -449,6 +449,13 @@
   g_hash_table_foreach_remove (core->jobs, drop_recorded_job, core);
 }
 
+/* A target that drains and runs nothing gets nothing any more: a successor need not wait for it. */
+static bool
+is_to_record (const struct core_target *target)
+{
+  return !target->entry.draining || target->runs->len > 0;
+}
+
 bool
 fl_core_targets_unrecorded (const struct fl_core *core)
 {
@@ -459,7 +466,7 @@
     return true;
   g_hash_table_iter_init (&iter, core->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!((struct core_target *)value)->recorded)
+    if (((struct core_target *)value)->recorded != is_to_record (value))
       return true;
   return false;
 }
@@ -476,7 +483,12 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct core_target *target = value;
-      target->recording = true;
+      target->recording = is_to_record (target);
+      if (!target->recording)
+        {
+          target->recorded = false;
+          continue;
+        }
       g_array_append_val (names, target->entry.id);
       g_array_append_val (names, target->entry.address);
     }
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -44,6 +44,8 @@
           FL_N ("name", &call->name), FL_I ("run", call->run),
           FL_S ("result", fl_order_result_name (reply->result)),
           FL_I ("after_ms", fl_clock_boot_ms () - call->sent_ms));
+  if (reply->result == FL_ORDER_FENCED && !call->term->ended)
+    fl_ownership_superseded (poold->ownership);
 }
 
 /* --- start, stop, pace --- */
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -360,6 +360,13 @@
                                       ownership->pool_version };
 }
 
+void
+fl_ownership_superseded (struct fl_ownership *ownership)
+{
+  if (ownership->state == OWNER)
+    lose (ownership);
+}
+
 static void
 on_released (void *context, const struct fl_store_reply *reply)
 {
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -39,6 +39,9 @@
 /* The condition that every write of the owner carries. */
 struct fl_store_condition fl_ownership_condition (const struct fl_ownership *ownership);
 
+/* A target has seen a higher fencing token: another host has taken the pool. */
+void fl_ownership_superseded (struct fl_ownership *ownership);
+
 /* Gives the pool up and stops competing; calls @done when the store has it or did not answer. */
 void fl_ownership_release (struct fl_ownership *ownership, void (*done) (void *context), void *context);
 
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -33,6 +33,7 @@
   struct fl_store_lane *targets_lane;
   struct fl_store_lane *pending_lane;
   int64_t pending_at_ms;
+  int64_t store_after_ms; /* nothing is stored before: the store failed */
   struct fl_str pending; /* as last stored */
 };
 
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -9,6 +9,8 @@
 #include "poold/poold_internal.h"
 
 #define STORE_TIMEOUT_MS 1000
+/* After a transaction that failed; less than a renewal's interval, so that little is delayed. */
+#define RETRY_PAUSE_MS 150
 /* Records in one transaction: its entries, less the conditions and the lane's row. */
 #define RECORDS_MAX (FL_STORE_ENTRIES_MAX - 3)
 /* The counts of waiting jobs may be 2 s old when they are read. */
@@ -33,6 +35,8 @@
   if (reply->status == FL_STORE_OK)
     return;
   fl_stats_add (term->poold->host->stats, "records_failed_total", 1);
+  if (reply->status != FL_STORE_CONFLICT)
+    term->store_after_ms = fl_clock_boot_ms () + RETRY_PAUSE_MS;
   fl_log (&term->poold->host->log, FL_LOG_WARNING, "record_failed", FL_S ("what", what),
           FL_I ("status", reply->status), FL_S ("text", reply->error.text));
 }
@@ -103,6 +107,8 @@
 void
 fl_term_store_records (struct fl_term *term)
 {
+  if (fl_clock_boot_ms () < term->store_after_ms)
+    return;
   if (!fl_store_lane_is_busy (term->progress_lane))
     store_progress (term);
   if (!fl_store_lane_is_busy (term->targets_lane) && fl_core_targets_unrecorded (term->core))
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -56,6 +56,7 @@
 on_job_row (void *context, const struct fl_store_row *row)
 {
   struct fl_term *term = context;
+  const struct fl_job_progress *progress;
   struct fl_job_spec spec;
   struct fl_error error = { 0 };
   struct fl_name job;
@@ -63,11 +64,13 @@
   term->poold->changed = true;
   if (row->removed)
     return;
+  progress = g_hash_table_lookup (term->recorded, &row->key);
   if (is_cancel_key (&row->key, &job))
     fl_core_job_cancelled (term->core, &job);
+  else if (progress != NULL && progress->state == FL_JOB_COMPLETED)
+    fl_core_job_completed (term->core, &row->key);
   else if (fl_record_decode (&fl_job_row_schema, row->value.data, row->value.len, &spec, &error))
-    fl_core_job_added (term->core, &spec, row->version,
-                       g_hash_table_lookup (term->recorded, &row->key));
+    fl_core_job_added (term->core, &spec, row->version, progress);
   else if (row->value.len > 2) /* an empty object marks an id whose job was refused */
     fl_log_error (&term->poold->host->log, FL_LOG_ERR, "job_unreadable", &error);
 }
