--- a/lib/common/schema.c
+++ b/lib/common/schema.c
@@ -151,14 +151,14 @@
 {
   if (!json_is_integer (json))
     {
-      problem (problems, path, "must be a whole number from %" PRId64 " to %" PRId64,
-                       f->min, f->max);
+      problem (problems, path, "must be a whole number from %" PRId64 " to %" PRId64, f->min,
+               f->max);
       return;
     }
   int64_t value = json_integer_value (json);
   if (value < f->min || value > f->max)
-    problem (problems, path, "is %" PRId64 "; allowed is %" PRId64 " to %" PRId64, value,
-                     f->min, f->max);
+    problem (problems, path, "is %" PRId64 "; allowed is %" PRId64 " to %" PRId64, value, f->min,
+             f->max);
   else
     *AT (object, f, int64_t) = value;
 }
@@ -178,8 +178,8 @@
   size_t len = json_string_length (json);
   if ((int64_t)len < f->min || (int64_t)len > f->max)
     {
-      problem (problems, path, "has %zu bytes; allowed is %" PRId64 " to %" PRId64 " bytes",
-                       len, f->min, f->max);
+      problem (problems, path, "has %zu bytes; allowed is %" PRId64 " to %" PRId64 " bytes", len,
+               f->min, f->max);
       return;
     }
   if (f->type == FL_NAME && memchr (json_string_value (json), '\0', len) != NULL)
@@ -226,8 +226,8 @@
   size_t count = json_array_size (json);
   if ((int64_t)count < f->min || (int64_t)count > f->max)
     {
-      problem (problems, path, "has %zu items; allowed is %" PRId64 " to %" PRId64 " items",
-                       count, f->min, f->max);
+      problem (problems, path, "has %zu items; allowed is %" PRId64 " to %" PRId64 " items", count,
+               f->min, f->max);
       return;
     }
   array->items = g_malloc0_n (MAX (count, 1), f->sub->size);
--- a/lib/configuration/configuration.h
+++ b/lib/configuration/configuration.h
@@ -66,7 +66,8 @@
 int64_t fl_configuration_version (const struct fl_configuration *configuration);
 
 /* Builders; a later object of the same name replaces the earlier one. */
-void fl_configuration_add_queue (struct fl_configuration *configuration, const struct fl_queue *queue);
+void fl_configuration_add_queue (struct fl_configuration *configuration,
+                                 const struct fl_queue *queue);
 void fl_configuration_add_service (struct fl_configuration *configuration,
                                    const struct fl_service_terms *service);
 void fl_configuration_add_team (struct fl_configuration *configuration,
--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -1,8 +1,8 @@
 /* Advice: which targets to ask about for a step, and what the answers permit.
  *
- * The service answers one question at a time for each calling host and takes longer the more targets
- * are named, so that questions name few targets, those likely to be used. Whether a target is good
- * for a step does not change; only tickets run out. */
+ * The service answers one question at a time for each calling host and takes longer the more
+ * targets are named, so that questions name few targets, those likely to be used. Whether a target
+ * is good for a step does not change; only tickets run out. */
 #include <math.h>
 #include <string.h>
 
@@ -160,7 +160,8 @@
       return any ? CORE_WAIT_ADVICE : CORE_WAIT_ROOM;
     }
   fl_log (core->options.log, FL_LOG_DEBUG, "advice_asked", FL_N ("step", &name),
-          FL_I ("targets", asked->len), FL_I ("waiting", waiting), FL_I ("expected_ms", expected_ms));
+          FL_I ("targets", asked->len), FL_I ("waiting", waiting),
+          FL_I ("expected_ms", expected_ms));
   step->asking = true;
   step->asked = asked;
   step->claim_cpu_milli
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -224,8 +224,8 @@
 void
 core_target_drop_if_unused (struct fl_core *core, struct core_target *target)
 {
-  bool settled = !target->inherited || target->reported
-                 || core->now_ms >= core->options.settled_at_ms;
+  bool settled
+      = !target->inherited || target->reported || core->now_ms >= core->options.settled_at_ms;
 
   if (target->registered || target->runs->len > 0 || !settled)
     return;
@@ -417,7 +417,8 @@
   struct core_job *job;
   size_t steps = spec->steps.count;
 
-  if (g_hash_table_contains (core->jobs, &spec->id) || g_hash_table_contains (core->finished, &spec->id))
+  if (g_hash_table_contains (core->jobs, &spec->id)
+      || g_hash_table_contains (core->finished, &spec->id))
     {
       fl_schema_clear (&fl_job_row_schema, spec);
       return;
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -32,21 +32,22 @@
   bool reported;   /* has listed its runs to this owner */
   bool silent;     /* did not answer the last hold */
   int64_t born_ms;
-  int64_t clock_ms;    /* its clock, as of clock_at_ms */
-  int64_t clock_at_ms; /* 0 when its clock is not known */
+  int64_t clock_ms;     /* its clock, as of clock_at_ms */
+  int64_t clock_at_ms;  /* 0 when its clock is not known */
   int64_t leaves_at_ms; /* while it drains: it stays at least until then */
-  int64_t lapse_at_ms; /* by then all that runs there has lapsed, if it is not held again */
-  int64_t lists_at_ms; /* when it last listed its runs */
-  int64_t applied_end; /* ends up to this number are taken into account */
-  int64_t storing_end; /* ends up to this number are covered by the records under way */
-  int64_t seen_end;    /* ends up to this number are recorded */
+  int64_t lapse_at_ms;  /* by then all that runs there has lapsed, if it is not held again */
+  int64_t lists_at_ms;  /* when it last listed its runs */
+  int64_t applied_end;  /* ends up to this number are taken into account */
+  int64_t storing_end;  /* ends up to this number are covered by the records under way */
+  int64_t seen_end;     /* ends up to this number are recorded */
   struct fl_room used;
   int64_t filler_cpu_milli;  /* asked for by tasks that take what others leave */
   int64_t claimed_cpu_milli; /* likely to be taken by steps that wait for advice */
   GPtrArray *runs;           /* struct core_run *, owned */
-  int foreign_runs; /* listed runs that are no task's current one, in the last lists */
+  int foreign_runs;          /* listed runs that are no task's current one, in the last lists */
   int failures_in_row;
-  struct fl_name failed_job; /* of the last failure, so that one bad job does not condemn a target */
+  struct fl_name
+      failed_job; /* of the last failure, so that one bad job does not condemn a target */
   int64_t quarantined_until_ms;
 };
 
@@ -64,13 +65,13 @@
   struct core_target *target;
   int64_t run;
   enum core_run_state state;
-  int64_t confirmed_ms; /* when the target answered the last order about it; 0 for not yet */
-  int64_t order_at_ms;  /* when the last order about it was given */
+  int64_t confirmed_ms;  /* when the target answered the last order about it; 0 for not yet */
+  int64_t order_at_ms;   /* when the last order about it was given */
   int64_t started_at_ms; /* when the last start was ordered */
-  int attempts;         /* starts without an answer */
-  bool order_open;      /* an order about it is not answered */
-  bool listed;          /* was in the last list of runs */
-  bool settled;         /* was in any list of runs: its boot is known */
+  int attempts;          /* starts without an answer */
+  bool order_open;       /* an order about it is not answered */
+  bool listed;           /* was in the last list of runs */
+  bool settled;          /* was in any list of runs: its boot is known */
   int64_t percent;
   int64_t gauge;
   int64_t pace_percent;
@@ -120,10 +121,10 @@
   int64_t number;
   int64_t due_wall_ms; /* 0 for at once */
   struct core_task *tasks;
-  int64_t open_count;   /* tasks that are not done */
-  GHashTable *advice;   /* target id -> struct core_advice */
-  bool asking;          /* a question is open */
-  GArray *asked;        /* struct fl_name: targets claimed by the open question */
+  int64_t open_count;      /* tasks that are not done */
+  GHashTable *advice;      /* target id -> struct core_advice */
+  bool asking;             /* a question is open */
+  GArray *asked;           /* struct fl_name: targets claimed by the open question */
   int64_t claim_cpu_milli; /* on each asked target */
   enum core_wait wait;
   int64_t wait_since_ms;
@@ -150,17 +151,17 @@
 {
   struct fl_core_options options;
   struct fl_configuration *configuration; /* NULL until the first */
-  GHashTable *targets;  /* id -> struct core_target */
-  GHashTable *jobs;     /* id -> struct core_job */
-  GHashTable *finished; /* ids of jobs whose final state is recorded */
-  GHashTable *teams;    /* name -> struct core_team */
+  GHashTable *targets;                    /* id -> struct core_target */
+  GHashTable *jobs;                       /* id -> struct core_job */
+  GHashTable *finished;                   /* ids of jobs whose final state is recorded */
+  GHashTable *teams;                      /* name -> struct core_team */
   GHashTable *good_share; /* queue name -> double: share of asked targets that are good */
   int64_t now_ms;
   int64_t peaks_at_ms; /* when the peaks of the teams last decayed */
   int64_t wall_ms;
-  int64_t first_run; /* lowest run number of this owner */
-  bool targets_dropped; /* the recorded list names targets that are gone */
-  bool records_open; /* records taken and not done */
+  int64_t first_run;       /* lowest run number of this owner */
+  bool targets_dropped;    /* the recorded list names targets that are gone */
+  bool records_open;       /* records taken and not done */
   bool records_cover_ends; /* the records taken cover all ends applied before */
 };
 
@@ -229,7 +230,8 @@
 
 /* How many tasks of @step the target could take now, by room, label and limits of the step; 0 when
  * it takes no tasks. @claims counts room that others are likely to take as taken. */
-int64_t core_target_fits (const struct core_target *target, const struct core_step *step, bool claims);
+int64_t
+core_target_fits (const struct core_target *target, const struct core_step *step, bool claims);
 
 /* --- drain.c --- */
 
--- a/lib/core/drain.c
+++ b/lib/core/drain.c
@@ -1,8 +1,8 @@
 /* Evacuation of targets that are about to leave.
  *
  * Load pattern: targets are replaced one after another while long tasks run on them. What ends when
- * its target leaves starts over; what is stopped in time goes on elsewhere from its checkpoint. Tasks
- * that end before their target leaves stay, and so do those that could save nothing. */
+ * its target leaves starts over; what is stopped in time goes on elsewhere from its checkpoint.
+ * Tasks that end before their target leaves stay, and so do those that could save nothing. */
 #include "core/core_internal.h"
 
 /* A stop and its listing take about this long at most; work is saved up to the stop. */
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -178,8 +178,8 @@
 
 /* --- runs --- */
 
-/* Stops a run that is no task's current one, such as of a job that ended under an earlier owner. Its
- * room is not known: the target takes nothing new until it is gone. */
+/* Stops a run that is no task's current one, such as of a job that ended under an earlier owner.
+ * Its room is not known: the target takes nothing new until it is gone. */
 static void
 stop_foreign (struct fl_core *core, struct core_target *target, const struct fl_run_row *row)
 {
@@ -335,8 +335,8 @@
       {
         const struct core_task *task = &job->steps[i].tasks[j];
         struct fl_task_progress row
-            = { job->steps[i].occurrence, job->steps[i].number, j, task->done, task->failures,
-                task->failed_run, { 0 } };
+            = { job->steps[i].occurrence, job->steps[i].number, j,    task->done,
+                task->failures,           task->failed_run,     { 0 } };
         if (!task->done)
           row.checkpoint = task->checkpoint; /* borrowed */
         if (has_progress (task))
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -8,7 +8,8 @@
 #define AVOID_MILLI INT64_C (1000000000)
 /* Time in which the recent peak of a team's urgent work decays to a third: some bursts long. */
 #define URGENT_PEAK_MS 10000.0
-/* Waits shorter than this are not logged at level info: advice for a quick step takes some 30 ms. */
+/* Waits shorter than this are not logged at level info: advice for a quick step takes some 30 ms.
+ */
 #define WAIT_LOGGED_MS 100
 /* Position of the rack among the labels of a target: its kind comes first. */
 #define RACK_LABEL 1
@@ -79,8 +80,8 @@
 
 /* What a team keeps free of its limit for its urgent work: as much as that took recently.
  *
- * Load pattern: a team whose long jobs of lower priority fill its limit; its urgent jobs, which come
- * all the time and last a second, then wait for the end of tasks that last many. */
+ * Load pattern: a team whose long jobs of lower priority fill its limit; its urgent jobs, which
+ * come all the time and last a second, then wait for the end of tasks that last many. */
 static int64_t
 kept_free (const struct core_step *step, int64_t urgent, int64_t peak)
 {
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -158,8 +158,7 @@
 lapse_ms (const struct core_run *run)
 {
   const struct fl_core *core = run->task->step->job->core;
-  int64_t longest_ms
-      = core->options.hold_max_ms * CORE_LAPSE_PERCENT / 100 + CORE_LAPSE_MARGIN_MS;
+  int64_t longest_ms = core->options.hold_max_ms * CORE_LAPSE_PERCENT / 100 + CORE_LAPSE_MARGIN_MS;
 
   return run->settled ? run->target->lapse_at_ms
                       : MAX (run->target->lapse_at_ms, run->started_at_ms + longest_ms);
--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -84,9 +84,7 @@
 }
 
 void
-front_call_retry (struct front_call *call,
-                  void (*retry) (struct front_call *call),
-                  int late_status)
+front_call_retry (struct front_call *call, void (*retry) (struct front_call *call), int late_status)
 {
   if (fl_clock_boot_ms () + RETRY_PAUSE_MS >= call->expires_ms)
     {
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -45,7 +45,8 @@
       return;
     }
   if (frontd->configuration != NULL
-      && fl_configuration_version (configuration) < fl_configuration_version (frontd->configuration))
+      && fl_configuration_version (configuration)
+             < fl_configuration_version (frontd->configuration))
     {
       fl_configuration_unref (configuration);
       return;
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -16,7 +16,7 @@
   struct fl_http_server *ready;
   struct fl_follower *configuration_follower;
   struct fl_configuration *configuration; /* NULL until the first */
-  int64_t confirmed_ms; /* the configuration in force is the newest as of then */
+  int64_t confirmed_ms;                   /* the configuration in force is the newest as of then */
   struct fl_stop_signals signals;
   ev_timer stop;
   bool stopping;
@@ -27,10 +27,10 @@
 {
   struct fl_frontd *frontd;
   struct fl_http_request *request;
-  struct fl_name id;    /* of the job */
+  struct fl_name id; /* of the job */
   struct fl_name queue;
   int64_t started_ms;
-  int64_t expires_ms;  /* the client waits no longer */
+  int64_t expires_ms;   /* the client waits no longer */
   struct fl_str record; /* POST: the job's row */
   int64_t expected;     /* POST: version of the row that the record replaces */
   bool unsettled;       /* POST: a write without an answer may still come into effect */
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -61,7 +61,8 @@
            void (*done) (void *context, const struct fl_store_reply *reply))
 {
   const struct fl_store *store = call->frontd->host->store;
-  struct fl_store_condition condition = { FL_TABLE_JOBS, fl_job_part (&call->id), call->id, call->expected };
+  struct fl_store_condition condition
+      = { FL_TABLE_JOBS, fl_job_part (&call->id), call->id, call->expected };
   struct fl_store_write write = { FL_TABLE_JOBS, fl_job_part (&call->id), call->id, *value, false };
   struct fl_store_transaction transaction = { &condition, 1, &write, 1 };
 
@@ -244,9 +245,11 @@
 mark_cancelled (struct front_call *call)
 {
   const struct fl_store *store = call->frontd->host->store;
-  struct fl_store_write write
-      = { FL_TABLE_JOBS, fl_job_part (&call->id), fl_name_format ("%s%s", call->id.data, FL_CANCEL_SUFFIX),
-          { strlen (FL_MARK_VALUE), (char *)FL_MARK_VALUE }, false };
+  struct fl_store_write write = { FL_TABLE_JOBS,
+                                  fl_job_part (&call->id),
+                                  fl_name_format ("%s%s", call->id.data, FL_CANCEL_SUFFIX),
+                                  { strlen (FL_MARK_VALUE), (char *)FL_MARK_VALUE },
+                                  false };
   struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
 
   store->transact (store->context, &transaction, front_call_timeout (call), on_cancelled, call);
--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -64,7 +64,8 @@
   int64_t port;
 
   if (endpoint->len > 0 && !fl_host_endpoint (endpoint, &address, &port))
-    fl_problems_add (problems, path, "is \"%s\"; must be an IPv4 number and a port", endpoint->data);
+    fl_problems_add (problems, path, "is \"%s\"; must be an IPv4 number and a port",
+                     endpoint->data);
 }
 
 bool
@@ -124,5 +125,5 @@
 enum fl_log_level
 fl_host_settings_log_level (const struct fl_host_settings *settings)
 {
-  return (enum fl_log_level)(FL_LOG_ERR + settings->log_level);
+  return (enum fl_log_level) (FL_LOG_ERR + settings->log_level);
 }
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -12,7 +12,8 @@
 
 #define FIELD(owner_, member_, type_, required_, min_, max_, fallback_)                            \
   {                                                                                                \
-#member_, type_, offsetof(struct owner_, member_), required_, min_, max_, fallback_, NULL, NULL \
+#member_, type_, offsetof(struct owner_, member_), required_, min_, max_, fallback_, NULL,     \
+        NULL                                                                                       \
   }
 #define LIST(owner_, member_, min_, max_, schema_)                                                 \
   {                                                                                                \
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -29,22 +29,22 @@
   bool speculative;      /* copies may run; the first to finish counts */
   bool long_running;     /* runs until the job is cancelled */
   bool checkpoints;
-  bool fills;                  /* takes only what others leave unused */
-  struct fl_name label;        /* a label the target must have; empty for none */
-  struct fl_name rack;         /* where the data is; empty for anywhere */
-  struct fl_name image;        /* tasks of one image behave alike */
-  int64_t per_target_max;      /* tasks of the step on one target; 0 for no limit */
-  int64_t latency_bound_ms;    /* the tail of a serving task must stay below; 0 for none */
-  int64_t disruptions_max;     /* tasks that orders may keep from work at once; -1 when not given */
+  bool fills;               /* takes only what others leave unused */
+  struct fl_name label;     /* a label the target must have; empty for none */
+  struct fl_name rack;      /* where the data is; empty for anywhere */
+  struct fl_name image;     /* tasks of one image behave alike */
+  int64_t per_target_max;   /* tasks of the step on one target; 0 for no limit */
+  int64_t latency_bound_ms; /* the tail of a serving task must stay below; 0 for none */
+  int64_t disruptions_max;  /* tasks that orders may keep from work at once; -1 when not given */
 };
 
 struct fl_job_spec
 {
   struct fl_name id;
   struct fl_name queue;
-  struct fl_name team; /* empty when handed in without a key */
-  int64_t accepted_ms; /* Unix time */
-  struct fl_str text;  /* what the client wants run, passed on as it is */
+  struct fl_name team;   /* empty when handed in without a key */
+  int64_t accepted_ms;   /* Unix time */
+  struct fl_str text;    /* what the client wants run, passed on as it is */
   struct fl_array steps; /* of struct fl_step_spec */
   int64_t repeat_count;  /* occurrences; 0 for a job that runs once, at once */
   int64_t start_at_ms;   /* Unix time of occurrence 0 */
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -90,7 +90,9 @@
 };
 
 static void
-send_message (struct fl_advisors *advisors, const struct fl_route *to, const struct message *message)
+send_message (struct fl_advisors *advisors,
+              const struct fl_route *to,
+              const struct message *message)
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -379,8 +381,8 @@
 {
   struct fl_advisors *advisors = g_new0 (struct fl_advisors, 1);
   const struct fl_host_settings *settings = &options->host->settings;
-  struct fl_name address = fl_name_format ("tcp://%s:%" G_GINT64_FORMAT, settings->address.data,
-                                           settings->link_port);
+  struct fl_name address
+      = fl_name_format ("tcp://%s:%" G_GINT64_FORMAT, settings->address.data, settings->link_port);
   struct fl_link_options link = {
     .loop = options->host->loop,
     .address = address.data,
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -136,8 +136,7 @@
   if (!term->ended)
     {
       g_hash_table_remove (term->held, &call->name);
-      fl_core_hold_answered (term->core, &call->name, reply, call->sent_ms,
-                             fl_clock_boot_ms ());
+      fl_core_hold_answered (term->core, &call->name, reply, call->sent_ms, fl_clock_boot_ms ());
     }
   order_call_free (call);
 }
@@ -145,8 +144,7 @@
 static bool
 may_hold (const struct fl_poold *poold, int64_t now_ms)
 {
-  return now_ms
-         < fl_ownership_authority_until (poold->ownership) + fl_ownership_hold_on_ms ();
+  return now_ms < fl_ownership_authority_until (poold->ownership) + fl_ownership_hold_on_ms ();
 }
 
 void
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -71,7 +71,7 @@
   int64_t sent_ms; /* when the open call was sent */
   bool open;
   int64_t token;
-  int64_t pool_version;  /* of the pool row while this host owns it */
+  int64_t pool_version; /* of the pool row while this host owns it */
   int64_t authority_until_ms;
   int64_t renewals;
   /* standby: */
@@ -111,7 +111,9 @@
 static struct fl_store_write
 row_write (const char *key, const struct fl_str *value)
 {
-  return (struct fl_store_write){ .table = FL_OWNER_TABLE, .part = FL_PART_OWNER, .key = fl_name_of (key), .value = *value };
+  return (struct fl_store_write){
+    .table = FL_OWNER_TABLE, .part = FL_PART_OWNER, .key = fl_name_of (key), .value = *value
+  };
 }
 
 static struct fl_str
@@ -218,15 +220,16 @@
 static void
 take (struct fl_ownership *ownership)
 {
-  struct owner_row row = { ownership->options.host, ownership->incarnation,
-                           ownership->seen_owner.token + 1 };
+  struct owner_row row
+      = { ownership->options.host, ownership->incarnation, ownership->seen_owner.token + 1 };
   struct fl_str owner = fl_record_encode (&owner_schema, &row);
   struct fl_str lease = lease_value (ownership, false);
   struct fl_store_write writes[]
       = { row_write (FL_OWNER_POOL_KEY, &owner), row_write (FL_OWNER_LEASE_KEY, &lease) };
   struct fl_store_condition conditions[] = {
     { FL_OWNER_TABLE, FL_PART_OWNER, fl_name_of (FL_OWNER_POOL_KEY), ownership->seen_pool_version },
-    { FL_OWNER_TABLE, FL_PART_OWNER, fl_name_of (FL_OWNER_LEASE_KEY), ownership->seen_lease_version },
+    { FL_OWNER_TABLE, FL_PART_OWNER, fl_name_of (FL_OWNER_LEASE_KEY),
+      ownership->seen_lease_version },
   };
   struct fl_store_transaction transaction = { conditions, 2, writes, 2 };
   const struct fl_store *store = ownership->options.store;
@@ -241,7 +244,9 @@
 
 /* Reads the two rows. @return whether the pool is free: never owned, or given up. */
 static bool
-read_rows (struct fl_ownership *ownership, const struct fl_store_reply *reply, int64_t *lease_version)
+read_rows (struct fl_ownership *ownership,
+           const struct fl_store_reply *reply,
+           int64_t *lease_version)
 {
   struct lease_row lease = { 0 };
   bool owned = false;
@@ -313,7 +318,8 @@
     return;
   ownership->sent_ms = fl_clock_boot_ms ();
   ownership->open = true;
-  store->read (store->context, FL_OWNER_TABLE, FL_PART_OWNER, "", "", READ_TIMEOUT_MS, on_read, ownership);
+  store->read (store->context, FL_OWNER_TABLE, FL_PART_OWNER, "", "", READ_TIMEOUT_MS, on_read,
+               ownership);
 }
 
 /* --- public functions --- */
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -43,7 +43,8 @@
 void fl_ownership_superseded (struct fl_ownership *ownership);
 
 /* Gives the pool up and stops competing; calls @done when the store has it or did not answer. */
-void fl_ownership_release (struct fl_ownership *ownership, void (*done) (void *context), void *context);
+void
+fl_ownership_release (struct fl_ownership *ownership, void (*done) (void *context), void *context);
 
 /* How long after the taking, in milliseconds, orders of the previous owner to targets that do not
  * report may be in effect, given the lease @hold_ms of its holds. */
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -10,7 +10,8 @@
 
 /* Longest time between decisions: covers what only time brings about. */
 #define TICK_MS 50
-/* The row that announces this host; written again after the pause when the store did not take it. */
+/* The row that announces this host; written again after the pause when the store did not take it.
+ */
 #define ANNOUNCE_TIMEOUT_MS 1000
 #define ANNOUNCE_PAUSE_MS 500
 
@@ -130,8 +131,9 @@
 {
   const struct fl_store *store = poold->host->store;
   struct fl_name address = fl_advisors_address (poold->advisors);
-  struct fl_store_write write
-      = { FL_TABLE_HOSTS, FL_PART_COMMON, poold->host->settings.name, { address.len, address.data }, false };
+  struct fl_store_write write = {
+    FL_TABLE_HOSTS, FL_PART_COMMON, poold->host->settings.name, { address.len, address.data }, false
+  };
   struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
 
   poold->announcing = true;
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -21,10 +21,10 @@
   struct fl_follower *jobs;
   struct fl_follower *registry;
   struct fl_follower *hosts;
-  GHashTable *recorded; /* job id -> struct fl_job_progress, until the jobs are read */
-  GHashTable *held;     /* target id: a hold is open */
+  GHashTable *recorded;     /* job id -> struct fl_job_progress, until the jobs are read */
+  GHashTable *held;         /* target id: a hold is open */
   GHashTable *read_targets; /* ids shown by a whole read of the registry */
-  bool targets_read;    /* the targets of the previous owner are known */
+  bool targets_read;        /* the targets of the previous owner are known */
   bool targets_reading;
   int64_t targets_read_at_ms;
   bool progress_read;
@@ -34,7 +34,7 @@
   struct fl_store_lane *pending_lane;
   int64_t pending_at_ms;
   int64_t store_after_ms; /* nothing is stored before: the store failed */
-  struct fl_str pending; /* as last stored */
+  struct fl_str pending;  /* as last stored */
 };
 
 struct fl_poold
@@ -50,8 +50,8 @@
   struct fl_stop_signals signals;
   ev_timer tick;
   ev_prepare prepare;
-  bool changed; /* something was observed since the last tick */
-  bool announced;  /* this host's row is in the store */
+  bool changed;   /* something was observed since the last tick */
+  bool announced; /* this host's row is in the store */
   bool announcing;
   int64_t announced_at_ms; /* when the row was sent last; 0 for never */
   bool stopping;
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -65,8 +65,8 @@
   if (count == 0)
     return;
   for (size_t i = 0; i < count; i++)
-    writes[i] = (struct fl_store_write){ FL_TABLE_PROGRESS, FL_PART_OWNER, records[i].job, records[i].progress,
-                                         false };
+    writes[i] = (struct fl_store_write){ FL_TABLE_PROGRESS, FL_PART_OWNER, records[i].job,
+                                         records[i].progress, false };
   fl_stats_add (term->poold->host->stats, "records_total", (int64_t)count);
   commit (term, term->progress_lane, writes, count, on_records_stored);
   for (size_t i = 0; i < count; i++)
@@ -151,7 +151,8 @@
 {
   int64_t now_ms = fl_clock_boot_ms ();
 
-  if (fl_store_lane_is_busy (term->pending_lane) || now_ms - term->pending_at_ms < PENDING_INTERVAL_MS)
+  if (fl_store_lane_is_busy (term->pending_lane)
+      || now_ms - term->pending_at_ms < PENDING_INTERVAL_MS)
     return;
   term->pending_at_ms = now_ms;
   struct fl_str value = encode_pending (term->core);
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -238,7 +238,8 @@
   term->references++;
   term->targets_reading = true;
   term->targets_read_at_ms = fl_clock_boot_ms ();
-  store->read (store->context, FL_TABLE_SUMMARY, FL_PART_OWNER, "", "", READ_TIMEOUT_MS, on_inherited, term);
+  store->read (store->context, FL_TABLE_SUMMARY, FL_PART_OWNER, "", "", READ_TIMEOUT_MS,
+               on_inherited, term);
 }
 
 /* --- public functions --- */
@@ -265,12 +266,16 @@
   term->core = fl_core_new (&options);
   term->recorded = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, progress_free);
   term->held = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
-  term->progress_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "progress");
-  term->targets_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "targets");
-  term->pending_lane = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "pending");
+  term->progress_lane
+      = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "progress");
+  term->targets_lane
+      = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "targets");
+  term->pending_lane
+      = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "pending");
   if (poold->configuration != NULL)
     fl_core_configure (term->core, poold->configuration);
-  term->progress = follow (term, FL_TABLE_PROGRESS, fl_owner_parts, on_progress_row, ignore, on_progress_read);
+  term->progress
+      = follow (term, FL_TABLE_PROGRESS, fl_owner_parts, on_progress_row, ignore, on_progress_read);
   term->registry = follow (term, FL_PLATFORM_REGISTRY_TABLE, fl_common_parts, on_registry_row,
                            on_registry_read_begin, on_registry_read_end);
   term->hosts = follow (term, FL_TABLE_HOSTS, fl_common_parts, on_host_row, ignore, ignore);
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -17,12 +17,12 @@
 {
   struct fl_follower_options options;
   ev_timer retry;
-  int64_t version;    /* changes up to here are delivered */
-  int64_t sent_ms;    /* when the open call was sent */
-  int64_t delay_ms;   /* before the next retry */
-  bool reading;       /* a whole read is under way */
-  size_t part;         /* that is being read */
-  struct fl_name from; /* first key of the next page */
+  int64_t version;            /* changes up to here are delivered */
+  int64_t sent_ms;            /* when the open call was sent */
+  int64_t delay_ms;           /* before the next retry */
+  bool reading;               /* a whole read is under way */
+  size_t part;                /* that is being read */
+  struct fl_name from;        /* first key of the next page */
   struct follower_call *call; /* the open call */
 };
 
@@ -140,9 +140,8 @@
   follower->call->follower = follower;
   follower->sent_ms = fl_clock_boot_ms ();
   if (follower->reading)
-    store->read (store->context, follower->options.table,
-                 follower->options.parts[follower->part], follower->from.data, "", READ_TIMEOUT_MS,
-                 on_reply, follower->call);
+    store->read (store->context, follower->options.table, follower->options.parts[follower->part],
+                 follower->from.data, "", READ_TIMEOUT_MS, on_reply, follower->call);
   else
     store->feed (store->context, follower->options.table, follower->version, FEED_WAIT_MS,
                  FEED_WAIT_MS + FEED_SLACK_MS, on_reply, follower->call);
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -1,5 +1,6 @@
-/* Follows one table of the store: reads it whole, then takes its feed of changes; reads it anew when
- * the history that it needs is gone. Every wait has a time-out and every retry a growing delay. */
+/* Follows one table of the store: reads it whole, then takes its feed of changes; reads it anew
+ * when the history that it needs is gone. Every wait has a time-out and every retry a growing
+ * delay. */
 #pragma once
 
 #include <ev.h>
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -46,7 +46,6 @@
   struct fl_error error;
 };
 
-
 /* A row that has to have @version; 0 when it must not exist. */
 struct fl_store_condition
 {
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -20,9 +20,9 @@
   struct fl_name service;
   struct fl_name address; /* "ip:port" */
   struct fl_name domain;
-  bool draining;    /* it will leave: no new tasks */
+  bool draining;     /* it will leave: no new tasks */
   int64_t leaves_ms; /* least time left while draining; 0 when not told */
-  int64_t born_ms;  /* Unix time of its start: tells its boots apart; 0 when not told */
+  int64_t born_ms;   /* Unix time of its start: tells its boots apart; 0 when not told */
   struct fl_room room;
   size_t label_count;
   struct fl_name labels[FL_TARGET_LABELS_MAX];
@@ -32,16 +32,16 @@
 enum fl_order_result
 {
   FL_ORDER_DONE,
-  FL_ORDER_FENCED,      /* the target has seen a higher fencing token */
-  FL_ORDER_OLD_RUN,     /* this run or a higher one has ended or was stopped there */
-  FL_ORDER_LATE,        /* its deadline had passed: nothing was started */
-  FL_ORDER_NO_ROOM,     /* nothing was started */
-  FL_ORDER_NO_TICKET,   /* nothing was started */
-  FL_ORDER_INVALID,     /* the target refuses the order as malformed */
-  FL_ORDER_UNHEALTHY,   /* the target declines work: nothing was started */
-  FL_ORDER_OTHER_BOOT,  /* the address belongs to another boot: nothing was started */
-  FL_ORDER_NOT_SENT,    /* no connection, or the authority ended before it left */
-  FL_ORDER_UNANSWERED,  /* carried out, not carried out, or carried out later */
+  FL_ORDER_FENCED,     /* the target has seen a higher fencing token */
+  FL_ORDER_OLD_RUN,    /* this run or a higher one has ended or was stopped there */
+  FL_ORDER_LATE,       /* its deadline had passed: nothing was started */
+  FL_ORDER_NO_ROOM,    /* nothing was started */
+  FL_ORDER_NO_TICKET,  /* nothing was started */
+  FL_ORDER_INVALID,    /* the target refuses the order as malformed */
+  FL_ORDER_UNHEALTHY,  /* the target declines work: nothing was started */
+  FL_ORDER_OTHER_BOOT, /* the address belongs to another boot: nothing was started */
+  FL_ORDER_NOT_SENT,   /* no connection, or the authority ended before it left */
+  FL_ORDER_UNANSWERED, /* carried out, not carried out, or carried out later */
   FL_ORDER_RESULTS
 };
 
@@ -126,7 +126,7 @@
 struct fl_order_reply
 {
   enum fl_order_result result;
-  int64_t clock_ms;                   /* the target's clock; 0 when not told */
+  int64_t clock_ms;                    /* the target's clock; 0 when not told */
   const struct fl_target_lists *lists; /* hold only, when done */
 };
 
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1,4 +1,5 @@
 #include "support_cell.h"
+#include "support_target.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -6,7 +7,6 @@
 #include <glib.h>
 
 /* The protocol's bounds. */
-#define HOLD_MAX_MS 6000
 #define STOP_MAX_MS 900
 #define TICKET_VALID_MS 2500
 /* The owner's constants that matter here: lib/poold/ownership.c. */
@@ -35,29 +35,9 @@
 
 /* --- targets --- */
 
-struct fake_run
-{
-  struct fl_name task;
-  int64_t run;
-  int64_t ends_ms; /* by its own; INT64_MAX for one that hangs on */
-  bool fails;
-  int64_t stopping_ms; /* ends as stopped then; 0 when no stop came */
-  struct fl_room room;
-  int64_t team;
-};
-
-struct fake_end
-{
-  int64_t number;
-  struct fl_name task;
-  int64_t run;
-  enum fl_end_cause cause;
-  bool stale;     /* the lease lapsed since: forgetting it does not take note of it */
-  bool restarted; /* its task was started again after it */
-};
-
 struct fake_target
 {
+  struct cell *cell;
   int index;
   int boot;
   struct fl_name id;
@@ -66,16 +46,8 @@
   bool up;
   bool draining;
   int64_t cut_until_ms; /* no owner reaches it */
-  int64_t born_ms;
-  double rate; /* of its clock */
-  int64_t token;
-  int64_t lease_ms; /* on its clock */
-  GArray *runs;     /* struct fake_run */
-  GArray *ends;     /* struct fake_end */
-  int64_t last_end;
-  int64_t seen;
-  GHashTable *barred; /* task -> highest run that ended or was stopped */
-  GArray *waiting;    /* struct hold_call *, holds that wait for an end */
+  struct target_state state;
+  GArray *waiting; /* struct hold_call *, holds that wait for an end */
 };
 
 /* --- jobs --- */
@@ -173,7 +145,10 @@
 }
 
 static void
-trace (const struct cell *cell, const char *what, const struct fl_name *task, int64_t run,
+trace (const struct cell *cell,
+       const char *what,
+       const struct fl_name *task,
+       int64_t run,
        const struct fl_name *where)
 {
   if (cell->options.trace != NULL && g_str_has_prefix (task->data, cell->options.trace))
@@ -203,37 +178,12 @@
 
 /* --- targets --- */
 
-static int64_t
-target_clock (const struct cell *cell, const struct fake_target *target)
-{
-  return (int64_t)((double)(cell->now_ms - target->born_ms) * target->rate);
-}
-
 static struct fl_name
 target_id (int index, int boot)
 {
   return fl_name_format ("t%d-%d", index, boot);
 }
 
-static struct fake_target *
-target_new (struct cell *cell, int index)
-{
-  struct fake_target *target = g_new0 (struct fake_target, 1);
-
-  target->index = index;
-  target->id = target_id (index, 0);
-  target->address = fl_name_format ("10.0.0.%d:1", index);
-  target->room = (struct fl_room){ 8000 * pick (cell, 1, 3), 16000, 0 };
-  target->up = true;
-  target->born_ms = cell->now_ms - pick (cell, 0, 100000);
-  target->rate = 1.0 - 0.0002 * (double)pick (cell, 0, 100);
-  target->runs = g_array_new (FALSE, TRUE, sizeof (struct fake_run));
-  target->ends = g_array_new (FALSE, TRUE, sizeof (struct fake_end));
-  target->barred = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
-  target->waiting = g_array_new (FALSE, FALSE, sizeof (void *));
-  return target;
-}
-
 static struct fake_job *
 job_of_task (const struct cell *cell, const struct fl_name *task)
 {
@@ -262,74 +212,49 @@
 static void answer_waiting (struct cell *cell, struct fake_target *target);
 
 static void
-end_run (struct cell *cell, struct fake_target *target, guint index, enum fl_end_cause cause)
+on_run_ends (void *context, const struct target_end *end)
 {
-  struct fake_run run = g_array_index (target->runs, struct fake_run, index);
-  struct fake_end end
-      = { .number = ++target->last_end, .task = run.task, .run = run.run, .cause = cause };
-
   static const char *const causes[] = { "done", "failed", "stopped", "lapsed" };
-  trace (cell, causes[cause], &run.task, run.run, &target->id);
-  g_array_remove_index_fast (target->runs, index);
-  g_array_append_val (target->ends, end);
-  g_hash_table_insert (target->barred, g_memdup2 (&run.task, sizeof run.task),
-                       (void *)(intptr_t)run.run);
-  if (cause == FL_END_DONE)
-    task_get (cell, &run.task)->done = true;
-  if (cause == FL_END_FAILED)
-    task_get (cell, &run.task)->failures++;
-  if (cause == FL_END_LAPSED)
+  struct fake_target *target = context;
+  struct cell *cell = target->cell;
+
+  trace (cell, causes[end->cause], &end->task, end->run, &target->id);
+  if (end->cause == FL_END_DONE)
+    task_get (cell, &end->task)->done = true;
+  if (end->cause == FL_END_FAILED)
+    task_get (cell, &end->task)->failures++;
+  if (end->cause == FL_END_LAPSED)
     cell->result.lost_runs++;
 }
 
-/* Lets ends come that are due. */
 static void
-target_advance (struct cell *cell, struct fake_target *target)
+on_end_forgotten (void *context, const struct target_end *end)
 {
-  guint ended = target->ends->len;
+  struct fake_target *target = context;
+  struct fake_task *task = task_get (target->cell, &end->task);
 
-  if (!target->up)
+  if (end->cause == FL_END_FAILED)
+    task->failures_noted++;
+  if (end->cause != FL_END_DONE || end->stale)
     return;
-  for (guint i = 0; target_clock (cell, target) >= target->lease_ms && i < target->ends->len; i++)
-    g_array_index (target->ends, struct fake_end, i).stale = true;
-  for (guint i = target->runs->len; i > 0; i--)
-    {
-      const struct fake_run *run = &g_array_index (target->runs, struct fake_run, i - 1);
-      if (target_clock (cell, target) >= target->lease_ms)
-        end_run (cell, target, i - 1, FL_END_LAPSED);
-      else if (run->stopping_ms > 0 && cell->now_ms >= run->stopping_ms)
-        end_run (cell, target, i - 1, FL_END_STOPPED);
-      else if (run->stopping_ms == 0 && cell->now_ms >= run->ends_ms)
-        end_run (cell, target, i - 1, run->fails ? FL_END_FAILED : FL_END_DONE);
-    }
-  if (target->ends->len > ended)
-    answer_waiting (cell, target);
+  if (end->restarted)
+    broken (target->cell, "TWICE (started after a noted end)", &end->task);
+  task->done_noted = true;
 }
 
 static void
-target_lose_all (struct cell *cell, struct fake_target *target)
+target_advance (struct cell *cell, struct fake_target *target)
 {
-  cell->result.lost_runs += target->runs->len;
-  g_array_set_size (target->runs, 0);
-  g_array_set_size (target->ends, 0);
-  g_hash_table_remove_all (target->barred);
-  target->token = 0;
-  target->last_end = 0;
-  target->seen = 0;
-  target->lease_ms = 0;
-  target->boot++;
-  target->born_ms = cell->now_ms;
+  if (target->up && target_state_advance (&target->state, cell->now_ms))
+    answer_waiting (cell, target);
 }
 
-static bool
-deadline_extends (struct cell *cell, struct fake_target *target, int64_t deadline_ms)
+static void
+target_lose_all (struct cell *cell, struct fake_target *target)
 {
-  int64_t clock_ms = target_clock (cell, target);
-
-  if (deadline_ms < clock_ms)
-    return false;
-  target->lease_ms = MAX (target->lease_ms, MIN (deadline_ms, clock_ms + HOLD_MAX_MS));
-  return true;
+  cell->result.lost_runs += target->state.runs->len;
+  target_state_restart (&target->state, cell->now_ms);
+  target->boot++;
 }
 
 static struct fl_name
@@ -354,7 +279,10 @@
 /* --- rules, checked at each start --- */
 
 static int64_t
-running_elsewhere (const struct cell *cell, const struct fl_name *task, struct fl_room *team_used, int team)
+running_elsewhere (const struct cell *cell,
+                   const struct fl_name *task,
+                   struct fl_room *team_used,
+                   int team)
 {
   int64_t count = 0;
 
@@ -362,12 +290,13 @@
   for (guint i = 0; i < cell->targets->len; i++)
     {
       const struct fake_target *target = g_ptr_array_index (cell->targets, i);
-      for (guint j = 0; target->up && j < target->runs->len; j++)
+      for (guint j = 0; target->up && j < target->state.runs->len; j++)
         {
-          const struct fake_run *run = &g_array_index (target->runs, struct fake_run, j);
+          const struct target_run *run = &g_array_index (target->state.runs, struct target_run, j);
           count += fl_name_eq (&run->task, task) ? 1 : 0;
-          if (run->team == team)
-            team_used->cpu_milli += run->room.cpu_milli;
+          const struct fake_job *job = job_of_task (cell, &run->task);
+          if (job != NULL && job->team == team)
+            team_used->cpu_milli += job->room.cpu_milli;
         }
     }
   return count;
@@ -392,17 +321,19 @@
   for (guint i = 0; i < cell->targets->len; i++)
     {
       struct fake_target *target = g_ptr_array_index (cell->targets, i);
-      for (guint j = 0; j < target->ends->len; j++)
+      for (guint j = 0; j < target->state.ends->len; j++)
         {
-          struct fake_end *end = &g_array_index (target->ends, struct fake_end, j);
+          struct target_end *end = &g_array_index (target->state.ends, struct target_end, j);
           end->restarted = end->restarted || fl_name_eq (&end->task, task);
         }
     }
 }
 
 static void
-check_start (struct cell *cell, const struct fake_target *target, const struct fl_start_order *order)
+on_run_starts (void *context, const struct fl_start_order *order)
 {
+  const struct fake_target *target = context;
+  struct cell *cell = target->cell;
   struct fake_job *job = job_of_task (cell, &order->task);
   struct fake_task *task = task_get (cell, &order->task);
   struct fl_room team_used;
@@ -413,8 +344,13 @@
       broken (cell, "UNASKED", &order->task);
       return;
     }
-  for (guint i = 0; i < target->runs->len; i++)
-    used += g_array_index (target->runs, struct fake_run, i).room.cpu_milli;
+  cell->result.starts++;
+  for (guint i = 0; i < target->state.runs->len; i++)
+    {
+      const struct fake_job *other
+          = job_of_task (cell, &g_array_index (target->state.runs, struct target_run, i).task);
+      used += other != NULL ? other->room.cpu_milli : 0;
+    }
   if (used + job->room.cpu_milli > target->room.cpu_milli)
     broken (cell, "LIMIT", &order->task);
   if (running_elsewhere (cell, &order->task, &team_used, job->team) > 0 || task->done_noted)
@@ -433,40 +369,35 @@
 
 /* --- orders at targets --- */
 
+static struct fake_target *
+target_new (struct cell *cell, int index)
+{
+  struct fake_target *target = g_new0 (struct fake_target, 1);
+
+  target->cell = cell;
+  target->index = index;
+  target->id = target_id (index, 0);
+  target->address = fl_name_format ("10.0.0.%d:1", index);
+  target->room = (struct fl_room){ 8000 * pick (cell, 1, 3), 16000, 0 };
+  target->up = true;
+  target_state_init (&target->state, cell->now_ms - pick (cell, 0, 100000),
+                     1.0 - 0.0002 * (double)pick (cell, 0, 100));
+  target->state.observer
+      = (struct target_observer){ on_run_starts, on_run_ends, on_end_forgotten, target };
+  target->waiting = g_array_new (FALSE, FALSE, sizeof (void *));
+  return target;
+}
+
 static enum fl_order_result
 target_start (struct cell *cell, struct fake_target *target, const struct fl_start_order *order)
 {
-  struct fake_job *job = job_of_task (cell, &order->task);
-
   trace (cell, "start arrives", &order->task, order->run, &target->id);
   if (!fl_name_eq (&target->id, &order->target))
     return FL_ORDER_OTHER_BOOT;
-  if (order->fencing_token < target->token)
-    return FL_ORDER_FENCED;
-  target->token = order->fencing_token;
-  for (guint i = 0; i < target->runs->len; i++)
-    {
-      const struct fake_run *run = &g_array_index (target->runs, struct fake_run, i);
-      if (fl_name_eq (&run->task, &order->task) && run->run == order->run)
-        return FL_ORDER_DONE;
-    }
-  if ((intptr_t)g_hash_table_lookup (target->barred, &order->task) >= order->run)
-    return FL_ORDER_OLD_RUN;
-  if (cell->options.advice
-      && strcmp (order->ticket, ticket_of (&order->task, target).data) != 0)
+  if (cell->options.advice && strcmp (order->ticket, ticket_of (&order->task, target).data) != 0)
     return FL_ORDER_NO_TICKET;
-  if (!deadline_extends (cell, target, order->deadline_ms))
-    return FL_ORDER_LATE;
-  check_start (cell, target, order);
-  struct fake_run run = { .task = order->task,
-                          .run = order->run,
-                          .ends_ms = cell->now_ms + pick (cell, 100, 4000),
-                          .fails = happens (cell, cell->options.faults.task_failed),
-                          .room = job != NULL ? job->room : (struct fl_room){ 0 },
-                          .team = job != NULL ? job->team : 0 };
-  g_array_append_val (target->runs, run);
-  cell->result.starts++;
-  return FL_ORDER_DONE;
+  return target_state_start (&target->state, cell->now_ms, order, pick (cell, 100, 4000),
+                             happens (cell, cell->options.faults.task_failed));
 }
 
 static enum fl_order_result
@@ -475,43 +406,7 @@
   trace (cell, "stop arrives", &order->task, order->run, &target->id);
   if (!fl_name_eq (&target->id, &order->target))
     return FL_ORDER_OTHER_BOOT;
-  if (order->fencing_token < target->token)
-    return FL_ORDER_FENCED;
-  target->token = order->fencing_token;
-  for (guint i = 0; i < target->runs->len; i++)
-    {
-      struct fake_run *run = &g_array_index (target->runs, struct fake_run, i);
-      if (fl_name_eq (&run->task, &order->task) && run->run <= order->run && run->stopping_ms == 0)
-        run->stopping_ms = cell->now_ms + pick (cell, 1, STOP_MAX_MS);
-    }
-  intptr_t barred = (intptr_t)g_hash_table_lookup (target->barred, &order->task);
-  g_hash_table_insert (target->barred, g_memdup2 (&order->task, sizeof order->task),
-                       (void *)MAX (barred, (intptr_t)order->run));
-  return FL_ORDER_DONE;
-}
-
-static void
-forget_ends (struct cell *cell, struct fake_target *target, int64_t last_seen)
-{
-  for (guint i = 0; i < target->ends->len;)
-    {
-      const struct fake_end *end = &g_array_index (target->ends, struct fake_end, i);
-      if (end->number > last_seen)
-        {
-          i++;
-          continue;
-        }
-      struct fake_task *task = task_get (cell, &end->task);
-      if (end->cause == FL_END_DONE && !end->stale)
-        {
-          if (end->restarted)
-            broken (cell, "TWICE (started after a noted end)", &end->task);
-          task->done_noted = true;
-        }
-      task->failures_noted += end->cause == FL_END_FAILED ? 1 : 0;
-      g_array_remove_index (target->ends, i);
-    }
-  target->seen = MAX (target->seen, last_seen);
+  return target_state_stop (&target->state, cell->now_ms, order, pick (cell, 1, STOP_MAX_MS));
 }
 
 /* --- calls between an owner and targets --- */
@@ -545,8 +440,7 @@
 call_free (struct call *call)
 {
   g_free (call->text);
-  g_free (call->lists.runs);
-  g_free (call->lists.ends);
+  target_state_lists_clear (&call->lists);
   g_free (call);
 }
 
@@ -580,7 +474,8 @@
     {
       enum fl_order_result result = call->answered ? call->result : FL_ORDER_UNANSWERED;
       if (call->kind == CALL_START)
-        fl_core_start_answered (owner->core, &call->start.task, call->start.run, result, cell->now_ms);
+        fl_core_start_answered (owner->core, &call->start.task, call->start.run, result,
+                                cell->now_ms);
       else if (call->kind == CALL_STOP)
         fl_core_stop_answered (owner->core, &call->run.task, call->run.run, result, cell->now_ms);
       else
@@ -596,35 +491,13 @@
   call_free (call);
 }
 
-static void
-fill_lists (struct cell *cell, struct fake_target *target, struct call *call)
-{
-  call->has_lists = true;
-  call->lists = (struct fl_target_lists){ .born_ms = target->born_ms,
-                                          .clock_ms = target_clock (cell, target) };
-  call->lists.runs = g_new0 (struct fl_run_row, target->runs->len + 1);
-  call->lists.ends = g_new0 (struct fl_end_row, target->ends->len + 1);
-  for (guint i = 0; i < target->runs->len; i++)
-    {
-      const struct fake_run *run = &g_array_index (target->runs, struct fake_run, i);
-      call->lists.runs[call->lists.run_count++]
-          = (struct fl_run_row){ .task = run->task, .run = run->run };
-    }
-  for (guint i = 0; i < target->ends->len; i++)
-    {
-      const struct fake_end *end = &g_array_index (target->ends, struct fake_end, i);
-      call->lists.ends[call->lists.end_count++] = (struct fl_end_row){
-        .number = end->number, .task = end->task, .run = end->run, .cause = end->cause
-      };
-    }
-}
-
 static void
 answer_hold (struct cell *cell, struct fake_target *target, struct call *call)
 {
   call->answered = true;
   call->result = FL_ORDER_DONE;
-  fill_lists (cell, target, call);
+  call->has_lists = true;
+  target_state_lists (&target->state, cell->now_ms, &call->lists);
   after (cell, pick (cell, 1, 20), on_call_over, call);
 }
 
@@ -654,24 +527,17 @@
   call->answered = true;
   if (!fl_name_eq (&target->id, &call->hold.target))
     call->result = FL_ORDER_OTHER_BOOT;
-  else if (call->hold.fencing_token < target->token)
-    call->result = FL_ORDER_FENCED;
   else
+    call->result = target_state_hold (&target->state, cell->now_ms, &call->hold);
+  if (call->result == FL_ORDER_DONE && call->hold.wait_ms > 0 && target->state.ends->len == 0)
     {
-      target->token = call->hold.fencing_token;
-      if (call->hold.deadline_ms > 0)
-        deadline_extends (cell, target, call->hold.deadline_ms);
-      forget_ends (cell, target, call->hold.last_seen);
-      if (call->hold.wait_ms > 0 && target->ends->len == 0)
-        {
-          g_array_append_val (target->waiting, call);
-          after (cell, call->hold.wait_ms, on_wait_over, target);
-        }
-      else
-        answer_hold (cell, target, call);
-      return;
+      g_array_append_val (target->waiting, call);
+      after (cell, call->hold.wait_ms, on_wait_over, target);
     }
-  after (cell, pick (cell, 1, 20), on_call_over, call);
+  else if (call->result == FL_ORDER_DONE)
+    answer_hold (cell, target, call);
+  else
+    after (cell, pick (cell, 1, 20), on_call_over, call);
 }
 
 static void
@@ -817,10 +683,10 @@
         const struct fake_target *target = g_ptr_array_index (cell->targets, j);
         if (fl_name_eq (&target->id, &question->targets[i])
             && is_good (cell, &question->step, target))
-          rows[reply.count++] = (struct fl_advice_row){
-            target->id,
-            fl_name_format ("%s/%s/%d", question->step.data, target->id.data, target->boot)
-          };
+          rows[reply.count++]
+              = (struct fl_advice_row){ target->id,
+                                        fl_name_format ("%s/%s/%d", question->step.data,
+                                                        target->id.data, target->boot) };
       }
   if (!question->owner->dead)
     fl_core_advice_answered (question->owner->core, &question->step, question->targets,
@@ -913,7 +779,8 @@
   commit->stored = true;
   for (guint i = 0; commit->records != NULL && i < commit->records->len; i++)
     {
-      const struct fl_core_record *record = &g_array_index (commit->records, struct fl_core_record, i);
+      const struct fl_core_record *record
+          = &g_array_index (commit->records, struct fl_core_record, i);
       struct fake_job *job = g_hash_table_lookup (cell->job_by_id, &record->job);
       fl_str_clear (&job->progress);
       job->progress = fl_str_dup (&record->progress);
@@ -1122,7 +989,7 @@
     .taken_version = ++cell->version,
     .settled_at_ms = cell->now_ms + HOLD_ON_MS + TASK_LEASE_MS * 104 / 100,
     .hold_ms = TASK_LEASE_MS,
-    .hold_max_ms = HOLD_MAX_MS,
+    .hold_max_ms = TARGET_HOLD_MAX_MS,
   };
 
   owner->cell = cell;
@@ -1154,7 +1021,7 @@
     return;
   target->up = true;
   target->draining = false;
-  target->born_ms = cell->now_ms;
+  target->state.born_ms = cell->now_ms;
   if (happens (cell, cell->options.faults.target_new_id))
     target->id = target_id (target->index, target->boot);
 }
@@ -1356,10 +1223,8 @@
   for (guint i = 0; i < cell->targets->len; i++)
     {
       struct fake_target *target = g_ptr_array_index (cell->targets, i);
-      g_array_unref (target->runs);
-      g_array_unref (target->ends);
+      target_state_clear (&target->state);
       g_array_unref (target->waiting);
-      g_hash_table_destroy (target->barred);
       g_free (target);
     }
   for (guint i = 0; i < cell->jobs->len; i++)
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -11,16 +11,16 @@
 /* What a run of the cell may do to it. Chances are per mille for each order or each 100 ms. */
 struct cell_faults
 {
-  int order_lost;        /* the order or its answer is lost */
-  int order_late;        /* it is carried out 2 to 6 s later and not answered */
-  int target_crash;      /* a target loses all and comes back after some seconds */
-  int target_new_id;     /* of the crashes: it comes back under another id at its address */
-  int target_cut;        /* a target is cut off for some seconds and runs on */
-  int target_drain;      /* a target drains, leaves, and another comes */
-  int owner_killed;      /* the owner dies; another takes over after the lease */
-  int owner_frozen;      /* the owner stands still for some seconds and goes on */
-  int owner_cut;         /* the owner loses the store */
-  int store_lost;        /* a write is done and not answered, or done late */
+  int order_lost;    /* the order or its answer is lost */
+  int order_late;    /* it is carried out 2 to 6 s later and not answered */
+  int target_crash;  /* a target loses all and comes back after some seconds */
+  int target_new_id; /* of the crashes: it comes back under another id at its address */
+  int target_cut;    /* a target is cut off for some seconds and runs on */
+  int target_drain;  /* a target drains, leaves, and another comes */
+  int owner_killed;  /* the owner dies; another takes over after the lease */
+  int owner_frozen;  /* the owner stands still for some seconds and goes on */
+  int owner_cut;     /* the owner loses the store */
+  int store_lost;    /* a write is done and not answered, or done late */
   int job_cancelled;
   int task_failed; /* per mille of runs */
 };
@@ -29,9 +29,9 @@
 {
   uint64_t seed;
   int targets;
-  int jobs;            /* handed in over the first part of the run */
-  int64_t length_ms;   /* faults and new jobs stop after this; what is accepted has to end then */
-  bool advice;         /* starts need tickets */
+  int jobs;          /* handed in over the first part of the run */
+  int64_t length_ms; /* faults and new jobs stop after this; what is accepted has to end then */
+  bool advice;       /* starts need tickets */
   struct cell_faults faults;
   const char *trace; /* prints what concerns tasks whose names begin so; NULL for nothing */
 };
--- a/tests/support_store.c
+++ b/tests/support_store.c
@@ -48,7 +48,9 @@
 }
 
 static bool
-conditions_hold (const struct fake_store *store, const struct fl_store_condition *conditions, size_t count)
+conditions_hold (const struct fake_store *store,
+                 const struct fl_store_condition *conditions,
+                 size_t count)
 {
   for (size_t i = 0; i < count; i++)
     {
@@ -102,8 +104,12 @@
       const struct fl_store_condition *condition = &transaction->conditions[i];
       const struct row *row = find_row (store, condition->table, condition->key.data);
       if (row != NULL)
-        rows[reply.count++] = (struct fl_store_row){ fl_name_of (condition->table), fl_name_of (condition->part), condition->key,
-                                                     row->version, false, row->value };
+        rows[reply.count++] = (struct fl_store_row){ fl_name_of (condition->table),
+                                                     fl_name_of (condition->part),
+                                                     condition->key,
+                                                     row->version,
+                                                     false,
+                                                     row->value };
     }
   done (done_context, &reply);
 }
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -144,7 +144,8 @@
 
   for (int i = 0; i < count; i++)
     {
-      struct cell_result result = play (first + (uint64_t)i, &everything, (first + i) % 4 != 0, trace);
+      struct cell_result result
+          = play (first + (uint64_t)i, &everything, (first + i) % 4 != 0, trace);
       printf ("seed=%d accepted=%d ended=%d starts=%d lost=%d owners=%d %s\n", (int)(first + i),
               result.accepted, result.ended, (int)result.starts, (int)result.lost_runs,
               result.owners, result.broken);
