--- a/lib/cli/client.c
+++ b/lib/cli/client.c
@@ -24,7 +24,10 @@
   waiting->reply->status = result->status;
   waiting->reply->error = result->error;
   if (result->status != 0)
-    waiting->reply->body = fl_json_parse (result->body.data, result->body.len, NULL);
+    {
+      waiting->reply->body = fl_json_parse (result->body.data, result->body.len, NULL);
+      waiting->reply->text = fl_str_dup (&result->body);
+    }
   ev_break (waiting->loop, EVBREAK_ALL);
 }
 
@@ -62,5 +65,6 @@
 fl_reply_clear (struct fl_reply *reply)
 {
   json_decref (reply->body);
+  fl_str_clear (&reply->text);
   reply->body = NULL;
 }
--- a/lib/cli/client.h
+++ b/lib/cli/client.h
@@ -4,11 +4,13 @@
 #include <jansson.h>
 
 #include "common/error.h"
+#include "common/str.h"
 
 struct fl_reply
 {
-  int status;   /* HTTP status, 0 when the host cannot be reached */
-  json_t *body; /* parsed, or NULL; owned */
+  int status;         /* HTTP status, 0 when the host cannot be reached */
+  json_t *body;       /* parsed, or NULL when it is not JSON; owned */
+  struct fl_str text; /* the body's bytes, owned */
   struct fl_error error;
 };
 
--- /dev/null
+++ b/lib/cli/commands.c
@@ -0,0 +1,329 @@
+#include "cli/commands.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <glib.h>
+
+#include "cli/client.h"
+#include "cli/table.h"
+#include "common/schema.h"
+
+#define TIMEOUT_MS 10000
+#define DEFAULT_URL "http://127.0.0.1:8080"
+
+/* What the arguments give to a command. */
+struct arguments
+{
+  const char *url;
+  const char *key;
+  const char *queue;
+  bool json;
+  bool wait;
+  int count;
+  const char *const *words; /* after the command's own */
+};
+
+struct command
+{
+  const char *words; /* "job submit" */
+  const char *operands;
+  const char *help;
+  int operand_count;
+  int (*run) (const struct arguments *arguments);
+};
+
+/* --- calls --- */
+
+static int
+fail (const struct fl_reply *reply)
+{
+  const char *text = json_string_value (json_object_get (reply->body, "error"));
+
+  if (reply->status == 0)
+    {
+      fprintf (stderr, "flamingoctl: %s: %s\n", reply->error.peer, reply->error.text);
+      return FL_CTL_UNREACHABLE;
+    }
+  fprintf (stderr, "flamingoctl: HTTP status %d%s%s\n", reply->status, text != NULL ? ": " : "",
+           text != NULL ? text : "");
+  return FL_CTL_REFUSED;
+}
+
+/* Calls @path and prints member @member of the answer, or the whole with --json. */
+static int
+call_and_print (const struct arguments *arguments,
+                const char *method,
+                const char *path,
+                const char *body,
+                const char *member)
+{
+  struct fl_client_options options
+      = { .url = arguments->url, .key = arguments->key, .timeout_ms = TIMEOUT_MS };
+  struct fl_reply reply;
+  int code = FL_CTL_OK;
+
+  fl_client_call (&options, method, path, body, &reply);
+  if (reply.status != 200)
+    code = fail (&reply);
+  else if (arguments->json || member == NULL)
+    {
+      struct fl_str text = fl_json_text (reply.body);
+      puts (text.data);
+      fl_str_clear (&text);
+    }
+  else
+    {
+      const json_t *value = json_object_get (reply.body, member);
+      if (json_is_string (value))
+        puts (json_string_value (value));
+      else
+        printf ("%" JSON_INTEGER_FORMAT "\n", json_integer_value (value));
+    }
+  fl_reply_clear (&reply);
+  return code;
+}
+
+static char *
+job_path (const struct arguments *arguments, const char *kind)
+{
+  return g_strdup_printf ("/v1/%s/%s?queue=%s%s", kind, arguments->words[0],
+                          arguments->queue != NULL ? arguments->queue : "",
+                          arguments->wait ? "&wait=1" : "");
+}
+
+/* --- commands --- */
+
+static int
+send_job (const struct arguments *arguments, const char *method, const char *kind)
+{
+  g_autofree char *path = job_path (arguments, kind);
+  g_autofree char *body = NULL;
+  g_autoptr (GError) error = NULL;
+
+  if (!g_file_get_contents (arguments->words[1], &body, NULL, &error))
+    {
+      fprintf (stderr, "flamingoctl: %s\n", error->message);
+      return FL_CTL_USAGE;
+    }
+  return call_and_print (arguments, method, path, body,
+                         strcmp (kind, "requests") == 0 ? "state" : NULL);
+}
+
+static int
+job_submit (const struct arguments *arguments)
+{
+  return send_job (arguments, "PUT", "jobs");
+}
+
+static int
+request (const struct arguments *arguments)
+{
+  return send_job (arguments, "POST", "requests");
+}
+
+static int
+job_show (const struct arguments *arguments)
+{
+  g_autofree char *path = job_path (arguments, "jobs");
+
+  return call_and_print (arguments, "GET", path, NULL, "state");
+}
+
+static int
+job_cancel (const struct arguments *arguments)
+{
+  g_autofree char *path = job_path (arguments, "jobs");
+
+  return call_and_print (arguments, "DELETE", path, NULL, NULL);
+}
+
+static int
+queue_pending (const struct arguments *arguments)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/queues/%s", arguments->words[0]);
+
+  return call_and_print (arguments, "GET", path, NULL, "pending");
+}
+
+/* Objects of a state dump that have member @member, as a list. */
+static json_t *
+select_rows (const json_t *rows, const char *member)
+{
+  json_t *selected = json_array ();
+  const json_t *row;
+  size_t i;
+
+  json_array_foreach ((json_t *)rows, i, row)
+  {
+    if (json_object_get (row, member) != NULL)
+      json_array_append (selected, (json_t *)row);
+  }
+  return selected;
+}
+
+static json_t *
+read_dump (const struct fl_str *text)
+{
+  g_auto (GStrv) lines = g_strsplit (fl_str_text (text), "\n", 0);
+  json_t *rows = json_array ();
+
+  for (int i = 0; lines[i] != NULL; i++)
+    if (lines[i][0] != '\0')
+      json_array_append_new (rows, fl_json_parse (lines[i], strlen (lines[i]), NULL));
+  return rows;
+}
+
+static int
+print_dump (const struct arguments *arguments, const char *member, const struct fl_column *columns)
+{
+  struct fl_client_options options = { .url = arguments->url, .timeout_ms = TIMEOUT_MS };
+  struct fl_reply reply;
+
+  fl_client_call (&options, "GET", "/dump", NULL, &reply);
+  if (reply.status != 200)
+    {
+      int code = fail (&reply);
+      fl_reply_clear (&reply);
+      return code;
+    }
+  json_t *rows = read_dump (&reply.text);
+  json_t *selected = select_rows (rows, member);
+  if (arguments->json)
+    {
+      struct fl_str text = fl_json_text (selected);
+      puts (text.data);
+      fl_str_clear (&text);
+    }
+  else
+    fl_table_print (stdout, selected, columns);
+  json_decref (selected);
+  json_decref (rows);
+  fl_reply_clear (&reply);
+  return FL_CTL_OK;
+}
+
+static int
+targets (const struct arguments *arguments)
+{
+  static const struct fl_column columns[]
+      = { { "TARGET", "target" },     { "REGISTERED", "registered" },
+          { "DRAINING", "draining" }, { "SILENT", "silent" },
+          { "RUNS", "runs" },         { "CPU USED", "cpu_used" },
+          { "CPU", "cpu" },           { NULL, NULL } };
+
+  return print_dump (arguments, "target", columns);
+}
+
+static int
+jobs (const struct arguments *arguments)
+{
+  static const struct fl_column columns[] = { { "JOB", "job" },     { "QUEUE", "queue" },
+                                              { "STATE", "state" }, { "OPEN STEPS", "open_steps" },
+                                              { "RUNS", "runs" },   { NULL, NULL } };
+
+  return print_dump (arguments, "job", columns);
+}
+
+static const struct command commands[] = {
+  { "job submit", "ID FILE", "hand a job in; FILE holds its JSON", 2, job_submit },
+  { "job show", "ID", "its state; with --wait when it has ended", 1, job_show },
+  { "job cancel", "ID", "cancel it", 1, job_cancel },
+  { "request", "ID FILE", "hand a job in and wait for its end", 2, request },
+  { "queue pending", "QUEUE", "how many jobs wait", 1, queue_pending },
+  { "targets", "", "targets as the pool's owner sees them (--url: its metrics address)", 0,
+    targets },
+  { "jobs", "", "open jobs as the pool's owner sees them (--url: its metrics address)", 0, jobs },
+};
+
+/* --- arguments --- */
+
+static const struct command *
+find_command (const char *const *words, int count, int *used)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      g_auto (GStrv) own = g_strsplit (commands[i].words, " ", 0);
+      int length = (int)g_strv_length (own);
+      bool same = count >= length;
+      for (int j = 0; same && j < length; j++)
+        same = strcmp (own[j], words[j]) == 0;
+      *used = length;
+      if (same)
+        return &commands[i];
+    }
+  return NULL;
+}
+
+static void
+print_help (void **table)
+{
+  fputs ("flamingoctl - hands jobs in and shows what runs\n\nUsage: flamingoctl", stdout);
+  arg_print_syntax (stdout, table, "\n\nCommands:\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    printf ("  %-14s %-8s  %s\n", commands[i].words, commands[i].operands, commands[i].help);
+  puts ("\nOptions:");
+  arg_print_glossary (stdout, table, "  %-22s %s\n");
+  puts ("\nExit codes: 0 done, 1 refused, 2 bad arguments, 3 host not reached.");
+}
+
+static int
+run (const struct arguments *base, const char *const *words, int count)
+{
+  struct arguments arguments = *base;
+  int used;
+  const struct command *command = find_command (words, count, &used);
+
+  if (command == NULL || count - used != command->operand_count)
+    {
+      if (command == NULL)
+        fputs ("flamingoctl: no such command; try --help\n", stderr);
+      else
+        fprintf (stderr, "flamingoctl: usage: flamingoctl %s %s\n", command->words,
+                 command->operands);
+      return FL_CTL_USAGE;
+    }
+  arguments.words = words + used;
+  return command->run (&arguments);
+}
+
+int
+fl_commands_main (int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this text and exit");
+  struct arg_str *url = arg_str0 (NULL, "url", "URL", "of a host, or FLAMINGO_URL");
+  struct arg_str *key = arg_str0 (NULL, "key", "KEY", "of a team, or FLAMINGO_KEY");
+  struct arg_str *queue = arg_str0 (NULL, "queue", "NAME", "the job's queue");
+  struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
+  struct arg_lit *wait = arg_lit0 (NULL, "wait", "wait until the job has ended");
+  struct arg_str *words = arg_strn (NULL, NULL, "COMMAND", 0, 8, NULL);
+  struct arg_end *end = arg_end (5);
+  void *table[] = { help, url, key, queue, json, wait, words, end };
+  int errors = arg_parse (argc, argv, table);
+  const char *env_url = g_getenv ("FLAMINGO_URL");
+  int code;
+
+  struct arguments arguments = {
+    .url = url->count > 0 ? url->sval[0] : (env_url != NULL ? env_url : DEFAULT_URL),
+    .key = key->count > 0 ? key->sval[0] : g_getenv ("FLAMINGO_KEY"),
+    .queue = queue->count > 0 ? queue->sval[0] : NULL,
+    .json = json->count > 0,
+    .wait = wait->count > 0,
+  };
+  if (help->count > 0)
+    {
+      print_help (table);
+      code = FL_CTL_OK;
+    }
+  else if (errors > 0)
+    {
+      arg_print_errors (stderr, end, "flamingoctl");
+      code = FL_CTL_USAGE;
+    }
+  else
+    code = run (&arguments, (const char *const *)words->sval, words->count);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return code;
+}
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -3,8 +3,10 @@
 #include <string.h>
 
 #include <glib.h>
+#include <jansson.h>
 
 #include "common/clock.h"
+#include "common/schema.h"
 #include "frontd/frontd_internal.h"
 
 /* Without a confirmation for this long the configuration may have been replaced: requests are
@@ -73,8 +75,8 @@
 
 /* --- requests --- */
 
-static void
-respond (struct fl_frontd *frontd, struct fl_http_request *request, int status)
+void
+front_respond (struct fl_frontd *frontd, struct fl_http_request *request, int status)
 {
   struct fl_http_response response
       = { .status = status, .body = "{}", .len = 2, .closes = frontd->stopping };
@@ -84,18 +86,33 @@
   fl_http_respond (request, &response);
 }
 
-static bool
-is_job_id (const char *text)
+void
+front_respond_text (struct fl_frontd *frontd,
+                    struct fl_http_request *request,
+                    int status,
+                    const char *text)
+{
+  json_t *json = json_pack ("{s:s}", "error", text);
+  struct fl_str body = fl_json_text (json);
+  struct fl_http_response response
+      = { .status = status, .body = body.data, .len = body.len, .closes = frontd->stopping };
+
+  fl_http_respond (request, &response);
+  fl_str_clear (&body);
+  json_decref (json);
+}
+
+bool
+front_is_job_id (const char *text)
 {
   return strlen (text) == JOB_ID_LEN && strspn (text, "0123456789abcdef") == JOB_ID_LEN;
 }
 
-/* @return whether the key of @request permits calls of @queue; fills the team it belongs to. */
-static bool
-check_key (const struct fl_frontd *frontd,
-           struct fl_http_request *request,
-           const struct fl_queue *queue,
-           struct fl_name *team)
+bool
+front_check_key (const struct fl_frontd *frontd,
+                 struct fl_http_request *request,
+                 const struct fl_queue *queue,
+                 struct fl_name *team)
 {
   struct fl_name key = fl_platform_decode_key (fl_http_header (request, "Authorization"));
   const struct fl_name *holder = fl_configuration_team_of_key (frontd->configuration, &key);
@@ -104,6 +121,23 @@
   return queue->is_public || holder != NULL;
 }
 
+static void
+hand_in (struct fl_frontd *frontd,
+         struct fl_http_request *request,
+         const struct fl_name *id,
+         const struct fl_queue *queue,
+         const struct fl_name *team)
+{
+  const struct fl_str *body = fl_http_body (request);
+  struct fl_job_spec spec;
+  struct fl_error error = { 0 };
+
+  if (fl_platform_decode_job (body->data, body->len, &spec, &error))
+    front_submit (frontd, request, id, queue, team, &spec, false);
+  else
+    front_respond_text (frontd, request, 400, error.text);
+}
+
 static void
 handle_job (struct fl_frontd *frontd,
             struct fl_http_request *request,
@@ -115,13 +149,13 @@
   struct fl_name id = fl_name_of (id_text);
 
   if (strcmp (method, "POST") == 0)
-    front_submit (frontd, request, &id, queue, team);
+    hand_in (frontd, request, &id, queue, team);
   else if (strcmp (method, "GET") == 0)
-    front_show (frontd, request, &id, queue);
+    front_show (frontd, request, &id, queue, false);
   else if (strcmp (method, "DELETE") == 0)
     front_cancel (frontd, request, &id, queue);
   else
-    respond (frontd, request, 405);
+    front_respond (frontd, request, 405);
 }
 
 static void
@@ -136,19 +170,19 @@
 
   if (!front_is_current (frontd))
     {
-      respond (frontd, request, 503);
+      front_respond (frontd, request, 503);
       return;
     }
   queue = fl_configuration_route (frontd->configuration, host != NULL ? host : "", path);
   rest = queue != NULL ? path + queue->prefix.len : "";
   if (queue == NULL)
-    respond (frontd, request, 404);
-  else if (!check_key (frontd, request, queue, &team))
-    respond (frontd, request, 401);
+    front_respond (frontd, request, 404);
+  else if (!front_check_key (frontd, request, queue, &team))
+    front_respond (frontd, request, 401);
   else if (*rest == '\0' && strcmp (fl_http_method (request), "GET") == 0)
     front_count (frontd, request, queue);
-  else if (!is_job_id (rest))
-    respond (frontd, request, 400);
+  else if (!front_is_job_id (rest))
+    front_respond (frontd, request, 400);
   else
     handle_job (frontd, request, rest, queue, &team);
 }
@@ -158,7 +192,7 @@
 {
   struct fl_frontd *frontd = context;
 
-  respond (frontd, request, front_is_current (frontd) && !frontd->stopping ? 200 : 503);
+  front_respond (frontd, request, front_is_current (frontd) && !frontd->stopping ? 200 : 503);
 }
 
 /* --- start and stop --- */
@@ -236,7 +270,11 @@
   if (frontd->front == NULL)
     return false;
   frontd->ready = listen_at (frontd, &settings->ready, on_ready_request, error);
-  return frontd->ready != NULL
+  if (frontd->ready == NULL)
+    return false;
+  if (settings->own.len > 0)
+    frontd->own = listen_at (frontd, &settings->own, front_on_own_request, error);
+  return (settings->own.len == 0 || frontd->own != NULL)
          && fl_host_serve_metrics (frontd->host, settings->front_metrics_port, dump, frontd, error);
 }
 
@@ -273,6 +311,7 @@
   fl_follower_free (frontd.configuration_follower);
   fl_http_server_free (frontd.front);
   fl_http_server_free (frontd.ready);
+  fl_http_server_free (frontd.own);
   fl_configuration_unref (frontd.configuration);
   return code;
 }
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -14,6 +14,7 @@
   struct fl_host *host;
   struct fl_http_server *front;
   struct fl_http_server *ready;
+  struct fl_http_server *own; /* NULL when the settings name no address */
   struct fl_follower *configuration_follower;
   struct fl_configuration *configuration; /* NULL until the first */
   int64_t confirmed_ms;                   /* the configuration in force is the newest as of then */
@@ -33,13 +34,37 @@
   int64_t expires_ms;   /* the client waits no longer */
   struct fl_str record; /* POST: the job's row */
   int64_t expected;     /* POST: version of the row that the record replaces */
+  bool waits;           /* the answer comes when the job has ended, or the time is up */
   bool unsettled;       /* POST: a write without an answer may still come into effect */
   void (*retry) (struct front_call *call);
   ev_timer timer;
 };
 
+/* --- own.c --- */
+
+/* A request of the product's own interface; see docs/INTERFACES.md. */
+void front_on_own_request (void *context, struct fl_http_request *request);
+
 /* --- frontd.c --- */
 
+/* Answers with an empty object, and with the time to come back where the status asks for it. */
+void front_respond (struct fl_frontd *frontd, struct fl_http_request *request, int status);
+
+/* Answers with @status and a text for people. */
+void front_respond_text (struct fl_frontd *frontd,
+                         struct fl_http_request *request,
+                         int status,
+                         const char *text);
+
+/* Whether @text is the id of a job. */
+bool front_is_job_id (const char *text);
+
+/* @return whether the key of @request permits calls of @queue; fills the team it belongs to. */
+bool front_check_key (const struct fl_frontd *frontd,
+                      struct fl_http_request *request,
+                      const struct fl_queue *queue,
+                      struct fl_name *team);
+
 /* Whether the configuration is known well enough to take requests. */
 bool front_is_current (const struct fl_frontd *frontd);
 
@@ -69,15 +94,20 @@
 
 /* --- jobs.c --- */
 
+/* Stores the job and answers. Takes over what @spec owns; its text and steps are filled in. With
+ * @waits the answer tells how the job ended. */
 void front_submit (struct fl_frontd *frontd,
                    struct fl_http_request *request,
                    const struct fl_name *id,
                    const struct fl_queue *queue,
-                   const struct fl_name *team);
+                   const struct fl_name *team,
+                   struct fl_job_spec *spec,
+                   bool waits);
 void front_show (struct fl_frontd *frontd,
                  struct fl_http_request *request,
                  const struct fl_name *id,
-                 const struct fl_queue *queue);
+                 const struct fl_queue *queue,
+                 bool waits);
 void front_cancel (struct fl_frontd *frontd,
                    struct fl_http_request *request,
                    const struct fl_name *id,
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -13,6 +13,16 @@
 
 static void accept_job (struct front_call *call);
 static void settle (struct front_call *call);
+static void look_at_progress (struct front_call *call);
+
+static void
+answer_accepted (struct front_call *call)
+{
+  if (call->waits)
+    look_at_progress (call);
+  else
+    front_call_answer (call, 200, NULL);
+}
 
 /* @return a transaction's reply that shows another state of the row than expected. */
 static void
@@ -23,7 +33,7 @@
 
   if (front_reply_has_job (call, reply, &cancelled, &version))
     {
-      front_call_answer (call, 200, NULL);
+      answer_accepted (call);
       return;
     }
   /* A mark of an earlier refusal: the id is free again under the mark's version. */
@@ -42,7 +52,7 @@
   if (reply->status == FL_STORE_OK)
     {
       fl_stats_add (call->frontd->host->stats, "jobs_accepted_total", 1);
-      front_call_answer (call, 200, NULL);
+      answer_accepted (call);
     }
   else if (reply->status == FL_STORE_CONFLICT)
     on_row_differs (call, reply);
@@ -98,48 +108,29 @@
   write_row (call, &mark, on_settled);
 }
 
-static void
-respond_status (struct fl_http_request *request, int status, const char *text)
-{
-  json_t *json = json_pack ("{s:s}", "error", text);
-  struct fl_str body = fl_json_text (json);
-  struct fl_http_response response = { .status = status, .body = body.data, .len = body.len };
-
-  fl_http_respond (request, &response);
-  fl_str_clear (&body);
-  json_decref (json);
-}
-
 void
 front_submit (struct fl_frontd *frontd,
               struct fl_http_request *request,
               const struct fl_name *id,
               const struct fl_queue *queue,
-              const struct fl_name *team)
+              const struct fl_name *team,
+              struct fl_job_spec *spec,
+              bool waits)
 {
-  const struct fl_str *body = fl_http_body (request);
-  struct fl_job_spec spec;
-  struct fl_error error = { 0 };
-  struct front_call *call;
-
-  if (!fl_platform_decode_job (body->data, body->len, &spec, &error))
-    {
-      respond_status (request, 400, error.text);
-      return;
-    }
-  spec.id = *id;
-  spec.queue = queue->name;
-  spec.team = *team;
-  spec.accepted_ms = fl_clock_wall_ms ();
-  call = front_call_new (frontd, request, id, queue);
-  call->record = fl_record_encode (&fl_job_row_schema, &spec);
-  fl_schema_clear (&fl_job_row_schema, &spec);
+  struct front_call *call = front_call_new (frontd, request, id, queue);
+
+  spec->id = *id;
+  spec->queue = queue->name;
+  spec->team = *team;
+  spec->accepted_ms = fl_clock_wall_ms ();
+  call->waits = waits;
+  call->record = fl_record_encode (&fl_job_row_schema, spec);
+  fl_schema_clear (&fl_job_row_schema, spec);
   accept_job (call);
 }
 
 /* --- look --- */
 
-static void look_at_progress (struct front_call *call);
 static void look_at_job (struct front_call *call);
 
 /* Reads the rows of @table whose keys begin with the job's id. */
@@ -159,6 +150,11 @@
 static void
 answer_state (struct front_call *call, enum fl_job_state state)
 {
+  if (call->waits && !fl_job_state_is_final (state))
+    {
+      front_call_retry (call, look_at_progress, 504);
+      return;
+    }
   struct fl_str body = fl_platform_encode_state (state);
 
   front_call_answer (call, 200, &body);
@@ -220,9 +216,13 @@
 front_show (struct fl_frontd *frontd,
             struct fl_http_request *request,
             const struct fl_name *id,
-            const struct fl_queue *queue)
+            const struct fl_queue *queue,
+            bool waits)
 {
-  look_at_progress (front_call_new (frontd, request, id, queue));
+  struct front_call *call = front_call_new (frontd, request, id, queue);
+
+  call->waits = waits;
+  look_at_progress (call);
 }
 
 /* --- cancel --- */
--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -30,6 +30,7 @@
   NAME (address, true, 15),
   NAME (front, false, 21),
   NAME (ready, false, 21),
+  NAME (own, false, 21),
   NAME (store, true, 21),
   NAME (advice, false, 21),
   INT (link_port, 0, PORT_MAX, 0),
@@ -94,6 +95,7 @@
   fl_schema_from_json (&settings_schema, json, settings, "settings", problems);
   check_endpoint ("settings.front", &settings->front, problems);
   check_endpoint ("settings.ready", &settings->ready, problems);
+  check_endpoint ("settings.own", &settings->own, problems);
   check_endpoint ("settings.store", &settings->store, problems);
   check_endpoint ("settings.advice", &settings->advice, problems);
   json_decref (json);
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -1,37 +1,57 @@
-"""Starts and stops a cell on loopback: stand-ins and entry hosts, for the demo and the tests."""
+"""Starts and stops a cell on loopback: stand-ins and hosts, for the demo and the tests."""
 import json
 import os
+import random
 import signal
+import socket
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BIN = os.path.join(ROOT, os.environ.get("BUILD", "build"), "bin")
-START_TIMEOUT_S = 20
-
-
-def call(method, url, body=None, key=None, timeout=20):
-    """One HTTP call. Returns (status, parsed body); status 0 when the host cannot be reached."""
+SERVICE = "citas"
+KEY = "rueda-key"
+# Queues as the operator writes them: name, host, prefix, priority, attempts, advice.
+QUEUES = [
+    {"name": "checks", "host": "fair.example", "pathPrefix": "/checks/", "priority": 0,
+     "attempts": 3, "stretch": 1.5, "targetLatencyMs": 250, "public": False,
+     "advice": {"decideMs": 20, "perItemMs": 0.3, "validMs": 2500}},
+    {"name": "rebuild", "host": "fair.example", "pathPrefix": "/rebuild/", "priority": 2,
+     "attempts": 3, "stretch": 2.2, "targetLatencyMs": 1200, "public": False},
+    {"name": "feeds", "host": "fair.example", "pathPrefix": "/feeds/", "priority": 1,
+     "attempts": 3, "stretch": 2.2, "targetLatencyMs": 2500, "public": True},
+]
+
+
+def call(method, url, body=None, key=None, host=None, timeout=5):
+    """One HTTP call. Returns (status, parsed body); status 0 when there was no answer."""
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(url, data=data, method=method)
+    request.add_header("Content-Type", "application/json")
     if key:
         request.add_header("Authorization", "Bearer " + key)
+    if host:
+        request.add_header("Host", host)
     try:
         with urllib.request.urlopen(request, timeout=timeout) as answer:
-            return answer.status, json.loads(answer.read() or b"null")
+            return answer.status, parse(answer.read())
     except urllib.error.HTTPError as error:
-        text = error.read()
-        try:
-            return error.code, json.loads(text or b"null")
-        except ValueError:
-            return error.code, text.decode(errors="replace")
+        return error.code, parse(error.read())
     except (urllib.error.URLError, OSError):
         return 0, None
 
 
+def parse(text):
+    try:
+        return json.loads(text or b"null")
+    except ValueError:
+        return text.decode(errors="replace")
+
+
 def wait_for(condition, timeout_s, what):
     """Polls until condition() is true; raises after timeout_s."""
     end = time.monotonic() + timeout_s
@@ -43,16 +63,25 @@
     raise TimeoutError("gave up waiting for " + what)
 
 
+def free_ports(count):
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind(("127.0.0.1", 0))
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
 class Process:
-    """A child process whose first line of output may name its port."""
+    """A child process; with wants_port its first line of output names its port."""
 
     def __init__(self, name, arguments, log_dir, wants_port=False):
         self.name = name
-        self.arguments = arguments
         self.log = open(os.path.join(log_dir, name + ".log"), "ab")
-        self.child = subprocess.Popen(arguments, stdout=subprocess.PIPE, stderr=self.log,
+        out = subprocess.PIPE if wants_port else self.log
+        self.child = subprocess.Popen(arguments, stdout=out, stderr=self.log,
                                       start_new_session=True)
-        self.port = None
         if wants_port:
             line = self.child.stdout.readline().decode()
             if not line.startswith("port="):
@@ -63,7 +92,7 @@
         if self.child.poll() is None:
             self.child.send_signal(number)
 
-    def stop(self, timeout_s=5):
+    def stop(self, timeout_s=8):
         self.send(signal.SIGCONT)
         self.send(signal.SIGTERM)
         try:
@@ -74,106 +103,91 @@
         self.log.close()
 
 
-def free_port():
-    import socket
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Host:
-    """One entry host: a scheduler and an entry daemon."""
+    """One host: flamingo-frontd and flamingo-poold."""
 
-    def __init__(self, cell, name, domain, region):
-        self.cell, self.name, self.domain, self.region = cell, name, domain, region
-        self.link = "tcp://127.0.0.1:%d" % free_port()
-        self.http = free_port()
-        self.sched_http = free_port()
-        self.sched = self.entry = None
+    def __init__(self, cell, name, domain):
+        self.cell, self.name, self.domain = cell, name, domain
+        self.front, self.ready, self.own, self.link, self.pool_metrics, self.front_metrics = \
+            free_ports(6)
+        self.processes = {}
 
-    @property
-    def url(self):
-        return "http://127.0.0.1:%d" % self.http
-
-    @property
-    def sched_url(self):
-        return "http://127.0.0.1:%d" % self.sched_http
+    def url(self, port):
+        return "http://127.0.0.1:%d" % port
 
-    def settings(self, role):
+    def settings(self):
         settings = {
-            "name": self.name, "domain": self.domain, "region": self.region,
-            "http_address": "127.0.0.1", "platform_url": self.cell.platform_url,
-            "http_port": self.http if role == "entry" else self.sched_http,
-            "bootstrap_operator_digest": self.cell.operator_digest,
-            "seeds": [{"address": host.link} for host in self.cell.hosts if host is not self],
+            "name": self.name, "domain": self.domain, "address": "127.0.0.1",
+            "front": "127.0.0.1:%d" % self.front, "ready": "127.0.0.1:%d" % self.ready,
+            "own": "127.0.0.1:%d" % self.own, "store": "127.0.0.1:%d" % self.cell.platform.port,
+            "advice": "127.0.0.1:%d" % self.cell.targets.port, "link_port": self.link,
+            "pool_metrics_port": self.pool_metrics, "front_metrics_port": self.front_metrics,
+            "graceful_stop_s": 3, "log_level": "info",
         }
-        if role == "sched":
-            settings["link"] = self.link
-        else:
-            settings["seeds"].append({"address": self.link})
-        settings.update(self.cell.overrides)
-        path = os.path.join(self.cell.dir, "%s-%s.json" % (self.name, role))
+        path = os.path.join(self.cell.dir, self.name + ".json")
         with open(path, "w") as file:
             json.dump(settings, file, indent=2)
         return path
 
-    def start_sched(self):
-        self.sched = Process(self.name + "-sched", [os.path.join(BIN, "flamingo-schedd"),
-                             "--settings", self.settings("sched")], self.cell.dir)
+    def start(self, role):
+        self.processes[role] = Process("%s-%s" % (self.name, role), [
+            os.path.join(BIN, "flamingo-" + role), "--settings", self.settings()], self.cell.dir)
 
-    def start_entry(self):
-        self.entry = Process(self.name + "-entry", [os.path.join(BIN, "flamingo-entryd"),
-                             "--settings", self.settings("entry")], self.cell.dir)
+    def owns_pool(self):
+        status, text = call("GET", self.url(self.pool_metrics) + "/metrics", timeout=1)
+        return status == 200 and "flamingolane_pool_owned 1" in str(text)
+
+    def is_ready(self):
+        return call("GET", self.url(self.ready) + "/ready", timeout=1)[0] == 200
 
 
 class Cell:
-    """Stand-ins for the platform and the targets, and a number of entry hosts."""
-
-    def __init__(self, domains, per_domain=16, hosts=3, region="region", target_options=(),
-                 platform_options=(), overrides=None, log_dir=None):
-        self.dir = log_dir or tempfile.mkdtemp(prefix="flamingolane-")
-        self.overrides = overrides or {}
-        self.domains = domains
-        out = subprocess.run([os.path.join(BIN, "flamingoctl"), "key", "digest"], check=True,
-                             capture_output=True, text=True).stdout
-        pairs = dict(line.split(": ") for line in out.strip().splitlines())
-        self.operator_key, self.operator_digest = pairs["key"], pairs["digest"]
-        self.platform = Process("platform", [os.path.join(BIN, "standin-platform"),
-                                *platform_options], self.dir, wants_port=True)
-        self.platform_url = "http://127.0.0.1:%d" % self.platform.port
+    """Stand-ins for the platform and the targets, and a number of hosts."""
+
+    def __init__(self, domains, targets=12, hosts=3):
+        self.dir = tempfile.mkdtemp(prefix="flamingolane-")
+        self.platform = Process("platform", [os.path.join(BIN, "standin-platform")], self.dir,
+                                wants_port=True)
         self.targets = Process("targets", [
             os.path.join(BIN, "standin-targets"), "--platform", self.platform_url, "--domains",
-            ",".join(domains), "--per-domain", str(per_domain), "--region", region,
-            *target_options], self.dir, wants_port=True)
-        self.targets_url = "http://127.0.0.1:%d" % self.targets.port
-        self.hosts = []
-        for i in range(hosts):
-            self.hosts.append(Host(self, "e%d" % (i + 1), domains[i % len(domains)], region))
+            ",".join(domains), "--count", str(targets), "--service", SERVICE], self.dir,
+            wants_port=True)
+        self.version = 0
+        self.configure()
+        self.hosts = [Host(self, "host-%d" % (i + 1), domains[i % len(domains)])
+                      for i in range(hosts)]
         for host in self.hosts:
-            host.start_sched()
-            host.start_entry()
-
-    def operate(self, method, path, body=None, host=0):
-        return call(method, self.hosts[host].url + path, body, self.operator_key)
-
-    def give_key(self, team):
-        """Makes a key for a team by a ticket and returns its text."""
-        out = subprocess.run([os.path.join(BIN, "flamingoctl"), "key", "give", team + "-key", "--team",
-                              team, "--url", self.hosts[0].url, "--key", self.operator_key],
-                             check=True, capture_output=True, text=True).stdout
-        return dict(line.split(": ") for line in out.strip().splitlines())["key"]
-
-    def owners(self, host=0):
-        """Acting owner of each domain, as one entry host knows."""
-        status, domains = self.operate("GET", "/v1/domains", host=host)
-        if status != 200:
-            return {}
-        return {d["domain"]: d["owner"] for d in domains if d["acting"]}
-
-    def wait_ready(self, timeout_s=START_TIMEOUT_S):
-        wait_for(lambda: len(self.owners()) == len(self.domains)
-                 and all(d["targets_ready"] > 0 for d in self.operate("GET", "/v1/domains")[1]),
-                 timeout_s, "an owner for every domain")
+            host.start("poold")
+            host.start("frontd")
+
+    @property
+    def platform_url(self):
+        return "http://127.0.0.1:%d" % self.platform.port
+
+    @property
+    def targets_url(self):
+        return "http://127.0.0.1:%d" % self.targets.port
+
+    def configure(self, keys=(KEY,), cap=0, queues=QUEUES):
+        """Writes a new version of the configuration, as the operator does."""
+        self.version += 1
+        routes = [dict(queue, service=SERVICE, routeType="non_idempotent", timeoutMs=3000)
+                  for queue in queues]
+        tenant = {"name": "rueda", "apiKeys": list(keys), "weight": 10,
+                  "cap": {"cpu": cap, "memMb": 0, "gpu": 0}}
+        status, _ = call("PUT", self.platform_url + "/operator/op/config", {
+            "version": self.version, "routes": routes, "tenants": [tenant],
+            "services": [{"name": SERVICE, "healthPath": "/health", "maxConns": 64,
+                          "rejectsOverload": False}]})
+        assert status == 200
+        return self.version
+
+    def owner(self):
+        return next((host for host in self.hosts if host.owns_pool()), None)
+
+    def wait_ready(self, timeout_s=20):
+        wait_for(lambda: all(host.is_ready() for host in self.hosts) and self.owner(), timeout_s,
+                 "ready hosts and an owner of the pool")
 
     def summary(self):
         return call("GET", self.targets_url + "/summary")[1]
@@ -181,19 +195,91 @@
     def control_platform(self, **settings):
         return call("POST", self.platform_url + "/control", settings)[1]
 
-    def control_targets(self, target, fault, delay_ms=0):
+    def control_target(self, target, fault, ms=0):
         return call("POST", self.targets_url + "/control",
-                    {"target": target, "fault": fault, "delay_ms": delay_ms})[1]
-
-    def host_of(self, owner):
-        return next(host for host in self.hosts if owner.startswith(host.name + "."))
+                    {"target": target, "fault": fault, "ms": ms})[1]
 
     def stop(self):
         for host in self.hosts:
-            for process in (host.entry, host.sched):
-                if process:
-                    process.send(signal.SIGCONT)
-                    process.send(signal.SIGKILL)
-                    process.child.wait()
+            for process in host.processes.values():
+                process.send(signal.SIGCONT)
+                process.send(signal.SIGKILL)
+                process.child.wait()
         self.targets.stop()
         self.platform.stop()
+
+
+class Load:
+    """Clients that hand jobs in by the published protocol and ask for their states."""
+
+    def __init__(self, cell, seed=1):
+        self.cell, self.random = cell, random.Random(seed)
+        self.lock = threading.Lock()
+        self.jobs = {}  # id -> {"prefix", "accepted", "state", "sent", "ended"}
+        self.refused = 0
+
+    def url(self, prefix, job=""):
+        host = self.random.choice(self.cell.hosts)
+        return host.url(host.front) + prefix + job
+
+    def hand_in(self, prefix, body):
+        """Sends a job until it is accepted or refused for good, as clients do."""
+        with self.lock:
+            job = "%016x" % self.random.getrandbits(64)
+            self.jobs[job] = {"prefix": prefix, "accepted": False, "state": None,
+                              "sent": time.monotonic(), "ended": None, "kind": body["kind"]}
+        for _ in range(8):
+            status, _ = call("POST", self.url(prefix, job), body["body"], KEY, "fair.example", 4)
+            if status == 200:
+                self.jobs[job]["accepted"] = True
+                return job
+            time.sleep(0.3)
+        with self.lock:
+            self.refused += 1
+        return None
+
+    def ask(self, job):
+        entry = self.jobs[job]
+        status, body = call("GET", self.url(entry["prefix"], job), None, KEY, "fair.example", 4)
+        if status == 200:
+            entry["state"] = body["state"]
+            if body["state"] in ("completed", "failed", "cancelled") and entry["ended"] is None:
+                entry["ended"] = time.monotonic()
+        elif status == 410:
+            entry["state"] = "unknown"
+
+    def cancel(self, job):
+        call("DELETE", self.url(self.jobs[job]["prefix"], job), None, KEY, "fair.example", 4)
+
+    def run(self, seconds, per_second, bodies):
+        """Hands jobs in for some seconds, from one thread for each that is open."""
+        threads = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            body = self.random.choices(bodies, [b["weight"] for b in bodies])[0]
+            thread = threading.Thread(target=self.hand_in, args=(body["prefix"], body))
+            thread.start()
+            threads.append(thread)
+            time.sleep(self.random.expovariate(per_second))
+        for thread in threads:
+            thread.join()
+
+    def settle(self, timeout_s):
+        """Asks until all accepted jobs but those that last have ended, or the time is up."""
+        end = time.monotonic() + timeout_s
+        open_jobs = True
+        while open_jobs and time.monotonic() < end:
+            open_jobs = [job for job, entry in self.jobs.items()
+                         if entry["accepted"] and entry["ended"] is None and entry["kind"] != "lasts"]
+            for job in open_jobs:
+                self.ask(job)
+            time.sleep(0.1)
+        return [self.jobs[job] for job in open_jobs]
+
+
+def job(kind, prefix, weight, steps, ms, cpu=1000, **step):
+    """A kind of job for Load: steps of a number of tasks each, one after another."""
+    body = {"spec": json.dumps({"ms": ms, "cpu": cpu}), "steps": [
+        dict({"count": count, "cpu": cpu, "memMb": 256, "estimateMs": max(ms, 0),
+              "after": [i - 1] if i else []}, **step) for i, count in enumerate(steps)]}
+    return {"kind": kind, "prefix": prefix, "weight": weight, "body": body}
