--- a/lib/common/clock.c
+++ b/lib/common/clock.c
@@ -25,6 +25,19 @@
   return (struct fl_clock){ read_monotonic_ms, NULL };
 }
 
+static int64_t
+read_boot_ms (void *context)
+{
+  (void)context;
+  return fl_clock_boot_ms ();
+}
+
+struct fl_clock
+fl_clock_boot (void)
+{
+  return (struct fl_clock){ read_boot_ms, NULL };
+}
+
 int64_t
 fl_clock_now (const struct fl_clock *clock)
 {
--- a/lib/common/clock.h
+++ b/lib/common/clock.h
@@ -14,10 +14,13 @@
 /* A clock over CLOCK_MONOTONIC. */
 struct fl_clock fl_clock_monotonic (void);
 
+/* A clock over CLOCK_BOOTTIME, which goes on while the host is suspended: for leases. */
+struct fl_clock fl_clock_boot (void);
+
 /* Reads @clock: milliseconds since an arbitrary fixed point. */
 int64_t fl_clock_now (const struct fl_clock *clock);
 
-/* Milliseconds of CLOCK_BOOTTIME, which goes on while the host is suspended: for leases. */
+/* Milliseconds of CLOCK_BOOTTIME. */
 int64_t fl_clock_boot_ms (void);
 
 /* Monotonic microseconds, for measuring short durations. */
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -67,7 +67,7 @@
   struct fl_ownership_options options;
   struct fl_name incarnation; /* tells boots of this process apart */
   enum ownership_state state;
-  ev_timer timer;
+  int64_t next_ms; /* when the next call is due */
   int64_t sent_ms; /* when the open call was sent */
   bool open;
   int64_t token;
@@ -87,21 +87,23 @@
 static void standby_read (struct fl_ownership *ownership);
 static void renew (struct fl_ownership *ownership);
 
-static void
-schedule (struct fl_ownership *ownership, int64_t delay_ms)
+static int64_t
+now_ms (const struct fl_ownership *ownership)
 {
-  ev_timer_stop (ownership->options.loop, &ownership->timer);
-  ev_timer_set (&ownership->timer, (double)delay_ms / 1000.0, 0.0);
-  ev_timer_start (ownership->options.loop, &ownership->timer);
+  return fl_clock_now (&ownership->options.clock);
 }
 
 static void
-on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+schedule (struct fl_ownership *ownership, int64_t delay_ms)
 {
-  struct fl_ownership *ownership = timer->data;
+  ownership->next_ms = now_ms (ownership) + delay_ms;
+}
 
-  (void)loop;
-  (void)events;
+void
+fl_ownership_tick (struct fl_ownership *ownership)
+{
+  if (ownership->open || now_ms (ownership) < ownership->next_ms)
+    return;
   if (ownership->state == STANDBY)
     standby_read (ownership);
   else if (ownership->state == OWNER)
@@ -188,7 +190,7 @@
   struct fl_store_write write = row_write (FL_OWNER_LEASE_KEY, &value);
   struct fl_store_transaction transaction = { &condition, 1, &write, 1 };
   const struct fl_store *store = ownership->options.store;
-  ownership->sent_ms = fl_clock_boot_ms ();
+  ownership->sent_ms = now_ms (ownership);
   ownership->open = true;
   store->transact (store->context, &transaction, timeout_ms, done, ownership);
   fl_str_clear (&value);
@@ -197,8 +199,7 @@
 static void
 renew (struct fl_ownership *ownership)
 {
-  if (!ownership->open)
-    send_lease (ownership, false, RENEW_TIMEOUT_MS, on_renewed);
+  send_lease (ownership, false, RENEW_TIMEOUT_MS, on_renewed);
 }
 
 /* --- standby --- */
@@ -211,7 +212,9 @@
   ownership->open = false;
   if (ownership->state != STANDBY)
     return;
-  if (reply->status == FL_STORE_OK)
+  /* An answer that comes after the authority which it gives is of no use: another host may own the
+   * pool by now. */
+  if (reply->status == FL_STORE_OK && now_ms (ownership) < ownership->sent_ms + LEASE_MS)
     become_owner (ownership, reply->version);
   else
     schedule (ownership, STANDBY_POLL_MS);
@@ -235,7 +238,7 @@
   const struct fl_store *store = ownership->options.store;
 
   ownership->token = row.token;
-  ownership->sent_ms = fl_clock_boot_ms ();
+  ownership->sent_ms = now_ms (ownership);
   ownership->open = true;
   store->transact (store->context, &transaction, RENEW_TIMEOUT_MS, on_take_answered, ownership);
   fl_str_clear (&owner);
@@ -300,7 +303,7 @@
   if (lease_version != ownership->seen_lease_version || ownership->still_since_ms == 0)
     {
       ownership->seen_lease_version = lease_version;
-      ownership->still_since_ms = fl_clock_boot_ms ();
+      ownership->still_since_ms = now_ms (ownership);
     }
   ownership->held_on = !is_free && !was_owned_here (ownership);
   if (!ownership->held_on || ownership->sent_ms - ownership->still_since_ms >= TAKE_AFTER_MS)
@@ -314,9 +317,7 @@
 {
   const struct fl_store *store = ownership->options.store;
 
-  if (ownership->open)
-    return;
-  ownership->sent_ms = fl_clock_boot_ms ();
+  ownership->sent_ms = now_ms (ownership);
   ownership->open = true;
   store->read (store->context, FL_OWNER_TABLE, FL_PART_OWNER, "", "", READ_TIMEOUT_MS, on_read,
                ownership);
@@ -332,25 +333,19 @@
   ownership->options = *options;
   ownership->incarnation = fl_name_format ("%s-%" G_GINT64_FORMAT "-%08x", options->host.data,
                                            fl_clock_wall_ms (), g_random_int ());
-  ev_timer_init (&ownership->timer, on_timer, 0.0, 0.0);
-  ownership->timer.data = ownership;
-  standby_read (ownership);
   return ownership;
 }
 
 void
 fl_ownership_free (struct fl_ownership *ownership)
 {
-  if (ownership == NULL)
-    return;
-  ev_timer_stop (ownership->options.loop, &ownership->timer);
   g_free (ownership);
 }
 
 bool
 fl_ownership_has_authority (const struct fl_ownership *ownership)
 {
-  return ownership->state == OWNER && fl_clock_boot_ms () < ownership->authority_until_ms;
+  return ownership->state == OWNER && now_ms (ownership) < ownership->authority_until_ms;
 }
 
 int64_t
@@ -391,7 +386,6 @@
   ownership->released = done;
   ownership->released_context = context;
   ownership->authority_until_ms = 0;
-  ev_timer_stop (ownership->options.loop, &ownership->timer);
   if (owned)
     send_lease (ownership, true, RELEASE_TIMEOUT_MS, on_released);
   else
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -1,8 +1,7 @@
 /* Ownership of the pool by a lease in the store: see docs/DESIGN.md. */
 #pragma once
 
-#include <ev.h>
-
+#include "common/clock.h"
 #include "common/log.h"
 #include "store/store.h"
 
@@ -15,7 +14,7 @@
 
 struct fl_ownership_options
 {
-  struct ev_loop *loop;
+  struct fl_clock clock; /* goes on while the host is suspended */
   const struct fl_log *log;
   const struct fl_store *store;
   struct fl_name host;
@@ -30,6 +29,9 @@
 struct fl_ownership *fl_ownership_new (const struct fl_ownership_options *options);
 void fl_ownership_free (struct fl_ownership *ownership);
 
+/* Does what is due. Called at least every 50 ms. */
+void fl_ownership_tick (struct fl_ownership *ownership);
+
 /* Whether orders may leave now. */
 bool fl_ownership_has_authority (const struct fl_ownership *ownership);
 
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -165,6 +165,7 @@
   if (!poold->announced && !poold->announcing
       && fl_clock_boot_ms () - poold->announced_at_ms >= ANNOUNCE_PAUSE_MS)
     announce (poold);
+  fl_ownership_tick (poold->ownership);
   if (poold->term != NULL)
     fl_term_tick (poold->term);
 }
@@ -250,7 +251,7 @@
   struct fl_poold poold = { .host = host };
   struct fl_error error = { 0 };
   struct fl_ownership_options ownership = {
-    .loop = host->loop,
+    .clock = fl_clock_boot (),
     .log = &host->log,
     .store = host->store,
     .host = host->settings.name,
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -115,6 +115,8 @@
   struct fl_configuration *configuration;
   struct fl_stats *stats;
   struct fl_log log;
+  int orders;  /* starts and stops sent so far */
+  int commits; /* records that reached the store so far */
   struct cell_result result;
 };
 
@@ -144,6 +146,16 @@
               (int)cell->now_ms, what->data);
 }
 
+/* Whether a scripted fault of @kind strikes at place @at. */
+static bool
+strikes (const struct cell *cell, enum cell_strike_kind kind, int at)
+{
+  for (size_t i = 0; i < cell->options.strike_count; i++)
+    if (cell->options.strikes[i].kind == kind && cell->options.strikes[i].at == at)
+      return true;
+  return false;
+}
+
 static void
 trace (const struct cell *cell,
        const char *what,
@@ -424,7 +436,8 @@
   struct owner *owner;
   struct fl_start_order start;
   char *text;
-  int boot; /* of the target that took the order to carry it out late */
+  int number; /* among starts and stops */
+  int boot;   /* of the target that took the order to carry it out late */
   struct fl_name ticket;
   struct fl_run_order run;
   struct fl_hold_order hold;
@@ -559,7 +572,9 @@
     }
   call->result = call->kind == CALL_START ? target_start (cell, target, &call->start)
                                           : target_stop (cell, target, &call->run);
-  call->answered = !(faults_on (cell) && happens (cell, cell->options.faults.order_lost));
+  call->answered = !(faults_on (cell)
+                     && (happens (cell, cell->options.faults.order_lost)
+                         || strikes (cell, STRIKE_ORDER_LOST, call->number)));
   after (cell, call->answered ? pick (cell, 1, 20) : ORDER_TIMEOUT_MS, on_call_over, call);
 }
 
@@ -585,8 +600,10 @@
 send_call (struct cell *cell, struct call *call)
 {
   call->sent_ms = cell->now_ms;
+  call->number = call->kind != CALL_HOLD ? cell->orders++ : -1;
   if (call->kind != CALL_HOLD && faults_on (cell)
-      && happens (cell, cell->options.faults.order_late))
+      && (happens (cell, cell->options.faults.order_late)
+          || strikes (cell, STRIKE_ORDER_LATE, call->number)))
     {
       const struct fake_target *target = target_at (cell, &call->address);
       struct call *late = g_new0 (struct call, 1);
@@ -836,8 +853,11 @@
 on_commit_arrives (struct cell *cell, void *data)
 {
   struct commit *commit = data;
-  bool lost = faults_on (cell) && happens (cell, cell->options.faults.store_lost);
+  bool lost = faults_on (cell)
+              && (happens (cell, cell->options.faults.store_lost)
+                  || strikes (cell, STRIKE_COMMIT_LOST, cell->commits));
 
+  cell->commits++;
   if (reaches_store (commit->owner))
     commit_apply (cell, commit);
   if (lost)
@@ -1084,6 +1104,55 @@
     owner->cut_until_ms = cell->now_ms + pick (cell, 200, 12000);
 }
 
+static void
+strike_target (struct cell *cell, const struct cell_strike *strike)
+{
+  struct fake_target *target
+      = g_ptr_array_index (cell->targets, strike->index % (int)cell->targets->len);
+
+  if (!target->up)
+    return;
+  if (strike->kind == STRIKE_CUT)
+    target->cut_until_ms = cell->now_ms + 6000;
+  else if (strike->kind == STRIKE_DRAIN && !target->draining)
+    {
+      target->draining = true;
+      after (cell, 2500, on_target_leaves, target);
+    }
+  else if (strike->kind == STRIKE_CRASH || strike->kind == STRIKE_REPLACED)
+    {
+      target_goes_down (cell, target);
+      if (strike->kind == STRIKE_REPLACED)
+        target->id = target_id (target->index, target->boot);
+    }
+}
+
+static void
+strike (struct cell *cell, const struct cell_strike *strike)
+{
+  struct owner *owner = newest_owner (cell);
+
+  if (strike->kind == STRIKE_OWNER_KILLED)
+    owner->dead = true;
+  else if (strike->kind == STRIKE_OWNER_FROZEN)
+    owner->frozen_until_ms = cell->now_ms + 5000;
+  else if (strike->kind == STRIKE_OWNER_CUT)
+    owner->cut_until_ms = cell->now_ms + 5000;
+  else if (strike->kind == STRIKE_JOB_CANCELLED && strike->index < (int)cell->jobs->len)
+    ((struct fake_job *)g_ptr_array_index (cell->jobs, strike->index))->cancelled = true;
+  else
+    strike_target (cell, strike);
+}
+
+static void
+strike_due (struct cell *cell)
+{
+  for (size_t i = 0; i < cell->options.strike_count; i++)
+    if (cell->options.strikes[i].kind >= STRIKE_CRASH
+        && cell->options.strikes[i].at * CELL_SLOT_MS == cell->now_ms)
+      strike (cell, &cell->options.strikes[i]);
+}
+
 static void
 cancel_some_job (struct cell *cell)
 {
@@ -1135,6 +1204,7 @@
     target_advance (cell, g_ptr_array_index (cell->targets, i));
   if (cell->now_ms % 100 == 0 && faults_on (cell))
     {
+      strike_due (cell);
       disturb_targets (cell);
       disturb_owner (cell);
       cancel_some_job (cell);
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -25,6 +25,32 @@
   int task_failed; /* per mille of runs */
 };
 
+/* One fault at a given place, for walks through all places. */
+enum cell_strike_kind
+{
+  STRIKE_ORDER_LOST,  /* the answer to order number `at` */
+  STRIKE_ORDER_LATE,  /* order number `at` is carried out late */
+  STRIKE_COMMIT_LOST, /* the answer to record number `at` */
+  STRIKE_CRASH,       /* the others: in slot `at`, of target `index` or the owner */
+  STRIKE_REPLACED,    /* crash, and back under another id */
+  STRIKE_CUT,
+  STRIKE_DRAIN,
+  STRIKE_OWNER_KILLED,
+  STRIKE_OWNER_FROZEN,
+  STRIKE_OWNER_CUT,
+  STRIKE_JOB_CANCELLED, /* job `index` */
+  STRIKE_KINDS
+};
+
+#define CELL_SLOT_MS 500
+
+struct cell_strike
+{
+  enum cell_strike_kind kind;
+  int at;
+  int index;
+};
+
 struct cell_options
 {
   uint64_t seed;
@@ -33,6 +59,8 @@
   int64_t length_ms; /* faults and new jobs stop after this; what is accepted has to end then */
   bool advice;       /* starts need tickets */
   struct cell_faults faults;
+  const struct cell_strike *strikes;
+  size_t strike_count;
   const char *trace; /* prints what concerns tasks whose names begin so; NULL for nothing */
 };
 
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -70,6 +70,14 @@
   { 1249, "the same" },
 };
 
+/* Places for scripted faults in a cell of two targets and four jobs: orders, records and slots of
+ * half a second in which they run. */
+#define WALK_TARGETS 2
+#define WALK_JOBS 4
+#define WALK_LENGTH_MS 4000
+#define WALK_ORDERS 16
+#define WALK_COMMITS 12
+
 static struct cell_result
 play (uint64_t seed, const struct cell_faults *faults, bool advice, const char *trace)
 {
@@ -137,6 +145,77 @@
   assert_int_equal (failed, 0);
 }
 
+static int
+places_of (enum cell_strike_kind kind)
+{
+  if (kind == STRIKE_COMMIT_LOST)
+    return WALK_COMMITS;
+  return kind < STRIKE_CRASH ? WALK_ORDERS : WALK_LENGTH_MS / CELL_SLOT_MS;
+}
+
+static int
+indexes_of (enum cell_strike_kind kind)
+{
+  if (kind == STRIKE_JOB_CANCELLED)
+    return WALK_JOBS;
+  return kind >= STRIKE_CRASH && kind <= STRIKE_DRAIN ? WALK_TARGETS : 1;
+}
+
+static GArray *
+all_strikes (void)
+{
+  GArray *strikes = g_array_new (FALSE, FALSE, sizeof (struct cell_strike));
+
+  for (int kind = 0; kind < STRIKE_KINDS; kind++)
+    for (int at = 0; at < places_of ((enum cell_strike_kind)kind); at++)
+      for (int index = 0; index < indexes_of ((enum cell_strike_kind)kind); index++)
+        {
+          struct cell_strike strike = { (enum cell_strike_kind)kind, at, index };
+          g_array_append_val (strikes, strike);
+        }
+  return strikes;
+}
+
+static bool
+walk_one (const struct cell_strike *pair)
+{
+  struct cell_options options = { .seed = 1,
+                                  .targets = WALK_TARGETS,
+                                  .jobs = WALK_JOBS,
+                                  .length_ms = WALK_LENGTH_MS,
+                                  .advice = true,
+                                  .strikes = pair,
+                                  .strike_count = 2 };
+  struct cell_result result = cell_play (&options);
+
+  if (result.broken[0] != '\0')
+    printf ("faults %d at %d of %d and %d at %d of %d: %s\n", (int)pair[0].kind, pair[0].at,
+            pair[0].index, (int)pair[1].kind, pair[1].at, pair[1].index, result.broken);
+  return result.broken[0] == '\0';
+}
+
+/* Every pair of faults, at every place of a small case. */
+static void
+test_walk (void **state)
+{
+  GArray *strikes = all_strikes ();
+  int failed = 0;
+  int runs = 0;
+
+  (void)state;
+  for (guint i = 0; i < strikes->len; i++)
+    for (guint j = i; j < strikes->len && failed < 10; j++)
+      {
+        struct cell_strike pair[] = { g_array_index (strikes, struct cell_strike, i),
+                                      g_array_index (strikes, struct cell_strike, j) };
+        failed += walk_one (pair) ? 0 : 1;
+        runs++;
+      }
+  printf ("  core: %d runs of one or two faults\n", runs);
+  g_array_unref (strikes);
+  assert_int_equal (failed, 0);
+}
+
 static int
 play_many (uint64_t first, int count, const char *trace)
 {
@@ -160,7 +239,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_troubles), cmocka_unit_test (test_everything),
-          cmocka_unit_test (test_regressions) };
+          cmocka_unit_test (test_regressions), cmocka_unit_test (test_walk) };
 
   if (argc >= 3)
     return play_many (strtoull (argv[1], NULL, 10), atoi (argv[2]), argc > 3 ? argv[3] : NULL);
