--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -216,6 +216,7 @@
       run = core_run_new (task, target, row->run);
       run->state = CORE_RUN_PLACED;
       run->confirmed_ms = sent_ms;
+      task->last_run = MAX (task->last_run, row->run);
       task->step->job->begun = true;
       /* An earlier owner may have held the target for as long as this one does. */
       target->lapse_at_ms = MAX (target->lapse_at_ms, core->now_ms + core->options.hold_ms);
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -36,7 +36,12 @@
     }
   add_room (&team->used, spec, sign);
   if (run->is_urgent)
-    add_room (&team->urgent, spec, sign);
+    {
+      add_room (&team->urgent, spec, sign);
+      team->urgent_peak.cpu_milli = MAX (team->urgent_peak.cpu_milli, team->urgent.cpu_milli);
+      team->urgent_peak.memory_mb = MAX (team->urgent_peak.memory_mb, team->urgent.memory_mb);
+      team->urgent_peak.gpu = MAX (team->urgent_peak.gpu, team->urgent.gpu);
+    }
 }
 
 struct core_run *
@@ -51,7 +56,6 @@
   run->pace_percent = 100;
   run->is_urgent = task->step->job->queue.priority == 0;
   task->run = run;
-  task->last_run = MAX (task->last_run, number);
   task->step->job->run_count++;
   g_ptr_array_add (target->runs, run);
   charge (run, 1);
@@ -87,6 +91,7 @@
   };
 
   run->state = CORE_RUN_ORDERED;
+  run->task->last_run = MAX (run->task->last_run, run->run);
   run->order_open = true;
   run->order_at_ms = core->now_ms;
   run->started_at_ms = core->now_ms;
--- /dev/null
+++ b/tests/test_contracts.c
@@ -0,0 +1,337 @@
+/* Contract tests of decoders, settings, records and counters, as tables of cases. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "common/stats.h"
+#include "host/settings.h"
+#include "platform/platform.h"
+#include "store/tables.h"
+
+/* --- settings --- */
+
+#define GOOD "\"name\":\"e1\",\"domain\":\"d\",\"address\":\"127.0.0.1\",\"store\":\"127.0.0.1:1\""
+
+static const struct
+{
+  const char *json;
+  const char *problem; /* part of the list; NULL when the settings are good */
+} settings_cases[] = {
+  { "{" GOOD "}", NULL },
+  { "{" GOOD ",\"hold_max_ms\":6000,\"front\":\"127.0.0.1:80\"}", NULL },
+  { "", "settings:" },
+  { "[]", "must be an object" },
+  { "{\"name\":\"e1\"}", "settings.domain: is missing" },
+  { "{\"name\":\"e1\"}", "settings.store: is missing" },
+  { "{" GOOD ",\"colour\":1}", "settings.colour: is not a known name" },
+  { "{" GOOD ",\"link_port\":70000}", "settings.link_port: is 70000; allowed is 0 to 65535" },
+  { "{" GOOD ",\"link_port\":\"80\"}", "settings.link_port: must be a whole number" },
+  { "{" GOOD ",\"link_port\":1.5}", "settings.link_port: must be a whole number" },
+  { "{" GOOD ",\"log_level\":\"loud\"}", "must be one of: err, warning, notice, info, debug" },
+  { "{" GOOD ",\"ready\":\"here\"}", "settings.ready: is \"here\"; must be an IPv4 number" },
+  { "{" GOOD ",\"ready\":\"1.2.3.4:x\"}", "must be an IPv4 number and a port" },
+  { "{" GOOD ",\"name\":\"e1\"}", "duplicate" },
+  { "{" GOOD "} x", "settings:" },
+};
+
+static void
+test_settings (void **state)
+{
+  g_autofree char *path = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+
+  (void)state;
+  close (fd);
+  for (size_t i = 0; i < G_N_ELEMENTS (settings_cases); i++)
+    {
+      struct fl_host_settings settings;
+      struct fl_problems problems = { 0 };
+      g_file_set_contents (path, settings_cases[i].json, -1, NULL);
+      bool ok = fl_host_settings_load (path, &settings, &problems);
+      if (ok != (settings_cases[i].problem == NULL)
+          || (!ok && strstr (fl_str_text (&problems.text), settings_cases[i].problem) == NULL))
+        fail_msg ("case %zu: %s", i, fl_str_text (&problems.text));
+      fl_host_settings_clear (&settings);
+      fl_problems_clear (&problems);
+    }
+  unlink (path);
+}
+
+/* --- the configuration --- */
+
+#define CONFIGURATION                                                                              \
+  "{\"version\":7,\"routes\":["                                                                    \
+  "{\"name\":\"a\",\"host\":\"x.example\",\"pathPrefix\":\"/q/\",\"service\":\"s\","               \
+  "\"priority\":2,\"attempts\":3,\"stretch\":1.5,\"targetLatencyMs\":250,"                         \
+  "\"advice\":{\"decideMs\":23.0,\"perItemMs\":0.5,\"validMs\":2500},\"public\":false},"           \
+  "{\"name\":\"b\",\"host\":\"x.example\",\"pathPrefix\":\"/q/longer/\",\"service\":\"s\","        \
+  "\"public\":true},{\"name\":\"broken\",\"host\":5},7],"                                          \
+  "\"services\":[{\"name\":\"s\",\"rejectsOverload\":true},{}],"                                   \
+  "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k1\",\"k2\",9],\"weight\":4,"                       \
+  "\"cap\":{\"cpu\":1000,\"memMb\":0,\"gpu\":0}}],\"unknown\":1}"
+
+static struct fl_configuration *
+configuration_of (const char *json)
+{
+  struct fl_str text = { strlen (json), (char *)json };
+
+  return fl_platform_decode_configuration (&text, NULL);
+}
+
+static const struct
+{
+  const char *host;
+  const char *path;
+  const char *queue; /* NULL for no route */
+} route_cases[] = {
+  { "x.example", "/q/1", "a" },        { "X.Example:8080", "/q/1", "a" },
+  { "x.example", "/q/longer/1", "b" }, { "x.example", "/q/long", "a" },
+  { "x.example", "/q", NULL },         { "y.example", "/q/1", NULL },
+  { "x.example.org", "/q/1", NULL },   { "", "/q/1", NULL },
+};
+
+static void
+test_configuration (void **state)
+{
+  struct fl_configuration *configuration = configuration_of (CONFIGURATION);
+  struct fl_name name = fl_name_of ("a");
+  struct fl_name key = fl_name_of ("k2");
+  struct fl_name none = fl_name_of ("");
+
+  (void)state;
+  assert_non_null (configuration);
+  assert_int_equal (fl_configuration_version (configuration), 7);
+  for (size_t i = 0; i < G_N_ELEMENTS (route_cases); i++)
+    {
+      const struct fl_queue *queue
+          = fl_configuration_route (configuration, route_cases[i].host, route_cases[i].path);
+      assert_string_equal (queue != NULL ? queue->name.data : "none",
+                           route_cases[i].queue != NULL ? route_cases[i].queue : "none");
+    }
+  const struct fl_queue *queue = fl_configuration_queue (configuration, &name);
+  assert_int_equal (queue->priority, 2);
+  assert_int_equal (queue->attempts, 3);
+  assert_true (queue->advice.required && queue->advice.valid_ms == 2500);
+  assert_string_equal (fl_configuration_team_of_key (configuration, &key)->data, "t");
+  assert_null (fl_configuration_team_of_key (configuration, &none));
+  fl_configuration_unref (configuration);
+  assert_null (configuration_of ("{\"routes\":[]}"));
+  assert_null (configuration_of ("not json"));
+}
+
+static const struct
+{
+  const char *header;
+  const char *key;
+} key_cases[] = {
+  { "Bearer abc", "abc" }, { "bearer abc", "abc" }, { "Basic abc", "" },
+  { "Bearer ", "" },       { "Bearer", "" },        { NULL, "" },
+};
+
+static void
+test_keys (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (key_cases); i++)
+    assert_string_equal (fl_platform_decode_key (key_cases[i].header).data, key_cases[i].key);
+}
+
+/* --- the registry --- */
+
+#define TARGET_ROW(state_, capacity_)                                                              \
+  "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":" state_                  \
+  ",\"labels\":[\"a\",\"r1\",7],\"capacity\":" capacity_ ",\"born\":1700000000000,\"new\":1}"
+
+static const struct
+{
+  const char *row;
+  bool good;
+  bool draining;
+} registry_cases[] = {
+  { TARGET_ROW ("\"ready\"", "{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}"), true, false },
+  { TARGET_ROW ("\"draining\"", "{\"cpu\":16000}"), true, true },
+  { TARGET_ROW ("\"resting\"", "{\"cpu\":16000}"), false, false },
+  { TARGET_ROW ("5", "{\"cpu\":16000}"), false, false },
+  { TARGET_ROW ("\"ready\"", "null"), false, false },
+  { "{\"service\":\"s\",\"state\":\"ready\",\"capacity\":{}}", false, false },
+  { "[]", false, false },
+  { "\xff\xfe", false, false },
+  { "", false, false },
+};
+
+static void
+test_registry (void **state)
+{
+  struct fl_name id = fl_name_of ("i-1");
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (registry_cases); i++)
+    {
+      struct fl_str row = { strlen (registry_cases[i].row), (char *)registry_cases[i].row };
+      struct fl_target_entry entry;
+      struct fl_error error = { 0 };
+      bool good = fl_platform_decode_target (&id, &row, &entry, &error);
+      if (good != registry_cases[i].good)
+        fail_msg ("case %zu", i);
+      if (!good)
+        continue;
+      assert_int_equal (entry.draining, registry_cases[i].draining);
+      assert_int_equal (entry.room.cpu_milli, 16000);
+      assert_int_equal (entry.label_count, 2);
+      assert_true (entry.born_ms == INT64_C (1700000000000));
+    }
+}
+
+/* --- jobs --- */
+
+static const struct
+{
+  const char *body;
+  const char *problem; /* NULL when the job is good */
+} job_cases[] = {
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500,\"memMb\":256},"
+    "{\"count\":2,\"after\":[0],\"gang\":true,\"checkpointing\":true,\"mayMiss\":1}]}",
+    NULL },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"repeatCount\":3,\"startAtMs\":5,"
+    "\"intervalMs\":7}",
+    NULL },
+  { "{\"steps\":[{\"count\":1}]}", "spec must be a text" },
+  { "{\"spec\":5,\"steps\":[{\"count\":1}]}", "spec must be a text" },
+  { "{\"spec\":\"x\"}", "steps must list" },
+  { "{\"spec\":\"x\",\"steps\":[]}", "steps must list" },
+  { "{\"spec\":\"x\",\"steps\":[{}]}", "step 0 is malformed" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":0}]}", "step 0 is malformed" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-5}]}", "step 0 is malformed" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}", "not an earlier one" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[-1]}]}", "step 0 is malformed" },
+  { "{\"spec\":\"x\",\"steps\":[5]}", "step 0 is malformed" },
+  { "nothing", "line 1" },
+};
+
+static void
+test_jobs (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (job_cases); i++)
+    {
+      struct fl_job_spec spec;
+      struct fl_error error = { 0 };
+      bool good
+          = fl_platform_decode_job (job_cases[i].body, strlen (job_cases[i].body), &spec, &error);
+      if (good != (job_cases[i].problem == NULL)
+          || (!good && strstr (error.text, job_cases[i].problem) == NULL))
+        fail_msg ("case %zu: %s", i, error.text);
+      if (good)
+        fl_schema_clear (&fl_job_row_schema, &spec);
+    }
+}
+
+/* --- records --- */
+
+static struct fl_str
+some_record (void)
+{
+  struct fl_task_progress tasks[]
+      = { { 0, 1, 2, true, 1, 100001, { 0 } }, { 3, 0, 0, false, 0, 0, { 3, (char *)"abc" } } };
+  struct fl_job_progress progress = { FL_JOB_RUNNING, { 2, tasks } };
+
+  return fl_record_encode (&fl_job_progress_schema, &progress);
+}
+
+static void
+test_record_round_trip (void **state)
+{
+  struct fl_str text = some_record ();
+  struct fl_job_progress back;
+  struct fl_error error = { 0 };
+
+  (void)state;
+  assert_true (fl_record_decode (&fl_job_progress_schema, text.data, text.len, &back, &error));
+  struct fl_str again = fl_record_encode (&fl_job_progress_schema, &back);
+  assert_string_equal (again.data, text.data);
+  fl_schema_clear (&fl_job_progress_schema, &back);
+  fl_str_clear (&again);
+  fl_str_clear (&text);
+}
+
+/* Damaged bytes decode to something in bounds or are refused; never more. */
+static void
+test_record_damage (void **state)
+{
+  struct fl_str text = some_record ();
+  GRand *random = g_rand_new_with_seed (7);
+  int refused = 0;
+
+  (void)state;
+  for (int i = 0; i < 50000; i++)
+    {
+      g_autofree char *copy = g_memdup2 (text.data, text.len);
+      struct fl_job_progress back;
+      struct fl_error error = { 0 };
+      for (int j = g_rand_int_range (random, 1, 4); j > 0; j--)
+        copy[g_rand_int_range (random, 0, (gint32)text.len)]
+            = (char)g_rand_int_range (random, 0, 256);
+      if (fl_record_decode (&fl_job_progress_schema, copy, text.len, &back, &error))
+        fl_schema_clear (&fl_job_progress_schema, &back);
+      else
+        refused += error.code == FL_INVALID ? 1 : 0;
+    }
+  assert_true (refused > 10000);
+  g_rand_free (random);
+  fl_str_clear (&text);
+}
+
+static void
+test_job_parts (void **state)
+{
+  (void)state;
+  for (int i = 0; i < 1000; i++)
+    {
+      struct fl_name id = fl_name_format ("%016x", i);
+      assert_string_equal (fl_job_part (&id), fl_job_parts[(i % 16) % FL_JOB_PARTS]);
+    }
+}
+
+/* --- histograms --- */
+
+static void
+test_histogram_error (void **state)
+{
+  struct fl_histogram *h = g_new0 (struct fl_histogram, 1);
+
+  (void)state;
+  for (int64_t value = 1; value < (1LL << 40); value = value * 5 / 4 + 1)
+    {
+      memset (h, 0, sizeof *h);
+      fl_histogram_record (h, value);
+      fl_histogram_record (h, INT64_MAX / 4); /* so that the maximum does not cap the answer */
+      int64_t told = fl_histogram_quantile (h, 0.0);
+      assert_true (told >= value && (double)(told - value) <= (double)value / 16.0);
+    }
+  g_free (h);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_settings),
+    cmocka_unit_test (test_configuration),
+    cmocka_unit_test (test_keys),
+    cmocka_unit_test (test_registry),
+    cmocka_unit_test (test_jobs),
+    cmocka_unit_test (test_record_round_trip),
+    cmocka_unit_test (test_record_damage),
+    cmocka_unit_test (test_job_parts),
+    cmocka_unit_test (test_histogram_error),
+  };
+
+  return cmocka_run_group_tests_name ("contracts", tests, NULL, NULL);
+}
