Send starts again sooner; stop tasks that stand still and leave targets where tasks lag

The test of an unanswered start counts four attempts instead of three, as the bound on time is the deadline.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -81,6 +81,7 @@
   bool listed;           /* was in the last list of runs */
   bool settled;          /* was in any list of runs: its boot is known */
   int64_t percent;
+  int64_t moved_at_ms; /* when the percent last changed, or the start was ordered */
   int64_t gauge;
   int64_t pace_percent;
   bool is_urgent; /* of the first priority when it was started */
@@ -250,6 +251,12 @@
 /* Moves tasks off a target that drains, as far as that saves their work. */
 void core_drain_target (struct core_target *target);
 
+/* --- stall.c --- */
+
+/* Looks at the progress that @target has just listed: stops tasks that stand still, and keeps new
+ * ones away from a target where tasks lag. */
+void core_check_progress (struct core_target *target);
+
 /* --- pace.c --- */
 
 /* Paces filling tasks beside serving tasks by their last figures. */
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -247,6 +247,8 @@
     }
   run->listed = true;
   run->settled = true;
+  if (row->percent != run->percent)
+    run->moved_at_ms = core->now_ms;
   run->percent = row->percent;
   run->gauge = row->gauge;
   if (run->state == CORE_RUN_ORDERED && !run->order_open)
@@ -329,6 +331,7 @@
   for (size_t i = 0; i < lists->run_count; i++)
     apply_run (core, target, &lists->runs[i], sent_ms);
   release_vanished (core, target, sent_ms);
+  core_check_progress (target);
   core_pace_target (target);
 }
 
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -4,9 +4,9 @@
 #include "core/core_internal.h"
 
 /* A start is refused by the target when it arrives later than this: bounds how long an order that
- * was delayed on its way can still take effect. Covers two time-outs of an order. */
+ * was delayed on its way can still take effect. Covers all attempts. */
 #define START_DEADLINE_MS 1500
-#define START_ATTEMPTS_MAX 3
+#define START_ATTEMPTS_MAX 4
 /* A stop that is not answered is sent again after this; one that is answered, when no end is listed
  * long after the time that targets take to stop. */
 #define STOP_RETRY_MS 700
@@ -95,6 +95,7 @@
   run->order_open = true;
   run->order_at_ms = core->now_ms;
   run->started_at_ms = core->now_ms;
+  run->moved_at_ms = core->now_ms;
   target->lapse_at_ms
       = MAX (target->lapse_at_ms,
              core->now_ms + START_DEADLINE_MS * CORE_LAPSE_PERCENT / 100 + CORE_LAPSE_MARGIN_MS);
--- /dev/null
+++ b/lib/core/stall.c
@@ -0,0 +1,75 @@
+/* Tasks that stand still, and targets on which tasks lag.
+ *
+ * Load pattern: some targets hang or turn several times slower with good health. What is placed there
+ * meanwhile comes late; what stands still never ends. The pace of a task is measured against the mean
+ * of its queue, so that one bad job does not condemn a target. */
+#include "core/core_internal.h"
+
+/* A task whose percent has not changed for this long stands still: targets list at least each
+ * second, and tasks of a minute still move each 600 ms. */
+#define STALLED_MS 1500
+/* Before this a task has shown nothing yet. */
+#define PACE_KNOWN_MS 500
+/* A task lags below this part of the mean pace; sizes vary by about two. */
+#define LAG_DIVISOR 4
+/* A target where this many tasks lag gets no new ones until tasks move again. */
+#define LAGGING_MIN 2
+#define LAGGING_PAUSE_MS 1500
+
+/* Whether the progress of @run tells of its target: not of fillers, which wait for what is left, nor
+ * of gangs, whose members wait for each other. */
+static bool
+shows_pace (const struct core_run *run)
+{
+  const struct fl_step_spec *spec = run->task->step->spec;
+
+  return run->state == CORE_RUN_PLACED && run->listed && run->started_at_ms > 0 && !spec->fills
+         && !spec->gang && !spec->long_running;
+}
+
+static bool
+is_lagging (const struct core_run *run, int64_t now_ms)
+{
+  double mean_ms = run->task->step->job->learnt->run_ms;
+  double elapsed_ms = (double)(now_ms - run->started_at_ms);
+  double expected = MIN (100.0 * elapsed_ms / MAX (mean_ms, 1.0), 100.0);
+
+  return mean_ms > 0 && elapsed_ms >= PACE_KNOWN_MS
+         && (double)run->percent * LAG_DIVISOR < expected;
+}
+
+static void
+stop_stalled (struct core_run *run)
+{
+  struct fl_core *core = run->task->step->job->core;
+  struct fl_name name = core_task_name (run->task);
+
+  fl_log (core->options.log, FL_LOG_INFO, "run_stalled", FL_N ("task", &name),
+          FL_N ("target", &run->target->entry.id), FL_I ("percent", run->percent),
+          FL_I ("still_ms", core->now_ms - run->moved_at_ms));
+  fl_stats_add (core->options.stats, "runs_stalled_total", 1);
+  run->task->failed_target = run->target->entry.id;
+  core_run_stop (run);
+}
+
+void
+core_check_progress (struct core_target *target)
+{
+  int lagging = 0;
+  int shown = 0;
+
+  for (guint i = 0; i < target->runs->len; i++)
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, i);
+      int64_t now_ms = run->task->step->job->core->now_ms;
+      if (!shows_pace (run))
+        continue;
+      shown += now_ms - run->started_at_ms >= PACE_KNOWN_MS ? 1 : 0;
+      lagging += is_lagging (run, now_ms) ? 1 : 0;
+      if (now_ms - run->moved_at_ms >= STALLED_MS)
+        stop_stalled (run);
+      if (lagging >= LAGGING_MIN && lagging * 2 > shown)
+        target->quarantined_until_ms
+            = MAX (target->quarantined_until_ms, now_ms + LAGGING_PAUSE_MS);
+    }
+}
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -70,8 +70,9 @@
   struct fl_configuration *configuration = fl_configuration_new (1);
   struct fl_service_terms service = { .name = fl_name_of ("s") };
   struct fl_team_terms team = { fl_name_of ("w"), 1, { cap, 0, 0 } };
-  struct fl_queue urgent
-      = { .name = fl_name_of ("urgent"), .service = fl_name_of ("s"), .attempts = 2 };
+  struct fl_queue urgent = {
+    .name = fl_name_of ("urgent"), .service = fl_name_of ("s"), .attempts = 2, .stretch = 1.5
+  };
   struct fl_queue slow = urgent;
   struct fl_queue advised = urgent;
 
@@ -167,6 +168,7 @@
   struct fl_job_spec spec = { .id = fl_name_of (id),
                               .queue = fl_name_of (queue),
                               .team = fl_name_of ("w"),
+                              .accepted_ms = bench->now_ms,
                               .text = fl_str_of ("x") };
 
   spec.steps.count = 1;
@@ -371,7 +373,7 @@
   add_target (bench, "t1", 4, false);
   add_job (bench, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
   tick (bench, 0);
-  for (guint attempt = 1; attempt < 3; attempt++)
+  for (guint attempt = 1; attempt < 4; attempt++)
     {
       fl_core_start_answered (bench->core, &start_at (bench, 0)->task, 1, FL_ORDER_UNANSWERED,
                               bench->now_ms);
@@ -383,14 +385,14 @@
                           bench->now_ms);
   tick (bench, 700);
   assert_int_equal (bench->stops->len, 1);
-  assert_int_equal (bench->starts->len, 3);
+  assert_int_equal (bench->starts->len, 4);
   /* The stop bars the run; a list after it shows that it is nowhere. */
   fl_core_stop_answered (bench->core, &start_at (bench, 0)->task, 1, FL_ORDER_DONE, bench->now_ms);
   bench->now_ms += 10;
   list (bench, "t1", (struct fl_target_lists){ .born_ms = 1 });
   tick (bench, 10);
-  assert_int_equal (bench->starts->len, 4);
-  assert_int_equal (start_at (bench, 3)->run, 2);
+  assert_int_equal (bench->starts->len, 5);
+  assert_int_equal (start_at (bench, 4)->run, 2);
   bench_free (bench);
 }
 
@@ -628,10 +630,58 @@
   bench_free (bench);
 }
 
+/* A target that hangs with good health: what stands still goes elsewhere, and nothing new comes. */
+static void
+test_stalled_task (void **state)
+{
+  struct bench *bench = bench_new (0);
+  struct fl_run_row run = { .task = fl_name_of ("a.0.0.0"), .run = 1, .percent = 20 };
+
+  (void)state;
+  add_target (bench, "t1", 4, false);
+  add_job (bench, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick (bench, 0);
+  confirm (bench, 0);
+  for (int i = 0; i < 2; i++)
+    {
+      bench->now_ms += 800;
+      list (bench, "t1", (struct fl_target_lists){ .born_ms = 1, .runs = &run, .run_count = 1 });
+      assert_int_equal (bench->stops->len, 0);
+    }
+  bench->now_ms += 800;
+  list (bench, "t1", (struct fl_target_lists){ .born_ms = 1, .runs = &run, .run_count = 1 });
+  assert_int_equal (bench->stops->len, 1);
+  bench_free (bench);
+}
+
+/* More is handed in than fits in time: what can still be in time goes first. */
+static void
+test_late_jobs_wait (void **state)
+{
+  struct bench *bench = bench_new (0);
+  struct fl_end_row end = { .number = 1, .task = fl_name_of ("first.0.0.0"), .run = 1 };
+
+  (void)state;
+  add_target (bench, "t1", 1, false);
+  add_job (bench, "first", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick (bench, 0);
+  confirm (bench, 0);
+  add_job (bench, "old", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  bench->now_ms += 1000;
+  add_job (bench, "new", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  list (bench, "t1", (struct fl_target_lists){ .born_ms = 1, .ends = &end, .end_count = 1 });
+  tick (bench, 10);
+  assert_int_equal (bench->starts->len, 2);
+  assert_true (g_str_has_prefix (start_at (bench, 1)->task.data, "new"));
+  bench_free (bench);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_stalled_task),
+    cmocka_unit_test (test_late_jobs_wait),
     cmocka_unit_test (test_room_is_kept),
     cmocka_unit_test (test_label_and_limit_per_target),
     cmocka_unit_test (test_priority),
