--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -1,13 +1,26 @@
 #include "common/log.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <glib.h>
 
 #include "common/clock.h"
 
+void
+fl_log_set_nonblocking (void)
+{
+  struct stat status;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  if (flags >= 0 && fstat (STDOUT_FILENO, &status) == 0
+      && (S_ISFIFO (status.st_mode) || S_ISSOCK (status.st_mode)))
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 static const char *
 level_name (enum fl_log_level level)
 {
@@ -64,6 +77,8 @@
   g_string_printf (line, "<%d>time=%" PRId64 " level=%s program=%s instance=%s event=%s", level,
                    fl_clock_wall_ms (), level_name (level), log->program, log->instance.data,
                    event);
+  if (log->dropped != NULL && *log->dropped > 0)
+    g_string_append_printf (line, " lines_dropped=%" PRId64, *log->dropped);
   for (; pairs->kind != FL_LOG_END; pairs++)
     {
       g_string_append_printf (line, " %s=", pairs->key);
@@ -75,8 +90,9 @@
   g_string_append_c (line, '\n');
 
   /* One write call keeps lines of several processes on one terminal whole. */
-  ssize_t written = write (STDERR_FILENO, line->str, line->len);
-  (void)written;
+  ssize_t written = write (STDOUT_FILENO, line->str, line->len);
+  if (log->dropped != NULL)
+    *log->dropped = written < 0 ? *log->dropped + 1 : 0;
 }
 
 void
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -1,6 +1,7 @@
-/* Structured logs: one line of key=value pairs for each event, on standard error, with the syslog
- * levels. Values that hold spaces, quotes or control bytes are quoted and escaped. Keys of callers
- * are never passed to these functions. */
+/* Structured logs: one line of key=value pairs for each event, on standard output, with the syslog
+ * levels. A line that the reader does not take at once is dropped and counted: the next line tells
+ * how many. Values that hold spaces, quotes or control bytes are quoted and escaped. Keys of
+ * callers are never passed to these functions. */
 #pragma once
 
 #include <stdint.h>
@@ -23,8 +24,12 @@
   enum fl_log_level level; /* lines less severe than this are dropped */
   const char *program;
   struct fl_name instance;
+  int64_t *dropped; /* lines since the last that was written; NULL when that is not told */
 };
 
+/* Makes writes to a pipe or socket on standard output return at once when it is full. */
+void fl_log_set_nonblocking (void);
+
 enum fl_log_kind
 {
   FL_LOG_END,
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -7,7 +7,7 @@
  * an answer. */
 #define CORE_LAPSE_PERCENT 104
 #define CORE_LAPSE_MARGIN_MS 50
-/* A target that answers no hold for this long gets no new tasks. */
+/* A target on which tasks of several jobs failed in a row gets no new ones for this long. */
 #define CORE_QUARANTINE_MS 5000
 
 struct core_run;
@@ -165,7 +165,7 @@
   GHashTable *jobs;                       /* id -> struct core_job */
   GHashTable *finished;                   /* ids of jobs whose final state is recorded */
   GHashTable *teams;                      /* name -> struct core_team */
-  GHashTable *queues; /* name -> struct core_queue */
+  GHashTable *queues;                     /* name -> struct core_queue */
   int64_t now_ms;
   int64_t peaks_at_ms; /* when the peaks of the teams last decayed */
   int64_t wall_ms;
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -298,6 +298,19 @@
   fl_stats_add (core->options.stats, "targets_taken_over_total", 1);
 }
 
+static void
+note_silence (struct fl_core *core,
+              struct core_target *target,
+              bool silent,
+              enum fl_order_result result)
+{
+  if (silent != target->silent)
+    fl_log (core->options.log, FL_LOG_INFO, silent ? "target_silent" : "target_answers",
+            FL_N ("target", &target->entry.id), FL_S ("result", fl_order_result_name (result)),
+            FL_I ("runs", target->runs->len));
+  target->silent = silent;
+}
+
 void
 fl_core_hold_answered (struct fl_core *core,
                        const struct fl_name *id,
@@ -314,14 +327,12 @@
   target->lists_at_ms = now_ms;
   if (reply->result == FL_ORDER_OTHER_BOOT)
     note_gone (core, target);
+  if (lists == NULL || target->silent)
+    note_silence (core, target, lists == NULL, reply->result);
   if (lists == NULL)
-    {
-      target->silent = true;
-      return;
-    }
+    return;
   note_boot (target, lists);
   target->reported = true;
-  target->silent = false;
   target->clock_ms = lists->clock_ms;
   target->clock_at_ms = now_ms;
   target->foreign_runs = 0;
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -305,12 +305,12 @@
   double ratio;
 };
 
-/* Priority, then what can still meet its objective, then the team that has least against its weight,
- * then age.
+/* Priority, then what can still meet its objective, then the team that has least against its
+ * weight, then age.
  *
- * Load pattern: a team or a kind sends several times what there is room for. In order of age all jobs
- * of a long queue come too late; with late ones behind, those that can be in time are. A team that
- * sends many times its usual waits behind its own work, not in front of the others'. */
+ * Load pattern: a team or a kind sends several times what there is room for. In order of age all
+ * jobs of a long queue come too late; with late ones behind, those that can be in time are. A team
+ * that sends many times its usual waits behind its own work, not in front of the others'. */
 static gint
 compare_waiting (const void *a, const void *b)
 {
--- a/lib/core/stall.c
+++ b/lib/core/stall.c
@@ -1,8 +1,8 @@
 /* Tasks that stand still, and targets on which tasks lag.
  *
- * Load pattern: some targets hang or turn several times slower with good health. What is placed there
- * meanwhile comes late; what stands still never ends. The pace of a task is measured against the mean
- * of its queue, so that one bad job does not condemn a target. */
+ * Load pattern: some targets hang or turn several times slower with good health. What is placed
+ * there meanwhile comes late; what stands still never ends. The pace of a task is measured against
+ * the mean of its queue, so that one bad job does not condemn a target. */
 #include "core/core_internal.h"
 
 /* A task whose percent has not changed for this long stands still: targets list at least each
@@ -16,8 +16,8 @@
 #define LAGGING_MIN 2
 #define LAGGING_PAUSE_MS 1500
 
-/* Whether the progress of @run tells of its target: not of fillers, which wait for what is left, nor
- * of gangs, whose members wait for each other. */
+/* Whether the progress of @run tells of its target: not of fillers, which wait for what is left,
+ * nor of gangs, whose members wait for each other. */
 static bool
 shows_pace (const struct core_run *run)
 {
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -107,7 +107,8 @@
 {
   host->loop = ev_default_loop (EVFLAG_AUTO);
   host->log = (struct fl_log){ fl_host_settings_log_level (&host->settings), program,
-                               host->settings.name };
+                               host->settings.name, &host->lines_dropped };
+  fl_log_set_nonblocking ();
   host->stats = fl_stats_new ();
   host->client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX);
   host->platform_store = fl_platform_store_new (host->client, host->settings.store.data);
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -40,8 +40,9 @@
       fl_stats_record (poold->host->stats, order, fl_clock_boot_ms () - call->sent_ms);
       return;
     }
-  fl_log (&poold->host->log, FL_LOG_INFO, "order_result", FL_S ("order", order),
-          FL_N ("name", &call->name), FL_I ("run", call->run),
+  /* Of holds the core tells when a target falls silent and when it answers again. */
+  fl_log (&poold->host->log, call->run > 0 ? FL_LOG_INFO : FL_LOG_DEBUG, "order_result",
+          FL_S ("order", order), FL_N ("name", &call->name), FL_I ("run", call->run),
           FL_S ("result", fl_order_result_name (reply->result)),
           FL_I ("after_ms", fl_clock_boot_ms () - call->sent_ms));
   if (reply->result == FL_ORDER_FENCED && !call->term->ended)
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1331,7 +1331,8 @@
   cell.tasks = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
   cell.recorded_targets = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
   cell.stats = fl_stats_new ();
-  cell.log = (struct fl_log){ options->trace != NULL ? FL_LOG_INFO : 0, "cell", { 0 } };
+  cell.log
+      = (struct fl_log){ .level = options->trace != NULL ? FL_LOG_INFO : 0, .program = "cell" };
   configure (&cell);
   for (int i = 0; i < options->targets; i++)
     g_ptr_array_add (cell.targets, target_new (&cell, i));
