Hold back only the jobs that may have tasks on a silent target

A job's record names the targets that its tasks may be started on, and a start is ordered only after that is stored; a successor holds back just the jobs that name a silent one. Ruled out before: counting from the last renewal, pruning more targets.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -195,6 +195,7 @@
   advice->good = true;
   advice->ticket = row->ticket;
   advice->valid_until_ms = valid_until_ms;
+  core_job_want (step->job, &row->target);
 }
 
 void
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -49,6 +49,7 @@
   for (size_t i = 0; i < job->step_count; i++)
     step_clear (&job->steps[i]);
   g_free (job->steps);
+  g_hash_table_destroy (job->permits);
   fl_schema_clear (&fl_job_row_schema, &job->spec);
   g_free (job);
 }
@@ -399,9 +400,12 @@
 apply_progress (struct core_job *job, const struct fl_job_progress *progress)
 {
   const struct fl_task_progress *rows = progress->tasks.items;
+  const struct fl_job_target *targets = progress->targets.items;
 
   job->state = (enum fl_job_state)progress->state;
   job->begun = job->state != FL_JOB_QUEUED;
+  for (size_t i = 0; i < progress->targets.count; i++)
+    core_job_permitted (job, &targets[i].id);
   for (size_t i = 0; i < progress->tasks.count; i++)
     {
       struct core_step *step = step_at (job, rows[i].occurrence, rows[i].step);
@@ -455,6 +459,7 @@
   job->queue.attempts = 1;
   job->team = team_get (core, &spec->team);
   job->learnt = queue_get (core, &spec->queue);
+  job->permits = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
   job->step_count = steps * (size_t)fl_job_spec_occurrences (spec);
   job->steps = g_new0 (struct core_step, job->step_count);
   for (size_t i = 0; i < job->step_count; i++)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -139,6 +139,15 @@
   int64_t wait_since_ms;
 };
 
+/* Whether tasks of a job may be started on a target: a successor has to know of it first. */
+enum core_permit
+{
+  CORE_PERMIT_NONE,
+  CORE_PERMIT_WANTED,    /* is to be recorded */
+  CORE_PERMIT_RECORDING, /* is being recorded */
+  CORE_PERMIT_RECORDED
+};
+
 struct core_job
 {
   struct fl_core *core;
@@ -151,7 +160,8 @@
   struct core_step *steps; /* occurrence-major */
   size_t step_count;
   int64_t open_steps;
-  int64_t run_count; /* runs that may be in effect */
+  int64_t run_count;   /* runs that may be in effect */
+  GHashTable *permits; /* target id -> enum core_permit */
   bool begun;
   bool dirty;     /* its progress is not recorded */
   bool recording; /* its progress is being recorded */
@@ -216,6 +226,24 @@
 /* Sends orders again that were not answered or not followed. */
 void core_runs_tick (struct fl_core *core);
 
+/* --- permit.c --- */
+
+/* Whether tasks of @job may be started on @target. */
+bool core_job_permits (const struct core_job *job, const struct fl_name *target);
+
+/* Asks for @target to be recorded for @job, unless it is. */
+void core_job_want (struct core_job *job, const struct fl_name *target);
+
+/* Takes over that a successor may find tasks of @job on @target. */
+void core_job_permitted (struct core_job *job, const struct fl_name *target);
+
+/* The permits that are wanted are being recorded, or (later) are recorded or not. */
+void core_job_permits_taken (struct core_job *job);
+void core_job_permits_done (struct core_job *job, bool stored);
+
+/* Whether a task of @job may run unseen on a target that has not reported. */
+bool core_job_is_unsettled (const struct core_job *job);
+
 /* --- ends.c --- */
 
 void core_job_finish (struct core_job *job, enum fl_job_state state);
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -233,6 +233,7 @@
       run->confirmed_ms = sent_ms;
       task->last_run = MAX (task->last_run, row->run);
       task->step->job->begun = true;
+      core_job_permitted (task->step->job, &target->entry.id);
       /* An earlier owner may have held the target for as long as this one does. */
       target->lapse_at_ms = MAX (target->lapse_at_ms, core->now_ms + core->options.hold_ms);
       fl_log (core->options.log, FL_LOG_INFO, "run_adopted", FL_N ("task", &row->task),
@@ -372,11 +373,21 @@
         if (has_progress (task))
           g_array_append_val (rows, row);
       }
+  GArray *targets = g_array_new (FALSE, TRUE, sizeof (struct fl_job_target));
+  GHashTableIter iter;
+  void *key;
+  g_hash_table_iter_init (&iter, job->permits);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_array_append_val (targets, *(struct fl_job_target *)key);
   /* Of a job that is over only the state is of use. */
   if (!fl_job_state_is_final (job->state))
-    progress.tasks = (struct fl_array){ rows->len, rows->data };
+    {
+      progress.tasks = (struct fl_array){ rows->len, rows->data };
+      progress.targets = (struct fl_array){ targets->len, targets->data };
+    }
   struct fl_str text = fl_record_encode (&fl_job_progress_schema, &progress);
   g_array_unref (rows);
+  g_array_unref (targets);
   return text;
 }
 
@@ -426,6 +437,7 @@
         continue;
       job->dirty = false;
       job->recording = true;
+      core_job_permits_taken (job);
       records[count++] = (struct fl_core_record){ job->spec.id, encode_progress (job) };
     }
   core->records_cover_ends = !any_dirty (core);
@@ -468,6 +480,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct core_job *job = value;
+      if (job->recording)
+        core_job_permits_done (job, stored);
       if (job->recording && !stored)
         job->dirty = true;
       job->recording = false;
--- /dev/null
+++ b/lib/core/permit.c
@@ -0,0 +1,83 @@
+/* Which targets the tasks of a job may be started on.
+ *
+ * A start is ordered only after the store tells that the job may have tasks on its target. A
+ * successor that hears nothing from a target then holds back just the jobs that may have tasks
+ * there. */
+#include "core/core_internal.h"
+
+static enum core_permit
+permit_of (const struct core_job *job, const struct fl_name *target)
+{
+  return (enum core_permit) (uintptr_t)g_hash_table_lookup (job->permits, target);
+}
+
+static void
+set_permit (struct core_job *job, const struct fl_name *target, enum core_permit permit)
+{
+  g_hash_table_replace (job->permits, g_memdup2 (target, sizeof *target),
+                        (void *)(uintptr_t)permit);
+}
+
+bool
+core_job_permits (const struct core_job *job, const struct fl_name *target)
+{
+  return permit_of (job, target) == CORE_PERMIT_RECORDED;
+}
+
+void
+core_job_want (struct core_job *job, const struct fl_name *target)
+{
+  if (permit_of (job, target) != CORE_PERMIT_NONE)
+    return;
+  set_permit (job, target, CORE_PERMIT_WANTED);
+  core_job_touch (job);
+}
+
+void
+core_job_permitted (struct core_job *job, const struct fl_name *target)
+{
+  set_permit (job, target, CORE_PERMIT_RECORDED);
+}
+
+static void
+change_permits (struct core_job *job, enum core_permit from, enum core_permit to)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, job->permits);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if ((enum core_permit) (uintptr_t)value == from)
+      g_hash_table_iter_replace (&iter, (void *)(uintptr_t)to);
+}
+
+void
+core_job_permits_taken (struct core_job *job)
+{
+  change_permits (job, CORE_PERMIT_WANTED, CORE_PERMIT_RECORDING);
+}
+
+void
+core_job_permits_done (struct core_job *job, bool stored)
+{
+  change_permits (job, CORE_PERMIT_RECORDING, stored ? CORE_PERMIT_RECORDED : CORE_PERMIT_WANTED);
+}
+
+bool
+core_job_is_unsettled (const struct core_job *job)
+{
+  const struct fl_core *core = job->core;
+  GHashTableIter iter;
+  void *key;
+
+  if (core->now_ms >= core->options.settled_at_ms || job->version > core->options.taken_version)
+    return false;
+  g_hash_table_iter_init (&iter, job->permits);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct core_target *target = core_find_target (core, key);
+      if (target != NULL && target->inherited && !target->reported)
+        return true;
+    }
+  return false;
+}
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -11,6 +11,8 @@
 /* Waits shorter than this are not logged at level info: advice for a quick step takes some 30 ms.
  */
 #define WAIT_LOGGED_MS 100
+/* Targets recorded at once for a step whose queue needs no advice. */
+#define TARGETS_WANTED_MAX 16
 /* Position of the rack among the labels of a target: its kind comes first. */
 #define RACK_LABEL 1
 
@@ -162,12 +164,34 @@
   return value;
 }
 
-/* @rack limits the choice to one rack unless it is NULL. */
+/* Asks for the targets that @step may use now to be recorded; what advice permits is asked for with
+ * the answer. */
+static void
+want_targets (struct core_step *step)
+{
+  int64_t left = TARGETS_WANTED_MAX;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, step->job->core->targets);
+  while (left > 0 && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_target *target = value;
+      if (core_target_fits (target, step, false) == 0 || core_advice_ticket (step, target) == NULL)
+        continue;
+      core_job_want (step->job, &target->entry.id);
+      left--;
+    }
+}
+
+/* The best target that the job's tasks may be started on; when there is none, the best of all is
+ * asked to be recorded. @rack limits the choice to one rack unless it is NULL. */
 static struct core_target *
 choose_target (const struct core_task *task, const struct fl_name *rack)
 {
-  const struct core_step *step = task->step;
+  struct core_step *step = task->step;
   struct core_target *best = NULL;
+  bool best_is_permitted = false;
   int64_t best_score = 0;
   GHashTableIter iter;
   void *value;
@@ -180,13 +204,18 @@
           || core_advice_ticket (step, target) == NULL)
         continue;
       int64_t target_score = score (target, task);
-      if (best == NULL || target_score > best_score)
+      bool is_permitted = core_job_permits (step->job, &target->entry.id);
+      if (best == NULL || is_permitted > best_is_permitted
+          || (is_permitted == best_is_permitted && target_score > best_score))
         {
           best = target;
+          best_is_permitted = is_permitted;
           best_score = target_score;
         }
     }
-  return best;
+  if (best != NULL && !best_is_permitted)
+    want_targets (step);
+  return best_is_permitted ? best : NULL;
 }
 
 static int64_t
@@ -400,7 +429,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct core_job *job = value;
-      bool blocked = unsettled && job->version <= core->options.taken_version;
+      bool blocked = unsettled && core_job_is_unsettled (job);
       if (fl_job_state_is_final (job->state))
         continue;
       bool late = core_job_is_late (job);
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -9,6 +9,7 @@
 #define AMOUNT_MAX INT64_C (1000000000)
 #define REPEAT_MAX 1000
 #define RECORDED_TASKS_MAX 20000
+#define RECORDED_TARGETS_MAX 10000
 
 #define FIELD(owner_, member_, type_, required_, min_, max_, fallback_)                            \
   {                                                                                                \
@@ -74,9 +75,15 @@
 static const char *const state_names[]
     = { "queued", "running", "completed", "failed", "cancelled", NULL };
 
+static const struct fl_field target_fields[] = {
+  FIELD (fl_job_target, id, FL_NAME, true, 1, FL_NAME_MAX, 0),
+};
+static FL_SCHEMA (target_schema, fl_job_target, target_fields);
+
 static const struct fl_field progress_fields[] = {
   { "state", FL_ENUM, offsetof (struct fl_job_progress, state), true, 0, 0, 0, NULL, state_names },
   LIST (fl_job_progress, tasks, 0, RECORDED_TASKS_MAX, &task_schema),
+  LIST (fl_job_progress, targets, 0, RECORDED_TARGETS_MAX, &target_schema),
 };
 FL_SCHEMA (fl_job_progress_schema, fl_job_progress, progress_fields);
 
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -78,10 +78,17 @@
   struct fl_str checkpoint;
 };
 
+/* A target that tasks of a job may have been started on. */
+struct fl_job_target
+{
+  struct fl_name id;
+};
+
 struct fl_job_progress
 {
-  int state;             /* enum fl_job_state */
-  struct fl_array tasks; /* of struct fl_task_progress */
+  int state;               /* enum fl_job_state */
+  struct fl_array tasks;   /* of struct fl_task_progress */
+  struct fl_array targets; /* of struct fl_job_target; nothing was started elsewhere */
 };
 
 extern const struct fl_schema fl_job_row_schema;
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -126,11 +126,29 @@
   g_free (bench);
 }
 
+/* Stores what there is to record. @return how many records. */
+static size_t
+store_records (struct bench *bench)
+{
+  struct fl_core_record records[16];
+  size_t count = fl_core_take_records (bench->core, records, G_N_ELEMENTS (records));
+
+  for (size_t i = 0; i < count; i++)
+    fl_str_clear (&records[i].progress);
+  if (count > 0)
+    fl_core_records_done (bench->core, true);
+  return count;
+}
+
+/* Lets time pass and decides, until nothing is left to record: targets are used only once they are
+ * recorded for a job. */
 static void
 tick (struct bench *bench, int64_t pass_ms)
 {
   bench->now_ms += pass_ms;
-  fl_core_tick (bench->core, bench->now_ms, bench->now_ms);
+  do
+    fl_core_tick (bench->core, bench->now_ms, bench->now_ms);
+  while (store_records (bench) > 0);
 }
 
 static void
@@ -676,10 +694,28 @@
   bench_free (bench);
 }
 
+/* No start before a successor can know of it. */
+static void
+test_start_is_permitted_first (void **state)
+{
+  struct bench *bench = bench_new (0);
+
+  (void)state;
+  add_target (bench, "t1", 4, false);
+  add_job (bench, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  fl_core_tick (bench->core, bench->now_ms, bench->now_ms);
+  assert_int_equal (bench->starts->len, 0);
+  assert_int_equal (store_records (bench), 1);
+  fl_core_tick (bench->core, bench->now_ms, bench->now_ms);
+  assert_int_equal (bench->starts->len, 1);
+  bench_free (bench);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_start_is_permitted_first),
     cmocka_unit_test (test_stalled_task),
     cmocka_unit_test (test_late_jobs_wait),
     cmocka_unit_test (test_room_is_kept),
