--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -217,6 +217,9 @@
 void core_run_order_start (struct core_run *run, const char *ticket);
 void core_run_stop (struct core_run *run);
 
+/* An order about @run. */
+struct fl_run_order core_run_order (const struct core_run *run);
+
 /* Ends all runs of @target at once: its boot is over. */
 void core_target_lose_runs (struct core_target *target, const char *reason);
 
--- a/lib/core/pace.c
+++ b/lib/core/pace.c
@@ -41,17 +41,11 @@
 set_pace (struct core_run *run, int64_t percent)
 {
   struct fl_core *core = run->task->step->job->core;
-  struct fl_run_order order = {
-    .target = run->target->entry.id,
-    .address = run->target->entry.address,
-    .task = core_task_name (run->task),
-    .run = run->run,
-    .fencing_token = core->options.fencing_token,
-    .percent = percent,
-  };
+  struct fl_run_order order = core_run_order (run);
 
   if (run->pace_percent == percent)
     return;
+  order.percent = percent;
   run->pace_percent = percent;
   fl_stats_add (core->options.stats, "paces_total", 1);
   core->options.actions.pace (core->options.context, &order);
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -111,17 +111,23 @@
   core->options.actions.start (core->options.context, &order);
 }
 
-static void
-send_stop (struct core_run *run)
+struct fl_run_order
+core_run_order (const struct core_run *run)
 {
-  struct fl_core *core = run->task->step->job->core;
-  struct fl_run_order order = {
+  return (struct fl_run_order){
     .target = run->target->entry.id,
     .address = run->target->entry.address,
     .task = core_task_name (run->task),
     .run = run->run,
-    .fencing_token = core->options.fencing_token,
+    .fencing_token = run->task->step->job->core->options.fencing_token,
   };
+}
+
+static void
+send_stop (struct core_run *run)
+{
+  struct fl_core *core = run->task->step->job->core;
+  struct fl_run_order order = core_run_order (run);
 
   run->order_open = true;
   run->order_at_ms = core->now_ms;
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -25,52 +25,8 @@
 bool
 front_is_current (const struct fl_frontd *frontd)
 {
-  return frontd->configuration != NULL
-         && fl_clock_boot_ms () - frontd->confirmed_ms <= CONFIRMED_WITHIN_MS;
-}
-
-/* --- configuration --- */
-
-static void
-on_configuration_row (void *context, const struct fl_store_row *row)
-{
-  struct fl_frontd *frontd = context;
-  struct fl_configuration *configuration;
-  struct fl_error error = { 0 };
-
-  if (row->removed || strcmp (row->key.data, FL_PLATFORM_CONFIGURATION_KEY) != 0)
-    return;
-  configuration = fl_platform_decode_configuration (&row->value, &error);
-  if (configuration == NULL)
-    {
-      fl_log_error (&frontd->host->log, FL_LOG_ERR, "configuration_unreadable", &error);
-      return;
-    }
-  if (frontd->configuration != NULL
-      && fl_configuration_version (configuration)
-             < fl_configuration_version (frontd->configuration))
-    {
-      fl_configuration_unref (configuration);
-      return;
-    }
-  fl_configuration_unref (frontd->configuration);
-  frontd->configuration = configuration;
-  fl_log (&frontd->host->log, FL_LOG_NOTICE, "configuration_in_force",
-          FL_I ("version", fl_configuration_version (configuration)));
-}
-
-static void
-on_confirmed (void *context, int64_t sent_ms)
-{
-  struct fl_frontd *frontd = context;
-
-  frontd->confirmed_ms = sent_ms;
-}
-
-static void
-ignore (void *context)
-{
-  (void)context;
+  return frontd->watch.configuration != NULL
+         && fl_clock_boot_ms () - frontd->watch.confirmed_ms <= CONFIRMED_WITHIN_MS;
 }
 
 /* --- requests --- */
@@ -115,7 +71,7 @@
                  struct fl_name *team)
 {
   struct fl_name key = fl_platform_decode_key (fl_http_header (request, "Authorization"));
-  const struct fl_name *holder = fl_configuration_team_of_key (frontd->configuration, &key);
+  const struct fl_name *holder = fl_configuration_team_of_key (frontd->watch.configuration, &key);
 
   *team = holder != NULL ? *holder : fl_name_of ("");
   return queue->is_public || holder != NULL;
@@ -173,7 +129,7 @@
       front_respond (frontd, request, 503);
       return;
     }
-  queue = fl_configuration_route (frontd->configuration, host != NULL ? host : "", path);
+  queue = fl_configuration_route (frontd->watch.configuration, host != NULL ? host : "", path);
   rest = queue != NULL ? path + queue->prefix.len : "";
   if (queue == NULL)
     front_respond (frontd, request, 404);
@@ -251,13 +207,14 @@
 dump (void *context, GString *out)
 {
   const struct fl_frontd *frontd = context;
-  int64_t version
-      = frontd->configuration != NULL ? fl_configuration_version (frontd->configuration) : 0;
+  int64_t version = frontd->watch.configuration != NULL
+                        ? fl_configuration_version (frontd->watch.configuration)
+                        : 0;
 
   g_string_append_printf (out,
                           "{\"configuration\":%" G_GINT64_FORMAT ",\"confirmed_ms_ago\":"
                           "%" G_GINT64_FORMAT ",\"open_requests\":%d}\n",
-                          version, fl_clock_boot_ms () - frontd->confirmed_ms,
+                          version, fl_clock_boot_ms () - frontd->watch.confirmed_ms,
                           fl_http_server_open_requests (frontd->front));
 }
 
@@ -283,24 +240,13 @@
 {
   struct fl_frontd frontd = { .host = host };
   struct fl_error error = { 0 };
-  struct fl_follower_options follower = {
-    .loop = host->loop,
-    .store = host->store,
-    .table = FL_PLATFORM_OPERATOR_TABLE,
-    .parts = fl_common_parts,
-    .on_row = on_configuration_row,
-    .on_read_begin = ignore,
-    .on_read_end = ignore,
-    .on_confirmed = on_confirmed,
-    .context = &frontd,
-  };
   int code = FL_PROGRAM_OK;
 
   ev_timer_init (&frontd.stop, on_stop_time, 0.0, 0.0);
   if (open_listeners (&frontd, &error))
     {
       fl_stop_signals_start (&frontd.signals, host->loop, on_stop, &frontd);
-      frontd.configuration_follower = fl_follower_new (&follower);
+      fl_configuration_watch_start (&frontd.watch, host, NULL, NULL);
       ev_run (host->loop, 0);
     }
   else
@@ -308,10 +254,9 @@
       fl_log_error (&host->log, FL_LOG_ERR, "start_failed", &error);
       code = FL_PROGRAM_FAILED;
     }
-  fl_follower_free (frontd.configuration_follower);
+  fl_configuration_watch_stop (&frontd.watch);
   fl_http_server_free (frontd.front);
   fl_http_server_free (frontd.ready);
   fl_http_server_free (frontd.own);
-  fl_configuration_unref (frontd.configuration);
   return code;
 }
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "frontd/frontd.h"
-#include "store/follower.h"
+#include "host/configuration_watch.h"
 #include "store/tables.h"
 
 /* A client comes back after this when nothing better is known: about the time that the platform's
@@ -15,9 +15,7 @@
   struct fl_http_server *front;
   struct fl_http_server *ready;
   struct fl_http_server *own; /* NULL when the settings name no address */
-  struct fl_follower *configuration_follower;
-  struct fl_configuration *configuration; /* NULL until the first */
-  int64_t confirmed_ms;                   /* the configuration in force is the newest as of then */
+  struct fl_configuration_watch watch;
   struct fl_stop_signals signals;
   ev_timer stop;
   bool stopping;
--- a/lib/frontd/own.c
+++ b/lib/frontd/own.c
@@ -91,7 +91,7 @@
                                                           : fl_http_query (request, "queue");
   struct fl_name name = fl_name_of (text != NULL ? text : "");
 
-  return fl_configuration_queue (frontd->configuration, &name);
+  return fl_configuration_queue (frontd->watch.configuration, &name);
 }
 
 /* The id of a job behind @prefix; empty when the path is another. */
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -54,64 +54,13 @@
 /* --- configuration --- */
 
 static void
-on_configuration_row (void *context, const struct fl_store_row *row)
+on_configuration (void *context)
 {
   struct fl_poold *poold = context;
-  struct fl_configuration *configuration;
-  struct fl_error error = { 0 };
 
-  if (row->removed || strcmp (row->key.data, FL_PLATFORM_CONFIGURATION_KEY) != 0)
-    return;
-  configuration = fl_platform_decode_configuration (&row->value, &error);
-  if (configuration == NULL)
-    {
-      fl_log_error (&poold->host->log, FL_LOG_ERR, "configuration_unreadable", &error);
-      return;
-    }
-  if (poold->configuration != NULL
-      && fl_configuration_version (configuration) < fl_configuration_version (poold->configuration))
-    {
-      fl_configuration_unref (configuration);
-      return;
-    }
-  fl_configuration_unref (poold->configuration);
-  poold->configuration = configuration;
   poold->changed = true;
-  fl_log (&poold->host->log, FL_LOG_NOTICE, "configuration_in_force",
-          FL_I ("version", fl_configuration_version (configuration)));
   if (poold->term != NULL)
-    fl_core_configure (poold->term->core, configuration);
-}
-
-static void
-ignore (void *context)
-{
-  (void)context;
-}
-
-static void
-ignore_confirmed (void *context, int64_t sent_ms)
-{
-  (void)context;
-  (void)sent_ms;
-}
-
-static struct fl_follower *
-follow_configuration (struct fl_poold *poold)
-{
-  struct fl_follower_options options = {
-    .loop = poold->host->loop,
-    .store = poold->host->store,
-    .table = FL_PLATFORM_OPERATOR_TABLE,
-    .parts = fl_common_parts,
-    .on_row = on_configuration_row,
-    .on_read_begin = ignore,
-    .on_read_end = ignore,
-    .on_confirmed = ignore_confirmed,
-    .context = poold,
-  };
-
-  return fl_follower_new (&options);
+    fl_core_configure (poold->term->core, poold->watch.configuration);
 }
 
 /* --- this host --- */
@@ -271,13 +220,12 @@
       return FL_PROGRAM_FAILED;
     }
   start_watchers (&poold);
-  poold.configuration_follower = follow_configuration (&poold);
+  fl_configuration_watch_start (&poold.watch, host, on_configuration, &poold);
   poold.ownership = fl_ownership_new (&ownership);
   ev_run (host->loop, 0);
-  fl_follower_free (poold.configuration_follower);
+  fl_configuration_watch_stop (&poold.watch);
   fl_ownership_free (poold.ownership);
   fl_advisors_free (poold.advisors);
-  fl_configuration_unref (poold.configuration);
   fl_platform_targets_free (poold.targets);
   return FL_PROGRAM_OK;
 }
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "host/configuration_watch.h"
 #include "poold/advisors.h"
 #include "poold/ownership.h"
 #include "poold/poold.h"
@@ -44,8 +45,7 @@
   const struct fl_target_calls *calls;
   struct fl_ownership *ownership;
   struct fl_advisors *advisors;
-  struct fl_follower *configuration_follower;
-  struct fl_configuration *configuration;
+  struct fl_configuration_watch watch;
   struct fl_term *term; /* NULL while another host owns the pool */
   struct fl_stop_signals signals;
   ev_timer tick;
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -75,19 +75,6 @@
     fl_log_error (&term->poold->host->log, FL_LOG_ERR, "job_unreadable", &error);
 }
 
-static void
-ignore (void *context)
-{
-  (void)context;
-}
-
-static void
-ignore_confirmed (void *context, int64_t sent_ms)
-{
-  (void)context;
-  (void)sent_ms;
-}
-
 static void
 on_jobs_read (void *context)
 {
@@ -181,7 +168,6 @@
     .on_row = on_row,
     .on_read_begin = on_read_begin,
     .on_read_end = on_read_end,
-    .on_confirmed = ignore_confirmed,
     .context = term,
   };
 
@@ -272,13 +258,13 @@
       = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "targets");
   term->pending_lane
       = fl_store_lane_new (poold->host->store, FL_OWNER_TABLE, FL_PART_OWNER, "pending");
-  if (poold->configuration != NULL)
-    fl_core_configure (term->core, poold->configuration);
+  if (poold->watch.configuration != NULL)
+    fl_core_configure (term->core, poold->watch.configuration);
   term->progress
-      = follow (term, FL_TABLE_PROGRESS, fl_owner_parts, on_progress_row, ignore, on_progress_read);
+      = follow (term, FL_TABLE_PROGRESS, fl_owner_parts, on_progress_row, NULL, on_progress_read);
   term->registry = follow (term, FL_PLATFORM_REGISTRY_TABLE, fl_common_parts, on_registry_row,
                            on_registry_read_begin, on_registry_read_end);
-  term->hosts = follow (term, FL_TABLE_HOSTS, fl_common_parts, on_host_row, ignore, ignore);
+  term->hosts = follow (term, FL_TABLE_HOSTS, fl_common_parts, on_host_row, NULL, NULL);
   return term;
 }
 
@@ -318,7 +304,7 @@
     {
       fl_follower_free (term->progress);
       term->progress = NULL;
-      term->jobs = follow (term, FL_TABLE_JOBS, fl_job_parts, on_job_row, ignore, on_jobs_read);
+      term->jobs = follow (term, FL_TABLE_JOBS, fl_job_parts, on_job_row, NULL, on_jobs_read);
     }
   if (!term->targets_read && !term->targets_reading
       && fl_clock_boot_ms () - term->targets_read_at_ms >= READ_PAUSE_MS)
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -60,7 +60,8 @@
   follower->version = 0;
   follower->part = 0;
   follower->from = fl_name_of ("");
-  follower->options.on_read_begin (follower->options.context);
+  if (follower->options.on_read_begin != NULL)
+    follower->options.on_read_begin (follower->options.context);
 }
 
 static void
@@ -98,7 +99,8 @@
       return;
     }
   follower->reading = false;
-  follower->options.on_read_end (follower->options.context);
+  if (follower->options.on_read_end != NULL)
+    follower->options.on_read_end (follower->options.context);
 }
 
 static void
@@ -126,7 +128,7 @@
       follower->version = MAX (follower->version, reply->version);
     }
   follower->delay_ms = RETRY_MIN_MS;
-  if (!follower->reading)
+  if (!follower->reading && follower->options.on_confirmed != NULL)
     follower->options.on_confirmed (follower->options.context, follower->sent_ms);
   send_next (follower);
 }
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -17,7 +17,8 @@
   const char *const *parts; /* partitions to read, ended by NULL; the feed brings all */
   /* A row as read or changed; removed rows come from the feed only. */
   void (*on_row) (void *context, const struct fl_store_row *row);
-  /* A whole read begins; rows known before that do not come again until on_read_end are gone. */
+  /* A whole read begins; rows known before that do not come again until on_read_end are gone. These
+   * and on_confirmed may be NULL. */
   void (*on_read_begin) (void *context);
   void (*on_read_end) (void *context);
   /* The rows delivered are those of the store at some time after @sent_ms (boot time clock). */
