--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -314,12 +314,16 @@
 static void
 answer_feeds (struct platform *platform, const char *table)
 {
-  for (guint i = platform->waiting->len; i > 0; i--)
+  g_autoptr (GPtrArray) due = g_ptr_array_new ();
+
+  for (guint i = 0; i < platform->waiting->len; i++)
     {
-      struct deferred *deferred = g_ptr_array_index (platform->waiting, i - 1);
+      struct deferred *deferred = g_ptr_array_index (platform->waiting, i);
       if (strcmp (query (deferred->request, "table"), table) == 0)
-        finish_feed (deferred);
+        g_ptr_array_add (due, deferred);
     }
+  for (guint i = 0; i < due->len; i++)
+    finish_feed (g_ptr_array_index (due, i));
 }
 
 /* --- deferred work --- */
