SIGHUP reads the settings again instead of ending the process

The log level changes at once; settings that are not good change nothing. e2e settings_read_again failed before.

--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -100,6 +100,31 @@
   ev_signal_start (loop, &signals->interrupt);
 }
 
+/* --- reload --- */
+
+/* Takes over what may change while the process runs: the log level. Addresses and bounds take
+ * effect at the next start, and settings that are not good change nothing. */
+static void
+on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  struct fl_host *host = watcher->data;
+  struct fl_host_settings settings;
+  struct fl_problems problems = { 0 };
+
+  (void)loop;
+  (void)events;
+  if (fl_host_settings_load (host->settings_path, &settings, &problems))
+    {
+      host->log.level = fl_host_settings_log_level (&settings);
+      fl_log (&host->log, FL_LOG_NOTICE, "reloaded", FL_I ("log_level", host->log.level));
+    }
+  else
+    fl_log (&host->log, FL_LOG_ERR, "reload_refused",
+            FL_S ("problems", fl_str_text (&problems.text)));
+  fl_host_settings_clear (&settings);
+  fl_problems_clear (&problems);
+}
+
 /* --- main --- */
 
 static void
@@ -113,6 +138,9 @@
   host->client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX);
   host->platform_store = fl_platform_store_new (host->client, host->settings.store.data);
   host->store = fl_platform_store_interface (host->platform_store);
+  ev_signal_init (&host->reload, on_reload, SIGHUP);
+  host->reload.data = host;
+  ev_signal_start (host->loop, &host->reload);
 }
 
 static void
@@ -127,7 +155,7 @@
 static int
 run (const struct fl_program *program, const char *path, bool check_only)
 {
-  struct fl_host host = { 0 };
+  struct fl_host host = { .settings_path = path };
   struct fl_problems problems = { 0 };
   int code = FL_PROGRAM_OK;
 
@@ -172,7 +200,7 @@
       arg_print_glossary (stdout, table, "  %-28s %s\n");
       puts ("");
       fl_host_settings_describe ();
-      puts ("\nSignals: SIGTERM and SIGINT stop gracefully.\n"
+      puts ("\nSignals: SIGTERM and SIGINT stop gracefully; SIGHUP reads the settings again.\n"
             "Exit codes: 0 stopped as asked, 1 failed, 2 bad arguments or settings.");
       code = FL_PROGRAM_OK;
     }
--- a/lib/host/host.h
+++ b/lib/host/host.h
@@ -12,10 +12,12 @@
 
 struct fl_host
 {
+  const char *settings_path;
   struct fl_host_settings settings;
   struct ev_loop *loop;
   struct fl_log log;
   int64_t lines_dropped;
+  ev_signal reload; /* SIGHUP */
   struct fl_stats *stats;
   struct fl_http_client *client;
   struct fl_platform_store *platform_store;
--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -121,9 +121,20 @@
     cell.configure()
 
 
+def settings_read_again(cell):
+    for _ in range(3):
+        time.sleep(1)
+        for host in cell.hosts:
+            for process in host.processes.values():
+                process.send(signal.SIGHUP)
+    for host in cell.hosts:
+        for process in host.processes.values():
+            assert process.child.poll() is None, process.name + " ended on SIGHUP"
+
+
 SCENARIOS = [no_fault, kill_owner, pause_owner, kill_all, rolling_stop, store_down, store_silent,
              store_loses_answers, targets_crash, targets_cut, targets_drain,
-             kill_owner_while_target_is_cut, key_withdrawn]
+             kill_owner_while_target_is_cut, key_withdrawn, settings_read_again]
 
 
 def play(scenario):
