Starts of new jobs do not wait for a slow store

Jobs without any record start at once while records take over 100 ms, and the next record of others permits all targets.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -404,6 +404,9 @@
 
   job->state = (enum fl_job_state)progress->state;
   job->begun = job->state != FL_JOB_QUEUED;
+  job->anywhere = progress->anywhere;
+  job->anywhere_recorded = progress->anywhere;
+  job->taken = true;
   for (size_t i = 0; i < progress->targets.count; i++)
     core_job_permitted (job, &targets[i].id);
   for (size_t i = 0; i < progress->tasks.count; i++)
@@ -464,6 +467,7 @@
   job->steps = g_new0 (struct core_step, job->step_count);
   for (size_t i = 0; i < job->step_count; i++)
     step_init (&job->steps[i], job, (int64_t)(i / steps), (int64_t)(i % steps));
+  job->unrecorded = progress == NULL;
   if (progress != NULL)
     apply_progress (job, progress);
   for (size_t i = 0; i < job->step_count; i++)
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -136,7 +136,7 @@
 size_t fl_core_take_records (struct fl_core *core, struct fl_core_record *records, size_t max);
 
 /* The records taken last are stored, or (@stored false) have to be taken again. */
-void fl_core_records_done (struct fl_core *core, bool stored);
+void fl_core_records_done (struct fl_core *core, bool stored, int64_t now_ms);
 
 /* Whether targets have come or gone since the last list of targets was recorded; the list follows
  * as alternating ids and addresses (struct fl_name). One that is gone would make a successor wait
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -162,6 +162,11 @@
   int64_t open_steps;
   int64_t run_count;   /* runs that may be in effect */
   GHashTable *permits; /* target id -> enum core_permit */
+  bool taken;          /* a record of it was taken, stored or not */
+  bool unrecorded;     /* no record of it stood when this owner took over */
+  bool anywhere;       /* its records are to tell that tasks may be on any target */
+  bool anywhere_taken;
+  bool anywhere_recorded;
   bool begun;
   bool dirty;     /* its progress is not recorded */
   bool recording; /* its progress is being recorded */
@@ -179,10 +184,12 @@
   int64_t now_ms;
   int64_t peaks_at_ms; /* when the peaks of the teams last decayed */
   int64_t wall_ms;
-  int64_t first_run;       /* lowest run number of this owner */
-  bool targets_dropped;    /* the recorded list names targets that are gone */
-  bool records_open;       /* records taken and not done */
-  bool records_cover_ends; /* the records taken cover all ends applied before */
+  int64_t first_run;        /* lowest run number of this owner */
+  bool targets_dropped;     /* the recorded list names targets that are gone */
+  bool records_open;        /* records taken and not done */
+  int64_t records_taken_ms; /* when the last were taken */
+  int64_t record_ms;        /* how long the last took */
+  bool records_cover_ends;  /* the records taken cover all ends applied before */
 };
 
 /* --- core.c --- */
@@ -231,9 +238,12 @@
 
 /* --- permit.c --- */
 
-/* Whether tasks of @job may be started on @target. */
+/* Whether tasks of @job may be started on @target: it is recorded, or recording takes too long. */
 bool core_job_permits (const struct core_job *job, const struct fl_name *target);
 
+/* A task of @job is started on @target, which core_job_permits. */
+void core_job_note_start (struct core_job *job, const struct fl_name *target);
+
 /* Asks for @target to be recorded for @job, unless it is. */
 void core_job_want (struct core_job *job, const struct fl_name *target);
 
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -384,6 +384,7 @@
     {
       progress.tasks = (struct fl_array){ rows->len, rows->data };
       progress.targets = (struct fl_array){ targets->len, targets->data };
+      progress.anywhere = job->anywhere;
     }
   struct fl_str text = fl_record_encode (&fl_job_progress_schema, &progress);
   g_array_unref (rows);
@@ -444,6 +445,7 @@
   if (core->records_cover_ends)
     mark_ends (core, false);
   core->records_open = count > 0;
+  core->records_taken_ms = core->now_ms;
   if (count == 0)
     mark_ends (core, true);
   return count;
@@ -470,12 +472,14 @@
 }
 
 void
-fl_core_records_done (struct fl_core *core, bool stored)
+fl_core_records_done (struct fl_core *core, bool stored, int64_t now_ms)
 {
   GHashTableIter iter;
   void *value;
 
   core->records_open = false;
+  core->now_ms = now_ms;
+  core->record_ms = now_ms - core->records_taken_ms;
   g_hash_table_iter_init (&iter, core->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/lib/core/permit.c
+++ b/lib/core/permit.c
@@ -2,9 +2,14 @@
  *
  * A start is ordered only after the store tells that the job may have tasks on its target. A
  * successor that hears nothing from a target then holds back just the jobs that may have tasks
- * there. */
+ * there. While the store takes long, starts do not wait for it: such jobs, and those without any
+ * record, may have tasks anywhere. */
 #include "core/core_internal.h"
 
+/* A record that takes longer than this is not waited for: urgent work has some hundred milliseconds
+ * to spare, and a record takes some ten. */
+#define RECORD_SLOW_MS 100
+
 static enum core_permit
 permit_of (const struct core_job *job, const struct fl_name *target)
 {
@@ -18,15 +23,37 @@
                         (void *)(uintptr_t)permit);
 }
 
+static bool
+recording_is_slow (const struct fl_core *core)
+{
+  return core->record_ms > RECORD_SLOW_MS
+         || (core->records_open && core->now_ms - core->records_taken_ms > RECORD_SLOW_MS);
+}
+
 bool
 core_job_permits (const struct core_job *job, const struct fl_name *target)
 {
-  return permit_of (job, target) == CORE_PERMIT_RECORDED;
+  return job->anywhere_recorded || permit_of (job, target) == CORE_PERMIT_RECORDED
+         || (!job->taken && recording_is_slow (job->core));
+}
+
+void
+core_job_note_start (struct core_job *job, const struct fl_name *target)
+{
+  if (job->anywhere || permit_of (job, target) == CORE_PERMIT_RECORDED)
+    return;
+  job->anywhere = true;
+  core_job_touch (job);
 }
 
 void
 core_job_want (struct core_job *job, const struct fl_name *target)
 {
+  if (recording_is_slow (job->core) && !job->anywhere)
+    {
+      job->anywhere = true;
+      core_job_touch (job);
+    }
   if (permit_of (job, target) != CORE_PERMIT_NONE)
     return;
   set_permit (job, target, CORE_PERMIT_WANTED);
@@ -54,12 +81,15 @@
 void
 core_job_permits_taken (struct core_job *job)
 {
+  job->taken = true;
+  job->anywhere_taken = job->anywhere;
   change_permits (job, CORE_PERMIT_WANTED, CORE_PERMIT_RECORDING);
 }
 
 void
 core_job_permits_done (struct core_job *job, bool stored)
 {
+  job->anywhere_recorded = job->anywhere_recorded || (stored && job->anywhere_taken);
   change_permits (job, CORE_PERMIT_RECORDING, stored ? CORE_PERMIT_RECORDED : CORE_PERMIT_WANTED);
 }
 
@@ -72,6 +102,8 @@
 
   if (core->now_ms >= core->options.settled_at_ms || job->version > core->options.taken_version)
     return false;
+  if (job->anywhere || job->unrecorded)
+    return core_is_unsettled (core);
   g_hash_table_iter_init (&iter, job->permits);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -90,6 +90,7 @@
     .ticket = ticket,
   };
 
+  core_job_note_start (job, &target->entry.id);
   run->state = CORE_RUN_ORDERED;
   run->task->last_run = MAX (run->task->last_run, run->run);
   run->order_open = true;
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -84,6 +84,7 @@
   { "state", FL_ENUM, offsetof (struct fl_job_progress, state), true, 0, 0, 0, NULL, state_names },
   LIST (fl_job_progress, tasks, 0, RECORDED_TASKS_MAX, &task_schema),
   LIST (fl_job_progress, targets, 0, RECORDED_TARGETS_MAX, &target_schema),
+  FIELD (fl_job_progress, anywhere, FL_BOOL, false, 0, 0, 0),
 };
 FL_SCHEMA (fl_job_progress_schema, fl_job_progress, progress_fields);
 
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -88,7 +88,8 @@
 {
   int state;               /* enum fl_job_state */
   struct fl_array tasks;   /* of struct fl_task_progress */
-  struct fl_array targets; /* of struct fl_job_target; nothing was started elsewhere */
+  struct fl_array targets; /* of struct fl_job_target; nothing was started elsewhere, but */
+  bool anywhere;           /* with this, tasks may have been started on any target */
 };
 
 extern const struct fl_schema fl_job_row_schema;
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -51,7 +51,7 @@
   term->poold->changed = true;
   note_failure (term, "progress", reply);
   if (!term->ended)
-    fl_core_records_done (term->core, reply->status == FL_STORE_OK);
+    fl_core_records_done (term->core, reply->status == FL_STORE_OK, fl_clock_boot_ms ());
   fl_term_unref (term);
 }
 
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -842,7 +842,7 @@
   else if (!owner->dead)
     {
       owner->records_open = false;
-      fl_core_records_done (owner->core, commit->stored);
+      fl_core_records_done (owner->core, commit->stored, cell->now_ms);
     }
   if (!owner->dead)
     owner_tick (owner);
@@ -862,7 +862,8 @@
     commit_apply (cell, commit);
   if (lost)
     commit->stored = false;
-  after (cell, commit->stored ? pick (cell, 1, 10) : 1000, on_commit_over, commit);
+  after (cell, commit->stored ? pick (cell, 1, cell->options.faults.store_slow_ms + 10) : 1000,
+         on_commit_over, commit);
 }
 
 static void
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -21,6 +21,7 @@
   int owner_frozen;  /* the owner stands still for some seconds and goes on */
   int owner_cut;     /* the owner loses the store */
   int store_lost;    /* a write is done and not answered, or done late */
+  int store_slow_ms; /* answers of the store take up to this much longer */
   int job_cancelled;
   int task_failed; /* per mille of runs */
 };
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -240,7 +240,7 @@
 {
   struct fl_task_progress tasks[]
       = { { 0, 1, 2, true, 1, 100001, { 0 } }, { 3, 0, 0, false, 0, 0, { 3, (char *)"abc" } } };
-  struct fl_job_progress progress = { FL_JOB_RUNNING, { 2, tasks }, { 0 } };
+  struct fl_job_progress progress = { FL_JOB_RUNNING, { 2, tasks }, { 0 }, false };
 
   return fl_record_encode (&fl_job_progress_schema, &progress);
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -136,7 +136,7 @@
   for (size_t i = 0; i < count; i++)
     fl_str_clear (&records[i].progress);
   if (count > 0)
-    fl_core_records_done (bench->core, true);
+    fl_core_records_done (bench->core, true, bench->now_ms);
   return count;
 }
 
@@ -511,7 +511,7 @@
       bench->now_ms += 310;
       if (fl_core_next_hold (bench->core, &target, bench->now_ms, &hold))
         assert_int_equal (hold.last_seen, 0);
-      fl_core_records_done (bench->core, attempt == 1);
+      fl_core_records_done (bench->core, attempt == 1, bench->now_ms);
     }
   list (bench, "t1", (struct fl_target_lists){ .born_ms = 1, .ends = &end, .end_count = 1 });
   assert_true (fl_core_next_hold (bench->core, &target, bench->now_ms, &hold));
@@ -711,10 +711,39 @@
   bench_free (bench);
 }
 
+/* The store takes long: jobs that it knows nothing of do not wait for it, and a successor presumes
+ * their tasks anywhere; of others it may know too little. */
+static void
+test_start_beside_slow_store (void **state)
+{
+  struct bench *bench = bench_new (0);
+  struct fl_core_record records[4];
+
+  (void)state;
+  add_target (bench, "t1", 4, false);
+  add_job (bench, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  fl_core_tick (bench->core, bench->now_ms, bench->now_ms);
+  assert_int_equal (fl_core_take_records (bench->core, records, 4), 1);
+  assert_null (strstr (records[0].progress.data, "\"anywhere\":true"));
+  fl_str_clear (&records[0].progress);
+  add_job (bench, "b", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  bench->now_ms += 101;
+  fl_core_tick (bench->core, bench->now_ms, bench->now_ms);
+  assert_int_equal (bench->starts->len, 1);
+  assert_true (g_str_has_prefix (start_at (bench, 0)->task.data, "b"));
+  fl_core_records_done (bench->core, true, bench->now_ms);
+  assert_int_equal (fl_core_take_records (bench->core, records, 4), 1);
+  assert_string_equal (records[0].job.data, "b");
+  assert_non_null (strstr (records[0].progress.data, "\"anywhere\":true"));
+  fl_str_clear (&records[0].progress);
+  bench_free (bench);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_start_beside_slow_store),
     cmocka_unit_test (test_start_is_permitted_first),
     cmocka_unit_test (test_stalled_task),
     cmocka_unit_test (test_late_jobs_wait),
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -36,6 +36,9 @@
   { "owner frozen", { .owner_frozen = 20 }, true },
   { "owner cut from the store", { .owner_cut = 20 }, true },
   { "store loses answers", { .store_lost = 300 }, true },
+  { "store slow, owner killed",
+    { .store_slow_ms = 400, .owner_killed = 20, .target_cut = 40 },
+    true },
   { "jobs cancelled", { .job_cancelled = 200 }, true },
   { "owner killed, jobs cancelled", { .owner_killed = 20, .job_cancelled = 300 }, true },
 };
@@ -50,6 +53,7 @@
                                                .owner_frozen = 6,
                                                .owner_cut = 6,
                                                .store_lost = 50,
+                                               .store_slow_ms = 150,
                                                .job_cancelled = 30,
                                                .task_failed = 40 };
 
@@ -68,6 +72,8 @@
   { 100, "the same" },
   { 137, "a failure was counted by two owners" },
   { 1249, "the same" },
+  { 8, "a start beside a slow store, beyond the targets that a record named" },
+  { 1191, "the same" },
 };
 
 /* Places for scripted faults in a cell of two targets and four jobs: orders, records and slots of
