--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 # flamingolane: see README.md. All output goes to build/.
 CC = gcc
 BUILD ?= build
-PKGS = libzmq libmicrohttpd libcurl jansson argtable2 libsodium libxxhash glib-2.0
+PKGS = libzmq libmicrohttpd libcurl jansson argtable2 libxxhash glib-2.0
 APT = libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev libargtable2-dev \
-      libcmocka-dev libsodium-dev libxxhash-dev libglib2.0-dev libmsgpack-dev pkg-config \
-      clang clang-format clang-tidy libclang-rt-14-dev gnuplot-nox python3-minimal
+      libcmocka-dev libxxhash-dev libglib2.0-dev libmsgpack-dev pkg-config \
+      clang clang-format clang-tidy python3
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith \
        -Wwrite-strings -Wvla -Wundef -Wformat=2
 HARDEN = -fstack-protector-strong -D_FORTIFY_SOURCE=2 -fPIE -fno-strict-aliasing
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -34,7 +34,11 @@
 step_clear (struct core_step *step)
 {
   for (int64_t i = 0; i < step->spec->count; i++)
-    fl_str_clear (&step->tasks[i].checkpoint);
+    {
+      fl_str_clear (&step->tasks[i].checkpoint);
+      if (step->tasks[i].failed_runs != NULL)
+        g_array_unref (step->tasks[i].failed_runs);
+    }
   g_free (step->tasks);
   g_hash_table_destroy (step->advice);
   if (step->asked != NULL)
@@ -396,6 +400,19 @@
     }
 }
 
+static void
+read_failed_runs (struct core_task *task, const struct fl_array *rows)
+{
+  const struct fl_failed_run *runs = rows->items;
+
+  if (rows->count == 0)
+    return;
+  task->failed_runs = g_array_new (FALSE, FALSE, sizeof (struct fl_failed_run));
+  g_array_append_vals (task->failed_runs, runs, (guint)rows->count);
+  for (size_t i = 0; i < rows->count; i++)
+    task->last_run = MAX (task->last_run, runs[i].run);
+}
+
 static void
 apply_progress (struct core_job *job, const struct fl_job_progress *progress)
 {
@@ -418,9 +435,7 @@
       if (rows[i].done && !task->done)
         step->open_count--;
       task->done = rows[i].done;
-      task->failures = rows[i].failures;
-      task->failed_run = rows[i].failed_run;
-      task->last_run = rows[i].failed_run;
+      read_failed_runs (task, &rows[i].failed_runs);
       fl_str_clear (&task->checkpoint);
       task->checkpoint = fl_str_dup (&rows[i].checkpoint);
     }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -92,8 +92,7 @@
   struct core_step *step;
   int64_t index;
   bool done;
-  int64_t failures;
-  int64_t failed_run; /* the last run whose failure is counted */
+  GArray *failed_runs; /* struct fl_failed_run, counted once each; NULL for none */
   int64_t last_run;
   struct core_run *run; /* NULL while it waits or is done */
   struct fl_str checkpoint;
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -65,8 +65,27 @@
     mark_done (&step->tasks[i]);
 }
 
-/* Counts the failure of a run once, though its end may be listed to several owners; a gang fails as
- * one. @return the failures of the task. */
+static int64_t
+failures_of (const struct core_task *task)
+{
+  return task->failed_runs != NULL ? task->failed_runs->len : 0;
+}
+
+static void
+count_failed_run (struct core_task *task, int64_t run)
+{
+  struct fl_failed_run row = { run };
+
+  if (task->failed_runs == NULL)
+    task->failed_runs = g_array_new (FALSE, FALSE, sizeof row);
+  for (guint i = 0; i < task->failed_runs->len; i++)
+    if (g_array_index (task->failed_runs, struct fl_failed_run, i).run == run)
+      return;
+  g_array_append_val (task->failed_runs, row);
+}
+
+/* Counts the failure of a run once, though its end may be listed to several owners, and after that
+ * of a later run; a gang fails as one. @return the failures of the task. */
 static int64_t
 count_failure (struct core_task *task, int64_t run)
 {
@@ -75,12 +94,8 @@
   int64_t last = step->spec->gang ? step->spec->count - 1 : task->index;
 
   for (int64_t i = first; i <= last; i++)
-    if (step->tasks[i].failed_run < run)
-      {
-        step->tasks[i].failed_run = run;
-        step->tasks[i].failures++;
-      }
-  return task->failures;
+    count_failed_run (&step->tasks[i], run);
+  return failures_of (task);
 }
 
 static void
@@ -352,7 +367,7 @@
 static bool
 has_progress (const struct core_task *task)
 {
-  return task->done || task->failures > 0 || task->checkpoint.len > 0;
+  return task->done || failures_of (task) > 0 || task->checkpoint.len > 0;
 }
 
 static struct fl_str
@@ -365,9 +380,13 @@
     for (int64_t j = 0; j < job->steps[i].spec->count; j++)
       {
         const struct core_task *task = &job->steps[i].tasks[j];
-        struct fl_task_progress row
-            = { job->steps[i].occurrence, job->steps[i].number, j,    task->done,
-                task->failures,           task->failed_run,     { 0 } };
+        struct fl_task_progress row = { .occurrence = job->steps[i].occurrence,
+                                        .step = job->steps[i].number,
+                                        .index = j,
+                                        .done = task->done };
+        if (!task->done && task->failed_runs != NULL)
+          row.failed_runs
+              = (struct fl_array){ task->failed_runs->len, task->failed_runs->data }; /* borrowed */
         if (!task->done)
           row.checkpoint = task->checkpoint; /* borrowed */
         if (has_progress (task))
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -9,6 +9,7 @@
 #define AMOUNT_MAX INT64_C (1000000000)
 #define REPEAT_MAX 1000
 #define RECORDED_TASKS_MAX 20000
+#define FAILED_RUNS_MAX 1000
 #define RECORDED_TARGETS_MAX 10000
 
 #define FIELD(owner_, member_, type_, required_, min_, max_, fallback_)                            \
@@ -61,13 +62,17 @@
 };
 FL_SCHEMA (fl_job_row_schema, fl_job_spec, spec_fields);
 
+static const struct fl_field failed_run_fields[] = {
+  FIELD (fl_failed_run, run, FL_INT, true, 0, INT64_MAX, 0),
+};
+static FL_SCHEMA (failed_run_schema, fl_failed_run, failed_run_fields);
+
 static const struct fl_field task_fields[] = {
   FIELD (fl_task_progress, occurrence, FL_INT, false, 0, REPEAT_MAX, 0),
   FIELD (fl_task_progress, step, FL_INT, false, 0, FL_STEPS_MAX, 0),
   FIELD (fl_task_progress, index, FL_INT, false, 0, FL_STEP_TASKS_MAX, 0),
   FIELD (fl_task_progress, done, FL_BOOL, false, 0, 0, 0),
-  FIELD (fl_task_progress, failures, FL_INT, false, 0, AMOUNT_MAX, 0),
-  FIELD (fl_task_progress, failed_run, FL_INT, false, 0, INT64_MAX, 0),
+  LIST (fl_task_progress, failed_runs, 0, FAILED_RUNS_MAX, &failed_run_schema),
   FIELD (fl_task_progress, checkpoint, FL_TEXT, false, 0, FL_SPEC_MAX, 0),
 };
 static FL_SCHEMA (task_schema, fl_task_progress, task_fields);
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -66,6 +66,13 @@
 /* Whether nothing of the job will ever run again. */
 bool fl_job_state_is_final (enum fl_job_state state);
 
+/* A run that ended as failed. Ends are listed to each owner until they are forgotten, in no order
+ * between targets, so that every counted run is kept. */
+struct fl_failed_run
+{
+  int64_t run;
+};
+
 /* What is recorded of one task that ended as done, failed or left a checkpoint. */
 struct fl_task_progress
 {
@@ -73,8 +80,7 @@
   int64_t step;
   int64_t index;
   bool done;
-  int64_t failures;
-  int64_t failed_run; /* the last run whose failure is counted: its end may be listed again */
+  struct fl_array failed_runs; /* of struct fl_failed_run */
   struct fl_str checkpoint;
 };
 
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -75,6 +75,7 @@
   bool done_noted; /* and that end was forgotten on the owner's word */
   int failures;
   int failures_noted;
+  bool over_budget; /* started after as many failures as it may have */
 };
 
 /* --- owners --- */
@@ -247,6 +248,8 @@
 
   if (end->cause == FL_END_FAILED)
     task->failures_noted++;
+  if (task->failures_noted >= ATTEMPTS && task->over_budget)
+    broken (target->cell, "BUDGET (failures noted later)", &end->task);
   if (end->cause != FL_END_DONE || end->stale)
     return;
   if (end->restarted)
@@ -370,6 +373,7 @@
   mark_restarted (cell, &order->task);
   if (!earlier_steps_done (cell, job, task->step))
     broken (cell, "ORDER", &order->task);
+  task->over_budget = task->over_budget || task->failures >= ATTEMPTS;
   if (task->failures_noted >= ATTEMPTS)
     broken (cell, "BUDGET", &order->task);
   const struct fl_team_terms *terms = fl_configuration_team (
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -238,8 +238,9 @@
 static struct fl_str
 some_record (void)
 {
-  struct fl_task_progress tasks[]
-      = { { 0, 1, 2, true, 1, 100001, { 0 } }, { 3, 0, 0, false, 0, 0, { 3, (char *)"abc" } } };
+  struct fl_failed_run failed[] = { { 1 }, { 100001 } };
+  struct fl_task_progress tasks[] = { { 0, 1, 2, true, { 2, failed }, { 0 } },
+                                      { 3, 0, 0, false, { 0 }, { 3, (char *)"abc" } } };
   struct fl_job_progress progress = { FL_JOB_RUNNING, { 2, tasks }, { 0 }, false };
 
   return fl_record_encode (&fl_job_progress_schema, &progress);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -583,6 +583,27 @@
   bench_free (bench);
 }
 
+/* A new owner hears of the second failure before the first: both count. */
+static void
+test_failures_in_any_order (void **state)
+{
+  struct bench *bench = bench_new (0);
+  struct fl_end_row ends[] = {
+    { .number = 1, .task = fl_name_of ("a.0.0.0"), .run = 2, .cause = FL_END_FAILED },
+    { .number = 1, .task = fl_name_of ("a.0.0.0"), .run = 1, .cause = FL_END_FAILED },
+  };
+
+  (void)state;
+  add_job (bench, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  add_target (bench, "t1", 4, false);
+  list (bench, "t1", (struct fl_target_lists){ .born_ms = 1, .ends = &ends[0], .end_count = 1 });
+  add_target (bench, "t2", 4, false);
+  list (bench, "t2", (struct fl_target_lists){ .born_ms = 1, .ends = &ends[1], .end_count = 1 });
+  tick (bench, 10);
+  assert_int_equal (bench->starts->len, 0);
+  bench_free (bench);
+}
+
 /* --- serving and leaving --- */
 
 /* Fillers slow down before the bound of a serving task and come back below a lower mark. */
@@ -745,6 +766,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_failures_in_any_order),
     cmocka_unit_test (test_start_beside_slow_store),
     cmocka_unit_test (test_start_is_permitted_first),
     cmocka_unit_test (test_stalled_task),
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -1,12 +1,13 @@
 /* Stateful fuzzing of lib/core in a small cell: see support_cell.h. Without arguments a table of
  * kinds of trouble, each with some seeds; with SEED COUNT [TASK], COUNT runs of everything
- * at once, printing what concerns TASK. */
+ * at once; with trouble NUMBER SEED TASK, one run of the table; printing what concerns TASK. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <cmocka.h>
 #include <glib.h>
@@ -36,6 +37,9 @@
   { "owner frozen", { .owner_frozen = 20 }, true },
   { "owner cut from the store", { .owner_cut = 20 }, true },
   { "store loses answers", { .store_lost = 300 }, true },
+  { "tasks fail, owner killed",
+    { .task_failed = 250, .owner_killed = 25, .store_lost = 200 },
+    true },
   { "store slow, owner killed",
     { .store_slow_ms = 400, .owner_killed = 20, .target_cut = 40 },
     true },
@@ -240,6 +244,15 @@
   return failed > 0 ? 1 : 0;
 }
 
+static int
+play_trouble (int index, uint64_t seed, const char *trace)
+{
+  struct cell_result result = play (seed, &troubles[index].faults, troubles[index].advice, trace);
+
+  printf ("%s, seed %d: %s\n", troubles[index].name, (int)seed, result.broken);
+  return result.broken[0] != '\0' ? 1 : 0;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -247,6 +260,8 @@
       = { cmocka_unit_test (test_troubles), cmocka_unit_test (test_everything),
           cmocka_unit_test (test_regressions), cmocka_unit_test (test_walk) };
 
+  if (argc == 5 && strcmp (argv[1], "trouble") == 0)
+    return play_trouble (atoi (argv[2]), strtoull (argv[3], NULL, 10), argv[4]);
   if (argc >= 3)
     return play_many (strtoull (argv[1], NULL, 10), atoi (argv[2]), argc > 3 ? argv[3] : NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
