Read once more: dead code out, one job for each piece of recording

Progress of jobs that are over was collected and thrown away. Marking of ends was one function with two meanings.

--- a/lib/common/str.c
+++ b/lib/common/str.c
@@ -47,14 +47,6 @@
   return a->len == b->len && memcmp (a->data, b->data, a->len) == 0;
 }
 
-int
-fl_name_compare (const struct fl_name *a, const struct fl_name *b)
-{
-  int order = memcmp (a->data, b->data, MIN (a->len, b->len));
-
-  return order != 0 ? order : (int)a->len - (int)b->len;
-}
-
 unsigned int
 fl_name_hash (const void *key)
 {
--- a/lib/common/str.h
+++ b/lib/common/str.h
@@ -39,9 +39,6 @@
 
 bool fl_name_eq (const struct fl_name *a, const struct fl_name *b);
 
-/* Orders names by bytes, shorter first on a common prefix. Returns <0, 0 or >0. */
-int fl_name_compare (const struct fl_name *a, const struct fl_name *b);
-
 /* Hash and equality with the signatures that GHashTable expects; keys are `struct fl_name *`. */
 unsigned int fl_name_hash (const void *key);
 int fl_name_equal (const void *a, const void *b);
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -71,7 +71,7 @@
                                const struct fl_name *id,
                                const struct fl_name *address);
 
-/* A job that the store shows as completed: nothing of it runs or will run. */
+/* A job that is over for good: nothing of it runs or will run, and only its id is kept. */
 void fl_core_job_completed (struct fl_core *core, const struct fl_name *id);
 
 /* A job as stored; @progress is NULL when nothing is recorded of it. Known jobs are ignored. Takes
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -253,6 +253,9 @@
 void core_job_permits_taken (struct core_job *job);
 void core_job_permits_done (struct core_job *job, bool stored);
 
+/* The targets that its tasks may be on, as rows of struct fl_job_target; unref when done. */
+GArray *core_job_permit_rows (const struct core_job *job);
+
 /* Whether a task of @job may run unseen on a target that has not reported. */
 bool core_job_is_unsettled (const struct core_job *job);
 
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -370,11 +370,11 @@
   return task->done || failures_of (task) > 0 || task->checkpoint.len > 0;
 }
 
-static struct fl_str
-encode_progress (const struct core_job *job)
+/* Rows of struct fl_task_progress; checkpoints and failed runs are borrowed from the tasks. */
+static GArray *
+collect_tasks (const struct core_job *job)
 {
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct fl_task_progress));
-  struct fl_job_progress progress = { .state = job->state };
 
   for (size_t i = 0; i < job->step_count; i++)
     for (int64_t j = 0; j < job->steps[i].spec->count; j++)
@@ -384,31 +384,34 @@
                                         .step = job->steps[i].number,
                                         .index = j,
                                         .done = task->done };
+        if (!has_progress (task))
+          continue;
         if (!task->done && task->failed_runs != NULL)
-          row.failed_runs
-              = (struct fl_array){ task->failed_runs->len, task->failed_runs->data }; /* borrowed */
+          row.failed_runs = (struct fl_array){ task->failed_runs->len, task->failed_runs->data };
         if (!task->done)
-          row.checkpoint = task->checkpoint; /* borrowed */
-        if (has_progress (task))
-          g_array_append_val (rows, row);
+          row.checkpoint = task->checkpoint;
+        g_array_append_val (rows, row);
       }
-  GArray *targets = g_array_new (FALSE, TRUE, sizeof (struct fl_job_target));
-  GHashTableIter iter;
-  void *key;
-  g_hash_table_iter_init (&iter, job->permits);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    g_array_append_val (targets, *(struct fl_job_target *)key);
+  return rows;
+}
+
+static struct fl_str
+encode_progress (const struct core_job *job)
+{
+  struct fl_job_progress progress = { .state = job->state };
+  g_autoptr (GArray) tasks = NULL;
+  g_autoptr (GArray) targets = NULL;
+
   /* Of a job that is over only the state is of use. */
   if (!fl_job_state_is_final (job->state))
     {
-      progress.tasks = (struct fl_array){ rows->len, rows->data };
+      tasks = collect_tasks (job);
+      targets = core_job_permit_rows (job);
+      progress.tasks = (struct fl_array){ tasks->len, tasks->data };
       progress.targets = (struct fl_array){ targets->len, targets->data };
       progress.anywhere = job->anywhere;
     }
-  struct fl_str text = fl_record_encode (&fl_job_progress_schema, &progress);
-  g_array_unref (rows);
-  g_array_unref (targets);
-  return text;
+  return fl_record_encode (&fl_job_progress_schema, &progress);
 }
 
 static bool
@@ -424,8 +427,21 @@
   return false;
 }
 
+/* The records taken now cover all ends that were applied. */
 static void
-mark_ends (struct fl_core *core, bool stored)
+note_storing_ends (struct fl_core *core)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct core_target *)value)->storing_end = ((struct core_target *)value)->applied_end;
+}
+
+/* The ends that the last records covered are stored: targets may forget them. */
+static void
+note_stored_ends (struct fl_core *core)
 {
   GHashTableIter iter;
   void *value;
@@ -434,10 +450,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct core_target *target = value;
-      if (stored)
-        target->seen_end = MAX (target->seen_end, target->storing_end);
-      else
-        target->storing_end = target->applied_end;
+      target->seen_end = MAX (target->seen_end, target->storing_end);
     }
 }
 
@@ -462,15 +475,16 @@
     }
   core->records_cover_ends = !any_dirty (core);
   if (core->records_cover_ends)
-    mark_ends (core, false);
+    note_storing_ends (core);
   core->records_open = count > 0;
   core->records_taken_ms = core->now_ms;
   if (count == 0)
-    mark_ends (core, true);
+    note_stored_ends (core);
   return count;
 }
 
-static bool
+/* Whether the job @value is over for good; it is then remembered by its id alone. */
+static gboolean
 drop_recorded (void *key, void *value, void *context)
 {
   struct core_job *job = value;
@@ -479,15 +493,9 @@
   (void)key;
   if (!fl_job_state_is_final (job->state) || job->dirty || job->recording || job->run_count > 0
       || core_is_unsettled (core))
-    return false;
-  g_hash_table_add (core->finished, g_memdup2 (&job->spec.id, sizeof job->spec.id));
-  return true;
-}
-
-static gboolean
-drop_recorded_job (void *key, void *value, void *context)
-{
-  return drop_recorded (key, value, context);
+    return FALSE;
+  fl_core_job_completed (core, &job->spec.id);
+  return TRUE;
 }
 
 void
@@ -512,8 +520,8 @@
   if (!stored)
     return;
   if (core->records_cover_ends)
-    mark_ends (core, true);
-  g_hash_table_foreach_remove (core->jobs, drop_recorded_job, core);
+    note_stored_ends (core);
+  g_hash_table_foreach_remove (core->jobs, drop_recorded, core);
 }
 
 /* A target that drains and runs nothing gets nothing any more: a successor need not wait for it. */
--- a/lib/core/permit.c
+++ b/lib/core/permit.c
@@ -93,6 +93,22 @@
   change_permits (job, CORE_PERMIT_RECORDING, stored ? CORE_PERMIT_RECORDED : CORE_PERMIT_WANTED);
 }
 
+GArray *
+core_job_permit_rows (const struct core_job *job)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct fl_job_target));
+  GHashTableIter iter;
+  void *key;
+
+  g_hash_table_iter_init (&iter, job->permits);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct fl_job_target row = { *(const struct fl_name *)key };
+      g_array_append_val (rows, row);
+    }
+  return rows;
+}
+
 bool
 core_job_is_unsettled (const struct core_job *job)
 {
--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -38,7 +38,6 @@
   INT (front_metrics_port, 0, PORT_MAX, 0),
   INT (hold_max_ms, 1000, 600000, 6000),
   INT (graceful_stop_s, 1, 600, 6),
-  INT (configuration_apply_ms, 100, 600000, 2000),
   { "log_level", FL_ENUM, offsetof (struct fl_host_settings, log_level), false, 0, 0, 3, NULL,
     log_level_names },
 };
--- a/lib/host/settings.h
+++ b/lib/host/settings.h
@@ -9,18 +9,17 @@
   struct fl_name name;   /* of this host */
   struct fl_name domain; /* its failure domain */
   struct fl_name region;
-  struct fl_name address;         /* IPv4 number for links and metrics */
-  struct fl_name front;           /* "ip:port" that clients connect to */
-  struct fl_name ready;           /* "ip:port" that the balancer asks */
-  struct fl_name own;             /* "ip:port" of the product's own interface; empty for none */
-  struct fl_name store;           /* "ip:port" of the platform's store */
-  struct fl_name advice;          /* "ip:port" of the advice service; empty for none */
-  int64_t link_port;              /* of flamingo-poold, for its peers */
-  int64_t pool_metrics_port;      /* of flamingo-poold */
-  int64_t front_metrics_port;     /* of flamingo-frontd */
-  int64_t hold_max_ms;            /* longest lease that targets grant */
-  int64_t graceful_stop_s;        /* from SIGTERM to the end */
-  int64_t configuration_apply_ms; /* within which a configuration has to be in force */
+  struct fl_name address;     /* IPv4 number for links and metrics */
+  struct fl_name front;       /* "ip:port" that clients connect to */
+  struct fl_name ready;       /* "ip:port" that the balancer asks */
+  struct fl_name own;         /* "ip:port" of the product's own interface; empty for none */
+  struct fl_name store;       /* "ip:port" of the platform's store */
+  struct fl_name advice;      /* "ip:port" of the advice service; empty for none */
+  int64_t link_port;          /* of flamingo-poold, for its peers */
+  int64_t pool_metrics_port;  /* of flamingo-poold */
+  int64_t front_metrics_port; /* of flamingo-frontd */
+  int64_t hold_max_ms;        /* longest lease that targets grant */
+  int64_t graceful_stop_s;    /* from SIGTERM to the end */
   int log_level;
 };
 
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -19,8 +19,6 @@
   ev_timer timeout;
   GHashTable *calls; /* set of struct call * */
   struct curl_slist *headers;
-  int64_t sent;
-  int64_t received;
 };
 
 struct call
@@ -110,18 +108,8 @@
 finish (struct fl_http_client *client, struct call *call, CURLcode code)
 {
   struct fl_http_result result = { .sent = true };
-  curl_off_t up = 0;
-  curl_off_t down = 0;
-  long request_size = 0;
-  long header_size = 0;
   long status = 0;
 
-  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &up);
-  curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_size);
-  curl_easy_getinfo (call->easy, CURLINFO_HEADER_SIZE, &header_size);
-  client->sent += request_size + up;
-  client->received += header_size + down;
   if (code == CURLE_OK)
     {
       curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
@@ -320,10 +308,3 @@
   g_hash_table_add (client->calls, call);
   curl_multi_add_handle (client->multi, easy);
 }
-
-void
-fl_http_client_bytes (const struct fl_http_client *client, int64_t *sent, int64_t *received)
-{
-  *sent = client->sent;
-  *received = client->received;
-}
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -46,6 +46,3 @@
 
 /* Starts @call. on_done is called exactly once, never before this returns. */
 void fl_http_client_start (struct fl_http_client *client, const struct fl_http_call *call);
-
-/* Bytes sent and received by all calls so far, headers included. */
-void fl_http_client_bytes (const struct fl_http_client *client, int64_t *sent, int64_t *received);
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -29,7 +29,6 @@
   struct connection *connections; /* list head */
   int open_requests;
   bool resumed; /* a connection was resumed since libmicrohttpd last ran */
-  bool stopping;
 };
 
 /* One TCP connection, from accept to close. */
@@ -347,17 +346,6 @@
   return server;
 }
 
-void
-fl_http_server_quiesce (struct fl_http_server *server)
-{
-  if (server->stopping)
-    return;
-  server->stopping = true;
-  MHD_socket fd = MHD_quiesce_daemon (server->daemon);
-  if (fd != MHD_INVALID_SOCKET)
-    close (fd);
-}
-
 void
 fl_http_server_free (struct fl_http_server *server)
 {
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -43,9 +43,6 @@
 struct fl_http_server *fl_http_server_new (const struct fl_http_server_options *options,
                                            struct fl_error *error);
 
-/* Stops listening and lets open requests end. */
-void fl_http_server_quiesce (struct fl_http_server *server);
-
 /* Answers open requests with 503, closes all connections and frees the server. */
 void fl_http_server_free (struct fl_http_server *server);
 
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -31,8 +31,6 @@
   struct socket *bound;
   GHashTable *dealers; /* struct fl_name * -> struct socket * */
   struct fl_name address;
-  int64_t sent;
-  int64_t received;
 };
 
 static bool
@@ -99,7 +97,6 @@
           return;
         }
       skip_rest (socket, &body);
-      link->received += (int64_t)zmq_msg_size (&body);
       link->options.on_message (link->options.context, &from, zmq_msg_data (&body),
                                 zmq_msg_size (&body));
       zmq_msg_close (&body);
@@ -280,13 +277,5 @@
     return false;
   if (zmq_send (socket->zmq, data, len, ZMQ_DONTWAIT) < 0)
     return false;
-  link->sent += (int64_t)len;
   return true;
 }
-
-void
-fl_link_bytes (const struct fl_link *link, int64_t *sent, int64_t *received)
-{
-  *sent = link->sent;
-  *received = link->received;
-}
--- a/lib/net/link.h
+++ b/lib/net/link.h
@@ -53,6 +53,3 @@
 /* Sends to a connected peer or back along a route.
  * @return false when the message certainly does not leave this process. */
 bool fl_link_send (struct fl_link *link, const struct fl_route *to, const char *data, size_t len);
-
-/* Bytes of messages sent and received so far. */
-void fl_link_bytes (const struct fl_link *link, int64_t *sent, int64_t *received);
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -62,7 +62,6 @@
   int team;
   struct fl_room room;
   bool cancelled;
-  int64_t cancelled_ms;
   struct fl_str progress; /* as stored */
   bool over;              /* it shows a final state */
 };
@@ -88,7 +87,6 @@
   int64_t authority_until_ms;
   int64_t frozen_until_ms;
   int64_t cut_until_ms; /* from the store */
-  int64_t renewing_ms;  /* a renewal is on its way since; 0 for none */
   int64_t renewed_ms;
   int64_t version_seen; /* jobs up to here are known */
   bool dead;
