--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -117,6 +117,7 @@
   CORE_WAIT_TEAM_LIMIT, /* its team runs as much as it may */
   CORE_WAIT_ROOM,       /* no target that may run it has room */
   CORE_WAIT_ADVICE,     /* the answer to a question is due, or no host is free to ask */
+  CORE_WAIT_RECORD,     /* the targets that it may run on are being recorded for its job */
   CORE_WAIT_SETTLING,   /* an earlier owner may have started it where nothing is heard from */
   CORE_WAITS
 };
@@ -243,6 +244,9 @@
 /* A task of @job is started on @target, which core_job_permits. */
 void core_job_note_start (struct core_job *job, const struct fl_name *target);
 
+/* Whether @target is to be recorded for @job, or is being recorded. */
+bool core_job_awaits (const struct core_job *job, const struct fl_name *target);
+
 /* Asks for @target to be recorded for @job, unless it is. */
 void core_job_want (struct core_job *job, const struct fl_name *target);
 
--- a/lib/core/permit.c
+++ b/lib/core/permit.c
@@ -37,6 +37,12 @@
          || (!job->taken && recording_is_slow (job->core));
 }
 
+bool
+core_job_awaits (const struct core_job *job, const struct fl_name *target)
+{
+  return !core_job_permits (job, target) && permit_of (job, target) != CORE_PERMIT_NONE;
+}
+
 void
 core_job_note_start (struct core_job *job, const struct fl_name *target)
 {
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -366,12 +366,50 @@
   return false;
 }
 
+/* How many tasks of @step fit on targets that only wait to be recorded for its job. */
+static int64_t
+awaiting_record (const struct core_step *step)
+{
+  int64_t count = 0;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, step->job->core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_target *target = value;
+      if (core_job_awaits (step->job, &target->entry.id)
+          && core_advice_ticket (step, target) != NULL)
+        count += core_target_fits (target, step, false);
+    }
+  return count;
+}
+
+/* Sees to what @left tasks of @step that could not be placed need next.
+ * @return what the step waits for. */
+static enum core_wait
+wait_of (struct core_step *step, int64_t left)
+{
+  enum core_wait wait = CORE_WAIT_ROOM;
+
+  if (left == 0)
+    return CORE_WAIT_NONE;
+  if (!team_has_room (step))
+    return CORE_WAIT_TEAM_LIMIT;
+  int64_t awaiting = awaiting_record (step);
+  /* Targets that a record makes usable within moments are not asked about again, nor others in
+   * their place: advice is what the long kinds wait for most. */
+  if (awaiting < left && step->job->queue.advice.required)
+    wait = core_advice_ask (step, left - awaiting);
+  return wait == CORE_WAIT_ROOM && awaiting > 0 ? CORE_WAIT_RECORD : wait;
+}
+
 /* Tells what a step waited for when that changes. */
 static void
 note_wait (struct core_step *step, enum core_wait wait)
 {
   static const char *const names[CORE_WAITS]
-      = { "none", "team_limit", "room", "advice", "settling" };
+      = { "none", "team_limit", "room", "advice", "record", "settling" };
   struct fl_core *core = step->job->core;
   int64_t waited_ms = core->now_ms - step->wait_since_ms;
 
@@ -463,14 +501,7 @@
     {
       struct core_step *step = g_array_index (waiting, struct waiting_step, i).step;
       int64_t left = step->spec->gang ? place_gang (step) : place_tasks (step);
-      enum core_wait wait = CORE_WAIT_NONE;
-      if (left > 0 && !team_has_room (step))
-        wait = CORE_WAIT_TEAM_LIMIT;
-      else if (left > 0 && step->job->queue.advice.required)
-        wait = core_advice_ask (step, left);
-      else if (left > 0)
-        wait = CORE_WAIT_ROOM;
-      note_wait (step, wait);
+      note_wait (step, wait_of (step, left));
     }
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -732,6 +732,34 @@
   bench_free (bench);
 }
 
+/* Targets that advice permits are being recorded: nothing more is asked meanwhile. */
+static void
+test_no_question_while_recording (void **state)
+{
+  struct bench *bench = bench_new (0);
+  struct fl_advice_row good[2];
+  struct fl_advice_reply reply = { true, good, 2, 2500 };
+  const char *const names[] = { "t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8", "t9" };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    add_target (bench, names[i], 1, false);
+  add_job (bench, "a", "advised", (struct fl_step_spec){ .count = 2, .cpu_milli = 1000 });
+  tick (bench, 0);
+  assert_int_equal (bench->questions, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (good); i++)
+    good[i] = (struct fl_advice_row){ g_array_index (bench->asked, struct fl_name, i),
+                                      fl_name_of ("ticket") };
+  fl_core_advice_answered (bench->core, &bench->asked_step, (struct fl_name *)bench->asked->data,
+                           bench->asked->len, &reply, bench->now_ms);
+  fl_core_tick (bench->core, bench->now_ms, bench->now_ms);
+  assert_int_equal (bench->starts->len, 0);
+  assert_int_equal (bench->questions, 1);
+  tick (bench, 10);
+  assert_int_equal (bench->starts->len, 2);
+  bench_free (bench);
+}
+
 /* The store takes long: jobs that it knows nothing of do not wait for it, and a successor presumes
  * their tasks anywhere; of others it may know too little. */
 static void
@@ -769,6 +797,7 @@
     cmocka_unit_test (test_failures_in_any_order),
     cmocka_unit_test (test_start_beside_slow_store),
     cmocka_unit_test (test_start_is_permitted_first),
+    cmocka_unit_test (test_no_question_while_recording),
     cmocka_unit_test (test_stalled_task),
     cmocka_unit_test (test_late_jobs_wait),
     cmocka_unit_test (test_room_is_kept),
