Carry calls to the store by way of other hosts

Cause: the store turns single hosts away, or cuts single hosts, while it serves the others (platform_down nodes, core_cut). Ruled out: answering sooner alone; the client's retries are few, and the owner is cut all the same. Change: lib/relay. A call is sent once: nothing is repeated on the caller's behalf.

--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -127,17 +127,43 @@
 
 /* --- main --- */
 
+/* Uses other hosts' connections to the store beside the own. Without them the host still serves. */
 static void
-host_init (struct fl_host *host, const char *program)
+start_relay (struct fl_host *host, bool carries)
+{
+  struct fl_relay_options options = {
+    .loop = host->loop,
+    .log = &host->log,
+    .stats = host->stats,
+    .direct = host->store,
+    .host = host->settings.name,
+  };
+  struct fl_error error = { 0 };
+
+  if (host->settings.relay_port == 0)
+    return;
+  if (carries)
+    options.address = fl_name_format ("tcp://%s:%" G_GINT64_FORMAT, host->settings.address.data,
+                                      host->settings.relay_port);
+  host->relay = fl_relay_new (&options, &error);
+  if (host->relay != NULL)
+    host->store = fl_relay_store (host->relay);
+  else
+    fl_log_error (&host->log, FL_LOG_ERR, "relay_unavailable", &error);
+}
+
+static void
+host_init (struct fl_host *host, const struct fl_program *program)
 {
   host->loop = ev_default_loop (EVFLAG_AUTO);
-  host->log = (struct fl_log){ fl_host_settings_log_level (&host->settings), program,
+  host->log = (struct fl_log){ fl_host_settings_log_level (&host->settings), program->name,
                                host->settings.name, &host->lines_dropped };
   fl_log_set_nonblocking ();
   host->stats = fl_stats_new ();
   host->client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX);
   host->platform_store = fl_platform_store_new (host->client, host->settings.store.data);
   host->store = fl_platform_store_interface (host->platform_store);
+  start_relay (host, program->carries);
   ev_signal_init (&host->reload, on_reload, SIGHUP);
   host->reload.data = host;
   ev_signal_start (host->loop, &host->reload);
@@ -147,6 +173,7 @@
 host_clear (struct fl_host *host)
 {
   fl_http_server_free (host->metrics);
+  fl_relay_free (host->relay);
   fl_platform_store_free (host->platform_store);
   fl_http_client_free (host->client);
   fl_stats_free (host->stats);
@@ -170,7 +197,7 @@
   else
     {
       signal (SIGPIPE, SIG_IGN);
-      host_init (&host, program->name);
+      host_init (&host, program);
       fl_log (&host.log, FL_LOG_NOTICE, "started", FL_N ("domain", &host.settings.domain),
               FL_N ("store", &host.settings.store));
       code = program->serve (&host);
--- a/lib/host/host.h
+++ b/lib/host/host.h
@@ -9,6 +9,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "platform/platform.h"
+#include "relay/relay.h"
 
 struct fl_host
 {
@@ -21,7 +22,8 @@
   struct fl_stats *stats;
   struct fl_http_client *client;
   struct fl_platform_store *platform_store;
-  const struct fl_store *store;
+  struct fl_relay *relay;         /* NULL without relay port */
+  const struct fl_store *store;   /* by way of the relay when there is one */
   struct fl_http_server *metrics; /* NULL when the settings name no port */
 };
 
@@ -30,6 +32,7 @@
 {
   const char *name;
   const char *summary; /* one line for --help */
+  bool carries;        /* calls to the store of other hosts */
   /* Runs until a stop is asked for. @return an exit code. */
   int (*serve) (struct fl_host *host);
 };
--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -34,6 +34,7 @@
   NAME (store, true, 21),
   NAME (advice, false, 21),
   INT (link_port, 0, PORT_MAX, 0),
+  INT (relay_port, 0, PORT_MAX, 0),
   INT (pool_metrics_port, 0, PORT_MAX, 0),
   INT (front_metrics_port, 0, PORT_MAX, 0),
   INT (hold_max_ms, 1000, 600000, 6000),
--- a/lib/host/settings.h
+++ b/lib/host/settings.h
@@ -16,6 +16,7 @@
   struct fl_name store;       /* "ip:port" of the platform's store */
   struct fl_name advice;      /* "ip:port" of the advice service; empty for none */
   int64_t link_port;          /* of flamingo-poold, for its peers */
+  int64_t relay_port;         /* of flamingo-frontd, carries calls to the store; 0 for none */
   int64_t pool_metrics_port;  /* of flamingo-poold */
   int64_t front_metrics_port; /* of flamingo-frontd */
   int64_t hold_max_ms;        /* longest lease that targets grant */
--- /dev/null
+++ b/lib/relay/message.c
@@ -0,0 +1,171 @@
+#include "relay/message.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* Bounds of what a message may hold: those of the store's calls and answers. */
+#define VALUE_MAX (1024 * 1024)
+#define ROWS_MAX 1000
+#define WAIT_MAX_MS 60000
+
+static const char *const call_names[] = { "transact", "read", "feed", NULL };
+static const char *const status_names[]
+    = { "ok", "conflict", "refused", "unknown", "history_gone", NULL };
+
+static const struct fl_field row_fields[] = {
+  { "table", FL_NAME, offsetof (struct fl_relay_row, table), false, 0, FL_NAME_MAX, 0, NULL, NULL },
+  { "part", FL_NAME, offsetof (struct fl_relay_row, part), false, 0, FL_NAME_MAX, 0, NULL, NULL },
+  { "key", FL_NAME, offsetof (struct fl_relay_row, key), false, 0, FL_NAME_MAX, 0, NULL, NULL },
+  { "version", FL_INT, offsetof (struct fl_relay_row, version), false, 0, INT64_MAX, 0, NULL,
+    NULL },
+  { "removed", FL_BOOL, offsetof (struct fl_relay_row, removed), false, 0, 0, 0, NULL, NULL },
+  { "value", FL_TEXT, offsetof (struct fl_relay_row, value), false, 0, VALUE_MAX, 0, NULL, NULL },
+};
+static FL_SCHEMA (row_schema, fl_relay_row, row_fields);
+
+#define NAME(member_)                                                                              \
+  {                                                                                                \
+#member_, FL_NAME, offsetof(struct fl_relay_message, member_), false, 0, FL_NAME_MAX, 0, NULL, \
+        NULL                                                                                       \
+  }
+#define INT(member_, max_)                                                                         \
+  {                                                                                                \
+#member_, FL_INT, offsetof(struct fl_relay_message, member_), false, 0, max_, 0, NULL, NULL    \
+  }
+#define BOOL(member_)                                                                              \
+  {                                                                                                \
+#member_, FL_BOOL, offsetof(struct fl_relay_message, member_), false, 0, 0, 0, NULL, NULL      \
+  }
+#define ENUM(member_, names_)                                                                      \
+  {                                                                                                \
+#member_, FL_ENUM, offsetof(struct fl_relay_message, member_), false, 0, 0, 0, NULL, names_    \
+  }
+#define ROWS(member_, max_)                                                                        \
+  {                                                                                                \
+#member_, FL_ARRAY, offsetof(struct fl_relay_message, member_), false, 0, max_, 0,             \
+        &row_schema, NULL                                                                          \
+  }
+
+static const struct fl_field message_fields[] = {
+  BOOL (is_answer),
+  INT (number, INT64_MAX),
+  ENUM (call, call_names),
+  INT (timeout_ms, WAIT_MAX_MS),
+  NAME (table),
+  NAME (part),
+  NAME (from),
+  NAME (to),
+  INT (after, INT64_MAX),
+  INT (wait_ms, WAIT_MAX_MS),
+  ROWS (conditions, FL_STORE_ENTRIES_MAX),
+  ROWS (writes, FL_STORE_ENTRIES_MAX),
+  ENUM (status, status_names),
+  INT (version, INT64_MAX),
+  BOOL (more),
+  ROWS (rows, ROWS_MAX),
+  NAME (problem),
+};
+static FL_SCHEMA (message_schema, fl_relay_message, message_fields);
+
+void
+fl_relay_encode (const struct fl_relay_message *message, msgpack_sbuffer *buffer)
+{
+  msgpack_packer packer;
+
+  msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
+  fl_schema_pack (&message_schema, message, &packer);
+}
+
+bool
+fl_relay_decode (const char *data,
+                 size_t len,
+                 struct fl_relay_message *message,
+                 struct fl_error *error)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  bool good = false;
+
+  memset (message, 0, sizeof *message);
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, data, len, &offset) == MSGPACK_UNPACK_SUCCESS)
+    good = fl_schema_unpack (&message_schema, &unpacked.data, message, error);
+  else
+    fl_fail (error, FL_INVALID, "relay_decode", "peer", "%zu bytes are no message", len);
+  msgpack_unpacked_destroy (&unpacked);
+  return good;
+}
+
+void
+fl_relay_clear (struct fl_relay_message *message)
+{
+  fl_schema_clear (&message_schema, message);
+}
+
+static struct fl_array
+rows_new (size_t count)
+{
+  return (struct fl_array){ count, g_new0 (struct fl_relay_row, count + 1) };
+}
+
+struct fl_relay_message
+fl_relay_of_transaction (const struct fl_store_transaction *transaction)
+{
+  struct fl_relay_message message = { .call = FL_RELAY_TRANSACT };
+  struct fl_relay_row *rows;
+
+  message.conditions = rows_new (transaction->condition_count);
+  rows = message.conditions.items;
+  for (size_t i = 0; i < transaction->condition_count; i++)
+    {
+      const struct fl_store_condition *condition = &transaction->conditions[i];
+      rows[i].table = fl_name_of (condition->table);
+      rows[i].part = fl_name_of (condition->part);
+      rows[i].key = condition->key;
+      rows[i].version = condition->version;
+    }
+  message.writes = rows_new (transaction->write_count);
+  rows = message.writes.items;
+  for (size_t i = 0; i < transaction->write_count; i++)
+    {
+      const struct fl_store_write *write = &transaction->writes[i];
+      rows[i].table = fl_name_of (write->table);
+      rows[i].part = fl_name_of (write->part);
+      rows[i].key = write->key;
+      rows[i].removed = write->removes;
+      if (!write->removes)
+        rows[i].value = write->value;
+    }
+  return message;
+}
+
+struct fl_relay_message
+fl_relay_of_reply (const struct fl_store_reply *reply)
+{
+  struct fl_relay_message message = { .is_answer = true,
+                                      .status = (int)reply->status,
+                                      .version = reply->version,
+                                      .more = reply->more,
+                                      .problem = fl_name_of (reply->error.text) };
+  struct fl_relay_row *rows;
+
+  message.rows = rows_new (reply->count);
+  rows = message.rows.items;
+  for (size_t i = 0; i < reply->count; i++)
+    rows[i] = (struct fl_relay_row){ .table = reply->rows[i].table,
+                                     .part = reply->rows[i].part,
+                                     .key = reply->rows[i].key,
+                                     .version = reply->rows[i].version,
+                                     .removed = reply->rows[i].removed,
+                                     .value = reply->rows[i].value };
+  return message;
+}
+
+void
+fl_relay_release (struct fl_relay_message *message)
+{
+  g_free (message->conditions.items);
+  g_free (message->writes.items);
+  g_free (message->rows.items);
+}
--- a/lib/store/tables.h
+++ b/lib/store/tables.h
@@ -7,6 +7,7 @@
 #define FL_TABLE_PROGRESS "progress"
 #define FL_TABLE_SUMMARY "summary"
 #define FL_TABLE_HOSTS "hosts"
+#define FL_TABLE_RELAYS "relays"
 
 /* Partition of what the owner of the pool writes, and of the row that fences its writes. */
 #define FL_PART_OWNER "owner"
--- a/programs/flamingo-frontd.c
+++ b/programs/flamingo-frontd.c
@@ -5,7 +5,10 @@
 main (int argc, char **argv)
 {
   static const struct fl_program program
-      = { "flamingo-frontd", "takes jobs from clients and tells their state", fl_frontd_serve };
+      = { .name = "flamingo-frontd",
+          .summary = "takes jobs from clients and tells their state",
+          .carries = true,
+          .serve = fl_frontd_serve };
 
   return fl_program_main (&program, argc, argv);
 }
--- a/programs/flamingo-poold.c
+++ b/programs/flamingo-poold.c
@@ -4,8 +4,9 @@
 int
 main (int argc, char **argv)
 {
-  static const struct fl_program program
-      = { "flamingo-poold", "owns the pool of targets, or stands by", fl_poold_serve };
+  static const struct fl_program program = { .name = "flamingo-poold",
+                                             .summary = "owns the pool of targets, or stands by",
+                                             .serve = fl_poold_serve };
 
   return fl_program_main (&program, argc, argv);
 }
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -108,8 +108,8 @@
 
     def __init__(self, cell, name, domain):
         self.cell, self.name, self.domain = cell, name, domain
-        self.front, self.ready, self.own, self.link, self.pool_metrics, self.front_metrics = \
-            free_ports(6)
+        self.front, self.ready, self.own, self.link, self.pool_metrics, self.front_metrics, \
+            self.relay = free_ports(7)
         self.processes = {}
 
     def url(self, port):
@@ -121,6 +121,7 @@
             "front": "127.0.0.1:%d" % self.front, "ready": "127.0.0.1:%d" % self.ready,
             "own": "127.0.0.1:%d" % self.own, "store": "127.0.0.1:%d" % self.cell.platform.port,
             "advice": "127.0.0.1:%d" % self.cell.targets.port, "link_port": self.link,
+            "relay_port": self.relay,
             "pool_metrics_port": self.pool_metrics, "front_metrics_port": self.front_metrics,
             "graceful_stop_s": 3, "log_level": "info",
         }
