Go on at another way when the store's answer is lost

Cause: a POST whose write had no answer waited 1 s, then a mark was put in its place and the client was sent away with 503, though the id was free again; each retry paused 100 ms, also the one that takes the way by a peer. Ruled out: the client's own retries; they cost it 1 s each by Retry-After. Change: a call to the store waits 600 ms; after the mark the job is written again under the mark's version while the client waits; pauses grow from 20 to 100 ms. Requests that are turned away or answered are logged with the configuration's version.

--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -13,9 +13,13 @@
  * only a share, since a call to the store usually takes some 10 ms. */
 #define ANSWER_MARGIN_MS 150
 #define ANSWER_MARGIN_SHARE 4
-/* One call to the store; a request has time for two and more. */
-#define STORE_TIMEOUT_MS 1000
-#define RETRY_PAUSE_MS 100
+/* One call to the store: above the 0.3 s of a store that is 60 times slower than usual, and short
+ * enough for a client's 3 s to hold several, since the next may go by way of another host. */
+#define STORE_TIMEOUT_MS 600
+/* Pauses between calls, doubled each time: the first is short, since it is another way that the
+ * next call takes. */
+#define RETRY_PAUSE_MIN_MS 20
+#define RETRY_PAUSE_MAX_MS 100
 #define DEADLINE_HEADER "Deadline-Ms"
 
 static void
@@ -49,6 +53,7 @@
   call->request = request;
   call->id = *id;
   call->queue = queue->name;
+  call->configuration = fl_configuration_version (frontd->watch.configuration);
   call->started_ms = fl_clock_boot_ms ();
   call->expires_ms = call->started_ms + front_time_for (fl_http_header (request, DEADLINE_HEADER));
   ev_timer_init (&call->timer, on_timer, 0.0, 0.0);
@@ -63,9 +68,9 @@
   int64_t took_ms = fl_clock_boot_ms () - call->started_ms;
 
   fl_stats_record (host->stats, "request_ms", took_ms);
-  fl_log (&host->log, status < 500 ? FL_LOG_DEBUG : FL_LOG_INFO, "answered",
-          FL_S ("method", fl_http_method (call->request)), FL_N ("job", &call->id),
-          FL_N ("queue", &call->queue), FL_I ("status", status), FL_I ("took_ms", took_ms));
+  fl_log (&host->log, FL_LOG_INFO, "answered", FL_S ("method", fl_http_method (call->request)),
+          FL_N ("job", &call->id), FL_N ("queue", &call->queue), FL_I ("status", status),
+          FL_I ("took_ms", took_ms), FL_I ("configuration", call->configuration));
 }
 
 void
@@ -88,13 +93,16 @@
 void
 front_call_retry (struct front_call *call, void (*retry) (struct front_call *call), int late_status)
 {
-  if (fl_clock_boot_ms () + RETRY_PAUSE_MS >= call->expires_ms)
+  int64_t pause_ms = CLAMP (call->pause_ms * 2, RETRY_PAUSE_MIN_MS, RETRY_PAUSE_MAX_MS);
+
+  if (fl_clock_boot_ms () + pause_ms >= call->expires_ms)
     {
       front_call_answer (call, late_status, NULL);
       return;
     }
+  call->pause_ms = pause_ms;
   call->retry = retry;
-  ev_timer_set (&call->timer, RETRY_PAUSE_MS / 1000.0, 0.0);
+  ev_timer_set (&call->timer, (double)pause_ms / 1000.0, 0.0);
   ev_timer_start (call->frontd->host->loop, &call->timer);
 }
 
@@ -106,6 +114,12 @@
   return CLAMP (left_ms, 1, STORE_TIMEOUT_MS);
 }
 
+bool
+front_call_has_time (const struct front_call *call)
+{
+  return fl_clock_boot_ms () < call->expires_ms;
+}
+
 bool
 front_reply_has_job (const struct front_call *call,
                      const struct fl_store_reply *reply,
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -77,6 +77,26 @@
   return queue->is_public || holder != NULL;
 }
 
+/* Turns a request away before anything is done for it, and tells why and by which configuration. */
+static void
+turn_away (struct fl_frontd *frontd,
+           struct fl_http_request *request,
+           int status,
+           const char *reason)
+{
+  const struct fl_configuration *configuration = frontd->watch.configuration;
+  const char *path = fl_http_path (request);
+  const char *slash = strrchr (path, '/');
+
+  fl_log (
+      &frontd->host->log, FL_LOG_INFO, "turned_away", FL_S ("method", fl_http_method (request)),
+      FL_S ("path", path), FL_S ("job", slash != NULL ? slash + 1 : ""), FL_I ("status", status),
+      FL_S ("reason", reason),
+      FL_I ("configuration", configuration != NULL ? fl_configuration_version (configuration) : 0),
+      FL_I ("confirmed_ms_ago", fl_clock_boot_ms () - frontd->watch.confirmed_ms));
+  front_respond (frontd, request, status);
+}
+
 static void
 hand_in (struct fl_frontd *frontd,
          struct fl_http_request *request,
@@ -126,19 +146,19 @@
 
   if (!front_is_current (frontd))
     {
-      front_respond (frontd, request, 503);
+      turn_away (frontd, request, 503, "configuration_unconfirmed");
       return;
     }
   queue = fl_configuration_route (frontd->watch.configuration, host != NULL ? host : "", path);
   rest = queue != NULL ? path + queue->prefix.len : "";
   if (queue == NULL)
-    front_respond (frontd, request, 404);
+    turn_away (frontd, request, 404, "no_route");
   else if (!front_check_key (frontd, request, queue, &team))
-    front_respond (frontd, request, 401);
+    turn_away (frontd, request, 401, "unknown_key");
   else if (*rest == '\0' && strcmp (fl_http_method (request), "GET") == 0)
     front_count (frontd, request, queue);
   else if (!front_is_job_id (rest))
-    front_respond (frontd, request, 400);
+    turn_away (frontd, request, 400, "no_job_id");
   else
     handle_job (frontd, request, rest, queue, &team);
 }
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -28,12 +28,13 @@
   struct fl_http_request *request;
   struct fl_name id; /* of the job */
   struct fl_name queue;
+  int64_t configuration; /* version by which it was admitted */
   int64_t started_ms;
   int64_t expires_ms;   /* the client waits no longer */
   struct fl_str record; /* POST: the job's row */
   int64_t expected;     /* POST: version of the row that the record replaces */
   bool waits;           /* the answer comes when the job has ended, or the time is up */
-  bool unsettled;       /* POST: a write without an answer may still come into effect */
+  int64_t pause_ms;     /* before the last retry */
   void (*retry) (struct front_call *call);
   ev_timer timer;
 };
@@ -85,6 +86,9 @@
                        void (*retry) (struct front_call *call),
                        int late_status);
 
+/* Whether the client still waits. */
+bool front_call_has_time (const struct front_call *call);
+
 /* Time-out of the next call to the store. */
 int64_t front_call_timeout (const struct front_call *call);
 
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -24,7 +24,19 @@
     front_call_answer (call, 200, NULL);
 }
 
-/* @return a transaction's reply that shows another state of the row than expected. */
+/* Writes the job in place of a mark of @version while the client still waits. All earlier writes
+ * for this call are barred, since they expected another version. */
+static void
+accept_under (struct front_call *call, int64_t version)
+{
+  call->expected = version;
+  if (front_call_has_time (call))
+    accept_job (call);
+  else
+    front_call_answer (call, 503, NULL);
+}
+
+/* A transaction found another state of the row than expected. */
 static void
 on_row_differs (struct front_call *call, const struct fl_store_reply *reply)
 {
@@ -36,12 +48,8 @@
       answer_accepted (call);
       return;
     }
-  /* A mark of an earlier refusal: the id is free again under the mark's version. */
-  call->expected = version;
-  if (call->unsettled)
-    front_call_answer (call, 503, NULL);
-  else
-    accept_job (call);
+  /* A mark in place of a job: the id is free under the mark's version. */
+  accept_under (call, version);
 }
 
 static void
@@ -57,10 +65,7 @@
   else if (reply->status == FL_STORE_CONFLICT)
     on_row_differs (call, reply);
   else if (reply->status == FL_STORE_UNKNOWN)
-    {
-      call->unsettled = true;
-      settle (call);
-    }
+    settle (call);
   else
     front_call_retry (call, accept_job, 503);
 }
@@ -91,15 +96,15 @@
   struct front_call *call = context;
 
   if (reply->status == FL_STORE_OK)
-    front_call_answer (call, 503, NULL);
+    accept_under (call, reply->version);
   else if (reply->status == FL_STORE_CONFLICT)
     on_row_differs (call, reply);
   else
     front_call_retry (call, settle, 504);
 }
 
-/* Puts a mark in place of a job whose write had no answer, so that it cannot come into effect
- * later; or finds the job there. */
+/* Puts a mark in place of a job whose write had no answer, so that this write cannot come into
+ * effect later; or finds the job there. */
 static void
 settle (struct front_call *call)
 {
