--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -21,6 +21,9 @@
 #define HOLD_WAIT_MS 1000
 /* A target with serving and filling tasks is looked at more often: figures change each 500 ms. */
 #define HOLD_WAIT_PACED_MS 500
+/* Ends of urgent tasks are not heard while a hold is lost on its way, and their objective leaves
+ * some hundred milliseconds: there a hold waits for no longer than that. */
+#define HOLD_WAIT_URGENT_MS 300
 
 /* --- creation --- */
 
@@ -301,6 +304,15 @@
   return target->clock_ms + (now_ms - target->clock_at_ms);
 }
 
+static bool
+runs_urgent (const struct core_target *target)
+{
+  for (guint i = 0; i < target->runs->len; i++)
+    if (((const struct core_run *)g_ptr_array_index (target->runs, i))->is_urgent)
+      return true;
+  return false;
+}
+
 static bool
 is_paced (const struct core_target *target)
 {
@@ -316,11 +328,20 @@
   return serving && filling;
 }
 
+static int64_t
+hold_wait_ms (const struct core_target *target)
+{
+  if (runs_urgent (target))
+    return HOLD_WAIT_URGENT_MS;
+  return is_paced (target) ? HOLD_WAIT_PACED_MS : HOLD_WAIT_MS;
+}
+
 static bool
 hold_is_due (const struct core_target *target, int64_t now_ms)
 {
+  /* A single hold may have been lost on its way: the next one follows at once. */
   if (target->silent)
-    return now_ms - target->lists_at_ms >= SILENT_RETRY_MS;
+    return target->unanswered_holds <= 1 || now_ms - target->lists_at_ms >= SILENT_RETRY_MS;
   return target->applied_end == target->seen_end || now_ms - target->lists_at_ms >= RECORD_WAIT_MS;
 }
 
@@ -343,7 +364,7 @@
     return true;
   order->last_seen = target->seen_end;
   order->deadline_ms = core_target_clock (target, now_ms) + core->options.hold_ms;
-  order->wait_ms = is_paced (target) ? HOLD_WAIT_PACED_MS : HOLD_WAIT_MS;
+  order->wait_ms = hold_wait_ms (target);
   target->lapse_at_ms
       = MAX (target->lapse_at_ms,
              now_ms + core->options.hold_ms * CORE_LAPSE_PERCENT / 100 + CORE_LAPSE_MARGIN_MS);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -33,12 +33,13 @@
 struct core_target
 {
   struct fl_target_entry entry;
-  bool registered; /* the registry shows it */
-  bool recorded;   /* stands in the recorded list of targets */
-  bool recording;  /* stands in the list that is being recorded */
-  bool inherited;  /* an earlier owner may have used it */
-  bool reported;   /* has listed its runs to this owner */
-  bool silent;     /* did not answer the last hold */
+  bool registered;      /* the registry shows it */
+  bool recorded;        /* stands in the recorded list of targets */
+  bool recording;       /* stands in the list that is being recorded */
+  bool inherited;       /* an earlier owner may have used it */
+  bool reported;        /* has listed its runs to this owner */
+  bool silent;          /* did not answer the last hold */
+  int unanswered_holds; /* in a row */
   int64_t born_ms;
   int64_t clock_ms;     /* its clock, as of clock_at_ms */
   int64_t clock_at_ms;  /* 0 when its clock is not known */
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -168,7 +168,7 @@
   if (task == NULL)
     return;
   task->last_run = MAX (task->last_run, end->run);
-  fl_log (core->options.log, FL_LOG_DEBUG, "end", FL_N ("task", &end->task), FL_I ("run", end->run),
+  fl_log (core->options.log, FL_LOG_INFO, "end", FL_N ("task", &end->task), FL_I ("run", end->run),
           FL_N ("target", &target->entry.id), FL_S ("cause", end_cause_name (end->cause)));
   bool current = task->run != NULL && task->run->target == target && task->run->run == end->run;
   int64_t ran_ms = 0;
@@ -325,6 +325,7 @@
             FL_N ("target", &target->entry.id), FL_S ("result", fl_order_result_name (result)),
             FL_I ("runs", target->runs->len));
   target->silent = silent;
+  target->unanswered_holds = silent ? target->unanswered_holds + 1 : 0;
 }
 
 void
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -486,6 +486,35 @@
   bench_free (bench);
 }
 
+/* A hold is lost: urgent work waits for its end a few hundred milliseconds, not a second or two. */
+static void
+test_lost_hold (void **state)
+{
+  struct bench *bench = bench_new (0);
+  struct fl_name target = fl_name_of ("t1");
+  struct fl_order_reply lost = { .result = FL_ORDER_UNANSWERED };
+  struct fl_hold_order hold;
+
+  (void)state;
+  add_target (bench, "t1", 4, false);
+  assert_true (fl_core_next_hold (bench->core, &target, bench->now_ms, &hold));
+  assert_int_equal (hold.wait_ms, 1000);
+  add_job (bench, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick (bench, 0);
+  assert_true (fl_core_next_hold (bench->core, &target, bench->now_ms, &hold));
+  assert_true (hold.wait_ms <= 300);
+  bench->now_ms += 600;
+  for (int attempt = 0; attempt < 2; attempt++)
+    {
+      fl_core_hold_answered (bench->core, &target, &lost, bench->now_ms, bench->now_ms);
+      assert_int_equal (fl_core_next_hold (bench->core, &target, bench->now_ms, &hold),
+                        attempt == 0);
+    }
+  bench->now_ms += 300;
+  assert_true (fl_core_next_hold (bench->core, &target, bench->now_ms, &hold));
+  bench_free (bench);
+}
+
 /* An end is forgotten at its target only after it is stored. */
 static void
 test_end_is_stored_first (void **state)
@@ -812,6 +841,7 @@
     cmocka_unit_test (test_silent_target),
     cmocka_unit_test (test_address_taken_over),
     cmocka_unit_test (test_hold_after_silence),
+    cmocka_unit_test (test_lost_hold),
     cmocka_unit_test (test_end_is_stored_first),
     cmocka_unit_test (test_foreign_run),
     cmocka_unit_test (test_cancel_stops),
