Log every decision about a job, bound the volume, explain a job from logs

Lines for starts, ends, answers, waits and advice were at debug only, and requests turned away before a queue was found had none. They are at info now, with the age of what decided them; of one event 500 lines a second are written and the rest folded into one line. flamingoctl explain ID LOG.. puts a job's lines in order and says where it waited or failed.

--- a/lib/cli/commands.c
+++ b/lib/cli/commands.c
@@ -8,10 +8,13 @@
 #include <glib.h>
 
 #include "cli/client.h"
+#include "cli/explain.h"
 #include "cli/table.h"
 #include "common/schema.h"
 
 #define TIMEOUT_MS 10000
+/* Words of a command with its operands: log files of a large cell. */
+#define WORDS_MAX 1000
 #define DEFAULT_URL "http://127.0.0.1:8080"
 
 /* What the arguments give to a command. */
@@ -22,7 +25,7 @@
   const char *queue;
   bool json;
   bool wait;
-  int count;
+  int count;                /* of words */
   const char *const *words; /* after the command's own */
 };
 
@@ -31,7 +34,8 @@
   const char *words; /* "job submit" */
   const char *operands;
   const char *help;
-  int operand_count;
+  int operand_count; /* at least */
+  bool takes_more;
   int (*run) (const struct arguments *arguments);
 };
 
@@ -227,15 +231,58 @@
   return print_dump (arguments, "job", columns);
 }
 
+static bool
+read_log (struct fl_explanation *explanation, const char *path)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GIOChannel) file = g_io_channel_new_file (path, "r", &error);
+  char *line = NULL;
+
+  if (file == NULL)
+    {
+      fprintf (stderr, "flamingoctl: %s: %s\n", path, error->message);
+      return false;
+    }
+  /* Logs may hold any bytes. */
+  g_io_channel_set_encoding (file, NULL, NULL);
+  while (g_io_channel_read_line (file, &line, NULL, NULL, NULL) == G_IO_STATUS_NORMAL)
+    {
+      fl_explanation_read (explanation, line);
+      g_free (line);
+    }
+  return true;
+}
+
+static int
+explain (const struct arguments *arguments)
+{
+  struct fl_explanation *explanation = fl_explanation_new (arguments->words[0]);
+  GString *text = g_string_new (NULL);
+  bool good = true;
+
+  for (int i = 1; good && i < arguments->count; i++)
+    good = read_log (explanation, arguments->words[i]);
+  if (good)
+    {
+      fl_explanation_write (explanation, text);
+      fputs (text->str, stdout);
+    }
+  g_string_free (text, TRUE);
+  fl_explanation_free (explanation);
+  return good ? FL_CTL_OK : FL_CTL_USAGE;
+}
+
 static const struct command commands[] = {
-  { "job submit", "ID FILE", "hand a job in; FILE holds its JSON", 2, job_submit },
-  { "job show", "ID", "its state; with --wait when it has ended", 1, job_show },
-  { "job cancel", "ID", "cancel it", 1, job_cancel },
-  { "request", "ID FILE", "hand a job in and wait for its end", 2, request },
-  { "queue pending", "QUEUE", "how many jobs wait", 1, queue_pending },
-  { "targets", "", "targets as the pool's owner sees them (--url: its metrics address)", 0,
+  { "job submit", "ID FILE", "hand a job in; FILE holds its JSON", 2, false, job_submit },
+  { "job show", "ID", "its state; with --wait when it has ended", 1, false, job_show },
+  { "job cancel", "ID", "cancel it", 1, false, job_cancel },
+  { "request", "ID FILE", "hand a job in and wait for its end", 2, false, request },
+  { "queue pending", "QUEUE", "how many jobs wait", 1, false, queue_pending },
+  { "targets", "", "targets as the pool's owner sees them (--url: its metrics address)", 0, false,
     targets },
-  { "jobs", "", "open jobs as the pool's owner sees them (--url: its metrics address)", 0, jobs },
+  { "jobs", "", "open jobs as the pool's owner sees them (--url: its metrics address)", 0, false,
+    jobs },
+  { "explain", "ID LOG..", "what log files of all hosts tell of a job", 2, true, explain },
 };
 
 /* --- arguments --- */
@@ -276,7 +323,8 @@
   int used;
   const struct command *command = find_command (words, count, &used);
 
-  if (command == NULL || count - used != command->operand_count)
+  if (command == NULL || count - used < command->operand_count
+      || (count - used > command->operand_count && !command->takes_more))
     {
       if (command == NULL)
         fputs ("flamingoctl: no such command; try --help\n", stderr);
@@ -286,6 +334,7 @@
       return FL_CTL_USAGE;
     }
   arguments.words = words + used;
+  arguments.count = count - used;
   return command->run (&arguments);
 }
 
@@ -298,7 +347,7 @@
   struct arg_str *queue = arg_str0 (NULL, "queue", "NAME", "the job's queue");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_lit *wait = arg_lit0 (NULL, "wait", "wait until the job has ended");
-  struct arg_str *words = arg_strn (NULL, NULL, "COMMAND", 0, 8, NULL);
+  struct arg_str *words = arg_strn (NULL, NULL, "COMMAND", 0, WORDS_MAX, NULL);
   struct arg_end *end = arg_end (5);
   void *table[] = { help, url, key, queue, json, wait, words, end };
   int errors = arg_parse (argc, argv, table);
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -64,21 +64,85 @@
   g_string_append_c (line, '"');
 }
 
+/* --- bounds --- */
+
+static void
+begin_line (GString *line, const struct fl_log *log, enum fl_log_level level, const char *event)
+{
+  g_string_printf (line, "<%d>time=%" PRId64 " level=%s program=%s instance=%s event=%s", level,
+                   fl_clock_wall_ms (), level_name (level), log->program, log->instance.data,
+                   event);
+}
+
+/* Writes @line in one call, which keeps lines of several processes on one terminal whole. */
+static void
+write_line (const struct fl_log *log, const GString *line)
+{
+  ssize_t written = write (STDOUT_FILENO, line->str, line->len);
+
+  if (log->state != NULL)
+    log->state->dropped = written < 0 ? log->state->dropped + 1 : 0;
+}
+
+/* Tells what was not written in the second that is over, and begins the next. */
+static void
+next_second (const struct fl_log *log, int64_t second)
+{
+  struct fl_log_state *state = log->state;
+
+  for (size_t i = 0; i < state->count; i++)
+    {
+      const struct fl_log_count *count = &state->counts[i];
+      if (count->lines <= FL_LOG_LINES_PER_S)
+        continue;
+      g_autoptr (GString) line = g_string_sized_new (128);
+      begin_line (line, log, FL_LOG_NOTICE, "lines_folded");
+      g_string_append_printf (line, " of=%s lines=%" PRId64 "\n", count->event,
+                              count->lines - FL_LOG_LINES_PER_S);
+      write_line (log, line);
+    }
+  state->second = second;
+  state->count = 0;
+}
+
+static bool
+take_line (const struct fl_log *log, const char *event)
+{
+  int64_t second = fl_clock_boot_ms () / 1000;
+
+  if (log->state == NULL)
+    return true;
+  if (second != log->state->second)
+    next_second (log, second);
+  return fl_log_state_take (log->state, event);
+}
+
+/* --- public functions --- */
+
+bool
+fl_log_state_take (struct fl_log_state *state, const char *event)
+{
+  for (size_t i = 0; i < state->count; i++)
+    if (strcmp (state->counts[i].event, event) == 0)
+      return ++state->counts[i].lines <= FL_LOG_LINES_PER_S;
+  if (state->count < FL_LOG_EVENTS_MAX)
+    state->counts[state->count++] = (struct fl_log_count){ event, 1 };
+  return true;
+}
+
 void
 fl_log_write (const struct fl_log *log,
               enum fl_log_level level,
               const char *event,
               const struct fl_log_pair *pairs)
 {
-  if (log == NULL || level > log->level)
+  if (log == NULL || level > log->level || !take_line (log, event))
     return;
 
   g_autoptr (GString) line = g_string_sized_new (256);
-  g_string_printf (line, "<%d>time=%" PRId64 " level=%s program=%s instance=%s event=%s", level,
-                   fl_clock_wall_ms (), level_name (level), log->program, log->instance.data,
-                   event);
-  if (log->dropped != NULL && *log->dropped > 0)
-    g_string_append_printf (line, " lines_dropped=%" PRId64, *log->dropped);
+  begin_line (line, log, level, event);
+  if (log->state != NULL && log->state->dropped > 0)
+    g_string_append_printf (line, " lines_dropped=%" PRId64, log->state->dropped);
   for (; pairs->kind != FL_LOG_END; pairs++)
     {
       g_string_append_printf (line, " %s=", pairs->key);
@@ -88,11 +152,7 @@
         append_value (line, pairs->text);
     }
   g_string_append_c (line, '\n');
-
-  /* One write call keeps lines of several processes on one terminal whole. */
-  ssize_t written = write (STDOUT_FILENO, line->str, line->len);
-  if (log->dropped != NULL)
-    *log->dropped = written < 0 ? *log->dropped + 1 : 0;
+  write_line (log, line);
 }
 
 void
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -1,7 +1,8 @@
 /* Structured logs: one line of key=value pairs for each event, on standard output, with the syslog
- * levels. A line that the reader does not take at once is dropped and counted: the next line tells
- * how many. Values that hold spaces, quotes or control bytes are quoted and escaped. Keys of
- * callers are never passed to these functions. */
+ * levels. The volume is bounded: of one event FL_LOG_LINES_PER_S lines are written a second, and a
+ * line "lines_folded" tells how many more there were. A line that the reader does not take at once
+ * is dropped and counted: the next line tells how many. Values that hold spaces, quotes or control
+ * bytes are quoted and escaped. Keys of callers are never passed to these functions. */
 #pragma once
 
 #include <stdint.h>
@@ -19,14 +20,38 @@
   FL_LOG_DEBUG = 7
 };
 
+/* Above the task starts a second of a large cell at its peak; some 100 KB. */
+#define FL_LOG_LINES_PER_S 500
+/* Events told apart in one second; those beyond are not bounded. */
+#define FL_LOG_EVENTS_MAX 48
+
+/* Lines of one event in the present second. */
+struct fl_log_count
+{
+  const char *event;
+  int64_t lines;
+};
+
+/* What a process keeps between lines. */
+struct fl_log_state
+{
+  int64_t dropped; /* lines since the last that was written */
+  int64_t second;  /* that the counts are of, by the boot clock */
+  struct fl_log_count counts[FL_LOG_EVENTS_MAX];
+  size_t count;
+};
+
 struct fl_log
 {
   enum fl_log_level level; /* lines less severe than this are dropped */
   const char *program;
   struct fl_name instance;
-  int64_t *dropped; /* lines since the last that was written; NULL when that is not told */
+  struct fl_log_state *state; /* NULL: nothing is bounded, and drops are not told */
 };
 
+/* Counts a line of @event (a literal). @return whether it is within the bound of its second. */
+bool fl_log_state_take (struct fl_log_state *state, const char *event);
+
 /* Makes writes to a pipe or socket on standard output return at once when it is full. */
 void fl_log_set_nonblocking (void);
 
--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -143,7 +143,7 @@
       g_array_unref (asked);
       return any ? CORE_WAIT_ADVICE : CORE_WAIT_ROOM;
     }
-  fl_log (core->options.log, FL_LOG_DEBUG, "advice_asked", FL_N ("step", &name),
+  fl_log (core->options.log, FL_LOG_INFO, "advice_asked", FL_N ("step", &name),
           FL_I ("targets", asked->len), FL_I ("waiting", waiting),
           FL_I ("expected_ms", expected_ms));
   step->asking = true;
@@ -213,7 +213,7 @@
   if (step == NULL || !step->asking)
     return;
   core_advice_abandon (step);
-  fl_log (core->options.log, FL_LOG_DEBUG, "advice_answered", FL_N ("step", step_name),
+  fl_log (core->options.log, FL_LOG_INFO, "advice_answered", FL_N ("step", step_name),
           FL_I ("asked", (int64_t)asked_count), FL_I ("good", (int64_t)reply->count));
   if (!reply->answered)
     return;
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -8,9 +8,6 @@
 #define AVOID_MILLI INT64_C (1000000000)
 /* Time in which the recent peak of a team's urgent work decays to a third: some bursts long. */
 #define URGENT_PEAK_MS 10000.0
-/* Waits shorter than this are not logged at level info: advice for a quick step takes some 30 ms.
- */
-#define WAIT_LOGGED_MS 100
 /* Targets recorded at once for a step whose queue needs no advice. */
 #define TARGETS_WANTED_MAX 16
 /* Position of the rack among the labels of a target: its kind comes first. */
@@ -420,9 +417,8 @@
       struct fl_name name = core_step_name (step);
       g_autofree char *stat = g_strdup_printf ("step_wait_ms{for=\"%s\"}", names[step->wait]);
       fl_stats_record (core->options.stats, stat, waited_ms);
-      fl_log (core->options.log, waited_ms >= WAIT_LOGGED_MS ? FL_LOG_INFO : FL_LOG_DEBUG,
-              "step_waited", FL_N ("step", &name), FL_S ("for", names[step->wait]),
-              FL_I ("ms", waited_ms), FL_S ("then", names[wait]));
+      fl_log (core->options.log, FL_LOG_INFO, "step_waited", FL_N ("step", &name),
+              FL_S ("for", names[step->wait]), FL_I ("ms", waited_ms), FL_S ("then", names[wait]));
     }
   step->wait = wait;
   step->wait_since_ms = core->now_ms;
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -107,8 +107,10 @@
       core_job_touch (job);
     }
   fl_stats_add (core->options.stats, "starts_total", 1);
-  fl_log (core->options.log, FL_LOG_DEBUG, "start", FL_N ("task", &order.task),
-          FL_I ("run", run->run), FL_N ("target", &target->entry.id));
+  fl_log (core->options.log, FL_LOG_INFO, "start", FL_N ("task", &order.task),
+          FL_I ("run", run->run), FL_N ("target", &target->entry.id),
+          FL_I ("attempt", run->attempts + 1),
+          FL_I ("lists_age_ms", core->now_ms - target->lists_at_ms));
   core->options.actions.start (core->options.context, &order);
 }
 
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -157,7 +157,7 @@
 {
   host->loop = ev_default_loop (EVFLAG_AUTO);
   host->log = (struct fl_log){ fl_host_settings_log_level (&host->settings), program->name,
-                               host->settings.name, &host->lines_dropped };
+                               host->settings.name, &host->log_state };
   fl_log_set_nonblocking ();
   host->stats = fl_stats_new ();
   host->client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX);
--- a/lib/host/host.h
+++ b/lib/host/host.h
@@ -17,7 +17,7 @@
   struct fl_host_settings settings;
   struct ev_loop *loop;
   struct fl_log log;
-  int64_t lines_dropped;
+  struct fl_log_state log_state;
   ev_signal reload; /* SIGHUP */
   struct fl_stats *stats;
   struct fl_http_client *client;
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -11,6 +11,8 @@
 import urllib.error
 import urllib.request
 
+from faultproxy import Proxy
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BIN = os.path.join(ROOT, os.environ.get("BUILD", "build"), "bin")
 SERVICE = "citas"
@@ -111,6 +113,7 @@
         self.front, self.ready, self.own, self.link, self.pool_metrics, self.front_metrics, \
             self.relay = free_ports(7)
         self.processes = {}
+        self.store_proxy = Proxy(cell.platform.port) if cell.proxied else None
 
     def url(self, port):
         return "http://127.0.0.1:%d" % port
@@ -119,7 +122,8 @@
         settings = {
             "name": self.name, "domain": self.domain, "address": "127.0.0.1",
             "front": "127.0.0.1:%d" % self.front, "ready": "127.0.0.1:%d" % self.ready,
-            "own": "127.0.0.1:%d" % self.own, "store": "127.0.0.1:%d" % self.cell.platform.port,
+            "own": "127.0.0.1:%d" % self.own, "store": "127.0.0.1:%d" % (
+                self.store_proxy.port if self.store_proxy else self.cell.platform.port),
             "advice": "127.0.0.1:%d" % self.cell.targets.port, "link_port": self.link,
             "relay_port": self.relay,
             "pool_metrics_port": self.pool_metrics, "front_metrics_port": self.front_metrics,
@@ -145,7 +149,8 @@
 class Cell:
     """Stand-ins for the platform and the targets, and a number of hosts."""
 
-    def __init__(self, domains, targets=12, hosts=3):
+    def __init__(self, domains, targets=12, hosts=3, proxied=False):
+        self.proxied = proxied  # each host reaches the store by a proxy of its own
         self.dir = tempfile.mkdtemp(prefix="flamingolane-")
         self.platform = Process("platform", [os.path.join(BIN, "standin-platform")], self.dir,
                                 wants_port=True)
@@ -206,6 +211,8 @@
                 process.send(signal.SIGCONT)
                 process.send(signal.SIGKILL)
                 process.child.wait()
+            if host.store_proxy:
+                host.store_proxy.stop()
         self.targets.stop()
         self.platform.stop()
 
--- /dev/null
+++ b/tests/test_logs.c
@@ -0,0 +1,95 @@
+/* Log lines: their bound, and what lib/cli/explain makes of them. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "cli/explain.h"
+#include "common/log.h"
+
+#define LINE(time_, rest_)                                                                         \
+  "12.5 h1/pool <6>time=" #time_ " level=info program=p instance=h1 " rest_ "\n"
+
+struct explain_case
+{
+  const char *name;
+  const char *lines[8];
+  const char *expected[6]; /* in this order */
+};
+
+static const struct explain_case cases[] = {
+  { "served after waits",
+    { LINE (1300, "event=job_ended job=aa state=completed age_ms=290"),
+      LINE (1000, "event=answered method=POST job=aa queue=q status=200 took_ms=9"),
+      LINE (1010, "event=job_known job=aa queue=q team=w version=7 steps=1"),
+      LINE (1100, "event=step_waited step=aa.0.0 for=advice ms=60 then=record"),
+      LINE (1120, "event=step_waited step=aa.0.1 for=advice ms=15 then=none") },
+    { "       0 ms  h1 p", "answered method=POST", "     300 ms  h1 p", "Accepted (1 time(s)",
+      "waited for: advice 75 ms.", "Ended as completed, 290 ms after it was handed in." } },
+  { "never accepted",
+    { LINE (5, "event=turned_away method=POST path=/x/bb job=bb status=401 reason=unknown_key") },
+    { "Turned away: unknown_key 1 time(s).", "No front host logged that it was accepted.",
+      "No owner of the pool", "No line tells of its end." } },
+  { "failed on its targets",
+    { LINE (1, "event=end task=cc.0.0.1 run=1 target=t1 cause=failed"),
+      LINE (2,
+            "event=order_result order=start_ms name=cc.0.0.1 run=2 result=unanswered after_ms=9"),
+      LINE (3, "event=run_lost task=cc.0.0.1 run=2 target=t2 reason=lease_lapsed"),
+      LINE (4, "event=job_known job=cc queue=q"), LINE (5, "event=job_known job=cc queue=q") },
+    { "changed hands: 2 owners", "Orders without an answer: 1.",
+      "given up since their target was lost: 1.", "Runs that failed: 1." } },
+  { "another job's lines",
+    { LINE (1, "event=job_known job=ddd queue=q"), "no line at all", "time=5 event", "" },
+    { "No line names job dd." } },
+};
+
+static void
+test_cases (void **state)
+{
+  static const char *const ids[] = { "aa", "bb", "cc", "dd" };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_explanation *explanation = fl_explanation_new (ids[i]);
+      g_autoptr (GString) text = g_string_new (NULL);
+      for (size_t j = 0; j < G_N_ELEMENTS (cases[i].lines) && cases[i].lines[j] != NULL; j++)
+        fl_explanation_read (explanation, cases[i].lines[j]);
+      fl_explanation_write (explanation, text);
+      const char *rest = text->str;
+      for (size_t j = 0; j < G_N_ELEMENTS (cases[i].expected) && cases[i].expected[j] != NULL; j++)
+        {
+          const char *found = strstr (rest, cases[i].expected[j]);
+          if (found == NULL)
+            fail_msg ("%s: no \"%s\" in\n%s", cases[i].name, cases[i].expected[j], text->str);
+          rest = found;
+        }
+      fl_explanation_free (explanation);
+    }
+}
+
+/* A flood of one event is bounded and does not hide the others. */
+static void
+test_log_bound (void **state)
+{
+  struct fl_log_state lines = { 0 };
+  int taken = 0;
+
+  (void)state;
+  for (int i = 0; i < 10 * FL_LOG_LINES_PER_S; i++)
+    taken += fl_log_state_take (&lines, "start") ? 1 : 0;
+  assert_int_equal (taken, FL_LOG_LINES_PER_S);
+  assert_true (fl_log_state_take (&lines, "pool_lost"));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_cases), cmocka_unit_test (test_log_bound) };
+
+  return cmocka_run_group_tests_name ("explain", tests, NULL, NULL);
+}
