Keep an unsettled job unsettled when its record is written

Cause: an owner that found no record of a job presumes its tasks anywhere until silent targets have settled. Change: such a record says that tasks may be anywhere until they cannot be.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -261,6 +261,10 @@
 /* The targets that its tasks may be on, as rows of struct fl_job_target; unref when done. */
 GArray *core_job_permit_rows (const struct core_job *job);
 
+/* Whether a successor has to presume tasks of @job on any target: they were started without a
+ * record, by this owner or, on a target that is silent still, by an earlier one. */
+bool core_job_may_be_anywhere (const struct core_job *job);
+
 /* Whether a task of @job may run unseen on a target that has not reported. */
 bool core_job_is_unsettled (const struct core_job *job);
 
@@ -289,6 +293,8 @@
 
 /* --- place.c, used by advice.c --- */
 
+bool core_target_has_label (const struct core_target *target, const struct fl_name *label);
+
 /* How many tasks of @step the target could take now, by room, label and limits of the step; 0 when
  * it takes no tasks. @claims counts room that others are likely to take as taken. */
 int64_t
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -410,7 +410,7 @@
       targets = core_job_permit_rows (job);
       progress.tasks = (struct fl_array){ tasks->len, tasks->data };
       progress.targets = (struct fl_array){ targets->len, targets->data };
-      progress.anywhere = job->anywhere;
+      progress.anywhere = core_job_may_be_anywhere (job);
     }
   return fl_record_encode (&fl_job_progress_schema, &progress);
 }
--- a/lib/core/permit.c
+++ b/lib/core/permit.c
@@ -115,6 +115,22 @@
   return rows;
 }
 
+/* Whether an earlier owner may have started tasks of @job. */
+static bool
+was_known_before (const struct core_job *job)
+{
+  const struct fl_core *core = job->core;
+
+  return core->now_ms < core->options.settled_at_ms && job->version <= core->options.taken_version;
+}
+
+bool
+core_job_may_be_anywhere (const struct core_job *job)
+{
+  return job->anywhere
+         || (job->unrecorded && was_known_before (job) && core_is_unsettled (job->core));
+}
+
 bool
 core_job_is_unsettled (const struct core_job *job)
 {
@@ -122,7 +138,7 @@
   GHashTableIter iter;
   void *key;
 
-  if (core->now_ms >= core->options.settled_at_ms || job->version > core->options.taken_version)
+  if (!was_known_before (job))
     return false;
   if (job->anywhere || job->unrecorded)
     return core_is_unsettled (core);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -89,8 +89,9 @@
   fl_configuration_unref (configuration);
 }
 
+/* @settled_at_ms: until then an earlier owner's orders may be in effect on silent targets. */
 static struct bench *
-bench_new (int64_t cap)
+bench_new_settling (int64_t cap, int64_t settled_at_ms)
 {
   struct bench *bench = g_new0 (struct bench, 1);
   struct fl_core_options options = {
@@ -100,6 +101,8 @@
     .fencing_token = 1,
     .hold_ms = HOLD_MS,
     .hold_max_ms = 6000,
+    .taken_version = settled_at_ms > 0 ? INT64_MAX : 0,
+    .settled_at_ms = settled_at_ms,
   };
 
   bench->now_ms = 100000;
@@ -114,6 +117,12 @@
   return bench;
 }
 
+static struct bench *
+bench_new (int64_t cap)
+{
+  return bench_new_settling (cap, 0);
+}
+
 static void
 bench_free (struct bench *bench)
 {
@@ -761,6 +770,28 @@
   bench_free (bench);
 }
 
+/* An owner records a job of which its predecessor recorded nothing, while a target is silent: the
+ * next owner still has to presume its tasks anywhere (cell, seed 95). */
+static void
+test_unrecorded_job_stays_unsettled (void **state)
+{
+  struct bench *bench = bench_new_settling (0, 200000);
+  struct fl_name silent = fl_name_of ("t2");
+  struct fl_end_row end = { .number = 1, .task = fl_name_of ("a.0.0.0"), .run = 1 };
+  struct fl_core_record records[4];
+
+  (void)state;
+  fl_core_target_inherited (bench->core, &silent, &silent);
+  add_target (bench, "t1", 4, false);
+  add_job (bench, "a", "urgent", (struct fl_step_spec){ .count = 2, .cpu_milli = 1000 });
+  list (bench, "t1", (struct fl_target_lists){ .born_ms = 1, .ends = &end, .end_count = 1 });
+  assert_int_equal (fl_core_take_records (bench->core, records, 4), 1);
+  assert_non_null (strstr (records[0].progress.data, "\"anywhere\":true"));
+  fl_str_clear (&records[0].progress);
+  fl_core_records_done (bench->core, true, bench->now_ms);
+  bench_free (bench);
+}
+
 /* Targets that advice permits are being recorded: nothing more is asked meanwhile. */
 static void
 test_no_question_while_recording (void **state)
@@ -827,6 +858,7 @@
     cmocka_unit_test (test_start_beside_slow_store),
     cmocka_unit_test (test_start_is_permitted_first),
     cmocka_unit_test (test_no_question_while_recording),
+    cmocka_unit_test (test_unrecorded_job_stays_unsettled),
     cmocka_unit_test (test_stalled_task),
     cmocka_unit_test (test_late_jobs_wait),
     cmocka_unit_test (test_room_is_kept),
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -78,6 +78,7 @@
   { 1249, "the same" },
   { 8, "a start beside a slow store, beyond the targets that a record named" },
   { 1191, "the same" },
+  { 95, "an owner recorded an unsettled job of its predecessor as settled" },
 };
 
 /* Places for scripted faults in a cell of two targets and four jobs: orders, records and slots of
