Keep a leaving target in the list for successors until its ends are recorded

Cause: a draining target that runs nothing was taken out of the list that a successor waits for as soon as its last end was heard, before that end was recorded. The same held for targets that had left the registry. Change: a target stays in the list, and known, until all ends that it listed are recorded.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -234,13 +234,20 @@
   target->registered = true;
 }
 
+bool
+core_target_has_unrecorded_ends (const struct core_target *target)
+{
+  return target->applied_end > target->seen_end;
+}
+
 void
 core_target_drop_if_unused (struct fl_core *core, struct core_target *target)
 {
   bool settled
       = !target->inherited || target->reported || core->now_ms >= core->options.settled_at_ms;
 
-  if (target->registered || target->runs->len > 0 || !settled)
+  if (target->registered || target->runs->len > 0 || !settled
+      || core_target_has_unrecorded_ends (target))
     return;
   core->targets_dropped = core->targets_dropped || target->recorded;
   g_hash_table_remove (core->targets, &target->entry.id);
@@ -604,6 +611,8 @@
 void
 fl_core_tick (struct fl_core *core, int64_t now_ms, int64_t wall_ms)
 {
+  core->tick_gap_ms = core->ticked_ms > 0 ? now_ms - core->ticked_ms : 0;
+  core->ticked_ms = now_ms;
   core->now_ms = now_ms;
   core->wall_ms = wall_ms;
   if (now_ms - core->looked_at_ms >= LOOK_MS || now_ms < core->looked_at_ms)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -185,6 +185,8 @@
   int64_t now_ms;
   int64_t peaks_at_ms; /* when the peaks of the teams last decayed */
   int64_t wall_ms;
+  int64_t ticked_ms;        /* the last decision */
+  int64_t tick_gap_ms;      /* between the last two decisions */
   int64_t looked_at_ms;     /* when all runs were last looked at */
   int64_t first_run;        /* lowest run number of this owner */
   bool targets_dropped;     /* the recorded list names targets that are gone */
@@ -201,6 +203,9 @@
 struct fl_name core_task_name (const struct core_task *task);
 struct fl_name core_step_name (const struct core_step *step);
 struct core_target *core_find_target (const struct fl_core *core, const struct fl_name *id);
+
+/* Whether it listed ends whose meaning is not recorded yet. */
+bool core_target_has_unrecorded_ends (const struct core_target *target);
 void core_target_drop_if_unused (struct fl_core *core, struct core_target *target);
 
 /* Whether an earlier owner's orders may be in effect at a target that has not reported. */
--- a/lib/core/ends.c
+++ b/lib/core/ends.c
@@ -525,11 +525,13 @@
   g_hash_table_foreach_remove (core->jobs, drop_recorded, core);
 }
 
-/* A target that drains and runs nothing gets nothing any more: a successor need not wait for it. */
+/* A target that drains and runs nothing gets nothing any more: a successor need not wait for it,
+ * once it can read of all that ended there. */
 static bool
 is_to_record (const struct core_target *target)
 {
-  return !target->entry.draining || target->runs->len > 0;
+  return !target->entry.draining || target->runs->len > 0
+         || core_target_has_unrecorded_ends (target);
 }
 
 bool
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -13,8 +13,8 @@
 #define STOP_AGAIN_MS 3000
 /* A target that declines work or has no room is left alone for this long. */
 #define DECLINED_PAUSE_MS 300
-/* A target without a listener tells so within a few milliseconds. */
-#define NOT_SENT_LATE_MS 100
+/* Decisions are due every 50 ms at least: further apart, the host does not keep up. */
+#define BUSY_GAP_MS 120
 
 static void
 add_room (struct fl_room *room, const struct fl_step_spec *spec, int sign)
@@ -201,16 +201,14 @@
       core_run_stop (step->tasks[i].run);
 }
 
-/* Whether a start was given up before it could leave, which a target that is down tells sooner.
+/* Whether a start was given up since this host is too busy to send it.
  *
  * Load pattern: more is to be started than this host's processor can send in time. Other targets
  * would not do better, and tasks that go from one to the next at once take all of it. */
 static bool
-could_not_leave (const struct core_run *run, enum fl_order_result result)
+could_not_leave (const struct fl_core *core, enum fl_order_result result)
 {
-  const struct fl_core *core = run->task->step->job->core;
-
-  return result == FL_ORDER_NOT_SENT && core->now_ms - run->order_at_ms >= NOT_SENT_LATE_MS;
+  return result == FL_ORDER_NOT_SENT && core->tick_gap_ms >= BUSY_GAP_MS;
 }
 
 /* The start did certainly not take effect. */
@@ -232,7 +230,7 @@
       || result == FL_ORDER_NOT_SENT)
     target->quarantined_until_ms
         = MAX (target->quarantined_until_ms, core->now_ms + DECLINED_PAUSE_MS);
-  if (result == FL_ORDER_INVALID || could_not_leave (run, result))
+  if (result == FL_ORDER_INVALID || could_not_leave (core, result))
     task->not_before_ms = core->now_ms + DECLINED_PAUSE_MS;
   core_run_release (run);
   if (task->step->spec->gang)
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -78,6 +78,7 @@
   { 1249, "the same" },
   { 8, "a start beside a slow store, beyond the targets that a record named" },
   { 1191, "the same" },
+  { 30744, "a leaving target was forgotten before its ends were recorded" },
   { 95, "an owner recorded an unsettled job of its predecessor as settled" },
 };
 
