Let requests wait for the configuration while their client does

Cause: while the store is away for longer than 4 s, or before the first configuration, every request was turned away at once, and a client had used up its four retries before the store was back (e2e request_waits_for_store: 503; with 6 s of a silent store 50 of 125 jobs accepted). Ruled out: a longer time without confirmation; a newer configuration has to be in force within 2 s. Change: such a request waits until the configuration is confirmed or the client's time is nearly over.

--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -41,6 +41,12 @@
   return waits_ms - MIN (waits_ms / ANSWER_MARGIN_SHARE, ANSWER_MARGIN_MS);
 }
 
+int64_t
+front_expires_ms (const struct fl_http_request *request)
+{
+  return fl_http_arrived_ms (request) + front_time_for (fl_http_header (request, DEADLINE_HEADER));
+}
+
 struct front_call *
 front_call_new (struct fl_frontd *frontd,
                 struct fl_http_request *request,
@@ -54,8 +60,8 @@
   call->id = *id;
   call->queue = queue->name;
   call->configuration = fl_configuration_version (frontd->watch.configuration);
-  call->started_ms = fl_clock_boot_ms ();
-  call->expires_ms = call->started_ms + front_time_for (fl_http_header (request, DEADLINE_HEADER));
+  call->started_ms = fl_http_arrived_ms (request);
+  call->expires_ms = front_expires_ms (request);
   ev_timer_init (&call->timer, on_timer, 0.0, 0.0);
   call->timer.data = call;
   return call;
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -135,20 +135,20 @@
 }
 
 static void
-on_request (void *context, struct fl_http_request *request)
+refuse_unconfirmed (struct fl_frontd *frontd, struct fl_http_request *request)
+{
+  turn_away (frontd, request, 503, "configuration_unconfirmed");
+}
+
+static void
+handle_request (struct fl_frontd *frontd, struct fl_http_request *request)
 {
-  struct fl_frontd *frontd = context;
   const char *host = fl_http_header (request, "Host");
   const char *path = fl_http_path (request);
   const struct fl_queue *queue;
   struct fl_name team;
   const char *rest;
 
-  if (!front_is_current (frontd))
-    {
-      turn_away (frontd, request, 503, "configuration_unconfirmed");
-      return;
-    }
   queue = fl_configuration_route (frontd->watch.configuration, host != NULL ? host : "", path);
   rest = queue != NULL ? path + queue->prefix.len : "";
   if (queue == NULL)
@@ -163,6 +163,17 @@
     handle_job (frontd, request, rest, queue, &team);
 }
 
+static void
+on_request (void *context, struct fl_http_request *request)
+{
+  struct fl_frontd *frontd = context;
+
+  if (front_is_current (frontd))
+    handle_request (frontd, request);
+  else
+    front_wait_for_configuration (frontd, request, handle_request, refuse_unconfirmed);
+}
+
 static void
 on_ready_request (void *context, struct fl_http_request *request)
 {
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -73,6 +73,20 @@
  * header in ms, or NULL): less than the client waits. */
 int64_t front_time_for (const char *deadline);
 
+/* When @request has to be answered, by the boot clock. */
+int64_t front_expires_ms (const struct fl_http_request *request);
+
+/* --- waiting.c --- */
+
+/* Calls @handle with @request once the configuration is confirmed, or @give_up when the client's
+ * time is over before. */
+void front_wait_for_configuration (struct fl_frontd *frontd,
+                                   struct fl_http_request *request,
+                                   void (*handle) (struct fl_frontd *frontd,
+                                                   struct fl_http_request *request),
+                                   void (*give_up) (struct fl_frontd *frontd,
+                                                    struct fl_http_request *request));
+
 struct front_call *front_call_new (struct fl_frontd *frontd,
                                    struct fl_http_request *request,
                                    const struct fl_name *id,
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -54,6 +54,7 @@
   struct fl_str body_view;
   bool too_large;
   bool handed_over;
+  int64_t arrived_ms; /* by the boot clock */
   bool suspended;
   struct MHD_Response *response; /* set once answered */
   int status;
@@ -180,6 +181,7 @@
   struct fl_http_server *server = request->server;
 
   request->handed_over = true;
+  request->arrived_ms = fl_clock_boot_ms ();
   server->open_requests++;
   request->body_view = (struct fl_str){ request->body->len, request->body->str };
   if (request->connection != NULL)
@@ -392,6 +394,12 @@
   return &request->body_view;
 }
 
+int64_t
+fl_http_arrived_ms (const struct fl_http_request *request)
+{
+  return request->arrived_ms;
+}
+
 const char *
 fl_http_header (const struct fl_http_request *request, const char *name)
 {
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -56,6 +56,9 @@
 const char *fl_http_path (const struct fl_http_request *request);
 const struct fl_str *fl_http_body (const struct fl_http_request *request);
 
+/* When the request was whole, by the boot clock. */
+int64_t fl_http_arrived_ms (const struct fl_http_request *request);
+
 /* @return the value of a header or query argument, or NULL. */
 const char *fl_http_header (const struct fl_http_request *request, const char *name);
 const char *fl_http_query (const struct fl_http_request *request, const char *name);
--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -132,9 +132,35 @@
             assert process.child.poll() is None, process.name + " ended on SIGHUP"
 
 
+def request_waits_for_store(cell):
+    """A request that comes while the configuration cannot be confirmed is served when it can."""
+    time.sleep(2)
+    cell.control_platform(mode="silent")
+    time.sleep(6)
+    body = BODIES[0]
+    answers = []
+    client = threading.Thread(target=lambda: answers.append(call(
+        "POST", cell.hosts[0].url(cell.hosts[0].front) + "/checks/00000000000000aa", body["body"], KEY,
+        "fair.example", 4)[0]))
+    client.start()
+    time.sleep(0.8)
+    cell.control_platform(mode="ok")
+    client.join()
+    assert answers == [200], "answered %s" % answers
+
+
 SCENARIOS = [no_fault, kill_owner, pause_owner, kill_all, rolling_stop, store_down, store_silent,
              store_loses_answers, targets_crash, targets_cut, targets_drain,
-             kill_owner_while_target_is_cut, key_withdrawn, settings_read_again]
+             kill_owner_while_target_is_cut, key_withdrawn, settings_read_again,
+             request_waits_for_store]
+
+
+def run_scenario(scenario, cell, problems):
+    """Runs a scenario in its thread; what it asserts in vain is a problem like any other."""
+    try:
+        scenario(cell)
+    except (AssertionError, TimeoutError) as error:
+        problems.append("%s: %s" % (type(error).__name__, error))
 
 
 def play(scenario):
@@ -144,7 +170,7 @@
     try:
         cell.wait_ready()
         load = Load(cell)
-        fault = threading.Thread(target=scenario, args=(cell,))
+        fault = threading.Thread(target=run_scenario, args=(scenario, cell, problems))
         fault.start()
         load.run(LOAD_S, 10, BODIES)
         fault.join()
