A standby that is back before the owner: test for what it did not see

The new case cuts the owner half a second longer; with the mechanism taken out it takes the pool twice (2 != 1).

--- a/tests/test_ownership_walk.c
+++ b/tests/test_ownership_walk.c
@@ -436,11 +436,28 @@
     }
 }
 
+/* Both are cut at once, the owner half a second longer: the time in which the standby saw nothing
+ * does not count as standing still. */
+static void
+test_outage_ends_for_standby_first (void **state)
+{
+  (void)state;
+  for (int slot = 2; slot < SLOTS - 2; slot++)
+    for (int owner = 0; owner < HOSTS; owner++)
+      {
+        struct fault faults[] = { { HOST_CUT, slot * HOSTS + owner },
+                                  { HOST_CUT, (slot + 1) * HOSTS + owner },
+                                  { HOST_CUT, slot * HOSTS + 1 - owner } };
+        assert_int_equal (play (faults, G_N_ELEMENTS (faults)), 1);
+      }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_pairs), cmocka_unit_test (test_outage_changes_nothing) };
+      = { cmocka_unit_test (test_pairs), cmocka_unit_test (test_outage_changes_nothing),
+          cmocka_unit_test (test_outage_ends_for_standby_first) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
