The soak leaves no process behind

Cause: two series of faults could start the same role again, and the first of the two processes was forgotten: some stayed after the soak, found by their ids after the last run. Change: a role that runs is not started again, and all that was ever started is ended.

--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -127,6 +127,8 @@
         self.front, self.ready, self.own, self.link, self.pool_metrics, self.front_metrics, \
             self.relay = cell.ports.take(7)
         self.processes = {}
+        self.started = []  # all that ever ran, so that none is left behind
+        self.lock = threading.Lock()
         self.store_proxy = Proxy(cell.platform.port) if cell.proxied else None
 
     def url(self, port):
@@ -149,8 +151,14 @@
         return path
 
     def start(self, role):
-        self.processes[role] = Process("%s-%s" % (self.name, role), [
-            os.path.join(BIN, "flamingo-" + role), "--settings", self.settings()], self.cell.dir)
+        """Starts a role unless it runs: two faults may both want to start it again."""
+        with self.lock:
+            if role in self.processes and self.processes[role].child.poll() is None:
+                return
+            self.processes[role] = Process("%s-%s" % (self.name, role), [
+                os.path.join(BIN, "flamingo-" + role), "--settings", self.settings()],
+                self.cell.dir)
+            self.started.append(self.processes[role])
 
     def owns_pool(self):
         status, text = call("GET", self.url(self.pool_metrics) + "/metrics", timeout=1)
@@ -223,7 +231,7 @@
 
     def stop(self):
         for host in self.hosts:
-            for process in host.processes.values():
+            for process in host.started:
                 process.send(signal.SIGCONT)
                 process.send(signal.SIGKILL)
                 process.child.wait()
