Relay the store's own rows; take answers to orders in one place

Cause: the relay had a row type of its own with the fields of struct fl_store_row, and copied rows between the two on each answer; answers to starts and stops began with the same lines. Ruled out: sharing the field tables of the relay's and the carrier's messages (other structs), and the signatures of the store's interface, which each implementation has to repeat. Change: messages hold struct fl_store_row; an answer borrows the store's rows and hands its own on. take_answer () finds the run of an answer. No change of behaviour; tests keep their assertions.

--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -245,6 +245,24 @@
   return task != NULL && task->run != NULL && task->run->run == number ? task->run : NULL;
 }
 
+/* Takes an answer to an order about a run. @return the run when it still is in @state, NULL else.
+ */
+static struct core_run *
+take_answer (struct fl_core *core,
+             const struct fl_name *name,
+             int64_t number,
+             enum core_run_state state,
+             int64_t now_ms)
+{
+  struct core_run *run = find_run (core, name, number);
+
+  core->now_ms = now_ms;
+  if (run == NULL || run->state != state)
+    return NULL;
+  run->order_open = false;
+  return run;
+}
+
 void
 fl_core_start_answered (struct fl_core *core,
                         const struct fl_name *name,
@@ -252,12 +270,10 @@
                         enum fl_order_result result,
                         int64_t now_ms)
 {
-  struct core_run *run = find_run (core, name, number);
+  struct core_run *run = take_answer (core, name, number, CORE_RUN_ORDERED, now_ms);
 
-  core->now_ms = now_ms;
-  if (run == NULL || run->state != CORE_RUN_ORDERED)
+  if (run == NULL)
     return;
-  run->order_open = false;
   switch (result)
     {
     case FL_ORDER_DONE:
@@ -285,13 +301,9 @@
                        enum fl_order_result result,
                        int64_t now_ms)
 {
-  struct core_run *run = find_run (core, name, number);
+  struct core_run *run = take_answer (core, name, number, CORE_RUN_STOPPING, now_ms);
 
-  core->now_ms = now_ms;
-  if (run == NULL || run->state != CORE_RUN_STOPPING)
-    return;
-  run->order_open = false;
-  if (result == FL_ORDER_DONE || result == FL_ORDER_OLD_RUN)
+  if (run != NULL && (result == FL_ORDER_DONE || result == FL_ORDER_OLD_RUN))
     run->confirmed_ms = now_ms;
 }
 
--- a/lib/relay/carried.c
+++ b/lib/relay/carried.c
@@ -11,30 +11,24 @@
 };
 
 static void
-answer_peer (struct carried_call *call, const struct fl_store_reply *reply)
+answer_peer (void *context, const struct fl_store_reply *reply)
 {
+  struct carried_call *call = context;
   struct fl_relay_message message = fl_relay_of_reply (reply);
 
   message.number = call->number;
   if (!fl_relay_send (call->relay, &call->from, &message))
     fl_stats_add (call->relay->options.stats, "relay_answers_unsent_total", 1);
-  fl_relay_release (&message);
   g_free (call);
 }
 
-static void
-on_carried (void *context, const struct fl_store_reply *reply)
-{
-  answer_peer (context, reply);
-}
-
 static void
 carry_transaction (struct fl_relay *relay,
                    const struct fl_relay_message *message,
                    struct direct_call *direct_call)
 {
   const struct fl_store *direct = relay->options.direct;
-  const struct fl_relay_row *rows = message->conditions.items;
+  const struct fl_store_row *rows = message->conditions.items;
   struct fl_store_condition conditions[FL_STORE_ENTRIES_MAX];
   struct fl_store_write writes[FL_STORE_ENTRIES_MAX];
   struct fl_store_transaction transaction
@@ -70,7 +64,7 @@
       return;
     }
   fl_stats_add (relay->options.stats, "store_calls_carried_total", 1);
-  direct_call = fl_relay_direct_call (relay, message->call != FL_RELAY_FEED, on_carried, call);
+  direct_call = fl_relay_direct_call (relay, message->call != FL_RELAY_FEED, answer_peer, call);
   if (message->call == FL_RELAY_TRANSACT)
     carry_transaction (relay, message, direct_call);
   else if (message->call == FL_RELAY_READ)
--- a/lib/relay/message.c
+++ b/lib/relay/message.c
@@ -14,15 +14,15 @@
     = { "ok", "conflict", "refused", "unknown", "history_gone", NULL };
 
 static const struct fl_field row_fields[] = {
-  { "table", FL_NAME, offsetof (struct fl_relay_row, table), false, 0, FL_NAME_MAX, 0, NULL, NULL },
-  { "part", FL_NAME, offsetof (struct fl_relay_row, part), false, 0, FL_NAME_MAX, 0, NULL, NULL },
-  { "key", FL_NAME, offsetof (struct fl_relay_row, key), false, 0, FL_NAME_MAX, 0, NULL, NULL },
-  { "version", FL_INT, offsetof (struct fl_relay_row, version), false, 0, INT64_MAX, 0, NULL,
+  { "table", FL_NAME, offsetof (struct fl_store_row, table), false, 0, FL_NAME_MAX, 0, NULL, NULL },
+  { "part", FL_NAME, offsetof (struct fl_store_row, part), false, 0, FL_NAME_MAX, 0, NULL, NULL },
+  { "key", FL_NAME, offsetof (struct fl_store_row, key), false, 0, FL_NAME_MAX, 0, NULL, NULL },
+  { "version", FL_INT, offsetof (struct fl_store_row, version), false, 0, INT64_MAX, 0, NULL,
     NULL },
-  { "removed", FL_BOOL, offsetof (struct fl_relay_row, removed), false, 0, 0, 0, NULL, NULL },
-  { "value", FL_TEXT, offsetof (struct fl_relay_row, value), false, 0, VALUE_MAX, 0, NULL, NULL },
+  { "removed", FL_BOOL, offsetof (struct fl_store_row, removed), false, 0, 0, 0, NULL, NULL },
+  { "value", FL_TEXT, offsetof (struct fl_store_row, value), false, 0, VALUE_MAX, 0, NULL, NULL },
 };
-static FL_SCHEMA (row_schema, fl_relay_row, row_fields);
+static FL_SCHEMA (row_schema, fl_store_row, row_fields);
 
 #define NAME(member_)                                                                              \
   {                                                                                                \
@@ -92,14 +92,14 @@
 static struct fl_array
 rows_new (size_t count)
 {
-  return (struct fl_array){ count, g_new0 (struct fl_relay_row, count + 1) };
+  return (struct fl_array){ count, g_new0 (struct fl_store_row, count + 1) };
 }
 
 struct fl_relay_message
 fl_relay_of_transaction (const struct fl_store_transaction *transaction)
 {
   struct fl_relay_message message = { .call = FL_RELAY_TRANSACT };
-  struct fl_relay_row *rows;
+  struct fl_store_row *rows;
 
   message.conditions = rows_new (transaction->condition_count);
   rows = message.conditions.items;
@@ -133,18 +133,9 @@
                                       .status = (int)reply->status,
                                       .version = reply->version,
                                       .more = reply->more,
+                                      .rows = { reply->count, reply->rows },
                                       .problem = fl_name_of (reply->error.text) };
-  struct fl_relay_row *rows;
-
-  message.rows = rows_new (reply->count);
-  rows = message.rows.items;
-  for (size_t i = 0; i < reply->count; i++)
-    rows[i] = (struct fl_relay_row){ .table = reply->rows[i].table,
-                                     .part = reply->rows[i].part,
-                                     .key = reply->rows[i].key,
-                                     .version = reply->rows[i].version,
-                                     .removed = reply->rows[i].removed,
-                                     .value = reply->rows[i].value };
+
   return message;
 }
 
@@ -153,5 +144,4 @@
 {
   g_free (message->conditions.items);
   g_free (message->writes.items);
-  g_free (message->rows.items);
 }
--- a/lib/relay/message.h
+++ b/lib/relay/message.h
@@ -11,17 +11,8 @@
   FL_RELAY_FEED
 };
 
-/* A row as part of a call or an answer; unused fields stay empty. */
-struct fl_relay_row
-{
-  struct fl_name table;
-  struct fl_name part;
-  struct fl_name key;
-  int64_t version;
-  bool removed;
-  struct fl_str value;
-};
-
+/* Rows are those of the store: beside the key, a condition has the version, a write the value or
+ * that the row is removed. */
 struct fl_relay_message
 {
   bool is_answer;
@@ -35,13 +26,13 @@
   struct fl_name to;
   int64_t after;
   int64_t wait_ms;
-  struct fl_array conditions; /* of struct fl_relay_row */
-  struct fl_array writes;     /* of struct fl_relay_row */
+  struct fl_array conditions; /* of struct fl_store_row */
+  struct fl_array writes;     /* of struct fl_store_row */
   /* answers: */
   int status;             /* enum fl_store_status */
   int64_t version;        /* of the store */
   bool more;              /* the range holds more rows */
-  struct fl_array rows;   /* of struct fl_relay_row */
+  struct fl_array rows;   /* of struct fl_store_row */
   struct fl_name problem; /* text, empty for none */
 };
 
@@ -60,8 +51,8 @@
 /* The call for @transaction, borrowing from it; free the arrays with fl_relay_release. */
 struct fl_relay_message fl_relay_of_transaction (const struct fl_store_transaction *transaction);
 
-/* The answer that tells @reply, borrowing from it. */
+/* The answer that tells @reply, borrowing all from it. */
 struct fl_relay_message fl_relay_of_reply (const struct fl_store_reply *reply);
 
-/* Frees the arrays of a message that borrows. */
+/* Frees the arrays of a call made by fl_relay_of_transaction. */
 void fl_relay_release (struct fl_relay_message *message);
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -135,9 +135,9 @@
 static void
 on_answer (struct fl_relay *relay, const struct fl_relay_message *message)
 {
-  const struct fl_relay_row *rows = message->rows.items;
   struct peer_call *call = g_hash_table_lookup (relay->open, &message->number);
   struct fl_store_reply reply = { .status = (enum fl_store_status)message->status,
+                                  .rows = message->rows.items,
                                   .count = message->rows.count,
                                   .version = message->version,
                                   .more = message->more };
@@ -147,16 +147,7 @@
   if (message->problem.len > 0)
     fl_fail (&reply.error, FL_UNAVAILABLE, "relay_call", call->peer.data, "%s",
              message->problem.data);
-  reply.rows = g_new0 (struct fl_store_row, reply.count + 1);
-  for (size_t i = 0; i < reply.count; i++)
-    reply.rows[i] = (struct fl_store_row){ .table = rows[i].table,
-                                           .part = rows[i].part,
-                                           .key = rows[i].key,
-                                           .version = rows[i].version,
-                                           .removed = rows[i].removed,
-                                           .value = rows[i].value };
   finish_peer_call (call, &reply);
-  g_free (reply.rows);
 }
 
 /* --- direct calls --- */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -90,7 +90,7 @@
   msgpack_sbuffer_init (&buffer);
   fl_relay_encode (&sent, &buffer);
   assert_true (fl_relay_decode (buffer.data, buffer.size, &got, &error));
-  const struct fl_relay_row *rows = got.conditions.items;
+  const struct fl_store_row *rows = got.conditions.items;
   assert_int_equal (got.number, 42);
   assert_int_equal (got.call, FL_RELAY_TRANSACT);
   assert_int_equal (got.conditions.count, 1);
