Record done tasks as ranges in a binary record; count bytes by kind

A record listed each done task as an object of some 80 bytes, and each end of a task writes the record of its job again. A job of 800 tasks also exceeded the 64 KB of a row, and a transaction its 1 MB.

Change: done tasks as ranges, MessagePack instead of JSON (JSON of earlier versions is still read), at most 512 KB collected at once. Three tests that searched the JSON text now decode the record.

--- a/lib/cli/client.c
+++ b/lib/cli/client.c
@@ -39,7 +39,7 @@
                 struct fl_client_reply *reply)
 {
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  struct fl_http_client *client = fl_http_client_new (loop, 1);
+  struct fl_http_client *client = fl_http_client_new (loop, 1, NULL);
   struct pending_call pending_call = { loop, reply };
   g_autofree char *url = g_strdup_printf ("%s%s", options->url, path);
   g_autofree char *authorization
--- a/lib/common/stats.c
+++ b/lib/common/stats.c
@@ -106,6 +106,21 @@
     *find_or_add_counter (stats, name) += amount;
 }
 
+void
+fl_stats_add_traffic (struct fl_stats *stats,
+                      const struct fl_traffic *traffic,
+                      int64_t sent_bytes,
+                      int64_t received_bytes)
+{
+  if (traffic == NULL)
+    return;
+  fl_stats_add (stats, traffic->messages, 1);
+  if (sent_bytes > 0)
+    fl_stats_add (stats, traffic->sent_bytes, sent_bytes);
+  if (received_bytes > 0)
+    fl_stats_add (stats, traffic->received_bytes, received_bytes);
+}
+
 void
 fl_stats_set (struct fl_stats *stats, const char *name, int64_t value)
 {
--- a/lib/common/stats.h
+++ b/lib/common/stats.h
@@ -28,6 +28,21 @@
 /* @return the value at quantile @q (0 to 1), or 0 when nothing was recorded. */
 int64_t fl_histogram_quantile (const struct fl_histogram *histogram, double q);
 
+/* Names of the counters of one kind of traffic: messages or calls, and bytes by direction. */
+struct fl_traffic
+{
+  const char *messages;
+  const char *sent_bytes;
+  const char *received_bytes;
+};
+
+/* The counters of the traffic kind @kind_, a string literal. */
+#define FL_TRAFFIC(kind_)                                                                          \
+  {                                                                                                \
+    "messages_total{kind=\"" kind_ "\"}", "sent_bytes_total{kind=\"" kind_ "\"}",                  \
+        "received_bytes_total{kind=\"" kind_ "\"}"                                                 \
+  }
+
 /* Named counters, gauges and histograms of one process. fl_stats_add, fl_stats_set and
  * fl_stats_record do nothing if the stats are NULL. */
 struct fl_stats;
@@ -38,6 +53,12 @@
 /* Adds @amount to counter @name, which starts at 0. @name may include labels: `x{kind="a"}`. */
 void fl_stats_add (struct fl_stats *stats, const char *name, int64_t amount);
 
+/* Counts one message or call of the kind @traffic, which may be NULL. */
+void fl_stats_add_traffic (struct fl_stats *stats,
+                           const struct fl_traffic *traffic,
+                           int64_t sent_bytes,
+                           int64_t received_bytes);
+
 /* Sets gauge @name. */
 void fl_stats_set (struct fl_stats *stats, const char *name, int64_t value);
 
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -459,6 +459,21 @@
     task->last_run_number = MAX (task->last_run_number, runs[i].run);
 }
 
+static void
+apply_done_range (struct core_job *job, const struct fl_done_range *range)
+{
+  struct core_step *step = find_step_at (job, range->occurrence, range->step);
+
+  if (step == NULL)
+    return;
+  for (int64_t i = range->first; i < MIN (range->first + range->count, step->spec->count); i++)
+    if (!step->tasks[i].done)
+      {
+        step->tasks[i].done = true;
+        step->unfinished_tasks--;
+      }
+}
+
 static void
 apply_progress (struct core_job *job, const struct fl_job_progress *progress)
 {
@@ -472,6 +487,8 @@
   job->may_have_record = true;
   for (size_t i = 0; i < progress->targets.count; i++)
     core_job_add_recorded_target (job, &targets[i].id);
+  for (size_t i = 0; i < progress->done.count; i++)
+    apply_done_range (job, (const struct fl_done_range *)progress->done.items + i);
   for (size_t i = 0; i < progress->tasks.count; i++)
     {
       struct core_step *step = find_step_at (job, rows[i].occurrence, rows[i].step);
@@ -480,7 +497,7 @@
       struct core_task *task = &step->tasks[rows[i].index];
       if (rows[i].done && !task->done)
         step->unfinished_tasks--;
-      task->done = rows[i].done;
+      task->done = task->done || rows[i].done;
       load_failed_runs (task, &rows[i].failed_runs);
       fl_str_clear (&task->checkpoint);
       task->checkpoint = fl_str_dup (&rows[i].checkpoint);
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -3,6 +3,9 @@
 
 #include "core/core_internal.h"
 
+/* Most bytes of the records that are collected at once, unless a single record is larger. The store
+ * takes transactions of 1 MB, in which records grow by a third. */
+#define COLLECTED_BYTES_MAX (512 * 1024)
 /* Weight of one run in the moving average of the run time of a queue. */
 #define RUN_TIME_WEIGHT 0.05
 /* Consecutive failures, of at least two jobs, after which a target is quarantined. */
@@ -369,10 +372,36 @@
 
 /* --- records --- */
 
-static bool
-has_progress (const struct core_task *task)
+static void
+append_done_ranges (const struct core_step *step, GArray *ranges)
 {
-  return task->done || failed_run_count (task) > 0 || task->checkpoint.len > 0;
+  struct fl_done_range range = { .occurrence = step->occurrence, .step = step->number };
+
+  for (int64_t i = 0; i <= step->spec->count; i++)
+    {
+      bool is_done = i < step->spec->count && step->tasks[i].done;
+      if (is_done && range.count == 0)
+        range.first = i;
+      if (is_done)
+        range.count++;
+      else if (range.count > 0)
+        {
+          g_array_append_val (ranges, range);
+          range.count = 0;
+        }
+    }
+}
+
+/* @return rows of struct fl_done_range. */
+static GArray *
+collect_done_ranges (const struct core_job *job)
+{
+  GArray *ranges = g_array_new (FALSE, TRUE, sizeof (struct fl_done_range));
+
+  for (size_t i = 0; i < job->step_count; i++)
+    if (job->steps[i].unfinished_tasks < job->steps[i].spec->count)
+      append_done_ranges (&job->steps[i], ranges);
+  return ranges;
 }
 
 /* @return rows of struct fl_task_progress, whose checkpoints and failed runs are borrowed from the
@@ -386,16 +415,13 @@
     for (int64_t j = 0; j < job->steps[i].spec->count; j++)
       {
         const struct core_task *task = &job->steps[i].tasks[j];
-        struct fl_task_progress row = { .occurrence = job->steps[i].occurrence,
-                                        .step = job->steps[i].number,
-                                        .index = j,
-                                        .done = task->done };
-        if (!has_progress (task))
+        struct fl_task_progress row
+            = { .occurrence = job->steps[i].occurrence, .step = job->steps[i].number, .index = j };
+        if (task->done || (failed_run_count (task) == 0 && task->checkpoint.len == 0))
           continue;
-        if (!task->done && task->failed_runs != NULL)
+        if (task->failed_runs != NULL)
           row.failed_runs = (struct fl_array){ task->failed_runs->len, task->failed_runs->data };
-        if (!task->done)
-          row.checkpoint = task->checkpoint;
+        row.checkpoint = task->checkpoint;
         g_array_append_val (rows, row);
       }
   return rows;
@@ -405,19 +431,22 @@
 encode_progress (const struct core_job *job)
 {
   struct fl_job_progress progress = { .state = job->state };
+  g_autoptr (GArray) done = NULL;
   g_autoptr (GArray) tasks = NULL;
   g_autoptr (GArray) targets = NULL;
 
   /* A successor needs only the state of a finished job. */
   if (!fl_job_state_is_final (job->state))
     {
+      done = collect_done_ranges (job);
       tasks = collect_tasks (job);
       targets = core_job_collect_targets (job);
+      progress.done = (struct fl_array){ done->len, done->data };
       progress.tasks = (struct fl_array){ tasks->len, tasks->data };
       progress.targets = (struct fl_array){ targets->len, targets->data };
       progress.any_target = core_job_may_run_on_any_target (job);
     }
-  return fl_record_encode (&fl_job_progress_schema, &progress);
+  return fl_job_progress_encode (&progress);
 }
 
 static bool
@@ -467,10 +496,11 @@
   GHashTableIter iter;
   void *value;
   size_t count = 0;
+  size_t bytes = 0;
 
   g_assert (!core->records_in_flight);
   g_hash_table_iter_init (&iter, core->jobs);
-  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
+  while (count < max && bytes < COLLECTED_BYTES_MAX && g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct core_job *job = value;
       if (!job->needs_recording)
@@ -478,7 +508,8 @@
       job->needs_recording = false;
       job->record_in_flight = true;
       core_job_begin_recording_targets (job);
-      records[count++] = (struct fl_core_record){ job->spec.id, encode_progress (job) };
+      records[count] = (struct fl_core_record){ job->spec.id, encode_progress (job) };
+      bytes += records[count++].progress.len;
     }
   core->records_cover_all_ends = !any_job_needs_recording (core);
   if (core->records_cover_all_ends)
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -200,11 +200,11 @@
     front_call_schedule_retry (call, read_progress, 504);
   else if (reply->count == 0)
     read_job (call);
-  else if (fl_record_decode (&fl_job_progress_schema, reply->rows[0].value.data,
-                             reply->rows[0].value.len, &progress, &error))
+  else if (fl_job_progress_decode (reply->rows[0].value.data, reply->rows[0].value.len, &progress,
+                                   &error))
     {
       respond_state (call, (enum fl_job_state)progress.state);
-      fl_schema_clear (&fl_job_progress_schema, &progress);
+      fl_job_progress_clear (&progress);
     }
   else
     {
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -163,7 +163,7 @@
                                host->settings.name, &host->log_state };
   fl_log_set_nonblocking ();
   host->stats = fl_stats_new ();
-  host->http_client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX);
+  host->http_client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX, host->stats);
   host->platform_store = fl_platform_store_new (host->http_client, host->settings.store.data);
   host->store = fl_platform_store_get_interface (host->platform_store);
   start_relay (host, program->relays_store_calls);
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -88,13 +88,39 @@
 };
 static FL_SCHEMA (target_schema, fl_job_target, target_fields);
 
+#define PROGRESS_STATE                                                                             \
+  {                                                                                                \
+    "state", FL_ENUM, offsetof (struct fl_job_progress, state), true, 0, 0, 0, NULL, state_names   \
+  }
+
+/* The JSON record of earlier versions. */
+static const struct fl_field json_progress_fields[] = {
+  PROGRESS_STATE,
+  LIST (fl_job_progress, tasks, 0, RECORDED_TASKS_MAX, &task_schema),
+  LIST (fl_job_progress, targets, 0, RECORDED_TARGETS_MAX, &target_schema),
+  FIELD_AS (fl_job_progress, any_target, "anywhere", FL_BOOL, false, 0, 0, 0),
+};
+static FL_SCHEMA_AS (json_progress_schema,
+                     fl_job_progress,
+                     "fl_job_progress",
+                     json_progress_fields);
+
+static const struct fl_field done_range_fields[] = {
+  FIELD (fl_done_range, occurrence, FL_INT, true, 0, REPEATS_MAX, 0),
+  FIELD (fl_done_range, step, FL_INT, true, 0, FL_STEPS_MAX, 0),
+  FIELD (fl_done_range, first, FL_INT, true, 0, FL_STEP_TASKS_MAX, 0),
+  FIELD (fl_done_range, count, FL_INT, true, 1, FL_STEP_TASKS_MAX, 0),
+};
+static FL_SCHEMA (done_range_schema, fl_done_range, done_range_fields);
+
 static const struct fl_field progress_fields[] = {
-  { "state", FL_ENUM, offsetof (struct fl_job_progress, state), true, 0, 0, 0, NULL, state_names },
+  PROGRESS_STATE,
+  LIST (fl_job_progress, done, 0, RECORDED_TASKS_MAX, &done_range_schema),
   LIST (fl_job_progress, tasks, 0, RECORDED_TASKS_MAX, &task_schema),
   LIST (fl_job_progress, targets, 0, RECORDED_TARGETS_MAX, &target_schema),
   FIELD_AS (fl_job_progress, any_target, "anywhere", FL_BOOL, false, 0, 0, 0),
 };
-FL_SCHEMA (fl_job_progress_schema, fl_job_progress, progress_fields);
+static FL_SCHEMA (progress_schema, fl_job_progress, progress_fields);
 
 const char *
 fl_job_state_name (enum fl_job_state state)
@@ -137,6 +163,39 @@
   return true;
 }
 
+struct fl_str
+fl_job_progress_encode (const struct fl_job_progress *progress)
+{
+  msgpack_sbuffer buffer;
+
+  msgpack_sbuffer_init (&buffer);
+  fl_schema_encode (&progress_schema, progress, &buffer);
+  struct fl_str record = fl_str_make (buffer.data, buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
+  return record;
+}
+
+bool
+fl_job_progress_decode (const char *data,
+                        size_t len,
+                        struct fl_job_progress *progress,
+                        struct fl_error *error)
+{
+  /* An encoded MessagePack array never starts with the byte that starts a JSON object. */
+  if (len > 0 && data[0] == '{')
+    return fl_record_decode (&json_progress_schema, data, len, progress, error);
+  if (fl_schema_decode (&progress_schema, data, len, progress, error))
+    return true;
+  fl_job_progress_clear (progress);
+  return false;
+}
+
+void
+fl_job_progress_clear (struct fl_job_progress *progress)
+{
+  fl_schema_clear (&progress_schema, progress);
+}
+
 bool
 fl_record_decode (const struct fl_schema *schema,
                   const char *data,
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -74,7 +74,17 @@
   int64_t run;
 };
 
-/* Recorded progress of one task that is done, has failed runs or has left a checkpoint. */
+/* Consecutive tasks of a step that are done. */
+struct fl_done_range
+{
+  int64_t occurrence;
+  int64_t step;
+  int64_t first; /* index of the first task */
+  int64_t count;
+};
+
+/* Recorded progress of one task that has failed runs or has left a checkpoint. Records of earlier
+ * versions list tasks that are done here, too. */
 struct fl_task_progress
 {
   int64_t occurrence;
@@ -94,13 +104,13 @@
 struct fl_job_progress
 {
   int state;               /* enum fl_job_state */
+  struct fl_array done;    /* of struct fl_done_range */
   struct fl_array tasks;   /* of struct fl_task_progress */
   struct fl_array targets; /* of struct fl_job_target; complete unless any_target is set */
   bool any_target;         /* tasks may have been started on any target */
 };
 
 extern const struct fl_schema fl_job_spec_schema;
-extern const struct fl_schema fl_job_progress_schema;
 
 /* Checks what the bounds of fields cannot express: steps depend only on earlier steps.
  * @return false with @error filled when one does not. */
@@ -112,6 +122,21 @@
 /* @return the number of occurrences, at least 1. */
 int64_t fl_job_spec_count_occurrences (const struct fl_job_spec *spec);
 
+/* Encodes @progress as a record, whose size follows from the ranges of tasks that are done rather
+ * than from the tasks. @return the record, owned by the caller. */
+struct fl_str fl_job_progress_encode (const struct fl_job_progress *progress);
+
+/* Decodes a record of @len bytes that fl_job_progress_encode wrote, or the JSON of an earlier
+ * version.
+ * @return false with @error filled and @progress cleared when it is malformed. */
+bool fl_job_progress_decode (const char *data,
+                             size_t len,
+                             struct fl_job_progress *progress,
+                             struct fl_error *error);
+
+/* Frees what a decoded @progress owns and zeroes it. */
+void fl_job_progress_clear (struct fl_job_progress *progress);
+
 /* Decodes @len bytes of JSON into @object, as described by @schema.
  * @return false with @error filled and @object cleared when they are malformed. */
 bool fl_record_decode (const struct fl_schema *schema,
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -15,6 +15,7 @@
 struct fl_http_client
 {
   struct ev_loop *loop;
+  struct fl_stats *stats;
   CURLM *multi;
   ev_timer timer;
   GHashTable *calls; /* set of struct call * */
@@ -29,6 +30,7 @@
   char *url;
   struct curl_slist *custom_headers; /* NULL unless the call adds a header */
   char error_text[CURL_ERROR_SIZE];
+  const struct fl_traffic *traffic;
   bool (*may_send) (void *context);
   void *may_send_context;
   void (*on_done) (void *context, const struct fl_http_result *result);
@@ -104,6 +106,22 @@
   return request_size > 0;
 }
 
+static void
+count_traffic (const struct call *call)
+{
+  curl_off_t sent_body = 0;
+  curl_off_t received_body = 0;
+  long sent_header = 0;
+  long received_header = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent_header);
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &sent_body);
+  curl_easy_getinfo (call->easy, CURLINFO_HEADER_SIZE, &received_header);
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &received_body);
+  fl_stats_add_traffic (call->client->stats, call->traffic, sent_header + sent_body,
+                        received_header + received_body);
+}
+
 static void
 finish_call (struct fl_http_client *client, struct call *call, CURLcode code)
 {
@@ -123,6 +141,7 @@
                call->error_text[0] != '\0' ? call->error_text : curl_easy_strerror (code));
     }
   result.body = (struct fl_str){ call->body->len, call->body->str };
+  count_traffic (call);
   g_hash_table_steal (client->calls, call);
   call->on_done (call->context, &result);
   call_free (call);
@@ -228,11 +247,12 @@
 }
 
 struct fl_http_client *
-fl_http_client_new (struct ev_loop *loop, int64_t connections_max)
+fl_http_client_new (struct ev_loop *loop, int64_t connections_max, struct fl_stats *stats)
 {
   struct fl_http_client *client = g_new0 (struct fl_http_client, 1);
 
   client->loop = loop;
+  client->stats = stats;
   client->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
   client->headers = common_headers ();
   client->multi = curl_multi_init ();
@@ -271,6 +291,7 @@
   call->url = g_strdup (options->url);
   call->on_done = options->on_done;
   call->context = options->context;
+  call->traffic = options->traffic;
   call->may_send = options->may_send;
   call->may_send_context = options->may_send_context;
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "common/stats.h"
 #include "common/str.h"
 
 struct fl_http_client;
@@ -29,6 +30,7 @@
   size_t len;         /* of the body */
   int64_t timeout_ms; /* of the whole call */
   int64_t connect_timeout_ms;
+  const struct fl_traffic *traffic; /* counters of calls of this kind; NULL for none */
   /* Opens a new connection for this call only. If a reused connection turns out to be closed,
    * libcurl resends the request by itself; set this for calls that must not arrive twice. */
   bool fresh_connection;
@@ -40,8 +42,10 @@
   void *context;
 };
 
-/* @connections_max limits the connections that are kept open for reuse. */
-struct fl_http_client *fl_http_client_new (struct ev_loop *loop, int64_t connections_max);
+/* @connections_max limits the connections that are kept open for reuse. @stats counts the traffic
+ * of the calls; NULL counts nothing. */
+struct fl_http_client *
+fl_http_client_new (struct ev_loop *loop, int64_t connections_max, struct fl_stats *stats);
 
 /* Frees the client and drops open calls without calling on_done. */
 void fl_http_client_free (struct fl_http_client *client);
--- a/lib/poold/peers.c
+++ b/lib/poold/peers.c
@@ -18,6 +18,9 @@
  * orders through peers. */
 #define DIRECT_CPU_SHARE 0.4
 
+static const struct fl_traffic advice_traffic = FL_TRAFFIC ("peer_advice");
+static const struct fl_traffic forward_traffic = FL_TRAFFIC ("peer_forward");
+
 static bool
 send_message (
     struct fl_poold *poold, char kind, const struct fl_route *to, const char *data, size_t len)
@@ -28,6 +31,10 @@
   message[0] = kind;
   memcpy (message + 1, data, len);
   sent = fl_link_send (poold->link, to, message, len + 1);
+  if (sent)
+    fl_stats_add_traffic (poold->host->stats,
+                          kind == KIND_ADVICE ? &advice_traffic : &forward_traffic,
+                          (int64_t)len + 1, 0);
   g_free (message);
   return sent;
 }
@@ -49,6 +56,10 @@
 {
   struct fl_poold *poold = context;
 
+  if (len > 0)
+    fl_stats_add_traffic (poold->host->stats,
+                          data[0] == KIND_ADVICE ? &advice_traffic : &forward_traffic, 0,
+                          (int64_t)len);
   if (len > 0 && data[0] == KIND_ADVICE)
     fl_advisors_receive (poold->advisors, from, data + 1, len - 1);
   else if (len > 0 && data[0] == KIND_FORWARD)
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -26,7 +26,7 @@
 static void
 progress_free (void *data)
 {
-  fl_schema_clear (&fl_job_progress_schema, data);
+  fl_job_progress_clear (data);
   g_free (data);
 }
 
@@ -38,8 +38,7 @@
   struct fl_error error = { 0 };
 
   if (row->removed || term->progress_read
-      || !fl_record_decode (&fl_job_progress_schema, row->value.data, row->value.len, progress,
-                            &error))
+      || !fl_job_progress_decode (row->value.data, row->value.len, progress, &error))
     {
       if (error.code != FL_OK)
         fl_log_error (&term->poold->host->log, FL_LOG_ERR, "progress_unreadable", &error);
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -761,12 +761,11 @@
   struct fl_job_spec spec;
   struct fl_job_progress progress = { 0 };
   bool known = with_progress && job->progress.len > 0
-               && fl_record_decode (&fl_job_progress_schema, job->progress.data, job->progress.len,
-                                    &progress, NULL);
+               && fl_job_progress_decode (job->progress.data, job->progress.len, &progress, NULL);
 
   if (fl_record_decode (&fl_job_spec_schema, job->spec.data, job->spec.len, &spec, NULL))
     fl_core_add_job (owner->core, &spec, job->version, known ? &progress : NULL);
-  fl_schema_clear (&fl_job_progress_schema, &progress);
+  fl_job_progress_clear (&progress);
   owner->jobs_version = job->version;
 }
 
@@ -800,11 +799,10 @@
 {
   struct fl_job_progress progress = { 0 };
   bool is_final = job->progress.len > 0
-                  && fl_record_decode (&fl_job_progress_schema, job->progress.data,
-                                       job->progress.len, &progress, NULL)
+                  && fl_job_progress_decode (job->progress.data, job->progress.len, &progress, NULL)
                   && fl_job_state_is_final ((enum fl_job_state)progress.state);
 
-  fl_schema_clear (&fl_job_progress_schema, &progress);
+  fl_job_progress_clear (&progress);
   return is_final;
 }
 
@@ -1274,8 +1272,7 @@
       bool exhausted = false;
       bool complete = true;
       if (job->progress.len == 0
-          || !fl_record_decode (&fl_job_progress_schema, job->progress.data, job->progress.len,
-                                &progress, NULL))
+          || !fl_job_progress_decode (job->progress.data, job->progress.len, &progress, NULL))
         continue;
       for (int step = 0; step < job->step_count; step++)
         for (int index = 0; index < job->tasks_per_step; index++)
@@ -1291,7 +1288,7 @@
         report_violation (cell, "LOST (failed without cause)", &job->id);
       if (progress.state == FL_JOB_CANCELLED && !job->cancelled)
         report_violation (cell, "LOST (cancelled without cause)", &job->id);
-      fl_schema_clear (&fl_job_progress_schema, &progress);
+      fl_job_progress_clear (&progress);
     }
 }
 
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -244,11 +244,14 @@
 encode_sample_progress (void)
 {
   struct fl_failed_run failed[] = { { 1 }, { 100001 } };
-  struct fl_task_progress tasks[] = { { 0, 1, 2, true, { 2, failed }, { 0 } },
+  struct fl_done_range done[] = { { 0, 0, 0, 40 }, { 0, 1, 3, 1 } };
+  struct fl_task_progress tasks[] = { { 0, 1, 2, false, { 2, failed }, { 0 } },
                                       { 3, 0, 0, false, { 0 }, { 3, (char *)"abc" } } };
-  struct fl_job_progress progress = { FL_JOB_RUNNING, { 2, tasks }, { 0 }, false };
+  struct fl_job_target targets[] = { { fl_name_of ("i-1") }, { fl_name_of ("i-2") } };
+  struct fl_job_progress progress
+      = { FL_JOB_RUNNING, { 2, done }, { 2, tasks }, { 2, targets }, false };
 
-  return fl_record_encode (&fl_job_progress_schema, &progress);
+  return fl_job_progress_encode (&progress);
 }
 
 static void
@@ -259,15 +262,40 @@
   struct fl_error error = { 0 };
 
   (void)state;
-  assert_true (
-      fl_record_decode (&fl_job_progress_schema, encoded.data, encoded.len, &decoded, &error));
-  struct fl_str reencoded = fl_record_encode (&fl_job_progress_schema, &decoded);
-  assert_string_equal (reencoded.data, encoded.data);
-  fl_schema_clear (&fl_job_progress_schema, &decoded);
+  assert_true (fl_job_progress_decode (encoded.data, encoded.len, &decoded, &error));
+  struct fl_str reencoded = fl_job_progress_encode (&decoded);
+  assert_int_equal (reencoded.len, encoded.len);
+  assert_memory_equal (reencoded.data, encoded.data, encoded.len);
+  fl_job_progress_clear (&decoded);
   fl_str_clear (&reencoded);
   fl_str_clear (&encoded);
 }
 
+/* A new version reads what an earlier one has stored. */
+static void
+test_json_progress_record (void **state)
+{
+  static const char record[]
+      = "{\"anywhere\":true,\"state\":\"running\",\"targets\":[{\"id\":\"i-1\"}],\"tasks\":["
+        "{\"checkpoint\":\"abc\",\"done\":false,\"failed_runs\":[{\"run\":7}],\"index\":1,"
+        "\"occurrence\":0,\"step\":0},{\"checkpoint\":\"\",\"done\":true,\"failed_runs\":[],"
+        "\"index\":2,\"occurrence\":0,\"step\":0}]}";
+  struct fl_job_progress progress;
+  struct fl_error error = { 0 };
+
+  (void)state;
+  assert_true (fl_job_progress_decode (record, strlen (record), &progress, &error));
+  const struct fl_task_progress *tasks = progress.tasks.items;
+  assert_int_equal (progress.state, FL_JOB_RUNNING);
+  assert_true (progress.any_target);
+  assert_int_equal (progress.targets.count, 1);
+  assert_int_equal (progress.tasks.count, 2);
+  assert_int_equal (tasks[0].failed_runs.count, 1);
+  assert_string_equal (tasks[0].checkpoint.data, "abc");
+  assert_true (tasks[1].done);
+  fl_job_progress_clear (&progress);
+}
+
 /* A corrupted record is rejected or decodes to values within the bounds of its schema. */
 static void
 test_corrupted_records (void **state)
@@ -285,8 +313,8 @@
       for (int j = g_rand_int_range (random, 1, 4); j > 0; j--)
         copy[g_rand_int_range (random, 0, (gint32)encoded.len)]
             = (char)g_rand_int_range (random, 0, 256);
-      if (fl_record_decode (&fl_job_progress_schema, copy, encoded.len, &decoded, &error))
-        fl_schema_clear (&fl_job_progress_schema, &decoded);
+      if (fl_job_progress_decode (copy, encoded.len, &decoded, &error))
+        fl_job_progress_clear (&decoded);
       else
         rejected += error.code == FL_INVALID ? 1 : 0;
     }
@@ -331,15 +359,11 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_settings_load),
-    cmocka_unit_test (test_configuration_decode),
-    cmocka_unit_test (test_api_key_decode),
-    cmocka_unit_test (test_target_decode),
-    cmocka_unit_test (test_job_decode),
-    cmocka_unit_test (test_record_round_trip),
-    cmocka_unit_test (test_corrupted_records),
-    cmocka_unit_test (test_job_partition),
-    cmocka_unit_test (test_histogram_error_bound),
+    cmocka_unit_test (test_settings_load),        cmocka_unit_test (test_configuration_decode),
+    cmocka_unit_test (test_api_key_decode),       cmocka_unit_test (test_target_decode),
+    cmocka_unit_test (test_job_decode),           cmocka_unit_test (test_record_round_trip),
+    cmocka_unit_test (test_json_progress_record), cmocka_unit_test (test_corrupted_records),
+    cmocka_unit_test (test_job_partition),        cmocka_unit_test (test_histogram_error_bound),
   };
 
   return cmocka_run_group_tests_name ("contracts", tests, NULL, NULL);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -137,6 +137,37 @@
   g_free (fixture);
 }
 
+static struct fl_job_progress
+decode_record (const struct fl_core_record *record)
+{
+  struct fl_job_progress progress;
+  struct fl_error error = { 0 };
+
+  assert_true (
+      fl_job_progress_decode (record->progress.data, record->progress.len, &progress, &error));
+  return progress;
+}
+
+static enum fl_job_state
+recorded_state (const struct fl_core_record *record)
+{
+  struct fl_job_progress progress = decode_record (record);
+  enum fl_job_state job_state = (enum fl_job_state)progress.state;
+
+  fl_job_progress_clear (&progress);
+  return job_state;
+}
+
+static bool
+records_any_target (const struct fl_core_record *record)
+{
+  struct fl_job_progress progress = decode_record (record);
+  bool any_target = progress.any_target;
+
+  fl_job_progress_clear (&progress);
+  return any_target;
+}
+
 /* Collects the pending records and confirms that they are stored. @return the number of records. */
 static size_t
 store_records (struct fixture *fixture)
@@ -598,7 +629,7 @@
   for (int attempt = 0; attempt < 2; attempt++)
     {
       assert_int_equal (fl_core_collect_records (fixture->core, records, 4), 1);
-      assert_non_null (strstr (records[0].progress.data, "completed"));
+      assert_int_equal (recorded_state (&records[0]), FL_JOB_COMPLETED);
       fl_str_clear (&records[0].progress);
       fixture->now_ms += 310;
       if (fl_core_prepare_heartbeat (fixture->core, &target, fixture->now_ms, &heartbeat))
@@ -863,7 +894,7 @@
   deliver_report (fixture, "t1",
                   (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
   assert_int_equal (fl_core_collect_records (fixture->core, records, 4), 1);
-  assert_non_null (strstr (records[0].progress.data, "\"anywhere\":true"));
+  assert_true (records_any_target (&records[0]));
   fl_str_clear (&records[0].progress);
   fl_core_finish_records (fixture->core, true, fixture->now_ms);
   fixture_free (fixture);
@@ -959,7 +990,7 @@
   add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
   fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
   assert_int_equal (fl_core_collect_records (fixture->core, records, 4), 1);
-  assert_null (strstr (records[0].progress.data, "\"anywhere\":true"));
+  assert_false (records_any_target (&records[0]));
   fl_str_clear (&records[0].progress);
   add_job (fixture, "b", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
   fixture->now_ms += 101;
@@ -970,16 +1001,78 @@
   assert_int_equal (fl_core_collect_records (fixture->core, records, 4), 2);
   for (int i = 0; i < 2; i++)
     {
-      assert_non_null (strstr (records[i].progress.data, "\"anywhere\":true"));
+      assert_true (records_any_target (&records[i]));
       fl_str_clear (&records[i].progress);
     }
   fixture_free (fixture);
 }
 
+/* Load pattern: jobs of thousands of tasks run at once. The progress of one fits a row of the
+ * store, and all records that are collected at once fit a transaction. */
+static void
+test_record_sizes (void **state)
+{
+  enum
+  {
+    JOBS = 90,
+    TASKS = 2000,
+    ROW_BYTES_MAX = 65536,
+    TRANSACTION_BYTES_MAX = 1000000
+  };
+  struct fixture *fixture = fixture_new (0);
+  struct fl_core_record records[JOBS];
+  size_t recorded = 0;
+
+  (void)state;
+  for (int i = 0; i < JOBS; i++)
+    {
+      /* Alternating tasks are done, and the others have left checkpoints. */
+      g_autoptr (GArray) done = g_array_new (FALSE, TRUE, sizeof (struct fl_done_range));
+      g_autoptr (GArray) tasks = g_array_new (FALSE, TRUE, sizeof (struct fl_task_progress));
+      struct fl_job_progress progress = { .state = FL_JOB_RUNNING };
+      struct fl_step_spec step = { .count = TASKS, .cpu_milli = 1000 };
+      struct fl_job_spec spec = { .id = fl_name_format ("job-%d", i),
+                                  .queue = fl_name_of ("urgent"),
+                                  .team = fl_name_of ("w"),
+                                  .accepted_ms = fixture->now_ms,
+                                  .text = fl_str_of ("x"),
+                                  .steps = { 1, g_memdup2 (&step, sizeof step) } };
+      for (int j = 0; j < TASKS; j += 2)
+        {
+          struct fl_done_range range = { 0, 0, j, 1 };
+          struct fl_task_progress task
+              = { 0, 0, j + 1, false, { 0 }, { 16, (char *)"00000bb87a21d94b" } };
+          g_array_append_val (done, range);
+          g_array_append_val (tasks, task);
+        }
+      progress.done = (struct fl_array){ done->len, done->data };
+      progress.tasks = (struct fl_array){ tasks->len, tasks->data };
+      fl_core_add_job (fixture->core, &spec, 1, &progress);
+    }
+  add_target (fixture, "t1", JOBS * TASKS, false);
+  fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+  for (size_t count; (count = fl_core_collect_records (fixture->core, records, JOBS)) > 0;)
+    {
+      size_t encoded_bytes = 0;
+      for (size_t i = 0; i < count; i++)
+        {
+          assert_true (records[i].progress.len <= ROW_BYTES_MAX);
+          encoded_bytes += (records[i].progress.len + 2) / 3 * 4; /* base64 */
+          fl_str_clear (&records[i].progress);
+        }
+      assert_true (encoded_bytes < TRANSACTION_BYTES_MAX);
+      fl_core_finish_records (fixture->core, true, fixture->now_ms);
+      recorded += count;
+    }
+  assert_int_equal (recorded, JOBS);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_record_sizes),
     cmocka_unit_test (test_failures_in_any_order),
     cmocka_unit_test (test_start_with_slow_store),
     cmocka_unit_test (test_start_waits_for_record),
