Send the starts of a step as one message through a distributing peer

Cause: the owner forwarded each start by itself, with the payload of its job: 140 KB/s of the 250 KB/s that the link of a small host takes, and a message with its reply for each of 1,600 starts a second on the large site. An order that timed out also ended all others in flight through its peer and left the peer out, although the peer replied to others meanwhile; the direct orders that followed filled the link further.

A timeout concerns other orders only if the peer has sent nothing since.

--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -90,6 +90,7 @@
     .payload_len = job->spec.text.len,
     .checkpoint = fl_str_text (&run->task->checkpoint),
     .ticket = ticket,
+    .is_repeated = run->inconclusive_starts > 0,
   };
 
   core_job_mark_started_on (job, &target->entry.id);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -5,32 +5,22 @@
 #include <glib.h>
 
 #include "common/clock.h"
-#include "forward/message.h"
-
-/* An order times out this much later here than on the forwarding host: covers two transfers between
- * the hosts and the wait for CPU time on a small host. */
-#define FORWARD_SLACK_MS 150
-/* Forwarding hosts wait for the reply of a target at most 200 ms after a start, 700 ms after other
- * orders, and 300 ms after the wait of a heartbeat. */
-#define START_TIMEOUT_MS (200 + FORWARD_SLACK_MS)
+#include "forward/forward_internal.h"
+
+/* Forwarding hosts wait for the reply of a target at most 700 ms after a stop or a throttle order,
+ * and 300 ms after the wait of a heartbeat. */
 #define ORDER_TIMEOUT_MS (700 + FORWARD_SLACK_MS)
 #define HEARTBEAT_TIMEOUT_MS (300 + FORWARD_SLACK_MS)
 /* Interval of the pings to unavailable peers. */
 #define PING_INTERVAL_MS 1000
 
-struct peer
-{
-  struct fl_name name;
-  struct fl_name address;
-  bool is_available; /* replied to a ping and to every order since */
-};
-
 /* An order of this host, sent through a peer. */
 struct outgoing_order
 {
   struct fl_forwarder *forwarder;
   int64_t number;
   struct fl_name peer_address;
+  int64_t sent_ms;
   ev_timer timeout;
   void (*done) (void *context, const struct fl_order_reply *reply);
   void *context;
@@ -44,17 +34,6 @@
   int64_t number;
 };
 
-struct fl_forwarder
-{
-  struct fl_forwarder_options options;
-  struct fl_target_calls calls;
-  bool enabled;
-  GArray *peers;         /* struct peer */
-  GHashTable *in_flight; /* number -> struct outgoing_order */
-  int64_t last_order_number;
-  ev_timer ping_timer;
-};
-
 /* --- peers --- */
 
 static bool
@@ -72,12 +51,12 @@
   return sent;
 }
 
-static struct peer *
+static struct forward_peer *
 find_peer (struct fl_forwarder *forwarder, const struct fl_name *address)
 {
   for (guint i = 0; i < forwarder->peers->len; i++)
     {
-      struct peer *peer = &g_array_index (forwarder->peers, struct peer, i);
+      struct forward_peer *peer = &g_array_index (forwarder->peers, struct forward_peer, i);
       if (fl_name_eq (&peer->address, address))
         return peer;
     }
@@ -85,7 +64,7 @@
 }
 
 static void
-mark_unavailable (struct fl_forwarder *forwarder, struct peer *peer)
+mark_unavailable (struct fl_forwarder *forwarder, struct forward_peer *peer)
 {
   if (peer == NULL || !peer->is_available)
     return;
@@ -94,16 +73,14 @@
   fl_log (forwarder->options.log, FL_LOG_NOTICE, "carrier_left_out", FL_N ("host", &peer->name));
 }
 
-/* The peer that forwards orders to @target, NULL when it is unavailable. Each target has one peer,
- * so that connections are reused. */
-static struct peer *
-find_forwarding_peer (struct fl_forwarder *forwarder, const struct fl_name *target)
+struct forward_peer *
+forward_find_serving_peer (struct fl_forwarder *forwarder, const struct fl_name *target)
 {
-  struct peer *peer;
+  struct forward_peer *peer;
 
   if (!forwarder->enabled || forwarder->peers->len == 0)
     return NULL;
-  peer = &g_array_index (forwarder->peers, struct peer,
+  peer = &g_array_index (forwarder->peers, struct forward_peer,
                          fl_name_hash (target) % forwarder->peers->len);
   return peer->is_available ? peer : NULL;
 }
@@ -118,7 +95,7 @@
   (void)events;
   for (guint i = 0; forwarder->enabled && i < forwarder->peers->len; i++)
     {
-      const struct peer *peer = &g_array_index (forwarder->peers, struct peer, i);
+      const struct forward_peer *peer = &g_array_index (forwarder->peers, struct forward_peer, i);
       struct fl_route to = { .address = peer->address };
       if (!peer->is_available)
         send_message (forwarder, &to, &ping);
@@ -153,6 +130,21 @@
       g_ptr_array_add (orders, value);
   for (guint i = 0; i < orders->len; i++)
     finish_order (g_ptr_array_index (orders, i), &reply);
+  forward_batches_time_out (forwarder->batches, address);
+}
+
+void
+forward_handle_timeout (struct fl_forwarder *forwarder,
+                        const struct fl_name *address,
+                        int64_t sent_ms)
+{
+  struct forward_peer *peer = find_peer (forwarder, address);
+
+  /* A peer that has sent anything since is alive: only the one order or its reply is late. */
+  if (peer == NULL || peer->heard_ms >= sent_ms)
+    return;
+  mark_unavailable (forwarder, peer);
+  time_out_orders (forwarder, address);
 }
 
 static void
@@ -161,48 +153,96 @@
   struct outgoing_order *order = timer->data;
   struct fl_forwarder *forwarder = order->forwarder;
   struct fl_name address = order->peer_address;
+  struct fl_order_reply reply = { .result = FL_ORDER_NO_REPLY };
+  int64_t sent_ms = order->sent_ms;
 
   (void)loop;
   (void)events;
-  mark_unavailable (forwarder, find_peer (forwarder, &address));
-  time_out_orders (forwarder, &address);
+  finish_order (order, &reply);
+  forward_handle_timeout (forwarder, &address, sent_ms);
 }
 
-/* Forwards @message to the peer for its target. @return false when the message is not sent. */
-static bool
-forward_order (struct fl_forwarder *forwarder,
-               struct fl_forward_message *message,
-               int64_t timeout_ms,
-               void (*done) (void *context, const struct fl_order_reply *reply),
-               void *done_context)
+bool
+forward_send (struct fl_forwarder *forwarder,
+              const struct fl_name *address,
+              struct fl_forward_message *message,
+              int64_t timeout_ms,
+              void (*done) (void *context, const struct fl_order_reply *reply),
+              void *done_context)
 {
-  struct peer *peer = find_forwarding_peer (forwarder, &message->target);
-  struct fl_route to = { 0 };
+  struct fl_route to = { .address = *address };
   struct outgoing_order *order;
 
-  if (peer == NULL)
-    return false;
-  to.address = peer->address;
   message->number = ++forwarder->last_order_number;
   if (!send_message (forwarder, &to, message))
     {
-      mark_unavailable (forwarder, peer);
+      mark_unavailable (forwarder, find_peer (forwarder, address));
       return false;
     }
   order = g_new0 (struct outgoing_order, 1);
   *order = (struct outgoing_order){ .forwarder = forwarder,
                                     .number = message->number,
-                                    .peer_address = peer->address,
+                                    .peer_address = *address,
+                                    .sent_ms = fl_clock_boot_ms (),
                                     .done = done,
                                     .context = done_context };
   ev_timer_init (&order->timeout, on_order_timeout, (double)timeout_ms / 1000.0, 0.0);
   order->timeout.data = order;
   ev_timer_start (forwarder->options.loop, &order->timeout);
   g_hash_table_insert (forwarder->in_flight, &order->number, order);
+  return true;
+}
+
+/* Forwards @message to the peer for its target. @return false when the message is not sent. */
+static bool
+forward_order (struct fl_forwarder *forwarder,
+               struct fl_forward_message *message,
+               int64_t timeout_ms,
+               void (*done) (void *context, const struct fl_order_reply *reply),
+               void *done_context)
+{
+  const struct forward_peer *peer = forward_find_serving_peer (forwarder, &message->target);
+
+  if (peer == NULL
+      || !forward_send (forwarder, &peer->address, message, timeout_ms, done, done_context))
+    return false;
   fl_stats_add (forwarder->options.stats, "orders_handed_over_total", 1);
   return true;
 }
 
+struct fl_forward_message
+forward_start_message (const struct fl_start_order *order)
+{
+  return (struct fl_forward_message){
+    .kind = FL_FORWARD_START,
+    .target = order->target,
+    .address = order->address,
+    .task = order->task,
+    .run = order->run,
+    .fencing_token = order->fencing_token,
+    .deadline_ms = order->deadline_ms,
+    .payload = { order->payload_len, (char *)order->payload },
+    .checkpoint = { strlen (order->checkpoint), (char *)order->checkpoint },
+    .ticket = fl_name_of (order->ticket),
+  };
+}
+
+void
+forward_start (struct fl_forwarder *forwarder,
+               const struct fl_start_order *order,
+               void (*done) (void *context, const struct fl_order_reply *reply),
+               void *done_context)
+{
+  const struct fl_target_calls *direct = forwarder->options.direct;
+  struct fl_forward_message message = forward_start_message (order);
+
+  if (!forwarder->options.may_send (forwarder->options.context)
+      || !forward_order (forwarder, &message, FORWARD_START_TIMEOUT_MS, done, done_context))
+    direct->start (direct->context, order, done, done_context);
+}
+
+/* First attempts wait for the end of the tick, to be sent together. A repeated start avoids the
+ * distributor, which may be what failed. */
 static void
 start (void *context,
        const struct fl_start_order *order,
@@ -210,22 +250,17 @@
        void *done_context)
 {
   struct fl_forwarder *forwarder = context;
-  const struct fl_target_calls *direct = forwarder->options.direct;
-  struct fl_forward_message message
-      = { .kind = FL_FORWARD_START,
-          .target = order->target,
-          .address = order->address,
-          .task = order->task,
-          .run = order->run,
-          .fencing_token = order->fencing_token,
-          .deadline_ms = order->deadline_ms,
-          .payload = { order->payload_len, (char *)order->payload },
-          .checkpoint = { strlen (order->checkpoint), (char *)order->checkpoint },
-          .ticket = fl_name_of (order->ticket) };
 
-  if (!forwarder->options.may_send (forwarder->options.context)
-      || !forward_order (forwarder, &message, START_TIMEOUT_MS, done, done_context))
-    direct->start (direct->context, order, done, done_context);
+  if (forwarder->enabled && !order->is_repeated)
+    forward_batches_add (forwarder->batches, order, done, done_context);
+  else
+    forward_start (forwarder, order, done, done_context);
+}
+
+void
+fl_forwarder_flush (struct fl_forwarder *forwarder)
+{
+  forward_batches_flush (forwarder->batches);
 }
 
 static struct fl_forward_message
@@ -409,10 +444,30 @@
 
 /* --- messages --- */
 
+static void
+record_message (struct fl_forwarder *forwarder, const struct fl_route *sender)
+{
+  struct forward_peer *peer
+      = sender->address.len > 0 ? find_peer (forwarder, &sender->address) : NULL;
+
+  if (peer != NULL)
+    peer->heard_ms = fl_clock_boot_ms ();
+}
+
+void
+fl_forwarder_receive_batch (struct fl_forwarder *forwarder,
+                            const struct fl_route *sender,
+                            const char *data,
+                            size_t len)
+{
+  record_message (forwarder, sender);
+  forward_batches_receive (forwarder->batches, sender, data, len);
+}
+
 static void
 on_pong (struct fl_forwarder *forwarder, const struct fl_route *sender)
 {
-  struct peer *peer = find_peer (forwarder, &sender->address);
+  struct forward_peer *peer = find_peer (forwarder, &sender->address);
 
   if (peer == NULL || peer->is_available)
     return;
@@ -430,6 +485,7 @@
   struct fl_forward_message pong = { .kind = FL_FORWARD_PONG };
   struct fl_error error = { 0 };
 
+  record_message (forwarder, sender);
   if (!fl_forward_message_decode (data, len, &message, &error))
     {
       fl_stats_add (forwarder->options.stats, "messages_malformed_total", 1);
@@ -466,9 +522,10 @@
   forwarder->calls = (struct fl_target_calls){
     .context = forwarder, .start = start, .stop = stop, .throttle = throttle, .heartbeat = heartbeat
   };
-  forwarder->peers = g_array_new (FALSE, FALSE, sizeof (struct peer));
+  forwarder->peers = g_array_new (FALSE, FALSE, sizeof (struct forward_peer));
   forwarder->in_flight
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, outgoing_order_free);
+  forwarder->batches = forward_batches_new (forwarder);
   ev_timer_init (&forwarder->ping_timer, on_ping_timer, PING_INTERVAL_MS / 1000.0,
                  PING_INTERVAL_MS / 1000.0);
   forwarder->ping_timer.data = forwarder;
@@ -482,6 +539,7 @@
   if (forwarder == NULL)
     return;
   ev_timer_stop (forwarder->options.loop, &forwarder->ping_timer);
+  forward_batches_free (forwarder->batches);
   g_hash_table_destroy (forwarder->in_flight);
   g_array_unref (forwarder->peers);
   g_free (forwarder);
@@ -512,13 +570,13 @@
 {
   for (guint i = 0; i < forwarder->peers->len; i++)
     {
-      struct peer *peer = &g_array_index (forwarder->peers, struct peer, i);
+      struct forward_peer *peer = &g_array_index (forwarder->peers, struct forward_peer, i);
       if (!fl_name_eq (&peer->name, name))
         continue;
       if (!fl_name_eq (&peer->address, address))
-        *peer = (struct peer){ *name, *address, false };
+        *peer = (struct forward_peer){ .name = *name, .address = *address };
       return;
     }
-  struct peer peer = { *name, *address, false };
+  struct forward_peer peer = { .name = *name, .address = *address };
   g_array_append_val (forwarder->peers, peer);
 }
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -4,8 +4,11 @@
  * The owner of the pool then forwards orders and heartbeats through its peers, each for a share of
  * the targets, and receives the replies from them. All decisions stay with the owner, and each
  * order carries the fencing token of the owner. An order that gets no reply from the peer ends like
- * one that gets no reply from the target. The peer then gets no orders until it replies to a ping;
- * meanwhile orders go directly to the targets. */
+ * one that gets no reply from the target. A peer that sent nothing since such an order then gets no
+ * orders until it replies to a ping; meanwhile orders go directly to the targets.
+ *
+ * The first starts of several tasks of one job are sent together, through one peer that distributes
+ * them; fl_forwarder_flush sends them. */
 #pragma once
 
 #include <ev.h>
@@ -24,6 +27,10 @@
   struct fl_stats *stats;
   /* Sends @data to a peer. @return false when the data is certainly not sent. */
   bool (*send) (void *context, const struct fl_route *to, const char *data, size_t len);
+  /* The same for messages about batches of starts. */
+  bool (*send_batch) (void *context, const struct fl_route *to, const char *data, size_t len);
+  /* Opens a connection to the link at @address unless there is one. @return false on failure. */
+  bool (*connect) (void *context, const struct fl_name *address);
   /* Whether this host may send its own orders now. */
   bool (*may_send) (void *context);
   void *context;
@@ -49,7 +56,15 @@
                             const struct fl_name *name,
                             const struct fl_name *address);
 
-/* Handles a message from a peer. */
+/* Sends the starts that were ordered since the last call. The strings of a start order have to stay
+ * valid until then. */
+void fl_forwarder_flush (struct fl_forwarder *forwarder);
+
+/* Handle a message from a peer, and one about batches of starts. */
+void fl_forwarder_receive_batch (struct fl_forwarder *forwarder,
+                                 const struct fl_route *sender,
+                                 const char *data,
+                                 size_t len);
 void fl_forwarder_receive (struct fl_forwarder *forwarder,
                            const struct fl_route *sender,
                            const char *data,
--- /dev/null
+++ b/lib/forward/forward_internal.h
@@ -0,0 +1,85 @@
+/* Data structures and internal functions of the forwarder. */
+#pragma once
+
+#include <glib.h>
+
+#include "forward/forward.h"
+#include "forward/message.h"
+
+/* An order times out this much later here than on the host that it is sent to: covers two transfers
+ * between the hosts and the wait for CPU time on a small host. */
+#define FORWARD_SLACK_MS 150
+/* Forwarding hosts wait at most 200 ms for the reply of a target to a start. */
+#define FORWARD_START_TIMEOUT_MS (200 + FORWARD_SLACK_MS)
+
+struct forward_peer
+{
+  struct fl_name name;
+  struct fl_name address;
+  bool is_available; /* replied to a ping and has not been silent since */
+  int64_t heard_ms;  /* when its last message arrived */
+};
+
+struct fl_forwarder
+{
+  struct fl_forwarder_options options;
+  struct fl_target_calls calls;
+  bool enabled;
+  GArray *peers;         /* struct forward_peer */
+  GHashTable *in_flight; /* number -> struct outgoing_order */
+  int64_t last_order_number;
+  ev_timer ping_timer;
+  struct forward_batches *batches;
+};
+
+/* --- forward.c --- */
+
+/* The available peer that forwards orders to @target, or NULL. Each target has one peer, so that
+ * connections are reused. */
+struct forward_peer *forward_find_serving_peer (struct fl_forwarder *forwarder,
+                                                const struct fl_name *target);
+
+/* Called when an order that was sent at @sent_ms to the peer at @address got no reply in time. If
+ * the peer has been silent since, it becomes unavailable, and all orders in flight through it end
+ * with FL_ORDER_NO_REPLY. */
+void forward_handle_timeout (struct fl_forwarder *forwarder,
+                             const struct fl_name *address,
+                             int64_t sent_ms);
+
+/* Sends @message to the peer at @address. @return false when it is not sent. */
+bool forward_send (struct fl_forwarder *forwarder,
+                   const struct fl_name *address,
+                   struct fl_forward_message *message,
+                   int64_t timeout_ms,
+                   void (*done) (void *context, const struct fl_order_reply *reply),
+                   void *done_context);
+
+/* A start as the message that asks a peer to forward it. Borrows the strings of @order. */
+struct fl_forward_message forward_start_message (const struct fl_start_order *order);
+
+/* Sends @order through the peer that serves its target, or directly. */
+void forward_start (struct fl_forwarder *forwarder,
+                    const struct fl_start_order *order,
+                    void (*done) (void *context, const struct fl_order_reply *reply),
+                    void *done_context);
+
+/* --- batches.c --- */
+
+struct forward_batches *forward_batches_new (struct fl_forwarder *forwarder);
+void forward_batches_free (struct forward_batches *batches);
+
+/* Queues a start until forward_batches_flush. */
+void forward_batches_add (struct forward_batches *batches,
+                          const struct fl_start_order *order,
+                          void (*done) (void *context, const struct fl_order_reply *reply),
+                          void *done_context);
+void forward_batches_flush (struct forward_batches *batches);
+
+/* Ends all starts in flight through the peer at @address with FL_ORDER_NO_REPLY. */
+void forward_batches_time_out (struct forward_batches *batches, const struct fl_name *address);
+
+/* Handles a message about a batch. */
+void forward_batches_receive (struct forward_batches *batches,
+                              const struct fl_route *sender,
+                              const char *data,
+                              size_t len);
--- a/lib/forward/message.c
+++ b/lib/forward/message.c
@@ -97,3 +97,51 @@
 {
   fl_schema_clear (&message_schema, message);
 }
+
+/* --- batches --- */
+
+static const struct fl_field start_fields[] = {
+  NAME (fl_forward_start, target),     NAME (fl_forward_start, address),
+  NAME (fl_forward_start, peer),       NAME (fl_forward_start, task),
+  INT (fl_forward_start, run),         INT (fl_forward_start, deadline_ms),
+  TEXT (fl_forward_start, checkpoint), NAME (fl_forward_start, ticket),
+};
+static FL_SCHEMA (start_schema, fl_forward_start, start_fields);
+
+static const struct fl_field result_fields[] = {
+  { "index", FL_INT, offsetof (struct fl_forward_result, index), false, 0, ROWS_MAX, 0, NULL,
+    NULL },
+  ENUM (fl_forward_result, result, result_names),
+};
+static FL_SCHEMA (result_schema, fl_forward_result, result_fields);
+
+static const struct fl_field batch_fields[] = {
+  { "is_reply", FL_BOOL, offsetof (struct fl_forward_batch, is_reply), false, 0, 0, 0, NULL, NULL },
+  INT (fl_forward_batch, number),
+  INT (fl_forward_batch, fencing_token),
+  TEXT (fl_forward_batch, payload),
+  ROWS (fl_forward_batch, starts, start_schema),
+  ROWS (fl_forward_batch, results, result_schema),
+};
+static FL_SCHEMA (batch_schema, fl_forward_batch, batch_fields);
+
+void
+fl_forward_batch_encode (const struct fl_forward_batch *batch, msgpack_sbuffer *buffer)
+{
+  fl_schema_encode (&batch_schema, batch, buffer);
+}
+
+bool
+fl_forward_batch_decode (const char *data,
+                         size_t len,
+                         struct fl_forward_batch *batch,
+                         struct fl_error *error)
+{
+  return fl_schema_decode (&batch_schema, data, len, batch, error);
+}
+
+void
+fl_forward_batch_clear (struct fl_forward_batch *batch)
+{
+  fl_schema_clear (&batch_schema, batch);
+}
--- a/lib/forward/message.h
+++ b/lib/forward/message.h
@@ -42,6 +42,45 @@
   struct fl_array ends; /* of struct fl_end_row */
 };
 
+/* One start of a batch. */
+struct fl_forward_start
+{
+  struct fl_name target;
+  struct fl_name address;
+  struct fl_name peer; /* link address of the host that serves the target; empty for none */
+  struct fl_name task;
+  int64_t run;
+  int64_t deadline_ms;
+  struct fl_str checkpoint;
+  struct fl_name ticket;
+};
+
+/* The result of one start of a batch. */
+struct fl_forward_result
+{
+  int64_t index; /* of the start */
+  int result;    /* enum fl_order_result */
+};
+
+/* Starts that share a payload, or results of them. */
+struct fl_forward_batch
+{
+  bool is_reply;
+  int64_t number; /* of the batch, chosen by the owner; repeated in the replies */
+  int64_t fencing_token;
+  struct fl_str payload;
+  struct fl_array starts;  /* of struct fl_forward_start */
+  struct fl_array results; /* of struct fl_forward_result */
+};
+
+/* The same as the functions for messages below. */
+void fl_forward_batch_encode (const struct fl_forward_batch *batch, msgpack_sbuffer *buffer);
+bool fl_forward_batch_decode (const char *data,
+                              size_t len,
+                              struct fl_forward_batch *batch,
+                              struct fl_error *error);
+void fl_forward_batch_clear (struct fl_forward_batch *batch);
+
 /* Appends the encoded @message to @buffer. */
 void fl_forward_message_encode (const struct fl_forward_message *message, msgpack_sbuffer *buffer);
 
--- a/lib/poold/peers.c
+++ b/lib/poold/peers.c
@@ -10,6 +10,7 @@
 /* First byte of a message. */
 #define KIND_ADVICE 'a'
 #define KIND_FORWARD 'c'
+#define KIND_BATCH 'b'
 
 /* Processor time, in thousandths of a core, that an owner spends on direct connections to one
  * target: 350 targets with 460 starts a second took 0.43 cores. */
@@ -20,6 +21,15 @@
 
 static const struct fl_traffic advice_traffic = FL_TRAFFIC ("peer_advice");
 static const struct fl_traffic forward_traffic = FL_TRAFFIC ("peer_forward");
+static const struct fl_traffic batch_traffic = FL_TRAFFIC ("peer_batch");
+
+static const struct fl_traffic *
+traffic_of_kind (char kind)
+{
+  if (kind == KIND_ADVICE)
+    return &advice_traffic;
+  return kind == KIND_BATCH ? &batch_traffic : &forward_traffic;
+}
 
 static bool
 send_message (
@@ -32,9 +42,7 @@
   memcpy (message + 1, data, len);
   sent = fl_link_send (poold->link, to, message, len + 1);
   if (sent)
-    fl_stats_add_traffic (poold->host->stats,
-                          kind == KIND_ADVICE ? &advice_traffic : &forward_traffic,
-                          (int64_t)len + 1, 0);
+    fl_stats_add_traffic (poold->host->stats, traffic_of_kind (kind), (int64_t)len + 1, 0);
   g_free (message);
   return sent;
 }
@@ -51,19 +59,33 @@
   return send_message (context, KIND_FORWARD, to, data, len);
 }
 
+static bool
+send_batch (void *context, const struct fl_route *to, const char *data, size_t len)
+{
+  return send_message (context, KIND_BATCH, to, data, len);
+}
+
+static bool
+connect_peer (void *context, const struct fl_name *address)
+{
+  struct fl_poold *poold = context;
+
+  return fl_link_connect (poold->link, address, NULL);
+}
+
 static void
 on_message (void *context, const struct fl_route *from, const char *data, size_t len)
 {
   struct fl_poold *poold = context;
 
   if (len > 0)
-    fl_stats_add_traffic (poold->host->stats,
-                          data[0] == KIND_ADVICE ? &advice_traffic : &forward_traffic, 0,
-                          (int64_t)len);
+    fl_stats_add_traffic (poold->host->stats, traffic_of_kind (data[0]), 0, (int64_t)len);
   if (len > 0 && data[0] == KIND_ADVICE)
     fl_advisors_receive (poold->advisors, from, data + 1, len - 1);
   else if (len > 0 && data[0] == KIND_FORWARD)
     fl_forwarder_receive (poold->forwarder, from, data + 1, len - 1);
+  else if (len > 0 && data[0] == KIND_BATCH)
+    fl_forwarder_receive_batch (poold->forwarder, from, data + 1, len - 1);
   else
     fl_stats_add (poold->host->stats, "messages_malformed_total", 1);
 }
@@ -98,6 +120,8 @@
     .log = &host->log,
     .stats = host->stats,
     .send = send_forward,
+    .send_batch = send_batch,
+    .connect = connect_peer,
     .may_send = fl_poold_may_send,
     .context = poold,
     .direct = fl_platform_target_client_get_calls (poold->own_targets),
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -332,6 +332,7 @@
   if (fl_ownership_has_authority (term->poold->ownership))
     {
       fl_core_tick (term->core, fl_clock_boot_ms (), fl_clock_wall_ms ());
+      fl_forwarder_flush (term->poold->forwarder);
       fl_term_store_records (term);
       fl_term_store_pending_counts (term);
     }
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -60,6 +60,7 @@
   size_t payload_len;
   const char *checkpoint; /* "" for none */
   const char *ticket;     /* "" for none */
+  bool is_repeated;       /* an earlier order for this run got no reply */
 };
 
 struct fl_run_order
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1,4 +1,5 @@
-/* Forwarding of orders through a peer: contents of orders and replies, and a silent peer. */
+/* Forwarding of orders through peers: contents of orders and replies, silent peers, and batches of
+ * starts. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -21,6 +22,7 @@
   struct fl_target_calls calls;
   int starts;
   int heartbeats;
+  bool ignores_starts;              /* never replies to them */
   struct fl_start_order last_start; /* its payload, checkpoint and ticket are no longer valid */
   struct fl_heartbeat_order last_heartbeat;
 };
@@ -34,9 +36,12 @@
   struct order_recorder *recorder = context;
   struct fl_order_reply reply = { .result = FL_ORDER_NO_CAPACITY, .clock_ms = 5 };
 
+  if (recorder->ignores_starts)
+    return;
   recorder->starts++;
   recorder->last_start = *order;
-  assert_string_equal (order->payload, "what to run");
+  assert_true (g_str_has_prefix (order->payload, "what to run"));
+  assert_int_equal (strlen (order->payload), order->payload_len);
   assert_string_equal (order->checkpoint, "c1");
   done (done_context, &reply);
 }
@@ -76,12 +81,38 @@
   struct order_recorder direct;    /* its own orders */
   struct order_recorder forwarded; /* orders of the peer */
   bool drops_messages;             /* received ones */
+  size_t sent_bytes;
 };
 
+/* The first byte of a message tells whether it is about a batch. */
+static bool
+send_prefixed (
+    struct host *host, const struct fl_route *to, char prefix, const char *data, size_t len)
+{
+  g_autofree char *message = g_malloc (len + 1);
+
+  message[0] = prefix;
+  memcpy (message + 1, data, len);
+  host->sent_bytes += len + 1;
+  return fl_link_send (host->link, to, message, len + 1);
+}
+
 static bool
 host_send (void *context, const struct fl_route *to, const char *data, size_t len)
 {
-  return fl_link_send (((struct host *)context)->link, to, data, len);
+  return send_prefixed (context, to, 'c', data, len);
+}
+
+static bool
+host_send_batch (void *context, const struct fl_route *to, const char *data, size_t len)
+{
+  return send_prefixed (context, to, 'b', data, len);
+}
+
+static bool
+host_connect (void *context, const struct fl_name *address)
+{
+  return fl_link_connect (((struct host *)context)->link, address, NULL);
 }
 
 static void
@@ -89,8 +120,12 @@
 {
   struct host *host = context;
 
-  if (!host->drops_messages)
-    fl_forwarder_receive (host->forwarder, from, data, len);
+  if (host->drops_messages)
+    return;
+  if (data[0] == 'b')
+    fl_forwarder_receive_batch (host->forwarder, from, data + 1, len - 1);
+  else
+    fl_forwarder_receive (host->forwarder, from, data + 1, len - 1);
 }
 
 static bool
@@ -110,11 +145,12 @@
   order_recorder_init (&host->direct);
   order_recorder_init (&host->forwarded);
   host->drops_messages = false;
+  host->sent_bytes = 0;
   host->link = fl_link_new (&link_options, &error);
   assert_non_null (host->link);
-  struct fl_forwarder_options forwarder_options = {
-    loop, &log, stats, host_send, may_send, host, &host->direct.calls, &host->forwarded.calls
-  };
+  struct fl_forwarder_options forwarder_options
+      = { loop,         &log,     stats, host_send,           host_send_batch,
+          host_connect, may_send, host,  &host->direct.calls, &host->forwarded.calls };
   host->forwarder = fl_forwarder_new (&forwarder_options);
 }
 
@@ -165,6 +201,7 @@
   struct order_outcome outcome = { 0 };
 
   calls->start (calls->context, &order, record_outcome, &outcome);
+  fl_forwarder_flush (host->forwarder);
   do
     support_run_loop_for (loop, LOOP_STEP_S);
   while (!outcome.is_done);
@@ -236,6 +273,160 @@
   ev_loop_destroy (loop);
 }
 
+enum
+{
+  BATCH_TASKS = 20,
+  BATCH_PAYLOAD_BYTES = 1200
+};
+
+/* Starts BATCH_TASKS tasks of one job, on targets t0, t1, and so on, and waits for the results. */
+static void
+send_batch (struct ev_loop *loop,
+            struct host *host,
+            const char *payload,
+            bool is_repeated,
+            struct order_outcome *outcomes)
+{
+  const struct fl_target_calls *calls = fl_forwarder_calls (host->forwarder);
+  int finished;
+
+  memset (outcomes, 0, BATCH_TASKS * sizeof outcomes[0]);
+  for (int i = 0; i < BATCH_TASKS; i++)
+    {
+      struct fl_start_order order = { .target = fl_name_format ("t%d", i),
+                                      .address = fl_name_of ("1.2.3.4:5"),
+                                      .task = fl_name_format ("a.0.0.%d", i),
+                                      .run = 4,
+                                      .fencing_token = 7,
+                                      .deadline_ms = 99,
+                                      .payload = payload,
+                                      .payload_len = strlen (payload),
+                                      .checkpoint = "c1",
+                                      .ticket = "ticket",
+                                      .is_repeated = is_repeated };
+      calls->start (calls->context, &order, record_outcome, &outcomes[i]);
+    }
+  fl_forwarder_flush (host->forwarder);
+  do
+    {
+      support_run_loop_for (loop, LOOP_STEP_S);
+      finished = 0;
+      for (int i = 0; i < BATCH_TASKS; i++)
+        finished += outcomes[i].is_done ? 1 : 0;
+    }
+  while (finished < BATCH_TASKS);
+}
+
+static int
+count_outcomes (const struct order_outcome *outcomes, enum fl_order_result result)
+{
+  int count = 0;
+
+  for (int i = 0; i < BATCH_TASKS; i++)
+    count += outcomes[i].result == result ? 1 : 0;
+  return count;
+}
+
+/* Load pattern: all tasks of a step start at once, and each start carries the payload of the job.
+ * The owner sends the payload once; each task is started once, by one of the peers. While the
+ * peers are silent, the starts get no reply, and repeated ones are sent directly. */
+static void
+test_start_batch (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct order_outcome outcomes[BATCH_TASKS];
+  struct host owner;
+  struct host peers[2];
+  char payload[BATCH_PAYLOAD_BYTES + 1] = "what to run";
+
+  (void)state;
+  memset (payload + strlen (payload), 'x', sizeof payload - 1 - strlen (payload));
+  host_init (&owner, loop, stats);
+  fl_forwarder_set_enabled (owner.forwarder, true);
+  for (int i = 0; i < 2; i++)
+    {
+      struct fl_name name = fl_name_format ("h%d", i);
+      host_init (&peers[i], loop, stats);
+      struct fl_name address = fl_link_address (peers[i].link);
+      assert_true (fl_link_connect (owner.link, &address, NULL));
+      fl_forwarder_set_peer (owner.forwarder, &name, &address);
+    }
+  /* Some starts are sent directly until both peers have replied to pings, and the distributor
+   * executes some itself until it is connected to the other peer. */
+  do
+    {
+      owner.direct.starts = peers[0].forwarded.starts = peers[1].forwarded.starts = 0;
+      owner.sent_bytes = 0;
+      send_batch (loop, &owner, payload, false, outcomes);
+      assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_CAPACITY), BATCH_TASKS);
+      assert_int_equal (owner.direct.starts + peers[0].forwarded.starts + peers[1].forwarded.starts,
+                        BATCH_TASKS);
+    }
+  while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
+         || peers[1].forwarded.starts == 0);
+  assert_true (owner.sent_bytes < 4 * BATCH_PAYLOAD_BYTES);
+  peers[0].drops_messages = peers[1].drops_messages = true;
+  send_batch (loop, &owner, payload, false, outcomes);
+  assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_REPLY), BATCH_TASKS);
+  for (int i = 0; owner.direct.starts < BATCH_TASKS && i < 3; i++)
+    {
+      owner.direct.starts = 0;
+      send_batch (loop, &owner, payload, true, outcomes);
+    }
+  assert_int_equal (owner.direct.starts, BATCH_TASKS);
+  assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_CAPACITY), BATCH_TASKS);
+  host_clear (&owner);
+  host_clear (&peers[0]);
+  host_clear (&peers[1]);
+  fl_stats_free (stats);
+  ev_loop_destroy (loop);
+}
+
+/* An order without a reply is late by itself while its peer sends other messages: the other orders
+ * in flight through the peer keep waiting. */
+static void
+test_late_reply_of_live_peer (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct fl_name name = fl_name_of ("h2");
+  struct host owner;
+  struct host peer;
+
+  (void)state;
+  host_init (&owner, loop, stats);
+  host_init (&peer, loop, stats);
+  struct fl_name address = fl_link_address (peer.link);
+  assert_true (fl_link_connect (owner.link, &address, NULL));
+  fl_forwarder_set_peer (owner.forwarder, &name, &address);
+  fl_forwarder_set_enabled (owner.forwarder, true);
+  while (peer.forwarded.starts == 0)
+    send_start (loop, &owner);
+  peer.forwarded.ignores_starts = true;
+  int direct_heartbeats = owner.direct.heartbeats;
+  struct order_outcome late = { 0 };
+  struct fl_start_order order = { .target = fl_name_of ("t1"),
+                                  .address = fl_name_of ("1.2.3.4:5"),
+                                  .task = fl_name_of ("a.0.0.0"),
+                                  .payload = "what to run",
+                                  .payload_len = 11,
+                                  .checkpoint = "c1",
+                                  .ticket = "" };
+  const struct fl_target_calls *calls = fl_forwarder_calls (owner.forwarder);
+  calls->start (calls->context, &order, record_outcome, &late);
+  fl_forwarder_flush (owner.forwarder);
+  while (!late.is_done)
+    assert_int_equal (send_heartbeat (loop, &owner).result, FL_ORDER_DONE);
+  assert_int_equal (late.result, FL_ORDER_NO_REPLY);
+  assert_int_equal (send_heartbeat (loop, &owner).result, FL_ORDER_DONE);
+  assert_int_equal (owner.direct.heartbeats, direct_heartbeats);
+  host_clear (&owner);
+  host_clear (&peer);
+  fl_stats_free (stats);
+  ev_loop_destroy (loop);
+}
+
 /* A message that is truncated at any length is rejected. */
 static void
 test_truncated_messages (void **state)
@@ -263,7 +454,9 @@
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_forwarding), cmocka_unit_test (test_truncated_messages) };
+      = { cmocka_unit_test (test_forwarding), cmocka_unit_test (test_start_batch),
+          cmocka_unit_test (test_late_reply_of_live_peer),
+          cmocka_unit_test (test_truncated_messages) };
 
   return cmocka_run_group_tests_name ("forward", tests, NULL, NULL);
 }
