--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -20,6 +20,9 @@
 /* Most targets in one query: the latency objective leaves time for a query with about 30. */
 #define QUERY_TARGETS_MAX 30
 
+/* Size of the sample of targets from which those of a query are chosen. */
+#define CANDIDATES_MAX (8 * QUERY_TARGETS_MAX)
+
 /* A target that a query may contain. */
 struct candidate
 {
@@ -79,28 +82,52 @@
   return 0;
 }
 
+/* Appends @target to @candidates if @step fits there and advice on it may help.
+ * @return whether the step fits there. */
+static bool
+add_candidate (struct core_step *step, struct core_target *target, double share, GArray *candidates)
+{
+  struct candidate candidate = { .target = target };
+  const struct core_advice *advice;
+
+  candidate.task_capacity = core_target_task_capacity (target, step, true);
+  if (candidate.task_capacity == 0)
+    return false;
+  advice = find_advice (step, target);
+  if (advice != NULL && (!advice->eligible || core_advice_ticket (step, target) != NULL))
+    return true;
+  candidate.eligible_probability = advice != NULL ? 1.0 : share;
+  candidate.is_near_data
+      = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
+  candidate.free_cpu_milli = target->entry.resources.cpu_milli - target->used.cpu_milli
+                             - target->best_effort_cpu_milli - target->tentative_cpu_milli;
+  g_array_append_val (candidates, candidate);
+  return true;
+}
+
+/* Collects targets that a query may contain, best first. A step without a preferred rack looks at a
+ * sample only: of hundreds of targets, the best of a sample are about as good as the best of all.
+ */
 static GArray *
 collect_candidates (struct core_step *step, double share)
 {
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
-  GHashTableIter iter;
-  void *value;
+  struct fl_core *core = step->job->core;
+  guint target_count = core->target_list->len;
+  bool fits_anywhere = false;
+  guint seen = 0;
 
-  g_hash_table_iter_init (&iter, step->job->core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (; seen < target_count && (step->spec->rack.len > 0 || candidates->len < CANDIDATES_MAX);
+       seen++)
     {
-      struct core_target *target = value;
-      const struct core_advice *advice = find_advice (step, target);
-      struct candidate candidate
-          = { target, core_target_task_capacity (target, step, true), advice != NULL ? 1.0 : share,
-              step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack),
-              target->entry.resources.cpu_milli - target->used.cpu_milli
-                  - target->best_effort_cpu_milli - target->tentative_cpu_milli };
-      bool is_ineligible = advice != NULL && !advice->eligible;
-      bool has_ticket = core_advice_ticket (step, target) != NULL;
-      if (candidate.task_capacity > 0 && !is_ineligible && !has_ticket)
-        g_array_append_val (candidates, candidate);
+      guint position = (core->scan_start + seen) % target_count;
+      fits_anywhere |= add_candidate (step, g_ptr_array_index (core->target_list, position), share,
+                                      candidates);
     }
+  if (target_count > 0)
+    core->scan_start = (core->scan_start + seen) % target_count;
+  if (!fits_anywhere)
+    core_record_vain_search (step, true);
   g_array_sort (candidates, compare_candidates);
   return candidates;
 }
@@ -123,13 +150,19 @@
   struct fl_core *core = step->job->core;
   const struct fl_advice_policy *policy = &step->job->queue.advice;
   double share = step->job->queue_stats->eligible_share;
-  struct fl_name name = core_step_name (step);
+  struct fl_name name;
   double expected_tasks = 0;
   GArray *candidates;
   GArray *queried;
 
   if (step->query_in_flight)
     return CORE_WAIT_ADVICE;
+  if (core_capacity_is_exhausted (step, true))
+    return CORE_WAIT_CAPACITY;
+  if (!core->options.actions.may_query_advice (core->options.context,
+                                               (int64_t)policy->base_latency_ms))
+    return CORE_WAIT_ADVICE;
+  name = core_step_name (step);
   candidates = collect_candidates (step, share);
   queried = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
   for (guint i = 0; i < candidates->len && queried->len < QUERY_TARGETS_MAX
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -19,13 +19,16 @@
 #define BOOT_VALID_MS 400
 /* Time between heartbeats to a target that does not reply. */
 #define SILENT_RETRY_MS 300
-/* Time between checks of all runs for expired leases and orders to resend. These timeouts are some
- * hundred milliseconds or longer. */
+/* Time between checks of all targets for expired leases and orders to resend. These timeouts are
+ * some hundred milliseconds or longer. */
 #define RUNS_CHECK_INTERVAL_MS 10
 /* Longest time that a target may wait before it replies to a heartbeat. The next heartbeat, which
  * renews the lease, is sent only after this reply; the wait must be well below the lease
  * duration. */
 #define HEARTBEAT_WAIT_MS 1000
+/* Time between the heartbeats to a target while the jobs are not known yet: a quarter of the usual
+ * lease. The target replies at once while it has ends that are not acknowledged. */
+#define UNKNOWN_JOBS_HEARTBEAT_MS 1000
 /* The same for a target with both serving and best-effort tasks: its latency figures, by which
  * tasks are throttled, change every 500 ms. */
 #define HEARTBEAT_WAIT_THROTTLED_MS 500
@@ -56,10 +59,28 @@
     g_array_unref (step->queried_targets);
 }
 
+void
+core_queue_set_member (GQueue *queue, GList *link, bool *is_member, bool should_be_member)
+{
+  if (*is_member == should_be_member)
+    return;
+  *is_member = should_be_member;
+  if (should_be_member)
+    g_queue_push_tail_link (queue, link);
+  else
+    g_queue_unlink (queue, link);
+}
+
 static void
 job_free (void *data)
 {
   struct core_job *job = data;
+  struct fl_core *core = job->core;
+
+  core_queue_set_member (&core->waiting_jobs, &job->waiting_link, &job->in_waiting, false);
+  core_queue_set_member (&core->unrecorded_jobs, &job->recording_link, &job->needs_recording,
+                         false);
+  core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, false);
 
   for (size_t i = 0; i < job->step_count; i++)
     step_clear (&job->steps[i]);
@@ -73,7 +94,16 @@
 target_free (void *data)
 {
   struct core_target *target = data;
-
+  struct fl_core *core = target->core;
+  struct core_target *last = g_ptr_array_index (core->target_list, core->target_list->len - 1);
+
+  core_queue_set_member (&core->unreconciled_targets, &target->unreconciled_link,
+                         &target->is_unreconciled, false);
+  core_queue_set_member (&core->unrecorded_targets, &target->unrecorded_link,
+                         &target->in_unrecorded, false);
+  core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, false);
+  last->position = target->position;
+  g_ptr_array_remove_index_fast (core->target_list, target->position);
   g_ptr_array_unref (target->runs);
   g_free (target);
 }
@@ -84,10 +114,14 @@
   struct fl_core *core = g_new0 (struct fl_core, 1);
 
   core->options = *options;
+  core->order_budget.bytes_per_s = options->order_bytes_per_s;
   core->first_run_number = (options->fencing_token - 1) * RUN_NUMBERS_PER_OWNER + 1;
   core->targets = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, target_free);
   core->jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, job_free);
   core->finished_jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
+  core->target_list = g_ptr_array_new ();
+  core->recording_jobs = g_ptr_array_new ();
+  core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->queue_stats = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   return core;
@@ -103,6 +137,9 @@
   g_hash_table_destroy (core->finished_jobs);
   g_hash_table_destroy (core->teams);
   g_hash_table_destroy (core->queue_stats);
+  g_ptr_array_unref (core->target_list);
+  g_ptr_array_unref (core->recording_jobs);
+  g_array_unref (core->free_max);
   fl_configuration_unref (core->configuration);
   g_free (core);
 }
@@ -222,8 +259,15 @@
   if (target == NULL)
     {
       target = g_new0 (struct core_target, 1);
+      target->core = core;
       target->entry.id = *id;
       target->runs = g_ptr_array_new_with_free_func (g_free);
+      target->unreconciled_link.data = target;
+      target->unrecorded_link.data = target;
+      target->idle_link.data = target;
+      target->position = core->target_list->len;
+      g_ptr_array_add (core->target_list, target);
+      core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
       g_hash_table_insert (core->targets, &target->entry.id, target);
     }
   return target;
@@ -279,6 +323,7 @@
 
   target->inherited = true;
   target->recorded = true;
+  core_target_update_reconciled (target);
   if (target->entry.address.len == 0)
     target->entry.address = *address;
 }
@@ -302,22 +347,17 @@
   return ids;
 }
 
+void
+core_target_update_reconciled (struct core_target *target)
+{
+  core_queue_set_member (&target->core->unreconciled_targets, &target->unreconciled_link,
+                         &target->is_unreconciled, target->inherited && !target->reported);
+}
+
 bool
 core_is_unreconciled (const struct fl_core *core)
 {
-  GHashTableIter iter;
-  void *value;
-
-  if (core->now_ms >= core->options.reconciled_at_ms)
-    return false;
-  g_hash_table_iter_init (&iter, core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct core_target *target = value;
-      if (target->inherited && !target->reported)
-        return true;
-    }
-  return false;
+  return core->now_ms < core->options.reconciled_at_ms && core->unreconciled_targets.length > 0;
 }
 
 int64_t
@@ -361,6 +401,8 @@
 static bool
 heartbeat_is_due (const struct core_target *target, int64_t now_ms)
 {
+  if (!target->core->jobs_known && target->clock_at_ms > 0 && !target->silent)
+    return now_ms - target->last_heartbeat_at_ms >= UNKNOWN_JOBS_HEARTBEAT_MS;
   /* A single missed heartbeat may have been lost in transit: the next one is sent immediately. */
   if (target->silent)
     return target->missed_heartbeats <= 1
@@ -369,23 +411,22 @@
          || now_ms - target->last_heartbeat_at_ms >= RECORD_WAIT_MAX_MS;
 }
 
-bool
-fl_core_prepare_heartbeat (struct fl_core *core,
-                           const struct fl_name *id,
-                           int64_t now_ms,
-                           struct fl_heartbeat_order *order)
+static bool
+prepare_heartbeat (struct core_target *target, int64_t now_ms, struct fl_heartbeat_order *order)
 {
-  struct core_target *target = core_find_target (core, id);
+  struct fl_core *core = target->core;
 
-  if (target == NULL || target->entry.address.len == 0 || !heartbeat_is_due (target, now_ms))
+  if (target->entry.address.len == 0 || !heartbeat_is_due (target, now_ms))
     return false;
   *order = (struct fl_heartbeat_order){
     .target = target->entry.id,
     .address = target->entry.address,
     .fencing_token = core->options.fencing_token,
   };
-  if (target->clock_at_ms == 0 || target->silent
-      || now_ms - target->last_heartbeat_at_ms > BOOT_VALID_MS)
+  /* While the jobs are not known, this owner has started nothing. A longer lease than intended, on
+   * a target that has restarted, then concerns no run. */
+  bool boot_is_valid = !core->jobs_known || now_ms - target->last_heartbeat_at_ms <= BOOT_VALID_MS;
+  if (target->clock_at_ms == 0 || target->silent || !boot_is_valid)
     return true;
   order->last_recorded_end = target->last_recorded_end;
   order->deadline_ms = core_target_clock_ms (target, now_ms) + core->options.target_lease_ms;
@@ -393,9 +434,45 @@
   target->lease_expires_at_ms = MAX (
       target->lease_expires_at_ms,
       now_ms + core->options.target_lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
+  /* This heartbeat renews the leases of runs that an earlier owner started. */
+  if (!core->jobs_known)
+    core->options.reconciled_at_ms
+        = MAX (core->options.reconciled_at_ms, target->lease_expires_at_ms);
   return true;
 }
 
+bool
+fl_core_prepare_heartbeat (struct fl_core *core,
+                           const struct fl_name *id,
+                           int64_t now_ms,
+                           struct fl_heartbeat_order *order)
+{
+  struct core_target *target = core_find_target (core, id);
+
+  return target != NULL && prepare_heartbeat (target, now_ms, order);
+}
+
+size_t
+fl_core_prepare_heartbeats (struct fl_core *core,
+                            int64_t now_ms,
+                            struct fl_heartbeat_order *orders,
+                            size_t max)
+{
+  GList *link = core->idle_targets.head;
+  size_t count = 0;
+
+  while (link != NULL && count < max)
+    {
+      struct core_target *target = link->data;
+      link = link->next;
+      if (!prepare_heartbeat (target, now_ms, &orders[count]))
+        continue;
+      count++;
+      core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, false);
+    }
+  return count;
+}
+
 /* --- jobs --- */
 
 static struct core_team *
@@ -504,6 +581,34 @@
     }
 }
 
+void
+core_step_add_idle_tasks (struct core_step *step, int64_t delta)
+{
+  struct core_job *job = step->job;
+
+  step->idle_tasks += delta;
+  job->idle_tasks += delta;
+  core_queue_set_member (&job->core->waiting_jobs, &job->waiting_link, &job->in_waiting,
+                         job->idle_tasks > 0 && !fl_job_state_is_final (job->state));
+}
+
+/* Sets up the queues that contain a new job. Its tasks have no runs yet. */
+static void
+enqueue_job (struct core_job *job)
+{
+  job->waiting_link.data = job;
+  job->recording_link.data = job;
+  job->final_link.data = job;
+  for (size_t i = 0; i < job->step_count; i++)
+    {
+      struct core_step *step = &job->steps[i];
+      job->unfinished_steps += step->unfinished_tasks > 0 ? 1 : 0;
+      core_step_add_idle_tasks (step, step->unfinished_tasks);
+    }
+  core_queue_set_member (&job->core->final_jobs, &job->final_link, &job->in_final,
+                         fl_job_state_is_final (job->state));
+}
+
 void
 fl_core_add_finished_job (struct fl_core *core, const struct fl_name *id)
 {
@@ -548,8 +653,7 @@
   job->added_without_record = progress == NULL;
   if (progress != NULL)
     apply_progress (job, progress);
-  for (size_t i = 0; i < job->step_count; i++)
-    job->unfinished_steps += job->steps[i].unfinished_tasks > 0 ? 1 : 0;
+  enqueue_job (job);
   refresh_queue (job);
   g_hash_table_insert (core->jobs, &job->spec.id, job);
   memset (spec, 0, sizeof *spec);
@@ -560,6 +664,12 @@
     core_job_finish (job, FL_JOB_COMPLETED);
 }
 
+void
+fl_core_set_jobs_known (struct fl_core *core)
+{
+  core->jobs_known = true;
+}
+
 void
 fl_core_cancel_job (struct fl_core *core, const struct fl_name *id)
 {
@@ -619,18 +729,20 @@
 
 /* --- time --- */
 
-/* Treats runs with an expired lease as lost, evacuates draining targets and removes unused ones. */
+/* Treats runs with an expired lease as lost, evacuates draining targets, removes unused ones and
+ * resends orders. */
 static void
 check_targets (struct fl_core *core)
 {
-  g_autoptr (GPtrArray) ids = fl_core_target_ids (core);
-
-  for (guint i = 0; i < ids->len; i++)
+  /* Backwards, since removing a target moves the last one to its position. */
+  for (guint i = core->target_list->len; i > 0; i--)
     {
-      struct core_target *target = core_find_target (core, g_ptr_array_index (ids, i));
+      struct core_target *target = g_ptr_array_index (core->target_list, i - 1);
       core_target_expire_runs (target, core->now_ms);
       if (target->entry.draining && target->reported && !target->silent)
         core_evacuate_target (target);
+      if (target->unsettled_runs > 0)
+        core_target_resend_orders (target);
       core_target_remove_if_unused (core, target);
     }
 }
@@ -642,12 +754,12 @@
   core->last_tick_ms = now_ms;
   core->now_ms = now_ms;
   core->wall_ms = wall_ms;
+  core_order_budget_update (&core->order_budget, now_ms);
   if (now_ms - core->runs_checked_at_ms >= RUNS_CHECK_INTERVAL_MS
       || now_ms < core->runs_checked_at_ms)
     {
       core->runs_checked_at_ms = now_ms;
       check_targets (core);
-      core_resend_orders (core);
     }
   if (core->configuration != NULL)
     core_place_tasks (core);
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -39,6 +39,8 @@
                         const struct fl_name *targets,
                         size_t count,
                         int64_t expected_ms);
+  /* Whether a host is free to send a query that takes at least @least_ms. */
+  bool (*may_query_advice) (void *context, int64_t least_ms);
 };
 
 struct fl_core_options
@@ -56,6 +58,8 @@
   int64_t reconciled_at_ms;
   int64_t target_lease_ms;     /* duration of the lease that each heartbeat renews */
   int64_t target_lease_max_ms; /* longest lease that a target grants */
+  /* Rate, in bytes a second, at which start orders may be sent; 0 for no limit. */
+  int64_t order_bytes_per_s;
 };
 
 struct fl_core *fl_core_new (const struct fl_core_options *options);
@@ -92,6 +96,11 @@
                       int64_t version,
                       const struct fl_job_progress *progress);
 
+/* Declares that all jobs that were accepted before this owner acquired the pool have been added.
+ * Until then heartbeats only renew leases: the runs and ends that targets list are of unknown jobs.
+ */
+void fl_core_set_jobs_known (struct fl_core *core);
+
 /* Cancels the job @id and stops its runs. Ignores unknown and finished jobs. */
 void fl_core_cancel_job (struct fl_core *core, const struct fl_name *id);
 
@@ -138,6 +147,13 @@
                                 int64_t now_ms,
                                 struct fl_heartbeat_order *order);
 
+/* Fills @orders with the next heartbeats of up to @max targets that are due for one and have none
+ * in flight, as fl_core_prepare_heartbeat does for one target. @return the number of orders. */
+size_t fl_core_prepare_heartbeats (struct fl_core *core,
+                                   int64_t now_ms,
+                                   struct fl_heartbeat_order *orders,
+                                   size_t max);
+
 size_t fl_core_target_count (const struct fl_core *core);
 
 /* Ids (const struct fl_name *) of all known targets. The ids are borrowed and stay valid until a
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -30,9 +30,10 @@
   double mean_run_ms;    /* moving average: duration of successful runs; 0 before the first */
 };
 
+/* The members that every tick reads come first, since a tick visits all targets. */
 struct core_target
 {
-  struct fl_target_entry entry;
+  struct fl_core *core;
   bool registered;               /* the registry lists it */
   bool recorded;                 /* the stored list of targets contains it */
   bool record_in_flight;         /* a write of the list of targets with it is in flight */
@@ -59,6 +60,16 @@
    * faulty job. */
   struct fl_name last_failed_job;
   int64_t quarantined_until_ms;
+  int unsettled_runs;           /* runs whose last order is not known to have taken effect */
+  int64_t next_expiry_check_ms; /* before, no lease of a run can have expired */
+  bool is_unreconciled;         /* in core->unreconciled_targets */
+  bool in_unrecorded;           /* in core->unrecorded_targets */
+  bool in_idle;                 /* in core->idle_targets */
+  guint position;               /* in core->target_list */
+  GList unreconciled_link;
+  GList unrecorded_link;
+  GList idle_link;
+  struct fl_target_entry entry;
 };
 
 enum core_run_state
@@ -120,6 +131,7 @@
   CORE_WAIT_CAPACITY,    /* no eligible target has capacity */
   CORE_WAIT_ADVICE,      /* an advice query is in flight, or no host is free to send one */
   CORE_WAIT_RECORD,      /* the eligible targets are not yet recorded for the job */
+  CORE_WAIT_LINK,        /* the link takes no more start orders now */
   CORE_WAIT_RECONCILING, /* the tasks may already run on a target that has not reported */
   CORE_WAIT_REASON_COUNT
 };
@@ -133,6 +145,7 @@
   int64_t due_wall_ms; /* 0 for immediately */
   struct core_task *tasks;
   int64_t unfinished_tasks;
+  int64_t idle_tasks;        /* neither done nor with a run */
   GHashTable *advice;        /* target id -> struct core_advice */
   bool query_in_flight;      /* an advice query has no reply yet */
   GArray *queried_targets;   /* struct fl_name: targets of the query in flight; else NULL */
@@ -173,6 +186,33 @@
   bool started;               /* a task of it has been started, by this owner or an earlier one */
   bool needs_recording;       /* its progress has changed since the last record */
   bool record_in_flight;
+  int64_t idle_tasks; /* of all steps */
+  bool in_waiting;    /* in core->waiting_jobs */
+  bool in_final;      /* in core->final_jobs */
+  GList waiting_link;
+  GList recording_link; /* in core->unrecorded_jobs while needs_recording is set */
+  GList final_link;
+};
+
+/* Upper bounds of the resources that are free on any target of a service. They are computed at most
+ * once a tick: starts and queries only lower what is free until the next one. */
+struct core_free_max
+{
+  struct fl_name service;
+  struct fl_resources free;
+  int64_t untaken_cpu_milli; /* free CPU less tentative charges */
+  /* The smallest needs for which a search of all targets was in vain, and whether there was one;
+   * the second item is for searches that include tentative charges. */
+  struct fl_resources vain_need[2];
+  bool has_vain_need[2];
+};
+
+/* Token bucket for the bytes of start orders. */
+struct core_order_budget
+{
+  int64_t bytes_per_s; /* 0 for no limit */
+  int64_t bytes;       /* that may be sent now; negative after an order that was larger */
+  int64_t updated_ms;
 };
 
 struct fl_core
@@ -182,15 +222,27 @@
   GHashTable *targets;                    /* id -> struct core_target */
   GHashTable *jobs;                       /* id -> struct core_job */
   GHashTable *finished_jobs;              /* ids of jobs whose final state is recorded */
+  GPtrArray *target_list;                 /* all targets, in no particular order */
+  guint scan_start;                       /* where the next search for candidates starts */
+  GQueue unreconciled_targets;            /* inherited and not yet reported */
+  GQueue unrecorded_targets;              /* have ends that are not recorded */
+  GQueue idle_targets;                    /* without a heartbeat in flight */
+  GQueue waiting_jobs;                    /* not final, with idle tasks */
+  GQueue unrecorded_jobs;                 /* need recording */
+  GQueue final_jobs;                      /* final, not yet reduced to their ids */
+  GPtrArray *recording_jobs;              /* with a record in flight */
+  GArray *free_max;                       /* struct core_free_max, of this tick */
   GHashTable *teams;                      /* name -> struct core_team */
   GHashTable *queue_stats;                /* name -> struct core_queue_stats */
   int64_t now_ms;
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
   int64_t last_tick_ms;
-  int64_t tick_gap_ms;             /* between the last two ticks */
-  int64_t runs_checked_at_ms;      /* when all runs were last checked for timeouts */
-  int64_t first_run_number;        /* lowest run number of this owner */
+  int64_t tick_gap_ms;        /* between the last two ticks */
+  int64_t runs_checked_at_ms; /* when all runs were last checked for timeouts */
+  int64_t first_run_number;   /* lowest run number of this owner */
+  bool jobs_known;            /* see fl_core_set_jobs_known */
+  struct core_order_budget order_budget;
   bool target_list_outdated;       /* the stored list of targets contains a removed target */
   bool records_in_flight;          /* collected records have been neither stored nor failed */
   int64_t records_collected_at_ms; /* when records were last collected */
@@ -213,6 +265,16 @@
  * earlier owner can be in effect on it. */
 void core_target_remove_if_unused (struct fl_core *core, struct core_target *target);
 
+/* Adds @target to the queue of targets that an earlier owner used and that have not reported, or
+ * removes it. To be called when one of these facts has changed. */
+void core_target_update_reconciled (struct core_target *target);
+
+/* Adds @delta tasks to those of @step that neither are done nor have a run. */
+void core_step_add_idle_tasks (struct core_step *step, int64_t delta);
+
+/* Appends @link to @queue, or unlinks it, unless *@is_member says that this is already so. */
+void core_queue_set_member (GQueue *queue, GList *link, bool *is_member, bool should_be_member);
+
 /* Whether orders of an earlier owner may be in effect on a target that has not reported. */
 bool core_is_unreconciled (const struct fl_core *core);
 
@@ -233,6 +295,9 @@
 /* Frees a run that is no longer in effect, and releases its resources. */
 void core_run_release (struct core_run *run);
 
+/* Sets the state of @run. */
+void core_run_set_state (struct core_run *run, enum core_run_state state);
+
 void core_run_order_start (struct core_run *run, const char *ticket);
 void core_run_stop (struct core_run *run);
 
@@ -245,8 +310,8 @@
 /* Treats the runs of @target as lost whose lease has certainly expired. */
 void core_target_expire_runs (struct core_target *target, int64_t now_ms);
 
-/* Resends orders that timed out or have not taken effect. */
-void core_resend_orders (struct fl_core *core);
+/* Resends the orders to @target that timed out or have not taken effect. */
+void core_target_resend_orders (struct core_target *target);
 
 /* --- job_targets.c --- */
 
@@ -321,6 +386,24 @@
                                    const struct core_step *step,
                                    bool include_tentative);
 
+/* Whether no target of the service of @step has enough free resources for one task, so that a
+ * search for targets is in vain. @include_tentative counts tentative charges as used. */
+bool core_capacity_is_exhausted (const struct core_step *step, bool include_tentative);
+
+/* Records that @step fits on no target. */
+void core_record_vain_search (const struct core_step *step, bool include_tentative);
+
+/* --- order_budget.c --- */
+
+/* Adds the bytes that have become available since the last call. */
+void core_order_budget_update (struct core_order_budget *budget, int64_t now_ms);
+
+bool core_order_budget_is_exhausted (const struct core_order_budget *budget);
+
+/* Takes the bytes of @starts orders that share a payload of @payload_bytes. */
+void
+core_order_budget_charge (struct core_order_budget *budget, int64_t starts, size_t payload_bytes);
+
 /* --- drain.c --- */
 
 /* Stops tasks on a draining target so that they continue elsewhere: long-running tasks immediately,
--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -148,10 +148,18 @@
   GHashTableIter iter;
   void *key;
 
-  if (!earlier_owner_may_have_started (job))
+  if (!earlier_owner_may_have_started (job) || !core_is_unreconciled (core))
     return false;
   if (job->may_run_on_any_target || job->added_without_record)
-    return core_is_unreconciled (core);
+    return true;
+  if (core->unreconciled_targets.length < g_hash_table_size (job->target_states))
+    {
+      for (const GList *link = core->unreconciled_targets.head; link != NULL; link = link->next)
+        if (get_target_state (job, &((const struct core_target *)link->data)->entry.id)
+            != CORE_JOB_TARGET_NONE)
+          return true;
+      return false;
+    }
   g_hash_table_iter_init (&iter, job->target_states);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -10,6 +10,11 @@
 #define URGENT_PEAK_DECAY_MS 10000.0
 /* Most targets whose recording is requested at once for a step. */
 #define TARGETS_REQUESTED_MAX 16
+/* Least number of targets that are looked at for a step whose queue requires no advice, and least
+ * ratio of their capacity to what the step needs. The best of so many targets are about as good as
+ * the best of all. */
+#define PLACEMENTS_MIN 240
+#define PLACEMENTS_CAPACITY_RATIO 4
 /* Index of the rack in the labels of a target; index 0 holds the kind of target. */
 #define RACK_LABEL_INDEX 1
 
@@ -25,14 +30,18 @@
 }
 
 static bool
-accepts_step (const struct core_target *target, const struct core_step *step)
+accepts_tasks (const struct core_target *target, const struct fl_name *service)
 {
-  const struct fl_core *core = step->job->core;
-
   return target->registered && target->recorded && target->reported && !target->silent
          && !target->entry.draining && target->stale_runs == 0
-         && core->now_ms >= target->quarantined_until_ms
-         && fl_name_eq (&target->entry.service, &step->job->queue.service)
+         && target->core->now_ms >= target->quarantined_until_ms
+         && fl_name_eq (&target->entry.service, service);
+}
+
+static bool
+accepts_step (const struct core_target *target, const struct core_step *step)
+{
+  return accepts_tasks (target, &step->job->queue.service)
          && (step->spec->label.len == 0 || core_target_has_label (target, &step->spec->label));
 }
 
@@ -65,12 +74,12 @@
   int64_t cpu_left = capacity->cpu_milli - target->used.cpu_milli;
   int64_t fits;
 
-  if (!accepts_step (target, step))
-    return 0;
   if (spec->best_effort)
     cpu_left -= target->best_effort_cpu_milli;
   if (include_tentative)
     cpu_left -= target->tentative_cpu_milli;
+  if (cpu_left < spec->cpu_milli || !accepts_step (target, step))
+    return 0;
   fits = count_fitting (cpu_left, spec->cpu_milli);
   fits = MIN (fits, count_fitting (capacity->memory_mb - target->used.memory_mb, spec->memory_mb));
   fits = MIN (fits, count_fitting (capacity->gpu - target->used.gpu, spec->gpu));
@@ -79,6 +88,73 @@
   return MAX (fits, 0);
 }
 
+/* --- upper bounds of free capacity --- */
+
+/* Load pattern: all targets are full, and hundreds of steps wait. Each of them would search all
+ * targets in every tick. One search finds the most that is free on any target; steps that need more
+ * are not searched for. */
+static struct core_free_max *
+get_free_max (struct fl_core *core, const struct fl_name *service)
+{
+  struct core_free_max max = { .service = *service };
+
+  for (guint i = 0; i < core->free_max->len; i++)
+    {
+      struct core_free_max *known = &g_array_index (core->free_max, struct core_free_max, i);
+      if (fl_name_eq (&known->service, service))
+        return known;
+    }
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      const struct fl_resources *capacity = &target->entry.resources;
+      int64_t cpu_left = capacity->cpu_milli - target->used.cpu_milli;
+      if (!accepts_tasks (target, service))
+        continue;
+      max.free.cpu_milli = MAX (max.free.cpu_milli, cpu_left);
+      max.free.memory_mb = MAX (max.free.memory_mb, capacity->memory_mb - target->used.memory_mb);
+      max.free.gpu = MAX (max.free.gpu, capacity->gpu - target->used.gpu);
+      max.untaken_cpu_milli = MAX (max.untaken_cpu_milli, cpu_left - target->tentative_cpu_milli);
+    }
+  g_array_append_val (core->free_max, max);
+  return &g_array_index (core->free_max, struct core_free_max, core->free_max->len - 1);
+}
+
+static bool
+needs_no_less (const struct fl_step_spec *spec, const struct fl_resources *need)
+{
+  return spec->cpu_milli >= need->cpu_milli && spec->memory_mb >= need->memory_mb
+         && spec->gpu >= need->gpu;
+}
+
+bool
+core_capacity_is_exhausted (const struct core_step *step, bool include_tentative)
+{
+  const struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+  const struct fl_step_spec *spec = step->spec;
+
+  return spec->cpu_milli > (include_tentative ? max->untaken_cpu_milli : max->free.cpu_milli)
+         || spec->memory_mb > max->free.memory_mb || spec->gpu > max->free.gpu
+         || (max->has_vain_need[include_tentative]
+             && needs_no_less (spec, &max->vain_need[include_tentative]));
+}
+
+void
+core_record_vain_search (const struct core_step *step, bool include_tentative)
+{
+  const struct fl_step_spec *spec = step->spec;
+  struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+
+  /* Steps with these restrictions may fit nowhere although others of their size do. */
+  if (spec->label.len > 0 || spec->per_target_max > 0 || spec->best_effort)
+    return;
+  max->has_vain_need[include_tentative] = true;
+  max->vain_need[include_tentative]
+      = (struct fl_resources){ spec->cpu_milli, spec->memory_mb, spec->gpu };
+}
+
+/* --- limits of teams --- */
+
 /* The part of a team's limit that tasks of lower priority leave free for urgent tasks: as much as
  * urgent tasks used recently.
  *
@@ -156,9 +232,9 @@
 /* Scores a target by its free CPU, since tasks on the same target slow each other down. The highest
  * score is best. */
 static int64_t
-score_target (const struct core_target *target, const struct core_task *task)
+score_target (const struct core_target *target, const struct core_step *step)
 {
-  const struct fl_step_spec *spec = task->step->spec;
+  const struct fl_step_spec *spec = step->spec;
   int64_t value
       = target->entry.resources.cpu_milli - target->used.cpu_milli - target->best_effort_cpu_milli;
 
@@ -166,100 +242,139 @@
     value -= AVOID_PENALTY_MILLI;
   if (spec->rack.len > 0 && !core_target_has_label (target, &spec->rack))
     value -= AVOID_PENALTY_MILLI;
-  if (fl_name_eq (&task->last_failed_target, &target->entry.id))
-    value -= AVOID_PENALTY_MILLI;
   return value;
 }
 
-/* Iterator over the targets that a step has advice on, or over all targets if its queue requires no
- * advice. A step has advice on only a few of hundreds of targets. */
-struct target_walk
+/* A target on which a task of a step fits. */
+struct placement
 {
-  struct core_step *step;
-  GHashTableIter iter;
+  struct core_target *target;
+  int64_t task_capacity;
+  int64_t score;
+  bool is_allowed; /* the store has recorded it for the job */
+  bool is_pending; /* allowed as soon as a requested record is stored */
 };
 
 static void
-start_target_walk (struct target_walk *walk, struct core_step *step)
+update_placement (struct placement *placement, const struct core_step *step)
+{
+  placement->task_capacity = core_target_task_capacity (placement->target, step, false);
+  placement->score = score_target (placement->target, step);
+}
+
+static void
+add_placement (struct core_step *step, struct core_target *target, GArray *placements)
 {
-  bool advised = step->job->queue.advice.required;
+  struct placement placement = { .target = target };
+
+  update_placement (&placement, step);
+  if (placement.task_capacity == 0 || core_advice_ticket (step, target) == NULL)
+    return;
+  placement.is_allowed = core_job_may_start_on (step->job, &target->entry.id);
+  placement.is_pending
+      = !placement.is_allowed && core_job_target_is_pending (step->job, &target->entry.id);
+  g_array_append_val (placements, placement);
+}
 
-  walk->step = step;
-  g_hash_table_iter_init (&walk->iter, advised ? step->advice : step->job->core->targets);
+static int64_t
+last_placement_capacity (const GArray *placements)
+{
+  return g_array_index (placements, struct placement, placements->len - 1).task_capacity;
 }
 
-/* @return the next target that may be eligible, or NULL after the last. */
-static struct core_target *
-next_target (struct target_walk *walk)
+/* Starts at a position that follows from the job, so that the targets of an earlier tick, of which
+ * some have been recorded for the job since, are found again. */
+static void
+collect_unadvised_placements (struct core_step *step, GArray *placements)
 {
+  const GPtrArray *targets = step->job->core->target_list;
+  bool must_see_all = step->spec->rack.len > 0 || step->spec->rack_bound;
+  int64_t wanted = step->idle_tasks * PLACEMENTS_CAPACITY_RATIO;
+  int64_t capacity = 0;
+  guint first = fl_name_hash (&step->job->spec.id);
+
+  for (guint i = 0;
+       i < targets->len && (must_see_all || placements->len < PLACEMENTS_MIN || capacity < wanted);
+       i++)
+    {
+      guint before = placements->len;
+      add_placement (step, g_ptr_array_index (targets, (first % targets->len + i) % targets->len),
+                     placements);
+      if (placements->len > before)
+        capacity += last_placement_capacity (placements);
+    }
+  if (placements->len == 0)
+    core_record_vain_search (step, false);
+}
+
+/* @return rows of struct placement: the targets on which @step fits now. Where its queue requires
+ * advice, only those few of hundreds of targets can qualify on which the step has advice. */
+static GArray *
+collect_placements (struct core_step *step)
+{
+  GArray *placements = g_array_new (FALSE, FALSE, sizeof (struct placement));
+  struct fl_core *core = step->job->core;
+  GHashTableIter iter;
   void *value;
 
-  while (g_hash_table_iter_next (&walk->iter, NULL, &value))
+  if (core_capacity_is_exhausted (step, false))
+    return placements;
+  if (!step->job->queue.advice.required)
+    {
+      collect_unadvised_placements (step, placements);
+      return placements;
+    }
+  g_hash_table_iter_init (&iter, step->advice);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct core_advice *advice = value;
-      struct core_target *target = value;
-      if (walk->step->job->queue.advice.required)
-        target
-            = advice->eligible ? core_find_target (walk->step->job->core, &advice->target) : NULL;
+      struct core_target *target
+          = advice->eligible ? core_find_target (core, &advice->target) : NULL;
       if (target != NULL)
-        return target;
+        add_placement (step, target, placements);
     }
-  return NULL;
+  return placements;
 }
 
-/* Requests that the targets on which @step fits now are recorded for its job. For targets that need
+/* Requests that some of @placements are recorded for the job of @step. For targets that need
  * advice, the handling of the advice reply has already requested it. */
 static void
-request_targets (struct core_step *step)
+request_targets (struct core_step *step, const GArray *placements)
 {
-  int64_t remaining = TARGETS_REQUESTED_MAX;
-  struct target_walk walk;
-  const struct core_target *target;
-
-  start_target_walk (&walk, step);
-  while (remaining > 0 && (target = next_target (&walk)) != NULL)
-    {
-      if (core_target_task_capacity (target, step, false) == 0
-          || core_advice_ticket (step, target) == NULL)
-        continue;
-      core_job_request_target (step->job, &target->entry.id);
-      remaining--;
-    }
+  for (guint i = 0; i < MIN (placements->len, TARGETS_REQUESTED_MAX); i++)
+    core_job_request_target (step->job,
+                             &g_array_index (placements, struct placement, i).target->entry.id);
 }
 
-/* Chooses the best target on which tasks of the job may be started. If there is none but other
- * targets fit, requests that these are recorded. @rack limits the choice to one rack unless NULL.
- * @return the target, or NULL if the task cannot be started now. */
-static struct core_target *
-choose_target (const struct core_task *task, const struct fl_name *rack)
+/* Chooses the best of @placements on which tasks of the job may be started. If there is none but
+ * other targets fit, requests that these are recorded. @rack limits the choice to one rack unless
+ * NULL.
+ * @return the chosen one, or NULL if the task cannot be started now. */
+static struct placement *
+choose_placement (const struct core_task *task, GArray *placements, const struct fl_name *rack)
 {
-  struct core_step *step = task->step;
-  struct core_target *best = NULL;
-  bool best_is_allowed = false;
+  struct placement *best = NULL;
   int64_t best_score = 0;
-  struct target_walk walk;
-  struct core_target *target;
 
-  start_target_walk (&walk, step);
-  while ((target = next_target (&walk)) != NULL)
+  for (guint i = 0; i < placements->len; i++)
     {
-      if ((rack != NULL && !core_target_has_label (target, rack))
-          || core_target_task_capacity (target, step, false) == 0
-          || core_advice_ticket (step, target) == NULL)
+      struct placement *placement = &g_array_index (placements, struct placement, i);
+      int64_t score = placement->score;
+      if (placement->task_capacity == 0
+          || (rack != NULL && !core_target_has_label (placement->target, rack)))
         continue;
-      int64_t target_score = score_target (target, task);
-      bool is_allowed = core_job_may_start_on (step->job, &target->entry.id);
-      if (best == NULL || is_allowed > best_is_allowed
-          || (is_allowed == best_is_allowed && target_score > best_score))
+      if (fl_name_eq (&task->last_failed_target, &placement->target->entry.id))
+        score -= AVOID_PENALTY_MILLI;
+      if (best == NULL || placement->is_allowed > best->is_allowed
+          || (placement->is_allowed == best->is_allowed && score > best_score))
         {
-          best = target;
-          best_is_allowed = is_allowed;
-          best_score = target_score;
+          best = placement;
+          best_score = score;
         }
     }
-  if (best != NULL && !best_is_allowed)
-    request_targets (step);
-  return best_is_allowed ? best : NULL;
+  if (best != NULL && !best->is_allowed)
+    request_targets (task->step, placements);
+  return best != NULL && best->is_allowed ? best : NULL;
 }
 
 static int64_t
@@ -275,38 +390,49 @@
          && task->backoff_until_ms <= task->step->job->core->now_ms;
 }
 
-/* Starts the tasks of @step that can be started. @return how many tasks still wait. */
+/* Starts the tasks of @step that can be started on @placements. @return how many tasks still wait.
+ */
 static int64_t
-place_tasks (struct core_step *step)
+place_tasks (struct core_step *step, GArray *placements)
 {
   int64_t waiting = 0;
 
   for (int64_t i = 0; i < step->spec->count; i++)
     {
       struct core_task *task = &step->tasks[i];
-      struct core_target *target;
+      struct placement *placement;
       if (!is_ready_to_start (task))
         continue;
       /* Tasks of a step have the same needs: once one cannot start, the others are not tried. */
-      target = waiting == 0 && team_has_capacity (step) ? choose_target (task, NULL) : NULL;
-      if (target == NULL)
+      placement = waiting == 0 && team_has_capacity (step)
+                      ? choose_placement (task, placements, NULL)
+                      : NULL;
+      if (placement == NULL)
         {
           waiting++;
           continue;
         }
-      core_run_order_start (core_run_new (task, target, next_run_number (task)),
-                            core_advice_ticket (step, target));
+      core_run_order_start (core_run_new (task, placement->target, next_run_number (task)),
+                            core_advice_ticket (step, placement->target));
+      update_placement (placement, step);
     }
   return waiting;
 }
 
 /* --- gangs --- */
 
+static void
+update_placements (GArray *placements, const struct core_step *step)
+{
+  for (guint i = 0; i < placements->len; i++)
+    update_placement (&g_array_index (placements, struct placement, i), step);
+}
+
 /* Creates runs with the same number for all tasks of a gang, on targets of @rack or, if @rack is
- * NULL, on any targets.
+ * NULL, on any of @placements.
  * @return false, without any run created, if not all tasks fit. */
 static bool
-reserve_gang (struct core_step *step, const struct fl_name *rack)
+reserve_gang (struct core_step *step, GArray *placements, const struct fl_name *rack)
 {
   int64_t number = step->job->core->first_run_number;
   int64_t reserved = 0;
@@ -316,33 +442,33 @@
   for (; reserved < step->spec->count; reserved++)
     {
       struct core_task *task = &step->tasks[reserved];
-      struct core_target *target = team_has_capacity (step) ? choose_target (task, rack) : NULL;
-      if (target == NULL)
+      struct placement *placement
+          = team_has_capacity (step) ? choose_placement (task, placements, rack) : NULL;
+      if (placement == NULL)
         break;
-      core_run_new (task, target, number);
+      core_run_new (task, placement->target, number);
+      update_placement (placement, step);
     }
   if (reserved == step->spec->count)
     return true;
   while (reserved > 0)
     core_run_release (step->tasks[--reserved].run);
+  update_placements (placements, step);
   return false;
 }
 
 static bool
-reserve_on_one_rack (struct core_step *step)
+reserve_on_one_rack (struct core_step *step, GArray *placements)
 {
   g_autoptr (GHashTable) tried = g_hash_table_new (fl_name_hash, fl_name_equal);
-  GHashTableIter iter;
-  void *value;
 
-  g_hash_table_iter_init (&iter, step->job->core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < placements->len; i++)
     {
-      const struct core_target *target = value;
+      const struct core_target *target = g_array_index (placements, struct placement, i).target;
       const struct fl_name *rack = &target->entry.labels[RACK_LABEL_INDEX];
       if (target->entry.label_count <= RACK_LABEL_INDEX || !g_hash_table_add (tried, (void *)rack))
         continue;
-      if (reserve_gang (step, rack))
+      if (reserve_gang (step, placements, rack))
         return true;
     }
   return false;
@@ -351,12 +477,13 @@
 /* Starts all tasks of a gang or none. @return how many tasks wait for capacity: 0 also when a
  * member cannot be started yet because it has a run or backs off. */
 static int64_t
-place_gang (struct core_step *step)
+place_gang (struct core_step *step, GArray *placements)
 {
   for (int64_t i = 0; i < step->spec->count; i++)
     if (!is_ready_to_start (&step->tasks[i]))
       return 0;
-  if (!(step->spec->rack_bound && reserve_on_one_rack (step)) && !reserve_gang (step, NULL))
+  if (!(step->spec->rack_bound && reserve_on_one_rack (step, placements))
+      && !reserve_gang (step, placements, NULL))
     return step->spec->count;
   for (int64_t i = 0; i < step->spec->count; i++)
     core_run_order_start (step->tasks[i].run,
@@ -418,21 +545,17 @@
   return false;
 }
 
-/* How many tasks of @step fit on targets that are pending only because the store has not recorded
- * them for the job yet. */
+/* How many tasks of a step fit on those of @placements that are not allowed only because the store
+ * has not recorded them for the job yet. */
 static int64_t
-count_awaiting_recording (struct core_step *step)
+count_awaiting_recording (const GArray *placements)
 {
   int64_t count = 0;
-  struct target_walk walk;
-  const struct core_target *target;
 
-  start_target_walk (&walk, step);
-  while ((target = next_target (&walk)) != NULL)
+  for (guint i = 0; i < placements->len; i++)
     {
-      if (core_job_target_is_pending (step->job, &target->entry.id)
-          && core_advice_ticket (step, target) != NULL)
-        count += core_target_task_capacity (target, step, false);
+      const struct placement *placement = &g_array_index (placements, struct placement, i);
+      count += placement->is_pending ? placement->task_capacity : 0;
     }
   return count;
 }
@@ -440,7 +563,7 @@
 /* Queries advice for the @unplaced tasks of @step that could not be started, if that can help.
  * @return what the step waits for. */
 static enum core_wait_reason
-handle_unplaced_tasks (struct core_step *step, int64_t unplaced)
+handle_unplaced_tasks (struct core_step *step, const GArray *placements, int64_t unplaced)
 {
   enum core_wait_reason wait = CORE_WAIT_CAPACITY;
 
@@ -448,7 +571,7 @@
     return CORE_WAIT_NONE;
   if (!team_has_capacity (step))
     return CORE_WAIT_TEAM_LIMIT;
-  int64_t awaiting = count_awaiting_recording (step);
+  int64_t awaiting = count_awaiting_recording (placements);
   /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
    * and no others are queried in their place: advice causes most of the wait of long jobs. */
   if (awaiting < unplaced && step->job->queue.advice.required)
@@ -461,7 +584,7 @@
 set_wait_reason (struct core_step *step, enum core_wait_reason wait)
 {
   static const char *const names[CORE_WAIT_REASON_COUNT]
-      = { "none", "team_limit", "room", "advice", "record", "settling" };
+      = { "none", "team_limit", "room", "advice", "record", "link", "settling" };
   struct fl_core *core = step->job->core;
   int64_t waited_ms = core->now_ms - step->wait_started_at_ms;
 
@@ -512,24 +635,20 @@
 {
   GArray *waiting = g_array_new (FALSE, FALSE, sizeof (struct waiting_step));
   bool unreconciled = core_is_unreconciled (core);
-  GHashTableIter iter;
-  void *value;
 
   clear_unreconciled (core);
-  g_hash_table_iter_init (&iter, core->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
     {
-      struct core_job *job = value;
+      struct core_job *job = link->data;
       bool blocked = unreconciled && core_job_is_unreconciled (job);
-      if (fl_job_state_is_final (job->state))
-        continue;
       bool late = core_job_is_late (job);
       for (size_t i = 0; i < job->step_count; i++)
         {
-          struct waiting_step entry = { &job->steps[i], late, weighted_team_use (job) };
-          if (entry.step->unfinished_tasks == 0 || !core_step_is_due (entry.step)
+          struct waiting_step entry = { &job->steps[i], late, 0 };
+          if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step)
               || !has_waiting_task (entry.step))
             continue;
+          entry.weighted_use = weighted_team_use (job);
           if (blocked)
             {
               charge_unreconciled (entry.step);
@@ -543,19 +662,36 @@
   return waiting;
 }
 
+static void
+place_step (struct core_step *step)
+{
+  struct fl_core *core = step->job->core;
+
+  if (core_order_budget_is_exhausted (&core->order_budget))
+    {
+      set_wait_reason (step, CORE_WAIT_LINK);
+      return;
+    }
+  g_autoptr (GArray) placements = collect_placements (step);
+  int64_t idle = step->idle_tasks;
+  int64_t unplaced
+      = step->spec->gang ? place_gang (step, placements) : place_tasks (step, placements);
+  if (step->idle_tasks < idle)
+    core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
+                              step->job->spec.text.len);
+  set_wait_reason (step, handle_unplaced_tasks (step, placements, unplaced));
+}
+
 void
 core_place_tasks (struct fl_core *core)
 {
   GArray *waiting;
 
+  g_array_set_size (core->free_max, 0);
   update_urgent_peaks (core);
   waiting = collect_waiting (core);
   for (guint i = 0; i < waiting->len; i++)
-    {
-      struct core_step *step = g_array_index (waiting, struct waiting_step, i).step;
-      int64_t unplaced = step->spec->gang ? place_gang (step) : place_tasks (step);
-      set_wait_reason (step, handle_unplaced_tasks (step, unplaced));
-    }
+    place_step (g_array_index (waiting, struct waiting_step, i).step);
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
 }
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -14,7 +14,8 @@
 void
 core_job_mark_for_recording (struct core_job *job)
 {
-  job->needs_recording = true;
+  core_queue_set_member (&job->core->unrecorded_jobs, &job->recording_link, &job->needs_recording,
+                         true);
 }
 
 void
@@ -23,6 +24,8 @@
   struct fl_core *core = job->core;
 
   job->state = state;
+  core_queue_set_member (&core->waiting_jobs, &job->waiting_link, &job->in_waiting, false);
+  core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, true);
   core_job_mark_for_recording (job);
   fl_log (core->options.log, FL_LOG_INFO, "job_ended", FL_N ("job", &job->spec.id),
           FL_S ("state", fl_job_state_name (state)),
@@ -47,6 +50,8 @@
   if (task->done)
     return;
   task->done = true;
+  if (task->run == NULL)
+    core_step_add_idle_tasks (step, -1);
   core_job_mark_for_recording (job);
   if (--step->unfinished_tasks > 0 || --job->unfinished_steps > 0)
     return;
@@ -208,6 +213,8 @@
         apply_end (core, target, &report->ends[i]);
         target->last_applied_end = report->ends[i].number;
       }
+  core_queue_set_member (&core->unrecorded_targets, &target->unrecorded_link,
+                         &target->in_unrecorded, core_target_has_unrecorded_ends (target));
 }
 
 /* --- runs --- */
@@ -248,7 +255,7 @@
   if (run == NULL && (row->run >= task->last_run_number || task->done))
     {
       run = core_run_new (task, target, row->run);
-      run->state = CORE_RUN_ACCEPTED;
+      core_run_set_state (run, CORE_RUN_ACCEPTED);
       run->confirmed_at_ms = sent_ms;
       task->last_run_number = MAX (task->last_run_number, row->run);
       task->step->job->started = true;
@@ -267,13 +274,15 @@
       return;
     }
   run->listed = true;
+  if (!run->ever_listed)
+    target->next_expiry_check_ms = 0;
   run->ever_listed = true;
   if (row->progress_percent != run->progress_percent)
     run->progressed_at_ms = core->now_ms;
   run->progress_percent = row->progress_percent;
   run->gauge = row->gauge;
   if (run->state == CORE_RUN_STARTING && !run->order_in_flight)
-    run->state = CORE_RUN_ACCEPTED;
+    core_run_set_state (run, CORE_RUN_ACCEPTED);
   update_checkpoint (task, &row->checkpoint);
 }
 
@@ -307,6 +316,8 @@
   target->last_applied_end = 0;
   target->last_recording_end = 0;
   target->last_recorded_end = 0;
+  core_queue_set_member (&target->core->unrecorded_targets, &target->unrecorded_link,
+                         &target->in_unrecorded, false);
   target->consecutive_failures = 0;
 }
 
@@ -318,6 +329,7 @@
   core_target_lose_runs (target, "address_taken_over");
   target->inherited = false;
   target->reported = false;
+  core_target_update_reconciled (target);
   fl_stats_add (core->options.stats, "targets_taken_over_total", 1);
 }
 
@@ -349,14 +361,22 @@
   if (target == NULL)
     return;
   target->last_heartbeat_at_ms = now_ms;
+  core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
   if (reply->result == FL_ORDER_OTHER_BOOT)
     handle_address_takeover (core, target);
   if (report == NULL || target->silent)
     update_silence (core, target, report == NULL, reply->result);
   if (report == NULL)
     return;
+  if (!core->jobs_known)
+    {
+      target->clock_ms = report->clock_ms;
+      target->clock_at_ms = now_ms;
+      return;
+    }
   update_boot (target, report);
   target->reported = true;
+  core_target_update_reconciled (target);
   target->clock_ms = report->clock_ms;
   target->clock_at_ms = now_ms;
   target->stale_runs = 0;
@@ -449,69 +469,52 @@
   return fl_job_progress_encode (&progress);
 }
 
-static bool
-any_job_needs_recording (const struct fl_core *core)
-{
-  GHashTableIter iter;
-  void *value;
-
-  g_hash_table_iter_init (&iter, core->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct core_job *)value)->needs_recording)
-      return true;
-  return false;
-}
-
 /* Marks all applied ends as covered by the records that are being collected. */
 static void
 mark_ends_recording (struct fl_core *core)
 {
-  GHashTableIter iter;
-  void *value;
-
-  g_hash_table_iter_init (&iter, core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct core_target *)value)->last_recording_end
-        = ((struct core_target *)value)->last_applied_end;
+  for (GList *link = core->unrecorded_targets.head; link != NULL; link = link->next)
+    {
+      struct core_target *target = link->data;
+      target->last_recording_end = target->last_applied_end;
+    }
 }
 
 /* Marks the ends that the last records cover as recorded, so that targets may forget them. */
 static void
 mark_ends_recorded (struct fl_core *core)
 {
-  GHashTableIter iter;
-  void *value;
+  GList *link = core->unrecorded_targets.head;
 
-  g_hash_table_iter_init (&iter, core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (link != NULL)
     {
-      struct core_target *target = value;
+      struct core_target *target = link->data;
+      link = link->next;
       target->last_recorded_end = MAX (target->last_recorded_end, target->last_recording_end);
+      core_queue_set_member (&core->unrecorded_targets, &target->unrecorded_link,
+                             &target->in_unrecorded, core_target_has_unrecorded_ends (target));
     }
 }
 
 size_t
 fl_core_collect_records (struct fl_core *core, struct fl_core_record *records, size_t max)
 {
-  GHashTableIter iter;
-  void *value;
   size_t count = 0;
   size_t bytes = 0;
 
   g_assert (!core->records_in_flight);
-  g_hash_table_iter_init (&iter, core->jobs);
-  while (count < max && bytes < COLLECTED_BYTES_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+  while (count < max && bytes < COLLECTED_BYTES_MAX && core->unrecorded_jobs.head != NULL)
     {
-      struct core_job *job = value;
-      if (!job->needs_recording)
-        continue;
-      job->needs_recording = false;
+      struct core_job *job = core->unrecorded_jobs.head->data;
+      core_queue_set_member (&core->unrecorded_jobs, &job->recording_link, &job->needs_recording,
+                             false);
       job->record_in_flight = true;
+      g_ptr_array_add (core->recording_jobs, job);
       core_job_begin_recording_targets (job);
       records[count] = (struct fl_core_record){ job->spec.id, encode_progress (job) };
       bytes += records[count++].progress.len;
     }
-  core->records_cover_all_ends = !any_job_needs_recording (core);
+  core->records_cover_all_ends = core->unrecorded_jobs.head == NULL;
   if (core->records_cover_all_ends)
     mark_ends_recording (core);
   core->records_in_flight = count > 0;
@@ -521,46 +524,45 @@
   return count;
 }
 
-/* Whether the job @value can be removed: its final state is recorded, and no target has a run of it
- * or may yet report one. The core then keeps only the id of the job. */
-static gboolean
-drop_if_finished (void *key, void *value, void *context)
+/* Removes the jobs whose final state is recorded, and of which no target has a run or may yet
+ * report one. The core then keeps only their ids. */
+static void
+drop_finished_jobs (struct fl_core *core)
 {
-  struct core_job *job = value;
-  struct fl_core *core = context;
+  GList *link = core_is_unreconciled (core) ? NULL : core->final_jobs.head;
 
-  (void)key;
-  if (!fl_job_state_is_final (job->state) || job->needs_recording || job->record_in_flight
-      || job->run_count > 0 || core_is_unreconciled (core))
-    return FALSE;
-  fl_core_add_finished_job (core, &job->spec.id);
-  return TRUE;
+  while (link != NULL)
+    {
+      struct core_job *job = link->data;
+      link = link->next;
+      if (job->needs_recording || job->record_in_flight || job->run_count > 0)
+        continue;
+      struct fl_name id = job->spec.id;
+      fl_core_add_finished_job (core, &id);
+      g_hash_table_remove (core->jobs, &id);
+    }
 }
 
 void
 fl_core_finish_records (struct fl_core *core, bool stored, int64_t now_ms)
 {
-  GHashTableIter iter;
-  void *value;
-
   core->records_in_flight = false;
   core->now_ms = now_ms;
   core->record_duration_ms = now_ms - core->records_collected_at_ms;
-  g_hash_table_iter_init (&iter, core->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < core->recording_jobs->len; i++)
     {
-      struct core_job *job = value;
-      if (job->record_in_flight)
-        core_job_end_recording_targets (job, stored);
-      if (job->record_in_flight && !stored)
-        job->needs_recording = true;
+      struct core_job *job = g_ptr_array_index (core->recording_jobs, i);
+      core_job_end_recording_targets (job, stored);
+      if (!stored)
+        core_job_mark_for_recording (job);
       job->record_in_flight = false;
     }
+  g_ptr_array_set_size (core->recording_jobs, 0);
   if (!stored)
     return;
   if (core->records_cover_all_ends)
     mark_ends_recorded (core);
-  g_hash_table_foreach_remove (core->jobs, drop_if_finished, core);
+  drop_finished_jobs (core);
 }
 
 /* A draining target gets no new tasks. Once it has no runs and the ends that it listed are
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -58,17 +58,32 @@
   run->share_percent = 100;
   run->is_urgent = task->step->job->queue.priority == 0;
   task->run = run;
+  if (!task->done)
+    core_step_add_idle_tasks (task->step, -1);
+  target->unsettled_runs++;
+  target->next_expiry_check_ms = 0;
   task->step->job->run_count++;
   g_ptr_array_add (target->runs, run);
   charge_resources (run, 1);
   return run;
 }
 
+void
+core_run_set_state (struct core_run *run, enum core_run_state state)
+{
+  run->target->unsettled_runs
+      += (state != CORE_RUN_ACCEPTED ? 1 : 0) - (run->state != CORE_RUN_ACCEPTED ? 1 : 0);
+  run->state = state;
+}
+
 void
 core_run_release (struct core_run *run)
 {
   charge_resources (run, -1);
+  core_run_set_state (run, CORE_RUN_ACCEPTED);
   run->task->run = NULL;
+  if (!run->task->done)
+    core_step_add_idle_tasks (run->task->step, 1);
   run->task->step->job->run_count--;
   g_ptr_array_remove_fast (run->target->runs, run);
 }
@@ -94,7 +109,7 @@
   };
 
   core_job_mark_started_on (job, &target->entry.id);
-  run->state = CORE_RUN_STARTING;
+  core_run_set_state (run, CORE_RUN_STARTING);
   run->task->last_run_number = MAX (run->task->last_run_number, run->number);
   run->order_in_flight = true;
   run->last_order_at_ms = core->now_ms;
@@ -146,7 +161,7 @@
 {
   if (run->state == CORE_RUN_STOPPING)
     return;
-  run->state = CORE_RUN_STOPPING;
+  core_run_set_state (run, CORE_RUN_STOPPING);
   run->confirmed_at_ms = 0;
   send_stop (run);
 }
@@ -188,12 +203,22 @@
 void
 core_target_expire_runs (struct core_target *target, int64_t now_ms)
 {
+  int64_t next_ms = INT64_MAX;
+
+  /* Leases are only extended. The expiry of a run also gets earlier when it is first listed, which
+   * resets next_expiry_check_ms. */
+  if (now_ms < target->next_expiry_check_ms)
+    return;
   for (guint i = target->runs->len; i > 0; i--)
     {
       struct core_run *run = g_ptr_array_index (target->runs, i - 1);
-      if (now_ms >= lease_expiry_ms (run))
+      int64_t expiry_ms = lease_expiry_ms (run);
+      if (now_ms >= expiry_ms)
         lose_run (run, "lease_lapsed");
+      else
+        next_ms = MIN (next_ms, expiry_ms);
     }
+  target->next_expiry_check_ms = next_ms;
 }
 
 /* Stops the members of a gang after one of them could not be started. */
@@ -283,7 +308,7 @@
     case FL_ORDER_DONE:
     case FL_ORDER_STALE_RUN: /* the run has ended; the next heartbeat reply lists how */
       run->confirmed_at_ms = now_ms;
-      run->state = CORE_RUN_ACCEPTED;
+      core_run_set_state (run, CORE_RUN_ACCEPTED);
       break;
     case FL_ORDER_NO_REPLY:
     case FL_ORDER_FENCED: /* a successor owns the pool; the start may have taken effect */
@@ -320,27 +345,24 @@
       && now_ms - run->last_order_at_ms
              >= (run->confirmed_at_ms > 0 ? STOP_REPEAT_MS : STOP_RETRY_MS))
     send_stop (run);
-  if (run->state != CORE_RUN_STARTING)
+  if (run->state != CORE_RUN_STARTING
+      || core_order_budget_is_exhausted (&run->target->core->order_budget))
     return;
   run->inconclusive_starts++;
   const char *ticket = core_advice_ticket (run->task->step, run->target);
   if (run->inconclusive_starts < START_ATTEMPTS_MAX && ticket != NULL && !run->target->silent)
-    core_run_order_start (run, ticket);
+    {
+      core_run_order_start (run, ticket);
+      core_order_budget_charge (&run->target->core->order_budget, 1,
+                                run->task->step->job->spec.text.len);
+    }
   else
     core_run_stop (run);
 }
 
 void
-core_resend_orders (struct fl_core *core)
+core_target_resend_orders (struct core_target *target)
 {
-  GHashTableIter iter;
-  void *value;
-
-  g_hash_table_iter_init (&iter, core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct core_target *target = value;
-      for (guint i = 0; i < target->runs->len; i++)
-        resend_order (g_ptr_array_index (target->runs, i), core->now_ms);
-    }
+  for (guint i = 0; i < target->runs->len; i++)
+    resend_order (g_ptr_array_index (target->runs, i), target->core->now_ms);
 }
--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -43,6 +43,7 @@
   INT (front_metrics_port, 0, PORT_MAX, 0),
   NAME (cpu_share, false, 10),
   INT (cores, 1, 1024, 1),
+  NAME (link_mbps, false, 10),
   INT_AS (forward_min_targets, "carry_from", 0, 1000000, 0),
   INT_AS (lease_max_ms, "hold_max_ms", 1000, 600000, 6000),
   INT (graceful_stop_s, 1, 600, 6),
@@ -58,16 +59,21 @@
                    * (double)settings->cores);
 }
 
+int64_t
+fl_host_settings_link_bytes_per_s (const struct fl_host_settings *settings)
+{
+  return (int64_t)(g_ascii_strtod (settings->link_mbps.data, NULL) * 1e6 / 8.0);
+}
+
 static void
-check_cpu_share (const struct fl_host_settings *settings, struct fl_problems *problems)
+check_decimal (const struct fl_name *value, const char *path, struct fl_problems *problems)
 {
   char *end;
 
-  if (settings->cpu_share.len == 0)
+  if (value->len == 0)
     return;
-  if (g_ascii_strtod (settings->cpu_share.data, &end) <= 0 || *end != '\0')
-    fl_problems_add (problems, "settings.cpu_share", "is \"%s\"; must be a number above 0",
-                     settings->cpu_share.data);
+  if (g_ascii_strtod (value->data, &end) <= 0 || *end != '\0')
+    fl_problems_add (problems, path, "is \"%s\"; must be a number above 0", value->data);
 }
 
 bool
@@ -124,7 +130,8 @@
   check_endpoint ("settings.own", &settings->native_api, problems);
   check_endpoint ("settings.store", &settings->store, problems);
   check_endpoint ("settings.advice", &settings->advice, problems);
-  check_cpu_share (settings, problems);
+  check_decimal (&settings->cpu_share, "settings.cpu_share", problems);
+  check_decimal (&settings->link_mbps, "settings.link_mbps", problems);
   json_decref (json);
   return problems->count == 0;
 }
--- a/lib/host/settings.h
+++ b/lib/host/settings.h
@@ -21,6 +21,7 @@
   int64_t front_metrics_port; /* of flamingo-frontd; 0 for none */
   struct fl_name cpu_share;   /* decimal fraction of each core that the host may use, or empty */
   int64_t cores;              /* number of cores that cpu_share applies to */
+  struct fl_name link_mbps;   /* rate of the host's network link in Mbit/s, decimal; or empty */
   /* Peers forward orders if there are at least this many targets, or if the targets need more CPU
    * than the host has. 0: only in the latter case. */
   int64_t forward_min_targets;
@@ -46,5 +47,8 @@
 /* @return the CPU capacity of the host in thousandths of a core; 0 if it is not configured. */
 int64_t fl_host_settings_cpu_milli (const struct fl_host_settings *settings);
 
+/* @return the rate of the host's network link in bytes a second; 0 if it is not configured. */
+int64_t fl_host_settings_link_bytes_per_s (const struct fl_host_settings *settings);
+
 /* Splits @text, "ip:port". @return false if it is not an IPv4 address and a port. */
 bool fl_host_parse_endpoint (const struct fl_name *text, struct fl_name *address, int64_t *port);
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -11,18 +11,21 @@
 #define RECONNECT_MIN_MS 50
 #define RECONNECT_MAX_MS 1000
 
-/* A ZeroMQ socket and its watchers. ZeroMQ's descriptor is edge-triggered, so the state of the
- * socket is checked before and after each wait of the loop. While messages remain, the idle watcher
- * keeps the loop from blocking; on_io and on_idle themselves have nothing to do. */
+/* Interval between checks of all sockets. Covers an event that neither a descriptor nor a call on
+ * the socket has shown. */
+#define SWEEP_INTERVAL_MS 1000
+
+/* A ZeroMQ socket. Its descriptor is edge-triggered, and each call on the socket may consume an
+ * edge. A socket is therefore due for a check after an event of its descriptor, after a call, and
+ * while it has messages. Sockets without either are not looked at: the owner of the pool has one
+ * for each of hundreds of peers. */
 struct socket
 {
   struct fl_link *link;
   struct fl_name address; /* of the peer; empty for the bound socket */
   void *zmq;
   ev_io io;
-  ev_prepare prepare;
-  ev_check check;
-  ev_idle idle;
+  bool is_due; /* in link->due */
 };
 
 struct fl_link
@@ -32,6 +35,12 @@
   struct socket *router;
   GHashTable *dealers; /* struct fl_name * -> struct socket * */
   struct fl_name address;
+  GPtrArray *due; /* struct socket, to be checked for messages */
+  GPtrArray *checking;
+  ev_prepare prepare; /* starts the idle watcher while sockets are due, so that the loop goes on */
+  ev_check check;
+  ev_idle idle;
+  ev_timer sweep;
 };
 
 static bool
@@ -82,6 +91,15 @@
     }
 }
 
+static void
+mark_due (struct socket *socket)
+{
+  if (socket->is_due)
+    return;
+  socket->is_due = true;
+  g_ptr_array_add (socket->link->due, socket);
+}
+
 static void
 receive_batch (struct socket *socket)
 {
@@ -104,25 +122,70 @@
     }
 }
 
+static void
+check_socket (struct socket *socket)
+{
+  if (!is_readable (socket))
+    return;
+  mark_due (socket); /* receiving may leave messages, or consume an edge */
+  receive_batch (socket);
+}
+
+/* A socket that was sent on most often has nothing to read: it is checked here, so that the loop
+ * need not go on for it. */
 static void
 on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events)
 {
-  struct socket *socket = prepare->data;
+  struct fl_link *link = prepare->data;
 
   (void)events;
-  if (is_readable (socket))
-    ev_idle_start (loop, &socket->idle);
+  for (guint i = link->due->len; i > 0; i--)
+    {
+      struct socket *socket = g_ptr_array_index (link->due, i - 1);
+      if (is_readable (socket))
+        continue;
+      socket->is_due = false;
+      g_ptr_array_remove_index_fast (link->due, i - 1);
+    }
+  if (link->due->len > 0)
+    ev_idle_start (loop, &link->idle);
 }
 
 static void
 on_check (struct ev_loop *loop, ev_check *check, int events)
 {
-  struct socket *socket = check->data;
+  struct fl_link *link = check->data;
+  GPtrArray *sockets = link->due;
 
   (void)events;
-  ev_idle_stop (loop, &socket->idle);
-  if (is_readable (socket))
-    receive_batch (socket);
+  ev_idle_stop (loop, &link->idle);
+  link->due = link->checking;
+  link->checking = sockets;
+  for (guint i = 0; i < sockets->len; i++)
+    {
+      struct socket *socket = g_ptr_array_index (sockets, i);
+      if (socket == NULL)
+        continue;
+      socket->is_due = false;
+      check_socket (socket);
+    }
+  g_ptr_array_set_size (sockets, 0);
+}
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct fl_link *link = timer->data;
+  GHashTableIter iter;
+  void *value;
+
+  (void)loop;
+  (void)events;
+  if (link->router != NULL)
+    mark_due (link->router);
+  g_hash_table_iter_init (&iter, link->dealers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    mark_due (value);
 }
 
 static void
@@ -137,8 +200,8 @@
 on_io (struct ev_loop *loop, ev_io *io, int events)
 {
   (void)loop;
-  (void)io;
   (void)events;
+  check_socket (io->data);
 }
 
 static struct socket *
@@ -168,14 +231,9 @@
     zmq_setsockopt (socket->zmq, ZMQ_IMMEDIATE, &one, sizeof one);
   zmq_getsockopt (socket->zmq, ZMQ_FD, &fd, &size);
   ev_io_init (&socket->io, on_io, fd, EV_READ);
-  ev_prepare_init (&socket->prepare, on_prepare);
-  ev_check_init (&socket->check, on_check);
-  ev_idle_init (&socket->idle, on_idle);
-  socket->prepare.data = socket;
-  socket->check.data = socket;
+  socket->io.data = socket;
   ev_io_start (loop, &socket->io);
-  ev_prepare_start (loop, &socket->prepare);
-  ev_check_start (loop, &socket->check);
+  mark_due (socket);
   return socket;
 }
 
@@ -185,10 +243,13 @@
   struct socket *socket = data;
   struct ev_loop *loop = socket->link->options.loop;
 
+  guint position;
+
   ev_io_stop (loop, &socket->io);
-  ev_prepare_stop (loop, &socket->prepare);
-  ev_check_stop (loop, &socket->check);
-  ev_idle_stop (loop, &socket->idle);
+  if (socket->is_due)
+    g_ptr_array_remove_fast (socket->link->due, socket);
+  if (g_ptr_array_find (socket->link->checking, socket, &position))
+    socket->link->checking->pdata[position] = NULL;
   zmq_close (socket->zmq);
   g_free (socket);
 }
@@ -209,6 +270,32 @@
   return true;
 }
 
+static void
+start_watchers (struct fl_link *link)
+{
+  struct ev_loop *loop = link->options.loop;
+
+  ev_prepare_init (&link->prepare, on_prepare);
+  ev_check_init (&link->check, on_check);
+  ev_idle_init (&link->idle, on_idle);
+  ev_timer_init (&link->sweep, on_sweep, SWEEP_INTERVAL_MS / 1000.0, SWEEP_INTERVAL_MS / 1000.0);
+  link->prepare.data = link->check.data = link->sweep.data = link;
+  ev_prepare_start (loop, &link->prepare);
+  ev_check_start (loop, &link->check);
+  ev_timer_start (loop, &link->sweep);
+}
+
+static void
+stop_watchers (struct fl_link *link)
+{
+  struct ev_loop *loop = link->options.loop;
+
+  ev_prepare_stop (loop, &link->prepare);
+  ev_check_stop (loop, &link->check);
+  ev_idle_stop (loop, &link->idle);
+  ev_timer_stop (loop, &link->sweep);
+}
+
 struct fl_link *
 fl_link_new (const struct fl_link_options *options, struct fl_error *error)
 {
@@ -217,6 +304,9 @@
   link->options = *options;
   link->zmq_context = zmq_ctx_new ();
   link->dealers = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, socket_free);
+  link->due = g_ptr_array_new ();
+  link->checking = g_ptr_array_new ();
+  start_watchers (link);
   if (options->address != NULL && !bind_address (link, error))
     {
       fl_link_free (link);
@@ -233,6 +323,9 @@
   g_hash_table_destroy (link->dealers);
   if (link->router != NULL)
     socket_free (link->router);
+  stop_watchers (link);
+  g_ptr_array_unref (link->due);
+  g_ptr_array_unref (link->checking);
   zmq_ctx_term (link->zmq_context);
   g_free (link);
 }
@@ -273,6 +366,7 @@
     socket = g_hash_table_lookup (link->dealers, &to->address);
   if (socket == NULL)
     return false;
+  mark_due (socket);
   if (to->address.len == 0
       && zmq_send (socket->zmq, to->routing_id, to->routing_id_len, ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
     return false;
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -205,6 +205,12 @@
   return is_long && free_count <= reserved ? NULL : best;
 }
 
+bool
+fl_advisors_are_available (struct fl_advisors *advisors, int64_t least_ms)
+{
+  return choose_advisor (advisors, least_ms > LONG_QUERY_MS) != NULL;
+}
+
 bool
 fl_advisors_send_query (struct fl_advisors *advisors,
                         const struct fl_name *step,
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -4,6 +4,9 @@
 #include "common/clock.h"
 #include "poold/poold_internal.h"
 
+/* Heartbeats that the core prepares at a time. */
+#define HEARTBEATS_PER_CALL 32
+
 struct order_call
 {
   struct fl_term *term;
@@ -127,8 +130,16 @@
   return fl_advisors_send_query (term->poold->advisors, step, targets, count, expected_ms);
 }
 
+static bool
+may_query_advice (void *context, int64_t least_ms)
+{
+  struct fl_term *term = context;
+
+  return fl_advisors_are_available (term->poold->advisors, least_ms);
+}
+
 const struct fl_core_actions fl_term_actions
-    = { send_start, send_stop, send_throttle, query_advice };
+    = { send_start, send_stop, send_throttle, query_advice, may_query_advice };
 
 /* --- heartbeats --- */
 
@@ -160,19 +171,25 @@
 {
   const struct fl_target_calls *calls = term->poold->calls;
   int64_t now_ms = fl_clock_boot_ms ();
-  g_autoptr (GPtrArray) ids = NULL;
+  struct fl_heartbeat_order orders[HEARTBEATS_PER_CALL];
+  size_t count;
 
   if (!may_send_heartbeats (term->poold, now_ms))
     return;
-  ids = fl_core_target_ids (term->core);
-  for (guint i = 0; i < ids->len; i++)
+  do
     {
-      const struct fl_name *id = g_ptr_array_index (ids, i);
-      struct fl_heartbeat_order order;
-      if (g_hash_table_contains (term->heartbeats_in_flight, id)
-          || !fl_core_prepare_heartbeat (term->core, id, now_ms, &order))
-        continue;
-      g_hash_table_add (term->heartbeats_in_flight, g_memdup2 (id, sizeof *id));
-      calls->heartbeat (calls->context, &order, on_heartbeat_reply, order_call_new (term, id, 0));
+      count = fl_core_prepare_heartbeats (term->core, now_ms, orders, HEARTBEATS_PER_CALL);
+      for (size_t i = 0; i < count; i++)
+        {
+          const struct fl_name *id = &orders[i].target;
+          /* A target that was removed and registered again may still have a heartbeat in flight,
+           * whose reply then stands for that of the new one. */
+          if (g_hash_table_contains (term->heartbeats_in_flight, id))
+            continue;
+          g_hash_table_add (term->heartbeats_in_flight, g_memdup2 (id, sizeof *id));
+          calls->heartbeat (calls->context, &orders[i], on_heartbeat_reply,
+                            order_call_new (term, id, 0));
+        }
     }
+  while (count == HEARTBEATS_PER_CALL);
 }
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -21,6 +21,9 @@
  * drain. */
 #define REGISTRY_PAUSE_MS 150
 
+/* Share of the host's link, in percent, that start orders may take. */
+#define ORDERS_LINK_PERCENT 40
+
 /* --- jobs --- */
 
 static void
@@ -89,6 +92,7 @@
     fl_log (&term->poold->host->log, FL_LOG_NOTICE, "jobs_read",
             FL_I ("recorded", g_hash_table_size (term->recorded_progress)));
   term->jobs_read = true;
+  fl_core_set_jobs_known (term->core);
   term->poold->tick_requested = true;
   g_hash_table_remove_all (term->recorded_progress);
 }
@@ -256,6 +260,8 @@
     = fl_clock_boot_ms () + fl_ownership_get_reconcile_ms (lease_ms, previous_owner_may_be_active),
     .target_lease_ms = lease_ms,
     .target_lease_max_ms = poold->host->settings.lease_max_ms,
+    .order_bytes_per_s
+    = fl_host_settings_link_bytes_per_s (&poold->host->settings) * ORDERS_LINK_PERCENT / 100,
   };
 
   term->ref_count = 1;
@@ -324,6 +330,9 @@
   if (!term->inherited_read && !term->inherited_read_in_flight
       && fl_clock_boot_ms () - term->inherited_read_at_ms >= READ_RETRY_MS)
     read_inherited_targets (term);
+  /* The tasks on targets outlive the time that a small host needs to read the jobs. */
+  fl_peers_update_forwarding (term->poold, fl_core_target_count (term->core));
+  fl_term_send_heartbeats (term);
   /* A configuration that was last confirmed in an earlier term may be outdated: wait until it is
    * confirmed in this term. */
   if (!term->jobs_read || !term->inherited_read
@@ -336,6 +345,5 @@
       fl_term_store_records (term);
       fl_term_store_pending_counts (term);
     }
-  fl_peers_update_forwarding (term->poold, fl_core_target_count (term->core));
   fl_term_send_heartbeats (term);
 }
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -81,6 +81,8 @@
 
 struct owner
 {
+  int64_t jobs_read_at_ms; /* when it has read the jobs */
+  bool jobs_read;
   struct cell *cell;
   struct fl_core *core;
   int64_t fencing_token;
@@ -747,6 +749,14 @@
   return true;
 }
 
+static bool
+may_query_advice (void *context, int64_t least_ms)
+{
+  (void)context;
+  (void)least_ms;
+  return true;
+}
+
 /* --- store access of owners --- */
 
 static bool
@@ -784,6 +794,17 @@
     }
 }
 
+/* Reads the jobs and their progress once the time that this takes has passed. */
+static void
+read_recorded_jobs (struct owner *owner)
+{
+  if (owner->jobs_read || owner->cell->now_ms < owner->jobs_read_at_ms)
+    return;
+  read_jobs (owner, true);
+  owner->jobs_read = true;
+  fl_core_set_jobs_known (owner->core);
+}
+
 /* A store transaction of an owner: either job records or the list of targets. */
 struct transaction
 {
@@ -925,18 +946,16 @@
 static void
 send_heartbeats (struct owner *owner)
 {
-  g_autoptr (GPtrArray) ids = fl_core_target_ids (owner->core);
   struct fl_heartbeat_order order;
 
   if (owner->cell->now_ms >= owner->authority_until_ms + HEARTBEAT_GRACE_MS)
     return;
-  for (guint i = 0; i < ids->len; i++)
+  while (fl_core_prepare_heartbeats (owner->core, owner->cell->now_ms, &order, 1) > 0)
     {
-      const struct fl_name *id = g_ptr_array_index (ids, i);
-      if (g_hash_table_contains (owner->heartbeats_in_flight, id)
-          || !fl_core_prepare_heartbeat (owner->core, id, owner->cell->now_ms, &order))
+      if (g_hash_table_contains (owner->heartbeats_in_flight, &order.target))
         continue;
-      g_hash_table_add (owner->heartbeats_in_flight, g_memdup2 (id, sizeof *id));
+      g_hash_table_add (owner->heartbeats_in_flight,
+                        g_memdup2 (&order.target, sizeof order.target));
       struct call *call = g_new0 (struct call, 1);
       call->kind = CALL_HEARTBEAT;
       call->owner = owner;
@@ -951,7 +970,7 @@
 {
   if (owner->dead || owner->frozen_until_ms > owner->cell->now_ms)
     return;
-  if (has_authority (owner))
+  if (owner->jobs_read && has_authority (owner))
     {
       fl_core_tick (owner->core, owner->cell->now_ms, owner->cell->now_ms);
       write_owner_records (owner);
@@ -1014,7 +1033,9 @@
       if (can_reach_store (owner) && cell->owner_token == owner->fencing_token)
         {
           read_registry (owner);
-          read_jobs (owner, false);
+          read_recorded_jobs (owner);
+          if (owner->jobs_read)
+            read_jobs (owner, false);
         }
       renew_ownership (owner);
       tick_owner (owner);
@@ -1029,7 +1050,7 @@
   struct fl_core_options options = {
     .log = &cell->log,
     .stats = cell->stats,
-    .actions = { send_start, send_stop, ignore_throttle, send_advice_query },
+    .actions = { send_start, send_stop, ignore_throttle, send_advice_query, may_query_advice },
     .context = owner,
     .fencing_token = ++cell->owner_token,
     .acquired_version = ++cell->version,
@@ -1050,8 +1071,9 @@
   for (guint i = 0; i + 1 < cell->recorded_targets->len; i += 2)
     fl_core_inherit_target (owner->core, &g_array_index (cell->recorded_targets, struct fl_name, i),
                             &g_array_index (cell->recorded_targets, struct fl_name, i + 1));
+  owner->jobs_read_at_ms = cell->now_ms + cell->options.jobs_read_ms;
   read_registry (owner);
-  read_jobs (owner, true);
+  read_recorded_jobs (owner);
   g_ptr_array_add (cell->owners, owner);
   cell->result.owner_count++;
   on_owner_timer (cell, owner);
@@ -1353,6 +1375,10 @@
   struct cell cell = { .options = *options };
   struct fl_name subject = fl_name_of ("not all jobs ended");
 
+  /* Nothing starts while a new owner reads the jobs, and the pool may change owners around the end
+   * of the fault phase. */
+  int64_t finish_timeout_ms = FINISH_TIMEOUT_MS + 2 * options->jobs_read_ms;
+
   cell.random = g_rand_new_with_seed ((guint32)options->seed);
   cell.events = g_sequence_new (g_free);
   cell.targets = g_ptr_array_new ();
@@ -1370,7 +1396,7 @@
   acquire_ownership (&cell);
   on_cell_timer (&cell, NULL);
   while (cell.result.violation[0] == '\0'
-         && cell.now_ms < options->fault_phase_ms + FINISH_TIMEOUT_MS
+         && cell.now_ms < options->fault_phase_ms + finish_timeout_ms
          && !(cell.now_ms > options->fault_phase_ms && all_jobs_ended (&cell)))
     {
       GSequenceIter *first = g_sequence_get_begin_iter (cell.events);
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -61,6 +61,7 @@
   int target_count;
   int job_count;          /* submitted at even intervals during the fault phase */
   int64_t fault_phase_ms; /* then faults and submissions end, and all jobs must end */
+  int64_t jobs_read_ms;   /* how long a new owner takes to read the jobs */
   bool advice_required;   /* starts need tickets of the advice service */
   struct cell_fault_rates fault_rates;
   const struct cell_fault *scripted_faults;
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -64,6 +64,14 @@
   return true;
 }
 
+static bool
+may_query_advice (void *context, int64_t least_ms)
+{
+  (void)context;
+  (void)least_ms;
+  return true;
+}
+
 /* @cpu_cap_milli: the CPU limit of the team; 0 for none. */
 static void
 configure_core (struct fixture *fixture, int64_t cpu_cap_milli)
@@ -93,18 +101,20 @@
 /* Creates a core. Until @reconciled_at_ms, orders of an earlier owner may be in effect on inherited
  * targets that have not reported. */
 static struct fixture *
-fixture_new_unreconciled (int64_t cpu_cap_milli, int64_t reconciled_at_ms)
+fixture_new_with (int64_t cpu_cap_milli, int64_t reconciled_at_ms, int64_t order_bytes_per_s)
 {
   struct fixture *fixture = g_new0 (struct fixture, 1);
   struct fl_core_options options = {
     .log = &fixture->log,
-    .actions = { capture_start, capture_stop, capture_throttle, capture_advice_query },
+    .actions
+    = { capture_start, capture_stop, capture_throttle, capture_advice_query, may_query_advice },
     .context = fixture,
     .fencing_token = 1,
     .target_lease_ms = TARGET_LEASE_MS,
     .target_lease_max_ms = 6000,
     .acquired_version = reconciled_at_ms > 0 ? INT64_MAX : 0,
     .reconciled_at_ms = reconciled_at_ms,
+    .order_bytes_per_s = order_bytes_per_s,
   };
 
   fixture->now_ms = 100000;
@@ -119,10 +129,30 @@
   return fixture;
 }
 
+/* The jobs are not known yet. */
+static struct fixture *
+fixture_new_unreconciled (int64_t cpu_cap_milli, int64_t reconciled_at_ms)
+{
+  return fixture_new_with (cpu_cap_milli, reconciled_at_ms, 0);
+}
+
+/* Start orders may take @order_bytes_per_s. */
+static struct fixture *
+fixture_new_limited (int64_t order_bytes_per_s)
+{
+  struct fixture *fixture = fixture_new_with (0, 0, order_bytes_per_s);
+
+  fl_core_set_jobs_known (fixture->core);
+  return fixture;
+}
+
 static struct fixture *
 fixture_new (int64_t cpu_cap_milli)
 {
-  return fixture_new_unreconciled (cpu_cap_milli, 0);
+  struct fixture *fixture = fixture_new_unreconciled (cpu_cap_milli, 0);
+
+  fl_core_set_jobs_known (fixture->core);
+  return fixture;
 }
 
 static void
@@ -204,9 +234,9 @@
   fl_core_handle_heartbeat_reply (fixture->core, &id, &reply, fixture->now_ms - 1, fixture->now_ms);
 }
 
-/* Adds or updates a target, records the list of targets, and delivers a report without runs. */
+/* Adds or updates a target and records the list of targets. */
 static void
-add_target (struct fixture *fixture, const char *name, int64_t cores, bool draining)
+add_entry (struct fixture *fixture, const char *name, int64_t cores, bool draining)
 {
   struct fl_target_entry entry = { .id = fl_name_of (name),
                                    .service = fl_name_of ("s"),
@@ -220,6 +250,19 @@
   fl_core_update_target (fixture->core, &entry);
   g_array_unref (fl_core_collect_target_list (fixture->core));
   fl_core_mark_target_list_recorded (fixture->core);
+}
+
+static void
+add_target_entry (struct fixture *fixture, const char *name)
+{
+  add_entry (fixture, name, 4, false);
+}
+
+/* The same as add_entry, and delivers a report without runs. */
+static void
+add_target (struct fixture *fixture, const char *name, int64_t cores, bool draining)
+{
+  add_entry (fixture, name, cores, draining);
   deliver_report (fixture, name, (struct fl_target_report){ .booted_at_ms = 1 });
 }
 
@@ -888,6 +931,7 @@
   struct fl_core_record records[4];
 
   (void)state;
+  fl_core_set_jobs_known (fixture->core);
   fl_core_inherit_target (fixture->core, &inherited, &inherited);
   add_target (fixture, "t1", 4, false);
   add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 2, .cpu_milli = 1000 });
@@ -1007,6 +1051,100 @@
   fixture_free (fixture);
 }
 
+/* Load pattern: after an outage a backlog is due at once, on a host whose link takes a tenth of its
+ * starts a second. Starts keep to their rate, urgent ones first, and all of them are ordered in
+ * time. */
+static void
+test_rate_of_starts (void **state)
+{
+  enum
+  {
+    BYTES_PER_S = 20000,
+    PAYLOAD_BYTES = 1000,
+    JOBS = 100,
+    TICK_MS = 10,
+    TICKS = 700,
+    BURST_PER_S = 4 /* a burst is a quarter of a second of the rate */
+  };
+  struct fixture *fixture = fixture_new_limited (BYTES_PER_S);
+  char payload[PAYLOAD_BYTES + 1];
+
+  (void)state;
+  memset (payload, 'x', PAYLOAD_BYTES);
+  payload[PAYLOAD_BYTES] = '\0';
+  add_target (fixture, "t1", 10 * JOBS, false);
+  for (int i = 0; i < JOBS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%s-%d", i % 2 == 0 ? "slow" : "fast", i);
+      struct fl_step_spec step = { .count = 1, .cpu_milli = 1000 };
+      struct fl_job_spec spec = { .id = fl_name_of (id),
+                                  .queue = fl_name_of (i % 2 == 0 ? "slow" : "urgent"),
+                                  .team = fl_name_of ("w"),
+                                  .accepted_ms = fixture->now_ms,
+                                  .text = fl_str_of (payload),
+                                  .steps = { 1, g_memdup2 (&step, sizeof step) } };
+      fl_core_add_job (fixture->core, &spec, i, NULL);
+    }
+  for (int i = 1; i <= TICKS; i++)
+    {
+      int64_t allowed_bytes = BYTES_PER_S * (int64_t)i * TICK_MS / 1000 + BYTES_PER_S / BURST_PER_S;
+      tick_until_recorded (fixture, TICK_MS);
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+      assert_true ((int64_t)fixture->start_orders->len * PAYLOAD_BYTES
+                   <= allowed_bytes + 2 * PAYLOAD_BYTES);
+    }
+  assert_int_equal (fixture->start_orders->len, JOBS);
+  for (guint i = 0; i < JOBS; i++)
+    assert_true (
+        g_str_has_prefix (get_start_order (fixture, i)->task.data, i < JOBS / 2 ? "fast" : "slow"));
+  fixture_free (fixture);
+}
+
+/* Load pattern: a new owner reads hundreds of jobs through a slow link, for longer than the leases
+ * of the running tasks. Its heartbeats renew these leases and stop nothing. Once the jobs are
+ * known, a task whose target went silent meanwhile waits for the end of the lease that was renewed
+ * last. */
+static void
+test_heartbeats_before_jobs_are_known (void **state)
+{
+  struct fixture *fixture = fixture_new_unreconciled (0, 100000 + TARGET_LEASE_MS);
+  struct fl_name target = fl_name_of ("t1");
+  struct fl_name address = fl_name_of ("t1");
+  struct fl_run_row run = { .task = fl_name_of ("a.0.0.0"), .run = 1 };
+  struct fl_heartbeat_order order;
+  struct fl_order_reply no_reply = { .result = FL_ORDER_NO_REPLY };
+  int renewed = 0;
+
+  (void)state;
+  fl_core_inherit_target (fixture->core, &target, &address);
+  add_target_entry (fixture, "t1");
+  add_target_entry (fixture, "t2");
+  for (int64_t end_ms = fixture->now_ms + 4000; fixture->now_ms < end_ms; fixture->now_ms += 50)
+    while (fl_core_prepare_heartbeats (fixture->core, fixture->now_ms, &order, 1) > 0)
+      {
+        renewed += order.deadline_ms > 0 && fl_name_eq (&order.target, &target) ? 1 : 0;
+        assert_int_equal (order.last_recorded_end, 0);
+        deliver_report (
+            fixture, order.target.data,
+            (struct fl_target_report){ .booted_at_ms = 1,
+                                       .runs = &run,
+                                       .run_count = fl_name_eq (&order.target, &target) ? 1 : 0 });
+      }
+  int64_t last_renewal_ms = fixture->now_ms - 50;
+  assert_true (renewed >= 3);
+  assert_int_equal (fixture->stop_orders->len, 0);
+  add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  fl_core_set_jobs_known (fixture->core);
+  deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
+  fl_core_handle_heartbeat_reply (fixture->core, &target, &no_reply, fixture->now_ms,
+                                  fixture->now_ms);
+  while (fixture->start_orders->len == 0)
+    tick_until_recorded (fixture, 50);
+  assert_true (fixture->now_ms >= last_renewal_ms - 1000 + TARGET_LEASE_MS);
+  assert_string_equal (get_start_order (fixture, 0)->target.data, "t2");
+  fixture_free (fixture);
+}
+
 /* Load pattern: jobs of thousands of tasks run at once. The progress of one fits a row of the
  * store, and all records that are collected at once fit a transaction. */
 static void
@@ -1073,6 +1211,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_record_sizes),
+    cmocka_unit_test (test_rate_of_starts),
+    cmocka_unit_test (test_heartbeats_before_jobs_are_known),
     cmocka_unit_test (test_failures_in_any_order),
     cmocka_unit_test (test_start_with_slow_store),
     cmocka_unit_test (test_start_waits_for_record),
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -100,10 +100,14 @@
 #define ORDER_POSITIONS 16
 #define TRANSACTION_POSITIONS 12
 
+/* How long owners read the jobs in the runs with slow reading. */
+#define SLOW_READING_MS 5500
+
 static struct cell_result
 simulate_random_faults (uint64_t seed,
                         const struct cell_fault_rates *fault_rates,
                         bool advice_required,
+                        int64_t jobs_read_ms,
                         const char *trace_prefix)
 {
   struct cell_options options = { .seed = seed,
@@ -111,6 +115,7 @@
                                   .job_count = 60,
                                   .fault_phase_ms = 30000,
                                   .advice_required = advice_required,
+                                  .jobs_read_ms = jobs_read_ms,
                                   .fault_rates = *fault_rates,
                                   .trace_prefix = trace_prefix };
 
@@ -127,7 +132,7 @@
     for (uint64_t seed = 1; seed <= SEED_COUNT; seed++)
       {
         struct cell_result result = simulate_random_faults (
-            seed, &fault_profiles[i].fault_rates, fault_profiles[i].advice_required, NULL);
+            seed, &fault_profiles[i].fault_rates, fault_profiles[i].advice_required, 0, NULL);
         if (result.violation[0] == '\0')
           continue;
         printf ("%s, seed %d: %s\n", fault_profiles[i].name, (int)seed, result.violation);
@@ -145,7 +150,7 @@
   for (uint64_t seed = 1; seed <= 10 * SEED_COUNT; seed++)
     {
       struct cell_result result
-          = simulate_random_faults (seed, &mixed_fault_rates, seed % 4 != 0, NULL);
+          = simulate_random_faults (seed, &mixed_fault_rates, seed % 4 != 0, 0, NULL);
       if (result.violation[0] == '\0')
         continue;
       printf ("mixed faults, seed %d: %s\n", (int)seed, result.violation);
@@ -154,6 +159,27 @@
   assert_int_equal (failed, 0);
 }
 
+/* Load pattern: a new owner on a small host reads hundreds of jobs for seconds, longer than the
+ * leases of the running tasks. Its heartbeats keep them alive; it starts a task elsewhere only once
+ * the leases that it renewed have expired, too. */
+static void
+test_slow_reading (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (uint64_t seed = 1; seed <= 4 * SEED_COUNT; seed++)
+    {
+      struct cell_result result
+          = simulate_random_faults (seed, &mixed_fault_rates, seed % 4 != 0, SLOW_READING_MS, NULL);
+      if (result.violation[0] == '\0')
+        continue;
+      printf ("slow reading, seed %d: %s\n", (int)seed, result.violation);
+      failed++;
+    }
+  assert_int_equal (failed, 0);
+}
+
 static void
 test_regressions (void **state)
 {
@@ -164,7 +190,7 @@
     {
       uint64_t seed = regressions[i].seed;
       struct cell_result result
-          = simulate_random_faults (seed, &mixed_fault_rates, seed % 4 != 0, NULL);
+          = simulate_random_faults (seed, &mixed_fault_rates, seed % 4 != 0, 0, NULL);
       if (result.violation[0] == '\0')
         continue;
       printf ("%s, seed %d: %s\n", regressions[i].cause, (int)seed, result.violation);
@@ -248,14 +274,15 @@
 }
 
 static int
-simulate_seeds (uint64_t first_seed, int count, const char *trace_prefix)
+simulate_seeds (uint64_t first_seed, int count, int64_t jobs_read_ms, const char *trace_prefix)
 {
   int failed = 0;
 
   for (int i = 0; i < count; i++)
     {
-      struct cell_result result = simulate_random_faults (
-          first_seed + (uint64_t)i, &mixed_fault_rates, (first_seed + i) % 4 != 0, trace_prefix);
+      struct cell_result result
+          = simulate_random_faults (first_seed + (uint64_t)i, &mixed_fault_rates,
+                                    (first_seed + i) % 4 != 0, jobs_read_ms, trace_prefix);
       printf ("seed=%d accepted=%d ended=%d starts=%d lost=%d owners=%d %s\n",
               (int)(first_seed + i), result.jobs_accepted, result.jobs_ended, (int)result.starts,
               (int)result.lost_runs, result.owner_count, result.violation);
@@ -270,7 +297,7 @@
 {
   struct cell_result result
       = simulate_random_faults (seed, &fault_profiles[index].fault_rates,
-                                fault_profiles[index].advice_required, trace_prefix);
+                                fault_profiles[index].advice_required, 0, trace_prefix);
 
   printf ("%s, seed %d: %s\n", fault_profiles[index].name, (int)seed, result.violation);
   return result.violation[0] != '\0' ? 1 : 0;
@@ -281,11 +308,16 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_fault_profiles), cmocka_unit_test (test_mixed_faults),
-          cmocka_unit_test (test_regressions), cmocka_unit_test (test_fault_pairs) };
+          cmocka_unit_test (test_slow_reading), cmocka_unit_test (test_regressions),
+          cmocka_unit_test (test_fault_pairs) };
 
   if (argc == 5 && strcmp (argv[1], "trouble") == 0)
     return simulate_profile (atoi (argv[2]), strtoull (argv[3], NULL, 10), argv[4]);
+  if (argc >= 4 && strcmp (argv[1], "slow-reading") == 0)
+    return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), SLOW_READING_MS,
+                           argc > 4 ? argv[4] : NULL);
   if (argc >= 3)
-    return simulate_seeds (strtoull (argv[1], NULL, 10), atoi (argv[2]), argc > 3 ? argv[3] : NULL);
+    return simulate_seeds (strtoull (argv[1], NULL, 10), atoi (argv[2]), 0,
+                           argc > 3 ? argv[3] : NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
