--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -20,6 +20,9 @@
  * margin for clocks whose rates differ by 2 %. */
 #define LEASE_EXPIRY_MS 1235
 #define STANDBY_POLL_MS 300
+/* Poll interval of a host that owned the pool before its restart, which acquires it as soon as it
+ * knows that no host is better suited. */
+#define RESTARTED_OWNER_POLL_MS 100
 /* Poll interval of a host that lets better suited hosts acquire the pool before it does. */
 #define LOW_PRIORITY_POLL_MS 800
 #define READ_TIMEOUT_MS 700
@@ -307,10 +310,11 @@
   const struct fl_ownership_options *options = &ownership->options;
   int64_t delay_ms = 0;
 
-  if (was_owned_by_this_host (ownership))
-    return 0;
   if (options->acquire_delay_ms != NULL)
     delay_ms = options->acquire_delay_ms (options->context, ownership->seen_pool_version == 0);
+  /* A host that may be small lets larger ones acquire the pool even after it owned it. */
+  if (was_owned_by_this_host (ownership) && delay_ms == 0)
+    return 0;
   return delay_ms + (is_free ? 0 : LEASE_EXPIRY_MS);
 }
 
@@ -342,6 +346,8 @@
   wait_ms = get_acquire_wait_ms (ownership, is_free);
   if (wait_ms == 0 || ownership->sent_ms - ownership->lease_unchanged_since_ms >= wait_ms)
     acquire_pool (ownership);
+  else if (was_owned_by_this_host (ownership))
+    schedule_call (ownership, RESTARTED_OWNER_POLL_MS);
   else
     schedule_call (ownership, wait_ms > LEASE_EXPIRY_MS ? LOW_PRIORITY_POLL_MS : STANDBY_POLL_MS);
 }
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "poold/poold_internal.h"
+#include "poold/succession.h"
 
 /* Maximum time between ticks: bounds the delay of decisions that no event triggers, such as
  * timeouts. */
@@ -18,15 +19,6 @@
 #define ANNOUNCE_TIMEOUT_MS 1000
 #define ANNOUNCE_RETRY_MS 500
 
-/* A host with less than this share of the largest host's processor counts as small. It waits for
- * two polls of larger hosts before it acquires the pool, since the decisions for hundreds of
- * targets take most of a small host's processor. */
-#define SMALL_HOST_PERCENT 75
-#define SMALL_HOST_DELAY_MS 600
-/* Before the very first acquisition, hosts need this time to announce themselves and to read the
- * list of hosts. */
-#define FIRST_ACQUISITION_DELAY_MS 2200
-
 /* --- configuration --- */
 
 static void
@@ -46,14 +38,15 @@
 {
   const struct fl_poold *poold = context;
   const struct fl_host *host = poold->host;
-  int64_t own_cpu_milli = fl_host_settings_cpu_milli (&host->settings);
-  int64_t largest_cpu_milli = host->relay != NULL ? fl_relay_largest_cpu_milli (host->relay) : 0;
-  int64_t delay_ms
-      = own_cpu_milli * 100 < largest_cpu_milli * SMALL_HOST_PERCENT ? SMALL_HOST_DELAY_MS : 0;
-
-  return never_owned && own_cpu_milli > 0 && host->relay != NULL
-             ? FIRST_ACQUISITION_DELAY_MS + delay_ms
-             : delay_ms;
+  struct fl_succession succession = {
+    .own_cpu_milli = fl_host_settings_cpu_milli (&host->settings),
+    .largest_cpu_milli = host->relay != NULL ? fl_relay_largest_cpu_milli (host->relay) : 0,
+    .has_peers = host->relay != NULL,
+    .knows_hosts = host->relay != NULL && fl_relay_knows_hosts (host->relay),
+    .never_owned = never_owned,
+  };
+
+  return fl_succession_get_delay_ms (&succession);
 }
 
 static void
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -370,6 +370,12 @@
   return relay->largest_cpu_milli;
 }
 
+bool
+fl_relay_knows_hosts (const struct fl_relay *relay)
+{
+  return relay->has_listed;
+}
+
 size_t
 fl_relay_peer_count (const struct fl_relay *relay)
 {
--- a/lib/relay/relay.h
+++ b/lib/relay/relay.h
@@ -39,5 +39,8 @@
 /* The CPU of the largest known host in thousandths of a core; 0 when no host is known. */
 int64_t fl_relay_largest_cpu_milli (const struct fl_relay *relay);
 
+/* Whether the list of hosts has been read since the start. */
+bool fl_relay_knows_hosts (const struct fl_relay *relay);
+
 /* The store to use instead of the direct one; valid as long as @relay. */
 const struct fl_store *fl_relay_store (const struct fl_relay *relay);
