Divide the stored list of targets among rows

Cause: the list of targets was one row of the store. At 36 bytes a target it exceeds the 64 KB of a row from 1,800 targets on, so that no target is recorded any more and nothing starts: below the 1,900 of the design. An unreadable list counted as empty, so that a successor could start tasks that still run.

Change: rows of 300 targets in one transaction (lib/poold/target_rows.c, pure); an unreadable row is logged, and nothing starts until the leases of the earlier owner have expired. tests/test_target_rows.c: up to 10,000 targets with names of full length, malformed rows.

--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -18,6 +18,7 @@
   int ref_count;
   bool ended;
   int64_t started_ms;
+  int64_t reconciled_at_ms; /* see struct fl_core_options */
   struct fl_poold *poold;
   struct fl_core *core;
   struct fl_follower *progress_follower; /* read once, before the jobs */
@@ -29,6 +30,7 @@
   GHashTable *listed_targets; /* ids returned so far by a full read of the registry, or NULL */
   bool inherited_read;        /* the previous owner's targets have been read */
   bool inherited_read_in_flight;
+  size_t target_row_count; /* rows of the list of targets that the store may have */
   int64_t inherited_read_at_ms;
   bool progress_read;
   bool jobs_read;
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "common/schema.h"
 #include "poold/poold_internal.h"
+#include "poold/target_rows.h"
 
 #define STORE_TIMEOUT_MS 1000
 /* Delay after a failed transaction. Shorter than the interval between renewals of the pool's lease,
@@ -101,16 +102,23 @@
 store_targets (struct fl_term *term)
 {
   GArray *names = fl_core_collect_target_list (term->core);
-  json_t *json = json_array ();
-
-  for (guint i = 0; i < names->len; i++)
-    json_array_append_new (json, json_string (g_array_index (names, struct fl_name, i).data));
-  struct fl_str value = fl_json_encode (json);
-  struct fl_store_write write
-      = { FL_TABLE_SUMMARY, FL_PARTITION_OWNER, fl_name_of (FL_SUMMARY_TARGETS), value, false };
-  commit_writes (term, term->targets_writer, &write, 1, on_targets_stored);
-  fl_str_clear (&value);
-  json_decref (json);
+  size_t count = fl_target_rows_count (names->len);
+  size_t write_count = MAX (count, term->target_row_count);
+  struct fl_store_write writes[FL_TARGET_ROWS_MAX] = { 0 };
+
+  /* Rows of a longer list that was stored before are removed. */
+  for (size_t i = 0; i < write_count; i++)
+    writes[i] = (struct fl_store_write){
+      .table = FL_TABLE_SUMMARY,
+      .partition = FL_PARTITION_OWNER,
+      .key = fl_target_rows_key (i),
+      .value = i < count ? fl_target_rows_encode (names, i) : (struct fl_str){ 0 },
+      .is_removal = i >= count,
+    };
+  term->target_row_count = write_count;
+  commit_writes (term, term->targets_writer, writes, write_count, on_targets_stored);
+  for (size_t i = 0; i < count; i++)
+    fl_str_clear (&writes[i].value);
   g_array_unref (names);
 }
 
--- /dev/null
+++ b/lib/poold/target_rows.c
@@ -0,0 +1,85 @@
+#include "poold/target_rows.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "common/schema.h"
+#include "store/tables.h"
+
+/* Names in one row: an id or an address has up to FL_NAME_MAX bytes, and three more in JSON. */
+#define ROW_NAMES_MAX 600
+
+struct fl_name
+fl_target_rows_key (size_t index)
+{
+  return index == 0 ? fl_name_of (FL_SUMMARY_TARGETS)
+                    : fl_name_format (FL_SUMMARY_TARGETS "/%zu", index);
+}
+
+int
+fl_target_rows_index (const struct fl_name *key)
+{
+  size_t prefix = strlen (FL_SUMMARY_TARGETS);
+  char *end;
+
+  if (strncmp (key->data, FL_SUMMARY_TARGETS, prefix) != 0)
+    return -1;
+  if (key->data[prefix] == '\0')
+    return 0;
+  if (key->data[prefix] != '/' || !g_ascii_isdigit (key->data[prefix + 1]))
+    return -1;
+  unsigned long index = strtoul (key->data + prefix + 1, &end, 10);
+  return *end == '\0' && index < FL_TARGET_ROWS_MAX ? (int)index : -1;
+}
+
+size_t
+fl_target_rows_count (size_t name_count)
+{
+  size_t count = (name_count + ROW_NAMES_MAX - 1) / ROW_NAMES_MAX;
+
+  return CLAMP (count, 1, FL_TARGET_ROWS_MAX);
+}
+
+struct fl_str
+fl_target_rows_encode (const GArray *names, size_t index)
+{
+  json_t *json = json_array ();
+  size_t first = index * ROW_NAMES_MAX;
+
+  for (size_t i = first; i < MIN (first + ROW_NAMES_MAX, names->len); i++)
+    {
+      const struct fl_name *name = &g_array_index (names, struct fl_name, i);
+      json_array_append_new (json, json_stringn (name->data, name->len));
+    }
+  struct fl_str row = fl_json_encode (json);
+  json_decref (json);
+  return row;
+}
+
+bool
+fl_target_rows_decode (const char *data, size_t len, GArray *names, struct fl_error *error)
+{
+  json_t *json = fl_json_parse (data, len, error);
+  guint before = names->len;
+
+  if (json == NULL)
+    return false;
+  bool is_valid = json_is_array (json) && json_array_size (json) % 2 == 0;
+  for (size_t i = 0; is_valid && i < json_array_size (json); i++)
+    {
+      const json_t *item = json_array_get (json, i);
+      is_valid = json_is_string (item) && json_string_length (item) <= FL_NAME_MAX;
+      if (!is_valid)
+        break;
+      struct fl_name name = fl_name_of (json_string_value (item));
+      g_array_append_val (names, name);
+    }
+  json_decref (json);
+  if (is_valid)
+    return true;
+  g_array_set_size (names, before);
+  return fl_fail (error, FL_INVALID, "targets_decode", NULL,
+                  "must be a list of ids and addresses by turns");
+}
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "common/schema.h"
 #include "poold/poold_internal.h"
+#include "poold/target_rows.h"
 
 #define READ_TIMEOUT_MS 1500
 #define READ_RETRY_MS 100
@@ -195,32 +196,44 @@
 
 /* --- targets of the previous owner --- */
 
-static void
-add_inherited_targets (struct fl_term *term, const struct fl_store_row *row)
+/* Adds the targets in the rows of @reply. @return false when a row is unreadable: an earlier owner
+ * may have used targets that this one would not know. */
+static bool
+add_inherited_targets (struct fl_term *term, const struct fl_store_reply *reply)
 {
+  g_autoptr (GArray) names = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
   struct fl_error error = { 0 };
-  json_t *json = fl_json_parse (row->value.data, row->value.len, &error);
 
-  for (size_t i = 0; i + 1 < json_array_size (json); i += 2)
+  for (size_t i = 0; i < reply->count; i++)
     {
-      struct fl_name id = fl_name_of (json_string_value (json_array_get (json, i)));
-      struct fl_name address = fl_name_of (json_string_value (json_array_get (json, i + 1)));
-      fl_core_inherit_target (term->core, &id, &address);
+      const struct fl_store_row *row = &reply->rows[i];
+      int index = fl_target_rows_index (&row->key);
+      if (index < 0)
+        continue;
+      term->target_row_count = MAX (term->target_row_count, (size_t)index + 1);
+      if (!fl_target_rows_decode (row->value.data, row->value.len, names, &error))
+        {
+          fl_log_error (&term->poold->host->log, FL_LOG_ERR, "targets_unreadable", &error);
+          return false;
+        }
     }
-  json_decref (json);
+  for (guint i = 0; i + 1 < names->len; i += 2)
+    fl_core_inherit_target (term->core, &g_array_index (names, struct fl_name, i),
+                            &g_array_index (names, struct fl_name, i + 1));
+  return true;
 }
 
+/* Without the list of targets, nothing starts before all leases that an earlier owner gave have
+ * expired. */
 static void
 on_inherited_read (void *context, const struct fl_store_reply *reply)
 {
   struct fl_term *term = context;
 
   term->inherited_read_in_flight = false;
-  if (!term->ended && reply->status == FL_STORE_OK)
+  if (!term->ended && reply->status == FL_STORE_OK
+      && (add_inherited_targets (term, reply) || fl_clock_boot_ms () >= term->reconciled_at_ms))
     {
-      for (size_t i = 0; i < reply->count; i++)
-        if (strcmp (reply->rows[i].key.data, FL_SUMMARY_TARGETS) == 0)
-          add_inherited_targets (term, &reply->rows[i]);
       term->inherited_read = true;
       term->poold->tick_requested = true;
     }
@@ -266,6 +279,7 @@
 
   term->ref_count = 1;
   term->started_ms = fl_clock_boot_ms ();
+  term->reconciled_at_ms = options.reconciled_at_ms;
   term->poold = poold;
   term->core = fl_core_new (&options);
   term->recorded_progress
