--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,11 @@
 
 -include $(shell find $(BUILD) -name "*.d" 2>/dev/null)
 
-.PHONY: fuzz e2e mutants check-asan
+.PHONY: fuzz e2e mutants check-asan bench
+# Measures the decisions; BASE=REVISION measures an earlier version in the same run.
+bench:
+	@scripts/bench $(BASE)
+
 # Simulates lib/core under all kinds of faults, with COUNT seeds from SEED on.
 fuzz: $(BUILD)/tests/test_core_cell
 	@$< $(or $(SEED),1) $(or $(COUNT),1000)
