Runs end with the boot of their target; reports at once after a change of owner

Change: a refused connection is a result of its own (no listener). The second one in a row ends the listed runs of the target: those whose only start order was executed, and all of them once the target has left the registry, which then also needs no report. Heartbeats that renew leases do not wait. The platform's pages say that a port without a listener resets the connection, and that a host without power or behind a partition does not answer.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -430,7 +430,8 @@
     return true;
   order->last_recorded_end = target->last_recorded_end;
   order->deadline_ms = core_target_clock_ms (target, now_ms) + core->options.target_lease_ms;
-  order->wait_ms = heartbeat_wait_ms (target);
+  /* Reports are needed as soon as the jobs are known: no heartbeat then waits for an end. */
+  order->wait_ms = core->jobs_known ? heartbeat_wait_ms (target) : 0;
   target->lease_expires_at_ms = MAX (
       target->lease_expires_at_ms,
       now_ms + core->options.target_lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
@@ -664,6 +665,12 @@
     core_job_finish (job, FL_JOB_COMPLETED);
 }
 
+void
+fl_core_set_registry_known (struct fl_core *core)
+{
+  core->registry_known = true;
+}
+
 void
 fl_core_set_jobs_known (struct fl_core *core)
 {
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -101,6 +101,9 @@
  */
 void fl_core_set_jobs_known (struct fl_core *core);
 
+/* Declares that all targets that the registry lists have been added. */
+void fl_core_set_registry_known (struct fl_core *core);
+
 /* Cancels the job @id and stops its runs. Ignores unknown and finished jobs. */
 void fl_core_cancel_job (struct fl_core *core, const struct fl_name *id);
 
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -241,6 +241,7 @@
   int64_t tick_gap_ms;        /* between the last two ticks */
   int64_t runs_checked_at_ms; /* when all runs were last checked for timeouts */
   int64_t first_run_number;   /* lowest run number of this owner */
+  bool registry_known;        /* see fl_core_set_registry_known */
   bool jobs_known;            /* see fl_core_set_jobs_known */
   struct core_order_budget order_budget;
   bool target_list_outdated;       /* the stored list of targets contains a removed target */
@@ -307,6 +308,9 @@
 /* Treats all runs of @target as lost, because its boot has ended. */
 void core_target_lose_runs (struct core_target *target, const char *reason);
 
+/* Treats the runs of @target as lost that were in the boot that had its address and has ended. */
+void core_target_lose_ended_runs (struct core_target *target);
+
 /* Treats the runs of @target as lost whose lease has certainly expired. */
 void core_target_expire_runs (struct core_target *target, int64_t now_ms);
 
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -333,6 +333,21 @@
   fl_stats_add (core->options.stats, "targets_taken_over_total", 1);
 }
 
+/* Handles a refused connection to @target: no process listens there any more.
+ *
+ * Load pattern: targets are taken away at short notice, or crash, while all is full. Their tasks
+ * would wait for the end of the leases, and after a change of owner the jobs that have tasks there
+ * would, too. */
+static void
+handle_no_listener (struct fl_core *core, struct core_target *target)
+{
+  core_target_lose_ended_runs (target);
+  if (!core->registry_known || target->registered)
+    return;
+  target->inherited = false;
+  core_target_update_reconciled (target);
+}
+
 static void
 update_silence (struct fl_core *core,
                 struct core_target *target,
@@ -364,6 +379,8 @@
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
   if (reply->result == FL_ORDER_OTHER_BOOT)
     handle_address_takeover (core, target);
+  if (reply->result == FL_ORDER_NO_LISTENER && target->silent)
+    handle_no_listener (core, target);
   if (report == NULL || target->silent)
     update_silence (core, target, report == NULL, reply->result);
   if (report == NULL)
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -186,6 +186,29 @@
     lose_run (g_ptr_array_index (target->runs, target->runs->len - 1), reason);
 }
 
+/* Whether the end of the boot of its target has certainly ended @run: its only start order has been
+ * executed. A late copy of another order could start the run in the next boot, which may have the
+ * same id; once the target has left the registry, there is none. */
+static bool
+ended_with_boot (const struct core_run *run)
+{
+  bool has_left = run->target->core->registry_known && !run->target->registered;
+
+  return run->ever_listed
+         && (has_left || (run->started_at_ms > 0 && run->inconclusive_starts == 0));
+}
+
+void
+core_target_lose_ended_runs (struct core_target *target)
+{
+  for (guint i = target->runs->len; i > 0; i--)
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, i - 1);
+      if (ended_with_boot (run))
+        lose_run (run, "no_listener");
+    }
+}
+
 /* The time by which the lease of @run has certainly expired. A run that was never listed may be in
  * a boot that began after the last reply. There, a deadline by the clock of the previous boot may
  * be far ahead, so that the target grants the longest lease. */
@@ -256,7 +279,8 @@
   if (result == FL_ORDER_NO_TICKET)
     core_advice_drop_ticket (task->step, target);
   if (result == FL_ORDER_NO_CAPACITY || result == FL_ORDER_UNHEALTHY
-      || result == FL_ORDER_OTHER_BOOT || result == FL_ORDER_NOT_SENT)
+      || result == FL_ORDER_OTHER_BOOT || result == FL_ORDER_NOT_SENT
+      || result == FL_ORDER_NO_LISTENER)
     target->quarantined_until_ms
         = MAX (target->quarantined_until_ms, core->now_ms + REJECTED_BACKOFF_MS);
   if (result == FL_ORDER_INVALID || host_is_too_busy (core, result))
--- a/lib/forward/message.c
+++ b/lib/forward/message.c
@@ -10,8 +10,8 @@
 static const char *const kind_names[]
     = { "start", "stop", "pace", "hold", "answer", "ping", "pong", NULL };
 static const char *const result_names[]
-    = { "done",    "fenced",    "old_run",    "late",     "no_room",    "no_ticket",
-        "invalid", "unhealthy", "other_boot", "not_sent", "unanswered", NULL };
+    = { "done",      "fenced",     "old_run",  "late",       "no_room",     "no_ticket", "invalid",
+        "unhealthy", "other_boot", "not_sent", "unanswered", "no_listener", NULL };
 static const char *const cause_names[]
     = { "done", "failed", "stopped", "lapsed", "broken", "alone", NULL };
 
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -106,6 +107,15 @@
   return request_size > 0;
 }
 
+static bool
+was_refused (const struct call *call, CURLcode code)
+{
+  long system_error = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &system_error);
+  return code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
+}
+
 static void
 count_traffic (const struct call *call)
 {
@@ -136,6 +146,7 @@
   else
     {
       result.maybe_sent = may_have_been_sent (call, code);
+      result.is_refused = was_refused (call, code);
       fl_fail (&result.error, result.maybe_sent ? FL_UNKNOWN : FL_UNAVAILABLE, "http_call",
                call->url, "%s",
                call->error_text[0] != '\0' ? call->error_text : curl_easy_strerror (code));
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -17,6 +17,7 @@
   int status;            /* HTTP status; 0 when there is no complete response */
   struct fl_str body;    /* complete when status is not 0 */
   bool maybe_sent;       /* whether any byte of the request may have left this process */
+  bool is_refused;       /* no process listens at the address: nothing was sent */
   struct fl_error error; /* filled when status is 0 */
 };
 
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -145,6 +145,7 @@
       fl_core_remove_target (term->core, g_ptr_array_index (ids, i));
   g_hash_table_unref (term->listed_targets);
   term->listed_targets = NULL;
+  fl_core_set_registry_known (term->core);
   term->poold->tick_requested = true;
 }
 
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -578,6 +578,14 @@
   struct call *call = data;
   struct fake_target *target = find_target_at (cell, &call->address);
 
+  if (call->kind == CALL_HEARTBEAT && target != NULL && !target->up
+      && target->isolated_until_ms <= cell->now_ms)
+    {
+      call->result = FL_ORDER_NO_LISTENER;
+      call->replied = true;
+      schedule (cell, random_between (cell, 1, 20), on_call_done, call);
+      return;
+    }
   if (target == NULL || !target->up || target->isolated_until_ms > cell->now_ms)
     {
       schedule (cell, ORDER_TIMEOUT_MS, on_call_done, call);
@@ -1073,6 +1081,7 @@
                             &g_array_index (cell->recorded_targets, struct fl_name, i + 1));
   owner->jobs_read_at_ms = cell->now_ms + cell->options.jobs_read_ms;
   read_registry (owner);
+  fl_core_set_registry_known (owner->core);
   read_recorded_jobs (owner);
   g_ptr_array_add (cell->owners, owner);
   cell->result.owner_count++;
