Smaller records of jobs on slow links

Change: a record lists targets by 32-bit hashes of their ids (two targets with one hash are treated alike, which is safe); no checkpoints of running tasks, which their targets list; transactions of records wait until a quarter of the link has had time for the last one; a start counts 200 bytes instead of 250, as measured.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -564,7 +564,7 @@
   job->any_target_recorded = progress->any_target;
   job->may_have_record = true;
   for (size_t i = 0; i < progress->targets.count; i++)
-    core_job_add_recorded_target (job, &targets[i].id);
+    core_job_add_recorded_target (job, (uint32_t)targets[i].hash);
   for (size_t i = 0; i < progress->done.count; i++)
     apply_done_range (job, (const struct fl_done_range *)progress->done.items + i);
   for (size_t i = 0; i < progress->tasks.count; i++)
@@ -646,7 +646,7 @@
   job->queue.attempts_max = 1;
   job->team = get_or_add_team (core, &spec->team);
   job->queue_stats = get_or_add_queue_stats (core, &spec->queue);
-  job->target_states = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
+  job->target_states = g_hash_table_new (NULL, NULL);
   job->step_count = steps * (size_t)fl_job_spec_count_occurrences (spec);
   job->steps = g_new0 (struct core_step, job->step_count);
   for (size_t i = 0; i < job->step_count; i++)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -177,7 +177,7 @@
   size_t step_count;          /* of all occurrences */
   int64_t unfinished_steps;   /* of all occurrences */
   int64_t run_count;          /* runs that may be in effect */
-  GHashTable *target_states;  /* target id -> enum core_job_target_state */
+  GHashTable *target_states;  /* hash of a target's id -> enum core_job_target_state */
   bool may_have_record;       /* a record of it may be in the store */
   bool added_without_record;  /* the store had no record of it when the core got to know it */
   bool may_run_on_any_target; /* its tasks may run on targets that are not recorded for it */
@@ -332,8 +332,8 @@
 /* Requests that the next record of @job contains @target, unless it is already recorded. */
 void core_job_request_target (struct core_job *job, const struct fl_name *target);
 
-/* Marks @target as recorded for @job. */
-void core_job_add_recorded_target (struct core_job *job, const struct fl_name *target);
+/* Marks the targets whose ids have @hash as recorded for @job. */
+void core_job_add_recorded_target (struct core_job *job, uint32_t hash);
 
 /* Called when a record of @job is collected, and when the transaction of this record has ended. */
 void core_job_begin_recording_targets (struct core_job *job);
--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -14,16 +14,15 @@
 static enum core_job_target_state
 get_target_state (const struct core_job *job, const struct fl_name *target)
 {
-  return (enum core_job_target_state) (uintptr_t)g_hash_table_lookup (job->target_states, target);
+  const void *key = GUINT_TO_POINTER (fl_job_target_hash (target));
+
+  return (enum core_job_target_state) (uintptr_t)g_hash_table_lookup (job->target_states, key);
 }
 
 static void
-set_target_state (struct core_job *job,
-                  const struct fl_name *target,
-                  enum core_job_target_state state)
+set_target_state (struct core_job *job, uint32_t hash, enum core_job_target_state state)
 {
-  g_hash_table_replace (job->target_states, g_memdup2 (target, sizeof *target),
-                        (void *)(uintptr_t)state);
+  g_hash_table_replace (job->target_states, GUINT_TO_POINTER (hash), (void *)(uintptr_t)state);
 }
 
 static bool
@@ -67,14 +66,14 @@
     }
   if (get_target_state (job, target) != CORE_JOB_TARGET_NONE)
     return;
-  set_target_state (job, target, CORE_JOB_TARGET_REQUESTED);
+  set_target_state (job, fl_job_target_hash (target), CORE_JOB_TARGET_REQUESTED);
   core_job_mark_for_recording (job);
 }
 
 void
-core_job_add_recorded_target (struct core_job *job, const struct fl_name *target)
+core_job_add_recorded_target (struct core_job *job, uint32_t hash)
 {
-  set_target_state (job, target, CORE_JOB_TARGET_RECORDED);
+  set_target_state (job, hash, CORE_JOB_TARGET_RECORDED);
 }
 
 static void
@@ -117,7 +116,7 @@
   g_hash_table_iter_init (&iter, job->target_states);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      struct fl_job_target row = { *(const struct fl_name *)key };
+      struct fl_job_target row = { GPOINTER_TO_UINT (key) };
       g_array_append_val (rows, row);
     }
   return rows;
@@ -145,27 +144,14 @@
 core_job_is_unreconciled (const struct core_job *job)
 {
   const struct fl_core *core = job->core;
-  GHashTableIter iter;
-  void *key;
 
   if (!earlier_owner_may_have_started (job) || !core_is_unreconciled (core))
     return false;
   if (job->may_run_on_any_target || job->added_without_record)
     return true;
-  if (core->unreconciled_targets.length < g_hash_table_size (job->target_states))
-    {
-      for (const GList *link = core->unreconciled_targets.head; link != NULL; link = link->next)
-        if (get_target_state (job, &((const struct core_target *)link->data)->entry.id)
-            != CORE_JOB_TARGET_NONE)
-          return true;
-      return false;
-    }
-  g_hash_table_iter_init (&iter, job->target_states);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const struct core_target *target = core_find_target (core, key);
-      if (target != NULL && target->inherited && !target->reported)
-        return true;
-    }
+  for (const GList *link = core->unreconciled_targets.head; link != NULL; link = link->next)
+    if (get_target_state (job, &((const struct core_target *)link->data)->entry.id)
+        != CORE_JOB_TARGET_NONE)
+      return true;
   return false;
 }
--- a/lib/core/order_budget.c
+++ b/lib/core/order_budget.c
@@ -8,7 +8,7 @@
 #include "core/core_internal.h"
 
 /* Bytes of a start order and its result besides the payload, as sent between hosts. */
-#define START_BYTES 250
+#define START_BYTES 200
 /* Starts that wait for the link are sent in bursts of at most this duration of its rate. */
 #define BURST_MS 250
 
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -259,7 +259,7 @@
       run->confirmed_at_ms = sent_ms;
       task->last_run_number = MAX (task->last_run_number, row->run);
       task->step->job->started = true;
-      core_job_add_recorded_target (task->step->job, &target->entry.id);
+      core_job_add_recorded_target (task->step->job, fl_job_target_hash (&target->entry.id));
       /* An earlier owner may have renewed the lease for the same duration as this one does. */
       target->lease_expires_at_ms
           = MAX (target->lease_expires_at_ms, core->now_ms + core->options.target_lease_ms);
@@ -441,6 +441,14 @@
   return ranges;
 }
 
+/* Whether the checkpoint of @task has to be recorded. The target of a running task lists the newest
+ * one, so that it is only needed if the owner and this target are lost together. */
+static bool
+needs_checkpoint (const struct core_task *task)
+{
+  return task->run == NULL && task->checkpoint.len > 0;
+}
+
 /* @return rows of struct fl_task_progress, whose checkpoints and failed runs are borrowed from the
  * tasks. */
 static GArray *
@@ -454,11 +462,12 @@
         const struct core_task *task = &job->steps[i].tasks[j];
         struct fl_task_progress row
             = { .occurrence = job->steps[i].occurrence, .step = job->steps[i].number, .index = j };
-        if (task->done || (failed_run_count (task) == 0 && task->checkpoint.len == 0))
+        if (task->done || (failed_run_count (task) == 0 && !needs_checkpoint (task)))
           continue;
         if (task->failed_runs != NULL)
           row.failed_runs = (struct fl_array){ task->failed_runs->len, task->failed_runs->data };
-        row.checkpoint = task->checkpoint;
+        if (needs_checkpoint (task))
+          row.checkpoint = task->checkpoint;
         g_array_append_val (rows, row);
       }
   return rows;
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <xxhash.h>
 
 #define DAY_MS (24LL * 3600 * 1000)
 #define TIME_MAX_MS INT64_C (9000000000000) /* Unix time; in the year 2255 */
@@ -83,27 +84,37 @@
 static const char *const state_names[]
     = { "queued", "running", "completed", "failed", "cancelled", NULL };
 
-static const struct fl_field target_fields[] = {
-  FIELD (fl_job_target, id, FL_NAME, true, 1, FL_NAME_MAX, 0),
+/* The JSON record of earlier versions, which names its targets and lists each task that is done. */
+struct json_target
+{
+  struct fl_name id;
 };
-static FL_SCHEMA (target_schema, fl_job_target, target_fields);
 
-#define PROGRESS_STATE                                                                             \
-  {                                                                                                \
-    "state", FL_ENUM, offsetof (struct fl_job_progress, state), true, 0, 0, 0, NULL, state_names   \
-  }
+struct json_progress
+{
+  int state;
+  struct fl_array tasks;
+  struct fl_array targets; /* of struct json_target */
+  bool any_target;
+};
+
+static const struct fl_field json_target_fields[] = {
+  FIELD (json_target, id, FL_NAME, true, 1, FL_NAME_MAX, 0),
+};
+static FL_SCHEMA_AS (json_target_schema, json_target, "fl_job_target", json_target_fields);
 
-/* The JSON record of earlier versions. */
 static const struct fl_field json_progress_fields[] = {
-  PROGRESS_STATE,
-  LIST (fl_job_progress, tasks, 0, RECORDED_TASKS_MAX, &task_schema),
-  LIST (fl_job_progress, targets, 0, RECORDED_TARGETS_MAX, &target_schema),
-  FIELD_AS (fl_job_progress, any_target, "anywhere", FL_BOOL, false, 0, 0, 0),
+  { "state", FL_ENUM, offsetof (struct json_progress, state), true, 0, 0, 0, NULL, state_names },
+  LIST (json_progress, tasks, 0, RECORDED_TASKS_MAX, &task_schema),
+  LIST (json_progress, targets, 0, RECORDED_TARGETS_MAX, &json_target_schema),
+  FIELD_AS (json_progress, any_target, "anywhere", FL_BOOL, false, 0, 0, 0),
 };
-static FL_SCHEMA_AS (json_progress_schema,
-                     fl_job_progress,
-                     "fl_job_progress",
-                     json_progress_fields);
+static FL_SCHEMA_AS (json_progress_schema, json_progress, "fl_job_progress", json_progress_fields);
+
+static const struct fl_field target_fields[] = {
+  FIELD (fl_job_target, hash, FL_INT, true, 0, UINT32_MAX, 0),
+};
+static FL_SCHEMA (target_schema, fl_job_target, target_fields);
 
 static const struct fl_field done_range_fields[] = {
   FIELD (fl_done_range, occurrence, FL_INT, true, 0, REPEATS_MAX, 0),
@@ -114,7 +125,7 @@
 static FL_SCHEMA (done_range_schema, fl_done_range, done_range_fields);
 
 static const struct fl_field progress_fields[] = {
-  PROGRESS_STATE,
+  { "state", FL_ENUM, offsetof (struct fl_job_progress, state), true, 0, 0, 0, NULL, state_names },
   LIST (fl_job_progress, done, 0, RECORDED_TASKS_MAX, &done_range_schema),
   LIST (fl_job_progress, tasks, 0, RECORDED_TASKS_MAX, &task_schema),
   LIST (fl_job_progress, targets, 0, RECORDED_TARGETS_MAX, &target_schema),
@@ -175,6 +186,35 @@
   return record;
 }
 
+static bool
+decode_json_progress (const char *data,
+                      size_t len,
+                      struct fl_job_progress *progress,
+                      struct fl_error *error)
+{
+  struct json_progress json;
+
+  memset (progress, 0, sizeof *progress);
+  if (!fl_record_decode (&json_progress_schema, data, len, &json, error))
+    return false;
+  const struct json_target *named = json.targets.items;
+  struct fl_job_target *targets = g_new0 (struct fl_job_target, MAX (json.targets.count, 1));
+  for (size_t i = 0; i < json.targets.count; i++)
+    targets[i].hash = fl_job_target_hash (&named[i].id);
+  progress->state = json.state;
+  progress->tasks = json.tasks;
+  progress->targets = (struct fl_array){ json.targets.count, targets };
+  progress->any_target = json.any_target;
+  g_free (json.targets.items);
+  return true;
+}
+
+uint32_t
+fl_job_target_hash (const struct fl_name *id)
+{
+  return XXH32 (id->data, id->len, 0);
+}
+
 bool
 fl_job_progress_decode (const char *data,
                         size_t len,
@@ -183,7 +223,7 @@
 {
   /* An encoded MessagePack array never starts with the byte that starts a JSON object. */
   if (len > 0 && data[0] == '{')
-    return fl_record_decode (&json_progress_schema, data, len, progress, error);
+    return decode_json_progress (data, len, progress, error);
   if (fl_schema_decode (&progress_schema, data, len, progress, error))
     return true;
   fl_job_progress_clear (progress);
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -95,10 +95,12 @@
   struct fl_str checkpoint;
 };
 
-/* A target on which tasks of a job may have been started. */
+/* A target on which tasks of a job may have been started, by the hash of its id: a record lists
+ * tens of targets. Two targets with one hash are treated alike, which is safe: tasks may have been
+ * started on either. */
 struct fl_job_target
 {
-  struct fl_name id;
+  int64_t hash; /* fl_job_target_hash of its id */
 };
 
 struct fl_job_progress
@@ -112,6 +114,9 @@
 
 extern const struct fl_schema fl_job_spec_schema;
 
+/* The stored hash of the target @id: 32 bits, the same in all versions. */
+uint32_t fl_job_target_hash (const struct fl_name *id);
+
 /* Checks what the bounds of fields cannot express: steps depend only on earlier steps.
  * @return false with @error filled when one does not. */
 bool fl_job_spec_validate (const struct fl_job_spec *spec, struct fl_error *error);
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -38,6 +38,7 @@
   struct fl_store_writer *targets_writer;
   struct fl_store_writer *pending_writer;
   int64_t pending_sent_ms;
+  int64_t records_paced_ms;     /* see get_paced_ms in records.c */
   int64_t next_store_ms;        /* no record is sent before: interval or back-off */
   struct fl_str stored_pending; /* pending jobs by queue, as last sent; empty after a failure */
 };
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -20,6 +20,11 @@
  * records are batched. Starts of tasks wait for the records, so the interval is short compared with
  * the hundreds of milliseconds that urgent tasks can spare. */
 #define RECORD_INTERVAL_MS 10
+/* Share of the host's link, in percent, that the transactions of progress records may take. Records
+ * of one job that become ready while the next transaction waits are stored once. */
+#define RECORDS_LINK_PERCENT 25
+/* Bytes of one record in a transaction besides its value. */
+#define RECORD_OVERHEAD_BYTES 80
 /* A remaining wait below this requests an early tick, since the next regular tick may be later. */
 #define SHORT_WAIT_MS 40
 /* The counts of pending jobs may be up to 2 s old when they are read. */
@@ -60,24 +65,39 @@
   term->poold->tick_requested = true;
   handle_failure (term, "progress", reply);
   if (reply->status == FL_STORE_OK)
-    term->next_store_ms = fl_clock_boot_ms () + RECORD_INTERVAL_MS;
+    term->next_store_ms = MAX (fl_clock_boot_ms () + RECORD_INTERVAL_MS, term->records_paced_ms);
   if (!term->ended)
     fl_core_finish_records (term->core, reply->status == FL_STORE_OK, fl_clock_boot_ms ());
   fl_term_unref (term);
 }
 
+/* When the link has had the time for @bytes of records that are sent now. */
+static int64_t
+get_paced_ms (const struct fl_term *term, size_t bytes)
+{
+  int64_t rate = fl_host_settings_link_bytes_per_s (&term->poold->host->settings)
+                 * RECORDS_LINK_PERCENT / 100;
+
+  return fl_clock_boot_ms () + (rate > 0 ? (int64_t)bytes * 1000 / rate : 0);
+}
+
 static void
 store_progress (struct fl_term *term)
 {
   struct fl_core_record records[RECORDS_MAX];
   struct fl_store_write writes[RECORDS_MAX];
   size_t count = fl_core_collect_records (term->core, records, RECORDS_MAX);
+  size_t bytes = 0;
 
   if (count == 0)
     return;
   for (size_t i = 0; i < count; i++)
-    writes[i] = (struct fl_store_write){ FL_TABLE_PROGRESS, FL_PARTITION_OWNER, records[i].job,
-                                         records[i].progress, false };
+    {
+      writes[i] = (struct fl_store_write){ FL_TABLE_PROGRESS, FL_PARTITION_OWNER, records[i].job,
+                                           records[i].progress, false };
+      bytes += RECORD_OVERHEAD_BYTES + records[i].progress.len * 4 / 3; /* base64 */
+    }
+  term->records_paced_ms = get_paced_ms (term, bytes);
   fl_stats_add (term->poold->host->stats, "records_total", (int64_t)count);
   commit_writes (term, term->progress_writer, writes, count, on_records_stored);
   for (size_t i = 0; i < count; i++)
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -247,7 +247,7 @@
   struct fl_done_range done[] = { { 0, 0, 0, 40 }, { 0, 1, 3, 1 } };
   struct fl_task_progress tasks[] = { { 0, 1, 2, false, { 2, failed }, { 0 } },
                                       { 3, 0, 0, false, { 0 }, { 3, (char *)"abc" } } };
-  struct fl_job_target targets[] = { { fl_name_of ("i-1") }, { fl_name_of ("i-2") } };
+  struct fl_job_target targets[] = { { 7 }, { UINT32_MAX } };
   struct fl_job_progress progress
       = { FL_JOB_RUNNING, { 2, done }, { 2, tasks }, { 2, targets }, false };
 
@@ -289,6 +289,10 @@
   assert_int_equal (progress.state, FL_JOB_RUNNING);
   assert_true (progress.any_target);
   assert_int_equal (progress.targets.count, 1);
+  const struct fl_name target = fl_name_of ("i-1");
+  const struct fl_job_target *targets = progress.targets.items;
+  assert_int_equal (targets[0].hash, fl_job_target_hash (&target));
+  assert_int_equal (targets[0].hash, 0xec1dc2b9U);
   assert_int_equal (progress.tasks.count, 2);
   assert_int_equal (tasks[0].failed_runs.count, 1);
   assert_string_equal (tasks[0].checkpoint.data, "abc");
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -1108,6 +1108,67 @@
   fixture_free (fixture);
 }
 
+static size_t
+recorded_checkpoints (struct fixture *fixture)
+{
+  struct fl_core_record record;
+  size_t count = 0;
+
+  fixture->now_ms += 10;
+  fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+  assert_int_equal (fl_core_collect_records (fixture->core, &record, 1), 1);
+  struct fl_job_progress progress = decode_record (&record);
+  const struct fl_task_progress *tasks = progress.tasks.items;
+  for (size_t i = 0; i < progress.tasks.count; i++)
+    count += tasks[i].checkpoint.len > 0 ? 1 : 0;
+  fl_job_progress_clear (&progress);
+  fl_str_clear (&record.progress);
+  fl_core_finish_records (fixture->core, true, fixture->now_ms);
+  return count;
+}
+
+/* Load pattern: jobs of tens of tasks with checkpoints run on a slow link, and each end of a task
+ * writes the record of its job. The record contains no checkpoints of running tasks, which their
+ * targets list, but that of a task that was stopped. */
+static void
+test_recorded_checkpoints (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_run_row runs[] = {
+    { .task = fl_name_of ("a.0.0.0"), .run = 1, .checkpoint = fl_str_of ("c0") },
+    { .task = fl_name_of ("a.0.0.1"), .run = 1, .checkpoint = fl_str_of ("c1") },
+    { .task = fl_name_of ("a.0.0.2"), .run = 1, .checkpoint = fl_str_of ("c2") },
+  };
+  struct fl_end_row end
+      = { .number = 1, .task = fl_name_of ("a.0.0.0"), .run = 1, .checkpoint = { 0, NULL } };
+
+  (void)state;
+  add_target (fixture, "t1", 3, false);
+  add_job (fixture, "a", "urgent",
+           (struct fl_step_spec){ .count = 3, .cpu_milli = 1000, .checkpoints = true });
+  tick_until_recorded (fixture, 0);
+  for (guint i = 0; i < 3; i++)
+    confirm_start (fixture, i);
+  fixture->now_ms += 10;
+  deliver_report (fixture, "t1",
+                  (struct fl_target_report){ .booted_at_ms = 1, .runs = runs, .run_count = 3 });
+  deliver_report (
+      fixture, "t1",
+      (struct fl_target_report){
+          .booted_at_ms = 1, .runs = runs + 1, .run_count = 2, .ends = &end, .end_count = 1 });
+  assert_int_equal (recorded_checkpoints (fixture), 0);
+  end = (struct fl_end_row){ 2, fl_name_of ("a.0.0.1"), 1, FL_END_STOPPED, { 2, (char *)"c1" } };
+  deliver_report (
+      fixture, "t1",
+      (struct fl_target_report){
+          .booted_at_ms = 1, .runs = runs + 2, .run_count = 1, .ends = &end, .end_count = 1 });
+  add_entry (fixture, "t1", 1, true); /* so that the stopped task waits */
+  assert_int_equal (recorded_checkpoints (fixture), 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (runs); i++)
+    fl_str_clear (&runs[i].checkpoint);
+  fixture_free (fixture);
+}
+
 /* Load pattern: after an outage a backlog is due at once, on a host whose link takes a tenth of its
  * starts a second. Starts keep to their rate, urgent ones first, and all of them are ordered in
  * time. */
@@ -1273,6 +1334,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_record_sizes),
     cmocka_unit_test (test_rate_of_starts),
+    cmocka_unit_test (test_recorded_checkpoints),
     cmocka_unit_test (test_heartbeats_before_jobs_are_known),
     cmocka_unit_test (test_failures_in_any_order),
     cmocka_unit_test (test_start_with_slow_store),
