--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -78,7 +78,7 @@
     cpu_left -= target->best_effort_cpu_milli;
   if (include_tentative)
     cpu_left -= target->tentative_cpu_milli;
-  if (cpu_left < spec->cpu_milli || !accepts_step (target, step))
+  if ((spec->cpu_milli > 0 && cpu_left < spec->cpu_milli) || !accepts_step (target, step))
     return 0;
   fits = count_fitting (cpu_left, spec->cpu_milli);
   fits = MIN (fits, count_fitting (capacity->memory_mb - target->used.memory_mb, spec->memory_mb));
