--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,7 @@
 	  sh -c 'clang-tidy --quiet "$$@" -- $(TIDY_FLAGS) 2>/dev/null' _
 
 test: $(TESTS) all
-	@scripts/run-tests $(TESTS) tests/soak.py
+	@scripts/run-tests $(TESTS) tests/check_test_tools.py tests/soak.py
 
 -include $(shell find $(BUILD) -name "*.d" 2>/dev/null)
 
--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -198,6 +198,11 @@
 
 def main():
     names = sys.argv[1:]
+    unknown = [name for name in names if name not in [s.__name__ for s in SCENARIOS]]
+    if unknown:
+        print("unknown scenarios: %s; known are: %s" % (
+            ", ".join(unknown), ", ".join(s.__name__ for s in SCENARIOS)), file=sys.stderr)
+        return 2
     selected = [s for s in SCENARIOS if not names or s.__name__ in names]
     failed = sum(bool(check_scenario(scenario)) for scenario in selected)
     print("%d passed, %d failed" % (len(selected) - failed, failed))
