Distributors open no connections to targets that other peers serve

With 16 distributors and several starts for one target, the targets' limit of 64 connections was reached; from then on each new connection was reset, so that starts and stops of a run ended without a reply within 3 ms, for 30 s on end, while the heartbeat on its open connection went well.

Change: what a distributor cannot pass on is not sent, and the owner sends it through the serving peer; starts for targets without an available peer are not put into batches. The owner keeps copies of the strings of a batch.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -201,8 +201,8 @@
   struct fl_name service;
   struct fl_resources free;
   int64_t untaken_cpu_milli; /* free CPU less tentative charges */
-  /* The smallest needs for which a search of all targets was in vain, and whether there was one;
-   * the second item is for searches that include tentative charges. */
+  /* The needs of the last step for which a search of all targets was in vain, and whether there was
+   * one; the second item is for searches that include tentative charges. */
   struct fl_resources vain_need[2];
   bool has_vain_need[2];
 };
--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -4,7 +4,11 @@
  * of the job. One message for each start fills the link of a small owner and takes most of its CPU
  * time. The owner therefore sends the payload once, with the starts of all tasks, to one peer, the
  * distributor. It passes each start on to the peer that serves the target, and returns the results
- * in few messages. */
+ * in few messages.
+ *
+ * A distributor has no connections to the targets of other peers: targets accept a few tens of
+ * connections only. What it cannot pass on is not sent, and the owner then sends it through the
+ * serving peer. */
 #include <string.h>
 
 #include "common/clock.h"
@@ -19,10 +23,10 @@
 /* A batch times out later than its starts do on the distributor. */
 #define BATCH_TIMEOUT_MS (FORWARD_START_TIMEOUT_MS + FORWARD_SLACK_MS)
 
-/* A start that waits for the end of the tick. */
+/* A start that waits for the end of the tick, or is in a batch. */
 struct queued_start
 {
-  struct fl_start_order order;
+  struct fl_start_order order; /* with borrowed strings while it waits */
   void (*done) (void *context, const struct fl_order_reply *reply);
   void *context;
 };
@@ -37,7 +41,8 @@
   ev_timer timeout;
   size_t count;
   size_t unfinished;
-  struct queued_start *starts; /* done is NULL for finished ones */
+  char *payload;
+  struct queued_start *starts; /* done is NULL for finished ones; strings belong to the batch */
 };
 
 /* A batch that this host distributes. */
@@ -75,7 +80,13 @@
   struct outgoing_batch *batch = data;
 
   ev_timer_stop (batch->forwarder->options.loop, &batch->timeout);
+  for (size_t i = 0; i < batch->count; i++)
+    {
+      g_free ((char *)batch->starts[i].order.checkpoint);
+      g_free ((char *)batch->starts[i].order.ticket);
+    }
   g_free (batch->starts);
+  g_free (batch->payload);
   g_free (batch);
 }
 
@@ -90,7 +101,10 @@
     return;
   start->done = NULL;
   batch->unfinished--;
-  done (start->context, &reply);
+  if (result == FL_ORDER_NOT_SENT)
+    forward_start (batch->forwarder, &start->order, done, start->context);
+  else
+    done (start->context, &reply);
 }
 
 static void
@@ -158,7 +172,7 @@
   return (struct fl_forward_start){
     .target = order->target,
     .address = order->address,
-    .peer = peer != NULL && peer != distributor ? peer->address : fl_name_of (""),
+    .peer = peer != distributor ? peer->address : fl_name_of (""),
     .task = order->task,
     .run = order->run,
     .deadline_ms = order->deadline_ms,
@@ -182,8 +196,26 @@
   return sent;
 }
 
-/* Sends @count queued starts, which have the same payload, through one peer.
- * @return false when they are not sent. */
+/* Replaces the borrowed strings of the orders by copies. */
+static void
+copy_strings (struct outgoing_batch *batch)
+{
+  const struct fl_start_order *first = &batch->starts[0].order;
+
+  batch->payload = g_malloc (first->payload_len + 1);
+  memcpy (batch->payload, first->payload, first->payload_len);
+  batch->payload[first->payload_len] = '\0';
+  for (size_t i = 0; i < batch->count; i++)
+    {
+      struct fl_start_order *order = &batch->starts[i].order;
+      order->payload = batch->payload;
+      order->checkpoint = g_strdup (order->checkpoint);
+      order->ticket = g_strdup (order->ticket);
+    }
+}
+
+/* Sends @count queued starts, which have the same payload and whose targets are served by available
+ * peers, through one peer. @return false when they are not sent. */
 static bool
 send_batch (struct forward_batches *batches, const struct queued_start *starts, size_t count)
 {
@@ -212,6 +244,7 @@
                                     .count = count,
                                     .unfinished = count,
                                     .starts = g_memdup2 (starts, count * sizeof starts[0]) };
+  copy_strings (batch);
   ev_timer_init (&batch->timeout, on_batch_timeout, BATCH_TIMEOUT_MS / 1000.0, 0.0);
   batch->timeout.data = batch;
   ev_timer_start (forwarder->options.loop, &batch->timeout);
@@ -242,10 +275,16 @@
 void
 forward_batches_flush (struct forward_batches *batches)
 {
-  const struct queued_start *starts = (const struct queued_start *)batches->queued->data;
-  size_t queued = batches->queued->len;
+  struct fl_forwarder *forwarder = batches->forwarder;
+  struct queued_start *starts = (struct queued_start *)batches->queued->data;
+  size_t queued = 0;
   size_t count;
 
+  for (guint i = 0; i < batches->queued->len; i++)
+    if (forward_find_serving_peer (forwarder, &starts[i].order.target) != NULL)
+      starts[queued++] = starts[i];
+    else
+      forward_start (forwarder, &starts[i].order, starts[i].done, starts[i].context);
   for (size_t i = 0; i < queued; i += count)
     {
       for (count = 1; i + count < queued && count < BATCH_STARTS_MAX
@@ -255,7 +294,7 @@
       if (count > 1 && send_batch (batches, &starts[i], count))
         continue;
       for (size_t j = i; j < i + count; j++)
-        forward_start (batches->forwarder, &starts[j].order, starts[j].done, starts[j].context);
+        forward_start (forwarder, &starts[j].order, starts[j].done, starts[j].context);
     }
   g_array_set_size (batches->queued, 0);
 }
@@ -330,8 +369,8 @@
   ev_timer_start (batch->forwarder->options.loop, &batch->results_timer);
 }
 
-/* Sends one start of a batch to the peer that serves its target, or directly when this host is that
- * peer or has no connection to it. */
+/* Sends one start of a batch to the peer that serves its target, or to the target if this host is
+ * that peer. */
 static void
 distribute_start (struct incoming_batch *batch,
                   const struct fl_forward_batch *message,
@@ -353,14 +392,16 @@
     .ticket = row->ticket.data,
   };
   struct fl_forward_message forwarded = forward_start_message (&order);
+  static const struct fl_order_reply not_sent = { .result = FL_ORDER_NOT_SENT };
   struct distributed_start *start = g_new0 (struct distributed_start, 1);
 
   *start = (struct distributed_start){ batch, index };
-  if (row->peer.len > 0 && forwarder->options.connect (forwarder->options.context, &row->peer)
-      && forward_send (forwarder, &row->peer, &forwarded, FORWARD_START_TIMEOUT_MS,
-                       on_distributed_start_done, start))
-    return;
-  calls->start (calls->context, &order, on_distributed_start_done, start);
+  if (row->peer.len == 0)
+    calls->start (calls->context, &order, on_distributed_start_done, start);
+  else if (!forwarder->options.connect (forwarder->options.context, &row->peer)
+           || !forward_send (forwarder, &row->peer, &forwarded, FORWARD_START_TIMEOUT_MS,
+                             on_distributed_start_done, start))
+    on_distributed_start_done (start, &not_sent);
 }
 
 static void
