A peer that becomes unavailable between two batches crashes the owner no more

Change: the starts of a batch are checked again right before it is built; otherwise each goes by itself. test_peer_lost_between_batches ended with a segmentation fault before.

--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -272,6 +272,16 @@
   g_array_append_val (batches->queued, start);
 }
 
+/* Whether an available peer serves the target of each of @count starts. */
+static bool
+are_all_served (struct fl_forwarder *forwarder, const struct queued_start *starts, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (forward_find_serving_peer (forwarder, &starts[i].order.target) == NULL)
+      return false;
+  return true;
+}
+
 void
 forward_batches_flush (struct forward_batches *batches)
 {
@@ -281,7 +291,7 @@
   size_t count;
 
   for (guint i = 0; i < batches->queued->len; i++)
-    if (forward_find_serving_peer (forwarder, &starts[i].order.target) != NULL)
+    if (are_all_served (forwarder, &starts[i], 1))
       starts[queued++] = starts[i];
     else
       forward_start (forwarder, &starts[i].order, starts[i].done, starts[i].context);
@@ -291,7 +301,9 @@
                       && have_same_payload (&starts[i].order, &starts[i + count].order);
            count++)
         ;
-      if (count > 1 && send_batch (batches, &starts[i], count))
+      /* A start that could not be sent above has made its peer unavailable. */
+      if (count > 1 && are_all_served (forwarder, &starts[i], count)
+          && send_batch (batches, &starts[i], count))
         continue;
       for (size_t j = i; j < i + count; j++)
         forward_start (forwarder, &starts[j].order, starts[j].done, starts[j].context);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -84,6 +84,7 @@
   struct order_recorder direct;    /* its own orders */
   struct order_recorder forwarded; /* orders of the peer */
   bool drops_messages;             /* received ones */
+  struct fl_name unreachable;      /* address to which nothing can be sent; empty for none */
   size_t sent_bytes;
 };
 
@@ -92,12 +93,18 @@
 send_prefixed (
     struct host *host, const struct fl_route *to, char prefix, const char *data, size_t len)
 {
-  g_autofree char *message = g_malloc (len + 1);
+  char *message;
+  bool sent;
 
+  if (host->unreachable.len > 0 && fl_name_eq (&to->address, &host->unreachable))
+    return false;
+  message = g_malloc (len + 1);
   message[0] = prefix;
   memcpy (message + 1, data, len);
   host->sent_bytes += len + 1;
-  return fl_link_send (host->link, to, message, len + 1);
+  sent = fl_link_send (host->link, to, message, len + 1);
+  g_free (message);
+  return sent;
 }
 
 static bool
@@ -149,6 +156,7 @@
   order_recorder_init (&host->forwarded);
   host->drops_messages = false;
   host->sent_bytes = 0;
+  host->unreachable = fl_name_of ("");
   host->link = fl_link_new (&link_options, &error);
   assert_non_null (host->link);
   struct fl_forwarder_options forwarder_options
@@ -284,6 +292,30 @@
   BATCH_PAYLOAD_BYTES = 1200
 };
 
+/* Orders the start of task @index on target t@index. */
+static void
+queue_start (struct host *host,
+             const char *payload,
+             int index,
+             bool is_repeated,
+             struct order_outcome *outcome)
+{
+  const struct fl_target_calls *calls = fl_forwarder_calls (host->forwarder);
+  struct fl_start_order order = { .target = fl_name_format ("t%d", index),
+                                  .address = fl_name_of ("1.2.3.4:5"),
+                                  .task = fl_name_format ("a.0.0.%d", index),
+                                  .run = 4,
+                                  .fencing_token = 7,
+                                  .deadline_ms = 99,
+                                  .payload = payload,
+                                  .payload_len = strlen (payload),
+                                  .checkpoint = "c1",
+                                  .ticket = "ticket",
+                                  .is_repeated = is_repeated };
+
+  calls->start (calls->context, &order, record_outcome, outcome);
+}
+
 /* Starts BATCH_TASKS tasks of one job, on targets t0, t1, and so on, and waits for the results. */
 static void
 send_batch (struct ev_loop *loop,
@@ -292,25 +324,11 @@
             bool is_repeated,
             struct order_outcome *outcomes)
 {
-  const struct fl_target_calls *calls = fl_forwarder_calls (host->forwarder);
   int finished;
 
   memset (outcomes, 0, BATCH_TASKS * sizeof outcomes[0]);
   for (int i = 0; i < BATCH_TASKS; i++)
-    {
-      struct fl_start_order order = { .target = fl_name_format ("t%d", i),
-                                      .address = fl_name_of ("1.2.3.4:5"),
-                                      .task = fl_name_format ("a.0.0.%d", i),
-                                      .run = 4,
-                                      .fencing_token = 7,
-                                      .deadline_ms = 99,
-                                      .payload = payload,
-                                      .payload_len = strlen (payload),
-                                      .checkpoint = "c1",
-                                      .ticket = "ticket",
-                                      .is_repeated = is_repeated };
-      calls->start (calls->context, &order, record_outcome, &outcomes[i]);
-    }
+    queue_start (host, payload, i, is_repeated, &outcomes[i]);
   fl_forwarder_flush (host->forwarder);
   do
     {
@@ -397,6 +415,68 @@
   ev_loop_destroy (loop);
 }
 
+/* Load pattern: a third of the hosts is killed while several steps start in one tick. The first
+ * start that cannot be sent makes its peer unavailable; starts of the next job for its targets go
+ * directly.
+ */
+static void
+test_peer_lost_between_batches (void **state)
+{
+  enum
+  {
+    SINGLE_STARTS = 8
+  };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct order_outcome outcomes[SINGLE_STARTS + BATCH_TASKS] = { 0 };
+  char payloads[SINGLE_STARTS + 1][16];
+  struct host owner;
+  struct host peers[2];
+  int finished;
+
+  (void)state;
+  host_init (&owner, loop, stats);
+  fl_forwarder_set_enabled (owner.forwarder, true);
+  for (int i = 0; i < 2; i++)
+    {
+      struct fl_name name = fl_name_format ("h%d", i);
+      host_init (&peers[i], loop, stats);
+      struct fl_name address = fl_link_address (peers[i].link);
+      assert_true (fl_link_connect (owner.link, &address, NULL));
+      fl_forwarder_set_peer (owner.forwarder, &name, &address);
+    }
+  do
+    {
+      owner.direct.starts = 0;
+      send_batch (loop, &owner, "what to run", false, outcomes);
+    }
+  while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
+         || peers[1].forwarded.starts == 0);
+  memset (outcomes, 0, sizeof outcomes);
+  owner.unreachable = fl_link_address (peers[1].link);
+  for (int i = 0; i < SINGLE_STARTS + BATCH_TASKS; i++)
+    {
+      char *payload = payloads[MIN (i, SINGLE_STARTS)];
+      strcpy (payload, "what to run");
+      queue_start (&owner, payload, i, false, &outcomes[i]);
+    }
+  fl_forwarder_flush (owner.forwarder);
+  do
+    {
+      support_run_loop_for (loop, LOOP_STEP_S);
+      finished = 0;
+      for (int i = 0; i < SINGLE_STARTS + BATCH_TASKS; i++)
+        finished += outcomes[i].is_done ? 1 : 0;
+    }
+  while (finished < SINGLE_STARTS + BATCH_TASKS);
+  assert_true (owner.direct.starts > 0);
+  host_clear (&owner);
+  host_clear (&peers[0]);
+  host_clear (&peers[1]);
+  fl_stats_free (stats);
+  ev_loop_destroy (loop);
+}
+
 /* An order without a reply is late by itself while its peer sends other messages: the other orders
  * in flight through the peer keep waiting. */
 static void
@@ -469,6 +549,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_forwarding), cmocka_unit_test (test_start_batch),
+          cmocka_unit_test (test_peer_lost_between_batches),
           cmocka_unit_test (test_late_reply_of_live_peer),
           cmocka_unit_test (test_truncated_messages) };
 
