One set-up for the two tests of forwarding with two peers

Read once more after the landing: both tests wrote out the same connection of an owner to two peers. The assertions are the same. No code outside the test changes.

--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -350,6 +350,22 @@
   return count;
 }
 
+/* Starts an owner that forwards its orders, and two peers that it is connected to. */
+static void
+start_hosts (struct host *owner, struct host peers[2], struct ev_loop *loop, struct fl_stats *stats)
+{
+  host_init (owner, loop, stats);
+  fl_forwarder_set_enabled (owner->forwarder, true);
+  for (int i = 0; i < 2; i++)
+    {
+      struct fl_name name = fl_name_format ("h%d", i);
+      host_init (&peers[i], loop, stats);
+      struct fl_name address = fl_link_address (peers[i].link);
+      assert_true (fl_link_connect (owner->link, &address, NULL));
+      fl_forwarder_set_peer (owner->forwarder, &name, &address);
+    }
+}
+
 /* Load pattern: all tasks of a step start at once, and each start carries the payload of the job.
  * The owner sends the payload once; each task is started once, by one of the peers. While the
  * peers are silent, the starts get no reply, and repeated ones are sent directly. */
@@ -365,16 +381,7 @@
 
   (void)state;
   memset (payload + strlen (payload), 'x', sizeof payload - 1 - strlen (payload));
-  host_init (&owner, loop, stats);
-  fl_forwarder_set_enabled (owner.forwarder, true);
-  for (int i = 0; i < 2; i++)
-    {
-      struct fl_name name = fl_name_format ("h%d", i);
-      host_init (&peers[i], loop, stats);
-      struct fl_name address = fl_link_address (peers[i].link);
-      assert_true (fl_link_connect (owner.link, &address, NULL));
-      fl_forwarder_set_peer (owner.forwarder, &name, &address);
-    }
+  start_hosts (&owner, peers, loop, stats);
   /* Some starts are sent directly until both peers have replied to pings. */
   do
     {
@@ -417,8 +424,7 @@
 
 /* Load pattern: a third of the hosts is killed while several steps start in one tick. The first
  * start that cannot be sent makes its peer unavailable; starts of the next job for its targets go
- * directly.
- */
+ * directly. */
 static void
 test_peer_lost_between_batches (void **state)
 {
@@ -435,16 +441,7 @@
   int finished;
 
   (void)state;
-  host_init (&owner, loop, stats);
-  fl_forwarder_set_enabled (owner.forwarder, true);
-  for (int i = 0; i < 2; i++)
-    {
-      struct fl_name name = fl_name_format ("h%d", i);
-      host_init (&peers[i], loop, stats);
-      struct fl_name address = fl_link_address (peers[i].link);
-      assert_true (fl_link_connect (owner.link, &address, NULL));
-      fl_forwarder_set_peer (owner.forwarder, &name, &address);
-    }
+  start_hosts (&owner, peers, loop, stats);
   do
     {
       owner.direct.starts = 0;
