Logs and a counter that tell the hypotheses of the incident apart

A 503 did not show the store calls behind it, a late start after a change of owner did not show which stage took the time, and the requests that are open when flamingo-frontd ends were not logged. Now: http_calls_resent_total; the store calls, writes of unknown outcome and the last result in `answered`; `serving_ended`; `acquire_failed`, `standby_wait_restarted`, the age of the lease in `pool_taken`; `term_read`; `reconciling` and `reconciled`. No decision changes; the callback before a request is now set for all calls.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -22,6 +22,7 @@
 /* Time between checks of all targets for expired leases and orders to resend. These timeouts are
  * some hundred milliseconds or longer. */
 #define RUNS_CHECK_INTERVAL_MS 10
+#define RECONCILING_LOG_INTERVAL_MS 1000
 /* Longest time that a target may wait before it replies to a heartbeat. The next heartbeat, which
  * renews the lease, is sent only after this reply; the wait must be well below the lease
  * duration. */
@@ -754,6 +755,28 @@
     }
 }
 
+/* Logs which inherited targets have not reported, at most once a second, and when all have. */
+static void
+log_reconciliation (struct fl_core *core)
+{
+  const struct core_target *first = g_queue_peek_head (&core->unreconciled_targets);
+  bool was_reconciling = core->is_reconciling;
+
+  core->is_reconciling = core_is_unreconciled (core);
+  if (was_reconciling && !core->is_reconciling)
+    fl_log (core->options.log, FL_LOG_NOTICE, "reconciled",
+            FL_I ("unreported", core->unreconciled_targets.length),
+            FL_I ("left_ms", core->options.reconciled_at_ms - core->now_ms));
+  if (!core->is_reconciling
+      || core->now_ms - core->reconciling_logged_at_ms < RECONCILING_LOG_INTERVAL_MS)
+    return;
+  core->reconciling_logged_at_ms = core->now_ms;
+  fl_log (core->options.log, FL_LOG_NOTICE, "reconciling",
+          FL_I ("unreported", core->unreconciled_targets.length), FL_N ("target", &first->entry.id),
+          FL_I ("waiting_jobs", core->waiting_jobs.length),
+          FL_I ("left_ms", core->options.reconciled_at_ms - core->now_ms));
+}
+
 void
 fl_core_tick (struct fl_core *core, int64_t now_ms, int64_t wall_ms)
 {
@@ -762,6 +785,7 @@
   core->now_ms = now_ms;
   core->wall_ms = wall_ms;
   core_order_budget_update (&core->order_budget, now_ms);
+  log_reconciliation (core);
   if (now_ms - core->runs_checked_at_ms >= RUNS_CHECK_INTERVAL_MS
       || now_ms < core->runs_checked_at_ms)
     {
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -238,11 +238,13 @@
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
   int64_t last_tick_ms;
-  int64_t tick_gap_ms;        /* between the last two ticks */
-  int64_t runs_checked_at_ms; /* when all runs were last checked for timeouts */
-  int64_t first_run_number;   /* lowest run number of this owner */
-  bool registry_known;        /* see fl_core_set_registry_known */
-  bool jobs_known;            /* see fl_core_set_jobs_known */
+  int64_t tick_gap_ms;              /* between the last two ticks */
+  int64_t runs_checked_at_ms;       /* when all runs were last checked for timeouts */
+  int64_t reconciling_logged_at_ms; /* when the targets that have not reported were last logged */
+  bool is_reconciling;              /* the last tick found inherited targets without a report */
+  int64_t first_run_number;         /* lowest run number of this owner */
+  bool registry_known;              /* see fl_core_set_registry_known */
+  bool jobs_known;                  /* see fl_core_set_jobs_known */
   struct core_order_budget order_budget;
   bool target_list_outdated;       /* the stored list of targets contains a removed target */
   bool records_in_flight;          /* collected records have been neither stored nor failed */
--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -81,7 +81,12 @@
   fl_stats_record (host->stats, "request_ms", took_ms);
   fl_log (&host->log, FL_LOG_INFO, "answered", FL_S ("method", fl_http_method (call->request)),
           FL_N ("job", &call->job_id), FL_N ("queue", &call->queue), FL_I ("status", status),
-          FL_I ("took_ms", took_ms), FL_I ("configuration", call->configuration_version));
+          FL_I ("took_ms", took_ms), FL_I ("configuration", call->configuration_version),
+          FL_I ("store_calls", call->store_call_count),
+          FL_I ("unknown_writes", call->unknown_write_count),
+          FL_S ("last_store_call",
+                call->store_call_count > 0 ? fl_store_status_name (call->last_store_status) : ""),
+          FL_S ("peer", call->last_store_error.peer), FL_S ("text", call->last_store_error.text));
 }
 
 void
@@ -119,6 +124,16 @@
   ev_timer_start (call->frontd->host->loop, &call->timer);
 }
 
+void
+front_call_record_reply (struct front_call *call, const struct fl_store_reply *reply, bool is_write)
+{
+  call->store_call_count++;
+  if (is_write && reply->status == FL_STORE_UNKNOWN)
+    call->unknown_write_count++;
+  call->last_store_status = reply->status;
+  call->last_store_error = reply->error;
+}
+
 int64_t
 front_call_store_timeout_ms (const struct front_call *call)
 {
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -220,8 +220,11 @@
 static void
 on_stop_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  (void)timer;
+  struct fl_frontd *frontd = timer->data;
+
   (void)events;
+  fl_log (&frontd->host->log, FL_LOG_NOTICE, "serving_ended",
+          FL_I ("open_requests", fl_http_server_open_requests (frontd->client_server)));
   ev_break (loop, EVBREAK_ALL);
 }
 
@@ -283,6 +286,7 @@
   int code = FL_PROGRAM_OK;
 
   ev_timer_init (&frontd.stop_timer, on_stop_timer, 0.0, 0.0);
+  frontd.stop_timer.data = &frontd;
   if (open_listeners (&frontd, &error))
     {
       fl_stop_signals_start (&frontd.stop_signals, host->loop, on_stop, &frontd);
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -37,6 +37,10 @@
   int64_t retry_delay_ms;   /* of the last retry; 0 before the first */
   void (*retry) (struct front_call *call);
   ev_timer timer;
+  int64_t store_call_count;    /* store calls that have ended */
+  int64_t unknown_write_count; /* of these, writes of unknown outcome */
+  enum fl_store_status last_store_status;
+  struct fl_error last_store_error;
 };
 
 /* --- native_api.c --- */
@@ -106,6 +110,11 @@
                                 void (*retry) (struct front_call *call),
                                 int timeout_status);
 
+/* Remembers the outcome of a store call for the log. @is_write: it was a transaction. */
+void front_call_record_reply (struct front_call *call,
+                              const struct fl_store_reply *reply,
+                              bool is_write);
+
 /* @return whether the response is not due yet. */
 bool front_call_has_time_left (const struct front_call *call);
 
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -57,6 +57,7 @@
 {
   struct front_call *call = context;
 
+  front_call_record_reply (call, reply, true);
   if (reply->status == FL_STORE_OK)
     {
       fl_stats_add (call->frontd->host->stats, "jobs_accepted_total", 1);
@@ -96,6 +97,7 @@
 {
   struct front_call *call = context;
 
+  front_call_record_reply (call, reply, true);
   if (reply->status == FL_STORE_OK)
     replace_marker (call, reply->version);
   else if (reply->status == FL_STORE_CONFLICT)
@@ -175,6 +177,7 @@
   bool cancelled;
   int64_t version;
 
+  front_call_record_reply (call, reply, false);
   if (reply->status != FL_STORE_OK)
     front_call_schedule_retry (call, read_job, 504);
   else if (!front_find_job_row (call, reply, &cancelled, &version))
@@ -196,6 +199,7 @@
   struct fl_job_progress progress;
   struct fl_error error = { 0 };
 
+  front_call_record_reply (call, reply, false);
   if (reply->status != FL_STORE_OK)
     front_call_schedule_retry (call, read_progress, 504);
   else if (reply->count == 0)
@@ -242,6 +246,7 @@
 {
   struct front_call *call = context;
 
+  front_call_record_reply (call, reply, true);
   if (reply->status == FL_STORE_OK)
     front_call_respond (call, 200, NULL);
   else
@@ -270,6 +275,7 @@
   bool cancelled;
   int64_t version;
 
+  front_call_record_reply (call, reply, false);
   if (reply->status != FL_STORE_OK)
     front_call_schedule_retry (call, read_job_to_cancel, 504);
   else if (!front_find_job_row (call, reply, &cancelled, &version))
@@ -319,6 +325,7 @@
 {
   struct front_call *call = context;
 
+  front_call_record_reply (call, reply, false);
   if (reply->status != FL_STORE_OK)
     {
       front_call_schedule_retry (call, read_pending_counts, 504);
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -32,6 +32,7 @@
   struct curl_slist *custom_headers; /* NULL unless the call adds a header */
   char error_text[CURL_ERROR_SIZE];
   const struct fl_traffic *traffic;
+  int sent_count; /* how often libcurl was about to send the request */
   bool (*may_send) (void *context);
   void *may_send_context;
   void (*on_done) (void *context, const struct fl_http_result *result);
@@ -90,7 +91,11 @@
   (void)local_address;
   (void)remote_port;
   (void)local_port;
-  return call->may_send (call->may_send_context) ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  if (call->may_send != NULL && !call->may_send (call->may_send_context))
+    return CURL_PREREQFUNC_ABORT;
+  if (++call->sent_count == 2)
+    fl_stats_add (call->client->stats, "http_calls_resent_total", 1);
+  return CURL_PREREQFUNC_OK;
 }
 
 /* --- completed calls --- */
@@ -329,11 +334,8 @@
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
     }
-  if (options->may_send != NULL)
-    {
-      curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
-      curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
-    }
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   if (options->body != NULL)
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)options->len);
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -87,6 +87,7 @@
   int64_t seen_pool_version;
   int64_t seen_lease_version;
   int64_t lease_unchanged_since_ms;  /* first read of seen_lease_version; 0 for none */
+  int64_t lease_seen_renewed_ms;     /* last read that showed a change of the lease; 0 for none */
   bool previous_owner_may_be_active; /* another host owns the pool and has not released it */
   void (*release_done) (void *context);
   void *release_done_context;
@@ -151,8 +152,12 @@
   ownership->state = OWNER;
   ownership->pool_version = version;
   ownership->authority_until_ms = ownership->sent_ms + LEASE_MS;
-  fl_log (ownership->options.log, FL_LOG_NOTICE, "pool_taken", FL_I ("token", ownership->token),
-          FL_I ("version", version));
+  fl_log (
+      ownership->options.log, FL_LOG_NOTICE, "pool_taken", FL_I ("token", ownership->token),
+      FL_I ("version", version), FL_N ("previous", &ownership->seen_owner.holder),
+      FL_I ("lease_seen_renewed_ms_ago", ownership->lease_seen_renewed_ms > 0
+                                             ? now_ms (ownership) - ownership->lease_seen_renewed_ms
+                                             : -1));
   schedule_call (ownership, RENEWAL_INTERVAL_MS);
   ownership->options.on_acquired (ownership->options.context, ownership->token, version,
                                   ownership->previous_owner_may_be_active);
@@ -235,7 +240,14 @@
   if (reply->status == FL_STORE_OK && now_ms (ownership) < ownership->sent_ms + LEASE_MS)
     become_owner (ownership, reply->version);
   else
-    schedule_call (ownership, STANDBY_POLL_MS);
+    {
+      fl_log (ownership->options.log, FL_LOG_NOTICE, "acquire_failed",
+              FL_I ("token", ownership->token),
+              FL_S ("result", fl_store_status_name (reply->status)),
+              FL_I ("after_ms", now_ms (ownership) - ownership->sent_ms),
+              FL_S ("peer", reply->error.peer), FL_S ("text", reply->error.text));
+      schedule_call (ownership, STANDBY_POLL_MS);
+    }
 }
 
 static void
@@ -331,6 +343,12 @@
     return;
   if (reply->status != FL_STORE_OK)
     {
+      fl_log (ownership->options.log, FL_LOG_INFO, "standby_wait_restarted",
+              FL_I ("waited_ms", ownership->lease_unchanged_since_ms > 0
+                                     ? now_ms (ownership) - ownership->lease_unchanged_since_ms
+                                     : 0),
+              FL_S ("result", fl_store_status_name (reply->status)),
+              FL_S ("peer", reply->error.peer), FL_S ("text", reply->error.text));
       /* The owner may have been unable to reach the store, too, so restart the wait. */
       ownership->lease_unchanged_since_ms = 0;
       schedule_call (ownership, STANDBY_POLL_MS);
@@ -339,6 +357,8 @@
   is_free = decode_rows (ownership, reply, &lease_version);
   if (lease_version != ownership->seen_lease_version || ownership->lease_unchanged_since_ms == 0)
     {
+      if (lease_version != ownership->seen_lease_version)
+        ownership->lease_seen_renewed_ms = now_ms (ownership);
       ownership->seen_lease_version = lease_version;
       ownership->lease_unchanged_since_ms = now_ms (ownership);
     }
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -25,6 +25,14 @@
 /* Share of the host's link, in percent, that start orders may take. */
 #define ORDERS_LINK_PERCENT 40
 
+/* Logs that a part of the recorded state has been read. */
+static void
+log_stage (const struct fl_term *term, const char *part, int64_t rows)
+{
+  fl_log (&term->poold->host->log, FL_LOG_NOTICE, "term_read", FL_S ("part", part),
+          FL_I ("rows", rows), FL_I ("after_ms", fl_clock_boot_ms () - term->started_ms));
+}
+
 /* --- jobs --- */
 
 static void
@@ -91,7 +99,8 @@
 
   if (!term->jobs_read)
     fl_log (&term->poold->host->log, FL_LOG_NOTICE, "jobs_read",
-            FL_I ("recorded", g_hash_table_size (term->recorded_progress)));
+            FL_I ("recorded", g_hash_table_size (term->recorded_progress)),
+            FL_I ("after_ms", fl_clock_boot_ms () - term->started_ms));
   term->jobs_read = true;
   fl_core_set_jobs_known (term->core);
   term->poold->tick_requested = true;
@@ -143,6 +152,7 @@
   for (guint i = 0; i < ids->len; i++)
     if (!g_hash_table_contains (term->listed_targets, g_ptr_array_index (ids, i)))
       fl_core_remove_target (term->core, g_ptr_array_index (ids, i));
+  log_stage (term, "registry", g_hash_table_size (term->listed_targets));
   g_hash_table_unref (term->listed_targets);
   term->listed_targets = NULL;
   fl_core_set_registry_known (term->core);
@@ -192,6 +202,8 @@
 {
   struct fl_term *term = context;
 
+  if (!term->progress_read)
+    log_stage (term, "progress", g_hash_table_size (term->recorded_progress));
   term->progress_read = true;
 }
 
@@ -237,6 +249,7 @@
     {
       term->inherited_read = true;
       term->poold->tick_requested = true;
+      log_stage (term, "inherited_targets", (int64_t)reply->count);
     }
   fl_term_unref (term);
 }
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -36,6 +36,9 @@
   FL_STORE_HISTORY_GONE, /* the feed starts before the oldest kept change: read the table again */
 };
 
+/* @return the lower-case name of @status, as written to logs. */
+const char *fl_store_status_name (enum fl_store_status status);
+
 /* Valid during the callback only. */
 struct fl_store_reply
 {
