--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -72,7 +72,7 @@
 void fl_core_configure (struct fl_core *core, struct fl_configuration *configuration);
 
 /* Adds or updates a target that the registry lists. A new target gets no tasks until
- * fl_core_mark_target_list_recorded confirms that the store lists it. */
+ * fl_core_finish_target_list confirms that the store lists it. */
 void fl_core_update_target (struct fl_core *core, const struct fl_target_entry *entry);
 
 /* Called when the registry no longer lists the target @id. The target gets no new tasks, but it
@@ -185,9 +185,11 @@
 bool fl_core_target_list_is_outdated (const struct fl_core *core);
 
 /* Collects the list of targets to store, as alternating ids and addresses (struct fl_name). Call
- * fl_core_mark_target_list_recorded once it is stored. Free the list with g_array_unref. */
+ * fl_core_finish_target_list when its write has ended. Free the list with g_array_unref. */
 GArray *fl_core_collect_target_list (struct fl_core *core);
-void fl_core_mark_target_list_recorded (struct fl_core *core);
+
+/* Handles the end of the write of the last collected list. @stored: the store confirmed it. */
+void fl_core_finish_target_list (struct fl_core *core, bool stored);
 
 /* Counts the jobs of each queue that have not started, as a table of queue name (struct fl_name *,
  * borrowed from a job) to count (intptr_t). Free it with g_hash_table_unref. */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -640,7 +640,7 @@
 }
 
 void
-fl_core_mark_target_list_recorded (struct fl_core *core)
+fl_core_finish_target_list (struct fl_core *core, bool stored)
 {
   GHashTableIter iter;
   void *value;
@@ -649,7 +649,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct core_target *target = value;
-      target->recorded = target->recorded || target->record_in_flight;
+      target->recorded = target->recorded || (stored && target->record_in_flight);
       target->record_in_flight = false;
     }
 }
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -113,8 +113,8 @@
 
   term->poold->tick_requested = true;
   handle_failure (term, "targets", reply);
-  if (!term->ended && reply->status == FL_STORE_OK)
-    fl_core_mark_target_list_recorded (term->core);
+  if (!term->ended)
+    fl_core_finish_target_list (term->core, reply->status == FL_STORE_OK);
   fl_term_unref (term);
 }
 
--- a/tests/bench_core.c
+++ b/tests/bench_core.c
@@ -116,7 +116,7 @@
       fl_core_update_target (bench->core, &entry);
     }
   g_array_unref (fl_core_collect_target_list (bench->core));
-  fl_core_mark_target_list_recorded (bench->core);
+  fl_core_finish_target_list (bench->core, true);
   for (int i = 0; i < bench->targets; i++)
     report (bench, i);
 }
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -884,8 +884,7 @@
   if (!owner->dead && transaction->targets != NULL)
     {
       owner->targets_in_flight = false;
-      if (transaction->stored)
-        fl_core_mark_target_list_recorded (owner->core);
+      fl_core_finish_target_list (owner->core, transaction->stored);
     }
   else if (!owner->dead)
     {
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -249,7 +249,7 @@
 
   fl_core_update_target (fixture->core, &entry);
   g_array_unref (fl_core_collect_target_list (fixture->core));
-  fl_core_mark_target_list_recorded (fixture->core);
+  fl_core_finish_target_list (fixture->core, true);
 }
 
 static void
@@ -1009,7 +1009,7 @@
   guint count = names->len / 2;
 
   g_array_unref (names);
-  fl_core_mark_target_list_recorded (fixture->core);
+  fl_core_finish_target_list (fixture->core, true);
   return count;
 }
 
