A failed write of the list of targets is repeated

Callers saw, after a change of owner, tasks of long-running jobs that nothing ran: the successor waits for a report of each target in the stored list, up to 7.7 s. Cause: the marks that the list is outdated were cleared when the list was collected, not when its write was confirmed. After a failed or unanswered write the store kept targets that had left or drained, and no later tick wrote the list again. Now a write that is not confirmed marks the list as outdated.

Evidence: test_target_list, before: 'left, write failed: 0 != 1'; now its four cases hold, as do test_core (33) and test_core_cell (5, all pairs of faults).

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -246,7 +246,7 @@
   bool registry_known;              /* see fl_core_set_registry_known */
   bool jobs_known;                  /* see fl_core_set_jobs_known */
   struct core_order_budget order_budget;
-  bool target_list_outdated;       /* the stored list of targets contains a removed target */
+  bool target_list_outdated;       /* the stored list may contain a target that left */
   bool records_in_flight;          /* collected records have been neither stored nor failed */
   int64_t records_collected_at_ms; /* when records were last collected */
   int64_t record_duration_ms;      /* how long the last transaction of records took */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -645,6 +645,7 @@
   GHashTableIter iter;
   void *value;
 
+  core->target_list_outdated = core->target_list_outdated || !stored;
   g_hash_table_iter_init (&iter, core->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
