Failing test: an advice query that was not sent waits for its timeout

one peer unreachable: 0 sent to peers, 0 to the service

A step whose tasks need advice then waits for the expected time of the query and 0.6 s more for each peer that is gone, which adds to the time without an owner.

--- /dev/null
+++ b/tests/test_advisors.c
@@ -0,0 +1,121 @@
+/* Choice of the host that passes an advice query on, with a fake link and a fake service. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "poold/advisors.h"
+
+struct fixture
+{
+  struct fl_host host;
+  struct fl_advisors *advisors;
+  const char *unreachable; /* names of peers, separated by spaces */
+  int sent_to_peers;
+  int sent_to_service;
+};
+
+static bool
+send_to_peer (void *context, const struct fl_route *to, const char *data, size_t len)
+{
+  struct fixture *fixture = context;
+
+  (void)data;
+  (void)len;
+  if (strstr (fixture->unreachable, to->address.data) != NULL)
+    return false;
+  fixture->sent_to_peers++;
+  return true;
+}
+
+static void
+query_service (void *context,
+               const struct fl_name *step,
+               const struct fl_name *targets,
+               size_t count,
+               int64_t timeout_ms,
+               void (*done) (void *context, const struct fl_advice_reply *reply),
+               void *done_context)
+{
+  struct fixture *fixture = context;
+
+  (void)step;
+  (void)targets;
+  (void)count;
+  (void)timeout_ms;
+  (void)done;
+  g_free (done_context);
+  fixture->sent_to_service++;
+}
+
+static void
+on_reply (void *context,
+          const struct fl_name *step,
+          const struct fl_name *queried,
+          size_t queried_count,
+          const struct fl_advice_reply *reply)
+{
+  (void)context;
+  (void)step;
+  (void)queried;
+  (void)queried_count;
+  (void)reply;
+}
+
+/* A query whose message could not be sent waited for its timeout, and the step with it. */
+static void
+test_query_that_was_not_sent_takes_another_host (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *unreachable;
+    int sent_to_peers;
+    int sent_to_service;
+  } cases[] = {
+    { "all peers reachable", "", 1, 0 },
+    { "one peer unreachable", "p1", 1, 0 },
+    { "the other peer unreachable", "p2", 1, 0 },
+    { "no peer reachable", "p1 p2", 0, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture fixture = { .unreachable = cases[i].unreachable };
+      struct fl_advice_calls calls = { &fixture, query_service };
+      struct fl_advisors_options options = { .host = &fixture.host,
+                                             .calls = &calls,
+                                             .on_reply = on_reply,
+                                             .send = send_to_peer,
+                                             .context = &fixture };
+      struct fl_name step = fl_name_of ("0000000000000001.0.0");
+      struct fl_name target = fl_name_of ("t1");
+      struct fl_name peers[] = { fl_name_of ("p1"), fl_name_of ("p2") };
+
+      fixture.host.loop = ev_default_loop (EVFLAG_AUTO);
+      fixture.host.settings.name = fl_name_of ("own");
+      fixture.advisors = fl_advisors_new (&options);
+      for (size_t j = 0; j < G_N_ELEMENTS (peers); j++)
+        fl_advisors_set_peer (fixture.advisors, &peers[j], &peers[j]);
+      assert_true (fl_advisors_send_query (fixture.advisors, &step, &target, 1, 100));
+      if (fixture.sent_to_peers != cases[i].sent_to_peers
+          || fixture.sent_to_service != cases[i].sent_to_service)
+        fail_msg ("%s: %d sent to peers, %d to the service", cases[i].name, fixture.sent_to_peers,
+                  fixture.sent_to_service);
+      fl_advisors_free (fixture.advisors);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_query_that_was_not_sent_takes_another_host) };
+
+  return cmocka_run_group_tests_name ("advisors", tests, NULL, NULL);
+}
