An advice query that was not sent takes another host at once

Callers saw steps with advice start late after hosts were lost: the query went to a peer that was gone, and the step waited for the query's expected time and 0.6 s more before it asked another one, up to 1.3 s for a step of a long-running job, for each peer that is gone. Cause: the advisor's link reported that nothing was sent, and the result was only counted. Class: a result that is known at once is treated as a lost reply. Now the host gets no query for a second and the query takes the next host.

Evidence: test_advisors, before: 'one peer unreachable: 0 sent to peers, 0 to the service'; now its four cases hold.

--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -15,6 +15,9 @@
 #define REPLY_SLACK_MS 600
 /* After a query without a reply its host gets no other query for this long. */
 #define TIMEOUT_BACKOFF_MS 2000
+/* The same after a query that could not be sent: the link to the host is down, and reconnects
+ * within a second once the host is back. */
+#define UNSENT_BACKOFF_MS 1000
 
 /* --- messages between hosts --- */
 
@@ -86,18 +89,22 @@
   int64_t query_number;
 };
 
-static void
+/* @return false if @message was certainly not sent. */
+static bool
 send_message (struct fl_advisors *advisors,
               const struct fl_route *to,
               const struct message *message)
 {
   msgpack_sbuffer buffer;
+  bool sent;
 
   msgpack_sbuffer_init (&buffer);
   fl_schema_encode (&message_schema, message, &buffer);
-  if (!advisors->options.send (advisors->options.context, to, buffer.data, buffer.size))
+  sent = advisors->options.send (advisors->options.context, to, buffer.data, buffer.size);
+  if (!sent)
     fl_stats_add (advisors->options.host->stats, "advice_messages_unsent_total", 1);
   msgpack_sbuffer_destroy (&buffer);
+  return sent;
 }
 
 /* --- queries of this host --- */
@@ -159,7 +166,7 @@
                 timeout_ms, on_local_reply, query);
 }
 
-static void
+static bool
 send_to_peer (struct advisor *advisor, int64_t timeout_ms)
 {
   struct message_target targets[FL_ADVICE_TARGETS_MAX] = { 0 };
@@ -171,7 +178,7 @@
 
   for (size_t i = 0; i < advisor->queried_count; i++)
     targets[i].id = advisor->queried[i];
-  send_message (advisor->advisors, &to, &message);
+  return send_message (advisor->advisors, &to, &message);
 }
 
 static bool
@@ -211,6 +218,28 @@
   return choose_advisor (advisors, least_ms > LONG_QUERY_MS) != NULL;
 }
 
+static void
+prepare_query (struct advisor *advisor,
+               const struct fl_name *step,
+               const struct fl_name *targets,
+               size_t count)
+{
+  advisor->query_number = ++advisor->advisors->last_query_number;
+  advisor->step = *step;
+  memcpy (advisor->queried, targets, count * sizeof targets[0]);
+  advisor->queried_count = count;
+}
+
+/* @return false if the prepared query of @advisor was certainly not sent. */
+static bool
+send_query (struct advisor *advisor, int64_t timeout_ms)
+{
+  if (advisor->address.len > 0)
+    return send_to_peer (advisor, timeout_ms);
+  query_service (advisor, timeout_ms);
+  return true;
+}
+
 bool
 fl_advisors_send_query (struct fl_advisors *advisors,
                         const struct fl_name *step,
@@ -218,23 +247,24 @@
                         size_t count,
                         int64_t expected_ms)
 {
-  struct advisor *advisor = choose_advisor (advisors, expected_ms > LONG_QUERY_MS);
   int64_t timeout_ms = expected_ms + REPLY_SLACK_MS;
+  struct advisor *advisor;
 
-  if (advisor == NULL || count > FL_ADVICE_TARGETS_MAX)
+  if (count > FL_ADVICE_TARGETS_MAX)
     return false;
-  advisor->busy = true;
-  advisor->query_number = ++advisors->last_query_number;
-  advisor->step = *step;
-  memcpy (advisor->queried, targets, count * sizeof targets[0]);
-  advisor->queried_count = count;
-  ev_timer_set (&advisor->timeout, (double)timeout_ms / 1000.0, 0.0);
-  ev_timer_start (advisors->options.host->loop, &advisor->timeout);
-  if (advisor->address.len == 0)
-    query_service (advisor, timeout_ms);
-  else
-    send_to_peer (advisor, timeout_ms);
-  return true;
+  while ((advisor = choose_advisor (advisors, expected_ms > LONG_QUERY_MS)) != NULL)
+    {
+      prepare_query (advisor, step, targets, count);
+      if (send_query (advisor, timeout_ms))
+        {
+          advisor->busy = true;
+          ev_timer_set (&advisor->timeout, (double)timeout_ms / 1000.0, 0.0);
+          ev_timer_start (advisors->options.host->loop, &advisor->timeout);
+          return true;
+        }
+      advisor->backoff_until_ms = fl_clock_boot_ms () + UNSENT_BACKOFF_MS;
+    }
+  return false;
 }
 
 /* --- messages of peers --- */
