Lost hosts no longer hold back long advice queries

Steps whose advice takes longer than 150 ms, those of long-running jobs among them, did not start while more than half of the hosts were gone: two free hosts are left for short queries, and hosts that are gone counted for the choice but not against that reserve. With two of seven hosts alive no long query, or only one at a time, was sent. Now the reserve is at most half of the hosts that have not failed recently.

Evidence: test_advisors, before: 1 of 2 possible queries sent; now 2.

--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -7,9 +7,10 @@
 #include "common/clock.h"
 #include "common/schema.h"
 
-/* Queries expected to take longer than this leave RESERVED_HOSTS hosts free for shorter ones. */
+/* Queries expected to take longer than this leave some hosts free for shorter ones. */
 #define LONG_QUERY_MS 150
-/* Enough for the short queries: about 20 a second, which take about 30 ms each. */
+/* Enough for the short queries: about 20 a second, which take about 30 ms each. With few hosts, at
+ * most half of them are left free. */
 #define RESERVED_HOSTS 2
 /* A query times out when its reply takes this much longer than expected. */
 #define REPLY_SLACK_MS 600
@@ -195,7 +196,7 @@
   int64_t now_ms = fl_clock_boot_ms ();
   struct advisor *best = NULL;
   int free_count = 0;
-  int reserved = g_hash_table_size (advisors->hosts) > RESERVED_HOSTS ? RESERVED_HOSTS : 0;
+  int used_count = 0; /* hosts that have not failed recently */
   GHashTableIter iter;
   void *value;
 
@@ -203,12 +204,15 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct advisor *advisor = value;
+      if (now_ms >= advisor->backoff_until_ms)
+        used_count++;
       if (!is_free (advisor, now_ms))
         continue;
       free_count++;
       if (best == NULL || best->address.len == 0)
         best = advisor;
     }
+  int reserved = MIN (RESERVED_HOSTS, (used_count - 1) / 2);
   return is_long && free_count <= reserved ? NULL : best;
 }
 
--- a/tests/test_advisors.c
+++ b/tests/test_advisors.c
@@ -111,11 +111,41 @@
     }
 }
 
+/* Hosts that were gone counted as reserve for short queries, so that no long query was sent. */
+static void
+test_lost_hosts_do_not_hold_back_long_queries (void **state)
+{
+  struct fixture fixture = { .unreachable = "p1 p2 p3 p4 p5" };
+  struct fl_advice_calls calls = { &fixture, query_service };
+  struct fl_advisors_options options = { .host = &fixture.host,
+                                         .calls = &calls,
+                                         .on_reply = on_reply,
+                                         .send = send_to_peer,
+                                         .context = &fixture };
+  struct fl_name step = fl_name_of ("0000000000000001.0.0");
+  struct fl_name target = fl_name_of ("t1");
+
+  (void)state;
+  fixture.host.loop = ev_default_loop (EVFLAG_AUTO);
+  fixture.host.settings.name = fl_name_of ("own");
+  fixture.advisors = fl_advisors_new (&options);
+  for (int i = 1; i <= 6; i++)
+    {
+      struct fl_name peer = fl_name_format ("p%d", i);
+      fl_advisors_set_peer (fixture.advisors, &peer, &peer);
+    }
+  while (fl_advisors_send_query (fixture.advisors, &step, &target, 1, 600))
+    ;
+  assert_int_equal (fixture.sent_to_peers + fixture.sent_to_service, 2);
+  fl_advisors_free (fixture.advisors);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_query_that_was_not_sent_takes_another_host) };
+      = { cmocka_unit_test (test_query_that_was_not_sent_takes_another_host),
+          cmocka_unit_test (test_lost_hosts_do_not_hold_back_long_queries) };
 
   return cmocka_run_group_tests_name ("advisors", tests, NULL, NULL);
 }
