Send requests that have an effect once, whatever libcurl would repeat

Callers saw a submission answered 503 whose job ran. libcurl resends a request by itself when a reused connection ends before the first byte of the reply. The result of the second copy (refused connection, 503, 429, 409, 421, no permission to send) was taken for that of the call, though the first copy may have been executed; starts, batches of them and relayed transactions had the same fault.

A request is now sent once unless its call permits resending: the client opens no connection for a second copy and aborts one over an idle connection. 'maybe_sent' and 'is_refused' follow from whether any copy was sent, not from libcurl's code for the last one. Reads, stop and throttle orders and advice queries may be resent, since only their success counts. Heartbeats may not: their end numbers and lease are valid for one boot of the target, and the second copy may reach the next boot. The unused option for a new connection for each call is gone.

--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -32,7 +32,9 @@
   struct curl_slist *custom_headers; /* NULL unless the call adds a header */
   char error_text[CURL_ERROR_SIZE];
   const struct fl_traffic *traffic;
-  int sent_count; /* how often libcurl was about to send the request */
+  bool is_resendable;
+  int sent_count;        /* how often the request was sent, completely or in part */
+  bool prevented_resend; /* libcurl was about to send the request again */
   bool (*may_send) (void *context);
   void *may_send_context;
   void (*on_done) (void *context, const struct fl_http_result *result);
@@ -81,6 +83,25 @@
   return CURL_SOCKOPT_OK;
 }
 
+/* @return whether libcurl is about to send the request of @call again although it must not. */
+static bool
+prevents_resend (struct call *call)
+{
+  if (call->sent_count > 0 && !call->is_resendable)
+    call->prevented_resend = true;
+  return call->prevented_resend;
+}
+
+/* Opens no connection for a request that would not be sent over it. */
+static curl_socket_t
+on_open_socket (void *context, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  (void)purpose;
+  if (prevents_resend (context))
+    return CURL_SOCKET_BAD;
+  return socket (address->family, address->socktype, address->protocol);
+}
+
 static int
 on_before_request (
     void *context, char *remote_address, char *local_address, int remote_port, int local_port)
@@ -91,6 +112,8 @@
   (void)local_address;
   (void)remote_port;
   (void)local_port;
+  if (prevents_resend (call))
+    return CURL_PREREQFUNC_ABORT;
   if (call->may_send != NULL && !call->may_send (call->may_send_context))
     return CURL_PREREQFUNC_ABORT;
   if (++call->sent_count == 2)
@@ -100,25 +123,21 @@
 
 /* --- completed calls --- */
 
-static bool
-may_have_been_sent (const struct call *call, CURLcode code)
-{
-  long request_size = 0;
-
-  if (code == CURLE_ABORTED_BY_CALLBACK || code == CURLE_COULDNT_CONNECT
-      || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT)
-    return false;
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_size);
-  return request_size > 0;
-}
-
 static bool
 was_refused (const struct call *call, CURLcode code)
 {
   long system_error = 0;
 
   curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &system_error);
-  return code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
+  return call->sent_count == 0 && code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
+}
+
+static const char *
+describe_failure (const struct call *call, CURLcode code)
+{
+  if (call->prevented_resend)
+    return "a reused connection ended before the reply";
+  return call->error_text[0] != '\0' ? call->error_text : curl_easy_strerror (code);
 }
 
 static void
@@ -150,11 +169,12 @@
     }
   else
     {
-      result.maybe_sent = may_have_been_sent (call, code);
+      /* The error concerns the last copy; earlier ones may have arrived. */
+      result.maybe_sent = call->sent_count > 0;
       result.is_refused = was_refused (call, code);
+      result.is_connection_stale = call->prevented_resend;
       fl_fail (&result.error, result.maybe_sent ? FL_UNKNOWN : FL_UNAVAILABLE, "http_call",
-               call->url, "%s",
-               call->error_text[0] != '\0' ? call->error_text : curl_easy_strerror (code));
+               call->url, "%s", describe_failure (call, code));
     }
   result.body = (struct fl_str){ call->body->len, call->body->str };
   count_traffic (call);
@@ -308,6 +328,7 @@
   call->on_done = options->on_done;
   call->context = options->context;
   call->traffic = options->traffic;
+  call->is_resendable = options->is_resendable;
   call->may_send = options->may_send;
   call->may_send_context = options->may_send_context;
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
@@ -329,11 +350,8 @@
       call->custom_headers = curl_slist_append (common_headers (), options->header);
       curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->custom_headers);
     }
-  if (options->fresh_connection)
-    {
-      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, call);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   if (options->body != NULL)
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -1,4 +1,9 @@
-/* Asynchronous HTTP client on a libev loop, built on libcurl's multi interface. */
+/* Asynchronous HTTP client on a libev loop, built on libcurl's multi interface.
+ *
+ * When a reused connection ends before the first byte of the reply, libcurl sends the request again
+ * over another connection. Only the outcome of the last copy is then known, and a rejection of this
+ * copy doesn't mean that an earlier one had no effect. Each request is therefore sent once unless
+ * its call permits resending. */
 #pragma once
 
 #include <ev.h>
@@ -14,10 +19,13 @@
 /* Result of a call, valid only during the callback. */
 struct fl_http_result
 {
-  int status;            /* HTTP status; 0 when there is no complete response */
-  struct fl_str body;    /* complete when status is not 0 */
-  bool maybe_sent;       /* whether any byte of the request may have left this process */
-  bool is_refused;       /* no process listens at the address: nothing was sent */
+  int status;         /* HTTP status; 0 when there is no complete response */
+  struct fl_str body; /* complete when status is not 0 */
+  bool maybe_sent;    /* whether any byte of the request may have left this process */
+  bool is_refused;    /* no process listens at the address: nothing was sent */
+  /* The request was sent over a reused connection that ended before the first byte of the reply,
+   * and was not resent. This says nothing about new connections to the server. */
+  bool is_connection_stale;
   struct fl_error error; /* filled when status is 0 */
 };
 
@@ -32,11 +40,11 @@
   int64_t timeout_ms; /* of the whole call */
   int64_t connect_timeout_ms;
   const struct fl_traffic *traffic; /* counters of calls of this kind; NULL for none */
-  /* Opens a new connection for this call only. If a reused connection turns out to be closed,
-   * libcurl resends the request by itself; set this for calls that must not arrive twice. */
-  bool fresh_connection;
+  /* Permits sending the request again when a reused connection ends before the reply. For calls of
+   * which only a successful reply counts, and that may arrive twice or late. */
+  bool is_resendable;
   /* Called right before the request is sent, after any wait for a connection; if this returns
-   * false, nothing is sent. NULL always permits sending. */
+   * false, nothing is sent, or not again. NULL always permits sending. */
   bool (*may_send) (void *context);
   void *may_send_context;
   void (*on_done) (void *context, const struct fl_http_result *result);
--- a/tests/support_server.c
+++ b/tests/support_server.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,16 +12,18 @@
 /* A request that does not arrive completely within this time does not count. */
 #define RECEIVE_TIMEOUT_S 5
 #define CONNECTIONS_MAX 16
+#define STOP_CHECK_INTERVAL_MS 10
 
 struct support_server
 {
   struct support_server_options options;
   int port;
-  int listener; /* -1 once it is closed */
-  int requests; /* of interest; written by the thread */
-  int open[CONNECTIONS_MAX];
-  int open_count;
   GThread *thread;
+  gint is_stopped; /* atomic; the thread uses the members below */
+  struct support_server_counts counts;
+  int requests_served;                        /* all */
+  struct pollfd sockets[CONNECTIONS_MAX + 1]; /* the listener (-1 once closed), connections */
+  nfds_t socket_count;
 };
 
 static bool
@@ -71,75 +74,82 @@
   send_text (connection, text);
 }
 
-static int
+static void
 accept_connection (struct support_server *server)
 {
   struct timeval timeout = { .tv_sec = RECEIVE_TIMEOUT_S };
-  int connection = accept (server->listener, NULL, NULL);
+  int connection = accept (server->sockets[0].fd, NULL, NULL);
 
-  if (connection >= 0)
-    setsockopt (connection, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-  return connection;
+  g_assert (connection >= 0 && server->socket_count <= CONNECTIONS_MAX);
+  setsockopt (connection, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  server->sockets[server->socket_count++] = (struct pollfd){ .fd = connection, .events = POLLIN };
+  server->counts.connections++;
 }
 
+/* poll skips negative descriptors. */
 static void
-stop_listening (struct support_server *server)
+close_socket (struct pollfd *socket)
 {
-  close (server->listener);
-  server->listener = -1;
+  if (socket->fd >= 0)
+    close (socket->fd);
+  socket->fd = -1;
 }
 
 static void
-end_connection (int connection, enum support_connection_end end)
+end_connection (struct support_server *server, struct pollfd *connection)
 {
   struct linger discard = { .l_onoff = 1, .l_linger = 0 };
 
-  if (end == SUPPORT_END_PARTIAL)
-    send_text (connection, "HTTP/1.1 200 Reply\r\nContent-Length: 100\r\n");
-  if (end == SUPPORT_END_RESET)
-    setsockopt (connection, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
-  close (connection);
+  if (server->options.later_status < 0)
+    close_socket (&server->sockets[0]);
+  if (server->options.end == SUPPORT_END_PARTIAL)
+    send_text (connection->fd, "HTTP/1.1 200 Reply\r\nContent-Length: 100\r\n");
+  if (server->options.end == SUPPORT_END_RESET)
+    setsockopt (connection->fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  close_socket (connection);
 }
 
-/* Receives one request and treats it like all on later connections. */
 static void
-serve_later_request (struct support_server *server, int connection)
+serve_request (struct support_server *server, struct pollfd *connection)
 {
-  if (read_request (connection))
+  const struct support_server_options *options = &server->options;
+
+  if (!read_request (connection->fd))
+    {
+      close_socket (connection);
+      return;
+    }
+  if (server->requests_served++ < options->idle_connections)
     {
-      server->requests++;
-      if (server->options.later_status > 0)
-        send_reply (connection, server->options.later_status,
-                    server->options.later_body != NULL ? server->options.later_body : "{}");
+      send_reply (connection->fd, 200, "{}");
+      return;
     }
-  if (server->open_count < CONNECTIONS_MAX)
-    server->open[server->open_count++] = connection;
-  else
-    close (connection);
+  if (server->counts.requests++ == 0 && options->end != SUPPORT_END_SERVED)
+    end_connection (server, connection);
+  else if (options->later_status > 0)
+    send_reply (connection->fd, options->later_status,
+                options->later_body != NULL ? options->later_body : "{}");
 }
 
 static void *
 serve (void *data)
 {
   struct support_server *server = data;
-  int connection = accept_connection (server);
-
-  if (connection < 0)
-    return NULL;
-  if (server->options.is_reused && read_request (connection))
-    send_reply (connection, 200, "{}");
-  if (server->options.end == SUPPORT_END_SERVED)
-    serve_later_request (server, connection);
-  else
+
+  bool is_last;
+
+  do
     {
-      if (read_request (connection))
-        server->requests++;
-      if (server->options.later_status < 0)
-        stop_listening (server);
-      end_connection (connection, server->options.end);
+      /* What arrived before the stop is still counted. */
+      is_last = g_atomic_int_get (&server->is_stopped) != 0;
+      poll (server->sockets, server->socket_count, is_last ? 0 : STOP_CHECK_INTERVAL_MS);
+      if (server->sockets[0].revents != 0)
+        accept_connection (server);
+      for (nfds_t i = 1; i < server->socket_count; i++)
+        if (server->sockets[i].fd >= 0 && server->sockets[i].revents != 0)
+          serve_request (server, &server->sockets[i]);
     }
-  while (server->listener >= 0 && (connection = accept_connection (server)) >= 0)
-    serve_later_request (server, connection);
+  while (!is_last);
   return NULL;
 }
 
@@ -150,13 +160,16 @@
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t size = sizeof address;
+  int listener;
 
   server->options = *options;
-  server->listener = socket (AF_INET, SOCK_STREAM, 0);
-  g_assert (bind (server->listener, (struct sockaddr *)&address, size) == 0);
-  g_assert (listen (server->listener, CONNECTIONS_MAX) == 0);
-  g_assert (getsockname (server->listener, (struct sockaddr *)&address, &size) == 0);
+  listener = socket (AF_INET, SOCK_STREAM, 0);
+  g_assert (bind (listener, (struct sockaddr *)&address, size) == 0);
+  g_assert (listen (listener, CONNECTIONS_MAX) == 0);
+  g_assert (getsockname (listener, (struct sockaddr *)&address, &size) == 0);
   server->port = ntohs (address.sin_port);
+  server->sockets[0] = (struct pollfd){ .fd = listener, .events = POLLIN };
+  server->socket_count = 1;
   server->thread = g_thread_new ("server", serve, server);
   return server;
 }
@@ -167,19 +180,16 @@
   return server->port;
 }
 
-int
+struct support_server_counts
 support_server_free (struct support_server *server)
 {
-  int requests;
+  struct support_server_counts counts;
 
-  if (server->listener >= 0)
-    shutdown (server->listener, SHUT_RDWR);
+  g_atomic_int_set (&server->is_stopped, 1);
   g_thread_join (server->thread);
-  if (server->listener >= 0)
-    close (server->listener);
-  for (int i = 0; i < server->open_count; i++)
-    close (server->open[i]);
-  requests = server->requests;
+  for (nfds_t i = 0; i < server->socket_count; i++)
+    close_socket (&server->sockets[i]);
+  counts = server->counts;
   g_free (server);
-  return requests;
+  return counts;
 }
--- a/tests/support_server.h
+++ b/tests/support_server.h
@@ -1,37 +1,41 @@
-/* A TCP server for tests of the HTTP client: it replies to the first request, then ends the reused
- * connection in the middle of a request, or its first connection if nothing was sent over it
- * before. All later connections are treated alike. It runs in a thread of its own. */
+/* A TCP server for tests of the HTTP client. It replies with 200 to one request on each of some
+ * connections, which then are idle; ends the connection of the next request; and treats all later
+ * requests alike. It runs in a thread of its own. */
 #pragma once
 
 #include <stdbool.h>
 
-/* What happens to the request that the test is about. */
 enum support_connection_end
 {
-  SUPPORT_END_SERVED,  /* it is treated like those on later connections */
-  SUPPORT_END_CLOSED,  /* it is read, and the connection is closed without a reply */
-  SUPPORT_END_RESET,   /* it is read, and the connection is reset without a reply */
-  SUPPORT_END_PARTIAL, /* it is read, and the connection is closed after a part of the reply */
+  SUPPORT_END_SERVED,  /* none: the request is treated like later ones */
+  SUPPORT_END_CLOSED,  /* closed after the request has been read */
+  SUPPORT_END_RESET,   /* reset after the request has been read */
+  SUPPORT_END_PARTIAL, /* closed after a part of the reply */
 };
 
 struct support_server_options
 {
-  bool is_reused; /* replies with 200 to one request before */
-  enum support_connection_end end;
-  /* What happens to requests on later connections: a reply with this status, no reply if it is 0;
-   * the connection itself is refused if it is negative. */
+  int idle_connections;
+  enum support_connection_end end; /* of the connection of the request that the test is about */
+  /* What happens to later requests: a reply with this status, or no reply if it is 0. If it is
+   * negative, new connections are refused. */
   int later_status;
   const char *later_body; /* of the reply; NULL for {} */
 };
 
 struct support_server;
 
-/* Listens on 127.0.0.1. @options are copied, the body is borrowed. */
+/* Listens on 127.0.0.1 and copies @options; the body is borrowed. */
 struct support_server *support_server_new (const struct support_server_options *options);
 
 int support_server_port (const struct support_server *server);
 
-/* Ends the thread, waits for it and frees the server.
- * @return the number of requests that were completely received, without the one replied to before.
- */
-int support_server_free (struct support_server *server);
+/* What has arrived. */
+struct support_server_counts
+{
+  int requests;    /* received completely, without those before the one that the test is about */
+  int connections; /* accepted */
+};
+
+/* Ends the thread, waits for it and frees the server. */
+struct support_server_counts support_server_free (struct support_server *server);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -27,10 +27,11 @@
   struct support_server *server;
   struct fl_name address; /* "127.0.0.1:PORT" */
   int sends_allowed;      /* ANY_NUMBER, or how often may_send still permits sending */
-  bool is_done;
+  int calls_open;
   struct fl_http_result result; /* without the body */
   enum fl_store_status store_status;
   enum fl_order_result order_result;
+  bool advice_received;
 };
 
 static bool
@@ -50,7 +51,7 @@
 {
   struct fixture *fixture = context;
 
-  fixture->is_done = true;
+  fixture->calls_open--;
   fixture->result = *result;
   fixture->result.body = (struct fl_str){ 0 };
 }
@@ -58,13 +59,12 @@
 static void
 wait_until_done (struct fixture *fixture)
 {
-  while (!fixture->is_done)
+  while (fixture->calls_open > 0)
     ev_run (fixture->loop, EVRUN_ONCE);
-  fixture->is_done = false;
 }
 
 static void
-start_call (struct fixture *fixture, const char *method, const char *body)
+start_call (struct fixture *fixture, const char *method, const char *body, bool is_resendable)
 {
   g_autofree char *url = g_strdup_printf ("http://%s/x", fixture->address.data);
   struct fl_http_call call = {
@@ -74,17 +74,18 @@
     .len = body != NULL ? strlen (body) : 0,
     .timeout_ms = CALL_TIMEOUT_MS,
     .connect_timeout_ms = CALL_TIMEOUT_MS,
+    .is_resendable = is_resendable,
     .may_send = may_send,
     .may_send_context = fixture,
     .on_done = on_http_done,
     .context = fixture,
   };
 
+  fixture->calls_open++;
   fl_http_client_start (fixture->client, &call);
-  wait_until_done (fixture);
 }
 
-/* Starts the server and, if a connection is to be reused, opens it. */
+/* Starts the server and opens the connections that are to be reused. */
 static struct fixture *
 fixture_new (const struct support_server_options *options)
 {
@@ -96,26 +97,24 @@
   fixture->server = support_server_new (options);
   fixture->address = fl_name_format ("127.0.0.1:%d", support_server_port (fixture->server));
   fixture->sends_allowed = ANY_NUMBER;
-  if (options->is_reused)
-    {
-      start_call (fixture, "GET", NULL);
-      assert_int_equal (fixture->result.status, 200);
-    }
+  for (int i = 0; i < options->idle_connections; i++)
+    start_call (fixture, "GET", NULL, false);
+  wait_until_done (fixture);
+  assert_int_equal (fixture->result.status, options->idle_connections > 0 ? 200 : 0);
   return fixture;
 }
 
-/* @return the number of copies of the request that arrived. */
-static int
+static struct support_server_counts
 fixture_free (struct fixture *fixture)
 {
-  int copies;
+  struct support_server_counts counts;
 
   fl_http_client_free (fixture->client);
-  copies = support_server_free (fixture->server);
+  counts = support_server_free (fixture->server);
   fl_stats_free (fixture->stats);
   ev_loop_destroy (fixture->loop);
   g_free (fixture);
-  return copies;
+  return counts;
 }
 
 /* --- the client --- */
@@ -123,56 +122,128 @@
 struct client_case
 {
   const char *name;
-  bool is_reused;
-  enum support_connection_end end;
-  int later_status; /* see struct support_server_options */
+  struct support_server_options server;
+  bool is_resendable;
   int sends_allowed;
   /* expected: */
   int copies;
+  int new_connections;
   int status;
   bool maybe_sent;
+  bool is_connection_stale;
 };
 
+#define ONCE false, ANY_NUMBER
+#define RESENDABLE true, ANY_NUMBER
+
 static const struct client_case client_cases[] = {
-  { "reused, served", true, SUPPORT_END_SERVED, 200, ANY_NUMBER, 1, 200, true },
-  { "reused, served 503", true, SUPPORT_END_SERVED, 503, ANY_NUMBER, 1, 503, true },
-  { "reused, closed, then refused", true, SUPPORT_END_CLOSED, -1, ANY_NUMBER, 1, 0, true },
-  { "reused, reset, then refused", true, SUPPORT_END_RESET, -1, ANY_NUMBER, 1, 0, true },
-  { "reused, reset, then 503", true, SUPPORT_END_RESET, 503, ANY_NUMBER, 1, 0, true },
-  { "reused, reset, then 429", true, SUPPORT_END_RESET, 429, ANY_NUMBER, 1, 0, true },
-  { "reused, closed, then 409", true, SUPPORT_END_CLOSED, 409, ANY_NUMBER, 1, 0, true },
-  { "reused, reset, then 421", true, SUPPORT_END_RESET, 421, ANY_NUMBER, 1, 0, true },
-  { "reused, closed, then 200", true, SUPPORT_END_CLOSED, 200, ANY_NUMBER, 1, 0, true },
-  { "reused, reset, then no reply", true, SUPPORT_END_RESET, 0, ANY_NUMBER, 1, 0, true },
-  { "reused, reset, then not permitted", true, SUPPORT_END_RESET, 200, 1, 1, 0, true },
-  { "reused, part of a reply", true, SUPPORT_END_PARTIAL, 200, ANY_NUMBER, 1, 0, true },
-  { "reused, not permitted", true, SUPPORT_END_SERVED, 200, 0, 0, 0, false },
-  { "new, closed", false, SUPPORT_END_CLOSED, 200, ANY_NUMBER, 1, 0, true },
-  { "new, reset", false, SUPPORT_END_RESET, 200, ANY_NUMBER, 1, 0, true },
-  { "new, part of a reply", false, SUPPORT_END_PARTIAL, 200, ANY_NUMBER, 1, 0, true },
-  { "new, no reply", false, SUPPORT_END_SERVED, 0, ANY_NUMBER, 1, 0, true },
-  { "new, not permitted", false, SUPPORT_END_SERVED, 200, 0, 0, 0, false },
+  /* Requests are sent once: */
+  { "reused, served", { 1, SUPPORT_END_SERVED, 200, NULL }, ONCE, 1, 0, 200, true, false },
+  { "reused, served 503", { 1, SUPPORT_END_SERVED, 503, NULL }, ONCE, 1, 0, 503, true, false },
+  { "reused, closed, refused", { 1, SUPPORT_END_CLOSED, -1, NULL }, ONCE, 1, 0, 0, true, true },
+  { "reused, reset, refused", { 1, SUPPORT_END_RESET, -1, NULL }, ONCE, 1, 0, 0, true, true },
+  { "reused, reset, 503", { 1, SUPPORT_END_RESET, 503, NULL }, ONCE, 1, 0, 0, true, true },
+  { "reused, reset, 429", { 1, SUPPORT_END_RESET, 429, NULL }, ONCE, 1, 0, 0, true, true },
+  { "reused, closed, 409", { 1, SUPPORT_END_CLOSED, 409, NULL }, ONCE, 1, 0, 0, true, true },
+  { "reused, reset, 421", { 1, SUPPORT_END_RESET, 421, NULL }, ONCE, 1, 0, 0, true, true },
+  { "reused, closed, 200", { 1, SUPPORT_END_CLOSED, 200, NULL }, ONCE, 1, 0, 0, true, true },
+  { "reused, reset, no reply", { 1, SUPPORT_END_RESET, 0, NULL }, ONCE, 1, 0, 0, true, true },
+  { "one of two reused, reset", { 2, SUPPORT_END_RESET, 503, NULL }, ONCE, 1, 0, 0, true, true },
+  { "reused, reset, not permitted",
+    { 1, SUPPORT_END_RESET, 200, NULL },
+    false,
+    1,
+    1,
+    0,
+    0,
+    true,
+    true },
+  { "reused, part of a reply", { 1, SUPPORT_END_PARTIAL, 200, NULL }, ONCE, 1, 0, 0, true, false },
+  { "reused, no reply", { 1, SUPPORT_END_SERVED, 0, NULL }, ONCE, 1, 0, 0, true, false },
+  { "reused, not permitted",
+    { 1, SUPPORT_END_SERVED, 200, NULL },
+    false,
+    0,
+    0,
+    0,
+    0,
+    false,
+    false },
+  { "new, closed", { 0, SUPPORT_END_CLOSED, 200, NULL }, ONCE, 1, 1, 0, true, false },
+  { "new, reset", { 0, SUPPORT_END_RESET, 200, NULL }, ONCE, 1, 1, 0, true, false },
+  { "new, part of a reply", { 0, SUPPORT_END_PARTIAL, 200, NULL }, ONCE, 1, 1, 0, true, false },
+  { "new, no reply", { 0, SUPPORT_END_SERVED, 0, NULL }, ONCE, 1, 1, 0, true, false },
+  { "new, not permitted", { 0, SUPPORT_END_SERVED, 200, NULL }, false, 0, 0, 1, 0, false, false },
+  /* Requests may be resent: */
+  { "reused, closed, refused",
+    { 1, SUPPORT_END_CLOSED, -1, NULL },
+    RESENDABLE,
+    1,
+    0,
+    0,
+    true,
+    false },
+  { "reused, reset, 503", { 1, SUPPORT_END_RESET, 503, NULL }, RESENDABLE, 2, 1, 503, true, false },
+  { "reused, closed, 200",
+    { 1, SUPPORT_END_CLOSED, 200, NULL },
+    RESENDABLE,
+    2,
+    1,
+    200,
+    true,
+    false },
+  { "reused, reset, no reply",
+    { 1, SUPPORT_END_RESET, 0, NULL },
+    RESENDABLE,
+    2,
+    1,
+    0,
+    true,
+    false },
+  { "one of two reused, reset",
+    { 2, SUPPORT_END_RESET, 200, NULL },
+    RESENDABLE,
+    2,
+    0,
+    200,
+    true,
+    false },
+  { "reused, reset, not permitted",
+    { 1, SUPPORT_END_RESET, 200, NULL },
+    true,
+    1,
+    1,
+    1,
+    0,
+    true,
+    false },
+  { "new, reset", { 0, SUPPORT_END_RESET, 200, NULL }, RESENDABLE, 1, 1, 0, true, false },
 };
 
 /* @return whether the call ends as @row says. */
 static bool
 check_client_case (const struct client_case *row, const char *method, const char *body)
 {
-  struct support_server_options options = { row->is_reused, row->end, row->later_status, NULL };
-  struct fixture *fixture = fixture_new (&options);
+  struct fixture *fixture = fixture_new (&row->server);
   struct fl_http_result result;
   int64_t resent;
 
   fixture->sends_allowed = row->sends_allowed;
-  start_call (fixture, method, body);
+  start_call (fixture, method, body, row->is_resendable);
+  wait_until_done (fixture);
   result = fixture->result;
   resent = fl_stats_get (fixture->stats, "http_calls_resent_total");
-  int copies = fixture_free (fixture);
-  bool is_right = copies == row->copies && result.status == row->status
-                  && result.maybe_sent == row->maybe_sent && !result.is_refused && resent == 0;
-  print_message ("%s %s, %s: copies=%d status=%d maybe_sent=%d is_refused=%d\n",
-                 is_right ? "right" : "WRONG", method, row->name, copies, result.status,
-                 result.maybe_sent, result.is_refused);
+  struct support_server_counts counts = fixture_free (fixture);
+  int new_connections = counts.connections - row->server.idle_connections;
+  bool is_right = counts.requests == row->copies && new_connections == row->new_connections
+                  && resent == MAX (row->copies - 1, 0) && result.status == row->status
+                  && result.maybe_sent == row->maybe_sent && !result.is_refused
+                  && result.is_connection_stale == row->is_connection_stale;
+  print_message ("%s %s%s, %s: copies=%d connections=%d resent=%d status=%d maybe_sent=%d "
+                 "is_refused=%d is_connection_stale=%d\n",
+                 is_right ? "right" : "WRONG", method, row->is_resendable ? " resendable" : "",
+                 row->name, counts.requests, new_connections, (int)resent, result.status,
+                 result.maybe_sent, result.is_refused, result.is_connection_stale);
   return is_right;
 }
 
@@ -195,15 +266,20 @@
 static void
 test_refused_connection (void **state)
 {
-  struct support_server_options options = { false, SUPPORT_END_SERVED, 200, NULL };
+  struct support_server_options options = { 0, SUPPORT_END_SERVED, 200, NULL };
   struct fixture *fixture = fixture_new (&options);
 
   (void)state;
   support_server_free (fixture->server);
-  start_call (fixture, "POST", "{}");
-  assert_int_equal (fixture->result.status, 0);
-  assert_false (fixture->result.maybe_sent);
-  assert_true (fixture->result.is_refused);
+  for (int is_resendable = 0; is_resendable < 2; is_resendable++)
+    {
+      start_call (fixture, "POST", "{}", is_resendable == 1);
+      wait_until_done (fixture);
+      assert_int_equal (fixture->result.status, 0);
+      assert_false (fixture->result.maybe_sent);
+      assert_true (fixture->result.is_refused);
+      assert_false (fixture->result.is_connection_stale);
+    }
   fixture->server = support_server_new (&options);
   fixture_free (fixture);
 }
@@ -215,7 +291,7 @@
 {
   struct fixture *fixture = context;
 
-  fixture->is_done = true;
+  fixture->calls_open--;
   fixture->store_status = reply->status;
 }
 
@@ -225,6 +301,7 @@
   struct fl_store_write write = { "jobs", "1", fl_name_of ("a"), { 1, (char *)"x" }, false };
   struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
 
+  fixture->calls_open++;
   store->transact (store->context, &transaction, CALL_TIMEOUT_MS, on_store_done, fixture);
 }
 
@@ -258,7 +335,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct support_server_options options = { true, cases[i].end, cases[i].later_status, NULL };
+      struct support_server_options options = { 1, cases[i].end, cases[i].later_status, NULL };
       struct fixture *fixture = fixture_new (&options);
       struct fl_platform_store *store
           = fl_platform_store_new (fixture->client, fixture->address.data);
@@ -266,7 +343,7 @@
       wait_until_done (fixture);
       enum fl_store_status status = fixture->store_status;
       fl_platform_store_free (store);
-      int copies = fixture_free (fixture);
+      int copies = fixture_free (fixture).requests;
       bool is_right = copies == cases[i].copies && status == cases[i].status;
       print_message ("%s transaction, %s: copies=%d result=%s\n", is_right ? "right" : "WRONG",
                      cases[i].name, copies, fl_store_status_name (status));
@@ -280,7 +357,7 @@
 {
   struct fixture *fixture = context;
 
-  fixture->is_done = true;
+  fixture->calls_open--;
   fixture->order_result = reply->result;
 }
 
@@ -298,6 +375,7 @@
                                   .checkpoint = "",
                                   .ticket = "" };
 
+  fixture->calls_open++;
   calls->start (calls->context, &order, on_order_done, fixture);
 }
 
@@ -339,7 +417,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct support_server_options options
-          = { true, cases[i].end, cases[i].later_status, cases[i].later_body };
+          = { 1, cases[i].end, cases[i].later_status, cases[i].later_body };
       struct fixture *fixture = fixture_new (&options);
       struct fl_platform_target_client *client = fl_platform_target_client_new (
           fixture->client, fixture->address.data, may_send, fixture);
@@ -348,7 +426,7 @@
       wait_until_done (fixture);
       enum fl_order_result result = fixture->order_result;
       fl_platform_target_client_free (client);
-      int copies = fixture_free (fixture);
+      int copies = fixture_free (fixture).requests;
       bool is_right = copies == cases[i].copies && result == cases[i].result;
       print_message ("%s start, %s: copies=%d result=%s\n", is_right ? "right" : "WRONG",
                      cases[i].name, copies, fl_order_result_name (result));
@@ -357,6 +435,119 @@
   assert_int_equal (wrong, 0);
 }
 
+/* --- kinds of calls --- */
+
+static void
+read_table (struct fixture *fixture, const struct fl_store *store)
+{
+  fixture->calls_open++;
+  store->read (store->context, "jobs", "1", "", "", CALL_TIMEOUT_MS, on_store_done, fixture);
+}
+
+static void
+wait_for_changes (struct fixture *fixture, const struct fl_store *store)
+{
+  fixture->calls_open++;
+  store->feed (store->context, "jobs", 1, 0, CALL_TIMEOUT_MS, on_store_done, fixture);
+}
+
+static void
+send_stop (struct fixture *fixture, const struct fl_target_calls *calls)
+{
+  struct fl_run_order order = { .target = fl_name_of ("t1"), .address = fixture->address };
+
+  fixture->calls_open++;
+  calls->stop (calls->context, &order, on_order_done, fixture);
+}
+
+static void
+send_throttle (struct fixture *fixture, const struct fl_target_calls *calls)
+{
+  struct fl_run_order order = { .target = fl_name_of ("t1"), .address = fixture->address };
+
+  fixture->calls_open++;
+  calls->throttle (calls->context, &order, on_order_done, fixture);
+}
+
+static void
+send_heartbeat (struct fixture *fixture, const struct fl_target_calls *calls)
+{
+  struct fl_heartbeat_order order = { .target = fl_name_of ("t1"), .address = fixture->address };
+
+  fixture->calls_open++;
+  calls->heartbeat (calls->context, &order, on_order_done, fixture);
+}
+
+static void
+on_advice_done (void *context, const struct fl_advice_reply *reply)
+{
+  struct fixture *fixture = context;
+
+  fixture->calls_open--;
+  fixture->advice_received = reply->received;
+}
+
+/* Reads, stop and throttle orders and advice queries are resent; all else is sent once: a
+ * transaction, a start, and a heartbeat, whose end numbers are valid for one boot of the target. */
+static void
+test_resent_kinds (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    void (*call_store) (struct fixture *fixture, const struct fl_store *store);
+    void (*call_target) (struct fixture *fixture, const struct fl_target_calls *calls);
+    bool is_resent;
+  } cases[] = {
+    { "transaction", transact, NULL, false },
+    { "read", read_table, NULL, true },
+    { "feed", wait_for_changes, NULL, true },
+    { "start", NULL, send_start, false },
+    { "stop", NULL, send_stop, true },
+    { "throttle", NULL, send_throttle, true },
+    { "heartbeat", NULL, send_heartbeat, false },
+    { "advice", NULL, NULL, true },
+  };
+  static const struct support_server_options options
+      = { 1, SUPPORT_END_RESET, 200, "{\"ver\":1,\"rows\":[],\"good\":[]}" };
+  struct fl_name step = fl_name_of ("0000000000000001.0.0");
+  int wrong = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (&options);
+      struct fl_platform_store *store
+          = fl_platform_store_new (fixture->client, fixture->address.data);
+      struct fl_platform_target_client *client
+          = fl_platform_target_client_new (fixture->client, fixture->address.data, NULL, NULL);
+      const struct fl_advice_calls *advice = fl_platform_target_client_get_advice_calls (client);
+      fixture->store_status = FL_STORE_UNKNOWN;
+      fixture->order_result = FL_ORDER_NO_REPLY;
+      if (cases[i].call_store != NULL)
+        cases[i].call_store (fixture, fl_platform_store_get_interface (store));
+      else if (cases[i].call_target != NULL)
+        cases[i].call_target (fixture, fl_platform_target_client_get_calls (client));
+      else
+        {
+          fixture->calls_open++;
+          advice->query (advice->context, &step, &step, 1, CALL_TIMEOUT_MS, on_advice_done,
+                         fixture);
+        }
+      wait_until_done (fixture);
+      bool is_successful = fixture->store_status == FL_STORE_OK
+                           || fixture->order_result == FL_ORDER_DONE || fixture->advice_received;
+      fl_platform_target_client_free (client);
+      fl_platform_store_free (store);
+      int copies = fixture_free (fixture).requests;
+      bool is_right = copies == (cases[i].is_resent ? 2 : 1) && is_successful == cases[i].is_resent;
+      print_message ("%s %s: copies=%d is_successful=%d\n", is_right ? "right" : "WRONG",
+                     cases[i].name, copies, is_successful);
+      wrong += is_right ? 0 : 1;
+    }
+  assert_int_equal (wrong, 0);
+}
+
 int
 main (void)
 {
@@ -365,6 +556,7 @@
     cmocka_unit_test (test_refused_connection),
     cmocka_unit_test (test_transaction_after_reset),
     cmocka_unit_test (test_start_after_reset),
+    cmocka_unit_test (test_resent_kinds),
   };
 
   return cmocka_run_group_tests_name ("http_client", tests, NULL, NULL);
