The end of a reused connection doesn't fail the path to the store

Since transactions are sent once, the end of a reused connection is reported to the caller as an unknown outcome. Counted as a failure it would make each host whose connections are reset leave its direct path; when that happens to all hosts at once they would reject each other's calls until a probe is served, up to 0.5 s later. The reply now says whether a reused connection ended, and the relay counts such a call neither as served nor as failed. Rejections, calls without a reply and resets of new connections fail the path as before.

--- a/lib/relay/path.c
+++ b/lib/relay/path.c
@@ -22,11 +22,13 @@
 }
 
 void
-fl_relay_path_record_reply (struct fl_relay_path *path, bool served, int64_t now_ms)
+fl_relay_path_record_end (struct fl_relay_path *path, enum fl_relay_outcome outcome, int64_t now_ms)
 {
   path->in_flight--;
+  if (outcome == FL_RELAY_INCONCLUSIVE)
+    return;
   path->no_reply_since_ms = now_ms;
-  if (served)
+  if (outcome == FL_RELAY_SERVED)
     path->has_failed = false;
   else
     mark_failed (path, now_ms);
--- a/lib/relay/path.h
+++ b/lib/relay/path.h
@@ -3,12 +3,23 @@
  * The store may reject single hosts, or single hosts may be cut off from it, while it serves the
  * others. The direct path fails when a call is rejected or times out, or when calls are in flight
  * and none of them gets a reply for longer than a slow store takes. It is healthy again once the
- * store has served a call; until then, probes are sent. */
+ * store has served a call; until then, probes are sent.
+ *
+ * The end of a reused connection is no failure: when all connections are reset at once, all hosts
+ * would fail together and reject each other's calls, although new connections are served. */
 #pragma once
 
 #include <stdbool.h>
 #include <stdint.h>
 
+/* How a direct call ended. */
+enum fl_relay_outcome
+{
+  FL_RELAY_SERVED,       /* the store replied and did not reject the call */
+  FL_RELAY_FAILED,       /* rejected, or no reply */
+  FL_RELAY_INCONCLUSIVE, /* its reused connection ended before the reply */
+};
+
 struct fl_relay_path
 {
   bool has_failed;
@@ -20,9 +31,10 @@
 /* Records that a direct call is sent to which the store replies without waiting for changes. */
 void fl_relay_path_record_call (struct fl_relay_path *path, int64_t now_ms);
 
-/* Records the end of a call that fl_relay_path_record_call recorded. @served: the store replied and
- * did not reject the call. */
-void fl_relay_path_record_reply (struct fl_relay_path *path, bool served, int64_t now_ms);
+/* Records the end of a call that fl_relay_path_record_call recorded. */
+void fl_relay_path_record_end (struct fl_relay_path *path,
+                               enum fl_relay_outcome outcome,
+                               int64_t now_ms);
 
 /* Marks the path as failed if replies are overdue.
  * @return whether the next call should go directly. */
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -164,10 +164,12 @@
           FL_I ("peers", relay->peers->len));
 }
 
-static bool
-is_served (enum fl_store_status status)
+static enum fl_relay_outcome
+get_outcome (const struct fl_store_reply *reply)
 {
-  return status != FL_STORE_REJECTED && status != FL_STORE_UNKNOWN;
+  if (reply->status != FL_STORE_REJECTED && reply->status != FL_STORE_UNKNOWN)
+    return FL_RELAY_SERVED;
+  return reply->is_connection_stale ? FL_RELAY_INCONCLUSIVE : FL_RELAY_FAILED;
 }
 
 void
@@ -180,7 +182,7 @@
   /* A feed call counts only now: while it waits for changes, a missing reply is no failure. */
   if (!call->is_prompt)
     fl_relay_path_record_call (&relay->path, fl_clock_boot_ms ());
-  fl_relay_path_record_reply (&relay->path, is_served (reply->status), fl_clock_boot_ms ());
+  fl_relay_path_record_end (&relay->path, get_outcome (reply), fl_clock_boot_ms ());
   log_path_change (relay, had_failed);
   call->done (call->context, reply);
   g_free (call);
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -49,6 +49,9 @@
    * version of all rows that it wrote. */
   int64_t version;
   bool has_more; /* the range holds more rows */
+  /* With FL_STORE_UNKNOWN: a reused connection ended before the reply, which says nothing about
+   * whether the store accepts new connections and calls. */
+  bool is_connection_stale;
   struct fl_error error;
 };
 
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -30,6 +30,7 @@
   int calls_open;
   struct fl_http_result result; /* without the body */
   enum fl_store_status store_status;
+  bool is_connection_stale;
   enum fl_order_result order_result;
   bool advice_received;
 };
@@ -293,6 +294,7 @@
 
   fixture->calls_open--;
   fixture->store_status = reply->status;
+  fixture->is_connection_stale = reply->is_connection_stale;
 }
 
 static void
@@ -308,11 +310,11 @@
 struct transaction_case
 {
   const char *name;
-  enum support_connection_end end;
-  int later_status;
+  struct support_server_options server;
   /* expected: */
   int copies;
   enum fl_store_status status;
+  bool is_connection_stale;
 };
 
 /* A transaction that the store had applied was reported as rejected (refused jobs that ran). */
@@ -320,33 +322,37 @@
 test_transaction_after_reset (void **state)
 {
   static const struct transaction_case cases[] = {
-    { "served", SUPPORT_END_SERVED, 200, 1, FL_STORE_OK },
-    { "rejected", SUPPORT_END_SERVED, 503, 1, FL_STORE_REJECTED },
-    { "conflict", SUPPORT_END_SERVED, 412, 1, FL_STORE_CONFLICT },
-    { "reset, refused", SUPPORT_END_RESET, -1, 1, FL_STORE_UNKNOWN },
-    { "closed, refused", SUPPORT_END_CLOSED, -1, 1, FL_STORE_UNKNOWN },
-    { "reset, 503", SUPPORT_END_RESET, 503, 1, FL_STORE_UNKNOWN },
-    { "reset, 429", SUPPORT_END_RESET, 429, 1, FL_STORE_UNKNOWN },
-    { "reset, 412", SUPPORT_END_RESET, 412, 1, FL_STORE_UNKNOWN },
-    { "reset, 200", SUPPORT_END_RESET, 200, 1, FL_STORE_UNKNOWN },
+    { "served", { 1, SUPPORT_END_SERVED, 200, NULL }, 1, FL_STORE_OK, false },
+    { "rejected", { 1, SUPPORT_END_SERVED, 503, NULL }, 1, FL_STORE_REJECTED, false },
+    { "conflict", { 1, SUPPORT_END_SERVED, 412, NULL }, 1, FL_STORE_CONFLICT, false },
+    { "reset, refused", { 1, SUPPORT_END_RESET, -1, NULL }, 1, FL_STORE_UNKNOWN, true },
+    { "closed, refused", { 1, SUPPORT_END_CLOSED, -1, NULL }, 1, FL_STORE_UNKNOWN, true },
+    { "reset, 503", { 1, SUPPORT_END_RESET, 503, NULL }, 1, FL_STORE_UNKNOWN, true },
+    { "reset, 429", { 1, SUPPORT_END_RESET, 429, NULL }, 1, FL_STORE_UNKNOWN, true },
+    { "reset, 412", { 1, SUPPORT_END_RESET, 412, NULL }, 1, FL_STORE_UNKNOWN, true },
+    { "reset, 200", { 1, SUPPORT_END_RESET, 200, NULL }, 1, FL_STORE_UNKNOWN, true },
+    { "no reply", { 1, SUPPORT_END_SERVED, 0, NULL }, 1, FL_STORE_UNKNOWN, false },
+    { "new connection reset", { 0, SUPPORT_END_RESET, 200, NULL }, 1, FL_STORE_UNKNOWN, false },
   };
   int wrong = 0;
 
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct support_server_options options = { 1, cases[i].end, cases[i].later_status, NULL };
-      struct fixture *fixture = fixture_new (&options);
+      struct fixture *fixture = fixture_new (&cases[i].server);
       struct fl_platform_store *store
           = fl_platform_store_new (fixture->client, fixture->address.data);
       transact (fixture, fl_platform_store_get_interface (store));
       wait_until_done (fixture);
       enum fl_store_status status = fixture->store_status;
+      bool is_stale = fixture->is_connection_stale;
       fl_platform_store_free (store);
       int copies = fixture_free (fixture).requests;
-      bool is_right = copies == cases[i].copies && status == cases[i].status;
-      print_message ("%s transaction, %s: copies=%d result=%s\n", is_right ? "right" : "WRONG",
-                     cases[i].name, copies, fl_store_status_name (status));
+      bool is_right = copies == cases[i].copies && status == cases[i].status
+                      && is_stale == cases[i].is_connection_stale;
+      print_message ("%s transaction, %s: copies=%d result=%s is_connection_stale=%d\n",
+                     is_right ? "right" : "WRONG", cases[i].name, copies,
+                     fl_store_status_name (status), is_stale);
       wrong += is_right ? 0 : 1;
     }
   assert_int_equal (wrong, 0);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -21,25 +21,35 @@
   CALL_SENT,
   CALL_SERVED,
   CALL_FAILED,
+  CONNECTION_ENDED, /* a reused one, before the reply */
   TIME_PASSED,
 };
 
 /* Each step: an event, the time since the previous step, and whether the direct path is healthy
- * after the event. A rejected call, or more than 400 ms without a reply, makes the path fail. */
+ * after the event. A rejected call, or more than 400 ms without a reply, makes the path fail; the
+ * end of a reused connection neither does so nor mends it. */
 static void
 test_path_state (void **state)
 {
+  static const enum fl_relay_outcome outcomes[] = { [CALL_SERVED] = FL_RELAY_SERVED,
+                                                    [CALL_FAILED] = FL_RELAY_FAILED,
+                                                    [CONNECTION_ENDED] = FL_RELAY_INCONCLUSIVE };
   static const struct
   {
     enum path_event event;
     int64_t elapsed_ms;
     bool is_healthy;
   } steps[] = {
-    { TIME_PASSED, 0, true },    { CALL_SENT, 10, true },    { CALL_SERVED, 300, true },
-    { CALL_SENT, 1000, true },   { CALL_FAILED, 5, false },  { TIME_PASSED, 900, false },
-    { CALL_SENT, 0, false },     { CALL_SERVED, 5, true },   { CALL_SENT, 100, true },
-    { TIME_PASSED, 390, true },  { TIME_PASSED, 20, false }, { CALL_SENT, 10, false },
-    { CALL_SERVED, 1000, true }, { CALL_SERVED, 0, true },
+    { TIME_PASSED, 0, true },       { CALL_SENT, 10, true },        { CALL_SERVED, 300, true },
+    { CALL_SENT, 1000, true },      { CALL_FAILED, 5, false },      { TIME_PASSED, 900, false },
+    { CALL_SENT, 0, false },        { CALL_SERVED, 5, true },       { CALL_SENT, 100, true },
+    { TIME_PASSED, 390, true },     { TIME_PASSED, 20, false },     { CALL_SENT, 10, false },
+    { CALL_SERVED, 1000, true },    { CALL_SERVED, 0, true },       { CALL_SENT, 500, true },
+    { CONNECTION_ENDED, 5, true },  { TIME_PASSED, 900, true },     { CALL_SENT, 0, true },
+    { CALL_SENT, 300, true },       { CONNECTION_ENDED, 50, true }, { TIME_PASSED, 100, false },
+    { CONNECTION_ENDED, 0, false }, { CALL_SENT, 10, false },       { CONNECTION_ENDED, 10, false },
+    { CALL_SENT, 10, false },       { CALL_SERVED, 10, true },      { CALL_SENT, 10, true },
+    { CONNECTION_ENDED, 10, true }, { CALL_SENT, 10, true },        { CALL_FAILED, 10, false },
   };
   struct fl_relay_path path = { 0 };
   int64_t now_ms = 100000;
@@ -51,7 +61,7 @@
       if (steps[i].event == CALL_SENT)
         fl_relay_path_record_call (&path, now_ms);
       else if (steps[i].event != TIME_PASSED)
-        fl_relay_path_record_reply (&path, steps[i].event == CALL_SERVED, now_ms);
+        fl_relay_path_record_end (&path, outcomes[steps[i].event], now_ms);
       assert_int_equal (fl_relay_path_is_healthy (&path, now_ms), steps[i].is_healthy);
     }
 }
@@ -66,7 +76,7 @@
   (void)state;
   assert_false (fl_relay_path_claim_probe (&path, 1000));
   fl_relay_path_record_call (&path, 1000);
-  fl_relay_path_record_reply (&path, false, 1000);
+  fl_relay_path_record_end (&path, FL_RELAY_FAILED, 1000);
   for (int64_t now_ms = 1000; now_ms < 6000; now_ms += 100)
     probes += fl_relay_path_claim_probe (&path, now_ms) ? 1 : 0;
   assert_int_equal (probes, 9);
@@ -123,6 +133,7 @@
 {
   struct fl_store interface;
   bool rejects;
+  bool ends_connections; /* reused ones, before the reply */
   int calls;
   int writes;
   struct fl_str relay_row; /* the row that announces the only relay */
@@ -142,9 +153,13 @@
                        void *context)
 {
   struct fl_store_reply rejection = { .status = FL_STORE_REJECTED };
+  struct fl_store_reply ended = { .status = FL_STORE_UNKNOWN, .is_connection_stale = true };
 
   store->calls++;
-  done (context, store->rejects ? &rejection : served);
+  if (store->ends_connections)
+    done (context, &ended);
+  else
+    done (context, store->rejects ? &rejection : served);
 }
 
 static void
@@ -163,7 +178,7 @@
       fl_str_clear (&store->relay_row);
       store->relay_row = fl_str_dup (&transaction->writes[0].value);
     }
-  else if (!store->rejects)
+  else if (!store->rejects && !store->ends_connections)
     store->writes += (int)transaction->write_count;
   stub_store_send_reply (store, &reply, done, done_context);
 }
@@ -223,8 +238,9 @@
   while (result->status != FL_STORE_OK);
 }
 
-/* The store rejects one host and serves its peer. After one rejection the calls are relayed by the
- * peer; when the store rejects the peer too, the caller gets the rejection. */
+/* The end of a reused connection leaves the calls on the direct path. Then the store rejects one
+ * host and serves its peer. After one rejection the calls are relayed by the peer; when the store
+ * rejects the peer too, the caller gets the rejection. */
 static void
 test_calls_relayed_by_peer (void **state)
 {
@@ -259,6 +275,13 @@
   while (fl_relay_peer_count (relay) == 0)
     support_run_loop_for (loop, LOOP_STEP_S);
   assert_int_equal (fl_relay_largest_cpu_milli (relay), 500);
+  direct_store.ends_connections = true;
+  write_row (loop, store, &result);
+  assert_int_equal (result.status, FL_STORE_UNKNOWN);
+  direct_store.ends_connections = false;
+  write_row (loop, store, &result);
+  assert_int_equal (result.status, FL_STORE_OK);
+  assert_int_equal (direct_store.writes, 1);
   direct_store.rejects = true;
   write_row (loop, store, &result);
   assert_int_equal (result.status, FL_STORE_REJECTED);
@@ -270,7 +293,7 @@
   assert_int_equal (result.status, FL_STORE_REJECTED);
   direct_store.rejects = false;
   write_until_served (loop, store, &result);
-  assert_int_equal (direct_store.writes, 1);
+  assert_int_equal (direct_store.writes, 2);
   assert_int_equal (peer_store.writes, 1);
   fl_relay_free (relay);
   fl_relay_free (peer);
