Records are written again at once after the end of a reused connection

Starts of tasks and states shown to clients wait for records. A record whose transaction has no known outcome is written again 150 ms later, so as not to press a store that doesn't serve. Since transactions are sent once, the end of a reused connection has such an outcome, too, but a new connection may serve the next transaction at once.

No test of the suite shows it.

--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -49,7 +49,8 @@
   if (reply->status == FL_STORE_OK)
     return;
   fl_stats_add (term->poold->host->stats, "records_failed_total", 1);
-  if (reply->status != FL_STORE_CONFLICT)
+  /* A new connection may serve the next transaction at once. */
+  if (reply->status != FL_STORE_CONFLICT && !reply->is_connection_stale)
     term->next_store_ms = fl_clock_boot_ms () + RETRY_DELAY_MS;
   fl_log (&term->poold->host->log, FL_LOG_WARNING, "record_failed", FL_S ("what", what),
           FL_I ("status", reply->status), FL_S ("text", reply->error.text));
