The release of the pool is repeated after the end of a reused connection

An owner that stops releases the pool by one transaction, so that a standby takes over at its next read instead of after the lease, 1.2 s later. Since transactions are sent once, the end of a reused connection would leave the release undone. It is written once more in this case only; its condition on the row of the pool keeps it from touching the lease of a successor.

test_release: six sequences of replies; without the change three of them fail (one release instead of two).

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -89,6 +89,7 @@
   int64_t lease_unchanged_since_ms;  /* first read of seen_lease_version; 0 for none */
   int64_t lease_seen_renewed_ms;     /* last read that showed a change of the lease; 0 for none */
   bool previous_owner_may_be_active; /* another host owns the pool and has not released it */
+  bool release_repeated;
   void (*release_done) (void *context);
   void *release_done_context;
 };
@@ -433,8 +434,14 @@
 {
   struct fl_ownership *ownership = context;
 
-  (void)reply; /* without a reply the lease expires instead */
-  ownership->release_done (ownership->release_done_context);
+  /* Without a reply the lease expires instead, but a new connection may serve the call at once. */
+  if (reply->is_connection_stale && !ownership->release_repeated)
+    {
+      ownership->release_repeated = true;
+      write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
+    }
+  else
+    ownership->release_done (ownership->release_done_context);
 }
 
 void
--- /dev/null
+++ b/tests/test_release.c
@@ -0,0 +1,153 @@
+/* The release of the pool by an owner that stops, as a table of the store's replies. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "poold/ownership.h"
+
+#define REPLIES_MAX 3
+
+/* A store without an owner, which acknowledges the acquisition. */
+struct stub_store
+{
+  struct fl_store interface;
+  const struct fl_store_reply *release_replies; /* the last one is repeated */
+  size_t release_reply_count;
+  size_t writes; /* the first one acquires the pool */
+};
+
+static void
+stub_store_transact (void *context,
+                     const struct fl_store_transaction *transaction,
+                     int64_t timeout_ms,
+                     void (*done) (void *context, const struct fl_store_reply *reply),
+                     void *done_context)
+{
+  struct stub_store *store = context;
+  struct fl_store_reply acquired = { .status = FL_STORE_OK, .version = 1 };
+
+  (void)transaction;
+  (void)timeout_ms;
+  if (store->writes++ == 0)
+    done (done_context, &acquired);
+  else
+    done (done_context,
+          &store->release_replies[MIN (store->writes - 2, store->release_reply_count - 1)]);
+}
+
+static void
+stub_store_read (void *context,
+                 const char *table,
+                 const char *partition,
+                 const char *first_key,
+                 const char *end_key,
+                 int64_t timeout_ms,
+                 void (*done) (void *context, const struct fl_store_reply *reply),
+                 void *done_context)
+{
+  struct fl_store_reply reply = { .status = FL_STORE_OK };
+
+  (void)context;
+  (void)table;
+  (void)partition;
+  (void)first_key;
+  (void)end_key;
+  (void)timeout_ms;
+  done (done_context, &reply);
+}
+
+static int64_t
+get_now_ms (void *context)
+{
+  (void)context;
+  return 1000;
+}
+
+static void
+on_acquired (void *context, int64_t token, int64_t version, bool previous_owner_may_be_active)
+{
+  (void)context;
+  (void)token;
+  (void)version;
+  (void)previous_owner_may_be_active;
+}
+
+static void
+on_lost (void *context)
+{
+  (void)context;
+}
+
+static void
+on_released (void *context)
+{
+  int *count = context;
+
+  (*count)++;
+}
+
+/* The end of a reused connection left the release undone, so that a successor waited for the lease
+ * to expire. Other lost replies don't delay the stop. */
+static void
+test_release_lost_with_its_connection (void **state)
+{
+  static const struct fl_store_reply ok = { .status = FL_STORE_OK, .version = 2 };
+  static const struct fl_store_reply rejected = { .status = FL_STORE_REJECTED };
+  static const struct fl_store_reply no_reply = { .status = FL_STORE_UNKNOWN };
+  static const struct fl_store_reply connection_ended
+      = { .status = FL_STORE_UNKNOWN, .is_connection_stale = true };
+  const struct
+  {
+    const char *name;
+    struct fl_store_reply replies[REPLIES_MAX];
+    size_t reply_count;
+    size_t releases; /* expected */
+  } cases[] = {
+    { "released", { ok }, 1, 1 },
+    { "rejected", { rejected }, 1, 1 },
+    { "no reply", { no_reply }, 1, 1 },
+    { "connection ended", { connection_ended, ok }, 2, 2 },
+    { "connection ended, no reply", { connection_ended, no_reply }, 2, 2 },
+    { "connections ended", { connection_ended }, 1, 2 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct stub_store store
+          = { .interface = { &store, stub_store_transact, stub_store_read, NULL },
+              .release_replies = cases[i].replies,
+              .release_reply_count = cases[i].reply_count };
+      struct fl_log log = { .level = FL_LOG_ERR };
+      struct fl_ownership_options options = { .clock = { get_now_ms, NULL },
+                                              .log = &log,
+                                              .store = &store.interface,
+                                              .host = fl_name_of ("h1"),
+                                              .on_acquired = on_acquired,
+                                              .on_lost = on_lost };
+      struct fl_ownership *ownership = fl_ownership_new (&options);
+      int released = 0;
+      fl_ownership_tick (ownership);
+      assert_true (fl_ownership_has_authority (ownership));
+      fl_ownership_release (ownership, on_released, &released);
+      print_message ("%s: releases=%zu\n", cases[i].name, store.writes - 1);
+      assert_int_equal (store.writes - 1, cases[i].releases);
+      assert_int_equal (released, 1);
+      assert_false (fl_ownership_has_authority (ownership));
+      fl_ownership_free (ownership);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_release_lost_with_its_connection),
+  };
+
+  return cmocka_run_group_tests_name ("release", tests, NULL, NULL);
+}
