--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -173,6 +173,7 @@
       result.maybe_sent = call->sent_count > 0;
       result.is_refused = was_refused (call, code);
       result.is_connection_stale = call->prevented_resend;
+      fl_stats_add (client->stats, "http_calls_cut_total", call->prevented_resend ? 1 : 0);
       fl_fail (&result.error, result.maybe_sent ? FL_UNKNOWN : FL_UNAVAILABLE, "http_call",
                call->url, "%s", describe_failure (call, code));
     }
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -228,18 +228,20 @@
   struct fixture *fixture = fixture_new (&row->server);
   struct fl_http_result result;
   int64_t resent;
+  int64_t cut;
 
   fixture->sends_allowed = row->sends_allowed;
   start_call (fixture, method, body, row->is_resendable);
   wait_until_done (fixture);
   result = fixture->result;
   resent = fl_stats_get (fixture->stats, "http_calls_resent_total");
+  cut = fl_stats_get (fixture->stats, "http_calls_cut_total");
   struct support_server_counts counts = fixture_free (fixture);
   int new_connections = counts.connections - row->server.idle_connections;
   bool is_right = counts.requests == row->copies && new_connections == row->new_connections
-                  && resent == MAX (row->copies - 1, 0) && result.status == row->status
-                  && result.maybe_sent == row->maybe_sent && !result.is_refused
-                  && result.is_connection_stale == row->is_connection_stale;
+                  && resent == MAX (row->copies - 1, 0) && cut == (row->is_connection_stale ? 1 : 0)
+                  && result.status == row->status && result.maybe_sent == row->maybe_sent
+                  && !result.is_refused && result.is_connection_stale == row->is_connection_stale;
   print_message ("%s %s%s, %s: copies=%d connections=%d resent=%d status=%d maybe_sent=%d "
                  "is_refused=%d is_connection_stale=%d\n",
                  is_right ? "right" : "WRONG", method, row->is_resendable ? " resendable" : "",
