Test: requests without a response when flamingo-frontd stops

The tests fail: 7 of 11 requests that are open when SIGTERM arrives get no response, as do all 20 clients that go on sending until the process is gone. libmicrohttpd aborts the process when it is stopped with a suspended connection (exit code 134).

--- /dev/null
+++ b/tests/test_front_stop.c
@@ -0,0 +1,337 @@
+/* What clients see of flamingo-frontd while it stops: every request that was sent completely gets a
+ * complete response. Each case runs fl_frontd_serve in a child process and stops it by SIGTERM. */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "frontd/frontd.h"
+#include "support_http.h"
+#include "support_slow_store.h"
+
+#define CONFIGURATION                                                                              \
+  "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"x.example\",\"pathPrefix\":\"/q/\","      \
+  "\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}],\"tenants\":[]}"
+#define GRACEFUL_STOP_S 2
+/* Much longer than any timeout of a store call. */
+#define NEVER_MS 1000000
+
+#define JOB_BODY "{\"spec\":\"\",\"steps\":[{\"count\":1,\"cpu\":1,\"memMb\":1}]}"
+G_STATIC_ASSERT (sizeof JOB_BODY == 51 + 1); /* the Content-Length below */
+#define HEADERS "Host: x.example\r\nContent-Type: application/json\r\n"
+#define SUBMIT_HEAD "POST /q/00000000000000aa HTTP/1.1\r\n" HEADERS "Content-Length: 51\r\n\r\n"
+#define SUBMIT SUBMIT_HEAD JOB_BODY
+#define SHOW "GET /q/00000000000000aa HTTP/1.1\r\n" HEADERS "\r\n"
+#define CANCEL "DELETE /q/00000000000000aa HTTP/1.1\r\n" HEADERS "\r\n"
+#define COUNT "GET /q/ HTTP/1.1\r\n" HEADERS "\r\n"
+#define NATIVE_WAIT "GET /v1/jobs/00000000000000aa?queue=q&wait=1 HTTP/1.1\r\n" HEADERS "\r\n"
+
+struct front
+{
+  int pid;
+  int port;
+  int ready_port;
+  int native_port;
+};
+
+static struct fl_name
+loopback_endpoint (int port)
+{
+  return fl_name_format ("127.0.0.1:%d", port);
+}
+
+static int
+serve (const struct front *front, int64_t store_delay_ms, const char *configuration)
+{
+  struct fl_host host = { .log = { .level = FL_LOG_ERR, .program = "test_front_stop" } };
+  struct slow_store_options options;
+
+  host.loop = ev_default_loop (EVFLAG_AUTO);
+  host.stats = fl_stats_new ();
+  host.settings.front = loopback_endpoint (front->port);
+  host.settings.ready = loopback_endpoint (front->ready_port);
+  host.settings.native_api = loopback_endpoint (front->native_port);
+  host.settings.graceful_stop_s = GRACEFUL_STOP_S;
+  options = (struct slow_store_options){ host.loop, store_delay_ms, configuration };
+  host.store = slow_store_get_interface (slow_store_new (&options));
+  return fl_frontd_serve (&host);
+}
+
+/* Starts flamingo-frontd in a child process and waits until it listens, and until it is ready if it
+ * has a configuration. */
+static struct front
+start_front (int64_t store_delay_ms, const char *configuration)
+{
+  struct front front = { 0, test_free_port (), test_free_port (), test_free_port () };
+  struct test_client client = { .fd = -1 };
+  int status = 0;
+
+  front.pid = fork ();
+  assert_true (front.pid >= 0);
+  if (front.pid == 0)
+    {
+      signal (SIGPIPE, SIG_IGN);
+      _exit (serve (&front, store_delay_ms, configuration));
+    }
+  while (status != 200 && (status == 0 || configuration != NULL))
+    {
+      assert_true (client.fd >= 0 || test_client_connect (&client, front.ready_port, true));
+      test_client_request (&client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+      status = test_client_await (&client);
+    }
+  test_client_close (&client);
+  return front;
+}
+
+/* --- one request that is open when the stop begins --- */
+
+/* A request, in two parts: one is sent before the stop and the other while stopping. */
+static const struct
+{
+  const char *name;
+  int64_t store_delay_ms;
+  const char *configuration;
+  bool is_native;
+  const char *before;
+  const char *after;
+  int status; /* of the response */
+} open_request_cases[] = {
+  { "a submission waits for the store", 400, CONFIGURATION, false, SUBMIT, "", 200 },
+  { "a query waits for the store", 400, CONFIGURATION, false, SHOW, "", 410 },
+  { "a count waits for the store", 400, CONFIGURATION, false, COUNT, "", 200 },
+  /* 503 would say that the job was not accepted. */
+  { "a submission of unknown outcome", NEVER_MS, CONFIGURATION, false, SUBMIT, "", 504 },
+  { "a query without a reply of the store", NEVER_MS, CONFIGURATION, false, SHOW, "", 504 },
+  { "a cancellation without a reply", NEVER_MS, CONFIGURATION, false, CANCEL, "", 504 },
+  { "a count without a reply", NEVER_MS, CONFIGURATION, false, COUNT, "", 504 },
+  { "a native request waits for the store", NEVER_MS, CONFIGURATION, true, NATIVE_WAIT, "", 504 },
+  { "a submission waits for the configuration", 0, NULL, false, SUBMIT, "", 503 },
+  { "the rest of the body arrives while stopping", 0, CONFIGURATION, false, SUBMIT_HEAD, JOB_BODY,
+    200 },
+  { "a half-sent body waits for the configuration", 0, NULL, false, SUBMIT_HEAD, JOB_BODY, 503 },
+};
+
+static void
+test_open_request_is_answered (void **state)
+{
+  struct front fronts[G_N_ELEMENTS (open_request_cases)];
+  struct test_client clients[G_N_ELEMENTS (open_request_cases)];
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (open_request_cases); i++)
+    fronts[i]
+        = start_front (open_request_cases[i].store_delay_ms, open_request_cases[i].configuration);
+  for (size_t i = 0; i < G_N_ELEMENTS (open_request_cases); i++)
+    {
+      int port = open_request_cases[i].is_native ? fronts[i].native_port : fronts[i].port;
+      clients[i] = (struct test_client){ .fd = -1 };
+      assert_true (test_client_connect (&clients[i], port, false));
+      test_client_request (&clients[i], open_request_cases[i].before);
+    }
+  usleep (100 * 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (open_request_cases); i++)
+    kill (fronts[i].pid, SIGTERM);
+  usleep (100 * 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (open_request_cases); i++)
+    test_client_send (&clients[i], open_request_cases[i].after);
+  for (size_t i = 0; i < G_N_ELEMENTS (open_request_cases); i++)
+    {
+      int status = test_client_await (&clients[i]);
+      int code = test_wait_for_exit (fronts[i].pid);
+      test_client_close (&clients[i]);
+      if (status == open_request_cases[i].status && code == 0)
+        continue;
+      print_error ("%s: status %d instead of %d, exit code %d\n", open_request_cases[i].name,
+                   status, open_request_cases[i].status, code);
+      failures++;
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* --- many clients until the process is gone --- */
+
+#define BUSY_CLIENTS 20
+
+static const struct
+{
+  const char *name;
+  int64_t store_delay_ms;
+  const char *configuration;
+} busy_cases[] = {
+  { "the store replies at once", 0, CONFIGURATION },
+  { "the store replies after 80 ms", 80, CONFIGURATION },
+  { "the store replies after 500 ms", 500, CONFIGURATION },
+  { "the store does not reply", NEVER_MS, CONFIGURATION },
+  { "no configuration", 0, NULL },
+};
+
+/* Sends requests on @client until the connection is refused. Counts connections that were closed
+ * while a request was open. */
+static void
+continue_client (struct test_client *client, int port, int *answered, int *unanswered)
+{
+  bool was_awaiting = client->awaits_response;
+  int status = client->fd >= 0 ? test_client_poll (client, 0) : 0;
+
+  if (status > 0)
+    ++*answered;
+  else if (status < 0 && was_awaiting)
+    ++*unanswered;
+  if (client->fd < 0)
+    test_client_connect (client, port, false);
+  if (client->fd >= 0 && !client->awaits_response)
+    test_client_request (client, SUBMIT);
+}
+
+/* Requests on open and on new connections, from before the stop until the process is gone. */
+static void
+test_no_request_is_lost_by_a_stop (void **state)
+{
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (busy_cases); i++)
+    {
+      struct front front = start_front (busy_cases[i].store_delay_ms, busy_cases[i].configuration);
+      struct test_client clients[BUSY_CLIENTS];
+      int answered = 0;
+      int unanswered = 0;
+      int open = BUSY_CLIENTS;
+      int code;
+
+      for (int c = 0; c < BUSY_CLIENTS; c++)
+        {
+          clients[c] = (struct test_client){ .fd = -1 };
+          assert_true (test_client_connect (&clients[c], front.port, false));
+        }
+      for (int64_t round = 0; open > 0; round++)
+        {
+          if (round == 100)
+            kill (front.pid, SIGTERM);
+          open = 0;
+          for (int c = 0; c < BUSY_CLIENTS; c++)
+            {
+              continue_client (&clients[c], front.port, &answered, &unanswered);
+              open += clients[c].fd >= 0 ? 1 : 0;
+            }
+          usleep (2000);
+        }
+      code = test_wait_for_exit (front.pid);
+      if (unanswered == 0 && answered > 0 && code == 0)
+        continue;
+      print_error ("%s: answered %d, unanswered %d, exit code %d\n", busy_cases[i].name, answered,
+                   unanswered, code);
+      failures++;
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* --- connections that were idle when the stop began --- */
+
+#define IDLE_CLIENTS 60
+
+/* Every 40 ms, a connection that has been idle sends a request. Only the last one may find that the
+ * process ends at that moment. */
+static void
+test_idle_connections_are_served_to_the_end (void **state)
+{
+  struct front front = start_front (80, CONFIGURATION);
+  struct test_client clients[IDLE_CLIENTS];
+  int answered = 0;
+  int used = 0;
+
+  (void)state;
+  for (int c = 0; c < IDLE_CLIENTS; c++)
+    {
+      clients[c] = (struct test_client){ .fd = -1 };
+      assert_true (test_client_connect (&clients[c], front.port, false));
+      assert_true (test_client_request (&clients[c], SHOW));
+      assert_int_equal (test_client_await (&clients[c]), 410);
+    }
+  kill (front.pid, SIGTERM);
+  while (used < IDLE_CLIENTS && test_client_poll (&clients[used], 0) == 0
+         && test_client_request (&clients[used], SUBMIT))
+    {
+      used++;
+      usleep (40 * 1000);
+    }
+  for (int c = 0; c < used; c++)
+    answered += test_client_await (&clients[c]) > 0 ? 1 : 0;
+  for (int c = 0; c < IDLE_CLIENTS; c++)
+    test_client_close (&clients[c]);
+  assert_true (used > 1 && used < IDLE_CLIENTS);
+  assert_in_range (answered, used - 1, used);
+  assert_int_equal (test_wait_for_exit (front.pid), 0);
+}
+
+/* --- the end of the process --- */
+
+enum leftover
+{
+  NOTHING,
+  IDLE_CONNECTION,
+  HALF_SENT_REQUEST,
+};
+
+/* Connections without a complete request do not keep the process from ending, nor do further
+ * signals. */
+static void
+test_process_ends (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum leftover leftover;
+    int signals;
+  } cases[] = {
+    { "nothing is open", NOTHING, 1 },
+    { "SIGTERM twice", NOTHING, 2 },
+    { "an idle connection", IDLE_CONNECTION, 1 },
+    { "a half-sent request", HALF_SENT_REQUEST, 2 },
+  };
+
+  struct front fronts[G_N_ELEMENTS (cases)];
+  struct test_client clients[G_N_ELEMENTS (cases)];
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fronts[i] = start_front (0, CONFIGURATION);
+      clients[i] = (struct test_client){ .fd = -1 };
+      if (cases[i].leftover != NOTHING)
+        assert_true (test_client_connect (&clients[i], fronts[i].port, false));
+      if (cases[i].leftover == HALF_SENT_REQUEST)
+        assert_true (test_client_send (&clients[i], SUBMIT_HEAD));
+      for (int s = 0; s < cases[i].signals; s++)
+        {
+          usleep (50 * 1000);
+          kill (fronts[i].pid, SIGTERM);
+        }
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int code = test_wait_for_exit (fronts[i].pid);
+      test_client_close (&clients[i]);
+      if (code != 0)
+        fail_msg ("%s: exit code %d", cases[i].name, code);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_open_request_is_answered),
+          cmocka_unit_test (test_no_request_is_lost_by_a_stop),
+          cmocka_unit_test (test_idle_connections_are_served_to_the_end),
+          cmocka_unit_test (test_process_ends) };
+
+  return cmocka_run_group_tests_name ("front_stop", tests, NULL, NULL);
+}
