Stop of flamingo-frontd: every request gets a response

The process ended 1.2 s before it would have been killed, whatever was open, and admitted new requests from open connections until then; libmicrohttpd aborted it if a connection was suspended.

The stop now has phases (lib/frontd/drain.c): requests are served as long as they can complete, then rejected at once with 503, which is true since nothing was done for them; open ones have their response brought forward, 504 where a write may have taken effect. The listening socket is closed late, after the connections that wait have been accepted. The process ends when no connection is open, or 0.4 s before it would be killed. fl_http_server_free responds to what is left with 504, and with 503 to what the handler has not seen.

--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -95,7 +95,7 @@
   struct fl_http_response response = { .status = status,
                                        .body = body != NULL ? body->data : "{}",
                                        .len = body != NULL ? body->len : 2,
-                                       .close_connection = call->frontd->stopping };
+                                       .close_connection = front_is_stopping (call->frontd) };
 
   if (status == 503 || status == 429)
     response.retry_after_ms = FRONT_RETRY_AFTER_MS;
@@ -106,6 +106,13 @@
   g_free (call);
 }
 
+/* The time by which the response is due, for the client or because the process ends. */
+static int64_t
+get_respond_by_ms (const struct front_call *call)
+{
+  return MIN (call->respond_by_ms, front_drain_get_respond_by_ms (&call->frontd->drain));
+}
+
 void
 front_call_schedule_retry (struct front_call *call,
                            void (*retry) (struct front_call *call),
@@ -113,7 +120,7 @@
 {
   int64_t retry_delay_ms = CLAMP (call->retry_delay_ms * 2, RETRY_DELAY_MIN_MS, RETRY_DELAY_MAX_MS);
 
-  if (fl_clock_boot_ms () + retry_delay_ms >= call->respond_by_ms)
+  if (fl_clock_boot_ms () + retry_delay_ms >= get_respond_by_ms (call))
     {
       front_call_respond (call, timeout_status, NULL);
       return;
@@ -137,7 +144,7 @@
 int64_t
 front_call_store_timeout_ms (const struct front_call *call)
 {
-  int64_t left_ms = call->respond_by_ms - fl_clock_boot_ms ();
+  int64_t left_ms = get_respond_by_ms (call) - fl_clock_boot_ms ();
 
   return CLAMP (left_ms, 1, STORE_TIMEOUT_MS);
 }
@@ -145,7 +152,7 @@
 bool
 front_call_has_time_left (const struct front_call *call)
 {
-  return fl_clock_boot_ms () < call->respond_by_ms;
+  return fl_clock_boot_ms () < get_respond_by_ms (call);
 }
 
 bool
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -18,8 +18,8 @@
 #define CONNECTIONS_MAX 3000
 #define IDLE_TIMEOUT_MS 15000
 #define UPLOAD_TIMEOUT_MS 3000
-/* After SIGTERM, requests are served until this long before the process would be killed. */
-#define STOP_MARGIN_MS 1200
+/* Interval between updates of the drain. */
+#define DRAIN_INTERVAL_S 0.02
 #define JOB_ID_LEN 16
 
 bool
@@ -30,13 +30,26 @@
                 <= CONFIRMATION_AGE_MAX_MS;
 }
 
+bool
+front_is_stopping (const struct fl_frontd *frontd)
+{
+  return frontd->drain.phase != FRONT_DRAIN_NONE;
+}
+
+bool
+front_is_rejecting (const struct fl_frontd *frontd)
+{
+  return frontd->drain.phase >= FRONT_DRAIN_REJECTING;
+}
+
 /* --- requests --- */
 
 void
 front_respond (struct fl_frontd *frontd, struct fl_http_request *request, int status)
 {
-  struct fl_http_response response
-      = { .status = status, .body = "{}", .len = 2, .close_connection = frontd->stopping };
+  struct fl_http_response response = {
+    .status = status, .body = "{}", .len = 2, .close_connection = front_is_stopping (frontd)
+  };
 
   if (status == 503)
     response.retry_after_ms = FRONT_RETRY_AFTER_MS;
@@ -51,9 +64,10 @@
 {
   json_t *json = json_pack ("{s:s}", "error", text);
   struct fl_str body = fl_json_encode (json);
-  struct fl_http_response response = {
-    .status = status, .body = body.data, .len = body.len, .close_connection = frontd->stopping
-  };
+  struct fl_http_response response = { .status = status,
+                                       .body = body.data,
+                                       .len = body.len,
+                                       .close_connection = front_is_stopping (frontd) };
 
   fl_http_respond (request, &response);
   fl_str_clear (&body);
@@ -173,7 +187,9 @@
 {
   struct fl_frontd *frontd = context;
 
-  if (front_configuration_is_confirmed (frontd))
+  if (front_is_rejecting (frontd))
+    reject_request (frontd, request, 503, "stopping");
+  else if (front_configuration_is_confirmed (frontd))
     handle_request (frontd, request);
   else
     front_wait_for_configuration (frontd, request, handle_request, reject_unconfirmed);
@@ -185,7 +201,8 @@
   struct fl_frontd *frontd = context;
 
   front_respond (frontd, request,
-                 front_configuration_is_confirmed (frontd) && !frontd->stopping ? 200 : 503);
+                 front_configuration_is_confirmed (frontd) && !front_is_stopping (frontd) ? 200
+                                                                                          : 503);
 }
 
 /* --- start and stop --- */
@@ -217,31 +234,81 @@
   return fl_http_server_new (&options, error);
 }
 
+static int
+count_open_connections (const struct fl_frontd *frontd)
+{
+  int count = fl_http_server_open_connections (frontd->client_server);
+
+  if (frontd->native_server != NULL)
+    count += fl_http_server_open_connections (frontd->native_server);
+  return count;
+}
+
+static int
+count_open_requests (const struct fl_frontd *frontd)
+{
+  int count = fl_http_server_open_requests (frontd->client_server);
+
+  if (frontd->native_server != NULL)
+    count += fl_http_server_open_requests (frontd->native_server);
+  return count;
+}
+
+static void
+enter_drain_phase (struct fl_frontd *frontd, enum front_drain_phase phase)
+{
+  const struct fl_log *log = &frontd->host->log;
+
+  if (phase >= FRONT_DRAIN_CLOSING)
+    {
+      fl_http_server_stop_listening (frontd->client_server);
+      fl_http_server_stop_listening (frontd->native_server);
+    }
+  if (phase == FRONT_DRAIN_ENDED)
+    {
+      fl_log (log, FL_LOG_NOTICE, "serving_ended",
+              FL_I ("open_requests", count_open_requests (frontd)),
+              FL_I ("open_connections", count_open_connections (frontd)));
+      ev_break (frontd->host->loop, EVBREAK_ALL);
+    }
+  else
+    fl_log (log, FL_LOG_INFO, "stop_phase", FL_I ("phase", phase),
+            FL_I ("open_requests", count_open_requests (frontd)),
+            FL_I ("open_connections", count_open_connections (frontd)));
+}
+
 static void
-on_stop_timer (struct ev_loop *loop, ev_timer *timer, int events)
+on_drain_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct fl_frontd *frontd = timer->data;
+  enum front_drain_phase previous = frontd->drain.phase;
+  int64_t now_ms = fl_clock_boot_ms ();
+  enum front_drain_phase phase;
 
+  (void)loop;
   (void)events;
-  fl_log (&frontd->host->log, FL_LOG_NOTICE, "serving_ended",
-          FL_I ("open_requests", fl_http_server_open_requests (frontd->client_server)));
-  ev_break (loop, EVBREAK_ALL);
+  if (count_open_connections (frontd) > 0)
+    frontd->last_open_ms = now_ms;
+  phase = front_drain_update (&frontd->drain, now_ms, frontd->last_open_ms);
+  if (phase != previous)
+    enter_drain_phase (frontd, phase);
 }
 
-/* Keeps serving requests until the stop timer fires. The ready endpoint now returns 503, so that
- * the load balancer stops sending requests. */
+/* Starts the drain. The ready endpoint now returns 503, so that the load balancer stops sending
+ * connections. */
 static void
 on_stop (void *context)
 {
   struct fl_frontd *frontd = context;
-  int64_t serve_ms = frontd->host->settings.graceful_stop_s * 1000 - STOP_MARGIN_MS;
+  int64_t graceful_stop_ms = frontd->host->settings.graceful_stop_s * 1000;
 
-  if (frontd->stopping)
+  if (front_is_stopping (frontd))
     return;
-  frontd->stopping = true;
-  fl_log (&frontd->host->log, FL_LOG_NOTICE, "stopping", FL_I ("serve_ms", serve_ms));
-  ev_timer_set (&frontd->stop_timer, (double)MAX (serve_ms, 0) / 1000.0, 0.0);
-  ev_timer_start (frontd->host->loop, &frontd->stop_timer);
+  frontd->last_open_ms = fl_clock_boot_ms ();
+  front_drain_start (&frontd->drain, frontd->last_open_ms, graceful_stop_ms);
+  fl_log (&frontd->host->log, FL_LOG_NOTICE, "stopping",
+          FL_I ("serve_ms", front_drain_get_respond_by_ms (&frontd->drain) - frontd->last_open_ms));
+  ev_timer_start (frontd->host->loop, &frontd->drain_timer);
 }
 
 static void
@@ -285,8 +352,8 @@
   struct fl_error error = { 0 };
   int code = FL_PROGRAM_OK;
 
-  ev_timer_init (&frontd.stop_timer, on_stop_timer, 0.0, 0.0);
-  frontd.stop_timer.data = &frontd;
+  ev_timer_init (&frontd.drain_timer, on_drain_timer, DRAIN_INTERVAL_S, DRAIN_INTERVAL_S);
+  frontd.drain_timer.data = &frontd;
   if (open_listeners (&frontd, &error))
     {
       fl_stop_signals_start (&frontd.stop_signals, host->loop, on_stop, &frontd);
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -1,6 +1,7 @@
 /* Internals of flamingo-frontd. */
 #pragma once
 
+#include "frontd/drain.h"
 #include "frontd/frontd.h"
 #include "host/configuration_watch.h"
 #include "store/tables.h"
@@ -17,8 +18,9 @@
   struct fl_http_server *native_server; /* NULL when the settings define no endpoint */
   struct fl_configuration_watch configuration_watch;
   struct fl_stop_signals stop_signals;
-  ev_timer stop_timer;
-  bool stopping;
+  struct front_drain drain;
+  ev_timer drain_timer;
+  int64_t last_open_ms; /* when a client connection was last open, while stopping */
 };
 
 /* A client request from its arrival to the response, while it waits for the store. */
@@ -30,7 +32,7 @@
   struct fl_name queue;
   int64_t configuration_version; /* in force when the request was admitted */
   int64_t arrived_ms;
-  int64_t respond_by_ms;    /* time by which the response is due */
+  int64_t respond_by_ms;    /* time by which the client needs the response */
   struct fl_str job_row;    /* submission: the encoded job */
   int64_t expected_version; /* submission: version of the row that job_row replaces; 0 for none */
   bool wait_for_end;        /* respond when the job has ended or the time is up */
@@ -69,6 +71,12 @@
                       const struct fl_queue *queue,
                       struct fl_name *team);
 
+/* @return whether the process stops, so that responses close their connections. */
+bool front_is_stopping (const struct fl_frontd *frontd);
+
+/* @return whether new requests are rejected because the process is about to end. */
+bool front_is_rejecting (const struct fl_frontd *frontd);
+
 /* @return whether the configuration was confirmed recently enough to handle requests. */
 bool front_configuration_is_confirmed (const struct fl_frontd *frontd);
 
@@ -78,13 +86,13 @@
  * @return the time in ms, from the request's arrival, within which the response is due. */
 int64_t front_response_timeout_ms (const char *deadline);
 
-/* @return the time (boot clock) by which the response to @request is due. */
+/* @return the time (boot clock) by which the client needs the response to @request. */
 int64_t front_respond_by_ms (const struct fl_http_request *request);
 
 /* --- waiting.c --- */
 
 /* Holds @request until the configuration is confirmed and calls @handle, or calls @reject if the
- * response becomes due first. */
+ * response becomes due or new requests are rejected first. */
 void front_wait_for_configuration (struct fl_frontd *frontd,
                                    struct fl_http_request *request,
                                    void (*handle) (struct fl_frontd *frontd,
--- a/lib/frontd/native_api.c
+++ b/lib/frontd/native_api.c
@@ -116,7 +116,7 @@
   const struct fl_queue *queue;
   struct fl_name team;
 
-  if (!front_configuration_is_confirmed (frontd))
+  if (front_is_rejecting (frontd) || !front_configuration_is_confirmed (frontd))
     {
       front_respond (frontd, request, 503);
       return;
--- a/lib/frontd/waiting.c
+++ b/lib/frontd/waiting.c
@@ -26,12 +26,14 @@
 {
   struct waiting_request *waiting = timer->data;
   bool is_confirmed = front_configuration_is_confirmed (waiting->frontd);
+  bool may_wait = !front_is_rejecting (waiting->frontd)
+                  && fl_clock_boot_ms () < front_respond_by_ms (waiting->request);
 
   (void)events;
-  if (!is_confirmed && fl_clock_boot_ms () < front_respond_by_ms (waiting->request))
+  if (!is_confirmed && may_wait)
     return;
   ev_timer_stop (loop, timer);
-  if (is_confirmed)
+  if (may_wait)
     waiting->handle (waiting->frontd, waiting->request);
   else
     waiting->reject (waiting->frontd, waiting->request);
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -17,6 +18,10 @@
 /* Interval of the check for idle and slow connections. */
 #define SWEEP_INTERVAL_S 1.0
 #define LISTEN_BACKLOG 1024
+/* For the responses that fl_http_server_free sends: many times what the kernel needs to take them.
+ */
+#define FREE_FLUSH_MS 100
+#define FREE_RETRY_AFTER_MS 1000
 
 struct fl_http_server
 {
@@ -27,8 +32,11 @@
   ev_timer wakeup_timer;
   ev_timer sweep_timer;
   struct connection *connections; /* list head */
-  int open_requests;
-  bool resumed; /* a connection was resumed since libmicrohttpd last ran */
+  int connection_count;
+  GHashTable *open_requests; /* set of complete requests without a response */
+  int unsent_responses;      /* complete requests whose response has not been sent completely */
+  bool closing;              /* fl_http_server_free has been called */
+  bool resumed;              /* a connection was resumed since libmicrohttpd last ran */
 };
 
 /* One TCP connection, from accept to close. */
@@ -89,6 +97,7 @@
       if (connection->next != NULL)
         connection->next->previous = connection;
       server->connections = connection;
+      server->connection_count++;
       *socket_context = connection;
       return;
     }
@@ -100,6 +109,7 @@
     connection->previous->next = connection->next;
   else
     server->connections = connection->next;
+  server->connection_count--;
   g_free (connection);
   *socket_context = NULL;
 }
@@ -177,6 +187,18 @@
     g_string_append_len (request->body, data, (gssize)len);
 }
 
+/* Responds to a request while the server is being freed. */
+static void
+respond_closing (struct fl_http_request *request, int status)
+{
+  struct fl_http_response response
+      = { .status = status, .body = "{}", .len = 2, .close_connection = true };
+
+  if (status == 503)
+    response.retry_after_ms = FREE_RETRY_AFTER_MS;
+  fl_http_respond (request, &response);
+}
+
 static void
 dispatch_request (struct fl_http_request *request)
 {
@@ -184,7 +206,8 @@
 
   request->dispatched = true;
   request->arrived_ms = fl_clock_boot_ms ();
-  server->open_requests++;
+  g_hash_table_add (server->open_requests, request);
+  server->unsent_responses++;
   request->body_view = (struct fl_str){ request->body->len, request->body->str };
   if (request->connection != NULL)
     request->connection->uploading = false;
@@ -195,6 +218,8 @@
                "the body is longer than %" G_GINT64_FORMAT " bytes", server->options.body_max);
       fl_http_respond_error (request, &error);
     }
+  else if (server->closing)
+    respond_closing (request, 503);
   else
     server->options.on_request (server->options.context, request);
 }
@@ -246,6 +271,8 @@
   (void)code;
   if (request == NULL)
     return;
+  if (request->dispatched)
+    request->server->unsent_responses--;
   if (request->connection != NULL)
     {
       request->connection->in_request = false;
@@ -325,10 +352,12 @@
   struct fl_http_server *server = g_new0 (struct fl_http_server, 1);
 
   server->options = *options;
+  server->open_requests = g_hash_table_new (NULL, NULL);
   address.sin_port = htons ((uint16_t)options->port);
   if (inet_pton (AF_INET, options->address, &address.sin_addr) != 1)
     {
       fl_fail (error, FL_INVALID, "http_listen", options->address, "not an IPv4 address");
+      g_hash_table_destroy (server->open_requests);
       g_free (server);
       return NULL;
     }
@@ -343,6 +372,7 @@
     {
       fl_fail (error, FL_INTERNAL, "http_listen", options->address, "cannot listen on port %d",
                (int)options->port);
+      g_hash_table_destroy (server->open_requests);
       g_free (server);
       return NULL;
     }
@@ -350,16 +380,74 @@
   return server;
 }
 
+void
+fl_http_server_stop_listening (struct fl_http_server *server)
+{
+  MHD_socket listener = server != NULL ? MHD_quiesce_daemon (server->daemon) : MHD_INVALID_SOCKET;
+  struct sockaddr_in address;
+  socklen_t len = sizeof address;
+  int fd;
+
+  if (listener == MHD_INVALID_SOCKET)
+    return;
+  while ((fd = accept4 (listener, (struct sockaddr *)&address, &len, SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      /* Closes the socket if it fails. */
+      MHD_add_connection (server->daemon, fd, (struct sockaddr *)&address, len);
+      len = sizeof address;
+    }
+  close (listener);
+}
+
+/* Lets libmicrohttpd read what has arrived, and send the responses. */
+static void
+flush_responses (struct fl_http_server *server)
+{
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  struct pollfd epoll = { .fd = info->epoll_fd, .events = POLLIN };
+  int64_t until_ms = now_ms () + FREE_FLUSH_MS;
+
+  MHD_run (server->daemon);
+  /* Resumed connections are not signalled by the epoll descriptor, so do not wait for it first. */
+  MHD_run (server->daemon);
+  while (server->unsent_responses > 0 && now_ms () < until_ms)
+    {
+      poll (&epoll, 1, (int)(until_ms - now_ms ()));
+      MHD_run (server->daemon);
+    }
+}
+
+/* Responds to the requests that the handler has not responded to. */
+static void
+respond_to_open_requests (struct fl_http_server *server)
+{
+  GHashTableIter iter;
+  void *request;
+
+  g_hash_table_iter_init (&iter, server->open_requests);
+  while (g_hash_table_iter_next (&iter, &request, NULL))
+    {
+      g_hash_table_iter_remove (&iter);
+      respond_closing (request, 504);
+    }
+}
+
 void
 fl_http_server_free (struct fl_http_server *server)
 {
   if (server == NULL)
     return;
+  server->closing = true;
+  fl_http_server_stop_listening (server);
+  respond_to_open_requests (server);
+  flush_responses (server);
   ev_io_stop (server->options.loop, &server->epoll_watcher);
   ev_prepare_stop (server->options.loop, &server->prepare);
   ev_timer_stop (server->options.loop, &server->wakeup_timer);
   ev_timer_stop (server->options.loop, &server->sweep_timer);
   MHD_stop_daemon (server->daemon);
+  g_hash_table_destroy (server->open_requests);
   g_free (server);
 }
 
@@ -375,7 +463,13 @@
 int
 fl_http_server_open_requests (const struct fl_http_server *server)
 {
-  return server->open_requests;
+  return (int)g_hash_table_size (server->open_requests);
+}
+
+int
+fl_http_server_open_connections (const struct fl_http_server *server)
+{
+  return server->connection_count;
 }
 
 const char *
@@ -418,7 +512,7 @@
 fl_http_respond (struct fl_http_request *request, const struct fl_http_response *response)
 {
   g_assert (request->response == NULL);
-  request->server->open_requests--;
+  g_hash_table_remove (request->server->open_requests, request);
   request->status = response->status;
   request->response = MHD_create_response_from_buffer (response->len, (void *)response->body,
                                                        MHD_RESPMEM_MUST_COPY);
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -43,10 +43,19 @@
 struct fl_http_server *fl_http_server_new (const struct fl_http_server_options *options,
                                            struct fl_error *error);
 
-/* Closes all connections and frees the server. All requests must have a response: libmicrohttpd
- * aborts the process if a connection is still suspended. */
+/* Frees the server and closes all connections. Requests that have arrived but not been passed to
+ * the handler are rejected with status 503; requests without a response get status 504, since their
+ * outcome is unknown, and must not be responded to any more. Waits a short time until the responses
+ * are sent. */
 void fl_http_server_free (struct fl_http_server *server);
 
+/* Closes the listening socket. Connections that wait to be accepted are accepted first, and those
+ * that are open stay open. NULL is allowed. */
+void fl_http_server_stop_listening (struct fl_http_server *server);
+
+/* @return the number of open connections, with or without a request. */
+int fl_http_server_open_connections (const struct fl_http_server *server);
+
 /* @return the port that the server listens on. */
 int fl_http_server_port (const struct fl_http_server *server);
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -1,4 +1,4 @@
-/* The time that lib/frontd allows itself to respond to a request. */
+/* The time that lib/frontd allows itself to respond to a request, and the phases of its stop. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -27,10 +27,101 @@
     assert_int_equal (front_response_timeout_ms (cases[i].deadline), cases[i].expected_ms);
 }
 
+/* The phase of a stop that started at 0, at successive times. last_open_ms is the time at which a
+ * connection was last open; OPEN if one is. */
+#define OPEN (-1)
+
+struct drain_step
+{
+  int64_t now_ms;
+  int64_t last_open_ms;
+  enum front_drain_phase phase;
+};
+
+static void
+test_drain_phases (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t graceful_stop_ms;
+    struct drain_step steps[6];
+  } cases[] = {
+    { "connections are open to the end",
+      6000,
+      { { 0, OPEN, FRONT_DRAIN_SERVING },
+        { 4599, OPEN, FRONT_DRAIN_SERVING },
+        { 4600, OPEN, FRONT_DRAIN_REJECTING },
+        { 5400, OPEN, FRONT_DRAIN_CLOSING },
+        { 5599, OPEN, FRONT_DRAIN_CLOSING },
+        { 5600, OPEN, FRONT_DRAIN_ENDED } } },
+    { "the load balancer notices before the process ends",
+      6000,
+      { { 2000, 0, FRONT_DRAIN_SERVING },
+        { 2499, 0, FRONT_DRAIN_SERVING },
+        { 2500, 0, FRONT_DRAIN_CLOSING },
+        { 2520, 0, FRONT_DRAIN_ENDED } } },
+    { "connections still arrive",
+      6000,
+      { { 2500, 2000, FRONT_DRAIN_SERVING },
+        { 3000, OPEN, FRONT_DRAIN_SERVING },
+        { 3999, 3000, FRONT_DRAIN_SERVING },
+        { 4000, 3000, FRONT_DRAIN_CLOSING } } },
+    { "a connection that waited to be accepted when listening ended",
+      6000,
+      { { 2500, 0, FRONT_DRAIN_CLOSING },
+        { 2520, OPEN, FRONT_DRAIN_CLOSING },
+        { 2540, 2520, FRONT_DRAIN_ENDED } } },
+    { "new requests would only be rejected",
+      6000,
+      { { 4590, OPEN, FRONT_DRAIN_SERVING },
+        { 4620, 4590, FRONT_DRAIN_CLOSING },
+        { 4640, 4590, FRONT_DRAIN_ENDED } } },
+    { "a short stop",
+      1000,
+      { { 0, OPEN, FRONT_DRAIN_REJECTING },
+        { 400, OPEN, FRONT_DRAIN_CLOSING },
+        { 600, OPEN, FRONT_DRAIN_ENDED } } },
+    { "an update that is late",
+      6000,
+      { { 10, OPEN, FRONT_DRAIN_SERVING }, { 9000, OPEN, FRONT_DRAIN_ENDED } } },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct front_drain drain = { 0 };
+      front_drain_start (&drain, 0, cases[i].graceful_stop_ms);
+      for (size_t s = 0; s < G_N_ELEMENTS (cases[i].steps); s++)
+        {
+          const struct drain_step *step = &cases[i].steps[s];
+          int64_t last_open_ms = step->last_open_ms == OPEN ? step->now_ms : step->last_open_ms;
+          if (step->phase == FRONT_DRAIN_NONE)
+            break;
+          if (front_drain_update (&drain, step->now_ms, last_open_ms) != step->phase)
+            fail_msg ("%s, step %zu: phase %d", cases[i].name, s, drain.phase);
+        }
+    }
+}
+
+/* Responses are due before the end of the process, and at any time while it does not stop. */
+static void
+test_drain_respond_by (void **state)
+{
+  struct front_drain drain = { 0 };
+
+  (void)state;
+  assert_true (front_drain_get_respond_by_ms (&drain) == INT64_MAX);
+  front_drain_start (&drain, 100, 6000);
+  assert_int_equal (front_drain_get_respond_by_ms (&drain), 5500);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_response_timeout) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_response_timeout), cmocka_unit_test (test_drain_phases),
+          cmocka_unit_test (test_drain_respond_by) };
 
   return cmocka_run_group_tests_name ("front", tests, NULL, NULL);
 }
--- a/tests/test_front_stop.c
+++ b/tests/test_front_stop.c
@@ -5,6 +5,8 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -38,6 +40,7 @@
   int port;
   int ready_port;
   int native_port;
+  FILE *log;
 };
 
 static struct fl_name
@@ -49,7 +52,7 @@
 static int
 serve (const struct front *front, int64_t store_delay_ms, const char *configuration)
 {
-  struct fl_host host = { .log = { .level = FL_LOG_ERR, .program = "test_front_stop" } };
+  struct fl_host host = { .log = { .level = FL_LOG_NOTICE, .program = "test_front_stop" } };
   struct slow_store_options options;
 
   host.loop = ev_default_loop (EVFLAG_AUTO);
@@ -68,7 +71,7 @@
 static struct front
 start_front (int64_t store_delay_ms, const char *configuration)
 {
-  struct front front = { 0, test_free_port (), test_free_port (), test_free_port () };
+  struct front front = { 0, test_free_port (), test_free_port (), test_free_port (), tmpfile () };
   struct test_client client = { .fd = -1 };
   int status = 0;
 
@@ -77,6 +80,7 @@
   if (front.pid == 0)
     {
       signal (SIGPIPE, SIG_IGN);
+      dup2 (fileno (front.log), STDOUT_FILENO);
       _exit (serve (&front, store_delay_ms, configuration));
     }
   while (status != 200 && (status == 0 || configuration != NULL))
@@ -89,6 +93,27 @@
   return front;
 }
 
+/* Waits until the process has ended.
+ * @return its exit code, or 128 plus the signal that ended it. @open_requests is set to the number
+ * of requests that had no response when the process decided to end; -1 if it did not say so. */
+static int
+await_end (struct front *front, int *open_requests)
+{
+  int code = test_wait_for_exit (front->pid);
+  char line[1000];
+
+  *open_requests = -1;
+  rewind (front->log);
+  while (fgets (line, sizeof line, front->log) != NULL)
+    {
+      const char *field = strstr (line, "open_requests=");
+      if (strstr (line, "serving_ended") != NULL && field != NULL)
+        *open_requests = (int)strtol (field + strlen ("open_requests="), NULL, 10);
+    }
+  fclose (front->log);
+  return code;
+}
+
 /* --- one request that is open when the stop begins --- */
 
 /* A request, in two parts: one is sent before the stop and the other while stopping. */
@@ -144,12 +169,14 @@
   for (size_t i = 0; i < G_N_ELEMENTS (open_request_cases); i++)
     {
       int status = test_client_await (&clients[i]);
-      int code = test_wait_for_exit (fronts[i].pid);
+      int left_open;
+      int code = await_end (&fronts[i], &left_open);
       test_client_close (&clients[i]);
-      if (status == open_request_cases[i].status && code == 0)
+      if (status == open_request_cases[i].status && code == 0 && left_open == 0)
         continue;
-      print_error ("%s: status %d instead of %d, exit code %d\n", open_request_cases[i].name,
-                   status, open_request_cases[i].status, code);
+      print_error ("%s: status %d instead of %d, exit code %d, %d requests left open\n",
+                   open_request_cases[i].name, status, open_request_cases[i].status, code,
+                   left_open);
       failures++;
     }
   assert_int_equal (failures, 0);
@@ -204,6 +231,7 @@
       int answered = 0;
       int unanswered = 0;
       int open = BUSY_CLIENTS;
+      int left_open;
       int code;
 
       for (int c = 0; c < BUSY_CLIENTS; c++)
@@ -223,11 +251,11 @@
             }
           usleep (2000);
         }
-      code = test_wait_for_exit (front.pid);
-      if (unanswered == 0 && answered > 0 && code == 0)
+      code = await_end (&front, &left_open);
+      if (unanswered == 0 && answered > 0 && code == 0 && left_open == 0)
         continue;
-      print_error ("%s: answered %d, unanswered %d, exit code %d\n", busy_cases[i].name, answered,
-                   unanswered, code);
+      print_error ("%s: answered %d, unanswered %d, exit code %d, %d requests left open\n",
+                   busy_cases[i].name, answered, unanswered, code, left_open);
       failures++;
     }
   assert_int_equal (failures, 0);
@@ -246,6 +274,7 @@
   struct test_client clients[IDLE_CLIENTS];
   int answered = 0;
   int used = 0;
+  int left_open;
 
   (void)state;
   for (int c = 0; c < IDLE_CLIENTS; c++)
@@ -268,7 +297,7 @@
     test_client_close (&clients[c]);
   assert_true (used > 1 && used < IDLE_CLIENTS);
   assert_in_range (answered, used - 1, used);
-  assert_int_equal (test_wait_for_exit (front.pid), 0);
+  assert_int_equal (await_end (&front, &left_open), 0);
 }
 
 /* --- the end of the process --- */
@@ -317,7 +346,8 @@
     }
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      int code = test_wait_for_exit (fronts[i].pid);
+      int left_open;
+      int code = await_end (&fronts[i], &left_open);
       test_client_close (&clients[i]);
       if (code != 0)
         fail_msg ("%s: exit code %d", cases[i].name, code);
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -22,7 +22,7 @@
 enum handler
 {
   RESPONDS,      /* at once */
-  RESPONDS_LONG, /* at once, with LONG_BODY bytes */
+  RESPONDS_LONG, /* at once, with LONG_BODY bytes, and closes the connection */
   KEEPS,         /* never responds */
 };
 
@@ -30,33 +30,50 @@
 {
   struct fl_http_server *server;
   enum handler handler;
+  ev_timer drain_timer;
 };
 
 static void
 on_request (void *context, struct fl_http_request *request)
 {
   struct test_server *test = context;
-  g_autofree char *long_body = g_malloc0 (LONG_BODY);
+  static const char long_body[LONG_BODY];
   struct fl_http_response response = { .status = 200, .body = "{}", .len = 2 };
 
   if (test->handler == RESPONDS_LONG)
     {
       response.body = long_body;
       response.len = LONG_BODY;
+      response.close_connection = true;
     }
   if (test->handler != KEEPS)
     fl_http_respond (request, &response);
 }
 
+static void
+on_drain_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct test_server *test = timer->data;
+
+  (void)events;
+  if (fl_http_server_open_connections (test->server) == 0)
+    ev_break (loop, EVBREAK_ALL);
+}
+
 static void
 on_stop (struct ev_loop *loop, ev_signal *signal, int events)
 {
-  (void)signal;
+  struct test_server *test = signal->data;
+
   (void)events;
-  ev_break (loop, EVBREAK_ALL);
+  if (test->handler != RESPONDS_LONG)
+    ev_break (loop, EVBREAK_ALL);
+  fl_http_server_stop_listening (test->server);
+  ev_timer_start (loop, &test->drain_timer);
 }
 
-/* Serves until SIGTERM, then frees the server. */
+/* Serves until SIGTERM, with RESPONDS_LONG until all connections are closed, then frees the server.
+ */
 static void
 serve (int port, enum handler handler)
 {
@@ -76,12 +93,28 @@
   ev_signal stop;
 
   ev_signal_init (&stop, on_stop, SIGTERM);
+  stop.data = &test;
   ev_signal_start (options.loop, &stop);
+  ev_timer_init (&test.drain_timer, on_drain_timer, 0.01, 0.01);
+  test.drain_timer.data = &test;
   test.server = fl_http_server_new (&options, NULL);
   ev_run (options.loop, 0);
   fl_http_server_free (test.server);
 }
 
+static int
+start_server (int port, enum handler handler)
+{
+  int pid = fork ();
+
+  if (pid == 0)
+    {
+      serve (port, handler);
+      _exit (0);
+    }
+  return pid;
+}
+
 static const struct
 {
   const char *name;
@@ -106,15 +139,10 @@
     {
       struct test_client client = { .fd = -1 };
       int port = test_free_port ();
-      int pid = fork ();
+      int pid = start_server (port, free_cases[i].handler);
       int status = -1;
       int code;
 
-      if (pid == 0)
-        {
-          serve (port, free_cases[i].handler);
-          _exit (0);
-        }
       assert_true (test_client_connect (&client, port, true));
       if (free_cases[i].before != NULL)
         assert_true (test_client_send (&client, free_cases[i].before));
@@ -135,10 +163,64 @@
   assert_int_equal (failures, 0);
 }
 
+/* A response that the client reads slowly is sent to its end after the server stopped listening. */
+static void
+test_response_being_sent (void **state)
+{
+  struct test_client client = { .fd = -1 };
+  int port = test_free_port ();
+  int pid = start_server (port, RESPONDS_LONG);
+
+  (void)state;
+  assert_true (test_client_connect (&client, port, true));
+  assert_true (test_client_request (&client, REQUEST));
+  assert_int_equal (test_client_poll (&client, SUPPORT_HTTP_GUARD_MS), 0);
+  kill (pid, SIGTERM);
+  usleep (100 * 1000);
+  assert_int_equal (test_client_await (&client), 200);
+  assert_int_equal (test_wait_for_exit (pid), 0);
+  test_client_close (&client);
+}
+
+/* Connections that the kernel has completed, but the stopping server has not accepted. */
+static void
+test_connections_in_accept_queue (void **state)
+{
+  struct test_client clients[20];
+  int port = test_free_port ();
+  int pid = start_server (port, RESPONDS);
+  int answered = 0;
+
+  (void)state;
+  clients[0] = (struct test_client){ .fd = -1 };
+  assert_true (test_client_connect (&clients[0], port, true));
+  assert_true (test_client_request (&clients[0], REQUEST));
+  assert_int_equal (test_client_await (&clients[0]), 200);
+  test_client_close (&clients[0]);
+  kill (pid, SIGSTOP);
+  for (size_t i = 0; i < G_N_ELEMENTS (clients); i++)
+    {
+      clients[i] = (struct test_client){ .fd = -1 };
+      assert_true (test_client_connect (&clients[i], port, false));
+      assert_true (test_client_request (&clients[i], REQUEST));
+    }
+  kill (pid, SIGTERM);
+  kill (pid, SIGCONT);
+  for (size_t i = 0; i < G_N_ELEMENTS (clients); i++)
+    {
+      answered += test_client_await (&clients[i]) > 0 ? 1 : 0;
+      test_client_close (&clients[i]);
+    }
+  assert_int_equal (answered, G_N_ELEMENTS (clients));
+  assert_int_equal (test_wait_for_exit (pid), 0);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_server_free) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_server_free), cmocka_unit_test (test_response_being_sent),
+          cmocka_unit_test (test_connections_in_accept_queue) };
 
   return cmocka_run_group_tests_name ("http_server", tests, NULL, NULL);
 }
