Test: store calls of peers when flamingo-frontd stops

The test fails: the calls that are in flight when the process ends get no reply, so that their callers wait for the timeout and do not know the outcome.

--- /dev/null
+++ b/tests/support_front.c
@@ -0,0 +1,94 @@
+#include "support_front.h"
+
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "frontd/frontd.h"
+#include "support_http.h"
+#include "support_slow_store.h"
+
+static struct fl_name
+loopback_endpoint (int port)
+{
+  return fl_name_format ("127.0.0.1:%d", port);
+}
+
+static int
+serve (const struct front *front, int64_t store_delay_ms, const char *configuration)
+{
+  struct fl_host host = { .log = { .level = FL_LOG_NOTICE, .program = "test" } };
+  int code;
+  struct slow_store_options options;
+  struct fl_relay_options relay = { .host = fl_name_of ("h2"), .cpu_milli = 500 };
+
+  host.loop = ev_default_loop (EVFLAG_AUTO);
+  host.stats = fl_stats_new ();
+  host.settings.front = loopback_endpoint (front->port);
+  host.settings.ready = loopback_endpoint (front->ready_port);
+  host.settings.native_api = loopback_endpoint (front->native_port);
+  host.settings.graceful_stop_s = FRONT_GRACEFUL_STOP_S;
+  options = (struct slow_store_options){ host.loop, store_delay_ms, configuration };
+  host.store = slow_store_get_interface (slow_store_new (&options));
+  relay.loop = host.loop;
+  relay.log = &host.log;
+  relay.stats = host.stats;
+  relay.direct = host.store;
+  relay.address = fl_name_format ("tcp://127.0.0.1:%d", front->relay_port);
+  host.relay = fl_relay_new (&relay, NULL);
+  host.store = fl_relay_store (host.relay);
+  code = fl_frontd_serve (&host);
+  fl_relay_free (host.relay);
+  return code;
+}
+
+struct front
+front_start (int64_t store_delay_ms, const char *configuration)
+{
+  struct front front = {
+    0, test_free_port (), test_free_port (), test_free_port (), test_free_port (), tmpfile ()
+  };
+  struct test_client client = { .fd = -1 };
+  int status = 0;
+
+  front.pid = fork ();
+  assert_true (front.pid >= 0);
+  if (front.pid == 0)
+    {
+      signal (SIGPIPE, SIG_IGN);
+      dup2 (fileno (front.log), STDOUT_FILENO);
+      _exit (serve (&front, store_delay_ms, configuration));
+    }
+  while (status != 200 && (status == 0 || configuration != NULL))
+    {
+      assert_true (client.fd >= 0 || test_client_connect (&client, front.ready_port, true));
+      test_client_request (&client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+      status = test_client_await (&client);
+    }
+  test_client_close (&client);
+  return front;
+}
+
+int
+front_await_end (struct front *front, int *open_requests)
+{
+  int code = test_wait_for_exit (front->pid);
+  char line[1000];
+
+  *open_requests = -1;
+  rewind (front->log);
+  while (fgets (line, sizeof line, front->log) != NULL)
+    {
+      const char *field = strstr (line, "open_requests=");
+      if (strstr (line, "serving_ended") != NULL && field != NULL)
+        *open_requests = (int)strtol (field + strlen ("open_requests="), NULL, 10);
+    }
+  fclose (front->log);
+  return code;
+}
--- /dev/null
+++ b/tests/support_front.h
@@ -0,0 +1,31 @@
+/* flamingo-frontd in a child process of a test, with a slow store (support_slow_store.h). */
+#pragma once
+
+#include <stdint.h>
+#include <stdio.h>
+
+/* A configuration with the public queue "q", at /q/ of the host x.example. */
+#define FRONT_CONFIGURATION                                                                        \
+  "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"x.example\",\"pathPrefix\":\"/q/\","      \
+  "\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}],\"tenants\":[]}"
+/* The time from SIGTERM until the platform would kill the process. */
+#define FRONT_GRACEFUL_STOP_S 2
+
+struct front
+{
+  int pid;
+  int port;
+  int ready_port;
+  int native_port;
+  int relay_port;
+  FILE *log;
+};
+
+/* Starts flamingo-frontd and waits until it listens, and until it is ready if it has a
+ * configuration. @store_delay_ms and @configuration are those of struct slow_store_options. */
+struct front front_start (int64_t store_delay_ms, const char *configuration);
+
+/* Waits until the process has ended.
+ * @return its exit code, or 128 plus the signal that ended it. @open_requests is set to the number
+ * of requests that had no response when the process decided to end; -1 if it did not say so. */
+int front_await_end (struct front *front, int *open_requests);
--- a/tests/test_front_stop.c
+++ b/tests/test_front_stop.c
@@ -5,22 +5,15 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include <cmocka.h>
 #include <glib.h>
 
-#include "frontd/frontd.h"
+#include "support_front.h"
 #include "support_http.h"
-#include "support_slow_store.h"
 
-#define CONFIGURATION                                                                              \
-  "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"x.example\",\"pathPrefix\":\"/q/\","      \
-  "\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}],\"tenants\":[]}"
-#define GRACEFUL_STOP_S 2
 /* Much longer than any timeout of a store call. */
 #define NEVER_MS 1000000
 
@@ -34,86 +27,6 @@
 #define COUNT "GET /q/ HTTP/1.1\r\n" HEADERS "\r\n"
 #define NATIVE_WAIT "GET /v1/jobs/00000000000000aa?queue=q&wait=1 HTTP/1.1\r\n" HEADERS "\r\n"
 
-struct front
-{
-  int pid;
-  int port;
-  int ready_port;
-  int native_port;
-  FILE *log;
-};
-
-static struct fl_name
-loopback_endpoint (int port)
-{
-  return fl_name_format ("127.0.0.1:%d", port);
-}
-
-static int
-serve (const struct front *front, int64_t store_delay_ms, const char *configuration)
-{
-  struct fl_host host = { .log = { .level = FL_LOG_NOTICE, .program = "test_front_stop" } };
-  struct slow_store_options options;
-
-  host.loop = ev_default_loop (EVFLAG_AUTO);
-  host.stats = fl_stats_new ();
-  host.settings.front = loopback_endpoint (front->port);
-  host.settings.ready = loopback_endpoint (front->ready_port);
-  host.settings.native_api = loopback_endpoint (front->native_port);
-  host.settings.graceful_stop_s = GRACEFUL_STOP_S;
-  options = (struct slow_store_options){ host.loop, store_delay_ms, configuration };
-  host.store = slow_store_get_interface (slow_store_new (&options));
-  return fl_frontd_serve (&host);
-}
-
-/* Starts flamingo-frontd in a child process and waits until it listens, and until it is ready if it
- * has a configuration. */
-static struct front
-start_front (int64_t store_delay_ms, const char *configuration)
-{
-  struct front front = { 0, test_free_port (), test_free_port (), test_free_port (), tmpfile () };
-  struct test_client client = { .fd = -1 };
-  int status = 0;
-
-  front.pid = fork ();
-  assert_true (front.pid >= 0);
-  if (front.pid == 0)
-    {
-      signal (SIGPIPE, SIG_IGN);
-      dup2 (fileno (front.log), STDOUT_FILENO);
-      _exit (serve (&front, store_delay_ms, configuration));
-    }
-  while (status != 200 && (status == 0 || configuration != NULL))
-    {
-      assert_true (client.fd >= 0 || test_client_connect (&client, front.ready_port, true));
-      test_client_request (&client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
-      status = test_client_await (&client);
-    }
-  test_client_close (&client);
-  return front;
-}
-
-/* Waits until the process has ended.
- * @return its exit code, or 128 plus the signal that ended it. @open_requests is set to the number
- * of requests that had no response when the process decided to end; -1 if it did not say so. */
-static int
-await_end (struct front *front, int *open_requests)
-{
-  int code = test_wait_for_exit (front->pid);
-  char line[1000];
-
-  *open_requests = -1;
-  rewind (front->log);
-  while (fgets (line, sizeof line, front->log) != NULL)
-    {
-      const char *field = strstr (line, "open_requests=");
-      if (strstr (line, "serving_ended") != NULL && field != NULL)
-        *open_requests = (int)strtol (field + strlen ("open_requests="), NULL, 10);
-    }
-  fclose (front->log);
-  return code;
-}
-
 /* --- one request that is open when the stop begins --- */
 
 /* A request, in two parts: one is sent before the stop and the other while stopping. */
@@ -127,18 +40,19 @@
   const char *after;
   int status; /* of the response */
 } open_request_cases[] = {
-  { "a submission waits for the store", 400, CONFIGURATION, false, SUBMIT, "", 200 },
-  { "a query waits for the store", 400, CONFIGURATION, false, SHOW, "", 410 },
-  { "a count waits for the store", 400, CONFIGURATION, false, COUNT, "", 200 },
+  { "a submission waits for the store", 400, FRONT_CONFIGURATION, false, SUBMIT, "", 200 },
+  { "a query waits for the store", 400, FRONT_CONFIGURATION, false, SHOW, "", 410 },
+  { "a count waits for the store", 400, FRONT_CONFIGURATION, false, COUNT, "", 200 },
   /* 503 would say that the job was not accepted. */
-  { "a submission of unknown outcome", NEVER_MS, CONFIGURATION, false, SUBMIT, "", 504 },
-  { "a query without a reply of the store", NEVER_MS, CONFIGURATION, false, SHOW, "", 504 },
-  { "a cancellation without a reply", NEVER_MS, CONFIGURATION, false, CANCEL, "", 504 },
-  { "a count without a reply", NEVER_MS, CONFIGURATION, false, COUNT, "", 504 },
-  { "a native request waits for the store", NEVER_MS, CONFIGURATION, true, NATIVE_WAIT, "", 504 },
+  { "a submission of unknown outcome", NEVER_MS, FRONT_CONFIGURATION, false, SUBMIT, "", 504 },
+  { "a query without a reply of the store", NEVER_MS, FRONT_CONFIGURATION, false, SHOW, "", 504 },
+  { "a cancellation without a reply", NEVER_MS, FRONT_CONFIGURATION, false, CANCEL, "", 504 },
+  { "a count without a reply", NEVER_MS, FRONT_CONFIGURATION, false, COUNT, "", 504 },
+  { "a native request waits for the store", NEVER_MS, FRONT_CONFIGURATION, true, NATIVE_WAIT, "",
+    504 },
   { "a submission waits for the configuration", 0, NULL, false, SUBMIT, "", 503 },
-  { "the rest of the body arrives while stopping", 0, CONFIGURATION, false, SUBMIT_HEAD, JOB_BODY,
-    200 },
+  { "the rest of the body arrives while stopping", 0, FRONT_CONFIGURATION, false, SUBMIT_HEAD,
+    JOB_BODY, 200 },
   { "a half-sent body waits for the configuration", 0, NULL, false, SUBMIT_HEAD, JOB_BODY, 503 },
 };
 
@@ -152,7 +66,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (open_request_cases); i++)
     fronts[i]
-        = start_front (open_request_cases[i].store_delay_ms, open_request_cases[i].configuration);
+        = front_start (open_request_cases[i].store_delay_ms, open_request_cases[i].configuration);
   for (size_t i = 0; i < G_N_ELEMENTS (open_request_cases); i++)
     {
       int port = open_request_cases[i].is_native ? fronts[i].native_port : fronts[i].port;
@@ -170,7 +84,7 @@
     {
       int status = test_client_await (&clients[i]);
       int left_open;
-      int code = await_end (&fronts[i], &left_open);
+      int code = front_await_end (&fronts[i], &left_open);
       test_client_close (&clients[i]);
       if (status == open_request_cases[i].status && code == 0 && left_open == 0)
         continue;
@@ -192,10 +106,10 @@
   int64_t store_delay_ms;
   const char *configuration;
 } busy_cases[] = {
-  { "the store replies at once", 0, CONFIGURATION },
-  { "the store replies after 80 ms", 80, CONFIGURATION },
-  { "the store replies after 500 ms", 500, CONFIGURATION },
-  { "the store does not reply", NEVER_MS, CONFIGURATION },
+  { "the store replies at once", 0, FRONT_CONFIGURATION },
+  { "the store replies after 80 ms", 80, FRONT_CONFIGURATION },
+  { "the store replies after 500 ms", 500, FRONT_CONFIGURATION },
+  { "the store does not reply", NEVER_MS, FRONT_CONFIGURATION },
   { "no configuration", 0, NULL },
 };
 
@@ -226,7 +140,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (busy_cases); i++)
     {
-      struct front front = start_front (busy_cases[i].store_delay_ms, busy_cases[i].configuration);
+      struct front front = front_start (busy_cases[i].store_delay_ms, busy_cases[i].configuration);
       struct test_client clients[BUSY_CLIENTS];
       int answered = 0;
       int unanswered = 0;
@@ -251,7 +165,7 @@
             }
           usleep (2000);
         }
-      code = await_end (&front, &left_open);
+      code = front_await_end (&front, &left_open);
       if (unanswered == 0 && answered > 0 && code == 0 && left_open == 0)
         continue;
       print_error ("%s: answered %d, unanswered %d, exit code %d, %d requests left open\n",
@@ -270,7 +184,7 @@
 static void
 test_idle_connections_are_served_to_the_end (void **state)
 {
-  struct front front = start_front (80, CONFIGURATION);
+  struct front front = front_start (80, FRONT_CONFIGURATION);
   struct test_client clients[IDLE_CLIENTS];
   int answered = 0;
   int used = 0;
@@ -297,7 +211,7 @@
     test_client_close (&clients[c]);
   assert_true (used > 1 && used < IDLE_CLIENTS);
   assert_in_range (answered, used - 1, used);
-  assert_int_equal (await_end (&front, &left_open), 0);
+  assert_int_equal (front_await_end (&front, &left_open), 0);
 }
 
 /* --- the end of the process --- */
@@ -332,7 +246,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      fronts[i] = start_front (0, CONFIGURATION);
+      fronts[i] = front_start (0, FRONT_CONFIGURATION);
       clients[i] = (struct test_client){ .fd = -1 };
       if (cases[i].leftover != NOTHING)
         assert_true (test_client_connect (&clients[i], fronts[i].port, false));
@@ -347,7 +261,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       int left_open;
-      int code = await_end (&fronts[i], &left_open);
+      int code = front_await_end (&fronts[i], &left_open);
       test_client_close (&clients[i]);
       if (code != 0)
         fail_msg ("%s: exit code %d", cases[i].name, code);
--- /dev/null
+++ b/tests/test_relay_stop.c
@@ -0,0 +1,185 @@
+/* Store calls that peers send to a flamingo-frontd that stops: each one is either executed, with
+ * its reply returned, or rejected. A caller that gets neither waits for its timeout and does not
+ * know whether the call had an effect. */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include <cmocka.h>
+#include <ev.h>
+#include <glib.h>
+
+#include "relay/relay.h"
+#include "support_front.h"
+#include "support_loop.h"
+
+#define CALLS_AT_A_TIME 5
+#define CALL_TIMEOUT_MS 600
+#define STEP_S 0.02
+/* Only a guard against a test that hangs. */
+#define GUARD_STEPS 2000
+
+/* A caller whose own path to the store has failed: it can read the list of hosts and nothing else.
+ */
+struct caller
+{
+  struct fl_store direct;
+  struct ev_loop *loop;
+  struct fl_relay *relay;
+  struct fl_str host_row; /* of the only peer */
+  int in_flight;
+  int served;
+  int rejected;
+  int unknown;
+};
+
+static void
+direct_transact (void *context,
+                 const struct fl_store_transaction *transaction,
+                 int64_t timeout_ms,
+                 void (*done) (void *context, const struct fl_store_reply *reply),
+                 void *done_context)
+{
+  struct fl_store_reply reply = { .status = FL_STORE_REJECTED };
+
+  (void)context;
+  (void)transaction;
+  (void)timeout_ms;
+  done (done_context, &reply);
+}
+
+static void
+direct_read (void *context,
+             const char *table,
+             const char *partition,
+             const char *first_key,
+             const char *end_key,
+             int64_t timeout_ms,
+             void (*done) (void *context, const struct fl_store_reply *reply),
+             void *done_context)
+{
+  struct caller *caller = context;
+  struct fl_store_row row = { .key = fl_name_of ("h2"), .value = caller->host_row };
+  struct fl_store_reply reply = { .status = FL_STORE_OK, .rows = &row, .count = 1 };
+
+  (void)table;
+  (void)partition;
+  (void)first_key;
+  (void)end_key;
+  (void)timeout_ms;
+  done (done_context, &reply);
+}
+
+static void
+on_reply (void *context, const struct fl_store_reply *reply)
+{
+  struct caller *caller = context;
+
+  caller->in_flight--;
+  caller->served += reply->status == FL_STORE_OK ? 1 : 0;
+  caller->rejected += reply->status == FL_STORE_REJECTED ? 1 : 0;
+  caller->unknown += reply->status == FL_STORE_UNKNOWN ? 1 : 0;
+}
+
+static void
+send_calls (struct caller *caller)
+{
+  const struct fl_store *store = fl_relay_store (caller->relay);
+  struct fl_store_write write = { "jobs", "1", fl_name_of ("a"), { 1, (char *)"x" }, false };
+  struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
+
+  for (int i = caller->in_flight; i < CALLS_AT_A_TIME; i++)
+    {
+      caller->in_flight++;
+      store->transact (store->context, &transaction, CALL_TIMEOUT_MS, on_reply, caller);
+    }
+}
+
+static void
+caller_init (struct caller *caller, int relay_port)
+{
+  static struct fl_log log = { .level = FL_LOG_ERR };
+  struct fl_relay_options options = { .log = &log, .host = fl_name_of ("h1") };
+  g_autofree char *row
+      = g_strdup_printf ("{\"address\":\"tcp://127.0.0.1:%d\",\"cpu_milli\":500}", relay_port);
+
+  *caller = (struct caller){ .loop = ev_loop_new (EVFLAG_AUTO), .host_row = fl_str_of (row) };
+  caller->direct = (struct fl_store){ caller, direct_transact, direct_read, NULL };
+  options.loop = caller->loop;
+  options.stats = fl_stats_new ();
+  options.direct = &caller->direct;
+  caller->relay = fl_relay_new (&options, NULL);
+}
+
+/* Sends calls until @served of them have been served. */
+static void
+call_until_served (struct caller *caller, int served)
+{
+  for (int i = 0; i < GUARD_STEPS && caller->served < served; i++)
+    {
+      send_calls (caller);
+      support_run_loop_for (caller->loop, STEP_S);
+    }
+  assert_true (caller->served >= served);
+}
+
+static bool
+has_ended (int pid)
+{
+  siginfo_t info = { 0 };
+
+  return waitid (P_PID, (id_t)pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == pid;
+}
+
+static void
+test_calls_of_peers_while_stopping (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t store_delay_ms;
+  } cases[] = { { "the store replies at once", 0 },
+                { "the store replies after 80 ms", 80 },
+                { "the store replies after 500 ms", 500 } };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct front front = front_start (cases[i].store_delay_ms, FRONT_CONFIGURATION);
+      struct caller caller;
+      int left_open;
+      int code;
+
+      caller_init (&caller, front.relay_port);
+      call_until_served (&caller, 1);
+      kill (front.pid, SIGTERM);
+      for (int s = 0; s < GUARD_STEPS && !has_ended (front.pid); s++)
+        {
+          send_calls (&caller);
+          support_run_loop_for (caller.loop, STEP_S);
+        }
+      code = front_await_end (&front, &left_open);
+      /* Until the last call has got its reply or timed out. */
+      for (int s = 0; s < GUARD_STEPS && caller.in_flight > 0; s++)
+        support_run_loop_for (caller.loop, STEP_S);
+      if (caller.unknown == 0 && caller.in_flight == 0 && code == 0)
+        continue;
+      print_error ("%s: served %d, rejected %d, unknown %d, exit code %d\n", cases[i].name,
+                   caller.served, caller.rejected, caller.unknown, code);
+      failures++;
+    }
+  assert_int_equal (failures, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_of_peers_while_stopping) };
+
+  return cmocka_run_group_tests_name ("relay_stop", tests, NULL, NULL);
+}
