Stop of flamingo-frontd: calls of peers are completed or rejected

Hosts that cannot reach the store send their calls through a peer. When the flamingo-frontd of that peer ended, the calls in flight got no reply: the caller waited for its timeout (650 ms for most, 750 for a renewal of the pool's lease) and did not know the outcome.

A stopping relay now rejects calls that could last longer than the process, which say truthfully that nothing was done, and the process waits for those that it has begun. Replies that are queued when a link is freed have 50 ms to leave.

--- a/lib/frontd/drain.h
+++ b/lib/frontd/drain.h
@@ -27,7 +27,7 @@
 /* Starts the drain of a zeroed @drain. */
 void front_drain_start (struct front_drain *drain, int64_t now_ms, int64_t graceful_stop_ms);
 
-/* @last_open_ms: when a connection was last open; @now_ms if one is.
+/* @last_open_ms: when a connection or a relayed call was last open; @now_ms if one is.
  * @return the phase at @now_ms, which never precedes that of an earlier call. */
 enum front_drain_phase
 front_drain_update (struct front_drain *drain, int64_t now_ms, int64_t last_open_ms);
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -244,6 +244,16 @@
   return count;
 }
 
+/* Whether a client, or a peer whose store calls this host makes, may still need this process. */
+static bool
+is_in_use (const struct fl_frontd *frontd)
+{
+  const struct fl_relay *relay = frontd->host->relay;
+
+  return count_open_connections (frontd) > 0
+         || (relay != NULL && fl_relay_open_peer_calls (relay) > 0);
+}
+
 static int
 count_open_requests (const struct fl_frontd *frontd)
 {
@@ -263,6 +273,8 @@
     {
       fl_http_server_stop_listening (frontd->client_server);
       fl_http_server_stop_listening (frontd->native_server);
+      if (frontd->host->relay != NULL)
+        fl_relay_drain (frontd->host->relay, 0);
     }
   if (phase == FRONT_DRAIN_ENDED)
     {
@@ -287,7 +299,7 @@
 
   (void)loop;
   (void)events;
-  if (count_open_connections (frontd) > 0)
+  if (is_in_use (frontd))
     frontd->last_open_ms = now_ms;
   phase = front_drain_update (&frontd->drain, now_ms, frontd->last_open_ms);
   if (phase != previous)
@@ -306,6 +318,8 @@
     return;
   frontd->last_open_ms = fl_clock_boot_ms ();
   front_drain_start (&frontd->drain, frontd->last_open_ms, graceful_stop_ms);
+  if (frontd->host->relay != NULL)
+    fl_relay_drain (frontd->host->relay, front_drain_get_respond_by_ms (&frontd->drain));
   fl_log (&frontd->host->log, FL_LOG_NOTICE, "stopping",
           FL_I ("serve_ms", front_drain_get_respond_by_ms (&frontd->drain) - frontd->last_open_ms));
   ev_timer_start (frontd->host->loop, &frontd->drain_timer);
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -20,7 +20,7 @@
   struct fl_stop_signals stop_signals;
   struct front_drain drain;
   ev_timer drain_timer;
-  int64_t last_open_ms; /* when a client connection was last open, while stopping */
+  int64_t last_open_ms; /* when the process was last in use, while stopping */
 };
 
 /* A client request from its arrival to the response, while it waits for the store. */
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -10,6 +10,9 @@
 #define READ_BATCH 256
 #define RECONNECT_MIN_MS 50
 #define RECONNECT_MAX_MS 1000
+/* For replies that are queued when the link is freed, so that their receivers do not wait for a
+ * timeout. */
+#define FREE_LINGER_MS 50
 
 /* Interval between checks of all sockets. Covers an event that neither a descriptor nor a call on
  * the socket has shown. */
@@ -320,9 +323,14 @@
 {
   if (link == NULL)
     return;
+  int linger = FREE_LINGER_MS;
+
   g_hash_table_destroy (link->dealers);
   if (link->router != NULL)
-    socket_free (link->router);
+    {
+      zmq_setsockopt (link->router->zmq, ZMQ_LINGER, &linger, sizeof linger);
+      socket_free (link->router);
+    }
   stop_watchers (link);
   g_ptr_array_unref (link->due);
   g_ptr_array_unref (link->checking);
--- a/lib/relay/relay.h
+++ b/lib/relay/relay.h
@@ -33,6 +33,13 @@
  * the direct store must not call back afterwards. */
 void fl_relay_free (struct fl_relay *relay);
 
+/* Prepares the end of the process: from now on, calls of peers that could last beyond @until_ms
+ * (boot clock) are rejected. May be called again with an earlier time. */
+void fl_relay_drain (struct fl_relay *relay, int64_t until_ms);
+
+/* @return the number of calls of peers that have no reply yet. */
+int fl_relay_open_peer_calls (const struct fl_relay *relay);
+
 /* The number of peers that can relay calls of this host. */
 size_t fl_relay_peer_count (const struct fl_relay *relay);
 
--- a/lib/relay/relayed.c
+++ b/lib/relay/relayed.c
@@ -16,6 +16,7 @@
   struct relayed_call *call = context;
   struct fl_relay_message message = fl_relay_message_from_reply (reply);
 
+  call->relay->open_relayed_calls--;
   message.number = call->number;
   if (!fl_relay_send_message (call->relay, &call->sender, &message))
     fl_stats_add (call->relay->options.stats, "relay_answers_unsent_total", 1);
@@ -45,6 +46,16 @@
                     direct_call);
 }
 
+static void
+reject_call (struct relayed_call *call, const char *reason)
+{
+  struct fl_relay *relay = call->relay;
+  struct fl_store_reply rejection = { .status = FL_STORE_REJECTED };
+
+  fl_fail (&rejection.error, FL_UNAVAILABLE, "relay_call", relay->options.host.data, "%s", reason);
+  reply_to_peer (call, &rejection);
+}
+
 void
 fl_relay_execute_call (struct fl_relay *relay,
                        const struct fl_route *sender,
@@ -55,12 +66,15 @@
   struct direct_call *direct_call;
 
   *call = (struct relayed_call){ relay, *sender, message->number };
+  relay->open_relayed_calls++;
+  if (relay->is_draining && fl_clock_boot_ms () + message->timeout_ms > relay->drain_until_ms)
+    {
+      reject_call (call, "this host is stopping");
+      return;
+    }
   if (!fl_relay_path_is_healthy (&relay->path, fl_clock_boot_ms ()))
     {
-      struct fl_store_reply rejection = { .status = FL_STORE_REJECTED };
-      fl_fail (&rejection.error, FL_UNAVAILABLE, "relay_call", relay->options.host.data,
-               "this host cannot reach the store either");
-      reply_to_peer (call, &rejection);
+      reject_call (call, "this host cannot reach the store either");
       return;
     }
   fl_stats_add (relay->options.stats, "store_calls_carried_total", 1);
@@ -76,3 +90,16 @@
     direct->feed (direct->context, message->table.data, message->after_version, message->wait_ms,
                   message->timeout_ms, fl_relay_on_direct_reply, direct_call);
 }
+
+void
+fl_relay_drain (struct fl_relay *relay, int64_t until_ms)
+{
+  relay->is_draining = true;
+  relay->drain_until_ms = until_ms;
+}
+
+int
+fl_relay_open_peer_calls (const struct fl_relay *relay)
+{
+  return relay->open_relayed_calls;
+}
