A draining target stays in the list until it has reported to the owner

The next owner did not know the target and started its tasks elsewhere. Cause: 'no runs' was concluded from the lack of a report. Class: what is not known counts as absent. Now a target of an earlier owner stays in the list until it has reported or its leases have expired.

--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -591,12 +591,16 @@
   drop_finished_jobs (core);
 }
 
-/* A draining target gets no new tasks. Once it has no runs and the ends that it listed are
- * recorded, a successor need not wait for its report. */
+/* A draining target gets no new tasks. Once it has reported, has no runs, and the ends that it
+ * listed are recorded, a successor need not wait for its report. */
 static bool
 belongs_in_target_list (const struct core_target *target)
 {
-  return !target->entry.draining || target->runs->len > 0
+  const struct fl_core *core = target->core;
+  bool may_have_earlier_runs
+      = target->is_unreconciled && core->now_ms < core->options.reconciled_at_ms;
+
+  return !target->entry.draining || target->runs->len > 0 || may_have_earlier_runs
          || core_target_has_unrecorded_ends (target);
 }
 
--- a/tests/test_target_list.c
+++ b/tests/test_target_list.c
@@ -74,11 +74,56 @@
     }
 }
 
+static bool
+list_contains (struct fl_core *core, const struct fl_name *id)
+{
+  g_autoptr (GArray) names = fl_core_collect_target_list (core);
+  bool found = false;
+
+  fl_core_finish_target_list (core, true);
+  for (guint i = 0; i < names->len; i += 2)
+    found = found || fl_name_eq (&g_array_index (names, struct fl_name, i), id);
+  return found;
+}
+
+/* A new owner dropped a draining target that had not reported yet from the list, and ended. Its
+ * successor did not know the target and started the tasks on it a second time. */
+static void
+test_draining_target_is_listed_until_it_has_reported (void **state)
+{
+  static const struct fl_log log = { 0 };
+  struct fl_core_options options = { .log = &log,
+                                     .fencing_token = 2,
+                                     .target_lease_ms = 4500,
+                                     .target_lease_max_ms = 6000,
+                                     .reconciled_at_ms = 107680 };
+  struct fl_target_entry entry = { .id = fl_name_of ("t1"),
+                                   .service = fl_name_of ("s"),
+                                   .address = fl_name_of ("127.0.0.1:1"),
+                                   .draining = true };
+  struct fl_target_report report = { .booted_at_ms = 1, .clock_ms = 1 };
+  struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &report };
+  struct fl_core *core = fl_core_new (&options);
+
+  (void)state;
+  fl_core_inherit_target (core, &entry.id, &entry.address);
+  fl_core_update_target (core, &entry);
+  fl_core_set_registry_known (core);
+  fl_core_set_jobs_known (core);
+  fl_core_tick (core, 100000, 100000);
+  assert_true (list_contains (core, &entry.id));
+  fl_core_handle_heartbeat_reply (core, &entry.id, &reply, 100000, 100010);
+  fl_core_tick (core, 100010, 100010);
+  assert_false (list_contains (core, &entry.id));
+  fl_core_free (core);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_failed_write_of_target_list_is_repeated),
+    cmocka_unit_test (test_draining_target_is_listed_until_it_has_reported),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
