A heartbeat reply read after a suspension does not tell the present boot

The next heartbeat used the end numbers of that boot, within 0.4 s of 'the last reply', and so acknowledged ends of the boot that had begun meanwhile; their tasks were absent and started again. libcurl's timeouts do not count a suspension of the host. Cause: the age of a reply was counted from when it was read, not from when its heartbeat was sent. A reply that is later than the heartbeat permits counts as lost now.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -419,6 +419,7 @@
 
   if (target->entry.address.len == 0 || !heartbeat_is_due (target, now_ms))
     return false;
+  target->heartbeat_wait_ms = 0;
   *order = (struct fl_heartbeat_order){
     .target = target->entry.id,
     .address = target->entry.address,
@@ -433,6 +434,7 @@
   order->deadline_ms = core_target_clock_ms (target, now_ms) + core->options.target_lease_ms;
   /* Reports are needed as soon as the jobs are known: no heartbeat then waits for an end. */
   order->wait_ms = core->jobs_known ? heartbeat_wait_ms (target) : 0;
+  target->heartbeat_wait_ms = order->wait_ms;
   target->lease_expires_at_ms = MAX (
       target->lease_expires_at_ms,
       now_ms + core->options.target_lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -47,6 +47,7 @@
   int64_t leaves_at_ms;          /* earliest time at which a draining target leaves */
   int64_t lease_expires_at_ms;   /* latest end of the leases of its runs, unless renewed */
   int64_t last_heartbeat_at_ms;  /* when the last heartbeat ended, with or without a reply */
+  int64_t heartbeat_wait_ms;     /* wait that the last heartbeat permitted */
   int64_t last_applied_end;      /* ends up to this number have been processed */
   int64_t last_recording_end;    /* ends up to this number are covered by records in flight */
   int64_t last_recorded_end;     /* ends up to this number are covered by stored records */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -8,6 +8,9 @@
 #define COLLECTED_BYTES_MAX (512 * 1024)
 /* Weight of one run in the moving average of the run time of a queue. */
 #define RUN_TIME_WEIGHT 0.05
+/* A reply of a target that arrives later than this after the end of the wait is outdated. Above the
+ * time-outs of heartbeats, direct and forwarded. */
+#define REPLY_DELAY_MAX_MS 500
 /* Consecutive failures, of at least two jobs, after which a target is quarantined. */
 #define QUARANTINE_FAILURES_MIN 3
 
@@ -362,6 +365,14 @@
   target->missed_heartbeats = silent ? target->missed_heartbeats + 1 : 0;
 }
 
+/* Whether a reply that arrives now is too old to say anything of the present boot of @target: this
+ * host was suspended after the target had replied. */
+static bool
+is_reply_outdated (const struct core_target *target, int64_t sent_ms, int64_t now_ms)
+{
+  return now_ms - sent_ms > target->heartbeat_wait_ms + REPLY_DELAY_MAX_MS;
+}
+
 void
 fl_core_handle_heartbeat_reply (struct fl_core *core,
                                 const struct fl_name *id,
@@ -375,6 +386,8 @@
   core->now_ms = now_ms;
   if (target == NULL)
     return;
+  if (is_reply_outdated (target, sent_ms, now_ms))
+    report = NULL;
   target->last_heartbeat_at_ms = now_ms;
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
   if (reply->result == FL_ORDER_OTHER_BOOT)
