Test: results of the starts of a batch, one by one

A result that concerns no order at all, or only the last of several, would start a task twice: only a start that was certainly not sent may be ordered again.

--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -22,7 +22,8 @@
   struct fl_target_calls calls;
   int starts;
   int heartbeats;
-  bool ignores_starts;              /* never replies to them */
+  bool ignores_starts; /* never replies to them */
+  enum fl_order_result start_result;
   GHashTable *targets;              /* set of struct fl_name: those to which starts were sent */
   struct fl_start_order last_start; /* its payload, checkpoint and ticket are no longer valid */
   struct fl_heartbeat_order last_heartbeat;
@@ -35,7 +36,7 @@
               void *done_context)
 {
   struct order_recorder *recorder = context;
-  struct fl_order_reply reply = { .result = FL_ORDER_NO_CAPACITY, .clock_ms = 5 };
+  struct fl_order_reply reply = { .result = recorder->start_result, .clock_ms = 5 };
 
   if (recorder->ignores_starts)
     return;
@@ -70,6 +71,7 @@
 order_recorder_init (struct order_recorder *recorder)
 {
   memset (recorder, 0, sizeof *recorder);
+  recorder->start_result = FL_ORDER_NO_CAPACITY;
   recorder->targets = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
   recorder->calls = (struct fl_target_calls){ .context = recorder,
                                               .start = record_start,
@@ -422,6 +424,47 @@
   ev_loop_destroy (loop);
 }
 
+/* The owner gets the result of each start of a batch as the target's host saw it. Only starts that
+ * were certainly not sent are ordered again, once. */
+static void
+test_results_of_batch (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct order_outcome outcomes[BATCH_TASKS];
+  struct host owner;
+  struct host peers[2];
+
+  (void)state;
+  start_hosts (&owner, peers, loop, stats);
+  do
+    {
+      owner.direct.starts = 0;
+      send_batch (loop, &owner, "what to run", false, outcomes);
+    }
+  while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
+         || peers[1].forwarded.starts == 0);
+  for (int result = 0; result < FL_ORDER_RESULT_COUNT; result++)
+    {
+      int orders_per_task = result == FL_ORDER_NOT_SENT ? 2 : 1;
+      for (int i = 0; i < 2; i++)
+        {
+          peers[i].forwarded.start_result = (enum fl_order_result)result;
+          peers[i].forwarded.starts = 0;
+        }
+      send_batch (loop, &owner, "what to run", false, outcomes);
+      assert_int_equal (count_outcomes (outcomes, (enum fl_order_result)result), BATCH_TASKS);
+      assert_int_equal (peers[0].forwarded.starts + peers[1].forwarded.starts,
+                        orders_per_task * BATCH_TASKS);
+      assert_int_equal (owner.direct.starts, 0);
+    }
+  host_clear (&owner);
+  host_clear (&peers[0]);
+  host_clear (&peers[1]);
+  fl_stats_free (stats);
+  ev_loop_destroy (loop);
+}
+
 /* Load pattern: a third of the hosts is killed while several steps start in one tick. The first
  * start that cannot be sent makes its peer unavailable; starts of the next job for its targets go
  * directly. */
@@ -544,11 +587,12 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_forwarding), cmocka_unit_test (test_start_batch),
-          cmocka_unit_test (test_peer_lost_between_batches),
-          cmocka_unit_test (test_late_reply_of_live_peer),
-          cmocka_unit_test (test_truncated_messages) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_forwarding),
+                                      cmocka_unit_test (test_start_batch),
+                                      cmocka_unit_test (test_results_of_batch),
+                                      cmocka_unit_test (test_peer_lost_between_batches),
+                                      cmocka_unit_test (test_late_reply_of_live_peer),
+                                      cmocka_unit_test (test_truncated_messages) };
 
   return cmocka_run_group_tests_name ("forward", tests, NULL, NULL);
 }
