Test: a start and a heartbeat without a reply at the same time (fails)

When all connections to a target are reset, the start in flight gets no reply, and the target counts as silent because of the one lost heartbeat: its run is stopped instead of started again, though the next heartbeat is sent at once.

--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -509,6 +509,55 @@
   fixture_free (fixture);
 }
 
+/* All connections to a target are reset while a start and a heartbeat are in flight, so that
+ * neither gets a reply. The run was stopped although the target was alive. The next heartbeat,
+ * which is sent at once, decides: the start is sent again if the target replies, and stopped if
+ * not. */
+static void
+test_start_stopped_after_reset (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool replies;
+    guint starts;
+    guint stops;
+  } cases[] = {
+    { "target replies", true, 2, 0 },
+    { "target is silent", false, 1, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_name target = fl_name_of ("t1");
+      struct fl_order_reply no_reply = { .result = FL_ORDER_NO_REPLY };
+      add_target (fixture, "t1", 4, false);
+      add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      tick_until_recorded (fixture, 0);
+      fl_core_handle_start_reply (fixture->core, &get_start_order (fixture, 0)->task, 1,
+                                  FL_ORDER_NO_REPLY, fixture->now_ms);
+      fl_core_handle_heartbeat_reply (fixture->core, &target, &no_reply, fixture->now_ms,
+                                      fixture->now_ms);
+      tick_until_recorded (fixture, 10);
+      assert_int_equal (fixture->start_orders->len, 1);
+      assert_int_equal (fixture->stop_orders->len, 0);
+      if (cases[i].replies)
+        deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+      else
+        fl_core_handle_heartbeat_reply (fixture->core, &target, &no_reply, fixture->now_ms,
+                                        fixture->now_ms);
+      tick_until_recorded (fixture, 10);
+      if (fixture->start_orders->len != cases[i].starts
+          || fixture->stop_orders->len != cases[i].stops)
+        fail_msg ("%s: %u starts, %u stops", cases[i].name, fixture->start_orders->len,
+                  fixture->stop_orders->len);
+      assert_int_equal (get_start_order (fixture, cases[i].starts - 1)->run, 1);
+      fixture_free (fixture);
+    }
+}
+
 /* Load pattern: targets are taken away at short notice while their tasks run. The second refused
  * connection shows that the boot of a target has ended, and its listed runs with it: their tasks
  * start elsewhere at once. A run whose start order was repeated waits for the lease, since a late
@@ -1353,6 +1402,7 @@
     cmocka_unit_test (test_gang_all_or_none),
     cmocka_unit_test (test_advice),
     cmocka_unit_test (test_start_without_reply),
+    cmocka_unit_test (test_start_stopped_after_reset),
     cmocka_unit_test (test_target_without_listener),
     cmocka_unit_test (test_silent_target),
     cmocka_unit_test (test_start_not_sent),
