One lost heartbeat doesn't stop a run whose start got no reply

When the connections to a target are reset, a start and a heartbeat in flight both get no reply. The run was stopped, since the target counted as silent, and its task started again only after the confirmed stop. The run now waits for the next heartbeat, which is sent at once: it is started again if the target replies, else stopped as before.

--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -372,6 +372,10 @@
   if (run->state != CORE_RUN_STARTING
       || core_order_budget_is_exhausted (&run->target->core->order_budget))
     return;
+  /* The connections may have been reset: the next heartbeat, sent at once, tells whether the target
+   * replies. */
+  if (run->target->silent && run->target->missed_heartbeats <= 1)
+    return;
   run->inconclusive_starts++;
   const char *ticket = core_advice_ticket (run->task->step, run->target);
   if (run->inconclusive_starts < START_ATTEMPTS_MAX && ticket != NULL && !run->target->silent)
