Signals are handled from the start of a daemon

A SIGHUP that arrived while a daemon read its settings ended it (code 129), and so did SIGTERM until the handlers were installed by the program (143).

--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -126,6 +126,40 @@
   fl_problems_clear (&problems);
 }
 
+/* --- signals before the program serves --- */
+
+/* Handlers that are there before the settings are read: by default, the signals would end the
+ * process. They take effect when the event loop runs. */
+struct early_signals
+{
+  struct fl_stop_signals stop;
+  bool stop_requested;
+};
+
+static void
+on_early_stop (void *context)
+{
+  ((struct early_signals *)context)->stop_requested = true;
+}
+
+static void
+start_early_signals (struct early_signals *signals, struct fl_host *host)
+{
+  host->loop = ev_default_loop (EVFLAG_AUTO);
+  fl_stop_signals_start (&signals->stop, host->loop, on_early_stop, signals);
+  ev_signal_init (&host->reload_signal, on_reload, SIGHUP);
+  host->reload_signal.data = host;
+  ev_signal_start (host->loop, &host->reload_signal);
+}
+
+/* @return whether a stop signal has arrived. */
+static bool
+is_stop_requested (const struct early_signals *signals, struct fl_host *host)
+{
+  ev_run (host->loop, EVRUN_NOWAIT);
+  return signals->stop_requested;
+}
+
 /* --- main --- */
 
 /* Starts the relay, which makes store calls through other hosts and, with @accepts_peer_calls, also
@@ -158,7 +192,6 @@
 static void
 host_init (struct fl_host *host, const struct fl_program *program)
 {
-  host->loop = ev_default_loop (EVFLAG_AUTO);
   host->log = (struct fl_log){ fl_host_settings_log_level (&host->settings), program->name,
                                host->settings.name, &host->log_state };
   fl_log_set_nonblocking ();
@@ -167,9 +200,6 @@
   host->platform_store = fl_platform_store_new (host->http_client, host->settings.store.data);
   host->store = fl_platform_store_get_interface (host->platform_store);
   start_relay (host, program->relays_store_calls);
-  ev_signal_init (&host->reload_signal, on_reload, SIGHUP);
-  host->reload_signal.data = host;
-  ev_signal_start (host->loop, &host->reload_signal);
 }
 
 static void
@@ -186,9 +216,12 @@
 run_program (const struct fl_program *program, const char *path, bool check_only)
 {
   struct fl_host host = { .settings_path = path };
+  struct early_signals signals = { 0 };
   struct fl_problems problems = { 0 };
   int code = FL_PROGRAM_OK;
 
+  if (!check_only)
+    start_early_signals (&signals, &host);
   if (!fl_host_settings_load (path, &host.settings, &problems))
     {
       fprintf (stderr, "%s: %zu problem(s) in %s:\n%s\n", program->name, problems.count, path,
@@ -203,7 +236,8 @@
       host_init (&host, program);
       fl_log (&host.log, FL_LOG_NOTICE, "started", FL_N ("domain", &host.settings.domain),
               FL_N ("store", &host.settings.store));
-      code = program->serve (&host);
+      if (!is_stop_requested (&signals, &host))
+        code = program->serve (&host);
       fl_log (&host.log, FL_LOG_NOTICE, "stopped", FL_I ("code", code));
       host_clear (&host);
     }
--- a/tests/test_program.c
+++ b/tests/test_program.c
@@ -78,7 +78,8 @@
     }
 }
 
-/* Writes the settings to the named pipe at @path, from which the process @pid reads.
+/* Writes the settings to the named pipe at @path, from which a process reads, and replaces the pipe
+ * by a file for later reads.
  * @return false when the process has ended before it read them. */
 static bool
 write_settings (const char *path, const char *settings)
@@ -87,6 +88,8 @@
 
   if (fd < 0)
     return false;
+  g_unlink (path);
+  assert_true (g_file_set_contents (path, settings, -1, NULL));
   assert_int_equal (write (fd, settings, strlen (settings)), strlen (settings));
   close (fd);
   return true;
@@ -104,10 +107,6 @@
   usleep (SIGNAL_GAP_US);
   if (write_settings (path, settings))
     {
-      /* Later reads find a regular file. */
-      usleep (SIGNAL_GAP_US);
-      g_unlink (path);
-      g_file_set_contents (path, settings, -1, NULL);
       usleep (SIGNAL_GAP_US);
       send_signals (pid, test->signals_while_running, G_N_ELEMENTS (test->signals_while_running));
     }
