--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -49,7 +49,8 @@
   if (reply->status == FL_STORE_OK)
     return;
   fl_stats_add (term->poold->host->stats, "records_failed_total", 1);
-  if (reply->status != FL_STORE_CONFLICT)
+  /* A new connection may serve the next transaction at once. */
+  if (reply->status != FL_STORE_CONFLICT && !reply->is_connection_stale)
     term->next_store_ms = fl_clock_boot_ms () + RETRY_DELAY_MS;
   fl_log (&term->poold->host->log, FL_LOG_WARNING, "record_failed", FL_S ("what", what),
           FL_I ("status", reply->status), FL_S ("text", reply->error.text));
@@ -113,8 +114,8 @@
 
   term->poold->tick_requested = true;
   handle_failure (term, "targets", reply);
-  if (!term->ended && reply->status == FL_STORE_OK)
-    fl_core_mark_target_list_recorded (term->core);
+  if (!term->ended)
+    fl_core_finish_target_list (term->core, reply->status == FL_STORE_OK);
   fl_term_unref (term);
 }
 
