Test: forwarded orders when flamingo-poold stops

The test fails: orders in flight through the stopping process get no reply, so that the owner waits for their timeouts and does not know their outcome.

--- /dev/null
+++ b/tests/test_pool_stop.c
@@ -0,0 +1,392 @@
+/* Orders that the owner of the pool forwards through a flamingo-poold that stops: each one gets its
+ * result from that process or takes another way. An order without a reply waits for its timeout,
+ * and its outcome is unknown. The stopping process is a child of the test. */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <ev.h>
+#include <glib.h>
+
+#include "forward/forward.h"
+#include "poold/poold.h"
+#include "support_http.h"
+#include "support_loop.h"
+#include "support_slow_store.h"
+
+#define STEP_S 0.02
+#define STEPS_BEFORE_STOP 20
+/* Only a guard against a test that hangs. */
+#define GUARD_STEPS 1000
+/* Much longer than any timeout. */
+#define NEVER_MS 1000000
+/* A heartbeat with this wait times out on the owner after 2.4 s. */
+#define HEARTBEAT_WAIT_MS 2000
+#define TARGET_DELAY_S 0.1
+#define CLIENT_CONNECTIONS_MAX 100
+
+/* --- the process that stops: a standby, since it reaches no store --- */
+
+static int
+serve_pool (int link_port)
+{
+  struct fl_host host = { .log = { .level = FL_LOG_ERR, .program = "test_pool_stop" } };
+  struct slow_store_options options = { .delay_ms = NEVER_MS };
+
+  host.loop = ev_default_loop (EVFLAG_AUTO);
+  host.stats = fl_stats_new ();
+  host.http_client = fl_http_client_new (host.loop, CLIENT_CONNECTIONS_MAX, host.stats);
+  host.settings.name = fl_name_of ("h2");
+  host.settings.address = fl_name_of ("127.0.0.1");
+  host.settings.link_port = link_port;
+  options.loop = host.loop;
+  host.store = slow_store_get_interface (slow_store_new (&options));
+  return fl_poold_serve (&host);
+}
+
+/* --- a target that replies to starts and stops late, and never to heartbeats --- */
+
+struct target
+{
+  struct ev_loop *loop;
+  struct fl_http_server *server;
+  struct fl_name address;
+};
+
+struct late_reply
+{
+  ev_timer timer;
+  struct fl_http_request *request;
+};
+
+static void
+on_reply_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  static const char body[] = "{\"clockMs\":1}";
+  struct late_reply *late = timer->data;
+  struct fl_http_response response = { .status = 200, .body = body, .len = sizeof body - 1 };
+
+  (void)loop;
+  (void)events;
+  fl_http_respond (late->request, &response);
+  g_free (late);
+}
+
+static void
+on_target_request (void *context, struct fl_http_request *request)
+{
+  struct target *target = context;
+  struct late_reply *late;
+
+  if (strcmp (fl_http_path (request), "/hold") == 0)
+    return;
+  late = g_new0 (struct late_reply, 1);
+  late->request = request;
+  ev_timer_init (&late->timer, on_reply_due, TARGET_DELAY_S, 0.0);
+  late->timer.data = late;
+  ev_timer_start (target->loop, &late->timer);
+}
+
+static void
+target_init (struct target *target, struct ev_loop *loop)
+{
+  struct fl_http_server_options options = { .loop = loop,
+                                            .address = "127.0.0.1",
+                                            .body_max = 10000,
+                                            .header_max = 10000,
+                                            .connections_max = 500,
+                                            .idle_timeout_ms = 60000,
+                                            .upload_timeout_ms = 60000,
+                                            .on_request = on_target_request,
+                                            .context = target };
+
+  target->loop = loop;
+  target->server = fl_http_server_new (&options, NULL);
+  target->address = fl_name_format ("127.0.0.1:%d", fl_http_server_port (target->server));
+}
+
+/* --- the owner --- */
+
+struct owner
+{
+  struct ev_loop *loop;
+  struct fl_link *link;
+  struct fl_forwarder *forwarder;
+  struct fl_target_calls direct;
+  struct target target;
+  int64_t last_run;
+  int direct_count;
+  int in_flight;
+  int done;
+  int not_sent;
+  int no_reply;
+};
+
+static void
+reply_done (struct owner *owner,
+            void (*done) (void *context, const struct fl_order_reply *reply),
+            void *done_context)
+{
+  struct fl_order_reply reply = { .result = FL_ORDER_DONE };
+
+  owner->direct_count++;
+  done (done_context, &reply);
+}
+
+static void
+start_directly (void *context,
+                const struct fl_start_order *order,
+                void (*done) (void *context, const struct fl_order_reply *reply),
+                void *done_context)
+{
+  (void)order;
+  reply_done (context, done, done_context);
+}
+
+static void
+stop_directly (void *context,
+               const struct fl_run_order *order,
+               void (*done) (void *context, const struct fl_order_reply *reply),
+               void *done_context)
+{
+  (void)order;
+  reply_done (context, done, done_context);
+}
+
+static void
+heartbeat_directly (void *context,
+                    const struct fl_heartbeat_order *order,
+                    void (*done) (void *context, const struct fl_order_reply *reply),
+                    void *done_context)
+{
+  (void)order;
+  reply_done (context, done, done_context);
+}
+
+static bool
+send_kind (struct owner *owner, char kind, const struct fl_route *to, const char *data, size_t len)
+{
+  g_autofree char *message = g_malloc (len + 1);
+
+  message[0] = kind;
+  memcpy (message + 1, data, len);
+  return fl_link_send (owner->link, to, message, len + 1);
+}
+
+static bool
+send_order (void *context, const struct fl_route *to, const char *data, size_t len)
+{
+  return send_kind (context, 'c', to, data, len);
+}
+
+static bool
+send_batch (void *context, const struct fl_route *to, const char *data, size_t len)
+{
+  return send_kind (context, 'b', to, data, len);
+}
+
+static bool
+connect_peer (void *context, const struct fl_name *address)
+{
+  return fl_link_connect (((struct owner *)context)->link, address, NULL);
+}
+
+static bool
+may_send (void *context)
+{
+  (void)context;
+  return true;
+}
+
+static void
+on_message (void *context, const struct fl_route *from, const char *data, size_t len)
+{
+  struct owner *owner = context;
+
+  if (data[0] == 'b')
+    fl_forwarder_receive_batch (owner->forwarder, from, data + 1, len - 1);
+  else
+    fl_forwarder_receive (owner->forwarder, from, data + 1, len - 1);
+}
+
+static void
+owner_init (struct owner *owner, int peer_port)
+{
+  static const struct fl_log log = { .level = FL_LOG_ERR };
+  struct fl_name peer_name = fl_name_of ("h2");
+  struct fl_name peer_address = fl_name_format ("tcp://127.0.0.1:%d", peer_port);
+  struct fl_link_options link = { .queue_max = 1000, .on_message = on_message, .context = owner };
+  struct fl_forwarder_options options = { .log = &log,
+                                          .stats = fl_stats_new (),
+                                          .send = send_order,
+                                          .send_batch = send_batch,
+                                          .connect = connect_peer,
+                                          .may_send = may_send,
+                                          .context = owner,
+                                          .direct = &owner->direct,
+                                          .forwarded = &owner->direct };
+
+  *owner = (struct owner){ .loop = ev_loop_new (EVFLAG_AUTO) };
+  owner->direct = (struct fl_target_calls){ .context = owner,
+                                            .start = start_directly,
+                                            .stop = stop_directly,
+                                            .heartbeat = heartbeat_directly };
+  target_init (&owner->target, owner->loop);
+  link.loop = options.loop = owner->loop;
+  owner->link = fl_link_new (&link, NULL);
+  assert_true (fl_link_connect (owner->link, &peer_address, NULL));
+  owner->forwarder = fl_forwarder_new (&options);
+  fl_forwarder_set_peer (owner->forwarder, &peer_name, &peer_address);
+  fl_forwarder_set_enabled (owner->forwarder, true);
+}
+
+static void
+on_result (void *context, const struct fl_order_reply *reply)
+{
+  struct owner *owner = context;
+
+  owner->in_flight--;
+  owner->done += reply->result == FL_ORDER_DONE ? 1 : 0;
+  owner->not_sent += reply->result == FL_ORDER_NOT_SENT ? 1 : 0;
+  owner->no_reply += reply->result == FL_ORDER_NO_REPLY ? 1 : 0;
+}
+
+static void
+order_starts (struct owner *owner, int count)
+{
+  static const char payload[] = "payload";
+  const struct fl_target_calls *calls = fl_forwarder_calls (owner->forwarder);
+
+  for (int i = 0; i < count; i++)
+    {
+      struct fl_start_order order = { .target = fl_name_format ("t%d", i),
+                                      .address = owner->target.address,
+                                      .task = fl_name_format ("a.0.0.%d", i),
+                                      .run = ++owner->last_run,
+                                      .fencing_token = 1,
+                                      .deadline_ms = 99,
+                                      .payload = payload,
+                                      .payload_len = strlen (payload),
+                                      .checkpoint = "",
+                                      .ticket = "" };
+      owner->in_flight++;
+      calls->start (calls->context, &order, on_result, owner);
+    }
+  fl_forwarder_flush (owner->forwarder);
+}
+
+static void
+order_one_start (struct owner *owner)
+{
+  order_starts (owner, 1);
+}
+
+static void
+order_batch (struct owner *owner)
+{
+  order_starts (owner, 5);
+}
+
+static void
+order_stop (struct owner *owner)
+{
+  const struct fl_target_calls *calls = fl_forwarder_calls (owner->forwarder);
+  struct fl_run_order order = { .target = fl_name_of ("t1"),
+                                .address = owner->target.address,
+                                .task = fl_name_of ("a.0.0.0"),
+                                .run = ++owner->last_run,
+                                .fencing_token = 1 };
+
+  owner->in_flight++;
+  calls->stop (calls->context, &order, on_result, owner);
+}
+
+static void
+order_heartbeat (struct owner *owner)
+{
+  const struct fl_target_calls *calls = fl_forwarder_calls (owner->forwarder);
+  struct fl_heartbeat_order order = { .target = fl_name_of ("t1"),
+                                      .address = owner->target.address,
+                                      .fencing_token = 1,
+                                      .wait_ms = HEARTBEAT_WAIT_MS };
+
+  owner->in_flight++;
+  calls->heartbeat (calls->context, &order, on_result, owner);
+}
+
+static bool
+has_ended (int pid)
+{
+  siginfo_t info = { 0 };
+
+  return waitid (P_PID, (id_t)pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == pid;
+}
+
+static const struct
+{
+  const char *name;
+  void (*order) (struct owner *owner);
+  bool may_be_cut; /* the end of the process may leave its outcome unknown, at once */
+} cases[] = {
+  { "starts", order_one_start, false },
+  { "batches of starts", order_batch, false },
+  { "stops", order_stop, false },
+  { "heartbeats that wait", order_heartbeat, true },
+};
+
+static void
+test_forwarded_orders_while_stopping (void **state)
+{
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int port = test_free_port ();
+      int pid = fork ();
+      struct owner owner;
+      int code;
+
+      if (pid == 0)
+        _exit (serve_pool (port));
+      owner_init (&owner, port);
+      /* Orders go directly to the target until the peer has replied to a ping. */
+      for (int s = 0; s < GUARD_STEPS && owner.in_flight == 0; s++)
+        {
+          cases[i].order (&owner);
+          support_run_loop_for (owner.loop, STEP_S);
+        }
+      assert_true (owner.in_flight > 0);
+      for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
+        {
+          if (s == STEPS_BEFORE_STOP)
+            kill (pid, SIGTERM);
+          cases[i].order (&owner);
+          support_run_loop_for (owner.loop, STEP_S);
+        }
+      code = test_wait_for_exit (pid);
+      for (int s = 0; s < STEPS_BEFORE_STOP; s++)
+        support_run_loop_for (owner.loop, STEP_S);
+      if ((owner.no_reply == 0 || cases[i].may_be_cut) && owner.in_flight == 0 && code == 0)
+        continue;
+      print_error ("%s: done %d, not sent %d, no reply %d, in flight %d, exit code %d\n",
+                   cases[i].name, owner.done, owner.not_sent, owner.no_reply, owner.in_flight,
+                   code);
+      failures++;
+    }
+  assert_int_equal (failures, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_forwarded_orders_while_stopping) };
+
+  return cmocka_run_group_tests_name ("pool_stop", tests, NULL, NULL);
+}
