Stop of flamingo-poold: orders of peers are completed or rejected

Owners of many targets send orders through peers. When such a peer stopped, the orders in flight got no reply: the owner waited 350 ms for a start, 850 ms for a stop and up to 2.4 s for a heartbeat, and a start of unknown outcome occupies its task and target until it is resolved.

A stopping flamingo-poold now completes the orders in flight, rejects further ones as not sent, ends heartbeats in flight at once, and ignores pings. Its replies say that it stops (an optional field), so that the owner sends the next orders directly.

--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -408,7 +408,9 @@
   struct distributed_start *start = g_new0 (struct distributed_start, 1);
 
   *start = (struct distributed_start){ batch, index };
-  if (row->peer.len == 0)
+  if (forwarder->is_draining)
+    on_distributed_start_done (start, &not_sent);
+  else if (row->peer.len == 0)
     calls->start (calls->context, &order, on_distributed_start_done, start);
   else if (!forwarder->options.connect (forwarder->options.context, &row->peer)
            || !forward_send (forwarder, &row->peer, &forwarded, FORWARD_START_TIMEOUT_MS,
@@ -443,6 +445,12 @@
 
 /* --- messages and creation --- */
 
+int
+forward_batches_open (const struct forward_batches *batches)
+{
+  return (int)g_hash_table_size (batches->incoming);
+}
+
 void
 forward_batches_receive (struct forward_batches *batches,
                          const struct fl_route *sender,
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -32,6 +32,7 @@
   struct fl_forwarder *forwarder;
   struct fl_route sender;
   int64_t number;
+  bool is_heartbeat;
 };
 
 /* --- peers --- */
@@ -339,21 +340,27 @@
                                   .clock_ms = message->clock_ms,
                                   .report = message->has_report ? &report : NULL };
 
-  if (order != NULL)
-    finish_order (order, &reply);
+  if (order == NULL)
+    return;
+  if (message->is_stopping)
+    mark_unavailable (forwarder, find_peer (forwarder, &order->peer_address));
+  finish_order (order, &reply);
 }
 
 /* --- orders of peers --- */
 
+/* Returns the result of @order unless it has been returned already. */
 static void
-on_order_done (void *context, const struct fl_order_reply *reply)
+return_result (struct incoming_order *order, const struct fl_order_reply *reply)
 {
-  struct incoming_order *order = context;
   struct fl_forward_message message = { .kind = FL_FORWARD_REPLY,
                                         .number = order->number,
                                         .result = (int)reply->result,
+                                        .is_stopping = order->forwarder->is_draining,
                                         .clock_ms = reply->clock_ms };
 
+  if (!g_hash_table_remove (order->forwarder->incoming, order))
+    return;
   if (reply->report != NULL)
     {
       message.has_report = true;
@@ -363,7 +370,13 @@
     }
   if (!send_message (order->forwarder, &order->sender, &message))
     fl_stats_add (order->forwarder->options.stats, "carried_answers_unsent_total", 1);
-  g_free (order);
+}
+
+static void
+on_order_done (void *context, const struct fl_order_reply *reply)
+{
+  return_result (context, reply);
+  g_free (context);
 }
 
 static void
@@ -430,9 +443,17 @@
                const struct fl_forward_message *message)
 {
   const struct fl_target_calls *calls = forwarder->options.forwarded;
+  static const struct fl_order_reply not_sent = { .result = FL_ORDER_NOT_SENT };
   struct incoming_order *order = g_new0 (struct incoming_order, 1);
 
-  *order = (struct incoming_order){ forwarder, *sender, message->number };
+  *order = (struct incoming_order){ forwarder, *sender, message->number,
+                                    message->kind == FL_FORWARD_HEARTBEAT };
+  g_hash_table_add (forwarder->incoming, order);
+  if (forwarder->is_draining)
+    {
+      on_order_done (order, &not_sent);
+      return;
+    }
   fl_stats_add (forwarder->options.stats, "orders_carried_total", 1);
   if (message->kind == FL_FORWARD_START)
     execute_start (calls, message, order);
@@ -493,6 +514,8 @@
     }
   else if (message.kind == FL_FORWARD_REPLY)
     on_reply (forwarder, &message);
+  else if (message.kind == FL_FORWARD_PING && forwarder->is_draining)
+    ; /* this host is not available any more */
   else if (message.kind == FL_FORWARD_PING)
     send_message (forwarder, sender, &pong);
   else if (message.kind == FL_FORWARD_PONG)
@@ -525,6 +548,7 @@
   forwarder->peers = g_array_new (FALSE, FALSE, sizeof (struct forward_peer));
   forwarder->in_flight
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, outgoing_order_free);
+  forwarder->incoming = g_hash_table_new (NULL, NULL);
   forwarder->batches = forward_batches_new (forwarder);
   ev_timer_init (&forwarder->ping_timer, on_ping_timer, PING_INTERVAL_MS / 1000.0,
                  PING_INTERVAL_MS / 1000.0);
@@ -541,10 +565,44 @@
   ev_timer_stop (forwarder->options.loop, &forwarder->ping_timer);
   forward_batches_free (forwarder->batches);
   g_hash_table_destroy (forwarder->in_flight);
+  g_hash_table_destroy (forwarder->incoming);
   g_array_unref (forwarder->peers);
   g_free (forwarder);
 }
 
+/* A heartbeat may wait for seconds for an end, which the owner then learns sooner from another one.
+ */
+static void
+cut_heartbeats (struct fl_forwarder *forwarder)
+{
+  static const struct fl_order_reply no_reply = { .result = FL_ORDER_NO_REPLY };
+  g_autoptr (GPtrArray) heartbeats = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *order;
+
+  g_hash_table_iter_init (&iter, forwarder->incoming);
+  while (g_hash_table_iter_next (&iter, &order, NULL))
+    if (((struct incoming_order *)order)->is_heartbeat)
+      g_ptr_array_add (heartbeats, order);
+  for (guint i = 0; i < heartbeats->len; i++)
+    return_result (g_ptr_array_index (heartbeats, i), &no_reply);
+}
+
+void
+fl_forwarder_drain (struct fl_forwarder *forwarder)
+{
+  if (forwarder->is_draining)
+    return;
+  forwarder->is_draining = true;
+  cut_heartbeats (forwarder);
+}
+
+int
+fl_forwarder_open_peer_orders (const struct fl_forwarder *forwarder)
+{
+  return (int)g_hash_table_size (forwarder->incoming) + forward_batches_open (forwarder->batches);
+}
+
 const struct fl_target_calls *
 fl_forwarder_calls (const struct fl_forwarder *forwarder)
 {
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -56,6 +56,15 @@
                             const struct fl_name *name,
                             const struct fl_name *address);
 
+/* Prepares the end of the process: further orders of peers are rejected as not sent, and their
+ * heartbeats in flight end at once without a reply of the target. Other orders in flight complete.
+ */
+void fl_forwarder_drain (struct fl_forwarder *forwarder);
+
+/* @return the number of orders and batches of peers in flight whose results are not returned yet.
+ */
+int fl_forwarder_open_peer_orders (const struct fl_forwarder *forwarder);
+
 /* Sends the starts that were ordered since the last call. The strings of a start order have to stay
  * valid until then. */
 void fl_forwarder_flush (struct fl_forwarder *forwarder);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -28,6 +28,8 @@
   GArray *peers;         /* struct forward_peer */
   GHashTable *in_flight; /* number -> struct outgoing_order */
   int64_t last_order_number;
+  GHashTable *incoming; /* set of struct incoming_order whose result is not returned yet */
+  bool is_draining;
   ev_timer ping_timer;
   struct forward_batches *batches;
 };
@@ -78,6 +80,9 @@
 /* Ends all starts in flight through the peer at @address with FL_ORDER_NO_REPLY. */
 void forward_batches_time_out (struct forward_batches *batches, const struct fl_name *address);
 
+/* @return the number of batches of peers that have starts without a result. */
+int forward_batches_open (const struct forward_batches *batches);
+
 /* Handles a message about a batch. */
 void forward_batches_receive (struct forward_batches *batches,
                               const struct fl_route *sender,
--- a/lib/forward/message.c
+++ b/lib/forward/message.c
@@ -69,6 +69,8 @@
   NAME (fl_forward_message, ticket),
   ENUM (fl_forward_message, result, result_names),
   INT (fl_forward_message, clock_ms),
+  { "is_stopping", FL_BOOL, offsetof (struct fl_forward_message, is_stopping), false, 0, 0, 0, NULL,
+    NULL },
   { "has_lists", FL_BOOL, offsetof (struct fl_forward_message, has_report), false, 0, 0, 0, NULL,
     NULL },
   INT_AS (fl_forward_message, booted_at_ms, "born_ms"),
--- a/lib/forward/message.h
+++ b/lib/forward/message.h
@@ -36,6 +36,7 @@
   /* replies: */
   int result; /* enum fl_order_result */
   int64_t clock_ms;
+  bool is_stopping; /* the host rejects further orders, since its process is about to end */
   bool has_report;
   int64_t booted_at_ms;
   struct fl_array runs; /* of struct fl_run_row */
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -18,6 +18,9 @@
 /* For the row that announces this host; written again until the store confirms it. */
 #define ANNOUNCE_TIMEOUT_MS 1000
 #define ANNOUNCE_RETRY_MS 500
+/* Longest wait of a stopping process for orders of peers in flight: their timeout at the target
+ * (700 ms for a stop), and the time to return the result. */
+#define STOP_ORDERS_MAX_MS 800
 
 /* --- configuration --- */
 
@@ -144,12 +147,15 @@
     fl_term_tick (poold->term);
 }
 
+static void end_if_drained (struct fl_poold *poold);
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *timer, int events)
 {
   (void)loop;
   (void)events;
   tick (timer->data);
+  end_if_drained (timer->data);
 }
 
 /* Runs before the loop blocks: one tick handles all events since the last tick. */
@@ -171,12 +177,25 @@
   ev_timer_start (loop, &poold->early_tick_timer);
 }
 
+/* Ends the process once the pool is released and orders of peers have their results. */
+static void
+end_if_drained (struct fl_poold *poold)
+{
+  int64_t stopping_ms = fl_clock_boot_ms () - poold->stop_started_ms;
+
+  if (poold->stopping && poold->released
+      && (fl_forwarder_open_peer_orders (poold->forwarder) == 0
+          || stopping_ms >= STOP_ORDERS_MAX_MS))
+    ev_break (poold->host->loop, EVBREAK_ALL);
+}
+
 static void
 on_released (void *context)
 {
   struct fl_poold *poold = context;
 
-  ev_break (poold->host->loop, EVBREAK_ALL);
+  poold->released = true;
+  end_if_drained (poold);
 }
 
 static void
@@ -187,6 +206,8 @@
   if (poold->stopping)
     return;
   poold->stopping = true;
+  poold->stop_started_ms = fl_clock_boot_ms ();
+  fl_forwarder_drain (poold->forwarder);
   end_term (poold);
   fl_ownership_release (poold->ownership, on_released, poold);
 }
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -66,6 +66,8 @@
   bool announce_in_flight;
   int64_t announce_sent_ms; /* when the row was last sent; 0 for never */
   bool stopping;
+  bool released;           /* while stopping: the pool is released, or was not owned */
+  int64_t stop_started_ms; /* while stopping */
 };
 
 /* --- poold.c --- */
