--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -1,6 +1,6 @@
-/* Orders that the owner of the pool forwards through a flamingo-poold that stops: each one gets its
- * result from that process or takes another way. An order without a reply waits for its timeout,
- * and its outcome is unknown. The stopping process is a child of the test. */
+/* Orders and advice queries that the owner of the pool sends through a flamingo-poold that stops:
+ * each one gets its result from that process or takes another way. An order without a reply waits
+ * for its timeout, and its outcome is unknown. The stopping process is a child of the test. */
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #include "forward/forward.h"
+#include "poold/advisors.h"
 #include "poold/poold.h"
 #include "support_http.h"
 #include "support_loop.h"
@@ -34,7 +35,7 @@
 /* --- the process that stops: a standby, since it reaches no store --- */
 
 static int
-serve_pool (int link_port)
+serve_pool (int link_port, const struct fl_name *advice)
 {
   struct fl_host host = { .log = { .level = FL_LOG_ERR, .program = "test_pool_stop" } };
   struct slow_store_options options = { .delay_ms = NEVER_MS };
@@ -45,12 +46,14 @@
   host.settings.name = fl_name_of ("h2");
   host.settings.address = fl_name_of ("127.0.0.1");
   host.settings.link_port = link_port;
+  host.settings.advice = *advice;
   options.loop = host.loop;
   host.store = slow_store_get_interface (slow_store_new (&options));
   return fl_poold_serve (&host);
 }
 
-/* --- a target that replies to starts and stops late, and never to heartbeats --- */
+/* --- a target that replies to starts and stops late, and never to heartbeats; it also stands for
+ * the advice service, which does not reply --- */
 
 struct target
 {
@@ -84,7 +87,8 @@
   struct target *target = context;
   struct late_reply *late;
 
-  if (strcmp (fl_http_path (request), "/hold") == 0)
+  if (strcmp (fl_http_path (request), "/hold") == 0
+      || strcmp (fl_http_path (request), "/advise") == 0)
     return;
   late = g_new0 (struct late_reply, 1);
   late->request = request;
@@ -118,6 +122,8 @@
   struct ev_loop *loop;
   struct fl_link *link;
   struct fl_forwarder *forwarder;
+  struct fl_advisors *advisors;
+  struct fl_host host; /* for the advisors */
   struct fl_target_calls direct;
   struct target target;
   int64_t last_run;
@@ -191,6 +197,28 @@
   return send_kind (context, 'b', to, data, len);
 }
 
+static bool
+send_advice (void *context, const struct fl_route *to, const char *data, size_t len)
+{
+  return send_kind (context, 'a', to, data, len);
+}
+
+static void
+on_advice_reply (void *context,
+                 const struct fl_name *step,
+                 const struct fl_name *queried,
+                 size_t queried_count,
+                 const struct fl_advice_reply *reply)
+{
+  struct owner *owner = context;
+
+  (void)step;
+  (void)queried;
+  (void)queried_count;
+  owner->in_flight--;
+  owner->no_reply += reply->received ? 0 : 1;
+}
+
 static bool
 connect_peer (void *context, const struct fl_name *address)
 {
@@ -209,15 +237,37 @@
 {
   struct owner *owner = context;
 
-  if (data[0] == 'b')
+  if (data[0] == 'a')
+    fl_advisors_receive (owner->advisors, from, data + 1, len - 1);
+  else if (data[0] == 'b')
     fl_forwarder_receive_batch (owner->forwarder, from, data + 1, len - 1);
   else
     fl_forwarder_receive (owner->forwarder, from, data + 1, len - 1);
 }
 
+/* The owner itself cannot reach the service. */
+static void
+query_fails (void *context,
+             const struct fl_name *step,
+             const struct fl_name *targets,
+             size_t count,
+             int64_t timeout_ms,
+             void (*done) (void *context, const struct fl_advice_reply *reply),
+             void *done_context)
+{
+  (void)context;
+  (void)step;
+  (void)targets;
+  (void)count;
+  (void)timeout_ms;
+  (void)done;
+  (void)done_context;
+}
+
 static void
 owner_init (struct owner *owner, int peer_port)
 {
+  static const struct fl_advice_calls no_service = { .query = query_fails };
   static const struct fl_log log = { .level = FL_LOG_ERR };
   struct fl_name peer_name = fl_name_of ("h2");
   struct fl_name peer_address = fl_name_format ("tcp://127.0.0.1:%d", peer_port);
@@ -231,6 +281,9 @@
                                           .context = owner,
                                           .direct = &owner->direct,
                                           .forwarded = &owner->direct };
+  struct fl_advisors_options advisors = {
+    .calls = &no_service, .on_reply = on_advice_reply, .send = send_advice, .context = owner
+  };
 
   *owner = (struct owner){ .loop = ev_loop_new (EVFLAG_AUTO) };
   owner->direct = (struct fl_target_calls){ .context = owner,
@@ -244,6 +297,13 @@
   owner->forwarder = fl_forwarder_new (&options);
   fl_forwarder_set_peer (owner->forwarder, &peer_name, &peer_address);
   fl_forwarder_set_enabled (owner->forwarder, true);
+  owner->host.loop = owner->loop;
+  owner->host.stats = options.stats;
+  owner->host.log.level = FL_LOG_ERR;
+  owner->host.settings.name = fl_name_of ("h1");
+  advisors.host = &owner->host;
+  owner->advisors = fl_advisors_new (&advisors);
+  fl_advisors_set_peer (owner->advisors, &peer_name, &peer_address);
 }
 
 static void
@@ -328,6 +388,18 @@
   return waitid (P_PID, (id_t)pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == pid;
 }
 
+/* Orders go directly to the target, which replies at once, until the peer has replied to a ping. */
+static void
+order_until_forwarded (struct owner *owner, void (*order) (struct owner *owner))
+{
+  for (int s = 0; s < GUARD_STEPS && owner->in_flight == 0; s++)
+    {
+      order (owner);
+      support_run_loop_for (owner->loop, STEP_S);
+    }
+  assert_true (owner->in_flight > 0);
+}
+
 static const struct
 {
   const char *name;
@@ -354,15 +426,12 @@
       int code;
 
       if (pid == 0)
-        _exit (serve_pool (port));
-      owner_init (&owner, port);
-      /* Orders go directly to the target until the peer has replied to a ping. */
-      for (int s = 0; s < GUARD_STEPS && owner.in_flight == 0; s++)
         {
-          cases[i].order (&owner);
-          support_run_loop_for (owner.loop, STEP_S);
+          struct fl_name no_advice = fl_name_of ("");
+          _exit (serve_pool (port, &no_advice));
         }
-      assert_true (owner.in_flight > 0);
+      owner_init (&owner, port);
+      order_until_forwarded (&owner, cases[i].order);
       for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
         {
           if (s == STEPS_BEFORE_STOP)
@@ -383,10 +452,45 @@
   assert_int_equal (failures, 0);
 }
 
+/* A query that the service has not replied to when the process stops ends at once, although its
+ * timeout is far away, so that the owner asks through another host. */
+static void
+test_advice_query_while_stopping (void **state)
+{
+  struct fl_name step = fl_name_of ("a.0.0");
+  struct fl_name targets[] = { fl_name_of ("t1"), fl_name_of ("t2") };
+  int port = test_free_port ();
+  struct owner owner;
+  int pid;
+
+  (void)state;
+  owner_init (&owner, port);
+  pid = fork ();
+  if (pid == 0)
+    _exit (serve_pool (port, &owner.target.address));
+  order_until_forwarded (&owner, order_stop);
+  while (owner.in_flight > 0)
+    support_run_loop_for (owner.loop, STEP_S);
+  assert_true (fl_advisors_send_query (owner.advisors, &step, targets, 2, NEVER_MS));
+  owner.in_flight++;
+  for (int s = 0; s < STEPS_BEFORE_STOP; s++)
+    support_run_loop_for (owner.loop, STEP_S);
+  assert_int_equal (owner.no_reply, 0);
+  kill (pid, SIGTERM);
+  for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
+    support_run_loop_for (owner.loop, STEP_S);
+  assert_int_equal (test_wait_for_exit (pid), 0);
+  for (int s = 0; s < STEPS_BEFORE_STOP; s++)
+    support_run_loop_for (owner.loop, STEP_S);
+  assert_int_equal (owner.in_flight, 0);
+  assert_int_equal (owner.no_reply, 1);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_forwarded_orders_while_stopping) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_forwarded_orders_while_stopping),
+                                      cmocka_unit_test (test_advice_query_while_stopping) };
 
   return cmocka_run_group_tests_name ("pool_stop", tests, NULL, NULL);
 }
