Stop of flamingo-poold: advice queries of peers end at once

A query that a peer had passed on to the service got no reply when the peer stopped: its step waited for the timeout before another host was asked. Queries in flight and new ones now end at once without advice.

The test's query had a timeout that the message format does not allow, so that it did not reach the process; it is now 30 s. test_pool_stop without the call of fl_advisors_drain: fails; with it: passes (5 runs).

--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -80,6 +80,8 @@
   struct fl_advisors_options options;
   GHashTable *hosts; /* host name -> struct advisor */
   int64_t last_query_number;
+  GHashTable *peer_queries; /* set of struct peer_query without a result */
+  bool is_draining;
 };
 
 /* A query of a peer that this host has passed on to the service. */
@@ -297,10 +299,12 @@
     }
 }
 
+static const struct fl_advice_reply no_advice = { 0 };
+
+/* Returns the result of @query unless it has been returned already. */
 static void
-on_peer_query_reply (void *context, const struct fl_advice_reply *reply)
+return_result (struct peer_query *query, const struct fl_advice_reply *reply)
 {
-  struct peer_query *query = context;
   struct message_target targets[FL_ADVICE_TARGETS_MAX] = { 0 };
   size_t count = MIN (reply->count, FL_ADVICE_TARGETS_MAX);
   struct message message = { .is_reply = true,
@@ -309,10 +313,18 @@
                              .valid_ms = reply->tickets_valid_ms,
                              .targets = { count, targets } };
 
+  if (!g_hash_table_remove (query->advisors->peer_queries, query))
+    return;
   for (size_t i = 0; i < count; i++)
     targets[i] = (struct message_target){ reply->targets[i].target, reply->targets[i].ticket };
   send_message (query->advisors, &query->from, &message);
-  g_free (query);
+}
+
+static void
+on_peer_query_reply (void *context, const struct fl_advice_reply *reply)
+{
+  return_result (context, reply);
+  g_free (context);
 }
 
 static void
@@ -326,6 +338,12 @@
   struct peer_query *query = g_new0 (struct peer_query, 1);
 
   *query = (struct peer_query){ advisors, *from, message->query_number };
+  g_hash_table_add (advisors->peer_queries, query);
+  if (advisors->is_draining)
+    {
+      on_peer_query_reply (query, &no_advice);
+      return;
+    }
   for (size_t i = 0; i < message->targets.count; i++)
     ids[i] = targets[i].id;
   calls->query (calls->context, &message->step, ids, message->targets.count, message->timeout_ms,
@@ -354,6 +372,21 @@
   fl_schema_clear (&message_schema, &message);
 }
 
+void
+fl_advisors_drain (struct fl_advisors *advisors)
+{
+  GHashTableIter iter;
+  void *query;
+  g_autoptr (GPtrArray) queries = g_ptr_array_new ();
+
+  advisors->is_draining = true;
+  g_hash_table_iter_init (&iter, advisors->peer_queries);
+  while (g_hash_table_iter_next (&iter, &query, NULL))
+    g_ptr_array_add (queries, query);
+  for (guint i = 0; i < queries->len; i++)
+    return_result (g_ptr_array_index (queries, i), &no_advice);
+}
+
 /* --- hosts --- */
 
 static void
@@ -397,6 +430,7 @@
 
   advisors->options = *options;
   advisors->hosts = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, advisor_free);
+  advisors->peer_queries = g_hash_table_new (NULL, NULL);
   get_advisor (advisors, &options->host->settings.name);
   return advisors;
 }
@@ -407,5 +441,6 @@
   if (advisors == NULL)
     return;
   g_hash_table_destroy (advisors->hosts);
+  g_hash_table_destroy (advisors->peer_queries);
   g_free (advisors);
 }
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -35,6 +35,10 @@
                           const char *data,
                           size_t len);
 
+/* Prepares the end of the process: queries of peers end without a reply of the service, those in
+ * flight and further ones. */
+void fl_advisors_drain (struct fl_advisors *advisors);
+
 /* Sets the address of the peer @host, and adds the peer if it is new. */
 void fl_advisors_set_peer (struct fl_advisors *advisors,
                            const struct fl_name *host,
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -18,6 +18,9 @@
 /* For the row that announces this host; written again until the store confirms it. */
 #define ANNOUNCE_TIMEOUT_MS 1000
 #define ANNOUNCE_RETRY_MS 500
+/* A stopping process goes on rejecting orders for this long: the owner learns from the replies that
+ * it stops, and orders that were on their way have arrived. Covers two transfers between hosts. */
+#define STOP_NOTICE_MS 100
 /* Longest wait of a stopping process for orders of peers in flight: their timeout at the target
  * (700 ms for a stop), and the time to return the result. */
 #define STOP_ORDERS_MAX_MS 800
@@ -183,7 +186,7 @@
 {
   int64_t stopping_ms = fl_clock_boot_ms () - poold->stop_started_ms;
 
-  if (poold->stopping && poold->released
+  if (poold->stopping && poold->released && stopping_ms >= STOP_NOTICE_MS
       && (fl_forwarder_open_peer_orders (poold->forwarder) == 0
           || stopping_ms >= STOP_ORDERS_MAX_MS))
     ev_break (poold->host->loop, EVBREAK_ALL);
@@ -208,6 +211,7 @@
   poold->stopping = true;
   poold->stop_started_ms = fl_clock_boot_ms ();
   fl_forwarder_drain (poold->forwarder);
+  fl_advisors_drain (poold->advisors);
   end_term (poold);
   fl_ownership_release (poold->ownership, on_released, poold);
 }
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -29,7 +29,9 @@
 #define NEVER_MS 1000000
 /* A heartbeat with this wait times out on the owner after 2.4 s. */
 #define HEARTBEAT_WAIT_MS 2000
-#define TARGET_DELAY_S 0.1
+#define TARGET_DELAY_S 0.16
+/* An advice query with this expected duration times out later than the test ends. */
+#define ADVICE_EXPECTED_MS 30000
 #define CLIENT_CONNECTIONS_MAX 100
 
 /* --- the process that stops: a standby, since it reaches no store --- */
@@ -471,7 +473,7 @@
   order_until_forwarded (&owner, order_stop);
   while (owner.in_flight > 0)
     support_run_loop_for (owner.loop, STEP_S);
-  assert_true (fl_advisors_send_query (owner.advisors, &step, targets, 2, NEVER_MS));
+  assert_true (fl_advisors_send_query (owner.advisors, &step, targets, 2, ADVICE_EXPECTED_MS));
   owner.in_flight++;
   for (int s = 0; s < STEPS_BEFORE_STOP; s++)
     support_run_loop_for (owner.loop, STEP_S);
