--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -8,7 +8,10 @@
 target's capacity, or if an accepted job is unknown or does not end. The scenarios run in real time,
 so they are not part of make check; run them with make e2e.
 """
+import http.client
+import json
 import os
+import random
 import signal
 import sys
 import threading
@@ -150,10 +153,83 @@
     assert statuses == [200], "got statuses %s" % statuses
 
 
+class StopClient(threading.Thread):
+    """Submits jobs on a kept-alive connection until finished is set, and counts its responses.
+
+    A request without a response counts as lost only if the host had time to read it: one that
+    crosses the end of the process on the way is not.
+    """
+
+    IN_TRANSIT_S = 0.03
+
+    def __init__(self, port, first_id, finished):
+        super().__init__()
+        self.port, self.next_id, self.finished = port, first_id, finished
+        self.statuses, self.sent_unanswered, self.connection = [], [], None
+
+    def send_one(self):
+        body = json.dumps(JOB_KINDS[0]["body"])
+        headers = {"Host": "fair.example", "Authorization": "Bearer " + KEY,
+                   "Content-Type": "application/json"}
+        self.next_id += 1
+        sent = time.monotonic()
+        try:
+            self.connection.request("POST", "/checks/%016x" % self.next_id, body, headers)
+            response = self.connection.getresponse()
+            response.read()
+            self.statuses.append(response.status)
+            if response.getheader("Connection") == "close":
+                self.connection.close()
+                self.connection = None
+        except (OSError, http.client.HTTPException):
+            self.sent_unanswered.append(sent)
+            self.connection = None
+
+    def run(self):
+        while not self.finished.is_set():
+            try:
+                if self.connection is None:
+                    connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=5)
+                    connection.connect()
+                    self.connection = connection
+            except OSError:
+                time.sleep(0.05)
+                continue
+            self.send_one()
+            time.sleep(random.uniform(0, 0.05))
+
+
+def stop_loses_no_request(cell):
+    """Clients send on open connections until flamingo-frontd is gone; each gets its response."""
+    time.sleep(2)
+    host, finished = cell.hosts[0], threading.Event()
+    cell.control_platform(mode="ok", delay_ms=80)
+    clients = [StopClient(host.front_port, 0xfe00000000000000 + (i << 32), finished)
+               for i in range(30)]
+    for client in clients:
+        client.start()
+    time.sleep(2)
+    process = host.processes["frontd"]
+    process.signal_child(signal.SIGTERM)
+    exit_code = process.child.wait()
+    gone = time.monotonic()
+    time.sleep(0.5)
+    finished.set()
+    for client in clients:
+        client.join()
+    cell.control_platform(mode="ok")
+    host.start("frontd")
+    answered = sum(len(client.statuses) for client in clients)
+    lost = sum(gone - sent > StopClient.IN_TRANSIT_S
+               for client in clients for sent in client.sent_unanswered)
+    assert exit_code == 0, "exit code %d" % exit_code
+    assert answered > 0 and lost == 0, "answered %d, lost %d" % (answered, lost)
+
+
 SCENARIOS = [no_fault, kill_owner, pause_owner, kill_all, rolling_stop, store_down, store_silent,
              store_loses_answers, targets_crash, targets_cut, targets_drain,
              kill_owner_while_target_is_cut, key_withdrawn, settings_read_again,
-             request_waits_for_store]
+             request_waits_for_store, stop_loses_no_request]
 
 
 def run_scenario(scenario, cell, problems):
