--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -16,6 +16,10 @@
 
 #define REQUEST "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 #define UPLOAD "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n"
+/* Longer than the interval between the server's checks of its connections, 1 s. */
+#define SUSPENSION_MS 1500
+/* Of idle connections and uploads, in tests that do not concern them. */
+#define TIMEOUT_MS 60000
 /* More than the buffers of a loopback connection hold. */
 #define LONG_BODY (16 * 1024 * 1024)
 
@@ -75,7 +79,7 @@
 /* Serves until SIGTERM, with RESPONDS_LONG until all connections are closed, then frees the server.
  */
 static void
-serve (int port, enum handler handler)
+serve (int port, enum handler handler, int64_t timeout_ms)
 {
   struct test_server test = { .handler = handler };
   struct fl_http_server_options options = {
@@ -85,8 +89,8 @@
     .body_max = 1000,
     .header_max = 8192,
     .connections_max = 100,
-    .idle_timeout_ms = 60000,
-    .upload_timeout_ms = 60000,
+    .idle_timeout_ms = timeout_ms,
+    .upload_timeout_ms = timeout_ms,
     .on_request = on_request,
     .context = &test,
   };
@@ -103,13 +107,13 @@
 }
 
 static int
-start_server (int port, enum handler handler)
+start_server (int port, enum handler handler, int64_t timeout_ms)
 {
   int pid = fork ();
 
   if (pid == 0)
     {
-      serve (port, handler);
+      serve (port, handler, timeout_ms);
       _exit (0);
     }
   return pid;
@@ -139,7 +143,7 @@
     {
       struct test_client client = { .fd = -1 };
       int port = test_free_port ();
-      int pid = start_server (port, free_cases[i].handler);
+      int pid = start_server (port, free_cases[i].handler, TIMEOUT_MS);
       int status = -1;
       int code;
 
@@ -169,7 +173,7 @@
 {
   struct test_client client = { .fd = -1 };
   int port = test_free_port ();
-  int pid = start_server (port, RESPONDS_LONG);
+  int pid = start_server (port, RESPONDS_LONG, TIMEOUT_MS);
 
   (void)state;
   assert_true (test_client_connect (&client, port, true));
@@ -188,7 +192,7 @@
 {
   struct test_client clients[20];
   int port = test_free_port ();
-  int pid = start_server (port, RESPONDS);
+  int pid = start_server (port, RESPONDS, TIMEOUT_MS);
   int answered = 0;
 
   (void)state;
@@ -215,12 +219,80 @@
   assert_int_equal (test_wait_for_exit (pid), 0);
 }
 
+/* A host that is suspended finds both a timeout and the data that arrived in the meantime. */
+static void
+test_data_arrives_while_suspended (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *before; /* the suspension */
+    const char *during;
+  } timeout_cases[] = {
+    { "a request on an idle connection", "", REQUEST },
+    { "the rest of a request", UPLOAD, "x" },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (timeout_cases); i++)
+    {
+      struct test_client client = { .fd = -1 };
+      int port = test_free_port ();
+      int pid = start_server (port, RESPONDS, SUSPENSION_MS / 2);
+      int status;
+
+      assert_true (test_client_connect (&client, port, true));
+      assert_true (test_client_request (&client, REQUEST));
+      assert_int_equal (test_client_await (&client), 200);
+      assert_true (test_client_request (&client, timeout_cases[i].before));
+      usleep (100 * 1000);
+      kill (pid, SIGSTOP);
+      usleep (SUSPENSION_MS * 1000);
+      assert_true (test_client_request (&client, timeout_cases[i].during));
+      kill (pid, SIGCONT);
+      status = test_client_await (&client);
+      kill (pid, SIGTERM);
+      assert_int_equal (test_wait_for_exit (pid), 0);
+      test_client_close (&client);
+      if (status == 200)
+        continue;
+      print_error ("%s: status %d\n", timeout_cases[i].name, status);
+      failures++;
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* Connections on which nothing arrives are still closed. */
+static void
+test_silent_connections_are_closed (void **state)
+{
+  static const char *const sent[] = { "", "GET /a HT", UPLOAD };
+  struct test_client clients[G_N_ELEMENTS (sent)];
+  int port = test_free_port ();
+  int pid = start_server (port, RESPONDS, SUSPENSION_MS / 2);
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (sent); i++)
+    {
+      clients[i] = (struct test_client){ .fd = -1 };
+      assert_true (test_client_connect (&clients[i], port, true));
+      assert_true (test_client_request (&clients[i], sent[i]));
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (sent); i++)
+    assert_int_equal (test_client_await (&clients[i]), -1);
+  kill (pid, SIGTERM);
+  assert_int_equal (test_wait_for_exit (pid), 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_server_free), cmocka_unit_test (test_response_being_sent),
-          cmocka_unit_test (test_connections_in_accept_queue) };
+          cmocka_unit_test (test_connections_in_accept_queue),
+          cmocka_unit_test (test_data_arrives_while_suspended),
+          cmocka_unit_test (test_silent_connections_are_closed) };
 
   return cmocka_run_group_tests_name ("http_server", tests, NULL, NULL);
 }
