What arrived while the host was suspended is read before timeouts apply

After a suspension, the check for idle connections and slow uploads ran before the sockets were read: a request that had arrived completely got no response. A connection is now closed only if it is still overdue at the next check, 1 s later.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -49,6 +49,7 @@
   int64_t phase_start_ms; /* connection accepted, last response sent or request started */
   bool in_request;
   bool uploading;
+  int64_t overdue_phase_ms; /* phase_start_ms when the last sweep found the connection overdue */
 };
 
 struct fl_http_request
@@ -124,7 +125,8 @@
 }
 
 /* Shuts down connections that have been idle, or have been sending a request, for too long;
- * libmicrohttpd then closes them. */
+ * libmicrohttpd then closes them. Only the second sweep in the same phase does so: after a
+ * suspension of the host, the first one may run before what has arrived is read. */
 static void
 on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -137,8 +139,11 @@
     {
       int64_t limit
           = c->in_request ? server->options.upload_timeout_ms : server->options.idle_timeout_ms;
-      if ((!c->in_request || c->uploading) && now - c->phase_start_ms > limit)
+      if ((c->in_request && !c->uploading) || now - c->phase_start_ms <= limit)
+        continue;
+      if (c->overdue_phase_ms == c->phase_start_ms)
         shutdown (c->fd, SHUT_RDWR);
+      c->overdue_phase_ms = c->phase_start_ms;
     }
 }
 
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -22,7 +22,7 @@
   int64_t body_max;    /* bytes; a longer body is rejected with status 413 */
   int64_t header_max;  /* bytes of the request line and headers */
   int64_t connections_max;
-  int64_t idle_timeout_ms;   /* connections without a request are closed after this */
+  int64_t idle_timeout_ms;   /* connections without a request are closed some 2 s after this */
   int64_t upload_timeout_ms; /* requests must be received completely within this */
   /* Called once for each complete request; must lead to exactly one fl_http_respond. */
   void (*on_request) (void *context, struct fl_http_request *request);
