--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -180,11 +180,14 @@
 static bool
 send_kind (struct owner *owner, char kind, const struct fl_route *to, const char *data, size_t len)
 {
-  g_autofree char *message = g_malloc (len + 1);
+  char *message = g_malloc (len + 1);
+  bool sent;
 
   message[0] = kind;
   memcpy (message + 1, data, len);
-  return fl_link_send (owner->link, to, message, len + 1);
+  sent = fl_link_send (owner->link, to, message, len + 1);
+  g_free (message);
+  return sent;
 }
 
 static bool
