Record for each long-running task where it may run

A record named the targets of a job, so that every idle task of the job waited until all of them had reported, or for 7.7 s.

The record now has a second document with the only target of each task of a long-running step. A start is a planned run until a record that names its target is stored; so a new owner starts a task that may be on no target, or whose target has reported, at once. Earlier versions ignore the document and read the list of targets as before. They may start tasks without a new record, so that only the owner with the next fencing token relies on the document; each owner therefore records its long-running jobs when it gets to know them. What may run on a target that has not reported is carried over.

The test of the team limit gave job b a version before the acquisition; it is now accepted after it.

--- a/lib/common/schema.c
+++ b/lib/common/schema.c
@@ -589,19 +589,20 @@
 }
 
 bool
-fl_schema_decode (const struct fl_schema *schema,
-                  const char *data,
-                  size_t len,
-                  void *object,
-                  struct fl_error *error)
+fl_schema_decode_first (const struct fl_schema *schema,
+                        const char *data,
+                        size_t len,
+                        size_t *used,
+                        void *object,
+                        struct fl_error *error)
 {
   msgpack_unpacked unpacked;
-  size_t offset = 0;
   bool is_valid = false;
 
+  *used = 0;
   memset (object, 0, schema->size);
   msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, data, len, &offset) == MSGPACK_UNPACK_SUCCESS)
+  if (msgpack_unpack_next (&unpacked, data, len, used) == MSGPACK_UNPACK_SUCCESS)
     is_valid = fl_schema_unpack (schema, &unpacked.data, object, error);
   else
     fl_fail (error, FL_INVALID, "decode", schema->name, "%zu bytes are not a valid message", len);
@@ -609,6 +610,18 @@
   return is_valid;
 }
 
+bool
+fl_schema_decode (const struct fl_schema *schema,
+                  const char *data,
+                  size_t len,
+                  void *object,
+                  struct fl_error *error)
+{
+  size_t used;
+
+  return fl_schema_decode_first (schema, data, len, &used, object, error);
+}
+
 void
 fl_schema_clear (const struct fl_schema *schema, void *object)
 {
--- a/lib/common/schema.h
+++ b/lib/common/schema.h
@@ -117,5 +117,13 @@
                        void *object,
                        struct fl_error *error);
 
+/* The same for the first of several documents. Sets @used to the number of its bytes. */
+bool fl_schema_decode_first (const struct fl_schema *schema,
+                             const char *data,
+                             size_t len,
+                             size_t *used,
+                             void *object,
+                             struct fl_error *error);
+
 /* Frees the strings and arrays that @object owns and zeroes @object. */
 void fl_schema_clear (const struct fl_schema *schema, void *object);
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -91,6 +91,24 @@
   g_free (job);
 }
 
+static void
+set_unreconciled (struct core_target *target, bool is_unreconciled)
+{
+  struct fl_core *core = target->core;
+  void *hash = GUINT_TO_POINTER (fl_job_target_hash (&target->entry.id));
+  gsize count = GPOINTER_TO_SIZE (g_hash_table_lookup (core->unreconciled_hashes, hash));
+
+  if (target->is_unreconciled == is_unreconciled)
+    return;
+  core_queue_set_member (&core->unreconciled_targets, &target->unreconciled_link,
+                         &target->is_unreconciled, is_unreconciled);
+  count = is_unreconciled ? count + 1 : count - 1;
+  if (count > 0)
+    g_hash_table_insert (core->unreconciled_hashes, hash, GSIZE_TO_POINTER (count));
+  else
+    g_hash_table_remove (core->unreconciled_hashes, hash);
+}
+
 static void
 target_free (void *data)
 {
@@ -98,8 +116,7 @@
   struct fl_core *core = target->core;
   struct core_target *last = g_ptr_array_index (core->target_list, core->target_list->len - 1);
 
-  core_queue_set_member (&core->unreconciled_targets, &target->unreconciled_link,
-                         &target->is_unreconciled, false);
+  set_unreconciled (target, false);
   core_queue_set_member (&core->unrecorded_targets, &target->unrecorded_link,
                          &target->in_unrecorded, false);
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, false);
@@ -120,6 +137,7 @@
   core->targets = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, target_free);
   core->jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, job_free);
   core->finished_jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
+  core->unreconciled_hashes = g_hash_table_new (NULL, NULL);
   core->target_list = g_ptr_array_new ();
   core->recording_jobs = g_ptr_array_new ();
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
@@ -138,6 +156,7 @@
   g_hash_table_destroy (core->finished_jobs);
   g_hash_table_destroy (core->teams);
   g_hash_table_destroy (core->queue_stats);
+  g_hash_table_destroy (core->unreconciled_hashes);
   g_ptr_array_unref (core->target_list);
   g_ptr_array_unref (core->recording_jobs);
   g_array_unref (core->free_max);
@@ -184,8 +203,8 @@
   return *rest == '\0' ? g_hash_table_lookup (core->jobs, &id) : NULL;
 }
 
-static struct core_step *
-find_step_at (struct core_job *job, int64_t occurrence, int64_t number)
+struct core_step *
+core_job_find_step (struct core_job *job, int64_t occurrence, int64_t number)
 {
   int64_t steps = (int64_t)job->spec.steps.count;
 
@@ -201,7 +220,7 @@
   int64_t numbers[2];
   struct core_job *job = parse_name (core, name, numbers, 2);
 
-  return job != NULL ? find_step_at (job, numbers[0], numbers[1]) : NULL;
+  return job != NULL ? core_job_find_step (job, numbers[0], numbers[1]) : NULL;
 }
 
 struct core_task *
@@ -209,7 +228,7 @@
 {
   int64_t numbers[3];
   struct core_job *job = parse_name (core, name, numbers, 3);
-  struct core_step *step = job != NULL ? find_step_at (job, numbers[0], numbers[1]) : NULL;
+  struct core_step *step = job != NULL ? core_job_find_step (job, numbers[0], numbers[1]) : NULL;
 
   if (step == NULL || numbers[2] < 0 || numbers[2] >= step->spec->count)
     return NULL;
@@ -351,8 +370,7 @@
 void
 core_target_update_reconciled (struct core_target *target)
 {
-  core_queue_set_member (&target->core->unreconciled_targets, &target->unreconciled_link,
-                         &target->is_unreconciled, target->inherited && !target->reported);
+  set_unreconciled (target, target->inherited && !target->reported);
 }
 
 bool
@@ -541,7 +559,7 @@
 static void
 apply_done_range (struct core_job *job, const struct fl_done_range *range)
 {
-  struct core_step *step = find_step_at (job, range->occurrence, range->step);
+  struct core_step *step = core_job_find_step (job, range->occurrence, range->step);
 
   if (step == NULL)
     return;
@@ -570,7 +588,7 @@
     apply_done_range (job, (const struct fl_done_range *)progress->done.items + i);
   for (size_t i = 0; i < progress->tasks.count; i++)
     {
-      struct core_step *step = find_step_at (job, rows[i].occurrence, rows[i].step);
+      struct core_step *step = core_job_find_step (job, rows[i].occurrence, rows[i].step);
       if (step == NULL || rows[i].index >= step->spec->count)
         continue;
       struct core_task *task = &step->tasks[rows[i].index];
@@ -581,6 +599,7 @@
       fl_str_clear (&task->checkpoint);
       task->checkpoint = fl_str_dup (&rows[i].checkpoint);
     }
+  core_job_apply_task_targets (job, progress);
 }
 
 void
@@ -664,6 +683,8 @@
           FL_I ("version", version), FL_I ("steps", (int64_t)job->step_count));
   if (job->unfinished_steps == 0 && !fl_job_state_is_final (job->state))
     core_job_finish (job, FL_JOB_COMPLETED);
+  if (progress != NULL)
+    core_job_renew_task_targets (job);
 }
 
 void
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -74,6 +74,7 @@
 
 enum core_run_state
 {
+  CORE_RUN_PLANNED,  /* no start order has been issued: the record of its target is not stored */
   CORE_RUN_STARTING, /* the start order has not been confirmed */
   CORE_RUN_ACCEPTED, /* the target has confirmed or listed the run */
   CORE_RUN_STOPPING  /* stop orders are resent until the run has ended */
@@ -98,6 +99,16 @@
   int64_t gauge;            /* see struct fl_run_row */
   int64_t share_percent;    /* share of its full speed at which a best-effort task may run */
   bool is_urgent;           /* its queue had priority 0 when the run was created */
+  bool is_recording;        /* the record in flight says that its task may be on its target */
+  bool is_recorded;         /* a stored record of this owner says so */
+};
+
+/* Where an earlier owner may have left a run of a task. */
+enum core_earlier_run
+{
+  CORE_EARLIER_RUN_UNKNOWN, /* on any target that the record of the job allows */
+  CORE_EARLIER_RUN_ON_TARGET,
+  CORE_EARLIER_RUN_NONE
 };
 
 struct core_task
@@ -111,6 +122,9 @@
   struct fl_str checkpoint;
   struct fl_name last_failed_target; /* where a run last failed or stalled */
   int64_t backoff_until_ms;          /* no start before this time */
+  /* Of a step for which core_step_records_targets; NONE once this owner has known a run. */
+  enum core_earlier_run earlier_run;
+  uint32_t earlier_target; /* hash of the id of the target, for CORE_EARLIER_RUN_ON_TARGET */
 };
 
 /* The last advice on whether a target may run a step. */
@@ -225,6 +239,7 @@
   GPtrArray *target_list;                 /* all targets, in no particular order */
   guint scan_start;                       /* where the next search for candidates starts */
   GQueue unreconciled_targets;            /* inherited and not yet reported */
+  GHashTable *unreconciled_hashes;        /* fl_job_target_hash of their ids -> their number */
   GQueue unrecorded_targets;              /* have ends that are not recorded */
   GQueue idle_targets;                    /* without a heartbeat in flight */
   GQueue waiting_jobs;                    /* not final, with idle tasks */
@@ -256,6 +271,10 @@
 /* --- core.c --- */
 
 struct core_step *core_find_step (struct fl_core *core, const struct fl_name *name);
+
+/* @return the step @number of @occurrence, or NULL if @job has none. */
+struct core_step *core_job_find_step (struct core_job *job, int64_t occurrence, int64_t number);
+
 struct core_task *core_find_task (struct fl_core *core, const struct fl_name *name);
 struct fl_name core_task_name (const struct core_task *task);
 struct fl_name core_step_name (const struct core_step *step);
@@ -298,10 +317,15 @@
 /* Frees a run that is no longer in effect, and releases its resources. */
 void core_run_release (struct core_run *run);
 
+/* Orders the start of @run, a new run, or plans it until its target is recorded. */
+void core_run_start (struct core_run *run, const char *ticket);
+
 /* Sets the state of @run. */
 void core_run_set_state (struct core_run *run, enum core_run_state state);
 
 void core_run_order_start (struct core_run *run, const char *ticket);
+
+/* Stops @run. If it was only planned, releases it. */
 void core_run_stop (struct core_run *run);
 
 /* An order that concerns @run, without percent. */
@@ -350,9 +374,36 @@
  * reported. */
 bool core_job_may_run_on_any_target (const struct core_job *job);
 
-/* Whether an earlier owner may have started a task of @job on a target that has not reported. */
+/* Whether an earlier owner may have started a task of @job on a target that has not reported, as
+ * far as the record tells for the job as a whole. */
 bool core_job_is_unreconciled (const struct core_job *job);
 
+/* Whether records tell for each task of @step on which target it may be. A start then waits until
+ * such a record is stored. */
+bool core_step_records_targets (const struct core_step *step);
+
+/* Whether an earlier owner may have left a run of @task on a target that has not reported. @task is
+ * without a run, and of a step for which core_step_records_targets. */
+bool core_task_is_unreconciled (const struct core_task *task);
+
+/* Applies what the record of an earlier owner tells of the tasks of @job. */
+void core_job_apply_task_targets (struct core_job *job, const struct fl_job_progress *progress);
+
+/* Requests that this owner records where the tasks of @job may be: its successor does not rely on
+ * what an earlier owner has recorded. */
+void core_job_renew_task_targets (struct core_job *job);
+
+/* Collects where the tasks of @job may be, as rows of struct fl_step_targets that refer to the
+ * positions of @targets, from core_job_collect_targets. Free them with g_array_unref. */
+GArray *core_job_collect_task_targets (const struct core_job *job, const GArray *targets);
+
+/* Requests that the next record of the job names the target of @run, a new run in state
+ * CORE_RUN_PLANNED. */
+void core_run_request_recording (struct core_run *run);
+
+/* Whether the start of @run, in state CORE_RUN_PLANNED, may be ordered. */
+bool core_run_may_start (const struct core_run *run);
+
 /* --- progress.c --- */
 
 /* Sets the final state of @job, abandons its advice queries and stops its runs. */
@@ -386,6 +437,9 @@
 
 bool core_target_has_label (const struct core_target *target, const struct fl_name *label);
 
+/* Whether @target takes new tasks of @step, if it has capacity. */
+bool core_target_accepts_step (const struct core_target *target, const struct core_step *step);
+
 /* How many tasks of @step the target can take now, by its resources and label and by the limits of
  * the step; 0 when it takes no new tasks. @include_tentative counts tentative charges as used. */
 int64_t core_target_task_capacity (const struct core_target *target,
--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -56,6 +56,15 @@
   core_job_mark_for_recording (job);
 }
 
+static void
+add_target (struct core_job *job, const struct fl_name *target)
+{
+  if (get_target_state (job, target) != CORE_JOB_TARGET_NONE)
+    return;
+  set_target_state (job, fl_job_target_hash (target), CORE_JOB_TARGET_REQUESTED);
+  core_job_mark_for_recording (job);
+}
+
 void
 core_job_request_target (struct core_job *job, const struct fl_name *target)
 {
@@ -64,10 +73,7 @@
       job->may_run_on_any_target = true;
       core_job_mark_for_recording (job);
     }
-  if (get_target_state (job, target) != CORE_JOB_TARGET_NONE)
-    return;
-  set_target_state (job, fl_job_target_hash (target), CORE_JOB_TARGET_REQUESTED);
-  core_job_mark_for_recording (job);
+  add_target (job, target);
 }
 
 void
@@ -90,9 +96,38 @@
       g_hash_table_iter_replace (&iter, (void *)(uintptr_t)to);
 }
 
+/* Runs whose targets a record tells. */
+static void
+begin_recording_runs (const struct core_step *step)
+{
+  for (int64_t i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].run != NULL)
+      step->tasks[i].run->is_recording = true;
+}
+
+static void
+end_recording_runs (const struct core_step *step, bool stored)
+{
+  for (int64_t i = 0; i < step->spec->count; i++)
+    {
+      struct core_run *run = step->tasks[i].run;
+      if (run == NULL || !run->is_recording)
+        continue;
+      run->is_recording = false;
+      run->is_recorded = run->is_recorded || stored;
+    }
+  /* Planned runs are started by the next check. */
+  if (stored)
+    step->job->core->runs_checked_at_ms = 0;
+}
+
 void
 core_job_begin_recording_targets (struct core_job *job)
 {
+  for (size_t i = 0; i < job->step_count; i++)
+    if (core_step_records_targets (&job->steps[i]))
+      begin_recording_runs (&job->steps[i]);
+
   job->may_have_record = true;
   job->any_target_recording = job->may_run_on_any_target;
   change_target_states (job, CORE_JOB_TARGET_REQUESTED, CORE_JOB_TARGET_RECORDING);
@@ -101,6 +136,9 @@
 void
 core_job_end_recording_targets (struct core_job *job, bool stored)
 {
+  for (size_t i = 0; i < job->step_count; i++)
+    if (core_step_records_targets (&job->steps[i]))
+      end_recording_runs (&job->steps[i], stored);
   job->any_target_recorded = job->any_target_recorded || (stored && job->any_target_recording);
   change_target_states (job, CORE_JOB_TARGET_RECORDING,
                         stored ? CORE_JOB_TARGET_RECORDED : CORE_JOB_TARGET_REQUESTED);
@@ -155,3 +193,158 @@
       return true;
   return false;
 }
+
+/* --- targets of single tasks --- */
+
+/* Such tasks are few, and start rarely enough for a record before each start. */
+bool
+core_step_records_targets (const struct core_step *step)
+{
+  return step->spec->long_running;
+}
+
+void
+core_run_request_recording (struct core_run *run)
+{
+  struct core_job *job = run->task->step->job;
+
+  add_target (job, &run->target->entry.id);
+  core_job_mark_for_recording (job);
+}
+
+bool
+core_run_may_start (const struct core_run *run)
+{
+  const struct core_job *job = run->task->step->job;
+
+  return run->is_recorded || (!job->may_have_record && recording_is_slow (job->core));
+}
+
+bool
+core_task_is_unreconciled (const struct core_task *task)
+{
+  const struct core_job *job = task->step->job;
+  const struct fl_core *core = job->core;
+
+  if (task->earlier_run == CORE_EARLIER_RUN_NONE || !earlier_owner_may_have_started (job)
+      || !core_is_unreconciled (core))
+    return false;
+  if (task->earlier_run == CORE_EARLIER_RUN_UNKNOWN)
+    return core_job_is_unreconciled (job);
+  return g_hash_table_contains (core->unreconciled_hashes, GUINT_TO_POINTER (task->earlier_target));
+}
+
+static void
+apply_task_target (struct core_task *task, int64_t position, const struct fl_array *targets)
+{
+  const struct fl_job_target *rows = targets->items;
+
+  if (position == FL_TASK_TARGET_NONE)
+    task->earlier_run = CORE_EARLIER_RUN_NONE;
+  else if (position > 0 && position <= (int64_t)targets->count)
+    {
+      task->earlier_run = CORE_EARLIER_RUN_ON_TARGET;
+      task->earlier_target = (uint32_t)rows[position - 1].hash;
+    }
+}
+
+void
+core_job_apply_task_targets (struct core_job *job, const struct fl_job_progress *progress)
+{
+  const struct fl_step_targets *rows = progress->task_targets.steps.items;
+
+  if (progress->task_targets.fencing_token != job->core->options.fencing_token - 1)
+    return;
+  for (size_t i = 0; i < progress->task_targets.steps.count; i++)
+    {
+      struct core_step *step = core_job_find_step (job, rows[i].occurrence, rows[i].step);
+      const struct fl_task_target *tasks = rows[i].tasks.items;
+      if (step == NULL || !core_step_records_targets (step)
+          || (rows[i].tasks.count > 0 && (int64_t)rows[i].tasks.count != step->spec->count))
+        continue;
+      for (int64_t j = 0; j < step->spec->count; j++)
+        apply_task_target (&step->tasks[j],
+                           rows[i].tasks.count > 0 ? tasks[j].target : FL_TASK_TARGET_NONE,
+                           &progress->targets);
+    }
+}
+
+static bool
+has_step_that_records_targets (const struct core_job *job)
+{
+  for (size_t i = 0; i < job->spec.steps.count; i++)
+    if (core_step_records_targets (&job->steps[i]))
+      return true;
+  return false;
+}
+
+void
+core_job_renew_task_targets (struct core_job *job)
+{
+  if (!fl_job_state_is_final (job->state) && has_step_that_records_targets (job))
+    core_job_mark_for_recording (job);
+}
+
+/* @positions: hash of a target's id -> its position in the record */
+static int64_t
+get_task_target (const struct core_task *task, GHashTable *positions)
+{
+  uint32_t hash = task->earlier_target;
+
+  if (task->run != NULL)
+    hash = fl_job_target_hash (&task->run->target->entry.id);
+  else if (task->done || !core_task_is_unreconciled (task))
+    return FL_TASK_TARGET_NONE;
+  else if (task->earlier_run == CORE_EARLIER_RUN_UNKNOWN)
+    return FL_TASK_TARGET_UNKNOWN;
+  gsize position = GPOINTER_TO_SIZE (g_hash_table_lookup (positions, GUINT_TO_POINTER (hash)));
+  return position > 0 ? (int64_t)position : FL_TASK_TARGET_UNKNOWN;
+}
+
+/* A step without tasks that may run needs no row for each of them. */
+static struct fl_step_targets
+collect_step_targets (const struct core_step *step, GHashTable *positions)
+{
+  struct fl_step_targets row = { .occurrence = step->occurrence, .step = step->number };
+  struct fl_task_target *tasks = g_new0 (struct fl_task_target, (gsize)step->spec->count);
+  bool is_empty = true;
+
+  for (int64_t i = 0; i < step->spec->count; i++)
+    {
+      tasks[i].target = get_task_target (&step->tasks[i], positions);
+      is_empty = is_empty && tasks[i].target == FL_TASK_TARGET_NONE;
+    }
+  if (is_empty)
+    g_free (tasks);
+  else
+    row.tasks = (struct fl_array){ (size_t)step->spec->count, tasks };
+  return row;
+}
+
+static void
+free_step_targets (void *data)
+{
+  g_free (((struct fl_step_targets *)data)->tasks.items);
+}
+
+GArray *
+core_job_collect_task_targets (const struct core_job *job, const GArray *targets)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct fl_step_targets));
+  g_autoptr (GHashTable) positions = g_hash_table_new (NULL, NULL);
+
+  g_array_set_clear_func (rows, free_step_targets);
+  if (!has_step_that_records_targets (job))
+    return rows;
+  for (guint i = 0; i < targets->len; i++)
+    g_hash_table_insert (positions,
+                         GUINT_TO_POINTER (g_array_index (targets, struct fl_job_target, i).hash),
+                         GSIZE_TO_POINTER (i + 1));
+  for (size_t i = 0; i < job->step_count; i++)
+    if (core_step_records_targets (&job->steps[i]))
+      {
+        struct fl_step_targets row = collect_step_targets (&job->steps[i], positions);
+        g_array_append_val (rows, row);
+      }
+  return rows;
+}
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -38,8 +38,8 @@
          && fl_name_eq (&target->entry.service, service);
 }
 
-static bool
-accepts_step (const struct core_target *target, const struct core_step *step)
+bool
+core_target_accepts_step (const struct core_target *target, const struct core_step *step)
 {
   return accepts_tasks (target, &step->job->queue.service)
          && (step->spec->label.len == 0 || core_target_has_label (target, &step->spec->label));
@@ -78,7 +78,8 @@
     cpu_left -= target->best_effort_cpu_milli;
   if (include_tentative)
     cpu_left -= target->tentative_cpu_milli;
-  if ((spec->cpu_milli > 0 && cpu_left < spec->cpu_milli) || !accepts_step (target, step))
+  if ((spec->cpu_milli > 0 && cpu_left < spec->cpu_milli)
+      || !core_target_accepts_step (target, step))
     return 0;
   fits = count_fitting (cpu_left, spec->cpu_milli);
   fits = MIN (fits, count_fitting (capacity->memory_mb - target->used.memory_mb, spec->memory_mb));
@@ -251,7 +252,7 @@
   struct core_target *target;
   int64_t task_capacity;
   int64_t score;
-  bool is_allowed; /* the store has recorded it for the job */
+  bool is_allowed; /* the store has recorded it for the job, or will record it for each run */
   bool is_pending; /* allowed as soon as a requested record is stored */
 };
 
@@ -270,7 +271,8 @@
   update_placement (&placement, step);
   if (placement.task_capacity == 0 || core_advice_ticket (step, target) == NULL)
     return;
-  placement.is_allowed = core_job_may_start_on (step->job, &target->entry.id);
+  placement.is_allowed
+      = core_step_records_targets (step) || core_job_may_start_on (step->job, &target->entry.id);
   placement.is_pending
       = !placement.is_allowed && core_job_target_is_pending (step->job, &target->entry.id);
   g_array_append_val (placements, placement);
@@ -386,8 +388,8 @@
 static bool
 is_ready_to_start (const struct core_task *task)
 {
-  return !task->done && task->run == NULL
-         && task->backoff_until_ms <= task->step->job->core->now_ms;
+  return !task->done && task->run == NULL && task->backoff_until_ms <= task->step->job->core->now_ms
+         && !(core_step_records_targets (task->step) && core_task_is_unreconciled (task));
 }
 
 /* Starts the tasks of @step that can be started on @placements. @return how many tasks still wait.
@@ -412,8 +414,8 @@
           waiting++;
           continue;
         }
-      core_run_order_start (core_run_new (task, placement->target, next_run_number (task)),
-                            core_advice_ticket (step, placement->target));
+      core_run_start (core_run_new (task, placement->target, next_run_number (task)),
+                      core_advice_ticket (step, placement->target));
       update_placement (placement, step);
     }
   return waiting;
@@ -486,8 +488,7 @@
       && !reserve_gang (step, placements, NULL))
     return step->spec->count;
   for (int64_t i = 0; i < step->spec->count; i++)
-    core_run_order_start (step->tasks[i].run,
-                          core_advice_ticket (step, step->tasks[i].run->target));
+    core_run_start (step->tasks[i].run, core_advice_ticket (step, step->tasks[i].run->target));
   return 0;
 }
 
@@ -615,19 +616,38 @@
     ((struct core_team *)value)->unreconciled = (struct fl_resources){ 0 };
 }
 
-/* Charges the tasks of @step, which may run on targets that have not reported, to its team. */
-static void
-charge_unreconciled (struct core_step *step)
+/* Charges the tasks of @step that may run on targets that have not reported to its team.
+ * @job_is_unreconciled says whether this holds for all tasks of the job of which it is not recorded
+ * where they may be. @return the number of charged tasks. */
+static int64_t
+charge_unreconciled (const struct core_step *step, bool job_is_unreconciled)
 {
   struct fl_resources *resources = &step->job->team->unreconciled;
+  bool by_task = core_step_records_targets (step);
+  int64_t charged = 0;
 
   for (int64_t i = 0; i < step->spec->count; i++)
-    if (!step->tasks[i].done && step->tasks[i].run == NULL)
-      {
-        resources->cpu_milli += step->spec->cpu_milli;
-        resources->memory_mb += step->spec->memory_mb;
-        resources->gpu += step->spec->gpu;
-      }
+    {
+      const struct core_task *task = &step->tasks[i];
+      if (task->done || task->run != NULL
+          || !(by_task ? core_task_is_unreconciled (task) : job_is_unreconciled))
+        continue;
+      charged++;
+      resources->cpu_milli += step->spec->cpu_milli;
+      resources->memory_mb += step->spec->memory_mb;
+      resources->gpu += step->spec->gpu;
+    }
+  return charged;
+}
+
+/* Whether no task of @step may be started because some may run on targets that have not reported.
+ * Charges these to the team. */
+static bool
+is_blocked_by_reconciliation (const struct core_step *step, bool job_is_unreconciled)
+{
+  int64_t charged = charge_unreconciled (step, job_is_unreconciled);
+
+  return charged > 0 && (step->spec->gang || charged == step->idle_tasks);
 }
 
 static GArray *
@@ -645,16 +665,12 @@
       for (size_t i = 0; i < job->step_count; i++)
         {
           struct waiting_step entry = { &job->steps[i], late, 0 };
-          if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step)
-              || !has_waiting_task (entry.step))
+          if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step))
             continue;
           entry.weighted_use = weighted_team_use (job);
-          if (blocked)
-            {
-              charge_unreconciled (entry.step);
-              set_wait_reason (entry.step, CORE_WAIT_RECONCILING);
-            }
-          else
+          if (unreconciled && is_blocked_by_reconciliation (entry.step, blocked))
+            set_wait_reason (entry.step, CORE_WAIT_RECONCILING);
+          else if (has_waiting_task (entry.step))
             g_array_append_val (waiting, entry);
         }
     }
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -238,6 +238,14 @@
   core->options.actions.stop (core->options.context, &order);
 }
 
+/* Whether the records of this owner already say that @task may be on @target. */
+static bool
+is_recorded_on (const struct core_task *task, const struct core_target *target)
+{
+  return task->earlier_run == CORE_EARLIER_RUN_ON_TARGET
+         && task->earlier_target == fl_job_target_hash (&target->entry.id);
+}
+
 static void
 apply_run (struct fl_core *core,
            struct core_target *target,
@@ -254,8 +262,11 @@
     }
   if (run == NULL && (row->run >= task->last_run_number || task->done))
     {
+      bool is_recorded = is_recorded_on (task, target);
       run = core_run_new (task, target, row->run);
       core_run_set_state (run, CORE_RUN_ACCEPTED);
+      if (!is_recorded)
+        core_job_renew_task_targets (task->step->job);
       run->confirmed_at_ms = sent_ms;
       task->last_run_number = MAX (task->last_run_number, row->run);
       task->step->job->started = true;
@@ -480,6 +491,7 @@
   g_autoptr (GArray) done = NULL;
   g_autoptr (GArray) tasks = NULL;
   g_autoptr (GArray) targets = NULL;
+  g_autoptr (GArray) steps = NULL;
 
   /* A successor needs only the state of a finished job. */
   if (!fl_job_state_is_final (job->state))
@@ -491,6 +503,10 @@
       progress.tasks = (struct fl_array){ tasks->len, tasks->data };
       progress.targets = (struct fl_array){ targets->len, targets->data };
       progress.any_target = core_job_may_run_on_any_target (job);
+      steps = core_job_collect_task_targets (job, targets);
+      if (steps->len > 0)
+        progress.task_targets = (struct fl_task_targets){ job->core->options.fencing_token,
+                                                          { steps->len, steps->data } };
     }
   return fl_job_progress_encode (&progress);
 }
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -58,6 +58,7 @@
   run->share_percent = 100;
   run->is_urgent = task->step->job->queue.priority == 0;
   task->run = run;
+  task->earlier_run = CORE_EARLIER_RUN_NONE;
   if (!task->done)
     core_step_add_idle_tasks (task->step, -1);
   target->unsettled_runs++;
@@ -76,9 +77,19 @@
   run->state = state;
 }
 
+/* Whether the last record tells that the task of @run may be on its target. */
+static bool
+may_be_recorded (const struct core_run *run)
+{
+  return core_step_records_targets (run->task->step)
+         && (run->state != CORE_RUN_PLANNED || run->is_recording || run->is_recorded);
+}
+
 void
 core_run_release (struct core_run *run)
 {
+  if (may_be_recorded (run))
+    core_job_renew_task_targets (run->task->step->job);
   charge_resources (run, -1);
   core_run_set_state (run, CORE_RUN_ACCEPTED);
   run->task->run = NULL;
@@ -108,7 +119,8 @@
     .is_repeated = run->inconclusive_starts > 0,
   };
 
-  core_job_mark_started_on (job, &target->entry.id);
+  if (!core_step_records_targets (run->task->step))
+    core_job_mark_started_on (job, &target->entry.id);
   core_run_set_state (run, CORE_RUN_STARTING);
   run->task->last_run_number = MAX (run->task->last_run_number, run->number);
   run->order_in_flight = true;
@@ -132,6 +144,18 @@
   core->options.actions.start (core->options.context, &order);
 }
 
+void
+core_run_start (struct core_run *run, const char *ticket)
+{
+  if (core_step_records_targets (run->task->step))
+    {
+      core_run_request_recording (run);
+      if (!core_run_may_start (run))
+        return;
+    }
+  core_run_order_start (run, ticket);
+}
+
 struct fl_run_order
 core_run_make_order (const struct core_run *run)
 {
@@ -156,11 +180,35 @@
   core->options.actions.stop (core->options.context, &order);
 }
 
+/* Stops the members of a gang after one of them could not be started. */
+static void
+abort_gang (struct core_step *step)
+{
+  for (int64_t i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].run != NULL)
+      core_run_stop (step->tasks[i].run);
+}
+
+static void
+cancel_planned_run (struct core_run *run)
+{
+  struct core_step *step = run->task->step;
+
+  core_run_release (run);
+  if (step->spec->gang)
+    abort_gang (step);
+}
+
 void
 core_run_stop (struct core_run *run)
 {
   if (run->state == CORE_RUN_STOPPING)
     return;
+  if (run->state == CORE_RUN_PLANNED)
+    {
+      cancel_planned_run (run);
+      return;
+    }
   core_run_set_state (run, CORE_RUN_STOPPING);
   run->confirmed_at_ms = 0;
   send_stop (run);
@@ -183,7 +231,13 @@
 core_target_lose_runs (struct core_target *target, const char *reason)
 {
   while (target->runs->len > 0)
-    lose_run (g_ptr_array_index (target->runs, target->runs->len - 1), reason);
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, target->runs->len - 1);
+      if (run->state == CORE_RUN_PLANNED)
+        cancel_planned_run (run);
+      else
+        lose_run (run, reason);
+    }
 }
 
 /* Whether the end of the boot of its target has certainly ended @run: its only start order has been
@@ -236,6 +290,8 @@
     {
       struct core_run *run = g_ptr_array_index (target->runs, i - 1);
       int64_t expiry_ms = lease_expiry_ms (run);
+      if (run->state == CORE_RUN_PLANNED)
+        continue;
       if (now_ms >= expiry_ms)
         lose_run (run, "lease_lapsed");
       else
@@ -244,15 +300,6 @@
   target->next_expiry_check_ms = next_ms;
 }
 
-/* Stops the members of a gang after one of them could not be started. */
-static void
-abort_gang (struct core_step *step)
-{
-  for (int64_t i = 0; i < step->spec->count; i++)
-    if (step->tasks[i].run != NULL)
-      core_run_stop (step->tasks[i].run);
-}
-
 /* Whether a start was not sent because this host is overloaded.
  *
  * Load pattern: more starts are due than the processor of this host can send in time. Retrying them
@@ -360,11 +407,50 @@
     run->confirmed_at_ms = now_ms;
 }
 
+static bool
+planned_run_is_valid (const struct core_run *run)
+{
+  return core_target_accepts_step (run->target, run->task->step)
+         && core_advice_ticket (run->task->step, run->target) != NULL;
+}
+
+/* Whether all members of a gang are planned, on targets that still accept them. */
+static bool
+planned_gang_is_valid (const struct core_step *step)
+{
+  for (int64_t i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].run == NULL || step->tasks[i].run->state != CORE_RUN_PLANNED
+        || !planned_run_is_valid (step->tasks[i].run))
+      return false;
+  return true;
+}
+
+/* Starts @run, with all members of its gang, once its target is recorded. Cancels it if the target
+ * no longer accepts it. */
+static void
+update_planned_run (struct core_run *run)
+{
+  struct core_step *step = run->task->step;
+
+  if (!(step->spec->gang ? planned_gang_is_valid (step) : planned_run_is_valid (run)))
+    cancel_planned_run (run);
+  else if (core_run_may_start (run))
+    for (int64_t i = 0; i < step->spec->count; i++)
+      if (step->spec->gang || &step->tasks[i] == run->task)
+        core_run_order_start (step->tasks[i].run,
+                              core_advice_ticket (step, step->tasks[i].run->target));
+}
+
 static void
 resend_order (struct core_run *run, int64_t now_ms)
 {
   if (run->order_in_flight)
     return;
+  if (run->state == CORE_RUN_PLANNED)
+    {
+      update_planned_run (run);
+      return;
+    }
   if (run->state == CORE_RUN_STOPPING
       && now_ms - run->last_order_at_ms
              >= (run->confirmed_at_ms > 0 ? STOP_REPEAT_MS : STOP_RETRY_MS))
@@ -387,6 +473,8 @@
 void
 core_target_resend_orders (struct core_target *target)
 {
-  for (guint i = 0; i < target->runs->len; i++)
-    resend_order (g_ptr_array_index (target->runs, i), target->core->now_ms);
+  /* Cancelling a planned run removes it, and other members of its gang. */
+  for (guint i = target->runs->len; i > 0; i--)
+    if (i <= target->runs->len)
+      resend_order (g_ptr_array_index (target->runs, i - 1), target->core->now_ms);
 }
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -13,6 +13,7 @@
 #define RECORDED_TASKS_MAX 20000
 #define FAILED_RUNS_MAX 1000 /* of one task */
 #define RECORDED_TARGETS_MAX 10000
+#define RECORDED_STEPS_MAX (FL_STEPS_MAX * REPEATS_MAX)
 
 /* The _AS form is for members whose C name differs from the name in stored data. */
 #define FIELD(owner_, member_, type_, required_, min_, max_, fallback_)                            \
@@ -133,6 +134,25 @@
 };
 static FL_SCHEMA (progress_schema, fl_job_progress, progress_fields);
 
+static const struct fl_field task_target_fields[] = {
+  FIELD (fl_task_target, target, FL_INT, true, FL_TASK_TARGET_UNKNOWN, RECORDED_TARGETS_MAX, 0),
+};
+static FL_SCHEMA (task_target_schema, fl_task_target, task_target_fields);
+
+static const struct fl_field step_targets_fields[] = {
+  FIELD (fl_step_targets, occurrence, FL_INT, true, 0, REPEATS_MAX, 0),
+  FIELD (fl_step_targets, step, FL_INT, true, 0, FL_STEPS_MAX, 0),
+  LIST (fl_step_targets, tasks, 0, FL_STEP_TASKS_MAX, &task_target_schema),
+};
+static FL_SCHEMA (step_targets_schema, fl_step_targets, step_targets_fields);
+
+/* A second document of a record, after that of progress_fields, which earlier versions ignore. */
+static const struct fl_field task_targets_fields[] = {
+  FIELD (fl_task_targets, fencing_token, FL_INT, true, 1, INT32_MAX, 0),
+  LIST (fl_task_targets, steps, 0, RECORDED_STEPS_MAX, &step_targets_schema),
+};
+static FL_SCHEMA (task_targets_schema, fl_task_targets, task_targets_fields);
+
 const char *
 fl_job_state_name (enum fl_job_state state)
 {
@@ -181,6 +201,8 @@
 
   msgpack_sbuffer_init (&buffer);
   fl_schema_encode (&progress_schema, progress, &buffer);
+  if (progress->task_targets.fencing_token > 0)
+    fl_schema_encode (&task_targets_schema, &progress->task_targets, &buffer);
   struct fl_str record = fl_str_make (buffer.data, buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return record;
@@ -224,15 +246,25 @@
   /* An encoded MessagePack array never starts with the byte that starts a JSON object. */
   if (len > 0 && data[0] == '{')
     return decode_json_progress (data, len, progress, error);
-  if (fl_schema_decode (&progress_schema, data, len, progress, error))
-    return true;
-  fl_job_progress_clear (progress);
-  return false;
+  size_t used = 0;
+  if (!fl_schema_decode_first (&progress_schema, data, len, &used, progress, error))
+    {
+      fl_job_progress_clear (progress);
+      return false;
+    }
+  /* Without this part, which may be one of a later version, the tasks may be on any target of the
+   * job. */
+  if (used < len
+      && !fl_schema_decode (&task_targets_schema, data + used, len - used, &progress->task_targets,
+                            NULL))
+    fl_schema_clear (&task_targets_schema, &progress->task_targets);
+  return true;
 }
 
 void
 fl_job_progress_clear (struct fl_job_progress *progress)
 {
+  fl_schema_clear (&task_targets_schema, &progress->task_targets);
   fl_schema_clear (&progress_schema, progress);
 }
 
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -103,6 +103,31 @@
   int64_t hash; /* fl_job_target_hash of its id */
 };
 
+/* Values of struct fl_task_target besides positions. */
+#define FL_TASK_TARGET_UNKNOWN (-1) /* on any target of the job, or on any at all if any_target */
+#define FL_TASK_TARGET_NONE 0
+
+/* The only target on which a task may have been started and still run. */
+struct fl_task_target
+{
+  int64_t target; /* its position, from 1, among the targets of the job, or a value above */
+};
+
+struct fl_step_targets
+{
+  int64_t occurrence;
+  int64_t step;
+  struct fl_array tasks; /* of struct fl_task_target, one for each task of the step */
+};
+
+/* Where the tasks of some steps may run. Holds for the owner with the next fencing token only: an
+ * owner of an earlier version starts tasks on the targets of a job without a new record. */
+struct fl_task_targets
+{
+  int64_t fencing_token; /* of the owner that wrote the record; 0 if the record has no such part */
+  struct fl_array steps; /* of struct fl_step_targets */
+};
+
 struct fl_job_progress
 {
   int state;               /* enum fl_job_state */
@@ -110,6 +135,7 @@
   struct fl_array tasks;   /* of struct fl_task_progress */
   struct fl_array targets; /* of struct fl_job_target; complete unless any_target is set */
   bool any_target;         /* tasks may have been started on any target */
+  struct fl_task_targets task_targets;
 };
 
 extern const struct fl_schema fl_job_spec_schema;
--- a/tests/support_core.c
+++ b/tests/support_core.c
@@ -88,11 +88,13 @@
     .fencing_token = MAX (fixture_options->fencing_token, 1),
     .target_lease_ms = TARGET_LEASE_MS,
     .target_lease_max_ms = 6000,
-    .acquired_version = fixture_options->reconciled_at_ms > 0 ? INT64_MAX : 0,
+    .acquired_version = fixture_options->acquired_version,
     .reconciled_at_ms = fixture_options->reconciled_at_ms,
     .order_bytes_per_s = fixture_options->order_bytes_per_s,
   };
 
+  if (options.acquired_version == 0 && options.reconciled_at_ms > 0)
+    options.acquired_version = INT64_MAX;
   fixture->now_ms = 100000;
   fixture->stats = fl_stats_new ();
   options.stats = fixture->stats;
--- a/tests/support_core.h
+++ b/tests/support_core.h
@@ -32,6 +32,7 @@
   int64_t reconciled_at_ms;  /* until then orders of an earlier owner may be in effect */
   int64_t order_bytes_per_s; /* that start orders may take; 0 for no limit */
   int64_t fencing_token;     /* 0 for 1 */
+  int64_t acquired_version;  /* 0 for one above those of all jobs, if reconciled_at_ms is set */
 };
 
 /* The jobs are not known yet. */
@@ -60,7 +61,7 @@
 /* The same, and delivers a report without runs. */
 void add_target (struct fixture *fixture, const char *name, int64_t cores, bool draining);
 
-/* Adds a job with one step and no record. */
+/* Adds a job with one step and no record. The time is the version at which it was accepted. */
 void add_job (struct fixture *fixture, const char *id, const char *queue, struct fl_step_spec step);
 
 /* Adds a job with one step and the record @progress, which may be NULL. */
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -240,16 +240,21 @@
 
 /* --- records --- */
 
+/* @fencing_token: 0 for a record as an earlier version wrote it */
 static struct fl_str
-encode_sample_progress (void)
+encode_sample_progress (int64_t fencing_token)
 {
   struct fl_failed_run failed[] = { { 1 }, { 100001 } };
   struct fl_done_range done[] = { { 0, 0, 0, 40 }, { 0, 1, 3, 1 } };
   struct fl_task_progress tasks[] = { { 0, 1, 2, false, { 2, failed }, { 0 } },
                                       { 3, 0, 0, false, { 0 }, { 3, (char *)"abc" } } };
   struct fl_job_target targets[] = { { 7 }, { UINT32_MAX } };
+  struct fl_task_target task_targets[]
+      = { { 2 }, { FL_TASK_TARGET_NONE }, { FL_TASK_TARGET_UNKNOWN } };
+  struct fl_step_targets steps[] = { { 0, 1, { 3, task_targets } }, { 3, 1, { 0 } } };
   struct fl_job_progress progress
-      = { FL_JOB_RUNNING, { 2, done }, { 2, tasks }, { 2, targets }, false };
+      = { FL_JOB_RUNNING, { 2, done }, { 2, tasks },
+          { 2, targets }, false,       { fencing_token, { 2, steps } } };
 
   return fl_job_progress_encode (&progress);
 }
@@ -257,18 +262,48 @@
 static void
 test_record_round_trip (void **state)
 {
-  struct fl_str encoded = encode_sample_progress ();
+  static const int64_t fencing_tokens[] = { 0, 7 };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (fencing_tokens); i++)
+    {
+      struct fl_str encoded = encode_sample_progress (fencing_tokens[i]);
+      struct fl_job_progress decoded;
+      struct fl_error error = { 0 };
+      assert_true (fl_job_progress_decode (encoded.data, encoded.len, &decoded, &error));
+      assert_int_equal (decoded.task_targets.fencing_token, fencing_tokens[i]);
+      struct fl_str reencoded = fl_job_progress_encode (&decoded);
+      assert_int_equal (reencoded.len, encoded.len);
+      assert_memory_equal (reencoded.data, encoded.data, encoded.len);
+      fl_job_progress_clear (&decoded);
+      fl_str_clear (&reencoded);
+      fl_str_clear (&encoded);
+    }
+}
+
+/* An earlier version reads the first document of a record, which is that of a record without the
+ * targets of tasks, and ignores the rest. So does this version if it cannot read the rest. */
+static void
+test_task_targets_are_optional (void **state)
+{
+  struct fl_str earlier = encode_sample_progress (0);
+  struct fl_str record = encode_sample_progress (7);
   struct fl_job_progress decoded;
   struct fl_error error = { 0 };
 
   (void)state;
-  assert_true (fl_job_progress_decode (encoded.data, encoded.len, &decoded, &error));
-  struct fl_str reencoded = fl_job_progress_encode (&decoded);
-  assert_int_equal (reencoded.len, encoded.len);
-  assert_memory_equal (reencoded.data, encoded.data, encoded.len);
-  fl_job_progress_clear (&decoded);
-  fl_str_clear (&reencoded);
-  fl_str_clear (&encoded);
+  assert_true (record.len > earlier.len);
+  assert_memory_equal (record.data, earlier.data, earlier.len);
+  for (size_t len = earlier.len; len < record.len; len++)
+    {
+      assert_true (fl_job_progress_decode (record.data, len, &decoded, &error));
+      assert_int_equal (decoded.targets.count, 2);
+      assert_int_equal (decoded.task_targets.fencing_token, 0);
+      assert_int_equal (decoded.task_targets.steps.count, 0);
+      fl_job_progress_clear (&decoded);
+    }
+  fl_str_clear (&record);
+  fl_str_clear (&earlier);
 }
 
 /* A new version reads what an earlier one has stored. */
@@ -304,7 +339,7 @@
 static void
 test_corrupted_records (void **state)
 {
-  struct fl_str encoded = encode_sample_progress ();
+  struct fl_str encoded = encode_sample_progress (7);
   GRand *random = g_rand_new_with_seed (7);
   int rejected = 0;
 
@@ -363,11 +398,17 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_settings_load),        cmocka_unit_test (test_configuration_decode),
-    cmocka_unit_test (test_api_key_decode),       cmocka_unit_test (test_target_decode),
-    cmocka_unit_test (test_job_decode),           cmocka_unit_test (test_record_round_trip),
-    cmocka_unit_test (test_json_progress_record), cmocka_unit_test (test_corrupted_records),
-    cmocka_unit_test (test_job_partition),        cmocka_unit_test (test_histogram_error_bound),
+    cmocka_unit_test (test_settings_load),
+    cmocka_unit_test (test_configuration_decode),
+    cmocka_unit_test (test_api_key_decode),
+    cmocka_unit_test (test_target_decode),
+    cmocka_unit_test (test_job_decode),
+    cmocka_unit_test (test_record_round_trip),
+    cmocka_unit_test (test_task_targets_are_optional),
+    cmocka_unit_test (test_json_progress_record),
+    cmocka_unit_test (test_corrupted_records),
+    cmocka_unit_test (test_job_partition),
+    cmocka_unit_test (test_histogram_error_bound),
   };
 
   return cmocka_run_group_tests_name ("contracts", tests, NULL, NULL);
--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -214,7 +214,8 @@
   struct fixture_options options
       = { .cpu_cap_milli = world->cpu_cap_milli,
           .reconciled_at_ms = world->token > 0 ? now_ms + RECONCILIATION_MS : 0,
-          .fencing_token = ++world->token };
+          .fencing_token = ++world->token,
+          .acquired_version = now_ms };
   struct fl_job_progress progress = { 0 };
   struct fl_error error = { 0 };
   bool is_recorded = world->record.len > 0;
@@ -596,7 +597,6 @@
       add_room (&world);
       turn_for (&world, AT_ONCE_MS);
       assert_int_equal (count_starts (&world, task.data), 1);
-      fl_core_set_jobs_known (world.owner->core);
       add_job (world.owner, "b", "slow", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
       turn_for (&world, AT_ONCE_MS);
       assert_int_equal (count_starts (&world, "b."), team_cases[i].starts);
@@ -625,6 +625,97 @@
   world_clear (&world);
 }
 
+/* What happens while the record of the first starts is in flight. */
+enum planned_event
+{
+  RECORD_STORED,
+  RECORD_FAILED,
+  TARGET_DRAINS,
+  TARGET_SILENT,
+  JOB_CANCELLED
+};
+
+static const struct
+{
+  const char *name;
+  bool gang;
+  enum planned_event event; /* concerns t1 where it concerns a target */
+  bool is_late;             /* it happens between the reply of the store and the next tick */
+  int64_t starts;           /* at the end of this record; two tasks wait, on t1 and t2 */
+  int64_t starts_later;     /* once later records are stored, on t1 to t3 */
+} planned_cases[] = {
+  { "stored", false, RECORD_STORED, false, 2, 2 },
+  { "not stored", false, RECORD_FAILED, false, 0, 2 },
+  { "a target drains", false, TARGET_DRAINS, false, 1, 2 },
+  { "a target is silent", false, TARGET_SILENT, false, 1, 2 },
+  { "job cancelled", false, JOB_CANCELLED, false, 0, 0 },
+  { "gang, stored", true, RECORD_STORED, false, 2, 2 },
+  { "gang, not stored", true, RECORD_FAILED, false, 0, 2 },
+  { "gang, a target drains", true, TARGET_DRAINS, false, 0, 2 },
+  { "gang, a target is silent", true, TARGET_SILENT, false, 0, 2 },
+  { "gang, job cancelled", true, JOB_CANCELLED, false, 0, 0 },
+  { "a target drains at last", false, TARGET_DRAINS, true, 1, 2 },
+  { "gang, a target drains at last", true, TARGET_DRAINS, true, 0, 2 },
+};
+
+static void
+apply_planned_event (struct world *world, enum planned_event event)
+{
+  const struct fl_name job = fl_name_of ("a");
+
+  if (event == TARGET_DRAINS)
+    add_entry (world->owner, "t1", 1, true);
+  if (event == TARGET_SILENT)
+    world->targets[0].silent = true;
+  if (event == JOB_CANCELLED)
+    fl_core_cancel_job (world->owner->core, &job);
+}
+
+/* A start that waits for the record of its target is ordered once it is stored, and not at all if
+ * the target does not accept it any more or the job is cancelled. A gang starts as a whole. */
+static void
+test_events_before_the_start_is_recorded (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (planned_cases); i++)
+    {
+      struct world world;
+      world_init (&world);
+      world.step = lasting_step (2);
+      world.step.gang = planned_cases[i].gang;
+      world.target_count = 2;
+      change_owner (&world, 0);
+      while (!collect_records (&world, true))
+        turn_without_records (&world);
+      assert_int_equal (world.owner->start_orders->len, 0);
+      if (!planned_cases[i].is_late)
+        apply_planned_event (&world, planned_cases[i].event);
+      turn_without_records (&world);
+      assert_int_equal (world.owner->start_orders->len, 0);
+      fl_core_finish_records (world.owner->core, planned_cases[i].event != RECORD_FAILED,
+                              world.owner->now_ms);
+      if (planned_cases[i].is_late)
+        apply_planned_event (&world, planned_cases[i].event);
+      turn_without_records (&world);
+      int64_t starts = world.owner->start_orders->len;
+      world.target_count = USED_TARGETS;
+      add_entry (world.owner, "t3", 1, false);
+      turn_for (&world, 2000);
+      int64_t starts_later = world.owner->start_orders->len;
+      if (starts != planned_cases[i].starts || starts_later != planned_cases[i].starts_later)
+        {
+          printf ("%s: %d starts, then %d\n", planned_cases[i].name, (int)starts,
+                  (int)starts_later);
+          failed++;
+        }
+      assert_int_equal (world.owner->stop_orders->len, 0);
+      world_clear (&world);
+    }
+  assert_int_equal (failed, 0);
+}
+
 int
 main (void)
 {
@@ -635,6 +726,7 @@
     cmocka_unit_test (test_chain_of_owners),
     cmocka_unit_test (test_team_limit_after_change_of_owner),
     cmocka_unit_test (test_other_steps_wait_for_all_targets),
+    cmocka_unit_test (test_events_before_the_start_is_recorded),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
