Expire the lease of a run that was planned first

The expiry of a lease was computed while the run was only planned, as never, and not again after its start order: a task on a target that fell silent before it was listed stayed charged to it for ever.

--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -127,6 +127,7 @@
   run->last_order_at_ms = core->now_ms;
   run->started_at_ms = core->now_ms;
   run->progressed_at_ms = core->now_ms;
+  target->next_expiry_check_ms = 0;
   target->lease_expires_at_ms
       = MAX (target->lease_expires_at_ms,
              core->now_ms + START_DEADLINE_MS * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
@@ -289,9 +290,9 @@
   for (guint i = target->runs->len; i > 0; i--)
     {
       struct core_run *run = g_ptr_array_index (target->runs, i - 1);
-      int64_t expiry_ms = lease_expiry_ms (run);
       if (run->state == CORE_RUN_PLANNED)
         continue;
+      int64_t expiry_ms = lease_expiry_ms (run);
       if (now_ms >= expiry_ms)
         lose_run (run, "lease_lapsed");
       else
--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -716,6 +716,31 @@
   assert_int_equal (failed, 0);
 }
 
+/* A target falls silent after the start of a task on it: the run stayed charged for ever, because
+ * the expiry of its lease was computed while it was planned (seed 11 of test_core_cell lasting). */
+static void
+test_lease_of_a_planned_run_expires (void **state)
+{
+  struct world world;
+
+  (void)state;
+  world_init (&world);
+  world.step = lasting_step (1);
+  world.target_count = 1;
+  change_owner (&world, 0);
+  while (world.owner->start_orders->len == 0)
+    turn (&world);
+  world.targets[0].silent = true;
+  world.target_count = USED_TARGETS;
+  update_registry (&world);
+  turn_for (&world, 1000);
+  assert_int_equal (world.owner->start_orders->len, 1);
+  reboot_target (&world, 0);
+  turn_for (&world, 6000);
+  assert_int_equal (world.owner->start_orders->len, 2);
+  world_clear (&world);
+}
+
 int
 main (void)
 {
@@ -727,6 +752,7 @@
     cmocka_unit_test (test_team_limit_after_change_of_owner),
     cmocka_unit_test (test_other_steps_wait_for_all_targets),
     cmocka_unit_test (test_events_before_the_start_is_recorded),
+    cmocka_unit_test (test_lease_of_a_planned_run_expires),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
