An acquisition without a confirmed result is found by a read

Callers saw no owner for up to 5 s after the death of one: the store had applied an acquisition whose reply was lost or said that it was rejected, and the host waited until its own lease expired, then acquired the pool a second time.

A read, or the rows of a conflict, that shows this process as holder with the token that it tried proves that no other host has acquired the pool since. The host renews the lease under the version of that row and owns the pool once a renewal is confirmed. What was known of the previous owner when the acquisition was sent stays as it was.

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -26,6 +26,8 @@
 /* Poll interval of a host that lets better suited hosts acquire the pool before it does. */
 #define LOW_PRIORITY_POLL_MS 800
 #define READ_TIMEOUT_MS 700
+/* Delay before a rejected call of a standby is repeated. */
+#define STANDBY_RETRY_MS 100
 #define RELEASE_TIMEOUT_MS 500
 /* An owner whose lease has expired, since it cannot reach the store, goes on sending heartbeats for
  * this long, so that running tasks survive. Together with the leases of the pool and of the targets
@@ -66,29 +68,39 @@
 enum ownership_state
 {
   STANDBY,
+  CONFIRMING, /* the store shows that this host has acquired the pool; no renewal is confirmed yet
+               */
   OWNER,
   RELEASED
 };
 
+/* An acquisition that was sent. */
+struct attempt
+{
+  int64_t token; /* 0 if there is none, or if this host has become owner with it */
+  struct fl_name previous;
+  bool previous_owner_may_be_active; /* another host owned the pool and had not released it */
+};
+
 struct fl_ownership
 {
   struct fl_ownership_options options;
   struct fl_name incarnation; /* unique to this process */
   enum ownership_state state;
   int64_t next_call_ms; /* when the next call is due */
-  int64_t sent_ms;      /* when a standby sent its last call */
   bool call_in_flight;  /* a standby waits for the reply to a call */
-  int64_t token;
-  int64_t pool_version; /* version of the pool row while this host is owner */
+  int64_t period;       /* number of changes to owner and back; older calls of a standby are void */
+  int64_t token;        /* of the last acquisition that was sent */
+  struct attempt attempt;
+  int64_t pool_version; /* version of the pool row while this host is owner or confirming */
   int64_t authority_until_ms;
   int64_t renewals;
   /* As last read by a standby: */
   struct owner_row seen_owner;
   int64_t seen_pool_version;
   int64_t seen_lease_version;
-  int64_t lease_unchanged_since_ms;  /* first read of seen_lease_version; 0 for none */
-  int64_t lease_seen_renewed_ms;     /* last read that showed a change of the lease; 0 for none */
-  bool previous_owner_may_be_active; /* another host owns the pool and has not released it */
+  int64_t lease_unchanged_since_ms; /* first read of seen_lease_version; 0 for none */
+  int64_t lease_seen_renewed_ms;    /* last read that showed a change of the lease; 0 for none */
   void (*release_done) (void *context);
   void *release_done_context;
 };
@@ -101,6 +113,14 @@
   int64_t sent_ms;
 };
 
+/* A read or an acquisition in flight. */
+struct standby_call
+{
+  struct fl_ownership *ownership;
+  int64_t period;
+  int64_t sent_ms;
+};
+
 static void read_ownership (struct fl_ownership *ownership);
 static void renew_lease (struct fl_ownership *ownership);
 
@@ -123,7 +143,7 @@
     return;
   if (ownership->state == STANDBY && !ownership->call_in_flight)
     read_ownership (ownership);
-  else if (ownership->state == OWNER)
+  else if (ownership->state == OWNER || ownership->state == CONFIRMING)
     renew_lease (ownership);
 }
 
@@ -146,33 +166,57 @@
 
 /* --- owner --- */
 
+/* Becomes owner by a call that was sent at @sent_ms and applied. */
 static void
-become_owner (struct fl_ownership *ownership, int64_t version)
+become_owner (struct fl_ownership *ownership, int64_t version, int64_t sent_ms)
 {
+  struct attempt attempt = ownership->attempt;
+
   ownership->state = OWNER;
+  ownership->period++;
+  ownership->attempt.token = 0;
   ownership->pool_version = version;
-  ownership->authority_until_ms = ownership->sent_ms + LEASE_MS;
+  ownership->authority_until_ms = sent_ms + LEASE_MS;
   fl_log (
       ownership->options.log, FL_LOG_NOTICE, "pool_taken", FL_I ("token", ownership->token),
-      FL_I ("version", version), FL_N ("previous", &ownership->seen_owner.holder),
+      FL_I ("version", version), FL_N ("previous", &attempt.previous),
       FL_I ("lease_seen_renewed_ms_ago", ownership->lease_seen_renewed_ms > 0
                                              ? now_ms (ownership) - ownership->lease_seen_renewed_ms
                                              : -1));
   schedule_call (ownership, RENEWAL_INTERVAL_MS);
   ownership->options.on_acquired (ownership->options.context, ownership->token, version,
-                                  ownership->previous_owner_may_be_active);
+                                  attempt.previous_owner_may_be_active);
+}
+
+/* The pool row with @version shows that an acquisition without a confirmed result was applied. No
+ * other host has acquired the pool since: that would have changed the row. The lease may have
+ * expired, so that this host has authority only after a renewal under the same version. */
+static void
+begin_confirming (struct fl_ownership *ownership, int64_t version)
+{
+  fl_log (ownership->options.log, FL_LOG_NOTICE, "acquisition_found",
+          FL_I ("token", ownership->token), FL_I ("version", version));
+  ownership->state = CONFIRMING;
+  ownership->pool_version = version;
+  renew_lease (ownership);
 }
 
 static void
 become_standby (struct fl_ownership *ownership)
 {
+  bool was_owner = ownership->state == OWNER;
+
   fl_log (ownership->options.log, FL_LOG_NOTICE, "pool_lost", FL_I ("token", ownership->token));
   ownership->state = STANDBY;
+  ownership->period++;
+  ownership->attempt.token = 0;
   ownership->authority_until_ms = 0;
   ownership->lease_unchanged_since_ms = 0;
   ownership->seen_lease_version = 0;
+  ownership->call_in_flight = false;
   schedule_call (ownership, STANDBY_POLL_MS);
-  ownership->options.on_lost (ownership->options.context);
+  if (was_owner)
+    ownership->options.on_lost (ownership->options.context);
 }
 
 static void
@@ -182,18 +226,21 @@
   struct fl_ownership *ownership = renewal->ownership;
   int64_t until_ms = renewal->sent_ms + LEASE_MS;
 
-  if (ownership->state != OWNER || renewal->token != ownership->token)
+  if ((ownership->state != OWNER && ownership->state != CONFIRMING)
+      || renewal->token != ownership->token)
     return;
   if (reply->status == FL_STORE_CONFLICT)
     become_standby (ownership);
-  else if (reply->status == FL_STORE_OK)
-    ownership->authority_until_ms = MAX (ownership->authority_until_ms, until_ms);
-  else
+  else if (reply->status != FL_STORE_OK)
     {
       fl_log_error (ownership->options.log, FL_LOG_WARNING, "renewal_failed", &reply->error);
       ownership->next_call_ms
           = MIN (ownership->next_call_ms, now_ms (ownership) + RENEWAL_RETRY_MS);
     }
+  else if (ownership->state == OWNER)
+    ownership->authority_until_ms = MAX (ownership->authority_until_ms, until_ms);
+  else if (now_ms (ownership) < until_ms)
+    become_owner (ownership, ownership->pool_version, renewal->sent_ms);
 }
 
 static void
@@ -227,55 +274,6 @@
 
 /* --- standby --- */
 
-static void
-on_acquire_reply (void *context, const struct fl_store_reply *reply)
-{
-  struct fl_ownership *ownership = context;
-
-  ownership->call_in_flight = false;
-  if (ownership->state != STANDBY)
-    return;
-  /* A reply that arrives after the acquired lease has expired is ignored: another host may own the
-   * pool by now. */
-  if (reply->status == FL_STORE_OK && now_ms (ownership) < ownership->sent_ms + LEASE_MS)
-    become_owner (ownership, reply->version);
-  else
-    {
-      fl_log (ownership->options.log, FL_LOG_NOTICE, "acquire_failed",
-              FL_I ("token", ownership->token),
-              FL_S ("result", fl_store_status_name (reply->status)),
-              FL_I ("after_ms", now_ms (ownership) - ownership->sent_ms),
-              FL_S ("peer", reply->error.peer), FL_S ("text", reply->error.text));
-      schedule_call (ownership, STANDBY_POLL_MS);
-    }
-}
-
-static void
-acquire_pool (struct fl_ownership *ownership)
-{
-  struct owner_row row
-      = { ownership->options.host, ownership->incarnation, ownership->seen_owner.token + 1 };
-  struct fl_str owner = fl_record_encode (&owner_schema, &row);
-  struct fl_str lease = encode_lease (ownership, false);
-  struct fl_store_write writes[]
-      = { make_row_write (FL_OWNER_POOL_KEY, &owner), make_row_write (FL_OWNER_LEASE_KEY, &lease) };
-  struct fl_store_condition conditions[] = {
-    { FL_OWNER_TABLE, FL_PARTITION_OWNER, fl_name_of (FL_OWNER_POOL_KEY),
-      ownership->seen_pool_version },
-    { FL_OWNER_TABLE, FL_PARTITION_OWNER, fl_name_of (FL_OWNER_LEASE_KEY),
-      ownership->seen_lease_version },
-  };
-  struct fl_store_transaction transaction = { conditions, 2, writes, 2 };
-  const struct fl_store *store = ownership->options.store;
-
-  ownership->token = row.token;
-  ownership->sent_ms = now_ms (ownership);
-  ownership->call_in_flight = true;
-  store->transact (store->context, &transaction, RENEWAL_TIMEOUT_MS, on_acquire_reply, ownership);
-  fl_str_clear (&owner);
-  fl_str_clear (&lease);
-}
-
 /* Decodes the pool row and the lease row.
  * @return whether the pool is free: it was never owned, or its owner released it. */
 static bool
@@ -306,6 +304,16 @@
   return !owned || lease.released;
 }
 
+/* Whether the rows that were read last show that this process has acquired the pool without knowing
+ * it. */
+static bool
+has_acquired_unknowingly (const struct fl_ownership *ownership)
+{
+  return ownership->attempt.token > 0 && ownership->seen_pool_version > 0
+         && ownership->seen_owner.token == ownership->attempt.token
+         && fl_name_eq (&ownership->seen_owner.incarnation, &ownership->incarnation);
+}
+
 /* Whether the owner was an earlier process on this host. That process has ended, since two of them
  * cannot run on one host. */
 static bool
@@ -315,6 +323,85 @@
          && !fl_name_eq (&ownership->seen_owner.incarnation, &ownership->incarnation);
 }
 
+static struct standby_call *
+standby_call_new (struct fl_ownership *ownership)
+{
+  struct standby_call *call = g_new0 (struct standby_call, 1);
+
+  *call = (struct standby_call){ ownership, ownership->period, now_ms (ownership) };
+  ownership->call_in_flight = true;
+  return call;
+}
+
+/* Handles a reply that does not confirm an acquisition, which may have been applied all the same:
+ * a reply was lost, or it is that of a copy of the call. */
+static void
+handle_unconfirmed_acquisition (struct fl_ownership *ownership,
+                                const struct standby_call *call,
+                                const struct fl_store_reply *reply)
+{
+  int64_t lease_version;
+
+  fl_log (ownership->options.log, FL_LOG_NOTICE, "acquire_failed", FL_I ("token", ownership->token),
+          FL_S ("result", fl_store_status_name (reply->status)),
+          FL_I ("after_ms", now_ms (ownership) - call->sent_ms), FL_S ("peer", reply->error.peer),
+          FL_S ("text", reply->error.text));
+  if (reply->status == FL_STORE_CONFLICT)
+    decode_rows (ownership, reply, &lease_version);
+  if (reply->status == FL_STORE_OK)
+    begin_confirming (ownership, reply->version);
+  else if (reply->status == FL_STORE_CONFLICT && has_acquired_unknowingly (ownership))
+    begin_confirming (ownership, ownership->seen_pool_version);
+  else if (reply->status == FL_STORE_CONFLICT)
+    schedule_call (ownership, STANDBY_POLL_MS);
+  else
+    schedule_call (ownership, reply->status == FL_STORE_UNKNOWN ? 0 : STANDBY_RETRY_MS);
+}
+
+static void
+on_acquire_reply (void *context, const struct fl_store_reply *reply)
+{
+  g_autofree struct standby_call *call = context;
+  struct fl_ownership *ownership = call->ownership;
+
+  if (call->period != ownership->period || ownership->state == RELEASED)
+    return;
+  ownership->call_in_flight = false;
+  /* A reply that arrives after the acquired lease has expired gives no authority: another host may
+   * own the pool by now. */
+  if (reply->status == FL_STORE_OK && now_ms (ownership) < call->sent_ms + LEASE_MS)
+    become_owner (ownership, reply->version, call->sent_ms);
+  else if (ownership->state == STANDBY)
+    handle_unconfirmed_acquisition (ownership, call, reply);
+}
+
+static void
+acquire_pool (struct fl_ownership *ownership, bool previous_owner_may_be_active)
+{
+  struct owner_row row
+      = { ownership->options.host, ownership->incarnation, ownership->seen_owner.token + 1 };
+  struct fl_str owner = fl_record_encode (&owner_schema, &row);
+  struct fl_str lease = encode_lease (ownership, false);
+  struct fl_store_write writes[]
+      = { make_row_write (FL_OWNER_POOL_KEY, &owner), make_row_write (FL_OWNER_LEASE_KEY, &lease) };
+  struct fl_store_condition conditions[] = {
+    { FL_OWNER_TABLE, FL_PARTITION_OWNER, fl_name_of (FL_OWNER_POOL_KEY),
+      ownership->seen_pool_version },
+    { FL_OWNER_TABLE, FL_PARTITION_OWNER, fl_name_of (FL_OWNER_LEASE_KEY),
+      ownership->seen_lease_version },
+  };
+  struct fl_store_transaction transaction = { conditions, 2, writes, 2 };
+  const struct fl_store *store = ownership->options.store;
+
+  ownership->token = row.token;
+  ownership->attempt
+      = (struct attempt){ row.token, ownership->seen_owner.holder, previous_owner_may_be_active };
+  store->transact (store->context, &transaction, RENEWAL_TIMEOUT_MS, on_acquire_reply,
+                   standby_call_new (ownership));
+  fl_str_clear (&owner);
+  fl_str_clear (&lease);
+}
+
 /* How long the lease row must stay unchanged before this host acquires the pool. */
 static int64_t
 get_acquire_wait_ms (const struct fl_ownership *ownership, bool is_free)
@@ -333,14 +420,15 @@
 static void
 on_read_reply (void *context, const struct fl_store_reply *reply)
 {
-  struct fl_ownership *ownership = context;
+  g_autofree struct standby_call *call = context;
+  struct fl_ownership *ownership = call->ownership;
   int64_t lease_version;
   int64_t wait_ms;
   bool is_free;
 
-  ownership->call_in_flight = false;
-  if (ownership->state != STANDBY)
+  if (call->period != ownership->period || ownership->state != STANDBY)
     return;
+  ownership->call_in_flight = false;
   if (reply->status != FL_STORE_OK)
     {
       fl_log (ownership->options.log, FL_LOG_INFO, "standby_wait_restarted",
@@ -355,6 +443,11 @@
       return;
     }
   is_free = decode_rows (ownership, reply, &lease_version);
+  if (has_acquired_unknowingly (ownership))
+    {
+      begin_confirming (ownership, ownership->seen_pool_version);
+      return;
+    }
   if (lease_version != ownership->seen_lease_version || ownership->lease_unchanged_since_ms == 0)
     {
       if (lease_version != ownership->seen_lease_version)
@@ -362,10 +455,9 @@
       ownership->seen_lease_version = lease_version;
       ownership->lease_unchanged_since_ms = now_ms (ownership);
     }
-  ownership->previous_owner_may_be_active = !is_free && !was_owned_by_this_host (ownership);
   wait_ms = get_acquire_wait_ms (ownership, is_free);
-  if (wait_ms == 0 || ownership->sent_ms - ownership->lease_unchanged_since_ms >= wait_ms)
-    acquire_pool (ownership);
+  if (wait_ms == 0 || call->sent_ms - ownership->lease_unchanged_since_ms >= wait_ms)
+    acquire_pool (ownership, !is_free && !was_owned_by_this_host (ownership));
   else if (was_owned_by_this_host (ownership))
     schedule_call (ownership, RESTARTED_OWNER_POLL_MS);
   else
@@ -377,10 +469,8 @@
 {
   const struct fl_store *store = ownership->options.store;
 
-  ownership->sent_ms = now_ms (ownership);
-  ownership->call_in_flight = true;
   store->read (store->context, FL_OWNER_TABLE, FL_PARTITION_OWNER, "", "", READ_TIMEOUT_MS,
-               on_read_reply, ownership);
+               on_read_reply, standby_call_new (ownership));
 }
 
 /* --- public functions --- */
@@ -440,7 +530,7 @@
 void
 fl_ownership_release (struct fl_ownership *ownership, void (*done) (void *context), void *context)
 {
-  bool owned = ownership->state == OWNER;
+  bool owned = ownership->state == OWNER || ownership->state == CONFIRMING;
 
   ownership->state = RELEASED;
   ownership->release_done = done;
