A failed read of a standby no longer starts its wait anew

Callers saw no owner for up to 2.3 s: a standby that had waited for the expiry of the lease waited from zero again when one of its reads was rejected.

An unchanged version of the lease row in two successful reads that lie 1,235 ms apart proves that the lease has expired, whatever failed between them. The wait started anew so that after an outage for all hosts the owner renews first. It needs its renewal interval and a call for that, so only a gap of over 900 ms between two successful reads starts the wait anew. The first failed read is repeated after 100 ms.

Outages for all of 50 to 3,000 ms keep the owner, before and after. test_ownership_walk holds.

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -26,7 +26,12 @@
 /* Poll interval of a host that lets better suited hosts acquire the pool before it does. */
 #define LOW_PRIORITY_POLL_MS 800
 #define READ_TIMEOUT_MS 700
-/* Delay before a rejected call of a standby is repeated. */
+/* Longest time between two successful reads, with failed ones between them, in which the owner is
+ * known to have had the time for a renewal: an outage of the store for all hosts that is not longer
+ * ends early enough for a renewal, its interval and the calls, before the lease counts as expired.
+ */
+#define READ_GAP_MAX_MS (LEASE_EXPIRY_MS - RENEWAL_INTERVAL_MS - 85)
+/* Delay before the first failed call of a standby is repeated. */
 #define STANDBY_RETRY_MS 100
 #define RELEASE_TIMEOUT_MS 500
 /* An owner whose lease has expired, since it cannot reach the store, goes on sending heartbeats for
@@ -100,6 +105,8 @@
   int64_t seen_pool_version;
   int64_t seen_lease_version;
   int64_t lease_unchanged_since_ms; /* first read of seen_lease_version; 0 for none */
+  int64_t last_read_ms;             /* last successful read */
+  int failed_reads;                 /* since then */
   int64_t lease_seen_renewed_ms;    /* last read that showed a change of the lease; 0 for none */
   void (*release_done) (void *context);
   void *release_done_context;
@@ -417,6 +424,37 @@
   return delay_ms + (is_free ? 0 : LEASE_EXPIRY_MS);
 }
 
+static void
+handle_failed_read (struct fl_ownership *ownership, const struct fl_store_reply *reply)
+{
+  ownership->failed_reads++;
+  fl_log (ownership->options.log, FL_LOG_INFO, "standby_read_failed",
+          FL_I ("in_a_row", ownership->failed_reads),
+          FL_S ("result", fl_store_status_name (reply->status)), FL_S ("peer", reply->error.peer),
+          FL_S ("text", reply->error.text));
+  schedule_call (ownership, ownership->failed_reads == 1 ? STANDBY_RETRY_MS : STANDBY_POLL_MS);
+}
+
+/* A read has succeeded. If others failed for long before, the owner may have been unable to reach
+ * the store, too, so restart the wait: the owner is to renew its lease first. */
+static void
+end_read_gap (struct fl_ownership *ownership)
+{
+  int64_t gap_ms = now_ms (ownership) - ownership->last_read_ms;
+
+  if (ownership->failed_reads > 0 && gap_ms > READ_GAP_MAX_MS)
+    {
+      fl_log (ownership->options.log, FL_LOG_INFO, "standby_wait_restarted",
+              FL_I ("waited_ms", ownership->lease_unchanged_since_ms > 0
+                                     ? now_ms (ownership) - ownership->lease_unchanged_since_ms
+                                     : 0),
+              FL_I ("gap_ms", gap_ms));
+      ownership->lease_unchanged_since_ms = 0;
+    }
+  ownership->failed_reads = 0;
+  ownership->last_read_ms = now_ms (ownership);
+}
+
 static void
 on_read_reply (void *context, const struct fl_store_reply *reply)
 {
@@ -431,17 +469,10 @@
   ownership->call_in_flight = false;
   if (reply->status != FL_STORE_OK)
     {
-      fl_log (ownership->options.log, FL_LOG_INFO, "standby_wait_restarted",
-              FL_I ("waited_ms", ownership->lease_unchanged_since_ms > 0
-                                     ? now_ms (ownership) - ownership->lease_unchanged_since_ms
-                                     : 0),
-              FL_S ("result", fl_store_status_name (reply->status)),
-              FL_S ("peer", reply->error.peer), FL_S ("text", reply->error.text));
-      /* The owner may have been unable to reach the store, too, so restart the wait. */
-      ownership->lease_unchanged_since_ms = 0;
-      schedule_call (ownership, STANDBY_POLL_MS);
+      handle_failed_read (ownership, reply);
       return;
     }
+  end_read_gap (ownership);
   is_free = decode_rows (ownership, reply, &lease_version);
   if (has_acquired_unknowingly (ownership))
     {
