A standby repeats a call without a reply early, and reads when its wait ends

Callers saw no owner for up to 0.8 s longer than the lease requires. A lost read or acquisition cost its timeout of 700 ms and a poll interval; a small host polled every 800 ms, also when its wait ended between two polls.

After 430 ms without a reply a standby sends a read; replies that are older than one that it has used are dropped. The next read is due at the end of the wait at the latest.

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -26,6 +26,11 @@
 /* Poll interval of a host that lets better suited hosts acquire the pool before it does. */
 #define LOW_PRIORITY_POLL_MS 800
 #define READ_TIMEOUT_MS 700
+/* A standby's call without a reply for this long is followed by a read: one lost reply costs less
+ * than the timeout. It is above the 0.3 s of a store that is 60 times slower than usual, and above
+ * the 400 ms after which the path to the store counts as failed, so that the read takes another. */
+#define HEDGE_DELAY_MS 430
+#define STANDBY_CALLS_MAX 2
 /* Longest time between two successful reads, with failed ones between them, in which the owner is
  * known to have had the time for a renewal: an outage of the store for all hosts that is not longer
  * ends early enough for a renewal, its interval and the calls, before the lease counts as expired.
@@ -93,7 +98,9 @@
   struct fl_name incarnation; /* unique to this process */
   enum ownership_state state;
   int64_t next_call_ms; /* when the next call is due */
-  bool call_in_flight;  /* a standby waits for the reply to a call */
+  int calls_in_flight;  /* calls of a standby that wait for a reply */
+  int64_t last_call;    /* number of the last call of a standby */
+  int64_t last_read;    /* number of the newest read that succeeded */
   int64_t period;       /* number of changes to owner and back; older calls of a standby are void */
   int64_t token;        /* of the last acquisition that was sent */
   struct attempt attempt;
@@ -124,6 +131,7 @@
 struct standby_call
 {
   struct fl_ownership *ownership;
+  int64_t number;
   int64_t period;
   int64_t sent_ms;
 };
@@ -148,7 +156,7 @@
 {
   if (now_ms (ownership) < ownership->next_call_ms)
     return;
-  if (ownership->state == STANDBY && !ownership->call_in_flight)
+  if (ownership->state == STANDBY && ownership->calls_in_flight < STANDBY_CALLS_MAX)
     read_ownership (ownership);
   else if (ownership->state == OWNER || ownership->state == CONFIRMING)
     renew_lease (ownership);
@@ -181,6 +189,7 @@
 
   ownership->state = OWNER;
   ownership->period++;
+  ownership->calls_in_flight = 0;
   ownership->attempt.token = 0;
   ownership->pool_version = version;
   ownership->authority_until_ms = sent_ms + LEASE_MS;
@@ -220,7 +229,7 @@
   ownership->authority_until_ms = 0;
   ownership->lease_unchanged_since_ms = 0;
   ownership->seen_lease_version = 0;
-  ownership->call_in_flight = false;
+  ownership->calls_in_flight = 0;
   schedule_call (ownership, STANDBY_POLL_MS);
   if (was_owner)
     ownership->options.on_lost (ownership->options.context);
@@ -335,8 +344,10 @@
 {
   struct standby_call *call = g_new0 (struct standby_call, 1);
 
-  *call = (struct standby_call){ ownership, ownership->period, now_ms (ownership) };
-  ownership->call_in_flight = true;
+  *call = (struct standby_call){ ownership, ++ownership->last_call, ownership->period,
+                                 now_ms (ownership) };
+  ownership->calls_in_flight++;
+  schedule_call (ownership, HEDGE_DELAY_MS);
   return call;
 }
 
@@ -359,6 +370,8 @@
     begin_confirming (ownership, reply->version);
   else if (reply->status == FL_STORE_CONFLICT && has_acquired_unknowingly (ownership))
     begin_confirming (ownership, ownership->seen_pool_version);
+  else if (ownership->calls_in_flight > 0)
+    return;
   else if (reply->status == FL_STORE_CONFLICT)
     schedule_call (ownership, STANDBY_POLL_MS);
   else
@@ -373,7 +386,7 @@
 
   if (call->period != ownership->period || ownership->state == RELEASED)
     return;
-  ownership->call_in_flight = false;
+  ownership->calls_in_flight--;
   /* A reply that arrives after the acquired lease has expired gives no authority: another host may
    * own the pool by now. */
   if (reply->status == FL_STORE_OK && now_ms (ownership) < call->sent_ms + LEASE_MS)
@@ -424,6 +437,21 @@
   return delay_ms + (is_free ? 0 : LEASE_EXPIRY_MS);
 }
 
+static int64_t
+get_poll_ms (const struct fl_ownership *ownership, int64_t wait_ms)
+{
+  if (was_owned_by_this_host (ownership))
+    return RESTARTED_OWNER_POLL_MS;
+  return wait_ms > LEASE_EXPIRY_MS ? LOW_PRIORITY_POLL_MS : STANDBY_POLL_MS;
+}
+
+/* The time until a read may find that the lease row has not changed for @wait_ms. */
+static int64_t
+get_wait_left_ms (const struct fl_ownership *ownership, int64_t wait_ms)
+{
+  return MAX (ownership->lease_unchanged_since_ms + wait_ms - now_ms (ownership), 0);
+}
+
 static void
 handle_failed_read (struct fl_ownership *ownership, const struct fl_store_reply *reply)
 {
@@ -432,7 +460,8 @@
           FL_I ("in_a_row", ownership->failed_reads),
           FL_S ("result", fl_store_status_name (reply->status)), FL_S ("peer", reply->error.peer),
           FL_S ("text", reply->error.text));
-  schedule_call (ownership, ownership->failed_reads == 1 ? STANDBY_RETRY_MS : STANDBY_POLL_MS);
+  if (ownership->calls_in_flight == 0 || reply->status == FL_STORE_REJECTED)
+    schedule_call (ownership, ownership->failed_reads == 1 ? STANDBY_RETRY_MS : STANDBY_POLL_MS);
 }
 
 /* A read has succeeded. If others failed for long before, the owner may have been unable to reach
@@ -466,12 +495,15 @@
 
   if (call->period != ownership->period || ownership->state != STANDBY)
     return;
-  ownership->call_in_flight = false;
+  ownership->calls_in_flight--;
+  if (call->number < ownership->last_read)
+    return;
   if (reply->status != FL_STORE_OK)
     {
       handle_failed_read (ownership, reply);
       return;
     }
+  ownership->last_read = call->number;
   end_read_gap (ownership);
   is_free = decode_rows (ownership, reply, &lease_version);
   if (has_acquired_unknowingly (ownership))
@@ -489,10 +521,9 @@
   wait_ms = get_acquire_wait_ms (ownership, is_free);
   if (wait_ms == 0 || call->sent_ms - ownership->lease_unchanged_since_ms >= wait_ms)
     acquire_pool (ownership, !is_free && !was_owned_by_this_host (ownership));
-  else if (was_owned_by_this_host (ownership))
-    schedule_call (ownership, RESTARTED_OWNER_POLL_MS);
   else
-    schedule_call (ownership, wait_ms > LEASE_EXPIRY_MS ? LOW_PRIORITY_POLL_MS : STANDBY_POLL_MS);
+    schedule_call (ownership,
+                   MIN (get_poll_ms (ownership, wait_ms), get_wait_left_ms (ownership, wait_ms)));
 }
 
 static void
