Test of the wait for silent targets after a change of owner

A new owner starts tasks that may still run on a silent target when all leases of earlier owners have expired.

--- a/tests/support_ownership.c
+++ b/tests/support_ownership.c
@@ -245,10 +245,18 @@
 
 /* --- hosts --- */
 
+static int64_t
+get_clock_rate (const struct host *host)
+{
+  return 1000 + host->simulation->options->clock_errors[host->index];
+}
+
 static int64_t
 read_clock (void *context)
 {
-  return ((struct simulation *)context)->now_ms;
+  const struct host *host = context;
+
+  return host->simulation->now_ms * get_clock_rate (host) / 1000;
 }
 
 static int64_t
@@ -260,6 +268,15 @@
   return host->simulation->options->acquire_delays_ms[host->index];
 }
 
+static int64_t
+get_reconciled_at (const struct host *host, bool previous_owner_may_be_active)
+{
+  int64_t left_ms
+      = fl_ownership_get_reconcile_ms (ELECTION_TARGET_LEASE_MS, previous_owner_may_be_active);
+
+  return host->simulation->now_ms + left_ms * 1000 / get_clock_rate (host);
+}
+
 static void
 on_acquired (void *context, int64_t token, int64_t version, bool previous_owner_may_be_active)
 {
@@ -273,7 +290,8 @@
   simulation->result->last_token = token;
   if (token < ELECTION_TOKENS_MAX)
     simulation->result->acquisitions[token]
-        = (struct acquisition){ simulation->now_ms, host->index, previous_owner_may_be_active };
+        = (struct acquisition){ simulation->now_ms, host->index, previous_owner_may_be_active,
+                                get_reconciled_at (host, previous_owner_may_be_active) };
 }
 
 static void
@@ -295,7 +313,7 @@
 {
   static const struct fl_log silent = { 0 };
   struct fl_ownership_options options = {
-    .clock = { read_clock, host->simulation },
+    .clock = { read_clock, host },
     .log = &silent,
     .store = &host->store,
     .host = fl_name_format ("host-%d", host->index),
@@ -330,6 +348,9 @@
       fl_ownership_release (host->ownership, ignore_event, NULL);
       start_host (host);
       break;
+    case HOST_CUT_OFF:
+      host->isolated_until_ms = INT64_MAX;
+      break;
     case HOST_DEAD:
       host->ownership = NULL;
       break;
@@ -394,6 +415,20 @@
   g_free (call);
 }
 
+/* An owner sends heartbeats while it has authority and for some time after that. */
+static void
+record_heartbeats (struct simulation *simulation)
+{
+  for (int i = 0; i < simulation->options->host_count; i++)
+    {
+      struct host *host = &simulation->hosts[i];
+      if (host->ownership != NULL && host->paused_until_ms <= simulation->now_ms
+          && read_clock (host) < fl_ownership_get_authority_until (host->ownership)
+                                     + fl_ownership_get_heartbeat_grace_ms ())
+        simulation->result->last_heartbeat_ms[i] = simulation->now_ms;
+    }
+}
+
 static void
 run_tick (struct simulation *simulation)
 {
@@ -403,6 +438,7 @@
     if (simulation->hosts[i].ownership != NULL
         && simulation->hosts[i].paused_until_ms <= simulation->now_ms)
       fl_ownership_tick (simulation->hosts[i].ownership);
+  record_heartbeats (simulation);
   if (count_hosts_with_authority (simulation) > 1)
     record_violation (simulation, "two hosts have authority");
 }
--- a/tests/support_ownership.h
+++ b/tests/support_ownership.h
@@ -10,6 +10,8 @@
 #define ELECTION_HOSTS_MAX 4
 #define ELECTION_TOKENS_MAX 64
 #define ELECTION_REPLY_DELAY_MS 10
+/* Lease that a heartbeat gives a target. */
+#define ELECTION_TARGET_LEASE_MS 4500
 #define ELECTION_FAULT_PHASE_MS 6000
 #define ELECTION_FAULT_INTERVAL_MS 500
 #define ELECTION_FAULT_INTERVAL_COUNT (ELECTION_FAULT_PHASE_MS / ELECTION_FAULT_INTERVAL_MS)
@@ -32,6 +34,7 @@
   HOST_KILLED,                          /* killed and restarted at once */
   HOST_STOPPED,                         /* releases the pool and is restarted */
   HOST_DEAD,                            /* killed for good */
+  HOST_CUT_OFF,                         /* cannot reach the store any more */
   FAULT_KINDS
 };
 
@@ -77,6 +80,7 @@
   size_t call_fault_count;
   struct store_outage outage;                    /* none if it is empty */
   int64_t acquire_delays_ms[ELECTION_HOSTS_MAX]; /* see struct fl_ownership_options */
+  int clock_errors[ELECTION_HOSTS_MAX];          /* of the hosts' clocks, in thousandths */
 };
 
 struct acquisition
@@ -84,6 +88,8 @@
   int64_t at_ms;
   int host;
   bool previous_owner_may_be_active;
+  /* When the new owner counts what earlier owners ordered as ended. */
+  int64_t reconciled_at_ms;
 };
 
 struct election_result
@@ -93,6 +99,7 @@
   int with_authority;   /* hosts that have authority in the end */
   int64_t last_loss_ms; /* when a host last lost the pool; 0 for never */
   struct acquisition acquisitions[ELECTION_TOKENS_MAX]; /* by token; at_ms is 0 for none */
+  int64_t last_heartbeat_ms[ELECTION_HOSTS_MAX];        /* when an owner last sent heartbeats */
   int calls[ELECTION_HOSTS_MAX][ELECTION_CALL_TYPES];   /* sent */
 };
 
--- a/tests/test_ownership_walk.c
+++ b/tests/test_ownership_walk.c
@@ -49,9 +49,9 @@
 
   for (int kind = 0; kind < FAULT_KINDS; kind++)
     {
-      /* A late reply is like that of a host that is suspended. Without its host, a dead one, the
-       * faults that follow concern one host only. */
-      if (kind == CALL_REPLY_LATE || kind == HOST_DEAD)
+      /* A late reply is like that of a host that is suspended. After the loss of a host, the faults
+       * that follow concern one host only. */
+      if (kind == CALL_REPLY_LATE || kind >= HOST_DEAD)
         continue;
       int position_count
           = kind < CALL_FAULT_KINDS ? FAULT_CALL_COUNT : ELECTION_FAULT_INTERVAL_COUNT * HOST_COUNT;
