--- /dev/null
+++ b/tests/test_follower.c
@@ -0,0 +1,193 @@
+/* How long a follower takes to read a table when a call has no reply, as a table of cases. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "common/clock.h"
+#include "store/follower.h"
+#include "support_loop.h"
+
+#define REPLY_DELAY_MS 10
+#define LATE_REPLY_DELAY_MS 900
+#define PARTITION_COUNT 8
+/* The time of all calls without a fault, on a busy machine. */
+#define READ_MS 350
+
+static const char *const partitions[] = { "0", "1", "2", "3", "4", "5", "6", "7", NULL };
+
+enum call_fault
+{
+  NO_FAULT,
+  CALL_REJECTED,
+  CALL_LOST,
+  CALL_LATE /* the reply takes LATE_REPLY_DELAY_MS */
+};
+
+struct fake
+{
+  struct ev_loop *loop;
+  enum call_fault fault;
+  int fault_call; /* number of the call that has the fault */
+  int reads;
+  GString *order; /* the partitions of the rows, as delivered */
+  int64_t started_ms;
+  int64_t read_end_ms; /* 0 while the table is being read */
+};
+
+/* A call whose reply is due. */
+struct call
+{
+  ev_timer timer;
+  char key[2];
+  enum fl_store_status status;
+  void (*done) (void *context, const struct fl_store_reply *reply);
+  void *context;
+};
+
+static void
+on_reply_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct call *call = timer->data;
+  struct fl_store_row row = { .key = fl_name_of (call->key), .version = 1 };
+  struct fl_store_reply reply = { .status = call->status, .version = 1 };
+
+  (void)loop;
+  (void)events;
+  if (call->status == FL_STORE_OK)
+    {
+      reply.rows = &row;
+      reply.count = 1;
+    }
+  call->done (call->context, &reply);
+  g_free (call);
+}
+
+static void
+send_read (void *context,
+           const char *table,
+           const char *partition,
+           const char *first_key,
+           const char *end_key,
+           int64_t timeout_ms,
+           void (*done) (void *context, const struct fl_store_reply *reply),
+           void *done_context)
+{
+  struct fake *fake = context;
+  enum call_fault fault = fake->reads++ == fake->fault_call ? fake->fault : NO_FAULT;
+  struct call *call = g_new0 (struct call, 1);
+  int64_t delay_ms = REPLY_DELAY_MS;
+
+  (void)table;
+  (void)first_key;
+  (void)end_key;
+  if (fault == CALL_LOST)
+    delay_ms = timeout_ms;
+  if (fault == CALL_LATE)
+    delay_ms = LATE_REPLY_DELAY_MS;
+  call->status = fault == CALL_LOST       ? FL_STORE_UNKNOWN
+                 : fault == CALL_REJECTED ? FL_STORE_REJECTED
+                                          : FL_STORE_OK;
+  call->key[0] = partition[0];
+  call->done = done;
+  call->context = done_context;
+  ev_timer_init (&call->timer, on_reply_due, (double)delay_ms / 1000.0, 0.0);
+  call->timer.data = call;
+  ev_timer_start (fake->loop, &call->timer);
+}
+
+/* The feed has no changes: its reply never comes within a test. */
+static void
+send_feed (void *context,
+           const char *table,
+           int64_t after_version,
+           int64_t wait_ms,
+           int64_t timeout_ms,
+           void (*done) (void *context, const struct fl_store_reply *reply),
+           void *done_context)
+{
+  (void)context;
+  (void)table;
+  (void)after_version;
+  (void)wait_ms;
+  (void)timeout_ms;
+  (void)done;
+  (void)done_context;
+}
+
+static void
+on_row (void *context, const struct fl_store_row *row)
+{
+  struct fake *fake = context;
+
+  g_string_append (fake->order, row->key.data);
+}
+
+static void
+on_read_end (void *context)
+{
+  struct fake *fake = context;
+
+  fake->read_end_ms = fl_clock_boot_ms ();
+}
+
+/* A lost reply cost the timeout of its call, 1.5 s, at each stage of the start of a term. */
+static void
+test_calls_without_reply (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum call_fault fault;
+    int fault_call;
+    int64_t most_ms; /* longest time for the whole table */
+    int most_reads;
+  } cases[] = {
+    { "no fault", NO_FAULT, 0, READ_MS, PARTITION_COUNT },
+    { "first call rejected", CALL_REJECTED, 0, READ_MS + 50, PARTITION_COUNT + 1 },
+    { "first call lost", CALL_LOST, 0, READ_MS + 500, PARTITION_COUNT + 1 },
+    { "call in the middle lost", CALL_LOST, 3, READ_MS + 500, PARTITION_COUNT + 1 },
+    { "last call lost", CALL_LOST, 7, READ_MS + 500, PARTITION_COUNT + 1 },
+    { "reply late", CALL_LATE, 3, READ_MS + 500, PARTITION_COUNT + 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fake fake = { .loop = ev_loop_new (0),
+                           .fault = cases[i].fault,
+                           .fault_call = cases[i].fault_call,
+                           .order = g_string_new ("") };
+      struct fl_store store = { .context = &fake, .read = send_read, .feed = send_feed };
+      struct fl_follower_options options = { .loop = fake.loop,
+                                             .store = &store,
+                                             .table = "table",
+                                             .partitions = partitions,
+                                             .on_row = on_row,
+                                             .on_read_end = on_read_end,
+                                             .context = &fake };
+      fake.started_ms = fl_clock_boot_ms ();
+      struct fl_follower *follower = fl_follower_new (&options);
+      support_run_loop_for (fake.loop, 2.2);
+      int64_t taken_ms = fake.read_end_ms > 0 ? fake.read_end_ms - fake.started_ms : -1;
+      printf ("  %s: %d ms, %d reads\n", cases[i].name, (int)taken_ms, fake.reads);
+      assert_string_equal (fake.order->str, "01234567");
+      if (taken_ms < 0 || taken_ms > cases[i].most_ms || fake.reads > cases[i].most_reads)
+        fail_msg ("%s: %d ms, %d reads", cases[i].name, (int)taken_ms, fake.reads);
+      fl_follower_free (follower);
+      g_string_free (fake.order, TRUE);
+      ev_loop_destroy (fake.loop);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_without_reply) };
+
+  return cmocka_run_group_tests_name ("follower", tests, NULL, NULL);
+}
