A read without a reply is sent once more after 0.5 s

Callers saw a new owner start nothing for 1.5 s and more when one reply was lost while it read the recorded state: each of the stages (progress, jobs, targets of earlier owners, configuration) waited for the timeout of its call.

Followers, and the read of the targets of earlier owners, send a read again after 500 ms, when the path to the store counts as failed, so that it takes another; the first reply counts. Not on links that are slower than 2 MB/s, where a page takes longer than that.

--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -29,7 +29,7 @@
   GHashTable *heartbeats_in_flight; /* set of target ids */
   GHashTable *listed_targets; /* ids returned so far by a full read of the registry, or NULL */
   bool inherited_read;        /* the previous owner's targets have been read */
-  bool inherited_read_in_flight;
+  int inherited_reads_in_flight;
   size_t target_row_count; /* rows of the list of targets that the store may have */
   int64_t inherited_read_at_ms;
   bool progress_read;
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -12,6 +12,13 @@
 
 #define READ_TIMEOUT_MS 1500
 #define READ_RETRY_MS 100
+/* The list of targets is small: a read of it without a reply for this long is sent once more, as
+ * those of the followers are. */
+#define READ_HEDGE_MS 500
+#define INHERITED_READS_MAX 2
+/* A page of the store, 1 MB, takes longer than half a second on a slower link, so that a reply is
+ * not lost when it is late. */
+#define SLOW_LINK_BYTES_PER_S 2000000
 /* Lease that each heartbeat gives a target. It must outlast a change of owner: the expiry of the
  * pool's lease, two polls of a standby and reading the jobs. It is not longer, since the tasks of a
  * silent target are restarted only after its lease has expired. */
@@ -173,6 +180,14 @@
 
 /* --- followers --- */
 
+static bool
+is_link_slow (const struct fl_host *host)
+{
+  int64_t rate = fl_host_settings_link_bytes_per_s (&host->settings);
+
+  return rate > 0 && rate < SLOW_LINK_BYTES_PER_S;
+}
+
 static struct fl_follower *
 follow_table (struct fl_term *term,
               const char *table,
@@ -184,6 +199,7 @@
 {
   struct fl_follower_options options = {
     .feed_pause_ms = pause_ms,
+    .is_link_slow = is_link_slow (term->poold->host),
     .loop = term->poold->host->loop,
     .store = term->poold->host->store,
     .table = table,
@@ -243,8 +259,8 @@
 {
   struct fl_term *term = context;
 
-  term->inherited_read_in_flight = false;
-  if (!term->ended && reply->status == FL_STORE_OK
+  term->inherited_reads_in_flight--;
+  if (!term->ended && !term->inherited_read && reply->status == FL_STORE_OK
       && (add_inherited_targets (term, reply) || fl_clock_boot_ms () >= term->reconciled_at_ms))
     {
       term->inherited_read = true;
@@ -260,12 +276,21 @@
   const struct fl_store *store = term->poold->host->store;
 
   term->ref_count++;
-  term->inherited_read_in_flight = true;
+  term->inherited_reads_in_flight++;
   term->inherited_read_at_ms = fl_clock_boot_ms ();
   store->read (store->context, FL_TABLE_SUMMARY, FL_PARTITION_OWNER, "", "", READ_TIMEOUT_MS,
                on_inherited_read, term);
 }
 
+static bool
+is_inherited_read_due (const struct fl_term *term)
+{
+  int64_t delay_ms = term->inherited_reads_in_flight > 0 ? READ_HEDGE_MS : READ_RETRY_MS;
+
+  return !term->inherited_read && term->inherited_reads_in_flight < INHERITED_READS_MAX
+         && fl_clock_boot_ms () - term->inherited_read_at_ms >= delay_ms;
+}
+
 /* --- public functions --- */
 
 struct fl_term *
@@ -357,8 +382,7 @@
       term->jobs_follower = follow_table (term, FL_TABLE_JOBS, fl_job_partitions, on_job_row, NULL,
                                           on_jobs_read, 0);
     }
-  if (!term->inherited_read && !term->inherited_read_in_flight
-      && fl_clock_boot_ms () - term->inherited_read_at_ms >= READ_RETRY_MS)
+  if (is_inherited_read_due (term))
     read_inherited_targets (term);
   /* The tasks on targets outlive the time that a small host needs to read the jobs. */
   fl_peers_update_forwarding (term->poold, fl_core_target_count (term->core));
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -9,6 +9,10 @@
 #define FEED_WAIT_MS 1000
 #define FEED_SLACK_MS 600
 #define READ_TIMEOUT_MS 1500
+/* A read without a reply for this long is sent once more, and the first reply counts. Above the 0.3
+ * s that a reply takes from a store that is 60 times slower than usual, and above the 400 ms after
+ * which the path to the store counts as failed, so that the second read takes another. */
+#define HEDGE_DELAY_MS 500
 /* Delays before a failed call is retried; a call without a reply has already waited for its
  * timeout. */
 #define RETRY_MIN_MS 50
@@ -17,7 +21,7 @@
 struct fl_follower
 {
   struct fl_follower_options options;
-  ev_timer call_timer;        /* sends the next call after a retry delay or a pause */
+  ev_timer call_timer;        /* sends the next call after a retry delay or a pause, or the hedge */
   int64_t delivered_version;  /* changes up to this version are delivered */
   int64_t sent_ms;            /* when the call in flight was sent */
   int64_t retry_delay_ms;     /* before the next retry */
@@ -25,6 +29,7 @@
   size_t partition_index;     /* of the partition being read */
   struct fl_name next_key;    /* first key of the next page */
   struct follower_call *call; /* the call in flight */
+  struct follower_call *hedge; /* the same read, sent again while @call has no reply */
 };
 
 /* A call in flight; outlives a freed follower until the reply arrives. */
@@ -34,6 +39,7 @@
 };
 
 static void send_next_call (struct fl_follower *follower);
+static void send_hedge (struct fl_follower *follower);
 
 static void
 schedule_call (struct fl_follower *follower, double delay_ms)
@@ -55,9 +61,14 @@
 static void
 on_call_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
+  struct fl_follower *follower = timer->data;
+
   (void)loop;
   (void)events;
-  send_next_call (timer->data);
+  if (follower->call != NULL)
+    send_hedge (follower);
+  else
+    send_next_call (follower);
 }
 
 static void
@@ -112,16 +123,33 @@
     follower->options.on_read_end (follower->options.context);
 }
 
+/* Removes @call from the calls in flight. @return whether its reply decides: it is the first
+ * success, or no other call is in flight. */
+static bool
+finish_call (struct fl_follower *follower,
+             const struct follower_call *call,
+             enum fl_store_status status)
+{
+  if (call == follower->call)
+    follower->call = follower->hedge;
+  follower->hedge = NULL;
+  if (follower->call != NULL && status != FL_STORE_OK)
+    return false;
+  if (follower->call != NULL)
+    follower->call->follower = NULL;
+  follower->call = NULL;
+  ev_timer_stop (follower->options.loop, &follower->call_timer);
+  return true;
+}
+
 static void
 on_reply (void *context, const struct fl_store_reply *reply)
 {
-  struct follower_call *call = context;
+  g_autofree struct follower_call *call = context;
   struct fl_follower *follower = call->follower;
 
-  g_free (call);
-  if (follower == NULL)
+  if (follower == NULL || !finish_call (follower, call, reply->status))
     return;
-  follower->call = NULL;
   if (reply->status == FL_STORE_HISTORY_GONE && !follower->is_reading)
     start_read (follower);
   else if (reply->status != FL_STORE_OK)
@@ -145,18 +173,45 @@
     send_next_call (follower);
 }
 
+static struct follower_call *
+follower_call_new (struct fl_follower *follower)
+{
+  struct follower_call *call = g_new0 (struct follower_call, 1);
+
+  call->follower = follower;
+  return call;
+}
+
+static void
+send_read (struct fl_follower *follower, struct follower_call *call)
+{
+  const struct fl_store *store = follower->options.store;
+
+  store->read (store->context, follower->options.table,
+               follower->options.partitions[follower->partition_index], follower->next_key.data, "",
+               READ_TIMEOUT_MS, on_reply, call);
+}
+
+static void
+send_hedge (struct fl_follower *follower)
+{
+  follower->hedge = follower_call_new (follower);
+  send_read (follower, follower->hedge);
+}
+
 static void
 send_next_call (struct fl_follower *follower)
 {
   const struct fl_store *store = follower->options.store;
 
-  follower->call = g_new0 (struct follower_call, 1);
-  follower->call->follower = follower;
+  follower->call = follower_call_new (follower);
   follower->sent_ms = fl_clock_boot_ms ();
   if (follower->is_reading)
-    store->read (store->context, follower->options.table,
-                 follower->options.partitions[follower->partition_index], follower->next_key.data,
-                 "", READ_TIMEOUT_MS, on_reply, follower->call);
+    {
+      if (!follower->options.is_link_slow)
+        schedule_call (follower, HEDGE_DELAY_MS);
+      send_read (follower, follower->call);
+    }
   else
     store->feed (store->context, follower->options.table, follower->delivered_version, FEED_WAIT_MS,
                  FEED_WAIT_MS + FEED_SLACK_MS, on_reply, follower->call);
@@ -183,6 +238,8 @@
     return;
   if (follower->call != NULL)
     follower->call->follower = NULL;
+  if (follower->hedge != NULL)
+    follower->hedge->follower = NULL;
   ev_timer_stop (follower->options.loop, &follower->call_timer);
   g_free (follower);
 }
