A configuration that is confirmed within a term counts in that term

Callers saw a new owner start nothing for 1 s now and then. The read of the configuration is sent just before the term begins. When a millisecond passed between the two, the reply was taken for one of an earlier term, and the owner waited for the end of the next feed call.

The watch is paused between terms, so that any confirmation other than the last one of an earlier term is one of this term.

--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -321,6 +321,7 @@
   fl_log (&poold->host->log, FL_LOG_NOTICE, "term_started", FL_I ("token", token),
           FL_I ("previous_may_be_active", previous_owner_may_be_active),
           FL_I ("reconciled_in_ms", term->reconciled_at_ms - term->started_ms));
+  term->earlier_confirmed_ms = poold->watch.confirmed_ms;
   term->poold = poold;
   term->core = fl_core_new (&options);
   term->recorded_progress
@@ -390,7 +391,7 @@
   /* A configuration that was last confirmed in an earlier term may be outdated: wait until it is
    * confirmed in this term. */
   if (!term->jobs_read || !term->inherited_read
-      || term->poold->watch.confirmed_ms < term->started_ms)
+      || term->poold->watch.confirmed_ms == term->earlier_confirmed_ms)
     return;
   if (fl_ownership_has_authority (term->poold->ownership))
     {
