--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -1,4 +1,5 @@
 """Runs a cell on loopback, made of stand-ins and hosts, for the demo and the tests."""
+import concurrent.futures
 import json
 import os
 import random
@@ -17,6 +18,7 @@
 BIN = os.path.join(ROOT, os.environ.get("BUILD", "build"), "bin")
 SERVICE = "citas"
 KEY = "rueda-key"
+QUERY_THREADS = 12
 # Queue entries of the configuration; configure() adds the fields that all of them share.
 QUEUES = [
     {"name": "checks", "host": "fair.example", "pathPrefix": "/checks/", "priority": 0,
@@ -74,7 +76,7 @@
     The pid selects a subrange, so that concurrent test runs rarely use the same ports.
     """
 
-    FIRST_PORT, RANGE_COUNT, RANGE_SIZE = 10000, 100, 200
+    FIRST_PORT, RANGE_COUNT, RANGE_SIZE = 10000, 50, 400
 
     def __init__(self):
         self.range_start = self.FIRST_PORT + os.getpid() % self.RANGE_COUNT * self.RANGE_SIZE
@@ -103,6 +105,8 @@
         output = subprocess.PIPE if prints_port else self.log_file
         self.child = subprocess.Popen(arguments, stdout=output, stderr=self.log_file,
                                       start_new_session=True)
+        self.started_at = time.monotonic()
+        self.was_ended = False  # by a signal of signal_child
         if prints_port:
             line = self.child.stdout.readline().decode()
             if not line.startswith("port="):
@@ -110,9 +114,19 @@
             self.port = int(line[5:])
 
     def signal_child(self, signal_number):
+        # Before its handlers are installed, SIGHUP ends a process as well.
+        if signal_number in (signal.SIGTERM, signal.SIGKILL) or (
+                signal_number == signal.SIGHUP and time.monotonic() - self.started_at < 1):
+            self.was_ended = True
         if self.child.poll() is None:
             self.child.send_signal(signal_number)
 
+    def ended_by_itself(self):
+        """Whether the process ended without a signal that ends it, or reported an error then."""
+        code = self.child.poll()
+        return code is not None and (not self.was_ended or code not in (
+            0, -signal.SIGTERM, -signal.SIGKILL, -signal.SIGHUP))
+
     def stop(self, timeout_s=8):
         self.signal_child(signal.SIGCONT)
         self.signal_child(signal.SIGTERM)
@@ -134,7 +148,8 @@
         self.processes = {}
         self.started_processes = []  # every process ever started, for Cell.stop()
         self.lock = threading.Lock()
-        self.store_proxy = FaultProxy(cell.platform.port) if cell.uses_store_proxies else None
+        self.store_proxy = (FaultProxy(cell.platform.port, cell.store_delay_s)
+                            if cell.uses_store_proxies else None)
 
     def url(self, port):
         return "http://127.0.0.1:%d" % port
@@ -179,13 +194,16 @@
 class Cell:
     """Several hosts, and stand-ins for the platform and the targets."""
 
-    def __init__(self, domains, targets=12, hosts=3, uses_store_proxies=False, carry_from=0):
+    def __init__(self, domains, targets=12, hosts=3, uses_store_proxies=False, carry_from=0,
+                 store_delay_s=0.0, target_proxies=0):
         self.ports = PORT_ALLOCATOR
         # Peers forward orders if there are at least this many targets; 0: only if the targets need
         # more CPU than the host has.
         self.carry_from = carry_from
         # Whether each host reaches the store through a fault proxy of its own.
         self.uses_store_proxies = uses_store_proxies
+        # Delay of each block of data of these proxies, in both directions.
+        self.store_delay_s = store_delay_s
         self.work_dir = tempfile.mkdtemp(prefix="flamingolane-")
         self.platform = Process("platform", [os.path.join(BIN, "standin-platform")], self.work_dir,
                                 prints_port=True)
@@ -193,7 +211,9 @@
             os.path.join(BIN, "standin-targets"), "--platform", self.platform_url, "--domains",
             ",".join(domains), "--count", str(targets), "--service", SERVICE], self.work_dir,
             prints_port=True)
-        self.configuration_version = 0
+        # The first target_proxies targets are reached through fault proxies.
+        self.target_proxies = self.register_target_proxies(target_proxies)
+        self.configuration_version, self.configuration_lock = 0, threading.Lock()
         self.configure()
         self.hosts = [Host(self, "host-%d" % (i + 1), domains[i % len(domains)])
                       for i in range(hosts)]
@@ -211,6 +231,10 @@
 
     def configure(self, keys=(KEY,), cpu_cap=0, queues=QUEUES):
         """Writes a new version of the configuration in place of the operator."""
+        with self.configuration_lock:
+            return self._configure(keys, cpu_cap, queues)
+
+    def _configure(self, keys, cpu_cap, queues):
         self.configuration_version += 1
         routes = [dict(queue, service=SERVICE, routeType="non_idempotent", timeoutMs=3000)
                   for queue in queues]
@@ -223,6 +247,14 @@
         assert status == 200
         return self.configuration_version
 
+    def register_target_proxies(self, count):
+        ports = send_request("GET", self.targets_url + "/ports")[1]["ports"][:count]
+        proxies = [FaultProxy(port) for port in ports]
+        for target, proxy in enumerate(proxies):
+            send_request("POST", self.targets_url + "/control",
+                         {"target": target, "fault": "address", "port": proxy.port})
+        return proxies
+
     def owner(self):
         return next((host for host in self.hosts if host.owns_pool()), None)
 
@@ -233,6 +265,15 @@
     def summary(self):
         return send_request("GET", self.targets_url + "/summary")[1]
 
+    def lasting_tasks(self):
+        """Returns {"tasks": [[name, ms since its last run or -1]], "room_ms": ms}, or None."""
+        return send_request("GET", self.targets_url + "/lasting")[1]
+
+    def started_jobs(self, after):
+        """Returns the next ids of jobs of which a task has started, in order, after so many."""
+        reply = send_request("GET", self.targets_url + "/started?after=%d" % after)[1]
+        return reply["jobs"] if reply else []
+
     def control_platform(self, **settings):
         return send_request("POST", self.platform_url + "/control", settings)[1]
 
@@ -248,6 +289,8 @@
                 process.child.wait()
             if host.store_proxy:
                 host.store_proxy.stop()
+        for proxy in self.target_proxies:
+            proxy.stop()
         self.targets.stop()
         self.platform.stop()
 
@@ -258,8 +301,9 @@
     def __init__(self, cell, seed=1):
         self.cell, self.random = cell, random.Random(seed)
         self.lock = threading.Lock()
-        # id -> {"prefix", "accepted", "state", "sent", "ended", "kind"}; "sent" and "ended" are
-        # values of time.monotonic(), "ended" is None until the end is seen.
+        # id -> {"prefix", "accepted", "state", "sent", "ended", "kind", "attempts"}; "sent" and
+        # "ended" are values of time.monotonic(), "ended" is None until the end is seen; "attempts"
+        # lists the (host, status) of each submission, status 0 meaning no reply.
         self.jobs = {}
         self.abandoned_count = 0
 
@@ -267,18 +311,25 @@
         host = self.random.choice(self.cell.hosts)
         return host.url(host.front_port) + prefix + job
 
+    def new_job(self, body):
+        """Returns the id of a new entry for a job. body is a value that job() returned."""
+        with self.lock:
+            job = "%016x" % self.random.getrandbits(64)
+            self.jobs[job] = {"prefix": body["prefix"], "accepted": False, "state": None,
+                              "sent": time.monotonic(), "ended": None, "kind": body["kind"],
+                              "attempts": []}
+        return job
+
     def submit_job(self, prefix, body):
         """Submits a job under a new id, with retries. body is a value that job() returned.
 
         Returns the id, or None if no attempt succeeded.
         """
-        with self.lock:
-            job = "%016x" % self.random.getrandbits(64)
-            self.jobs[job] = {"prefix": prefix, "accepted": False, "state": None,
-                              "sent": time.monotonic(), "ended": None, "kind": body["kind"]}
+        job = self.new_job(body)
         for _ in range(8):
-            status, _ = send_request("POST", self.url(prefix, job), body["body"], KEY,
-                                     "fair.example", 4)
+            url = self.url(prefix, job)
+            status, _ = send_request("POST", url, body["body"], KEY, "fair.example", 4)
+            self.jobs[job]["attempts"].append((url, status))
             if status == 200:
                 self.jobs[job]["accepted"] = True
                 return job
@@ -326,19 +377,20 @@
             unfinished_ids = [job for job, entry in self.jobs.items()
                               if entry["accepted"] and entry["ended"] is None
                               and entry["kind"] != "lasts"]
-            for job in unfinished_ids:
-                self.query_state(job)
+            with concurrent.futures.ThreadPoolExecutor(QUERY_THREADS) as pool:
+                list(pool.map(self.query_state, unfinished_ids))
             time.sleep(0.1)
         return [self.jobs[job] for job in unfinished_ids]
 
 
-def job(kind, prefix, weight, steps, duration_ms, cpu_milli=1000, **step_options):
+def job(kind, prefix, weight, steps, duration_ms, cpu_milli=1000, spec=None, **step_options):
     """Builds a kind of job for LoadGenerator.
 
     steps lists the number of tasks of each step; a step starts after the one before it. With
-    duration_ms -1 the tasks run until they are stopped.
+    duration_ms -1 the tasks run until they are stopped. spec holds further fields of the spec.
     """
-    body = {"spec": json.dumps({"ms": duration_ms, "cpu": cpu_milli}), "steps": [
+    text = json.dumps(dict({"ms": duration_ms, "cpu": cpu_milli}, **(spec or {})))
+    body = {"spec": text, "steps": [
         dict({"count": count, "cpu": cpu_milli, "memMb": 256, "estimateMs": max(duration_ms, 0),
               "after": [i - 1] if i else []}, **step_options) for i, count in enumerate(steps)]}
     return {"kind": kind, "prefix": prefix, "weight": weight, "body": body}
--- a/scripts/faultproxy.py
+++ b/scripts/faultproxy.py
@@ -5,28 +5,57 @@
 import threading
 
 READ_SIZE = 65536
+# Blocks are this short where the bandwidth is limited, so that the limit shows within a message.
+NARROW_READ_SIZE = 2048
+REJECTIONS = {"503": b"HTTP/1.1 503 Service Unavailable\r\n",
+              "429": b"HTTP/1.1 429 Too Many Requests\r\n"}
+REJECTION_END = b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
 
 
 class Direction:
     """One direction of a connection. Once it has dropped data, it drops all data that follows."""
 
-    def __init__(self, proxy, reader, writer, is_request):
+    def __init__(self, proxy, reader, writer, client_writer, is_request):
         self.proxy, self.reader, self.writer = proxy, reader, writer
+        self.client_writer = client_writer
         self.is_request, self.is_silenced = is_request, False
+        self.requests = self  # the direction that counts the requests of the connection
+        self.request_count, self.last_request = 0, b""
 
     def should_drop(self):
         mode = self.proxy.mode
         return (self.is_silenced or mode == "silent"
                 or mode == ("no_requests" if self.is_request else "no_answers"))
 
+    def cuts_reply(self, data):
+        """Whether this block begins a reply that is lost in a reset, see FaultProxy.cut_replies."""
+        proxy, requests = self.proxy, self.requests
+        if self.is_request or proxy.cut_marker is None or requests.request_count < 2:
+            return False
+        return data.startswith(b"HTTP/1.1 ") and proxy.cut_marker in requests.last_request
+
+    async def delay(self, data):
+        proxy = self.proxy
+        delay_s = proxy.base_delay_s + proxy.delay_s + (0 if self.is_request else proxy.reply_delay_s)
+        if proxy.bytes_per_s:
+            delay_s += len(data) / proxy.bytes_per_s
+        if delay_s:
+            await asyncio.sleep(delay_s)
+
     async def forward_data(self):
         try:
-            while data := await self.reader.read(READ_SIZE):
-                if self.proxy.delay_s:
-                    await asyncio.sleep(self.proxy.delay_s)
+            while data := await self.reader.read(
+                    NARROW_READ_SIZE if self.proxy.bytes_per_s else READ_SIZE):
+                if self.is_request and data.startswith((b"POST ", b"GET ")):
+                    self.request_count += 1
+                    self.last_request = data[:64]
+                await self.delay(data)
                 if self.should_drop():
                     self.is_silenced = True
                     continue
+                if self.cuts_reply(data):
+                    self.proxy.lose_reply(self.client_writer)
+                    break
                 self.writer.write(data)
                 await self.writer.drain()
         except OSError:
@@ -35,74 +64,118 @@
             self.writer.close()
 
 
+class EventLoop:
+    """An event loop in a thread of its own, which all proxies share."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
+
+    def post(self, callback):
+        self.loop.call_soon_threadsafe(callback)
+
+
+EVENT_LOOP = EventLoop()
+
+
 class FaultProxy:
     """Forwards connections from a port of its own to 127.0.0.1:upstream_port.
 
     mode: "ok"; "refuse" resets new and open connections; "silent" accepts connections and drops
-    all data; "no_requests" and "no_answers" drop the data of one direction. A direction that has
+    all data; "no_requests" and "no_answers" drop the data of one direction; "503" and "429" reply
+    with this status to the first request of each new connection and close it. A direction that has
     dropped data stays silent after the mode returns to "ok", since a TCP stream cannot continue
-    after a gap.
+    after a gap. base_delay_s is the delay of each block of data without any fault.
     """
 
-    def __init__(self, upstream_port):
-        self.upstream_port, self.mode, self.delay_s = upstream_port, "ok", 0.0
-        self.directions = set()
-        self.loop = asyncio.new_event_loop()
-        self.thread = threading.Thread(target=self._serve, daemon=True)
-        self.started = threading.Event()
-        self.thread.start()
-        self.started.wait()
-
-    def _serve(self):
-        asyncio.set_event_loop(self.loop)
-        server = self.loop.run_until_complete(
+    def __init__(self, upstream_port, base_delay_s=0.0):
+        self.upstream_port, self.base_delay_s = upstream_port, base_delay_s
+        self.directions, self.tasks = set(), set()
+        self.lost_reply_count = 0
+        self.set()
+        self.server = EVENT_LOOP.call(
             asyncio.start_server(self._handle_connection, "127.0.0.1", 0))
-        self.port = server.sockets[0].getsockname()[1]
-        self.started.set()
-        self.loop.run_forever()
-        for task in asyncio.all_tasks(self.loop):
-            task.cancel()
-        self.loop.run_until_complete(asyncio.sleep(0))
-        self.loop.close()
+        self.port = self.server.sockets[0].getsockname()[1]
 
     async def _handle_connection(self, reader, writer):
+        self.tasks.add(asyncio.current_task())
+        try:
+            await self._serve(reader, writer)
+        except (asyncio.CancelledError, OSError):
+            pass
+        finally:
+            self.tasks.discard(asyncio.current_task())
+
+    async def _serve(self, reader, writer):
         if self.mode == "refuse":
             self._reset_connection(writer)
             return
+        if self.mode in REJECTIONS:
+            rejection = REJECTIONS[self.mode] + REJECTION_END
+            if await reader.read(READ_SIZE):
+                writer.write(rejection)
+                await writer.drain()
+            writer.close()
+            return
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
                 "127.0.0.1", self.upstream_port)
         except OSError:
             self._reset_connection(writer)
             return
-        directions = [Direction(self, reader, upstream_writer, True),
-                      Direction(self, upstream_reader, writer, False)]
-        self.directions.update(directions)
+        requests = Direction(self, reader, upstream_writer, writer, True)
+        replies = Direction(self, upstream_reader, writer, writer, False)
+        replies.requests = requests
+        self.directions.update((requests, replies))
         try:
-            await asyncio.gather(*(direction.forward_data() for direction in directions))
-        except asyncio.CancelledError:
-            pass  # the proxy is stopping
-        self.directions.difference_update(directions)
+            await asyncio.gather(requests.forward_data(), replies.forward_data())
+        finally:
+            self.directions.difference_update((requests, replies))
+            upstream_writer.close()
 
     @staticmethod
     def _reset_connection(writer):
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                                   struct.pack("ii", 1, 0))
+        connection = writer.get_extra_info("socket")
+        if connection.fileno() >= 0:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
-    def _run_in_loop(self, callback):
-        self.loop.call_soon_threadsafe(callback)
-
-    def set(self, mode="ok", delay_s=0.0):
-        """Sets the mode and the delay of each block of data, also for open connections."""
-        self.mode, self.delay_s = mode, delay_s
+    def set(self, mode="ok", delay_s=0.0, reply_delay_s=0.0, bytes_per_s=0):
+        """Sets the mode, the delay of each block of data in both directions, the further delay of
+        replies and the bandwidth (0 for no limit), also for open connections."""
+        self.mode, self.delay_s, self.reply_delay_s = mode, delay_s, reply_delay_s
+        self.bytes_per_s = bytes_per_s
+        self.cut_marker = None
         if mode == "refuse":
             self.reset_open_connections()
 
+    def cut_replies(self, marker, next_mode="ok", all_connections=False):
+        """Loses the next reply to a request whose first line contains marker, on a connection that
+        was used before: the request has been executed, the connection is reset before the first
+        byte of the reply. The mode becomes next_mode at the same moment; with all_connections, the
+        other open connections are reset as well."""
+        self.cut_next_mode, self.cut_all_connections = next_mode, all_connections
+        self.cut_marker = marker
+
+    def lose_reply(self, client_writer):
+        self.lost_reply_count += 1
+        if self.cut_next_mode != "ok":
+            self.cut_marker = None
+        self.mode = self.cut_next_mode
+        self._reset_connection(client_writer)
+        if self.cut_all_connections:
+            self._reset_all()
+
+    def _reset_all(self):
+        for direction in list(self.directions):
+            self._reset_connection(direction.writer)
+
     def reset_open_connections(self):
         """Resets all open connections."""
-        self._run_in_loop(lambda: [self._reset_connection(direction.writer)
-                                   for direction in list(self.directions)])
+        EVENT_LOOP.post(self._reset_all)
 
     def silence_open_connections(self):
         """Drops all further data of open connections without a reset; new connections work."""
@@ -110,5 +183,10 @@
             direction.is_silenced = True
 
     def stop(self):
-        self._run_in_loop(self.loop.stop)
-        self.thread.join()
+        async def close():
+            self.server.close()
+            for task in list(self.tasks):
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+
+        EVENT_LOOP.call(close())
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -1,11 +1,19 @@
 #!/usr/bin/env python3
-"""Checks the tools that run the tests: what scripts/run-tests counts, as a table of fake test programs, and
-that e2e.py rejects unknown scenarios. Reports in the format of cmocka."""
+"""Checks the tools that run the tests: what scripts/run-tests counts, as a table of fake test programs;
+that e2e.py rejects unknown scenarios; what the checks of the soak find in made-up histories; and what the
+fault proxy loses. Reports in the format of cmocka."""
 
+import http.client
+import http.server
 import os
 import subprocess
 import sys
 import tempfile
+import threading
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
+from faultproxy import FaultProxy  # noqa: E402
+import soak_checks as checks  # noqa: E402
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
 OK_LINE = "echo '[       OK ] a'"
@@ -41,6 +49,130 @@
     return result.returncode == 2 and "no_such_scenario" in result.stderr
 
 
+def finds_refused(attempts, gave_up=True, started=True):
+    jobs = {"j": {"attempts": [("h", status) for status in attempts], "gave_up": gave_up}}
+    return bool(checks.find_refused_starts(jobs, {"j"} if started else {"k"}))
+
+
+def finds_lost(faults, sent=10.0, ended=10.5, status=0, is_cut=True):
+    """faults: (host, kind, begin, end) of each."""
+    log = checks.FaultLog(lambda: 0.0)
+    log.faults = [checks.Fault(*fault) for fault in faults]
+    return checks.is_planned_loss(
+        checks.Attempt("j", "POST", "h", sent, ended, status, is_cut), log)
+
+
+def finds_task_down(down_s, room_s=60, calm_s=60, accepted_s=100):
+    """down_s: None for a task that never started. Times are ages at the moment of the check."""
+    down_ms = {} if down_s is None else {"t": down_s * 1000}
+    return bool(checks.find_tasks_down(100, {"t": 100 - accepted_s}, down_ms, 1000 * room_s, calm_s))
+
+
+def finds_forgotten(status=410, sent=10.0, accepted=5.0, method="GET", faults=()):
+    log = checks.FaultLog(lambda: 0.0)
+    log.faults = [checks.Fault(*fault) for fault in faults]
+    return checks.is_forgotten(
+        checks.Attempt("j", method, "h", sent, sent + 0.1, status, False), accepted, log)
+
+
+def calm_s(faults, now):
+    log = checks.FaultLog(lambda: 0.0)
+    log.faults = [checks.Fault("h", "kill", begin, end) for begin, end in faults]
+    return log.calm_s(now)
+
+
+TERM, STORE = ("h", "term", 9.0, 10.6), ("store", "store", 9.8, 10.0)
+# name, whether it holds
+SOAK_CASES = [
+    ("REFUSED: one attempt, 503", finds_refused([503])),
+    ("REFUSED: 503 and 429", finds_refused([503, 429])),
+    ("not REFUSED: one attempt without an answer", not finds_refused([503, 0])),
+    ("not REFUSED: one attempt with 504", not finds_refused([504, 503])),
+    ("not REFUSED: accepted", not finds_refused([503, 200], gave_up=False)),
+    ("not REFUSED: a further attempt follows", not finds_refused([503], gave_up=False)),
+    ("not REFUSED: never started", not finds_refused([503], started=False)),
+    ("LOST request: cut 0.5 s after it was sent, beside SIGTERM", finds_lost([TERM])),
+    ("LOST request: SIGTERM of the host, kill of another",
+     finds_lost([TERM, ("other", "kill", 9.0, 11.0)])),
+    ("LOST request: beside SIGHUP", finds_lost([("h", "hup", 9.0, 9.0)])),
+    ("not LOST request: sent 3 s after SIGHUP", not finds_lost([("h", "hup", 7.5, 7.5)])),
+    ("not LOST request: answered", not finds_lost([TERM], status=504, is_cut=False)),
+    ("not LOST request: the client gave up", not finds_lost([TERM], is_cut=False)),
+    ("not LOST request: cut within lossSlackMs", not finds_lost([TERM], ended=10.15)),
+    ("not LOST request: no planned work", not finds_lost([])),
+    ("not LOST request: killed as well", not finds_lost([TERM, ("h", "kill", 10.4, 11.0)])),
+    ("not LOST request: disturbed 2 s before", not finds_lost([TERM, ("h", "pause", 7.0, 8.0)])),
+    ("not LOST request: the store fails", not finds_lost([TERM, STORE])),
+    ("not LOST request: cut later than 1 s after graceS",
+     not finds_lost([("h", "term", 2.0, 12.0)])),
+    ("LOST task: down 9.1 s", finds_task_down(9.1)),
+    ("LOST task: never started", finds_task_down(None, accepted_s=9.1)),
+    ("not LOST task: never started, accepted 8 s ago", not finds_task_down(None, accepted_s=8)),
+    ("not LOST task: down 8.9 s", not finds_task_down(8.9)),
+    ("not LOST task: runs", not finds_task_down(-0.001)),
+    ("not LOST task: no room 2.9 s ago", not finds_task_down(20, room_s=2.9)),
+    ("not LOST task: fault 6.9 s ago", not finds_task_down(20, calm_s=6.9)),
+    ("LOST job: 410 5 s after the ack", finds_forgotten()),
+    ("not LOST job: 410 within visible_ms", not finds_forgotten(accepted=8.0)),
+    ("not LOST job: host was killed", not finds_forgotten(faults=[("h", "kill", 6.0, 8.0)])),
+    ("not LOST job: 410 to DELETE", not finds_forgotten(method="DELETE")),
+    ("fault log: calm since the last end", calm_s([(1, 2), (1, 5), (2, 3)], 9) == 4),
+    ("fault log: not calm while a fault is in effect", calm_s([(1, None), (2, 3)], 9) == 0),
+]
+
+
+class CountingHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_POST(self):
+        self.server.request_count += 1
+        self.rfile.read(int(self.headers["Content-Length"]))
+        self.send_response(200)
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
+    def log_message(self, *arguments):
+        pass
+
+
+def post(connection):
+    """Returns the status, or "reset" if the connection ends without a reply."""
+    try:
+        connection.request("POST", "/rows-tx", "x")
+        reply = connection.getresponse()
+        reply.read()
+        return reply.status
+    except OSError:
+        connection.close()
+        return "reset"
+
+
+def replies_through_proxy(next_mode):
+    """Sends three requests, with cut_replies() before the second. Returns the outcome of each, the
+    number of requests that were executed, and the outcome of one more after set()."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), CountingHandler)
+    server.request_count = 0
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    proxy = FaultProxy(server.server_address[1])
+    connection = http.client.HTTPConnection("127.0.0.1", proxy.port, timeout=5)
+    outcomes = [post(connection)]
+    proxy.cut_replies(b"POST /rows-tx", next_mode)
+    outcomes += [post(connection), post(connection)]
+    executed = server.request_count
+    proxy.set()
+    connection.close()
+    outcomes.append(post(connection))
+    connection.close()
+    proxy.stop()
+    server.shutdown()
+    return outcomes, executed
+
+
+# mode after the cut, outcomes and executed requests
+PROXY_CASES = [("ok", [200, "reset", 200, 200], 3), ("refuse", [200, "reset", "reset", 200], 2),
+               ("503", [200, "reset", 503, 200], 2), ("429", [200, "reset", 429, 200], 2)]
+
+
 def main():
     failed = 0
     for name, script, expected, passes in CASES:
@@ -52,6 +184,15 @@
     holds = rejects_unknown_scenario()
     failed += 0 if holds else 1
     print("[%s] e2e.py: unknown scenario" % ("       OK " if holds else "  FAILED  "))
+    for name, holds in SOAK_CASES:
+        failed += 0 if holds else 1
+        print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
+    for next_mode, *expected in PROXY_CASES:
+        found = list(replies_through_proxy(next_mode))
+        failed += 0 if found == expected else 1
+        print("[%s] proxy: reply cut, then %s%s" % (
+            "       OK " if found == expected else "  FAILED  ", next_mode,
+            "" if found == expected else ": %s" % found))
     return 1 if failed else 0
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,17 +1,23 @@
 #!/usr/bin/env python3
 """Soak test: the real programs under random faults, one after another and overlapping.
 
-    tests/soak.py [--seed N] [--count N] [--seconds S] [--hosts N] [--targets N] [--regressions]
+    tests/soak.py [--seed N] [--count N] [--seconds S] [--hosts N] [--targets N] [--clients N]
 
 Runs --count seeds from --seed on. During and after each run it checks, by what targets and clients
-see, that no task runs on two targets at once or starts again after its completion was acknowledged,
-that no target exceeds its capacity, that accepted jobs stay known, end and do not fail, and that
-only jobs of the kind that the test cancels are shown as cancelled. It signals only processes that
-it started. A seed determines the random choices, but their order across threads and the effect of
-the faults depend on timing, so a seed that failed is kept in REGRESSIONS. Without arguments, as in
-make check, one seed is run.
+see: no task runs on two targets at once or starts again after its completion was acknowledged; no
+target exceeds its capacity; accepted jobs stay known, end and do not fail; only jobs of the kind
+that the test cancels are shown as cancelled; no task starts of a job whose every submission was
+rejected; requests are answered around planned stops; tasks that last are started again in time; no
+daemon ends by itself. The checks are in soak_checks.py, the clients in soak_clients.py.
+
+Faults come in phases of one kind each, with calm in between. A seed determines the random choices of
+each thread, but the effect of the faults depends on timing, so seeds that failed are kept in
+REGRESSIONS. These are run if no seed is given, as in make check. It signals only processes that it
+started.
 """
 import argparse
+import collections
+import contextlib
 import random
 import signal
 import sys
@@ -20,227 +26,573 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
-from cell import Cell, LoadGenerator, job  # noqa: E402
+from cell import KEY, Cell, LoadGenerator, job  # noqa: E402
+import soak_checks as checks  # noqa: E402
+from soak_clients import Client  # noqa: E402
 
 DOMAINS = ["bogota-a", "bogota-b", "bogota-c"]
 JOB_KINDS = [job("check", "/checks/", 10, [4, 2], 150), job("rebuild", "/rebuild/", 3, [6, 6], 500),
-             job("cancel", "/rebuild/", 1, [2], 4000)]
+             job("single", "/rebuild/", 10, [1], 50), job("cancel", "/rebuild/", 1, [2], 4000)]
+LASTS = {"lasts": True}
+# The tasks of the second kind fail by themselves and are to be started again.
+LASTING_KINDS = [
+    job("lasts", "/feeds/", 1, [10], -1, cpu_milli=500, spec=LASTS, longRunning=True),
+    job("lasts", "/feeds/", 1, [6], 2500, cpu_milli=500, spec=dict(LASTS, fail=True),
+        longRunning=True)]
+LASTING_JOBS = 4
 # Seeds of past failures, each with its cause.
-REGRESSIONS = []
+REGRESSIONS = [
+    16,  # LOST task: a target that left kept all idle tasks of its jobs from starting
+    18,  # LOST request: flamingo-frontd ended with requests open
+]
 COMPLETION_TIMEOUT_S = 90
 CHECK_INTERVAL_S = 0.5
+# A calm phase is long enough for a task that went down at its begin to be judged.
+CALM_PHASE_S = checks.LASTING_DOWN_S + checks.LASTING_JUDGED_S + 1.5
+# Jobs of which a task has not started this long after the last fault are not started late any more.
+LATE_START_S = 8
+# Delays of the way to the store, each of which lasts a whole run.
+STORE_DELAYS_S = [0, 0.02, 0.06, 0.13]
+# Numbers of hosts, unless the command line gives one.
+HOST_COUNTS = [1, 2, 3, 4, 4, 6]
 
 
-class Soak:
-    """The run of one seed: a cell, its load, the injected faults and the checks."""
+class Faults:
+    """The faults of one thread, chosen by a generator of its own.
 
-    def __init__(self, seed, options):
-        self.seed, self.options = seed, options
+    Each method injects one fault, waits and reverts it; all of it stands in the fault log.
+    """
+
+    def __init__(self, soak, seed):
+        self.soak, self.cell, self.log = soak, soak.cell, soak.fault_log
         self.random = random.Random(seed)
-        self.cell = Cell(DOMAINS, options.targets, options.hosts, uses_store_proxies=True,
-                         carry_from=self.random.choice([0, 1]))
-        self.load = LoadGenerator(self.cell, seed)
-        self.problems = set()
-        self.played_faults = []
-        self.finished = threading.Event()
 
-    # --- faults: each method injects one fault, waits and reverts it ---
+    @contextlib.contextmanager
+    def logged(self, kind, *scopes):
+        entries = [self.log.begin(scope, kind) for scope in scopes]
+        yield
+        for entry in entries:
+            self.log.end(entry)
+
+    def host(self):
+        return self.random.choice(self.cell.hosts)
+
+    def owner(self):
+        return self.cell.owner() or self.cell.hosts[0]
 
-    def process(self):
-        """Returns a random host and role."""
-        host = self.random.choice(self.cell.hosts)
-        return host, self.random.choice(["poold", "frontd"])
+    def role(self):
+        return self.random.choice(["poold", "frontd"])
+
+    def some_hosts(self):
+        """Returns some of the hosts, or in one of three cases all of them."""
+        count = self.random.randint(1, len(self.cell.hosts))
+        if self.random.random() < 1 / 3:
+            count = len(self.cell.hosts)
+        return self.random.sample(self.cell.hosts, count)
+
+    # --- processes ---
+
+    def kill(self, host, role, down_s):
+        with self.logged("kill", host.name):
+            host.processes[role].signal_child(signal.SIGKILL)
+            host.processes[role].child.wait()
+            time.sleep(down_s)
+            host.start(role)
 
     def kill_process(self, duration_s):
-        host, role = self.process()
-        host.processes[role].signal_child(signal.SIGKILL)
-        host.processes[role].child.wait()
-        time.sleep(duration_s / 2)
-        host.start(role)
+        self.kill(self.host(), self.role(), duration_s / 2)
 
     def kill_owner(self, duration_s):
-        host = self.cell.owner() or self.cell.hosts[0]
-        host.processes["poold"].signal_child(signal.SIGKILL)
-        host.processes["poold"].child.wait()
-        time.sleep(duration_s / 2)
-        host.start("poold")
+        self.kill(self.owner(), "poold", duration_s / 2)
 
-    def restart_process(self, duration_s):
-        host, role = self.process()
-        host.processes[role].stop()
-        time.sleep(duration_s / 4)
-        host.start(role)
+    def kill_all_processes(self, duration_s):
+        with self.logged("kill", *(host.name for host in self.cell.hosts)):
+            for host in self.cell.hosts:
+                for process in host.processes.values():
+                    process.signal_child(signal.SIGKILL)
+                    process.child.wait()
+            time.sleep(duration_s / 4)
+            for host in self.cell.hosts:
+                host.start("poold")
+                host.start("frontd")
+
+    def pause(self, host, role, duration_s):
+        process = host.processes[role]
+        with self.logged("pause", host.name):
+            process.signal_child(signal.SIGSTOP)
+            time.sleep(duration_s)
+            process.signal_child(signal.SIGCONT)
 
     def pause_process(self, duration_s):
-        host, role = self.process()
-        host.processes[role].signal_child(signal.SIGSTOP)
-        time.sleep(duration_s)
-        host.processes[role].signal_child(signal.SIGCONT)
+        self.pause(self.host(), self.role(), duration_s)
 
     def pause_owner(self, duration_s):
-        host = self.cell.owner() or self.cell.hosts[0]
-        host.processes["poold"].signal_child(signal.SIGSTOP)
-        time.sleep(duration_s)
-        host.processes["poold"].signal_child(signal.SIGCONT)
+        self.pause(self.owner(), "poold", duration_s)
+
+    def pause_in_bursts(self, duration_s):
+        """Short pauses of several processes at once."""
+        processes = [(host, self.role()) for host in self.some_hosts()]
+        deadline = time.monotonic() + duration_s
+        while time.monotonic() < deadline:
+            pause_s, break_s = self.random.uniform(0.02, 0.8), self.random.uniform(0, 0.3)
+            self.in_parallel([lambda h=host, r=role: self.pause(h, r, pause_s)
+                              for host, role in processes])
+            time.sleep(break_s)
+
+    @staticmethod
+    def in_parallel(actions):
+        threads = [threading.Thread(target=action) for action in actions]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def restart(self, host, role, down_s=0.0):
+        """Stops a process as the platform does: SIGKILL follows after graceS."""
+        with self.logged("term", host.name):
+            host.processes[role].stop(checks.GRACE_S)
+            time.sleep(down_s)
+            host.start(role)
+
+    def restart_process(self, duration_s):
+        self.restart(self.host(), self.role(), duration_s / 4)
+
+    def restart_host(self, duration_s):
+        """Both processes of a host, at the same time."""
+        host, down_s = self.host(), duration_s / 8
+        self.in_parallel([lambda r=role: self.restart(host, r, down_s)
+                          for role in ("poold", "frontd")])
+
+    def restart_all_hosts(self, duration_s):
+        """A rolling restart in which hosts overlap."""
+        actions = []
+        for i, host in enumerate(self.cell.hosts):
+            delay_s = i * duration_s / len(self.cell.hosts)
+            for role in ("poold", "frontd"):
+                actions.append(lambda h=host, r=role, d=delay_s: (time.sleep(d), self.restart(h, r)))
+        self.in_parallel(actions)
+
+    def reload(self, hosts):
+        with self.logged("hup", *(host.name for host in hosts)):
+            for host in hosts:
+                for process in host.processes.values():
+                    process.signal_child(signal.SIGHUP)
 
     def reload_settings(self, duration_s):
-        for host in self.cell.hosts:
-            for process in host.processes.values():
-                process.signal_child(signal.SIGHUP)
+        self.reload(self.cell.hosts)
         time.sleep(duration_s / 4)
 
-    def kill_all_processes(self, duration_s):
-        for host in self.cell.hosts:
-            for process in host.processes.values():
-                process.signal_child(signal.SIGKILL)
-                process.child.wait()
+    def reload_during_restart(self, duration_s):
+        host, role = self.host(), self.role()
+        stop = threading.Thread(target=self.restart, args=(host, role))
+        stop.start()
+        for _ in range(3):
+            time.sleep(self.random.uniform(0, duration_s / 4))
+            self.reload([host])
+        stop.join()
+
+    def kill_during_restart(self, duration_s):
+        host, role = self.host(), self.role()
+        with self.logged("term", host.name):
+            host.processes[role].signal_child(signal.SIGTERM)
+            time.sleep(self.random.uniform(0, min(duration_s, 3)))
+            self.kill(host, role, duration_s / 8)
+
+    def update_configuration(self, duration_s):
+        with self.logged("configuration", "operator"):
+            self.cell.configure(keys=(KEY, "key-%d" % self.random.randrange(100)))
         time.sleep(duration_s / 4)
-        for host in self.cell.hosts:
-            host.start("poold")
-            host.start("frontd")
+
+    def restart_during_updates(self, duration_s):
+        hosts = self.some_hosts()
+        self.in_parallel([lambda h=host: self.restart(h, "frontd") for host in hosts]
+                         + [lambda: [self.update_configuration(duration_s) for _ in range(4)]])
+
+    # --- the store and the way to it ---
+
+    @contextlib.contextmanager
+    def proxies(self, kind, hosts):
+        """Logs a fault on the hosts and reverts what their proxies were set to."""
+        with self.logged(kind, *(host.name for host in hosts)):
+            yield
+            for host in hosts:
+                host.store_proxy.set()
 
     def disrupt_store_proxy(self, duration_s):
-        host = self.random.choice([self.cell.owner() or self.cell.hosts[0]] + self.cell.hosts)
-        mode = self.random.choice(["refuse", "silent", "no_requests", "no_answers"])
-        host.store_proxy.set(mode)
-        time.sleep(duration_s)
-        host.store_proxy.set()
+        host = self.random.choice([self.owner()] + self.cell.hosts)
+        with self.proxies("proxy", [host]):
+            host.store_proxy.set(self.random.choice(
+                ["refuse", "silent", "no_requests", "no_answers", "503", "429"]))
+            time.sleep(duration_s)
 
     def delay_store_proxies(self, duration_s):
-        for host in self.cell.hosts:
-            host.store_proxy.set(delay_s=self.random.uniform(0.02, 0.15))
-        time.sleep(duration_s)
-        for host in self.cell.hosts:
-            host.store_proxy.set()
+        with self.proxies("delay", self.cell.hosts):
+            for host in self.cell.hosts:
+                host.store_proxy.set(delay_s=self.random.uniform(0.02, 0.15))
+            time.sleep(duration_s)
+
+    def delay_store_replies(self, duration_s):
+        hosts = self.some_hosts()
+        with self.proxies("late_replies", hosts):
+            for host in hosts:
+                host.store_proxy.set(reply_delay_s=self.random.uniform(0.2, 1.5))
+            time.sleep(duration_s)
+
+    def limit_bandwidth(self, duration_s):
+        hosts = self.some_hosts()
+        with self.proxies("bandwidth", hosts):
+            for host in hosts:
+                host.store_proxy.set(bytes_per_s=self.random.choice([4000, 20000, 100000]))
+            time.sleep(duration_s)
+
+    def cut_store_replies(self, duration_s):
+        """Resets connections to the store in the middle of a transaction."""
+        hosts = self.some_hosts()
+        with self.proxies("cut_replies", hosts):
+            for host in hosts:
+                host.store_proxy.cut_replies(
+                    b"POST /rows-tx", self.random.choice(["ok", "refuse", "refuse", "503", "429"]),
+                    self.random.random() < 0.7)
+            time.sleep(duration_s)
 
     def reset_store_connections(self, duration_s):
-        for host in self.cell.hosts:
-            host.store_proxy.reset_open_connections()
+        with self.logged("reset", *(host.name for host in self.cell.hosts)):
+            for host in self.cell.hosts:
+                host.store_proxy.reset_open_connections()
         time.sleep(duration_s / 4)
 
     def silence_store_connections(self, duration_s):
-        for host in self.random.sample(self.cell.hosts, 2):
-            host.store_proxy.silence_open_connections()
+        hosts = self.some_hosts()
+        with self.logged("silence", *(host.name for host in hosts)):
+            for host in hosts:
+                host.store_proxy.silence_open_connections()
         time.sleep(duration_s / 2)
 
     def disrupt_store(self, duration_s):
-        mode = self.random.choice(["busy", "silent"])
-        self.cell.control_platform(mode=mode)
-        time.sleep(duration_s)
-        self.cell.control_platform(mode="ok")
+        with self.logged("store", "store"):
+            self.cell.control_platform(mode=self.random.choice(["busy", "silent"]))
+            time.sleep(duration_s)
+            self.cell.control_platform(mode="ok")
 
     def lose_store_replies(self, duration_s):
-        self.cell.control_platform(mode="ok", lose_per_mille=self.random.randrange(50, 300),
-                                   late_ms=self.random.randrange(500, 3000))
-        time.sleep(duration_s)
-        self.cell.control_platform(mode="ok", lose_per_mille=0, late_ms=0, forget=True)
-
-    def target(self, duration_s):
-        """Crashes, cuts off or drains a random target. Draining lasts until a crash."""
-        fault = self.random.choice(["crash", "cut", "drain"])
-        self.cell.control_target(self.random.randrange(self.options.targets), fault,
-                                 int(duration_s * 1000))
-        time.sleep(duration_s)
-
-    def update_configuration(self, duration_s):
-        self.cell.configure()
-        time.sleep(duration_s / 4)
+        with self.logged("lost_replies", "store"):
+            late_ms = self.random.randrange(500, 3000)
+            self.cell.control_platform(mode="ok", lose_per_mille=self.random.randrange(50, 300),
+                                       late_ms=late_ms)
+            time.sleep(duration_s)
+            self.cell.control_platform(mode="ok", lose_per_mille=0, late_ms=0, forget=True)
+            time.sleep(late_ms / 1000)  # until the last of these transactions has been executed
+
+    def restart_during_store_outage(self, duration_s):
+        hosts = self.some_hosts()
+        outage = threading.Thread(target=self.disrupt_store, args=(duration_s,))
+        outage.start()
+        time.sleep(self.random.uniform(0, duration_s / 2))
+        self.in_parallel([lambda h=host: self.restart(h, "frontd") for host in hosts]
+                         + [lambda: self.restart(hosts[0], "poold")])
+        outage.join()
+
+    # --- targets ---
+
+    def cut_or_crash(self, duration_s):
+        """Crashes, cuts off, drains or removes a random target. Draining lasts until a crash."""
+        fault = self.random.choice(["crash", "crash", "cut", "cut", "drain", "leave"])
+        target = self.random.randrange(self.soak.options.targets)
+        if fault == "leave" and self.soak.may_remove_target():
+            with self.logged("leave", "targets"):
+                self.cell.control_target(target, "crash", -1)
+        elif fault == "drain":
+            with self.logged("drain", "targets"):
+                self.cell.control_target(target, "drain")
+        else:
+            with self.logged("target", "targets"):
+                self.cell.control_target(target, "cut" if fault == "cut" else "crash",
+                                         int(duration_s * 1000))
+                time.sleep(duration_s)
+
+    def disrupt_target_proxies(self, duration_s):
+        """Resets connections of targets in the middle of an order, delays or drops replies."""
+        proxies = self.cell.target_proxies
+        if not proxies:
+            return
+        with self.logged("target_proxies", "targets"):
+            for proxy in self.random.sample(proxies, self.random.randint(1, len(proxies))):
+                kind = self.random.choice(["cut", "cut", "late", "refuse", "no_answers"])
+                if kind == "cut":
+                    proxy.cut_replies(self.random.choice([b"POST /run-start", b"POST /hold"]),
+                                      self.random.choice(["ok", "refuse", "503"]), True)
+                elif kind == "late":
+                    proxy.set(reply_delay_s=self.random.uniform(0.1, 1.5))
+                else:
+                    proxy.set(kind)
+            time.sleep(duration_s)
+            for proxy in proxies:
+                proxy.set()
+
+    def owner_and_targets(self, duration_s):
+        """The owner is paused, killed or cut off while targets crash or fall silent."""
+        def strike_targets():
+            time.sleep(self.random.uniform(0, duration_s / 2))
+            for _ in range(self.random.randint(1, 4)):
+                self.cut_or_crash(self.random.uniform(0.05, 0.5))
+
+        owner = self.random.choice([self.pause_owner, self.kill_owner, self.cut_off_owner])
+        self.in_parallel([lambda: owner(duration_s), strike_targets])
+
+    def cut_off_owner(self, duration_s):
+        host = self.owner()
+        with self.proxies("proxy", [host]):
+            host.store_proxy.set(self.random.choice(["refuse", "silent", "no_answers"]))
+            time.sleep(duration_s)
 
     # A fault that is listed several times is chosen more often.
-    FAULTS = [kill_process, kill_owner, restart_process, pause_process, pause_owner,
-              reload_settings, kill_all_processes, disrupt_store_proxy, disrupt_store_proxy,
-              disrupt_store_proxy, delay_store_proxies, reset_store_connections,
-              silence_store_connections, disrupt_store, lose_store_replies, target, target,
-              update_configuration]
-
-    def inject_faults(self, deadline):
+    PLANNED_WORK = [restart_process, restart_host, restart_all_hosts, reload_settings,
+                    reload_during_restart, update_configuration, restart_during_updates]
+    NETWORK = [disrupt_store_proxy, disrupt_store_proxy, delay_store_proxies, delay_store_replies,
+               limit_bandwidth, cut_store_replies, cut_store_replies, cut_store_replies,
+               reset_store_connections, silence_store_connections, disrupt_store,
+               lose_store_replies, disrupt_target_proxies]
+    OWNER = [owner_and_targets, owner_and_targets, pause_owner, cut_or_crash]
+    ALL = PLANNED_WORK + NETWORK + OWNER + [
+        kill_process, kill_owner, pause_process, pause_owner, pause_in_bursts, kill_all_processes,
+        kill_during_restart, kill_during_restart, restart_during_store_outage, cut_or_crash]
+    # Kind of a phase, its faults, the number of threads that inject them.
+    PHASES = [("planned work", PLANNED_WORK, 1), ("planned work", PLANNED_WORK, 2),
+              ("network", NETWORK, 2), ("owner", OWNER, 1), ("all", ALL, 2), ("all", ALL, 3)]
+
+    def inject(self, kinds, deadline):
         """Injects random faults one after another; runs in several threads at once."""
         while time.monotonic() < deadline:
-            fault = self.random.choice(self.FAULTS)
+            fault = self.random.choice(kinds)
             duration_s = self.random.uniform(0.3, 5.0)
-            self.played_faults.append("%s(%.1f)" % (fault.__name__, duration_s))
+            self.soak.played_faults.append("%s(%.1f)" % (fault.__name__, duration_s))
             fault(self, duration_s)
             time.sleep(self.random.uniform(0.0, 1.5))
 
+
+class Soak:
+    """The run of one seed: a cell, its load, the phases of faults and the checks."""
+
+    def __init__(self, seed, options):
+        self.seed, self.options = seed, options
+        self.random = random.Random(seed)
+        self.fault_log = checks.FaultLog(time.monotonic)
+        hosts = options.hosts or self.random.choice(HOST_COUNTS)
+        self.cell = Cell(DOMAINS, options.targets, hosts, uses_store_proxies=True,
+                         carry_from=self.random.choice([0, 1]),
+                         store_delay_s=self.random.choice(STORE_DELAYS_S),
+                         target_proxies=min(options.targets // 2, 12))
+        self.load = LoadGenerator(self.cell, seed)
+        self.clients = [Client(self.load, self.cell.hosts[i % hosts], JOB_KINDS,
+                               "%d client %d" % (seed, i), options.think_s)
+                        for i in range(options.clients)]
+        self.problems = {}  # what was found -> its first details
+        self.played_faults = []
+        self.finished = threading.Event()
+        self.started = set()
+        self.started_count = 0
+        self.judged_attempts = [0] * len(self.clients)
+        self.removable_targets = options.targets // 6
+
+    def may_remove_target(self):
+        self.removable_targets -= 1
+        return self.removable_targets >= 0
+
+    def report(self, kind, details):
+        now = time.monotonic()
+        if kind not in self.problems:
+            self.problems[kind] = []
+        if details not in [known for _, known in self.problems[kind]]:
+            self.problems[kind].append((now, details))
+
     # --- checks ---
 
-    def check_invariants(self):
+    def check_targets(self):
         summary = self.cell.summary()
         for name in ("in_two_places", "begun_again", "over_capacity"):
             if summary and summary[name]:
-                self.problems.add("%s: %d" % (name, summary[name]))
-        for job_id, entry in list(self.load.jobs.items()):
-            if entry["accepted"] and entry["state"] == "unknown":
-                self.problems.add("accepted job is unknown: " + job_id)
+                self.report(name, str(summary[name]))
+
+    def check_refused_jobs(self):
+        while page := self.cell.started_jobs(self.started_count):
+            self.started.update(page)
+            self.started_count += len(page)
+        for refused in checks.find_refused_starts(dict(self.load.jobs), self.started):
+            self.report("REFUSED", "%s %s" % (refused, self.load.jobs[refused]["attempts"]))
+
+    def check_attempts(self):
+        for i, client in enumerate(self.clients):
+            attempts = client.attempts[self.judged_attempts[i]:]
+            self.judged_attempts[i] += len(attempts)
+            for attempt in attempts:
+                if checks.is_planned_loss(attempt, self.fault_log):
+                    self.report("LOST request", str(attempt))
+                accepted = self.load.jobs.get(attempt.job, {}).get("accepted_at")
+                if accepted and checks.is_forgotten(attempt, accepted, self.fault_log):
+                    self.report("LOST accepted job is unknown", str(attempt))
+
+    def check_lasting_tasks(self):
+        now = time.monotonic()
+        calm_s = self.fault_log.calm_s(now)
+        reply = self.cell.lasting_tasks()
+        if not reply:
+            return
+        expected = {"%s.0.0.%d" % (job_id, i): entry["accepted_at"]
+                    for job_id, entry in list(self.load.jobs.items())
+                    if entry["kind"] == "lasts" and entry["accepted"]
+                    for i in range(entry["body"]["body"]["steps"][0]["count"])}
+        for task in checks.find_tasks_down(now, expected, dict(reply["tasks"]), reply["room_ms"],
+                                           calm_s):
+            self.report("LOST lasting task", task)
+
+    def check_processes(self):
+        for host in self.cell.hosts:
+            for process in list(host.started_processes):
+                if process.ended_by_itself():
+                    self.report("daemon ended by itself", "%s pid %d code %d" % (
+                        process.name, process.child.pid, process.child.returncode))
+
+    def check_invariants(self):
+        self.check_targets()
+        self.check_refused_jobs()
+        self.check_attempts()
+        self.check_lasting_tasks()
+        self.check_processes()
 
     def check_periodically(self):
         while not self.finished.wait(CHECK_INTERVAL_S):
             self.check_invariants()
 
-    def cancel_jobs(self):
-        for job_id, entry in list(self.load.jobs.items()):
-            if entry["kind"] == "cancel" and entry["accepted"]:
-                self.load.cancel(job_id)
-
     def check_final_states(self):
         unfinished = self.load.wait_for_jobs(COMPLETION_TIMEOUT_S)
         if unfinished:
-            self.problems.add("accepted jobs that did not end: %d" % len(unfinished))
+            self.report("accepted jobs that did not end", str(len(unfinished)))
         for job_id, entry in self.load.jobs.items():
+            if entry["accepted"] and entry["state"] == "unknown":
+                self.report("accepted job is unknown", job_id)
             if entry["accepted"] and entry["state"] == "failed":
-                self.problems.add("job failed although none of its tasks fails: " + job_id)
+                self.report("job failed although none of its tasks fails", job_id)
             if entry["accepted"] and entry["state"] == "cancelled" and entry["kind"] != "cancel":
-                self.problems.add("job cancelled without a request: " + job_id)
+                self.report("job cancelled without a request", job_id)
+        time.sleep(max(0.0, LATE_START_S - self.fault_log.calm_s(time.monotonic())))
         self.check_invariants()
 
+    # --- the run ---
+
+    def submit_lasting_jobs(self):
+        for i in range(LASTING_JOBS):
+            kind = LASTING_KINDS[i % len(LASTING_KINDS)]
+            job_id = self.load.submit_job(kind["prefix"], kind)
+            if job_id:
+                self.load.jobs[job_id].update(accepted_at=time.monotonic(), body=kind)
+
+    def play_phase(self, number):
+        """Injects the faults of one phase, then leaves the cell calm."""
+        name, kinds, thread_count = self.random.choice(Faults.PHASES)
+        self.played_faults.append("[%s]" % name)
+        deadline = time.monotonic() + self.random.uniform(3, 9)
+        threads = [threading.Thread(target=Faults(self, "%d phase %d thread %d" % (
+            self.seed, number, i)).inject, args=(kinds, deadline)) for i in range(thread_count)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        for host in self.cell.hosts:  # a process may have ended by itself
+            host.start("poold")
+            host.start("frontd")
+        time.sleep(CALM_PHASE_S)
+
+    def cancel_jobs(self):
+        for job_id, entry in list(self.load.jobs.items()):
+            if entry["kind"] == "cancel" and entry["accepted"]:
+                self.load.cancel(job_id)
+
+    def play(self):
+        deadline = time.monotonic() + self.options.seconds
+        number = 0
+        while time.monotonic() < deadline:
+            self.play_phase(number)
+            number += 1
+
     def run(self):
-        """Runs the seed and returns the problems found."""
+        """Runs the seed and returns whether nothing was found."""
+        check_thread = threading.Thread(target=self.check_periodically)
+        threads = [client.thread for client in self.clients] + [check_thread]
         try:
-            self.cell.wait_until_ready()
-            deadline = time.monotonic() + self.options.seconds
-            fault_threads = [threading.Thread(target=self.inject_faults, args=(deadline,))
-                             for _ in range(2)]
-            check_thread = threading.Thread(target=self.check_periodically)
-            for thread in fault_threads + [check_thread]:
+            self.cell.wait_until_ready(20 + len(self.cell.hosts))
+            self.submit_lasting_jobs()
+            for thread in threads:
                 thread.start()
-            self.load.run(self.options.seconds, 8, JOB_KINDS)
-            for thread in fault_threads:
-                thread.join()
+            self.play()
+            for client in self.clients:
+                client.finished.set()
+            for client in self.clients:
+                client.thread.join()
             self.cancel_jobs()
             self.check_final_states()
-            self.finished.set()
-            check_thread.join()
         finally:
             self.finished.set()
+            for client in self.clients:
+                client.finished.set()
+            for thread in threads:
+                if thread.ident:
+                    thread.join()
             self.cell.stop()
-        return sorted(self.problems)
+        return not self.problems
+
+    def print_result(self):
+        entries = self.load.jobs.values()
+        attempts = [attempt for client in self.clients for attempt in client.attempts]
+        statuses = collections.Counter(attempt.status for attempt in attempts)
+        print("[%s] soak seed=%d hosts=%d jobs=%d accepted=%d refused=%d requests=%d (%s) cut=%d "
+              "faults=%d %s" % (
+            "  FAILED  " if self.problems else "       OK ", self.seed, len(self.cell.hosts),
+            len(entries),
+            sum(entry["accepted"] for entry in entries),
+            sum(bool(entry["attempts"]) and all(status in checks.REJECTIONS for _, status
+                                                in entry["attempts"]) for entry in entries),
+            len(attempts), " ".join("%d:%d" % item for item in sorted(statuses.items())), sum(attempt.is_cut for attempt in attempts),
+            sum(not fault.startswith("[") for fault in self.played_faults),
+            "; ".join("%s: %d" % (kind, len(found)) for kind, found in self.problems.items())
+            or "held"), flush=True)
+        wall_clock = time.time() - time.monotonic()
+        for kind, found in self.problems.items():
+            for seen, details in found[:5]:
+                print("  %s, seen at %.3f: %s" % (kind, wall_clock + seen, details))
+        if self.problems:
+            print("  wall clock %+.3f\n  faults: %s\n  logs: %s" % (
+                wall_clock, " ".join(self.played_faults), self.cell.work_dir), flush=True)
+            with open(os.path.join(self.cell.work_dir, "faults.log"), "w") as file:
+                for fault in self.fault_log.faults:
+                    file.write("%.3f %s %s %s\n" % (wall_clock + fault.begun, wall_clock + (
+                        fault.ended or 0), fault.scope, fault.kind))
+            with open(os.path.join(self.cell.work_dir, "cut.log"), "w") as file:
+                for attempt in attempts:
+                    if attempt.is_cut:
+                        file.write("%.3f %s\n" % (wall_clock + attempt.ended, attempt))
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seed", type=int, help="default: the seeds in REGRESSIONS")
     parser.add_argument("--count", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=12)
-    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--seconds", type=float, default=36,
+                        help="no phase begins later; default: %(default)s")
+    parser.add_argument("--hosts", type=int, help="default: depends on the seed")
     parser.add_argument("--targets", type=int, default=12)
-    parser.add_argument("--regressions", action="store_true",
-                        help="run the seeds in REGRESSIONS instead")
+    parser.add_argument("--clients", type=int, default=20)
+    parser.add_argument("--think-s", type=float, default=0.06,
+                        help="mean pause of a client between requests")
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # ends the processes of the cell
     failed = 0
-    seeds = range(options.seed, options.seed + options.count)
-    if options.regressions:
-        seeds = REGRESSIONS
+    seeds = REGRESSIONS
+    if options.seed is not None:
+        seeds = range(options.seed, options.seed + options.count)
     for seed in seeds:
         soak = Soak(seed, options)
-        problems = soak.run()
-        accepted = sum(entry["accepted"] for entry in soak.load.jobs.values())
-        print("[%s] soak seed=%d jobs=%d accepted=%d faults=%d %s" % (
-            "  FAILED  " if problems else "       OK ", seed, len(soak.load.jobs), accepted,
-            len(soak.played_faults), "; ".join(problems) or "held"), flush=True)
-        if problems:
-            failed += 1
-            print("  faults: %s\n  logs: %s" % (" ".join(soak.played_faults), soak.cell.work_dir),
-                  flush=True)
+        failed += 0 if soak.run() else 1
+        soak.print_result()
     print("%d passed, %d failed" % (len(seeds) - failed, failed))
     return 1 if failed else 0
 
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -289,11 +289,15 @@
 collect_changes_after (const struct platform *platform, const char *table, int64_t version)
 {
   json_t *rows = json_array ();
+  guint first = platform->changes->len;
 
-  for (guint i = 0; i < platform->changes->len; i++)
+  while (first > 0
+         && ((struct row *)g_ptr_array_index (platform->changes, first - 1))->version > version)
+    first--;
+  for (guint i = first; i < platform->changes->len; i++)
     {
       const struct row *row = g_ptr_array_index (platform->changes, i);
-      if (row->version > version && strcmp (row->table, table) == 0)
+      if (strcmp (row->table, table) == 0)
         json_array_append_new (rows, pack_row (row));
     }
   return rows;
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -2,15 +2,21 @@
  * Each target has its own port and registers itself with the stand-in for the platform.
  *
  * A task's spec defines its behaviour: {"ms": run time, "cpu": thousandths of a core, "fail":
- * true}; with ms -1 it runs until it is stopped. GET /summary on the control port returns counters.
- * Three of them count violations of the scheduling rules: in_two_places (start of a task that is
- * already running), begun_again (start after an end as done that the owner has acknowledged) and
- * over_capacity (start that exceeds the CPU capacity of the target). The control port also serves
- * the advice service, at /advise.
+ * true, "lasts": true}; with ms -1 it runs until it is stopped. The control port serves the advice
+ * service, at /advise, and:
+ * GET /summary: counters. Three of them count violations of the scheduling rules: in_two_places
+ * (start of a task that is already running), begun_again (start after an end as done that the owner
+ * has acknowledged) and over_capacity (start that exceeds the CPU capacity of the target).
+ * GET /started?after=N: the ids of jobs of which a task has ever started, in the order of their
+ * first start, at most 1000 from the Nth on. GET /lasting: every task with "lasts" that has ever
+ * started, with the milliseconds since its last run ended or -1 while it runs, and for how long
+ * there has been room for two more of them. GET /ports: the port of each target.
  *
- * POST /control takes {"target": N, "fault": "crash" | "cut" | "drain", "ms": N}. "crash" discards
- * the runs of the target and restarts it after "ms", "cut" makes it unreachable for "ms" while its
- * runs continue, and "drain" registers it as draining until its next crash. */
+ * POST /control takes {"target": N, "fault": "crash" | "cut" | "drain" | "address", "ms": N,
+ * "port": N}. "crash" discards the runs of the target and restarts it after "ms"; with -1 it never
+ * returns. "cut" makes it unreachable for "ms" while its runs continue; requests that were held up
+ * are executed when the cut ends, unless it lasts longer than their senders wait. "drain" registers
+ * it as draining until its next crash, and "address" registers it with another port. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -36,6 +42,10 @@
 /* The registry row of a crashed target expires after three missed registration renewals, due every
  * 1500 ms. */
 #define REGISTRY_EXPIRY_MS 4500
+#define STARTED_PAGE_MAX 1000
+#define ROOM_CHECK_INTERVAL_MS 100
+/* A task that can be started has room if there is capacity for this many times its resources. */
+#define ROOM_TASKS 2
 
 struct fleet;
 
@@ -50,20 +60,33 @@
   struct target_state state;
   int64_t isolated_until_ms;
   int64_t down_until_ms;
-  int64_t row_expires_ms; /* when its registry row is removed; 0 for never */
+  int64_t row_expires_ms; /* when its registry row is removed, INT64_MAX after that; 0 for never */
   bool draining;
   GPtrArray *pending_requests; /* struct pending_request */
 };
 
-/* A request with a later reply: a heartbeat that waits for an end, or a request that arrived while
- * the target was unreachable. */
+enum pending_reason
+{
+  PENDING_HEARTBEAT, /* waits for an end */
+  PENDING_CUT,       /* arrived while the target was unreachable */
+  PENDING_DOWN,      /* arrived while the target was down, or lost by its crash */
+};
+
+/* A request with a later reply or none. */
 struct pending_request
 {
-  struct target *target;
+  enum pending_reason reason;
   struct fl_http_request *request;
   int64_t reply_at_ms;
 };
 
+struct task_record
+{
+  int64_t cpu_milli;
+  bool lasts;
+  int64_t down_since_ms; /* when its last run ended; 0 while it runs */
+};
+
 struct fleet
 {
   struct ev_loop *loop;
@@ -76,6 +99,12 @@
   int64_t cpu_milli;
   int64_t memory_mb;
   GHashTable *acknowledged_done; /* names of tasks whose end as done was acknowledged */
+  GHashTable *tasks;             /* name -> struct task_record, all tasks ever started */
+  GHashTable *started_job_set;
+  GPtrArray *started_jobs; /* ids in the order of their first start */
+  int64_t lasting_cpu;     /* CPU of the largest lasting task */
+  int64_t room_since_ms;   /* since when there has been room for it; 0 if there is none */
+  int64_t room_checked_ms;
   ev_timer advance_timer;
   int64_t start_count;
   int64_t done_count;
@@ -164,6 +193,44 @@
   return false;
 }
 
+static int64_t
+get_used_cpu (const struct target *target)
+{
+  int64_t used = 0;
+
+  for (guint i = 0; i < target->state.runs->len; i++)
+    {
+      const struct target_run *run = &g_array_index (target->state.runs, struct target_run, i);
+      const struct task_record *task = g_hash_table_lookup (target->fleet->tasks, &run->task);
+      used += task != NULL ? task->cpu_milli : 0;
+    }
+  return used;
+}
+
+static void
+record_start (struct fleet *fleet, const struct fl_start_order *order, int64_t cpu_milli)
+{
+  struct task_record *record = g_hash_table_lookup (fleet->tasks, &order->task);
+  g_autofree char *job = g_strndup (order->task.data, strcspn (order->task.data, "."));
+
+  if (!g_hash_table_contains (fleet->started_job_set, job))
+    {
+      g_ptr_array_add (fleet->started_jobs, g_strdup (job));
+      g_hash_table_add (fleet->started_job_set,
+                        g_ptr_array_index (fleet->started_jobs, fleet->started_jobs->len - 1));
+    }
+  if (record == NULL)
+    {
+      record = g_new0 (struct task_record, 1);
+      g_hash_table_insert (fleet->tasks, g_memdup2 (&order->task, sizeof order->task), record);
+    }
+  record->cpu_milli = cpu_milli;
+  record->lasts = get_spec_number (order->payload, order->payload_len, "lasts", 0) != 0;
+  record->down_since_ms = 0;
+  if (record->lasts)
+    fleet->lasting_cpu = MAX (fleet->lasting_cpu, cpu_milli);
+}
+
 static void
 on_run_start (void *context, const struct fl_start_order *order)
 {
@@ -176,10 +243,18 @@
     fleet->duplicate_runs++;
   if (g_hash_table_contains (fleet->acknowledged_done, &order->task))
     fleet->restarts_after_done++;
-  /* Assumes that the other runs use as much CPU as this one. That holds for the jobs of
-   * tests/e2e.py and tests/soak.py; the feed of scripts/demo.py uses less than its other jobs. */
-  if ((int64_t)(target->state.runs->len + 1) * cpu > fleet->cpu_milli)
+  if (get_used_cpu (target) + cpu > fleet->cpu_milli)
     fleet->starts_over_capacity++;
+  record_start (fleet, order, cpu);
+}
+
+static void
+record_run_end (struct fleet *fleet, const struct fl_name *task)
+{
+  struct task_record *record = g_hash_table_lookup (fleet->tasks, task);
+
+  if (record != NULL)
+    record->down_since_ms = now_ms ();
 }
 
 static void
@@ -189,6 +264,7 @@
 
   fleet->done_count += end->cause == FL_END_DONE ? 1 : 0;
   fleet->expired_runs += end->cause == FL_END_LEASE_EXPIRED ? 1 : 0;
+  record_run_end (fleet, &end->task);
 }
 
 static void
@@ -256,24 +332,6 @@
   target_state_clear_report (&report);
 }
 
-/* Replies to the pending requests that are due, or to @all. */
-static void
-reply_to_pending_requests (struct target *target, bool all)
-{
-  for (guint i = target->pending_requests->len; i > 0; i--)
-    {
-      struct pending_request *pending = g_ptr_array_index (target->pending_requests, i - 1);
-      if (!all && now_ms () < pending->reply_at_ms)
-        continue;
-      if (is_reachable (target))
-        reply_with_lists (target, pending->request);
-      else
-        send_reply (pending->request, 504, json_object ());
-      g_ptr_array_remove_index_fast (target->pending_requests, i - 1);
-      g_free (pending);
-    }
-}
-
 /* --- orders --- */
 
 static int64_t
@@ -323,6 +381,18 @@
                                  work_ms < 0 ? INT64_MAX : work_ms, fails);
 }
 
+static void
+add_pending_request (struct target *target,
+                     struct fl_http_request *request,
+                     enum pending_reason reason,
+                     int64_t delay_ms)
+{
+  struct pending_request *pending = g_new0 (struct pending_request, 1);
+
+  *pending = (struct pending_request){ reason, request, now_ms () + delay_ms };
+  g_ptr_array_add (target->pending_requests, pending);
+}
+
 static void
 execute_heartbeat (struct target *target, struct fl_http_request *request, const json_t *json)
 {
@@ -331,18 +401,13 @@
                                       .last_recorded_end = get_number (json, "lastSeen"),
                                       .wait_ms = get_number (json, "waitMs") };
   enum fl_order_result result = target_state_handle_heartbeat (&target->state, now_ms (), &order);
-  struct pending_request *pending;
 
   if (result != FL_ORDER_DONE)
     reply_with_result (target, request, result);
   else if (order.wait_ms == 0 || target->state.ends->len > 0)
     reply_with_lists (target, request);
   else
-    {
-      pending = g_new0 (struct pending_request, 1);
-      *pending = (struct pending_request){ target, request, now_ms () + order.wait_ms };
-      g_ptr_array_add (target->pending_requests, pending);
-    }
+    add_pending_request (target, request, PENDING_HEARTBEAT, order.wait_ms);
 }
 
 static void
@@ -365,21 +430,12 @@
 }
 
 static void
-on_target_request (void *context, struct fl_http_request *request)
+handle_order (struct target *target, struct fl_http_request *request)
 {
-  struct target *target = context;
   const struct fl_str *body = fl_http_body (request);
   const char *expected_id = fl_http_header (request, "Expect-Instance");
   json_t *json;
 
-  if (!is_reachable (target))
-    {
-      /* The target is unreachable: no reply before the sender times out. */
-      struct pending_request *pending = g_new0 (struct pending_request, 1);
-      *pending = (struct pending_request){ target, request, now_ms () + SILENT_REPLY_DELAY_MS };
-      g_ptr_array_add (target->pending_requests, pending);
-      return;
-    }
   if (expected_id != NULL && strcmp (expected_id, target->id.data) != 0)
     {
       send_reply (request, 421, json_object ());
@@ -391,6 +447,46 @@
   json_decref (json);
 }
 
+static void
+on_target_request (void *context, struct fl_http_request *request)
+{
+  struct target *target = context;
+
+  if (is_reachable (target))
+    handle_order (target, request);
+  else
+    add_pending_request (target, request,
+                         now_ms () < target->down_until_ms ? PENDING_DOWN : PENDING_CUT,
+                         SILENT_REPLY_DELAY_MS);
+}
+
+/* Replies to the pending requests that are due, and to heartbeats that wait for an end if
+ * @has_new_ends. Executes requests that a cut has held up once it is over. */
+static void
+serve_pending_requests (struct target *target, bool has_new_ends)
+{
+  for (guint i = target->pending_requests->len; i > 0; i--)
+    {
+      struct pending_request pending
+          = *(struct pending_request *)g_ptr_array_index (target->pending_requests, i - 1);
+      bool is_due = now_ms () >= pending.reply_at_ms;
+      bool answers = is_reachable (target)
+                     && (pending.reason == PENDING_CUT
+                         || (pending.reason == PENDING_HEARTBEAT && (is_due || has_new_ends)));
+
+      if (!answers && !is_due)
+        continue;
+      g_free (g_ptr_array_index (target->pending_requests, i - 1));
+      g_ptr_array_remove_index_fast (target->pending_requests, i - 1);
+      if (answers && pending.reason == PENDING_CUT)
+        handle_order (target, pending.request);
+      else if (answers)
+        reply_with_lists (target, pending.request);
+      else
+        send_reply (pending.request, 504, json_object ());
+    }
+}
+
 /* --- advice --- */
 
 /* About seven of ten targets are eligible for a step. */
@@ -420,11 +516,15 @@
 static void
 restart_target (struct target *target, int64_t down_ms)
 {
-  target->down_until_ms = now_ms () + down_ms;
+  for (guint i = 0; i < target->state.runs->len; i++)
+    record_run_end (target->fleet, &g_array_index (target->state.runs, struct target_run, i).task);
+  for (guint i = 0; i < target->pending_requests->len; i++)
+    ((struct pending_request *)g_ptr_array_index (target->pending_requests, i))->reason
+        = PENDING_DOWN;
+  target->down_until_ms = down_ms < 0 ? INT64_MAX : now_ms () + down_ms;
   target->row_expires_ms = now_ms () + REGISTRY_EXPIRY_MS;
   target_state_restart (&target->state, target->down_until_ms);
   target->draining = false;
-  reply_to_pending_requests (target, true);
 }
 
 static void
@@ -448,6 +548,11 @@
           target->draining = true;
           write_registry_row (target, false);
         }
+      else if (strcmp (fault.data, "address") == 0)
+        {
+          target->address = fl_name_format ("127.0.0.1:%d", (int)get_number (json, "port"));
+          write_registry_row (target, false);
+        }
     }
   send_reply (request, 200, json_object ());
   json_decref (json);
@@ -469,6 +574,56 @@
                          (json_int_t)fleet->expired_runs));
 }
 
+static void
+handle_started (const struct fleet *fleet, struct fl_http_request *request)
+{
+  const char *after = fl_http_query (request, "after");
+  guint first = (guint)strtoul (after != NULL ? after : "0", NULL, 10);
+  json_t *jobs = json_array ();
+
+  for (guint i = first; i < fleet->started_jobs->len && i - first < STARTED_PAGE_MAX; i++)
+    json_array_append_new (jobs, json_string (g_ptr_array_index (fleet->started_jobs, i)));
+  send_reply (request, 200, json_pack ("{s:o}", "jobs", jobs));
+}
+
+static void
+handle_lasting (const struct fleet *fleet, struct fl_http_request *request)
+{
+  json_t *tasks = json_array ();
+  GHashTableIter iter;
+  gpointer name, value;
+
+  g_hash_table_iter_init (&iter, fleet->tasks);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const struct task_record *record = value;
+      /* Of two runs of a task, one may have ended. */
+      bool runs
+          = record->lasts && (record->down_since_ms == 0 || is_running_anywhere (fleet, name));
+      if (record->lasts)
+        json_array_append_new (
+            tasks, json_pack ("[s,I]", ((struct fl_name *)name)->data,
+                              (json_int_t)(runs ? -1 : now_ms () - record->down_since_ms)));
+    }
+  send_reply (
+      request, 200,
+      json_pack ("{s:o,s:I}", "tasks", tasks, "room_ms",
+                 (json_int_t)(fleet->room_since_ms > 0 ? now_ms () - fleet->room_since_ms : 0)));
+}
+
+static void
+handle_ports (const struct fleet *fleet, struct fl_http_request *request)
+{
+  json_t *ports = json_array ();
+
+  for (guint i = 0; i < fleet->targets->len; i++)
+    {
+      const struct target *target = g_ptr_array_index (fleet->targets, i);
+      json_array_append_new (ports, json_integer (fl_http_server_port (target->server)));
+    }
+  send_reply (request, 200, json_pack ("{s:o}", "ports", ports));
+}
+
 static void
 on_control_request (void *context, struct fl_http_request *request)
 {
@@ -481,6 +636,12 @@
     handle_control (fleet, request);
   else if (strcmp (path, "/summary") == 0)
     handle_summary (fleet, request);
+  else if (strcmp (path, "/started") == 0)
+    handle_started (fleet, request);
+  else if (strcmp (path, "/lasting") == 0)
+    handle_lasting (fleet, request);
+  else if (strcmp (path, "/ports") == 0)
+    handle_ports (fleet, request);
   else
     send_reply (request, 404, json_object ());
 }
@@ -493,16 +654,44 @@
   int64_t now = now_ms ();
 
   if (target->row_expires_ms > 0 && now >= target->row_expires_ms && now < target->down_until_ms)
-    write_registry_row (target, true);
+    {
+      target->row_expires_ms = INT64_MAX;
+      write_registry_row (target, true);
+    }
   if (target->row_expires_ms > 0 && now >= target->down_until_ms)
     {
       target->row_expires_ms = 0;
       write_registry_row (target, false);
     }
-  if (now >= target->down_until_ms && target_state_advance (&target->state, now)
-      && is_reachable (target))
-    reply_to_pending_requests (target, true);
-  reply_to_pending_requests (target, false);
+  serve_pending_requests (target, now >= target->down_until_ms
+                                      && target_state_advance (&target->state, now));
+}
+
+/* Whether the targets that accept starts have room for ROOM_TASKS tasks of @cpu_milli. */
+static bool
+has_room (const struct fleet *fleet, int64_t cpu_milli)
+{
+  int64_t fitting = 0;
+
+  for (guint i = 0; cpu_milli > 0 && i < fleet->targets->len; i++)
+    {
+      const struct target *target = g_ptr_array_index (fleet->targets, i);
+      if (is_reachable (target) && !target->draining)
+        fitting += MAX (fleet->cpu_milli - get_used_cpu (target), 0) / cpu_milli;
+    }
+  return fitting >= ROOM_TASKS;
+}
+
+static void
+check_room (struct fleet *fleet)
+{
+  if (now_ms () - fleet->room_checked_ms < ROOM_CHECK_INTERVAL_MS)
+    return;
+  fleet->room_checked_ms = now_ms ();
+  if (!has_room (fleet, fleet->lasting_cpu))
+    fleet->room_since_ms = 0;
+  else if (fleet->room_since_ms == 0)
+    fleet->room_since_ms = now_ms ();
 }
 
 static void
@@ -514,6 +703,7 @@
   (void)events;
   for (guint i = 0; i < fleet->targets->len; i++)
     advance_target (g_ptr_array_index (fleet->targets, i));
+  check_room (fleet);
 }
 
 /* --- startup --- */
@@ -593,6 +783,9 @@
   fleet.memory_mb = memory->count > 0 ? memory->ival[0] : 32768;
   fleet.targets = g_ptr_array_new ();
   fleet.acknowledged_done = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
+  fleet.tasks = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
+  fleet.started_job_set = g_hash_table_new (g_str_hash, g_str_equal);
+  fleet.started_jobs = g_ptr_array_new ();
   fleet.control_server = start_server (&fleet, on_control_request, &fleet);
   for (int i = 0; i < (count->count > 0 ? count->ival[0] : 12); i++)
     add_target (&fleet, i);
