Test of a short term after a long one of the same process

The mutation that keeps the count of renewals of an earlier term was not noticed; with this test it is, and so is the one that does not wait for owners before the previous one.

--- a/tests/test_two_changes_of_owner.c
+++ b/tests/test_two_changes_of_owner.c
@@ -58,11 +58,37 @@
   assert_true (least_ms >= 0);
 }
 
+/* The renewals of an earlier term of the same process do not count: host 0 owns the pool for 12 s,
+ * and again for a short time after host 1 was cut off. */
+static void
+test_short_term_after_a_long_one (void **state)
+{
+  const struct fault faults[] = { { HOST_PAUSED_LONG, 24 * HOST_COUNT },
+                                  { HOST_CUT_OFF, 34 * HOST_COUNT + 1 },
+                                  { HOST_STOPPED, 38 * HOST_COUNT } };
+  const struct election_options options = { .host_count = HOST_COUNT,
+                                            .duration_ms = 24000,
+                                            .faults = faults,
+                                            .fault_count = G_N_ELEMENTS (faults) };
+  struct election_result result;
+
+  (void)state;
+  election_simulate (&options, &result);
+  assert_string_equal (result.violation, "");
+  assert_int_equal (result.acquisitions[1].host, 0);
+  assert_int_equal (result.acquisitions[2].host, 1);
+  assert_int_equal (result.acquisitions[3].host, 0);
+  assert_int_equal (result.acquisitions[4].host, 0);
+  assert_true (result.acquisitions[4].reconciled_at_ms
+               >= result.last_heartbeat_ms[1] + SLOW_TARGET_LEASE_MS);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_second_change_while_first_owner_is_active) };
+      = { cmocka_unit_test (test_second_change_while_first_owner_is_active),
+          cmocka_unit_test (test_short_term_after_a_long_one) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
