A late reply of an older acquisition is not taken for that of the newest

Two acquisitions of a standby may be in flight since it repeats a call without a reply early. A reply of one with an earlier token would have been handled with the newest token.

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -147,6 +147,7 @@
   struct fl_ownership *ownership;
   int64_t number;
   int64_t period;
+  int64_t token; /* of the last acquisition when the call was sent: its own if it is one */
   int64_t sent_ms;
 };
 
@@ -363,7 +364,7 @@
   struct standby_call *call = g_new0 (struct standby_call, 1);
 
   *call = (struct standby_call){ ownership, ++ownership->last_call, ownership->period,
-                                 now_ms (ownership) };
+                                 ownership->token, now_ms (ownership) };
   ownership->calls_in_flight++;
   schedule_call (ownership, HEDGE_DELAY_MS);
   return call;
@@ -405,6 +406,8 @@
   if (call->period != ownership->period || ownership->state == RELEASED)
     return;
   ownership->calls_in_flight--;
+  if (call->token != ownership->token)
+    return;
   /* A reply that arrives after the acquired lease has expired gives no authority: another host may
    * own the pool by now. */
   if (reply->status == FL_STORE_OK && now_ms (ownership) < call->sent_ms + LEASE_MS)
