A new list of hosts keeps the pauses of peers

A peer that failed to serve a call gets no calls for 500 ms, but the list of hosts is read every 500 ms while the direct path has failed, and each read forgot the pauses: calls were sent to the failed peer again.

--- a/lib/relay/hosts.c
+++ b/lib/relay/hosts.c
@@ -29,13 +29,17 @@
 };
 static FL_SCHEMA (host_schema, host_row, host_fields);
 
-static bool
-contains_peer (const GArray *peers, const struct fl_name *address)
+/* @return the peer at @address, or NULL. */
+static const struct peer *
+find_peer (const GArray *peers, const struct fl_name *address)
 {
   for (guint i = 0; i < peers->len; i++)
-    if (fl_name_eq (&g_array_index (peers, struct peer, i).address, address))
-      return true;
-  return false;
+    {
+      const struct peer *peer = &g_array_index (peers, struct peer, i);
+      if (fl_name_eq (&peer->address, address))
+        return peer;
+    }
+  return NULL;
 }
 
 static bool
@@ -75,7 +79,9 @@
       struct host_row entry = { 0 };
       if (fl_name_eq (&row->key, host) || !decode_host (row, &entry))
         continue;
-      struct peer peer = { .address = entry.address };
+      const struct peer *known = find_peer (relay->peers, &entry.address);
+      struct peer peer = { .address = entry.address,
+                           .paused_until_ms = known != NULL ? known->paused_until_ms : 0 };
       g_array_append_val (peers, peer);
     }
   return peers;
@@ -89,7 +95,7 @@
   for (guint i = 0; i < relay->peers->len; i++)
     {
       const struct fl_name *address = &g_array_index (relay->peers, struct peer, i).address;
-      if (!contains_peer (peers, address))
+      if (find_peer (peers, address) == NULL)
         fl_link_disconnect (relay->link, address);
     }
   for (guint i = 0; i < peers->len; i++)
