--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -8,6 +8,9 @@
 #define COLLECTED_BYTES_MAX (512 * 1024)
 /* Weight of one run in the moving average of the run time of a queue. */
 #define RUN_TIME_WEIGHT 0.05
+/* A reply of a target that arrives later than this after the end of the wait is outdated. Above the
+ * time-outs of heartbeats, direct and forwarded. */
+#define REPLY_DELAY_MAX_MS 500
 /* Consecutive failures, of at least two jobs, after which a target is quarantined. */
 #define QUARANTINE_FAILURES_MIN 3
 
@@ -238,6 +241,14 @@
   core->options.actions.stop (core->options.context, &order);
 }
 
+/* Whether the records of this owner already say that @task may be on @target. */
+static bool
+is_recorded_on (const struct core_task *task, const struct core_target *target)
+{
+  return task->earlier_run == CORE_EARLIER_RUN_ON_TARGET
+         && task->earlier_target == fl_job_target_hash (&target->entry.id);
+}
+
 static void
 apply_run (struct fl_core *core,
            struct core_target *target,
@@ -254,8 +265,11 @@
     }
   if (run == NULL && (row->run >= task->last_run_number || task->done))
     {
+      bool is_recorded = is_recorded_on (task, target);
       run = core_run_new (task, target, row->run);
       core_run_set_state (run, CORE_RUN_ACCEPTED);
+      if (!is_recorded)
+        core_job_renew_task_targets (task->step->job);
       run->confirmed_at_ms = sent_ms;
       task->last_run_number = MAX (task->last_run_number, row->run);
       task->step->job->started = true;
@@ -362,6 +376,14 @@
   target->missed_heartbeats = silent ? target->missed_heartbeats + 1 : 0;
 }
 
+/* Whether a reply that arrives now is too old to say anything of the present boot of @target: this
+ * host was suspended after the target had replied. */
+static bool
+is_reply_outdated (const struct core_target *target, int64_t sent_ms, int64_t now_ms)
+{
+  return now_ms - sent_ms > target->heartbeat_wait_ms + REPLY_DELAY_MAX_MS;
+}
+
 void
 fl_core_handle_heartbeat_reply (struct fl_core *core,
                                 const struct fl_name *id,
@@ -375,6 +397,8 @@
   core->now_ms = now_ms;
   if (target == NULL)
     return;
+  if (is_reply_outdated (target, sent_ms, now_ms))
+    report = NULL;
   target->last_heartbeat_at_ms = now_ms;
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
   if (reply->result == FL_ORDER_OTHER_BOOT)
@@ -480,6 +504,7 @@
   g_autoptr (GArray) done = NULL;
   g_autoptr (GArray) tasks = NULL;
   g_autoptr (GArray) targets = NULL;
+  g_autoptr (GArray) steps = NULL;
 
   /* A successor needs only the state of a finished job. */
   if (!fl_job_state_is_final (job->state))
@@ -491,6 +516,10 @@
       progress.tasks = (struct fl_array){ tasks->len, tasks->data };
       progress.targets = (struct fl_array){ targets->len, targets->data };
       progress.any_target = core_job_may_run_on_any_target (job);
+      steps = core_job_collect_task_targets (job, targets);
+      if (steps->len > 0)
+        progress.task_targets = (struct fl_task_targets){ job->core->options.fencing_token,
+                                                          { steps->len, steps->data } };
     }
   return fl_job_progress_encode (&progress);
 }
@@ -591,12 +620,16 @@
   drop_finished_jobs (core);
 }
 
-/* A draining target gets no new tasks. Once it has no runs and the ends that it listed are
- * recorded, a successor need not wait for its report. */
+/* A draining target gets no new tasks. Once it has reported, has no runs, and the ends that it
+ * listed are recorded, a successor need not wait for its report. */
 static bool
 belongs_in_target_list (const struct core_target *target)
 {
-  return !target->entry.draining || target->runs->len > 0
+  const struct fl_core *core = target->core;
+  bool may_have_earlier_runs
+      = target->is_unreconciled && core->now_ms < core->options.reconciled_at_ms;
+
+  return !target->entry.draining || target->runs->len > 0 || may_have_earlier_runs
          || core_target_has_unrecorded_ends (target);
 }
 
