Simulate long-running jobs, and check that their tasks do not stay down

The simulated cell submits long-running jobs and reports LOST if a task is down for over 9 s (6 s and the 3 s of the rule) with room for two of it and 7 s without a new fault. The clock stands while the target of its last start, or of its record, cannot be asked.

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -20,6 +20,12 @@
 /* All accepted jobs must end within this time after the fault phase. */
 #define FINISH_TIMEOUT_MS 60000
 #define ATTEMPTS_MAX 3
+/* A long-running task may be down for DOWN_MAX_MS after its last run. The last CALM_MS of this must
+ * be without a new fault. */
+#define DOWN_MAX_MS 9000
+#define CALM_MS 7000
+#define LONG_RUNNING_TASKS 6
+#define ISOLATED_MAX_MS 9000
 
 struct cell;
 
@@ -62,6 +68,7 @@
   int team;
   struct fl_resources task_resources;
   bool cancelled;
+  bool long_running;
   struct fl_str progress; /* encoded, as stored */
   bool ended;             /* the stored progress has a final state */
 };
@@ -74,7 +81,9 @@
   bool done_acknowledged; /* the owner acknowledged such an end */
   int failures;
   int failures_acknowledged;
-  bool over_budget; /* a run was started after ATTEMPTS_MAX failures */
+  bool over_budget;                      /* a run was started after ATTEMPTS_MAX failures */
+  const struct fake_target *last_target; /* to which its last start was sent */
+  int64_t down_since_ms; /* of a long-running task: no run, and room for one, since this time */
 };
 
 /* --- owners --- */
@@ -118,6 +127,7 @@
   struct fl_log log;
   int order_count;       /* starts and stops sent so far */
   int transaction_count; /* store transactions of owners so far */
+  int64_t last_fault_ms; /* when the last fault began */
   struct cell_result result;
 };
 
@@ -136,7 +146,17 @@
 static bool
 faults_enabled (const struct cell *cell)
 {
-  return cell->now_ms < cell->options.fault_phase_ms;
+  const struct cell_options *options = &cell->options;
+
+  return cell->now_ms < options->fault_phase_ms
+         && (options->fault_cycle_ms == 0
+             || cell->now_ms % options->fault_cycle_ms < options->fault_burst_ms);
+}
+
+static void
+note_fault (struct cell *cell)
+{
+  cell->last_fault_ms = cell->now_ms;
 }
 
 static void
@@ -382,8 +402,8 @@
   mark_task_restarted (cell, &order->task);
   if (!previous_step_done (cell, job, task->step))
     report_violation (cell, "ORDER", &order->task);
-  task->over_budget = task->over_budget || task->failures >= ATTEMPTS_MAX;
-  if (task->failures_acknowledged >= ATTEMPTS_MAX)
+  task->over_budget = !job->long_running && (task->over_budget || task->failures >= ATTEMPTS_MAX);
+  if (task->failures_acknowledged >= ATTEMPTS_MAX && !job->long_running)
     report_violation (cell, "BUDGET", &order->task);
   const struct fl_team *team = fl_configuration_find_team (
       cell->configuration, &(struct fl_name){ .len = 2, .data = { 'w', (char)('0' + job->team) } });
@@ -417,12 +437,18 @@
 static enum fl_order_result
 handle_start (struct cell *cell, struct fake_target *target, const struct fl_start_order *order)
 {
+  const struct fake_job *job = find_job_of_task (cell, &order->task);
+
   trace (cell, "start received", &order->task, order->run, &target->id);
   if (!fl_name_eq (&target->id, &order->target))
     return FL_ORDER_OTHER_BOOT;
   if (cell->options.advice_required
       && strcmp (order->ticket, format_ticket (&order->task, target).data) != 0)
     return FL_ORDER_NO_TICKET;
+  if (job != NULL && job->long_running)
+    return target_state_start_run (
+        &target->state, cell->now_ms, order,
+        faults_enabled (cell) ? random_between (cell, 1000, 20000) : INT64_MAX, true);
   return target_state_start_run (&target->state, cell->now_ms, order,
                                  random_between (cell, 100, 4000),
                                  happens_randomly (cell, cell->options.fault_rates.task_failed));
@@ -603,6 +629,8 @@
       = !(faults_enabled (cell)
           && (happens_randomly (cell, cell->options.fault_rates.order_reply_lost)
               || is_fault_scripted (cell, CELL_FAULT_ORDER_REPLY_LOST, call->order_number)));
+  if (!call->replied)
+    note_fault (cell);
   schedule (cell, call->replied ? random_between (cell, 1, 20) : ORDER_TIMEOUT_MS, on_call_done,
             call);
 }
@@ -616,6 +644,7 @@
 
   if (target != NULL && target->up && target->boot == call->target_boot)
     {
+      note_fault (cell);
       advance_target (cell, target);
       if (call->kind == CALL_START)
         handle_start (cell, target, &call->start_order);
@@ -642,6 +671,7 @@
       late->start_order.payload = late->payload;
       late->start_order.ticket = late->ticket.data;
       late->start_order.checkpoint = "";
+      note_fault (cell);
       schedule (cell, random_between (cell, 2000, 6000), on_late_order_received, late);
       schedule (cell, ORDER_TIMEOUT_MS, on_call_done, call);
       return;
@@ -670,6 +700,7 @@
   call->start_order.ticket = call->ticket.data;
   call->start_order.checkpoint = "";
   call->address = order->address;
+  get_task (owner->cell, &order->task)->last_target = find_target_at (owner->cell, &order->address);
   trace (owner->cell, "start sent", &order->task, order->run, &order->target);
   if (has_authority (owner))
     send_call (owner->cell, call);
@@ -910,7 +941,10 @@
   if (can_reach_store (transaction->owner))
     apply_transaction (cell, transaction);
   if (lost)
-    transaction->stored = false;
+    {
+      note_fault (cell);
+      transaction->stored = false;
+    }
   schedule (cell,
             transaction->stored
                 ? random_between (cell, 1, cell->options.fault_rates.store_delay_max_ms + 10)
@@ -1133,11 +1167,22 @@
       = g_ptr_array_index (cell->targets, random_between (cell, 0, cell->targets->len - 1));
 
   if (target->up && happens_randomly (cell, rates->target_crash))
-    take_target_down (cell, target);
+    {
+      take_target_down (cell, target);
+      note_fault (cell);
+    }
   if (target->up && happens_randomly (cell, rates->target_isolated))
-    target->isolated_until_ms = cell->now_ms + random_between (cell, 300, 9000);
+    {
+      target->isolated_until_ms
+          = cell->now_ms
+            + random_between (cell, 300,
+                              rates->target_isolated_max_ms > 0 ? rates->target_isolated_max_ms
+                                                                : ISOLATED_MAX_MS);
+      note_fault (cell);
+    }
   if (target->up && !target->draining && happens_randomly (cell, rates->target_drain))
     {
+      note_fault (cell);
       target->draining = true;
       schedule (cell, random_between (cell, 2000, 5000), on_target_drained, target);
     }
@@ -1155,12 +1200,16 @@
   const struct cell_fault_rates *rates = &cell->options.fault_rates;
   struct owner *owner = get_newest_owner (cell);
 
-  if (happens_randomly (cell, rates->owner_killed))
-    owner->dead = true;
-  if (happens_randomly (cell, rates->owner_frozen))
+  bool kills = happens_randomly (cell, rates->owner_killed);
+  owner->dead = owner->dead || kills;
+  bool freezes = happens_randomly (cell, rates->owner_frozen);
+  if (freezes)
     owner->frozen_until_ms = cell->now_ms + random_between (cell, 200, 8000);
-  if (happens_randomly (cell, rates->owner_isolated))
+  bool isolates = happens_randomly (cell, rates->owner_isolated);
+  if (isolates)
     owner->isolated_until_ms = cell->now_ms + random_between (cell, 200, 12000);
+  if (kills || freezes || isolates)
+    note_fault (cell);
 }
 
 static void
@@ -1222,7 +1271,7 @@
   if (cell->jobs->len == 0 || !happens_randomly (cell, cell->options.fault_rates.job_cancelled))
     return;
   job = g_ptr_array_index (cell->jobs, random_between (cell, 0, cell->jobs->len - 1));
-  job->cancelled = true;
+  job->cancelled = job->cancelled || !job->long_running;
 }
 
 static void
@@ -1258,10 +1307,138 @@
   g_hash_table_insert (cell->job_by_id, &job->id, job);
 }
 
+static void
+submit_long_running_job (struct cell *cell, int number)
+{
+  struct fake_job *job = g_new0 (struct fake_job, 1);
+  struct fl_step_spec step = {
+    .count = LONG_RUNNING_TASKS, .cpu_milli = 1000, .long_running = true, .disruptions_max = -1
+  };
+  struct fl_job_spec spec = { .id = fl_name_format ("lasting%d", number),
+                              .queue = fl_name_of ("queue"),
+                              .team = fl_name_of ("w1"),
+                              .steps = { 1, &step } };
+
+  *job = (struct fake_job){ .id = spec.id,
+                            .step_count = 1,
+                            .tasks_per_step = LONG_RUNNING_TASKS,
+                            .team = 1,
+                            .task_resources = { step.cpu_milli, 0, 0 },
+                            .version = ++cell->version,
+                            .long_running = true,
+                            .spec = fl_record_encode (&fl_job_spec_schema, &spec) };
+  g_ptr_array_add (cell->jobs, job);
+  g_hash_table_insert (cell->job_by_id, &job->id, job);
+}
+
+static bool
+is_reachable (const struct fake_target *target)
+{
+  return target->up && target->isolated_until_ms <= target->cell->now_ms;
+}
+
+/* Whether a target that an owner can use has capacity for two tasks of @job. */
+static bool
+has_room (const struct cell *cell, const struct fake_job *job)
+{
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      const struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      int64_t free_milli = target->capacity.cpu_milli;
+      for (guint j = 0; j < target->state.runs->len; j++)
+        {
+          const struct fake_job *other = find_job_of_task (
+              cell, &g_array_index (target->state.runs, struct target_run, j).task);
+          free_milli -= other != NULL ? other->task_resources.cpu_milli : 0;
+        }
+      if (is_reachable (target) && !target->draining
+          && free_milli >= 2 * job->task_resources.cpu_milli)
+        return true;
+    }
+  return false;
+}
+
+static bool
+had_id_with_hash (const struct fake_target *target, int64_t hash)
+{
+  for (int boot = 0; boot <= target->boot; boot++)
+    {
+      struct fl_name id = format_target_id (target->index, boot);
+      if (fl_job_target_hash (&id) == hash)
+        return true;
+    }
+  return false;
+}
+
+/* Whether the stored record of @job says that its task @index may be on a target that cannot be
+ * asked for it. An owner may have died before it sent the start order. */
+static bool
+is_recorded_on_unreachable (const struct cell *cell, const struct fake_job *job, int index)
+{
+  struct fl_job_progress progress = { 0 };
+  bool found = false;
+
+  if (!fl_job_progress_decode (fl_str_text (&job->progress), job->progress.len, &progress, NULL))
+    return false;
+  const struct fl_step_targets *step = progress.task_targets.steps.items;
+  const struct fl_job_target *targets = progress.targets.items;
+  if (progress.task_targets.steps.count == 1 && step->tasks.count > 0)
+    {
+      int64_t position = ((const struct fl_task_target *)step->tasks.items)[index].target;
+      for (guint i = 0; position > 0 && i < cell->targets->len; i++)
+        {
+          const struct fake_target *target = g_ptr_array_index (cell->targets, i);
+          found = found
+                  || (!is_reachable (target)
+                      && had_id_with_hash (target, targets[position - 1].hash));
+        }
+    }
+  fl_job_progress_clear (&progress);
+  return found;
+}
+
+/* The clock of a task stands while the target on which it may be cannot be asked for it. */
+static void
+check_long_running_job (struct cell *cell, const struct fake_job *job)
+{
+  bool room = has_room (cell, job);
+  struct fl_resources team_used;
+
+  for (int i = 0; i < job->tasks_per_step; i++)
+    {
+      struct fl_name name = fl_name_format ("%s.0.0.%d", job->id.data, i);
+      struct fake_task *task = get_task (cell, &name);
+      if (!room || task->last_target == NULL || !is_reachable (task->last_target)
+          || count_task_runs (cell, &name, &team_used, job->team) > 0)
+        task->down_since_ms = cell->now_ms;
+      if (cell->now_ms - task->down_since_ms > DOWN_MAX_MS / 2
+          && is_recorded_on_unreachable (cell, job, i))
+        task->down_since_ms = cell->now_ms - DOWN_MAX_MS / 2;
+      if (cell->now_ms - task->down_since_ms > DOWN_MAX_MS
+          && cell->now_ms - cell->last_fault_ms > CALM_MS)
+        report_violation (cell, "LOST (long-running task is down)", &name);
+    }
+}
+
+static void
+check_long_running_jobs (struct cell *cell)
+{
+  for (guint i = 0; i < cell->jobs->len; i++)
+    {
+      struct fake_job *job = g_ptr_array_index (cell->jobs, i);
+      if (!job->long_running)
+        continue;
+      job->cancelled = cell->now_ms >= cell->options.fault_phase_ms + CELL_LASTING_MS;
+      if (!job->cancelled)
+        check_long_running_job (cell, job);
+    }
+}
+
 static void
 on_cell_timer (struct cell *cell, void *data)
 {
   (void)data;
+  check_long_running_jobs (cell);
   for (guint i = 0; i < cell->targets->len; i++)
     advance_target (cell, g_ptr_array_index (cell->targets, i));
   if (cell->now_ms % 100 == 0 && faults_enabled (cell))
@@ -1270,9 +1447,10 @@
       inject_random_target_faults (cell);
       inject_random_owner_faults (cell);
       cancel_random_job (cell);
-      while ((int)cell->jobs->len < cell->options.job_count
-             && cell->jobs->len * cell->options.fault_phase_ms
-                    <= cell->now_ms * cell->options.job_count)
+      int submitted = (int)cell->jobs->len - cell->options.long_running_job_count;
+      for (; submitted < cell->options.job_count
+             && submitted * cell->options.fault_phase_ms <= cell->now_ms * cell->options.job_count;
+           submitted++)
         submit_job (cell);
     }
   if (cell->now_ms - cell->lease_written_ms > POOL_LEASE_EXPIRY_MS + 200)
@@ -1386,7 +1564,8 @@
 
   /* Nothing starts while a new owner reads the jobs, and the pool may change owners around the end
    * of the fault phase. */
-  int64_t finish_timeout_ms = FINISH_TIMEOUT_MS + 2 * options->jobs_read_ms;
+  int64_t finish_timeout_ms = FINISH_TIMEOUT_MS + 2 * options->jobs_read_ms
+                              + (options->long_running_job_count > 0 ? CELL_LASTING_MS : 0);
 
   cell.random = g_rand_new_with_seed ((guint32)options->seed);
   cell.events = g_sequence_new (g_free);
@@ -1402,6 +1581,8 @@
   configure_cell (&cell);
   for (int i = 0; i < options->target_count; i++)
     g_ptr_array_add (cell.targets, new_target (&cell, i));
+  for (int i = 0; i < options->long_running_job_count; i++)
+    submit_long_running_job (&cell, i);
   acquire_ownership (&cell);
   on_cell_timer (&cell, NULL);
   while (cell.result.violation[0] == '\0'
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -12,11 +12,13 @@
  * during the fault phase only, except target_new_id, store_delay_max_ms and task_failed. */
 struct cell_fault_rates
 {
-  int order_reply_lost;   /* for each order: it is executed but its reply is lost */
-  int order_late;         /* for each order: it is executed 2 to 6 s late and gets no reply */
-  int target_crash;       /* a target loses its state and restarts after 0.5 to 6 s */
-  int target_new_id;      /* for each restart: with another id at the same address */
-  int target_isolated;    /* a target is unreachable for 0.3 to 9 s; its tasks keep running */
+  int order_reply_lost;       /* for each order: it is executed but its reply is lost */
+  int order_late;             /* for each order: it is executed 2 to 6 s late and gets no reply */
+  int target_crash;           /* a target loses its state and restarts after 0.5 to 6 s */
+  int target_new_id;          /* for each restart: with another id at the same address */
+  int target_isolated;        /* a target is unreachable for 0.3 to 9 s, or up to
+                                 target_isolated_max_ms; its tasks keep running */
+  int target_isolated_max_ms; /* no rate; 0 for 9 s */
   int target_drain;       /* a target drains for 2 to 5 s and then restarts like after a crash */
   int owner_killed;       /* the owner is killed; another one takes over when the lease expires */
   int owner_frozen;       /* the owner is suspended for 0.2 to 8 s */
@@ -47,6 +49,7 @@
 };
 
 #define CELL_FAULT_INTERVAL_MS 500
+#define CELL_LASTING_MS 20000
 
 struct cell_fault
 {
@@ -59,10 +62,15 @@
 {
   uint64_t seed;
   int target_count;
-  int job_count;          /* submitted at even intervals during the fault phase */
-  int64_t fault_phase_ms; /* then faults and submissions end, and all jobs must end */
-  int64_t jobs_read_ms;   /* how long a new owner takes to read the jobs */
-  bool advice_required;   /* starts need tickets of the advice service */
+  int job_count;              /* submitted at even intervals during the fault phase */
+  int long_running_job_count; /* submitted at the start in addition, and cancelled
+                                 CELL_LASTING_MS after the fault phase */
+  int64_t fault_phase_ms;     /* then faults and submissions end, and all jobs must end */
+  /* Faults occur only in the first fault_burst_ms of each fault_cycle_ms; 0 for always. */
+  int64_t fault_burst_ms;
+  int64_t fault_cycle_ms;
+  int64_t jobs_read_ms; /* how long a new owner takes to read the jobs */
+  bool advice_required; /* starts need tickets of the advice service */
   struct cell_fault_rates fault_rates;
   const struct cell_fault *scripted_faults;
   size_t scripted_fault_count;
@@ -78,7 +86,9 @@
  *   BUDGET   a task was started again after all its attempts had failed
  *   QUOTA    the runs of a team exceed its CPU limit by over a tenth and one task
  *   MIXED    a job is recorded as completed although a task is not done
- *   LOST     a job did not end, or is recorded as failed or cancelled without cause */
+ *   LOST     a job did not end, or is recorded as failed or cancelled without cause; or a task of a
+ *            long-running job was down for over 9 s, with room for it, and the last 7 s without a
+ *            new fault */
 struct cell_result
 {
   char violation[256]; /* the first violated rule, with time and task; empty if there is none */
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -2,6 +2,7 @@
  *
  *   test_core_cell                            runs the tests
  *   test_core_cell SEED COUNT [TASK]          simulates COUNT seeds from SEED on with mixed faults
+ *   test_core_cell lasting SEED COUNT [TASK]  simulates long-running jobs with bursts of faults
  *   test_core_cell trouble NUMBER SEED TASK   simulates SEED with entry NUMBER of fault_profiles
  *
  * With TASK, the log of lib/core and the events of tasks whose names start with TASK are printed.
@@ -69,6 +70,16 @@
                                                            .job_cancelled = 30,
                                                            .task_failed = 40 };
 
+static const struct cell_fault_rates burst_fault_rates = { .order_reply_lost = 20,
+                                                           .target_crash = 200,
+                                                           .target_new_id = 300,
+                                                           .target_isolated = 200,
+                                                           .target_isolated_max_ms = 20000,
+                                                           .target_drain = 50,
+                                                           .owner_killed = 100,
+                                                           .store_reply_lost = 20,
+                                                           .store_delay_max_ms = 50 };
+
 /* Seeds with mixed faults that once violated a rule, with the cause in lib/core. */
 static const struct
 {
@@ -180,6 +191,59 @@
   assert_int_equal (failed, 0);
 }
 
+static struct cell_result
+simulate_long_running (uint64_t seed, const char *trace_prefix)
+{
+  struct cell_options options = { .seed = seed,
+                                  .target_count = 8,
+                                  .job_count = 20,
+                                  .long_running_job_count = 2,
+                                  .fault_phase_ms = 60000,
+                                  .fault_burst_ms = 1000,
+                                  .fault_cycle_ms = 15000,
+                                  .advice_required = seed % 4 == 0,
+                                  .fault_rates = burst_fault_rates,
+                                  .trace_prefix = trace_prefix };
+
+  return cell_simulate (&options);
+}
+
+/* Bursts of faults, with an owner that is killed and targets that are isolated for up to 20 s:
+ * tasks of long-running jobs run again within 9 s. */
+static void
+test_long_running_jobs (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (uint64_t seed = 1; seed <= 4 * SEED_COUNT; seed++)
+    {
+      struct cell_result result = simulate_long_running (seed, NULL);
+      if (result.violation[0] == '\0')
+        continue;
+      printf ("long-running jobs, seed %d: %s\n", (int)seed, result.violation);
+      failed++;
+    }
+  assert_int_equal (failed, 0);
+}
+
+static int
+simulate_long_running_seeds (uint64_t first_seed, int count, const char *trace_prefix)
+{
+  int failed = 0;
+
+  for (int i = 0; i < count; i++)
+    {
+      struct cell_result result = simulate_long_running (first_seed + (uint64_t)i, trace_prefix);
+      if (result.violation[0] != '\0' || trace_prefix != NULL)
+        printf ("seed=%d owners=%d starts=%d %s\n", (int)(first_seed + i), result.owner_count,
+                (int)result.starts, result.violation);
+      failed += result.violation[0] != '\0' ? 1 : 0;
+    }
+  printf ("%d of %d runs violated a rule\n", failed, count);
+  return failed > 0 ? 1 : 0;
+}
+
 static void
 test_regressions (void **state)
 {
@@ -308,14 +372,17 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_fault_profiles), cmocka_unit_test (test_mixed_faults),
-          cmocka_unit_test (test_slow_reading), cmocka_unit_test (test_regressions),
-          cmocka_unit_test (test_fault_pairs) };
+          cmocka_unit_test (test_slow_reading),   cmocka_unit_test (test_long_running_jobs),
+          cmocka_unit_test (test_regressions),    cmocka_unit_test (test_fault_pairs) };
 
   if (argc == 5 && strcmp (argv[1], "trouble") == 0)
     return simulate_profile (atoi (argv[2]), strtoull (argv[3], NULL, 10), argv[4]);
   if (argc >= 4 && strcmp (argv[1], "slow-reading") == 0)
     return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), SLOW_READING_MS,
                            argc > 4 ? argv[4] : NULL);
+  if (argc >= 4 && strcmp (argv[1], "lasting") == 0)
+    return simulate_long_running_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]),
+                                        argc > 4 ? argv[4] : NULL);
   if (argc >= 3)
     return simulate_seeds (strtoull (argv[1], NULL, 10), atoi (argv[2]), 0,
                            argc > 3 ? argv[3] : NULL);
