Do not block a reconciled job by its own starts while the store is slow

While a record takes over 100 ms, an owner records that tasks of the job may run on any target, and read this as a reason to wait itself: a job whose targets had all reported after a change of owner waited for silent targets of other jobs, until the time at which no order of an earlier owner can be in effect. Once the runs that an earlier owner may have left are known, the job now stays reconciled; successors still read that its tasks may run on any target. test_core: 0 of 2 starts before, 2 now.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -197,6 +197,7 @@
   bool may_run_on_any_target; /* its tasks may run on targets that are not recorded for it */
   bool any_target_recording;  /* the record in flight says that they may */
   bool any_target_recorded;   /* a stored record says that they may */
+  bool is_reconciled;         /* an earlier owner left no runs that this one does not know */
   bool started;               /* a task of it has been started, by this owner or an earlier one */
   bool needs_recording;       /* its progress has changed since the last record */
   bool record_in_flight;
@@ -376,7 +377,7 @@
 
 /* Whether an earlier owner may have started a task of @job on a target that has not reported, as
  * far as the record tells for the job as a whole. */
-bool core_job_is_unreconciled (const struct core_job *job);
+bool core_job_is_unreconciled (struct core_job *job);
 
 /* Whether records tell for each task of @step on which target it may be. A start then waits until
  * such a record is stored. */
--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -178,8 +178,8 @@
              && core_is_unreconciled (job->core));
 }
 
-bool
-core_job_is_unreconciled (const struct core_job *job)
+static bool
+may_have_unknown_runs (const struct core_job *job)
 {
   const struct fl_core *core = job->core;
 
@@ -194,6 +194,14 @@
   return false;
 }
 
+/* What this owner starts later, on any target while the store is slow, is known to it. */
+bool
+core_job_is_unreconciled (struct core_job *job)
+{
+  job->is_reconciled = job->is_reconciled || !may_have_unknown_runs (job);
+  return !job->is_reconciled;
+}
+
 /* --- targets of single tasks --- */
 
 /* Such tasks are few, and start rarely enough for a record before each start. */
@@ -223,7 +231,7 @@
 bool
 core_task_is_unreconciled (const struct core_task *task)
 {
-  const struct core_job *job = task->step->job;
+  struct core_job *job = task->step->job;
   const struct fl_core *core = job->core;
 
   if (task->earlier_run == CORE_EARLIER_RUN_NONE || !earlier_owner_may_have_started (job)
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -753,6 +753,38 @@
   fixture_free (fixture);
 }
 
+/* A job whose targets have all reported waited for a target of other jobs, since a slow store made
+ * its owner record that its tasks may run on any target. */
+static void
+test_reconciled_job_is_not_blocked_by_slow_store (void **state)
+{
+  struct fixture *fixture = fixture_new_unreconciled (0, 200000);
+  struct fl_name targets[] = { fl_name_of ("t1"), fl_name_of ("t2") };
+  struct fl_job_target row = { fl_job_target_hash (&targets[0]) };
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &row } };
+  struct fl_step_spec step = { .count = 1, .cpu_milli = 1000, .label = fl_name_of ("t3") };
+  struct fl_core_record records[4];
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (targets); i++)
+    fl_core_inherit_target (fixture->core, &targets[i], &targets[i]);
+  fl_core_set_jobs_known (fixture->core);
+  add_target (fixture, "t1", 4, false);
+  add_target (fixture, "t3", 4, false);
+  add_recorded_job (fixture, "a", "urgent", step, &progress);
+  fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+  assert_int_equal (fl_core_collect_records (fixture->core, records, 4), 1);
+  fl_str_clear (&records[0].progress);
+  fixture->now_ms += 300;
+  add_recorded_job (fixture, "b", "urgent", step, &progress);
+  fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+  fl_core_finish_records (fixture->core, true, fixture->now_ms);
+  tick_until_recorded (fixture, 50);
+  tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->start_orders->len, 2);
+  fixture_free (fixture);
+}
+
 /* Records the list of targets. @return the number of targets in it. */
 static guint
 record_target_list (struct fixture *fixture)
@@ -1094,6 +1126,7 @@
     cmocka_unit_test (test_no_query_while_recording),
     cmocka_unit_test (test_target_listed_until_ends_are_recorded),
     cmocka_unit_test (test_unrecorded_job_stays_unreconciled),
+    cmocka_unit_test (test_reconciled_job_is_not_blocked_by_slow_store),
     cmocka_unit_test (test_stalled_task),
     cmocka_unit_test (test_late_jobs_start_last),
     cmocka_unit_test (test_target_capacity),
