Soak: cut replies to chosen transactions, on several hosts at once

A reset in the middle of a request hit mostly the owner's writes, and the store was reachable again before the request's time was up, so that hardly any submission was rejected. The reply that is cut now belongs to a job, the owner's row or any transaction, and the refusal that follows lasts up to 6 s, in most cases for several hosts from the same moment on.

--- a/scripts/faultproxy.py
+++ b/scripts/faultproxy.py
@@ -48,7 +48,7 @@
                     NARROW_READ_SIZE if self.proxy.bytes_per_s else READ_SIZE):
                 if self.is_request and data.startswith((b"POST ", b"GET ")):
                     self.request_count += 1
-                    self.last_request = data[:64]
+                    self.last_request = data
                 await self.delay(data)
                 if self.should_drop():
                     self.is_silenced = True
@@ -153,9 +153,9 @@
             self.reset_open_connections()
 
     def cut_replies(self, marker, next_mode="ok", all_connections=False):
-        """Loses the next reply to a request whose first line contains marker, on a connection that
-        was used before: the request has been executed, the connection is reset before the first
-        byte of the reply. The mode becomes next_mode at the same moment; with all_connections, the
+        """Loses the next reply to a request that contains marker in its first block, on a
+        connection that was used before: the request has been executed, the connection is reset
+        before the first byte of the reply. The mode becomes next_mode at the same moment; with all_connections, the
         other open connections are reset as well."""
         self.cut_next_mode, self.cut_all_connections = next_mode, all_connections
         self.cut_marker = marker
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,6 +2,7 @@
 """Soak test: the real programs under random faults, one after another and overlapping.
 
     tests/soak.py [--seed N] [--count N] [--seconds S] [--hosts N] [--targets N] [--clients N]
+                  [--phase NAME]
 
 Runs --count seeds from --seed on. During and after each run it checks, by what targets and clients
 see: no task runs on two targets at once or starts again after its completion was acknowledged; no
@@ -53,6 +54,8 @@
 LATE_START_S = 8
 # Delays of the way to the store, each of which lasts a whole run.
 STORE_DELAYS_S = [0, 0.02, 0.06, 0.13]
+# The hosts retry store calls for as long as this, the timeoutMs of the routes.
+REQUEST_TIMEOUT_S = 3
 # Numbers of hosts, unless the command line gives one.
 HOST_COUNTS = [1, 2, 3, 4, 4, 6]
 
@@ -246,14 +249,26 @@
             time.sleep(duration_s)
 
     def cut_store_replies(self, duration_s):
-        """Resets connections to the store in the middle of a transaction."""
+        """Resets a connection to the store in the middle of a transaction. The store remains
+        unreachable after that, for this host or for several at the same moment."""
         hosts = self.some_hosts()
+        marker = self.random.choice([b'"jobs"', b'"jobs"', b'"owner"', b"POST /rows-tx"])
+        next_mode = self.random.choice(["ok", "refuse", "refuse", "503", "429"])
+        are_all_cut = self.random.random() < 0.7
         with self.proxies("cut_replies", hosts):
-            for host in hosts:
-                host.store_proxy.cut_replies(
-                    b"POST /rows-tx", self.random.choice(["ok", "refuse", "refuse", "503", "429"]),
-                    self.random.random() < 0.7)
-            time.sleep(duration_s)
+            proxies = [host.store_proxy for host in hosts]
+            lost = sum(proxy.lost_reply_count for proxy in proxies)
+            for proxy in proxies:
+                proxy.cut_replies(marker, next_mode, self.random.random() < 0.7)
+            deadline = time.monotonic() + duration_s
+            while time.monotonic() < deadline and lost == sum(
+                    proxy.lost_reply_count for proxy in proxies):
+                time.sleep(0.005)
+            for proxy in proxies if are_all_cut else []:
+                proxy.set(next_mode)
+                proxy.reset_open_connections()
+            # Longer than a request may take in half of the cases, so that rejections get through.
+            time.sleep(self.random.uniform(0.2, 2 * REQUEST_TIMEOUT_S))
 
     def reset_store_connections(self, duration_s):
         with self.logged("reset", *(host.name for host in self.cell.hosts)):
@@ -352,13 +367,14 @@
                limit_bandwidth, cut_store_replies, cut_store_replies, cut_store_replies,
                reset_store_connections, silence_store_connections, disrupt_store,
                lose_store_replies, disrupt_target_proxies]
+    RESETS = [cut_store_replies, cut_store_replies, disrupt_target_proxies]
     OWNER = [owner_and_targets, owner_and_targets, pause_owner, cut_or_crash]
     ALL = PLANNED_WORK + NETWORK + OWNER + [
         kill_process, kill_owner, pause_process, pause_owner, pause_in_bursts, kill_all_processes,
         kill_during_restart, kill_during_restart, restart_during_store_outage, cut_or_crash]
     # Kind of a phase, its faults, the number of threads that inject them.
     PHASES = [("planned work", PLANNED_WORK, 1), ("planned work", PLANNED_WORK, 2),
-              ("network", NETWORK, 2), ("owner", OWNER, 1), ("all", ALL, 2), ("all", ALL, 3)]
+              ("network", NETWORK, 2), ("owner", OWNER, 1), ("resets", RESETS, 1), ("all", ALL, 2), ("all", ALL, 3)]
 
     def inject(self, kinds, deadline):
         """Injects random faults one after another; runs in several threads at once."""
@@ -488,7 +504,8 @@
 
     def play_phase(self, number):
         """Injects the faults of one phase, then leaves the cell calm."""
-        name, kinds, thread_count = self.random.choice(Faults.PHASES)
+        name, kinds, thread_count = self.random.choice(
+            [phase for phase in Faults.PHASES if self.options.phase in (None, phase[0])])
         self.played_faults.append("[%s]" % name)
         deadline = time.monotonic() + self.random.uniform(3, 9)
         threads = [threading.Thread(target=Faults(self, "%d phase %d thread %d" % (
@@ -545,13 +562,14 @@
         attempts = [attempt for client in self.clients for attempt in client.attempts]
         statuses = collections.Counter(attempt.status for attempt in attempts)
         print("[%s] soak seed=%d hosts=%d jobs=%d accepted=%d refused=%d requests=%d (%s) cut=%d "
-              "faults=%d %s" % (
+              "lost_replies=%d faults=%d %s" % (
             "  FAILED  " if self.problems else "       OK ", self.seed, len(self.cell.hosts),
             len(entries),
             sum(entry["accepted"] for entry in entries),
             sum(bool(entry["attempts"]) and all(status in checks.REJECTIONS for _, status
                                                 in entry["attempts"]) for entry in entries),
             len(attempts), " ".join("%d:%d" % item for item in sorted(statuses.items())), sum(attempt.is_cut for attempt in attempts),
+            sum(host.store_proxy.lost_reply_count for host in self.cell.hosts),
             sum(not fault.startswith("[") for fault in self.played_faults),
             "; ".join("%s: %d" % (kind, len(found)) for kind, found in self.problems.items())
             or "held"), flush=True)
@@ -579,6 +597,7 @@
     parser.add_argument("--seconds", type=float, default=36,
                         help="no phase begins later; default: %(default)s")
     parser.add_argument("--hosts", type=int, help="default: depends on the seed")
+    parser.add_argument("--phase", help="play only phases of this kind, such as network")
     parser.add_argument("--targets", type=int, default=12)
     parser.add_argument("--clients", type=int, default=20)
     parser.add_argument("--think-s", type=float, default=0.06,
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -17,6 +17,7 @@
  * returns. "cut" makes it unreachable for "ms" while its runs continue; requests that were held up
  * are executed when the cut ends, unless it lasts longer than their senders wait. "drain" registers
  * it as draining until its next crash, and "address" registers it with another port. */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -231,6 +232,30 @@
     fleet->lasting_cpu = MAX (fleet->lasting_cpu, cpu_milli);
 }
 
+static void
+count_violation (int64_t *counter,
+                 const char *name,
+                 const struct target *target,
+                 const struct fl_start_order *order)
+{
+  (*counter)++;
+  fprintf (stderr,
+           "time=%" PRId64 " violation=%s target=%s task=%s run=%" PRId64 " token=%" PRId64 "\n",
+           fl_clock_wall_ms (), name, target->id.data, order->task.data, order->run,
+           order->fencing_token);
+  for (guint i = 0; i < target->fleet->targets->len; i++)
+    {
+      const struct target *other = g_ptr_array_index (target->fleet->targets, i);
+      for (guint j = 0; j < other->state.runs->len; j++)
+        {
+          const struct target_run *run = &g_array_index (other->state.runs, struct target_run, j);
+          if (fl_name_eq (&run->task, &order->task))
+            fprintf (stderr, "  runs at %s as run %" PRId64 " for %" PRId64 " ms\n", other->id.data,
+                     run->run, now_ms () - run->started_ms);
+        }
+    }
+}
+
 static void
 on_run_start (void *context, const struct fl_start_order *order)
 {
@@ -240,11 +265,11 @@
 
   fleet->start_count++;
   if (is_running_anywhere (fleet, &order->task))
-    fleet->duplicate_runs++;
+    count_violation (&fleet->duplicate_runs, "in_two_places", target, order);
   if (g_hash_table_contains (fleet->acknowledged_done, &order->task))
-    fleet->restarts_after_done++;
+    count_violation (&fleet->restarts_after_done, "begun_again", target, order);
   if (get_used_cpu (target) + cpu > fleet->cpu_milli)
-    fleet->starts_over_capacity++;
+    count_violation (&fleet->starts_over_capacity, "over_capacity", target, order);
   record_start (fleet, order, cpu);
 }
 
