A run in the next boot of its target keeps the longest lease

The deadline by the clock of the earlier boot was far ahead there, so the target granted the longest lease. This was expected until the run was listed; from then on the lease of the earlier boot counted, and the run was taken for ended while it ran. Now the first report of a new boot extends the expected end of the leases by those of the starts that may have reached it.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -339,6 +339,10 @@
 /* Treats the runs of @target as lost that were in the boot that had its address and has ended. */
 void core_target_lose_ended_runs (struct core_target *target);
 
+/* Extends the expected end of the leases on @target, which has a new boot: starts that were ordered
+ * before this was known may have been granted the longest lease. */
+void core_target_extend_leases_of_new_boot (struct core_target *target);
+
 /* Treats the runs of @target as lost whose lease has certainly expired. */
 void core_target_expire_runs (struct core_target *target, int64_t now_ms);
 
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -326,6 +326,7 @@
 {
   if (target->reported && target->booted_at_ms == report->booted_at_ms)
     return;
+  core_target_extend_leases_of_new_boot (target);
   target->booted_at_ms = report->booted_at_ms;
   target->last_applied_end = 0;
   target->last_recording_end = 0;
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -264,18 +264,37 @@
     }
 }
 
-/* The time by which the lease of @run has certainly expired. A run that was never listed may be in
- * a boot that began after the last reply. There, a deadline by the clock of the previous boot may
- * be far ahead, so that the target grants the longest lease. */
+/* The time by which a lease that the start of @run gave has certainly expired, in whatever boot it
+ * arrived. In a boot that began after the last reply, a deadline by the clock of the previous boot
+ * may be far ahead, so that the target grants the longest lease. */
 static int64_t
-lease_expiry_ms (const struct core_run *run)
+longest_lease_expiry_ms (const struct core_run *run)
 {
   const struct fl_core *core = run->task->step->job->core;
-  int64_t longest_ms
-      = core->options.target_lease_max_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS;
 
+  return run->started_at_ms + core->options.target_lease_max_ms * CORE_EXPIRY_PERCENT / 100
+         + CORE_EXPIRY_MARGIN_MS;
+}
+
+void
+core_target_extend_leases_of_new_boot (struct core_target *target)
+{
+  for (guint i = 0; i < target->runs->len; i++)
+    {
+      const struct core_run *run = g_ptr_array_index (target->runs, i);
+      if (run->started_at_ms > 0 && !run->ever_listed)
+        target->lease_expires_at_ms
+            = MAX (target->lease_expires_at_ms, longest_lease_expiry_ms (run));
+    }
+}
+
+/* The time by which the lease of @run has certainly expired. The boot of a run that was never
+ * listed is not known. */
+static int64_t
+lease_expiry_ms (const struct core_run *run)
+{
   return run->ever_listed ? run->target->lease_expires_at_ms
-                          : MAX (run->target->lease_expires_at_ms, run->started_at_ms + longest_ms);
+                          : MAX (run->target->lease_expires_at_ms, longest_lease_expiry_ms (run));
 }
 
 void
--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -8,11 +8,15 @@
 #include <glib.h>
 
 #include "core/core.h"
+#include "support_core.h"
 
 #define START_MS 100000
 
 static void
-deliver_report (struct fl_core *core, const struct fl_name *id, int64_t sent_ms, int64_t now_ms)
+deliver_late_report (struct fl_core *core,
+                     const struct fl_name *id,
+                     int64_t sent_ms,
+                     int64_t now_ms)
 {
   struct fl_target_report report = { .booted_at_ms = 1, .clock_ms = now_ms };
   struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &report };
@@ -53,13 +57,13 @@
       fl_core_set_registry_known (core);
       fl_core_set_jobs_known (core);
       assert_true (fl_core_prepare_heartbeat (core, &entry.id, now_ms, &order));
-      deliver_report (core, &entry.id, now_ms, now_ms + 5);
+      deliver_late_report (core, &entry.id, now_ms, now_ms + 5);
       now_ms += 5;
       assert_true (fl_core_prepare_heartbeat (core, &entry.id, now_ms, &order));
       assert_true (order.deadline_ms > 0);
       int64_t sent_ms = now_ms;
       now_ms += order.wait_ms + cases[i].age_ms;
-      deliver_report (core, &entry.id, sent_ms, now_ms);
+      deliver_late_report (core, &entry.id, sent_ms, now_ms);
       assert_true (fl_core_prepare_heartbeat (core, &entry.id, now_ms, &order));
       if ((order.deadline_ms > 0) != cases[i].knows_boot)
         fail_msg ("%s: the next heartbeat has the deadline %d", cases[i].name,
@@ -68,11 +72,54 @@
     }
 }
 
+/* A start reached the next boot of its target, which granted it the longest lease, since the
+ * deadline was far ahead of the new boot's clock. The run counted as ended before this lease had.
+ */
+static void
+test_run_in_a_new_boot_keeps_the_longest_lease (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t booted_at_ms; /* as reported after the start; 1 before it */
+    bool may_have_ended;  /* 3 s after the start, without a report since */
+  } cases[] = {
+    { "same boot", 1, true },
+    { "next boot", 2, false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_run_row run = { .run = 1 };
+      add_target (fixture, "t1", 4, false);
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+      fixture->now_ms += 3000;
+      add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      tick_until_recorded (fixture, 0);
+      confirm_start (fixture, 0);
+      run.task = get_start_order (fixture, 0)->task;
+      run.run = get_start_order (fixture, 0)->run;
+      fixture->now_ms += 10;
+      deliver_report (fixture, "t1",
+                      (struct fl_target_report){
+                          .booted_at_ms = cases[i].booted_at_ms, .runs = &run, .run_count = 1 });
+      tick_until_recorded (fixture, 3000);
+      if ((fixture->start_orders->len > 1) != cases[i].may_have_ended)
+        fail_msg ("%s: %u starts", cases[i].name, fixture->start_orders->len);
+      tick_until_recorded (fixture, 3500);
+      assert_int_equal (fixture->start_orders->len, 2);
+      fixture_free (fixture);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_reply_from_before_a_suspension_does_not_tell_the_boot) };
+      = { cmocka_unit_test (test_reply_from_before_a_suspension_does_not_tell_the_boot),
+          cmocka_unit_test (test_run_in_a_new_boot_keeps_the_longest_lease) };
 
   return cmocka_run_group_tests_name ("heartbeats", tests, NULL, NULL);
 }
