--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -306,6 +306,40 @@
   fl_str_clear (&earlier);
 }
 
+/* Bytes that the targets of the tasks of a step add to a record. */
+static const struct
+{
+  int64_t tasks;
+  int64_t targets; /* on which they are */
+  size_t bytes_max;
+} task_targets_sizes[] = {
+  { 40, 8, 100 },
+  { FL_STEP_TASKS_MAX, 300, 7000 },
+};
+
+static void
+test_size_of_task_targets (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (task_targets_sizes); i++)
+    {
+      int64_t count = task_targets_sizes[i].tasks;
+      struct fl_task_target *tasks = g_new0 (struct fl_task_target, (gsize)count);
+      struct fl_step_targets step = { 0, 0, { (size_t)count, tasks } };
+      struct fl_job_progress progress = { .state = FL_JOB_RUNNING };
+      struct fl_str without = fl_job_progress_encode (&progress);
+      for (int64_t j = 0; j < count; j++)
+        tasks[j].target = 1 + j % task_targets_sizes[i].targets;
+      progress.task_targets = (struct fl_task_targets){ 7, { 1, &step } };
+      struct fl_str with = fl_job_progress_encode (&progress);
+      printf ("  %d tasks: %d bytes\n", (int)count, (int)(with.len - without.len));
+      assert_true (with.len - without.len <= task_targets_sizes[i].bytes_max);
+      fl_str_clear (&with);
+      fl_str_clear (&without);
+      g_free (tasks);
+    }
+}
+
 /* A new version reads what an earlier one has stored. */
 static void
 test_json_progress_record (void **state)
@@ -405,6 +439,7 @@
     cmocka_unit_test (test_job_decode),
     cmocka_unit_test (test_record_round_trip),
     cmocka_unit_test (test_task_targets_are_optional),
+    cmocka_unit_test (test_size_of_task_targets),
     cmocka_unit_test (test_json_progress_record),
     cmocka_unit_test (test_corrupted_records),
     cmocka_unit_test (test_job_partition),
