A run that was listed before its start was confirmed can become absent

Callers saw tasks that nothing ran, without an end and without a restart (LOST), on targets that replied. A start got no reply, its run was listed later and counted as accepted, and the target restarted under its id. The run was then neither listed nor ended, but it was never released as absent, since only a reply to the start set the time of its confirmation; and the heartbeats went on renewing the lease that would have expired. Being listed confirms a run now.

--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -296,7 +296,10 @@
   run->progress_percent = row->progress_percent;
   run->gauge = row->gauge;
   if (run->state == CORE_RUN_STARTING && !run->order_in_flight)
-    core_run_set_state (run, CORE_RUN_ACCEPTED);
+    {
+      run->confirmed_at_ms = core->now_ms;
+      core_run_set_state (run, CORE_RUN_ACCEPTED);
+    }
   update_checkpoint (task, &row->checkpoint);
 }
 
