A report without room for all ends does not reconcile its target

A successor started a task again whose end was beyond the 500 that a report holds: the run was neither listed as running nor as ended and counted as absent. Class: what is not known counts as absent. A full report leaves its target unreconciled and releases no run; the next one follows once its ends are acknowledged.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -313,8 +313,8 @@
 void
 core_target_remove_if_unused (struct fl_core *core, struct core_target *target)
 {
-  bool reconciled
-      = !target->inherited || target->reported || core->now_ms >= core->options.reconciled_at_ms;
+  bool reconciled = !target->inherited || target->reported_fully
+                    || core->now_ms >= core->options.reconciled_at_ms;
 
   if (target->registered || target->runs->len > 0 || !reconciled
       || core_target_has_unrecorded_ends (target))
@@ -370,7 +370,7 @@
 void
 core_target_update_reconciled (struct core_target *target)
 {
-  set_unreconciled (target, target->inherited && !target->reported);
+  set_unreconciled (target, target->inherited && !target->reported_fully);
 }
 
 bool
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -39,6 +39,7 @@
   bool record_in_flight;         /* a write of the list of targets with it is in flight */
   bool inherited;                /* an earlier owner may have used it */
   bool reported;                 /* it has listed its runs to this owner */
+  bool reported_fully;           /* one of its replies had room for all its ends, too */
   bool silent;                   /* it did not reply to the last heartbeat */
   int missed_heartbeats;         /* consecutive */
   int64_t booted_at_ms;          /* identifies its boot */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -306,8 +306,14 @@
 /* Releases runs that the target confirmed before the heartbeat was sent, but that its reply lists
  * neither as running nor as ended. */
 static void
-release_absent_runs (struct fl_core *core, struct core_target *target, int64_t sent_ms)
+release_absent_runs (struct fl_core *core,
+                     struct core_target *target,
+                     const struct fl_target_report *report,
+                     int64_t sent_ms)
 {
+  /* Their ends may be among those that the reply has no room for. */
+  if (report->end_count >= FL_REPORT_ENDS_MAX)
+    return;
   for (guint i = target->runs->len; i > 0; i--)
     {
       struct core_run *run = g_ptr_array_index (target->runs, i - 1);
@@ -346,7 +352,7 @@
 {
   core_target_lose_runs (target, "address_taken_over");
   target->inherited = false;
-  target->reported = false;
+  target->reported = target->reported_fully = false;
   core_target_update_reconciled (target);
   fl_stats_add (core->options.stats, "targets_taken_over_total", 1);
 }
@@ -421,6 +427,7 @@
     }
   update_boot (target, report);
   target->reported = true;
+  target->reported_fully = target->reported_fully || report->end_count < FL_REPORT_ENDS_MAX;
   core_target_update_reconciled (target);
   target->clock_ms = report->clock_ms;
   target->clock_at_ms = now_ms;
@@ -430,7 +437,7 @@
   apply_ends (core, target, report);
   for (size_t i = 0; i < report->run_count; i++)
     apply_run (core, target, &report->runs[i], sent_ms);
-  release_absent_runs (core, target, sent_ms);
+  release_absent_runs (core, target, report, sent_ms);
   core_check_progress (target);
   core_throttle_target (target);
 }
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -116,6 +116,9 @@
   struct fl_str checkpoint;
 };
 
+/* Ends that a report has room for; the others follow once these are acknowledged. */
+#define FL_REPORT_ENDS_MAX 500
+
 /* Valid during the callback only. */
 struct fl_target_report
 {
