--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -311,6 +311,11 @@
         host = self.random.choice(self.cell.hosts)
         return host.url(host.front_port) + prefix + job
 
+    def snapshot(self):
+        """Returns a copy of jobs, whose entries are shared."""
+        with self.lock:
+            return dict(self.jobs)
+
     def new_job(self, body):
         """Returns the id of a new entry for a job. body is a value that job() returned."""
         with self.lock:
