A server that is freed reads requests until they are complete

Callers got no answer to a request of 100 KB that had arrived when flamingo-frontd ended, if the process had been too busy or suspended to read it (LOST). Cause: two rounds of reading, and further ones only for requests that were already complete. Now reading goes on, within the same 100 ms, while a connection has a request that is not complete.

Evidence: test_http_unread, before: the cases of 100 and 250 KB got no response; now all cases do.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -405,6 +405,15 @@
   close (listener);
 }
 
+static bool
+has_unfinished_requests (const struct fl_http_server *server)
+{
+  for (const struct connection *c = server->connections; c != NULL; c = c->next)
+    if (c->uploading)
+      return true;
+  return server->unsent_responses > 0;
+}
+
 /* Lets libmicrohttpd read what has arrived, and send the responses. */
 static void
 flush_responses (struct fl_http_server *server)
@@ -416,9 +425,12 @@
   MHD_run (server->daemon);
   /* Resumed connections are not signalled by the epoll descriptor, so do not wait for it first. */
   MHD_run (server->daemon);
-  while (server->unsent_responses > 0 && now_ms () < until_ms)
+  while (has_unfinished_requests (server) && now_ms () < until_ms)
     {
-      poll (&epoll, 1, (int)(until_ms - now_ms ()));
+      MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+      /* A timeout of 0 says that data which has been read waits to be processed. */
+      if (MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES || wait_ms > 0)
+        poll (&epoll, 1, (int)(until_ms - now_ms ()));
       MHD_run (server->daemon);
     }
 }
