A stop releases the pool that an acquisition in flight acquires

Callers saw work wait after a host was stopped: its acquisition had been sent, the reply was ignored, and the pool belonged to a process that had ended until the lease expired, and longer for silent targets. A stopping host now waits for the reply, at most the timeout of the call, and releases what it has acquired.

Evidence: test_acquisition_at_stop, before: the release was done at once and wrote nothing; now the acquired pool is released.

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -110,12 +110,13 @@
   struct fl_ownership_options options;
   struct fl_name incarnation; /* unique to this process */
   enum ownership_state state;
-  int64_t next_call_ms; /* when the next call is due */
-  int calls_in_flight;  /* calls of a standby that wait for a reply */
-  int64_t last_call;    /* number of the last call of a standby */
-  int64_t last_read;    /* number of the newest read that succeeded */
-  int64_t period;       /* number of changes to owner and back; older calls of a standby are void */
-  int64_t token;        /* of the last acquisition that was sent */
+  int64_t next_call_ms;     /* when the next call is due */
+  int calls_in_flight;      /* calls of a standby that wait for a reply */
+  int64_t last_call;        /* number of the last call of a standby */
+  int64_t last_read;        /* number of the newest read that succeeded */
+  int64_t last_acquisition; /* number of the newest acquisition */
+  int64_t period; /* number of changes to owner and back; older calls of a standby are void */
+  int64_t token;  /* of the last acquisition that was sent */
   struct attempt attempt;
   int64_t pool_version; /* version of the pool row while this host is owner or confirming */
   int64_t authority_until_ms;
@@ -129,6 +130,7 @@
   int64_t last_read_ms;             /* last successful read */
   int failed_reads;                 /* since then */
   int64_t lease_seen_renewed_ms;    /* last read that showed a change of the lease; 0 for none */
+  bool acquisition_in_flight;       /* the newest one has no reply yet */
   bool release_repeated;
   void (*release_done) (void *context);
   void *release_done_context;
@@ -152,6 +154,7 @@
   int64_t sent_ms;
 };
 
+static void on_release_reply (void *context, const struct fl_store_reply *reply);
 static void read_ownership (struct fl_ownership *ownership);
 static void renew_lease (struct fl_ownership *ownership);
 
@@ -398,13 +401,37 @@
     schedule_call (ownership, reply->status == FL_STORE_UNKNOWN ? 0 : STANDBY_RETRY_MS);
 }
 
+/* Ends a release that waited for the reply to an acquisition. */
+static void
+release_acquired (struct fl_ownership *ownership,
+                  const struct standby_call *call,
+                  const struct fl_store_reply *reply)
+{
+  if (call->number != ownership->last_acquisition)
+    return;
+  if (reply->status != FL_STORE_OK)
+    {
+      ownership->release_done (ownership->release_done_context);
+      return;
+    }
+  ownership->pool_version = reply->version;
+  write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
+}
+
 static void
 on_acquire_reply (void *context, const struct fl_store_reply *reply)
 {
   g_autofree struct standby_call *call = context;
   struct fl_ownership *ownership = call->ownership;
 
-  if (call->period != ownership->period || ownership->state == RELEASED)
+  if (call->number == ownership->last_acquisition)
+    ownership->acquisition_in_flight = false;
+  if (ownership->state == RELEASED)
+    {
+      release_acquired (ownership, call, reply);
+      return;
+    }
+  if (call->period != ownership->period)
     return;
   ownership->calls_in_flight--;
   if (call->token != ownership->token)
@@ -457,8 +484,10 @@
   ownership->attempt
       = (struct attempt){ row.token, ownership->seen_owner.holder, previous_owner_may_be_active,
                           get_heartbeats_end_ms (ownership, previous_owner_may_be_active) };
-  store->transact (store->context, &transaction, RENEWAL_TIMEOUT_MS, on_acquire_reply,
-                   standby_call_new (ownership));
+  struct standby_call *call = standby_call_new (ownership);
+  ownership->acquisition_in_flight = true;
+  ownership->last_acquisition = call->number;
+  store->transact (store->context, &transaction, RENEWAL_TIMEOUT_MS, on_acquire_reply, call);
   fl_str_clear (&owner);
   fl_str_clear (&lease);
 }
@@ -647,7 +676,7 @@
   ownership->authority_until_ms = 0;
   if (owned)
     write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
-  else
+  else if (!ownership->acquisition_in_flight)
     done (context);
 }
 
