--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -131,6 +131,7 @@
   int failed_reads;                 /* since then */
   int64_t lease_seen_renewed_ms;    /* last read that showed a change of the lease; 0 for none */
   bool acquisition_in_flight;       /* the newest one has no reply yet */
+  bool release_awaits_acquisition;
   bool release_repeated;
   void (*release_done) (void *context);
   void *release_done_context;
@@ -407,8 +408,9 @@
                   const struct standby_call *call,
                   const struct fl_store_reply *reply)
 {
-  if (call->number != ownership->last_acquisition)
+  if (!ownership->release_awaits_acquisition || call->number != ownership->last_acquisition)
     return;
+  ownership->release_awaits_acquisition = false;
   if (reply->status != FL_STORE_OK)
     {
       ownership->release_done (ownership->release_done_context);
@@ -676,7 +678,9 @@
   ownership->authority_until_ms = 0;
   if (owned)
     write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
-  else if (!ownership->acquisition_in_flight)
+  else if (ownership->acquisition_in_flight)
+    ownership->release_awaits_acquisition = true;
+  else
     done (context);
 }
 
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -51,8 +51,9 @@
 /* Records that a target has seen a higher fencing token: another host has acquired the pool. */
 void fl_ownership_mark_superseded (struct fl_ownership *ownership);
 
-/* Releases the pool and stops competing for it. Calls @done when the store has replied or the call
- * has timed out; at once when this host does not own the pool. */
+/* Releases the pool and stops competing for it; if an acquisition is in flight, releases what it
+ * acquires. Calls @done when the store has replied or the call has timed out; at once when this
+ * host neither owns nor acquires the pool. */
 void
 fl_ownership_release (struct fl_ownership *ownership, void (*done) (void *context), void *context);
 
