A stopping flamingo-poold reads what arrived while it was suspended

The owner of the pool waited for timeouts of orders, and their runs became inconclusive, when a peer was suspended while it stopped: the 100 ms for orders on their way had passed when the peer continued, and it ended without reading them. This also is how test_pool_stop can fail on a busy machine. Now a tick that comes late postpones the end by one tick, up to 2 s after the stop.

--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -21,6 +21,10 @@
 /* A stopping process goes on rejecting orders for this long: the owner learns from the replies that
  * it stops, and orders that were on their way have arrived. Covers two transfers between hosts. */
 #define STOP_NOTICE_MS 100
+/* Orders that arrived longer ago have timed out at the owner. */
+#define STOP_MAX_MS 2000
+/* A longer time between two ticks tells that the process was suspended. */
+#define SUSPENSION_MIN_MS (3 * TICK_INTERVAL_MAX_MS / 2)
 /* Longest wait of a stopping process for orders of peers in flight: their timeout at the target
  * (700 ms for a stop), and the time to return the result. */
 #define STOP_ORDERS_MAX_MS 800
@@ -180,13 +184,19 @@
   ev_timer_start (loop, &poold->early_tick_timer);
 }
 
-/* Ends the process once the pool is released and orders of peers have their results. */
+/* Ends the process once the pool is released and orders of peers have their results. Called at each
+ * tick; after a suspension, what has arrived meanwhile is read first. */
 static void
 end_if_drained (struct fl_poold *poold)
 {
-  int64_t stopping_ms = fl_clock_boot_ms () - poold->stop_started_ms;
+  int64_t now_ms = fl_clock_boot_ms ();
+  int64_t stopping_ms = now_ms - poold->stop_started_ms;
 
+  if (now_ms - poold->last_drain_check_ms > SUSPENSION_MIN_MS)
+    poold->resumed_ms = now_ms;
+  poold->last_drain_check_ms = now_ms;
   if (poold->stopping && poold->released && stopping_ms >= STOP_NOTICE_MS
+      && (now_ms - poold->resumed_ms >= TICK_INTERVAL_MAX_MS || stopping_ms >= STOP_MAX_MS)
       && (fl_forwarder_open_peer_orders (poold->forwarder) == 0
           || stopping_ms >= STOP_ORDERS_MAX_MS))
     ev_break (poold->host->loop, EVBREAK_ALL);
@@ -198,7 +208,6 @@
   struct fl_poold *poold = context;
 
   poold->released = true;
-  end_if_drained (poold);
 }
 
 static void
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -62,8 +62,10 @@
   ev_timer early_tick_timer; /* the next tick, when the last one was too recent */
   int64_t last_tick_ms;
   ev_prepare prepare_watcher;
-  bool tick_requested; /* tick as soon as TICK_INTERVAL_MIN_MS allows */
-  bool announced;      /* the store has this host's row */
+  int64_t last_drain_check_ms; /* last tick by a timer */
+  int64_t resumed_ms;          /* last tick before which the process was suspended */
+  bool tick_requested;         /* tick as soon as TICK_INTERVAL_MIN_MS allows */
+  bool announced;              /* the store has this host's row */
   bool announce_in_flight;
   int64_t announce_sent_ms; /* when the row was last sent; 0 for never */
   bool stopping;
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -31,6 +31,9 @@
 /* A heartbeat with this wait times out on the owner after 2.4 s. */
 #define HEARTBEAT_WAIT_MS 2000
 #define TARGET_DELAY_S 0.16
+/* Longer than a stopping process waits for orders that are on their way, and shorter than the
+ * timeouts of orders. */
+#define SUSPENSION_S 0.12
 /* A start that its target has not replied to for 200 ms has no reply, with or without a stop. */
 #define TARGET_REPLY_MAX_MS 190
 /* An advice query with this expected duration times out later than the test ends. */
@@ -467,6 +470,54 @@
   assert_int_equal (failures, 0);
 }
 
+/* The process is suspended after SIGTERM, and an order arrives meanwhile: the time that the order
+ * needed to arrive had passed when the process continued, and it ended without reading the order.
+ */
+static void
+test_order_during_a_suspension_while_stopping (void **state)
+{
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int port = test_free_port ();
+      int pid = fork ();
+      struct owner owner;
+      int code;
+
+      if (pid == 0)
+        {
+          struct fl_name no_advice = fl_name_of ("");
+          _exit (serve_pool (port, &no_advice));
+        }
+      owner_init (&owner, port);
+      order_until_forwarded (&owner, cases[i].order);
+      while (owner.in_flight > 0 && !cases[i].may_be_cut)
+        support_run_loop_for (owner.loop, STEP_S);
+      kill (pid, SIGTERM);
+      support_run_loop_for (owner.loop, STEP_S);
+      kill (pid, SIGSTOP);
+      cases[i].order (&owner);
+      support_run_loop_for (owner.loop, SUSPENSION_S);
+      kill (pid, SIGCONT);
+      for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
+        support_run_loop_for (owner.loop, STEP_S);
+      code = test_wait_for_exit (pid);
+      for (int s = 0; s < STEPS_BEFORE_STOP; s++)
+        support_run_loop_for (owner.loop, STEP_S);
+      if ((owner.no_reply <= owner.target.late_replies || cases[i].may_be_cut)
+          && owner.in_flight == 0 && code == 0)
+        continue;
+      print_error ("%s: done %d, not sent %d, no reply %d (late at the target: %d), in flight %d, "
+                   "exit code %d\n",
+                   cases[i].name, owner.done, owner.not_sent, owner.no_reply,
+                   owner.target.late_replies, owner.in_flight, code);
+      failures++;
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* A query that the service has not replied to when the process stops ends at once, although its
  * timeout is far away, so that the owner asks through another host. */
 static void
@@ -504,8 +555,10 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_forwarded_orders_while_stopping),
-                                      cmocka_unit_test (test_advice_query_while_stopping) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_order_during_a_suspension_while_stopping),
+          cmocka_unit_test (test_forwarded_orders_while_stopping),
+          cmocka_unit_test (test_advice_query_while_stopping) };
 
   return cmocka_run_group_tests_name ("pool_stop", tests, NULL, NULL);
 }
