Tests of the release in one program; one loop for the stops of flamingo-poold

The case of an acquisition in flight moves to test_release as a table, with the one more case that it is rejected; test_pool_stop shares its loop.

--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -148,8 +148,9 @@
         self.processes = {}
         self.started_processes = []  # every process ever started, for Cell.stop()
         self.lock = threading.Lock()
-        self.store_proxy = (FaultProxy(cell.platform.port, cell.store_delay_s)
-                            if cell.uses_store_proxies else None)
+        self.store_proxy = FaultProxy(cell.platform.port) if cell.uses_store_proxies else None
+        if cell.store_delay_s:
+            self.store_proxy.base_delay_s = cell.store_delay_s
 
     def url(self, port):
         return "http://127.0.0.1:%d" % port
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -428,57 +428,43 @@
   { "heartbeats that wait", order_heartbeat, true },
 };
 
+/* Sends orders until the process at @pid has ended, with SIGTERM after some of them. */
 static void
-test_forwarded_orders_while_stopping (void **state)
+order_until_stopped (struct owner *owner, int pid, void (*order) (struct owner *owner))
 {
-  int failures = 0;
-
-  (void)state;
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+  for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
     {
-      int port = test_free_port ();
-      int pid = fork ();
-      struct owner owner;
-      int code;
-
-      if (pid == 0)
-        {
-          struct fl_name no_advice = fl_name_of ("");
-          _exit (serve_pool (port, &no_advice));
-        }
-      owner_init (&owner, port);
-      order_until_forwarded (&owner, cases[i].order);
-      for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
-        {
-          if (s == STEPS_BEFORE_STOP)
-            kill (pid, SIGTERM);
-          cases[i].order (&owner);
-          support_run_loop_for (owner.loop, STEP_S);
-        }
-      code = test_wait_for_exit (pid);
-      for (int s = 0; s < STEPS_BEFORE_STOP; s++)
-        support_run_loop_for (owner.loop, STEP_S);
-      if ((owner.no_reply <= owner.target.late_replies || cases[i].may_be_cut)
-          && owner.in_flight == 0 && code == 0)
-        continue;
-      print_error ("%s: done %d, not sent %d, no reply %d (late at the target: %d), in flight %d, "
-                   "exit code %d\n",
-                   cases[i].name, owner.done, owner.not_sent, owner.no_reply,
-                   owner.target.late_replies, owner.in_flight, code);
-      failures++;
+      if (s == STEPS_BEFORE_STOP)
+        kill (pid, SIGTERM);
+      order (owner);
+      support_run_loop_for (owner->loop, STEP_S);
     }
-  assert_int_equal (failures, 0);
 }
 
-/* The process is suspended after SIGTERM, and an order arrives meanwhile: the time that the order
- * needed to arrive had passed when the process continued, and it ended without reading the order.
- */
+/* Sends one order while the process at @pid is suspended, after SIGTERM. */
 static void
-test_order_during_a_suspension_while_stopping (void **state)
+order_during_suspension (struct owner *owner, int pid, void (*order) (struct owner *owner))
+{
+  for (int s = 0; s < GUARD_STEPS && owner->in_flight > 0 && order != order_heartbeat; s++)
+    support_run_loop_for (owner->loop, STEP_S);
+  kill (pid, SIGTERM);
+  support_run_loop_for (owner->loop, STEP_S);
+  kill (pid, SIGSTOP);
+  order (owner);
+  support_run_loop_for (owner->loop, SUSPENSION_S);
+  kill (pid, SIGCONT);
+  for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
+    support_run_loop_for (owner->loop, STEP_S);
+}
+
+/* Stops a process while it forwards each kind of order. */
+static void
+check_stop (void (*order_and_stop) (struct owner *owner,
+                                    int pid,
+                                    void (*order) (struct owner *owner)))
 {
   int failures = 0;
 
-  (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       int port = test_free_port ();
@@ -493,16 +479,7 @@
         }
       owner_init (&owner, port);
       order_until_forwarded (&owner, cases[i].order);
-      while (owner.in_flight > 0 && !cases[i].may_be_cut)
-        support_run_loop_for (owner.loop, STEP_S);
-      kill (pid, SIGTERM);
-      support_run_loop_for (owner.loop, STEP_S);
-      kill (pid, SIGSTOP);
-      cases[i].order (&owner);
-      support_run_loop_for (owner.loop, SUSPENSION_S);
-      kill (pid, SIGCONT);
-      for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
-        support_run_loop_for (owner.loop, STEP_S);
+      order_and_stop (&owner, pid, cases[i].order);
       code = test_wait_for_exit (pid);
       for (int s = 0; s < STEPS_BEFORE_STOP; s++)
         support_run_loop_for (owner.loop, STEP_S);
@@ -518,6 +495,22 @@
   assert_int_equal (failures, 0);
 }
 
+static void
+test_forwarded_orders_while_stopping (void **state)
+{
+  (void)state;
+  check_stop (order_until_stopped);
+}
+
+/* The time that orders on their way were given had passed when the process continued, and it ended
+ * without reading the order that had arrived meanwhile. */
+static void
+test_order_during_a_suspension_while_stopping (void **state)
+{
+  (void)state;
+  check_stop (order_during_suspension);
+}
+
 /* A query that the service has not replied to when the process stops ends at once, although its
  * timeout is far away, so that the owner asks through another host. */
 static void
--- a/tests/test_release.c
+++ b/tests/test_release.c
@@ -11,10 +11,14 @@
 
 #define REPLIES_MAX 3
 
-/* A store without an owner, which acknowledges the acquisition. */
+/* A store without an owner, which acknowledges the acquisition, at once or when the test lets it.
+ */
 struct stub_store
 {
   struct fl_store interface;
+  bool holds_acquisition;
+  void (*acquired) (void *context, const struct fl_store_reply *reply);
+  void *acquired_context;
   const struct fl_store_reply *release_replies; /* the last one is repeated */
   size_t release_reply_count;
   size_t writes; /* the first one acquires the pool */
@@ -33,7 +37,12 @@
   (void)transaction;
   (void)timeout_ms;
   if (store->writes++ == 0)
-    done (done_context, &acquired);
+    {
+      store->acquired = done;
+      store->acquired_context = done_context;
+      if (!store->holds_acquisition)
+        done (done_context, &acquired);
+    }
   else
     done (done_context,
           &store->release_replies[MIN (store->writes - 2, store->release_reply_count - 1)]);
@@ -90,6 +99,21 @@
   (*count)++;
 }
 
+static struct fl_ownership *
+ownership_new (struct stub_store *store)
+{
+  static const struct fl_log log = { .level = FL_LOG_ERR };
+  struct fl_ownership_options options = { .clock = { get_now_ms, NULL },
+                                          .log = &log,
+                                          .store = &store->interface,
+                                          .host = fl_name_of ("h1"),
+                                          .on_acquired = on_acquired,
+                                          .on_lost = on_lost };
+
+  store->interface = (struct fl_store){ store, stub_store_transact, stub_store_read, NULL };
+  return fl_ownership_new (&options);
+}
+
 /* The end of a reused connection left the release undone, so that a successor waited for the lease
  * to expire. Other lost replies don't delay the stop. */
 static void
@@ -119,17 +143,8 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct stub_store store
-          = { .interface = { &store, stub_store_transact, stub_store_read, NULL },
-              .release_replies = cases[i].replies,
-              .release_reply_count = cases[i].reply_count };
-      struct fl_log log = { .level = FL_LOG_ERR };
-      struct fl_ownership_options options = { .clock = { get_now_ms, NULL },
-                                              .log = &log,
-                                              .store = &store.interface,
-                                              .host = fl_name_of ("h1"),
-                                              .on_acquired = on_acquired,
-                                              .on_lost = on_lost };
-      struct fl_ownership *ownership = fl_ownership_new (&options);
+          = { .release_replies = cases[i].replies, .release_reply_count = cases[i].reply_count };
+      struct fl_ownership *ownership = ownership_new (&store);
       int released = 0;
       fl_ownership_tick (ownership);
       assert_true (fl_ownership_has_authority (ownership));
@@ -142,11 +157,48 @@
     }
 }
 
+/* A host that stopped between its acquisition and the reply left the pool to a process that had
+ * ended: the next owner waited for the lease, and longer for silent targets. */
+static void
+test_acquisition_in_flight_is_released (void **state)
+{
+  static const struct fl_store_reply ok = { .status = FL_STORE_OK, .version = 2 };
+  static const struct fl_store_reply rejected = { .status = FL_STORE_REJECTED };
+  const struct
+  {
+    const char *name;
+    const struct fl_store_reply *acquisition;
+    size_t releases; /* expected */
+  } cases[] = {
+    { "acquired", &ok, 1 },
+    { "rejected", &rejected, 0 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct stub_store store
+          = { .holds_acquisition = true, .release_replies = &ok, .release_reply_count = 1 };
+      struct fl_ownership *ownership = ownership_new (&store);
+      int released = 0;
+      fl_ownership_tick (ownership);
+      assert_non_null (store.acquired);
+      fl_ownership_release (ownership, on_released, &released);
+      assert_int_equal (released, 0);
+      store.acquired (store.acquired_context, cases[i].acquisition);
+      print_message ("%s: releases=%zu\n", cases[i].name, store.writes - 1);
+      assert_int_equal (store.writes - 1, cases[i].releases);
+      assert_int_equal (released, 1);
+      fl_ownership_free (ownership);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_release_lost_with_its_connection),
+    cmocka_unit_test (test_acquisition_in_flight_is_released),
   };
 
   return cmocka_run_group_tests_name ("release", tests, NULL, NULL);
