Messages to hosts of the earlier version keep their number of fields

Flags that are added at the end of a message are now left out while they are not set, and accepted when they are missing.

Evidence: test_contracts, new case, before: 0x15 fields != 0x14; now it holds. Not run: processes of both versions side by side.

--- a/lib/common/schema.c
+++ b/lib/common/schema.c
@@ -440,11 +440,30 @@
     }
 }
 
+/* @return the number of fields to pack: without the added flags at the end that are not set. */
+static size_t
+count_packed_fields (const struct fl_schema *schema, const void *object)
+{
+  size_t count = schema->count;
+
+  while (count > schema->count - schema->added_count)
+    {
+      const struct fl_field *f = &schema->fields[count - 1];
+      g_assert (f->type == FL_BOOL);
+      if (*(const bool *)((const char *)object + f->offset))
+        break;
+      count--;
+    }
+  return count;
+}
+
 void
 fl_schema_pack (const struct fl_schema *schema, const void *object, msgpack_packer *packer)
 {
-  msgpack_pack_array (packer, schema->count);
-  for (size_t i = 0; i < schema->count; i++)
+  size_t count = count_packed_fields (schema, object);
+
+  msgpack_pack_array (packer, count);
+  for (size_t i = 0; i < count; i++)
     pack_field (&schema->fields[i], object, packer);
 }
 
@@ -568,10 +587,11 @@
                   struct fl_error *error)
 {
   memset (object, 0, schema->size);
-  if (packed->type != MSGPACK_OBJECT_ARRAY || packed->via.array.size != schema->count)
+  if (packed->type != MSGPACK_OBJECT_ARRAY || packed->via.array.size > schema->count
+      || packed->via.array.size < schema->count - schema->added_count)
     return fl_fail (error, FL_INVALID, "message_unpack", NULL, "%s must have %zu fields",
                     schema->name, schema->count);
-  for (size_t i = 0; i < schema->count; i++)
+  for (size_t i = 0; i < packed->via.array.size; i++)
     if (!unpack_field (&schema->fields[i], &packed->via.array.ptr[i], object, error))
       return false;
   return true;
--- a/lib/common/schema.h
+++ b/lib/common/schema.h
@@ -55,6 +55,9 @@
   size_t size; /* of the struct, in bytes */
   const struct fl_field *fields;
   size_t count;
+  /* Flags at the end that earlier versions do not know. A MessagePack array ends before those that
+   * are not set, so that it then has the fields that earlier versions expect. */
+  size_t added_count;
 };
 
 /* Defines the schema @identifier of struct @type_ with the array @fields_. Error messages call the
@@ -63,7 +66,11 @@
 /* The same, but error messages call the struct @name_. */
 #define FL_SCHEMA_AS(identifier, type_, name_, fields_)                                            \
   const struct fl_schema identifier                                                                \
-      = { name_, sizeof (struct type_), (fields_), sizeof (fields_) / sizeof ((fields_)[0]) }
+      = { name_, sizeof (struct type_), (fields_), sizeof (fields_) / sizeof ((fields_)[0]), 0 }
+/* The same with @added_ flags at the end that earlier versions do not know. */
+#define FL_SCHEMA_ADDED(identifier, type_, name_, fields_, added_)                                 \
+  const struct fl_schema identifier = { name_, sizeof (struct type_), (fields_),                   \
+                                        sizeof (fields_) / sizeof ((fields_)[0]), (added_) }
 
 /* The problems of a document, one line each: "path: text". */
 struct fl_problems
--- a/lib/forward/message.c
+++ b/lib/forward/message.c
@@ -69,15 +69,15 @@
   NAME (fl_forward_message, ticket),
   ENUM (fl_forward_message, result, result_names),
   INT (fl_forward_message, clock_ms),
-  { "is_stopping", FL_BOOL, offsetof (struct fl_forward_message, is_stopping), false, 0, 0, 0, NULL,
-    NULL },
   { "has_lists", FL_BOOL, offsetof (struct fl_forward_message, has_report), false, 0, 0, 0, NULL,
     NULL },
   INT_AS (fl_forward_message, booted_at_ms, "born_ms"),
   ROWS (fl_forward_message, runs, run_schema),
   ROWS (fl_forward_message, ends, end_schema),
+  { "is_stopping", FL_BOOL, offsetof (struct fl_forward_message, is_stopping), false, 0, 0, 0, NULL,
+    NULL },
 };
-static FL_SCHEMA_AS (message_schema, fl_forward_message, "fl_carry_message", message_fields);
+static FL_SCHEMA_ADDED (message_schema, fl_forward_message, "fl_carry_message", message_fields, 1);
 
 void
 fl_forward_message_encode (const struct fl_forward_message *message, msgpack_sbuffer *buffer)
--- a/lib/relay/message.c
+++ b/lib/relay/message.c
@@ -71,7 +71,7 @@
   NAME_AS (error_text, "problem"),
   BOOL_AS (is_stopping, "is_stopping"),
 };
-static FL_SCHEMA (message_schema, fl_relay_message, message_fields);
+static FL_SCHEMA_ADDED (message_schema, fl_relay_message, "fl_relay_message", message_fields, 1);
 
 void
 fl_relay_message_encode (const struct fl_relay_message *message, msgpack_sbuffer *buffer)
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -11,8 +11,10 @@
 #include <glib.h>
 
 #include "common/stats.h"
+#include "forward/message.h"
 #include "host/settings.h"
 #include "platform/platform.h"
+#include "relay/message.h"
 #include "store/tables.h"
 
 /* --- settings --- */
@@ -428,6 +430,52 @@
   g_free (histogram);
 }
 
+/* --- messages between hosts --- */
+
+/* Of 330c785. */
+#define FORWARD_FIELDS 20
+#define RELAY_FIELDS 17
+
+/* The first byte of a MessagePack array of up to 15 fields, or the third one of a longer array. */
+static int
+count_fields (const msgpack_sbuffer *buffer)
+{
+  const unsigned char *bytes = (const unsigned char *)buffer->data;
+
+  return bytes[0] == 0xdc ? bytes[2] : bytes[0] & 0x0f;
+}
+
+/* A message with one more field was malformed for hosts of the earlier version. */
+static void
+test_messages_for_hosts_of_the_earlier_version (void **state)
+{
+  (void)state;
+  for (int is_stopping = 0; is_stopping < 2; is_stopping++)
+    {
+      struct fl_forward_message forwarded
+          = { .kind = FL_FORWARD_REPLY, .number = 7, .is_stopping = is_stopping == 1 };
+      struct fl_relay_message relayed
+          = { .is_reply = true, .number = 7, .is_stopping = is_stopping == 1 };
+      msgpack_sbuffer buffer;
+
+      msgpack_sbuffer_init (&buffer);
+      fl_forward_message_encode (&forwarded, &buffer);
+      assert_int_equal (count_fields (&buffer), FORWARD_FIELDS + is_stopping);
+      assert_true (fl_forward_message_decode (buffer.data, buffer.size, &forwarded, NULL));
+      assert_int_equal (forwarded.is_stopping, is_stopping);
+      assert_int_equal (forwarded.number, 7);
+      fl_forward_message_clear (&forwarded);
+      msgpack_sbuffer_clear (&buffer);
+      fl_relay_message_encode (&relayed, &buffer);
+      assert_int_equal (count_fields (&buffer), RELAY_FIELDS + is_stopping);
+      assert_true (fl_relay_message_decode (buffer.data, buffer.size, &relayed, NULL));
+      assert_int_equal (relayed.is_stopping, is_stopping);
+      assert_int_equal (relayed.number, 7);
+      fl_relay_message_clear (&relayed);
+      msgpack_sbuffer_destroy (&buffer);
+    }
+}
+
 int
 main (void)
 {
@@ -444,6 +492,7 @@
     cmocka_unit_test (test_corrupted_records),
     cmocka_unit_test (test_job_partition),
     cmocka_unit_test (test_histogram_error_bound),
+    cmocka_unit_test (test_messages_for_hosts_of_the_earlier_version),
   };
 
   return cmocka_run_group_tests_name ("contracts", tests, NULL, NULL);
