The listening socket of a stopping server is closed once

MHD_quiesce_daemon returns the same descriptor at each call, and the second and third call of fl_http_server_stop_listening closed it again, when it belonged to another connection.

Evidence: test_http_server, new case, before: a descriptor of the test is closed; now it holds.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -35,6 +35,7 @@
   int connection_count;
   GHashTable *open_requests; /* set of complete requests without a response */
   int unsent_responses;      /* complete requests whose response has not been sent completely */
+  bool is_listener_closed;   /* by fl_http_server_stop_listening */
   bool closing;              /* fl_http_server_free has been called */
   bool resumed;              /* a connection was resumed since libmicrohttpd last ran */
 };
@@ -388,13 +389,18 @@
 void
 fl_http_server_stop_listening (struct fl_http_server *server)
 {
-  MHD_socket listener = server != NULL ? MHD_quiesce_daemon (server->daemon) : MHD_INVALID_SOCKET;
   struct sockaddr_in address;
   socklen_t len = sizeof address;
+  MHD_socket listener;
   int fd;
 
+  if (server == NULL || server->is_listener_closed)
+    return;
+  /* Returns the same descriptor each time, also once it is closed. */
+  listener = MHD_quiesce_daemon (server->daemon);
   if (listener == MHD_INVALID_SOCKET)
     return;
+  server->is_listener_closed = true;
   while ((fd = accept4 (listener, (struct sockaddr *)&address, &len, SOCK_NONBLOCK | SOCK_CLOEXEC))
          >= 0)
     {
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -285,14 +285,42 @@
   assert_int_equal (test_wait_for_exit (pid), 0);
 }
 
+/* Each further call closed the descriptor of the listening socket again, which belonged to another
+ * connection by then; ZeroMQ aborts the process when this happens to one of its own. */
+static void
+test_listening_socket_is_closed_once (void **state)
+{
+  struct fl_http_server_options options = { .loop = ev_default_loop (EVFLAG_AUTO),
+                                            .address = "127.0.0.1",
+                                            .body_max = 1000,
+                                            .header_max = 10000,
+                                            .connections_max = 10,
+                                            .idle_timeout_ms = TIMEOUT_MS,
+                                            .upload_timeout_ms = TIMEOUT_MS,
+                                            .on_request = on_request };
+  struct fl_http_server *server = fl_http_server_new (&options, NULL);
+  int pipes[8][2];
+
+  (void)state;
+  fl_http_server_stop_listening (server);
+  for (size_t i = 0; i < G_N_ELEMENTS (pipes); i++)
+    assert_int_equal (pipe (pipes[i]), 0);
+  fl_http_server_stop_listening (server);
+  fl_http_server_free (server);
+  for (size_t i = 0; i < G_N_ELEMENTS (pipes); i++)
+    for (int j = 0; j < 2; j++)
+      assert_int_equal (close (pipes[i][j]), 0);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_server_free), cmocka_unit_test (test_response_being_sent),
-          cmocka_unit_test (test_connections_in_accept_queue),
-          cmocka_unit_test (test_data_arrives_while_suspended),
-          cmocka_unit_test (test_silent_connections_are_closed) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_server_free),
+                                      cmocka_unit_test (test_response_being_sent),
+                                      cmocka_unit_test (test_connections_in_accept_queue),
+                                      cmocka_unit_test (test_data_arrives_while_suspended),
+                                      cmocka_unit_test (test_silent_connections_are_closed),
+                                      cmocka_unit_test (test_listening_socket_is_closed_once) };
 
   return cmocka_run_group_tests_name ("http_server", tests, NULL, NULL);
 }
