--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -169,8 +169,10 @@
             "graceful_stop_s": 3, "log_level": "info",
         }
         path = os.path.join(self.cell.work_dir, self.name + ".json")
-        with open(path, "w") as file:
+        # Both daemons of the host read the file, and one may do so while the other is started.
+        with open(path + ".new", "w") as file:
             json.dump(settings, file, indent=2)
+        os.replace(path + ".new", path)
         return path
 
     def start(self, role):
