Less work of a new owner for steps that need no records by task

While targets had not reported, each tick walked all tasks of every waiting step to charge them, also of steps that cannot be charged; and each record of each job built a table of positions that only jobs with long-running steps use. Both are left out now. The rule under which a task may start before a record, which stood twice, is may_start_unrecorded.

No time was measured.

--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -33,11 +33,19 @@
              && core->now_ms - core->records_collected_at_ms > RECORD_SLOW_MS);
 }
 
+/* Whether tasks of @job may be started before a record says where: the store is too slow to wait
+ * for it, and cannot have an older record, which would tell a successor too little. */
+static bool
+may_start_unrecorded (const struct core_job *job)
+{
+  return !job->may_have_record && recording_is_slow (job->core);
+}
+
 bool
 core_job_may_start_on (const struct core_job *job, const struct fl_name *target)
 {
   return job->any_target_recorded || get_target_state (job, target) == CORE_JOB_TARGET_RECORDED
-         || (!job->may_have_record && recording_is_slow (job->core));
+         || may_start_unrecorded (job);
 }
 
 bool
@@ -223,9 +231,7 @@
 bool
 core_run_may_start (const struct core_run *run)
 {
-  const struct core_job *job = run->task->step->job;
-
-  return run->is_recorded || (!job->may_have_record && recording_is_slow (job->core));
+  return run->is_recorded || may_start_unrecorded (run->task->step->job);
 }
 
 bool
@@ -339,11 +345,11 @@
 core_job_collect_task_targets (const struct core_job *job, const GArray *targets)
 {
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct fl_step_targets));
-  g_autoptr (GHashTable) positions = g_hash_table_new (NULL, NULL);
 
   g_array_set_clear_func (rows, free_step_targets);
   if (!has_step_that_records_targets (job))
     return rows;
+  g_autoptr (GHashTable) positions = g_hash_table_new (NULL, NULL);
   for (guint i = 0; i < targets->len; i++)
     g_hash_table_insert (positions,
                          GUINT_TO_POINTER (g_array_index (targets, struct fl_job_target, i).hash),
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -626,11 +626,12 @@
   bool by_task = core_step_records_targets (step);
   int64_t charged = 0;
 
+  if (!by_task && !job_is_unreconciled)
+    return 0;
   for (int64_t i = 0; i < step->spec->count; i++)
     {
       const struct core_task *task = &step->tasks[i];
-      if (task->done || task->run != NULL
-          || !(by_task ? core_task_is_unreconciled (task) : job_is_unreconciled))
+      if (task->done || task->run != NULL || (by_task && !core_task_is_unreconciled (task)))
         continue;
       charged++;
       resources->cpu_milli += step->spec->cpu_milli;
