One member tells which acquisition has no reply

A release had three members that say one thing: whether the newest acquisition is in flight, its number, and whether the release waits for it. The number of the pending acquisition is enough. test_release, test_ownership_faults, test_reconciliation and test_two_changes_of_owner pass as before.

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -110,11 +110,11 @@
   struct fl_ownership_options options;
   struct fl_name incarnation; /* unique to this process */
   enum ownership_state state;
-  int64_t next_call_ms;     /* when the next call is due */
-  int calls_in_flight;      /* calls of a standby that wait for a reply */
-  int64_t last_call;        /* number of the last call of a standby */
-  int64_t last_read;        /* number of the newest read that succeeded */
-  int64_t last_acquisition; /* number of the newest acquisition */
+  int64_t next_call_ms;        /* when the next call is due */
+  int calls_in_flight;         /* calls of a standby that wait for a reply */
+  int64_t last_call;           /* number of the last call of a standby */
+  int64_t last_read;           /* number of the newest read that succeeded */
+  int64_t pending_acquisition; /* number of the newest acquisition without a reply; 0 for none */
   int64_t period; /* number of changes to owner and back; older calls of a standby are void */
   int64_t token;  /* of the last acquisition that was sent */
   struct attempt attempt;
@@ -130,8 +130,6 @@
   int64_t last_read_ms;             /* last successful read */
   int failed_reads;                 /* since then */
   int64_t lease_seen_renewed_ms;    /* last read that showed a change of the lease; 0 for none */
-  bool acquisition_in_flight;       /* the newest one has no reply yet */
-  bool release_awaits_acquisition;
   bool release_repeated;
   void (*release_done) (void *context);
   void *release_done_context;
@@ -402,15 +400,10 @@
     schedule_call (ownership, reply->status == FL_STORE_UNKNOWN ? 0 : STANDBY_RETRY_MS);
 }
 
-/* Ends a release that waited for the reply to an acquisition. */
+/* Ends a release that waited for @reply to an acquisition. */
 static void
-release_acquired (struct fl_ownership *ownership,
-                  const struct standby_call *call,
-                  const struct fl_store_reply *reply)
+release_acquired (struct fl_ownership *ownership, const struct fl_store_reply *reply)
 {
-  if (!ownership->release_awaits_acquisition || call->number != ownership->last_acquisition)
-    return;
-  ownership->release_awaits_acquisition = false;
   if (reply->status != FL_STORE_OK)
     {
       ownership->release_done (ownership->release_done_context);
@@ -425,15 +418,13 @@
 {
   g_autofree struct standby_call *call = context;
   struct fl_ownership *ownership = call->ownership;
+  bool is_pending = call->number == ownership->pending_acquisition;
 
-  if (call->number == ownership->last_acquisition)
-    ownership->acquisition_in_flight = false;
-  if (ownership->state == RELEASED)
-    {
-      release_acquired (ownership, call, reply);
-      return;
-    }
-  if (call->period != ownership->period)
+  if (is_pending)
+    ownership->pending_acquisition = 0;
+  if (ownership->state == RELEASED && is_pending)
+    release_acquired (ownership, reply);
+  if (ownership->state == RELEASED || call->period != ownership->period)
     return;
   ownership->calls_in_flight--;
   if (call->token != ownership->token)
@@ -487,8 +478,7 @@
       = (struct attempt){ row.token, ownership->seen_owner.holder, previous_owner_may_be_active,
                           get_heartbeats_end_ms (ownership, previous_owner_may_be_active) };
   struct standby_call *call = standby_call_new (ownership);
-  ownership->acquisition_in_flight = true;
-  ownership->last_acquisition = call->number;
+  ownership->pending_acquisition = call->number;
   store->transact (store->context, &transaction, RENEWAL_TIMEOUT_MS, on_acquire_reply, call);
   fl_str_clear (&owner);
   fl_str_clear (&lease);
@@ -677,10 +667,12 @@
   ownership->release_done_context = context;
   ownership->authority_until_ms = 0;
   if (owned)
-    write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
-  else if (ownership->acquisition_in_flight)
-    ownership->release_awaits_acquisition = true;
-  else
+    {
+      /* What this acquisition changed is released now, whatever its reply says. */
+      ownership->pending_acquisition = 0;
+      write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
+    }
+  else if (ownership->pending_acquisition == 0)
     done (context);
 }
 
