--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -485,6 +485,16 @@
   forward_batches_receive (forwarder->batches, sender, data, len);
 }
 
+/* A host that stops is not available any more, and does not reply. */
+static void
+on_ping (struct fl_forwarder *forwarder, const struct fl_route *sender)
+{
+  struct fl_forward_message pong = { .kind = FL_FORWARD_PONG };
+
+  if (!forwarder->is_draining)
+    send_message (forwarder, sender, &pong);
+}
+
 static void
 on_pong (struct fl_forwarder *forwarder, const struct fl_route *sender)
 {
@@ -503,7 +513,6 @@
                       size_t len)
 {
   struct fl_forward_message message;
-  struct fl_forward_message pong = { .kind = FL_FORWARD_PONG };
   struct fl_error error = { 0 };
 
   record_message (forwarder, sender);
@@ -514,10 +523,8 @@
     }
   else if (message.kind == FL_FORWARD_REPLY)
     on_reply (forwarder, &message);
-  else if (message.kind == FL_FORWARD_PING && forwarder->is_draining)
-    ; /* this host is not available any more */
   else if (message.kind == FL_FORWARD_PING)
-    send_message (forwarder, sender, &pong);
+    on_ping (forwarder, sender);
   else if (message.kind == FL_FORWARD_PONG)
     on_pong (forwarder, sender);
   else
