--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -368,6 +368,16 @@
     }
 }
 
+static void
+stop_hosts (struct host *owner, struct host peers[2], struct ev_loop *loop, struct fl_stats *stats)
+{
+  host_clear (owner);
+  host_clear (&peers[0]);
+  host_clear (&peers[1]);
+  fl_stats_free (stats);
+  ev_loop_destroy (loop);
+}
+
 /* Load pattern: all tasks of a step start at once, and each start carries the payload of the job.
  * The owner sends the payload once; each task is started once, by one of the peers. While the
  * peers are silent, the starts get no reply, and repeated ones are sent directly. */
@@ -417,11 +427,7 @@
     }
   assert_int_equal (owner.direct.starts, BATCH_TASKS);
   assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_CAPACITY), BATCH_TASKS);
-  host_clear (&owner);
-  host_clear (&peers[0]);
-  host_clear (&peers[1]);
-  fl_stats_free (stats);
-  ev_loop_destroy (loop);
+  stop_hosts (&owner, peers, loop, stats);
 }
 
 /* The owner gets the result of each start of a batch as the target's host saw it. Only starts that
@@ -458,11 +464,7 @@
                         orders_per_task * BATCH_TASKS);
       assert_int_equal (owner.direct.starts, 0);
     }
-  host_clear (&owner);
-  host_clear (&peers[0]);
-  host_clear (&peers[1]);
-  fl_stats_free (stats);
-  ev_loop_destroy (loop);
+  stop_hosts (&owner, peers, loop, stats);
 }
 
 /* Load pattern: a third of the hosts is killed while several steps start in one tick. The first
@@ -510,11 +512,7 @@
     }
   while (finished < SINGLE_STARTS + BATCH_TASKS);
   assert_true (owner.direct.starts > 0);
-  host_clear (&owner);
-  host_clear (&peers[0]);
-  host_clear (&peers[1]);
-  fl_stats_free (stats);
-  ev_loop_destroy (loop);
+  stop_hosts (&owner, peers, loop, stats);
 }
 
 /* An order without a reply is late by itself while its peer sends other messages: the other orders
--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -1,4 +1,4 @@
-/* What an owner concludes from the replies to heartbeats, by their age. */
+/* What an owner concludes from late, new and incomplete replies to heartbeats. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -114,12 +114,161 @@
     }
 }
 
+/* A target that has restarted under its id grants the longest lease, since the deadline of the
+ * order is by the clock of the boot before. The owner counted its own, shorter one once the run was
+ * listed, and started the task again while it ran. */
+static void
+test_order_for_the_previous_boot (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t booted_at_ms; /* of the report that lists the run; 1 when the order was sent */
+    int64_t may_last_ms;  /* the run, after its start order */
+  } cases[] = {
+    { "the same boot", 1, 1500 },
+    { "a boot after the last report", 2, 6000 },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_step_spec step = { .count = 1, .cpu_milli = 1000, .memory_mb = 1 };
+      add_target (fixture, "t1", 4, false);
+      add_job (fixture, "00000000000000aa", "urgent", step);
+      tick_until_recorded (fixture, 10);
+      assert_int_equal (fixture->start_orders->len, 1);
+      int64_t ordered_ms = fixture->now_ms;
+      struct fl_run_row run = { .task = get_start_order (fixture, 0)->task, .run = 1 };
+      fixture->now_ms += 5;
+      confirm_start (fixture, 0);
+      fixture->now_ms += 5;
+      deliver_report (fixture, "t1",
+                      (struct fl_target_report){
+                          .booted_at_ms = cases[i].booted_at_ms, .runs = &run, .run_count = 1 });
+      while (fixture->now_ms < ordered_ms + cases[i].may_last_ms)
+        {
+          tick_until_recorded (fixture, 10);
+          if (fixture->start_orders->len == 1)
+            continue;
+          print_error ("%s: started again after %d ms\n", cases[i].name,
+                       (int)(fixture->now_ms - ordered_ms));
+          failures++;
+          break;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* Longer than any lease of a target. */
+#define WATCHED_MS 20000
+#define HEARTBEAT_MS 300
+
+/* A run whose start got no reply, and which its target listed later, was never taken for absent:
+ * its task stayed without a run while the target, which had restarted, went on to reply. */
+static void
+test_absent_run_is_started_again (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum fl_order_result result; /* of the start order */
+    bool is_long_running;
+  } cases[] = {
+    { "start confirmed", FL_ORDER_DONE, false },
+    { "start without a reply", FL_ORDER_NO_REPLY, false },
+    { "start of a long-running task without a reply", FL_ORDER_NO_REPLY, true },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_step_spec step = {
+        .count = 1, .cpu_milli = 1000, .memory_mb = 1, .long_running = cases[i].is_long_running
+      };
+      add_target (fixture, "t1", 4, false);
+      add_job (fixture, "00000000000000aa", "urgent", step);
+      tick_until_recorded (fixture, 10);
+      tick_until_recorded (fixture, 10);
+      assert_int_equal (fixture->start_orders->len, 1);
+      struct fl_run_row run = { .task = get_start_order (fixture, 0)->task, .run = 1 };
+      fixture->now_ms += 5;
+      fl_core_handle_start_reply (fixture->core, &run.task, 1, cases[i].result, fixture->now_ms);
+      fixture->now_ms += 5;
+      deliver_report (fixture, "t1",
+                      (struct fl_target_report){ .booted_at_ms = 1, .runs = &run, .run_count = 1 });
+      int64_t listed_ms = fixture->now_ms;
+      while (fixture->start_orders->len == 1 && fixture->now_ms < listed_ms + WATCHED_MS)
+        {
+          struct fl_name target = fl_name_of ("t1");
+          struct fl_heartbeat_order order;
+          tick_until_recorded (fixture, HEARTBEAT_MS);
+          fl_core_prepare_heartbeat (fixture->core, &target, fixture->now_ms, &order);
+          fixture->now_ms += 5;
+          deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 2 });
+          tick_until_recorded (fixture, 10);
+        }
+      if (fixture->start_orders->len == 1)
+        {
+          print_error ("%s: not started again within %d ms\n", cases[i].name, WATCHED_MS);
+          failures++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failures, 0);
+}
+
+#define ENDS_PER_REPORT 500
+
+/* A run that has ended is neither listed as running nor among the first 500 ends. A successor took
+ * it for absent and started its task again. */
+static void
+test_end_beyond_the_first_report (void **state)
+{
+  struct fixture *fixture = fixture_new_unreconciled (0, 200000);
+  struct fl_name target = fl_name_of ("t1");
+  struct fl_job_target row = { fl_job_target_hash (&target) };
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &row } };
+  struct fl_step_spec step = { .count = 1, .cpu_milli = 1000, .memory_mb = 1 };
+  struct fl_end_row ends[ENDS_PER_REPORT + 1];
+
+  (void)state;
+  for (int i = 0; i <= ENDS_PER_REPORT; i++)
+    ends[i] = (struct fl_end_row){ .number = i + 1,
+                                   .task = fl_name_format ("00000000000000bb.0.0.%d", i),
+                                   .run = 1,
+                                   .cause = FL_END_DONE };
+  ends[ENDS_PER_REPORT].task = fl_name_of ("00000000000000aa.0.0.0");
+  fl_core_inherit_target (fixture->core, &target, &target);
+  add_recorded_job (fixture, "00000000000000aa", "urgent", step, &progress);
+  fl_core_set_jobs_known (fixture->core);
+  add_entry (fixture, "t1", 4, false);
+  deliver_report (
+      fixture, "t1",
+      (struct fl_target_report){ .booted_at_ms = 1, .ends = ends, .end_count = ENDS_PER_REPORT });
+  tick_until_recorded (fixture, 10);
+  deliver_report (fixture, "t1",
+                  (struct fl_target_report){
+                      .booted_at_ms = 1, .ends = ends + ENDS_PER_REPORT, .end_count = 1 });
+  tick_until_recorded (fixture, 10);
+  assert_int_equal (fixture->start_orders->len, 0);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_reply_from_before_a_suspension_does_not_tell_the_boot),
-          cmocka_unit_test (test_run_in_a_new_boot_keeps_the_longest_lease) };
+          cmocka_unit_test (test_run_in_a_new_boot_keeps_the_longest_lease),
+          cmocka_unit_test (test_order_for_the_previous_boot),
+          cmocka_unit_test (test_absent_run_is_started_again),
+          cmocka_unit_test (test_end_beyond_the_first_report) };
 
   return cmocka_run_group_tests_name ("heartbeats", tests, NULL, NULL);
 }
