Logs tell which boot of a target a start, a listed run and an absent run belong to

Nothing in the logs told H1 (an order takes effect in the next boot) from H3 (the registry entry is of another boot than the report): a reboot under the same id was not logged, nor the boot in which a run appeared.

--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -227,6 +227,7 @@
 static void
 stop_stale_run (struct fl_core *core, struct core_target *target, const struct fl_run_row *row)
 {
+  const struct core_task *task = core_find_task (core, &row->task);
   struct fl_run_order order = {
     .target = target->entry.id,
     .address = target->entry.address,
@@ -236,8 +237,12 @@
   };
 
   target->stale_runs++;
+  fl_stats_add (core->options.stats, "runs_unexpected_total", 1);
   fl_log (core->options.log, FL_LOG_NOTICE, "stop_foreign", FL_N ("task", &row->task),
-          FL_I ("run", row->run), FL_N ("target", &target->entry.id));
+          FL_I ("run", row->run), FL_N ("target", &target->entry.id),
+          FL_I ("boot", target->booted_at_ms),
+          FL_I ("current_run", task != NULL && task->run != NULL ? task->run->number : 0),
+          FL_I ("last_run", task != NULL ? task->last_run_number : 0));
   core->options.actions.stop (core->options.context, &order);
 }
 
@@ -278,7 +283,8 @@
       target->lease_expires_at_ms
           = MAX (target->lease_expires_at_ms, core->now_ms + core->options.target_lease_ms);
       fl_log (core->options.log, FL_LOG_INFO, "run_adopted", FL_N ("task", &row->task),
-              FL_I ("run", row->run), FL_N ("target", &target->entry.id));
+              FL_I ("run", row->run), FL_N ("target", &target->entry.id),
+              FL_I ("boot", target->booted_at_ms));
       if (task->done || fl_job_state_is_final (task->step->job->state))
         core_run_stop (run);
     }
@@ -322,7 +328,8 @@
         continue;
       struct fl_name name = core_task_name (run->task);
       fl_log (core->options.log, FL_LOG_INFO, "run_absent", FL_N ("task", &name),
-              FL_I ("run", run->number), FL_N ("target", &target->entry.id));
+              FL_I ("run", run->number), FL_N ("target", &target->entry.id),
+              FL_I ("boot", target->booted_at_ms));
       core_run_release (run);
     }
 }
@@ -335,6 +342,15 @@
 {
   if (target->reported && target->booted_at_ms == report->booted_at_ms)
     return;
+  if (target->reported)
+    {
+      fl_stats_add (target->core->options.stats, "target_boots_total", 1);
+      fl_log (target->core->options.log, FL_LOG_NOTICE, "target_rebooted",
+              FL_N ("target", &target->entry.id), FL_I ("boot", report->booted_at_ms),
+              FL_I ("previous_boot", target->booted_at_ms), FL_I ("runs", target->runs->len),
+              FL_I ("runs_listed", (int64_t)report->run_count),
+              FL_I ("ends_listed", (int64_t)report->end_count));
+    }
   core_target_extend_leases_of_new_boot (target);
   target->booted_at_ms = report->booted_at_ms;
   target->last_applied_end = 0;
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -141,7 +141,8 @@
   fl_log (core->options.log, FL_LOG_INFO, "start", FL_N ("task", &order.task),
           FL_I ("run", run->number), FL_N ("target", &target->entry.id),
           FL_I ("attempt", run->inconclusive_starts + 1),
-          FL_I ("lists_age_ms", core->now_ms - target->last_heartbeat_at_ms));
+          FL_I ("lists_age_ms", core->now_ms - target->last_heartbeat_at_ms),
+          FL_I ("boot", target->booted_at_ms), FL_I ("listed_boot", target->entry.booted_at_ms));
   core->options.actions.start (core->options.context, &order);
 }
 
