--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -17,6 +17,15 @@
 #define TARGET_LEASE_MS 4500
 #define TICK_INTERVAL_MS 25
 #define ORDER_TIMEOUT_MS 700
+/* A heartbeat gets no reply if none arrives within this time after its wait. */
+#define HEARTBEAT_REPLY_MARGIN_MS 300
+/* How late the protocol's late orders are executed. */
+#define LATE_MAX_MS 12000
+#define LATE_RETRY_MS 20
+/* The core does not use a report that arrives later than this after the wait of its heartbeat. */
+#define REPORT_VALID_MS 500
+/* The registry lists the previous boot of a target for up to this long. */
+#define REGISTRY_DELAY_MAX_MS 1500
 /* All accepted jobs must end within this time after the fault phase. */
 #define FINISH_TIMEOUT_MS 60000
 #define ATTEMPTS_MAX 3
@@ -27,6 +36,21 @@
 #define LONG_RUNNING_TASKS 6
 #define ISOLATED_MAX_MS 9000
 
+const struct cell_fault_rates cell_late_order_rates = { .order_reply_lost = 20,
+                                                        .order_late_any_boot = 60,
+                                                        .heartbeat_late_any_boot = 60,
+                                                        .target_crash = 40,
+                                                        .target_new_id = 100,
+                                                        .target_new_capacity = 500,
+                                                        .target_isolated = 15,
+                                                        .owner_killed = 6,
+                                                        .owner_frozen = 6,
+                                                        .store_reply_lost = 20,
+                                                        .store_delay_max_ms = 50,
+                                                        .job_cancelled = 30,
+                                                        .task_failed = 40,
+                                                        .reply_slow = 50 };
+
 struct cell;
 
 /* --- events --- */
@@ -49,9 +73,15 @@
   struct fl_name id;
   struct fl_name address;
   struct fl_resources capacity;
+  struct fl_resources listed_capacity; /* in the registry */
+  int64_t listed_boot_ms;
+  int64_t listed_from_ms; /* from then on the registry lists the present boot */
   bool up;
   bool draining;
   int64_t isolated_until_ms; /* until then no owner reaches it */
+  bool is_known;             /* the newest owner has received a report of the present boot */
+  int64_t known_at_ms;       /* since when */
+  bool is_fenced; /* the present boot has received a heartbeat that was sent after that */
   struct target_state state;
   GArray *waiting_heartbeats; /* struct call *: heartbeats that wait for an end */
 };
@@ -298,6 +328,7 @@
   cell->result.lost_runs += target->state.runs->len;
   target_state_restart (&target->state, cell->now_ms);
   target->boot++;
+  target->is_known = target->is_fenced = false;
 }
 
 static struct fl_name
@@ -414,6 +445,12 @@
 
 /* --- orders at targets --- */
 
+static int64_t
+draw_cpu_milli (struct cell *cell)
+{
+  return 8000 * random_between (cell, 1, 3);
+}
+
 static struct fake_target *
 new_target (struct cell *cell, int index)
 {
@@ -423,7 +460,7 @@
   target->index = index;
   target->id = format_target_id (index, 0);
   target->address = fl_name_format ("10.0.0.%d:1", index);
-  target->capacity = (struct fl_resources){ 8000 * random_between (cell, 1, 3), 16000, 0 };
+  target->capacity = (struct fl_resources){ draw_cpu_milli (cell), 16000, 0 };
   target->up = true;
   /* The clock of a target may run up to 2 % slow. */
   target_state_init (&target->state, cell->now_ms - random_between (cell, 0, 100000),
@@ -480,7 +517,7 @@
   struct fl_start_order start_order;
   char *payload;
   int order_number; /* among starts and stops; -1 for heartbeats */
-  int target_boot;  /* of the target that executes the order late */
+  int target_boot;  /* of the target that executes the order late; -1 for any boot */
   struct fl_name ticket;
   struct fl_run_order stop_order;
   struct fl_heartbeat_order heartbeat;
@@ -514,6 +551,20 @@
 
 static void tick_owner (struct owner *owner);
 
+/* Notes that the newest owner has received a report, unless it takes it for outdated. */
+static void
+note_report (struct cell *cell, const struct call *call)
+{
+  struct fake_target *target = find_target_at (cell, &call->address);
+
+  if (!call->has_report || call->owner->fencing_token != cell->owner_token || target == NULL
+      || call->report.booted_at_ms != target->state.booted_at_ms || target->is_known
+      || cell->now_ms - call->sent_ms > call->heartbeat.wait_ms + REPORT_VALID_MS)
+    return;
+  target->is_known = true;
+  target->known_at_ms = cell->now_ms;
+}
+
 /* Passes the reply or the timeout to the owner. */
 static void
 on_call_done (struct cell *cell, void *data)
@@ -540,6 +591,7 @@
           struct fl_order_reply reply
               = { .result = result, .report = call->has_report ? &call->report : NULL };
           g_hash_table_remove (owner->heartbeats_in_flight, &call->heartbeat.target);
+          note_report (cell, call);
           fl_core_handle_heartbeat_reply (owner->core, &call->heartbeat.target, &reply,
                                           call->sent_ms, cell->now_ms);
         }
@@ -548,6 +600,16 @@
   call_free (call);
 }
 
+/* How long a reply takes that arrives within @timeout_ms. */
+static int64_t
+draw_reply_delay (struct cell *cell, int64_t timeout_ms)
+{
+  if (cell->options.fault_rates.reply_slow > 0 && faults_enabled (cell)
+      && happens_randomly (cell, cell->options.fault_rates.reply_slow))
+    return random_between (cell, 20, timeout_ms - 20);
+  return random_between (cell, 1, 20);
+}
+
 static void
 reply_to_heartbeat (struct cell *cell, struct fake_target *target, struct call *call)
 {
@@ -555,7 +617,7 @@
   call->result = FL_ORDER_DONE;
   call->has_report = true;
   target_state_get_report (&target->state, cell->now_ms, &call->report);
-  schedule (cell, random_between (cell, 1, 20), on_call_done, call);
+  schedule (cell, draw_reply_delay (cell, HEARTBEAT_REPLY_MARGIN_MS), on_call_done, call);
 }
 
 static void
@@ -587,6 +649,9 @@
     call->result = FL_ORDER_OTHER_BOOT;
   else
     call->result = target_state_handle_heartbeat (&target->state, cell->now_ms, &call->heartbeat);
+  if (call->result == FL_ORDER_DONE && call->owner->fencing_token == cell->owner_token
+      && target->is_known && call->sent_ms >= target->known_at_ms)
+    target->is_fenced = true;
   if (call->result == FL_ORDER_DONE && call->heartbeat.wait_ms > 0 && target->state.ends->len == 0)
     {
       g_array_append_val (target->waiting_heartbeats, call);
@@ -631,29 +696,58 @@
               || is_fault_scripted (cell, CELL_FAULT_ORDER_REPLY_LOST, call->order_number)));
   if (!call->replied)
     note_fault (cell);
-  schedule (cell, call->replied ? random_between (cell, 1, 20) : ORDER_TIMEOUT_MS, on_call_done,
-            call);
+  schedule (cell, call->replied ? draw_reply_delay (cell, ORDER_TIMEOUT_MS) : ORDER_TIMEOUT_MS,
+            on_call_done, call);
 }
 
-/* Executes an order long after its sender timed out. */
+/* Executes an order long after its sender timed out. What a boot receives before the newest owner
+ * has heard from it and sent it an order since, no owner can prevent: such an order is executed
+ * right after that. */
 static void
 on_late_order_received (struct cell *cell, void *data)
 {
   struct call *call = data;
   struct fake_target *target = find_target_at (cell, &call->address);
+  bool any_boot = call->target_boot < 0;
 
-  if (target != NULL && target->up && target->boot == call->target_boot)
+  if (any_boot && cell->now_ms - call->sent_ms < LATE_MAX_MS
+      && (target == NULL || !target->up || !target->is_fenced))
+    {
+      schedule (cell, LATE_RETRY_MS, on_late_order_received, call);
+      return;
+    }
+  if (target != NULL && target->up
+      && (any_boot ? target->is_fenced : target->boot == call->target_boot))
     {
       note_fault (cell);
       advance_target (cell, target);
       if (call->kind == CALL_START)
         handle_start (cell, target, &call->start_order);
-      else
+      else if (call->kind == CALL_STOP)
         handle_stop (cell, target, &call->stop_order);
+      else if (fl_name_eq (&target->id, &call->heartbeat.target))
+        target_state_handle_heartbeat (&target->state, cell->now_ms, &call->heartbeat);
     }
   call_free (call);
 }
 
+/* Executes a copy of @call after @delay_ms; its sender gets no reply. */
+static void
+send_call_late (struct cell *cell, struct call *call, int target_boot, int64_t delay_ms)
+{
+  struct call *late = g_new0 (struct call, 1);
+
+  *late = *call;
+  late->target_boot = target_boot;
+  late->payload = g_strdup (call->payload);
+  late->start_order.payload = late->payload;
+  late->start_order.ticket = late->ticket.data;
+  late->start_order.checkpoint = "";
+  note_fault (cell);
+  schedule (cell, delay_ms, on_late_order_received, late);
+  schedule (cell, ORDER_TIMEOUT_MS, on_call_done, call);
+}
+
 static void
 send_call (struct cell *cell, struct call *call)
 {
@@ -664,16 +758,15 @@
           || is_fault_scripted (cell, CELL_FAULT_ORDER_LATE, call->order_number)))
     {
       const struct fake_target *target = find_target_at (cell, &call->address);
-      struct call *late = g_new0 (struct call, 1);
-      *late = *call;
-      late->target_boot = target != NULL && target->up ? target->boot : -1;
-      late->payload = g_strdup (call->payload);
-      late->start_order.payload = late->payload;
-      late->start_order.ticket = late->ticket.data;
-      late->start_order.checkpoint = "";
-      note_fault (cell);
-      schedule (cell, random_between (cell, 2000, 6000), on_late_order_received, late);
-      schedule (cell, ORDER_TIMEOUT_MS, on_call_done, call);
+      send_call_late (cell, call, target != NULL && target->up ? target->boot : 0,
+                      random_between (cell, 2000, 6000));
+      return;
+    }
+  int late_rate = call->kind == CALL_HEARTBEAT ? cell->options.fault_rates.heartbeat_late_any_boot
+                                               : cell->options.fault_rates.order_late_any_boot;
+  if (late_rate > 0 && faults_enabled (cell) && happens_randomly (cell, late_rate))
+    {
+      send_call_late (cell, call, -1, random_between (cell, ORDER_TIMEOUT_MS, LATE_MAX_MS));
       return;
     }
   schedule (cell, random_between (cell, 1, 20), on_call_received, call);
@@ -1032,11 +1125,17 @@
       struct fl_target_entry entry = { .id = target->id,
                                        .service = fl_name_of ("service"),
                                        .address = target->address,
-                                       .draining = target->draining,
-                                       .resources = target->capacity };
+                                       .draining = target->draining };
       /* A target that stays isolated for over a second is not registered; its tasks run on. */
       if (!target->up || target->isolated_until_ms > cell->now_ms + 1000)
         continue;
+      if (cell->now_ms >= target->listed_from_ms)
+        {
+          target->listed_capacity = target->capacity;
+          target->listed_boot_ms = target->state.booted_at_ms;
+        }
+      entry.resources = target->listed_capacity;
+      entry.booted_at_ms = target->listed_boot_ms;
       g_hash_table_add (listed, &target->id);
       fl_core_update_target (owner->core, &entry);
     }
@@ -1102,6 +1201,11 @@
     .target_lease_max_ms = TARGET_LEASE_MAX_MS,
   };
 
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      target->is_known = target->is_fenced = false;
+    }
   owner->cell = cell;
   owner->fencing_token = cell->owner_token;
   owner->heartbeats_in_flight = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
@@ -1135,6 +1239,12 @@
   target->state.booted_at_ms = cell->now_ms;
   if (happens_randomly (cell, cell->options.fault_rates.target_new_id))
     target->id = format_target_id (target->index, target->boot);
+  if (cell->options.fault_rates.target_new_capacity > 0
+      && happens_randomly (cell, cell->options.fault_rates.target_new_capacity))
+    {
+      target->capacity.cpu_milli = draw_cpu_milli (cell);
+      target->listed_from_ms = cell->now_ms + random_between (cell, 0, REGISTRY_DELAY_MAX_MS);
+    }
 }
 
 static void
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -12,13 +12,17 @@
  * during the fault phase only, except target_new_id, store_delay_max_ms and task_failed. */
 struct cell_fault_rates
 {
-  int order_reply_lost;       /* for each order: it is executed but its reply is lost */
-  int order_late;             /* for each order: it is executed 2 to 6 s late and gets no reply */
-  int target_crash;           /* a target loses its state and restarts after 0.5 to 6 s */
-  int target_new_id;          /* for each restart: with another id at the same address */
-  int target_isolated;        /* a target is unreachable for 0.3 to 9 s, or up to
-                                 target_isolated_max_ms; its tasks keep running */
-  int target_isolated_max_ms; /* no rate; 0 for 9 s */
+  int order_reply_lost;        /* for each order: it is executed but its reply is lost */
+  int order_late;              /* for each order: it is executed 2 to 6 s late and gets no reply */
+  int order_late_any_boot;     /* for each order: it is executed up to 12 s late, in whatever boot
+                                  has the target's id then, and gets no reply */
+  int heartbeat_late_any_boot; /* the same for each heartbeat */
+  int target_crash;            /* a target loses its state and restarts after 0.5 to 6 s */
+  int target_new_id;           /* for each restart: with another id at the same address */
+  int target_new_capacity;     /* for each restart: with another capacity */
+  int target_isolated;         /* a target is unreachable for 0.3 to 9 s, or up to
+                                  target_isolated_max_ms; its tasks keep running */
+  int target_isolated_max_ms;  /* no rate; 0 for 9 s */
   int target_drain;       /* a target drains for 2 to 5 s and then restarts like after a crash */
   int owner_killed;       /* the owner is killed; another one takes over when the lease expires */
   int owner_frozen;       /* the owner is suspended for 0.2 to 8 s */
@@ -27,8 +31,14 @@
   int store_delay_max_ms; /* no rate: longest additional delay of a store reply */
   int job_cancelled;      /* a job is cancelled */
   int task_failed;        /* for each run: it ends as failed */
+  int reply_slow; /* for each order and heartbeat: its reply takes almost up to the timeout, so
+                     that later replies overtake it */
 };
 
+/* What the protocol permits beyond usual faults: an order without a reply is executed in the next
+ * boot of its target, which may have another capacity, and replies overtake each other. */
+extern const struct cell_fault_rates cell_late_order_rates;
+
 /* Kinds of scripted faults. The first three concern the order or the store transaction with
  * the number `position`, from 0. The others happen `position` times CELL_FAULT_INTERVAL_MS after
  * the start, to the target or job `index` or to the owner. */
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -3,6 +3,7 @@
  *   test_core_cell                            runs the tests
  *   test_core_cell SEED COUNT [TASK]          simulates COUNT seeds from SEED on with mixed faults
  *   test_core_cell lasting SEED COUNT [TASK]  simulates long-running jobs with bursts of faults
+ *   test_core_cell late-orders SEED COUNT [TASK]  orders that are executed in the next boot
  *   test_core_cell trouble NUMBER SEED TASK   simulates SEED with entry NUMBER of fault_profiles
  *
  * With TASK, the log of lib/core and the events of tasks whose names start with TASK are printed.
@@ -338,14 +339,18 @@
 }
 
 static int
-simulate_seeds (uint64_t first_seed, int count, int64_t jobs_read_ms, const char *trace_prefix)
+simulate_seeds (uint64_t first_seed,
+                int count,
+                const struct cell_fault_rates *fault_rates,
+                int64_t jobs_read_ms,
+                const char *trace_prefix)
 {
   int failed = 0;
 
   for (int i = 0; i < count; i++)
     {
       struct cell_result result
-          = simulate_random_faults (first_seed + (uint64_t)i, &mixed_fault_rates,
+          = simulate_random_faults (first_seed + (uint64_t)i, fault_rates,
                                     (first_seed + i) % 4 != 0, jobs_read_ms, trace_prefix);
       printf ("seed=%d accepted=%d ended=%d starts=%d lost=%d owners=%d %s\n",
               (int)(first_seed + i), result.jobs_accepted, result.jobs_ended, (int)result.starts,
@@ -378,13 +383,16 @@
   if (argc == 5 && strcmp (argv[1], "trouble") == 0)
     return simulate_profile (atoi (argv[2]), strtoull (argv[3], NULL, 10), argv[4]);
   if (argc >= 4 && strcmp (argv[1], "slow-reading") == 0)
-    return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), SLOW_READING_MS,
+    return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), &mixed_fault_rates,
+                           SLOW_READING_MS, argc > 4 ? argv[4] : NULL);
+  if (argc >= 4 && strcmp (argv[1], "late-orders") == 0)
+    return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), &cell_late_order_rates, 0,
                            argc > 4 ? argv[4] : NULL);
   if (argc >= 4 && strcmp (argv[1], "lasting") == 0)
     return simulate_long_running_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]),
                                         argc > 4 ? argv[4] : NULL);
   if (argc >= 3)
-    return simulate_seeds (strtoull (argv[1], NULL, 10), atoi (argv[2]), 0,
+    return simulate_seeds (strtoull (argv[1], NULL, 10), atoi (argv[2]), &mixed_fault_rates, 0,
                            argc > 3 ? argv[3] : NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
