A target gets tasks only while its registry entry is of the boot that reports

Callers saw a target over its capacity (LIMIT).

Cause: a target may restart under its id with another capacity. Heartbeats report the new boot at once, the registry entry follows up to a heartbeat interval later, or earlier; the core never compared the two and filled the target by the capacity of another boot.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -29,12 +29,20 @@
   return false;
 }
 
+/* Whether the registry entry of @target is that of the boot that reports: its service, capacity and
+ * labels may differ from those of another boot. */
+static bool
+entry_is_of_present_boot (const struct core_target *target)
+{
+  return target->entry.booted_at_ms == 0 || target->entry.booted_at_ms == target->booted_at_ms;
+}
+
 static bool
 accepts_tasks (const struct core_target *target, const struct fl_name *service)
 {
   return target->registered && target->recorded && target->reported && !target->silent
-         && target->is_fenced && !target->entry.draining && target->stale_runs == 0
-         && target->core->now_ms >= target->quarantined_until_ms
+         && target->is_fenced && entry_is_of_present_boot (target) && !target->entry.draining
+         && target->stale_runs == 0 && target->core->now_ms >= target->quarantined_until_ms
          && fl_name_eq (&target->entry.service, service);
 }
 
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -214,6 +214,45 @@
   fixture_free (fixture);
 }
 
+/* --- the registry entry of a boot --- */
+
+/* A target that restarted as a smaller one was filled by the capacity of the boot before. */
+static void
+test_capacity_of_an_earlier_boot (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t listed_boot; /* in the registry; 0 for unknown */
+    int64_t reported_boot;
+    guint starts;
+  } cases[] = {
+    { "same boot", 5, 5, 1 },
+    { "the registry lists the boot before", 5, 6, 0 },
+    { "the registry lists the next boot", 6, 5, 0 },
+    { "the registry does not tell the boot", 0, 5, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_target_entry entry = { .id = fl_name_of ("t1"),
+                                       .service = fl_name_of ("s"),
+                                       .address = fl_name_of ("t1"),
+                                       .booted_at_ms = cases[i].listed_boot,
+                                       .resources = { 4000, 100000, 0 } };
+      add_entry (fixture, "t1", 4, false);
+      fl_core_update_target (fixture->core, &entry);
+      add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      deliver_next_report (fixture, cases[i].reported_boot, NULL, 0);
+      deliver_next_report (fixture, cases[i].reported_boot, NULL, 0);
+      if (fixture->start_orders->len != cases[i].starts)
+        fail_msg ("%s: %u starts", cases[i].name, fixture->start_orders->len);
+      fixture_free (fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -223,6 +262,7 @@
     cmocka_unit_test (test_unlisted_run_of_earlier_boot),
     cmocka_unit_test (test_rejection_of_an_earlier_token),
     cmocka_unit_test (test_tokens_of_an_owner_are_limited),
+    cmocka_unit_test (test_capacity_of_an_earlier_boot),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
