Cell: a smaller boot that the owner has not heard from is not charged to it

Until the owner has heard from a boot it is judged by the capacity of the boot before, which it must not exceed either.

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -73,7 +73,8 @@
   struct fl_name id;
   struct fl_name address;
   struct fl_resources capacity;
-  struct fl_resources listed_capacity; /* in the registry */
+  struct fl_resources listed_capacity;   /* in the registry */
+  struct fl_resources previous_capacity; /* of the boot before */
   int64_t listed_boot_ms;
   int64_t listed_from_ms; /* from then on the registry lists the present boot */
   bool up;
@@ -412,6 +413,7 @@
   struct fake_job *job = find_job_of_task (cell, &order->task);
   struct fake_task *task = get_task (cell, &order->task);
   struct fl_resources team_used;
+  int64_t capacity_milli = target->capacity.cpu_milli;
   int64_t used = 0;
 
   if (job == NULL)
@@ -426,7 +428,10 @@
           = find_job_of_task (cell, &g_array_index (target->state.runs, struct target_run, i).task);
       used += other != NULL ? other->task_resources.cpu_milli : 0;
     }
-  if (used + job->task_resources.cpu_milli > target->capacity.cpu_milli)
+  /* Until the owner has heard from the boot, it cannot know that it is a smaller one. */
+  if (!target->is_known)
+    capacity_milli = MAX (capacity_milli, target->previous_capacity.cpu_milli);
+  if (used + job->task_resources.cpu_milli > capacity_milli)
     report_violation (cell, "LIMIT", &order->task);
   if (count_task_runs (cell, &order->task, &team_used, job->team) > 0 || task->done_acknowledged)
     report_violation (cell, "TWICE", &order->task);
@@ -1249,6 +1254,7 @@
   if (cell->options.fault_rates.target_new_capacity > 0
       && happens_randomly (cell, cell->options.fault_rates.target_new_capacity))
     {
+      target->previous_capacity = target->capacity;
       target->capacity.cpu_milli = draw_cpu_milli (cell);
       target->listed_from_ms = cell->now_ms + random_between (cell, 0, REGISTRY_DELAY_MAX_MS);
     }
