--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -618,10 +618,18 @@
 static void
 reply_to_heartbeat (struct cell *cell, struct fake_target *target, struct call *call)
 {
-  call->replied = true;
+  call->replied = call->has_report = true;
   call->result = FL_ORDER_DONE;
-  call->has_report = true;
   target_state_get_report (&target->state, cell->now_ms, &call->report);
+  if (cell->options.fault_rates.heartbeat_reply_lost > 0 && faults_enabled (cell)
+      && happens_randomly (cell, cell->options.fault_rates.heartbeat_reply_lost))
+    {
+      note_fault (cell);
+      call->replied = call->has_report = false;
+      target_state_clear_report (&call->report);
+      schedule (cell, HEARTBEAT_REPLY_MARGIN_MS, on_call_done, call);
+      return;
+    }
   schedule (cell, draw_reply_delay (cell, HEARTBEAT_REPLY_MARGIN_MS), on_call_done, call);
 }
 
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -17,6 +17,7 @@
   int order_late_any_boot;     /* for each order: it is executed up to 12 s late, in whatever boot
                                   has the target's id then, and gets no reply */
   int heartbeat_late_any_boot; /* the same for each heartbeat */
+  int heartbeat_reply_lost;    /* for each heartbeat: it is executed but its reply is lost */
   int target_crash;            /* a target loses its state and restarts after 0.5 to 6 s */
   int target_new_id;           /* for each restart: with another id at the same address */
   int target_new_capacity;     /* for each restart: with another capacity */
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -27,6 +27,8 @@
     { .heartbeat_late_any_boot = 100, .target_crash = 50, .target_isolated = 20 } },
   { "the next boot has another capacity",
     { .target_crash = 50, .target_new_capacity = 1000, .order_reply_lost = 30 } },
+  { "replies to heartbeats lost",
+    { .heartbeat_reply_lost = 150, .target_crash = 30, .order_late_any_boot = 50 } },
   { "replies overtake each other",
     { .target_crash = 20, .reply_slow = 200, .order_reply_lost = 30 } },
 };
