Test: six ways in which an order for an earlier boot still counts (fails)

Failing on: the token of a target is forgotten after an address takeover, and used up by repeated ones; a rejection from an earlier address releases a run that the next boot may have; a heartbeat sent before a target left counts as fence of the next boot; leases that orders of earlier owners prolonged are not assumed for targets that are not inherited, nor while the jobs are unknown.

Fixture cases only; no change to lib.

--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -214,6 +214,202 @@
   fixture_free (fixture);
 }
 
+/* --- an address that another target has taken over --- */
+
+static void
+deliver_result (struct fixture *fixture, const char *target, enum fl_order_result result)
+{
+  struct fl_name id = fl_name_of (target);
+  struct fl_order_reply reply = { .result = result };
+
+  fixture->now_ms += REPORT_INTERVAL_MS;
+  fl_core_handle_heartbeat_reply (fixture->core, &id, &reply, fixture->now_ms - 1, fixture->now_ms);
+}
+
+/* A target whose address had been taken over came back with the token of its earlier boots. */
+static void
+test_token_after_address_takeover (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_name id = fl_name_of ("t1");
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  deliver_result (fixture, "t1", FL_ORDER_OTHER_BOOT);
+  assert_int_equal (prepare_heartbeat (fixture).fencing_token, 2);
+  fl_core_remove_target (fixture->core, &id);
+  if (fl_core_token_is_current (fixture->core, &id, 1))
+    print_message ("a rejection of token 1 counts as that of a superseded owner\n");
+  add_entry (fixture, "t1", 4, false);
+  int64_t token = prepare_heartbeat (fixture).fencing_token;
+  if (token <= 2)
+    fail_msg ("token %d after token 2", (int)token);
+  fixture_free (fixture);
+}
+
+/* Each rejection by the target that has the address now raised the token, at each retry, though the
+ * boots that it is to protect from each other were the same. */
+static void
+test_repeated_address_takeover_uses_up_tokens (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  for (int i = 0; i < 2 * FL_FENCING_TOKENS_PER_OWNER; i++)
+    {
+      deliver_result (fixture, "t1", FL_ORDER_OTHER_BOOT);
+      tick_until_recorded (fixture, 300);
+    }
+  deliver_next_report (fixture, 2, NULL, 0);
+  int64_t token = prepare_heartbeat (fixture).fencing_token;
+  deliver_next_report (fixture, 3, NULL, 0);
+  int64_t next_token = prepare_heartbeat (fixture).fencing_token;
+  if (next_token <= token)
+    fail_msg ("boots 2 and 3 have the tokens %d and %d", (int)token, (int)next_token);
+  fixture_free (fixture);
+}
+
+/* A start was resent to the next boot of its target, at a new address, while the heartbeat to the
+ * earlier address was in flight. The rejection of that heartbeat was taken for the end of the run. */
+static void
+test_rejection_from_an_earlier_address (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_target_entry entry = { .id = fl_name_of ("t1"),
+                                   .service = fl_name_of ("s"),
+                                   .address = fl_name_of ("t1-next"),
+                                   .booted_at_ms = 2,
+                                   .resources = { 4000, 100000, 0 } };
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->start_orders->len, 1);
+  struct fl_start_order first = *get_start_order (fixture, 0);
+  prepare_heartbeat (fixture); /* to the address t1 */
+  fl_core_handle_start_reply (fixture->core, &first.task, first.run, FL_ORDER_NO_REPLY,
+                              fixture->now_ms);
+  fl_core_update_target (fixture->core, &entry);
+  add_target (fixture, "t2", 4, false);
+  tick_until_recorded (fixture, 100);
+  assert_int_equal (fixture->start_orders->len, 2);
+  assert_string_equal (get_start_order (fixture, 1)->address.data, "t1-next");
+  deliver_result (fixture, "t1", FL_ORDER_OTHER_BOOT);
+  tick_until_recorded (fixture, 100);
+  if (fixture->start_orders->len > 2)
+    fail_msg ("run %d started on %s while run %d may be in effect at t1-next",
+              (int)get_start_order (fixture, 2)->run, get_start_order (fixture, 2)->address.data,
+              (int)get_start_order (fixture, 1)->run);
+  fixture_free (fixture);
+}
+
+/* --- a target that left and returned --- */
+
+/* The reply to a heartbeat that was sent between two ticks, before the target left, was taken for
+ * one that carried the raised token. */
+static void
+test_heartbeat_sent_before_the_target_left (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_name id = fl_name_of ("t1");
+  struct fl_heartbeat_order order;
+  struct fl_target_report report = { .booted_at_ms = 2, .clock_ms = 1000 };
+  struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &report };
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  tick_until_recorded (fixture, REPORT_INTERVAL_MS);
+  int64_t sent_ms = fixture->now_ms + 5; /* the tick took as long */
+  assert_true (fl_core_prepare_heartbeat (fixture->core, &id, sent_ms, &order));
+  assert_int_equal (order.fencing_token, 1);
+  fl_core_remove_target (fixture->core, &id);
+  add_entry (fixture, "t1", 4, false);
+  fixture->now_ms += REPORT_INTERVAL_MS;
+  fl_core_handle_heartbeat_reply (fixture->core, &id, &reply, sent_ms, fixture->now_ms);
+  add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 1);
+  if (fixture->start_orders->len > 0)
+    fail_msg ("%s", "a start before the boot has received the raised token");
+  fixture_free (fixture);
+}
+
+/* --- leases that orders of an earlier owner prolonged --- */
+
+/* An earlier owner sends heartbeats to all registered targets, also to those that its list of
+ * targets does not contain: new ones, and draining ones without runs. A late one that the next boot
+ * executes before the first heartbeat of this owner gives it the longest lease. */
+static void
+test_longest_lease_of_a_target_that_is_not_inherited (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool inherited;
+  } cases[] = { { "inherited", true }, { "not inherited", false } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture_options options = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER };
+      struct fixture *fixture = fixture_new_with (&options);
+      struct fl_name id = fl_name_of ("t1");
+      fl_core_set_jobs_known (fixture->core);
+      if (cases[i].inherited)
+        fl_core_inherit_target (fixture->core, &id, &id);
+      add_target (fixture, "t1", 4, false);
+      int64_t reported_ms = fixture->now_ms;
+      add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->start_orders->len, 1);
+      confirm_start (fixture, 0);
+      struct fl_run_row row
+          = { .task = get_start_order (fixture, 0)->task, .run = get_start_order (fixture, 0)->run };
+      deliver_next_report (fixture, 1, &row, 1);
+      add_target (fixture, "t2", 4, false);
+      deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
+      while (fixture->start_orders->len == 1 && fixture->now_ms < reported_ms + 20000)
+        tick_until_recorded (fixture, 50);
+      /* The targets of the fixture grant 6 s. */
+      if (fixture->now_ms < reported_ms + 6000)
+        fail_msg ("%s: started elsewhere after %d ms, with a lease of up to 6000 ms", cases[i].name,
+                  (int)(fixture->now_ms - reported_ms));
+      fixture_free (fixture);
+    }
+}
+
+/* Until the jobs are known, heartbeats carry a deadline by the clock of a boot that may have ended.
+ * In the next boot it prolongs a run, which a late start of the earlier owner started there. */
+static void
+test_deadline_of_an_earlier_boot_while_jobs_are_unknown (void **state)
+{
+  struct fixture_options options
+      = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER, .reconciled_at_ms = 100000 + 1000 };
+  struct fixture *fixture = fixture_new_with (&options);
+  struct fl_name id = fl_name_of ("t1");
+  struct fl_job_target target = { fl_job_target_hash (&id) };
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &target } };
+
+  (void)state;
+  fl_core_inherit_target (fixture->core, &id, &id);
+  add_target (fixture, "t1", 4, false);
+  tick_until_recorded (fixture, 1500); /* of which boot 1 may have ended */
+  int64_t sent_ms = fixture->now_ms;
+  bool has_deadline = prepare_heartbeat (fixture).deadline_ms > 0;
+  deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
+  add_recorded_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 },
+                    &progress);
+  fl_core_set_jobs_known (fixture->core);
+  add_target (fixture, "t2", 4, false);
+  while (fixture->start_orders->len == 0 && fixture->now_ms < sent_ms + 20000)
+    tick_until_recorded (fixture, 50);
+  if (has_deadline && fixture->now_ms < sent_ms + 6000)
+    fail_msg ("started %d ms after a heartbeat that gave a lease of up to 6000 ms",
+              (int)(fixture->now_ms - sent_ms));
+  fixture_free (fixture);
+}
+
 /* --- the registry entry of a boot --- */
 
 /* A target that restarted as a smaller one was filled by the capacity of the boot before. */
@@ -262,6 +458,12 @@
     cmocka_unit_test (test_unlisted_run_of_earlier_boot),
     cmocka_unit_test (test_rejection_of_an_earlier_token),
     cmocka_unit_test (test_tokens_of_an_owner_are_limited),
+    cmocka_unit_test (test_token_after_address_takeover),
+    cmocka_unit_test (test_repeated_address_takeover_uses_up_tokens),
+    cmocka_unit_test (test_rejection_from_an_earlier_address),
+    cmocka_unit_test (test_heartbeat_sent_before_the_target_left),
+    cmocka_unit_test (test_longest_lease_of_a_target_that_is_not_inherited),
+    cmocka_unit_test (test_deadline_of_an_earlier_boot_while_jobs_are_unknown),
     cmocka_unit_test (test_capacity_of_an_earlier_boot),
   };
 
