A rejection from an earlier address of a target says nothing about its runs

Callers could see two runs of one task (TWICE): a start was resent to the next boot of its target, at a new address, while the heartbeat to the earlier address was in flight. The rejection of that heartbeat by the boot that has the address now was taken for the end of the run.

Rejections and refused connections count only if the address has not changed since the heartbeat was prepared.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -351,6 +351,8 @@
 
   if (entry->draining && !target->entry.draining)
     target->leaves_at_ms = core->now_ms + entry->drain_remaining_ms;
+  if (target->entry.address.len > 0 && !fl_name_eq (&target->entry.address, &entry->address))
+    target->address_changed = true;
   target->entry = *entry;
   target->registered = true;
 }
@@ -499,6 +501,7 @@
   *order = (struct fl_heartbeat_order){
     .target = target->entry.id,
     .address = target->entry.address,
+  target->address_changed = false;
     .fencing_token = target->fencing_token,
   };
   /* While the jobs are not known, this owner has started nothing. A longer lease than intended, on
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -41,6 +41,7 @@
   bool reported;         /* it has listed its runs to this owner */
   bool reported_fully;   /* one of its replies had room for all its ends, too */
   bool silent;           /* it did not reply to the last heartbeat */
+  bool address_changed;  /* since the last heartbeat was prepared */
   int missed_heartbeats; /* consecutive */
   int64_t booted_at_ms;  /* identifies its boot */
   bool boot_known;       /* it has told booted_at_ms */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -472,9 +472,9 @@
     report = NULL;
   target->last_heartbeat_at_ms = now_ms;
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
-  if (reply->result == FL_ORDER_OTHER_BOOT)
+  if (reply->result == FL_ORDER_OTHER_BOOT && !target->address_changed)
     handle_address_takeover (core, target);
-  if (reply->result == FL_ORDER_NO_LISTENER && target->silent)
+  if (reply->result == FL_ORDER_NO_LISTENER && target->silent && !target->address_changed)
     handle_no_listener (core, target);
   if (report == NULL || target->silent)
     update_silence (core, target, report == NULL, reply->result);
