Leases that late orders of earlier owners may have prolonged count as the longest on any target

Callers could see two runs of one task (TWICE). Two cases, found by the review, of a lease that is longer than the owner counts: - An earlier owner sends heartbeats to all registered targets, also to those that its list does not contain (new ones, draining ones without runs). A late one that the next boot executes before this owner's first heartbeat gives the longest lease, which also holds for what starts there then. - While a new owner reads the jobs, its heartbeats carry deadlines by the clock of a boot that may have ended.

test_longest_lease_of_a_target_that_is_not_inherited failed before (started elsewhere after 1641 ms), as did test_deadline_of_an_earlier_boot_while_jobs_are_unknown.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -504,19 +504,19 @@
   target->address_changed = false;
     .fencing_token = target->fencing_token,
   };
-  /* While the jobs are not known, this owner has started nothing. A longer lease than intended, on
-   * a target that has restarted, then concerns no run. */
-  bool boot_is_valid = !core->jobs_known || now_ms - target->last_heartbeat_at_ms <= BOOT_VALID_MS;
-  if (target->clock_at_ms == 0 || target->silent || !boot_is_valid)
+  /* While the jobs are not known, leases are renewed all the same. A target that has restarted may
+   * then grant the longest one. */
+  bool boot_is_valid = now_ms - target->last_heartbeat_at_ms <= BOOT_VALID_MS;
+  if (target->clock_at_ms == 0 || target->silent || (core->jobs_known && !boot_is_valid))
     return true;
   order->last_recorded_end = target->last_recorded_end;
   order->deadline_ms = core_target_clock_ms (target, now_ms) + core->options.target_lease_ms;
   /* Reports are needed as soon as the jobs are known: no heartbeat then waits for an end. */
   order->wait_ms = core->jobs_known && target->is_fenced ? heartbeat_wait_ms (target) : 0;
   target->heartbeat_wait_ms = order->wait_ms;
-  target->lease_expires_at_ms = MAX (
-      target->lease_expires_at_ms,
-      now_ms + core->options.target_lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
+  core_target_extend_lease (target, now_ms,
+                            boot_is_valid ? core->options.target_lease_ms
+                                          : core->options.target_lease_max_ms);
   /* This heartbeat renews the leases of runs that an earlier owner started, and its reply, which
    * would list them, may be lost. */
   if (target->is_unreconciled)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -353,8 +353,12 @@
 /* Treats the runs of @target as lost that were in the boot that had its address and has ended. */
 void core_target_lose_ended_runs (struct core_target *target);
 
-/* Extends the expected end of the leases on @target to the longest that it grants: by the clock of
- * its present boot, the deadline of an order to an earlier boot may be far ahead. */
+/* Extends the expected end of the leases on @target: at @from_ms it may have been asked for one of
+ * @lease_ms. */
+void core_target_extend_lease (struct core_target *target, int64_t from_ms, int64_t lease_ms);
+
+/* The same for the longest lease that it grants: by the clock of its present boot, the deadline of
+ * an order to an earlier boot may be far ahead. */
 void core_target_assume_longest_lease (struct core_target *target);
 
 /* Treats the runs of @target as lost whose lease has certainly expired. */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -346,11 +346,13 @@
 
 /* Whether orders of this owner or of an earlier one, which were meant for an earlier boot of
  * @target, may have prolonged the leases in its present boot before it received the present token.
- */
+ * Earlier owners may have sent heartbeats to targets that are not in their list. */
 static bool
 may_have_received_late_orders (const struct core_target *target)
 {
-  return target->inherited || target->fencing_token > target->core->options.fencing_token;
+  int64_t own_token = target->core->options.fencing_token;
+
+  return own_token > 1 || target->fencing_token > own_token;
 }
 
 /* Notes whether the boot that replied to a heartbeat sent at @sent_ms rejects the orders that were
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -129,9 +129,7 @@
   run->fencing_token = target->fencing_token;
   run->progressed_at_ms = core->now_ms;
   target->next_expiry_check_ms = 0;
-  target->lease_expires_at_ms
-      = MAX (target->lease_expires_at_ms,
-             core->now_ms + START_DEADLINE_MS * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
+  core_target_extend_lease (target, core->now_ms, START_DEADLINE_MS);
   if (!job->started)
     {
       job->started = true;
@@ -278,15 +276,20 @@
          + CORE_EXPIRY_MARGIN_MS;
 }
 
+void
+core_target_extend_lease (struct core_target *target, int64_t from_ms, int64_t lease_ms)
+{
+  target->lease_expires_at_ms
+      = MAX (target->lease_expires_at_ms,
+             from_ms + lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
+}
+
 void
 core_target_assume_longest_lease (struct core_target *target)
 {
   const struct fl_core *core = target->core;
 
-  target->lease_expires_at_ms
-      = MAX (target->lease_expires_at_ms,
-             core->now_ms + core->options.target_lease_max_ms * CORE_EXPIRY_PERCENT / 100
-                 + CORE_EXPIRY_MARGIN_MS);
+  core_target_extend_lease (target, core->now_ms, core->options.target_lease_max_ms);
 }
 
 /* The time by which the lease of @run has certainly expired. The boot of a run that was never
