The token of a target outlives address takeovers, and is raised once for each boot

Callers could see an order for an earlier boot take effect (TWICE, LIMIT), or an owner that gave up the pool. Found by the review: - After a takeover of its address a target left the core without its token being remembered, since its boot was no longer known; it came back with a token that its earlier boots had seen, and a rejection of that token counted as that of a superseded owner. - Each rejection by the target that has the address now raised the token again, so that the tokens of the owner were used up by retries. - A heartbeat sent between two ticks, before the target left, counted as one with the token that it has since it returned. The core's time follows the heartbeats now, and flamingo-poold takes a reply to a heartbeat with an earlier token for none.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -373,7 +373,8 @@
       || core_target_has_unrecorded_ends (target))
     return;
   core->target_list_outdated = core->target_list_outdated || target->recorded;
-  if (target->boot_known)
+  /* Orders to a target that has never told its boot carry nothing that concerns one. */
+  if (target->boot_known || target->fencing_token > core->options.fencing_token)
     {
       int64_t token = next_token (target);
       g_hash_table_insert (core->next_tokens,
@@ -497,11 +498,13 @@
 
   if (target->entry.address.len == 0 || !heartbeat_is_due (target, now_ms))
     return false;
+  /* Registry entries that arrive before the next tick are newer than this heartbeat. */
+  core->now_ms = MAX (core->now_ms, now_ms);
   target->heartbeat_wait_ms = 0;
+  target->address_changed = false;
   *order = (struct fl_heartbeat_order){
     .target = target->entry.id,
     .address = target->entry.address,
-  target->address_changed = false;
     .fencing_token = target->fencing_token,
   };
   /* While the jobs are not known, leases are renewed all the same. A target that has restarted may
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -414,8 +414,10 @@
   core_target_lose_runs (target, "address_taken_over");
   target->inherited = false;
   target->reported = target->reported_fully = false;
+  /* Until it has told its boot, orders to it carry nothing that concerns one. */
+  if (target->boot_known)
+    core_target_raise_token (target);
   target->boot_known = false;
-  core_target_raise_token (target);
   core_target_update_reconciled (target);
   fl_stats_add (core->options.stats, "targets_taken_over_total", 1);
 }
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -158,8 +158,12 @@
 {
   struct order_call *call = context;
   struct fl_term *term = call->term;
+  static const struct fl_order_reply no_reply = { .result = FL_ORDER_NO_REPLY };
 
   record_result (call, "hold_ms", reply);
+  /* The target has left and returned since: the core has prepared another heartbeat. */
+  if (!term->ended && !fl_core_token_is_current (term->core, &call->target, call->fencing_token))
+    reply = &no_reply;
   if (!term->ended)
     {
       g_hash_table_remove (term->heartbeats_in_flight, &call->id);
