Cell: a failure whose target's lease lapsed before it was acknowledged is not counted

By the protocol's rules an end counts as acknowledged only if no lease lapsed in between. The cell said so for TWICE, where BUDGET uses the same term, and not for BUDGET.

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -305,11 +305,13 @@
   struct fake_target *target = context;
   struct fake_task *task = get_task (target->cell, &end->task);
 
+  if (end->lease_expired)
+    return;
   if (end->cause == FL_END_FAILED)
     task->failures_acknowledged++;
   if (task->failures_acknowledged >= ATTEMPTS_MAX && task->over_budget)
     report_violation (target->cell, "BUDGET (failures acknowledged later)", &end->task);
-  if (end->cause != FL_END_DONE || end->lease_expired)
+  if (end->cause != FL_END_DONE)
     return;
   if (end->task_restarted)
     report_violation (target->cell, "TWICE (started after an acknowledged end)", &end->task);
