--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -300,6 +300,7 @@
              const char *payload,
              int index,
              bool is_repeated,
+             int64_t fencing_token,
              struct order_outcome *outcome)
 {
   const struct fl_target_calls *calls = fl_forwarder_calls (host->forwarder);
@@ -307,7 +308,7 @@
                                   .address = fl_name_of ("1.2.3.4:5"),
                                   .task = fl_name_format ("a.0.0.%d", index),
                                   .run = 4,
-                                  .fencing_token = 7,
+                                  .fencing_token = fencing_token,
                                   .deadline_ms = 99,
                                   .payload = payload,
                                   .payload_len = strlen (payload),
@@ -318,19 +319,21 @@
   calls->start (calls->context, &order, record_outcome, outcome);
 }
 
-/* Starts BATCH_TASKS tasks of one job, on targets t0, t1, and so on, and waits for the results. */
+/* Starts BATCH_TASKS tasks of one job, on targets t0, t1, and so on, with @token_count fencing tokens
+ * in turn, and waits for the results. */
 static void
 send_batch (struct ev_loop *loop,
             struct host *host,
             const char *payload,
             bool is_repeated,
+            int64_t token_count,
             struct order_outcome *outcomes)
 {
   int finished;
 
   memset (outcomes, 0, BATCH_TASKS * sizeof outcomes[0]);
   for (int i = 0; i < BATCH_TASKS; i++)
-    queue_start (host, payload, i, is_repeated, &outcomes[i]);
+    queue_start (host, payload, i, is_repeated, 7 + i % token_count, &outcomes[i]);
   fl_forwarder_flush (host->forwarder);
   do
     {
@@ -399,7 +402,7 @@
     {
       owner.direct.starts = peers[0].forwarded.starts = peers[1].forwarded.starts = 0;
       owner.sent_bytes = 0;
-      send_batch (loop, &owner, payload, false, outcomes);
+      send_batch (loop, &owner, payload, false, 1, outcomes);
       assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_CAPACITY), BATCH_TASKS);
       assert_int_equal (owner.direct.starts + peers[0].forwarded.starts + peers[1].forwarded.starts,
                         BATCH_TASKS);
@@ -414,22 +417,56 @@
   while (g_hash_table_iter_next (&iter, &target, NULL))
     assert_false (g_hash_table_contains (peers[1].forwarded.targets, target));
   owner.sent_bytes = 0;
-  send_batch (loop, &owner, payload, false, outcomes);
+  send_batch (loop, &owner, payload, false, 1, outcomes);
   assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_CAPACITY), BATCH_TASKS);
   assert_true (owner.sent_bytes < 4 * BATCH_PAYLOAD_BYTES);
   peers[0].drops_messages = peers[1].drops_messages = true;
-  send_batch (loop, &owner, payload, false, outcomes);
+  send_batch (loop, &owner, payload, false, 1, outcomes);
   assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_REPLY), BATCH_TASKS);
   for (int i = 0; owner.direct.starts < BATCH_TASKS && i < 3; i++)
     {
       owner.direct.starts = 0;
-      send_batch (loop, &owner, payload, true, outcomes);
+      send_batch (loop, &owner, payload, true, 1, outcomes);
     }
   assert_int_equal (owner.direct.starts, BATCH_TASKS);
   assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_CAPACITY), BATCH_TASKS);
   stop_hosts (&owner, peers, loop, stats);
 }
 
+/* Load pattern: part of the targets have restarted under their ids, so that their fencing tokens
+ * differ. The owner sends the payload once for each token, not for each start. */
+static void
+test_start_batch_of_several_tokens (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct order_outcome outcomes[BATCH_TASKS];
+  struct host owner;
+  struct host peers[2];
+  char payload[BATCH_PAYLOAD_BYTES + 1] = "what to run";
+
+  (void)state;
+  memset (payload + strlen (payload), 'x', sizeof payload - 1 - strlen (payload));
+  start_hosts (&owner, peers, loop, stats);
+  do
+    {
+      owner.direct.starts = peers[0].forwarded.starts = peers[1].forwarded.starts = 0;
+      send_batch (loop, &owner, payload, false, 1, outcomes);
+    }
+  while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
+         || peers[1].forwarded.starts == 0);
+  for (int64_t token_count = 1; token_count <= 2; token_count++)
+    {
+      owner.sent_bytes = 0;
+      send_batch (loop, &owner, payload, false, token_count, outcomes);
+      assert_int_equal (count_outcomes (outcomes, FL_ORDER_NO_CAPACITY), BATCH_TASKS);
+      if (owner.sent_bytes >= (size_t)token_count * 4 * BATCH_PAYLOAD_BYTES)
+        fail_msg ("%d tokens: %d bytes sent for %d starts with a payload of %d", (int)token_count,
+                  (int)owner.sent_bytes, BATCH_TASKS, BATCH_PAYLOAD_BYTES);
+    }
+  stop_hosts (&owner, peers, loop, stats);
+}
+
 /* The owner gets the result of each start of a batch as the target's host saw it. Only starts that
  * were certainly not sent are ordered again, once. */
 static void
@@ -446,7 +483,7 @@
   do
     {
       owner.direct.starts = 0;
-      send_batch (loop, &owner, "what to run", false, outcomes);
+      send_batch (loop, &owner, "what to run", false, 1, outcomes);
     }
   while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
          || peers[1].forwarded.starts == 0);
@@ -458,7 +495,7 @@
           peers[i].forwarded.start_result = (enum fl_order_result)result;
           peers[i].forwarded.starts = 0;
         }
-      send_batch (loop, &owner, "what to run", false, outcomes);
+      send_batch (loop, &owner, "what to run", false, 1, outcomes);
       assert_int_equal (count_outcomes (outcomes, (enum fl_order_result)result), BATCH_TASKS);
       assert_int_equal (peers[0].forwarded.starts + peers[1].forwarded.starts,
                         orders_per_task * BATCH_TASKS);
@@ -490,7 +527,7 @@
   do
     {
       owner.direct.starts = 0;
-      send_batch (loop, &owner, "what to run", false, outcomes);
+      send_batch (loop, &owner, "what to run", false, 1, outcomes);
     }
   while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
          || peers[1].forwarded.starts == 0);
@@ -500,7 +537,7 @@
     {
       char *payload = payloads[MIN (i, SINGLE_STARTS)];
       strcpy (payload, "what to run");
-      queue_start (&owner, payload, i, false, &outcomes[i]);
+      queue_start (&owner, payload, i, false, 7, &outcomes[i]);
     }
   fl_forwarder_flush (owner.forwarder);
   do
@@ -587,6 +624,7 @@
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_forwarding),
                                       cmocka_unit_test (test_start_batch),
+                                      cmocka_unit_test (test_start_batch_of_several_tokens),
                                       cmocka_unit_test (test_results_of_batch),
                                       cmocka_unit_test (test_peer_lost_between_batches),
                                       cmocka_unit_test (test_late_reply_of_live_peer),
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -214,6 +214,27 @@
   fixture_free (fixture);
 }
 
+/* Once the tokens were used up, a boot counted as fenced though it has the token of the one before. */
+static void
+test_boot_without_a_token_of_its_own (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  for (int64_t boot = 2; boot <= FL_FENCING_TOKENS_PER_OWNER; boot++)
+    deliver_next_report (fixture, boot, NULL, 0);
+  int64_t token = prepare_heartbeat (fixture).fencing_token;
+  for (int i = 0; i < 3; i++)
+    deliver_next_report (fixture, FL_FENCING_TOKENS_PER_OWNER + 1, NULL, 0);
+  add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 1);
+  if (fixture->start_orders->len > 0 && get_start_order (fixture, 0)->fencing_token <= token)
+    fail_msg ("a start in a boot that accepts the orders for the boot before (token %d)",
+              (int)token);
+  fixture_free (fixture);
+}
+
 /* --- an address that another target has taken over --- */
 
 static void
@@ -458,6 +479,7 @@
     cmocka_unit_test (test_unlisted_run_of_earlier_boot),
     cmocka_unit_test (test_rejection_of_an_earlier_token),
     cmocka_unit_test (test_tokens_of_an_owner_are_limited),
+    cmocka_unit_test (test_boot_without_a_token_of_its_own),
     cmocka_unit_test (test_token_after_address_takeover),
     cmocka_unit_test (test_repeated_address_takeover_uses_up_tokens),
     cmocka_unit_test (test_rejection_from_an_earlier_address),
