--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1250,7 +1250,11 @@
   target->draining = false;
   target->state.booted_at_ms = cell->now_ms;
   if (happens_randomly (cell, cell->options.fault_rates.target_new_id))
-    target->id = format_target_id (target->index, target->boot);
+    {
+      int former_rate = cell->options.fault_rates.target_former_id;
+      bool is_former = former_rate > 0 && happens_randomly (cell, former_rate);
+      target->id = format_target_id (target->index, is_former ? 0 : target->boot);
+    }
   if (cell->options.fault_rates.target_new_capacity > 0
       && happens_randomly (cell, cell->options.fault_rates.target_new_capacity))
     {
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -27,6 +27,11 @@
     { .heartbeat_late_any_boot = 100, .target_crash = 50, .target_isolated = 20 } },
   { "the next boot has another capacity",
     { .target_crash = 50, .target_new_capacity = 1000, .order_reply_lost = 30 } },
+  { "another target has the address in between",
+    { .order_late_any_boot = 300,
+      .target_crash = 100,
+      .target_new_id = 600,
+      .target_former_id = 600 } },
   { "replies overtake each other",
     { .target_crash = 20, .reply_slow = 200, .order_reply_lost = 30 } },
 };
