--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -19,11 +19,11 @@
   int heartbeat_late_any_boot; /* the same for each heartbeat */
   int target_crash;            /* a target loses its state and restarts after 0.5 to 6 s */
   int target_new_id;           /* for each restart: with another id at the same address */
-  int target_former_id;        /* for each restart with another id: with the first one of its host */
-  int target_new_capacity;     /* for each restart: with another capacity */
-  int target_isolated;         /* a target is unreachable for 0.3 to 9 s, or up to
-                                  target_isolated_max_ms; its tasks keep running */
-  int target_isolated_max_ms;  /* no rate; 0 for 9 s */
+  int target_former_id;       /* for each restart with another id: with the first one of its host */
+  int target_new_capacity;    /* for each restart: with another capacity */
+  int target_isolated;        /* a target is unreachable for 0.3 to 9 s, or up to
+                                 target_isolated_max_ms; its tasks keep running */
+  int target_isolated_max_ms; /* no rate; 0 for 9 s */
   int target_drain;       /* a target drains for 2 to 5 s and then restarts like after a crash */
   int owner_killed;       /* the owner is killed; another one takes over when the lease expires */
   int owner_frozen;       /* the owner is suspended for 0.2 to 8 s */
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -319,8 +319,8 @@
   calls->start (calls->context, &order, record_outcome, outcome);
 }
 
-/* Starts BATCH_TASKS tasks of one job, on targets t0, t1, and so on, with @token_count fencing tokens
- * in turn, and waits for the results. */
+/* Starts BATCH_TASKS tasks of one job, on targets t0, t1, and so on, with @token_count fencing
+ * tokens in turn, and waits for the results. */
 static void
 send_batch (struct ev_loop *loop,
             struct host *host,
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -219,7 +219,8 @@
   fixture_free (fixture);
 }
 
-/* Once the tokens were used up, a boot counted as fenced though it has the token of the one before. */
+/* Once the tokens were used up, a boot counted as fenced though it has the token of the one before.
+ */
 static void
 test_boot_without_a_token_of_its_own (void **state)
 {
@@ -297,7 +298,8 @@
 }
 
 /* A start was resent to the next boot of its target, at a new address, while the heartbeat to the
- * earlier address was in flight. The rejection of that heartbeat was taken for the end of the run. */
+ * earlier address was in flight. The rejection of that heartbeat was taken for the end of the run.
+ */
 static void
 test_rejection_from_an_earlier_address (void **state)
 {
@@ -390,8 +392,8 @@
       tick_until_recorded (fixture, 0);
       assert_int_equal (fixture->start_orders->len, 1);
       confirm_start (fixture, 0);
-      struct fl_run_row row
-          = { .task = get_start_order (fixture, 0)->task, .run = get_start_order (fixture, 0)->run };
+      struct fl_run_row row = { .task = get_start_order (fixture, 0)->task,
+                                .run = get_start_order (fixture, 0)->run };
       deliver_next_report (fixture, 1, &row, 1);
       add_target (fixture, "t2", 4, false);
       deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
