--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -29,6 +29,11 @@
     { .target_crash = 50, .target_new_capacity = 1000, .order_reply_lost = 30 } },
   { "replies to heartbeats lost",
     { .heartbeat_reply_lost = 150, .target_crash = 30, .order_late_any_boot = 50 } },
+  { "another target has the address in between",
+    { .order_late_any_boot = 300,
+      .target_crash = 100,
+      .target_new_id = 600,
+      .target_former_id = 600 } },
   { "replies overtake each other",
     { .target_crash = 20, .reply_slow = 200, .order_reply_lost = 30 } },
 };
@@ -216,6 +221,28 @@
   fixture_free (fixture);
 }
 
+/* Once the tokens were used up, a boot counted as fenced though it has the token of the one before.
+ */
+static void
+test_boot_without_a_token_of_its_own (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  for (int64_t boot = 2; boot <= FL_FENCING_TOKENS_PER_OWNER; boot++)
+    deliver_next_report (fixture, boot, NULL, 0);
+  int64_t token = prepare_heartbeat (fixture).fencing_token;
+  for (int i = 0; i < 3; i++)
+    deliver_next_report (fixture, FL_FENCING_TOKENS_PER_OWNER + 1, NULL, 0);
+  add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 1);
+  if (fixture->start_orders->len > 0 && get_start_order (fixture, 0)->fencing_token <= token)
+    fail_msg ("a start in a boot that accepts the orders for the boot before (token %d)",
+              (int)token);
+  fixture_free (fixture);
+}
+
 /* --- an address that another target has taken over --- */
 
 static void
@@ -273,7 +300,8 @@
 }
 
 /* A start was resent to the next boot of its target, at a new address, while the heartbeat to the
- * earlier address was in flight. The rejection of that heartbeat was taken for the end of the run. */
+ * earlier address was in flight. The rejection of that heartbeat was taken for the end of the run.
+ */
 static void
 test_rejection_from_an_earlier_address (void **state)
 {
@@ -366,8 +394,8 @@
       tick_until_recorded (fixture, 0);
       assert_int_equal (fixture->start_orders->len, 1);
       confirm_start (fixture, 0);
-      struct fl_run_row row
-          = { .task = get_start_order (fixture, 0)->task, .run = get_start_order (fixture, 0)->run };
+      struct fl_run_row row = { .task = get_start_order (fixture, 0)->task,
+                                .run = get_start_order (fixture, 0)->run };
       deliver_next_report (fixture, 1, &row, 1);
       add_target (fixture, "t2", 4, false);
       deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
@@ -460,6 +488,7 @@
     cmocka_unit_test (test_unlisted_run_of_earlier_boot),
     cmocka_unit_test (test_rejection_of_an_earlier_token),
     cmocka_unit_test (test_tokens_of_an_owner_are_limited),
+    cmocka_unit_test (test_boot_without_a_token_of_its_own),
     cmocka_unit_test (test_token_after_address_takeover),
     cmocka_unit_test (test_repeated_address_takeover_uses_up_tokens),
     cmocka_unit_test (test_rejection_from_an_earlier_address),
