Starts of a step are batched by fencing token, whatever their order

Since targets have tokens of their own, neighbours in the queue seldom shared one where part of the targets had restarted, and each start carried the payload: 25,160 bytes for 20 starts of 1,200 bytes (3 of 3 runs of test_start_batch_of_several_tokens, found by the review). Starts with the same payload and token are gathered before they are sent.

The test first connects both distributors, as it did one: without that the starts of the second batch were resent through their serving peers (11,081 bytes). Its bound is unchanged; it fails as before without the fix (25,160 bytes, 2 of 2) and holds with it (5 of 5).

--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -282,6 +282,23 @@
   return true;
 }
 
+/* Moves the starts with the payload and the fencing token of the first of @count starts behind it,
+ * in their order. @return the number of them with the first one, at most BATCH_STARTS_MAX. */
+static size_t
+gather_batch (struct queued_start *starts, size_t count)
+{
+  size_t gathered = 1;
+
+  for (size_t i = 1; i < count && gathered < BATCH_STARTS_MAX; i++)
+    if (have_same_payload (&starts[0].order, &starts[i].order))
+      {
+        struct queued_start start = starts[i];
+        memmove (&starts[gathered + 1], &starts[gathered], (i - gathered) * sizeof starts[0]);
+        starts[gathered++] = start;
+      }
+  return gathered;
+}
+
 void
 forward_batches_flush (struct forward_batches *batches)
 {
@@ -297,10 +314,7 @@
       forward_start (forwarder, &starts[i].order, starts[i].done, starts[i].context);
   for (size_t i = 0; i < queued; i += count)
     {
-      for (count = 1; i + count < queued && count < BATCH_STARTS_MAX
-                      && have_same_payload (&starts[i].order, &starts[i + count].order);
-           count++)
-        ;
+      count = gather_batch (&starts[i], queued - i);
       /* A start that could not be sent above has made its peer unavailable. */
       if (count > 1 && are_all_served (forwarder, &starts[i], count)
           && send_batch (batches, &starts[i], count))
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -452,6 +452,7 @@
     {
       owner.direct.starts = peers[0].forwarded.starts = peers[1].forwarded.starts = 0;
       send_batch (loop, &owner, payload, false, 1, outcomes);
+      send_batch (loop, &owner, payload, false, 2, outcomes); /* connects another distributor */
     }
   while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
          || peers[1].forwarded.starts == 0);
