A target whose boots have used up the owner's tokens gets no tasks

Until another host owns the pool, such a target gets no tasks now; its runs still end and are released.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -273,6 +273,13 @@
 
 /* --- targets --- */
 
+/* The highest fencing token of this owner. */
+static int64_t
+last_token (const struct fl_core *core)
+{
+  return core->options.fencing_token + FL_FENCING_TOKENS_PER_OWNER - 1;
+}
+
 /* Sets the fencing token of @target, a new one. A target may come back under the id of one that was
  * removed. Its boot is another one then, and the reply to a heartbeat that was sent before may be
  * taken for that of the next one. */
@@ -284,15 +291,13 @@
 
   target->fencing_token = next != NULL ? *next : core->options.fencing_token;
   target->token_raised_at_ms = next != NULL ? core->now_ms + 1 : INT64_MIN;
+  target->shares_token = next != NULL && *next == last_token (core);
 }
 
 static int64_t
 next_token (const struct core_target *target)
 {
-  const struct fl_core *core = target->core;
-
-  return MIN (target->fencing_token + 1,
-              core->options.fencing_token + FL_FENCING_TOKENS_PER_OWNER - 1);
+  return MIN (target->fencing_token + 1, last_token (target->core));
 }
 
 void
@@ -301,7 +306,9 @@
   struct fl_core *core = target->core;
   int64_t token = next_token (target);
 
-  if (token == target->fencing_token)
+  /* Until another host owns the pool, the target then gets no tasks any more. */
+  target->shares_token = token == target->fencing_token;
+  if (target->shares_token)
     fl_log (core->options.log, FL_LOG_WARNING, "fencing_tokens_used_up",
             FL_N ("target", &target->entry.id), FL_I ("token", token));
   target->is_fenced = false;
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -49,6 +49,7 @@
    * earlier boots. */
   bool is_fenced;
   int64_t fencing_token;         /* of the orders to it; raised for each boot */
+  bool shares_token;             /* no token was left for its boot: it has that of an earlier one */
   int64_t token_raised_at_ms;    /* heartbeats sent before this time carried a lower token */
   int64_t clock_ms;              /* its clock at clock_at_ms */
   int64_t clock_at_ms;           /* when clock_ms was reported; 0 while its clock is unknown */
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -41,8 +41,9 @@
 accepts_tasks (const struct core_target *target, const struct fl_name *service)
 {
   return target->registered && target->recorded && target->reported && !target->silent
-         && target->is_fenced && entry_is_of_present_boot (target) && !target->entry.draining
-         && target->stale_runs == 0 && target->core->now_ms >= target->quarantined_until_ms
+         && target->is_fenced && !target->shares_token && entry_is_of_present_boot (target)
+         && !target->entry.draining && target->stale_runs == 0
+         && target->core->now_ms >= target->quarantined_until_ms
          && fl_name_eq (&target->entry.service, service);
 }
 
