Cell: an unheard boot is judged by the boot right before it, and late orders wait less

The capacity of the boot before was kept only if a restart drew a new one, so that a boot might be judged by one further back. And a change of owner held back late orders also for boots that the earlier owner had fenced.

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1223,11 +1223,6 @@
     .target_lease_max_ms = TARGET_LEASE_MAX_MS,
   };
 
-  for (guint i = 0; i < cell->targets->len; i++)
-    {
-      struct fake_target *target = g_ptr_array_index (cell->targets, i);
-      target->is_known = target->is_fenced = false;
-    }
   owner->cell = cell;
   owner->fencing_token = cell->owner_token;
   owner->heartbeats_in_flight = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
@@ -1265,10 +1260,10 @@
       bool is_former = former_rate > 0 && happens_randomly (cell, former_rate);
       target->id = format_target_id (target->index, is_former ? 0 : target->boot);
     }
+  target->previous_capacity = target->capacity;
   if (cell->options.fault_rates.target_new_capacity > 0
       && happens_randomly (cell, cell->options.fault_rates.target_new_capacity))
     {
-      target->previous_capacity = target->capacity;
       target->capacity.cpu_milli = draw_cpu_milli (cell);
       target->listed_from_ms = cell->now_ms + random_between (cell, 0, REGISTRY_DELAY_MAX_MS);
     }
