MessagePack is checked before msgpack allocates for what it claims

Cause: msgpack allocates for all items of an array or map before it reads the first one. A corrupted record that claims 2^32 items asks for 137 GB; one that claims 2^28 gets its 6 GB. Change: fl_msgpack_check walks the bytes first, without recursion and with 16 levels at most, and says what is claimed and what is there. It stands in fl_schema_decode_first, through which all records and messages between hosts are decoded. Tests: 32 malformed records (claims beyond the bytes, nesting, cut lengths, maps, ext types), which the old decoder fails at the first case; 2,000 documents that msgpack packed, which must be accepted, and rejected when cut; both tests of broken records now limit the memory taken to 200 MB.

--- a/lib/common/schema.c
+++ b/lib/common/schema.c
@@ -6,6 +6,8 @@
 
 #include <glib.h>
 
+#include "common/msgpack_check.h"
+
 /* Pointer of type @type to field @f of the struct at @object. */
 #define FIELD_PTR(object, f, type) ((type *)((char *)(object) + (f)->offset))
 #define CONST_FIELD_PTR(object, f, type) ((const type *)((const char *)(object) + (f)->offset))
@@ -618,11 +620,13 @@
 {
   msgpack_unpacked unpacked;
   bool is_valid = false;
+  size_t unpacked_bytes = 0;
 
-  *used = 0;
   memset (object, 0, schema->size);
+  if (!fl_msgpack_check (data, len, used, error))
+    return false;
   msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, data, len, used) == MSGPACK_UNPACK_SUCCESS)
+  if (msgpack_unpack_next (&unpacked, data, *used, &unpacked_bytes) == MSGPACK_UNPACK_SUCCESS)
     is_valid = fl_schema_unpack (schema, &unpacked.data, object, error);
   else
     fl_fail (error, FL_INVALID, "decode", schema->name, "%zu bytes are not a valid message", len);
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "common/msgpack_check.h"
 #include "common/stats.h"
 #include "forward/message.h"
 #include "host/settings.h"
@@ -371,12 +372,38 @@
   fl_job_progress_clear (&progress);
 }
 
+/* Far below what a claim of 2^24 items makes msgpack allocate, 400 MB. */
+#define DECODER_MEMORY_MAX_KB (200 * 1024)
+
+/* @return the largest size that the address space of this process has had. */
+static int64_t
+read_peak_memory_kb (void)
+{
+  g_autofree char *status = NULL;
+
+  assert_true (g_file_get_contents ("/proc/self/status", &status, NULL, NULL));
+  const char *line = strstr (status, "VmPeak:");
+  assert_non_null (line);
+  return g_ascii_strtoll (line + strlen ("VmPeak:"), NULL, 10);
+}
+
+/* Fails if decoding has taken much memory since the address space had the size @before_kb. */
+static void
+check_peak_memory (int64_t before_kb)
+{
+  int64_t grown_kb = read_peak_memory_kb () - before_kb;
+
+  if (grown_kb > DECODER_MEMORY_MAX_KB)
+    fail_msg ("the decoder took %d kB", (int)grown_kb);
+}
+
 /* A corrupted record is rejected or decodes to values within the bounds of its schema. */
 static void
 test_corrupted_records (void **state)
 {
   struct fl_str encoded = encode_sample_progress (7);
   GRand *random = g_rand_new_with_seed (7);
+  int64_t before_kb = read_peak_memory_kb ();
   int rejected = 0;
 
   (void)state;
@@ -394,10 +421,171 @@
         rejected += error.code == FL_INVALID ? 1 : 0;
     }
   assert_true (rejected > 10000);
+  check_peak_memory (before_kb);
   g_rand_free (random);
   fl_str_clear (&encoded);
 }
 
+/* --- MessagePack bytes --- */
+
+#define BYTES(text_) (text_), sizeof (text_) - 1
+#define EIGHT_ARRAYS "\x91\x91\x91\x91\x91\x91\x91\x91"
+
+/* Bytes that are no record. What they claim is larger than what is there, or nested too deep. */
+static const struct
+{
+  const char *bytes;
+  size_t len;
+  const char *problem; /* substring of the error */
+} malformed_cases[] = {
+  { BYTES (""), "ends after 0 bytes" },
+  { BYTES ("\x95"), "5 items are claimed at byte 0, of which 0 bytes are there" },
+  { BYTES ("\x95\x01\x90\x90\x90"), "5 items are claimed at byte 0, of which 4 bytes are there" },
+  { BYTES ("\x95\x01\x90\x90\x91\x92"), "2 items are claimed at byte 5" },
+  { BYTES ("\x92\x91\x01"), "ends after 3 bytes" },
+  { BYTES ("\xdc"), "ends within a length" },
+  { BYTES ("\xdd\x00\x00\x00"), "ends within a length" },
+  { BYTES ("\xdd\x01\x00\x00\x00\x01\x90"), "16777216 items are claimed at byte 0" },
+  { BYTES ("\xdd\xff\xff\xff\xff\x01\x90"), "4294967295 items are claimed at byte 0" },
+  { BYTES ("\x95\x01\xdd\x01\x00\x00\x00\x90\x90\xc2"), "16777216 items are claimed at byte 2" },
+  { BYTES ("\x95\x01\xdc\xff\xff\x90\x90\xc2"), "65535 items are claimed at byte 2" },
+  { BYTES ("\x81\x01"), "2 items are claimed at byte 0, of which 1 bytes are there" },
+  { BYTES ("\xde\xff\xff\x01\x01"), "131070 items are claimed at byte 0" },
+  { BYTES ("\xdf\x01\x00\x00\x00\x01\x01"), "33554432 items are claimed at byte 0" },
+  { BYTES ("\xdf\xff\xff\xff\xff\x01\x01"), "8589934590 items are claimed at byte 0" },
+  { BYTES ("\xc4\x03"
+           "ab"),
+    "3 bytes are claimed at byte 0, of which 2 bytes are there" },
+  { BYTES ("\xc6\xff\xff\xff\xff"
+           "ab"),
+    "4294967295 bytes are claimed at byte 0" },
+  { BYTES ("\xa3"
+           "ab"),
+    "3 bytes are claimed at byte 0" },
+  { BYTES ("\xdb\xff\xff\xff\xff"
+           "ab"),
+    "4294967295 bytes are claimed at byte 0" },
+  { BYTES ("\xc9\xff\xff\xff\xff\x01"
+           "ab"),
+    "4294967296 bytes are claimed at byte 0" },
+  { BYTES ("\xc7\x02\x01"
+           "a"),
+    "3 bytes are claimed at byte 0, of which 2 bytes are there" },
+  { BYTES ("\xd8\x01"
+           "0123456789abcde"),
+    "17 bytes are claimed at byte 0, of which 16" },
+  { BYTES ("\xcf\x00\x00\x00\x00\x00\x00\x00"), "8 bytes are claimed at byte 0, of which 7" },
+  { BYTES ("\xc1"), "byte 0xc1 has no type" },
+  { BYTES ("\x95\x01\xc1\x90\x90\xc2"), "byte 0xc1 has no type" },
+  { BYTES (EIGHT_ARRAYS EIGHT_ARRAYS "\x91\x01"), "nested deeper than 16 levels" },
+  { BYTES ("\x81\x01" EIGHT_ARRAYS EIGHT_ARRAYS "\x01"), "nested deeper than 16 levels" },
+  /* Complete documents, but no records. */
+  { BYTES (EIGHT_ARRAYS EIGHT_ARRAYS "\x01"), "must have 5 fields" },
+  { BYTES ("\x81\x01\x02"), "must have 5 fields" },
+  { BYTES ("\xd4\x01\x02"), "must have 5 fields" },
+  { BYTES ("\x95\x01\x81\x01\x02\x90\x90\xc2"), "field done is malformed" },
+  { BYTES ("\x95\x01\xd4\x01\x02\x90\x90\xc2"), "field done is malformed" },
+};
+
+static void
+test_malformed_records (void **state)
+{
+  int64_t before_kb = read_peak_memory_kb ();
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed_cases); i++)
+    {
+      /* A copy of just this size, so that sanitizers see a read beyond it. */
+      g_autofree char *copy = g_memdup2 (malformed_cases[i].bytes, malformed_cases[i].len);
+      struct fl_job_progress decoded;
+      struct fl_error error = { 0 };
+      if (fl_job_progress_decode (copy, malformed_cases[i].len, &decoded, &error)
+          || error.code != FL_INVALID || strstr (error.text, malformed_cases[i].problem) == NULL)
+        fail_msg ("case %zu: %s", i, error.text);
+    }
+  check_peak_memory (before_kb);
+}
+
+/* Appends a document of any type, in which arrays and maps are at most @depth deep. */
+static void
+pack_any (GRand *random, int depth, msgpack_packer *packer)
+{
+  static const char bytes[70000];
+  int64_t number = (int64_t)g_rand_int (random) << g_rand_int_range (random, 0, 32);
+  /* Lengths on both sides of the bounds of each form. */
+  static const size_t lengths[] = { 0, 1, 2, 4, 8, 15, 16, 31, 32, 255, 256, 65535, 65536 };
+  size_t length = lengths[g_rand_int_range (random, 0, G_N_ELEMENTS (lengths))];
+  size_t count = (size_t)g_rand_int_range (random, 0, 40);
+
+  switch (g_rand_int_range (random, 0, depth > 0 ? 10 : 8))
+    {
+    case 0:
+      msgpack_pack_nil (packer);
+      break;
+    case 1:
+      msgpack_pack_true (packer);
+      break;
+    case 2:
+      msgpack_pack_int64 (packer, g_rand_boolean (random) ? number : -number);
+      break;
+    case 3:
+      msgpack_pack_float (packer, 1.5F);
+      break;
+    case 4:
+      msgpack_pack_double (packer, 1.5);
+      break;
+    case 5:
+      msgpack_pack_bin_with_body (packer, bytes, length);
+      break;
+    case 6:
+      msgpack_pack_str_with_body (packer, bytes, length);
+      break;
+    case 7:
+      msgpack_pack_ext_with_body (packer, bytes, length, 5);
+      break;
+    case 8:
+      msgpack_pack_array (packer, count);
+      for (size_t i = 0; i < count; i++)
+        pack_any (random, depth - 1, packer);
+      break;
+    default:
+      msgpack_pack_map (packer, count);
+      for (size_t i = 0; i < 2 * count; i++)
+        pack_any (random, depth - 1, packer);
+    }
+}
+
+/* The check accepts whatever msgpack packs, finds its end, and finds out when bytes are missing. */
+static void
+test_check_of_complete_documents (void **state)
+{
+  GRand *random = g_rand_new_with_seed (11);
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  size_t used;
+
+  (void)state;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  for (int i = 0; i < 2000; i++)
+    {
+      struct fl_error error = { 0 };
+      msgpack_sbuffer_clear (&buffer);
+      pack_any (random, i % 3, &packer);
+      size_t len = buffer.size;
+      if (!fl_msgpack_check (buffer.data, len, &used, &error))
+        fail_msg ("document %d: %s", i, error.text);
+      assert_int_equal (used, len);
+      size_t missing = (size_t)g_rand_int_range (random, 1, (gint32)len + 1);
+      assert_false (fl_msgpack_check (buffer.data, len - missing, &used, &error));
+      msgpack_pack_int (&packer, 7);
+      assert_true (fl_msgpack_check (buffer.data, buffer.size, &used, &error));
+      assert_int_equal (used, len);
+    }
+  msgpack_sbuffer_destroy (&buffer);
+  g_rand_free (random);
+}
+
 /* The last hexadecimal digit of a job's id selects the partition. */
 static void
 test_job_partition (void **state)
@@ -489,7 +677,9 @@
     cmocka_unit_test (test_task_targets_are_optional),
     cmocka_unit_test (test_size_of_task_targets),
     cmocka_unit_test (test_json_progress_record),
+    cmocka_unit_test (test_malformed_records),
     cmocka_unit_test (test_corrupted_records),
+    cmocka_unit_test (test_check_of_complete_documents),
     cmocka_unit_test (test_job_partition),
     cmocka_unit_test (test_histogram_error_bound),
     cmocka_unit_test (test_messages_for_hosts_of_the_earlier_version),
