A job is accepted only if its row and its record can be read back

Cause: the platform's decoder checked neither the numbers of a job nor its tasks over all occurrences, while the row and the record are read within bounds. A record held at most 20,000 tasks and 20,000 ranges, a job 200,000 tasks and any number of occurrences. A successor takes such a record for none, and such a row for no job ("job_unreadable"), so that an accepted job is lost, or begun again. The owner keeps every task in memory: 2000 tasks, 1000 times, are 2,000,000. Change: FL_JOB_TASKS_MAX, 200,000 tasks of all steps and occurrences, is the bound of both sides. fl_schema_check holds the values of a job against the bounds of its fields at acceptance; what is beyond them gets a 400.

--- a/lib/common/schema.c
+++ b/lib/common/schema.c
@@ -346,6 +346,54 @@
   return read_object (schema, json, object, &document, problems);
 }
 
+/* --- bounds --- */
+
+static bool
+check_bounds (
+    const struct fl_field *f, int64_t value, int64_t min, const char *unit, struct fl_error *error)
+{
+  if (value >= min && value <= f->max)
+    return true;
+  return fl_fail (error, FL_INVALID, "schema_check", NULL,
+                  "%s is %" PRId64 "%s; allowed is %" PRId64 " to %" PRId64, f->name, value, unit,
+                  min, f->max);
+}
+
+static bool
+check_items (const struct fl_field *f, const struct fl_array *array, struct fl_error *error)
+{
+  const char *items = array->items;
+
+  for (size_t i = 0; i < array->count; i++)
+    if (!fl_schema_check (f->nested_schema, items + i * f->nested_schema->size, error))
+      return false;
+  return check_bounds (f, (int64_t)array->count, 0, " items", error);
+}
+
+bool
+fl_schema_check (const struct fl_schema *schema, const void *object, struct fl_error *error)
+{
+  bool is_valid = true;
+
+  for (size_t i = 0; i < schema->count && is_valid; i++)
+    {
+      const struct fl_field *f = &schema->fields[i];
+      if (f->type == FL_INT)
+        is_valid = check_bounds (f, *CONST_FIELD_PTR (object, f, int64_t), f->min, "", error);
+      else if (f->type == FL_NAME)
+        is_valid = check_bounds (f, CONST_FIELD_PTR (object, f, struct fl_name)->len, 0, " bytes",
+                                 error);
+      else if (f->type == FL_TEXT)
+        is_valid = check_bounds (f, (int64_t)CONST_FIELD_PTR (object, f, struct fl_str)->len, 0,
+                                 " bytes", error);
+      else if (f->type == FL_OBJECT)
+        is_valid = fl_schema_check (f->nested_schema, CONST_FIELD_PTR (object, f, char), error);
+      else if (f->type == FL_ARRAY)
+        is_valid = check_items (f, CONST_FIELD_PTR (object, f, struct fl_array), error);
+    }
+  return is_valid;
+}
+
 /* --- struct to JSON --- */
 
 static json_t *
--- a/lib/common/schema.h
+++ b/lib/common/schema.h
@@ -99,6 +99,11 @@
                           const char *path,
                           struct fl_problems *problems);
 
+/* Checks the values of @object against the bounds of its fields, except for the lower bounds of
+ * lengths and counts. What passes can be read back from JSON or MessagePack.
+ * @return false with @error filled for the first value out of bounds. */
+bool fl_schema_check (const struct fl_schema *schema, const void *object, struct fl_error *error);
+
 /* @return a new JSON object with all fields of @object. */
 json_t *fl_schema_to_json (const struct fl_schema *schema, const void *object);
 
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -10,7 +10,7 @@
 #define RESOURCE_MAX INT64_C (1000000000)
 #define REPEATS_MAX 1000
 /* Most rows of the lists in a progress record. */
-#define RECORDED_TASKS_MAX 20000
+#define RECORDED_TASKS_MAX FL_JOB_TASKS_MAX
 #define FAILED_RUNS_MAX 1000 /* of one task */
 #define RECORDED_TARGETS_MAX 10000
 #define RECORDED_STEPS_MAX (FL_STEPS_MAX * REPEATS_MAX)
@@ -178,9 +178,26 @@
   return MAX (spec->repeat_count, 1);
 }
 
+/* Whether a progress record has room for all tasks. The bounds of fields are known to hold. */
+static bool
+check_task_count (const struct fl_job_spec *spec, struct fl_error *error)
+{
+  int64_t count = 0;
+
+  for (size_t i = 0; i < spec->steps.count; i++)
+    count += fl_job_spec_get_step (spec, i)->count;
+  count *= fl_job_spec_count_occurrences (spec);
+  if (count <= FL_JOB_TASKS_MAX)
+    return true;
+  return fl_fail (error, FL_INVALID, "job_check", NULL,
+                  "%" G_GINT64_FORMAT " tasks; allowed are %d", count, FL_JOB_TASKS_MAX);
+}
+
 bool
 fl_job_spec_validate (const struct fl_job_spec *spec, struct fl_error *error)
 {
+  if (!fl_schema_check (&fl_job_spec_schema, spec, error) || !check_task_count (spec, error))
+    return false;
   for (size_t i = 0; i < spec->steps.count; i++)
     {
       const struct fl_step_spec *step = fl_job_spec_get_step (spec, i);
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -8,6 +8,8 @@
 /* Limits of a job. Its row stays well below the size that the store accepts. */
 #define FL_STEPS_MAX 100
 #define FL_STEP_TASKS_MAX 2000
+/* Of all steps and occurrences. The owner of the pool keeps each task in memory. */
+#define FL_JOB_TASKS_MAX (FL_STEPS_MAX * FL_STEP_TASKS_MAX)
 #define FL_SPEC_BYTES_MAX 4000 /* of the text of a job, or of a checkpoint */
 
 /* A dependency of a step: the number of an earlier step that must be done first. */
@@ -143,8 +145,9 @@
 /* The stored hash of the target @id: 32 bits, the same in all versions. */
 uint32_t fl_job_target_hash (const struct fl_name *id);
 
-/* Checks what the bounds of fields cannot express: steps depend only on earlier steps.
- * @return false with @error filled when one does not. */
+/* Checks that the row and the record of the job can be read back: the bounds of fields, and what
+ * these cannot express: the number of all tasks, and that steps depend only on earlier steps.
+ * @return false with @error filled when something is wrong. */
 bool fl_job_spec_validate (const struct fl_job_spec *spec, struct fl_error *error);
 
 /* @return the step with index @number, which must be below the number of steps. */
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -199,6 +199,8 @@
 
 /* --- jobs --- */
 
+#define JOB(step_, rest_) "{\"spec\":\"x\",\"steps\":[{" step_ "}]," rest_ "}"
+
 static const struct
 {
   const char *body;
@@ -221,8 +223,42 @@
   { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[-1]}]}", "step 0 is malformed" },
   { "{\"spec\":\"x\",\"steps\":[5]}", "step 0 is malformed" },
   { "nothing", "line 1" },
+  /* What the row or the record of the job cannot hold. */
+  { JOB ("\"count\":2000", "\"repeatCount\":100"), NULL },
+  { JOB ("\"count\":2000", "\"repeatCount\":101"), "202000 tasks; allowed are 200000" },
+  { JOB ("\"count\":2001", "\"repeatCount\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1", "\"repeatCount\":1000"), NULL },
+  { JOB ("\"count\":1", "\"repeatCount\":1001"), "repeat_count is 1001; allowed is 0 to 1000" },
+  { JOB ("\"count\":1", "\"repeatCount\":-1"), "repeat_count is -1" },
+  { JOB ("\"count\":1", "\"startAtMs\":-1"), "start_at_ms is -1" },
+  { JOB ("\"count\":1", "\"startAtMs\":9000000000001"), "start_at_ms is 9000000000001" },
+  { JOB ("\"count\":1", "\"intervalMs\":-1"), "interval_ms is -1" },
+  { JOB ("\"count\":1", "\"intervalMs\":2592000001"), "interval_ms is 2592000001" },
+  { JOB ("\"count\":1,\"antiAffinity\":2000", "\"intervalMs\":1"), NULL },
+  { JOB ("\"count\":1,\"antiAffinity\":2001", "\"intervalMs\":1"), "per_target_max is 2001" },
+  { JOB ("\"count\":1,\"antiAffinity\":-1", "\"intervalMs\":1"), "per_target_max is -1" },
+  { JOB ("\"count\":1,\"mayMiss\":2001", "\"intervalMs\":1"), "disruptions_max is 2001" },
+  { JOB ("\"count\":1,\"targetMs\":86400001", "\"intervalMs\":1"), "latency_bound_ms is" },
+  { JOB ("\"count\":1,\"estimateMs\":-1", "\"intervalMs\":1"), "estimate_ms is -1" },
+  { JOB ("\"count\":1,\"cpu\":1000000001", "\"intervalMs\":1"), "cpu_milli is 1000000001" },
 };
 
+/* Fails unless the row of an accepted job can be read back. */
+static void
+check_job_row (size_t case_number, struct fl_job_spec *spec)
+{
+  struct fl_job_spec decoded;
+  struct fl_error error = { 0 };
+
+  spec->id = fl_name_of ("00000000000000aa");
+  spec->queue = fl_name_of ("q");
+  struct fl_str row = fl_record_encode (&fl_job_spec_schema, spec);
+  if (!fl_record_decode (&fl_job_spec_schema, row.data, row.len, &decoded, &error))
+    fail_msg ("case %zu: the row cannot be read: %s", case_number, error.text);
+  fl_schema_clear (&fl_job_spec_schema, &decoded);
+  fl_str_clear (&row);
+}
+
 static void
 test_job_decode (void **state)
 {
@@ -236,8 +272,10 @@
       if (valid != (job_cases[i].problem == NULL)
           || (!valid && strstr (error.text, job_cases[i].problem) == NULL))
         fail_msg ("case %zu: %s", i, error.text);
-      if (valid)
-        fl_schema_clear (&fl_job_spec_schema, &spec);
+      if (!valid)
+        continue;
+      check_job_row (i, &spec);
+      fl_schema_clear (&fl_job_spec_schema, &spec);
     }
 }
 
@@ -309,6 +347,38 @@
   fl_str_clear (&earlier);
 }
 
+/* The record of the largest job that is accepted can be read back: each task has failed, or every
+ * other one is done. */
+static void
+test_record_of_largest_job (void **state)
+{
+  struct fl_failed_run failed_run = { 1 };
+  struct fl_task_progress *tasks = g_new0 (struct fl_task_progress, FL_JOB_TASKS_MAX);
+  struct fl_done_range *done = g_new0 (struct fl_done_range, FL_JOB_TASKS_MAX / 2);
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING,
+                                      .done = { FL_JOB_TASKS_MAX / 2, done },
+                                      .tasks = { FL_JOB_TASKS_MAX, tasks } };
+  struct fl_job_progress decoded;
+  struct fl_error error = { 0 };
+
+  (void)state;
+  for (int64_t i = 0; i < FL_JOB_TASKS_MAX; i++)
+    tasks[i] = (struct fl_task_progress){ .step = i / FL_STEP_TASKS_MAX,
+                                          .index = i % FL_STEP_TASKS_MAX,
+                                          .failed_runs = { 1, &failed_run } };
+  for (int64_t i = 0; i < FL_JOB_TASKS_MAX; i += 2)
+    done[i / 2] = (struct fl_done_range){ 0, i / FL_STEP_TASKS_MAX, i % FL_STEP_TASKS_MAX, 1 };
+  struct fl_str record = fl_job_progress_encode (&progress);
+  if (!fl_job_progress_decode (record.data, record.len, &decoded, &error))
+    fail_msg ("%s", error.text);
+  assert_int_equal (decoded.tasks.count, FL_JOB_TASKS_MAX);
+  assert_int_equal (decoded.done.count, FL_JOB_TASKS_MAX / 2);
+  fl_job_progress_clear (&decoded);
+  fl_str_clear (&record);
+  g_free (done);
+  g_free (tasks);
+}
+
 /* Bytes that the targets of the tasks of a step add to a record. */
 static const struct
 {
@@ -675,6 +745,7 @@
     cmocka_unit_test (test_job_decode),
     cmocka_unit_test (test_record_round_trip),
     cmocka_unit_test (test_task_targets_are_optional),
+    cmocka_unit_test (test_record_of_largest_job),
     cmocka_unit_test (test_size_of_task_targets),
     cmocka_unit_test (test_json_progress_record),
     cmocka_unit_test (test_malformed_records),
