A follower finds out at once that the store is back

Cause: after a call without a reply the follower sent the next call of the feed with the usual wait of 1 s and a timeout of 1.6 s. After an outage the timeout of a call that was still open, the pause and the wait add up to 3 s, in which the configuration is not confirmed and requests wait. They wait for 2.85 s at most (lib/frontd/waiting.c): what arrived up to a second before the store came back was rejected although it could still be served. Change: after a failed call the feed is asked with a wait of 1 ms, so that the reply confirms at once and a lost one costs 0.6 s. During an outage in which nothing replies a follower makes a call each 0.8 to 1.0 s in place of 1.8 to 2.0 s; calls that are rejected are not more frequent. Test: test_confirmation_after_outage.

--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -8,6 +8,9 @@
  * together stay below the 2,000 ms within which a configuration has to be in force. */
 #define FEED_WAIT_MS 1000
 #define FEED_SLACK_MS 600
+/* Wait of a feed call after a failed one. Its reply confirms at once that the rows are current, and
+ * without a reply the next call follows soon: requests wait for the confirmation. */
+#define FEED_RETRY_WAIT_MS 1
 #define READ_TIMEOUT_MS 1500
 /* A read without a reply for this long is sent once more, and the first reply counts. Above the 0.3
  * s that a reply takes from a store that is 60 times slower than usual, and above the 400 ms after
@@ -25,6 +28,7 @@
   int64_t delivered_version;  /* changes up to this version are delivered */
   int64_t sent_ms;            /* when the call in flight was sent */
   int64_t retry_delay_ms;     /* before the next retry */
+  bool has_failed;            /* the last call has */
   bool is_reading;            /* a read of the table is in progress */
   size_t partition_index;     /* of the partition being read */
   struct fl_name next_key;    /* first key of the next page */
@@ -54,6 +58,7 @@
 {
   double delay_ms = (double)follower->retry_delay_ms * g_random_double_range (0.5, 1.0);
 
+  follower->has_failed = true;
   follower->retry_delay_ms = MIN (follower->retry_delay_ms * 2, RETRY_MAX_MS);
   schedule_call (follower, delay_ms);
 }
@@ -164,6 +169,7 @@
       deliver (follower, reply);
       follower->delivered_version = MAX (follower->delivered_version, reply->version);
     }
+  follower->has_failed = false;
   follower->retry_delay_ms = RETRY_MIN_MS;
   if (!follower->is_reading && follower->options.on_confirmed != NULL)
     follower->options.on_confirmed (follower->options.context, follower->sent_ms);
@@ -203,6 +209,7 @@
 send_next_call (struct fl_follower *follower)
 {
   const struct fl_store *store = follower->options.store;
+  int64_t feed_wait_ms = follower->has_failed ? FEED_RETRY_WAIT_MS : FEED_WAIT_MS;
 
   follower->call = follower_call_new (follower);
   follower->sent_ms = fl_clock_boot_ms ();
@@ -213,8 +220,8 @@
       send_read (follower, follower->call);
     }
   else
-    store->feed (store->context, follower->options.table, follower->delivered_version, FEED_WAIT_MS,
-                 FEED_WAIT_MS + FEED_SLACK_MS, on_reply, follower->call);
+    store->feed (store->context, follower->options.table, follower->delivered_version, feed_wait_ms,
+                 feed_wait_ms + FEED_SLACK_MS, on_reply, follower->call);
 }
 
 struct fl_follower *
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -36,7 +36,11 @@
   int reads;
   GString *order; /* the partitions of the rows, as delivered */
   int64_t started_ms;
-  int64_t read_end_ms; /* 0 while the table is being read */
+  int64_t read_end_ms;    /* 0 while the table is being read */
+  int64_t outage_from_ms; /* calls of the feed that are sent in an outage have no reply */
+  int64_t outage_until_ms;
+  int64_t confirmed_ms; /* first confirmation after the outage; 0 until then */
+  int feeds_in_outage;
 };
 
 /* A call whose reply is due. */
@@ -135,6 +139,113 @@
   fake->read_end_ms = fl_clock_boot_ms ();
 }
 
+static void
+on_feed_reply_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct call *call = timer->data;
+  struct fl_store_reply reply = { .status = call->status, .version = 1 };
+
+  (void)loop;
+  (void)events;
+  call->done (call->context, &reply);
+  g_free (call);
+}
+
+/* The feed has no changes, so that its replies come when the wait is over. */
+static void
+send_feed_with_outage (void *context,
+                       const char *table,
+                       int64_t after_version,
+                       int64_t wait_ms,
+                       int64_t timeout_ms,
+                       void (*done) (void *context, const struct fl_store_reply *reply),
+                       void *done_context)
+{
+  struct fake *fake = context;
+  int64_t now_ms = fl_clock_boot_ms ();
+  struct call *call = g_new0 (struct call, 1);
+  bool is_lost = now_ms + wait_ms >= fake->outage_from_ms && now_ms < fake->outage_until_ms;
+
+  (void)table;
+  (void)after_version;
+  fake->feeds_in_outage += is_lost ? 1 : 0;
+  call->status = is_lost ? FL_STORE_UNKNOWN : FL_STORE_OK;
+  call->done = done;
+  call->context = done_context;
+  ev_timer_init (&call->timer, on_feed_reply_due,
+                 (double)(is_lost ? timeout_ms : wait_ms + REPLY_DELAY_MS) / 1000.0, 0.0);
+  call->timer.data = call;
+  ev_timer_start (fake->loop, &call->timer);
+}
+
+static void
+on_confirmed (void *context, int64_t sent_ms)
+{
+  struct fake *fake = context;
+
+  if (sent_ms >= fake->outage_until_ms && fake->confirmed_ms == 0)
+    fake->confirmed_ms = fl_clock_boot_ms ();
+}
+
+/* Requests wait for the configuration to be confirmed, for less than 3 s. After an outage that took
+ * up to 3 s: the timeout of the call in flight, a pause, and the wait of the next call. */
+static void
+test_confirmation_after_outage (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t outage_ms;
+    int64_t most_ms;     /* from the end of the outage until the confirmation */
+    int most_lost_calls; /* calls cost, also those that are lost */
+  } cases[] = {
+    /* The call in flight waits for changes, and has a timeout of 1.6 s. */
+    { "a short outage", 300, 1600, 1 },
+    /* Timeout of 0.6 s, pause of 0.4 s at most, and the call. */
+    { "an outage of 3 s", 3000, 1100, 4 },
+    { "an outage of 3.3 s", 3300, 1100, 5 },
+    { "an outage of 3.6 s", 3600, 1100, 5 },
+  };
+  struct fake fakes[G_N_ELEMENTS (cases)] = { 0 };
+  struct fl_store stores[G_N_ELEMENTS (cases)];
+  struct fl_follower *followers[G_N_ELEMENTS (cases)];
+  struct ev_loop *loop = ev_loop_new (0);
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fake *fake = &fakes[i];
+      fake->loop = loop;
+      fake->order = g_string_new ("");
+      fake->outage_from_ms = fl_clock_boot_ms () + 500;
+      fake->outage_until_ms = fake->outage_from_ms + cases[i].outage_ms;
+      stores[i]
+          = (struct fl_store){ .context = fake, .read = send_read, .feed = send_feed_with_outage };
+      struct fl_follower_options options = { .loop = loop,
+                                             .store = &stores[i],
+                                             .table = "table",
+                                             .partitions = partitions,
+                                             .on_row = on_row,
+                                             .on_confirmed = on_confirmed,
+                                             .context = fake };
+      followers[i] = fl_follower_new (&options);
+    }
+  support_run_loop_for (loop, 7.5);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct fake *fake = &fakes[i];
+      int64_t taken_ms = fake->confirmed_ms > 0 ? fake->confirmed_ms - fake->outage_until_ms : -1;
+      printf ("  %s: %d ms, %d calls lost\n", cases[i].name, (int)taken_ms, fake->feeds_in_outage);
+      if (taken_ms < 0 || taken_ms > cases[i].most_ms
+          || fake->feeds_in_outage > cases[i].most_lost_calls)
+        failures++;
+      fl_follower_free (followers[i]);
+      g_string_free (fake->order, TRUE);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* A lost reply cost the timeout of its call, 1.5 s, at each stage of the start of a term. */
 static void
 test_calls_without_reply (void **state)
@@ -187,7 +298,8 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_without_reply) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_without_reply),
+                                      cmocka_unit_test (test_confirmation_after_outage) };
 
   return cmocka_run_group_tests_name ("follower", tests, NULL, NULL);
 }
