A writer of the store may be freed by its own callback

Cause: fl_store_writer_free freed at once when no transaction was in flight, also within done; on_reply then read is_freed of freed memory. If done wrote again and then freed the writer, on_reply freed it under the transaction in flight. Whether a host has hit it is not known. Change: callbacks in progress are counted; the last one frees the writer, unless a transaction is in flight, whose reply does it then. Tests: test_free_in_callback and test_free_with_write_in_callback, which put other blocks in the place of a freed writer.

--- a/lib/store/ordered_writer.c
+++ b/lib/store/ordered_writer.c
@@ -15,6 +15,7 @@
   int64_t row_version; /* of the writer's row; 0 until it is known */
   bool is_busy;
   bool is_freed;
+  int callbacks; /* calls of done in progress: done may write again, or free the writer */
   void (*done) (void *context, const struct fl_store_reply *reply);
   void *context;
 };
@@ -39,7 +40,7 @@
 {
   if (writer == NULL)
     return;
-  if (writer->is_busy)
+  if (writer->is_busy || writer->callbacks > 0)
     writer->is_freed = true;
   else
     g_free (writer);
@@ -69,8 +70,10 @@
 
   update_version (writer, reply);
   writer->is_busy = false;
+  writer->callbacks++;
   writer->done (writer->context, reply);
-  if (writer->is_freed)
+  writer->callbacks--;
+  if (writer->is_freed && !writer->is_busy && writer->callbacks == 0)
     g_free (writer);
 }
 
--- a/tests/test_ordered_writer.c
+++ b/tests/test_ordered_writer.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -97,11 +98,151 @@
   fake_store_free (store);
 }
 
+/* --- a writer that is freed by its own callback --- */
+
+/* More than the size of a writer, in steps of the allocator. */
+#define BLOCK_SIZES 32
+#define BLOCK_STEP 16
+
+struct freeing_caller
+{
+  struct fl_store_writer *writer;
+  int calls_left; /* the last one frees the writer */
+  void *blocks[BLOCK_SIZES];
+};
+
+static void
+allocate_blocks (void **blocks)
+{
+  for (size_t i = 0; i < BLOCK_SIZES; i++)
+    {
+      blocks[i] = malloc ((i + 1) * BLOCK_STEP);
+      memset (blocks[i], 0xff, (i + 1) * BLOCK_STEP);
+    }
+}
+
+static void
+free_blocks (void **blocks)
+{
+  for (size_t i = 0; i < BLOCK_SIZES; i++)
+    free (blocks[i]);
+}
+
+static void write_or_free (void *context, const struct fl_store_reply *reply);
+
+static void
+send_write (struct freeing_caller *caller)
+{
+  struct fl_store_condition condition = { "owner", "", fl_name_of ("pool"), 0 };
+  struct fl_store_write write = { "progress", "", fl_name_of ("job"), { 1, (char *)"x" }, false };
+
+  fl_store_writer_write (caller->writer, &condition, &write, 1, 100, write_or_free, caller);
+}
+
+static void
+write_or_free (void *context, const struct fl_store_reply *reply)
+{
+  struct freeing_caller *caller = context;
+
+  (void)reply;
+  if (--caller->calls_left > 0)
+    {
+      send_write (caller);
+      return;
+    }
+  fl_store_writer_free (caller->writer);
+  /* One of them takes the place of the writer if that is free now. */
+  allocate_blocks (caller->blocks);
+}
+
+/* The writer was used after its callback had freed it, also when the callback that freed it was
+ * called within that of an earlier transaction. */
+static void
+test_free_in_callback (void **state)
+{
+  (void)state;
+  for (int calls = 1; calls <= 3; calls++)
+    {
+      struct fake_store *store = fake_store_new ();
+      struct freeing_caller caller = { .calls_left = calls };
+      void *later[BLOCK_SIZES];
+      caller.writer
+          = fl_store_writer_new (fake_store_get_interface (store), "owner", "", "progress");
+      send_write (&caller);
+      assert_int_equal (caller.calls_left, 0);
+      /* No block of the caller has been freed in place of the writer. */
+      allocate_blocks (later);
+      for (size_t i = 0; i < BLOCK_SIZES; i++)
+        for (size_t j = 0; j < BLOCK_SIZES; j++)
+          assert_ptr_not_equal (later[i], caller.blocks[j]);
+      free_blocks (later);
+      free_blocks (caller.blocks);
+      fake_store_free (store);
+    }
+}
+
+/* A store that replies when the test does. */
+struct held_call
+{
+  void (*done) (void *context, const struct fl_store_reply *reply);
+  void *context;
+};
+
+static void
+hold_transaction (void *context,
+                  const struct fl_store_transaction *transaction,
+                  int64_t timeout_ms,
+                  void (*done) (void *context, const struct fl_store_reply *reply),
+                  void *done_context)
+{
+  (void)transaction;
+  (void)timeout_ms;
+  *(struct held_call *)context = (struct held_call){ done, done_context };
+}
+
+static void
+write_and_free (void *context, const struct fl_store_reply *reply)
+{
+  struct freeing_caller *caller = context;
+
+  (void)reply;
+  caller->calls_left = 1;
+  send_write (caller);
+  fl_store_writer_free (caller->writer);
+  caller->writer = NULL;
+}
+
+/* A callback that writes again and frees the writer: the transaction in flight still calls back. */
+static void
+test_free_with_write_in_callback (void **state)
+{
+  struct held_call call;
+  struct fl_store store = { .context = &call, .transact = hold_transaction };
+  struct fl_store_condition condition = { "owner", "", fl_name_of ("pool"), 0 };
+  struct fl_store_write write = { "progress", "", fl_name_of ("job"), { 1, (char *)"x" }, false };
+  struct fl_store_reply reply = { .status = FL_STORE_OK, .version = 1 };
+  struct freeing_caller caller
+      = { .writer = fl_store_writer_new (&store, "owner", "", "progress") };
+  void *blocks[BLOCK_SIZES];
+
+  (void)state;
+  fl_store_writer_write (caller.writer, &condition, &write, 1, 100, write_and_free, &caller);
+  call.done (call.context, &reply);
+  /* In the place of the writer if that is free now, which the reply then writes to. */
+  allocate_blocks (blocks);
+  call.done (call.context, &reply);
+  assert_int_equal (caller.calls_left, 0);
+  free_blocks (blocks);
+  free_blocks (caller.blocks);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_delayed_writes), cmocka_unit_test (test_version_from_conflict) };
+      = { cmocka_unit_test (test_delayed_writes), cmocka_unit_test (test_version_from_conflict),
+          cmocka_unit_test (test_free_in_callback),
+          cmocka_unit_test (test_free_with_write_in_callback) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
