The text of an error is UTF-8, however long it is

Cause: fl_fail cut texts at 255 bytes, also inside a character, and passed on bytes of others that are no UTF-8. front_respond_error encodes the text as JSON, which fails for such texts, and fl_json_encode asserts. A job in the native API with a long unknown name of a field that is not ASCII gives such a text, so that one request could end flamingo-frontd; the platform's decoder quotes no names. Change: a cut character is removed, other invalid bytes become '?'.

--- a/lib/common/error.c
+++ b/lib/common/error.c
@@ -5,6 +5,21 @@
 
 #include <glib.h>
 
+/* Makes @text UTF-8, since clients get it as JSON: removes a character that was cut at the end, and
+ * replaces bytes that are no character. */
+static void
+make_utf8 (char *text, bool was_cut)
+{
+  const char *end;
+
+  while (!g_utf8_validate (text, -1, &end))
+    {
+      char *invalid = text + (end - text);
+      bool is_cut_character = was_cut && g_utf8_get_char_validated (invalid, -1) == (gunichar)-2;
+      *invalid = is_cut_character ? '\0' : '?';
+    }
+}
+
 bool
 fl_fail (struct fl_error *error,
          enum fl_error_code code,
@@ -21,8 +36,9 @@
   g_strlcpy (error->step, step, sizeof error->step);
   g_strlcpy (error->peer, peer != NULL ? peer : "", sizeof error->peer);
   va_start (args, format);
-  vsnprintf (error->text, sizeof error->text, format, args);
+  int len = vsnprintf (error->text, sizeof error->text, format, args);
   va_end (args);
+  make_utf8 (error->text, len >= (int)sizeof error->text);
   return false;
 }
 
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -496,6 +496,73 @@
   fl_str_clear (&encoded);
 }
 
+/* --- texts of errors --- */
+
+/* An error whose text has @ascii bytes before two-byte characters that fill it up. */
+static void
+check_cut_text (int ascii)
+{
+  g_autofree char *text = g_strnfill (400, 'x');
+  struct fl_error error = { 0 };
+
+  for (int i = ascii; i + 1 < 400; i += 2)
+    memcpy (text + i, "\xc3\xa9", 2);
+  text[ascii + (400 - ascii) / 2 * 2] = '\0';
+  fl_fail (&error, FL_INVALID, "test", NULL, "%s", text);
+  size_t len = strlen (error.text);
+  if (!g_utf8_validate (error.text, -1, NULL) || strncmp (error.text, text, len) != 0
+      || len + 2 < sizeof error.text)
+    fail_msg ("%d bytes before: %zu bytes are left", ascii, len);
+}
+
+static const struct
+{
+  const char *text;
+  const char *kept;
+} text_cases[] = {
+  { "plain", "plain" }, { "caf\xc3\xa9", "caf\xc3\xa9" }, { "caf\xc3", "caf?" },
+  { "\xff\xfe", "??" }, { "a\xe2\x82z", "a??z" },         { "a\xed\xa0\x80z", "a???z" },
+};
+
+/* Texts go to clients as JSON, which cannot be encoded if they are not UTF-8: the process aborted.
+ */
+static void
+test_error_texts (void **state)
+{
+  (void)state;
+  for (int ascii = 0; ascii < 260; ascii++)
+    check_cut_text (ascii);
+  for (size_t i = 0; i < G_N_ELEMENTS (text_cases); i++)
+    {
+      struct fl_error error = { 0 };
+      fl_fail (&error, FL_INVALID, "test", NULL, "%s", text_cases[i].text);
+      assert_string_equal (error.text, text_cases[i].kept);
+    }
+}
+
+/* The error text of a malformed job quotes names of its fields, which are the client's. */
+static void
+test_error_text_of_malformed_job (void **state)
+{
+  (void)state;
+  for (int ascii = 0; ascii < 8; ascii++)
+    {
+      g_autoptr (GString) body = g_string_new ("{\"");
+      struct fl_job_spec spec;
+      struct fl_error error = { 0 };
+      for (int i = 0; i < ascii; i++)
+        g_string_append_c (body, 'x');
+      for (int i = 0; i < 200; i++)
+        g_string_append (body, "\xe2\x82\xac");
+      g_string_append (body, "\":1}");
+      assert_false (fl_record_decode (&fl_job_spec_schema, body->str, body->len, &spec, &error));
+      json_t *json = json_pack ("{s:s}", "error", error.text);
+      if (json == NULL)
+        fail_msg ("%d bytes before: \"%s\" cannot be sent", ascii, error.text);
+      json_decref (json);
+    }
+}
+
 /* --- MessagePack bytes --- */
 
 #define BYTES(text_) (text_), sizeof (text_) - 1
@@ -748,6 +815,8 @@
     cmocka_unit_test (test_record_of_largest_job),
     cmocka_unit_test (test_size_of_task_targets),
     cmocka_unit_test (test_json_progress_record),
+    cmocka_unit_test (test_error_texts),
+    cmocka_unit_test (test_error_text_of_malformed_job),
     cmocka_unit_test (test_malformed_records),
     cmocka_unit_test (test_corrupted_records),
     cmocka_unit_test (test_check_of_complete_documents),
