A follower gets past a key of full length

Cause: the next page starts at the last key with one more byte, which a name of 95 bytes has no room for. The page after such a key was that of the key itself: the table was read without end. Change: the last character of such a key is replaced by the next one, or removed if that does not fit, and the one before it replaced. Test: test_keys_of_full_length, seven rows of keys that end in characters of one to four bytes; before, the first row was read 21 times (the limit of the test).

--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -1,5 +1,7 @@
 #include "store/follower.h"
 
+#include <string.h>
+
 #include <glib.h>
 
 #include "common/clock.h"
@@ -94,14 +96,53 @@
     follower->options.on_row (follower->options.context, &reply->rows[i]);
 }
 
-/* The smallest key above @key: @key with one more byte. */
+/* @return the character after @character that UTF-8 can encode. */
+static gunichar
+character_after (gunichar character)
+{
+  return character + 1 == 0xd800 ? 0xe000 : character + 1;
+}
+
+/* @return the smallest key above @key that a name can hold, for a key of FL_NAME_MAX bytes: its
+ * last character is replaced by the next one, or removed if that does not fit and the character
+ * before it replaced. There always is one to replace, since 95 bytes do not all belong to
+ * characters of four bytes. */
+static struct fl_name
+key_after_full (const struct fl_name *key)
+{
+  size_t len = key->len;
+
+  while (len > 0)
+    {
+      const char *last = g_utf8_find_prev_char (key->data, key->data + len);
+      if (last == NULL) /* not UTF-8 */
+        break;
+      gunichar next = character_after (g_utf8_get_char (last));
+      char bytes[6];
+      size_t start = (size_t)(last - key->data);
+      size_t next_len
+          = next <= 0x10ffff ? (size_t)g_unichar_to_utf8 (next, bytes) : FL_NAME_MAX + 1;
+      if (start + next_len <= FL_NAME_MAX)
+        {
+          struct fl_name result = fl_name_make (key->data, start);
+          memcpy (result.data + start, bytes, next_len);
+          result.len = (uint8_t)(start + next_len);
+          return result;
+        }
+      len = start;
+    }
+  return *key;
+}
+
+/* @return the smallest key above @key that a name can hold. */
 static struct fl_name
 key_after (const struct fl_name *key)
 {
   struct fl_name next = *key;
 
-  if (next.len < FL_NAME_MAX)
-    next.data[next.len++] = 0x01;
+  if (next.len == FL_NAME_MAX)
+    return key_after_full (key);
+  next.data[next.len++] = 0x01;
   return next;
 }
 
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <string.h>
 
 #include <cmocka.h>
 #include <glib.h>
@@ -295,11 +296,124 @@
     }
 }
 
+/* --- keys of full length --- */
+
+#define KEYS_MAX 4
+#define KEY_READS_MAX 20
+
+/* A store that returns one row of one partition at a time. */
+struct paged_store
+{
+  struct ev_loop *loop;
+  const char *const *keys; /* in ascending order, NULL-terminated */
+  int reads;
+  bool is_read;
+  GString *order; /* the last bytes of the keys, as delivered */
+};
+
+static void
+read_one_row (void *context,
+              const char *table,
+              const char *partition,
+              const char *first_key,
+              const char *end_key,
+              int64_t timeout_ms,
+              void (*done) (void *context, const struct fl_store_reply *reply),
+              void *done_context)
+{
+  struct paged_store *store = context;
+  struct fl_store_row row = { .version = 1 };
+  struct fl_store_reply reply = { .status = FL_STORE_OK, .rows = &row, .version = 1 };
+  size_t i = 0;
+
+  (void)table;
+  (void)partition;
+  (void)end_key;
+  (void)timeout_ms;
+  while (store->keys[i] != NULL && strcmp (store->keys[i], first_key) < 0)
+    i++;
+  if (store->keys[i] != NULL)
+    {
+      row.key = fl_name_of (store->keys[i]);
+      reply.count = 1;
+      reply.has_more = store->keys[i + 1] != NULL;
+    }
+  if (++store->reads <= KEY_READS_MAX)
+    done (done_context, &reply);
+}
+
+static void
+on_paged_row (void *context, const struct fl_store_row *row)
+{
+  struct paged_store *store = context;
+
+  g_string_append_printf (store->order, "%s ", row->key.data + FL_NAME_MAX - 5);
+}
+
+static void
+on_paged_read_end (void *context)
+{
+  ((struct paged_store *)context)->is_read = true;
+}
+
+/* The page after a key of full length was that of the key itself, without end. */
+static void
+test_keys_of_full_length (void **state)
+{
+  /* The last five bytes of keys of FL_NAME_MAX bytes. */
+  static const struct
+  {
+    const char *ends[KEYS_MAX + 1];
+  } cases[] = {
+    { { "aaaaa", "aaaab", "aaaac" } },
+    { { "aaaa~", "aaaa\x7f", "aaab!" } },
+    { { "aaaa\x7f", "aaab\x01" } },
+    { { "aaaa\x7f", "aaa\xc2\x80", "aaa\xc2\x81" } },
+    { { "aaa\xdf\xbf", "aa\xe0\xa0\x80" } },
+    { { "aa\xed\x9f\xbf", "aa\xee\x80\x80", "aa\xef\xbf\xbf", "a\xf0\x90\x80\x80" } },
+    { { "a\xf4\x8f\xbf\xbf", "baaaa" } },
+  };
+  static const char *const one_partition[] = { "0", NULL };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *keys[KEYS_MAX + 1] = { NULL };
+      struct paged_store paged
+          = { .loop = ev_loop_new (0), .keys = keys, .order = g_string_new ("") };
+      struct fl_store store = { .context = &paged, .read = read_one_row, .feed = send_feed };
+      struct fl_follower_options options = { .loop = paged.loop,
+                                             .store = &store,
+                                             .table = "table",
+                                             .partitions = one_partition,
+                                             .on_row = on_paged_row,
+                                             .on_read_end = on_paged_read_end,
+                                             .context = &paged };
+      g_autoptr (GString) expected = g_string_new ("");
+      for (size_t k = 0; k < KEYS_MAX && cases[i].ends[k] != NULL; k++)
+        {
+          g_autofree char *start = g_strnfill (FL_NAME_MAX - 5, 'k');
+          keys[k] = g_strconcat (start, cases[i].ends[k], NULL);
+          assert_int_equal (strlen (keys[k]), FL_NAME_MAX);
+          g_string_append_printf (expected, "%s ", cases[i].ends[k]);
+        }
+      struct fl_follower *follower = fl_follower_new (&options);
+      if (!paged.is_read || strcmp (paged.order->str, expected->str) != 0)
+        fail_msg ("case %zu: %d reads delivered %s", i, paged.reads, paged.order->str);
+      fl_follower_free (follower);
+      for (size_t k = 0; k < KEYS_MAX; k++)
+        g_free ((char *)keys[k]);
+      g_string_free (paged.order, TRUE);
+      ev_loop_destroy (paged.loop);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_without_reply),
-                                      cmocka_unit_test (test_confirmation_after_outage) };
+                                      cmocka_unit_test (test_confirmation_after_outage),
+                                      cmocka_unit_test (test_keys_of_full_length) };
 
   return cmocka_run_group_tests_name ("follower", tests, NULL, NULL);
 }
