The simulated cell has gangs

Rules TWICE and GANG were not judged there for gangs: no simulated job had one. With the rate `gang`, jobs consist of gangs: their members share a run number, wait until all are present, end together, and a member that waits for 3 s ends `alone`. TWICE takes a gang as one task. GANG is stricter than the rule of the users: a fault counts only at the target of the lone member or at the owner that started it, so that faults at the targets of other members are no excuse.

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -52,6 +52,7 @@
   bool up;
   bool draining;
   int64_t isolated_until_ms; /* until then no owner reaches it */
+  int64_t disturbed_until_ms;
   struct target_state state;
   GArray *waiting_heartbeats; /* struct call *: heartbeats that wait for an end */
 };
@@ -69,6 +70,7 @@
   struct fl_resources task_resources;
   bool cancelled;
   bool long_running;
+  bool gang;
   struct fl_str progress; /* encoded, as stored */
   bool ended;             /* the stored progress has a final state */
 };
@@ -98,6 +100,7 @@
   int64_t authority_until_ms;
   int64_t frozen_until_ms;
   int64_t isolated_until_ms; /* until then it cannot reach the store */
+  int64_t disturbed_until_ms;
   int64_t renewed_ms;
   int64_t jobs_version; /* jobs up to this store version have been read */
   bool dead;
@@ -128,6 +131,7 @@
   int order_count;       /* starts and stops sent so far */
   int transaction_count; /* store transactions of owners so far */
   int64_t last_fault_ms; /* when the last fault began */
+  GArray *gang_ends;     /* struct target_end: after which the other members end, too */
   struct cell_result result;
 };
 
@@ -159,6 +163,21 @@
   cell->last_fault_ms = cell->now_ms;
 }
 
+static void
+note_target_fault (struct cell *cell, struct fake_target *target, int64_t duration_ms)
+{
+  note_fault (cell);
+  if (target != NULL)
+    target->disturbed_until_ms = MAX (target->disturbed_until_ms, cell->now_ms + duration_ms);
+}
+
+static void
+note_owner_fault (struct cell *cell, struct owner *owner, int64_t duration_ms)
+{
+  note_fault (cell);
+  owner->disturbed_until_ms = MAX (owner->disturbed_until_ms, cell->now_ms + duration_ms);
+}
+
 static void
 report_violation (struct cell *cell, const char *rule, const struct fl_name *subject)
 {
@@ -252,18 +271,210 @@
 
 static void reply_to_waiting_heartbeats (struct cell *cell, struct fake_target *target);
 
+/* --- gangs --- */
+
+static bool
+is_gang_task (const struct cell *cell, const struct fl_name *task)
+{
+  const struct fake_job *job = find_job_of_task (cell, task);
+
+  return job != NULL && job->gang;
+}
+
+/* Whether @a and @b are the same task, or members of the same gang. */
+static bool
+are_one (const struct cell *cell, const struct fl_name *a, const struct fl_name *b)
+{
+  size_t step_length = (size_t)(strrchr (a->data, '.') - a->data) + 1;
+
+  return fl_name_eq (a, b)
+         || (b->len >= step_length && memcmp (a->data, b->data, step_length) == 0
+             && is_gang_task (cell, a));
+}
+
+/* Calls @handler for @name, or for all members of its gang: one end counts for all of them. */
+static void
+for_each_member (struct cell *cell,
+                 const struct fl_name *name,
+                 void (*handler) (struct fake_task *task, const struct target_end *end),
+                 const struct target_end *end)
+{
+  const struct fake_job *job = find_job_of_task (cell, name);
+
+  if (!is_gang_task (cell, name))
+    {
+      handler (get_task (cell, name), end);
+      return;
+    }
+  for (int i = 0; i < job->tasks_per_step; i++)
+    {
+      struct fl_name member
+          = fl_name_format ("%s.0.%d.%d", job->id.data, get_task (cell, name)->step, i);
+      handler (get_task (cell, &member), end);
+    }
+}
+
+static void
+note_end_of_member (struct fake_task *task, const struct target_end *end)
+{
+  task->done = task->done || end->cause == FL_END_DONE;
+  task->failures += end->cause == FL_END_FAILED ? 1 : 0;
+}
+
+static void
+note_acknowledgement_for_member (struct fake_task *task, const struct target_end *end)
+{
+  task->failures_acknowledged += end->cause == FL_END_FAILED ? 1 : 0;
+  task->done_acknowledged
+      = task->done_acknowledged || (end->cause == FL_END_DONE && !end->lease_expired);
+}
+
+/* Calls @handler for the runs of the gang of @task with the number @number on targets that are up.
+ * @return how many there are. */
+static int
+for_each_gang_run (struct cell *cell,
+                   const struct fl_name *task,
+                   int64_t number,
+                   void (*handler) (struct target_run *run, void *data),
+                   void *data)
+{
+  int count = 0;
+
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      for (guint j = 0; target->up && j < target->state.runs->len; j++)
+        {
+          struct target_run *run = &g_array_index (target->state.runs, struct target_run, j);
+          if (run->run != number || !are_one (cell, task, &run->task))
+            continue;
+          count++;
+          if (handler != NULL)
+            handler (run, data);
+        }
+    }
+  return count;
+}
+
+/* If the gang fails, one member fails before the others are done. */
+static void
+begin_work (struct target_run *run, void *data)
+{
+  struct target_run *work = data;
+
+  run->waits = false;
+  run->finish_ms = work->finish_ms;
+  run->fails = work->fails;
+  work->finish_ms += work->fails ? 1000 : 0;
+  work->fails = false;
+}
+
+/* The members of a gang begin to work when all are present, and end at the same time. */
+static void
+begin_work_of_complete_gang (struct cell *cell, const struct fl_name *task, int64_t number)
+{
+  const struct fake_job *job = find_job_of_task (cell, task);
+  struct target_run work = { 0 };
+
+  if (for_each_gang_run (cell, task, number, NULL, NULL) < job->tasks_per_step)
+    return;
+  work.finish_ms = cell->now_ms + random_between (cell, 100, 4000);
+  work.fails = happens_randomly (cell, cell->options.fault_rates.task_failed);
+  cell->result.gangs++;
+  for_each_gang_run (cell, task, number, begin_work, &work);
+}
+
+/* Ends the members that worked together with the run of @end. Members that still wait go on
+ * waiting. */
+static void
+end_other_members (struct cell *cell, const struct target_end *end)
+{
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      guint ends_before = target->state.ends->len;
+      for (guint j = target->up ? target->state.runs->len : 0; j > 0; j--)
+        {
+          struct target_run run = g_array_index (target->state.runs, struct target_run, j - 1);
+          if (run.run == end->run && !run.waits && are_one (cell, &end->task, &run.task))
+            target_state_end_run (&target->state, &run.task, run.run,
+                                  end->cause == FL_END_DONE ? FL_END_DONE : FL_END_GANG_BROKEN);
+        }
+      if (target->state.ends->len > ends_before && target->isolated_until_ms <= cell->now_ms)
+        reply_to_waiting_heartbeats (cell, target);
+    }
+}
+
+static void
+settle_gangs (struct cell *cell)
+{
+  /* The ends that follow are appended, and have no members left. */
+  for (guint i = 0; i < cell->gang_ends->len; i++)
+    {
+      struct target_end end = g_array_index (cell->gang_ends, struct target_end, i);
+      end_other_members (cell, &end);
+    }
+  g_array_set_size (cell->gang_ends, 0);
+}
+
+/* Notes the runs that end with the boot of @target, without being listed. */
+static void
+note_gang_runs_of_boot (struct cell *cell, const struct fake_target *target)
+{
+  for (guint i = 0; i < target->state.runs->len; i++)
+    {
+      const struct target_run *run = &g_array_index (target->state.runs, struct target_run, i);
+      struct target_end end = { .task = run->task, .run = run->run, .cause = FL_END_LEASE_EXPIRED };
+      if (!run->waits && is_gang_task (cell, &run->task))
+        g_array_append_val (cell->gang_ends, end);
+    }
+}
+
+static struct owner *find_owner (const struct cell *cell, int64_t fencing_token);
+
+/* Whether the target of @run and the owner that started it had no fault since a while before. */
+static bool
+was_calm (const struct cell *cell, const struct fake_target *target, const struct target_run *run)
+{
+  const struct owner *owner = find_owner (cell, run->fencing_token);
+  int64_t calm_since_ms = run->started_ms - CELL_GANG_CALM_MS;
+
+  return !owner->dead && owner->disturbed_until_ms < calm_since_ms
+         && target->disturbed_until_ms < calm_since_ms;
+}
+
+static void
+end_lone_runs (struct cell *cell, struct fake_target *target)
+{
+  guint ends_before = target->state.ends->len;
+
+  for (guint i = target->up ? target->state.runs->len : 0; i > 0; i--)
+    {
+      struct target_run run = g_array_index (target->state.runs, struct target_run, i - 1);
+      if (!run.waits || cell->now_ms - run.started_ms < CELL_GANG_TIMEOUT_MS)
+        continue;
+      cell->result.lone_runs++;
+      if (was_calm (cell, target, &run) && !find_job_of_task (cell, &run.task)->cancelled)
+        report_violation (cell, "GANG", &run.task);
+      target_state_end_run (&target->state, &run.task, run.run, FL_END_GANG_INCOMPLETE);
+    }
+  if (target->state.ends->len > ends_before && target->isolated_until_ms <= cell->now_ms)
+    reply_to_waiting_heartbeats (cell, target);
+}
+
+/* --- ends and boots --- */
+
 static void
 on_run_end (void *context, const struct target_end *end)
 {
-  static const char *const causes[] = { "done", "failed", "stopped", "lapsed" };
+  static const char *const causes[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
   struct fake_target *target = context;
   struct cell *cell = target->cell;
 
   trace (cell, causes[end->cause], &end->task, end->run, &target->id);
-  if (end->cause == FL_END_DONE)
-    get_task (cell, &end->task)->done = true;
-  if (end->cause == FL_END_FAILED)
-    get_task (cell, &end->task)->failures++;
+  for_each_member (cell, &end->task, note_end_of_member, end);
+  if (is_gang_task (cell, &end->task))
+    g_array_append_val (cell->gang_ends, *end);
   if (end->cause == FL_END_LEASE_EXPIRED)
     cell->result.lost_runs++;
 }
@@ -272,17 +483,13 @@
 on_end_acknowledged (void *context, const struct target_end *end)
 {
   struct fake_target *target = context;
-  struct fake_task *task = get_task (target->cell, &end->task);
+  const struct fake_task *task = get_task (target->cell, &end->task);
 
-  if (end->cause == FL_END_FAILED)
-    task->failures_acknowledged++;
+  for_each_member (target->cell, &end->task, note_acknowledgement_for_member, end);
   if (task->failures_acknowledged >= ATTEMPTS_MAX && task->over_budget)
     report_violation (target->cell, "BUDGET (failures acknowledged later)", &end->task);
-  if (end->cause != FL_END_DONE || end->lease_expired)
-    return;
-  if (end->task_restarted)
+  if (end->cause == FL_END_DONE && !end->lease_expired && end->task_restarted)
     report_violation (target->cell, "TWICE (started after an acknowledged end)", &end->task);
-  task->done_acknowledged = true;
 }
 
 static void
@@ -290,14 +497,17 @@
 {
   if (target->up && target_state_advance (&target->state, cell->now_ms))
     reply_to_waiting_heartbeats (cell, target);
+  settle_gangs (cell);
 }
 
 static void
 reset_target (struct cell *cell, struct fake_target *target)
 {
   cell->result.lost_runs += target->state.runs->len;
+  note_gang_runs_of_boot (cell, target);
   target_state_restart (&target->state, cell->now_ms);
   target->boot++;
+  settle_gangs (cell);
 }
 
 static struct fl_name
@@ -321,10 +531,12 @@
 
 /* --- rules that are checked at each start --- */
 
-/* Sets @team_used to the CPU that all runs of @team use. @return the number of runs of @task. */
+/* Sets @team_used to the CPU that all runs of @team use. @return the number of runs of @task; for a
+ * member of a gang, those of other members count if their number is not @number. */
 static int64_t
 count_task_runs (const struct cell *cell,
                  const struct fl_name *task,
+                 int64_t number,
                  struct fl_resources *team_used,
                  int team)
 {
@@ -337,7 +549,10 @@
       for (guint j = 0; target->up && j < target->state.runs->len; j++)
         {
           const struct target_run *run = &g_array_index (target->state.runs, struct target_run, j);
-          count += fl_name_eq (&run->task, task) ? 1 : 0;
+          count += fl_name_eq (&run->task, task)
+                           || (run->run != number && are_one (cell, task, &run->task))
+                       ? 1
+                       : 0;
           const struct fake_job *job = find_job_of_task (cell, &run->task);
           if (job != NULL && job->team == team)
             team_used->cpu_milli += job->task_resources.cpu_milli;
@@ -368,7 +583,7 @@
       for (guint j = 0; j < target->state.ends->len; j++)
         {
           struct target_end *end = &g_array_index (target->state.ends, struct target_end, j);
-          end->task_restarted = end->task_restarted || fl_name_eq (&end->task, task);
+          end->task_restarted = end->task_restarted || are_one (cell, task, &end->task);
         }
     }
 }
@@ -397,7 +612,8 @@
     }
   if (used + job->task_resources.cpu_milli > target->capacity.cpu_milli)
     report_violation (cell, "LIMIT", &order->task);
-  if (count_task_runs (cell, &order->task, &team_used, job->team) > 0 || task->done_acknowledged)
+  if (count_task_runs (cell, &order->task, order->run, &team_used, job->team) > 0
+      || task->done_acknowledged)
     report_violation (cell, "TWICE", &order->task);
   mark_task_restarted (cell, &order->task);
   if (!previous_step_done (cell, job, task->step))
@@ -434,6 +650,24 @@
   return target;
 }
 
+static enum fl_order_result
+start_member (struct cell *cell, struct fake_target *target, const struct fl_start_order *order)
+{
+  guint runs_before = target->state.runs->len;
+  enum fl_order_result result
+      = target_state_start_run (&target->state, cell->now_ms, order, INT64_MAX, false);
+
+  if (target->state.runs->len > runs_before)
+    {
+      struct target_run *run
+          = &g_array_index (target->state.runs, struct target_run, target->state.runs->len - 1);
+      run->waits = true;
+      run->fencing_token = order->fencing_token;
+      begin_work_of_complete_gang (cell, &order->task, order->run);
+    }
+  return result;
+}
+
 static enum fl_order_result
 handle_start (struct cell *cell, struct fake_target *target, const struct fl_start_order *order)
 {
@@ -449,6 +683,8 @@
     return target_state_start_run (
         &target->state, cell->now_ms, order,
         faults_enabled (cell) ? random_between (cell, 1000, 20000) : INT64_MAX, true);
+  if (job != NULL && job->gang)
+    return start_member (cell, target, order);
   return target_state_start_run (&target->state, cell->now_ms, order,
                                  random_between (cell, 100, 4000),
                                  happens_randomly (cell, cell->options.fault_rates.task_failed));
@@ -630,7 +866,7 @@
           && (happens_randomly (cell, cell->options.fault_rates.order_reply_lost)
               || is_fault_scripted (cell, CELL_FAULT_ORDER_REPLY_LOST, call->order_number)));
   if (!call->replied)
-    note_fault (cell);
+    note_target_fault (cell, target, ORDER_TIMEOUT_MS);
   schedule (cell, call->replied ? random_between (cell, 1, 20) : ORDER_TIMEOUT_MS, on_call_done,
             call);
 }
@@ -644,7 +880,7 @@
 
   if (target != NULL && target->up && target->boot == call->target_boot)
     {
-      note_fault (cell);
+      note_target_fault (cell, target, 0);
       advance_target (cell, target);
       if (call->kind == CALL_START)
         handle_start (cell, target, &call->start_order);
@@ -663,7 +899,7 @@
       && (happens_randomly (cell, cell->options.fault_rates.order_late)
           || is_fault_scripted (cell, CELL_FAULT_ORDER_LATE, call->order_number)))
     {
-      const struct fake_target *target = find_target_at (cell, &call->address);
+      struct fake_target *target = find_target_at (cell, &call->address);
       struct call *late = g_new0 (struct call, 1);
       *late = *call;
       late->target_boot = target != NULL && target->up ? target->boot : -1;
@@ -671,7 +907,7 @@
       late->start_order.payload = late->payload;
       late->start_order.ticket = late->ticket.data;
       late->start_order.checkpoint = "";
-      note_fault (cell);
+      note_target_fault (cell, target, ORDER_TIMEOUT_MS);
       schedule (cell, random_between (cell, 2000, 6000), on_late_order_received, late);
       schedule (cell, ORDER_TIMEOUT_MS, on_call_done, call);
       return;
@@ -1084,6 +1320,12 @@
   schedule (cell, TICK_INTERVAL_MS, on_owner_timer, owner);
 }
 
+static struct owner *
+find_owner (const struct cell *cell, int64_t fencing_token)
+{
+  return g_ptr_array_index (cell->owners, fencing_token - 1);
+}
+
 static void
 acquire_ownership (struct cell *cell)
 {
@@ -1168,7 +1410,7 @@
   if (target->up && happens_randomly (cell, rates->target_crash))
     {
       take_target_down (cell, target);
-      note_fault (cell);
+      note_target_fault (cell, target, 6000);
     }
   if (target->up && happens_randomly (cell, rates->target_isolated))
     {
@@ -1177,11 +1419,11 @@
             + random_between (cell, 300,
                               rates->target_isolated_max_ms > 0 ? rates->target_isolated_max_ms
                                                                 : ISOLATED_MAX_MS);
-      note_fault (cell);
+      note_target_fault (cell, target, target->isolated_until_ms - cell->now_ms);
     }
   if (target->up && !target->draining && happens_randomly (cell, rates->target_drain))
     {
-      note_fault (cell);
+      note_target_fault (cell, target, 11000);
       target->draining = true;
       schedule (cell, random_between (cell, 2000, 5000), on_target_drained, target);
     }
@@ -1208,7 +1450,8 @@
   if (isolates)
     owner->isolated_until_ms = cell->now_ms + random_between (cell, 200, 12000);
   if (kills || freezes || isolates)
-    note_fault (cell);
+    note_owner_fault (cell, owner,
+                      MAX (owner->frozen_until_ms, owner->isolated_until_ms) - cell->now_ms);
 }
 
 static void
@@ -1287,6 +1530,11 @@
   job->team = (int)random_between (cell, 0, 1);
   job->task_resources = (struct fl_resources){ random_between (cell, 500, 4000),
                                                random_between (cell, 100, 3000), 0 };
+  job->gang = cell->options.fault_rates.gang > 0
+              && happens_randomly (cell, cell->options.fault_rates.gang);
+  /* A whole gang fits on the smallest target, which may be the only eligible one. */
+  if (job->gang)
+    job->task_resources.cpu_milli = MIN (job->task_resources.cpu_milli, 2000);
   job->version = ++cell->version;
   spec.id = job->id;
   spec.queue = fl_name_of ("queue");
@@ -1297,6 +1545,7 @@
       steps[i] = (struct fl_step_spec){ .count = job->tasks_per_step,
                                         .cpu_milli = job->task_resources.cpu_milli,
                                         .memory_mb = job->task_resources.memory_mb,
+                                        .gang = job->gang,
                                         .disruptions_max = -1 };
       if (i > 0)
         steps[i].after = (struct fl_array){ 1, &dependencies[i] };
@@ -1408,7 +1657,7 @@
       struct fl_name name = fl_name_format ("%s.0.0.%d", job->id.data, i);
       struct fake_task *task = get_task (cell, &name);
       if (!room || task->last_target == NULL || !is_reachable (task->last_target)
-          || count_task_runs (cell, &name, &team_used, job->team) > 0)
+          || count_task_runs (cell, &name, 0, &team_used, job->team) > 0)
         task->down_since_ms = cell->now_ms;
       if (cell->now_ms - task->down_since_ms > DOWN_MAX_MS / 2
           && is_recorded_on_unreachable (cell, job, i))
@@ -1439,7 +1688,10 @@
   (void)data;
   check_long_running_jobs (cell);
   for (guint i = 0; i < cell->targets->len; i++)
-    advance_target (cell, g_ptr_array_index (cell->targets, i));
+    {
+      advance_target (cell, g_ptr_array_index (cell->targets, i));
+      end_lone_runs (cell, g_ptr_array_index (cell->targets, i));
+    }
   if (cell->now_ms % 100 == 0 && faults_enabled (cell))
     {
       inject_due_faults (cell);
@@ -1549,6 +1801,7 @@
   g_hash_table_destroy (cell->job_by_id);
   g_hash_table_destroy (cell->tasks);
   g_array_unref (cell->recorded_targets);
+  g_array_unref (cell->gang_ends);
   fl_configuration_unref (cell->configuration);
   fl_stats_free (cell->stats);
   g_sequence_free (cell->events);
@@ -1574,6 +1827,7 @@
   cell.job_by_id = g_hash_table_new (fl_name_hash, fl_name_equal);
   cell.tasks = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
   cell.recorded_targets = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
+  cell.gang_ends = g_array_new (FALSE, FALSE, sizeof (struct target_end));
   cell.stats = fl_stats_new ();
   cell.log = (struct fl_log){ .level = options->trace_prefix != NULL ? FL_LOG_INFO : 0,
                               .program = "cell" };
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -26,6 +26,7 @@
   int store_reply_lost;   /* for each store transaction: it is applied but its reply is lost */
   int store_delay_max_ms; /* no rate: longest additional delay of a store reply */
   int job_cancelled;      /* a job is cancelled */
+  int gang;               /* for each job: each of its steps is a gang */
   int task_failed;        /* for each run: it ends as failed */
 };
 
@@ -50,6 +51,8 @@
 
 #define CELL_FAULT_INTERVAL_MS 500
 #define CELL_LASTING_MS 20000
+#define CELL_GANG_TIMEOUT_MS 3000
+#define CELL_GANG_CALM_MS 3000
 
 struct cell_fault
 {
@@ -81,13 +84,15 @@
  *
  *   UNASKED  a task was started that belongs to no submitted job
  *   LIMIT    the runs on a target exceed its CPU
- *   TWICE    a task was started while it was running, or after its completion was acknowledged
+ *   TWICE    a task was started while it was running, or after its completion was acknowledged; a
+ *            gang counts as one task, whose members share a run number
  *   ORDER    a task was started before the step that it depends on was done
- *   BUDGET   a task was started again after all its attempts had failed
- *   QUOTA    the runs of a team exceed its CPU limit by over a tenth and one task
- *   MIXED    a job is recorded as completed although a task is not done
- *   LOST     a job did not end, or is recorded as failed or cancelled without cause; or a task of a
- *            long-running job was down for over 9 s, with room for it, and the last 7 s without a
+ *   GANG     a member of a gang waited CELL_GANG_TIMEOUT_MS for the others, with no fault at its
+ * own target or at the owner that started it since CELL_GANG_CALM_MS before its start BUDGET   a
+ * task was started again after all its attempts had failed QUOTA    the runs of a team exceed its
+ * CPU limit by over a tenth and one task MIXED    a job is recorded as completed although a task is
+ * not done LOST     a job did not end, or is recorded as failed or cancelled without cause; or a
+ * task of a long-running job was down for over 9 s, with room for it, and the last 7 s without a
  *            new fault */
 struct cell_result
 {
@@ -96,6 +101,8 @@
   int jobs_ended; /* completed, failed by their own tasks, or cancelled */
   int64_t starts;
   int64_t lost_runs; /* ended by an expired lease or a crash of their target */
+  int64_t gangs;     /* that were complete */
+  int64_t lone_runs; /* that ended since other members of their gang were missing */
   int owner_count;
 };
 
--- a/tests/support_target.c
+++ b/tests/support_target.c
@@ -185,9 +185,28 @@
   return FL_ORDER_DONE;
 }
 
+bool
+target_state_end_run (struct target_state *state,
+                      const struct fl_name *task,
+                      int64_t run,
+                      enum fl_end_cause cause)
+{
+  for (guint i = 0; i < state->runs->len; i++)
+    {
+      const struct target_run *other = &g_array_index (state->runs, struct target_run, i);
+      if (other->run != run || !fl_name_eq (&other->task, task))
+        continue;
+      end_run (state, i, cause);
+      return true;
+    }
+  return false;
+}
+
 static int64_t
 get_percent_done (const struct target_run *run, int64_t now_ms)
 {
+  if (run->waits)
+    return 0;
   if (run->finish_ms == INT64_MAX)
     return 100;
   return CLAMP (100 * (now_ms - run->started_ms) / MAX (run->finish_ms - run->started_ms, 1), 0,
--- a/tests/support_target.h
+++ b/tests/support_target.h
@@ -21,8 +21,10 @@
   int64_t started_ms;
   int64_t finish_ms; /* when its work is done; INT64_MAX if it runs until it is stopped */
   bool fails;
+  bool waits;            /* for other members of its gang; its work has not begun */
   int64_t stop_at_ms;    /* when it ends as stopped; 0 without a stop order */
   int64_t share_percent; /* of its resources; 100 if it is not throttled */
+  int64_t fencing_token; /* set by the cell: of the order that started it */
 };
 
 struct target_end
@@ -85,6 +87,12 @@
                                                     int64_t now_ms,
                                                     const struct fl_heartbeat_order *order);
 
+/* Ends @run of @task for @cause at once. @return whether it was running. */
+bool target_state_end_run (struct target_state *state,
+                           const struct fl_name *task,
+                           int64_t run,
+                           enum fl_end_cause cause);
+
 /* Fills @report for the reply to a heartbeat; free its contents with target_state_clear_report. */
 void target_state_get_report (const struct target_state *state,
                               int64_t now_ms,
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -3,6 +3,7 @@
  *   test_core_cell                            runs the tests
  *   test_core_cell SEED COUNT [TASK]          simulates COUNT seeds from SEED on with mixed faults
  *   test_core_cell lasting SEED COUNT [TASK]  simulates long-running jobs with bursts of faults
+ *   test_core_cell gangs SEED COUNT [TASK]    the same as the first, half of the jobs with gangs
  *   test_core_cell trouble NUMBER SEED TASK   simulates SEED with entry NUMBER of fault_profiles
  *
  * With TASK, the log of lib/core and the events of tasks whose names start with TASK are printed.
@@ -337,19 +338,35 @@
   assert_int_equal (failed, 0);
 }
 
+static struct cell_fault_rates
+mixed_fault_rates_with_gangs (void)
+{
+  struct cell_fault_rates rates = mixed_fault_rates;
+
+  rates.gang = 500;
+  return rates;
+}
+
 static int
-simulate_seeds (uint64_t first_seed, int count, int64_t jobs_read_ms, const char *trace_prefix)
+simulate_seeds (uint64_t first_seed,
+                int count,
+                const struct cell_fault_rates *fault_rates,
+                int64_t jobs_read_ms,
+                const char *trace_prefix)
 {
   int failed = 0;
 
   for (int i = 0; i < count; i++)
     {
       struct cell_result result
-          = simulate_random_faults (first_seed + (uint64_t)i, &mixed_fault_rates,
+          = simulate_random_faults (first_seed + (uint64_t)i, fault_rates,
                                     (first_seed + i) % 4 != 0, jobs_read_ms, trace_prefix);
-      printf ("seed=%d accepted=%d ended=%d starts=%d lost=%d owners=%d %s\n",
-              (int)(first_seed + i), result.jobs_accepted, result.jobs_ended, (int)result.starts,
-              (int)result.lost_runs, result.owner_count, result.violation);
+      printf ("seed=%d accepted=%d ended=%d starts=%d lost=%d owners=%d ", (int)(first_seed + i),
+              result.jobs_accepted, result.jobs_ended, (int)result.starts, (int)result.lost_runs,
+              result.owner_count);
+      if (fault_rates->gang > 0)
+        printf ("gangs=%d lone=%d ", (int)result.gangs, (int)result.lone_runs);
+      printf ("%s\n", result.violation);
       failed += result.violation[0] != '\0' ? 1 : 0;
     }
   printf ("%d of %d runs violated a rule\n", failed, count);
@@ -378,13 +395,19 @@
   if (argc == 5 && strcmp (argv[1], "trouble") == 0)
     return simulate_profile (atoi (argv[2]), strtoull (argv[3], NULL, 10), argv[4]);
   if (argc >= 4 && strcmp (argv[1], "slow-reading") == 0)
-    return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), SLOW_READING_MS,
-                           argc > 4 ? argv[4] : NULL);
+    return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), &mixed_fault_rates,
+                           SLOW_READING_MS, argc > 4 ? argv[4] : NULL);
+  if (argc >= 4 && strcmp (argv[1], "gangs") == 0)
+    {
+      struct cell_fault_rates rates = mixed_fault_rates_with_gangs ();
+      return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), &rates, 0,
+                             argc > 4 ? argv[4] : NULL);
+    }
   if (argc >= 4 && strcmp (argv[1], "lasting") == 0)
     return simulate_long_running_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]),
                                         argc > 4 ? argv[4] : NULL);
   if (argc >= 3)
-    return simulate_seeds (strtoull (argv[1], NULL, 10), atoi (argv[2]), 0,
+    return simulate_seeds (strtoull (argv[1], NULL, 10), atoi (argv[2]), &mixed_fault_rates, 0,
                            argc > 3 ? argv[3] : NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
