Stopping a member of a gang stops the others

Cause: when the starts of a member had no reply, or when one of them was rejected after another without a reply, the owner stopped this member only. The others waited until the end of its run was known, which takes up to its lease (4.7 s), longer than targets let them wait (3 to 4 s).

Why it works: no member of a gang can work once one is stopped, so that core_run_stop stops all, whoever calls it.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -328,7 +328,7 @@
 
 void core_run_order_start (struct core_run *run, const char *ticket);
 
-/* Stops @run. If it was only planned, releases it. */
+/* Stops @run, with all members of its gang. If it was only planned, releases it. */
 void core_run_stop (struct core_run *run);
 
 /* An order that concerns @run, without percent. */
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -182,7 +182,7 @@
   core->options.actions.stop (core->options.context, &order);
 }
 
-/* Stops the members of a gang after one of them could not be started. */
+/* Stops all members of a gang, since one of them is missing or is being stopped. */
 static void
 abort_gang (struct core_step *step)
 {
@@ -214,6 +214,8 @@
   core_run_set_state (run, CORE_RUN_STOPPING);
   run->confirmed_at_ms = 0;
   send_stop (run);
+  if (run->task->step->spec->gang)
+    abort_gang (run->task->step);
 }
 
 static void
