A gang of which a member has no run is stopped

Cause: when a member's run ended or was lost before all were present, or when a new owner found only some members running, nobody told the others: place_gang waited until they had no runs. They waited until their targets ended them as `alone`.

Evidence: `test_gangs` fails without the change, for members that failed, lapsed, were alone or absent, or are lost with a silent target, and for a gang that an earlier owner started in part.

Why it works: a task without a run keeps its step among those to be placed, unless it may run on a target that has not reported to a new owner. Each tick looks at these steps and stops what is left of an incomplete gang. In a gang that was complete, the targets have ended the others already; the stop finds nothing.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -476,8 +476,23 @@
   return false;
 }
 
+/* Stops the members of a gang of which another has no run any more, or had none when its earlier
+ * owner lost the pool: they would wait for it in vain, and only a whole gang is started.
+ * @return whether there are such members. */
+static bool
+stop_incomplete_gang (struct core_step *step)
+{
+  for (int64_t i = 0; step->spec->gang && i < step->spec->count; i++)
+    if (step->tasks[i].run != NULL)
+      {
+        core_run_stop (step->tasks[i].run);
+        return true;
+      }
+  return false;
+}
+
 /* Starts all tasks of a gang or none. @return how many tasks wait for capacity: 0 also when a
- * member cannot be started yet because it has a run or backs off. */
+ * member cannot be started yet because it backs off. */
 static int64_t
 place_gang (struct core_step *step, GArray *placements)
 {
@@ -684,6 +699,11 @@
 {
   struct fl_core *core = step->job->core;
 
+  if (stop_incomplete_gang (step))
+    {
+      set_wait_reason (step, CORE_WAIT_NONE);
+      return;
+    }
   if (core_order_budget_is_exhausted (&core->order_budget))
     {
       set_wait_reason (step, CORE_WAIT_LINK);
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -83,12 +83,182 @@
   fixture_free (fixture);
 }
 
+/* --- members that ended or were lost --- */
+
+enum member_fate
+{
+  MEMBER_ENDED,  /* its target lists that it ended */
+  MEMBER_ABSENT, /* its target lists it neither as running nor as ended */
+  MEMBER_LAPSED, /* its target is silent, and the lease has expired */
+};
+
+/* Reports what became of the second member. The target of the first lists it as running. */
+static void
+end_second_member (struct fixture *fixture, enum member_fate fate, enum fl_end_cause cause)
+{
+  const struct fl_start_order *starts[]
+      = { get_start_order (fixture, 0), get_start_order (fixture, 1) };
+  struct fl_run_row run = { .task = starts[0]->task, .run = starts[0]->run };
+  struct fl_end_row end
+      = { .number = 1, .task = starts[1]->task, .run = starts[1]->run, .cause = (int)cause };
+  struct fl_target_report running = { .booted_at_ms = 1, .runs = &run, .run_count = 1 };
+  struct fl_target_report ended
+      = { .booted_at_ms = 1, .ends = &end, .end_count = fate == MEMBER_ENDED ? 1 : 0 };
+  struct fl_name ids[] = { starts[0]->target, starts[1]->target };
+
+  if (fate != MEMBER_LAPSED)
+    deliver_report (fixture, ids[1].data, ended);
+  for (int i = 0; fate == MEMBER_LAPSED && i < 8; i++)
+    {
+      struct fl_heartbeat_order order;
+      fl_core_prepare_heartbeat (fixture->core, &ids[0], fixture->now_ms, &order);
+      deliver_report (fixture, ids[0].data, running);
+      tick_until_recorded (fixture, 1000);
+    }
+  tick_until_recorded (fixture, 50);
+}
+
+static const struct
+{
+  const char *name;
+  enum member_fate fate;
+  enum fl_end_cause cause;
+} member_cases[] = {
+  { "failed", MEMBER_ENDED, FL_END_FAILED },
+  { "lapsed at its target", MEMBER_ENDED, FL_END_LEASE_EXPIRED },
+  { "alone", MEMBER_ENDED, FL_END_GANG_INCOMPLETE },
+  { "absent", MEMBER_ABSENT, 0 },
+  { "lapsed at a silent target", MEMBER_LAPSED, 0 },
+};
+
+/* A member ended or was lost before all were present: its target does not tell the others, which
+ * the owner left to wait. */
+static void
+test_member_missing (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (member_cases); i++)
+    {
+      struct fixture *fixture = order_gang ();
+      confirm_start (fixture, 1);
+      fixture->now_ms += 10;
+      end_second_member (fixture, member_cases[i].fate, member_cases[i].cause);
+      bool is_right
+          = is_stopped (fixture, get_start_order (fixture, 0)) && fixture->start_orders->len == 2;
+      if (!is_right)
+        printf ("%s: the other member is %s, %u starts\n", member_cases[i].name,
+                is_stopped (fixture, get_start_order (fixture, 0)) ? "stopped" : "left",
+                fixture->start_orders->len);
+      failed += is_right ? 0 : 1;
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
+}
+
+/* The end `done` of a member counts for all. */
+static void
+test_gang_done (void **state)
+{
+  struct fixture *fixture = order_gang ();
+
+  (void)state;
+  confirm_start (fixture, 1);
+  fixture->now_ms += 10;
+  end_second_member (fixture, MEMBER_ENDED, FL_END_DONE);
+  assert_int_equal (fixture->start_orders->len, 2);
+  fixture_free (fixture);
+}
+
+/* --- members that an earlier owner started --- */
+
+struct adoption_case
+{
+  const char *name;
+  int64_t runs[2];       /* that t1 and t2 list, of the tasks 0 and 1; 0 for none */
+  bool second_is_silent; /* t2 does not report */
+  guint stops;
+};
+
+static const struct adoption_case adoption_cases[] = {
+  { "all", { 5, 5 }, false, 0 },
+  { "one, the other was not started", { 5, 0 }, false, 1 },
+  { "one, the other may run", { 5, 0 }, true, 0 },
+  { "of two runs", { 5, 3 }, false, 2 },
+};
+
+static void
+report_adopted_runs (struct fixture *fixture, const struct adoption_case *c)
+{
+  static const char *const targets[] = { "t1", "t2" };
+  struct fl_run_row rows[]
+      = { { .task = fl_name_of ("g.0.0.0") }, { .task = fl_name_of ("g.0.0.1") } };
+
+  for (int i = 0; i < (c->second_is_silent ? 1 : 2); i++)
+    {
+      rows[i].run = c->runs[i];
+      deliver_report (fixture, targets[i],
+                      (struct fl_target_report){ .booted_at_ms = 1,
+                                                 .runs = &rows[i],
+                                                 .run_count = c->runs[i] > 0 ? 1 : 0 });
+    }
+}
+
+static void
+run_adoption_case (const struct adoption_case *c, guint *stops, guint *starts)
+{
+  struct fixture_options options = { .reconciled_at_ms = 109000, .fencing_token = 2 };
+  struct fixture *fixture = fixture_new_with (&options);
+  struct fl_name ids[] = { fl_name_of ("t1"), fl_name_of ("t2") };
+  struct fl_job_target targets[]
+      = { { fl_job_target_hash (&ids[0]) }, { fl_job_target_hash (&ids[1]) } };
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 2, targets } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      fl_core_inherit_target (fixture->core, &ids[i], &ids[i]);
+      add_entry (fixture, ids[i].data, 1, false);
+    }
+  add_recorded_job (fixture, "g", "urgent",
+                    (struct fl_step_spec){ .count = 2, .cpu_milli = 1000, .gang = true },
+                    &progress);
+  fl_core_set_jobs_known (fixture->core);
+  report_adopted_runs (fixture, c);
+  tick_until_recorded (fixture, 50);
+  *stops = fixture->stop_orders->len;
+  *starts = fixture->start_orders->len;
+  fixture_free (fixture);
+}
+
+/* An earlier owner had lost the pool before all members were started, or members of different runs
+ * are left: the new owner adopted what the targets listed, and left it to wait. */
+static void
+test_members_adopted (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (adoption_cases); i++)
+    {
+      guint stops;
+      guint starts;
+      run_adoption_case (&adoption_cases[i], &stops, &starts);
+      if (stops != adoption_cases[i].stops || starts != 0)
+        printf ("%s: %u stops, %u starts\n", adoption_cases[i].name, stops, starts);
+      failed += stops != adoption_cases[i].stops || starts != 0 ? 1 : 0;
+    }
+  assert_int_equal (failed, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_member_without_reply),
-          cmocka_unit_test (test_member_rejected_after_attempt_without_reply) };
+          cmocka_unit_test (test_member_rejected_after_attempt_without_reply),
+          cmocka_unit_test (test_member_missing), cmocka_unit_test (test_gang_done),
+          cmocka_unit_test (test_members_adopted) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
