A gang does not wait for a member that is not known to run

Cause: the target of a confirmed member crashed before it listed the run. The owner must count with this run until its lease has expired, 4.7 s or more, and left the other members to wait meanwhile: their targets end them as `alone` after 3 to 4 s.

Evidence: `test_gangs` (a member is not listed) fails without the change.

Why it works: a second after the first order, a member that its target lists without progress, while another is not listed or its target is silent, shows that the gang is incomplete. The owner then stops all members; the unknown one stays charged until its lease has expired. Progress of any member shows that all were present, so that a gang at work is left alone when a target falls silent. The second leaves time for a report (each second) and the stop (0.9 s).

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -89,13 +89,14 @@
   struct core_target *target;
   int64_t number;
   enum core_run_state state;
-  int64_t confirmed_at_ms;  /* when the target confirmed the last order; 0 if it has not */
-  int64_t last_order_at_ms; /* when the last order was sent */
-  int64_t started_at_ms;    /* when the last start order was sent; 0 for an adopted run */
-  int inconclusive_starts;  /* start orders whose effect is unknown */
-  bool order_in_flight;     /* the last order has no reply yet */
-  bool listed;              /* the last reply of the target listed it */
-  bool ever_listed;         /* some reply of the target listed it, so that its boot is known */
+  int64_t confirmed_at_ms;     /* when the target confirmed the last order; 0 if it has not */
+  int64_t last_order_at_ms;    /* when the last order was sent */
+  int64_t started_at_ms;       /* when the last start order was sent; 0 for an adopted run */
+  int64_t first_ordered_at_ms; /* when the first start order was sent, or the run was adopted */
+  int inconclusive_starts;     /* start orders whose effect is unknown */
+  bool order_in_flight;        /* the last order has no reply yet */
+  bool listed;                 /* the last reply of the target listed it */
+  bool ever_listed;            /* some reply of the target listed it, so that its boot is known */
   int64_t progress_percent;
   int64_t progressed_at_ms; /* when progress_percent last changed or the start order was sent */
   int64_t gauge;            /* see struct fl_run_row */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -276,6 +276,7 @@
       if (!is_recorded)
         core_job_renew_task_targets (task->step->job);
       run->confirmed_at_ms = sent_ms;
+      run->first_ordered_at_ms = core->now_ms;
       task->last_run_number = MAX (task->last_run_number, row->run);
       task->step->job->started = true;
       core_job_add_recorded_target (task->step->job, fl_job_target_hash (&target->entry.id));
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -126,6 +126,8 @@
   run->order_in_flight = true;
   run->last_order_at_ms = core->now_ms;
   run->started_at_ms = core->now_ms;
+  if (run->inconclusive_starts == 0)
+    run->first_ordered_at_ms = core->now_ms;
   run->progressed_at_ms = core->now_ms;
   target->next_expiry_check_ms = 0;
   target->lease_expires_at_ms
--- a/lib/core/stall.c
+++ b/lib/core/stall.c
@@ -1,4 +1,4 @@
-/* Detection of stalled tasks, and of targets on which tasks lag.
+/* Detection of stalled tasks, of gangs that wait in vain, and of targets on which tasks lag.
  *
  * Load pattern: some targets hang or become several times slower while they still report good
  * health. Tasks that are placed there are late, and stalled tasks never end. The progress of a task
@@ -19,6 +19,9 @@
 /* Duration of this quarantine. Each report that shows as many lagging tasks extends the quarantine,
  * so that the target gets no new tasks until tasks progress again. */
 #define LAGGING_QUARANTINE_MS 1500
+/* Targets end a member of a gang that waits 3 s or more for the others. They report every second,
+ * and take almost a second for a stop. */
+#define GANG_WAIT_MAX_MS 1000
 
 /* Whether the progress of @run reflects the speed of its target. This excludes best-effort tasks,
  * which wait for unused CPU, gangs, whose members wait for each other, and long-running tasks,
@@ -57,6 +60,42 @@
   core_run_stop (run);
 }
 
+/* Load pattern: the target of a member of a gang crashes, or its start is held up, before all
+ * members are present. Whether this run is in effect is not known until its lease has expired, and
+ * the others would wait longer than their targets let them. Progress shows that all were present.
+ *
+ * @return whether @run waits for another member that may not have started. */
+static bool
+waits_in_vain (const struct core_run *run, int64_t now_ms)
+{
+  const struct core_step *step = run->task->step;
+  bool may_be_missing = false;
+
+  if (!step->spec->gang || run->state != CORE_RUN_ACCEPTED || !run->listed
+      || now_ms - run->first_ordered_at_ms < GANG_WAIT_MAX_MS)
+    return false;
+  for (int64_t i = 0; i < step->spec->count; i++)
+    {
+      const struct core_run *other = step->tasks[i].run;
+      if (other != NULL && other->progress_percent > 0)
+        return false;
+      may_be_missing
+          = may_be_missing || (other != NULL && (!other->listed || other->target->silent));
+    }
+  return may_be_missing;
+}
+
+static void
+stop_waiting_gang (struct core_run *run)
+{
+  struct fl_core *core = run->task->step->job->core;
+  struct fl_name name = core_step_name (run->task->step);
+
+  fl_log (core->options.log, FL_LOG_INFO, "gang_incomplete", FL_N ("step", &name),
+          FL_I ("run", run->number), FL_I ("waited_ms", core->now_ms - run->first_ordered_at_ms));
+  core_run_stop (run);
+}
+
 void
 core_check_progress (struct core_target *target)
 {
@@ -67,6 +106,8 @@
     {
       struct core_run *run = g_ptr_array_index (target->runs, i);
       int64_t now_ms = run->task->step->job->core->now_ms;
+      if (waits_in_vain (run, now_ms))
+        stop_waiting_gang (run);
       if (!has_comparable_progress (run))
         continue;
       measured += now_ms - run->started_at_ms >= LAG_MIN_ELAPSED_MS ? 1 : 0;
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -157,6 +157,54 @@
   assert_int_equal (failed, 0);
 }
 
+static const struct
+{
+  const char *name;
+  int64_t waited_ms;
+  int64_t progress_percent;
+  bool second_is_listed;
+  bool should_stop;
+} waiting_cases[] = {
+  { "a member is not listed", 1100, 0, false, true },
+  { "a member is not listed yet", 500, 0, false, false },
+  { "a member is not listed, but the gang works", 1100, 1, false, false },
+  { "both wait", 1100, 0, true, false },
+};
+
+/* A member is confirmed, and its target falls silent before it lists it. It may be in effect until
+ * its lease expires, and the others waited for it until then. */
+static void
+test_member_not_listed (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (waiting_cases); i++)
+    {
+      struct fixture *fixture = order_gang ();
+      struct fl_run_row rows[2];
+      confirm_start (fixture, 1);
+      for (guint k = 0; k < G_N_ELEMENTS (rows); k++)
+        rows[k] = (struct fl_run_row){ .task = get_start_order (fixture, k)->task,
+                                       .run = 1,
+                                       .progress_percent = waiting_cases[i].progress_percent };
+      if (waiting_cases[i].second_is_listed)
+        deliver_report (
+            fixture, get_start_order (fixture, 1)->target.data,
+            (struct fl_target_report){ .booted_at_ms = 1, .runs = &rows[1], .run_count = 1 });
+      tick_until_recorded (fixture, waiting_cases[i].waited_ms);
+      deliver_report (
+          fixture, get_start_order (fixture, 0)->target.data,
+          (struct fl_target_report){ .booted_at_ms = 1, .runs = &rows[0], .run_count = 1 });
+      guint stops = waiting_cases[i].should_stop ? 2 : 0;
+      if (fixture->stop_orders->len != stops)
+        printf ("%s: %u stops\n", waiting_cases[i].name, fixture->stop_orders->len);
+      failed += fixture->stop_orders->len != stops ? 1 : 0;
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
+}
+
 /* The end `done` of a member counts for all. */
 static void
 test_gang_done (void **state)
@@ -257,7 +305,9 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_member_without_reply),
           cmocka_unit_test (test_member_rejected_after_attempt_without_reply),
-          cmocka_unit_test (test_member_missing), cmocka_unit_test (test_gang_done),
+          cmocka_unit_test (test_member_missing),
+          cmocka_unit_test (test_member_not_listed),
+          cmocka_unit_test (test_gang_done),
           cmocka_unit_test (test_members_adopted) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
