Adopted members of different runs of a gang are stopped

Members that targets list under different run numbers cannot become one gang. A new owner adopted both, and as none of their tasks was idle, left them to wait for each other until their targets ended them as `alone`.

`test_gangs` (of two runs) fails without the change.

--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -254,6 +254,19 @@
          && task->earlier_target == fl_job_target_hash (&target->entry.id);
 }
 
+/* Whether another member of the gang of @run is in effect under another number: they would wait for
+ * each other in vain. */
+static bool
+is_of_another_gang_run (const struct core_run *run)
+{
+  const struct core_step *step = run->task->step;
+
+  for (int64_t i = 0; step->spec->gang && i < step->spec->count; i++)
+    if (step->tasks[i].run != NULL && step->tasks[i].run->number != run->number)
+      return true;
+  return false;
+}
+
 static void
 apply_run (struct fl_core *core,
            struct core_target *target,
@@ -286,7 +299,8 @@
       fl_log (core->options.log, FL_LOG_INFO, "run_adopted", FL_N ("task", &row->task),
               FL_I ("run", row->run), FL_N ("target", &target->entry.id),
               FL_I ("boot", target->booted_at_ms));
-      if (task->done || fl_job_state_is_final (task->step->job->state))
+      if (task->done || fl_job_state_is_final (task->step->job->state)
+          || is_of_another_gang_run (run))
         core_run_stop (run);
     }
   if (run == NULL || run->target != target || run->number != row->run)
