--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1320,10 +1320,17 @@
   schedule (cell, TICK_INTERVAL_MS, on_owner_timer, owner);
 }
 
+/* The owner whose orders carry @fencing_token: its own token, or one before that of the next owner.
+ */
 static struct owner *
 find_owner (const struct cell *cell, int64_t fencing_token)
 {
-  return g_ptr_array_index (cell->owners, fencing_token - 1);
+  guint i = cell->owners->len - 1;
+
+  while (i > 0
+         && ((struct owner *)g_ptr_array_index (cell->owners, i))->fencing_token > fencing_token)
+    i--;
+  return g_ptr_array_index (cell->owners, i);
 }
 
 static void
