Hosts are left free for short advice queries only while these come

Cause: with at least 3 hosts, one or two were left free for short queries at all times.

Hosts are left free until 0.5 s after a short query was wanted. The clock of the advisors is an option, so that the test has a virtual one.

Test: test_advisors, 7 cases; the first case failed with the old condition (3 long queries, not 4). Not the only cause.

--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -12,6 +12,9 @@
 /* Enough for the short queries: about 20 a second, which take about 30 ms each. With few hosts, at
  * most half of them are left free. */
 #define RESERVED_HOSTS 2
+/* How long hosts are left free after the last short query was wanted. A short query that comes
+ * after a longer pause waits for a long one at most, which takes about as long. */
+#define RESERVE_MS 500
 /* A query times out when its reply takes this much longer than expected. */
 #define REPLY_SLACK_MS 600
 /* After a query without a reply its host gets no other query for this long. */
@@ -80,7 +83,8 @@
   struct fl_advisors_options options;
   GHashTable *hosts; /* host name -> struct advisor */
   int64_t last_query_number;
-  GHashTable *peer_queries; /* set of struct peer_query without a result */
+  int64_t reserved_until_ms; /* hosts are left free for short queries until then */
+  GHashTable *peer_queries;  /* set of struct peer_query without a result */
   bool is_draining;
 };
 
@@ -121,7 +125,7 @@
   ev_timer_stop (advisors->options.host->loop, &advisor->timeout);
   if (!reply->received)
     {
-      advisor->backoff_until_ms = fl_clock_boot_ms () + TIMEOUT_BACKOFF_MS;
+      advisor->backoff_until_ms = fl_clock_now (&advisors->options.clock) + TIMEOUT_BACKOFF_MS;
       fl_stats_add (advisors->options.host->stats, "advice_unanswered_total", 1);
       fl_log (&advisors->options.host->log, FL_LOG_INFO, "advice_unanswered",
               FL_N ("step", &advisor->step), FL_N ("host", &advisor->host));
@@ -190,12 +194,19 @@
   return !advisor->busy && now_ms >= advisor->backoff_until_ms;
 }
 
+/* @return how many of @used_count hosts stay free when a long query is sent. */
+static int
+count_reserved (const struct fl_advisors *advisors, int used_count, int64_t now_ms)
+{
+  return now_ms < advisors->reserved_until_ms ? MIN (RESERVED_HOSTS, (used_count - 1) / 2) : 0;
+}
+
 /* @return a free host for a query, or NULL. Peers are preferred, since this host needs its
  * processor for decisions. */
 static struct advisor *
 choose_advisor (struct fl_advisors *advisors, bool is_long)
 {
-  int64_t now_ms = fl_clock_boot_ms ();
+  int64_t now_ms = fl_clock_now (&advisors->options.clock);
   struct advisor *best = NULL;
   int free_count = 0;
   int used_count = 0; /* hosts that have not failed recently */
@@ -214,8 +225,11 @@
       if (best == NULL || best->address.len == 0)
         best = advisor;
     }
-  int reserved = MIN (RESERVED_HOSTS, (used_count - 1) / 2);
-  return is_long && free_count <= reserved ? NULL : best;
+  if (!is_long)
+    advisors->reserved_until_ms = now_ms + RESERVE_MS;
+  else if (free_count <= count_reserved (advisors, used_count, now_ms))
+    return NULL;
+  return best;
 }
 
 bool
@@ -268,7 +282,7 @@
           ev_timer_start (advisors->options.host->loop, &advisor->timeout);
           return true;
         }
-      advisor->backoff_until_ms = fl_clock_boot_ms () + UNSENT_BACKOFF_MS;
+      advisor->backoff_until_ms = fl_clock_now (&advisors->options.clock) + UNSENT_BACKOFF_MS;
     }
   return false;
 }
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -5,6 +5,7 @@
  * passes the queries of its peers on to the service and returns the replies. */
 #pragma once
 
+#include "common/clock.h"
 #include "host/host.h"
 #include "net/link.h"
 #include "targets/calls.h"
@@ -14,6 +15,7 @@
 struct fl_advisors_options
 {
   struct fl_host *host;
+  struct fl_clock clock;
   const struct fl_advice_calls *calls; /* calls of this host to the service */
   /* The reply to a query, or its timeout; the arguments are valid during the callback only. */
   void (*on_reply) (void *context,
--- a/lib/poold/peers.c
+++ b/lib/poold/peers.c
@@ -111,6 +111,7 @@
   };
   struct fl_advisors_options advisors
       = { .host = host,
+          .clock = fl_clock_boot (),
           .calls = fl_platform_target_client_get_advice_calls (poold->own_targets),
           .on_reply = on_advice_reply,
           .send = send_advice,
--- a/tests/test_advisors.c
+++ b/tests/test_advisors.c
@@ -17,8 +17,15 @@
   const char *unreachable; /* names of peers, separated by spaces */
   int sent_to_peers;
   int sent_to_service;
+  int64_t now_ms;
 };
 
+static int64_t
+read_clock (void *context)
+{
+  return ((struct fixture *)context)->now_ms;
+}
+
 static bool
 send_to_peer (void *context, const struct fl_route *to, const char *data, size_t len)
 {
@@ -89,6 +96,7 @@
       struct fixture fixture = { .unreachable = cases[i].unreachable };
       struct fl_advice_calls calls = { &fixture, query_service };
       struct fl_advisors_options options = { .host = &fixture.host,
+                                             .clock = { read_clock, &fixture },
                                              .calls = &calls,
                                              .on_reply = on_reply,
                                              .send = send_to_peer,
@@ -118,6 +126,7 @@
   struct fixture fixture = { .unreachable = "p1 p2 p3 p4 p5" };
   struct fl_advice_calls calls = { &fixture, query_service };
   struct fl_advisors_options options = { .host = &fixture.host,
+                                         .clock = { read_clock, &fixture },
                                          .calls = &calls,
                                          .on_reply = on_reply,
                                          .send = send_to_peer,
@@ -140,12 +149,70 @@
   fl_advisors_free (fixture.advisors);
 }
 
+/* With few hosts left, part of them stayed free for short queries although none came, and long
+ * queries had a quarter less. */
+static void
+test_hosts_are_left_free_for_short_queries_that_come (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int peers;
+    int64_t short_wanted_ms_ago; /* -1: never */
+    int long_queries;            /* sent until no host is free for another */
+  } cases[] = {
+    { "4 hosts, no short query", 3, -1, 4 },
+    { "4 hosts, a short query just before", 3, 0, 3 },
+    { "4 hosts, a short query a moment ago", 3, 499, 3 },
+    { "4 hosts, the last short query long ago", 3, 500, 4 },
+    { "2 hosts, a short query just before", 1, 0, 2 },
+    { "9 hosts, no short query", 8, -1, 9 },
+    { "9 hosts, a short query just before", 8, 0, 7 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture fixture = { .unreachable = "", .now_ms = 100000 };
+      struct fl_advice_calls calls = { &fixture, query_service };
+      struct fl_advisors_options options = { .host = &fixture.host,
+                                             .clock = { read_clock, &fixture },
+                                             .calls = &calls,
+                                             .on_reply = on_reply,
+                                             .send = send_to_peer,
+                                             .context = &fixture };
+      struct fl_name step = fl_name_of ("0000000000000001.0.0");
+      struct fl_name target = fl_name_of ("t1");
+      int sent = 0;
+
+      fixture.host.loop = ev_default_loop (EVFLAG_AUTO);
+      fixture.host.settings.name = fl_name_of ("own");
+      fixture.advisors = fl_advisors_new (&options);
+      for (int j = 1; j <= cases[i].peers; j++)
+        {
+          struct fl_name peer = fl_name_format ("p%d", j);
+          fl_advisors_set_peer (fixture.advisors, &peer, &peer);
+        }
+      if (cases[i].short_wanted_ms_ago >= 0)
+        {
+          assert_true (fl_advisors_are_available (fixture.advisors, 25));
+          fixture.now_ms += cases[i].short_wanted_ms_ago;
+        }
+      while (fl_advisors_send_query (fixture.advisors, &step, &target, 1, 600))
+        sent++;
+      if (sent != cases[i].long_queries)
+        fail_msg ("%s: %d long queries, not %d", cases[i].name, sent, cases[i].long_queries);
+      fl_advisors_free (fixture.advisors);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_query_that_was_not_sent_takes_another_host),
-          cmocka_unit_test (test_lost_hosts_do_not_hold_back_long_queries) };
+          cmocka_unit_test (test_lost_hosts_do_not_hold_back_long_queries),
+          cmocka_unit_test (test_hosts_are_left_free_for_short_queries_that_come) };
 
   return cmocka_run_group_tests_name ("advisors", tests, NULL, NULL);
 }
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -297,9 +297,11 @@
                                           .context = owner,
                                           .direct = &owner->direct,
                                           .forwarded = &owner->direct };
-  struct fl_advisors_options advisors = {
-    .calls = &no_service, .on_reply = on_advice_reply, .send = send_advice, .context = owner
-  };
+  struct fl_advisors_options advisors = { .clock = fl_clock_boot (),
+                                          .calls = &no_service,
+                                          .on_reply = on_advice_reply,
+                                          .send = send_advice,
+                                          .context = owner };
 
   *owner = (struct owner){ .loop = ev_loop_new (EVFLAG_AUTO) };
   owner->direct = (struct fl_target_calls){ .context = owner,
