An advice query contains as many targets as are likely to suffice

Cause: a query was sized by the expected number of eligible targets plus 30 %, and had 30 targets at most. Where one target suffices and a third are eligible, that is 4 targets, of which none is eligible in 18 % of the queries; a step with one task on each target needed several queries one after another (44 tasks: 30, 30, 30 and 19 targets, 2.5 s).

A query now exceeds the need by one standard deviation of the eligible capacity, and by 30 % as before, up to the 100 targets that the service accepts. One long query takes less time than two shorter ones.

Test: test_core, 6 cases; failed before (one task: 3 targets).

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -17,11 +17,12 @@
 /* Ratio of queried to needed capacity. The surplus makes up for eligible targets whose capacity is
  * taken before the reply arrives. */
 #define QUERY_SURPLUS 1.3
-/* Most targets in one query: the latency objective leaves time for a query with about 30. */
-#define QUERY_TARGETS_MAX 30
+/* By how many standard deviations of the eligible capacity a query exceeds the need. A further
+ * query takes as long as some seventy further targets in the first one. */
+#define QUERY_DEVIATIONS 1.0
 
 /* Size of the sample of targets from which those of a query are chosen. */
-#define CANDIDATES_MAX (8 * QUERY_TARGETS_MAX)
+#define CANDIDATES_MAX 240
 
 /* A target that a query may contain. */
 struct candidate
@@ -144,6 +145,30 @@
     }
 }
 
+/* Chooses as many of @candidates, best first, as are likely to suffice for @waiting tasks.
+ * @return their ids. */
+static GArray *
+choose_queried (const GArray *candidates, int64_t waiting)
+{
+  GArray *queried = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
+  double expected_tasks = 0;
+  double variance = 0;
+
+  for (guint i = 0; i < candidates->len && queried->len < FL_ADVICE_TARGETS_MAX
+                    && (expected_tasks < (double)waiting * QUERY_SURPLUS
+                        || expected_tasks - QUERY_DEVIATIONS * sqrt (variance) < (double)waiting);
+       i++)
+    {
+      const struct candidate *candidate = &g_array_index (candidates, struct candidate, i);
+      double probability = candidate->eligible_probability;
+      double tasks = (double)MIN (candidate->task_capacity, waiting);
+      expected_tasks += probability * tasks;
+      variance += probability * (1.0 - probability) * tasks * tasks;
+      g_array_append_val (queried, candidate->target->entry.id);
+    }
+  return queried;
+}
+
 enum core_wait_reason
 core_advice_send_query (struct core_step *step, int64_t waiting)
 {
@@ -151,7 +176,6 @@
   const struct fl_advice_policy *policy = &step->job->queue.advice;
   double share = step->job->queue_stats->eligible_share;
   struct fl_name name;
-  double expected_tasks = 0;
   GArray *candidates;
   GArray *queried;
 
@@ -164,16 +188,7 @@
     return CORE_WAIT_ADVICE;
   name = core_step_name (step);
   candidates = collect_candidates (step, share);
-  queried = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
-  for (guint i = 0; i < candidates->len && queried->len < QUERY_TARGETS_MAX
-                    && expected_tasks < (double)waiting * QUERY_SURPLUS;
-       i++)
-    {
-      const struct candidate *candidate = &g_array_index (candidates, struct candidate, i);
-      expected_tasks
-          += candidate->eligible_probability * (double)MIN (candidate->task_capacity, waiting);
-      g_array_append_val (queried, candidate->target->entry.id);
-    }
+  queried = choose_queried (candidates, waiting);
   g_array_unref (candidates);
   int64_t expected_ms
       = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -225,6 +225,47 @@
   fixture_free (fixture);
 }
 
+/* A query that does not suffice is followed by another one, which occupies a host for as long as
+ * dozens of further targets in the first query. Half of the targets are expected to be eligible. */
+static void
+test_advice_query_is_large_enough (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t tasks;
+    int64_t per_target_max; /* 0: no limit */
+    int targets;
+    guint queried_min; /* one query in ten, or less, is expected not to suffice */
+    guint queried_max;
+  } cases[] = {
+    { "one task", 1, 0, 20, 4, 6 },
+    { "tasks that fit on one target", 4, 0, 20, 4, 6 },
+    { "tasks that need five targets", 20, 0, 60, 14, 20 },
+    { "one task on each target", 20, 1, 120, 49, 60 },
+    { "more targets than a query may contain", 60, 1, 150, 100, 100 },
+    { "few targets", 20, 0, 3, 3, 3 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_step_spec step = { .count = cases[i].tasks,
+                                   .cpu_milli = 1000,
+                                   .per_target_max = cases[i].per_target_max };
+      for (int j = 0; j < cases[i].targets; j++)
+        add_target (fixture, fl_name_format ("t%d", j).data, 4, false);
+      add_job (fixture, "a", "advised", step);
+      tick_until_recorded (fixture, 0);
+      if (fixture->query_count != 1 || fixture->queried_targets->len < cases[i].queried_min
+          || fixture->queried_targets->len > cases[i].queried_max)
+        fail_msg ("%s: %d queries, the last of %u targets", cases[i].name, fixture->query_count,
+                  fixture->queried_targets->len);
+      fixture_free (fixture);
+    }
+}
+
 /* --- orders and reports --- */
 
 static void
@@ -1195,6 +1236,7 @@
     cmocka_unit_test (test_best_effort_tasks),
     cmocka_unit_test (test_gang_all_or_none),
     cmocka_unit_test (test_advice),
+    cmocka_unit_test (test_advice_query_is_large_enough),
     cmocka_unit_test (test_start_without_reply),
     cmocka_unit_test (test_start_stopped_after_reset),
     cmocka_unit_test (test_target_without_listener),
