A host that lost one advice query gets the next as soon as it is heard of

Cause: a query without a reply kept its host out for 2 s more. A reset of the links between hosts loses the queries in flight, though the hosts are connected again after 50 ms.

The wait ends at the next message of the host, unless its query before was lost too (it may be slow), or the service did not reply to it. So that the owner can tell the latter, the call of a peer to the service ends 100 ms before the query does.

Test: test_advisors, 5 cases; the first one failed before. Without messages in both directions (no forwarded orders) the wait stays 2 s.

--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -17,6 +17,8 @@
 #define RESERVE_MS 500
 /* A query times out when its reply takes this much longer than expected. */
 #define REPLY_SLACK_MS 600
+/* A peer's call to the service ends this much earlier than the query, so that the peer can tell. */
+#define PEER_REPLY_MS 100
 /* After a query without a reply its host gets no other query for this long. */
 #define TIMEOUT_BACKOFF_MS 2000
 /* The same after a query that could not be sent: the link to the host is down, and reconnects
@@ -71,6 +73,8 @@
   struct fl_name address; /* empty for this host */
   bool busy;
   int64_t backoff_until_ms;
+  bool has_replied;     /* to the query before the one in flight */
+  bool is_unheard_of;   /* the last query timed out, and no message has come since */
   int64_t query_number; /* of the query in flight */
   struct fl_name step;
   struct fl_name queried[FL_ADVICE_TARGETS_MAX];
@@ -83,6 +87,7 @@
   struct fl_advisors_options options;
   GHashTable *hosts; /* host name -> struct advisor */
   int64_t last_query_number;
+  int64_t backoffs_until_ms; /* of all hosts */
   int64_t reserved_until_ms; /* hosts are left free for short queries until then */
   GHashTable *peer_queries;  /* set of struct peer_query without a result */
   bool is_draining;
@@ -123,9 +128,11 @@
 
   advisor->busy = false;
   ev_timer_stop (advisors->options.host->loop, &advisor->timeout);
+  advisor->has_replied = reply->received;
   if (!reply->received)
     {
       advisor->backoff_until_ms = fl_clock_now (&advisors->options.clock) + TIMEOUT_BACKOFF_MS;
+      advisors->backoffs_until_ms = MAX (advisors->backoffs_until_ms, advisor->backoff_until_ms);
       fl_stats_add (advisors->options.host->stats, "advice_unanswered_total", 1);
       fl_log (&advisors->options.host->log, FL_LOG_INFO, "advice_unanswered",
               FL_N ("step", &advisor->step), FL_N ("host", &advisor->host));
@@ -138,10 +145,12 @@
 on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
 {
   static const struct fl_advice_reply no_reply = { 0 };
+  struct advisor *advisor = timer->data;
 
   (void)loop;
   (void)events;
-  finish_query (timer->data, &no_reply);
+  advisor->is_unheard_of = advisor->has_replied;
+  finish_query (advisor, &no_reply);
 }
 
 /* A query that this host sent itself. Its reply is ignored if it timed out: the advisor then has no
@@ -179,7 +188,7 @@
   struct message_target targets[FL_ADVICE_TARGETS_MAX] = { 0 };
   struct message message = { .query_number = advisor->query_number,
                              .step = advisor->step,
-                             .timeout_ms = timeout_ms,
+                             .timeout_ms = timeout_ms - PEER_REPLY_MS,
                              .targets = { advisor->queried_count, targets } };
   struct fl_route to = { .address = advisor->address };
 
@@ -244,6 +253,7 @@
                const struct fl_name *targets,
                size_t count)
 {
+  advisor->is_unheard_of = false;
   advisor->query_number = ++advisor->advisors->last_query_number;
   advisor->step = *step;
   memcpy (advisor->queried, targets, count * sizeof targets[0]);
@@ -289,6 +299,26 @@
 
 /* --- messages of peers --- */
 
+void
+fl_advisors_note_message (struct fl_advisors *advisors, const struct fl_name *peer)
+{
+  int64_t now_ms = fl_clock_now (&advisors->options.clock);
+  GHashTableIter iter;
+  void *value;
+
+  if (now_ms >= advisors->backoffs_until_ms)
+    return;
+  g_hash_table_iter_init (&iter, advisors->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct advisor *advisor = value;
+      if (!advisor->is_unheard_of || !fl_name_eq (&advisor->address, peer))
+        continue;
+      advisor->is_unheard_of = false;
+      advisor->backoff_until_ms = now_ms;
+    }
+}
+
 static void
 handle_reply (struct fl_advisors *advisors, const struct message *message)
 {
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -37,6 +37,10 @@
                           const char *data,
                           size_t len);
 
+/* Notes that any message of the peer at @peer has arrived. A peer whose link lost one query is used
+ * again at once; one that loses two in a row, or that had no reply of the service, is not. */
+void fl_advisors_note_message (struct fl_advisors *advisors, const struct fl_name *peer);
+
 /* Prepares the end of the process: queries of peers end without a reply of the service, those in
  * flight and further ones. */
 void fl_advisors_drain (struct fl_advisors *advisors);
--- a/lib/poold/peers.c
+++ b/lib/poold/peers.c
@@ -80,6 +80,8 @@
 
   if (len > 0)
     fl_stats_add_traffic (poold->host->stats, traffic_of_kind (data[0]), 0, (int64_t)len);
+  if (from->address.len > 0)
+    fl_advisors_note_message (poold->advisors, &from->address);
   if (len > 0 && data[0] == KIND_ADVICE)
     fl_advisors_receive (poold->advisors, from, data + 1, len - 1);
   else if (len > 0 && data[0] == KIND_FORWARD)
--- a/tests/test_advisors.c
+++ b/tests/test_advisors.c
@@ -206,13 +206,170 @@
     }
 }
 
+/* --- lost queries --- */
+
+/* The owner and one peer, whose service replies at once. */
+struct exchange
+{
+  struct fixture owner;
+  struct fixture peer;
+  GByteArray *to_peer; /* the last message */
+  GByteArray *to_owner;
+  bool service_replies;
+};
+
+static const struct fl_route peer_route = { .address = { .len = 2, .data = "p1" } };
+
+static bool
+keep_message (GByteArray *message, const char *data, size_t len)
+{
+  g_byte_array_set_size (message, 0);
+  g_byte_array_append (message, (const guint8 *)data, (guint)len);
+  return true;
+}
+
+static bool
+send_to_one_peer (void *context, const struct fl_route *to, const char *data, size_t len)
+{
+  (void)to;
+  return keep_message (((struct exchange *)context)->to_peer, data, len);
+}
+
+static bool
+send_to_owner (void *context, const struct fl_route *to, const char *data, size_t len)
+{
+  (void)to;
+  return keep_message (((struct exchange *)context)->to_owner, data, len);
+}
+
+static void
+reply_to_query (void *context,
+                const struct fl_name *step,
+                const struct fl_name *targets,
+                size_t count,
+                int64_t timeout_ms,
+                void (*done) (void *context, const struct fl_advice_reply *reply),
+                void *done_context)
+{
+  struct exchange *exchange = context;
+  struct fl_advice_reply reply = { .received = exchange->service_replies };
+
+  (void)step;
+  (void)targets;
+  (void)count;
+  (void)timeout_ms;
+  done (done_context, &reply);
+}
+
+static struct fl_advisors *
+exchange_add_host (struct exchange *exchange,
+                   struct fixture *fixture,
+                   const char *name,
+                   const struct fl_advice_calls *calls)
+{
+  bool is_owner = fixture == &exchange->owner;
+  struct fl_advisors_options options = { .host = &fixture->host,
+                                         .clock = { read_clock, &exchange->owner },
+                                         .calls = calls,
+                                         .on_reply = on_reply,
+                                         .send = is_owner ? send_to_one_peer : send_to_owner,
+                                         .context = exchange };
+
+  fixture->host.loop = ev_default_loop (EVFLAG_AUTO);
+  fixture->host.stats = fl_stats_new ();
+  fixture->host.log.level = FL_LOG_ERR;
+  fixture->host.settings.name = fl_name_of (name);
+  return fixture->advisors = fl_advisors_new (&options);
+}
+
+/* Sends a query, which prefers the peer. @return whether it went to the peer. */
+static bool
+send_query (struct exchange *exchange)
+{
+  struct fl_name step = fl_name_of ("0000000000000001.0.0");
+  struct fl_name target = fl_name_of ("t1");
+
+  g_byte_array_set_size (exchange->to_peer, 0);
+  assert_true (fl_advisors_send_query (exchange->owner.advisors, &step, &target, 1, 1));
+  return exchange->to_peer->len > 0;
+}
+
+static void
+deliver_reply (struct exchange *exchange)
+{
+  fl_advisors_receive (exchange->peer.advisors, &peer_route, (char *)exchange->to_peer->data,
+                       exchange->to_peer->len);
+  fl_advisors_receive (exchange->owner.advisors, &peer_route, (char *)exchange->to_owner->data,
+                       exchange->to_owner->len);
+}
+
+/* A reset of the links between hosts loses the queries in flight. Each host that lost one got no
+ * other for 2 s, though it was back after 50 ms; with three hosts left, that was most of the time.
+ */
+static void
+test_host_that_is_heard_of_again_gets_queries (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool first_is_answered;
+    bool second_is_lost;    /* else the peer says that the service did not reply */
+    const char *heard_from; /* host that sends a message after that */
+    bool gets_third;
+  } cases[] = {
+    { "lost, then heard from", true, true, "p1", true },
+    { "lost, nothing heard", true, true, "", false },
+    { "lost, another host heard from", true, true, "p2", false },
+    { "two lost in a row", false, true, "p1", false },
+    { "service does not reply to the peer", true, false, "p1", false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct exchange exchange = { .owner = { .now_ms = 100000 },
+                                   .to_peer = g_byte_array_new (),
+                                   .to_owner = g_byte_array_new (),
+                                   .service_replies = true };
+      struct fl_advice_calls own_calls = { &exchange.owner, query_service };
+      struct fl_advice_calls peer_calls = { &exchange, reply_to_query };
+      struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+      struct fl_name heard_from = fl_name_of (cases[i].heard_from);
+
+      exchange_add_host (&exchange, &exchange.owner, "own", &own_calls);
+      exchange_add_host (&exchange, &exchange.peer, "p1", &peer_calls);
+      fl_advisors_set_peer (exchange.owner.advisors, &peer_route.address, &peer_route.address);
+      if (cases[i].first_is_answered)
+        {
+          assert_true (send_query (&exchange));
+          deliver_reply (&exchange);
+        }
+      assert_true (send_query (&exchange));
+      exchange.service_replies = false;
+      if (!cases[i].second_is_lost)
+        deliver_reply (&exchange);
+      /* Until the query has timed out. */
+      ev_run (loop, 0);
+      fl_advisors_note_message (exchange.owner.advisors, &heard_from);
+      if (send_query (&exchange) != cases[i].gets_third)
+        fail_msg ("%s: the peer gets %s query", cases[i].name, cases[i].gets_third ? "no" : "a");
+      fl_advisors_free (exchange.owner.advisors);
+      fl_advisors_free (exchange.peer.advisors);
+      fl_stats_free (exchange.owner.host.stats);
+      fl_stats_free (exchange.peer.host.stats);
+      g_byte_array_unref (exchange.to_peer);
+      g_byte_array_unref (exchange.to_owner);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_query_that_was_not_sent_takes_another_host),
           cmocka_unit_test (test_lost_hosts_do_not_hold_back_long_queries),
-          cmocka_unit_test (test_hosts_are_left_free_for_short_queries_that_come) };
+          cmocka_unit_test (test_hosts_are_left_free_for_short_queries_that_come),
+          cmocka_unit_test (test_host_that_is_heard_of_again_gets_queries) };
 
   return cmocka_run_group_tests_name ("advisors", tests, NULL, NULL);
 }
