--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -5,6 +5,7 @@
  * passes the queries of its peers on to the service and returns the replies. */
 #pragma once
 
+#include "common/clock.h"
 #include "host/host.h"
 #include "net/link.h"
 #include "targets/calls.h"
@@ -14,6 +15,7 @@
 struct fl_advisors_options
 {
   struct fl_host *host;
+  struct fl_clock clock;
   const struct fl_advice_calls *calls; /* calls of this host to the service */
   /* The reply to a query, or its timeout; the arguments are valid during the callback only. */
   void (*on_reply) (void *context,
@@ -35,6 +37,10 @@
                           const char *data,
                           size_t len);
 
+/* Notes that any message of the peer at @peer has arrived. A peer whose link lost one query is used
+ * again at once; one that loses two in a row, or that had no reply of the service, is not. */
+void fl_advisors_note_message (struct fl_advisors *advisors, const struct fl_name *peer);
+
 /* Prepares the end of the process: queries of peers end without a reply of the service, those in
  * flight and further ones. */
 void fl_advisors_drain (struct fl_advisors *advisors);
