Tests: each run of a cell has a range of ports of its own

Change: a process keeps the first port of its range bound, and takes the next range if that is taken.

--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -73,14 +73,21 @@
 class PortAllocator:
     """Allocates ports below the range that the kernel uses for outgoing connections.
 
-    The pid selects a subrange, so that concurrent test runs rarely use the same ports.
+    Each process has a subrange of its own: it keeps the first port of it bound.
     """
 
     FIRST_PORT, RANGE_COUNT, RANGE_SIZE = 10000, 50, 400
 
     def __init__(self):
-        self.range_start = self.FIRST_PORT + os.getpid() % self.RANGE_COUNT * self.RANGE_SIZE
-        self.tried_count = 0
+        self.guard, self.tried_count = socket.socket(), 1
+        for i in range(self.RANGE_COUNT):
+            self.range_start = self.FIRST_PORT + (os.getpid() + i) % self.RANGE_COUNT * self.RANGE_SIZE
+            try:
+                self.guard.bind(("127.0.0.1", self.range_start))
+                return
+            except OSError:
+                continue
+        raise RuntimeError("no range of ports is free")
 
     def allocate(self, count):
         ports = []
