Soak: judge runs across boots of one target, by a history of its boots, starts and ends

Cause: the stand-in counted starts over the one capacity that all its targets have for ever, and nothing but counters told which boot had a run; a new boot of another capacity could not be played or judged. RunJudge finds TWICE and LIMIT in the history. A start into a boot that no owner can know yet is judged by the capacity that an owner may still assume. The counters stay as they were.

--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -287,9 +287,19 @@
     def control_platform(self, **settings):
         return send_request("POST", self.platform_url + "/control", settings)[1]
 
-    def control_target(self, target, fault, duration_ms=0):
-        return send_request("POST", self.targets_url + "/control",
-                            {"target": target, "fault": fault, "ms": duration_ms})[1]
+    def run_history(self, after):
+        """Returns the next events of all targets, in order, after so many; see standin-targets.c."""
+        reply = send_request("GET", self.targets_url + "/history?after=%d" % after)[1]
+        return reply["events"] if reply else []
+
+    def token_knowing_boot(self, target):
+        """Returns the highest token of an owner that knows the boot of the target, 0 for none."""
+        reply = send_request("GET", self.targets_url + "/boots")[1]
+        return reply["boots"][target][1] if reply else 0
+
+    def control_target(self, target, fault, duration_ms=0, **settings):
+        return send_request("POST", self.targets_url + "/control", dict(
+            settings, target=target, fault=fault, ms=duration_ms))[1]
 
     def stop(self):
         for host in self.hosts:
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -81,6 +81,76 @@
     return log.calm_s(now)
 
 
+def finds_in_runs(*events):
+    """events: those of GET /history without their times. Returns the kinds of what is found."""
+    judge = checks.RunJudge()
+    return [kind for event in events for kind, _ in judge.judge([0, *event])]
+
+
+def boot(number, cpu=4, target="a"):
+    return ("boot", target, number, cpu)
+
+
+def start(number, task="x", run=1, cpu=1, target="a", known=True):
+    return ("start", target, number, task, run, cpu, known)
+
+
+def end(number, task="x", run=1, target="a"):
+    return ("end", target, number, task, run)
+
+
+OTHER = boot(0, target="b")
+# name, what is found, events
+RUN_CASES = [
+    ("TWICE: on two targets", ["TWICE"],
+     [boot(0), OTHER, start(0), start(0, run=2, target="b")]),
+    ("TWICE: two runs on one target", ["TWICE"], [boot(0), start(0), start(0, run=2)]),
+    ("TWICE: the late start of an ended boot, beside a run elsewhere", ["TWICE"],
+     [boot(0), OTHER, start(0), boot(1), start(0, run=2, target="b"), start(1)]),
+    ("TWICE: a run elsewhere, beside the late start", ["TWICE"],
+     [boot(0), OTHER, boot(1), start(1), start(0, run=2, target="b")]),
+    ("TWICE: an end of the old boot does not end the run of the new boot", ["TWICE"],
+     [boot(0), OTHER, start(0), boot(1), start(1), end(0), start(0, run=2, target="b")]),
+    ("TWICE: an end of another target does not end the run", ["TWICE"],
+     [boot(0), OTHER, start(0), end(0, target="b"), start(0, run=2, target="b")]),
+    ("TWICE: a start that no owner's knowledge covers", ["TWICE"],
+     [boot(0), OTHER, start(0), start(0, run=2, target="b", known=False)]),
+    ("TWICE: each of two", ["TWICE", "TWICE"],
+     [boot(0), OTHER, start(0), start(0, run=2, target="b"), start(0, run=3, target="b")]),
+    ("not TWICE: a boot ends the runs of the boot before", [],
+     [boot(0), OTHER, start(0), boot(1), start(0, run=2, target="b")]),
+    ("not TWICE: the same run again, in the next boot", [],
+     [boot(0), start(0), boot(1), start(1)]),
+    ("not TWICE: after the end", [],
+     [boot(0), OTHER, start(0), end(0), start(0, run=2, target="b")]),
+    ("not TWICE: other tasks", [], [boot(0), start(0), start(0, "y")]),
+    ("TWICE: a boot of another target ends no run here", ["TWICE"],
+     [boot(0), OTHER, start(0), boot(1, target="b"), start(1, run=2, target="b")]),
+    ("LIMIT: over the capacity", ["LIMIT"], [boot(0), start(0, "x", cpu=3), start(0, "y", cpu=2)]),
+    ("LIMIT: a single start", ["LIMIT"], [boot(0), start(0, cpu=5)]),
+    ("LIMIT: a smaller boot that the owner knows", ["LIMIT"],
+     [boot(0), boot(1, 2), start(1, "x"), start(1, "y"), start(1, "z")]),
+    ("LIMIT: late starts fill a boot, the next known start is over", ["LIMIT"],
+     [boot(0), boot(1, 2), start(1, "x", known=False), start(1, "y", known=False), start(1, "z")]),
+    ("LIMIT: unknown boot, over the capacity of the boot before", ["LIMIT"],
+     [boot(0), boot(1, 2), start(1, "x", cpu=4, known=False), start(1, "y", known=False)]),
+    ("LIMIT: unknown to this owner, but the larger boot was before one that was known", ["LIMIT"],
+     [boot(0, 9), boot(1, 2), start(1), boot(2, 1), start(2, "y", cpu=3, known=False)]),
+    ("LIMIT: a larger boot, over it", ["LIMIT"], [boot(0), boot(1, 8), start(1, cpu=9)]),
+    ("not LIMIT: just full", [], [boot(0), start(0, "x", cpu=3), start(0, "y")]),
+    ("not LIMIT: after an end", [],
+     [boot(0), start(0, "x", cpu=3), end(0), start(0, "y", cpu=2)]),
+    ("not LIMIT: a boot ends the runs of the boot before", [],
+     [boot(0), start(0, "x", cpu=4), boot(1), start(1, "y", cpu=4)]),
+    ("not LIMIT: a larger boot", [], [boot(0), boot(1, 8), start(1, cpu=8)]),
+    ("not LIMIT: no owner can know the smaller boot yet", [],
+     [boot(0), boot(1, 2), start(1, cpu=4, known=False)]),
+    ("not LIMIT: nor after two boots that no owner knew", [],
+     [boot(0), boot(1, 2), boot(2, 1), start(2, cpu=4, known=False)]),
+    ("not LIMIT: another target is full", [],
+     [boot(0), OTHER, start(0, "x", cpu=4), start(0, "y", cpu=4, target="b")]),
+]
+
 TERM, STORE = ("h", "term", 9.0, 10.6), ("store", "store", 9.8, 10.0)
 # name, whether it holds
 SOAK_CASES = [
@@ -187,6 +257,10 @@
     for name, holds in SOAK_CASES:
         failed += 0 if holds else 1
         print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
+    for name, expected, events in RUN_CASES:
+        holds = finds_in_runs(*events) == expected
+        failed += 0 if holds else 1
+        print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
     for next_mode, *expected in PROXY_CASES:
         found = list(replies_through_proxy(next_mode))
         failed += 0 if found == expected else 1
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -430,6 +430,7 @@
         self.started_count = 0
         self.judged_attempts = [0] * len(self.clients)
         self.removable_targets = options.targets // 6
+        self.run_judge, self.judged_events = checks.RunJudge(), 0
 
     def may_remove_target(self):
         self.removable_targets -= 1
@@ -449,6 +450,11 @@
         for name in ("in_two_places", "begun_again", "over_capacity"):
             if summary and summary[name]:
                 self.report(name, str(summary[name]))
+        while page := self.cell.run_history(self.judged_events):
+            self.judged_events += len(page)
+            for event in page:
+                for kind, details in self.run_judge.judge(event):
+                    self.report(kind, details)
 
     def check_refused_jobs(self):
         while page := self.cell.started_jobs(self.started_count):
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -102,3 +102,53 @@
             and attempt.sent > accepted + VISIBLE_S
             and not faults.during(attempt.sent - STABLE_WINDOW_S, attempt.ended,
                                   (attempt.host, "store")))
+
+
+class RunJudge:
+    """TWICE and LIMIT: judges starts by the events of GET /history, see standin-targets.c.
+
+    A boot ends the runs of the boot before it with the same id; a run of the new boot may have the
+    task and the number of one of the old boot. Until an owner knows a boot, it may fill the target
+    by the capacity of a boot before it: a start that no owner could prevent is judged by the largest
+    capacity since the boot that was known last.
+    """
+
+    def __init__(self):
+        self.runs = {}      # (target, boot, task, run) -> cpu
+        self.capacity = {}  # target -> capacity of its boot
+        self.assumed = {}   # target -> largest capacity that an owner may still assume
+        self.is_known = {}  # target -> whether an owner has known its boot
+
+    def judge(self, event):
+        """Takes the next event. Returns (kind, details) of each violation by it."""
+        kind, target, boot = event[1:4]
+        if kind == "boot":
+            self._begin_boot(target, event[4])
+        elif kind == "end":
+            self.runs.pop((target, boot, event[4], event[5]), None)
+        elif kind == "start":
+            return self._judge_start(target, boot, *event[4:])
+        return []
+
+    def _begin_boot(self, target, capacity):
+        self.runs = {run: cpu for run, cpu in self.runs.items() if run[0] != target}
+        # The registry names the capacity of the first boot before any owner can start anything.
+        before = self.capacity.get(target, 0)
+        if not self.is_known.get(target, True):
+            before = self.assumed[target]
+        self.is_known[target] = target not in self.capacity
+        self.capacity[target], self.assumed[target] = capacity, max(before, capacity)
+
+    def _judge_start(self, target, boot, task, run, cpu, is_known):
+        found = []
+        start = "task %s run %d at %s boot %d" % (task, run, target, boot)
+        others = [other for other in self.runs if other[2] == task]
+        if others:
+            found.append(("TWICE", "%s, which runs as %s" % (start, others)))
+        self.runs[target, boot, task, run] = cpu
+        self.is_known[target] |= bool(is_known)
+        limit = self.capacity[target] if is_known else self.assumed[target]
+        used = sum(other for key, other in self.runs.items() if key[0] == target)
+        if used > limit:
+            found.append(("LIMIT", "%s: %d of %d in use" % (start, used, limit)))
+        return found
