Soak: orders for one boot of a target that reach its next boot, of another capacity

Cause: the protocol allows a call without a reply to be executed seconds later, by whatever boot has the id then, and a new boot of another kind. No test of the real programs did either; the proxy before a target could only lose replies. Change: the proxy holds back a share of the starts, stops and heartbeats while a target restarts under its id, and delivers them to the new boot 1 to 12 s after they were sent. What no owner can prevent is left out: a request is delivered only once an owner with its token or a higher one has shown, by a heartbeat with a deadline of the new clock, that it knows the new boot. In one of two restarts the new boot has another capacity, which its registry entry shows up to 1.5 s later.

--- a/scripts/faultproxy.py
+++ b/scripts/faultproxy.py
@@ -1,17 +1,32 @@
-"""A TCP proxy on loopback that injects delays, resets and data loss in one or both directions."""
+"""A TCP proxy on loopback that injects delays, resets and data loss in one or both directions, and
+delivers requests late."""
 import asyncio
+import collections
+import re
 import socket
 import struct
 import threading
+import time
 
 READ_SIZE = 65536
 # Blocks are this short where the bandwidth is limited, so that the limit shows within a message.
 NARROW_READ_SIZE = 2048
 REJECTIONS = {"503": b"HTTP/1.1 503 Service Unavailable\r\n",
               "429": b"HTTP/1.1 429 Too Many Requests\r\n"}
+# After this the reply to a request that is delivered late is not awaited any more.
+LATE_REPLY_TIMEOUT_S = 5
+
+# A request that was held back; sent is a value of time.monotonic().
+HeldRequest = collections.namedtuple("HeldRequest", "sent data")
 REJECTION_END = b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
 
 
+def is_complete_request(data):
+    head, separator, body = data.partition(b"\r\n\r\n")
+    length = re.search(rb"content-length: *(\d+)", head.lower())
+    return bool(separator) and len(body) >= (int(length[1]) if length else 0)
+
+
 class Direction:
     """One direction of a connection. Once it has dropped data, it drops all data that follows."""
 
@@ -42,6 +57,23 @@
         if delay_s:
             await asyncio.sleep(delay_s)
 
+    async def holds_back(self, data):
+        """Whether this block begins a request that is held back, see FaultProxy.hold_back."""
+        proxy = self.proxy
+        if not proxy.held_shares or not self.is_request or self.is_silenced:
+            return False
+        share = proxy.held_shares.get(data[:100].split(b" ")[1], 0) if data.startswith(b"POST ") else 0
+        if proxy.held_random.random() >= share:
+            return False
+        sent = time.monotonic()
+        while not is_complete_request(data):
+            more = await self.reader.read(READ_SIZE)
+            if not more:
+                return True
+            data += more
+        proxy.held_requests.append(HeldRequest(sent, data))
+        return True
+
     async def forward_data(self):
         try:
             while data := await self.reader.read(
@@ -50,6 +82,9 @@
                     self.request_count += 1
                     self.last_request = data
                 await self.delay(data)
+                if await self.holds_back(data):
+                    self.is_silenced = True
+                    continue
                 if self.should_drop():
                     self.is_silenced = True
                     continue
@@ -95,6 +130,7 @@
         self.upstream_port, self.base_delay_s = upstream_port, base_delay_s
         self.directions, self.tasks = set(), set()
         self.lost_reply_count = 0
+        self.held_shares, self.held_random, self.held_requests = {}, None, []
         self.set()
         self.server = EVENT_LOOP.call(
             asyncio.start_server(self._handle_connection, "127.0.0.1", 0))
@@ -169,6 +205,31 @@
         if self.cut_all_connections:
             self._reset_all()
 
+    def hold_back(self, shares, generator):
+        """Holds back these shares of the POST requests to a path, in every mode; the generator
+        chooses. The caller gets no reply, and the connection carries nothing more."""
+        self.held_requests, self.held_random, self.held_shares = [], generator, shares
+
+    def stop_holding_back(self):
+        """Returns the requests that were held back."""
+        self.held_shares = {}
+        return self.held_requests
+
+    def deliver(self, request):
+        """Sends a request that was held back, over a connection of its own. Returns the status of
+        the reply, which the caller never sees, or 0."""
+        async def send():
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.upstream_port)
+                writer.write(request.data)
+                reply = await asyncio.wait_for(reader.read(READ_SIZE), LATE_REPLY_TIMEOUT_S)
+                writer.close()
+                return int(reply[9:12] or 0)
+            except (OSError, asyncio.TimeoutError):
+                return 0
+
+        return EVENT_LOOP.call(send())
+
     def _reset_all(self):
         for direction in list(self.directions):
             self._reset_connection(direction.writer)
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -6,10 +6,12 @@
 import http.client
 import http.server
 import os
+import random
 import subprocess
 import sys
 import tempfile
 import threading
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
 from faultproxy import FaultProxy  # noqa: E402
@@ -243,6 +245,43 @@
                ("503", [200, "reset", 503, 200], 2), ("429", [200, "reset", 429, 200], 2)]
 
 
+def held_requests_delivered():
+    """Sends requests while half of the starts and no stops are held back. Returns how many of each
+    were answered, whether the rest was held back unexecuted, and the statuses of late deliveries."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), CountingHandler)
+    server.request_count = 0
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    proxy = FaultProxy(server.server_address[1])
+    proxy.hold_back({b"/run-start": 0.5}, random.Random(1))
+    answered = {"/run-start": 0, "/run-stop": 0}
+    for path in list(answered) * 10:
+        connection = http.client.HTTPConnection("127.0.0.1", proxy.port, timeout=0.2)
+        try:
+            # Head and body arrive as two blocks.
+            connection.putrequest("POST", path)
+            connection.putheader("Content-Length", "7")
+            connection.endheaders()
+            time.sleep(0.01)
+            connection.send(b"{\"a\":1}")
+            answered[path] += connection.getresponse().status == 200
+        except OSError:
+            pass
+        connection.close()
+    held = proxy.stop_holding_back()
+    executed = server.request_count
+    statuses = [proxy.deliver(request) for request in held]
+    proxy.stop()
+    server.shutdown()
+    server.server_close()
+    nothing_there = proxy.deliver(held[0])
+    return {"stops answered": answered["/run-stop"] == 10,
+            "some starts answered, the others held back":
+                0 < answered["/run-start"] == 10 - len(held) < 10 and executed == 20 - len(held),
+            "held back with their bodies": all(r.data.endswith(b"\r\n\r\n{\"a\":1}") for r in held),
+            "delivered late": set(statuses) == {200} and server.request_count == 20,
+            "delivered to nobody": nothing_there == 0}
+
+
 def main():
     failed = 0
     for name, script, expected, passes in CASES:
@@ -261,6 +300,9 @@
         holds = finds_in_runs(*events) == expected
         failed += 0 if holds else 1
         print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
+    for name, holds in held_requests_delivered().items():
+        failed += 0 if holds else 1
+        print("[%s] proxy: %s" % ("       OK " if holds else "  FAILED  ", name))
     for next_mode, *expected in PROXY_CASES:
         found = list(replies_through_proxy(next_mode))
         failed += 0 if found == expected else 1
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -19,6 +19,7 @@
 import argparse
 import collections
 import contextlib
+import json
 import random
 import signal
 import sys
@@ -49,6 +50,13 @@
     101,  # in_two_places: the same for a start order, answered 503 the second time
 ]
 CHECK_SEEDS = REGRESSIONS[:2]
+# Lower seeds play no phase "boots" unless --phase names it, so that they keep the courses of the
+# time when they failed.
+FIRST_BOOTS_SEED = 1000
+# Requests may be executed this long after they were sent, and so many of one restart are.
+LATE_ORDER_MAX_S, LATE_ORDERS_MAX = 12, 25
+CAPACITIES = [1000, 2000, 4000, 8000, 32000]  # of a new boot, in thousandths of a core; others have 16000
+REGISTRY_INTERVAL_MS = 1500  # heartbeatMs of the targets
 COMPLETION_TIMEOUT_S = 90
 CHECK_INTERVAL_S = 0.5
 # A calm phase is long enough for a task that went down at its begin to be judged.
@@ -375,6 +383,48 @@
                                     lambda: self.cut_off_owner(down_s)])
         self.in_parallel([owner, strike_targets])
 
+    def restart_with_late_orders(self, duration_s):
+        """Restarts targets under their ids, with another capacity in two of three cases. A share of
+        the orders and heartbeats sent to the old boot is executed by the new one."""
+        proxies = self.cell.target_proxies
+        count = self.random.randint(1, max(1, len(proxies) // 2))
+        self.in_parallel([lambda t=target, s=self.random.random(): self.restart_target(
+            t, duration_s, random.Random(s)) for target in self.random.sample(
+                range(len(proxies)), min(count, len(proxies)))])
+
+    def restart_target(self, target, duration_s, generator):
+        proxy = self.cell.target_proxies[target]
+        with self.soak.target_locks[target], self.logged("late_orders", "targets"):
+            # An owner orders nothing from a target whose heartbeats are held back.
+            proxy.hold_back(generator.choice([{b"/run-start": 0.5, b"/run-stop": 0.5, b"/hold": 0.05},
+                                              {b"/hold": 0.5}]), random.Random(generator.random()))
+            time.sleep(duration_s / 2)
+            down_ms = generator.choice([20, 20, 300, generator.randrange(2000)])
+            self.cell.control_target(
+                target, "crash", down_ms, cpu=generator.choice([0, generator.choice(CAPACITIES)]),
+                row_ms=generator.randrange(REGISTRY_INTERVAL_MS))
+            proxy.reset_open_connections()
+            restarted = time.monotonic()
+            while (time.monotonic() - restarted < LATE_ORDER_MAX_S / 2
+                   and not self.cell.token_knowing_boot(target)):
+                time.sleep(0.05)
+            held = proxy.stop_holding_back()
+            self.in_parallel([lambda r=request, s=generator.uniform(1, generator.choice(
+                [3, LATE_ORDER_MAX_S])): self.deliver_late(target, r, s)
+                for request in generator.sample(held, min(len(held), LATE_ORDERS_MAX))])
+
+    def deliver_late(self, target, request, delay_s):
+        """Delivers a request so long after it was sent, once its sender knows the new boot: until
+        then no owner can prevent that the boot executes it."""
+        token = json.loads(request.data.partition(b"\r\n\r\n")[2])["fencingToken"]
+        time.sleep(max(0.0, request.sent + delay_s - time.monotonic()))
+        while time.monotonic() - request.sent < LATE_ORDER_MAX_S:
+            if self.cell.token_knowing_boot(target) >= token:
+                status = self.cell.target_proxies[target].deliver(request)
+                self.soak.late_orders["%s:%d" % (request.data.split()[1].decode(), status)] += 1
+                return
+            time.sleep(0.1)
+
     def cut_off_owner(self, duration_s):
         host = self.owner()
         with self.proxies("proxy", [host]):
@@ -390,12 +440,16 @@
                lose_store_replies, disrupt_target_proxies]
     RESETS = [cut_store_replies, cut_store_replies, disrupt_target_proxies]
     OWNER = [owner_and_targets, owner_and_leaving_target, pause_owner, cut_or_crash]
+    BOOTS = [restart_with_late_orders] * 6 + [
+        cut_or_crash, owner_and_targets, owner_and_leaving_target, disrupt_target_proxies, kill_owner,
+        disrupt_store_proxy]
     ALL = PLANNED_WORK + NETWORK + OWNER + [
         kill_process, kill_owner, pause_process, pause_owner, pause_in_bursts, kill_all_processes,
         kill_during_restart, kill_during_restart, restart_during_store_outage, cut_or_crash]
     # Kind of a phase, its faults, the number of threads that inject them.
     PHASES = [("planned work", PLANNED_WORK, 1), ("planned work", PLANNED_WORK, 2),
               ("network", NETWORK, 2), ("owner", OWNER, 1), ("resets", RESETS, 1), ("all", ALL, 2), ("all", ALL, 3)]
+    BOOT_PHASES = [("boots", BOOTS, 2), ("boots", BOOTS, 3), ("boots", BOOTS * 2 + ALL, 3)]
 
     def inject(self, kinds, deadline):
         """Injects random faults one after another; runs in several threads at once."""
@@ -430,6 +484,9 @@
         self.started_count = 0
         self.judged_attempts = [0] * len(self.clients)
         self.removable_targets = options.targets // 6
+        # One restart with late orders of a target at a time.
+        self.target_locks = [threading.Lock() for _ in self.cell.target_proxies]
+        self.late_orders = collections.Counter()
         self.run_judge, self.judged_events = checks.RunJudge(), 0
 
     def may_remove_target(self):
@@ -533,10 +590,14 @@
             if job_id:
                 self.load.jobs[job_id].update(accepted_at=time.monotonic(), body=kind)
 
+    def phases(self):
+        has_boots = self.seed >= FIRST_BOOTS_SEED or self.options.phase
+        return Faults.PHASES + (Faults.BOOT_PHASES if has_boots else [])
+
     def play_phase(self, number):
         """Injects the faults of one phase, then leaves the cell calm."""
         name, kinds, thread_count = self.random.choice(
-            [phase for phase in Faults.PHASES if self.options.phase in (None, phase[0])])
+            [phase for phase in self.phases() if self.options.phase in (None, phase[0])])
         self.played_faults.append("[%s]" % name)
         deadline = time.monotonic() + self.random.uniform(3, 9)
         threads = [threading.Thread(target=Faults(self, "%d phase %d thread %d" % (
@@ -593,7 +654,7 @@
         attempts = [attempt for client in self.clients for attempt in client.attempts]
         statuses = collections.Counter(attempt.status for attempt in attempts)
         print("[%s] soak seed=%d hosts=%d jobs=%d accepted=%d refused=%d requests=%d (%s) cut=%d "
-              "lost_replies=%d faults=%d %s" % (
+              "lost_replies=%d late_orders=(%s) faults=%d %s" % (
             "  FAILED  " if self.problems else "       OK ", self.seed, len(self.cell.hosts),
             len(entries),
             sum(entry["accepted"] for entry in entries),
@@ -601,6 +662,7 @@
                                                 in entry["attempts"]) for entry in entries),
             len(attempts), " ".join("%d:%d" % item for item in sorted(statuses.items())), sum(attempt.is_cut for attempt in attempts),
             sum(host.store_proxy.lost_reply_count for host in self.cell.hosts),
+            " ".join("%s:%d" % item for item in sorted(self.late_orders.items())),
             sum(not fault.startswith("[") for fault in self.played_faults),
             "; ".join("%s: %d" % (kind, len(found)) for kind, found in self.problems.items())
             or "held"), flush=True)
