Test: a stand-in target has executed each start that it answers 200 around a cut

Cause: standin-targets was said to answer 200 to starts that it never executed when a cut ends. Change: the test. It fails when held-up orders are answered without being executed.

--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -5,6 +5,7 @@
 
 import http.client
 import http.server
+import json
 import os
 import random
 import subprocess
@@ -14,6 +15,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
+from cell import BIN, Process, send_request  # noqa: E402
 from faultproxy import FaultProxy  # noqa: E402
 import soak_checks as checks  # noqa: E402
 
@@ -282,6 +284,53 @@
             "delivered to nobody": nothing_there == 0}
 
 
+def starts_around_cuts():
+    """Sends starts, repeated ones, stops and heartbeats to a stand-in target while it is cut off.
+    Returns whether each start that was answered 200 has been executed: its run is listed as running
+    or ended, and the number of starts that were counted is that of these runs."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Process("targets", [os.path.join(BIN, "standin-targets"), "--platform",
+                                    "http://127.0.0.1:9", "--domains", "a", "--count", "1"], folder,
+                        prints_port=True)
+        control = "http://127.0.0.1:%d" % fleet.port
+        url = "http://127.0.0.1:%d" % send_request("GET", control + "/ports")[1]["ports"][0]
+        generator, holds = random.Random(1), []
+
+        def order(path, **fields):
+            return send_request("POST", url + path, dict(fields, fencingToken=1))
+
+        def send_one(number, clock_ms, started, kind, delay_s):
+            time.sleep(delay_s)
+            task = "%016x.0.0.%d" % (number // 100, number % 10)  # several orders concern one task
+            if kind == "hold":
+                order("/hold", lastSeen=0, deadlineMs=clock_ms + 3000, waitMs=200)
+            elif kind == "stop":
+                order("/run-stop", task=task, run=1)
+            elif order("/run-start", task=task, run=1, deadlineMs=clock_ms + 1500, spec=json.dumps(
+                    {"ms": generator.choice([-1, 20, 300]), "cpu": 10}))[0] == 200:
+                started.add(task)
+
+        for number in range(4):
+            clock_ms = order("/hold", lastSeen=0)[1]["clockMs"]
+            order("/hold", lastSeen=0, deadlineMs=clock_ms + 6000)
+            send_request("POST", control + "/control", {"target": 0, "fault": "cut", "ms": 300})
+            started = set()
+            threads = [threading.Thread(target=send_one, args=(
+                100 * number + i, clock_ms, started,
+                generator.choice(["start", "start", "start", "stop", "hold"]),
+                generator.uniform(0, 0.35))) for i in range(30)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            report = order("/hold", lastSeen=0)[1]
+            there = {row[0] for row in report["running"]} | {row[1] for row in report["finished"]}
+            count = send_request("GET", control + "/summary")[1]["starts"]
+            holds.append(started and started <= there and count == len(there))
+        fleet.stop()
+        return all(holds)
+
+
 def main():
     failed = 0
     for name, script, expected, passes in CASES:
@@ -300,7 +349,8 @@
         holds = finds_in_runs(*events) == expected
         failed += 0 if holds else 1
         print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
-    for name, holds in held_requests_delivered().items():
+    for name, holds in [*held_requests_delivered().items(),
+                        ("stand-in target executes starts around cuts", starts_around_cuts())]:
         failed += 0 if holds else 1
         print("[%s] proxy: %s" % ("       OK " if holds else "  FAILED  ", name))
     for next_mode, *expected in PROXY_CASES:
