--- a/tests/soak.py
+++ b/tests/soak.py
@@ -55,7 +55,7 @@
 FIRST_BOOTS_SEED = 1000
 # Requests may be executed this long after they were sent, and so many of one restart are.
 LATE_ORDER_MAX_S, LATE_ORDERS_MAX = 12, 25
-CAPACITIES = [1000, 2000, 4000, 8000, 32000]  # of a new boot, in thousandths of a core; others have 16000
+CAPACITIES = [1000, 2000, 4000, 8000, 32000]  # of new boots, in thousandths of a core; else 16000
 REGISTRY_INTERVAL_MS = 1500  # heartbeatMs of the targets
 COMPLETION_TIMEOUT_S = 90
 CHECK_INTERVAL_S = 0.5
@@ -384,7 +384,7 @@
         self.in_parallel([owner, strike_targets])
 
     def restart_with_late_orders(self, duration_s):
-        """Restarts targets under their ids, with another capacity in two of three cases. A share of
+        """Restarts targets under their ids, with another capacity in one of two cases. A share of
         the orders and heartbeats sent to the old boot is executed by the new one."""
         proxies = self.cell.target_proxies
         count = self.random.randint(1, max(1, len(proxies) // 2))
