Soak: seeds of the phase "boots" among the regressions

Change: REGRESSIONS names phase and seconds; make check plays 2005, which violates all three checks, for one phase.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,7 +6,7 @@
 
 Runs --count seeds from --seed on. During and after each run it checks, by what targets and clients
 see: no task runs on two targets at once or starts again after its completion was acknowledged; no
-target exceeds its capacity; accepted jobs stay known, end and do not fail; only jobs of the kind
+target exceeds the capacity of its boot; accepted jobs stay known, end and do not fail; only jobs of the kind
 that the test cancels are shown as cancelled; no task starts of a job whose every submission was
 rejected; requests are answered around planned stops; tasks that last are started again in time; no
 daemon ends by itself. The checks are in soak_checks.py, the clients in soak_clients.py.
@@ -42,14 +42,25 @@
     job("lasts", "/feeds/", 1, [6], 2500, cpu_milli=500, spec=dict(LASTS, fail=True),
         longRunning=True)]
 LASTING_JOBS = 4
-# Seeds of past failures, each with its cause.
+# Seeds of past failures, each with the kind of phases and the seconds played unless the command line
+# says otherwise, and its cause.
 REGRESSIONS = [
-    111,  # REFUSED: a transaction that libcurl sent again was taken for rejected; LOST request:
-          # flamingo-frontd ended with requests open, and aborted
-    138,  # REFUSED: the same, over another host
-    101,  # in_two_places: the same for a start order, answered 503 the second time
+    (111, None, 20),  # REFUSED: a transaction that libcurl sent again was taken for rejected; LOST request:
+                      # flamingo-frontd ended with requests open, and aborted
+    (138, None, 20),  # REFUSED: the same, over another host
+    (101, None, 20),  # in_two_places: the same for a start order, answered 503 the second time
+    # Orders for one boot of a target were executed by its next boot, which had seen no higher token:
+    (2005, "boots", 1),  # TWICE, begun_again; LIMIT: filled by the registry entry of the boot before
+    (2001, "boots", 20),  # TWICE, begun_again; 2004 also LIMIT as in 2005
+    (2004, "boots", 20),
+    (2008, "boots", 20),
+    (2009, "boots", 20),
+    (2014, "boots", 20),  # TWICE
+    (2006, "boots", 20),  # begun_again
+    (2015, "boots", 20),
+    (2002, "boots", 20),  # LIMIT as in 2005
 ]
-CHECK_SEEDS = REGRESSIONS[:2]
+CHECK_SEEDS = REGRESSIONS[:2] + REGRESSIONS[3:4]
 # Lower seeds play no phase "boots" unless --phase names it, so that they keep the courses of the
 # time when they failed.
 FIRST_BOOTS_SEED = 1000
@@ -464,8 +475,8 @@
 class Soak:
     """The run of one seed: a cell, its load, the phases of faults and the checks."""
 
-    def __init__(self, seed, options):
-        self.seed, self.options = seed, options
+    def __init__(self, seed, phase, seconds, options):
+        self.seed, self.phase, self.seconds, self.options = seed, phase, seconds, options
         self.random = random.Random(seed)
         self.fault_log = checks.FaultLog(time.monotonic)
         hosts = options.hosts or self.random.choice(HOST_COUNTS)
@@ -591,13 +602,13 @@
                 self.load.jobs[job_id].update(accepted_at=time.monotonic(), body=kind)
 
     def phases(self):
-        has_boots = self.seed >= FIRST_BOOTS_SEED or self.options.phase
+        has_boots = self.seed >= FIRST_BOOTS_SEED or self.phase
         return Faults.PHASES + (Faults.BOOT_PHASES if has_boots else [])
 
     def play_phase(self, number):
         """Injects the faults of one phase, then leaves the cell calm."""
         name, kinds, thread_count = self.random.choice(
-            [phase for phase in self.phases() if self.options.phase in (None, phase[0])])
+            [phase for phase in self.phases() if self.phase in (None, phase[0])])
         self.played_faults.append("[%s]" % name)
         deadline = time.monotonic() + self.random.uniform(3, 9)
         threads = [threading.Thread(target=Faults(self, "%d phase %d thread %d" % (
@@ -617,7 +628,7 @@
                 self.load.cancel(job_id)
 
     def play(self):
-        deadline = time.monotonic() + self.options.seconds
+        deadline = time.monotonic() + self.seconds
         number = 0
         while time.monotonic() < deadline:
             self.play_phase(number)
@@ -688,8 +699,8 @@
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--seed", type=int, help="default: CHECK_SEEDS")
     parser.add_argument("--count", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20,
-                        help="no phase begins later; default: %(default)s")
+    parser.add_argument("--seconds", type=float,
+                        help="no phase begins later; default: 20, or that of the regression")
     parser.add_argument("--hosts", type=int, help="default: depends on the seed")
     parser.add_argument("--phase", help="play only phases of this kind, such as network")
     parser.add_argument("--targets", type=int, default=12)
@@ -703,9 +714,9 @@
     failed = 0
     seeds = REGRESSIONS if options.regressions else CHECK_SEEDS
     if options.seed is not None:
-        seeds = range(options.seed, options.seed + options.count)
-    for seed in seeds:
-        soak = Soak(seed, options)
+        seeds = [(options.seed + i, None, 20) for i in range(options.count)]
+    for seed, phase, seconds in seeds:
+        soak = Soak(seed, options.phase or phase, options.seconds or seconds, options)
         failed += 0 if soak.run() else 1
         soak.print_result()
     print("%d passed, %d failed" % (len(seeds) - failed, failed))
