--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -351,6 +351,8 @@
 
   if (entry->draining && !target->entry.draining)
     target->leaves_at_ms = core->now_ms + entry->drain_remaining_ms;
+  if (target->entry.address.len > 0 && !fl_name_eq (&target->entry.address, &entry->address))
+    target->address_changed = true;
   target->entry = *entry;
   target->registered = true;
 }
@@ -371,7 +373,8 @@
       || core_target_has_unrecorded_ends (target))
     return;
   core->target_list_outdated = core->target_list_outdated || target->recorded;
-  if (target->boot_known)
+  /* Orders to a target that has never told its boot carry nothing that concerns one. */
+  if (target->boot_known || target->fencing_token > core->options.fencing_token)
     {
       int64_t token = next_token (target);
       g_hash_table_insert (core->next_tokens,
@@ -495,25 +498,28 @@
 
   if (target->entry.address.len == 0 || !heartbeat_is_due (target, now_ms))
     return false;
+  /* Registry entries that arrive before the next tick are newer than this heartbeat. */
+  core->now_ms = MAX (core->now_ms, now_ms);
   target->heartbeat_wait_ms = 0;
+  target->address_changed = false;
   *order = (struct fl_heartbeat_order){
     .target = target->entry.id,
     .address = target->entry.address,
     .fencing_token = target->fencing_token,
   };
-  /* While the jobs are not known, this owner has started nothing. A longer lease than intended, on
-   * a target that has restarted, then concerns no run. */
-  bool boot_is_valid = !core->jobs_known || now_ms - target->last_heartbeat_at_ms <= BOOT_VALID_MS;
-  if (target->clock_at_ms == 0 || target->silent || !boot_is_valid)
+  /* While the jobs are not known, leases are renewed all the same. A target that has restarted may
+   * then grant the longest one. */
+  bool boot_is_valid = now_ms - target->last_heartbeat_at_ms <= BOOT_VALID_MS;
+  if (target->clock_at_ms == 0 || target->silent || (core->jobs_known && !boot_is_valid))
     return true;
   order->last_recorded_end = target->last_recorded_end;
   order->deadline_ms = core_target_clock_ms (target, now_ms) + core->options.target_lease_ms;
   /* Reports are needed as soon as the jobs are known: no heartbeat then waits for an end. */
   order->wait_ms = core->jobs_known && target->is_fenced ? heartbeat_wait_ms (target) : 0;
   target->heartbeat_wait_ms = order->wait_ms;
-  target->lease_expires_at_ms = MAX (
-      target->lease_expires_at_ms,
-      now_ms + core->options.target_lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
+  core_target_extend_lease (target, now_ms,
+                            boot_is_valid ? core->options.target_lease_ms
+                                          : core->options.target_lease_max_ms);
   /* This heartbeat renews the leases of runs that an earlier owner started, and its reply, which
    * would list them, may be lost. */
   if (target->is_unreconciled)
