--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -5,13 +5,17 @@
 
 import http.client
 import http.server
+import json
 import os
+import random
 import subprocess
 import sys
 import tempfile
 import threading
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
+from cell import BIN, Process, send_request  # noqa: E402
 from faultproxy import FaultProxy  # noqa: E402
 import soak_checks as checks  # noqa: E402
 
@@ -81,6 +85,76 @@
     return log.calm_s(now)
 
 
+def finds_in_runs(*events):
+    """events: those of GET /history without their times. Returns the kinds of what is found."""
+    judge = checks.RunJudge()
+    return [kind for event in events for kind, _ in judge.judge([0, *event])]
+
+
+def boot(number, cpu=4, target="a"):
+    return ("boot", target, number, cpu)
+
+
+def start(number, task="x", run=1, cpu=1, target="a", known=True):
+    return ("start", target, number, task, run, cpu, known)
+
+
+def end(number, task="x", run=1, target="a"):
+    return ("end", target, number, task, run)
+
+
+OTHER = boot(0, target="b")
+# name, what is found, events
+RUN_CASES = [
+    ("TWICE: on two targets", ["TWICE"],
+     [boot(0), OTHER, start(0), start(0, run=2, target="b")]),
+    ("TWICE: two runs on one target", ["TWICE"], [boot(0), start(0), start(0, run=2)]),
+    ("TWICE: the late start of an ended boot, beside a run elsewhere", ["TWICE"],
+     [boot(0), OTHER, start(0), boot(1), start(0, run=2, target="b"), start(1)]),
+    ("TWICE: a run elsewhere, beside the late start", ["TWICE"],
+     [boot(0), OTHER, boot(1), start(1), start(0, run=2, target="b")]),
+    ("TWICE: an end of the old boot does not end the run of the new boot", ["TWICE"],
+     [boot(0), OTHER, start(0), boot(1), start(1), end(0), start(0, run=2, target="b")]),
+    ("TWICE: an end of another target does not end the run", ["TWICE"],
+     [boot(0), OTHER, start(0), end(0, target="b"), start(0, run=2, target="b")]),
+    ("TWICE: a start that no owner's knowledge covers", ["TWICE"],
+     [boot(0), OTHER, start(0), start(0, run=2, target="b", known=False)]),
+    ("TWICE: each of two", ["TWICE", "TWICE"],
+     [boot(0), OTHER, start(0), start(0, run=2, target="b"), start(0, run=3, target="b")]),
+    ("not TWICE: a boot ends the runs of the boot before", [],
+     [boot(0), OTHER, start(0), boot(1), start(0, run=2, target="b")]),
+    ("not TWICE: the same run again, in the next boot", [],
+     [boot(0), start(0), boot(1), start(1)]),
+    ("not TWICE: after the end", [],
+     [boot(0), OTHER, start(0), end(0), start(0, run=2, target="b")]),
+    ("not TWICE: other tasks", [], [boot(0), start(0), start(0, "y")]),
+    ("TWICE: a boot of another target ends no run here", ["TWICE"],
+     [boot(0), OTHER, start(0), boot(1, target="b"), start(1, run=2, target="b")]),
+    ("LIMIT: over the capacity", ["LIMIT"], [boot(0), start(0, "x", cpu=3), start(0, "y", cpu=2)]),
+    ("LIMIT: a single start", ["LIMIT"], [boot(0), start(0, cpu=5)]),
+    ("LIMIT: a smaller boot that the owner knows", ["LIMIT"],
+     [boot(0), boot(1, 2), start(1, "x"), start(1, "y"), start(1, "z")]),
+    ("LIMIT: late starts fill a boot, the next known start is over", ["LIMIT"],
+     [boot(0), boot(1, 2), start(1, "x", known=False), start(1, "y", known=False), start(1, "z")]),
+    ("LIMIT: unknown boot, over the capacity of the boot before", ["LIMIT"],
+     [boot(0), boot(1, 2), start(1, "x", cpu=4, known=False), start(1, "y", known=False)]),
+    ("LIMIT: unknown to this owner, but the larger boot was before one that was known", ["LIMIT"],
+     [boot(0, 9), boot(1, 2), start(1), boot(2, 1), start(2, "y", cpu=3, known=False)]),
+    ("LIMIT: a larger boot, over it", ["LIMIT"], [boot(0), boot(1, 8), start(1, cpu=9)]),
+    ("not LIMIT: just full", [], [boot(0), start(0, "x", cpu=3), start(0, "y")]),
+    ("not LIMIT: after an end", [],
+     [boot(0), start(0, "x", cpu=3), end(0), start(0, "y", cpu=2)]),
+    ("not LIMIT: a boot ends the runs of the boot before", [],
+     [boot(0), start(0, "x", cpu=4), boot(1), start(1, "y", cpu=4)]),
+    ("not LIMIT: a larger boot", [], [boot(0), boot(1, 8), start(1, cpu=8)]),
+    ("not LIMIT: no owner can know the smaller boot yet", [],
+     [boot(0), boot(1, 2), start(1, cpu=4, known=False)]),
+    ("not LIMIT: nor after two boots that no owner knew", [],
+     [boot(0), boot(1, 2), boot(2, 1), start(2, cpu=4, known=False)]),
+    ("not LIMIT: another target is full", [],
+     [boot(0), OTHER, start(0, "x", cpu=4), start(0, "y", cpu=4, target="b")]),
+]
+
 TERM, STORE = ("h", "term", 9.0, 10.6), ("store", "store", 9.8, 10.0)
 # name, whether it holds
 SOAK_CASES = [
@@ -173,6 +247,90 @@
                ("503", [200, "reset", 503, 200], 2), ("429", [200, "reset", 429, 200], 2)]
 
 
+def held_requests_delivered():
+    """Sends requests while half of the starts and no stops are held back. Returns how many of each
+    were answered, whether the rest was held back unexecuted, and the statuses of late deliveries."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), CountingHandler)
+    server.request_count = 0
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    proxy = FaultProxy(server.server_address[1])
+    proxy.hold_back({b"/run-start": 0.5}, random.Random(1))
+    answered = {"/run-start": 0, "/run-stop": 0}
+    for path in list(answered) * 10:
+        connection = http.client.HTTPConnection("127.0.0.1", proxy.port, timeout=0.2)
+        try:
+            # Head and body arrive as two blocks.
+            connection.putrequest("POST", path)
+            connection.putheader("Content-Length", "7")
+            connection.endheaders()
+            time.sleep(0.01)
+            connection.send(b"{\"a\":1}")
+            answered[path] += connection.getresponse().status == 200
+        except OSError:
+            pass
+        connection.close()
+    held = proxy.stop_holding_back()
+    executed = server.request_count
+    statuses = [proxy.deliver(request) for request in held]
+    proxy.stop()
+    server.shutdown()
+    server.server_close()
+    nothing_there = proxy.deliver(held[0])
+    return {"stops answered": answered["/run-stop"] == 10,
+            "some starts answered, the others held back":
+                0 < answered["/run-start"] == 10 - len(held) < 10 and executed == 20 - len(held),
+            "held back with their bodies": all(r.data.endswith(b"\r\n\r\n{\"a\":1}") for r in held),
+            "delivered late": set(statuses) == {200} and server.request_count == 20,
+            "delivered to nobody": nothing_there == 0}
+
+
+def starts_around_cuts():
+    """Sends starts, repeated ones, stops and heartbeats to a stand-in target while it is cut off.
+    Returns whether each start that was answered 200 has been executed: its run is listed as running
+    or ended, and the number of starts that were counted is that of these runs."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Process("targets", [os.path.join(BIN, "standin-targets"), "--platform",
+                                    "http://127.0.0.1:9", "--domains", "a", "--count", "1"], folder,
+                        prints_port=True)
+        control = "http://127.0.0.1:%d" % fleet.port
+        url = "http://127.0.0.1:%d" % send_request("GET", control + "/ports")[1]["ports"][0]
+        generator, holds = random.Random(1), []
+
+        def order(path, **fields):
+            return send_request("POST", url + path, dict(fields, fencingToken=1))
+
+        def send_one(number, clock_ms, started, kind, delay_s):
+            time.sleep(delay_s)
+            task = "%016x.0.0.%d" % (number // 100, number % 10)  # several orders concern one task
+            if kind == "hold":
+                order("/hold", lastSeen=0, deadlineMs=clock_ms + 3000, waitMs=200)
+            elif kind == "stop":
+                order("/run-stop", task=task, run=1)
+            elif order("/run-start", task=task, run=1, deadlineMs=clock_ms + 1500, spec=json.dumps(
+                    {"ms": generator.choice([-1, 20, 300]), "cpu": 10}))[0] == 200:
+                started.add(task)
+
+        for number in range(4):
+            clock_ms = order("/hold", lastSeen=0)[1]["clockMs"]
+            order("/hold", lastSeen=0, deadlineMs=clock_ms + 6000)
+            send_request("POST", control + "/control", {"target": 0, "fault": "cut", "ms": 300})
+            started = set()
+            threads = [threading.Thread(target=send_one, args=(
+                100 * number + i, clock_ms, started,
+                generator.choice(["start", "start", "start", "stop", "hold"]),
+                generator.uniform(0, 0.35))) for i in range(30)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            report = order("/hold", lastSeen=0)[1]
+            there = {row[0] for row in report["running"]} | {row[1] for row in report["finished"]}
+            count = send_request("GET", control + "/summary")[1]["starts"]
+            holds.append(started and started <= there and count == len(there))
+        fleet.stop()
+        return all(holds)
+
+
 def main():
     failed = 0
     for name, script, expected, passes in CASES:
@@ -187,6 +345,14 @@
     for name, holds in SOAK_CASES:
         failed += 0 if holds else 1
         print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
+    for name, expected, events in RUN_CASES:
+        holds = finds_in_runs(*events) == expected
+        failed += 0 if holds else 1
+        print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
+    for name, holds in [*held_requests_delivered().items(),
+                        ("stand-in target executes starts around cuts", starts_around_cuts())]:
+        failed += 0 if holds else 1
+        print("[%s] proxy: %s" % ("       OK " if holds else "  FAILED  ", name))
     for next_mode, *expected in PROXY_CASES:
         found = list(replies_through_proxy(next_mode))
         failed += 0 if found == expected else 1
