--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -346,11 +346,13 @@
 
 /* Whether orders of this owner or of an earlier one, which were meant for an earlier boot of
  * @target, may have prolonged the leases in its present boot before it received the present token.
- */
+ * Earlier owners may have sent heartbeats to targets that are not in their list. */
 static bool
 may_have_received_late_orders (const struct core_target *target)
 {
-  return target->inherited || target->fencing_token > target->core->options.fencing_token;
+  int64_t own_token = target->core->options.fencing_token;
+
+  return own_token > 1 || target->fencing_token > own_token;
 }
 
 /* Notes whether the boot that replied to a heartbeat sent at @sent_ms rejects the orders that were
@@ -412,8 +414,10 @@
   core_target_lose_runs (target, "address_taken_over");
   target->inherited = false;
   target->reported = target->reported_fully = false;
+  /* Until it has told its boot, orders to it carry nothing that concerns one. */
+  if (target->boot_known)
+    core_target_raise_token (target);
   target->boot_known = false;
-  core_target_raise_token (target);
   core_target_update_reconciled (target);
   fl_stats_add (core->options.stats, "targets_taken_over_total", 1);
 }
@@ -472,9 +476,9 @@
     report = NULL;
   target->last_heartbeat_at_ms = now_ms;
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
-  if (reply->result == FL_ORDER_OTHER_BOOT)
+  if (reply->result == FL_ORDER_OTHER_BOOT && !target->address_changed)
     handle_address_takeover (core, target);
-  if (reply->result == FL_ORDER_NO_LISTENER && target->silent)
+  if (reply->result == FL_ORDER_NO_LISTENER && target->silent && !target->address_changed)
     handle_no_listener (core, target);
   if (report == NULL || target->silent)
     update_silence (core, target, report == NULL, reply->result);
