--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -29,6 +29,8 @@
     { .target_crash = 50, .target_new_capacity = 1000, .order_reply_lost = 30 } },
   { "replies to heartbeats lost",
     { .heartbeat_reply_lost = 150, .target_crash = 30, .order_late_any_boot = 50 } },
+  { "gangs, orders and heartbeats executed in the next boot",
+    { .order_late_any_boot = 60, .heartbeat_late_any_boot = 60, .target_crash = 40, .gang = 500 } },
   { "another target has the address in between",
     { .order_late_any_boot = 300,
       .target_crash = 100,
