--- a/tests/test_ordered_writer.c
+++ b/tests/test_ordered_writer.c
@@ -121,6 +121,17 @@
     }
 }
 
+/* Whether nobody has written to the blocks. */
+static bool
+are_untouched (void **blocks)
+{
+  for (size_t i = 0; i < BLOCK_SIZES; i++)
+    for (size_t j = 0; j < (i + 1) * BLOCK_STEP; j++)
+      if (((const unsigned char *)blocks[i])[j] != 0xff)
+        return false;
+  return true;
+}
+
 static void
 free_blocks (void **blocks)
 {
@@ -170,6 +181,7 @@
           = fl_store_writer_new (fake_store_get_interface (store), "owner", "", "progress");
       send_write (&caller);
       assert_int_equal (caller.calls_left, 0);
+      assert_true (are_untouched (caller.blocks));
       /* No block of the caller has been freed in place of the writer. */
       allocate_blocks (later);
       for (size_t i = 0; i < BLOCK_SIZES; i++)
@@ -232,6 +244,7 @@
   allocate_blocks (blocks);
   call.done (call.context, &reply);
   assert_int_equal (caller.calls_left, 0);
+  assert_true (are_untouched (blocks));
   free_blocks (blocks);
   free_blocks (caller.blocks);
 }
