Soak: a kill of a target ends its connections first

Cause: the connections were reset after the restart only. A stand-in that lags had requests in its socket buffers, which the new boot then executed before any owner could know it; a killed process takes them with it. Change: the proxy resets its connections before the kill, and as before after it.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -411,6 +411,8 @@
                                               {b"/hold": 0.5}]), random.Random(generator.random()))
             time.sleep(duration_s / 2)
             down_ms = generator.choice([20, 20, 300, generator.randrange(2000)])
+            # A kill ends the connections: what the old boot has not read reaches no boot.
+            proxy.reset_open_connections()
             self.cell.control_target(
                 target, "crash", down_ms, cpu=generator.choice([0, generator.choice(CAPACITIES)]),
                 row_ms=generator.randrange(REGISTRY_INTERVAL_MS))
