--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -127,6 +127,8 @@
   run->last_order_at_ms = core->now_ms;
   run->started_at_ms = core->now_ms;
   run->fencing_token = target->fencing_token;
+  if (run->inconclusive_starts == 0)
+    run->first_ordered_at_ms = core->now_ms;
   run->progressed_at_ms = core->now_ms;
   target->next_expiry_check_ms = 0;
   core_target_extend_lease (target, core->now_ms, START_DEADLINE_MS);
@@ -181,7 +183,7 @@
   core->options.actions.stop (core->options.context, &order);
 }
 
-/* Stops the members of a gang after one of them could not be started. */
+/* Stops all members of a gang, since one of them is missing or is being stopped. */
 static void
 abort_gang (struct core_step *step)
 {
@@ -213,6 +215,8 @@
   core_run_set_state (run, CORE_RUN_STOPPING);
   run->confirmed_at_ms = 0;
   send_stop (run);
+  if (run->task->step->spec->gang)
+    abort_gang (run->task->step);
 }
 
 static void
