A clock that went back tells that a target has restarted

A target restarts within 20 ms of its kill, between two heartbeats; its new boot executes a start, which ends as done within 50 ms; the next heartbeat acknowledges this end unread by the end number of the boot before, since a restart was assumed to take longer than 400 ms.

The reply to the start carries the clock of the new boot. If it lies before that of the last report, the next heartbeat acknowledges nothing, prolongs nothing and is sent at once.

test_end_in_a_boot_that_only_its_clock_tells: without the check, the last row acknowledges 3 and has a deadline.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -17,6 +17,8 @@
  * than this after the previous reply does not use them: the target may have restarted since, which
  * takes longer than this. */
 #define BOOT_VALID_MS 400
+/* Replies may overtake each other by less than this. */
+#define CLOCK_TOLERANCE_MS 2000
 /* Time between heartbeats to a target that does not reply. */
 #define SILENT_RETRY_MS 300
 /* Time between checks of all targets for expired leases and orders to resend. These timeouts are
@@ -453,6 +455,15 @@
   return target->clock_ms + (now_ms - target->clock_at_ms);
 }
 
+void
+fl_core_handle_clock (struct fl_core *core, const struct fl_name *id, int64_t clock_ms)
+{
+  struct core_target *target = core_find_target (core, id);
+
+  if (target != NULL && clock_ms > 0 && clock_ms < target->clock_ms - CLOCK_TOLERANCE_MS)
+    target->clock_went_back = true;
+}
+
 static bool
 has_urgent_run (const struct core_target *target)
 {
@@ -494,7 +505,8 @@
   if (target->silent)
     return target->missed_heartbeats <= 1
            || now_ms - target->last_heartbeat_at_ms >= SILENT_RETRY_MS;
-  return !target->is_fenced || target->last_applied_end == target->last_recorded_end
+  return !target->is_fenced || target->clock_went_back
+         || target->last_applied_end == target->last_recorded_end
          || now_ms - target->last_heartbeat_at_ms >= RECORD_WAIT_MAX_MS;
 }
 
@@ -517,7 +529,8 @@
   /* While the jobs are not known, leases are renewed all the same. A target that has restarted may
    * then grant the longest one. */
   bool boot_is_valid = now_ms - target->last_heartbeat_at_ms <= BOOT_VALID_MS;
-  if (target->clock_at_ms == 0 || target->silent || (core->jobs_known && !boot_is_valid))
+  if (target->clock_at_ms == 0 || target->silent || target->clock_went_back
+      || (core->jobs_known && !boot_is_valid))
     return true;
   order->last_recorded_end = target->last_recorded_end;
   order->deadline_ms = core_target_clock_ms (target, now_ms) + core->options.target_lease_ms;
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -119,6 +119,10 @@
                                 enum fl_order_result result,
                                 int64_t now_ms);
 
+/* Handles @clock_ms, the clock of @target in its reply to an order; 0 if it is unknown. A clock
+ * that has gone back shows that the target has restarted. */
+void fl_core_handle_clock (struct fl_core *core, const struct fl_name *target, int64_t clock_ms);
+
 /* Handles the reply to a heartbeat that was sent at @sent_ms. */
 void fl_core_handle_heartbeat_reply (struct fl_core *core,
                                      const struct fl_name *target,
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -500,6 +500,7 @@
   if (report == NULL)
     return;
   update_boot (target, report, sent_ms);
+  target->clock_went_back = false;
   if (!core->jobs_known)
     {
       target->clock_ms = report->clock_ms;
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -69,8 +69,11 @@
 
   record_result (call, "start_ms", reply);
   if (!call->term->ended)
-    fl_core_handle_start_reply (call->term->core, &call->id, call->run, reply->result,
-                                fl_clock_boot_ms ());
+    {
+      fl_core_handle_clock (call->term->core, &call->target, reply->clock_ms);
+      fl_core_handle_start_reply (call->term->core, &call->id, call->run, reply->result,
+                                  fl_clock_boot_ms ());
+    }
   order_call_free (call);
 }
 
@@ -92,8 +95,11 @@
 
   record_result (call, "stop_ms", reply);
   if (!call->term->ended)
-    fl_core_handle_stop_reply (call->term->core, &call->id, call->run, reply->result,
-                               fl_clock_boot_ms ());
+    {
+      fl_core_handle_clock (call->term->core, &call->target, reply->clock_ms);
+      fl_core_handle_stop_reply (call->term->core, &call->id, call->run, reply->result,
+                                 fl_clock_boot_ms ());
+    }
   order_call_free (call);
 }
 
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -442,6 +442,47 @@
   fixture_free (fixture);
 }
 
+/* --- a restart that only the clock tells --- */
+
+/* A target restarted within 20 ms and ended a run at once. The next heartbeat acknowledged this end
+ * by the end number of the boot before, and the task was started again. */
+static void
+test_end_in_a_boot_that_only_its_clock_tells (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t clock_ms; /* in the reply to a start; that of the last report is 100020 */
+    bool acknowledges;
+  } cases[] = {
+    { "unknown", 0, true },
+    { "same boot", 100030, true },
+    { "the reply was overtaken", 99000, true },
+    { "next boot", 20, false },
+  };
+  struct fl_name id = fl_name_of ("t1");
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_end_row end
+          = { .number = 3, .task = fl_name_of ("gone.0.0.0"), .run = 1, .cause = FL_END_DONE };
+      add_target (fixture, "t1", 4, false);
+      fixture->now_ms += REPORT_INTERVAL_MS;
+      deliver_report (fixture, "t1",
+                      (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
+      tick_until_recorded (fixture, 10);
+      fl_core_handle_clock (fixture->core, &id, cases[i].clock_ms);
+      struct fl_heartbeat_order order = prepare_heartbeat (fixture);
+      if ((order.last_recorded_end > 0) != cases[i].acknowledges
+          || (order.deadline_ms > 0) != cases[i].acknowledges)
+        fail_msg ("%s: the heartbeat acknowledges %d, deadline %d", cases[i].name,
+                  (int)order.last_recorded_end, (int)order.deadline_ms);
+      fixture_free (fixture);
+    }
+}
+
 /* --- the registry entry of a boot --- */
 
 /* A target that restarted as a smaller one was filled by the capacity of the boot before. */
@@ -497,6 +538,7 @@
     cmocka_unit_test (test_heartbeat_sent_before_the_target_left),
     cmocka_unit_test (test_longest_lease_of_a_target_that_is_not_inherited),
     cmocka_unit_test (test_deadline_of_an_earlier_boot_while_jobs_are_unknown),
+    cmocka_unit_test (test_end_in_a_boot_that_only_its_clock_tells),
     cmocka_unit_test (test_capacity_of_an_earlier_boot),
   };
 
