--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -188,6 +188,7 @@
   confirm_start (fixture, 1);
   fl_core_handle_start_reply (fixture->core, &get_start_order (fixture, 2)->task, 1,
                               FL_ORDER_UNHEALTHY, fixture->now_ms);
+  assert_int_equal (fixture->stop_orders->len, 2);
   tick_until_recorded (fixture, 10);
   assert_int_equal (fixture->stop_orders->len, 2);
   assert_int_equal (fixture->start_orders->len, 3);
