--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -268,6 +268,13 @@
     }
 }
 
+/* The time by which a lease of @lease_ms that a target gave at @from_ms has certainly expired. */
+static int64_t
+lease_end_ms (int64_t from_ms, int64_t lease_ms)
+{
+  return from_ms + lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS;
+}
+
 /* The time by which a lease that the start of @run gave has certainly expired, in whatever boot it
  * arrived. In a boot that began after the last reply, a deadline by the clock of the previous boot
  * may be far ahead, so that the target grants the longest lease. */
@@ -276,16 +283,13 @@
 {
   const struct fl_core *core = run->task->step->job->core;
 
-  return run->started_at_ms + core->options.target_lease_max_ms * CORE_EXPIRY_PERCENT / 100
-         + CORE_EXPIRY_MARGIN_MS;
+  return lease_end_ms (run->started_at_ms, core->options.target_lease_max_ms);
 }
 
 void
 core_target_extend_lease (struct core_target *target, int64_t from_ms, int64_t lease_ms)
 {
-  target->lease_expires_at_ms
-      = MAX (target->lease_expires_at_ms,
-             from_ms + lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS);
+  target->lease_expires_at_ms = MAX (target->lease_expires_at_ms, lease_end_ms (from_ms, lease_ms));
 }
 
 void
--- a/tests/test_advisors.c
+++ b/tests/test_advisors.c
@@ -73,6 +73,18 @@
   (void)reply;
 }
 
+/* The advisors of one host, whose peers and service @fixture plays. */
+static struct fl_advisors_options
+make_options (struct fixture *fixture, const struct fl_advice_calls *calls)
+{
+  return (struct fl_advisors_options){ .host = &fixture->host,
+                                       .clock = { read_clock, fixture },
+                                       .calls = calls,
+                                       .on_reply = on_reply,
+                                       .send = send_to_peer,
+                                       .context = fixture };
+}
+
 /* A query whose message could not be sent waited for its timeout, and the step with it. */
 static void
 test_query_that_was_not_sent_takes_another_host (void **state)
@@ -95,12 +107,7 @@
     {
       struct fixture fixture = { .unreachable = cases[i].unreachable };
       struct fl_advice_calls calls = { &fixture, query_service };
-      struct fl_advisors_options options = { .host = &fixture.host,
-                                             .clock = { read_clock, &fixture },
-                                             .calls = &calls,
-                                             .on_reply = on_reply,
-                                             .send = send_to_peer,
-                                             .context = &fixture };
+      struct fl_advisors_options options = make_options (&fixture, &calls);
       struct fl_name step = fl_name_of ("0000000000000001.0.0");
       struct fl_name target = fl_name_of ("t1");
       struct fl_name peers[] = { fl_name_of ("p1"), fl_name_of ("p2") };
@@ -125,12 +132,7 @@
 {
   struct fixture fixture = { .unreachable = "p1 p2 p3 p4 p5" };
   struct fl_advice_calls calls = { &fixture, query_service };
-  struct fl_advisors_options options = { .host = &fixture.host,
-                                         .clock = { read_clock, &fixture },
-                                         .calls = &calls,
-                                         .on_reply = on_reply,
-                                         .send = send_to_peer,
-                                         .context = &fixture };
+  struct fl_advisors_options options = make_options (&fixture, &calls);
   struct fl_name step = fl_name_of ("0000000000000001.0.0");
   struct fl_name target = fl_name_of ("t1");
 
@@ -175,12 +177,7 @@
     {
       struct fixture fixture = { .unreachable = "", .now_ms = 100000 };
       struct fl_advice_calls calls = { &fixture, query_service };
-      struct fl_advisors_options options = { .host = &fixture.host,
-                                             .clock = { read_clock, &fixture },
-                                             .calls = &calls,
-                                             .on_reply = on_reply,
-                                             .send = send_to_peer,
-                                             .context = &fixture };
+      struct fl_advisors_options options = make_options (&fixture, &calls);
       struct fl_name step = fl_name_of ("0000000000000001.0.0");
       struct fl_name target = fl_name_of ("t1");
       int sent = 0;
