Advisors: decide apart from I/O

The choice of the host that sends an advice query and the limits of its reply move to a pure module, so that the simulated cell can use them. No decision changes, but that hosts are tried in the order in which they became known, not in that of a hash table. test_advisors advances its clock by hand until the query has timed out.

--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -6,24 +6,10 @@
 
 #include "common/clock.h"
 #include "common/schema.h"
+#include "poold/advisor_pool.h"
 
-/* Queries expected to take longer than this leave some hosts free for shorter ones. */
-#define LONG_QUERY_MS 150
-/* Enough for the short queries: about 20 a second, which take about 30 ms each. With few hosts, at
- * most half of them are left free. */
-#define RESERVED_HOSTS 2
-/* How long hosts are left free after the last short query was wanted. A short query that comes
- * after a longer pause waits for a long one at most, which takes about as long. */
-#define RESERVE_MS 500
-/* A query times out when its reply takes this much longer than expected. */
-#define REPLY_SLACK_MS 600
 /* A peer's call to the service ends this much earlier than the query, so that the peer can tell. */
 #define PEER_REPLY_MS 100
-/* After a query without a reply its host gets no other query for this long. */
-#define TIMEOUT_BACKOFF_MS 2000
-/* The same after a query that could not be sent: the link to the host is down, and reconnects
- * within a second once the host is back. */
-#define UNSENT_BACKOFF_MS 1000
 
 /* --- messages between hosts --- */
 
@@ -65,31 +51,23 @@
 
 /* --- objects --- */
 
-/* A host, this one or a peer, that passes one query at a time to the advice service. */
-struct advisor
+/* A query of this host, through itself or a peer, that has neither a reply nor timed out. */
+struct query
 {
   struct fl_advisors *advisors;
-  struct fl_name host;
-  struct fl_name address; /* empty for this host */
-  bool busy;
-  int64_t backoff_until_ms;
-  bool has_replied;     /* to the query before the one in flight */
-  bool is_unheard_of;   /* the last query timed out, and no message has come since */
-  int64_t query_number; /* of the query in flight */
+  int64_t number;
   struct fl_name step;
-  struct fl_name queried[FL_ADVICE_TARGETS_MAX];
-  size_t queried_count;
-  ev_timer timeout;
+  struct fl_name targets[FL_ADVICE_TARGETS_MAX];
+  size_t target_count;
 };
 
 struct fl_advisors
 {
   struct fl_advisors_options options;
-  GHashTable *hosts; /* host name -> struct advisor */
-  int64_t last_query_number;
-  int64_t backoffs_until_ms; /* of all hosts */
-  int64_t reserved_until_ms; /* hosts are left free for short queries until then */
-  GHashTable *peer_queries;  /* set of struct peer_query without a result */
+  struct fl_advisor_pool *pool;
+  GHashTable *queries;      /* number -> struct query */
+  GHashTable *peer_queries; /* set of struct peer_query without a result */
+  ev_timer overdue_timer;   /* when the next reply is overdue */
   bool is_draining;
 };
 
@@ -121,153 +99,129 @@
 
 /* --- queries of this host --- */
 
+static int64_t
+get_now (const struct fl_advisors *advisors)
+{
+  return fl_clock_now (&advisors->options.clock);
+}
+
 static void
-finish_query (struct advisor *advisor, const struct fl_advice_reply *reply)
+set_overdue_timer (struct fl_advisors *advisors)
 {
-  struct fl_advisors *advisors = advisor->advisors;
+  int64_t overdue_ms = fl_advisor_pool_next_overdue_ms (advisors->pool);
+  int64_t wait_ms = MAX (overdue_ms - get_now (advisors), 0);
+
+  ev_timer_stop (advisors->options.host->loop, &advisors->overdue_timer);
+  if (overdue_ms == INT64_MAX)
+    return;
+  ev_timer_set (&advisors->overdue_timer, (double)wait_ms / 1000.0, 0.0);
+  ev_timer_start (advisors->options.host->loop, &advisors->overdue_timer);
+}
 
-  advisor->busy = false;
-  ev_timer_stop (advisors->options.host->loop, &advisor->timeout);
-  advisor->has_replied = reply->received;
+/* Hands the result of the query to the caller, and forgets the query. */
+static void
+return_reply (struct fl_advisors *advisors,
+              const struct fl_advisor_query *ended,
+              const struct fl_advice_reply *reply)
+{
+  struct query *query = g_hash_table_lookup (advisors->queries, &ended->number);
+
+  g_hash_table_steal (advisors->queries, &ended->number);
   if (!reply->received)
     {
-      advisor->backoff_until_ms = fl_clock_now (&advisors->options.clock) + TIMEOUT_BACKOFF_MS;
-      advisors->backoffs_until_ms = MAX (advisors->backoffs_until_ms, advisor->backoff_until_ms);
       fl_stats_add (advisors->options.host->stats, "advice_unanswered_total", 1);
       fl_log (&advisors->options.host->log, FL_LOG_INFO, "advice_unanswered",
-              FL_N ("step", &advisor->step), FL_N ("host", &advisor->host));
+              FL_N ("step", &query->step), FL_N ("host", &ended->host));
     }
-  advisors->options.on_reply (advisors->options.context, &advisor->step, advisor->queried,
-                              advisor->queried_count, reply);
+  advisors->options.on_reply (advisors->options.context, &query->step, query->targets,
+                              query->target_count, reply);
+  g_free (query);
 }
 
 static void
-on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
+on_overdue_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
   static const struct fl_advice_reply no_reply = { 0 };
-  struct advisor *advisor = timer->data;
+  struct fl_advisors *advisors = timer->data;
+  struct fl_advisor_query ended;
 
   (void)loop;
   (void)events;
-  advisor->is_unheard_of = advisor->has_replied;
-  finish_query (advisor, &no_reply);
+  while (fl_advisor_pool_take_overdue (advisors->pool, get_now (advisors), &ended))
+    return_reply (advisors, &ended, &no_reply);
+  set_overdue_timer (advisors);
 }
 
-/* A query that this host sent itself. Its reply is ignored if it timed out: the advisor then has no
- * query in flight, or one with another number. */
-struct local_query
+/* Handles the reply to the query @number. The reply of a query that timed out is ignored. */
+static void
+finish_query (struct fl_advisors *advisors, int64_t number, const struct fl_advice_reply *reply)
 {
-  struct advisor *advisor;
-  int64_t query_number;
+  struct fl_advisor_query ended;
+
+  if (!fl_advisor_pool_finish (advisors->pool, number, reply->received, get_now (advisors), &ended))
+    return;
+  return_reply (advisors, &ended, reply);
+  set_overdue_timer (advisors);
+}
+
+/* A call of this host to the service, which may end after the query it is for. */
+struct own_call
+{
+  struct fl_advisors *advisors;
+  int64_t number;
 };
 
 static void
-on_local_reply (void *context, const struct fl_advice_reply *reply)
+on_own_call_reply (void *context, const struct fl_advice_reply *reply)
 {
-  struct local_query *query = context;
+  struct own_call *call = context;
 
-  if (query->advisor->busy && query->advisor->query_number == query->query_number)
-    finish_query (query->advisor, reply);
-  g_free (query);
+  finish_query (call->advisors, call->number, reply);
+  g_free (call);
 }
 
 static void
-query_service (struct advisor *advisor, int64_t timeout_ms)
+query_service (const struct query *query, int64_t timeout_ms)
 {
-  const struct fl_advice_calls *calls = advisor->advisors->options.calls;
-  struct local_query *query = g_new0 (struct local_query, 1);
+  const struct fl_advice_calls *calls = query->advisors->options.calls;
+  struct own_call *call = g_new0 (struct own_call, 1);
 
-  *query = (struct local_query){ advisor, advisor->query_number };
-  calls->query (calls->context, &advisor->step, advisor->queried, advisor->queried_count,
-                timeout_ms, on_local_reply, query);
+  *call = (struct own_call){ query->advisors, query->number };
+  calls->query (calls->context, &query->step, query->targets, query->target_count, timeout_ms,
+                on_own_call_reply, call);
 }
 
 static bool
-send_to_peer (struct advisor *advisor, int64_t timeout_ms)
+send_to_peer (const struct query *query, const struct fl_name *address, int64_t timeout_ms)
 {
   struct message_target targets[FL_ADVICE_TARGETS_MAX] = { 0 };
-  struct message message = { .query_number = advisor->query_number,
-                             .step = advisor->step,
+  struct message message = { .query_number = query->number,
+                             .step = query->step,
                              .timeout_ms = timeout_ms - PEER_REPLY_MS,
-                             .targets = { advisor->queried_count, targets } };
-  struct fl_route to = { .address = advisor->address };
+                             .targets = { query->target_count, targets } };
+  struct fl_route to = { .address = *address };
 
-  for (size_t i = 0; i < advisor->queried_count; i++)
-    targets[i].id = advisor->queried[i];
-  return send_message (advisor->advisors, &to, &message);
+  for (size_t i = 0; i < query->target_count; i++)
+    targets[i].id = query->targets[i];
+  return send_message (query->advisors, &to, &message);
 }
 
+/* @return false if @query was certainly not sent. */
 static bool
-is_free (const struct advisor *advisor, int64_t now_ms)
+send_query (const struct query *query, const struct fl_advisor_query *chosen)
 {
-  return !advisor->busy && now_ms >= advisor->backoff_until_ms;
-}
-
-/* @return how many of @used_count hosts stay free when a long query is sent. */
-static int
-count_reserved (const struct fl_advisors *advisors, int used_count, int64_t now_ms)
-{
-  return now_ms < advisors->reserved_until_ms ? MIN (RESERVED_HOSTS, (used_count - 1) / 2) : 0;
-}
+  int64_t timeout_ms = chosen->overdue_ms - chosen->sent_ms;
 
-/* @return a free host for a query, or NULL. Peers are preferred, since this host needs its
- * processor for decisions. */
-static struct advisor *
-choose_advisor (struct fl_advisors *advisors, bool is_long)
-{
-  int64_t now_ms = fl_clock_now (&advisors->options.clock);
-  struct advisor *best = NULL;
-  int free_count = 0;
-  int used_count = 0; /* hosts that have not failed recently */
-  GHashTableIter iter;
-  void *value;
-
-  g_hash_table_iter_init (&iter, advisors->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct advisor *advisor = value;
-      if (now_ms >= advisor->backoff_until_ms)
-        used_count++;
-      if (!is_free (advisor, now_ms))
-        continue;
-      free_count++;
-      if (best == NULL || best->address.len == 0)
-        best = advisor;
-    }
-  if (!is_long)
-    advisors->reserved_until_ms = now_ms + RESERVE_MS;
-  else if (free_count <= count_reserved (advisors, used_count, now_ms))
-    return NULL;
-  return best;
+  if (chosen->address.len > 0)
+    return send_to_peer (query, &chosen->address, timeout_ms);
+  query_service (query, timeout_ms);
+  return true;
 }
 
 bool
 fl_advisors_are_available (struct fl_advisors *advisors, int64_t least_ms)
 {
-  return choose_advisor (advisors, least_ms > LONG_QUERY_MS) != NULL;
-}
-
-static void
-prepare_query (struct advisor *advisor,
-               const struct fl_name *step,
-               const struct fl_name *targets,
-               size_t count)
-{
-  advisor->is_unheard_of = false;
-  advisor->query_number = ++advisor->advisors->last_query_number;
-  advisor->step = *step;
-  memcpy (advisor->queried, targets, count * sizeof targets[0]);
-  advisor->queried_count = count;
-}
-
-/* @return false if the prepared query of @advisor was certainly not sent. */
-static bool
-send_query (struct advisor *advisor, int64_t timeout_ms)
-{
-  if (advisor->address.len > 0)
-    return send_to_peer (advisor, timeout_ms);
-  query_service (advisor, timeout_ms);
-  return true;
+  return fl_advisor_pool_is_available (advisors->pool, least_ms, get_now (advisors));
 }
 
 bool
@@ -277,23 +231,26 @@
                         size_t count,
                         int64_t expected_ms)
 {
-  int64_t timeout_ms = expected_ms + REPLY_SLACK_MS;
-  struct advisor *advisor;
+  struct fl_advisor_query chosen;
+  struct query *query;
 
   if (count > FL_ADVICE_TARGETS_MAX)
     return false;
-  while ((advisor = choose_advisor (advisors, expected_ms > LONG_QUERY_MS)) != NULL)
+  query = g_new0 (struct query, 1);
+  *query = (struct query){ .advisors = advisors, .step = *step, .target_count = count };
+  memcpy (query->targets, targets, count * sizeof targets[0]);
+  while (fl_advisor_pool_begin (advisors->pool, expected_ms, get_now (advisors), &chosen))
     {
-      prepare_query (advisor, step, targets, count);
-      if (send_query (advisor, timeout_ms))
+      query->number = chosen.number;
+      if (send_query (query, &chosen))
         {
-          advisor->busy = true;
-          ev_timer_set (&advisor->timeout, (double)timeout_ms / 1000.0, 0.0);
-          ev_timer_start (advisors->options.host->loop, &advisor->timeout);
+          g_hash_table_insert (advisors->queries, &query->number, query);
+          set_overdue_timer (advisors);
           return true;
         }
-      advisor->backoff_until_ms = fl_clock_now (&advisors->options.clock) + UNSENT_BACKOFF_MS;
+      fl_advisor_pool_cancel (advisors->pool, chosen.number, get_now (advisors));
     }
+  g_free (query);
   return false;
 }
 
@@ -302,21 +259,7 @@
 void
 fl_advisors_note_message (struct fl_advisors *advisors, const struct fl_name *peer)
 {
-  int64_t now_ms = fl_clock_now (&advisors->options.clock);
-  GHashTableIter iter;
-  void *value;
-
-  if (now_ms >= advisors->backoffs_until_ms)
-    return;
-  g_hash_table_iter_init (&iter, advisors->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct advisor *advisor = value;
-      if (!advisor->is_unheard_of || !fl_name_eq (&advisor->address, peer))
-        continue;
-      advisor->is_unheard_of = false;
-      advisor->backoff_until_ms = now_ms;
-    }
+  fl_advisor_pool_note_message (advisors->pool, peer, get_now (advisors));
 }
 
 static void
@@ -326,21 +269,10 @@
   struct fl_advised_target rows[FL_ADVICE_TARGETS_MAX];
   struct fl_advice_reply reply
       = { message->service_replied, rows, message->targets.count, message->valid_ms };
-  GHashTableIter iter;
-  void *value;
 
   for (size_t i = 0; i < message->targets.count; i++)
     rows[i] = (struct fl_advised_target){ targets[i].id, targets[i].ticket };
-  g_hash_table_iter_init (&iter, advisors->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct advisor *advisor = value;
-      if (advisor->busy && advisor->query_number == message->query_number)
-        {
-          finish_query (advisor, &reply);
-          return;
-        }
-    }
+  finish_query (advisors, message->query_number, &reply);
 }
 
 static const struct fl_advice_reply no_advice = { 0 };
@@ -433,38 +365,12 @@
 
 /* --- hosts --- */
 
-static void
-advisor_free (void *data)
-{
-  struct advisor *advisor = data;
-
-  ev_timer_stop (advisor->advisors->options.host->loop, &advisor->timeout);
-  g_free (advisor);
-}
-
-static struct advisor *
-get_advisor (struct fl_advisors *advisors, const struct fl_name *host)
-{
-  struct advisor *advisor = g_hash_table_lookup (advisors->hosts, host);
-
-  if (advisor == NULL)
-    {
-      advisor = g_new0 (struct advisor, 1);
-      advisor->advisors = advisors;
-      advisor->host = *host;
-      ev_timer_init (&advisor->timeout, on_timeout, 0.0, 0.0);
-      advisor->timeout.data = advisor;
-      g_hash_table_insert (advisors->hosts, &advisor->host, advisor);
-    }
-  return advisor;
-}
-
 void
 fl_advisors_set_peer (struct fl_advisors *advisors,
                       const struct fl_name *host,
                       const struct fl_name *address)
 {
-  get_advisor (advisors, host)->address = *address;
+  fl_advisor_pool_set_peer (advisors->pool, host, address);
 }
 
 struct fl_advisors *
@@ -473,9 +379,11 @@
   struct fl_advisors *advisors = g_new0 (struct fl_advisors, 1);
 
   advisors->options = *options;
-  advisors->hosts = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, advisor_free);
+  advisors->pool = fl_advisor_pool_new (&options->host->settings.name);
+  advisors->queries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   advisors->peer_queries = g_hash_table_new (NULL, NULL);
-  get_advisor (advisors, &options->host->settings.name);
+  ev_timer_init (&advisors->overdue_timer, on_overdue_timer, 0.0, 0.0);
+  advisors->overdue_timer.data = advisors;
   return advisors;
 }
 
@@ -484,7 +392,9 @@
 {
   if (advisors == NULL)
     return;
-  g_hash_table_destroy (advisors->hosts);
+  ev_timer_stop (advisors->options.host->loop, &advisors->overdue_timer);
+  fl_advisor_pool_free (advisors->pool);
+  g_hash_table_destroy (advisors->queries);
   g_hash_table_destroy (advisors->peer_queries);
   g_free (advisors);
 }
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -2,7 +2,8 @@
  *
  * The service handles one query at a time for each calling host. To have several queries in flight,
  * the owner also sends queries through its peers, one at a time through each. Every flamingo-poold
- * passes the queries of its peers on to the service and returns the replies. */
+ * passes the queries of its peers on to the service and returns the replies. Which host sends a
+ * query, and when its reply is overdue, is decided by the advisor pool. */
 #pragma once
 
 #include "common/clock.h"
@@ -37,8 +38,7 @@
                           const char *data,
                           size_t len);
 
-/* Notes that any message of the peer at @peer has arrived. A peer whose link lost one query is used
- * again at once; one that loses two in a row, or that had no reply of the service, is not. */
+/* Notes that any message of the peer at @peer has arrived; see fl_advisor_pool_note_message. */
 void fl_advisors_note_message (struct fl_advisors *advisors, const struct fl_name *peer);
 
 /* Prepares the end of the process: queries of peers end without a reply of the service, those in
--- a/tests/test_advisors.c
+++ b/tests/test_advisors.c
@@ -345,6 +345,7 @@
       exchange.service_replies = false;
       if (!cases[i].second_is_lost)
         deliver_reply (&exchange);
+      exchange.owner.now_ms += 1000;
       /* Until the query has timed out. */
       ev_run (loop, 0);
       fl_advisors_note_message (exchange.owner.advisors, &heard_from);
