--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -169,6 +169,21 @@
   return queried;
 }
 
+/* @return for how many of @queried an earlier ticket has expired. */
+static int64_t
+count_expired (const struct core_step *step, const GArray *queried)
+{
+  int64_t count = 0;
+
+  for (guint i = 0; i < queried->len; i++)
+    {
+      const struct core_advice *advice
+          = g_hash_table_lookup (step->advice, &g_array_index (queried, struct fl_name, i));
+      count += advice != NULL && advice->eligible;
+    }
+  return count;
+}
+
 enum core_wait_reason
 core_advice_send_query (struct core_step *step, int64_t waiting)
 {
@@ -202,7 +217,10 @@
     }
   fl_log (core->options.log, FL_LOG_INFO, "advice_asked", FL_N ("step", &name),
           FL_I ("targets", queried->len), FL_I ("waiting", waiting),
-          FL_I ("expected_ms", expected_ms));
+          FL_I ("expected_ms", expected_ms), FL_I ("expired", count_expired (step, queried)),
+          FL_I ("queries", step->queries_sent));
+  step->queries_sent++;
+  core->queries_sent++;
   step->query_in_flight = true;
   step->queried_targets = queried;
   step->queried_cpu_milli
@@ -271,9 +289,14 @@
     return;
   core_advice_abandon_query (step);
   fl_log (core->options.log, FL_LOG_INFO, "advice_answered", FL_N ("step", step_name),
-          FL_I ("asked", (int64_t)queried_count), FL_I ("good", (int64_t)reply->count));
+          FL_I ("asked", (int64_t)queried_count), FL_I ("good", (int64_t)reply->count),
+          FL_I ("received", reply->received), FL_N ("host", &reply->host),
+          FL_I ("took_ms", reply->took_ms));
   if (!reply->received)
-    return;
+    {
+      step->queries_failed++;
+      return;
+    }
   /* The reply lists only the eligible ones of the queried targets. */
   for (size_t i = 0; i < queried_count; i++)
     {
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -177,8 +177,14 @@
   bool query_in_flight;      /* an advice query has no reply yet */
   GArray *queried_targets;   /* struct fl_name: targets of the query in flight; else NULL */
   int64_t queried_cpu_milli; /* tentatively charged to each queried target */
+  int64_t queries_sent;      /* about this step */
+  int64_t queries_failed;    /* of these, without a reply */
   enum core_wait_reason wait_reason;
   int64_t wait_started_at_ms;
+  /* When the wait began: queries_sent and queries_failed, and core->queries_sent. */
+  int64_t wait_queries_sent;
+  int64_t wait_queries_failed;
+  int64_t wait_all_queries_sent;
 };
 
 /* Whether the store records that a job may have tasks on a target. A successor relies on these
@@ -276,6 +282,7 @@
   bool registry_known;              /* see fl_core_set_registry_known */
   bool jobs_known;                  /* see fl_core_set_jobs_known */
   struct core_order_budget order_budget;
+  int64_t queries_sent;            /* advice queries about all steps */
   bool target_list_outdated;       /* the stored list may contain a target that left */
   bool records_in_flight;          /* collected records have been neither stored nor failed */
   int64_t records_collected_at_ms; /* when records were last collected */
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -604,6 +604,24 @@
   return wait == CORE_WAIT_CAPACITY && awaiting > 0 ? CORE_WAIT_RECORD : wait;
 }
 
+/* The lines of single queries may be folded when many steps wait, so that their number is part of
+ * this line. */
+static void
+log_wait_for_advice (const struct core_step *step,
+                     const struct fl_name *name,
+                     int64_t waited_ms,
+                     const char *next_reason)
+{
+  struct fl_core *core = step->job->core;
+  int64_t sent = step->queries_sent - step->wait_queries_sent;
+
+  fl_log (core->options.log, FL_LOG_INFO, "step_waited", FL_N ("step", name),
+          FL_S ("for", "advice"), FL_I ("ms", waited_ms), FL_S ("then", next_reason),
+          FL_I ("queries", sent),
+          FL_I ("unanswered", step->queries_failed - step->wait_queries_failed),
+          FL_I ("other_queries", core->queries_sent - step->wait_all_queries_sent - sent));
+}
+
 /* Updates the wait reason of @step. If it changes, logs the previous reason and its duration. */
 static void
 set_wait_reason (struct core_step *step, enum core_wait_reason wait)
@@ -621,11 +639,17 @@
       g_autofree char *stat
           = g_strdup_printf ("step_wait_ms{for=\"%s\"}", names[step->wait_reason]);
       fl_stats_record (core->options.stats, stat, waited_ms);
-      fl_log (core->options.log, FL_LOG_INFO, "step_waited", FL_N ("step", &name),
-              FL_S ("for", names[step->wait_reason]), FL_I ("ms", waited_ms),
-              FL_S ("then", names[wait]));
+      if (step->wait_reason == CORE_WAIT_ADVICE)
+        log_wait_for_advice (step, &name, waited_ms, names[wait]);
+      else
+        fl_log (core->options.log, FL_LOG_INFO, "step_waited", FL_N ("step", &name),
+                FL_S ("for", names[step->wait_reason]), FL_I ("ms", waited_ms),
+                FL_S ("then", names[wait]));
     }
   step->wait_reason = wait;
+  step->wait_queries_sent = step->queries_sent;
+  step->wait_queries_failed = step->queries_failed;
+  step->wait_all_queries_sent = core->queries_sent;
   step->wait_started_at_ms = core->now_ms;
 }
 
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -10,6 +10,8 @@
 
 /* A peer's call to the service ends this much earlier than the query, so that the peer can tell. */
 #define PEER_REPLY_MS 100
+/* Least time between two log lines that no host is free. */
+#define EXHAUSTED_LOG_INTERVAL_MS 1000
 
 /* --- messages between hosts --- */
 
@@ -68,6 +70,7 @@
   GHashTable *queries;      /* number -> struct query */
   GHashTable *peer_queries; /* set of struct peer_query without a result */
   ev_timer overdue_timer;   /* when the next reply is overdue */
+  int64_t exhausted_logged_ms;
   bool is_draining;
 };
 
@@ -125,16 +128,23 @@
               const struct fl_advice_reply *reply)
 {
   struct query *query = g_hash_table_lookup (advisors->queries, &ended->number);
+  struct fl_advice_reply result = *reply;
 
   g_hash_table_steal (advisors->queries, &ended->number);
-  if (!reply->received)
+  result.host = ended->host;
+  result.took_ms = get_now (advisors) - ended->sent_ms;
+  if (reply->received)
+    fl_stats_record (advisors->options.host->stats, "advice_ms", result.took_ms);
+  else
     {
       fl_stats_add (advisors->options.host->stats, "advice_unanswered_total", 1);
       fl_log (&advisors->options.host->log, FL_LOG_INFO, "advice_unanswered",
-              FL_N ("step", &query->step), FL_N ("host", &ended->host));
+              FL_N ("step", &query->step), FL_I ("query", ended->number),
+              FL_N ("host", &ended->host), FL_I ("after_ms", result.took_ms),
+              FL_I ("limit_ms", ended->overdue_ms - ended->sent_ms));
     }
   advisors->options.on_reply (advisors->options.context, &query->step, query->targets,
-                              query->target_count, reply);
+                              query->target_count, &result);
   g_free (query);
 }
 
@@ -159,7 +169,12 @@
   struct fl_advisor_query ended;
 
   if (!fl_advisor_pool_finish (advisors->pool, number, reply->received, get_now (advisors), &ended))
-    return;
+    {
+      fl_stats_add (advisors->options.host->stats, "advice_late_total", 1);
+      fl_log (&advisors->options.host->log, FL_LOG_INFO, "advice_late", FL_I ("query", number),
+              FL_I ("received", reply->received));
+      return;
+    }
   return_reply (advisors, &ended, reply);
   set_overdue_timer (advisors);
 }
@@ -218,10 +233,31 @@
   return true;
 }
 
+/* Logs how many hosts are in which state, at most once a second. */
+static void
+log_hosts_exhausted (struct fl_advisors *advisors, int64_t now_ms)
+{
+  struct fl_advisor_counts counts;
+
+  fl_stats_add (advisors->options.host->stats, "advice_no_host_total", 1);
+  if (now_ms - advisors->exhausted_logged_ms < EXHAUSTED_LOG_INTERVAL_MS)
+    return;
+  advisors->exhausted_logged_ms = now_ms;
+  counts = fl_advisor_pool_count (advisors->pool, now_ms);
+  fl_log (&advisors->options.host->log, FL_LOG_INFO, "advice_hosts_exhausted",
+          FL_I ("free", counts.free), FL_I ("in_use", counts.in_use),
+          FL_I ("backing_off", counts.backing_off));
+}
+
 bool
 fl_advisors_are_available (struct fl_advisors *advisors, int64_t least_ms)
 {
-  return fl_advisor_pool_is_available (advisors->pool, least_ms, get_now (advisors));
+  int64_t now_ms = get_now (advisors);
+  bool available = fl_advisor_pool_is_available (advisors->pool, least_ms, now_ms);
+
+  if (!available)
+    log_hosts_exhausted (advisors, now_ms);
+  return available;
 }
 
 bool
@@ -267,8 +303,10 @@
 {
   const struct message_target *targets = message->targets.items;
   struct fl_advised_target rows[FL_ADVICE_TARGETS_MAX];
-  struct fl_advice_reply reply
-      = { message->service_replied, rows, message->targets.count, message->valid_ms };
+  struct fl_advice_reply reply = { .received = message->service_replied,
+                                   .targets = rows,
+                                   .count = message->targets.count,
+                                   .tickets_valid_ms = message->valid_ms };
 
   for (size_t i = 0; i < message->targets.count; i++)
     rows[i] = (struct fl_advised_target){ targets[i].id, targets[i].ticket };
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -178,6 +178,8 @@
   struct fl_advised_target *targets;
   size_t count;
   int64_t tickets_valid_ms; /* how long the tickets are valid */
+  struct fl_name host; /* that queried the service; empty if the implementation does not tell */
+  int64_t took_ms;     /* from the query to the reply or the timeout */
 };
 
 /* Most targets in one query. */
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1089,7 +1089,8 @@
 {
   struct advice_query *query = data;
   struct fl_advised_target rows[FL_ADVICE_TARGETS_MAX];
-  struct fl_advice_reply reply = { true, rows, 0, TICKET_VALID_MS };
+  struct fl_advice_reply reply
+      = { .received = true, .targets = rows, .tickets_valid_ms = TICKET_VALID_MS };
 
   if (!query->owner->dead && query->owner->frozen_until_ms > cell->now_ms)
     {
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -202,7 +202,8 @@
 {
   struct fixture *fixture = fixture_new (0);
   struct fl_advised_target eligible[] = { { fl_name_of ("t1"), fl_name_of ("ticket-1") } };
-  struct fl_advice_reply reply = { true, eligible, 1, 2500 };
+  struct fl_advice_reply reply
+      = { .received = true, .targets = eligible, .count = 1, .tickets_valid_ms = 2500 };
 
   (void)state;
   add_target (fixture, "t1", 2, false);
@@ -928,7 +929,8 @@
 {
   struct fixture *fixture = fixture_new (0);
   struct fl_advised_target eligible[2];
-  struct fl_advice_reply reply = { true, eligible, 2, 2500 };
+  struct fl_advice_reply reply
+      = { .received = true, .targets = eligible, .count = 2, .tickets_valid_ms = 2500 };
   const char *const names[] = { "t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8", "t9" };
 
   (void)state;
