HTTP server: no connection is reset when it stops listening

Seen: test_front_stop, "unanswered 1" on a busy machine; a client that had connected and sent its request to a stopping flamingo-frontd got a reset.

Cause: fl_http_server_stop_listening accepted until EAGAIN and closed the listening socket. The kernel resets a connection that is completed between the two.

Change: a socket filter drops SYNs to the listening socket, so that no further handshake begins; 10 ms later, when those that had begun are completed, the server accepts what waits and closes the socket. A connection attempted in these 10 ms is refused only when its SYN is sent again, a second later.

The test now prints for how long the loop was held up.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -1,7 +1,9 @@
 #include "net/http_server.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +24,10 @@
  */
 #define FREE_FLUSH_MS 100
 #define FREE_RETRY_AFTER_MS 1000
+/* From the last SYN that is accepted until the listening socket is closed, so that the handshakes
+ * that have begun are completed: a round trip, and delays of the kernel on a host that is short of
+ * CPU. Connections that are attempted meanwhile are refused only when their SYN is sent again. */
+#define HANDSHAKE_MS 10
 
 struct fl_http_server
 {
@@ -35,9 +41,11 @@
   int connection_count;
   GHashTable *open_requests; /* set of complete requests without a response */
   int unsent_responses;      /* complete requests whose response has not been sent completely */
-  bool is_listener_closed;   /* by fl_http_server_stop_listening */
-  bool closing;              /* fl_http_server_free has been called */
-  bool resumed;              /* a connection was resumed since libmicrohttpd last ran */
+  bool has_stopped_listening;
+  MHD_socket listener;  /* from fl_http_server_stop_listening until it is closed */
+  ev_timer close_timer; /* closes it */
+  bool closing;         /* fl_http_server_free has been called */
+  bool resumed;         /* a connection was resumed since libmicrohttpd last ran */
 };
 
 /* One TCP connection, from accept to close. */
@@ -358,6 +366,7 @@
   struct fl_http_server *server = g_new0 (struct fl_http_server, 1);
 
   server->options = *options;
+  server->listener = MHD_INVALID_SOCKET;
   server->open_requests = g_hash_table_new (NULL, NULL);
   address.sin_port = htons ((uint16_t)options->port);
   if (inet_pton (AF_INET, options->address, &address.sin_addr) != 1)
@@ -386,29 +395,69 @@
   return server;
 }
 
-void
-fl_http_server_stop_listening (struct fl_http_server *server)
+/* Makes the kernel drop SYNs to @listener, so that no handshake begins. Those that have begun are
+ * completed. */
+static void
+drop_new_connections (MHD_socket listener)
+{
+  /* The filter sees packets from the TCP header on; the flags are at offset 13. */
+  struct sock_filter code[] = {
+    BPF_STMT (BPF_LD | BPF_B | BPF_ABS, 13),
+    BPF_STMT (BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+    BPF_JUMP (BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+    BPF_STMT (BPF_RET | BPF_K, 0),
+    BPF_STMT (BPF_RET | BPF_K, UINT32_MAX),
+  };
+  const struct sock_fprog filter = { G_N_ELEMENTS (code), code };
+
+  setsockopt (listener, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter);
+}
+
+static void
+close_listener (struct fl_http_server *server)
 {
   struct sockaddr_in address;
   socklen_t len = sizeof address;
-  MHD_socket listener;
   int fd;
 
-  if (server == NULL || server->is_listener_closed)
-    return;
-  /* Returns the same descriptor each time, also once it is closed. */
-  listener = MHD_quiesce_daemon (server->daemon);
-  if (listener == MHD_INVALID_SOCKET)
+  if (server->listener == MHD_INVALID_SOCKET)
     return;
-  server->is_listener_closed = true;
-  while ((fd = accept4 (listener, (struct sockaddr *)&address, &len, SOCK_NONBLOCK | SOCK_CLOEXEC))
+  ev_timer_stop (server->options.loop, &server->close_timer);
+  while ((fd = accept4 (server->listener, (struct sockaddr *)&address, &len,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC))
          >= 0)
     {
       /* Closes the socket if it fails. */
       MHD_add_connection (server->daemon, fd, (struct sockaddr *)&address, len);
       len = sizeof address;
     }
-  close (listener);
+  close (server->listener);
+  server->listener = MHD_INVALID_SOCKET;
+}
+
+static void
+on_close_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  close_listener (timer->data);
+}
+
+void
+fl_http_server_stop_listening (struct fl_http_server *server)
+{
+  if (server == NULL || server->has_stopped_listening)
+    return;
+  /* Returns the same descriptor each time, also once it is closed. */
+  server->listener = MHD_quiesce_daemon (server->daemon);
+  if (server->listener == MHD_INVALID_SOCKET)
+    return;
+  server->has_stopped_listening = true;
+  drop_new_connections (server->listener);
+  ev_timer_init (&server->close_timer, on_close_timer, HANDSHAKE_MS / 1000.0, 0.0);
+  server->close_timer.data = server;
+  ev_now_update (server->options.loop);
+  ev_timer_start (server->options.loop, &server->close_timer);
 }
 
 static bool
@@ -463,6 +512,9 @@
     return;
   server->closing = true;
   fl_http_server_stop_listening (server);
+  if (server->listener != MHD_INVALID_SOCKET)
+    poll (NULL, 0, HANDSHAKE_MS);
+  close_listener (server);
   respond_to_open_requests (server);
   flush_responses (server);
   ev_io_stop (server->options.loop, &server->epoll_watcher);
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -49,8 +49,8 @@
  * are sent. */
 void fl_http_server_free (struct fl_http_server *server);
 
-/* Closes the listening socket. Connections that wait to be accepted are accepted first, and those
- * that are open stay open. NULL is allowed. */
+/* Begins no further connection, and closes the listening socket a moment later. Connections that
+ * have begun by then are accepted, and those that are open stay open. NULL is allowed. */
 void fl_http_server_stop_listening (struct fl_http_server *server);
 
 /* @return the number of open connections, with or without a request. */
--- a/tests/support_http.c
+++ b/tests/support_http.c
@@ -60,6 +60,23 @@
   return false;
 }
 
+bool
+test_client_connect_within (struct test_client *client, int port, int timeout_ms)
+{
+  struct sockaddr_in address = loopback_address (port);
+  struct timeval timeout = { timeout_ms / 1000, (suseconds_t)(timeout_ms % 1000) * 1000 };
+
+  if (client->received == NULL)
+    client->received = g_string_new (NULL);
+  client->fd = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (client->fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+  if (connect (client->fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return true;
+  close (client->fd);
+  client->fd = -1;
+  return false;
+}
+
 void
 test_client_close (struct test_client *client)
 {
--- a/tests/support_http.h
+++ b/tests/support_http.h
@@ -21,6 +21,11 @@
 /* Connects to @port of 127.0.0.1, retrying until somebody listens there if @retry.
  * @return false when the connection was refused. */
 bool test_client_connect (struct test_client *client, int port, bool retry);
+
+/* Connects to @port of 127.0.0.1. @return false when the connection was refused, or was not
+ * complete after @timeout_ms. */
+bool test_client_connect_within (struct test_client *client, int port, int timeout_ms);
+
 void test_client_close (struct test_client *client);
 
 /* Sends @text. @return false when the connection has been closed. */
--- a/tests/test_front_stop.c
+++ b/tests/test_front_stop.c
@@ -168,8 +168,10 @@
       code = front_await_end (&front, &left_open);
       if (unanswered == 0 && answered > 0 && code == 0 && left_open == 0)
         continue;
-      print_error ("%s: answered %d, unanswered %d, exit code %d, %d requests left open\n",
-                   busy_cases[i].name, answered, unanswered, code, left_open);
+      print_error (
+          "%s: answered %d, unanswered %d, exit code %d, %d requests left open, loop held up "
+          "for %d ms\n",
+          busy_cases[i].name, answered, unanswered, code, left_open, (int)front.held_up_ms);
       failures++;
     }
   assert_int_equal (failures, 0);
--- a/tests/test_http_unread.c
+++ b/tests/test_http_unread.c
@@ -1,5 +1,5 @@
-/* Requests that were sent completely before the HTTP server is freed, and that it has not read yet.
- */
+/* Requests that were sent completely before the HTTP server is freed, and that it has not read yet;
+ * connections that it has not accepted yet. */
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -13,6 +13,7 @@
 
 #include "net/http_server.h"
 #include "support_http.h"
+#include "support_loop.h"
 
 #define HEADER_MAX (32 * 1024)
 #define BODY_MAX (256 * 1024)
@@ -115,10 +116,129 @@
   assert_int_equal (failures, 0);
 }
 
+/* --- connections that are completed while the server stops listening --- */
+
+#define STOPS 100
+#define CONNECTING_CLIENTS 3
+/* More than a client opens until the server has stopped listening. */
+#define CONNECTIONS_MAX 300
+#define CONNECT_INTERVAL_US 50
+#define SERVE_S 0.003
+/* While a server stops listening, connections may be refused as late as a second SYN is sent. */
+#define CONNECT_TIMEOUT_MS 20
+
+struct connecting_client
+{
+  GThread *thread;
+  int port;
+  struct test_client connections[CONNECTIONS_MAX];
+  int connected; /* number of connections */
+  int unanswered;
+  gint has_ended;
+};
+
+/* What clients have seen. */
+struct stop_counts
+{
+  int connected;
+  int unanswered;
+};
+
+static bool
+connect_and_request (struct test_client *client, int port)
+{
+  client->fd = -1;
+  if (!test_client_connect_within (client, port, CONNECT_TIMEOUT_MS))
+    return false;
+  test_client_request (client, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  return true;
+}
+
+/* Sends a request on one connection after another, until none is accepted any more, then waits for
+ * the responses. */
+static void *
+connect_repeatedly (void *data)
+{
+  struct connecting_client *self = data;
+  int count = 0;
+
+  while (count < CONNECTIONS_MAX && connect_and_request (&self->connections[count], self->port))
+    {
+      count++;
+      usleep (CONNECT_INTERVAL_US);
+    }
+  for (int i = 0; i < count; i++)
+    if (!self->connections[i].awaits_response
+        || test_client_poll (&self->connections[i], SUPPORT_HTTP_GUARD_MS) != 200)
+      self->unanswered++;
+  for (int i = 0; i < MIN (count + 1, CONNECTIONS_MAX); i++)
+    test_client_close (&self->connections[i]);
+  self->connected = count;
+  g_atomic_int_set (&self->has_ended, 1);
+  return NULL;
+}
+
+/* Stops listening while clients connect. Adds what they have seen to @total. */
+static void
+stop_listening_once (struct ev_loop *loop,
+                     struct connecting_client *clients,
+                     struct stop_counts *total)
+{
+  struct fl_http_server_options options = {
+    .loop = loop,
+    .address = "127.0.0.1",
+    .body_max = BODY_MAX,
+    .header_max = HEADER_MAX,
+    .connections_max = 2 * CONNECTING_CLIENTS * CONNECTIONS_MAX,
+    .idle_timeout_ms = TIMEOUT_MS,
+    .upload_timeout_ms = TIMEOUT_MS,
+    .on_request = on_request,
+  };
+  struct fl_http_server *server = fl_http_server_new (&options, NULL);
+
+  memset (clients, 0, CONNECTING_CLIENTS * sizeof clients[0]);
+  for (size_t i = 0; i < CONNECTING_CLIENTS; i++)
+    {
+      clients[i].port = fl_http_server_port (server);
+      clients[i].thread = g_thread_new ("client", connect_repeatedly, &clients[i]);
+    }
+  support_run_loop_for (loop, SERVE_S);
+  fl_http_server_stop_listening (server);
+  for (size_t i = 0; i < CONNECTING_CLIENTS; i++)
+    {
+      while (g_atomic_int_get (&clients[i].has_ended) == 0)
+        support_run_loop_for (loop, SERVE_S);
+      g_thread_join (clients[i].thread);
+      total->connected += clients[i].connected;
+      total->unanswered += clients[i].unanswered;
+    }
+  fl_http_server_free (server);
+}
+
+/* A connection that was completed between the last accept and the close of the listening socket
+ * was reset. */
+static void
+test_stop_listening_resets_no_connection (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  g_autofree struct connecting_client *clients
+      = g_new0 (struct connecting_client, CONNECTING_CLIENTS);
+  struct stop_counts total = { 0 };
+
+  (void)state;
+  for (int i = 0; i < STOPS; i++)
+    stop_listening_once (loop, clients, &total);
+  ev_loop_destroy (loop);
+  if (total.unanswered > 0)
+    fail_msg ("%d of %d connections were reset", total.unanswered, total.connected);
+  assert_true (total.connected > STOPS);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_unread_request_is_answered) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_unread_request_is_answered),
+                                      cmocka_unit_test (test_stop_listening_resets_no_connection) };
 
   return cmocka_run_group_tests_name ("http_unread", tests, NULL, NULL);
 }
