Ownership: the lease row tells the age of the term

Cause: a successor of an owner that has released the pool, or was an earlier process of its host, took any term of less than 34 renewals for one that had just begun. Renewals are sent 250 ms apart, so that this held for 8.5 s, and it added 3,049 ms in full until then.

Change: the field "renewals" of the lease row holds the age of the term in units of 100 ms, and the successor subtracts it from the time for which earlier owners may go on. Versions mix: 34 units are 3.4 s or more, so that the rule of earlier versions holds for the new value; of their value, renewals 100 ms apart or more, all but three count as units, as before. The age is counted from when the owner knew of its acquisition, never from before it was applied, and divided by 1.02 for the rates of two clocks. The 1,235 ms for which the owner had waited for the lease before it are now divided as well (3,074 in place of 3,049 ms).

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -56,10 +56,13 @@
  * LEASE_MS + HEARTBEAT_GRACE_MS, extended by the errors of clocks, after their last renewal, and
  * the acquisition followed LEASE_EXPIRY_MS after that. */
 #define EARLIER_HEARTBEATS_MS                                                                      \
-  ((LEASE_MS + HEARTBEAT_GRACE_MS) * HOST_CLOCK_PERCENT / 100 - LEASE_EXPIRY_MS)
-/* An owner that has sent so many renewals, RENEWAL_RETRY_MS apart or more but for a release,
- * acquired the pool at least EARLIER_HEARTBEATS_MS ago, also by a clock that is 2 % fast. */
-#define SETTLED_RENEWALS (EARLIER_HEARTBEATS_MS * HOST_CLOCK_PERCENT / 100 / RENEWAL_RETRY_MS + 3)
+  ((LEASE_MS + HEARTBEAT_GRACE_MS) * HOST_CLOCK_PERCENT / 100                                      \
+   - LEASE_EXPIRY_MS * 100 / HOST_CLOCK_PERCENT)
+/* The lease row tells the age of the owner's term in this unit. In an earlier version it is the
+ * number of renewals, sent RENEWAL_RETRY_MS apart or more but for the first ones and a release, so
+ * that a reader does not count AGE_UNITS_UNSURE of them. */
+#define AGE_UNIT_MS RENEWAL_RETRY_MS
+#define AGE_UNITS_UNSURE 3
 
 struct owner_row
 {
@@ -78,12 +81,12 @@
 
 struct lease_row
 {
-  int64_t renewals;
+  int64_t age_units;
   bool released;
 };
 
 static const struct fl_field lease_fields[] = {
-  { "renewals", FL_INT, offsetof (struct lease_row, renewals), true, 0, INT64_MAX, 0, NULL, NULL },
+  { "renewals", FL_INT, offsetof (struct lease_row, age_units), true, 0, INT64_MAX, 0, NULL, NULL },
   { "released", FL_BOOL, offsetof (struct lease_row, released), false, 0, 0, 0, NULL, NULL },
 };
 static FL_SCHEMA (lease_schema, lease_row, lease_fields);
@@ -121,12 +124,12 @@
   struct attempt attempt;
   int64_t pool_version; /* version of the pool row while this host is owner or confirming */
   int64_t authority_until_ms;
-  int64_t renewals; /* sent since the acquisition */
+  int64_t acquired_ms; /* a time at or after the acquisition; 0 until it is known to be applied */
   /* As last read by a standby: */
   struct owner_row seen_owner;
   int64_t seen_pool_version;
   int64_t seen_lease_version;
-  int64_t seen_renewals; /* of the owner's term; of its process where it is of an earlier version */
+  int64_t seen_age_units;           /* see AGE_UNIT_MS */
   int64_t lease_unchanged_since_ms; /* first read of seen_lease_version; 0 for none */
   int64_t last_read_ms;             /* last successful read */
   int failed_reads;                 /* since then */
@@ -193,7 +196,8 @@
 static struct fl_str
 encode_lease (const struct fl_ownership *ownership, bool released)
 {
-  struct lease_row row = { ownership->renewals, released };
+  int64_t age_ms = ownership->acquired_ms > 0 ? now_ms (ownership) - ownership->acquired_ms : 0;
+  struct lease_row row = { age_ms / AGE_UNIT_MS, released };
 
   return fl_record_encode (&lease_schema, &row);
 }
@@ -206,6 +210,8 @@
 {
   struct attempt attempt = ownership->attempt;
 
+  if (ownership->acquired_ms == 0)
+    ownership->acquired_ms = now_ms (ownership);
   ownership->state = OWNER;
   ownership->period++;
   ownership->calls_in_flight = 0;
@@ -232,6 +238,7 @@
   fl_log (ownership->options.log, FL_LOG_NOTICE, "acquisition_found",
           FL_I ("token", ownership->token), FL_I ("version", version));
   ownership->state = CONFIRMING;
+  ownership->acquired_ms = now_ms (ownership);
   ownership->pool_version = version;
   renew_lease (ownership);
 }
@@ -288,7 +295,6 @@
   struct fl_store_condition condition = fl_ownership_get_write_condition (ownership);
   struct fl_str value;
 
-  ownership->renewals++;
   value = encode_lease (ownership, released);
   struct fl_store_write write = make_row_write (FL_OWNER_LEASE_KEY, &value);
   struct fl_store_transaction transaction = { &condition, 1, &write, 1 };
@@ -321,7 +327,7 @@
 
   ownership->seen_pool_version = 0;
   ownership->seen_owner.token = 0;
-  ownership->seen_renewals = 0;
+  ownership->seen_age_units = 0;
   *lease_version = 0;
   for (size_t i = 0; i < reply->count; i++)
     {
@@ -337,7 +343,7 @@
                && fl_record_decode (&lease_schema, row->value.data, row->value.len, &lease, NULL))
         {
           *lease_version = row->version;
-          ownership->seen_renewals = lease.renewals;
+          ownership->seen_age_units = lease.age_units;
         }
     }
   return !owned || lease.released;
@@ -438,9 +444,19 @@
     handle_unconfirmed_acquisition (ownership, call, reply);
 }
 
+/* The least age of the owner's term when its last renewal was seen, by the clock of this host; up
+ * to EARLIER_HEARTBEATS_MS. */
+static int64_t
+get_seen_age_ms (const struct fl_ownership *ownership)
+{
+  int64_t units = CLAMP (ownership->seen_age_units - AGE_UNITS_UNSURE, 0, EARLIER_HEARTBEATS_MS);
+
+  return MIN (units * AGE_UNIT_MS * 100 / HOST_CLOCK_PERCENT, EARLIER_HEARTBEATS_MS);
+}
+
 /* Until when earlier owners may send heartbeats. The owner that was seen last sent the renewal that
  * this host has seen last before this host saw it, and the acquisition fails if it has renewed its
- * lease since. Owners before it may be active when its term was short. */
+ * lease since. Owners before it may be active while its term is young. */
 static int64_t
 get_heartbeats_end_ms (const struct fl_ownership *ownership, bool owner_may_be_active)
 {
@@ -448,8 +464,8 @@
 
   if (owner_may_be_active)
     return seen_ms + (LEASE_MS + HEARTBEAT_GRACE_MS) * HOST_CLOCK_PERCENT / 100;
-  if (ownership->seen_owner.token > 1 && ownership->seen_renewals < SETTLED_RENEWALS)
-    return seen_ms + EARLIER_HEARTBEATS_MS;
+  if (ownership->seen_owner.token > 1)
+    return seen_ms + EARLIER_HEARTBEATS_MS - get_seen_age_ms (ownership);
   return seen_ms;
 }
 
@@ -468,7 +484,7 @@
   struct fl_str owner = fl_record_encode (&owner_schema, &row);
   struct fl_str lease;
 
-  ownership->renewals = 0;
+  ownership->acquired_ms = 0;
   lease = encode_lease (ownership, false);
   struct fl_store_write writes[]
       = { make_row_write (FL_OWNER_POOL_KEY, &owner), make_row_write (FL_OWNER_LEASE_KEY, &lease) };
