Simulated cell: advice through hosts, with a service as published

A query took the expected time plus 20 ms at most, any number in parallel, and nothing was lost, so that no test showed jobs that wait for advice although there is capacity.

With an advice profile, each owner of the cell now chooses hosts with lib/poold/advisor_pool. Profiles add delays, calls that hang, closed connections, lost messages, and frozen and failed hosts. A job with nothing running for 3 s, though an eligible target has room for two of its tasks, breaks LOST after 7 s without a fault; if the service is only slow, without a calm time, plus the delay of one query.

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1,4 +1,6 @@
 #include "support_cell.h"
+#include "poold/advisor_pool.h"
+#include "support_advice.h"
 #include "support_target.h"
 
 #include <stdio.h>
@@ -16,6 +18,7 @@
 #define HEARTBEAT_GRACE_MS 3000
 #define TARGET_LEASE_MS 4500
 #define TICK_INTERVAL_MS 25
+#define CELL_TIMER_MS 20
 #define ORDER_TIMEOUT_MS 700
 /* A heartbeat gets no reply if none arrives within this time after its wait. */
 #define HEARTBEAT_REPLY_MARGIN_MS 300
@@ -84,6 +87,7 @@
   int64_t known_at_ms;       /* since when */
   bool is_fenced; /* the present boot has received a heartbeat that was sent after that */
   int64_t disturbed_until_ms;
+  struct fl_resources free; /* as last counted by count_usage */
   struct target_state state;
   GArray *waiting_heartbeats; /* struct call *: heartbeats that wait for an end */
 };
@@ -102,8 +106,12 @@
   bool cancelled;
   bool long_running;
   bool gang;
-  struct fl_str progress; /* encoded, as stored */
-  bool ended;             /* the stored progress has a final state */
+  enum advice_queue queue; /* with an advice profile */
+  int steps_done;          /* as last seen by find_step */
+  int running;             /* tasks, as last counted by count_usage */
+  int64_t idle_since_ms;   /* nothing runs, though a task could be started, since this time */
+  struct fl_str progress;  /* encoded, as stored */
+  bool ended;              /* the stored progress has a final state */
 };
 
 /* What happened to a task at the targets. */
@@ -138,6 +146,10 @@
   bool records_in_flight;
   bool targets_in_flight;
   GHashTable *heartbeats_in_flight;
+  int host;                         /* with an advice profile, as are the following */
+  struct fl_advisor_pool *advisors; /* chooses the hosts for advice queries */
+  GHashTable *queries;              /* number -> struct advice_query: neither ended nor overdue */
+  int64_t pinged_ms;                /* when the peers last sent a message */
 };
 
 struct cell
@@ -159,10 +171,12 @@
   struct fl_configuration *configuration;
   struct fl_stats *stats;
   struct fl_log log;
-  int order_count;       /* starts and stops sent so far */
-  int transaction_count; /* store transactions of owners so far */
-  int64_t last_fault_ms; /* when the last fault began */
-  GArray *gang_ends;     /* struct target_end: after which the other members end, too */
+  int order_count;                  /* starts and stops sent so far */
+  int transaction_count;            /* store transactions of owners so far */
+  int64_t last_fault_ms;            /* when the last fault began */
+  GArray *gang_ends;                /* struct target_end: after which the other members end, too */
+  struct advice_service *advice;    /* NULL without an advice profile */
+  struct fl_resources team_used[2]; /* as last counted by count_usage */
   struct cell_result result;
 };
 
@@ -183,6 +197,8 @@
 {
   const struct cell_options *options = &cell->options;
 
+  if (cell->advice != NULL && !advice_service_is_in_burst (cell->advice, cell->now_ms))
+    return false;
   return cell->now_ms < options->fault_phase_ms
          && (options->fault_cycle_ms == 0
              || cell->now_ms % options->fault_cycle_ms < options->fault_burst_ms);
@@ -711,6 +727,25 @@
   return result;
 }
 
+/* With an advice profile, a ticket ends with the time at which it expires. */
+static bool
+is_ticket_valid (struct cell *cell,
+                 const struct fake_target *target,
+                 const struct fl_start_order *order)
+{
+  struct fl_name ticket = format_ticket (&order->task, target);
+  const char *rest = order->ticket + ticket.len;
+
+  if (cell->advice == NULL)
+    return strcmp (order->ticket, ticket.data) == 0;
+  if (!g_str_has_prefix (order->ticket, ticket.data) || rest[0] != '@')
+    return false;
+  if (cell->now_ms <= g_ascii_strtoll (rest + 1, NULL, 10))
+    return true;
+  cell->result.tickets_rejected++;
+  return false;
+}
+
 static enum fl_order_result
 handle_start (struct cell *cell, struct fake_target *target, const struct fl_start_order *order)
 {
@@ -719,8 +754,7 @@
   trace (cell, "start received", &order->task, order->run, &target->id);
   if (!fl_name_eq (&target->id, &order->target))
     return FL_ORDER_OTHER_BOOT;
-  if (cell->options.advice_required
-      && strcmp (order->ticket, format_ticket (&order->task, target).data) != 0)
+  if (cell->options.advice_required && !is_ticket_valid (cell, target, order))
     return FL_ORDER_NO_TICKET;
   if (job != NULL && job->long_running)
     return target_state_start_run (
@@ -1076,7 +1110,10 @@
   (void)order;
 }
 
-struct advice_query
+/* --- advice --- */
+
+/* The reply to each query arrives shortly after the expected time. */
+struct prompt_query
 {
   struct owner *owner;
   struct fl_name step;
@@ -1084,36 +1121,293 @@
   size_t count;
 };
 
+/* Fills @rows with the eligible ones of @targets. @return the number of rows. */
+static size_t
+advise (const struct cell *cell,
+        const struct fl_name *step,
+        const struct fl_name *targets,
+        size_t count,
+        struct fl_advised_target *rows)
+{
+  size_t row_count = 0;
+
+  for (size_t i = 0; i < count; i++)
+    for (guint j = 0; j < cell->targets->len; j++)
+      {
+        const struct fake_target *target = g_ptr_array_index (cell->targets, j);
+        if (fl_name_eq (&target->id, &targets[i]) && is_eligible (cell, step, target))
+          rows[row_count++] = (struct fl_advised_target){
+            target->id, fl_name_format ("%s/%s/%d", step->data, target->id.data, target->boot)
+          };
+      }
+  return row_count;
+}
+
 static void
-on_query_done (struct cell *cell, void *data)
+on_prompt_query_done (struct cell *cell, void *data)
 {
-  struct advice_query *query = data;
+  struct prompt_query *query = data;
   struct fl_advised_target rows[FL_ADVICE_TARGETS_MAX];
   struct fl_advice_reply reply
       = { .received = true, .targets = rows, .tickets_valid_ms = TICKET_VALID_MS };
 
   if (!query->owner->dead && query->owner->frozen_until_ms > cell->now_ms)
     {
-      schedule (cell, query->owner->frozen_until_ms - cell->now_ms, on_query_done, query);
+      schedule (cell, query->owner->frozen_until_ms - cell->now_ms, on_prompt_query_done, query);
       return;
     }
-
-  for (size_t i = 0; i < query->count; i++)
-    for (guint j = 0; j < cell->targets->len; j++)
-      {
-        const struct fake_target *target = g_ptr_array_index (cell->targets, j);
-        if (fl_name_eq (&target->id, &query->targets[i])
-            && is_eligible (cell, &query->step, target))
-          rows[reply.count++] = (struct fl_advised_target){
-            target->id, fl_name_format ("%s/%s/%d", query->step.data, target->id.data, target->boot)
-          };
-      }
+  reply.count = advise (cell, &query->step, query->targets, query->count, rows);
   if (!query->owner->dead)
     fl_core_handle_advice_reply (query->owner->core, &query->step, query->targets, query->count,
                                  &reply, cell->now_ms);
   g_free (query);
 }
 
+static void
+send_prompt_query (struct owner *owner,
+                   const struct fl_name *step,
+                   const struct fl_name *targets,
+                   size_t count,
+                   int64_t expected_ms)
+{
+  struct prompt_query *query = g_new0 (struct prompt_query, 1);
+
+  query->owner = owner;
+  query->step = *step;
+  query->count = count;
+  memcpy (query->targets, targets, count * sizeof targets[0]);
+  schedule (owner->cell, expected_ms + random_between (owner->cell, 1, 20), on_prompt_query_done,
+            query);
+}
+
+/* --- advice through hosts, with an advice profile --- */
+
+/* A peer ends its call this much before the query is overdue. */
+#define PEER_REPLY_MS 100
+#define MESSAGE_MAX_MS 5
+#define PING_INTERVAL_MS 500
+
+/* Counts its references: one of the owner until the query has ended or is overdue, and one of the
+ * messages and the call. */
+struct advice_query
+{
+  struct owner *owner;
+  int host;
+  int64_t number;
+  int64_t timeout_ms; /* of the call to the service */
+  enum advice_queue queue;
+  struct fl_name step;
+  struct fl_name targets[FL_ADVICE_TARGETS_MAX];
+  size_t count;
+  bool service_replied;
+  struct fl_advised_target rows[FL_ADVICE_TARGETS_MAX];
+  size_t row_count;
+};
+
+static void
+trace_query (const struct advice_query *query, const char *event)
+{
+  const struct cell *cell = query->owner->cell;
+
+  if (cell->options.trace_prefix != NULL
+      && g_str_has_prefix (query->step.data, cell->options.trace_prefix))
+    printf ("%6d query %d %s: step %s, host %d, owner %d, %d targets\n", (int)cell->now_ms,
+            (int)query->number, event, query->step.data, query->host,
+            (int)query->owner->fencing_token, (int)query->count);
+}
+
+static struct fl_name
+format_host (int host)
+{
+  return fl_name_format ("h%d", host);
+}
+
+static bool
+is_frozen (const struct owner *owner)
+{
+  return owner->frozen_until_ms > owner->cell->now_ms;
+}
+
+/* Glue between the pool of advisors and the core, as in lib/poold/advisors.c: the query has ended
+ * with or without advice, or is overdue. */
+static void
+return_reply (struct advice_query *query, bool received)
+{
+  struct cell *cell = query->owner->cell;
+  struct fl_advice_reply reply = { .received = received,
+                                   .targets = query->rows,
+                                   .count = received ? query->row_count : 0,
+                                   .tickets_valid_ms = cell->options.advice->tickets_valid_ms };
+
+  cell->result.queries_unanswered += received ? 0 : 1;
+  fl_core_handle_advice_reply (query->owner->core, &query->step, query->targets, query->count,
+                               &reply, cell->now_ms);
+}
+
+/* The reply of the host has arrived. */
+static void
+finish_query (struct advice_query *query)
+{
+  struct owner *owner = query->owner;
+  struct cell *cell = owner->cell;
+
+  trace_query (query, query->service_replied ? "replied" : "failed");
+  if (!fl_advisor_pool_finish (owner->advisors, query->number, query->service_replied, cell->now_ms,
+                               NULL))
+    {
+      cell->result.replies_late += query->service_replied ? 1 : 0;
+      return;
+    }
+  return_reply (query, query->service_replied);
+  g_hash_table_remove (owner->queries, &query->number);
+}
+
+static void
+end_overdue_queries (struct owner *owner)
+{
+  struct fl_advisor_query overdue;
+
+  while (fl_advisor_pool_take_overdue (owner->advisors, owner->cell->now_ms, &overdue))
+    {
+      struct advice_query *query = g_hash_table_lookup (owner->queries, &overdue.number);
+      trace_query (query, "overdue");
+      return_reply (query, false);
+      g_hash_table_remove (owner->queries, &overdue.number);
+    }
+}
+
+static void
+on_overdue_timer (struct cell *cell, void *data)
+{
+  struct owner *owner = data;
+
+  if (owner->dead)
+    return;
+  if (is_frozen (owner))
+    schedule (cell, owner->frozen_until_ms - cell->now_ms, on_overdue_timer, owner);
+  else
+    end_overdue_queries (owner);
+}
+
+/* Runs @handler once the processes of the host go on. @return whether they are suspended. */
+static bool
+defer_while_frozen (struct advice_query *query, void (*handler) (struct cell *cell, void *data))
+{
+  struct cell *cell = query->owner->cell;
+  int64_t until_ms = advice_service_frozen_until_ms (cell->advice, query->host);
+
+  if (query->host == query->owner->host && !query->owner->dead)
+    until_ms = MAX (until_ms, query->owner->frozen_until_ms);
+  if (until_ms <= cell->now_ms)
+    return false;
+  schedule (cell, until_ms - cell->now_ms, handler, query);
+  return true;
+}
+
+static void
+on_query_done (struct cell *cell, void *data)
+{
+  struct advice_query *query = data;
+  struct owner *owner = query->owner;
+
+  if (!owner->dead && is_frozen (owner))
+    {
+      schedule (cell, owner->frozen_until_ms - cell->now_ms, on_query_done, query);
+      return;
+    }
+  if (!owner->dead)
+    {
+      struct fl_name address = format_host (query->host);
+      fl_advisor_pool_note_message (owner->advisors, &address, cell->now_ms);
+      finish_query (query);
+    }
+  g_rc_box_release (query);
+}
+
+/* Sends the result from the host to the owner, by @handler. */
+static void
+on_call_ended (struct cell *cell, void *data)
+{
+  struct advice_query *query = data;
+
+  if (defer_while_frozen (query, on_call_ended))
+    return;
+  if (query->host == query->owner->host)
+    on_query_done (cell, query);
+  else if (advice_service_loses_message (cell->advice, query->host, cell->now_ms))
+    {
+      trace_query (query, "reply lost");
+      g_rc_box_release (query);
+    }
+  else
+    schedule (cell, advice_service_draw (cell->advice, 1, MESSAGE_MAX_MS), on_query_done, query);
+}
+
+static void
+on_service_reply (struct cell *cell, void *data)
+{
+  struct advice_query *query = data;
+
+  query->service_replied = true;
+  query->row_count = advise (cell, &query->step, query->targets, query->count, query->rows);
+  for (size_t i = 0; i < query->row_count; i++)
+    query->rows[i].ticket
+        = fl_name_format ("%s@%d", query->rows[i].ticket.data,
+                          (int)(cell->now_ms + cell->options.advice->tickets_valid_ms));
+  on_call_ended (cell, query);
+}
+
+/* The query is at its host, which calls the service. */
+static void
+on_query_received (struct cell *cell, void *data)
+{
+  struct advice_query *query = data;
+  struct advice_outcome outcome;
+
+  if (defer_while_frozen (query, on_query_received))
+    return;
+  if (advice_service_is_lost (cell->advice, query->host, cell->now_ms))
+    {
+      g_rc_box_release (query);
+      return;
+    }
+  outcome
+      = advice_service_call (cell->advice, query->host, query->queue, query->count, cell->now_ms);
+  if (outcome.at_ms - cell->now_ms > query->timeout_ms)
+    {
+      trace_query (query, "will be given up by its host");
+      schedule (cell, query->timeout_ms, on_call_ended, query);
+    }
+  else
+    schedule (cell, outcome.at_ms - cell->now_ms,
+              outcome.replied ? on_service_reply : on_call_ended, query);
+}
+
+/* @return false if @query was certainly not sent. */
+static bool
+pass_query_on (struct advice_query *query, const struct fl_advisor_query *chosen)
+{
+  struct cell *cell = query->owner->cell;
+  bool is_peer = chosen->address.len > 0;
+
+  query->number = chosen->number;
+  query->host = (int)g_ascii_strtoll (chosen->host.data + 1, NULL, 10);
+  query->timeout_ms = chosen->overdue_ms - chosen->sent_ms - (is_peer ? PEER_REPLY_MS : 0);
+  if (is_peer && advice_service_is_known_lost (cell->advice, query->host, cell->now_ms))
+    return false;
+  trace_query (query, "sent");
+  g_hash_table_insert (query->owner->queries, &query->number, query);
+  schedule (cell, chosen->overdue_ms - cell->now_ms, on_overdue_timer, query->owner);
+  if (!is_peer)
+    schedule (cell, 0, on_query_received, g_rc_box_acquire (query));
+  else if (advice_service_loses_message (cell->advice, query->host, cell->now_ms))
+    trace_query (query, "lost");
+  else
+    schedule (cell, advice_service_draw (cell->advice, 1, MESSAGE_MAX_MS), on_query_received,
+              g_rc_box_acquire (query));
+  return true;
+}
+
 static bool
 send_advice_query (void *context,
                    const struct fl_name *step,
@@ -1122,22 +1416,90 @@
                    int64_t expected_ms)
 {
   struct owner *owner = context;
-  struct advice_query *query = g_new0 (struct advice_query, 1);
+  struct fl_advisor_query chosen;
+  struct advice_query *query;
 
+  if (owner->advisors == NULL)
+    {
+      send_prompt_query (owner, step, targets, count, expected_ms);
+      return true;
+    }
+  query = g_rc_box_new0 (struct advice_query);
   query->owner = owner;
+  query->queue = find_job_of_task (owner->cell, step)->queue;
   query->step = *step;
   query->count = count;
   memcpy (query->targets, targets, count * sizeof targets[0]);
-  schedule (owner->cell, expected_ms + random_between (owner->cell, 1, 20), on_query_done, query);
-  return true;
+  while (fl_advisor_pool_begin (owner->advisors, expected_ms, owner->cell->now_ms, &chosen))
+    {
+      if (pass_query_on (query, &chosen))
+        {
+          owner->cell->result.queries++;
+          return true;
+        }
+      fl_advisor_pool_cancel (owner->advisors, chosen.number, owner->cell->now_ms);
+    }
+  g_rc_box_release (query);
+  return false;
 }
 
 static bool
 may_query_advice (void *context, int64_t least_ms)
 {
-  (void)context;
-  (void)least_ms;
-  return true;
+  struct owner *owner = context;
+
+  return owner->advisors == NULL
+         || fl_advisor_pool_is_available (owner->advisors, least_ms, owner->cell->now_ms);
+}
+
+/* Notes the messages that each peer that works sends now and then. */
+static void
+note_pings (struct owner *owner)
+{
+  struct cell *cell = owner->cell;
+
+  if (owner->advisors == NULL || cell->now_ms - owner->pinged_ms < PING_INTERVAL_MS)
+    return;
+  owner->pinged_ms = cell->now_ms;
+  for (int i = 0; i < cell->options.advice->host_count; i++)
+    {
+      struct fl_name address = format_host (i);
+      if (i != owner->host && advice_service_frozen_until_ms (cell->advice, i) <= cell->now_ms
+          && !advice_service_loses_message (cell->advice, i, cell->now_ms))
+        fl_advisor_pool_note_message (owner->advisors, &address, cell->now_ms);
+    }
+}
+
+/* The host that acquires the pool: each in turn, except those that have failed. */
+static int
+choose_owner_host (const struct cell *cell)
+{
+  int host_count = cell->options.advice->host_count;
+  int host = (int)cell->owners->len % host_count;
+
+  while (advice_service_is_lost (cell->advice, host, cell->now_ms))
+    host = (host + 1) % host_count;
+  return host;
+}
+
+static void
+add_advisors (struct owner *owner)
+{
+  struct cell *cell = owner->cell;
+  struct fl_name name;
+
+  if (cell->advice == NULL)
+    return;
+  owner->host = choose_owner_host (cell);
+  name = format_host (owner->host);
+  owner->advisors = fl_advisor_pool_new (&name);
+  owner->queries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_rc_box_release);
+  for (int i = 0; i < cell->options.advice->host_count; i++)
+    {
+      name = format_host (i);
+      if (i != owner->host)
+        fl_advisor_pool_set_peer (owner->advisors, &name, &name);
+    }
 }
 
 /* --- store access of owners --- */
@@ -1419,8 +1781,12 @@
 
   if (owner->dead)
     return;
+  if (owner->advisors != NULL)
+    owner->frozen_until_ms
+        = MAX (owner->frozen_until_ms, advice_service_frozen_until_ms (cell->advice, owner->host));
   if (owner->frozen_until_ms <= cell->now_ms)
     {
+      note_pings (owner);
       if (can_reach_store (owner) && cell->owner_token == owner->fencing_token)
         {
           read_registry (owner);
@@ -1476,6 +1842,7 @@
   owner->fencing_token = cell->owner_token;
   owner->heartbeats_in_flight = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
   owner->core = fl_core_new (&options);
+  add_advisors (owner);
   owner->authority_until_ms = cell->now_ms + POOL_LEASE_MS;
   cell->lease_written_ms = cell->now_ms;
   fl_core_configure (owner->core, cell->configuration);
@@ -1655,6 +2022,21 @@
   job->cancelled = job->cancelled || !job->long_running;
 }
 
+static const char *const queue_names[ADVICE_QUEUES] = { "short", "long" };
+
+/* Jobs of an advice profile have one or two steps, and half of them are of the queue with short
+ * queries. */
+static void
+shape_job (struct cell *cell, struct fake_job *job)
+{
+  job->queue
+      = advice_service_draw (cell->advice, 0, 1) == 0 ? ADVICE_QUEUE_SHORT : ADVICE_QUEUE_LONG;
+  job->step_count = (int)advice_service_draw (cell->advice, 1, 2);
+  job->team
+      = advice_service_draw (cell->advice, 0, 999) < cell->options.advice->capped_jobs ? 0 : 1;
+  job->idle_since_ms = cell->now_ms;
+}
+
 static void
 submit_job (struct cell *cell)
 {
@@ -1674,9 +2056,11 @@
   /* A whole gang fits on the smallest target, which may be the only eligible one. */
   if (job->gang)
     job->task_resources.cpu_milli = MIN (job->task_resources.cpu_milli, 2000);
+  if (cell->advice != NULL)
+    shape_job (cell, job);
   job->version = ++cell->version;
   spec.id = job->id;
-  spec.queue = fl_name_of ("queue");
+  spec.queue = fl_name_of (cell->advice != NULL ? queue_names[job->queue] : "queue");
   spec.team = fl_name_format ("w%d", job->team);
   spec.steps = (struct fl_array){ (size_t)job->step_count, steps };
   for (int i = 0; i < job->step_count; i++)
@@ -1821,11 +2205,136 @@
     }
 }
 
+/* --- jobs that have nothing running, with an advice profile --- */
+
+/* Counts the runs of each job, the free capacity of each target and what the teams use. */
+static void
+count_usage (struct cell *cell)
+{
+  memset (cell->team_used, 0, sizeof cell->team_used);
+  for (guint i = 0; i < cell->jobs->len; i++)
+    ((struct fake_job *)g_ptr_array_index (cell->jobs, i))->running = 0;
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      target->free = target->capacity;
+      for (guint j = 0; target->up && j < target->state.runs->len; j++)
+        {
+          struct fake_job *job = find_job_of_task (
+              cell, &g_array_index (target->state.runs, struct target_run, j).task);
+          job->running++;
+          target->free.cpu_milli -= job->task_resources.cpu_milli;
+          target->free.memory_mb -= job->task_resources.memory_mb;
+          cell->team_used[job->team].cpu_milli += job->task_resources.cpu_milli;
+        }
+    }
+}
+
+/* @return the first step of @job with a task that is not done; step_count if there is none. */
+static int
+find_step (struct cell *cell, struct fake_job *job)
+{
+  while (job->steps_done < job->step_count && previous_step_done (cell, job, job->steps_done + 1))
+    job->steps_done++;
+  return job->steps_done;
+}
+
+/* Whether a target that owners can use has room for two tasks of @job and is eligible for its
+ * @step. */
+static bool
+has_eligible_room (const struct cell *cell, const struct fake_job *job, int step)
+{
+  struct fl_name name = fl_name_format ("%s.0.%d", job->id.data, step);
+
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      const struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      if (is_reachable (target) && !target->draining
+          && target->free.cpu_milli >= 2 * job->task_resources.cpu_milli
+          && target->free.memory_mb >= 2 * job->task_resources.memory_mb
+          && is_eligible (cell, &name, target))
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_team_below_half (const struct cell *cell, const struct fake_job *job)
+{
+  struct fl_name name = fl_name_format ("w%d", job->team);
+  int64_t cap_milli = fl_configuration_find_team (cell->configuration, &name)->cap.cpu_milli;
+
+  return cap_milli == 0 || 2 * cell->team_used[job->team].cpu_milli < cap_milli;
+}
+
+static void
+check_idle_job (struct cell *cell, struct fake_job *job, bool is_calm, int64_t idle_max_ms)
+{
+  int step;
+
+  if (job->ended || job->cancelled || job->running > 0 || !is_team_below_half (cell, job)
+      || (step = find_step (cell, job)) == job->step_count || !has_eligible_room (cell, job, step))
+    job->idle_since_ms = cell->now_ms;
+  int64_t idle_ms = cell->now_ms - job->idle_since_ms;
+  cell->result.idle_max_ms = MAX (cell->result.idle_max_ms, idle_ms);
+  if (is_calm && idle_ms >= idle_max_ms)
+    report_violation (cell, "LOST (nothing runs, though there is room)", &job->id);
+}
+
+/* Whether the owner or a target cannot work as usual. */
+static bool
+has_fault (const struct cell *cell)
+{
+  const struct owner *owner = get_newest_owner (cell);
+  bool found = owner->dead || is_frozen (owner) || !can_reach_store (owner)
+               || advice_service_has_fault (cell->advice, cell->now_ms);
+
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      const struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      found = found || target->draining || !is_reachable (target);
+    }
+  return found;
+}
+
+static void
+check_idle_jobs (struct cell *cell)
+{
+  const struct advice_profile *profile = cell->options.advice;
+  bool only_slows = advice_profile_only_slows (profile);
+  int64_t idle_max_ms = CELL_IDLE_MAX_MS + (only_slows ? advice_profile_delay_ms (profile) : 0);
+
+  if (!only_slows && has_fault (cell))
+    note_fault (cell);
+  bool is_calm = only_slows || cell->now_ms - cell->last_fault_ms >= CELL_IDLE_CALM_MS;
+  cell->result.judged_ms += is_calm ? CELL_TIMER_MS : 0;
+  count_usage (cell);
+  for (guint i = 0; i < cell->jobs->len; i++)
+    check_idle_job (cell, g_ptr_array_index (cell->jobs, i), is_calm, idle_max_ms);
+}
+
+static void
+submit_due_jobs (struct cell *cell)
+{
+  const struct cell_options *options = &cell->options;
+  int submitted = (int)cell->jobs->len - options->long_running_job_count;
+
+  for (; submitted < options->job_count
+         && submitted * options->fault_phase_ms <= cell->now_ms * options->job_count;
+       submitted++)
+    submit_job (cell);
+}
+
 static void
 on_cell_timer (struct cell *cell, void *data)
 {
   (void)data;
   check_long_running_jobs (cell);
+  if (cell->advice != NULL)
+    {
+      advice_service_advance (cell->advice, cell->now_ms);
+      check_idle_jobs (cell);
+    }
   for (guint i = 0; i < cell->targets->len; i++)
     {
       advance_target (cell, g_ptr_array_index (cell->targets, i));
@@ -1837,15 +2346,12 @@
       inject_random_target_faults (cell);
       inject_random_owner_faults (cell);
       cancel_random_job (cell);
-      int submitted = (int)cell->jobs->len - cell->options.long_running_job_count;
-      for (; submitted < cell->options.job_count
-             && submitted * cell->options.fault_phase_ms <= cell->now_ms * cell->options.job_count;
-           submitted++)
-        submit_job (cell);
     }
+  if (cell->now_ms % 100 == 0 && (cell->advice != NULL || faults_enabled (cell)))
+    submit_due_jobs (cell);
   if (cell->now_ms - cell->lease_written_ms > POOL_LEASE_EXPIRY_MS + 200)
     acquire_ownership (cell);
-  schedule (cell, 20, on_cell_timer, NULL);
+  schedule (cell, CELL_TIMER_MS, on_cell_timer, NULL);
 }
 
 /* --- result --- */
@@ -1904,6 +2410,13 @@
 
   cell->configuration = fl_configuration_new (1);
   fl_configuration_add_queue (cell->configuration, &queue);
+  for (int i = 0; cell->advice != NULL && i < ADVICE_QUEUES; i++)
+    {
+      queue.name = fl_name_of (queue_names[i]);
+      queue.priority = i;
+      queue.advice = advice_queue_policy (cell->options.advice, (enum advice_queue)i);
+      fl_configuration_add_queue (cell->configuration, &queue);
+    }
   fl_configuration_add_service (cell->configuration, &service);
   fl_configuration_add_team (cell->configuration, &teams[0]);
   fl_configuration_add_team (cell->configuration, &teams[1]);
@@ -1918,6 +2431,8 @@
       struct owner *owner = g_ptr_array_index (cell->owners, i);
       fl_core_free (owner->core);
       g_hash_table_destroy (owner->heartbeats_in_flight);
+      fl_advisor_pool_free (owner->advisors);
+      g_clear_pointer (&owner->queries, g_hash_table_destroy);
       g_free (owner);
     }
   for (guint i = 0; i < cell->targets->len; i++)
@@ -1943,6 +2458,7 @@
   g_array_unref (cell->gang_ends);
   fl_configuration_unref (cell->configuration);
   fl_stats_free (cell->stats);
+  advice_service_free (cell->advice);
   g_sequence_free (cell->events);
   g_rand_free (cell->random);
 }
@@ -1970,6 +2486,8 @@
   cell.stats = fl_stats_new ();
   cell.log = (struct fl_log){ .level = options->trace_prefix != NULL ? FL_LOG_INFO : 0,
                               .program = "cell" };
+  if (options->advice != NULL)
+    cell.advice = advice_service_new (options->advice, options->seed, options->fault_phase_ms);
   configure_cell (&cell);
   for (int i = 0; i < options->target_count; i++)
     g_ptr_array_add (cell.targets, new_target (&cell, i));
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -73,6 +73,8 @@
   int index;
 };
 
+struct advice_profile;
+
 struct cell_options
 {
   uint64_t seed;
@@ -86,12 +88,21 @@
   int64_t fault_cycle_ms;
   int64_t jobs_read_ms; /* how long a new owner takes to read the jobs */
   bool advice_required; /* starts need tickets of the advice service */
+  /* Advice is queried through hosts, which lib/poold/advisor_pool chooses, and the queues, jobs and
+   * checks are those of this profile. NULL: each query gets a reply within 20 ms after the expected
+   * time. */
+  const struct advice_profile *advice;
   struct cell_fault_rates fault_rates;
   const struct cell_fault *scripted_faults;
   size_t scripted_fault_count;
   const char *trace_prefix; /* traces the tasks whose names start with this; NULL for none */
 };
 
+/* How long a job may have nothing running although one of its tasks could be started, judged after
+ * CELL_IDLE_CALM_MS without a fault. */
+#define CELL_IDLE_MAX_MS 3000
+#define CELL_IDLE_CALM_MS 7000
+
 /* A violation begins with the name of its rule:
  *
  *   UNASKED  a task was started that belongs to no submitted job
@@ -105,7 +116,11 @@
  * CPU limit by over a tenth and one task MIXED    a job is recorded as completed although a task is
  * not done LOST     a job did not end, or is recorded as failed or cancelled without cause; or a
  * task of a long-running job was down for over 9 s, with room for it, and the last 7 s without a
- *            new fault */
+ *            new fault; or, with an advice profile, a job had nothing running for CELL_IDLE_MAX_MS,
+ *            though a task of it may start, its team uses less than half of its limit, and an
+ *            eligible target has room for two such tasks. If the only fault is that the advice
+ *            service is slow, this holds without a calm time, for CELL_IDLE_MAX_MS and the delay of
+ *            one query */
 struct cell_result
 {
   char violation[256]; /* the first violated rule, with time and task; empty if there is none */
@@ -116,6 +131,12 @@
   int64_t gangs;     /* that were complete */
   int64_t lone_runs; /* that ended since other members of their gang were missing */
   int owner_count;
+  int64_t queries;            /* sent to the simulated advice service, as are the following */
+  int64_t queries_unanswered; /* overdue, or ended without advice */
+  int64_t replies_late;       /* with advice, for queries that had been given up */
+  int64_t tickets_rejected;   /* starts with a ticket that had expired */
+  int64_t judged_ms;          /* for how long jobs with nothing running were judged */
+  int64_t idle_max_ms;        /* longest time that a job had nothing running, calm or not */
 };
 
 /* Runs one simulation. */
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -5,6 +5,8 @@
  *   test_core_cell lasting SEED COUNT [TASK]  simulates long-running jobs with bursts of faults
  *   test_core_cell late-orders SEED COUNT [TASK]  orders that are executed in the next boot
  *   test_core_cell gangs SEED COUNT [TASK]    the same as the first, half of the jobs with gangs
+ *   test_core_cell advice SEED COUNT [TASK]   one of advice_profiles, by the seed
+ *   test_core_cell capped SEED COUNT [TASK]   advice_profile_capped
  *   test_core_cell trouble NUMBER SEED TASK   simulates SEED with entry NUMBER of fault_profiles
  *
  * With TASK, the log of lib/core and the events of tasks whose names start with TASK are printed.
@@ -20,6 +22,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "support_advice.h"
 #include "support_cell.h"
 
 #define SEED_COUNT 12
@@ -409,6 +412,34 @@
   return result.violation[0] != '\0' ? 1 : 0;
 }
 
+/* @only is NULL for each of advice_profiles in turn. */
+static int
+simulate_advice_seeds (const struct advice_profile *only,
+                       uint64_t first_seed,
+                       int count,
+                       const char *trace_prefix)
+{
+  int failed = 0;
+
+  for (uint64_t seed = first_seed; seed < first_seed + (uint64_t)count; seed++)
+    {
+      const struct advice_profile *profile
+          = only != NULL ? only : &advice_profiles[seed % advice_profile_count];
+      struct cell_options options = advice_profile_options (profile, seed);
+      options.trace_prefix = trace_prefix;
+      struct cell_result result = cell_simulate (&options);
+      printf ("seed=%d accepted=%d ended=%d owners=%d queries=%d unanswered=%d late=%d rejected=%d "
+              "judged_ms=%d idle_max_ms=%d (%s) %s\n",
+              (int)seed, result.jobs_accepted, result.jobs_ended, result.owner_count,
+              (int)result.queries, (int)result.queries_unanswered, (int)result.replies_late,
+              (int)result.tickets_rejected, (int)result.judged_ms, (int)result.idle_max_ms,
+              profile->name, result.violation);
+      failed += result.violation[0] != '\0' ? 1 : 0;
+    }
+  printf ("%d of %d runs violated a rule\n", failed, count);
+  return failed > 0 ? 1 : 0;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -432,6 +463,12 @@
       return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), &rates, 0,
                              argc > 4 ? argv[4] : NULL);
     }
+  if (argc >= 4 && strcmp (argv[1], "advice") == 0)
+    return simulate_advice_seeds (NULL, strtoull (argv[2], NULL, 10), atoi (argv[3]),
+                                  argc > 4 ? argv[4] : NULL);
+  if (argc >= 4 && strcmp (argv[1], "capped") == 0)
+    return simulate_advice_seeds (&advice_profile_capped, strtoull (argv[2], NULL, 10),
+                                  atoi (argv[3]), argc > 4 ? argv[4] : NULL);
   if (argc >= 4 && strcmp (argv[1], "lasting") == 0)
     return simulate_long_running_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]),
                                         argc > 4 ? argv[4] : NULL);
