Advice: a reply later than published counts, and widens the limit

What callers saw: jobs with nothing running for seconds or for good, although there was capacity, while the advice service (or what lies before it) took longer than published.

Cause: a query was given up at the published time + 600 ms (500 through a peer), its reply thrown away, the query sent again with the same limit, and its host left out for 2 s; the abandoned call may go on to hold its host's turn. One more millisecond of delay turned all queries into failures, for as long as it lasted and for seconds after.

Change: the call goes on for up to 30 s, and its reply counts whenever it arrives; the step is queried through another host once the reply is overdue. The limit follows from measured delays (median of the hosts, as RFC 6298 computes it), and doubles for a host without replies; such a host backs off from 2 s on, doubled each time, and others are preferred. Tickets of an earlier boot of a target don't count. A failed call (rejected, connection closed) backs off from 250 ms on, since it holds no turn.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -273,6 +273,14 @@
   core_job_request_target (step->job, &row->target);
 }
 
+/* Whether @target has not restarted since a query that was sent at @sent_ms: tickets are valid for
+ * one boot. */
+static bool
+is_of_boot_queried (const struct core_target *target, int64_t sent_ms)
+{
+  return target->token_raised_at_ms <= sent_ms;
+}
+
 void
 fl_core_handle_advice_reply (struct fl_core *core,
                              const struct fl_name *step_name,
@@ -285,27 +293,33 @@
   double *share;
 
   core->now_ms = now_ms;
-  if (step == NULL || !step->query_in_flight)
+  if (step == NULL || (!reply->is_late && !step->query_in_flight))
     return;
-  core_advice_abandon_query (step);
+  /* After a late reply, a later query about the step may still be in flight. */
+  if (!reply->is_late)
+    core_advice_abandon_query (step);
   fl_log (core->options.log, FL_LOG_INFO, "advice_answered", FL_N ("step", step_name),
           FL_I ("asked", (int64_t)queried_count), FL_I ("good", (int64_t)reply->count),
           FL_I ("received", reply->received), FL_N ("host", &reply->host),
           FL_I ("took_ms", reply->took_ms));
   if (!reply->received)
     {
-      step->queries_failed++;
+      step->queries_failed += reply->is_late ? 0 : 1;
       return;
     }
   /* The reply lists only the eligible ones of the queried targets. */
   for (size_t i = 0; i < queried_count; i++)
     {
       const struct core_target *target = core_find_target (core, &queried[i]);
-      if (target != NULL)
+      if (target != NULL && is_of_boot_queried (target, now_ms - reply->took_ms))
         mark_ineligible (step, target, now_ms);
     }
   for (size_t i = 0; i < reply->count; i++)
-    mark_eligible (step, &reply->targets[i], now_ms + reply->tickets_valid_ms);
+    {
+      const struct core_target *target = core_find_target (core, &reply->targets[i].target);
+      if (target != NULL && is_of_boot_queried (target, now_ms - reply->took_ms))
+        mark_eligible (step, &reply->targets[i], now_ms + reply->tickets_valid_ms);
+    }
   share = &step->job->queue_stats->eligible_share;
   *share += ELIGIBLE_SHARE_WEIGHT * ((double)reply->count / (double)queried_count - *share);
   *share = MAX (*share, ELIGIBLE_SHARE_MIN);
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -131,7 +131,7 @@
                                      int64_t now_ms);
 
 /* Handles the outcome of the query of @step for the targets @queried; @reply->received is false
- * when it timed out. */
+ * when it timed out. A late reply to a query that timed out counts, too. */
 void fl_core_handle_advice_reply (struct fl_core *core,
                                   const struct fl_name *step,
                                   const struct fl_name *queried,
--- a/lib/poold/advisor_pool.c
+++ b/lib/poold/advisor_pool.c
@@ -1,5 +1,7 @@
 #include "poold/advisor_pool.h"
 
+#include <math.h>
+
 #include <glib.h>
 
 /* Queries expected to take longer than this leave some hosts free for shorter ones. */
@@ -10,10 +12,25 @@
 /* How long hosts are left free after the last short query was wanted. A short query that comes
  * after a longer pause waits for a long one at most, which takes about as long. */
 #define RESERVE_MS 500
-/* A reply is overdue when it takes this much longer than expected. */
-#define REPLY_SLACK_MS 600
-/* After a query without a reply its host gets no other query for this long. */
-#define TIMEOUT_BACKOFF_MS 2000
+/* A reply is overdue when it takes this much longer than expected, doubled with each query of its
+ * host in a row that has no reply, and longer than the replies through most hosts lately. */
+#define REPLY_SLACK_MIN_MS 600
+#define REPLY_SLACK_MAX_MS 2400
+#define MEASURED_SLACK_MAX_MS 10000
+/* Weights of one reply in the moving averages of the delay and of its deviation, and how many
+ * deviations a reply may be later than the average, as in RFC 6298. */
+#define DELAY_WEIGHT 0.125
+#define DEVIATION_WEIGHT 0.25
+#define DELAY_DEVIATIONS 4
+/* A host whose query has no reply yet gets no other for this long, doubled with each further one.
+ */
+#define OVERDUE_BACKOFF_MS 2000
+#define OVERDUE_BACKOFF_MAX_MS 16000
+/* The same after the service, or the connection to it, has failed. */
+#define FAILURE_BACKOFF_MS 250
+#define FAILURE_BACKOFF_MAX_MS 2000
+/* Overdue queries of a host whose replies still count. */
+#define OVERDUE_MAX 8
 /* The same after a query that could not be sent: the link to the host is down, and reconnects
  * within a second once the host is back. */
 #define UNSENT_BACKOFF_MS 1000
@@ -24,10 +41,15 @@
   struct fl_name host;
   struct fl_name address; /* empty for this host */
   int64_t backoff_until_ms;
+  int unanswered; /* queries in a row without a reply of the service */
   bool busy;
-  bool has_replied;              /* to the query before the one in flight */
-  bool is_unheard_of;            /* the last query was overdue, and no message has come since */
+  bool is_unheard_of; /* one query was lost after others had replies, and no message has come since
+                       */
   struct fl_advisor_query query; /* in flight while busy */
+  GArray *overdue;               /* struct fl_advisor_query, in the order in which they were sent */
+  bool has_delay;                /* the next two have been measured */
+  double delay_ms;               /* by which replies are later than expected, moving average */
+  double deviation_ms;           /* of delay_ms */
 };
 
 struct fl_advisor_pool
@@ -36,20 +58,18 @@
   int64_t last_query_number;
   int64_t backoffs_until_ms; /* of all hosts */
   int64_t reserved_until_ms; /* hosts are left free for short queries until then */
+  int64_t measured_slack_ms; /* see update_measured_slack */
 };
 
 /* --- hosts --- */
 
-static struct advisor *
-find_query (const struct fl_advisor_pool *pool, int64_t number)
+static void
+advisor_free (void *data)
 {
-  for (guint i = 0; i < pool->advisors->len; i++)
-    {
-      struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
-      if (advisor->busy && advisor->query.number == number)
-        return advisor;
-    }
-  return NULL;
+  struct advisor *advisor = data;
+
+  g_array_unref (advisor->overdue);
+  g_free (advisor);
 }
 
 static struct advisor *
@@ -58,6 +78,7 @@
   struct advisor *advisor = g_new0 (struct advisor, 1);
 
   advisor->host = *host;
+  advisor->overdue = g_array_new (FALSE, FALSE, sizeof (struct fl_advisor_query));
   g_ptr_array_add (pool->advisors, advisor);
   return advisor;
 }
@@ -67,7 +88,7 @@
 {
   struct fl_advisor_pool *pool = g_new0 (struct fl_advisor_pool, 1);
 
-  pool->advisors = g_ptr_array_new_with_free_func (g_free);
+  pool->advisors = g_ptr_array_new_with_free_func (advisor_free);
   add_host (pool, own_host);
   return pool;
 }
@@ -132,8 +153,19 @@
              : 0;
 }
 
-/* @return a free host for a query, or NULL. Peers are preferred, since this host needs its
- * processor for decisions. */
+/* Whether @a is to be preferred to @b: hosts whose queries have replies first, then peers, since
+ * this host needs its processor for decisions, then the one that was used less recently. */
+static bool
+is_better (const struct advisor *a, const struct advisor *b)
+{
+  if ((a->unanswered == 0) != (b->unanswered == 0))
+    return a->unanswered == 0;
+  if ((a->address.len == 0) != (b->address.len == 0))
+    return b->address.len == 0;
+  return a->query.sent_ms < b->query.sent_ms;
+}
+
+/* @return a free host for a query, or NULL. */
 static struct advisor *
 choose_advisor (struct fl_advisor_pool *pool, bool is_long, int64_t now_ms)
 {
@@ -143,7 +175,7 @@
   for (guint i = 0; i < pool->advisors->len; i++)
     {
       struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
-      if (is_free (advisor, now_ms) && (best == NULL || best->address.len == 0))
+      if (is_free (advisor, now_ms) && (best == NULL || is_better (advisor, best)))
         best = advisor;
     }
   if (!is_long)
@@ -159,6 +191,79 @@
   return choose_advisor (pool, least_ms > LONG_QUERY_MS, now_ms) != NULL;
 }
 
+/* --- limits --- */
+
+/* @return @base_ms, doubled @times, but at most @max_ms. */
+static int64_t
+back_off (int64_t base_ms, int times, int64_t max_ms)
+{
+  while (times-- > 0 && base_ms < max_ms)
+    base_ms *= 2;
+  return MIN (base_ms, max_ms);
+}
+
+static gint
+compare_slacks (const void *a, const void *b)
+{
+  int64_t x = *(const int64_t *)a;
+  int64_t y = *(const int64_t *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Sets the measured slack of the pool: the median of its hosts. A few slow hosts then do not delay
+ * the repetition of their queries through others, and a slow service is not asked everything twice.
+ */
+static void
+update_measured_slack (struct fl_advisor_pool *pool)
+{
+  g_autoptr (GArray) slacks = g_array_new (FALSE, FALSE, sizeof (int64_t));
+
+  for (guint i = 0; i < pool->advisors->len; i++)
+    {
+      const struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
+      int64_t slack_ms = (int64_t)(advisor->delay_ms + DELAY_DEVIATIONS * advisor->deviation_ms);
+      if (advisor->has_delay)
+        g_array_append_val (slacks, slack_ms);
+    }
+  g_array_sort (slacks, compare_slacks);
+  pool->measured_slack_ms
+      = MIN (g_array_index (slacks, int64_t, (slacks->len - 1) / 2), MEASURED_SLACK_MAX_MS);
+}
+
+static void
+measure_delay (struct fl_advisor_pool *pool,
+               struct advisor *advisor,
+               const struct fl_advisor_query *query,
+               int64_t now_ms)
+{
+  double delay_ms = (double)MAX (now_ms - query->sent_ms - query->expected_ms, 0);
+
+  if (advisor->has_delay)
+    {
+      advisor->deviation_ms
+          += DEVIATION_WEIGHT * (fabs (delay_ms - advisor->delay_ms) - advisor->deviation_ms);
+      advisor->delay_ms += DELAY_WEIGHT * (delay_ms - advisor->delay_ms);
+    }
+  else
+    {
+      advisor->delay_ms = delay_ms;
+      advisor->deviation_ms = delay_ms / 2;
+    }
+  advisor->has_delay = true;
+  update_measured_slack (pool);
+}
+
+/* @return when the reply to the query in flight of @advisor is overdue. */
+static int64_t
+get_overdue_ms (const struct fl_advisor_pool *pool, const struct advisor *advisor)
+{
+  int64_t slack_ms = back_off (REPLY_SLACK_MIN_MS, advisor->unanswered, REPLY_SLACK_MAX_MS);
+
+  return advisor->query.sent_ms + advisor->query.expected_ms
+         + MAX (slack_ms, pool->measured_slack_ms);
+}
+
 /* --- queries --- */
 
 bool
@@ -176,8 +281,8 @@
   advisor->query = (struct fl_advisor_query){ .number = ++pool->last_query_number,
                                               .host = advisor->host,
                                               .address = advisor->address,
-                                              .sent_ms = now_ms,
-                                              .overdue_ms = now_ms + expected_ms + REPLY_SLACK_MS };
+                                              .expected_ms = expected_ms,
+                                              .sent_ms = now_ms };
   *query = advisor->query;
   return true;
 }
@@ -185,43 +290,63 @@
 void
 fl_advisor_pool_cancel (struct fl_advisor_pool *pool, int64_t number, int64_t now_ms)
 {
-  struct advisor *advisor = find_query (pool, number);
-
-  if (advisor == NULL)
-    return;
-  advisor->busy = false;
-  advisor->backoff_until_ms = now_ms + UNSENT_BACKOFF_MS;
+  for (guint i = 0; i < pool->advisors->len; i++)
+    {
+      struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
+      if (!advisor->busy || advisor->query.number != number)
+        continue;
+      advisor->busy = false;
+      advisor->backoff_until_ms = now_ms + UNSENT_BACKOFF_MS;
+    }
 }
 
-static void
-end_query (struct fl_advisor_pool *pool,
-           struct advisor *advisor,
-           bool service_replied,
-           int64_t now_ms)
+/* Removes the query @number from those of @advisor, and fills @query. */
+static enum fl_advisor_match
+take_query (struct advisor *advisor, int64_t number, struct fl_advisor_query *query)
 {
-  advisor->busy = false;
-  advisor->has_replied = service_replied;
-  if (service_replied)
-    return;
-  advisor->backoff_until_ms = now_ms + TIMEOUT_BACKOFF_MS;
-  pool->backoffs_until_ms = MAX (pool->backoffs_until_ms, advisor->backoff_until_ms);
+  if (advisor->busy && advisor->query.number == number)
+    {
+      advisor->busy = false;
+      *query = advisor->query;
+      return FL_ADVISOR_IN_TIME;
+    }
+  for (guint i = 0; i < advisor->overdue->len; i++)
+    {
+      *query = g_array_index (advisor->overdue, struct fl_advisor_query, i);
+      if (query->number != number)
+        continue;
+      g_array_remove_index (advisor->overdue, i);
+      return FL_ADVISOR_OVERDUE;
+    }
+  return FL_ADVISOR_UNKNOWN;
 }
 
-bool
+enum fl_advisor_match
 fl_advisor_pool_finish (struct fl_advisor_pool *pool,
                         int64_t number,
                         bool service_replied,
                         int64_t now_ms,
                         struct fl_advisor_query *query)
 {
-  struct advisor *advisor = find_query (pool, number);
-
-  if (advisor == NULL)
-    return false;
-  if (query != NULL)
-    *query = advisor->query;
-  end_query (pool, advisor, service_replied, now_ms);
-  return true;
+  for (guint i = 0; i < pool->advisors->len; i++)
+    {
+      struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
+      enum fl_advisor_match match = take_query (advisor, number, query);
+      if (match == FL_ADVISOR_UNKNOWN)
+        continue;
+      if (service_replied)
+        {
+          measure_delay (pool, advisor, query, now_ms);
+          advisor->unanswered = 0;
+          advisor->is_unheard_of = false;
+          advisor->backoff_until_ms = now_ms;
+        }
+      else if (match == FL_ADVISOR_IN_TIME)
+        advisor->backoff_until_ms
+            = now_ms + back_off (FAILURE_BACKOFF_MS, advisor->unanswered++, FAILURE_BACKOFF_MAX_MS);
+      return match;
+    }
+  return FL_ADVISOR_UNKNOWN;
 }
 
 bool
@@ -232,11 +357,17 @@
   for (guint i = 0; i < pool->advisors->len; i++)
     {
       struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
-      if (!advisor->busy || now_ms < advisor->query.overdue_ms)
+      if (!advisor->busy || now_ms < get_overdue_ms (pool, advisor))
         continue;
       *query = advisor->query;
-      advisor->is_unheard_of = advisor->has_replied;
-      end_query (pool, advisor, false, now_ms);
+      advisor->busy = false;
+      advisor->is_unheard_of = advisor->unanswered == 0 && advisor->has_delay;
+      advisor->backoff_until_ms
+          = now_ms + back_off (OVERDUE_BACKOFF_MS, advisor->unanswered++, OVERDUE_BACKOFF_MAX_MS);
+      pool->backoffs_until_ms = MAX (pool->backoffs_until_ms, advisor->backoff_until_ms);
+      if (advisor->overdue->len == OVERDUE_MAX)
+        g_array_remove_index (advisor->overdue, 0);
+      g_array_append_val (advisor->overdue, *query);
       return true;
     }
   return false;
@@ -251,7 +382,7 @@
     {
       const struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
       if (advisor->busy)
-        next_ms = MIN (next_ms, advisor->query.overdue_ms);
+        next_ms = MIN (next_ms, get_overdue_ms (pool, advisor));
     }
   return next_ms;
 }
--- a/lib/poold/advisor_pool.h
+++ b/lib/poold/advisor_pool.h
@@ -1,8 +1,9 @@
 /* Advisor pool: which host sends an advice query, and when its reply is overdue.
  *
  * The advice service handles one call at a time for each calling host, so that each host has one
- * query in flight. The pool does no I/O and reads no clock; times are milliseconds of one steady
- * clock. */
+ * query in flight. A query whose reply is overdue may be repeated through another host, but its
+ * call goes on: its reply still counts, and until then the call may keep later ones of its host
+ * waiting. The pool does no I/O and reads no clock; times are milliseconds of one steady clock. */
 #pragma once
 
 #include <stdbool.h>
@@ -19,8 +20,16 @@
   int64_t number; /* chosen by the pool, above 0 */
   struct fl_name host;
   struct fl_name address; /* of flamingo-poold on the host; empty for this host */
+  int64_t expected_ms;
   int64_t sent_ms;
-  int64_t overdue_ms; /* when the reply is overdue */
+};
+
+/* Which query a reply belongs to. */
+enum fl_advisor_match
+{
+  FL_ADVISOR_IN_TIME,
+  FL_ADVISOR_OVERDUE, /* fl_advisor_pool_take_overdue has returned the query before */
+  FL_ADVISOR_UNKNOWN
 };
 
 /* How many hosts are in which state. */
@@ -53,20 +62,21 @@
 void fl_advisor_pool_cancel (struct fl_advisor_pool *pool, int64_t number, int64_t now_ms);
 
 /* Ends the query @number, whose host has replied; @service_replied tells whether the service has.
- * @return false if no such query is in flight. Else fills @query unless it is NULL. */
-bool fl_advisor_pool_finish (struct fl_advisor_pool *pool,
-                             int64_t number,
-                             bool service_replied,
-                             int64_t now_ms,
-                             struct fl_advisor_query *query);
-
-/* Ends one of the queries whose reply is overdue, and fills @query.
+ * Fills @query unless it is unknown. */
+enum fl_advisor_match fl_advisor_pool_finish (struct fl_advisor_pool *pool,
+                                              int64_t number,
+                                              bool service_replied,
+                                              int64_t now_ms,
+                                              struct fl_advisor_query *query);
+
+/* Fills @query with one whose reply has become overdue. Each query is returned once; its host backs
+ * off, longer each time, until a reply arrives.
  * @return false if there is none. */
 bool fl_advisor_pool_take_overdue (struct fl_advisor_pool *pool,
                                    int64_t now_ms,
                                    struct fl_advisor_query *query);
 
-/* @return when the next reply is overdue; INT64_MAX if no query is in flight. */
+/* @return when the next reply becomes overdue; INT64_MAX if no query is in flight. */
 int64_t fl_advisor_pool_next_overdue_ms (const struct fl_advisor_pool *pool);
 
 /* Notes that any message of the peer at @address has arrived. A peer whose link lost one query is
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -8,8 +8,11 @@
 #include "common/schema.h"
 #include "poold/advisor_pool.h"
 
-/* A peer's call to the service ends this much earlier than the query, so that the peer can tell. */
-#define PEER_REPLY_MS 100
+/* A call to the service ends after this time. It is not known to hold its host's turn for less when
+ * its caller gives up earlier, and a late reply still counts. */
+#define CALL_TIMEOUT_MS 30000
+/* Time in which the reply of a peer arrives after its call has ended. */
+#define REPLY_MARGIN_MS 1000
 /* Least time between two log lines that no host is free. */
 #define EXHAUSTED_LOG_INTERVAL_MS 1000
 
@@ -53,11 +56,13 @@
 
 /* --- objects --- */
 
-/* A query of this host, through itself or a peer, that has neither a reply nor timed out. */
+/* A query of this host, through itself or a peer. It is kept until its call must have ended, for a
+ * reply that is overdue. */
 struct query
 {
   struct fl_advisors *advisors;
   int64_t number;
+  int64_t forgotten_ms; /* when its call has ended */
   struct fl_name step;
   struct fl_name targets[FL_ADVICE_TARGETS_MAX];
   size_t target_count;
@@ -121,31 +126,38 @@
   ev_timer_start (advisors->options.host->loop, &advisors->overdue_timer);
 }
 
-/* Hands the result of the query to the caller, and forgets the query. */
+/* Hands the result of @query to the caller. */
 static void
-return_reply (struct fl_advisors *advisors,
+return_reply (const struct query *query,
               const struct fl_advisor_query *ended,
-              const struct fl_advice_reply *reply)
+              const struct fl_advice_reply *reply,
+              bool is_late)
 {
-  struct query *query = g_hash_table_lookup (advisors->queries, &ended->number);
+  struct fl_advisors *advisors = query->advisors;
   struct fl_advice_reply result = *reply;
 
-  g_hash_table_steal (advisors->queries, &ended->number);
+  result.is_late = is_late;
   result.host = ended->host;
   result.took_ms = get_now (advisors) - ended->sent_ms;
   if (reply->received)
     fl_stats_record (advisors->options.host->stats, "advice_ms", result.took_ms);
-  else
+  else if (!is_late)
     {
       fl_stats_add (advisors->options.host->stats, "advice_unanswered_total", 1);
       fl_log (&advisors->options.host->log, FL_LOG_INFO, "advice_unanswered",
               FL_N ("step", &query->step), FL_I ("query", ended->number),
               FL_N ("host", &ended->host), FL_I ("after_ms", result.took_ms),
-              FL_I ("limit_ms", ended->overdue_ms - ended->sent_ms));
+              FL_I ("expected_ms", ended->expected_ms));
     }
   advisors->options.on_reply (advisors->options.context, &query->step, query->targets,
                               query->target_count, &result);
-  g_free (query);
+}
+
+static gboolean
+is_forgotten (void *number, void *value, void *now_ms)
+{
+  (void)number;
+  return ((struct query *)value)->forgotten_ms <= *(int64_t *)now_ms;
 }
 
 static void
@@ -153,33 +165,51 @@
 {
   static const struct fl_advice_reply no_reply = { 0 };
   struct fl_advisors *advisors = timer->data;
-  struct fl_advisor_query ended;
+  struct fl_advisor_query overdue;
+  int64_t now_ms = get_now (advisors);
 
   (void)loop;
   (void)events;
-  while (fl_advisor_pool_take_overdue (advisors->pool, get_now (advisors), &ended))
-    return_reply (advisors, &ended, &no_reply);
+  while (fl_advisor_pool_take_overdue (advisors->pool, now_ms, &overdue))
+    return_reply (g_hash_table_lookup (advisors->queries, &overdue.number), &overdue, &no_reply,
+                  false);
+  g_hash_table_foreach_remove (advisors->queries, is_forgotten, &now_ms);
   set_overdue_timer (advisors);
 }
 
-/* Handles the reply to the query @number. The reply of a query that timed out is ignored. */
+static void
+log_late_reply (const struct query *query, const struct fl_advisor_query *ended, bool received)
+{
+  const struct fl_host *host = query->advisors->options.host;
+
+  fl_stats_add (host->stats, "advice_late_total", 1);
+  fl_log (&host->log, FL_LOG_INFO, "advice_late", FL_N ("step", &query->step),
+          FL_I ("query", query->number), FL_N ("host", &ended->host),
+          FL_I ("after_ms", get_now (query->advisors) - ended->sent_ms),
+          FL_I ("received", received));
+}
+
+/* Handles the reply to the query @number. */
 static void
 finish_query (struct fl_advisors *advisors, int64_t number, const struct fl_advice_reply *reply)
 {
+  struct query *query = g_hash_table_lookup (advisors->queries, &number);
   struct fl_advisor_query ended;
+  enum fl_advisor_match match = fl_advisor_pool_finish (advisors->pool, number, reply->received,
+                                                        get_now (advisors), &ended);
 
-  if (!fl_advisor_pool_finish (advisors->pool, number, reply->received, get_now (advisors), &ended))
-    {
-      fl_stats_add (advisors->options.host->stats, "advice_late_total", 1);
-      fl_log (&advisors->options.host->log, FL_LOG_INFO, "advice_late", FL_I ("query", number),
-              FL_I ("received", reply->received));
-      return;
-    }
-  return_reply (advisors, &ended, reply);
+  if (query == NULL)
+    return;
+  g_hash_table_steal (advisors->queries, &number);
+  if (match == FL_ADVISOR_OVERDUE)
+    log_late_reply (query, &ended, reply->received);
+  if (match != FL_ADVISOR_UNKNOWN)
+    return_reply (query, &ended, reply, match == FL_ADVISOR_OVERDUE);
+  g_free (query);
   set_overdue_timer (advisors);
 }
 
-/* A call of this host to the service, which may end after the query it is for. */
+/* A call of this host to the service. */
 struct own_call
 {
   struct fl_advisors *advisors;
@@ -196,23 +226,23 @@
 }
 
 static void
-query_service (const struct query *query, int64_t timeout_ms)
+query_service (const struct query *query)
 {
   const struct fl_advice_calls *calls = query->advisors->options.calls;
   struct own_call *call = g_new0 (struct own_call, 1);
 
   *call = (struct own_call){ query->advisors, query->number };
-  calls->query (calls->context, &query->step, query->targets, query->target_count, timeout_ms,
+  calls->query (calls->context, &query->step, query->targets, query->target_count, CALL_TIMEOUT_MS,
                 on_own_call_reply, call);
 }
 
 static bool
-send_to_peer (const struct query *query, const struct fl_name *address, int64_t timeout_ms)
+send_to_peer (const struct query *query, const struct fl_name *address)
 {
   struct message_target targets[FL_ADVICE_TARGETS_MAX] = { 0 };
   struct message message = { .query_number = query->number,
                              .step = query->step,
-                             .timeout_ms = timeout_ms - PEER_REPLY_MS,
+                             .timeout_ms = CALL_TIMEOUT_MS,
                              .targets = { query->target_count, targets } };
   struct fl_route to = { .address = *address };
 
@@ -225,11 +255,9 @@
 static bool
 send_query (const struct query *query, const struct fl_advisor_query *chosen)
 {
-  int64_t timeout_ms = chosen->overdue_ms - chosen->sent_ms;
-
   if (chosen->address.len > 0)
-    return send_to_peer (query, &chosen->address, timeout_ms);
-  query_service (query, timeout_ms);
+    return send_to_peer (query, &chosen->address);
+  query_service (query);
   return true;
 }
 
@@ -278,6 +306,7 @@
   while (fl_advisor_pool_begin (advisors->pool, expected_ms, get_now (advisors), &chosen))
     {
       query->number = chosen.number;
+      query->forgotten_ms = chosen.sent_ms + CALL_TIMEOUT_MS + REPLY_MARGIN_MS;
       if (send_query (query, &chosen))
         {
           g_hash_table_insert (advisors->queries, &query->number, query);
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -18,7 +18,8 @@
   struct fl_host *host;
   struct fl_clock clock;
   const struct fl_advice_calls *calls; /* calls of this host to the service */
-  /* The reply to a query, or its timeout; the arguments are valid during the callback only. */
+  /* The reply to a query, or its timeout, which a late reply may follow; the arguments are valid
+   * during the callback only. */
   void (*on_reply) (void *context,
                     const struct fl_name *step,
                     const struct fl_name *queried,
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -175,6 +175,7 @@
 struct fl_advice_reply
 {
   bool received; /* false without a usable reply in time */
+  bool is_late;  /* the same query has ended without a reply before */
   struct fl_advised_target *targets;
   size_t count;
   int64_t tickets_valid_ms; /* how long the tickets are valid */
--- /dev/null
+++ b/tests/test_advisor_pool.c
@@ -0,0 +1,217 @@
+/* Choice of the host for an advice query and the time after which its reply is overdue, with hosts
+ * that reply as the cases say, on a virtual clock. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "poold/advisor_pool.h"
+
+#define HOSTS_MAX 8
+#define QUERY_INTERVAL_MS 400
+#define DAY_MS 60000
+#define CALLS_MAX 2000
+
+/* The advice service as one host reaches it: calls are handled in turn, also those whose caller has
+ * given up. */
+struct service
+{
+  int64_t busy_until_ms[HOSTS_MAX];
+};
+
+struct call
+{
+  int64_t number;
+  int64_t replied_ms;
+  bool replies;
+};
+
+struct course
+{
+  const char *name;
+  int hosts;
+  int64_t expected_ms;
+  int64_t added_ms; /* to each call, from_ms to until_ms */
+  int64_t factor;   /* of its time */
+  int64_t from_ms;
+  int64_t until_ms;
+  int hung_hosts; /* whose calls have no reply for hang_ms, from_ms to until_ms */
+  int64_t hang_ms;
+  int64_t wait_max_ms; /* longest wait of a step for its reply */
+};
+
+static struct fl_advisor_pool *
+new_pool (int hosts)
+{
+  struct fl_name own = fl_name_of ("h0");
+  struct fl_advisor_pool *pool = fl_advisor_pool_new (&own);
+
+  for (int i = 1; i < hosts; i++)
+    {
+      struct fl_name host = fl_name_format ("h%d", i);
+      fl_advisor_pool_set_peer (pool, &host, &host);
+    }
+  return pool;
+}
+
+static bool
+is_disturbed (const struct course *course, int64_t now_ms)
+{
+  return now_ms >= course->from_ms && now_ms < course->until_ms;
+}
+
+/* @return when the service replies to the call of a host that is sent at @now_ms. */
+static int64_t
+serve (struct service *service, const struct course *course, int host, int64_t now_ms)
+{
+  int64_t begins_ms = MAX (now_ms, service->busy_until_ms[host]);
+  int64_t takes_ms = course->expected_ms;
+
+  if (is_disturbed (course, begins_ms))
+    takes_ms = takes_ms * MAX (course->factor, 1) + course->added_ms;
+  if (is_disturbed (course, begins_ms) && host < course->hung_hosts)
+    takes_ms = course->hang_ms;
+  return service->busy_until_ms[host] = begins_ms + takes_ms;
+}
+
+/* A step that waits for a reply to one of its queries. */
+struct step
+{
+  int64_t asked_ms;
+  bool is_waiting;
+  bool has_query;
+};
+
+struct day
+{
+  const struct course *course;
+  struct fl_advisor_pool *pool;
+  struct service service;
+  GArray *steps;        /* struct step */
+  GArray *calls;        /* struct call */
+  GHashTable *step_ids; /* query number -> index of its step */
+  int64_t longest_wait_ms;
+};
+
+static struct step *
+find_step (struct day *day, int64_t number)
+{
+  guint index = GPOINTER_TO_UINT (g_hash_table_lookup (day->step_ids, (void *)(intptr_t)number));
+
+  return &g_array_index (day->steps, struct step, index);
+}
+
+static void
+handle_replies (struct day *day, int64_t now_ms)
+{
+  struct fl_advisor_query query;
+
+  for (guint i = day->calls->len; i > 0; i--)
+    {
+      struct call call = g_array_index (day->calls, struct call, i - 1);
+      if (call.replied_ms > now_ms)
+        continue;
+      g_array_remove_index_fast (day->calls, i - 1);
+      struct step *step = find_step (day, call.number);
+      if (fl_advisor_pool_finish (day->pool, call.number, true, now_ms, &query)
+              == FL_ADVISOR_UNKNOWN
+          || !step->is_waiting)
+        continue;
+      step->is_waiting = false;
+      day->longest_wait_ms = MAX (day->longest_wait_ms, now_ms - step->asked_ms);
+    }
+  while (fl_advisor_pool_take_overdue (day->pool, now_ms, &query))
+    find_step (day, query.number)->has_query = false;
+}
+
+static void
+send_queries (struct day *day, int64_t now_ms)
+{
+  struct fl_advisor_query query;
+
+  for (guint i = 0; i < day->steps->len; i++)
+    {
+      struct step *step = &g_array_index (day->steps, struct step, i);
+      if (!step->is_waiting || step->has_query
+          || !fl_advisor_pool_begin (day->pool, day->course->expected_ms, now_ms, &query))
+        continue;
+      step->has_query = true;
+      g_hash_table_insert (day->step_ids, (void *)(intptr_t)query.number, GUINT_TO_POINTER (i));
+      struct call call
+          = { .number = query.number,
+              .replied_ms = serve (&day->service, day->course, query.host.data[1] - '0', now_ms) };
+      g_array_append_val (day->calls, call);
+    }
+}
+
+/* @return the longest wait of a step for its reply, also of those that wait at the end. */
+static int64_t
+play (const struct course *course)
+{
+  struct day day = { .course = course,
+                     .pool = new_pool (course->hosts),
+                     .steps = g_array_new (FALSE, TRUE, sizeof (struct step)),
+                     .calls = g_array_new (FALSE, TRUE, sizeof (struct call)),
+                     .step_ids = g_hash_table_new (NULL, NULL) };
+
+  for (int64_t now_ms = 0; now_ms < DAY_MS; now_ms += 10)
+    {
+      if (now_ms % QUERY_INTERVAL_MS == 0)
+        {
+          struct step step = { .asked_ms = now_ms, .is_waiting = true };
+          g_array_append_val (day.steps, step);
+        }
+      handle_replies (&day, now_ms);
+      send_queries (&day, now_ms);
+    }
+  for (guint i = 0; i < day.steps->len; i++)
+    {
+      const struct step *step = &g_array_index (day.steps, struct step, i);
+      if (step->is_waiting)
+        day.longest_wait_ms = MAX (day.longest_wait_ms, DAY_MS - step->asked_ms);
+    }
+  fl_advisor_pool_free (day.pool);
+  g_array_unref (day.steps);
+  g_array_unref (day.calls);
+  g_hash_table_unref (day.step_ids);
+  return day.longest_wait_ms;
+}
+
+/* Replies later than the published time by more than a fixed slack were thrown away, and the query
+ * repeated with the same slack, for as long as the service was slow. */
+static void
+test_replies_later_than_published (void **state)
+{
+  static const struct course courses[] = {
+    { "as published", 7, 480, 0, 1, 0, DAY_MS, 0, 0, 500 },
+    { "450 ms later", 7, 480, 450, 1, 0, DAY_MS, 0, 0, 1000 },
+    { "700 ms later", 7, 480, 700, 1, 0, DAY_MS, 0, 0, 3000 },
+    { "1,500 ms later", 7, 480, 1500, 1, 0, DAY_MS, 0, 0, 3000 },
+    { "three times as long", 7, 480, 0, 3, 0, DAY_MS, 0, 0, 3000 },
+    { "short queries, 700 ms later", 7, 30, 700, 1, 0, DAY_MS, 0, 0, 3000 },
+    { "900 ms later for 6 s", 7, 480, 900, 1, 8000, 14000, 0, 0, 3000 },
+    { "two hosts hang for 30 s", 7, 480, 0, 1, 8000, 8500, 2, 30000, 3000 },
+    { "four of seven hosts hang for 30 s", 7, 480, 0, 1, 8000, 9500, 4, 30000, 3000 },
+    { "two hosts, 200 ms later", 2, 480, 200, 1, 0, DAY_MS, 0, 0, 3000 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (courses); i++)
+    {
+      int64_t wait_ms = play (&courses[i]);
+      print_message ("  %s: %d ms\n", courses[i].name, (int)wait_ms);
+      if (wait_ms > courses[i].wait_max_ms)
+        fail_msg ("%s: a step waited for %d ms", courses[i].name, (int)wait_ms);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_replies_later_than_published) };
+
+  return cmocka_run_group_tests_name ("advisor_pool", tests, NULL, NULL);
+}
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -227,6 +227,71 @@
   fixture_free (fixture);
 }
 
+/* A reply that arrived after its query had been given up was thrown away, and the step waited for
+ * the reply to the repeated query. */
+static void
+test_late_advice_counts (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool received;
+    int64_t restarts_after_ms; /* of the target, from the query on; 0 for none */
+    guint starts;
+  } cases[] = {
+    { "late reply", true, 0, 2 },
+    { "late failure", false, 0, 0 },
+    { "late reply about an earlier boot", true, 400, 0 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_advised_target eligible[] = { { fl_name_of ("t1"), fl_name_of ("ticket-1") } };
+      struct fl_name queried = fl_name_of ("t1");
+      struct fl_advice_reply no_reply = { .received = false, .took_ms = 700 };
+      struct fl_advice_reply late_reply = { .received = cases[i].received,
+                                            .is_late = true,
+                                            .targets = eligible,
+                                            .count = 1,
+                                            .tickets_valid_ms = 2500,
+                                            .took_ms = 900 };
+
+      add_target (fixture, "t1", 2, false);
+      add_job (fixture, "a", "advised", (struct fl_step_spec){ .count = 2, .cpu_milli = 1000 });
+      tick_until_recorded (fixture, 0);
+      if (cases[i].restarts_after_ms > 0)
+        {
+          fixture->now_ms += cases[i].restarts_after_ms;
+          deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 77 });
+          fixture->now_ms += 10;
+          deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 77 });
+        }
+      fixture->now_ms += 700 - cases[i].restarts_after_ms;
+      fl_core_handle_advice_reply (fixture->core, &fixture->queried_step, &queried, 1, &no_reply,
+                                   fixture->now_ms);
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->query_count, 2);
+      fixture->now_ms += 200;
+      fl_core_handle_advice_reply (fixture->core, &fixture->queried_step, &queried, 1, &late_reply,
+                                   fixture->now_ms);
+      tick_until_recorded (fixture, 0);
+      if (fixture->start_orders->len != cases[i].starts)
+        fail_msg ("%s: %u starts", cases[i].name, fixture->start_orders->len);
+      /* The repeated query stays in flight, and its reply counts as well. */
+      assert_int_equal (fixture->query_count, 2);
+      late_reply.is_late = false;
+      late_reply.received = true;
+      late_reply.took_ms = 200;
+      fl_core_handle_advice_reply (fixture->core, &fixture->queried_step, &queried, 1, &late_reply,
+                                   fixture->now_ms);
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->start_orders->len, 2);
+      fixture_free (fixture);
+    }
+}
+
 /* A query that does not suffice is followed by another one, which occupies a host for as long as
  * dozens of further targets in the first query. Half of the targets are expected to be eligible. */
 static void
@@ -1239,6 +1304,7 @@
     cmocka_unit_test (test_best_effort_tasks),
     cmocka_unit_test (test_gang_all_or_none),
     cmocka_unit_test (test_advice),
+    cmocka_unit_test (test_late_advice_counts),
     cmocka_unit_test (test_advice_query_is_large_enough),
     cmocka_unit_test (test_start_without_reply),
     cmocka_unit_test (test_start_stopped_after_reset),
