Advice: queries that find no eligible target get rarer

Cause: a query of 4 targets for 4 tasks, each of which could take all of them, found no eligible one (18 % where 35 % are eligible), the next one with 5 targets neither; each costs the service's time anew. The share of eligible targets began at 0.5 and moved by a tenth with each reply, and the size was chosen by expected capacity and one deviation.

Change: a query has so many targets that none of them is eligible with a probability of 2 % at most, half of that after a query in vain, a third after two. The first replies of a queue weigh as in a mean of all. Gangs, of which nothing starts when some capacity is missing, are queried with two deviations. step_waited counts the query that begins the wait.

test_queries_in_vain_get_larger: two queries of a step find nothing with a probability of 0.021 before, at most 0.01 after.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -12,14 +12,18 @@
 #define TICKET_MARGIN_MS 150
 /* Lower bound of the eligible share of a queue. It limits how many targets are queried per task. */
 #define ELIGIBLE_SHARE_MIN 0.1
-/* Weight of one reply in the moving average of the eligible share. */
-#define ELIGIBLE_SHARE_WEIGHT 0.1
+/* Least weight of one reply in the moving average of the eligible share. The first replies weigh as
+ * much as in a mean of all. */
+#define ELIGIBLE_SHARE_WEIGHT_MIN 0.1
 /* Ratio of queried to needed capacity. The surplus makes up for eligible targets whose capacity is
  * taken before the reply arrives. */
 #define QUERY_SURPLUS 1.3
-/* By how many standard deviations of the eligible capacity a query exceeds the need. A further
- * query takes as long as some seventy further targets in the first one. */
+/* By how many standard deviations of the eligible capacity a query exceeds the need. A gang needs
+ * all of it: where some is missing, none of its tasks is started. */
 #define QUERY_DEVIATIONS 1.0
+#define GANG_QUERY_DEVIATIONS 2.0
+/* Probability that a query finds no eligible target, and the step waits for another one. */
+#define NONE_ELIGIBLE_MAX 0.02
 
 /* Size of the sample of targets from which those of a query are chosen. */
 #define CANDIDATES_MAX 240
@@ -145,25 +149,47 @@
     }
 }
 
-/* Chooses as many of @candidates, best first, as are likely to suffice for @waiting tasks.
+/* What a query finds, as far as it can be told before. */
+struct query_forecast
+{
+  double expected_tasks; /* that fit on the eligible ones of its targets */
+  double variance;       /* of expected_tasks */
+  double none_eligible;  /* probability that none of its targets is */
+};
+
+/* Whether a query about @waiting tasks of @step is likely to suffice. After queries in vain, the
+ * probability that another one is in vain has to be lower. */
+static bool
+is_likely_to_suffice (const struct query_forecast *forecast,
+                      const struct core_step *step,
+                      int64_t waiting)
+{
+  double deviations = step->spec->gang ? GANG_QUERY_DEVIATIONS : QUERY_DEVIATIONS;
+  int64_t earlier_queries = step->queries_sent - step->wait_queries_sent;
+
+  return forecast->expected_tasks >= (double)waiting * QUERY_SURPLUS
+         && forecast->expected_tasks - deviations * sqrt (forecast->variance) >= (double)waiting
+         && forecast->none_eligible <= NONE_ELIGIBLE_MAX / (double)(1 + earlier_queries);
+}
+
+/* Chooses as many of @candidates, best first, as are likely to suffice for @waiting tasks of @step.
  * @return their ids. */
 static GArray *
-choose_queried (const GArray *candidates, int64_t waiting)
+choose_queried (const struct core_step *step, const GArray *candidates, int64_t waiting)
 {
   GArray *queried = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
-  double expected_tasks = 0;
-  double variance = 0;
+  struct query_forecast forecast = { .none_eligible = 1.0 };
 
-  for (guint i = 0; i < candidates->len && queried->len < FL_ADVICE_TARGETS_MAX
-                    && (expected_tasks < (double)waiting * QUERY_SURPLUS
-                        || expected_tasks - QUERY_DEVIATIONS * sqrt (variance) < (double)waiting);
-       i++)
+  for (guint i = 0; i < candidates->len && queried->len < FL_ADVICE_TARGETS_MAX; i++)
     {
       const struct candidate *candidate = &g_array_index (candidates, struct candidate, i);
       double probability = candidate->eligible_probability;
       double tasks = (double)MIN (candidate->task_capacity, waiting);
-      expected_tasks += probability * tasks;
-      variance += probability * (1.0 - probability) * tasks * tasks;
+      if (is_likely_to_suffice (&forecast, step, waiting))
+        break;
+      forecast.expected_tasks += probability * tasks;
+      forecast.variance += probability * (1.0 - probability) * tasks * tasks;
+      forecast.none_eligible *= 1.0 - probability;
       g_array_append_val (queried, candidate->target->entry.id);
     }
   return queried;
@@ -203,7 +229,7 @@
     return CORE_WAIT_ADVICE;
   name = core_step_name (step);
   candidates = collect_candidates (step, share);
-  queried = choose_queried (candidates, waiting);
+  queried = choose_queried (step, candidates, waiting);
   g_array_unref (candidates);
   int64_t expected_ms
       = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
@@ -281,6 +307,15 @@
   return target->token_raised_at_ms <= sent_ms;
 }
 
+static void
+update_eligible_share (struct core_queue_stats *stats, double replied_share)
+{
+  double weight = MAX (1.0 / (double)(++stats->advice_replies + 1), ELIGIBLE_SHARE_WEIGHT_MIN);
+
+  stats->eligible_share += weight * (replied_share - stats->eligible_share);
+  stats->eligible_share = MAX (stats->eligible_share, ELIGIBLE_SHARE_MIN);
+}
+
 void
 fl_core_handle_advice_reply (struct fl_core *core,
                              const struct fl_name *step_name,
@@ -290,7 +325,6 @@
                              int64_t now_ms)
 {
   struct core_step *step = core_find_step (core, step_name);
-  double *share;
 
   core->now_ms = now_ms;
   if (step == NULL || (!reply->is_late && !step->query_in_flight))
@@ -320,7 +354,5 @@
       if (target != NULL && is_of_boot_queried (target, now_ms - reply->took_ms))
         mark_eligible (step, &reply->targets[i], now_ms + reply->tickets_valid_ms);
     }
-  share = &step->job->queue_stats->eligible_share;
-  *share += ELIGIBLE_SHARE_WEIGHT * ((double)reply->count / (double)queried_count - *share);
-  *share = MAX (*share, ELIGIBLE_SHARE_MIN);
+  update_eligible_share (step->job->queue_stats, (double)reply->count / (double)queried_count);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -27,7 +27,8 @@
 {
   struct fl_name name;
   double eligible_share; /* moving average: share of queried targets that were eligible */
-  double mean_run_ms;    /* moving average: duration of successful runs; 0 before the first */
+  int64_t advice_replies;
+  double mean_run_ms; /* moving average: duration of successful runs; 0 before the first */
 };
 
 /* The members that every tick reads come first, since a tick visits all targets. */
@@ -181,7 +182,7 @@
   int64_t queries_failed;    /* of these, without a reply */
   enum core_wait_reason wait_reason;
   int64_t wait_started_at_ms;
-  /* When the wait began: queries_sent and queries_failed, and core->queries_sent. */
+  /* Before the wait: queries_sent and queries_failed, and core->queries_sent. */
   int64_t wait_queries_sent;
   int64_t wait_queries_failed;
   int64_t wait_all_queries_sent;
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -647,9 +647,10 @@
                 FL_S ("then", names[wait]));
     }
   step->wait_reason = wait;
-  step->wait_queries_sent = step->queries_sent;
+  /* The query in flight is part of the wait that it causes. */
+  step->wait_queries_sent = step->queries_sent - step->query_in_flight;
   step->wait_queries_failed = step->queries_failed;
-  step->wait_all_queries_sent = core->queries_sent;
+  step->wait_all_queries_sent = core->queries_sent - step->query_in_flight;
   step->wait_started_at_ms = core->now_ms;
 }
 
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -1,5 +1,6 @@
 /* Scenarios for lib/core: each test passes observations to a core and checks the orders that the
  * core issues. The comment of a test names the load pattern or fault that it reproduces. */
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -333,6 +334,33 @@
     }
 }
 
+/* Queries of four and five targets found no eligible one, and each took another second where the
+ * service was slow. */
+static void
+test_queries_in_vain_get_larger (void **state)
+{
+  static const struct fl_advice_reply none_eligible = { .received = true };
+  struct fixture *fixture = fixture_new (0);
+  double in_vain = 1.0; /* probability that two queries are */
+
+  (void)state;
+  for (int i = 0; i < 40; i++)
+    add_target (fixture, fl_name_format ("t%d", i).data, 4, false);
+  add_job (fixture, "a", "advised", (struct fl_step_spec){ .count = 4, .cpu_milli = 1000 });
+  for (int query = 1; query <= 2; query++)
+    {
+      tick_until_recorded (fixture, 10);
+      assert_int_equal (fixture->query_count, query);
+      in_vain *= pow (1.0 - 0.35, fixture->queried_targets->len);
+      fl_core_handle_advice_reply (fixture->core, &fixture->queried_step,
+                                   (struct fl_name *)fixture->queried_targets->data,
+                                   fixture->queried_targets->len, &none_eligible, fixture->now_ms);
+    }
+  if (in_vain > 0.01)
+    fail_msg ("two queries find no eligible target with a probability of %.3f", in_vain);
+  fixture_free (fixture);
+}
+
 /* --- orders and reports --- */
 
 static void
@@ -1306,6 +1334,7 @@
     cmocka_unit_test (test_advice),
     cmocka_unit_test (test_late_advice_counts),
     cmocka_unit_test (test_advice_query_is_large_enough),
+    cmocka_unit_test (test_queries_in_vain_get_larger),
     cmocka_unit_test (test_start_without_reply),
     cmocka_unit_test (test_start_stopped_after_reset),
     cmocka_unit_test (test_target_without_listener),
