Advice: the order of queries starves no step

What callers saw: with few hosts left, jobs of low priority with nothing running for up to 28 s although there was capacity, while others started within a second.

Cause: hosts were given to steps strictly in the order of waiting steps (priority, objective, team, age), and long queries left part of the hosts free for short ones as long as these came. With 3 hosts and 9 jobs a second, which take 82 % of the hosts' time, "rebuild" got what "checks" and "feeds" left of two hosts.

Change: of the steps that need advice in a tick, the one with the highest response ratio is queried first, (wait + published time) / published time; a long query whose step has waited for a second takes any free host.

test_low_priority_is_queried_beside_urgent_steps fails before; two cases of test_hosts_are_left_free_for_short_queries_that_come are new.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -215,6 +215,8 @@
 {
   struct fl_core *core = step->job->core;
   const struct fl_advice_policy *policy = &step->job->queue.advice;
+  struct fl_advice_demand demand = { .expected_ms = (int64_t)policy->base_latency_ms,
+                                     .waited_ms = core_step_wait_for_advice_ms (step) };
   double share = step->job->queue_stats->eligible_share;
   struct fl_name name;
   GArray *candidates;
@@ -224,26 +226,25 @@
     return CORE_WAIT_ADVICE;
   if (core_capacity_is_exhausted (step, true))
     return CORE_WAIT_CAPACITY;
-  if (!core->options.actions.may_query_advice (core->options.context,
-                                               (int64_t)policy->base_latency_ms))
+  if (!core->options.actions.may_query_advice (core->options.context, &demand))
     return CORE_WAIT_ADVICE;
   name = core_step_name (step);
   candidates = collect_candidates (step, share);
   queried = choose_queried (step, candidates, waiting);
   g_array_unref (candidates);
-  int64_t expected_ms
+  demand.expected_ms
       = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
   bool has_targets = queried->len > 0;
   if (!has_targets
       || !core->options.actions.query_advice (
-          core->options.context, &name, (struct fl_name *)queried->data, queried->len, expected_ms))
+          core->options.context, &name, (struct fl_name *)queried->data, queried->len, &demand))
     {
       g_array_unref (queried);
       return has_targets ? CORE_WAIT_ADVICE : CORE_WAIT_CAPACITY;
     }
   fl_log (core->options.log, FL_LOG_INFO, "advice_asked", FL_N ("step", &name),
           FL_I ("targets", queried->len), FL_I ("waiting", waiting),
-          FL_I ("expected_ms", expected_ms), FL_I ("expired", count_expired (step, queried)),
+          FL_I ("expected_ms", demand.expected_ms), FL_I ("expired", count_expired (step, queried)),
           FL_I ("queries", step->queries_sent));
   step->queries_sent++;
   core->queries_sent++;
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -31,16 +31,16 @@
   void (*start) (void *context, const struct fl_start_order *order);
   void (*stop) (void *context, const struct fl_run_order *order);
   void (*throttle) (void *context, const struct fl_run_order *order);
-  /* Queries the advice service which of the @count @targets may run @step. The reply takes about
-   * @expected_ms and goes to fl_core_handle_advice_reply, as does a timeout.
-   * @return false when no host is free to send a query of this duration. */
+  /* Queries the advice service which of the @count @targets may run @step. The reply goes to
+   * fl_core_handle_advice_reply, as does a timeout.
+   * @return false when no host is free for @demand. */
   bool (*query_advice) (void *context,
                         const struct fl_name *step,
                         const struct fl_name *targets,
                         size_t count,
-                        int64_t expected_ms);
-  /* Whether a host is free to send a query that takes at least @least_ms. */
-  bool (*may_query_advice) (void *context, int64_t least_ms);
+                        const struct fl_advice_demand *demand);
+  /* Whether a host is free for @demand. */
+  bool (*may_query_advice) (void *context, const struct fl_advice_demand *demand);
 };
 
 struct fl_core_options
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -470,6 +470,9 @@
 
 /* --- placement.c, used by advice.c --- */
 
+/* @return how long @step has waited for advice without a break. */
+int64_t core_step_wait_for_advice_ms (const struct core_step *step);
+
 bool core_target_has_label (const struct core_target *target, const struct fl_name *label);
 
 /* Whether @target takes new tasks of @step, if it has capacity. */
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -585,25 +585,6 @@
   return count;
 }
 
-/* Queries advice for the @unplaced tasks of @step that could not be started, if that can help.
- * @return what the step waits for. */
-static enum core_wait_reason
-handle_unplaced_tasks (struct core_step *step, const GArray *placements, int64_t unplaced)
-{
-  enum core_wait_reason wait = CORE_WAIT_CAPACITY;
-
-  if (unplaced == 0)
-    return CORE_WAIT_NONE;
-  if (!team_has_capacity (step))
-    return CORE_WAIT_TEAM_LIMIT;
-  int64_t awaiting = count_awaiting_recording (placements);
-  /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
-   * and no others are queried in their place: advice causes most of the wait of long jobs. */
-  if (awaiting < unplaced && step->job->queue.advice.required)
-    wait = core_advice_send_query (step, unplaced - awaiting);
-  return wait == CORE_WAIT_CAPACITY && awaiting > 0 ? CORE_WAIT_RECORD : wait;
-}
-
 /* The lines of single queries may be folded when many steps wait, so that their number is part of
  * this line. */
 static void
@@ -654,6 +635,87 @@
   step->wait_started_at_ms = core->now_ms;
 }
 
+/* --- advice for waiting steps --- */
+
+/* A step of which some tasks could be started with advice. */
+struct unadvised_step
+{
+  struct core_step *step;
+  int64_t unplaced;      /* tasks for which advice is needed */
+  bool awaits_recording; /* other tasks start once a record is stored */
+  double response_ratio;
+};
+
+int64_t
+core_step_wait_for_advice_ms (const struct core_step *step)
+{
+  return step->wait_reason == CORE_WAIT_ADVICE ? step->job->core->now_ms - step->wait_started_at_ms
+                                               : 0;
+}
+
+/* Handles the @unplaced tasks of @step that could not be started: appends it to @unadvised if
+ * advice can help, else sets what it waits for. */
+static void
+handle_unplaced_tasks (struct core_step *step,
+                       const GArray *placements,
+                       int64_t unplaced,
+                       GArray *unadvised)
+{
+  const struct fl_advice_policy *policy = &step->job->queue.advice;
+
+  if (unplaced == 0)
+    {
+      set_wait_reason (step, CORE_WAIT_NONE);
+      return;
+    }
+  if (!team_has_capacity (step))
+    {
+      set_wait_reason (step, CORE_WAIT_TEAM_LIMIT);
+      return;
+    }
+  int64_t awaiting = count_awaiting_recording (placements);
+  /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
+   * and no others are queried in their place: advice causes most of the wait of long jobs. */
+  if (awaiting >= unplaced || !policy->required)
+    {
+      set_wait_reason (step, awaiting > 0 ? CORE_WAIT_RECORD : CORE_WAIT_CAPACITY);
+      return;
+    }
+  struct unadvised_step entry
+      = { step, unplaced - awaiting, awaiting > 0,
+          1.0 + (double)core_step_wait_for_advice_ms (step) / MAX (policy->base_latency_ms, 1.0) };
+  g_array_append_val (unadvised, entry);
+}
+
+static gint
+compare_response_ratios (const void *a, const void *b)
+{
+  const struct unadvised_step *x = a;
+  const struct unadvised_step *y = b;
+
+  return x->response_ratio > y->response_ratio ? -1 : x->response_ratio < y->response_ratio;
+}
+
+/* Queries advice for the steps of @unadvised, by highest response ratio (wait and service time by
+ * service time), and in the given order among equals.
+ *
+ * Load pattern: hosts are few, or the service is slow, so that not all steps can be queried. In the
+ * order of waiting steps alone, those of low priority would get no query for as long as others
+ * come, although there is capacity. */
+static void
+query_advice (GArray *unadvised)
+{
+  g_array_sort (unadvised, compare_response_ratios);
+  for (guint i = 0; i < unadvised->len; i++)
+    {
+      const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      enum core_wait_reason wait = core_advice_send_query (entry->step, entry->unplaced);
+      set_wait_reason (entry->step, wait == CORE_WAIT_CAPACITY && entry->awaits_recording
+                                        ? CORE_WAIT_RECORD
+                                        : wait);
+    }
+}
+
 static void
 clear_unreconciled (struct fl_core *core)
 {
@@ -728,8 +790,9 @@
   return waiting;
 }
 
+/* Starts the tasks of @step that can be started. Appends it to @unadvised if others need advice. */
 static void
-place_step (struct core_step *step)
+place_step (struct core_step *step, GArray *unadvised)
 {
   struct fl_core *core = step->job->core;
 
@@ -750,19 +813,21 @@
   if (step->idle_tasks < idle)
     core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
                               step->job->spec.text.len);
-  set_wait_reason (step, handle_unplaced_tasks (step, placements, unplaced));
+  handle_unplaced_tasks (step, placements, unplaced, unadvised);
 }
 
 void
 core_place_tasks (struct fl_core *core)
 {
   GArray *waiting;
+  g_autoptr (GArray) unadvised = g_array_new (FALSE, FALSE, sizeof (struct unadvised_step));
 
   g_array_set_size (core->free_max, 0);
   update_urgent_peaks (core);
   waiting = collect_waiting (core);
   for (guint i = 0; i < waiting->len; i++)
-    place_step (g_array_index (waiting, struct waiting_step, i).step);
+    place_step (g_array_index (waiting, struct waiting_step, i).step, unadvised);
+  query_advice (unadvised);
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
 }
--- a/lib/poold/advisor_pool.c
+++ b/lib/poold/advisor_pool.c
@@ -12,6 +12,9 @@
 /* How long hosts are left free after the last short query was wanted. A short query that comes
  * after a longer pause waits for a long one at most, which takes about as long. */
 #define RESERVE_MS 500
+/* A long query of a step that has waited for longer takes any free host: with few hosts, short
+ * queries would otherwise keep long ones from being sent for as long as they come. */
+#define RESERVED_WAIT_MAX_MS 1000
 /* A reply is overdue when it takes this much longer than expected, doubled with each query of its
  * host in a row that has no reply, and longer than the replies through most hosts lately. */
 #define REPLY_SLACK_MIN_MS 600
@@ -167,7 +170,7 @@
 
 /* @return a free host for a query, or NULL. */
 static struct advisor *
-choose_advisor (struct fl_advisor_pool *pool, bool is_long, int64_t now_ms)
+choose_advisor (struct fl_advisor_pool *pool, const struct fl_advice_demand *demand, int64_t now_ms)
 {
   struct fl_advisor_counts counts = fl_advisor_pool_count (pool, now_ms);
   struct advisor *best = NULL;
@@ -178,17 +181,20 @@
       if (is_free (advisor, now_ms) && (best == NULL || is_better (advisor, best)))
         best = advisor;
     }
-  if (!is_long)
+  if (demand->expected_ms <= LONG_QUERY_MS)
     pool->reserved_until_ms = now_ms + RESERVE_MS;
-  else if (counts.free <= count_reserved (pool, &counts, now_ms))
+  else if (demand->waited_ms < RESERVED_WAIT_MAX_MS
+           && counts.free <= count_reserved (pool, &counts, now_ms))
     return NULL;
   return best;
 }
 
 bool
-fl_advisor_pool_is_available (struct fl_advisor_pool *pool, int64_t least_ms, int64_t now_ms)
+fl_advisor_pool_is_available (struct fl_advisor_pool *pool,
+                              const struct fl_advice_demand *demand,
+                              int64_t now_ms)
 {
-  return choose_advisor (pool, least_ms > LONG_QUERY_MS, now_ms) != NULL;
+  return choose_advisor (pool, demand, now_ms) != NULL;
 }
 
 /* --- limits --- */
@@ -268,11 +274,11 @@
 
 bool
 fl_advisor_pool_begin (struct fl_advisor_pool *pool,
-                       int64_t expected_ms,
+                       const struct fl_advice_demand *demand,
                        int64_t now_ms,
                        struct fl_advisor_query *query)
 {
-  struct advisor *advisor = choose_advisor (pool, expected_ms > LONG_QUERY_MS, now_ms);
+  struct advisor *advisor = choose_advisor (pool, demand, now_ms);
 
   if (advisor == NULL)
     return false;
@@ -281,7 +287,7 @@
   advisor->query = (struct fl_advisor_query){ .number = ++pool->last_query_number,
                                               .host = advisor->host,
                                               .address = advisor->address,
-                                              .expected_ms = expected_ms,
+                                              .expected_ms = demand->expected_ms,
                                               .sent_ms = now_ms };
   *query = advisor->query;
   return true;
--- a/lib/poold/advisor_pool.h
+++ b/lib/poold/advisor_pool.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "common/str.h"
+#include "targets/calls.h"
 
 struct fl_advisor_pool;
 
@@ -48,13 +49,15 @@
                                const struct fl_name *host,
                                const struct fl_name *address);
 
-/* Whether a host is free for a query that takes at least @least_ms. */
-bool fl_advisor_pool_is_available (struct fl_advisor_pool *pool, int64_t least_ms, int64_t now_ms);
+/* Whether a host is free for @demand. */
+bool fl_advisor_pool_is_available (struct fl_advisor_pool *pool,
+                                   const struct fl_advice_demand *demand,
+                                   int64_t now_ms);
 
-/* Chooses a free host for a query that takes @expected_ms, and fills @query.
+/* Chooses a free host for @demand, and fills @query.
  * @return false if no host is free for it. */
 bool fl_advisor_pool_begin (struct fl_advisor_pool *pool,
-                            int64_t expected_ms,
+                            const struct fl_advice_demand *demand,
                             int64_t now_ms,
                             struct fl_advisor_query *query);
 
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -278,10 +278,10 @@
 }
 
 bool
-fl_advisors_are_available (struct fl_advisors *advisors, int64_t least_ms)
+fl_advisors_are_available (struct fl_advisors *advisors, const struct fl_advice_demand *demand)
 {
   int64_t now_ms = get_now (advisors);
-  bool available = fl_advisor_pool_is_available (advisors->pool, least_ms, now_ms);
+  bool available = fl_advisor_pool_is_available (advisors->pool, demand, now_ms);
 
   if (!available)
     log_hosts_exhausted (advisors, now_ms);
@@ -293,7 +293,7 @@
                         const struct fl_name *step,
                         const struct fl_name *targets,
                         size_t count,
-                        int64_t expected_ms)
+                        const struct fl_advice_demand *demand)
 {
   struct fl_advisor_query chosen;
   struct query *query;
@@ -303,7 +303,7 @@
   query = g_new0 (struct query, 1);
   *query = (struct query){ .advisors = advisors, .step = *step, .target_count = count };
   memcpy (query->targets, targets, count * sizeof targets[0]);
-  while (fl_advisor_pool_begin (advisors->pool, expected_ms, get_now (advisors), &chosen))
+  while (fl_advisor_pool_begin (advisors->pool, demand, get_now (advisors), &chosen))
     {
       query->number = chosen.number;
       query->forgotten_ms = chosen.sent_ms + CALL_TIMEOUT_MS + REPLY_MARGIN_MS;
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -51,13 +51,14 @@
                            const struct fl_name *host,
                            const struct fl_name *address);
 
-/* Whether a host is free for a query that takes at least @least_ms. */
-bool fl_advisors_are_available (struct fl_advisors *advisors, int64_t least_ms);
+/* Whether a host is free for @demand. */
+bool fl_advisors_are_available (struct fl_advisors *advisors,
+                                const struct fl_advice_demand *demand);
 
 /* Queries which of the @count targets may run @step, through a free host.
- * @return false when no host is free for a query that takes @expected_ms. */
+ * @return false when no host is free for @demand. */
 bool fl_advisors_send_query (struct fl_advisors *advisors,
                              const struct fl_name *step,
                              const struct fl_name *targets,
                              size_t count,
-                             int64_t expected_ms);
+                             const struct fl_advice_demand *demand);
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -139,19 +139,19 @@
               const struct fl_name *step,
               const struct fl_name *targets,
               size_t count,
-              int64_t expected_ms)
+              const struct fl_advice_demand *demand)
 {
   struct fl_term *term = context;
 
-  return fl_advisors_send_query (term->poold->advisors, step, targets, count, expected_ms);
+  return fl_advisors_send_query (term->poold->advisors, step, targets, count, demand);
 }
 
 static bool
-may_query_advice (void *context, int64_t least_ms)
+may_query_advice (void *context, const struct fl_advice_demand *demand)
 {
   struct fl_term *term = context;
 
-  return fl_advisors_are_available (term->poold->advisors, least_ms);
+  return fl_advisors_are_available (term->poold->advisors, demand);
 }
 
 const struct fl_core_actions fl_term_actions
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -183,6 +183,13 @@
   int64_t took_ms;     /* from the query to the reply or the timeout */
 };
 
+/* A query that a step needs. */
+struct fl_advice_demand
+{
+  int64_t expected_ms; /* the published time of the query, or the least */
+  int64_t waited_ms;   /* how long the step has waited for advice */
+};
+
 /* Most targets in one query. */
 #define FL_ADVICE_TARGETS_MAX 100
 
--- a/tests/bench_core.c
+++ b/tests/bench_core.c
@@ -63,13 +63,13 @@
           const struct fl_name *step,
           const struct fl_name *targets,
           size_t count,
-          int64_t expected_ms)
+          const struct fl_advice_demand *demand)
 {
   struct bench *bench = context;
   struct query query
       = { *step, g_array_new (FALSE, FALSE, sizeof *targets), bench->now_ms + ADVICE_MS };
 
-  (void)expected_ms;
+  (void)demand;
   if ((int)bench->queries->len >= bench->advisors)
     {
       g_array_unref (query.targets);
@@ -81,11 +81,11 @@
 }
 
 static bool
-may_query (void *context, int64_t least_ms)
+may_query (void *context, const struct fl_advice_demand *demand)
 {
   const struct bench *bench = context;
 
-  (void)least_ms;
+  (void)demand;
   return (int)bench->queries->len < bench->advisors;
 }
 
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1119,7 +1119,7 @@
                    const struct fl_name *step,
                    const struct fl_name *targets,
                    size_t count,
-                   int64_t expected_ms)
+                   const struct fl_advice_demand *demand)
 {
   struct owner *owner = context;
   struct advice_query *query = g_new0 (struct advice_query, 1);
@@ -1128,15 +1128,16 @@
   query->step = *step;
   query->count = count;
   memcpy (query->targets, targets, count * sizeof targets[0]);
-  schedule (owner->cell, expected_ms + random_between (owner->cell, 1, 20), on_query_done, query);
+  schedule (owner->cell, demand->expected_ms + random_between (owner->cell, 1, 20), on_query_done,
+            query);
   return true;
 }
 
 static bool
-may_query_advice (void *context, int64_t least_ms)
+may_query_advice (void *context, const struct fl_advice_demand *demand)
 {
   (void)context;
-  (void)least_ms;
+  (void)demand;
   return true;
 }
 
--- a/tests/support_core.c
+++ b/tests/support_core.c
@@ -30,11 +30,11 @@
                       const struct fl_name *step,
                       const struct fl_name *targets,
                       size_t count,
-                      int64_t expected_ms)
+                      const struct fl_advice_demand *demand)
 {
   struct fixture *fixture = context;
 
-  (void)expected_ms;
+  (void)demand;
   fixture->query_count++;
   fixture->queried_step = *step;
   g_array_set_size (fixture->queried_targets, 0);
@@ -43,11 +43,12 @@
 }
 
 static bool
-may_query_advice (void *context, int64_t least_ms)
+may_query_advice (void *context, const struct fl_advice_demand *demand)
 {
-  (void)context;
-  (void)least_ms;
-  return true;
+  const struct fixture *fixture = context;
+
+  (void)demand;
+  return fixture->queries_max == 0 || fixture->query_count < fixture->queries_max;
 }
 
 /* @cpu_cap_milli: the CPU limit of the team; 0 for none. */
@@ -62,16 +63,21 @@
   };
   struct fl_queue slow = urgent;
   struct fl_queue advised = urgent;
+  struct fl_queue slow_advised;
 
   slow.name = fl_name_of ("slow");
   slow.priority = 2;
   advised.name = fl_name_of ("advised");
   advised.advice = (struct fl_advice_policy){ true, 20, 0.3, 2500 };
+  slow_advised = slow;
+  slow_advised.name = fl_name_of ("slow-advised");
+  slow_advised.advice = (struct fl_advice_policy){ true, 400, 6, 2500 };
   fl_configuration_add_service (configuration, &service);
   fl_configuration_add_team (configuration, &team);
   fl_configuration_add_queue (configuration, &urgent);
   fl_configuration_add_queue (configuration, &slow);
   fl_configuration_add_queue (configuration, &advised);
+  fl_configuration_add_queue (configuration, &slow_advised);
   fl_core_configure (fixture->core, configuration);
   fl_configuration_unref (configuration);
 }
--- a/tests/support_core.h
+++ b/tests/support_core.h
@@ -1,5 +1,6 @@
 /* Drives a core on a virtual clock with one service "s", one team "w" and the queues "urgent",
- * "slow" and "advised" (which requires advice), and captures what the core issues. */
+ * "slow", "advised" and "slow-advised" (which require advice), and captures what the core issues.
+ */
 #pragma once
 
 #include <stddef.h>
@@ -24,6 +25,7 @@
   GArray *queried_targets; /* struct fl_name: ids in the last advice query */
   struct fl_name queried_step;
   int query_count;
+  int queries_max; /* no host is free for further ones; 0 for no limit */
 };
 
 struct fixture_options
--- a/tests/test_advisor_pool.c
+++ b/tests/test_advisor_pool.c
@@ -135,8 +135,9 @@
   for (guint i = 0; i < day->steps->len; i++)
     {
       struct step *step = &g_array_index (day->steps, struct step, i);
+      struct fl_advice_demand demand = { day->course->expected_ms, now_ms - step->asked_ms };
       if (!step->is_waiting || step->has_query
-          || !fl_advisor_pool_begin (day->pool, day->course->expected_ms, now_ms, &query))
+          || !fl_advisor_pool_begin (day->pool, &demand, now_ms, &query))
         continue;
       step->has_query = true;
       g_hash_table_insert (day->step_ids, (void *)(intptr_t)query.number, GUINT_TO_POINTER (i));
--- a/tests/test_advisors.c
+++ b/tests/test_advisors.c
@@ -117,7 +117,8 @@
       fixture.advisors = fl_advisors_new (&options);
       for (size_t j = 0; j < G_N_ELEMENTS (peers); j++)
         fl_advisors_set_peer (fixture.advisors, &peers[j], &peers[j]);
-      assert_true (fl_advisors_send_query (fixture.advisors, &step, &target, 1, 100));
+      assert_true (fl_advisors_send_query (fixture.advisors, &step, &target, 1,
+                                           &(struct fl_advice_demand){ .expected_ms = 100 }));
       if (fixture.sent_to_peers != cases[i].sent_to_peers
           || fixture.sent_to_service != cases[i].sent_to_service)
         fail_msg ("%s: %d sent to peers, %d to the service", cases[i].name, fixture.sent_to_peers,
@@ -145,7 +146,8 @@
       struct fl_name peer = fl_name_format ("p%d", i);
       fl_advisors_set_peer (fixture.advisors, &peer, &peer);
     }
-  while (fl_advisors_send_query (fixture.advisors, &step, &target, 1, 600))
+  while (fl_advisors_send_query (fixture.advisors, &step, &target, 1,
+                                 &(struct fl_advice_demand){ .expected_ms = 600 }))
     ;
   assert_int_equal (fixture.sent_to_peers + fixture.sent_to_service, 2);
   fl_advisors_free (fixture.advisors);
@@ -162,14 +164,17 @@
     int peers;
     int64_t short_wanted_ms_ago; /* -1: never */
     int long_queries;            /* sent until no host is free for another */
+    int64_t waited_ms;           /* by the steps of the long queries */
   } cases[] = {
-    { "4 hosts, no short query", 3, -1, 4 },
-    { "4 hosts, a short query just before", 3, 0, 3 },
-    { "4 hosts, a short query a moment ago", 3, 499, 3 },
-    { "4 hosts, the last short query long ago", 3, 500, 4 },
-    { "2 hosts, a short query just before", 1, 0, 2 },
-    { "9 hosts, no short query", 8, -1, 9 },
-    { "9 hosts, a short query just before", 8, 0, 7 },
+    { "4 hosts, no short query", 3, -1, 4, 0 },
+    { "4 hosts, a short query just before", 3, 0, 3, 0 },
+    { "4 hosts, a short query a moment ago", 3, 499, 3, 0 },
+    { "4 hosts, the last short query long ago", 3, 500, 4, 0 },
+    { "2 hosts, a short query just before", 1, 0, 2, 0 },
+    { "9 hosts, no short query", 8, -1, 9, 0 },
+    { "9 hosts, a short query just before", 8, 0, 7, 0 },
+    { "9 hosts, steps that have waited for long", 8, 0, 9, 1000 },
+    { "3 hosts, steps that have waited for long", 2, 0, 3, 1000 },
   };
 
   (void)state;
@@ -192,10 +197,12 @@
         }
       if (cases[i].short_wanted_ms_ago >= 0)
         {
-          assert_true (fl_advisors_are_available (fixture.advisors, 25));
+          assert_true (fl_advisors_are_available (fixture.advisors,
+                                                  &(struct fl_advice_demand){ .expected_ms = 25 }));
           fixture.now_ms += cases[i].short_wanted_ms_ago;
         }
-      while (fl_advisors_send_query (fixture.advisors, &step, &target, 1, 600))
+      while (fl_advisors_send_query (fixture.advisors, &step, &target, 1,
+                                     &(struct fl_advice_demand){ 600, cases[i].waited_ms }))
         sent++;
       if (sent != cases[i].long_queries)
         fail_msg ("%s: %d long queries, not %d", cases[i].name, sent, cases[i].long_queries);
@@ -308,7 +315,8 @@
   struct fl_name target = fl_name_of ("t1");
 
   g_byte_array_set_size (exchange->to_peer, 0);
-  return fl_advisors_send_query (exchange->owner.advisors, &step, &target, 1, 1);
+  return fl_advisors_send_query (exchange->owner.advisors, &step, &target, 1,
+                                 &(struct fl_advice_demand){ .expected_ms = 1 });
 }
 
 /* Sends a query. @return whether it went to the peer. */
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -361,6 +361,37 @@
   fixture_free (fixture);
 }
 
+/* While short queries of higher priority came, one for each that a host could send, a step of low
+ * priority got none. */
+static void
+test_low_priority_is_queried_beside_urgent_steps (void **state)
+{
+  static const struct fl_advice_reply none_eligible = { .received = true };
+  struct fixture *fixture = fixture_new (0);
+  bool is_queried = false;
+  int64_t waited_ms = 0;
+
+  (void)state;
+  add_target (fixture, "t1", 100, false);
+  add_job (fixture, "slow", "slow-advised", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  for (int i = 0; waited_ms < 3000 && !is_queried; i++, waited_ms += 50)
+    {
+      struct fl_name urgent = fl_name_format ("urgent%d", i);
+      fixture->now_ms += 50;
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+      add_job (fixture, urgent.data, "advised",
+               (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      fixture->queries_max = fixture->query_count + 1;
+      fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+      is_queried = strncmp (fixture->queried_step.data, "slow", 4) == 0;
+      fl_core_handle_advice_reply (fixture->core, &fixture->queried_step,
+                                   (struct fl_name *)fixture->queried_targets->data,
+                                   fixture->queried_targets->len, &none_eligible, fixture->now_ms);
+    }
+  assert_true (is_queried);
+  fixture_free (fixture);
+}
+
 /* --- orders and reports --- */
 
 static void
@@ -1335,6 +1366,7 @@
     cmocka_unit_test (test_late_advice_counts),
     cmocka_unit_test (test_advice_query_is_large_enough),
     cmocka_unit_test (test_queries_in_vain_get_larger),
+    cmocka_unit_test (test_low_priority_is_queried_beside_urgent_steps),
     cmocka_unit_test (test_start_without_reply),
     cmocka_unit_test (test_start_stopped_after_reset),
     cmocka_unit_test (test_target_without_listener),
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -532,7 +532,9 @@
   order_until_forwarded (&owner, order_stop);
   while (owner.in_flight > 0)
     support_run_loop_for (owner.loop, STEP_S);
-  assert_true (fl_advisors_send_query (owner.advisors, &step, targets, 2, ADVICE_EXPECTED_MS));
+  assert_true (
+      fl_advisors_send_query (owner.advisors, &step, targets, 2,
+                              &(struct fl_advice_demand){ .expected_ms = ADVICE_EXPECTED_MS }));
   owner.in_flight++;
   for (int s = 0; s < STEPS_BEFORE_STOP; s++)
     support_run_loop_for (owner.loop, STEP_S);
