flamingoctl advisors: the hosts that send advice queries, from the state dump

On-call engineers could not see which hosts were free, in use or backing off, how many of their queries were overdue, and which delay the pool expects.

--- a/lib/cli/commands.c
+++ b/lib/cli/commands.c
@@ -232,6 +232,18 @@
   return print_dump (arguments, "job", columns);
 }
 
+static int
+list_advisors (const struct arguments *arguments)
+{
+  static const struct fl_column columns[]
+      = { { "HOST", "advisor" },          { "STATE", "state" },
+          { "BACKOFF MS", "backoff_ms" }, { "UNANSWERED", "unanswered" },
+          { "OVERDUE", "overdue" },       { "DELAY MS", "delay_ms" },
+          { "SLACK MS", "slack_ms" },     { NULL, NULL } };
+
+  return print_dump (arguments, "advisor", columns);
+}
+
 static bool
 read_log (struct fl_explanation *explanation, const char *path)
 {
@@ -283,6 +295,10 @@
     false, list_targets },
   { "jobs", "", "list open jobs as seen by the pool's owner (--url: its metrics address)", 0, false,
     list_jobs },
+  { "advisors", "",
+    "list the hosts that send advice queries, as seen by the pool's owner (--url: its metrics "
+    "address)",
+    0, false, list_advisors },
   { "explain", "ID LOG..", "explain what happened to a job, from the log files of all hosts", 2,
     true, explain_job },
 };
--- a/lib/poold/advisor_pool.c
+++ b/lib/poold/advisor_pool.c
@@ -260,14 +260,19 @@
   update_measured_slack (pool);
 }
 
+/* @return how much longer than expected a reply through @advisor may take before it is overdue. */
+static int64_t
+get_reply_slack_ms (const struct fl_advisor_pool *pool, const struct advisor *advisor)
+{
+  return MAX (back_off (REPLY_SLACK_MIN_MS, advisor->unanswered, REPLY_SLACK_MAX_MS),
+              pool->measured_slack_ms);
+}
+
 /* @return when the reply to the query in flight of @advisor is overdue. */
 static int64_t
 get_overdue_ms (const struct fl_advisor_pool *pool, const struct advisor *advisor)
 {
-  int64_t slack_ms = back_off (REPLY_SLACK_MIN_MS, advisor->unanswered, REPLY_SLACK_MAX_MS);
-
-  return advisor->query.sent_ms + advisor->query.expected_ms
-         + MAX (slack_ms, pool->measured_slack_ms);
+  return advisor->query.sent_ms + advisor->query.expected_ms + get_reply_slack_ms (pool, advisor);
 }
 
 /* --- queries --- */
@@ -409,3 +414,25 @@
       advisor->backoff_until_ms = now_ms;
     }
 }
+
+/* --- state dump --- */
+
+void
+fl_advisor_pool_dump (const struct fl_advisor_pool *pool, int64_t now_ms, GString *out)
+{
+  for (guint i = 0; i < pool->advisors->len; i++)
+    {
+      const struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
+      const char *state = advisor->busy               ? "in_use"
+                          : is_free (advisor, now_ms) ? "free"
+                                                      : "backing_off";
+      g_string_append_printf (
+          out,
+          "{\"advisor\":\"%s\",\"state\":\"%s\",\"backoff_ms\":%" G_GINT64_FORMAT
+          ",\"unanswered\":%d,\"overdue\":%u,\"delay_ms\":%.0f,\"slack_ms\":%" G_GINT64_FORMAT
+          "}\n",
+          advisor->host.data, state, MAX (advisor->backoff_until_ms - now_ms, 0),
+          advisor->unanswered, advisor->overdue->len, advisor->delay_ms,
+          get_reply_slack_ms (pool, advisor));
+    }
+}
--- a/lib/poold/advisor_pool.h
+++ b/lib/poold/advisor_pool.h
@@ -10,6 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "common/str.h"
 #include "targets/calls.h"
 
@@ -89,3 +91,6 @@
                                    int64_t now_ms);
 
 struct fl_advisor_counts fl_advisor_pool_count (const struct fl_advisor_pool *pool, int64_t now_ms);
+
+/* Appends one line of JSON for each host to @out, for operators. */
+void fl_advisor_pool_dump (const struct fl_advisor_pool *pool, int64_t now_ms, GString *out);
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -432,6 +432,12 @@
 
 /* --- hosts --- */
 
+void
+fl_advisors_dump (const struct fl_advisors *advisors, GString *out)
+{
+  fl_advisor_pool_dump (advisors->pool, get_now (advisors), out);
+}
+
 void
 fl_advisors_set_peer (struct fl_advisors *advisors,
                       const struct fl_name *host,
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -6,6 +6,8 @@
  * query, and when its reply is overdue, is decided by the advisor pool. */
 #pragma once
 
+#include <glib.h>
+
 #include "common/clock.h"
 #include "host/host.h"
 #include "net/link.h"
@@ -51,6 +53,9 @@
                            const struct fl_name *host,
                            const struct fl_name *address);
 
+/* Appends one line of JSON for each host to @out, for operators. */
+void fl_advisors_dump (const struct fl_advisors *advisors, GString *out);
+
 /* Whether a host is free for @demand. */
 bool fl_advisors_are_available (struct fl_advisors *advisors,
                                 const struct fl_advice_demand *demand);
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -230,8 +230,10 @@
 {
   struct fl_poold *poold = context;
 
-  if (poold->term != NULL)
-    fl_core_dump (poold->term->core, out);
+  if (poold->term == NULL)
+    return;
+  fl_core_dump (poold->term->core, out);
+  fl_advisors_dump (poold->advisors, out);
 }
 
 static void
