--- a/lib/poold/advisor_pool.h
+++ b/lib/poold/advisor_pool.h
@@ -10,7 +10,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "common/str.h"
+#include "targets/calls.h"
 
 struct fl_advisor_pool;
 
@@ -48,13 +51,15 @@
                                const struct fl_name *host,
                                const struct fl_name *address);
 
-/* Whether a host is free for a query that takes at least @least_ms. */
-bool fl_advisor_pool_is_available (struct fl_advisor_pool *pool, int64_t least_ms, int64_t now_ms);
+/* Whether a host is free for @demand. */
+bool fl_advisor_pool_is_available (struct fl_advisor_pool *pool,
+                                   const struct fl_advice_demand *demand,
+                                   int64_t now_ms);
 
-/* Chooses a free host for a query that takes @expected_ms, and fills @query.
+/* Chooses a free host for @demand, and fills @query.
  * @return false if no host is free for it. */
 bool fl_advisor_pool_begin (struct fl_advisor_pool *pool,
-                            int64_t expected_ms,
+                            const struct fl_advice_demand *demand,
                             int64_t now_ms,
                             struct fl_advisor_query *query);
 
@@ -86,3 +91,6 @@
                                    int64_t now_ms);
 
 struct fl_advisor_counts fl_advisor_pool_count (const struct fl_advisor_pool *pool, int64_t now_ms);
+
+/* Appends one line of JSON for each host to @out, for operators. */
+void fl_advisor_pool_dump (const struct fl_advisor_pool *pool, int64_t now_ms, GString *out);
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1425,7 +1425,7 @@
                    const struct fl_name *step,
                    const struct fl_name *targets,
                    size_t count,
-                   int64_t expected_ms)
+                   const struct fl_advice_demand *demand)
 {
   struct owner *owner = context;
   struct fl_advisor_query chosen;
@@ -1433,7 +1433,7 @@
 
   if (owner->advisors == NULL)
     {
-      send_prompt_query (owner, step, targets, count, expected_ms);
+      send_prompt_query (owner, step, targets, count, demand->expected_ms);
       return true;
     }
   query = g_rc_box_new0 (struct advice_query);
@@ -1442,7 +1442,7 @@
   query->step = *step;
   query->count = count;
   memcpy (query->targets, targets, count * sizeof targets[0]);
-  while (fl_advisor_pool_begin (owner->advisors, expected_ms, owner->cell->now_ms, &chosen))
+  while (fl_advisor_pool_begin (owner->advisors, demand, owner->cell->now_ms, &chosen))
     {
       if (pass_query_on (query, &chosen))
         {
@@ -1456,12 +1456,12 @@
 }
 
 static bool
-may_query_advice (void *context, int64_t least_ms)
+may_query_advice (void *context, const struct fl_advice_demand *demand)
 {
   struct owner *owner = context;
 
   return owner->advisors == NULL
-         || fl_advisor_pool_is_available (owner->advisors, least_ms, owner->cell->now_ms);
+         || fl_advisor_pool_is_available (owner->advisors, demand, owner->cell->now_ms);
 }
 
 /* Notes the messages that each peer that works sends now and then. */
