--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1962,8 +1962,11 @@
   bool kills = happens_randomly (cell, rates->owner_killed);
   owner->dead = owner->dead || kills;
   bool freezes = happens_randomly (cell, rates->owner_frozen);
+  int64_t frozen_until_ms = freezes ? cell->now_ms + random_between (cell, 200, 8000) : 0;
+  /* Without an advice profile, what arrives in a longer pause before is handled only at its end. */
   if (freezes)
-    owner->frozen_until_ms = cell->now_ms + random_between (cell, 200, 8000);
+    owner->frozen_until_ms
+        = cell->advice != NULL ? MAX (owner->frozen_until_ms, frozen_until_ms) : frozen_until_ms;
   bool isolates = happens_randomly (cell, rates->owner_isolated);
   if (isolates)
     owner->isolated_until_ms = cell->now_ms + random_between (cell, 200, 12000);
