Advice: a gang that needs more than is free is not queried

A gang of 24 tasks was queried 28 times about the few targets that were free at the moment, although it starts as a whole and none of the replies could let it.

Change: where the targets that may be eligible have less room than a gang needs, it waits for room without a query.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -87,56 +87,78 @@
   return 0;
 }
 
-/* Appends @target to @candidates if @step fits there and advice on it may help.
- * @return whether the step fits there. */
-static bool
-add_candidate (struct core_step *step, struct core_target *target, double share, GArray *candidates)
+/* Targets on which a step fits, without those that are known not to be eligible. */
+struct candidates
+{
+  GArray *rows;          /* struct candidate: those of which advice may help */
+  int64_t task_capacity; /* of these, and of targets with a valid ticket */
+  bool fits_anywhere;
+  bool is_sample; /* not all targets have been looked at */
+};
+
+/* Adds @target to @candidates if @step fits there. */
+static void
+add_candidate (struct core_step *step,
+               struct core_target *target,
+               double share,
+               struct candidates *candidates)
 {
   struct candidate candidate = { .target = target };
   const struct core_advice *advice;
 
   candidate.task_capacity = core_target_task_capacity (target, step, true);
   if (candidate.task_capacity == 0)
-    return false;
+    return;
+  candidates->fits_anywhere = true;
   advice = find_advice (step, target);
-  if (advice != NULL && (!advice->eligible || core_advice_ticket (step, target) != NULL))
-    return true;
+  if (advice != NULL && !advice->eligible)
+    return;
+  candidates->task_capacity += candidate.task_capacity;
+  if (core_advice_ticket (step, target) != NULL)
+    return;
   candidate.eligible_probability = advice != NULL ? 1.0 : share;
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
   candidate.free_cpu_milli = target->entry.resources.cpu_milli - target->used.cpu_milli
                              - target->best_effort_cpu_milli - target->tentative_cpu_milli;
-  g_array_append_val (candidates, candidate);
-  return true;
+  g_array_append_val (candidates->rows, candidate);
 }
 
 /* Collects targets that a query may contain, best first. A step without a preferred rack looks at a
  * sample only: of hundreds of targets, the best of a sample are about as good as the best of all.
  */
-static GArray *
+static struct candidates
 collect_candidates (struct core_step *step, double share)
 {
-  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  struct candidates candidates = { .rows = g_array_new (FALSE, FALSE, sizeof (struct candidate)) };
   struct fl_core *core = step->job->core;
   guint target_count = core->target_list->len;
-  bool fits_anywhere = false;
   guint seen = 0;
 
-  for (; seen < target_count && (step->spec->rack.len > 0 || candidates->len < CANDIDATES_MAX);
+  for (; seen < target_count && (step->spec->rack.len > 0 || candidates.rows->len < CANDIDATES_MAX);
        seen++)
     {
       guint position = (core->scan_start + seen) % target_count;
-      fits_anywhere |= add_candidate (step, g_ptr_array_index (core->target_list, position), share,
-                                      candidates);
+      add_candidate (step, g_ptr_array_index (core->target_list, position), share, &candidates);
     }
   if (target_count > 0)
     core->scan_start = (core->scan_start + seen) % target_count;
-  if (!fits_anywhere)
+  candidates.is_sample = seen < target_count;
+  if (!candidates.fits_anywhere)
     core_record_vain_search (step, true);
-  g_array_sort (candidates, compare_candidates);
+  g_array_sort (candidates.rows, compare_candidates);
   return candidates;
 }
 
+/* Whether no reply can let a task of @step start: a gang starts as a whole, and needs more than is
+ * free. */
+static bool
+is_in_vain (const struct core_step *step, const struct candidates *candidates)
+{
+  return step->spec->gang && !candidates->is_sample
+         && candidates->task_capacity < step->spec->count;
+}
+
 static void
 add_tentative_cpu (struct core_step *step, const GArray *queried, int64_t cpu_milli)
 {
@@ -219,7 +241,7 @@
                                      .waited_ms = core_step_wait_for_advice_ms (step) };
   double share = step->job->queue_stats->eligible_share;
   struct fl_name name;
-  GArray *candidates;
+  struct candidates candidates;
   GArray *queried;
 
   if (step->query_in_flight)
@@ -230,8 +252,13 @@
     return CORE_WAIT_ADVICE;
   name = core_step_name (step);
   candidates = collect_candidates (step, share);
-  queried = choose_queried (step, candidates, waiting);
-  g_array_unref (candidates);
+  if (is_in_vain (step, &candidates))
+    {
+      g_array_unref (candidates.rows);
+      return CORE_WAIT_CAPACITY;
+    }
+  queried = choose_queried (step, candidates.rows, waiting);
+  g_array_unref (candidates.rows);
   demand.expected_ms
       = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
   bool has_targets = queried->len > 0;
