--- a/tests/test_advisor_pool.c
+++ b/tests/test_advisor_pool.c
@@ -209,10 +209,120 @@
     }
 }
 
+/* --- one host --- */
+
+static const struct fl_advice_demand demand_480 = { .expected_ms = 480 };
+
+/* Ends the query in flight without a reply once it is overdue. @return when. */
+static int64_t
+let_time_out (struct fl_advisor_pool *pool)
+{
+  struct fl_advisor_query query;
+  int64_t now_ms = fl_advisor_pool_next_overdue_ms (pool);
+
+  assert_false (fl_advisor_pool_take_overdue (pool, now_ms - 1, &query));
+  assert_true (fl_advisor_pool_take_overdue (pool, now_ms, &query));
+  return now_ms;
+}
+
+/* A host whose queries had no reply got another one every 2 s, each of which waited behind the
+ * calls that had been given up. */
+static void
+test_host_without_replies_backs_off_longer_each_time (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool is_rejected; /* the call fails at once, else it has no reply */
+    int64_t backoffs_ms[5];
+  } cases[] = {
+    { "no reply", false, { 2000, 4000, 8000, 16000, 16000 } },
+    { "rejected", true, { 250, 500, 1000, 2000, 2000 } },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_advisor_pool *pool = new_pool (1);
+      struct fl_advisor_query query;
+      struct fl_advisor_query first = { 0 };
+      int64_t now_ms = 1000;
+
+      for (size_t j = 0; j < G_N_ELEMENTS (cases[i].backoffs_ms); j++)
+        {
+          if (!fl_advisor_pool_begin (pool, &demand_480, now_ms, &query))
+            fail_msg ("%s: query %zu is not sent", cases[i].name, j + 1);
+          if (j == 0)
+            first = query;
+          if (cases[i].is_rejected)
+            fl_advisor_pool_finish (pool, query.number, false, now_ms, &query);
+          else
+            now_ms = let_time_out (pool);
+          now_ms += cases[i].backoffs_ms[j];
+          if (fl_advisor_pool_is_available (pool, &demand_480, now_ms - 1))
+            fail_msg ("%s: used again too early after query %zu", cases[i].name, j + 1);
+        }
+      /* The reply to any of its queries ends the backoff. */
+      if (!cases[i].is_rejected)
+        {
+          assert_int_equal (fl_advisor_pool_finish (pool, first.number, true, now_ms - 1, &query),
+                            FL_ADVISOR_OVERDUE);
+          assert_int_equal (query.number, first.number);
+        }
+      else
+        {
+          assert_true (fl_advisor_pool_begin (pool, &demand_480, now_ms, &query));
+          fl_advisor_pool_finish (pool, query.number, true, now_ms, &query);
+        }
+      assert_true (fl_advisor_pool_is_available (pool, &demand_480, now_ms));
+      assert_int_equal (fl_advisor_pool_finish (pool, first.number, true, now_ms, &query),
+                        FL_ADVISOR_UNKNOWN);
+      fl_advisor_pool_free (pool);
+    }
+}
+
+/* The late replies of one host widened the limits of all. */
+static void
+test_one_slow_host_does_not_widen_the_limit (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int slow_hosts; /* of 7, each of which has one reply 8 s late */
+    int64_t slack_ms;
+  } cases[] = { { "none", 0, 600 }, { "one", 1, 600 }, { "most", 4, 10000 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_advisor_pool *pool = new_pool (7);
+      struct fl_advisor_query queries[7];
+      struct fl_advisor_query query;
+
+      for (int j = 0; j < 7; j++)
+        assert_true (fl_advisor_pool_begin (pool, &demand_480, 0, &queries[j]));
+      for (int j = cases[i].slow_hosts; j < 7; j++)
+        fl_advisor_pool_finish (pool, queries[j].number, true, 480, &query);
+      while (fl_advisor_pool_take_overdue (pool, 8480, &query))
+        ;
+      for (int j = 0; j < cases[i].slow_hosts; j++)
+        assert_int_equal (fl_advisor_pool_finish (pool, queries[j].number, true, 8480, &query),
+                          FL_ADVISOR_OVERDUE);
+      assert_true (fl_advisor_pool_begin (pool, &demand_480, 10000, &query));
+      if (fl_advisor_pool_next_overdue_ms (pool) != 10480 + cases[i].slack_ms)
+        fail_msg ("%s: overdue at %d ms", cases[i].name,
+                  (int)fl_advisor_pool_next_overdue_ms (pool));
+      fl_advisor_pool_free (pool);
+    }
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_replies_later_than_published) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_replies_later_than_published),
+          cmocka_unit_test (test_host_without_replies_backs_off_longer_each_time),
+          cmocka_unit_test (test_one_slow_host_does_not_widen_the_limit) };
 
   return cmocka_run_group_tests_name ("advisor_pool", tests, NULL, NULL);
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -352,6 +352,9 @@
       tick_until_recorded (fixture, 10);
       assert_int_equal (fixture->query_count, query);
       in_vain *= pow (1.0 - 0.35, fixture->queried_targets->len);
+      /* Before the first reply, half of the targets are expected to be eligible. */
+      if (query == 1 && pow (0.5, fixture->queried_targets->len) > 0.02)
+        fail_msg ("the first query has %u targets", fixture->queried_targets->len);
       fl_core_handle_advice_reply (fixture->core, &fixture->queried_step,
                                    (struct fl_name *)fixture->queried_targets->data,
                                    fixture->queried_targets->len, &none_eligible, fixture->now_ms);
