--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -232,47 +232,35 @@
   return count;
 }
 
-enum core_wait_reason
-core_advice_send_query (struct core_step *step, int64_t waiting)
+/* @return the ids of the targets that a query about @waiting tasks of @step contains; none where
+ * advice cannot help. */
+static GArray *
+select_queried (struct core_step *step, int64_t waiting)
 {
-  struct fl_core *core = step->job->core;
-  const struct fl_advice_policy *policy = &step->job->queue.advice;
-  struct fl_advice_demand demand = { .expected_ms = (int64_t)policy->base_latency_ms,
-                                     .waited_ms = core_step_wait_for_advice_ms (step) };
-  double share = step->job->queue_stats->eligible_share;
-  struct fl_name name;
-  struct candidates candidates;
+  struct candidates candidates = collect_candidates (step, step->job->queue_stats->eligible_share);
   GArray *queried;
 
-  if (step->query_in_flight)
-    return CORE_WAIT_ADVICE;
-  if (core_capacity_is_exhausted (step, true))
-    return CORE_WAIT_CAPACITY;
-  if (!core->options.actions.may_query_advice (core->options.context, &demand))
-    return CORE_WAIT_ADVICE;
-  name = core_step_name (step);
-  candidates = collect_candidates (step, share);
   if (is_in_vain (step, &candidates))
-    {
-      g_array_unref (candidates.rows);
-      return CORE_WAIT_CAPACITY;
-    }
+    g_array_set_size (candidates.rows, 0);
   queried = choose_queried (step, candidates.rows, waiting);
   g_array_unref (candidates.rows);
-  demand.expected_ms
-      = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
-  bool has_targets = queried->len > 0;
-  if (!has_targets
-      || !core->options.actions.query_advice (
-          core->options.context, &name, (struct fl_name *)queried->data, queried->len, &demand))
-    {
-      g_array_unref (queried);
-      return has_targets ? CORE_WAIT_ADVICE : CORE_WAIT_CAPACITY;
-    }
+  return queried;
+}
+
+/* Notes that a query of @step has been sent. Takes ownership of @queried. */
+static void
+note_query (struct core_step *step,
+            GArray *queried,
+            int64_t waiting,
+            const struct fl_advice_demand *demand)
+{
+  struct fl_core *core = step->job->core;
+  struct fl_name name = core_step_name (step);
+
   fl_log (core->options.log, FL_LOG_INFO, "advice_asked", FL_N ("step", &name),
           FL_I ("targets", queried->len), FL_I ("waiting", waiting),
-          FL_I ("expected_ms", demand.expected_ms), FL_I ("expired", count_expired (step, queried)),
-          FL_I ("queries", step->queries_sent));
+          FL_I ("expected_ms", demand->expected_ms),
+          FL_I ("expired", count_expired (step, queried)), FL_I ("queries", step->queries_sent));
   step->queries_sent++;
   core->queries_sent++;
   step->query_in_flight = true;
@@ -282,7 +270,34 @@
   add_tentative_cpu (step, queried, step->queried_cpu_milli);
   fl_stats_add (core->options.stats, "advice_asked_total", 1);
   fl_stats_add (core->options.stats, "advice_targets_total", queried->len);
-  return CORE_WAIT_ADVICE;
+}
+
+enum core_wait_reason
+core_advice_send_query (struct core_step *step, int64_t waiting)
+{
+  struct fl_core *core = step->job->core;
+  const struct fl_advice_policy *policy = &step->job->queue.advice;
+  struct fl_advice_demand demand = { .expected_ms = (int64_t)policy->base_latency_ms,
+                                     .waited_ms = core_step_wait_for_advice_ms (step) };
+  struct fl_name name = core_step_name (step);
+
+  if (step->query_in_flight)
+    return CORE_WAIT_ADVICE;
+  if (core_capacity_is_exhausted (step, true))
+    return CORE_WAIT_CAPACITY;
+  if (!core->options.actions.may_query_advice (core->options.context, &demand))
+    return CORE_WAIT_ADVICE;
+  GArray *queried = select_queried (step, waiting);
+  demand.expected_ms
+      = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
+  bool can_help = queried->len > 0;
+  if (can_help
+      && core->options.actions.query_advice (
+          core->options.context, &name, (struct fl_name *)queried->data, queried->len, &demand))
+    note_query (step, queried, waiting, &demand);
+  else
+    g_array_unref (queried);
+  return can_help ? CORE_WAIT_ADVICE : CORE_WAIT_CAPACITY;
 }
 
 void
