test_late_advice: calls that waited for one that hung must not raise limits

In the cell, advice 3728 and 11010 break LOST by it: the pool's state shows a slack of 7.1 to 7.5 s.

--- a/tests/test_late_advice.c
+++ b/tests/test_late_advice.c
@@ -8,6 +8,7 @@
 
 #include <cmocka.h>
 
+#include "poold/advisor_pool.h"
 #include "support_advice.h"
 
 #define SEEDS 3
@@ -57,6 +58,96 @@
   advice_service_free (service);
 }
 
+/* --- limits of replies --- */
+
+#define HOSTS 7
+#define HELD_HOSTS 4
+#define EXPECTED_MS 430
+#define HELD_FROM_MS 2000
+#define HELD_UNTIL_MS 12000
+#define QUERY_INTERVAL_MS 100
+#define QUERIES_MAX 400
+/* Longest slack of a host whose last queries had replies, as if none was measured. */
+#define SLACK_MAX_MS 2400
+
+struct sent_query
+{
+  int64_t number;
+  int64_t reply_ms; /* 0 once it has ended */
+  bool fails;
+};
+
+struct course
+{
+  struct fl_advisor_pool *pool;
+  struct sent_query queries[QUERIES_MAX];
+  size_t query_count;
+  bool has_call[HOSTS]; /* a call that hangs holds the turn of the host */
+};
+
+static void
+send_query (struct course *course, int64_t now_ms)
+{
+  static const struct fl_advice_demand demand = { .expected_ms = EXPECTED_MS, .waited_ms = 2000 };
+  struct sent_query *sent = &course->queries[course->query_count];
+  struct fl_advisor_query query;
+
+  if (!fl_advisor_pool_begin (course->pool, &demand, now_ms, &query))
+    return;
+  int host = query.host.data[1] - '0';
+  bool is_held = host < HELD_HOSTS && now_ms >= HELD_FROM_MS && now_ms < HELD_UNTIL_MS;
+  *sent = (struct sent_query){ query.number, (is_held ? HELD_UNTIL_MS : now_ms) + EXPECTED_MS,
+                               is_held && !course->has_call[host] };
+  course->has_call[host] = course->has_call[host] || is_held;
+  course->query_count++;
+}
+
+static void
+end_queries (struct course *course, int64_t now_ms)
+{
+  struct fl_advisor_query query;
+
+  for (size_t i = 0; i < course->query_count; i++)
+    {
+      struct sent_query *sent = &course->queries[i];
+      if (sent->reply_ms == 0 || now_ms < sent->reply_ms)
+        continue;
+      fl_advisor_pool_finish (course->pool, sent->number, !sent->fails, now_ms, &query);
+      sent->reply_ms = 0;
+    }
+  while (fl_advisor_pool_take_overdue (course->pool, now_ms, &query))
+    ;
+}
+
+/* Calls that wait for one that hangs have late replies, which tell nothing of later ones: seconds
+ * after, a query without a reply is overdue as early as before. Seen in the cell (advice 3728 and
+ * 11010): limits of 7 s, while the replies of all hosts took 25 to 450 ms. */
+static void
+test_calls_that_waited_for_their_turn_do_not_raise_limits (void **state)
+{
+  struct fl_name name = fl_name_of ("h0");
+  struct course course = { .pool = fl_advisor_pool_new (&name) };
+
+  (void)state;
+  for (int i = 1; i < HOSTS; i++)
+    {
+      name = fl_name_format ("h%d", i);
+      fl_advisor_pool_set_peer (course.pool, &name, &name);
+    }
+  for (int64_t now_ms = 0; now_ms <= HELD_UNTIL_MS + 5000; now_ms += 5)
+    {
+      end_queries (&course, now_ms);
+      if (now_ms % QUERY_INTERVAL_MS == 0)
+        send_query (&course, now_ms);
+      if (now_ms > HELD_UNTIL_MS + 1000 && now_ms % QUERY_INTERVAL_MS == 0)
+        assert_in_range (fl_advisor_pool_next_overdue_ms (course.pool) - now_ms, 0,
+                         EXPECTED_MS + SLACK_MAX_MS);
+    }
+  fl_advisor_pool_free (course.pool);
+}
+
+/* --- jobs --- */
+
 /* Jobs must not wait for advice if the hosts can carry the queries. */
 static void
 test_load_of_profiles (void **state)
@@ -95,6 +186,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_turns_of_calls), cmocka_unit_test (test_hung_call),
+          cmocka_unit_test (test_calls_that_waited_for_their_turn_do_not_raise_limits),
           cmocka_unit_test (test_load_of_profiles), cmocka_unit_test (test_profiles) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
