--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1,6 +1,6 @@
 #include "support_cell.h"
 #include "poold/advisor_pool.h"
-#include "support_advice.h"
+#include "support_cell_advice.h"
 #include "support_target.h"
 
 #include <stdio.h>
--- a/tests/support_advice.c
+++ b/tests/support_cell_advice.c
@@ -1,4 +1,4 @@
-#include "support_advice.h"
+#include "support_cell_advice.h"
 
 #include <glib.h>
 
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -22,8 +22,8 @@
 #include <cmocka.h>
 #include <glib.h>
 
-#include "support_advice.h"
 #include "support_cell.h"
+#include "support_cell_advice.h"
 
 #define SEED_COUNT 12
 
--- a/tests/test_late_advice.c
+++ b/tests/test_late_advice.c
@@ -9,7 +9,7 @@
 #include <cmocka.h>
 
 #include "poold/advisor_pool.h"
-#include "support_advice.h"
+#include "support_cell_advice.h"
 
 #define SEEDS 3
 /* Of the time of the hosts. More would leave no spare time for long queries, which are sent only
