--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -6,6 +6,8 @@
  * query, and when its reply is overdue, is decided by the advisor pool. */
 #pragma once
 
+#include <glib.h>
+
 #include "common/clock.h"
 #include "host/host.h"
 #include "net/link.h"
@@ -18,7 +20,8 @@
   struct fl_host *host;
   struct fl_clock clock;
   const struct fl_advice_calls *calls; /* calls of this host to the service */
-  /* The reply to a query, or its timeout; the arguments are valid during the callback only. */
+  /* The reply to a query, or its timeout, which a late reply may follow; the arguments are valid
+   * during the callback only. */
   void (*on_reply) (void *context,
                     const struct fl_name *step,
                     const struct fl_name *queried,
@@ -50,13 +53,17 @@
                            const struct fl_name *host,
                            const struct fl_name *address);
 
-/* Whether a host is free for a query that takes at least @least_ms. */
-bool fl_advisors_are_available (struct fl_advisors *advisors, int64_t least_ms);
+/* Appends one line of JSON for each host to @out, for operators. */
+void fl_advisors_dump (const struct fl_advisors *advisors, GString *out);
+
+/* Whether a host is free for @demand. */
+bool fl_advisors_are_available (struct fl_advisors *advisors,
+                                const struct fl_advice_demand *demand);
 
 /* Queries which of the @count targets may run @step, through a free host.
- * @return false when no host is free for a query that takes @expected_ms. */
+ * @return false when no host is free for @demand. */
 bool fl_advisors_send_query (struct fl_advisors *advisors,
                              const struct fl_name *step,
                              const struct fl_name *targets,
                              size_t count,
-                             int64_t expected_ms);
+                             const struct fl_advice_demand *demand);
