Simulated cell: calls that hang are a fault only while the other hosts cannot carry the load

They counted as one as long as they held half of the hosts, so that waits with 3 of 7 hosts free, whose queries take 1.3 hosts, were not judged.

--- a/tests/support_cell_advice.c
+++ b/tests/support_cell_advice.c
@@ -257,6 +257,15 @@
   return profile->added_ms > 0 || profile->factor > 1 || !advice_profile_only_slows (profile);
 }
 
+/* Whether @host_count hosts have time for the queries of all jobs. */
+static bool
+can_carry_load (const struct advice_profile *profile, int host_count)
+{
+  int remaining = profile->host_count - profile->hosts_lost;
+
+  return advice_profile_load (profile) * remaining <= ADVICE_LOAD_MAX * host_count;
+}
+
 bool
 advice_service_has_fault (const struct advice_service *service, int64_t now_ms)
 {
@@ -272,7 +281,7 @@
         return true;
     }
   /* Hosts that fail for good do so one at a time, outside of bursts. */
-  return 2 * hung >= profile->host_count
+  return !can_carry_load (profile, profile->host_count - hung)
          || (profile->hosts_lost == 0 && has_rates (profile)
              && advice_service_is_in_burst (service, now_ms));
 }
--- a/tests/support_cell_advice.h
+++ b/tests/support_cell_advice.h
@@ -13,6 +13,10 @@
 #include "configuration/configuration.h"
 #include "support_cell.h"
 
+/* Most of the time of the hosts that queries may take, so that no job has to wait for a host: some
+ * is left for queries that are repeated, and for hosts that are left free for short ones. */
+#define ADVICE_LOAD_MAX 0.5
+
 /* Queues by the time that the service publishes for them. */
 enum advice_queue
 {
@@ -82,8 +86,8 @@
 /* Whether the faults with rates occur. */
 bool advice_service_is_in_burst (const struct advice_service *service, int64_t now_ms);
 
-/* Whether a fault is in effect, a call that hangs included as long as such calls hold the turns of
- * half of the hosts. */
+/* Whether a fault is in effect. Calls that hang are one as long as the other hosts cannot carry the
+ * load. */
 bool advice_service_has_fault (const struct advice_service *service, int64_t now_ms);
 
 /* What the service does with a call. */
--- a/tests/test_late_advice.c
+++ b/tests/test_late_advice.c
@@ -12,9 +12,6 @@
 #include "support_cell_advice.h"
 
 #define SEEDS 3
-/* Of the time of the hosts. More would leave no spare time for long queries, which are sent only
- * while hosts are free for short ones. */
-#define LOAD_MAX 0.5
 
 #define CALLS 40
 #define WAITING_CALLS_MAX 32
@@ -154,7 +151,7 @@
 {
   (void)state;
   for (size_t i = 0; i < advice_profile_count; i++)
-    if (advice_profile_load (&advice_profiles[i]) > LOAD_MAX)
+    if (advice_profile_load (&advice_profiles[i]) > ADVICE_LOAD_MAX)
       {
         printf ("%s: load %.2f\n", advice_profiles[i].name,
                 advice_profile_load (&advice_profiles[i]));
