Advice: calls that waited for one that hung do not widen the limit

Cause: the reply to a query that was sent while an earlier call of its host hung comes late, and counted as a delay of the service: 1 s after the turn of 4 of 7 hosts was free again, a query was overdue only 5,267 ms after it was sent. A step whose query was lost then waited for as long.

Change: as in Karn's algorithm, such replies are not measured; calls of one host are handled in turn, so that a reply ends the suspicion against earlier ones. The measured slack is 5 s at most.

--- a/lib/poold/advisor_pool.c
+++ b/lib/poold/advisor_pool.c
@@ -19,7 +19,7 @@
  * host in a row that has no reply, and longer than the replies through most hosts lately. */
 #define REPLY_SLACK_MIN_MS 600
 #define REPLY_SLACK_MAX_MS 2400
-#define MEASURED_SLACK_MAX_MS 10000
+#define MEASURED_SLACK_MAX_MS 5000
 /* Weights of one reply in the moving averages of the delay and of its deviation, and how many
  * deviations a reply may be later than the average, as in RFC 6298. */
 #define DELAY_WEIGHT 0.125
@@ -50,6 +50,7 @@
                        */
   struct fl_advisor_query query; /* in flight while busy */
   GArray *overdue;               /* struct fl_advisor_query, in the order in which they were sent */
+  int64_t replied_number;        /* of the last query with a reply */
   bool has_delay;                /* the next two have been measured */
   double delay_ms;               /* by which replies are later than expected, moving average */
   double deviation_ms;           /* of delay_ms */
@@ -277,6 +278,18 @@
 
 /* --- queries --- */
 
+/* Whether an overdue query of @advisor may still hold its turn at the service, which handles calls
+ * in the order in which they were sent. */
+static bool
+has_call_in_progress (const struct advisor *advisor)
+{
+  guint count = advisor->overdue->len;
+
+  return count > 0
+         && g_array_index (advisor->overdue, struct fl_advisor_query, count - 1).number
+                > advisor->replied_number;
+}
+
 bool
 fl_advisor_pool_begin (struct fl_advisor_pool *pool,
                        const struct fl_advice_demand *demand,
@@ -293,7 +306,8 @@
                                               .host = advisor->host,
                                               .address = advisor->address,
                                               .expected_ms = demand->expected_ms,
-                                              .sent_ms = now_ms };
+                                              .sent_ms = now_ms,
+                                              .follows_overdue = has_call_in_progress (advisor) };
   *query = advisor->query;
   return true;
 }
@@ -347,7 +361,10 @@
         continue;
       if (service_replied)
         {
-          measure_delay (pool, advisor, query, now_ms);
+          /* A query that waited for an earlier one's turn says nothing about the service. */
+          if (!query->follows_overdue)
+            measure_delay (pool, advisor, query, now_ms);
+          advisor->replied_number = MAX (advisor->replied_number, number);
           advisor->unanswered = 0;
           advisor->is_unheard_of = false;
           advisor->backoff_until_ms = now_ms;
--- a/lib/poold/advisor_pool.h
+++ b/lib/poold/advisor_pool.h
@@ -25,6 +25,7 @@
   struct fl_name address; /* of flamingo-poold on the host; empty for this host */
   int64_t expected_ms;
   int64_t sent_ms;
+  bool follows_overdue; /* an earlier query of the host had no reply when it was sent */
 };
 
 /* Which query a reply belongs to. */
