Team limits: no reserve for urgent tasks while less than half of the limit is used

Cause: as much as the team's urgent tasks used at their recent peak was kept free for them, however little was in use.

Change: the reserve holds once half of the limit is used.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -166,7 +166,7 @@
 /* --- limits of teams --- */
 
 /* The part of a team's limit that tasks of lower priority leave free for urgent tasks: as much as
- * urgent tasks used recently.
+ * urgent tasks used recently. A team that uses less than half of its limit has room for both.
  *
  * Load pattern: long jobs of lower priority exhaust the limit of a team. Its urgent jobs, which
  * arrive continually and run for a second, would then wait for tasks that run for many seconds. */
@@ -179,7 +179,7 @@
 static bool
 fits_cap (int64_t used, int64_t need, int64_t reserve, int64_t cap)
 {
-  return cap <= 0 || used + need + reserve <= cap;
+  return cap <= 0 || used + need + (used < cap / 2 ? 0 : reserve) <= cap;
 }
 
 static bool
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -150,6 +150,40 @@
   fixture_free (fixture);
 }
 
+/* A step of low priority waited while its team used little of its limit: the rest was kept free for
+ * urgent tasks that had ended. */
+static void
+test_team_limit_half_used_is_not_reserved (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t tasks; /* that need half of the limit each */
+    guint starts;
+  } cases[] = { { "up to half of the limit", 1, 1 }, { "beyond half of the limit", 2, 1 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (6000);
+      struct fl_end_row end = { .number = 1, .task = fl_name_of ("fast.0.0.0"), .run = 1 };
+
+      add_target (fixture, "t1", 16, false);
+      add_job (fixture, "fast", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 5000 });
+      tick_until_recorded (fixture, 0);
+      confirm_start (fixture, 0);
+      fixture->now_ms += 10;
+      deliver_report (fixture, "t1",
+                      (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
+      add_job (fixture, "slow", "slow",
+               (struct fl_step_spec){ .count = cases[i].tasks, .cpu_milli = 3000 });
+      tick_until_recorded (fixture, 10);
+      if (fixture->start_orders->len != 1 + cases[i].starts)
+        fail_msg ("%s: %u starts", cases[i].name, fixture->start_orders->len - 1);
+      fixture_free (fixture);
+    }
+}
+
 /* Best-effort tasks use only the CPU that other tasks leave free, and other tasks are placed as if
  * there were no best-effort tasks. */
 static void
@@ -1396,6 +1430,7 @@
     cmocka_unit_test (test_priority),
     cmocka_unit_test (test_team_limit),
     cmocka_unit_test (test_team_limit_reserved_for_urgent_tasks),
+    cmocka_unit_test (test_team_limit_half_used_is_not_reserved),
     cmocka_unit_test (test_best_effort_tasks),
     cmocka_unit_test (test_gang_all_or_none),
     cmocka_unit_test (test_advice),
