Advice: room charged for the queries of others keeps no step waiting

Cause: the room of queried targets is charged while a query is in flight. Where steps are queried about one target one after the other, and each finds that it is not eligible there, the target stays empty, while a step that is eligible waits for room without a query.

Change: a step of which no task has been started for a second may be queried about targets with real room for two of its tasks.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -8,6 +8,11 @@
 
 #include "core/core_internal.h"
 
+/* A step of which no task has been started for this long may be queried about targets that queries
+ * of other steps are charged for. */
+#define CONTENDED_WAIT_MS 1000
+/* Tasks of such a step that have to fit on a target beside what runs there. */
+#define CONTENDED_TASKS_MIN 2
 /* A ticket is not used if it expires within this time, which an order may take to arrive. */
 #define TICKET_MARGIN_MS 150
 /* Lower bound of the eligible share of a queue. It limits how many targets are queried per task. */
@@ -96,6 +101,27 @@
   bool is_sample; /* not all targets have been looked at */
 };
 
+/* Whether @step waits while queries of other steps, one after the other, are charged for the same
+ * free targets. Each of these may find that its step is not eligible there. */
+static bool
+is_contended (const struct core_step *step)
+{
+  return step->unplaced_since_ms > 0
+         && step->job->core->now_ms - step->unplaced_since_ms >= CONTENDED_WAIT_MS;
+}
+
+/* @return for how many tasks of @step a query about @target is worth while. */
+static int64_t
+count_queried_tasks (const struct core_step *step, const struct core_target *target)
+{
+  int64_t untaken = core_target_task_capacity (target, step, true);
+
+  if (untaken > 0 || !is_contended (step))
+    return untaken;
+  int64_t fitting = core_target_task_capacity (target, step, false);
+  return fitting >= CONTENDED_TASKS_MIN ? fitting : 0;
+}
+
 /* Adds @target to @candidates if @step fits there. */
 static void
 add_candidate (struct core_step *step,
@@ -106,7 +132,7 @@
   struct candidate candidate = { .target = target };
   const struct core_advice *advice;
 
-  candidate.task_capacity = core_target_task_capacity (target, step, true);
+  candidate.task_capacity = count_queried_tasks (step, target);
   if (candidate.task_capacity == 0)
     return;
   candidates->fits_anywhere = true;
@@ -144,7 +170,7 @@
   if (target_count > 0)
     core->scan_start = (core->scan_start + seen) % target_count;
   candidates.is_sample = seen < target_count;
-  if (!candidates.fits_anywhere)
+  if (!candidates.fits_anywhere && !is_contended (step))
     core_record_vain_search (step, true);
   g_array_sort (candidates.rows, compare_candidates);
   return candidates;
@@ -283,7 +309,7 @@
 
   if (step->query_in_flight)
     return CORE_WAIT_ADVICE;
-  if (core_capacity_is_exhausted (step, true))
+  if (core_capacity_is_exhausted (step, !is_contended (step)))
     return CORE_WAIT_CAPACITY;
   if (!core->options.actions.may_query_advice (core->options.context, &demand))
     return CORE_WAIT_ADVICE;
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -182,6 +182,7 @@
   int64_t queries_failed;    /* of these, without a reply */
   enum core_wait_reason wait_reason;
   int64_t wait_started_at_ms;
+  int64_t unplaced_since_ms; /* no task has been started since; 0 while none waits */
   /* Before the wait: queries_sent and queries_failed, and core->queries_sent. */
   int64_t wait_queries_sent;
   int64_t wait_queries_failed;
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -665,9 +665,12 @@
 
   if (unplaced == 0)
     {
+      step->unplaced_since_ms = 0;
       set_wait_reason (step, CORE_WAIT_NONE);
       return;
     }
+  if (step->unplaced_since_ms == 0)
+    step->unplaced_since_ms = step->job->core->now_ms;
   if (!team_has_capacity (step))
     {
       set_wait_reason (step, CORE_WAIT_TEAM_LIMIT);
@@ -810,6 +813,8 @@
   int64_t idle = step->idle_tasks;
   int64_t unplaced
       = step->spec->gang ? place_gang (step, placements) : place_tasks (step, placements);
+  if (step->idle_tasks < idle)
+    step->unplaced_since_ms = 0;
   if (step->idle_tasks < idle)
     core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
                               step->job->spec.text.len);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -398,6 +398,42 @@
   fixture_free (fixture);
 }
 
+/* While a query of another step was in flight, or one after the other, the free room that was
+ * charged for it kept a step from being queried. */
+static void
+test_room_charged_for_queries_keeps_no_step_waiting (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t cpu_milli; /* of the task that waits; 4 cores are free */
+    int64_t waited_ms;
+    int queries;
+  } cases[] = {
+    { "a moment ago", 1000, 900, 1 },
+    { "for a second, with room for more", 1000, 1000, 2 },
+    { "for a second, with room for one task", 3000, 1000, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      add_target (fixture, "t1", 4, false);
+      add_job (fixture, "a", "advised", (struct fl_step_spec){ .count = 4, .cpu_milli = 1000 });
+      add_job (fixture, "b", "advised",
+               (struct fl_step_spec){ .count = 1, .cpu_milli = cases[i].cpu_milli });
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->query_count, 1);
+      fixture->now_ms += cases[i].waited_ms;
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+      tick_until_recorded (fixture, 0);
+      if (fixture->query_count != cases[i].queries)
+        fail_msg ("%s: %d queries", cases[i].name, fixture->query_count);
+      fixture_free (fixture);
+    }
+}
+
 /* While short queries of higher priority came, one for each that a host could send, a step of low
  * priority got none. */
 static void
@@ -1438,6 +1474,7 @@
     cmocka_unit_test (test_advice_query_is_large_enough),
     cmocka_unit_test (test_queries_in_vain_get_larger),
     cmocka_unit_test (test_gang_without_room_is_not_queried),
+    cmocka_unit_test (test_room_charged_for_queries_keeps_no_step_waiting),
     cmocka_unit_test (test_low_priority_is_queried_beside_urgent_steps),
     cmocka_unit_test (test_start_without_reply),
     cmocka_unit_test (test_start_stopped_after_reset),
