--- a/tests/test_late_advice.c
+++ b/tests/test_late_advice.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -178,13 +179,63 @@
   assert_int_equal (failed, 0);
 }
 
+/* Seeds that once broke a rule, with the cause. */
+static const struct
+{
+  const char *profile;
+  uint64_t seed;
+  const char *cause;
+} regressions[] = {
+  { "calls hang for some seconds", 3728, "late replies of calls that waited raised all limits" },
+  { "calls hang for some seconds", 11010, "late replies of calls that waited raised all limits" },
+  { "calls hang for some seconds", 30172,
+    "a query through a host without replies was overdue after 2.4 s only" },
+  { "calls hang for some seconds", 31470,
+    "a query through a host without replies was overdue after 2.4 s only" },
+  { "calls hang for some seconds", 31866,
+    "a query through a host without replies was overdue after 2.4 s only" },
+  { "room is scarce", 11529, "room was charged for queries of other steps" },
+};
+
+static const struct advice_profile *
+find_profile (const char *name)
+{
+  for (size_t i = 0; i < advice_profile_count; i++)
+    if (strcmp (advice_profiles[i].name, name) == 0)
+      return &advice_profiles[i];
+  return NULL;
+}
+
+static void
+test_regressions (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof regressions / sizeof regressions[0]; i++)
+    {
+      struct cell_options options
+          = advice_profile_options (find_profile (regressions[i].profile), regressions[i].seed);
+      struct cell_result result = cell_simulate (&options);
+      if (result.violation[0] == '\0')
+        continue;
+      printf ("%s, seed %d: %s\n", regressions[i].cause, (int)regressions[i].seed,
+              result.violation);
+      failed++;
+    }
+  assert_int_equal (failed, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_turns_of_calls), cmocka_unit_test (test_hung_call),
+      = { cmocka_unit_test (test_turns_of_calls),
+          cmocka_unit_test (test_hung_call),
           cmocka_unit_test (test_calls_that_waited_for_their_turn_do_not_raise_limits),
-          cmocka_unit_test (test_load_of_profiles), cmocka_unit_test (test_profiles) };
+          cmocka_unit_test (test_load_of_profiles),
+          cmocka_unit_test (test_profiles),
+          cmocka_unit_test (test_regressions) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
