--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -379,8 +379,10 @@
 static void
 update_eligible_share (struct core_queue_stats *stats, double replied_share)
 {
-  double weight = MAX (1.0 / (double)(++stats->advice_replies + 1), ELIGIBLE_SHARE_WEIGHT_MIN);
+  double weight;
 
+  stats->advice_replies++;
+  weight = MAX (1.0 / (double)(stats->advice_replies + 1), ELIGIBLE_SHARE_WEIGHT_MIN);
   stats->eligible_share += weight * (replied_share - stats->eligible_share);
   stats->eligible_share = MAX (stats->eligible_share, ELIGIBLE_SHARE_MIN);
 }
