Advice: long-running steps that have waited are queried before all others

Cause: with four hosts all the time in use, the short queries of a backlog have higher response ratios than a long one that has waited for 18.9 s (step_waited ... other_queries=1020). The backlog of short queries only makes jobs late; a long-running task that is down leaves its users without service.

Change: a long-running step that has waited for advice for a second is queried first, the longest wait before others.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -15,6 +15,9 @@
  * the best of all. */
 #define PLACEMENTS_MIN 240
 #define PLACEMENTS_CAPACITY_RATIO 4
+/* Wait for advice after which a long-running step is queried before all others. */
+#define LONG_RUNNING_WAIT_MS 1000
+#define LONG_RUNNING_RANK 1e12 /* above any response ratio */
 /* Index of the rack in the labels of a target; index 0 holds the kind of target. */
 #define RACK_LABEL_INDEX 1
 
@@ -643,7 +646,7 @@
   struct core_step *step;
   int64_t unplaced;      /* tasks for which advice is needed */
   bool awaits_recording; /* other tasks start once a record is stored */
-  double response_ratio;
+  double rank;           /* see get_advice_rank */
 };
 
 int64_t
@@ -653,6 +656,21 @@
                                                : 0;
 }
 
+/* @return the rank of @step among the steps that need advice; the highest is queried first. It is
+ * the response ratio (wait and service time by service time), but long-running steps that have
+ * waited for LONG_RUNNING_WAIT_MS come first: while one of their tasks is down, its users are not
+ * served. */
+static double
+get_advice_rank (const struct core_step *step)
+{
+  double waited_ms = (double)core_step_wait_for_advice_ms (step);
+  double service_ms = MAX (step->job->queue.advice.base_latency_ms, 1.0);
+
+  if (step->spec->long_running && waited_ms >= LONG_RUNNING_WAIT_MS)
+    return LONG_RUNNING_RANK + waited_ms;
+  return (waited_ms + service_ms) / service_ms;
+}
+
 /* Handles the @unplaced tasks of @step that could not be started: appends it to @unadvised if
  * advice can help, else sets what it waits for. */
 static void
@@ -661,8 +679,6 @@
                        int64_t unplaced,
                        GArray *unadvised)
 {
-  const struct fl_advice_policy *policy = &step->job->queue.advice;
-
   if (unplaced == 0)
     {
       step->unplaced_since_ms = 0;
@@ -679,28 +695,25 @@
   int64_t awaiting = count_awaiting_recording (placements);
   /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
    * and no others are queried in their place: advice causes most of the wait of long jobs. */
-  if (awaiting >= unplaced || !policy->required)
+  if (awaiting >= unplaced || !step->job->queue.advice.required)
     {
       set_wait_reason (step, awaiting > 0 ? CORE_WAIT_RECORD : CORE_WAIT_CAPACITY);
       return;
     }
-  struct unadvised_step entry
-      = { step, unplaced - awaiting, awaiting > 0,
-          1.0 + (double)core_step_wait_for_advice_ms (step) / MAX (policy->base_latency_ms, 1.0) };
+  struct unadvised_step entry = { step, unplaced - awaiting, awaiting > 0, get_advice_rank (step) };
   g_array_append_val (unadvised, entry);
 }
 
 static gint
-compare_response_ratios (const void *a, const void *b)
+compare_advice_ranks (const void *a, const void *b)
 {
   const struct unadvised_step *x = a;
   const struct unadvised_step *y = b;
 
-  return x->response_ratio > y->response_ratio ? -1 : x->response_ratio < y->response_ratio;
+  return x->rank > y->rank ? -1 : x->rank < y->rank;
 }
 
-/* Queries advice for the steps of @unadvised, by highest response ratio (wait and service time by
- * service time), and in the given order among equals.
+/* Queries advice for the steps of @unadvised, by rank, and in the given order among equals.
  *
  * Load pattern: hosts are few, or the service is slow, so that not all steps can be queried. In the
  * order of waiting steps alone, those of low priority would get no query for as long as others
@@ -708,7 +721,7 @@
 static void
 query_advice (GArray *unadvised)
 {
-  g_array_sort (unadvised, compare_response_ratios);
+  g_array_sort (unadvised, compare_advice_ranks);
   for (guint i = 0; i < unadvised->len; i++)
     {
       const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
