--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -481,6 +481,39 @@
     }
 }
 
+/* A gang that did not fit on what was free asked for advice again and again, and kept a host from
+ * sending other queries. */
+static void
+test_gang_without_room_is_not_queried (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t tasks;
+    bool gang;
+    int queries;
+  } cases[] = {
+    { "gang with enough room", 4, true, 1 },
+    { "gang that needs more than is free", 5, true, 0 },
+    { "step of which some tasks fit", 5, false, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      add_target (fixture, "t1", 2, false);
+      add_target (fixture, "t2", 2, false);
+      add_job (fixture, "a", "advised",
+               (struct fl_step_spec){
+                   .count = cases[i].tasks, .cpu_milli = 1000, .gang = cases[i].gang });
+      tick_until_recorded (fixture, 0);
+      if (fixture->query_count != cases[i].queries)
+        fail_msg ("%s: %d queries", cases[i].name, fixture->query_count);
+      fixture_free (fixture);
+    }
+}
+
 /* --- orders and reports --- */
 
 static void
