Advice: repetition of a query is decided apart from the suspicion of its host

A late reply counts anyhow: the slack is 1.5 s at most, and a host without replies has no wider one. Its backoff still doubles. - an overdue call that ended without a reply (an outage of 25 s) left its host out for up to 16 s more, though it no longer held its turn: 2 s at most. test_host_is_used_soon_after_its_call_has_ended - a query whose published time was above 30 s was forgotten before it was overdue, and then used: calls last for twice the published time, at most 60 s. - after a suspension of the process, the timer ran before the replies that had arrived were read. - the reply to a query of an earlier term ended the query of the present one about the same step. - unanswered queries made the next one longer; a long-running step that swung between room and advice lost its rank.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -213,7 +213,8 @@
                       int64_t waiting)
 {
   double deviations = step->spec->gang ? GANG_QUERY_DEVIATIONS : QUERY_DEVIATIONS;
-  int64_t earlier_queries = step->queries_sent - step->wait_queries_sent;
+  int64_t earlier_queries = step->queries_sent - step->wait_queries_sent
+                            - (step->queries_failed - step->wait_queries_failed);
 
   return forecast->expected_tasks >= (double)waiting * QUERY_SURPLUS
          && forecast->expected_tasks - deviations * sqrt (forecast->variance) >= (double)waiting
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -15,7 +15,7 @@
  * the best of all. */
 #define PLACEMENTS_MIN 240
 #define PLACEMENTS_CAPACITY_RATIO 4
-/* Wait for advice after which a long-running step is queried before all others. */
+/* Wait after which a long-running step is queried before all others. */
 #define LONG_RUNNING_WAIT_MS 1000
 #define LONG_RUNNING_RANK 1e12 /* above any response ratio */
 /* Index of the rack in the labels of a target; index 0 holds the kind of target. */
@@ -657,17 +657,18 @@
 }
 
 /* @return the rank of @step among the steps that need advice; the highest is queried first. It is
- * the response ratio (wait and service time by service time), but long-running steps that have
- * waited for LONG_RUNNING_WAIT_MS come first: while one of their tasks is down, its users are not
- * served. */
+ * the response ratio (wait and service time by service time), but long-running steps of which no
+ * task has been started for LONG_RUNNING_WAIT_MS come first: their users are not served meanwhile.
+ */
 static double
 get_advice_rank (const struct core_step *step)
 {
   double waited_ms = (double)core_step_wait_for_advice_ms (step);
+  double unplaced_ms = (double)(step->job->core->now_ms - step->unplaced_since_ms);
   double service_ms = MAX (step->job->queue.advice.base_latency_ms, 1.0);
 
-  if (step->spec->long_running && waited_ms >= LONG_RUNNING_WAIT_MS)
-    return LONG_RUNNING_RANK + waited_ms;
+  if (step->spec->long_running && unplaced_ms >= LONG_RUNNING_WAIT_MS)
+    return LONG_RUNNING_RANK + unplaced_ms;
   return (waited_ms + service_ms) / service_ms;
 }
 
--- a/lib/poold/advisor_pool.c
+++ b/lib/poold/advisor_pool.c
@@ -15,11 +15,12 @@
 /* A long query of a step that has waited for longer takes any free host: with few hosts, short
  * queries would otherwise keep long ones from being sent for as long as they come. */
 #define RESERVED_WAIT_MAX_MS 1000
-/* A reply is overdue when it takes this much longer than expected, doubled with each query of its
- * host in a row that has no reply, and longer than the replies through most hosts lately. */
+/* A reply is overdue when it takes this much longer than expected, and longer than the replies
+ * through most hosts lately. Its step is then queried through another host, since this one may have
+ * failed; with a wider limit, the loss of one query would cost more than the queries that are sent
+ * twice. */
 #define REPLY_SLACK_MIN_MS 600
-#define REPLY_SLACK_MAX_MS 2400
-#define MEASURED_SLACK_MAX_MS 5000
+#define REPLY_SLACK_MAX_MS 1500
 /* Weights of one reply in the moving averages of the delay and of its deviation, and how many
  * deviations a reply may be later than the average, as in RFC 6298. */
 #define DELAY_WEIGHT 0.125
@@ -62,7 +63,7 @@
   int64_t last_query_number;
   int64_t backoffs_until_ms; /* of all hosts */
   int64_t reserved_until_ms; /* hosts are left free for short queries until then */
-  int64_t measured_slack_ms; /* see update_measured_slack */
+  int64_t reply_slack_ms;    /* see update_reply_slack */
 };
 
 /* --- hosts --- */
@@ -93,6 +94,7 @@
   struct fl_advisor_pool *pool = g_new0 (struct fl_advisor_pool, 1);
 
   pool->advisors = g_ptr_array_new_with_free_func (advisor_free);
+  pool->reply_slack_ms = REPLY_SLACK_MIN_MS;
   add_host (pool, own_host);
   return pool;
 }
@@ -218,11 +220,10 @@
   return x < y ? -1 : x > y;
 }
 
-/* Sets the measured slack of the pool: the median of its hosts. A few slow hosts then do not delay
- * the repetition of their queries through others, and a slow service is not asked everything twice.
- */
+/* Sets the slack from the median of the hosts: a few slow hosts do not delay the repetition of
+ * queries through others, and a slow service is not asked everything twice. */
 static void
-update_measured_slack (struct fl_advisor_pool *pool)
+update_reply_slack (struct fl_advisor_pool *pool)
 {
   g_autoptr (GArray) slacks = g_array_new (FALSE, FALSE, sizeof (int64_t));
 
@@ -234,8 +235,8 @@
         g_array_append_val (slacks, slack_ms);
     }
   g_array_sort (slacks, compare_slacks);
-  pool->measured_slack_ms
-      = MIN (g_array_index (slacks, int64_t, (slacks->len - 1) / 2), MEASURED_SLACK_MAX_MS);
+  pool->reply_slack_ms = CLAMP (g_array_index (slacks, int64_t, (slacks->len - 1) / 2),
+                                REPLY_SLACK_MIN_MS, REPLY_SLACK_MAX_MS);
 }
 
 static void
@@ -258,22 +259,14 @@
       advisor->deviation_ms = delay_ms / 2;
     }
   advisor->has_delay = true;
-  update_measured_slack (pool);
-}
-
-/* @return how much longer than expected a reply through @advisor may take before it is overdue. */
-static int64_t
-get_reply_slack_ms (const struct fl_advisor_pool *pool, const struct advisor *advisor)
-{
-  return MAX (back_off (REPLY_SLACK_MIN_MS, advisor->unanswered, REPLY_SLACK_MAX_MS),
-              pool->measured_slack_ms);
+  update_reply_slack (pool);
 }
 
 /* @return when the reply to the query in flight of @advisor is overdue. */
 static int64_t
 get_overdue_ms (const struct fl_advisor_pool *pool, const struct advisor *advisor)
 {
-  return advisor->query.sent_ms + advisor->query.expected_ms + get_reply_slack_ms (pool, advisor);
+  return advisor->query.sent_ms + advisor->query.expected_ms + pool->reply_slack_ms;
 }
 
 /* --- queries --- */
@@ -369,7 +362,10 @@
           advisor->is_unheard_of = false;
           advisor->backoff_until_ms = now_ms;
         }
-      else if (match == FL_ADVISOR_IN_TIME)
+      else if (match == FL_ADVISOR_OVERDUE) /* its call no longer holds the turn of the host */
+        advisor->backoff_until_ms
+            = MIN (advisor->backoff_until_ms, now_ms + FAILURE_BACKOFF_MAX_MS);
+      else
         advisor->backoff_until_ms
             = now_ms + back_off (FAILURE_BACKOFF_MS, advisor->unanswered++, FAILURE_BACKOFF_MAX_MS);
       return match;
@@ -449,7 +445,6 @@
           ",\"unanswered\":%d,\"overdue\":%u,\"delay_ms\":%.0f,\"slack_ms\":%" G_GINT64_FORMAT
           "}\n",
           advisor->host.data, state, MAX (advisor->backoff_until_ms - now_ms, 0),
-          advisor->unanswered, advisor->overdue->len, advisor->delay_ms,
-          get_reply_slack_ms (pool, advisor));
+          advisor->unanswered, advisor->overdue->len, advisor->delay_ms, pool->reply_slack_ms);
     }
 }
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -10,7 +10,8 @@
 
 /* A call to the service ends after this time. It is not known to hold its host's turn for less when
  * its caller gives up earlier, and a late reply still counts. */
-#define CALL_TIMEOUT_MS 30000
+#define CALL_TIMEOUT_MIN_MS 30000
+#define CALL_TIMEOUT_MAX_MS 60000
 /* Time in which the reply of a peer arrives after its call has ended. */
 #define REPLY_MARGIN_MS 1000
 /* Least time between two log lines that no host is free. */
@@ -46,7 +47,8 @@
   { "is_answer", FL_BOOL, offsetof (struct message, is_reply), false, 0, 0, 0, NULL, NULL },
   { "number", FL_INT, offsetof (struct message, query_number), true, 0, INT64_MAX, 0, NULL, NULL },
   { "step", FL_NAME, offsetof (struct message, step), false, 0, FL_NAME_MAX, 0, NULL, NULL },
-  { "timeout_ms", FL_INT, offsetof (struct message, timeout_ms), false, 0, 60000, 0, NULL, NULL },
+  { "timeout_ms", FL_INT, offsetof (struct message, timeout_ms), false, 0, CALL_TIMEOUT_MAX_MS, 0,
+    NULL, NULL },
   { "answered", FL_BOOL, offsetof (struct message, service_replied), false, 0, 0, 0, NULL, NULL },
   { "valid_ms", FL_INT, offsetof (struct message, valid_ms), false, 0, 600000, 0, NULL, NULL },
   { "targets", FL_ARRAY, offsetof (struct message, targets), true, 0, FL_ADVICE_TARGETS_MAX, 0,
@@ -62,7 +64,9 @@
 {
   struct fl_advisors *advisors;
   int64_t number;
+  int64_t timeout_ms;   /* of its call */
   int64_t forgotten_ms; /* when its call has ended */
+  bool is_orphaned;     /* sent in an earlier term of this host */
   struct fl_name step;
   struct fl_name targets[FL_ADVICE_TARGETS_MAX];
   size_t target_count;
@@ -136,7 +140,7 @@
   struct fl_advisors *advisors = query->advisors;
   struct fl_advice_reply result = *reply;
 
-  result.is_late = is_late;
+  result.is_late = is_late || query->is_orphaned;
   result.host = ended->host;
   result.took_ms = get_now (advisors) - ended->sent_ms;
   if (reply->received)
@@ -171,8 +175,11 @@
   (void)loop;
   (void)events;
   while (fl_advisor_pool_take_overdue (advisors->pool, now_ms, &overdue))
-    return_reply (g_hash_table_lookup (advisors->queries, &overdue.number), &overdue, &no_reply,
-                  false);
+    {
+      const struct query *query = g_hash_table_lookup (advisors->queries, &overdue.number);
+      if (query != NULL)
+        return_reply (query, &overdue, &no_reply, false);
+    }
   g_hash_table_foreach_remove (advisors->queries, is_forgotten, &now_ms);
   set_overdue_timer (advisors);
 }
@@ -232,8 +239,8 @@
   struct own_call *call = g_new0 (struct own_call, 1);
 
   *call = (struct own_call){ query->advisors, query->number };
-  calls->query (calls->context, &query->step, query->targets, query->target_count, CALL_TIMEOUT_MS,
-                on_own_call_reply, call);
+  calls->query (calls->context, &query->step, query->targets, query->target_count,
+                query->timeout_ms, on_own_call_reply, call);
 }
 
 static bool
@@ -242,7 +249,7 @@
   struct message_target targets[FL_ADVICE_TARGETS_MAX] = { 0 };
   struct message message = { .query_number = query->number,
                              .step = query->step,
-                             .timeout_ms = CALL_TIMEOUT_MS,
+                             .timeout_ms = query->timeout_ms,
                              .targets = { query->target_count, targets } };
   struct fl_route to = { .address = *address };
 
@@ -306,7 +313,8 @@
   while (fl_advisor_pool_begin (advisors->pool, demand, get_now (advisors), &chosen))
     {
       query->number = chosen.number;
-      query->forgotten_ms = chosen.sent_ms + CALL_TIMEOUT_MS + REPLY_MARGIN_MS;
+      query->timeout_ms = CLAMP (2 * demand->expected_ms, CALL_TIMEOUT_MIN_MS, CALL_TIMEOUT_MAX_MS);
+      query->forgotten_ms = chosen.sent_ms + query->timeout_ms + REPLY_MARGIN_MS;
       if (send_query (query, &chosen))
         {
           g_hash_table_insert (advisors->queries, &query->number, query);
@@ -415,6 +423,17 @@
   fl_schema_clear (&message_schema, &message);
 }
 
+void
+fl_advisors_orphan_queries (struct fl_advisors *advisors)
+{
+  GHashTableIter iter;
+  void *query;
+
+  g_hash_table_iter_init (&iter, advisors->queries);
+  while (g_hash_table_iter_next (&iter, NULL, &query))
+    ((struct query *)query)->is_orphaned = true;
+}
+
 void
 fl_advisors_drain (struct fl_advisors *advisors)
 {
@@ -456,6 +475,8 @@
   advisors->queries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   advisors->peer_queries = g_hash_table_new (NULL, NULL);
   ev_timer_init (&advisors->overdue_timer, on_overdue_timer, 0.0, 0.0);
+  /* After a suspension, replies that have arrived are read first. */
+  ev_set_priority (&advisors->overdue_timer, EV_MINPRI);
   advisors->overdue_timer.data = advisors;
   return advisors;
 }
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -44,6 +44,10 @@
 /* Notes that any message of the peer at @peer has arrived; see fl_advisor_pool_note_message. */
 void fl_advisors_note_message (struct fl_advisors *advisors, const struct fl_name *peer);
 
+/* Declares that the steps of all queries in flight belong to an earlier term: their replies count
+ * as late, since another query about the same step may be in flight. */
+void fl_advisors_orphan_queries (struct fl_advisors *advisors);
+
 /* Prepares the end of the process: queries of peers end without a reply of the service, those in
  * flight and further ones. */
 void fl_advisors_drain (struct fl_advisors *advisors);
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -77,6 +77,7 @@
   poold->term = NULL;
   fl_configuration_watch_pause (&poold->watch);
   fl_stats_set (poold->host->stats, "pool_owned", 0);
+  fl_advisors_orphan_queries (poold->advisors);
   if (term != NULL)
     fl_term_end (term);
 }
--- a/tests/test_advisor_pool.c
+++ b/tests/test_advisor_pool.c
@@ -281,6 +281,31 @@
     }
 }
 
+/* After an outage of the service, hosts whose calls had ended without a reply stayed out for up to
+ * 16 s. */
+static void
+test_host_is_used_soon_after_its_call_has_ended (void **state)
+{
+  struct fl_advisor_pool *pool = new_pool (1);
+  struct fl_advisor_query query;
+  int64_t now_ms = 1000;
+
+  (void)state;
+  for (int i = 0; i < 4; i++)
+    {
+      assert_true (fl_advisor_pool_begin (pool, &demand_480, now_ms, &query));
+      now_ms = let_time_out (pool);
+      now_ms += 2000 << i;
+    }
+  assert_true (fl_advisor_pool_begin (pool, &demand_480, now_ms, &query));
+  now_ms = let_time_out (pool);
+  assert_false (fl_advisor_pool_is_available (pool, &demand_480, now_ms + 15999));
+  assert_int_equal (fl_advisor_pool_finish (pool, query.number, false, now_ms, &query),
+                    FL_ADVISOR_OVERDUE);
+  assert_true (fl_advisor_pool_is_available (pool, &demand_480, now_ms + 2000));
+  fl_advisor_pool_free (pool);
+}
+
 /* The late replies of one host widened the limits of all. */
 static void
 test_one_slow_host_does_not_widen_the_limit (void **state)
@@ -290,7 +315,7 @@
     const char *name;
     int slow_hosts; /* of 7, each of which has one reply 8 s late */
     int64_t slack_ms;
-  } cases[] = { { "none", 0, 600 }, { "one", 1, 600 }, { "most", 4, 5000 } };
+  } cases[] = { { "none", 0, 600 }, { "one", 1, 600 }, { "most", 4, 1500 } };
 
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -322,6 +347,7 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_replies_later_than_published),
           cmocka_unit_test (test_host_without_replies_backs_off_longer_each_time),
+          cmocka_unit_test (test_host_is_used_soon_after_its_call_has_ended),
           cmocka_unit_test (test_one_slow_host_does_not_widen_the_limit) };
 
   return cmocka_run_group_tests_name ("advisor_pool", tests, NULL, NULL);
