Real-process tests: an advice service that takes its time

support_advice.c follows the published protocol: one call at a time for each host, in turn, base + per_target x targets, 429 with 32 calls waiting; a call goes on when its caller has given up. Faults come from the control port: added time, factor, and shares of calls that hang, are closed or rejected. Cells with has_advice_service publish advice for all queues and give each host a port of its own; the others keep the service that replies at once.

StartJudge finds jobs without a first start for 3 s although the eligible targets have room for two of their tasks throughout and nothing was injected for 7 s.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 PROGRAMS = $(patsubst programs/%.c,$(BUILD)/bin/%,$(wildcard programs/*.c))
 STANDINS = $(patsubst tests/%.c,$(BUILD)/bin/%,$(wildcard tests/standin-*.c))
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
+STANDIN_HELPERS = $(BUILD)/tests/support_target.o $(BUILD)/tests/support_advice.o
 HELPERS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support_*.c))
 SOURCES = $(sort $(wildcard lib/*/*.[ch] platform/*.[ch] programs/*.[ch] tests/*.[ch]))
 
@@ -45,9 +46,9 @@
 	@mkdir -p $(dir $@)
 	@$(CC) $(LDFLAGS) $< $(LIB) $(LDLIBS) -o $@
 
-$(BUILD)/bin/%: $(BUILD)/tests/%.o $(BUILD)/tests/support_target.o $(LIB)
+$(BUILD)/bin/%: $(BUILD)/tests/%.o $(STANDIN_HELPERS) $(LIB)
 	@mkdir -p $(dir $@)
-	@$(CC) $(LDFLAGS) $< $(BUILD)/tests/support_target.o $(LIB) $(LDLIBS) -o $@
+	@$(CC) $(LDFLAGS) $< $(STANDIN_HELPERS) $(LIB) $(LDLIBS) -o $@
 
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(HELPERS) $(LIB)
 	@mkdir -p $(dir $@)
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -29,6 +29,11 @@
     {"name": "feeds", "host": "fair.example", "pathPrefix": "/feeds/", "priority": 1,
      "attempts": 3, "stretch": 2.2, "targetLatencyMs": 2500, "public": True},
 ]
+# Published times of the advice service in a cell with has_advice_service, by queue.
+ADVICE = {"checks": {"decideMs": 20, "perItemMs": 0.3, "validMs": 2500},
+          "rebuild": {"decideMs": 370, "perItemMs": 5.3, "validMs": 2500},
+          "feeds": {"decideMs": 450, "perItemMs": 6.5, "validMs": 2500}}
+ADVISED_QUEUES = [dict(queue, advice=ADVICE[queue["name"]]) for queue in QUEUES]
 
 
 def send_request(method, url, body=None, key=None, host=None, timeout=5):
@@ -158,6 +163,9 @@
         self.store_proxy = FaultProxy(cell.platform.port) if cell.uses_store_proxies else None
         if cell.store_delay_s:
             self.store_proxy.base_delay_s = cell.store_delay_s
+        self.advice_port = cell.targets.port
+        if cell.has_advice_service:
+            self.advice_port = cell.control_advice("add_host")["port"]
 
     def url(self, port):
         return "http://127.0.0.1:%d" % port
@@ -169,7 +177,7 @@
             "front": "127.0.0.1:%d" % self.front_port, "ready": "127.0.0.1:%d" % self.ready_port,
             "own": "127.0.0.1:%d" % self.own_port, "store": "127.0.0.1:%d" % (
                 self.store_proxy.port if self.store_proxy else self.cell.platform.port),
-            "advice": "127.0.0.1:%d" % self.cell.targets.port, "link_port": self.link_port,
+            "advice": "127.0.0.1:%d" % self.advice_port, "link_port": self.link_port,
             "relay_port": self.relay_port, "carry_from": self.cell.carry_from,
             "pool_metrics_port": self.pool_metrics_port,
             "front_metrics_port": self.front_metrics_port,
@@ -205,7 +213,7 @@
     """Several hosts, and stand-ins for the platform and the targets."""
 
     def __init__(self, domains, targets=12, hosts=3, uses_store_proxies=False, carry_from=0,
-                 store_delay_s=0.0, target_proxies=0):
+                 store_delay_s=0.0, target_proxies=0, has_advice_service=False):
         self.ports = PORT_ALLOCATOR
         # Peers forward orders if there are at least this many targets; 0: only if the targets need
         # more CPU than the host has.
@@ -214,6 +222,9 @@
         self.uses_store_proxies = uses_store_proxies
         # Delay of each block of data of these proxies, in both directions.
         self.store_delay_s = store_delay_s
+        # Whether all queues need advice, of a service that takes the published times and handles
+        # one call of each host at a time; else one that replies at once serves the first queue.
+        self.has_advice_service = has_advice_service
         self.work_dir = tempfile.mkdtemp(prefix="flamingolane-")
         self.platform = Process("platform", [os.path.join(BIN, "standin-platform")], self.work_dir,
                                 prints_port=True)
@@ -239,9 +250,15 @@
     def targets_url(self):
         return "http://127.0.0.1:%d" % self.targets.port
 
-    def configure(self, keys=(KEY,), cpu_cap=0, queues=QUEUES):
+    def configure(self, keys=(KEY,), cpu_cap=0, queues=None):
         """Writes a new version of the configuration in place of the operator."""
+        if queues is None:
+            queues = ADVISED_QUEUES if self.has_advice_service else QUEUES
         with self.configuration_lock:
+            for queue in queues if self.has_advice_service else []:
+                advice = queue["advice"]
+                self.control_advice("times", queue=queue["name"], base_ms=advice["decideMs"],
+                                    per_target_ms=advice["perItemMs"], valid_ms=advice["validMs"])
             return self._configure(keys, cpu_cap, queues)
 
     def _configure(self, keys, cpu_cap, queues):
@@ -287,6 +304,17 @@
     def control_platform(self, **settings):
         return send_request("POST", self.platform_url + "/control", settings)[1]
 
+    def control_advice(self, action, **settings):
+        """Sets up the advice service; see standin-targets.c."""
+        return send_request("POST", self.targets_url + "/advice", dict(settings, action=action))[1]
+
+    def advice_counters(self):
+        return send_request("GET", self.targets_url + "/advice")[1]
+
+    def eligible_targets(self, step):
+        """Returns the ids of the targets that may run the step by the advice service."""
+        return send_request("GET", self.targets_url + "/eligible?step=" + step)[1]["targets"]
+
     def run_history(self, after):
         """Returns the next events of all targets, in order, after so many; see standin-targets.c."""
         reply = send_request("GET", self.targets_url + "/history?after=%d" % after)[1]
@@ -323,7 +351,8 @@
         self.lock = threading.Lock()
         # id -> {"prefix", "accepted", "state", "sent", "ended", "kind", "attempts"}; "sent" and
         # "ended" are values of time.monotonic(), "ended" is None until the end is seen; "attempts"
-        # lists the (host, status) of each submission, status 0 meaning no reply.
+        # lists the (host, status) of each submission, status 0 meaning no reply. Accepted jobs
+        # have "accepted_at", likewise, and "body", the value that job() returned.
         self.jobs = {}
         self.abandoned_count = 0
 
@@ -343,6 +372,8 @@
             self.jobs[job] = {"prefix": body["prefix"], "accepted": False, "state": None,
                               "sent": time.monotonic(), "ended": None, "kind": body["kind"],
                               "attempts": []}
+        if self.cell.has_advice_service:
+            self.cell.control_advice("job", job=job, queue=body["prefix"].strip("/"))
         return job
 
     def submit_job(self, prefix, body):
@@ -356,7 +387,7 @@
             status, _ = send_request("POST", url, body["body"], KEY, "fair.example", 4)
             self.jobs[job]["attempts"].append((url, status))
             if status == 200:
-                self.jobs[job]["accepted"] = True
+                self.jobs[job].update(accepted=True, accepted_at=time.monotonic(), body=body)
                 return job
             time.sleep(0.3)
         with self.lock:
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Checks the tools that run the tests: what scripts/run-tests counts, as a table of fake test programs;
-that e2e.py rejects unknown scenarios; what the checks of the soak find in made-up histories; and what the
-fault proxy loses. Reports in the format of cmocka."""
+that e2e.py rejects unknown scenarios; what the checks of the soak find in made-up histories; what the
+fault proxy loses; and how long the stand-in for the advice service takes. Reports in the format of cmocka."""
 
 import http.client
 import http.server
@@ -85,6 +85,12 @@
     return log.calm_s(now)
 
 
+def log_is_calm(faults, begin, end):
+    log = checks.FaultLog(lambda: 0.0)
+    log.faults = [checks.Fault("h", "kill", *span) for span in faults]
+    return log.is_calm(begin, end)
+
+
 def finds_in_runs(*events):
     """events: those of GET /history without their times. Returns the kinds of what is found."""
     judge = checks.RunJudge()
@@ -155,6 +161,61 @@
      [boot(0), OTHER, start(0, "x", cpu=4), start(0, "y", cpu=4, target="b")]),
 ]
 
+def accepts(value, target="a"):
+    return ("accepts", target, 0, value)
+
+
+def finds_start_overdue(*events, accepted=10.0, now=20.0, faults=(), eligible=("a", "b"), cpu=1):
+    """events: (time, event of GET /history). Returns whether the wait of job x is found."""
+    judge, log = checks.StartJudge(lambda job: eligible), checks.FaultLog(lambda: 0.0)
+    log.faults = [checks.Fault("h", "kill", begin, end) for begin, end in faults]
+    for time_s, event in events:
+        judge.take([1000 * time_s, *event])
+    found = judge.judge(now, [("x", accepted, cpu)], log)
+    return bool(found) and not judge.judge(now + 1, [("x", accepted, cpu)], log)
+
+
+A, B = (0, boot(0)), (0, boot(0, target="b"))
+FILLS_A, FILLS_B = (1, start(0, "y.0.0.0", cpu=3)), (1, start(0, "z.0.0.0", cpu=3, target="b"))
+# name, whether it is found, events, arguments
+START_CASES = [
+    ("LOST start: never", True, [A], {}),
+    ("LOST start: after 3.1 s", True, [A, (13.1, start(0, "x.0.0.0"))], {}),
+    ("LOST start: 3 s ago, accepted 3 s before now", True, [A], {"accepted": 17.0}),
+    ("LOST start: room on two targets together", True, [A, B, FILLS_A, FILLS_B], {}),
+    ("LOST start: room since 3 s", True,
+     [A, (1, start(0, "y.0.0.0", cpu=4)), (16.9, end(0, "y.0.0.0"))], {}),
+    ("LOST start: room just enough", True, [A], {"cpu": 2}),
+    ("LOST start: a fault 7.1 s ago", True, [A], {"faults": [(11.0, 12.9)]}),
+    ("LOST start: a fault after the start", True, [A, (13.1, start(0, "x.0.0.0"))],
+     {"faults": [(13.5, 14.0)]}),
+    ("LOST start: the target accepts starts again", True,
+     [A, (5, accepts(False)), (16.9, accepts(True))], {}),
+    ("LOST start: another target drains", True, [A, B, (5, accepts(False, "b"))], {}),
+    ("LOST start: a new boot is empty", True,
+     [A, (1, start(0, "y.0.0.0", cpu=4)), (16, boot(1))], {}),
+    ("not LOST start: after 2.9 s", False, [A, (12.9, start(0, "x.0.0.0"))], {}),
+    ("not LOST start: accepted 2.9 s ago", False, [A], {"accepted": 17.1}),
+    ("not LOST start: started before the reply to the client", False,
+     [A, (9.9, start(0, "x.0.0.0"))], {}),
+    ("not LOST start: no target is eligible", False, [A], {"eligible": ()}),
+    ("not LOST start: room only where it may not run", False, [A, B, FILLS_A], {"eligible": ("a",)}),
+    ("not LOST start: room for one only", False, [A, FILLS_A], {}),
+    ("not LOST start: no room 2.9 s ago", False,
+     [A, (1, start(0, "y.0.0.0", cpu=4)), (17.1, end(0, "y.0.0.0"))], {}),
+    ("not LOST start: no room for a moment", False,
+     [A, (18, start(0, "y.0.0.0", cpu=4)), (18.1, end(0, "y.0.0.0"))], {}),
+    ("not LOST start: the target drains", False, [A, (5, accepts(False))], {}),
+    ("not LOST start: the target accepts starts since 2.9 s", False,
+     [A, (5, accepts(False)), (17.1, accepts(True))], {}),
+    ("not LOST start: a smaller boot", False, [A, (5, boot(1, 1))], {}),
+    ("not LOST start: the target is new", False, [(18, boot(0))], {}),
+    ("not LOST start: a fault 6.9 s ago", False, [A], {"faults": [(11.0, 13.1)]}),
+    ("not LOST start: a fault is in effect", False, [A], {"faults": [(11.0, None)]}),
+    ("not LOST start: a fault 6.9 s before the start", False, [A, (19.0, start(0, "x.0.0.0"))],
+     {"faults": [(11.0, 12.1)]}),
+]
+
 TERM, STORE = ("h", "term", 9.0, 10.6), ("store", "store", 9.8, 10.0)
 # name, whether it holds
 SOAK_CASES = [
@@ -191,6 +252,10 @@
     ("not LOST job: host was killed", not finds_forgotten(faults=[("h", "kill", 6.0, 8.0)])),
     ("not LOST job: 410 to DELETE", not finds_forgotten(method="DELETE")),
     ("fault log: calm since the last end", calm_s([(1, 2), (1, 5), (2, 3)], 9) == 4),
+    ("fault log: calm before and after a fault", log_is_calm([(4, 5)], 1, 3.9)
+     and log_is_calm([(4, 5)], 5.1, 9)),
+    ("fault log: not calm around, beside or within a fault", not any(
+        log_is_calm([(4, 5)], *span) for span in [(3, 6), (3, 4), (5, 6), (4.2, 4.8)])),
     ("fault log: not calm while a fault is in effect", calm_s([(1, None), (2, 3)], 9) == 0),
 ]
 
@@ -331,6 +396,90 @@
         return all(holds)
 
 
+# A long and a short job of the stand-in for the advice service, and its times without faults.
+LONG_JOB, SHORT_JOB = "a" * 16, "b" * 16
+LONG_TIMES = {"base_ms": 200, "per_target_ms": 50, "valid_ms": 2500}
+SHORT_TIMES = {"base_ms": 0, "per_target_ms": 10, "valid_ms": 2500}
+# The stand-in runs beside the other tests: calls may take this much longer.
+ADVICE_SLACK_S = 0.15
+# name, faults, calls as (host, job, targets, when it is sent, timeout), the expected (status, when it ends)
+ADVICE_CASES = [
+    ("base and targets", [], [(0, LONG_JOB, 2, 0, 5)], [(200, 0.3)]),
+    ("times of the job's queue", [], [(0, SHORT_JOB, 20, 0, 5)], [(200, 0.2)]),
+    ("an unknown job takes the times of the first queue", [], [(0, "c" * 16, 0, 0, 5)], [(200, 0.2)]),
+    ("calls of one host in turn", [],
+     [(0, LONG_JOB, 2, 0, 5), (0, SHORT_JOB, 10, 0.05, 5), (0, LONG_JOB, 0, 0.1, 5)],
+     [(200, 0.3), (200, 0.4), (200, 0.6)]),
+    ("calls of several hosts at once", [], [(0, LONG_JOB, 2, 0, 5), (1, LONG_JOB, 2, 0, 5)],
+     [(200, 0.3), (200, 0.3)]),
+    ("a call whose caller has given up goes on", [],
+     [(0, LONG_JOB, 10, 0, 0.1), (0, SHORT_JOB, 10, 0.3, 5)], [(0, 0.1), (200, 0.8)]),
+    ("factor and added time", [{"factor": 2, "added_ms": 100}], [(0, LONG_JOB, 2, 0, 5)], [(200, 0.7)]),
+    ("two faults at once", [{"added_ms": 100}, {"added_ms": 200}], [(0, SHORT_JOB, 0, 0, 5)],
+     [(200, 0.3)]),
+    ("a fault that has ended", [{"added_ms": 500, "duration_ms": 200}],
+     [(0, SHORT_JOB, 10, 0.3, 5)], [(200, 0.4)]),
+    ("a call that began in a fault", [{"added_ms": 500, "duration_ms": 200}],
+     [(0, SHORT_JOB, 0, 0, 5)], [(200, 0.5)]),
+    ("a fault of one host", [{"added_ms": 500, "host": 1}],
+     [(0, SHORT_JOB, 10, 0, 5), (1, SHORT_JOB, 10, 0, 5)], [(200, 0.1), (200, 0.6)]),
+    ("a call that hangs holds the turn", [{"hang_share": 1, "hang_ms": 600, "duration_ms": 100}],
+     [(0, SHORT_JOB, 0, 0, 0.3), (0, SHORT_JOB, 10, 0.2, 5)], [(0, 0.3), (200, 0.7)]),
+    ("a connection that is closed", [{"close_share": 1}], [(0, SHORT_JOB, 20, 0, 5)], [(0, 0.2)]),
+    ("rejected", [{"reject_share": 1, "reject_status": 503}], [(0, LONG_JOB, 2, 0, 5)], [(503, 0)]),
+    ("429 with 32 calls waiting", [], [(0, LONG_JOB, 20, 0, 0.3)] + [(0, SHORT_JOB, 0, 0.1, 5)] * 32
+     + [(0, SHORT_JOB, 0, 0.5, 5)], [(0, 0.3)] + [(200, 1.2)] * 32 + [(429, 0.5)]),
+]
+
+
+def advice_outcomes(control, ports, calls):
+    """Sends the calls. Returns the status of each, and when it ended."""
+    outcomes = [None] * len(calls)
+
+    def send_one(i, host, job, count, delay_s, timeout_s):
+        time.sleep(delay_s)
+        status, _ = send_request("POST", "http://127.0.0.1:%d/advise" % ports[host], {
+            "step": job + ".0.0", "workers": ["t-%03d" % n for n in range(count)]}, timeout=timeout_s)
+        outcomes[i] = (status, time.monotonic() - begun)
+
+    begun = time.monotonic()
+    threads = [threading.Thread(target=send_one, args=(i, *call)) for i, call in enumerate(calls)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    control("reset")
+    return outcomes
+
+
+def advice_results():
+    """Returns (name, whether it holds, outcomes) of each of ADVICE_CASES."""
+    results = []
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Process("targets", [os.path.join(BIN, "standin-targets"), "--platform",
+                                    "http://127.0.0.1:9", "--domains", "a", "--count", "1"], folder,
+                        prints_port=True)
+
+        def control(action, **settings):
+            return send_request("POST", "http://127.0.0.1:%d/advice" % fleet.port,
+                                dict(settings, action=action))[1]
+
+        ports = [control("add_host")["port"] for _ in range(2)]
+        control("times", queue="long", **LONG_TIMES)
+        control("times", queue="short", **SHORT_TIMES)
+        control("job", job=LONG_JOB, queue="long")
+        control("job", job=SHORT_JOB, queue="short")
+        for name, faults, calls, expected in ADVICE_CASES:
+            for fault in faults:
+                control("fault", **fault)
+            outcomes = advice_outcomes(control, ports, calls)
+            results.append((name, all(
+                status == expected_status and -0.02 <= ended - expected_s <= ADVICE_SLACK_S
+                for (status, ended), (expected_status, expected_s) in zip(outcomes, expected)), outcomes))
+        fleet.stop()
+    return results
+
+
 def main():
     failed = 0
     for name, script, expected, passes in CASES:
@@ -349,6 +498,14 @@
         holds = finds_in_runs(*events) == expected
         failed += 0 if holds else 1
         print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
+    for name, expected, events, arguments in START_CASES:
+        holds = finds_start_overdue(*events, **arguments) == expected
+        failed += 0 if holds else 1
+        print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
+    for name, holds, outcomes in advice_results():
+        failed += 0 if holds else 1
+        print("[%s] advice: %s%s" % ("       OK " if holds else "  FAILED  ", name,
+                                     "" if holds else ": %s" % outcomes))
     for name, holds in [*held_requests_delivered().items(),
                         ("stand-in target executes starts around cuts", starts_around_cuts())]:
         failed += 0 if holds else 1
--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -5,10 +5,14 @@
 
 Each scenario starts a cell, submits jobs over the HTTP API and injects its faults. It fails if a
 task runs on two targets at once, starts again after its completion was acknowledged or exceeds a
-target's capacity, or if an accepted job is unknown or does not end. The scenarios run in real time,
-so they are not part of make check; run them with make e2e.
+target's capacity, or if an accepted job is unknown or does not end. ADVICE_CASES play in a cell with
+an advice service that takes its time; they also fail if a job starts later than the rule for a calm
+cell allows although there is room for it. The scenarios run in real time, so they are not part of
+make check; run them with make e2e.
 """
+import collections
 import http.client
+import itertools
 import json
 import os
 import random
@@ -19,6 +23,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
 from cell import KEY, Cell, LoadGenerator, send_request, job, wait_for  # noqa: E402
+import soak_checks as checks  # noqa: E402
 
 DOMAINS = ["bogota-a", "bogota-b", "bogota-c"]
 LOAD_S = 12
@@ -272,15 +277,181 @@
     return problems
 
 
+# --- advice ---
+
+ADVICE_KINDS = [job("checks", "/checks/", 1, [3], 300, 200),
+                job("rebuild", "/rebuild/", 1, [4], 600, 200), job("feeds", "/feeds/", 1, [4], 500, 200)]
+# Positions in ADVICE_KINDS of jobs sent one after another, at a constant rate: a random burst could
+# exceed what the advice service can handle.
+ADVICE_ORDER = [0, 1, 0, 2, 0, 1, 0, 2, 0, 1]
+ADVICE_LOAD_S, ADVICE_TARGETS = 20, 24
+JOBS_PER_HOST_S = 0.4
+WARM_UP_S = 3
+
+
+def kill_two_hosts(cell, faults):
+    """Kills two hosts that do not own the pool, and starts them again."""
+    time.sleep(4)
+    killed = [host for host in cell.hosts if not host.owns_pool()][:2]
+    entries = [faults.begin(host.name, "kill") for host in killed]
+    for host in killed:
+        for process in host.processes.values():
+            process.signal_child(signal.SIGKILL)
+            process.child.wait()
+    time.sleep(3)
+    for host, entry in zip(killed, entries):
+        host.start("poold")
+        host.start("frontd")
+        faults.end(entry)
+
+
+def kill_owner_once(cell, faults):
+    time.sleep(4)
+    owner = wait_for(cell.owner, 10, "an owner")
+    entry = faults.begin(owner.name, "kill")
+    owner.processes["poold"].signal_child(signal.SIGKILL)
+    owner.processes["poold"].child.wait()
+    owner.start("poold")
+    faults.end(entry)
+
+
+def disrupt_advice(**fault):
+    """Returns a function that injects the fault for 4 s."""
+    def disrupt(cell, faults):
+        time.sleep(4)
+        entry = faults.begin("advice", "advice")
+        cell.control_advice("fault", duration_ms=4000, **fault)
+        time.sleep(4 + fault.get("hang_ms", 0) / 1000)
+        faults.end(entry)
+    return disrupt
+
+
+def in_turn(*actions):
+    return lambda cell, faults: [action(cell, faults) for action in actions]
+
+
+# slowness: of the advice service for the whole run; it excuses no wait, as the protocol bounds no
+# call. disturb: faults after which the cell has to become calm before waits count; or None.
+AdviceCase = collections.namedtuple("AdviceCase", "name hosts slowness disturb")
+HANGS, CLOSES = {"hang_share": 0.5, "hang_ms": 3000}, {"close_share": 0.5}
+REJECTS = {"reject_share": 0.5, "reject_status": 503}
+ADVICE_CASES = [
+    AdviceCase("advice_as_published", 7, {}, None),
+    AdviceCase("advice_550_ms_longer", 7, {"added_ms": 550}, None),
+    AdviceCase("advice_700_ms_longer", 7, {"added_ms": 700}, None),
+    AdviceCase("advice_700_ms_longer_for_6_s", 7, {"added_ms": 700, "duration_ms": 6000}, None),
+    AdviceCase("advice_three_times_as_long", 7, {"factor": 3}, None),
+    AdviceCase("advice_700_ms_longer_three_hosts", 3, {"added_ms": 700}, None),
+    AdviceCase("advice_hangs", 7, {}, disrupt_advice(**HANGS)),
+    AdviceCase("advice_closes_and_rejects", 7, {},
+               in_turn(disrupt_advice(**CLOSES), disrupt_advice(**REJECTS))),
+    AdviceCase("advice_700_ms_longer_hosts_killed", 7, {"added_ms": 700}, kill_two_hosts),
+    AdviceCase("advice_three_times_as_long_owner_killed", 7, {"factor": 3}, kill_owner_once),
+]
+
+
+class StartWatch(threading.Thread):
+    """Judges the first starts of jobs until finished is set."""
+
+    def __init__(self, cell, load, faults):
+        super().__init__()
+        self.cell, self.load, self.faults = cell, load, faults
+        self.finished, self.overdue, self.event_count = threading.Event(), [], 0
+        self.judge = checks.StartJudge(lambda job_id: cell.eligible_targets(job_id + ".0.0"))
+
+    def accepted(self):
+        return [(job_id, entry["accepted_at"], entry["body"]["body"]["steps"][0]["cpu"])
+                for job_id, entry in self.load.snapshot().items() if entry["accepted"]]
+
+    def waits_s(self, now):
+        """Returns for how long each job waited, and whether it has started."""
+        starts = self.judge.first_starts
+        return [(starts.get(job_id, now) - accepted_at, job_id in starts)
+                for job_id, accepted_at, _ in self.accepted()]
+
+    def run(self):
+        while not self.finished.wait(0.3):
+            now = time.monotonic()
+            while page := self.cell.run_history(self.event_count):
+                self.event_count += len(page)
+                for event in page:
+                    self.judge.take(event)
+            self.overdue += self.judge.judge(now, self.accepted(), self.faults)
+
+
+def submit_at_constant_rate(load, duration_s, jobs_per_second):
+    threads = []
+    for i, kind in zip(range(int(duration_s * jobs_per_second)), itertools.cycle(ADVICE_ORDER)):
+        body = ADVICE_KINDS[kind]
+        threads.append(threading.Thread(target=load.submit_job, args=(body["prefix"], body)))
+        threads[-1].start()
+        time.sleep(1 / jobs_per_second)
+    for thread in threads:
+        thread.join()
+
+
+def check_advice_case(case):
+    """Plays a case in a cell under load and returns a list of problems."""
+    cell = Cell(DOMAINS, ADVICE_TARGETS, case.hosts, has_advice_service=True)
+    problems, faults = [], checks.FaultLog(time.monotonic)
+    load = LoadGenerator(cell)
+    watch = StartWatch(cell, load, faults)
+    try:
+        cell.wait_until_ready()
+        time.sleep(WARM_UP_S)
+        cell.control_advice("fault", **case.slowness)
+        watch.start()
+        disturbance = threading.Thread(target=case.disturb or no_disturbance, args=(cell, faults))
+        disturbance.start()
+        submit_at_constant_rate(load, ADVICE_LOAD_S, JOBS_PER_HOST_S * case.hosts)
+        disturbance.join()
+        # Jobs that still wait now are judged once the cell has been calm.
+        time.sleep(checks.START_WAIT_S + checks.START_CALM_S + 1)
+        watch.finished.set()
+        watch.join()
+        waits = watch.waits_s(time.monotonic())
+        cell.control_advice("reset")
+        unfinished = load.wait_for_jobs(60)
+        if watch.overdue:
+            problems.append("LOST start: %d" % len(watch.overdue))
+        if unfinished:
+            problems.append("accepted jobs that did not end: %d" % len(unfinished))
+        summary = cell.summary()
+        for name in ("in_two_places", "begun_again", "over_capacity"):
+            if summary[name]:
+                problems.append("%s: %d" % (name, summary[name]))
+        counters = cell.advice_counters()
+        print("%-40s jobs=%d longest_wait_s=%.2f over_3_s=%d never_started=%d calls=%d %s" % (
+            case.name, len(waits), max((wait for wait, _ in waits), default=0),
+            sum(wait > checks.START_WAIT_S for wait, _ in waits),
+            sum(not has_started for _, has_started in waits), counters["calls"],
+            "; ".join(problems) or "held"), flush=True)
+    finally:
+        watch.finished.set()
+        cell.stop()
+    if problems:
+        print("  logs: " + cell.work_dir)
+    return problems
+
+
+def no_disturbance(_cell, _faults):
+    pass
+
+
 def main():
     names = sys.argv[1:]
-    unknown = [name for name in names if name not in [s.__name__ for s in SCENARIOS]]
+    checks_by_name = {scenario.__name__: (check_scenario, scenario) for scenario in SCENARIOS}
+    checks_by_name.update({case.name: (check_advice_case, case) for case in ADVICE_CASES})
+    unknown = [name for name in names if name not in checks_by_name]
     if unknown:
         print("unknown scenarios: %s; known are: %s" % (
-            ", ".join(unknown), ", ".join(s.__name__ for s in SCENARIOS)), file=sys.stderr)
+            ", ".join(unknown), ", ".join(checks_by_name)), file=sys.stderr)
         return 2
-    selected = [s for s in SCENARIOS if not names or s.__name__ in names]
-    failed = sum(bool(check_scenario(scenario)) for scenario in selected)
+    selected = names or list(checks_by_name)
+    failed = 0
+    for name in selected:
+        check, scenario = checks_by_name[name]
+        failed += bool(check(scenario))
     print("%d passed, %d failed" % (len(selected) - failed, failed))
     return 1 if failed else 0
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -42,6 +42,12 @@
     job("lasts", "/feeds/", 1, [6], 2500, cpu_milli=500, spec=dict(LASTS, fail=True),
         longRunning=True)]
 LASTING_JOBS = 4
+# In phases "advice" all hosts query the advice service at little load. What makes it slower lasts
+# for the whole phase and is no fault that excuses a wait: the protocol bounds no call.
+ADVICE_KINDS = [job("check", "/checks/", 5, [3], 300, 200), job("rebuild", "/rebuild/", 3, [4], 600, 200),
+                job("feed", "/feeds/", 2, [4], 500, 200)]
+ADVICE_HOSTS, ADVICE_THINK_S = 7, 0.9
+SLOW_ADVICE = [{}, {"added_ms": 400}, {"added_ms": 700}, {"factor": 3}]
 # Seeds of past failures, each with the kind of phases and the seconds played unless the command line
 # says otherwise, and its cause.
 REGRESSIONS = [
@@ -438,6 +444,17 @@
                 return
             time.sleep(0.1)
 
+    def disrupt_advice(self, duration_s):
+        """A share of the advice calls hang, lose their connections or are rejected."""
+        share, hang_ms = self.random.uniform(0.2, 1.0), self.random.randrange(1000, 5000)
+        fault = self.random.choice([{"hang_share": share, "hang_ms": hang_ms}, {"close_share": share},
+                                    {"reject_share": share, "reject_status": 503},
+                                    {"reject_share": share, "reject_status": 429}])
+        with self.logged("advice", "advice"):
+            self.cell.control_advice("fault", duration_ms=int(duration_s * 1000), **fault)
+            # Calls that hang hold the turns of their hosts for as long again.
+            time.sleep(duration_s + fault.get("hang_ms", 0) / 1000)
+
     def cut_off_owner(self, duration_s):
         host = self.owner()
         with self.proxies("proxy", [host]):
@@ -459,10 +476,13 @@
     ALL = PLANNED_WORK + NETWORK + OWNER + [
         kill_process, kill_owner, pause_process, pause_owner, pause_in_bursts, kill_all_processes,
         kill_during_restart, kill_during_restart, restart_during_store_outage, cut_or_crash]
+    ADVICE = [disrupt_advice] * 4 + [kill_process, kill_owner, restart_process, restart_host,
+                                     pause_owner]
     # Kind of a phase, its faults, the number of threads that inject them.
     PHASES = [("planned work", PLANNED_WORK, 1), ("planned work", PLANNED_WORK, 2),
               ("network", NETWORK, 2), ("owner", OWNER, 1), ("resets", RESETS, 1), ("all", ALL, 2), ("all", ALL, 3)]
     BOOT_PHASES = [("boots", BOOTS, 2), ("boots", BOOTS, 3), ("boots", BOOTS * 2 + ALL, 3)]
+    ADVICE_PHASES = [("advice", [disrupt_advice], 1), ("advice", ADVICE, 1), ("advice", ADVICE, 2)]
 
     def inject(self, kinds, deadline):
         """Injects random faults one after another; runs in several threads at once."""
@@ -481,14 +501,20 @@
         self.seed, self.phase, self.seconds, self.options = seed, phase, seconds, options
         self.random = random.Random(seed)
         self.fault_log = checks.FaultLog(time.monotonic)
-        hosts = options.hosts or self.random.choice(HOST_COUNTS)
+        # Phases "advice" play in a cell of their own, so only if the caller asks for them.
+        self.plays_advice = phase == "advice"
+        hosts = options.hosts or (ADVICE_HOSTS if self.plays_advice
+                                  else self.random.choice(HOST_COUNTS))
         self.cell = Cell(DOMAINS, options.targets, hosts, uses_store_proxies=True,
                          carry_from=self.random.choice([0, 1]),
                          store_delay_s=self.random.choice(STORE_DELAYS_S),
-                         target_proxies=min(options.targets // 2, 12))
+                         target_proxies=min(options.targets // 2, 12),
+                         has_advice_service=self.plays_advice)
         self.load = LoadGenerator(self.cell, seed)
-        self.clients = [Client(self.load, self.cell.hosts[i % hosts], JOB_KINDS,
-                               "%d client %d" % (seed, i), options.think_s)
+        self.clients = [Client(self.load, self.cell.hosts[i % hosts],
+                               ADVICE_KINDS if self.plays_advice else JOB_KINDS,
+                               "%d client %d" % (seed, i),
+                               ADVICE_THINK_S if self.plays_advice else options.think_s)
                         for i in range(options.clients)]
         self.problems = {}  # what was found -> its first details
         self.played_faults = []
@@ -501,6 +527,8 @@
         self.target_locks = [threading.Lock() for _ in self.cell.target_proxies]
         self.late_orders = collections.Counter()
         self.run_judge, self.judged_events = checks.RunJudge(), 0
+        self.start_judge = checks.StartJudge(
+            lambda job_id: self.cell.eligible_targets(job_id + ".0.0"))
 
     def may_remove_target(self):
         self.removable_targets -= 1
@@ -516,6 +544,7 @@
     # --- checks ---
 
     def check_targets(self):
+        now = time.monotonic()
         summary = self.cell.summary()
         for name in ("in_two_places", "begun_again", "over_capacity"):
             if summary and summary[name]:
@@ -523,8 +552,18 @@
         while page := self.cell.run_history(self.judged_events):
             self.judged_events += len(page)
             for event in page:
+                self.start_judge.take(event)
                 for kind, details in self.run_judge.judge(event):
                     self.report(kind, details)
+        if self.plays_advice:
+            self.check_starts(now)
+
+    def check_starts(self, now):
+        accepted = [(job_id, entry["accepted_at"], entry["body"]["body"]["steps"][0]["cpu"])
+                    for job_id, entry in self.load.snapshot().items() if entry["accepted"]]
+        for found, waited_s in self.start_judge.judge(now, accepted, self.fault_log):
+            self.report("LOST start", "%s, %s, %.1f s" % (found, self.load.jobs[found]["kind"],
+                                                          waited_s))
 
     def check_refused_jobs(self):
         while page := self.cell.started_jobs(self.started_count):
@@ -605,13 +644,18 @@
 
     def phases(self):
         has_boots = self.seed >= FIRST_BOOTS_SEED or self.phase
-        return Faults.PHASES + (Faults.BOOT_PHASES if has_boots else [])
+        return (Faults.PHASES + (Faults.BOOT_PHASES if has_boots else [])
+                + (Faults.ADVICE_PHASES if self.plays_advice else []))
 
     def play_phase(self, number):
         """Injects the faults of one phase, then leaves the cell calm."""
         name, kinds, thread_count = self.random.choice(
             [phase for phase in self.phases() if self.phase in (None, phase[0])])
         self.played_faults.append("[%s]" % name)
+        if self.plays_advice:
+            slowness = self.random.choice(SLOW_ADVICE)
+            self.played_faults.append("[%s]" % slowness)
+            self.cell.control_advice("fault", **slowness)
         deadline = time.monotonic() + self.random.uniform(3, 9)
         threads = [threading.Thread(target=Faults(self, "%d phase %d thread %d" % (
             self.seed, number, i)).inject, args=(kinds, deadline)) for i in range(thread_count)]
@@ -623,6 +667,8 @@
             host.start("poold")
             host.start("frontd")
         time.sleep(CALM_PHASE_S)
+        if self.plays_advice:
+            self.cell.control_advice("reset")
 
     def cancel_jobs(self):
         for job_id, entry in self.load.snapshot().items():
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -2,6 +2,7 @@
 
 Times are values of time.monotonic() in seconds. The bounds are those of the rules.
 """
+import bisect
 import collections
 import threading
 
@@ -14,6 +15,9 @@
 # A task that lasts may be down for 6 s after its last run and then, with room and in a calm cell, for
 # a further 3 s; the cell is calm if the 3 s and the 4 s before them are.
 LASTING_DOWN_S, LASTING_JUDGED_S, LASTING_CALM_S = 6.0, 3.0, 4.0
+# A job of which a task may start has a running task within 3 s if there is room for ROOM_TASKS such
+# tasks and the cell is calm for these 3 s and the 4 s before them.
+START_WAIT_S, START_CALM_S, ROOM_TASKS = 3.0, 4.0, 2
 # Faults that are planned work. All others excuse a request that gets no answer.
 PLANNED = ("term", "hup")
 
@@ -50,6 +54,12 @@
             return [fault for fault in self.faults if fault.scope in scopes and fault.begun <= end
                     and (fault.ended is None or fault.ended >= begin)]
 
+    def is_calm(self, begin, end):
+        """Returns whether no fault was injected, reverted or in effect in the span."""
+        with self.lock:
+            return not any(fault.begun <= end and (fault.ended is None or fault.ended >= begin)
+                           for fault in self.faults)
+
     def calm_s(self, now):
         """Returns for how long nothing has been injected, reverted or in effect anywhere."""
         with self.lock:
@@ -96,6 +106,17 @@
             if (now - accepted if task not in down_ms else down_ms[task] / 1000) > limit_s]
 
 
+def is_start_overdue(accepted, until, cpu, free_cpu, faults):
+    """LOST: whether a job that was accepted but had no task started until then waited too long.
+
+    cpu: of its first task; free_cpu: for each target that may run it, the CPU that was free
+    throughout the START_WAIT_S before.
+    """
+    return (until - accepted >= START_WAIT_S
+            and faults.is_calm(until - START_WAIT_S - START_CALM_S, until)
+            and sum(free // cpu for free in free_cpu) >= ROOM_TASKS)
+
+
 def is_forgotten(attempt, accepted, faults):
     """LOST: whether a GET for a job accepted at that time was answered 410 by a host in touch."""
     return (attempt.method == "GET" and attempt.status == 410
@@ -152,3 +173,57 @@
         if used > limit:
             found.append(("LIMIT", "%s: %d of %d in use" % (start, used, limit)))
         return found
+
+
+class StartJudge:
+    """LOST: judges how long jobs wait for their first start, by the events of GET /history and by
+    eligible(job), which returns the targets that may run the first step of the job."""
+
+    def __init__(self, eligible):
+        self.eligible = eligible
+        self.first_starts = {}  # job -> time
+        self.capacity = {}      # target -> CPU of its boot
+        self.refusing = set()   # targets that accept no starts
+        self.runs = {}          # (target, task, run) -> cpu
+        self.free = {}          # target -> [(time, CPU that is free from then on)]
+        self.judged = set()     # jobs that have started, or were found
+
+    def take(self, event):
+        time_s, (kind, target) = event[0] / 1000, event[1:3]
+        if kind == "boot":
+            self.runs = {run: cpu for run, cpu in self.runs.items() if run[0] != target}
+            self.capacity[target] = event[4]
+        elif kind == "accepts":
+            (self.refusing.discard if event[4] else self.refusing.add)(target)
+        elif kind == "start":
+            self.runs[target, event[4], event[5]] = event[6]
+            self.first_starts.setdefault(event[4].partition(".")[0], time_s)
+        elif kind == "end":
+            self.runs.pop((target, event[4], event[5]), None)
+        used = sum(cpu for run, cpu in self.runs.items() if run[0] == target)
+        free = 0 if target in self.refusing else max(self.capacity[target] - used, 0)
+        self.free.setdefault(target, []).append((time_s, free))
+
+    def least_free(self, target, begin, end):
+        """Returns the CPU of the target that was free throughout the span."""
+        changes = self.free.get(target, [])
+        first = bisect.bisect_right(changes, (begin, float("inf")))
+        last = bisect.bisect_left(changes, (end, -1))
+        return min((free for _, free in changes[first - 1:last]), default=0) if first else 0
+
+    def judge(self, now, accepted, faults):
+        """accepted: (job, when it was accepted, CPU of its first task) of each job. now: before the
+        last events were read. Returns (job, seconds it waited) of each job found."""
+        found = []
+        for job, accepted_at, cpu in accepted:
+            until = self.first_starts.get(job, now)
+            if job in self.judged or until - accepted_at < START_WAIT_S:
+                continue
+            free = [self.least_free(target, until - START_WAIT_S, until)
+                    for target in self.eligible(job)]
+            is_overdue = is_start_overdue(accepted_at, until, cpu, free, faults)
+            if is_overdue:
+                found.append((job, until - accepted_at))
+            if is_overdue or job in self.first_starts:
+                self.judged.add(job)
+        return found
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -2,8 +2,8 @@
  * Each target has its own port and registers itself with the stand-in for the platform.
  *
  * A task's spec defines its behaviour: {"ms": run time, "cpu": thousandths of a core, "fail":
- * true, "lasts": true}; with ms -1 it runs until it is stopped. The control port serves the advice
- * service, at /advise, and:
+ * true, "lasts": true}; with ms -1 it runs until it is stopped. The control port serves an advice
+ * service that replies at once, at /advise, and:
  * GET /summary: counters. Three of them count violations of the scheduling rules: in_two_places
  * (start of a task that is already running), begun_again (start after an end as done that the owner
  * has acknowledged) and over_capacity (start that exceeds the CPU capacity of the target).
@@ -15,8 +15,10 @@
  * [time, "boot", target, boot, cpu], [time, "start", target, boot, task, run, cpu, known] and
  * [time, "end", target, boot, task, run]; times are monotonic, in ms. A boot ends the runs of the
  * boot before it. known: whether an owner with the token of the start, or a higher one, knew the
- * boot. GET /boots: for each target the number of its boot and the highest token of an owner that
- * knows the boot, 0 for none.
+ * boot. [time, "accepts", target, boot, accepts] tells that the target accepts starts, or no
+ * longer: it drains or is down. GET /boots: for each target the number of its boot and the highest
+ * token of an owner that knows the boot, 0 for none. GET /eligible?step=S: the ids of the targets
+ * that may run the step by the advice service. GET /advice: counters of the advice service.
  *
  * POST /control takes {"target": N, "fault": "crash" | "cut" | "drain" | "address", "ms": N,
  * "port": N, "cpu": N, "row_ms": N}. "crash" discards the runs of the target and restarts it after
@@ -38,6 +40,7 @@
 #include "common/schema.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "support_advice.h"
 #include "support_target.h"
 
 #define DEFAULT_WORK_MS 300
@@ -51,6 +54,8 @@
  * 1500 ms. */
 #define REGISTRY_EXPIRY_MS 4500
 #define PAGE_MAX 1000
+/* Of the tickets of the advice service that replies at once. */
+#define TICKETS_VALID_MS 2500
 #define ROOM_CHECK_INTERVAL_MS 100
 /* A task that can be started has room if there is capacity for this many times its resources. */
 #define ROOM_TASKS 2
@@ -104,6 +109,7 @@
   struct ev_loop *loop;
   struct fl_http_client *client;
   struct fl_http_server *control_server;
+  struct advice_service *advice;
   const char *platform_url;
   const char *service;
   GPtrArray *targets;
@@ -187,6 +193,14 @@
                                     target->boot, (json_int_t)target->cpu_milli));
 }
 
+static void
+record_accepts_starts (struct target *target, bool accepts)
+{
+  json_array_append_new (target->fleet->history,
+                         json_pack ("[I,s,s,i,b]", (json_int_t)now_ms (), "accepts",
+                                    target->id.data, target->boot, accepts));
+}
+
 static void
 record_start_in_history (struct target *target, const struct fl_start_order *order, int64_t cpu)
 {
@@ -572,28 +586,82 @@
 
 /* --- advice --- */
 
-/* About seven of ten targets are eligible for a step. */
 static void
 handle_advice_query (struct fl_http_request *request)
 {
   const struct fl_str *body = fl_http_body (request);
   json_t *json = fl_json_parse (body->data, body->len, NULL);
-  struct fl_name step = get_name (json, "step");
-  json_t *eligible = json_array ();
-  const json_t *item;
-  size_t i;
-
-  json_array_foreach (json_object_get (json, "workers"), i, item)
-  {
-    struct fl_name id = fl_name_of (json_string_value (item));
-    g_autofree char *ticket = g_strdup_printf ("%s|%s", step.data, id.data);
-    if ((fl_name_hash (&step) * 31 + fl_name_hash (&id)) % 10 < 7)
-      json_array_append_new (eligible, json_pack ("[s,s]", id.data, ticket));
-  }
-  send_reply (request, 200, json_pack ("{s:o,s:i}", "good", eligible, "validMs", 2500));
+
+  send_reply (request, 200, advice_make_reply (json, TICKETS_VALID_MS));
   json_decref (json);
 }
 
+static double
+get_real (const json_t *json, const char *key)
+{
+  return json_number_value (json_object_get (json, key));
+}
+
+static void
+add_advice_fault (struct advice_service *service, const json_t *json)
+{
+  struct advice_fault fault = {
+    .host = json_object_get (json, "host") != NULL ? get_number (json, "host") : -1,
+    .duration_ms = get_number (json, "duration_ms"),
+    .factor = get_real (json, "factor"),
+    .added_ms = get_real (json, "added_ms"),
+    .hang_share = get_real (json, "hang_share"),
+    .hang_ms = get_number (json, "hang_ms"),
+    .close_share = get_real (json, "close_share"),
+    .reject_share = get_real (json, "reject_share"),
+    .reject_status = (int)get_number (json, "reject_status"),
+  };
+
+  advice_service_add_fault (service, &fault);
+}
+
+static void
+handle_advice_control (struct fleet *fleet, struct fl_http_request *request)
+{
+  const struct fl_str *body = fl_http_body (request);
+  json_t *json = fl_json_parse (body->data, body->len, NULL);
+  struct fl_name action = get_name (json, "action");
+  struct fl_name queue = get_name (json, "queue");
+  json_t *reply = json_object ();
+
+  if (strcmp (action.data, "add_host") == 0)
+    json_object_set_new (reply, "port", json_integer (advice_service_add_host (fleet->advice)));
+  else if (strcmp (action.data, "times") == 0)
+    advice_service_set_times (fleet->advice, queue.data,
+                              &(struct advice_times){ get_real (json, "base_ms"),
+                                                      get_real (json, "per_target_ms"),
+                                                      get_number (json, "valid_ms") });
+  else if (strcmp (action.data, "job") == 0)
+    advice_service_set_queue (fleet->advice, get_name (json, "job").data, queue.data);
+  else if (strcmp (action.data, "fault") == 0)
+    add_advice_fault (fleet->advice, json);
+  else if (strcmp (action.data, "reset") == 0)
+    advice_service_reset_faults (fleet->advice);
+  send_reply (request, 200, reply);
+  json_decref (json);
+}
+
+static void
+handle_eligible (const struct fleet *fleet, struct fl_http_request *request)
+{
+  const char *text = fl_http_query (request, "step");
+  struct fl_name step = fl_name_of (text != NULL ? text : "");
+  json_t *targets = json_array ();
+
+  for (guint i = 0; i < fleet->targets->len; i++)
+    {
+      const struct target *target = g_ptr_array_index (fleet->targets, i);
+      if (advice_is_eligible (&step, &target->id))
+        json_array_append_new (targets, json_string (target->id.data));
+    }
+  send_reply (request, 200, json_pack ("{s:o}", "targets", targets));
+}
+
 /* --- control --- */
 
 static void
@@ -614,6 +682,7 @@
   target->cpu_milli = cpu_milli > 0 ? cpu_milli : target->cpu_milli;
   target->row_delay_ms = row_delay_ms;
   record_boot (target);
+  record_accepts_starts (target, false);
 }
 
 static void
@@ -636,6 +705,7 @@
         {
           target->draining = true;
           write_registry_row (target, false);
+          record_accepts_starts (target, false);
         }
       else if (strcmp (fault.data, "address") == 0)
         {
@@ -747,6 +817,12 @@
 
   if (strcmp (path, "/advise") == 0)
     handle_advice_query (request);
+  else if (strcmp (path, "/advice") == 0 && strcmp (fl_http_method (request), "GET") == 0)
+    send_reply (request, 200, advice_service_get_counters (fleet->advice));
+  else if (strcmp (path, "/advice") == 0)
+    handle_advice_control (fleet, request);
+  else if (strcmp (path, "/eligible") == 0)
+    handle_eligible (fleet, request);
   else if (strcmp (path, "/control") == 0)
     handle_control (fleet, request);
   else if (strcmp (path, "/summary") == 0)
@@ -782,6 +858,7 @@
     {
       target->row_expires_ms = 0;
       write_registry_row (target, false);
+      record_accepts_starts (target, !target->draining);
     }
   serve_pending_requests (target, now >= target->down_until_ms
                                       && target_state_advance (&target->state, now));
@@ -909,6 +986,7 @@
   fleet.started_job_set = g_hash_table_new (g_str_hash, g_str_equal);
   fleet.started_jobs = g_ptr_array_new ();
   fleet.history = json_array ();
+  fleet.advice = advice_service_new (fleet.loop);
   fleet.control_server = start_server (&fleet, on_control_request, &fleet);
   for (int i = 0; i < (count->count > 0 ? count->ival[0] : 12); i++)
     add_target (&fleet, i);
