--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -285,7 +285,7 @@
 # exceed what the advice service can handle.
 ADVICE_ORDER = [0, 1, 0, 2, 0, 1, 0, 2, 0, 1]
 ADVICE_LOAD_S, ADVICE_TARGETS = 20, 24
-JOBS_PER_HOST_S = 0.4
+JOBS_PER_HOST_S, BUSY_JOBS_PER_HOST_S = 0.4, 3.0
 WARM_UP_S = 3
 
 
@@ -332,7 +332,8 @@
 
 # slowness: of the advice service for the whole run; it excuses no wait, as the protocol bounds no
 # call. disturb: faults after which the cell has to become calm before waits count; or None.
-AdviceCase = collections.namedtuple("AdviceCase", "name hosts slowness disturb")
+AdviceCase = collections.namedtuple("AdviceCase", "name hosts slowness disturb jobs_per_host_s",
+                                    defaults=(JOBS_PER_HOST_S,))
 HANGS, CLOSES = {"hang_share": 0.5, "hang_ms": 3000}, {"close_share": 0.5}
 REJECTS = {"reject_share": 0.5, "reject_status": 503}
 ADVICE_CASES = [
@@ -342,6 +343,7 @@
     AdviceCase("advice_700_ms_longer_for_6_s", 7, {"added_ms": 700, "duration_ms": 6000}, None),
     AdviceCase("advice_three_times_as_long", 7, {"factor": 3}, None),
     AdviceCase("advice_700_ms_longer_three_hosts", 3, {"added_ms": 700}, None),
+    AdviceCase("advice_as_published_hosts_busy", 3, {}, None, BUSY_JOBS_PER_HOST_S),
     AdviceCase("advice_hangs", 7, {}, disrupt_advice(**HANGS)),
     AdviceCase("advice_closes_and_rejects", 7, {},
                in_turn(disrupt_advice(**CLOSES), disrupt_advice(**REJECTS))),
@@ -403,7 +405,7 @@
         watch.start()
         disturbance = threading.Thread(target=case.disturb or no_disturbance, args=(cell, faults))
         disturbance.start()
-        submit_at_constant_rate(load, ADVICE_LOAD_S, JOBS_PER_HOST_S * case.hosts)
+        submit_at_constant_rate(load, ADVICE_LOAD_S, case.jobs_per_host_s * case.hosts)
         disturbance.join()
         # Jobs that still wait now are judged once the cell has been calm.
         time.sleep(checks.START_WAIT_S + checks.START_CALM_S + 1)
