--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -285,7 +285,7 @@
 # exceed what the advice service can handle.
 ADVICE_ORDER = [0, 1, 0, 2, 0, 1, 0, 2, 0, 1]
 ADVICE_LOAD_S, ADVICE_TARGETS = 20, 24
-JOBS_PER_HOST_S, BUSY_JOBS_PER_HOST_S = 0.4, 3.0
+JOBS_PER_HOST_S, BUSY_JOBS_PER_HOST_S = 0.4, 3.7
 WARM_UP_S = 3
 
 
