--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -15,6 +15,9 @@
  * the best of all. */
 #define PLACEMENTS_MIN 240
 #define PLACEMENTS_CAPACITY_RATIO 4
+/* Wait for advice after which a long-running step is queried before all others. */
+#define LONG_RUNNING_WAIT_MS 1000
+#define LONG_RUNNING_RANK 1e12 /* above any response ratio */
 /* Index of the rack in the labels of a target; index 0 holds the kind of target. */
 #define RACK_LABEL_INDEX 1
 
@@ -166,7 +169,7 @@
 /* --- limits of teams --- */
 
 /* The part of a team's limit that tasks of lower priority leave free for urgent tasks: as much as
- * urgent tasks used recently.
+ * urgent tasks used recently. A team that uses less than half of its limit has room for both.
  *
  * Load pattern: long jobs of lower priority exhaust the limit of a team. Its urgent jobs, which
  * arrive continually and run for a second, would then wait for tasks that run for many seconds. */
@@ -179,7 +182,7 @@
 static bool
 fits_cap (int64_t used, int64_t need, int64_t reserve, int64_t cap)
 {
-  return cap <= 0 || used + need + reserve <= cap;
+  return cap <= 0 || used + need + (used < cap / 2 ? 0 : reserve) <= cap;
 }
 
 static bool
@@ -643,7 +646,7 @@
   struct core_step *step;
   int64_t unplaced;      /* tasks for which advice is needed */
   bool awaits_recording; /* other tasks start once a record is stored */
-  double response_ratio;
+  double rank;           /* see get_advice_rank */
 };
 
 int64_t
@@ -653,6 +656,21 @@
                                                : 0;
 }
 
+/* @return the rank of @step among the steps that need advice; the highest is queried first. It is
+ * the response ratio (wait and service time by service time), but long-running steps that have
+ * waited for LONG_RUNNING_WAIT_MS come first: while one of their tasks is down, its users are not
+ * served. */
+static double
+get_advice_rank (const struct core_step *step)
+{
+  double waited_ms = (double)core_step_wait_for_advice_ms (step);
+  double service_ms = MAX (step->job->queue.advice.base_latency_ms, 1.0);
+
+  if (step->spec->long_running && waited_ms >= LONG_RUNNING_WAIT_MS)
+    return LONG_RUNNING_RANK + waited_ms;
+  return (waited_ms + service_ms) / service_ms;
+}
+
 /* Handles the @unplaced tasks of @step that could not be started: appends it to @unadvised if
  * advice can help, else sets what it waits for. */
 static void
@@ -661,13 +679,14 @@
                        int64_t unplaced,
                        GArray *unadvised)
 {
-  const struct fl_advice_policy *policy = &step->job->queue.advice;
-
   if (unplaced == 0)
     {
+      step->unplaced_since_ms = 0;
       set_wait_reason (step, CORE_WAIT_NONE);
       return;
     }
+  if (step->unplaced_since_ms == 0)
+    step->unplaced_since_ms = step->job->core->now_ms;
   if (!team_has_capacity (step))
     {
       set_wait_reason (step, CORE_WAIT_TEAM_LIMIT);
@@ -676,28 +695,25 @@
   int64_t awaiting = count_awaiting_recording (placements);
   /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
    * and no others are queried in their place: advice causes most of the wait of long jobs. */
-  if (awaiting >= unplaced || !policy->required)
+  if (awaiting >= unplaced || !step->job->queue.advice.required)
     {
       set_wait_reason (step, awaiting > 0 ? CORE_WAIT_RECORD : CORE_WAIT_CAPACITY);
       return;
     }
-  struct unadvised_step entry
-      = { step, unplaced - awaiting, awaiting > 0,
-          1.0 + (double)core_step_wait_for_advice_ms (step) / MAX (policy->base_latency_ms, 1.0) };
+  struct unadvised_step entry = { step, unplaced - awaiting, awaiting > 0, get_advice_rank (step) };
   g_array_append_val (unadvised, entry);
 }
 
 static gint
-compare_response_ratios (const void *a, const void *b)
+compare_advice_ranks (const void *a, const void *b)
 {
   const struct unadvised_step *x = a;
   const struct unadvised_step *y = b;
 
-  return x->response_ratio > y->response_ratio ? -1 : x->response_ratio < y->response_ratio;
+  return x->rank > y->rank ? -1 : x->rank < y->rank;
 }
 
-/* Queries advice for the steps of @unadvised, by highest response ratio (wait and service time by
- * service time), and in the given order among equals.
+/* Queries advice for the steps of @unadvised, by rank, and in the given order among equals.
  *
  * Load pattern: hosts are few, or the service is slow, so that not all steps can be queried. In the
  * order of waiting steps alone, those of low priority would get no query for as long as others
@@ -705,7 +721,7 @@
 static void
 query_advice (GArray *unadvised)
 {
-  g_array_sort (unadvised, compare_response_ratios);
+  g_array_sort (unadvised, compare_advice_ranks);
   for (guint i = 0; i < unadvised->len; i++)
     {
       const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
@@ -810,6 +826,8 @@
   int64_t idle = step->idle_tasks;
   int64_t unplaced
       = step->spec->gang ? place_gang (step, placements) : place_tasks (step, placements);
+  if (step->idle_tasks < idle)
+    step->unplaced_since_ms = 0;
   if (step->idle_tasks < idle)
     core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
                               step->job->spec.text.len);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -150,6 +150,40 @@
   fixture_free (fixture);
 }
 
+/* A step of low priority waited while its team used little of its limit: the rest was kept free for
+ * urgent tasks that had ended. */
+static void
+test_team_limit_half_used_is_not_reserved (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t tasks; /* that need half of the limit each */
+    guint starts;
+  } cases[] = { { "up to half of the limit", 1, 1 }, { "beyond half of the limit", 2, 1 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (6000);
+      struct fl_end_row end = { .number = 1, .task = fl_name_of ("fast.0.0.0"), .run = 1 };
+
+      add_target (fixture, "t1", 16, false);
+      add_job (fixture, "fast", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 5000 });
+      tick_until_recorded (fixture, 0);
+      confirm_start (fixture, 0);
+      fixture->now_ms += 10;
+      deliver_report (fixture, "t1",
+                      (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
+      add_job (fixture, "slow", "slow",
+               (struct fl_step_spec){ .count = cases[i].tasks, .cpu_milli = 3000 });
+      tick_until_recorded (fixture, 10);
+      if (fixture->start_orders->len != 1 + cases[i].starts)
+        fail_msg ("%s: %u starts", cases[i].name, fixture->start_orders->len - 1);
+      fixture_free (fixture);
+    }
+}
+
 /* Best-effort tasks use only the CPU that other tasks leave free, and other tasks are placed as if
  * there were no best-effort tasks. */
 static void
@@ -364,35 +398,87 @@
   fixture_free (fixture);
 }
 
-/* While short queries of higher priority came, one for each that a host could send, a step of low
- * priority got none. */
+/* While a query of another step was in flight, or one after the other, the free room that was
+ * charged for it kept a step from being queried. */
+static void
+test_room_charged_for_queries_keeps_no_step_waiting (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t cpu_milli; /* of the task that waits; 4 cores are free */
+    int64_t waited_ms;
+    int queries;
+  } cases[] = {
+    { "a moment ago", 1000, 900, 1 },
+    { "for a second, with room for more", 1000, 1000, 2 },
+    { "for a second, with room for one task", 3000, 1000, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      add_target (fixture, "t1", 4, false);
+      add_job (fixture, "a", "advised", (struct fl_step_spec){ .count = 4, .cpu_milli = 1000 });
+      add_job (fixture, "b", "advised",
+               (struct fl_step_spec){ .count = 1, .cpu_milli = cases[i].cpu_milli });
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->query_count, 1);
+      fixture->now_ms += cases[i].waited_ms;
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+      tick_until_recorded (fixture, 0);
+      if (fixture->query_count != cases[i].queries)
+        fail_msg ("%s: %d queries", cases[i].name, fixture->query_count);
+      fixture_free (fixture);
+    }
+}
+
+/* While short queries of higher priority came, as many as the hosts could send or more, a step of
+ * low priority got none. */
 static void
 test_low_priority_is_queried_beside_urgent_steps (void **state)
 {
+  static const struct
+  {
+    const char *name;
+    bool long_running;
+    int urgent; /* steps that come for each query that a host can send */
+  } cases[] = { { "as many urgent steps as queries", false, 1 },
+                { "long-running, twice as many", true, 2 } };
   static const struct fl_advice_reply none_eligible = { .received = true };
-  struct fixture *fixture = fixture_new (0);
-  bool is_queried = false;
-  int64_t waited_ms = 0;
 
   (void)state;
-  add_target (fixture, "t1", 100, false);
-  add_job (fixture, "slow", "slow-advised", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
-  for (int i = 0; waited_ms < 3000 && !is_queried; i++, waited_ms += 50)
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct fl_name urgent = fl_name_format ("urgent%d", i);
-      fixture->now_ms += 50;
-      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
-      add_job (fixture, urgent.data, "advised",
-               (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
-      fixture->queries_max = fixture->query_count + 1;
-      fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
-      is_queried = strncmp (fixture->queried_step.data, "slow", 4) == 0;
-      fl_core_handle_advice_reply (fixture->core, &fixture->queried_step,
-                                   (struct fl_name *)fixture->queried_targets->data,
-                                   fixture->queried_targets->len, &none_eligible, fixture->now_ms);
+      struct fixture *fixture = fixture_new (0);
+      bool is_queried = false;
+      int64_t begin_ms = fixture->now_ms;
+      int urgent_count = 0;
+
+      add_target (fixture, "t1", 100, false);
+      add_job (fixture, "slow", "slow-advised",
+               (struct fl_step_spec){
+                   .count = 1, .cpu_milli = 1000, .long_running = cases[i].long_running });
+      while (fixture->now_ms - begin_ms < 3000 && !is_queried)
+        {
+          fixture->now_ms += 50;
+          deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+          for (int j = 0; j < cases[i].urgent; j++)
+            add_job (fixture, fl_name_format ("urgent%d", urgent_count++).data, "advised",
+                     (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+          fixture->queries_max = fixture->query_count + 1;
+          fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+          is_queried = strncmp (fixture->queried_step.data, "slow", 4) == 0;
+          fl_core_handle_advice_reply (fixture->core, &fixture->queried_step,
+                                       (struct fl_name *)fixture->queried_targets->data,
+                                       fixture->queried_targets->len, &none_eligible,
+                                       fixture->now_ms);
+        }
+      if (!is_queried)
+        fail_msg ("%s: not queried", cases[i].name);
+      fixture_free (fixture);
     }
-  assert_true (is_queried);
-  fixture_free (fixture);
 }
 
 /* A gang that did not fit on what was free asked for advice again and again, and kept a host from
@@ -1396,6 +1482,7 @@
     cmocka_unit_test (test_priority),
     cmocka_unit_test (test_team_limit),
     cmocka_unit_test (test_team_limit_reserved_for_urgent_tasks),
+    cmocka_unit_test (test_team_limit_half_used_is_not_reserved),
     cmocka_unit_test (test_best_effort_tasks),
     cmocka_unit_test (test_gang_all_or_none),
     cmocka_unit_test (test_advice),
@@ -1403,6 +1490,7 @@
     cmocka_unit_test (test_advice_query_is_large_enough),
     cmocka_unit_test (test_queries_in_vain_get_larger),
     cmocka_unit_test (test_gang_without_room_is_not_queried),
+    cmocka_unit_test (test_room_charged_for_queries_keeps_no_step_waiting),
     cmocka_unit_test (test_low_priority_is_queried_beside_urgent_steps),
     cmocka_unit_test (test_start_without_reply),
     cmocka_unit_test (test_start_stopped_after_reset),
