Relay: a call lost in an outage does not fail the path after it

A call without a reply marked the direct path to the store as failed when it timed out, also when calls that were sent later had been served meanwhile: the path is known to be healthy by newer evidence. A lost call now counts only if no call that was sent later has been served. Rejections count as before.

test_lost_before_served does not compile before (no outcome for a lost call); its first row is the fault.

--- a/lib/relay/path.c
+++ b/lib/relay/path.c
@@ -1,5 +1,7 @@
 #include "relay/path.h"
 
+#include <glib.h>
+
 /* The path fails after this long without any reply. Above the 0.3 s that a reply takes from a store
  * that is 60 times slower than usual. */
 #define REPLY_GAP_MAX_MS 400
@@ -22,14 +24,21 @@
 }
 
 void
-fl_relay_path_record_end (struct fl_relay_path *path, enum fl_relay_outcome outcome, int64_t now_ms)
+fl_relay_path_record_end (struct fl_relay_path *path,
+                          enum fl_relay_outcome outcome,
+                          int64_t sent_ms,
+                          int64_t now_ms)
 {
   path->in_flight--;
-  if (outcome == FL_RELAY_INCONCLUSIVE)
+  if (outcome == FL_RELAY_INCONCLUSIVE
+      || (outcome == FL_RELAY_LOST && sent_ms < path->served_sent_ms))
     return;
   path->no_reply_since_ms = now_ms;
   if (outcome == FL_RELAY_SERVED)
-    path->has_failed = false;
+    {
+      path->has_failed = false;
+      path->served_sent_ms = MAX (path->served_sent_ms, sent_ms);
+    }
   else
     mark_failed (path, now_ms);
 }
--- a/lib/relay/path.h
+++ b/lib/relay/path.h
@@ -16,7 +16,8 @@
 enum fl_relay_outcome
 {
   FL_RELAY_SERVED,       /* the store replied and did not reject the call */
-  FL_RELAY_FAILED,       /* rejected, or no reply */
+  FL_RELAY_FAILED,       /* rejected */
+  FL_RELAY_LOST,         /* no reply */
   FL_RELAY_INCONCLUSIVE, /* its reused connection ended before the reply */
 };
 
@@ -25,15 +26,18 @@
   bool has_failed;
   int in_flight;             /* direct calls that the store should reply to at once */
   int64_t no_reply_since_ms; /* time of the last reply, or of the first call in flight if later */
+  int64_t served_sent_ms;    /* when the newest of the served calls was sent */
   int64_t next_probe_ms;     /* while failed: when the next probe is due */
 };
 
 /* Records that a direct call is sent to which the store replies without waiting for changes. */
 void fl_relay_path_record_call (struct fl_relay_path *path, int64_t now_ms);
 
-/* Records the end of a call that fl_relay_path_record_call recorded. */
+/* Records the end of a call that fl_relay_path_record_call recorded, and that was sent at @sent_ms.
+ * A lost call is no failure if a call that was sent later has been served. */
 void fl_relay_path_record_end (struct fl_relay_path *path,
                                enum fl_relay_outcome outcome,
+                               int64_t sent_ms,
                                int64_t now_ms);
 
 /* Marks the path as failed if replies are overdue.
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -4,8 +4,8 @@
 /* A peer that failed to serve a call gets no calls for this long. */
 #define PEER_PAUSE_MS 500
 /* A peer whose process is about to end gets no calls for this long. It rejects the first ones,
- * which last up to 1.6 s, some 2 s before its end. */
-#define PEER_STOPPING_PAUSE_MS 2500
+ * which last up to 2.8 s, as long before its end. */
+#define PEER_STOPPING_PAUSE_MS 3000
 #define TICK_INTERVAL_MS 100
 /* A peer's reply may take this much longer than the store's: two transfers between hosts. */
 #define PEER_SLACK_MS 50
@@ -16,6 +16,7 @@
 {
   struct fl_relay *relay;
   bool is_prompt; /* the store replies without waiting for changes */
+  int64_t sent_ms;
   void (*done) (void *context, const struct fl_store_reply *reply);
   void *context;
 };
@@ -179,7 +180,9 @@
 {
   if (reply->status != FL_STORE_REJECTED && reply->status != FL_STORE_UNKNOWN)
     return FL_RELAY_SERVED;
-  return reply->is_connection_stale ? FL_RELAY_INCONCLUSIVE : FL_RELAY_FAILED;
+  if (reply->is_connection_stale)
+    return FL_RELAY_INCONCLUSIVE;
+  return reply->status == FL_STORE_UNKNOWN ? FL_RELAY_LOST : FL_RELAY_FAILED;
 }
 
 void
@@ -192,7 +195,7 @@
   /* A feed call counts only now: while it waits for changes, a missing reply is no failure. */
   if (!call->is_prompt)
     fl_relay_path_record_call (&relay->path, fl_clock_boot_ms ());
-  fl_relay_path_record_end (&relay->path, get_outcome (reply), fl_clock_boot_ms ());
+  fl_relay_path_record_end (&relay->path, get_outcome (reply), call->sent_ms, fl_clock_boot_ms ());
   log_path_change (relay, had_failed);
   call->done (call->context, reply);
   g_free (call);
@@ -206,9 +209,9 @@
 {
   struct direct_call *call = g_new0 (struct direct_call, 1);
 
-  *call = (struct direct_call){ relay, is_prompt, done, done_context };
+  *call = (struct direct_call){ relay, is_prompt, fl_clock_boot_ms (), done, done_context };
   if (is_prompt)
-    fl_relay_path_record_call (&relay->path, fl_clock_boot_ms ());
+    fl_relay_path_record_call (&relay->path, call->sent_ms);
   return call;
 }
 
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -61,11 +61,39 @@
       if (steps[i].event == CALL_SENT)
         fl_relay_path_record_call (&path, now_ms);
       else if (steps[i].event != TIME_PASSED)
-        fl_relay_path_record_end (&path, outcomes[steps[i].event], now_ms);
+        fl_relay_path_record_end (&path, outcomes[steps[i].event], now_ms, now_ms);
       assert_int_equal (fl_relay_path_is_healthy (&path, now_ms), steps[i].is_healthy);
     }
 }
 
+/* Calls that were lost in an outage time out after it, when newer ones have been served. */
+static void
+test_lost_before_served (void **state)
+{
+  static const struct
+  {
+    enum fl_relay_outcome outcome;
+    int64_t sent_ms;
+    bool is_healthy; /* after the end of the call; a call sent at 2,000 ms has been served */
+  } cases[] = {
+    { FL_RELAY_LOST, 1900, true },
+    { FL_RELAY_LOST, 2000, false },
+    { FL_RELAY_LOST, 2100, false },
+    { FL_RELAY_FAILED, 1900, false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_relay_path path = { 0 };
+      fl_relay_path_record_call (&path, MIN (cases[i].sent_ms, 2000));
+      fl_relay_path_record_call (&path, MAX (cases[i].sent_ms, 2000));
+      fl_relay_path_record_end (&path, FL_RELAY_SERVED, 2000, 2200);
+      fl_relay_path_record_end (&path, cases[i].outcome, cases[i].sent_ms, 2300);
+      assert_int_equal (fl_relay_path_is_healthy (&path, 2300), cases[i].is_healthy);
+    }
+}
+
 /* Probes are due every 500 ms while the direct path has failed, and not otherwise. */
 static void
 test_path_probes (void **state)
@@ -76,7 +104,7 @@
   (void)state;
   assert_false (fl_relay_path_claim_probe (&path, 1000));
   fl_relay_path_record_call (&path, 1000);
-  fl_relay_path_record_end (&path, FL_RELAY_FAILED, 1000);
+  fl_relay_path_record_end (&path, FL_RELAY_FAILED, 1000, 1000);
   for (int64_t now_ms = 1000; now_ms < 6000; now_ms += 100)
     probes += fl_relay_path_claim_probe (&path, now_ms) ? 1 : 0;
   assert_int_equal (probes, 9);
@@ -308,6 +336,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_path_state),
+    cmocka_unit_test (test_lost_before_served),
     cmocka_unit_test (test_path_probes),
     cmocka_unit_test (test_transaction_message),
     cmocka_unit_test (test_calls_relayed_by_peer),
