Followers: limits follow the replies, and late replies count

Cause: a feed call was given up 600 ms after its wait, and sent again with the same limit. No reply ever confirmed the configuration or delivered new jobs to the owner. A read of a table was given up after 1.5 s and sent again in the same way; on a link of 2 Mbit/s a page of 1 MB takes 4 s, so that a new owner there read the jobs without end. The read of the targets of earlier owners alike.

Now a call without a reply within its limit is sent again and stays open; the first success among the copies counts. The limit widens with each copy, and follows the time of replies (lib/store/reply_limit). Silence widens it less far, since the next call after an outage must be soon: test_confirmation_after_outage holds as it is. The wait of a feed call shrinks as its limit widens, so that a dead connection hides changes for 1.9 s at most.

Tests: test_replies_late_for_good failed before for 6 of 7 rows (650 to 1,200 ms: no confirmation for 11 s; 2,000 ms, and 2,500 and 4,000 ms on a slow link: table never read) and test_term for its two new rows (no decision within 4 s; now 2.2 s).

--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -9,6 +9,7 @@
 #include "poold/poold.h"
 #include "store/follower.h"
 #include "store/ordered_writer.h"
+#include "store/reply_limit.h"
 #include "store/tables.h"
 
 /* One term: the time from an acquisition of the pool by this host until its loss or release. Each
@@ -31,7 +32,8 @@
   GHashTable *listed_targets; /* ids returned so far by a full read of the registry, or NULL */
   bool inherited_read;        /* the previous owner's targets have been read */
   int inherited_reads_in_flight;
-  size_t target_row_count; /* rows of the list of targets that the store may have */
+  struct fl_reply_limit inherited_limit; /* of reads of the list of targets */
+  size_t target_row_count;               /* rows of the list of targets that the store may have */
   int64_t inherited_read_at_ms;
   bool progress_read;
   bool jobs_read;
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -10,12 +10,11 @@
 #include "poold/poold_internal.h"
 #include "poold/target_rows.h"
 
-#define READ_TIMEOUT_MS 1500
 #define READ_RETRY_MS 100
-/* The list of targets is small: a read of it without a reply for this long is sent once more, as
- * those of the followers are. */
-#define READ_HEDGE_MS 500
-#define INHERITED_READS_MAX 2
+/* Limits of reads of the list of targets, which is small; as those of the followers. */
+#define READ_LIMIT_MIN_MS 500
+#define READ_LIMIT_MAX_MS 1500
+#define INHERITED_READS_MAX 4
 /* A page of the store, 1 MB, takes longer than half a second on a slower link, so that a reply is
  * not lost when it is late. */
 #define SLOW_LINK_BYTES_PER_S 2000000
@@ -275,17 +274,20 @@
 {
   const struct fl_store *store = term->poold->host->store;
 
+  if (term->inherited_reads_in_flight > 0)
+    fl_reply_limit_widen (&term->inherited_limit);
   term->ref_count++;
   term->inherited_reads_in_flight++;
   term->inherited_read_at_ms = fl_clock_boot_ms ();
-  store->read (store->context, FL_TABLE_SUMMARY, FL_PARTITION_OWNER, "", "", READ_TIMEOUT_MS,
-               on_inherited_read, term);
+  store->read (store->context, FL_TABLE_SUMMARY, FL_PARTITION_OWNER, "", "",
+               fl_reply_limit_timeout_ms (&term->inherited_limit), on_inherited_read, term);
 }
 
 static bool
 is_inherited_read_due (const struct fl_term *term)
 {
-  int64_t delay_ms = term->inherited_reads_in_flight > 0 ? READ_HEDGE_MS : READ_RETRY_MS;
+  int64_t delay_ms
+      = term->inherited_reads_in_flight > 0 ? term->inherited_limit.limit_ms : READ_RETRY_MS;
 
   return !term->inherited_read && term->inherited_reads_in_flight < INHERITED_READS_MAX
          && fl_clock_boot_ms () - term->inherited_read_at_ms >= delay_ms;
@@ -316,6 +318,8 @@
   };
 
   term->ref_count = 1;
+  term->inherited_limit
+      = fl_reply_limit_make (READ_LIMIT_MIN_MS, READ_LIMIT_MAX_MS, READ_LIMIT_MAX_MS);
   term->started_ms = fl_clock_boot_ms ();
   term->reconciled_at_ms = options.reconciled_at_ms;
   fl_log (&poold->host->log, FL_LOG_NOTICE, "term_started", FL_I ("token", token),
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -5,47 +5,65 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "store/reply_limit.h"
 
-/* Longest wait of one feed call. It bounds how long a dead connection hides changes: wait and slack
- * together stay below the 2,000 ms within which a configuration has to be in force. */
+/* Longest wait of one feed call, and its limit beyond that. Together they bound how long a dead
+ * connection hides changes, and stay below the 2,000 ms within which a configuration has to be in
+ * force: where the limit is wider, the wait is shorter. */
 #define FEED_WAIT_MS 1000
-#define FEED_SLACK_MS 600
-/* Wait of a feed call after a failed one. Its reply confirms at once that the rows are current, and
- * without a reply the next call follows soon: requests wait for the confirmation. */
-#define FEED_RETRY_WAIT_MS 1
-#define READ_TIMEOUT_MS 1500
-/* A read without a reply for this long is sent once more, and the first reply counts. Above the 0.3
- * s that a reply takes from a store that is 60 times slower than usual, and above the 400 ms after
- * which the path to the store counts as failed, so that the second read takes another. */
-#define HEDGE_DELAY_MS 500
-/* Delays before a failed call is retried; a call without a reply has already waited for its
- * timeout. */
+#define FEED_LIMIT_MIN_MS 600
+#define FEED_SILENT_LIMIT_MAX_MS 1000
+#define FEED_LATE_LIMIT_MAX_MS 1900
+/* Wait of a feed call after a failed one, or while an earlier one has no reply. Its reply confirms
+ * at once that the rows are current: requests wait for the confirmation. */
+#define FEED_COPY_WAIT_MS 1
+/* Limits of reads. The smallest is above the 0.3 s that a reply takes from a store that is 60 times
+ * slower than usual, and above the 400 ms after which the path to the store counts as failed, so
+ * that the copy takes another. */
+#define READ_LIMIT_MIN_MS 500
+#define READ_SILENT_LIMIT_MAX_MS 1500
+#define SLOW_READ_LIMIT_MIN_MS 1500
+#define SLOW_READ_SILENT_LIMIT_MAX_MS 6000
+#define READ_LATE_LIMIT_MAX_MS 6000
+/* Copies of a call in flight. */
+#define COPIES_MAX 4
+/* Delays before a call is retried of which all copies failed. */
 #define RETRY_MIN_MS 50
 #define RETRY_MAX_MS 400
 
 struct fl_follower
 {
   struct fl_follower_options options;
-  ev_timer call_timer;        /* sends the next call after a retry delay or a pause, or the hedge */
-  int64_t delivered_version;  /* changes up to this version are delivered */
-  int64_t sent_ms;            /* when the call in flight was sent */
-  int64_t retry_delay_ms;     /* before the next retry */
-  bool has_failed;            /* the last call has */
-  bool is_reading;            /* a read of the table is in progress */
-  size_t partition_index;     /* of the partition being read */
-  struct fl_name next_key;    /* first key of the next page */
-  struct follower_call *call; /* the call in flight */
-  struct follower_call *hedge; /* the same read, sent again while @call has no reply */
+  ev_timer call_timer;       /* sends the next call after a retry delay or a pause, or a copy */
+  int64_t delivered_version; /* changes up to this version are delivered */
+  int64_t retry_delay_ms;    /* before the next retry */
+  bool has_failed;           /* the last call has */
+  bool is_reading;           /* a read of the table is in progress */
+  size_t partition_index;    /* of the partition being read */
+  struct fl_name next_key;   /* first key of the next page */
+  struct fl_reply_limit read_limit;
+  struct fl_reply_limit feed_limit;         /* beyond the wait */
+  struct follower_call *copies[COPIES_MAX]; /* of the call, in flight; the first success counts */
+  size_t copy_count;
 };
 
-/* A call in flight; outlives a freed follower until the reply arrives. */
+/* A copy of a call in flight; outlives a freed follower until the reply arrives. */
 struct follower_call
 {
-  struct fl_follower *follower; /* NULL once the follower is freed */
+  struct fl_follower *follower; /* NULL once the reply does not count any more */
+  int64_t sent_ms;
+  int64_t wait_ms; /* of a feed call: how long the store waits for changes */
 };
 
 static void send_next_call (struct fl_follower *follower);
-static void send_hedge (struct fl_follower *follower);
+static void send_copy (struct fl_follower *follower, int64_t feed_wait_ms);
+
+/* The limit of the call in flight. */
+static struct fl_reply_limit *
+get_limit (struct fl_follower *follower)
+{
+  return follower->is_reading ? &follower->read_limit : &follower->feed_limit;
+}
 
 static void
 schedule_call (struct fl_follower *follower, double delay_ms)
@@ -72,10 +90,15 @@
 
   (void)loop;
   (void)events;
-  if (follower->call != NULL)
-    send_hedge (follower);
-  else
+  if (follower->copy_count == 0)
     send_next_call (follower);
+  else if (follower->copy_count < COPIES_MAX)
+    {
+      fl_reply_limit_widen (get_limit (follower));
+      send_copy (follower, FEED_COPY_WAIT_MS);
+    }
+  else
+    schedule_call (follower, (double)get_limit (follower)->limit_ms);
 }
 
 static void
@@ -169,33 +192,52 @@
     follower->options.on_read_end (follower->options.context);
 }
 
-/* Removes @call from the calls in flight. @return whether its reply decides: it is the first
- * success, or no other call is in flight. */
+/* Ends the call in flight: replies to copies that are still in flight do not count. */
+static void
+drop_copies (struct fl_follower *follower)
+{
+  for (size_t i = 0; i < follower->copy_count; i++)
+    follower->copies[i]->follower = NULL;
+  follower->copy_count = 0;
+  ev_timer_stop (follower->options.loop, &follower->call_timer);
+}
+
+/* Removes @copy, which has got a reply. @return whether the reply decides: it is the first success,
+ * or no other copy is in flight. */
 static bool
-finish_call (struct fl_follower *follower,
-             const struct follower_call *call,
+finish_copy (struct fl_follower *follower,
+             const struct follower_call *copy,
              enum fl_store_status status)
 {
-  if (call == follower->call)
-    follower->call = follower->hedge;
-  follower->hedge = NULL;
-  if (follower->call != NULL && status != FL_STORE_OK)
+  size_t i = 0;
+
+  while (follower->copies[i] != copy)
+    i++;
+  follower->copies[i] = follower->copies[--follower->copy_count];
+  if (follower->copy_count > 0 && status != FL_STORE_OK && status != FL_STORE_HISTORY_GONE)
     return false;
-  if (follower->call != NULL)
-    follower->call->follower = NULL;
-  follower->call = NULL;
-  ev_timer_stop (follower->options.loop, &follower->call_timer);
+  drop_copies (follower);
   return true;
 }
 
+static void
+record_reply_time (struct fl_follower *follower, int64_t took_ms)
+{
+  if (follower->is_reading)
+    fl_reply_limit_record_reply (&follower->read_limit, took_ms);
+  fl_reply_limit_record_reply (&follower->feed_limit, took_ms);
+}
+
 static void
 on_reply (void *context, const struct fl_store_reply *reply)
 {
-  g_autofree struct follower_call *call = context;
-  struct fl_follower *follower = call->follower;
+  g_autofree struct follower_call *copy = context;
+  struct fl_follower *follower = copy->follower;
 
-  if (follower == NULL || !finish_call (follower, call, reply->status))
+  if (follower == NULL || !finish_copy (follower, copy, reply->status))
     return;
+  if (reply->status == FL_STORE_OK)
+    record_reply_time (follower, fl_clock_boot_ms () - copy->sent_ms - copy->wait_ms);
   if (reply->status == FL_STORE_HISTORY_GONE && !follower->is_reading)
     start_read (follower);
   else if (reply->status != FL_STORE_OK)
@@ -213,56 +255,44 @@
   follower->has_failed = false;
   follower->retry_delay_ms = RETRY_MIN_MS;
   if (!follower->is_reading && follower->options.on_confirmed != NULL)
-    follower->options.on_confirmed (follower->options.context, follower->sent_ms);
+    follower->options.on_confirmed (follower->options.context, copy->sent_ms);
   if (!follower->is_reading && follower->options.feed_pause_ms > 0)
     schedule_call (follower, (double)follower->options.feed_pause_ms);
   else
     send_next_call (follower);
 }
 
-static struct follower_call *
-follower_call_new (struct fl_follower *follower)
-{
-  struct follower_call *call = g_new0 (struct follower_call, 1);
-
-  call->follower = follower;
-  return call;
-}
-
+/* Sends the call, or once more while earlier copies have no reply. */
 static void
-send_read (struct fl_follower *follower, struct follower_call *call)
+send_copy (struct fl_follower *follower, int64_t feed_wait_ms)
 {
   const struct fl_store *store = follower->options.store;
-
-  store->read (store->context, follower->options.table,
-               follower->options.partitions[follower->partition_index], follower->next_key.data, "",
-               READ_TIMEOUT_MS, on_reply, call);
-}
-
-static void
-send_hedge (struct fl_follower *follower)
-{
-  follower->hedge = follower_call_new (follower);
-  send_read (follower, follower->hedge);
+  const struct fl_reply_limit *limit = get_limit (follower);
+  struct follower_call *copy = g_new0 (struct follower_call, 1);
+  int64_t timeout_ms = fl_reply_limit_timeout_ms (limit);
+
+  *copy = (struct follower_call){ .follower = follower,
+                                  .sent_ms = fl_clock_boot_ms (),
+                                  .wait_ms = follower->is_reading ? 0 : feed_wait_ms };
+  follower->copies[follower->copy_count++] = copy;
+  schedule_call (follower, (double)(copy->wait_ms + limit->limit_ms));
+  if (follower->is_reading)
+    store->read (store->context, follower->options.table,
+                 follower->options.partitions[follower->partition_index], follower->next_key.data,
+                 "", timeout_ms, on_reply, copy);
+  else
+    store->feed (store->context, follower->options.table, follower->delivered_version,
+                 copy->wait_ms, copy->wait_ms + timeout_ms, on_reply, copy);
 }
 
 static void
 send_next_call (struct fl_follower *follower)
 {
-  const struct fl_store *store = follower->options.store;
-  int64_t feed_wait_ms = follower->has_failed ? FEED_RETRY_WAIT_MS : FEED_WAIT_MS;
+  int64_t feed_wait_ms = FEED_WAIT_MS + FEED_LIMIT_MIN_MS - follower->feed_limit.limit_ms;
 
-  follower->call = follower_call_new (follower);
-  follower->sent_ms = fl_clock_boot_ms ();
-  if (follower->is_reading)
-    {
-      if (!follower->options.is_link_slow)
-        schedule_call (follower, HEDGE_DELAY_MS);
-      send_read (follower, follower->call);
-    }
-  else
-    store->feed (store->context, follower->options.table, follower->delivered_version, feed_wait_ms,
-                 feed_wait_ms + FEED_SLACK_MS, on_reply, follower->call);
+  if (follower->has_failed)
+    feed_wait_ms = FEED_COPY_WAIT_MS;
+  send_copy (follower, MAX (feed_wait_ms, FEED_COPY_WAIT_MS));
 }
 
 struct fl_follower *
@@ -272,6 +302,13 @@
 
   follower->options = *options;
   follower->retry_delay_ms = RETRY_MIN_MS;
+  follower->read_limit
+      = options->is_link_slow ? fl_reply_limit_make (
+            SLOW_READ_LIMIT_MIN_MS, SLOW_READ_SILENT_LIMIT_MAX_MS, READ_LATE_LIMIT_MAX_MS)
+                              : fl_reply_limit_make (READ_LIMIT_MIN_MS, READ_SILENT_LIMIT_MAX_MS,
+                                                     READ_LATE_LIMIT_MAX_MS);
+  follower->feed_limit
+      = fl_reply_limit_make (FEED_LIMIT_MIN_MS, FEED_SILENT_LIMIT_MAX_MS, FEED_LATE_LIMIT_MAX_MS);
   ev_timer_init (&follower->call_timer, on_call_timer, 0.0, 0.0);
   follower->call_timer.data = follower;
   start_read (follower);
@@ -284,10 +321,6 @@
 {
   if (follower == NULL)
     return;
-  if (follower->call != NULL)
-    follower->call->follower = NULL;
-  if (follower->hedge != NULL)
-    follower->hedge->follower = NULL;
-  ev_timer_stop (follower->options.loop, &follower->call_timer);
+  drop_copies (follower);
   g_free (follower);
 }
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -1,7 +1,7 @@
 /* Follows one table of the store: reads the table, then polls its feed of changes. Reads the table
- * again when the feed no longer holds all changes since the last call. Each call has a timeout;
- * failed calls are retried with exponential back-off, and a read without a reply is sent once more
- * before its timeout. */
+ * again when the feed no longer holds all changes since the last call. A call
+ * without a reply is sent again after a limit that widens each time, and the first reply to any
+ * copy counts, however late; failed calls are retried with exponential back-off. */
 #pragma once
 
 #include <ev.h>
@@ -19,7 +19,7 @@
   /* Pause between a reply of the feed and the next call; 0 for none. With a pause, one call returns
    * many changes of a busy table instead of only one. */
   int64_t feed_pause_ms;
-  /* Replies may take long to transfer: a read is not sent again while it may still be answered. */
+  /* Replies may take long to transfer: the limits of reads start wider. */
   bool is_link_slow;
   const char *const *partitions; /* to read, NULL-terminated; the feed covers all partitions */
   /* A row was read or changed; removed rows come from the feed only. */
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -247,6 +247,155 @@
   assert_int_equal (failures, 0);
 }
 
+/* --- replies that are late for good --- */
+
+struct late_store
+{
+  struct ev_loop *loop;
+  int64_t delay_ms; /* of each reply, beyond the wait of a feed call */
+  int64_t started_ms;
+  int64_t read_end_ms;  /* 0 while the table is being read */
+  int64_t confirmed_ms; /* 0 until the first confirmation */
+  int64_t oldest_ms;    /* greatest age of a confirmation when the next one came */
+  int calls;
+};
+
+static void
+send_late_call (struct late_store *late,
+                int64_t wait_ms,
+                int64_t timeout_ms,
+                void (*done) (void *context, const struct fl_store_reply *reply),
+                void *done_context)
+{
+  struct call *call = g_new0 (struct call, 1);
+  int64_t reply_ms = wait_ms + late->delay_ms;
+
+  late->calls++;
+  call->status = reply_ms > timeout_ms ? FL_STORE_UNKNOWN : FL_STORE_OK;
+  call->done = done;
+  call->context = done_context;
+  ev_timer_init (&call->timer, on_feed_reply_due, (double)MIN (reply_ms, timeout_ms) / 1000.0, 0.0);
+  call->timer.data = call;
+  ev_timer_start (late->loop, &call->timer);
+}
+
+static void
+send_late_read (void *context,
+                const char *table,
+                const char *partition,
+                const char *first_key,
+                const char *end_key,
+                int64_t timeout_ms,
+                void (*done) (void *context, const struct fl_store_reply *reply),
+                void *done_context)
+{
+  (void)table;
+  (void)partition;
+  (void)first_key;
+  (void)end_key;
+  send_late_call (context, 0, timeout_ms, done, done_context);
+}
+
+static void
+send_late_feed (void *context,
+                const char *table,
+                int64_t after_version,
+                int64_t wait_ms,
+                int64_t timeout_ms,
+                void (*done) (void *context, const struct fl_store_reply *reply),
+                void *done_context)
+{
+  (void)table;
+  (void)after_version;
+  send_late_call (context, wait_ms, timeout_ms, done, done_context);
+}
+
+static void
+ignore_row (void *context, const struct fl_store_row *row)
+{
+  (void)context;
+  (void)row;
+}
+
+static void
+on_late_read_end (void *context)
+{
+  ((struct late_store *)context)->read_end_ms = fl_clock_boot_ms ();
+}
+
+static void
+on_late_confirmed (void *context, int64_t sent_ms)
+{
+  struct late_store *late = context;
+
+  if (late->confirmed_ms > 0)
+    late->oldest_ms = MAX (late->oldest_ms, fl_clock_boot_ms () - late->confirmed_ms);
+  late->confirmed_ms = sent_ms;
+}
+
+/* Replies later than a fixed limit were thrown away and the call was repeated with the same limit:
+ * tables were never read, and the configuration was never confirmed, however long it took. */
+static void
+test_replies_late_for_good (void **state)
+{
+  static const char *const two_partitions[] = { "0", "1", NULL };
+  static const struct
+  {
+    int64_t delay_ms;
+    bool is_link_slow;
+    int64_t most_read_ms;   /* for two partitions */
+    int64_t most_oldest_ms; /* a host rejects requests above 4,000 */
+    int most_calls;         /* in 12 s; calls are priced */
+  } cases[] = {
+    { 300, false, 700, 2700, 13 },   { 650, false, 1500, 3000, 14 },
+    { 800, false, 1800, 3300, 16 },  { 1200, false, 2700, 3500, 20 },
+    { 2000, false, 5000, 4100, 20 }, { 2500, true, 6000, 0, 25 },
+    { 4000, true, 10000, 0, 25 },
+  };
+  struct late_store stores[G_N_ELEMENTS (cases)] = { 0 };
+  struct fl_store interfaces[G_N_ELEMENTS (cases)];
+  struct fl_follower *followers[G_N_ELEMENTS (cases)];
+  struct ev_loop *loop = ev_loop_new (0);
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct late_store *late = &stores[i];
+      *late = (struct late_store){ .loop = loop,
+                                   .delay_ms = cases[i].delay_ms,
+                                   .started_ms = fl_clock_boot_ms () };
+      interfaces[i]
+          = (struct fl_store){ .context = late, .read = send_late_read, .feed = send_late_feed };
+      struct fl_follower_options options = { .loop = loop,
+                                             .store = &interfaces[i],
+                                             .table = "table",
+                                             .partitions = two_partitions,
+                                             .is_link_slow = cases[i].is_link_slow,
+                                             .on_row = ignore_row,
+                                             .on_read_end = on_late_read_end,
+                                             .on_confirmed = on_late_confirmed,
+                                             .context = late };
+      followers[i] = fl_follower_new (&options);
+    }
+  support_run_loop_for (loop, 12);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct late_store *late = &stores[i];
+      int64_t read_ms = late->read_end_ms > 0 ? late->read_end_ms - late->started_ms : -1;
+      late->oldest_ms = MAX (late->oldest_ms, fl_clock_boot_ms () - late->confirmed_ms);
+      printf ("  late by %d ms%s: read in %d ms, confirmed at most %d ms ago, %d calls\n",
+              (int)late->delay_ms, cases[i].is_link_slow ? ", slow link" : "", (int)read_ms,
+              late->confirmed_ms > 0 ? (int)late->oldest_ms : -1, late->calls);
+      if (read_ms < 0 || read_ms > cases[i].most_read_ms
+          || (!cases[i].is_link_slow && late->oldest_ms > cases[i].most_oldest_ms)
+          || late->calls > cases[i].most_calls)
+        failures++;
+      fl_follower_free (followers[i]);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* A lost reply cost the timeout of its call, 1.5 s, at each stage of the start of a term. */
 static void
 test_calls_without_reply (void **state)
@@ -413,6 +562,7 @@
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_without_reply),
                                       cmocka_unit_test (test_confirmation_after_outage),
+                                      cmocka_unit_test (test_replies_late_for_good),
                                       cmocka_unit_test (test_keys_of_full_length) };
 
   return cmocka_run_group_tests_name ("follower", tests, NULL, NULL);
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -22,6 +22,7 @@
 
 #define REPLY_DELAY_MS 5
 #define SEND_DELAY_US 2500
+#define LATE_REPLY_DELAY_MS 1600
 #define GIVE_UP_MS 4000
 /* The time of all stages without a fault, on a busy machine. */
 #define START_MS 500
@@ -32,6 +33,7 @@
   struct fl_store store;
   const char *lost_table;     /* the first read of it has no reply; NULL for none */
   const char *lost_partition; /* NULL for any */
+  const char *late_table;     /* replies to reads of it take LATE_REPLY_DELAY_MS; NULL for none */
   const char *slow_table;     /* sending a read of it takes SEND_DELAY_US; NULL for none */
   int64_t version;
   int64_t acquired_ms;
@@ -112,6 +114,7 @@
   struct fake *fake = context;
   bool is_lost = fake->lost_table != NULL && strcmp (table, fake->lost_table) == 0
                  && (fake->lost_partition == NULL || strcmp (partition, fake->lost_partition) == 0);
+  int64_t delay_ms = REPLY_DELAY_MS;
 
   (void)first_key;
   (void)end_key;
@@ -119,8 +122,11 @@
     fake->lost_table = NULL;
   if (fake->slow_table != NULL && strcmp (table, fake->slow_table) == 0)
     g_usleep (SEND_DELAY_US);
-  send_reply (fake, is_lost ? FL_STORE_UNKNOWN : FL_STORE_OK, is_lost ? timeout_ms : REPLY_DELAY_MS,
-              done, done_context);
+  if (fake->late_table != NULL && strcmp (table, fake->late_table) == 0)
+    delay_ms = LATE_REPLY_DELAY_MS;
+  is_lost = is_lost || delay_ms > timeout_ms;
+  send_reply (fake, is_lost ? FL_STORE_UNKNOWN : FL_STORE_OK, is_lost ? timeout_ms : delay_ms, done,
+              done_context);
 }
 
 static void
@@ -208,6 +214,9 @@
     { "last jobs", { .lost_table = FL_TABLE_JOBS, .lost_partition = "7" }, START_MS + 550 },
     { "targets of earlier owners", { .lost_table = FL_TABLE_SUMMARY }, START_MS + 550 },
     { "configuration", { .lost_table = FL_PLATFORM_OPERATOR_TABLE }, START_MS + 550 },
+    /* Reads were given up after a fixed time and sent again, so that they never ended. */
+    { "progress late", { .late_table = FL_TABLE_PROGRESS }, START_MS + 2100 },
+    { "targets of earlier owners late", { .late_table = FL_TABLE_SUMMARY }, START_MS + 2100 },
     /* The configuration counted as outdated when it was requested in the millisecond before the
      * start of the term, and was confirmed by the end of the next feed call. */
     { "no fault, slow sending", { .slow_table = FL_PLATFORM_OPERATOR_TABLE }, START_MS },
