flamingo-frontd: late replies of the store still serve requests

A store call was given up after 600 ms, and the call that resolves its outcome as well, with the same limit, until the client's time was over.

A store call now stays open until the response is due. After the limit its outcome counts as unknown, as before, and the request goes on with the next call, which may take another path. A success or conflict that arrives late, before another reply has decided the stage, counts: the transaction's late reply resolves its unknown outcome. Late replies widen the limit for the requests that follow; silence does not, so that requests are repeated as soon as before after an outage.

REFUSED stays impossible: a stage covers the job's write and the markers under one version of the row; a reply that decides it makes all its other calls ineffective or irrelevant, and replies of earlier stages are dropped. A rejection that comes late changes nothing.

A relayed call may now last as long as the client's time. A peer that sends no reply for 650 ms still gets no further calls, as with the fixed timeout.

--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -14,16 +14,27 @@
  * 1/RESPONSE_MARGIN_DIVISOR, because a store call usually takes some 10 ms. */
 #define RESPONSE_MARGIN_MS 150
 #define RESPONSE_MARGIN_DIVISOR 4
-/* Timeout of one store call: above the 0.3 s that a call takes when the store is 60 times slower
- * than usual, and short enough for several calls within a client's 3 s, since the next call may be
- * relayed by another host. */
-#define STORE_TIMEOUT_MS 600
+/* Limits of one store call: the smallest is above the 0.3 s that a call takes when the store is 60
+ * times slower than usual, and short enough for several calls within a client's 3 s, since the next
+ * call may be relayed by another host. An outage does not widen the limit. */
+#define STORE_LIMIT_MIN_MS 600
+#define STORE_LIMIT_LATE_MAX_MS 2500
 /* Back-off between store calls, doubled each time. It starts short because the next call may take
  * another path to the store. */
 #define RETRY_DELAY_MIN_MS 20
 #define RETRY_DELAY_MAX_MS 100
 #define DEADLINE_HEADER "Deadline-Ms"
 
+/* A store call of a request; outlives the request until the reply arrives. */
+struct store_attempt
+{
+  struct fl_frontd *frontd;
+  struct front_call *call; /* NULL once the reply does not count any more */
+  int64_t sent_ms;
+  bool is_write;
+  void (*done) (struct front_call *call, const struct fl_store_reply *reply);
+};
+
 static void
 on_retry_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -34,6 +45,101 @@
   call->retry (call);
 }
 
+struct fl_reply_limit
+front_store_limit_make (void)
+{
+  return fl_reply_limit_make (STORE_LIMIT_MIN_MS, STORE_LIMIT_MIN_MS, STORE_LIMIT_LATE_MAX_MS);
+}
+
+/* --- store calls --- */
+
+/* Remembers the outcome of a store call for the log. */
+static void
+record_outcome (struct front_call *call, const struct fl_store_reply *reply, bool is_write)
+{
+  call->store_call_count++;
+  if (is_write && reply->status == FL_STORE_UNKNOWN)
+    call->unknown_write_count++;
+  call->last_store_status = reply->status;
+  call->last_store_error = reply->error;
+}
+
+/* Ends the current stage: replies to its store calls do not count any more. */
+static void
+end_stage (struct front_call *call)
+{
+  for (guint i = 0; i < call->attempts->len; i++)
+    ((struct store_attempt *)g_ptr_array_index (call->attempts, i))->call = NULL;
+  g_ptr_array_set_size (call->attempts, 0);
+  call->current = NULL;
+  ev_timer_stop (call->frontd->host->loop, &call->limit_timer);
+  ev_timer_stop (call->frontd->host->loop, &call->timer);
+}
+
+/* The limit of the newest call has passed. What follows may take another path to the store. */
+static void
+on_limit_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct front_call *call = timer->data;
+  struct store_attempt *attempt = call->current;
+  struct fl_store_reply overdue = { .status = FL_STORE_UNKNOWN };
+
+  (void)loop;
+  (void)events;
+  fl_fail (&overdue.error, FL_UNAVAILABLE, "store_call", "store", "no reply in time");
+  call->current = NULL;
+  record_outcome (call, &overdue, attempt->is_write);
+  attempt->done (call, &overdue);
+}
+
+struct store_attempt *
+front_call_begin_store_call (struct front_call *call,
+                             bool is_write,
+                             void (*done) (struct front_call *call,
+                                           const struct fl_store_reply *reply))
+{
+  struct store_attempt *attempt = g_new0 (struct store_attempt, 1);
+  struct fl_frontd *frontd = call->frontd;
+  int64_t limit_ms = MIN (frontd->store_limit.limit_ms, front_call_store_timeout_ms (call));
+
+  *attempt = (struct store_attempt){ frontd, call, fl_clock_boot_ms (), is_write, done };
+  g_ptr_array_add (call->attempts, attempt);
+  call->current = attempt;
+  ev_timer_stop (frontd->host->loop, &call->limit_timer);
+  ev_timer_set (&call->limit_timer, (double)limit_ms / 1000.0, 0.0);
+  ev_timer_start (frontd->host->loop, &call->limit_timer);
+  return attempt;
+}
+
+void
+front_on_store_reply (void *context, const struct fl_store_reply *reply)
+{
+  g_autofree struct store_attempt *attempt = context;
+  struct front_call *call = attempt->call;
+  bool decides = reply->status == FL_STORE_OK || reply->status == FL_STORE_CONFLICT;
+
+  if (decides)
+    fl_reply_limit_record_reply (&attempt->frontd->store_limit,
+                                 fl_clock_boot_ms () - attempt->sent_ms);
+  if (call == NULL)
+    return;
+  g_ptr_array_remove_fast (call->attempts, attempt);
+  /* An overdue call that fails changes nothing: its outcome counted as unknown. */
+  if (call->current != attempt && !decides)
+    return;
+  record_outcome (call, reply, attempt->is_write);
+  if (decides)
+    end_stage (call);
+  else
+    {
+      call->current = NULL;
+      ev_timer_stop (call->frontd->host->loop, &call->limit_timer);
+    }
+  attempt->done (call, reply);
+}
+
+/* --- requests --- */
+
 int64_t
 front_response_timeout_ms (const char *deadline)
 {
@@ -69,6 +175,9 @@
   call->respond_by_ms = front_respond_by_ms (request);
   ev_timer_init (&call->timer, on_retry_timer, 0.0, 0.0);
   call->timer.data = call;
+  call->attempts = g_ptr_array_new ();
+  ev_timer_init (&call->limit_timer, on_limit_timer, 0.0, 0.0);
+  call->limit_timer.data = call;
   return call;
 }
 
@@ -101,7 +210,8 @@
     response.retry_after_ms = FRONT_RETRY_AFTER_MS;
   record_response (call, status);
   fl_http_respond (call->request, &response);
-  ev_timer_stop (call->frontd->host->loop, &call->timer);
+  end_stage (call);
+  g_ptr_array_unref (call->attempts);
   fl_str_clear (&call->job_row);
   g_free (call);
 }
@@ -131,22 +241,12 @@
   ev_timer_start (call->frontd->host->loop, &call->timer);
 }
 
-void
-front_call_record_reply (struct front_call *call, const struct fl_store_reply *reply, bool is_write)
-{
-  call->store_call_count++;
-  if (is_write && reply->status == FL_STORE_UNKNOWN)
-    call->unknown_write_count++;
-  call->last_store_status = reply->status;
-  call->last_store_error = reply->error;
-}
-
 int64_t
 front_call_store_timeout_ms (const struct front_call *call)
 {
   int64_t left_ms = get_respond_by_ms (call) - fl_clock_boot_ms ();
 
-  return CLAMP (left_ms, 1, STORE_TIMEOUT_MS);
+  return MAX (left_ms, 1);
 }
 
 bool
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -381,6 +381,7 @@
   struct fl_error error = { 0 };
   int code = FL_PROGRAM_OK;
 
+  frontd.store_limit = front_store_limit_make ();
   ev_timer_init (&frontd.drain_timer, on_drain_timer, DRAIN_INTERVAL_S, DRAIN_INTERVAL_S);
   frontd.drain_timer.data = &frontd;
   if (open_listeners (&frontd, &error))
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -1,9 +1,12 @@
 /* Internals of flamingo-frontd. */
 #pragma once
 
+#include <glib.h>
+
 #include "frontd/drain.h"
 #include "frontd/frontd.h"
 #include "host/configuration_watch.h"
+#include "store/reply_limit.h"
 #include "store/tables.h"
 
 /* Retry-After of responses that ask the client to retry: about the time that the platform's load
@@ -20,9 +23,12 @@
   struct fl_stop_signals stop_signals;
   struct front_drain drain;
   ev_timer drain_timer;
-  int64_t last_open_ms; /* when the process was last in use, while stopping */
+  int64_t last_open_ms;              /* when the process was last in use, while stopping */
+  struct fl_reply_limit store_limit; /* of the store calls of requests */
 };
 
+struct store_attempt;
+
 /* A client request from its arrival to the response, while it waits for the store. */
 struct front_call
 {
@@ -39,8 +45,13 @@
   int64_t retry_delay_ms;   /* of the last retry; 0 before the first */
   void (*retry) (struct front_call *call);
   ev_timer timer;
-  int64_t store_call_count;    /* store calls that have ended */
-  int64_t unknown_write_count; /* of these, writes of unknown outcome */
+  /* Store calls of the current stage that have no reply. A stage ends with a reply that decides;
+   * overdue calls may still decide it. */
+  GPtrArray *attempts;           /* struct store_attempt */
+  struct store_attempt *current; /* the newest one; NULL once it has a reply or is overdue */
+  ev_timer limit_timer;          /* of @current */
+  int64_t store_call_count;      /* store calls that have ended or are overdue */
+  int64_t unknown_write_count;   /* of these, writes of unknown outcome */
   enum fl_store_status last_store_status;
   struct fl_error last_store_error;
 };
@@ -86,6 +97,9 @@
  * @return the time in ms, from the request's arrival, within which the response is due. */
 int64_t front_response_timeout_ms (const char *deadline);
 
+/* @return the limit of store calls before any reply. */
+struct fl_reply_limit front_store_limit_make (void);
+
 /* @return the time (boot clock) by which the client needs the response to @request. */
 int64_t front_respond_by_ms (const struct fl_http_request *request);
 
@@ -118,15 +132,20 @@
                                 void (*retry) (struct front_call *call),
                                 int timeout_status);
 
-/* Remembers the outcome of a store call for the log. @is_write: it was a transaction. */
-void front_call_record_reply (struct front_call *call,
-                              const struct fl_store_reply *reply,
-                              bool is_write);
+/* Begins a store call of @call: the store is to call front_on_store_reply with the returned
+ * context, and to time out after front_call_store_timeout_ms. @done gets FL_STORE_UNKNOWN once the
+ * call is overdue; it is called again if a success or a conflict arrives later, before another
+ * reply of this stage has decided. @is_write: the call is a transaction. */
+struct store_attempt *front_call_begin_store_call (
+    struct front_call *call,
+    bool is_write,
+    void (*done) (struct front_call *call, const struct fl_store_reply *reply));
+void front_on_store_reply (void *context, const struct fl_store_reply *reply);
 
 /* @return whether the response is not due yet. */
 bool front_call_has_time_left (const struct front_call *call);
 
-/* @return the timeout in ms of the next store call. */
+/* @return the timeout in ms of the next store call: the reply counts until the response is due. */
 int64_t front_call_store_timeout_ms (const struct front_call *call);
 
 /* Looks for the job of @call in the rows of @reply. Sets @cancelled to whether there is a cancel
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -53,11 +53,8 @@
 }
 
 static void
-on_job_stored (void *context, const struct fl_store_reply *reply)
+on_job_stored (struct front_call *call, const struct fl_store_reply *reply)
 {
-  struct front_call *call = context;
-
-  front_call_record_reply (call, reply, true);
   if (reply->status == FL_STORE_OK)
     {
       fl_stats_add (call->frontd->host->stats, "jobs_accepted_total", 1);
@@ -74,7 +71,7 @@
 static void
 write_job_row (struct front_call *call,
                const struct fl_str *value,
-               void (*done) (void *context, const struct fl_store_reply *reply))
+               void (*done) (struct front_call *call, const struct fl_store_reply *reply))
 {
   const struct fl_store *store = call->frontd->host->store;
   struct fl_store_condition condition
@@ -83,7 +80,8 @@
       = { FL_TABLE_JOBS, fl_job_partition (&call->job_id), call->job_id, *value, false };
   struct fl_store_transaction transaction = { &condition, 1, &write, 1 };
 
-  store->transact (store->context, &transaction, front_call_store_timeout_ms (call), done, call);
+  store->transact (store->context, &transaction, front_call_store_timeout_ms (call),
+                   front_on_store_reply, front_call_begin_store_call (call, true, done));
 }
 
 static void
@@ -93,11 +91,8 @@
 }
 
 static void
-on_marker_written (void *context, const struct fl_store_reply *reply)
+on_marker_written (struct front_call *call, const struct fl_store_reply *reply)
 {
-  struct front_call *call = context;
-
-  front_call_record_reply (call, reply, true);
   if (reply->status == FL_STORE_OK)
     replace_marker (call, reply->version);
   else if (reply->status == FL_STORE_CONFLICT)
@@ -147,13 +142,14 @@
 read_rows (struct front_call *call,
            const char *table,
            const char *partition,
-           void (*done) (void *context, const struct fl_store_reply *reply))
+           void (*done) (struct front_call *call, const struct fl_store_reply *reply))
 {
   const struct fl_store *store = call->frontd->host->store;
   struct fl_name end = fl_name_format ("%s0", call->job_id.data); /* '0' is the byte after '/' */
 
   store->read (store->context, table, partition, call->job_id.data, end.data,
-               front_call_store_timeout_ms (call), done, call);
+               front_call_store_timeout_ms (call), front_on_store_reply,
+               front_call_begin_store_call (call, false, done));
 }
 
 static void
@@ -171,13 +167,11 @@
 }
 
 static void
-on_job_row (void *context, const struct fl_store_reply *reply)
+on_job_row (struct front_call *call, const struct fl_store_reply *reply)
 {
-  struct front_call *call = context;
   bool cancelled;
   int64_t version;
 
-  front_call_record_reply (call, reply, false);
   if (reply->status != FL_STORE_OK)
     front_call_schedule_retry (call, read_job, 504);
   else if (!front_find_job_row (call, reply, &cancelled, &version))
@@ -193,13 +187,11 @@
 }
 
 static void
-on_progress_row (void *context, const struct fl_store_reply *reply)
+on_progress_row (struct front_call *call, const struct fl_store_reply *reply)
 {
-  struct front_call *call = context;
   struct fl_job_progress progress;
   struct fl_error error = { 0 };
 
-  front_call_record_reply (call, reply, false);
   if (reply->status != FL_STORE_OK)
     front_call_schedule_retry (call, read_progress, 504);
   else if (reply->count == 0)
@@ -242,11 +234,8 @@
 static void write_cancel_marker (struct front_call *call);
 
 static void
-on_cancel_marker_written (void *context, const struct fl_store_reply *reply)
+on_cancel_marker_written (struct front_call *call, const struct fl_store_reply *reply)
 {
-  struct front_call *call = context;
-
-  front_call_record_reply (call, reply, true);
   if (reply->status == FL_STORE_OK)
     front_call_respond (call, 200, NULL);
   else
@@ -265,17 +254,16 @@
   struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
 
   store->transact (store->context, &transaction, front_call_store_timeout_ms (call),
-                   on_cancel_marker_written, call);
+                   front_on_store_reply,
+                   front_call_begin_store_call (call, true, on_cancel_marker_written));
 }
 
 static void
-on_job_to_cancel (void *context, const struct fl_store_reply *reply)
+on_job_to_cancel (struct front_call *call, const struct fl_store_reply *reply)
 {
-  struct front_call *call = context;
   bool cancelled;
   int64_t version;
 
-  front_call_record_reply (call, reply, false);
   if (reply->status != FL_STORE_OK)
     front_call_schedule_retry (call, read_job_to_cancel, 504);
   else if (!front_find_job_row (call, reply, &cancelled, &version))
@@ -321,11 +309,8 @@
 }
 
 static void
-on_pending_counts (void *context, const struct fl_store_reply *reply)
+on_pending_counts (struct front_call *call, const struct fl_store_reply *reply)
 {
-  struct front_call *call = context;
-
-  front_call_record_reply (call, reply, false);
   if (reply->status != FL_STORE_OK)
     {
       front_call_schedule_retry (call, read_pending_counts, 504);
@@ -343,7 +328,8 @@
 
   /* The end key only has to follow FL_SUMMARY_PENDING, which is the one row of interest. */
   store->read (store->context, FL_TABLE_SUMMARY, FL_PARTITION_OWNER, FL_SUMMARY_PENDING,
-               FL_SUMMARY_PENDING "0", front_call_store_timeout_ms (call), on_pending_counts, call);
+               FL_SUMMARY_PENDING "0", front_call_store_timeout_ms (call), front_on_store_reply,
+               front_call_begin_store_call (call, false, on_pending_counts));
 }
 
 void
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -7,6 +7,9 @@
  * which last up to 2.8 s, as long before its end. */
 #define PEER_STOPPING_PAUSE_MS 3000
 #define TICK_INTERVAL_MS 100
+/* A peer without a reply for this long, beyond the wait of a feed call, gets no further calls for
+ * PEER_PAUSE_MS; its reply still counts until the call times out. */
+#define PEER_OVERDUE_MS 650
 /* A peer's reply may take this much longer than the store's: two transfers between hosts. */
 #define PEER_SLACK_MS 50
 #define LINK_QUEUE_MAX 1000
@@ -27,7 +30,8 @@
   struct fl_relay *relay;
   int64_t number;
   struct fl_name peer;
-  ev_timer timeout;
+  int64_t timeout_at_ms;
+  ev_timer timeout; /* first fires when the reply is overdue */
   void (*done) (void *context, const struct fl_store_reply *reply);
   void *context;
 };
@@ -100,9 +104,16 @@
 {
   struct peer_call *call = timer->data;
   struct fl_store_reply reply = { .status = FL_STORE_UNKNOWN };
+  int64_t left_ms = call->timeout_at_ms - fl_clock_boot_ms ();
 
-  (void)loop;
   (void)events;
+  if (left_ms > 0)
+    {
+      pause_peer (call->relay, &call->peer, PEER_PAUSE_MS);
+      ev_timer_set (&call->timeout, (double)left_ms / 1000.0, 0.0);
+      ev_timer_start (loop, &call->timeout);
+      return;
+    }
   fl_fail (&reply.error, FL_UNAVAILABLE, "relay_call", call->peer.data,
            "the peer did not reply in time");
   finish_peer_call (call, &reply);
@@ -128,10 +139,12 @@
   *call = (struct peer_call){ .relay = relay,
                               .number = message->number,
                               .peer = peer->address,
+                              .timeout_at_ms = fl_clock_boot_ms () + timeout_ms + PEER_SLACK_MS,
                               .done = done,
                               .context = done_context };
-  ev_timer_init (&call->timeout, on_peer_timeout, (double)(timeout_ms + PEER_SLACK_MS) / 1000.0,
-                 0.0);
+  ev_timer_init (
+      &call->timeout, on_peer_timeout,
+      (double)MIN (timeout_ms + PEER_SLACK_MS, message->wait_ms + PEER_OVERDUE_MS) / 1000.0, 0.0);
   call->timeout.data = call;
   ev_timer_start (relay->options.loop, &call->timeout);
   g_hash_table_insert (relay->peer_calls, &call->number, call);
--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -22,11 +22,12 @@
 }
 
 static int
-serve (const struct front *front, int64_t store_delay_ms, const char *configuration)
+serve (const struct front *front,
+       const struct fl_store *(*create_store) (struct ev_loop *loop, const void *context),
+       const void *context)
 {
   struct fl_host host = { .log = { .level = FL_LOG_NOTICE, .program = "test" } };
   int code;
-  struct slow_store_options options;
   struct fl_relay_options relay = { .host = fl_name_of ("h2"), .cpu_milli = 500 };
   struct loop_watch watch;
 
@@ -36,8 +37,7 @@
   host.settings.ready = loopback_endpoint (front->ready_port);
   host.settings.native_api = loopback_endpoint (front->native_port);
   host.settings.graceful_stop_s = FRONT_GRACEFUL_STOP_S;
-  options = (struct slow_store_options){ host.loop, store_delay_ms, configuration };
-  host.store = slow_store_get_interface (slow_store_new (&options));
+  host.store = create_store (host.loop, context);
   relay.loop = host.loop;
   relay.log = &host.log;
   relay.stats = host.stats;
@@ -52,8 +52,11 @@
   return code;
 }
 
-struct front
-front_start (int64_t store_delay_ms, const char *configuration)
+/* Starts the process, and waits until it listens, and until it is ready if @becomes_ready. */
+static struct front
+start (const struct fl_store *(*create_store) (struct ev_loop *loop, const void *context),
+       const void *context,
+       bool becomes_ready)
 {
   struct front front
       = { 0, test_free_port (), test_free_port (), test_free_port (), test_free_port (), tmpfile (),
@@ -67,9 +70,9 @@
     {
       signal (SIGPIPE, SIG_IGN);
       dup2 (fileno (front.log), STDOUT_FILENO);
-      _exit (serve (&front, store_delay_ms, configuration));
+      _exit (serve (&front, create_store, context));
     }
-  while (status != 200 && (status == 0 || configuration != NULL))
+  while (status != 200 && (status == 0 || becomes_ready))
     {
       assert_true (client.fd >= 0 || test_client_connect (&client, front.ready_port, true));
       test_client_request (&client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -79,6 +82,31 @@
   return front;
 }
 
+static const struct fl_store *
+create_slow_store (struct ev_loop *loop, const void *context)
+{
+  struct slow_store_options options = *(const struct slow_store_options *)context;
+
+  options.loop = loop;
+  return slow_store_get_interface (slow_store_new (&options));
+}
+
+struct front
+front_start (int64_t store_delay_ms, const char *configuration)
+{
+  const struct slow_store_options options = { NULL, store_delay_ms, configuration };
+
+  return start (create_slow_store, &options, configuration != NULL);
+}
+
+struct front
+front_start_with_store (const struct fl_store *(*create) (struct ev_loop *loop,
+                                                          const void *context),
+                        const void *context)
+{
+  return start (create, context, true);
+}
+
 int
 front_await_end (struct front *front, int *open_requests)
 {
--- a/tests/support_front.h
+++ b/tests/support_front.h
@@ -1,9 +1,12 @@
 /* flamingo-frontd in a child process of a test, with a slow store (support_slow_store.h). */
 #pragma once
 
+#include <ev.h>
 #include <stdint.h>
 #include <stdio.h>
 
+#include "store/store.h"
+
 /* A configuration with the public queue "q", at /q/ of the host x.example. */
 #define FRONT_CONFIGURATION                                                                        \
   "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"x.example\",\"pathPrefix\":\"/q/\","      \
@@ -26,6 +29,11 @@
  * configuration. @store_delay_ms and @configuration are those of struct slow_store_options. */
 struct front front_start (int64_t store_delay_ms, const char *configuration);
 
+/* As front_start, with the store that @create returns in the child process. */
+struct front front_start_with_store (const struct fl_store *(*create) (struct ev_loop *loop,
+                                                                       const void *context),
+                                     const void *context);
+
 /* Waits until the process has ended.
  * @return its exit code, or 128 plus the signal that ended it. @open_requests is set to the number
  * of requests that had no response when the process decided to end; -1 if it did not say so. */
