--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -175,7 +175,7 @@
   int transaction_count;            /* store transactions of owners so far */
   int64_t last_fault_ms;            /* when the last fault began */
   GArray *gang_ends;                /* struct target_end: after which the other members end, too */
-  struct advice_service *advice;    /* NULL without an advice profile */
+  struct simulated_advice *advice;  /* NULL without an advice profile */
   struct fl_resources team_used[2]; /* as last counted by count_usage */
   struct cell_result result;
 };
@@ -197,7 +197,7 @@
 {
   const struct cell_options *options = &cell->options;
 
-  if (cell->advice != NULL && !advice_service_is_in_burst (cell->advice, cell->now_ms))
+  if (cell->advice != NULL && !simulated_advice_is_in_burst (cell->advice, cell->now_ms))
     return false;
   return cell->now_ms < options->fault_phase_ms
          && (options->fault_cycle_ms == 0
@@ -1310,7 +1310,7 @@
 defer_while_frozen (struct advice_query *query, void (*handler) (struct cell *cell, void *data))
 {
   struct cell *cell = query->owner->cell;
-  int64_t until_ms = advice_service_frozen_until_ms (cell->advice, query->host);
+  int64_t until_ms = simulated_advice_frozen_until_ms (cell->advice, query->host);
 
   if (query->host == query->owner->host && !query->owner->dead)
     until_ms = MAX (until_ms, query->owner->frozen_until_ms);
@@ -1350,13 +1350,13 @@
     return;
   if (query->host == query->owner->host)
     on_query_done (cell, query);
-  else if (advice_service_loses_message (cell->advice, query->host, cell->now_ms))
+  else if (simulated_advice_loses_message (cell->advice, query->host, cell->now_ms))
     {
       trace_query (query, "reply lost");
       g_rc_box_release (query);
     }
   else
-    schedule (cell, advice_service_draw (cell->advice, 1, MESSAGE_MAX_MS), on_query_done, query);
+    schedule (cell, simulated_advice_draw (cell->advice, 1, MESSAGE_MAX_MS), on_query_done, query);
 }
 
 static void
@@ -1382,13 +1382,13 @@
 
   if (defer_while_frozen (query, on_query_received))
     return;
-  if (advice_service_is_lost (cell->advice, query->host, cell->now_ms))
+  if (simulated_advice_is_lost (cell->advice, query->host, cell->now_ms))
     {
       g_rc_box_release (query);
       return;
     }
   outcome
-      = advice_service_call (cell->advice, query->host, query->queue, query->count, cell->now_ms);
+      = simulated_advice_call (cell->advice, query->host, query->queue, query->count, cell->now_ms);
   if (outcome.at_ms - cell->now_ms > CALL_TIMEOUT_MS)
     schedule (cell, CALL_TIMEOUT_MS, on_call_ended, query);
   else
@@ -1405,17 +1405,17 @@
 
   query->number = chosen->number;
   query->host = (int)g_ascii_strtoll (chosen->host.data + 1, NULL, 10);
-  if (is_peer && advice_service_is_known_lost (cell->advice, query->host, cell->now_ms))
+  if (is_peer && simulated_advice_is_known_lost (cell->advice, query->host, cell->now_ms))
     return false;
   trace_query (query, "sent");
   g_hash_table_insert (query->owner->queries, &query->number, query);
   set_overdue_timer (query->owner);
   if (!is_peer)
     schedule (cell, 0, on_query_received, g_rc_box_acquire (query));
-  else if (advice_service_loses_message (cell->advice, query->host, cell->now_ms))
+  else if (simulated_advice_loses_message (cell->advice, query->host, cell->now_ms))
     trace_query (query, "lost");
   else
-    schedule (cell, advice_service_draw (cell->advice, 1, MESSAGE_MAX_MS), on_query_received,
+    schedule (cell, simulated_advice_draw (cell->advice, 1, MESSAGE_MAX_MS), on_query_received,
               g_rc_box_acquire (query));
   return true;
 }
@@ -1476,8 +1476,8 @@
   for (int i = 0; i < cell->options.advice->host_count; i++)
     {
       struct fl_name address = format_host (i);
-      if (i != owner->host && advice_service_frozen_until_ms (cell->advice, i) <= cell->now_ms
-          && !advice_service_loses_message (cell->advice, i, cell->now_ms))
+      if (i != owner->host && simulated_advice_frozen_until_ms (cell->advice, i) <= cell->now_ms
+          && !simulated_advice_loses_message (cell->advice, i, cell->now_ms))
         fl_advisor_pool_note_message (owner->advisors, &address, cell->now_ms);
     }
 }
@@ -1489,7 +1489,7 @@
   int host_count = cell->options.advice->host_count;
   int host = (int)cell->owners->len % host_count;
 
-  while (advice_service_is_lost (cell->advice, host, cell->now_ms))
+  while (simulated_advice_is_lost (cell->advice, host, cell->now_ms))
     host = (host + 1) % host_count;
   return host;
 }
@@ -1794,8 +1794,8 @@
   if (owner->dead)
     return;
   if (owner->advisors != NULL)
-    owner->frozen_until_ms
-        = MAX (owner->frozen_until_ms, advice_service_frozen_until_ms (cell->advice, owner->host));
+    owner->frozen_until_ms = MAX (owner->frozen_until_ms,
+                                  simulated_advice_frozen_until_ms (cell->advice, owner->host));
   if (owner->frozen_until_ms <= cell->now_ms)
     {
       note_pings (owner);
@@ -2045,10 +2045,10 @@
 shape_job (struct cell *cell, struct fake_job *job)
 {
   job->queue
-      = advice_service_draw (cell->advice, 0, 1) == 0 ? ADVICE_QUEUE_SHORT : ADVICE_QUEUE_LONG;
-  job->step_count = (int)advice_service_draw (cell->advice, 1, 2);
+      = simulated_advice_draw (cell->advice, 0, 1) == 0 ? ADVICE_QUEUE_SHORT : ADVICE_QUEUE_LONG;
+  job->step_count = (int)simulated_advice_draw (cell->advice, 1, 2);
   job->team
-      = advice_service_draw (cell->advice, 0, 999) < cell->options.advice->capped_jobs ? 0 : 1;
+      = simulated_advice_draw (cell->advice, 0, 999) < cell->options.advice->capped_jobs ? 0 : 1;
   job->idle_since_ms = cell->now_ms;
 }
 
@@ -2302,7 +2302,7 @@
 {
   const struct owner *owner = get_newest_owner (cell);
   bool found = owner->dead || is_frozen (owner) || !can_reach_store (owner)
-               || advice_service_has_fault (cell->advice, cell->now_ms);
+               || simulated_advice_has_fault (cell->advice, cell->now_ms);
 
   for (guint i = 0; i < cell->targets->len; i++)
     {
@@ -2347,7 +2347,7 @@
   check_long_running_jobs (cell);
   if (cell->advice != NULL)
     {
-      advice_service_advance (cell->advice, cell->now_ms);
+      simulated_advice_advance (cell->advice, cell->now_ms);
       check_idle_jobs (cell);
     }
   for (guint i = 0; i < cell->targets->len; i++)
@@ -2473,7 +2473,7 @@
   g_array_unref (cell->gang_ends);
   fl_configuration_unref (cell->configuration);
   fl_stats_free (cell->stats);
-  advice_service_free (cell->advice);
+  simulated_advice_free (cell->advice);
   g_sequence_free (cell->events);
   g_rand_free (cell->random);
 }
@@ -2502,7 +2502,7 @@
   cell.log = (struct fl_log){ .level = options->trace_prefix != NULL ? FL_LOG_INFO : 0,
                               .program = "cell" };
   if (options->advice != NULL)
-    cell.advice = advice_service_new (options->advice, options->seed, options->fault_phase_ms);
+    cell.advice = simulated_advice_new (options->advice, options->seed, options->fault_phase_ms);
   configure_cell (&cell);
   for (int i = 0; i < options->target_count; i++)
     g_ptr_array_add (cell.targets, new_target (&cell, i));
--- a/tests/support_cell_advice.c
+++ b/tests/support_cell_advice.c
@@ -76,7 +76,7 @@
   int64_t until_ms;
 };
 
-struct advice_service
+struct simulated_advice
 {
   struct advice_profile profile;
   GRand *random;
@@ -160,19 +160,19 @@
 /* --- service --- */
 
 int64_t
-advice_service_draw (struct advice_service *service, int64_t from, int64_t to)
+simulated_advice_draw (struct simulated_advice *service, int64_t from, int64_t to)
 {
   return from + (int64_t)(g_rand_double (service->random) * (double)(to - from + 1));
 }
 
 static bool
-happens (struct advice_service *service, int per_mille)
+happens (struct simulated_advice *service, int per_mille)
 {
-  return per_mille > 0 && advice_service_draw (service, 0, 999) < per_mille;
+  return per_mille > 0 && simulated_advice_draw (service, 0, 999) < per_mille;
 }
 
 static void
-draw_bursts (struct advice_service *service)
+draw_bursts (struct simulated_advice *service)
 {
   const struct advice_profile *profile = &service->profile;
   struct burst burst = { 0, service->end_ms };
@@ -182,19 +182,19 @@
       g_array_append_val (service->bursts, burst);
       return;
     }
-  for (int64_t at_ms = advice_service_draw (service, 0, PAUSE_MAX_MS); at_ms < service->end_ms;)
+  for (int64_t at_ms = simulated_advice_draw (service, 0, PAUSE_MAX_MS); at_ms < service->end_ms;)
     {
       burst.from_ms = at_ms;
-      burst.until_ms = at_ms + advice_service_draw (service, BURST_MIN_MS, profile->burst_max_ms);
+      burst.until_ms = at_ms + simulated_advice_draw (service, BURST_MIN_MS, profile->burst_max_ms);
       g_array_append_val (service->bursts, burst);
-      at_ms = burst.until_ms + advice_service_draw (service, PAUSE_MIN_MS, PAUSE_MAX_MS);
+      at_ms = burst.until_ms + simulated_advice_draw (service, PAUSE_MIN_MS, PAUSE_MAX_MS);
     }
 }
 
-struct advice_service *
-advice_service_new (const struct advice_profile *profile, uint64_t seed, int64_t end_ms)
+struct simulated_advice *
+simulated_advice_new (const struct advice_profile *profile, uint64_t seed, int64_t end_ms)
 {
-  struct advice_service *service = g_new0 (struct advice_service, 1);
+  struct simulated_advice *service = g_new0 (struct simulated_advice, 1);
 
   service->profile = *profile;
   service->random = g_rand_new_with_seed ((guint32)seed);
@@ -209,12 +209,12 @@
     }
   /* The last hosts fail, so that the first ones can own the pool. */
   for (int i = profile->host_count - profile->hosts_lost; i < profile->host_count; i++)
-    service->hosts[i].lost_at_ms = advice_service_draw (service, 0, end_ms);
+    service->hosts[i].lost_at_ms = simulated_advice_draw (service, 0, end_ms);
   return service;
 }
 
 void
-advice_service_free (struct advice_service *service)
+simulated_advice_free (struct simulated_advice *service)
 {
   if (service == NULL)
     return;
@@ -227,7 +227,7 @@
 }
 
 bool
-advice_service_is_in_burst (const struct advice_service *service, int64_t now_ms)
+simulated_advice_is_in_burst (const struct simulated_advice *service, int64_t now_ms)
 {
   for (guint i = 0; i < service->bursts->len; i++)
     {
@@ -239,16 +239,16 @@
 }
 
 void
-advice_service_advance (struct advice_service *service, int64_t now_ms)
+simulated_advice_advance (struct simulated_advice *service, int64_t now_ms)
 {
   if (now_ms - service->frozen_ms < FREEZE_INTERVAL_MS
-      || !advice_service_is_in_burst (service, now_ms))
+      || !simulated_advice_is_in_burst (service, now_ms))
     return;
   service->frozen_ms = now_ms;
   for (int i = 0; i < service->profile.host_count; i++)
     if (happens (service, service->profile.host_frozen))
       service->hosts[i].frozen_until_ms
-          = now_ms + advice_service_draw (service, FREEZE_MIN_MS, FREEZE_MAX_MS);
+          = now_ms + simulated_advice_draw (service, FREEZE_MIN_MS, FREEZE_MAX_MS);
 }
 
 static bool
@@ -267,7 +267,7 @@
 }
 
 bool
-advice_service_has_fault (const struct advice_service *service, int64_t now_ms)
+simulated_advice_has_fault (const struct simulated_advice *service, int64_t now_ms)
 {
   const struct advice_profile *profile = &service->profile;
   int hung = 0;
@@ -283,7 +283,7 @@
   /* Hosts that fail for good do so one at a time, outside of bursts. */
   return !can_carry_load (profile, profile->host_count - hung)
          || (profile->hosts_lost == 0 && has_rates (profile)
-             && advice_service_is_in_burst (service, now_ms));
+             && simulated_advice_is_in_burst (service, now_ms));
 }
 
 static void
@@ -297,11 +297,11 @@
 }
 
 struct advice_outcome
-advice_service_call (struct advice_service *service,
-                     int host_index,
-                     enum advice_queue queue,
-                     size_t target_count,
-                     int64_t now_ms)
+simulated_advice_call (struct simulated_advice *service,
+                       int host_index,
+                       enum advice_queue queue,
+                       size_t target_count,
+                       int64_t now_ms)
 {
   const struct advice_profile *profile = &service->profile;
   struct host *host = &service->hosts[host_index];
@@ -314,14 +314,14 @@
   int64_t start_ms
       = host->calls->len > 0 ? g_array_index (host->calls, int64_t, host->calls->len - 1) : now_ms;
   bool is_hung = false;
-  if (advice_service_is_in_burst (service, start_ms))
+  if (simulated_advice_is_in_burst (service, start_ms))
     {
       duration_ms = get_slow_ms (profile, duration_ms);
       is_hung = happens (service, profile->calls_hung);
       outcome.replied = !is_hung && !happens (service, profile->calls_closed);
     }
   if (is_hung)
-    duration_ms = (double)advice_service_draw (service, HANG_MIN_MS, HANG_MAX_MS);
+    duration_ms = (double)simulated_advice_draw (service, HANG_MIN_MS, HANG_MAX_MS);
   outcome.at_ms = start_ms + (int64_t)duration_ms + 1;
   if (is_hung)
     host->hung_until_ms = outcome.at_ms;
@@ -332,28 +332,28 @@
 /* --- hosts --- */
 
 bool
-advice_service_loses_message (struct advice_service *service, int host, int64_t now_ms)
+simulated_advice_loses_message (struct simulated_advice *service, int host, int64_t now_ms)
 {
-  return advice_service_is_lost (service, host, now_ms)
-         || (advice_service_is_in_burst (service, now_ms)
+  return simulated_advice_is_lost (service, host, now_ms)
+         || (simulated_advice_is_in_burst (service, now_ms)
              && happens (service, service->profile.messages_lost));
 }
 
 int64_t
-advice_service_frozen_until_ms (const struct advice_service *service, int host)
+simulated_advice_frozen_until_ms (const struct simulated_advice *service, int host)
 {
   return service->hosts[host].frozen_until_ms;
 }
 
 bool
-advice_service_is_lost (const struct advice_service *service, int host, int64_t now_ms)
+simulated_advice_is_lost (const struct simulated_advice *service, int host, int64_t now_ms)
 {
   return now_ms >= service->hosts[host].lost_at_ms;
 }
 
 bool
-advice_service_is_known_lost (const struct advice_service *service, int host, int64_t now_ms)
+simulated_advice_is_known_lost (const struct simulated_advice *service, int host, int64_t now_ms)
 {
-  return advice_service_is_lost (service, host, now_ms)
+  return simulated_advice_is_lost (service, host, now_ms)
          && now_ms >= service->hosts[host].lost_at_ms + LINK_DOWN_MS;
 }
--- a/tests/support_cell_advice.h
+++ b/tests/support_cell_advice.h
@@ -71,24 +71,24 @@
 struct fl_advice_policy advice_queue_policy (const struct advice_profile *profile,
                                              enum advice_queue queue);
 
-struct advice_service;
+struct simulated_advice;
 
 /* Faults occur until @end_ms. */
-struct advice_service *
-advice_service_new (const struct advice_profile *profile, uint64_t seed, int64_t end_ms);
-void advice_service_free (struct advice_service *service);
+struct simulated_advice *
+simulated_advice_new (const struct advice_profile *profile, uint64_t seed, int64_t end_ms);
+void simulated_advice_free (struct simulated_advice *service);
 
-int64_t advice_service_draw (struct advice_service *service, int64_t from, int64_t to);
+int64_t simulated_advice_draw (struct simulated_advice *service, int64_t from, int64_t to);
 
 /* Begins and ends faults; call it each 20 ms. */
-void advice_service_advance (struct advice_service *service, int64_t now_ms);
+void simulated_advice_advance (struct simulated_advice *service, int64_t now_ms);
 
 /* Whether the faults with rates occur. */
-bool advice_service_is_in_burst (const struct advice_service *service, int64_t now_ms);
+bool simulated_advice_is_in_burst (const struct simulated_advice *service, int64_t now_ms);
 
 /* Whether a fault is in effect. Calls that hang are one as long as the other hosts cannot carry the
  * load. */
-bool advice_service_has_fault (const struct advice_service *service, int64_t now_ms);
+bool simulated_advice_has_fault (const struct simulated_advice *service, int64_t now_ms);
 
 /* What the service does with a call. */
 struct advice_outcome
@@ -98,20 +98,21 @@
 };
 
 /* Handles a call of @host for @target_count targets of @queue that arrives at @now_ms. */
-struct advice_outcome advice_service_call (struct advice_service *service,
-                                           int host,
-                                           enum advice_queue queue,
-                                           size_t target_count,
-                                           int64_t now_ms);
+struct advice_outcome simulated_advice_call (struct simulated_advice *service,
+                                             int host,
+                                             enum advice_queue queue,
+                                             size_t target_count,
+                                             int64_t now_ms);
 
 /* Whether a message between two hosts is lost, of which @host is the peer. */
-bool advice_service_loses_message (struct advice_service *service, int host, int64_t now_ms);
+bool simulated_advice_loses_message (struct simulated_advice *service, int host, int64_t now_ms);
 
 /* @return until when the processes of @host are suspended. */
-int64_t advice_service_frozen_until_ms (const struct advice_service *service, int host);
+int64_t simulated_advice_frozen_until_ms (const struct simulated_advice *service, int host);
 
 /* Whether @host has failed for good. */
-bool advice_service_is_lost (const struct advice_service *service, int host, int64_t now_ms);
+bool simulated_advice_is_lost (const struct simulated_advice *service, int host, int64_t now_ms);
 
 /* Whether the other hosts have noticed that @host has failed, so that nothing is sent to it. */
-bool advice_service_is_known_lost (const struct advice_service *service, int host, int64_t now_ms);
+bool
+simulated_advice_is_known_lost (const struct simulated_advice *service, int host, int64_t now_ms);
--- a/tests/test_late_advice.c
+++ b/tests/test_late_advice.c
@@ -23,20 +23,20 @@
 test_turns_of_calls (void **state)
 {
   static const struct advice_profile profile = { .host_count = 2 };
-  struct advice_service *service = advice_service_new (&profile, 1, 0);
+  struct simulated_advice *service = simulated_advice_new (&profile, 1, 0);
   int64_t ended_ms = 0;
 
   (void)state;
   for (int i = 0; i < CALLS; i++)
     {
-      struct advice_outcome outcome = advice_service_call (service, 0, ADVICE_QUEUE_LONG, 10, 0);
+      struct advice_outcome outcome = simulated_advice_call (service, 0, ADVICE_QUEUE_LONG, 10, 0);
       assert_int_equal (outcome.replied, i <= WAITING_CALLS_MAX);
       if (outcome.replied)
         assert_in_range (outcome.at_ms - ended_ms, 460, 462);
       ended_ms = outcome.at_ms;
     }
-  assert_in_range (advice_service_call (service, 1, ADVICE_QUEUE_SHORT, 10, 0).at_ms, 26, 28);
-  advice_service_free (service);
+  assert_in_range (simulated_advice_call (service, 1, ADVICE_QUEUE_SHORT, 10, 0).at_ms, 26, 28);
+  simulated_advice_free (service);
 }
 
 /* A call that hangs holds the turn of its host, whoever waits for it. */
@@ -44,16 +44,16 @@
 test_hung_call (void **state)
 {
   static const struct advice_profile profile = { .host_count = 1, .calls_hung = 1000 };
-  struct advice_service *service = advice_service_new (&profile, 1, 10);
-  struct advice_outcome hung = advice_service_call (service, 0, ADVICE_QUEUE_SHORT, 1, 0);
-  struct advice_outcome next = advice_service_call (service, 0, ADVICE_QUEUE_SHORT, 1, 100);
+  struct simulated_advice *service = simulated_advice_new (&profile, 1, 10);
+  struct advice_outcome hung = simulated_advice_call (service, 0, ADVICE_QUEUE_SHORT, 1, 0);
+  struct advice_outcome next = simulated_advice_call (service, 0, ADVICE_QUEUE_SHORT, 1, 100);
 
   (void)state;
   assert_false (hung.replied);
   assert_true (hung.at_ms >= 3000);
   assert_true (next.replied);
   assert_in_range (next.at_ms - hung.at_ms, 23, 25);
-  advice_service_free (service);
+  simulated_advice_free (service);
 }
 
 /* --- limits of replies --- */
