--- a/tests/test_late_advice.c
+++ b/tests/test_late_advice.c
@@ -194,6 +194,13 @@
     "a query through a host without replies was overdue after 2.4 s only" },
   { "calls hang for some seconds", 31866,
     "a query through a host without replies was overdue after 2.4 s only" },
+  { "calls hang for some seconds", 62248,
+    "a query through a host without replies was overdue after 2.4 s only" },
+  { "calls hang for some seconds", 66450,
+    "a query through a host without replies was overdue after 2.4 s only" },
+  { "calls hang for some seconds", 70608,
+    "a query through a host without replies was overdue after 2.4 s only" },
+  { "1500 ms longer", 51178, "an overdue query was repeated with the same targets" },
   { "room is scarce", 11529, "room was charged for queries of other steps" },
 };
 
