--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -4,9 +4,12 @@
 /* A peer that failed to serve a call gets no calls for this long. */
 #define PEER_PAUSE_MS 500
 /* A peer whose process is about to end gets no calls for this long. It rejects the first ones,
- * which last up to 1.6 s, some 2 s before its end. */
-#define PEER_STOPPING_PAUSE_MS 2500
+ * which last up to 2.8 s, as long before its end. */
+#define PEER_STOPPING_PAUSE_MS 3000
 #define TICK_INTERVAL_MS 100
+/* A peer without a reply for this long, beyond the wait of a feed call, gets no further calls for
+ * PEER_PAUSE_MS; its reply still counts until the call times out. */
+#define PEER_OVERDUE_MS 650
 /* A peer's reply may take this much longer than the store's: two transfers between hosts. */
 #define PEER_SLACK_MS 50
 #define LINK_QUEUE_MAX 1000
@@ -16,6 +19,7 @@
 {
   struct fl_relay *relay;
   bool is_prompt; /* the store replies without waiting for changes */
+  int64_t sent_ms;
   void (*done) (void *context, const struct fl_store_reply *reply);
   void *context;
 };
@@ -26,7 +30,8 @@
   struct fl_relay *relay;
   int64_t number;
   struct fl_name peer;
-  ev_timer timeout;
+  int64_t timeout_at_ms;
+  ev_timer timeout; /* first fires when the reply is overdue */
   void (*done) (void *context, const struct fl_store_reply *reply);
   void *context;
 };
@@ -99,9 +104,16 @@
 {
   struct peer_call *call = timer->data;
   struct fl_store_reply reply = { .status = FL_STORE_UNKNOWN };
+  int64_t left_ms = call->timeout_at_ms - fl_clock_boot_ms ();
 
-  (void)loop;
   (void)events;
+  if (left_ms > 0)
+    {
+      pause_peer (call->relay, &call->peer, PEER_PAUSE_MS);
+      ev_timer_set (&call->timeout, (double)left_ms / 1000.0, 0.0);
+      ev_timer_start (loop, &call->timeout);
+      return;
+    }
   fl_fail (&reply.error, FL_UNAVAILABLE, "relay_call", call->peer.data,
            "the peer did not reply in time");
   finish_peer_call (call, &reply);
@@ -127,10 +139,12 @@
   *call = (struct peer_call){ .relay = relay,
                               .number = message->number,
                               .peer = peer->address,
+                              .timeout_at_ms = fl_clock_boot_ms () + timeout_ms + PEER_SLACK_MS,
                               .done = done,
                               .context = done_context };
-  ev_timer_init (&call->timeout, on_peer_timeout, (double)(timeout_ms + PEER_SLACK_MS) / 1000.0,
-                 0.0);
+  ev_timer_init (
+      &call->timeout, on_peer_timeout,
+      (double)MIN (timeout_ms + PEER_SLACK_MS, message->wait_ms + PEER_OVERDUE_MS) / 1000.0, 0.0);
   call->timeout.data = call;
   ev_timer_start (relay->options.loop, &call->timeout);
   g_hash_table_insert (relay->peer_calls, &call->number, call);
@@ -179,7 +193,9 @@
 {
   if (reply->status != FL_STORE_REJECTED && reply->status != FL_STORE_UNKNOWN)
     return FL_RELAY_SERVED;
-  return reply->is_connection_stale ? FL_RELAY_INCONCLUSIVE : FL_RELAY_FAILED;
+  if (reply->is_connection_stale)
+    return FL_RELAY_INCONCLUSIVE;
+  return reply->status == FL_STORE_UNKNOWN ? FL_RELAY_LOST : FL_RELAY_FAILED;
 }
 
 void
@@ -192,7 +208,7 @@
   /* A feed call counts only now: while it waits for changes, a missing reply is no failure. */
   if (!call->is_prompt)
     fl_relay_path_record_call (&relay->path, fl_clock_boot_ms ());
-  fl_relay_path_record_end (&relay->path, get_outcome (reply), fl_clock_boot_ms ());
+  fl_relay_path_record_end (&relay->path, get_outcome (reply), call->sent_ms, fl_clock_boot_ms ());
   log_path_change (relay, had_failed);
   call->done (call->context, reply);
   g_free (call);
@@ -206,9 +222,9 @@
 {
   struct direct_call *call = g_new0 (struct direct_call, 1);
 
-  *call = (struct direct_call){ relay, is_prompt, done, done_context };
+  *call = (struct direct_call){ relay, is_prompt, fl_clock_boot_ms (), done, done_context };
   if (is_prompt)
-    fl_relay_path_record_call (&relay->path, fl_clock_boot_ms ());
+    fl_relay_path_record_call (&relay->path, call->sent_ms);
   return call;
 }
 
