Followers: on a slow link a read is sent again after 4 s only

Found by the review: a copy shares the bandwidth with the reply that it is sent for, so that a page that takes 4 s on a link of 2 Mbit/s would have taken longer with a copy after 1.5 s. Not measured.

--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -22,7 +22,8 @@
  * that the copy takes another. */
 #define READ_LIMIT_MIN_MS 500
 #define READ_SILENT_LIMIT_MAX_MS 1500
-#define SLOW_READ_LIMIT_MIN_MS 1500
+/* On a slow link a copy shares the bandwidth with the reply that it is sent for. */
+#define SLOW_READ_LIMIT_MIN_MS 4000
 #define SLOW_READ_SILENT_LIMIT_MAX_MS 6000
 #define READ_LATE_LIMIT_MAX_MS 6000
 /* Copies of a call in flight. */
