--- a/tests/test_late_advice.c
+++ b/tests/test_late_advice.c
@@ -201,6 +201,8 @@
   { "calls hang for some seconds", 70608,
     "a query through a host without replies was overdue after 2.4 s only" },
   { "1500 ms longer", 51178, "an overdue query was repeated with the same targets" },
+  { "1500 ms longer", 100172,
+    "all replies were overdue, with a limit 10 ms shorter than their delay" },
   { "room is scarce", 11529, "room was charged for queries of other steps" },
 };
 
