--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -27,7 +27,8 @@
  * all of it: where some is missing, none of its tasks is started. */
 #define QUERY_DEVIATIONS 1.0
 #define GANG_QUERY_DEVIATIONS 2.0
-/* Probability that a query finds no eligible target, and the step waits for another one. */
+/* Probability that a query finds no eligible target, and the step waits for another one; a tenth of
+ * it after each query in vain. */
 #define NONE_ELIGIBLE_MAX 0.02
 
 /* Size of the sample of targets from which those of a query are chosen. */
@@ -39,7 +40,8 @@
   struct core_target *target;
   int64_t task_capacity;
   double eligible_probability;
-  bool is_near_data; /* on the rack of the data, or the step has no preferred rack */
+  bool is_near_data;  /* on the rack of the data, or the step has no preferred rack */
+  bool is_unanswered; /* in a query whose reply may still tell whether it is eligible */
   int64_t free_cpu_milli;
 };
 
@@ -84,6 +86,8 @@
 
   if (x->is_near_data != y->is_near_data)
     return x->is_near_data ? -1 : 1;
+  if (x->is_unanswered != y->is_unanswered)
+    return x->is_unanswered ? 1 : -1;
   if (x->eligible_probability < y->eligible_probability
       || x->eligible_probability > y->eligible_probability)
     return x->eligible_probability > y->eligible_probability ? -1 : 1;
@@ -145,6 +149,7 @@
   candidate.eligible_probability = advice != NULL ? 1.0 : share;
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
+  candidate.is_unanswered = g_hash_table_contains (step->unanswered, &target->entry.id);
   candidate.free_cpu_milli = target->entry.resources.cpu_milli - target->used.cpu_milli
                              - target->best_effort_cpu_milli - target->tentative_cpu_milli;
   g_array_append_val (candidates->rows, candidate);
@@ -218,7 +223,7 @@
 
   return forecast->expected_tasks >= (double)waiting * QUERY_SURPLUS
          && forecast->expected_tasks - deviations * sqrt (forecast->variance) >= (double)waiting
-         && forecast->none_eligible <= NONE_ELIGIBLE_MAX / (double)(1 + earlier_queries);
+         && forecast->none_eligible <= NONE_ELIGIBLE_MAX * pow (0.1, (double)earlier_queries);
 }
 
 /* Chooses as many of @candidates, best first, as are likely to suffice for @waiting tasks of @step.
@@ -411,8 +416,11 @@
   if (!reply->received)
     {
       step->queries_failed += reply->is_late ? 0 : 1;
+      for (size_t i = 0; i < queried_count; i++)
+        g_hash_table_add (step->unanswered, g_memdup2 (&queried[i], sizeof queried[i]));
       return;
     }
+  g_hash_table_remove_all (step->unanswered);
   /* The reply lists only the eligible ones of the queried targets. */
   for (size_t i = 0; i < queried_count; i++)
     {
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -58,6 +58,7 @@
     }
   g_free (step->tasks);
   g_hash_table_destroy (step->advice);
+  g_hash_table_destroy (step->unanswered);
   if (step->queried_targets != NULL)
     g_array_unref (step->queried_targets);
 }
@@ -623,6 +624,7 @@
   step->tasks = g_new0 (struct core_task, (size_t)step->spec->count);
   step->unfinished_tasks = step->spec->count;
   step->advice = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, advice_free);
+  step->unanswered = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
   for (int64_t i = 0; i < step->spec->count; i++)
     {
       step->tasks[i].step = step;
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -175,6 +175,7 @@
   int64_t unfinished_tasks;
   int64_t idle_tasks;        /* neither done nor with a run */
   GHashTable *advice;        /* target id -> struct core_advice */
+  GHashTable *unanswered;    /* ids of targets in queries that have no reply yet */
   bool query_in_flight;      /* an advice query has no reply yet */
   GArray *queried_targets;   /* struct fl_name: targets of the query in flight; else NULL */
   int64_t queried_cpu_milli; /* tentatively charged to each queried target */
--- a/lib/poold/advisor_pool.c
+++ b/lib/poold/advisor_pool.c
@@ -17,13 +17,15 @@
 #define RESERVED_WAIT_MAX_MS 1000
 /* A reply is overdue when it takes this much longer than expected, and longer than the replies
  * through most hosts lately. Its step is then queried through another host, since this one may have
- * failed; with a wider limit, the loss of one query would cost more than the queries that are sent
- * twice. */
+ * failed: the wider the limit, the longer the loss of one query lasts. */
 #define REPLY_SLACK_MIN_MS 600
-#define REPLY_SLACK_MAX_MS 1500
+#define REPLY_SLACK_MAX_MS 3000
+/* A host counts for the limit while its last reply is not older than this. */
+#define DELAY_VALID_MS 30000
 /* Weights of one reply in the moving averages of the delay and of its deviation, and how many
- * deviations a reply may be later than the average, as in RFC 6298. */
-#define DELAY_WEIGHT 0.125
+ * deviations a reply may be later than the average; as in RFC 6298, but that the averages follow
+ * the fewer replies of a host sooner. */
+#define DELAY_WEIGHT 0.25
 #define DEVIATION_WEIGHT 0.25
 #define DELAY_DEVIATIONS 4
 /* A host whose query has no reply yet gets no other for this long, doubled with each further one.
@@ -52,7 +54,8 @@
   struct fl_advisor_query query; /* in flight while busy */
   GArray *overdue;               /* struct fl_advisor_query, in the order in which they were sent */
   int64_t replied_number;        /* of the last query with a reply */
-  bool has_delay;                /* the next two have been measured */
+  bool has_delay;                /* the next three have been measured */
+  int64_t measured_ms;           /* when, last */
   double delay_ms;               /* by which replies are later than expected, moving average */
   double deviation_ms;           /* of delay_ms */
 };
@@ -223,7 +226,7 @@
 /* Sets the slack from the median of the hosts: a few slow hosts do not delay the repetition of
  * queries through others, and a slow service is not asked everything twice. */
 static void
-update_reply_slack (struct fl_advisor_pool *pool)
+update_reply_slack (struct fl_advisor_pool *pool, int64_t now_ms)
 {
   g_autoptr (GArray) slacks = g_array_new (FALSE, FALSE, sizeof (int64_t));
 
@@ -231,9 +234,11 @@
     {
       const struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
       int64_t slack_ms = (int64_t)(advisor->delay_ms + DELAY_DEVIATIONS * advisor->deviation_ms);
-      if (advisor->has_delay)
+      if (advisor->has_delay && now_ms - advisor->measured_ms < DELAY_VALID_MS)
         g_array_append_val (slacks, slack_ms);
     }
+  if (slacks->len == 0)
+    return;
   g_array_sort (slacks, compare_slacks);
   pool->reply_slack_ms = CLAMP (g_array_index (slacks, int64_t, (slacks->len - 1) / 2),
                                 REPLY_SLACK_MIN_MS, REPLY_SLACK_MAX_MS);
@@ -259,7 +264,8 @@
       advisor->deviation_ms = delay_ms / 2;
     }
   advisor->has_delay = true;
-  update_reply_slack (pool);
+  advisor->measured_ms = now_ms;
+  update_reply_slack (pool, now_ms);
 }
 
 /* @return when the reply to the query in flight of @advisor is overdue. */
