Heartbeats: the limit of a reply follows the time that replies take

What callers saw: a target whose replies to heartbeats took 0.3 s or more beyond the wait was silent for as long as that lasted. Nothing started on it, and its leases were not renewed. With all targets that slow no job started at all.

Cause: a fixed margin of 300 ms. A later reply was thrown away, and the next heartbeat was sent with the same margin.

Change: the core estimates for each target how long replies take (RFC 6298: smoothed time and deviation), and each heartbeat carries its limit, 300 ms at least. When it is over, the heartbeat counts as lost, as before; the call itself stays open until 2 s after the wait, so that a late reply is a sample of the estimate and the next limit is wide enough. Its lists are not used, since a newer heartbeat may have been answered. A silent target that replies late gets the next heartbeat at once. While limits are wide, waits are shorter, so that the lease outlasts two heartbeats without a reply. A report that took over 0.5 s beyond the wait may be of an earlier boot: the next heartbeat is then taken to give the longest lease. Replies read late, since this host was suspended or overloaded, are no samples. A peer that forwards counts as unavailable by the same limit, not by a fixed one.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -19,6 +19,9 @@
 #define BOOT_VALID_MS 400
 /* Replies may overtake each other by less than this. */
 #define CLOCK_TOLERANCE_MS 2000
+/* With a longer gap between ticks than this, the host was suspended or is overloaded, so that
+ * replies were read late. */
+#define READ_LATE_GAP_MS 120
 /* Time between heartbeats to a target that does not reply. */
 #define SILENT_RETRY_MS 300
 /* Time between checks of all targets for expired leases and orders to resend. These timeouts are
@@ -464,6 +467,36 @@
     target->clock_went_back = true;
 }
 
+/* Whether the time from @sent_ms to @now_ms includes one in which this host read no replies. */
+static bool
+was_read_late (const struct fl_core *core, int64_t sent_ms, int64_t now_ms)
+{
+  return core->last_tick_ms > 0
+         && (now_ms - core->last_tick_ms >= READ_LATE_GAP_MS
+             || (core->tick_gap_ms >= READ_LATE_GAP_MS && sent_ms < core->last_tick_ms));
+}
+
+void
+fl_core_handle_reply_time (struct fl_core *core,
+                           const struct fl_name *id,
+                           const struct fl_order_reply *reply,
+                           int64_t sent_ms,
+                           int64_t wait_ms,
+                           int64_t now_ms)
+{
+  struct core_target *target = core_find_target (core, id);
+  /* With an end, the target may have replied before the end of the wait. */
+  bool has_waited = reply->report != NULL && reply->report->end_count == 0;
+
+  if (target == NULL || reply->result == FL_ORDER_NO_REPLY || reply->result == FL_ORDER_NOT_SENT
+      || reply->result == FL_ORDER_NO_LISTENER || (wait_ms > 0 && !has_waited)
+      || was_read_late (core, sent_ms, now_ms))
+    return;
+  core_reply_time_add (&target->reply_time, now_ms - sent_ms - wait_ms);
+  /* It is alive: a heartbeat that has no reply in time is followed by the next one at once. */
+  target->missed_heartbeats = 0;
+}
+
 static bool
 has_urgent_run (const struct core_target *target)
 {
@@ -491,9 +524,19 @@
 static int64_t
 heartbeat_wait_ms (const struct core_target *target)
 {
+  int64_t wait_ms = HEARTBEAT_WAIT_MS;
+
   if (has_urgent_run (target))
-    return HEARTBEAT_WAIT_URGENT_MS;
-  return mixes_serving_and_best_effort (target) ? HEARTBEAT_WAIT_THROTTLED_MS : HEARTBEAT_WAIT_MS;
+    wait_ms = HEARTBEAT_WAIT_URGENT_MS;
+  else if (mixes_serving_and_best_effort (target))
+    wait_ms = HEARTBEAT_WAIT_THROTTLED_MS;
+  /* The lease is by a clock that was read one reply ago, and has to outlast two heartbeats without
+   * a reply and a slow one. */
+  if (target->heartbeat_limit_ms > CORE_HEARTBEAT_LIMIT_MS)
+    wait_ms = CLAMP (target->core->options.target_lease_ms - 3 * target->heartbeat_limit_ms
+                         - FL_REPLY_MAX_MS,
+                     0, wait_ms);
+  return wait_ms;
 }
 
 static bool
@@ -520,11 +563,14 @@
   /* Registry entries that arrive before the next tick are newer than this heartbeat. */
   core->now_ms = MAX (core->now_ms, now_ms);
   target->heartbeat_wait_ms = 0;
+  target->heartbeat_limit_ms
+      = core_reply_time_limit_ms (&target->reply_time, CORE_HEARTBEAT_LIMIT_MS);
   target->address_changed = false;
   *order = (struct fl_heartbeat_order){
     .target = target->entry.id,
     .address = target->entry.address,
     .fencing_token = target->fencing_token,
+    .reply_limit_ms = target->heartbeat_limit_ms,
   };
   /* While the jobs are not known, leases are renewed all the same. A target that has restarted may
    * then grant the longest one. */
@@ -538,8 +584,9 @@
   order->wait_ms = core->jobs_known && target->is_fenced ? heartbeat_wait_ms (target) : 0;
   target->heartbeat_wait_ms = order->wait_ms;
   core_target_extend_lease (target, now_ms,
-                            boot_is_valid ? core->options.target_lease_ms
-                                          : core->options.target_lease_max_ms);
+                            boot_is_valid && !target->report_was_slow
+                                ? core->options.target_lease_ms
+                                : core->options.target_lease_max_ms);
   /* This heartbeat renews the leases of runs that an earlier owner started, and its reply, which
    * would list them, may be lost. */
   if (target->is_unreconciled)
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -123,7 +123,17 @@
  * that has gone back shows that the target has restarted. */
 void fl_core_handle_clock (struct fl_core *core, const struct fl_name *target, int64_t clock_ms);
 
-/* Handles the reply to a heartbeat that was sent at @sent_ms. */
+/* Handles how long @reply took to an order to @target that was sent at @sent_ms and permitted a
+ * wait of @wait_ms, however late it is. */
+void fl_core_handle_reply_time (struct fl_core *core,
+                                const struct fl_name *target,
+                                const struct fl_order_reply *reply,
+                                int64_t sent_ms,
+                                int64_t wait_ms,
+                                int64_t now_ms);
+
+/* Handles the reply to a heartbeat that was sent at @sent_ms, or its lack when the limit is over.
+ */
 void fl_core_handle_heartbeat_reply (struct fl_core *core,
                                      const struct fl_name *target,
                                      const struct fl_order_reply *reply,
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -12,6 +12,14 @@
 
 struct core_run;
 
+/* How long replies of a target take. All zero without samples. */
+struct core_reply_time
+{
+  bool is_known;
+  double smoothed_ms;
+  double deviation_ms;
+};
+
 struct core_team
 {
   struct fl_name name;
@@ -49,15 +57,18 @@
   /* Its boot has received a heartbeat with @fencing_token, so that it rejects what was sent to
    * earlier boots. */
   bool is_fenced;
-  int64_t fencing_token;         /* of the orders to it; raised for each boot */
-  bool shares_token;             /* no token was left for its boot: it has that of an earlier one */
-  int64_t token_raised_at_ms;    /* heartbeats sent before this time carried a lower token */
-  int64_t clock_ms;              /* its clock at clock_at_ms */
-  int64_t clock_at_ms;           /* when clock_ms was reported; 0 while its clock is unknown */
-  int64_t leaves_at_ms;          /* earliest time at which a draining target leaves */
-  int64_t lease_expires_at_ms;   /* latest end of the leases of its runs, unless renewed */
-  int64_t last_heartbeat_at_ms;  /* when the last heartbeat ended, with or without a reply */
-  int64_t heartbeat_wait_ms;     /* wait that the last heartbeat permitted */
+  int64_t fencing_token;        /* of the orders to it; raised for each boot */
+  bool shares_token;            /* no token was left for its boot: it has that of an earlier one */
+  int64_t token_raised_at_ms;   /* heartbeats sent before this time carried a lower token */
+  int64_t clock_ms;             /* its clock at clock_at_ms */
+  int64_t clock_at_ms;          /* when clock_ms was reported; 0 while its clock is unknown */
+  int64_t leaves_at_ms;         /* earliest time at which a draining target leaves */
+  int64_t lease_expires_at_ms;  /* latest end of the leases of its runs, unless renewed */
+  int64_t last_heartbeat_at_ms; /* when the last heartbeat ended, with or without a reply */
+  int64_t heartbeat_wait_ms;    /* wait that the last heartbeat permitted */
+  int64_t heartbeat_limit_ms;   /* its reply_limit_ms */
+  bool report_was_slow;         /* the last report may be of an earlier boot */
+  struct core_reply_time reply_time;
   int64_t last_applied_end;      /* ends up to this number have been processed */
   int64_t last_recording_end;    /* ends up to this number are covered by records in flight */
   int64_t last_recorded_end;     /* ends up to this number are covered by stored records */
@@ -335,6 +346,10 @@
 /* Whether @job is expected to miss its latency objective, by the mean run time of its queue. */
 bool core_job_is_late (const struct core_job *job);
 
+/* The shortest limit of the reply to a heartbeat. A target replies at the latest when the wait is
+ * over. */
+#define CORE_HEARTBEAT_LIMIT_MS 300
+
 /* --- runs.c --- */
 
 /* Creates run @number of @task on @target and charges its resources to the target and the team. */
@@ -487,6 +502,14 @@
 /* Records that @step fits on no target. */
 void core_record_vain_search (const struct core_step *step, bool include_tentative);
 
+/* --- reply_time.c --- */
+
+void core_reply_time_add (struct core_reply_time *time, int64_t took_ms);
+
+/* How long to wait for a reply before the order is repeated: at least @least_ms, which is enough
+ * for a target that replies promptly, and at most FL_REPLY_MAX_MS. */
+int64_t core_reply_time_limit_ms (const struct core_reply_time *time, int64_t least_ms);
+
 /* --- order_budget.c --- */
 
 /* Adds the bytes that have become available since the last call. */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -8,9 +8,11 @@
 #define COLLECTED_BYTES_MAX (512 * 1024)
 /* Weight of one run in the moving average of the run time of a queue. */
 #define RUN_TIME_WEIGHT 0.05
-/* A reply of a target that arrives later than this after the end of the wait is outdated. Above the
- * time-outs of heartbeats, direct and forwarded. */
-#define REPLY_DELAY_MAX_MS 500
+/* A reply of a target that arrives later than this after the limit of its heartbeat is outdated.
+ * Forwarded heartbeats have a longer limit. */
+#define REPLY_SLACK_MS 200
+/* A target that has replied within this after the wait has not restarted since the reply. */
+#define BOOT_CERTAIN_MS (CORE_HEARTBEAT_LIMIT_MS + REPLY_SLACK_MS)
 /* Consecutive failures, of at least two jobs, after which a target is quarantined. */
 #define QUARANTINE_FAILURES_MIN 3
 
@@ -471,7 +473,9 @@
 static bool
 is_reply_outdated (const struct core_target *target, int64_t sent_ms, int64_t now_ms)
 {
-  return now_ms - sent_ms > target->heartbeat_wait_ms + REPLY_DELAY_MAX_MS;
+  int64_t limit_ms = MAX (target->heartbeat_limit_ms, CORE_HEARTBEAT_LIMIT_MS);
+
+  return now_ms - sent_ms > target->heartbeat_wait_ms + limit_ms + REPLY_SLACK_MS;
 }
 
 void
@@ -501,6 +505,7 @@
     return;
   update_boot (target, report, sent_ms);
   target->clock_went_back = false;
+  target->report_was_slow = now_ms - sent_ms > target->heartbeat_wait_ms + BOOT_CERTAIN_MS;
   if (!core->jobs_known)
     {
       target->clock_ms = report->clock_ms;
--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -427,7 +427,7 @@
   else if (row->peer.len == 0)
     calls->start (calls->context, &order, on_distributed_start_done, start);
   else if (!forwarder->options.connect (forwarder->options.context, &row->peer)
-           || !forward_send (forwarder, &row->peer, &forwarded, FORWARD_START_TIMEOUT_MS,
+           || !forward_send (forwarder, &row->peer, &forwarded, FORWARD_START_TIMEOUT_MS, 0,
                              on_distributed_start_done, start))
     on_distributed_start_done (start, &not_sent);
 }
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -7,10 +7,9 @@
 #include "common/clock.h"
 #include "forward/forward_internal.h"
 
-/* Forwarding hosts wait for the reply of a target at most 700 ms after a stop or a throttle order,
- * and 300 ms after the wait of a heartbeat. */
+/* Forwarding hosts wait for the reply of a target at most 700 ms after a stop or a throttle order.
+ */
 #define ORDER_TIMEOUT_MS (700 + FORWARD_SLACK_MS)
-#define HEARTBEAT_TIMEOUT_MS (300 + FORWARD_SLACK_MS)
 /* Interval of the pings to unavailable peers. */
 #define PING_INTERVAL_MS 1000
 
@@ -22,6 +21,7 @@
   struct fl_name peer_address;
   int64_t sent_ms;
   ev_timer timeout;
+  int64_t late_ms; /* how long a reply still counts after the timeout; 0 once that has passed */
   void (*done) (void *context, const struct fl_order_reply *reply);
   void *context;
 };
@@ -156,10 +156,19 @@
   struct fl_name address = order->peer_address;
   struct fl_order_reply reply = { .result = FL_ORDER_NO_REPLY };
   int64_t sent_ms = order->sent_ms;
+  int64_t late_ms = order->late_ms;
 
-  (void)loop;
   (void)events;
-  finish_order (order, &reply);
+  order->late_ms = 0;
+  if (late_ms == 0)
+    {
+      finish_order (order, &reply);
+      forward_handle_timeout (forwarder, &address, sent_ms);
+      return;
+    }
+  ev_timer_set (timer, (double)late_ms / 1000.0, 0.0);
+  ev_timer_start (loop, timer);
+  /* Ends the order if the peer has been silent. */
   forward_handle_timeout (forwarder, &address, sent_ms);
 }
 
@@ -168,6 +177,7 @@
               const struct fl_name *address,
               struct fl_forward_message *message,
               int64_t timeout_ms,
+              int64_t late_ms,
               void (*done) (void *context, const struct fl_order_reply *reply),
               void *done_context)
 {
@@ -185,6 +195,7 @@
                                     .number = message->number,
                                     .peer_address = *address,
                                     .sent_ms = fl_clock_boot_ms (),
+                                    .late_ms = late_ms,
                                     .done = done,
                                     .context = done_context };
   ev_timer_init (&order->timeout, on_order_timeout, (double)timeout_ms / 1000.0, 0.0);
@@ -199,13 +210,15 @@
 forward_order (struct fl_forwarder *forwarder,
                struct fl_forward_message *message,
                int64_t timeout_ms,
+               int64_t late_ms,
                void (*done) (void *context, const struct fl_order_reply *reply),
                void *done_context)
 {
   const struct forward_peer *peer = forward_find_serving_peer (forwarder, &message->target);
 
   if (peer == NULL
-      || !forward_send (forwarder, &peer->address, message, timeout_ms, done, done_context))
+      || !forward_send (forwarder, &peer->address, message, timeout_ms, late_ms, done,
+                        done_context))
     return false;
   fl_stats_add (forwarder->options.stats, "orders_handed_over_total", 1);
   return true;
@@ -238,7 +251,7 @@
   struct fl_forward_message message = forward_start_message (order);
 
   if (!forwarder->options.may_send (forwarder->options.context)
-      || !forward_order (forwarder, &message, FORWARD_START_TIMEOUT_MS, done, done_context))
+      || !forward_order (forwarder, &message, FORWARD_START_TIMEOUT_MS, 0, done, done_context))
     direct->start (direct->context, order, done, done_context);
 }
 
@@ -286,7 +299,7 @@
   const struct fl_target_calls *direct = forwarder->options.direct;
   struct fl_forward_message message = make_run_message (FL_FORWARD_STOP, order);
 
-  if (!forward_order (forwarder, &message, ORDER_TIMEOUT_MS, done, done_context))
+  if (!forward_order (forwarder, &message, ORDER_TIMEOUT_MS, 0, done, done_context))
     direct->stop (direct->context, order, done, done_context);
 }
 
@@ -301,7 +314,7 @@
   struct fl_forward_message message = make_run_message (FL_FORWARD_THROTTLE, order);
 
   if (!forwarder->options.may_send (forwarder->options.context)
-      || !forward_order (forwarder, &message, ORDER_TIMEOUT_MS, done, done_context))
+      || !forward_order (forwarder, &message, ORDER_TIMEOUT_MS, 0, done, done_context))
     direct->throttle (direct->context, order, done, done_context);
 }
 
@@ -321,8 +334,9 @@
                                         .last_recorded_end = order->last_recorded_end,
                                         .wait_ms = order->wait_ms };
 
-  if (!forward_order (forwarder, &message, HEARTBEAT_TIMEOUT_MS + order->wait_ms, done,
-                      done_context))
+  if (!forward_order (forwarder, &message,
+                      order->wait_ms + order->reply_limit_ms + FORWARD_SLACK_MS,
+                      FL_REPLY_MAX_MS - order->reply_limit_ms, done, done_context))
     direct->heartbeat (direct->context, order, done, done_context);
 }
 
@@ -347,6 +361,12 @@
   finish_order (order, &reply);
 }
 
+int64_t
+fl_forwarder_get_slack_ms (struct fl_forwarder *forwarder, const struct fl_name *target)
+{
+  return forward_find_serving_peer (forwarder, target) != NULL ? FORWARD_SLACK_MS : 0;
+}
+
 /* --- orders of peers --- */
 
 /* Returns the result of @order unless it has been returned already. */
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -47,6 +47,10 @@
 /* The calls to use instead of the direct ones; valid as long as @forwarder. */
 const struct fl_target_calls *fl_forwarder_calls (const struct fl_forwarder *forwarder);
 
+/* How much later the reply to an order to @target may arrive here than on the host that sends it.
+ */
+int64_t fl_forwarder_get_slack_ms (struct fl_forwarder *forwarder, const struct fl_name *target);
+
 /* Sets whether orders are forwarded through peers from now on; initially they are not. */
 void fl_forwarder_set_enabled (struct fl_forwarder *forwarder, bool enabled);
 
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -48,11 +48,14 @@
                              const struct fl_name *address,
                              int64_t sent_ms);
 
-/* Sends @message to the peer at @address. @return false when it is not sent. */
+/* Sends @message to the peer at @address. After @timeout_ms without a reply the peer counts as
+ * unavailable if it has been silent since; otherwise a reply counts for @late_ms more.
+ * @return false when @message is not sent. */
 bool forward_send (struct fl_forwarder *forwarder,
                    const struct fl_name *address,
                    struct fl_forward_message *message,
                    int64_t timeout_ms,
+                   int64_t late_ms,
                    void (*done) (void *context, const struct fl_order_reply *reply),
                    void *done_context);
 
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -7,6 +7,8 @@
 /* Heartbeats that the core prepares at a time. */
 #define HEARTBEATS_PER_CALL 32
 
+static const struct fl_order_reply no_reply = { .result = FL_ORDER_NO_REPLY };
+
 struct order_call
 {
   struct fl_term *term;
@@ -15,6 +17,9 @@
   struct fl_name target;
   int64_t fencing_token;
   int64_t sent_ms;
+  int64_t wait_ms; /* of a heartbeat */
+  ev_timer limit;
+  bool is_late; /* the core was told that there is no reply */
 };
 
 static struct order_call *
@@ -27,13 +32,19 @@
   struct order_call *call = g_new0 (struct order_call, 1);
 
   term->ref_count++;
-  *call = (struct order_call){ term, *id, run, *target, fencing_token, fl_clock_boot_ms () };
+  *call = (struct order_call){ .term = term,
+                               .id = *id,
+                               .run = run,
+                               .target = *target,
+                               .fencing_token = fencing_token,
+                               .sent_ms = fl_clock_boot_ms () };
   return call;
 }
 
 static void
 order_call_free (struct order_call *call)
 {
+  ev_timer_stop (call->term->poold->host->loop, &call->limit);
   fl_term_unref (call->term);
   g_free (call);
 }
@@ -60,6 +71,47 @@
     fl_ownership_mark_superseded (poold->ownership);
 }
 
+/* Calls @on_limit when @limit_ms have passed, unless @call is freed before. A reply that arrives
+ * earlier is handled first. */
+static void
+start_limit (struct order_call *call,
+             int64_t limit_ms,
+             void (*on_limit) (struct ev_loop *loop, ev_timer *timer, int events))
+{
+  ev_timer_init (&call->limit, on_limit, (double)limit_ms / 1000.0, 0.0);
+  ev_set_priority (&call->limit, EV_MINPRI);
+  call->limit.data = call;
+  ev_timer_start (call->term->poold->host->loop, &call->limit);
+}
+
+/* How much later a reply arrives here than at the host that sends orders to @target. */
+static int64_t
+get_slack_ms (const struct fl_term *term, const struct fl_name *target)
+{
+  return fl_forwarder_get_slack_ms (term->poold->forwarder, target);
+}
+
+static void
+handle_reply_time (const struct order_call *call, const struct fl_order_reply *reply)
+{
+  if (!call->term->ended)
+    fl_core_handle_reply_time (call->term->core, &call->target, reply, call->sent_ms, call->wait_ms,
+                               fl_clock_boot_ms ());
+}
+
+static void
+log_late_reply (const struct order_call *call,
+                const char *metric,
+                const struct fl_order_reply *reply)
+{
+  const struct fl_host *host = call->term->poold->host;
+
+  fl_stats_add (host->stats, "orders_late_total", 1);
+  fl_log (&host->log, FL_LOG_DEBUG, "order_late", FL_S ("order", metric), FL_N ("name", &call->id),
+          FL_I ("run", call->run), FL_S ("result", fl_order_result_name (reply->result)),
+          FL_I ("after_ms", fl_clock_boot_ms () - call->sent_ms));
+}
+
 /* --- orders --- */
 
 static void
@@ -160,11 +212,9 @@
 /* --- heartbeats --- */
 
 static void
-on_heartbeat_reply (void *context, const struct fl_order_reply *reply)
+handle_heartbeat_reply (struct order_call *call, const struct fl_order_reply *reply)
 {
-  struct order_call *call = context;
   struct fl_term *term = call->term;
-  static const struct fl_order_reply no_reply = { .result = FL_ORDER_NO_REPLY };
 
   record_result (call, "hold_ms", reply);
   /* The target has left and returned since: the core has prepared another heartbeat. */
@@ -176,6 +226,31 @@
       fl_core_handle_heartbeat_reply (term->core, &call->id, reply, call->sent_ms,
                                       fl_clock_boot_ms ());
     }
+}
+
+static void
+on_heartbeat_limit (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct order_call *call = timer->data;
+
+  (void)loop;
+  (void)events;
+  call->is_late = true;
+  handle_heartbeat_reply (call, &no_reply);
+}
+
+/* A report that arrives after the next heartbeat was sent may be older than the reply to it, and
+ * only shows how long replies take. */
+static void
+on_heartbeat_reply (void *context, const struct fl_order_reply *reply)
+{
+  struct order_call *call = context;
+
+  handle_reply_time (call, reply);
+  if (call->is_late)
+    log_late_reply (call, "hold_ms", reply);
+  else
+    handle_heartbeat_reply (call, reply);
   order_call_free (call);
 }
 
@@ -186,10 +261,22 @@
                       + fl_ownership_get_heartbeat_grace_ms ();
 }
 
+static void
+send_heartbeat (struct fl_term *term, const struct fl_heartbeat_order *order)
+{
+  const struct fl_target_calls *calls = term->poold->calls;
+  struct order_call *call
+      = order_call_new (term, &order->target, 0, &order->target, order->fencing_token);
+
+  call->wait_ms = order->wait_ms;
+  start_limit (call, order->reply_limit_ms + order->wait_ms + get_slack_ms (term, &order->target),
+               on_heartbeat_limit);
+  calls->heartbeat (calls->context, order, on_heartbeat_reply, call);
+}
+
 void
 fl_term_send_heartbeats (struct fl_term *term)
 {
-  const struct fl_target_calls *calls = term->poold->calls;
   int64_t now_ms = fl_clock_boot_ms ();
   struct fl_heartbeat_order orders[HEARTBEATS_PER_CALL];
   size_t count;
@@ -207,8 +294,7 @@
           if (g_hash_table_contains (term->heartbeats_in_flight, id))
             continue;
           g_hash_table_add (term->heartbeats_in_flight, g_memdup2 (id, sizeof *id));
-          calls->heartbeat (calls->context, &orders[i], on_heartbeat_reply,
-                            order_call_new (term, id, 0, id, orders[i].fencing_token));
+          send_heartbeat (term, &orders[i]);
         }
     }
   while (count == HEARTBEATS_PER_CALL);
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -14,6 +14,10 @@
  * raises the token of a target with each boot of it, since a boot does not know the tokens that
  * earlier boots have seen. The next owner's tokens are higher. */
 #define FL_FENCING_TOKENS_PER_OWNER 100
+/* The callers of struct fl_target_calls repeat an order that has no reply when its limit is over. A
+ * reply that arrives later still counts, until this long after the order, or after the wait that a
+ * heartbeat permits. */
+#define FL_REPLY_MAX_MS 2000
 /* Most labels of one target. */
 #define FL_TARGET_LABELS_MAX 8
 
@@ -87,6 +91,7 @@
   int64_t deadline_ms;       /* new expiry of the lease on the target's clock; 0 for no change */
   int64_t last_recorded_end; /* the target may forget ends up to this number: they are recorded */
   int64_t wait_ms;           /* how long the target may wait for an end before it replies */
+  int64_t reply_limit_ms;    /* the heartbeat counts as lost this long after the wait */
 };
 
 /* One run on a target. */
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -18,12 +18,14 @@
  * boot. GET /boots: for each target the number of its boot and the highest token of an owner that
  * knows the boot, 0 for none.
  *
- * POST /control takes {"target": N, "fault": "crash" | "cut" | "drain" | "address", "ms": N,
- * "port": N, "cpu": N, "row_ms": N}. "crash" discards the runs of the target and restarts it after
- * "ms", with "cpu" if that is given; its registry row follows "row_ms" later; with -1 it never
- * returns. "cut" makes it unreachable for "ms" while its runs continue; requests that were held up
- * are executed when the cut ends, unless it lasts longer than their senders wait. "drain" registers
- * it as draining until its next crash, and "address" registers it with another port. */
+ * POST /control takes {"target": N, "fault": "crash" | "cut" | "drain" | "address" | "slow",
+ * "ms": N, "port": N, "cpu": N, "row_ms": N, "delay_ms": N}. "crash" discards the runs of the
+ * target and restarts it after "ms", with "cpu" if that is given; its registry row follows "row_ms"
+ * later; with -1 it never returns. "cut" makes it unreachable for "ms" while its runs continue;
+ * requests that were held up are executed when the cut ends, unless it lasts longer than their
+ * senders wait. "drain" registers it as draining until its next crash, and "address" registers it
+ * with another port. "slow" delays its replies by "delay_ms" for "ms"; the requests are executed as
+ * they arrive. */
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -75,6 +77,17 @@
   int64_t row_expires_ms; /* when its registry row is removed, INT64_MAX after that; 0 for never */
   bool draining;
   GPtrArray *pending_requests; /* struct pending_request */
+  int64_t reply_delay_ms;
+  int64_t slow_until_ms;
+  GPtrArray *delayed_replies; /* struct delayed_reply */
+};
+
+struct delayed_reply
+{
+  struct fl_http_request *request;
+  int status;
+  json_t *body;
+  int64_t due_ms;
 };
 
 enum pending_reason
@@ -358,6 +371,36 @@
   json_decref (body);
 }
 
+/* Takes ownership of @body. */
+static void
+send_target_reply (struct target *target, struct fl_http_request *request, int status, json_t *body)
+{
+  struct delayed_reply *delayed;
+
+  if (now_ms () >= target->slow_until_ms)
+    {
+      send_reply (request, status, body);
+      return;
+    }
+  delayed = g_new0 (struct delayed_reply, 1);
+  *delayed = (struct delayed_reply){ request, status, body, now_ms () + target->reply_delay_ms };
+  g_ptr_array_add (target->delayed_replies, delayed);
+}
+
+static void
+send_delayed_replies (struct target *target)
+{
+  for (guint i = target->delayed_replies->len; i > 0; i--)
+    {
+      struct delayed_reply *delayed = g_ptr_array_index (target->delayed_replies, i - 1);
+      if (now_ms () < delayed->due_ms)
+        continue;
+      g_ptr_array_remove_index_fast (target->delayed_replies, i - 1);
+      send_reply (delayed->request, delayed->status, delayed->body);
+      g_free (delayed);
+    }
+}
+
 static void
 reply_with_result (struct target *target,
                    struct fl_http_request *request,
@@ -373,7 +416,7 @@
 
   if (reasons[result] != NULL)
     json_object_set_new (body, "reason", json_string (reasons[result]));
-  send_reply (request, result == FL_ORDER_DONE ? 200 : 409, body);
+  send_target_reply (target, request, result == FL_ORDER_DONE ? 200 : 409, body);
 }
 
 static void
@@ -395,10 +438,10 @@
                            json_pack ("[I,s,I,s,s]", (json_int_t)report.ends[i].number,
                                       report.ends[i].task.data, (json_int_t)report.ends[i].run,
                                       causes[report.ends[i].cause], ""));
-  send_reply (request, 200,
-              json_pack ("{s:I,s:I,s:o,s:o}", "clockMs", (json_int_t)report.clock_ms, "born",
-                         (json_int_t)report.booted_at_ms, "running", running, "finished",
-                         finished));
+  send_target_reply (target, request, 200,
+                     json_pack ("{s:I,s:I,s:o,s:o}", "clockMs", (json_int_t)report.clock_ms, "born",
+                                (json_int_t)report.booted_at_ms, "running", running, "finished",
+                                finished));
   target_state_clear_report (&report);
 }
 
@@ -632,6 +675,11 @@
         restart_target (target, ms, get_number (json, "cpu"), get_number (json, "row_ms"));
       else if (strcmp (fault.data, "cut") == 0)
         target->isolated_until_ms = now_ms () + ms;
+      else if (strcmp (fault.data, "slow") == 0)
+        {
+          target->reply_delay_ms = get_number (json, "delay_ms");
+          target->slow_until_ms = now_ms () + ms;
+        }
       else if (strcmp (fault.data, "drain") == 0)
         {
           target->draining = true;
@@ -785,6 +833,7 @@
     }
   serve_pending_requests (target, now >= target->down_until_ms
                                       && target_state_advance (&target->state, now));
+  send_delayed_replies (target);
 }
 
 /* Whether the targets that accept starts have room for ROOM_TASKS tasks of @cpu_milli. */
@@ -867,6 +916,7 @@
   target->server = start_server (fleet, on_target_request, target);
   target->address = fl_name_format ("127.0.0.1:%d", fl_http_server_port (target->server));
   target->pending_requests = g_ptr_array_new ();
+  target->delayed_replies = g_ptr_array_new ();
   target_state_init (&target->state, now_ms (), 1.0);
   target->state.observer
       = (struct target_observer){ on_run_start, on_run_end, on_end_acknowledged, target };
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -228,7 +228,7 @@
 {
   const struct fl_target_calls *calls = fl_forwarder_calls (host->forwarder);
   struct fl_heartbeat_order order
-      = { fl_name_of ("t1"), fl_name_of ("1.2.3.4:5"), 7, 5000, 8, 300 };
+      = { fl_name_of ("t1"), fl_name_of ("1.2.3.4:5"), 7, 5000, 8, 300, 300 };
   struct order_outcome outcome = { 0 };
 
   calls->heartbeat (calls->context, &order, record_outcome, &outcome);
