Starts and stops: late replies count, and limits follow the time that replies take

What callers saw: with replies of 200 ms or more, no task of over 0.8 s was ever done. Its start counted as without a reply after 200 ms, was sent again three times with the same limit, and then the run was stopped and started elsewhere. From 1,500 ms on nothing started, since the deadline by a clock that is as old as the reply had passed on arrival.

Cause: fixed limits (200 ms for starts, 700 ms for stops); the reply to the one order was thrown away and the order sent again with the same limit. The deadline of a start did not allow for the age of the clock.

Change: starts and stops carry a limit of the target's estimate, 200 and 700 ms at least, which doubles after a start without a reply. A reply that says that the run is there, or has ended, counts until 2 s after the order; a rejection does not, since the order may have been repeated. The deadline of a start is later by what the limit is above the usual one, and no later than a lease.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -532,7 +532,7 @@
     wait_ms = HEARTBEAT_WAIT_THROTTLED_MS;
   /* The lease is by a clock that was read one reply ago, and has to outlast two heartbeats without
    * a reply and a slow one. */
-  if (target->heartbeat_limit_ms > CORE_HEARTBEAT_LIMIT_MS)
+  if (target->heartbeat_limit_ms > FL_HEARTBEAT_LIMIT_MS)
     wait_ms = CLAMP (target->core->options.target_lease_ms - 3 * target->heartbeat_limit_ms
                          - FL_REPLY_MAX_MS,
                      0, wait_ms);
@@ -564,7 +564,7 @@
   core->now_ms = MAX (core->now_ms, now_ms);
   target->heartbeat_wait_ms = 0;
   target->heartbeat_limit_ms
-      = core_reply_time_limit_ms (&target->reply_time, CORE_HEARTBEAT_LIMIT_MS);
+      = core_reply_time_limit_ms (&target->reply_time, FL_HEARTBEAT_LIMIT_MS);
   target->address_changed = false;
   *order = (struct fl_heartbeat_order){
     .target = target->entry.id,
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -25,7 +25,8 @@
 /* Callbacks for the orders of the core. An order and what it points to are valid during the
  * callback only. The caller reports the outcome of each start and stop with
  * fl_core_handle_start_reply or fl_core_handle_stop_reply, but not before the core function that
- * issued the order has returned. */
+ * issued the order has returned. When the limit of an order is over, the outcome is
+ * FL_ORDER_NO_REPLY; FL_ORDER_DONE or FL_ORDER_STALE_RUN may follow when the reply arrives. */
 struct fl_core_actions
 {
   void (*start) (void *context, const struct fl_start_order *order);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -346,10 +346,6 @@
 /* Whether @job is expected to miss its latency objective, by the mean run time of its queue. */
 bool core_job_is_late (const struct core_job *job);
 
-/* The shortest limit of the reply to a heartbeat. A target replies at the latest when the wait is
- * over. */
-#define CORE_HEARTBEAT_LIMIT_MS 300
-
 /* --- runs.c --- */
 
 /* Creates run @number of @task on @target and charges its resources to the target and the team. */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -12,7 +12,7 @@
  * Forwarded heartbeats have a longer limit. */
 #define REPLY_SLACK_MS 200
 /* A target that has replied within this after the wait has not restarted since the reply. */
-#define BOOT_CERTAIN_MS (CORE_HEARTBEAT_LIMIT_MS + REPLY_SLACK_MS)
+#define BOOT_CERTAIN_MS (FL_HEARTBEAT_LIMIT_MS + REPLY_SLACK_MS)
 /* Consecutive failures, of at least two jobs, after which a target is quarantined. */
 #define QUARANTINE_FAILURES_MIN 3
 
@@ -236,6 +236,7 @@
     .task = row->task,
     .run = row->run,
     .fencing_token = target->fencing_token,
+    .reply_limit_ms = core_reply_time_limit_ms (&target->reply_time, FL_STOP_LIMIT_MS),
   };
 
   target->stale_runs++;
@@ -473,7 +474,7 @@
 static bool
 is_reply_outdated (const struct core_target *target, int64_t sent_ms, int64_t now_ms)
 {
-  int64_t limit_ms = MAX (target->heartbeat_limit_ms, CORE_HEARTBEAT_LIMIT_MS);
+  int64_t limit_ms = MAX (target->heartbeat_limit_ms, FL_HEARTBEAT_LIMIT_MS);
 
   return now_ms - sent_ms > target->heartbeat_wait_ms + limit_ms + REPLY_SLACK_MS;
 }
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -3,8 +3,9 @@
 
 #include "core/core_internal.h"
 
-/* A target rejects a start order that arrives later than this. The deadline limits how long an
- * order that is delayed in transit can still take effect. Each attempt has a new deadline. */
+/* A target that replies promptly rejects a start order that arrives later than this. The deadline
+ * limits how long an order that is delayed in transit can still take effect. Each attempt has a new
+ * deadline. */
 #define START_DEADLINE_MS 1500
 #define START_ATTEMPTS_MAX 4
 /* An unconfirmed stop is resent after this. */
@@ -99,24 +100,36 @@
   g_ptr_array_remove_fast (run->target->runs, run);
 }
 
+/* How long a start order to @target may take effect. The clock of the target is known from a reply,
+ * which was on its way for some time. */
+static int64_t
+start_deadline_ms (const struct core_target *target, int64_t reply_limit_ms)
+{
+  return MIN (START_DEADLINE_MS + reply_limit_ms - FL_START_LIMIT_MS,
+              MAX (START_DEADLINE_MS, target->core->options.target_lease_ms));
+}
+
 void
 core_run_order_start (struct core_run *run, const char *ticket)
 {
   struct core_job *job = run->task->step->job;
   struct fl_core *core = job->core;
   struct core_target *target = run->target;
+  int64_t reply_limit_ms = core_reply_time_limit_ms (&target->reply_time, FL_START_LIMIT_MS);
+  int64_t deadline_ms = start_deadline_ms (target, reply_limit_ms);
   struct fl_start_order order = {
     .target = target->entry.id,
     .address = target->entry.address,
     .task = core_task_name (run->task),
     .run = run->number,
     .fencing_token = target->fencing_token,
-    .deadline_ms = core_target_clock_ms (target, core->now_ms) + START_DEADLINE_MS,
+    .deadline_ms = core_target_clock_ms (target, core->now_ms) + deadline_ms,
     .payload = fl_str_text (&job->spec.text),
     .payload_len = job->spec.text.len,
     .checkpoint = fl_str_text (&run->task->checkpoint),
     .ticket = ticket,
     .is_repeated = run->inconclusive_starts > 0,
+    .reply_limit_ms = MIN (reply_limit_ms << run->inconclusive_starts, FL_REPLY_MAX_MS),
   };
 
   if (!core_step_records_targets (run->task->step))
@@ -131,7 +144,7 @@
     run->first_ordered_at_ms = core->now_ms;
   run->progressed_at_ms = core->now_ms;
   target->next_expiry_check_ms = 0;
-  core_target_extend_lease (target, core->now_ms, START_DEADLINE_MS);
+  core_target_extend_lease (target, core->now_ms, deadline_ms);
   if (!job->started)
     {
       job->started = true;
@@ -168,6 +181,7 @@
     .task = core_task_name (run->task),
     .run = run->number,
     .fencing_token = run->target->fencing_token,
+    .reply_limit_ms = core_reply_time_limit_ms (&run->target->reply_time, FL_STOP_LIMIT_MS),
   };
 }
 
--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -21,7 +21,7 @@
 /* The distributor waits this long for further results before it returns those that it has. */
 #define RESULTS_DELAY_MS 10
 /* A batch times out later than its starts do on the distributor. */
-#define BATCH_TIMEOUT_MS (FORWARD_START_TIMEOUT_MS + FORWARD_SLACK_MS)
+#define BATCH_SLACK_MS (2 * FORWARD_SLACK_MS)
 
 /* A start that waits for the end of the tick, or is in a batch. */
 struct queued_start
@@ -39,6 +39,7 @@
   struct fl_name peer_address;
   int64_t sent_ms;
   ev_timer timeout;
+  int64_t late_ms; /* how long results still count after the timeout; 0 once that has passed */
   size_t count;
   size_t unfinished;
   char *payload;
@@ -138,10 +139,18 @@
   struct fl_forwarder *forwarder = batch->forwarder;
   struct fl_name address = batch->peer_address;
   int64_t sent_ms = batch->sent_ms;
+  int64_t late_ms = batch->late_ms;
 
-  (void)loop;
   (void)events;
-  end_batch (forwarder->batches, batch);
+  batch->late_ms = 0;
+  if (late_ms > 0)
+    {
+      ev_timer_set (timer, (double)late_ms / 1000.0, 0.0);
+      ev_timer_start (loop, timer);
+    }
+  else
+    end_batch (forwarder->batches, batch);
+  /* Ends the batch if the peer has been silent. */
   forward_handle_timeout (forwarder, &address, sent_ms);
 }
 
@@ -214,6 +223,16 @@
     }
 }
 
+static int64_t
+longest_limit_ms (const struct queued_start *starts, size_t count)
+{
+  int64_t limit_ms = FL_START_LIMIT_MS;
+
+  for (size_t i = 0; i < count; i++)
+    limit_ms = MAX (limit_ms, starts[i].order.reply_limit_ms);
+  return limit_ms;
+}
+
 /* Sends @count queued starts, which have the same payload and whose targets are served by available
  * peers, through one peer. @return false when they are not sent. */
 static bool
@@ -222,6 +241,7 @@
   struct fl_forwarder *forwarder = batches->forwarder;
   const struct forward_peer *peer = choose_distributor (forwarder, &starts[0].order);
   struct fl_forward_start rows[BATCH_STARTS_MAX];
+  int64_t limit_ms = longest_limit_ms (starts, count);
   struct outgoing_batch *batch;
 
   if (peer == NULL || !forwarder->options.may_send (forwarder->options.context))
@@ -241,11 +261,13 @@
                                     .number = message.number,
                                     .peer_address = peer->address,
                                     .sent_ms = fl_clock_boot_ms (),
+                                    .late_ms = FORWARD_LATE_MS (limit_ms),
                                     .count = count,
                                     .unfinished = count,
                                     .starts = g_memdup2 (starts, count * sizeof starts[0]) };
   copy_strings (batch);
-  ev_timer_init (&batch->timeout, on_batch_timeout, BATCH_TIMEOUT_MS / 1000.0, 0.0);
+  ev_timer_init (&batch->timeout, on_batch_timeout, (double)(limit_ms + BATCH_SLACK_MS) / 1000.0,
+                 0.0);
   batch->timeout.data = batch;
   ev_timer_start (forwarder->options.loop, &batch->timeout);
   g_hash_table_insert (batches->outgoing, &batch->number, batch);
@@ -427,8 +449,8 @@
   else if (row->peer.len == 0)
     calls->start (calls->context, &order, on_distributed_start_done, start);
   else if (!forwarder->options.connect (forwarder->options.context, &row->peer)
-           || !forward_send (forwarder, &row->peer, &forwarded, FORWARD_START_TIMEOUT_MS, 0,
-                             on_distributed_start_done, start))
+           || !forward_send (forwarder, &row->peer, &forwarded, FORWARD_START_TIMEOUT_MS,
+                             FORWARD_LATE_MS (FL_START_LIMIT_MS), on_distributed_start_done, start))
     on_distributed_start_done (start, &not_sent);
 }
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -7,8 +7,7 @@
 #include "common/clock.h"
 #include "forward/forward_internal.h"
 
-/* Forwarding hosts wait for the reply of a target at most 700 ms after a stop or a throttle order.
- */
+/* Forwarding hosts wait for the reply of a target at most 700 ms after a throttle order. */
 #define ORDER_TIMEOUT_MS (700 + FORWARD_SLACK_MS)
 /* Interval of the pings to unavailable peers. */
 #define PING_INTERVAL_MS 1000
@@ -238,6 +237,7 @@
     .payload = { order->payload_len, (char *)order->payload },
     .checkpoint = { strlen (order->checkpoint), (char *)order->checkpoint },
     .ticket = fl_name_of (order->ticket),
+    .wait_ms = order->reply_limit_ms,
   };
 }
 
@@ -249,9 +249,11 @@
 {
   const struct fl_target_calls *direct = forwarder->options.direct;
   struct fl_forward_message message = forward_start_message (order);
+  int64_t limit_ms = MAX (order->reply_limit_ms, FL_START_LIMIT_MS);
 
   if (!forwarder->options.may_send (forwarder->options.context)
-      || !forward_order (forwarder, &message, FORWARD_START_TIMEOUT_MS, 0, done, done_context))
+      || !forward_order (forwarder, &message, limit_ms + FORWARD_SLACK_MS,
+                         FORWARD_LATE_MS (limit_ms), done, done_context))
     direct->start (direct->context, order, done, done_context);
 }
 
@@ -298,8 +300,10 @@
   struct fl_forwarder *forwarder = context;
   const struct fl_target_calls *direct = forwarder->options.direct;
   struct fl_forward_message message = make_run_message (FL_FORWARD_STOP, order);
+  int64_t limit_ms = MAX (order->reply_limit_ms, FL_STOP_LIMIT_MS);
 
-  if (!forward_order (forwarder, &message, ORDER_TIMEOUT_MS, 0, done, done_context))
+  if (!forward_order (forwarder, &message, limit_ms + FORWARD_SLACK_MS, FORWARD_LATE_MS (limit_ms),
+                      done, done_context))
     direct->stop (direct->context, order, done, done_context);
 }
 
@@ -326,6 +330,7 @@
 {
   struct fl_forwarder *forwarder = context;
   const struct fl_target_calls *direct = forwarder->options.direct;
+  int64_t limit_ms = MAX (order->reply_limit_ms, FL_HEARTBEAT_LIMIT_MS);
   struct fl_forward_message message = { .kind = FL_FORWARD_HEARTBEAT,
                                         .target = order->target,
                                         .address = order->address,
@@ -334,9 +339,8 @@
                                         .last_recorded_end = order->last_recorded_end,
                                         .wait_ms = order->wait_ms };
 
-  if (!forward_order (forwarder, &message,
-                      order->wait_ms + order->reply_limit_ms + FORWARD_SLACK_MS,
-                      FL_REPLY_MAX_MS - order->reply_limit_ms, done, done_context))
+  if (!forward_order (forwarder, &message, order->wait_ms + limit_ms + FORWARD_SLACK_MS,
+                      FORWARD_LATE_MS (limit_ms), done, done_context))
     direct->heartbeat (direct->context, order, done, done_context);
 }
 
@@ -415,6 +419,7 @@
     .payload_len = message->payload.len,
     .checkpoint = fl_str_text (&message->checkpoint),
     .ticket = message->ticket.data,
+    .reply_limit_ms = message->wait_ms,
   };
 
   calls->start (calls->context, &order, on_order_done, context);
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -9,8 +9,12 @@
 /* An order times out this much later here than on the host that it is sent to: covers two transfers
  * between the hosts and the wait for CPU time on a small host. */
 #define FORWARD_SLACK_MS 150
-/* Forwarding hosts wait at most 200 ms for the reply of a target to a start. */
-#define FORWARD_START_TIMEOUT_MS (200 + FORWARD_SLACK_MS)
+#define FORWARD_START_TIMEOUT_MS (FL_START_LIMIT_MS + FORWARD_SLACK_MS)
+
+/* When an order times out, a reply still counts for so long after @limit_ms_, the limit of the
+ * order.
+ */
+#define FORWARD_LATE_MS(limit_ms_) (FL_REPLY_MAX_MS - (limit_ms_))
 
 struct forward_peer
 {
--- a/lib/forward/message.h
+++ b/lib/forward/message.h
@@ -29,7 +29,7 @@
   int64_t deadline_ms;
   int64_t share_percent;
   int64_t last_recorded_end;
-  int64_t wait_ms;
+  int64_t wait_ms; /* heartbeat: its wait; start: its reply_limit_ms */
   struct fl_str payload;
   struct fl_str checkpoint;
   struct fl_name ticket;
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -114,45 +114,93 @@
 
 /* --- orders --- */
 
+/* Whether a reply to a start or a stop counts after its limit, when the order may have been
+ * repeated: a rejection of one copy does not tell of the others. */
+static bool
+counts_late (const struct fl_order_reply *reply)
+{
+  return reply->result == FL_ORDER_DONE || reply->result == FL_ORDER_STALE_RUN;
+}
+
+/* Handles the reply to a start or a stop, with @handle_reply unless the core was told that there is
+ * none and that stands, and frees @call. */
+static void
+finish_run_order (struct order_call *call,
+                  const char *metric,
+                  const struct fl_order_reply *reply,
+                  void (*handle_reply) (struct fl_core *core,
+                                        const struct fl_name *task,
+                                        int64_t run,
+                                        enum fl_order_result result,
+                                        int64_t now_ms))
+{
+  struct fl_core *core = call->term->core;
+
+  handle_reply_time (call, reply);
+  if (call->is_late)
+    log_late_reply (call, metric, reply);
+  else
+    record_result (call, metric, reply);
+  if (!call->term->ended && !call->is_late)
+    fl_core_handle_clock (core, &call->target, reply->clock_ms);
+  if (!call->term->ended && (!call->is_late || counts_late (reply)))
+    handle_reply (core, &call->id, call->run, reply->result, fl_clock_boot_ms ());
+  order_call_free (call);
+}
+
 static void
 on_start_reply (void *context, const struct fl_order_reply *reply)
 {
-  struct order_call *call = context;
+  finish_run_order (context, "start_ms", reply, fl_core_handle_start_reply);
+}
+
+static void
+on_start_limit (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct order_call *call = timer->data;
 
-  record_result (call, "start_ms", reply);
+  (void)loop;
+  (void)events;
+  call->is_late = true;
+  record_result (call, "start_ms", &no_reply);
   if (!call->term->ended)
-    {
-      fl_core_handle_clock (call->term->core, &call->target, reply->clock_ms);
-      fl_core_handle_start_reply (call->term->core, &call->id, call->run, reply->result,
-                                  fl_clock_boot_ms ());
-    }
-  order_call_free (call);
+    fl_core_handle_start_reply (call->term->core, &call->id, call->run, FL_ORDER_NO_REPLY,
+                                fl_clock_boot_ms ());
 }
 
+/* The first start order of a run may go through two peers. */
 static void
 send_start (void *context, const struct fl_start_order *order)
 {
   struct fl_term *term = context;
   const struct fl_target_calls *calls = term->poold->calls;
+  struct order_call *call
+      = order_call_new (term, &order->task, order->run, &order->target, order->fencing_token);
+  int64_t slack_ms = get_slack_ms (term, &order->target);
 
-  calls->start (
-      calls->context, order, on_start_reply,
-      order_call_new (term, &order->task, order->run, &order->target, order->fencing_token));
+  start_limit (call, order->reply_limit_ms + (order->is_repeated ? slack_ms : 2 * slack_ms),
+               on_start_limit);
+  calls->start (calls->context, order, on_start_reply, call);
 }
 
 static void
 on_stop_reply (void *context, const struct fl_order_reply *reply)
 {
-  struct order_call *call = context;
+  finish_run_order (context, "stop_ms", reply, fl_core_handle_stop_reply);
+}
 
-  record_result (call, "stop_ms", reply);
+static void
+on_stop_limit (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct order_call *call = timer->data;
+
+  (void)loop;
+  (void)events;
+  call->is_late = true;
+  record_result (call, "stop_ms", &no_reply);
   if (!call->term->ended)
-    {
-      fl_core_handle_clock (call->term->core, &call->target, reply->clock_ms);
-      fl_core_handle_stop_reply (call->term->core, &call->id, call->run, reply->result,
-                                 fl_clock_boot_ms ());
-    }
-  order_call_free (call);
+    fl_core_handle_stop_reply (call->term->core, &call->id, call->run, FL_ORDER_NO_REPLY,
+                               fl_clock_boot_ms ());
 }
 
 static void
@@ -160,10 +208,11 @@
 {
   struct fl_term *term = context;
   const struct fl_target_calls *calls = term->poold->calls;
+  struct order_call *call
+      = order_call_new (term, &order->task, order->run, &order->target, order->fencing_token);
 
-  calls->stop (
-      calls->context, order, on_stop_reply,
-      order_call_new (term, &order->task, order->run, &order->target, order->fencing_token));
+  start_limit (call, order->reply_limit_ms + get_slack_ms (term, &order->target), on_stop_limit);
+  calls->stop (calls->context, order, on_stop_reply, call);
 }
 
 static void
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -18,6 +18,12 @@
  * reply that arrives later still counts, until this long after the order, or after the wait that a
  * heartbeat permits. */
 #define FL_REPLY_MAX_MS 2000
+/* The usual limit of a start: urgent tasks have to start within a few hundred milliseconds, and a
+ * start can be repeated, since it is idempotent. */
+#define FL_START_LIMIT_MS 200
+/* The same for stops, and for heartbeats after the wait. */
+#define FL_STOP_LIMIT_MS 700
+#define FL_HEARTBEAT_LIMIT_MS 300
 /* Most labels of one target. */
 #define FL_TARGET_LABELS_MAX 8
 
@@ -71,6 +77,7 @@
   const char *checkpoint; /* "" for none */
   const char *ticket;     /* "" for none */
   bool is_repeated;       /* an earlier order for this run got no reply */
+  int64_t reply_limit_ms; /* without a reply after this, the order is repeated; 0 for the usual */
 };
 
 struct fl_run_order
@@ -80,7 +87,8 @@
   struct fl_name task;
   int64_t run;
   int64_t fencing_token;
-  int64_t share_percent; /* throttle only: share that the task may use; 100 for no limit */
+  int64_t share_percent;  /* throttle only: share that the task may use; 100 for no limit */
+  int64_t reply_limit_ms; /* stop only: without a reply after this, the order is repeated */
 };
 
 struct fl_heartbeat_order
--- a/tests/test_late_replies.c
+++ b/tests/test_late_replies.c
@@ -25,6 +25,16 @@
   bool is_late;     /* the core was told that there is no reply */
 };
 
+/* A start of the only task, until its reply has arrived. */
+struct start
+{
+  struct fl_start_order order;
+  int64_t reply_ms;
+  int64_t limit_ms; /* when its limit is over */
+  enum fl_order_result result;
+  bool is_late;
+};
+
 struct slow_target
 {
   struct fixture *fixture;
@@ -33,8 +43,12 @@
   bool is_lost;     /* nothing is replied to any more */
   bool in_flight;
   GArray *heartbeats; /* struct heartbeat */
-  int64_t lease_ms;   /* end of its lease */
-  int64_t silent_ms;  /* total time for which it counted as silent */
+  GArray *starts;     /* struct start */
+  guint starts_seen;
+  struct fl_run_row run; /* run is 0 while none runs */
+  int64_t run_from_ms;
+  int64_t lease_ms;  /* end of its lease */
+  int64_t silent_ms; /* total time for which it counted as silent */
   int64_t silent_from_ms;
   int64_t lapsed_ms; /* total time without a lease */
 };
@@ -46,7 +60,8 @@
       = (struct slow_target){ .fixture = fixture_new (0),
                               .id = fl_name_of ("t1"),
                               .delay_ms = delay_ms,
-                              .heartbeats = g_array_new (FALSE, FALSE, sizeof (struct heartbeat)) };
+                              .heartbeats = g_array_new (FALSE, FALSE, sizeof (struct heartbeat)),
+                              .starts = g_array_new (FALSE, FALSE, sizeof (struct start)) };
   add_entry (target->fixture, "t1", 4, false);
 }
 
@@ -54,6 +69,7 @@
 slow_target_clear (struct slow_target *target)
 {
   g_array_unref (target->heartbeats);
+  g_array_unref (target->starts);
   fixture_free (target->fixture);
 }
 
@@ -93,6 +109,12 @@
       = { .booted_at_ms = 1, .clock_ms = heartbeat->sent_ms + heartbeat->order.wait_ms };
   struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &report };
 
+  if (target->run.run > 0 && target->run_from_ms <= report.clock_ms)
+    {
+      target->run.progress_percent = (report.clock_ms - target->run_from_ms) / 200;
+      report.runs = &target->run;
+      report.run_count = 1;
+    }
   fl_core_handle_reply_time (core, &target->id, &reply, heartbeat->sent_ms,
                              heartbeat->order.wait_ms, now_ms);
   if (heartbeat->is_late)
@@ -126,6 +148,58 @@
     }
 }
 
+/* Executes the starts that were ordered since the last call. */
+static void
+execute_starts (struct slow_target *target)
+{
+  struct fixture *fixture = target->fixture;
+
+  for (; target->starts_seen < fixture->start_orders->len; target->starts_seen++)
+    {
+      const struct fl_start_order *order = get_start_order (fixture, target->starts_seen);
+      struct start start = { .order = *order,
+                             .reply_ms = fixture->now_ms + target->delay_ms,
+                             .limit_ms = fixture->now_ms + order->reply_limit_ms };
+      start.result
+          = fixture->now_ms <= order->deadline_ms ? FL_ORDER_DONE : FL_ORDER_DEADLINE_PASSED;
+      if (start.result == FL_ORDER_DONE && target->run.run == 0)
+        {
+          target->run = (struct fl_run_row){ .task = order->task, .run = order->run };
+          target->run_from_ms = fixture->now_ms;
+        }
+      g_array_append_val (target->starts, start);
+    }
+}
+
+static void
+handle_starts (struct slow_target *target)
+{
+  struct fl_core *core = target->fixture->core;
+  int64_t now_ms = target->fixture->now_ms;
+
+  execute_starts (target);
+  for (guint i = target->starts->len; i > 0; i--)
+    {
+      struct start *start = &g_array_index (target->starts, struct start, i - 1);
+      struct fl_order_reply reply = { .result = start->result };
+      if (now_ms >= start->reply_ms)
+        {
+          fl_core_handle_reply_time (core, &target->id, &reply, start->reply_ms - target->delay_ms,
+                                     0, now_ms);
+          if (!start->is_late || start->result == FL_ORDER_DONE)
+            fl_core_handle_start_reply (core, &start->order.task, start->order.run, start->result,
+                                        now_ms);
+          g_array_remove_index_fast (target->starts, i - 1);
+        }
+      else if (!start->is_late && now_ms >= start->limit_ms)
+        {
+          start->is_late = true;
+          fl_core_handle_start_reply (core, &start->order.task, start->order.run, FL_ORDER_NO_REPLY,
+                                      now_ms);
+        }
+    }
+}
+
 /* Lets @ms pass. */
 static void
 pass (struct slow_target *target, int64_t ms)
@@ -136,7 +210,10 @@
     {
       fixture->now_ms += STEP_MS;
       handle_heartbeats (target);
+      handle_starts (target);
       fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+      while (store_records (fixture) > 0)
+        ;
       send_heartbeat (target);
       bool silent = is_silent (target);
       if (silent && target->silent_from_ms == 0)
@@ -187,6 +264,49 @@
   assert_int_equal (failures, 0);
 }
 
+/* A start without a reply within 200 ms was sent again with the same limit, and the run was stopped
+ * after the fourth: from 200 ms on, no task that lasts longer was ever done. */
+static void
+test_run_on_slow_target_is_not_stopped (void **state)
+{
+  static const struct
+  {
+    int64_t before_ms; /* delay of replies in the first 10 s */
+    int64_t delay_ms;  /* when the task is started, and for 10 s after that */
+    guint starts;      /* orders for the run, its first run, at most */
+    guint stops;       /* at most: 1 if the target counts as silent before its first late reply */
+  } cases[] = {
+    { PROMPT_MS, 150, 1, 0 }, { PROMPT_MS, 250, 2, 0 }, { PROMPT_MS, 350, 2, 0 },
+    { PROMPT_MS, 500, 2, 0 }, { PROMPT_MS, 800, 3, 0 }, { PROMPT_MS, 1500, 4, 1 },
+    { 250, 250, 1, 0 },       { 350, 350, 1, 0 },       { 800, 800, 1, 0 },
+    { 1500, 1500, 1, 0 },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct slow_target target;
+      struct fl_step_spec step = { .count = 1, .cpu_milli = 1000, .memory_mb = 1 };
+      slow_target_init (&target, cases[i].before_ms);
+      pass (&target, 10000);
+      target.delay_ms = cases[i].delay_ms;
+      add_job (target.fixture, "00000000000000aa", "urgent", step);
+      pass (&target, 10000);
+      guint starts = target.fixture->start_orders->len;
+      if (target.run.run != 1 || starts > cases[i].starts
+          || target.fixture->stop_orders->len > cases[i].stops)
+        {
+          print_error ("%d ms, then %d ms: %s, %u orders, %u stops\n", (int)cases[i].before_ms,
+                       (int)cases[i].delay_ms, target.run.run == 1 ? "started" : "not started",
+                       starts, target.fixture->stop_orders->len);
+          failures++;
+        }
+      slow_target_clear (&target);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* The limit for a target that has replied promptly stays as it is. */
 static void
 test_prompt_target_is_missed_as_soon_as_before (void **state)
@@ -248,6 +368,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_slow_target_stays_in_use),
+          cmocka_unit_test (test_run_on_slow_target_is_not_stopped),
           cmocka_unit_test (test_prompt_target_is_missed_as_soon_as_before),
           cmocka_unit_test (test_suspension_does_not_widen_limits) };
 
