--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -77,6 +77,7 @@
   poold->term = NULL;
   fl_configuration_watch_pause (&poold->watch);
   fl_stats_set (poold->host->stats, "pool_owned", 0);
+  fl_advisors_orphan_queries (poold->advisors);
   if (term != NULL)
     fl_term_end (term);
 }
@@ -230,8 +231,10 @@
 {
   struct fl_poold *poold = context;
 
-  if (poold->term != NULL)
-    fl_core_dump (poold->term->core, out);
+  if (poold->term == NULL)
+    return;
+  fl_core_dump (poold->term->core, out);
+  fl_advisors_dump (poold->advisors, out);
 }
 
 static void
