--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -25,7 +25,8 @@
 /* Callbacks for the orders of the core. An order and what it points to are valid during the
  * callback only. The caller reports the outcome of each start and stop with
  * fl_core_handle_start_reply or fl_core_handle_stop_reply, but not before the core function that
- * issued the order has returned. */
+ * issued the order has returned. When the limit of an order is over, the outcome is
+ * FL_ORDER_NO_REPLY; FL_ORDER_DONE or FL_ORDER_STALE_RUN may follow when the reply arrives. */
 struct fl_core_actions
 {
   void (*start) (void *context, const struct fl_start_order *order);
@@ -123,7 +124,17 @@
  * that has gone back shows that the target has restarted. */
 void fl_core_handle_clock (struct fl_core *core, const struct fl_name *target, int64_t clock_ms);
 
-/* Handles the reply to a heartbeat that was sent at @sent_ms. */
+/* Handles how long @reply took to an order to @target that was sent at @sent_ms and permitted a
+ * wait of @wait_ms, however late it is. */
+void fl_core_handle_reply_time (struct fl_core *core,
+                                const struct fl_name *target,
+                                const struct fl_order_reply *reply,
+                                int64_t sent_ms,
+                                int64_t wait_ms,
+                                int64_t now_ms);
+
+/* Handles the reply to a heartbeat that was sent at @sent_ms, or its lack when the limit is over.
+ */
 void fl_core_handle_heartbeat_reply (struct fl_core *core,
                                      const struct fl_name *target,
                                      const struct fl_order_reply *reply,
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -14,6 +14,16 @@
  * raises the token of a target with each boot of it, since a boot does not know the tokens that
  * earlier boots have seen. The next owner's tokens are higher. */
 #define FL_FENCING_TOKENS_PER_OWNER 100
+/* The callers of struct fl_target_calls repeat an order that has no reply when its limit is over. A
+ * reply that arrives later still counts, until this long after the order, or after the wait that a
+ * heartbeat permits. */
+#define FL_REPLY_MAX_MS 2000
+/* The usual limit of a start: urgent tasks have to start within a few hundred milliseconds, and a
+ * start can be repeated, since it is idempotent. */
+#define FL_START_LIMIT_MS 200
+/* The same for stops, and for heartbeats after the wait. */
+#define FL_STOP_LIMIT_MS 700
+#define FL_HEARTBEAT_LIMIT_MS 300
 /* Most labels of one target. */
 #define FL_TARGET_LABELS_MAX 8
 
@@ -67,6 +77,7 @@
   const char *checkpoint; /* "" for none */
   const char *ticket;     /* "" for none */
   bool is_repeated;       /* an earlier order for this run got no reply */
+  int64_t reply_limit_ms; /* without a reply after this, the order is repeated; 0 for the usual */
 };
 
 struct fl_run_order
@@ -76,7 +87,8 @@
   struct fl_name task;
   int64_t run;
   int64_t fencing_token;
-  int64_t share_percent; /* throttle only: share that the task may use; 100 for no limit */
+  int64_t share_percent;  /* throttle only: share that the task may use; 100 for no limit */
+  int64_t reply_limit_ms; /* stop only: without a reply after this, the order is repeated */
 };
 
 struct fl_heartbeat_order
@@ -87,6 +99,7 @@
   int64_t deadline_ms;       /* new expiry of the lease on the target's clock; 0 for no change */
   int64_t last_recorded_end; /* the target may forget ends up to this number: they are recorded */
   int64_t wait_ms;           /* how long the target may wait for an end before it replies */
+  int64_t reply_limit_ms;    /* the heartbeat counts as lost this long after the wait */
 };
 
 /* One run on a target. */
