Heartbeats: a slow report acknowledges no end

Found by the review of the limits of heartbeats: a report is now used however late it comes, and the next heartbeat acknowledged ends by number although the target may have restarted within the round trip, so that an end of the next boot that nobody had read could be forgotten, and its task run again. A report that came over 0.5 s after the wait acknowledges nothing; the lease was handled already. A target that is that slow all the time lists its ends until it is prompt again.

test_slow_report_acknowledges_no_end, with the acknowledgement as before (trial), fails at 700 ms.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -579,7 +579,8 @@
   if (target->clock_at_ms == 0 || target->silent || target->clock_went_back
       || (core->jobs_known && !boot_is_valid))
     return true;
-  order->last_recorded_end = target->last_recorded_end;
+  /* An end number is valid for one boot: it may restart in the time that a slow reply takes. */
+  order->last_recorded_end = target->report_was_slow ? 0 : target->last_recorded_end;
   order->deadline_ms = core_target_clock_ms (target, now_ms) + core->options.target_lease_ms;
   /* Reports are needed as soon as the jobs are known: no heartbeat then waits for an end. */
   order->wait_ms = core->jobs_known && target->is_fenced ? heartbeat_wait_ms (target) : 0;
--- a/tests/test_late_replies.c
+++ b/tests/test_late_replies.c
@@ -50,7 +50,9 @@
   int64_t lease_ms;  /* end of its lease */
   int64_t silent_ms; /* total time for which it counted as silent */
   int64_t silent_from_ms;
-  int64_t lapsed_ms; /* total time without a lease */
+  int64_t lapsed_ms;        /* total time without a lease */
+  bool has_end;             /* its reports list an end, number 1 */
+  int64_t acknowledged_end; /* by the last heartbeat */
 };
 
 static void
@@ -96,6 +98,7 @@
   if (!target->is_lost)
     target->lease_ms = MAX (target->lease_ms, heartbeat.order.deadline_ms);
   target->in_flight = true;
+  target->acknowledged_end = heartbeat.order.last_recorded_end;
   g_array_append_val (target->heartbeats, heartbeat);
 }
 
@@ -108,7 +111,13 @@
   struct fl_target_report report
       = { .booted_at_ms = 1, .clock_ms = heartbeat->sent_ms + heartbeat->order.wait_ms };
   struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &report };
+  struct fl_end_row end = { .number = 1, .task = fl_name_of ("gone.0.0.0"), .run = 1 };
 
+  if (target->has_end)
+    {
+      report.ends = &end;
+      report.end_count = 1;
+    }
   if (target->run.run > 0 && target->run_from_ms <= report.clock_ms)
     {
       target->run.progress_percent = (report.clock_ms - target->run_from_ms) / 200;
@@ -363,6 +372,36 @@
   slow_target_clear (&target);
 }
 
+/* With reports that were used however late they came, a heartbeat could acknowledge an end of the
+ * next boot of its target, which nobody had read. */
+static void
+test_slow_report_acknowledges_no_end (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t delay_ms;
+    int64_t acknowledged_end;
+  } cases[] = { { "prompt", PROMPT_MS, 1 }, { "400 ms", 400, 1 }, { "700 ms", 700, 0 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct slow_target target;
+
+      slow_target_init (&target, cases[i].delay_ms);
+      target.has_end = true;
+      pass (&target, 10000);
+      if (target.acknowledged_end != cases[i].acknowledged_end)
+        fail_msg ("%s: end %d acknowledged", cases[i].name, (int)target.acknowledged_end);
+      /* Once the target is prompt, it is. */
+      target.delay_ms = PROMPT_MS;
+      pass (&target, 5000);
+      assert_int_equal (target.acknowledged_end, 1);
+      slow_target_clear (&target);
+    }
+}
+
 int
 main (void)
 {
@@ -370,7 +409,8 @@
       = { cmocka_unit_test (test_slow_target_stays_in_use),
           cmocka_unit_test (test_run_on_slow_target_is_not_stopped),
           cmocka_unit_test (test_prompt_target_is_missed_as_soon_as_before),
-          cmocka_unit_test (test_suspension_does_not_widen_limits) };
+          cmocka_unit_test (test_suspension_does_not_widen_limits),
+          cmocka_unit_test (test_slow_report_acknowledges_no_end) };
 
   return cmocka_run_group_tests_name ("late replies", tests, NULL, NULL);
 }
