Ownership: replies count until the lease that they confirm expires

With replies 800 ms late, no host could own the pool: renewals, acquisitions and reads of standbys were given up after 700 ms and repeated with the same timeout, although a renewal confirmed 800 ms after it was sent gives 400 ms of authority, and a late read tells as much as an early one. Seen with real processes (trial: 3 hosts, 800 ms, 10 to 14 s): 0 of 38 accepted jobs started; after the owner was killed, no owner until the span ended.

A call now times out when its reply can give no authority any more (the lease of 1,200 ms, a true bound). A standby sends a read each 430 ms as before, with up to three in flight, so that silence costs no more than it did. A read without a reply for 700 ms still counts as failed where the question is whether the store was unavailable: without that, test_outage_for_all_keeps_owner failed.

test_replies_late_for_good (virtual clock, owner dies at 10 of 20 s): share of time with authority at 800, 900 and 1,100 ms: 0 % before, 76, 71 and 27 % after; 81 to 86 % at 300 to 650 ms, before and after.

--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -15,7 +15,8 @@
  * row. A store that is 60 times slower than usual (0.3 s per reply) still replies in time. */
 #define LEASE_MS 1200
 #define RENEWAL_INTERVAL_MS 250
-#define RENEWAL_TIMEOUT_MS 700
+/* A reply gives authority until the lease expires that it confirms. */
+#define RENEWAL_TIMEOUT_MS LEASE_MS
 #define RENEWAL_RETRY_MS 100
 /* A standby treats the lease as expired when its row has not changed for this long: LEASE_MS plus a
  * margin for clocks whose rates differ by 2 %. */
@@ -26,12 +27,17 @@
 #define RESTARTED_OWNER_POLL_MS 100
 /* Poll interval of a host that lets better suited hosts acquire the pool before it does. */
 #define LOW_PRIORITY_POLL_MS 800
-#define READ_TIMEOUT_MS 700
+/* A late read is as good as an early one: the wait for the expiry of a lease ends with the sending
+ * of a read. */
+#define READ_TIMEOUT_MS 1200
+/* After this long without a reply, a read counts as failed where the question is whether the store
+ * was unavailable. */
+#define READ_OVERDUE_MS 700
 /* A standby's call without a reply for this long is followed by a read: one lost reply costs less
  * than the timeout. It is above the 0.3 s of a store that is 60 times slower than usual, and above
  * the 400 ms after which the path to the store counts as failed, so that the read takes another. */
 #define HEDGE_DELAY_MS 430
-#define STANDBY_CALLS_MAX 2
+#define STANDBY_CALLS_MAX 3
 /* Longest time between two successful reads, with failed ones between them, in which the owner is
  * known to have had the time for a renewal: an outage of the store for all hosts that is not longer
  * ends early enough for a renewal, its interval and the calls, before the lease counts as expired.
@@ -130,6 +136,7 @@
   int64_t lease_unchanged_since_ms; /* first read of seen_lease_version; 0 for none */
   int64_t last_read_ms;             /* last successful read */
   int failed_reads;                 /* since then */
+  int64_t first_read_ms;            /* when the first read since then was sent; 0 for none */
   int64_t lease_seen_renewed_ms;    /* last read that showed a change of the lease; 0 for none */
   bool release_repeated;
   void (*release_done) (void *context);
@@ -249,6 +256,7 @@
   ownership->lease_unchanged_since_ms = 0;
   ownership->seen_lease_version = 0;
   ownership->calls_in_flight = 0;
+  ownership->first_read_ms = 0;
   schedule_call (ownership, STANDBY_POLL_MS);
   if (was_owner)
     ownership->options.on_lost (ownership->options.context);
@@ -540,8 +548,10 @@
 end_read_gap (struct fl_ownership *ownership)
 {
   int64_t gap_ms = now_ms (ownership) - ownership->last_read_ms;
+  bool has_failed = ownership->failed_reads > 0
+                    || now_ms (ownership) - ownership->first_read_ms >= READ_OVERDUE_MS;
 
-  if (ownership->failed_reads > 0 && gap_ms > READ_GAP_MAX_MS)
+  if (has_failed && gap_ms > READ_GAP_MAX_MS)
     {
       fl_log (ownership->options.log, FL_LOG_INFO, "standby_wait_restarted",
               FL_I ("waited_ms", ownership->lease_unchanged_since_ms > 0
@@ -551,6 +561,7 @@
       ownership->lease_unchanged_since_ms = 0;
     }
   ownership->failed_reads = 0;
+  ownership->first_read_ms = 0;
   ownership->last_read_ms = now_ms (ownership);
 }
 
@@ -601,6 +612,8 @@
 {
   const struct fl_store *store = ownership->options.store;
 
+  if (ownership->first_read_ms == 0)
+    ownership->first_read_ms = now_ms (ownership);
   store->read (store->context, FL_OWNER_TABLE, FL_PARTITION_OWNER, "", "", READ_TIMEOUT_MS,
                on_read_reply, standby_call_new (ownership));
 }
--- a/tests/support_ownership.c
+++ b/tests/support_ownership.c
@@ -184,6 +184,10 @@
   bool gets_reply = fault != CALL_LOST && fault != CALL_REPLY_LOST && fault != CALL_APPLIED_LATE
                     && fault != CALL_REPLY_LOST_TWICE;
 
+  int64_t reply_delay_ms = simulation->options->reply_delay_ms > 0
+                               ? simulation->options->reply_delay_ms
+                               : ELECTION_REPLY_DELAY_MS;
+
   host->loses_next_call = host->loses_next_call || fault == CALL_REPLY_LOST_TWICE;
   call->host = host;
   call->caller = host->ownership;
@@ -199,7 +203,12 @@
     call->apply_at_ms = -1;
   if (fault == CALL_APPLIED_LATE && type != ELECTION_READ)
     call->apply_at_ms = simulation->now_ms + LATE_APPLY_DELAY_MS;
-  call->reply_at_ms = simulation->now_ms + (gets_reply ? ELECTION_REPLY_DELAY_MS : timeout_ms);
+  if (reply_delay_ms > timeout_ms)
+    {
+      gets_reply = false;
+      call->status = FL_STORE_UNKNOWN;
+    }
+  call->reply_at_ms = simulation->now_ms + (gets_reply ? reply_delay_ms : timeout_ms);
   if (fault == CALL_REPLY_LATE)
     call->reply_at_ms = simulation->now_ms + LATE_REPLY_DELAY_MS;
   g_ptr_array_add (simulation->calls, call);
@@ -441,6 +450,8 @@
         && simulation->hosts[i].paused_until_ms <= simulation->now_ms)
       fl_ownership_tick (simulation->hosts[i].ownership);
   record_heartbeats (simulation);
+  if (count_hosts_with_authority (simulation) > 0)
+    simulation->result->authority_ms += TICK_INTERVAL_MS;
   if (count_hosts_with_authority (simulation) > 1)
     record_violation (simulation, "two hosts have authority");
 }
--- a/tests/support_ownership.h
+++ b/tests/support_ownership.h
@@ -79,6 +79,7 @@
   const struct call_fault *call_faults;
   size_t call_fault_count;
   struct store_outage outage;                    /* none if it is empty */
+  int64_t reply_delay_ms;                        /* of all calls; 0 for ELECTION_REPLY_DELAY_MS */
   int64_t acquire_delays_ms[ELECTION_HOSTS_MAX]; /* see struct fl_ownership_options */
   int clock_errors[ELECTION_HOSTS_MAX];          /* of the hosts' clocks, in thousandths */
 };
@@ -97,6 +98,7 @@
   char violation[128];      /* the first one, with its time; empty if there is none */
   int64_t last_acquisition; /* number of the last acquisition, by its token */
   int with_authority;       /* hosts that have authority in the end */
+  int64_t authority_ms;     /* for how long in all a host has had authority */
   int64_t last_loss_ms;     /* when a host last lost the pool; 0 for never */
   struct acquisition acquisitions[ELECTION_ACQUISITIONS_MAX]; /* by number; at_ms is 0 for none */
   int64_t last_heartbeat_ms[ELECTION_HOSTS_MAX];      /* when an owner last sent heartbeats */
--- a/tests/test_ownership_faults.c
+++ b/tests/test_ownership_faults.c
@@ -217,6 +217,42 @@
       }
 }
 
+/* Replies that came within the lease, but later than a fixed timeout of 700 ms, were thrown away:
+ * no host ever acquired the pool, and the owner lost its authority. */
+static void
+test_replies_late_for_good (void **state)
+{
+  static const struct
+  {
+    int64_t delay_ms;
+    int64_t
+        least_percent; /* of the time for which a host has authority, before and after a death */
+  } cases[] = { { 300, 60 }, { 500, 60 }, { 650, 60 }, { 800, 50 }, { 900, 50 }, { 1100, 20 } };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const int interval = 10000 / ELECTION_FAULT_INTERVAL_MS;
+      const struct fault death = { HOST_DEAD, interval * 2 };
+      const struct election_options options = { .host_count = 2,
+                                                .duration_ms = 20000,
+                                                .faults = &death,
+                                                .fault_count = 1,
+                                                .acquire_delays_ms = { 0, 0 },
+                                                .reply_delay_ms = cases[i].delay_ms };
+      struct election_result result;
+      election_simulate (&options, &result);
+      int64_t percent = result.authority_ms * 100 / options.duration_ms;
+      printf ("  replies after %d ms: authority for %d %% of the time, %d acquisitions\n",
+              (int)cases[i].delay_ms, (int)percent, (int)result.last_acquisition);
+      assert_string_equal (result.violation, "");
+      if (percent < cases[i].least_percent || result.last_acquisition < 2)
+        failures++;
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* Calls to the store are priced. */
 static void
 test_calls_without_faults (void **state)
@@ -245,6 +281,7 @@
     cmocka_unit_test (test_outage_for_all_keeps_owner),
     cmocka_unit_test (test_succession_without_other_faults),
     cmocka_unit_test (test_lost_renewals),
+    cmocka_unit_test (test_replies_late_for_good),
     cmocka_unit_test (test_calls_without_faults),
   };
 
