--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -8,18 +8,27 @@
 
 #include "core/core_internal.h"
 
+/* A step of which no task has been started for this long may be queried about targets that queries
+ * of other steps are charged for. */
+#define CONTENDED_WAIT_MS 1000
+/* Tasks of such a step that have to fit on a target beside what runs there. */
+#define CONTENDED_TASKS_MIN 2
 /* A ticket is not used if it expires within this time, which an order may take to arrive. */
 #define TICKET_MARGIN_MS 150
 /* Lower bound of the eligible share of a queue. It limits how many targets are queried per task. */
 #define ELIGIBLE_SHARE_MIN 0.1
-/* Weight of one reply in the moving average of the eligible share. */
-#define ELIGIBLE_SHARE_WEIGHT 0.1
+/* Least weight of one reply in the moving average of the eligible share. The first replies weigh as
+ * much as in a mean of all. */
+#define ELIGIBLE_SHARE_WEIGHT_MIN 0.1
 /* Ratio of queried to needed capacity. The surplus makes up for eligible targets whose capacity is
  * taken before the reply arrives. */
 #define QUERY_SURPLUS 1.3
-/* By how many standard deviations of the eligible capacity a query exceeds the need. A further
- * query takes as long as some seventy further targets in the first one. */
+/* By how many standard deviations of the eligible capacity a query exceeds the need. A gang needs
+ * all of it: where some is missing, none of its tasks is started. */
 #define QUERY_DEVIATIONS 1.0
+#define GANG_QUERY_DEVIATIONS 2.0
+/* Probability that a query finds no eligible target, and the step waits for another one. */
+#define NONE_ELIGIBLE_MAX 0.02
 
 /* Size of the sample of targets from which those of a query are chosen. */
 #define CANDIDATES_MAX 240
@@ -83,56 +92,99 @@
   return 0;
 }
 
-/* Appends @target to @candidates if @step fits there and advice on it may help.
- * @return whether the step fits there. */
+/* Targets on which a step fits, without those that are known not to be eligible. */
+struct candidates
+{
+  GArray *rows;          /* struct candidate: those of which advice may help */
+  int64_t task_capacity; /* of these, and of targets with a valid ticket */
+  bool fits_anywhere;
+  bool is_sample; /* not all targets have been looked at */
+};
+
+/* Whether @step waits while queries of other steps, one after the other, are charged for the same
+ * free targets. Each of these may find that its step is not eligible there. */
 static bool
-add_candidate (struct core_step *step, struct core_target *target, double share, GArray *candidates)
+is_contended (const struct core_step *step)
+{
+  return step->unplaced_since_ms > 0
+         && step->job->core->now_ms - step->unplaced_since_ms >= CONTENDED_WAIT_MS;
+}
+
+/* @return for how many tasks of @step a query about @target is worth while. */
+static int64_t
+count_queried_tasks (const struct core_step *step, const struct core_target *target)
+{
+  int64_t untaken = core_target_task_capacity (target, step, true);
+
+  if (untaken > 0 || !is_contended (step))
+    return untaken;
+  int64_t fitting = core_target_task_capacity (target, step, false);
+  return fitting >= CONTENDED_TASKS_MIN ? fitting : 0;
+}
+
+/* Adds @target to @candidates if @step fits there. */
+static void
+add_candidate (struct core_step *step,
+               struct core_target *target,
+               double share,
+               struct candidates *candidates)
 {
   struct candidate candidate = { .target = target };
   const struct core_advice *advice;
 
-  candidate.task_capacity = core_target_task_capacity (target, step, true);
+  candidate.task_capacity = count_queried_tasks (step, target);
   if (candidate.task_capacity == 0)
-    return false;
+    return;
+  candidates->fits_anywhere = true;
   advice = find_advice (step, target);
-  if (advice != NULL && (!advice->eligible || core_advice_ticket (step, target) != NULL))
-    return true;
+  if (advice != NULL && !advice->eligible)
+    return;
+  candidates->task_capacity += candidate.task_capacity;
+  if (core_advice_ticket (step, target) != NULL)
+    return;
   candidate.eligible_probability = advice != NULL ? 1.0 : share;
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
   candidate.free_cpu_milli = target->entry.resources.cpu_milli - target->used.cpu_milli
                              - target->best_effort_cpu_milli - target->tentative_cpu_milli;
-  g_array_append_val (candidates, candidate);
-  return true;
+  g_array_append_val (candidates->rows, candidate);
 }
 
 /* Collects targets that a query may contain, best first. A step without a preferred rack looks at a
  * sample only: of hundreds of targets, the best of a sample are about as good as the best of all.
  */
-static GArray *
+static struct candidates
 collect_candidates (struct core_step *step, double share)
 {
-  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  struct candidates candidates = { .rows = g_array_new (FALSE, FALSE, sizeof (struct candidate)) };
   struct fl_core *core = step->job->core;
   guint target_count = core->target_list->len;
-  bool fits_anywhere = false;
   guint seen = 0;
 
-  for (; seen < target_count && (step->spec->rack.len > 0 || candidates->len < CANDIDATES_MAX);
+  for (; seen < target_count && (step->spec->rack.len > 0 || candidates.rows->len < CANDIDATES_MAX);
        seen++)
     {
       guint position = (core->scan_start + seen) % target_count;
-      fits_anywhere |= add_candidate (step, g_ptr_array_index (core->target_list, position), share,
-                                      candidates);
+      add_candidate (step, g_ptr_array_index (core->target_list, position), share, &candidates);
     }
   if (target_count > 0)
     core->scan_start = (core->scan_start + seen) % target_count;
-  if (!fits_anywhere)
+  candidates.is_sample = seen < target_count;
+  if (!candidates.fits_anywhere && !is_contended (step))
     core_record_vain_search (step, true);
-  g_array_sort (candidates, compare_candidates);
+  g_array_sort (candidates.rows, compare_candidates);
   return candidates;
 }
 
+/* Whether no reply can let a task of @step start: a gang starts as a whole, and needs more than is
+ * free. */
+static bool
+is_in_vain (const struct core_step *step, const struct candidates *candidates)
+{
+  return step->spec->gang && !candidates->is_sample
+         && candidates->task_capacity < step->spec->count;
+}
+
 static void
 add_tentative_cpu (struct core_step *step, const GArray *queried, int64_t cpu_milli)
 {
@@ -145,25 +197,48 @@
     }
 }
 
-/* Chooses as many of @candidates, best first, as are likely to suffice for @waiting tasks.
+/* What a query finds, as far as it can be told before. */
+struct query_forecast
+{
+  double expected_tasks; /* that fit on the eligible ones of its targets */
+  double variance;       /* of expected_tasks */
+  double none_eligible;  /* probability that none of its targets is */
+};
+
+/* Whether a query about @waiting tasks of @step is likely to suffice. After queries in vain, the
+ * probability that another one is in vain has to be lower. */
+static bool
+is_likely_to_suffice (const struct query_forecast *forecast,
+                      const struct core_step *step,
+                      int64_t waiting)
+{
+  double deviations = step->spec->gang ? GANG_QUERY_DEVIATIONS : QUERY_DEVIATIONS;
+  int64_t earlier_queries = step->queries_sent - step->wait_queries_sent
+                            - (step->queries_failed - step->wait_queries_failed);
+
+  return forecast->expected_tasks >= (double)waiting * QUERY_SURPLUS
+         && forecast->expected_tasks - deviations * sqrt (forecast->variance) >= (double)waiting
+         && forecast->none_eligible <= NONE_ELIGIBLE_MAX / (double)(1 + earlier_queries);
+}
+
+/* Chooses as many of @candidates, best first, as are likely to suffice for @waiting tasks of @step.
  * @return their ids. */
 static GArray *
-choose_queried (const GArray *candidates, int64_t waiting)
+choose_queried (const struct core_step *step, const GArray *candidates, int64_t waiting)
 {
   GArray *queried = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
-  double expected_tasks = 0;
-  double variance = 0;
+  struct query_forecast forecast = { .none_eligible = 1.0 };
 
-  for (guint i = 0; i < candidates->len && queried->len < FL_ADVICE_TARGETS_MAX
-                    && (expected_tasks < (double)waiting * QUERY_SURPLUS
-                        || expected_tasks - QUERY_DEVIATIONS * sqrt (variance) < (double)waiting);
-       i++)
+  for (guint i = 0; i < candidates->len && queried->len < FL_ADVICE_TARGETS_MAX; i++)
     {
       const struct candidate *candidate = &g_array_index (candidates, struct candidate, i);
       double probability = candidate->eligible_probability;
       double tasks = (double)MIN (candidate->task_capacity, waiting);
-      expected_tasks += probability * tasks;
-      variance += probability * (1.0 - probability) * tasks * tasks;
+      if (is_likely_to_suffice (&forecast, step, waiting))
+        break;
+      forecast.expected_tasks += probability * tasks;
+      forecast.variance += probability * (1.0 - probability) * tasks * tasks;
+      forecast.none_eligible *= 1.0 - probability;
       g_array_append_val (queried, candidate->target->entry.id);
     }
   return queried;
@@ -184,41 +259,35 @@
   return count;
 }
 
-enum core_wait_reason
-core_advice_send_query (struct core_step *step, int64_t waiting)
+/* @return the ids of the targets that a query about @waiting tasks of @step contains; none where
+ * advice cannot help. */
+static GArray *
+select_queried (struct core_step *step, int64_t waiting)
 {
-  struct fl_core *core = step->job->core;
-  const struct fl_advice_policy *policy = &step->job->queue.advice;
-  double share = step->job->queue_stats->eligible_share;
-  struct fl_name name;
-  GArray *candidates;
+  struct candidates candidates = collect_candidates (step, step->job->queue_stats->eligible_share);
   GArray *queried;
 
-  if (step->query_in_flight)
-    return CORE_WAIT_ADVICE;
-  if (core_capacity_is_exhausted (step, true))
-    return CORE_WAIT_CAPACITY;
-  if (!core->options.actions.may_query_advice (core->options.context,
-                                               (int64_t)policy->base_latency_ms))
-    return CORE_WAIT_ADVICE;
-  name = core_step_name (step);
-  candidates = collect_candidates (step, share);
-  queried = choose_queried (candidates, waiting);
-  g_array_unref (candidates);
-  int64_t expected_ms
-      = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
-  bool has_targets = queried->len > 0;
-  if (!has_targets
-      || !core->options.actions.query_advice (
-          core->options.context, &name, (struct fl_name *)queried->data, queried->len, expected_ms))
-    {
-      g_array_unref (queried);
-      return has_targets ? CORE_WAIT_ADVICE : CORE_WAIT_CAPACITY;
-    }
+  if (is_in_vain (step, &candidates))
+    g_array_set_size (candidates.rows, 0);
+  queried = choose_queried (step, candidates.rows, waiting);
+  g_array_unref (candidates.rows);
+  return queried;
+}
+
+/* Notes that a query of @step has been sent. Takes ownership of @queried. */
+static void
+note_query (struct core_step *step,
+            GArray *queried,
+            int64_t waiting,
+            const struct fl_advice_demand *demand)
+{
+  struct fl_core *core = step->job->core;
+  struct fl_name name = core_step_name (step);
+
   fl_log (core->options.log, FL_LOG_INFO, "advice_asked", FL_N ("step", &name),
           FL_I ("targets", queried->len), FL_I ("waiting", waiting),
-          FL_I ("expected_ms", expected_ms), FL_I ("expired", count_expired (step, queried)),
-          FL_I ("queries", step->queries_sent));
+          FL_I ("expected_ms", demand->expected_ms),
+          FL_I ("expired", count_expired (step, queried)), FL_I ("queries", step->queries_sent));
   step->queries_sent++;
   core->queries_sent++;
   step->query_in_flight = true;
@@ -228,7 +297,34 @@
   add_tentative_cpu (step, queried, step->queried_cpu_milli);
   fl_stats_add (core->options.stats, "advice_asked_total", 1);
   fl_stats_add (core->options.stats, "advice_targets_total", queried->len);
-  return CORE_WAIT_ADVICE;
+}
+
+enum core_wait_reason
+core_advice_send_query (struct core_step *step, int64_t waiting)
+{
+  struct fl_core *core = step->job->core;
+  const struct fl_advice_policy *policy = &step->job->queue.advice;
+  struct fl_advice_demand demand = { .expected_ms = (int64_t)policy->base_latency_ms,
+                                     .waited_ms = core_step_wait_for_advice_ms (step) };
+  struct fl_name name = core_step_name (step);
+
+  if (step->query_in_flight)
+    return CORE_WAIT_ADVICE;
+  if (core_capacity_is_exhausted (step, !is_contended (step)))
+    return CORE_WAIT_CAPACITY;
+  if (!core->options.actions.may_query_advice (core->options.context, &demand))
+    return CORE_WAIT_ADVICE;
+  GArray *queried = select_queried (step, waiting);
+  demand.expected_ms
+      = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
+  bool can_help = queried->len > 0;
+  if (can_help
+      && core->options.actions.query_advice (
+          core->options.context, &name, (struct fl_name *)queried->data, queried->len, &demand))
+    note_query (step, queried, waiting, &demand);
+  else
+    g_array_unref (queried);
+  return can_help ? CORE_WAIT_ADVICE : CORE_WAIT_CAPACITY;
 }
 
 void
@@ -273,6 +369,25 @@
   core_job_request_target (step->job, &row->target);
 }
 
+/* Whether @target has not restarted since a query that was sent at @sent_ms: tickets are valid for
+ * one boot. */
+static bool
+is_of_boot_queried (const struct core_target *target, int64_t sent_ms)
+{
+  return target->token_raised_at_ms <= sent_ms;
+}
+
+static void
+update_eligible_share (struct core_queue_stats *stats, double replied_share)
+{
+  double weight;
+
+  stats->advice_replies++;
+  weight = MAX (1.0 / (double)(stats->advice_replies + 1), ELIGIBLE_SHARE_WEIGHT_MIN);
+  stats->eligible_share += weight * (replied_share - stats->eligible_share);
+  stats->eligible_share = MAX (stats->eligible_share, ELIGIBLE_SHARE_MIN);
+}
+
 void
 fl_core_handle_advice_reply (struct fl_core *core,
                              const struct fl_name *step_name,
@@ -282,31 +397,34 @@
                              int64_t now_ms)
 {
   struct core_step *step = core_find_step (core, step_name);
-  double *share;
 
   core->now_ms = now_ms;
-  if (step == NULL || !step->query_in_flight)
+  if (step == NULL || (!reply->is_late && !step->query_in_flight))
     return;
-  core_advice_abandon_query (step);
+  /* After a late reply, a later query about the step may still be in flight. */
+  if (!reply->is_late)
+    core_advice_abandon_query (step);
   fl_log (core->options.log, FL_LOG_INFO, "advice_answered", FL_N ("step", step_name),
           FL_I ("asked", (int64_t)queried_count), FL_I ("good", (int64_t)reply->count),
           FL_I ("received", reply->received), FL_N ("host", &reply->host),
           FL_I ("took_ms", reply->took_ms));
   if (!reply->received)
     {
-      step->queries_failed++;
+      step->queries_failed += reply->is_late ? 0 : 1;
       return;
     }
   /* The reply lists only the eligible ones of the queried targets. */
   for (size_t i = 0; i < queried_count; i++)
     {
       const struct core_target *target = core_find_target (core, &queried[i]);
-      if (target != NULL)
+      if (target != NULL && is_of_boot_queried (target, now_ms - reply->took_ms))
         mark_ineligible (step, target, now_ms);
     }
   for (size_t i = 0; i < reply->count; i++)
-    mark_eligible (step, &reply->targets[i], now_ms + reply->tickets_valid_ms);
-  share = &step->job->queue_stats->eligible_share;
-  *share += ELIGIBLE_SHARE_WEIGHT * ((double)reply->count / (double)queried_count - *share);
-  *share = MAX (*share, ELIGIBLE_SHARE_MIN);
+    {
+      const struct core_target *target = core_find_target (core, &reply->targets[i].target);
+      if (target != NULL && is_of_boot_queried (target, now_ms - reply->took_ms))
+        mark_eligible (step, &reply->targets[i], now_ms + reply->tickets_valid_ms);
+    }
+  update_eligible_share (step->job->queue_stats, (double)reply->count / (double)queried_count);
 }
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -15,6 +15,9 @@
  * the best of all. */
 #define PLACEMENTS_MIN 240
 #define PLACEMENTS_CAPACITY_RATIO 4
+/* Wait after which a long-running step is queried before all others. */
+#define LONG_RUNNING_WAIT_MS 1000
+#define LONG_RUNNING_RANK 1e12 /* above any response ratio */
 /* Index of the rack in the labels of a target; index 0 holds the kind of target. */
 #define RACK_LABEL_INDEX 1
 
@@ -166,7 +169,7 @@
 /* --- limits of teams --- */
 
 /* The part of a team's limit that tasks of lower priority leave free for urgent tasks: as much as
- * urgent tasks used recently.
+ * urgent tasks used recently. A team that uses less than half of its limit has room for both.
  *
  * Load pattern: long jobs of lower priority exhaust the limit of a team. Its urgent jobs, which
  * arrive continually and run for a second, would then wait for tasks that run for many seconds. */
@@ -179,7 +182,7 @@
 static bool
 fits_cap (int64_t used, int64_t need, int64_t reserve, int64_t cap)
 {
-  return cap <= 0 || used + need + reserve <= cap;
+  return cap <= 0 || used + need + (used < cap / 2 ? 0 : reserve) <= cap;
 }
 
 static bool
@@ -585,25 +588,6 @@
   return count;
 }
 
-/* Queries advice for the @unplaced tasks of @step that could not be started, if that can help.
- * @return what the step waits for. */
-static enum core_wait_reason
-handle_unplaced_tasks (struct core_step *step, const GArray *placements, int64_t unplaced)
-{
-  enum core_wait_reason wait = CORE_WAIT_CAPACITY;
-
-  if (unplaced == 0)
-    return CORE_WAIT_NONE;
-  if (!team_has_capacity (step))
-    return CORE_WAIT_TEAM_LIMIT;
-  int64_t awaiting = count_awaiting_recording (placements);
-  /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
-   * and no others are queried in their place: advice causes most of the wait of long jobs. */
-  if (awaiting < unplaced && step->job->queue.advice.required)
-    wait = core_advice_send_query (step, unplaced - awaiting);
-  return wait == CORE_WAIT_CAPACITY && awaiting > 0 ? CORE_WAIT_RECORD : wait;
-}
-
 /* The lines of single queries may be folded when many steps wait, so that their number is part of
  * this line. */
 static void
@@ -647,12 +631,108 @@
                 FL_S ("then", names[wait]));
     }
   step->wait_reason = wait;
-  step->wait_queries_sent = step->queries_sent;
+  /* The query in flight is part of the wait that it causes. */
+  step->wait_queries_sent = step->queries_sent - step->query_in_flight;
   step->wait_queries_failed = step->queries_failed;
-  step->wait_all_queries_sent = core->queries_sent;
+  step->wait_all_queries_sent = core->queries_sent - step->query_in_flight;
   step->wait_started_at_ms = core->now_ms;
 }
 
+/* --- advice for waiting steps --- */
+
+/* A step of which some tasks could be started with advice. */
+struct unadvised_step
+{
+  struct core_step *step;
+  int64_t unplaced;      /* tasks for which advice is needed */
+  bool awaits_recording; /* other tasks start once a record is stored */
+  double rank;           /* see get_advice_rank */
+};
+
+int64_t
+core_step_wait_for_advice_ms (const struct core_step *step)
+{
+  return step->wait_reason == CORE_WAIT_ADVICE ? step->job->core->now_ms - step->wait_started_at_ms
+                                               : 0;
+}
+
+/* @return the rank of @step among the steps that need advice; the highest is queried first. It is
+ * the response ratio (wait and service time by service time), but long-running steps of which no
+ * task has been started for LONG_RUNNING_WAIT_MS come first: their users are not served meanwhile.
+ */
+static double
+get_advice_rank (const struct core_step *step)
+{
+  double waited_ms = (double)core_step_wait_for_advice_ms (step);
+  double unplaced_ms = (double)(step->job->core->now_ms - step->unplaced_since_ms);
+  double service_ms = MAX (step->job->queue.advice.base_latency_ms, 1.0);
+
+  if (step->spec->long_running && unplaced_ms >= LONG_RUNNING_WAIT_MS)
+    return LONG_RUNNING_RANK + unplaced_ms;
+  return (waited_ms + service_ms) / service_ms;
+}
+
+/* Handles the @unplaced tasks of @step that could not be started: appends it to @unadvised if
+ * advice can help, else sets what it waits for. */
+static void
+handle_unplaced_tasks (struct core_step *step,
+                       const GArray *placements,
+                       int64_t unplaced,
+                       GArray *unadvised)
+{
+  if (unplaced == 0)
+    {
+      step->unplaced_since_ms = 0;
+      set_wait_reason (step, CORE_WAIT_NONE);
+      return;
+    }
+  if (step->unplaced_since_ms == 0)
+    step->unplaced_since_ms = step->job->core->now_ms;
+  if (!team_has_capacity (step))
+    {
+      set_wait_reason (step, CORE_WAIT_TEAM_LIMIT);
+      return;
+    }
+  int64_t awaiting = count_awaiting_recording (placements);
+  /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
+   * and no others are queried in their place: advice causes most of the wait of long jobs. */
+  if (awaiting >= unplaced || !step->job->queue.advice.required)
+    {
+      set_wait_reason (step, awaiting > 0 ? CORE_WAIT_RECORD : CORE_WAIT_CAPACITY);
+      return;
+    }
+  struct unadvised_step entry = { step, unplaced - awaiting, awaiting > 0, get_advice_rank (step) };
+  g_array_append_val (unadvised, entry);
+}
+
+static gint
+compare_advice_ranks (const void *a, const void *b)
+{
+  const struct unadvised_step *x = a;
+  const struct unadvised_step *y = b;
+
+  return x->rank > y->rank ? -1 : x->rank < y->rank;
+}
+
+/* Queries advice for the steps of @unadvised, by rank, and in the given order among equals.
+ *
+ * Load pattern: hosts are few, or the service is slow, so that not all steps can be queried. In the
+ * order of waiting steps alone, those of low priority would get no query for as long as others
+ * come, although there is capacity. */
+static void
+query_advice (GArray *unadvised)
+{
+  g_array_sort (unadvised, compare_advice_ranks);
+  for (guint i = 0; i < unadvised->len; i++)
+    {
+      const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      enum core_wait_reason wait = core_advice_send_query (entry->step, entry->unplaced);
+      set_wait_reason (entry->step, wait == CORE_WAIT_CAPACITY && entry->awaits_recording
+                                        ? CORE_WAIT_RECORD
+                                        : wait);
+    }
+}
+
 static void
 clear_unreconciled (struct fl_core *core)
 {
@@ -727,8 +807,9 @@
   return waiting;
 }
 
+/* Starts the tasks of @step that can be started. Appends it to @unadvised if others need advice. */
 static void
-place_step (struct core_step *step)
+place_step (struct core_step *step, GArray *unadvised)
 {
   struct fl_core *core = step->job->core;
 
@@ -746,22 +827,26 @@
   int64_t idle = step->idle_tasks;
   int64_t unplaced
       = step->spec->gang ? place_gang (step, placements) : place_tasks (step, placements);
+  if (step->idle_tasks < idle)
+    step->unplaced_since_ms = 0;
   if (step->idle_tasks < idle)
     core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
                               step->job->spec.text.len);
-  set_wait_reason (step, handle_unplaced_tasks (step, placements, unplaced));
+  handle_unplaced_tasks (step, placements, unplaced, unadvised);
 }
 
 void
 core_place_tasks (struct fl_core *core)
 {
   GArray *waiting;
+  g_autoptr (GArray) unadvised = g_array_new (FALSE, FALSE, sizeof (struct unadvised_step));
 
   g_array_set_size (core->free_max, 0);
   update_urgent_peaks (core);
   waiting = collect_waiting (core);
   for (guint i = 0; i < waiting->len; i++)
-    place_step (g_array_index (waiting, struct waiting_step, i).step);
+    place_step (g_array_index (waiting, struct waiting_step, i).step, unadvised);
+  query_advice (unadvised);
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
 }
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -6,6 +6,8 @@
  * query, and when its reply is overdue, is decided by the advisor pool. */
 #pragma once
 
+#include <glib.h>
+
 #include "common/clock.h"
 #include "host/host.h"
 #include "net/link.h"
@@ -18,7 +20,8 @@
   struct fl_host *host;
   struct fl_clock clock;
   const struct fl_advice_calls *calls; /* calls of this host to the service */
-  /* The reply to a query, or its timeout; the arguments are valid during the callback only. */
+  /* The reply to a query, or its timeout, which a late reply may follow; the arguments are valid
+   * during the callback only. */
   void (*on_reply) (void *context,
                     const struct fl_name *step,
                     const struct fl_name *queried,
@@ -41,6 +44,10 @@
 /* Notes that any message of the peer at @peer has arrived; see fl_advisor_pool_note_message. */
 void fl_advisors_note_message (struct fl_advisors *advisors, const struct fl_name *peer);
 
+/* Declares that the steps of all queries in flight belong to an earlier term: their replies count
+ * as late, since another query about the same step may be in flight. */
+void fl_advisors_orphan_queries (struct fl_advisors *advisors);
+
 /* Prepares the end of the process: queries of peers end without a reply of the service, those in
  * flight and further ones. */
 void fl_advisors_drain (struct fl_advisors *advisors);
@@ -50,13 +57,17 @@
                            const struct fl_name *host,
                            const struct fl_name *address);
 
-/* Whether a host is free for a query that takes at least @least_ms. */
-bool fl_advisors_are_available (struct fl_advisors *advisors, int64_t least_ms);
+/* Appends one line of JSON for each host to @out, for operators. */
+void fl_advisors_dump (const struct fl_advisors *advisors, GString *out);
+
+/* Whether a host is free for @demand. */
+bool fl_advisors_are_available (struct fl_advisors *advisors,
+                                const struct fl_advice_demand *demand);
 
 /* Queries which of the @count targets may run @step, through a free host.
- * @return false when no host is free for a query that takes @expected_ms. */
+ * @return false when no host is free for @demand. */
 bool fl_advisors_send_query (struct fl_advisors *advisors,
                              const struct fl_name *step,
                              const struct fl_name *targets,
                              size_t count,
-                             int64_t expected_ms);
+                             const struct fl_advice_demand *demand);
