One estimator of reply times for targets and the advice service

lib/common/reply_time has what lib/core/reply_time and the advisor pool had each; the weight of a reply is an argument.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -493,7 +493,7 @@
       || reply->result == FL_ORDER_NO_LISTENER || (wait_ms > 0 && !has_waited)
       || was_read_late (core, sent_ms, now_ms))
     return;
-  core_reply_time_add (&target->reply_time, now_ms - sent_ms - wait_ms);
+  core_reply_time_add (target, now_ms - sent_ms - wait_ms);
   /* It is alive: a heartbeat that has no reply in time is followed by the next one at once. */
   target->missed_heartbeats = 0;
 }
@@ -564,8 +564,7 @@
   /* Registry entries that arrive before the next tick are newer than this heartbeat. */
   core->now_ms = MAX (core->now_ms, now_ms);
   target->heartbeat_wait_ms = 0;
-  target->heartbeat_limit_ms
-      = core_reply_time_limit_ms (&target->reply_time, FL_HEARTBEAT_LIMIT_MS);
+  target->heartbeat_limit_ms = core_reply_limit_ms (target, FL_HEARTBEAT_LIMIT_MS);
   target->address_changed = false;
   *order = (struct fl_heartbeat_order){
     .target = target->entry.id,
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -1,6 +1,7 @@
 /* Data structures and internal functions of the scheduling core. */
 #pragma once
 
+#include "common/reply_time.h"
 #include "core/core.h"
 
 /* A lease counts as expired only after this percentage of its duration plus the margin: the clock
@@ -12,14 +13,6 @@
 
 struct core_run;
 
-/* How long replies of a target take. All zero without samples. */
-struct core_reply_time
-{
-  bool is_known;
-  double smoothed_ms;
-  double deviation_ms;
-};
-
 struct core_team
 {
   struct fl_name name;
@@ -69,7 +62,7 @@
   int64_t heartbeat_wait_ms;    /* wait that the last heartbeat permitted */
   int64_t heartbeat_limit_ms;   /* its reply_limit_ms */
   bool report_was_slow;         /* the last report may be of an earlier boot */
-  struct core_reply_time reply_time;
+  struct fl_reply_time reply_time;
   int64_t last_applied_end;      /* ends up to this number have been processed */
   int64_t last_recording_end;    /* ends up to this number are covered by records in flight */
   int64_t last_recorded_end;     /* ends up to this number are covered by stored records */
@@ -506,11 +499,12 @@
 
 /* --- reply_time.c --- */
 
-void core_reply_time_add (struct core_reply_time *time, int64_t took_ms);
+/* Notes that a reply of @target took @took_ms. */
+void core_reply_time_add (struct core_target *target, int64_t took_ms);
 
-/* How long to wait for a reply before the order is repeated: at least @least_ms, which is enough
- * for a target that replies promptly, and at most FL_REPLY_MAX_MS. */
-int64_t core_reply_time_limit_ms (const struct core_reply_time *time, int64_t least_ms);
+/* How long to wait for a reply of @target before the order is repeated: at least @least_ms, which
+ * is enough for a target that replies promptly, and at most FL_REPLY_MAX_MS. */
+int64_t core_reply_limit_ms (const struct core_target *target, int64_t least_ms);
 
 /* --- order_budget.c --- */
 
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -236,7 +236,7 @@
     .task = row->task,
     .run = row->run,
     .fencing_token = target->fencing_token,
-    .reply_limit_ms = core_reply_time_limit_ms (&target->reply_time, FL_STOP_LIMIT_MS),
+    .reply_limit_ms = core_reply_limit_ms (target, FL_STOP_LIMIT_MS),
   };
 
   target->stale_runs++;
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -115,7 +115,7 @@
   struct core_job *job = run->task->step->job;
   struct fl_core *core = job->core;
   struct core_target *target = run->target;
-  int64_t reply_limit_ms = core_reply_time_limit_ms (&target->reply_time, FL_START_LIMIT_MS);
+  int64_t reply_limit_ms = core_reply_limit_ms (target, FL_START_LIMIT_MS);
   int64_t deadline_ms = start_deadline_ms (target, reply_limit_ms);
   struct fl_start_order order = {
     .target = target->entry.id,
@@ -181,7 +181,7 @@
     .task = core_task_name (run->task),
     .run = run->number,
     .fencing_token = run->target->fencing_token,
-    .reply_limit_ms = core_reply_time_limit_ms (&run->target->reply_time, FL_STOP_LIMIT_MS),
+    .reply_limit_ms = core_reply_limit_ms (run->target, FL_STOP_LIMIT_MS),
   };
 }
 
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -396,7 +396,8 @@
 }
 
 /* Makes the kernel drop SYNs to @listener, so that no handshake begins. Those that have begun are
- * completed. */
+ * completed. Where the kernel allows no filter, connections that are completed after the last
+ * accept are reset. */
 static void
 drop_new_connections (MHD_socket listener)
 {
--- a/lib/poold/advisor_pool.c
+++ b/lib/poold/advisor_pool.c
@@ -1,9 +1,9 @@
 #include "poold/advisor_pool.h"
 
-#include <math.h>
-
 #include <glib.h>
 
+#include "common/reply_time.h"
+
 /* Queries expected to take longer than this leave some hosts free for shorter ones. */
 #define LONG_QUERY_MS 150
 /* Enough for the short queries: about 20 a second, which take about 30 ms each. With few hosts, at
@@ -22,12 +22,8 @@
 #define REPLY_SLACK_MAX_MS 3000
 /* A host counts for the limit while its last reply is not older than this. */
 #define DELAY_VALID_MS 30000
-/* Weights of one reply in the moving averages of the delay and of its deviation, and how many
- * deviations a reply may be later than the average; as in RFC 6298, but that the averages follow
- * the fewer replies of a host sooner. */
+/* Weight of one reply in the moving average of the delay: it follows few replies. */
 #define DELAY_WEIGHT 0.25
-#define DEVIATION_WEIGHT 0.25
-#define DELAY_DEVIATIONS 4
 /* A host whose query has no reply yet gets no other for this long, doubled with each further one.
  */
 #define OVERDUE_BACKOFF_MS 2000
@@ -54,10 +50,8 @@
   struct fl_advisor_query query; /* in flight while busy */
   GArray *overdue;               /* struct fl_advisor_query, in the order in which they were sent */
   int64_t replied_number;        /* of the last query with a reply */
-  bool has_delay;                /* the next three have been measured */
-  int64_t measured_ms;           /* when, last */
-  double delay_ms;               /* by which replies are later than expected, moving average */
-  double deviation_ms;           /* of delay_ms */
+  struct fl_reply_time delay;    /* by which replies are later than expected */
+  int64_t measured_ms;           /* when the last reply was added to it */
 };
 
 struct fl_advisor_pool
@@ -233,8 +227,8 @@
   for (guint i = 0; i < pool->advisors->len; i++)
     {
       const struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
-      int64_t slack_ms = (int64_t)(advisor->delay_ms + DELAY_DEVIATIONS * advisor->deviation_ms);
-      if (advisor->has_delay && now_ms - advisor->measured_ms < DELAY_VALID_MS)
+      int64_t slack_ms = fl_reply_time_limit_ms (&advisor->delay);
+      if (advisor->delay.is_known && now_ms - advisor->measured_ms < DELAY_VALID_MS)
         g_array_append_val (slacks, slack_ms);
     }
   if (slacks->len == 0)
@@ -250,20 +244,7 @@
                const struct fl_advisor_query *query,
                int64_t now_ms)
 {
-  double delay_ms = (double)MAX (now_ms - query->sent_ms - query->expected_ms, 0);
-
-  if (advisor->has_delay)
-    {
-      advisor->deviation_ms
-          += DEVIATION_WEIGHT * (fabs (delay_ms - advisor->delay_ms) - advisor->deviation_ms);
-      advisor->delay_ms += DELAY_WEIGHT * (delay_ms - advisor->delay_ms);
-    }
-  else
-    {
-      advisor->delay_ms = delay_ms;
-      advisor->deviation_ms = delay_ms / 2;
-    }
-  advisor->has_delay = true;
+  fl_reply_time_add (&advisor->delay, now_ms - query->sent_ms - query->expected_ms, DELAY_WEIGHT);
   advisor->measured_ms = now_ms;
   update_reply_slack (pool, now_ms);
 }
@@ -391,7 +372,7 @@
         continue;
       *query = advisor->query;
       advisor->busy = false;
-      advisor->is_unheard_of = advisor->unanswered == 0 && advisor->has_delay;
+      advisor->is_unheard_of = advisor->unanswered == 0 && advisor->delay.is_known;
       advisor->backoff_until_ms
           = now_ms + back_off (OVERDUE_BACKOFF_MS, advisor->unanswered++, OVERDUE_BACKOFF_MAX_MS);
       pool->backoffs_until_ms = MAX (pool->backoffs_until_ms, advisor->backoff_until_ms);
@@ -451,6 +432,7 @@
           ",\"unanswered\":%d,\"overdue\":%u,\"delay_ms\":%.0f,\"slack_ms\":%" G_GINT64_FORMAT
           "}\n",
           advisor->host.data, state, MAX (advisor->backoff_until_ms - now_ms, 0),
-          advisor->unanswered, advisor->overdue->len, advisor->delay_ms, pool->reply_slack_ms);
+          advisor->unanswered, advisor->overdue->len, advisor->delay.smoothed_ms,
+          pool->reply_slack_ms);
     }
 }
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -1,7 +1,7 @@
 /* Follows one table of the store: reads the table, then polls its feed of changes. Reads the table
- * again when the feed no longer holds all changes since the last call. A call
- * without a reply is sent again after a limit that widens each time, and the first reply to any
- * copy counts, however late; failed calls are retried with exponential back-off. */
+ * again when the feed no longer holds all changes since the last call. A call without a reply is
+ * sent again after a limit that widens each time, and the first reply to any copy counts, however
+ * late; failed calls are retried with exponential back-off. */
 #pragma once
 
 #include <ev.h>
--- a/lib/store/reply_limit.h
+++ b/lib/store/reply_limit.h
@@ -1,8 +1,8 @@
 /* How long to wait for a reply before the call is sent again. The limit follows the replies: a call
  * without a reply widens it, a reply sets it by the time that it took. Silence may also be an
  * outage, after which the next call is to follow soon, so that it widens the limit less far than
- * late replies do. Replies to earlier copies of
- * a call count as long as fl_reply_limit_timeout_ms has not passed. Does no I/O. */
+ * late replies do. Replies to earlier copies of a call count as long as fl_reply_limit_timeout_ms
+ * has not passed. Does no I/O. */
 #pragma once
 
 #include <stdint.h>
