--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -163,7 +163,7 @@
         self.store_proxy = FaultProxy(cell.platform.port) if cell.uses_store_proxies else None
         if cell.store_delay_s:
             self.store_proxy.base_delay_s = cell.store_delay_s
-        self.advice_port = cell.targets.port
+        self.advice_port = None  # of the advice service for this host, if it has one of its own
         if cell.has_advice_service:
             self.advice_port = cell.control_advice("add_host")["port"]
 
@@ -177,7 +177,7 @@
             "front": "127.0.0.1:%d" % self.front_port, "ready": "127.0.0.1:%d" % self.ready_port,
             "own": "127.0.0.1:%d" % self.own_port, "store": "127.0.0.1:%d" % (
                 self.store_proxy.port if self.store_proxy else self.cell.platform.port),
-            "advice": "127.0.0.1:%d" % self.advice_port, "link_port": self.link_port,
+            "advice": "127.0.0.1:%d" % (self.advice_port or self.cell.targets.port), "link_port": self.link_port,
             "relay_port": self.relay_port, "carry_from": self.cell.carry_from,
             "pool_metrics_port": self.pool_metrics_port,
             "front_metrics_port": self.front_metrics_port,
