cell.py: the allocator of ports does not return the port that it keeps bound

After 400 ports the allocator began anew with the first port of its range. check_test_tools: ports_are_free() is false before.

--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -84,7 +84,7 @@
     FIRST_PORT, RANGE_COUNT, RANGE_SIZE = 10000, 50, 400
 
     def __init__(self):
-        self.guard, self.tried_count = socket.socket(), 1
+        self.guard, self.tried_count = socket.socket(), 0
         for i in range(self.RANGE_COUNT):
             self.range_start = self.FIRST_PORT + (os.getpid() + i) % self.RANGE_COUNT * self.RANGE_SIZE
             try:
@@ -97,7 +97,8 @@
     def allocate(self, count):
         ports = []
         while len(ports) < count:
-            port = self.range_start + self.tried_count % self.RANGE_SIZE
+            # The first port of the range is bound by the guard.
+            port = self.range_start + 1 + self.tried_count % (self.RANGE_SIZE - 1)
             self.tried_count += 1
             with socket.socket() as probe:
                 if probe.connect_ex(("127.0.0.1", port)) != 0:
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -15,7 +15,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
-from cell import BIN, Process, send_request  # noqa: E402
+from cell import BIN, PortAllocator, Process, send_request  # noqa: E402
 from faultproxy import FaultProxy  # noqa: E402
 import soak_checks as checks  # noqa: E402
 
@@ -480,6 +480,13 @@
     return results
 
 
+def ports_are_free():
+    """A host could not listen: once all ports of the range had been used, its first one, which the
+    allocator keeps bound, was returned."""
+    allocator = PortAllocator()
+    return allocator.range_start not in allocator.allocate(2 * allocator.RANGE_SIZE)
+
+
 def main():
     failed = 0
     for name, script, expected, passes in CASES:
@@ -491,6 +498,9 @@
     holds = rejects_unknown_scenario()
     failed += 0 if holds else 1
     print("[%s] e2e.py: unknown scenario" % ("       OK " if holds else "  FAILED  "))
+    holds = ports_are_free()
+    failed += 0 if holds else 1
+    print("[%s] cell.py: ports of a long run" % ("       OK " if holds else "  FAILED  "))
     for name, holds in SOAK_CASES:
         failed += 0 if holds else 1
         print("[%s] soak: %s" % ("       OK " if holds else "  FAILED  ", name))
