--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -828,10 +828,11 @@
   int64_t unplaced
       = step->spec->gang ? place_gang (step, placements) : place_tasks (step, placements);
   if (step->idle_tasks < idle)
-    step->unplaced_since_ms = 0;
-  if (step->idle_tasks < idle)
-    core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
-                              step->job->spec.text.len);
+    {
+      step->unplaced_since_ms = 0;
+      core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
+                                step->job->spec.text.len);
+    }
   handle_unplaced_tasks (step, placements, unplaced, unadvised);
 }
 
