core: learns the run times of tasks from the runs that end

Change: steps refer to their class of run times, and ends as done are added to it, but for gangs and best-effort tasks.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -9,6 +9,8 @@
 #define INITIAL_ELIGIBLE_SHARE 0.5
 /* Run numbers reserved for each owner: enough for a task that restarts every second for a day. */
 #define RUN_NUMBERS_PER_OWNER 100000
+/* Index of the kind in the labels of a target. */
+#define KIND_LABEL_INDEX 0
 /* A target that has unacknowledged ends replies to heartbeats immediately instead of waiting for
  * the next end. After it has listed ends, the next heartbeat is therefore delayed until they are
  * recorded, but no longer than this. */
@@ -152,6 +154,7 @@
   core->recording_jobs = g_ptr_array_new ();
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
+  core->run_times = fl_run_times_new ();
   core->queue_stats = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   return core;
 }
@@ -167,6 +170,7 @@
   g_hash_table_destroy (core->finished_jobs);
   g_hash_table_destroy (core->teams);
   g_hash_table_destroy (core->queue_stats);
+  fl_run_times_free (core->run_times);
   g_hash_table_destroy (core->unreconciled_hashes);
   g_ptr_array_unref (core->target_list);
   g_ptr_array_unref (core->recording_jobs);
@@ -337,6 +341,12 @@
   return !g_hash_table_contains (core->next_tokens, id);
 }
 
+const struct fl_name *
+core_target_kind (const struct core_target *target)
+{
+  return &target->entry.labels[KIND_LABEL_INDEX];
+}
+
 static struct core_target *
 get_or_add_target (struct fl_core *core, const struct fl_name *id)
 {
@@ -669,6 +679,8 @@
 {
   step->job = job;
   step->spec = fl_job_spec_get_step (&job->spec, (size_t)number);
+  step->run_class
+      = fl_run_times_get_class (job->core->run_times, &job->spec.queue, &step->spec->image);
   step->occurrence = occurrence;
   step->number = number;
   if (job->spec.repeat_count > 0)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -3,6 +3,7 @@
 
 #include "common/reply_time.h"
 #include "core/core.h"
+#include "policy/run_time.h"
 
 /* A lease counts as expired only after this percentage of its duration plus the margin: the clock
  * of a target may run 2 % slow, and the rest covers rounding and the transit time of a reply. */
@@ -123,6 +124,7 @@
   int64_t progressed_at_ms; /* when progress_percent last changed or the start order was sent */
   int64_t gauge;            /* see struct fl_run_row */
   int64_t share_percent;    /* share of its full speed at which a best-effort task may run */
+  bool is_resumed;          /* its first start order carried a checkpoint */
   bool is_urgent;           /* its queue had priority 0 when the run was created */
   bool is_recording;        /* the record in flight says that its task may be on its target */
   bool is_recorded;         /* a stored record of this owner says so */
@@ -186,6 +188,7 @@
 {
   struct core_job *job;
   const struct fl_step_spec *spec;
+  struct fl_run_time_class *run_class; /* of its queue and image */
   int64_t occurrence;
   int64_t number;
   int64_t due_wall_ms; /* 0 for immediately */
@@ -304,6 +307,7 @@
   GArray *free_max;                  /* struct core_free_max, of this tick */
   GHashTable *teams;                 /* name -> struct core_team */
   GHashTable *queue_stats;           /* name -> struct core_queue_stats */
+  struct fl_run_times *run_times;    /* learnt from the runs that ended */
   int64_t now_ms;
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
@@ -361,6 +365,9 @@
 /* Whether orders of an earlier owner may be in effect on a target that has not reported. */
 bool core_is_unreconciled (const struct fl_core *core);
 
+/* The kind of @target, a label; empty if it has none. */
+const struct fl_name *core_target_kind (const struct core_target *target);
+
 /* The clock of @target at @now_ms, extrapolated from its last reply. */
 int64_t core_target_clock_ms (const struct core_target *target, int64_t now_ms);
 
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -166,6 +166,21 @@
   stats->mean_run_ms += RUN_TIME_WEIGHT * ((double)ran_ms - stats->mean_run_ms);
 }
 
+/* Learns from a run of @task on @target that ended as done. One that resumed from a checkpoint was
+ * shorter than the task. */
+static void
+learn_run_time (const struct core_task *task,
+                const struct core_target *target,
+                int64_t ran_ms,
+                bool is_resumed)
+{
+  const struct core_step *step = task->step;
+
+  update_mean_run_time (step->job->queue_stats, ran_ms);
+  if (!is_resumed && !step->spec->gang && !step->spec->best_effort)
+    fl_run_time_add (step->run_class, core_target_kind (target), step->spec->estimate_ms, ran_ms);
+}
+
 static const char *
 end_cause_name (enum fl_end_cause cause)
 {
@@ -187,8 +202,12 @@
   bool is_current
       = task->run != NULL && task->run->target == target && task->run->number == end->run;
   int64_t ran_ms = 0;
+  bool is_resumed = false;
   if (is_current && task->run->started_at_ms > 0)
-    ran_ms = core->now_ms - task->run->started_at_ms;
+    {
+      ran_ms = core->now_ms - task->run->started_at_ms;
+      is_resumed = task->run->is_resumed;
+    }
   if (is_current)
     core_run_release (task->run);
   /* A task that crashes its targets does not end by itself. */
@@ -198,7 +217,7 @@
     {
       target->consecutive_failures = 0;
       if (ran_ms > 0)
-        update_mean_run_time (task->step->job->queue_stats, ran_ms);
+        learn_run_time (task, target, ran_ms, is_resumed);
       handle_done (task);
       if (task->run != NULL)
         core_run_stop (task->run);
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -143,7 +143,10 @@
   run->started_at_ms = core->now_ms;
   run->fencing_token = target->fencing_token;
   if (run->inconclusive_starts == 0)
-    run->first_ordered_at_ms = core->now_ms;
+    {
+      run->first_ordered_at_ms = core->now_ms;
+      run->is_resumed = run->task->checkpoint.len > 0;
+    }
   run->progressed_at_ms = core->now_ms;
   target->next_expiry_check_ms = 0;
   core_target_extend_lease (target, core->now_ms, deadline_ms);
--- a/lib/policy/run_time.c
+++ b/lib/policy/run_time.c
@@ -9,6 +9,9 @@
 #define WEIGHT_MIN 0.02
 /* Runs after which the averages are relied on. */
 #define LEARNT_RUNS 8
+/* Most classes; further queues and images share the last one. Clients choose the names of images.
+ */
+#define CLASSES_MAX 256
 /* Most kinds of targets that a class tells apart; further ones count as any. */
 #define KINDS_MAX 8
 /* Spread that is assumed for a declared estimate before any run has ended: a factor of about two.
@@ -76,6 +79,8 @@
       if (fl_name_eq (&run_class->queue, queue) && fl_name_eq (&run_class->image, image))
         return run_class;
     }
+  if (times->classes->len == CLASSES_MAX)
+    return g_ptr_array_index (times->classes, CLASSES_MAX - 1);
   struct fl_run_time_class *run_class = g_new0 (struct fl_run_time_class, 1);
   run_class->queue = *queue;
   run_class->image = *image;
--- a/tests/test_run_time.c
+++ b/tests/test_run_time.c
@@ -146,6 +146,24 @@
     }
 }
 
+/* Clients choose the names of images, so that their number is bounded. */
+static void
+test_number_of_classes_is_bounded (void **state)
+{
+  struct fl_run_times *times = fl_run_times_new ();
+  struct fl_name queue = fl_name_of ("q");
+  g_autoptr (GHashTable) classes = g_hash_table_new (NULL, NULL);
+
+  (void)state;
+  for (int i = 0; i < 2000; i++)
+    {
+      struct fl_name image = fl_name_format ("image-%d", i);
+      g_hash_table_add (classes, fl_run_times_get_class (times, &queue, &image));
+    }
+  assert_in_range (g_hash_table_size (classes), 1, 256);
+  fl_run_times_free (times);
+}
+
 static void
 test_follows_a_change (void **state)
 {
@@ -167,6 +185,7 @@
     cmocka_unit_test (test_declared_estimate_is_used_if_it_tells_more),
     cmocka_unit_test (test_kinds_of_targets_are_told_apart),
     cmocka_unit_test (test_longest_of_many),
+    cmocka_unit_test (test_number_of_classes_is_bounded),
     cmocka_unit_test (test_follows_a_change),
   };
 
