--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -152,6 +152,8 @@
   core->unreconciled_hashes = g_hash_table_new (NULL, NULL);
   core->target_list = g_ptr_array_new ();
   core->recording_jobs = g_ptr_array_new ();
+  core->urgent_rooms = g_array_new (FALSE, TRUE, sizeof (struct core_urgent_room));
+  core->urgent_steps = g_ptr_array_new ();
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->run_times = fl_run_times_new ();
@@ -175,6 +177,8 @@
   g_ptr_array_unref (core->target_list);
   g_ptr_array_unref (core->recording_jobs);
   g_array_unref (core->free_max);
+  g_array_unref (core->urgent_rooms);
+  g_ptr_array_unref (core->urgent_steps);
   fl_configuration_unref (core->configuration);
   g_free (core);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -150,6 +150,7 @@
   struct fl_str checkpoint;
   struct fl_name last_failed_target; /* where a run last failed or stalled */
   int64_t backoff_until_ms;          /* no start before this time */
+  int preemptions;                   /* by urgent work, under this owner */
   GArray *crashes;   /* struct crash_case: runs whose targets crashed, or may have; NULL for none */
   bool is_suspected; /* it may be the cause of a crash: one of these is open or suspected */
   bool is_watched;   /* its runs are kept apart from other new runs */
@@ -271,6 +272,17 @@
   bool has_vain_need[2];
 };
 
+/* What urgent steps that wait need of the room of a service, in one tick. */
+struct core_urgent_room
+{
+  struct fl_name service;
+  bool is_computed;
+  bool is_served; /* tasks have been stopped for it in this tick */
+  int64_t tasks;
+  struct fl_resources need;
+  struct fl_resources spare; /* free room less the need; negative while it is short */
+};
+
 /* Token bucket for the bytes of start orders. */
 struct core_order_budget
 {
@@ -305,6 +317,9 @@
   int64_t unexplained_crash_ms;      /* when a target last crashed on which no run is suspected */
   uint32_t unexplained_crash_target; /* fl_job_target_hash of its id */
   GArray *free_max;                  /* struct core_free_max, of this tick */
+  GArray *urgent_rooms;              /* struct core_urgent_room, of this tick */
+  GPtrArray *urgent_steps;           /* struct core_step: urgent ones that wait, of this tick */
+  int64_t preempted_at_ms;           /* when tasks were last stopped for urgent work */
   GHashTable *teams;                 /* name -> struct core_team */
   GHashTable *queue_stats;           /* name -> struct core_queue_stats */
   struct fl_run_times *run_times;    /* learnt from the runs that ended */
@@ -550,6 +565,24 @@
 /* Starts the tasks that can be started, and updates the wait reasons of the others. */
 void core_place_tasks (struct fl_core *core);
 
+/* --- urgent_room.c --- */
+
+/* Called in each tick before tasks are placed, and for each step that waits. */
+void core_urgent_room_begin (struct fl_core *core);
+void core_urgent_room_add (struct core_step *step);
+
+/* Takes the room of one task of @step, after all urgent steps have been placed.
+ * @return false where urgent tasks that wait need it. */
+bool core_urgent_room_take (const struct core_step *step);
+
+/* Stops batch tasks where urgent steps still wait for room. Called after placement. */
+void core_urgent_room_preempt (struct fl_core *core);
+
+/* --- drain.c --- */
+
+/* Remaining run time of @run, extrapolated from its progress; INT64_MAX when it is unknown. */
+int64_t core_run_remaining_ms (const struct core_run *run, int64_t now_ms);
+
 /* --- advice.c --- */
 
 /* @return the ticket that allows @step to run on @target, "" when its queue requires no advice, or
--- a/lib/core/drain.c
+++ b/lib/core/drain.c
@@ -10,9 +10,8 @@
  * checkpoint in this end covers the work up to the stop. */
 #define STOP_TIME_MS 1000
 
-/* Remaining run time of @run, extrapolated from its progress; INT64_MAX when it is unknown. */
-static int64_t
-remaining_ms (const struct core_run *run, int64_t now_ms)
+int64_t
+core_run_remaining_ms (const struct core_run *run, int64_t now_ms)
 {
   int64_t elapsed_ms = now_ms - run->started_at_ms;
 
@@ -32,7 +31,7 @@
   if (spec->long_running)
     return true;
   return spec->checkpoints && leaves_in_ms <= 2 * STOP_TIME_MS
-         && remaining_ms (run, now_ms) > leaves_in_ms;
+         && core_run_remaining_ms (run, now_ms) > leaves_in_ms;
 }
 
 void
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -443,7 +443,7 @@
       if (!is_ready_to_start (task))
         continue;
       /* Tasks of a step have the same needs: once one cannot start, the others are not tried. */
-      placement = waiting == 0 && team_has_capacity (step)
+      placement = waiting == 0 && team_has_capacity (step) && core_urgent_room_take (step)
                       ? choose_placement (task, placements, NULL)
                       : NULL;
       if (placement == NULL)
@@ -481,8 +481,9 @@
   for (; reserved < step->spec->count; reserved++)
     {
       struct core_task *task = &step->tasks[reserved];
-      struct placement *placement
-          = team_has_capacity (step) ? choose_placement (task, placements, rack) : NULL;
+      struct placement *placement = team_has_capacity (step) && core_urgent_room_take (step)
+                                        ? choose_placement (task, placements, rack)
+                                        : NULL;
       if (placement == NULL)
         break;
       core_run_new (task, placement->target, number);
@@ -718,6 +719,11 @@
       set_wait_reason (step, CORE_WAIT_TEAM_LIMIT);
       return;
     }
+  if (!core_urgent_room_take (step))
+    {
+      set_wait_reason (step, CORE_WAIT_CAPACITY);
+      return;
+    }
   int64_t awaiting = count_awaiting_recording (placements);
   /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
    * and no others are queried in their place: advice causes most of the wait of long jobs. */
@@ -870,9 +876,13 @@
   g_array_set_size (core->free_max, 0);
   update_urgent_peaks (core);
   waiting = collect_waiting (core);
+  core_urgent_room_begin (core);
+  for (guint i = 0; i < waiting->len; i++)
+    core_urgent_room_add (g_array_index (waiting, struct waiting_step, i).step);
   for (guint i = 0; i < waiting->len; i++)
     place_step (g_array_index (waiting, struct waiting_step, i).step, unadvised);
   query_advice (unadvised);
+  core_urgent_room_preempt (core);
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
 }
--- /dev/null
+++ b/lib/core/urgent_room.c
@@ -0,0 +1,256 @@
+/* Room for urgent work (priority 0): batch tasks start only in what urgent tasks that wait do not
+ * need, and give up room that these need at once (policy/preemption.h). */
+#include "core/core_internal.h"
+#include "policy/preemption.h"
+
+/* Time between two choices of tasks to be stopped: a choice looks at all runs. */
+#define PREEMPTION_INTERVAL_MS 50
+/* Share of the capacity of a service that may be in the course of being stopped. */
+#define STOPPING_MAX_PERCENT 25
+
+/* --- need --- */
+
+static struct core_urgent_room *
+get_room (struct fl_core *core, const struct fl_name *service)
+{
+  struct core_urgent_room room = { .service = *service };
+
+  for (guint i = 0; i < core->urgent_rooms->len; i++)
+    {
+      struct core_urgent_room *known
+          = &g_array_index (core->urgent_rooms, struct core_urgent_room, i);
+      if (fl_name_eq (&known->service, service))
+        return known;
+    }
+  g_array_append_val (core->urgent_rooms, room);
+  return &g_array_index (core->urgent_rooms, struct core_urgent_room, core->urgent_rooms->len - 1);
+}
+
+/* Whether room that becomes free anywhere is likely to serve @step soon. */
+static bool
+needs_any_room (const struct core_step *step)
+{
+  const struct fl_step_spec *spec = step->spec;
+
+  return step->job->queue.priority == 0 && !spec->long_running && !spec->best_effort && !spec->gang
+         && spec->label.len == 0 && spec->cpu_milli > 0 && step->wait_reason != CORE_WAIT_TEAM_LIMIT
+         && step->wait_reason != CORE_WAIT_RECONCILING;
+}
+
+void
+core_urgent_room_begin (struct fl_core *core)
+{
+  g_array_set_size (core->urgent_rooms, 0);
+  g_ptr_array_set_size (core->urgent_steps, 0);
+}
+
+void
+core_urgent_room_add (struct core_step *step)
+{
+  if (needs_any_room (step))
+    g_ptr_array_add (step->job->core->urgent_steps, step);
+}
+
+static void
+add_need (struct core_urgent_room *room, const struct core_step *step)
+{
+  room->need.cpu_milli += step->idle_tasks * step->spec->cpu_milli;
+  room->need.memory_mb += step->idle_tasks * step->spec->memory_mb;
+  room->tasks += step->idle_tasks;
+}
+
+/* Adds what is free on @target in units of one urgent task: smaller rests serve none. */
+static void
+add_free (struct core_urgent_room *room, const struct core_target *target)
+{
+  struct fl_resources free = core_target_available_resources (target, false);
+  int64_t cpu_milli = MAX (room->need.cpu_milli / room->tasks, 1);
+  int64_t memory_mb = MAX (room->need.memory_mb / room->tasks, 1);
+  int64_t tasks = MIN (free.cpu_milli / cpu_milli, free.memory_mb / memory_mb);
+
+  if (tasks <= 0)
+    return;
+  room->spare.cpu_milli += tasks * cpu_milli;
+  room->spare.memory_mb += tasks * memory_mb;
+}
+
+/* Computes the spare room of the service of @step, once a tick: urgent steps are placed first, and
+ * need what they have not got by then. */
+static struct core_urgent_room *
+get_spare_room (const struct core_step *step)
+{
+  struct fl_core *core = step->job->core;
+  struct core_urgent_room *room = get_room (core, &step->job->queue.service);
+  const struct core_step *example = NULL;
+
+  if (room->is_computed)
+    return room;
+  room->is_computed = true;
+  for (guint i = 0; i < core->urgent_steps->len; i++)
+    {
+      const struct core_step *urgent = g_ptr_array_index (core->urgent_steps, i);
+      if (urgent->idle_tasks == 0 || !fl_name_eq (&urgent->job->queue.service, &room->service))
+        continue;
+      add_need (room, urgent);
+      example = urgent;
+    }
+  if (room->tasks == 0)
+    return room;
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      if (core_target_accepts_step (target, example))
+        add_free (room, target);
+    }
+  room->spare.cpu_milli -= room->need.cpu_milli;
+  room->spare.memory_mb -= room->need.memory_mb;
+  return room;
+}
+
+bool
+core_urgent_room_take (const struct core_step *step)
+{
+  const struct fl_step_spec *spec = step->spec;
+
+  if (step->job->queue.priority == 0 || spec->long_running || spec->best_effort
+      || step->job->core->urgent_steps->len == 0)
+    return true;
+  struct core_urgent_room *room = get_spare_room (step);
+  if (room->tasks == 0)
+    return true;
+  if (room->spare.cpu_milli < spec->cpu_milli || room->spare.memory_mb < spec->memory_mb)
+    return false;
+  room->spare.cpu_milli -= spec->cpu_milli;
+  room->spare.memory_mb -= spec->memory_mb;
+  return true;
+}
+
+/* --- preemption --- */
+
+static bool
+may_be_preempted (const struct core_run *run)
+{
+  const struct core_step *step = run->task->step;
+  const struct fl_step_spec *spec = step->spec;
+
+  return run->state == CORE_RUN_ACCEPTED && run->listed && step->job->queue.priority > 0
+         && spec->checkpoints && !spec->long_running && !spec->gang && !spec->best_effort
+         && run->target->watched_run != run;
+}
+
+static int64_t
+remaining_ms (const struct core_run *run, int64_t now_ms)
+{
+  const struct core_step *step = run->task->step;
+  struct fl_run_time run_time
+      = fl_run_time_get (step->run_class, core_target_kind (run->target), step->spec->estimate_ms);
+  int64_t expected_ms = (int64_t)run_time.median_ms * (100 - run->progress_percent) / 100;
+
+  if (run->progress_percent > 0 || run_time.median_ms <= 0)
+    return core_run_remaining_ms (run, now_ms);
+  return MAX (expected_ms, 0);
+}
+
+/* What the runs and the capacity of a service say about preemption. */
+struct service_runs
+{
+  struct fl_resources capacity;
+  struct fl_resources stopping;
+  GArray *candidates; /* struct fl_preemption_candidate */
+};
+
+static void
+add_target_runs (struct service_runs *runs, const struct core_target *target)
+{
+  int64_t now_ms = target->core->now_ms;
+
+  runs->capacity.cpu_milli += target->entry.resources.cpu_milli;
+  for (guint i = 0; i < target->runs->len; i++)
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, i);
+      const struct fl_step_spec *spec = run->task->step->spec;
+      if (run->state == CORE_RUN_STOPPING && !spec->best_effort)
+        {
+          runs->stopping.cpu_milli += spec->cpu_milli;
+          runs->stopping.memory_mb += spec->memory_mb;
+        }
+      if (!may_be_preempted (run))
+        continue;
+      struct fl_preemption_candidate candidate = { .cpu_milli = spec->cpu_milli,
+                                                   .memory_mb = spec->memory_mb,
+                                                   .remaining_ms = remaining_ms (run, now_ms),
+                                                   .preemptions = run->task->preemptions,
+                                                   .run = run };
+      g_array_append_val (runs->candidates, candidate);
+    }
+}
+
+static void
+preempt_run (struct core_run *run)
+{
+  struct fl_core *core = run->task->step->job->core;
+  struct fl_name name = core_task_name (run->task);
+
+  fl_log (core->options.log, FL_LOG_INFO, "preempted", FL_N ("task", &name),
+          FL_I ("run", run->number), FL_N ("target", &run->target->entry.id),
+          FL_I ("percent", run->progress_percent), FL_I ("times", run->task->preemptions + 1));
+  fl_stats_add (core->options.stats, "preemptions_total", 1);
+  run->task->preemptions++;
+  core_run_stop (run);
+}
+
+/* Stops batch tasks for the urgent steps of the service of @example. */
+static void
+preempt_for_service (const struct core_step *example, const struct core_urgent_room *room)
+{
+  struct fl_core *core = example->job->core;
+  struct service_runs runs
+      = { .candidates = g_array_new (FALSE, FALSE, sizeof (struct fl_preemption_candidate)) };
+  struct fl_preemption_need need;
+
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      if (core_target_accepts_step (target, example))
+        add_target_runs (&runs, target);
+    }
+  need.cpu_milli = -room->spare.cpu_milli - runs.stopping.cpu_milli;
+  need.memory_mb = -room->spare.memory_mb - runs.stopping.memory_mb;
+  need.cpu_max_milli
+      = runs.capacity.cpu_milli * STOPPING_MAX_PERCENT / 100 - runs.stopping.cpu_milli;
+  size_t count = fl_preemption_choose ((struct fl_preemption_candidate *)runs.candidates->data,
+                                       runs.candidates->len, &need);
+  for (size_t i = 0; i < count; i++)
+    preempt_run (g_array_index (runs.candidates, struct fl_preemption_candidate, i).run);
+  g_array_unref (runs.candidates);
+}
+
+/* Whether @step waits for room, and its job can still meet its objective. */
+static bool
+justifies_preemption (const struct core_step *step)
+{
+  return step->wait_reason == CORE_WAIT_CAPACITY && step->idle_tasks > 0
+         && !core_job_is_late (step->job);
+}
+
+void
+core_urgent_room_preempt (struct fl_core *core)
+{
+  if (core->urgent_steps->len == 0 || core->now_ms - core->preempted_at_ms < PREEMPTION_INTERVAL_MS)
+    return;
+  /* What is needed now, after placement, by those steps alone for which tasks are stopped. */
+  g_array_set_size (core->urgent_rooms, 0);
+  for (guint i = core->urgent_steps->len; i > 0; i--)
+    if (!justifies_preemption (g_ptr_array_index (core->urgent_steps, i - 1)))
+      g_ptr_array_remove_index_fast (core->urgent_steps, i - 1);
+  for (guint i = 0; i < core->urgent_steps->len; i++)
+    {
+      const struct core_step *step = g_ptr_array_index (core->urgent_steps, i);
+      struct core_urgent_room *room = get_spare_room (step);
+      if (room->is_served || (room->spare.cpu_milli >= 0 && room->spare.memory_mb >= 0))
+        continue;
+      room->is_served = true;
+      core->preempted_at_ms = core->now_ms;
+      preempt_for_service (step, room);
+    }
+}
