--- a/lib/core/urgent_room.c
+++ b/lib/core/urgent_room.c
@@ -26,6 +26,24 @@
   return &g_array_index (core->urgent_rooms, struct core_urgent_room, core->urgent_rooms->len - 1);
 }
 
+/* Whether @step would soon start tasks if there was room. While its team is at its limit, or no
+ * host is free for its query, room that is kept for it is idle. */
+static bool
+waits_for_room_only (const struct core_step *step)
+{
+  switch (step->wait_reason)
+    {
+    case CORE_WAIT_NONE:
+    case CORE_WAIT_CAPACITY:
+    case CORE_WAIT_RECORD:
+      return true;
+    case CORE_WAIT_ADVICE:
+      return step->query_in_flight;
+    default:
+      return false;
+    }
+}
+
 /* Whether room that becomes free anywhere is likely to serve @step soon. */
 static bool
 needs_any_room (const struct core_step *step)
@@ -33,8 +51,7 @@
   const struct fl_step_spec *spec = step->spec;
 
   return step->job->queue.priority == 0 && !spec->long_running && !spec->best_effort && !spec->gang
-         && spec->label.len == 0 && spec->cpu_milli > 0 && step->wait_reason != CORE_WAIT_TEAM_LIMIT
-         && step->wait_reason != CORE_WAIT_RECONCILING;
+         && spec->label.len == 0 && spec->cpu_milli > 0 && waits_for_room_only (step);
 }
 
 void
