urgent room: a team's batch tasks make way for its urgent ones at its limit

Change: batch tasks of a team leave what its urgent tasks that wait and can be in time need, and checkpointing ones are stopped, a quarter of the limit at a time. An urgent task that is larger than the limit holds nothing.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -19,9 +19,10 @@
 struct core_team
 {
   struct fl_name name;
-  struct fl_resources used;        /* by all runs that may be in effect */
-  struct fl_resources urgent_used; /* part of used that belongs to urgent runs (priority 0) */
-  struct fl_resources urgent_peak; /* decaying maximum of urgent_used */
+  struct fl_resources used;           /* by all runs that may be in effect */
+  struct fl_resources urgent_used;    /* part of used that belongs to urgent runs (priority 0) */
+  struct fl_resources urgent_peak;    /* decaying maximum of urgent_used */
+  struct fl_resources urgent_waiting; /* needed by its urgent tasks that wait, in this tick */
   /* Needed by tasks that an earlier owner may have started on a target that has not reported. */
   struct fl_resources unreconciled;
 };
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -193,14 +193,15 @@
 /* --- limits of teams --- */
 
 /* The part of a team's limit that tasks of lower priority leave free for urgent tasks: as much as
- * urgent tasks used recently. A team that uses less than half of its limit has room for both.
+ * urgent tasks used recently, or as those that wait need. A team that uses less than half of its
+ * limit has room for both.
  *
  * Load pattern: long jobs of lower priority exhaust the limit of a team. Its urgent jobs, which
  * arrive continually and run for a second, would then wait for tasks that run for many seconds. */
 static int64_t
-urgent_reserve (const struct core_step *step, int64_t urgent, int64_t peak)
+urgent_reserve (const struct core_step *step, int64_t urgent, int64_t peak, int64_t waiting)
 {
-  return step->job->queue.priority == 0 ? 0 : MAX (peak - urgent, 0);
+  return step->job->queue.priority == 0 ? 0 : MAX (peak - urgent, waiting);
 }
 
 static bool
@@ -221,14 +222,16 @@
   if (team_configuration == NULL)
     return true;
   return fits_cap (team->used.cpu_milli + team->unreconciled.cpu_milli, spec->cpu_milli,
-                   urgent_reserve (step, team->urgent_used.cpu_milli, team->urgent_peak.cpu_milli),
+                   urgent_reserve (step, team->urgent_used.cpu_milli, team->urgent_peak.cpu_milli,
+                                   team->urgent_waiting.cpu_milli),
                    team_configuration->cap.cpu_milli)
-         && fits_cap (
-             team->used.memory_mb + team->unreconciled.memory_mb, spec->memory_mb,
-             urgent_reserve (step, team->urgent_used.memory_mb, team->urgent_peak.memory_mb),
-             team_configuration->cap.memory_mb)
+         && fits_cap (team->used.memory_mb + team->unreconciled.memory_mb, spec->memory_mb,
+                      urgent_reserve (step, team->urgent_used.memory_mb,
+                                      team->urgent_peak.memory_mb, team->urgent_waiting.memory_mb),
+                      team_configuration->cap.memory_mb)
          && fits_cap (team->used.gpu + team->unreconciled.gpu, spec->gpu,
-                      urgent_reserve (step, team->urgent_used.gpu, team->urgent_peak.gpu),
+                      urgent_reserve (step, team->urgent_used.gpu, team->urgent_peak.gpu,
+                                      team->urgent_waiting.gpu),
                       team_configuration->cap.gpu);
 }
 
--- a/lib/core/urgent_room.c
+++ b/lib/core/urgent_room.c
@@ -44,28 +44,67 @@
     }
 }
 
+static bool
+is_urgent (const struct core_step *step)
+{
+  const struct fl_step_spec *spec = step->spec;
+
+  return step->job->queue.priority == 0 && !spec->long_running && !spec->best_effort && !spec->gang;
+}
+
 /* Whether room that becomes free anywhere is likely to serve @step soon. */
 static bool
 needs_any_room (const struct core_step *step)
 {
+  return step->spec->label.len == 0 && step->spec->cpu_milli > 0 && waits_for_room_only (step);
+}
+
+static bool
+is_within (int64_t need, int64_t cap)
+{
+  return cap <= 0 || need <= cap;
+}
+
+/* Whether one task of @step fits into the limit of its team. */
+static bool
+fits_limit (const struct core_step *step)
+{
+  const struct fl_team *team
+      = fl_configuration_find_team (step->job->core->configuration, &step->job->team->name);
   const struct fl_step_spec *spec = step->spec;
 
-  return step->job->queue.priority == 0 && !spec->long_running && !spec->best_effort && !spec->gang
-         && spec->label.len == 0 && spec->cpu_milli > 0 && waits_for_room_only (step);
+  return team == NULL
+         || (is_within (spec->cpu_milli, team->cap.cpu_milli)
+             && is_within (spec->memory_mb, team->cap.memory_mb)
+             && is_within (spec->gpu, team->cap.gpu));
 }
 
 void
 core_urgent_room_begin (struct fl_core *core)
 {
+  GHashTableIter iter;
+  void *team;
+
   g_array_set_size (core->urgent_rooms, 0);
   g_ptr_array_set_size (core->urgent_steps, 0);
+  g_hash_table_iter_init (&iter, core->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &team))
+    ((struct core_team *)team)->urgent_waiting = (struct fl_resources){ 0 };
 }
 
 void
 core_urgent_room_add (struct core_step *step)
 {
-  if (needs_any_room (step))
-    g_ptr_array_add (step->job->core->urgent_steps, step);
+  struct fl_resources *waiting = &step->job->team->urgent_waiting;
+
+  if (!is_urgent (step))
+    return;
+  g_ptr_array_add (step->job->core->urgent_steps, step);
+  if (core_job_is_late (step->job) || !fits_limit (step))
+    return;
+  waiting->cpu_milli += step->idle_tasks * step->spec->cpu_milli;
+  waiting->memory_mb += step->idle_tasks * step->spec->memory_mb;
+  waiting->gpu += step->idle_tasks * step->spec->gpu;
 }
 
 static void
@@ -106,7 +145,8 @@
   for (guint i = 0; i < core->urgent_steps->len; i++)
     {
       const struct core_step *urgent = g_ptr_array_index (core->urgent_steps, i);
-      if (urgent->idle_tasks == 0 || !fl_name_eq (&urgent->job->queue.service, &room->service))
+      if (urgent->idle_tasks == 0 || !needs_any_room (urgent)
+          || !fl_name_eq (&urgent->job->queue.service, &room->service))
         continue;
       add_need (room, urgent);
       example = urgent;
@@ -168,38 +208,32 @@
   return MAX (expected_ms, 0);
 }
 
-/* What the runs and the capacity of a service say about preemption. */
-struct service_runs
+/* What the runs that matter to a shortage say about preemption. */
+struct preemptible_runs
 {
-  struct fl_resources capacity;
   struct fl_resources stopping;
   GArray *candidates; /* struct fl_preemption_candidate */
 };
 
 static void
-add_target_runs (struct service_runs *runs, const struct core_target *target)
+add_run (struct preemptible_runs *runs, struct core_run *run)
 {
-  int64_t now_ms = target->core->now_ms;
+  const struct fl_step_spec *spec = run->task->step->spec;
 
-  runs->capacity.cpu_milli += target->entry.resources.cpu_milli;
-  for (guint i = 0; i < target->runs->len; i++)
+  if (run->state == CORE_RUN_STOPPING && !spec->best_effort)
     {
-      struct core_run *run = g_ptr_array_index (target->runs, i);
-      const struct fl_step_spec *spec = run->task->step->spec;
-      if (run->state == CORE_RUN_STOPPING && !spec->best_effort)
-        {
-          runs->stopping.cpu_milli += spec->cpu_milli;
-          runs->stopping.memory_mb += spec->memory_mb;
-        }
-      if (!may_be_preempted (run))
-        continue;
-      struct fl_preemption_candidate candidate = { .cpu_milli = spec->cpu_milli,
-                                                   .memory_mb = spec->memory_mb,
-                                                   .remaining_ms = remaining_ms (run, now_ms),
-                                                   .preemptions = run->task->preemptions,
-                                                   .run = run };
-      g_array_append_val (runs->candidates, candidate);
+      runs->stopping.cpu_milli += spec->cpu_milli;
+      runs->stopping.memory_mb += spec->memory_mb;
     }
+  if (!may_be_preempted (run))
+    return;
+  struct fl_preemption_candidate candidate
+      = { .cpu_milli = spec->cpu_milli,
+          .memory_mb = spec->memory_mb,
+          .remaining_ms = remaining_ms (run, run->target->core->now_ms),
+          .preemptions = run->task->preemptions,
+          .run = run };
+  g_array_append_val (runs->candidates, candidate);
 }
 
 static void
@@ -216,50 +250,89 @@
   core_run_stop (run);
 }
 
+/* Stops as many of @runs as cover @need, of a service or team that has @capacity. */
+static void
+preempt (struct preemptible_runs *runs,
+         const struct fl_resources *need,
+         const struct fl_resources *capacity)
+{
+  struct fl_preemption_need rest
+      = { .cpu_milli = need->cpu_milli - runs->stopping.cpu_milli,
+          .memory_mb = need->memory_mb - runs->stopping.memory_mb,
+          .cpu_max_milli
+          = capacity->cpu_milli * STOPPING_MAX_PERCENT / 100 - runs->stopping.cpu_milli };
+  size_t count = fl_preemption_choose ((struct fl_preemption_candidate *)runs->candidates->data,
+                                       runs->candidates->len, &rest);
+
+  for (size_t i = 0; i < count; i++)
+    preempt_run (g_array_index (runs->candidates, struct fl_preemption_candidate, i).run);
+}
+
 /* Stops batch tasks for the urgent steps of the service of @example. */
 static void
 preempt_for_service (const struct core_step *example, const struct core_urgent_room *room)
 {
   struct fl_core *core = example->job->core;
-  struct service_runs runs
+  struct preemptible_runs runs
       = { .candidates = g_array_new (FALSE, FALSE, sizeof (struct fl_preemption_candidate)) };
-  struct fl_preemption_need need;
+  struct fl_resources need = { -room->spare.cpu_milli, -room->spare.memory_mb, 0 };
+  struct fl_resources capacity = { 0 };
 
   for (guint i = 0; i < core->target_list->len; i++)
     {
       const struct core_target *target = g_ptr_array_index (core->target_list, i);
-      if (core_target_accepts_step (target, example))
-        add_target_runs (&runs, target);
+      if (!core_target_accepts_step (target, example))
+        continue;
+      capacity.cpu_milli += target->entry.resources.cpu_milli;
+      for (guint j = 0; j < target->runs->len; j++)
+        add_run (&runs, g_ptr_array_index (target->runs, j));
     }
-  need.cpu_milli = -room->spare.cpu_milli - runs.stopping.cpu_milli;
-  need.memory_mb = -room->spare.memory_mb - runs.stopping.memory_mb;
-  need.cpu_max_milli
-      = runs.capacity.cpu_milli * STOPPING_MAX_PERCENT / 100 - runs.stopping.cpu_milli;
-  size_t count = fl_preemption_choose ((struct fl_preemption_candidate *)runs.candidates->data,
-                                       runs.candidates->len, &need);
-  for (size_t i = 0; i < count; i++)
-    preempt_run (g_array_index (runs.candidates, struct fl_preemption_candidate, i).run);
+  preempt (&runs, &need, &capacity);
+  g_array_unref (runs.candidates);
+}
+
+/* Stops batch tasks of @team for its urgent steps that wait for its limit.
+ *
+ * Load pattern: a team sends several times its usual, and its batch tasks exhaust its limit; room
+ * is left in the service. */
+static void
+preempt_for_team (struct fl_core *core, struct core_team *team, const struct fl_resources *need)
+{
+  const struct fl_team *configuration
+      = fl_configuration_find_team (core->configuration, &team->name);
+  struct preemptible_runs runs
+      = { .candidates = g_array_new (FALSE, FALSE, sizeof (struct fl_preemption_candidate)) };
+
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      for (guint j = 0; j < target->runs->len; j++)
+        {
+          struct core_run *run = g_ptr_array_index (target->runs, j);
+          if (run->task->step->job->team == team)
+            add_run (&runs, run);
+        }
+    }
+  if (configuration != NULL)
+    preempt (&runs, need, configuration->cap.cpu_milli > 0 ? &configuration->cap : &team->used);
   g_array_unref (runs.candidates);
 }
 
-/* Whether @step waits for room, and its job can still meet its objective. */
+/* --- reasons --- */
+
+/* Whether @step waits for @reason, and its job can still meet its objective. */
 static bool
-justifies_preemption (const struct core_step *step)
+justifies_preemption (const struct core_step *step, enum core_wait_reason reason)
 {
-  return step->wait_reason == CORE_WAIT_CAPACITY && step->idle_tasks > 0
-         && !core_job_is_late (step->job);
+  return step->wait_reason == reason && step->idle_tasks > 0 && !core_job_is_late (step->job)
+         && fits_limit (step);
 }
 
-void
-core_urgent_room_preempt (struct fl_core *core)
+static void
+preempt_for_services (struct fl_core *core)
 {
-  if (core->urgent_steps->len == 0 || core->now_ms - core->preempted_at_ms < PREEMPTION_INTERVAL_MS)
-    return;
   /* What is needed now, after placement, by those steps alone for which tasks are stopped. */
   g_array_set_size (core->urgent_rooms, 0);
-  for (guint i = core->urgent_steps->len; i > 0; i--)
-    if (!justifies_preemption (g_ptr_array_index (core->urgent_steps, i - 1)))
-      g_ptr_array_remove_index_fast (core->urgent_steps, i - 1);
   for (guint i = 0; i < core->urgent_steps->len; i++)
     {
       const struct core_step *step = g_ptr_array_index (core->urgent_steps, i);
@@ -271,3 +344,45 @@
       preempt_for_service (step, room);
     }
 }
+
+static void
+preempt_for_teams (struct fl_core *core)
+{
+  g_autoptr (GHashTable) needs = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  GHashTableIter iter;
+  void *team;
+  void *need;
+
+  for (guint i = 0; i < core->urgent_steps->len; i++)
+    {
+      const struct core_step *step = g_ptr_array_index (core->urgent_steps, i);
+      if (!justifies_preemption (step, CORE_WAIT_TEAM_LIMIT))
+        continue;
+      struct fl_resources *sum = g_hash_table_lookup (needs, step->job->team);
+      if (sum == NULL)
+        {
+          sum = g_new0 (struct fl_resources, 1);
+          g_hash_table_insert (needs, step->job->team, sum);
+        }
+      sum->cpu_milli += step->idle_tasks * step->spec->cpu_milli;
+      sum->memory_mb += step->idle_tasks * step->spec->memory_mb;
+    }
+  g_hash_table_iter_init (&iter, needs);
+  while (g_hash_table_iter_next (&iter, &team, &need))
+    {
+      core->preempted_at_ms = core->now_ms;
+      preempt_for_team (core, team, need);
+    }
+}
+
+void
+core_urgent_room_preempt (struct fl_core *core)
+{
+  if (core->urgent_steps->len == 0 || core->now_ms - core->preempted_at_ms < PREEMPTION_INTERVAL_MS)
+    return;
+  preempt_for_teams (core);
+  for (guint i = core->urgent_steps->len; i > 0; i--)
+    if (!justifies_preemption (g_ptr_array_index (core->urgent_steps, i - 1), CORE_WAIT_CAPACITY))
+      g_ptr_array_remove_index_fast (core->urgent_steps, i - 1);
+  preempt_for_services (core);
+}
--- a/tests/test_urgent_room.c
+++ b/tests/test_urgent_room.c
@@ -111,11 +111,11 @@
 };
 
 static struct model *
-model_new (void)
+model_new (int64_t cpu_cap_milli)
 {
   struct model *model = g_new0 (struct model, 1);
 
-  model->fixture = fixture_new (0);
+  model->fixture = fixture_new (cpu_cap_milli);
   model->runs = g_array_new (FALSE, FALSE, sizeof (struct model_run));
   fl_core_set_registry_known (model->fixture->core);
   for (int i = 0; i < TARGETS; i++)
@@ -231,11 +231,12 @@
     }
 }
 
-/* Fills the pool with the tasks of @batch, which need a quarter of a target. */
+/* Fills the pool, or what @cpu_cap_milli allows of it unless that is 0, with the tasks of @batch,
+ * which need a quarter of a target. */
 static struct model *
-model_new_full (struct fl_step_spec batch, const char *queue)
+model_new_full (struct fl_step_spec batch, const char *queue, int64_t cpu_cap_milli)
 {
-  struct model *model = model_new ();
+  struct model *model = model_new (cpu_cap_milli);
 
   batch.count = 40;
   batch.cpu_milli = 2500;
@@ -277,7 +278,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct model *model = model_new_full (cases[i].batch, cases[i].queue);
+      struct model *model = model_new_full (cases[i].batch, cases[i].queue, 0);
       assert_int_equal (model->runs->len, TARGETS * 4);
       add_urgent_job (model, "u", 4);
       run_model (model, 2000);
@@ -289,11 +290,40 @@
     }
 }
 
+/* Urgent jobs of a team waited while its own batch tasks exhausted its limit, beside free targets.
+ */
+static void
+test_urgent_tasks_at_the_limit_of_their_team (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool checkpoints;
+    guint stops;
+    int urgent_ended; /* after two seconds */
+  } cases[] = { { "with checkpoints", true, 4, 4 }, { "without checkpoints", false, 0, 0 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_step_spec batch = { .checkpoints = cases[i].checkpoints };
+      struct model *model = model_new_full (batch, "slow", 20000);
+      assert_int_equal (model->runs->len, 8);
+      add_urgent_job (model, "u", 4);
+      run_model (model, 2000);
+      if (model->fixture->stop_orders->len != cases[i].stops
+          || model->ended[0] != cases[i].urgent_ended)
+        fail_msg ("%s: %u stopped, %d ended", cases[i].name, model->fixture->stop_orders->len,
+                  model->ended[0]);
+      model_free (model);
+    }
+}
+
 /* What was stopped resumes from its checkpoint, and all batch tasks end. */
 static void
 test_preempted_tasks_resume (void **state)
 {
-  struct model *model = model_new_full ((struct fl_step_spec){ .checkpoints = true }, "slow");
+  struct model *model = model_new_full ((struct fl_step_spec){ .checkpoints = true }, "slow", 0);
   int resumed = 0;
 
   (void)state;
@@ -312,7 +342,7 @@
 static void
 test_bursts_are_bounded (void **state)
 {
-  struct model *model = model_new_full ((struct fl_step_spec){ .checkpoints = true }, "slow");
+  struct model *model = model_new_full ((struct fl_step_spec){ .checkpoints = true }, "slow", 0);
   g_autoptr (GHashTable) stops = g_hash_table_new (fl_name_hash, fl_name_equal);
   guint stopped = 0;
 
@@ -380,6 +410,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_choice_of_tasks),
     cmocka_unit_test (test_urgent_tasks_behind_long_ones),
+    cmocka_unit_test (test_urgent_tasks_at_the_limit_of_their_team),
     cmocka_unit_test (test_preempted_tasks_resume),
     cmocka_unit_test (test_bursts_are_bounded),
     cmocka_unit_test (test_gap_is_kept_during_the_query),
