core: no task starts on the targets of an evacuated failure domain

The operator's rows evacuate/DOMAIN are followed like the configuration; a full read replaces the set. Starts carry a deadline within the bound of an evacuation, counted from the time at which the rows were last known to be current, and nothing starts where they are too old. Starts without a reply are not repeated there. Targets that are cold rank below warm ones.

--- a/lib/cli/commands.c
+++ b/lib/cli/commands.c
@@ -222,6 +222,17 @@
   return print_dump (arguments, "target", columns);
 }
 
+static int
+list_domains (const struct arguments *arguments)
+{
+  static const struct fl_column columns[]
+      = { { "DOMAIN", "domain" }, { "EVACUATED", "evacuated" }, { "FOR MS", "evacuated_ms" },
+          { "RUNS", "runs" },     { "TARGETS", "targets" },     { "COLD", "cold" },
+          { NULL, NULL } };
+
+  return print_dump (arguments, "domain", columns);
+}
+
 static int
 list_jobs (const struct arguments *arguments)
 {
@@ -293,6 +304,10 @@
   { "queue pending", "QUEUE", "print the number of pending jobs", 1, false, show_pending },
   { "targets", "", "list targets as seen by the pool's owner (--url: its metrics address)", 0,
     false, list_targets },
+  { "domains", "",
+    "list failure domains, and those evacuated, as seen by the pool's owner (--url: its metrics "
+    "address)",
+    0, false, list_domains },
   { "jobs", "", "list open jobs as seen by the pool's owner (--url: its metrics address)", 0, false,
     list_jobs },
   { "advisors", "",
--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -150,8 +150,7 @@
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
   candidate.is_unanswered = g_hash_table_contains (step->unanswered, &target->entry.id);
-  candidate.free_cpu_milli
-      = core_target_available_resources (target, true).cpu_milli - target->tentative_cpu_milli;
+  candidate.free_cpu_milli = core_target_rank_cpu (target, step) - target->tentative_cpu_milli;
   g_array_append_val (candidates->rows, candidate);
 }
 
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -155,6 +155,7 @@
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->run_times = fl_run_times_new ();
+  core_domains_init (core);
   core->queue_stats = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   return core;
 }
@@ -171,6 +172,7 @@
   g_hash_table_destroy (core->teams);
   g_hash_table_destroy (core->queue_stats);
   fl_run_times_free (core->run_times);
+  core_domains_clear (core);
   g_hash_table_destroy (core->unreconciled_hashes);
   g_ptr_array_unref (core->target_list);
   g_ptr_array_unref (core->recording_jobs);
@@ -381,6 +383,8 @@
     target->address_changed = true;
   target->entry = *entry;
   target->registered = true;
+  fl_warm_up_update (&target->warm_up, entry->cold_left_ms, core->now_ms);
+  core_target_update_evacuated (target);
 }
 
 bool
@@ -975,6 +979,7 @@
       check_targets (core);
     }
   core_crash_decide (core);
+  core_domains_tick (core);
   if (core->configuration != NULL)
     core_place_tasks (core);
 }
@@ -999,6 +1004,7 @@
           target->entry.draining ? "true" : "false", target->silent ? "true" : "false",
           target->runs->len, target->used.cpu_milli, target->entry.resources.cpu_milli);
     }
+  core_domains_dump (core, out);
   g_hash_table_iter_init (&iter, core->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -61,6 +61,9 @@
   int64_t target_lease_max_ms; /* longest lease that a target grants */
   /* Rate, in bytes a second, at which start orders may be sent; 0 for no limit. */
   int64_t order_bytes_per_s;
+  /* Time after which a change of the evacuated domains has to hold; 0 for none: then what is known
+   * of them does not age. */
+  int64_t evacuation_ms;
 };
 
 struct fl_core *fl_core_new (const struct fl_core_options *options);
@@ -110,6 +113,15 @@
  * shrunk. A caller that never declares it is not bound by this. */
 void fl_core_confirm_registry (struct fl_core *core, int64_t sent_ms);
 
+/* Replaces the evacuated failure domains by @domains. Until a domain is no longer among them, no
+ * task is started on its targets; what runs there goes on. */
+void
+fl_core_set_evacuated_domains (struct fl_core *core, const struct fl_name *domains, size_t count);
+
+/* Declares that the evacuated domains that were passed in last were current at @sent_ms or later.
+ * With options.evacuation_ms, no tasks are started where this is not declared for some time. */
+void fl_core_confirm_domains (struct fl_core *core, int64_t sent_ms);
+
 /* Cancels the job @id and stops its runs. Ignores unknown and finished jobs. */
 void fl_core_cancel_job (struct fl_core *core, const struct fl_name *id);
 
@@ -221,5 +233,5 @@
  * borrowed from a job) to count (intptr_t). Free it with g_hash_table_unref. */
 GHashTable *fl_core_count_pending_jobs (const struct fl_core *core);
 
-/* Appends one line of JSON for each target and job to @out, for operators. */
+/* Appends one line of JSON for each target, failure domain and job to @out, for operators. */
 void fl_core_dump (const struct fl_core *core, GString *out);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -4,6 +4,7 @@
 #include "common/reply_time.h"
 #include "core/core.h"
 #include "policy/run_time.h"
+#include "policy/warm_up.h"
 
 /* A lease counts as expired only after this percentage of its duration plus the margin: the clock
  * of a target may run 2 % slow, and the rest covers rounding and the transit time of a reply. */
@@ -54,6 +55,7 @@
   /* Its boot has received a heartbeat with @fencing_token, so that it rejects what was sent to
    * earlier boots. */
   bool is_fenced;
+  bool is_evacuated;            /* its failure domain is */
   int64_t fencing_token;        /* of the orders to it; raised for each boot */
   bool shares_token;            /* no token was left for its boot: it has that of an earlier one */
   int64_t token_raised_at_ms;   /* heartbeats sent before this time carried a lower token */
@@ -92,6 +94,7 @@
   GList unreconciled_link;
   GList unrecorded_link;
   GList idle_link;
+  struct fl_warm_up warm_up;
   struct fl_target_entry entry;
 };
 
@@ -320,6 +323,9 @@
   bool registry_known;              /* see fl_core_set_registry_known */
   int64_t registry_confirmed_ms;    /* see fl_core_confirm_registry; 0 before the first call */
   bool jobs_known;                  /* see fl_core_set_jobs_known */
+  GArray *evacuations;              /* struct evacuation, in domains.c */
+  int64_t domains_confirmed_ms;     /* see fl_core_confirm_domains; 0 before the first call */
+  bool domains_were_known;          /* core_domains_are_known in the last tick */
   struct core_order_budget order_budget;
   int64_t queries_sent;            /* advice queries about all steps */
   bool target_list_outdated;       /* the stored list may contain a target that left */
@@ -581,6 +587,9 @@
 struct fl_resources core_target_available_resources (const struct core_target *target,
                                                      bool for_best_effort);
 
+/* The free CPU of @target by which it is ranked for tasks of @step: lower while it is cold. */
+int64_t core_target_rank_cpu (const struct core_target *target, const struct core_step *step);
+
 /* How many tasks of @step the target can take now, by its resources and label and by the limits of
  * the step; 0 when it takes no new tasks. @include_tentative counts tentative charges as used. */
 int64_t core_target_task_capacity (const struct core_target *target,
@@ -614,6 +623,27 @@
 void
 core_order_budget_charge (struct core_order_budget *budget, int64_t starts, size_t payload_bytes);
 
+/* --- domains.c --- */
+
+void core_domains_init (struct fl_core *core);
+void core_domains_clear (struct fl_core *core);
+
+/* Counts the runs left in evacuated domains. To be called in each tick. */
+void core_domains_tick (struct fl_core *core);
+
+/* Appends one line of JSON for each failure domain to @out. */
+void core_domains_dump (const struct fl_core *core, GString *out);
+
+/* Updates @target->is_evacuated after a change of its entry. */
+void core_target_update_evacuated (struct core_target *target);
+
+/* Whether it is known which domains are evacuated, so that tasks may be started. */
+bool core_domains_are_known (const struct fl_core *core);
+
+/* @return @deadline_ms, the time from now in which a start order may take effect, limited so that
+ * an evacuation that is not known yet holds in time. */
+int64_t core_domains_start_deadline_ms (const struct fl_core *core, int64_t deadline_ms);
+
 /* --- drain.c --- */
 
 /* Stops tasks on a draining target so that they continue elsewhere: long-running tasks immediately,
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -59,8 +59,8 @@
   return is_registry_current (target->core) && target->registered && target->recorded
          && target->reported && !target->silent && target->is_fenced && !target->shares_token
          && entry_is_of_present_boot (target) && !target->entry.draining && target->stale_runs == 0
-         && target->core->now_ms >= target->quarantined_until_ms
-         && fl_name_eq (&target->entry.service, service);
+         && target->core->now_ms >= target->quarantined_until_ms && !target->is_evacuated
+         && core_domains_are_known (target->core) && fl_name_eq (&target->entry.service, service);
 }
 
 bool
@@ -266,13 +266,21 @@
   return false;
 }
 
+int64_t
+core_target_rank_cpu (const struct core_target *target, const struct core_step *step)
+{
+  return fl_warm_up_rank_cpu (
+      &target->warm_up, core_target_available_resources (target, true).cpu_milli,
+      target->entry.resources.cpu_milli, step->job->queue.priority == 0, target->core->now_ms);
+}
+
 /* Scores a target by its free CPU, since tasks on the same target slow each other down. The highest
  * score is best. */
 static int64_t
 score_target (const struct core_target *target, const struct core_step *step)
 {
   const struct fl_step_spec *spec = step->spec;
-  int64_t value = core_target_available_resources (target, true).cpu_milli;
+  int64_t value = core_target_rank_cpu (target, step);
 
   if (spec->best_effort && has_serving_run (target))
     value -= AVOID_PENALTY_MILLI;
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -107,8 +107,10 @@
 static int64_t
 start_deadline_ms (const struct core_target *target, int64_t reply_limit_ms)
 {
-  return MIN (START_DEADLINE_MS + reply_limit_ms - FL_START_LIMIT_MS,
-              MAX (START_DEADLINE_MS, target->core->options.target_lease_ms));
+  int64_t deadline_ms = MIN (START_DEADLINE_MS + reply_limit_ms - FL_START_LIMIT_MS,
+                             MAX (START_DEADLINE_MS, target->core->options.target_lease_ms));
+
+  return core_domains_start_deadline_ms (target->core, deadline_ms);
 }
 
 void
@@ -539,13 +541,13 @@
    * replies. */
   if (run->target->silent && run->target->missed_heartbeats <= 1)
     return;
-  /* The next reply tells whether the new boot has the run. */
-  if (!run->target->is_fenced)
+  /* The next reply tells whether the new boot has the run, or whether the start took effect. */
+  if (!run->target->is_fenced || !core_domains_are_known (run->target->core))
     return;
   run->inconclusive_starts++;
   const char *ticket = core_advice_ticket (run->task->step, run->target);
   if (run->inconclusive_starts < START_ATTEMPTS_MAX && ticket != NULL && !run->target->silent
-      && !is_over_capacity (run))
+      && !run->target->is_evacuated && !is_over_capacity (run))
     {
       core_run_order_start (run, ticket);
       core_order_budget_charge (&run->target->core->order_budget, 1,
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -387,7 +387,8 @@
   if (open_listeners (&frontd, &error))
     {
       fl_stop_signals_start (&frontd.stop_signals, host->loop, on_stop, &frontd);
-      fl_configuration_watch_start (&frontd.configuration_watch, host, NULL, NULL);
+      fl_configuration_watch_start (&frontd.configuration_watch, host,
+                                    &(struct fl_configuration_watch_callbacks){ 0 });
       ev_run (host->loop, 0);
     }
   else
--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -46,6 +46,7 @@
   NAME (link_mbps, false, 10),
   INT_AS (forward_min_targets, "carry_from", 0, 1000000, 0),
   INT_AS (lease_max_ms, "hold_max_ms", 1000, 600000, 6000),
+  INT_AS (evacuation_ms, "evacuate_ms", 0, 600000, 0),
   INT (graceful_stop_s, 1, 600, 6),
   { "log_level", FL_ENUM, offsetof (struct fl_host_settings, log_level), false, 0, 0, 3, NULL,
     log_level_names },
--- a/lib/host/settings.h
+++ b/lib/host/settings.h
@@ -26,6 +26,7 @@
    * than the host has. 0: only in the latter case. */
   int64_t forward_min_targets;
   int64_t lease_max_ms;    /* longest lease that a target grants */
+  int64_t evacuation_ms;   /* after which an evacuation of a failure domain holds; 0 for none */
   int64_t graceful_stop_s; /* from SIGTERM until the process is killed */
   int log_level;           /* index of the name; see fl_host_settings_log_level */
 };
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -41,6 +41,18 @@
     fl_core_configure (poold->term->core, poold->watch.configuration);
 }
 
+static void
+on_evacuated (void *context)
+{
+  struct fl_poold *poold = context;
+  const GArray *domains = poold->watch.evacuated;
+
+  poold->tick_requested = true;
+  if (poold->term != NULL)
+    fl_core_set_evacuated_domains (poold->term->core, (const struct fl_name *)domains->data,
+                                   domains->len);
+}
+
 /* --- ownership --- */
 
 static int64_t
@@ -65,7 +77,9 @@
   struct fl_poold *poold = context;
 
   fl_stats_set (poold->host->stats, "pool_owned", 1);
-  fl_configuration_watch_start (&poold->watch, poold->host, on_configuration, poold);
+  fl_configuration_watch_start (
+      &poold->watch, poold->host,
+      &(struct fl_configuration_watch_callbacks){ on_configuration, on_evacuated, poold });
   poold->term = fl_term_new (poold, token, version, previous_owner_may_be_active);
 }
 
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -321,6 +321,7 @@
     .reconciled_at_ms = fl_ownership_get_reconciled_at (poold->ownership, lease_ms),
     .target_lease_ms = lease_ms,
     .target_lease_max_ms = poold->host->settings.lease_max_ms,
+    .evacuation_ms = poold->host->settings.evacuation_ms,
     .order_bytes_per_s
     = fl_host_settings_link_bytes_per_s (&poold->host->settings) * ORDERS_LINK_PERCENT / 100,
   };
@@ -400,13 +401,14 @@
   /* The tasks on targets outlive the time that a small host needs to read the jobs. */
   fl_peers_update_forwarding (term->poold, fl_core_target_count (term->core));
   fl_term_send_heartbeats (term);
-  /* A configuration that was last confirmed in an earlier term may be outdated: wait until it is
-   * confirmed in this term. */
+  /* A configuration or a list of evacuated domains that was last confirmed in an earlier term may
+   * be outdated: wait until it is confirmed in this term. */
   if (!term->jobs_read || !term->inherited_read
       || term->poold->watch.confirmed_ms == term->earlier_confirmed_ms)
     return;
   if (fl_ownership_has_authority (term->poold->ownership))
     {
+      fl_core_confirm_domains (term->core, term->poold->watch.confirmed_ms);
       fl_core_tick (term->core, fl_clock_boot_ms (), fl_clock_wall_ms ());
       fl_forwarder_flush (term->poold->forwarder);
       fl_term_store_records (term);
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -36,6 +36,7 @@
   struct fl_name domain;
   bool draining;              /* about to leave: takes no new tasks */
   int64_t drain_remaining_ms; /* minimum time until a draining target leaves; 0 when unknown */
+  int64_t cold_left_ms;       /* how much longer it is slower than usual; 0 if it is warm */
   int64_t booted_at_ms;       /* Unix time of the start, different for each boot; 0 when unknown */
   struct fl_resources resources; /* capacity */
   size_t label_count;
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -30,6 +30,9 @@
   int owner_frozen;       /* the owner is suspended for 0.2 to 8 s */
   int owner_isolated;     /* the owner cannot reach the store for 0.2 to 12 s */
   int registry_late;      /* the owner does not hear of changes of the registry for 0.2 to 9 s */
+  int evacuation;         /* the operator evacuates a failure domain for 1 to 12 s */
+  int operator_late;      /* the owner does not hear of changes of the operator's rows for 0.2 to
+                             9 s */
   int store_reply_lost;   /* for each store transaction: it is applied but its reply is lost */
   int store_delay_max_ms; /* no rate: longest additional delay of a store reply */
   int job_cancelled;      /* a job is cancelled */
@@ -79,6 +82,7 @@
 /* Until then owners may use the capacity that a target had before it shrank: stableWindowMs, and
  * one interval between the registrations of a target. */
 #define CELL_RESIZE_KNOWN_MS 4500
+#define CELL_EVACUATION_MS 5000
 
 struct cell_fault
 {
@@ -130,6 +134,8 @@
  *   BUDGET   a task was started again after all its attempts had failed; or a task that crashes its
  *            targets was started CELL_DEADLY_STARTS_MAX times, by owners without a fault since
  *            CELL_GANG_CALM_MS before, after CELL_DEADLY_CRASHES_MAX targets had crashed under it
+ *   EVAC     a task was started in a failure domain more than CELL_EVACUATION_MS after its
+ *            evacuation began, and before it ended
  *   QUOTA    the runs of a team exceed its CPU limit by over a tenth and one task
  *   MIXED    a job is recorded as completed although a task is not done
  *   LOST     a job did not end, or is recorded as failed or cancelled without cause; the cause of a
@@ -156,6 +162,7 @@
   int innocents_failed; /* jobs without such a task that were given up for crashes of their targets
                          */
   int owner_count;
+  int evacuations;            /* that lasted longer than CELL_EVACUATION_MS */
   int64_t queries;            /* sent to the simulated advice service, as are the following */
   int64_t queries_unanswered; /* overdue, or ended without advice */
   int64_t replies_late;       /* with advice, for queries that had been given up */
@@ -171,3 +178,8 @@
  * grow, beside the faults of another set, by the seed: 0 none, 1 mixed faults, 2 the same with
  * gangs, 3 late orders (modulo 4). @trace_prefix is NULL for no trace. */
 struct cell_result cell_simulate_deadly_tasks (uint64_t seed, const char *trace_prefix);
+
+/* Runs one simulation of failure domains that are evacuated and taken back, beside mixed faults; by
+ * the seed, half of the jobs are gangs, some jobs are long-running, or owners read the jobs slowly
+ * (modulo 4). @trace_prefix is NULL for no trace. */
+struct cell_result cell_simulate_evacuations (uint64_t seed, const char *trace_prefix);
--- a/tests/support_core.h
+++ b/tests/support_core.h
@@ -34,6 +34,7 @@
   int64_t reconciled_at_ms;  /* until then orders of an earlier owner may be in effect */
   int64_t order_bytes_per_s; /* that start orders may take; 0 for no limit */
   int64_t fencing_token;     /* 0 for 1 */
+  int64_t evacuation_ms;     /* see struct fl_core_options */
   int64_t acquired_version;  /* 0 for one above those of all jobs, if reconciled_at_ms is set */
 };
 
