--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -182,7 +182,7 @@
             "relay_port": self.relay_port, "carry_from": self.cell.carry_from,
             "pool_metrics_port": self.pool_metrics_port,
             "front_metrics_port": self.front_metrics_port,
-            "graceful_stop_s": 3, "log_level": "info",
+            "evacuate_ms": self.cell.evacuate_ms, "graceful_stop_s": 3, "log_level": "info",
         }
         path = os.path.join(self.cell.work_dir, self.name + ".json")
         # Both daemons of the host read the file, and one may do so while the other is started.
@@ -214,11 +214,13 @@
     """Several hosts, and stand-ins for the platform and the targets."""
 
     def __init__(self, domains, targets=12, hosts=3, uses_store_proxies=False, carry_from=0,
-                 store_delay_s=0.0, target_proxies=0, has_advice_service=False):
+                 store_delay_s=0.0, target_proxies=0, has_advice_service=False, evacuate_ms=0):
         self.ports = PORT_ALLOCATOR
         # Peers forward orders if there are at least this many targets; 0: only if the targets need
         # more CPU than the host has.
         self.carry_from = carry_from
+        # Time after which an evacuation has to hold; 0 if the hosts need not know of one in time.
+        self.evacuate_ms = evacuate_ms
         # Whether each host reaches the store through a fault proxy of its own.
         self.uses_store_proxies = uses_store_proxies
         # Delay of each block of data of these proxies, in both directions.
@@ -275,6 +277,12 @@
         assert status == 200
         return self.configuration_version
 
+    def evacuate(self, domain, ends=False):
+        """Requests the evacuation of a failure domain in place of the operator, or ends it."""
+        status, _ = send_request("DELETE" if ends else "PUT",
+                                 "%s/operator/op/evacuate/%s" % (self.platform_url, domain), {})
+        assert status == 200
+
     def register_target_proxies(self, count):
         ports = send_request("GET", self.targets_url + "/ports")[1]["ports"][:count]
         proxies = [FaultProxy(port) for port in ports]
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -117,6 +117,16 @@
     return [kind for event in events for kind, _ in judge.judge(event)] == ["LIMIT"]
 
 
+def finds_evacuated(start_s, domain="d", ended=None):
+    """Whether a start is found so long after the evacuation of domain d was acknowledged."""
+    judge = checks.EvacuationJudge()
+    judge.begin("d", 10.0)
+    if ended is not None:
+        judge.end(10.0 + ended)
+    judge.judge([0, *boot(0), domain])
+    return bool(judge.judge([1000 * (10.0 + start_s), *start(0)]))
+
+
 def finds_budget(crashes, starts, scope="targets"):
     """Whether so many starts after so many crashes are found, with a fault on the scope near them."""
     log = checks.FaultLog(lambda: 0.0)
@@ -270,6 +280,11 @@
     ("not LOST request: disturbed 2 s before", not finds_lost([TERM, ("h", "pause", 7.0, 8.0)])),
     ("LIMIT: known to have shrunk", finds_shrunk(5000)),
     ("not LIMIT: shrunk a moment ago", not finds_shrunk(4000)),
+    ("EVAC: after 5.1 s", finds_evacuated(5.1)),
+    ("EVAC: before its end", finds_evacuated(5.9, ended=6.0)),
+    ("not EVAC: after 4.9 s", not finds_evacuated(4.9)),
+    ("not EVAC: another domain", not finds_evacuated(5.1, domain="e")),
+    ("not EVAC: after its end", not finds_evacuated(6.1, ended=6.0)),
     ("BUDGET: three starts after three crashes", finds_budget(3, 3)),
     ("not BUDGET: two starts after three crashes", not finds_budget(3, 2)),
     ("not BUDGET: three starts after two crashes", not finds_budget(2, 1)),
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,7 +6,7 @@
 
 Runs --count seeds from --seed on. During and after each run it checks, by what targets and clients
 see: no task runs on two targets at once or starts again after its completion was acknowledged; no
-target exceeds the capacity of its boot; accepted jobs stay known, end and do not fail; only jobs of the kind
+target exceeds the capacity of its boot; no task starts in an evacuated failure domain; accepted jobs stay known, end and do not fail; only jobs of the kind
 that the test cancels are shown as cancelled; no task starts of a job whose every submission was
 rejected; requests are answered around planned stops; jobs are started, and tasks that last started
 again, in time; no daemon ends by itself. The checks are in soak_checks.py, the clients in soak_clients.py.
@@ -468,6 +468,16 @@
             # Calls that hang hold the turns of their hosts for as long again.
             time.sleep(duration_s + fault.get("hang_ms", 0) / 1000)
 
+    def evacuate_domain(self, duration_s):
+        """Evacuates one failure domain at a time, for longer than an evacuation may take to hold."""
+        domain, judge = self.random.choice(DOMAINS), self.soak.evacuation_judge
+        with self.soak.evacuation_lock, self.logged("evacuation", "operator"):
+            self.cell.evacuate(domain)
+            judge.begin(domain, time.monotonic())
+            time.sleep(checks.EVACUATION_S + duration_s)
+            judge.end(time.monotonic())
+            self.cell.evacuate(domain, ends=True)
+
     def cut_off_owner(self, duration_s):
         host = self.owner()
         with self.proxies("proxy", [host]):
@@ -507,6 +517,10 @@
     DEADLY = [resize_target] * 3 + [cut_or_crash, owner_and_targets, kill_owner, pause_owner,
                                     disrupt_target_proxies, disrupt_store, lose_store_replies]
     DEADLY_PHASES = [("deadly", [resize_target], 1), ("deadly", DEADLY, 1), ("deadly", DEADLY, 2)]
+    EVACUATION = [evacuate_domain] * 6 + [kill_owner, pause_owner, cut_off_owner, restart_host,
+                                          disrupt_store, lose_store_replies, cut_or_crash]
+    EVACUATION_PHASES = [("evacuation", [evacuate_domain], 1), ("evacuation", EVACUATION, 2),
+                         ("evacuation", EVACUATION, 3)]
     ADVICE_PHASES = [("advice", [disrupt_advice], 1), ("advice", ADVICE, 1), ("advice", ADVICE, 2)]
 
     def inject(self, kinds, deadline):
@@ -535,7 +549,8 @@
                          carry_from=self.random.choice([0, 1]),
                          store_delay_s=self.random.choice(STORE_DELAYS_S),
                          target_proxies=min(options.targets // 2, 12),
-                         has_advice_service=self.plays_advice)
+                         has_advice_service=self.plays_advice,
+                         evacuate_ms=int(1000 * checks.EVACUATION_S) if phase == "evacuation" else 0)
         self.load = LoadGenerator(self.cell, seed)
         self.clients = [Client(self.load, self.cell.hosts[i % hosts],
                                ADVICE_KINDS if self.plays_advice
@@ -555,6 +570,7 @@
         self.late_orders = collections.Counter()
         self.run_judge, self.judged_events = checks.RunJudge(), 0
         self.crash_judge = checks.CrashJudge()
+        self.evacuation_judge, self.evacuation_lock = checks.EvacuationJudge(), threading.Lock()
         self.start_judge = checks.StartJudge(
             lambda job_id: self.cell.eligible_targets(job_id + ".0.0"))
 
@@ -584,6 +600,8 @@
                 if event[1] == "crash":
                     self.fault_log.add(checks.Fault("targets", "crashed by a task", event[0] / 1000,
                                                     event[0] / 1000 + DEADLY_DOWN_S))
+                for details in self.evacuation_judge.judge(event):
+                    self.report("EVAC", details)
                 for details in self.crash_judge.judge(event, self.fault_log):
                     self.report("BUDGET", details)
                 for kind, details in self.run_judge.judge(event):
@@ -682,7 +700,8 @@
         has_boots = self.seed >= FIRST_BOOTS_SEED or self.phase
         return (Faults.PHASES + (Faults.BOOT_PHASES if has_boots else [])
                 + (Faults.ADVICE_PHASES if self.plays_advice else [])
-                + (Faults.DEADLY_PHASES if self.plays_deadly else []))
+                + (Faults.DEADLY_PHASES if self.plays_deadly else [])
+                + (Faults.EVACUATION_PHASES if self.phase == "evacuation" else []))
 
     def play_phase(self, number):
         """Injects the faults of one phase, then leaves the cell calm."""
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -23,6 +23,7 @@
 # A task that crashes its targets is not started three times more after three; after two it may be given
 # up.
 CRASHES_MAX, CRASHES_GIVEN_UP = 3, 2
+EVACUATION_S = 5.0  # evacuateMs
 # Faults that are planned work. All others excuse a request that gets no answer.
 PLANNED = ("term", "hup")
 
@@ -199,6 +200,33 @@
         return found
 
 
+class EvacuationJudge:
+    """EVAC: judges starts in failure domains that are evacuated, by the events of GET /history."""
+
+    def __init__(self):
+        self.domains = {}  # target -> its domain
+        self.spans = []    # [domain, when its evacuation was acknowledged, its end or None]
+
+    def begin(self, domain, time_s):
+        self.spans.append([domain, time_s, None])
+
+    def end(self, time_s):
+        self.spans[-1][2] = time_s
+
+    def judge(self, event):
+        """Returns the details of each violation by the event."""
+        time_s, (kind, target) = event[0] / 1000, event[1:3]
+        if kind == "boot":
+            self.domains[target] = event[5]
+        if kind != "start":
+            return []
+        return ["task %s at %s, %.1f s after the evacuation of %s" % (
+                    event[4], target, time_s - begun, domain)
+                for domain, begun, ended in self.spans
+                if domain == self.domains[target] and time_s > begun + EVACUATION_S
+                and (ended is None or time_s < ended)]
+
+
 class CrashJudge:
     """BUDGET: judges the starts of tasks that crash their targets, by the events of GET /history; and
     knows under which tasks targets have crashed, which is the cause that a job may be given up for."""
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -175,21 +175,29 @@
   (void)result; /* the stand-in for the platform accepts operator writes in every mode */
 }
 
+static const char *
+get_domain (const struct target *target)
+{
+  char **domains = target->fleet->domains;
+
+  return domains[target->index % (int)g_strv_length (domains)];
+}
+
 static void
 write_registry_row (struct target *target, bool removes)
 {
   struct fleet *fleet = target->fleet;
-  const char *domain = fleet->domains[target->index % (int)g_strv_length (fleet->domains)];
   g_autofree char *rack = g_strdup_printf ("r%d", target->index / 8);
   g_autofree char *url
       = g_strdup_printf ("%s/operator/servers/%s", fleet->platform_url, target->id.data);
-  json_t *json = json_pack (
-      "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:I,s:I,s:i},s:[s,s],s:I,s:I,s:i}", "service",
-      fleet->service, "address", target->address.data, "zone", domain, "version", "v1", "slots", 8,
-      "state", target->draining ? "draining" : "ready", "coldLeftMs", 0, "capacity", "cpu",
-      (json_int_t)target->cpu_milli, "memMb", (json_int_t)fleet->memory_mb, "gpu", 0, "labels", "a",
-      rack, "clockMs", (json_int_t)target_state_get_clock_ms (&target->state, now_ms ()), "born",
-      (json_int_t)target->state.booted_at_ms, "seqNo", 1);
+  json_t *json
+      = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:I,s:I,s:i},s:[s,s],s:I,s:I,s:i}", "service",
+                   fleet->service, "address", target->address.data, "zone", get_domain (target),
+                   "version", "v1", "slots", 8, "state", target->draining ? "draining" : "ready",
+                   "coldLeftMs", 0, "capacity", "cpu", (json_int_t)target->cpu_milli, "memMb",
+                   (json_int_t)fleet->memory_mb, "gpu", 0, "labels", "a", rack, "clockMs",
+                   (json_int_t)target_state_get_clock_ms (&target->state, now_ms ()), "born",
+                   (json_int_t)target->state.booted_at_ms, "seqNo", 1);
   struct fl_str body = fl_json_encode (json);
   struct fl_http_call call = { .method = removes ? "DELETE" : "PUT",
                                .url = url,
@@ -210,8 +218,9 @@
 record_boot (struct target *target)
 {
   json_array_append_new (target->fleet->history,
-                         json_pack ("[I,s,s,i,I]", (json_int_t)now_ms (), "boot", target->id.data,
-                                    target->boot, (json_int_t)target->cpu_milli));
+                         json_pack ("[I,s,s,i,I,s]", (json_int_t)now_ms (), "boot", target->id.data,
+                                    target->boot, (json_int_t)target->cpu_milli,
+                                    get_domain (target)));
 }
 
 static void
