--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -869,20 +869,6 @@
     core_job_finish (job, FL_JOB_CANCELLED);
 }
 
-/* Assumes that the steps run one after another, each for the mean run time of the queue. */
-bool
-core_job_is_late (const struct core_job *job)
-{
-  double steps = (double)job->spec.steps.count;
-  double critical_path_ms = steps * job->queue_stats->mean_run_ms;
-  double remaining_ms = MIN ((double)job->unfinished_steps, steps) * job->queue_stats->mean_run_ms;
-  double elapsed_ms = (double)(job->core->wall_ms - job->spec.accepted_ms);
-
-  return job->queue_stats->mean_run_ms > 0 && job->spec.repeat_count == 0
-         && elapsed_ms + remaining_ms
-                > job->queue.stretch * critical_path_ms + (double)job->queue.latency_objective_ms;
-}
-
 bool
 core_step_is_due (const struct core_step *step)
 {
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -3,6 +3,7 @@
 
 #include "common/reply_time.h"
 #include "core/core.h"
+#include "policy/order.h"
 #include "policy/run_time.h"
 
 /* A lease counts as expired only after this percentage of its duration plus the margin: the clock
@@ -374,7 +375,16 @@
 /* Whether the start time of @step has passed and all steps that it depends on are done. */
 bool core_step_is_due (const struct core_step *step);
 
-/* Whether @job is expected to miss its latency objective, by the mean run time of its queue. */
+/* --- deadline.c --- */
+
+/* What @job can still reach, by the time that it still needs; see lib/policy/order.h. */
+enum fl_order_class core_job_order_class (const struct core_job *job);
+
+/* @return the time left until @job can no longer be in time; negative after that, and INT64_MAX for
+ * a job without an objective or an estimate. */
+int64_t core_job_slack_ms (const struct core_job *job);
+
+/* Whether @job is expected to miss its latency objective. */
 bool core_job_is_late (const struct core_job *job);
 
 /* --- runs.c --- */
