--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -434,5 +434,7 @@
       if (target != NULL && is_of_boot_queried (target, now_ms - reply->took_ms))
         mark_eligible (step, &reply->targets[i], now_ms + reply->tickets_valid_ms);
     }
+  if (reply->count > 0)
+    step->eligible_until_ms = now_ms + reply->tickets_valid_ms;
   update_eligible_share (step->job->queue_stats, (double)reply->count / (double)queried_count);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -3,6 +3,7 @@
 
 #include "common/reply_time.h"
 #include "core/core.h"
+#include "policy/job_time.h"
 #include "policy/order.h"
 #include "policy/run_time.h"
 
@@ -25,6 +26,7 @@
   struct fl_resources urgent_peak; /* decaying maximum of urgent_used */
   /* Needed by tasks that an earlier owner may have started on a target that has not reported. */
   struct fl_resources unreconciled;
+  int64_t last_waiting_ms; /* when a job of it last had tasks that wait */
 };
 
 /* Statistics of the tasks of one queue. */
@@ -33,7 +35,8 @@
   struct fl_name name;
   double eligible_share; /* moving average: share of queried targets that were eligible */
   int64_t advice_replies;
-  double mean_run_ms; /* moving average: duration of successful runs; 0 before the first */
+  double mean_run_ms;   /* moving average: duration of successful runs; 0 before the first */
+  double failure_share; /* moving average: share of the runs that ended as failed */
 };
 
 /* The members that every tick reads come first, since a tick visits all targets. */
@@ -126,6 +129,7 @@
   int64_t gauge;            /* see struct fl_run_row */
   int64_t share_percent;    /* share of its full speed at which a best-effort task may run */
   bool is_resumed;          /* its first start order carried a checkpoint */
+  bool is_repeated;         /* an earlier run of its task has not ended as done */
   bool is_urgent;           /* its queue had priority 0 when the run was created */
   bool is_recording;        /* the record in flight says that its task may be on its target */
   bool is_recorded;         /* a stored record of this owner says so */
@@ -185,6 +189,33 @@
   CORE_WAIT_REASON_COUNT
 };
 
+/* The wait of a step, from when one of its tasks could not be started until none waits. */
+struct core_step_wait
+{
+  enum core_wait_reason missing; /* the resource that is missing now */
+  int64_t missing_since_ms;
+  int64_t parts_ms[CORE_WAIT_REASON_COUNT];
+  /* When it began: queries_sent and queries_failed of the step, and core->queries_sent. */
+  int64_t queries_sent;
+  int64_t queries_failed;
+  int64_t all_queries_sent;
+};
+
+/* Where the age of a job goes: waits, by their reason (CORE_WAIT_NONE: its tasks run), and runs of
+ * tasks of which an earlier one was in vain. */
+#define CORE_AGE_REPEATED CORE_WAIT_REASON_COUNT
+#define CORE_AGE_PARTS (CORE_WAIT_REASON_COUNT + 1)
+
+/* What one occurrence of a job can still reach, and what that follows from. */
+struct core_deadline
+{
+  int64_t computed_at_ms; /* 0 for never */
+  int64_t idle_tasks;     /* of the job, then */
+  int64_t unfinished_steps;
+  struct fl_order_time time;
+  double unstarted_share; /* of its work */
+};
+
 struct core_step
 {
   struct core_job *job;
@@ -206,10 +237,13 @@
   enum core_wait_reason wait_reason;
   int64_t wait_started_at_ms;
   int64_t unplaced_since_ms; /* no task has been started since; 0 while none waits */
-  /* Before the wait: queries_sent and queries_failed, and core->queries_sent. */
+  /* Before the wait for this reason: queries_sent and queries_failed. */
   int64_t wait_queries_sent;
   int64_t wait_queries_failed;
-  int64_t wait_all_queries_sent;
+  struct core_step_wait wait;
+  int64_t eligible_until_ms;     /* until then it has tickets of its last reply */
+  struct core_deadline deadline; /* of its occurrence, in the first step of that */
+  double longest_run_ms;         /* of its tasks that are done */
 };
 
 /* Whether the store records that a job may have tasks on a target. A successor relies on these
@@ -251,9 +285,15 @@
   int64_t crash_changes_recorded;  /* of these, those in a stored record */
   bool needs_recording;            /* its progress has changed since the last record */
   bool record_in_flight;
-  int64_t idle_tasks; /* of all steps */
-  bool in_waiting;    /* in core->waiting_jobs */
-  bool in_final;      /* in core->final_jobs */
+  int64_t idle_tasks;             /* of all steps */
+  struct fl_job_scale scale;      /* of the run times of its tasks */
+  bool has_turn;                  /* see FL_ORDER_TURN_INTERVAL_MS */
+  int64_t repeated_runs;          /* of run_count, those with is_repeated */
+  int age_part;                   /* to which its time counts now */
+  int64_t age_part_since_ms;      /* 0 before the first part */
+  int64_t age_ms[CORE_AGE_PARTS]; /* of earlier times */
+  bool in_waiting;                /* in core->waiting_jobs */
+  bool in_final;                  /* in core->final_jobs */
   GList waiting_link;
   GList recording_link; /* in core->unrecorded_jobs while needs_recording is set */
   GList final_link;
@@ -264,6 +304,7 @@
 struct core_free_max
 {
   struct fl_name service;
+  struct fl_resources capacity; /* of all targets that take new tasks */
   struct fl_resources free;
   int64_t untaken_cpu_milli; /* free CPU less tentative charges */
   /* The needs of the last step for which a search of all targets was in vain, and whether there was
@@ -323,6 +364,7 @@
   bool jobs_known;                  /* see fl_core_set_jobs_known */
   struct core_order_budget order_budget;
   int64_t queries_sent;            /* advice queries about all steps */
+  int64_t turn_given_at_ms;        /* when an expired job last got its turn */
   bool target_list_outdated;       /* the stored list may contain a target that left */
   bool records_in_flight;          /* collected records have been neither stored nor failed */
   int64_t records_collected_at_ms; /* when records were last collected */
@@ -377,16 +419,34 @@
 
 /* --- deadline.c --- */
 
-/* What @job can still reach, by the time that it still needs; see lib/policy/order.h. */
+/* What @job can still reach; of a job with occurrences, the first that is due and has not ended. */
 enum fl_order_class core_job_order_class (const struct core_job *job);
 
-/* @return the time left until @job can no longer be in time; negative after that, and INT64_MAX for
- * a job without an objective or an estimate. */
+/* @return the time left until @job can no longer be in time; negative after that, and
+ * FL_ORDER_NO_OBJECTIVE for a job without an objective or an estimate. */
 int64_t core_job_slack_ms (const struct core_job *job);
 
 /* Whether @job is expected to miss its latency objective. */
 bool core_job_is_late (const struct core_job *job);
 
+/* Fills @key with what decides when @step is placed, without team_excess. */
+void core_step_get_order_key (const struct core_step *step, struct fl_order_key *key);
+
+/* --- job_age.c --- */
+
+/* Counts the time of @job from now on: to the wait of the first of its steps that wait, or to its
+ * runs. To be called when one of these changes. */
+void core_job_update_age (struct core_job *job);
+
+/* Logs the final state of @job, with the parts of its age. */
+void core_job_log_end (struct core_job *job);
+
+/* @return the name of @reason in logs. */
+const char *core_wait_reason_name (enum core_wait_reason reason);
+
+/* Notes that @step waits for @missing from now on, or no longer. Logs the wait when it ends. */
+void core_step_note_wait (struct core_step *step, enum core_wait_reason missing);
+
 /* --- runs.c --- */
 
 /* Creates run @number of @task on @target and charges its resources to the target and the team. */
@@ -597,6 +657,9 @@
                                    const struct core_step *step,
                                    bool include_tentative);
 
+/* @return the resources of all targets that take new tasks of @service. */
+const struct fl_resources *core_get_capacity (struct fl_core *core, const struct fl_name *service);
+
 /* Whether no target of the service of @step has enough free resources for one task, so that a
  * search for targets is in vain. @include_tentative counts tentative charges as used. */
 bool core_capacity_is_exhausted (const struct core_step *step, bool include_tentative);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -17,7 +17,6 @@
 #define PLACEMENTS_CAPACITY_RATIO 4
 /* Wait after which a long-running step is queried before all others. */
 #define LONG_RUNNING_WAIT_MS 1000
-#define LONG_RUNNING_RANK 1e12 /* above any response ratio */
 /* Index of the rack in the labels of a target; index 0 holds the kind of target. */
 #define RACK_LABEL_INDEX 1
 /* No task is started by registry entries that were last known to be current longer ago than this. A
@@ -147,6 +146,9 @@
       if (!accepts_tasks (target, service))
         continue;
       struct fl_resources available = core_target_available_resources (target, false);
+      max.capacity.cpu_milli += target->entry.resources.cpu_milli;
+      max.capacity.memory_mb += target->entry.resources.memory_mb;
+      max.capacity.gpu += target->entry.resources.gpu;
       max.free.cpu_milli = MAX (max.free.cpu_milli, available.cpu_milli);
       max.free.memory_mb = MAX (max.free.memory_mb, available.memory_mb);
       max.free.gpu = MAX (max.free.gpu, available.gpu);
@@ -157,6 +159,12 @@
   return &g_array_index (core->free_max, struct core_free_max, core->free_max->len - 1);
 }
 
+const struct fl_resources *
+core_get_capacity (struct fl_core *core, const struct fl_name *service)
+{
+  return &get_free_max (core, service)->capacity;
+}
+
 static bool
 needs_no_less (const struct fl_step_spec *spec, const struct fl_resources *need)
 {
@@ -546,47 +554,72 @@
 
 /* --- order of waiting steps --- */
 
-static double
-weighted_team_use (const struct core_job *job)
-{
-  const struct fl_team *team_configuration
-      = fl_configuration_find_team (job->core->configuration, &job->team->name);
-
-  return (double)job->team->used.cpu_milli
-         / (double)(team_configuration != NULL ? MAX (team_configuration->weight, 1) : 1);
-}
-
 struct waiting_step
 {
   struct core_step *step;
-  bool late;
-  double weighted_use;
+  struct fl_order_key key;
 };
 
-/* Compares by priority, then by whether the job can still meet its objective, then by the use of
- * the team relative to its weight, then by age.
- *
- * Load pattern: several times more work of a team or a queue arrives than there is capacity for. In
- * order of age, all jobs of a long queue would be late. With late jobs placed last, jobs that can
- * still meet their objective do so. A team that submits far more than usual delays its own jobs,
- * not those of other teams. */
 static gint
 compare_waiting_steps (const void *a, const void *b)
 {
-  const struct waiting_step *x = a;
-  const struct waiting_step *y = b;
-  const struct core_job *job_x = x->step->job;
-  const struct core_job *job_y = y->step->job;
+  return fl_order_compare (&((const struct waiting_step *)a)->key,
+                           &((const struct waiting_step *)b)->key);
+}
+
+static int64_t
+get_weight (const struct fl_core *core, const struct core_team *team)
+{
+  const struct fl_team *configured = fl_configuration_find_team (core->configuration, &team->name);
+
+  return configured != NULL ? MAX (configured->weight, 1) : 1;
+}
+
+/* @return the CPU of the room to which a weight of 1 entitles: the teams that use it or wait for it
+ * share it. */
+static double
+get_unit_share (const struct fl_core *core)
+{
+  GHashTableIter iter;
+  void *value;
+  int64_t weights = 0;
+  int64_t cpu_milli = 0;
+
+  g_hash_table_iter_init (&iter, core->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_team *team = value;
+      if (team->used.cpu_milli > 0 || team->last_waiting_ms == core->now_ms)
+        weights += get_weight (core, team);
+    }
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      cpu_milli += target->registered ? target->entry.resources.cpu_milli : 0;
+    }
+  return weights > 0 ? (double)cpu_milli / (double)weights : 0;
+}
+
+/* Lets the oldest expired job among @waiting go first once an interval, until it ends. */
+static void
+give_turn (struct fl_core *core, GArray *waiting)
+{
+  struct core_job *oldest = NULL;
 
-  if (job_x->queue.priority != job_y->queue.priority)
-    return job_x->queue.priority < job_y->queue.priority ? -1 : 1;
-  if (x->late != y->late)
-    return x->late ? 1 : -1;
-  if (x->weighted_use < y->weighted_use || x->weighted_use > y->weighted_use)
-    return x->weighted_use < y->weighted_use ? -1 : 1;
-  return job_x->accepted_version < job_y->accepted_version
-             ? -1
-             : job_x->accepted_version > job_y->accepted_version;
+  if (core->now_ms - core->turn_given_at_ms < FL_ORDER_TURN_INTERVAL_MS)
+    return;
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      const struct waiting_step *entry = &g_array_index (waiting, struct waiting_step, i);
+      struct core_job *job = entry->step->job;
+      if (entry->key.order_class == FL_ORDER_EXPIRED && !job->has_turn
+          && (oldest == NULL || job->accepted_version < oldest->accepted_version))
+        oldest = job;
+    }
+  if (oldest == NULL)
+    return;
+  oldest->has_turn = true;
+  core->turn_given_at_ms = core->now_ms;
 }
 
 static bool
@@ -613,56 +646,28 @@
   return count;
 }
 
-/* The lines of single queries may be folded when many steps wait, so that their number is part of
- * this line. */
+/* Sets the wait reason of @step, and which resource is @missing: that of the advice queries is not
+ * where there is no room for what they find. */
 static void
-log_wait_for_advice (const struct core_step *step,
-                     const struct fl_name *name,
-                     int64_t waited_ms,
-                     const char *next_reason)
+set_wait (struct core_step *step, enum core_wait_reason wait, enum core_wait_reason missing)
 {
   struct fl_core *core = step->job->core;
-  int64_t sent = step->queries_sent - step->wait_queries_sent;
-
-  fl_log (core->options.log, FL_LOG_INFO, "step_waited", FL_N ("step", name),
-          FL_S ("for", "advice"), FL_I ("ms", waited_ms), FL_S ("then", next_reason),
-          FL_I ("queries", sent),
-          FL_I ("unanswered", step->queries_failed - step->wait_queries_failed),
-          FL_I ("other_queries", core->queries_sent - step->wait_all_queries_sent - sent));
-}
-
-/* Updates the wait reason of @step. If it changes, logs the previous reason and its duration. */
-static void
-set_wait_reason (struct core_step *step, enum core_wait_reason wait)
-{
-  static const char *const names[CORE_WAIT_REASON_COUNT]
-      = { "none", "team_limit", "room", "advice", "record", "link", "settling" };
-  struct fl_core *core = step->job->core;
-  int64_t waited_ms = core->now_ms - step->wait_started_at_ms;
 
+  core_step_note_wait (step, missing);
   if (step->wait_reason == wait)
     return;
-  if (step->wait_reason != CORE_WAIT_NONE && waited_ms > 0)
-    {
-      struct fl_name name = core_step_name (step);
-      g_autofree char *stat
-          = g_strdup_printf ("step_wait_ms{for=\"%s\"}", names[step->wait_reason]);
-      fl_stats_record (core->options.stats, stat, waited_ms);
-      if (step->wait_reason == CORE_WAIT_ADVICE)
-        log_wait_for_advice (step, &name, waited_ms, names[wait]);
-      else
-        fl_log (core->options.log, FL_LOG_INFO, "step_waited", FL_N ("step", &name),
-                FL_S ("for", names[step->wait_reason]), FL_I ("ms", waited_ms),
-                FL_S ("then", names[wait]));
-    }
   step->wait_reason = wait;
-  /* The query in flight is part of the wait that it causes. */
   step->wait_queries_sent = step->queries_sent - step->query_in_flight;
   step->wait_queries_failed = step->queries_failed;
-  step->wait_all_queries_sent = core->queries_sent - step->query_in_flight;
   step->wait_started_at_ms = core->now_ms;
 }
 
+static void
+set_wait_reason (struct core_step *step, enum core_wait_reason wait)
+{
+  set_wait (step, wait, wait);
+}
+
 /* --- advice for waiting steps --- */
 
 /* A step of which some tasks could be started with advice. */
@@ -671,7 +676,11 @@
   struct core_step *step;
   int64_t unplaced;      /* tasks for which advice is needed */
   bool awaits_recording; /* other tasks start once a record is stored */
-  double rank;           /* see get_advice_rank */
+  bool is_first;         /* see is_queried_first */
+  bool is_room_scarce;
+  enum fl_order_class order_class;
+  double response_ratio;
+  guint position; /* in the order of waiting steps */
 };
 
 int64_t
@@ -681,30 +690,35 @@
                                                : 0;
 }
 
-/* @return the rank of @step among the steps that need advice; the highest is queried first. It is
- * the response ratio (wait and service time by service time), but long-running steps of which no
- * task has been started for LONG_RUNNING_WAIT_MS come first: their users are not served meanwhile.
- */
+/* The ratio of wait and service time to service time. */
 static double
-get_advice_rank (const struct core_step *step)
+get_response_ratio (const struct core_step *step)
 {
   double waited_ms = (double)core_step_wait_for_advice_ms (step);
-  double unplaced_ms = (double)(step->job->core->now_ms - step->unplaced_since_ms);
   double service_ms = MAX (step->job->queue.advice.base_latency_ms, 1.0);
 
-  if (step->spec->long_running && unplaced_ms >= LONG_RUNNING_WAIT_MS)
-    return LONG_RUNNING_RANK + unplaced_ms;
   return (waited_ms + service_ms) / service_ms;
 }
 
+/* Whether @step is a long-running one of which no task has been started for LONG_RUNNING_WAIT_MS:
+ * its users are not served meanwhile. */
+static bool
+is_queried_first (const struct core_step *step)
+{
+  return step->spec->long_running
+         && step->job->core->now_ms - step->unplaced_since_ms >= LONG_RUNNING_WAIT_MS;
+}
+
 /* Handles the @unplaced tasks of @step that could not be started: appends it to @unadvised if
  * advice can help, else sets what it waits for. */
 static void
-handle_unplaced_tasks (struct core_step *step,
+handle_unplaced_tasks (const struct waiting_step *entry,
                        const GArray *placements,
                        int64_t unplaced,
                        GArray *unadvised)
 {
+  struct core_step *step = entry->step;
+
   if (unplaced == 0)
     {
       step->unplaced_since_ms = 0;
@@ -726,35 +740,117 @@
       set_wait_reason (step, awaiting > 0 ? CORE_WAIT_RECORD : CORE_WAIT_CAPACITY);
       return;
     }
-  struct unadvised_step entry = { step, unplaced - awaiting, awaiting > 0, get_advice_rank (step) };
-  g_array_append_val (unadvised, entry);
+  struct unadvised_step unadvised_step = { .step = step,
+                                           .unplaced = unplaced - awaiting,
+                                           .awaits_recording = awaiting > 0,
+                                           .is_first = is_queried_first (step),
+                                           .order_class = entry->key.order_class,
+                                           .response_ratio = get_response_ratio (step),
+                                           .position = unadvised->len };
+  if (entry->key.has_turn)
+    unadvised_step.order_class = FL_ORDER_IN_TIME;
+  g_array_append_val (unadvised, unadvised_step);
+}
+
+/* Of a service, what is free and neither taken nor charged for queries in flight, and what the
+ * steps that need advice still need of it. */
+struct service_room
+{
+  const struct fl_name *service;
+  int64_t free_cpu_milli;
+  int64_t needed_cpu_milli;
+};
+
+static struct service_room *
+get_service_room (GArray *rooms, struct fl_core *core, const struct fl_name *service)
+{
+  struct service_room room = { .service = service };
+
+  for (guint i = 0; i < rooms->len; i++)
+    if (fl_name_eq (g_array_index (rooms, struct service_room, i).service, service))
+      return &g_array_index (rooms, struct service_room, i);
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      int64_t cpu_milli
+          = core_target_available_resources (target, false).cpu_milli - target->tentative_cpu_milli;
+      if (cpu_milli > 0 && accepts_tasks (target, service))
+        room.free_cpu_milli += cpu_milli;
+    }
+  g_array_append_val (rooms, room);
+  return &g_array_index (rooms, struct service_room, rooms->len - 1);
+}
+
+/* Tells for each of @unadvised, in the order of waiting steps, whether the service has less room
+ * than all of them need. */
+static void
+find_scarce_rooms (GArray *unadvised, GArray *rooms)
+{
+  for (guint i = 0; i < unadvised->len; i++)
+    {
+      const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      const struct core_job *job = entry->step->job;
+      struct service_room *room = get_service_room (rooms, job->core, &job->queue.service);
+      if (!entry->step->query_in_flight && !entry->step->spec->best_effort)
+        room->needed_cpu_milli += entry->unplaced * entry->step->spec->cpu_milli;
+    }
+  for (guint i = 0; i < unadvised->len; i++)
+    {
+      struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      const struct core_job *job = entry->step->job;
+      const struct service_room *room = get_service_room (rooms, job->core, &job->queue.service);
+      entry->is_room_scarce = room->needed_cpu_milli > room->free_cpu_milli;
+    }
 }
 
 static gint
-compare_advice_ranks (const void *a, const void *b)
+compare_unadvised_steps (const void *a, const void *b)
 {
   const struct unadvised_step *x = a;
   const struct unadvised_step *y = b;
+  bool by_position = x->is_room_scarce && y->is_room_scarce;
 
-  return x->rank > y->rank ? -1 : x->rank < y->rank;
+  if (x->is_first != y->is_first)
+    return x->is_first ? -1 : 1;
+  if (!by_position && x->order_class != y->order_class)
+    return x->order_class < y->order_class ? -1 : 1;
+  if (!by_position
+      && (x->response_ratio < y->response_ratio || x->response_ratio > y->response_ratio))
+    return x->response_ratio > y->response_ratio ? -1 : 1;
+  return x->position < y->position ? -1 : x->position > y->position;
+}
+
+/* Whether @step, which is to be queried about or is, waits for room: targets that it has tickets
+ * for are full. */
+static bool
+is_without_room (const struct core_step *step)
+{
+  return step->eligible_until_ms > step->job->core->now_ms;
 }
 
-/* Queries advice for the steps of @unadvised, by rank, and in the given order among equals.
+/* Queries advice for the steps of @unadvised.
  *
  * Load pattern: hosts are few, or the service is slow, so that not all steps can be queried. In the
  * order of waiting steps alone, those of low priority would get no query for as long as others
- * come, although there is capacity. */
+ * come, although there is capacity: the response ratio decides, except that steps of jobs that can
+ * gain more go first. Where room is scarce, too, queries about steps that get no room would be in
+ * vain, and the order of waiting steps decides. */
 static void
 query_advice (GArray *unadvised)
 {
-  g_array_sort (unadvised, compare_advice_ranks);
+  g_autoptr (GArray) rooms = g_array_new (FALSE, FALSE, sizeof (struct service_room));
+
+  find_scarce_rooms (unadvised, rooms);
+  g_array_sort (unadvised, compare_unadvised_steps);
   for (guint i = 0; i < unadvised->len; i++)
     {
       const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
       enum core_wait_reason wait = core_advice_send_query (entry->step, entry->unplaced);
-      set_wait_reason (entry->step, wait == CORE_WAIT_CAPACITY && entry->awaits_recording
-                                        ? CORE_WAIT_RECORD
-                                        : wait);
+      if (wait == CORE_WAIT_CAPACITY && entry->awaits_recording)
+        wait = CORE_WAIT_RECORD;
+      bool is_room_missing
+          = wait == CORE_WAIT_ADVICE && entry->is_room_scarce && is_without_room (entry->step);
+      set_wait (entry->step, wait, is_room_missing ? CORE_WAIT_CAPACITY : wait);
     }
 }
 
@@ -804,6 +900,36 @@
   return charged > 0 && (step->spec->gang || charged == step->idle_tasks);
 }
 
+static void
+collect_waiting_of_job (struct core_job *job, bool unreconciled, double unit_share, GArray *waiting)
+{
+  bool blocked = unreconciled && core_job_is_unreconciled (job);
+  double share = unit_share * (double)get_weight (job->core, job->team);
+  int excess = fl_order_team_excess ((double)job->team->used.cpu_milli, share);
+
+  for (size_t i = 0; i < job->step_count; i++)
+    {
+      struct waiting_step entry = { .step = &job->steps[i] };
+      if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step))
+        continue;
+      if (unreconciled && is_blocked_by_reconciliation (entry.step, blocked))
+        {
+          set_wait_reason (entry.step, CORE_WAIT_RECONCILING);
+          continue;
+        }
+      if (!has_waiting_task (entry.step))
+        {
+          set_wait_reason (entry.step, CORE_WAIT_NONE);
+          continue;
+        }
+      core_step_get_order_key (entry.step, &entry.key);
+      entry.key.team_excess = excess;
+      g_array_append_val (waiting, entry);
+    }
+}
+
+/* @return the steps that wait, as rows of struct waiting_step in the order in which they are
+ * placed. */
 static GArray *
 collect_waiting (struct fl_core *core)
 {
@@ -812,30 +938,21 @@
 
   clear_unreconciled (core);
   for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
-    {
-      struct core_job *job = link->data;
-      bool blocked = unreconciled && core_job_is_unreconciled (job);
-      bool late = core_job_is_late (job);
-      for (size_t i = 0; i < job->step_count; i++)
-        {
-          struct waiting_step entry = { &job->steps[i], late, 0 };
-          if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step))
-            continue;
-          entry.weighted_use = weighted_team_use (job);
-          if (unreconciled && is_blocked_by_reconciliation (entry.step, blocked))
-            set_wait_reason (entry.step, CORE_WAIT_RECONCILING);
-          else if (has_waiting_task (entry.step))
-            g_array_append_val (waiting, entry);
-        }
-    }
+    ((struct core_job *)link->data)->team->last_waiting_ms = core->now_ms;
+  double unit_share = get_unit_share (core);
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    collect_waiting_of_job (link->data, unreconciled, unit_share, waiting);
+  give_turn (core, waiting);
   g_array_sort (waiting, compare_waiting_steps);
   return waiting;
 }
 
-/* Starts the tasks of @step that can be started. Appends it to @unadvised if others need advice. */
+/* Starts the tasks of @entry that can be started. Appends it to @unadvised if others need advice.
+ */
 static void
-place_step (struct core_step *step, GArray *unadvised)
+place_step (const struct waiting_step *entry, GArray *unadvised)
 {
+  struct core_step *step = entry->step;
   struct fl_core *core = step->job->core;
 
   if (stop_incomplete_gang (step))
@@ -858,7 +975,15 @@
       core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
                                 step->job->spec.text.len);
     }
-  handle_unplaced_tasks (step, placements, unplaced, unadvised);
+  handle_unplaced_tasks (entry, placements, unplaced, unadvised);
+}
+
+/* Counts the time of the jobs that wait to what they wait for now. */
+static void
+update_ages (struct fl_core *core)
+{
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    core_job_update_age (link->data);
 }
 
 void
@@ -871,8 +996,9 @@
   update_urgent_peaks (core);
   waiting = collect_waiting (core);
   for (guint i = 0; i < waiting->len; i++)
-    place_step (g_array_index (waiting, struct waiting_step, i).step, unadvised);
+    place_step (&g_array_index (waiting, struct waiting_step, i), unadvised);
   query_advice (unadvised);
+  update_ages (core);
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
 }
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -8,6 +8,8 @@
 #define COLLECTED_BYTES_MAX (512 * 1024)
 /* Weight of one run in the moving average of the run time of a queue. */
 #define RUN_TIME_WEIGHT 0.05
+/* Weight of one run in the moving average of the share that fails. */
+#define FAILURE_WEIGHT 0.005
 /* A reply of a target that arrives later than this after the limit of its heartbeat is outdated.
  * Forwarded heartbeats have a longer limit. */
 #define REPLY_SLACK_MS 200
@@ -32,9 +34,7 @@
   core_queue_set_member (&core->waiting_jobs, &job->waiting_link, &job->in_waiting, false);
   core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, true);
   core_job_mark_for_recording (job);
-  fl_log (core->options.log, FL_LOG_INFO, "job_ended", FL_N ("job", &job->spec.id),
-          FL_S ("state", fl_job_state_name (state)),
-          FL_I ("age_ms", core->wall_ms - job->spec.accepted_ms));
+  core_job_log_end (job);
   for (size_t i = 0; i < job->step_count; i++)
     {
       core_advice_abandon_query (&job->steps[i]);
@@ -169,16 +169,31 @@
 /* Learns from a run of @task on @target that ended as done. One that resumed from a checkpoint was
  * shorter than the task. */
 static void
-learn_run_time (const struct core_task *task,
+learn_run_time (struct core_task *task,
                 const struct core_target *target,
                 int64_t ran_ms,
                 bool is_resumed)
 {
-  const struct core_step *step = task->step;
+  struct core_step *step = task->step;
+  const struct fl_name *kind = core_target_kind (target);
 
   update_mean_run_time (step->job->queue_stats, ran_ms);
-  if (!is_resumed && !step->spec->gang && !step->spec->best_effort)
-    fl_run_time_add (step->run_class, core_target_kind (target), step->spec->estimate_ms, ran_ms);
+  if (is_resumed || step->spec->best_effort)
+    return;
+  struct fl_run_time expected = fl_run_time_get (step->run_class, kind, step->spec->estimate_ms);
+  fl_job_scale_add (&step->job->scale, expected.median_ms, (double)ran_ms);
+  step->longest_run_ms = MAX (step->longest_run_ms, (double)ran_ms);
+  if (!step->spec->gang)
+    fl_run_time_add (step->run_class, kind, step->spec->estimate_ms, ran_ms);
+}
+
+static void
+learn_failure (const struct core_task *task, bool has_failed)
+{
+  struct core_queue_stats *stats = task->step->job->queue_stats;
+
+  if (!task->step->spec->long_running)
+    stats->failure_share += FAILURE_WEIGHT * ((has_failed ? 1.0 : 0.0) - stats->failure_share);
 }
 
 static const char *
@@ -210,6 +225,8 @@
     }
   if (is_current)
     core_run_release (task->run);
+  if (is_current && (end->cause == FL_END_DONE || end->cause == FL_END_FAILED))
+    learn_failure (task, end->cause == FL_END_FAILED);
   /* A task that crashes its targets does not end by itself. */
   if (is_current && (end->cause == FL_END_DONE || end->cause == FL_END_FAILED))
     core_crash_clear_task (task);
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -58,6 +58,7 @@
   run->number = number;
   run->share_percent = 100;
   run->is_urgent = task->step->job->queue.priority == 0;
+  run->is_repeated = task->last_run_number > 0;
   task->run = run;
   task->earlier_run = CORE_EARLIER_RUN_NONE;
   if (!task->done)
@@ -65,6 +66,8 @@
   target->unsettled_runs++;
   target->next_expiry_check_ms = 0;
   task->step->job->run_count++;
+  task->step->job->repeated_runs += run->is_repeated;
+  core_job_update_age (task->step->job);
   g_ptr_array_add (target->runs, run);
   charge_resources (run, 1);
   core_crash_watch (run);
@@ -99,6 +102,8 @@
   if (!run->task->done)
     core_step_add_idle_tasks (run->task->step, 1);
   run->task->step->job->run_count--;
+  run->task->step->job->repeated_runs -= run->is_repeated;
+  core_job_update_age (run->task->step->job);
   g_ptr_array_remove_fast (run->target->runs, run);
 }
 
