--- a/lib/cli/explain.c
+++ b/lib/cli/explain.c
@@ -120,13 +120,27 @@
   explanation->orders_without_reply += result != NULL && strcmp (result, "unanswered") == 0 ? 1 : 0;
 }
 
+/* Lines of earlier versions tell one reason and no parts. */
 static void
 count_wait (struct fl_explanation *explanation, const char *line)
 {
-  char *reason = get_value (line, "for");
+  static const char *const reasons[]
+      = { "team_limit", "room", "advice", "record", "link", "settling" };
+  char *longest = get_value (line, "for");
+  int64_t parts_ms = 0;
 
-  if (reason != NULL)
-    add_to_sum (explanation->wait_ms_by_reason, reason, get_number (line, "ms"));
+  for (size_t i = 0; i < G_N_ELEMENTS (reasons); i++)
+    {
+      g_autofree char *key = g_strconcat (reasons[i], "_ms", NULL);
+      int64_t part_ms = get_number (line, key);
+      if (part_ms > 0)
+        add_to_sum (explanation->wait_ms_by_reason, g_strdup (reasons[i]), part_ms);
+      parts_ms += part_ms;
+    }
+  if (longest != NULL && parts_ms == 0)
+    add_to_sum (explanation->wait_ms_by_reason, g_steal_pointer (&longest),
+                get_number (line, "ms"));
+  g_free (longest);
 }
 
 static void
--- a/lib/core/deadline.c
+++ b/lib/core/deadline.c
@@ -231,10 +231,13 @@
 
   key->priority = job->queue.priority;
   key->order_class = fl_order_get_class (&time);
+  key->is_at_risk = fl_order_is_at_risk (&time);
   key->has_turn = job->has_turn;
   key->unstarted_share = get_deadline (first)->unstarted_share;
   /* Users of a long-running step are not served while it waits, and a queue is learnt from its
    * first runs: neither waits behind jobs that have time left. */
-  key->slack_ms = has_objective && time.slack_ms == FL_ORDER_NO_OBJECTIVE ? 0 : time.slack_ms;
+  key->left_ms = has_objective && time.slack_ms == FL_ORDER_NO_OBJECTIVE
+                     ? 0
+                     : fl_order_left_in_class_ms (&time);
   key->sequence = job->accepted_version;
 }
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -676,11 +676,8 @@
   struct core_step *step;
   int64_t unplaced;      /* tasks for which advice is needed */
   bool awaits_recording; /* other tasks start once a record is stored */
-  bool is_first;         /* see is_queried_first */
-  bool is_room_scarce;
-  enum fl_order_class order_class;
-  double response_ratio;
-  guint position; /* in the order of waiting steps */
+  bool is_without_room;  /* the steps before it need all that is free */
+  struct fl_order_query order;
 };
 
 int64_t
@@ -740,15 +737,15 @@
       set_wait_reason (step, awaiting > 0 ? CORE_WAIT_RECORD : CORE_WAIT_CAPACITY);
       return;
     }
-  struct unadvised_step unadvised_step = { .step = step,
-                                           .unplaced = unplaced - awaiting,
-                                           .awaits_recording = awaiting > 0,
-                                           .is_first = is_queried_first (step),
-                                           .order_class = entry->key.order_class,
-                                           .response_ratio = get_response_ratio (step),
-                                           .position = unadvised->len };
-  if (entry->key.has_turn)
-    unadvised_step.order_class = FL_ORDER_IN_TIME;
+  struct unadvised_step unadvised_step
+      = { .step = step,
+          .unplaced = unplaced - awaiting,
+          .awaits_recording = awaiting > 0,
+          .order
+          = { .is_first = is_queried_first (step),
+              .is_expired = entry->key.order_class == FL_ORDER_EXPIRED && !entry->key.has_turn,
+              .response_ratio = get_response_ratio (step),
+              .position = unadvised->len } };
   g_array_append_val (unadvised, unadvised_step);
 }
 
@@ -782,15 +779,16 @@
 }
 
 /* Tells for each of @unadvised, in the order of waiting steps, whether the service has less room
- * than all of them need. */
+ * than all of them need, and whether those before it leave none. */
 static void
 find_scarce_rooms (GArray *unadvised, GArray *rooms)
 {
   for (guint i = 0; i < unadvised->len; i++)
     {
-      const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
       const struct core_job *job = entry->step->job;
       struct service_room *room = get_service_room (rooms, job->core, &job->queue.service);
+      entry->is_without_room = room->needed_cpu_milli >= room->free_cpu_milli;
       if (!entry->step->query_in_flight && !entry->step->spec->best_effort)
         room->needed_cpu_milli += entry->unplaced * entry->step->spec->cpu_milli;
     }
@@ -799,42 +797,32 @@
       struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
       const struct core_job *job = entry->step->job;
       const struct service_room *room = get_service_room (rooms, job->core, &job->queue.service);
-      entry->is_room_scarce = room->needed_cpu_milli > room->free_cpu_milli;
+      entry->order.is_room_scarce = room->needed_cpu_milli > room->free_cpu_milli;
     }
 }
 
 static gint
 compare_unadvised_steps (const void *a, const void *b)
 {
-  const struct unadvised_step *x = a;
-  const struct unadvised_step *y = b;
-  bool by_position = x->is_room_scarce && y->is_room_scarce;
-
-  if (x->is_first != y->is_first)
-    return x->is_first ? -1 : 1;
-  if (!by_position && x->order_class != y->order_class)
-    return x->order_class < y->order_class ? -1 : 1;
-  if (!by_position
-      && (x->response_ratio < y->response_ratio || x->response_ratio > y->response_ratio))
-    return x->response_ratio > y->response_ratio ? -1 : 1;
-  return x->position < y->position ? -1 : x->position > y->position;
+  return fl_order_compare_queries (&((const struct unadvised_step *)a)->order,
+                                   &((const struct unadvised_step *)b)->order);
 }
 
-/* Whether @step, which is to be queried about or is, waits for room: targets that it has tickets
- * for are full. */
+/* Whether the step of @entry waits for room though a query about it is in flight or no host is free
+ * for one: targets that it has tickets for are full, or the steps before it take all that is free.
+ */
 static bool
-is_without_room (const struct core_step *step)
+is_room_missing (const struct unadvised_step *entry)
 {
-  return step->eligible_until_ms > step->job->core->now_ms;
+  const struct core_step *step = entry->step;
+
+  if (!entry->order.is_room_scarce)
+    return false;
+  return step->eligible_until_ms > step->job->core->now_ms
+         || (entry->is_without_room && !step->query_in_flight);
 }
 
-/* Queries advice for the steps of @unadvised.
- *
- * Load pattern: hosts are few, or the service is slow, so that not all steps can be queried. In the
- * order of waiting steps alone, those of low priority would get no query for as long as others
- * come, although there is capacity: the response ratio decides, except that steps of jobs that can
- * gain more go first. Where room is scarce, too, queries about steps that get no room would be in
- * vain, and the order of waiting steps decides. */
+/* Queries advice for the steps of @unadvised. */
 static void
 query_advice (GArray *unadvised)
 {
@@ -848,9 +836,8 @@
       enum core_wait_reason wait = core_advice_send_query (entry->step, entry->unplaced);
       if (wait == CORE_WAIT_CAPACITY && entry->awaits_recording)
         wait = CORE_WAIT_RECORD;
-      bool is_room_missing
-          = wait == CORE_WAIT_ADVICE && entry->is_room_scarce && is_without_room (entry->step);
-      set_wait (entry->step, wait, is_room_missing ? CORE_WAIT_CAPACITY : wait);
+      bool for_room = wait == CORE_WAIT_ADVICE && is_room_missing (entry);
+      set_wait (entry->step, wait, for_room ? CORE_WAIT_CAPACITY : wait);
     }
 }
 
--- a/lib/policy/order.c
+++ b/lib/policy/order.c
@@ -6,6 +6,9 @@
 
 /* A result is of use up to this multiple of the objective. */
 #define USEFUL_OBJECTIVES 3.0
+/* The time that a job needs is known to about this share: it follows from the longest of some
+ * tasks, whose run times are spread by a factor, and from waits on the way. */
+#define MARGIN_SHARE 0.3
 /* Jobs that differ by less than such a part of their work are at the same stage. */
 #define STAGES 4.0
 
@@ -17,9 +20,24 @@
   double end_ms = (double)age_ms + left_ms;
 
   if (work_ms <= 0 || objective_ms <= 0)
-    return (struct fl_order_time){ FL_ORDER_NO_OBJECTIVE, FL_ORDER_NO_OBJECTIVE };
+    return (struct fl_order_time){ FL_ORDER_NO_OBJECTIVE, FL_ORDER_NO_OBJECTIVE, 0 };
   return (struct fl_order_time){ (int64_t)(objective_ms - end_ms),
-                                 (int64_t)(USEFUL_OBJECTIVES * objective_ms - end_ms) };
+                                 (int64_t)(USEFUL_OBJECTIVES * objective_ms - end_ms),
+                                 (int64_t)(MARGIN_SHARE * left_ms) };
+}
+
+int64_t
+fl_order_left_in_class_ms (const struct fl_order_time *time)
+{
+  return time->slack_ms >= 0 ? time->slack_ms : time->use_in_time_ms;
+}
+
+bool
+fl_order_is_at_risk (const struct fl_order_time *time)
+{
+  int64_t left_ms = fl_order_left_in_class_ms (time);
+
+  return left_ms >= 0 && left_ms < time->margin_ms;
 }
 
 enum fl_order_class
@@ -69,7 +87,22 @@
     result = compare_numbers (a->team_excess, b->team_excess);
   if (result == 0 && !has_expired)
     result = compare_numbers (get_stage (a), get_stage (b));
+  if (result == 0)
+    result = compare_numbers (a->is_at_risk, b->is_at_risk);
   if (result == 0 && !has_expired)
-    result = compare_numbers (a->slack_ms, b->slack_ms);
+    result = compare_numbers (a->left_ms, b->left_ms);
   return result != 0 ? result : compare_numbers (a->sequence, b->sequence);
 }
+
+int
+fl_order_compare_queries (const struct fl_order_query *a, const struct fl_order_query *b)
+{
+  bool is_room_scarce = a->is_room_scarce && b->is_room_scarce;
+  int result = compare_numbers (b->is_first, a->is_first);
+
+  if (result == 0 && !is_room_scarce)
+    result = compare_numbers (a->is_expired, b->is_expired);
+  if (result == 0 && !is_room_scarce && a->response_ratio != b->response_ratio)
+    result = a->response_ratio > b->response_ratio ? -1 : 1;
+  return result != 0 ? result : compare_numbers (a->position, b->position);
+}
--- a/tests/test_logs.c
+++ b/tests/test_logs.c
@@ -30,6 +30,10 @@
     { "       0 ms  h1 p", "answered method=POST", "     300 ms  h1 p", "Accepted (1 time(s)",
       "Steps of the job waited for: advice 75 ms.",
       "Ended as completed, 290 ms after submission." } },
+  { "parts of a wait",
+    { LOG_LINE (1, "event=job_known job=ff queue=q"),
+      LOG_LINE (9, "event=step_waited step=ff.0.0 for=room ms=9 room_ms=7 advice_ms=2 then=none") },
+    { "Steps of the job waited for: advice 2 ms, room 7 ms." } },
   { "rejected submission",
     { LOG_LINE (5,
                 "event=turned_away method=POST path=/x/bb job=bb status=401 reason=unknown_key") },
@@ -60,7 +64,7 @@
 static void
 test_explanations (void **state)
 {
-  static const char *const job_ids[] = { "aa", "bb", "cc", "dd", "ee" };
+  static const char *const job_ids[] = { "aa", "ff", "bb", "cc", "dd", "ee" };
 
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
