--- a/lib/core/urgent_room.c
+++ b/lib/core/urgent_room.c
@@ -8,6 +8,9 @@
 /* Share of the capacity of a service that may be in the course of being stopped. */
 #define STOPPING_MAX_PERCENT 25
 
+/* Upper estimate of the delay of a task that is stopped and resumed. */
+#define PREEMPTION_DELAY_MS 4000
+
 /* --- need --- */
 
 static struct core_urgent_room *
@@ -31,7 +34,7 @@
 static bool
 waits_for_room_only (const struct core_step *step)
 {
-  switch (step->wait_reason)
+  switch (step->wait.missing)
     {
     case CORE_WAIT_NONE:
     case CORE_WAIT_CAPACITY:
@@ -97,10 +100,12 @@
 {
   struct fl_resources *waiting = &step->job->team->urgent_waiting;
 
-  if (!is_urgent (step))
+  enum fl_order_class order_class = core_job_order_class (step->job);
+
+  if (!is_urgent (step) || order_class == FL_ORDER_EXPIRED)
     return;
   g_ptr_array_add (step->job->core->urgent_steps, step);
-  if (core_job_is_late (step->job) || !fits_limit (step))
+  if (order_class != FL_ORDER_IN_TIME || !fits_limit (step))
     return;
   waiting->cpu_milli += step->idle_tasks * step->spec->cpu_milli;
   waiting->memory_mb += step->idle_tasks * step->spec->memory_mb;
@@ -215,6 +220,15 @@
   GArray *candidates; /* struct fl_preemption_candidate */
 };
 
+/* Whether @job can be in time, but not with the delay of a preemption. */
+static bool
+would_be_late (const struct core_job *job)
+{
+  int64_t slack_ms = core_job_slack_ms (job);
+
+  return slack_ms >= 0 && slack_ms < PREEMPTION_DELAY_MS;
+}
+
 static void
 add_run (struct preemptible_runs *runs, struct core_run *run)
 {
@@ -232,6 +246,7 @@
           .memory_mb = spec->memory_mb,
           .remaining_ms = remaining_ms (run, run->target->core->now_ms),
           .preemptions = run->task->preemptions,
+          .would_be_late = would_be_late (run->task->step->job),
           .run = run };
   g_array_append_val (runs->candidates, candidate);
 }
@@ -324,7 +339,7 @@
 static bool
 justifies_preemption (const struct core_step *step, enum core_wait_reason reason)
 {
-  return step->wait_reason == reason && step->idle_tasks > 0 && !core_job_is_late (step->job)
+  return step->wait.missing == reason && step->idle_tasks > 0 && !core_job_is_late (step->job)
          && fits_limit (step);
 }
 
--- a/lib/policy/preemption.c
+++ b/lib/policy/preemption.c
@@ -24,6 +24,8 @@
 
   if (is_eligible (x) != is_eligible (y))
     return is_eligible (x) ? -1 : 1;
+  if (x->would_be_late != y->would_be_late)
+    return x->would_be_late ? 1 : -1;
   if (x->preemptions != y->preemptions)
     return x->preemptions < y->preemptions ? -1 : 1;
   return x->remaining_ms > y->remaining_ms ? -1 : x->remaining_ms < y->remaining_ms;
--- a/lib/policy/preemption.h
+++ b/lib/policy/preemption.h
@@ -7,6 +7,7 @@
  * Pure: no I/O, no clock. */
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -17,6 +18,7 @@
   int64_t memory_mb;
   int64_t remaining_ms; /* expected; INT64_MAX when unknown */
   int preemptions;      /* of this task so far */
+  bool would_be_late;   /* its job can be in time, but not if the task is stopped */
   void *run;            /* of the caller */
 };
 
