core: evacuations and cold targets read before the first tick count from it

Cause: a new owner reads rows before its first tick; they counted from time 0, so that cold targets were taken for warm ones and domain_taken_back told the time since the boot of the host.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -326,6 +326,7 @@
   GArray *evacuations;              /* struct evacuation, in domains.c */
   int64_t domains_confirmed_ms;     /* see fl_core_confirm_domains; 0 before the first call */
   bool domains_were_known;          /* core_domains_are_known in the last tick */
+  bool domains_are_dated;           /* there has been a tick */
   struct core_order_budget order_budget;
   int64_t queries_sent;            /* advice queries about all steps */
   bool target_list_outdated;       /* the stored list may contain a target that left */
--- a/lib/core/domains.c
+++ b/lib/core/domains.c
@@ -186,9 +186,25 @@
   fl_stats_set (core->options.stats, "domains_evacuated", core->evacuations->len);
 }
 
+/* A new owner reads rows before its first tick, without a time: they count from this tick. */
+static void
+date_first_rows (struct fl_core *core)
+{
+  for (guint i = 0; i < core->evacuations->len; i++)
+    g_array_index (core->evacuations, struct evacuation, i).began_ms = core->now_ms;
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      struct core_target *target = g_ptr_array_index (core->target_list, i);
+      fl_warm_up_update (&target->warm_up, target->entry.cold_left_ms, core->now_ms);
+    }
+  core->domains_are_dated = true;
+}
+
 void
 core_domains_tick (struct fl_core *core)
 {
+  if (!core->domains_are_dated)
+    date_first_rows (core);
   log_knowledge (core);
   count_runs_left (core);
 }
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -397,6 +397,35 @@
     }
 }
 
+/* Rows that a new owner had read before its first tick counted from time 0, so that cold targets
+ * were taken for warm ones. */
+static void
+test_rows_before_the_first_tick (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  g_autoptr (GString) dump = g_string_new (NULL);
+
+  (void)state;
+  evacuate (fixture, "c");
+  set_entry (fixture, "t1", "a", 8, 2000);
+  set_entry (fixture, "t2", "b", 4, 0);
+  g_array_unref (fl_core_collect_target_list (fixture->core));
+  fl_core_finish_target_list (fixture->core, true);
+  for (int i = 0; i < 2; i++)
+    {
+      fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+      deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
+      fixture->now_ms += 100;
+    }
+  add_job (fixture, "j", "slow", make_step (1, 1));
+  tick_until_recorded (fixture, 0);
+  assert_string_equal (get_start_order (fixture, 0)->target.data, "t2");
+  fl_core_dump (fixture->core, dump);
+  assert_non_null (strstr (dump->str, "\"domain\":\"c\",\"evacuated\":true,\"evacuated_ms\":200,"));
+  fixture_free (fixture);
+}
+
 /* --- the operator's rows --- */
 
 /* A store that keeps the last call until the test replies. */
@@ -551,6 +580,7 @@
     cmocka_unit_test (test_advice),
     cmocka_unit_test (test_warm_up),
     cmocka_unit_test (test_choice_of_cold_targets),
+    cmocka_unit_test (test_rows_before_the_first_tick),
     cmocka_unit_test (test_rows),
   };
 
