--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -40,9 +40,9 @@
   struct core_target *target;
   int64_t task_capacity;
   double eligible_probability;
-  bool is_near_data;  /* on the rack of the data, or the step has no preferred rack */
-  bool is_unanswered; /* in a query whose reply may still tell whether it is eligible */
-  int64_t free_cpu_milli;
+  bool is_near_data;    /* on the rack of the data, or the step has no preferred rack */
+  bool is_unanswered;   /* in a query whose reply may still tell whether it is eligible */
+  double expected_time; /* see fl_target_outlook_time */
 };
 
 static struct core_advice *
@@ -91,9 +91,7 @@
   if (x->eligible_probability < y->eligible_probability
       || x->eligible_probability > y->eligible_probability)
     return x->eligible_probability > y->eligible_probability ? -1 : 1;
-  if (x->free_cpu_milli != y->free_cpu_milli)
-    return x->free_cpu_milli > y->free_cpu_milli ? -1 : 1;
-  return 0;
+  return x->expected_time < y->expected_time ? -1 : x->expected_time > y->expected_time;
 }
 
 /* Targets on which a step fits, without those that are known not to be eligible. */
@@ -135,11 +133,14 @@
 {
   struct candidate candidate = { .target = target };
   const struct core_advice *advice;
+  struct fl_target_outlook outlook;
 
   candidate.task_capacity = count_queried_tasks (step, target);
   if (candidate.task_capacity == 0)
     return;
   candidates->fits_anywhere = true;
+  if (core_target_is_worse_than_waiting (target, step))
+    return;
   advice = find_advice (step, target);
   if (advice != NULL && !advice->eligible)
     return;
@@ -150,8 +151,10 @@
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
   candidate.is_unanswered = g_hash_table_contains (step->unanswered, &target->entry.id);
-  candidate.free_cpu_milli
-      = core_target_available_resources (target, true).cpu_milli - target->tentative_cpu_milli;
+  outlook = core_target_outlook (target, step,
+                                 core_target_available_resources (target, true).cpu_milli
+                                     - target->tentative_cpu_milli);
+  candidate.expected_time = fl_target_outlook_time (&outlook);
   g_array_append_val (candidates->rows, candidate);
 }
 
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -991,13 +991,17 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct core_target *target = value;
+      struct fl_speed speed = fl_speed_at (&target->speed, core->now_ms);
       g_string_append_printf (
           out,
           "{\"target\":\"%s\",\"registered\":%s,\"draining\":%s,\"silent\":%s,\"runs\":%u,"
-          "\"cpu_used\":%" G_GINT64_FORMAT ",\"cpu\":%" G_GINT64_FORMAT "}\n",
+          "\"cpu_used\":%" G_GINT64_FORMAT ",\"cpu\":%" G_GINT64_FORMAT
+          ",\"speed_percent\":%.0f,\"fail_percent\":%.0f}\n",
           target->entry.id.data, target->registered ? "true" : "false",
           target->entry.draining ? "true" : "false", target->silent ? "true" : "false",
-          target->runs->len, target->used.cpu_milli, target->entry.resources.cpu_milli);
+          target->runs->len, target->used.cpu_milli, target->entry.resources.cpu_milli,
+          100.0 / fl_speed_slowness (&speed),
+          100.0 * fl_failure_rate_get (&target->failure_rate, 0.0, core->now_ms));
     }
   g_hash_table_iter_init (&iter, core->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -4,6 +4,8 @@
 #include "common/reply_time.h"
 #include "core/core.h"
 #include "policy/run_time.h"
+#include "policy/speed.h"
+#include "policy/straggler.h"
 
 /* A lease counts as expired only after this percentage of its duration plus the margin: the clock
  * of a target may run 2 % slow, and the rest covers rounding and the transit time of a reply. */
@@ -59,6 +61,7 @@
   int64_t token_raised_at_ms;   /* heartbeats sent before this time carried a lower token */
   int64_t clock_ms;             /* its clock at clock_at_ms */
   int64_t clock_at_ms;          /* when clock_ms was reported; 0 while its clock is unknown */
+  int64_t clock_offset_ms;      /* from its clock to ours, by the fastest reply */
   int64_t leaves_at_ms;         /* earliest time at which a draining target leaves */
   int64_t lease_expires_at_ms;  /* latest end of the leases of its runs, unless renewed */
   int64_t last_heartbeat_at_ms; /* when the last heartbeat ended, with or without a reply */
@@ -83,6 +86,15 @@
    * faulty job. */
   struct fl_name last_failed_job;
   int64_t quarantined_until_ms;
+  struct fl_speed ended_speed; /* by the runs that ended */
+  struct fl_speed speed;       /* by these and by the progress of others */
+  bool is_slow;
+  struct fl_failure_rate failure_rate;
+  int64_t end_slack_ms; /* ends in the last report may have been this much earlier than it */
+  /* By speed and failure_rate, at outlook_at_ms; 0 for outdated. */
+  double slowness;
+  double fail_share;
+  int64_t outlook_at_ms;
   int unsettled_runs;           /* runs whose last order is not known to have taken effect */
   int64_t next_expiry_check_ms; /* before, no lease of a run can have expired */
   bool is_unreconciled;         /* in core->unreconciled_targets */
@@ -150,6 +162,8 @@
   struct fl_str checkpoint;
   struct fl_name last_failed_target; /* where a run last failed or stalled */
   int64_t backoff_until_ms;          /* no start before this time */
+  double log_run_ms; /* logarithm of its run time, projected while it runs; 0 if unknown */
+  bool was_moved;    /* a run of it was stopped because its target was slow */
   GArray *crashes;   /* struct crash_case: runs whose targets crashed, or may have; NULL for none */
   bool is_suspected; /* it may be the cause of a crash: one of these is open or suspected */
   bool is_watched;   /* its runs are kept apart from other new runs */
@@ -205,6 +219,9 @@
   enum core_wait_reason wait_reason;
   int64_t wait_started_at_ms;
   int64_t unplaced_since_ms; /* no task has been started since; 0 while none waits */
+  double log_median_ms;      /* logarithm of the median run time of its tasks; 0 if unknown */
+  int64_t median_at_ms;      /* when this was last updated */
+  int64_t moved_runs;        /* that were stopped because their targets were slow */
   /* Before the wait: queries_sent and queries_failed, and core->queries_sent. */
   int64_t wait_queries_sent;
   int64_t wait_queries_failed;
@@ -321,12 +338,14 @@
   int64_t registry_confirmed_ms;    /* see fl_core_confirm_registry; 0 before the first call */
   bool jobs_known;                  /* see fl_core_set_jobs_known */
   struct core_order_budget order_budget;
-  int64_t queries_sent;            /* advice queries about all steps */
-  bool target_list_outdated;       /* the stored list may contain a target that left */
-  bool records_in_flight;          /* collected records have been neither stored nor failed */
-  int64_t records_collected_at_ms; /* when records were last collected */
-  int64_t record_duration_ms;      /* how long the last transaction of records took */
-  bool records_cover_all_ends;     /* the last collected records cover all ends applied before */
+  struct fl_move_budget move_budget;
+  struct fl_failure_rate failure_rate; /* of the runs on all targets */
+  int64_t queries_sent;                /* advice queries about all steps */
+  bool target_list_outdated;           /* the stored list may contain a target that left */
+  bool records_in_flight;              /* collected records have been neither stored nor failed */
+  int64_t records_collected_at_ms;     /* when records were last collected */
+  int64_t record_duration_ms;          /* how long the last transaction of records took */
+  bool records_cover_all_ends; /* the last collected records cover all ends applied before */
 };
 
 /* --- core.c --- */
@@ -626,6 +645,38 @@
  * from a target on which tasks lag. */
 void core_check_progress (struct core_target *target);
 
+/* --- target_speed.c --- */
+
+/* Whether the progress of @run reflects the speed of its target. This excludes best-effort tasks,
+ * which wait for unused CPU, gangs, whose members wait for each other, and long-running tasks,
+ * which never finish. */
+bool core_run_shows_speed (const struct core_run *run);
+
+/* Learns from the end of @run, which is released next, what it tells of its target. */
+void core_speed_note_end (struct core_run *run, enum fl_end_cause cause);
+
+/* Learns from the report that @target has just made how fast its runs progress. */
+void core_speed_note_report (struct core_target *target);
+
+/* Notes the clock of a report that arrives at @now_ms; @is_new: it is the first of its boot. */
+void
+core_speed_note_clock (struct core_target *target, int64_t clock_ms, int64_t now_ms, bool is_new);
+
+/* Forgets what runs in an earlier boot of @target told. */
+void core_speed_reset (struct core_target *target);
+
+/* What is known of @target, with @free_cpu_milli left, for a task of @step. */
+struct fl_target_outlook core_target_outlook (struct core_target *target,
+                                              const struct core_step *step,
+                                              int64_t free_cpu_milli);
+
+/* Whether a task of @step is likely to end sooner if it waits for room elsewhere than on @target.
+ */
+bool core_target_is_worse_than_waiting (struct core_target *target, const struct core_step *step);
+
+/* Stops runs on @target, which has just reported, that would end sooner elsewhere. */
+void core_move_stragglers (struct core_target *target);
+
 /* --- throttle.c --- */
 
 /* Throttles best-effort tasks by the last tail latency of the serving tasks on @target. */
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -4,8 +4,11 @@
 
 #include "core/core_internal.h"
 
-/* Score penalty for a target that is used only if no other fits; exceeds the CPU of any target. */
-#define AVOID_PENALTY_MILLI INT64_C (1000000000)
+/* Score of a target on which a task takes as long as on an average idle one. */
+#define SCORE_SCALE 1e6
+/* Score penalty for a target that is used only if no other fits: a task would take a thousand times
+ * longer. */
+#define AVOID_PENALTY INT64_C (1000000000)
 /* Time in which the urgent peak of a team decays to about a third; covers several bursts. */
 #define URGENT_PEAK_DECAY_MS 10000.0
 /* Most targets whose recording is requested at once for a step. */
@@ -266,18 +269,20 @@
   return false;
 }
 
-/* Scores a target by its free CPU, since tasks on the same target slow each other down. The highest
- * score is best. */
+/* Scores a target by the expected time until a task of @step is done there. The highest score is
+ * best. */
 static int64_t
-score_target (const struct core_target *target, const struct core_step *step)
+score_target (struct core_target *target, const struct core_step *step)
 {
   const struct fl_step_spec *spec = step->spec;
-  int64_t value = core_target_available_resources (target, true).cpu_milli;
+  struct fl_target_outlook outlook = core_target_outlook (
+      target, step, core_target_available_resources (target, true).cpu_milli);
+  int64_t value = -(int64_t)(SCORE_SCALE * fl_target_outlook_time (&outlook));
 
   if (spec->best_effort && has_serving_run (target))
-    value -= AVOID_PENALTY_MILLI;
+    value -= AVOID_PENALTY;
   if (spec->rack.len > 0 && !core_target_has_label (target, &spec->rack))
-    value -= AVOID_PENALTY_MILLI;
+    value -= AVOID_PENALTY;
   return value;
 }
 
@@ -295,22 +300,25 @@
 update_placement (struct placement *placement, const struct core_step *step)
 {
   placement->task_capacity = core_target_task_capacity (placement->target, step, false);
-  placement->score = score_target (placement->target, step);
+  placement->score = placement->task_capacity > 0 ? score_target (placement->target, step) : 0;
 }
 
-static void
+/* Adds @target to @placements if @step may be started there now. @return whether it fits there. */
+static bool
 add_placement (struct core_step *step, struct core_target *target, GArray *placements)
 {
   struct placement placement = { .target = target };
 
   update_placement (&placement, step);
-  if (placement.task_capacity == 0 || core_advice_ticket (step, target) == NULL)
-    return;
+  if (placement.task_capacity == 0 || core_advice_ticket (step, target) == NULL
+      || core_target_is_worse_than_waiting (target, step))
+    return placement.task_capacity > 0;
   placement.is_allowed
       = core_step_records_targets (step) || core_job_may_start_on (step->job, &target->entry.id);
   placement.is_pending
       = !placement.is_allowed && core_job_target_is_pending (step->job, &target->entry.id);
   g_array_append_val (placements, placement);
+  return true;
 }
 
 static int64_t
@@ -328,6 +336,7 @@
   bool must_see_all = step->spec->rack.len > 0 || step->spec->rack_bound;
   int64_t wanted = step->idle_tasks * PLACEMENTS_CAPACITY_RATIO;
   int64_t capacity = 0;
+  bool fits = false;
   guint first = fl_name_hash (&step->job->spec.id);
 
   for (guint i = 0;
@@ -335,12 +344,12 @@
        i++)
     {
       guint before = placements->len;
-      add_placement (step, g_ptr_array_index (targets, (first % targets->len + i) % targets->len),
-                     placements);
+      fits |= add_placement (
+          step, g_ptr_array_index (targets, (first % targets->len + i) % targets->len), placements);
       if (placements->len > before)
         capacity += last_placement_capacity (placements);
     }
-  if (placements->len == 0)
+  if (!fits)
     core_record_vain_search (step, false);
 }
 
@@ -402,7 +411,7 @@
       int64_t score
           = task->is_watched ? core_crash_score_target (placement->target) : placement->score;
       if (fl_name_eq (&task->last_failed_target, &placement->target->entry.id))
-        score -= AVOID_PENALTY_MILLI;
+        score -= AVOID_PENALTY;
       if (best == NULL || placement->is_allowed > best->is_allowed
           || (placement->is_allowed == best->is_allowed && score > best_score))
         {
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -209,7 +209,10 @@
       is_resumed = task->run->is_resumed;
     }
   if (is_current)
-    core_run_release (task->run);
+    {
+      core_speed_note_end (task->run, end->cause);
+      core_run_release (task->run);
+    }
   /* A task that crashes its targets does not end by itself. */
   if (is_current && (end->cause == FL_END_DONE || end->cause == FL_END_FAILED))
     core_crash_clear_task (task);
@@ -452,6 +455,7 @@
   core_queue_set_member (&target->core->unrecorded_targets, &target->unrecorded_link,
                          &target->in_unrecorded, false);
   target->consecutive_failures = 0;
+  core_speed_reset (target);
   return false;
 }
 
@@ -513,6 +517,15 @@
   return now_ms - sent_ms > target->heartbeat_wait_ms + limit_ms + REPLY_SLACK_MS;
 }
 
+/* For how long before a reply that arrives at @now_ms its ends may have been unknown: while no
+ * heartbeat was waiting for them, and while the reply was late. */
+static int64_t
+end_slack_ms (const struct core_target *target, int64_t sent_ms, int64_t now_ms)
+{
+  return MAX (sent_ms - target->clock_at_ms, 0)
+         + MAX (now_ms - sent_ms - target->heartbeat_wait_ms, 0);
+}
+
 void
 fl_core_handle_heartbeat_reply (struct fl_core *core,
                                 const struct fl_name *id,
@@ -540,13 +553,13 @@
   if (report == NULL)
     return;
   bool is_known_boot = update_boot (target, report, sent_ms);
+  target->end_slack_ms = end_slack_ms (target, sent_ms, now_ms);
   target->boot_end_noted = false;
   target->clock_went_back = false;
   target->report_was_slow = now_ms - sent_ms > target->heartbeat_wait_ms + BOOT_CERTAIN_MS;
   if (!core->jobs_known)
     {
-      target->clock_ms = report->clock_ms;
-      target->clock_at_ms = now_ms;
+      core_speed_note_clock (target, report->clock_ms, now_ms, !is_known_boot);
       return;
     }
   if (was_silent || !target->reported || !is_known_boot)
@@ -554,8 +567,7 @@
   target->reported = true;
   target->reported_fully = target->reported_fully || report->end_count < FL_REPORT_ENDS_MAX;
   core_target_update_reconciled (target);
-  target->clock_ms = report->clock_ms;
-  target->clock_at_ms = now_ms;
+  core_speed_note_clock (target, report->clock_ms, now_ms, !is_known_boot);
   target->stale_runs = 0;
   for (guint i = 0; i < target->runs->len; i++)
     ((struct core_run *)g_ptr_array_index (target->runs, i))->listed = false;
@@ -563,7 +575,9 @@
   for (size_t i = 0; i < report->run_count; i++)
     apply_run (core, target, &report->runs[i], sent_ms);
   release_absent_runs (core, target, report, sent_ms);
+  core_speed_note_report (target);
   core_check_progress (target);
+  core_move_stragglers (target);
   core_throttle_target (target);
 }
 
--- a/lib/core/stall.c
+++ b/lib/core/stall.c
@@ -23,18 +23,6 @@
  * and take almost a second for a stop. */
 #define GANG_WAIT_MAX_MS 1000
 
-/* Whether the progress of @run reflects the speed of its target. This excludes best-effort tasks,
- * which wait for unused CPU, gangs, whose members wait for each other, and long-running tasks,
- * which never finish. */
-static bool
-has_comparable_progress (const struct core_run *run)
-{
-  const struct fl_step_spec *spec = run->task->step->spec;
-
-  return run->state == CORE_RUN_ACCEPTED && run->listed && run->started_at_ms > 0
-         && !spec->best_effort && !spec->gang && !spec->long_running;
-}
-
 static bool
 is_lagging (const struct core_run *run, int64_t now_ms)
 {
@@ -108,7 +96,7 @@
       int64_t now_ms = run->task->step->job->core->now_ms;
       if (waits_in_vain (run, now_ms))
         stop_waiting_gang (run);
-      if (!has_comparable_progress (run))
+      if (!run->listed || !core_run_shows_speed (run))
         continue;
       measured += now_ms - run->started_at_ms >= LAG_MIN_ELAPSED_MS ? 1 : 0;
       lagging += is_lagging (run, now_ms) ? 1 : 0;
--- a/lib/policy/run_time.c
+++ b/lib/policy/run_time.c
@@ -20,6 +20,14 @@
 /* No class is trusted to be more regular than this. */
 #define LOG_DEVIATION_MIN 0.05
 #define EULER_GAMMA 0.5772
+/* Spread of the run times in a step before enough runs have ended. */
+#define STEP_LOG_DEVIATION 0.3
+/* Runs after which the factor of a kind is relied on, and the least variance within steps: with
+ * fewer runs or less, estimates would follow single runs. */
+#define KIND_RUNS_MIN 30
+#define STEP_VARIANCE_MIN 0.01
+/* A run that is longer or shorter than its step by more than a factor of three counts as such. */
+#define LOG_RATIO_MAX 1.1
 
 /* Moving mean and variance. */
 struct moments
@@ -32,8 +40,10 @@
 struct kind_stats
 {
   struct fl_name kind;
-  struct moments log_ms;    /* of the logarithm of the run time */
-  struct moments log_ratio; /* of the logarithm of its ratio to the declared estimate */
+  struct moments log_ms;         /* of the logarithm of the run time */
+  struct moments log_ratio;      /* of the logarithm of its ratio to the declared estimate */
+  struct moments log_step_ratio; /* of the logarithm of its ratio to the median of its step */
+  double kind_factor;            /* exponential of the mean of these; 0 before enough runs */
 };
 
 struct fl_run_time_class
@@ -193,3 +203,38 @@
 
   return run_time->median_ms * exp (run_time->log_deviation * deviations);
 }
+
+/* --- run times within a step --- */
+
+void
+fl_run_time_add_ratio (struct fl_run_time_class *run_class,
+                       const struct fl_name *kind,
+                       double log_ratio)
+{
+  struct kind_stats *stats = get_or_add_kind (run_class, kind);
+  double value = CLAMP (log_ratio, -LOG_RATIO_MAX, LOG_RATIO_MAX);
+
+  add_sample (&run_class->any.log_step_ratio, value);
+  if (stats == NULL)
+    return;
+  add_sample (&stats->log_step_ratio, value);
+  if (stats->log_step_ratio.count >= KIND_RUNS_MIN)
+    stats->kind_factor = exp (stats->log_step_ratio.mean);
+}
+
+double
+fl_run_time_kind_factor (const struct fl_run_time_class *run_class, const struct fl_name *kind)
+{
+  const struct kind_stats *stats = find_kind (run_class, kind);
+
+  return stats != NULL && stats->kind_factor > 0.0 ? stats->kind_factor : 1.0;
+}
+
+double
+fl_run_time_step_variance (const struct fl_run_time_class *run_class)
+{
+  const struct moments *ratios = &run_class->any.log_step_ratio;
+
+  return ratios->count >= KIND_RUNS_MIN ? MAX (ratios->variance, STEP_VARIANCE_MIN)
+                                        : STEP_LOG_DEVIATION * STEP_LOG_DEVIATION;
+}
--- a/lib/policy/run_time.h
+++ b/lib/policy/run_time.h
@@ -52,3 +52,21 @@
 
 /* @return the run time that a share of @percent of such tasks does not exceed: 50, 75, 90 or 97. */
 double fl_run_time_percentile_ms (const struct fl_run_time *run_time, int percent);
+
+/* --- run times within a step --- */
+
+/* The tasks of one step differ by less than those of several jobs, so that kinds of targets are
+ * compared within steps. */
+
+/* Learns from a run on a target of @kind. @log_ratio: logarithm of its run time by the median of
+ * its step. */
+void fl_run_time_add_ratio (struct fl_run_time_class *run_class,
+                            const struct fl_name *kind,
+                            double log_ratio);
+
+/* @return how many times longer runs take on targets of @kind than the median of their step. */
+double fl_run_time_kind_factor (const struct fl_run_time_class *run_class,
+                                const struct fl_name *kind);
+
+/* @return the variance of the logarithm of the run times in a step. */
+double fl_run_time_step_variance (const struct fl_run_time_class *run_class);
