--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -40,9 +40,9 @@
   struct core_target *target;
   int64_t task_capacity;
   double eligible_probability;
-  bool is_near_data;    /* on the rack of the data, or the step has no preferred rack */
-  bool is_unanswered;   /* in a query whose reply may still tell whether it is eligible */
-  double expected_time; /* see fl_target_outlook_time */
+  bool is_near_data;  /* on the rack of the data, or the step has no preferred rack */
+  bool is_unanswered; /* in a query whose reply may still tell whether it is eligible */
+  double score;       /* see core_target_score */
 };
 
 static struct core_advice *
@@ -91,7 +91,7 @@
   if (x->eligible_probability < y->eligible_probability
       || x->eligible_probability > y->eligible_probability)
     return x->eligible_probability > y->eligible_probability ? -1 : 1;
-  return x->expected_time < y->expected_time ? -1 : x->expected_time > y->expected_time;
+  return x->score > y->score ? -1 : x->score < y->score;
 }
 
 /* Targets on which a step fits, without those that are known not to be eligible. */
@@ -133,7 +133,6 @@
 {
   struct candidate candidate = { .target = target };
   const struct core_advice *advice;
-  struct fl_target_outlook outlook;
 
   candidate.task_capacity = count_queried_tasks (step, target);
   if (candidate.task_capacity == 0)
@@ -151,10 +150,9 @@
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
   candidate.is_unanswered = g_hash_table_contains (step->unanswered, &target->entry.id);
-  outlook = core_target_outlook (target, step,
-                                 core_target_available_resources (target, true).cpu_milli
-                                     - target->tentative_cpu_milli);
-  candidate.expected_time = fl_target_outlook_time (&outlook);
+  candidate.score = core_target_score (target, step,
+                                       core_target_available_resources (target, true).cpu_milli
+                                           - target->tentative_cpu_milli);
   g_array_append_val (candidates->rows, candidate);
 }
 
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -665,10 +665,11 @@
 /* Forgets what runs in an earlier boot of @target told. */
 void core_speed_reset (struct core_target *target);
 
-/* What is known of @target, with @free_cpu_milli left, for a task of @step. */
-struct fl_target_outlook core_target_outlook (struct core_target *target,
-                                              const struct core_step *step,
-                                              int64_t free_cpu_milli);
+/* Scores @target, with @free_cpu_milli left, for a task of @step: by the expected time until it is
+ * done there, or by what is left if the task has no end. The highest score is best. */
+double core_target_score (struct core_target *target,
+                          const struct core_step *step,
+                          int64_t free_cpu_milli);
 
 /* Whether a task of @step is likely to end sooner if it waits for room elsewhere than on @target.
  */
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -4,11 +4,10 @@
 
 #include "core/core_internal.h"
 
-/* Score of a target on which a task takes as long as on an average idle one. */
+/* Resolution of the scores of targets. */
 #define SCORE_SCALE 1e6
-/* Score penalty for a target that is used only if no other fits: a task would take a thousand times
- * longer. */
-#define AVOID_PENALTY INT64_C (1000000000)
+/* Score penalty for a target that is used only if no other fits; exceeds any score. */
+#define AVOID_PENALTY INT64_C (1000000000000000)
 /* Time in which the urgent peak of a team decays to about a third; covers several bursts. */
 #define URGENT_PEAK_DECAY_MS 10000.0
 /* Most targets whose recording is requested at once for a step. */
@@ -269,15 +268,12 @@
   return false;
 }
 
-/* Scores a target by the expected time until a task of @step is done there. The highest score is
- * best. */
 static int64_t
 score_target (struct core_target *target, const struct core_step *step)
 {
   const struct fl_step_spec *spec = step->spec;
-  struct fl_target_outlook outlook = core_target_outlook (
-      target, step, core_target_available_resources (target, true).cpu_milli);
-  int64_t value = -(int64_t)(SCORE_SCALE * fl_target_outlook_time (&outlook));
+  int64_t free_cpu_milli = core_target_available_resources (target, true).cpu_milli;
+  int64_t value = (int64_t)(SCORE_SCALE * core_target_score (target, step, free_cpu_milli));
 
   if (spec->best_effort && has_serving_run (target))
     value -= AVOID_PENALTY;
--- a/lib/core/target_speed.c
+++ b/lib/core/target_speed.c
@@ -263,10 +263,8 @@
   target->outlook_at_ms = core->now_ms;
 }
 
-struct fl_target_outlook
-core_target_outlook (struct core_target *target,
-                     const struct core_step *step,
-                     int64_t free_cpu_milli)
+static struct fl_target_outlook
+get_outlook (struct core_target *target, const struct core_step *step, int64_t free_cpu_milli)
 {
   const struct fl_core *core = target->core;
   int64_t cpu_milli = MAX (target->entry.resources.cpu_milli, 1);
@@ -282,12 +280,22 @@
   };
 }
 
+double
+core_target_score (struct core_target *target, const struct core_step *step, int64_t free_cpu_milli)
+{
+  /* The former never end, and the latter progress by the CPU that others leave. */
+  if (step->spec->long_running || step->spec->best_effort)
+    return (double)free_cpu_milli;
+  struct fl_target_outlook outlook = get_outlook (target, step, free_cpu_milli);
+  return -fl_target_outlook_time (&outlook);
+}
+
 bool
 core_target_is_worse_than_waiting (struct core_target *target, const struct core_step *step)
 {
-  if (!target->is_slow)
+  if (!target->is_slow || step->spec->long_running || step->spec->best_effort)
     return false;
-  struct fl_target_outlook outlook = core_target_outlook (target, step, 0);
+  struct fl_target_outlook outlook = get_outlook (target, step, 0);
   return fl_target_outlook_is_worse_than_waiting (&outlook);
 }
 
