--- a/lib/cli/commands.c
+++ b/lib/cli/commands.c
@@ -213,11 +213,16 @@
 static int
 list_targets (const struct arguments *arguments)
 {
-  static const struct fl_column columns[]
-      = { { "TARGET", "target" },     { "REGISTERED", "registered" },
-          { "DRAINING", "draining" }, { "SILENT", "silent" },
-          { "RUNS", "runs" },         { "CPU USED", "cpu_used" },
-          { "CPU", "cpu" },           { NULL, NULL } };
+  static const struct fl_column columns[] = { { "TARGET", "target" },
+                                              { "REGISTERED", "registered" },
+                                              { "DRAINING", "draining" },
+                                              { "SILENT", "silent" },
+                                              { "RUNS", "runs" },
+                                              { "CPU USED", "cpu_used" },
+                                              { "CPU", "cpu" },
+                                              { "SPEED %", "speed_percent" },
+                                              { "FAIL %", "fail_percent" },
+                                              { NULL, NULL } };
 
   return print_dump (arguments, "target", columns);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -88,6 +88,7 @@
   int64_t quarantined_until_ms;
   struct fl_speed ended_speed; /* by the runs that ended */
   struct fl_speed speed;       /* by these and by the progress of others */
+  double log_run_slowness;     /* median of the runs listed last; 0 for less than two */
   bool is_slow;
   struct fl_failure_rate failure_rate;
   int64_t end_slack_ms; /* ends in the last report may have been this much earlier than it */
--- a/lib/core/target_speed.c
+++ b/lib/core/target_speed.c
@@ -18,6 +18,8 @@
  * reports, of which a target sends a few each second. */
 #define MEDIAN_VALID_MS 100
 #define OUTLOOK_VALID_MS 100
+/* Most runs on a target that are compared with each other. */
+#define RATIOS_MAX 32
 /* The end of a run must be known to this part of its run time. */
 #define END_SLACK_DIVISOR 4
 /* From a stop order until the end is listed, and from the next start order to the first work. */
@@ -111,21 +113,41 @@
   return true;
 }
 
-/* Adds @run to @speed, an estimate for its target at the present time. @relative_error: of the run
- * time of its task. */
-static void
-add_run (struct fl_speed *speed, const struct core_run *run, double relative_error)
+/* What the run time of a task tells of its target. */
+struct sample
+{
+  double log_ratio; /* logarithm of the run time by that of such a run on an average target */
+  double variance;  /* of this, other than by the target */
+};
+
+/* @relative_error: of the run time of the task of @run. @return whether it can be compared. */
+static bool
+get_sample (const struct core_run *run, double relative_error, struct sample *sample)
 {
   struct core_step *step = run->task->step;
   struct reference reference;
 
   if (!get_reference (step, run->target, &reference))
-    return;
-  double ratio = run->task->log_run_ms - reference.log_ms;
+    return false;
+  sample->log_ratio = run->task->log_run_ms - reference.log_ms;
+  sample->variance = reference.variance + relative_error * relative_error;
   /* The class tells the kinds of targets apart by itself. */
   if (reference.is_step)
-    ratio -= log (fl_run_time_kind_factor (step->run_class, core_target_kind (run->target)));
-  fl_speed_add (speed, ratio, reference.variance + relative_error * relative_error);
+    sample->log_ratio
+        -= log (fl_run_time_kind_factor (step->run_class, core_target_kind (run->target)));
+  return true;
+}
+
+static void
+learn_from_run (const struct core_run *run, double relative_error)
+{
+  struct core_target *target = run->target;
+  struct sample sample;
+
+  if (!get_sample (run, relative_error, &sample))
+    return;
+  target->ended_speed = fl_speed_at (&target->ended_speed, target->core->now_ms);
+  fl_speed_add (&target->ended_speed, sample.log_ratio, sample.variance);
 }
 
 /* --- learning --- */
@@ -161,8 +183,7 @@
       || target->end_slack_ms * END_SLACK_DIVISOR > ran_ms)
     return;
   run->task->log_run_ms = log ((double)ran_ms);
-  target->ended_speed = fl_speed_at (&target->ended_speed, now_ms);
-  add_run (&target->ended_speed, run, (double)target->end_slack_ms / (double)ran_ms);
+  learn_from_run (run, (double)target->end_slack_ms / (double)ran_ms);
   if (step->log_median_ms > 0.0)
     fl_run_time_add_ratio (step->run_class, core_target_kind (target),
                            run->task->log_run_ms - step->log_median_ms);
@@ -207,19 +228,36 @@
           FL_I ("runs", target->runs->len));
 }
 
+/* @return the lower median of @count values; 0 for less than two. */
+static double
+lower_median (double *values, guint count)
+{
+  if (count < 2)
+    return 0.0;
+  qsort (values, count, sizeof values[0], compare_doubles);
+  return values[(count - 1) / 2];
+}
+
 void
 core_speed_note_report (struct core_target *target)
 {
   int64_t listed_ms = report_time_ms (target);
+  double log_ratios[RATIOS_MAX];
+  guint compared = 0;
 
   target->speed = fl_speed_at (&target->ended_speed, target->core->now_ms);
   for (guint i = 0; i < target->runs->len; i++)
     {
       struct core_run *run = g_ptr_array_index (target->runs, i);
       double relative_error = project_run_time (run, listed_ms);
-      if (relative_error >= 0.0)
-        add_run (&target->speed, run, relative_error);
+      struct sample sample;
+      if (relative_error < 0.0 || !get_sample (run, relative_error, &sample))
+        continue;
+      fl_speed_add (&target->speed, sample.log_ratio, sample.variance);
+      if (compared < RATIOS_MAX)
+        log_ratios[compared++] = sample.log_ratio;
     }
+  target->log_run_slowness = lower_median (log_ratios, compared);
   target->outlook_at_ms = 0;
   update_is_slow (target);
 }
@@ -358,8 +396,7 @@
           FL_I ("speed_percent", (int64_t)(100.0 / fl_speed_slowness (&target->speed))));
   fl_stats_add (core->options.stats, "runs_moved_total", 1);
   /* What its progress tells of the target would be lost with it. */
-  target->ended_speed = fl_speed_at (&target->ended_speed, core->now_ms);
-  add_run (&target->ended_speed, run, 0.0);
+  learn_from_run (run, 0.0);
   task->was_moved = true;
   task->step->moved_runs++;
   task->last_failed_target = target->entry.id;
@@ -369,7 +406,10 @@
 void
 core_move_stragglers (struct core_target *target)
 {
-  double least_slowness = fl_speed_least_slowness (&target->speed);
+  /* The estimate follows its runs in bounded steps. Once it says that the target is slow, their
+   * median tells how slow it is now. */
+  double least_slowness
+      = MAX (fl_speed_least_slowness (&target->speed), exp (target->log_run_slowness));
 
   if (!target->is_slow || target->core->configuration == NULL)
     return;
--- a/tests/test_uneven_targets.c
+++ b/tests/test_uneven_targets.c
@@ -333,6 +333,167 @@
     }
 }
 
+/* --- which runs are moved --- */
+
+static void
+test_stragglers (void **state)
+{
+  static const struct fl_straggler slow = { .elapsed_ms = 1000,
+                                            .progress_percent = 10,
+                                            .least_slowness = 6.0,
+                                            .restart_ms = 1200,
+                                            .due_ms = 500,
+                                            .step_tasks = 10 };
+  struct
+  {
+    const char *name;
+    struct fl_straggler run;
+    bool should_move;
+  } cases[] = {
+    { "slow", slow, true },
+    { "its target is sound", slow, false },
+    { "its job is in time", slow, false },
+    { "almost done", slow, false },
+    { "moved before", slow, false },
+    { "others of its step were moved", slow, false },
+    { "a long task without a checkpoint", slow, false },
+    { "a long task with a checkpoint", slow, true },
+  };
+
+  (void)state;
+  cases[1].run.least_slowness = 1.0;
+  cases[2].run.due_ms = 20000;
+  cases[3].run.progress_percent = 80;
+  cases[4].run.was_moved = true;
+  cases[5].run.step_moves = 3;
+  cases[6].run.elapsed_ms = cases[7].run.elapsed_ms = 20000;
+  cases[6].run.progress_percent = cases[7].run.progress_percent = 80;
+  cases[7].run.has_checkpoint = true;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    if (fl_straggler_should_move (&cases[i].run) != cases[i].should_move)
+      fail_msg ("%s", cases[i].name);
+}
+
+enum
+{
+  MOVE_TARGETS = 10,
+  MOVE_TASKS = 30 /* three on each target */
+};
+
+static void
+tell_progress (struct fixture *fixture, int target, int64_t percent, int64_t age_ms)
+{
+  g_autofree char *name = g_strdup_printf ("t%d", target);
+  struct fl_run_row runs[MOVE_TASKS];
+  struct fl_end_row ends[MOVE_TASKS];
+  struct fl_target_report report = { .booted_at_ms = 1, .runs = runs, .ends = ends };
+  struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &report };
+  struct fl_name id = fl_name_of (name);
+
+  for (guint i = 0; i < MOVE_TASKS; i++)
+    {
+      const struct fl_start_order *order = get_start_order (fixture, i);
+      if (!fl_name_eq (&order->target, &id))
+        continue;
+      if (percent < 100)
+        runs[report.run_count++] = (struct fl_run_row){ .task = order->task,
+                                                        .run = order->run,
+                                                        .progress_percent = percent };
+      else
+        {
+          ends[report.end_count] = (struct fl_end_row){ .task = order->task, .run = order->run };
+          ends[report.end_count].number = (int64_t)report.end_count + 1;
+          report.end_count++;
+        }
+    }
+  report.clock_ms = fixture->now_ms - age_ms;
+  fl_core_handle_heartbeat_reply (fixture->core, &id, &reply, fixture->now_ms - age_ms - 1,
+                                  fixture->now_ms);
+}
+
+/* The target of the first stop order lists the end of the run: its task continues elsewhere. */
+static void
+check_continuation (struct fixture *fixture)
+{
+  const struct fl_run_order *stop = &g_array_index (fixture->stop_orders, struct fl_run_order, 0);
+  struct fl_end_row end = { .number = 1,
+                            .task = stop->task,
+                            .run = stop->run,
+                            .cause = FL_END_STOPPED,
+                            .checkpoint = fl_str_of ("saved") };
+
+  tick_until_recorded (fixture, 10);
+  assert_int_equal (fixture->start_orders->len, MOVE_TASKS);
+  deliver_report (fixture, stop->target.data,
+                  (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
+  tick_until_recorded (fixture, 10);
+  /* The report lists no other run, so that these are started again, too. */
+  for (guint i = MOVE_TASKS; i < fixture->start_orders->len; i++)
+    if (fl_name_eq (&get_start_order (fixture, i)->task, &stop->task))
+      {
+        assert_false (fl_name_eq (&get_start_order (fixture, i)->target, &stop->target));
+        assert_string_equal (get_start_order (fixture, i)->checkpoint, "saved");
+        return;
+      }
+  fail_msg ("%s is not started again", stop->task.data);
+}
+
+/* A step of thirty tasks on ten targets, of which others take a second. */
+static void
+test_moved_runs (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int slow_targets;
+    int64_t slow_percent;  /* that their tasks have reached by then; negative: it is silent */
+    int64_t report_age_ms; /* of the reports of the slow targets */
+    int moves_min, moves_max;
+  } cases[] = {
+    { "none slow", 0, 0, 0, 0, 0 },
+    { "one slow", 1, 14, 0, 1, 1 },
+    { "all slow", 10, 14, 0, 0, 0 },
+    { "most slow", 6, 14, 0, 0, 1 },
+    { "reports were late", 1, 14, 900, 0, 0 },
+    { "silent", 1, -1, 0, 0, 0 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      fixture->now_ms += 1000;
+      for (int j = 0; j < MOVE_TARGETS; j++)
+        {
+          g_autofree char *name = g_strdup_printf ("t%d", j);
+          add_target (fixture, name, 3, false);
+        }
+      add_job (fixture, "a", "urgent",
+               (struct fl_step_spec){ .count = MOVE_TASKS, .cpu_milli = 1000 });
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->start_orders->len, MOVE_TASKS);
+      for (guint j = 0; j < MOVE_TASKS; j++)
+        confirm_start (fixture, j);
+      /* The time of an end is known if the report before was shortly before it. */
+      for (int64_t percent = 50; percent <= 100; percent += 50)
+        {
+          fixture->now_ms += 500;
+          for (int j = cases[i].slow_targets; j < MOVE_TARGETS; j++)
+            tell_progress (fixture, j, percent, 0);
+        }
+      fixture->now_ms += 100;
+      tick_until_recorded (fixture, 0);
+      for (int j = 0; j < cases[i].slow_targets && cases[i].slow_percent >= 0; j++)
+        tell_progress (fixture, j, cases[i].slow_percent, cases[i].report_age_ms);
+      int moves = (int)fixture->stop_orders->len;
+      if (moves > 0)
+        check_continuation (fixture);
+      if (moves < cases[i].moves_min || moves > cases[i].moves_max)
+        fail_msg ("%s: %d runs moved", cases[i].name, moves);
+      fixture_free (fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -342,6 +503,8 @@
     cmocka_unit_test (test_failure_rate),
     cmocka_unit_test (test_waiting_for_another_target),
     cmocka_unit_test (test_steps_avoid_slow_targets),
+    cmocka_unit_test (test_stragglers),
+    cmocka_unit_test (test_moved_runs),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
