--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -59,6 +59,7 @@
   run->share_percent = 100;
   run->is_urgent = task->step->job->queue.priority == 0;
   task->run = run;
+  task->log_run_ms = 0.0;
   task->earlier_run = CORE_EARLIER_RUN_NONE;
   if (!task->done)
     core_step_add_idle_tasks (task->step, -1);
--- a/lib/core/target_speed.c
+++ b/lib/core/target_speed.c
@@ -369,7 +369,7 @@
     .elapsed_ms = listed_ms - run->started_at_ms,
     .progress_percent = run->progress_percent,
     .least_slowness = least_slowness,
-    .has_checkpoint = run->task->checkpoint.len > 0,
+    .has_checkpoint = step->spec->checkpoints,
     .restart_ms = restart_ms (step),
     .due_ms = due_ms (step),
     .step_tasks = step->spec->count,
--- a/lib/policy/straggler.h
+++ b/lib/policy/straggler.h
@@ -16,7 +16,7 @@
   int64_t elapsed_ms;       /* since its start */
   int64_t progress_percent; /* of its work */
   double least_slowness;    /* of its target */
-  bool has_checkpoint;      /* so that a new run continues its work */
+  bool has_checkpoint;      /* when it is stopped, so that a new run continues its work */
   int64_t restart_ms;       /* from the stop order to the start elsewhere */
   int64_t due_ms;           /* time that its job leaves it */
   int64_t step_tasks;       /* tasks of its step */
