--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -42,7 +42,7 @@
   double eligible_probability;
   bool is_near_data;  /* on the rack of the data, or the step has no preferred rack */
   bool is_unanswered; /* in a query whose reply may still tell whether it is eligible */
-  int64_t free_cpu_milli;
+  double score;       /* see core_target_score */
 };
 
 static struct core_advice *
@@ -91,9 +91,7 @@
   if (x->eligible_probability < y->eligible_probability
       || x->eligible_probability > y->eligible_probability)
     return x->eligible_probability > y->eligible_probability ? -1 : 1;
-  if (x->free_cpu_milli != y->free_cpu_milli)
-    return x->free_cpu_milli > y->free_cpu_milli ? -1 : 1;
-  return 0;
+  return x->score > y->score ? -1 : x->score < y->score;
 }
 
 /* Targets on which a step fits, without those that are known not to be eligible. */
@@ -140,6 +138,8 @@
   if (candidate.task_capacity == 0)
     return;
   candidates->fits_anywhere = true;
+  if (core_target_is_worse_than_waiting (target, step))
+    return;
   advice = find_advice (step, target);
   if (advice != NULL && !advice->eligible)
     return;
@@ -150,7 +150,8 @@
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
   candidate.is_unanswered = g_hash_table_contains (step->unanswered, &target->entry.id);
-  candidate.free_cpu_milli = core_target_rank_cpu (target, step) - target->tentative_cpu_milli;
+  candidate.score = core_target_score (
+      target, step, core_target_rank_cpu (target, step) - target->tentative_cpu_milli);
   g_array_append_val (candidates->rows, candidate);
 }
 
