--- a/lib/cli/commands.c
+++ b/lib/cli/commands.c
@@ -244,6 +244,18 @@
   return print_dump (arguments, "advisor", columns);
 }
 
+static int
+list_interference (const struct arguments *arguments)
+{
+  static const struct fl_column columns[]
+      = { { "QUEUE", "interference_queue" },  { "IMAGE", "image" },
+          { "BESIDE QUEUE", "beside_queue" }, { "BESIDE IMAGE", "beside_image" },
+          { "SLOWER %", "slowdown_percent" }, { "TARGETS", "targets" },
+          { "SAMPLES", "samples" },           { NULL, NULL } };
+
+  return print_dump (arguments, "interference_queue", columns);
+}
+
 static bool
 read_log (struct fl_explanation *explanation, const char *path)
 {
@@ -299,6 +311,10 @@
     "list the hosts that send advice queries, as seen by the pool's owner (--url: its metrics "
     "address)",
     0, false, list_advisors },
+  { "interference", "",
+    "list the tasks that slow each other down, as seen by the pool's owner (--url: its metrics "
+    "address)",
+    0, false, list_interference },
   { "explain", "ID LOG..", "explain what happened to a job, from the log files of all hosts", 2,
     true, explain_job },
 };
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -155,6 +155,7 @@
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->run_times = fl_run_times_new ();
+  core->interference = fl_interference_new ();
   core->queue_stats = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   return core;
 }
@@ -171,6 +172,7 @@
   g_hash_table_destroy (core->teams);
   g_hash_table_destroy (core->queue_stats);
   fl_run_times_free (core->run_times);
+  fl_interference_free (core->interference);
   g_hash_table_destroy (core->unreconciled_hashes);
   g_ptr_array_unref (core->target_list);
   g_ptr_array_unref (core->recording_jobs);
@@ -681,6 +683,7 @@
   step->spec = fl_job_spec_get_step (&job->spec, (size_t)number);
   step->run_class
       = fl_run_times_get_class (job->core->run_times, &job->spec.queue, &step->spec->image);
+  core_interference_classify (step);
   step->occurrence = occurrence;
   step->number = number;
   if (job->spec.repeat_count > 0)
@@ -975,6 +978,7 @@
       check_targets (core);
     }
   core_crash_decide (core);
+  core_interference_update (core);
   if (core->configuration != NULL)
     core_place_tasks (core);
 }
@@ -1010,4 +1014,5 @@
                               fl_job_state_name (job->state), job->unfinished_steps,
                               job->run_count);
     }
+  core_interference_dump (core, out);
 }
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -221,5 +221,7 @@
  * borrowed from a job) to count (intptr_t). Free it with g_hash_table_unref. */
 GHashTable *fl_core_count_pending_jobs (const struct fl_core *core);
 
-/* Appends one line of JSON for each target and job to @out, for operators. */
+/* Appends one line of JSON for each target, job and known pair of tasks that slow each other down
+ * to
+ * @out, for operators. */
 void fl_core_dump (const struct fl_core *core, GString *out);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -3,6 +3,7 @@
 
 #include "common/reply_time.h"
 #include "core/core.h"
+#include "policy/interference.h"
 #include "policy/run_time.h"
 
 /* A lease counts as expired only after this percentage of its duration plus the margin: the clock
@@ -16,6 +17,14 @@
 
 struct core_run;
 
+/* Since when, and from which progress, the slowness of a run is measured. */
+struct core_pace
+{
+  int64_t clock_ms; /* of the target; 0 before the first report */
+  int64_t percent;
+  int64_t samples;
+};
+
 struct core_team
 {
   struct fl_name name;
@@ -65,6 +74,7 @@
   int64_t heartbeat_wait_ms;    /* wait that the last heartbeat permitted */
   int64_t heartbeat_limit_ms;   /* its reply_limit_ms */
   bool report_was_slow;         /* the last report may be of an earlier boot */
+  bool ends_are_timely;         /* it has listed ends as soon as they occurred */
   struct fl_reply_time reply_time;
   int64_t last_applied_end;      /* ends up to this number have been processed */
   int64_t last_recording_end;    /* ends up to this number are covered by records in flight */
@@ -129,6 +139,8 @@
   bool is_recording;        /* the record in flight says that its task may be on its target */
   bool is_recorded;         /* a stored record of this owner says so */
   bool is_crash_noted;      /* the end of its boot has been examined, or counts as an open case */
+  struct fl_interference_class interference_class;
+  struct core_pace pace;
 };
 
 /* Where an earlier owner may have left a run of a task. */
@@ -189,6 +201,7 @@
   struct core_job *job;
   const struct fl_step_spec *spec;
   struct fl_run_time_class *run_class; /* of its queue and image */
+  struct fl_interference_class interference_class;
   int64_t occurrence;
   int64_t number;
   int64_t due_wall_ms; /* 0 for immediately */
@@ -308,6 +321,7 @@
   GHashTable *teams;                 /* name -> struct core_team */
   GHashTable *queue_stats;           /* name -> struct core_queue_stats */
   struct fl_run_times *run_times;    /* learnt from the runs that ended */
+  struct fl_interference *interference;
   int64_t now_ms;
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
@@ -630,3 +644,28 @@
 
 /* Throttles best-effort tasks by the last tail latency of the serving tasks on @target. */
 void core_throttle_target (struct core_target *target);
+
+/* --- interference.c --- */
+
+/* Determines which class of tasks @step belongs to; none without an image. */
+void core_interference_classify (struct core_step *step);
+
+/* Called when a run has been created. */
+void core_interference_note_start (struct core_run *run);
+
+/* Learns from what @target has just reported. */
+void core_interference_learn (const struct core_target *target);
+
+/* Learns from the end of @run as done. To be called before the run is released. */
+void core_interference_learn_end (struct core_run *run);
+
+/* Updates the known pairs. To be called in each tick. */
+void core_interference_update (struct fl_core *core);
+
+/* @return by how much the score of @target is reduced for @step, for the slowdown of its runs by
+ * the new task and of the task by them. It exceeds the CPU of any target unless it is 0, and is
+ * below the penalties of placement. */
+int64_t core_interference_penalty (const struct core_target *target, const struct core_step *step);
+
+/* Appends one line of JSON for each known pair to @out. */
+void core_interference_dump (const struct fl_core *core, GString *out);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -278,7 +278,7 @@
     value -= AVOID_PENALTY_MILLI;
   if (spec->rack.len > 0 && !core_target_has_label (target, &spec->rack))
     value -= AVOID_PENALTY_MILLI;
-  return value;
+  return value - core_interference_penalty (target, step);
 }
 
 /* A target on which a task of a step fits. */
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -68,6 +68,7 @@
   g_ptr_array_add (target->runs, run);
   charge_resources (run, 1);
   core_crash_watch (run);
+  core_interference_note_start (run);
   return run;
 }
 
