--- a/lib/policy/interference.c
+++ b/lib/policy/interference.c
@@ -7,7 +7,9 @@
 
 /* Samples lose half of their weight in this time: amounts change within seconds to minutes. */
 #define HALF_LIFE_MS 10000.0
-#define UPDATE_INTERVAL_MS 1000
+/* Each update examines a share of the victims, so that no single one takes long. */
+#define UPDATE_INTERVAL_MS 250
+#define UPDATE_SHARES 4
 /* A known pair that cannot be examined for this long is forgotten, since its tasks are kept apart:
  * it is tried again. */
 #define RETRY_MS 45000
@@ -84,6 +86,7 @@
   uint32_t last_generation;
   int64_t known_pairs;
   int64_t updated_ms;
+  int share; /* of the victims, to be examined in the next update */
   GArray *differences; /* struct difference, of the update in progress */
 };
 
@@ -415,7 +418,8 @@
     {
       const struct sum *sum = &interference->sums[i];
       if (sum->key == 0 || target_of_key (sum->key) == 0
-          || neighbour_of_key (sum->key) == ALL_NEIGHBOURS)
+          || neighbour_of_key (sum->key) == ALL_NEIGHBOURS
+          || victim_of_key (sum->key) % UPDATE_SHARES != interference->share)
         continue;
       struct sum beside = read_sum (interference, sum->key, now_ms);
       struct difference difference
@@ -595,6 +599,7 @@
         |= (uint32_t)interference->pairs[i / CLASSES_MAX][i % CLASSES_MAX].is_known
            << i % CLASSES_MAX;
   collect_differences (interference, now_ms);
+  interference->share = (interference->share + 1) % UPDATE_SHARES;
   merge_by_target (interference->differences);
   apply_estimates (interference, now_ms);
   for (int i = 0; i < CLASSES_MAX * CLASSES_MAX; i++)
--- a/lib/policy/interference.h
+++ b/lib/policy/interference.h
@@ -84,8 +84,8 @@
                           const struct fl_interference_sample *sample,
                           int64_t now_ms);
 
-/* Updates the known pairs, at most once a second, and calls @changed for each that has become known
- * or is forgotten. */
+/* Updates the known pairs, and calls @changed for each that has become known or is forgotten. Each
+ * pair is examined once a second if this is called every 50 ms. */
 void fl_interference_update (struct fl_interference *interference,
                              int64_t now_ms,
                              void (*changed) (void *context,
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -2313,6 +2313,7 @@
                                         .cpu_milli = job->task_resources.cpu_milli,
                                         .memory_mb = job->task_resources.memory_mb,
                                         .gang = job->gang,
+                                        .image = fl_name_format ("image-%u", cell->jobs->len % 4),
                                         .disruptions_max = -1 };
       if (i > 0)
         steps[i].after = (struct fl_array){ 1, &dependencies[i] };
