--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -650,8 +650,11 @@
 /* Determines which class of tasks @step belongs to; none without an image. */
 void core_interference_classify (struct core_step *step);
 
-/* Called when a run has been created. */
-void core_interference_note_start (struct core_run *run);
+/* The same for the class of @run, a new run. */
+void core_interference_classify_run (struct core_run *run);
+
+/* Counts the start of @run if it is beside a task of a known pair. */
+void core_interference_count_start (const struct core_run *run);
 
 /* Learns from what @target has just reported. */
 void core_interference_learn (const struct core_target *target);
--- a/lib/core/interference.c
+++ b/lib/core/interference.c
@@ -45,7 +45,7 @@
 }
 
 void
-core_interference_note_start (struct core_run *run)
+core_interference_classify_run (struct core_run *run)
 {
   struct core_step *step = run->task->step;
   struct fl_core *core = step->job->core;
@@ -54,8 +54,6 @@
   if (!fl_interference_class_is_valid (core->interference, step->interference_class))
     core_interference_classify (step);
   run->interference_class = step->interference_class;
-  if (core_interference_penalty (run->target, step) > 0)
-    fl_stats_add (core->options.stats, "interference_starts_total", 1);
 }
 
 /* --- samples --- */
@@ -140,7 +138,8 @@
 {
   const struct fl_step_spec *spec = run->task->step->spec;
 
-  if (run->pace.clock_ms > 0 && clock_ms - run->pace.clock_ms < SAMPLE_INTERVAL_MS)
+  if (run->pace.clock_ms > 0 && clock_ms >= run->pace.clock_ms
+      && clock_ms - run->pace.clock_ms < SAMPLE_INTERVAL_MS)
     return;
   start_measurement (run, clock_ms);
   if (run->gauge <= 0 || run->progress_percent < 100)
@@ -268,8 +267,12 @@
                 fl_interference_pair_count (core->interference));
 }
 
-int64_t
-core_interference_penalty (const struct core_target *target, const struct core_step *step)
+/* @return the sum of the expected slowdowns of the runs on @target by a task of @step, and of the
+ * task by them, as a share. @own_run, which may be NULL, is left out. */
+static double
+expected_slowdown (const struct core_target *target,
+                   const struct core_step *step,
+                   const struct core_run *own_run)
 {
   const struct fl_interference *interference = target->core->interference;
   double slowdown = 0;
@@ -279,13 +282,29 @@
   for (guint i = 0; i < target->runs->len; i++)
     {
       const struct core_run *run = g_ptr_array_index (target->runs, i);
+      if (run == own_run)
+        continue;
       slowdown += fl_interference_slowdown (interference, run->interference_class,
                                             step->interference_class)
                   + fl_interference_slowdown (interference, step->interference_class,
                                               run->interference_class);
     }
-  return MIN ((int64_t)(slowdown * 100 / PENALTY_STEP_PERCENT), PENALTY_STEPS_MAX)
-         * PENALTY_PER_STEP_MILLI;
+  return slowdown;
+}
+
+int64_t
+core_interference_penalty (const struct core_target *target, const struct core_step *step)
+{
+  int64_t steps = (int64_t)(expected_slowdown (target, step, NULL) * 100) / PENALTY_STEP_PERCENT;
+
+  return MIN (steps, PENALTY_STEPS_MAX) * PENALTY_PER_STEP_MILLI;
+}
+
+void
+core_interference_count_start (const struct core_run *run)
+{
+  if (expected_slowdown (run->target, run->task->step, run) > 0)
+    fl_stats_add (run->target->core->options.stats, "interference_starts_total", 1);
 }
 
 static void
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -68,7 +68,7 @@
   g_ptr_array_add (target->runs, run);
   charge_resources (run, 1);
   core_crash_watch (run);
-  core_interference_note_start (run);
+  core_interference_classify_run (run);
   return run;
 }
 
@@ -169,6 +169,7 @@
 void
 core_run_start (struct core_run *run, const char *ticket)
 {
+  core_interference_count_start (run);
   if (core_step_records_targets (run->task->step) || core_crash_needs_recording (run))
     {
       core_crash_note_attempt (run);
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -505,6 +505,7 @@
   advance (model);
   advance (model);
   assert_int_equal (model->runs->len, TARGETS * CORES);
+  assert_true (get_stat (model, "interference_starts_total") > 0);
   model_free (model);
 }
 
