--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -23,10 +23,11 @@
   double slowdown;       /* by the neighbour */
   int neighbour_targets; /* the neighbour comes to so many targets only */
   bool is_always_beside; /* on these it never leaves; else it comes and goes every 3 s */
-  double target_factor;  /* slowness of the first target, or of all from second @slower_at_s on */
-  int64_t slower_at_s;   /* 0 for never */
-  double kind_factor;    /* slowness of half of the targets, a kind to which alone it comes; or 0 */
-  double load_factor;    /* slowness under high load, which the neighbour often brings; or 0 */
+  double slow_factor;    /* slowness of the first @slow_targets, or of all from @slower_at_s on */
+  int slow_targets;
+  int64_t slower_at_s; /* 0 for never */
+  double kind_factor;  /* slowness of half of the targets, a kind to which alone it comes; or 0 */
+  double load_factor;  /* slowness under high load, which the neighbour often brings; or 0 */
   bool is_learnt;
 };
 
@@ -89,12 +90,12 @@
                        && (scenario->kind_factor <= 0 || is_second_kind);
       bool is_loaded = scenario->load_factor > 0
                        && (is_beside ? g_rand_double (learner->rand) < 0.7 : second % 3 == 0);
-      bool is_slower = scenario->slower_at_s > 0 ? second >= scenario->slower_at_s : i == 0;
-      double slowness = exp (0.6 * (g_rand_double (learner->rand) - 0.5))
-                        * (is_beside ? scenario->slowdown : 1)
-                        * (is_slower ? scenario->target_factor : 1)
-                        * (is_second_kind ? scenario->kind_factor : 1)
-                        * (is_loaded ? scenario->load_factor : 1);
+      bool is_slower = scenario->slower_at_s > 0 ? second >= scenario->slower_at_s
+                                                 : i < scenario->slow_targets;
+      double slowness
+          = exp (0.6 * (g_rand_double (learner->rand) - 0.5)) * (is_beside ? scenario->slowdown : 1)
+            * (is_slower ? scenario->slow_factor : 1) * (is_second_kind ? scenario->kind_factor : 1)
+            * (is_loaded ? scenario->load_factor : 1);
       struct fl_interference_sample sample = {
         .victim = learner->victim,
         .neighbours = is_beside ? fl_interference_class_bit (learner->neighbour) : 0,
@@ -116,16 +117,17 @@
 test_pairs_are_told_from_other_causes (void **state)
 {
   static const struct scenario cases[] = {
-    { "a disturbing pair", 1.4, TARGETS, false, 1, 0, 0, 0, true },
-    { "on some targets", 1.6, 4, false, 1, 0, 0, 0, true },
-    { "always together there", 1.6, 4, true, 1, 0, 0, 0, true },
-    { "a harmless pair", 1, TARGETS, false, 1, 0, 0, 0, false },
-    { "on two targets only", 3, 2, false, 1, 0, 0, 0, false },
-    { "a slow target", 1, 4, true, 5, 0, 0, 0, false },
-    { "a slow kind of target", 1, TARGETS, false, 1, 0, 2.5, 0, false },
-    { "a slow kind, always together there", 1, TARGETS, true, 1, 0, 2.5, 0, false },
-    { "loaded targets", 1, TARGETS, false, 1, 0, 0, 2, false },
-    { "all is slower from some time on", 1, 5, false, 2, 20, 0, 0, false },
+    { "a disturbing pair", 1.4, TARGETS, false, 1, 0, 0, 0, 0, true },
+    { "on some targets", 1.6, 4, false, 1, 0, 0, 0, 0, true },
+    { "always together there", 1.6, 4, true, 1, 0, 0, 0, 0, true },
+    { "a harmless pair", 1, TARGETS, false, 1, 0, 0, 0, 0, false },
+    { "on two targets only", 3, 2, false, 1, 0, 0, 0, 0, false },
+    { "a slow target", 1, 4, true, 5, 1, 0, 0, 0, false },
+    { "slow targets, on which alone it comes", 1, 4, false, 2, 4, 0, 0, 0, false },
+    { "a slow kind of target", 1, TARGETS, false, 1, 0, 0, 2.5, 0, false },
+    { "a slow kind, always together there", 1, TARGETS, true, 1, 0, 0, 2.5, 0, false },
+    { "loaded targets", 1, TARGETS, false, 1, 0, 0, 0, 2, false },
+    { "all is slower from some time on", 1, 5, false, 2, 0, 20, 0, 0, false },
   };
 
   (void)state;
@@ -158,9 +160,9 @@
 static void
 test_changes_are_followed (void **state)
 {
-  const struct scenario disturbing = { "", 1.5, TARGETS, false, 1, 0, 0, 0, true };
-  const struct scenario harmless = { "", 1, TARGETS, false, 1, 0, 0, 0, false };
-  const struct scenario apart = { "", 1.5, 0, false, 1, 0, 0, 0, false };
+  const struct scenario disturbing = { "", 1.5, TARGETS, false, 1, 0, 0, 0, 0, true };
+  const struct scenario harmless = { "", 1, TARGETS, false, 1, 0, 0, 0, 0, false };
+  const struct scenario apart = { "", 1.5, 0, false, 1, 0, 0, 0, 0, false };
 
   (void)state;
   for (guint32 seed = 1; seed <= 20; seed++)
