--- a/lib/core/interference.c
+++ b/lib/core/interference.c
@@ -134,11 +134,18 @@
     fl_interference_add (target->core->interference, &sample, target->core->now_ms);
 }
 
+/* Targets may report anything. */
+static int64_t
+get_progress (const struct core_run *run)
+{
+  return CLAMP (run->progress_percent, 0, 100);
+}
+
 static void
 start_measurement (struct core_run *run, uint32_t neighbours, int64_t clock_ms)
 {
   run->pace.clock_ms = clock_ms;
-  run->pace.percent = run->progress_percent;
+  run->pace.percent = get_progress (run);
   run->pace.neighbours = neighbours;
 }
 
@@ -173,7 +180,7 @@
 static double
 read_progress (const struct core_run *run, int64_t elapsed_ms)
 {
-  int64_t percent = run->progress_percent - run->pace.percent;
+  int64_t percent = get_progress (run) - run->pace.percent;
 
   if (percent < MEASURE_PERCENT_MIN && elapsed_ms < MEASURE_SLOW_MS)
     return 0;
@@ -189,7 +196,7 @@
   bool has_gauge = spec->latency_bound_ms > 0 || spec->long_running;
 
   if (run->pace.clock_ms == 0 || elapsed_ms < 0 || elapsed_ms > MEASURE_MAX_MS
-      || run->progress_percent < run->pace.percent)
+      || get_progress (run) < run->pace.percent)
     {
       run->pace.slowness = 0;
       start_measurement (run, neighbours, clock_ms);
