--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -3,6 +3,7 @@
 
 #include "common/reply_time.h"
 #include "core/core.h"
+#include "policy/interference.h"
 #include "policy/job_time.h"
 #include "policy/order.h"
 #include "policy/run_time.h"
@@ -21,6 +22,17 @@
 
 struct core_run;
 
+/* How slow a run is, measured over the time between some of the reports of its target. */
+struct core_pace
+{
+  int64_t clock_ms;    /* of the target, at the start of the measurement in progress; 0 for none */
+  int64_t percent;     /* progress at that time */
+  uint32_t neighbours; /* classes of the runs beside it at that time */
+  /* Result of the last measurement during which the neighbours were the same; 0 for none. */
+  double slowness;
+  uint32_t slowness_neighbours;
+};
+
 struct core_team
 {
   struct fl_name name;
@@ -151,6 +163,8 @@
   bool is_recording;        /* the record in flight says that its task may be on its target */
   bool is_recorded;         /* a stored record of this owner says so */
   bool is_crash_noted;      /* the end of its boot has been examined, or counts as an open case */
+  struct fl_interference_class interference_class;
+  struct core_pace pace;
 };
 
 /* Where an earlier owner may have left a run of a task. */
@@ -241,6 +255,7 @@
   struct core_job *job;
   const struct fl_step_spec *spec;
   struct fl_run_time_class *run_class; /* of its queue and image */
+  struct fl_interference_class interference_class;
   int64_t occurrence;
   int64_t number;
   int64_t due_wall_ms; /* 0 for immediately */
@@ -387,6 +402,7 @@
   GHashTable *teams;                 /* name -> struct core_team */
   GHashTable *queue_stats;           /* name -> struct core_queue_stats */
   struct fl_run_times *run_times;    /* learnt from the runs that ended */
+  struct fl_interference *interference;
   int64_t now_ms;
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
@@ -821,3 +837,30 @@
 
 /* Throttles best-effort tasks by the last tail latency of the serving tasks on @target. */
 void core_throttle_target (struct core_target *target);
+
+/* --- interference.c --- */
+
+/* Determines which class of tasks @step belongs to; none without an image. */
+void core_interference_classify (struct core_step *step);
+
+/* The same for the class of @run, a new run. */
+void core_interference_classify_run (struct core_run *run);
+
+/* Counts the start of @run if it is beside a task of a known pair. */
+void core_interference_count_start (const struct core_run *run);
+
+/* Learns from what @target has just reported. */
+void core_interference_learn (const struct core_target *target);
+
+/* Updates the known pairs. To be called in each tick. */
+void core_interference_update (struct fl_core *core);
+
+/* @return @score, which core_target_score gave @target for @step, less the expected slowdown of its
+ * runs by the new task and of the task by them: an expected time gets longer by it; where the score
+ * is free CPU, a disturbed target is worse than any that is not. */
+double core_interference_adjust_score (const struct core_target *target,
+                                       const struct core_step *step,
+                                       double score);
+
+/* Appends one line of JSON for each known pair to @out. */
+void core_interference_dump (const struct fl_core *core, GString *out);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -292,7 +292,8 @@
 {
   const struct fl_step_spec *spec = step->spec;
   int64_t free_cpu_milli = core_target_rank_cpu (target, step);
-  int64_t value = (int64_t)(SCORE_SCALE * core_target_score (target, step, free_cpu_milli));
+  double score = core_target_score (target, step, free_cpu_milli);
+  int64_t value = (int64_t)(SCORE_SCALE * core_interference_adjust_score (target, step, score));
 
   if (spec->best_effort && has_serving_run (target))
     value -= AVOID_PENALTY;
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -593,6 +593,7 @@
     apply_run (core, target, &report->runs[i], sent_ms);
   release_absent_runs (core, target, report, sent_ms);
   core_speed_note_report (target);
+  core_interference_learn (target);
   core_check_progress (target);
   core_move_stragglers (target);
   core_throttle_target (target);
