core: searches of a tick share the targets that take new tasks

Targets of advice and the configuration of teams are kept as pointers, names are formatted for sent queries only, and the tasks of a step are looked at one by one only where some back off or where crashes or earlier owners count.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -163,17 +163,23 @@
 {
   struct candidates candidates = { .rows = g_array_new (FALSE, FALSE, sizeof (struct candidate)) };
   struct fl_core *core = step->job->core;
+  const GArray *targets = core_get_open_targets (step);
   guint target_count = core->target_list->len;
-  guint seen = 0;
+  guint start = target_count > 0 ? core->scan_start % target_count : 0;
+  guint first = core_find_open_target (targets, start);
+  guint seen = target_count; /* positions, from start on */
 
-  for (; seen < target_count && (step->spec->rack.len > 0 || candidates.rows->len < CANDIDATES_MAX);
-       seen++)
+  for (guint i = 0; i < targets->len && seen == target_count; i++)
     {
-      guint position = (core->scan_start + seen) % target_count;
-      add_candidate (step, g_ptr_array_index (core->target_list, position), share, &candidates);
+      const struct core_open_target *open_target
+          = &g_array_index (targets, struct core_open_target, (first + i) % targets->len);
+      if (core_may_fit (open_target, step))
+        add_candidate (step, open_target->target, share, &candidates);
+      if (step->spec->rack.len == 0 && candidates.rows->len == CANDIDATES_MAX)
+        seen = (open_target->position + target_count - start) % target_count + 1;
     }
   if (target_count > 0)
-    core->scan_start = (core->scan_start + seen) % target_count;
+    core->scan_start = (start + seen) % target_count;
   candidates.is_sample = seen < target_count;
   if (!candidates.fits_anywhere && !is_contended (step))
     core_record_vain_search (step, true);
@@ -311,7 +317,6 @@
   const struct fl_advice_policy *policy = &step->job->queue.advice;
   struct fl_advice_demand demand = { .expected_ms = (int64_t)policy->base_latency_ms,
                                      .waited_ms = core_step_wait_for_advice_ms (step) };
-  struct fl_name name = core_step_name (step);
 
   if (step->query_in_flight)
     return CORE_WAIT_ADVICE;
@@ -323,6 +328,7 @@
   demand.expected_ms
       = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
   bool can_help = queried->len > 0;
+  struct fl_name name = can_help ? core_step_name (step) : fl_name_of ("");
   if (can_help
       && core->options.actions.query_advice (
           core->options.context, &name, (struct fl_name *)queried->data, queried->len, &demand))
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -120,6 +120,12 @@
     g_hash_table_remove (core->unreconciled_hashes, hash);
 }
 
+static void
+free_max_clear (void *data)
+{
+  g_array_unref (((struct core_free_max *)data)->open_targets);
+}
+
 static void
 target_free (void *data)
 {
@@ -133,6 +139,7 @@
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, false);
   last->position = target->position;
   g_ptr_array_remove_index_fast (core->target_list, target->position);
+  core->target_changes++;
   g_ptr_array_unref (target->runs);
   g_free (target);
 }
@@ -153,6 +160,7 @@
   core->target_list = g_ptr_array_new ();
   core->recording_jobs = g_ptr_array_new ();
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
+  g_array_set_clear_func (core->free_max, free_max_clear);
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->run_times = fl_run_times_new ();
   core->queue_stats = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
@@ -271,17 +279,29 @@
     job->queue = *queue;
 }
 
+static void
+refresh_team (const struct fl_core *core, struct core_team *team)
+{
+  team->configuration = core->configuration != NULL
+                            ? fl_configuration_find_team (core->configuration, &team->name)
+                            : NULL;
+}
+
 void
 fl_core_configure (struct fl_core *core, struct fl_configuration *configuration)
 {
   GHashTableIter iter;
   void *job;
+  void *team;
 
   fl_configuration_unref (core->configuration);
   core->configuration = fl_configuration_ref (configuration);
   g_hash_table_iter_init (&iter, core->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &job))
     refresh_queue (job);
+  g_hash_table_iter_init (&iter, core->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &team))
+    refresh_team (core, team);
 }
 
 /* --- targets --- */
@@ -364,6 +384,7 @@
       target->idle_link.data = target;
       target->position = core->target_list->len;
       g_ptr_array_add (core->target_list, target);
+      core->target_changes++;
       core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
       g_hash_table_insert (core->targets, &target->entry.id, target);
     }
@@ -654,6 +675,7 @@
     {
       team = g_new0 (struct core_team, 1);
       team->name = *name;
+      refresh_team (core, team);
       g_hash_table_insert (core->teams, &team->name, team);
     }
   return team;
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -19,9 +19,10 @@
 struct core_team
 {
   struct fl_name name;
-  struct fl_resources used;        /* by all runs that may be in effect */
-  struct fl_resources urgent_used; /* part of used that belongs to urgent runs (priority 0) */
-  struct fl_resources urgent_peak; /* decaying maximum of urgent_used */
+  const struct fl_team *configuration; /* NULL when the present one does not have it */
+  struct fl_resources used;            /* by all runs that may be in effect */
+  struct fl_resources urgent_used;     /* part of used that belongs to urgent runs (priority 0) */
+  struct fl_resources urgent_peak;     /* decaying maximum of urgent_used */
   /* Needed by tasks that an earlier owner may have started on a target that has not reported. */
   struct fl_resources unreconciled;
 };
@@ -165,6 +166,8 @@
 struct core_advice
 {
   struct fl_name target;
+  struct core_target *known_target; /* while core->target_changes is known_at_change */
+  int64_t known_at_change;
   bool eligible;
   int64_t booted_at_ms; /* boot of the target that the advice is for */
   struct fl_name ticket;
@@ -195,6 +198,7 @@
   struct core_task *tasks;
   int64_t unfinished_tasks;
   int64_t idle_tasks;        /* neither done nor with a run */
+  int64_t backoff_until_ms;  /* of its tasks, the last */
   GHashTable *advice;        /* target id -> struct core_advice */
   GHashTable *unanswered;    /* ids of targets in queries that have no reply yet */
   bool query_in_flight;      /* an advice query has no reply yet */
@@ -258,11 +262,20 @@
   GList final_link;
 };
 
+/* A target that takes new tasks. */
+struct core_open_target
+{
+  struct core_target *target;
+  guint position;           /* in core->target_list */
+  struct fl_resources free; /* when it was added, without regard to best-effort tasks */
+};
+
 /* Upper bounds of the resources that are free on any target of a service. They are computed at most
  * once a tick: starts and queries only lower what is free until the next one. */
 struct core_free_max
 {
   struct fl_name service;
+  GArray *open_targets; /* struct core_open_target, by position */
   struct fl_resources free;
   int64_t untaken_cpu_milli; /* free CPU less tentative charges */
   /* The needs of the last step for which a search of all targets was in vain, and whether there was
@@ -288,6 +301,7 @@
   GHashTable *jobs;                         /* id -> struct core_job */
   GHashTable *finished_jobs;                /* ids of jobs whose final state is recorded */
   GPtrArray *target_list;                   /* all targets, in no particular order */
+  int64_t target_changes;                   /* how often one was added or removed */
   guint scan_start;                         /* where the next search for candidates starts */
   GQueue unreconciled_targets;              /* inherited and not yet reported */
   GHashTable *unreconciled_hashes;          /* fl_job_target_hash of their ids -> their number */
@@ -591,6 +605,17 @@
  * search for targets is in vain. @include_tentative counts tentative charges as used. */
 bool core_capacity_is_exhausted (const struct core_step *step, bool include_tentative);
 
+/* @return rows of struct core_open_target, by position: the targets that take new tasks of the
+ * service of @step. Valid for this tick. */
+const GArray *core_get_open_targets (const struct core_step *step);
+
+/* @return the index of the first of @open_targets at @position or behind it; 0 when there is none.
+ */
+guint core_find_open_target (const GArray *open_targets, guint position);
+
+/* Whether a task of @step can fit on @open_target, by what was free there when the tick began. */
+bool core_may_fit (const struct core_open_target *open_target, const struct core_step *step);
+
 /* Records that @step fits on no target. */
 void core_record_vain_search (const struct core_step *step, bool include_tentative);
 
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -141,9 +141,10 @@
       if (fl_name_eq (&known->service, service))
         return known;
     }
+  max.open_targets = g_array_new (FALSE, FALSE, sizeof (struct core_open_target));
   for (guint i = 0; i < core->target_list->len; i++)
     {
-      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      struct core_target *target = g_ptr_array_index (core->target_list, i);
       if (!accepts_tasks (target, service))
         continue;
       struct fl_resources available = core_target_available_resources (target, false);
@@ -152,11 +153,52 @@
       max.free.gpu = MAX (max.free.gpu, available.gpu);
       max.untaken_cpu_milli
           = MAX (max.untaken_cpu_milli, available.cpu_milli - target->tentative_cpu_milli);
+      struct core_open_target open_target = { target, i, available };
+      g_array_append_val (max.open_targets, open_target);
     }
   g_array_append_val (core->free_max, max);
   return &g_array_index (core->free_max, struct core_free_max, core->free_max->len - 1);
 }
 
+const GArray *
+core_get_open_targets (const struct core_step *step)
+{
+  return get_free_max (step->job->core, &step->job->queue.service)->open_targets;
+}
+
+guint
+core_find_open_target (const GArray *open_targets, guint position)
+{
+  guint first = 0;
+  guint end = open_targets->len;
+
+  while (first < end)
+    {
+      guint middle = (first + end) / 2;
+      if (g_array_index (open_targets, struct core_open_target, middle).position < position)
+        first = middle + 1;
+      else
+        end = middle;
+    }
+  return first < open_targets->len ? first : 0;
+}
+
+static bool
+may_fit_resource (int64_t free, int64_t need)
+{
+  return need <= 0 || free >= need;
+}
+
+bool
+core_may_fit (const struct core_open_target *open_target, const struct core_step *step)
+{
+  const struct fl_step_spec *spec = step->spec;
+
+  return may_fit_resource (open_target->free.cpu_milli, spec->cpu_milli)
+         && may_fit_resource (open_target->free.memory_mb, spec->memory_mb)
+         && may_fit_resource (open_target->free.gpu, spec->gpu);
+}
+
 static bool
 needs_no_less (const struct fl_step_spec *spec, const struct fl_resources *need)
 {
@@ -214,8 +256,7 @@
 {
   const struct core_job *job = step->job;
   const struct core_team *team = job->team;
-  const struct fl_team *team_configuration
-      = fl_configuration_find_team (job->core->configuration, &team->name);
+  const struct fl_team *team_configuration = team->configuration;
   const struct fl_step_spec *spec = step->spec;
 
   if (team_configuration == NULL)
@@ -324,19 +365,22 @@
 static void
 collect_unadvised_placements (struct core_step *step, GArray *placements)
 {
-  const GPtrArray *targets = step->job->core->target_list;
+  const GArray *targets = core_get_open_targets (step);
   bool must_see_all = step->spec->rack.len > 0 || step->spec->rack_bound;
   int64_t wanted = step->idle_tasks * PLACEMENTS_CAPACITY_RATIO;
   int64_t capacity = 0;
-  guint first = fl_name_hash (&step->job->spec.id);
+  guint position = fl_name_hash (&step->job->spec.id) % MAX (step->job->core->target_list->len, 1);
+  guint first = core_find_open_target (targets, position);
 
   for (guint i = 0;
        i < targets->len && (must_see_all || placements->len < PLACEMENTS_MIN || capacity < wanted);
        i++)
     {
+      const struct core_open_target *open_target
+          = &g_array_index (targets, struct core_open_target, (first + i) % targets->len);
       guint before = placements->len;
-      add_placement (step, g_ptr_array_index (targets, (first % targets->len + i) % targets->len),
-                     placements);
+      if (core_may_fit (open_target, step))
+        add_placement (step, open_target->target, placements);
       if (placements->len > before)
         capacity += last_placement_capacity (placements);
     }
@@ -344,6 +388,17 @@
     core_record_vain_search (step, false);
 }
 
+static struct core_target *
+get_advised_target (const struct fl_core *core, struct core_advice *advice)
+{
+  if (advice->known_at_change != core->target_changes)
+    {
+      advice->known_target = core_find_target (core, &advice->target);
+      advice->known_at_change = core->target_changes;
+    }
+  return advice->known_target;
+}
+
 /* @return rows of struct placement: the targets on which @step fits now. Where its queue requires
  * advice, only those few of hundreds of targets can qualify on which the step has advice. */
 static GArray *
@@ -364,9 +419,8 @@
   g_hash_table_iter_init (&iter, step->advice);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct core_advice *advice = value;
-      struct core_target *target
-          = advice->eligible ? core_find_target (core, &advice->target) : NULL;
+      struct core_advice *advice = value;
+      struct core_target *target = advice->eligible ? get_advised_target (core, advice) : NULL;
       if (target != NULL)
         add_placement (step, target, placements);
     }
@@ -429,13 +483,25 @@
          && !(core_step_records_targets (task->step) && core_task_is_unreconciled (task));
 }
 
+/* Whether is_ready_to_start holds for all idle tasks of @step: none of them backs off, and nothing
+ * is known of crashes or of runs of an earlier owner. */
+static bool
+are_idle_tasks_ready (const struct core_step *step)
+{
+  return step->backoff_until_ms <= step->job->core->now_ms && step->job->crash_changes == 0
+         && !core_step_records_targets (step);
+}
+
 /* Starts the tasks of @step that can be started on @placements. @return how many tasks still wait.
  */
 static int64_t
 place_tasks (struct core_step *step, GArray *placements)
 {
   int64_t waiting = 0;
+  bool are_others_ready = are_idle_tasks_ready (step);
 
+  if (are_others_ready && placements->len == 0)
+    return step->idle_tasks;
   for (int64_t i = 0; i < step->spec->count; i++)
     {
       struct core_task *task = &step->tasks[i];
@@ -446,6 +512,8 @@
       placement = waiting == 0 && team_has_capacity (step)
                       ? choose_placement (task, placements, NULL)
                       : NULL;
+      if (placement == NULL && are_others_ready)
+        return step->idle_tasks;
       if (placement == NULL)
         {
           waiting++;
@@ -592,6 +660,8 @@
 static bool
 has_waiting_task (const struct core_step *step)
 {
+  if (are_idle_tasks_ready (step))
+    return step->idle_tasks > 0;
   for (int64_t i = 0; i < step->spec->count; i++)
     if (is_ready_to_start (&step->tasks[i]))
       return true;
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -394,7 +394,10 @@
     target->quarantined_until_ms
         = MAX (target->quarantined_until_ms, core->now_ms + REJECTED_BACKOFF_MS);
   if (result == FL_ORDER_INVALID || host_is_too_busy (core, result))
-    task->backoff_until_ms = core->now_ms + REJECTED_BACKOFF_MS;
+    {
+      task->backoff_until_ms = core->now_ms + REJECTED_BACKOFF_MS;
+      task->step->backoff_until_ms = task->backoff_until_ms;
+    }
   core_run_release (run);
   if (task->step->spec->gang)
     abort_gang (task->step);
--- a/tests/bench_core.c
+++ b/tests/bench_core.c
@@ -1,13 +1,17 @@
 /* Benchmark of the decisions: CPU time of a tick and of a placement by the number of targets and of
- * waiting steps. Prints one line for each case; `make bench` runs it beside an earlier version. */
+ * waiting steps, and that of all that an owner does in a burst but for its sockets. Prints one line
+ * for each case; `make bench` runs it beside an earlier version. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
+#include <fcntl.h>
 #include <glib.h>
+#include <unistd.h>
 
 #include "core/core.h"
+#include "forward/message.h"
 
 enum
 {
@@ -17,7 +21,15 @@
   TICK_MS = 4,
   TICKS = 100,
   ADVICE_MS = 20,
-  MEASURED_PAIRS_MAX = 2000000 /* targets times waiting steps */
+  MEASURED_PAIRS_MAX = 2000000, /* targets times waiting steps */
+  BURST_TARGETS = 350,
+  BURST_WAITING_STEPS = 1000,
+  BURST_TASK_CPU_MILLI = 2500,
+  BURST_RUN_MS = 2700, /* of 8,750 tasks, some 3,000 then end in a second */
+  BURST_HEARTBEAT_MS = 300,
+  BURST_WARM_UP_TICKS = 1500,
+  BURST_TICKS = 500,
+  BURST_LOG_LINES = 100000
 };
 
 struct bench
@@ -31,6 +43,8 @@
   GArray *queries; /* struct query */
   size_t start_count;
   int advisors; /* queries in flight at the same time */
+  int64_t task_cpu_milli;
+  struct burst *burst; /* NULL for the other cases */
 };
 
 struct query
@@ -40,8 +54,51 @@
   int64_t due_ms;
 };
 
+/* A run on a target of the burst. */
+struct running
+{
+  struct fl_name task;
+  int64_t run;
+  int64_t ends_at_ms;
+};
+
+struct burst_target
+{
+  GArray *running;
+  int64_t next_report_ms;
+  int64_t ends;
+};
+
+/* Numbers of events in the measured time, and the CPU time that each kind took, in us. */
+struct burst
+{
+  struct burst_target targets[BURST_TARGETS];
+  int64_t heartbeats;
+  int64_t ends;
+  int64_t queries;
+  double tick_us;
+  double heartbeat_us;
+  double order_us;
+  double query_us;
+};
+
 /* --- orders of the core --- */
 
+static int
+target_index (const struct fl_name *id)
+{
+  return (int)(strtoul (id->data + 2, NULL, 16) / 7919);
+}
+
+static void
+add_running (struct bench *bench, const struct fl_start_order *order)
+{
+  struct burst_target *target = &bench->burst->targets[target_index (&order->target)];
+  struct running running = { order->task, order->run, bench->now_ms + BURST_RUN_MS };
+
+  g_array_append_val (target->running, running);
+}
+
 static void
 on_start (void *context, const struct fl_start_order *order)
 {
@@ -49,6 +106,8 @@
 
   bench->start_count++;
   g_array_append_val (bench->starts, *order);
+  if (bench->burst != NULL)
+    add_running (bench, order);
 }
 
 static void
@@ -124,7 +183,7 @@
 static void
 add_job (struct bench *bench, int number)
 {
-  struct fl_step_spec step = { .count = TASKS_PER_STEP, .cpu_milli = TASK_CPU_MILLI };
+  struct fl_step_spec step = { .count = TASKS_PER_STEP, .cpu_milli = bench->task_cpu_milli };
   struct fl_job_spec spec = { .id = fl_name_format ("%016x", number),
                               .queue = fl_name_of ("q"),
                               .team = fl_name_format ("team-%d", number % 60),
@@ -195,7 +254,7 @@
 }
 
 static struct bench *
-bench_new (int targets, bool needs_advice)
+bench_new (int targets, int64_t task_cpu_milli, bool needs_advice)
 {
   struct bench *bench = g_new0 (struct bench, 1);
   struct fl_core_options options = {
@@ -217,6 +276,7 @@
   bench->stats = fl_stats_new ();
   options.stats = bench->stats;
   bench->targets = targets;
+  bench->task_cpu_milli = task_cpu_milli;
   bench->now_ms = 100000;
   bench->advisors = 30;
   bench->starts = g_array_new (FALSE, FALSE, sizeof (struct fl_start_order));
@@ -272,7 +332,7 @@
 static void
 measure (int targets, int waiting, bool needs_advice)
 {
-  struct bench *bench = bench_new (targets, needs_advice);
+  struct bench *bench = bench_new (targets, TASK_CPU_MILLI, needs_advice);
   int filling = targets * (TARGET_CORES * 1000 / TASK_CPU_MILLI) / TASKS_PER_STEP;
   int number = 0;
   double placing = 0;
@@ -296,13 +356,218 @@
   bench_free (bench);
 }
 
-/* Without arguments runs all cases; with the arguments ADVICE TARGETS WAITING_STEPS one of them. */
+/* --- burst --- */
+
+/* The message in which a peer passes on a report of the target @index: its runs, and those of them
+ * that have ended. */
+static msgpack_sbuffer
+encode_report (struct bench *bench, int index)
+{
+  struct burst_target *target = &bench->burst->targets[index];
+  g_autoptr (GArray) runs = g_array_new (FALSE, TRUE, sizeof (struct fl_run_row));
+  g_autoptr (GArray) ends = g_array_new (FALSE, TRUE, sizeof (struct fl_end_row));
+  msgpack_sbuffer buffer;
+
+  for (guint i = target->running->len; i > 0; i--)
+    {
+      const struct running *running = &g_array_index (target->running, struct running, i - 1);
+      struct fl_run_row run = { .task = running->task, .run = running->run };
+      struct fl_end_row end = { .task = running->task, .run = running->run, .cause = FL_END_DONE };
+      if (running->ends_at_ms > bench->now_ms)
+        {
+          g_array_append_val (runs, run);
+          continue;
+        }
+      end.number = ++target->ends;
+      g_array_append_val (ends, end);
+      g_array_remove_index_fast (target->running, i - 1);
+    }
+  struct fl_forward_message message = { .kind = FL_FORWARD_REPLY,
+                                        .result = FL_ORDER_DONE,
+                                        .clock_ms = bench->now_ms,
+                                        .has_report = true,
+                                        .booted_at_ms = 1,
+                                        .runs = { runs->len, runs->data },
+                                        .ends = { ends->len, ends->data } };
+  msgpack_sbuffer_init (&buffer);
+  fl_forward_message_encode (&message, &buffer);
+  bench->burst->heartbeats++;
+  bench->burst->ends += ends->len;
+  return buffer;
+}
+
+static void
+receive_report (struct bench *bench, int index)
+{
+  struct fl_name id = fl_name_format ("i-%08x", index * 7919);
+  msgpack_sbuffer buffer = encode_report (bench, index);
+  struct fl_forward_message message;
+  struct fl_error error = { 0 };
+  double before = cpu_us ();
+
+  if (!fl_forward_message_decode (buffer.data, buffer.size, &message, &error))
+    abort ();
+  struct fl_target_report text = { .booted_at_ms = message.booted_at_ms,
+                                   .clock_ms = message.clock_ms,
+                                   .runs = message.runs.items,
+                                   .run_count = message.runs.count,
+                                   .ends = message.ends.items,
+                                   .end_count = message.ends.count };
+  struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &text };
+  fl_core_handle_heartbeat_reply (bench->core, &id, &reply, bench->now_ms, bench->now_ms);
+  fl_forward_message_clear (&message);
+  bench->burst->heartbeat_us += cpu_us () - before;
+  msgpack_sbuffer_destroy (&buffer);
+}
+
+static bool
+is_report_due (struct bench *bench, struct burst_target *target)
+{
+  bool due = bench->now_ms >= target->next_report_ms;
+
+  for (guint i = 0; i < target->running->len && !due; i++)
+    due = g_array_index (target->running, struct running, i).ends_at_ms <= bench->now_ms;
+  if (due)
+    target->next_report_ms = bench->now_ms + BURST_HEARTBEAT_MS;
+  return due;
+}
+
+/* Encodes the start orders of this tick, and handles the replies to them. */
+static void
+exchange_orders (struct bench *bench)
+{
+  double before = cpu_us ();
+
+  for (guint i = 0; i < bench->starts->len; i++)
+    {
+      const struct fl_start_order *order = &g_array_index (bench->starts, struct fl_start_order, i);
+      struct fl_forward_message message
+          = { .kind = FL_FORWARD_START,
+              .target = order->target,
+              .address = order->address,
+              .task = order->task,
+              .run = order->run,
+              .deadline_ms = order->deadline_ms,
+              .payload = { order->payload_len, (char *)order->payload } };
+      msgpack_sbuffer buffer;
+      msgpack_sbuffer_init (&buffer);
+      fl_forward_message_encode (&message, &buffer);
+      msgpack_sbuffer_destroy (&buffer);
+    }
+  confirm_starts (bench);
+  bench->burst->order_us += cpu_us () - before;
+}
+
+static void
+run_burst_tick (struct bench *bench, int *job_number)
+{
+  struct burst *burst = bench->burst;
+  double before = cpu_us ();
+
+  bench->now_ms += TICK_MS;
+  burst->queries += bench->queries->len;
+  reply_to_queries (bench);
+  burst->queries -= bench->queries->len;
+  burst->query_us += cpu_us () - before;
+  for (int i = 0; i < bench->targets; i++)
+    if (is_report_due (bench, &burst->targets[i]))
+      receive_report (bench, i);
+  before = cpu_us ();
+  fl_core_tick (bench->core, bench->now_ms, bench->now_ms);
+  store_records (bench);
+  burst->tick_us += cpu_us () - before;
+  exchange_orders (bench);
+  for (int64_t waiting = fl_stats_get (bench->stats, "steps_waiting");
+       waiting < BURST_WAITING_STEPS; waiting++)
+    add_job (bench, (*job_number)++);
+}
+
+static void
+reset_counts (struct bench *bench)
+{
+  struct burst *burst = bench->burst;
+
+  burst->heartbeats = burst->ends = burst->queries = 0;
+  burst->tick_us = burst->heartbeat_us = burst->order_us = burst->query_us = 0;
+  bench->start_count = 0;
+}
+
+/* Load pattern: more jobs arrive than there is room for, while thousands of tasks start and end in
+ * each second and the log is full. */
+static void
+measure_burst (void)
+{
+  struct bench *bench = bench_new (BURST_TARGETS, BURST_TASK_CPU_MILLI, true);
+  struct burst burst = { 0 };
+  struct fl_log_state log_state = { 0 };
+  int number = 0;
+
+  bench->burst = &burst;
+  bench->log = (struct fl_log){ FL_LOG_INFO, "bench", fl_name_of ("host"), &log_state };
+  for (int i = 0; i < BURST_TARGETS; i++)
+    burst.targets[i].running = g_array_new (FALSE, FALSE, sizeof (struct running));
+  for (int i = 0; i < BURST_WARM_UP_TICKS; i++)
+    run_burst_tick (bench, &number);
+  reset_counts (bench);
+  for (int i = 0; i < BURST_TICKS; i++)
+    run_burst_tick (bench, &number);
+  double seconds = BURST_TICKS * TICK_MS / 1000.0;
+  double total_us = burst.tick_us + burst.heartbeat_us + burst.order_us + burst.query_us;
+  fprintf (stderr,
+           "burst targets=%d waiting_steps=%d starts_per_s=%.0f ends_per_s=%.0f "
+           "heartbeats_per_s=%.0f queries_per_s=%.0f us_per_tick=%.1f us_per_heartbeat=%.1f "
+           "us_per_order=%.1f us_per_query_reply=%.1f us_per_start=%.1f core_share=%.3f\n",
+           BURST_TARGETS, BURST_WAITING_STEPS, (double)bench->start_count / seconds,
+           (double)burst.ends / seconds, (double)burst.heartbeats / seconds,
+           (double)burst.queries / seconds, burst.tick_us / BURST_TICKS,
+           burst.heartbeat_us / (double)burst.heartbeats,
+           burst.order_us / (double)bench->start_count,
+           burst.query_us / (double)MAX (burst.queries, 1), total_us / (double)bench->start_count,
+           total_us / seconds / 1e6);
+  for (int i = 0; i < BURST_TARGETS; i++)
+    g_array_unref (burst.targets[i].running);
+  bench_free (bench);
+}
+
+static void
+measure_log_lines (void)
+{
+  struct fl_log log = { FL_LOG_INFO, "bench", fl_name_of ("host"), NULL };
+  struct fl_name task = fl_name_of ("0123456789abcdef.0.0.12");
+  struct fl_name target = fl_name_of ("i-0123abcd");
+  double before = cpu_us ();
+
+  for (int i = 0; i < BURST_LOG_LINES; i++)
+    fl_log (&log, FL_LOG_INFO, "start", FL_N ("task", &task), FL_I ("run", 1),
+            FL_N ("target", &target), FL_I ("attempt", 1), FL_I ("lists_age_ms", i),
+            FL_I ("boot", INT64_C (1774897183098)), FL_I ("listed_boot", 0));
+  fprintf (stderr, "log us_per_line=%.2f\n", (cpu_us () - before) / BURST_LOG_LINES);
+}
+
+/* Log lines go to standard output, which is a file here: results are printed to standard error. */
+static int
+measure_owner (void)
+{
+  int file = open ("/dev/null", O_WRONLY);
+
+  if (file < 0 || dup2 (file, STDOUT_FILENO) < 0)
+    return 1;
+  close (file);
+  measure_burst ();
+  measure_log_lines ();
+  return 0;
+}
+
+/* Without arguments runs all cases; with the arguments ADVICE TARGETS WAITING_STEPS one of the
+ * first kind, and with the argument `burst` those of an owner in a burst. */
 int
 main (int argc, char **argv)
 {
   static const int target_counts[] = { 48, 350, 1100, 1900, 10000 };
   static const int waiting_counts[] = { 10, 100, 1000 };
 
+  if (argc == 2 && strcmp (argv[1], "burst") == 0)
+    return measure_owner ();
   if (argc == 4)
     {
       measure (atoi (argv[2]), atoi (argv[3]), atoi (argv[1]) != 0);
@@ -313,5 +578,5 @@
       for (size_t j = 0; j < G_N_ELEMENTS (waiting_counts); j++)
         if (target_counts[i] * waiting_counts[j] <= MEASURED_PAIRS_MAX)
           measure (target_counts[i], waiting_counts[j], advice != 0);
-  return 0;
+  return measure_owner ();
 }
