poold: interval of ticks follows the time that they take; log lines buffered

A socket of a peer is read without asking first whether it is readable, and hosts for queries are asked for once a queue and tick while none is free.

--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -3,9 +3,15 @@
  * The volume is limited to FL_LOG_LINES_PER_S lines per event and second; a line "lines_folded"
  * reports how many lines were suppressed. A line that cannot be written without blocking is
  * dropped, and the next line reports the number of dropped lines. Values that contain spaces,
- * quotes or control bytes are quoted and escaped. API keys of clients must not be logged. */
+ * quotes or control bytes are quoted and escaped. API keys of clients must not be logged.
+ *
+ * A process with an event loop may buffer lines until the loop is about to wait: hundreds of lines
+ * in one turn of the loop then take a few system calls. Warnings and errors are written at once,
+ * after the lines before them. */
 #pragma once
 
+#include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "common/error.h"
@@ -33,13 +39,20 @@
   int64_t lines;
 };
 
-/* Rate limit and drop counter of a process. */
+/* Lines that are buffered at most: those of a turn of the loop, in a burst. With more, the buffer
+ * is written before the loop waits. */
+#define FL_LOG_BUFFER_BYTES ((size_t)32 * 1024)
+
+/* Rate limit, drop counter and buffer of a process. */
 struct fl_log_state
 {
+  bool is_buffered;       /* the process calls fl_log_flush */
   int64_t dropped_lines;  /* since the last line that was written */
   int64_t counted_second; /* second of the boot clock that event_counts covers */
   struct fl_log_event_count event_counts[FL_LOG_LIMITED_EVENTS_MAX];
   size_t event_count;
+  size_t buffered_bytes;
+  char buffer[FL_LOG_BUFFER_BYTES]; /* whole lines */
 };
 
 struct fl_log
@@ -47,7 +60,7 @@
   enum fl_log_level level; /* less severe lines are not logged */
   const char *program;     /* borrowed */
   struct fl_name instance;
-  struct fl_log_state *state; /* NULL: no rate limit, and drops are not reported */
+  struct fl_log_state *state; /* NULL: no rate limit, no buffer, and drops are not reported */
 };
 
 /* Counts a line of @event, a string literal whose pointer is kept.
@@ -90,6 +103,10 @@
                    const char *event,
                    const struct fl_log_pair *pairs);
 
+/* Writes the buffered lines of @log, as far as that is possible without blocking; the rest remains
+ * buffered. */
+void fl_log_flush (const struct fl_log *log);
+
 /* Logs @event with the code, step, peer and text of @error. */
 void fl_log_error (const struct fl_log *log,
                    enum fl_log_level level,
--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -53,6 +53,12 @@
   return advice != NULL && advice->booted_at_ms == target->booted_at_ms ? advice : NULL;
 }
 
+bool
+core_advice_has_ticket (const struct core_step *step, const struct core_advice *advice)
+{
+  return advice->eligible && advice->valid_until_ms >= step->job->core->now_ms + TICKET_MARGIN_MS;
+}
+
 const char *
 core_advice_ticket (const struct core_step *step, const struct core_target *target)
 {
@@ -61,8 +67,7 @@
   if (!step->job->queue.advice.required)
     return "";
   advice = find_advice (step, target);
-  if (advice == NULL || !advice->eligible
-      || advice->valid_until_ms < step->job->core->now_ms + TICKET_MARGIN_MS)
+  if (advice == NULL || !core_advice_has_ticket (step, advice))
     return NULL;
   return advice->ticket.data;
 }
@@ -310,6 +315,34 @@
   fl_stats_add (core->options.stats, "advice_targets_total", queried->len);
 }
 
+/* Whether no host was free in this tick for a query of the queue of @step that had waited as long.
+ *
+ * Load pattern: hundreds of steps wait while all hosts have queries in flight. */
+static bool
+is_without_host (const struct core_step *step, const struct fl_advice_demand *demand)
+{
+  const struct core_queue_stats *stats = step->job->queue_stats;
+
+  return stats->no_host_tick == step->job->core->tick_number
+         && stats->no_host_demand.expected_ms == demand->expected_ms
+         && stats->no_host_demand.waited_ms >= demand->waited_ms;
+}
+
+static bool
+may_query (const struct core_step *step, const struct fl_advice_demand *demand)
+{
+  const struct fl_core *core = step->job->core;
+  struct core_queue_stats *stats = step->job->queue_stats;
+
+  if (is_without_host (step, demand))
+    return false;
+  if (core->options.actions.may_query_advice (core->options.context, demand))
+    return true;
+  stats->no_host_tick = core->tick_number;
+  stats->no_host_demand = *demand;
+  return false;
+}
+
 enum core_wait_reason
 core_advice_send_query (struct core_step *step, int64_t waiting)
 {
@@ -322,7 +355,7 @@
     return CORE_WAIT_ADVICE;
   if (core_capacity_is_exhausted (step, !is_contended (step)))
     return CORE_WAIT_CAPACITY;
-  if (!core->options.actions.may_query_advice (core->options.context, &demand))
+  if (!may_query (step, &demand))
     return CORE_WAIT_ADVICE;
   GArray *queried = select_queried (step, waiting);
   demand.expected_ms
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -123,7 +123,10 @@
 static void
 free_max_clear (void *data)
 {
-  g_array_unref (((struct core_free_max *)data)->open_targets);
+  struct core_free_max *max = data;
+
+  g_array_unref (max->open_targets);
+  g_array_unref (max->free_cpu_milli);
 }
 
 static void
@@ -161,6 +164,7 @@
   core->recording_jobs = g_ptr_array_new ();
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
   g_array_set_clear_func (core->free_max, free_max_clear);
+  core->placements = core_placements_new ();
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->run_times = fl_run_times_new ();
   core->queue_stats = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
@@ -183,6 +187,7 @@
   g_ptr_array_unref (core->target_list);
   g_ptr_array_unref (core->recording_jobs);
   g_array_unref (core->free_max);
+  g_array_unref (core->placements);
   fl_configuration_unref (core->configuration);
   g_free (core);
 }
@@ -986,6 +991,7 @@
 {
   core->tick_gap_ms = core->last_tick_ms > 0 ? now_ms - core->last_tick_ms : 0;
   core->last_tick_ms = now_ms;
+  core->tick_number++;
   core->now_ms = now_ms;
   core->wall_ms = wall_ms;
   core_order_budget_update (&core->order_budget, now_ms);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -34,6 +34,10 @@
   double eligible_share; /* moving average: share of queried targets that were eligible */
   int64_t advice_replies;
   double mean_run_ms; /* moving average: duration of successful runs; 0 before the first */
+  /* The last demand for which no host was free, and the tick of that: hosts only become fewer until
+   * the next one. */
+  int64_t no_host_tick;
+  struct fl_advice_demand no_host_demand;
 };
 
 /* The members that every tick reads come first, since a tick visits all targets. */
@@ -165,13 +169,14 @@
 /* The last advice on whether a target may run a step. */
 struct core_advice
 {
-  struct fl_name target;
   struct core_target *known_target; /* while core->target_changes is known_at_change */
+  guint known_position;             /* in core->target_list, likewise */
   int64_t known_at_change;
+  int64_t valid_until_ms; /* of the ticket */
   bool eligible;
   int64_t booted_at_ms; /* boot of the target that the advice is for */
+  struct fl_name target;
   struct fl_name ticket;
-  int64_t valid_until_ms; /* of the ticket */
 };
 
 /* Why the tasks of a step wait. */
@@ -262,6 +267,8 @@
   GList final_link;
 };
 
+#define CORE_CLOSED INT64_MIN
+
 /* A target that takes new tasks. */
 struct core_open_target
 {
@@ -276,6 +283,8 @@
 {
   struct fl_name service;
   GArray *open_targets; /* struct core_open_target, by position */
+  GArray
+      *free_cpu_milli; /* int64_t, by position; CORE_CLOSED for a target that takes no new tasks */
   struct fl_resources free;
   int64_t untaken_cpu_milli; /* free CPU less tentative charges */
   /* The needs of the last step for which a search of all targets was in vain, and whether there was
@@ -319,9 +328,11 @@
   int64_t unexplained_crash_ms;      /* when a target last crashed on which no run is suspected */
   uint32_t unexplained_crash_target; /* fl_job_target_hash of its id */
   GArray *free_max;                  /* struct core_free_max, of this tick */
-  GHashTable *teams;                 /* name -> struct core_team */
-  GHashTable *queue_stats;           /* name -> struct core_queue_stats */
-  struct fl_run_times *run_times;    /* learnt from the runs that ended */
+  GArray *placements;                /* struct placement, of the step that is being placed */
+  int64_t tick_number;
+  GHashTable *teams;              /* name -> struct core_team */
+  GHashTable *queue_stats;        /* name -> struct core_queue_stats */
+  struct fl_run_times *run_times; /* learnt from the runs that ended */
   int64_t now_ms;
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
@@ -561,6 +572,9 @@
 
 /* --- placement.c --- */
 
+/* @return an empty array of struct placement. */
+GArray *core_placements_new (void);
+
 /* Starts the tasks that can be started, and updates the wait reasons of the others. */
 void core_place_tasks (struct fl_core *core);
 
@@ -570,6 +584,9 @@
  * NULL when there is no valid ticket. */
 const char *core_advice_ticket (const struct core_step *step, const struct core_target *target);
 
+/* Whether the ticket of @advice is valid if its target has not restarted. */
+bool core_advice_has_ticket (const struct core_step *step, const struct core_advice *advice);
+
 /* Queries advice on targets for @waiting tasks of @step, unless a query is already in flight.
  * @return what the step waits for afterwards. */
 enum core_wait_reason core_advice_send_query (struct core_step *step, int64_t waiting);
@@ -616,6 +633,9 @@
 /* Whether a task of @step can fit on @open_target, by what was free there when the tick began. */
 bool core_may_fit (const struct core_open_target *open_target, const struct core_step *step);
 
+/* The same for the target of @advice, by its CPU only. */
+bool core_may_fit_on_advised (const struct core_step *step, struct core_advice *advice);
+
 /* Records that @step fits on no target. */
 void core_record_vain_search (const struct core_step *step, bool include_tentative);
 
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -142,12 +142,18 @@
         return known;
     }
   max.open_targets = g_array_new (FALSE, FALSE, sizeof (struct core_open_target));
+  max.free_cpu_milli = g_array_sized_new (FALSE, FALSE, sizeof (int64_t), core->target_list->len);
   for (guint i = 0; i < core->target_list->len; i++)
     {
       struct core_target *target = g_ptr_array_index (core->target_list, i);
+      int64_t closed = CORE_CLOSED;
       if (!accepts_tasks (target, service))
-        continue;
+        {
+          g_array_append_val (max.free_cpu_milli, closed);
+          continue;
+        }
       struct fl_resources available = core_target_available_resources (target, false);
+      g_array_append_val (max.free_cpu_milli, available.cpu_milli);
       max.free.cpu_milli = MAX (max.free.cpu_milli, available.cpu_milli);
       max.free.memory_mb = MAX (max.free.memory_mb, available.memory_mb);
       max.free.gpu = MAX (max.free.gpu, available.gpu);
@@ -199,6 +205,29 @@
          && may_fit_resource (open_target->free.gpu, spec->gpu);
 }
 
+static struct core_target *
+get_advised_target (const struct fl_core *core, struct core_advice *advice)
+{
+  if (advice->known_at_change != core->target_changes)
+    {
+      advice->known_target = core_find_target (core, &advice->target);
+      advice->known_position = advice->known_target != NULL ? advice->known_target->position : 0;
+      advice->known_at_change = core->target_changes;
+    }
+  return advice->known_target;
+}
+
+bool
+core_may_fit_on_advised (const struct core_step *step, struct core_advice *advice)
+{
+  const struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+
+  if (get_advised_target (step->job->core, advice) == NULL)
+    return false;
+  int64_t free_cpu_milli = g_array_index (max->free_cpu_milli, int64_t, advice->known_position);
+  return free_cpu_milli != CORE_CLOSED && may_fit_resource (free_cpu_milli, step->spec->cpu_milli);
+}
+
 static bool
 needs_no_less (const struct fl_step_spec *spec, const struct fl_resources *need)
 {
@@ -332,6 +361,12 @@
   bool is_pending; /* allowed as soon as a requested record is stored */
 };
 
+GArray *
+core_placements_new (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (struct placement));
+}
+
 static void
 update_placement (struct placement *placement, const struct core_step *step)
 {
@@ -388,24 +423,12 @@
     core_record_vain_search (step, false);
 }
 
-static struct core_target *
-get_advised_target (const struct fl_core *core, struct core_advice *advice)
-{
-  if (advice->known_at_change != core->target_changes)
-    {
-      advice->known_target = core_find_target (core, &advice->target);
-      advice->known_at_change = core->target_changes;
-    }
-  return advice->known_target;
-}
-
 /* @return rows of struct placement: the targets on which @step fits now. Where its queue requires
  * advice, only those few of hundreds of targets can qualify on which the step has advice. */
 static GArray *
 collect_placements (struct core_step *step)
 {
-  GArray *placements = g_array_new (FALSE, FALSE, sizeof (struct placement));
-  struct fl_core *core = step->job->core;
+  GArray *placements = g_array_set_size (g_array_ref (step->job->core->placements), 0);
   GHashTableIter iter;
   void *value;
 
@@ -420,9 +443,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct core_advice *advice = value;
-      struct core_target *target = advice->eligible ? get_advised_target (core, advice) : NULL;
-      if (target != NULL)
-        add_placement (step, target, placements);
+      if (core_advice_has_ticket (step, advice) && core_may_fit_on_advised (step, advice))
+        add_placement (step, advice->known_target, placements);
     }
   return placements;
 }
@@ -617,8 +639,7 @@
 static double
 weighted_team_use (const struct core_job *job)
 {
-  const struct fl_team *team_configuration
-      = fl_configuration_find_team (job->core->configuration, &job->team->name);
+  const struct fl_team *team_configuration = job->team->configuration;
 
   return (double)job->team->used.cpu_milli
          / (double)(team_configuration != NULL ? MAX (team_configuration->weight, 1) : 1);
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -160,6 +160,38 @@
   return signals->stop_requested;
 }
 
+/* --- log --- */
+
+static void
+on_log_flush (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  const struct fl_host *host = watcher->data;
+
+  (void)loop;
+  (void)events;
+  fl_log_flush (&host->log);
+}
+
+/* Writes the lines of a turn of the loop after all other watchers of this kind, which log, too. */
+static void
+start_log_buffer (struct fl_host *host)
+{
+  host->log_state.is_buffered = true;
+  ev_prepare_init (&host->log_flush, on_log_flush);
+  ev_set_priority (&host->log_flush, EV_MINPRI);
+  host->log_flush.data = host;
+  ev_prepare_start (host->loop, &host->log_flush);
+}
+
+/* Writes what is buffered, and all later lines at once. */
+static void
+stop_log_buffer (struct fl_host *host)
+{
+  ev_prepare_stop (host->loop, &host->log_flush);
+  host->log_state.is_buffered = false;
+  fl_log_flush (&host->log);
+}
+
 /* --- main --- */
 
 /* Starts the relay, which makes store calls through other hosts and, with @accepts_peer_calls, also
@@ -195,6 +227,7 @@
   host->log = (struct fl_log){ fl_host_settings_log_level (&host->settings), program->name,
                                host->settings.name, &host->log_state };
   fl_log_set_nonblocking ();
+  start_log_buffer (host);
   host->stats = fl_stats_new ();
   host->http_client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX, host->stats);
   host->platform_store = fl_platform_store_new (host->http_client, host->settings.store.data);
@@ -238,6 +271,7 @@
               FL_N ("store", &host.settings.store));
       if (!is_stop_requested (&signals, &host))
         code = program->serve (&host);
+      stop_log_buffer (&host);
       fl_log (&host.log, FL_LOG_NOTICE, "stopped", FL_I ("code", code));
       host_clear (&host);
     }
--- a/lib/host/host.h
+++ b/lib/host/host.h
@@ -19,6 +19,7 @@
   struct ev_loop *loop;
   struct fl_log log;
   struct fl_log_state log_state;
+  ev_prepare log_flush;
   ev_signal reload_signal; /* SIGHUP */
   struct fl_stats *stats;
   struct fl_http_client *http_client;
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -103,7 +103,8 @@
   g_ptr_array_add (socket->link->due, socket);
 }
 
-static void
+/* @return whether the socket has no more messages: its descriptor then shows the next one. */
+static bool
 receive_batch (struct socket *socket)
 {
   struct fl_link *link = socket->link;
@@ -115,23 +116,23 @@
       zmq_msg_init (&body);
       if (!receive_message (socket, &from, &body))
         {
+          bool is_empty = zmq_errno () == EAGAIN;
           zmq_msg_close (&body);
-          return;
+          return is_empty;
         }
       discard_extra_frames (socket, &body);
       link->options.on_message (link->options.context, &from, zmq_msg_data (&body),
                                 zmq_msg_size (&body));
       zmq_msg_close (&body);
     }
+  return false;
 }
 
 static void
 check_socket (struct socket *socket)
 {
-  if (!is_readable (socket))
-    return;
-  mark_due (socket); /* receiving may leave messages, or consume an edge */
-  receive_batch (socket);
+  if (!receive_batch (socket))
+    mark_due (socket);
 }
 
 /* A socket that was sent on most often has nothing to read: it is checked here, so that the loop
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -9,12 +9,6 @@
 #include "poold/poold_internal.h"
 #include "poold/succession.h"
 
-/* Maximum time between ticks: bounds the delay of decisions that no event triggers, such as
- * timeouts. */
-#define TICK_INTERVAL_MAX_MS 50
-/* Minimum time between ticks: an owner of hundreds of targets receives a thousand events a second,
- * and each tick goes through all waiting work. */
-#define TICK_INTERVAL_MIN_MS 4
 /* For the row that announces this host; written again until the store confirms it. */
 #define ANNOUNCE_TIMEOUT_MS 1000
 #define ANNOUNCE_RETRY_MS 500
@@ -24,7 +18,7 @@
 /* Orders that arrived longer ago have timed out at the owner. */
 #define STOP_MAX_MS 2000
 /* A longer time between two ticks tells that the process was suspended. */
-#define SUSPENSION_MIN_MS (3 * TICK_INTERVAL_MAX_MS / 2)
+#define SUSPENSION_MIN_MS (3 * FL_TICK_INTERVAL_MAX_MS / 2)
 /* Longest wait of a stopping process for orders of peers in flight: their timeout at the target
  * (700 ms for a stop), and the time to return the result. */
 #define STOP_ORDERS_MAX_MS 800
@@ -145,6 +139,8 @@
 static void
 tick (struct fl_poold *poold)
 {
+  int64_t started_us = fl_clock_monotonic_us ();
+
   poold->tick_requested = false;
   poold->last_tick_ms = fl_clock_boot_ms ();
   if (!poold->announced && !poold->announce_in_flight
@@ -153,6 +149,7 @@
   fl_ownership_tick (poold->ownership);
   if (poold->term != NULL)
     fl_term_tick (poold->term);
+  fl_tick_pace_add (&poold->tick_pace, fl_clock_monotonic_us () - started_us);
 }
 
 static void end_if_drained (struct fl_poold *poold);
@@ -171,17 +168,19 @@
 on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events)
 {
   struct fl_poold *poold = prepare->data;
-  int64_t due_ms = poold->last_tick_ms + TICK_INTERVAL_MIN_MS;
+  int64_t wait_ms
+      = poold->last_tick_ms + fl_tick_pace_interval_ms (&poold->tick_pace) - fl_clock_boot_ms ();
 
   (void)events;
   if (!poold->tick_requested || ev_is_active (&poold->early_tick_timer))
     return;
-  if (fl_clock_boot_ms () >= due_ms)
+  if (wait_ms <= 0)
     {
       tick (poold);
       return;
     }
-  ev_timer_set (&poold->early_tick_timer, TICK_INTERVAL_MIN_MS / 1000.0, 0.0);
+  ev_timer_set (&poold->early_tick_timer, (double)MAX (wait_ms, FL_TICK_INTERVAL_MIN_MS) / 1000.0,
+                0.0);
   ev_timer_start (loop, &poold->early_tick_timer);
 }
 
@@ -197,7 +196,7 @@
     poold->resumed_ms = now_ms;
   poold->last_drain_check_ms = now_ms;
   if (poold->stopping && poold->released && stopping_ms >= STOP_NOTICE_MS
-      && (now_ms - poold->resumed_ms >= TICK_INTERVAL_MAX_MS || stopping_ms >= STOP_MAX_MS)
+      && (now_ms - poold->resumed_ms >= FL_TICK_INTERVAL_MAX_MS || stopping_ms >= STOP_MAX_MS)
       && (fl_forwarder_open_peer_orders (poold->forwarder) == 0
           || stopping_ms >= STOP_ORDERS_MAX_MS))
     ev_break (poold->host->loop, EVBREAK_ALL);
@@ -240,8 +239,8 @@
 static void
 start_watchers (struct fl_poold *poold)
 {
-  ev_timer_init (&poold->tick_timer, on_tick, TICK_INTERVAL_MAX_MS / 1000.0,
-                 TICK_INTERVAL_MAX_MS / 1000.0);
+  ev_timer_init (&poold->tick_timer, on_tick, FL_TICK_INTERVAL_MAX_MS / 1000.0,
+                 FL_TICK_INTERVAL_MAX_MS / 1000.0);
   poold->tick_timer.data = poold;
   ev_timer_start (poold->host->loop, &poold->tick_timer);
   ev_timer_init (&poold->early_tick_timer, on_tick, 0.0, 0.0);
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -4,6 +4,7 @@
 #include "core/core.h"
 #include "forward/forward.h"
 #include "host/configuration_watch.h"
+#include "policy/tick_pace.h"
 #include "poold/advisors.h"
 #include "poold/ownership.h"
 #include "poold/poold.h"
@@ -63,6 +64,7 @@
   ev_timer tick_timer;
   ev_timer early_tick_timer; /* the next tick, when the last one was too recent */
   int64_t last_tick_ms;
+  struct fl_tick_pace tick_pace;
   ev_prepare prepare_watcher;
   int64_t last_drain_check_ms; /* last tick by a timer */
   int64_t resumed_ms;          /* last tick before which the process was suspended */
--- a/tests/test_logs.c
+++ b/tests/test_logs.c
@@ -1,9 +1,12 @@
 /* The rate limit of log lines, and the explanations that lib/cli/explain derives from them. */
+#include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -98,11 +101,95 @@
   assert_true (fl_log_state_admit_line (&log_state, "pool_lost"));
 }
 
+/* Replaces standard output by a pipe of one page that never blocks. @return its reading end. */
+static int
+redirect_output (int *saved)
+{
+  int ends[2];
+
+  assert_int_equal (pipe2 (ends, O_NONBLOCK), 0);
+  fcntl (ends[1], F_SETPIPE_SZ, 4096);
+  *saved = dup (STDOUT_FILENO);
+  assert_true (dup2 (ends[1], STDOUT_FILENO) >= 0);
+  close (ends[1]);
+  return ends[0];
+}
+
+static void
+restore_output (int reader, int saved)
+{
+  dup2 (saved, STDOUT_FILENO);
+  close (saved);
+  close (reader);
+}
+
+static void
+read_output (int reader, GString *text)
+{
+  char data[4096];
+  ssize_t len;
+
+  while ((len = read (reader, data, sizeof data)) > 0)
+    g_string_append_len (text, data, len);
+}
+
+/* @return the number after @key in @line, or 0. */
+static int64_t
+find_number (const char *line, const char *key)
+{
+  const char *found = strstr (line, key);
+
+  return found != NULL ? strtoll (found + strlen (key), NULL, 10) : 0;
+}
+
+/* Load pattern: a turn of the loop logs more than the reader of the pipe and the buffer take. */
+static void
+test_buffered_lines_are_whole_and_in_order (void **state)
+{
+  enum
+  {
+    LINES = 450
+  };
+  static struct fl_log_state log_state;
+  struct fl_log log = { FL_LOG_INFO, "p", fl_name_of ("h1"), &log_state };
+  g_autoptr (GString) text = g_string_new (NULL);
+  int64_t next = 0;
+  int saved;
+  int reader = redirect_output (&saved);
+
+  (void)state;
+  log_state.is_buffered = true;
+  for (int i = 0; i < LINES; i++)
+    fl_log (&log, FL_LOG_INFO, "start", FL_I ("line", i), FL_S ("text", "some more text"));
+  for (int i = 0; i < LINES; i++)
+    {
+      read_output (reader, text);
+      fl_log_flush (&log);
+    }
+  fl_log (&log, FL_LOG_INFO, "start", FL_I ("line", LINES));
+  fl_log (&log, FL_LOG_ERR, "failed", FL_I ("line", LINES + 1));
+  read_output (reader, text);
+  restore_output (reader, saved);
+  g_auto (GStrv) lines = g_strsplit (text->str, "\n", -1);
+  guint count = g_strv_length (lines);
+  assert_string_equal (lines[count - 1], "");
+  for (guint i = 0; i + 1 < count; i++)
+    {
+      int64_t dropped = find_number (lines[i], "lines_dropped=");
+      assert_true (g_str_has_prefix (lines[i], "<"));
+      assert_int_equal (find_number (lines[i], " line="), next + dropped);
+      next += dropped + 1;
+    }
+  assert_int_equal (next, LINES + 2); /* the error was written at once */
+  assert_true (count < LINES);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_explanations), cmocka_unit_test (test_log_rate_limit) };
+      = { cmocka_unit_test (test_explanations), cmocka_unit_test (test_log_rate_limit),
+          cmocka_unit_test (test_buffered_lines_are_whole_and_in_order) };
 
   return cmocka_run_group_tests_name ("logs", tests, NULL, NULL);
 }
