--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -53,6 +53,12 @@
   return advice != NULL && advice->booted_at_ms == target->booted_at_ms ? advice : NULL;
 }
 
+bool
+core_step_has_ticket (const struct core_step *step)
+{
+  return step->tickets_until_ms >= step->job->core->now_ms + TICKET_MARGIN_MS;
+}
+
 bool
 core_advice_has_ticket (const struct core_step *step, const struct core_advice *advice)
 {
@@ -169,8 +175,8 @@
   struct candidates candidates = { .rows = g_array_new (FALSE, FALSE, sizeof (struct candidate)) };
   struct fl_core *core = step->job->core;
   const GArray *targets = core_get_open_targets (step);
-  guint target_count = core->target_list->len;
-  guint start = target_count > 0 ? core->scan_start % target_count : 0;
+  guint target_count = MAX (core->target_list->len, 1);
+  guint start = core->scan_start % target_count;
   guint first = core_find_open_target (targets, start);
   guint seen = target_count; /* positions, from start on */
 
@@ -183,8 +189,7 @@
       if (step->spec->rack.len == 0 && candidates.rows->len == CANDIDATES_MAX)
         seen = (open_target->position + target_count - start) % target_count + 1;
     }
-  if (target_count > 0)
-    core->scan_start = (start + seen) % target_count;
+  core->scan_start = (start + seen) % target_count;
   candidates.is_sample = seen < target_count;
   if (!candidates.fits_anywhere && !is_contended (step))
     core_record_vain_search (step, true);
@@ -348,13 +353,14 @@
 {
   struct fl_core *core = step->job->core;
   const struct fl_advice_policy *policy = &step->job->queue.advice;
-  struct fl_advice_demand demand = { .expected_ms = (int64_t)policy->base_latency_ms,
-                                     .waited_ms = core_step_wait_for_advice_ms (step) };
+  struct fl_advice_demand demand;
 
   if (step->query_in_flight)
     return CORE_WAIT_ADVICE;
   if (core_capacity_is_exhausted (step, !is_contended (step)))
     return CORE_WAIT_CAPACITY;
+  demand = (struct fl_advice_demand){ .expected_ms = (int64_t)policy->base_latency_ms,
+                                      .waited_ms = core_step_wait_for_advice_ms (step) };
   if (!may_query (step, &demand))
     return CORE_WAIT_ADVICE;
   GArray *queried = select_queried (step, waiting);
@@ -401,7 +407,10 @@
 }
 
 static void
-mark_eligible (struct core_step *step, const struct fl_advised_target *row, int64_t valid_until_ms)
+mark_eligible (struct core_step *step,
+               const struct core_target *target,
+               const struct fl_advised_target *row,
+               int64_t valid_until_ms)
 {
   struct core_advice *advice = g_hash_table_lookup (step->advice, &row->target);
 
@@ -410,6 +419,8 @@
   advice->eligible = true;
   advice->ticket = row->ticket;
   advice->valid_until_ms = valid_until_ms;
+  step->tickets_until_ms = MAX (step->tickets_until_ms, valid_until_ms);
+  core_step_add_advised (step, target);
   core_job_request_target (step->job, &row->target);
 }
 
@@ -471,7 +482,7 @@
     {
       const struct core_target *target = core_find_target (core, &reply->targets[i].target);
       if (target != NULL && is_of_boot_queried (target, now_ms - reply->took_ms))
-        mark_eligible (step, &reply->targets[i], now_ms + reply->tickets_valid_ms);
+        mark_eligible (step, target, &reply->targets[i], now_ms + reply->tickets_valid_ms);
     }
   update_eligible_share (step->job->queue_stats, (double)reply->count / (double)queried_count);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -170,7 +170,6 @@
 struct core_advice
 {
   struct core_target *known_target; /* while core->target_changes is known_at_change */
-  guint known_position;             /* in core->target_list, likewise */
   int64_t known_at_change;
   int64_t valid_until_ms; /* of the ticket */
   bool eligible;
@@ -192,6 +191,13 @@
   CORE_WAIT_REASON_COUNT
 };
 
+/* Positions in core->target_list; those that are equal modulo CORE_POSITIONS share a bit. */
+#define CORE_POSITIONS 512
+struct core_positions
+{
+  uint64_t words[CORE_POSITIONS / 64];
+};
+
 struct core_step
 {
   struct core_job *job;
@@ -202,15 +208,18 @@
   int64_t due_wall_ms; /* 0 for immediately */
   struct core_task *tasks;
   int64_t unfinished_tasks;
-  int64_t idle_tasks;        /* neither done nor with a run */
-  int64_t backoff_until_ms;  /* of its tasks, the last */
-  GHashTable *advice;        /* target id -> struct core_advice */
-  GHashTable *unanswered;    /* ids of targets in queries that have no reply yet */
-  bool query_in_flight;      /* an advice query has no reply yet */
-  GArray *queried_targets;   /* struct fl_name: targets of the query in flight; else NULL */
-  int64_t queried_cpu_milli; /* tentatively charged to each queried target */
-  int64_t queries_sent;      /* about this step */
-  int64_t queries_failed;    /* of these, without a reply */
+  int64_t idle_tasks;            /* neither done nor with a run */
+  int64_t backoff_until_ms;      /* of its tasks, the last */
+  GHashTable *advice;            /* target id -> struct core_advice */
+  struct core_positions advised; /* of the targets that were eligible; may contain others */
+  int64_t advised_at_change;     /* core->target_changes for which it holds */
+  int64_t tickets_until_ms;      /* when the last of its tickets expires */
+  GHashTable *unanswered;        /* ids of targets in queries that have no reply yet */
+  bool query_in_flight;          /* an advice query has no reply yet */
+  GArray *queried_targets;       /* struct fl_name: targets of the query in flight; else NULL */
+  int64_t queried_cpu_milli;     /* tentatively charged to each queried target */
+  int64_t queries_sent;          /* about this step */
+  int64_t queries_failed;        /* of these, without a reply */
   enum core_wait_reason wait_reason;
   int64_t wait_started_at_ms;
   int64_t unplaced_since_ms; /* no task has been started since; 0 while none waits */
@@ -269,6 +278,18 @@
 
 #define CORE_CLOSED INT64_MIN
 
+/* Targets are grouped by their free CPU, in steps of this; with more, they are in the last group.
+ */
+#define CORE_ROOM_STEP_MILLI 500
+#define CORE_ROOM_GROUPS 32
+
+/* The targets with at least a certain free CPU. */
+struct core_room_group
+{
+  bool is_known;
+  struct core_positions positions;
+};
+
 /* A target that takes new tasks. */
 struct core_open_target
 {
@@ -285,6 +306,7 @@
   GArray *open_targets; /* struct core_open_target, by position */
   GArray
       *free_cpu_milli; /* int64_t, by position; CORE_CLOSED for a target that takes no new tasks */
+  struct core_room_group groups[CORE_ROOM_GROUPS]; /* by free_cpu_milli */
   struct fl_resources free;
   int64_t untaken_cpu_milli; /* free CPU less tentative charges */
   /* The needs of the last step for which a search of all targets was in vain, and whether there was
@@ -584,6 +606,9 @@
  * NULL when there is no valid ticket. */
 const char *core_advice_ticket (const struct core_step *step, const struct core_target *target);
 
+/* Whether some ticket of @step may be valid. */
+bool core_step_has_ticket (const struct core_step *step);
+
 /* Whether the ticket of @advice is valid if its target has not restarted. */
 bool core_advice_has_ticket (const struct core_step *step, const struct core_advice *advice);
 
@@ -633,8 +658,11 @@
 /* Whether a task of @step can fit on @open_target, by what was free there when the tick began. */
 bool core_may_fit (const struct core_open_target *open_target, const struct core_step *step);
 
-/* The same for the target of @advice, by its CPU only. */
-bool core_may_fit_on_advised (const struct core_step *step, struct core_advice *advice);
+/* Notes that @target, for which @step has advice, is eligible. */
+void core_step_add_advised (struct core_step *step, const struct core_target *target);
+
+/* Updates what is free on @target in this tick after it got a run. */
+void core_update_room (const struct core_target *target);
 
 /* Records that @step fits on no target. */
 void core_record_vain_search (const struct core_step *step, bool include_tentative);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -211,21 +211,110 @@
   if (advice->known_at_change != core->target_changes)
     {
       advice->known_target = core_find_target (core, &advice->target);
-      advice->known_position = advice->known_target != NULL ? advice->known_target->position : 0;
       advice->known_at_change = core->target_changes;
     }
   return advice->known_target;
 }
 
-bool
-core_may_fit_on_advised (const struct core_step *step, struct core_advice *advice)
+static void
+set_position (struct core_positions *positions, guint position, bool is_member)
 {
-  const struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+  uint64_t *word = &positions->words[position % CORE_POSITIONS / 64];
+  uint64_t bit = UINT64_C (1) << (position % 64);
 
-  if (get_advised_target (step->job->core, advice) == NULL)
-    return false;
-  int64_t free_cpu_milli = g_array_index (max->free_cpu_milli, int64_t, advice->known_position);
-  return free_cpu_milli != CORE_CLOSED && may_fit_resource (free_cpu_milli, step->spec->cpu_milli);
+  *word = is_member ? *word | bit : *word & ~bit;
+}
+
+static bool
+have_common_position (const struct core_positions *a, const struct core_positions *b)
+{
+  uint64_t common = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (a->words); i++)
+    common |= a->words[i] & b->words[i];
+  return common != 0;
+}
+
+static bool
+is_in_group (int64_t free_cpu_milli, int group)
+{
+  return free_cpu_milli != CORE_CLOSED
+         && (group == 0 || free_cpu_milli >= (int64_t)group * CORE_ROOM_STEP_MILLI);
+}
+
+/* @return the targets that have room for a task of @step, by their CPU, and possibly others. */
+static const struct core_positions *
+get_targets_with_room (struct core_free_max *max, const struct core_step *step)
+{
+  int group = (int)CLAMP (step->spec->cpu_milli / CORE_ROOM_STEP_MILLI, 0, CORE_ROOM_GROUPS - 1);
+  struct core_room_group *room = &max->groups[group];
+
+  for (guint i = 0; i < max->free_cpu_milli->len && !room->is_known; i++)
+    if (is_in_group (g_array_index (max->free_cpu_milli, int64_t, i), group))
+      set_position (&room->positions, i, true);
+  room->is_known = true;
+  return &room->positions;
+}
+
+void
+core_update_room (const struct core_target *target)
+{
+  const struct fl_core *core = target->core;
+  int64_t available = core_target_available_resources (target, false).cpu_milli;
+
+  for (guint i = 0; i < core->free_max->len; i++)
+    {
+      struct core_free_max *max = &g_array_index (core->free_max, struct core_free_max, i);
+      if (target->position >= max->free_cpu_milli->len)
+        continue;
+      int64_t *free = &g_array_index (max->free_cpu_milli, int64_t, target->position);
+      *free = *free != CORE_CLOSED ? MIN (*free, available) : CORE_CLOSED;
+      for (int group = 1; group < CORE_ROOM_GROUPS && core->target_list->len <= CORE_POSITIONS;
+           group++)
+        if (max->groups[group].is_known && !is_in_group (*free, group))
+          set_position (&max->groups[group].positions, target->position, false);
+    }
+}
+
+void
+core_step_add_advised (struct core_step *step, const struct core_target *target)
+{
+  set_position (&step->advised, target->position, true);
+}
+
+/* The positions of targets change when one is removed. */
+static void
+update_advised (struct core_step *step)
+{
+  const struct fl_core *core = step->job->core;
+  GHashTableIter iter;
+  void *value;
+
+  if (step->advised_at_change == core->target_changes)
+    return;
+  memset (&step->advised, 0, sizeof step->advised);
+  g_hash_table_iter_init (&iter, step->advice);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_advice *advice = value;
+      const struct core_target *target
+          = advice->eligible ? get_advised_target (core, advice) : NULL;
+      if (target != NULL)
+        set_position (&step->advised, target->position, true);
+    }
+  step->advised_at_change = core->target_changes;
+}
+
+/* Whether a target that was eligible for @step may have room for one of its tasks.
+ *
+ * Load pattern: hundreds of steps hold tickets for targets that are full. */
+static bool
+may_fit_on_advised (struct core_step *step)
+{
+  struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+
+  update_advised (step);
+  return have_common_position (&step->advised, get_targets_with_room (max, step));
 }
 
 static bool
@@ -439,12 +528,17 @@
       collect_unadvised_placements (step, placements);
       return placements;
     }
+  if (!core_step_has_ticket (step) || !may_fit_on_advised (step))
+    return placements;
   g_hash_table_iter_init (&iter, step->advice);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct core_advice *advice = value;
-      if (core_advice_has_ticket (step, advice) && core_may_fit_on_advised (step, advice))
-        add_placement (step, advice->known_target, placements);
+      struct core_target *target = core_advice_has_ticket (step, advice)
+                                       ? get_advised_target (step->job->core, advice)
+                                       : NULL;
+      if (target != NULL)
+        add_placement (step, target, placements);
     }
   return placements;
 }
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -67,6 +67,7 @@
   task->step->job->run_count++;
   g_ptr_array_add (target->runs, run);
   charge_resources (run, 1);
+  core_update_room (target);
   core_crash_watch (run);
   return run;
 }
--- a/lib/policy/tick_pace.h
+++ b/lib/policy/tick_pace.h
@@ -15,9 +15,9 @@
  * longest time without a tick when nothing happens: it bounds the delay of timeouts. */
 #define FL_TICK_INTERVAL_MIN_MS 4
 #define FL_TICK_INTERVAL_MAX_MS 50
-/* Share of the time, in percent, that ticks take at most while the interval is within its bounds:
- * reading, orders and records of a start together cost about twice as much as its decision. */
-#define FL_TICK_SHARE_PERCENT 33
+/* Share of the time, in percent, that ticks take at most while the interval is within its bounds. A
+ * longer interval leaves room unused until the next tick; a shorter one delays what tells of it. */
+#define FL_TICK_SHARE_PERCENT 50
 
 /* The time that ticks took lately; initialise it with 0. */
 struct fl_tick_pace
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -154,6 +154,13 @@
 
 static void end_if_drained (struct fl_poold *poold);
 
+/* The time until the next tick may begin; negative if it may already have. */
+static int64_t
+get_tick_wait_ms (const struct fl_poold *poold)
+{
+  return poold->last_tick_ms + fl_tick_pace_interval_ms (&poold->tick_pace) - fl_clock_boot_ms ();
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -163,17 +170,30 @@
   end_if_drained (timer->data);
 }
 
+static void
+on_regular_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct fl_poold *poold = timer->data;
+
+  if (get_tick_wait_ms (poold) <= 0)
+    {
+      on_tick (loop, timer, events);
+      return;
+    }
+  poold->tick_requested = true;
+  end_if_drained (poold);
+}
+
 /* Runs before the loop blocks: one tick handles all events since the last tick. */
 static void
 on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events)
 {
   struct fl_poold *poold = prepare->data;
-  int64_t wait_ms
-      = poold->last_tick_ms + fl_tick_pace_interval_ms (&poold->tick_pace) - fl_clock_boot_ms ();
 
   (void)events;
   if (!poold->tick_requested || ev_is_active (&poold->early_tick_timer))
     return;
+  int64_t wait_ms = get_tick_wait_ms (poold);
   if (wait_ms <= 0)
     {
       tick (poold);
@@ -239,7 +259,7 @@
 static void
 start_watchers (struct fl_poold *poold)
 {
-  ev_timer_init (&poold->tick_timer, on_tick, FL_TICK_INTERVAL_MAX_MS / 1000.0,
+  ev_timer_init (&poold->tick_timer, on_regular_tick, FL_TICK_INTERVAL_MAX_MS / 1000.0,
                  FL_TICK_INTERVAL_MAX_MS / 1000.0);
   poold->tick_timer.data = poold;
   ev_timer_start (poold->host->loop, &poold->tick_timer);
