--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -155,12 +155,13 @@
   if (advice != NULL && !advice->eligible)
     return;
   candidates->task_capacity += candidate.task_capacity;
-  if (core_advice_ticket (step, target) != NULL)
+  if (advice != NULL && core_advice_has_ticket (step, advice))
     return;
   candidate.eligible_probability = advice != NULL ? 1.0 : share;
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
-  candidate.is_unanswered = g_hash_table_contains (step->unanswered, &target->entry.id);
+  candidate.is_unanswered = g_hash_table_size (step->unanswered) > 0
+                            && g_hash_table_contains (step->unanswered, &target->entry.id);
   candidate.free_cpu_milli
       = core_target_available_resources (target, true).cpu_milli - target->tentative_cpu_milli;
   g_array_append_val (candidates->rows, candidate);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -295,7 +295,7 @@
 {
   struct core_target *target;
   guint position;           /* in core->target_list */
-  struct fl_resources free; /* when it was added, without regard to best-effort tasks */
+  struct fl_resources free; /* without regard to best-effort tasks */
 };
 
 /* Upper bounds of the resources that are free on any target of a service. They are computed at most
@@ -655,13 +655,13 @@
  */
 guint core_find_open_target (const GArray *open_targets, guint position);
 
-/* Whether a task of @step can fit on @open_target, by what was free there when the tick began. */
+/* Whether a task of @step can fit on @open_target, by what is free there. */
 bool core_may_fit (const struct core_open_target *open_target, const struct core_step *step);
 
 /* Notes that @target, for which @step has advice, is eligible. */
 void core_step_add_advised (struct core_step *step, const struct core_target *target);
 
-/* Updates what is free on @target in this tick after it got a run. */
+/* Updates what is free on @target in this tick after it got a run or lost one. */
 void core_update_room (const struct core_target *target);
 
 /* Records that @step fits on no target. */
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -256,11 +256,24 @@
   return &room->positions;
 }
 
+static void
+update_open_target (struct core_free_max *max,
+                    const struct core_target *target,
+                    const struct fl_resources *available)
+{
+  guint i = core_find_open_target (max->open_targets, target->position);
+
+  if (i < max->open_targets->len
+      && g_array_index (max->open_targets, struct core_open_target, i).target == target)
+    g_array_index (max->open_targets, struct core_open_target, i).free = *available;
+}
+
 void
 core_update_room (const struct core_target *target)
 {
   const struct fl_core *core = target->core;
-  int64_t available = core_target_available_resources (target, false).cpu_milli;
+  struct fl_resources available = core_target_available_resources (target, false);
+  bool is_alone = core->target_list->len <= CORE_POSITIONS;
 
   for (guint i = 0; i < core->free_max->len; i++)
     {
@@ -268,11 +281,14 @@
       if (target->position >= max->free_cpu_milli->len)
         continue;
       int64_t *free = &g_array_index (max->free_cpu_milli, int64_t, target->position);
-      *free = *free != CORE_CLOSED ? MIN (*free, available) : CORE_CLOSED;
-      for (int group = 1; group < CORE_ROOM_GROUPS && core->target_list->len <= CORE_POSITIONS;
-           group++)
-        if (max->groups[group].is_known && !is_in_group (*free, group))
-          set_position (&max->groups[group].positions, target->position, false);
+      if (*free == CORE_CLOSED)
+        continue;
+      *free = available.cpu_milli;
+      update_open_target (max, target, &available);
+      for (int group = 1; group < CORE_ROOM_GROUPS; group++)
+        if (max->groups[group].is_known && (is_alone || is_in_group (*free, group)))
+          set_position (&max->groups[group].positions, target->position,
+                        is_in_group (*free, group));
     }
 }
 
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -95,6 +95,7 @@
     core_job_renew_task_targets (run->task->step->job);
   core_crash_note_release (run);
   charge_resources (run, -1);
+  core_update_room (run->target);
   core_run_set_state (run, CORE_RUN_ACCEPTED);
   run->task->run = NULL;
   if (!run->task->done)
