--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -262,6 +262,32 @@
   fixture_free (fixture);
 }
 
+/* A target moves in the list of the core when another one leaves: its ticket holds. */
+static void
+test_ticket_after_another_target_has_left (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_advised_target eligible[] = { { fl_name_of ("t2"), fl_name_of ("ticket-2") } };
+  struct fl_advice_reply reply
+      = { .received = true, .targets = eligible, .count = 1, .tickets_valid_ms = 2500 };
+  struct fl_name left = fl_name_of ("t1");
+
+  (void)state;
+  add_target (fixture, "t1", 1, false);
+  add_target (fixture, "t2", 1, false);
+  add_job (fixture, "a", "advised", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 0);
+  fixture->now_ms += 30;
+  fl_core_handle_advice_reply (fixture->core, &fixture->queried_step,
+                               (struct fl_name *)fixture->queried_targets->data,
+                               fixture->queried_targets->len, &reply, fixture->now_ms);
+  fl_core_remove_target (fixture->core, &left);
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->start_orders->len, 1);
+  assert_string_equal (get_start_order (fixture, 0)->target.data, "t2");
+  fixture_free (fixture);
+}
+
 /* A reply that arrived after its query had been given up was thrown away, and the step waited for
  * the reply to the repeated query. */
 static void
@@ -1486,6 +1512,7 @@
     cmocka_unit_test (test_best_effort_tasks),
     cmocka_unit_test (test_gang_all_or_none),
     cmocka_unit_test (test_advice),
+    cmocka_unit_test (test_ticket_after_another_target_has_left),
     cmocka_unit_test (test_late_advice_counts),
     cmocka_unit_test (test_advice_query_is_large_enough),
     cmocka_unit_test (test_queries_in_vain_get_larger),
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -299,6 +299,34 @@
   assert_int_equal (failed, 0);
 }
 
+/* --- gangs that do not fit --- */
+
+/* What a gang had reserved in vain stayed hidden from the steps behind it, in every tick. */
+static void
+test_room_of_gang_that_does_not_fit (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_advised_target eligible[] = { { fl_name_of ("t1"), fl_name_of ("ticket-1") } };
+  struct fl_advice_reply reply
+      = { .received = true, .targets = eligible, .count = 1, .tickets_valid_ms = 2500 };
+
+  (void)state;
+  add_target (fixture, "t1", 2, false);
+  add_job (fixture, "g", "urgent",
+           (struct fl_step_spec){ .count = 3, .cpu_milli = 1000, .gang = true });
+  add_job (fixture, "s", "slow-advised", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->query_count, 1);
+  fixture->now_ms += 30;
+  fl_core_handle_advice_reply (fixture->core, &fixture->queried_step,
+                               (struct fl_name *)fixture->queried_targets->data, 1, &reply,
+                               fixture->now_ms);
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->start_orders->len, 1);
+  assert_true (g_str_has_prefix (get_start_order (fixture, 0)->task.data, "s"));
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -308,7 +336,8 @@
           cmocka_unit_test (test_member_missing),
           cmocka_unit_test (test_member_not_listed),
           cmocka_unit_test (test_gang_done),
-          cmocka_unit_test (test_members_adopted) };
+          cmocka_unit_test (test_members_adopted),
+          cmocka_unit_test (test_room_of_gang_that_does_not_fit) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
