--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -53,6 +53,18 @@
   return advice != NULL && advice->booted_at_ms == target->booted_at_ms ? advice : NULL;
 }
 
+bool
+core_step_has_ticket (const struct core_step *step)
+{
+  return step->tickets_until_ms >= step->job->core->now_ms + TICKET_MARGIN_MS;
+}
+
+bool
+core_advice_has_ticket (const struct core_step *step, const struct core_advice *advice)
+{
+  return advice->eligible && advice->valid_until_ms >= step->job->core->now_ms + TICKET_MARGIN_MS;
+}
+
 const char *
 core_advice_ticket (const struct core_step *step, const struct core_target *target)
 {
@@ -61,8 +73,7 @@
   if (!step->job->queue.advice.required)
     return "";
   advice = find_advice (step, target);
-  if (advice == NULL || !advice->eligible
-      || advice->valid_until_ms < step->job->core->now_ms + TICKET_MARGIN_MS)
+  if (advice == NULL || !core_advice_has_ticket (step, advice))
     return NULL;
   return advice->ticket.data;
 }
@@ -144,12 +155,13 @@
   if (advice != NULL && !advice->eligible)
     return;
   candidates->task_capacity += candidate.task_capacity;
-  if (core_advice_ticket (step, target) != NULL)
+  if (advice != NULL && core_advice_has_ticket (step, advice))
     return;
   candidate.eligible_probability = advice != NULL ? 1.0 : share;
   candidate.is_near_data
       = step->spec->rack.len == 0 || core_target_has_label (target, &step->spec->rack);
-  candidate.is_unanswered = g_hash_table_contains (step->unanswered, &target->entry.id);
+  candidate.is_unanswered = g_hash_table_size (step->unanswered) > 0
+                            && g_hash_table_contains (step->unanswered, &target->entry.id);
   candidate.score = core_target_score (
       target, step, core_target_rank_cpu (target, step) - target->tentative_cpu_milli);
   g_array_append_val (candidates->rows, candidate);
@@ -163,17 +175,22 @@
 {
   struct candidates candidates = { .rows = g_array_new (FALSE, FALSE, sizeof (struct candidate)) };
   struct fl_core *core = step->job->core;
-  guint target_count = core->target_list->len;
-  guint seen = 0;
+  const GArray *targets = core_get_open_targets (step);
+  guint target_count = MAX (core->target_list->len, 1);
+  guint start = core->scan_start % target_count;
+  guint first = core_find_open_target (targets, start);
+  guint seen = target_count; /* positions, from start on */
 
-  for (; seen < target_count && (step->spec->rack.len > 0 || candidates.rows->len < CANDIDATES_MAX);
-       seen++)
+  for (guint i = 0; i < targets->len && seen == target_count; i++)
     {
-      guint position = (core->scan_start + seen) % target_count;
-      add_candidate (step, g_ptr_array_index (core->target_list, position), share, &candidates);
+      const struct core_open_target *open_target
+          = &g_array_index (targets, struct core_open_target, (first + i) % targets->len);
+      if (core_may_fit (open_target, step))
+        add_candidate (step, open_target->target, share, &candidates);
+      if (step->spec->rack.len == 0 && candidates.rows->len == CANDIDATES_MAX)
+        seen = (open_target->position + target_count - start) % target_count + 1;
     }
-  if (target_count > 0)
-    core->scan_start = (core->scan_start + seen) % target_count;
+  core->scan_start = (start + seen) % target_count;
   candidates.is_sample = seen < target_count;
   if (!candidates.fits_anywhere && !is_contended (step))
     core_record_vain_search (step, true);
@@ -304,25 +321,54 @@
   fl_stats_add (core->options.stats, "advice_targets_total", queried->len);
 }
 
+/* Whether no host was free in this tick for a query of the queue of @step that had waited as long.
+ *
+ * Load pattern: hundreds of steps wait while all hosts have queries in flight. */
+static bool
+is_without_host (const struct core_step *step, const struct fl_advice_demand *demand)
+{
+  const struct core_queue_stats *stats = step->job->queue_stats;
+
+  return stats->no_host_tick == step->job->core->tick_number
+         && stats->no_host_demand.expected_ms == demand->expected_ms
+         && stats->no_host_demand.waited_ms >= demand->waited_ms;
+}
+
+static bool
+may_query (const struct core_step *step, const struct fl_advice_demand *demand)
+{
+  const struct fl_core *core = step->job->core;
+  struct core_queue_stats *stats = step->job->queue_stats;
+
+  if (is_without_host (step, demand))
+    return false;
+  if (core->options.actions.may_query_advice (core->options.context, demand))
+    return true;
+  stats->no_host_tick = core->tick_number;
+  stats->no_host_demand = *demand;
+  return false;
+}
+
 enum core_wait_reason
 core_advice_send_query (struct core_step *step, int64_t waiting)
 {
   struct fl_core *core = step->job->core;
   const struct fl_advice_policy *policy = &step->job->queue.advice;
-  struct fl_advice_demand demand = { .expected_ms = (int64_t)policy->base_latency_ms,
-                                     .waited_ms = core_step_wait_for_advice_ms (step) };
-  struct fl_name name = core_step_name (step);
+  struct fl_advice_demand demand;
 
   if (step->query_in_flight)
     return CORE_WAIT_ADVICE;
   if (core_capacity_is_exhausted (step, !is_contended (step)))
     return CORE_WAIT_CAPACITY;
-  if (!core->options.actions.may_query_advice (core->options.context, &demand))
+  demand = (struct fl_advice_demand){ .expected_ms = (int64_t)policy->base_latency_ms,
+                                      .waited_ms = core_step_wait_for_advice_ms (step) };
+  if (!may_query (step, &demand))
     return CORE_WAIT_ADVICE;
   GArray *queried = select_queried (step, waiting);
   demand.expected_ms
       = (int64_t)ceil (policy->base_latency_ms + policy->per_target_latency_ms * queried->len);
   bool can_help = queried->len > 0;
+  struct fl_name name = can_help ? core_step_name (step) : fl_name_of ("");
   if (can_help
       && core->options.actions.query_advice (
           core->options.context, &name, (struct fl_name *)queried->data, queried->len, &demand))
@@ -362,7 +408,10 @@
 }
 
 static void
-mark_eligible (struct core_step *step, const struct fl_advised_target *row, int64_t valid_until_ms)
+mark_eligible (struct core_step *step,
+               const struct core_target *target,
+               const struct fl_advised_target *row,
+               int64_t valid_until_ms)
 {
   struct core_advice *advice = g_hash_table_lookup (step->advice, &row->target);
 
@@ -371,6 +420,8 @@
   advice->eligible = true;
   advice->ticket = row->ticket;
   advice->valid_until_ms = valid_until_ms;
+  step->tickets_until_ms = MAX (step->tickets_until_ms, valid_until_ms);
+  core_step_add_advised (step, target);
   core_job_request_target (step->job, &row->target);
 }
 
@@ -432,7 +483,7 @@
     {
       const struct core_target *target = core_find_target (core, &reply->targets[i].target);
       if (target != NULL && is_of_boot_queried (target, now_ms - reply->took_ms))
-        mark_eligible (step, &reply->targets[i], now_ms + reply->tickets_valid_ms);
+        mark_eligible (step, target, &reply->targets[i], now_ms + reply->tickets_valid_ms);
     }
   if (reply->count > 0)
     step->eligible_until_ms = now_ms + reply->tickets_valid_ms;
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -120,6 +120,15 @@
     g_hash_table_remove (core->unreconciled_hashes, hash);
 }
 
+static void
+free_max_clear (void *data)
+{
+  struct core_free_max *max = data;
+
+  g_array_unref (max->open_targets);
+  g_array_unref (max->free_cpu_milli);
+}
+
 static void
 target_free (void *data)
 {
@@ -133,6 +142,7 @@
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, false);
   last->position = target->position;
   g_ptr_array_remove_index_fast (core->target_list, target->position);
+  core->target_changes++;
   g_ptr_array_unref (target->runs);
   g_free (target);
 }
@@ -155,6 +165,8 @@
   core->urgent_rooms = g_array_new (FALSE, TRUE, sizeof (struct core_urgent_room));
   core->urgent_steps = g_ptr_array_new ();
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
+  g_array_set_clear_func (core->free_max, free_max_clear);
+  core->placements = core_placements_new ();
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->run_times = fl_run_times_new ();
   core_domains_init (core);
@@ -183,6 +195,7 @@
   g_array_unref (core->free_max);
   g_array_unref (core->urgent_rooms);
   g_ptr_array_unref (core->urgent_steps);
+  g_array_unref (core->placements);
   fl_configuration_unref (core->configuration);
   g_free (core);
 }
@@ -279,17 +292,29 @@
     job->queue = *queue;
 }
 
+static void
+refresh_team (const struct fl_core *core, struct core_team *team)
+{
+  team->configuration = core->configuration != NULL
+                            ? fl_configuration_find_team (core->configuration, &team->name)
+                            : NULL;
+}
+
 void
 fl_core_configure (struct fl_core *core, struct fl_configuration *configuration)
 {
   GHashTableIter iter;
   void *job;
+  void *team;
 
   fl_configuration_unref (core->configuration);
   core->configuration = fl_configuration_ref (configuration);
   g_hash_table_iter_init (&iter, core->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &job))
     refresh_queue (job);
+  g_hash_table_iter_init (&iter, core->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &team))
+    refresh_team (core, team);
 }
 
 /* --- targets --- */
@@ -372,6 +397,7 @@
       target->idle_link.data = target;
       target->position = core->target_list->len;
       g_ptr_array_add (core->target_list, target);
+      core->target_changes++;
       core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
       g_hash_table_insert (core->targets, &target->entry.id, target);
     }
@@ -664,6 +690,7 @@
     {
       team = g_new0 (struct core_team, 1);
       team->name = *name;
+      refresh_team (core, team);
       g_hash_table_insert (core->teams, &team->name, team);
     }
   return team;
@@ -961,6 +988,7 @@
 {
   core->tick_gap_ms = core->last_tick_ms > 0 ? now_ms - core->last_tick_ms : 0;
   core->last_tick_ms = now_ms;
+  core->tick_number++;
   core->now_ms = now_ms;
   core->wall_ms = wall_ms;
   core_order_budget_update (&core->order_budget, now_ms);
--- a/lib/core/deadline.c
+++ b/lib/core/deadline.c
@@ -25,10 +25,7 @@
   struct fl_core *core = step->job->core;
   const struct fl_step_spec *spec = step->spec;
   const struct fl_resources *room = core_get_capacity (core, &step->job->queue.service);
-  const struct fl_team *team
-      = core->configuration != NULL
-            ? fl_configuration_find_team (core->configuration, &step->job->team->name)
-            : NULL;
+  const struct fl_team *team = step->job->team->configuration;
   int64_t limit = spec->count;
 
   limit = limit_by (limit, room->cpu_milli / ROOM_DIVISOR, spec->cpu_milli);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -142,20 +142,29 @@
       if (fl_name_eq (&known->service, service))
         return known;
     }
+  max.open_targets = g_array_new (FALSE, FALSE, sizeof (struct core_open_target));
+  max.free_cpu_milli = g_array_sized_new (FALSE, FALSE, sizeof (int64_t), core->target_list->len);
   for (guint i = 0; i < core->target_list->len; i++)
     {
-      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      struct core_target *target = g_ptr_array_index (core->target_list, i);
+      int64_t closed = CORE_CLOSED;
       if (!accepts_tasks (target, service))
-        continue;
+        {
+          g_array_append_val (max.free_cpu_milli, closed);
+          continue;
+        }
       struct fl_resources available = core_target_available_resources (target, false);
       max.capacity.cpu_milli += target->entry.resources.cpu_milli;
       max.capacity.memory_mb += target->entry.resources.memory_mb;
       max.capacity.gpu += target->entry.resources.gpu;
+      g_array_append_val (max.free_cpu_milli, available.cpu_milli);
       max.free.cpu_milli = MAX (max.free.cpu_milli, available.cpu_milli);
       max.free.memory_mb = MAX (max.free.memory_mb, available.memory_mb);
       max.free.gpu = MAX (max.free.gpu, available.gpu);
       max.untaken_cpu_milli
           = MAX (max.untaken_cpu_milli, available.cpu_milli - target->tentative_cpu_milli);
+      struct core_open_target open_target = { target, i, available };
+      g_array_append_val (max.open_targets, open_target);
     }
   g_array_append_val (core->free_max, max);
   return &g_array_index (core->free_max, struct core_free_max, core->free_max->len - 1);
@@ -167,6 +176,173 @@
   return &get_free_max (core, service)->capacity;
 }
 
+const GArray *
+core_get_open_targets (const struct core_step *step)
+{
+  return get_free_max (step->job->core, &step->job->queue.service)->open_targets;
+}
+
+guint
+core_find_open_target (const GArray *open_targets, guint position)
+{
+  guint first = 0;
+  guint end = open_targets->len;
+
+  while (first < end)
+    {
+      guint middle = (first + end) / 2;
+      if (g_array_index (open_targets, struct core_open_target, middle).position < position)
+        first = middle + 1;
+      else
+        end = middle;
+    }
+  return first < open_targets->len ? first : 0;
+}
+
+static bool
+may_fit_resource (int64_t free, int64_t need)
+{
+  return need <= 0 || free >= need;
+}
+
+bool
+core_may_fit (const struct core_open_target *open_target, const struct core_step *step)
+{
+  const struct fl_step_spec *spec = step->spec;
+
+  return may_fit_resource (open_target->free.cpu_milli, spec->cpu_milli)
+         && may_fit_resource (open_target->free.memory_mb, spec->memory_mb)
+         && may_fit_resource (open_target->free.gpu, spec->gpu);
+}
+
+static struct core_target *
+get_advised_target (const struct fl_core *core, struct core_advice *advice)
+{
+  if (advice->known_at_change != core->target_changes)
+    {
+      advice->known_target = core_find_target (core, &advice->target);
+      advice->known_at_change = core->target_changes;
+    }
+  return advice->known_target;
+}
+
+static void
+set_position (struct core_positions *positions, guint position, bool is_member)
+{
+  uint64_t *word = &positions->words[position % CORE_POSITIONS / 64];
+  uint64_t bit = UINT64_C (1) << (position % 64);
+
+  *word = is_member ? *word | bit : *word & ~bit;
+}
+
+static bool
+have_common_position (const struct core_positions *a, const struct core_positions *b)
+{
+  uint64_t common = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (a->words); i++)
+    common |= a->words[i] & b->words[i];
+  return common != 0;
+}
+
+static bool
+is_in_group (int64_t free_cpu_milli, int group)
+{
+  return free_cpu_milli != CORE_CLOSED
+         && (group == 0 || free_cpu_milli >= (int64_t)group * CORE_ROOM_STEP_MILLI);
+}
+
+/* @return the targets that have room for a task of @step, by their CPU, and possibly others. */
+static const struct core_positions *
+get_targets_with_room (struct core_free_max *max, const struct core_step *step)
+{
+  int group = (int)CLAMP (step->spec->cpu_milli / CORE_ROOM_STEP_MILLI, 0, CORE_ROOM_GROUPS - 1);
+  struct core_room_group *room = &max->groups[group];
+
+  for (guint i = 0; i < max->free_cpu_milli->len && !room->is_known; i++)
+    if (is_in_group (g_array_index (max->free_cpu_milli, int64_t, i), group))
+      set_position (&room->positions, i, true);
+  room->is_known = true;
+  return &room->positions;
+}
+
+static void
+update_open_target (struct core_free_max *max,
+                    const struct core_target *target,
+                    const struct fl_resources *available)
+{
+  guint i = core_find_open_target (max->open_targets, target->position);
+
+  if (i < max->open_targets->len
+      && g_array_index (max->open_targets, struct core_open_target, i).target == target)
+    g_array_index (max->open_targets, struct core_open_target, i).free = *available;
+}
+
+void
+core_update_room (const struct core_target *target)
+{
+  const struct fl_core *core = target->core;
+  struct fl_resources available = core_target_available_resources (target, false);
+  bool is_alone = core->target_list->len <= CORE_POSITIONS;
+
+  for (guint i = 0; i < core->free_max->len; i++)
+    {
+      struct core_free_max *max = &g_array_index (core->free_max, struct core_free_max, i);
+      if (target->position >= max->free_cpu_milli->len)
+        continue;
+      int64_t *free = &g_array_index (max->free_cpu_milli, int64_t, target->position);
+      if (*free == CORE_CLOSED)
+        continue;
+      *free = available.cpu_milli;
+      update_open_target (max, target, &available);
+      for (int group = 1; group < CORE_ROOM_GROUPS; group++)
+        if (max->groups[group].is_known && (is_alone || is_in_group (*free, group)))
+          set_position (&max->groups[group].positions, target->position,
+                        is_in_group (*free, group));
+    }
+}
+
+void
+core_step_add_advised (struct core_step *step, const struct core_target *target)
+{
+  set_position (&step->advised, target->position, true);
+}
+
+/* The positions of targets change when one is removed. */
+static void
+update_advised (struct core_step *step)
+{
+  const struct fl_core *core = step->job->core;
+  GHashTableIter iter;
+  void *value;
+
+  if (step->advised_at_change == core->target_changes)
+    return;
+  memset (&step->advised, 0, sizeof step->advised);
+  g_hash_table_iter_init (&iter, step->advice);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct core_advice *advice = value;
+      const struct core_target *target
+          = advice->eligible ? get_advised_target (core, advice) : NULL;
+      if (target != NULL)
+        set_position (&step->advised, target->position, true);
+    }
+  step->advised_at_change = core->target_changes;
+}
+
+/* Whether a target that was eligible for @step may have room for one of its tasks.
+ *
+ * Load pattern: hundreds of steps hold tickets for targets that are full. */
+static bool
+may_fit_on_advised (struct core_step *step)
+{
+  struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+
+  update_advised (step);
+  return have_common_position (&step->advised, get_targets_with_room (max, step));
+}
+
 static bool
 needs_no_less (const struct fl_step_spec *spec, const struct fl_resources *need)
 {
@@ -225,8 +401,7 @@
 {
   const struct core_job *job = step->job;
   const struct core_team *team = job->team;
-  const struct fl_team *team_configuration
-      = fl_configuration_find_team (job->core->configuration, &team->name);
+  const struct fl_team *team_configuration = team->configuration;
   const struct fl_step_spec *spec = step->spec;
 
   if (team_configuration == NULL)
@@ -312,6 +487,12 @@
   bool is_pending; /* allowed as soon as a requested record is stored */
 };
 
+GArray *
+core_placements_new (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (struct placement));
+}
+
 static void
 update_placement (struct placement *placement, const struct core_step *step)
 {
@@ -348,20 +529,23 @@
 static void
 collect_unadvised_placements (struct core_step *step, GArray *placements)
 {
-  const GPtrArray *targets = step->job->core->target_list;
+  const GArray *targets = core_get_open_targets (step);
   bool must_see_all = step->spec->rack.len > 0 || step->spec->rack_bound;
   int64_t wanted = step->idle_tasks * PLACEMENTS_CAPACITY_RATIO;
   int64_t capacity = 0;
   bool fits = false;
-  guint first = fl_name_hash (&step->job->spec.id);
+  guint position = fl_name_hash (&step->job->spec.id) % MAX (step->job->core->target_list->len, 1);
+  guint first = core_find_open_target (targets, position);
 
   for (guint i = 0;
        i < targets->len && (must_see_all || placements->len < PLACEMENTS_MIN || capacity < wanted);
        i++)
     {
+      const struct core_open_target *open_target
+          = &g_array_index (targets, struct core_open_target, (first + i) % targets->len);
       guint before = placements->len;
-      fits |= add_placement (
-          step, g_ptr_array_index (targets, (first % targets->len + i) % targets->len), placements);
+      if (core_may_fit (open_target, step))
+        fits |= add_placement (step, open_target->target, placements);
       if (placements->len > before)
         capacity += last_placement_capacity (placements);
     }
@@ -374,8 +558,7 @@
 static GArray *
 collect_placements (struct core_step *step)
 {
-  GArray *placements = g_array_new (FALSE, FALSE, sizeof (struct placement));
-  struct fl_core *core = step->job->core;
+  GArray *placements = g_array_set_size (g_array_ref (step->job->core->placements), 0);
   GHashTableIter iter;
   void *value;
 
@@ -386,12 +569,15 @@
       collect_unadvised_placements (step, placements);
       return placements;
     }
+  if (!core_step_has_ticket (step) || !may_fit_on_advised (step))
+    return placements;
   g_hash_table_iter_init (&iter, step->advice);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct core_advice *advice = value;
-      struct core_target *target
-          = advice->eligible ? core_find_target (core, &advice->target) : NULL;
+      struct core_advice *advice = value;
+      struct core_target *target = core_advice_has_ticket (step, advice)
+                                       ? get_advised_target (step->job->core, advice)
+                                       : NULL;
       if (target != NULL)
         add_placement (step, target, placements);
     }
@@ -454,13 +640,25 @@
          && !(core_step_records_targets (task->step) && core_task_is_unreconciled (task));
 }
 
+/* Whether is_ready_to_start holds for all idle tasks of @step: none of them backs off, and nothing
+ * is known of crashes or of runs of an earlier owner. */
+static bool
+are_idle_tasks_ready (const struct core_step *step)
+{
+  return step->backoff_until_ms <= step->job->core->now_ms && step->job->crash_changes == 0
+         && !core_step_records_targets (step);
+}
+
 /* Starts the tasks of @step that can be started on @placements. @return how many tasks still wait.
  */
 static int64_t
 place_tasks (struct core_step *step, GArray *placements)
 {
   int64_t waiting = 0;
+  bool are_others_ready = are_idle_tasks_ready (step);
 
+  if (are_others_ready && placements->len == 0)
+    return step->idle_tasks;
   for (int64_t i = 0; i < step->spec->count; i++)
     {
       struct core_task *task = &step->tasks[i];
@@ -471,6 +669,8 @@
       placement = waiting == 0 && team_has_capacity (step) && core_urgent_room_take (step)
                       ? choose_placement (task, placements, NULL)
                       : NULL;
+      if (placement == NULL && are_others_ready)
+        return step->idle_tasks;
       if (placement == NULL)
         {
           waiting++;
@@ -586,11 +786,9 @@
 }
 
 static int64_t
-get_weight (const struct fl_core *core, const struct core_team *team)
+get_weight (const struct core_team *team)
 {
-  const struct fl_team *configured = fl_configuration_find_team (core->configuration, &team->name);
-
-  return configured != NULL ? MAX (configured->weight, 1) : 1;
+  return team->configuration != NULL ? MAX (team->configuration->weight, 1) : 1;
 }
 
 /* @return the CPU of the room to which a weight of 1 entitles: the teams that use it or wait for it
@@ -608,7 +806,7 @@
     {
       const struct core_team *team = value;
       if (team->used.cpu_milli > 0 || team->last_waiting_ms == core->now_ms)
-        weights += get_weight (core, team);
+        weights += get_weight (team);
     }
   for (guint i = 0; i < core->target_list->len; i++)
     {
@@ -643,6 +841,8 @@
 static bool
 has_waiting_task (const struct core_step *step)
 {
+  if (are_idle_tasks_ready (step))
+    return step->idle_tasks > 0;
   for (int64_t i = 0; i < step->spec->count; i++)
     if (is_ready_to_start (&step->tasks[i]))
       return true;
@@ -914,7 +1114,7 @@
 collect_waiting_of_job (struct core_job *job, bool unreconciled, double unit_share, GArray *waiting)
 {
   bool blocked = unreconciled && core_job_is_unreconciled (job);
-  double share = unit_share * (double)get_weight (job->core, job->team);
+  double share = unit_share * (double)get_weight (job->team);
   int excess = fl_order_team_excess ((double)job->team->used.cpu_milli, share);
 
   for (size_t i = 0; i < job->step_count; i++)
