--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -697,13 +697,14 @@
   return (waited_ms + service_ms) / service_ms;
 }
 
-/* Whether @step is a long-running one of which no task has been started for LONG_RUNNING_WAIT_MS:
- * its users are not served meanwhile. */
-static bool
-is_queried_first (const struct core_step *step)
+/* @return for how long no task of @step has been started, if it is a long-running one and this is
+ * no less than LONG_RUNNING_WAIT_MS; else 0. */
+static int64_t
+get_unserved_ms (const struct core_step *step)
 {
-  return step->spec->long_running
-         && step->job->core->now_ms - step->unplaced_since_ms >= LONG_RUNNING_WAIT_MS;
+  int64_t unplaced_ms = step->job->core->now_ms - step->unplaced_since_ms;
+
+  return step->spec->long_running && unplaced_ms >= LONG_RUNNING_WAIT_MS ? unplaced_ms : 0;
 }
 
 /* Handles the @unplaced tasks of @step that could not be started: appends it to @unadvised if
@@ -742,7 +743,7 @@
           .unplaced = unplaced - awaiting,
           .awaits_recording = awaiting > 0,
           .order
-          = { .is_first = is_queried_first (step),
+          = { .unserved_ms = get_unserved_ms (step),
               .is_expired = entry->key.order_class == FL_ORDER_EXPIRED && !entry->key.has_turn,
               .response_ratio = get_response_ratio (step),
               .position = unadvised->len } };
--- a/lib/policy/order.c
+++ b/lib/policy/order.c
@@ -97,12 +97,14 @@
 int
 fl_order_compare_queries (const struct fl_order_query *a, const struct fl_order_query *b)
 {
-  bool is_room_scarce = a->is_room_scarce && b->is_room_scarce;
-  int result = compare_numbers (b->is_first, a->is_first);
+  int result = compare_numbers (b->unserved_ms, a->unserved_ms);
 
-  if (result == 0 && !is_room_scarce)
+  if (result == 0)
+    result = compare_numbers (a->is_room_scarce, b->is_room_scarce);
+  if (result == 0 && !a->is_room_scarce)
     result = compare_numbers (a->is_expired, b->is_expired);
-  if (result == 0 && !is_room_scarce && a->response_ratio != b->response_ratio)
+  if (result == 0 && !a->is_room_scarce
+      && (a->response_ratio < b->response_ratio || a->response_ratio > b->response_ratio))
     result = a->response_ratio > b->response_ratio ? -1 : 1;
   return result != 0 ? result : compare_numbers (a->position, b->position);
 }
--- a/lib/policy/order.h
+++ b/lib/policy/order.h
@@ -64,8 +64,10 @@
 /* What decides when advice is queried about a step. */
 struct fl_order_query
 {
-  bool is_first;         /* users of a long-running step are not served while it waits */
-  bool is_room_scarce;   /* there is less room than the steps that wait for advice need */
+  /* For how long the users of a long-running step have not been served; 0 for others, and while
+   * this is short. */
+  int64_t unserved_ms;
+  bool is_room_scarce;   /* its service has less room than the steps that wait for advice need */
   bool is_expired;       /* its job is, and has no turn */
   double response_ratio; /* of wait and service time to service time */
   unsigned position;     /* in the order by fl_order_compare */
@@ -77,7 +79,7 @@
  * order of placing, those of low priority would get no query for as long as others come, although
  * there is room: the response ratio decides, except that steps of expired jobs come last. Where
  * room is scarce, too, queries about steps that get none would be in vain, and the order of placing
- * decides. */
+ * decides; they come after those of services that have room. */
 int fl_order_compare_queries (const struct fl_order_query *a, const struct fl_order_query *b);
 
 /* Expired jobs that wait have a turn one after the other, the oldest first, at this interval.
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -532,6 +532,32 @@
       fail_msg ("%s", cases[i].name);
 }
 
+static void
+test_order_of_queries (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    struct fl_order_query first;
+    struct fl_order_query second;
+  } cases[] = {
+    { "users of long-running steps", { .unserved_ms = 1500 }, { .response_ratio = 9 } },
+    { "longest unserved first", { .unserved_ms = 1500, .position = 1 }, { .unserved_ms = 1400 } },
+    { "response ratio", { .response_ratio = 2, .position = 1 }, { .response_ratio = 1 } },
+    { "expired jobs last", { .response_ratio = 1 }, { .is_expired = true, .response_ratio = 2 } },
+    { "order of placing where room is scarce",
+      { .is_room_scarce = true, .response_ratio = 1 },
+      { .is_room_scarce = true, .response_ratio = 2, .position = 1 } },
+    { "services with room", { .position = 1 }, { .is_room_scarce = true } },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    if (fl_order_compare_queries (&cases[i].first, &cases[i].second) >= 0
+        || fl_order_compare_queries (&cases[i].second, &cases[i].first) <= 0)
+      fail_msg ("%s", cases[i].name);
+}
+
 /* The time that a step still needs, of tasks that take 1 s. */
 static void
 test_step_time (void **state)
@@ -577,7 +603,8 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_loads), cmocka_unit_test (test_expired_jobs_end),
-          cmocka_unit_test (test_order_of_keys), cmocka_unit_test (test_step_time) };
+          cmocka_unit_test (test_order_of_keys), cmocka_unit_test (test_order_of_queries),
+          cmocka_unit_test (test_step_time) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
