--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -443,6 +443,9 @@
                  after.lost, after.all);
   if (after.in_time < least || after.lost - before.lost > MAX (after.in_time - before.in_time, 0))
     fail_msg ("%s: queue %d is served worse", load->name, queue);
+  if (load->is_room_scarce && queues[queue].priority == 0
+      && 10 * after.late > after.in_time + after.late)
+    fail_msg ("%s: queue %d gets room for results that are late", load->name, queue);
   if (2 * (wide.in_time + wide.late) * after.all < (after.in_time + after.late) * wide.all)
     fail_msg ("%s: the wide jobs of queue %d are starved", load->name, queue);
 }
