--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -443,6 +443,9 @@
                  after.lost, after.all);
   if (after.in_time < least || after.lost - before.lost > MAX (after.in_time - before.in_time, 0))
     fail_msg ("%s: queue %d is served worse", load->name, queue);
+  if (load->is_room_scarce && queues[queue].priority == 0
+      && 10 * after.late > after.in_time + after.late)
+    fail_msg ("%s: queue %d gets room for results that are late", load->name, queue);
   if (2 * (wide.in_time + wide.late) * after.all < (after.in_time + after.late) * wide.all)
     fail_msg ("%s: the wide jobs of queue %d are starved", load->name, queue);
 }
@@ -532,6 +535,32 @@
       fail_msg ("%s", cases[i].name);
 }
 
+static void
+test_order_of_queries (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    struct fl_order_query first;
+    struct fl_order_query second;
+  } cases[] = {
+    { "users of long-running steps", { .unserved_ms = 1500 }, { .response_ratio = 9 } },
+    { "longest unserved first", { .unserved_ms = 1500, .position = 1 }, { .unserved_ms = 1400 } },
+    { "response ratio", { .response_ratio = 2, .position = 1 }, { .response_ratio = 1 } },
+    { "expired jobs last", { .response_ratio = 1 }, { .is_expired = true, .response_ratio = 2 } },
+    { "order of placing where room is scarce",
+      { .is_room_scarce = true, .response_ratio = 1 },
+      { .is_room_scarce = true, .response_ratio = 2, .position = 1 } },
+    { "services with room", { .position = 1 }, { .is_room_scarce = true } },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    if (fl_order_compare_queries (&cases[i].first, &cases[i].second) >= 0
+        || fl_order_compare_queries (&cases[i].second, &cases[i].first) <= 0)
+      fail_msg ("%s", cases[i].name);
+}
+
 /* The time that a step still needs, of tasks that take 1 s. */
 static void
 test_step_time (void **state)
@@ -577,7 +606,8 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_loads), cmocka_unit_test (test_expired_jobs_end),
-          cmocka_unit_test (test_order_of_keys), cmocka_unit_test (test_step_time) };
+          cmocka_unit_test (test_order_of_keys), cmocka_unit_test (test_order_of_queries),
+          cmocka_unit_test (test_step_time) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
