--- a/lib/cli/commands.c
+++ b/lib/cli/commands.c
@@ -213,15 +213,31 @@
 static int
 list_targets (const struct arguments *arguments)
 {
-  static const struct fl_column columns[]
-      = { { "TARGET", "target" },     { "REGISTERED", "registered" },
-          { "DRAINING", "draining" }, { "SILENT", "silent" },
-          { "RUNS", "runs" },         { "CPU USED", "cpu_used" },
-          { "CPU", "cpu" },           { NULL, NULL } };
+  static const struct fl_column columns[] = { { "TARGET", "target" },
+                                              { "REGISTERED", "registered" },
+                                              { "DRAINING", "draining" },
+                                              { "SILENT", "silent" },
+                                              { "RUNS", "runs" },
+                                              { "CPU USED", "cpu_used" },
+                                              { "CPU", "cpu" },
+                                              { "SPEED %", "speed_percent" },
+                                              { "FAIL %", "fail_percent" },
+                                              { NULL, NULL } };
 
   return print_dump (arguments, "target", columns);
 }
 
+static int
+list_domains (const struct arguments *arguments)
+{
+  static const struct fl_column columns[]
+      = { { "DOMAIN", "domain" }, { "EVACUATED", "evacuated" }, { "FOR MS", "evacuated_ms" },
+          { "RUNS", "runs" },     { "TARGETS", "targets" },     { "COLD", "cold" },
+          { NULL, NULL } };
+
+  return print_dump (arguments, "domain", columns);
+}
+
 static int
 list_jobs (const struct arguments *arguments)
 {
@@ -244,6 +260,18 @@
   return print_dump (arguments, "advisor", columns);
 }
 
+static int
+list_interference (const struct arguments *arguments)
+{
+  static const struct fl_column columns[]
+      = { { "QUEUE", "interference_queue" },  { "IMAGE", "image" },
+          { "BESIDE QUEUE", "beside_queue" }, { "BESIDE IMAGE", "beside_image" },
+          { "SLOWER %", "slowdown_percent" }, { "TARGETS", "targets" },
+          { "SAMPLES", "samples" },           { NULL, NULL } };
+
+  return print_dump (arguments, "interference_queue", columns);
+}
+
 static bool
 read_log (struct fl_explanation *explanation, const char *path)
 {
@@ -293,12 +321,20 @@
   { "queue pending", "QUEUE", "print the number of pending jobs", 1, false, show_pending },
   { "targets", "", "list targets as seen by the pool's owner (--url: its metrics address)", 0,
     false, list_targets },
+  { "domains", "",
+    "list failure domains, and those evacuated, as seen by the pool's owner (--url: its metrics "
+    "address)",
+    0, false, list_domains },
   { "jobs", "", "list open jobs as seen by the pool's owner (--url: its metrics address)", 0, false,
     list_jobs },
   { "advisors", "",
     "list the hosts that send advice queries, as seen by the pool's owner (--url: its metrics "
     "address)",
     0, false, list_advisors },
+  { "interference", "",
+    "list the tasks that slow each other down, as seen by the pool's owner (--url: its metrics "
+    "address)",
+    0, false, list_interference },
   { "explain", "ID LOG..", "explain what happened to a job, from the log files of all hosts", 2,
     true, explain_job },
 };
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -162,11 +162,15 @@
   core->unreconciled_hashes = g_hash_table_new (NULL, NULL);
   core->target_list = g_ptr_array_new ();
   core->recording_jobs = g_ptr_array_new ();
+  core->urgent_rooms = g_array_new (FALSE, TRUE, sizeof (struct core_urgent_room));
+  core->urgent_steps = g_ptr_array_new ();
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
   g_array_set_clear_func (core->free_max, free_max_clear);
   core->placements = core_placements_new ();
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->run_times = fl_run_times_new ();
+  core_domains_init (core);
+  core->interference = fl_interference_new ();
   core->queue_stats = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   return core;
 }
@@ -183,11 +187,15 @@
   g_hash_table_destroy (core->teams);
   g_hash_table_destroy (core->queue_stats);
   fl_run_times_free (core->run_times);
+  core_domains_clear (core);
+  fl_interference_free (core->interference);
   g_hash_table_destroy (core->unreconciled_hashes);
   g_ptr_array_unref (core->target_list);
   g_ptr_array_unref (core->recording_jobs);
   g_array_unref (core->free_max);
   g_array_unref (core->placements);
+  g_array_unref (core->urgent_rooms);
+  g_ptr_array_unref (core->urgent_steps);
   fl_configuration_unref (core->configuration);
   g_free (core);
 }
@@ -407,6 +415,8 @@
     target->address_changed = true;
   target->entry = *entry;
   target->registered = true;
+  fl_warm_up_update (&target->warm_up, entry->cold_left_ms, core->now_ms);
+  core_target_update_evacuated (target);
 }
 
 bool
@@ -708,6 +718,7 @@
   step->spec = fl_job_spec_get_step (&job->spec, (size_t)number);
   step->run_class
       = fl_run_times_get_class (job->core->run_times, &job->spec.queue, &step->spec->image);
+  core_interference_classify (step);
   step->occurrence = occurrence;
   step->number = number;
   if (job->spec.repeat_count > 0)
@@ -896,20 +907,6 @@
     core_job_finish (job, FL_JOB_CANCELLED);
 }
 
-/* Assumes that the steps run one after another, each for the mean run time of the queue. */
-bool
-core_job_is_late (const struct core_job *job)
-{
-  double steps = (double)job->spec.steps.count;
-  double critical_path_ms = steps * job->queue_stats->mean_run_ms;
-  double remaining_ms = MIN ((double)job->unfinished_steps, steps) * job->queue_stats->mean_run_ms;
-  double elapsed_ms = (double)(job->core->wall_ms - job->spec.accepted_ms);
-
-  return job->queue_stats->mean_run_ms > 0 && job->spec.repeat_count == 0
-         && elapsed_ms + remaining_ms
-                > job->queue.stretch * critical_path_ms + (double)job->queue.latency_objective_ms;
-}
-
 bool
 core_step_is_due (const struct core_step *step)
 {
@@ -1003,6 +1000,8 @@
       check_targets (core);
     }
   core_crash_decide (core);
+  core_domains_tick (core);
+  core_interference_update (core);
   if (core->configuration != NULL)
     core_place_tasks (core);
 }
@@ -1019,14 +1018,19 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct core_target *target = value;
+      struct fl_speed speed = fl_speed_at (&target->speed, core->now_ms);
       g_string_append_printf (
           out,
           "{\"target\":\"%s\",\"registered\":%s,\"draining\":%s,\"silent\":%s,\"runs\":%u,"
-          "\"cpu_used\":%" G_GINT64_FORMAT ",\"cpu\":%" G_GINT64_FORMAT "}\n",
+          "\"cpu_used\":%" G_GINT64_FORMAT ",\"cpu\":%" G_GINT64_FORMAT
+          ",\"speed_percent\":%.0f,\"fail_percent\":%.0f}\n",
           target->entry.id.data, target->registered ? "true" : "false",
           target->entry.draining ? "true" : "false", target->silent ? "true" : "false",
-          target->runs->len, target->used.cpu_milli, target->entry.resources.cpu_milli);
+          target->runs->len, target->used.cpu_milli, target->entry.resources.cpu_milli,
+          100.0 / fl_speed_slowness (&speed),
+          100.0 * fl_failure_rate_get (&target->failure_rate, 0.0, core->now_ms));
     }
+  core_domains_dump (core, out);
   g_hash_table_iter_init (&iter, core->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -1038,4 +1042,5 @@
                               fl_job_state_name (job->state), job->unfinished_steps,
                               job->run_count);
     }
+  core_interference_dump (core, out);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -3,7 +3,13 @@
 
 #include "common/reply_time.h"
 #include "core/core.h"
+#include "policy/interference.h"
+#include "policy/job_time.h"
+#include "policy/order.h"
 #include "policy/run_time.h"
+#include "policy/speed.h"
+#include "policy/straggler.h"
+#include "policy/warm_up.h"
 
 /* A lease counts as expired only after this percentage of its duration plus the margin: the clock
  * of a target may run 2 % slow, and the rest covers rounding and the transit time of a reply. */
@@ -16,6 +22,17 @@
 
 struct core_run;
 
+/* How slow a run is, measured over the time between some of the reports of its target. */
+struct core_pace
+{
+  int64_t clock_ms;    /* of the target, at the start of the measurement in progress; 0 for none */
+  int64_t percent;     /* progress at that time */
+  uint32_t neighbours; /* classes of the runs beside it at that time */
+  /* Result of the last measurement during which the neighbours were the same; 0 for none. */
+  double slowness;
+  uint32_t slowness_neighbours;
+};
+
 struct core_team
 {
   struct fl_name name;
@@ -23,8 +40,10 @@
   struct fl_resources used;            /* by all runs that may be in effect */
   struct fl_resources urgent_used;     /* part of used that belongs to urgent runs (priority 0) */
   struct fl_resources urgent_peak;     /* decaying maximum of urgent_used */
+  struct fl_resources urgent_waiting;  /* needed by its urgent tasks that wait, in this tick */
   /* Needed by tasks that an earlier owner may have started on a target that has not reported. */
   struct fl_resources unreconciled;
+  int64_t last_waiting_ms; /* when a job of it last had tasks that wait */
 };
 
 /* Statistics of the tasks of one queue. */
@@ -33,7 +52,8 @@
   struct fl_name name;
   double eligible_share; /* moving average: share of queried targets that were eligible */
   int64_t advice_replies;
-  double mean_run_ms; /* moving average: duration of successful runs; 0 before the first */
+  double mean_run_ms;   /* moving average: duration of successful runs; 0 before the first */
+  double failure_share; /* moving average: share of the runs that ended as failed */
   /* The last demand for which no host was free, and the tick of that: hosts only become fewer until
    * the next one. */
   int64_t no_host_tick;
@@ -59,11 +79,13 @@
   /* Its boot has received a heartbeat with @fencing_token, so that it rejects what was sent to
    * earlier boots. */
   bool is_fenced;
+  bool is_evacuated;            /* its failure domain is */
   int64_t fencing_token;        /* of the orders to it; raised for each boot */
   bool shares_token;            /* no token was left for its boot: it has that of an earlier one */
   int64_t token_raised_at_ms;   /* heartbeats sent before this time carried a lower token */
   int64_t clock_ms;             /* its clock at clock_at_ms */
   int64_t clock_at_ms;          /* when clock_ms was reported; 0 while its clock is unknown */
+  int64_t clock_offset_ms;      /* from its clock to ours, by the fastest reply */
   int64_t leaves_at_ms;         /* earliest time at which a draining target leaves */
   int64_t lease_expires_at_ms;  /* latest end of the leases of its runs, unless renewed */
   int64_t last_heartbeat_at_ms; /* when the last heartbeat ended, with or without a reply */
@@ -88,6 +110,16 @@
    * faulty job. */
   struct fl_name last_failed_job;
   int64_t quarantined_until_ms;
+  struct fl_speed ended_speed; /* by the runs that ended */
+  struct fl_speed speed;       /* by these and by the progress of others */
+  double log_run_slowness;     /* median of the runs listed last; 0 for less than two */
+  bool is_slow;
+  struct fl_failure_rate failure_rate;
+  int64_t end_slack_ms; /* ends in the last report may have been this much earlier than it */
+  /* By speed and failure_rate, at outlook_at_ms; 0 for outdated. */
+  double slowness;
+  double fail_share;
+  int64_t outlook_at_ms;
   int unsettled_runs;           /* runs whose last order is not known to have taken effect */
   int64_t next_expiry_check_ms; /* before, no lease of a run can have expired */
   bool is_unreconciled;         /* in core->unreconciled_targets */
@@ -97,6 +129,7 @@
   GList unreconciled_link;
   GList unrecorded_link;
   GList idle_link;
+  struct fl_warm_up warm_up;
   struct fl_target_entry entry;
 };
 
@@ -130,10 +163,13 @@
   int64_t gauge;            /* see struct fl_run_row */
   int64_t share_percent;    /* share of its full speed at which a best-effort task may run */
   bool is_resumed;          /* its first start order carried a checkpoint */
+  bool is_repeated;         /* an earlier run of its task has not ended as done */
   bool is_urgent;           /* its queue had priority 0 when the run was created */
   bool is_recording;        /* the record in flight says that its task may be on its target */
   bool is_recorded;         /* a stored record of this owner says so */
   bool is_crash_noted;      /* the end of its boot has been examined, or counts as an open case */
+  struct fl_interference_class interference_class;
+  struct core_pace pace;
 };
 
 /* Where an earlier owner may have left a run of a task. */
@@ -155,6 +191,9 @@
   struct fl_str checkpoint;
   struct fl_name last_failed_target; /* where a run last failed or stalled */
   int64_t backoff_until_ms;          /* no start before this time */
+  int preemptions;                   /* by urgent work, under this owner */
+  double log_run_ms; /* logarithm of its run time, projected while it runs; 0 if unknown */
+  bool was_moved;    /* a run of it was stopped because its target was slow */
   GArray *crashes;   /* struct crash_case: runs whose targets crashed, or may have; NULL for none */
   bool is_suspected; /* it may be the cause of a crash: one of these is open or suspected */
   bool is_watched;   /* its runs are kept apart from other new runs */
@@ -198,11 +237,39 @@
   uint64_t words[CORE_POSITIONS / 64];
 };
 
+/* The wait of a step, from when one of its tasks could not be started until none waits. */
+struct core_step_wait
+{
+  enum core_wait_reason missing; /* the resource that is missing now */
+  int64_t missing_since_ms;
+  int64_t parts_ms[CORE_WAIT_REASON_COUNT];
+  /* When it began: queries_sent and queries_failed of the step, and core->queries_sent. */
+  int64_t queries_sent;
+  int64_t queries_failed;
+  int64_t all_queries_sent;
+};
+
+/* Where the age of a job goes: waits, by their reason (CORE_WAIT_NONE: its tasks run), and runs of
+ * tasks of which an earlier one was in vain. */
+#define CORE_AGE_REPEATED CORE_WAIT_REASON_COUNT
+#define CORE_AGE_PARTS (CORE_WAIT_REASON_COUNT + 1)
+
+/* What one occurrence of a job can still reach, and what that follows from. */
+struct core_deadline
+{
+  int64_t computed_at_ms; /* 0 for never */
+  int64_t idle_tasks;     /* of the job, then */
+  int64_t unfinished_steps;
+  struct fl_order_time time;
+  double unstarted_share; /* of its work */
+};
+
 struct core_step
 {
   struct core_job *job;
   const struct fl_step_spec *spec;
   struct fl_run_time_class *run_class; /* of its queue and image */
+  struct fl_interference_class interference_class;
   int64_t occurrence;
   int64_t number;
   int64_t due_wall_ms; /* 0 for immediately */
@@ -223,10 +290,16 @@
   enum core_wait_reason wait_reason;
   int64_t wait_started_at_ms;
   int64_t unplaced_since_ms; /* no task has been started since; 0 while none waits */
-  /* Before the wait: queries_sent and queries_failed, and core->queries_sent. */
+  double log_median_ms;      /* logarithm of the median run time of its tasks; 0 if unknown */
+  int64_t median_at_ms;      /* when this was last updated */
+  int64_t moved_runs;        /* that were stopped because their targets were slow */
+  /* Before the wait for this reason: queries_sent and queries_failed. */
   int64_t wait_queries_sent;
   int64_t wait_queries_failed;
-  int64_t wait_all_queries_sent;
+  struct core_step_wait wait;
+  int64_t eligible_until_ms;     /* until then it has tickets of its last reply */
+  struct core_deadline deadline; /* of its occurrence, in the first step of that */
+  double longest_run_ms;         /* of its tasks that are done */
 };
 
 /* Whether the store records that a job may have tasks on a target. A successor relies on these
@@ -268,9 +341,15 @@
   int64_t crash_changes_recorded;  /* of these, those in a stored record */
   bool needs_recording;            /* its progress has changed since the last record */
   bool record_in_flight;
-  int64_t idle_tasks; /* of all steps */
-  bool in_waiting;    /* in core->waiting_jobs */
-  bool in_final;      /* in core->final_jobs */
+  int64_t idle_tasks;             /* of all steps */
+  struct fl_job_scale scale;      /* of the run times of its tasks */
+  bool has_turn;                  /* see FL_ORDER_TURN_INTERVAL_MS */
+  int64_t repeated_runs;          /* of run_count, those with is_repeated */
+  int age_part;                   /* to which its time counts now */
+  int64_t age_part_since_ms;      /* 0 before the first part */
+  int64_t age_ms[CORE_AGE_PARTS]; /* of earlier times */
+  bool in_waiting;                /* in core->waiting_jobs */
+  bool in_final;                  /* in core->final_jobs */
   GList waiting_link;
   GList recording_link; /* in core->unrecorded_jobs while needs_recording is set */
   GList final_link;
@@ -307,6 +386,7 @@
   GArray
       *free_cpu_milli; /* int64_t, by position; CORE_CLOSED for a target that takes no new tasks */
   struct core_room_group groups[CORE_ROOM_GROUPS]; /* by free_cpu_milli */
+  struct fl_resources capacity;                    /* of all targets that take new tasks */
   struct fl_resources free;
   int64_t untaken_cpu_milli; /* free CPU less tentative charges */
   /* The needs of the last step for which a search of all targets was in vain, and whether there was
@@ -315,6 +395,17 @@
   bool has_vain_need[2];
 };
 
+/* What urgent steps that wait need of the room of a service, in one tick. */
+struct core_urgent_room
+{
+  struct fl_name service;
+  bool is_computed;
+  bool is_served; /* tasks have been stopped for it in this tick */
+  int64_t tasks;
+  struct fl_resources need;
+  struct fl_resources spare; /* free room less the need; negative while it is short */
+};
+
 /* Token bucket for the bytes of start orders. */
 struct core_order_budget
 {
@@ -352,9 +443,13 @@
   GArray *free_max;                  /* struct core_free_max, of this tick */
   GArray *placements;                /* struct placement, of the step that is being placed */
   int64_t tick_number;
+  GArray *urgent_rooms;           /* struct core_urgent_room, of this tick */
+  GPtrArray *urgent_steps;        /* struct core_step: urgent ones that wait, of this tick */
+  int64_t preempted_at_ms;        /* when tasks were last stopped for urgent work */
   GHashTable *teams;              /* name -> struct core_team */
   GHashTable *queue_stats;        /* name -> struct core_queue_stats */
   struct fl_run_times *run_times; /* learnt from the runs that ended */
+  struct fl_interference *interference;
   int64_t now_ms;
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
@@ -367,13 +462,20 @@
   bool registry_known;              /* see fl_core_set_registry_known */
   int64_t registry_confirmed_ms;    /* see fl_core_confirm_registry; 0 before the first call */
   bool jobs_known;                  /* see fl_core_set_jobs_known */
+  GArray *evacuations;              /* struct evacuation, in domains.c */
+  int64_t domains_confirmed_ms;     /* see fl_core_confirm_domains; 0 before the first call */
+  bool domains_were_known;          /* core_domains_are_known in the last tick */
+  bool domains_are_dated;           /* there has been a tick */
   struct core_order_budget order_budget;
-  int64_t queries_sent;            /* advice queries about all steps */
-  bool target_list_outdated;       /* the stored list may contain a target that left */
-  bool records_in_flight;          /* collected records have been neither stored nor failed */
-  int64_t records_collected_at_ms; /* when records were last collected */
-  int64_t record_duration_ms;      /* how long the last transaction of records took */
-  bool records_cover_all_ends;     /* the last collected records cover all ends applied before */
+  struct fl_move_budget move_budget;
+  struct fl_failure_rate failure_rate; /* of the runs on all targets */
+  int64_t queries_sent;                /* advice queries about all steps */
+  int64_t turn_given_at_ms;            /* when an expired job last got its turn */
+  bool target_list_outdated;           /* the stored list may contain a target that left */
+  bool records_in_flight;              /* collected records have been neither stored nor failed */
+  int64_t records_collected_at_ms;     /* when records were last collected */
+  int64_t record_duration_ms;          /* how long the last transaction of records took */
+  bool records_cover_all_ends; /* the last collected records cover all ends applied before */
 };
 
 /* --- core.c --- */
@@ -421,9 +523,36 @@
 /* Whether the start time of @step has passed and all steps that it depends on are done. */
 bool core_step_is_due (const struct core_step *step);
 
-/* Whether @job is expected to miss its latency objective, by the mean run time of its queue. */
+/* --- deadline.c --- */
+
+/* What @job can still reach; of a job with occurrences, the first that is due and has not ended. */
+enum fl_order_class core_job_order_class (const struct core_job *job);
+
+/* @return the time left until @job can no longer be in time; negative after that, and
+ * FL_ORDER_NO_OBJECTIVE for a job without an objective or an estimate. */
+int64_t core_job_slack_ms (const struct core_job *job);
+
+/* Whether @job is expected to miss its latency objective. */
 bool core_job_is_late (const struct core_job *job);
 
+/* Fills @key with what decides when @step is placed, without team_excess. */
+void core_step_get_order_key (const struct core_step *step, struct fl_order_key *key);
+
+/* --- job_age.c --- */
+
+/* Counts the time of @job from now on: to the wait of the first of its steps that wait, or to its
+ * runs. To be called when one of these changes. */
+void core_job_update_age (struct core_job *job);
+
+/* Logs the final state of @job, with the parts of its age. */
+void core_job_log_end (struct core_job *job);
+
+/* @return the name of @reason in logs. */
+const char *core_wait_reason_name (enum core_wait_reason reason);
+
+/* Notes that @step waits for @missing from now on, or no longer. Logs the wait when it ends. */
+void core_step_note_wait (struct core_step *step, enum core_wait_reason missing);
+
 /* --- runs.c --- */
 
 /* Creates run @number of @task on @target and charges its resources to the target and the team. */
@@ -600,6 +729,24 @@
 /* Starts the tasks that can be started, and updates the wait reasons of the others. */
 void core_place_tasks (struct fl_core *core);
 
+/* --- urgent_room.c --- */
+
+/* Called in each tick before tasks are placed, and for each step that waits. */
+void core_urgent_room_begin (struct fl_core *core);
+void core_urgent_room_add (struct core_step *step);
+
+/* Takes the room of one task of @step, after all urgent steps have been placed.
+ * @return false where urgent tasks that wait need it. */
+bool core_urgent_room_take (const struct core_step *step);
+
+/* Stops batch tasks where urgent steps still wait for room. Called after placement. */
+void core_urgent_room_preempt (struct fl_core *core);
+
+/* --- drain.c --- */
+
+/* Remaining run time of @run, extrapolated from its progress; INT64_MAX when it is unknown. */
+int64_t core_run_remaining_ms (const struct core_run *run, int64_t now_ms);
+
 /* --- advice.c --- */
 
 /* @return the ticket that allows @step to run on @target, "" when its queue requires no advice, or
@@ -637,12 +784,18 @@
 struct fl_resources core_target_available_resources (const struct core_target *target,
                                                      bool for_best_effort);
 
+/* The free CPU of @target by which it is ranked for tasks of @step: lower while it is cold. */
+int64_t core_target_rank_cpu (const struct core_target *target, const struct core_step *step);
+
 /* How many tasks of @step the target can take now, by its resources and label and by the limits of
  * the step; 0 when it takes no new tasks. @include_tentative counts tentative charges as used. */
 int64_t core_target_task_capacity (const struct core_target *target,
                                    const struct core_step *step,
                                    bool include_tentative);
 
+/* @return the resources of all targets that take new tasks of @service. */
+const struct fl_resources *core_get_capacity (struct fl_core *core, const struct fl_name *service);
+
 /* Whether no target of the service of @step has enough free resources for one task, so that a
  * search for targets is in vain. @include_tentative counts tentative charges as used. */
 bool core_capacity_is_exhausted (const struct core_step *step, bool include_tentative);
@@ -687,6 +840,27 @@
 void
 core_order_budget_charge (struct core_order_budget *budget, int64_t starts, size_t payload_bytes);
 
+/* --- domains.c --- */
+
+void core_domains_init (struct fl_core *core);
+void core_domains_clear (struct fl_core *core);
+
+/* Counts the runs left in evacuated domains. To be called in each tick. */
+void core_domains_tick (struct fl_core *core);
+
+/* Appends one line of JSON for each failure domain to @out. */
+void core_domains_dump (const struct fl_core *core, GString *out);
+
+/* Updates @target->is_evacuated after a change of its entry. */
+void core_target_update_evacuated (struct core_target *target);
+
+/* Whether it is known which domains are evacuated, so that tasks may be started. */
+bool core_domains_are_known (const struct fl_core *core);
+
+/* @return @deadline_ms, the time from now in which a start order may take effect, limited so that
+ * an evacuation that is not known yet holds in time. */
+int64_t core_domains_start_deadline_ms (const struct fl_core *core, int64_t deadline_ms);
+
 /* --- drain.c --- */
 
 /* Stops tasks on a draining target so that they continue elsewhere: long-running tasks immediately,
@@ -699,7 +873,67 @@
  * from a target on which tasks lag. */
 void core_check_progress (struct core_target *target);
 
+/* --- target_speed.c --- */
+
+/* Whether the progress of @run reflects the speed of its target. This excludes best-effort tasks,
+ * which wait for unused CPU, gangs, whose members wait for each other, and long-running tasks,
+ * which never finish. */
+bool core_run_shows_speed (const struct core_run *run);
+
+/* Learns from the end of @run, which is released next, what it tells of its target. */
+void core_speed_note_end (struct core_run *run, enum fl_end_cause cause);
+
+/* Learns from the report that @target has just made how fast its runs progress. */
+void core_speed_note_report (struct core_target *target);
+
+/* Notes the clock of a report that arrives at @now_ms; @is_new: it is the first of its boot. */
+void
+core_speed_note_clock (struct core_target *target, int64_t clock_ms, int64_t now_ms, bool is_new);
+
+/* Forgets what runs in an earlier boot of @target told. */
+void core_speed_reset (struct core_target *target);
+
+/* Scores @target, with @free_cpu_milli left, for a task of @step: by the expected time until it is
+ * done there, or by what is left if the task has no end. The highest score is best. */
+double core_target_score (struct core_target *target,
+                          const struct core_step *step,
+                          int64_t free_cpu_milli);
+
+/* Whether a task of @step is likely to end sooner if it waits for room elsewhere than on @target.
+ */
+bool core_target_is_worse_than_waiting (struct core_target *target, const struct core_step *step);
+
+/* Stops runs on @target, which has just reported, that would end sooner elsewhere. */
+void core_move_stragglers (struct core_target *target);
+
 /* --- throttle.c --- */
 
 /* Throttles best-effort tasks by the last tail latency of the serving tasks on @target. */
 void core_throttle_target (struct core_target *target);
+
+/* --- interference.c --- */
+
+/* Determines which class of tasks @step belongs to; none without an image. */
+void core_interference_classify (struct core_step *step);
+
+/* The same for the class of @run, a new run. */
+void core_interference_classify_run (struct core_run *run);
+
+/* Counts the start of @run if it is beside a task of a known pair. */
+void core_interference_count_start (const struct core_run *run);
+
+/* Learns from what @target has just reported. */
+void core_interference_learn (const struct core_target *target);
+
+/* Updates the known pairs. To be called in each tick. */
+void core_interference_update (struct fl_core *core);
+
+/* @return @score, which core_target_score gave @target for @step, less the expected slowdown of its
+ * runs by the new task and of the task by them: an expected time gets longer by it; where the score
+ * is free CPU, a disturbed target is worse than any that is not. */
+double core_interference_adjust_score (const struct core_target *target,
+                                       const struct core_step *step,
+                                       double score);
+
+/* Appends one line of JSON for each known pair to @out. */
+void core_interference_dump (const struct fl_core *core, GString *out);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -4,8 +4,10 @@
 
 #include "core/core_internal.h"
 
-/* Score penalty for a target that is used only if no other fits; exceeds the CPU of any target. */
-#define AVOID_PENALTY_MILLI INT64_C (1000000000)
+/* Resolution of the scores of targets. */
+#define SCORE_SCALE 1e6
+/* Score penalty for a target that is used only if no other fits; exceeds any score. */
+#define AVOID_PENALTY INT64_C (1000000000000000)
 /* Time in which the urgent peak of a team decays to about a third; covers several bursts. */
 #define URGENT_PEAK_DECAY_MS 10000.0
 /* Most targets whose recording is requested at once for a step. */
@@ -17,7 +19,6 @@
 #define PLACEMENTS_CAPACITY_RATIO 4
 /* Wait after which a long-running step is queried before all others. */
 #define LONG_RUNNING_WAIT_MS 1000
-#define LONG_RUNNING_RANK 1e12 /* above any response ratio */
 /* Index of the rack in the labels of a target; index 0 holds the kind of target. */
 #define RACK_LABEL_INDEX 1
 /* No task is started by registry entries that were last known to be current longer ago than this. A
@@ -59,8 +60,8 @@
   return is_registry_current (target->core) && target->registered && target->recorded
          && target->reported && !target->silent && target->is_fenced && !target->shares_token
          && entry_is_of_present_boot (target) && !target->entry.draining && target->stale_runs == 0
-         && target->core->now_ms >= target->quarantined_until_ms
-         && fl_name_eq (&target->entry.service, service);
+         && target->core->now_ms >= target->quarantined_until_ms && !target->is_evacuated
+         && core_domains_are_known (target->core) && fl_name_eq (&target->entry.service, service);
 }
 
 bool
@@ -153,6 +154,9 @@
           continue;
         }
       struct fl_resources available = core_target_available_resources (target, false);
+      max.capacity.cpu_milli += target->entry.resources.cpu_milli;
+      max.capacity.memory_mb += target->entry.resources.memory_mb;
+      max.capacity.gpu += target->entry.resources.gpu;
       g_array_append_val (max.free_cpu_milli, available.cpu_milli);
       max.free.cpu_milli = MAX (max.free.cpu_milli, available.cpu_milli);
       max.free.memory_mb = MAX (max.free.memory_mb, available.memory_mb);
@@ -333,6 +337,12 @@
   return have_common_position (&step->advised, get_targets_with_room (max, step));
 }
 
+const struct fl_resources *
+core_get_capacity (struct fl_core *core, const struct fl_name *service)
+{
+  return &get_free_max (core, service)->capacity;
+}
+
 static bool
 needs_no_less (const struct fl_step_spec *spec, const struct fl_resources *need)
 {
@@ -369,14 +379,15 @@
 /* --- limits of teams --- */
 
 /* The part of a team's limit that tasks of lower priority leave free for urgent tasks: as much as
- * urgent tasks used recently. A team that uses less than half of its limit has room for both.
+ * urgent tasks used recently, or as those that wait need. A team that uses less than half of its
+ * limit has room for both.
  *
  * Load pattern: long jobs of lower priority exhaust the limit of a team. Its urgent jobs, which
  * arrive continually and run for a second, would then wait for tasks that run for many seconds. */
 static int64_t
-urgent_reserve (const struct core_step *step, int64_t urgent, int64_t peak)
+urgent_reserve (const struct core_step *step, int64_t urgent, int64_t peak, int64_t waiting)
 {
-  return step->job->queue.priority == 0 ? 0 : MAX (peak - urgent, 0);
+  return step->job->queue.priority == 0 ? 0 : MAX (peak - urgent, waiting);
 }
 
 static bool
@@ -396,14 +407,16 @@
   if (team_configuration == NULL)
     return true;
   return fits_cap (team->used.cpu_milli + team->unreconciled.cpu_milli, spec->cpu_milli,
-                   urgent_reserve (step, team->urgent_used.cpu_milli, team->urgent_peak.cpu_milli),
+                   urgent_reserve (step, team->urgent_used.cpu_milli, team->urgent_peak.cpu_milli,
+                                   team->urgent_waiting.cpu_milli),
                    team_configuration->cap.cpu_milli)
-         && fits_cap (
-             team->used.memory_mb + team->unreconciled.memory_mb, spec->memory_mb,
-             urgent_reserve (step, team->urgent_used.memory_mb, team->urgent_peak.memory_mb),
-             team_configuration->cap.memory_mb)
+         && fits_cap (team->used.memory_mb + team->unreconciled.memory_mb, spec->memory_mb,
+                      urgent_reserve (step, team->urgent_used.memory_mb,
+                                      team->urgent_peak.memory_mb, team->urgent_waiting.memory_mb),
+                      team_configuration->cap.memory_mb)
          && fits_cap (team->used.gpu + team->unreconciled.gpu, spec->gpu,
-                      urgent_reserve (step, team->urgent_used.gpu, team->urgent_peak.gpu),
+                      urgent_reserve (step, team->urgent_used.gpu, team->urgent_peak.gpu,
+                                      team->urgent_waiting.gpu),
                       team_configuration->cap.gpu);
 }
 
@@ -441,18 +454,26 @@
   return false;
 }
 
-/* Scores a target by its free CPU, since tasks on the same target slow each other down. The highest
- * score is best. */
+int64_t
+core_target_rank_cpu (const struct core_target *target, const struct core_step *step)
+{
+  return fl_warm_up_rank_cpu (
+      &target->warm_up, core_target_available_resources (target, true).cpu_milli,
+      target->entry.resources.cpu_milli, step->job->queue.priority == 0, target->core->now_ms);
+}
+
 static int64_t
-score_target (const struct core_target *target, const struct core_step *step)
+score_target (struct core_target *target, const struct core_step *step)
 {
   const struct fl_step_spec *spec = step->spec;
-  int64_t value = core_target_available_resources (target, true).cpu_milli;
+  int64_t free_cpu_milli = core_target_rank_cpu (target, step);
+  double score = core_target_score (target, step, free_cpu_milli);
+  int64_t value = (int64_t)(SCORE_SCALE * core_interference_adjust_score (target, step, score));
 
   if (spec->best_effort && has_serving_run (target))
-    value -= AVOID_PENALTY_MILLI;
+    value -= AVOID_PENALTY;
   if (spec->rack.len > 0 && !core_target_has_label (target, &spec->rack))
-    value -= AVOID_PENALTY_MILLI;
+    value -= AVOID_PENALTY;
   return value;
 }
 
@@ -476,22 +497,25 @@
 update_placement (struct placement *placement, const struct core_step *step)
 {
   placement->task_capacity = core_target_task_capacity (placement->target, step, false);
-  placement->score = score_target (placement->target, step);
+  placement->score = placement->task_capacity > 0 ? score_target (placement->target, step) : 0;
 }
 
-static void
+/* Adds @target to @placements if @step may be started there now. @return whether it fits there. */
+static bool
 add_placement (struct core_step *step, struct core_target *target, GArray *placements)
 {
   struct placement placement = { .target = target };
 
   update_placement (&placement, step);
-  if (placement.task_capacity == 0 || core_advice_ticket (step, target) == NULL)
-    return;
+  if (placement.task_capacity == 0 || core_advice_ticket (step, target) == NULL
+      || core_target_is_worse_than_waiting (target, step))
+    return placement.task_capacity > 0;
   placement.is_allowed
       = core_step_records_targets (step) || core_job_may_start_on (step->job, &target->entry.id);
   placement.is_pending
       = !placement.is_allowed && core_job_target_is_pending (step->job, &target->entry.id);
   g_array_append_val (placements, placement);
+  return true;
 }
 
 static int64_t
@@ -511,6 +535,7 @@
   int64_t capacity = 0;
   guint position = fl_name_hash (&step->job->spec.id) % MAX (step->job->core->target_list->len, 1);
   guint first = core_find_open_target (targets, position);
+  bool fits = false;
 
   for (guint i = 0;
        i < targets->len && (must_see_all || placements->len < PLACEMENTS_MIN || capacity < wanted);
@@ -520,11 +545,11 @@
           = &g_array_index (targets, struct core_open_target, (first + i) % targets->len);
       guint before = placements->len;
       if (core_may_fit (open_target, step))
-        add_placement (step, open_target->target, placements);
+        fits |= add_placement (step, open_target->target, placements);
       if (placements->len > before)
         capacity += last_placement_capacity (placements);
     }
-  if (placements->len == 0)
+  if (!fits)
     core_record_vain_search (step, false);
 }
 
@@ -588,7 +613,7 @@
       int64_t score
           = task->is_watched ? core_crash_score_target (placement->target) : placement->score;
       if (fl_name_eq (&task->last_failed_target, &placement->target->entry.id))
-        score -= AVOID_PENALTY_MILLI;
+        score -= AVOID_PENALTY;
       if (best == NULL || placement->is_allowed > best->is_allowed
           || (placement->is_allowed == best->is_allowed && score > best_score))
         {
@@ -633,7 +658,11 @@
   bool are_others_ready = are_idle_tasks_ready (step);
 
   if (are_others_ready && placements->len == 0)
-    return step->idle_tasks;
+    {
+      if (team_has_capacity (step))
+        core_urgent_room_take (step);
+      return step->idle_tasks;
+    }
   for (int64_t i = 0; i < step->spec->count; i++)
     {
       struct core_task *task = &step->tasks[i];
@@ -641,7 +670,7 @@
       if (!is_ready_to_start (task))
         continue;
       /* Tasks of a step have the same needs: once one cannot start, the others are not tried. */
-      placement = waiting == 0 && team_has_capacity (step)
+      placement = waiting == 0 && team_has_capacity (step) && core_urgent_room_take (step)
                       ? choose_placement (task, placements, NULL)
                       : NULL;
       if (placement == NULL && are_others_ready)
@@ -681,8 +710,9 @@
   for (; reserved < step->spec->count; reserved++)
     {
       struct core_task *task = &step->tasks[reserved];
-      struct placement *placement
-          = team_has_capacity (step) ? choose_placement (task, placements, rack) : NULL;
+      struct placement *placement = team_has_capacity (step) && core_urgent_room_take (step)
+                                        ? choose_placement (task, placements, rack)
+                                        : NULL;
       if (placement == NULL)
         break;
       core_run_new (task, placement->target, number);
@@ -746,46 +776,72 @@
 
 /* --- order of waiting steps --- */
 
-static double
-weighted_team_use (const struct core_job *job)
-{
-  const struct fl_team *team_configuration = job->team->configuration;
-
-  return (double)job->team->used.cpu_milli
-         / (double)(team_configuration != NULL ? MAX (team_configuration->weight, 1) : 1);
-}
-
 struct waiting_step
 {
   struct core_step *step;
-  bool late;
-  double weighted_use;
+  struct fl_order_key key;
 };
 
-/* Compares by priority, then by whether the job can still meet its objective, then by the use of
- * the team relative to its weight, then by age.
- *
- * Load pattern: several times more work of a team or a queue arrives than there is capacity for. In
- * order of age, all jobs of a long queue would be late. With late jobs placed last, jobs that can
- * still meet their objective do so. A team that submits far more than usual delays its own jobs,
- * not those of other teams. */
 static gint
 compare_waiting_steps (const void *a, const void *b)
 {
-  const struct waiting_step *x = a;
-  const struct waiting_step *y = b;
-  const struct core_job *job_x = x->step->job;
-  const struct core_job *job_y = y->step->job;
+  return fl_order_compare (&((const struct waiting_step *)a)->key,
+                           &((const struct waiting_step *)b)->key);
+}
+
+static int64_t
+get_weight (const struct core_team *team)
+{
+  const struct fl_team *configured = team->configuration;
+
+  return configured != NULL ? MAX (configured->weight, 1) : 1;
+}
+
+/* @return the CPU of the room to which a weight of 1 entitles: the teams that use it or wait for it
+ * share it. */
+static double
+get_unit_share (const struct fl_core *core)
+{
+  GHashTableIter iter;
+  void *value;
+  int64_t weights = 0;
+  int64_t cpu_milli = 0;
+
+  g_hash_table_iter_init (&iter, core->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_team *team = value;
+      if (team->used.cpu_milli > 0 || team->last_waiting_ms == core->now_ms)
+        weights += get_weight (team);
+    }
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      cpu_milli += target->registered ? target->entry.resources.cpu_milli : 0;
+    }
+  return weights > 0 ? (double)cpu_milli / (double)weights : 0;
+}
+
+/* Lets the oldest expired job among @waiting go first once an interval, until it ends. */
+static void
+give_turn (struct fl_core *core, GArray *waiting)
+{
+  struct core_job *oldest = NULL;
 
-  if (job_x->queue.priority != job_y->queue.priority)
-    return job_x->queue.priority < job_y->queue.priority ? -1 : 1;
-  if (x->late != y->late)
-    return x->late ? 1 : -1;
-  if (x->weighted_use < y->weighted_use || x->weighted_use > y->weighted_use)
-    return x->weighted_use < y->weighted_use ? -1 : 1;
-  return job_x->accepted_version < job_y->accepted_version
-             ? -1
-             : job_x->accepted_version > job_y->accepted_version;
+  if (core->now_ms - core->turn_given_at_ms < FL_ORDER_TURN_INTERVAL_MS)
+    return;
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      const struct waiting_step *entry = &g_array_index (waiting, struct waiting_step, i);
+      struct core_job *job = entry->step->job;
+      if (entry->key.order_class == FL_ORDER_EXPIRED && !job->has_turn
+          && (oldest == NULL || job->accepted_version < oldest->accepted_version))
+        oldest = job;
+    }
+  if (oldest == NULL)
+    return;
+  oldest->has_turn = true;
+  core->turn_given_at_ms = core->now_ms;
 }
 
 static bool
@@ -814,56 +870,28 @@
   return count;
 }
 
-/* The lines of single queries may be folded when many steps wait, so that their number is part of
- * this line. */
-static void
-log_wait_for_advice (const struct core_step *step,
-                     const struct fl_name *name,
-                     int64_t waited_ms,
-                     const char *next_reason)
-{
-  struct fl_core *core = step->job->core;
-  int64_t sent = step->queries_sent - step->wait_queries_sent;
-
-  fl_log (core->options.log, FL_LOG_INFO, "step_waited", FL_N ("step", name),
-          FL_S ("for", "advice"), FL_I ("ms", waited_ms), FL_S ("then", next_reason),
-          FL_I ("queries", sent),
-          FL_I ("unanswered", step->queries_failed - step->wait_queries_failed),
-          FL_I ("other_queries", core->queries_sent - step->wait_all_queries_sent - sent));
-}
-
-/* Updates the wait reason of @step. If it changes, logs the previous reason and its duration. */
+/* Sets the wait reason of @step, and which resource is @missing: that of the advice queries is not
+ * where there is no room for what they find. */
 static void
-set_wait_reason (struct core_step *step, enum core_wait_reason wait)
+set_wait (struct core_step *step, enum core_wait_reason wait, enum core_wait_reason missing)
 {
-  static const char *const names[CORE_WAIT_REASON_COUNT]
-      = { "none", "team_limit", "room", "advice", "record", "link", "settling" };
   struct fl_core *core = step->job->core;
-  int64_t waited_ms = core->now_ms - step->wait_started_at_ms;
 
+  core_step_note_wait (step, missing);
   if (step->wait_reason == wait)
     return;
-  if (step->wait_reason != CORE_WAIT_NONE && waited_ms > 0)
-    {
-      struct fl_name name = core_step_name (step);
-      g_autofree char *stat
-          = g_strdup_printf ("step_wait_ms{for=\"%s\"}", names[step->wait_reason]);
-      fl_stats_record (core->options.stats, stat, waited_ms);
-      if (step->wait_reason == CORE_WAIT_ADVICE)
-        log_wait_for_advice (step, &name, waited_ms, names[wait]);
-      else
-        fl_log (core->options.log, FL_LOG_INFO, "step_waited", FL_N ("step", &name),
-                FL_S ("for", names[step->wait_reason]), FL_I ("ms", waited_ms),
-                FL_S ("then", names[wait]));
-    }
   step->wait_reason = wait;
-  /* The query in flight is part of the wait that it causes. */
   step->wait_queries_sent = step->queries_sent - step->query_in_flight;
   step->wait_queries_failed = step->queries_failed;
-  step->wait_all_queries_sent = core->queries_sent - step->query_in_flight;
   step->wait_started_at_ms = core->now_ms;
 }
 
+static void
+set_wait_reason (struct core_step *step, enum core_wait_reason wait)
+{
+  set_wait (step, wait, wait);
+}
+
 /* --- advice for waiting steps --- */
 
 /* A step of which some tasks could be started with advice. */
@@ -872,7 +900,8 @@
   struct core_step *step;
   int64_t unplaced;      /* tasks for which advice is needed */
   bool awaits_recording; /* other tasks start once a record is stored */
-  double rank;           /* see get_advice_rank */
+  bool is_without_room;  /* the steps before it need all that is free */
+  struct fl_order_query order;
 };
 
 int64_t
@@ -882,30 +911,35 @@
                                                : 0;
 }
 
-/* @return the rank of @step among the steps that need advice; the highest is queried first. It is
- * the response ratio (wait and service time by service time), but long-running steps of which no
- * task has been started for LONG_RUNNING_WAIT_MS come first: their users are not served meanwhile.
- */
+/* The ratio of wait and service time to service time. */
 static double
-get_advice_rank (const struct core_step *step)
+get_response_ratio (const struct core_step *step)
 {
   double waited_ms = (double)core_step_wait_for_advice_ms (step);
-  double unplaced_ms = (double)(step->job->core->now_ms - step->unplaced_since_ms);
   double service_ms = MAX (step->job->queue.advice.base_latency_ms, 1.0);
 
-  if (step->spec->long_running && unplaced_ms >= LONG_RUNNING_WAIT_MS)
-    return LONG_RUNNING_RANK + unplaced_ms;
   return (waited_ms + service_ms) / service_ms;
 }
 
+/* Whether @step is a long-running one of which no task has been started for LONG_RUNNING_WAIT_MS:
+ * its users are not served meanwhile. */
+static bool
+is_queried_first (const struct core_step *step)
+{
+  return step->spec->long_running
+         && step->job->core->now_ms - step->unplaced_since_ms >= LONG_RUNNING_WAIT_MS;
+}
+
 /* Handles the @unplaced tasks of @step that could not be started: appends it to @unadvised if
  * advice can help, else sets what it waits for. */
 static void
-handle_unplaced_tasks (struct core_step *step,
+handle_unplaced_tasks (const struct waiting_step *entry,
                        const GArray *placements,
                        int64_t unplaced,
                        GArray *unadvised)
 {
+  struct core_step *step = entry->step;
+
   if (unplaced == 0)
     {
       step->unplaced_since_ms = 0;
@@ -919,6 +953,11 @@
       set_wait_reason (step, CORE_WAIT_TEAM_LIMIT);
       return;
     }
+  if (!core_urgent_room_take (step))
+    {
+      set_wait_reason (step, CORE_WAIT_CAPACITY);
+      return;
+    }
   int64_t awaiting = count_awaiting_recording (placements);
   /* Targets that become usable within milliseconds, once they are recorded, are not queried again,
    * and no others are queried in their place: advice causes most of the wait of long jobs. */
@@ -927,35 +966,107 @@
       set_wait_reason (step, awaiting > 0 ? CORE_WAIT_RECORD : CORE_WAIT_CAPACITY);
       return;
     }
-  struct unadvised_step entry = { step, unplaced - awaiting, awaiting > 0, get_advice_rank (step) };
-  g_array_append_val (unadvised, entry);
+  struct unadvised_step unadvised_step
+      = { .step = step,
+          .unplaced = unplaced - awaiting,
+          .awaits_recording = awaiting > 0,
+          .order
+          = { .is_first = is_queried_first (step),
+              .is_expired = entry->key.order_class == FL_ORDER_EXPIRED && !entry->key.has_turn,
+              .response_ratio = get_response_ratio (step),
+              .position = unadvised->len } };
+  g_array_append_val (unadvised, unadvised_step);
+}
+
+/* Of a service, what is free and neither taken nor charged for queries in flight, and what the
+ * steps that need advice still need of it. */
+struct service_room
+{
+  const struct fl_name *service;
+  int64_t free_cpu_milli;
+  int64_t needed_cpu_milli;
+};
+
+static struct service_room *
+get_service_room (GArray *rooms, struct fl_core *core, const struct fl_name *service)
+{
+  struct service_room room = { .service = service };
+
+  for (guint i = 0; i < rooms->len; i++)
+    if (fl_name_eq (g_array_index (rooms, struct service_room, i).service, service))
+      return &g_array_index (rooms, struct service_room, i);
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      int64_t cpu_milli
+          = core_target_available_resources (target, false).cpu_milli - target->tentative_cpu_milli;
+      if (cpu_milli > 0 && accepts_tasks (target, service))
+        room.free_cpu_milli += cpu_milli;
+    }
+  g_array_append_val (rooms, room);
+  return &g_array_index (rooms, struct service_room, rooms->len - 1);
+}
+
+/* Tells for each of @unadvised, in the order of waiting steps, whether the service has less room
+ * than all of them need, and whether those before it leave none. */
+static void
+find_scarce_rooms (GArray *unadvised, GArray *rooms)
+{
+  for (guint i = 0; i < unadvised->len; i++)
+    {
+      struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      const struct core_job *job = entry->step->job;
+      struct service_room *room = get_service_room (rooms, job->core, &job->queue.service);
+      entry->is_without_room = room->needed_cpu_milli >= room->free_cpu_milli;
+      if (!entry->step->query_in_flight && !entry->step->spec->best_effort)
+        room->needed_cpu_milli += entry->unplaced * entry->step->spec->cpu_milli;
+    }
+  for (guint i = 0; i < unadvised->len; i++)
+    {
+      struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      const struct core_job *job = entry->step->job;
+      const struct service_room *room = get_service_room (rooms, job->core, &job->queue.service);
+      entry->order.is_room_scarce = room->needed_cpu_milli > room->free_cpu_milli;
+    }
 }
 
 static gint
-compare_advice_ranks (const void *a, const void *b)
+compare_unadvised_steps (const void *a, const void *b)
+{
+  return fl_order_compare_queries (&((const struct unadvised_step *)a)->order,
+                                   &((const struct unadvised_step *)b)->order);
+}
+
+/* Whether the step of @entry waits for room though a query about it is in flight or no host is free
+ * for one: targets that it has tickets for are full, or the steps before it take all that is free.
+ */
+static bool
+is_room_missing (const struct unadvised_step *entry)
 {
-  const struct unadvised_step *x = a;
-  const struct unadvised_step *y = b;
+  const struct core_step *step = entry->step;
 
-  return x->rank > y->rank ? -1 : x->rank < y->rank;
+  if (!entry->order.is_room_scarce)
+    return false;
+  return step->eligible_until_ms > step->job->core->now_ms
+         || (entry->is_without_room && !step->query_in_flight);
 }
 
-/* Queries advice for the steps of @unadvised, by rank, and in the given order among equals.
- *
- * Load pattern: hosts are few, or the service is slow, so that not all steps can be queried. In the
- * order of waiting steps alone, those of low priority would get no query for as long as others
- * come, although there is capacity. */
+/* Queries advice for the steps of @unadvised. */
 static void
 query_advice (GArray *unadvised)
 {
-  g_array_sort (unadvised, compare_advice_ranks);
+  g_autoptr (GArray) rooms = g_array_new (FALSE, FALSE, sizeof (struct service_room));
+
+  find_scarce_rooms (unadvised, rooms);
+  g_array_sort (unadvised, compare_unadvised_steps);
   for (guint i = 0; i < unadvised->len; i++)
     {
       const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
       enum core_wait_reason wait = core_advice_send_query (entry->step, entry->unplaced);
-      set_wait_reason (entry->step, wait == CORE_WAIT_CAPACITY && entry->awaits_recording
-                                        ? CORE_WAIT_RECORD
-                                        : wait);
+      if (wait == CORE_WAIT_CAPACITY && entry->awaits_recording)
+        wait = CORE_WAIT_RECORD;
+      bool for_room = wait == CORE_WAIT_ADVICE && is_room_missing (entry);
+      set_wait (entry->step, wait, for_room ? CORE_WAIT_CAPACITY : wait);
     }
 }
 
@@ -1005,6 +1116,36 @@
   return charged > 0 && (step->spec->gang || charged == step->idle_tasks);
 }
 
+static void
+collect_waiting_of_job (struct core_job *job, bool unreconciled, double unit_share, GArray *waiting)
+{
+  bool blocked = unreconciled && core_job_is_unreconciled (job);
+  double share = unit_share * (double)get_weight (job->team);
+  int excess = fl_order_team_excess ((double)job->team->used.cpu_milli, share);
+
+  for (size_t i = 0; i < job->step_count; i++)
+    {
+      struct waiting_step entry = { .step = &job->steps[i] };
+      if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step))
+        continue;
+      if (unreconciled && is_blocked_by_reconciliation (entry.step, blocked))
+        {
+          set_wait_reason (entry.step, CORE_WAIT_RECONCILING);
+          continue;
+        }
+      if (!has_waiting_task (entry.step))
+        {
+          set_wait_reason (entry.step, CORE_WAIT_NONE);
+          continue;
+        }
+      core_step_get_order_key (entry.step, &entry.key);
+      entry.key.team_excess = excess;
+      g_array_append_val (waiting, entry);
+    }
+}
+
+/* @return the steps that wait, as rows of struct waiting_step in the order in which they are
+ * placed. */
 static GArray *
 collect_waiting (struct fl_core *core)
 {
@@ -1013,30 +1154,21 @@
 
   clear_unreconciled (core);
   for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
-    {
-      struct core_job *job = link->data;
-      bool blocked = unreconciled && core_job_is_unreconciled (job);
-      bool late = core_job_is_late (job);
-      for (size_t i = 0; i < job->step_count; i++)
-        {
-          struct waiting_step entry = { &job->steps[i], late, 0 };
-          if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step))
-            continue;
-          entry.weighted_use = weighted_team_use (job);
-          if (unreconciled && is_blocked_by_reconciliation (entry.step, blocked))
-            set_wait_reason (entry.step, CORE_WAIT_RECONCILING);
-          else if (has_waiting_task (entry.step))
-            g_array_append_val (waiting, entry);
-        }
-    }
+    ((struct core_job *)link->data)->team->last_waiting_ms = core->now_ms;
+  double unit_share = get_unit_share (core);
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    collect_waiting_of_job (link->data, unreconciled, unit_share, waiting);
+  give_turn (core, waiting);
   g_array_sort (waiting, compare_waiting_steps);
   return waiting;
 }
 
-/* Starts the tasks of @step that can be started. Appends it to @unadvised if others need advice. */
+/* Starts the tasks of @entry that can be started. Appends it to @unadvised if others need advice.
+ */
 static void
-place_step (struct core_step *step, GArray *unadvised)
+place_step (const struct waiting_step *entry, GArray *unadvised)
 {
+  struct core_step *step = entry->step;
   struct fl_core *core = step->job->core;
 
   if (stop_incomplete_gang (step))
@@ -1059,7 +1191,15 @@
       core_order_budget_charge (&core->order_budget, idle - step->idle_tasks,
                                 step->job->spec.text.len);
     }
-  handle_unplaced_tasks (step, placements, unplaced, unadvised);
+  handle_unplaced_tasks (entry, placements, unplaced, unadvised);
+}
+
+/* Counts the time of the jobs that wait to what they wait for now. */
+static void
+update_ages (struct fl_core *core)
+{
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    core_job_update_age (link->data);
 }
 
 void
@@ -1071,9 +1211,14 @@
   g_array_set_size (core->free_max, 0);
   update_urgent_peaks (core);
   waiting = collect_waiting (core);
+  core_urgent_room_begin (core);
+  for (guint i = 0; i < waiting->len; i++)
+    core_urgent_room_add (g_array_index (waiting, struct waiting_step, i).step);
   for (guint i = 0; i < waiting->len; i++)
-    place_step (g_array_index (waiting, struct waiting_step, i).step, unadvised);
+    place_step (&g_array_index (waiting, struct waiting_step, i), unadvised);
   query_advice (unadvised);
+  core_urgent_room_preempt (core);
+  update_ages (core);
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
 }
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -58,17 +58,22 @@
   run->number = number;
   run->share_percent = 100;
   run->is_urgent = task->step->job->queue.priority == 0;
+  run->is_repeated = task->last_run_number > 0;
   task->run = run;
+  task->log_run_ms = 0.0;
   task->earlier_run = CORE_EARLIER_RUN_NONE;
   if (!task->done)
     core_step_add_idle_tasks (task->step, -1);
   target->unsettled_runs++;
   target->next_expiry_check_ms = 0;
   task->step->job->run_count++;
+  task->step->job->repeated_runs += run->is_repeated;
+  core_job_update_age (task->step->job);
   g_ptr_array_add (target->runs, run);
   charge_resources (run, 1);
   core_update_room (target);
   core_crash_watch (run);
+  core_interference_classify_run (run);
   return run;
 }
 
@@ -101,6 +106,8 @@
   if (!run->task->done)
     core_step_add_idle_tasks (run->task->step, 1);
   run->task->step->job->run_count--;
+  run->task->step->job->repeated_runs -= run->is_repeated;
+  core_job_update_age (run->task->step->job);
   g_ptr_array_remove_fast (run->target->runs, run);
 }
 
@@ -109,8 +116,10 @@
 static int64_t
 start_deadline_ms (const struct core_target *target, int64_t reply_limit_ms)
 {
-  return MIN (START_DEADLINE_MS + reply_limit_ms - FL_START_LIMIT_MS,
-              MAX (START_DEADLINE_MS, target->core->options.target_lease_ms));
+  int64_t deadline_ms = MIN (START_DEADLINE_MS + reply_limit_ms - FL_START_LIMIT_MS,
+                             MAX (START_DEADLINE_MS, target->core->options.target_lease_ms));
+
+  return core_domains_start_deadline_ms (target->core, deadline_ms);
 }
 
 void
@@ -170,6 +179,7 @@
 void
 core_run_start (struct core_run *run, const char *ticket)
 {
+  core_interference_count_start (run);
   if (core_step_records_targets (run->task->step) || core_crash_needs_recording (run))
     {
       core_crash_note_attempt (run);
@@ -544,13 +554,13 @@
    * replies. */
   if (run->target->silent && run->target->missed_heartbeats <= 1)
     return;
-  /* The next reply tells whether the new boot has the run. */
-  if (!run->target->is_fenced)
+  /* The next reply tells whether the new boot has the run, or whether the start took effect. */
+  if (!run->target->is_fenced || !core_domains_are_known (run->target->core))
     return;
   run->inconclusive_starts++;
   const char *ticket = core_advice_ticket (run->task->step, run->target);
   if (run->inconclusive_starts < START_ATTEMPTS_MAX && ticket != NULL && !run->target->silent
-      && !is_over_capacity (run))
+      && !run->target->is_evacuated && !is_over_capacity (run))
     {
       core_run_order_start (run, ticket);
       core_order_budget_charge (&run->target->core->order_budget, 1,
