urgent room: room is taken for tasks that start and steps that are queried, not for attempts

Cause: a step without a placement, and each rack tried for a gang, took spare room from the batch steps behind it. Change: core_urgent_room_permits asks, core_urgent_room_charge takes, and gives back what a gang had reserved in vain.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -735,9 +735,13 @@
 void core_urgent_room_begin (struct fl_core *core);
 void core_urgent_room_add (struct core_step *step);
 
-/* Takes the room of one task of @step, after all urgent steps have been placed.
- * @return false where urgent tasks that wait need it. */
-bool core_urgent_room_take (const struct core_step *step);
+/* Whether urgent tasks that wait leave room for a task of @step. Called after all urgent steps have
+ * been placed in the tick. */
+bool core_urgent_room_permits (const struct core_step *step);
+
+/* Takes the room of @tasks tasks of @step that are started, or that a query is about; gives it back
+ * where @tasks is negative. */
+void core_urgent_room_charge (const struct core_step *step, int64_t tasks);
 
 /* Stops batch tasks where urgent steps still wait for room. Called after placement. */
 void core_urgent_room_preempt (struct fl_core *core);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -666,7 +666,7 @@
       if (!is_ready_to_start (task))
         continue;
       /* Tasks of a step have the same needs: once one cannot start, the others are not tried. */
-      placement = waiting == 0 && team_has_capacity (step) && core_urgent_room_take (step)
+      placement = waiting == 0 && team_has_capacity (step) && core_urgent_room_permits (step)
                       ? choose_placement (task, placements, NULL)
                       : NULL;
       if (placement == NULL && are_others_ready)
@@ -678,6 +678,7 @@
         }
       core_run_start (core_run_new (task, placement->target, next_run_number (task)),
                       core_advice_ticket (step, placement->target));
+      core_urgent_room_charge (step, 1);
       update_placement (placement, step);
     }
   return waiting;
@@ -706,16 +707,18 @@
   for (; reserved < step->spec->count; reserved++)
     {
       struct core_task *task = &step->tasks[reserved];
-      struct placement *placement = team_has_capacity (step) && core_urgent_room_take (step)
+      struct placement *placement = team_has_capacity (step) && core_urgent_room_permits (step)
                                         ? choose_placement (task, placements, rack)
                                         : NULL;
       if (placement == NULL)
         break;
       core_run_new (task, placement->target, number);
+      core_urgent_room_charge (step, 1);
       update_placement (placement, step);
     }
   if (reserved == step->spec->count)
     return true;
+  core_urgent_room_charge (step, -reserved);
   while (reserved > 0)
     core_run_release (step->tasks[--reserved].run);
   update_placements (placements, step);
@@ -948,7 +951,7 @@
       set_wait_reason (step, CORE_WAIT_TEAM_LIMIT);
       return;
     }
-  if (!core_urgent_room_take (step))
+  if (!core_urgent_room_permits (step))
     {
       set_wait_reason (step, CORE_WAIT_CAPACITY);
       return;
@@ -970,6 +973,7 @@
               .is_expired = entry->key.order_class == FL_ORDER_EXPIRED && !entry->key.has_turn,
               .response_ratio = get_response_ratio (step),
               .position = unadvised->len } };
+  core_urgent_room_charge (step, 1);
   g_array_append_val (unadvised, unadvised_step);
 }
 
--- a/lib/core/urgent_room.c
+++ b/lib/core/urgent_room.c
@@ -180,22 +180,36 @@
          && step->job->core->now_ms - step->unplaced_since_ms >= HOLD_BACK_MAX_MS;
 }
 
+static bool
+is_held_back (const struct core_step *step)
+{
+  return step->job->queue.priority > 0 && !step->spec->long_running && !step->spec->best_effort
+         && step->job->core->urgent_steps->len > 0;
+}
+
 bool
-core_urgent_room_take (const struct core_step *step)
+core_urgent_room_permits (const struct core_step *step)
 {
-  const struct fl_step_spec *spec = step->spec;
+  const struct core_urgent_room *room;
 
-  if (step->job->queue.priority == 0 || spec->long_running || spec->best_effort
-      || step->job->core->urgent_steps->len == 0)
-    return true;
-  struct core_urgent_room *room = get_spare_room (step);
-  if (room->tasks == 0 || has_waited_enough (step))
+  if (!is_held_back (step) || has_waited_enough (step))
     return true;
-  if (room->spare.cpu_milli < spec->cpu_milli || room->spare.memory_mb < spec->memory_mb)
-    return false;
-  room->spare.cpu_milli -= spec->cpu_milli;
-  room->spare.memory_mb -= spec->memory_mb;
-  return true;
+  room = get_spare_room (step);
+  return room->tasks == 0
+         || (room->spare.cpu_milli >= step->spec->cpu_milli
+             && room->spare.memory_mb >= step->spec->memory_mb);
+}
+
+void
+core_urgent_room_charge (const struct core_step *step, int64_t tasks)
+{
+  struct core_urgent_room *room;
+
+  if (!is_held_back (step))
+    return;
+  room = get_spare_room (step);
+  room->spare.cpu_milli -= tasks * step->spec->cpu_milli;
+  room->spare.memory_mb -= tasks * step->spec->memory_mb;
 }
 
 /* --- preemption --- */
