--- a/lib/cli/commands.c
+++ b/lib/cli/commands.c
@@ -23,6 +23,7 @@
   const char *url;
   const char *key;
   const char *queue;
+  const char *team;
   bool json;
   bool wait;
   int operand_count;
@@ -272,6 +273,32 @@
   return print_dump (arguments, "interference_queue", columns);
 }
 
+static int
+plan_job (const struct arguments *arguments)
+{
+  struct fl_client_options options = { .url = arguments->url, .timeout_ms = TIMEOUT_MS };
+  struct fl_client_reply reply;
+  g_autofree char *body = NULL;
+  g_autoptr (GError) error = NULL;
+  int code = FL_CTL_OK;
+
+  if (!g_file_get_contents (arguments->operands[0], &body, NULL, &error))
+    {
+      fprintf (stderr, "flamingoctl: %s\n", error->message);
+      return FL_CTL_USAGE;
+    }
+  g_autofree char *path = g_strdup_printf (
+      "/plan?queue=%s%s%s", arguments->queue != NULL ? arguments->queue : "",
+      arguments->team != NULL ? "&team=" : "", arguments->team != NULL ? arguments->team : "");
+  fl_client_call (&options, "POST", path, body, &reply);
+  if (reply.status != 200)
+    code = report_failure (&reply);
+  else
+    fputs (fl_str_text (&reply.text), stdout);
+  fl_client_reply_clear (&reply);
+  return code;
+}
+
 static bool
 read_log (struct fl_explanation *explanation, const char *path)
 {
@@ -335,6 +362,10 @@
     "list the tasks that slow each other down, as seen by the pool's owner (--url: its metrics "
     "address)",
     0, false, list_interference },
+  { "plan", "FILE",
+    "explain where the job in FILE would go now, without sending it (--url: the metrics address of "
+    "the pool's owner; --queue, --team: of the job)",
+    1, false, plan_job },
   { "explain", "ID LOG..", "explain what happened to a job, from the log files of all hosts", 2,
     true, explain_job },
 };
@@ -399,11 +430,12 @@
   struct arg_str *url = arg_str0 (NULL, "url", "URL", "URL of a host; default: FLAMINGO_URL");
   struct arg_str *key = arg_str0 (NULL, "key", "KEY", "API key of a team; default: FLAMINGO_KEY");
   struct arg_str *queue = arg_str0 (NULL, "queue", "NAME", "queue of the job");
+  struct arg_str *team = arg_str0 (NULL, "team", "NAME", "team of the job, for plan");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_lit *wait = arg_lit0 (NULL, "wait", "wait until the job has ended");
   struct arg_str *words = arg_strn (NULL, NULL, "COMMAND", 0, WORDS_MAX, NULL);
   struct arg_end *end = arg_end (5);
-  void *table[] = { help, url, key, queue, json, wait, words, end };
+  void *table[] = { help, url, key, queue, team, json, wait, words, end };
   int errors = arg_parse (argc, argv, table);
   const char *env_url = g_getenv ("FLAMINGO_URL");
   int code;
@@ -412,6 +444,7 @@
     .url = url->count > 0 ? url->sval[0] : (env_url != NULL ? env_url : DEFAULT_URL),
     .key = key->count > 0 ? key->sval[0] : g_getenv ("FLAMINGO_KEY"),
     .queue = queue->count > 0 ? queue->sval[0] : NULL,
+    .team = team->count > 0 ? team->sval[0] : NULL,
     .json = json->count > 0,
     .wait = wait->count > 0,
   };
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -14,6 +14,7 @@
 
 #include <glib.h>
 
+#include "common/error.h"
 #include "common/log.h"
 #include "common/stats.h"
 #include "configuration/configuration.h"
@@ -236,3 +237,12 @@
 /* Appends one line of JSON for each target, failure domain, job and known pair of tasks that slow
  * each other down to @out, for operators. */
 void fl_core_dump (const struct fl_core *core, GString *out);
+
+/* Appends to @out where the job of @spec, which the core does not know, would go now, and why, as
+ * text for operators. Changes nothing that decisions depend on; @spec stays with the caller.
+ * @return false with @error filled: FL_NOT_FOUND for an unknown queue, FL_UNAVAILABLE before the
+ * first configuration. */
+bool fl_core_plan_job (struct fl_core *core,
+                       const struct fl_job_spec *spec,
+                       GString *out,
+                       struct fl_error *error);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -689,6 +689,10 @@
  * @return false where urgent tasks that wait need it. */
 bool core_urgent_room_take (const struct core_step *step);
 
+/* Whether urgent tasks that wait leave room for one task of @step, which does not wait itself.
+ * Refreshes the deadlines of waiting jobs. */
+bool core_urgent_room_is_left (const struct core_step *step);
+
 /* Stops batch tasks where urgent steps still wait for room. Called after placement. */
 void core_urgent_room_preempt (struct fl_core *core);
 
@@ -731,6 +735,47 @@
 /* The free CPU of @target by which it is ranked for tasks of @step: lower while it is cold. */
 int64_t core_target_rank_cpu (const struct core_target *target, const struct core_step *step);
 
+/* Why a target takes no task of a step. */
+enum core_target_reason
+{
+  CORE_TARGET_TAKES_TASKS,
+  CORE_TARGET_NOT_REGISTERED,
+  CORE_TARGET_OTHER_SERVICE,
+  CORE_TARGET_REGISTRY_OLD, /* see fl_core_confirm_registry */
+  CORE_TARGET_NOT_RECORDED, /* the stored list of targets lacks it */
+  CORE_TARGET_NOT_REPORTED,
+  CORE_TARGET_SILENT,
+  CORE_TARGET_NOT_FENCED, /* its boot may accept orders that were meant for an earlier one */
+  CORE_TARGET_OTHER_BOOT, /* its registry entry is that of another boot */
+  CORE_TARGET_DRAINING,
+  CORE_TARGET_STALE_RUNS, /* it lists runs that are to be stopped */
+  CORE_TARGET_QUARANTINED,
+  CORE_TARGET_EVACUATED,
+  CORE_TARGET_DOMAINS_UNKNOWN, /* see core_domains_are_known */
+  CORE_TARGET_NO_LABEL,
+  CORE_TARGET_WATCHED, /* a task runs there that may crash it */
+  CORE_TARGET_NO_CPU,
+  CORE_TARGET_NO_MEMORY,
+  CORE_TARGET_NO_GPU,
+  CORE_TARGET_STEP_LIMIT, /* as many tasks of the step as may be there run there */
+  CORE_TARGET_REASON_COUNT
+};
+
+/* @return why @target takes no task of @step now, and in @task_capacity how many it takes. */
+enum core_target_reason core_target_get_reason (const struct core_target *target,
+                                                const struct core_step *step,
+                                                int64_t *task_capacity);
+
+/* Whether the limit of its team leaves room for one more task of @step. */
+bool core_team_has_capacity (const struct core_step *step);
+
+/* The score by which @target is chosen for @step: the highest is best. */
+int64_t core_target_placement_score (struct core_target *target, const struct core_step *step);
+
+/* @return how many waiting steps are placed before @step, which is not one of them, and in @count
+ * how many wait. Refreshes the deadlines of waiting jobs and last_waiting_ms of their teams. */
+int64_t core_step_count_before (const struct core_step *step, int64_t *count);
+
 /* How many tasks of @step the target can take now, by its resources and label and by the limits of
  * the step; 0 when it takes no new tasks. @include_tentative counts tentative charges as used. */
 int64_t core_target_task_capacity (const struct core_target *target,
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -54,21 +54,59 @@
          || core->now_ms - core->registry_confirmed_ms <= REGISTRY_AGE_MAX_MS;
 }
 
+/* Why @target takes no tasks of @service, whatever they need. */
+static inline enum core_target_reason
+get_service_reason (const struct core_target *target, const struct fl_name *service)
+{
+  if (!target->registered)
+    return CORE_TARGET_NOT_REGISTERED;
+  if (!fl_name_eq (&target->entry.service, service))
+    return CORE_TARGET_OTHER_SERVICE;
+  if (!is_registry_current (target->core))
+    return CORE_TARGET_REGISTRY_OLD;
+  if (!target->recorded)
+    return CORE_TARGET_NOT_RECORDED;
+  if (!target->reported)
+    return CORE_TARGET_NOT_REPORTED;
+  if (target->silent)
+    return CORE_TARGET_SILENT;
+  if (!target->is_fenced || target->shares_token)
+    return CORE_TARGET_NOT_FENCED;
+  if (!entry_is_of_present_boot (target))
+    return CORE_TARGET_OTHER_BOOT;
+  if (target->entry.draining)
+    return CORE_TARGET_DRAINING;
+  if (target->stale_runs > 0)
+    return CORE_TARGET_STALE_RUNS;
+  if (target->core->now_ms < target->quarantined_until_ms)
+    return CORE_TARGET_QUARANTINED;
+  if (target->is_evacuated)
+    return CORE_TARGET_EVACUATED;
+  return core_domains_are_known (target->core) ? CORE_TARGET_TAKES_TASKS
+                                               : CORE_TARGET_DOMAINS_UNKNOWN;
+}
+
 static bool
 accepts_tasks (const struct core_target *target, const struct fl_name *service)
 {
-  return is_registry_current (target->core) && target->registered && target->recorded
-         && target->reported && !target->silent && target->is_fenced && !target->shares_token
-         && entry_is_of_present_boot (target) && !target->entry.draining && target->stale_runs == 0
-         && target->core->now_ms >= target->quarantined_until_ms && !target->is_evacuated
-         && core_domains_are_known (target->core) && fl_name_eq (&target->entry.service, service);
+  return get_service_reason (target, service) == CORE_TARGET_TAKES_TASKS;
+}
+
+static inline enum core_target_reason
+get_step_reason (const struct core_target *target, const struct core_step *step)
+{
+  enum core_target_reason reason = get_service_reason (target, &step->job->queue.service);
+
+  if (reason == CORE_TARGET_TAKES_TASKS && step->spec->label.len > 0
+      && !core_target_has_label (target, &step->spec->label))
+    return CORE_TARGET_NO_LABEL;
+  return reason;
 }
 
 bool
 core_target_accepts_step (const struct core_target *target, const struct core_step *step)
 {
-  return accepts_tasks (target, &step->job->queue.service)
-         && (step->spec->label.len == 0 || core_target_has_label (target, &step->spec->label));
+  return get_step_reason (target, step) == CORE_TARGET_TAKES_TASKS;
 }
 
 /* How many tasks that need @need fit into @available; no limit if @need is 0. */
@@ -103,6 +141,57 @@
   return available;
 }
 
+/* Lowers *@fits to @limit. @return @reason, or @limited_by if no task is left by this limit. */
+static inline enum core_target_reason
+limit_fitting (int64_t *fits,
+               enum core_target_reason reason,
+               int64_t limit,
+               enum core_target_reason limited_by)
+{
+  *fits = MIN (*fits, limit);
+  return reason == CORE_TARGET_TAKES_TASKS && limit <= 0 ? limited_by : reason;
+}
+
+/* @return how many tasks of @step fit into @available of @target, and in @reason why none does. */
+static inline int64_t
+count_tasks (const struct core_target *target,
+             const struct core_step *step,
+             const struct fl_resources *available,
+             enum core_target_reason *reason)
+{
+  const struct fl_step_spec *spec = step->spec;
+  int64_t fits = INT64_MAX;
+
+  *reason = get_step_reason (target, step);
+  if (*reason == CORE_TARGET_TAKES_TASKS && target->watched_run != NULL
+      && !(spec->gang && target->watched_run->task->step == step))
+    *reason = CORE_TARGET_WATCHED;
+  if (*reason != CORE_TARGET_TAKES_TASKS)
+    return 0;
+  *reason = limit_fitting (&fits, *reason, count_fitting (available->cpu_milli, spec->cpu_milli),
+                           CORE_TARGET_NO_CPU);
+  *reason = limit_fitting (&fits, *reason, count_fitting (available->memory_mb, spec->memory_mb),
+                           CORE_TARGET_NO_MEMORY);
+  *reason = limit_fitting (&fits, *reason, count_fitting (available->gpu, spec->gpu),
+                           CORE_TARGET_NO_GPU);
+  if (spec->per_target_max > 0)
+    *reason = limit_fitting (&fits, *reason, spec->per_target_max - count_step_runs (target, step),
+                             CORE_TARGET_STEP_LIMIT);
+  return MAX (fits, 0);
+}
+
+enum core_target_reason
+core_target_get_reason (const struct core_target *target,
+                        const struct core_step *step,
+                        int64_t *task_capacity)
+{
+  struct fl_resources available = core_target_available_resources (target, step->spec->best_effort);
+  enum core_target_reason reason;
+
+  *task_capacity = count_tasks (target, step, &available, &reason);
+  return reason;
+}
+
 int64_t
 core_target_task_capacity (const struct core_target *target,
                            const struct core_step *step,
@@ -110,20 +199,14 @@
 {
   const struct fl_step_spec *spec = step->spec;
   struct fl_resources available = core_target_available_resources (target, spec->best_effort);
-  int64_t fits;
+  enum core_target_reason reason;
 
   if (include_tentative)
     available.cpu_milli -= target->tentative_cpu_milli;
-  if ((spec->cpu_milli > 0 && available.cpu_milli < spec->cpu_milli)
-      || (target->watched_run != NULL && !(spec->gang && target->watched_run->task->step == step))
-      || !core_target_accepts_step (target, step))
+  /* Under load, most targets end here. */
+  if (spec->cpu_milli > 0 && available.cpu_milli < spec->cpu_milli)
     return 0;
-  fits = count_fitting (available.cpu_milli, spec->cpu_milli);
-  fits = MIN (fits, count_fitting (available.memory_mb, spec->memory_mb));
-  fits = MIN (fits, count_fitting (available.gpu, spec->gpu));
-  if (spec->per_target_max > 0)
-    fits = MIN (fits, spec->per_target_max - count_step_runs (target, step));
-  return MAX (fits, 0);
+  return count_tasks (target, step, &available, &reason);
 }
 
 /* --- upper bounds of free capacity --- */
@@ -220,8 +303,8 @@
   return cap <= 0 || used + need + (used < cap / 2 ? 0 : reserve) <= cap;
 }
 
-static bool
-team_has_capacity (const struct core_step *step)
+bool
+core_team_has_capacity (const struct core_step *step)
 {
   const struct core_job *job = step->job;
   const struct core_team *team = job->team;
@@ -287,8 +370,8 @@
       target->entry.resources.cpu_milli, step->job->queue.priority == 0, target->core->now_ms);
 }
 
-static int64_t
-score_target (struct core_target *target, const struct core_step *step)
+int64_t
+core_target_placement_score (struct core_target *target, const struct core_step *step)
 {
   const struct fl_step_spec *spec = step->spec;
   int64_t free_cpu_milli = core_target_rank_cpu (target, step);
@@ -316,7 +399,8 @@
 update_placement (struct placement *placement, const struct core_step *step)
 {
   placement->task_capacity = core_target_task_capacity (placement->target, step, false);
-  placement->score = placement->task_capacity > 0 ? score_target (placement->target, step) : 0;
+  placement->score
+      = placement->task_capacity > 0 ? core_target_placement_score (placement->target, step) : 0;
 }
 
 /* Adds @target to @placements if @step may be started there now. @return whether it fits there. */
@@ -468,7 +552,7 @@
       if (!is_ready_to_start (task))
         continue;
       /* Tasks of a step have the same needs: once one cannot start, the others are not tried. */
-      placement = waiting == 0 && team_has_capacity (step) && core_urgent_room_take (step)
+      placement = waiting == 0 && core_team_has_capacity (step) && core_urgent_room_take (step)
                       ? choose_placement (task, placements, NULL)
                       : NULL;
       if (placement == NULL)
@@ -506,7 +590,7 @@
   for (; reserved < step->spec->count; reserved++)
     {
       struct core_task *task = &step->tasks[reserved];
-      struct placement *placement = team_has_capacity (step) && core_urgent_room_take (step)
+      struct placement *placement = core_team_has_capacity (step) && core_urgent_room_take (step)
                                         ? choose_placement (task, placements, rack)
                                         : NULL;
       if (placement == NULL)
@@ -742,7 +826,7 @@
     }
   if (step->unplaced_since_ms == 0)
     step->unplaced_since_ms = step->job->core->now_ms;
-  if (!team_has_capacity (step))
+  if (!core_team_has_capacity (step))
     {
       set_wait_reason (step, CORE_WAIT_TEAM_LIMIT);
       return;
@@ -957,6 +1041,53 @@
   return waiting;
 }
 
+/* @return how many of the waiting steps of @job are placed before @key, and in @count how many
+ * wait.
+ */
+static int64_t
+count_steps_before (const struct core_job *job,
+                    double unit_share,
+                    const struct fl_order_key *key,
+                    int64_t *count)
+{
+  double share = unit_share * (double)get_weight (job->core, job->team);
+  int excess = fl_order_team_excess ((double)job->team->used.cpu_milli, share);
+  int64_t before = 0;
+
+  for (size_t i = 0; i < job->step_count; i++)
+    {
+      const struct core_step *step = &job->steps[i];
+      struct fl_order_key other;
+      if (step->idle_tasks == 0 || !core_step_is_due (step) || !has_waiting_task (step))
+        continue;
+      core_step_get_order_key (step, &other);
+      other.team_excess = excess;
+      *count += 1;
+      before += fl_order_compare (&other, key) < 0 ? 1 : 0;
+    }
+  return before;
+}
+
+int64_t
+core_step_count_before (const struct core_step *step, int64_t *count)
+{
+  const struct core_job *job = step->job;
+  struct fl_core *core = job->core;
+  struct fl_order_key key;
+  int64_t before = 0;
+
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    ((struct core_job *)link->data)->team->last_waiting_ms = core->now_ms;
+  double unit_share = get_unit_share (core);
+  core_step_get_order_key (step, &key);
+  key.team_excess = fl_order_team_excess ((double)job->team->used.cpu_milli,
+                                          unit_share * (double)get_weight (core, job->team));
+  *count = 0;
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    before += count_steps_before (link->data, unit_share, &key, count);
+  return before;
+}
+
 /* Starts the tasks of @entry that can be started. Appends it to @unadvised if others need advice.
  */
 static void
--- a/lib/core/urgent_room.c
+++ b/lib/core/urgent_room.c
@@ -187,6 +187,40 @@
   return true;
 }
 
+/* Adds the steps of @job that are urgent and wait to those of @steps. */
+static void
+add_urgent_steps (struct core_job *job, GPtrArray *steps)
+{
+  for (size_t i = 0; i < job->step_count; i++)
+    {
+      struct core_step *step = &job->steps[i];
+      if (step->idle_tasks > 0 && core_step_is_due (step) && is_urgent (step)
+          && core_job_order_class (job) != FL_ORDER_EXPIRED)
+        g_ptr_array_add (steps, step);
+    }
+}
+
+bool
+core_urgent_room_is_left (const struct core_step *step)
+{
+  struct fl_core *core = step->job->core;
+  GArray *rooms = core->urgent_rooms;
+  GPtrArray *steps = core->urgent_steps;
+  bool is_left;
+
+  /* Since the last tick, steps of that tick may have been freed. */
+  core->urgent_rooms = g_array_new (FALSE, TRUE, sizeof (struct core_urgent_room));
+  core->urgent_steps = g_ptr_array_new ();
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    add_urgent_steps (link->data, core->urgent_steps);
+  is_left = core_urgent_room_take (step);
+  g_array_unref (core->urgent_rooms);
+  g_ptr_array_unref (core->urgent_steps);
+  core->urgent_rooms = rooms;
+  core->urgent_steps = steps;
+  return is_left;
+}
+
 /* --- preemption --- */
 
 static bool
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -359,6 +359,8 @@
 open_listeners (struct fl_frontd *frontd, struct fl_error *error)
 {
   const struct fl_host_settings *settings = &frontd->host->settings;
+  struct fl_host_metrics_options metrics
+      = { .port = settings->front_metrics_port, .dump = write_dump, .context = frontd };
 
   frontd->client_server = listen_at (frontd, &settings->front, on_request, error);
   if (frontd->client_server == NULL)
@@ -370,8 +372,7 @@
     frontd->native_server
         = listen_at (frontd, &settings->native_api, front_on_native_request, error);
   return (settings->native_api.len == 0 || frontd->native_server != NULL)
-         && fl_host_serve_metrics (frontd->host, settings->front_metrics_port, write_dump, frontd,
-                                   error);
+         && fl_host_serve_metrics (frontd->host, &metrics, error);
 }
 
 int
--- a/lib/frontd/native_api.c
+++ b/lib/frontd/native_api.c
@@ -17,37 +17,6 @@
 #define REQUESTS_PATH "/v1/requests/"
 #define QUEUES_PATH "/v1/queues/"
 
-/* Decodes and checks the job in @body. The fields id and queue are set from the request; the body
- * may omit them. */
-static bool
-decode_job (const struct fl_str *body,
-            const struct fl_name *id,
-            const struct fl_queue *queue,
-            struct fl_job_spec *spec,
-            struct fl_error *error)
-{
-  struct fl_problems problems = { 0 };
-  json_t *json = fl_json_parse (body->data, body->len, error);
-  bool is_valid;
-
-  if (json == NULL)
-    return false;
-  if (json_is_object (json))
-    {
-      json_object_set_new (json, "id", json_string (id->data));
-      json_object_set_new (json, "queue", json_string (queue->name.data));
-    }
-  is_valid = fl_schema_from_json (&fl_job_spec_schema, json, spec, "job", &problems);
-  if (!is_valid)
-    fl_fail (error, FL_INVALID, "job_decode", NULL, "%s", fl_str_text (&problems.text));
-  is_valid = is_valid && fl_job_spec_validate (spec, error);
-  if (!is_valid)
-    fl_schema_clear (&fl_job_spec_schema, spec);
-  fl_problems_clear (&problems);
-  json_decref (json);
-  return is_valid;
-}
-
 static void
 submit_job (struct fl_frontd *frontd,
             struct fl_http_request *request,
@@ -59,7 +28,7 @@
   struct fl_job_spec spec;
   struct fl_error error = { 0 };
 
-  if (decode_job (fl_http_body (request), id, queue, &spec, &error))
+  if (fl_job_spec_decode_request (fl_http_body (request), id, &queue->name, &spec, &error))
     front_submit_job (frontd, request, id, queue, team, &spec, wait_for_end);
   else
     front_respond_error (frontd, request, 400, error.text);
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -21,21 +21,24 @@
 struct metrics_context
 {
   struct fl_host *host;
-  void (*dump) (void *context, GString *out);
-  void *context;
+  struct fl_host_metrics_options options;
 };
 
 static void
 on_metrics_request (void *context, struct fl_http_request *request)
 {
   struct metrics_context *metrics = context;
+  const struct fl_host_metrics_options *options = &metrics->options;
+
+  if (options->on_request != NULL && options->on_request (options->context, request))
+    return;
   GString *text = g_string_new (NULL);
   struct fl_http_response response = { .status = 200, .type = "text/plain" };
 
   if (strcmp (fl_http_path (request), "/metrics") == 0)
     fl_stats_write (metrics->host->stats, text);
   else if (strcmp (fl_http_path (request), "/dump") == 0)
-    metrics->dump (metrics->context, text);
+    options->dump (options->context, text);
   else
     response.status = 404;
   response.body = text->str;
@@ -46,22 +49,20 @@
 
 bool
 fl_host_serve_metrics (struct fl_host *host,
-                       int64_t port,
-                       void (*dump) (void *context, GString *out),
-                       void *context,
+                       const struct fl_host_metrics_options *options,
                        struct fl_error *error)
 {
   struct metrics_context *metrics;
 
-  if (port == 0)
+  if (options->port == 0)
     return true;
   metrics = g_new0 (struct metrics_context, 1);
-  *metrics = (struct metrics_context){ host, dump, context };
-  struct fl_http_server_options options = {
+  *metrics = (struct metrics_context){ host, *options };
+  struct fl_http_server_options server = {
     .loop = host->loop,
     .address = host->settings.address.data,
-    .port = port,
-    .body_max = METRICS_BODY_MAX,
+    .port = options->port,
+    .body_max = MAX (options->body_max, METRICS_BODY_MAX),
     .header_max = METRICS_HEADER_MAX,
     .connections_max = METRICS_CONNECTIONS_MAX,
     .idle_timeout_ms = METRICS_IDLE_TIMEOUT_MS,
@@ -69,7 +70,7 @@
     .on_request = on_metrics_request,
     .context = metrics,
   };
-  host->metrics_server = fl_http_server_new (&options, error);
+  host->metrics_server = fl_http_server_new (&server, error);
   return host->metrics_server != NULL;
 }
 
--- a/lib/host/host.h
+++ b/lib/host/host.h
@@ -50,13 +50,21 @@
  * @return the exit code. */
 int fl_program_main (const struct fl_program *program, int argc, char **argv);
 
-/* Serves counters at /metrics and the output of @dump at /dump, on @port unless it is 0. @context
- * must be valid whenever the event loop runs.
+struct fl_host_metrics_options
+{
+  int64_t port; /* nothing is served if it is 0 */
+  void (*dump) (void *context, GString *out);
+  /* Responds to a request for another path; NULL for none. @return false, without a response, for
+   * an unknown path. */
+  bool (*on_request) (void *context, struct fl_http_request *request);
+  int64_t body_max; /* bytes of the body of such a request; 0 for those without one */
+  void *context;    /* valid whenever the event loop runs */
+};
+
+/* Serves counters at /metrics and the output of options->dump at /dump.
  * @return false with @error filled when the port cannot be bound. */
 bool fl_host_serve_metrics (struct fl_host *host,
-                            int64_t port,
-                            void (*dump) (void *context, GString *out),
-                            void *context,
+                            const struct fl_host_metrics_options *options,
                             struct fl_error *error);
 
 /* Watchers that call on_stop on SIGTERM and SIGINT. */
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -365,3 +365,32 @@
   json_decref (json);
   return text;
 }
+
+bool
+fl_job_spec_decode_request (const struct fl_str *body,
+                            const struct fl_name *id,
+                            const struct fl_name *queue,
+                            struct fl_job_spec *spec,
+                            struct fl_error *error)
+{
+  struct fl_problems problems = { 0 };
+  json_t *json = fl_json_parse (body->data, body->len, error);
+  bool is_valid;
+
+  if (json == NULL)
+    return false;
+  if (json_is_object (json))
+    {
+      json_object_set_new (json, "id", json_string (id->data));
+      json_object_set_new (json, "queue", json_string (queue->data));
+    }
+  is_valid = fl_schema_from_json (&fl_job_spec_schema, json, spec, "job", &problems);
+  if (!is_valid)
+    fl_fail (error, FL_INVALID, "job_decode", NULL, "%s", fl_str_text (&problems.text));
+  is_valid = is_valid && fl_job_spec_validate (spec, error);
+  if (!is_valid)
+    fl_schema_clear (&fl_job_spec_schema, spec);
+  fl_problems_clear (&problems);
+  json_decref (json);
+  return is_valid;
+}
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -187,6 +187,15 @@
  * @return false with @error filled when something is wrong. */
 bool fl_job_spec_validate (const struct fl_job_spec *spec, struct fl_error *error);
 
+/* Decodes and checks the job in the @body of a request. The fields id and queue are set from the
+ * arguments; the body may omit them. @return false with @error filled and nothing to clear when it
+ * is malformed. */
+bool fl_job_spec_decode_request (const struct fl_str *body,
+                                 const struct fl_name *id,
+                                 const struct fl_name *queue,
+                                 struct fl_job_spec *spec,
+                                 struct fl_error *error);
+
 /* @return the step with index @number, which must be below the number of steps. */
 const struct fl_step_spec *fl_job_spec_get_step (const struct fl_job_spec *spec, size_t number);
 
--- a/lib/policy/interference.c
+++ b/lib/policy/interference.c
@@ -272,6 +272,21 @@
   return (struct fl_interference_class){ entry->generation, (uint8_t)place };
 }
 
+struct fl_interference_class
+fl_interference_find_class (const struct fl_interference *interference,
+                            const struct fl_name *queue,
+                            const struct fl_name *image)
+{
+  for (int i = 0; i < CLASSES_MAX - 1; i++)
+    {
+      const struct class_entry *entry = &interference->classes[i];
+      if (entry->generation != 0 && fl_name_eq (&entry->image, image)
+          && fl_name_eq (&entry->queue, queue))
+        return (struct fl_interference_class){ entry->generation, (uint8_t)i };
+    }
+  return (struct fl_interference_class){ 0 };
+}
+
 struct fl_interference_class
 fl_interference_get_class (struct fl_interference *interference,
                            const struct fl_name *queue,
--- a/lib/policy/interference.h
+++ b/lib/policy/interference.h
@@ -65,6 +65,11 @@
 struct fl_interference *fl_interference_new (void);
 void fl_interference_free (struct fl_interference *interference);
 
+/* @return the class of @queue and @image, or none if it has no place now. */
+struct fl_interference_class fl_interference_find_class (const struct fl_interference *interference,
+                                                         const struct fl_name *queue,
+                                                         const struct fl_name *image);
+
 /* @return the class of @queue and @image. */
 struct fl_interference_class fl_interference_get_class (struct fl_interference *interference,
                                                         const struct fl_name *queue,
--- a/lib/policy/run_time.c
+++ b/lib/policy/run_time.c
@@ -79,9 +79,9 @@
 }
 
 struct fl_run_time_class *
-fl_run_times_get_class (struct fl_run_times *times,
-                        const struct fl_name *queue,
-                        const struct fl_name *image)
+fl_run_times_find_class (const struct fl_run_times *times,
+                         const struct fl_name *queue,
+                         const struct fl_name *image)
 {
   for (guint i = 0; i < times->classes->len; i++)
     {
@@ -89,9 +89,20 @@
       if (fl_name_eq (&run_class->queue, queue) && fl_name_eq (&run_class->image, image))
         return run_class;
     }
-  if (times->classes->len == CLASSES_MAX)
-    return g_ptr_array_index (times->classes, CLASSES_MAX - 1);
-  struct fl_run_time_class *run_class = g_new0 (struct fl_run_time_class, 1);
+  return times->classes->len == CLASSES_MAX ? g_ptr_array_index (times->classes, CLASSES_MAX - 1)
+                                            : NULL;
+}
+
+struct fl_run_time_class *
+fl_run_times_get_class (struct fl_run_times *times,
+                        const struct fl_name *queue,
+                        const struct fl_name *image)
+{
+  struct fl_run_time_class *run_class = fl_run_times_find_class (times, queue, image);
+
+  if (run_class != NULL)
+    return run_class;
+  run_class = g_new0 (struct fl_run_time_class, 1);
   run_class->queue = *queue;
   run_class->image = *image;
   g_ptr_array_add (times->classes, run_class);
--- a/lib/policy/run_time.h
+++ b/lib/policy/run_time.h
@@ -29,6 +29,11 @@
 struct fl_run_times *fl_run_times_new (void);
 void fl_run_times_free (struct fl_run_times *times);
 
+/* @return the class that fl_run_times_get_class returns, or NULL where that would add one. */
+struct fl_run_time_class *fl_run_times_find_class (const struct fl_run_times *times,
+                                                   const struct fl_name *queue,
+                                                   const struct fl_name *image);
+
 /* @return the class of @queue and @image (empty for none), valid until @times is freed. */
 struct fl_run_time_class *fl_run_times_get_class (struct fl_run_times *times,
                                                   const struct fl_name *queue,
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -269,9 +269,14 @@
 static bool
 open_links (struct fl_poold *poold, struct fl_error *error)
 {
+  struct fl_host_metrics_options metrics = { .port = poold->host->settings.pool_metrics_port,
+                                             .dump = write_dump,
+                                             .on_request = fl_poold_on_request,
+                                             .body_max = FL_PLAN_BODY_MAX,
+                                             .context = poold };
+
   return fl_peers_open (poold, on_advice_reply, error)
-         && fl_host_serve_metrics (poold->host, poold->host->settings.pool_metrics_port, write_dump,
-                                   poold, error);
+         && fl_host_serve_metrics (poold->host, &metrics, error);
 }
 
 int
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -80,6 +80,15 @@
 /* Whether @context, a struct fl_poold, may send orders now: whether it holds the pool's lease. */
 bool fl_poold_may_send (void *context);
 
+/* --- plan.c --- */
+
+/* Bytes of a job to be explained: above that of each job that fl_job_spec_validate accepts. */
+#define FL_PLAN_BODY_MAX (256 * 1024)
+
+/* Responds to POST /plan?queue=Q&team=T, whose body is a job, with where the job would go now.
+ * @return false, without a response, for another path. */
+bool fl_poold_on_request (void *context, struct fl_http_request *request);
+
 /* --- peers.c --- */
 
 /* Binds the link to the peers and creates the advisors and the forwarder that use it.
