--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -62,6 +62,10 @@
     return CORE_TARGET_NOT_REGISTERED;
   if (!fl_name_eq (&target->entry.service, service))
     return CORE_TARGET_OTHER_SERVICE;
+  if (target->entry.draining)
+    return CORE_TARGET_DRAINING;
+  if (target->is_evacuated)
+    return CORE_TARGET_EVACUATED;
   if (!is_registry_current (target->core))
     return CORE_TARGET_REGISTRY_OLD;
   if (!target->recorded)
@@ -74,14 +78,10 @@
     return CORE_TARGET_NOT_FENCED;
   if (!entry_is_of_present_boot (target))
     return CORE_TARGET_OTHER_BOOT;
-  if (target->entry.draining)
-    return CORE_TARGET_DRAINING;
   if (target->stale_runs > 0)
     return CORE_TARGET_STALE_RUNS;
   if (target->core->now_ms < target->quarantined_until_ms)
     return CORE_TARGET_QUARANTINED;
-  if (target->is_evacuated)
-    return CORE_TARGET_EVACUATED;
   return core_domains_are_known (target->core) ? CORE_TARGET_TAKES_TASKS
                                                : CORE_TARGET_DOMAINS_UNKNOWN;
 }
--- a/lib/core/plan.c
+++ b/lib/core/plan.c
@@ -377,7 +377,8 @@
     g_string_append (out, "no share learnt yet\n");
 }
 
-/* The first of the gates of placement that @step does not pass. */
+/* The first of the gates of placement that @step does not pass, in the order in which wait reasons
+ * are set. */
 static const char *
 get_outcome (const struct core_step *step, const struct plan_targets *targets)
 {
@@ -385,12 +386,12 @@
 
   if (!core_step_is_due (step))
     return "waits for its start time";
-  if (targets->task_capacity < needed)
-    return "waits for room";
   if (!core_team_has_capacity (step))
     return "waits for the limit of its team";
   if (!core_urgent_room_is_left (step))
     return "waits: urgent tasks that wait hold the room";
+  if (targets->task_capacity < needed)
+    return "waits for room";
   return step->job->queue.advice.required ? "queries advice, then starts on eligible targets"
                                           : "starts in its turn";
 }
