--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -36,10 +36,11 @@
 struct core_team
 {
   struct fl_name name;
-  struct fl_resources used;           /* by all runs that may be in effect */
-  struct fl_resources urgent_used;    /* part of used that belongs to urgent runs (priority 0) */
-  struct fl_resources urgent_peak;    /* decaying maximum of urgent_used */
-  struct fl_resources urgent_waiting; /* needed by its urgent tasks that wait, in this tick */
+  const struct fl_team *configuration; /* NULL when the present one does not have it */
+  struct fl_resources used;            /* by all runs that may be in effect */
+  struct fl_resources urgent_used;     /* part of used that belongs to urgent runs (priority 0) */
+  struct fl_resources urgent_peak;     /* decaying maximum of urgent_used */
+  struct fl_resources urgent_waiting;  /* needed by its urgent tasks that wait, in this tick */
   /* Needed by tasks that an earlier owner may have started on a target that has not reported. */
   struct fl_resources unreconciled;
   int64_t last_waiting_ms; /* when a job of it last had tasks that wait */
@@ -53,6 +54,10 @@
   int64_t advice_replies;
   double mean_run_ms;   /* moving average: duration of successful runs; 0 before the first */
   double failure_share; /* moving average: share of the runs that ended as failed */
+  /* The last demand for which no host was free, and the tick of that: hosts only become fewer until
+   * the next one. */
+  int64_t no_host_tick;
+  struct fl_advice_demand no_host_demand;
 };
 
 /* The members that every tick reads come first, since a tick visits all targets. */
@@ -203,11 +208,13 @@
 /* The last advice on whether a target may run a step. */
 struct core_advice
 {
-  struct fl_name target;
+  struct core_target *known_target; /* while core->target_changes is known_at_change */
+  int64_t known_at_change;
+  int64_t valid_until_ms; /* of the ticket */
   bool eligible;
   int64_t booted_at_ms; /* boot of the target that the advice is for */
+  struct fl_name target;
   struct fl_name ticket;
-  int64_t valid_until_ms; /* of the ticket */
 };
 
 /* Why the tasks of a step wait. */
@@ -250,6 +257,13 @@
   double unstarted_share; /* of its work */
 };
 
+/* Positions in core->target_list; those that are equal modulo CORE_POSITIONS share a bit. */
+#define CORE_POSITIONS 512
+struct core_positions
+{
+  uint64_t words[CORE_POSITIONS / 64];
+};
+
 struct core_step
 {
   struct core_job *job;
@@ -261,14 +275,18 @@
   int64_t due_wall_ms; /* 0 for immediately */
   struct core_task *tasks;
   int64_t unfinished_tasks;
-  int64_t idle_tasks;        /* neither done nor with a run */
-  GHashTable *advice;        /* target id -> struct core_advice */
-  GHashTable *unanswered;    /* ids of targets in queries that have no reply yet */
-  bool query_in_flight;      /* an advice query has no reply yet */
-  GArray *queried_targets;   /* struct fl_name: targets of the query in flight; else NULL */
-  int64_t queried_cpu_milli; /* tentatively charged to each queried target */
-  int64_t queries_sent;      /* about this step */
-  int64_t queries_failed;    /* of these, without a reply */
+  int64_t idle_tasks;            /* neither done nor with a run */
+  int64_t backoff_until_ms;      /* of its tasks, the last */
+  GHashTable *advice;            /* target id -> struct core_advice */
+  struct core_positions advised; /* of the targets that were eligible; may contain others */
+  int64_t advised_at_change;     /* core->target_changes for which it holds */
+  int64_t tickets_until_ms;      /* when the last of its tickets expires */
+  GHashTable *unanswered;        /* ids of targets in queries that have no reply yet */
+  bool query_in_flight;          /* an advice query has no reply yet */
+  GArray *queried_targets;       /* struct fl_name: targets of the query in flight; else NULL */
+  int64_t queried_cpu_milli;     /* tentatively charged to each queried target */
+  int64_t queries_sent;          /* about this step */
+  int64_t queries_failed;        /* of these, without a reply */
   enum core_wait_reason wait_reason;
   int64_t wait_started_at_ms;
   int64_t unplaced_since_ms; /* no task has been started since; 0 while none waits */
@@ -337,12 +355,38 @@
   GList final_link;
 };
 
+#define CORE_CLOSED INT64_MIN
+
+/* Targets are grouped by their free CPU, in steps of this; with more, they are in the last group.
+ */
+#define CORE_ROOM_STEP_MILLI 500
+#define CORE_ROOM_GROUPS 32
+
+/* The targets with at least a certain free CPU. */
+struct core_room_group
+{
+  bool is_known;
+  struct core_positions positions;
+};
+
+/* A target that takes new tasks. */
+struct core_open_target
+{
+  struct core_target *target;
+  guint position;           /* in core->target_list */
+  struct fl_resources free; /* without regard to best-effort tasks */
+};
+
 /* Upper bounds of the resources that are free on any target of a service. They are computed at most
  * once a tick: starts and queries only lower what is free until the next one. */
 struct core_free_max
 {
   struct fl_name service;
   struct fl_resources capacity; /* of all targets that take new tasks */
+  GArray *open_targets;         /* struct core_open_target, by position */
+  GArray
+      *free_cpu_milli; /* int64_t, by position; CORE_CLOSED for a target that takes no new tasks */
+  struct core_room_group groups[CORE_ROOM_GROUPS]; /* by free_cpu_milli */
   struct fl_resources free;
   int64_t untaken_cpu_milli; /* free CPU less tentative charges */
   /* The needs of the last step for which a search of all targets was in vain, and whether there was
@@ -379,6 +423,7 @@
   GHashTable *jobs;                         /* id -> struct core_job */
   GHashTable *finished_jobs;                /* ids of jobs whose final state is recorded */
   GPtrArray *target_list;                   /* all targets, in no particular order */
+  int64_t target_changes;                   /* how often one was added or removed */
   guint scan_start;                         /* where the next search for candidates starts */
   GQueue unreconciled_targets;              /* inherited and not yet reported */
   GHashTable *unreconciled_hashes;          /* fl_job_target_hash of their ids -> their number */
@@ -396,12 +441,14 @@
   int64_t unexplained_crash_ms;      /* when a target last crashed on which no run is suspected */
   uint32_t unexplained_crash_target; /* fl_job_target_hash of its id */
   GArray *free_max;                  /* struct core_free_max, of this tick */
-  GArray *urgent_rooms;              /* struct core_urgent_room, of this tick */
-  GPtrArray *urgent_steps;           /* struct core_step: urgent ones that wait, of this tick */
-  int64_t preempted_at_ms;           /* when tasks were last stopped for urgent work */
-  GHashTable *teams;                 /* name -> struct core_team */
-  GHashTable *queue_stats;           /* name -> struct core_queue_stats */
-  struct fl_run_times *run_times;    /* learnt from the runs that ended */
+  GArray *placements;                /* struct placement, of the step that is being placed */
+  int64_t tick_number;
+  GArray *urgent_rooms;           /* struct core_urgent_room, of this tick */
+  GPtrArray *urgent_steps;        /* struct core_step: urgent ones that wait, of this tick */
+  int64_t preempted_at_ms;        /* when tasks were last stopped for urgent work */
+  GHashTable *teams;              /* name -> struct core_team */
+  GHashTable *queue_stats;        /* name -> struct core_queue_stats */
+  struct fl_run_times *run_times; /* learnt from the runs that ended */
   struct fl_interference *interference;
   int64_t now_ms;
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
@@ -676,6 +723,9 @@
 
 /* --- placement.c --- */
 
+/* @return an empty array of struct placement. */
+GArray *core_placements_new (void);
+
 /* Starts the tasks that can be started, and updates the wait reasons of the others. */
 void core_place_tasks (struct fl_core *core);
 
@@ -707,6 +757,12 @@
  * NULL when there is no valid ticket. */
 const char *core_advice_ticket (const struct core_step *step, const struct core_target *target);
 
+/* Whether some ticket of @step may be valid. */
+bool core_step_has_ticket (const struct core_step *step);
+
+/* Whether the ticket of @advice is valid if its target has not restarted. */
+bool core_advice_has_ticket (const struct core_step *step, const struct core_advice *advice);
+
 /* Queries advice on targets for @waiting tasks of @step, unless a query is already in flight.
  * @return what the step waits for afterwards. */
 enum core_wait_reason core_advice_send_query (struct core_step *step, int64_t waiting);
@@ -789,6 +845,23 @@
  * search for targets is in vain. @include_tentative counts tentative charges as used. */
 bool core_capacity_is_exhausted (const struct core_step *step, bool include_tentative);
 
+/* @return rows of struct core_open_target, by position: the targets that take new tasks of the
+ * service of @step. Valid for this tick. */
+const GArray *core_get_open_targets (const struct core_step *step);
+
+/* @return the index of the first of @open_targets at @position or behind it; 0 when there is none.
+ */
+guint core_find_open_target (const GArray *open_targets, guint position);
+
+/* Whether a task of @step can fit on @open_target, by what is free there. */
+bool core_may_fit (const struct core_open_target *open_target, const struct core_step *step);
+
+/* Notes that @target, for which @step has advice, is eligible. */
+void core_step_add_advised (struct core_step *step, const struct core_target *target);
+
+/* Updates what is free on @target in this tick after it got a run or lost one. */
+void core_update_room (const struct core_target *target);
+
 /* Records that @step fits on no target. */
 void core_record_vain_search (const struct core_step *step, bool include_tentative);
 
--- a/lib/core/plan.c
+++ b/lib/core/plan.c
@@ -186,6 +186,7 @@
   job->accepted_version = INT64_MAX;
   planned->own_run_times = fl_run_times_new ();
   planned->own_team.name = spec->team;
+  planned->own_team.configuration = fl_configuration_find_team (core->configuration, &spec->team);
   job->team = g_hash_table_lookup (core->teams, &spec->team);
   planned->has_own_team = job->team == NULL;
   if (planned->has_own_team)
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -71,6 +71,7 @@
   core_job_update_age (task->step->job);
   g_ptr_array_add (target->runs, run);
   charge_resources (run, 1);
+  core_update_room (target);
   core_crash_watch (run);
   core_interference_classify_run (run);
   return run;
@@ -99,6 +100,7 @@
     core_job_renew_task_targets (run->task->step->job);
   core_crash_note_release (run);
   charge_resources (run, -1);
+  core_update_room (run->target);
   core_run_set_state (run, CORE_RUN_ACCEPTED);
   run->task->run = NULL;
   if (!run->task->done)
@@ -404,7 +406,10 @@
     target->quarantined_until_ms
         = MAX (target->quarantined_until_ms, core->now_ms + REJECTED_BACKOFF_MS);
   if (result == FL_ORDER_INVALID || host_is_too_busy (core, result))
-    task->backoff_until_ms = core->now_ms + REJECTED_BACKOFF_MS;
+    {
+      task->backoff_until_ms = core->now_ms + REJECTED_BACKOFF_MS;
+      task->step->backoff_until_ms = task->backoff_until_ms;
+    }
   core_run_release (run);
   if (task->step->spec->gang)
     abort_gang (task->step);
--- a/lib/core/urgent_room.c
+++ b/lib/core/urgent_room.c
@@ -8,6 +8,9 @@
 /* Share of the capacity of a service that may be in the course of being stopped. */
 #define STOPPING_MAX_PERCENT 25
 
+/* Longest time for which a job of which nothing runs is held back. A job must not wait for 3 s
+ * where there is room, and needs a query first. */
+#define HOLD_BACK_MAX_MS 1000
 /* Upper estimate of the delay of a task that is stopped and resumed. */
 #define PREEMPTION_DELAY_MS 4000
 
@@ -72,8 +75,7 @@
 static bool
 fits_limit (const struct core_step *step)
 {
-  const struct fl_team *team
-      = fl_configuration_find_team (step->job->core->configuration, &step->job->team->name);
+  const struct fl_team *team = step->job->team->configuration;
   const struct fl_step_spec *spec = step->spec;
 
   return team == NULL
@@ -169,6 +171,15 @@
   return room;
 }
 
+/* Load pattern: urgent steps wait since queries are slow, and not for want of room. Batch jobs that
+ * wait with them beside free targets have to begin all the same. */
+static bool
+has_waited_enough (const struct core_step *step)
+{
+  return step->job->run_count == 0 && step->unplaced_since_ms > 0
+         && step->job->core->now_ms - step->unplaced_since_ms >= HOLD_BACK_MAX_MS;
+}
+
 bool
 core_urgent_room_take (const struct core_step *step)
 {
@@ -178,7 +189,7 @@
       || step->job->core->urgent_steps->len == 0)
     return true;
   struct core_urgent_room *room = get_spare_room (step);
-  if (room->tasks == 0)
+  if (room->tasks == 0 || has_waited_enough (step))
     return true;
   if (room->spare.cpu_milli < spec->cpu_milli || room->spare.memory_mb < spec->memory_mb)
     return false;
@@ -347,8 +358,7 @@
 static void
 preempt_for_team (struct fl_core *core, struct core_team *team, const struct fl_resources *need)
 {
-  const struct fl_team *configuration
-      = fl_configuration_find_team (core->configuration, &team->name);
+  const struct fl_team *configuration = team->configuration;
   struct preemptible_runs runs
       = { .candidates = g_array_new (FALSE, FALSE, sizeof (struct fl_preemption_candidate)) };
 
