--- a/lib/core/urgent_room.c
+++ b/lib/core/urgent_room.c
@@ -212,6 +212,40 @@
   room->spare.memory_mb -= tasks * step->spec->memory_mb;
 }
 
+/* Adds the steps of @job that are urgent and wait to those of @steps. */
+static void
+add_urgent_steps (struct core_job *job, GPtrArray *steps)
+{
+  for (size_t i = 0; i < job->step_count; i++)
+    {
+      struct core_step *step = &job->steps[i];
+      if (step->idle_tasks > 0 && core_step_is_due (step) && is_urgent (step)
+          && core_job_order_class (job) != FL_ORDER_EXPIRED)
+        g_ptr_array_add (steps, step);
+    }
+}
+
+bool
+core_urgent_room_is_left (const struct core_step *step)
+{
+  struct fl_core *core = step->job->core;
+  GArray *rooms = core->urgent_rooms;
+  GPtrArray *steps = core->urgent_steps;
+  bool is_left;
+
+  /* Since the last tick, steps of that tick may have been freed. */
+  core->urgent_rooms = g_array_new (FALSE, TRUE, sizeof (struct core_urgent_room));
+  core->urgent_steps = g_ptr_array_new ();
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    add_urgent_steps (link->data, core->urgent_steps);
+  is_left = core_urgent_room_permits (step);
+  g_array_unref (core->urgent_rooms);
+  g_ptr_array_unref (core->urgent_steps);
+  core->urgent_rooms = rooms;
+  core->urgent_steps = steps;
+  return is_left;
+}
+
 /* --- preemption --- */
 
 static bool
@@ -225,17 +259,17 @@
          && run->target->watched_run != run;
 }
 
+/* By its progress, or before it has made any, by the run time of its class. */
 static int64_t
 remaining_ms (const struct core_run *run, int64_t now_ms)
 {
   const struct core_step *step = run->task->step;
   struct fl_run_time run_time
       = fl_run_time_get (step->run_class, core_target_kind (run->target), step->spec->estimate_ms);
-  int64_t expected_ms = (int64_t)run_time.median_ms * (100 - run->progress_percent) / 100;
 
   if (run->progress_percent > 0 || run_time.median_ms <= 0)
     return core_run_remaining_ms (run, now_ms);
-  return MAX (expected_ms, 0);
+  return (int64_t)run_time.median_ms;
 }
 
 /* What the runs that matter to a shortage say about preemption. */
