urgent room: no candidates are not sorted, and the test copies what it judges of an order

Cause, found by sanitizers: qsort was called with a null pointer where no task may be stopped; test_urgent_room read the checkpoint of a captured start order after the core had freed it (test_preempted_tasks_resume failed in 3 of 150 and 8 of 500 runs).

--- a/lib/policy/preemption.c
+++ b/lib/policy/preemption.c
@@ -40,7 +40,8 @@
   int64_t memory_mb = 0;
   size_t chosen = 0;
 
-  qsort (candidates, count, sizeof *candidates, compare_candidates);
+  if (count > 0)
+    qsort (candidates, count, sizeof *candidates, compare_candidates);
   while (chosen < count && is_eligible (&candidates[chosen])
          && (cpu_milli < need->cpu_milli || memory_mb < need->memory_mb)
          && cpu_milli + candidates[chosen].cpu_milli <= need->cpu_max_milli)
--- a/tests/test_urgent_room.c
+++ b/tests/test_urgent_room.c
@@ -110,9 +110,8 @@
   guint starts_seen;
   guint stops_seen;
   int64_t end_numbers[TARGETS];
-  int ended[2];          /* tasks that ended as done: urgent ones, others */
-  int64_t urgent_age_ms; /* of all urgent tasks at their end, added up */
-  int64_t urgent_began_ms;
+  int ended[2]; /* tasks that ended as done: urgent ones, others */
+  int resumed;  /* starts of batch tasks with a checkpoint */
 };
 
 static struct model *
@@ -159,6 +158,7 @@
                                fixture->now_ms,
                                is_urgent (&order->task) ? URGENT_RUN_MS : BATCH_RUN_MS,
                                0 };
+      model->resumed += !is_urgent (&order->task) && order->checkpoint[0] != '\0';
       g_array_append_val (model->runs, run);
       confirm_start (fixture, model->starts_seen);
     }
@@ -215,8 +215,6 @@
                                  .checkpoint = fl_str_of ("c") };
       if (is_done)
         model->ended[is_urgent (&run->task) ? 0 : 1]++;
-      if (is_done && is_urgent (&run->task))
-        model->urgent_age_ms += fixture->now_ms - model->urgent_began_ms;
       g_array_remove_index_fast (model->runs, i - 1);
     }
   deliver_report (fixture, name, report);
@@ -255,7 +253,6 @@
 static void
 add_urgent_job (struct model *model, const char *id, int64_t count)
 {
-  model->urgent_began_ms = model->fixture->now_ms;
   add_job (
       model->fixture, id, "urgent",
       (struct fl_step_spec){
@@ -329,16 +326,12 @@
 test_preempted_tasks_resume (void **state)
 {
   struct model *model = model_new_full ((struct fl_step_spec){ .checkpoints = true }, "slow", 0);
-  int resumed = 0;
 
   (void)state;
   add_urgent_job (model, "u", 4);
   run_model (model, 40000);
-  for (guint i = 0; i < model->fixture->start_orders->len; i++)
-    resumed += !is_urgent (&get_start_order (model->fixture, i)->task)
-               && get_start_order (model->fixture, i)->checkpoint[0] != '\0';
   assert_int_equal (model->ended[1], 40);
-  assert_true (resumed >= 4);
+  assert_true (model->resumed >= 4);
   model_free (model);
 }
 
