--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -777,13 +777,31 @@
 /* Abandons the query of @step that is in flight, if any; its reply will be ignored. */
 void core_advice_abandon_query (struct core_step *step);
 
-/* --- placement.c, used by advice.c --- */
+/* --- placement.c, used by others --- */
 
 /* @return how long @step has waited for advice without a break. */
 int64_t core_step_wait_for_advice_ms (const struct core_step *step);
 
+/* The free CPU of @target by which it is ranked for tasks of @step: lower while it is cold. */
+int64_t core_target_rank_cpu (const struct core_target *target, const struct core_step *step);
+
+/* Whether the limit of its team leaves room for one more task of @step. */
+bool core_team_has_capacity (const struct core_step *step);
+
+/* The score by which @target is chosen for @step: the highest is best. */
+int64_t core_target_placement_score (struct core_target *target, const struct core_step *step);
+
+/* @return how many waiting steps are placed before @step, which is not one of them, and in @count
+ * how many wait. Refreshes the deadlines of waiting jobs and last_waiting_ms of their teams. */
+int64_t core_step_count_before (const struct core_step *step, int64_t *count);
+
+/* --- room.c --- */
+
 bool core_target_has_label (const struct core_target *target, const struct fl_name *label);
 
+/* Whether @target takes new tasks of queues with @service, whatever they need. */
+bool core_target_accepts_service (const struct core_target *target, const struct fl_name *service);
+
 /* Whether @target takes new tasks of @step, if it has capacity. */
 bool core_target_accepts_step (const struct core_target *target, const struct core_step *step);
 
@@ -792,9 +810,6 @@
 struct fl_resources core_target_available_resources (const struct core_target *target,
                                                      bool for_best_effort);
 
-/* The free CPU of @target by which it is ranked for tasks of @step: lower while it is cold. */
-int64_t core_target_rank_cpu (const struct core_target *target, const struct core_step *step);
-
 /* Why a target takes no task of a step. */
 enum core_target_reason
 {
@@ -826,16 +841,6 @@
                                                 const struct core_step *step,
                                                 int64_t *task_capacity);
 
-/* Whether the limit of its team leaves room for one more task of @step. */
-bool core_team_has_capacity (const struct core_step *step);
-
-/* The score by which @target is chosen for @step: the highest is best. */
-int64_t core_target_placement_score (struct core_target *target, const struct core_step *step);
-
-/* @return how many waiting steps are placed before @step, which is not one of them, and in @count
- * how many wait. Refreshes the deadlines of waiting jobs and last_waiting_ms of their teams. */
-int64_t core_step_count_before (const struct core_step *step, int64_t *count);
-
 /* How many tasks of @step the target can take now, by its resources and label and by the limits of
  * the step; 0 when it takes no new tasks. @include_tentative counts tentative charges as used. */
 int64_t core_target_task_capacity (const struct core_target *target,
@@ -863,6 +868,12 @@
 /* Notes that @target, for which @step has advice, is eligible. */
 void core_step_add_advised (struct core_step *step, const struct core_target *target);
 
+/* Whether a target that was eligible for @step may have room for one of its tasks. */
+bool core_step_may_fit_on_advised (struct core_step *step);
+
+/* @return the target of @advice; NULL if it is not known any more. */
+struct core_target *core_advice_get_target (const struct fl_core *core, struct core_advice *advice);
+
 /* Updates what is free on @target in this tick after it got a run or lost one. */
 void core_update_room (const struct core_target *target);
 
