Store calls: a reply that is arriving is not requested again

Callers saw, on hosts with 10 Mbit/s, after configurations with 1,400 routes more: requests rejected (503) or without an answer until their deadline, and connections that ended without an answer. 6 of 34 front daemons never got the fourth configuration.

Cause: limits and timeouts of reads and feed calls counted from the start of the call, without a look at what had arrived. A reply of some MB took longer than the limit; up to four copies were requested, shared the bandwidth, and each was ended before it was complete. Meanwhile the copies filled the link, and requests of clients waited behind them.

--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -8,6 +8,8 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "common/clock.h"
+
 /* A call whose response body is longer fails. */
 #define RESPONSE_BODY_MAX (16 * 1024 * 1024)
 /* The kernel closes a connection whose sent data stays unacknowledged for this long. */
@@ -35,8 +37,12 @@
   bool is_resendable;
   int sent_count;        /* how often the request was sent, completely or in part */
   bool prevented_resend; /* libcurl was about to send the request again */
+  int64_t stall_timeout_ms;
+  int64_t last_progress_ms; /* by the boot clock; 0 before the body begins to arrive */
+  ev_timer stall_timer;     /* of calls with a stall timeout */
   bool (*may_send) (void *context);
   void *may_send_context;
+  void (*on_progress) (void *context);
   void (*on_done) (void *context, const struct fl_http_result *result);
   void *context;
 };
@@ -53,6 +59,7 @@
 {
   struct call *call = data;
 
+  ev_timer_stop (call->client->loop, &call->stall_timer);
   curl_multi_remove_handle (call->client->multi, call->easy);
   curl_easy_cleanup (call->easy);
   g_string_free (call->body, TRUE);
@@ -69,6 +76,9 @@
   if (call->body->len + size * count > RESPONSE_BODY_MAX)
     return 0;
   g_string_append_len (call->body, data, (gssize)(size * count));
+  call->last_progress_ms = fl_clock_boot_ms ();
+  if (call->on_progress != NULL)
+    call->on_progress (call->context);
   return size * count;
 }
 
@@ -203,6 +213,27 @@
 
 /* --- event loop --- */
 
+static void
+arm_stall_timer (struct call *call, int64_t delay_ms)
+{
+  ev_timer_set (&call->stall_timer, (double)delay_ms / 1000.0, 0.0);
+  ev_timer_start (call->client->loop, &call->stall_timer);
+}
+
+static void
+on_stall_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct call *call = timer->data;
+  int64_t left_ms = call->last_progress_ms + call->stall_timeout_ms - fl_clock_boot_ms ();
+
+  (void)loop;
+  (void)events;
+  if (call->last_progress_ms > 0 && left_ms > 0)
+    arm_stall_timer (call, left_ms);
+  else
+    finish_call (call->client, call, CURLE_OPERATION_TIMEDOUT);
+}
+
 static void
 on_io (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -332,6 +363,12 @@
   call->is_resendable = options->is_resendable;
   call->may_send = options->may_send;
   call->may_send_context = options->may_send_context;
+  call->on_progress = options->on_progress;
+  call->stall_timeout_ms = options->stall_timeout_ms;
+  ev_timer_init (&call->stall_timer, on_stall_timer, 0.0, 0.0);
+  /* After a pause, what has arrived is read first. */
+  ev_set_priority (&call->stall_timer, EV_MINPRI);
+  call->stall_timer.data = call;
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (easy, CURLOPT_URL, options->url);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
@@ -340,7 +377,10 @@
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_option);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (options->timeout_ms, 1));
+  if (options->stall_timeout_ms > 0)
+    arm_stall_timer (call, MAX (options->timeout_ms, 1));
+  else
+    curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (options->timeout_ms, 1));
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX (options->connect_timeout_ms, 1));
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -37,7 +37,11 @@
   const char *header; /* additional header line, "Name: value"; NULL for none */
   const char *body;   /* NULL for none */
   size_t len;         /* of the body */
-  int64_t timeout_ms; /* of the whole call */
+  int64_t
+      timeout_ms; /* of the whole call; with @stall_timeout_ms, until the body begins to arrive */
+  /* A call whose body arrives goes on until nothing of it has arrived for this long. 0 limits the
+   * whole call to @timeout_ms. */
+  int64_t stall_timeout_ms;
   int64_t connect_timeout_ms;
   const struct fl_traffic *traffic; /* counters of calls of this kind; NULL for none */
   /* Permits sending the request again when a reused connection ends before the reply. For calls of
@@ -47,6 +51,8 @@
    * false, nothing is sent, or not again. NULL always permits sending. */
   bool (*may_send) (void *context);
   void *may_send_context;
+  /* Called when a part of the body has arrived. NULL for none. */
+  void (*on_progress) (void *context);
   void (*on_done) (void *context, const struct fl_http_result *result);
   void *context;
 };
--- a/lib/relay/path.h
+++ b/lib/relay/path.h
@@ -44,5 +44,8 @@
  * @return whether the next call should go directly. */
 bool fl_relay_path_is_healthy (struct fl_relay_path *path, int64_t now_ms);
 
+/* Records that a part of a reply arrived at @arrived_ms. */
+void fl_relay_path_record_progress (struct fl_relay_path *path, int64_t arrived_ms);
+
 /* @return whether to send a probe now; the next one is then due after the probe interval. */
 bool fl_relay_path_claim_probe (struct fl_relay_path *path, int64_t now_ms);
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -205,6 +205,8 @@
   struct fl_relay *relay = call->relay;
   bool had_failed = relay->path.has_failed;
 
+  if (g_hash_table_lookup (relay->direct_calls, call->context) == call)
+    g_hash_table_remove (relay->direct_calls, call->context);
   /* A feed call counts only now: while it waits for changes, a missing reply is no failure. */
   if (!call->is_prompt)
     fl_relay_path_record_call (&relay->path, fl_clock_boot_ms ());
@@ -223,16 +225,38 @@
   struct direct_call *call = g_new0 (struct direct_call, 1);
 
   *call = (struct direct_call){ relay, is_prompt, fl_clock_boot_ms (), done, done_context };
+  g_hash_table_insert (relay->direct_calls, done_context, call);
   if (is_prompt)
     fl_relay_path_record_call (&relay->path, call->sent_ms);
   return call;
 }
 
+static int64_t
+get_direct_progress_ms (const struct fl_relay *relay, const struct direct_call *call)
+{
+  const struct fl_store *direct = relay->options.direct;
+
+  return direct->last_progress_ms != NULL ? direct->last_progress_ms (direct->context, call) : 0;
+}
+
+bool
+fl_relay_is_path_healthy (struct fl_relay *relay)
+{
+  GHashTableIter iter;
+  void *call;
+
+  /* A large reply that is arriving is not overdue. */
+  g_hash_table_iter_init (&iter, relay->direct_calls);
+  while (g_hash_table_iter_next (&iter, NULL, &call))
+    fl_relay_path_record_progress (&relay->path, get_direct_progress_ms (relay, call));
+  return fl_relay_path_is_healthy (&relay->path, fl_clock_boot_ms ());
+}
+
 static bool
 should_call_directly (struct fl_relay *relay)
 {
   bool had_failed = relay->path.has_failed;
-  bool is_healthy = fl_relay_path_is_healthy (&relay->path, fl_clock_boot_ms ());
+  bool is_healthy = fl_relay_is_path_healthy (relay);
 
   log_path_change (relay, had_failed);
   return is_healthy || relay->peers->len == 0;
@@ -310,6 +334,15 @@
                   fl_relay_direct_call_new (relay, false, done, done_context));
 }
 
+static int64_t
+get_last_progress_ms (void *context, const void *done_context)
+{
+  const struct fl_relay *relay = context;
+  const struct direct_call *call = g_hash_table_lookup (relay->direct_calls, done_context);
+
+  return call != NULL ? get_direct_progress_ms (relay, call) : 0;
+}
+
 /* --- messages --- */
 
 static void
@@ -369,9 +402,12 @@
       g_free (relay);
       return NULL;
     }
-  relay->store = (struct fl_store){
-    .context = relay, .transact = transact, .read = read_range, .feed = feed
-  };
+  relay->store = (struct fl_store){ .context = relay,
+                                    .transact = transact,
+                                    .read = read_range,
+                                    .feed = feed,
+                                    .last_progress_ms = get_last_progress_ms };
+  relay->direct_calls = g_hash_table_new (NULL, NULL);
   relay->peers = g_array_new (FALSE, FALSE, sizeof (struct peer));
   relay->peer_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, peer_call_free);
   ev_timer_init (&relay->tick, on_tick, TICK_INTERVAL_MS / 1000.0, TICK_INTERVAL_MS / 1000.0);
@@ -394,6 +430,7 @@
       fl_link_receive (relay->link);
     }
   g_hash_table_destroy (relay->peer_calls);
+  g_hash_table_destroy (relay->direct_calls);
   fl_link_free (relay->link);
   g_array_unref (relay->peers);
   g_free (relay);
--- a/lib/relay/relay_internal.h
+++ b/lib/relay/relay_internal.h
@@ -21,9 +21,10 @@
   struct fl_relay_path path;
   struct fl_link *link;
   ev_timer tick;
-  GArray *peers;          /* struct peer */
-  size_t next_peer;       /* index of the next one in turn */
-  GHashTable *peer_calls; /* calls in flight: number -> struct peer_call */
+  GArray *peers;            /* struct peer */
+  size_t next_peer;         /* index of the next one in turn */
+  GHashTable *peer_calls;   /* calls in flight: number -> struct peer_call */
+  GHashTable *direct_calls; /* in flight: done_context -> struct direct_call */
   int64_t last_call_number;
   int64_t next_list_ms;      /* when the list of hosts is read next */
   int64_t largest_cpu_milli; /* of the listed hosts */
@@ -54,6 +55,9 @@
                                               void *done_context);
 void fl_relay_on_direct_reply (void *context, const struct fl_store_reply *reply);
 
+/* @return whether the store can be called directly, by the replies of late. */
+bool fl_relay_is_path_healthy (struct fl_relay *relay);
+
 /* --- relayed.c --- */
 
 /* Executes the call in @message and replies to @sender. */
--- a/lib/relay/relayed.c
+++ b/lib/relay/relayed.c
@@ -76,7 +76,7 @@
       reject_call (call, "this host is stopping");
       return;
     }
-  if (!fl_relay_path_is_healthy (&relay->path, fl_clock_boot_ms ()))
+  if (!fl_relay_is_path_healthy (relay))
     {
       reject_call (call, "this host cannot reach the store either");
       return;
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -84,6 +84,22 @@
   schedule_call (follower, delay_ms);
 }
 
+/* Whether a reply is on its way: a copy would share the bandwidth with it, so that both may take
+ * longer than any limit. */
+static bool
+is_receiving (const struct fl_follower *follower)
+{
+  const struct fl_store *store = follower->options.store;
+  int64_t since_ms = fl_clock_boot_ms () - follower->read_limit.min_ms;
+
+  if (store->last_progress_ms == NULL)
+    return false;
+  for (size_t i = 0; i < follower->copy_count; i++)
+    if (store->last_progress_ms (store->context, follower->copies[i]) >= since_ms)
+      return true;
+  return false;
+}
+
 static void
 on_call_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -93,7 +109,7 @@
   (void)events;
   if (follower->copy_count == 0)
     send_next_call (follower);
-  else if (follower->copy_count < COPIES_MAX)
+  else if (follower->copy_count < COPIES_MAX && !is_receiving (follower))
     {
       fl_reply_limit_widen (get_limit (follower));
       send_copy (follower, FEED_COPY_WAIT_MS);
@@ -312,6 +328,8 @@
       = fl_reply_limit_make (FEED_LIMIT_MIN_MS, FEED_SILENT_LIMIT_MAX_MS, FEED_LATE_LIMIT_MAX_MS);
   ev_timer_init (&follower->call_timer, on_call_timer, 0.0, 0.0);
   follower->call_timer.data = follower;
+  /* After a pause, what has arrived is read first. */
+  ev_set_priority (&follower->call_timer, EV_MINPRI);
   start_read (follower);
   send_next_call (follower);
   return follower;
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -110,4 +110,7 @@
                 int64_t timeout_ms,
                 void (*done) (void *context, const struct fl_store_reply *reply),
                 void *done_context);
+  /* @return when a part of the reply to the read or feed call in flight with @done_context arrived
+   * last, by the boot clock in ms; 0 if none has, or if that is not known. NULL if it never is. */
+  int64_t (*last_progress_ms) (void *context, const void *done_context);
 };
--- a/tests/test_relay_stop.c
+++ b/tests/test_relay_stop.c
@@ -131,7 +131,8 @@
       = g_strdup_printf ("{\"address\":\"tcp://127.0.0.1:%d\",\"cpu_milli\":500}", relay_port);
 
   *caller = (struct caller){ .loop = ev_loop_new (EVFLAG_AUTO), .host_row = fl_str_of (row) };
-  caller->direct = (struct fl_store){ caller, direct_transact, direct_read, NULL };
+  caller->direct
+      = (struct fl_store){ .context = caller, .transact = direct_transact, .read = direct_read };
   options.loop = caller->loop;
   options.stats = caller->stats = fl_stats_new ();
   options.direct = &caller->direct;
--- a/tests/test_release.c
+++ b/tests/test_release.c
@@ -110,7 +110,9 @@
                                           .on_acquired = on_acquired,
                                           .on_lost = on_lost };
 
-  store->interface = (struct fl_store){ store, stub_store_transact, stub_store_read, NULL };
+  store->interface = (struct fl_store){ .context = store,
+                                        .transact = stub_store_transact,
+                                        .read = stub_store_read };
   return fl_ownership_new (&options);
 }
 
