Log and count how long an event loop was held up

An on-call reader could not tell whether a process had run when a request was dropped or a call timed out: nothing was logged of it.

--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -230,6 +230,7 @@
   fl_log_set_nonblocking ();
   start_log_buffer (host);
   host->stats = fl_stats_new ();
+  fl_loop_watch_start (&host->loop_watch, host->loop, &host->log, host->stats);
   host->http_client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX, host->stats);
   host->platform_store = fl_platform_store_new (host->http_client, host->settings.store.data);
   host->store = fl_platform_store_get_interface (host->platform_store);
@@ -243,6 +244,7 @@
   fl_relay_free (host->relay);
   fl_platform_store_free (host->platform_store);
   fl_http_client_free (host->http_client);
+  fl_loop_watch_stop (&host->loop_watch);
   fl_stats_free (host->stats);
 }
 
--- a/lib/host/host.h
+++ b/lib/host/host.h
@@ -9,6 +9,7 @@
 #include "host/settings.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/loop_watch.h"
 #include "platform/platform.h"
 #include "relay/relay.h"
 
@@ -20,6 +21,7 @@
   struct fl_log log;
   struct fl_log_state log_state;
   ev_prepare log_flush;
+  struct fl_loop_watch loop_watch;
   ev_signal reload_signal; /* SIGHUP */
   struct fl_stats *stats;
   struct fl_http_client *http_client;
