HTTP client: read the reply before a call times out

Callers saw calls without a reply although the reply had arrived: the store's or a target's answer waited in the socket while the process did not run, the limit of the call passed, and libcurl checks its own time limit before it reads. The call then had an unknown outcome, and its connection was closed.

lib/net/timeout.h is a timeout for what is concluded from silence: it runs after the input of its iteration, and one that is late by 20 ms or more waits 50 ms longer for input that takes several iterations or comes through the thread of ZeroMQ. It counts from the moment it is started; libev's own timers count from the start of the iteration, which may be long ago. The client limits calls with it instead of CURLOPT_TIMEOUT_MS. As before, a request whose time is over is not sent any more. Calls that time out are counted, those after a pause separately.

--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -8,6 +8,9 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "common/clock.h"
+#include "net/timeout.h"
+
 /* A call whose response body is longer fails. */
 #define RESPONSE_BODY_MAX (16 * 1024 * 1024)
 /* The kernel closes a connection whose sent data stays unacknowledged for this long. */
@@ -31,6 +34,10 @@
   char *url;
   struct curl_slist *custom_headers; /* NULL unless the call adds a header */
   char error_text[CURL_ERROR_SIZE];
+  /* libcurl would end a call whose time is over before it reads the reply from the socket. */
+  struct fl_timeout timeout;
+  int64_t timeout_ms;
+  bool has_begun;
   const struct fl_traffic *traffic;
   bool is_resendable;
   int sent_count;        /* how often the request was sent, completely or in part */
@@ -53,6 +60,7 @@
 {
   struct call *call = data;
 
+  fl_timeout_stop (&call->timeout);
   curl_multi_remove_handle (call->client->multi, call->easy);
   curl_easy_cleanup (call->easy);
   g_string_free (call->body, TRUE);
@@ -92,11 +100,23 @@
   return call->prevented_resend;
 }
 
+/* The time of a call counts from here: its process may have been busy since the call was started.
+ */
+static void
+begin_call (struct call *call)
+{
+  if (call->has_begun)
+    return;
+  call->has_begun = true;
+  fl_timeout_start (&call->timeout, call->timeout_ms);
+}
+
 /* Opens no connection for a request that would not be sent over it. */
 static curl_socket_t
 on_open_socket (void *context, curlsocktype purpose, struct curl_sockaddr *address)
 {
   (void)purpose;
+  begin_call (context);
   if (prevents_resend (context))
     return CURL_SOCKET_BAD;
   return socket (address->family, address->socktype, address->protocol);
@@ -112,7 +132,8 @@
   (void)local_address;
   (void)remote_port;
   (void)local_port;
-  if (prevents_resend (call))
+  begin_call (call);
+  if (prevents_resend (call) || fl_clock_boot_ms () >= call->timeout.due_ms)
     return CURL_PREREQFUNC_ABORT;
   if (call->may_send != NULL && !call->may_send (call->may_send_context))
     return CURL_PREREQFUNC_ABORT;
@@ -201,6 +222,18 @@
     }
 }
 
+static void
+on_call_timeout (void *context)
+{
+  struct call *call = context;
+
+  fl_stats_add (call->client->stats, "http_calls_timed_out_total", 1);
+  if (call->timeout.is_put_off)
+    fl_stats_add (call->client->stats, "http_calls_timed_out_held_up_total", 1);
+  g_strlcpy (call->error_text, "no reply in time", sizeof call->error_text);
+  finish_call (call->client, call, CURLE_OPERATION_TIMEDOUT);
+}
+
 /* --- event loop --- */
 
 static void
@@ -340,7 +373,6 @@
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_option);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (options->timeout_ms, 1));
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX (options->connect_timeout_ms, 1));
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
@@ -361,5 +393,8 @@
       curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, options->body);
     }
   g_hash_table_add (client->calls, call);
+  fl_timeout_init (&call->timeout, client->loop, on_call_timeout, call);
+  call->timeout_ms = MAX (options->timeout_ms, 1);
+  fl_timeout_start (&call->timeout, call->timeout_ms);
   curl_multi_add_handle (client->multi, easy);
 }
--- a/tests/support_server.h
+++ b/tests/support_server.h
@@ -5,9 +5,13 @@
 
 #include <stdbool.h>
 
+/* See SUPPORT_END_DELAYED. */
+#define SUPPORT_REPLY_DELAY_MS 50
+
 enum support_connection_end
 {
   SUPPORT_END_SERVED,  /* none: the request is treated like later ones */
+  SUPPORT_END_DELAYED, /* none: all later requests are treated alike after a delay */
   SUPPORT_END_CLOSED,  /* closed after the request has been read */
   SUPPORT_END_RESET,   /* reset after the request has been read */
   SUPPORT_END_PARTIAL, /* closed after a part of the reply */
