Relay, forwarded orders: a peer is not silent while its reply is unread

Callers saw calls and orders without a reply, and owners left a peer out (carrier_left_out) or paused it, although the peer had replied: the timers of calls in flight ran before the link was read when the process had not run for a while. They are now timeouts of lib/net/timeout.h.

Evidence: test_relay (a relayed transaction, the process held up for longer than its time limit: unknown before, ok now) and test_reply_while_held_up in test_forward (a batch and a heartbeat: no reply and carrier_left_out before) failed before and pass now.

--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -13,6 +13,7 @@
 
 #include "common/clock.h"
 #include "forward/forward_internal.h"
+#include "net/timeout.h"
 
 /* Most starts in one message. */
 #define BATCH_STARTS_MAX 64
@@ -38,7 +39,7 @@
   int64_t number;
   struct fl_name peer_address;
   int64_t sent_ms;
-  ev_timer timeout;
+  struct fl_timeout timeout;
   int64_t late_ms; /* how long results still count after the timeout; 0 once that has passed */
   size_t count;
   size_t unfinished;
@@ -80,7 +81,7 @@
 {
   struct outgoing_batch *batch = data;
 
-  ev_timer_stop (batch->forwarder->options.loop, &batch->timeout);
+  fl_timeout_stop (&batch->timeout);
   for (size_t i = 0; i < batch->count; i++)
     {
       g_free ((char *)batch->starts[i].order.checkpoint);
@@ -133,21 +134,17 @@
 }
 
 static void
-on_batch_timeout (struct ev_loop *loop, ev_timer *timer, int events)
+on_batch_timeout (void *context)
 {
-  struct outgoing_batch *batch = timer->data;
+  struct outgoing_batch *batch = context;
   struct fl_forwarder *forwarder = batch->forwarder;
   struct fl_name address = batch->peer_address;
   int64_t sent_ms = batch->sent_ms;
   int64_t late_ms = batch->late_ms;
 
-  (void)events;
   batch->late_ms = 0;
   if (late_ms > 0)
-    {
-      ev_timer_set (timer, (double)late_ms / 1000.0, 0.0);
-      ev_timer_start (loop, timer);
-    }
+    fl_timeout_start (&batch->timeout, late_ms);
   else
     end_batch (forwarder->batches, batch);
   /* Ends the batch if the peer has been silent. */
@@ -266,10 +263,8 @@
                                     .unfinished = count,
                                     .starts = g_memdup2 (starts, count * sizeof starts[0]) };
   copy_strings (batch);
-  ev_timer_init (&batch->timeout, on_batch_timeout, (double)(limit_ms + BATCH_SLACK_MS) / 1000.0,
-                 0.0);
-  batch->timeout.data = batch;
-  ev_timer_start (forwarder->options.loop, &batch->timeout);
+  fl_timeout_init (&batch->timeout, forwarder->options.loop, on_batch_timeout, batch);
+  fl_timeout_start (&batch->timeout, limit_ms + BATCH_SLACK_MS);
   g_hash_table_insert (batches->outgoing, &batch->number, batch);
   fl_stats_add (forwarder->options.stats, "start_batches_total", 1);
   fl_stats_add (forwarder->options.stats, "orders_handed_over_total", (int64_t)count);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "forward/forward_internal.h"
+#include "net/timeout.h"
 
 /* Forwarding hosts wait for the reply of a target at most 700 ms after a throttle order. */
 #define ORDER_TIMEOUT_MS (700 + FORWARD_SLACK_MS)
@@ -19,7 +20,7 @@
   int64_t number;
   struct fl_name peer_address;
   int64_t sent_ms;
-  ev_timer timeout;
+  struct fl_timeout timeout;
   int64_t late_ms; /* how long a reply still counts after the timeout; 0 once that has passed */
   void (*done) (void *context, const struct fl_order_reply *reply);
   void *context;
@@ -109,7 +110,7 @@
 {
   struct fl_forwarder *forwarder = order->forwarder;
 
-  ev_timer_stop (forwarder->options.loop, &order->timeout);
+  fl_timeout_stop (&order->timeout);
   g_hash_table_steal (forwarder->in_flight, &order->number);
   order->done (order->context, reply);
   g_free (order);
@@ -148,16 +149,15 @@
 }
 
 static void
-on_order_timeout (struct ev_loop *loop, ev_timer *timer, int events)
+on_order_timeout (void *context)
 {
-  struct outgoing_order *order = timer->data;
+  struct outgoing_order *order = context;
   struct fl_forwarder *forwarder = order->forwarder;
   struct fl_name address = order->peer_address;
   struct fl_order_reply reply = { .result = FL_ORDER_NO_REPLY };
   int64_t sent_ms = order->sent_ms;
   int64_t late_ms = order->late_ms;
 
-  (void)events;
   order->late_ms = 0;
   if (late_ms == 0)
     {
@@ -165,8 +165,7 @@
       forward_handle_timeout (forwarder, &address, sent_ms);
       return;
     }
-  ev_timer_set (timer, (double)late_ms / 1000.0, 0.0);
-  ev_timer_start (loop, timer);
+  fl_timeout_start (&order->timeout, late_ms);
   /* Ends the order if the peer has been silent. */
   forward_handle_timeout (forwarder, &address, sent_ms);
 }
@@ -197,9 +196,8 @@
                                     .late_ms = late_ms,
                                     .done = done,
                                     .context = done_context };
-  ev_timer_init (&order->timeout, on_order_timeout, (double)timeout_ms / 1000.0, 0.0);
-  order->timeout.data = order;
-  ev_timer_start (forwarder->options.loop, &order->timeout);
+  fl_timeout_init (&order->timeout, forwarder->options.loop, on_order_timeout, order);
+  fl_timeout_start (&order->timeout, timeout_ms);
   g_hash_table_insert (forwarder->in_flight, &order->number, order);
   return true;
 }
@@ -564,7 +562,7 @@
 {
   struct outgoing_order *order = data;
 
-  ev_timer_stop (order->forwarder->options.loop, &order->timeout);
+  fl_timeout_stop (&order->timeout);
   g_free (order);
 }
 
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -1,4 +1,5 @@
 #include "common/clock.h"
+#include "net/timeout.h"
 #include "relay/relay_internal.h"
 
 /* A peer that failed to serve a call gets no calls for this long. */
@@ -31,7 +32,7 @@
   int64_t number;
   struct fl_name peer;
   int64_t timeout_at_ms;
-  ev_timer timeout; /* first fires when the reply is overdue */
+  struct fl_timeout timeout; /* first fires when the reply is overdue */
   void (*done) (void *context, const struct fl_store_reply *reply);
   void *context;
 };
@@ -93,25 +94,23 @@
 
   if (reply->status == FL_STORE_REJECTED || reply->status == FL_STORE_UNKNOWN)
     pause_peer (relay, &call->peer, PEER_PAUSE_MS);
-  ev_timer_stop (relay->options.loop, &call->timeout);
+  fl_timeout_stop (&call->timeout);
   g_hash_table_steal (relay->peer_calls, &call->number);
   call->done (call->context, reply);
   g_free (call);
 }
 
 static void
-on_peer_timeout (struct ev_loop *loop, ev_timer *timer, int events)
+on_peer_timeout (void *context)
 {
-  struct peer_call *call = timer->data;
+  struct peer_call *call = context;
   struct fl_store_reply reply = { .status = FL_STORE_UNKNOWN };
   int64_t left_ms = call->timeout_at_ms - fl_clock_boot_ms ();
 
-  (void)events;
   if (left_ms > 0)
     {
       pause_peer (call->relay, &call->peer, PEER_PAUSE_MS);
-      ev_timer_set (&call->timeout, (double)left_ms / 1000.0, 0.0);
-      ev_timer_start (loop, &call->timeout);
+      fl_timeout_start (&call->timeout, left_ms);
       return;
     }
   fl_fail (&reply.error, FL_UNAVAILABLE, "relay_call", call->peer.data,
@@ -142,11 +141,9 @@
                               .timeout_at_ms = fl_clock_boot_ms () + timeout_ms + PEER_SLACK_MS,
                               .done = done,
                               .context = done_context };
-  ev_timer_init (
-      &call->timeout, on_peer_timeout,
-      (double)MIN (timeout_ms + PEER_SLACK_MS, message->wait_ms + PEER_OVERDUE_MS) / 1000.0, 0.0);
-  call->timeout.data = call;
-  ev_timer_start (relay->options.loop, &call->timeout);
+  fl_timeout_init (&call->timeout, relay->options.loop, on_peer_timeout, call);
+  fl_timeout_start (&call->timeout,
+                    MIN (timeout_ms + PEER_SLACK_MS, message->wait_ms + PEER_OVERDUE_MS));
   g_hash_table_insert (relay->peer_calls, &call->number, call);
   fl_stats_add (relay->options.stats, "store_calls_relayed_total", 1);
   return true;
@@ -346,7 +343,7 @@
 {
   struct peer_call *call = data;
 
-  ev_timer_stop (call->relay->options.loop, &call->timeout);
+  fl_timeout_stop (&call->timeout);
   g_free (call);
 }
 
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -15,6 +15,8 @@
 #include "support_loop.h"
 
 #define LOOP_STEP_S 0.02
+/* Longer than the limit of every order. */
+#define HOLD_UP_MS 1500
 
 /* Target calls that record the orders of one path and reply at once. */
 struct order_recorder
@@ -23,6 +25,7 @@
   int starts;
   int heartbeats;
   bool ignores_starts; /* never replies to them */
+  int64_t hold_up_ms;  /* how long the process does nothing after a reply */
   enum fl_order_result start_result;
   GHashTable *targets;              /* set of struct fl_name: those to which starts were sent */
   struct fl_start_order last_start; /* its payload, checkpoint and ticket are no longer valid */
@@ -47,6 +50,7 @@
   assert_int_equal (strlen (order->payload), order->payload_len);
   assert_string_equal (order->checkpoint, "c1");
   done (done_context, &reply);
+  g_usleep ((gulong)recorder->hold_up_ms * 1000);
 }
 
 static void
@@ -64,6 +68,7 @@
   recorder->heartbeats++;
   recorder->last_heartbeat = *order;
   done (done_context, &reply);
+  g_usleep ((gulong)recorder->hold_up_ms * 1000);
   fl_str_clear (&run.checkpoint);
 }
 
@@ -597,6 +602,41 @@
   ev_loop_destroy (loop);
 }
 
+/* A peer whose replies wait in the socket, since the owner's process did not run, is not silent. */
+static void
+test_reply_while_held_up (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct fl_name name = fl_name_of ("h2");
+  struct host owner;
+  struct host peer;
+
+  (void)state;
+  host_init (&owner, loop, stats);
+  host_init (&peer, loop, stats);
+  struct fl_name address = fl_link_address (peer.link);
+  assert_true (fl_link_connect (owner.link, &address, NULL));
+  fl_forwarder_set_peer (owner.forwarder, &name, &address);
+  fl_forwarder_set_enabled (owner.forwarder, true);
+  while (peer.forwarded.starts == 0)
+    send_start (loop, &owner);
+  int direct_starts = owner.direct.starts;
+  peer.forwarded.hold_up_ms = HOLD_UP_MS;
+  /* The start is sent in a batch. */
+  assert_int_equal (send_start (loop, &owner).result, FL_ORDER_NO_CAPACITY);
+  assert_int_equal (send_heartbeat (loop, &owner).result, FL_ORDER_DONE);
+  peer.forwarded.hold_up_ms = 0;
+  assert_int_equal (send_start (loop, &owner).result, FL_ORDER_NO_CAPACITY);
+  assert_int_equal (owner.direct.starts, direct_starts);
+  assert_int_equal (owner.direct.heartbeats, 0);
+  assert_int_equal (fl_stats_get (stats, "carriers_left_out_total"), 0);
+  host_clear (&owner);
+  host_clear (&peer);
+  fl_stats_free (stats);
+  ev_loop_destroy (loop);
+}
+
 /* A message that is truncated at any length is rejected. */
 static void
 test_truncated_messages (void **state)
@@ -629,6 +669,7 @@
                                       cmocka_unit_test (test_results_of_batch),
                                       cmocka_unit_test (test_peer_lost_between_batches),
                                       cmocka_unit_test (test_late_reply_of_live_peer),
+                                      cmocka_unit_test (test_reply_while_held_up),
                                       cmocka_unit_test (test_truncated_messages) };
 
   return cmocka_run_group_tests_name ("forward", tests, NULL, NULL);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -155,6 +155,7 @@
 /* --- two hosts --- */
 
 #define LOOP_STEP_S 0.02
+#define WRITE_TIMEOUT_MS 1000
 
 /* A store that serves or rejects all calls and replies at once. */
 struct stub_store
@@ -162,6 +163,7 @@
   struct fl_store interface;
   bool rejects;
   bool ends_connections; /* reused ones, before the reply */
+  int64_t hold_up_ms;    /* how long the process does nothing after the reply to a transaction */
   int calls;
   int writes;
   struct fl_str relay_row; /* the row that announces the only relay */
@@ -209,6 +211,7 @@
   else if (!store->rejects && !store->ends_connections)
     store->writes += (int)transaction->write_count;
   stub_store_send_reply (store, &reply, done, done_context);
+  g_usleep ((gulong)store->hold_up_ms * 1000);
 }
 
 static void
@@ -248,7 +251,7 @@
   struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
 
   *result = (struct store_result){ 0 };
-  store->transact (store->context, &transaction, 1000, record_result, result);
+  store->transact (store->context, &transaction, WRITE_TIMEOUT_MS, record_result, result);
   while (!result->is_done)
     ev_run (loop, EVRUN_ONCE);
 }
@@ -316,13 +319,19 @@
   write_until_served (loop, store, &result);
   assert_int_equal (result.version, 77);
   assert_int_equal (peer_store.writes, 1);
+  /* A peer's reply that arrives while the process does not run counts. */
+  peer_store.hold_up_ms = WRITE_TIMEOUT_MS + 200;
+  write_row (loop, store, &result);
+  assert_int_equal (result.status, FL_STORE_OK);
+  assert_int_equal (peer_store.writes, 2);
+  peer_store.hold_up_ms = 0;
   peer_store.rejects = true;
   write_row (loop, store, &result);
   assert_int_equal (result.status, FL_STORE_REJECTED);
   direct_store.rejects = false;
   write_until_served (loop, store, &result);
   assert_int_equal (direct_store.writes, 2);
-  assert_int_equal (peer_store.writes, 1);
+  assert_int_equal (peer_store.writes, 2);
   fl_relay_free (relay);
   fl_relay_free (peer);
   fl_str_clear (&direct_store.relay_row);
