Judge stalled and lagging runs by when a report was made

An owner stopped tasks that progressed: a report that had waited in the socket while the owner's process did not run was compared with the time at which it was read. A run whose progress had last changed 1.3 s before the report was stopped as stalled when the report was read 0.25 s late. Later reports are already left out as outdated.

Stalls, lagging targets and gangs that wait are now judged by the time of the report as the target's clock tells it, as moves of stragglers already were.

Evidence: test_report_read_late (test_core) failed before (1 stop) and passes now; test_core, test_core_cell, test_heartbeats, test_uneven_targets, test_gangs, test_late_replies, test_late_advice, test_shrinking_targets and test_deadly_tasks pass.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -943,6 +943,10 @@
 /* Learns from the end of @run, which is released next, what it tells of its target. */
 void core_speed_note_end (struct core_run *run, enum fl_end_cause cause);
 
+/* When @target made the report that has just arrived, as far as its clock tells: the reply may have
+ * been on its way, or unread, for long. */
+int64_t core_report_time_ms (const struct core_target *target);
+
 /* Learns from the report that @target has just made how fast its runs progress. */
 void core_speed_note_report (struct core_target *target);
 
--- a/lib/core/stall.c
+++ b/lib/core/stall.c
@@ -24,10 +24,10 @@
 #define GANG_WAIT_MAX_MS 1000
 
 static bool
-is_lagging (const struct core_run *run, int64_t now_ms)
+is_lagging (const struct core_run *run, int64_t listed_ms)
 {
   double mean_ms = run->task->step->job->queue_stats->mean_run_ms;
-  double elapsed_ms = (double)(now_ms - run->started_at_ms);
+  double elapsed_ms = (double)(listed_ms - run->started_at_ms);
   double expected = MIN (100.0 * elapsed_ms / MAX (mean_ms, 1.0), 100.0);
 
   return mean_ms > 0 && elapsed_ms >= LAG_MIN_ELAPSED_MS
@@ -54,13 +54,13 @@
  *
  * @return whether @run waits for another member that may not have started. */
 static bool
-waits_in_vain (const struct core_run *run, int64_t now_ms)
+waits_in_vain (const struct core_run *run, int64_t listed_ms)
 {
   const struct core_step *step = run->task->step;
   bool may_be_missing = false;
 
   if (!step->spec->gang || run->state != CORE_RUN_ACCEPTED || !run->listed
-      || now_ms - run->first_ordered_at_ms < GANG_WAIT_MAX_MS)
+      || listed_ms - run->first_ordered_at_ms < GANG_WAIT_MAX_MS)
     return false;
   for (int64_t i = 0; i < step->spec->count; i++)
     {
@@ -87,23 +87,23 @@
 void
 core_check_progress (struct core_target *target)
 {
+  int64_t listed_ms = core_report_time_ms (target);
   int lagging = 0;
   int measured = 0;
 
   for (guint i = 0; i < target->runs->len; i++)
     {
       struct core_run *run = g_ptr_array_index (target->runs, i);
-      int64_t now_ms = run->task->step->job->core->now_ms;
-      if (waits_in_vain (run, now_ms))
+      if (waits_in_vain (run, listed_ms))
         stop_waiting_gang (run);
       if (!run->listed || !core_run_shows_speed (run))
         continue;
-      measured += now_ms - run->started_at_ms >= LAG_MIN_ELAPSED_MS ? 1 : 0;
-      lagging += is_lagging (run, now_ms) ? 1 : 0;
-      if (now_ms - run->progressed_at_ms >= STALL_TIMEOUT_MS)
+      measured += listed_ms - run->started_at_ms >= LAG_MIN_ELAPSED_MS ? 1 : 0;
+      lagging += is_lagging (run, listed_ms) ? 1 : 0;
+      if (listed_ms - run->progressed_at_ms >= STALL_TIMEOUT_MS)
         stop_stalled_run (run);
       if (lagging >= LAGGING_RUNS_MIN && lagging * 2 > measured)
         target->quarantined_until_ms
-            = MAX (target->quarantined_until_ms, now_ms + LAGGING_QUARANTINE_MS);
+            = MAX (target->quarantined_until_ms, target->core->now_ms + LAGGING_QUARANTINE_MS);
     }
 }
--- a/lib/core/target_speed.c
+++ b/lib/core/target_speed.c
@@ -203,10 +203,8 @@
   return 0.5 / percent;
 }
 
-/* When the target made the report that has just arrived, as far as its clock tells: a reply may
- * have been on its way for long. */
-static int64_t
-report_time_ms (const struct core_target *target)
+int64_t
+core_report_time_ms (const struct core_target *target)
 {
   return MIN (target->core->now_ms, target->clock_ms + target->clock_offset_ms);
 }
@@ -241,7 +239,7 @@
 void
 core_speed_note_report (struct core_target *target)
 {
-  int64_t listed_ms = report_time_ms (target);
+  int64_t listed_ms = core_report_time_ms (target);
   double log_ratios[RATIOS_MAX];
   guint compared = 0;
 
@@ -416,7 +414,7 @@
   for (guint i = 0; i < target->runs->len; i++)
     {
       struct core_run *run = g_ptr_array_index (target->runs, i);
-      if (should_move (run, least_slowness, report_time_ms (target))
+      if (should_move (run, least_slowness, core_report_time_ms (target))
           && fl_move_budget_take (&target->core->move_budget))
         move_run (run);
     }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -1049,6 +1049,48 @@
   fixture_free (fixture);
 }
 
+/* A report that waited in the socket while the owner's process did not run shows the progress at
+ * the time when it was made. */
+static void
+test_report_read_late (void **state)
+{
+  static const struct
+  {
+    int64_t made_after_ms; /* since the progress last changed */
+    int64_t read_after_ms; /* since the report was made */
+    int stops;
+  } cases[] = { { 600, 0, 0 },
+                { 1300, 250, 0 },
+                { 1520, 0, 1 },
+                { 1520, 250, 1 },
+                /* Too old to say anything of the target. */
+                { 1600, 900, 0 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_run_row run = { .task = fl_name_of ("a.0.0.0"), .run = 1, .progress_percent = 20 };
+      struct fl_target_report report = { .booted_at_ms = 1, .runs = &run, .run_count = 1 };
+      struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &report };
+      struct fl_name target = fl_name_of ("t1");
+
+      add_target (fixture, "t1", 4, false);
+      add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      tick_until_recorded (fixture, 0);
+      confirm_start (fixture, 0);
+      deliver_report (fixture, "t1", report);
+      report.clock_ms = fixture->now_ms + cases[i].made_after_ms;
+      fixture->now_ms = report.clock_ms + cases[i].read_after_ms;
+      fl_core_handle_heartbeat_reply (fixture->core, &target, &reply, report.clock_ms - 1,
+                                      fixture->now_ms);
+      if ((int)fixture->stop_orders->len != cases[i].stops)
+        fail_msg ("made after %d ms, read %d ms later: %u stops", (int)cases[i].made_after_ms,
+                  (int)cases[i].read_after_ms, fixture->stop_orders->len);
+      fixture_free (fixture);
+    }
+}
+
 /* More jobs arrive than can meet their latency objective: jobs that still can are started before
  * those that are late. */
 static void
@@ -1502,6 +1544,7 @@
     cmocka_unit_test (test_unrecorded_job_stays_unreconciled),
     cmocka_unit_test (test_reconciled_job_is_not_blocked_by_slow_store),
     cmocka_unit_test (test_stalled_task),
+    cmocka_unit_test (test_report_read_late),
     cmocka_unit_test (test_late_jobs_start_last),
     cmocka_unit_test (test_target_capacity),
     cmocka_unit_test (test_label_and_limit_per_target),
