--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "net/timeout.h"
 
 /* A call whose response body is longer fails. */
 #define RESPONSE_BODY_MAX (16 * 1024 * 1024)
@@ -33,13 +34,16 @@
   char *url;
   struct curl_slist *custom_headers; /* NULL unless the call adds a header */
   char error_text[CURL_ERROR_SIZE];
+  /* libcurl would end a call whose time is over before it reads the reply from the socket. */
+  struct fl_timeout timeout;
+  int64_t timeout_ms;
+  bool has_begun;
   const struct fl_traffic *traffic;
   bool is_resendable;
   int sent_count;        /* how often the request was sent, completely or in part */
   bool prevented_resend; /* libcurl was about to send the request again */
   int64_t stall_timeout_ms;
   int64_t last_progress_ms; /* by the boot clock; 0 before the body begins to arrive */
-  ev_timer stall_timer;     /* of calls with a stall timeout */
   bool (*may_send) (void *context);
   void *may_send_context;
   void (*on_progress) (void *context);
@@ -59,7 +63,7 @@
 {
   struct call *call = data;
 
-  ev_timer_stop (call->client->loop, &call->stall_timer);
+  fl_timeout_stop (&call->timeout);
   curl_multi_remove_handle (call->client->multi, call->easy);
   curl_easy_cleanup (call->easy);
   g_string_free (call->body, TRUE);
@@ -102,11 +106,23 @@
   return call->prevented_resend;
 }
 
+/* The time of a call counts from here: its process may have been busy since the call was started.
+ */
+static void
+begin_call (struct call *call)
+{
+  if (call->has_begun)
+    return;
+  call->has_begun = true;
+  fl_timeout_start (&call->timeout, call->timeout_ms);
+}
+
 /* Opens no connection for a request that would not be sent over it. */
 static curl_socket_t
 on_open_socket (void *context, curlsocktype purpose, struct curl_sockaddr *address)
 {
   (void)purpose;
+  begin_call (context);
   if (prevents_resend (context))
     return CURL_SOCKET_BAD;
   return socket (address->family, address->socktype, address->protocol);
@@ -122,7 +138,8 @@
   (void)local_address;
   (void)remote_port;
   (void)local_port;
-  if (prevents_resend (call))
+  begin_call (call);
+  if (prevents_resend (call) || fl_clock_boot_ms () >= call->timeout.due_ms)
     return CURL_PREREQFUNC_ABORT;
   if (call->may_send != NULL && !call->may_send (call->may_send_context))
     return CURL_PREREQFUNC_ABORT;
@@ -211,29 +228,26 @@
     }
 }
 
-/* --- event loop --- */
-
-static void
-arm_stall_timer (struct call *call, int64_t delay_ms)
-{
-  ev_timer_set (&call->stall_timer, (double)delay_ms / 1000.0, 0.0);
-  ev_timer_start (call->client->loop, &call->stall_timer);
-}
-
 static void
-on_stall_timer (struct ev_loop *loop, ev_timer *timer, int events)
+on_call_timeout (void *context)
 {
-  struct call *call = timer->data;
+  struct call *call = context;
   int64_t left_ms = call->last_progress_ms + call->stall_timeout_ms - fl_clock_boot_ms ();
 
-  (void)loop;
-  (void)events;
   if (call->last_progress_ms > 0 && left_ms > 0)
-    arm_stall_timer (call, left_ms);
-  else
-    finish_call (call->client, call, CURLE_OPERATION_TIMEDOUT);
+    {
+      fl_timeout_start (&call->timeout, left_ms);
+      return;
+    }
+  fl_stats_add (call->client->stats, "http_calls_timed_out_total", 1);
+  if (call->timeout.is_put_off)
+    fl_stats_add (call->client->stats, "http_calls_timed_out_held_up_total", 1);
+  g_strlcpy (call->error_text, "no reply in time", sizeof call->error_text);
+  finish_call (call->client, call, CURLE_OPERATION_TIMEDOUT);
 }
 
+/* --- event loop --- */
+
 static void
 on_io (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -365,10 +379,6 @@
   call->may_send_context = options->may_send_context;
   call->on_progress = options->on_progress;
   call->stall_timeout_ms = options->stall_timeout_ms;
-  ev_timer_init (&call->stall_timer, on_stall_timer, 0.0, 0.0);
-  /* After a pause, what has arrived is read first. */
-  ev_set_priority (&call->stall_timer, EV_MINPRI);
-  call->stall_timer.data = call;
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (easy, CURLOPT_URL, options->url);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
@@ -377,10 +387,6 @@
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_option);
-  if (options->stall_timeout_ms > 0)
-    arm_stall_timer (call, MAX (options->timeout_ms, 1));
-  else
-    curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (options->timeout_ms, 1));
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX (options->connect_timeout_ms, 1));
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
@@ -401,5 +407,8 @@
       curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, options->body);
     }
   g_hash_table_add (client->calls, call);
+  fl_timeout_init (&call->timeout, client->loop, on_call_timeout, call);
+  call->timeout_ms = MAX (options->timeout_ms, 1);
+  fl_timeout_start (&call->timeout, call->timeout_ms);
   curl_multi_add_handle (client->multi, easy);
 }
