Targets whose registry entry cannot be read get no new tasks

An unreadable entry that replaced a readable one was only logged: the target went on being used by its earlier entry, for 7 of 40 starts while another writer kept overwriting it. Now it gets no starts, planned or repeated ones included, and no advice queries; it stays registered, so that its leases are renewed and a refused connection does not end runs that may be there. A new owner that read only the unreadable entry treats the target in its predecessor's list likewise.

test_unreadable_entries fails without the check in room.c (2 starts before the job) and without the part for known targets (1 start by a new owner).

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -156,6 +156,7 @@
   core->order_budget.bytes_per_s = options->order_bytes_per_s;
   core->first_run_number = (options->fencing_token - 1) * RUN_NUMBERS_PER_OWNER + 1;
   core->targets = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, target_free);
+  core->unreadable_entries = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
   core->next_tokens = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
   core->jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, job_free);
   core->finished_jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
@@ -182,6 +183,7 @@
     return;
   g_hash_table_destroy (core->jobs);
   g_hash_table_destroy (core->targets);
+  g_hash_table_destroy (core->unreadable_entries);
   g_hash_table_destroy (core->next_tokens);
   g_hash_table_destroy (core->finished_jobs);
   g_hash_table_destroy (core->teams);
@@ -404,11 +406,34 @@
   return target;
 }
 
+static void
+set_entry_unreadable (struct core_target *target, bool is_unreadable)
+{
+  if (target->entry_unreadable == is_unreadable)
+    return;
+  target->entry_unreadable = is_unreadable;
+  fl_log (target->core->options.log, FL_LOG_NOTICE,
+          is_unreadable ? "registry_entry_unreadable" : "registry_entry_readable",
+          FL_N ("target", &target->entry.id), FL_I ("runs", target->runs->len));
+}
+
+/* Notes that the entry of the target @id can be read, or that there is none. */
+static void
+forget_unreadable_entry (struct fl_core *core, const struct fl_name *id)
+{
+  if (g_hash_table_remove (core->unreadable_entries, id))
+    fl_stats_set (core->options.stats, "registry_entries_unreadable",
+                  g_hash_table_size (core->unreadable_entries));
+}
+
 void
 fl_core_update_target (struct fl_core *core, const struct fl_target_entry *entry)
 {
   struct core_target *target = get_or_add_target (core, &entry->id);
 
+  forget_unreadable_entry (core, &entry->id);
+  set_entry_unreadable (target, false);
+
   if (entry->draining && !target->entry.draining)
     target->leaves_at_ms = core->now_ms + entry->drain_remaining_ms;
   if (target->entry.address.len > 0 && !fl_name_eq (&target->entry.address, &entry->address))
@@ -419,6 +444,20 @@
   core_target_update_evacuated (target);
 }
 
+void
+fl_core_note_unreadable_entry (struct fl_core *core, const struct fl_name *id)
+{
+  struct core_target *target = core_find_target (core, id);
+
+  if (g_hash_table_add (core->unreadable_entries, g_memdup2 (id, sizeof *id)))
+    fl_stats_set (core->options.stats, "registry_entries_unreadable",
+                  g_hash_table_size (core->unreadable_entries));
+  if (target == NULL)
+    return;
+  target->registered = true;
+  set_entry_unreadable (target, true);
+}
+
 bool
 core_target_has_unrecorded_ends (const struct core_target *target)
 {
@@ -451,9 +490,11 @@
 {
   struct core_target *target = core_find_target (core, id);
 
+  forget_unreadable_entry (core, id);
   if (target == NULL)
     return;
   target->registered = false;
+  target->entry_unreadable = false;
   core_target_remove_if_unused (core, target);
 }
 
@@ -469,6 +510,8 @@
   core_target_update_reconciled (target);
   if (target->entry.address.len == 0)
     target->entry.address = *address;
+  if (g_hash_table_contains (core->unreadable_entries, id))
+    fl_core_note_unreadable_entry (core, id);
 }
 
 size_t
@@ -487,6 +530,10 @@
   g_hash_table_iter_init (&iter, core->targets);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     g_ptr_array_add (ids, key);
+  g_hash_table_iter_init (&iter, core->unreadable_entries);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (core_find_target (core, key) == NULL)
+      g_ptr_array_add (ids, key);
   return ids;
 }
 
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -80,6 +80,11 @@
  * fl_core_finish_target_list confirms that the store lists it. */
 void fl_core_update_target (struct fl_core *core, const struct fl_target_entry *entry);
 
+/* Called when the registry entry of the target @id cannot be read. A known target stays known and
+ * gets heartbeats at its last address, since what runs there may go on; it gets no new tasks until
+ * fl_core_update_target is called for it. An unknown one is not added. */
+void fl_core_note_unreadable_entry (struct fl_core *core, const struct fl_name *id);
+
 /* Called when the registry no longer lists the target @id. The target gets no new tasks, but it
  * stays known and gets heartbeats while it has runs or unrecorded ends, or while orders of an
  * earlier owner may be in effect on it. */
@@ -198,8 +203,9 @@
 
 size_t fl_core_target_count (const struct fl_core *core);
 
-/* Ids (const struct fl_name *) of all known targets. The ids are borrowed and stay valid until a
- * target is added or removed. Free the array with g_ptr_array_unref. */
+/* Ids (const struct fl_name *) of all known targets and of the registry entries that cannot be
+ * read. Each is borrowed and stays valid until it is removed. Free the array with
+ * g_ptr_array_unref. */
 GPtrArray *fl_core_target_ids (const struct fl_core *core);
 
 /* --- records --- */
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -65,6 +65,7 @@
 {
   struct fl_core *core;
   bool registered;       /* the registry lists it */
+  bool entry_unreadable; /* its registry entry is: @entry is what was last read */
   bool recorded;         /* the stored list of targets contains it */
   bool record_in_flight; /* a write of the list of targets with it is in flight */
   bool inherited;        /* an earlier owner may have used it */
@@ -419,6 +420,7 @@
   struct fl_core_options options;
   struct fl_configuration *configuration;   /* NULL before the first fl_core_configure */
   GHashTable *targets;                      /* id -> struct core_target */
+  GHashTable *unreadable_entries;           /* ids of registry entries that cannot be read */
   GHashTable *next_tokens;                  /* id of a removed target -> its next fencing token */
   GHashTable *jobs;                         /* id -> struct core_job */
   GHashTable *finished_jobs;                /* ids of jobs whose final state is recorded */
@@ -815,6 +817,7 @@
 {
   CORE_TARGET_TAKES_TASKS,
   CORE_TARGET_NOT_REGISTERED,
+  CORE_TARGET_ENTRY_UNREADABLE, /* see fl_core_note_unreadable_entry */
   CORE_TARGET_OTHER_SERVICE,
   CORE_TARGET_REGISTRY_OLD, /* see fl_core_confirm_registry */
   CORE_TARGET_NOT_RECORDED, /* the stored list of targets lacks it */
--- a/lib/core/plan.c
+++ b/lib/core/plan.c
@@ -10,6 +10,7 @@
 static const char *const target_reasons[CORE_TARGET_REASON_COUNT] = {
   [CORE_TARGET_TAKES_TASKS] = "takes tasks",
   [CORE_TARGET_NOT_REGISTERED] = "not registered",
+  [CORE_TARGET_ENTRY_UNREADABLE] = "registry entry unreadable",
   [CORE_TARGET_OTHER_SERVICE] = "another service",
   [CORE_TARGET_REGISTRY_OLD] = "registry not confirmed lately",
   [CORE_TARGET_NOT_RECORDED] = "not recorded yet",
--- a/lib/core/room.c
+++ b/lib/core/room.c
@@ -43,6 +43,8 @@
 {
   if (!target->registered)
     return CORE_TARGET_NOT_REGISTERED;
+  if (target->entry_unreadable)
+    return CORE_TARGET_ENTRY_UNREADABLE;
   if (!fl_name_eq (&target->entry.service, service))
     return CORE_TARGET_OTHER_SERVICE;
   if (target->entry.draining)
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -560,7 +560,7 @@
   run->inconclusive_starts++;
   const char *ticket = core_advice_ticket (run->task->step, run->target);
   if (run->inconclusive_starts < START_ATTEMPTS_MAX && ticket != NULL && !run->target->silent
-      && !run->target->is_evacuated && !is_over_capacity (run))
+      && !run->target->is_evacuated && !run->target->entry_unreadable && !is_over_capacity (run))
     {
       core_run_order_start (run, ticket);
       core_order_budget_charge (&run->target->core->order_budget, 1,
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -134,6 +134,7 @@
     fl_core_update_target (term->core, &entry);
   else
     {
+      fl_core_note_unreadable_entry (term->core, &row->key);
       fl_stats_add (term->poold->host->stats, "registry_rows_malformed_total", 1);
       fl_log_error (&term->poold->host->log, FL_LOG_INFO, "registry_row_malformed", &error);
     }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -53,6 +53,9 @@
     case CORE_TARGET_NOT_REGISTERED:
       target->registered = false;
       break;
+    case CORE_TARGET_ENTRY_UNREADABLE:
+      fl_core_note_unreadable_entry (fixture->core, &target->entry.id);
+      break;
     case CORE_TARGET_OTHER_SERVICE:
       target->entry.service = fl_name_of ("other");
       break;
@@ -103,6 +106,7 @@
   static const struct reason_case cases[] = {
     { "fits: 4 tasks on 1 targets", CORE_TARGET_TAKES_TASKS, { 0 } },
     { "not: 1 not registered", CORE_TARGET_NOT_REGISTERED, { 0 } },
+    { "not: 1 registry entry unreadable", CORE_TARGET_ENTRY_UNREADABLE, { 0 } },
     { "not: 1 another service", CORE_TARGET_OTHER_SERVICE, { 0 } },
     { "not: 1 registry not confirmed lately", CORE_TARGET_REGISTRY_OLD, { 0 } },
     { "not: 1 not recorded yet", CORE_TARGET_NOT_RECORDED, { 0 } },
--- /dev/null
+++ b/tests/test_unreadable_entries.c
@@ -0,0 +1,213 @@
+/* Registry entries that cannot be read: their targets get no new tasks, and what runs on them is
+ * neither stopped nor started a second time. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "core/core.h"
+#include "support_core.h"
+
+static const struct fl_name target_id = { 2, "t1" };
+
+static void
+add_unit_job (struct fixture *fixture, const char *id)
+{
+  add_job (fixture, id, "urgent",
+           (struct fl_step_spec){ .count = 1, .cpu_milli = 1000, .disruptions_max = -1 });
+}
+
+static struct fl_run_row
+make_row (const struct fl_start_order *order)
+{
+  return (struct fl_run_row){ .task = order->task, .run = order->run };
+}
+
+static void
+report_runs (struct fixture *fixture, struct fl_run_row *runs, size_t count)
+{
+  fixture->now_ms += 100;
+  deliver_report (fixture, "t1",
+                  (struct fl_target_report){ .booted_at_ms = 1, .runs = runs, .run_count = count });
+}
+
+/* A target went on being used by its earlier entry. */
+static void
+test_entry_becomes_unreadable (void **state)
+{
+  enum stage
+  {
+    BEFORE_JOB,
+    BEFORE_RECORD,
+    BEFORE_REPLY,
+    RUNNING
+  };
+  static const struct
+  {
+    const char *name;
+    enum stage stage;
+    guint starts;
+    bool is_stopped;
+  } cases[] = {
+    { "before the job", BEFORE_JOB, 0, false },
+    { "a start waits for its record", BEFORE_RECORD, 0, false },
+    { "a start has no reply", BEFORE_REPLY, 1, true },
+    { "a task runs", RUNNING, 1, false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_heartbeat_order heartbeat;
+      struct fl_run_row run = { .run = 0 };
+      fl_core_set_registry_known (fixture->core);
+      add_target (fixture, "t1", 4, false);
+      report_runs (fixture, NULL, 0);
+      if (cases[i].stage != BEFORE_JOB)
+        add_unit_job (fixture, "a");
+      if (cases[i].stage == BEFORE_RECORD)
+        fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+      else
+        tick_until_recorded (fixture, 0);
+      if (cases[i].stage == RUNNING)
+        {
+          confirm_start (fixture, 0);
+          run = make_row (get_start_order (fixture, 0));
+        }
+      fl_core_note_unreadable_entry (fixture->core, &target_id);
+      if (cases[i].stage == BEFORE_JOB)
+        add_unit_job (fixture, "a");
+      add_unit_job (fixture, "b");
+      if (cases[i].stage == BEFORE_REPLY)
+        {
+          const struct fl_start_order order = *get_start_order (fixture, 0);
+          fixture->now_ms += 200;
+          fl_core_handle_start_reply (fixture->core, &order.task, order.run, FL_ORDER_NO_REPLY,
+                                      fixture->now_ms);
+        }
+      for (int j = 0; j < 20; j++)
+        {
+          tick_until_recorded (fixture, 0);
+          /* Leases are renewed at the address that is known from before. */
+          if (!fl_core_prepare_heartbeat (fixture->core, &target_id, fixture->now_ms, &heartbeat)
+              || heartbeat.deadline_ms <= fixture->now_ms
+              || !fl_name_eq (&heartbeat.address, &target_id))
+            fail_msg ("%s: heartbeat %d", cases[i].name, j);
+          run.progress_percent++;
+          report_runs (fixture, run.run > 0 ? &run : NULL, run.run > 0 ? 1 : 0);
+        }
+      if (fixture->start_orders->len != cases[i].starts
+          || (fixture->stop_orders->len > 0) != cases[i].is_stopped)
+        fail_msg ("%s: %u starts, %u stops", cases[i].name, fixture->start_orders->len,
+                  fixture->stop_orders->len);
+      add_entry (fixture, "t1", 4, false);
+      report_runs (fixture, run.run > 0 ? &run : NULL, run.run > 0 ? 1 : 0);
+      tick_until_recorded (fixture, 0);
+      if (fixture->start_orders->len != 2)
+        fail_msg ("%s: %u starts once it can be read", cases[i].name, fixture->start_orders->len);
+      fixture_free (fixture);
+    }
+}
+
+/* A new owner knows the target only from the list of its predecessor. An entry that cannot be read
+ * does not show that the target has left, so that a refused connection ends nothing. */
+static void
+test_inherited_target (void **state)
+{
+  enum entry
+  {
+    NO_ENTRY,
+    BEFORE_LIST,
+    AFTER_LIST,
+    REMOVED
+  };
+  static const struct
+  {
+    const char *name;
+    enum entry entry;
+    bool has_left;
+  } cases[] = {
+    { "no entry", NO_ENTRY, true },
+    { "unreadable, read before the list", BEFORE_LIST, false },
+    { "unreadable, read after the list", AFTER_LIST, false },
+    { "unreadable, then removed", REMOVED, true },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new_unreconciled (0, 100000 + 9000);
+      struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .any_target = true };
+      if (cases[i].entry == BEFORE_LIST || cases[i].entry == REMOVED)
+        fl_core_note_unreadable_entry (fixture->core, &target_id);
+      fl_core_inherit_target (fixture->core, &target_id, &target_id);
+      if (cases[i].entry == AFTER_LIST)
+        fl_core_note_unreadable_entry (fixture->core, &target_id);
+      if (cases[i].entry == REMOVED)
+        fl_core_remove_target (fixture->core, &target_id);
+      fl_core_set_registry_known (fixture->core);
+      add_recorded_job (
+          fixture, "a", "urgent",
+          (struct fl_step_spec){ .count = 1, .cpu_milli = 1000, .disruptions_max = -1 }, &progress);
+      fl_core_set_jobs_known (fixture->core);
+      add_target (fixture, "t2", 4, false);
+      for (int j = 0; j < 3; j++)
+        {
+          fixture->now_ms += 400;
+          deliver_result (fixture, "t1", FL_ORDER_NO_LISTENER);
+        }
+      deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
+      tick_until_recorded (fixture, 0);
+      if ((fixture->start_orders->len > 0) != cases[i].has_left)
+        fail_msg ("%s: %u starts", cases[i].name, fixture->start_orders->len);
+      if (cases[i].has_left)
+        {
+          fixture_free (fixture);
+          continue;
+        }
+      /* After the longest lease, the task is started on the other target. */
+      fixture->now_ms += 9000;
+      deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
+      tick_until_recorded (fixture, 0);
+      if (fixture->start_orders->len != 1)
+        fail_msg ("%s: %u starts in the end", cases[i].name, fixture->start_orders->len);
+      assert_string_equal (get_start_order (fixture, 0)->target.data, "t2");
+      fixture_free (fixture);
+    }
+}
+
+/* An entry that never could be read makes no target, and is forgotten like one. */
+static void
+test_unknown_target (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  g_autofree char *first = NULL;
+  g_autofree char *second = NULL;
+
+  (void)state;
+  fl_core_note_unreadable_entry (fixture->core, &target_id);
+  fl_core_note_unreadable_entry (fixture->core, &target_id);
+  assert_int_equal (fl_core_target_count (fixture->core), 0);
+  assert_int_equal (fl_stats_get (fixture->stats, "registry_entries_unreadable"), 1);
+  g_autoptr (GPtrArray) ids = fl_core_target_ids (fixture->core);
+  assert_int_equal (ids->len, 1);
+  fl_core_remove_target (fixture->core, g_ptr_array_index (ids, 0));
+  assert_int_equal (fl_stats_get (fixture->stats, "registry_entries_unreadable"), 0);
+  fixture_free (fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_entry_becomes_unreadable),
+    cmocka_unit_test (test_inherited_target),
+    cmocka_unit_test (test_unknown_target),
+  };
+
+  return cmocka_run_group_tests_name ("unreadable entries", tests, NULL, NULL);
+}
