An address is an IPv4 address and a port, also in rows of other writers

A registry entry with the address "127.0.0.1:PORT/rows-tx?x=" chose the path of a request: POST /rows-tx?x=/hold was sent there. One strict parser in lib/common now checks registry entries, the recorded list of targets, rows of hosts and peers, orders that peers forward, and the settings. Port 0 and ports with leading zeros are malformed. The id of a target, which is sent in a header, has no control characters.

--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/endpoint.h"
 #include "forward/forward_internal.h"
 
 /* Most starts in one message. */
@@ -444,7 +445,8 @@
   struct distributed_start *start = g_new0 (struct distributed_start, 1);
 
   *start = (struct distributed_start){ batch, index };
-  if (forwarder->is_draining)
+  if (forwarder->is_draining || !forward_is_addressable (&row->target, &row->address)
+      || (row->peer.len > 0 && !fl_endpoint_is_link (&row->peer)))
     on_distributed_start_done (start, &not_sent);
   else if (row->peer.len == 0)
     calls->start (calls->context, &order, on_distributed_start_done, start);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "common/endpoint.h"
 #include "forward/forward_internal.h"
 
 /* Forwarding hosts wait for the reply of a target at most 700 ms after a throttle order. */
@@ -462,6 +463,12 @@
   calls->heartbeat (calls->context, &order, on_order_done, context);
 }
 
+bool
+forward_is_addressable (const struct fl_name *target, const struct fl_name *address)
+{
+  return fl_name_is_header_safe (target) && fl_endpoint_is_valid (address);
+}
+
 static void
 execute_order (struct fl_forwarder *forwarder,
                const struct fl_route *sender,
@@ -474,7 +481,7 @@
   *order = (struct incoming_order){ forwarder, *sender, message->number,
                                     message->kind == FL_FORWARD_HEARTBEAT };
   g_hash_table_add (forwarder->incoming, order);
-  if (forwarder->is_draining)
+  if (forwarder->is_draining || !forward_is_addressable (&message->target, &message->address))
     {
       on_order_done (order, &not_sent);
       return;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -52,6 +52,10 @@
                              const struct fl_name *address,
                              int64_t sent_ms);
 
+/* Whether an order of a peer to @target at @address can be sent: the address is an endpoint, and
+ * the id fits into a header. */
+bool forward_is_addressable (const struct fl_name *target, const struct fl_name *address);
+
 /* Sends @message to the peer at @address. After @timeout_ms without a reply the peer counts as
  * unavailable if it has been silent since; otherwise a reply counts for @late_ms more.
  * @return false when @message is not sent. */
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "common/clock.h"
+#include "common/endpoint.h"
 #include "common/schema.h"
 #include "frontd/frontd_internal.h"
 
@@ -228,7 +229,7 @@
     .context = frontd,
   };
 
-  if (!fl_host_parse_endpoint (endpoint, &address, &options.port))
+  if (!fl_endpoint_parse (endpoint, &address, &options.port))
     {
       fl_fail (error, FL_INVALID, "listen", endpoint->data, "the endpoint is missing or malformed");
       return NULL;
--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -1,6 +1,5 @@
 #include "host/settings.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,7 +7,7 @@
 
 #include <glib.h>
 
-#define PORT_MAX 65535
+#include "common/endpoint.h"
 
 static const char *const log_level_names[] = { "err", "warning", "notice", "info", "debug", NULL };
 
@@ -37,10 +36,10 @@
   NAME_AS (native_api, "own", false, 21),
   NAME (store, true, 21),
   NAME (advice, false, 21),
-  INT (link_port, 0, PORT_MAX, 0),
-  INT (relay_port, 0, PORT_MAX, 0),
-  INT (pool_metrics_port, 0, PORT_MAX, 0),
-  INT (front_metrics_port, 0, PORT_MAX, 0),
+  INT (link_port, 0, FL_PORT_MAX, 0),
+  INT (relay_port, 0, FL_PORT_MAX, 0),
+  INT (pool_metrics_port, 0, FL_PORT_MAX, 0),
+  INT (front_metrics_port, 0, FL_PORT_MAX, 0),
   NAME (cpu_share, false, 10),
   INT (cores, 1, 1024, 1),
   NAME (link_mbps, false, 10),
@@ -77,27 +76,19 @@
     fl_problems_add (problems, path, "is \"%s\"; must be a number above 0", value->data);
 }
 
-bool
-fl_host_parse_endpoint (const struct fl_name *text, struct fl_name *address, int64_t *port)
+static void
+check_address (const char *path, const struct fl_name *address, struct fl_problems *problems)
 {
-  const char *colon = strchr (text->data, ':');
-  struct in_addr ip;
-  char *end;
+  struct fl_name endpoint = fl_name_format ("%s:1", address->data);
 
-  if (colon == NULL || !g_ascii_isdigit (colon[1]))
-    return false;
-  *address = fl_name_make (text->data, (size_t)(colon - text->data));
-  *port = strtol (colon + 1, &end, 10);
-  return *end == '\0' && *port <= PORT_MAX && inet_pton (AF_INET, address->data, &ip) == 1;
+  if (address->len > 0 && !fl_endpoint_is_valid (&endpoint))
+    fl_problems_add (problems, path, "is \"%s\"; must be an IPv4 address", address->data);
 }
 
 static void
 check_endpoint (const char *path, const struct fl_name *endpoint, struct fl_problems *problems)
 {
-  struct fl_name address;
-  int64_t port;
-
-  if (endpoint->len > 0 && !fl_host_parse_endpoint (endpoint, &address, &port))
+  if (endpoint->len > 0 && !fl_endpoint_is_valid (endpoint))
     fl_problems_add (problems, path, "is \"%s\"; must be an IPv4 address and a port",
                      endpoint->data);
 }
@@ -126,6 +117,7 @@
       return false;
     }
   fl_schema_from_json (&settings_schema, json, settings, "settings", problems);
+  check_address ("settings.address", &settings->address, problems);
   check_endpoint ("settings.front", &settings->front, problems);
   check_endpoint ("settings.ready", &settings->ready, problems);
   check_endpoint ("settings.own", &settings->native_api, problems);
--- a/lib/host/settings.h
+++ b/lib/host/settings.h
@@ -50,6 +50,3 @@
 
 /* @return the rate of the host's network link in bytes a second; 0 if it is not configured. */
 int64_t fl_host_settings_link_bytes_per_s (const struct fl_host_settings *settings);
-
-/* Splits @text, "ip:port". @return false if it is not an IPv4 address and a port. */
-bool fl_host_parse_endpoint (const struct fl_name *text, struct fl_name *address, int64_t *port);
--- a/lib/poold/target_rows.c
+++ b/lib/poold/target_rows.c
@@ -5,6 +5,7 @@
 
 #include <jansson.h>
 
+#include "common/endpoint.h"
 #include "common/schema.h"
 #include "store/tables.h"
 
@@ -74,6 +75,7 @@
       if (!is_valid)
         break;
       struct fl_name name = fl_name_of (json_string_value (item));
+      is_valid = i % 2 == 1 || fl_name_is_header_safe (&name);
       g_array_append_val (names, name);
     }
   json_decref (json);
--- a/lib/poold/target_rows.h
+++ b/lib/poold/target_rows.h
@@ -24,6 +24,6 @@
 /* Encodes row @index of the list @names (struct fl_name). @return the row, owned by the caller. */
 struct fl_str fl_target_rows_encode (const GArray *names, size_t index);
 
-/* Appends the names in a row of @len bytes to @names.
+/* Appends the names in a row of @len bytes to @names. Addresses are not checked.
  * @return false with @error filled when it is malformed; @names is then unchanged. */
 bool fl_target_rows_decode (const char *data, size_t len, GArray *names, struct fl_error *error);
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "common/clock.h"
+#include "common/endpoint.h"
 #include "common/schema.h"
 #include "poold/poold_internal.h"
 #include "poold/target_rows.h"
@@ -178,10 +179,15 @@
 on_host_row (void *context, const struct fl_store_row *row)
 {
   struct fl_term *term = context;
-  struct fl_name address = fl_name_make (row->value.data, MIN (row->value.len, FL_NAME_MAX));
+  struct fl_name address = fl_name_make (row->value.data, row->value.len);
 
-  if (!row->removed)
+  if (row->removed)
+    return;
+  if (row->value.len == address.len && fl_endpoint_is_link (&address))
     fl_peers_set_address (term->poold, &row->key, &address);
+  else
+    fl_log (&term->poold->host->log, FL_LOG_WARNING, "host_row_malformed",
+            FL_N ("host", &row->key));
 }
 
 /* --- followers --- */
@@ -255,8 +261,14 @@
         }
     }
   for (guint i = 0; i + 1 < names->len; i += 2)
-    fl_core_inherit_target (term->core, &g_array_index (names, struct fl_name, i),
-                            &g_array_index (names, struct fl_name, i + 1));
+    {
+      static const struct fl_name unknown = { 0 };
+      const struct fl_name *address = &g_array_index (names, struct fl_name, i + 1);
+      /* Earlier versions accepted other addresses. Nothing is sent there, and what may run there
+       * is waited for. */
+      fl_core_inherit_target (term->core, &g_array_index (names, struct fl_name, i),
+                              fl_endpoint_is_valid (address) ? address : &unknown);
+    }
   return true;
 }
 
--- a/lib/relay/hosts.c
+++ b/lib/relay/hosts.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/endpoint.h"
 #include "job/job_spec.h"
 #include "relay/relay_internal.h"
 #include "store/tables.h"
@@ -45,7 +46,8 @@
 static bool
 decode_host (const struct fl_store_row *row, struct host_row *entry)
 {
-  return fl_record_decode (&host_schema, row->value.data, row->value.len, entry, NULL);
+  return fl_record_decode (&host_schema, row->value.data, row->value.len, entry, NULL)
+         && fl_endpoint_is_link (&entry->address);
 }
 
 static int64_t
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "common/endpoint.h"
 #include "common/msgpack_check.h"
 #include "common/stats.h"
 #include "forward/message.h"
@@ -44,6 +45,9 @@
   { "{" REQUIRED_SETTINGS ",\"ready\":\"here\"}",
     "settings.ready: is \"here\"; must be an IPv4 address" },
   { "{" REQUIRED_SETTINGS ",\"ready\":\"1.2.3.4:x\"}", "must be an IPv4 address and a port" },
+  { "{" REQUIRED_SETTINGS ",\"ready\":\"1.2.3.4:0\"}", "must be an IPv4 address and a port" },
+  { "{\"name\":\"e1\",\"domain\":\"d\",\"address\":\"here\",\"store\":\"127.0.0.1:1\"}",
+    "settings.address: is \"here\"; must be an IPv4 address" },
   { "{" REQUIRED_SETTINGS ",\"name\":\"e1\"}", "duplicate" },
   { "{" REQUIRED_SETTINGS "} x", "settings:" },
 };
@@ -71,6 +75,58 @@
   unlink (path);
 }
 
+/* --- addresses --- */
+
+static const struct
+{
+  struct fl_name text;
+  bool is_valid;
+} endpoint_cases[] = {
+  { { 9, "1.2.3.4:5" }, true },
+  { { 21, "255.255.255.255:65535" }, true },
+  { { 9, "0.0.0.0:1" }, true },
+  { { 0, "" }, false },
+  { { 1, ":" }, false },
+  { { 7, "1.2.3.4" }, false },
+  { { 8, "1.2.3.4:" }, false },
+  { { 9, "1.2.3.4:0" }, false },
+  { { 10, "1.2.3.4:05" }, false },
+  { { 13, "1.2.3.4:65536" }, false },
+  { { 28, "1.2.3.4:99999999999999999999" }, false },
+  { { 10, "1.2.3.4:-1" }, false },
+  { { 10, "1.2.3.4:+1" }, false },
+  { { 10, "1.2.3.4: 1" }, false },
+  { { 10, "1.2.3.4:1 " }, false },
+  { { 11, "1.2.3.4:0x1" }, false },
+  { { 20, "1.2.3.4:5/rows-tx?x=" }, false },
+  { { 11, "1.2.3.4:5#f" }, false },
+  { { 11, "u@1.2.3.4:5" }, false },
+  { { 12, "1.2.3.4:5\r\nX" }, false },
+  { { 11, "1.2.3.4\0:5:6" }, false },
+  { { 10, "1.2.3.4:5\0" }, false },
+  { { 9, "1.2.3.256" }, false },
+  { { 11, "1.2.3.256:5" }, false },
+  { { 7, "1.2.3:4" }, false },
+  { { 6, "1234:5" }, false },
+  { { 7, "[::1]:9" }, false },
+  { { 11, "localhost:9" }, false },
+};
+
+static void
+test_endpoints (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (endpoint_cases); i++)
+    {
+      const struct fl_name *text = &endpoint_cases[i].text;
+      struct fl_name link = fl_name_format ("tcp://%s", text->data);
+      bool has_nul = memchr (text->data, '\0', text->len) != NULL;
+      if (fl_endpoint_is_valid (text) != endpoint_cases[i].is_valid || fl_endpoint_is_link (text)
+          || (!has_nul && fl_endpoint_is_link (&link) != endpoint_cases[i].is_valid))
+        fail_msg ("case %zu: %s", i, text->data);
+    }
+}
+
 /* --- configuration --- */
 
 #define CONFIGURATION_JSON                                                                         \
@@ -169,6 +225,9 @@
   { TARGET_ROW ("5", "{\"cpu\":16000}"), false, false },
   { TARGET_ROW ("\"ready\"", "null"), false, false },
   { "{\"service\":\"s\",\"state\":\"ready\",\"capacity\":{}}", false, false },
+  { "{\"service\":\"s\",\"address\":\"1.2.3.4:5/rows-tx?x=\",\"zone\":\"z\",\"state\":\"ready\","
+    "\"capacity\":{\"cpu\":16000}}",
+    false, false },
   { "[]", false, false },
   { "\xff\xfe", false, false },
   { "", false, false },
@@ -197,6 +256,31 @@
     }
 }
 
+/* The id of a target is the key of its row, and is sent in a header. */
+static void
+test_target_ids (void **state)
+{
+  static const struct
+  {
+    struct fl_name id;
+    bool is_valid;
+  } cases[] = {
+    { { 10, "i-7f3a91c2" }, true }, { { 2, "\xc3\xa4" }, true }, { { 0, "" }, false },
+    { { 8, "i\r\nX: 1" }, false },  { { 3, "i\tj" }, false },    { { 2, "i\x7f" }, false },
+    { { 3, "i\0j" }, false },
+  };
+  const char *row = TARGET_ROW ("\"ready\"", "{\"cpu\":16000}");
+  struct fl_str value = { strlen (row), (char *)row };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_target_entry entry;
+      if (fl_platform_decode_target (&cases[i].id, &value, &entry, NULL) != cases[i].is_valid)
+        fail_msg ("case %zu", i);
+    }
+}
+
 /* --- jobs --- */
 
 #define JOB(step_, rest_) "{\"spec\":\"x\",\"steps\":[{" step_ "}]," rest_ "}"
@@ -858,9 +942,11 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_settings_load),
+    cmocka_unit_test (test_endpoints),
     cmocka_unit_test (test_configuration_decode),
     cmocka_unit_test (test_api_key_decode),
     cmocka_unit_test (test_target_decode),
+    cmocka_unit_test (test_target_ids),
     cmocka_unit_test (test_job_decode),
     cmocka_unit_test (test_record_round_trip),
     cmocka_unit_test (test_task_targets_are_optional),
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -200,11 +200,11 @@
 }
 
 static struct order_outcome
-send_start (struct ev_loop *loop, struct host *host)
+send_start_to (struct ev_loop *loop, struct host *host, const char *address)
 {
   const struct fl_target_calls *calls = fl_forwarder_calls (host->forwarder);
   struct fl_start_order order = { .target = fl_name_of ("t1"),
-                                  .address = fl_name_of ("1.2.3.4:5"),
+                                  .address = fl_name_of (address),
                                   .task = fl_name_of ("a.0.0.0"),
                                   .run = 4,
                                   .fencing_token = 7,
@@ -223,6 +223,12 @@
   return outcome;
 }
 
+static struct order_outcome
+send_start (struct ev_loop *loop, struct host *host)
+{
+  return send_start_to (loop, host, "1.2.3.4:5");
+}
+
 static struct order_outcome
 send_heartbeat (struct ev_loop *loop, struct host *host)
 {
@@ -271,6 +277,10 @@
   assert_int_equal (heartbeat.end_cause, FL_END_GANG_BROKEN);
   assert_int_equal (peer.forwarded.heartbeats, 1);
   assert_int_equal (peer.forwarded.last_heartbeat.last_recorded_end, 8);
+  /* An owner of an earlier version accepts such an address from a registry entry. */
+  int starts = peer.forwarded.starts;
+  assert_int_equal (send_start_to (loop, &owner, "1.2.3.4:5/rows-tx?x=").result, FL_ORDER_NOT_SENT);
+  assert_int_equal (peer.forwarded.starts, starts);
   /* The peer is unreachable: the order gets no reply, and the next one is sent directly. */
   peer.drops_messages = true;
   int direct_starts = owner.direct.starts;
--- a/tests/test_target_rows.c
+++ b/tests/test_target_rows.c
@@ -49,8 +49,14 @@
 static void
 test_malformed_rows (void **state)
 {
-  static const char *const rows[]
-      = { "", "{}", "[\"a\"]", "[1,2]", "[\"a\",null]", "[\"a\",\"b\"" };
+  static const char *const rows[] = { "",
+                                      "{}",
+                                      "[\"a\"]",
+                                      "[1,2]",
+                                      "[\"a\",null]",
+                                      "[\"a\",\"b\"",
+                                      "[\"\",\"1.2.3.4:5\"]",
+                                      "[\"a\\r\\nb\",\"1.2.3.4:5\"]" };
   static const char *const other_keys[]
       = { "pending", "targets/", "targets/x", "targets/90", "target" };
   struct fl_error error = { 0 };
