Numbers and labels of registry entries are checked

A number of the capacity that was missing or of another type counted as 0, labels of another type were skipped, and any number was accepted, up to sums over the targets that overflow. Real numbers out of range were cast to integers, which is undefined. Such an entry is malformed now, by bounds that are kept in common/bounds.h. A fraction is dropped, null counts as absent, and a time left that is below 0 counts as 0, so that no entry of a target is rejected.

Two rows of the table were accepted before: a capacity without memMb, and a number among the labels.

--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -5,9 +5,8 @@
 #include <glib.h>
 #include <xxhash.h>
 
-#define DAY_MS (24LL * 3600 * 1000)
-#define TIME_MAX_MS INT64_C (9000000000000) /* Unix time; in the year 2255 */
-#define RESOURCE_MAX INT64_C (1000000000)
+#include "common/bounds.h"
+
 #define REPEATS_MAX 1000
 /* Most rows of the lists in a progress record. */
 #define RECORDED_TASKS_MAX FL_JOB_TASKS_MAX
@@ -35,10 +34,10 @@
 
 static const struct fl_field step_fields[] = {
   FIELD (fl_step_spec, count, FL_INT, true, 1, FL_STEP_TASKS_MAX, 0),
-  FIELD (fl_step_spec, cpu_milli, FL_INT, false, 0, RESOURCE_MAX, 0),
-  FIELD (fl_step_spec, memory_mb, FL_INT, false, 0, RESOURCE_MAX, 0),
-  FIELD (fl_step_spec, gpu, FL_INT, false, 0, RESOURCE_MAX, 0),
-  FIELD (fl_step_spec, estimate_ms, FL_INT, false, 0, 30 * DAY_MS, 0),
+  FIELD (fl_step_spec, cpu_milli, FL_INT, false, 0, FL_RESOURCE_MAX, 0),
+  FIELD (fl_step_spec, memory_mb, FL_INT, false, 0, FL_RESOURCE_MAX, 0),
+  FIELD (fl_step_spec, gpu, FL_INT, false, 0, FL_RESOURCE_MAX, 0),
+  FIELD (fl_step_spec, estimate_ms, FL_INT, false, 0, FL_DURATION_MAX_MS, 0),
   LIST (fl_step_spec, after, 0, FL_STEPS_MAX, &dependency_schema),
   FIELD (fl_step_spec, gang, FL_BOOL, false, 0, 0, 0),
   FIELD (fl_step_spec, rack_bound, FL_BOOL, false, 0, 0, 0),
@@ -50,7 +49,7 @@
   FIELD (fl_step_spec, rack, FL_NAME, false, 0, FL_NAME_MAX, 0),
   FIELD (fl_step_spec, image, FL_NAME, false, 0, FL_NAME_MAX, 0),
   FIELD (fl_step_spec, per_target_max, FL_INT, false, 0, FL_STEP_TASKS_MAX, 0),
-  FIELD (fl_step_spec, latency_bound_ms, FL_INT, false, 0, DAY_MS, 0),
+  FIELD (fl_step_spec, latency_bound_ms, FL_INT, false, 0, FL_DAY_MS, 0),
   FIELD (fl_step_spec, disruptions_max, FL_INT, false, -1, FL_STEP_TASKS_MAX, -1),
 };
 static FL_SCHEMA (step_schema, fl_step_spec, step_fields);
@@ -59,12 +58,12 @@
   FIELD (fl_job_spec, id, FL_NAME, true, 1, FL_NAME_MAX, 0),
   FIELD (fl_job_spec, queue, FL_NAME, true, 1, FL_NAME_MAX, 0),
   FIELD (fl_job_spec, team, FL_NAME, false, 0, FL_NAME_MAX, 0),
-  FIELD (fl_job_spec, accepted_ms, FL_INT, false, 0, TIME_MAX_MS, 0),
+  FIELD (fl_job_spec, accepted_ms, FL_INT, false, 0, FL_TIME_MAX_MS, 0),
   FIELD (fl_job_spec, text, FL_TEXT, false, 0, FL_SPEC_BYTES_MAX, 0),
   LIST (fl_job_spec, steps, 1, FL_STEPS_MAX, &step_schema),
   FIELD (fl_job_spec, repeat_count, FL_INT, false, 0, REPEATS_MAX, 0),
-  FIELD (fl_job_spec, start_at_ms, FL_INT, false, 0, TIME_MAX_MS, 0),
-  FIELD (fl_job_spec, interval_ms, FL_INT, false, 0, 30 * DAY_MS, 0),
+  FIELD (fl_job_spec, start_at_ms, FL_INT, false, 0, FL_TIME_MAX_MS, 0),
+  FIELD (fl_job_spec, interval_ms, FL_INT, false, 0, FL_DURATION_MAX_MS, 0),
 };
 FL_SCHEMA (fl_job_spec_schema, fl_job_spec, job_fields);
 
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -209,9 +209,17 @@
 
 /* --- registry --- */
 
-#define TARGET_ROW(state_, capacity_)                                                              \
+#define TARGET_ROW_WITH(state_, capacity_, rest_)                                                  \
   "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":" state_                  \
-  ",\"labels\":[\"a\",\"r1\",7],\"capacity\":" capacity_ ",\"born\":1700000000000,\"new\":1}"
+  ",\"capacity\":" capacity_ rest_ ",\"new\":1}"
+#define TARGET_ROW(state_, capacity_)                                                              \
+  TARGET_ROW_WITH (state_, capacity_, ",\"labels\":[\"a\",\"r1\"],\"born\":1700000000000")
+/* A ready target, with @rest_ beside what is required. */
+#define READY(rest_) TARGET_ROW_WITH ("\"ready\"", "{\"cpu\":16000,\"memMb\":1}", rest_)
+#define CAPACITY(text_) TARGET_ROW ("\"ready\"", text_)
+#define ADDRESS(address_)                                                                          \
+  "{\"service\":\"s\",\"address\":" address_ ",\"zone\":\"z\",\"state\":\"ready\","                \
+  "\"capacity\":{\"cpu\":16000,\"memMb\":1}}"
 
 static const struct
 {
@@ -219,15 +227,48 @@
   bool valid;
   bool draining;
 } registry_cases[] = {
-  { TARGET_ROW ("\"ready\"", "{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}"), true, false },
-  { TARGET_ROW ("\"draining\"", "{\"cpu\":16000}"), true, true },
-  { TARGET_ROW ("\"resting\"", "{\"cpu\":16000}"), false, false },
-  { TARGET_ROW ("5", "{\"cpu\":16000}"), false, false },
-  { TARGET_ROW ("\"ready\"", "null"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}"), true, false },
+  { TARGET_ROW ("\"draining\"", "{\"cpu\":16000,\"memMb\":32768}"), true, true },
+  { TARGET_ROW ("\"resting\"", "{\"cpu\":16000,\"memMb\":32768}"), false, false },
+  { TARGET_ROW ("5", "{\"cpu\":16000,\"memMb\":32768}"), false, false },
+  { ADDRESS ("\"1.2.3.4:5\""), true, false },
+  { ADDRESS ("\"1.2.3.4:5/rows-tx?x=\""), false, false },
+  { ADDRESS ("7"), false, false },
+  /* A number of the capacity that was missing, or of another type, counted as 0. */
+  { CAPACITY ("null"), false, false },
+  { CAPACITY ("{}"), false, false },
+  { CAPACITY ("[]"), false, false },
+  { CAPACITY ("{\"cpu\":16000}"), false, false },
+  { CAPACITY ("{\"memMb\":1}"), false, false },
+  { CAPACITY ("{\"cpu\":16000.0,\"memMb\":1.5,\"gpu\":null}"), true, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":\"1\"}"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":1,\"gpu\":true}"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":-1}"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":1000000000}"), true, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":1000000001}"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":1e300}"), false, false },
+  { CAPACITY ("{\"cpu\":9000000000000000000,\"memMb\":1}"), false, false },
+  { CAPACITY ("{\"cpu\":9.3e18,\"memMb\":1}"), false, false },
+  { CAPACITY ("{\"cpu\":-9.3e18,\"memMb\":1}"), false, false },
+  /* What may be absent was skipped where it was of another type. */
+  { READY (""), true, false },
+  { READY (",\"labels\":null,\"coldLeftMs\":null,\"remainingMs\":null,\"born\":null"), true,
+    false },
+  { READY (",\"labels\":[]"), true, false },
+  { READY (",\"labels\":[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"8\",\"9\"]"), true, false },
+  { READY (",\"labels\":[\"a\",\"r1\",7]"), false, false },
+  { READY (",\"labels\":\"a\""), false, false },
+  { READY (",\"labels\":{}"), false, false },
+  { READY (",\"coldLeftMs\":0,\"remainingMs\":0"), true, false },
+  { READY (",\"coldLeftMs\":812.5,\"remainingMs\":-0.5"), true, false },
+  { READY (",\"coldLeftMs\":-300"), true, false },
+  { READY (",\"coldLeftMs\":\"5\""), false, false },
+  { READY (",\"coldLeftMs\":9223372036854775807"), false, false },
+  { READY (",\"remainingMs\":1e19"), false, false },
+  { READY (",\"remainingMs\":[]"), false, false },
+  { READY (",\"born\":-1"), false, false },
+  { READY (",\"born\":\"1700000000000\""), false, false },
   { "{\"service\":\"s\",\"state\":\"ready\",\"capacity\":{}}", false, false },
-  { "{\"service\":\"s\",\"address\":\"1.2.3.4:5/rows-tx?x=\",\"zone\":\"z\",\"state\":\"ready\","
-    "\"capacity\":{\"cpu\":16000}}",
-    false, false },
   { "[]", false, false },
   { "\xff\xfe", false, false },
   { "", false, false },
@@ -251,6 +292,9 @@
         continue;
       assert_int_equal (entry.draining, registry_cases[i].draining);
       assert_int_equal (entry.resources.cpu_milli, 16000);
+      assert_true (entry.cold_left_ms >= 0 && entry.drain_remaining_ms >= 0);
+      if (strstr (registry_cases[i].row, "1700000000000") == NULL)
+        continue;
       assert_int_equal (entry.label_count, 2);
       assert_true (entry.booted_at_ms == INT64_C (1700000000000));
     }
@@ -269,7 +313,7 @@
     { { 8, "i\r\nX: 1" }, false },  { { 3, "i\tj" }, false },    { { 2, "i\x7f" }, false },
     { { 3, "i\0j" }, false },
   };
-  const char *row = TARGET_ROW ("\"ready\"", "{\"cpu\":16000}");
+  const char *row = READY ("");
   struct fl_str value = { strlen (row), (char *)row };
 
   (void)state;
