Numbers of configurations and job requests are checked

Numbers of a configuration were used as they came: a stretch of 1e300, a negative weight, a validMs that peers reject. They are moved into their bounds. An empty API key was that of all requests without a key; it is left out. A version must be from 0 to 2^53.

In a job request, a field of another type counted as absent: "cpu":"500" as 0, a "requiredLabel" of another type as no label, "after":{} as no dependency. Such a request is malformed now.

--- a/lib/common/bounds.h
+++ b/lib/common/bounds.h
@@ -13,5 +13,7 @@
 #define FL_TIME_MAX_MS INT64_C (9000000000000)
 /* Run and end numbers, versions: whole numbers that a double holds, with room to count on. */
 #define FL_NUMBER_MAX (INT64_C (1) << 53)
+/* For which an advice ticket is valid. */
+#define FL_TICKET_VALID_MAX_MS 600000
 /* Factors and weights. */
 #define FL_FACTOR_MAX 1000000
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "common/bounds.h"
 #include "common/clock.h"
 #include "common/schema.h"
 #include "poold/advisor_pool.h"
@@ -50,7 +51,8 @@
   { "timeout_ms", FL_INT, offsetof (struct message, timeout_ms), false, 0, CALL_TIMEOUT_MAX_MS, 0,
     NULL, NULL },
   { "answered", FL_BOOL, offsetof (struct message, service_replied), false, 0, 0, 0, NULL, NULL },
-  { "valid_ms", FL_INT, offsetof (struct message, valid_ms), false, 0, 600000, 0, NULL, NULL },
+  { "valid_ms", FL_INT, offsetof (struct message, valid_ms), false, 0, FL_TICKET_VALID_MAX_MS, 0,
+    NULL, NULL },
   { "targets", FL_ARRAY, offsetof (struct message, targets), true, 0, FL_ADVICE_TARGETS_MAX, 0,
     &target_schema, NULL },
 };
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -185,10 +185,46 @@
   assert_string_equal (fl_configuration_find_team_of_key (configuration, &api_key)->data, "t");
   assert_null (fl_configuration_find_team_of_key (configuration, &empty_key));
   fl_configuration_unref (configuration);
+  assert_null (decode_configuration ("{\"version\":1e300}"));
+  assert_null (decode_configuration ("{\"version\":-1}"));
+  assert_null (decode_configuration ("{\"version\":\"7\"}"));
   assert_null (decode_configuration ("{\"routes\":[]}"));
   assert_null (decode_configuration ("not json"));
 }
 
+/* Numbers out of bounds, and a key that would be that of requests without one. */
+static void
+test_odd_configuration (void **state)
+{
+  struct fl_configuration *configuration = decode_configuration (
+      "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"x\",\"pathPrefix\":\"/q/"
+      "\",\"service\":\"s\","
+      "\"priority\":-5,\"attempts\":0,\"stretch\":1e300,\"targetLatencyMs\":1e300,\"public\":1,"
+      "\"advice\":{\"decideMs\":1e300,\"perItemMs\":\"5\",\"validMs\":9223372036854775807}},"
+      "{\"name\":\"b\",\"host\":\"x\",\"pathPrefix\":\"\",\"service\":\"s\"}],"
+      "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"\",{},\"k\"],\"weight\":-4,"
+      "\"cap\":{\"cpu\":9e18,\"memMb\":-1,\"gpu\":\"2\"}},{\"name\":\"u\",\"apiKeys\":\"k\"}]}");
+  struct fl_name queue_name = fl_name_of ("a");
+  struct fl_name team_name = fl_name_of ("t");
+  struct fl_name empty_key = fl_name_of ("");
+  struct fl_name key = fl_name_of ("k");
+
+  (void)state;
+  assert_non_null (configuration);
+  const struct fl_queue *queue = fl_configuration_find_queue (configuration, &queue_name);
+  assert_true (queue->priority == 0 && queue->attempts_max == 1 && !queue->is_public);
+  assert_true (queue->stretch <= 1e6 && queue->latency_objective_ms <= INT64_C (2592000000));
+  assert_true (queue->advice.base_latency_ms <= 86400e3 && queue->advice.valid_ms == 600000
+               && queue->advice.per_target_latency_ms == 0);
+  const struct fl_team *team = fl_configuration_find_team (configuration, &team_name);
+  assert_true (team->weight == 1 && team->cap.cpu_milli == INT64_C (1000000000000000)
+               && team->cap.memory_mb == 0 && team->cap.gpu == 0);
+  assert_null (fl_configuration_find_team_of_key (configuration, &empty_key));
+  assert_string_equal (fl_configuration_find_team_of_key (configuration, &key)->data, "t");
+  assert_null (fl_configuration_match_queue (configuration, "x", "/other"));
+  fl_configuration_unref (configuration);
+}
+
 static const struct
 {
   const char *header;
@@ -368,6 +404,23 @@
   { JOB ("\"count\":1,\"mayMiss\":2001", "\"intervalMs\":1"), "disruptions_max is 2001" },
   { JOB ("\"count\":1,\"targetMs\":86400001", "\"intervalMs\":1"), "latency_bound_ms is" },
   { JOB ("\"count\":1,\"estimateMs\":-1", "\"intervalMs\":1"), "estimate_ms is -1" },
+  { JOB ("\"count\":4.5", "\"intervalMs\":1"), "step 0 is malformed" },
+  /* What has another type counted as absent. */
+  { JOB ("\"count\":1,\"cpu\":null,\"gang\":null,\"after\":null,\"image\":null",
+         "\"intervalMs\":1"),
+    NULL },
+  { JOB ("\"count\":1,\"cpu\":500.0,\"gang\":false,\"after\":[]", "\"intervalMs\":1"), NULL },
+  { JOB ("\"count\":1,\"cpu\":\"500\"", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"memMb\":1e300", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"estimateMs\":[]", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"gang\":1", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"longRunning\":\"true\"", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"requiredLabel\":7", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"after\":{}", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"mayMiss\":\"0\"", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1", "\"repeatCount\":\"3\""), "a number of repeats is malformed" },
+  { JOB ("\"count\":1", "\"startAtMs\":1e300"), "a number of repeats is malformed" },
+  { JOB ("\"count\":1", "\"intervalMs\":true"), "a number of repeats is malformed" },
   { JOB ("\"count\":1,\"cpu\":1000000001", "\"intervalMs\":1"), "cpu_milli is 1000000001" },
 };
 
@@ -988,6 +1041,7 @@
     cmocka_unit_test (test_settings_load),
     cmocka_unit_test (test_endpoints),
     cmocka_unit_test (test_configuration_decode),
+    cmocka_unit_test (test_odd_configuration),
     cmocka_unit_test (test_api_key_decode),
     cmocka_unit_test (test_target_decode),
     cmocka_unit_test (test_target_ids),
