Replies of targets and of the advice service are checked

Numbers of a report were cast or used as they came: a percent of 1e300 (undefined), a run number below 0 that made the record of its job unreadable, an end number of 2^63-1. They are moved into their bounds, and rows without a usable number are skipped. A report without a clock, or whose boot is of another type, is none: it was taken for that of a new boot.

With the earlier ones, test_reports fails at row 5 and test_advice_replies at row 2.

--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -16,6 +16,7 @@
 #include "forward/message.h"
 #include "host/settings.h"
 #include "platform/platform.h"
+#include "platform/replies.h"
 #include "relay/message.h"
 #include "store/tables.h"
 
@@ -361,6 +362,120 @@
     }
 }
 
+/* --- replies of targets and of the advice service --- */
+
+#define REPORT(running_, finished_)                                                                \
+  "{\"clockMs\":482113,\"born\":1700000000000,\"running\":[" running_ "],\"finished\":[" finished_ \
+  "]}"
+
+static const struct
+{
+  const char *body;
+  bool has_report;
+  size_t run_count;
+  size_t end_count;
+  int64_t percent; /* of the first run, with its gauge */
+  int64_t gauge;
+} report_cases[] = {
+  { REPORT ("[\"a.0.1.17\",2,\"\",41,250]", "[58,\"a.0.1.9\",1,\"done\",\"\"]"), true, 1, 1, 41,
+    250 },
+  { REPORT ("", ""), true, 0, 0, 0, 0 },
+  { REPORT ("[\"a\",2]", "[58,\"a\",1,\"done\"]"), true, 1, 1, 0, 0 },
+  { REPORT ("[\"a\",2,\"\",41.7,2.5]", ""), true, 1, 0, 41, 2 },
+  { "{\"clockMs\":482113.5,\"running\":[],\"finished\":[]}", true, 0, 0, 0, 0 },
+  /* Numbers out of range were cast, or used as they came. */
+  { REPORT ("[\"a\",2,\"\",1e300,-1e300]", ""), true, 1, 0, 0, 0 },
+  { REPORT ("[\"a\",2,\"\",-7,9223372036854775807]", ""), true, 1, 0, 0, 1000000000 },
+  { REPORT ("[\"a\",2,7,\"41\",null]", ""), true, 1, 0, 0, 0 },
+  { REPORT ("[\"a\",9223372036854775807],[\"a\",-1],[\"a\",\"2\"],[\"a\",2.0],[7,2],7,[],{}", ""),
+    true, 0, 0, 0, 0 },
+  { REPORT ("",
+            "[9223372036854775807,\"a\",1,\"done\",\"\"],[-1,\"a\",1,\"done\",\"\"],"
+            "[1,\"a\",-5,\"failed\",\"\"],[1,\"a\",9223372036854775807,\"failed\",\"\"],"
+            "[1,7,1,\"done\",\"\"],[1,\"a\",1,\"odd\",\"\"],[1],7"),
+    true, 0, 0, 0, 0 },
+  /* Without a clock, or with another boot, the report would be taken for that of a new boot. */
+  { "{\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":\"5\",\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":9223372036854775807,\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":5,\"born\":\"x\",\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":5,\"born\":1e300,\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":5,\"running\":{},\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":5,\"running\":[]}", false, 0, 0, 0, 0 },
+  { "[]", false, 0, 0, 0, 0 },
+  { "", false, 0, 0, 0, 0 },
+};
+
+static void
+check_report (void *context, const struct fl_order_reply *reply)
+{
+  size_t i = *(const size_t *)context;
+  const struct fl_target_report *report = reply->report;
+
+  if (reply->result != FL_ORDER_DONE || (report != NULL) != report_cases[i].has_report)
+    fail_msg ("case %zu: %s", i, report_cases[i].body);
+  if (report == NULL)
+    return;
+  if (report->run_count != report_cases[i].run_count
+      || report->end_count != report_cases[i].end_count)
+    fail_msg ("case %zu: %zu runs, %zu ends", i, report->run_count, report->end_count);
+  if (report->run_count > 0
+      && (report->runs[0].progress_percent != report_cases[i].percent
+          || report->runs[0].gauge != report_cases[i].gauge))
+    fail_msg ("case %zu: %d percent", i, (int)report->runs[0].progress_percent);
+}
+
+static void
+test_reports (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (report_cases); i++)
+    {
+      const char *body = report_cases[i].body;
+      struct fl_http_result result = { .status = 200, .body = { strlen (body), (char *)body } };
+      fl_platform_read_order_reply (&result, check_report, &i);
+    }
+}
+
+static const struct
+{
+  const char *body;
+  bool received;
+  size_t count;
+  int64_t valid_ms;
+} advice_cases[] = {
+  { "{\"good\":[[\"i-1\",\"t\"],[\"i-2\",\"u\"]],\"validMs\":3000}", true, 2, 3000 },
+  { "{\"good\":[],\"validMs\":3000}", true, 0, 3000 },
+  { "{\"good\":[[\"i-1\",\"t\"]],\"validMs\":9223372036854775807}", true, 1, 600000 },
+  { "{\"good\":[[\"i-1\",\"t\"]],\"validMs\":1e300}", true, 1, 600000 },
+  { "{\"good\":[[\"i-1\",\"t\"]],\"validMs\":-5}", true, 1, 0 },
+  { "{\"good\":[7,[],{},[7,\"t\"],[\"\",\"t\"],[\"i-1\",\"t\"]]}", true, 1, 0 },
+  { "{\"good\":{}}", false, 0, 0 },
+  { "", false, 0, 0 },
+};
+
+static void
+check_advice (void *context, const struct fl_advice_reply *reply)
+{
+  size_t i = *(const size_t *)context;
+
+  if (reply->received != advice_cases[i].received || reply->count != advice_cases[i].count
+      || reply->tickets_valid_ms != advice_cases[i].valid_ms)
+    fail_msg ("case %zu: %zu targets", i, reply->count);
+}
+
+static void
+test_advice_replies (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (advice_cases); i++)
+    {
+      const char *body = advice_cases[i].body;
+      struct fl_http_result result = { .status = 200, .body = { strlen (body), (char *)body } };
+      fl_platform_read_advice_reply (&result, check_advice, &i);
+    }
+}
+
 /* --- jobs --- */
 
 #define JOB(step_, rest_) "{\"spec\":\"x\",\"steps\":[{" step_ "}]," rest_ "}"
@@ -1045,6 +1160,8 @@
     cmocka_unit_test (test_api_key_decode),
     cmocka_unit_test (test_target_decode),
     cmocka_unit_test (test_target_ids),
+    cmocka_unit_test (test_reports),
+    cmocka_unit_test (test_advice_replies),
     cmocka_unit_test (test_job_decode),
     cmocka_unit_test (test_record_round_trip),
     cmocka_unit_test (test_task_targets_are_optional),
