A row whose key contains NUL no longer makes its table unreadable

A failure domain is at most as long as one whose evacuation can be read, or the entry of its target is malformed.

--- a/lib/common/schema.c
+++ b/lib/common/schema.c
@@ -58,11 +58,11 @@
   return false;
 }
 
-json_t *
-fl_json_parse (const char *data, size_t len, struct fl_error *error)
+static json_t *
+parse_json (const char *data, size_t len, size_t flags, struct fl_error *error)
 {
   json_error_t parse_error;
-  json_t *json = json_loadb (data != NULL ? data : "", len, JSON_REJECT_DUPLICATES, &parse_error);
+  json_t *json = json_loadb (data != NULL ? data : "", len, flags, &parse_error);
 
   if (json == NULL)
     {
@@ -79,6 +79,18 @@
   return json;
 }
 
+json_t *
+fl_json_parse (const char *data, size_t len, struct fl_error *error)
+{
+  return parse_json (data, len, JSON_REJECT_DUPLICATES, error);
+}
+
+json_t *
+fl_json_parse_with_nul (const char *data, size_t len, struct fl_error *error)
+{
+  return parse_json (data, len, JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL, error);
+}
+
 struct fl_str
 fl_json_encode (const json_t *json)
 {
--- a/lib/common/schema.h
+++ b/lib/common/schema.h
@@ -87,6 +87,9 @@
  * are errors. @return a new reference, or NULL with @error filled. */
 json_t *fl_json_parse (const char *data, size_t len, struct fl_error *error);
 
+/* The same, but strings may contain NUL, which callers check. */
+json_t *fl_json_parse_with_nul (const char *data, size_t len, struct fl_error *error);
+
 /* Encodes @json compactly with sorted names, so that equal documents yield equal bytes. */
 struct fl_str fl_json_encode (const json_t *json);
 
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -253,6 +253,10 @@
   TARGET_ROW_WITH (state_, capacity_, ",\"labels\":[\"a\",\"r1\"],\"born\":1700000000000")
 /* A ready target, with @rest_ beside what is required. */
 #define READY(rest_) TARGET_ROW_WITH ("\"ready\"", "{\"cpu\":16000,\"memMb\":1}", rest_)
+#define D10 "1234567890"
+#define ZONE(zone_)                                                                                \
+  "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"" zone_ "\",\"state\":\"ready\","       \
+  "\"capacity\":{\"cpu\":16000,\"memMb\":1}}"
 #define CAPACITY(text_) TARGET_ROW ("\"ready\"", text_)
 #define ADDRESS(address_)                                                                          \
   "{\"service\":\"s\",\"address\":" address_ ",\"zone\":\"z\",\"state\":\"ready\","                \
@@ -271,6 +275,9 @@
   { ADDRESS ("\"1.2.3.4:5\""), true, false },
   { ADDRESS ("\"1.2.3.4:5/rows-tx?x=\""), false, false },
   { ADDRESS ("7"), false, false },
+  { ZONE (D10 D10 D10 D10 D10 D10 D10 D10 "123456"), true, false },
+  /* An evacuation of this domain has a key that is longer than a name. */
+  { ZONE (D10 D10 D10 D10 D10 D10 D10 D10 "1234567"), false, false },
   /* A number of the capacity that was missing, or of another type, counted as 0. */
   { CAPACITY ("null"), false, false },
   { CAPACITY ("{}"), false, false },
@@ -476,6 +483,53 @@
     }
 }
 
+/* --- replies of the store --- */
+
+#define ROWS(rows_) "{\"ver\":530,\"hasMore\":false,\"rows\":[" rows_ "]}"
+#define ROW(key_, value_)                                                                          \
+  "{\"table\":\"servers\",\"part\":\"\",\"key\":" key_ ",\"ver\":4" value_ "}"
+#define GOOD_ROW ROW ("\"i-1\"", ",\"value\":\"bm9kZS0x\"")
+
+static const struct
+{
+  const char *body;
+  enum fl_store_status status;
+  size_t count; /* of rows with a value, the first of which is node-1 */
+} store_cases[] = {
+  { ROWS (GOOD_ROW), FL_STORE_OK, 1 },
+  { ROWS (""), FL_STORE_OK, 0 },
+  /* One such key made the whole reply unreadable, so that the table was not followed any more. */
+  { ROWS (GOOD_ROW "," ROW ("\"a\\u0000b\"", ",\"value\":\"bm9k\"")), FL_STORE_OK, 1 },
+  { ROWS (ROW ("\"\\u0000\"", ",\"value\":\"bm9k\"") "," GOOD_ROW), FL_STORE_OK, 1 },
+  { ROWS (GOOD_ROW ",7,null,[],{}," ROW ("7", ",\"value\":\"bm9k\"")), FL_STORE_OK, 1 },
+  { "[]", FL_STORE_OK, 0 },
+  { "", FL_STORE_UNKNOWN, 0 },
+  { "not json", FL_STORE_UNKNOWN, 0 },
+};
+
+static void
+check_rows (void *context, const struct fl_store_reply *reply)
+{
+  size_t i = *(const size_t *)context;
+
+  if (reply->status != store_cases[i].status || reply->count != store_cases[i].count)
+    fail_msg ("case %zu: status %d, %zu rows", i, (int)reply->status, reply->count);
+  if (reply->count > 0)
+    assert_string_equal (fl_str_text (&reply->rows[0].value), "node-1");
+}
+
+static void
+test_store_replies (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (store_cases); i++)
+    {
+      const char *body = store_cases[i].body;
+      struct fl_http_result result = { .status = 200, .body = { strlen (body), (char *)body } };
+      fl_platform_read_store_reply (&result, check_rows, &i);
+    }
+}
+
 /* --- jobs --- */
 
 #define JOB(step_, rest_) "{\"spec\":\"x\",\"steps\":[{" step_ "}]," rest_ "}"
@@ -1162,6 +1216,7 @@
     cmocka_unit_test (test_target_ids),
     cmocka_unit_test (test_reports),
     cmocka_unit_test (test_advice_replies),
+    cmocka_unit_test (test_store_replies),
     cmocka_unit_test (test_job_decode),
     cmocka_unit_test (test_record_round_trip),
     cmocka_unit_test (test_task_targets_are_optional),
