Orders whose strings are not UTF-8 do not end the process

A peer passes on orders and advice queries; a task name or payload that JSON cannot hold failed the assertion in fl_json_encode.

--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -19,6 +19,7 @@
 #include "platform/replies.h"
 #include "relay/message.h"
 #include "store/tables.h"
+#include "support_loop.h"
 
 /* --- settings --- */
 
@@ -483,6 +484,53 @@
     }
 }
 
+/* --- orders --- */
+
+static void
+count_reply (void *context, const struct fl_order_reply *reply)
+{
+  *(int *)context += reply->result == FL_ORDER_NO_LISTENER ? 1 : 0;
+}
+
+static void
+count_advice_reply (void *context, const struct fl_advice_reply *reply)
+{
+  *(int *)context += reply->received ? 0 : 1;
+}
+
+/* A peer may pass on strings that JSON cannot hold. The process ended by an assertion. */
+static void
+test_orders_that_are_not_utf8 (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_http_client *client = fl_http_client_new (loop, 0, NULL);
+  struct fl_platform_target_client *targets
+      = fl_platform_target_client_new (client, "127.0.0.1:1", NULL, NULL);
+  const struct fl_target_calls *calls = fl_platform_target_client_get_calls (targets);
+  const struct fl_advice_calls *advice = fl_platform_target_client_get_advice_calls (targets);
+  struct fl_name odd = fl_name_of ("\xff");
+  struct fl_start_order start = { .target = fl_name_of ("i-1"),
+                                  .address = fl_name_of ("127.0.0.1:1"),
+                                  .task = odd,
+                                  .payload = "\xfe",
+                                  .payload_len = 1,
+                                  .checkpoint = "\xfd",
+                                  .ticket = "\xfc" };
+  struct fl_run_order stop = { .target = start.target, .address = start.address, .task = odd };
+  int replies = 0;
+
+  (void)state;
+  calls->start (calls->context, &start, count_reply, &replies);
+  calls->stop (calls->context, &stop, count_reply, &replies);
+  advice->query (advice->context, &odd, &odd, 1, 500, count_advice_reply, &replies);
+  for (int i = 0; i < 200 && replies < 3; i++)
+    support_run_loop_for (loop, 0.01);
+  assert_int_equal (replies, 3);
+  fl_platform_target_client_free (targets);
+  fl_http_client_free (client);
+  ev_loop_destroy (loop);
+}
+
 /* --- replies of the store --- */
 
 #define ROWS(rows_) "{\"ver\":530,\"hasMore\":false,\"rows\":[" rows_ "]}"
@@ -1216,6 +1264,7 @@
     cmocka_unit_test (test_target_ids),
     cmocka_unit_test (test_reports),
     cmocka_unit_test (test_advice_replies),
+    cmocka_unit_test (test_orders_that_are_not_utf8),
     cmocka_unit_test (test_store_replies),
     cmocka_unit_test (test_job_decode),
     cmocka_unit_test (test_record_round_trip),
