Rows of jobs are checked like requests when an owner reads them

The owner checked the fields of a row, but not that steps depend on earlier ones and how many tasks there are: a row with "after":[{"step":99}] was a read beyond the heap (address sanitizer, in core_step_is_due), and one with 2,000,000 tasks took the memory of each owner in turn. A row with the id of another job is malformed, too, and run numbers of records have room to count on.

test_job_rows; the earlier decoder accepts its rows 2, 4 and 5.

--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -68,7 +68,7 @@
 FL_SCHEMA (fl_job_spec_schema, fl_job_spec, job_fields);
 
 static const struct fl_field failed_run_fields[] = {
-  FIELD (fl_failed_run, run, FL_INT, true, 0, INT64_MAX, 0),
+  FIELD (fl_failed_run, run, FL_INT, true, 0, FL_NUMBER_MAX, 0),
 };
 static FL_SCHEMA (failed_run_schema, fl_failed_run, failed_run_fields);
 
@@ -156,7 +156,7 @@
 static const char *const crash_state_names[] = { "open", "present", "suspected", "at_once", NULL };
 
 static const struct fl_field crashed_run_fields[] = {
-  FIELD (fl_crashed_run, run, FL_INT, true, 0, INT64_MAX, 0),
+  FIELD (fl_crashed_run, run, FL_INT, true, 0, FL_NUMBER_MAX, 0),
   { "state", FL_ENUM, offsetof (struct fl_crashed_run, state), true, 0, 0, 0, NULL,
     crash_state_names },
   FIELD (fl_crashed_run, target, FL_INT, true, 0, UINT32_MAX, 0),
@@ -365,6 +365,23 @@
   return text;
 }
 
+bool
+fl_job_spec_decode_row (const struct fl_name *key,
+                        const char *data,
+                        size_t len,
+                        struct fl_job_spec *spec,
+                        struct fl_error *error)
+{
+  if (!fl_record_decode (&fl_job_spec_schema, data, len, spec, error))
+    return false;
+  bool is_valid = fl_name_eq (&spec->id, key) ? fl_job_spec_validate (spec, error)
+                                              : fl_fail (error, FL_INVALID, "job_decode", NULL,
+                                                         "the job has the id %s", spec->id.data);
+  if (!is_valid)
+    fl_schema_clear (&fl_job_spec_schema, spec);
+  return is_valid;
+}
+
 bool
 fl_job_spec_decode_request (const struct fl_str *body,
                             const struct fl_name *id,
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -187,6 +187,14 @@
  * @return false with @error filled when something is wrong. */
 bool fl_job_spec_validate (const struct fl_job_spec *spec, struct fl_error *error);
 
+/* Decodes and checks the job in the row @key of the store, @len bytes.
+ * @return false with @error filled and nothing to clear when it is malformed, or another job's. */
+bool fl_job_spec_decode_row (const struct fl_name *key,
+                             const char *data,
+                             size_t len,
+                             struct fl_job_spec *spec,
+                             struct fl_error *error);
+
 /* Decodes and checks the job in the @body of a request. The fields id and queue are set from the
  * arguments; the body may omit them. @return false with @error filled and nothing to clear when it
  * is malformed. */
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -93,7 +93,7 @@
     fl_core_cancel_job (term->core, &job);
   else if (progress != NULL && progress->state == FL_JOB_COMPLETED)
     fl_core_add_finished_job (term->core, &row->key);
-  else if (fl_record_decode (&fl_job_spec_schema, row->value.data, row->value.len, &spec, &error))
+  else if (fl_job_spec_decode_row (&row->key, row->value.data, row->value.len, &spec, &error))
     fl_core_add_job (term->core, &spec, row->version, progress);
   else if (row->value.len > 2) /* an empty object marks the id of a rejected job */
     fl_log_error (&term->poold->host->log, FL_LOG_ERR, "job_unreadable", &error);
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -677,6 +677,46 @@
     }
 }
 
+#define JOB_ROW(id_, step_, rest_)                                                                 \
+  "{\"id\":\"" id_ "\",\"queue\":\"q\",\"steps\":[" step_ "]" rest_ "}"
+#define STEP(after_) "{\"count\":2000,\"after\":[" after_ "]}"
+
+/* A step that depends on one that does not exist was read beyond the steps, and a job with more
+ * tasks than are allowed took all memory of each owner. */
+static void
+test_job_rows (void **state)
+{
+  static const struct
+  {
+    const char *row;
+    const char *problem;
+  } cases[] = {
+    { JOB_ROW ("a1", STEP (""), ""), NULL },
+    { JOB_ROW ("a1", STEP ("") "," STEP ("{\"step\":0}"), ""), NULL },
+    { JOB_ROW ("a1", STEP ("{\"step\":99}"), ""), "not an earlier one" },
+    { JOB_ROW ("a1", STEP (""), ",\"repeat_count\":100"), NULL },
+    { JOB_ROW ("a1", STEP (""), ",\"repeat_count\":1000"), "2000000 tasks; allowed are 200000" },
+    { JOB_ROW ("a2", STEP (""), ""), "the job has the id a2" },
+    { JOB_ROW ("", STEP (""), ""), "job_spec" },
+    { "{}", "job_spec" },
+  };
+  struct fl_name key = fl_name_of ("a1");
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_job_spec spec;
+      struct fl_error error = { 0 };
+      bool valid
+          = fl_job_spec_decode_row (&key, cases[i].row, strlen (cases[i].row), &spec, &error);
+      if (valid != (cases[i].problem == NULL)
+          || (!valid && strstr (error.text, cases[i].problem) == NULL))
+        fail_msg ("case %zu: %s", i, error.text);
+      if (valid)
+        fl_schema_clear (&fl_job_spec_schema, &spec);
+    }
+}
+
 /* --- records --- */
 
 /* @fencing_token: 0 for a record as an earlier version wrote it */
@@ -1267,6 +1307,7 @@
     cmocka_unit_test (test_orders_that_are_not_utf8),
     cmocka_unit_test (test_store_replies),
     cmocka_unit_test (test_job_decode),
+    cmocka_unit_test (test_job_rows),
     cmocka_unit_test (test_record_round_trip),
     cmocka_unit_test (test_task_targets_are_optional),
     cmocka_unit_test (test_crashes_are_optional),
