--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -5,9 +5,8 @@
 #include <glib.h>
 #include <xxhash.h>
 
-#define DAY_MS (24LL * 3600 * 1000)
-#define TIME_MAX_MS INT64_C (9000000000000) /* Unix time; in the year 2255 */
-#define RESOURCE_MAX INT64_C (1000000000)
+#include "common/bounds.h"
+
 #define REPEATS_MAX 1000
 /* Most rows of the lists in a progress record. */
 #define RECORDED_TASKS_MAX FL_JOB_TASKS_MAX
@@ -35,10 +34,10 @@
 
 static const struct fl_field step_fields[] = {
   FIELD (fl_step_spec, count, FL_INT, true, 1, FL_STEP_TASKS_MAX, 0),
-  FIELD (fl_step_spec, cpu_milli, FL_INT, false, 0, RESOURCE_MAX, 0),
-  FIELD (fl_step_spec, memory_mb, FL_INT, false, 0, RESOURCE_MAX, 0),
-  FIELD (fl_step_spec, gpu, FL_INT, false, 0, RESOURCE_MAX, 0),
-  FIELD (fl_step_spec, estimate_ms, FL_INT, false, 0, 30 * DAY_MS, 0),
+  FIELD (fl_step_spec, cpu_milli, FL_INT, false, 0, FL_RESOURCE_MAX, 0),
+  FIELD (fl_step_spec, memory_mb, FL_INT, false, 0, FL_RESOURCE_MAX, 0),
+  FIELD (fl_step_spec, gpu, FL_INT, false, 0, FL_RESOURCE_MAX, 0),
+  FIELD (fl_step_spec, estimate_ms, FL_INT, false, 0, FL_DURATION_MAX_MS, 0),
   LIST (fl_step_spec, after, 0, FL_STEPS_MAX, &dependency_schema),
   FIELD (fl_step_spec, gang, FL_BOOL, false, 0, 0, 0),
   FIELD (fl_step_spec, rack_bound, FL_BOOL, false, 0, 0, 0),
@@ -50,7 +49,7 @@
   FIELD (fl_step_spec, rack, FL_NAME, false, 0, FL_NAME_MAX, 0),
   FIELD (fl_step_spec, image, FL_NAME, false, 0, FL_NAME_MAX, 0),
   FIELD (fl_step_spec, per_target_max, FL_INT, false, 0, FL_STEP_TASKS_MAX, 0),
-  FIELD (fl_step_spec, latency_bound_ms, FL_INT, false, 0, DAY_MS, 0),
+  FIELD (fl_step_spec, latency_bound_ms, FL_INT, false, 0, FL_DAY_MS, 0),
   FIELD (fl_step_spec, disruptions_max, FL_INT, false, -1, FL_STEP_TASKS_MAX, -1),
 };
 static FL_SCHEMA (step_schema, fl_step_spec, step_fields);
@@ -59,17 +58,17 @@
   FIELD (fl_job_spec, id, FL_NAME, true, 1, FL_NAME_MAX, 0),
   FIELD (fl_job_spec, queue, FL_NAME, true, 1, FL_NAME_MAX, 0),
   FIELD (fl_job_spec, team, FL_NAME, false, 0, FL_NAME_MAX, 0),
-  FIELD (fl_job_spec, accepted_ms, FL_INT, false, 0, TIME_MAX_MS, 0),
+  FIELD (fl_job_spec, accepted_ms, FL_INT, false, 0, FL_TIME_MAX_MS, 0),
   FIELD (fl_job_spec, text, FL_TEXT, false, 0, FL_SPEC_BYTES_MAX, 0),
   LIST (fl_job_spec, steps, 1, FL_STEPS_MAX, &step_schema),
   FIELD (fl_job_spec, repeat_count, FL_INT, false, 0, REPEATS_MAX, 0),
-  FIELD (fl_job_spec, start_at_ms, FL_INT, false, 0, TIME_MAX_MS, 0),
-  FIELD (fl_job_spec, interval_ms, FL_INT, false, 0, 30 * DAY_MS, 0),
+  FIELD (fl_job_spec, start_at_ms, FL_INT, false, 0, FL_TIME_MAX_MS, 0),
+  FIELD (fl_job_spec, interval_ms, FL_INT, false, 0, FL_DURATION_MAX_MS, 0),
 };
 FL_SCHEMA (fl_job_spec_schema, fl_job_spec, job_fields);
 
 static const struct fl_field failed_run_fields[] = {
-  FIELD (fl_failed_run, run, FL_INT, true, 0, INT64_MAX, 0),
+  FIELD (fl_failed_run, run, FL_INT, true, 0, FL_NUMBER_MAX, 0),
 };
 static FL_SCHEMA (failed_run_schema, fl_failed_run, failed_run_fields);
 
@@ -157,7 +156,7 @@
 static const char *const crash_state_names[] = { "open", "present", "suspected", "at_once", NULL };
 
 static const struct fl_field crashed_run_fields[] = {
-  FIELD (fl_crashed_run, run, FL_INT, true, 0, INT64_MAX, 0),
+  FIELD (fl_crashed_run, run, FL_INT, true, 0, FL_NUMBER_MAX, 0),
   { "state", FL_ENUM, offsetof (struct fl_crashed_run, state), true, 0, 0, 0, NULL,
     crash_state_names },
   FIELD (fl_crashed_run, target, FL_INT, true, 0, UINT32_MAX, 0),
@@ -366,6 +365,23 @@
   return text;
 }
 
+bool
+fl_job_spec_decode_row (const struct fl_name *key,
+                        const char *data,
+                        size_t len,
+                        struct fl_job_spec *spec,
+                        struct fl_error *error)
+{
+  if (!fl_record_decode (&fl_job_spec_schema, data, len, spec, error))
+    return false;
+  bool is_valid = fl_name_eq (&spec->id, key) ? fl_job_spec_validate (spec, error)
+                                              : fl_fail (error, FL_INVALID, "job_decode", NULL,
+                                                         "the job has the id %s", spec->id.data);
+  if (!is_valid)
+    fl_schema_clear (&fl_job_spec_schema, spec);
+  return is_valid;
+}
+
 bool
 fl_job_spec_decode_request (const struct fl_str *body,
                             const struct fl_name *id,
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "common/clock.h"
+#include "common/endpoint.h"
 #include "common/schema.h"
 #include "poold/poold_internal.h"
 #include "poold/target_rows.h"
@@ -92,7 +93,7 @@
     fl_core_cancel_job (term->core, &job);
   else if (progress != NULL && progress->state == FL_JOB_COMPLETED)
     fl_core_add_finished_job (term->core, &row->key);
-  else if (fl_record_decode (&fl_job_spec_schema, row->value.data, row->value.len, &spec, &error))
+  else if (fl_job_spec_decode_row (&row->key, row->value.data, row->value.len, &spec, &error))
     fl_core_add_job (term->core, &spec, row->version, progress);
   else if (row->value.len > 2) /* an empty object marks the id of a rejected job */
     fl_log_error (&term->poold->host->log, FL_LOG_ERR, "job_unreadable", &error);
@@ -134,6 +135,7 @@
     fl_core_update_target (term->core, &entry);
   else
     {
+      fl_core_note_unreadable_entry (term->core, &row->key);
       fl_stats_add (term->poold->host->stats, "registry_rows_malformed_total", 1);
       fl_log_error (&term->poold->host->log, FL_LOG_INFO, "registry_row_malformed", &error);
     }
@@ -177,10 +179,15 @@
 on_host_row (void *context, const struct fl_store_row *row)
 {
   struct fl_term *term = context;
-  struct fl_name address = fl_name_make (row->value.data, MIN (row->value.len, FL_NAME_MAX));
+  struct fl_name address = fl_name_make (row->value.data, row->value.len);
 
-  if (!row->removed)
+  if (row->removed)
+    return;
+  if (row->value.len == address.len && fl_endpoint_is_link (&address))
     fl_peers_set_address (term->poold, &row->key, &address);
+  else
+    fl_log (&term->poold->host->log, FL_LOG_WARNING, "host_row_malformed",
+            FL_N ("host", &row->key));
 }
 
 /* --- followers --- */
@@ -254,8 +261,14 @@
         }
     }
   for (guint i = 0; i + 1 < names->len; i += 2)
-    fl_core_inherit_target (term->core, &g_array_index (names, struct fl_name, i),
-                            &g_array_index (names, struct fl_name, i + 1));
+    {
+      static const struct fl_name unknown = { 0 };
+      const struct fl_name *address = &g_array_index (names, struct fl_name, i + 1);
+      /* Earlier versions accepted other addresses. Nothing is sent there, and what may run there
+       * is waited for. */
+      fl_core_inherit_target (term->core, &g_array_index (names, struct fl_name, i),
+                              fl_endpoint_is_valid (address) ? address : &unknown);
+    }
   return true;
 }
 
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -10,13 +10,16 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "common/endpoint.h"
 #include "common/msgpack_check.h"
 #include "common/stats.h"
 #include "forward/message.h"
 #include "host/settings.h"
 #include "platform/platform.h"
+#include "platform/replies.h"
 #include "relay/message.h"
 #include "store/tables.h"
+#include "support_loop.h"
 
 /* --- settings --- */
 
@@ -44,6 +47,9 @@
   { "{" REQUIRED_SETTINGS ",\"ready\":\"here\"}",
     "settings.ready: is \"here\"; must be an IPv4 address" },
   { "{" REQUIRED_SETTINGS ",\"ready\":\"1.2.3.4:x\"}", "must be an IPv4 address and a port" },
+  { "{" REQUIRED_SETTINGS ",\"ready\":\"1.2.3.4:0\"}", "must be an IPv4 address and a port" },
+  { "{\"name\":\"e1\",\"domain\":\"d\",\"address\":\"here\",\"store\":\"127.0.0.1:1\"}",
+    "settings.address: is \"here\"; must be an IPv4 address" },
   { "{" REQUIRED_SETTINGS ",\"name\":\"e1\"}", "duplicate" },
   { "{" REQUIRED_SETTINGS "} x", "settings:" },
 };
@@ -71,6 +77,58 @@
   unlink (path);
 }
 
+/* --- addresses --- */
+
+static const struct
+{
+  struct fl_name text;
+  bool is_valid;
+} endpoint_cases[] = {
+  { { 9, "1.2.3.4:5" }, true },
+  { { 21, "255.255.255.255:65535" }, true },
+  { { 9, "0.0.0.0:1" }, true },
+  { { 0, "" }, false },
+  { { 1, ":" }, false },
+  { { 7, "1.2.3.4" }, false },
+  { { 8, "1.2.3.4:" }, false },
+  { { 9, "1.2.3.4:0" }, false },
+  { { 10, "1.2.3.4:05" }, false },
+  { { 13, "1.2.3.4:65536" }, false },
+  { { 28, "1.2.3.4:99999999999999999999" }, false },
+  { { 10, "1.2.3.4:-1" }, false },
+  { { 10, "1.2.3.4:+1" }, false },
+  { { 10, "1.2.3.4: 1" }, false },
+  { { 10, "1.2.3.4:1 " }, false },
+  { { 11, "1.2.3.4:0x1" }, false },
+  { { 20, "1.2.3.4:5/rows-tx?x=" }, false },
+  { { 11, "1.2.3.4:5#f" }, false },
+  { { 11, "u@1.2.3.4:5" }, false },
+  { { 12, "1.2.3.4:5\r\nX" }, false },
+  { { 11, "1.2.3.4\0:5:6" }, false },
+  { { 10, "1.2.3.4:5\0" }, false },
+  { { 9, "1.2.3.256" }, false },
+  { { 11, "1.2.3.256:5" }, false },
+  { { 7, "1.2.3:4" }, false },
+  { { 6, "1234:5" }, false },
+  { { 7, "[::1]:9" }, false },
+  { { 11, "localhost:9" }, false },
+};
+
+static void
+test_endpoints (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (endpoint_cases); i++)
+    {
+      const struct fl_name *text = &endpoint_cases[i].text;
+      struct fl_name link = fl_name_format ("tcp://%s", text->data);
+      bool has_nul = memchr (text->data, '\0', text->len) != NULL;
+      if (fl_endpoint_is_valid (text) != endpoint_cases[i].is_valid || fl_endpoint_is_link (text)
+          || (!has_nul && fl_endpoint_is_link (&link) != endpoint_cases[i].is_valid))
+        fail_msg ("case %zu: %s", i, text->data);
+    }
+}
+
 /* --- configuration --- */
 
 #define CONFIGURATION_JSON                                                                         \
@@ -129,10 +187,46 @@
   assert_string_equal (fl_configuration_find_team_of_key (configuration, &api_key)->data, "t");
   assert_null (fl_configuration_find_team_of_key (configuration, &empty_key));
   fl_configuration_unref (configuration);
+  assert_null (decode_configuration ("{\"version\":1e300}"));
+  assert_null (decode_configuration ("{\"version\":-1}"));
+  assert_null (decode_configuration ("{\"version\":\"7\"}"));
   assert_null (decode_configuration ("{\"routes\":[]}"));
   assert_null (decode_configuration ("not json"));
 }
 
+/* Numbers out of bounds, and a key that would be that of requests without one. */
+static void
+test_odd_configuration (void **state)
+{
+  struct fl_configuration *configuration = decode_configuration (
+      "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"x\",\"pathPrefix\":\"/q/"
+      "\",\"service\":\"s\","
+      "\"priority\":-5,\"attempts\":0,\"stretch\":1e300,\"targetLatencyMs\":1e300,\"public\":1,"
+      "\"advice\":{\"decideMs\":1e300,\"perItemMs\":\"5\",\"validMs\":9223372036854775807}},"
+      "{\"name\":\"b\",\"host\":\"x\",\"pathPrefix\":\"\",\"service\":\"s\"}],"
+      "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"\",{},\"k\"],\"weight\":-4,"
+      "\"cap\":{\"cpu\":9e18,\"memMb\":-1,\"gpu\":\"2\"}},{\"name\":\"u\",\"apiKeys\":\"k\"}]}");
+  struct fl_name queue_name = fl_name_of ("a");
+  struct fl_name team_name = fl_name_of ("t");
+  struct fl_name empty_key = fl_name_of ("");
+  struct fl_name key = fl_name_of ("k");
+
+  (void)state;
+  assert_non_null (configuration);
+  const struct fl_queue *queue = fl_configuration_find_queue (configuration, &queue_name);
+  assert_true (queue->priority == 0 && queue->attempts_max == 1 && !queue->is_public);
+  assert_true (queue->stretch <= 1e6 && queue->latency_objective_ms <= INT64_C (2592000000));
+  assert_true (queue->advice.base_latency_ms <= 86400e3 && queue->advice.valid_ms == 600000
+               && queue->advice.per_target_latency_ms == 0);
+  const struct fl_team *team = fl_configuration_find_team (configuration, &team_name);
+  assert_true (team->weight == 1 && team->cap.cpu_milli == INT64_C (1000000000000000)
+               && team->cap.memory_mb == 0 && team->cap.gpu == 0);
+  assert_null (fl_configuration_find_team_of_key (configuration, &empty_key));
+  assert_string_equal (fl_configuration_find_team_of_key (configuration, &key)->data, "t");
+  assert_null (fl_configuration_match_queue (configuration, "x", "/other"));
+  fl_configuration_unref (configuration);
+}
+
 static const struct
 {
   const char *header;
@@ -153,9 +247,21 @@
 
 /* --- registry --- */
 
-#define TARGET_ROW(state_, capacity_)                                                              \
+#define TARGET_ROW_WITH(state_, capacity_, rest_)                                                  \
   "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":" state_                  \
-  ",\"labels\":[\"a\",\"r1\",7],\"capacity\":" capacity_ ",\"born\":1700000000000,\"new\":1}"
+  ",\"capacity\":" capacity_ rest_ ",\"new\":1}"
+#define TARGET_ROW(state_, capacity_)                                                              \
+  TARGET_ROW_WITH (state_, capacity_, ",\"labels\":[\"a\",\"r1\"],\"born\":1700000000000")
+/* A ready target, with @rest_ beside what is required. */
+#define READY(rest_) TARGET_ROW_WITH ("\"ready\"", "{\"cpu\":16000,\"memMb\":1}", rest_)
+#define D10 "1234567890"
+#define ZONE(zone_)                                                                                \
+  "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"" zone_ "\",\"state\":\"ready\","       \
+  "\"capacity\":{\"cpu\":16000,\"memMb\":1}}"
+#define CAPACITY(text_) TARGET_ROW ("\"ready\"", text_)
+#define ADDRESS(address_)                                                                          \
+  "{\"service\":\"s\",\"address\":" address_ ",\"zone\":\"z\",\"state\":\"ready\","                \
+  "\"capacity\":{\"cpu\":16000,\"memMb\":1}}"
 
 static const struct
 {
@@ -163,11 +269,50 @@
   bool valid;
   bool draining;
 } registry_cases[] = {
-  { TARGET_ROW ("\"ready\"", "{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}"), true, false },
-  { TARGET_ROW ("\"draining\"", "{\"cpu\":16000}"), true, true },
-  { TARGET_ROW ("\"resting\"", "{\"cpu\":16000}"), false, false },
-  { TARGET_ROW ("5", "{\"cpu\":16000}"), false, false },
-  { TARGET_ROW ("\"ready\"", "null"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}"), true, false },
+  { TARGET_ROW ("\"draining\"", "{\"cpu\":16000,\"memMb\":32768}"), true, true },
+  { TARGET_ROW ("\"resting\"", "{\"cpu\":16000,\"memMb\":32768}"), false, false },
+  { TARGET_ROW ("5", "{\"cpu\":16000,\"memMb\":32768}"), false, false },
+  { ADDRESS ("\"1.2.3.4:5\""), true, false },
+  { ADDRESS ("\"1.2.3.4:5/rows-tx?x=\""), false, false },
+  { ADDRESS ("7"), false, false },
+  { ZONE (D10 D10 D10 D10 D10 D10 D10 D10 "123456"), true, false },
+  /* An evacuation of this domain has a key that is longer than a name. */
+  { ZONE (D10 D10 D10 D10 D10 D10 D10 D10 "1234567"), false, false },
+  /* A number of the capacity that was missing, or of another type, counted as 0. */
+  { CAPACITY ("null"), false, false },
+  { CAPACITY ("{}"), false, false },
+  { CAPACITY ("[]"), false, false },
+  { CAPACITY ("{\"cpu\":16000}"), false, false },
+  { CAPACITY ("{\"memMb\":1}"), false, false },
+  { CAPACITY ("{\"cpu\":16000.0,\"memMb\":1.5,\"gpu\":null}"), true, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":\"1\"}"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":1,\"gpu\":true}"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":-1}"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":1000000000}"), true, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":1000000001}"), false, false },
+  { CAPACITY ("{\"cpu\":16000,\"memMb\":1e300}"), false, false },
+  { CAPACITY ("{\"cpu\":9000000000000000000,\"memMb\":1}"), false, false },
+  { CAPACITY ("{\"cpu\":9.3e18,\"memMb\":1}"), false, false },
+  { CAPACITY ("{\"cpu\":-9.3e18,\"memMb\":1}"), false, false },
+  /* What may be absent was skipped where it was of another type. */
+  { READY (""), true, false },
+  { READY (",\"labels\":null,\"coldLeftMs\":null,\"remainingMs\":null,\"born\":null"), true,
+    false },
+  { READY (",\"labels\":[]"), true, false },
+  { READY (",\"labels\":[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"8\",\"9\"]"), true, false },
+  { READY (",\"labels\":[\"a\",\"r1\",7]"), false, false },
+  { READY (",\"labels\":\"a\""), false, false },
+  { READY (",\"labels\":{}"), false, false },
+  { READY (",\"coldLeftMs\":0,\"remainingMs\":0"), true, false },
+  { READY (",\"coldLeftMs\":812.5,\"remainingMs\":-0.5"), true, false },
+  { READY (",\"coldLeftMs\":-300"), true, false },
+  { READY (",\"coldLeftMs\":\"5\""), false, false },
+  { READY (",\"coldLeftMs\":9223372036854775807"), false, false },
+  { READY (",\"remainingMs\":1e19"), false, false },
+  { READY (",\"remainingMs\":[]"), false, false },
+  { READY (",\"born\":-1"), false, false },
+  { READY (",\"born\":\"1700000000000\""), false, false },
   { "{\"service\":\"s\",\"state\":\"ready\",\"capacity\":{}}", false, false },
   { "[]", false, false },
   { "\xff\xfe", false, false },
@@ -192,11 +337,247 @@
         continue;
       assert_int_equal (entry.draining, registry_cases[i].draining);
       assert_int_equal (entry.resources.cpu_milli, 16000);
+      assert_true (entry.cold_left_ms >= 0 && entry.drain_remaining_ms >= 0);
+      if (strstr (registry_cases[i].row, "1700000000000") == NULL)
+        continue;
       assert_int_equal (entry.label_count, 2);
       assert_true (entry.booted_at_ms == INT64_C (1700000000000));
     }
 }
 
+/* The id of a target is the key of its row, and is sent in a header. */
+static void
+test_target_ids (void **state)
+{
+  static const struct
+  {
+    struct fl_name id;
+    bool is_valid;
+  } cases[] = {
+    { { 10, "i-7f3a91c2" }, true }, { { 2, "\xc3\xa4" }, true }, { { 0, "" }, false },
+    { { 8, "i\r\nX: 1" }, false },  { { 3, "i\tj" }, false },    { { 2, "i\x7f" }, false },
+    { { 3, "i\0j" }, false },
+  };
+  const char *row = READY ("");
+  struct fl_str value = { strlen (row), (char *)row };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_target_entry entry;
+      if (fl_platform_decode_target (&cases[i].id, &value, &entry, NULL) != cases[i].is_valid)
+        fail_msg ("case %zu", i);
+    }
+}
+
+/* --- replies of targets and of the advice service --- */
+
+#define REPORT(running_, finished_)                                                                \
+  "{\"clockMs\":482113,\"born\":1700000000000,\"running\":[" running_ "],\"finished\":[" finished_ \
+  "]}"
+
+static const struct
+{
+  const char *body;
+  bool has_report;
+  size_t run_count;
+  size_t end_count;
+  int64_t percent; /* of the first run, with its gauge */
+  int64_t gauge;
+} report_cases[] = {
+  { REPORT ("[\"a.0.1.17\",2,\"\",41,250]", "[58,\"a.0.1.9\",1,\"done\",\"\"]"), true, 1, 1, 41,
+    250 },
+  { REPORT ("", ""), true, 0, 0, 0, 0 },
+  { REPORT ("[\"a\",2]", "[58,\"a\",1,\"done\"]"), true, 1, 1, 0, 0 },
+  { REPORT ("[\"a\",2,\"\",41.7,2.5]", ""), true, 1, 0, 41, 2 },
+  { "{\"clockMs\":482113.5,\"running\":[],\"finished\":[]}", true, 0, 0, 0, 0 },
+  /* Numbers out of range were cast, or used as they came. */
+  { REPORT ("[\"a\",2,\"\",1e300,-1e300]", ""), true, 1, 0, 0, 0 },
+  { REPORT ("[\"a\",2,\"\",-7,9223372036854775807]", ""), true, 1, 0, 0, 1000000000 },
+  { REPORT ("[\"a\",2,7,\"41\",null]", ""), true, 1, 0, 0, 0 },
+  { REPORT ("[\"a\",9223372036854775807],[\"a\",-1],[\"a\",\"2\"],[\"a\",2.0],[7,2],7,[],{}", ""),
+    true, 0, 0, 0, 0 },
+  { REPORT ("",
+            "[9223372036854775807,\"a\",1,\"done\",\"\"],[-1,\"a\",1,\"done\",\"\"],"
+            "[1,\"a\",-5,\"failed\",\"\"],[1,\"a\",9223372036854775807,\"failed\",\"\"],"
+            "[1,7,1,\"done\",\"\"],[1,\"a\",1,\"odd\",\"\"],[1],7"),
+    true, 0, 0, 0, 0 },
+  /* Without a clock, or with another boot, the report would be taken for that of a new boot. */
+  { "{\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":\"5\",\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":9223372036854775807,\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":5,\"born\":\"x\",\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":5,\"born\":1e300,\"running\":[],\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":5,\"running\":{},\"finished\":[]}", false, 0, 0, 0, 0 },
+  { "{\"clockMs\":5,\"running\":[]}", false, 0, 0, 0, 0 },
+  { "[]", false, 0, 0, 0, 0 },
+  { "", false, 0, 0, 0, 0 },
+};
+
+static void
+check_report (void *context, const struct fl_order_reply *reply)
+{
+  size_t i = *(const size_t *)context;
+  const struct fl_target_report *report = reply->report;
+
+  if (reply->result != FL_ORDER_DONE || (report != NULL) != report_cases[i].has_report)
+    fail_msg ("case %zu: %s", i, report_cases[i].body);
+  if (report == NULL)
+    return;
+  if (report->run_count != report_cases[i].run_count
+      || report->end_count != report_cases[i].end_count)
+    fail_msg ("case %zu: %zu runs, %zu ends", i, report->run_count, report->end_count);
+  if (report->run_count > 0
+      && (report->runs[0].progress_percent != report_cases[i].percent
+          || report->runs[0].gauge != report_cases[i].gauge))
+    fail_msg ("case %zu: %d percent", i, (int)report->runs[0].progress_percent);
+}
+
+static void
+test_reports (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (report_cases); i++)
+    {
+      const char *body = report_cases[i].body;
+      struct fl_http_result result = { .status = 200, .body = { strlen (body), (char *)body } };
+      fl_platform_read_order_reply (&result, check_report, &i);
+    }
+}
+
+static const struct
+{
+  const char *body;
+  bool received;
+  size_t count;
+  int64_t valid_ms;
+} advice_cases[] = {
+  { "{\"good\":[[\"i-1\",\"t\"],[\"i-2\",\"u\"]],\"validMs\":3000}", true, 2, 3000 },
+  { "{\"good\":[],\"validMs\":3000}", true, 0, 3000 },
+  { "{\"good\":[[\"i-1\",\"t\"]],\"validMs\":9223372036854775807}", true, 1, 600000 },
+  { "{\"good\":[[\"i-1\",\"t\"]],\"validMs\":1e300}", true, 1, 600000 },
+  { "{\"good\":[[\"i-1\",\"t\"]],\"validMs\":-5}", true, 1, 0 },
+  { "{\"good\":[7,[],{},[7,\"t\"],[\"\",\"t\"],[\"i-1\",\"t\"]]}", true, 1, 0 },
+  { "{\"good\":{}}", false, 0, 0 },
+  { "", false, 0, 0 },
+};
+
+static void
+check_advice (void *context, const struct fl_advice_reply *reply)
+{
+  size_t i = *(const size_t *)context;
+
+  if (reply->received != advice_cases[i].received || reply->count != advice_cases[i].count
+      || reply->tickets_valid_ms != advice_cases[i].valid_ms)
+    fail_msg ("case %zu: %zu targets", i, reply->count);
+}
+
+static void
+test_advice_replies (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (advice_cases); i++)
+    {
+      const char *body = advice_cases[i].body;
+      struct fl_http_result result = { .status = 200, .body = { strlen (body), (char *)body } };
+      fl_platform_read_advice_reply (&result, check_advice, &i);
+    }
+}
+
+/* --- orders --- */
+
+static void
+count_reply (void *context, const struct fl_order_reply *reply)
+{
+  *(int *)context += reply->result == FL_ORDER_NO_LISTENER ? 1 : 0;
+}
+
+static void
+count_advice_reply (void *context, const struct fl_advice_reply *reply)
+{
+  *(int *)context += reply->received ? 0 : 1;
+}
+
+/* A peer may pass on strings that JSON cannot hold. The process ended by an assertion. */
+static void
+test_orders_that_are_not_utf8 (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_http_client *client = fl_http_client_new (loop, 0, NULL);
+  struct fl_platform_target_client *targets
+      = fl_platform_target_client_new (client, "127.0.0.1:1", NULL, NULL);
+  const struct fl_target_calls *calls = fl_platform_target_client_get_calls (targets);
+  const struct fl_advice_calls *advice = fl_platform_target_client_get_advice_calls (targets);
+  struct fl_name odd = fl_name_of ("\xff");
+  struct fl_start_order start = { .target = fl_name_of ("i-1"),
+                                  .address = fl_name_of ("127.0.0.1:1"),
+                                  .task = odd,
+                                  .payload = "\xfe",
+                                  .payload_len = 1,
+                                  .checkpoint = "\xfd",
+                                  .ticket = "\xfc" };
+  struct fl_run_order stop = { .target = start.target, .address = start.address, .task = odd };
+  int replies = 0;
+
+  (void)state;
+  calls->start (calls->context, &start, count_reply, &replies);
+  calls->stop (calls->context, &stop, count_reply, &replies);
+  advice->query (advice->context, &odd, &odd, 1, 500, count_advice_reply, &replies);
+  for (int i = 0; i < 200 && replies < 3; i++)
+    support_run_loop_for (loop, 0.01);
+  assert_int_equal (replies, 3);
+  fl_platform_target_client_free (targets);
+  fl_http_client_free (client);
+  ev_loop_destroy (loop);
+}
+
+/* --- replies of the store --- */
+
+#define ROWS(rows_) "{\"ver\":530,\"hasMore\":false,\"rows\":[" rows_ "]}"
+#define ROW(key_, value_)                                                                          \
+  "{\"table\":\"servers\",\"part\":\"\",\"key\":" key_ ",\"ver\":4" value_ "}"
+#define GOOD_ROW ROW ("\"i-1\"", ",\"value\":\"bm9kZS0x\"")
+
+static const struct
+{
+  const char *body;
+  enum fl_store_status status;
+  size_t count; /* of rows with a value, the first of which is node-1 */
+} store_cases[] = {
+  { ROWS (GOOD_ROW), FL_STORE_OK, 1 },
+  { ROWS (""), FL_STORE_OK, 0 },
+  /* One such key made the whole reply unreadable, so that the table was not followed any more. */
+  { ROWS (GOOD_ROW "," ROW ("\"a\\u0000b\"", ",\"value\":\"bm9k\"")), FL_STORE_OK, 1 },
+  { ROWS (ROW ("\"\\u0000\"", ",\"value\":\"bm9k\"") "," GOOD_ROW), FL_STORE_OK, 1 },
+  { ROWS (GOOD_ROW ",7,null,[],{}," ROW ("7", ",\"value\":\"bm9k\"")), FL_STORE_OK, 1 },
+  { "[]", FL_STORE_OK, 0 },
+  { "", FL_STORE_UNKNOWN, 0 },
+  { "not json", FL_STORE_UNKNOWN, 0 },
+};
+
+static void
+check_rows (void *context, const struct fl_store_reply *reply)
+{
+  size_t i = *(const size_t *)context;
+
+  if (reply->status != store_cases[i].status || reply->count != store_cases[i].count)
+    fail_msg ("case %zu: status %d, %zu rows", i, (int)reply->status, reply->count);
+  if (reply->count > 0)
+    assert_string_equal (fl_str_text (&reply->rows[0].value), "node-1");
+}
+
+static void
+test_store_replies (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (store_cases); i++)
+    {
+      const char *body = store_cases[i].body;
+      struct fl_http_result result = { .status = 200, .body = { strlen (body), (char *)body } };
+      fl_platform_read_store_reply (&result, check_rows, &i);
+    }
+}
+
 /* --- jobs --- */
 
 #define JOB(step_, rest_) "{\"spec\":\"x\",\"steps\":[{" step_ "}]," rest_ "}"
@@ -240,6 +621,23 @@
   { JOB ("\"count\":1,\"mayMiss\":2001", "\"intervalMs\":1"), "disruptions_max is 2001" },
   { JOB ("\"count\":1,\"targetMs\":86400001", "\"intervalMs\":1"), "latency_bound_ms is" },
   { JOB ("\"count\":1,\"estimateMs\":-1", "\"intervalMs\":1"), "estimate_ms is -1" },
+  { JOB ("\"count\":4.5", "\"intervalMs\":1"), "step 0 is malformed" },
+  /* What has another type counted as absent. */
+  { JOB ("\"count\":1,\"cpu\":null,\"gang\":null,\"after\":null,\"image\":null",
+         "\"intervalMs\":1"),
+    NULL },
+  { JOB ("\"count\":1,\"cpu\":500.0,\"gang\":false,\"after\":[]", "\"intervalMs\":1"), NULL },
+  { JOB ("\"count\":1,\"cpu\":\"500\"", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"memMb\":1e300", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"estimateMs\":[]", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"gang\":1", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"longRunning\":\"true\"", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"requiredLabel\":7", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"after\":{}", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1,\"mayMiss\":\"0\"", "\"intervalMs\":1"), "step 0 is malformed" },
+  { JOB ("\"count\":1", "\"repeatCount\":\"3\""), "a number of repeats is malformed" },
+  { JOB ("\"count\":1", "\"startAtMs\":1e300"), "a number of repeats is malformed" },
+  { JOB ("\"count\":1", "\"intervalMs\":true"), "a number of repeats is malformed" },
   { JOB ("\"count\":1,\"cpu\":1000000001", "\"intervalMs\":1"), "cpu_milli is 1000000001" },
 };
 
@@ -279,6 +677,46 @@
     }
 }
 
+#define JOB_ROW(id_, step_, rest_)                                                                 \
+  "{\"id\":\"" id_ "\",\"queue\":\"q\",\"steps\":[" step_ "]" rest_ "}"
+#define STEP(after_) "{\"count\":2000,\"after\":[" after_ "]}"
+
+/* A step that depends on one that does not exist was read beyond the steps, and a job with more
+ * tasks than are allowed took all memory of each owner. */
+static void
+test_job_rows (void **state)
+{
+  static const struct
+  {
+    const char *row;
+    const char *problem;
+  } cases[] = {
+    { JOB_ROW ("a1", STEP (""), ""), NULL },
+    { JOB_ROW ("a1", STEP ("") "," STEP ("{\"step\":0}"), ""), NULL },
+    { JOB_ROW ("a1", STEP ("{\"step\":99}"), ""), "not an earlier one" },
+    { JOB_ROW ("a1", STEP (""), ",\"repeat_count\":100"), NULL },
+    { JOB_ROW ("a1", STEP (""), ",\"repeat_count\":1000"), "2000000 tasks; allowed are 200000" },
+    { JOB_ROW ("a2", STEP (""), ""), "the job has the id a2" },
+    { JOB_ROW ("", STEP (""), ""), "job_spec" },
+    { "{}", "job_spec" },
+  };
+  struct fl_name key = fl_name_of ("a1");
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_job_spec spec;
+      struct fl_error error = { 0 };
+      bool valid
+          = fl_job_spec_decode_row (&key, cases[i].row, strlen (cases[i].row), &spec, &error);
+      if (valid != (cases[i].problem == NULL)
+          || (!valid && strstr (error.text, cases[i].problem) == NULL))
+        fail_msg ("case %zu: %s", i, error.text);
+      if (valid)
+        fl_schema_clear (&fl_job_spec_schema, &spec);
+    }
+}
+
 /* --- records --- */
 
 /* @fencing_token: 0 for a record as an earlier version wrote it */
@@ -858,10 +1296,18 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_settings_load),
+    cmocka_unit_test (test_endpoints),
     cmocka_unit_test (test_configuration_decode),
+    cmocka_unit_test (test_odd_configuration),
     cmocka_unit_test (test_api_key_decode),
     cmocka_unit_test (test_target_decode),
+    cmocka_unit_test (test_target_ids),
+    cmocka_unit_test (test_reports),
+    cmocka_unit_test (test_advice_replies),
+    cmocka_unit_test (test_orders_that_are_not_utf8),
+    cmocka_unit_test (test_store_replies),
     cmocka_unit_test (test_job_decode),
+    cmocka_unit_test (test_job_rows),
     cmocka_unit_test (test_record_round_trip),
     cmocka_unit_test (test_task_targets_are_optional),
     cmocka_unit_test (test_crashes_are_optional),
