HTTP server: log connections that are closed by a timeout

A caller whose request was lost on a closed connection left no trace: the server logged neither the close nor what was unread at that moment. connection_closed tells the listener, the reason, the phase, the ages, the unread bytes and how long the event loop had been waiting; connections_closed_total, connections_closed_unread_total and loop_late_ms count the same.

--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -212,6 +212,7 @@
 
 static struct fl_http_server *
 listen_at (struct fl_frontd *frontd,
+           const char *name,
            const struct fl_name *endpoint,
            void (*handle) (void *context, struct fl_http_request *request),
            struct fl_error *error)
@@ -219,6 +220,9 @@
   struct fl_name address;
   struct fl_http_server_options options = {
     .loop = frontd->host->loop,
+    .name = name,
+    .log = &frontd->host->log,
+    .stats = frontd->host->stats,
     .body_max = BODY_MAX,
     .header_max = HEADER_MAX,
     .connections_max = CONNECTIONS_MAX,
@@ -362,15 +366,15 @@
   struct fl_host_metrics_options metrics
       = { .port = settings->front_metrics_port, .dump = write_dump, .context = frontd };
 
-  frontd->client_server = listen_at (frontd, &settings->front, on_request, error);
+  frontd->client_server = listen_at (frontd, "front", &settings->front, on_request, error);
   if (frontd->client_server == NULL)
     return false;
-  frontd->ready_server = listen_at (frontd, &settings->ready, on_ready_request, error);
+  frontd->ready_server = listen_at (frontd, "ready", &settings->ready, on_ready_request, error);
   if (frontd->ready_server == NULL)
     return false;
   if (settings->native_api.len > 0)
     frontd->native_server
-        = listen_at (frontd, &settings->native_api, front_on_native_request, error);
+        = listen_at (frontd, "native", &settings->native_api, front_on_native_request, error);
   return (settings->native_api.len == 0 || frontd->native_server != NULL)
          && fl_host_serve_metrics (frontd->host, &metrics, error);
 }
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -60,6 +60,9 @@
   *metrics = (struct metrics_context){ host, *options };
   struct fl_http_server_options server = {
     .loop = host->loop,
+    .name = "metrics",
+    .log = &host->log,
+    .stats = host->stats,
     .address = host->settings.address.data,
     .port = options->port,
     .body_max = MAX (options->body_max, METRICS_BODY_MAX),
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -18,7 +18,9 @@
 #include "common/schema.h"
 
 /* Interval of the check for idle and slow connections. */
-#define SWEEP_INTERVAL_S 1.0
+#define SWEEP_INTERVAL_MS 1000
+/* Unread bytes are counted up to this. */
+#define UNREAD_COUNT_MAX 4096
 #define LISTEN_BACKLOG 1024
 /* For the responses that fl_http_server_free sends: many times what the kernel needs to take them.
  */
@@ -37,6 +39,8 @@
   ev_prepare prepare;
   ev_timer wakeup_timer;
   ev_timer sweep_timer;
+  int64_t last_sweep_ms;
+  int64_t last_turn_ms;           /* when the loop began to wait for the last time */
   struct connection *connections; /* list head */
   int connection_count;
   GHashTable *open_requests; /* set of complete requests without a response */
@@ -55,12 +59,20 @@
   struct connection *next;
   struct connection *previous;
   int fd;
+  int64_t accepted_ms;
   int64_t phase_start_ms; /* connection accepted, last response sent or request started */
   bool in_request;
   bool uploading;
   int64_t overdue_phase_ms; /* phase_start_ms when the last sweep found the connection overdue */
 };
 
+/* Why the server closes a connection on which no response is due. */
+enum close_reason
+{
+  CLOSE_IDLE,
+  CLOSE_UPLOAD,
+};
+
 struct fl_http_request
 {
   struct fl_http_server *server;
@@ -102,7 +114,8 @@
       connection = g_new0 (struct connection, 1);
       connection->server = server;
       connection->fd = info->connect_fd;
-      connection->phase_start_ms = now_ms ();
+      connection->accepted_ms = now_ms ();
+      connection->phase_start_ms = connection->accepted_ms;
       connection->next = server->connections;
       if (connection->next != NULL)
         connection->next->previous = connection;
@@ -133,6 +146,51 @@
   return info->socket_context;
 }
 
+static const char *
+get_phase_name (const struct connection *connection)
+{
+  if (connection->uploading)
+    return "upload";
+  return connection->in_request ? "request" : "idle";
+}
+
+/* @return how many bytes have arrived that libmicrohttpd has not read, up to UNREAD_COUNT_MAX. */
+static int
+count_unread_bytes (const struct connection *connection)
+{
+  char buffer[UNREAD_COUNT_MAX];
+  ssize_t count = recv (connection->fd, buffer, sizeof buffer, MSG_PEEK | MSG_DONTWAIT);
+
+  return count > 0 ? (int)count : 0;
+}
+
+static void
+close_connection (struct connection *connection, enum close_reason reason, int64_t now)
+{
+  static const struct
+  {
+    const char *name;
+    const char *counter;
+  } reasons[] = {
+    [CLOSE_IDLE] = { "idle", "connections_closed_total{why=\"idle\"}" },
+    [CLOSE_UPLOAD] = { "upload", "connections_closed_total{why=\"upload\"}" },
+  };
+  const struct fl_http_server_options *options = &connection->server->options;
+  int unread = count_unread_bytes (connection);
+
+  fl_log (options->log, unread > 0 ? FL_LOG_WARNING : FL_LOG_INFO, "connection_closed",
+          FL_S ("listener", options->name), FL_S ("why", reasons[reason].name),
+          FL_S ("phase", get_phase_name (connection)),
+          FL_I ("age_ms", now - connection->accepted_ms),
+          FL_I ("phase_ms", now - connection->phase_start_ms), FL_I ("unread", unread),
+          FL_I ("loop_waited_ms", now - connection->server->last_turn_ms),
+          FL_I ("connections", connection->server->connection_count));
+  fl_stats_add (options->stats, reasons[reason].counter, 1);
+  if (unread > 0)
+    fl_stats_add (options->stats, "connections_closed_unread_total", 1);
+  shutdown (connection->fd, SHUT_RDWR);
+}
+
 /* Shuts down connections that have been idle, or have been sending a request, for too long;
  * libmicrohttpd then closes them. Only the second sweep in the same phase does so: after a
  * suspension of the host, the first one may run before what has arrived is read. */
@@ -141,9 +199,12 @@
 {
   struct fl_http_server *server = timer->data;
   int64_t now = now_ms ();
+  int64_t late_ms = MAX (now - server->last_sweep_ms - SWEEP_INTERVAL_MS, 0);
 
   (void)loop;
   (void)events;
+  server->last_sweep_ms = now;
+  fl_stats_record (server->options.stats, "loop_late_ms", late_ms);
   for (struct connection *c = server->connections; c != NULL; c = c->next)
     {
       int64_t limit
@@ -151,7 +212,7 @@
       if ((c->in_request && !c->uploading) || now - c->phase_start_ms <= limit)
         continue;
       if (c->overdue_phase_ms == c->phase_start_ms)
-        shutdown (c->fd, SHUT_RDWR);
+        close_connection (c, c->in_request ? CLOSE_UPLOAD : CLOSE_IDLE, now);
       c->overdue_phase_ms = c->phase_start_ms;
     }
 }
@@ -331,6 +392,7 @@
   MHD_UNSIGNED_LONG_LONG wait_ms = 0;
 
   (void)events;
+  server->last_turn_ms = now_ms ();
   ev_timer_stop (loop, &server->wakeup_timer);
   if (!server->resumed && MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES)
     return;
@@ -352,8 +414,11 @@
   ev_prepare_start (loop, &server->prepare);
   ev_timer_init (&server->wakeup_timer, on_wakeup_timer, 0.0, 0.0);
   server->wakeup_timer.data = server;
-  ev_timer_init (&server->sweep_timer, on_sweep, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S);
+  ev_timer_init (&server->sweep_timer, on_sweep, SWEEP_INTERVAL_MS / 1000.0,
+                 SWEEP_INTERVAL_MS / 1000.0);
   server->sweep_timer.data = server;
+  server->last_sweep_ms = now_ms ();
+  server->last_turn_ms = server->last_sweep_ms;
   ev_timer_start (loop, &server->sweep_timer);
 }
 
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -9,6 +9,8 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "common/log.h"
+#include "common/stats.h"
 #include "common/str.h"
 
 struct fl_http_server;
@@ -17,10 +19,13 @@
 struct fl_http_server_options
 {
   struct ev_loop *loop;
-  const char *address; /* IPv4 address to listen on */
-  int64_t port;        /* 0 picks a free port */
-  int64_t body_max;    /* bytes; a longer body is rejected with status 413 */
-  int64_t header_max;  /* bytes of the request line and headers */
+  const char *name;         /* of the listener, in logs; borrowed, as log and stats are */
+  const struct fl_log *log; /* connections that the server closes by a timeout; may be NULL */
+  struct fl_stats *stats;   /* counts them; may be NULL */
+  const char *address;      /* IPv4 address to listen on */
+  int64_t port;             /* 0 picks a free port */
+  int64_t body_max;         /* bytes; a longer body is rejected with status 413 */
+  int64_t header_max;       /* bytes of the request line and headers */
   int64_t connections_max;
   int64_t idle_timeout_ms;   /* connections without a request are closed some 2 s after this */
   int64_t upload_timeout_ms; /* requests must be received completely within this */
