HTTP server: idle connections stay open, and none with unread bytes is closed

A caller that sent a whole request over a connection that had been idle for 15 to 17 s saw the connection end without an answer. The check of idle connections went by the time of the last read; libev runs it before the descriptors that became ready in the same turn, and a process that was held up (CPU, a suspended host) runs it before all that has arrived.

What arrived counts before a clock decides, for idle connections and uploads. Requests that are read after a connection was closed by the server are not carried out. Keep-alive probes and TCP_USER_TIMEOUT end connections to lost peers. A full metrics listener gets free again.

--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -16,7 +16,10 @@
 #define BODY_MAX (256 * 1024)
 #define HEADER_MAX (32 * 1024)
 #define CONNECTIONS_MAX 3000
-#define IDLE_TIMEOUT_MS 15000
+/* An idle connection keeps a buffer of HEADER_MAX bytes: 50 MB in all, of the 160 MB that the
+ * smallest hosts have. */
+#define IDLE_CONNECTIONS_MAX 1500
+#define IDLE_TIMEOUT_MS (10 * 60 * 1000)
 #define UPLOAD_TIMEOUT_MS 3000
 /* Interval between updates of the drain. */
 #define DRAIN_INTERVAL_S 0.02
@@ -226,6 +229,7 @@
     .body_max = BODY_MAX,
     .header_max = HEADER_MAX,
     .connections_max = CONNECTIONS_MAX,
+    .idle_connections_max = IDLE_CONNECTIONS_MAX,
     .idle_timeout_ms = IDLE_TIMEOUT_MS,
     .upload_timeout_ms = UPLOAD_TIMEOUT_MS,
     .on_request = handle,
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -21,6 +21,15 @@
 #define SWEEP_INTERVAL_MS 1000
 /* Unread bytes are counted up to this. */
 #define UNREAD_COUNT_MAX 4096
+/* This part of connections_max is kept free by closing idle connections. */
+#define FREE_CONNECTIONS_SHARE 16
+/* Connections are not closed as idle before this: a request follows the handshake, or the response
+ * to the one before. */
+#define IDLE_MIN_MS 1000
+/* A peer that acknowledges nothing is given up after this; much longer than usual partitions. */
+#define PEER_TIMEOUT_S 60
+#define KEEP_ALIVE_IDLE_S 30
+#define KEEP_ALIVE_INTERVAL_S 10
 #define LISTEN_BACKLOG 1024
 /* For the responses that fl_http_server_free sends: many times what the kernel needs to take them.
  */
@@ -43,6 +52,7 @@
   int64_t last_turn_ms;           /* when the loop began to wait for the last time */
   struct connection *connections; /* list head */
   int connection_count;
+  int shut_down_count;       /* of them, those that were shut down but not closed yet */
   GHashTable *open_requests; /* set of complete requests without a response */
   int unsent_responses;      /* complete requests whose response has not been sent completely */
   bool has_stopped_listening;
@@ -60,9 +70,11 @@
   struct connection *previous;
   int fd;
   int64_t accepted_ms;
-  int64_t phase_start_ms; /* connection accepted, last response sent or request started */
+  int64_t phase_start_ms; /* connection accepted, last response sent or request started, or the last
+                             sweep that found unread bytes */
   bool in_request;
   bool uploading;
+  bool is_shut_down;        /* by the server */
   int64_t overdue_phase_ms; /* phase_start_ms when the last sweep found the connection overdue */
 };
 
@@ -70,6 +82,7 @@
 enum close_reason
 {
   CLOSE_IDLE,
+  CLOSE_LIMIT, /* too many connections */
   CLOSE_UPLOAD,
 };
 
@@ -98,6 +111,21 @@
 
 /* --- connections --- */
 
+static void
+set_socket_option (int fd, int level, int option, int value)
+{
+  setsockopt (fd, level, option, &value, sizeof value);
+}
+
+static void
+detect_lost_peer (int fd)
+{
+  set_socket_option (fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S);
+  set_socket_option (fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S);
+  set_socket_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, PEER_TIMEOUT_S * 1000);
+  set_socket_option (fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+}
+
 static void
 on_connection (void *context,
                struct MHD_Connection *mhd,
@@ -121,6 +149,7 @@
         connection->next->previous = connection;
       server->connections = connection;
       server->connection_count++;
+      detect_lost_peer (connection->fd);
       *socket_context = connection;
       return;
     }
@@ -133,6 +162,8 @@
   else
     server->connections = connection->next;
   server->connection_count--;
+  if (connection->is_shut_down)
+    server->shut_down_count--;
   g_free (connection);
   *socket_context = NULL;
 }
@@ -164,6 +195,7 @@
   return count > 0 ? (int)count : 0;
 }
 
+/* Shuts the connection down; libmicrohttpd then closes it. */
 static void
 close_connection (struct connection *connection, enum close_reason reason, int64_t now)
 {
@@ -173,43 +205,104 @@
     const char *counter;
   } reasons[] = {
     [CLOSE_IDLE] = { "idle", "connections_closed_total{why=\"idle\"}" },
+    [CLOSE_LIMIT] = { "limit", "connections_closed_total{why=\"limit\"}" },
     [CLOSE_UPLOAD] = { "upload", "connections_closed_total{why=\"upload\"}" },
   };
   const struct fl_http_server_options *options = &connection->server->options;
-  int unread = count_unread_bytes (connection);
 
-  fl_log (options->log, unread > 0 ? FL_LOG_WARNING : FL_LOG_INFO, "connection_closed",
-          FL_S ("listener", options->name), FL_S ("why", reasons[reason].name),
-          FL_S ("phase", get_phase_name (connection)),
+  fl_log (options->log, FL_LOG_INFO, "connection_closed", FL_S ("listener", options->name),
+          FL_S ("why", reasons[reason].name), FL_S ("phase", get_phase_name (connection)),
           FL_I ("age_ms", now - connection->accepted_ms),
-          FL_I ("phase_ms", now - connection->phase_start_ms), FL_I ("unread", unread),
+          FL_I ("phase_ms", now - connection->phase_start_ms),
+          FL_I ("unread", count_unread_bytes (connection)),
           FL_I ("loop_waited_ms", now - connection->server->last_turn_ms),
           FL_I ("connections", connection->server->connection_count));
   fl_stats_add (options->stats, reasons[reason].counter, 1);
-  if (unread > 0)
-    fl_stats_add (options->stats, "connections_closed_unread_total", 1);
+  connection->is_shut_down = true;
+  connection->server->shut_down_count++;
   shutdown (connection->fd, SHUT_RDWR);
 }
 
-/* Shuts down connections that have been idle, or have been sending a request, for too long;
- * libmicrohttpd then closes them. Only the second sweep in the same phase does so: after a
- * suspension of the host, the first one may run before what has arrived is read. */
+/* @return whether bytes have arrived since libmicrohttpd last read; the connection then counts as
+ * used just now. */
+static bool
+has_unread_bytes (struct connection *connection, int64_t now)
+{
+  if (count_unread_bytes (connection) == 0)
+    return false;
+  connection->phase_start_ms = now;
+  fl_stats_add (connection->server->options.stats, "connections_kept_unread_total", 1);
+  return true;
+}
+
+static int
+compare_phase_starts (const void *a, const void *b)
+{
+  const struct connection *const *first = a;
+  const struct connection *const *second = b;
+
+  return ((*first)->phase_start_ms > (*second)->phase_start_ms)
+         - ((*first)->phase_start_ms < (*second)->phase_start_ms);
+}
+
+/* @return the idle connections, the longest idle first. */
+static GPtrArray *
+list_idle_connections (const struct fl_http_server *server)
+{
+  GPtrArray *idle = g_ptr_array_new ();
+
+  for (struct connection *c = server->connections; c != NULL; c = c->next)
+    if (!c->in_request && !c->is_shut_down)
+      g_ptr_array_add (idle, c);
+  g_ptr_array_sort (idle, compare_phase_starts);
+  return idle;
+}
+
+/* @return by how many connections a limit is exceeded. */
+static int64_t
+count_excess_connections (const struct fl_http_server *server, int64_t idle_count)
+{
+  const struct fl_http_server_options *options = &server->options;
+  int64_t free_min = MAX (options->connections_max / FREE_CONNECTIONS_SHARE, 1);
+  int64_t excess
+      = server->connection_count - server->shut_down_count - (options->connections_max - free_min);
+
+  if (options->idle_connections_max > 0)
+    excess = MAX (excess, idle_count - options->idle_connections_max);
+  return excess;
+}
+
+/* Closes idle connections while there are too many. */
 static void
-on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
+enforce_limits (struct fl_http_server *server, int64_t now)
 {
-  struct fl_http_server *server = timer->data;
-  int64_t now = now_ms ();
-  int64_t late_ms = MAX (now - server->last_sweep_ms - SWEEP_INTERVAL_MS, 0);
+  g_autoptr (GPtrArray) idle = list_idle_connections (server);
+  int64_t excess = count_excess_connections (server, idle->len);
 
-  (void)loop;
-  (void)events;
-  server->last_sweep_ms = now;
-  fl_stats_record (server->options.stats, "loop_late_ms", late_ms);
+  for (guint i = 0; i < idle->len && excess > 0; i++)
+    {
+      struct connection *connection = g_ptr_array_index (idle, i);
+      if (now - connection->phase_start_ms < IDLE_MIN_MS)
+        break;
+      if (has_unread_bytes (connection, now))
+        continue;
+      close_connection (connection, CLOSE_LIMIT, now);
+      excess--;
+    }
+}
+
+/* Closes connections that have been idle, or have been sending a request, for too long. Only the
+ * second sweep in the same phase does so: after a suspension of the host, what was sent meanwhile
+ * may arrive later than the first one runs. */
+static void
+enforce_timeouts (struct fl_http_server *server, int64_t now)
+{
   for (struct connection *c = server->connections; c != NULL; c = c->next)
     {
       int64_t limit
           = c->in_request ? server->options.upload_timeout_ms : server->options.idle_timeout_ms;
-      if ((c->in_request && !c->uploading) || now - c->phase_start_ms <= limit)
+      if ((c->in_request && !c->uploading) || c->is_shut_down || now - c->phase_start_ms <= limit
+          || has_unread_bytes (c, now))
         continue;
       if (c->overdue_phase_ms == c->phase_start_ms)
         close_connection (c, c->in_request ? CLOSE_UPLOAD : CLOSE_IDLE, now);
@@ -217,6 +310,21 @@
     }
 }
 
+static void
+on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct fl_http_server *server = timer->data;
+  int64_t now = now_ms ();
+  int64_t late_ms = MAX (now - server->last_sweep_ms - SWEEP_INTERVAL_MS, 0);
+
+  (void)loop;
+  (void)events;
+  server->last_sweep_ms = now;
+  fl_stats_record (server->options.stats, "loop_late_ms", late_ms);
+  enforce_timeouts (server, now);
+  enforce_limits (server, now);
+}
+
 /* --- requests --- */
 
 static void
@@ -293,7 +401,7 @@
                "the body is longer than %" G_GINT64_FORMAT " bytes", server->options.body_max);
       fl_http_respond_error (request, &error);
     }
-  else if (server->closing)
+  else if (server->closing || (request->connection != NULL && request->connection->is_shut_down))
     respond_closing (request, 503);
   else
     server->options.on_request (server->options.context, request);
@@ -366,6 +474,8 @@
 {
   server->resumed = false;
   MHD_run (server->daemon);
+  if (server->connection_count >= server->options.connections_max)
+    enforce_limits (server, now_ms ());
 }
 
 static void
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -1,6 +1,11 @@
 /* Asynchronous HTTP server on a libev loop, built on libmicrohttpd. The handler receives complete
  * requests and may respond at once or later. The server enforces the limits on headers, bodies,
- * connections and time. */
+ * connections and time.
+ *
+ * A request that is on its way when an idle connection is closed is lost. Idle connections are
+ * therefore closed as rarely as memory allows: the longest idle ones when there are too many, or
+ * when almost all connections are in use, and none on which bytes wait unread. Keep-alive probes
+ * find peers that are gone. */
 #pragma once
 
 #include <ev.h>
@@ -27,8 +32,9 @@
   int64_t body_max;         /* bytes; a longer body is rejected with status 413 */
   int64_t header_max;       /* bytes of the request line and headers */
   int64_t connections_max;
-  int64_t idle_timeout_ms;   /* connections without a request are closed some 2 s after this */
-  int64_t upload_timeout_ms; /* requests must be received completely within this */
+  int64_t idle_connections_max; /* above this, the longest idle are closed; 0: no such limit */
+  int64_t idle_timeout_ms;      /* idle connections are closed some 2 s after this */
+  int64_t upload_timeout_ms;    /* requests must be received completely within this */
   /* Called once for each complete request; must lead to exactly one fl_http_respond. */
   void (*on_request) (void *context, struct fl_http_request *request);
   void *context;
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -228,9 +228,13 @@
     const char *name;
     const char *before; /* the suspension */
     const char *during;
+    const char *after;
   } timeout_cases[] = {
-    { "a request on an idle connection", "", REQUEST },
-    { "the rest of a request", UPLOAD, "x" },
+    { "a request on an idle connection", "", REQUEST, "" },
+    { "the rest of a request", UPLOAD, "x", "" },
+    /* Packets that were held up arrive some time after the host runs again. */
+    { "a request after the suspension", "", "", REQUEST },
+    { "the rest of a request after the suspension", UPLOAD, "", "x" },
   };
   int failures = 0;
 
@@ -251,6 +255,8 @@
       usleep (SUSPENSION_MS * 1000);
       assert_true (test_client_request (&client, timeout_cases[i].during));
       kill (pid, SIGCONT);
+      usleep (100 * 1000);
+      test_client_request (&client, timeout_cases[i].after);
       status = test_client_await (&client);
       kill (pid, SIGTERM);
       assert_int_equal (test_wait_for_exit (pid), 0);
