HTTP server: accept what waits once connections were closed at the limit

A client that connected while all connections of a server were open was not served after others had closed: libmicrohttpd stops accepting at its limit and looks again only when it runs, which nothing caused until the next event of another connection. The server now runs it again.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -53,6 +53,7 @@
   struct connection *connections; /* list head */
   int connection_count;
   int shut_down_count;       /* of them, those that were shut down but not closed yet */
+  bool was_full;             /* connections_max was reached */
   GHashTable *open_requests; /* set of complete requests without a response */
   int unsent_responses;      /* complete requests whose response has not been sent completely */
   bool has_stopped_listening;
@@ -149,6 +150,8 @@
         connection->next->previous = connection;
       server->connections = connection;
       server->connection_count++;
+      if (server->connection_count >= server->options.connections_max)
+        server->was_full = true;
       detect_lost_peer (connection->fd);
       *socket_context = connection;
       return;
@@ -474,7 +477,15 @@
 {
   server->resumed = false;
   MHD_run (server->daemon);
-  if (server->connection_count >= server->options.connections_max)
+  if (!server->was_full)
+    return;
+  if (server->connection_count < server->options.connections_max)
+    {
+      /* libmicrohttpd accepts again only when it runs once more, which no event tells. */
+      server->was_full = false;
+      server->resumed = true;
+    }
+  else
     enforce_limits (server, now_ms ());
 }
 
--- a/tests/test_http_idle.c
+++ b/tests/test_http_idle.c
@@ -181,6 +181,30 @@
     }
 }
 
+/* The connections that waited at the limit were accepted only with the next event of another. */
+static void
+test_connections_beyond_the_limit_are_accepted_later (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  set_up (&fixture, (struct fl_http_server_options){ .connections_max = 2,
+                                                     .idle_timeout_ms = LONG_TIMEOUT_MS,
+                                                     .upload_timeout_ms = LONG_TIMEOUT_MS });
+  for (int client = 0; client < 2; client++)
+    {
+      connect_client (&fixture, client);
+      test_client_send (&fixture.clients[client], UPLOAD);
+      assert_int_equal (poll_client (&fixture, client), 0);
+    }
+  connect_client (&fixture, 2);
+  assert_true (test_client_request (&fixture.clients[2], REQUEST));
+  assert_int_equal (poll_client (&fixture, 2), 0);
+  test_client_close (&fixture.clients[0]);
+  assert_int_equal (poll_client (&fixture, 2), 200);
+  tear_down (&fixture);
+}
+
 /* @return the server's end of the connection of @client. */
 static int
 find_server_socket (const struct test_client *client)
@@ -229,9 +253,11 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_unread_request_outlives_the_timeout),
-                                      cmocka_unit_test (test_longest_idle_connection_makes_room),
-                                      cmocka_unit_test (test_lost_peers_are_detected) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_unread_request_outlives_the_timeout),
+          cmocka_unit_test (test_longest_idle_connection_makes_room),
+          cmocka_unit_test (test_connections_beyond_the_limit_are_accepted_later),
+          cmocka_unit_test (test_lost_peers_are_detected) };
 
   return cmocka_run_group_tests_name ("http_idle", tests, NULL, NULL);
 }
