--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -17,7 +17,10 @@
 #define BODY_MAX (256 * 1024)
 #define HEADER_MAX (32 * 1024)
 #define CONNECTIONS_MAX 3000
-#define IDLE_TIMEOUT_MS 15000
+/* An idle connection keeps a buffer of HEADER_MAX bytes: 50 MB in all, of the 160 MB that the
+ * smallest hosts have. */
+#define IDLE_CONNECTIONS_MAX 1500
+#define IDLE_TIMEOUT_MS (10 * 60 * 1000)
 #define UPLOAD_TIMEOUT_MS 3000
 /* Interval between updates of the drain. */
 #define DRAIN_INTERVAL_S 0.02
@@ -213,6 +216,7 @@
 
 static struct fl_http_server *
 listen_at (struct fl_frontd *frontd,
+           const char *name,
            const struct fl_name *endpoint,
            void (*handle) (void *context, struct fl_http_request *request),
            struct fl_error *error)
@@ -220,9 +224,13 @@
   struct fl_name address;
   struct fl_http_server_options options = {
     .loop = frontd->host->loop,
+    .name = name,
+    .log = &frontd->host->log,
+    .stats = frontd->host->stats,
     .body_max = BODY_MAX,
     .header_max = HEADER_MAX,
     .connections_max = CONNECTIONS_MAX,
+    .idle_connections_max = IDLE_CONNECTIONS_MAX,
     .idle_timeout_ms = IDLE_TIMEOUT_MS,
     .upload_timeout_ms = UPLOAD_TIMEOUT_MS,
     .on_request = handle,
@@ -363,15 +371,15 @@
   struct fl_host_metrics_options metrics
       = { .port = settings->front_metrics_port, .dump = write_dump, .context = frontd };
 
-  frontd->client_server = listen_at (frontd, &settings->front, on_request, error);
+  frontd->client_server = listen_at (frontd, "front", &settings->front, on_request, error);
   if (frontd->client_server == NULL)
     return false;
-  frontd->ready_server = listen_at (frontd, &settings->ready, on_ready_request, error);
+  frontd->ready_server = listen_at (frontd, "ready", &settings->ready, on_ready_request, error);
   if (frontd->ready_server == NULL)
     return false;
   if (settings->native_api.len > 0)
     frontd->native_server
-        = listen_at (frontd, &settings->native_api, front_on_native_request, error);
+        = listen_at (frontd, "native", &settings->native_api, front_on_native_request, error);
   return (settings->native_api.len == 0 || frontd->native_server != NULL)
          && fl_host_serve_metrics (frontd->host, &metrics, error);
 }
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -13,7 +13,7 @@
 #define METRICS_BODY_MAX 1024
 #define METRICS_HEADER_MAX 8192
 #define METRICS_CONNECTIONS_MAX 16
-#define METRICS_IDLE_TIMEOUT_MS 10000
+#define METRICS_IDLE_TIMEOUT_MS (10 * 60 * 1000)
 #define METRICS_UPLOAD_TIMEOUT_MS 2000
 
 /* --- metrics --- */
@@ -60,6 +60,9 @@
   *metrics = (struct metrics_context){ host, *options };
   struct fl_http_server_options server = {
     .loop = host->loop,
+    .name = "metrics",
+    .log = &host->log,
+    .stats = host->stats,
     .address = host->settings.address.data,
     .port = options->port,
     .body_max = MAX (options->body_max, METRICS_BODY_MAX),
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -1,6 +1,11 @@
 /* Asynchronous HTTP server on a libev loop, built on libmicrohttpd. The handler receives complete
  * requests and may respond at once or later. The server enforces the limits on headers, bodies,
- * connections and time. */
+ * connections and time.
+ *
+ * A request that is on its way when an idle connection is closed is lost. Idle connections are
+ * therefore closed as rarely as memory allows: the longest idle ones when there are too many, or
+ * when almost all connections are in use, and none on which bytes wait unread. Keep-alive probes
+ * find peers that are gone. */
 #pragma once
 
 #include <ev.h>
@@ -9,6 +14,8 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "common/log.h"
+#include "common/stats.h"
 #include "common/str.h"
 
 struct fl_http_server;
@@ -17,13 +24,17 @@
 struct fl_http_server_options
 {
   struct ev_loop *loop;
-  const char *address; /* IPv4 address to listen on */
-  int64_t port;        /* 0 picks a free port */
-  int64_t body_max;    /* bytes; a longer body is rejected with status 413 */
-  int64_t header_max;  /* bytes of the request line and headers */
+  const char *name;         /* of the listener, in logs; borrowed, as log and stats are */
+  const struct fl_log *log; /* connections that the server closes by a timeout; may be NULL */
+  struct fl_stats *stats;   /* counts them; may be NULL */
+  const char *address;      /* IPv4 address to listen on */
+  int64_t port;             /* 0 picks a free port */
+  int64_t body_max;         /* bytes; a longer body is rejected with status 413 */
+  int64_t header_max;       /* bytes of the request line and headers */
   int64_t connections_max;
-  int64_t idle_timeout_ms;   /* connections without a request are closed some 2 s after this */
-  int64_t upload_timeout_ms; /* requests must be received completely within this */
+  int64_t idle_connections_max; /* above this, the longest idle are closed; 0: no such limit */
+  int64_t idle_timeout_ms;      /* idle connections are closed some 2 s after this */
+  int64_t upload_timeout_ms;    /* requests must be received completely within this */
   /* Called once for each complete request; must lead to exactly one fl_http_respond. */
   void (*on_request) (void *context, struct fl_http_request *request);
   void *context;
