Core: log why a long-running task is down

Callers saw a task of a long-running job at rest with most of the room free (LOST), and no line told which target was passed over for what: step_waited names one reason for a step, when its wait ends, and none while all its tasks are held by suspicion or by reconciliation.

While a task of a long-running step is down for over 3 s, lasting_task_down logs, every 3 s for each step, how many targets there are by the reason against each (the table of plans) and by what advice has told, and what holds the tasks: records, starts, reconciliation, suspicion, back-off, the query in flight, the limit of the team, the link. The gauge lasting_down_ms is the longest time that one is down.

Evidence: test_log_of_tasks_that_are_down.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -87,6 +87,41 @@
     advice->valid_until_ms = 0;
 }
 
+static bool
+is_queried (const struct core_step *step, const struct fl_name *target)
+{
+  for (guint i = 0; step->query_in_flight && i < step->queried_targets->len; i++)
+    if (fl_name_eq (&g_array_index (step->queried_targets, struct fl_name, i), target))
+      return true;
+  return false;
+}
+
+enum core_advice_state
+core_advice_get_state (const struct core_step *step, const struct core_target *target)
+{
+  const struct core_advice *advice = find_advice (step, target);
+
+  if (advice != NULL && core_advice_has_ticket (step, advice))
+    return CORE_ADVICE_VALID;
+  if (is_queried (step, &target->entry.id))
+    return CORE_ADVICE_QUERIED;
+  if (advice != NULL)
+    return advice->eligible ? CORE_ADVICE_EXPIRED : CORE_ADVICE_INELIGIBLE;
+  return g_hash_table_contains (step->unanswered, &target->entry.id) ? CORE_ADVICE_UNANSWERED
+                                                                     : CORE_ADVICE_UNKNOWN;
+}
+
+const char *
+core_advice_state_name (enum core_advice_state state)
+{
+  static const char *const names[CORE_ADVICE_STATE_COUNT]
+      = { [CORE_ADVICE_VALID] = "eligible",        [CORE_ADVICE_EXPIRED] = "ticket expired",
+          [CORE_ADVICE_INELIGIBLE] = "ineligible", [CORE_ADVICE_UNANSWERED] = "unanswered",
+          [CORE_ADVICE_QUERIED] = "being queried", [CORE_ADVICE_UNKNOWN] = "not queried" };
+
+  return names[state];
+}
+
 /* --- queries --- */
 
 static gint
@@ -310,6 +345,7 @@
           FL_I ("targets", queried->len), FL_I ("waiting", waiting),
           FL_I ("expected_ms", demand->expected_ms),
           FL_I ("expired", count_expired (step, queried)), FL_I ("queries", step->queries_sent));
+  step->queried_at_ms = core->now_ms;
   step->queries_sent++;
   core->queries_sent++;
   step->query_in_flight = true;
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -93,6 +93,7 @@
   core_queue_set_member (&core->unrecorded_jobs, &job->recording_link, &job->needs_recording,
                          false);
   core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, false);
+  core_queue_set_member (&core->lasting_jobs, &job->lasting_link, &job->in_lasting, false);
 
   for (size_t i = 0; i < job->step_count; i++)
     step_clear (&job->steps[i]);
@@ -868,6 +869,7 @@
   if (progress != NULL)
     apply_progress (job, progress);
   enqueue_job (job);
+  core_lasting_init_job (job);
   refresh_queue (job);
   g_hash_table_insert (core->jobs, &job->spec.id, job);
   memset (spec, 0, sizeof *spec);
@@ -1002,6 +1004,7 @@
   core_crash_decide (core);
   core_domains_tick (core);
   core_interference_update (core);
+  core_lasting_tick (core);
   if (core->configuration != NULL)
     core_place_tasks (core);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -199,7 +199,8 @@
   bool is_watched;   /* its runs are kept apart from other new runs */
   GList crash_link;  /* in core->crash_tasks while has_crashes is set */
   bool has_crashes;
-  int64_t crash_change; /* value of job->crash_changes that a record must have before a start */
+  int64_t crash_change;  /* value of job->crash_changes that a record must have before a start */
+  int64_t down_since_ms; /* of a long-running step; 0 while it is at work */
   /* Of a step for which core_step_records_targets; NONE once this owner has known a run. */
   enum core_earlier_run earlier_run;
   uint32_t earlier_target; /* hash of the id of the target, for CORE_EARLIER_RUN_ON_TARGET */
@@ -285,6 +286,7 @@
   bool query_in_flight;          /* an advice query has no reply yet */
   GArray *queried_targets;       /* struct fl_name: targets of the query in flight; else NULL */
   int64_t queried_cpu_milli;     /* tentatively charged to each queried target */
+  int64_t queried_at_ms;         /* when the last query was sent */
   int64_t queries_sent;          /* about this step */
   int64_t queries_failed;        /* of these, without a reply */
   enum core_wait_reason wait_reason;
@@ -300,6 +302,9 @@
   int64_t eligible_until_ms;     /* until then it has tickets of its last reply */
   struct core_deadline deadline; /* of its occurrence, in the first step of that */
   double longest_run_ms;         /* of its tasks that are done */
+  /* Of a long-running step: since when one of its tasks is down, and when this was last logged. */
+  int64_t down_since_ms;
+  int64_t down_logged_at_ms;
 };
 
 /* Whether the store records that a job may have tasks on a target. A successor relies on these
@@ -350,9 +355,11 @@
   int64_t age_ms[CORE_AGE_PARTS]; /* of earlier times */
   bool in_waiting;                /* in core->waiting_jobs */
   bool in_final;                  /* in core->final_jobs */
+  bool in_lasting;                /* in core->lasting_jobs */
   GList waiting_link;
   GList recording_link; /* in core->unrecorded_jobs while needs_recording is set */
   GList final_link;
+  GList lasting_link;
 };
 
 #define CORE_CLOSED INT64_MIN
@@ -417,21 +424,23 @@
 struct fl_core
 {
   struct fl_core_options options;
-  struct fl_configuration *configuration;   /* NULL before the first fl_core_configure */
-  GHashTable *targets;                      /* id -> struct core_target */
-  GHashTable *next_tokens;                  /* id of a removed target -> its next fencing token */
-  GHashTable *jobs;                         /* id -> struct core_job */
-  GHashTable *finished_jobs;                /* ids of jobs whose final state is recorded */
-  GPtrArray *target_list;                   /* all targets, in no particular order */
-  int64_t target_changes;                   /* how often one was added or removed */
-  guint scan_start;                         /* where the next search for candidates starts */
-  GQueue unreconciled_targets;              /* inherited and not yet reported */
-  GHashTable *unreconciled_hashes;          /* fl_job_target_hash of their ids -> their number */
-  GQueue unrecorded_targets;                /* have ends that are not recorded */
-  GQueue idle_targets;                      /* without a heartbeat in flight */
-  GQueue waiting_jobs;                      /* not final, with idle tasks */
-  GQueue unrecorded_jobs;                   /* need recording */
-  GQueue final_jobs;                        /* final, not yet reduced to their ids */
+  struct fl_configuration *configuration; /* NULL before the first fl_core_configure */
+  GHashTable *targets;                    /* id -> struct core_target */
+  GHashTable *next_tokens;                /* id of a removed target -> its next fencing token */
+  GHashTable *jobs;                       /* id -> struct core_job */
+  GHashTable *finished_jobs;              /* ids of jobs whose final state is recorded */
+  GPtrArray *target_list;                 /* all targets, in no particular order */
+  int64_t target_changes;                 /* how often one was added or removed */
+  guint scan_start;                       /* where the next search for candidates starts */
+  GQueue unreconciled_targets;            /* inherited and not yet reported */
+  GHashTable *unreconciled_hashes;        /* fl_job_target_hash of their ids -> their number */
+  GQueue unrecorded_targets;              /* have ends that are not recorded */
+  GQueue idle_targets;                    /* without a heartbeat in flight */
+  GQueue waiting_jobs;                    /* not final, with idle tasks */
+  GQueue unrecorded_jobs;                 /* need recording */
+  GQueue final_jobs;                      /* final, not yet reduced to their ids */
+  GQueue lasting_jobs;                    /* with long-running steps */
+  int64_t lasting_checked_at_ms;
   GPtrArray *recording_jobs;                /* with a record in flight */
   GQueue crash_tasks;                       /* tasks with crashes, in the order of their first */
   guint watched_runs;                       /* targets with a watched run */
@@ -729,6 +738,19 @@
 /* Starts the tasks that can be started, and updates the wait reasons of the others. */
 void core_place_tasks (struct fl_core *core);
 
+/* --- lasting.c --- */
+
+/* Adds @job, a new job, to the queue of those with long-running steps if it has one. */
+void core_lasting_init_job (struct core_job *job);
+
+/* Updates which tasks of long-running steps are down, and logs what keeps them from being started.
+ * To be called in each tick before tasks are placed. */
+void core_lasting_tick (struct fl_core *core);
+
+/* Whether @step is long-running, and a task of it has been down for so long that it is started
+ * where it is allowed, though another target would be preferred. */
+bool core_step_is_overdue (const struct core_step *step);
+
 /* --- urgent_room.c --- */
 
 /* Called in each tick before tasks are placed, and for each step that waits. */
@@ -761,6 +783,24 @@
  * NULL when there is no valid ticket. */
 const char *core_advice_ticket (const struct core_step *step, const struct core_target *target);
 
+/* What is known from the advice service of a target for a step. */
+enum core_advice_state
+{
+  CORE_ADVICE_VALID,
+  CORE_ADVICE_EXPIRED, /* it is eligible, but its ticket has expired */
+  CORE_ADVICE_INELIGIBLE,
+  CORE_ADVICE_UNANSWERED, /* the reply to a query about it is missing */
+  CORE_ADVICE_QUERIED,    /* it is in the query in flight */
+  CORE_ADVICE_UNKNOWN,
+  CORE_ADVICE_STATE_COUNT
+};
+
+enum core_advice_state core_advice_get_state (const struct core_step *step,
+                                              const struct core_target *target);
+
+/* @return the name of @state in logs. */
+const char *core_advice_state_name (enum core_advice_state state);
+
 /* Whether some ticket of @step may be valid. */
 bool core_step_has_ticket (const struct core_step *step);
 
@@ -836,6 +876,9 @@
   CORE_TARGET_REASON_COUNT
 };
 
+/* @return the text of @reason in logs and plans. */
+const char *core_target_reason_name (enum core_target_reason reason);
+
 /* @return why @target takes no task of @step now, and in @task_capacity how many it takes. */
 enum core_target_reason core_target_get_reason (const struct core_target *target,
                                                 const struct core_step *step,
--- a/lib/core/plan.c
+++ b/lib/core/plan.c
@@ -36,6 +36,12 @@
   [FL_ORDER_EXPIRED] = "expired",
 };
 
+const char *
+core_target_reason_name (enum core_target_reason reason)
+{
+  return target_reasons[reason];
+}
+
 /* --- what a plan leaves as it was --- */
 
 /* Estimates that decisions refresh at intervals of their own. */
--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -741,6 +741,54 @@
   world_clear (&world);
 }
 
+/* --- the log of tasks that are down --- */
+
+static int
+count_lines (const struct fl_log_state *state, const char *text)
+{
+  g_autofree char *lines = g_strndup (state->buffer, state->buffered_bytes);
+  int count = 0;
+
+  for (const char *at = strstr (lines, text); at != NULL; at = strstr (at + 1, text))
+    count++;
+  return count;
+}
+
+/* A step logged one reason for its wait, and not that of each target. */
+static void
+test_log_of_tasks_that_are_down (void **state)
+{
+  g_autofree struct fl_log_state *log_state = g_new0 (struct fl_log_state, 1);
+  struct fixture *fixture = fixture_new (0);
+
+  (void)state;
+  log_state->is_buffered = true;
+  fixture->log = (struct fl_log){ .level = FL_LOG_NOTICE, .program = "test", .state = log_state };
+  add_target (fixture, "t1", 1, true);
+  add_target (fixture, "t2", 1, true);
+  add_target (fixture, "t3", 1, false);
+  deliver_result (fixture, "t3", FL_ORDER_NO_REPLY);
+  add_job (fixture, "a", "urgent", lasting_step (2));
+  for (int64_t end_ms = fixture->now_ms + 3000; fixture->now_ms < end_ms;)
+    tick_until_recorded (fixture, 50);
+  assert_int_equal (count_lines (log_state, "event=lasting_task_down"), 0);
+  for (int64_t end_ms = fixture->now_ms + 3200; fixture->now_ms < end_ms;)
+    tick_until_recorded (fixture, 50);
+  assert_int_equal (count_lines (log_state, "event=lasting_task_down task=a.0.0.0"), 2);
+  assert_int_equal (count_lines (log_state, "down=2 record=0 starting=0 settling=0 suspended=0"),
+                    2);
+  assert_int_equal (count_lines (log_state, "for=room"), 2);
+  assert_int_equal (count_lines (log_state, "targets=\"1 silent, 2 draining\""), 2);
+  assert_in_range (fl_stats_get (fixture->stats, "lasting_down_ms"), 6000, 6300);
+  add_target (fixture, "t4", 2, false);
+  tick_until_recorded (fixture, 50);
+  confirm_start (fixture, 0);
+  confirm_start (fixture, 1);
+  tick_until_recorded (fixture, 200);
+  assert_int_equal (fl_stats_get (fixture->stats, "lasting_down_ms"), 0);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -753,6 +801,7 @@
     cmocka_unit_test (test_other_steps_wait_for_all_targets),
     cmocka_unit_test (test_events_before_the_start_is_recorded),
     cmocka_unit_test (test_lease_of_a_planned_run_expires),
+    cmocka_unit_test (test_log_of_tasks_that_are_down),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
