Core: preferences give way to a long-running task that is down

Callers saw a long-running task at rest (LOST) though a target could take it. The last target that fits was held: for 5 s, and again with each failure, because tasks failed or lagged there; for as long as a run of a suspected task was watched there, up to the end of a lease; or by the part of the team's limit that is kept for urgent work. These are preferences of this scheduler, not rules.

A step with a task that has been down for 1.5 s is overdue. It may use such targets, after all others, and the whole limit of its team.

Room kept for urgent work, targets judged slow or cold and interference hold no long-running task: the first excludes them, the others only rank targets.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -109,7 +109,10 @@
   /* Job of the last failure. A target is quarantined only when several jobs fail on it, not for one
    * faulty job. */
   struct fl_name last_failed_job;
+  /* No task is started there until then, */
   int64_t quarantined_until_ms;
+  /* or only tasks that cannot wait: tasks fail or lag there. */
+  int64_t avoided_until_ms;
   struct fl_speed ended_speed; /* by the runs that ended */
   struct fl_speed speed;       /* by these and by the progress of others */
   double log_run_slowness;     /* median of the runs listed last; 0 for less than two */
@@ -389,6 +392,7 @@
 struct core_free_max
 {
   struct fl_name service;
+  bool is_for_overdue;          /* holds for steps for which core_step_is_overdue */
   struct fl_resources capacity; /* of all targets that take new tasks */
   GArray *open_targets;         /* struct core_open_target, by position */
   GArray
@@ -842,6 +846,10 @@
 /* Whether @target takes new tasks of queues with @service, whatever they need. */
 bool core_target_accepts_service (const struct core_target *target, const struct fl_name *service);
 
+/* Whether @target is used only where no other fits: tasks fail or lag there, or one runs there that
+ * may crash it. */
+bool core_target_is_avoided (const struct core_target *target);
+
 /* Whether @target takes new tasks of @step, if it has capacity. */
 bool core_target_accepts_step (const struct core_target *target, const struct core_step *step);
 
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -33,7 +33,9 @@
 static int64_t
 urgent_reserve (const struct core_step *step, int64_t urgent, int64_t peak, int64_t waiting)
 {
-  return step->job->queue.priority == 0 ? 0 : MAX (peak - urgent, waiting);
+  return step->job->queue.priority == 0 || core_step_is_overdue (step)
+             ? 0
+             : MAX (peak - urgent, waiting);
 }
 
 static bool
@@ -118,6 +120,8 @@
 
   if (spec->best_effort && has_serving_run (target))
     value -= AVOID_PENALTY;
+  if (core_step_is_overdue (step) && core_target_is_avoided (target))
+    value -= AVOID_PENALTY;
   if (spec->rack.len > 0 && !core_target_has_label (target, &spec->rack))
     value -= AVOID_PENALTY;
   return value;
@@ -255,6 +259,7 @@
     {
       struct placement *placement = &g_array_index (placements, struct placement, i);
       if (placement->task_capacity == 0
+          || (task->is_watched && !task->step->spec->gang && placement->target->watched_run != NULL)
           || (rack != NULL && !core_target_has_label (placement->target, rack)))
         continue;
       int64_t score
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -121,7 +121,7 @@
   if (target->consecutive_failures >= QUARANTINE_FAILURES_MIN
       && !fl_name_eq (&target->last_failed_job, &task->step->job->spec.id))
     {
-      target->quarantined_until_ms = core->now_ms + CORE_QUARANTINE_MS;
+      target->avoided_until_ms = core->now_ms + CORE_QUARANTINE_MS;
       fl_log (core->options.log, FL_LOG_NOTICE, "target_quarantined",
               FL_N ("target", &target->entry.id), FL_I ("failures", target->consecutive_failures));
     }
--- a/lib/core/room.c
+++ b/lib/core/room.c
@@ -37,9 +37,24 @@
          || core->now_ms - core->registry_confirmed_ms <= REGISTRY_AGE_MAX_MS;
 }
 
-/* Why @target takes no tasks of @service, whatever they need. */
+static bool
+is_avoided (const struct core_target *target)
+{
+  return target->core->now_ms < target->avoided_until_ms;
+}
+
+bool
+core_target_is_avoided (const struct core_target *target)
+{
+  return is_avoided (target) || target->watched_run != NULL;
+}
+
+/* Why @target takes no tasks of @service, whatever they need. @is_overdue: of steps for which
+ * core_step_is_overdue. */
 static inline enum core_target_reason
-get_service_reason (const struct core_target *target, const struct fl_name *service)
+get_service_reason (const struct core_target *target,
+                    const struct fl_name *service,
+                    bool is_overdue)
 {
   if (!target->registered)
     return CORE_TARGET_NOT_REGISTERED;
@@ -63,7 +78,7 @@
     return CORE_TARGET_OTHER_BOOT;
   if (target->stale_runs > 0)
     return CORE_TARGET_STALE_RUNS;
-  if (target->core->now_ms < target->quarantined_until_ms)
+  if (target->core->now_ms < target->quarantined_until_ms || (is_avoided (target) && !is_overdue))
     return CORE_TARGET_QUARANTINED;
   return core_domains_are_known (target->core) ? CORE_TARGET_TAKES_TASKS
                                                : CORE_TARGET_DOMAINS_UNKNOWN;
@@ -72,13 +87,14 @@
 bool
 core_target_accepts_service (const struct core_target *target, const struct fl_name *service)
 {
-  return get_service_reason (target, service) == CORE_TARGET_TAKES_TASKS;
+  return get_service_reason (target, service, false) == CORE_TARGET_TAKES_TASKS;
 }
 
 static inline enum core_target_reason
 get_step_reason (const struct core_target *target, const struct core_step *step)
 {
-  enum core_target_reason reason = get_service_reason (target, &step->job->queue.service);
+  enum core_target_reason reason
+      = get_service_reason (target, &step->job->queue.service, core_step_is_overdue (step));
 
   if (reason == CORE_TARGET_TAKES_TASKS && step->spec->label.len > 0
       && !core_target_has_label (target, &step->spec->label))
@@ -147,7 +163,7 @@
 
   *reason = get_step_reason (target, step);
   if (*reason == CORE_TARGET_TAKES_TASKS && target->watched_run != NULL
-      && !(spec->gang && target->watched_run->task->step == step))
+      && !(spec->gang && target->watched_run->task->step == step) && !core_step_is_overdue (step))
     *reason = CORE_TARGET_WATCHED;
   if (*reason != CORE_TARGET_TAKES_TASKS)
     return 0;
@@ -198,14 +214,14 @@
  * targets in every tick. One search finds the most that is free on any target; steps that need more
  * are not searched for. */
 static struct core_free_max *
-get_free_max (struct fl_core *core, const struct fl_name *service)
+get_free_max (struct fl_core *core, const struct fl_name *service, bool is_for_overdue)
 {
-  struct core_free_max max = { .service = *service };
+  struct core_free_max max = { .service = *service, .is_for_overdue = is_for_overdue };
 
   for (guint i = 0; i < core->free_max->len; i++)
     {
       struct core_free_max *known = &g_array_index (core->free_max, struct core_free_max, i);
-      if (fl_name_eq (&known->service, service))
+      if (fl_name_eq (&known->service, service) && known->is_for_overdue == is_for_overdue)
         return known;
     }
   max.open_targets = g_array_new (FALSE, FALSE, sizeof (struct core_open_target));
@@ -214,7 +230,7 @@
     {
       struct core_target *target = g_ptr_array_index (core->target_list, i);
       int64_t closed = CORE_CLOSED;
-      if (!core_target_accepts_service (target, service))
+      if (get_service_reason (target, service, is_for_overdue) != CORE_TARGET_TAKES_TASKS)
         {
           g_array_append_val (max.free_cpu_milli, closed);
           continue;
@@ -236,16 +252,22 @@
   return &g_array_index (core->free_max, struct core_free_max, core->free_max->len - 1);
 }
 
+static struct core_free_max *
+get_step_free_max (const struct core_step *step)
+{
+  return get_free_max (step->job->core, &step->job->queue.service, core_step_is_overdue (step));
+}
+
 const struct fl_resources *
 core_get_capacity (struct fl_core *core, const struct fl_name *service)
 {
-  return &get_free_max (core, service)->capacity;
+  return &get_free_max (core, service, false)->capacity;
 }
 
 const GArray *
 core_get_open_targets (const struct core_step *step)
 {
-  return get_free_max (step->job->core, &step->job->queue.service)->open_targets;
+  return get_step_free_max (step)->open_targets;
 }
 
 guint
@@ -401,7 +423,7 @@
 bool
 core_step_may_fit_on_advised (struct core_step *step)
 {
-  struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+  struct core_free_max *max = get_step_free_max (step);
 
   update_advised (step);
   return have_common_position (&step->advised, get_targets_with_room (max, step));
@@ -417,7 +439,7 @@
 bool
 core_capacity_is_exhausted (const struct core_step *step, bool include_tentative)
 {
-  const struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+  const struct core_free_max *max = get_step_free_max (step);
   const struct fl_step_spec *spec = step->spec;
 
   return spec->cpu_milli > (include_tentative ? max->untaken_cpu_milli : max->free.cpu_milli)
@@ -430,7 +452,7 @@
 core_record_vain_search (const struct core_step *step, bool include_tentative)
 {
   const struct fl_step_spec *spec = step->spec;
-  struct core_free_max *max = get_free_max (step->job->core, &step->job->queue.service);
+  struct core_free_max *max = get_step_free_max (step);
 
   /* Steps with these restrictions may fit nowhere although others of their size do. */
   if (spec->label.len > 0 || spec->per_target_max > 0 || spec->best_effort)
--- a/lib/core/stall.c
+++ b/lib/core/stall.c
@@ -103,7 +103,6 @@
       if (now_ms - run->progressed_at_ms >= STALL_TIMEOUT_MS)
         stop_stalled_run (run);
       if (lagging >= LAGGING_RUNS_MIN && lagging * 2 > measured)
-        target->quarantined_until_ms
-            = MAX (target->quarantined_until_ms, now_ms + LAGGING_QUARANTINE_MS);
+        target->avoided_until_ms = MAX (target->avoided_until_ms, now_ms + LAGGING_QUARANTINE_MS);
     }
 }
--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -789,6 +789,103 @@
   fixture_free (fixture);
 }
 
+/* --- preferences --- */
+
+/* Why the only target is to be used for other tasks, or for none, when the task is accepted. */
+enum preference
+{
+  PREFERENCE_TASKS_FAIL,
+  PREFERENCE_WATCHED,
+  PREFERENCE_URGENT_PEAK,
+};
+
+static void
+end_run (struct fixture *fixture, int64_t number, enum fl_end_cause cause)
+{
+  guint index = fixture->start_orders->len - 1;
+  struct fl_end_row end = { .number = number,
+                            .task = get_start_order (fixture, index)->task,
+                            .run = get_start_order (fixture, index)->run,
+                            .cause = cause };
+
+  confirm_start (fixture, index);
+  deliver_report (fixture, "t1",
+                  (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
+}
+
+/* A task crashes the target, which is back at once, and is started there again. */
+static void
+crash_target (struct fixture *fixture)
+{
+  confirm_start (fixture, fixture->start_orders->len - 1);
+  deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
+  deliver_result (fixture, "t1", FL_ORDER_NO_LISTENER);
+  for (int i = 0; i < 2; i++)
+    {
+      fixture->now_ms += 50;
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 2 });
+    }
+  tick_until_recorded (fixture, 50);
+}
+
+static void
+set_preference (struct fixture *fixture, enum preference preference)
+{
+  struct fl_step_spec step = { .count = 1, .cpu_milli = 1000, .disruptions_max = -1 };
+
+  if (preference == PREFERENCE_URGENT_PEAK)
+    {
+      step.count = 5;
+      add_job (fixture, "rest", "slow", step);
+      tick_until_recorded (fixture, 50);
+      step.count = 1;
+      step.cpu_milli = 5000;
+    }
+  add_job (fixture, "b0", "urgent", step);
+  tick_until_recorded (fixture, 50);
+  if (preference == PREFERENCE_TASKS_FAIL)
+    for (int i = 1; i <= 3; i++)
+      {
+        end_run (fixture, i, FL_END_FAILED);
+        add_job (fixture, fl_name_format ("b%d", i).data, "urgent", step);
+        tick_until_recorded (fixture, 50);
+      }
+  if (preference == PREFERENCE_WATCHED)
+    crash_target (fixture);
+  if (preference == PREFERENCE_URGENT_PEAK)
+    end_run (fixture, 1, FL_END_DONE);
+}
+
+/* The only target was held for another purpose for as long as that lasted. */
+static void
+test_preferences_give_way (void **state)
+{
+  static const char *const names[]
+      = { "tasks fail there", "a watched run", "room of the team kept for urgent work" };
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      struct fixture *fixture = fixture_new (10000);
+      add_target (fixture, "t1", 20, false);
+      set_preference (fixture, (enum preference)i);
+      guint before = fixture->start_orders->len;
+      add_job (fixture, "a", "slow", lasting_step (1));
+      int64_t accepted_ms = fixture->now_ms;
+      while (fixture->start_orders->len == before && fixture->now_ms < accepted_ms + 10000)
+        tick_until_recorded (fixture, 50);
+      int64_t waited_ms = fixture->now_ms - accepted_ms;
+      if (waited_ms < 1000 || waited_ms > 2000)
+        {
+          printf ("%s: started after %d ms\n", names[i], (int)waited_ms);
+          failed++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
+}
+
 int
 main (void)
 {
@@ -802,6 +899,7 @@
     cmocka_unit_test (test_events_before_the_start_is_recorded),
     cmocka_unit_test (test_lease_of_a_planned_run_expires),
     cmocka_unit_test (test_log_of_tasks_that_are_down),
+    cmocka_unit_test (test_preferences_give_way),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
