Core: a long-running task that is down does not wait for the verdict on another

Callers saw a task of a long-running job at rest (LOST) while another task of its job was suspected of a crash. All tasks of a job wait for the watched run of the suspected one. Where the target of that run falls silent, or the verdict on an earlier crash is open, this was up to the end of a lease or 10 s. A suspected task also waits while a quarter of the targets have watched runs, of which there are as many as runs were fresh when a group of targets was cut off.

A task of an overdue step waits for others only while a watched run of its job is on a target in touch, that is for a second, and is not bound by the number of watched runs. A task that may have crashed two targets still waits up to 10 s for the verdict on a third.

Evidence: test_task_beside_a_suspected_one; before, the task waits until the lease has lapsed.

--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -554,19 +554,50 @@
   return false;
 }
 
+/* Whether a watched run of a task of @job is on a target that will tell soon whether the task is
+ * the cause. */
+static bool
+has_watched_run_in_touch (const struct core_job *job)
+{
+  const GPtrArray *list = job->core->target_list;
+
+  for (guint i = 0; job->watched_runs > 0 && i < list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (list, i);
+      if (target->watched_run != NULL && target->watched_run->task->step->job == job
+          && !target->silent)
+        return true;
+    }
+  return false;
+}
+
+/* Whether @task has to wait for what the runs of others of its job tell. A task that has been down
+ * for long does not wait for a verdict or the end of a lease. */
+static bool
+waits_for_others (const struct core_task *task)
+{
+  const struct core_job *job = task->step->job;
+
+  if (job->is_cleared || task->step->spec->gang
+      || (task->is_watched ? job->watched_runs : job->suspected_tasks) == 0)
+    return false;
+  return !core_step_is_overdue (task->step) || has_watched_run_in_touch (job);
+}
+
 bool
 core_crash_may_start (const struct core_task *task)
 {
   const struct core_job *job = task->step->job;
 
   if (!task->is_watched)
-    return job->suspected_tasks == 0 || job->is_cleared || task->step->spec->gang;
+    return !waits_for_others (task);
   if (must_be_given_up (task) || awaits_verdict (task)
       || job->crash_changes_recorded < task->crash_change)
     return false;
-  if (job->core->watched_runs * TARGETS_PER_WATCHED_RUN >= MAX (job->core->target_list->len, 1))
+  if (job->core->watched_runs * TARGETS_PER_WATCHED_RUN >= MAX (job->core->target_list->len, 1)
+      && !core_step_is_overdue (task->step))
     return false;
-  return task->step->spec->gang || job->is_cleared || job->watched_runs == 0;
+  return !waits_for_others (task);
 }
 
 void
--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -741,6 +741,40 @@
   world_clear (&world);
 }
 
+/* A task is suspected of a crash, and the target of its next run falls silent. The other task of
+ * the job waited for the end of that lease. */
+static void
+test_task_beside_a_suspected_one (void **state)
+{
+  struct world world;
+
+  (void)state;
+  world_init (&world);
+  world.step = lasting_step (2);
+  world.target_count = 2;
+  change_owner (&world, 0);
+  turn_for (&world, 3000);
+  struct fl_start_order first = *get_start_order (world.owner, 0);
+  int other = find_model_target (&world, &get_start_order (world.owner, 1)->target) - world.targets;
+  reboot_target (&world, find_model_target (&world, &first.target) - world.targets);
+  turn_for (&world, 200);
+  assert_int_equal (world.owner->start_orders->len, 3);
+  /* The run is not listed for long enough to clear the task. */
+  struct model_target *crashed
+      = find_model_target (&world, &get_start_order (world.owner, 2)->target);
+  reboot_target (&world, crashed - world.targets);
+  world.target_count = TARGETS;
+  update_registry (&world);
+  while (world.owner->start_orders->len == 3)
+    turn (&world);
+  find_model_target (&world, &get_start_order (world.owner, 3)->target)->silent = true;
+  turn_for (&world, 2000);
+  reboot_target (&world, other);
+  turn_for (&world, 2500);
+  assert_int_equal (count_starts (&world, get_start_order (world.owner, 1)->task.data), 2);
+  world_clear (&world);
+}
+
 /* --- the log of tasks that are down --- */
 
 static int
@@ -898,6 +932,7 @@
     cmocka_unit_test (test_other_steps_wait_for_all_targets),
     cmocka_unit_test (test_events_before_the_start_is_recorded),
     cmocka_unit_test (test_lease_of_a_planned_run_expires),
+    cmocka_unit_test (test_task_beside_a_suspected_one),
     cmocka_unit_test (test_log_of_tasks_that_are_down),
     cmocka_unit_test (test_preferences_give_way),
   };
