--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -920,6 +920,85 @@
   assert_int_equal (failed, 0);
 }
 
+/* --- advice --- */
+
+static void
+free_target (struct fixture *fixture, const char *target)
+{
+  for (guint i = 0; i < fixture->start_orders->len; i++)
+    {
+      const struct fl_start_order *order = get_start_order (fixture, i);
+      struct fl_end_row end
+          = { .number = 1, .task = order->task, .run = order->run, .cause = FL_END_DONE };
+      if (strcmp (order->target.data, target) == 0)
+        deliver_report (
+            fixture, target,
+            (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
+    }
+}
+
+/* Room became free on one target at a time. The step was queried about this target alone, and
+ * waited for the next one where it was ineligible or its room was taken before the reply. */
+static void
+test_advice_before_there_is_room (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_name names[12];
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      names[i] = fl_name_format ("t%d", (int)i);
+      add_target (fixture, names[i].data, 1, false);
+    }
+  add_job (fixture, "rest", "urgent",
+           (struct fl_step_spec){ .count = 12, .cpu_milli = 1000, .disruptions_max = -1 });
+  tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->start_orders->len, 12);
+  add_job (fixture, "a", "slow-advised", lasting_step (1));
+  for (int64_t end_ms = fixture->now_ms + 2000; fixture->now_ms < end_ms;)
+    tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->query_count, 1);
+  assert_int_equal (fixture->queried_targets->len, 12);
+  struct fl_advised_target good = { names[7], fl_name_of ("ticket") };
+  fl_core_handle_advice_reply (
+      fixture->core, &fixture->queried_step, names, 12,
+      &(struct fl_advice_reply){
+          .received = true, .targets = &good, .count = 1, .tickets_valid_ms = 2500 },
+      fixture->now_ms);
+  free_target (fixture, "t3");
+  tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->query_count, 1);
+  free_target (fixture, "t7");
+  tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->start_orders->len, 13);
+  assert_string_equal (get_start_order (fixture, 12)->target.data, "t7");
+  fixture_free (fixture);
+}
+
+/* All targets with room were charged for queries of other steps. A step that is limited to one task
+ * on a target was not queried for as long as others were. */
+static void
+test_advice_beside_other_queries (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_step_spec step = lasting_step (1);
+  struct fl_name first;
+
+  (void)state;
+  step.per_target_max = 1;
+  add_target (fixture, "t1", 1, false);
+  add_job (fixture, "b", "advised", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 50);
+  first = fixture->queried_step;
+  add_job (fixture, "a", "slow-advised", step);
+  for (int64_t end_ms = fixture->now_ms + 2000; fixture->now_ms < end_ms;)
+    tick_until_recorded (fixture, 50);
+  assert_string_equal (first.data, "b.0.0");
+  assert_string_equal (fixture->queried_step.data, "a.0.0");
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -935,6 +1014,8 @@
     cmocka_unit_test (test_task_beside_a_suspected_one),
     cmocka_unit_test (test_log_of_tasks_that_are_down),
     cmocka_unit_test (test_preferences_give_way),
+    cmocka_unit_test (test_advice_before_there_is_room),
+    cmocka_unit_test (test_advice_beside_other_queries),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
