Cell: long-running jobs with few eligible targets

The cell judged long-running tasks at any calm time and after the faults, but with room everywhere: no limit per target, six of ten targets eligible, no evacuations, registries and capacity that change. test_core_cell few-eligible has one task of a job on a target, three of ten targets eligible, changes of owner in bursts, evacuations, late registry and operator's rows, and targets that shrink; room counts where the task may run.

--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -100,6 +100,7 @@
   int job_count;              /* submitted at even intervals during the fault phase */
   int long_running_job_count; /* submitted at the start in addition, and cancelled
                                  CELL_LASTING_MS after the fault phase */
+  bool is_apart;              /* one task of such a job on a target, and few targets are eligible */
   int64_t fault_phase_ms;     /* then faults and submissions end, and all jobs must end */
   /* Faults occur only in the first fault_burst_ms of each fault_cycle_ms; 0 for always. */
   int64_t fault_burst_ms;
