Core: a limit per target does not keep a step from being queried

Callers saw a job with nothing running beside free targets for as long as queries of other steps were charged for these. After 1 s such a target may be queried about, too, if it has room for two tasks; a limit of one task of the step on a target counted as room for one.

The room is compared with the needs of two tasks; the limit per target is left out.

Evidence: test_advice_beside_other_queries; the case of a step that is not long-running fails on.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -11,8 +11,8 @@
 /* A step of which no task has been started for this long may be queried about targets that queries
  * of other steps are charged for. */
 #define CONTENDED_WAIT_MS 1000
-/* Tasks of such a step that have to fit on a target beside what runs there, unless it is overdue: a
- * step with a limit per target may fit nowhere twice. */
+/* Tasks of such a step for which there has to be room on a target beside what runs there, unless it
+ * is overdue. */
 #define CONTENDED_TASKS_MIN 2
 /* A ticket is not used if it expires within this time, which an order may take to arrive. */
 #define TICKET_MARGIN_MS 150
@@ -162,6 +162,18 @@
          && step->job->core->now_ms - step->unplaced_since_ms >= CONTENDED_WAIT_MS;
 }
 
+/* A limit per target does not count: the room may be taken by another step. */
+static bool
+has_room_beside_queries (const struct core_step *step, const struct core_target *target)
+{
+  const struct fl_step_spec *spec = step->spec;
+  struct fl_resources available = core_target_available_resources (target, spec->best_effort);
+
+  return available.cpu_milli >= CONTENDED_TASKS_MIN * spec->cpu_milli
+         && available.memory_mb >= CONTENDED_TASKS_MIN * spec->memory_mb
+         && available.gpu >= CONTENDED_TASKS_MIN * spec->gpu;
+}
+
 /* @return for how many tasks of @step a query about @target is worth while. */
 static int64_t
 count_queried_tasks (const struct core_step *step, const struct core_target *target)
@@ -171,7 +183,7 @@
   if (untaken > 0 || !is_contended (step))
     return untaken;
   int64_t fitting = core_target_task_capacity (target, step, false);
-  return fitting >= CONTENDED_TASKS_MIN || core_step_is_overdue (step) ? fitting : 0;
+  return core_step_is_overdue (step) || has_room_beside_queries (step, target) ? fitting : 0;
 }
 
 /* Adds @target to @candidates if @step fits there. */
--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -976,27 +976,54 @@
   fixture_free (fixture);
 }
 
+static const struct
+{
+  const char *name;
+  bool long_running;
+  int64_t cores;
+  int64_t per_target_max;
+  bool is_queried;
+} contended_cases[] = {
+  { "room for one", false, 1, 0, false },
+  { "room for two", false, 2, 0, true },
+  { "room for two, one is allowed", false, 2, 1, true },
+  { "long-running, room for one", true, 1, 0, true },
+  { "long-running, one is allowed", true, 1, 1, true },
+};
+
 /* All targets with room were charged for queries of other steps. A step that is limited to one task
  * on a target was not queried for as long as others were. */
 static void
 test_advice_beside_other_queries (void **state)
 {
-  struct fixture *fixture = fixture_new (0);
-  struct fl_step_spec step = lasting_step (1);
-  struct fl_name first;
+  int failed = 0;
 
   (void)state;
-  step.per_target_max = 1;
-  add_target (fixture, "t1", 1, false);
-  add_job (fixture, "b", "advised", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
-  tick_until_recorded (fixture, 50);
-  first = fixture->queried_step;
-  add_job (fixture, "a", "slow-advised", step);
-  for (int64_t end_ms = fixture->now_ms + 2000; fixture->now_ms < end_ms;)
-    tick_until_recorded (fixture, 50);
-  assert_string_equal (first.data, "b.0.0");
-  assert_string_equal (fixture->queried_step.data, "a.0.0");
-  fixture_free (fixture);
+  for (size_t i = 0; i < G_N_ELEMENTS (contended_cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      int64_t cpu_milli = 1000 * contended_cases[i].cores;
+      struct fl_step_spec step = { .count = 1,
+                                   .cpu_milli = 1000,
+                                   .long_running = contended_cases[i].long_running,
+                                   .per_target_max = contended_cases[i].per_target_max };
+      add_target (fixture, "t1", contended_cases[i].cores, false);
+      add_job (fixture, "b", "advised",
+               (struct fl_step_spec){ .count = 1, .cpu_milli = cpu_milli });
+      tick_until_recorded (fixture, 50);
+      assert_string_equal (fixture->queried_step.data, "b.0.0");
+      add_job (fixture, "a", "slow-advised", step);
+      for (int64_t end_ms = fixture->now_ms + 2000; fixture->now_ms < end_ms;)
+        tick_until_recorded (fixture, 50);
+      bool is_queried = strcmp (fixture->queried_step.data, "a.0.0") == 0;
+      if (is_queried != contended_cases[i].is_queried)
+        {
+          printf ("%s: %s\n", contended_cases[i].name, is_queried ? "queried" : "not queried");
+          failed++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
 }
 
 int
