--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -741,6 +741,291 @@
   world_clear (&world);
 }
 
+/* A task is suspected of a crash, and the target of its next run falls silent. The other task of
+ * the job waited for the end of that lease. */
+static void
+test_task_beside_a_suspected_one (void **state)
+{
+  struct world world;
+
+  (void)state;
+  world_init (&world);
+  world.step = lasting_step (2);
+  world.target_count = 2;
+  change_owner (&world, 0);
+  turn_for (&world, 3000);
+  struct fl_start_order first = *get_start_order (world.owner, 0);
+  int other = find_model_target (&world, &get_start_order (world.owner, 1)->target) - world.targets;
+  reboot_target (&world, find_model_target (&world, &first.target) - world.targets);
+  turn_for (&world, 200);
+  assert_int_equal (world.owner->start_orders->len, 3);
+  /* The run is not listed for long enough to clear the task. */
+  struct model_target *crashed
+      = find_model_target (&world, &get_start_order (world.owner, 2)->target);
+  reboot_target (&world, crashed - world.targets);
+  world.target_count = TARGETS;
+  update_registry (&world);
+  while (world.owner->start_orders->len == 3)
+    turn (&world);
+  find_model_target (&world, &get_start_order (world.owner, 3)->target)->silent = true;
+  turn_for (&world, 2000);
+  reboot_target (&world, other);
+  turn_for (&world, 2500);
+  assert_int_equal (count_starts (&world, get_start_order (world.owner, 1)->task.data), 2);
+  world_clear (&world);
+}
+
+/* --- the log of tasks that are down --- */
+
+static int
+count_lines (const struct fl_log_state *state, const char *text)
+{
+  g_autofree char *lines = g_strndup (state->buffer, state->buffered_bytes);
+  int count = 0;
+
+  for (const char *at = strstr (lines, text); at != NULL; at = strstr (at + 1, text))
+    count++;
+  return count;
+}
+
+/* A step logged one reason for its wait, and not that of each target. */
+static void
+test_log_of_tasks_that_are_down (void **state)
+{
+  g_autofree struct fl_log_state *log_state = g_new0 (struct fl_log_state, 1);
+  struct fixture *fixture = fixture_new (0);
+
+  (void)state;
+  log_state->is_buffered = true;
+  fixture->log = (struct fl_log){ .level = FL_LOG_NOTICE, .program = "test", .state = log_state };
+  add_target (fixture, "t1", 1, true);
+  add_target (fixture, "t2", 1, true);
+  add_target (fixture, "t3", 1, false);
+  deliver_result (fixture, "t3", FL_ORDER_NO_REPLY);
+  add_job (fixture, "a", "urgent", lasting_step (2));
+  for (int64_t end_ms = fixture->now_ms + 3000; fixture->now_ms < end_ms;)
+    tick_until_recorded (fixture, 50);
+  assert_int_equal (count_lines (log_state, "event=lasting_task_down"), 0);
+  for (int64_t end_ms = fixture->now_ms + 3200; fixture->now_ms < end_ms;)
+    tick_until_recorded (fixture, 50);
+  assert_int_equal (count_lines (log_state, "event=lasting_task_down task=a.0.0.0"), 2);
+  assert_int_equal (count_lines (log_state, "down=2 record=0 starting=0 settling=0 suspended=0"),
+                    2);
+  assert_int_equal (count_lines (log_state, "for=room"), 2);
+  assert_int_equal (count_lines (log_state, "targets=\"1 silent, 2 draining\""), 2);
+  assert_in_range (fl_stats_get (fixture->stats, "lasting_down_ms"), 6000, 6300);
+  add_target (fixture, "t4", 2, false);
+  tick_until_recorded (fixture, 50);
+  confirm_start (fixture, 0);
+  confirm_start (fixture, 1);
+  tick_until_recorded (fixture, 200);
+  assert_int_equal (fl_stats_get (fixture->stats, "lasting_down_ms"), 0);
+  fixture_free (fixture);
+}
+
+/* --- preferences --- */
+
+/* Why the only target is to be used for other tasks, or for none, when the task is accepted. */
+enum preference
+{
+  PREFERENCE_TASKS_FAIL,
+  PREFERENCE_WATCHED,
+  PREFERENCE_URGENT_PEAK,
+};
+
+static void
+end_run (struct fixture *fixture, int64_t number, enum fl_end_cause cause)
+{
+  guint index = fixture->start_orders->len - 1;
+  struct fl_end_row end = { .number = number,
+                            .task = get_start_order (fixture, index)->task,
+                            .run = get_start_order (fixture, index)->run,
+                            .cause = cause };
+
+  confirm_start (fixture, index);
+  deliver_report (fixture, "t1",
+                  (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
+}
+
+/* A task crashes the target, which is back at once, and is started there again. */
+static void
+crash_target (struct fixture *fixture)
+{
+  confirm_start (fixture, fixture->start_orders->len - 1);
+  deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
+  deliver_result (fixture, "t1", FL_ORDER_NO_LISTENER);
+  for (int i = 0; i < 2; i++)
+    {
+      fixture->now_ms += 50;
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 2 });
+    }
+  tick_until_recorded (fixture, 50);
+}
+
+static void
+set_preference (struct fixture *fixture, enum preference preference)
+{
+  struct fl_step_spec step = { .count = 1, .cpu_milli = 1000, .disruptions_max = -1 };
+
+  if (preference == PREFERENCE_URGENT_PEAK)
+    {
+      step.count = 5;
+      add_job (fixture, "rest", "slow", step);
+      tick_until_recorded (fixture, 50);
+      step.count = 1;
+      step.cpu_milli = 5000;
+    }
+  add_job (fixture, "b0", "urgent", step);
+  tick_until_recorded (fixture, 50);
+  if (preference == PREFERENCE_TASKS_FAIL)
+    for (int i = 1; i <= 3; i++)
+      {
+        end_run (fixture, i, FL_END_FAILED);
+        add_job (fixture, fl_name_format ("b%d", i).data, "urgent", step);
+        tick_until_recorded (fixture, 50);
+      }
+  if (preference == PREFERENCE_WATCHED)
+    crash_target (fixture);
+  if (preference == PREFERENCE_URGENT_PEAK)
+    end_run (fixture, 1, FL_END_DONE);
+}
+
+/* The only target was held for another purpose for as long as that lasted. */
+static void
+test_preferences_give_way (void **state)
+{
+  static const char *const names[]
+      = { "tasks fail there", "a watched run", "room of the team kept for urgent work" };
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      struct fixture *fixture = fixture_new (10000);
+      add_target (fixture, "t1", 20, false);
+      set_preference (fixture, (enum preference)i);
+      guint before = fixture->start_orders->len;
+      add_job (fixture, "a", "slow", lasting_step (1));
+      int64_t accepted_ms = fixture->now_ms;
+      while (fixture->start_orders->len == before && fixture->now_ms < accepted_ms + 10000)
+        tick_until_recorded (fixture, 50);
+      int64_t waited_ms = fixture->now_ms - accepted_ms;
+      if (waited_ms < 1000 || waited_ms > 2000)
+        {
+          printf ("%s: started after %d ms\n", names[i], (int)waited_ms);
+          failed++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
+}
+
+/* --- advice --- */
+
+static void
+free_target (struct fixture *fixture, const char *target)
+{
+  for (guint i = 0; i < fixture->start_orders->len; i++)
+    {
+      const struct fl_start_order *order = get_start_order (fixture, i);
+      struct fl_end_row end
+          = { .number = 1, .task = order->task, .run = order->run, .cause = FL_END_DONE };
+      if (strcmp (order->target.data, target) == 0)
+        deliver_report (
+            fixture, target,
+            (struct fl_target_report){ .booted_at_ms = 1, .ends = &end, .end_count = 1 });
+    }
+}
+
+/* Room became free on one target at a time. The step was queried about this target alone, and
+ * waited for the next one where it was ineligible or its room was taken before the reply. */
+static void
+test_advice_before_there_is_room (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_name names[12];
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      names[i] = fl_name_format ("t%d", (int)i);
+      add_target (fixture, names[i].data, 1, false);
+    }
+  add_job (fixture, "rest", "urgent",
+           (struct fl_step_spec){ .count = 12, .cpu_milli = 1000, .disruptions_max = -1 });
+  tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->start_orders->len, 12);
+  add_job (fixture, "a", "slow-advised", lasting_step (1));
+  for (int64_t end_ms = fixture->now_ms + 2000; fixture->now_ms < end_ms;)
+    tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->query_count, 1);
+  assert_int_equal (fixture->queried_targets->len, 12);
+  struct fl_advised_target good = { names[7], fl_name_of ("ticket") };
+  fl_core_handle_advice_reply (
+      fixture->core, &fixture->queried_step, names, 12,
+      &(struct fl_advice_reply){
+          .received = true, .targets = &good, .count = 1, .tickets_valid_ms = 2500 },
+      fixture->now_ms);
+  free_target (fixture, "t3");
+  tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->query_count, 1);
+  free_target (fixture, "t7");
+  tick_until_recorded (fixture, 50);
+  assert_int_equal (fixture->start_orders->len, 13);
+  assert_string_equal (get_start_order (fixture, 12)->target.data, "t7");
+  fixture_free (fixture);
+}
+
+static const struct
+{
+  const char *name;
+  bool long_running;
+  int64_t cores;
+  int64_t per_target_max;
+  bool is_queried;
+} contended_cases[] = {
+  { "room for one", false, 1, 0, false },
+  { "room for two", false, 2, 0, true },
+  { "room for two, one is allowed", false, 2, 1, true },
+  { "long-running, room for one", true, 1, 0, true },
+  { "long-running, one is allowed", true, 1, 1, true },
+};
+
+/* All targets with room were charged for queries of other steps. A step that is limited to one task
+ * on a target was not queried for as long as others were. */
+static void
+test_advice_beside_other_queries (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (contended_cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      int64_t cpu_milli = 1000 * contended_cases[i].cores;
+      struct fl_step_spec step = { .count = 1,
+                                   .cpu_milli = 1000,
+                                   .long_running = contended_cases[i].long_running,
+                                   .per_target_max = contended_cases[i].per_target_max };
+      add_target (fixture, "t1", contended_cases[i].cores, false);
+      add_job (fixture, "b", "advised",
+               (struct fl_step_spec){ .count = 1, .cpu_milli = cpu_milli });
+      tick_until_recorded (fixture, 50);
+      assert_string_equal (fixture->queried_step.data, "b.0.0");
+      add_job (fixture, "a", "slow-advised", step);
+      for (int64_t end_ms = fixture->now_ms + 2000; fixture->now_ms < end_ms;)
+        tick_until_recorded (fixture, 50);
+      bool is_queried = strcmp (fixture->queried_step.data, "a.0.0") == 0;
+      if (is_queried != contended_cases[i].is_queried)
+        {
+          printf ("%s: %s\n", contended_cases[i].name, is_queried ? "queried" : "not queried");
+          failed++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
+}
+
 int
 main (void)
 {
@@ -753,6 +1038,11 @@
     cmocka_unit_test (test_other_steps_wait_for_all_targets),
     cmocka_unit_test (test_events_before_the_start_is_recorded),
     cmocka_unit_test (test_lease_of_a_planned_run_expires),
+    cmocka_unit_test (test_task_beside_a_suspected_one),
+    cmocka_unit_test (test_log_of_tasks_that_are_down),
+    cmocka_unit_test (test_preferences_give_way),
+    cmocka_unit_test (test_advice_before_there_is_room),
+    cmocka_unit_test (test_advice_beside_other_queries),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
