A start is not cancelled for room that its task does not need

Where a target had shrunk below what was charged to it, in memory say, a start that waited for its record was cancelled, though a task without memory had been placed there as fitting: it was planned, recorded and cancelled by turns for as long as this lasted, with a write of the store each time. Only what the task needs counts now, as where it is placed.

--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -486,14 +486,17 @@
 }
 
 /* Whether the target of @run has shrunk below what is charged to it, so that a start that has not
- * taken effect yet would exceed its capacity. */
+ * taken effect yet would exceed its capacity. What the task does not need does not matter, as where
+ * it is placed: its start would otherwise be planned and cancelled by turns. */
 static bool
 is_over_capacity (const struct core_run *run)
 {
-  struct fl_resources available
-      = core_target_available_resources (run->target, run->task->step->spec->best_effort);
+  const struct fl_step_spec *spec = run->task->step->spec;
+  struct fl_resources available = core_target_available_resources (run->target, spec->best_effort);
 
-  return available.cpu_milli < 0 || available.memory_mb < 0 || available.gpu < 0;
+  return (spec->cpu_milli > 0 && available.cpu_milli < 0)
+         || (spec->memory_mb > 0 && available.memory_mb < 0)
+         || (spec->gpu > 0 && available.gpu < 0);
 }
 
 static bool
--- a/tests/test_shrinking_targets.c
+++ b/tests/test_shrinking_targets.c
@@ -151,6 +151,50 @@
     }
 }
 
+/* A target has less memory than what is charged to it, which does not concern a task that needs
+ * none. Such a start was planned and, once it was recorded, cancelled, again and again. */
+static void
+test_shrunk_by_what_is_not_needed (void **state)
+{
+  static const struct
+  {
+    int64_t memory_mb;
+    guint starts;
+  } cases[] = { { 0, 1 }, { 1, 0 } };
+  struct fl_target_entry entry = { .id = fl_name_of ("t1"),
+                                   .service = fl_name_of ("s"),
+                                   .address = fl_name_of ("t1"),
+                                   .resources = { 4000, 500, 0 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = new_fixture ();
+      struct fl_run_row run;
+      add_job (fixture, "a", "slow", (struct fl_step_spec){ .count = 1, .memory_mb = 1000 });
+      tick_until_recorded (fixture, 0);
+      confirm_start (fixture, 0);
+      run = (struct fl_run_row){ .task = get_start_order (fixture, 0)->task,
+                                 .run = get_start_order (fixture, 0)->run };
+      fl_core_update_target (fixture->core, &entry);
+      add_job (fixture, "b", "urgent",
+               (struct fl_step_spec){ .count = 1,
+                                      .cpu_milli = 1000,
+                                      .memory_mb = cases[i].memory_mb,
+                                      .long_running = true,
+                                      .disruptions_max = -1 });
+      for (int j = 0; j < 5; j++)
+        {
+          report_runs (fixture, &run, 1);
+          fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+          store_records (fixture);
+        }
+      if (fixture->start_orders->len != 1 + cases[i].starts)
+        fail_msg ("case %zu: %u starts", i, fixture->start_orders->len - 1);
+      fixture_free (fixture);
+    }
+}
+
 /* An owner that kept its lease, but heard no changes of the registry, filled targets by the
  * capacity that they had had before. */
 static void
@@ -194,6 +238,7 @@
     cmocka_unit_test (test_planned_start_on_a_shrunk_target),
     cmocka_unit_test (test_repeated_start_on_a_shrunk_target),
     cmocka_unit_test (test_capacity_below_what_runs),
+    cmocka_unit_test (test_shrunk_by_what_is_not_needed),
     cmocka_unit_test (test_old_registry_entries),
   };
 
