--- a/tests/test_decoder_fuzz.c
+++ b/tests/test_decoder_fuzz.c
@@ -74,6 +74,13 @@
       "\"failed_runs\":[{\"run\":1}],\"checkpoint\":\"c\"}],\"targets\":[{\"id\":\"i-1\"}],"
       "\"anywhere\":false}";
 
+static const char job_row_document[]
+    = "{\"id\":\"00000000000000a1\",\"queue\":\"slow\",\"team\":\"w\",\"accepted_ms\":5,\"text\":"
+      "\"x\","
+      "\"steps\":[{\"count\":4,\"cpu_milli\":500,\"after\":[]},{\"count\":2,\"cpu_milli\":200,"
+      "\"after\":[{\"step\":0}],\"disruptions_max\":-1}],\"repeat_count\":2,\"start_at_ms\":5,"
+      "\"interval_ms\":7}";
+
 /* --- mutations --- */
 
 static const char *const odd_values[] = {
@@ -255,20 +262,43 @@
   ((struct fuzz *)context)->accepted += reply->status == FL_STORE_OK;
 }
 
+static void
+check_job_row (struct fuzz *fuzz, const struct fl_str *text)
+{
+  struct fl_name key = fl_name_of ("00000000000000a1");
+  struct fl_job_spec spec;
+
+  if (!fl_job_spec_decode_row (&key, text->data, text->len, &spec, NULL))
+    return;
+  fuzz->accepted++;
+  fl_core_add_job (fuzz->fixture->core, &spec, fuzz->fixture->now_ms, NULL);
+}
+
+static void
+check_progress (struct fuzz *fuzz, const struct fl_str *text)
+{
+  struct fl_step_spec step = { .count = 4, .cpu_milli = 500, .disruptions_max = -1 };
+  g_autofree char *id
+      = g_strdup_printf ("00000000000000b%d", g_rand_int_range (fuzz->rand, 0, 1000));
+  struct fl_job_progress progress;
+
+  if (!fl_job_progress_decode (text->data, text->len, &progress, NULL))
+    return;
+  fuzz->accepted++;
+  add_recorded_job (fuzz->fixture, id, "slow", step, &progress);
+  fl_job_progress_clear (&progress);
+}
+
 static void
 check_records (struct fuzz *fuzz, const struct fl_str *text)
 {
   g_autoptr (GArray) names = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
-  struct fl_job_progress progress;
   struct fl_forward_message forwarded;
   struct fl_relay_message relayed;
 
   fuzz->accepted += fl_target_rows_decode (text->data, text->len, names, NULL);
-  if (fl_job_progress_decode (text->data, text->len, &progress, NULL))
-    {
-      fuzz->accepted++;
-      fl_job_progress_clear (&progress);
-    }
+  check_job_row (fuzz, text);
+  check_progress (fuzz, text);
   fl_forward_message_decode (text->data, text->len, &forwarded, NULL);
   fl_forward_message_clear (&forwarded);
   fl_relay_message_decode (text->data, text->len, &relayed, NULL);
@@ -279,10 +309,17 @@
 static GString *
 make_progress_record (void)
 {
-  struct fl_done_range done[] = { { 0, 0, 0, 40 } };
+  struct fl_done_range done[] = { { 0, 0, 0, 1 } };
   struct fl_job_target targets[] = { { 7 } };
-  struct fl_job_progress progress
-      = { .state = FL_JOB_RUNNING, .done = { 1, done }, .targets = { 1, targets } };
+  struct fl_failed_run failed[] = { { 1 } };
+  struct fl_task_progress tasks[] = { { 0, 0, 1, false, { 1, failed }, { 1, (char *)"c" } } };
+  struct fl_crashed_run crashed[] = { { 3, FL_CRASH_SUSPECTED, 7, 8, 1700000000000 } };
+  struct fl_task_crashes crashes[] = { { 0, 0, 2, { 1, crashed } } };
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING,
+                                      .done = { 1, done },
+                                      .tasks = { 1, tasks },
+                                      .targets = { 1, targets },
+                                      .crashes = { { 1, crashes } } };
   struct fl_str record = fl_job_progress_encode (&progress);
   GString *text = g_string_new_len (record.data, (gssize)record.len);
 
@@ -305,8 +342,9 @@
 check_document (struct fuzz *fuzz)
 {
   static const char *const documents[]
-      = { target_document, report_document, advice_document,  configuration_document,
-          job_document,    store_document,  targets_document, progress_document };
+      = { target_document,        report_document,   advice_document,
+          configuration_document, job_document,      store_document,
+          targets_document,       progress_document, job_row_document };
   size_t kind = (size_t)g_rand_int_range (fuzz->rand, 0, G_N_ELEMENTS (documents) + 1);
   g_autoptr (GString) text
       = kind < G_N_ELEMENTS (documents) ? g_string_new (documents[kind]) : make_progress_record ();
