Core: the wait for a target that left does not follow the leases of others

While an owner reads the jobs it renews the leases on the targets that reply, of which it cannot use the lists yet. Each renewal moved the time until which earlier owners' orders count, for all targets: the wait began anew when the jobs were known.

The bound of the acquisition now holds for each target by itself, or the end of the leases there, which this owner renews only on targets that have replied. A target that is silent since the acquisition is no longer waited for after that bound.

Evidence: test_owner_that_reads_jobs_for_long fails before. All test_core*, lasting, order, urgent room, interference, uneven targets, plan, late advice, evacuation, deadly, gang and next boot tests pass.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -154,6 +154,7 @@
   struct fl_core *core = g_new0 (struct fl_core, 1);
 
   core->options = *options;
+  core->inherited_until_ms = options->reconciled_at_ms;
   core->order_budget.bytes_per_s = options->order_bytes_per_s;
   core->first_run_number = (options->fencing_token - 1) * RUN_NUMBERS_PER_OWNER + 1;
   core->targets = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, target_free);
@@ -429,7 +430,7 @@
 void
 core_target_remove_if_unused (struct fl_core *core, struct core_target *target)
 {
-  bool reconciled = !target->inherited || target->reported_fully
+  bool reconciled = !target->inherited || target->reported_fully || target->is_settled
                     || core->now_ms >= core->options.reconciled_at_ms;
 
   if (target->registered || target->runs->len > 0 || !reconciled
@@ -494,7 +495,7 @@
 void
 core_target_update_reconciled (struct core_target *target)
 {
-  set_unreconciled (target, target->inherited && !target->reported_fully);
+  set_unreconciled (target, target->inherited && !target->reported_fully && !target->is_settled);
 }
 
 bool
@@ -963,6 +964,25 @@
     }
 }
 
+/* Load pattern: targets leave, and the pool passes to an owner that reads the jobs for seconds, in
+ * which it renews the leases of the targets that reply. Tasks that may be on those that left do not
+ * wait for these leases. */
+static void
+settle_targets (struct fl_core *core)
+{
+  GList *link = core->unreconciled_targets.head;
+
+  while (link != NULL)
+    {
+      struct core_target *target = link->data;
+      link = link->next;
+      if (core->now_ms < MAX (core->inherited_until_ms, target->lease_expires_at_ms))
+        continue;
+      target->is_settled = true;
+      core_target_update_reconciled (target);
+    }
+}
+
 /* Logs which inherited targets have not reported, at most once a second, and when all have. */
 static void
 log_reconciliation (struct fl_core *core)
@@ -994,6 +1014,7 @@
   core->now_ms = now_ms;
   core->wall_ms = wall_ms;
   core_order_budget_update (&core->order_budget, now_ms);
+  settle_targets (core);
   log_reconciliation (core);
   if (now_ms - core->runs_checked_at_ms >= RUNS_CHECK_INTERVAL_MS
       || now_ms < core->runs_checked_at_ms)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -126,6 +126,7 @@
   int unsettled_runs;           /* runs whose last order is not known to have taken effect */
   int64_t next_expiry_check_ms; /* before, no lease of a run can have expired */
   bool is_unreconciled;         /* in core->unreconciled_targets */
+  bool is_settled;              /* all leases that earlier owners gave there have expired */
   bool in_unrecorded;           /* in core->unrecorded_targets */
   bool in_idle;                 /* in core->idle_targets */
   guint position;               /* in core->target_list */
@@ -467,8 +468,9 @@
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
   int64_t last_tick_ms;
-  int64_t tick_gap_ms;              /* between the last two ticks */
-  int64_t runs_checked_at_ms;       /* when all runs were last checked for timeouts */
+  int64_t tick_gap_ms;        /* between the last two ticks */
+  int64_t runs_checked_at_ms; /* when all runs were last checked for timeouts */
+  int64_t inherited_until_ms; /* options.reconciled_at_ms, before this owner renewed any lease */
   int64_t reconciling_logged_at_ms; /* when the targets that have not reported were last logged */
   bool is_reconciling;              /* the last tick found inherited targets without a report */
   int64_t first_run_number;         /* lowest run number of this owner */
--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -57,6 +57,7 @@
   guint started;        /* start orders of the owner that the targets have received */
   struct fl_step_spec step;
   int64_t cpu_cap_milli;
+  bool reads_jobs; /* the next owner does not know the jobs yet */
 };
 
 /* --- world --- */
@@ -236,7 +237,8 @@
     assert_true (fl_job_progress_decode (world->record.data, world->record.len, &progress, &error));
   add_recorded_job (world->owner, "a", "urgent", world->step, is_recorded ? &progress : NULL);
   fl_job_progress_clear (&progress);
-  fl_core_set_jobs_known (world->owner->core);
+  if (!world->reads_jobs)
+    fl_core_set_jobs_known (world->owner->core);
 }
 
 /* Starts the job under a first owner: one task runs on each of the targets t1 to t3. */
@@ -741,6 +743,30 @@
   world_clear (&world);
 }
 
+/* While an owner read the jobs, it renewed leases on the targets that replied. Tasks on targets
+ * that had left waited for the end of these leases, too (few-hosts-302). */
+static void
+test_owner_that_reads_jobs_for_long (void **state)
+{
+  static const enum target_fate fates[] = { IS_SILENT, LISTS_RUN, LISTS_RUN };
+  struct world world;
+
+  (void)state;
+  world_init (&world);
+  start_job (&world);
+  struct expectation expected[USED_TARGETS] = { { task_on (&world, 0), RECONCILED },
+                                                { task_on (&world, 1), NEVER },
+                                                { task_on (&world, 2), NEVER } };
+  apply_fates (&world, fates);
+  world.reads_jobs = true;
+  change_owner (&world, USED_TARGETS);
+  add_room (&world);
+  turn_for (&world, 6000);
+  fl_core_set_jobs_known (world.owner->core);
+  assert_true (run_and_check (&world, expected));
+  world_clear (&world);
+}
+
 /* A task is suspected of a crash, and the target of its next run falls silent. The other task of
  * the job waited for the end of that lease. */
 static void
@@ -1038,6 +1064,7 @@
     cmocka_unit_test (test_other_steps_wait_for_all_targets),
     cmocka_unit_test (test_events_before_the_start_is_recorded),
     cmocka_unit_test (test_lease_of_a_planned_run_expires),
+    cmocka_unit_test (test_owner_that_reads_jobs_for_long),
     cmocka_unit_test (test_task_beside_a_suspected_one),
     cmocka_unit_test (test_log_of_tasks_that_are_down),
     cmocka_unit_test (test_preferences_give_way),
