Core: a suspected task is waited for while crashes go on

The tasks of an overdue step no longer waited for others of their job whenever no watched run was on a target in touch: also between two runs of a task that crashes its targets, so that a step of such tasks would crash a target for each of them; and a target was open to them as soon as a run was watched there.

They wait until nothing of the job has crashed or started under suspicion for 3 s, a watch counts for 2 s, and half the targets may have watched runs of overdue steps.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -103,6 +103,7 @@
   /* A run of a task that may crash its targets. The target gets no other task until the run is
    * known to have run for some time; NULL for none. */
   struct core_run *watched_run;
+  int64_t watched_since_ms;
   bool boot_end_noted; /* the end of the boot that reported last has been examined */
   int stale_runs;      /* runs in the last reply that are not the current run of a task */
   int consecutive_failures;
@@ -345,6 +346,7 @@
   int64_t suspected_tasks;    /* tasks with is_suspected */
   int64_t watched_runs;       /* runs that are the watched_run of their target */
   bool is_cleared;            /* since the last suspicion, a run of a suspected task did no harm */
+  int64_t crash_changed_at_ms; /* when the crashes of its tasks last changed */
   int64_t crash_changes; /* number of changes of the crashes of its tasks that need recording */
   int64_t crash_changes_recording; /* of these, those in the record in flight */
   int64_t crash_changes_recorded;  /* of these, those in a stored record */
@@ -638,6 +640,9 @@
 void core_crash_watch (struct core_run *run);
 void core_crash_stop_watching (struct core_run *run);
 
+/* Whether the watched run of @target has kept other tasks away for longer than usual. */
+bool core_crash_watch_is_overdue (const struct core_target *target);
+
 /* Whether the start of @run has to wait for a record: its task, or one of its gang, is watched. */
 bool core_crash_needs_recording (const struct core_run *run);
 
--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -29,6 +29,13 @@
 #define CRASH_SUSPECTS_MAX 8
 /* One of so many targets may be taken for watched runs; the others go on with other work. */
 #define TARGETS_PER_WATCHED_RUN 4
+/* The same for tasks of overdue steps. */
+#define TARGETS_PER_OVERDUE_RUN 2
+/* Without a crash or a start of a suspected task of its job for this long, an overdue task does not
+ * wait for these any more: a task that crashes its targets is given up earlier. */
+#define CRASH_QUIET_MS 3000
+/* A watch that lasts longer than usual does not hold the target for overdue steps. */
+#define CRASH_WATCH_OVERDUE_MS 2000
 /* A task is given up when its crashes weigh this much: after two with it as a suspect, or at the
  * latest after four, since it must not be started three times more after three. */
 #define CRASH_WEIGHT_MAX 4
@@ -135,6 +142,7 @@
                          count_all_cases (task) > 0);
   core->crash_verdicts_due_ms = 0;
   task->crash_change = ++job->crash_changes;
+  job->crash_changed_at_ms = core->now_ms;
   if (!fl_job_state_is_final (job->state))
     core_job_mark_for_recording (job);
 }
@@ -581,7 +589,9 @@
   if (job->is_cleared || task->step->spec->gang
       || (task->is_watched ? job->watched_runs : job->suspected_tasks) == 0)
     return false;
-  return !core_step_is_overdue (task->step) || has_watched_run_in_touch (job);
+  return !core_step_is_overdue (task->step)
+         || job->core->now_ms - job->crash_changed_at_ms < CRASH_QUIET_MS
+         || has_watched_run_in_touch (job);
 }
 
 bool
@@ -594,8 +604,9 @@
   if (must_be_given_up (task) || awaits_verdict (task)
       || job->crash_changes_recorded < task->crash_change)
     return false;
-  if (job->core->watched_runs * TARGETS_PER_WATCHED_RUN >= MAX (job->core->target_list->len, 1)
-      && !core_step_is_overdue (task->step))
+  guint divisor
+      = core_step_is_overdue (task->step) ? TARGETS_PER_OVERDUE_RUN : TARGETS_PER_WATCHED_RUN;
+  if (job->core->watched_runs * divisor >= MAX (job->core->target_list->len, 1))
     return false;
   return !waits_for_others (task);
 }
@@ -606,6 +617,7 @@
   if (!run->task->is_watched || run->target->watched_run != NULL)
     return;
   run->target->watched_run = run;
+  run->target->watched_since_ms = run->target->core->now_ms;
   run->task->step->job->watched_runs++;
   run->target->core->watched_runs++;
 }
@@ -627,6 +639,12 @@
     add_case (run->task, run->target, run->number, FL_CRASH_OPEN);
 }
 
+bool
+core_crash_watch_is_overdue (const struct core_target *target)
+{
+  return target->core->now_ms - target->watched_since_ms >= CRASH_WATCH_OVERDUE_MS;
+}
+
 bool
 core_crash_needs_recording (const struct core_run *run)
 {
--- a/lib/core/room.c
+++ b/lib/core/room.c
@@ -163,7 +163,8 @@
 
   *reason = get_step_reason (target, step);
   if (*reason == CORE_TARGET_TAKES_TASKS && target->watched_run != NULL
-      && !(spec->gang && target->watched_run->task->step == step) && !core_step_is_overdue (step))
+      && !(spec->gang && target->watched_run->task->step == step)
+      && !(core_step_is_overdue (step) && core_crash_watch_is_overdue (target)))
     *reason = CORE_TARGET_WATCHED;
   if (*reason != CORE_TARGET_TAKES_TASKS)
     return 0;
