--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -104,6 +104,7 @@
   /* A run of a task that may crash its targets. The target gets no other task until the run is
    * known to have run for some time; NULL for none. */
   struct core_run *watched_run;
+  int64_t watched_since_ms;
   bool boot_end_noted; /* the end of the boot that reported last has been examined */
   int stale_runs;      /* runs in the last reply that are not the current run of a task */
   int consecutive_failures;
@@ -127,6 +128,7 @@
   int unsettled_runs;           /* runs whose last order is not known to have taken effect */
   int64_t next_expiry_check_ms; /* before, no lease of a run can have expired */
   bool is_unreconciled;         /* in core->unreconciled_targets */
+  bool is_settled;              /* all leases that earlier owners gave there have expired */
   bool in_unrecorded;           /* in core->unrecorded_targets */
   bool in_idle;                 /* in core->idle_targets */
   guint position;               /* in core->target_list */
@@ -345,6 +347,7 @@
   int64_t suspected_tasks;    /* tasks with is_suspected */
   int64_t watched_runs;       /* runs that are the watched_run of their target */
   bool is_cleared;            /* since the last suspicion, a run of a suspected task did no harm */
+  int64_t crash_changed_at_ms; /* when the crashes of its tasks last changed */
   int64_t crash_changes; /* number of changes of the crashes of its tasks that need recording */
   int64_t crash_changes_recording; /* of these, those in the record in flight */
   int64_t crash_changes_recorded;  /* of these, those in a stored record */
@@ -469,8 +472,9 @@
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
   int64_t last_tick_ms;
-  int64_t tick_gap_ms;              /* between the last two ticks */
-  int64_t runs_checked_at_ms;       /* when all runs were last checked for timeouts */
+  int64_t tick_gap_ms;        /* between the last two ticks */
+  int64_t runs_checked_at_ms; /* when all runs were last checked for timeouts */
+  int64_t inherited_until_ms; /* options.reconciled_at_ms, before this owner renewed any lease */
   int64_t reconciling_logged_at_ms; /* when the targets that have not reported were last logged */
   bool is_reconciling;              /* the last tick found inherited targets without a report */
   int64_t first_run_number;         /* lowest run number of this owner */
@@ -638,6 +642,9 @@
 void core_crash_watch (struct core_run *run);
 void core_crash_stop_watching (struct core_run *run);
 
+/* Whether the watched run of @target has kept other tasks away for longer than usual. */
+bool core_crash_watch_is_overdue (const struct core_target *target);
+
 /* Whether the start of @run has to wait for a record: its task, or one of its gang, is watched. */
 bool core_crash_needs_recording (const struct core_run *run);
 
