Soak: phases in which processes are held up, idle connections are used and registry rows are odd

Clients count an end of the connection that is visible right after the last byte was sent as one that came first; such ends were below lossSlackMs before.

--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -37,8 +37,9 @@
 
 
 def send_request(method, url, body=None, key=None, host=None, timeout=5):
-    """Sends one HTTP request. Returns (status, parsed body); without a reply, status is 0."""
-    data = None if body is None else json.dumps(body).encode()
+    """Sends one HTTP request, whose body is bytes or a value to encode. Returns (status, parsed body);
+    without a reply, status is 0."""
+    data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
     request = urllib.request.Request(url, data=data, method=method)
     request.add_header("Content-Type", "application/json")
     if key:
@@ -253,8 +254,9 @@
     def targets_url(self):
         return "http://127.0.0.1:%d" % self.targets.port
 
-    def configure(self, keys=(KEY,), cpu_cap=0, queues=None):
-        """Writes a new version of the configuration in place of the operator."""
+    def configure(self, keys=(KEY,), cpu_cap=0, queues=None, more_routes=0):
+        """Writes a new version of the configuration in place of the operator, with so many further
+        routes, which no client uses."""
         if queues is None:
             queues = ADVISED_QUEUES if self.has_advice_service else QUEUES
         with self.configuration_lock:
@@ -262,7 +264,9 @@
                 advice = queue["advice"]
                 self.control_advice("times", queue=queue["name"], base_ms=advice["decideMs"],
                                     per_target_ms=advice["perItemMs"], valid_ms=advice["validMs"])
-            return self._configure(keys, cpu_cap, queues)
+            return self._configure(keys, cpu_cap, queues + [
+                dict(QUEUES[-1], name="more-%d" % i, pathPrefix="/more-%d/" % i)
+                for i in range(more_routes)])
 
     def _configure(self, keys, cpu_cap, queues):
         self.configuration_version += 1
@@ -283,6 +287,16 @@
                                  "%s/operator/op/evacuate/%s" % (self.platform_url, domain), {})
         assert status == 200
 
+    def write_registry_row(self, key, row):
+        """Writes bytes as a row of the registry, in place of another writer than the targets."""
+        status, _ = send_request("PUT", "%s/operator/servers/%s" % (self.platform_url, key), row)
+        assert status == 200
+
+    def target_port(self, target):
+        if target < len(self.target_proxies):
+            return self.target_proxies[target].port
+        return send_request("GET", self.targets_url + "/ports")[1]["ports"][target]
+
     def register_target_proxies(self, count):
         ports = send_request("GET", self.targets_url + "/ports")[1]["ports"][:count]
         proxies = [FaultProxy(port) for port in ports]
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -8,16 +8,19 @@
 import json
 import os
 import random
+import socket
 import subprocess
 import sys
 import tempfile
 import threading
 import time
+import types
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
 from cell import BIN, PortAllocator, Process, send_request  # noqa: E402
 from faultproxy import FaultProxy  # noqa: E402
 import soak_checks as checks  # noqa: E402
+from soak_clients import Client  # noqa: E402
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
 OK_LINE = "echo '[       OK ] a'"
@@ -117,16 +120,62 @@
     return [kind for event in events for kind, _ in judge.judge(event)] == ["LIMIT"]
 
 
-def finds_evacuated(start_s, domain="d", ended=None):
+def finds_evacuated(start_s, domain="d", ended=None, judge=None):
     """Whether a start is found so long after the evacuation of domain d was acknowledged."""
-    judge = checks.EvacuationJudge()
-    judge.begin("d", 10.0)
+    judge = judge or checks.EvacuationJudge()
+    span = judge.begin("d", 10.0)
+    judge.begin("d", 90.0)
     if ended is not None:
-        judge.end(10.0 + ended)
+        judge.end(span, 10.0 + ended)
     judge.judge([0, *boot(0), domain])
     return bool(judge.judge([1000 * (10.0 + start_s), *start(0)]))
 
 
+def finds_row(start_s, target="d", ended=None):
+    """Whether a start is found on target a so long after the row of a target became unreadable."""
+    judge = checks.RowJudge()
+    span = judge.begin(target, 10.0)
+    judge.begin(target, 90.0)
+    if ended is not None:
+        judge.end(span, 10.0 + ended)
+    return bool(judge.judge([1000 * (10.0 + start_s), *start(0)]))
+
+
+def finds_unanswered(faults=(), ended=10.3, status=0, is_cut=True):
+    """faults: (host, kind, begin, end) of each."""
+    log = checks.FaultLog(lambda: 0.0)
+    log.faults = [checks.Fault(*fault) for fault in faults]
+    return checks.is_unanswered(checks.Attempt("j", "POST", "h", 10.0, ended, status, is_cut), log)
+
+
+def attempts_of_client(ends_first):
+    """Returns the status of two attempts, and whether they were cut, on a connection that the host ends
+    before the second one or, if not ends_first, 0.3 s after it was sent."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host = types.SimpleNamespace(name="h", front_port=listener.getsockname()[1])
+        client, has_closed = Client(None, host, [], 1, 0), threading.Event()
+
+        def serve():
+            for i in range(2 if ends_first else 1):
+                connection = listener.accept()[0]
+                connection.recv(4096)
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                if not ends_first:
+                    connection.recv(4096)
+                    time.sleep(0.3)
+                connection.close()
+                has_closed.set()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        client.send(host, "GET", "/")
+        if ends_first:
+            has_closed.wait()
+        client.send(host, "GET", "/")
+        thread.join()
+    return [(attempt.status, attempt.is_cut) for attempt in client.attempts]
+
+
 def finds_budget(crashes, starts, scope="targets"):
     """Whether so many starts after so many crashes are found, with a fault on the scope near them."""
     log = checks.FaultLog(lambda: 0.0)
@@ -285,6 +334,21 @@
     ("not EVAC: after 4.9 s", not finds_evacuated(4.9)),
     ("not EVAC: another domain", not finds_evacuated(5.1, domain="e")),
     ("not EVAC: after its end", not finds_evacuated(6.1, ended=6.0)),
+    ("ROW: after 3.1 s", finds_row(3.1, "a")),
+    ("ROW: before its end", finds_row(3.9, "a", ended=4.0)),
+    ("not ROW: after 2.9 s", not finds_row(2.9, "a")),
+    ("not ROW: another target", not finds_row(3.1)),
+    ("not ROW: after its end", not finds_row(4.1, "a", ended=4.0)),
+    ("unanswered: cut 0.3 s after it was sent", finds_unanswered()),
+    ("unanswered: beside a pause and SIGTERM", finds_unanswered([("h", "pause", 9.0, 10.2), TERM])),
+    ("unanswered: another host killed", finds_unanswered([("other", "kill", 10.2, 10.4)])),
+    ("unanswered: killed 1 s before", finds_unanswered([("h", "kill", 8.0, 9.0)])),
+    ("not unanswered: killed", not finds_unanswered([("h", "kill", 10.2, 10.4)])),
+    ("not unanswered: cut within lossSlackMs", not finds_unanswered(ended=10.15)),
+    ("not unanswered: rejected", not finds_unanswered(status=503, is_cut=False)),
+    ("not unanswered: the client gave up", not finds_unanswered(is_cut=False)),
+    ("client: sees the end first", attempts_of_client(ends_first=True) == [(200, False)] * 2),
+    ("client: cut after the request", attempts_of_client(ends_first=False) == [(200, False), (0, True)]),
     ("BUDGET: three starts after three crashes", finds_budget(3, 3)),
     ("not BUDGET: two starts after three crashes", not finds_budget(3, 2)),
     ("not BUDGET: three starts after two crashes", not finds_budget(2, 1)),
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,8 +8,8 @@
 see: no task runs on two targets at once or starts again after its completion was acknowledged; no
 target exceeds the capacity of its boot; no task starts in an evacuated failure domain; accepted jobs stay known, end and do not fail; only jobs of the kind
 that the test cancels are shown as cancelled; no task starts of a job whose every submission was
-rejected; requests are answered around planned stops; jobs are started, and tasks that last started
-again, in time; no daemon ends by itself. The checks are in soak_checks.py, the clients in soak_clients.py.
+rejected; whole requests are answered, unless the process is killed; no task starts on a target whose
+registry row is unreadable; jobs are started, and tasks that last started again, in time; no daemon ends by itself. The checks are in soak_checks.py, the clients in soak_clients.py.
 
 Faults come in phases of one kind each, with calm in between. A seed determines the random choices of
 each thread, but the effect of the faults depends on timing, so seeds that failed are kept in
@@ -30,7 +30,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
 from cell import KEY, Cell, LoadGenerator, job  # noqa: E402
 import soak_checks as checks  # noqa: E402
-from soak_clients import Client  # noqa: E402
+from soak_clients import Client, IdleClient  # noqa: E402
 
 DOMAINS = ["bogota-a", "bogota-b", "bogota-c"]
 JOB_KINDS = [job("check", "/checks/", 10, [4, 2], 150), job("rebuild", "/rebuild/", 3, [6, 6], 500),
@@ -57,6 +57,29 @@
     for steps, fuse, step_options in [
         ([1], 10, {}), ([6], 10, {}), ([2, 3], 30, {}), ([3], 10, {"gang": True}),
         ([2], 10, {"longRunning": True}), ([1], 10, {"fills": True}), ([1], 450, {})]]
+# Played by phases "held": processes that do not run for part of a second, as on a host that is short of
+# CPU, long enough for connections that are idle from the beginning of the run to reach their limit.
+HELD_S, HELD_BREAK_S, HELD_PHASE_S, IDLE_CLIENTS = (0.2, 0.9), (0.1, 0.6), (17.5, 20), 30
+MORE_ROUTES, NARROW_BYTES_PER_S = 1400, 1250000
+# The fields of a row of the registry, and what makes a row of a target unreadable; %d is its port.
+ROW = {"service": "citas", "address": "127.0.0.1:%d", "zone": DOMAINS[0], "version": "v1", "slots": 8,
+       "state": "ready", "seqNo": 1, "born": 1, "coldLeftMs": 0, "labels": ["r0"],
+       "capacity": {"cpu": 16000, "memMb": 65536, "gpu": 0}}
+BAD_FIELDS = [{"service": []}, {"service": "other"}, {"state": "asleep"}, {"zone": 7}, {"address": None},
+              {"address": "127.0.0.1"}, {"address": "127.0.0.1:-1"}, {"address": "127.0.0.1:0"},
+              {"address": "127.0.0.1:6%d"}, {"address": "127.0.0.1:%d/x?y="}, {"capacity": "all"},
+              {"capacity": {"cpu": "16000", "memMb": {}, "gpu": None}}]
+UNREADABLE_ROWS = [b"", b"\xff\xfe\x00\x80", b"null", b'["row"]', b'{"service":"citas"', b"[" * 3000,
+                   b'{"capacity":' * 3000 + b"1" + b"}" * 3000, json.dumps(ROW).encode()[:-2]
+                   ] + [json.dumps(dict(ROW, **fields)).encode() for fields in BAD_FIELDS]
+# Further rows, some of which name targets that do not exist.
+HUGE_NUMBERS = ["1e400", "-1e400", "1e300", "9223372036854775807", "-9223372036854775808", "9.3e18",
+                "1" * 400, "NaN"]
+ODD_ROWS = UNREADABLE_ROWS + [b"[" * 100000 + b"]" * 100000, json.dumps(
+    dict(ROW, labels=[1, None, {}, "x" * 60000])).encode()] + [
+        json.dumps(ROW).replace("16000", number).replace('s": 0', 's": ' + number).encode()
+        for number in HUGE_NUMBERS]
+UNUSED_PORT = 9
 # Seeds of past failures, each with the kind of phases and the seconds played unless the command line
 # says otherwise, and its cause.
 REGRESSIONS = [
@@ -161,9 +184,9 @@
                 host.start("poold")
                 host.start("frontd")
 
-    def pause(self, host, role, duration_s):
+    def pause(self, host, role, duration_s, kind="pause"):
         process = host.processes[role]
-        with self.logged("pause", host.name):
+        with self.logged(kind, host.name):
             process.signal_child(signal.SIGSTOP)
             time.sleep(duration_s)
             process.signal_child(signal.SIGCONT)
@@ -243,11 +266,42 @@
             time.sleep(self.random.uniform(0, min(duration_s, 3)))
             self.kill(host, role, duration_s / 8)
 
+    def hold_up(self, duration_s):
+        """Holds up both processes of some hosts, each in series; the series overlap."""
+        deadline = time.monotonic() + duration_s
+
+        def hold(host, role, generator):
+            while time.monotonic() < deadline:
+                self.pause(host, role, generator.uniform(*HELD_S), "held")
+                time.sleep(generator.uniform(*HELD_BREAK_S))
+
+        self.in_parallel([lambda h=host, r=role, s=self.random.random(): hold(h, r, random.Random(s))
+                          for host in self.some_hosts() for role in ("poold", "frontd")])
+
+    def reload_and_restart_host(self, duration_s):
+        """SIGHUP and SIGTERM of both processes of a host, while others are held up."""
+        host = self.host()
+        self.in_parallel([lambda r=role: self.restart(host, r) for role in ("poold", "frontd")]
+                         + [lambda: [(self.reload([host]), time.sleep(0.1)) for _ in range(20)]]
+                         + [lambda: self.hold_up(duration_s)])
+        for role in ("poold", "frontd"):  # SIGHUP may have ended a process before its handlers exist
+            host.start(role)
+
     def update_configuration(self, duration_s):
         with self.logged("configuration", "operator"):
             self.cell.configure(keys=(KEY, "key-%d" % self.random.randrange(100)))
         time.sleep(duration_s / 4)
 
+    def grow_configuration(self, duration_s):
+        """A configuration with many more routes, which hosts with narrow links read."""
+        hosts = self.some_hosts()
+        with self.proxies("bandwidth", hosts):
+            for host in hosts:
+                host.store_proxy.set(bytes_per_s=NARROW_BYTES_PER_S)
+            with self.logged("configuration", "operator"):
+                self.cell.configure(more_routes=MORE_ROUTES)
+            time.sleep(duration_s)
+
     def restart_during_updates(self, duration_s):
         hosts = self.some_hosts()
         self.in_parallel([lambda h=host: self.restart(h, "frontd") for host in hosts]
@@ -473,11 +527,27 @@
         domain, judge = self.random.choice(DOMAINS), self.soak.evacuation_judge
         with self.soak.evacuation_lock, self.logged("evacuation", "operator"):
             self.cell.evacuate(domain)
-            judge.begin(domain, time.monotonic())
+            span = judge.begin(domain, time.monotonic())
             time.sleep(checks.EVACUATION_S + duration_s)
-            judge.end(time.monotonic())
+            judge.end(span, time.monotonic())
             self.cell.evacuate(domain, ends=True)
 
+    def write_odd_rows(self, duration_s):
+        """Another writer adds odd rows to the registry, and replaces the row of a target for longer
+        than an owner may take to read it. The next write of the target restores that."""
+        for _ in range(self.random.randint(1, 4)):
+            row = self.random.choice(ODD_ROWS).replace(b"%d", b"%d" % UNUSED_PORT)
+            self.cell.write_registry_row("odd-%d" % self.random.randrange(100), row)
+        target, judge = self.random.randrange(self.soak.options.targets), self.soak.row_judge
+        port, name = self.cell.target_port(target), "t-%03d" % target
+        row = self.random.choice(UNREADABLE_ROWS).replace(b"%d", b"%d" % port)
+        with self.soak.row_locks[target], self.logged("row %s %r" % (name, row[:160]), "targets"):
+            self.cell.write_registry_row(name, row)
+            span = judge.begin(name, time.monotonic())
+            time.sleep(checks.ROW_READ_S + duration_s)
+            judge.end(span, time.monotonic())
+            self.cell.control_target(target, "address", port=port)
+
     def cut_off_owner(self, duration_s):
         host = self.owner()
         with self.proxies("proxy", [host]):
@@ -521,6 +591,11 @@
                                           disrupt_store, lose_store_replies, cut_or_crash]
     EVACUATION_PHASES = [("evacuation", [evacuate_domain], 1), ("evacuation", EVACUATION, 2),
                          ("evacuation", EVACUATION, 3)]
+    HELD = [hold_up] * 6 + [grow_configuration] * 3 + [update_configuration, write_odd_rows,
+                                                       write_odd_rows, reload_settings]
+    HELD_PHASES = [("held", [write_odd_rows], 2), ("held", HELD, 3), ("held", HELD, 4),
+                   ("held", HELD + [reload_and_restart_host, restart_process, reload_during_restart,
+                                    kill_owner], 4)]
     ADVICE_PHASES = [("advice", [disrupt_advice], 1), ("advice", ADVICE, 1), ("advice", ADVICE, 2)]
 
     def inject(self, kinds, deadline):
@@ -543,6 +618,7 @@
         # Phases "advice" play in a cell of their own, so only if the caller asks for them.
         self.plays_advice = phase == "advice"
         self.plays_deadly = phase == "deadly"
+        self.plays_held = phase == "held"
         hosts = options.hosts or (ADVICE_HOSTS if self.plays_advice
                                   else self.random.choice(HOST_COUNTS))
         self.cell = Cell(DOMAINS, options.targets, hosts, uses_store_proxies=True,
@@ -558,6 +634,9 @@
                                "%d client %d" % (seed, i),
                                ADVICE_THINK_S if self.plays_advice else options.think_s)
                         for i in range(options.clients)]
+        self.clients += [IdleClient(self.load, self.cell.hosts[i % hosts], JOB_KINDS,
+                                    "%d idle client %d" % (seed, i))
+                         for i in range(IDLE_CLIENTS if self.plays_held else 0)]
         self.problems = {}  # what was found -> its first details
         self.played_faults = []
         self.finished = threading.Event()
@@ -571,6 +650,8 @@
         self.run_judge, self.judged_events = checks.RunJudge(), 0
         self.crash_judge = checks.CrashJudge()
         self.evacuation_judge, self.evacuation_lock = checks.EvacuationJudge(), threading.Lock()
+        self.row_judge = checks.RowJudge()
+        self.row_locks = [threading.Lock() for _ in range(options.targets)]
         self.start_judge = checks.StartJudge(
             lambda job_id: self.cell.eligible_targets(job_id + ".0.0"))
 
@@ -602,6 +683,10 @@
                                                     event[0] / 1000 + DEADLY_DOWN_S))
                 for details in self.evacuation_judge.judge(event):
                     self.report("EVAC", details)
+                for details in self.row_judge.judge(event):
+                    if self.fault_log.only_on_targets(event[0] / 1000 - checks.STABLE_WINDOW_S,
+                                                      event[0] / 1000):
+                        self.report("ROW", details)
                 for details in self.crash_judge.judge(event, self.fault_log):
                     self.report("BUDGET", details)
                 for kind, details in self.run_judge.judge(event):
@@ -630,6 +715,8 @@
             for attempt in attempts:
                 if checks.is_planned_loss(attempt, self.fault_log):
                     self.report("LOST request", str(attempt))
+                if checks.is_unanswered(attempt, self.fault_log):
+                    self.report("LOST request without an answer", str(attempt))
                 accepted = self.load.jobs.get(attempt.job, {}).get("accepted_at")
                 if accepted and checks.is_forgotten(attempt, accepted, self.fault_log):
                     self.report("LOST accepted job is unknown", str(attempt))
@@ -701,7 +788,8 @@
         return (Faults.PHASES + (Faults.BOOT_PHASES if has_boots else [])
                 + (Faults.ADVICE_PHASES if self.plays_advice else [])
                 + (Faults.DEADLY_PHASES if self.plays_deadly else [])
-                + (Faults.EVACUATION_PHASES if self.phase == "evacuation" else []))
+                + (Faults.EVACUATION_PHASES if self.phase == "evacuation" else [])
+                + (Faults.HELD_PHASES if self.plays_held else []))
 
     def play_phase(self, number):
         """Injects the faults of one phase, then leaves the cell calm."""
@@ -712,7 +800,7 @@
             slowness = self.random.choice(SLOW_ADVICE)
             self.played_faults.append("[%s]" % slowness)
             self.cell.control_advice("fault", **slowness)
-        deadline = time.monotonic() + self.random.uniform(3, 9)
+        deadline = time.monotonic() + self.random.uniform(*HELD_PHASE_S if self.plays_held else (3, 9))
         threads = [threading.Thread(target=Faults(self, "%d phase %d thread %d" % (
             self.seed, number, i)).inject, args=(kinds, deadline)) for i in range(thread_count)]
         for thread in threads:
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -24,6 +24,7 @@
 # up.
 CRASHES_MAX, CRASHES_GIVEN_UP = 3, 2
 EVACUATION_S = 5.0  # evacuateMs
+ROW_READ_S = 3.0  # an owner in touch has read a row of the registry
 # Faults that are planned work. All others excuse a request that gets no answer.
 PLANNED = ("term", "hup")
 
@@ -110,6 +111,14 @@
                    and attempt.sent <= fault.begun + CONFIG_APPLY_S) for fault in near)
 
 
+def is_unanswered(attempt, faults):
+    """LOST: whether the host ended the connection of a whole request without an answer, although it
+    was not killed. An end within lossSlackMs may have crossed the request on its way."""
+    return (not attempt.status and attempt.is_cut and attempt.ended - attempt.sent > LOSS_SLACK_S
+            and not any(fault.kind == "kill" for fault in faults.during(
+                attempt.sent, attempt.ended, (attempt.host,))))
+
+
 def find_tasks_down(now, expected, down_ms, room_ms, calm_s):
     """LOST: returns the tasks that last and have been down for too long in a calm cell with room.
 
@@ -203,15 +212,23 @@
 class EvacuationJudge:
     """EVAC: judges starts in failure domains that are evacuated, by the events of GET /history."""
 
+    BOUND_S, CAUSE = EVACUATION_S, "the evacuation of"
+
     def __init__(self):
         self.domains = {}  # target -> its domain
         self.spans = []    # [domain, when its evacuation was acknowledged, its end or None]
 
+    def domain(self, target):
+        return self.domains[target]
+
     def begin(self, domain, time_s):
+        """Returns the span, for end()."""
         self.spans.append([domain, time_s, None])
+        return self.spans[-1]
 
-    def end(self, time_s):
-        self.spans[-1][2] = time_s
+    @staticmethod
+    def end(span, time_s):
+        span[2] = time_s
 
     def judge(self, event):
         """Returns the details of each violation by the event."""
@@ -220,13 +237,22 @@
             self.domains[target] = event[5]
         if kind != "start":
             return []
-        return ["task %s at %s, %.1f s after the evacuation of %s" % (
-                    event[4], target, time_s - begun, domain)
+        return ["task %s at %s, %.1f s after %s %s" % (
+                    event[4], target, time_s - begun, self.CAUSE, domain)
                 for domain, begun, ended in self.spans
-                if domain == self.domains[target] and time_s > begun + EVACUATION_S
+                if domain == self.domain(target) and time_s > begun + self.BOUND_S
                 and (ended is None or time_s < ended)]
 
 
+class RowJudge(EvacuationJudge):
+    """ROW: judges starts on targets whose rows in the registry are unreadable."""
+
+    BOUND_S, CAUSE = ROW_READ_S, "the row became unreadable of"
+
+    def domain(self, target):
+        return target
+
+
 class CrashJudge:
     """BUDGET: judges the starts of tasks that crash their targets, by the events of GET /history; and
     knows under which tasks targets have crashed, which is the cause that a job may be given up for."""
--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -2,6 +2,7 @@
 import http.client
 import json
 import random
+import socket
 import threading
 import time
 
@@ -15,6 +16,21 @@
            "Content-Type": "application/json"}
 # Finished jobs are kept for status_s, 120 s; clients query younger ones only.
 QUERIED_JOB_AGE_S = 60
+# Spread around the 16 to 17 s after which flamingo-frontd closes an idle connection.
+IDLE_S, IDLE_WEIGHTS = [(14.5, 17.5), (0.5, 14.5), (17.5, 62)], [8, 1, 1]
+
+
+def has_ended(connection):
+    """Returns whether the end of an open connection has arrived."""
+    connection.sock.settimeout(0)
+    try:
+        return connection.sock.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        connection.sock.settimeout(TIMEOUT_S)
 
 
 class Client:
@@ -36,13 +52,17 @@
     def send(self, host, method, path, body=None, job=None):
         """Sends one request and returns its Attempt."""
         connection = self.connections.pop(host.name, None)
+        if connection is not None and has_ended(connection):
+            connection.close()
+            connection = None
         sent, status, is_cut = time.monotonic(), 0, False
         try:
             if connection is None:
                 connection = http.client.HTTPConnection("127.0.0.1", host.front_port,
                                                         timeout=TIMEOUT_S)
             connection.request(method, path, body, HEADERS)
-            sent, is_cut = time.monotonic(), True
+            # An end that is visible now has come before the last byte of the request was sent.
+            sent, is_cut = time.monotonic(), not has_ended(connection)
             reply = connection.getresponse()
             reply.read()
             status, is_cut = reply.status, False
@@ -99,10 +119,24 @@
     def count_pending(self):
         self.send(self.home, "GET", "/checks/")
 
+    def pause_s(self):
+        return self.random.uniform(0, 2 * self.think_s)
+
     def run(self):
         actions, weights = zip(*self.actions)
         while not self.finished.is_set():
             self.random.choices(actions, weights)[0]()
-            time.sleep(self.random.uniform(0, 2 * self.think_s))
+            self.finished.wait(self.pause_s())
         for connection in self.connections.values():
             connection.close()
+
+
+class IdleClient(Client):
+    """Leaves its connections idle for about as long as the host keeps them, and then uses them."""
+
+    def __init__(self, load, host, kinds, seed):
+        super().__init__(load, host, kinds, seed, 0)
+        self.actions = [(self.submit, 1), (self.count_pending, 1)]
+
+    def pause_s(self):
+        return self.random.uniform(*self.random.choices(IDLE_S, IDLE_WEIGHTS)[0])
