--- a/tests/soak.py
+++ b/tests/soak.py
@@ -59,7 +59,7 @@
         ([2], 10, {"longRunning": True}), ([1], 10, {"fills": True}), ([1], 450, {})]]
 # Played by phases "held": processes that do not run for part of a second, as on a host that is short of
 # CPU, long enough for connections that are idle from the beginning of the run to reach their limit.
-HELD_S, HELD_BREAK_S, HELD_PHASE_S, IDLE_CLIENTS = (0.2, 0.9), (0.1, 0.6), (17.5, 20), 30
+HELD_S, HELD_BREAK_S, HELD_PHASE_S, IDLE_CLIENTS = (0.2, 0.9), (0.1, 0.6), (18, 20), 90
 MORE_ROUTES, NARROW_BYTES_PER_S = 1400, 1250000
 # The fields of a row of the registry, and what makes a row of a target unreadable; %d is its port.
 ROW = {"service": "citas", "address": "127.0.0.1:%d", "zone": DOMAINS[0], "version": "v1", "slots": 8,
@@ -591,9 +591,9 @@
                                           disrupt_store, lose_store_replies, cut_or_crash]
     EVACUATION_PHASES = [("evacuation", [evacuate_domain], 1), ("evacuation", EVACUATION, 2),
                          ("evacuation", EVACUATION, 3)]
-    HELD = [hold_up] * 6 + [grow_configuration] * 3 + [update_configuration, write_odd_rows,
-                                                       write_odd_rows, reload_settings]
-    HELD_PHASES = [("held", [write_odd_rows], 2), ("held", HELD, 3), ("held", HELD, 4),
+    HELD = [hold_up] * 12 + [grow_configuration] * 3 + [update_configuration, write_odd_rows,
+                                                        write_odd_rows, reload_settings]
+    HELD_PHASES = [("held", [write_odd_rows], 2), ("held", HELD, 4), ("held", HELD, 4),
                    ("held", HELD + [reload_and_restart_host, restart_process, reload_during_restart,
                                     kill_owner], 4)]
     ADVICE_PHASES = [("advice", [disrupt_advice], 1), ("advice", ADVICE, 1), ("advice", ADVICE, 2)]
--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -138,5 +138,9 @@
         super().__init__(load, host, kinds, seed, 0)
         self.actions = [(self.submit, 1), (self.count_pending, 1)]
 
+    def run(self):
+        self.finished.wait(self.random.uniform(0, 2))  # not all connections are closed at once
+        super().run()
+
     def pause_s(self):
         return self.random.uniform(*self.random.choices(IDLE_S, IDLE_WEIGHTS)[0])
