--- a/tests/test_unreadable_entries.c
+++ b/tests/test_unreadable_entries.c
@@ -113,6 +113,26 @@
     }
 }
 
+static void
+test_no_advice_queries (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  report_runs (fixture, NULL, 0);
+  fl_core_note_unreadable_entry (fixture->core, &target_id);
+  add_job (fixture, "a", "advised", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  report_runs (fixture, NULL, 0);
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->query_count, 0);
+  add_entry (fixture, "t1", 4, false);
+  report_runs (fixture, NULL, 0);
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->query_count, 1);
+  fixture_free (fixture);
+}
+
 /* A new owner knows the target only from the list of its predecessor. An entry that cannot be read
  * does not show that the target has left, so that a refused connection ends nothing. */
 static void
@@ -205,6 +225,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_entry_becomes_unreadable),
+    cmocka_unit_test (test_no_advice_queries),
     cmocka_unit_test (test_inherited_target),
     cmocka_unit_test (test_unknown_target),
   };
