--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -331,6 +331,7 @@
              int64_t *lease_version)
 {
   struct lease_row lease = { 0 };
+  struct fl_error error = { 0 };
   bool owned = false;
 
   ownership->seen_pool_version = 0;
@@ -340,12 +341,15 @@
   for (size_t i = 0; i < reply->count; i++)
     {
       const struct fl_store_row *row = &reply->rows[i];
-      if (strcmp (row->key.data, FL_OWNER_POOL_KEY) == 0
-          && fl_record_decode (&owner_schema, row->value.data, row->value.len,
-                               &ownership->seen_owner, NULL))
+      if (strcmp (row->key.data, FL_OWNER_POOL_KEY) == 0)
         {
-          ownership->seen_pool_version = row->version;
-          owned = true;
+          /* Without the last token, no host can acquire the pool. */
+          owned = fl_record_decode (&owner_schema, row->value.data, row->value.len,
+                                    &ownership->seen_owner, &error);
+          if (owned)
+            ownership->seen_pool_version = row->version;
+          else if (row->version > 0)
+            fl_log_error (ownership->options.log, FL_LOG_ERR, "owner_unreadable", &error);
         }
       else if (strcmp (row->key.data, FL_OWNER_LEASE_KEY) == 0
                && fl_record_decode (&lease_schema, row->value.data, row->value.len, &lease, NULL))
