--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -16,7 +16,7 @@
            "Content-Type": "application/json"}
 # Finished jobs are kept for status_s, 120 s; clients query younger ones only.
 QUERIED_JOB_AGE_S = 60
-# Spread around the 16 to 17 s after which flamingo-frontd closes an idle connection.
+# Most of them around a limit of 15 s that is checked each second, at which idle connections were closed.
 IDLE_S, IDLE_WEIGHTS = [(14.5, 17.5), (0.5, 14.5), (17.5, 62)], [8, 1, 1]
 
 
