Followers, front requests: read replies before a call counts as overdue

After a pause of its process, a follower sent a copy of a feed call, and flamingo-frontd a second write of each job that waited, although the replies were there: on a host that is short of processor, the load of a pause made the next one longer. Clients got their answers: a late success counts.

Both limits are timeouts of common/timeout.h, which is moved from lib/net since lib/store uses it.

Evidence: test_held_up_loop, new cases test_follower_sends_no_copy (4 calls of the feed before, 3 now) and test_job_is_written_once (more than one write before) failed before and pass now. test_follower, test_front, test_front_late, test_term, test_http_client, test_relay and test_forward pass.

--- a/lib/net/timeout.c
+++ b/lib/common/timeout.c
@@ -1,4 +1,4 @@
-#include "net/timeout.h"
+#include "common/timeout.h"
 
 #include "common/clock.h"
 
--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -12,8 +12,8 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/timeout.h"
 #include "forward/forward_internal.h"
-#include "net/timeout.h"
 
 /* Most starts in one message. */
 #define BATCH_STARTS_MAX 64
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -5,8 +5,8 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "common/timeout.h"
 #include "forward/forward_internal.h"
-#include "net/timeout.h"
 
 /* Forwarding hosts wait for the reply of a target at most 700 ms after a throttle order. */
 #define ORDER_TIMEOUT_MS (700 + FORWARD_SLACK_MS)
--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -72,20 +72,18 @@
     ((struct store_attempt *)g_ptr_array_index (call->attempts, i))->call = NULL;
   g_ptr_array_set_size (call->attempts, 0);
   call->current = NULL;
-  ev_timer_stop (call->frontd->host->loop, &call->limit_timer);
+  fl_timeout_stop (&call->limit_timer);
   ev_timer_stop (call->frontd->host->loop, &call->timer);
 }
 
 /* The limit of the newest call has passed. What follows may take another path to the store. */
 static void
-on_limit_timer (struct ev_loop *loop, ev_timer *timer, int events)
+on_limit_timer (void *context)
 {
-  struct front_call *call = timer->data;
+  struct front_call *call = context;
   struct store_attempt *attempt = call->current;
   struct fl_store_reply overdue = { .status = FL_STORE_UNKNOWN };
 
-  (void)loop;
-  (void)events;
   fl_fail (&overdue.error, FL_UNAVAILABLE, "store_call", "store", "no reply in time");
   call->current = NULL;
   record_outcome (call, &overdue, attempt->is_write);
@@ -105,9 +103,7 @@
   *attempt = (struct store_attempt){ frontd, call, fl_clock_boot_ms (), is_write, done };
   g_ptr_array_add (call->attempts, attempt);
   call->current = attempt;
-  ev_timer_stop (frontd->host->loop, &call->limit_timer);
-  ev_timer_set (&call->limit_timer, (double)limit_ms / 1000.0, 0.0);
-  ev_timer_start (frontd->host->loop, &call->limit_timer);
+  fl_timeout_start (&call->limit_timer, limit_ms);
   return attempt;
 }
 
@@ -133,7 +129,7 @@
   else
     {
       call->current = NULL;
-      ev_timer_stop (call->frontd->host->loop, &call->limit_timer);
+      fl_timeout_stop (&call->limit_timer);
     }
   attempt->done (call, reply);
 }
@@ -176,8 +172,7 @@
   ev_timer_init (&call->timer, on_retry_timer, 0.0, 0.0);
   call->timer.data = call;
   call->attempts = g_ptr_array_new ();
-  ev_timer_init (&call->limit_timer, on_limit_timer, 0.0, 0.0);
-  call->limit_timer.data = call;
+  fl_timeout_init (&call->limit_timer, frontd->host->loop, on_limit_timer, call);
   return call;
 }
 
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "common/timeout.h"
 #include "frontd/drain.h"
 #include "frontd/frontd.h"
 #include "host/configuration_watch.h"
@@ -49,7 +50,7 @@
    * overdue calls may still decide it. */
   GPtrArray *attempts;           /* struct store_attempt */
   struct store_attempt *current; /* the newest one; NULL once it has a reply or is overdue */
-  ev_timer limit_timer;          /* of @current */
+  struct fl_timeout limit_timer; /* of @current */
   int64_t store_call_count;      /* store calls that have ended or are overdue */
   int64_t unknown_write_count;   /* of these, writes of unknown outcome */
   enum fl_store_status last_store_status;
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -9,7 +9,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
-#include "net/timeout.h"
+#include "common/timeout.h"
 
 /* A call whose response body is longer fails. */
 #define RESPONSE_BODY_MAX (16 * 1024 * 1024)
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -1,5 +1,5 @@
 #include "common/clock.h"
-#include "net/timeout.h"
+#include "common/timeout.h"
 #include "relay/relay_internal.h"
 
 /* A peer that failed to serve a call gets no calls for this long. */
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "common/timeout.h"
 #include "store/reply_limit.h"
 
 /* Longest wait of one feed call, and its limit beyond that. Together they bound how long a dead
@@ -35,13 +36,13 @@
 struct fl_follower
 {
   struct fl_follower_options options;
-  ev_timer call_timer;       /* sends the next call after a retry delay or a pause, or a copy */
-  int64_t delivered_version; /* changes up to this version are delivered */
-  int64_t retry_delay_ms;    /* before the next retry */
-  bool has_failed;           /* the last call has */
-  bool is_reading;           /* a read of the table is in progress */
-  size_t partition_index;    /* of the partition being read */
-  struct fl_name next_key;   /* first key of the next page */
+  struct fl_timeout call_timer; /* sends the next call after a retry delay or a pause, or a copy */
+  int64_t delivered_version;    /* changes up to this version are delivered */
+  int64_t retry_delay_ms;       /* before the next retry */
+  bool has_failed;              /* the last call has */
+  bool is_reading;              /* a read of the table is in progress */
+  size_t partition_index;       /* of the partition being read */
+  struct fl_name next_key;      /* first key of the next page */
   struct fl_reply_limit read_limit;
   struct fl_reply_limit feed_limit;         /* beyond the wait */
   struct follower_call *copies[COPIES_MAX]; /* of the call, in flight; the first success counts */
@@ -67,11 +68,9 @@
 }
 
 static void
-schedule_call (struct fl_follower *follower, double delay_ms)
+schedule_call (struct fl_follower *follower, int64_t delay_ms)
 {
-  ev_timer_stop (follower->options.loop, &follower->call_timer);
-  ev_timer_set (&follower->call_timer, delay_ms / 1000.0, 0.0);
-  ev_timer_start (follower->options.loop, &follower->call_timer);
+  fl_timeout_start (&follower->call_timer, delay_ms);
 }
 
 static void
@@ -81,16 +80,14 @@
 
   follower->has_failed = true;
   follower->retry_delay_ms = MIN (follower->retry_delay_ms * 2, RETRY_MAX_MS);
-  schedule_call (follower, delay_ms);
+  schedule_call (follower, (int64_t)delay_ms);
 }
 
 static void
-on_call_timer (struct ev_loop *loop, ev_timer *timer, int events)
+on_call_timer (void *context)
 {
-  struct fl_follower *follower = timer->data;
+  struct fl_follower *follower = context;
 
-  (void)loop;
-  (void)events;
   if (follower->copy_count == 0)
     send_next_call (follower);
   else if (follower->copy_count < COPIES_MAX)
@@ -99,7 +96,7 @@
       send_copy (follower, FEED_COPY_WAIT_MS);
     }
   else
-    schedule_call (follower, (double)get_limit (follower)->limit_ms);
+    schedule_call (follower, get_limit (follower)->limit_ms);
 }
 
 static void
@@ -200,7 +197,7 @@
   for (size_t i = 0; i < follower->copy_count; i++)
     follower->copies[i]->follower = NULL;
   follower->copy_count = 0;
-  ev_timer_stop (follower->options.loop, &follower->call_timer);
+  fl_timeout_stop (&follower->call_timer);
 }
 
 /* Removes @copy, which has got a reply. @return whether the reply decides: it is the first success,
@@ -258,7 +255,7 @@
   if (!follower->is_reading && follower->options.on_confirmed != NULL)
     follower->options.on_confirmed (follower->options.context, copy->sent_ms);
   if (!follower->is_reading && follower->options.feed_pause_ms > 0)
-    schedule_call (follower, (double)follower->options.feed_pause_ms);
+    schedule_call (follower, follower->options.feed_pause_ms);
   else
     send_next_call (follower);
 }
@@ -276,7 +273,7 @@
                                   .sent_ms = fl_clock_boot_ms (),
                                   .wait_ms = follower->is_reading ? 0 : feed_wait_ms };
   follower->copies[follower->copy_count++] = copy;
-  schedule_call (follower, (double)(copy->wait_ms + limit->limit_ms));
+  schedule_call (follower, copy->wait_ms + limit->limit_ms);
   if (follower->is_reading)
     store->read (store->context, follower->options.table,
                  follower->options.partitions[follower->partition_index], follower->next_key.data,
@@ -310,8 +307,7 @@
                                                      READ_LATE_LIMIT_MAX_MS);
   follower->feed_limit
       = fl_reply_limit_make (FEED_LIMIT_MIN_MS, FEED_SILENT_LIMIT_MAX_MS, FEED_LATE_LIMIT_MAX_MS);
-  ev_timer_init (&follower->call_timer, on_call_timer, 0.0, 0.0);
-  follower->call_timer.data = follower;
+  fl_timeout_init (&follower->call_timer, options->loop, on_call_timer, follower);
   start_read (follower);
   send_next_call (follower);
   return follower;
--- a/tests/test_held_up_loop.c
+++ b/tests/test_held_up_loop.c
@@ -1,17 +1,25 @@
 /* Event loops that did not run for a while: what is told of it, and which of the input and the
  * timeouts that became due meanwhile is handled first. */
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
+#include <sys/mman.h>
 #include <unistd.h>
 
 #include <cmocka.h>
 #include <glib.h>
 
 #include "common/clock.h"
+#include "common/timeout.h"
 #include "net/loop_watch.h"
-#include "net/timeout.h"
+#include "platform/platform.h"
+#include "store/follower.h"
+#include "store/tables.h"
+#include "support_front.h"
+#include "support_http.h"
 #include "support_loop.h"
 
 #define RUN_S 0.05
@@ -171,6 +179,228 @@
   fixture_clear (&fixture);
 }
 
+/* --- callers of the store --- */
+
+/* Longer than the limit of each call below. */
+#define STORE_HELD_UP_MS 2500
+
+/* A store on an event loop. Replies arrive at once, through a pipe. The process does not run for
+ * STORE_HELD_UP_MS after one of them has arrived. */
+struct pipe_store
+{
+  struct fl_store interface;
+  struct ev_loop *loop;
+  int held_up_write; /* number of the transaction after which the process does not run */
+  int held_up_feed;  /* number of the call of the feed */
+  int *writes;       /* number of transactions with jobs */
+  int feeds;
+};
+
+struct pipe_call
+{
+  struct pipe_store *store;
+  int pipe[2];
+  ev_timer arrival;
+  ev_io io;
+  bool holds_up;
+  enum fl_store_status status;
+  void (*done) (void *context, const struct fl_store_reply *reply);
+  void *context;
+};
+
+static void
+on_reply (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct pipe_call *call = io->data;
+  struct fl_store_row row = { .key = fl_name_of (FL_PLATFORM_CONFIGURATION_KEY),
+                              .value = fl_str_of (FRONT_CONFIGURATION),
+                              .version = 1 };
+  struct fl_store_reply reply
+      = { .status = call->status, .rows = &row, .count = 1, .version = call->store->feeds + 1 };
+
+  (void)events;
+  ev_io_stop (loop, io);
+  close (call->pipe[0]);
+  close (call->pipe[1]);
+  call->done (call->context, &reply);
+  fl_str_clear (&row.value);
+  g_free (call);
+}
+
+static void
+on_arrival (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct pipe_call *call = timer->data;
+
+  (void)loop;
+  (void)events;
+  assert_int_equal (write (call->pipe[1], "x", 1), 1);
+  if (call->holds_up)
+    g_usleep (STORE_HELD_UP_MS * 1000);
+}
+
+static void
+start_call (struct pipe_store *store,
+            bool holds_up,
+            enum fl_store_status status,
+            void (*done) (void *context, const struct fl_store_reply *reply),
+            void *done_context)
+{
+  struct pipe_call *call = g_new0 (struct pipe_call, 1);
+
+  *call = (struct pipe_call){
+    .store = store, .holds_up = holds_up, .status = status, .done = done, .context = done_context
+  };
+  assert_int_equal (pipe (call->pipe), 0);
+  ev_timer_init (&call->arrival, on_arrival, 0.01, 0.0);
+  ev_io_init (&call->io, on_reply, call->pipe[0], EV_READ);
+  call->arrival.data = call->io.data = call;
+  ev_timer_start (store->loop, &call->arrival);
+  ev_io_start (store->loop, &call->io);
+}
+
+static void
+pipe_store_transact (void *context,
+                     const struct fl_store_transaction *transaction,
+                     int64_t timeout_ms,
+                     void (*done) (void *context, const struct fl_store_reply *reply),
+                     void *done_context)
+{
+  struct pipe_store *store = context;
+  bool is_job = strcmp (transaction->writes[0].table, FL_TABLE_JOBS) == 0;
+
+  (void)timeout_ms;
+  start_call (store, is_job && ++*store->writes == store->held_up_write, FL_STORE_OK, done,
+              done_context);
+}
+
+static void
+pipe_store_read (void *context,
+                 const char *table,
+                 const char *partition,
+                 const char *first_key,
+                 const char *end_key,
+                 int64_t timeout_ms,
+                 void (*done) (void *context, const struct fl_store_reply *reply),
+                 void *done_context)
+{
+  (void)table;
+  (void)partition;
+  (void)first_key;
+  (void)end_key;
+  (void)timeout_ms;
+  start_call (context, false, FL_STORE_OK, done, done_context);
+}
+
+static void
+pipe_store_feed (void *context,
+                 const char *table,
+                 int64_t after_version,
+                 int64_t wait_ms,
+                 int64_t timeout_ms,
+                 void (*done) (void *context, const struct fl_store_reply *reply),
+                 void *done_context)
+{
+  struct pipe_store *store = context;
+
+  (void)table;
+  (void)after_version;
+  (void)wait_ms;
+  (void)timeout_ms;
+  start_call (store, ++store->feeds == store->held_up_feed, FL_STORE_OK, done, done_context);
+}
+
+static struct pipe_store
+pipe_store_make (struct ev_loop *loop)
+{
+  return (struct pipe_store){
+    .interface = { .transact = pipe_store_transact,
+                   .read = pipe_store_read,
+                   .feed = pipe_store_feed },
+    .loop = loop,
+  };
+}
+
+static void
+ignore_row (void *context, const struct fl_store_row *row)
+{
+  (void)context;
+  (void)row;
+}
+
+static void
+count_confirmation (void *context, int64_t sent_ms)
+{
+  (void)sent_ms;
+  ++*(int *)context;
+}
+
+/* The copies of a call whose reply is there only add to the load of a host that is short of
+ * processor. */
+static void
+test_follower_sends_no_copy (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct pipe_store store = pipe_store_make (loop);
+  int confirmations = 0;
+  struct fl_follower_options options = { .loop = loop,
+                                         .store = &store.interface,
+                                         .table = "t",
+                                         .partitions = fl_common_partitions,
+                                         .on_row = ignore_row,
+                                         .on_confirmed = count_confirmation,
+                                         .context = &confirmations };
+
+  (void)state;
+  store.interface.context = &store;
+  store.held_up_feed = 2;
+  struct fl_follower *follower = fl_follower_new (&options);
+  /* The end of the read of the table confirms it, too. */
+  while (confirmations < store.held_up_feed + 1)
+    ev_run (loop, EVRUN_ONCE);
+  /* The next call has been sent. */
+  assert_int_equal (store.feeds, store.held_up_feed + 1);
+  fl_follower_free (follower);
+  ev_loop_destroy (loop);
+}
+
+static const struct fl_store *
+create_store (struct ev_loop *loop, const void *context)
+{
+  struct pipe_store *store = g_new0 (struct pipe_store, 1);
+
+  *store = pipe_store_make (loop);
+  store->interface.context = store;
+  store->held_up_write = 1;
+  store->writes = *(int *const *)context;
+  return &store->interface;
+}
+
+/* The reply to the write of a job was there when the limit of the call had passed: another write
+ * was sent to find out what had become of it. */
+static void
+test_job_is_written_once (void **state)
+{
+  int *writes
+      = mmap (NULL, sizeof *writes, PROT_READ | PROT_WRITE, MAP_SHARED | MAP_ANONYMOUS, -1, 0);
+  struct front front = front_start_with_store (create_store, &writes);
+  struct test_client client = { .fd = -1 };
+  int open_requests;
+
+  (void)state;
+  assert_true (test_client_connect (&client, front.port, false));
+  test_client_request (&client, "POST /q/00000000000000aa HTTP/1.1\r\nHost: x.example\r\n"
+                                "Content-Type: application/json\r\nContent-Length: 51\r\n\r\n"
+                                "{\"spec\":\"\",\"steps\":[{\"count\":1,\"cpu\":1,\"memMb\":1}]}");
+  int status = test_client_await (&client);
+  test_client_close (&client);
+  kill (front.pid, SIGTERM);
+  assert_int_equal (front_await_end (&front, &open_requests), 0);
+  assert_int_equal (status, 200);
+  assert_int_equal (*writes, 1);
+  munmap (writes, sizeof *writes);
+}
+
 int
 main (void)
 {
@@ -179,6 +409,8 @@
     cmocka_unit_test (test_input_before_timeout),
     cmocka_unit_test (test_timeout_after_long_callback),
     cmocka_unit_test (test_timeout_without_input),
+    cmocka_unit_test (test_follower_sends_no_copy),
+    cmocka_unit_test (test_job_is_written_once),
   };
 
   return cmocka_run_group_tests_name ("held_up_loop", tests, NULL, NULL);
