Advice queries, orders: read replies before they count as overdue

Both limits already ran after the input of their iteration. A reply that comes through the thread of ZeroMQ, or takes a second iteration, was still too late after a pause of the process: the query counted as unanswered, and the host that had replied was backed off from. The limit of an order also counted from the start of the iteration of the loop, so that an order sent at the end of a long tick had less time. Both are timeouts of common/timeout.h now.

Evidence: test_reply_while_held_up in test_advisors failed before and passes now. For orders, only the timeout itself is tested (test_timeout_after_long_callback); test_term, test_pool_stop and test_program pass.

--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/schema.h"
+#include "common/timeout.h"
 #include "poold/advisor_pool.h"
 
 /* A call to the service ends after this time. It is not known to hold its host's turn for less when
@@ -76,9 +77,9 @@
 {
   struct fl_advisors_options options;
   struct fl_advisor_pool *pool;
-  GHashTable *queries;      /* number -> struct query */
-  GHashTable *peer_queries; /* set of struct peer_query without a result */
-  ev_timer overdue_timer;   /* when the next reply is overdue */
+  GHashTable *queries;             /* number -> struct query */
+  GHashTable *peer_queries;        /* set of struct peer_query without a result */
+  struct fl_timeout overdue_timer; /* when the next reply is overdue */
   int64_t exhausted_logged_ms;
   bool is_draining;
 };
@@ -123,11 +124,11 @@
   int64_t overdue_ms = fl_advisor_pool_next_overdue_ms (advisors->pool);
   int64_t wait_ms = MAX (overdue_ms - get_now (advisors), 0);
 
-  ev_timer_stop (advisors->options.host->loop, &advisors->overdue_timer);
   if (overdue_ms == INT64_MAX)
-    return;
-  ev_timer_set (&advisors->overdue_timer, (double)wait_ms / 1000.0, 0.0);
-  ev_timer_start (advisors->options.host->loop, &advisors->overdue_timer);
+    fl_timeout_stop (&advisors->overdue_timer);
+  /* One that is due already may be waiting for unread replies. */
+  else if (wait_ms > 0 || !ev_is_active (&advisors->overdue_timer.timer))
+    fl_timeout_start (&advisors->overdue_timer, wait_ms);
 }
 
 /* Hands the result of @query to the caller. */
@@ -165,15 +166,13 @@
 }
 
 static void
-on_overdue_timer (struct ev_loop *loop, ev_timer *timer, int events)
+on_overdue_timer (void *context)
 {
   static const struct fl_advice_reply no_reply = { 0 };
-  struct fl_advisors *advisors = timer->data;
+  struct fl_advisors *advisors = context;
   struct fl_advisor_query overdue;
   int64_t now_ms = get_now (advisors);
 
-  (void)loop;
-  (void)events;
   while (fl_advisor_pool_take_overdue (advisors->pool, now_ms, &overdue))
     {
       const struct query *query = g_hash_table_lookup (advisors->queries, &overdue.number);
@@ -474,10 +473,7 @@
   advisors->pool = fl_advisor_pool_new (&options->host->settings.name);
   advisors->queries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   advisors->peer_queries = g_hash_table_new (NULL, NULL);
-  ev_timer_init (&advisors->overdue_timer, on_overdue_timer, 0.0, 0.0);
-  /* After a suspension, replies that have arrived are read first. */
-  ev_set_priority (&advisors->overdue_timer, EV_MINPRI);
-  advisors->overdue_timer.data = advisors;
+  fl_timeout_init (&advisors->overdue_timer, options->host->loop, on_overdue_timer, advisors);
   return advisors;
 }
 
@@ -486,7 +482,7 @@
 {
   if (advisors == NULL)
     return;
-  ev_timer_stop (advisors->options.host->loop, &advisors->overdue_timer);
+  fl_timeout_stop (&advisors->overdue_timer);
   fl_advisor_pool_free (advisors->pool);
   g_hash_table_destroy (advisors->queries);
   g_hash_table_destroy (advisors->peer_queries);
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "common/timeout.h"
 #include "poold/poold_internal.h"
 
 /* Heartbeats that the core prepares at a time. */
@@ -18,7 +19,7 @@
   int64_t fencing_token;
   int64_t sent_ms;
   int64_t wait_ms; /* of a heartbeat */
-  ev_timer limit;
+  struct fl_timeout limit;
   bool is_late; /* the core was told that there is no reply */
 };
 
@@ -44,7 +45,7 @@
 static void
 order_call_free (struct order_call *call)
 {
-  ev_timer_stop (call->term->poold->host->loop, &call->limit);
+  fl_timeout_stop (&call->limit);
   fl_term_unref (call->term);
   g_free (call);
 }
@@ -74,14 +75,10 @@
 /* Calls @on_limit when @limit_ms have passed, unless @call is freed before. A reply that arrives
  * earlier is handled first. */
 static void
-start_limit (struct order_call *call,
-             int64_t limit_ms,
-             void (*on_limit) (struct ev_loop *loop, ev_timer *timer, int events))
+start_limit (struct order_call *call, int64_t limit_ms, void (*on_limit) (void *context))
 {
-  ev_timer_init (&call->limit, on_limit, (double)limit_ms / 1000.0, 0.0);
-  ev_set_priority (&call->limit, EV_MINPRI);
-  call->limit.data = call;
-  ev_timer_start (call->term->poold->host->loop, &call->limit);
+  fl_timeout_init (&call->limit, call->term->poold->host->loop, on_limit, call);
+  fl_timeout_start (&call->limit, limit_ms);
 }
 
 /* How much later a reply arrives here than at the host that sends orders to @target. */
@@ -155,12 +152,10 @@
 }
 
 static void
-on_start_limit (struct ev_loop *loop, ev_timer *timer, int events)
+on_start_limit (void *context)
 {
-  struct order_call *call = timer->data;
+  struct order_call *call = context;
 
-  (void)loop;
-  (void)events;
   call->is_late = true;
   record_result (call, "start_ms", &no_reply);
   if (!call->term->ended)
@@ -190,12 +185,10 @@
 }
 
 static void
-on_stop_limit (struct ev_loop *loop, ev_timer *timer, int events)
+on_stop_limit (void *context)
 {
-  struct order_call *call = timer->data;
+  struct order_call *call = context;
 
-  (void)loop;
-  (void)events;
   call->is_late = true;
   record_result (call, "stop_ms", &no_reply);
   if (!call->term->ended)
@@ -278,12 +271,10 @@
 }
 
 static void
-on_heartbeat_limit (struct ev_loop *loop, ev_timer *timer, int events)
+on_heartbeat_limit (void *context)
 {
-  struct order_call *call = timer->data;
+  struct order_call *call = context;
 
-  (void)loop;
-  (void)events;
   call->is_late = true;
   handle_heartbeat_reply (call, &no_reply);
 }
--- a/tests/test_advisors.c
+++ b/tests/test_advisors.c
@@ -10,6 +10,9 @@
 
 #include "poold/advisors.h"
 
+/* Longer than a query with the expected time of these tests may take. */
+#define HELD_UP_MS 800
+
 struct fixture
 {
   struct fl_host host;
@@ -374,6 +377,37 @@
   g_byte_array_unref (exchange.to_owner);
 }
 
+/* The reply of a peer had arrived when the query was overdue, since the owner's process did not run
+ * meanwhile; the loop reads it one iteration later. */
+static void
+test_reply_while_held_up (void **state)
+{
+  struct exchange exchange = { .owner = { .now_ms = 100000 },
+                               .to_peer = g_byte_array_new (),
+                               .to_owner = g_byte_array_new (),
+                               .service_replies = true };
+  struct fl_advice_calls own_calls = { &exchange.owner, query_service };
+  struct fl_advice_calls peer_calls = { &exchange, reply_to_query };
+
+  (void)state;
+  exchange_add_host (&exchange, &exchange.owner, "own", &own_calls);
+  exchange_add_host (&exchange, &exchange.peer, "p1", &peer_calls);
+  fl_advisors_set_peer (exchange.owner.advisors, &peer_route.address, &peer_route.address);
+  assert_true (send_query (&exchange));
+  g_usleep (HELD_UP_MS * 1000);
+  exchange.owner.now_ms += HELD_UP_MS;
+  ev_run (ev_default_loop (EVFLAG_AUTO), EVRUN_NOWAIT);
+  deliver_reply (&exchange);
+  assert_int_equal (exchange.in_time, 1);
+  assert_int_equal (exchange.unanswered, 0);
+  fl_advisors_free (exchange.owner.advisors);
+  fl_advisors_free (exchange.peer.advisors);
+  fl_stats_free (exchange.owner.host.stats);
+  fl_stats_free (exchange.peer.host.stats);
+  g_byte_array_unref (exchange.to_peer);
+  g_byte_array_unref (exchange.to_owner);
+}
+
 /* A reset of the links between hosts loses the queries in flight. Each host that lost one got no
  * other for 2 s, though it was back after 50 ms; with three hosts left, that was most of the time.
  */
@@ -444,6 +478,7 @@
           cmocka_unit_test (test_lost_hosts_do_not_hold_back_long_queries),
           cmocka_unit_test (test_hosts_are_left_free_for_short_queries_that_come),
           cmocka_unit_test (test_late_reply_of_a_peer_counts),
+          cmocka_unit_test (test_reply_while_held_up),
           cmocka_unit_test (test_host_that_is_heard_of_again_gets_queries) };
 
   return cmocka_run_group_tests_name ("advisors", tests, NULL, NULL);
