Relay: keep the direct path while replies wait unread

After a pause of more than 400 ms, the first store call that was made before the loop read its replies found none for 400 ms: the path to the store counted as broken (store_path_broken), and calls went through peers, although the store had replied. The time without a reply now counts from when the loop went on, as lib/net/loop_watch.h tells it.

Evidence: test_path_while_held_up (test_relay) gives store_path_broken 1 without the watch and 0 with it; test_relay_stop, test_program, test_term, test_held_up_loop and test_contracts pass.

--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -207,6 +207,7 @@
     .direct = host->store,
     .host = host->settings.name,
     .cpu_milli = fl_host_settings_cpu_milli (&host->settings),
+    .loop_watch = &host->loop_watch,
   };
   struct fl_error error = { 0 };
 
--- a/lib/net/loop_watch.c
+++ b/lib/net/loop_watch.c
@@ -53,6 +53,14 @@
   ev_check_start (loop, &watch->check);
 }
 
+int64_t
+fl_loop_watch_get_resumed_ms (const struct fl_loop_watch *watch)
+{
+  int64_t now_ms = fl_clock_boot_ms ();
+
+  return now_ms - watch->checked_ms >= FL_LOOP_HELD_UP_MIN_MS ? now_ms : watch->resumed_ms;
+}
+
 void
 fl_loop_watch_stop (struct fl_loop_watch *watch)
 {
--- a/lib/net/loop_watch.h
+++ b/lib/net/loop_watch.h
@@ -30,4 +30,8 @@
                           const struct fl_log *log,
                           struct fl_stats *stats);
 
+/* @return when the loop went on after it was last held up; the present time if it is held up by the
+ * callback that calls this; 0 for never. */
+int64_t fl_loop_watch_get_resumed_ms (const struct fl_loop_watch *watch);
+
 void fl_loop_watch_stop (struct fl_loop_watch *watch);
--- a/lib/relay/path.c
+++ b/lib/relay/path.c
@@ -43,6 +43,12 @@
     mark_failed (path, now_ms);
 }
 
+void
+fl_relay_path_record_resumption (struct fl_relay_path *path, int64_t resumed_ms)
+{
+  path->no_reply_since_ms = MAX (path->no_reply_since_ms, resumed_ms);
+}
+
 bool
 fl_relay_path_is_healthy (struct fl_relay_path *path, int64_t now_ms)
 {
--- a/lib/relay/path.h
+++ b/lib/relay/path.h
@@ -40,6 +40,9 @@
                                int64_t sent_ms,
                                int64_t now_ms);
 
+/* Records that this process did not run until @resumed_ms: replies may wait unread since. */
+void fl_relay_path_record_resumption (struct fl_relay_path *path, int64_t resumed_ms);
+
 /* Marks the path as failed if replies are overdue.
  * @return whether the next call should go directly. */
 bool fl_relay_path_is_healthy (struct fl_relay_path *path, int64_t now_ms);
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -229,8 +229,12 @@
 should_call_directly (struct fl_relay *relay)
 {
   bool had_failed = relay->path.has_failed;
-  bool is_healthy = fl_relay_path_is_healthy (&relay->path, fl_clock_boot_ms ());
+  bool is_healthy;
 
+  if (relay->options.loop_watch != NULL)
+    fl_relay_path_record_resumption (&relay->path,
+                                     fl_loop_watch_get_resumed_ms (relay->options.loop_watch));
+  is_healthy = fl_relay_path_is_healthy (&relay->path, fl_clock_boot_ms ());
   log_path_change (relay, had_failed);
   return is_healthy || relay->peers->len == 0;
 }
--- a/lib/relay/relay.h
+++ b/lib/relay/relay.h
@@ -10,6 +10,7 @@
 
 #include "common/log.h"
 #include "common/stats.h"
+#include "net/loop_watch.h"
 #include "store/store.h"
 
 struct fl_relay;
@@ -24,6 +25,7 @@
   struct fl_name host;    /* name of this host */
   int64_t cpu_milli;      /* CPU of this host in thousandths of a core; 0 when unknown */
   struct fl_name address; /* "tcp://IP:PORT" to accept calls of peers at; empty for none */
+  const struct fl_loop_watch *loop_watch; /* of the loop; NULL for none */
 };
 
 /* @return NULL with @error filled when the address cannot be bound. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -16,6 +16,9 @@
 
 /* --- path --- */
 
+/* Longer than the direct path may be without a reply. */
+#define HELD_UP_MS 600
+
 enum path_event
 {
   CALL_SENT,
@@ -23,8 +26,50 @@
   CALL_FAILED,
   CONNECTION_ENDED, /* a reused one, before the reply */
   TIME_PASSED,
+  PROCESS_RESUMED, /* after a time in which it read no replies */
 };
 
+/* A store that replies when the test says so. */
+struct silent_store
+{
+  struct fl_store interface;
+  int calls;
+  void (*done[2]) (void *context, const struct fl_store_reply *reply);
+  void *contexts[2];
+};
+
+static void
+ignore_transaction (void *context,
+                    const struct fl_store_transaction *transaction,
+                    int64_t timeout_ms,
+                    void (*done) (void *context, const struct fl_store_reply *reply),
+                    void *done_context)
+{
+  struct silent_store *store = context;
+
+  (void)transaction;
+  (void)timeout_ms;
+  assert_true (store->calls < 2);
+  store->done[store->calls] = done;
+  store->contexts[store->calls++] = done_context;
+}
+
+static void
+silent_store_reply (struct silent_store *store)
+{
+  struct fl_store_reply reply = { .status = FL_STORE_OK };
+
+  for (int i = 0; i < store->calls; i++)
+    store->done[i](store->contexts[i], &reply);
+}
+
+static void
+ignore_reply (void *context, const struct fl_store_reply *reply)
+{
+  (void)context;
+  (void)reply;
+}
+
 /* Each step: an event, the time since the previous step, and whether the direct path is healthy
  * after the event. A rejected call, or more than 400 ms without a reply, makes the path fail; the
  * end of a reused connection neither does so nor mends it. */
@@ -49,7 +94,8 @@
     { CALL_SENT, 300, true },       { CONNECTION_ENDED, 50, true }, { TIME_PASSED, 100, false },
     { CONNECTION_ENDED, 0, false }, { CALL_SENT, 10, false },       { CONNECTION_ENDED, 10, false },
     { CALL_SENT, 10, false },       { CALL_SERVED, 10, true },      { CALL_SENT, 10, true },
-    { CONNECTION_ENDED, 10, true }, { CALL_SENT, 10, true },        { CALL_FAILED, 10, false },
+    { CONNECTION_ENDED, 10, true }, { CALL_SENT, 10, true },        { PROCESS_RESUMED, 900, true },
+    { TIME_PASSED, 390, true },     { CALL_FAILED, 10, false },
   };
   struct fl_relay_path path = { 0 };
   int64_t now_ms = 100000;
@@ -60,6 +106,8 @@
       now_ms += steps[i].elapsed_ms;
       if (steps[i].event == CALL_SENT)
         fl_relay_path_record_call (&path, now_ms);
+      else if (steps[i].event == PROCESS_RESUMED)
+        fl_relay_path_record_resumption (&path, now_ms);
       else if (steps[i].event != TIME_PASSED)
         fl_relay_path_record_end (&path, outcomes[steps[i].event], now_ms, now_ms);
       assert_int_equal (fl_relay_path_is_healthy (&path, now_ms), steps[i].is_healthy);
@@ -110,6 +158,37 @@
   assert_int_equal (probes, 9);
 }
 
+/* A reply that waits unread while the process does not run left the direct path, although the store
+ * served the host. The call below is made before the loop reads it. */
+static void
+test_path_while_held_up (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct fl_log log = { .level = FL_LOG_ERR };
+  struct fl_loop_watch watch;
+  struct silent_store direct = { .interface = { &direct, ignore_transaction, NULL, NULL } };
+  struct fl_relay_options options
+      = { loop, &log, stats, &direct.interface, fl_name_of ("h1"), 500, fl_name_of (""), &watch };
+  struct fl_store_write write = { "jobs", "1", fl_name_of ("a"), { 1, (char *)"x" }, false };
+  struct fl_store_transaction transaction = { NULL, 0, &write, 1 };
+
+  (void)state;
+  fl_loop_watch_start (&watch, loop, NULL, stats);
+  struct fl_relay *relay = fl_relay_new (&options, NULL);
+  const struct fl_store *store = fl_relay_store (relay);
+  store->transact (store->context, &transaction, 1000, ignore_reply, NULL);
+  g_usleep (HELD_UP_MS * 1000);
+  store->transact (store->context, &transaction, 1000, ignore_reply, NULL);
+  assert_int_equal (fl_stats_get (stats, "store_path_broken"), 0);
+  assert_int_equal (direct.calls, 2);
+  silent_store_reply (&direct);
+  fl_relay_free (relay);
+  fl_loop_watch_stop (&watch);
+  fl_stats_free (stats);
+  ev_loop_destroy (loop);
+}
+
 /* --- messages --- */
 
 static void
@@ -288,7 +367,8 @@
                                       &peer_store.interface,
                                       fl_name_of ("h2"),
                                       500,
-                                      fl_name_of ("tcp://127.0.0.1:0") };
+                                      fl_name_of ("tcp://127.0.0.1:0"),
+                                      NULL };
   struct fl_error error = { 0 };
   struct fl_relay *peer = fl_relay_new (&options, &error);
   struct store_result result;
@@ -344,11 +424,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_path_state),
-    cmocka_unit_test (test_lost_before_served),
-    cmocka_unit_test (test_path_probes),
-    cmocka_unit_test (test_transaction_message),
-    cmocka_unit_test (test_calls_relayed_by_peer),
+    cmocka_unit_test (test_path_state),          cmocka_unit_test (test_lost_before_served),
+    cmocka_unit_test (test_path_probes),         cmocka_unit_test (test_path_while_held_up),
+    cmocka_unit_test (test_transaction_message), cmocka_unit_test (test_calls_relayed_by_peer),
   };
 
   return cmocka_run_group_tests_name ("relay", tests, NULL, NULL);
