Test: after a pause, a follower confirms its rows at once

Suspected: after a pause of more than 3 s, the reply that is read first confirms what was current before the pause, and requests wait up to 1 s for the next one. Refuted: the late reply widens the limit of the feed, so that the next call does not wait (feed_wait_ms 1, on the code as it is).

--- a/tests/test_held_up_loop.c
+++ b/tests/test_held_up_loop.c
@@ -182,7 +182,7 @@
 /* --- callers of the store --- */
 
 /* Longer than the limit of each call below. */
-#define STORE_HELD_UP_MS 2500
+#define STORE_HELD_UP_MS 3500
 
 /* A store on an event loop. Replies arrive at once, through a pipe. The process does not run for
  * STORE_HELD_UP_MS after one of them has arrived. */
@@ -194,6 +194,7 @@
   int held_up_feed;  /* number of the call of the feed */
   int *writes;       /* number of transactions with jobs */
   int feeds;
+  int64_t feed_wait_ms; /* of the last call of the feed */
 };
 
 struct pipe_call
@@ -305,8 +306,8 @@
 
   (void)table;
   (void)after_version;
-  (void)wait_ms;
   (void)timeout_ms;
+  store->feed_wait_ms = wait_ms;
   start_call (store, ++store->feeds == store->held_up_feed, FL_STORE_OK, done, done_context);
 }
 
@@ -336,9 +337,10 @@
 }
 
 /* The copies of a call whose reply is there only add to the load of a host that is short of
- * processor. */
+ * processor. The reply confirms what was current before the pause: requests wait for the next one.
+ */
 static void
-test_follower_sends_no_copy (void **state)
+test_follower_of_held_up_loop (void **state)
 {
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
   struct pipe_store store = pipe_store_make (loop);
@@ -360,6 +362,7 @@
     ev_run (loop, EVRUN_ONCE);
   /* The next call has been sent. */
   assert_int_equal (store.feeds, store.held_up_feed + 1);
+  assert_int_equal (store.feed_wait_ms, 1);
   fl_follower_free (follower);
   ev_loop_destroy (loop);
 }
@@ -409,7 +412,7 @@
     cmocka_unit_test (test_input_before_timeout),
     cmocka_unit_test (test_timeout_after_long_callback),
     cmocka_unit_test (test_timeout_without_input),
-    cmocka_unit_test (test_follower_sends_no_copy),
+    cmocka_unit_test (test_follower_of_held_up_loop),
     cmocka_unit_test (test_job_is_written_once),
   };
 
