--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -13,8 +13,8 @@
 
 #include "common/clock.h"
 #include "common/endpoint.h"
+#include "common/timeout.h"
 #include "forward/forward_internal.h"
-#include "net/timeout.h"
 
 /* Most starts in one message. */
 #define BATCH_STARTS_MAX 64
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -6,8 +6,8 @@
 
 #include "common/clock.h"
 #include "common/endpoint.h"
+#include "common/timeout.h"
 #include "forward/forward_internal.h"
-#include "net/timeout.h"
 
 /* Forwarding hosts wait for the reply of a target at most 700 ms after a throttle order. */
 #define ORDER_TIMEOUT_MS (700 + FORWARD_SLACK_MS)
--- a/lib/relay/path.c
+++ b/lib/relay/path.c
@@ -44,9 +44,9 @@
 }
 
 void
-fl_relay_path_record_progress (struct fl_relay_path *path, int64_t arrived_ms)
+fl_relay_path_record_progress (struct fl_relay_path *path, int64_t now_ms)
 {
-  path->no_reply_since_ms = MAX (path->no_reply_since_ms, arrived_ms);
+  path->no_reply_since_ms = MAX (path->no_reply_since_ms, now_ms);
 }
 
 bool
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -1,5 +1,5 @@
 #include "common/clock.h"
-#include "net/timeout.h"
+#include "common/timeout.h"
 #include "relay/relay_internal.h"
 
 /* A peer that failed to serve a call gets no calls for this long. */
@@ -242,6 +242,10 @@
   GHashTableIter iter;
   void *call;
 
+  /* Replies that arrived while this process did not run are read first. */
+  if (relay->options.loop_watch != NULL)
+    fl_relay_path_record_progress (&relay->path,
+                                   fl_loop_watch_get_resumed_ms (relay->options.loop_watch));
   /* A large reply that is arriving is not overdue. */
   g_hash_table_iter_init (&iter, relay->direct_calls);
   while (g_hash_table_iter_next (&iter, NULL, &call))
