Core: queries about overdue steps keep to targets with room

Queries about targets without room, sent ahead of it, took turns at the advice service from steps that had room, and the tickets let long-running tasks take what became free before urgent jobs had theirs.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -11,8 +11,7 @@
 /* A step of which no task has been started for this long may be queried about targets that queries
  * of other steps are charged for. */
 #define CONTENDED_WAIT_MS 1000
-/* Tasks of such a step for which there has to be room on a target beside what runs there, unless it
- * is overdue. */
+/* Tasks of such a step for which there has to be room on a target beside what runs there. */
 #define CONTENDED_TASKS_MIN 2
 /* A ticket is not used if it expires within this time, which an order may take to arrive. */
 #define TICKET_MARGIN_MS 150
@@ -32,7 +31,7 @@
  * it after each query in vain. */
 #define NONE_ELIGIBLE_MAX 0.02
 
-/* Targets that a query about an overdue step contains at least, if so many are not known yet. */
+/* Targets that a query about an overdue step contains at least, if it fits on so many. */
 #define OVERDUE_QUERY_TARGETS 30
 
 /* Size of the sample of targets from which those of a query are chosen. */
@@ -183,7 +182,7 @@
   if (untaken > 0 || !is_contended (step))
     return untaken;
   int64_t fitting = core_target_task_capacity (target, step, false);
-  return core_step_is_overdue (step) || has_room_beside_queries (step, target) ? fitting : 0;
+  return has_room_beside_queries (step, target) ? fitting : 0;
 }
 
 /* Adds @target to @candidates if @step fits there. */
@@ -333,46 +332,6 @@
   return count;
 }
 
-/* Whether only the advice service can tell whether @step may run on @target, once there is room.
- *
- * Load pattern: room is scarce, and becomes free on one target at a time. Queries about this target
- * alone end with an ineligible one, or after others have taken the room, and the next one is about
- * another target. */
-static bool
-is_worth_knowing (const struct core_step *step, const struct core_target *target)
-{
-  const struct fl_resources *capacity = &target->entry.resources;
-  const struct fl_step_spec *spec = step->spec;
-
-  return core_target_accepts_step (target, step) && find_advice (step, target) == NULL
-         && capacity->cpu_milli >= spec->cpu_milli && capacity->memory_mb >= spec->memory_mb
-         && capacity->gpu >= spec->gpu;
-}
-
-/* Adds targets, with or without room, to those of a query, so that it is known where room helps
- * once it is free. */
-static void
-add_unknown_targets (struct core_step *step, GArray *queried)
-{
-  struct fl_core *core = step->job->core;
-  const GPtrArray *list = core->target_list;
-  guint chosen = queried->len;
-
-  for (guint i = 0; i < list->len && queried->len < OVERDUE_QUERY_TARGETS; i++)
-    {
-      const struct core_target *target
-          = g_ptr_array_index (list, (core->scan_start + i) % list->len);
-      bool is_queried_already = false;
-      if (!is_worth_knowing (step, target))
-        continue;
-      for (guint j = 0; j < chosen && !is_queried_already; j++)
-        is_queried_already
-            = fl_name_eq (&g_array_index (queried, struct fl_name, j), &target->entry.id);
-      if (!is_queried_already)
-        g_array_append_val (queried, target->entry.id);
-    }
-}
-
 /* @return the ids of the targets that a query about @waiting tasks of @step contains; none where
  * advice cannot help. */
 static GArray *
@@ -385,8 +344,6 @@
     g_array_set_size (candidates.rows, 0);
   queried = choose_queried (step, candidates.rows, waiting);
   g_array_unref (candidates.rows);
-  if (core_step_is_overdue (step) && !step->spec->gang)
-    add_unknown_targets (step, queried);
   return queried;
 }
 
@@ -453,7 +410,7 @@
 
   if (step->query_in_flight)
     return CORE_WAIT_ADVICE;
-  if (core_capacity_is_exhausted (step, !is_contended (step)) && !core_step_is_overdue (step))
+  if (core_capacity_is_exhausted (step, !is_contended (step)))
     return CORE_WAIT_CAPACITY;
   demand = (struct fl_advice_demand){ .expected_ms = (int64_t)policy->base_latency_ms,
                                       .waited_ms = core_step_wait_for_advice_ms (step) };
