--- a/tests/soak.py
+++ b/tests/soak.py
@@ -647,6 +647,7 @@
         # One restart with late orders of a target at a time.
         self.target_locks = [threading.Lock() for _ in self.cell.target_proxies]
         self.late_orders = collections.Counter()
+        self.check_lock = threading.Lock()
         self.run_judge, self.judged_events = checks.RunJudge(), 0
         self.crash_judge = checks.CrashJudge()
         self.evacuation_judge, self.evacuation_lock = checks.EvacuationJudge(), threading.Lock()
@@ -743,11 +744,12 @@
                         process.name, process.child.pid, process.child.returncode))
 
     def check_invariants(self):
-        self.check_targets()
-        self.check_refused_jobs()
-        self.check_attempts()
-        self.check_lasting_tasks()
-        self.check_processes()
+        with self.check_lock:  # two threads would judge the same events, and skip others
+            self.check_targets()
+            self.check_refused_jobs()
+            self.check_attempts()
+            self.check_lasting_tasks()
+            self.check_processes()
 
     def check_periodically(self):
         try:
