--- a/tests/support_server.c
+++ b/tests/support_server.c
@@ -122,11 +122,13 @@
   if (server->requests_served++ < options->idle_connections)
     {
       send_reply (connection->fd, 200, "{}");
+      if (options->end == SUPPORT_END_IDLE)
+        close_socket (connection);
       return;
     }
   if (options->end == SUPPORT_END_DELAYED)
     g_usleep (SUPPORT_REPLY_DELAY_MS * 1000);
-  if (server->counts.requests++ == 0 && options->end > SUPPORT_END_DELAYED)
+  if (server->counts.requests++ == 0 && options->end >= SUPPORT_END_CLOSED)
     end_connection (server, connection);
   else if (options->later_status > 0)
     send_reply (connection->fd, options->later_status,
--- a/tests/support_server.h
+++ b/tests/support_server.h
@@ -12,6 +12,7 @@
 {
   SUPPORT_END_SERVED,  /* none: the request is treated like later ones */
   SUPPORT_END_DELAYED, /* none: all later requests are treated alike after a delay */
+  SUPPORT_END_IDLE,    /* none; the idle connections are closed after their request */
   SUPPORT_END_CLOSED,  /* closed after the request has been read */
   SUPPORT_END_RESET,   /* reset after the request has been read */
   SUPPORT_END_PARTIAL, /* closed after a part of the reply */
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -342,6 +342,25 @@
   return is_right;
 }
 
+/* The end of an idle connection that waits unread is noticed before the connection is used again:
+ * nothing is sent over it, and the call takes a new one. */
+static void
+test_closed_while_held_up (void **state)
+{
+  static const struct support_server_options options = { 2, SUPPORT_END_IDLE, 200, NULL };
+  struct fixture *fixture = fixture_new (&options);
+
+  (void)state;
+  g_usleep (HELD_UP_MS * 1000);
+  start_call (fixture, "POST", "{}", false);
+  wait_until_done (fixture);
+  struct fl_http_result result = fixture->result;
+  struct support_server_counts counts = fixture_free (fixture);
+  assert_int_equal (result.status, 200);
+  assert_int_equal (counts.requests, 1);
+  assert_int_equal (counts.connections, options.idle_connections + 1);
+}
+
 /* A call whose limit had passed while its process did not run was reported as one without a reply,
  * although the reply waited in the socket. */
 static void
@@ -657,9 +676,13 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_request_sent_once),   cmocka_unit_test (test_refused_connection),
-    cmocka_unit_test (test_reply_while_held_up), cmocka_unit_test (test_transaction_after_reset),
-    cmocka_unit_test (test_start_after_reset),   cmocka_unit_test (test_resent_kinds),
+    cmocka_unit_test (test_request_sent_once),
+    cmocka_unit_test (test_refused_connection),
+    cmocka_unit_test (test_reply_while_held_up),
+    cmocka_unit_test (test_closed_while_held_up),
+    cmocka_unit_test (test_transaction_after_reset),
+    cmocka_unit_test (test_start_after_reset),
+    cmocka_unit_test (test_resent_kinds),
   };
 
   return cmocka_run_group_tests_name ("http_client", tests, NULL, NULL);
