HTTP server: a slow request is not cut while it arrives; one that is cut gets 408

A caller whose request a narrow link delivered slowly was cut off after 3 s, without an answer. The limit is now on the time in which nothing of the request arrives. A request that takes longer than that is cut only while almost all connections are in use and none is idle.

A cut request gets 408. libmicrohttpd sends responses only to complete requests, so that the server sends it itself, shuts its side and reads on for 2 s or until the client closes: a close with unread bytes would reset the connection. What arrives after the cut is not carried out.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -30,6 +30,8 @@
 #define PEER_TIMEOUT_S 60
 #define KEEP_ALIVE_IDLE_S 30
 #define KEEP_ALIVE_INTERVAL_S 10
+/* For the client to read a response that is sent before its request has arrived, and to close. */
+#define LINGER_MS 2000
 #define LISTEN_BACKLOG 1024
 /* For the responses that fl_http_server_free sends: many times what the kernel needs to take them.
  */
@@ -71,11 +73,13 @@
   struct connection *previous;
   int fd;
   int64_t accepted_ms;
-  int64_t phase_start_ms; /* connection accepted, last response sent or request started, or the last
-                             sweep that found unread bytes */
+  int64_t phase_start_ms; /* connection accepted, last response sent, or the last time that bytes of
+                             a request arrived */
+  int64_t request_start_ms;
   bool in_request;
   bool uploading;
-  bool is_shut_down;        /* by the server */
+  bool is_shut_down;        /* by the server; what arrives later is discarded */
+  int64_t linger_until_ms;  /* read, but not written any more, until then; 0 if not lingering */
   int64_t overdue_phase_ms; /* phase_start_ms when the last sweep found the connection overdue */
 };
 
@@ -198,7 +202,22 @@
   return count > 0 ? (int)count : 0;
 }
 
-/* Shuts the connection down; libmicrohttpd then closes it. */
+/* Responds 408 to a request that has not arrived completely. libmicrohttpd cannot: it sends
+ * responses only to complete requests. */
+static void
+send_timeout_response (const struct connection *connection)
+{
+  static const char response[] = "HTTP/1.1 408 Request Timeout\r\n"
+                                 "Content-Type: application/json\r\n"
+                                 "Content-Length: 2\r\n"
+                                 "Connection: close\r\n\r\n{}";
+
+  send (connection->fd, response, sizeof response - 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/* Shuts the connection down; libmicrohttpd then closes it. A client that is sending a request gets
+ * a response first, and the connection is closed when the client has closed it: unread bytes would
+ * reset it, and the response be lost. */
 static void
 close_connection (struct connection *connection, enum close_reason reason, int64_t now)
 {
@@ -223,7 +242,12 @@
   fl_stats_add (options->stats, reasons[reason].counter, 1);
   connection->is_shut_down = true;
   connection->server->shut_down_count++;
-  shutdown (connection->fd, SHUT_RDWR);
+  if (connection->uploading)
+    {
+      send_timeout_response (connection);
+      connection->linger_until_ms = now + LINGER_MS;
+    }
+  shutdown (connection->fd, connection->uploading ? SHUT_WR : SHUT_RDWR);
 }
 
 /* @return whether bytes have arrived since libmicrohttpd last read; the connection then counts as
@@ -275,7 +299,20 @@
   return excess;
 }
 
-/* Closes idle connections while there are too many. */
+/* Closes connections whose requests have been arriving for longer than the upload timeout. */
+static void
+close_slow_uploads (struct fl_http_server *server, int64_t excess, int64_t now)
+{
+  for (struct connection *c = server->connections; c != NULL && excess > 0; c = c->next)
+    if (c->uploading && !c->is_shut_down
+        && now - c->request_start_ms > server->options.upload_timeout_ms)
+      {
+        close_connection (c, CLOSE_LIMIT, now);
+        excess--;
+      }
+}
+
+/* Closes idle connections while there are too many, then slow uploads. */
 static void
 enforce_limits (struct fl_http_server *server, int64_t now)
 {
@@ -292,11 +329,12 @@
       close_connection (connection, CLOSE_LIMIT, now);
       excess--;
     }
+  close_slow_uploads (server, excess, now);
 }
 
-/* Closes connections that have been idle, or have been sending a request, for too long. Only the
- * second sweep in the same phase does so: after a suspension of the host, what was sent meanwhile
- * may arrive later than the first one runs. */
+/* Closes connections that have been idle, or on which no part of a request has arrived, for too
+ * long. Only the second sweep in the same phase does so: after a suspension of the host, what was
+ * sent meanwhile may arrive later than the first one runs. */
 static void
 enforce_timeouts (struct fl_http_server *server, int64_t now)
 {
@@ -313,6 +351,17 @@
     }
 }
 
+static void
+end_lingering (const struct fl_http_server *server, int64_t now)
+{
+  for (struct connection *c = server->connections; c != NULL; c = c->next)
+    if (c->linger_until_ms > 0 && now >= c->linger_until_ms)
+      {
+        c->linger_until_ms = 0;
+        shutdown (c->fd, SHUT_RDWR);
+      }
+}
+
 static void
 on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -324,6 +373,7 @@
   (void)events;
   server->last_sweep_ms = now;
   fl_stats_record (server->options.stats, "loop_late_ms", late_ms);
+  end_lingering (server, now);
   enforce_timeouts (server, now);
   enforce_limits (server, now);
 }
@@ -360,6 +410,7 @@
       request->connection->in_request = true;
       request->connection->uploading = true;
       request->connection->phase_start_ms = now_ms ();
+      request->connection->request_start_ms = request->connection->phase_start_ms;
     }
   return request;
 }
@@ -367,6 +418,8 @@
 static void
 append_to_body (struct fl_http_request *request, const char *data, size_t len)
 {
+  if (request->connection != NULL)
+    request->connection->phase_start_ms = now_ms ();
   if ((int64_t)(request->body->len + len) > request->server->options.body_max)
     request->too_large = true;
   else
@@ -410,6 +463,19 @@
     server->options.on_request (server->options.context, request);
 }
 
+/* Called when the first line of a request has arrived. */
+static void *
+on_request_line (void *context, const char *uri, struct MHD_Connection *mhd)
+{
+  struct connection *connection = get_connection (mhd);
+
+  (void)context;
+  (void)uri;
+  if (connection != NULL)
+    connection->phase_start_ms = now_ms ();
+  return NULL;
+}
+
 static enum MHD_Result
 on_access (void *context,
            struct MHD_Connection *mhd,
@@ -564,8 +630,9 @@
     }
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL, on_access, server,
-      MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_CONNECTION_LIMIT,
+      MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_URI_LOG_CALLBACK,
+      on_request_line, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_CONNECTION_LIMIT,
       (unsigned)options->connections_max, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)options->header_max, MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)LISTEN_BACKLOG,
       MHD_OPTION_END);
@@ -651,7 +718,7 @@
 has_unfinished_requests (const struct fl_http_server *server)
 {
   for (const struct connection *c = server->connections; c != NULL; c = c->next)
-    if (c->uploading)
+    if (c->uploading && !c->is_shut_down)
       return true;
   return server->unsent_responses > 0;
 }
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -34,7 +34,9 @@
   int64_t connections_max;
   int64_t idle_connections_max; /* above this, the longest idle are closed; 0: no such limit */
   int64_t idle_timeout_ms;      /* idle connections are closed some 2 s after this */
-  int64_t upload_timeout_ms;    /* requests must be received completely within this */
+  /* A request gets status 408 some 2 s after this time in which nothing of it arrived, or when it
+   * takes longer to arrive while almost all connections are open. */
+  int64_t upload_timeout_ms;
   /* Called once for each complete request; must lead to exactly one fl_http_respond. */
   void (*on_request) (void *context, struct fl_http_request *request);
   void *context;
--- a/tests/test_http_idle.c
+++ b/tests/test_http_idle.c
@@ -30,15 +30,17 @@
 {
   struct ev_loop *loop;
   struct fl_http_server *server;
+  int handled; /* requests */
   struct test_client clients[CLIENTS_MAX];
 };
 
 static void
 on_request (void *context, struct fl_http_request *request)
 {
+  struct fixture *fixture = context;
   struct fl_http_response response = { .status = 200, .body = "{}", .len = 2 };
 
-  (void)context;
+  fixture->handled++;
   fl_http_respond (request, &response);
 }
 
@@ -52,6 +54,7 @@
   options.body_max = 1000;
   options.header_max = 8192;
   options.on_request = on_request;
+  options.context = fixture;
   fixture->server = fl_http_server_new (&options, NULL);
   assert_non_null (fixture->server);
   for (size_t i = 0; i < CLIENTS_MAX; i++)
@@ -205,6 +208,90 @@
   tear_down (&fixture);
 }
 
+/* A request that a narrow link delivered slowly was cut after the upload timeout. */
+static void
+test_slow_upload_is_not_cut (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  set_up (&fixture, (struct fl_http_server_options){ .connections_max = 10,
+                                                     .idle_timeout_ms = LONG_TIMEOUT_MS,
+                                                     .upload_timeout_ms = SHORT_TIMEOUT_MS });
+  connect_client (&fixture, 0);
+  test_client_send (&fixture.clients[0],
+                    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\n");
+  for (int i = 0; i < 7; i++)
+    {
+      test_client_send (&fixture.clients[0], "x");
+      support_run_loop_for (fixture.loop, CHECK_S / 2);
+    }
+  assert_true (test_client_request (&fixture.clients[0], "x"));
+  assert_int_equal (poll_client (&fixture, 0), 200);
+  tear_down (&fixture);
+}
+
+/* A request that is cut gets a response, also when the rest arrives just after that, and is not
+ * carried out. */
+static void
+test_cut_upload_gets_a_response (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int connections_max;
+    int timeout_ms;
+    const char *part; /* sent after the upload timeout */
+  } cases[] = {
+    { "nothing arrives", 10, SHORT_TIMEOUT_MS, "" },
+    { "almost all connections are open", 1, CHECK_S * 1000, "x" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture fixture;
+
+      print_message ("%s\n", cases[i].name);
+      set_up (&fixture,
+              (struct fl_http_server_options){ .connections_max = cases[i].connections_max,
+                                               .idle_timeout_ms = LONG_TIMEOUT_MS,
+                                               .upload_timeout_ms = cases[i].timeout_ms });
+      connect_client (&fixture, 0);
+      test_client_send (&fixture.clients[0], UPLOAD);
+      support_run_loop_for (fixture.loop, CHECK_S);
+      test_client_send (&fixture.clients[0], cases[i].part);
+      support_run_loop_for (fixture.loop, CHECK_S);
+      assert_true (test_client_request (&fixture.clients[0], "xx"));
+      support_run_loop_for (fixture.loop, TURN_S);
+      assert_int_equal (poll_client (&fixture, 0), 408);
+      assert_int_equal (fixture.handled, 0);
+      support_run_loop_for (fixture.loop, TURN_S);
+      assert_int_equal (fl_http_server_open_connections (fixture.server), 0);
+      tear_down (&fixture);
+    }
+}
+
+/* The server waits for a client to read the response to a cut request, but not for long. */
+static void
+test_lingering_ends (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  set_up (&fixture, (struct fl_http_server_options){ .connections_max = 10,
+                                                     .idle_timeout_ms = LONG_TIMEOUT_MS,
+                                                     .upload_timeout_ms = SHORT_TIMEOUT_MS });
+  connect_client (&fixture, 0);
+  test_client_send (&fixture.clients[0], UPLOAD);
+  support_run_loop_for (fixture.loop, 2 * CHECK_S);
+  assert_int_equal (fl_http_server_open_connections (fixture.server), 1);
+  support_run_loop_for (fixture.loop, 3 * CHECK_S);
+  assert_int_equal (fl_http_server_open_connections (fixture.server), 0);
+  assert_int_equal (poll_client (&fixture, 0), 408);
+  tear_down (&fixture);
+}
+
 /* @return the server's end of the connection of @client. */
 static int
 find_server_socket (const struct test_client *client)
@@ -257,6 +344,9 @@
       = { cmocka_unit_test (test_unread_request_outlives_the_timeout),
           cmocka_unit_test (test_longest_idle_connection_makes_room),
           cmocka_unit_test (test_connections_beyond_the_limit_are_accepted_later),
+          cmocka_unit_test (test_slow_upload_is_not_cut),
+          cmocka_unit_test (test_cut_upload_gets_a_response),
+          cmocka_unit_test (test_lingering_ends),
           cmocka_unit_test (test_lost_peers_are_detected) };
 
   return cmocka_run_group_tests_name ("http_idle", tests, NULL, NULL);
