--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -144,7 +144,6 @@
   last->position = target->position;
   g_ptr_array_remove_index_fast (core->target_list, target->position);
   core->target_changes++;
-  core_early_report_free (target->early_report);
   g_ptr_array_unref (target->runs);
   g_free (target);
 }
@@ -1024,10 +1023,7 @@
     {
       struct core_target *target = link->data;
       link = link->next;
-      if (core->now_ms < core->inherited_until_ms)
-        continue;
-      core_target_apply_early_report (target);
-      if (core->now_ms < target->lease_expires_at_ms || !target->is_unreconciled)
+      if (core->now_ms < MAX (core->inherited_until_ms, target->lease_expires_at_ms))
         continue;
       target->is_settled = true;
       core_target_update_reconciled (target);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -129,10 +129,9 @@
   int64_t next_expiry_check_ms; /* before, no lease of a run can have expired */
   bool is_unreconciled;         /* in core->unreconciled_targets */
   bool is_settled;              /* all leases that earlier owners gave there have expired */
-  struct core_early_report *early_report; /* the last before the jobs were known; or NULL */
-  bool in_unrecorded;                     /* in core->unrecorded_targets */
-  bool in_idle;                           /* in core->idle_targets */
-  guint position;                         /* in core->target_list */
+  bool in_unrecorded;           /* in core->unrecorded_targets */
+  bool in_idle;                 /* in core->idle_targets */
+  guint position;               /* in core->target_list */
   GList unreconciled_link;
   GList unrecorded_link;
   GList idle_link;
@@ -741,13 +740,6 @@
 /* Sets the final state of @job, abandons its advice queries and stops its runs. */
 void core_job_finish (struct core_job *job, enum fl_job_state state);
 
-/* Applies the report that @target, which has left the registry, made before the jobs were known, if
- * its boot rejects the orders of earlier owners: it tells which runs may be there once these cannot
- * be in effect any more. */
-void core_target_apply_early_report (struct core_target *target);
-
-void core_early_report_free (struct core_early_report *early);
-
 /* Requests that the progress of @job is recorded in the store. */
 void core_job_mark_for_recording (struct core_job *job);
 
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -543,78 +543,6 @@
          + MAX (now_ms - sent_ms - target->heartbeat_wait_ms, 0);
 }
 
-/* --- reports before the jobs are known --- */
-
-struct core_early_report
-{
-  struct fl_target_report report; /* with copies of its rows */
-  int64_t sent_ms;
-  int64_t fencing_token;
-};
-
-void
-core_early_report_free (struct core_early_report *early)
-{
-  if (early == NULL)
-    return;
-  for (size_t i = 0; i < early->report.run_count; i++)
-    fl_str_clear (&early->report.runs[i].checkpoint);
-  for (size_t i = 0; i < early->report.end_count; i++)
-    fl_str_clear (&early->report.ends[i].checkpoint);
-  g_free (early->report.runs);
-  g_free (early->report.ends);
-  g_free (early);
-}
-
-/* Load pattern: targets leave while a new owner reads the jobs. Without the lists that they sent
- * before, all their jobs would wait for the end of the leases that this owner has renewed. */
-static void
-keep_early_report (struct core_target *target,
-                   const struct fl_target_report *report,
-                   int64_t sent_ms)
-{
-  struct core_early_report *early = g_new0 (struct core_early_report, 1);
-
-  core_early_report_free (target->early_report);
-  target->early_report = early;
-  *early = (struct core_early_report){ *report, sent_ms, target->fencing_token };
-  early->report.runs = g_memdup2 (report->runs, report->run_count * sizeof *report->runs);
-  early->report.ends = g_memdup2 (report->ends, report->end_count * sizeof *report->ends);
-  for (size_t i = 0; i < report->run_count; i++)
-    early->report.runs[i].checkpoint = fl_str_dup (&report->runs[i].checkpoint);
-  for (size_t i = 0; i < report->end_count; i++)
-    early->report.ends[i].checkpoint = fl_str_dup (&report->ends[i].checkpoint);
-}
-
-void
-core_target_apply_early_report (struct core_target *target)
-{
-  struct fl_core *core = target->core;
-  const struct core_early_report *early = target->early_report;
-  int64_t lease_expires_at_ms = target->lease_expires_at_ms;
-
-  /* While the registry lists the target, a late order of an earlier owner may have started a task
-   * in a next boot, where the heartbeats of this owner would have prolonged it. */
-  if (!core->registry_known || target->registered)
-    return;
-  if (!core->jobs_known || early == NULL || target->reported || !target->is_fenced
-      || early->fencing_token != target->fencing_token
-      || early->report.booted_at_ms != target->booted_at_ms
-      || early->report.end_count >= FL_REPORT_ENDS_MAX)
-    return;
-  fl_log (core->options.log, FL_LOG_INFO, "early_report_used", FL_N ("target", &target->entry.id),
-          FL_I ("runs", (int64_t)early->report.run_count),
-          FL_I ("age_ms", core->now_ms - early->sent_ms));
-  apply_ends (core, target, &early->report);
-  for (size_t i = 0; i < early->report.run_count; i++)
-    apply_run (core, target, &early->report.runs[i], early->sent_ms);
-  /* The leases that earlier owners gave have expired, and this owner counts its own. */
-  target->lease_expires_at_ms = lease_expires_at_ms;
-  target->next_expiry_check_ms = 0;
-  target->reported_fully = true;
-  core_target_update_reconciled (target);
-}
-
 void
 fl_core_handle_heartbeat_reply (struct fl_core *core,
                                 const struct fl_name *id,
@@ -649,11 +577,8 @@
   if (!core->jobs_known)
     {
       core_speed_note_clock (target, report->clock_ms, now_ms, !is_known_boot);
-      if (target->is_unreconciled && target->is_fenced)
-        keep_early_report (target, report, sent_ms);
       return;
     }
-  g_clear_pointer (&target->early_report, core_early_report_free);
   if (was_silent || !target->reported || !is_known_boot)
     core_crash_resolve (target, true);
   target->reported = true;
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -440,6 +440,42 @@
   fixture_free (fixture);
 }
 
+/* The same, and the next boot is cut off before it replies, so that its registry entry expires. Its
+ * run goes on for the lease that the heartbeat gave it; the list that the boot before sent does not
+ * tell of it. */
+static void
+test_deadline_of_an_earlier_boot_that_left_the_registry (void **state)
+{
+  struct fixture_options options
+      = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER, .reconciled_at_ms = 100000 + 3000 };
+  struct fixture *fixture = fixture_new_with (&options);
+  struct fl_name id = fl_name_of ("t1");
+  struct fl_job_target target = { fl_job_target_hash (&id) };
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &target } };
+
+  (void)state;
+  fl_core_inherit_target (fixture->core, &id, &id);
+  add_target (fixture, "t1", 4, false);
+  deliver_next_report (fixture, 1, NULL, 0);
+  deliver_next_report (fixture, 1, NULL, 0);
+  tick_until_recorded (fixture, 1500); /* of which boot 1 may have ended */
+  int64_t sent_ms = fixture->now_ms;
+  bool has_deadline = prepare_heartbeat (fixture).deadline_ms > 0;
+  deliver_next_result (fixture, "t1", FL_ORDER_NO_REPLY);
+  fl_core_set_registry_known (fixture->core);
+  fl_core_remove_target (fixture->core, &id);
+  add_recorded_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 },
+                    &progress);
+  fl_core_set_jobs_known (fixture->core);
+  add_target (fixture, "t2", 4, false);
+  while (fixture->start_orders->len == 0 && fixture->now_ms < sent_ms + 20000)
+    tick_until_recorded (fixture, 50);
+  if (has_deadline && fixture->now_ms < sent_ms + 6000)
+    fail_msg ("started %d ms after a heartbeat that gave a lease of up to 6000 ms",
+              (int)(fixture->now_ms - sent_ms));
+  fixture_free (fixture);
+}
+
 /* --- a restart that only the clock tells --- */
 
 /* A target restarted within 20 ms and ended a run at once. The next heartbeat acknowledged this end
@@ -536,6 +572,7 @@
     cmocka_unit_test (test_heartbeat_sent_before_the_target_left),
     cmocka_unit_test (test_longest_lease_of_a_target_that_is_not_inherited),
     cmocka_unit_test (test_deadline_of_an_earlier_boot_while_jobs_are_unknown),
+    cmocka_unit_test (test_deadline_of_an_earlier_boot_that_left_the_registry),
     cmocka_unit_test (test_end_in_a_boot_that_only_its_clock_tells),
     cmocka_unit_test (test_capacity_of_an_earlier_boot),
   };
