Core: an address that a target has not reported from tells nothing of its boot

Cause: a refused connection, or the reply of another boot, at the present address in the registry counted as the end of the target's boot, although another writer had replaced the address and the target went on.

Change: both count only at the address from which the boot last reported, or which an earlier owner recorded.

Evidence: test_address_of_another, 2 starts before, 1 now; test_core, test_deadly_tasks, test_heartbeats, test_reconciliation, test_core_cell pass.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -512,6 +512,8 @@
   core_target_update_reconciled (target);
   if (target->entry.address.len == 0)
     target->entry.address = *address;
+  if (target->confirmed_address.len == 0)
+    target->confirmed_address = *address;
   if (g_hash_table_contains (core->unreadable_entries, id))
     fl_core_note_unreadable_entry (core, id);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -73,6 +73,9 @@
   bool reported_fully;   /* one of its replies had room for all its ends, too */
   bool silent;           /* it did not reply to the last heartbeat */
   bool address_changed;  /* since the last heartbeat was prepared */
+  /* From which its boot last reported, or that an earlier owner recorded; empty if there is none.
+   */
+  struct fl_name confirmed_address;
   bool clock_went_back;  /* since the last report: it has restarted */
   int missed_heartbeats; /* consecutive */
   int64_t booted_at_ms;  /* identifies its boot */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -510,6 +510,16 @@
   core_target_update_reconciled (target);
 }
 
+/* Whether what happens at the present address of @target tells of its boot. Another writer may have
+ * replaced the address in its registry entry, while its tasks go on. */
+static bool
+is_address_conclusive (const struct core_target *target)
+{
+  return !target->address_changed
+         && (target->confirmed_address.len == 0
+             || fl_name_eq (&target->confirmed_address, &target->entry.address));
+}
+
 static void
 update_silence (struct fl_core *core,
                 struct core_target *target,
@@ -561,14 +571,16 @@
     report = NULL;
   target->last_heartbeat_at_ms = now_ms;
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
-  if (reply->result == FL_ORDER_OTHER_BOOT && !target->address_changed)
+  if (reply->result == FL_ORDER_OTHER_BOOT && is_address_conclusive (target))
     handle_address_takeover (core, target);
-  if (reply->result == FL_ORDER_NO_LISTENER && target->silent && !target->address_changed)
+  if (reply->result == FL_ORDER_NO_LISTENER && target->silent && is_address_conclusive (target))
     handle_no_listener (core, target);
   if (report == NULL || target->silent)
     update_silence (core, target, report == NULL, reply->result);
   if (report == NULL)
     return;
+  if (!target->address_changed)
+    target->confirmed_address = target->entry.address;
   bool is_known_boot = update_boot (target, report, sent_ms);
   target->end_slack_ms = end_slack_ms (target, sent_ms, now_ms);
   target->boot_end_noted = false;
--- a/tests/test_unreadable_entries.c
+++ b/tests/test_unreadable_entries.c
@@ -133,6 +133,64 @@
   fixture_free (fixture);
 }
 
+/* Another writer replaced the address in an entry: what answers there, or does not listen, was
+ * taken for the end of the target's boot, and its task was started a second time. */
+static void
+test_address_of_another (void **state)
+{
+  static const struct
+  {
+    enum fl_order_result result;
+    bool has_reported; /* to this owner; otherwise it was recorded by the one before */
+  } cases[] = { { FL_ORDER_NO_LISTENER, true },
+                { FL_ORDER_OTHER_BOOT, true },
+                { FL_ORDER_OTHER_BOOT, false } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      bool has_reported = cases[i].has_reported;
+      struct fixture *fixture
+          = has_reported ? fixture_new (0) : fixture_new_unreconciled (0, 100000 + 9000);
+      struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .any_target = true };
+      struct fl_step_spec step = { .count = 1, .cpu_milli = 1000, .disruptions_max = -1 };
+      struct fl_target_entry entry = { .id = target_id,
+                                       .service = fl_name_of ("s"),
+                                       .address = fl_name_of ("t9"),
+                                       .resources = { 4000, 100000, 0 } };
+      struct fl_heartbeat_order heartbeat;
+      if (has_reported)
+        {
+          add_target (fixture, "t1", 4, false);
+          add_recorded_job (fixture, "a", "urgent", step, NULL);
+          tick_until_recorded (fixture, 0);
+          confirm_start (fixture, 0);
+          struct fl_run_row run = make_row (get_start_order (fixture, 0));
+          report_runs (fixture, &run, 1);
+        }
+      else
+        {
+          fl_core_inherit_target (fixture->core, &target_id, &target_id);
+          add_recorded_job (fixture, "a", "urgent", step, &progress);
+        }
+      fl_core_set_registry_known (fixture->core);
+      fl_core_set_jobs_known (fixture->core);
+      add_target (fixture, "t2", 4, false);
+      fl_core_update_target (fixture->core, &entry);
+      for (int j = 0; j < 3; j++)
+        {
+          fixture->now_ms += 400;
+          fl_core_prepare_heartbeat (fixture->core, &target_id, fixture->now_ms, &heartbeat);
+          deliver_result (fixture, "t1", cases[i].result);
+          deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
+          tick_until_recorded (fixture, 0);
+        }
+      if (fixture->start_orders->len != (has_reported ? 1 : 0))
+        fail_msg ("case %zu: %u starts", i, fixture->start_orders->len);
+      fixture_free (fixture);
+    }
+}
+
 /* A new owner knows the target only from the list of its predecessor. An entry that cannot be read
  * does not show that the target has left, so that a refused connection ends nothing. */
 static void
@@ -224,9 +282,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_entry_becomes_unreadable),
-    cmocka_unit_test (test_no_advice_queries),
-    cmocka_unit_test (test_inherited_target),
+    cmocka_unit_test (test_entry_becomes_unreadable), cmocka_unit_test (test_no_advice_queries),
+    cmocka_unit_test (test_address_of_another),       cmocka_unit_test (test_inherited_target),
     cmocka_unit_test (test_unknown_target),
   };
 
