Front: limits of connections follow the descriptors of the process

With few descriptors (200; 1,024 is a usual default) they took all, so that neither clients nor calls to the store got one, for up to ten minutes.

The limit of connections is three quarters of the soft limit of descriptors, 3,000 at most, and half of that may be idle.

--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -1,6 +1,7 @@
 #include "frontd/frontd.h"
 
 #include <string.h>
+#include <sys/resource.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -17,6 +18,8 @@
 #define BODY_MAX (256 * 1024)
 #define HEADER_MAX (32 * 1024)
 #define CONNECTIONS_MAX 3000
+/* The rest of the descriptors is for the store, peers and files. */
+#define CONNECTIONS_DESCRIPTOR_PERCENT 75
 /* An idle connection keeps a buffer of HEADER_MAX bytes: 50 MB in all, of the 160 MB that the
  * smallest hosts have. */
 #define IDLE_CONNECTIONS_MAX 1500
@@ -214,6 +217,16 @@
 
 /* --- start and stop --- */
 
+static int64_t
+get_connections_max (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= CONNECTIONS_MAX * 100)
+    return CONNECTIONS_MAX;
+  return CLAMP ((int64_t)limit.rlim_cur * CONNECTIONS_DESCRIPTOR_PERCENT / 100, 1, CONNECTIONS_MAX);
+}
+
 static struct fl_http_server *
 listen_at (struct fl_frontd *frontd,
            const char *name,
@@ -222,6 +235,7 @@
            struct fl_error *error)
 {
   struct fl_name address;
+  int64_t connections_max = get_connections_max ();
   struct fl_http_server_options options = {
     .loop = frontd->host->loop,
     .name = name,
@@ -229,8 +243,8 @@
     .stats = frontd->host->stats,
     .body_max = BODY_MAX,
     .header_max = HEADER_MAX,
-    .connections_max = CONNECTIONS_MAX,
-    .idle_connections_max = IDLE_CONNECTIONS_MAX,
+    .connections_max = connections_max,
+    .idle_connections_max = MIN (connections_max / 2, IDLE_CONNECTIONS_MAX),
     .idle_timeout_ms = IDLE_TIMEOUT_MS,
     .upload_timeout_ms = UPLOAD_TIMEOUT_MS,
     .on_request = handle,
--- a/tests/e2e.py
+++ b/tests/e2e.py
@@ -16,7 +16,9 @@
 import json
 import os
 import random
+import resource
 import signal
+import socket
 import sys
 import threading
 import time
@@ -231,10 +233,34 @@
     assert answered > 0 and lost == 0, "answered %d, lost %d" % (answered, lost)
 
 
+def idle_connections_use_up_descriptors(cell):
+    """A client is served although idle connections of others could take all descriptors of the process."""
+    host = cell.hosts[0]
+    host.processes["frontd"].stop()
+    old = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (200, old[1]))
+    try:
+        host.start("frontd")
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, old)
+    wait_for(host.is_ready, 10, "a host with few descriptors")
+    idle = [socket.create_connection(("127.0.0.1", host.front_port)) for _ in range(300)]
+    try:
+        time.sleep(4)
+        status, _ = send_request("GET", host.url(host.front_port) + "/checks/", None, KEY, "fair.example", 5)
+        assert status == 200, "status %d beside idle connections" % status
+    finally:
+        for connection in idle:
+            connection.close()
+        host.processes["frontd"].stop()
+        host.start("frontd")
+
+
 SCENARIOS = [no_fault, kill_owner, pause_owner, kill_all, rolling_stop, store_down, store_silent,
              store_loses_answers, targets_crash, targets_cut, targets_drain,
              kill_owner_while_target_is_cut, key_withdrawn, settings_read_again,
-             request_waits_for_store, stop_loses_no_request]
+             request_waits_for_store, stop_loses_no_request,
+             idle_connections_use_up_descriptors]
 
 
 def run_scenario(scenario, cell, problems):
