Tests: ports of test processes are outside the range of ephemeral ports

Cause: test_free_port closed a port from the ephemeral range, which the kernel may give to a connection of any process before the child binds it.

--- a/tests/support_http.c
+++ b/tests/support_http.c
@@ -15,6 +15,10 @@
 
 #include <cmocka.h>
 
+/* Below the ports that the kernel gives to connections of other processes, which could take one
+ * before it is used. */
+#define FREE_PORT_MIN 10000
+#define FREE_PORT_MAX 32000
 #define RETRY_MS 10
 
 static struct sockaddr_in
@@ -29,14 +33,21 @@
 int
 test_free_port (void)
 {
-  struct sockaddr_in address = loopback_address (0);
-  socklen_t len = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  assert_int_equal (bind (fd, (struct sockaddr *)&address, len), 0);
-  assert_int_equal (getsockname (fd, (struct sockaddr *)&address, &len), 0);
-  close (fd);
-  return ntohs (address.sin_port);
+  static int port; /* the last one, so that none is returned twice */
+
+  for (;;)
+    {
+      port = port == 0 || port + 1 == FREE_PORT_MAX
+                 ? g_random_int_range (FREE_PORT_MIN, FREE_PORT_MAX)
+                 : port + 1;
+      struct sockaddr_in address = loopback_address (port);
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      bool is_free = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+
+      close (fd);
+      if (is_free)
+        return port;
+    }
 }
 
 bool
