core: names and one early return after a second reading

settle_targets looks at no target before the leases of earlier owners can have expired; the two times until which a target is spared have a comment each; what "avoided" means is told by two names.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -1021,11 +1021,13 @@
 {
   GList *link = core->unreconciled_targets.head;
 
+  if (core->now_ms < core->inherited_until_ms)
+    return;
   while (link != NULL)
     {
       struct core_target *target = link->data;
       link = link->next;
-      if (core->now_ms < MAX (core->inherited_until_ms, target->lease_expires_at_ms))
+      if (core->now_ms < target->lease_expires_at_ms)
         continue;
       target->is_settled = true;
       core_target_update_reconciled (target);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -114,9 +114,8 @@
   /* Job of the last failure. A target is quarantined only when several jobs fail on it, not for one
    * faulty job. */
   struct fl_name last_failed_job;
-  /* No task is started there until then, */
-  int64_t quarantined_until_ms;
-  /* or only tasks that cannot wait: tasks fail or lag there. */
+  int64_t quarantined_until_ms; /* no task is started there until then */
+  /* Tasks fail or lag there: until then, only tasks of overdue steps are started. */
   int64_t avoided_until_ms;
   struct fl_speed ended_speed; /* by the runs that ended */
   struct fl_speed speed;       /* by these and by the progress of others */
--- a/lib/core/room.c
+++ b/lib/core/room.c
@@ -38,7 +38,7 @@
 }
 
 static bool
-is_avoided (const struct core_target *target)
+tasks_fail_or_lag (const struct core_target *target)
 {
   return target->core->now_ms < target->avoided_until_ms;
 }
@@ -46,7 +46,7 @@
 bool
 core_target_is_avoided (const struct core_target *target)
 {
-  return is_avoided (target) || target->watched_run != NULL;
+  return tasks_fail_or_lag (target) || target->watched_run != NULL;
 }
 
 /* Why @target takes no tasks of @service, whatever they need. @is_overdue: of steps for which
@@ -80,7 +80,8 @@
     return CORE_TARGET_OTHER_BOOT;
   if (target->stale_runs > 0)
     return CORE_TARGET_STALE_RUNS;
-  if (target->core->now_ms < target->quarantined_until_ms || (is_avoided (target) && !is_overdue))
+  if (target->core->now_ms < target->quarantined_until_ms
+      || (tasks_fail_or_lag (target) && !is_overdue))
     return CORE_TARGET_QUARANTINED;
   return core_domains_are_known (target->core) ? CORE_TARGET_TAKES_TASKS
                                                : CORE_TARGET_DOMAINS_UNKNOWN;
