--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -568,6 +568,25 @@
   stop_hosts (&owner, peers, loop, stats);
 }
 
+/* Initializes two hosts, and waits until @owner forwards starts through @peer. */
+static void
+init_forwarding_hosts (struct host *owner,
+                       struct host *peer,
+                       struct ev_loop *loop,
+                       struct fl_stats *stats)
+{
+  struct fl_name name = fl_name_of ("h2");
+
+  host_init (owner, loop, stats);
+  host_init (peer, loop, stats);
+  struct fl_name address = fl_link_address (peer->link);
+  assert_true (fl_link_connect (owner->link, &address, NULL));
+  fl_forwarder_set_peer (owner->forwarder, &name, &address);
+  fl_forwarder_set_enabled (owner->forwarder, true);
+  while (peer->forwarded.starts == 0)
+    send_start (loop, owner);
+}
+
 /* An order without a reply is late by itself while its peer sends other messages: the other orders
  * in flight through the peer keep waiting. */
 static void
@@ -575,19 +594,11 @@
 {
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
   struct fl_stats *stats = fl_stats_new ();
-  struct fl_name name = fl_name_of ("h2");
   struct host owner;
   struct host peer;
 
   (void)state;
-  host_init (&owner, loop, stats);
-  host_init (&peer, loop, stats);
-  struct fl_name address = fl_link_address (peer.link);
-  assert_true (fl_link_connect (owner.link, &address, NULL));
-  fl_forwarder_set_peer (owner.forwarder, &name, &address);
-  fl_forwarder_set_enabled (owner.forwarder, true);
-  while (peer.forwarded.starts == 0)
-    send_start (loop, &owner);
+  init_forwarding_hosts (&owner, &peer, loop, stats);
   peer.forwarded.ignores_starts = true;
   int direct_heartbeats = owner.direct.heartbeats;
   struct order_outcome late = { 0 };
@@ -618,19 +629,11 @@
 {
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
   struct fl_stats *stats = fl_stats_new ();
-  struct fl_name name = fl_name_of ("h2");
   struct host owner;
   struct host peer;
 
   (void)state;
-  host_init (&owner, loop, stats);
-  host_init (&peer, loop, stats);
-  struct fl_name address = fl_link_address (peer.link);
-  assert_true (fl_link_connect (owner.link, &address, NULL));
-  fl_forwarder_set_peer (owner.forwarder, &name, &address);
-  fl_forwarder_set_enabled (owner.forwarder, true);
-  while (peer.forwarded.starts == 0)
-    send_start (loop, &owner);
+  init_forwarding_hosts (&owner, &peer, loop, stats);
   int direct_starts = owner.direct.starts;
   peer.forwarded.hold_up_ms = HOLD_UP_MS;
   /* The start is sent in a batch. */
