Links: log a peer that does not answer on an open connection

What callers saw: with connections gone silent, jobs waited for advice and for orders through hosts that were left out for good. The logs could not tell whether the peer was lost or the connection to it: nothing was logged of connections.

link_silent (address, time since the first unanswered message, age of the connection) and the gauge link_silent_max_ms.

--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -6,6 +6,8 @@
 #include <glib.h>
 #include <zmq.h>
 
+#include "common/clock.h"
+
 /* Messages read from one socket before the loop handles other events. */
 #define READ_BATCH 256
 #define RECONNECT_MIN_MS 50
@@ -17,6 +19,9 @@
 /* Interval between checks of all sockets. Covers an event that neither a descriptor nor a call on
  * the socket has shown. */
 #define SWEEP_INTERVAL_MS 1000
+/* A peer that has sent nothing for this long since a message to it is logged, once for each
+ * silence. */
+#define SILENCE_LOG_MS 2000
 
 /* A ZeroMQ socket. Its descriptor is edge-triggered, and each call on the socket may consume an
  * edge. A socket is therefore due for a check after an event of its descriptor, after a call, and
@@ -29,6 +34,9 @@
   void *zmq;
   ev_io io;
   bool is_due; /* in link->due */
+  int64_t opened_ms;
+  int64_t unanswered_since_ms; /* the first message since the last one of the peer; 0 if none */
+  bool is_silence_logged;
 };
 
 struct fl_link
@@ -121,6 +129,8 @@
           return is_empty;
         }
       discard_extra_frames (socket, &body);
+      socket->unanswered_since_ms = 0;
+      socket->is_silence_logged = false;
       link->options.on_message (link->options.context, &from, zmq_msg_data (&body),
                                 zmq_msg_size (&body));
       zmq_msg_close (&body);
@@ -176,10 +186,27 @@
   g_ptr_array_set_size (sockets, 0);
 }
 
+/* Logs a peer that does not answer, although there is a connection to it.
+ * @return for how long it has not. */
+static int64_t
+note_silence (struct socket *socket, int64_t now_ms)
+{
+  int64_t silent_ms = socket->unanswered_since_ms > 0 ? now_ms - socket->unanswered_since_ms : 0;
+
+  if (silent_ms < SILENCE_LOG_MS || socket->is_silence_logged)
+    return silent_ms;
+  socket->is_silence_logged = true;
+  fl_log (socket->link->options.log, FL_LOG_INFO, "link_silent", FL_N ("address", &socket->address),
+          FL_I ("silent_ms", silent_ms), FL_I ("age_ms", now_ms - socket->opened_ms));
+  return silent_ms;
+}
+
 static void
 on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct fl_link *link = timer->data;
+  int64_t now_ms = fl_clock_boot_ms ();
+  int64_t silent_max_ms = 0;
   GHashTableIter iter;
   void *value;
 
@@ -189,7 +216,11 @@
     mark_due (link->router);
   g_hash_table_iter_init (&iter, link->dealers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    mark_due (value);
+    {
+      mark_due (value);
+      silent_max_ms = MAX (silent_max_ms, note_silence (value, now_ms));
+    }
+  fl_stats_set (link->options.stats, "link_silent_max_ms", silent_max_ms);
 }
 
 static void
@@ -223,6 +254,7 @@
 
   socket->link = link;
   socket->address = *address;
+  socket->opened_ms = fl_clock_boot_ms ();
   socket->zmq = zmq_socket (link->zmq_context, type);
   zmq_setsockopt (socket->zmq, ZMQ_LINGER, &zero, sizeof zero);
   zmq_setsockopt (socket->zmq, ZMQ_SNDHWM, &queue, sizeof queue);
@@ -388,5 +420,7 @@
     return false;
   if (zmq_send (socket->zmq, data, len, ZMQ_DONTWAIT) < 0)
     return false;
+  if (socket->unanswered_since_ms == 0)
+    socket->unanswered_since_ms = fl_clock_boot_ms ();
   return true;
 }
--- a/lib/net/link.h
+++ b/lib/net/link.h
@@ -12,6 +12,8 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "common/log.h"
+#include "common/stats.h"
 #include "common/str.h"
 
 /* Space for a routing id, in bytes; those that ZeroMQ assigns have 5. */
@@ -35,6 +37,8 @@
   int64_t queue_max;   /* messages queued for and from one peer */
   void (*on_message) (void *context, const struct fl_route *from, const char *data, size_t len);
   void *context;
+  const struct fl_log *log; /* NULL logs nothing */
+  struct fl_stats *stats;   /* NULL counts nothing */
 };
 
 /* @return a new link, or NULL with @error filled when the address cannot be bound. */
--- a/lib/poold/peers.c
+++ b/lib/poold/peers.c
@@ -110,6 +110,8 @@
     .queue_max = LINK_QUEUE_MAX,
     .on_message = on_message,
     .context = poold,
+    .log = &host->log,
+    .stats = host->stats,
   };
   struct fl_advisors_options advisors
       = { .host = host,
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -394,6 +394,8 @@
     .queue_max = LINK_QUEUE_MAX,
     .on_message = on_message,
     .context = relay,
+    .log = options->log,
+    .stats = options->stats,
   };
 
   relay->options = *options;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -156,7 +156,11 @@
 host_init (struct host *host, struct ev_loop *loop, struct fl_stats *stats)
 {
   static const struct fl_log log = { .level = FL_LOG_ERR };
-  struct fl_link_options link_options = { loop, "tcp://127.0.0.1:0", 100, on_message, host };
+  struct fl_link_options link_options = { .loop = loop,
+                                          .address = "tcp://127.0.0.1:0",
+                                          .queue_max = 100,
+                                          .on_message = on_message,
+                                          .context = host };
   struct fl_error error = { 0 };
 
   order_recorder_init (&host->direct);
