Links: replace a connection on which a peer is silent

Cause: a verdict of silence ended the call, but not the connection that it waited on. The forwarder pinged, advisors queried and the relay called over the same dead connection for good; neither ZeroMQ nor the kernel was told to end it.

Change: fl_link_reconnect_silent opens another connection if nothing has arrived on the old one since a message that has no reply. It is called by whoever finds the silence: a forwarded order or batch without a reply, a ping without one, an overdue query for advice, an overdue relayed call. Late replies on the old connection still count for 6 s. The kernel ends connections whose data is not acknowledged for 3 s and idle ones after 33 s, at both ends, so that the end that only replies does not keep them.

Without the change test_peer_behind_silent_connection fails in test_forward ("orders are not forwarded again") and in test_relay.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -13,6 +13,10 @@
 #define ORDER_TIMEOUT_MS (700 + FORWARD_SLACK_MS)
 /* Interval of the pings to unavailable peers. */
 #define PING_INTERVAL_MS 1000
+/* A ping that cannot be sent, since the connection was just opened, is tried again after
+ * PING_RETRY_MS, until RECONNECT_MS after the connection was opened. */
+#define PING_RETRY_MS 50
+#define RECONNECT_MS 500
 
 /* An order of this host, sent through a peer. */
 struct outgoing_order
@@ -88,20 +92,67 @@
 }
 
 static void
-on_ping_timer (struct ev_loop *loop, ev_timer *timer, int events)
+set_ping_timer (struct fl_forwarder *forwarder, int64_t wait_ms)
 {
-  struct fl_forwarder *forwarder = timer->data;
-  struct fl_forward_message ping = { .kind = FL_FORWARD_PING };
+  ev_timer_stop (forwarder->options.loop, &forwarder->ping_timer);
+  ev_timer_set (&forwarder->ping_timer, (double)wait_ms / 1000.0, 0.0);
+  ev_timer_start (forwarder->options.loop, &forwarder->ping_timer);
+}
+
+/* @return whether the connection to @peer was replaced. */
+static bool
+reconnect_silent (struct fl_forwarder *forwarder, struct forward_peer *peer, int64_t sent_ms)
+{
+  const struct fl_forwarder_options *options = &forwarder->options;
+
+  if (!options->reconnect_silent (options->context, &peer->address, sent_ms))
+    return false;
+  peer->reconnected_ms = fl_clock_boot_ms ();
+  return true;
+}
+
+/* Pings an unavailable peer; without a reply to the last ping, over another connection.
+ * @return the time until the next ping. */
+static int64_t
+ping_peer (struct fl_forwarder *forwarder, struct forward_peer *peer, int64_t now_ms)
+{
+  static const struct fl_forward_message ping = { .kind = FL_FORWARD_PING };
+  struct fl_route to = { .address = peer->address };
+
+  if (peer->pinged_ms > peer->heard_ms)
+    {
+      if (now_ms - peer->pinged_ms < PING_INTERVAL_MS)
+        return peer->pinged_ms + PING_INTERVAL_MS - now_ms;
+      reconnect_silent (forwarder, peer, peer->pinged_ms);
+    }
+  if (send_message (forwarder, &to, &ping))
+    peer->pinged_ms = now_ms;
+  else if (now_ms - peer->reconnected_ms < RECONNECT_MS)
+    return PING_RETRY_MS;
+  return PING_INTERVAL_MS;
+}
+
+static void
+ping_peers (struct fl_forwarder *forwarder)
+{
+  int64_t now_ms = fl_clock_boot_ms ();
+  int64_t wait_ms = PING_INTERVAL_MS;
 
-  (void)loop;
-  (void)events;
   for (guint i = 0; forwarder->enabled && i < forwarder->peers->len; i++)
     {
-      const struct forward_peer *peer = &g_array_index (forwarder->peers, struct forward_peer, i);
-      struct fl_route to = { .address = peer->address };
+      struct forward_peer *peer = &g_array_index (forwarder->peers, struct forward_peer, i);
       if (!peer->is_available)
-        send_message (forwarder, &to, &ping);
+        wait_ms = MIN (wait_ms, ping_peer (forwarder, peer, now_ms));
     }
+  set_ping_timer (forwarder, wait_ms);
+}
+
+static void
+on_ping_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  ping_peers (timer->data);
 }
 
 /* --- orders of this host --- */
@@ -140,11 +191,17 @@
                         const struct fl_name *address,
                         int64_t sent_ms)
 {
+  const struct fl_forwarder_options *options = &forwarder->options;
   struct forward_peer *peer = find_peer (forwarder, address);
 
+  /* A peer of another owner, for which this host distributes starts. */
+  if (peer == NULL)
+    options->reconnect_silent (options->context, address, sent_ms);
   /* A peer that has sent anything since is alive: only the one order or its reply is late. */
   if (peer == NULL || peer->heard_ms >= sent_ms)
     return;
+  if (reconnect_silent (forwarder, peer, sent_ms))
+    set_ping_timer (forwarder, PING_RETRY_MS);
   mark_unavailable (forwarder, peer);
   time_out_orders (forwarder, address);
 }
@@ -587,10 +644,9 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, outgoing_order_free);
   forwarder->incoming = g_hash_table_new (NULL, NULL);
   forwarder->batches = forward_batches_new (forwarder);
-  ev_timer_init (&forwarder->ping_timer, on_ping_timer, PING_INTERVAL_MS / 1000.0,
-                 PING_INTERVAL_MS / 1000.0);
+  ev_timer_init (&forwarder->ping_timer, on_ping_timer, 0.0, 0.0);
   forwarder->ping_timer.data = forwarder;
-  ev_timer_start (options->loop, &forwarder->ping_timer);
+  set_ping_timer (forwarder, PING_INTERVAL_MS);
   return forwarder;
 }
 
@@ -655,7 +711,7 @@
   fl_log (forwarder->options.log, FL_LOG_NOTICE, enabled ? "carrying_on" : "carrying_off",
           FL_I ("peers", forwarder->peers->len));
   if (enabled)
-    on_ping_timer (forwarder->options.loop, &forwarder->ping_timer, 0);
+    ping_peers (forwarder);
 }
 
 void
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -5,7 +5,8 @@
  * the targets, and receives the replies from them. All decisions stay with the owner, and each
  * order carries the fencing token of the owner. An order that gets no reply from the peer ends like
  * one that gets no reply from the target. A peer that sent nothing since such an order then gets no
- * orders until it replies to a ping; meanwhile orders go directly to the targets.
+ * orders until it replies to a ping, over another connection; meanwhile orders go directly to the
+ * targets.
  *
  * The first starts of several tasks of one job are sent together, through one peer that distributes
  * them; fl_forwarder_flush sends them. */
@@ -31,6 +32,9 @@
   bool (*send_batch) (void *context, const struct fl_route *to, const char *data, size_t len);
   /* Opens a connection to the link at @address unless there is one. @return false on failure. */
   bool (*connect) (void *context, const struct fl_name *address);
+  /* Replaces the connection to the link at @address if nothing has arrived on it since @sent_ms;
+   * see fl_link_reconnect_silent. */
+  bool (*reconnect_silent) (void *context, const struct fl_name *address, int64_t sent_ms);
   /* Whether this host may send its own orders now. */
   bool (*may_send) (void *context);
   void *context;
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -22,6 +22,8 @@
   struct fl_name address;
   bool is_available; /* replied to a ping and has not been silent since */
   int64_t heard_ms;  /* when its last message arrived */
+  int64_t pinged_ms; /* when the last ping was sent */
+  int64_t reconnected_ms;
 };
 
 struct fl_forwarder
@@ -46,8 +48,8 @@
                                                 const struct fl_name *target);
 
 /* Called when an order that was sent at @sent_ms to the peer at @address got no reply in time. If
- * the peer has been silent since, it becomes unavailable, and all orders in flight through it end
- * with FL_ORDER_NO_REPLY. */
+ * the peer has been silent since, its connection is replaced, it becomes unavailable, and all
+ * orders in flight through it end with FL_ORDER_NO_REPLY. */
 void forward_handle_timeout (struct fl_forwarder *forwarder,
                              const struct fl_name *address,
                              int64_t sent_ms);
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -12,6 +12,21 @@
 #define READ_BATCH 256
 #define RECONNECT_MIN_MS 50
 #define RECONNECT_MAX_MS 1000
+/* A connection that is not established by then is attempted anew; the kernel alone would repeat its
+ * first packet after 1, 3 and 7 s. */
+#define CONNECT_TIMEOUT_MS 1500
+#define HANDSHAKE_TIMEOUT_MS 2000
+/* The kernel closes a connection when what was sent on it is not acknowledged for this long, also
+ * at the end that only replies. Above the time for which a full link delays an acknowledgement. */
+#define ACKNOWLEDGE_TIMEOUT_MS 3000
+/* An idle connection is probed after this, and closed when the probes are not acknowledged. For the
+ * end that never sends first: each connection costs a packet in this time. */
+#define KEEP_ALIVE_IDLE_S 30
+#define KEEP_ALIVE_INTERVAL_S 1
+#define KEEP_ALIVE_PROBES 3
+/* What arrives on a connection for this long after it was replaced still counts: its peer, not the
+ * connection, may have been slow. Covers the calls that peers make to the advice service. */
+#define RETIRED_MS 6000
 /* For replies that are queued when the link is freed, so that their receivers do not wait for a
  * timeout. */
 #define FREE_LINGER_MS 50
@@ -37,6 +52,8 @@
   int64_t opened_ms;
   int64_t unanswered_since_ms; /* the first message since the last one of the peer; 0 if none */
   bool is_silence_logged;
+  int64_t heard_ms;   /* when the last message arrived; 0 if none has */
+  int64_t closing_ms; /* of a replaced one */
 };
 
 struct fl_link
@@ -45,6 +62,7 @@
   void *zmq_context;
   struct socket *router;
   GHashTable *dealers; /* struct fl_name * -> struct socket * */
+  GPtrArray *retired;  /* struct socket, replaced; at most one for each address */
   struct fl_name address;
   GPtrArray *due; /* struct socket, to be checked for messages */
   GPtrArray *checking;
@@ -129,6 +147,7 @@
           return is_empty;
         }
       discard_extra_frames (socket, &body);
+      socket->heard_ms = fl_clock_boot_ms ();
       socket->unanswered_since_ms = 0;
       socket->is_silence_logged = false;
       link->options.on_message (link->options.context, &from, zmq_msg_data (&body),
@@ -221,6 +240,14 @@
       silent_max_ms = MAX (silent_max_ms, note_silence (value, now_ms));
     }
   fl_stats_set (link->options.stats, "link_silent_max_ms", silent_max_ms);
+  for (guint i = link->retired->len; i > 0; i--)
+    {
+      struct socket *socket = g_ptr_array_index (link->retired, i - 1);
+      if (now_ms >= socket->closing_ms)
+        g_ptr_array_remove_index_fast (link->retired, i - 1);
+      else
+        mark_due (socket);
+    }
 }
 
 static void
@@ -239,16 +266,30 @@
   check_socket (io->data);
 }
 
+static void
+set_option (void *zmq, int option, int value)
+{
+  zmq_setsockopt (zmq, option, &value, sizeof value);
+}
+
+static void
+detect_silence (void *zmq)
+{
+  set_option (zmq, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+  set_option (zmq, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
+  set_option (zmq, ZMQ_TCP_MAXRT, ACKNOWLEDGE_TIMEOUT_MS);
+  set_option (zmq, ZMQ_TCP_KEEPALIVE, 1);
+  set_option (zmq, ZMQ_TCP_KEEPALIVE_IDLE, KEEP_ALIVE_IDLE_S);
+  set_option (zmq, ZMQ_TCP_KEEPALIVE_INTVL, KEEP_ALIVE_INTERVAL_S);
+  set_option (zmq, ZMQ_TCP_KEEPALIVE_CNT, KEEP_ALIVE_PROBES);
+}
+
 static struct socket *
 socket_new (struct fl_link *link, int type, const struct fl_name *address)
 {
   struct socket *socket = g_new0 (struct socket, 1);
   struct ev_loop *loop = link->options.loop;
   int queue = (int)link->options.queue_max;
-  int zero = 0;
-  int one = 1;
-  int reconnect_min = RECONNECT_MIN_MS;
-  int reconnect_max = RECONNECT_MAX_MS;
   int fd = -1;
   size_t size = sizeof fd;
 
@@ -256,15 +297,13 @@
   socket->address = *address;
   socket->opened_ms = fl_clock_boot_ms ();
   socket->zmq = zmq_socket (link->zmq_context, type);
-  zmq_setsockopt (socket->zmq, ZMQ_LINGER, &zero, sizeof zero);
-  zmq_setsockopt (socket->zmq, ZMQ_SNDHWM, &queue, sizeof queue);
-  zmq_setsockopt (socket->zmq, ZMQ_RCVHWM, &queue, sizeof queue);
-  zmq_setsockopt (socket->zmq, ZMQ_RECONNECT_IVL, &reconnect_min, sizeof reconnect_min);
-  zmq_setsockopt (socket->zmq, ZMQ_RECONNECT_IVL_MAX, &reconnect_max, sizeof reconnect_max);
-  if (type == ZMQ_ROUTER)
-    zmq_setsockopt (socket->zmq, ZMQ_ROUTER_MANDATORY, &one, sizeof one);
-  else
-    zmq_setsockopt (socket->zmq, ZMQ_IMMEDIATE, &one, sizeof one);
+  set_option (socket->zmq, ZMQ_LINGER, 0);
+  set_option (socket->zmq, ZMQ_SNDHWM, queue);
+  set_option (socket->zmq, ZMQ_RCVHWM, queue);
+  set_option (socket->zmq, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
+  set_option (socket->zmq, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+  set_option (socket->zmq, type == ZMQ_ROUTER ? ZMQ_ROUTER_MANDATORY : ZMQ_IMMEDIATE, 1);
+  detect_silence (socket->zmq);
   zmq_getsockopt (socket->zmq, ZMQ_FD, &fd, &size);
   ev_io_init (&socket->io, on_io, fd, EV_READ);
   socket->io.data = socket;
@@ -340,6 +379,7 @@
   link->options = *options;
   link->zmq_context = zmq_ctx_new ();
   link->dealers = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, socket_free);
+  link->retired = g_ptr_array_new_with_free_func (socket_free);
   link->due = g_ptr_array_new ();
   link->checking = g_ptr_array_new ();
   start_watchers (link);
@@ -356,12 +396,11 @@
 {
   if (link == NULL)
     return;
-  int linger = FREE_LINGER_MS;
-
   g_hash_table_destroy (link->dealers);
+  g_ptr_array_unref (link->retired);
   if (link->router != NULL)
     {
-      zmq_setsockopt (link->router->zmq, ZMQ_LINGER, &linger, sizeof linger);
+      set_option (link->router->zmq, ZMQ_LINGER, FREE_LINGER_MS);
       socket_free (link->router);
     }
   stop_watchers (link);
@@ -384,17 +423,58 @@
   return link->address;
 }
 
+/* @return a socket that connects to @address, or NULL with @error filled. */
+static struct socket *
+connect_socket (struct fl_link *link, const struct fl_name *address, struct fl_error *error)
+{
+  struct socket *socket = socket_new (link, ZMQ_DEALER, address);
+
+  if (zmq_connect (socket->zmq, address->data) == 0)
+    return socket;
+  fl_fail (error, FL_INVALID, "link_connect", address->data, "%s", zmq_strerror (errno));
+  socket_free (socket);
+  return NULL;
+}
+
 bool
 fl_link_connect (struct fl_link *link, const struct fl_name *address, struct fl_error *error)
 {
   if (g_hash_table_contains (link->dealers, address))
     return true;
-  struct socket *socket = socket_new (link, ZMQ_DEALER, address);
-  if (zmq_connect (socket->zmq, address->data) != 0)
-    {
-      socket_free (socket);
-      return fl_fail (error, FL_INVALID, "link_connect", address->data, "%s", zmq_strerror (errno));
-    }
+  struct socket *socket = connect_socket (link, address, error);
+  if (socket == NULL)
+    return false;
+  g_hash_table_insert (link->dealers, g_memdup2 (address, sizeof *address), socket);
+  return true;
+}
+
+static void
+close_retired (struct fl_link *link, const struct fl_name *address)
+{
+  for (guint i = link->retired->len; i > 0; i--)
+    if (fl_name_eq (&((struct socket *)g_ptr_array_index (link->retired, i - 1))->address, address))
+      g_ptr_array_remove_index_fast (link->retired, i - 1);
+}
+
+bool
+fl_link_reconnect_silent (struct fl_link *link, const struct fl_name *address, int64_t sent_ms)
+{
+  struct socket *old = g_hash_table_lookup (link->dealers, address);
+  int64_t now_ms = fl_clock_boot_ms ();
+
+  if (old == NULL || old->opened_ms > sent_ms || old->heard_ms >= sent_ms)
+    return false;
+  struct socket *socket = connect_socket (link, address, NULL);
+  if (socket == NULL)
+    return false;
+  fl_log (link->options.log, FL_LOG_INFO, "link_replaced", FL_N ("address", address),
+          FL_I ("unanswered_ms", now_ms - sent_ms), FL_I ("age_ms", now_ms - old->opened_ms),
+          FL_I ("heard_ms_ago", old->heard_ms > 0 ? now_ms - old->heard_ms : -1));
+  fl_stats_add (link->options.stats, "links_replaced_total", 1);
+  close_retired (link, address);
+  old->closing_ms = now_ms + RETIRED_MS;
+  g_ptr_array_add (link->retired, old);
+  g_hash_table_steal (link->dealers, address);
   g_hash_table_insert (link->dealers, g_memdup2 (address, sizeof *address), socket);
   return true;
 }
@@ -403,6 +483,7 @@
 fl_link_disconnect (struct fl_link *link, const struct fl_name *address)
 {
   g_hash_table_remove (link->dealers, address);
+  close_retired (link, address);
 }
 
 bool
--- a/lib/net/link.h
+++ b/lib/net/link.h
@@ -57,6 +57,14 @@
  * @return false with @error filled when the address is invalid. */
 bool fl_link_connect (struct fl_link *link, const struct fl_name *address, struct fl_error *error);
 
+/* Opens another connection to @address, for what is sent from now on, unless something has arrived
+ * from it since @sent_ms (boot clock), when a message was sent that has no reply: the connection
+ * may be dead although nothing has reset it. What arrives on the old one soon afterwards still
+ * counts. A message that is sent before the new one is established fails.
+ * @return whether another connection was opened. */
+bool
+fl_link_reconnect_silent (struct fl_link *link, const struct fl_name *address, int64_t sent_ms);
+
 /* Closes the connection to @address, if any. */
 void fl_link_disconnect (struct fl_link *link, const struct fl_name *address);
 
--- a/lib/poold/advisor_pool.c
+++ b/lib/poold/advisor_pool.c
@@ -36,6 +36,9 @@
 /* The same after a query that could not be sent: the link to the host is down, and reconnects
  * within a second once the host is back. */
 #define UNSENT_BACKOFF_MS 1000
+/* The same when the connection to the host was replaced after its first query without a reply. By
+ * then the new one is established, or the next query cannot be sent and is not lost. */
+#define RECONNECT_BACKOFF_MS 100
 
 /* A host, this one or a peer, that passes one query at a time to the advice service. */
 struct advisor
@@ -415,6 +418,19 @@
     }
 }
 
+void
+fl_advisor_pool_note_reconnect (struct fl_advisor_pool *pool,
+                                const struct fl_name *address,
+                                int64_t now_ms)
+{
+  for (guint i = 0; i < pool->advisors->len; i++)
+    {
+      struct advisor *advisor = g_ptr_array_index (pool->advisors, i);
+      if (advisor->unanswered == 1 && fl_name_eq (&advisor->address, address))
+        advisor->backoff_until_ms = MIN (advisor->backoff_until_ms, now_ms + RECONNECT_BACKOFF_MS);
+    }
+}
+
 /* --- state dump --- */
 
 void
--- a/lib/poold/advisor_pool.h
+++ b/lib/poold/advisor_pool.h
@@ -85,6 +85,12 @@
 /* @return when the next reply becomes overdue; INT64_MAX if no query is in flight. */
 int64_t fl_advisor_pool_next_overdue_ms (const struct fl_advisor_pool *pool);
 
+/* Notes that the connection to the peer at @address, which had sent nothing since an overdue query,
+ * was replaced. A peer that had no reply for the first time is used again soon. */
+void fl_advisor_pool_note_reconnect (struct fl_advisor_pool *pool,
+                                     const struct fl_name *address,
+                                     int64_t now_ms);
+
 /* Notes that any message of the peer at @address has arrived. A peer whose link lost one query is
  * used again at once; one that loses two in a row, or that had no reply of the service, is not. */
 void fl_advisor_pool_note_message (struct fl_advisor_pool *pool,
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -167,6 +167,19 @@
   return ((struct query *)value)->forgotten_ms <= *(int64_t *)now_ms;
 }
 
+/* Replaces the connection to the host of @overdue if the host has been silent since. */
+static void
+reconnect_silent (struct fl_advisors *advisors,
+                  const struct fl_advisor_query *overdue,
+                  int64_t now_ms)
+{
+  const struct fl_advisors_options *options = &advisors->options;
+
+  if (overdue->address.len > 0
+      && options->reconnect_silent (options->context, &overdue->address, overdue->sent_ms))
+    fl_advisor_pool_note_reconnect (advisors->pool, &overdue->address, now_ms);
+}
+
 static void
 on_overdue_timer (void *context)
 {
@@ -177,6 +190,7 @@
 
   while (fl_advisor_pool_take_overdue (advisors->pool, now_ms, &overdue))
     {
+      reconnect_silent (advisors, &overdue, now_ms);
       const struct query *query = g_hash_table_lookup (advisors->queries, &overdue.number);
       if (query != NULL)
         return_reply (query, &overdue, &no_reply, false);
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -29,6 +29,9 @@
                     const struct fl_advice_reply *reply);
   /* Sends @data to a peer. Returns false when the message was certainly not sent. */
   bool (*send) (void *context, const struct fl_route *to, const char *data, size_t len);
+  /* Replaces the connection to the link at @address if nothing has arrived on it since @sent_ms;
+   * see fl_link_reconnect_silent. */
+  bool (*reconnect_silent) (void *context, const struct fl_name *address, int64_t sent_ms);
   void *context;
 };
 
--- a/lib/poold/peers.c
+++ b/lib/poold/peers.c
@@ -73,6 +73,14 @@
   return fl_link_connect (poold->link, address, NULL);
 }
 
+static bool
+reconnect_silent (void *context, const struct fl_name *address, int64_t sent_ms)
+{
+  struct fl_poold *poold = context;
+
+  return fl_link_reconnect_silent (poold->link, address, sent_ms);
+}
+
 static void
 on_message (void *context, const struct fl_route *from, const char *data, size_t len)
 {
@@ -119,6 +127,7 @@
           .calls = fl_platform_target_client_get_advice_calls (poold->own_targets),
           .on_reply = on_advice_reply,
           .send = send_advice,
+          .reconnect_silent = reconnect_silent,
           .context = poold };
   struct fl_forwarder_options forwarder = {
     .loop = host->loop,
@@ -127,6 +136,7 @@
     .send = send_forward,
     .send_batch = send_batch,
     .connect = connect_peer,
+    .reconnect_silent = reconnect_silent,
     .may_send = fl_poold_may_send,
     .context = poold,
     .direct = fl_platform_target_client_get_calls (poold->own_targets),
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -9,7 +9,8 @@
 #define PEER_STOPPING_PAUSE_MS 3000
 #define TICK_INTERVAL_MS 100
 /* A peer without a reply for this long, beyond the wait of a feed call, gets no further calls for
- * PEER_PAUSE_MS; its reply still counts until the call times out. */
+ * PEER_PAUSE_MS, and then over another connection; its reply still counts until the call times out.
+ */
 #define PEER_OVERDUE_MS 650
 /* A peer's reply may take this much longer than the store's: two transfers between hosts. */
 #define PEER_SLACK_MS 50
@@ -31,6 +32,7 @@
   struct fl_relay *relay;
   int64_t number;
   struct fl_name peer;
+  int64_t sent_ms;
   int64_t timeout_at_ms;
   struct fl_timeout timeout; /* first fires when the reply is overdue */
   void (*done) (void *context, const struct fl_store_reply *reply);
@@ -107,6 +109,7 @@
   struct fl_store_reply reply = { .status = FL_STORE_UNKNOWN };
   int64_t left_ms = call->timeout_at_ms - fl_clock_boot_ms ();
 
+  fl_link_reconnect_silent (call->relay->link, &call->peer, call->sent_ms);
   if (left_ms > 0)
     {
       pause_peer (call->relay, &call->peer, PEER_PAUSE_MS);
@@ -138,6 +141,7 @@
   *call = (struct peer_call){ .relay = relay,
                               .number = message->number,
                               .peer = peer->address,
+                              .sent_ms = fl_clock_boot_ms (),
                               .timeout_at_ms = fl_clock_boot_ms () + timeout_ms + PEER_SLACK_MS,
                               .done = done,
                               .context = done_context };
--- a/tests/test_advisor_pool.c
+++ b/tests/test_advisor_pool.c
@@ -306,6 +306,39 @@
   fl_advisor_pool_free (pool);
 }
 
+/* A host whose connection had gone silent was queried over it again and again, up to 16 s apart. */
+static void
+test_host_is_used_soon_over_another_connection (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int lost_before; /* queries in a row without a reply, over the connection before */
+    int64_t backoff_ms;
+  } cases[] = { { "the first query is lost", 0, 100 }, { "the second one is lost", 1, 4000 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fl_advisor_pool *pool = new_pool (1);
+      struct fl_name own = fl_name_of ("h0");
+      struct fl_advisor_query query;
+      int64_t now_ms = 1000;
+
+      fl_advisor_pool_set_peer (pool, &own, &own);
+      for (int j = 0; j <= cases[i].lost_before; j++)
+        {
+          assert_true (fl_advisor_pool_begin (pool, &demand_480, now_ms, &query));
+          now_ms = let_time_out (pool) + (j < cases[i].lost_before ? 2000 : 0);
+        }
+      fl_advisor_pool_note_reconnect (pool, &own, now_ms);
+      if (fl_advisor_pool_is_available (pool, &demand_480, now_ms + cases[i].backoff_ms - 1)
+          || !fl_advisor_pool_is_available (pool, &demand_480, now_ms + cases[i].backoff_ms))
+        fail_msg ("%s: not used again after %d ms", cases[i].name, (int)cases[i].backoff_ms);
+      fl_advisor_pool_free (pool);
+    }
+}
+
 /* The late replies of one host widened the limits of all. */
 static void
 test_one_slow_host_does_not_widen_the_limit (void **state)
@@ -348,6 +381,7 @@
       = { cmocka_unit_test (test_replies_later_than_published),
           cmocka_unit_test (test_host_without_replies_backs_off_longer_each_time),
           cmocka_unit_test (test_host_is_used_soon_after_its_call_has_ended),
+          cmocka_unit_test (test_host_is_used_soon_over_another_connection),
           cmocka_unit_test (test_one_slow_host_does_not_widen_the_limit) };
 
   return cmocka_run_group_tests_name ("advisor_pool", tests, NULL, NULL);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -13,8 +14,11 @@
 #include "forward/forward.h"
 #include "forward/message.h"
 #include "support_loop.h"
+#include "support_proxy.h"
 
 #define LOOP_STEP_S 0.02
+/* Orders until a peer must be used again. */
+#define TRIES_MAX 150
 /* Longer than the limit of every order. */
 #define HOLD_UP_MS 1500
 
@@ -132,6 +136,12 @@
   return fl_link_connect (((struct host *)context)->link, address, NULL);
 }
 
+static bool
+host_reconnect_silent (void *context, const struct fl_name *address, int64_t sent_ms)
+{
+  return fl_link_reconnect_silent (((struct host *)context)->link, address, sent_ms);
+}
+
 static void
 on_message (void *context, const struct fl_route *from, const char *data, size_t len)
 {
@@ -160,7 +170,8 @@
                                           .address = "tcp://127.0.0.1:0",
                                           .queue_max = 100,
                                           .on_message = on_message,
-                                          .context = host };
+                                          .context = host,
+                                          .stats = stats };
   struct fl_error error = { 0 };
 
   order_recorder_init (&host->direct);
@@ -170,9 +181,17 @@
   host->unreachable = fl_name_of ("");
   host->link = fl_link_new (&link_options, &error);
   assert_non_null (host->link);
-  struct fl_forwarder_options forwarder_options
-      = { loop,         &log,     stats, host_send,           host_send_batch,
-          host_connect, may_send, host,  &host->direct.calls, &host->forwarded.calls };
+  struct fl_forwarder_options forwarder_options = { .loop = loop,
+                                                    .log = &log,
+                                                    .stats = stats,
+                                                    .send = host_send,
+                                                    .send_batch = host_send_batch,
+                                                    .connect = host_connect,
+                                                    .reconnect_silent = host_reconnect_silent,
+                                                    .may_send = may_send,
+                                                    .context = host,
+                                                    .direct = &host->direct.calls,
+                                                    .forwarded = &host->forwarded.calls };
   host->forwarder = fl_forwarder_new (&forwarder_options);
 }
 
@@ -572,6 +591,22 @@
   stop_hosts (&owner, peers, loop, stats);
 }
 
+/* Makes @owner forward starts through @peer at @address, and waits until it does. */
+static void
+forward_through (struct host *owner,
+                 struct host *peer,
+                 const struct fl_name *address,
+                 struct ev_loop *loop)
+{
+  struct fl_name name = fl_name_of ("h2");
+
+  assert_true (fl_link_connect (owner->link, address, NULL));
+  fl_forwarder_set_peer (owner->forwarder, &name, address);
+  fl_forwarder_set_enabled (owner->forwarder, true);
+  while (peer->forwarded.starts == 0)
+    send_start (loop, owner);
+}
+
 /* Initializes two hosts, and waits until @owner forwards starts through @peer. */
 static void
 init_forwarding_hosts (struct host *owner,
@@ -579,16 +614,62 @@
                        struct ev_loop *loop,
                        struct fl_stats *stats)
 {
-  struct fl_name name = fl_name_of ("h2");
-
   host_init (owner, loop, stats);
   host_init (peer, loop, stats);
   struct fl_name address = fl_link_address (peer->link);
-  assert_true (fl_link_connect (owner->link, &address, NULL));
-  fl_forwarder_set_peer (owner->forwarder, &name, &address);
-  fl_forwarder_set_enabled (owner->forwarder, true);
-  while (peer->forwarded.starts == 0)
-    send_start (loop, owner);
+  forward_through (owner, peer, &address, loop);
+}
+
+/* The connection to a peer went silent without a reset, and the peer got no orders any more. */
+static void
+test_peer_behind_silent_connection (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool is_slow; /* the connection only delays what is sent */
+    bool is_start_in_flight;
+  } cases[] = {
+    { "a start is in flight", false, true },
+    { "nothing is in flight", false, false },
+    { "a slow connection", true, true },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+      struct fl_stats *stats = fl_stats_new ();
+      struct host owner;
+      struct host peer;
+
+      host_init (&owner, loop, stats);
+      host_init (&peer, loop, stats);
+      struct fl_name peer_address = fl_link_address (peer.link);
+      struct support_proxy *proxy
+          = support_proxy_new (loop, atoi (strrchr (peer_address.data, ':') + 1));
+      struct fl_name address = fl_name_format ("tcp://127.0.0.1:%d", support_proxy_port (proxy));
+      forward_through (&owner, &peer, &address, loop);
+      (cases[i].is_slow ? support_proxy_hold : support_proxy_silence) (proxy);
+      if (cases[i].is_start_in_flight)
+        assert_int_equal (send_start (loop, &owner).result, FL_ORDER_NO_REPLY);
+      if (cases[i].is_slow)
+        support_proxy_release (proxy);
+      int forwarded = peer.forwarded.starts;
+      for (int tries = 0; peer.forwarded.starts <= forwarded + 1; tries++)
+        {
+          if (tries == TRIES_MAX)
+            fail_msg ("%s: orders are not forwarded again", cases[i].name);
+          send_start (loop, &owner);
+        }
+      assert_int_equal (support_proxy_accepted (proxy), 2);
+      assert_int_equal (fl_stats_get (stats, "links_replaced_total"), 1);
+      host_clear (&owner);
+      host_clear (&peer);
+      support_proxy_free (proxy);
+      fl_stats_free (stats);
+      ev_loop_destroy (loop);
+    }
 }
 
 /* An order without a reply is late by itself while its peer sends other messages: the other orders
@@ -687,6 +768,7 @@
                                       cmocka_unit_test (test_peer_lost_between_batches),
                                       cmocka_unit_test (test_late_reply_of_live_peer),
                                       cmocka_unit_test (test_reply_while_held_up),
+                                      cmocka_unit_test (test_peer_behind_silent_connection),
                                       cmocka_unit_test (test_truncated_messages) };
 
   return cmocka_run_group_tests_name ("forward", tests, NULL, NULL);
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -241,6 +241,12 @@
   return fl_link_connect (((struct owner *)context)->link, address, NULL);
 }
 
+static bool
+reconnect_silent (void *context, const struct fl_name *address, int64_t sent_ms)
+{
+  return fl_link_reconnect_silent (((struct owner *)context)->link, address, sent_ms);
+}
+
 static bool
 may_send (void *context)
 {
@@ -293,6 +299,7 @@
                                           .send = send_order,
                                           .send_batch = send_batch,
                                           .connect = connect_peer,
+                                          .reconnect_silent = reconnect_silent,
                                           .may_send = may_send,
                                           .context = owner,
                                           .direct = &owner->direct,
@@ -301,6 +308,7 @@
                                           .calls = &no_service,
                                           .on_reply = on_advice_reply,
                                           .send = send_advice,
+                                          .reconnect_silent = reconnect_silent,
                                           .context = owner };
 
   *owner = (struct owner){ .loop = ev_loop_new (EVFLAG_AUTO) };
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -13,6 +14,7 @@
 #include "relay/path.h"
 #include "relay/relay.h"
 #include "support_loop.h"
+#include "support_proxy.h"
 
 /* --- path --- */
 
@@ -235,6 +237,8 @@
 
 #define LOOP_STEP_S 0.02
 #define WRITE_TIMEOUT_MS 1000
+/* Calls until a peer must be used again. */
+#define TRIES_MAX 100
 
 /* A store that serves or rejects all calls and replies at once. */
 struct stub_store
@@ -420,13 +424,76 @@
   ev_loop_destroy (loop);
 }
 
+/* The connection to a peer went silent without a reset, and no call was relayed any more. */
+static void
+test_peer_behind_silent_connection (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct stub_store direct_store
+      = { .interface = { &direct_store, stub_store_transact, stub_store_read, NULL } };
+  struct stub_store peer_store
+      = { .interface = { &peer_store, stub_store_transact, stub_store_read, NULL } };
+  struct fl_relay_options options = { .loop = loop,
+                                      .stats = stats,
+                                      .direct = &peer_store.interface,
+                                      .host = fl_name_of ("h2"),
+                                      .cpu_milli = 500,
+                                      .address = fl_name_of ("tcp://127.0.0.1:0") };
+  struct fl_relay *peer = fl_relay_new (&options, NULL);
+  struct store_result result;
+
+  (void)state;
+  while (peer_store.relay_row.len == 0)
+    support_run_loop_for (loop, LOOP_STEP_S);
+  g_auto (GStrv) parts = g_strsplit_set (fl_str_text (&peer_store.relay_row), ":\"", -1);
+  struct support_proxy *proxy = NULL;
+  for (char **part = parts; *part != NULL && proxy == NULL; part++)
+    if (g_str_has_prefix (*part, "//127.0.0.1") && part[1] != NULL)
+      proxy = support_proxy_new (loop, atoi (part[1]));
+  assert_non_null (proxy);
+  g_autofree char *row = g_strdup_printf ("{\"address\":\"tcp://127.0.0.1:%d\",\"cpu_milli\":500}",
+                                          support_proxy_port (proxy));
+  direct_store.relay_row = fl_str_of (row);
+  options.direct = &direct_store.interface;
+  options.host = fl_name_of ("h1");
+  options.address = fl_name_of ("");
+  struct fl_relay *relay = fl_relay_new (&options, NULL);
+  const struct fl_store *store = fl_relay_store (relay);
+  while (fl_relay_peer_count (relay) == 0)
+    support_run_loop_for (loop, LOOP_STEP_S);
+  direct_store.rejects = true;
+  write_until_served (loop, store, &result);
+  support_proxy_silence (proxy);
+  write_row (loop, store, &result);
+  assert_int_equal (result.status, FL_STORE_UNKNOWN);
+  for (int tries = 0; result.status != FL_STORE_OK; tries++)
+    {
+      assert_true (tries < TRIES_MAX);
+      support_run_loop_for (loop, LOOP_STEP_S);
+      write_row (loop, store, &result);
+    }
+  assert_int_equal (support_proxy_accepted (proxy), 2);
+  fl_relay_free (relay);
+  fl_relay_free (peer);
+  support_proxy_free (proxy);
+  fl_str_clear (&direct_store.relay_row);
+  fl_str_clear (&peer_store.relay_row);
+  fl_stats_free (stats);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_path_state),          cmocka_unit_test (test_lost_before_served),
-    cmocka_unit_test (test_path_probes),         cmocka_unit_test (test_path_while_held_up),
-    cmocka_unit_test (test_transaction_message), cmocka_unit_test (test_calls_relayed_by_peer),
+    cmocka_unit_test (test_path_state),
+    cmocka_unit_test (test_lost_before_served),
+    cmocka_unit_test (test_path_probes),
+    cmocka_unit_test (test_path_while_held_up),
+    cmocka_unit_test (test_transaction_message),
+    cmocka_unit_test (test_calls_relayed_by_peer),
+    cmocka_unit_test (test_peer_behind_silent_connection),
   };
 
   return cmocka_run_group_tests_name ("relay", tests, NULL, NULL);
