--- a/tests/support_proxy.c
+++ b/tests/support_proxy.c
@@ -107,13 +107,15 @@
 {
   struct support_proxy *proxy = g_new0 (struct support_proxy, 1);
   struct sockaddr_in address = make_address (0);
+  bool is_listening;
 
   proxy->loop = loop;
   proxy->upstream_port = port;
   proxy->pairs = g_ptr_array_new_with_free_func (pair_free);
   proxy->listener = socket (AF_INET, SOCK_STREAM, 0);
-  g_assert (bind (proxy->listener, (struct sockaddr *)&address, sizeof address) == 0
-            && listen (proxy->listener, SOMAXCONN) == 0);
+  is_listening = bind (proxy->listener, (struct sockaddr *)&address, sizeof address) == 0
+                 && listen (proxy->listener, SOMAXCONN) == 0;
+  g_assert (is_listening);
   ev_io_init (&proxy->accept_io, on_accept, proxy->listener, EV_READ);
   proxy->accept_io.data = proxy;
   ev_io_start (loop, &proxy->accept_io);
@@ -132,7 +134,7 @@
 int
 support_proxy_port (const struct support_proxy *proxy)
 {
-  struct sockaddr_in address;
+  struct sockaddr_in address = make_address (0);
   socklen_t len = sizeof address;
 
   getsockname (proxy->listener, (struct sockaddr *)&address, &len);
