--- a/tests/soak.py
+++ b/tests/soak.py
@@ -381,6 +381,15 @@
                 host.store_proxy.silence_open_connections()
         time.sleep(duration_s / 2)
 
+    def silence_connections(self, duration_s):
+        """Most hosts' connections to the store and those to most targets go silent at once."""
+        hosts = [host for host in self.cell.hosts if self.random.random() < 0.8]
+        with self.logged("silence", "targets", *(host.name for host in hosts)):
+            for proxy in [host.store_proxy for host in hosts] + self.cell.target_proxies:
+                if self.random.random() < 0.9:
+                    proxy.silence_open_connections()
+        time.sleep(duration_s)
+
     def disrupt_store(self, duration_s):
         with self.logged("store", "store"):
             self.cell.control_platform(mode=self.random.choice(["busy", "silent"]))
@@ -598,6 +607,9 @@
     HELD_PHASES = [("held", [write_odd_rows], 2), ("held", HELD, 4), ("held", HELD, 4),
                    ("held", HELD + [reload_and_restart_host, restart_process, reload_during_restart,
                                     kill_owner], 4)]
+    SEVERED = [silence_connections] * 5 + [kill_owner, pause_owner, restart_host, cut_or_crash]
+    SEVERED_PHASES = [("severed", [silence_connections], 1), ("severed", SEVERED, 1),
+                      ("severed", SEVERED, 2)]
     ADVICE_PHASES = [("advice", [disrupt_advice], 1), ("advice", ADVICE, 1), ("advice", ADVICE, 2)]
 
     def inject(self, kinds, deadline):
@@ -793,6 +805,7 @@
                 + (Faults.ADVICE_PHASES if self.plays_advice else [])
                 + (Faults.DEADLY_PHASES if self.plays_deadly else [])
                 + (Faults.EVACUATION_PHASES if self.phase == "evacuation" else [])
+                + (Faults.SEVERED_PHASES if self.phase == "severed" else [])
                 + (Faults.HELD_PHASES if self.plays_held else []))
 
     def play_phase(self, number):
