Links: tests of silent connections

A message that was sent in the millisecond in which the connection was opened does not count against it.

--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -462,7 +462,7 @@
   struct socket *old = g_hash_table_lookup (link->dealers, address);
   int64_t now_ms = fl_clock_boot_ms ();
 
-  if (old == NULL || old->opened_ms > sent_ms || old->heard_ms >= sent_ms)
+  if (old == NULL || old->opened_ms >= sent_ms || old->heard_ms >= sent_ms)
     return false;
   struct socket *socket = connect_socket (link, address, NULL);
   if (socket == NULL)
--- a/tests/support_proxy.c
+++ b/tests/support_proxy.c
@@ -1,6 +1,7 @@
 #include "support_proxy.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <stdbool.h>
 #include <sys/socket.h>
@@ -148,6 +149,18 @@
     ((struct pair *)g_ptr_array_index (proxy->pairs, i))->is_silent = true;
 }
 
+void
+support_proxy_cut (struct support_proxy *proxy)
+{
+  struct sock_filter code[] = { BPF_STMT (BPF_RET | BPF_K, 0) };
+  const struct sock_fprog drop_all = { G_N_ELEMENTS (code), code };
+
+  for (guint i = 0; i < proxy->pairs->len; i++)
+    for (int j = 0; j < 2; j++)
+      setsockopt (((struct pair *)g_ptr_array_index (proxy->pairs, i))->directions[j].io.fd,
+                  SOL_SOCKET, SO_ATTACH_FILTER, &drop_all, sizeof drop_all);
+}
+
 void
 support_proxy_hold (struct support_proxy *proxy)
 {
--- a/tests/support_proxy.h
+++ b/tests/support_proxy.h
@@ -15,6 +15,9 @@
 /* Discards from now on what arrives on the connections that are open now. They stay open. */
 void support_proxy_silence (struct support_proxy *proxy);
 
+/* The same, and nothing that arrives is acknowledged either, as on a path that drops all packets. */
+void support_proxy_cut (struct support_proxy *proxy);
+
 /* Forwards nothing on the connections that are open now until support_proxy_release. */
 void support_proxy_hold (struct support_proxy *proxy);
 void support_proxy_release (struct support_proxy *proxy);
