--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -25,8 +25,11 @@
 #define KEEP_ALIVE_INTERVAL_S 1
 #define KEEP_ALIVE_PROBES 3
 /* What arrives on a connection for this long after it was replaced still counts: its peer, not the
- * connection, may have been slow. Covers the calls that peers make to the advice service. */
+ * connection, may have been slow. Replies to orders and relayed calls count no longer. */
 #define RETIRED_MS 6000
+/* Peers of the largest cell, each with a connection and a replaced one; above what the descriptors
+ * of a process allow. */
+#define SOCKETS_MAX 4096
 /* For replies that are queued when the link is freed, so that their receivers do not wait for a
  * timeout. */
 #define FREE_LINGER_MS 50
@@ -284,19 +287,23 @@
   set_option (zmq, ZMQ_TCP_KEEPALIVE_CNT, KEEP_ALIVE_PROBES);
 }
 
+/* @return NULL when the process has no descriptor left. */
 static struct socket *
 socket_new (struct fl_link *link, int type, const struct fl_name *address)
 {
-  struct socket *socket = g_new0 (struct socket, 1);
+  void *zmq = zmq_socket (link->zmq_context, type);
   struct ev_loop *loop = link->options.loop;
   int queue = (int)link->options.queue_max;
   int fd = -1;
   size_t size = sizeof fd;
 
+  if (zmq == NULL)
+    return NULL;
+  struct socket *socket = g_new0 (struct socket, 1);
   socket->link = link;
   socket->address = *address;
   socket->opened_ms = fl_clock_boot_ms ();
-  socket->zmq = zmq_socket (link->zmq_context, type);
+  socket->zmq = zmq;
   set_option (socket->zmq, ZMQ_LINGER, 0);
   set_option (socket->zmq, ZMQ_SNDHWM, queue);
   set_option (socket->zmq, ZMQ_RCVHWM, queue);
@@ -337,7 +344,7 @@
   size_t size = sizeof endpoint;
 
   link->router = socket_new (link, ZMQ_ROUTER, &none);
-  if (zmq_bind (link->router->zmq, link->options.address) != 0)
+  if (link->router == NULL || zmq_bind (link->router->zmq, link->options.address) != 0)
     return fl_fail (error, FL_INTERNAL, "link_bind", link->options.address, "%s",
                     zmq_strerror (errno));
   if (zmq_getsockopt (link->router->zmq, ZMQ_LAST_ENDPOINT, endpoint, &size) == 0)
@@ -378,6 +385,7 @@
 
   link->options = *options;
   link->zmq_context = zmq_ctx_new ();
+  zmq_ctx_set (link->zmq_context, ZMQ_MAX_SOCKETS, SOCKETS_MAX);
   link->dealers = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, socket_free);
   link->retired = g_ptr_array_new_with_free_func (socket_free);
   link->due = g_ptr_array_new ();
@@ -429,10 +437,11 @@
 {
   struct socket *socket = socket_new (link, ZMQ_DEALER, address);
 
-  if (zmq_connect (socket->zmq, address->data) == 0)
+  if (socket != NULL && zmq_connect (socket->zmq, address->data) == 0)
     return socket;
   fl_fail (error, FL_INVALID, "link_connect", address->data, "%s", zmq_strerror (errno));
-  socket_free (socket);
+  if (socket != NULL)
+    socket_free (socket);
   return NULL;
 }
 
