HTTP client: close idle connections that are as silent as one whose reply is late

Cause: a call that is given up closes its own connection (libcurl drops a connection whose transfer is not complete), but the connections beside it stay idle and are taken next, the longest open first.

Change: the client records for each peer which connections are open, in use, and when something was last heard on each (lib/net/http_peers). When no byte of a reply has arrived 0.45 s after it was due (quiet_ms: the wait of a feed call or heartbeat, the limit of a query), the idle connections on which nothing was heard since are shut down; libcurl finds them dead when it looks for a connection. fl_http_client_new takes an option struct, with the log.

Why it works: what is idle and was heard after the moment at which a working peer would have replied works; everything else is replaced by a new connection at its next use.

--- a/lib/cli/client.c
+++ b/lib/cli/client.c
@@ -39,7 +39,8 @@
                 struct fl_client_reply *reply)
 {
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  struct fl_http_client *client = fl_http_client_new (loop, 1, NULL);
+  struct fl_http_client *client
+      = fl_http_client_new (&(struct fl_http_client_options){ .loop = loop, .connections_max = 1 });
   struct pending_call pending_call = { loop, reply };
   g_autofree char *url = g_strdup_printf ("%s%s", options->url, path);
   g_autofree char *authorization
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -235,7 +235,12 @@
   start_log_buffer (host);
   host->stats = fl_stats_new ();
   fl_loop_watch_start (&host->loop_watch, host->loop, &host->log, host->stats);
-  host->http_client = fl_http_client_new (host->loop, CLIENT_CONNECTIONS_MAX, host->stats);
+  host->http_client = fl_http_client_new (&(struct fl_http_client_options){
+      .loop = host->loop,
+      .connections_max = CLIENT_CONNECTIONS_MAX,
+      .log = &host->log,
+      .stats = host->stats,
+  });
   host->platform_store = fl_platform_store_new (host->http_client, host->settings.store.data);
   host->store = fl_platform_store_get_interface (host->platform_store);
   start_relay (host, program->relays_store_calls);
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -4,24 +4,32 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 #include <glib.h>
 
 #include "common/clock.h"
 #include "common/timeout.h"
+#include "net/http_peers.h"
 
 /* A call whose response body is longer fails. */
 #define RESPONSE_BODY_MAX (16 * 1024 * 1024)
 /* The kernel closes a connection whose sent data stays unacknowledged for this long. */
 #define TCP_USER_TIMEOUT_MS 2000
+/* The connections of a peer are suspected when a reply is overdue for this long. Above the 0.3 s
+ * that a reply takes from a store that is 60 times slower than usual, and below the time after
+ * which a follower sends a copy of its call, so that the copy is sent over another connection. */
+#define REPLY_LATE_MS 450
 
 struct fl_http_client
 {
   struct ev_loop *loop;
+  const struct fl_log *log;
   struct fl_stats *stats;
   CURLM *multi;
   ev_timer timer;
+  struct fl_http_peers *peers;
   GHashTable *calls; /* set of struct call * */
   struct curl_slist *headers;
 };
@@ -30,6 +38,12 @@
 {
   struct fl_http_client *client;
   CURL *easy;
+  struct fl_http_peer *peer;
+  struct fl_http_connection *connection; /* in use by this call */
+  struct fl_timeout late_timeout;        /* until the first byte of the reply */
+  int64_t quiet_ms;
+  int64_t sent_ms; /* the last copy, by the boot clock */
+  bool is_heard;   /* something of the reply to the last copy has arrived */
   GString *body;
   char *url;
   struct curl_slist *custom_headers; /* NULL unless the call adds a header */
@@ -64,14 +78,59 @@
   struct call *call = data;
 
   fl_timeout_stop (&call->timeout);
+  fl_timeout_stop (&call->late_timeout);
   curl_multi_remove_handle (call->client->multi, call->easy);
   curl_easy_cleanup (call->easy);
+  if (call->connection != NULL)
+    fl_http_connection_put_back (call->connection);
+  fl_http_peer_release (call->peer);
   g_string_free (call->body, TRUE);
   curl_slist_free_all (call->custom_headers);
   g_free (call->url);
   g_free (call);
 }
 
+/* --- silent connections --- */
+
+static void
+on_heard (struct call *call)
+{
+  if (call->connection != NULL)
+    fl_http_connection_heard (call->connection);
+  call->is_heard = true;
+  fl_timeout_stop (&call->late_timeout);
+}
+
+/* Nothing of the reply has arrived in time. */
+static void
+on_reply_late (void *context)
+{
+  const struct call *call = context;
+  struct fl_http_client *client = call->client;
+  struct fl_http_peer *peer = call->peer;
+  int64_t due_ms = call->sent_ms + call->quiet_ms;
+  int closed = fl_http_peer_shut_down_unheard (peer, due_ms);
+
+  fl_stats_add (client->stats, "http_connections_closed_silent_total", closed);
+  if (closed == 0 && peer->is_suspect)
+    return;
+  peer->is_suspect = true;
+  fl_stats_add (client->stats, "http_peers_suspect_total", 1);
+  if (client->log != NULL)
+    fl_log (client->log, FL_LOG_INFO, "connections_suspect", FL_S ("peer", peer->address),
+            FL_I ("unanswered_ms", fl_clock_boot_ms () - due_ms), FL_I ("closed", closed),
+            FL_I ("open", peer->connections->len));
+}
+
+static size_t
+on_header (char *data, size_t size, size_t count, void *context)
+{
+  (void)data;
+  if (!((struct call *)context)->is_heard)
+    on_heard (context);
+  return size * count;
+}
+
 static size_t
 on_body (char *data, size_t size, size_t count, void *context)
 {
@@ -81,6 +140,7 @@
     return 0;
   g_string_append_len (call->body, data, (gssize)(size * count));
   call->last_progress_ms = fl_clock_boot_ms ();
+  on_heard (call);
   if (call->on_progress != NULL)
     call->on_progress (call->context);
   return size * count;
@@ -121,11 +181,26 @@
 static curl_socket_t
 on_open_socket (void *context, curlsocktype purpose, struct curl_sockaddr *address)
 {
+  struct call *call = context;
+
   (void)purpose;
-  begin_call (context);
-  if (prevents_resend (context))
+  begin_call (call);
+  if (prevents_resend (call))
     return CURL_SOCKET_BAD;
-  return socket (address->family, address->socktype, address->protocol);
+  int fd = socket (address->family, address->socktype, address->protocol);
+  if (fd < 0)
+    return CURL_SOCKET_BAD;
+  fl_http_peer_open (call->peer, fd, &call->connection);
+  return fd;
+}
+
+static int
+on_close_socket (void *context, curl_socket_t fd)
+{
+  const struct fl_http_client *client = context;
+
+  fl_http_peers_close (client->peers, fd);
+  return close (fd);
 }
 
 static int
@@ -137,14 +212,17 @@
   (void)remote_address;
   (void)local_address;
   (void)remote_port;
-  (void)local_port;
   begin_call (call);
+  fl_http_peer_take (call->peer, local_port, &call->connection);
   if (prevents_resend (call) || fl_clock_boot_ms () >= call->timeout.due_ms)
     return CURL_PREREQFUNC_ABORT;
   if (call->may_send != NULL && !call->may_send (call->may_send_context))
     return CURL_PREREQFUNC_ABORT;
   if (++call->sent_count == 2)
     fl_stats_add (call->client->stats, "http_calls_resent_total", 1);
+  call->sent_ms = fl_clock_boot_ms ();
+  call->is_heard = false;
+  fl_timeout_start (&call->late_timeout, call->quiet_ms + REPLY_LATE_MS);
   return CURL_PREREQFUNC_OK;
 }
 
@@ -242,6 +320,8 @@
   fl_stats_add (call->client->stats, "http_calls_timed_out_total", 1);
   if (call->timeout.is_put_off)
     fl_stats_add (call->client->stats, "http_calls_timed_out_held_up_total", 1);
+  if (call->sent_count > 0 && !call->is_heard)
+    on_reply_late (call);
   g_strlcpy (call->error_text, "no reply in time", sizeof call->error_text);
   finish_call (call->client, call, CURLE_OPERATION_TIMEDOUT);
 }
@@ -329,12 +409,14 @@
 }
 
 struct fl_http_client *
-fl_http_client_new (struct ev_loop *loop, int64_t connections_max, struct fl_stats *stats)
+fl_http_client_new (const struct fl_http_client_options *options)
 {
   struct fl_http_client *client = g_new0 (struct fl_http_client, 1);
 
-  client->loop = loop;
-  client->stats = stats;
+  client->loop = options->loop;
+  client->log = options->log;
+  client->stats = options->stats;
+  client->peers = fl_http_peers_new ();
   client->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
   client->headers = common_headers ();
   client->multi = curl_multi_init ();
@@ -342,7 +424,7 @@
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
   curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
   curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
-  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)connections_max);
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)options->connections_max);
   ev_timer_init (&client->timer, on_timeout, 0.0, 0.0);
   client->timer.data = client;
   return client;
@@ -355,6 +437,7 @@
     return;
   g_hash_table_destroy (client->calls);
   curl_multi_cleanup (client->multi);
+  fl_http_peers_free (client->peers);
   ev_timer_stop (client->loop, &client->timer);
   curl_slist_free_all (client->headers);
   g_free (client);
@@ -369,6 +452,8 @@
   g_assert (easy != NULL && options->on_done != NULL);
   call->client = client;
   call->easy = easy;
+  call->peer = fl_http_peers_get (client->peers, options->url);
+  call->quiet_ms = options->quiet_ms;
   call->body = g_string_new (NULL);
   call->url = g_strdup (options->url);
   call->on_done = options->on_done;
@@ -386,6 +471,8 @@
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->error_text);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_option);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX (options->connect_timeout_ms, 1));
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
@@ -399,6 +486,8 @@
     }
   curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
   curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, call);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, client);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   if (options->body != NULL)
@@ -407,6 +496,7 @@
       curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, options->body);
     }
   g_hash_table_add (client->calls, call);
+  fl_timeout_init (&call->late_timeout, client->loop, on_reply_late, call);
   fl_timeout_init (&call->timeout, client->loop, on_call_timeout, call);
   call->timeout_ms = MAX (options->timeout_ms, 1);
   fl_timeout_start (&call->timeout, call->timeout_ms);
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -3,7 +3,11 @@
  * When a reused connection ends before the first byte of the reply, libcurl sends the request again
  * over another connection. Only the outcome of the last copy is then known, and a rejection of this
  * copy doesn't mean that an earlier one had no effect. Each request is therefore sent once unless
- * its call permits resending. */
+ * its call permits resending.
+ *
+ * Open connections may go silent without a reset. When a call gets no byte of its reply in time,
+ * the idle connections to the same peer on which nothing was heard since the reply was due are
+ * closed, so that later calls are sent over connections that work. */
 #pragma once
 
 #include <ev.h>
@@ -11,6 +15,7 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "common/log.h"
 #include "common/stats.h"
 #include "common/str.h"
 
@@ -43,6 +48,7 @@
    * whole call to @timeout_ms. */
   int64_t stall_timeout_ms;
   int64_t connect_timeout_ms;
+  int64_t quiet_ms; /* for which the peer may stay silent before it replies, by agreement */
   const struct fl_traffic *traffic; /* counters of calls of this kind; NULL for none */
   /* Permits sending the request again when a reused connection ends before the reply. For calls of
    * which only a successful reply counts, and that may arrive twice or late. */
@@ -57,10 +63,16 @@
   void *context;
 };
 
-/* @connections_max limits the connections that are kept open for reuse. @stats counts the traffic
- * of the calls; NULL counts nothing. */
-struct fl_http_client *
-fl_http_client_new (struct ev_loop *loop, int64_t connections_max, struct fl_stats *stats);
+struct fl_http_client_options
+{
+  struct ev_loop *loop;
+  int64_t connections_max;  /* limits the connections that are kept open for reuse */
+  const struct fl_log *log; /* NULL logs nothing */
+  struct fl_stats *stats;   /* counts the traffic of the calls; NULL counts nothing */
+};
+
+/* Copies @options; what it points to is borrowed. */
+struct fl_http_client *fl_http_client_new (const struct fl_http_client_options *options);
 
 /* Frees the client and drops open calls without calling on_done. */
 void fl_http_client_free (struct fl_http_client *client);
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -1087,7 +1087,8 @@
       arg_print_errors (stderr, end, "standin-targets");
       return 2;
     }
-  fleet.client = fl_http_client_new (fleet.loop, 64, NULL);
+  fleet.client = fl_http_client_new (
+      &(struct fl_http_client_options){ .loop = fleet.loop, .connections_max = 64 });
   fleet.platform_url = platform->sval[0];
   fleet.service = service->count > 0 ? service->sval[0] : "citas";
   fleet.domains = g_strsplit (domains->sval[0], ",", 0);
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -503,7 +503,8 @@
 test_orders_that_are_not_utf8 (void **state)
 {
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  struct fl_http_client *client = fl_http_client_new (loop, 0, NULL);
+  struct fl_http_client *client
+      = fl_http_client_new (&(struct fl_http_client_options){ .loop = loop });
   struct fl_platform_target_client *targets
       = fl_platform_target_client_new (client, "127.0.0.1:1", NULL, NULL);
   const struct fl_target_calls *calls = fl_platform_target_client_get_calls (targets);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -107,7 +107,8 @@
 
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
   fixture->stats = fl_stats_new ();
-  fixture->client = fl_http_client_new (fixture->loop, 8, fixture->stats);
+  fixture->client = fl_http_client_new (&(struct fl_http_client_options){
+      .loop = fixture->loop, .connections_max = 8, .stats = fixture->stats });
   fixture->server = support_server_new (options);
   fixture->address = fl_name_format ("127.0.0.1:%d", support_server_port (fixture->server));
   fixture->sends_allowed = ANY_NUMBER;
--- a/tests/test_large_reply.c
+++ b/tests/test_large_reply.c
@@ -231,7 +231,8 @@
       struct ev_loop *loop = ev_loop_new (0);
       struct narrow_server server;
       struct fl_stats *stats = fl_stats_new ();
-      struct fl_http_client *client = fl_http_client_new (loop, 8, stats);
+      struct fl_http_client *client = fl_http_client_new (
+          &(struct fl_http_client_options){ .loop = loop, .connections_max = 8, .stats = stats });
       struct fl_name address;
       struct fl_platform_store *store;
       struct fl_follower *follower;
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -50,7 +50,8 @@
 
   host.loop = ev_default_loop (EVFLAG_AUTO);
   host.stats = fl_stats_new ();
-  host.http_client = fl_http_client_new (host.loop, CLIENT_CONNECTIONS_MAX, host.stats);
+  host.http_client = fl_http_client_new (&(struct fl_http_client_options){
+      .loop = host.loop, .connections_max = CLIENT_CONNECTIONS_MAX, .stats = host.stats });
   host.settings.name = fl_name_of ("h2");
   host.settings.address = fl_name_of ("127.0.0.1");
   host.settings.link_port = link_port;
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -166,7 +166,8 @@
   host.settings.address = fl_name_of ("127.0.0.1");
   host.settings.lease_max_ms = 6000;
   host.stats = fl_stats_new ();
-  host.http_client = fl_http_client_new (host.loop, 0, host.stats);
+  host.http_client = fl_http_client_new (
+      &(struct fl_http_client_options){ .loop = host.loop, .stats = host.stats });
   ev_timer_init (&fake->give_up, on_give_up, GIVE_UP_MS / 1000.0, 0.0);
   ev_timer_start (host.loop, &fake->give_up);
   assert_int_equal (fl_poold_serve (&host), FL_PROGRAM_OK);
