Core: a run that is being stopped is released by what its target lists

A task whose run is being stopped is never started again if the stops have no reply, while the heartbeats of its target have one and list neither the run nor its end.

"step_waited" is logged at the end of a wait only, and "end" is folded above 500 lines a second, so that both can be missing.

Cause, of the wait that has no bound: a run that is being stopped was released only by a heartbeat sent after a confirmed stop. Each report of its target renewed its lease meanwhile.

Change: a run that a report does not list is not in effect, either, if it was listed by an earlier report (a target does not start a run again that has ended there), or if the clock in the report has passed the deadline of its last start (which the target then rejects). The first holds for adopted runs, too. Neither lets a task start earlier than the run can have ended: TWICE. A start in flight is still waited for. "runs_held" tells once a second which run holds its task on a target that is silent or has left, and for what.

Evidence: test_run_waits, nine combinations of state and silence on a virtual clock.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -1011,6 +1011,7 @@
         core_target_resend_orders (target);
       core_target_remove_if_unused (core, target);
     }
+  core_log_held_runs (core);
 }
 
 /* Load pattern: targets leave, and the pool passes to an owner that reads the jobs for seconds, in
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -166,6 +166,9 @@
   bool listed;                 /* the last reply of the target listed it */
   bool ever_listed;            /* some reply of the target listed it, so that its boot is known */
   int64_t last_listed_ms; /* when the last heartbeat whose reply listed it was sent; 0 for none */
+  int64_t listed_at_ms;   /* when the last reply that listed it was handled; 0 for none */
+  int64_t
+      start_deadline_ms; /* latest of its start orders, on the clock of its target; 0 for none */
   int64_t progress_percent;
   int64_t progressed_at_ms; /* when progress_percent last changed or the start order was sent */
   int64_t gauge;            /* see struct fl_run_row */
@@ -477,6 +480,7 @@
   int64_t tick_gap_ms;        /* between the last two ticks */
   int64_t runs_checked_at_ms; /* when all runs were last checked for timeouts */
   int64_t inherited_until_ms; /* options.reconciled_at_ms, before this owner renewed any lease */
+  int64_t held_runs_logged_at_ms;   /* see core_log_held_runs */
   int64_t reconciling_logged_at_ms; /* when the targets that have not reported were last logged */
   bool is_reconciling;              /* the last tick found inherited targets without a report */
   int64_t first_run_number;         /* lowest run number of this owner */
@@ -616,6 +620,10 @@
 /* Treats the runs of @target as lost whose lease has certainly expired. */
 void core_target_expire_runs (struct core_target *target, int64_t now_ms);
 
+/* Logs, at most once a second, how many runs keep their tasks from being started elsewhere while
+ * their targets are silent or have left, and of the one that may do so longest, for what. */
+void core_log_held_runs (struct fl_core *core);
+
 /* Resends the orders to @target that timed out or have not taken effect. */
 void core_target_resend_orders (struct core_target *target);
 
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -359,6 +359,7 @@
   run->ever_listed = true;
   /* The reply was under way for no longer than this, while the target may have waited. */
   run->last_listed_ms = MAX (sent_ms, core->now_ms - FL_HEARTBEAT_LIMIT_MS);
+  run->listed_at_ms = core->now_ms;
   core_crash_note_listed (run);
   if (row->progress_percent != run->progress_percent)
     run->progressed_at_ms = core->now_ms;
@@ -372,12 +373,21 @@
   update_checkpoint (task, &row->checkpoint);
 }
 
-/* Whether @run, which a reply to a heartbeat sent at @sent_ms does not list, cannot be in effect:
- * its target had confirmed it before, or rejects its start, which was sent to an earlier boot. */
+/* Whether @run, which @report, the reply to a heartbeat sent at @sent_ms, does not list, cannot be
+ * in effect: its target rejects its start, which was sent to an earlier boot or comes too late; or
+ * it had confirmed or listed it before, and executes no start of a run that has ended. A start in
+ * flight has a reply soon; a stop is repeated for as long as it has none. */
 static bool
-is_absent (const struct core_run *run, int64_t sent_ms)
+is_absent (const struct core_run *run, const struct fl_target_report *report, int64_t sent_ms)
 {
-  if (run->state != CORE_RUN_PLANNED && run->fencing_token < run->target->fencing_token)
+  if (run->state == CORE_RUN_PLANNED)
+    return false;
+  if (run->fencing_token < run->target->fencing_token)
+    return true;
+  if (run->listed_at_ms > 0 && run->listed_at_ms < sent_ms)
+    return true;
+  if (run->start_deadline_ms > 0 && run->start_deadline_ms < report->clock_ms
+      && (run->state != CORE_RUN_STARTING || !run->order_in_flight))
     return true;
   return !run->order_in_flight && run->confirmed_at_ms > 0 && run->confirmed_at_ms < sent_ms;
 }
@@ -398,7 +408,7 @@
   for (guint i = target->runs->len; i > 0; i--)
     {
       struct core_run *run = g_ptr_array_index (target->runs, i - 1);
-      if (run->listed || !is_absent (run, sent_ms))
+      if (run->listed || !is_absent (run, report, sent_ms))
         continue;
       struct fl_name name = core_task_name (run->task);
       fl_log (core->options.log, FL_LOG_INFO, "run_absent", FL_N ("task", &name),
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -16,6 +16,18 @@
 #define REJECTED_BACKOFF_MS 300
 /* Ticks are due at least every 50 ms. With a longer gap than this, the host is overloaded. */
 #define BUSY_TICK_GAP_MS 120
+#define HELD_RUNS_LOG_INTERVAL_MS 1000
+
+static const char *
+get_state_name (enum core_run_state state)
+{
+  static const char *const names[] = { [CORE_RUN_PLANNED] = "planned",
+                                       [CORE_RUN_STARTING] = "starting",
+                                       [CORE_RUN_ACCEPTED] = "accepted",
+                                       [CORE_RUN_STOPPING] = "stopping" };
+
+  return names[state];
+}
 
 static void
 add_resources (struct fl_resources *resources, const struct fl_step_spec *spec, int sign)
@@ -153,6 +165,7 @@
   run->last_order_at_ms = core->now_ms;
   run->started_at_ms = core->now_ms;
   run->fencing_token = target->fencing_token;
+  run->start_deadline_ms = MAX (run->start_deadline_ms, order.deadline_ms);
   if (run->inconclusive_starts == 0)
     {
       run->first_ordered_at_ms = core->now_ms;
@@ -375,6 +388,57 @@
   target->next_expiry_check_ms = next_ms;
 }
 
+/* --- runs on targets that are silent or have left --- */
+
+/* The event that @run waits for. Its lease ends the wait of all but planned runs. */
+static const char *
+get_awaited_event (const struct core_run *run)
+{
+  if (run->state == CORE_RUN_PLANNED)
+    return "record";
+  return run->order_in_flight ? "reply" : "report";
+}
+
+void
+core_log_held_runs (struct fl_core *core)
+{
+  const struct core_run *last = NULL;
+  int64_t last_expiry_ms = 0;
+  int64_t count = 0;
+
+  if (core->now_ms - core->held_runs_logged_at_ms < HELD_RUNS_LOG_INTERVAL_MS)
+    return;
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      if (!target->silent && (target->registered || !core->registry_known))
+        continue;
+      for (guint j = 0; j < target->runs->len; j++)
+        {
+          const struct core_run *run = g_ptr_array_index (target->runs, j);
+          int64_t expiry_ms = lease_expiry_ms (run);
+          count++;
+          if (last != NULL && expiry_ms <= last_expiry_ms)
+            continue;
+          last = run;
+          last_expiry_ms = expiry_ms;
+        }
+    }
+  if (last == NULL)
+    return;
+  core->held_runs_logged_at_ms = core->now_ms;
+  struct fl_name name = core_task_name (last->task);
+  fl_log (core->options.log, FL_LOG_NOTICE, "runs_held", FL_I ("runs", count), FL_N ("task", &name),
+          FL_I ("run", last->number), FL_N ("target", &last->target->entry.id),
+          FL_S ("state", get_state_name (last->state)),
+          FL_I ("registered", last->target->registered), FL_I ("silent", last->target->silent),
+          FL_S ("for", get_awaited_event (last)),
+          FL_I ("order_ms", last->last_order_at_ms > 0 ? core->now_ms - last->last_order_at_ms : 0),
+          FL_I ("lease_left_ms", last_expiry_ms - core->now_ms));
+}
+
+/* --- replies to starts and stops --- */
+
 /* Whether a start was not sent because this host is overloaded.
  *
  * Load pattern: more starts are due than the processor of this host can send in time. Retrying them
