HTTP server: log each connection that ends with a request and no response

Callers saw a connection end without an answer to a request that a host had read; the logs told only of the connections that the server's own timeouts close. on_completed, which libmicrohttpd calls with the reason of each end, now logs request_unanswered (reason, phase, times, response, what the kernel tells of the peer) and counts requests_unanswered_total. A request whose headers are incomplete is known from its first line.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -16,6 +16,7 @@
 
 #include "common/clock.h"
 #include "common/schema.h"
+#include "net/socket_state.h"
 
 /* Interval of the check for idle and slow connections. */
 #define SWEEP_INTERVAL_MS 1000
@@ -77,6 +78,7 @@
   int64_t accepted_ms;
   int64_t phase_start_ms; /* connection accepted, last response sent, or the last time that bytes of
                              a request arrived */
+  int64_t request_line_ms; /* when the first line of the present request was read; 0 before */
   int64_t request_start_ms;
   bool in_request;
   bool uploading;
@@ -104,10 +106,12 @@
   struct fl_str body_view;
   bool too_large;
   bool dispatched;
-  int64_t arrived_ms; /* by the boot clock */
+  int64_t arrived_ms;    /* by the boot clock */
+  int64_t dispatched_ms; /* by the monotonic clock */
   bool suspended;
   struct MHD_Response *response; /* set by fl_http_respond */
   int status;
+  int64_t response_len;
 };
 
 static int64_t
@@ -448,6 +452,7 @@
 
   request->dispatched = true;
   request->arrived_ms = fl_clock_boot_ms ();
+  request->dispatched_ms = now_ms ();
   g_hash_table_add (server->open_requests, request);
   server->unsent_responses++;
   request->body_view = (struct fl_str){ request->body->len, request->body->str };
@@ -475,7 +480,10 @@
   (void)context;
   (void)uri;
   if (connection != NULL)
-    connection->phase_start_ms = now_ms ();
+    {
+      connection->phase_start_ms = now_ms ();
+      connection->request_line_ms = connection->phase_start_ms;
+    }
   return NULL;
 }
 
@@ -513,17 +521,78 @@
   return MHD_YES;
 }
 
+static const char *
+get_request_phase (const struct fl_http_request *request)
+{
+  if (request == NULL)
+    return "headers";
+  if (!request->dispatched)
+    return "upload";
+  return request->response == NULL ? "waiting" : "response";
+}
+
+/* Logs and counts a request, read wholly or in part, whose connection ended before its response was
+ * sent. @request is NULL if its headers had not arrived completely. */
+static void
+record_unanswered (const struct fl_http_server *server,
+                   const struct connection *connection,
+                   const struct fl_http_request *request,
+                   enum MHD_RequestTerminationCode code)
+{
+  static const struct
+  {
+    const char *name;
+    const char *counter;
+  } codes[] = {
+    [MHD_REQUEST_TERMINATED_COMPLETED_OK] = { "none", "requests_unanswered_total{why=\"none\"}" },
+    [MHD_REQUEST_TERMINATED_WITH_ERROR] = { "error", "requests_unanswered_total{why=\"error\"}" },
+    [MHD_REQUEST_TERMINATED_TIMEOUT_REACHED]
+    = { "timeout", "requests_unanswered_total{why=\"timeout\"}" },
+    [MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN]
+    = { "shutdown", "requests_unanswered_total{why=\"shutdown\"}" },
+    [MHD_REQUEST_TERMINATED_READ_ERROR]
+    = { "read_error", "requests_unanswered_total{why=\"read_error\"}" },
+    [MHD_REQUEST_TERMINATED_CLIENT_ABORT]
+    = { "client_abort", "requests_unanswered_total{why=\"client_abort\"}" },
+  };
+  const struct fl_http_server_options *options = &server->options;
+  struct fl_socket_state socket = fl_socket_state_get (connection->fd);
+  int64_t now = now_ms ();
+
+  g_assert ((size_t)code < G_N_ELEMENTS (codes));
+  fl_log (
+      options->log, FL_LOG_NOTICE, "request_unanswered", FL_S ("listener", options->name),
+      FL_S ("why", codes[code].name), FL_S ("phase", get_request_phase (request)),
+      FL_S ("method", request != NULL ? request->method : ""),
+      FL_S ("path", request != NULL ? request->path : ""),
+      FL_I ("request_ms", now - connection->request_line_ms),
+      FL_I ("read_ms", request != NULL && request->dispatched ? now - request->dispatched_ms : -1),
+      FL_I ("status", request != NULL ? request->status : 0),
+      FL_I ("response_bytes", request != NULL ? request->response_len : 0),
+      FL_I ("unacked", socket.unacked_bytes), FL_I ("unread", socket.unread_bytes),
+      FL_S ("peer", socket.peer), FL_I ("by_server", connection->is_shut_down),
+      FL_I ("freeing", server->closing), FL_I ("age_ms", now - connection->accepted_ms),
+      FL_I ("loop_waited_ms", now - server->last_turn_ms));
+  fl_stats_add (options->stats, codes[code].counter, 1);
+}
+
 static void
 on_completed (void *context,
               struct MHD_Connection *mhd,
               void **request_context,
               enum MHD_RequestTerminationCode code)
 {
+  struct fl_http_server *server = context;
   struct fl_http_request *request = *request_context;
+  struct connection *connection = get_connection (mhd);
 
-  (void)context;
-  (void)mhd;
-  (void)code;
+  if (connection != NULL)
+    {
+      if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK
+          || (request != NULL && request->response == NULL))
+        record_unanswered (server, connection, request, code);
+      connection->request_line_ms = 0;
+    }
   if (request == NULL)
     return;
   if (request->dispatched)
@@ -852,6 +921,7 @@
   g_assert (request->response == NULL);
   g_hash_table_remove (request->server->open_requests, request);
   request->status = response->status;
+  request->response_len = (int64_t)response->len;
   request->response = MHD_create_response_from_buffer (response->len, (void *)response->body,
                                                        MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (request->response, "Content-Type",
