HTTP server: read on a closed connection until its client has the response

Callers that had sent further requests behind one whose response closes the connection saw a reset in place of a long response: libmicrohttpd closes the socket with bytes unread, and the kernel then discards what it has not sent. Such connections now keep a descriptor of their own that is read for up to 2 s, until the client closes its end. A process that stops counts them as open, and waits for them at most as long as for unsent responses.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -16,6 +16,7 @@
 
 #include "common/clock.h"
 #include "common/schema.h"
+#include "net/lingering.h"
 #include "net/socket_state.h"
 
 /* Interval of the check for idle and slow connections. */
@@ -31,7 +32,7 @@
 #define PEER_TIMEOUT_S 60
 #define KEEP_ALIVE_IDLE_S 30
 #define KEEP_ALIVE_INTERVAL_S 10
-/* For the client to read a response that is sent before its request has arrived, and to close. */
+/* For the client to read the last response of a connection, and to close. */
 #define LINGER_MS 2000
 #define LISTEN_BACKLOG 1024
 /* fl_http_server_free goes on while requests arrive and responses are sent: until nothing of them
@@ -60,7 +61,8 @@
   int shut_down_count;       /* of them, those that were shut down but not closed yet */
   bool was_full;             /* connections_max was reached */
   GHashTable *open_requests; /* set of complete requests without a response */
-  int unsent_responses;      /* complete requests whose response has not been sent completely */
+  struct fl_lingering *lingering;
+  int unsent_responses; /* complete requests whose response has not been sent completely */
   bool has_stopped_listening;
   MHD_socket listener;  /* from fl_http_server_stop_listening until it is closed */
   ev_timer close_timer; /* closes it */
@@ -137,6 +139,21 @@
   set_socket_option (fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 }
 
+/* Keeps a connection that is about to be closed open for reading if its close could lose a part of
+ * the last response: bytes wait unread, or not all that was sent is acknowledged. A process that
+ * ends waits only for connections on which bytes wait. */
+static void
+linger (struct fl_http_server *server, const struct connection *connection)
+{
+  struct fl_socket_state socket = fl_socket_state_get (connection->fd);
+  int count = server->connection_count + fl_lingering_count (server->lingering);
+
+  if (strcmp (socket.peer, "open") == 0
+      && (socket.unread_bytes > 0 || (socket.unacked_bytes > 0 && !server->closing))
+      && count < server->options.connections_max)
+    fl_lingering_add (server->lingering, connection->fd);
+}
+
 static void
 on_connection (void *context,
                struct MHD_Connection *mhd,
@@ -177,6 +194,8 @@
   server->connection_count--;
   if (connection->is_shut_down)
     server->shut_down_count--;
+  else
+    linger (server, connection);
   g_free (connection);
   *socket_context = NULL;
 }
@@ -681,6 +700,14 @@
   ev_timer_start (loop, &server->sweep_timer);
 }
 
+static void
+free_members (struct fl_http_server *server)
+{
+  fl_lingering_free (server->lingering, FREE_MAX_MS);
+  g_hash_table_destroy (server->open_requests);
+  g_free (server);
+}
+
 /* --- public functions --- */
 
 struct fl_http_server *
@@ -692,12 +719,12 @@
   server->options = *options;
   server->listener = MHD_INVALID_SOCKET;
   server->open_requests = g_hash_table_new (NULL, NULL);
+  server->lingering = fl_lingering_new (options->loop, LINGER_MS);
   address.sin_port = htons ((uint16_t)options->port);
   if (inet_pton (AF_INET, options->address, &address.sin_addr) != 1)
     {
       fl_fail (error, FL_INVALID, "http_listen", options->address, "not an IPv4 address");
-      g_hash_table_destroy (server->open_requests);
-      g_free (server);
+      free_members (server);
       return NULL;
     }
   server->daemon = MHD_start_daemon (
@@ -712,8 +739,7 @@
     {
       fl_fail (error, FL_INTERNAL, "http_listen", options->address, "cannot listen on port %d",
                (int)options->port);
-      g_hash_table_destroy (server->open_requests);
-      g_free (server);
+      free_members (server);
       return NULL;
     }
   start_watchers (server);
@@ -854,8 +880,7 @@
   ev_timer_stop (server->options.loop, &server->wakeup_timer);
   ev_timer_stop (server->options.loop, &server->sweep_timer);
   MHD_stop_daemon (server->daemon);
-  g_hash_table_destroy (server->open_requests);
-  g_free (server);
+  free_members (server);
 }
 
 int
@@ -876,7 +901,7 @@
 int
 fl_http_server_open_connections (const struct fl_http_server *server)
 {
-  return server->connection_count;
+  return server->connection_count + fl_lingering_count (server->lingering);
 }
 
 const char *
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -66,7 +66,8 @@
  * have begun by then are accepted, and those that are open stay open. NULL is allowed. */
 void fl_http_server_stop_listening (struct fl_http_server *server);
 
-/* @return the number of open connections, with or without a request. */
+/* @return the number of open connections, with or without a request, and of those that the server
+ * has closed and whose clients may still be reading the last response. */
 int fl_http_server_open_connections (const struct fl_http_server *server);
 
 /* @return the port that the server listens on. */
--- a/tests/support_http.c
+++ b/tests/support_http.c
@@ -115,11 +115,23 @@
   return client->awaits_response;
 }
 
+/* Removes a "100 Continue" at the start of the received bytes. */
+static void
+skip_continue (struct test_client *client)
+{
+  const char *text = client->received->str;
+  const char *end = strstr (text, "\r\n\r\n");
+
+  if (end != NULL && g_str_has_prefix (text, "HTTP/1.1 100 "))
+    g_string_erase (client->received, 0, end + 4 - text);
+}
+
 /* @return the status of the response at the start of the received bytes, which is then removed; 0
  * if it is not complete. */
 static int
 take_response (struct test_client *client, bool *closes)
 {
+  skip_continue (client);
   const char *text = client->received->str;
   const char *end = strstr (text, "\r\n\r\n");
   const char *length = strcasestr (text, "\r\nContent-Length: ");
@@ -150,16 +162,22 @@
 
   if (client->fd < 0)
     return -1;
-  if (poll (&ready, 1, wait_ms) <= 0)
-    return 0;
-  count = recv (client->fd, buffer, sizeof buffer, 0);
-  if (count <= 0)
+  /* The response to a request that was sent together with others may have arrived with the one
+   * before. */
+  status = take_response (client, &closes);
+  if (status == 0)
     {
-      test_client_close (client);
-      return -1;
+      if (poll (&ready, 1, wait_ms) <= 0)
+        return 0;
+      count = recv (client->fd, buffer, sizeof buffer, 0);
+      if (count <= 0)
+        {
+          test_client_close (client);
+          return -1;
+        }
+      g_string_append_len (client->received, buffer, count);
+      status = take_response (client, &closes);
     }
-  g_string_append_len (client->received, buffer, count);
-  status = take_response (client, &closes);
   if (status > 0)
     client->awaits_response = false;
   if (closes)
--- a/tests/test_http_unanswered.c
+++ b/tests/test_http_unanswered.c
@@ -20,7 +20,9 @@
 #define HEADER_MAX (32 * 1024)
 #define BODY_MAX (256 * 1024)
 #define TURN_S 0.02
-#define GUARD_TURNS 200
+/* Some pipelined requests are handled in each turn. */
+#define EXCHANGE_TURN_S 0.001
+#define GUARD_TURNS 10000
 /* From one check of the connections to beyond the second after it. */
 #define CHECKS_S 3.2
 #define TIMEOUT_MS 60000
@@ -202,10 +204,186 @@
   assert_int_equal (failures, 0);
 }
 
+/* --- requests in unusual forms --- */
+
+/* @return @head, a header that makes it @len bytes long with the rest of @text, and that rest. */
+static char *
+pad_headers (const char *head, const char *rest, size_t len)
+{
+  size_t used = strlen (head) + strlen ("X-Pad: \r\n") + strlen (rest);
+  g_autofree char *pad = g_strnfill (len > used ? len - used : 0, 'p');
+
+  return g_strdup_printf ("%sX-Pad: %s\r\n%s", head, pad, rest);
+}
+
+static char *
+repeat (const char *text, int count)
+{
+  GString *all = g_string_new (NULL);
+
+  for (int i = 0; i < count; i++)
+    g_string_append (all, text);
+  return g_string_free (all, FALSE);
+}
+
+/* Sends @text in parts as the server reads, and counts the responses by status until the
+ * connection ends or @expected have arrived.
+ * @return "STATUS xCOUNT" of the last status, followed by "!" if another one came before. */
+static char *
+exchange (struct fixture *fixture, const char *text, int expected, bool shuts_down)
+{
+  size_t len = strlen (text);
+  size_t sent = 0;
+  int last = 0;
+  int count = 0;
+  bool mixed = false;
+  bool is_shut = false;
+
+  for (int turn = 0; turn < GUARD_TURNS && count < expected; turn++)
+    {
+      int status;
+
+      if (sent < len && fixture->client.fd >= 0)
+        {
+          ssize_t part
+              = send (fixture->client.fd, text + sent, len - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+          sent += part > 0 ? (size_t)part : 0;
+        }
+      if (shuts_down && sent == len && !is_shut)
+        is_shut = shutdown (fixture->client.fd, SHUT_WR) == 0;
+      ev_now_update (fixture->loop);
+      support_run_loop_for (fixture->loop, EXCHANGE_TURN_S);
+      respond_to_held (fixture);
+      while (count < expected && (status = test_client_poll (&fixture->client, 0)) != 0)
+        {
+          if (status < 0)
+            return g_strdup_printf ("closed after %d", count);
+          mixed = mixed || (last != 0 && last != status);
+          last = status;
+          count++;
+        }
+    }
+  return g_strdup_printf ("%d x%d%s", last, count, mixed ? "!" : "");
+}
+
+enum form
+{
+  AS_IS,
+  PADDED,   /* headers of @size bytes */
+  REPEATED, /* @size times */
+  BODY,     /* a body of @size bytes */
+};
+
+static char *
+make_text (enum form form, const char *text, size_t size)
+{
+  if (form == PADDED)
+    return pad_headers ("GET /a HTTP/1.1\r\nHost: x\r\n", "\r\n", size);
+  if (form == REPEATED)
+    return repeat (text, (int)size);
+  if (form == BODY)
+    {
+      g_autofree char *body = g_strnfill (size, 'b');
+      return g_strdup_printf ("%sContent-Length: %d\r\n\r\n%s", text, (int)size, body);
+    }
+  return g_strdup (text);
+}
+
+/* Each form of request gets a complete response, at once or after a while. */
+static void
+test_each_form_is_answered (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum form form;
+    const char *text;
+    size_t size;
+    bool closes;     /* the response closes the connection */
+    bool shuts_down; /* the client sends its end after the request */
+    size_t body_len; /* of the response */
+    int expected;
+    const char *result;
+  } cases[] = {
+    { "plain", AS_IS, GET, 0, false, false, 2, 1, "200 x1" },
+    { "HTTP/1.0", AS_IS, "GET /a HTTP/1.0\r\n\r\n", 0, false, false, 2, 1, "200 x1" },
+    { "HTTP/1.0, keep-alive", AS_IS, "GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", 0, false,
+      false, 2, 1, "200 x1" },
+    { "asked to close", AS_IS, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 0, false,
+      false, 2, 1, "200 x1" },
+    { "end of the client", AS_IS, GET, 0, false, true, 2, 1, "200 x1" },
+    { "end of the client, long response", AS_IS, GET, 0, false, true, 1000000, 1, "200 x1" },
+    { "no host", AS_IS, "GET /a HTTP/1.1\r\n\r\n", 0, false, false, 2, 1, "200 x1" },
+    /* The exception: what has no request line of HTTP/1.x is not answered. */
+    { "no request line", AS_IS, "GET\r\n\r\n", 0, false, false, 2, 1, "closed after 0" },
+    { "chunks", AS_IS,
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n",
+      0, false, false, 2, 1, "200 x1" },
+    { "malformed chunks", AS_IS,
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 0, false, false, 2,
+      1, "400 x1" },
+    { "malformed length", AS_IS, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: abc\r\n\r\n", 0,
+      false, false, 2, 1, "400 x1" },
+    { "expects 100", AS_IS,
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\nab", 0,
+      false, false, 2, 1, "200 x1" },
+    { "body of the longest length", BODY, "POST /a HTTP/1.1\r\nHost: x\r\n", BODY_MAX, false, false,
+      2, 1, "200 x1" },
+    { "body too long", BODY, "POST /a HTTP/1.1\r\nHost: x\r\n", BODY_MAX + 1, false, false, 2, 1,
+      "413 x1" },
+    { "body far too long", BODY, "POST /a HTTP/1.1\r\nHost: x\r\n", 8 * BODY_MAX, false, false, 2,
+      1, "413 x1" },
+    { "headers of 8 KB", PADDED, NULL, 8 * 1024, false, false, 2, 1, "200 x1" },
+    { "headers of 15 KB", PADDED, NULL, 15 * 1024, false, false, 2, 1, "200 x1" },
+    { "headers of 16 KB", PADDED, NULL, 16 * 1024, false, false, 2, 1, "200 x1" },
+    { "headers of 24 KB", PADDED, NULL, 24 * 1024, false, false, 2, 1, "200 x1" },
+    { "headers of 30 KB", PADDED, NULL, 30 * 1024, false, false, 2, 1, "200 x1" },
+    { "headers of 31 KB", PADDED, NULL, 31 * 1024, false, false, 2, 1, "200 x1" },
+    { "headers of 32,300 bytes", PADDED, NULL, 32300, false, false, 2, 1, "200 x1" },
+    { "headers too long", PADDED, NULL, 40 * 1024, false, false, 2, 1, "431 x1" },
+    { "headers far too long", PADDED, NULL, 400 * 1024, false, false, 2, 1, "431 x1" },
+    { "3 in a row", REPEATED, GET, 3, false, false, 2, 3, "200 x3" },
+    { "1,000 in a row", REPEATED, GET, 1000, false, false, 2, 1000, "200 x1000" },
+    { "5,000 in a row", REPEATED, GET, 5000, false, false, 2, 5000, "200 x5000" },
+    { "response that closes", AS_IS, GET, 0, true, false, 2, 1, "200 x1" },
+    { "response that closes before 3 requests", REPEATED, GET, 3, true, false, 2, 1, "200 x1" },
+    { "response that closes before 5,000 requests", REPEATED, GET, 5000, true, false, 2, 1,
+      "200 x1" },
+    { "long response that closes before 5,000 requests", REPEATED, GET, 5000, true, false, 200000,
+      1, "200 x1" },
+    { "response that closes before 100,000 requests", REPEATED, GET, 100000, true, false, 1000000,
+      1, "200 x1" },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (int is_late = 0; is_late < 2; is_late++)
+      {
+        struct fixture fixture;
+        g_autofree char *text = make_text (cases[i].form, cases[i].text, cases[i].size);
+        g_autofree char *result = NULL;
+
+        set_up (&fixture, TIMEOUT_MS);
+        fixture.responds = is_late == 0;
+        fixture.closes = cases[i].closes;
+        fixture.body_len = cases[i].body_len;
+        result = exchange (&fixture, text, cases[i].expected, cases[i].shuts_down);
+        tear_down (&fixture);
+        if (strcmp (result, cases[i].result) == 0)
+          continue;
+        print_error ("%s%s: %s\n", cases[i].name, is_late ? ", answered later" : "", result);
+        failures++;
+      }
+  assert_int_equal (failures, 0);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_unanswered_request_is_counted) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_unanswered_request_is_counted),
+                                      cmocka_unit_test (test_each_form_is_answered) };
 
   return cmocka_run_group_tests_name ("http_unanswered", tests, NULL, NULL);
 }
