--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -16,6 +16,8 @@
 
 #include "common/clock.h"
 #include "common/schema.h"
+#include "net/lingering.h"
+#include "net/socket_state.h"
 
 /* Interval of the check for idle and slow connections. */
 #define SWEEP_INTERVAL_MS 1000
@@ -30,7 +32,7 @@
 #define PEER_TIMEOUT_S 60
 #define KEEP_ALIVE_IDLE_S 30
 #define KEEP_ALIVE_INTERVAL_S 10
-/* For the client to read a response that is sent before its request has arrived, and to close. */
+/* For the client to read the last response of a connection, and to close. */
 #define LINGER_MS 2000
 #define LISTEN_BACKLOG 1024
 /* fl_http_server_free goes on while requests arrive and responses are sent: until nothing of them
@@ -59,7 +61,8 @@
   int shut_down_count;       /* of them, those that were shut down but not closed yet */
   bool was_full;             /* connections_max was reached */
   GHashTable *open_requests; /* set of complete requests without a response */
-  int unsent_responses;      /* complete requests whose response has not been sent completely */
+  struct fl_lingering *lingering;
+  int unsent_responses; /* complete requests whose response has not been sent completely */
   bool has_stopped_listening;
   MHD_socket listener;  /* from fl_http_server_stop_listening until it is closed */
   ev_timer close_timer; /* closes it */
@@ -77,6 +80,7 @@
   int64_t accepted_ms;
   int64_t phase_start_ms; /* connection accepted, last response sent, or the last time that bytes of
                              a request arrived */
+  int64_t request_line_ms; /* when the first line of the present request was read; 0 before */
   int64_t request_start_ms;
   bool in_request;
   bool uploading;
@@ -104,10 +108,12 @@
   struct fl_str body_view;
   bool too_large;
   bool dispatched;
-  int64_t arrived_ms; /* by the boot clock */
+  int64_t arrived_ms;    /* by the boot clock */
+  int64_t dispatched_ms; /* by the monotonic clock */
   bool suspended;
   struct MHD_Response *response; /* set by fl_http_respond */
   int status;
+  int64_t response_len;
 };
 
 static int64_t
@@ -133,6 +139,21 @@
   set_socket_option (fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 }
 
+/* Keeps a connection that is about to be closed open for reading if its close could lose a part of
+ * the last response: bytes wait unread, or not all that was sent is acknowledged. A process that
+ * ends waits only for connections on which bytes wait. */
+static void
+linger (struct fl_http_server *server, const struct connection *connection)
+{
+  struct fl_socket_state socket = fl_socket_state_get (connection->fd);
+  int count = server->connection_count + fl_lingering_count (server->lingering);
+
+  if (strcmp (socket.peer, "open") == 0
+      && (socket.unread_bytes > 0 || (socket.unacked_bytes > 0 && !server->closing))
+      && count < server->options.connections_max)
+    fl_lingering_add (server->lingering, connection->fd);
+}
+
 static void
 on_connection (void *context,
                struct MHD_Connection *mhd,
@@ -173,6 +194,8 @@
   server->connection_count--;
   if (connection->is_shut_down)
     server->shut_down_count--;
+  else
+    linger (server, connection);
   g_free (connection);
   *socket_context = NULL;
 }
@@ -448,6 +471,7 @@
 
   request->dispatched = true;
   request->arrived_ms = fl_clock_boot_ms ();
+  request->dispatched_ms = now_ms ();
   g_hash_table_add (server->open_requests, request);
   server->unsent_responses++;
   request->body_view = (struct fl_str){ request->body->len, request->body->str };
@@ -475,7 +499,10 @@
   (void)context;
   (void)uri;
   if (connection != NULL)
-    connection->phase_start_ms = now_ms ();
+    {
+      connection->phase_start_ms = now_ms ();
+      connection->request_line_ms = connection->phase_start_ms;
+    }
   return NULL;
 }
 
@@ -513,17 +540,78 @@
   return MHD_YES;
 }
 
+static const char *
+get_request_phase (const struct fl_http_request *request)
+{
+  if (request == NULL)
+    return "headers";
+  if (!request->dispatched)
+    return "upload";
+  return request->response == NULL ? "waiting" : "response";
+}
+
+/* Logs and counts a request, read wholly or in part, whose connection ended before its response was
+ * sent. @request is NULL if its headers had not arrived completely. */
+static void
+record_unanswered (const struct fl_http_server *server,
+                   const struct connection *connection,
+                   const struct fl_http_request *request,
+                   enum MHD_RequestTerminationCode code)
+{
+  static const struct
+  {
+    const char *name;
+    const char *counter;
+  } codes[] = {
+    [MHD_REQUEST_TERMINATED_COMPLETED_OK] = { "none", "requests_unanswered_total{why=\"none\"}" },
+    [MHD_REQUEST_TERMINATED_WITH_ERROR] = { "error", "requests_unanswered_total{why=\"error\"}" },
+    [MHD_REQUEST_TERMINATED_TIMEOUT_REACHED]
+    = { "timeout", "requests_unanswered_total{why=\"timeout\"}" },
+    [MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN]
+    = { "shutdown", "requests_unanswered_total{why=\"shutdown\"}" },
+    [MHD_REQUEST_TERMINATED_READ_ERROR]
+    = { "read_error", "requests_unanswered_total{why=\"read_error\"}" },
+    [MHD_REQUEST_TERMINATED_CLIENT_ABORT]
+    = { "client_abort", "requests_unanswered_total{why=\"client_abort\"}" },
+  };
+  const struct fl_http_server_options *options = &server->options;
+  struct fl_socket_state socket = fl_socket_state_get (connection->fd);
+  int64_t now = now_ms ();
+
+  g_assert ((size_t)code < G_N_ELEMENTS (codes));
+  fl_log (
+      options->log, FL_LOG_NOTICE, "request_unanswered", FL_S ("listener", options->name),
+      FL_S ("why", codes[code].name), FL_S ("phase", get_request_phase (request)),
+      FL_S ("method", request != NULL ? request->method : ""),
+      FL_S ("path", request != NULL ? request->path : ""),
+      FL_I ("request_ms", now - connection->request_line_ms),
+      FL_I ("read_ms", request != NULL && request->dispatched ? now - request->dispatched_ms : -1),
+      FL_I ("status", request != NULL ? request->status : 0),
+      FL_I ("response_bytes", request != NULL ? request->response_len : 0),
+      FL_I ("unacked", socket.unacked_bytes), FL_I ("unread", socket.unread_bytes),
+      FL_S ("peer", socket.peer), FL_I ("by_server", connection->is_shut_down),
+      FL_I ("freeing", server->closing), FL_I ("age_ms", now - connection->accepted_ms),
+      FL_I ("loop_waited_ms", now - server->last_turn_ms));
+  fl_stats_add (options->stats, codes[code].counter, 1);
+}
+
 static void
 on_completed (void *context,
               struct MHD_Connection *mhd,
               void **request_context,
               enum MHD_RequestTerminationCode code)
 {
+  struct fl_http_server *server = context;
   struct fl_http_request *request = *request_context;
+  struct connection *connection = get_connection (mhd);
 
-  (void)context;
-  (void)mhd;
-  (void)code;
+  if (connection != NULL)
+    {
+      if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK
+          || (request != NULL && request->response == NULL))
+        record_unanswered (server, connection, request, code);
+      connection->request_line_ms = 0;
+    }
   if (request == NULL)
     return;
   if (request->dispatched)
@@ -612,6 +700,14 @@
   ev_timer_start (loop, &server->sweep_timer);
 }
 
+static void
+free_members (struct fl_http_server *server)
+{
+  fl_lingering_free (server->lingering, FREE_MAX_MS);
+  g_hash_table_destroy (server->open_requests);
+  g_free (server);
+}
+
 /* --- public functions --- */
 
 struct fl_http_server *
@@ -623,12 +719,12 @@
   server->options = *options;
   server->listener = MHD_INVALID_SOCKET;
   server->open_requests = g_hash_table_new (NULL, NULL);
+  server->lingering = fl_lingering_new (options->loop, LINGER_MS);
   address.sin_port = htons ((uint16_t)options->port);
   if (inet_pton (AF_INET, options->address, &address.sin_addr) != 1)
     {
       fl_fail (error, FL_INVALID, "http_listen", options->address, "not an IPv4 address");
-      g_hash_table_destroy (server->open_requests);
-      g_free (server);
+      free_members (server);
       return NULL;
     }
   server->daemon = MHD_start_daemon (
@@ -643,8 +739,7 @@
     {
       fl_fail (error, FL_INTERNAL, "http_listen", options->address, "cannot listen on port %d",
                (int)options->port);
-      g_hash_table_destroy (server->open_requests);
-      g_free (server);
+      free_members (server);
       return NULL;
     }
   start_watchers (server);
@@ -785,8 +880,7 @@
   ev_timer_stop (server->options.loop, &server->wakeup_timer);
   ev_timer_stop (server->options.loop, &server->sweep_timer);
   MHD_stop_daemon (server->daemon);
-  g_hash_table_destroy (server->open_requests);
-  g_free (server);
+  free_members (server);
 }
 
 int
@@ -807,7 +901,7 @@
 int
 fl_http_server_open_connections (const struct fl_http_server *server)
 {
-  return server->connection_count;
+  return server->connection_count + fl_lingering_count (server->lingering);
 }
 
 const char *
@@ -852,6 +946,7 @@
   g_assert (request->response == NULL);
   g_hash_table_remove (request->server->open_requests, request);
   request->status = response->status;
+  request->response_len = (int64_t)response->len;
   request->response = MHD_create_response_from_buffer (response->len, (void *)response->body,
                                                        MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (request->response, "Content-Type",
