--- a/tests/support_proxy.h
+++ b/tests/support_proxy.h
@@ -15,7 +15,8 @@
 /* Discards from now on what arrives on the connections that are open now. They stay open. */
 void support_proxy_silence (struct support_proxy *proxy);
 
-/* The same, and nothing that arrives is acknowledged either, as on a path that drops all packets. */
+/* The same, and nothing that arrives is acknowledged either, as on a path that drops all packets.
+ */
 void support_proxy_cut (struct support_proxy *proxy);
 
 /* Forwards nothing on the connections that are open now until support_proxy_release. */
