Core: tell the longest waits while they last

Change: gauges steps_waiting_ms{for=...}, the longest time for which a job of which nothing runs has now waited, by what it lacks; and the line step_waiting, at most once a second, for the step that has waited longest, from 3 s on, with its queries and the last of them. All waiting steps are looked at ten times a second.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -452,6 +452,8 @@
   GQueue final_jobs;                      /* final, not yet reduced to their ids */
   GQueue lasting_jobs;                    /* with long-running steps */
   int64_t lasting_checked_at_ms;
+  int64_t waits_checked_at_ms; /* see core_note_longest_waits */
+  int64_t waits_logged_at_ms;
   GPtrArray *recording_jobs;                /* with a record in flight */
   GQueue crash_tasks;                       /* tasks with crashes, in the order of their first */
   guint watched_runs;                       /* targets with a watched run */
@@ -574,6 +576,10 @@
 /* Notes that @step waits for @missing from now on, or no longer. Logs the wait when it ends. */
 void core_step_note_wait (struct core_step *step, enum core_wait_reason missing);
 
+/* Updates the gauges of the longest waits, and logs the step that has waited longest. To be called
+ * in each tick after tasks are placed. */
+void core_note_longest_waits (struct fl_core *core);
+
 /* --- runs.c --- */
 
 /* Creates run @number of @task on @target and charges its resources to the target and the team. */
--- a/lib/core/job_age.c
+++ b/lib/core/job_age.c
@@ -6,6 +6,11 @@
 #include "core/core_internal.h"
 
 #define PAIRS_MAX 16
+#define SCAN_INTERVAL_MS 100
+/* A step that keeps its job waiting for longer is logged, the one that has waited longest at this
+ * interval. */
+#define WAITING_LOGGED_MS 3000
+#define WAITING_LOG_INTERVAL_MS 1000
 
 static const char *const reason_names[CORE_WAIT_REASON_COUNT]
     = { "none", "team_limit", "room", "advice", "record", "link", "settling" };
@@ -155,3 +160,84 @@
   if (missing == CORE_WAIT_NONE)
     end_wait (step);
 }
+
+/* --- the longest waits --- */
+
+/* @return for how long @step has waited, for whatever was missing. */
+static int64_t
+get_waited_ms (const struct core_step *step)
+{
+  const struct core_step_wait *wait = &step->wait;
+  int64_t waited_ms = step->job->core->now_ms - wait->missing_since_ms;
+
+  if (wait->missing == CORE_WAIT_NONE)
+    return 0;
+  for (int i = CORE_WAIT_NONE + 1; i < CORE_WAIT_REASON_COUNT; i++)
+    waited_ms += wait->parts_ms[i];
+  return waited_ms;
+}
+
+/* The longest waits of jobs of which nothing runs though a step's turn has come. */
+struct longest_waits
+{
+  int64_t waited_ms[CORE_WAIT_REASON_COUNT]; /* by what is missing now */
+  const struct core_step *step;              /* which has waited longest */
+  int64_t step_waited_ms;
+  int64_t count; /* of steps that have waited for WAITING_LOGGED_MS or longer */
+};
+
+static void
+add_job_waits (struct longest_waits *waits, const struct core_job *job)
+{
+  for (size_t i = 0; job->run_count == 0 && i < job->step_count; i++)
+    {
+      const struct core_step *step = &job->steps[i];
+      int64_t waited_ms = get_waited_ms (step);
+      int64_t *longest_ms = &waits->waited_ms[step->wait.missing];
+      *longest_ms = MAX (*longest_ms, waited_ms);
+      waits->count += waited_ms >= WAITING_LOGGED_MS;
+      if (waited_ms <= waits->step_waited_ms)
+        continue;
+      waits->step = step;
+      waits->step_waited_ms = waited_ms;
+    }
+}
+
+static void
+log_longest_wait (const struct longest_waits *waits)
+{
+  const struct core_step *step = waits->step;
+  const struct fl_core *core = step->job->core;
+  struct fl_name name = core_step_name (step);
+
+  fl_log (
+      core->options.log, FL_LOG_NOTICE, "step_waiting", FL_N ("step", &name),
+      FL_S ("for", reason_names[step->wait.missing]), FL_I ("ms", waits->step_waited_ms),
+      FL_I ("queries", step->queries_sent), FL_I ("unanswered", step->queries_failed),
+      FL_I ("query_in_flight", step->query_in_flight),
+      FL_I ("last_query_ms_ago", step->queried_at_ms > 0 ? core->now_ms - step->queried_at_ms : -1),
+      FL_I ("has_turn", step->job->has_turn), FL_N ("queue", &step->job->spec.queue),
+      FL_N ("team", &step->job->spec.team), FL_I ("steps", waits->count));
+}
+
+void
+core_note_longest_waits (struct fl_core *core)
+{
+  struct longest_waits waits = { .step = NULL };
+
+  if (core->now_ms - core->waits_checked_at_ms < SCAN_INTERVAL_MS)
+    return;
+  core->waits_checked_at_ms = core->now_ms;
+  for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
+    add_job_waits (&waits, link->data);
+  for (int i = CORE_WAIT_NONE + 1; i < CORE_WAIT_REASON_COUNT; i++)
+    {
+      g_autofree char *stat = g_strdup_printf ("steps_waiting_ms{for=\"%s\"}", reason_names[i]);
+      fl_stats_set (core->options.stats, stat, waits.waited_ms[i]);
+    }
+  if (waits.step_waited_ms < WAITING_LOGGED_MS
+      || core->now_ms - core->waits_logged_at_ms < WAITING_LOG_INTERVAL_MS)
+    return;
+  core->waits_logged_at_ms = core->now_ms;
+  log_longest_wait (&waits);
+}
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -915,6 +915,7 @@
   query_advice (unadvised);
   core_urgent_room_preempt (core);
   update_ages (core);
+  core_note_longest_waits (core);
   fl_stats_set (core->options.stats, "steps_waiting", waiting->len);
   g_array_unref (waiting);
 }
