Core: a step of which no task is idle waits for nothing

Cause: waits are updated for steps with idle tasks only. A step whose last idle task was adopted kept the reason, and its job's age counted to settling_ms for as long as a later step waited.

Change: the wait of a step without idle tasks ends in the next tick.

Evidence: test_waiting_work, test_adopted_runs_end_the_wait; without the change it fails (1,600 ms of settling, not 0).

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -777,7 +777,12 @@
   for (size_t i = 0; i < job->step_count; i++)
     {
       struct waiting_step entry = { .step = &job->steps[i] };
-      if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step))
+      if (entry.step->idle_tasks == 0)
+        {
+          set_wait_reason (entry.step, CORE_WAIT_NONE);
+          continue;
+        }
+      if (!core_step_is_due (entry.step))
         continue;
       if (unreconciled && is_blocked_by_reconciliation (entry.step, blocked))
         {
