Tests: count the reason of a down task in its own line

test_log_of_tasks_that_are_down counted "for=room" in all lines, which those of the new event step_waiting contain, too (6 of 2). It counts the text as it stands in lasting_task_down, followed by query_ms, as strictly as before.

--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -837,7 +837,7 @@
   assert_int_equal (count_lines (log_state, "event=lasting_task_down task=a.0.0.0"), 2);
   assert_int_equal (count_lines (log_state, "down=2 record=0 starting=0 settling=0 suspended=0"),
                     2);
-  assert_int_equal (count_lines (log_state, "for=room"), 2);
+  assert_int_equal (count_lines (log_state, "for=room query_ms="), 2);
   assert_int_equal (count_lines (log_state, "targets=\"1 silent, 2 draining\""), 2);
   assert_in_range (fl_stats_get (fixture->stats, "lasting_down_ms"), 6000, 6300);
   add_target (fixture, "t4", 2, false);
