Core: accepted work is not kept waiting by whatever comes after it

Cause: each order prefers some steps to others, and nothing bounds for how long. Where only queries are scarce, the ratio of waits to the time of a query prefers short queries, and steps of expired jobs come last. Where the backlog needs more than all free room, though most of it gets no query, only one expired job a second is placed first; work that never expires, since it has no objective, is never due a turn.

Change: half of the time of the hosts is for steps that have waited for 2 s, the longest wait first, if the room that they need is free twice or their job has a turn. A wait does not begin anew when some tasks have started. Turns are for jobs of any class of which a step has waited for 15 s, too, and follow each other faster where over 60 wait.

Why it works: in the order by age nothing that comes later goes before a step, so that it waits 2 s, and then at most twice as long as the queries of the steps before it take, and what is in flight. N jobs have their turns within 60 s.

--- a/lib/core/advice.c
+++ b/lib/core/advice.c
@@ -364,6 +364,7 @@
   step->queried_at_ms = core->now_ms;
   step->queries_sent++;
   core->queries_sent++;
+  core->query_time_ms += demand->expected_ms;
   step->query_in_flight = true;
   step->queried_targets = queried;
   step->queried_cpu_milli
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -307,6 +307,7 @@
   int64_t wait_queries_sent;
   int64_t wait_queries_failed;
   struct core_step_wait wait;
+  int64_t waiting_since_ms;      /* when its wait began; it ends when every task has started */
   int64_t eligible_until_ms;     /* until then it has tickets of its last reply */
   struct core_deadline deadline; /* of its occurrence, in the first step of that */
   double longest_run_ms;         /* of its tasks that are done */
@@ -493,7 +494,9 @@
   struct fl_move_budget move_budget;
   struct fl_failure_rate failure_rate; /* of the runs on all targets */
   int64_t queries_sent;                /* advice queries about all steps */
-  int64_t turn_given_at_ms;            /* when an expired job last got its turn */
+  int64_t query_time_ms;               /* that these were expected to take */
+  struct fl_order_share query_share;   /* of old steps */
+  int64_t turn_given_at_ms;            /* when a job last got its turn */
   bool target_list_outdated;           /* the stored list may contain a target that left */
   bool records_in_flight;              /* collected records have been neither stored nor failed */
   int64_t records_collected_at_ms;     /* when records were last collected */
--- a/lib/core/job_age.c
+++ b/lib/core/job_age.c
@@ -149,6 +149,7 @@
   if (wait->missing == CORE_WAIT_NONE)
     {
       /* The query in flight is part of the wait that it causes. */
+      step->waiting_since_ms = now_ms;
       wait->queries_sent = step->queries_sent - step->query_in_flight;
       wait->queries_failed = step->queries_failed;
       wait->all_queries_sent = step->job->core->queries_sent - step->query_in_flight;
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -19,6 +19,9 @@
 #define PLACEMENTS_CAPACITY_RATIO 4
 /* Wait after which a long-running step is queried before all others. */
 #define LONG_RUNNING_WAIT_MS 1000
+/* How many times the room that an old step needs has to be free where room is scarce, so that a
+ * query about it is not in vain. */
+#define OLD_ROOM_MIN 2
 /* Index of the rack in the labels of a target; index 0 holds the kind of target. */
 #define RACK_LABEL_INDEX 1
 
@@ -471,23 +474,33 @@
   return weights > 0 ? (double)cpu_milli / (double)weights : 0;
 }
 
-/* Lets the oldest expired job among @waiting go first once an interval, until it ends. */
+/* @return for how long @step has waited without a start of any of its tasks. */
+static int64_t
+get_unplaced_ms (const struct core_step *step)
+{
+  return step->unplaced_since_ms > 0 ? step->job->core->now_ms - step->unplaced_since_ms : 0;
+}
+
+/* Lets the oldest job among those of @waiting that are due a turn go first once an interval, until
+ * it ends. */
 static void
 give_turn (struct fl_core *core, GArray *waiting)
 {
   struct core_job *oldest = NULL;
+  int64_t count = 0;
 
-  if (core->now_ms - core->turn_given_at_ms < FL_ORDER_TURN_INTERVAL_MS)
-    return;
   for (guint i = 0; i < waiting->len; i++)
     {
       const struct waiting_step *entry = &g_array_index (waiting, struct waiting_step, i);
       struct core_job *job = entry->step->job;
-      if (entry->key.order_class == FL_ORDER_EXPIRED && !job->has_turn
-          && (oldest == NULL || job->accepted_version < oldest->accepted_version))
+      if (job->has_turn
+          || !fl_order_is_due_a_turn (entry->key.order_class, get_unplaced_ms (entry->step)))
+        continue;
+      count++;
+      if (oldest == NULL || job->accepted_version < oldest->accepted_version)
         oldest = job;
     }
-  if (oldest == NULL)
+  if (oldest == NULL || core->now_ms - core->turn_given_at_ms < fl_order_turn_interval_ms (count))
     return;
   oldest->has_turn = true;
   core->turn_given_at_ms = core->now_ms;
@@ -550,6 +563,8 @@
   int64_t unplaced;      /* tasks for which advice is needed */
   bool awaits_recording; /* other tasks start once a record is stored */
   bool is_without_room;  /* the steps before it need all that is free */
+  bool is_old;           /* see FL_ORDER_OLD_WAIT_MS; there is room for it */
+  bool is_handled;       /* it has been queried about, or a host was missing */
   struct fl_order_query order;
 };
 
@@ -575,7 +590,7 @@
 static int64_t
 get_unserved_ms (const struct core_step *step)
 {
-  int64_t unplaced_ms = step->job->core->now_ms - step->unplaced_since_ms;
+  int64_t unplaced_ms = get_unplaced_ms (step);
 
   return step->spec->long_running && unplaced_ms >= LONG_RUNNING_WAIT_MS ? unplaced_ms : 0;
 }
@@ -658,6 +673,19 @@
   return &g_array_index (rooms, struct service_room, rooms->len - 1);
 }
 
+/* Whether @entry is old, and can start with advice. What the steps before it need is no reason
+ * against this: where queries are scarce, most of them get none. */
+static bool
+is_old (const struct unadvised_step *entry, const struct service_room *room)
+{
+  const struct core_step *step = entry->step;
+  int64_t needed_cpu_milli = entry->unplaced * step->spec->cpu_milli;
+
+  return get_unplaced_ms (step) >= FL_ORDER_OLD_WAIT_MS
+         && (!entry->order.is_room_scarce || step->job->has_turn
+             || room->free_cpu_milli >= OLD_ROOM_MIN * needed_cpu_milli);
+}
+
 /* Tells for each of @unadvised, in the order of waiting steps, whether the service has less room
  * than all of them need, and whether those before it leave none. */
 static void
@@ -678,6 +706,7 @@
       const struct core_job *job = entry->step->job;
       const struct service_room *room = get_service_room (rooms, job->core, &job->queue.service);
       entry->order.is_room_scarce = room->needed_cpu_milli > room->free_cpu_milli;
+      entry->is_old = is_old (entry, room);
     }
 }
 
@@ -702,22 +731,95 @@
          || (entry->is_without_room && !step->query_in_flight);
 }
 
+/* Queries advice for the step of @entry. */
+static void
+query_advice_for (struct unadvised_step *entry)
+{
+  enum core_wait_reason wait = core_advice_send_query (entry->step, entry->unplaced);
+
+  if (wait == CORE_WAIT_CAPACITY && entry->awaits_recording)
+    wait = CORE_WAIT_RECORD;
+  bool for_room = wait == CORE_WAIT_ADVICE && is_room_missing (entry);
+  set_wait (entry->step, wait, for_room ? CORE_WAIT_CAPACITY : wait);
+  entry->is_handled = true;
+}
+
+/* A wait does not begin anew when some of the tasks have started. */
+static gint
+compare_old_steps (const void *a, const void *b)
+{
+  const struct core_step *x = (*(struct unadvised_step *const *)a)->step;
+  const struct core_step *y = (*(struct unadvised_step *const *)b)->step;
+
+  if (x->waiting_since_ms != y->waiting_since_ms)
+    return x->waiting_since_ms < y->waiting_since_ms ? -1 : 1;
+  return x->job->accepted_version < y->job->accepted_version ? -1 : 1;
+}
+
+/* @return the old ones of @unadvised without a query in flight, the oldest first. */
+static GPtrArray *
+collect_old_steps (const GArray *unadvised)
+{
+  GPtrArray *old = g_ptr_array_new ();
+
+  for (guint i = 0; i < unadvised->len; i++)
+    {
+      struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      if (entry->is_old && !entry->step->query_in_flight)
+        g_ptr_array_add (old, entry);
+    }
+  g_ptr_array_sort (old, compare_old_steps);
+  return old;
+}
+
+/* @return the next of @old from @position on that is not handled, or NULL. Advances @position
+ * to it. */
+static struct unadvised_step *
+get_next_old_step (const GPtrArray *old, guint *position)
+{
+  while (*position < old->len
+         && ((struct unadvised_step *)g_ptr_array_index (old, *position))->is_handled)
+    *position += 1;
+  return *position < old->len ? g_ptr_array_index (old, *position) : NULL;
+}
+
+/* Queries advice for the oldest of @old while this is due. @position: of the first of them that may
+ * not be handled yet. */
+static void
+query_advice_for_old_steps (struct fl_core *core, const GPtrArray *old, guint *position)
+{
+  struct unadvised_step *entry = get_next_old_step (old, position);
+
+  while (entry != NULL && fl_order_share_is_due (&core->query_share))
+    {
+      int64_t before_ms = core->query_time_ms;
+      query_advice_for (entry);
+      fl_order_share_note_query (&core->query_share, true, core->query_time_ms - before_ms);
+      entry = get_next_old_step (old, position);
+    }
+}
+
 /* Queries advice for the steps of @unadvised. */
 static void
-query_advice (GArray *unadvised)
+query_advice (struct fl_core *core, GArray *unadvised)
 {
   g_autoptr (GArray) rooms = g_array_new (FALSE, FALSE, sizeof (struct service_room));
+  guint position = 0;
 
   find_scarce_rooms (unadvised, rooms);
   g_array_sort (unadvised, compare_unadvised_steps);
+  g_autoptr (GPtrArray) old = collect_old_steps (unadvised);
+  if (old->len == 0)
+    core->query_share = (struct fl_order_share){ 0 };
   for (guint i = 0; i < unadvised->len; i++)
     {
-      const struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
-      enum core_wait_reason wait = core_advice_send_query (entry->step, entry->unplaced);
-      if (wait == CORE_WAIT_CAPACITY && entry->awaits_recording)
-        wait = CORE_WAIT_RECORD;
-      bool for_room = wait == CORE_WAIT_ADVICE && is_room_missing (entry);
-      set_wait (entry->step, wait, for_room ? CORE_WAIT_CAPACITY : wait);
+      struct unadvised_step *entry = &g_array_index (unadvised, struct unadvised_step, i);
+      query_advice_for_old_steps (core, old, &position);
+      int64_t before_ms = core->query_time_ms;
+      if (!entry->is_handled)
+        query_advice_for (entry);
+      if (old->len > 0)
+        fl_order_share_note_query (&core->query_share, false, core->query_time_ms - before_ms);
     }
 }
 
@@ -917,7 +1019,7 @@
     core_urgent_room_add (g_array_index (waiting, struct waiting_step, i).step);
   for (guint i = 0; i < waiting->len; i++)
     place_step (&g_array_index (waiting, struct waiting_step, i), unadvised);
-  query_advice (unadvised);
+  query_advice (core, unadvised);
   core_urgent_room_preempt (core);
   update_ages (core);
   core_note_longest_waits (core);
--- a/lib/policy/order.c
+++ b/lib/policy/order.c
@@ -11,6 +11,8 @@
 #define MARGIN_SHARE 0.3
 /* Jobs that differ by less than such a part of their work are at the same stage. */
 #define STAGES 4.0
+/* Neither part of the hosts' time is made up for beyond this. */
+#define SHARE_BALANCE_MAX_MS 2000
 
 struct fl_order_time
 fl_order_get_time (
@@ -60,11 +62,11 @@
   return a < b ? -1 : a > b;
 }
 
-/* Of expired jobs, only those that have a turn are placed with the others. */
+/* Of expired jobs, only those that have a turn are placed before others. */
 static int
 get_group (const struct fl_order_key *key)
 {
-  return key->order_class != FL_ORDER_EXPIRED ? 1 : key->has_turn ? 0 : 2;
+  return key->has_turn ? 0 : key->order_class != FL_ORDER_EXPIRED ? 1 : 2;
 }
 
 static int64_t
@@ -108,3 +110,28 @@
     result = a->response_ratio > b->response_ratio ? -1 : 1;
   return result != 0 ? result : compare_numbers (a->position, b->position);
 }
+
+bool
+fl_order_is_due_a_turn (enum fl_order_class order_class, int64_t waited_ms)
+{
+  return order_class == FL_ORDER_EXPIRED || waited_ms >= FL_ORDER_TURN_WAIT_MS;
+}
+
+int64_t
+fl_order_turn_interval_ms (int64_t count)
+{
+  return MIN (FL_ORDER_TURN_INTERVAL_MS, FL_ORDER_TURNS_MAX_MS / MAX (count, 1));
+}
+
+bool
+fl_order_share_is_due (const struct fl_order_share *share)
+{
+  return share->balance_ms >= 0;
+}
+
+void
+fl_order_share_note_query (struct fl_order_share *share, bool is_for_oldest, int64_t query_ms)
+{
+  share->balance_ms = CLAMP (share->balance_ms + (is_for_oldest ? -query_ms : query_ms),
+                             -SHARE_BALANCE_MAX_MS, SHARE_BALANCE_MAX_MS);
+}
--- a/lib/policy/order.h
+++ b/lib/policy/order.h
@@ -51,7 +51,7 @@
   int64_t priority; /* of its queue; 0 comes first */
   enum fl_order_class order_class;
   bool is_at_risk;        /* see fl_order_is_at_risk */
-  bool has_turn;          /* its job has expired, and is the one to be ended now */
+  bool has_turn;          /* its job is one of those to be ended now; see fl_order_is_due_a_turn */
   int team_excess;        /* see fl_order_team_excess */
   double unstarted_share; /* of the work of its job, from 0 to 1 */
   int64_t left_ms;        /* see fl_order_left_in_class_ms */
@@ -82,8 +82,37 @@
  * decides; they come after those of services that have room. */
 int fl_order_compare_queries (const struct fl_order_query *a, const struct fl_order_query *b);
 
-/* Expired jobs that wait have a turn one after the other, the oldest first, at this interval.
+/* Jobs that expired, or that wait for FL_ORDER_TURN_WAIT_MS, have a turn one after the other, the
+ * oldest first, at this interval, or a shorter one where many wait for it.
  *
- * Load pattern: overload that lasts. Jobs that expired come after all others, but each of N of them
- * has had its turn after N intervals. */
+ * Load pattern: overload that lasts. Such jobs come after others for as long as these come, but
+ * each of N of them has had its turn after N intervals, and after FL_ORDER_TURNS_MAX_MS at most. */
 #define FL_ORDER_TURN_INTERVAL_MS 1000
+#define FL_ORDER_TURN_WAIT_MS 15000
+#define FL_ORDER_TURNS_MAX_MS 60000
+
+/* Whether a job is to have a turn of which a step has waited for @waited_ms. */
+bool fl_order_is_due_a_turn (enum fl_order_class order_class, int64_t waited_ms);
+
+/* @return the time between two turns while @count jobs wait for one. */
+int64_t fl_order_turn_interval_ms (int64_t count);
+
+/* A step that has waited for this long without a start is old: half of the time of the hosts is for
+ * queries about old steps, the oldest first, as long as there are any.
+ *
+ * Load pattern: hosts are few, and more queries are needed than they can send. By any order that
+ * prefers some steps to others, some wait for as long as others come. A step waits for this time,
+ * and then at most twice as long as the queries take that the steps before it need. */
+#define FL_ORDER_OLD_WAIT_MS 2000
+
+/* How the time of the hosts is shared between old steps and the order of queries. */
+struct fl_order_share
+{
+  int64_t balance_ms; /* of the queries by the order of queries, less those for old steps */
+};
+
+/* Whether the next query is for the oldest step. */
+bool fl_order_share_is_due (const struct fl_order_share *share);
+
+/* Notes a query that takes @query_ms, sent while there are old steps. */
+void fl_order_share_note_query (struct fl_order_share *share, bool is_for_oldest, int64_t query_ms);
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -500,6 +500,25 @@
   replay_clear (&replay);
 }
 
+/* Of many jobs that wait for a turn, the last has it after a minute; work without an objective,
+ * which never expires, is due one by its wait. */
+static void
+test_turns (void **state)
+{
+  static const struct
+  {
+    int64_t count;
+    int64_t interval_ms;
+  } cases[] = { { 1, 1000 }, { 60, 1000 }, { 120, 500 }, { 6000, 10 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    assert_int_equal (fl_order_turn_interval_ms (cases[i].count), cases[i].interval_ms);
+  assert_true (fl_order_is_due_a_turn (FL_ORDER_EXPIRED, 0));
+  assert_false (fl_order_is_due_a_turn (FL_ORDER_IN_TIME, FL_ORDER_TURN_WAIT_MS - 1));
+  assert_true (fl_order_is_due_a_turn (FL_ORDER_IN_TIME, FL_ORDER_TURN_WAIT_MS));
+}
+
 static void
 test_order_of_keys (void **state)
 {
@@ -517,6 +536,9 @@
     { "but not the one that has a turn",
       { .priority = 2, .order_class = FL_ORDER_EXPIRED, .has_turn = true },
       { .priority = 0 } },
+    { "work of any class may have a turn",
+      { .priority = 2, .order_class = FL_ORDER_LATE, .has_turn = true },
+      { .priority = 0 } },
     { "team", { .unstarted_share = 1 }, { .team_excess = 1 } },
     { "jobs of which most has been started",
       { .unstarted_share = 0.2, .left_ms = 900, .is_at_risk = true },
@@ -604,10 +626,12 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_loads), cmocka_unit_test (test_expired_jobs_end),
-          cmocka_unit_test (test_order_of_keys), cmocka_unit_test (test_order_of_queries),
-          cmocka_unit_test (test_step_time) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_loads),
+                                      cmocka_unit_test (test_expired_jobs_end),
+                                      cmocka_unit_test (test_turns),
+                                      cmocka_unit_test (test_order_of_keys),
+                                      cmocka_unit_test (test_order_of_queries),
+                                      cmocka_unit_test (test_step_time) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
