--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -310,6 +310,7 @@
   int64_t wait_queries_sent;
   int64_t wait_queries_failed;
   struct core_step_wait wait;
+  int64_t waiting_since_ms;      /* when its wait began; it ends when every task has started */
   int64_t eligible_until_ms;     /* until then it has tickets of its last reply */
   struct core_deadline deadline; /* of its occurrence, in the first step of that */
   double longest_run_ms;         /* of its tasks that are done */
@@ -455,6 +456,8 @@
   GQueue final_jobs;                      /* final, not yet reduced to their ids */
   GQueue lasting_jobs;                    /* with long-running steps */
   int64_t lasting_checked_at_ms;
+  int64_t waits_checked_at_ms; /* see core_note_longest_waits */
+  int64_t waits_logged_at_ms;
   GPtrArray *recording_jobs;                /* with a record in flight */
   GQueue crash_tasks;                       /* tasks with crashes, in the order of their first */
   guint watched_runs;                       /* targets with a watched run */
@@ -495,7 +498,9 @@
   struct fl_move_budget move_budget;
   struct fl_failure_rate failure_rate; /* of the runs on all targets */
   int64_t queries_sent;                /* advice queries about all steps */
-  int64_t turn_given_at_ms;            /* when an expired job last got its turn */
+  int64_t query_time_ms;               /* that these were expected to take */
+  struct fl_order_share query_share;   /* of old steps */
+  int64_t turn_given_at_ms;            /* when a job last got its turn */
   bool target_list_outdated;           /* the stored list may contain a target that left */
   bool records_in_flight;              /* collected records have been neither stored nor failed */
   int64_t records_collected_at_ms;     /* when records were last collected */
@@ -578,6 +583,10 @@
 /* Notes that @step waits for @missing from now on, or no longer. Logs the wait when it ends. */
 void core_step_note_wait (struct core_step *step, enum core_wait_reason missing);
 
+/* Updates the gauges of the longest waits, and logs the step that has waited longest. To be called
+ * in each tick after tasks are placed. */
+void core_note_longest_waits (struct fl_core *core);
+
 /* --- runs.c --- */
 
 /* Creates run @number of @task on @target and charges its resources to the target and the team. */
