Jobs: the settings of the queue that admits a job are stored with it

Cause: the row of a job names its queue only. An owner that has known the queue keeps its last settings; the next one reads a configuration without it and does not know the service, so that no target fits, nor attempts, priority and advice.

Change: frontd stores with the job what the owner takes from its queue, as of the configuration that admits it ("admitted_by", 174 bytes in an example). An owner uses it for jobs of a queue that it has never known. The configuration in force comes first, as before, then what this owner has known last. Rows without it are read as before. No host and prefix are stored: another queue with the same ones may have another service, so that it is not needed, and not used, to serve the job.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -283,17 +283,20 @@
 
 /* --- configuration --- */
 
+/* Sets the queue of @job: as in the configuration in force; else as it was last, which is as of the
+ * configuration that admitted the job if this owner has known none with the queue. */
 static void
 refresh_queue (struct core_job *job)
 {
-  const struct fl_queue *queue
-      = job->core->configuration != NULL
-            ? fl_configuration_find_queue (job->core->configuration, &job->spec.queue)
-            : NULL;
+  const struct fl_configuration *configuration = job->core->configuration;
+  const struct fl_queue *queue = configuration != NULL
+                                     ? fl_configuration_find_queue (configuration, &job->spec.queue)
+                                     : NULL;
 
-  /* Jobs of a removed queue keep its last known configuration. */
   if (queue != NULL)
     job->queue = *queue;
+  else if (job->queue.service.len == 0)
+    fl_job_spec_get_queue (&job->spec, &job->queue);
 }
 
 static void
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -124,7 +124,7 @@
   struct front_call *call = front_call_new (frontd, request, id, queue);
 
   spec->id = *id;
-  spec->queue = queue->name;
+  fl_job_spec_set_queue (spec, queue);
   spec->team = *team;
   spec->accepted_ms = fl_clock_wall_ms ();
   call->wait_for_end = wait_for_end;
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -54,6 +54,37 @@
 };
 static FL_SCHEMA (step_schema, fl_step_spec, step_fields);
 
+#define MILLIONTHS 1000000
+
+static const struct fl_field job_queue_fields[] = {
+  FIELD (fl_job_queue, service, FL_NAME, false, 0, FL_NAME_MAX, 0),
+  FIELD (fl_job_queue, priority, FL_INT, false, 0, FL_FACTOR_MAX, 0),
+  FIELD_AS (fl_job_queue, attempts_max, "attempts", FL_INT, false, 0, FL_FACTOR_MAX, 0),
+  FIELD_AS (
+      fl_job_queue, latency_objective_ms, "objective_ms", FL_INT, false, 0, FL_DURATION_MAX_MS, 0),
+  FIELD_AS (fl_job_queue,
+            stretch_millionths,
+            "stretch_ppm",
+            FL_INT,
+            false,
+            0,
+            (int64_t)FL_FACTOR_MAX *MILLIONTHS,
+            0),
+  FIELD_AS (fl_job_queue, advice_required, "advice", FL_BOOL, false, 0, 0, 0),
+  FIELD_AS (fl_job_queue, advice_base_us, "advice_us", FL_INT, false, 0, 1000 * FL_DAY_MS, 0),
+  FIELD_AS (fl_job_queue,
+            advice_per_target_us,
+            "advice_target_us",
+            FL_INT,
+            false,
+            0,
+            1000 * FL_DAY_MS,
+            0),
+  FIELD_AS (
+      fl_job_queue, advice_valid_ms, "ticket_ms", FL_INT, false, 0, FL_TICKET_VALID_MAX_MS, 0),
+};
+static FL_SCHEMA (job_queue_schema, fl_job_queue, job_queue_fields);
+
 static const struct fl_field job_fields[] = {
   FIELD (fl_job_spec, id, FL_NAME, true, 1, FL_NAME_MAX, 0),
   FIELD (fl_job_spec, queue, FL_NAME, true, 1, FL_NAME_MAX, 0),
@@ -64,6 +95,8 @@
   FIELD (fl_job_spec, repeat_count, FL_INT, false, 0, REPEATS_MAX, 0),
   FIELD (fl_job_spec, start_at_ms, FL_INT, false, 0, FL_TIME_MAX_MS, 0),
   FIELD (fl_job_spec, interval_ms, FL_INT, false, 0, FL_DURATION_MAX_MS, 0),
+  { "admitted_by", FL_OBJECT, offsetof (struct fl_job_spec, admitted_by), false, 0, 0, 0,
+    &job_queue_schema, NULL },
 };
 FL_SCHEMA (fl_job_spec_schema, fl_job_spec, job_fields);
 
@@ -179,6 +212,45 @@
 };
 static FL_SCHEMA (job_crashes_schema, fl_job_crashes, job_crashes_fields);
 
+void
+fl_job_spec_set_queue (struct fl_job_spec *spec, const struct fl_queue *queue)
+{
+  const struct fl_advice_policy *advice = &queue->advice;
+
+  spec->queue = queue->name;
+  spec->admitted_by = (struct fl_job_queue){
+    .service = queue->service,
+    .priority = queue->priority,
+    .attempts_max = queue->attempts_max,
+    .latency_objective_ms = queue->latency_objective_ms,
+    .stretch_millionths = (int64_t)(queue->stretch * MILLIONTHS + 0.5),
+    .advice_required = advice->required,
+    .advice_base_us = (int64_t)(advice->base_latency_ms * 1000 + 0.5),
+    .advice_per_target_us = (int64_t)(advice->per_target_latency_ms * 1000 + 0.5),
+    .advice_valid_ms = advice->valid_ms,
+  };
+}
+
+bool
+fl_job_spec_get_queue (const struct fl_job_spec *spec, struct fl_queue *queue)
+{
+  const struct fl_job_queue *admitted_by = &spec->admitted_by;
+
+  if (admitted_by->service.len == 0)
+    return false;
+  *queue = (struct fl_queue){
+    .name = spec->queue,
+    .service = admitted_by->service,
+    .priority = admitted_by->priority,
+    .attempts_max = MAX (admitted_by->attempts_max, 1),
+    .latency_objective_ms = admitted_by->latency_objective_ms,
+    .stretch = (double)admitted_by->stretch_millionths / MILLIONTHS,
+    .advice = { admitted_by->advice_required, (double)admitted_by->advice_base_us / 1000,
+                (double)admitted_by->advice_per_target_us / 1000, admitted_by->advice_valid_ms },
+  };
+  return true;
+}
+
 const char *
 fl_crash_state_name (enum fl_crash_state state)
 {
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -40,10 +40,26 @@
   int64_t disruptions_max;  /* maximum tasks that orders may interrupt at once; -1 when not given */
 };
 
+/* What is needed to serve a job of a queue that the configuration does not have any more, as of the
+ * configuration that admitted it. Whole numbers, of which a row of the job consists. */
+struct fl_job_queue
+{
+  struct fl_name service; /* empty in a row of an earlier version */
+  int64_t priority;
+  int64_t attempts_max;
+  int64_t latency_objective_ms;
+  int64_t stretch_millionths;
+  bool advice_required;
+  int64_t advice_base_us;
+  int64_t advice_per_target_us;
+  int64_t advice_valid_ms;
+};
+
 struct fl_job_spec
 {
   struct fl_name id;
   struct fl_name queue;
+  struct fl_job_queue admitted_by;
   struct fl_name team;   /* empty when submitted without an API key */
   int64_t accepted_ms;   /* Unix time */
   struct fl_str text;    /* what to run; opaque, passed to the target unchanged */
@@ -65,6 +81,13 @@
 /* @return the lower-case name of @state, as stored and shown to clients. */
 const char *fl_job_state_name (enum fl_job_state state);
 
+/* Sets the queue of @spec, which admits the job. */
+void fl_job_spec_set_queue (struct fl_job_spec *spec, const struct fl_queue *queue);
+
+/* Sets @queue to the queue that admitted the job of @spec, without host and prefix.
+ * @return false if @spec does not tell. */
+bool fl_job_spec_get_queue (const struct fl_job_spec *spec, struct fl_queue *queue);
+
 /* Whether no task of a job in @state will run again. */
 bool fl_job_state_is_final (enum fl_job_state state);
 
