Core: failed runs are judged once the limit is known

Cause: reports of targets are applied once the jobs are known, which may be before the configuration is. Until then each job had a limit of one attempt.

Change: without a configuration, or with one that has no such queue while neither this owner nor the row of the job knows its limit, failed runs are counted and recorded, but nothing is concluded. When both become known, the counted runs are judged, also those that an earlier owner has recorded and not judged; otherwise one run more would start than permitted (BUDGET). The limit in the row alone is not used before a configuration is read, since the one in force may be higher; nothing is started before that, either.

--- a/lib/configuration/configuration.h
+++ b/lib/configuration/configuration.h
@@ -35,7 +35,7 @@
   struct fl_name service;   /* service whose targets run the tasks */
   bool is_public;           /* accepts requests without an API key */
   int64_t priority;         /* 0 is the highest */
-  int64_t attempts_max;     /* number of failed runs of a task at which its job fails */
+  int64_t attempts_max;     /* failed runs of a task at which its job fails; above 0 */
   int64_t latency_objective_ms;
   double stretch; /* a job is late after stretch * critical path + objective */
   struct fl_advice_policy advice;
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -318,7 +318,10 @@
   core->configuration = fl_configuration_ref (configuration);
   g_hash_table_iter_init (&iter, core->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &job))
-    refresh_queue (job);
+    {
+      refresh_queue (job);
+      core_job_judge_failures (job);
+    }
   g_hash_table_iter_init (&iter, core->teams);
   while (g_hash_table_iter_next (&iter, NULL, &team))
     refresh_team (core, team);
@@ -796,6 +799,7 @@
 
   if (rows->count == 0)
     return;
+  task->step->job->has_unjudged_failures = true;
   task->failed_runs = g_array_new (FALSE, FALSE, sizeof (struct fl_failed_run));
   g_array_append_vals (task->failed_runs, runs, (guint)rows->count);
   for (size_t i = 0; i < rows->count; i++)
@@ -910,7 +914,6 @@
   job->spec = *spec;
   job->accepted_version = version;
   job->queue.name = spec->queue;
-  job->queue.attempts_max = 1;
   job->team = get_or_add_team (core, &spec->team);
   job->queue_stats = get_or_add_queue_stats (core, &spec->queue);
   job->target_states = g_hash_table_new (NULL, NULL);
@@ -931,6 +934,7 @@
           FL_I ("version", version), FL_I ("steps", (int64_t)job->step_count));
   if (job->unfinished_steps == 0 && !fl_job_state_is_final (job->state))
     core_job_finish (job, FL_JOB_COMPLETED);
+  core_job_judge_failures (job);
   if (progress != NULL)
     core_job_renew_task_targets (job);
 }
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -351,6 +351,7 @@
   bool started;               /* a task of it has been started, by this owner or an earlier one */
   int64_t suspected_tasks;    /* tasks with is_suspected */
   int64_t watched_runs;       /* runs that are the watched_run of their target */
+  bool has_unjudged_failures; /* failed runs were counted while the limit was not known */
   bool is_cleared;            /* since the last suspicion, a run of a suspected task did no harm */
   int64_t crash_changed_at_ms; /* when the crashes of its tasks last changed */
   int64_t crash_changes; /* number of changes of the crashes of its tasks that need recording */
@@ -750,6 +751,11 @@
 /* Sets the final state of @job, abandons its advice queries and stops its runs. */
 void core_job_finish (struct core_job *job, enum fl_job_state state);
 
+/* Ends @job as failed if a task of it has failed as often as its queue permits. Until the
+ * configuration in force and this limit are known, failed runs are only counted. To be called
+ * whenever these may have become known. */
+void core_job_judge_failures (struct core_job *job);
+
 /* Requests that the progress of @job is recorded in the store. */
 void core_job_mark_for_recording (struct core_job *job);
 
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -99,8 +99,8 @@
 }
 
 /* Counts each failed run once, even if its end is listed to several owners, or later than the end
- * of a later run. A gang fails as a whole. @return the number of failed runs of the task. */
-static int64_t
+ * of a later run. A gang fails as a whole. */
+static void
 count_failure (struct core_task *task, int64_t run)
 {
   struct core_step *step = task->step;
@@ -109,7 +109,6 @@
 
   for (int64_t i = first; i <= last; i++)
     add_failed_run (&step->tasks[i], run);
-  return failed_run_count (task);
 }
 
 static void
@@ -128,6 +127,31 @@
   target->last_failed_job = task->step->job->spec.id;
 }
 
+static bool
+knows_attempts_max (const struct core_job *job)
+{
+  return job->core->configuration != NULL && job->queue.attempts_max > 0;
+}
+
+static bool
+has_exhausted_attempts (const struct core_task *task)
+{
+  return !task->done && !task->step->spec->long_running
+         && failed_run_count (task) >= task->step->job->queue.attempts_max;
+}
+
+void
+core_job_judge_failures (struct core_job *job)
+{
+  if (!job->has_unjudged_failures || !knows_attempts_max (job))
+    return;
+  job->has_unjudged_failures = false;
+  for (size_t i = 0; i < job->step_count; i++)
+    for (int64_t j = 0; j < job->steps[i].spec->count; j++)
+      if (has_exhausted_attempts (&job->steps[i].tasks[j]) && !fl_job_state_is_final (job->state))
+        core_job_finish (job, FL_JOB_FAILED);
+}
+
 static void
 handle_failure (struct core_target *target, struct core_task *task, int64_t run)
 {
@@ -138,7 +162,10 @@
   if (task->step->spec->long_running || task->done)
     return;
   core_job_mark_for_recording (job);
-  if (count_failure (task, run) >= job->queue.attempts_max && !fl_job_state_is_final (job->state))
+  count_failure (task, run);
+  if (!knows_attempts_max (job))
+    job->has_unjudged_failures = true;
+  else if (has_exhausted_attempts (task) && !fl_job_state_is_final (job->state))
     core_job_finish (job, FL_JOB_FAILED);
 }
 
--- a/tests/support_core.c
+++ b/tests/support_core.c
@@ -52,7 +52,7 @@
 }
 
 /* @cpu_cap_milli: the CPU limit of the team; 0 for none. */
-static void
+void
 configure_core (struct fixture *fixture, int64_t cpu_cap_milli)
 {
   struct fl_configuration *configuration = fl_configuration_new (1);
@@ -110,7 +110,8 @@
   fixture->stop_orders = g_array_new (FALSE, FALSE, sizeof (struct fl_run_order));
   fixture->throttle_orders = g_array_new (FALSE, FALSE, sizeof (struct fl_run_order));
   fixture->queried_targets = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
-  configure_core (fixture, fixture_options->cpu_cap_milli);
+  if (!fixture_options->is_unconfigured)
+    configure_core (fixture, fixture_options->cpu_cap_milli);
   return fixture;
 }
 
--- a/tests/support_core.h
+++ b/tests/support_core.h
@@ -35,9 +35,13 @@
   int64_t order_bytes_per_s; /* that start orders may take; 0 for no limit */
   int64_t fencing_token;     /* 0 for 1 */
   int64_t evacuation_ms;     /* see struct fl_core_options */
+  bool is_unconfigured;      /* no configuration has been read */
   int64_t acquired_version;  /* 0 for one above those of all jobs, if reconciled_at_ms is set */
 };
 
+/* Passes the configuration to a core that has none. */
+void configure_core (struct fixture *fixture, int64_t cpu_cap_milli);
+
 /* The jobs are not known yet. */
 struct fixture *fixture_new_with (const struct fixture_options *options);
 struct fixture *fixture_new_unreconciled (int64_t cpu_cap_milli, int64_t reconciled_at_ms);
