HTTP server: reject headers that leave no memory for a response

Callers with headers of some 32,600 bytes, or some 450 short headers, had their connection closed without a response, although the request had been read and handled: libmicrohttpd builds the response in the memory that holds the request, and closes the connection when none is left. The memory in use is now estimated before a request is begun, with what may have arrived behind it; a request that leaves less than 2 KB gets 431. The estimate counts half of the memory for the read buffer, which is its size at first, so that the limit holds for pipelined requests, too.

--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -35,6 +35,10 @@
 /* For the client to read the last response of a connection, and to close. */
 #define LINGER_MS 2000
 #define LISTEN_BACKLOG 1024
+/* Of the memory of a connection: the status line and headers of a response, and the amount by which
+ * libmicrohttpd lets its read buffer grow. */
+#define RESPONSE_HEAD_BYTES 2048
+#define HEADER_ENTRY_BYTES 64
 /* fl_http_server_free goes on while requests arrive and responses are sent: until nothing of them
  * has for FREE_QUIET_MS, and not longer than FREE_MAX_MS. On a small share of a processor, reading
  * what waits takes several times FREE_QUIET_MS. */
@@ -84,6 +88,7 @@
   int64_t request_start_ms;
   bool in_request;
   bool uploading;
+  bool is_rejected;         /* the last response was sent before the request was begun */
   bool is_shut_down;        /* by the server; what arrives later is discarded */
   int64_t linger_until_ms;  /* read, but not written any more, until then; 0 if not lingering */
   int64_t overdue_phase_ms; /* phase_start_ms when the last sweep found the connection overdue */
@@ -227,17 +232,18 @@
   return count > 0 ? (int)count : 0;
 }
 
-/* Responds 408 to a request that has not arrived completely. libmicrohttpd cannot: it sends
- * responses only to complete requests. */
+/* Responds to a request to which libmicrohttpd cannot: one that has not arrived completely, or that
+ * leaves no memory for a response. Nothing else may be sent on the connection. */
 static void
-send_timeout_response (const struct connection *connection)
+send_last_response (const struct connection *connection, const char *status)
 {
-  static const char response[] = "HTTP/1.1 408 Request Timeout\r\n"
-                                 "Content-Type: application/json\r\n"
-                                 "Content-Length: 2\r\n"
-                                 "Connection: close\r\n\r\n{}";
+  g_autofree char *response = g_strdup_printf ("HTTP/1.1 %s\r\n"
+                                               "Content-Type: application/json\r\n"
+                                               "Content-Length: 2\r\n"
+                                               "Connection: close\r\n\r\n{}",
+                                               status);
 
-  send (connection->fd, response, sizeof response - 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+  send (connection->fd, response, strlen (response), MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
 /* Shuts the connection down; libmicrohttpd then closes it. A client that is sending a request gets
@@ -269,7 +275,7 @@
   connection->server->shut_down_count++;
   if (connection->uploading)
     {
-      send_timeout_response (connection);
+      send_last_response (connection, "408 Request Timeout");
       connection->linger_until_ms = now + LINGER_MS;
     }
   shutdown (connection->fd, connection->uploading ? SHUT_WR : SHUT_RDWR);
@@ -506,6 +512,43 @@
   return NULL;
 }
 
+/* @return whether the request line and headers leave too little of the connection's memory for a
+ * response. libmicrohttpd also keeps HEADER_ENTRY_BYTES for each header and query argument, and up
+ * to half of the memory may hold what has arrived behind the headers. */
+static bool
+are_headers_too_large (const struct fl_http_server *server, struct MHD_Connection *mhd)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  int entries
+      = MHD_get_connection_values (mhd, MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND, NULL, NULL);
+  int64_t header_max = server->options.header_max;
+  int64_t used
+      = MAX ((int64_t)info->header_size, header_max / 2) + (int64_t)entries * HEADER_ENTRY_BYTES;
+
+  return used > header_max - RESPONSE_HEAD_BYTES;
+}
+
+/* Begins a request whose headers have arrived. */
+static enum MHD_Result
+begin_request (struct fl_http_server *server,
+               struct MHD_Connection *mhd,
+               const char *method,
+               const char *path,
+               void **request_context)
+{
+  struct connection *connection = get_connection (mhd);
+
+  if (connection != NULL && are_headers_too_large (server, mhd))
+    {
+      connection->is_rejected = true;
+      send_last_response (connection, "431 Request Header Fields Too Large");
+      return MHD_NO;
+    }
+  *request_context = request_new (server, mhd, method, path);
+  return MHD_YES;
+}
+
 static enum MHD_Result
 on_access (void *context,
            struct MHD_Connection *mhd,
@@ -521,10 +564,7 @@
 
   (void)version;
   if (request == NULL)
-    {
-      *request_context = request_new (server, mhd, method, url);
-      return MHD_YES;
-    }
+    return begin_request (server, mhd, method, url, request_context);
   if (*upload_len > 0)
     {
       append_to_body (request, upload, *upload_len);
@@ -607,8 +647,9 @@
 
   if (connection != NULL)
     {
-      if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK
-          || (request != NULL && request->response == NULL))
+      if (!connection->is_rejected
+          && (code != MHD_REQUEST_TERMINATED_COMPLETED_OK
+              || (request != NULL && request->response == NULL)))
         record_unanswered (server, connection, request, code);
       connection->request_line_ms = 0;
     }
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -30,7 +30,9 @@
   const char *address;      /* IPv4 address to listen on */
   int64_t port;             /* 0 picks a free port */
   int64_t body_max;         /* bytes; a longer body is rejected with status 413 */
-  int64_t header_max;       /* bytes of the request line and headers */
+  /* Bytes of memory for the request line and headers; with more than this, less some 2 KB for the
+   * response and 64 bytes for each header, a request is rejected with status 431. */
+  int64_t header_max;
   int64_t connections_max;
   int64_t idle_connections_max; /* above this, the longest idle are closed; 0: no such limit */
   int64_t idle_timeout_ms;      /* idle connections are closed some 2 s after this */
