Frontd: log the time in which a response was due

A client that leaves while its response is being sent could not be told from one whose time was over: the answered line had the time taken, and not the client's. due_ms is the time from the arrival of the request by which its response was due.

Evidence: no behaviour changes; test_front and test_logs pass.

--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -185,7 +185,8 @@
   fl_stats_record (host->stats, "request_ms", took_ms);
   fl_log (&host->log, FL_LOG_INFO, "answered", FL_S ("method", fl_http_method (call->request)),
           FL_N ("job", &call->job_id), FL_N ("queue", &call->queue), FL_I ("status", status),
-          FL_I ("took_ms", took_ms), FL_I ("configuration", call->configuration_version),
+          FL_I ("took_ms", took_ms), FL_I ("due_ms", call->respond_by_ms - call->arrived_ms),
+          FL_I ("configuration", call->configuration_version),
           FL_I ("store_calls", call->store_call_count),
           FL_I ("unknown_writes", call->unknown_write_count),
           FL_S ("last_store_call",
