Frontd: keep a cancelled id from being stored later

Callers that gave up a submission and cancelled it elsewhere got 410, and the job ran all the same: the host that had the submission was suspended, or its write was carried out late, and a cancellation of a job that is not stored left nothing behind. It now writes a marker under the condition that the id is free, and is answered once that stands; a submission that finds this marker gets 503 and never runs. A conflict tells that a job is there, whose cancel row is written as before. So the first call of a cancellation is a transaction in place of a read: one call for an unknown id, two for a job. Rows of jobs are not removed, and neither are these; a host leaves at most 100 in a second.

--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -251,27 +251,24 @@
   return fl_clock_boot_ms () < get_respond_by_ms (call);
 }
 
-bool
-front_find_job_row (const struct front_call *call,
-                    const struct fl_store_reply *reply,
-                    bool *cancelled,
-                    int64_t *version)
+struct front_job_rows
+front_find_job_rows (const struct front_call *call, const struct fl_store_reply *reply)
 {
-  bool found = false;
+  struct front_job_rows job = { 0 };
 
-  *cancelled = false;
-  *version = 0;
   for (size_t i = 0; i < reply->count; i++)
     {
       const struct fl_store_row *row = &reply->rows[i];
-      bool is_marker = row->value.len <= strlen (FL_MARKER_VALUE);
       if (fl_name_eq (&row->key, &call->job_id))
         {
-          found = !is_marker;
-          *version = row->version;
+          job.is_stored = row->value.len > strlen (FL_MARKER_VALUE);
+          job.version = row->version;
+          if (row->value.len == strlen (FL_CANCELLED_VALUE)
+              && memcmp (row->value.data, FL_CANCELLED_VALUE, row->value.len) == 0)
+            job.is_cancelled = true;
         }
       else if (g_str_has_suffix (row->key.data, FL_CANCEL_SUFFIX))
-        *cancelled = true;
+        job.is_cancelled = true;
     }
-  return found;
+  return job;
 }
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -26,6 +26,8 @@
   ev_timer drain_timer;
   int64_t last_open_ms;              /* when the process was last in use, while stopping */
   struct fl_reply_limit store_limit; /* of the store calls of requests */
+  int64_t cancellation_second;       /* of the boot clock, that cancellation_count covers */
+  int cancellation_count;
 };
 
 struct store_attempt;
@@ -41,7 +43,7 @@
   int64_t arrived_ms;
   int64_t respond_by_ms;    /* time by which the client needs the response */
   struct fl_str job_row;    /* submission: the encoded job */
-  int64_t expected_version; /* submission: version of the row that job_row replaces; 0 for none */
+  int64_t expected_version; /* of the row that a write of this call replaces; 0 for none */
   bool wait_for_end;        /* respond when the job has ended or the time is up */
   int64_t retry_delay_ms;   /* of the last retry; 0 before the first */
   void (*retry) (struct front_call *call);
@@ -149,14 +151,17 @@
 /* @return the timeout in ms of the next store call: the reply counts until the response is due. */
 int64_t front_call_store_timeout_ms (const struct front_call *call);
 
-/* Looks for the job of @call in the rows of @reply. Sets @cancelled to whether there is a cancel
- * marker for the job, and @version to the version of the row at the job's id, which is a job or a
- * marker; 0 for no row.
- * @return whether the row is a job. */
-bool front_find_job_row (const struct front_call *call,
-                         const struct fl_store_reply *reply,
-                         bool *cancelled,
-                         int64_t *version);
+/* What the store holds of a job. */
+struct front_job_rows
+{
+  bool is_stored;
+  bool is_cancelled; /* there is a cancel marker for the job, stored or not */
+  int64_t version;   /* of the row at the job's id, which is a job or a marker; 0 for no row */
+};
+
+/* @return what the rows of @reply say of the job of @call. */
+struct front_job_rows front_find_job_rows (const struct front_call *call,
+                                           const struct fl_store_reply *reply);
 
 /* --- jobs.c --- */
 
@@ -179,7 +184,8 @@
                      const struct fl_queue *queue,
                      bool wait_for_end);
 
-/* Marks the job as cancelled and responds, with status 410 if there is no such job. */
+/* Marks the job as cancelled and responds, with status 410 if there is no such job; then a marker
+ * keeps it from being stored later. */
 void front_cancel_job (struct fl_frontd *frontd,
                        struct fl_http_request *request,
                        const struct fl_name *id,
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -9,6 +9,11 @@
 #include "common/schema.h"
 #include "frontd/frontd_internal.h"
 
+/* Cancellations that may leave a row at an id without a job, in a second; of further ones, those of
+ * jobs that are not stored get 503. Rows of jobs are kept, so that unknown ids would fill the
+ * store. Above the rate of all jobs of a large cell. */
+#define CANCELLATIONS_PER_S 100
+
 /* --- submit --- */
 
 static void store_job (struct front_call *call);
@@ -40,16 +45,15 @@
 static void
 on_version_conflict (struct front_call *call, const struct fl_store_reply *reply)
 {
-  bool cancelled;
-  int64_t version;
+  struct front_job_rows job = front_find_job_rows (call, reply);
 
-  if (front_find_job_row (call, reply, &cancelled, &version))
-    {
-      respond_accepted (call);
-      return;
-    }
-  /* The row is a marker: the id is free, and the job may replace this version of the row. */
-  replace_marker (call, version);
+  if (job.is_stored)
+    respond_accepted (call);
+  else if (job.is_cancelled)
+    front_call_respond (call, 503, NULL);
+  else
+    /* The row is a marker: the id is free, and the job may replace this version of the row. */
+    replace_marker (call, job.version);
 }
 
 static void
@@ -68,6 +72,7 @@
     front_call_schedule_retry (call, store_job, 503);
 }
 
+/* Writes @value at the job's id if the row there has the expected version. */
 static void
 write_job_row (struct front_call *call,
                const struct fl_str *value,
@@ -169,15 +174,14 @@
 static void
 on_job_row (struct front_call *call, const struct fl_store_reply *reply)
 {
-  bool cancelled;
-  int64_t version;
+  struct front_job_rows job = front_find_job_rows (call, reply);
 
   if (reply->status != FL_STORE_OK)
     front_call_schedule_retry (call, read_job, 504);
-  else if (!front_find_job_row (call, reply, &cancelled, &version))
+  else if (!job.is_stored)
     front_call_respond (call, 410, NULL);
   else
-    respond_state (call, cancelled ? FL_JOB_CANCELLED : FL_JOB_QUEUED);
+    respond_state (call, job.is_cancelled ? FL_JOB_CANCELLED : FL_JOB_QUEUED);
 }
 
 static void
@@ -231,6 +235,7 @@
 /* --- cancel --- */
 
 static void read_job_to_cancel (struct front_call *call);
+static void cancel_id (struct front_call *call);
 static void write_cancel_marker (struct front_call *call);
 
 static void
@@ -261,14 +266,13 @@
 static void
 on_job_to_cancel (struct front_call *call, const struct fl_store_reply *reply)
 {
-  bool cancelled;
-  int64_t version;
+  struct front_job_rows job = front_find_job_rows (call, reply);
 
   if (reply->status != FL_STORE_OK)
     front_call_schedule_retry (call, read_job_to_cancel, 504);
-  else if (!front_find_job_row (call, reply, &cancelled, &version))
-    front_call_respond (call, 410, NULL);
-  else if (cancelled)
+  else if (!job.is_stored)
+    front_call_respond (call, job.is_cancelled ? 410 : 503, NULL);
+  else if (job.is_cancelled)
     front_call_respond (call, 200, NULL);
   else
     write_cancel_marker (call);
@@ -280,13 +284,60 @@
   read_rows (call, FL_TABLE_JOBS, fl_job_partition (&call->job_id), on_job_to_cancel);
 }
 
+static void
+on_id_cancelled (struct front_call *call, const struct fl_store_reply *reply)
+{
+  struct front_job_rows job = front_find_job_rows (call, reply);
+
+  if (reply->status == FL_STORE_OK)
+    front_call_respond (call, 410, NULL);
+  else if (reply->status != FL_STORE_CONFLICT)
+    front_call_schedule_retry (call, cancel_id, 504);
+  else if (job.is_stored)
+    write_cancel_marker (call);
+  else if (job.is_cancelled)
+    front_call_respond (call, 410, NULL);
+  else
+    {
+      call->expected_version = job.version;
+      front_call_schedule_retry (call, cancel_id, 504);
+    }
+}
+
+/* Marks the id as cancelled if no job is stored there. A request to store it that is still on its
+ * way, at this or another host, then fails. */
+static void
+cancel_id (struct front_call *call)
+{
+  struct fl_str marker = { strlen (FL_CANCELLED_VALUE), (char *)FL_CANCELLED_VALUE };
+
+  write_job_row (call, &marker, on_id_cancelled);
+}
+
+/* @return whether a cancellation may write a row although no job may be stored. */
+static bool
+admit_cancellation (struct fl_frontd *frontd)
+{
+  int64_t second = fl_clock_boot_ms () / 1000;
+
+  if (second != frontd->cancellation_second)
+    frontd->cancellation_count = 0;
+  frontd->cancellation_second = second;
+  return ++frontd->cancellation_count <= CANCELLATIONS_PER_S;
+}
+
 void
 front_cancel_job (struct fl_frontd *frontd,
                   struct fl_http_request *request,
                   const struct fl_name *id,
                   const struct fl_queue *queue)
 {
-  read_job_to_cancel (front_call_new (frontd, request, id, queue));
+  struct front_call *call = front_call_new (frontd, request, id, queue);
+
+  if (admit_cancellation (frontd))
+    cancel_id (call);
+  else
+    read_job_to_cancel (call);
 }
 
 /* --- count --- */
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -95,7 +95,7 @@
     fl_core_add_finished_job (term->core, &row->key);
   else if (fl_job_spec_decode_row (&row->key, row->value.data, row->value.len, &spec, &error))
     fl_core_add_job (term->core, &spec, row->version, progress);
-  else if (row->value.len > 2) /* an empty object marks the id of a rejected job */
+  else if (row->value.len > strlen (FL_MARKER_VALUE)) /* markers have no content */
     fl_log_error (&term->poold->host->log, FL_LOG_ERR, "job_unreadable", &error);
 }
 
--- a/lib/store/tables.h
+++ b/lib/store/tables.h
@@ -27,6 +27,9 @@
 /* Value of a marker, a row that has no content: at the id of a job whose submission failed, at the
  * cancel key of a job, or an ordered writer's own row. */
 #define FL_MARKER_VALUE "{}"
+/* Value of the marker at the id of a job that was cancelled before it was stored; no job may
+ * replace it. As long as FL_MARKER_VALUE: rows of this length have no content. */
+#define FL_CANCELLED_VALUE "[]"
 
 /* The partitions of FL_TABLE_JOBS, NULL-terminated. */
 extern const char *const fl_job_partitions[FL_JOB_PARTITIONS + 1];
