Core: the lease of a start allows for a clock that was read long ago

Cause: the deadline of a start is set by the target's clock as of its last reply, plus the time since. A clock that is 2 % slow has lost 120 ms in 6 s, so that the target reaches the deadline that much later. The owner counted 1,500 x 1.04 + 50 ms from the start order. Heartbeats are not affected: without a reply within 400 ms before, the longest lease is assumed.

Change: the lease that a start gives counts as longer by 4 % of the age of the clock, at most as the longest lease that targets grant.

--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -134,6 +134,17 @@
   return core_domains_start_deadline_ms (target->core, deadline_ms);
 }
 
+/* The longest lease that a start order to @target gives whose deadline is @deadline_ms ahead. Since
+ * the last reply, its clock may have lost some of the time: it reaches the deadline later then. */
+static int64_t
+start_lease_ms (const struct core_target *target, int64_t deadline_ms)
+{
+  const struct fl_core *core = target->core;
+  int64_t lost_ms = (core->now_ms - target->clock_at_ms) * (CORE_EXPIRY_PERCENT - 100) / 100;
+
+  return MAX (deadline_ms, MIN (deadline_ms + lost_ms, core->options.target_lease_max_ms));
+}
+
 void
 core_run_order_start (struct core_run *run, const char *ticket)
 {
@@ -173,7 +184,7 @@
     }
   run->progressed_at_ms = core->now_ms;
   target->next_expiry_check_ms = 0;
-  core_target_extend_lease (target, core->now_ms, deadline_ms);
+  core_target_extend_lease (target, core->now_ms, start_lease_ms (target, deadline_ms));
   if (!job->started)
     {
       job->started = true;
--- a/tests/test_run_waits.c
+++ b/tests/test_run_waits.c
@@ -192,11 +192,48 @@
   assert_true (all_hold);
 }
 
+/* A target with a slow clock had not replied for 6 s when it got a start. Its lease lasted for
+ * longer than the owner waited, and the task ran twice there (test_core_cell late-orders, seed
+ * 1041). */
+static void
+test_lease_of_start_by_old_clock (void **state)
+{
+  static const int64_t ages_ms[] = { 0, 400, 2000, 4000, 6000 };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (ages_ms); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_run_row row = { .task = fl_name_of ("a.0.0.0"), .run = 1 };
+      int64_t clock_read_ms = fixture->now_ms;
+      int64_t restart_ms = 0;
+      add_target (fixture, "t1", 4, false);
+      tick_until_recorded (fixture, ages_ms[i]);
+      add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      tick_until_recorded (fixture, 1);
+      confirm_start (fixture, 0);
+      fixture->now_ms += STEP_MS;
+      deliver_report (fixture, "t1", list_run (&row));
+      int64_t lasts_ms = get_start_order (fixture, 0)->deadline_ms - clock_read_ms;
+      for (int j = 0; j < 10000 && restart_ms == 0; j++)
+        {
+          tick_until_recorded (fixture, 1);
+          restart_ms = find_restart_ms (fixture);
+        }
+      assert_true (restart_ms > 0);
+      if (restart_ms < clock_read_ms + lasts_ms * 100 / (200 - SLOW_CLOCK_PERCENT))
+        fail_msg ("clock of %d ms ago: started again %d ms after the start", (int)ages_ms[i],
+                  (int)(restart_ms - clock_read_ms - ages_ms[i]));
+      fixture_free (fixture);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_each_wait_has_a_bound),
+    cmocka_unit_test (test_lease_of_start_by_old_clock),
   };
 
   return cmocka_run_group_tests_name ("run_waits", tests, NULL, NULL);
