Core: a job is not given up before the targets of its crashes have reported

Cause: the successor gives a job up as soon as the recorded cases weigh enough, before the targets of these have reported to it. A target that then reports the same boot withdraws its case, too late.

Change: the verdict waits while the target of a recorded case is one whose earlier runs the owner does not know yet; until it has reported, or its leases have expired. The task is not started meanwhile.

--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -705,6 +705,23 @@
   core_job_finish (job, FL_JOB_FAILED);
 }
 
+/* Load pattern: an owner is lost just after it has counted crashes that were none. Its successor
+ * gave the job up before the targets had told that they are alive.
+ *
+ * @return whether the target of a case that counts against @task may still report to this owner
+ * that it has not crashed. */
+static bool
+may_be_withdrawn (const struct core_task *task)
+{
+  const struct fl_core *core = task->step->job->core;
+
+  for (guint i = 0; core_is_unreconciled (core) && i < task->crashes->len; i++)
+    if (g_hash_table_contains (core->unreconciled_hashes,
+                               GUINT_TO_POINTER ((uint32_t)get_case (task, i)->row.target)))
+      return true;
+  return false;
+}
+
 /* Decides what can be decided for @task. @return when to look at it again. */
 static int64_t
 judge_task (struct core_task *task)
@@ -734,6 +751,8 @@
   /* Other targets may turn out to have crashed at the same time. */
   if (now_ms < last_ms + CRASH_SIMULTANEOUS_MS)
     return last_ms + CRASH_SIMULTANEOUS_MS;
+  if (may_be_withdrawn (task))
+    return now_ms + CRASH_SIMULTANEOUS_MS;
   give_up_job (task);
   return INT64_MAX;
 }
