Frontd: do not store a job whose client had left before it was read

Callers that gave up while a host did not run found their job stored, and run, when it went on: the time of a request counted from when it was read, so that a submission that had waited for 3.5 s had its full 3 s left. The arrival of a request is now taken from the kernel (the time since bytes last arrived). A submission whose time is over by then, or whose client had closed or reset its connection while the process did not run, gets 503 and is not stored. A client that closes only its end while the process runs is served as before.

What remains: the kernel's time does not go on while a whole machine is suspended. The marker that a cancellation leaves holds then, too.

Evidence: test_submission_that_waited_unread, five kinds of clients; without the change a submission whose time is over and one whose client has closed are stored.

--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -165,7 +165,8 @@
 
 /* --- jobs.c --- */
 
-/* Stores the job and responds. With @wait_for_end, the response is the state of the ended job, or
+/* Stores the job and responds; with status 503 if the client has left, or its time was over, before
+ * the request was read. With @wait_for_end, the response is the state of the ended job, or
  * status 504 if the job has not ended in time. Takes ownership of the contents of @spec and fills
  * in its id, queue, team and acceptance time. */
 void front_submit_job (struct fl_frontd *frontd,
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -135,7 +135,14 @@
   call->wait_for_end = wait_for_end;
   call->job_row = fl_record_encode (&fl_job_spec_schema, spec);
   fl_schema_clear (&fl_job_spec_schema, spec);
-  store_job (call);
+  if (fl_http_client_has_left (request) || !front_call_has_time_left (call))
+    {
+      /* Nobody waits for the response, and the client may have cancelled the job. */
+      fl_stats_add (frontd->host->stats, "jobs_abandoned_total", 1);
+      front_call_respond (call, 503, NULL);
+    }
+  else
+    store_job (call);
 }
 
 /* --- show --- */
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -17,6 +17,7 @@
 #include "common/clock.h"
 #include "common/schema.h"
 #include "net/lingering.h"
+#include "net/loop_watch.h"
 #include "net/socket_state.h"
 
 /* Interval of the check for idle and slow connections. */
@@ -115,6 +116,7 @@
   bool dispatched;
   int64_t arrived_ms;    /* by the boot clock */
   int64_t dispatched_ms; /* by the monotonic clock */
+  bool client_has_left;
   bool suspended;
   struct MHD_Response *response; /* set by fl_http_respond */
   int status;
@@ -470,6 +472,22 @@
   fl_http_respond (request, &response);
 }
 
+/* Finds out how long a request that has just been read waited for that. */
+static void
+examine_arrival (struct fl_http_request *request)
+{
+  struct fl_socket_state socket;
+
+  if (request->connection == NULL)
+    return;
+  socket = fl_socket_state_get (request->connection->fd);
+  request->arrived_ms -= socket.received_ms_ago;
+  request->client_has_left = strcmp (socket.peer, "reset") == 0
+                             || (strcmp (socket.peer, "closed") == 0
+                                 && socket.received_ms_ago >= FL_LOOP_HELD_UP_MIN_MS);
+  fl_stats_record (request->server->options.stats, "request_unread_ms", socket.received_ms_ago);
+}
+
 static void
 dispatch_request (struct fl_http_request *request)
 {
@@ -478,6 +496,7 @@
   request->dispatched = true;
   request->arrived_ms = fl_clock_boot_ms ();
   request->dispatched_ms = now_ms ();
+  examine_arrival (request);
   g_hash_table_add (server->open_requests, request);
   server->unsent_responses++;
   request->body_view = (struct fl_str){ request->body->len, request->body->str };
@@ -969,6 +988,12 @@
   return request->arrived_ms;
 }
 
+bool
+fl_http_client_has_left (const struct fl_http_request *request)
+{
+  return request->client_has_left;
+}
+
 const char *
 fl_http_header (const struct fl_http_request *request, const char *name)
 {
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -83,9 +83,15 @@
 const char *fl_http_path (const struct fl_http_request *request);
 const struct fl_str *fl_http_body (const struct fl_http_request *request);
 
-/* @return when the request was completely received (boot clock). */
+/* @return when the request had completely arrived (boot clock). If the process did not run, that is
+ * before the request was read. */
 int64_t fl_http_arrived_ms (const struct fl_http_request *request);
 
+/* @return whether the client had left before the request was read: it had reset the connection, or
+ * closed it while the process did not run. Clients that close only their end, and wait for the
+ * response, cannot be told from those. */
+bool fl_http_client_has_left (const struct fl_http_request *request);
+
 /* @return the value of a header or query argument, or NULL if there is none. */
 const char *fl_http_header (const struct fl_http_request *request, const char *name);
 const char *fl_http_query (const struct fl_http_request *request, const char *name);
--- a/lib/net/socket_state.c
+++ b/lib/net/socket_state.c
@@ -7,14 +7,9 @@
 #include <sys/socket.h>
 
 static const char *
-get_peer_state (int fd)
+get_peer_state (const struct tcp_info *info)
 {
-  struct tcp_info info;
-  socklen_t len = sizeof info;
-
-  if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
-    return "unknown";
-  switch (info.tcpi_state)
+  switch (info->tcpi_state)
     {
     case TCP_ESTABLISHED:
     case TCP_FIN_WAIT1:
@@ -38,7 +33,16 @@
 struct fl_socket_state
 fl_socket_state_get (int fd)
 {
-  return (struct fl_socket_state){ .peer = get_peer_state (fd),
+  struct fl_socket_state state = { .peer = "unknown",
                                    .unread_bytes = get_queue_bytes (fd, SIOCINQ),
                                    .unacked_bytes = get_queue_bytes (fd, SIOCOUTQ) };
+  struct tcp_info info = { 0 };
+  socklen_t len = sizeof info;
+
+  if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &len) == 0)
+    {
+      state.peer = get_peer_state (&info);
+      state.received_ms_ago = info.tcpi_last_data_recv;
+    }
+  return state;
 }
--- a/tests/test_front_cancel.c
+++ b/tests/test_front_cancel.c
@@ -7,6 +7,7 @@
 #include <stdint.h>
 #include <string.h>
 #include <sys/mman.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -19,7 +20,8 @@
 
 #define JOB_BODY "{\"spec\":\"\",\"steps\":[{\"count\":1,\"cpu\":1,\"memMb\":1}]}"
 G_STATIC_ASSERT (sizeof JOB_BODY == 51 + 1); /* the Content-Length below */
-#define PATH "/q/00000000000000aa"
+#define JOB_ID "00000000000000aa"
+#define PATH "/q/" JOB_ID
 #define HEADERS "Host: x.example\r\nContent-Type: application/json\r\n"
 #define SUBMIT_HEAD "POST " PATH " HTTP/1.1\r\n" HEADERS "Content-Length: 51\r\n"
 #define SUBMIT SUBMIT_HEAD "\r\n" JOB_BODY
@@ -31,6 +33,7 @@
 /* Longer than a store call of a front may take before the front goes on without it. */
 #define LATE_MS 900
 #define SETTLED_US ((LATE_MS + 300) * 1000)
+#define IDLE_US (300 * 1000)
 #define STEPS_MAX 6
 
 /* --- a store of few rows, shared with the child processes --- */
@@ -233,6 +236,17 @@
   return &store->interface;
 }
 
+/* @return the number of rows of the job. The processes write other rows, too. */
+static size_t
+count_job_rows (const struct rows *rows)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < rows->count; i++)
+    count += g_str_has_prefix (rows->rows[i].key.data, JOB_ID);
+  return count;
+}
+
 static struct rows *
 rows_new (void)
 {
@@ -301,9 +315,9 @@
           print_error ("%s, step %d: status %d\n", cases[i].name, step, status);
           failures++;
         }
-      if (options.rows->count != cases[i].rows)
+      if (count_job_rows (options.rows) != cases[i].rows)
         {
-          print_error ("%s: %d rows\n", cases[i].name, (int)options.rows->count);
+          print_error ("%s: %d rows\n", cases[i].name, (int)count_job_rows (options.rows));
           failures++;
         }
       stop_front (&front);
@@ -335,7 +349,7 @@
       struct row_store_options options = { rows_new (), cases[i].apply_delay_ms };
       struct front late = front_start_with_store (create_row_store, &options);
       struct test_client client = { .fd = -1 };
-      struct fl_name id = fl_name_of ("00000000000000aa");
+      struct fl_name id = fl_name_of (JOB_ID);
 
       options.apply_delay_ms = 0;
       struct front prompt = front_start_with_store (create_row_store, &options);
@@ -365,11 +379,79 @@
   assert_int_equal (failures, 0);
 }
 
+/* A process that had been suspended stored jobs whose clients had left. */
+static void
+test_submission_that_waited_unread (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool is_suspended;
+    const char *submission;
+    enum
+    {
+      STAYS,
+      SHUTS_DOWN, /* sends its end, and waits */
+      CLOSES,
+      RESETS,
+    } client;
+    int status; /* 0: the client is gone */
+  } cases[] = {
+    { "waiting client", true, SUBMIT, STAYS, 200 },
+    { "time over", true, HASTY_SUBMIT, STAYS, 503 },
+    { "closed", true, SUBMIT, CLOSES, 0 },
+    { "reset", true, SUBMIT, RESETS, 0 },
+    { "closed for sending, running process", false, SUBMIT, SHUTS_DOWN, 200 },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct row_store_options options = { .rows = rows_new () };
+      struct front front = front_start_with_store (create_row_store, &options);
+      struct test_client client = { .fd = -1 };
+      struct linger linger = { 1, 0 };
+      int status = 0;
+
+      usleep (IDLE_US);
+      if (cases[i].is_suspended)
+        kill (front.pid, SIGSTOP);
+      assert_true (test_client_connect (&client, front.port, false));
+      assert_true (test_client_request (&client, cases[i].submission));
+      if (cases[i].client == SHUTS_DOWN)
+        shutdown (client.fd, SHUT_WR);
+      if (cases[i].client == RESETS)
+        setsockopt (client.fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+      if (cases[i].client == CLOSES || cases[i].client == RESETS)
+        test_client_close (&client);
+      if (cases[i].is_suspended)
+        usleep (LATE_MS * 1000);
+      kill (front.pid, SIGCONT);
+      if (cases[i].status > 0)
+        status = test_client_await (&client);
+      else
+        usleep (IDLE_US);
+      size_t rows = cases[i].status == 200 ? 1 : 0;
+      if (status != cases[i].status || count_job_rows (options.rows) != rows)
+        {
+          print_error ("%s: status %d, %d rows\n", cases[i].name, status,
+                       (int)count_job_rows (options.rows));
+          failures++;
+        }
+      test_client_close (&client);
+      stop_front (&front);
+      munmap (options.rows, sizeof *options.rows);
+    }
+  assert_int_equal (failures, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_cancelled_id_stays_cancelled),
-                                      cmocka_unit_test (test_late_submission_of_a_cancelled_job) };
+                                      cmocka_unit_test (test_late_submission_of_a_cancelled_job),
+                                      cmocka_unit_test (test_submission_that_waited_unread) };
 
   return cmocka_run_group_tests_name ("front_cancel", tests, NULL, NULL);
 }
