Admission: queues whose accepted jobs cannot be served are closed

Cause: each step needs a query of its own, and the service handles one at a time for each host. Nothing bounds what is accepted by what can be asked about, and no order of queries can make up for that.

Change: the owner adds up the time of the queries that accepted jobs still need (not those of jobs that wait for room or for their team's limit), by the hosts that send queries. Queues with long-running steps count first, then those with the shortest queries; one of which the sum exceeds 4 s for half a second is closed, and opened below 1.5 s. The owner writes the closed ones into the row admission/closed when they change, and each second while there are any. The frontds follow it, one call each 4 s; it expires 3 s after it has been received. A submission to a closed queue writes a marker in place of the job, and gets 429 with a Retry-After of 2 to 8 s by its id.

Why it works: what is accepted needs no more than about 4 s of queries, which are sent well within finish_s. The marker makes writes of earlier requests with the id, which had no reply, fail: 429 means that the job never runs. A job that is stored already remains accepted. No clock of another host is used, and a lost owner keeps no queue closed.

Evidence: test_admission (bounds; with jobs that wait for room counted, it fails); test_front_late, test_closed_queue_while_writes_are_late (with 429 before the marker it fails: "job 0: status 429, but it is stored").

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -170,6 +170,7 @@
   core->free_max = g_array_new (FALSE, TRUE, sizeof (struct core_free_max));
   g_array_set_clear_func (core->free_max, free_max_clear);
   core->placements = core_placements_new ();
+  core->admission_queues = g_array_new (FALSE, FALSE, sizeof (struct fl_admission_queue));
   core->teams = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, g_free);
   core->run_times = fl_run_times_new ();
   core_domains_init (core);
@@ -200,6 +201,7 @@
   g_array_unref (core->urgent_rooms);
   g_ptr_array_unref (core->urgent_steps);
   g_array_unref (core->placements);
+  g_array_unref (core->admission_queues);
   fl_configuration_unref (core->configuration);
   g_free (core);
 }
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -236,6 +236,10 @@
 /* Handles the end of the write of the last collected list. @stored: the store confirmed it. */
 void fl_core_finish_target_list (struct fl_core *core, bool stored);
 
+/* Updates which queues accept further jobs, while @hosts hosts send queries for advice.
+ * @return the names of those that are closed (struct fl_name). Free them with g_array_unref. */
+GArray *fl_core_update_admission (struct fl_core *core, int hosts);
+
 /* Counts the jobs of each queue that have not started, as a table of queue name (struct fl_name *,
  * borrowed from a job) to count (intptr_t). Free it with g_hash_table_unref. */
 GHashTable *fl_core_count_pending_jobs (const struct fl_core *core);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -3,6 +3,7 @@
 
 #include "common/reply_time.h"
 #include "core/core.h"
+#include "policy/admission.h"
 #include "policy/interference.h"
 #include "policy/job_time.h"
 #include "policy/order.h"
@@ -495,6 +496,7 @@
   struct fl_failure_rate failure_rate; /* of the runs on all targets */
   int64_t queries_sent;                /* advice queries about all steps */
   int64_t query_time_ms;               /* that these were expected to take */
+  GArray *admission_queues;            /* struct fl_admission_queue; see admission.c */
   struct fl_order_share query_share;   /* of old steps */
   int64_t turn_given_at_ms;            /* when a job last got its turn */
   bool target_list_outdated;           /* the stored list may contain a target that left */
--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -201,7 +201,9 @@
                                        .len = body != NULL ? body->len : 2,
                                        .close_connection = front_is_stopping (call->frontd) };
 
-  if (status == 503 || status == 429)
+  if (call->is_turned_away && status == 429)
+    response.retry_after_ms = front_admission_retry_after_ms (&call->job_id);
+  else if (status == 503 || status == 429)
     response.retry_after_ms = FRONT_RETRY_AFTER_MS;
   record_response (call, status);
   fl_http_respond (call->request, &response);
--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -413,6 +413,7 @@
       fl_stop_signals_start (&frontd.stop_signals, host->loop, on_stop, &frontd);
       fl_configuration_watch_start (&frontd.configuration_watch, host,
                                     &(struct fl_configuration_watch_callbacks){ 0 });
+      front_admission_start (&frontd);
       ev_run (host->loop, 0);
     }
   else
@@ -421,6 +422,7 @@
       code = FL_PROGRAM_FAILED;
     }
   fl_configuration_watch_stop (&frontd.configuration_watch);
+  front_admission_stop (&frontd);
   fl_http_server_free (frontd.client_server);
   fl_http_server_free (frontd.ready_server);
   fl_http_server_free (frontd.native_server);
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -7,6 +7,7 @@
 #include "frontd/drain.h"
 #include "frontd/frontd.h"
 #include "host/configuration_watch.h"
+#include "store/follower.h"
 #include "store/reply_limit.h"
 #include "store/tables.h"
 
@@ -14,6 +15,14 @@
  * balancer takes to stop using a host that is not ready. */
 #define FRONT_RETRY_AFTER_MS 1000
 
+/* The queues that accept no further jobs, as the owner of the pool last told. */
+struct front_admission
+{
+  struct fl_follower *follower;
+  GHashTable *closed; /* set of struct fl_name */
+  int64_t received_ms;
+};
+
 struct fl_frontd
 {
   struct fl_host *host;
@@ -26,6 +35,7 @@
   ev_timer drain_timer;
   int64_t last_open_ms;              /* when the process was last in use, while stopping */
   struct fl_reply_limit store_limit; /* of the store calls of requests */
+  struct front_admission admission;
 };
 
 struct store_attempt;
@@ -42,6 +52,7 @@
   int64_t respond_by_ms;    /* time by which the client needs the response */
   struct fl_str job_row;    /* submission: the encoded job */
   int64_t expected_version; /* submission: version of the row that job_row replaces; 0 for none */
+  bool is_turned_away;      /* submission: respond 429 once the id is blocked */
   bool wait_for_end;        /* respond when the job has ended or the time is up */
   int64_t retry_delay_ms;   /* of the last retry; 0 before the first */
   void (*retry) (struct front_call *call);
@@ -104,6 +115,18 @@
 /* @return the time (boot clock) by which the client needs the response to @request. */
 int64_t front_respond_by_ms (const struct fl_http_request *request);
 
+/* --- admission.c --- */
+
+void front_admission_start (struct fl_frontd *frontd);
+void front_admission_stop (struct fl_frontd *frontd);
+
+/* Whether @queue accepts no further jobs now. */
+bool front_admission_is_closed (const struct fl_frontd *frontd, const struct fl_name *queue);
+
+/* @return a time, spread over jobs, after which the client of a job that was turned away may ask
+ * again. */
+int64_t front_admission_retry_after_ms (const struct fl_name *job_id);
+
 /* --- waiting.c --- */
 
 /* Holds @request until the configuration is confirmed and calls @handle, or calls @reject if the
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -14,6 +14,7 @@
 static void store_job (struct front_call *call);
 static void resolve_unknown_write (struct front_call *call);
 static void read_progress (struct front_call *call);
+static void turn_away (struct front_call *call, int64_t version);
 
 static void
 respond_accepted (struct front_call *call)
@@ -30,7 +31,9 @@
 replace_marker (struct front_call *call, int64_t version)
 {
   call->expected_version = version;
-  if (front_call_has_time_left (call))
+  if (call->is_turned_away)
+    front_call_respond (call, 429, NULL);
+  else if (front_call_has_time_left (call))
     store_job (call);
   else
     front_call_respond (call, 503, NULL);
@@ -48,8 +51,12 @@
       respond_accepted (call);
       return;
     }
-  /* The row is a marker: the id is free, and the job may replace this version of the row. */
-  replace_marker (call, version);
+  /* The row is a marker: the id is free, and the job may replace this version of the row. A request
+   * that is turned away replaces it by a marker, so that writes of earlier requests fail. */
+  if (call->is_turned_away)
+    turn_away (call, version);
+  else
+    replace_marker (call, version);
 }
 
 static void
@@ -112,6 +119,16 @@
   write_job_row (call, &marker, on_marker_written);
 }
 
+/* Blocks the id in place of @version of its row, and responds 429: a write of an earlier request
+ * with the id, which may have no known outcome, does not take effect any more. A job that is stored
+ * already remains accepted. */
+static void
+turn_away (struct front_call *call, int64_t version)
+{
+  call->expected_version = version;
+  resolve_unknown_write (call);
+}
+
 void
 front_submit_job (struct fl_frontd *frontd,
                   struct fl_http_request *request,
@@ -130,7 +147,14 @@
   call->wait_for_end = wait_for_end;
   call->job_row = fl_record_encode (&fl_job_spec_schema, spec);
   fl_schema_clear (&fl_job_spec_schema, spec);
-  store_job (call);
+  call->is_turned_away = front_admission_is_closed (frontd, &queue->name);
+  if (call->is_turned_away)
+    {
+      fl_stats_add (frontd->host->stats, "jobs_turned_away_total", 1);
+      turn_away (call, 0);
+    }
+  else
+    store_job (call);
 }
 
 /* --- show --- */
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -299,6 +299,14 @@
           FL_I ("backing_off", counts.backing_off));
 }
 
+int
+fl_advisors_count_usable (const struct fl_advisors *advisors)
+{
+  struct fl_advisor_counts counts = fl_advisor_pool_count (advisors->pool, fl_clock_boot_ms ());
+
+  return counts.free + counts.in_use;
+}
+
 bool
 fl_advisors_are_available (struct fl_advisors *advisors, const struct fl_advice_demand *demand)
 {
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -63,6 +63,9 @@
 /* Appends one line of JSON for each host to @out, for operators. */
 void fl_advisors_dump (const struct fl_advisors *advisors, GString *out);
 
+/* @return how many hosts send queries or are free to. */
+int fl_advisors_count_usable (const struct fl_advisors *advisors);
+
 /* Whether a host is free for @demand. */
 bool fl_advisors_are_available (struct fl_advisors *advisors,
                                 const struct fl_advice_demand *demand);
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -41,6 +41,11 @@
   struct fl_store_writer *progress_writer;
   struct fl_store_writer *targets_writer;
   struct fl_store_writer *pending_writer;
+  struct fl_store_writer *admission_writer;
+  int64_t admission_checked_ms;
+  int64_t admission_sent_ms;
+  struct fl_str
+      stored_admission; /* closed queues, as last sent; empty for none or after a failure */
   int64_t pending_sent_ms;
   int64_t records_paced_ms;     /* see get_paced_ms in records.c */
   int64_t next_store_ms;        /* no record is sent before: interval or back-off */
@@ -142,5 +147,8 @@
  * outdated. */
 void fl_term_store_records (struct fl_term *term);
 
+/* Stores which queues accept no further jobs, if this has changed or is about to expire. */
+void fl_term_store_admission (struct fl_term *term);
+
 /* Stores the number of pending jobs of each queue if it has changed. */
 void fl_term_store_pending_counts (struct fl_term *term);
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -29,6 +29,9 @@
 #define SHORT_WAIT_MS 40
 /* The counts of pending jobs may be up to 2 s old when they are read. */
 #define PENDING_INTERVAL_MS 500
+#define ADMISSION_INTERVAL_MS 100
+/* A row that does not change is written again in time before it expires. */
+#define ADMISSION_RENEWAL_MS 1000
 
 static void
 commit_writes (struct fl_term *term,
@@ -212,3 +215,57 @@
       = { FL_TABLE_SUMMARY, FL_PARTITION_OWNER, fl_name_of (FL_SUMMARY_PENDING), value, false };
   commit_writes (term, term->pending_writer, &write, 1, on_pending_stored);
 }
+
+/* --- queues that accept no further jobs --- */
+
+static void
+on_admission_stored (void *context, const struct fl_store_reply *reply)
+{
+  struct fl_term *term = context;
+
+  handle_failure (term, "admission", reply);
+  if (reply->status != FL_STORE_OK)
+    fl_str_clear (&term->stored_admission);
+  fl_term_unref (term);
+}
+
+static struct fl_str
+encode_closed (const GArray *closed)
+{
+  json_t *json = json_object ();
+
+  for (guint i = 0; i < closed->len; i++)
+    json_object_set_new (json, g_array_index (closed, struct fl_name, i).data, json_true ());
+  struct fl_str text = fl_json_encode (json);
+  json_decref (json);
+  return text;
+}
+
+void
+fl_term_store_admission (struct fl_term *term)
+{
+  int64_t now_ms = fl_clock_boot_ms ();
+
+  if (fl_store_writer_is_busy (term->admission_writer)
+      || now_ms - term->admission_checked_ms < ADMISSION_INTERVAL_MS)
+    return;
+  term->admission_checked_ms = now_ms;
+  g_autoptr (GArray) closed
+      = fl_core_update_admission (term->core, fl_advisors_count_usable (term->poold->advisors));
+  struct fl_str value = encode_closed (closed);
+  bool is_same = value.len == term->stored_admission.len
+                 && memcmp (value.data, fl_str_text (&term->stored_admission), value.len) == 0;
+  bool was_empty = term->stored_admission.len == 0 && closed->len == 0;
+  if (was_empty
+      || (is_same && (closed->len == 0 || now_ms - term->admission_sent_ms < ADMISSION_RENEWAL_MS)))
+    {
+      fl_str_clear (&value);
+      return;
+    }
+  fl_str_clear (&term->stored_admission);
+  term->stored_admission = value;
+  term->admission_sent_ms = now_ms;
+  struct fl_store_write write
+      = { FL_TABLE_ADMISSION, FL_PARTITION_OWNER, fl_name_of (FL_ADMISSION_CLOSED), value, false };
+  commit_writes (term, term->admission_writer, &write, 1, on_admission_stored);
+}
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -359,6 +359,8 @@
       = fl_store_writer_new (poold->host->store, FL_OWNER_TABLE, FL_PARTITION_OWNER, "targets");
   term->pending_writer
       = fl_store_writer_new (poold->host->store, FL_OWNER_TABLE, FL_PARTITION_OWNER, "pending");
+  term->admission_writer
+      = fl_store_writer_new (poold->host->store, FL_OWNER_TABLE, FL_PARTITION_OWNER, "admission");
   term->progress_follower = follow_table (term, FL_TABLE_PROGRESS, fl_owner_partitions,
                                           on_progress_row, NULL, on_progress_read, NULL, 0);
   term->registry_follower = follow_table (
@@ -390,12 +392,14 @@
   fl_store_writer_free (term->progress_writer);
   fl_store_writer_free (term->targets_writer);
   fl_store_writer_free (term->pending_writer);
+  fl_store_writer_free (term->admission_writer);
   fl_core_free (term->core);
   g_hash_table_destroy (term->recorded_progress);
   g_hash_table_destroy (term->heartbeats_in_flight);
   if (term->listed_targets != NULL)
     g_hash_table_unref (term->listed_targets);
   fl_str_clear (&term->stored_pending);
+  fl_str_clear (&term->stored_admission);
   g_free (term);
 }
 
@@ -426,6 +430,7 @@
       fl_forwarder_flush (term->poold->forwarder);
       fl_term_store_records (term);
       fl_term_store_pending_counts (term);
+      fl_term_store_admission (term);
     }
   fl_term_send_heartbeats (term);
 }
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -302,7 +302,9 @@
 static void
 send_next_call (struct fl_follower *follower)
 {
-  int64_t feed_wait_ms = FEED_WAIT_MS + FEED_LIMIT_MIN_MS - follower->feed_limit.limit_ms;
+  int64_t feed_wait_ms
+      = (follower->options.feed_wait_ms > 0 ? follower->options.feed_wait_ms : FEED_WAIT_MS)
+        + FEED_LIMIT_MIN_MS - follower->feed_limit.limit_ms;
 
   if (follower->has_failed)
     feed_wait_ms = FEED_COPY_WAIT_MS;
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -19,6 +19,9 @@
   /* Pause between a reply of the feed and the next call; 0 for none. With a pause, one call returns
    * many changes of a busy table instead of only one. */
   int64_t feed_pause_ms;
+  /* How long a call of the feed waits for changes; 0 for a second. With a longer wait, rows that
+   * rarely change cost fewer calls, but a connection that has gone silent is noticed later. */
+  int64_t feed_wait_ms;
   /* Replies may take long to transfer: the limits of reads start wider. */
   bool is_link_slow;
   const char *const *partitions; /* to read, NULL-terminated; the feed covers all partitions */
--- a/lib/store/tables.h
+++ b/lib/store/tables.h
@@ -6,7 +6,8 @@
 #define FL_TABLE_JOBS "jobs"
 #define FL_TABLE_PROGRESS "progress"
 #define FL_TABLE_SUMMARY "summary"
-#define FL_TABLE_HOSTS "hosts"   /* link addresses of the pool daemons */
+#define FL_TABLE_ADMISSION "admission" /* the queues that accept no further jobs now */
+#define FL_TABLE_HOSTS "hosts"         /* link addresses of the pool daemons */
 #define FL_TABLE_RELAYS "relays" /* link addresses and CPU of the hosts that relay store calls */
 
 /* Partition of the rows that the owner of the pool writes, and of the row that fences them. */
@@ -21,6 +22,12 @@
 #define FL_SUMMARY_PENDING "pending"
 #define FL_SUMMARY_TARGETS "targets"
 
+/* Key of the only row in FL_TABLE_ADMISSION: {"QUEUE": true, ...}. The owner writes it when it
+ * changes, and again each second while a queue is closed. It holds for FL_ADMISSION_VALID_MS after
+ * it has been received, so that no owner that is lost keeps a queue closed. */
+#define FL_ADMISSION_CLOSED "closed"
+#define FL_ADMISSION_VALID_MS 3000
+
 /* Suffix of the key of the row that cancels a job; the job's own row sorts right before it. */
 #define FL_CANCEL_SUFFIX "/cancel"
 
--- a/tests/test_front_late.c
+++ b/tests/test_front_late.c
@@ -100,6 +100,7 @@
 #define PROMPT_PERCENT 50         /* of the calls; their delays are at most PROMPT_MAX_MS */
 #define PROMPT_MAX_MS 60
 #define LOST_PERCENT 20
+#define ADMISSION_FEED_MS 50
 /* After it no write takes effect any more. */
 #define SETTLED_US ((APPLY_DELAY_MAX_MS + 200) * 1000)
 
@@ -121,6 +122,7 @@
 {
   int64_t version;
   struct row jobs[JOBS];
+  bool is_closed; /* the queue accepts no further jobs */
 };
 
 struct random_store
@@ -281,24 +283,42 @@
 }
 
 static void
-feed_nothing (void *context,
-              const char *table,
-              int64_t after_version,
-              int64_t wait_ms,
-              int64_t timeout_ms,
-              void (*done) (void *context, const struct fl_store_reply *reply),
-              void *done_context)
+on_admission_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct random_call *call = timer->data;
+  const char *value = call->store->rows->is_closed ? "{\"q\":true}" : "{}";
+  struct fl_store_row row
+      = { .key = fl_name_of (FL_ADMISSION_CLOSED), .value = { strlen (value), (char *)value } };
+  struct fl_store_reply reply = { .status = FL_STORE_OK, .rows = &row, .count = 1 };
+
+  (void)loop;
+  (void)events;
+  call->done (call->context, &reply);
+  g_free (call);
+}
+
+/* The queues that are closed change; nothing else does. */
+static void
+feed_admission (void *context,
+                const char *table,
+                int64_t after_version,
+                int64_t wait_ms,
+                int64_t timeout_ms,
+                void (*done) (void *context, const struct fl_store_reply *reply),
+                void *done_context)
 {
   struct random_store *store = context;
   struct random_call *call = g_new0 (struct random_call, 1);
 
-  (void)table;
   (void)after_version;
   (void)timeout_ms;
   *call = (struct random_call){
     .store = store, .status = FL_STORE_OK, .is_applied = true, .done = done, .context = done_context
   };
-  start_timer (store->loop, &call->reply_timer, on_random_reply_due, wait_ms, call);
+  if (strcmp (table, FL_TABLE_ADMISSION) == 0)
+    start_timer (store->loop, &call->reply_timer, on_admission_due, ADMISSION_FEED_MS, call);
+  else
+    start_timer (store->loop, &call->reply_timer, on_random_reply_due, wait_ms, call);
 }
 
 static const struct fl_store *
@@ -311,10 +331,81 @@
   store->interface = (struct fl_store){ .context = store,
                                         .transact = transact_randomly,
                                         .read = read_configuration,
-                                        .feed = feed_nothing };
+                                        .feed = feed_admission };
   return &store->interface;
 }
 
+/* Submits the jobs from @first on that got no decision, ROUND_JOBS at a time; @deadline_ms is the
+ * time of the client. Updates @statuses. */
+static void
+submit_again (const struct front *front, int first, int deadline_ms, int *statuses)
+{
+  struct test_client clients[ROUND_JOBS];
+
+  for (int i = 0; i < ROUND_JOBS; i++)
+    {
+      g_autofree char *request
+          = g_strdup_printf ("POST /q/%016x" SUBMIT_REST "Deadline-Ms: %d\r\n\r\n" JOB_BODY,
+                             (unsigned)(first + i), deadline_ms);
+      clients[i] = (struct test_client){ .fd = -1 };
+      if (statuses[first + i] != 0 && statuses[first + i] != 504)
+        continue;
+      assert_true (test_client_connect (&clients[i], front->port, false));
+      assert_true (test_client_request (&clients[i], request));
+    }
+  for (int i = 0; i < ROUND_JOBS; i++)
+    if (clients[i].fd >= 0)
+      {
+        statuses[first + i] = test_client_await (&clients[i]);
+        test_client_close (&clients[i]);
+      }
+}
+
+/* A queue is closed between two requests of the same job, of which the first got no decision, since
+ * its write may take effect later. A job that gets 429 then is never stored, and one that was
+ * stored remains accepted. */
+static void
+test_closed_queue_while_writes_are_late (void **state)
+{
+  struct rows *rows
+      = mmap (NULL, sizeof *rows, PROT_READ | PROT_WRITE, MAP_SHARED | MAP_ANONYMOUS, -1, 0);
+  struct front front;
+  int statuses[JOBS] = { 0 };
+  int turned_away = 0;
+  int accepted = 0;
+  int left_open;
+
+  (void)state;
+  assert_true (rows != MAP_FAILED);
+  front = front_start_with_store (create_random_store, &rows);
+  for (int first = 0; first < JOBS; first += ROUND_JOBS)
+    {
+      rows->is_closed = false;
+      usleep (4 * ADMISSION_FEED_MS * 1000);
+      submit_again (&front, first, 400, statuses);
+      rows->is_closed = true;
+      usleep (4 * ADMISSION_FEED_MS * 1000);
+      for (int i = first; i < first + ROUND_JOBS; i++)
+        accepted += statuses[i] == 504 ? 0 : 1;
+      submit_again (&front, first, 3000, statuses);
+    }
+  usleep (SETTLED_US);
+  kill (front.pid, SIGTERM);
+  assert_int_equal (front_await_end (&front, &left_open), 0);
+  for (int i = 0; i < JOBS; i++)
+    {
+      bool is_stored = rows->jobs[i].content == JOB_ROW;
+      turned_away += statuses[i] == 429;
+      if ((statuses[i] == 200 && !is_stored)
+          || (statuses[i] != 504 && statuses[i] != 200 && is_stored))
+        fail_msg ("job %d: status %d, but it is %s", i, statuses[i],
+                  is_stored ? "stored" : "not stored");
+    }
+  printf ("  %d decided before the queue was closed, %d turned away\n", accepted, turned_away);
+  assert_true (turned_away > 0 && accepted > 0);
+  munmap (rows, sizeof *rows);
+}
+
 /* A job whose submission got 200 is stored, and one whose submission got 503 never is, whichever
  * replies were late or lost. */
 static void
@@ -372,7 +463,8 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_requests_while_replies_are_late),
-          cmocka_unit_test (test_submissions_with_late_and_lost_replies) };
+          cmocka_unit_test (test_submissions_with_late_and_lost_replies),
+          cmocka_unit_test (test_closed_queue_while_writes_are_late) };
 
   return cmocka_run_group_tests_name ("front_late", tests, NULL, NULL);
 }
