--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -19,6 +19,7 @@
 static void store_job (struct front_call *call);
 static void resolve_unknown_write (struct front_call *call);
 static void read_progress (struct front_call *call);
+static void turn_away (struct front_call *call, int64_t version);
 
 static void
 respond_accepted (struct front_call *call)
@@ -35,7 +36,9 @@
 replace_marker (struct front_call *call, int64_t version)
 {
   call->expected_version = version;
-  if (front_call_has_time_left (call))
+  if (call->is_turned_away)
+    front_call_respond (call, 429, NULL);
+  else if (front_call_has_time_left (call))
     store_job (call);
   else
     front_call_respond (call, 503, NULL);
@@ -47,12 +50,16 @@
 {
   struct front_job_rows job = front_find_job_rows (call, reply);
 
+  /* Else the row is a marker: the id is free, and the job may replace this version of the row. A
+   * request that is turned away replaces it by a marker, so that writes of earlier requests fail.
+   */
   if (job.is_stored)
     respond_accepted (call);
   else if (job.is_cancelled)
     front_call_respond (call, 503, NULL);
+  else if (call->is_turned_away)
+    turn_away (call, job.version);
   else
-    /* The row is a marker: the id is free, and the job may replace this version of the row. */
     replace_marker (call, job.version);
 }
 
@@ -117,6 +124,16 @@
   write_job_row (call, &marker, on_marker_written);
 }
 
+/* Blocks the id in place of @version of its row, and responds 429: a write of an earlier request
+ * with the id, which may have no known outcome, does not take effect any more. A job that is stored
+ * already remains accepted. */
+static void
+turn_away (struct front_call *call, int64_t version)
+{
+  call->expected_version = version;
+  resolve_unknown_write (call);
+}
+
 void
 front_submit_job (struct fl_frontd *frontd,
                   struct fl_http_request *request,
@@ -135,12 +152,19 @@
   call->wait_for_end = wait_for_end;
   call->job_row = fl_record_encode (&fl_job_spec_schema, spec);
   fl_schema_clear (&fl_job_spec_schema, spec);
+  call->is_turned_away = front_admission_is_closed (frontd, &queue->name);
   if (fl_http_client_has_left (request) || !front_call_has_time_left (call))
     {
-      /* Nobody waits for the response, and the client may have cancelled the job. */
+      /* Nobody waits for the response, and the client may have cancelled the job. An earlier
+       * request may have stored it, so that this is no rejection. */
       fl_stats_add (frontd->host->stats, "jobs_abandoned_total", 1);
       front_call_respond (call, 503, NULL);
     }
+  else if (call->is_turned_away)
+    {
+      fl_stats_add (frontd->host->stats, "jobs_turned_away_total", 1);
+      turn_away (call, 0);
+    }
   else
     store_job (call);
 }
