Frontd: a submission whose time is over is not told to be rejected

An earlier request with its id may have stored the job, so that 503, which promises that the job never runs, may be wrong: the client gets 504, and may ask or send it again.

--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -158,7 +158,7 @@
       /* Nobody waits for the response, and the client may have cancelled the job. An earlier
        * request may have stored it, so that this is no rejection. */
       fl_stats_add (frontd->host->stats, "jobs_abandoned_total", 1);
-      front_call_respond (call, 503, NULL);
+      front_call_respond (call, 504, NULL);
     }
   else if (call->is_turned_away)
     {
