Core: a job that waits for its team's limit has no turn for its wait

Cause: jobs that had waited for 15 s at the limit of their team had turns, nearly all of the team's at once. A turn takes no room from other teams there; it only puts the jobs of the team side by side, so that those begun are not ended first, and the last chain of steps began late.

Change: the wait at a team's limit does not count for a turn. Expired jobs have turns as before.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -481,6 +481,14 @@
   return step->unplaced_since_ms > 0 ? step->job->core->now_ms - step->unplaced_since_ms : 0;
 }
 
+/* @return the part of this wait that a turn can end: it takes no room from other jobs of a team at
+ * its limit. */
+static int64_t
+get_endable_wait_ms (const struct core_step *step)
+{
+  return step->wait.missing != CORE_WAIT_TEAM_LIMIT ? get_unplaced_ms (step) : 0;
+}
+
 /* Lets the oldest job among those of @waiting that are due a turn go first once an interval, until
  * it ends. */
 static void
@@ -494,7 +502,7 @@
       const struct waiting_step *entry = &g_array_index (waiting, struct waiting_step, i);
       struct core_job *job = entry->step->job;
       if (job->has_turn
-          || !fl_order_is_due_a_turn (entry->key.order_class, get_unplaced_ms (entry->step)))
+          || !fl_order_is_due_a_turn (entry->key.order_class, get_endable_wait_ms (entry->step)))
         continue;
       count++;
       if (oldest == NULL || job->accepted_version < oldest->accepted_version)
