Core: repeat a start whose connections are reset after a while, not at once each time

Cause: resend_order repeats a start as soon as its call has ended. A reset ends the call within a few milliseconds, where silence takes the limit of the start (0.2 s).

Change: the first repeat is sent at once, as before, since all connections may have been reset; later ones wait FL_START_LIMIT_MS since the last order.

Without the change test_start_reset_repeatedly counts 3 starts where 2 are expected.

--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -560,6 +560,10 @@
   /* The next reply tells whether the new boot has the run, or whether the start took effect. */
   if (!run->target->is_fenced || !core_domains_are_known (run->target->core))
     return;
+  /* A target that resets a connection may reset the next ones as well, all attempts within
+   * milliseconds. */
+  if (run->inconclusive_starts > 0 && now_ms - run->last_order_at_ms < FL_START_LIMIT_MS)
+    return;
   run->inconclusive_starts++;
   const char *ticket = core_advice_ticket (run->task->step, run->target);
   if (run->inconclusive_starts < START_ATTEMPTS_MAX && ticket != NULL && !run->target->silent
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -542,6 +542,34 @@
 
 /* --- orders and reports --- */
 
+/* A start whose connections were reset used up its attempts within some 40 ms. */
+static void
+test_start_reset_repeatedly (void **state)
+{
+  static const struct
+  {
+    int64_t after_ms; /* since the last reset */
+    guint starts;     /* expected */
+  } steps[] = { { 10, 2 }, { 10, 2 }, { 200, 3 }, { 10, 3 }, { 200, 4 } };
+  struct fixture *fixture = fixture_new (0);
+  guint reset = 0;
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      for (; reset < fixture->start_orders->len; reset++)
+        fl_core_handle_start_reply (fixture->core, &get_start_order (fixture, 0)->task, 1,
+                                    FL_ORDER_NO_REPLY, fixture->now_ms);
+      tick_until_recorded (fixture, steps[i].after_ms);
+      assert_int_equal (fixture->start_orders->len, steps[i].starts);
+      assert_int_equal (fixture->stop_orders->len, 0);
+    }
+  fixture_free (fixture);
+}
+
 static void
 test_start_without_reply (void **state)
 {
@@ -1562,6 +1590,7 @@
     cmocka_unit_test (test_gang_without_room_is_not_queried),
     cmocka_unit_test (test_room_charged_for_queries_keeps_no_step_waiting),
     cmocka_unit_test (test_low_priority_is_queried_beside_urgent_steps),
+    cmocka_unit_test (test_start_reset_repeatedly),
     cmocka_unit_test (test_start_without_reply),
     cmocka_unit_test (test_start_stopped_after_reset),
     cmocka_unit_test (test_target_without_listener),
