Targets: use a share of the connections that a target accepts

Cause: an owner opened a connection to a target for each order in flight at a time and kept all of them. A lost machine leaves its connections open at the targets, which accept 64; maxConns of the configuration was read and not used.

Change: an order waits while its host has a twentieth of the accepted connections to its target in use (connections_max of a call; the limit of the order counts from when it is sent; one that waits for too long is reported as not sent). Heartbeats do not wait. An order whose reply is late gives its place to the next, so that silent connections or a hung target do not block orders for 2 s. Idle connections are closed after 30 s. The limit holds by peer and by call: the store and the advice service have none.

Without the bound test_connections_to_target counts 9 connections where 4 are expected.

--- a/lib/configuration/configuration.c
+++ b/lib/configuration/configuration.c
@@ -134,6 +134,23 @@
   return g_hash_table_lookup (configuration->services, name);
 }
 
+int64_t
+fl_configuration_least_connections_max (const struct fl_configuration *configuration)
+{
+  int64_t least = 0;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, configuration->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      int64_t connections_max = ((const struct fl_service *)value)->connections_max;
+      if (connections_max > 0 && (least == 0 || connections_max < least))
+        least = connections_max;
+    }
+  return least;
+}
+
 const struct fl_team *
 fl_configuration_find_team (const struct fl_configuration *configuration,
                             const struct fl_name *name)
--- a/lib/configuration/configuration.h
+++ b/lib/configuration/configuration.h
@@ -46,7 +46,7 @@
   struct fl_name name;
   bool rejects_overload; /* its targets reject tasks that exceed their capacity */
   bool powered_off;
-  int64_t connections_max;
+  int64_t connections_max; /* that a target accepts; 0 if it is unknown */
 };
 
 struct fl_team
@@ -89,6 +89,10 @@
 const struct fl_service *
 fl_configuration_find_service (const struct fl_configuration *configuration,
                                const struct fl_name *name);
+
+/* @return the smallest known number of connections that targets of any service accept; 0 if none is
+ * known. */
+int64_t fl_configuration_least_connections_max (const struct fl_configuration *configuration);
 const struct fl_team *fl_configuration_find_team (const struct fl_configuration *configuration,
                                                   const struct fl_name *name);
 
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -22,6 +22,9 @@
  * which a follower sends a copy of its call, so that the copy is sent over another connection. */
 #define REPLY_LATE_MS 450
 
+/* An idle connection that is older is closed when another one is looked for. */
+#define IDLE_MAX_S 30L
+
 struct fl_http_client
 {
   struct ev_loop *loop;
@@ -31,6 +34,7 @@
   ev_timer timer;
   struct fl_http_peers *peers;
   GHashTable *calls; /* set of struct call * */
+  bool is_closing;
   struct curl_slist *headers;
 };
 
@@ -40,7 +44,10 @@
   CURL *easy;
   struct fl_http_peer *peer;
   struct fl_http_connection *connection; /* in use by this call */
-  struct fl_timeout late_timeout;        /* until the first byte of the reply */
+  int64_t connections_max;
+  bool is_waiting;                /* for other calls to the peer */
+  bool is_busy;                   /* counts as such at the peer */
+  struct fl_timeout late_timeout; /* until the first byte of the reply */
   int64_t quiet_ms;
   int64_t sent_ms; /* the last copy, by the boot clock */
   bool is_heard;   /* something of the reply to the last copy has arrived */
@@ -72,6 +79,52 @@
   ev_io io;
 };
 
+/* --- limit of the connections to a peer --- */
+
+static bool
+has_to_wait (const struct call *call)
+{
+  return call->connections_max > 0 && call->peer->busy_count >= call->connections_max;
+}
+
+/* Gives @call to libcurl. */
+static void
+begin_transfer (struct call *call)
+{
+  call->is_waiting = false;
+  call->is_busy = true;
+  call->peer->busy_count++;
+  fl_timeout_start (&call->timeout, call->timeout_ms);
+  curl_multi_add_handle (call->client->multi, call->easy);
+}
+
+static void
+wait_for_others (struct call *call, int64_t timeout_ms)
+{
+  call->is_waiting = true;
+  g_queue_push_tail (&call->peer->waiting, call);
+  fl_stats_add (call->client->stats, "http_calls_waited_total", 1);
+  fl_timeout_start (&call->timeout, timeout_ms);
+}
+
+/* From now on @call does not count towards the limit of other calls, and those that waited for it
+ * are sent. */
+static void
+end_busy (struct call *call)
+{
+  struct fl_http_peer *peer = call->peer;
+  struct call *next;
+
+  if (!call->is_busy)
+    return;
+  call->is_busy = false;
+  peer->busy_count--;
+  if (call->client->is_closing)
+    return;
+  while ((next = g_queue_peek_head (&peer->waiting)) != NULL && !has_to_wait (next))
+    begin_transfer (g_queue_pop_head (&peer->waiting));
+}
+
 static void
 call_free (void *data)
 {
@@ -79,10 +132,13 @@
 
   fl_timeout_stop (&call->timeout);
   fl_timeout_stop (&call->late_timeout);
+  if (call->is_waiting)
+    g_queue_remove (&call->peer->waiting, call);
   curl_multi_remove_handle (call->client->multi, call->easy);
   curl_easy_cleanup (call->easy);
   if (call->connection != NULL)
     fl_http_connection_put_back (call->connection);
+  end_busy (call);
   fl_http_peer_release (call->peer);
   g_string_free (call->body, TRUE);
   curl_slist_free_all (call->custom_headers);
@@ -105,12 +161,13 @@
 static void
 on_reply_late (void *context)
 {
-  const struct call *call = context;
+  struct call *call = context;
   struct fl_http_client *client = call->client;
   struct fl_http_peer *peer = call->peer;
   int64_t due_ms = call->sent_ms + call->quiet_ms;
   int closed = fl_http_peer_shut_down_unheard (peer, due_ms);
 
+  end_busy (call);
   fl_stats_add (client->stats, "http_connections_closed_silent_total", closed);
   if (closed == 0 && peer->is_suspect)
     return;
@@ -312,6 +369,13 @@
   struct call *call = context;
   int64_t left_ms = call->last_progress_ms + call->stall_timeout_ms - fl_clock_boot_ms ();
 
+  if (call->is_waiting)
+    {
+      fl_stats_add (call->client->stats, "http_calls_waited_too_long_total", 1);
+      g_strlcpy (call->error_text, "other calls are in progress", sizeof call->error_text);
+      finish_call (call->client, call, CURLE_OPERATION_TIMEDOUT);
+      return;
+    }
   if (call->last_progress_ms > 0 && left_ms > 0)
     {
       fl_timeout_start (&call->timeout, left_ms);
@@ -435,6 +499,7 @@
 {
   if (client == NULL)
     return;
+  client->is_closing = true;
   g_hash_table_destroy (client->calls);
   curl_multi_cleanup (client->multi);
   fl_http_peers_free (client->peers);
@@ -454,6 +519,7 @@
   call->easy = easy;
   call->peer = fl_http_peers_get (client->peers, options->url);
   call->quiet_ms = options->quiet_ms;
+  call->connections_max = options->connections_max;
   call->body = g_string_new (NULL);
   call->url = g_strdup (options->url);
   call->on_done = options->on_done;
@@ -475,6 +541,7 @@
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_option);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX (options->connect_timeout_ms, 1));
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -499,6 +566,8 @@
   fl_timeout_init (&call->late_timeout, client->loop, on_reply_late, call);
   fl_timeout_init (&call->timeout, client->loop, on_call_timeout, call);
   call->timeout_ms = MAX (options->timeout_ms, 1);
-  fl_timeout_start (&call->timeout, call->timeout_ms);
-  curl_multi_add_handle (client->multi, easy);
+  if (has_to_wait (call))
+    wait_for_others (call, MAX (options->connect_timeout_ms, 1));
+  else
+    begin_transfer (call);
 }
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -7,7 +7,11 @@
  *
  * Open connections may go silent without a reset. When a call gets no byte of its reply in time,
  * the idle connections to the same peer on which nothing was heard since the reply was due are
- * closed, so that later calls are sent over connections that work. */
+ * closed, so that later calls are sent over connections that work.
+ *
+ * A peer that is lost leaves its connections open at the other end, and a peer may accept a few
+ * only. Calls may therefore limit the connections to their peer, and idle connections are closed
+ * when they get old. */
 #pragma once
 
 #include <ev.h>
@@ -48,6 +52,9 @@
    * whole call to @timeout_ms. */
   int64_t stall_timeout_ms;
   int64_t connect_timeout_ms;
+  /* The call waits, for @connect_timeout_ms at most, while this many calls to the same peer are in
+   * progress, without those whose reply is late. 0: it never waits. */
+  int64_t connections_max;
   int64_t quiet_ms; /* for which the peer may stay silent before it replies, by agreement */
   const struct fl_traffic *traffic; /* counters of calls of this kind; NULL for none */
   /* Permits sending the request again when a reused connection ends before the reply. For calls of
--- a/lib/net/http_peers.c
+++ b/lib/net/http_peers.c
@@ -18,6 +18,7 @@
   struct fl_http_peer *peer = data;
 
   g_ptr_array_unref (peer->connections);
+  g_queue_clear (&peer->waiting);
   g_free (peer->address);
   g_free (peer);
 }
@@ -73,6 +74,7 @@
       peer->peers = peers;
       peer->address = g_steal_pointer (&address);
       peer->connections = g_ptr_array_new ();
+      g_queue_init (&peer->waiting);
       g_hash_table_insert (peers->by_address, peer->address, peer);
     }
   peer->user_count++;
--- a/lib/net/http_peers.h
+++ b/lib/net/http_peers.h
@@ -14,6 +14,8 @@
   char *address;          /* "ip:port" */
   GPtrArray *connections; /* struct fl_http_connection *, in the order of their opening */
   int user_count;
+  int busy_count;  /* users that count towards the limit of their connections */
+  GQueue waiting;  /* users that wait until fewer are busy */
   bool is_suspect; /* a call got no reply in time, and nothing has been heard since */
 };
 
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -29,8 +29,11 @@
 on_configuration (void *context)
 {
   struct fl_poold *poold = context;
+  int64_t connections_max = fl_configuration_least_connections_max (poold->watch.configuration);
 
   poold->tick_requested = true;
+  fl_platform_target_client_set_connections_max (poold->own_targets, connections_max);
+  fl_platform_target_client_set_connections_max (poold->forwarded_targets, connections_max);
   if (poold->term != NULL)
     fl_core_configure (poold->term->core, poold->watch.configuration);
 }
--- a/tests/test_http_silence.c
+++ b/tests/test_http_silence.c
@@ -1,5 +1,5 @@
-/* The HTTP client when open connections to a peer go silent without a reset, while new ones work.
- */
+/* The connections of the HTTP client to a peer: when open ones go silent without a reset while new
+ * ones work, and how many a target gets. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "net/http_client.h"
+#include "platform/platform.h"
 #include "support_loop.h"
 #include "support_proxy.h"
 #include "support_server.h"
@@ -27,6 +28,7 @@
   struct support_proxy *proxy;
   int calls_open;
   int replies;
+  int orders[FL_ORDER_RESULT_COUNT]; /* that ended so */
 };
 
 static void
@@ -64,10 +66,10 @@
 
 /* Leaves @idle connections open that have served a request each. */
 static struct fixture *
-fixture_new (int idle, enum support_connection_end end)
+fixture_new (int idle, enum support_connection_end end, int status)
 {
   struct fixture *fixture = g_new0 (struct fixture, 1);
-  struct support_server_options options = { idle, end, 200, NULL };
+  struct support_server_options options = { idle, end, status, NULL };
 
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
   fixture->stats = fl_stats_new ();
@@ -106,7 +108,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (idle_counts); i++)
     {
-      struct fixture *fixture = fixture_new (idle_counts[i], SUPPORT_END_SERVED);
+      struct fixture *fixture = fixture_new (idle_counts[i], SUPPORT_END_SERVED, 200);
       int lost = 0;
 
       support_proxy_silence (fixture->proxy);
@@ -145,7 +147,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct fixture *fixture = fixture_new (2, SUPPORT_END_SERVED);
+      struct fixture *fixture = fixture_new (2, SUPPORT_END_SERVED, 200);
       support_proxy_silence (fixture->proxy);
       start_call (fixture, 1500, cases[i].quiet_ms);
       support_run_loop_for (fixture->loop, 1.0);
@@ -164,7 +166,7 @@
 static void
 test_connections_kept (void **state)
 {
-  struct fixture *fixture = fixture_new (4, SUPPORT_END_DELAYED);
+  struct fixture *fixture = fixture_new (4, SUPPORT_END_DELAYED, 200);
 
   (void)state;
   for (int i = 0; i < 8; i++)
@@ -179,6 +181,80 @@
   fixture_free (fixture);
 }
 
+#define STARTS 8
+
+static void
+on_order_done (void *context, const struct fl_order_reply *reply)
+{
+  struct fixture *fixture = context;
+
+  fixture->calls_open--;
+  fixture->orders[reply->result]++;
+}
+
+/* Sends the starts and a heartbeat at once. */
+static void
+send_orders (struct fixture *fixture, const struct fl_target_calls *calls)
+{
+  struct fl_name address = fl_name_format ("127.0.0.1:%d", support_proxy_port (fixture->proxy));
+  struct fl_start_order start = { .target = fl_name_of ("t1"),
+                                  .address = address,
+                                  .task = fl_name_of ("0000000000000001.0.0.0"),
+                                  .run = 1,
+                                  .fencing_token = 1,
+                                  .deadline_ms = 1000,
+                                  .payload = "p",
+                                  .payload_len = 1,
+                                  .checkpoint = "",
+                                  .ticket = "" };
+  struct fl_heartbeat_order heartbeat
+      = { .target = start.target, .address = address, .fencing_token = 1, .wait_ms = 100 };
+
+  fixture->calls_open = STARTS + 1;
+  for (int i = 0; i < STARTS; i++)
+    calls->start (calls->context, &start, on_order_done, fixture);
+  calls->heartbeat (calls->context, &heartbeat, on_order_done, fixture);
+}
+
+/* Each order in flight had a connection of its own, and owners that were lost left all of them
+ * open, until the target accepted no more. */
+static void
+test_connections_to_target (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int status;              /* of the replies; 0 for none */
+    int64_t accepted;        /* connections, by the target */
+    int connections, starts; /* expected: opened, and sent */
+  } cases[] = {
+    { "unknown number", 200, 0, 4, STARTS }, { "many", 200, 400, STARTS + 1, STARTS },
+    { "usual", 200, 64, 4, STARTS },         { "few", 200, 4, 3, STARTS },
+    { "usual, no reply", 0, 64, 4, 3 },
+  };
+  int wrong = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0, SUPPORT_END_SERVED, cases[i].status);
+      struct fl_platform_target_client *client
+          = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL, NULL);
+      fl_platform_target_client_set_connections_max (client, cases[i].accepted);
+      send_orders (fixture, fl_platform_target_client_get_calls (client));
+      wait_until_done (fixture);
+      int connections = support_proxy_accepted (fixture->proxy);
+      int sent = STARTS - fixture->orders[FL_ORDER_NOT_SENT];
+      bool is_right = connections == cases[i].connections && sent == cases[i].starts;
+      print_message ("%s %s: %d connections, %d starts sent\n", is_right ? "right" : "WRONG",
+                     cases[i].name, connections, sent);
+      wrong += is_right ? 0 : 1;
+      fl_platform_target_client_free (client);
+      fixture_free (fixture);
+    }
+  assert_int_equal (wrong, 0);
+}
+
 int
 main (void)
 {
@@ -186,6 +262,7 @@
     cmocka_unit_test (test_calls_lost_after_silence),
     cmocka_unit_test (test_call_beside_late_call),
     cmocka_unit_test (test_connections_kept),
+    cmocka_unit_test (test_connections_to_target),
   };
 
   return cmocka_run_group_tests_name ("http_silence", tests, NULL, NULL);
