HTTP client: close silent idle connections after a reply that stops arriving, too

What callers saw: the same as with a reply that does not begin. A connection that goes silent within a long reply (a configuration, a page of rows) ended the call after 2 s, and the idle connections beside it were taken next, one by one.

Cause: the verdict asked for a reply without a byte.

Change: it counts from the last byte of the body. A call ends its share of the connections to a peer before its owner is told, so that a call that the owner sends at once does not count as having waited.

Without the change test_silence_within_reply gets no reply to the next call.

--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -157,14 +157,14 @@
   fl_timeout_stop (&call->late_timeout);
 }
 
-/* Nothing of the reply has arrived in time. */
+/* Nothing of the reply, or of the rest of it, has arrived in time. */
 static void
 on_reply_late (void *context)
 {
   struct call *call = context;
   struct fl_http_client *client = call->client;
   struct fl_http_peer *peer = call->peer;
-  int64_t due_ms = call->sent_ms + call->quiet_ms;
+  int64_t due_ms = MAX (call->sent_ms + call->quiet_ms, call->last_progress_ms);
   int closed = fl_http_peer_shut_down_unheard (peer, due_ms);
 
   end_busy (call);
@@ -342,6 +342,7 @@
   result.body = (struct fl_str){ call->body->len, call->body->str };
   count_traffic (call);
   g_hash_table_steal (client->calls, call);
+  end_busy (call);
   call->on_done (call->context, &result);
   call_free (call);
 }
@@ -384,7 +385,8 @@
   fl_stats_add (call->client->stats, "http_calls_timed_out_total", 1);
   if (call->timeout.is_put_off)
     fl_stats_add (call->client->stats, "http_calls_timed_out_held_up_total", 1);
-  if (call->sent_count > 0 && !call->is_heard)
+  /* Without a byte, it is known already from those that are not busy. */
+  if (call->sent_count > 0 && (call->is_heard || call->is_busy))
     on_reply_late (call);
   g_strlcpy (call->error_text, "no reply in time", sizeof call->error_text);
   finish_call (call->client, call, CURLE_OPERATION_TIMEDOUT);
--- a/tests/test_http_silence.c
+++ b/tests/test_http_silence.c
@@ -17,6 +17,7 @@
 
 #define CALL_TIMEOUT_MS 200
 #define CALLS_MAX 12
+#define LONG_BODY_BYTES ((gsize)4 * 1024 * 1024)
 
 /* A client whose connections to a server pass through a proxy. */
 struct fixture
@@ -66,10 +67,10 @@
 
 /* Leaves @idle connections open that have served a request each. */
 static struct fixture *
-fixture_new (int idle, enum support_connection_end end, int status)
+fixture_new (int idle, enum support_connection_end end, int status, const char *body)
 {
   struct fixture *fixture = g_new0 (struct fixture, 1);
-  struct support_server_options options = { idle, end, status, NULL };
+  struct support_server_options options = { idle, end, status, body };
 
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
   fixture->stats = fl_stats_new ();
@@ -108,7 +109,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (idle_counts); i++)
     {
-      struct fixture *fixture = fixture_new (idle_counts[i], SUPPORT_END_SERVED, 200);
+      struct fixture *fixture = fixture_new (idle_counts[i], SUPPORT_END_SERVED, 200, NULL);
       int lost = 0;
 
       support_proxy_silence (fixture->proxy);
@@ -128,6 +129,41 @@
   assert_int_equal (wrong, 0);
 }
 
+static void
+silence_connections (void *context)
+{
+  support_proxy_silence (((struct fixture *)context)->proxy);
+}
+
+/* The connections go silent while a long reply arrives. */
+static void
+test_silence_within_reply (void **state)
+{
+  g_autofree char *body = g_strnfill (LONG_BODY_BYTES, 'x');
+  struct fixture *fixture = fixture_new (3, SUPPORT_END_SERVED, 200, body);
+  g_autofree char *url
+      = g_strdup_printf ("http://127.0.0.1:%d/x", support_proxy_port (fixture->proxy));
+  struct fl_http_call call = { .method = "GET",
+                               .url = url,
+                               .timeout_ms = 5000,
+                               .connect_timeout_ms = 5000,
+                               .stall_timeout_ms = CALL_TIMEOUT_MS,
+                               .on_progress = silence_connections,
+                               .on_done = on_done,
+                               .context = fixture };
+
+  (void)state;
+  fixture->calls_open++;
+  fl_http_client_start (fixture->client, &call);
+  wait_until_done (fixture);
+  assert_int_equal (fixture->replies, 0);
+  start_call (fixture, 5000, 0);
+  wait_until_done (fixture);
+  assert_int_equal (fixture->replies, 1);
+  assert_int_equal (support_proxy_accepted (fixture->proxy), 4);
+  fixture_free (fixture);
+}
+
 /* A call that is sent while another one has no reply yet takes an idle connection that is silent as
  * well, unless the reply is overdue. */
 static void
@@ -147,7 +183,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct fixture *fixture = fixture_new (2, SUPPORT_END_SERVED, 200);
+      struct fixture *fixture = fixture_new (2, SUPPORT_END_SERVED, 200, NULL);
       support_proxy_silence (fixture->proxy);
       start_call (fixture, 1500, cases[i].quiet_ms);
       support_run_loop_for (fixture->loop, 1.0);
@@ -166,7 +202,7 @@
 static void
 test_connections_kept (void **state)
 {
-  struct fixture *fixture = fixture_new (4, SUPPORT_END_DELAYED, 200);
+  struct fixture *fixture = fixture_new (4, SUPPORT_END_DELAYED, 200, NULL);
 
   (void)state;
   for (int i = 0; i < 8; i++)
@@ -237,7 +273,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct fixture *fixture = fixture_new (0, SUPPORT_END_SERVED, cases[i].status);
+      struct fixture *fixture = fixture_new (0, SUPPORT_END_SERVED, cases[i].status, NULL);
       struct fl_platform_target_client *client
           = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL, NULL);
       fl_platform_target_client_set_connections_max (client, cases[i].accepted);
@@ -259,9 +295,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_calls_lost_after_silence),
-    cmocka_unit_test (test_call_beside_late_call),
-    cmocka_unit_test (test_connections_kept),
+    cmocka_unit_test (test_calls_lost_after_silence), cmocka_unit_test (test_silence_within_reply),
+    cmocka_unit_test (test_call_beside_late_call),    cmocka_unit_test (test_connections_kept),
     cmocka_unit_test (test_connections_to_target),
   };
 
