Core: set up the occurrences of a job when they are due

The owner's process exceeded 260 MB and was killed, and so were its successors.

Cause: fl_core_add_job set up all steps and tasks of all occurrences at once, whether an occurrence was due or over: 4.5 MB for such a job. Every tick also looked at all of these steps.

Change: an occurrence (struct core_occurrence, lib/core/occurrences.c) is set up in the tick in which it is due, and freed in the first tick after its last task has ended and no run of it is in effect. The steps that are set up are a list, which all readers walk.

Why it works: nothing but a target or a record can name a task of an occurrence that is not set up. Where one does (a run or an end that is listed to a new owner, whose wall clock may be behind; rows of a record), the occurrence is set up then, with those before it, or as one that has ended: readers see what they saw before. A record that tells where tasks of long-running steps may be says of occurrences that it does not name that they have none. The job is completed when no step of any occurrence is left, whether set up or not.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -48,29 +48,6 @@
 
 /* --- creation --- */
 
-static void
-advice_free (void *data)
-{
-  g_free (data);
-}
-
-static void
-step_clear (struct core_step *step)
-{
-  for (int64_t i = 0; i < step->spec->count; i++)
-    {
-      fl_str_clear (&step->tasks[i].checkpoint);
-      if (step->tasks[i].failed_runs != NULL)
-        g_array_unref (step->tasks[i].failed_runs);
-      core_crash_free_task (&step->tasks[i]);
-    }
-  g_free (step->tasks);
-  g_hash_table_destroy (step->advice);
-  g_hash_table_destroy (step->unanswered);
-  if (step->queried_targets != NULL)
-    g_array_unref (step->queried_targets);
-}
-
 void
 core_queue_set_member (GQueue *queue, GList *link, bool *is_member, bool should_be_member)
 {
@@ -95,9 +72,7 @@
   core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, false);
   core_queue_set_member (&core->lasting_jobs, &job->lasting_link, &job->in_lasting, false);
 
-  for (size_t i = 0; i < job->step_count; i++)
-    step_clear (&job->steps[i]);
-  g_free (job->steps);
+  core_occurrences_clear_job (job);
   g_hash_table_destroy (job->target_states);
   fl_schema_clear (&fl_job_spec_schema, &job->spec);
   g_free (job);
@@ -210,15 +185,15 @@
 core_step_name (const struct core_step *step)
 {
   return fl_name_format ("%s.%" G_GINT64_FORMAT ".%" G_GINT64_FORMAT, step->job->spec.id.data,
-                         step->occurrence, step->number);
+                         step->occurrence->number, step->number);
 }
 
 struct fl_name
 core_task_name (const struct core_task *task)
 {
   return fl_name_format ("%s.%" G_GINT64_FORMAT ".%" G_GINT64_FORMAT ".%" G_GINT64_FORMAT,
-                         task->step->job->spec.id.data, task->step->occurrence, task->step->number,
-                         task->index);
+                         task->step->job->spec.id.data, task->step->occurrence->number,
+                         task->step->number, task->index);
 }
 
 /* Parses a name ID.OCCURRENCE.STEP[.INDEX] into @count numbers.
@@ -243,17 +218,6 @@
   return *rest == '\0' ? g_hash_table_lookup (core->jobs, &id) : NULL;
 }
 
-struct core_step *
-core_job_find_step (struct core_job *job, int64_t occurrence, int64_t number)
-{
-  int64_t steps = (int64_t)job->spec.steps.count;
-
-  if (occurrence < 0 || occurrence >= fl_job_spec_count_occurrences (&job->spec) || number < 0
-      || number >= steps)
-    return NULL;
-  return &job->steps[occurrence * steps + number];
-}
-
 struct core_step *
 core_find_step (struct fl_core *core, const struct fl_name *name)
 {
@@ -263,16 +227,30 @@
   return job != NULL ? core_job_find_step (job, numbers[0], numbers[1]) : NULL;
 }
 
+static struct core_task *
+get_task (struct core_step *step, int64_t index)
+{
+  return step != NULL && index < step->spec->count ? &step->tasks[index] : NULL;
+}
+
 struct core_task *
 core_find_task (struct fl_core *core, const struct fl_name *name)
 {
   int64_t numbers[3];
   struct core_job *job = parse_name (core, name, numbers, 3);
-  struct core_step *step = job != NULL ? core_job_find_step (job, numbers[0], numbers[1]) : NULL;
 
-  if (step == NULL || numbers[2] < 0 || numbers[2] >= step->spec->count)
-    return NULL;
-  return &step->tasks[numbers[2]];
+  return job != NULL ? get_task (core_job_find_step (job, numbers[0], numbers[1]), numbers[2])
+                     : NULL;
+}
+
+struct core_task *
+core_require_task (struct fl_core *core, const struct fl_name *name)
+{
+  int64_t numbers[3];
+  struct core_job *job = parse_name (core, name, numbers, 3);
+
+  return job != NULL ? get_task (core_job_require_step (job, numbers[0], numbers[1]), numbers[2])
+                     : NULL;
 }
 
 struct core_target *
@@ -762,30 +740,6 @@
   return stats;
 }
 
-static void
-step_init (struct core_step *step, struct core_job *job, int64_t occurrence, int64_t number)
-{
-  step->job = job;
-  step->spec = fl_job_spec_get_step (&job->spec, (size_t)number);
-  step->run_class
-      = fl_run_times_get_class (job->core->run_times, &job->spec.queue, &step->spec->image);
-  core_interference_classify (step);
-  step->occurrence = occurrence;
-  step->number = number;
-  if (job->spec.repeat_count > 0)
-    step->due_wall_ms = job->spec.start_at_ms + occurrence * job->spec.interval_ms;
-  step->tasks = g_new0 (struct core_task, (size_t)step->spec->count);
-  step->unfinished_tasks = step->spec->count;
-  step->advice = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, advice_free);
-  step->unanswered = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
-  for (int64_t i = 0; i < step->spec->count; i++)
-    {
-      step->tasks[i].step = step;
-      step->tasks[i].index = i;
-      step->tasks[i].crash_link.data = &step->tasks[i];
-    }
-}
-
 static void
 load_failed_runs (struct core_task *task, const struct fl_array *rows)
 {
@@ -799,21 +753,6 @@
     task->last_run_number = MAX (task->last_run_number, runs[i].run);
 }
 
-static void
-apply_done_range (struct core_job *job, const struct fl_done_range *range)
-{
-  struct core_step *step = core_job_find_step (job, range->occurrence, range->step);
-
-  if (step == NULL)
-    return;
-  for (int64_t i = range->first; i < MIN (range->first + range->count, step->spec->count); i++)
-    if (!step->tasks[i].done)
-      {
-        step->tasks[i].done = true;
-        step->unfinished_tasks--;
-      }
-}
-
 static void
 apply_progress (struct core_job *job, const struct fl_job_progress *progress)
 {
@@ -827,22 +766,20 @@
   job->may_have_record = true;
   for (size_t i = 0; i < progress->targets.count; i++)
     core_job_add_recorded_target (job, (uint32_t)targets[i].hash);
-  for (size_t i = 0; i < progress->done.count; i++)
-    apply_done_range (job, (const struct fl_done_range *)progress->done.items + i);
+  core_job_apply_task_targets (job, progress);
+  core_job_apply_done (job, progress);
   for (size_t i = 0; i < progress->tasks.count; i++)
     {
-      struct core_step *step = core_job_find_step (job, rows[i].occurrence, rows[i].step);
-      if (step == NULL || rows[i].index >= step->spec->count)
+      struct core_task *task
+          = get_task (core_job_require_step (job, rows[i].occurrence, rows[i].step), rows[i].index);
+      if (task == NULL)
         continue;
-      struct core_task *task = &step->tasks[rows[i].index];
-      if (rows[i].done && !task->done)
-        step->unfinished_tasks--;
-      task->done = task->done || rows[i].done;
+      if (rows[i].done)
+        core_task_apply_done (task);
       load_failed_runs (task, &rows[i].failed_runs);
       fl_str_clear (&task->checkpoint);
       task->checkpoint = fl_str_dup (&rows[i].checkpoint);
     }
-  core_job_apply_task_targets (job, progress);
   core_crash_apply_record (job, progress);
 }
 
@@ -857,19 +794,12 @@
                          job->idle_tasks > 0 && !fl_job_state_is_final (job->state));
 }
 
-/* Sets up the queues that contain a new job. Its tasks have no runs yet. */
+/* Adds a new job to the queues that contain it. Its tasks have no runs yet. */
 static void
 enqueue_job (struct core_job *job)
 {
-  job->waiting_link.data = job;
-  job->recording_link.data = job;
-  job->final_link.data = job;
-  for (size_t i = 0; i < job->step_count; i++)
-    {
-      struct core_step *step = &job->steps[i];
-      job->unfinished_steps += step->unfinished_tasks > 0 ? 1 : 0;
-      core_step_add_idle_tasks (step, step->unfinished_tasks);
-    }
+  core_occurrences_init_job (job);
+  core_lasting_init_job (job);
   core_queue_set_member (&job->core->final_jobs, &job->final_link, &job->in_final,
                          fl_job_state_is_final (job->state));
 }
@@ -887,7 +817,6 @@
                  const struct fl_job_progress *progress)
 {
   struct core_job *job;
-  size_t steps = spec->steps.count;
 
   if (g_hash_table_contains (core->jobs, &spec->id)
       || g_hash_table_contains (core->finished_jobs, &spec->id))
@@ -911,21 +840,24 @@
   job->team = get_or_add_team (core, &spec->team);
   job->queue_stats = get_or_add_queue_stats (core, &spec->queue);
   job->target_states = g_hash_table_new (NULL, NULL);
-  job->step_count = steps * (size_t)fl_job_spec_count_occurrences (spec);
-  job->steps = g_new0 (struct core_step, job->step_count);
-  for (size_t i = 0; i < job->step_count; i++)
-    step_init (&job->steps[i], job, (int64_t)(i / steps), (int64_t)(i % steps));
+  job->occurrences = core_occurrences_new ();
+  job->unfinished_steps = (int64_t)spec->steps.count * fl_job_spec_count_occurrences (spec);
+  job->waiting_link.data = job;
+  job->recording_link.data = job;
+  job->final_link.data = job;
+  job->scheduled_link.data = job;
+  job->ended_link.data = job;
   job->added_without_record = progress == NULL;
   if (progress != NULL)
     apply_progress (job, progress);
   enqueue_job (job);
-  core_lasting_init_job (job);
   refresh_queue (job);
   g_hash_table_insert (core->jobs, &job->spec.id, job);
   memset (spec, 0, sizeof *spec);
-  fl_log (core->options.log, FL_LOG_INFO, "job_known", FL_N ("job", &job->spec.id),
-          FL_N ("queue", &job->spec.queue), FL_N ("team", &job->spec.team),
-          FL_I ("version", version), FL_I ("steps", (int64_t)job->step_count));
+  fl_log (
+      core->options.log, FL_LOG_INFO, "job_known", FL_N ("job", &job->spec.id),
+      FL_N ("queue", &job->spec.queue), FL_N ("team", &job->spec.team), FL_I ("version", version),
+      FL_I ("steps", (int64_t)job->spec.steps.count * fl_job_spec_count_occurrences (&job->spec)));
   if (job->unfinished_steps == 0 && !fl_job_state_is_final (job->state))
     core_job_finish (job, FL_JOB_COMPLETED);
   if (progress != NULL)
@@ -963,13 +895,12 @@
 core_step_is_due (const struct core_step *step)
 {
   const struct fl_step_dependency *dependencies = step->spec->after.items;
-  const struct core_step *first
-      = step->job->steps + step->occurrence * (int64_t)step->job->spec.steps.count;
+  const struct core_step *steps = step->occurrence->steps;
 
   if (step->due_wall_ms > step->job->core->wall_ms)
     return false;
   for (size_t i = 0; i < step->spec->after.count; i++)
-    if (first[dependencies[i].step].unfinished_tasks > 0)
+    if (steps[dependencies[i].step].unfinished_tasks > 0)
       return false;
   return true;
 }
@@ -1073,6 +1004,7 @@
       core->runs_checked_at_ms = now_ms;
       check_targets (core);
     }
+  core_occurrences_tick (core);
   core_crash_decide (core);
   core_domains_tick (core);
   core_interference_update (core);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -276,10 +276,11 @@
 struct core_step
 {
   struct core_job *job;
+  struct core_occurrence *occurrence;
+  struct core_step *next; /* of its occurrence, or the first of the next one that is set up */
   const struct fl_step_spec *spec;
   struct fl_run_time_class *run_class; /* of its queue and image */
   struct fl_interference_class interference_class;
-  int64_t occurrence;
   int64_t number;
   int64_t due_wall_ms; /* 0 for immediately */
   struct core_task *tasks;
@@ -315,6 +316,15 @@
   int64_t down_logged_at_ms;
 };
 
+/* One of the times that the steps of a job run. */
+struct core_occurrence
+{
+  struct core_job *job;
+  int64_t number;
+  int64_t unfinished_steps;
+  struct core_step steps[]; /* as many as @job has */
+};
+
 /* Whether the store records that a job may have tasks on a target. A successor relies on these
  * records, so that tasks are started only on recorded targets unless the store is slow. */
 enum core_job_target_state
@@ -334,28 +344,32 @@
   struct core_queue_stats *queue_stats;
   int64_t accepted_version; /* store version at which the job was accepted */
   enum fl_job_state state;
-  struct core_step *steps;    /* the steps of the first occurrence, then of the second, and so on */
-  size_t step_count;          /* of all occurrences */
-  int64_t unfinished_steps;   /* of all occurrences */
-  int64_t run_count;          /* runs that may be in effect */
-  GHashTable *target_states;  /* hash of a target's id -> enum core_job_target_state */
-  bool may_have_record;       /* a record of it may be in the store */
-  bool added_without_record;  /* the store had no record of it when the core got to know it */
-  bool may_run_on_any_target; /* its tasks may run on targets that are not recorded for it */
-  bool any_target_recording;  /* the record in flight says that they may */
-  bool any_target_recorded;   /* a stored record says that they may */
-  bool is_reconciled;         /* an earlier owner left no runs that this one does not know */
-  bool started;               /* a task of it has been started, by this owner or an earlier one */
-  int64_t suspected_tasks;    /* tasks with is_suspected */
-  int64_t watched_runs;       /* runs that are the watched_run of their target */
-  bool is_cleared;            /* since the last suspicion, a run of a suspected task did no harm */
+  /* struct core_occurrence, owned, by number: from when they are due until they have ended. Those
+   * below next_occurrence that are not among them have ended. */
+  GPtrArray *occurrences;
+  struct core_step *first_step; /* of these; NULL if there are none */
+  int64_t next_occurrence;      /* the first that has not been set up yet */
+  int64_t unfinished_steps;     /* of all occurrences, also of those that are not set up */
+  int64_t run_count;            /* runs that may be in effect */
+  GHashTable *target_states;    /* hash of a target's id -> enum core_job_target_state */
+  bool may_have_record;         /* a record of it may be in the store */
+  bool added_without_record;    /* the store had no record of it when the core got to know it */
+  bool record_tells_runs;       /* see core_job_apply_task_targets */
+  bool may_run_on_any_target;   /* its tasks may run on targets that are not recorded for it */
+  bool any_target_recording;    /* the record in flight says that they may */
+  bool any_target_recorded;     /* a stored record says that they may */
+  bool is_reconciled;           /* an earlier owner left no runs that this one does not know */
+  bool started;                 /* a task of it has been started, by this owner or an earlier one */
+  int64_t suspected_tasks;      /* tasks with is_suspected */
+  int64_t watched_runs;         /* runs that are the watched_run of their target */
+  bool is_cleared;             /* since the last suspicion, a run of a suspected task did no harm */
   int64_t crash_changed_at_ms; /* when the crashes of its tasks last changed */
   int64_t crash_changes; /* number of changes of the crashes of its tasks that need recording */
   int64_t crash_changes_recording; /* of these, those in the record in flight */
   int64_t crash_changes_recorded;  /* of these, those in a stored record */
   bool needs_recording;            /* its progress has changed since the last record */
   bool record_in_flight;
-  int64_t idle_tasks;             /* of all steps */
+  int64_t idle_tasks;             /* of the occurrences that are set up */
   struct fl_job_scale scale;      /* of the run times of its tasks */
   bool has_turn;                  /* see FL_ORDER_TURN_INTERVAL_MS */
   int64_t repeated_runs;          /* of run_count, those with is_repeated */
@@ -365,10 +379,14 @@
   bool in_waiting;                /* in core->waiting_jobs */
   bool in_final;                  /* in core->final_jobs */
   bool in_lasting;                /* in core->lasting_jobs */
+  bool in_scheduled;              /* in core->scheduled_jobs */
+  bool in_ended;                  /* in core->ended_jobs */
   GList waiting_link;
   GList recording_link; /* in core->unrecorded_jobs while needs_recording is set */
   GList final_link;
   GList lasting_link;
+  GList scheduled_link;
+  GList ended_link;
 };
 
 #define CORE_CLOSED INT64_MIN
@@ -452,10 +470,13 @@
   GQueue final_jobs;                      /* final, not yet reduced to their ids */
   GQueue lasting_jobs;                    /* with long-running steps */
   int64_t lasting_checked_at_ms;
-  GPtrArray *recording_jobs;                /* with a record in flight */
-  GQueue crash_tasks;                       /* tasks with crashes, in the order of their first */
-  guint watched_runs;                       /* targets with a watched run */
-  int64_t crash_verdicts_due_ms;            /* before, no verdict on them is due */
+  GQueue scheduled_jobs;         /* not final, with occurrences that are not set up yet */
+  int64_t next_due_wall_ms;      /* no later than when the next of these is due */
+  GQueue ended_jobs;             /* may have occurrences that are set up and have ended */
+  GPtrArray *recording_jobs;     /* with a record in flight */
+  GQueue crash_tasks;            /* tasks with crashes, in the order of their first */
+  guint watched_runs;            /* targets with a watched run */
+  int64_t crash_verdicts_due_ms; /* before, no verdict on them is due */
   int64_t crash_times_ms[CORE_CRASH_TIMES]; /* when the last targets crashed, as a ring */
   guint crash_count;
   int64_t unexplained_crash_ms;      /* when a target last crashed on which no run is suspected */
@@ -503,10 +524,11 @@
 
 struct core_step *core_find_step (struct fl_core *core, const struct fl_name *name);
 
-/* @return the step @number of @occurrence, or NULL if @job has none. */
-struct core_step *core_job_find_step (struct core_job *job, int64_t occurrence, int64_t number);
-
 struct core_task *core_find_task (struct fl_core *core, const struct fl_name *name);
+
+/* The same for a task that an earlier owner may have known: its occurrence is set up if it is not.
+ */
+struct core_task *core_require_task (struct fl_core *core, const struct fl_name *name);
 struct fl_name core_task_name (const struct core_task *task);
 struct fl_name core_step_name (const struct core_step *step);
 struct core_target *core_find_target (const struct fl_core *core, const struct fl_name *id);
@@ -544,6 +566,48 @@
 /* Whether the start time of @step has passed and all steps that it depends on are done. */
 bool core_step_is_due (const struct core_step *step);
 
+/* --- occurrences.c --- */
+
+/* @return an occurrence of @job with zeroed steps that are linked. Free it with g_free. */
+struct core_occurrence *core_occurrence_new (struct core_job *job, int64_t number);
+
+/* @return an empty array of occurrences. */
+GPtrArray *core_occurrences_new (void);
+
+/* Sets up the only occurrence of @job, whose progress has been applied, if it has no schedule, and
+ * else adds it to those with a schedule. */
+void core_occurrences_init_job (struct core_job *job);
+
+/* Removes @job from the queues of this file and frees its occurrences. */
+void core_occurrences_clear_job (struct core_job *job);
+
+/* Sets up the occurrences that are due, and frees those that have ended. To be called in each tick
+ * before tasks are placed. */
+void core_occurrences_tick (struct fl_core *core);
+
+/* Counts a task of @step that is done. */
+void core_step_count_done (struct core_step *step);
+
+/* Notes that @occurrence has ended, so that it is freed when no run of it is in effect. */
+void core_occurrence_note_end (struct core_occurrence *occurrence);
+
+/* @return the step @number of @occurrence, or NULL if @job has none or it is not set up. */
+struct core_step *
+core_job_find_step (const struct core_job *job, int64_t occurrence, int64_t number);
+
+/* The same for a step that an earlier owner may have known: its occurrence is set up if it is not,
+ * with those before it; one that has ended is set up as such. NULL only if @job has none. */
+struct core_step *core_job_require_step (struct core_job *job, int64_t occurrence, int64_t number);
+
+/* Applies which tasks are done, by the record of an earlier owner. */
+void core_job_apply_done (struct core_job *job, const struct fl_job_progress *progress);
+
+/* Marks @task, which has no run yet, as done by a record. */
+void core_task_apply_done (struct core_task *task);
+
+/* @return rows of struct fl_done_range: the tasks of @job that are done. */
+GArray *core_job_collect_done (const struct core_job *job);
+
 /* --- deadline.c --- */
 
 /* What @job can still reach; of a job with occurrences, the first that is due and has not ended. */
@@ -719,7 +783,9 @@
  * without a run, and of a step for which core_step_records_targets. */
 bool core_task_is_unreconciled (const struct core_task *task);
 
-/* Applies what the record of an earlier owner tells of the tasks of @job. */
+/* Applies what the record of an earlier owner tells of the tasks of @job. To be called before an
+ * occurrence is set up: if the record tells where tasks may be, others have no run of that owner.
+ */
 void core_job_apply_task_targets (struct core_job *job, const struct fl_job_progress *progress);
 
 /* Requests that this owner records where the tasks of @job may be: its successor does not rely on
--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -769,17 +769,18 @@
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct fl_task_crashes));
 
   g_array_set_clear_func (rows, free_rows);
-  for (size_t i = 0; job->crash_changes > 0 && i < job->step_count; i++)
-    for (int64_t j = 0; j < job->steps[i].spec->count; j++)
+  const struct core_step *step = job->crash_changes > 0 ? job->first_step : NULL;
+  for (; step != NULL; step = step->next)
+    for (int64_t j = 0; j < step->spec->count; j++)
       {
-        const struct core_task *task = &job->steps[i].tasks[j];
+        const struct core_task *task = &step->tasks[j];
         if (count_all_cases (task) == 0 || task->done)
           continue;
         struct fl_crashed_run *runs = g_new (struct fl_crashed_run, task->crashes->len);
         for (guint k = 0; k < task->crashes->len; k++)
           runs[k] = get_case (task, k)->row;
         struct fl_task_crashes row
-            = { job->steps[i].occurrence, job->steps[i].number, j, { task->crashes->len, runs } };
+            = { step->occurrence->number, step->number, j, { task->crashes->len, runs } };
         g_array_append_val (rows, row);
       }
   return rows;
@@ -810,7 +811,7 @@
 
   for (size_t i = 0; i < progress->crashes.tasks.count; i++)
     {
-      struct core_step *step = core_job_find_step (job, rows[i].occurrence, rows[i].step);
+      struct core_step *step = core_job_require_step (job, rows[i].occurrence, rows[i].step);
       if (step != NULL && rows[i].index < step->spec->count)
         load_task (&step->tasks[rows[i].index], &rows[i].runs);
     }
--- a/lib/core/deadline.c
+++ b/lib/core/deadline.c
@@ -181,34 +181,36 @@
 static struct core_step *
 get_first_step (const struct core_step *step)
 {
-  struct core_job *job = step->job;
-
-  return &job->steps[step->occurrence * (int64_t)job->spec.steps.count];
+  return step->occurrence->steps;
 }
 
-/* @return the first step of the first occurrence that has not ended. */
+/* @return the first step of the first occurrence that is due and has not ended; else of one that
+ * has ended, and NULL if none is set up. */
 static struct core_step *
 get_current_occurrence (const struct core_job *job)
 {
-  for (size_t i = 0; i < job->step_count; i++)
-    if (job->steps[i].unfinished_tasks > 0)
-      return get_first_step (&job->steps[i]);
-  return &job->steps[0];
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
+    if (step->unfinished_tasks > 0)
+      return get_first_step (step);
+  return job->first_step;
 }
 
 int64_t
 core_job_slack_ms (const struct core_job *job)
 {
-  return job->step_count > 0 ? get_time (get_current_occurrence (job)).slack_ms
-                             : FL_ORDER_NO_OBJECTIVE;
+  struct core_step *first = get_current_occurrence (job);
+
+  return first != NULL ? get_time (first).slack_ms : FL_ORDER_NO_OBJECTIVE;
 }
 
 enum fl_order_class
 core_job_order_class (const struct core_job *job)
 {
-  if (job->step_count == 0)
+  struct core_step *first = get_current_occurrence (job);
+
+  if (first == NULL)
     return FL_ORDER_IN_TIME;
-  struct fl_order_time time = get_time (get_current_occurrence (job));
+  struct fl_order_time time = get_time (first);
   return fl_order_get_class (&time);
 }
 
--- a/lib/core/job_age.c
+++ b/lib/core/job_age.c
@@ -26,9 +26,11 @@
 static int
 get_age_part (const struct core_job *job)
 {
-  for (size_t i = 0; job->idle_tasks > 0 && i < job->step_count; i++)
-    if (job->steps[i].wait.missing != CORE_WAIT_NONE)
-      return job->steps[i].wait.missing;
+  const struct core_step *step = job->idle_tasks > 0 ? job->first_step : NULL;
+
+  for (; step != NULL; step = step->next)
+    if (step->wait.missing != CORE_WAIT_NONE)
+      return step->wait.missing;
   return job->run_count > 0 && job->repeated_runs == job->run_count ? CORE_AGE_REPEATED
                                                                     : CORE_WAIT_NONE;
 }
--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -144,9 +144,9 @@
 void
 core_job_begin_recording_targets (struct core_job *job)
 {
-  for (size_t i = 0; i < job->step_count; i++)
-    if (may_have_planned_runs (&job->steps[i]))
-      begin_recording_runs (&job->steps[i]);
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
+    if (may_have_planned_runs (step))
+      begin_recording_runs (step);
 
   job->crash_changes_recording = job->crash_changes;
   job->may_have_record = true;
@@ -157,9 +157,9 @@
 void
 core_job_end_recording_targets (struct core_job *job, bool stored)
 {
-  for (size_t i = 0; i < job->step_count; i++)
-    if (may_have_planned_runs (&job->steps[i]))
-      end_recording_runs (&job->steps[i], stored);
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
+    if (may_have_planned_runs (step))
+      end_recording_runs (step, stored);
   if (stored)
     job->crash_changes_recorded = job->crash_changes_recording;
   job->any_target_recorded = job->any_target_recorded || (stored && job->any_target_recording);
@@ -228,10 +228,16 @@
 /* --- targets of single tasks --- */
 
 /* Such tasks are few, and start rarely enough for a record before each start. */
+static bool
+spec_records_targets (const struct fl_step_spec *spec)
+{
+  return spec->long_running;
+}
+
 bool
 core_step_records_targets (const struct core_step *step)
 {
-  return step->spec->long_running;
+  return spec_records_targets (step->spec);
 }
 
 void
@@ -271,6 +277,7 @@
 {
   const struct fl_job_target *rows = targets->items;
 
+  task->earlier_run = CORE_EARLIER_RUN_UNKNOWN;
   if (position == FL_TASK_TARGET_NONE)
     task->earlier_run = CORE_EARLIER_RUN_NONE;
   else if (position > 0 && position <= (int64_t)targets->count)
@@ -288,16 +295,18 @@
   if (progress->task_targets.fencing_token + FL_FENCING_TOKENS_PER_OWNER
       != job->core->options.fencing_token)
     return;
+  job->record_tells_runs = true;
   for (size_t i = 0; i < progress->task_targets.steps.count; i++)
     {
-      struct core_step *step = core_job_find_step (job, rows[i].occurrence, rows[i].step);
       const struct fl_task_target *tasks = rows[i].tasks.items;
-      if (step == NULL || !core_step_records_targets (step)
-          || (rows[i].tasks.count > 0 && (int64_t)rows[i].tasks.count != step->spec->count))
+      struct core_step *step = rows[i].tasks.count > 0
+                                   ? core_job_require_step (job, rows[i].occurrence, rows[i].step)
+                                   : NULL;
+      if (step == NULL || !core_step_records_targets (step))
         continue;
+      bool is_complete = (int64_t)rows[i].tasks.count == step->spec->count;
       for (int64_t j = 0; j < step->spec->count; j++)
-        apply_task_target (&step->tasks[j],
-                           rows[i].tasks.count > 0 ? tasks[j].target : FL_TASK_TARGET_NONE,
+        apply_task_target (&step->tasks[j], is_complete ? tasks[j].target : FL_TASK_TARGET_UNKNOWN,
                            &progress->targets);
     }
 }
@@ -306,7 +315,7 @@
 has_step_that_records_targets (const struct core_job *job)
 {
   for (size_t i = 0; i < job->spec.steps.count; i++)
-    if (core_step_records_targets (&job->steps[i]))
+    if (spec_records_targets (fl_job_spec_get_step (&job->spec, i)))
       return true;
   return false;
 }
@@ -338,7 +347,7 @@
 static struct fl_step_targets
 collect_step_targets (const struct core_step *step, GHashTable *positions)
 {
-  struct fl_step_targets row = { .occurrence = step->occurrence, .step = step->number };
+  struct fl_step_targets row = { .occurrence = step->occurrence->number, .step = step->number };
   struct fl_task_target *tasks = g_new0 (struct fl_task_target, (gsize)step->spec->count);
   bool is_empty = true;
 
@@ -373,10 +382,10 @@
     g_hash_table_insert (positions,
                          GUINT_TO_POINTER (g_array_index (targets, struct fl_job_target, i).hash),
                          GSIZE_TO_POINTER (i + 1));
-  for (size_t i = 0; i < job->step_count; i++)
-    if (core_step_records_targets (&job->steps[i]))
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
+    if (core_step_records_targets (step))
       {
-        struct fl_step_targets row = collect_step_targets (&job->steps[i], positions);
+        struct fl_step_targets row = collect_step_targets (step, positions);
         g_array_append_val (rows, row);
       }
   return rows;
--- a/lib/core/lasting.c
+++ b/lib/core/lasting.c
@@ -26,7 +26,7 @@
 
   job->lasting_link.data = job;
   for (size_t i = 0; i < job->spec.steps.count; i++)
-    has_lasting_step = has_lasting_step || job->steps[i].spec->long_running;
+    has_lasting_step = has_lasting_step || fl_job_spec_get_step (&job->spec, i)->long_running;
   core_queue_set_member (&job->core->lasting_jobs, &job->lasting_link, &job->in_lasting,
                          has_lasting_step);
 }
@@ -178,9 +178,10 @@
   for (const GList *link = core->lasting_jobs.head; link != NULL; link = link->next)
     {
       struct core_job *job = link->data;
-      for (size_t i = 0; i < job->step_count && !fl_job_state_is_final (job->state); i++)
+      if (fl_job_state_is_final (job->state))
+        continue;
+      for (struct core_step *step = job->first_step; step != NULL; step = step->next)
         {
-          struct core_step *step = &job->steps[i];
           if (!step->spec->long_running || !core_step_is_due (step))
             continue;
           check_step (step);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -774,9 +774,9 @@
   double share = unit_share * (double)get_weight (job->team);
   int excess = fl_order_team_excess ((double)job->team->used.cpu_milli, share);
 
-  for (size_t i = 0; i < job->step_count; i++)
+  for (struct core_step *step = job->first_step; step != NULL; step = step->next)
     {
-      struct waiting_step entry = { .step = &job->steps[i] };
+      struct waiting_step entry = { .step = step };
       if (entry.step->idle_tasks == 0 || !core_step_is_due (entry.step))
         continue;
       if (unreconciled && is_blocked_by_reconciliation (entry.step, blocked))
@@ -825,9 +825,8 @@
   int excess = fl_order_team_excess ((double)job->team->used.cpu_milli, share);
   int64_t before = 0;
 
-  for (size_t i = 0; i < job->step_count; i++)
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
     {
-      const struct core_step *step = &job->steps[i];
       struct fl_order_key other;
       if (step->idle_tasks == 0 || !core_step_is_due (step) || !has_waiting_task (step))
         continue;
--- a/lib/core/plan.c
+++ b/lib/core/plan.c
@@ -76,9 +76,10 @@
 static void
 save_deadlines (const struct core_job *job, GArray *deadlines)
 {
-  for (size_t i = 0; i < job->step_count; i += job->spec.steps.count)
+  for (guint i = 0; i < job->occurrences->len; i++)
     {
-      struct saved_deadline saved = { &job->steps[i], job->steps[i].deadline };
+      struct core_occurrence *occurrence = g_ptr_array_index (job->occurrences, i);
+      struct saved_deadline saved = { occurrence->steps, occurrence->steps[0].deadline };
       g_array_append_val (deadlines, saved);
     }
 }
@@ -147,6 +148,7 @@
 struct planned_job
 {
   struct core_job job;
+  struct core_occurrence *occurrence;
   struct core_team own_team; /* of a team that the core does not know */
   struct core_queue_stats own_stats;
   struct fl_run_times *own_run_times; /* for classes that the core does not know */
@@ -160,6 +162,7 @@
   struct fl_core *core = job->core;
 
   step->job = job;
+  step->occurrence = planned->occurrence;
   step->spec = fl_job_spec_get_step (&job->spec, number);
   step->number = (int64_t)number;
   step->run_class = fl_run_times_find_class (core->run_times, &job->spec.queue, &step->spec->image);
@@ -204,10 +207,12 @@
   job->queue_stats = g_hash_table_lookup (core->queue_stats, &spec->queue);
   if (job->queue_stats == NULL)
     job->queue_stats = &planned->own_stats;
-  job->step_count = spec->steps.count;
-  job->steps = g_new0 (struct core_step, job->step_count);
-  for (size_t i = 0; i < job->step_count; i++)
-    init_step (planned, &job->steps[i], i);
+  job->occurrences = g_ptr_array_new ();
+  planned->occurrence = core_occurrence_new (job, 0);
+  g_ptr_array_add (job->occurrences, planned->occurrence);
+  job->first_step = planned->occurrence->steps;
+  for (size_t i = 0; i < spec->steps.count; i++)
+    init_step (planned, &planned->occurrence->steps[i], i);
 }
 
 static void
@@ -216,7 +221,8 @@
   if (planned->has_own_team)
     g_hash_table_steal (planned->job.core->teams, &planned->own_team.name);
   fl_run_times_free (planned->own_run_times);
-  g_free (planned->job.steps);
+  g_free (planned->occurrence);
+  g_ptr_array_unref (planned->job.occurrences);
 }
 
 /* --- text --- */
@@ -265,7 +271,7 @@
   struct fl_run_time run_time = fl_run_time_get (step->run_class, NULL, step->spec->estimate_ms);
 
   core_step_get_order_key (step, &key);
-  const struct fl_order_time *time = &step->job->steps[0].deadline.time;
+  const struct fl_order_time *time = &step->occurrence->steps->deadline.time;
   g_string_append_printf (out, "class: %s, ", order_classes[key.order_class]);
   if (time->slack_ms == FL_ORDER_NO_OBJECTIVE)
     g_string_append (out, "no objective or no estimate");
@@ -429,20 +435,21 @@
 }
 
 static void
-write_steps (const struct core_job *job, GString *out)
+write_steps (const struct planned_job *planned, GString *out)
 {
   int written = 0;
   int first_steps = 0;
 
-  for (size_t i = 0; i < job->step_count; i++)
+  for (size_t i = 0; i < planned->job.spec.steps.count; i++)
     {
-      if (job->steps[i].spec->after.count > 0)
+      const struct core_step *step = &planned->occurrence->steps[i];
+      if (step->spec->after.count > 0)
         continue;
       first_steps++;
       if (written == STEPS_MAX)
         continue;
       written++;
-      write_step (&job->steps[i], out);
+      write_step (step, out);
     }
   if (first_steps > written)
     g_string_append_printf (out, "and %d more first steps\n", first_steps - written);
@@ -466,8 +473,8 @@
   init_job (&planned, core, queue, spec);
   write_state (core, out);
   write_queue_and_team (&planned.job, out);
-  write_class (&planned.job.steps[0], out);
-  write_steps (&planned.job, out);
+  write_class (planned.occurrence->steps, out);
+  write_steps (&planned, out);
   clear_job (&planned);
   restore_estimates (core, &saved);
   return true;
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -35,12 +35,12 @@
   core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, true);
   core_job_mark_for_recording (job);
   core_job_log_end (job);
-  for (size_t i = 0; i < job->step_count; i++)
+  for (struct core_step *step = job->first_step; step != NULL; step = step->next)
     {
-      core_advice_abandon_query (&job->steps[i]);
-      for (int64_t j = 0; j < job->steps[i].spec->count; j++)
-        if (job->steps[i].tasks[j].run != NULL)
-          core_run_stop (job->steps[i].tasks[j].run);
+      core_advice_abandon_query (step);
+      for (int64_t i = 0; i < step->spec->count; i++)
+        if (step->tasks[i].run != NULL)
+          core_run_stop (step->tasks[i].run);
     }
 }
 
@@ -59,9 +59,8 @@
   if (task->run == NULL)
     core_step_add_idle_tasks (step, -1);
   core_job_mark_for_recording (job);
-  if (--step->unfinished_tasks > 0 || --job->unfinished_steps > 0)
-    return;
-  if (!fl_job_state_is_final (job->state))
+  core_step_count_done (step);
+  if (job->unfinished_steps == 0 && !fl_job_state_is_final (job->state))
     core_job_finish (job, FL_JOB_COMPLETED);
 }
 
@@ -207,7 +206,7 @@
 static void
 apply_end (struct fl_core *core, struct core_target *target, const struct fl_end_row *end)
 {
-  struct core_task *task = core_find_task (core, &end->task);
+  struct core_task *task = core_require_task (core, &end->task);
 
   if (task == NULL)
     return;
@@ -319,7 +318,7 @@
            const struct fl_run_row *row,
            int64_t sent_ms)
 {
-  struct core_task *task = core_find_task (core, &row->task);
+  struct core_task *task = core_require_task (core, &row->task);
   struct core_run *run = task != NULL ? task->run : NULL;
 
   if (task == NULL)
@@ -613,38 +612,6 @@
 
 /* --- records --- */
 
-static void
-append_done_ranges (const struct core_step *step, GArray *ranges)
-{
-  struct fl_done_range range = { .occurrence = step->occurrence, .step = step->number };
-
-  for (int64_t i = 0; i <= step->spec->count; i++)
-    {
-      bool is_done = i < step->spec->count && step->tasks[i].done;
-      if (is_done && range.count == 0)
-        range.first = i;
-      if (is_done)
-        range.count++;
-      else if (range.count > 0)
-        {
-          g_array_append_val (ranges, range);
-          range.count = 0;
-        }
-    }
-}
-
-/* @return rows of struct fl_done_range. */
-static GArray *
-collect_done_ranges (const struct core_job *job)
-{
-  GArray *ranges = g_array_new (FALSE, TRUE, sizeof (struct fl_done_range));
-
-  for (size_t i = 0; i < job->step_count; i++)
-    if (job->steps[i].unfinished_tasks < job->steps[i].spec->count)
-      append_done_ranges (&job->steps[i], ranges);
-  return ranges;
-}
-
 /* Whether the checkpoint of @task has to be recorded. The target of a running task lists the newest
  * one, so that it is only needed if the owner and this target are lost together. */
 static bool
@@ -660,12 +627,12 @@
 {
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct fl_task_progress));
 
-  for (size_t i = 0; i < job->step_count; i++)
-    for (int64_t j = 0; j < job->steps[i].spec->count; j++)
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
+    for (int64_t i = 0; i < step->spec->count; i++)
       {
-        const struct core_task *task = &job->steps[i].tasks[j];
+        const struct core_task *task = &step->tasks[i];
         struct fl_task_progress row
-            = { .occurrence = job->steps[i].occurrence, .step = job->steps[i].number, .index = j };
+            = { .occurrence = step->occurrence->number, .step = step->number, .index = i };
         if (task->done || (failed_run_count (task) == 0 && !needs_checkpoint (task)))
           continue;
         if (task->failed_runs != NULL)
@@ -691,7 +658,7 @@
   /* A successor needs only the state of a finished job. */
   if (!fl_job_state_is_final (job->state))
     {
-      done = collect_done_ranges (job);
+      done = core_job_collect_done (job);
       tasks = collect_tasks (job);
       targets = core_job_collect_targets (job);
       progress.done = (struct fl_array){ done->len, done->data };
--- a/lib/core/urgent_room.c
+++ b/lib/core/urgent_room.c
@@ -216,13 +216,10 @@
 static void
 add_urgent_steps (struct core_job *job, GPtrArray *steps)
 {
-  for (size_t i = 0; i < job->step_count; i++)
-    {
-      struct core_step *step = &job->steps[i];
-      if (step->idle_tasks > 0 && core_step_is_due (step) && is_urgent (step)
-          && core_job_order_class (job) != FL_ORDER_EXPIRED)
-        g_ptr_array_add (steps, step);
-    }
+  for (struct core_step *step = job->first_step; step != NULL; step = step->next)
+    if (step->idle_tasks > 0 && core_step_is_due (step) && is_urgent (step)
+        && core_job_order_class (job) != FL_ORDER_EXPIRED)
+      g_ptr_array_add (steps, step);
 }
 
 bool
--- a/tests/bench_core.c
+++ b/tests/bench_core.c
@@ -1,6 +1,7 @@
 /* Benchmark of the decisions: CPU time of a tick and of a placement by the number of targets and of
  * waiting steps, and that of all that an owner does in a burst but for its sockets. Prints one line
  * for each case; `make bench` runs it beside an earlier version. */
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,7 +30,11 @@
   BURST_HEARTBEAT_MS = 300,
   BURST_WARM_UP_TICKS = 1500,
   BURST_TICKS = 1350,
-  BURST_LOG_LINES = 100000
+  BURST_LOG_LINES = 100000,
+  SCHEDULED_JOBS = 60,
+  SCHEDULED_STEPS = 3,
+  SCHEDULED_TASKS = 4,
+  SCHEDULED_TIMES = 1000
 };
 
 struct bench
@@ -194,6 +199,26 @@
   fl_core_add_job (bench->core, &spec, number + 1, NULL);
 }
 
+/* Adds a job that runs many times, once a minute from an hour later on. */
+static void
+add_scheduled_job (struct bench *bench, int number)
+{
+  struct fl_step_spec steps[SCHEDULED_STEPS] = { { 0 } };
+  struct fl_job_spec spec = { .id = fl_name_format ("%016x", number),
+                              .queue = fl_name_of ("q"),
+                              .team = fl_name_format ("team-%d", number % 60),
+                              .accepted_ms = bench->now_ms,
+                              .text = fl_str_of ("x"),
+                              .repeat_count = SCHEDULED_TIMES,
+                              .start_at_ms = bench->now_ms + 3600 * 1000,
+                              .interval_ms = 60000 };
+
+  for (int i = 0; i < SCHEDULED_STEPS; i++)
+    steps[i] = (struct fl_step_spec){ .count = SCHEDULED_TASKS, .cpu_milli = 500 };
+  spec.steps = (struct fl_array){ SCHEDULED_STEPS, g_memdup2 (steps, sizeof steps) };
+  fl_core_add_job (bench->core, &spec, number + 1, NULL);
+}
+
 static void
 reply_to_queries (struct bench *bench)
 {
@@ -356,6 +381,24 @@
   bench_free (bench);
 }
 
+/* Measures jobs of which no occurrence is due: their memory, and ticks beside them. */
+static void
+measure_scheduled (void)
+{
+  struct bench *bench = bench_new (48, TASK_CPU_MILLI, false);
+  size_t before = mallinfo2 ().uordblks;
+
+  for (int i = 0; i < SCHEDULED_JOBS; i++)
+    add_scheduled_job (bench, i);
+  size_t bytes = mallinfo2 ().uordblks - before;
+  run_ticks (bench, 5);
+  double ticks_us = run_ticks (bench, TICKS);
+  printf ("scheduled_jobs=%d times=%d bytes_per_job=%zu us_per_tick=%.1f\n", SCHEDULED_JOBS,
+          SCHEDULED_TIMES, bytes / SCHEDULED_JOBS, ticks_us / TICKS);
+  fflush (stdout);
+  bench_free (bench);
+}
+
 /* --- burst --- */
 
 /* The message in which a peer passes on a report of the target @index: its runs, and those of them
@@ -559,7 +602,8 @@
 }
 
 /* Without arguments runs all cases; with the arguments ADVICE TARGETS WAITING_STEPS one of the
- * first kind, and with the argument `burst` those of an owner in a burst. */
+ * first kind, with the argument `scheduled` that of jobs with occurrences, and with `burst` those
+ * of an owner in a burst. */
 int
 main (int argc, char **argv)
 {
@@ -568,6 +612,11 @@
 
   if (argc == 2 && strcmp (argv[1], "burst") == 0)
     return measure_owner ();
+  if (argc == 2 && strcmp (argv[1], "scheduled") == 0)
+    {
+      measure_scheduled ();
+      return 0;
+    }
   if (argc == 4)
     {
       measure (atoi (argv[2]), atoi (argv[3]), atoi (argv[1]) != 0);
@@ -578,5 +627,6 @@
       for (size_t j = 0; j < G_N_ELEMENTS (waiting_counts); j++)
         if (target_counts[i] * waiting_counts[j] <= MEASURED_PAIRS_MAX)
           measure (target_counts[i], waiting_counts[j], advice != 0);
+  measure_scheduled ();
   return measure_owner ();
 }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -215,7 +215,7 @@
       g_hash_table_size (fixture->core->queue_stats), fixture->core->free_max->len);
   for (const GList *link = fixture->core->waiting_jobs.head; link != NULL; link = link->next)
     g_string_append_printf (out, " %" G_GINT64_FORMAT,
-                            ((struct core_job *)link->data)->steps[0].deadline.computed_at_ms);
+                            ((struct core_job *)link->data)->first_step->deadline.computed_at_ms);
 }
 
 /* Jobs of all queues arrive for some seconds, on more work than room; plans for each queue are made
