Records: those of a long schedule fit a row of the store

A record lists a range for each step of each occurrence that has ended: 6.6 bytes each, 105,753 bytes for 16 steps and 999 occurrences. A row of the store takes 65,536; the transaction would be rejected again and again, with the records of other jobs in it, and no end be recorded any more.

Cause: the remainder of an occurrence that has ended grew with its steps.

Change: where the ranges would be more than 7,000 (46 KB), the occurrences that have ended are in a fourth document of the record, as ranges of occurrences, and not in the first. Rows written before are read as before, and smaller records are written as before, so that earlier versions read them; they could not store the others. An owner that reads the fourth document sets up none of these occurrences.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -766,6 +766,8 @@
   job->may_have_record = true;
   for (size_t i = 0; i < progress->targets.count; i++)
     core_job_add_recorded_target (job, (uint32_t)targets[i].hash);
+  core_job_note_task_targets (job, progress);
+  core_job_apply_ended (job, progress);
   core_job_apply_task_targets (job, progress);
   core_job_apply_done (job, progress);
   for (size_t i = 0; i < progress->tasks.count; i++)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -354,7 +354,7 @@
   GHashTable *target_states;    /* hash of a target's id -> enum core_job_target_state */
   bool may_have_record;         /* a record of it may be in the store */
   bool added_without_record;    /* the store had no record of it when the core got to know it */
-  bool record_tells_runs;       /* see core_job_apply_task_targets */
+  bool record_tells_runs;       /* see core_job_note_task_targets */
   bool may_run_on_any_target;   /* its tasks may run on targets that are not recorded for it */
   bool any_target_recording;    /* the record in flight says that they may */
   bool any_target_recorded;     /* a stored record says that they may */
@@ -604,14 +604,17 @@
  * with those before it; one that has ended is set up as such. NULL only if @job has none. */
 struct core_step *core_job_require_step (struct core_job *job, int64_t occurrence, int64_t number);
 
-/* Applies which tasks are done, by the record of an earlier owner. */
+/* Apply which occurrences have ended and which tasks are done, by the record of an earlier owner.
+ */
+void core_job_apply_ended (struct core_job *job, const struct fl_job_progress *progress);
 void core_job_apply_done (struct core_job *job, const struct fl_job_progress *progress);
 
 /* Marks @task, which has no run yet, as done by a record. */
 void core_task_apply_done (struct core_task *task);
 
-/* @return rows of struct fl_done_range: the tasks of @job that are done. */
-GArray *core_job_collect_done (const struct core_job *job);
+/* Collects the tasks of @job that are done, as rows of struct fl_done_range in @done, and those of
+ * struct fl_ended_range in @ended for occurrences that are not among them. */
+void core_job_collect_done (const struct core_job *job, GArray *done, GArray *ended);
 
 /* --- deadline.c --- */
 
@@ -788,9 +791,11 @@
  * without a run, and of a step for which core_step_records_targets. */
 bool core_task_is_unreconciled (const struct core_task *task);
 
-/* Applies what the record of an earlier owner tells of the tasks of @job. To be called before an
- * occurrence is set up: if the record tells where tasks may be, others have no run of that owner.
- */
+/* Notes whether @progress tells where tasks of @job may be: occurrences that are set up later then
+ * have no run of the earlier owner. */
+void core_job_note_task_targets (struct core_job *job, const struct fl_job_progress *progress);
+
+/* Applies what the record of an earlier owner tells of the tasks of @job. */
 void core_job_apply_task_targets (struct core_job *job, const struct fl_job_progress *progress);
 
 /* Requests that this owner records where the tasks of @job may be: its successor does not rely on
--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -287,15 +287,20 @@
     }
 }
 
+void
+core_job_note_task_targets (struct core_job *job, const struct fl_job_progress *progress)
+{
+  job->record_tells_runs = progress->task_targets.fencing_token + FL_FENCING_TOKENS_PER_OWNER
+                           == job->core->options.fencing_token;
+}
+
 void
 core_job_apply_task_targets (struct core_job *job, const struct fl_job_progress *progress)
 {
   const struct fl_step_targets *rows = progress->task_targets.steps.items;
 
-  if (progress->task_targets.fencing_token + FL_FENCING_TOKENS_PER_OWNER
-      != job->core->options.fencing_token)
+  if (!job->record_tells_runs)
     return;
-  job->record_tells_runs = true;
   for (size_t i = 0; i < progress->task_targets.steps.count; i++)
     {
       const struct fl_task_target *tasks = rows[i].tasks.items;
--- a/lib/core/occurrences.c
+++ b/lib/core/occurrences.c
@@ -14,6 +14,9 @@
 /* The first occurrence of a job that takes no more does not wait for memory: small jobs are not
  * held up by large ones, nor jobs by the schedules of others. */
 #define SMALL_BYTES 16384
+/* Most ranges of steps that have ended in a record: they take 46 KB, and a row of the store 64 KB
+ * with all else. */
+#define ENDED_RANGES_MAX 7000
 
 /* --- memory --- */
 
@@ -458,6 +461,28 @@
   core_step_count_done (task->step);
 }
 
+static void
+apply_ended (struct core_job *job, int64_t number)
+{
+  while (job->next_occurrence < number)
+    set_up_next (job);
+  if (job->next_occurrence > number)
+    return;
+  job->next_occurrence++;
+  job->unfinished_steps -= (int64_t)job->spec.steps.count;
+}
+
+void
+core_job_apply_ended (struct core_job *job, const struct fl_job_progress *progress)
+{
+  const struct fl_ended_range *ranges = progress->ended.ranges.items;
+  int64_t count = fl_job_spec_count_occurrences (&job->spec);
+
+  for (size_t i = 0; i < progress->ended.ranges.count; i++)
+    for (int64_t j = 0; j < ranges[i].count && ranges[i].first + j < count; j++)
+      apply_ended (job, ranges[i].first + j);
+}
+
 static void
 apply_range (struct core_job *job, const struct fl_done_range *range)
 {
@@ -502,27 +527,51 @@
     }
 }
 
-GArray *
-core_job_collect_done (const struct core_job *job)
+static void
+append_ended (GArray *ended, int64_t number)
 {
-  GArray *ranges = g_array_new (FALSE, TRUE, sizeof (struct fl_done_range));
+  struct fl_ended_range range = { number, 1 };
+  struct fl_ended_range *last
+      = ended->len > 0 ? &g_array_index (ended, struct fl_ended_range, ended->len - 1) : NULL;
+
+  if (last != NULL && last->first + last->count == number)
+    last->count++;
+  else
+    g_array_append_val (ended, range);
+}
+
+static void
+append_all_ranges (const struct core_job *job, int64_t number, GArray *ranges)
+{
+  for (size_t i = 0; i < job->spec.steps.count; i++)
+    {
+      struct fl_done_range all
+          = { number, (int64_t)i, 0, fl_job_spec_get_step (&job->spec, i)->count };
+      g_array_append_val (ranges, all);
+    }
+}
+
+void
+core_job_collect_done (const struct core_job *job, GArray *done, GArray *ended)
+{
+  size_t steps = job->spec.steps.count;
+  int64_t ended_count = job->next_occurrence - job->occurrences->len;
+  bool is_long = ended_count * (int64_t)steps > ENDED_RANGES_MAX;
   guint position = 0;
 
   for (int64_t number = 0; number < job->next_occurrence; number++)
     {
       const struct core_occurrence *occurrence
           = position < job->occurrences->len ? get_occurrence (job, position) : NULL;
-      bool is_set_up = occurrence != NULL && occurrence->number == number;
-      position += is_set_up ? 1 : 0;
-      for (size_t i = 0; i < job->spec.steps.count; i++)
+      if (occurrence != NULL && occurrence->number == number)
         {
-          struct fl_done_range all
-              = { number, (int64_t)i, 0, fl_job_spec_get_step (&job->spec, i)->count };
-          if (!is_set_up)
-            g_array_append_val (ranges, all);
-          else if (occurrence->steps[i].unfinished_tasks < all.count)
-            append_step_ranges (&occurrence->steps[i], ranges);
+          position++;
+          for (size_t i = 0; i < steps; i++)
+            append_step_ranges (&occurrence->steps[i], done);
         }
+      else if (is_long)
+        append_ended (ended, number);
+      else
+        append_all_ranges (job, number, done);
     }
-  return ranges;
 }
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -649,6 +649,7 @@
 {
   struct fl_job_progress progress = { .state = job->state };
   g_autoptr (GArray) done = NULL;
+  g_autoptr (GArray) ended = NULL;
   g_autoptr (GArray) tasks = NULL;
   g_autoptr (GArray) targets = NULL;
   g_autoptr (GArray) steps = NULL;
@@ -658,10 +659,13 @@
   /* A successor needs only the state of a finished job. */
   if (!fl_job_state_is_final (job->state))
     {
-      done = core_job_collect_done (job);
+      done = g_array_new (FALSE, TRUE, sizeof (struct fl_done_range));
+      ended = g_array_new (FALSE, TRUE, sizeof (struct fl_ended_range));
+      core_job_collect_done (job, done, ended);
       tasks = collect_tasks (job);
       targets = core_job_collect_targets (job);
       progress.done = (struct fl_array){ done->len, done->data };
+      progress.ended.ranges = (struct fl_array){ ended->len, ended->data };
       progress.tasks = (struct fl_array){ tasks->len, tasks->data };
       progress.targets = (struct fl_array){ targets->len, targets->data };
       progress.any_target = core_job_may_run_on_any_target (job);
--- a/lib/job/job_spec.c
+++ b/lib/job/job_spec.c
@@ -179,6 +179,19 @@
 };
 static FL_SCHEMA (job_crashes_schema, fl_job_crashes, job_crashes_fields);
 
+static const struct fl_field ended_range_fields[] = {
+  FIELD (fl_ended_range, first, FL_INT, true, 0, REPEATS_MAX, 0),
+  FIELD (fl_ended_range, count, FL_INT, true, 1, REPEATS_MAX, 0),
+};
+static FL_SCHEMA (ended_range_schema, fl_ended_range, ended_range_fields);
+
+/* A fourth document of a record, which earlier versions ignore: they could not store the record of
+ * a job that needs it. */
+static const struct fl_field job_ended_fields[] = {
+  LIST (fl_job_ended, ranges, 0, REPEATS_MAX, &ended_range_schema),
+};
+static FL_SCHEMA (job_ended_schema, fl_job_ended, job_ended_fields);
+
 const char *
 fl_crash_state_name (enum fl_crash_state state)
 {
@@ -246,10 +259,11 @@
 struct fl_str
 fl_job_progress_encode (const struct fl_job_progress *progress)
 {
-  /* A second document that says nothing, since the third follows it. */
+  /* A second document that says nothing, since others follow it. */
   static const struct fl_task_targets no_task_targets = { .fencing_token = 1 };
   bool has_task_targets = progress->task_targets.fencing_token > 0;
-  bool has_crashes = progress->crashes.tasks.count > 0;
+  bool has_ended = progress->ended.ranges.count > 0;
+  bool has_crashes = progress->crashes.tasks.count > 0 || has_ended;
   msgpack_sbuffer buffer;
 
   msgpack_sbuffer_init (&buffer);
@@ -259,6 +273,8 @@
                       has_task_targets ? &progress->task_targets : &no_task_targets, &buffer);
   if (has_crashes)
     fl_schema_encode (&job_crashes_schema, &progress->crashes, &buffer);
+  if (has_ended)
+    fl_schema_encode (&job_ended_schema, &progress->ended, &buffer);
   struct fl_str record = fl_str_make (buffer.data, buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return record;
@@ -317,15 +333,24 @@
                                &progress->task_targets, NULL))
     fl_schema_clear (&task_targets_schema, &progress->task_targets);
   used += second_used;
-  if (second_used > 0 && used < len
-      && !fl_schema_decode (&job_crashes_schema, data + used, len - used, &progress->crashes, NULL))
+  if (second_used == 0 || used == len)
+    return true;
+  size_t third_used = 0;
+  if (!fl_schema_decode_first (&job_crashes_schema, data + used, len - used, &third_used,
+                               &progress->crashes, NULL))
     fl_schema_clear (&job_crashes_schema, &progress->crashes);
+  used += third_used;
+  if (third_used == 0 || used == len)
+    return true;
+  if (!fl_schema_decode (&job_ended_schema, data + used, len - used, &progress->ended, NULL))
+    fl_schema_clear (&job_ended_schema, &progress->ended);
   return true;
 }
 
 void
 fl_job_progress_clear (struct fl_job_progress *progress)
 {
+  fl_schema_clear (&job_ended_schema, &progress->ended);
   fl_schema_clear (&job_crashes_schema, &progress->crashes);
   fl_schema_clear (&task_targets_schema, &progress->task_targets);
   fl_schema_clear (&progress_schema, progress);
--- a/lib/job/job_spec.h
+++ b/lib/job/job_spec.h
@@ -166,15 +166,30 @@
   struct fl_array tasks; /* of struct fl_task_crashes */
 };
 
+/* Consecutive occurrences of which all tasks are done. */
+struct fl_ended_range
+{
+  int64_t first;
+  int64_t count;
+};
+
+/* Occurrences that have ended, where a range for each of their steps would take more than a row of
+ * the store holds. */
+struct fl_job_ended
+{
+  struct fl_array ranges; /* of struct fl_ended_range */
+};
+
 struct fl_job_progress
 {
   int state;               /* enum fl_job_state */
-  struct fl_array done;    /* of struct fl_done_range */
+  struct fl_array done;    /* of struct fl_done_range; those of @ended are not listed */
   struct fl_array tasks;   /* of struct fl_task_progress */
   struct fl_array targets; /* of struct fl_job_target; complete unless any_target is set */
   bool any_target;         /* tasks may have been started on any target */
   struct fl_task_targets task_targets;
   struct fl_job_crashes crashes;
+  struct fl_job_ended ended;
 };
 
 extern const struct fl_schema fl_job_spec_schema;
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -721,7 +721,7 @@
 
 /* @fencing_token: 0 for a record as an earlier version wrote it */
 static struct fl_str
-encode_sample_progress (int64_t fencing_token, bool has_crashes)
+encode_sample_progress (int64_t fencing_token, bool has_crashes, bool has_ended)
 {
   struct fl_crashed_run crashed[] = { { 3, FL_CRASH_SUSPECTED, 7, 8, 1700000000000 },
                                       { 100002, FL_CRASH_OPEN, UINT32_MAX, 0, 0 } };
@@ -734,13 +734,15 @@
   struct fl_task_target task_targets[]
       = { { 2 }, { FL_TASK_TARGET_NONE }, { FL_TASK_TARGET_UNKNOWN } };
   struct fl_step_targets steps[] = { { 0, 1, { 3, task_targets } }, { 3, 1, { 0 } } };
+  struct fl_ended_range ended[] = { { 0, 7 }, { 8, 992 } };
   struct fl_job_progress progress = { FL_JOB_RUNNING,
                                       { 2, done },
                                       { 2, tasks },
                                       { 2, targets },
                                       false,
                                       { fencing_token, { 2, steps } },
-                                      { { has_crashes ? 1 : 0, crashes } } };
+                                      { { has_crashes ? 1 : 0, crashes } },
+                                      { { has_ended ? 2 : 0, ended } } };
 
   return fl_job_progress_encode (&progress);
 }
@@ -752,17 +754,20 @@
   {
     int64_t fencing_token;
     bool has_crashes;
-  } cases[] = { { 0, false }, { 7, false }, { 7, true } };
+    bool has_ended;
+  } cases[] = { { 0, false, false }, { 7, false, false }, { 7, true, false }, { 7, true, true } };
 
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct fl_str encoded = encode_sample_progress (cases[i].fencing_token, cases[i].has_crashes);
+      struct fl_str encoded = encode_sample_progress (cases[i].fencing_token, cases[i].has_crashes,
+                                                      cases[i].has_ended);
       struct fl_job_progress decoded;
       struct fl_error error = { 0 };
       assert_true (fl_job_progress_decode (encoded.data, encoded.len, &decoded, &error));
       assert_int_equal (decoded.task_targets.fencing_token, cases[i].fencing_token);
       assert_int_equal (decoded.crashes.tasks.count, cases[i].has_crashes ? 1 : 0);
+      assert_int_equal (decoded.ended.ranges.count, cases[i].has_ended ? 2 : 0);
       struct fl_str reencoded = fl_job_progress_encode (&decoded);
       assert_int_equal (reencoded.len, encoded.len);
       assert_memory_equal (reencoded.data, encoded.data, encoded.len);
@@ -777,8 +782,8 @@
 static void
 test_task_targets_are_optional (void **state)
 {
-  struct fl_str earlier = encode_sample_progress (0, false);
-  struct fl_str record = encode_sample_progress (7, false);
+  struct fl_str earlier = encode_sample_progress (0, false, false);
+  struct fl_str record = encode_sample_progress (7, false, false);
   struct fl_job_progress decoded;
   struct fl_error error = { 0 };
 
@@ -803,9 +808,9 @@
 static void
 test_crashes_are_optional (void **state)
 {
-  struct fl_str earlier = encode_sample_progress (7, false);
-  struct fl_str record = encode_sample_progress (7, true);
-  struct fl_str without_targets = encode_sample_progress (0, true);
+  struct fl_str earlier = encode_sample_progress (7, false, false);
+  struct fl_str record = encode_sample_progress (7, true, false);
+  struct fl_str without_targets = encode_sample_progress (0, true, false);
   struct fl_job_progress decoded;
   struct fl_error error = { 0 };
 
@@ -961,7 +966,7 @@
 static void
 test_corrupted_records (void **state)
 {
-  struct fl_str encoded = encode_sample_progress (7, true);
+  struct fl_str encoded = encode_sample_progress (7, true, false);
   GRand *random = g_rand_new_with_seed (7);
   int64_t before_kb = read_peak_memory_kb ();
   int rejected = 0;
--- a/tests/test_occurrences.c
+++ b/tests/test_occurrences.c
@@ -453,6 +453,69 @@
   world_free (world);
 }
 
+/* The record of a job that has run a thousand times became larger than a row of the store. */
+static void
+test_record_of_a_long_schedule (void **state)
+{
+  enum
+  {
+    LONG_STEPS = 16
+  };
+  struct fixture_options options = { .fencing_token = 1 };
+  struct fl_str record = { 0 };
+  GArray *done = g_array_new (FALSE, TRUE, sizeof (struct fl_done_range));
+
+  (void)state;
+  for (int64_t i = 0; i < (OCCURRENCES_MAX - 1) * LONG_STEPS; i++)
+    {
+      struct fl_done_range range = { i / LONG_STEPS, i % LONG_STEPS, 0, 1 };
+      /* One of the first occurrences has not ended. */
+      if (range.occurrence != 7 || range.step > 0)
+        g_array_append_val (done, range);
+    }
+  for (int owner = 0; owner < 2; owner++)
+    {
+      struct fixture *fixture = fixture_new_with (&options);
+      struct fl_job_progress progress
+          = { .state = FL_JOB_RUNNING, .done = { done->len, done->data } };
+      struct fl_step_spec steps[LONG_STEPS];
+      struct fl_job_spec spec = { .id = fl_name_of ("a"),
+                                  .queue = fl_name_of ("urgent"),
+                                  .team = fl_name_of ("w"),
+                                  .text = fl_str_of ("x"),
+                                  .repeat_count = OCCURRENCES_MAX,
+                                  .start_at_ms = 1,
+                                  .interval_ms = 1 };
+      struct fl_core_record stored;
+      struct fl_error error = { 0 };
+      for (int i = 0; i < LONG_STEPS; i++)
+        steps[i] = (struct fl_step_spec){ .count = 1, .cpu_milli = 100 };
+      spec.steps = (struct fl_array){ LONG_STEPS, g_memdup2 (steps, sizeof steps) };
+      if (owner == 1)
+        assert_true (fl_job_progress_decode (record.data, record.len, &progress, &error));
+      fl_core_add_job (fixture->core, &spec, 1, &progress);
+      if (owner == 1)
+        fl_job_progress_clear (&progress);
+      fl_core_set_jobs_known (fixture->core);
+      add_target (fixture, "t1", 100, false);
+      fl_core_tick (fixture->core, fixture->now_ms, fixture->now_ms);
+      if (owner == 0)
+        {
+          assert_int_equal (fl_core_collect_records (fixture->core, &stored, 1), 1);
+          assert_in_range (stored.progress.len, 1, 48000);
+          record = stored.progress;
+          fl_core_finish_records (fixture->core, true, fixture->now_ms);
+        }
+      tick_until_recorded (fixture, 10);
+      assert_int_equal (fixture->start_orders->len, 1 + LONG_STEPS);
+      assert_string_equal (get_start_order (fixture, 0)->task.data, "a.7.0.0");
+      assert_string_equal (get_start_order (fixture, 1)->task.data, "a.999.0.0");
+      fixture_free (fixture);
+    }
+  fl_str_clear (&record);
+  g_array_unref (done);
+}
+
 static guint
 count_starts (const struct fixture *fixture, const char *prefix)
 {
@@ -539,6 +602,7 @@
     cmocka_unit_test (test_job_of_a_thousand_occurrences),
     cmocka_unit_test (test_starts_of_occurrences),
     cmocka_unit_test (test_owner_with_a_late_wall_clock),
+    cmocka_unit_test (test_record_of_a_long_schedule),
     cmocka_unit_test (test_jobs_that_wait_for_memory),
     cmocka_unit_test (test_job_that_waits_for_memory_is_charged),
   };
