--- a/lib/core/admission.c
+++ b/lib/core/admission.c
@@ -24,9 +24,8 @@
 static bool
 waits_for_room (const struct core_job *job)
 {
-  for (size_t i = 0; i < job->step_count; i++)
-    if (job->steps[i].wait_reason == CORE_WAIT_CAPACITY
-        || job->steps[i].wait_reason == CORE_WAIT_TEAM_LIMIT)
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
+    if (step->wait_reason == CORE_WAIT_CAPACITY || step->wait_reason == CORE_WAIT_TEAM_LIMIT)
       return true;
   return false;
 }
@@ -36,9 +35,8 @@
 {
   struct fl_admission_queue *queue = get_queue (queues, job);
 
-  for (size_t i = 0; i < job->step_count; i++)
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
     {
-      const struct core_step *step = &job->steps[i];
       queue->is_lasting = queue->is_lasting || step->spec->long_running;
       if (step->idle_tasks > 0 && step->due_wall_ms <= job->core->wall_ms
           && !core_step_has_ticket (step))
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -201,11 +201,13 @@
   int64_t last_run_number;
   struct core_run *run; /* NULL while the task waits or is done */
   struct fl_str checkpoint;
-  struct fl_name last_failed_target; /* where a run last failed or stalled */
-  int64_t backoff_until_ms;          /* no start before this time */
-  int preemptions;                   /* by urgent work, under this owner */
-  double log_run_ms; /* logarithm of its run time, projected while it runs; 0 if unknown */
-  bool was_moved;    /* a run of it was stopped because its target was slow */
+  /* Hash of the id of the target on which a run last failed or stalled; 0 for none. Another target
+   * with this hash is avoided as well. */
+  uint32_t last_failed_target;
+  int64_t backoff_until_ms; /* no start before this time */
+  int preemptions;          /* by urgent work, under this owner */
+  double log_run_ms;        /* logarithm of its run time, projected while it runs; 0 if unknown */
+  bool was_moved;           /* a run of it was stopped because its target was slow */
   GArray *crashes;   /* struct crash_case: runs whose targets crashed, or may have; NULL for none */
   bool is_suspected; /* it may be the cause of a crash: one of these is open or suspected */
   bool is_watched;   /* its runs are kept apart from other new runs */
@@ -280,10 +282,11 @@
 struct core_step
 {
   struct core_job *job;
+  struct core_occurrence *occurrence;
+  struct core_step *next; /* of its occurrence, or the first of the next one that is set up */
   const struct fl_step_spec *spec;
   struct fl_run_time_class *run_class; /* of its queue and image */
   struct fl_interference_class interference_class;
-  int64_t occurrence;
   int64_t number;
   int64_t due_wall_ms; /* 0 for immediately */
   struct core_task *tasks;
@@ -320,6 +323,15 @@
   int64_t down_logged_at_ms;
 };
 
+/* One of the times that the steps of a job run. */
+struct core_occurrence
+{
+  struct core_job *job;
+  int64_t number;
+  int64_t unfinished_steps;
+  struct core_step steps[]; /* as many as @job has */
+};
+
 /* Whether the store records that a job may have tasks on a target. A successor relies on these
  * records, so that tasks are started only on recorded targets unless the store is slow. */
 enum core_job_target_state
@@ -339,29 +351,33 @@
   struct core_queue_stats *queue_stats;
   int64_t accepted_version; /* store version at which the job was accepted */
   enum fl_job_state state;
-  struct core_step *steps;    /* the steps of the first occurrence, then of the second, and so on */
-  size_t step_count;          /* of all occurrences */
-  int64_t unfinished_steps;   /* of all occurrences */
-  int64_t run_count;          /* runs that may be in effect */
-  GHashTable *target_states;  /* hash of a target's id -> enum core_job_target_state */
-  bool may_have_record;       /* a record of it may be in the store */
-  bool added_without_record;  /* the store had no record of it when the core got to know it */
-  bool may_run_on_any_target; /* its tasks may run on targets that are not recorded for it */
-  bool any_target_recording;  /* the record in flight says that they may */
-  bool any_target_recorded;   /* a stored record says that they may */
-  bool is_reconciled;         /* an earlier owner left no runs that this one does not know */
-  bool started;               /* a task of it has been started, by this owner or an earlier one */
-  int64_t suspected_tasks;    /* tasks with is_suspected */
-  int64_t watched_runs;       /* runs that are the watched_run of their target */
-  bool has_unjudged_failures; /* failed runs were counted while the limit was not known */
-  bool is_cleared;            /* since the last suspicion, a run of a suspected task did no harm */
+  /* struct core_occurrence, owned, by number: from when they are due until they have ended. Those
+   * below next_occurrence that are not among them have ended. */
+  GPtrArray *occurrences;
+  struct core_step *first_step; /* of these; NULL if there are none */
+  int64_t next_occurrence;      /* the first that has not been set up yet */
+  int64_t unfinished_steps;     /* of all occurrences, also of those that are not set up */
+  int64_t run_count;            /* runs that may be in effect */
+  GHashTable *target_states;    /* hash of a target's id -> enum core_job_target_state */
+  bool may_have_record;         /* a record of it may be in the store */
+  bool added_without_record;    /* the store had no record of it when the core got to know it */
+  bool record_tells_runs;       /* see core_job_note_task_targets */
+  bool may_run_on_any_target;   /* its tasks may run on targets that are not recorded for it */
+  bool any_target_recording;    /* the record in flight says that they may */
+  bool any_target_recorded;     /* a stored record says that they may */
+  bool is_reconciled;           /* an earlier owner left no runs that this one does not know */
+  bool started;                 /* a task of it has been started, by this owner or an earlier one */
+  int64_t suspected_tasks;      /* tasks with is_suspected */
+  int64_t watched_runs;         /* runs that are the watched_run of their target */
+  bool has_unjudged_failures;   /* failed runs were counted while the limit was not known */
+  bool is_cleared;             /* since the last suspicion, a run of a suspected task did no harm */
   int64_t crash_changed_at_ms; /* when the crashes of its tasks last changed */
   int64_t crash_changes; /* number of changes of the crashes of its tasks that need recording */
   int64_t crash_changes_recording; /* of these, those in the record in flight */
   int64_t crash_changes_recorded;  /* of these, those in a stored record */
   bool needs_recording;            /* its progress has changed since the last record */
   bool record_in_flight;
-  int64_t idle_tasks;             /* of all steps */
+  int64_t idle_tasks;             /* of the occurrences that are set up */
   struct fl_job_scale scale;      /* of the run times of its tasks */
   bool has_turn;                  /* see FL_ORDER_TURN_INTERVAL_MS */
   int64_t repeated_runs;          /* of run_count, those with is_repeated */
@@ -371,10 +387,14 @@
   bool in_waiting;                /* in core->waiting_jobs */
   bool in_final;                  /* in core->final_jobs */
   bool in_lasting;                /* in core->lasting_jobs */
+  bool in_scheduled;              /* in core->scheduled_jobs */
+  bool in_ended;                  /* in core->ended_jobs */
   GList waiting_link;
   GList recording_link; /* in core->unrecorded_jobs while needs_recording is set */
   GList final_link;
   GList lasting_link;
+  GList scheduled_link;
+  GList ended_link;
 };
 
 #define CORE_CLOSED INT64_MIN
@@ -460,10 +480,14 @@
   int64_t lasting_checked_at_ms;
   int64_t waits_checked_at_ms; /* see core_note_longest_waits */
   int64_t waits_logged_at_ms;
-  GPtrArray *recording_jobs;                /* with a record in flight */
-  GQueue crash_tasks;                       /* tasks with crashes, in the order of their first */
-  guint watched_runs;                       /* targets with a watched run */
-  int64_t crash_verdicts_due_ms;            /* before, no verdict on them is due */
+  GQueue scheduled_jobs;         /* not final, with occurrences that are not set up yet */
+  int64_t next_due_wall_ms;      /* no later than when the next of these is due */
+  int64_t set_up_bytes;          /* about what the occurrences that are set up take */
+  GQueue ended_jobs;             /* may have occurrences that are set up and have ended */
+  GPtrArray *recording_jobs;     /* with a record in flight */
+  GQueue crash_tasks;            /* tasks with crashes, in the order of their first */
+  guint watched_runs;            /* targets with a watched run */
+  int64_t crash_verdicts_due_ms; /* before, no verdict on them is due */
   int64_t crash_times_ms[CORE_CRASH_TIMES]; /* when the last targets crashed, as a ring */
   guint crash_count;
   int64_t unexplained_crash_ms;      /* when a target last crashed on which no run is suspected */
@@ -515,10 +539,11 @@
 
 struct core_step *core_find_step (struct fl_core *core, const struct fl_name *name);
 
-/* @return the step @number of @occurrence, or NULL if @job has none. */
-struct core_step *core_job_find_step (struct core_job *job, int64_t occurrence, int64_t number);
-
 struct core_task *core_find_task (struct fl_core *core, const struct fl_name *name);
+
+/* The same for a task that an earlier owner may have known: its occurrence is set up if it is not.
+ */
+struct core_task *core_require_task (struct fl_core *core, const struct fl_name *name);
 struct fl_name core_task_name (const struct core_task *task);
 struct fl_name core_step_name (const struct core_step *step);
 struct core_target *core_find_target (const struct fl_core *core, const struct fl_name *id);
@@ -556,6 +581,55 @@
 /* Whether the start time of @step has passed and all steps that it depends on are done. */
 bool core_step_is_due (const struct core_step *step);
 
+/* --- occurrences.c --- */
+
+/* @return an occurrence of @job with zeroed steps that are linked. Free it with g_free. */
+struct core_occurrence *core_occurrence_new (struct core_job *job, int64_t number);
+
+/* @return an empty array of occurrences. */
+GPtrArray *core_occurrences_new (void);
+
+/* Sets up the only occurrence of @job, whose progress has been applied, if it has no schedule and
+ * there is memory, and else adds it to those whose occurrences are set up later. */
+void core_occurrences_init_job (struct core_job *job);
+
+/* Removes @job from the queues of this file and frees its occurrences. */
+void core_occurrences_clear_job (struct core_job *job);
+
+/* Sets up the occurrences that are due, and frees those that have ended. To be called in each tick
+ * before tasks are placed. */
+void core_occurrences_tick (struct fl_core *core);
+
+/* Counts a task of @step that is done. */
+void core_step_count_done (struct core_step *step);
+
+/* Charges the occurrences that are due and wait for memory to their teams, where tasks of them may
+ * run on targets that have not reported. */
+void core_occurrences_charge_unreconciled (struct fl_core *core);
+
+/* Notes that @occurrence has ended, so that it is freed when no run of it is in effect. */
+void core_occurrence_note_end (struct core_occurrence *occurrence);
+
+/* @return the step @number of @occurrence, or NULL if @job has none or it is not set up. */
+struct core_step *
+core_job_find_step (const struct core_job *job, int64_t occurrence, int64_t number);
+
+/* The same for a step that an earlier owner may have known: its occurrence is set up if it is not,
+ * with those before it; one that has ended is set up as such. NULL only if @job has none. */
+struct core_step *core_job_require_step (struct core_job *job, int64_t occurrence, int64_t number);
+
+/* Apply which occurrences have ended and which tasks are done, by the record of an earlier owner.
+ */
+void core_job_apply_ended (struct core_job *job, const struct fl_job_progress *progress);
+void core_job_apply_done (struct core_job *job, const struct fl_job_progress *progress);
+
+/* Marks @task, which has no run yet, as done by a record. */
+void core_task_apply_done (struct core_task *task);
+
+/* Collects the tasks of @job that are done, as rows of struct fl_done_range in @done, and those of
+ * struct fl_ended_range in @ended for occurrences that are not among them. */
+void core_job_collect_done (const struct core_job *job, GArray *done, GArray *ended);
+
 /* --- deadline.c --- */
 
 /* What @job can still reach; of a job with occurrences, the first that is due and has not ended. */
@@ -739,6 +813,10 @@
  * without a run, and of a step for which core_step_records_targets. */
 bool core_task_is_unreconciled (const struct core_task *task);
 
+/* Notes whether @progress tells where tasks of @job may be: occurrences that are set up later then
+ * have no run of the earlier owner. */
+void core_job_note_task_targets (struct core_job *job, const struct fl_job_progress *progress);
+
 /* Applies what the record of an earlier owner tells of the tasks of @job. */
 void core_job_apply_task_targets (struct core_job *job, const struct fl_job_progress *progress);
 
--- a/lib/core/job_age.c
+++ b/lib/core/job_age.c
@@ -31,9 +31,11 @@
 static int
 get_age_part (const struct core_job *job)
 {
-  for (size_t i = 0; job->idle_tasks > 0 && i < job->step_count; i++)
-    if (job->steps[i].wait.missing != CORE_WAIT_NONE)
-      return job->steps[i].wait.missing;
+  const struct core_step *step = job->idle_tasks > 0 ? job->first_step : NULL;
+
+  for (; step != NULL; step = step->next)
+    if (step->wait.missing != CORE_WAIT_NONE)
+      return step->wait.missing;
   return job->run_count > 0 && job->repeated_runs == job->run_count ? CORE_AGE_REPEATED
                                                                     : CORE_WAIT_NONE;
 }
@@ -190,9 +192,10 @@
 static void
 add_job_waits (struct longest_waits *waits, const struct core_job *job)
 {
-  for (size_t i = 0; job->run_count == 0 && i < job->step_count; i++)
+  if (job->run_count > 0)
+    return;
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
     {
-      const struct core_step *step = &job->steps[i];
       int64_t waited_ms = get_waited_ms (step);
       int64_t *longest_ms = &waits->waited_ms[step->wait.missing];
       *longest_ms = MAX (*longest_ms, waited_ms);
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -267,7 +267,8 @@
         continue;
       int64_t score
           = task->is_watched ? core_crash_score_target (placement->target) : placement->score;
-      if (fl_name_eq (&task->last_failed_target, &placement->target->entry.id))
+      if (task->last_failed_target != 0
+          && task->last_failed_target == fl_job_target_hash (&placement->target->entry.id))
         score -= AVOID_PENALTY;
       if (best == NULL || placement->is_allowed > best->is_allowed
           || (placement->is_allowed == best->is_allowed && score > best_score))
@@ -884,9 +885,9 @@
   double share = unit_share * (double)get_weight (job->team);
   int excess = fl_order_team_excess ((double)job->team->used.cpu_milli, share);
 
-  for (size_t i = 0; i < job->step_count; i++)
+  for (struct core_step *step = job->first_step; step != NULL; step = step->next)
     {
-      struct waiting_step entry = { .step = &job->steps[i] };
+      struct waiting_step entry = { .step = step };
       if (entry.step->idle_tasks == 0)
         {
           set_wait_reason (entry.step, CORE_WAIT_NONE);
@@ -919,6 +920,8 @@
   bool unreconciled = core_is_unreconciled (core);
 
   clear_unreconciled (core);
+  if (unreconciled)
+    core_occurrences_charge_unreconciled (core);
   for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
     ((struct core_job *)link->data)->team->last_waiting_ms = core->now_ms;
   double unit_share = get_unit_share (core);
@@ -940,9 +943,8 @@
   int excess = fl_order_team_excess ((double)job->team->used.cpu_milli, share);
   int64_t before = 0;
 
-  for (size_t i = 0; i < job->step_count; i++)
+  for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
     {
-      const struct core_step *step = &job->steps[i];
       struct fl_order_key other;
       if (step->idle_tasks == 0 || !core_step_is_due (step) || !has_waiting_task (step))
         continue;
--- a/tests/support_core.h
+++ b/tests/support_core.h
@@ -36,6 +36,7 @@
   int64_t fencing_token;     /* 0 for 1 */
   int64_t evacuation_ms;     /* see struct fl_core_options */
   bool is_unconfigured;      /* no configuration has been read */
+  int64_t set_up_bytes_max;  /* see struct fl_core_options */
   int64_t acquired_version;  /* 0 for one above those of all jobs, if reconciled_at_ms is set */
 };
 
