Core: an open crash from a record is not counted before the time is known

Cause: the time since which a case from the record is open was that of the core when the record was read. Before its first tick the core has none, so that the first tick found the case open for longer than 30 s and counted it.

Change: the first verdict on a task sets this time for the cases from the record.

--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -63,7 +63,7 @@
 struct crash_case
 {
   struct fl_crashed_run row;
-  int64_t noted_at_ms;
+  int64_t noted_at_ms; /* 0 for one from the record until the first verdict on its task */
 };
 
 static struct crash_case *
@@ -736,6 +736,9 @@
   for (guint i = 0; i < task->crashes->len; i++)
     {
       struct crash_case *crash_case = get_case (task, i);
+      /* The record may be read before the first tick, when the time is not known. */
+      if (crash_case->noted_at_ms == 0)
+        crash_case->noted_at_ms = now_ms;
       if (crash_case->row.state == FL_CRASH_OPEN && !is_in_effect (task, crash_case))
         {
           due_ms = MIN (due_ms, crash_case->noted_at_ms + CRASH_OPEN_MAX_MS);
@@ -808,14 +811,13 @@
 load_task (struct core_task *task, const struct fl_array *rows)
 {
   const struct fl_crashed_run *runs = rows->items;
-  struct core_job *job = task->step->job;
 
   if (task->done || rows->count == 0 || task->crashes != NULL)
     return;
   task->crashes = g_array_new (FALSE, FALSE, sizeof (struct crash_case));
   for (size_t i = 0; i < rows->count; i++)
     {
-      struct crash_case crash_case = { runs[i], job->core->now_ms };
+      struct crash_case crash_case = { .row = runs[i] };
       g_array_append_val (task->crashes, crash_case);
       task->last_run_number = MAX (task->last_run_number, runs[i].run);
     }
--- a/tests/test_crash_takeover.c
+++ b/tests/test_crash_takeover.c
@@ -1,4 +1,4 @@
-/* A new owner that reads from the record of a job that a task of it has crashed two targets. */
+/* A new owner that reads from the record of a job that a task of it has crashed targets. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -17,6 +17,7 @@
 struct takeover_case
 {
   const char *name;
+  enum fl_crash_state state; /* of the case of "t1" */
   int64_t boot;       /* that "t1" reports, which is to have crashed in boot 1; 0 if it is silent */
   int64_t reports_ms; /* when it reports */
   bool fails;
@@ -25,24 +26,28 @@
 };
 
 static const struct takeover_case cases[] = {
-  { "did not crash", 1, 1000, false, 0, 0 },
-  { "did not crash, reports late", 1, 3000, false, 0, 0 },
-  { "another boot", 2, 1000, true, 1000, 1800 },
-  { "never reports", 0, 0, true, 5000, 5800 },
+  { "did not crash", FL_CRASH_SUSPECTED, 1, 1000, false, 0, 0 },
+  { "did not crash, reports late", FL_CRASH_SUSPECTED, 1, 3000, false, 0, 0 },
+  { "another boot", FL_CRASH_SUSPECTED, 2, 1000, true, 1000, 1800 },
+  { "never reports", FL_CRASH_SUSPECTED, 0, 0, true, 5000, 5800 },
+  { "may have crashed, never reports", FL_CRASH_OPEN, 0, 0, false, 0, 0 },
+  { "may have crashed, another boot", FL_CRASH_OPEN, 2, 1000, true, 1000, 1800 },
 };
 
+/* Any further crash decides. */
 static void
-add_crashed_job (struct fixture *fixture)
+add_crashed_job (struct fixture *fixture, enum fl_crash_state state)
 {
-  struct fl_name targets[] = { fl_name_of ("t1"), fl_name_of ("t2") };
-  struct fl_crashed_run runs[2];
+  struct fl_name targets[] = { fl_name_of ("t1"), fl_name_of ("t2"), fl_name_of ("t4") };
+  const enum fl_crash_state states[] = { state, FL_CRASH_SUSPECTED, FL_CRASH_PRESENT };
+  struct fl_crashed_run runs[G_N_ELEMENTS (states)];
   struct fl_task_crashes task = { .runs = { G_N_ELEMENTS (runs), runs } };
   struct fl_job_progress progress
       = { .state = FL_JOB_RUNNING, .crashes = { .tasks = { 1, &task } } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (runs); i++)
     runs[i] = (struct fl_crashed_run){ .run = (int64_t)i + 1,
-                                       .state = FL_CRASH_SUSPECTED,
+                                       .state = (int)states[i],
                                        .target = fl_job_target_hash (&targets[i]),
                                        .address = fl_job_target_hash (&targets[i]),
                                        .booted_at_ms = 1 };
@@ -73,7 +78,7 @@
       int64_t given_up_ms = -1;
       fl_core_inherit_target (fixture->core, &id, &id);
       add_entry (fixture, "t1", 4, false);
-      add_crashed_job (fixture);
+      add_crashed_job (fixture, cases[i].state);
       fl_core_set_jobs_known (fixture->core);
       add_target (fixture, "t3", 4, false);
       for (int64_t ms = 0; ms < 8000 && given_up_ms < 0; ms += STEP_MS)
