--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -365,7 +365,6 @@
   close_slow_uploads (server, excess, now);
 }
 
-/* Closes connections whose time to linger is over. */
 /* Closes connections that have been idle, or on which no part of a request has arrived, for too
  * long. Only the second sweep in the same phase does so: after a suspension of the host, what was
  * sent meanwhile may arrive later than the first one runs. */
@@ -385,6 +384,7 @@
     }
 }
 
+/* Closes connections whose time to linger is over. */
 static void
 end_lingering (const struct fl_http_server *server, int64_t now)
 {
