Links: ping a silent peer before its connection is replaced

Cause: silence of a peer that owes one reply, which takes long, does not tell of the connection.

Change: an order, batch or query without a reply has the peer pinged, also where orders are not forwarded; without a reply to the ping within 0.3 s the connection is replaced. A connection that has just replaced another one is kept for 2 s, and replaced ones stay open for their 6 s, several if need be. Verdicts in a row do not put off the pings. The key of a replaced connection is not leaked.

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -13,6 +13,9 @@
 #define ORDER_TIMEOUT_MS (700 + FORWARD_SLACK_MS)
 /* Interval of the pings to unavailable peers. */
 #define PING_INTERVAL_MS 1000
+/* The connection of a peer that has not replied to a ping for this long is replaced. Covers two
+ * transfers between hosts and the wait for CPU time on a small host. */
+#define PING_TIMEOUT_MS 300
 /* A ping that cannot be sent, since the connection was just opened, is tried again after
  * PING_RETRY_MS, until RECONNECT_MS after the connection was opened. */
 #define PING_RETRY_MS 50
@@ -91,12 +94,20 @@
   return peer->is_available ? peer : NULL;
 }
 
+/* Lets the next pings be sent in @wait_ms, or earlier if they are due before. */
 static void
 set_ping_timer (struct fl_forwarder *forwarder, int64_t wait_ms)
 {
-  ev_timer_stop (forwarder->options.loop, &forwarder->ping_timer);
-  ev_timer_set (&forwarder->ping_timer, (double)wait_ms / 1000.0, 0.0);
-  ev_timer_start (forwarder->options.loop, &forwarder->ping_timer);
+  struct ev_loop *loop = forwarder->options.loop;
+  ev_timer *timer = &forwarder->ping_timer;
+  double wait_s = (double)wait_ms / 1000.0;
+
+  ev_now_update (loop);
+  if (ev_is_active (timer) && ev_timer_remaining (loop, timer) <= wait_s)
+    return;
+  ev_timer_stop (loop, timer);
+  ev_timer_set (timer, wait_s, 0.0);
+  ev_timer_start (loop, timer);
 }
 
 /* @return whether the connection to @peer was replaced. */
@@ -108,28 +119,32 @@
   if (!options->reconnect_silent (options->context, &peer->address, sent_ms))
     return false;
   peer->reconnected_ms = fl_clock_boot_ms ();
+  peer->pinged_ms = 0;
   return true;
 }
 
-/* Pings an unavailable peer; without a reply to the last ping, over another connection.
- * @return the time until the next ping. */
+/* Pings @peer. Without a reply to the last ping, its connection is replaced first: a peer that is
+ * only slow to answer something else replies to a ping. @return the time until the next ping. */
 static int64_t
 ping_peer (struct fl_forwarder *forwarder, struct forward_peer *peer, int64_t now_ms)
 {
   static const struct fl_forward_message ping = { .kind = FL_FORWARD_PING };
   struct fl_route to = { .address = peer->address };
+  int64_t waited_ms = now_ms - peer->pinged_ms;
 
   if (peer->pinged_ms > peer->heard_ms)
     {
-      if (now_ms - peer->pinged_ms < PING_INTERVAL_MS)
-        return peer->pinged_ms + PING_INTERVAL_MS - now_ms;
-      reconnect_silent (forwarder, peer, peer->pinged_ms);
+      if (waited_ms < PING_TIMEOUT_MS)
+        return PING_TIMEOUT_MS - waited_ms;
+      if (!reconnect_silent (forwarder, peer, peer->pinged_ms) && waited_ms < PING_INTERVAL_MS)
+        return PING_INTERVAL_MS - waited_ms;
     }
   if (send_message (forwarder, &to, &ping))
-    peer->pinged_ms = now_ms;
-  else if (now_ms - peer->reconnected_ms < RECONNECT_MS)
-    return PING_RETRY_MS;
-  return PING_INTERVAL_MS;
+    {
+      peer->pinged_ms = now_ms;
+      return PING_TIMEOUT_MS;
+    }
+  return now_ms - peer->reconnected_ms < RECONNECT_MS ? PING_RETRY_MS : PING_INTERVAL_MS;
 }
 
 static void
@@ -138,15 +153,36 @@
   int64_t now_ms = fl_clock_boot_ms ();
   int64_t wait_ms = PING_INTERVAL_MS;
 
-  for (guint i = 0; forwarder->enabled && i < forwarder->peers->len; i++)
+  for (guint i = 0; i < forwarder->peers->len; i++)
     {
       struct forward_peer *peer = &g_array_index (forwarder->peers, struct forward_peer, i);
-      if (!peer->is_available)
+      if (peer->is_checked || (forwarder->enabled && !peer->is_available))
         wait_ms = MIN (wait_ms, ping_peer (forwarder, peer, now_ms));
     }
   set_ping_timer (forwarder, wait_ms);
 }
 
+/* Pings @peer now, and until something arrives from it. */
+static void
+check_peer (struct fl_forwarder *forwarder, struct forward_peer *peer)
+{
+  if (peer->is_checked)
+    return;
+  peer->is_checked = true;
+  set_ping_timer (forwarder, ping_peer (forwarder, peer, fl_clock_boot_ms ()));
+}
+
+void
+fl_forwarder_check_peer (struct fl_forwarder *forwarder,
+                         const struct fl_name *address,
+                         int64_t sent_ms)
+{
+  struct forward_peer *peer = find_peer (forwarder, address);
+
+  if (peer != NULL && peer->heard_ms < sent_ms)
+    check_peer (forwarder, peer);
+}
+
 static void
 on_ping_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -200,8 +236,7 @@
   /* A peer that has sent anything since is alive: only the one order or its reply is late. */
   if (peer == NULL || peer->heard_ms >= sent_ms)
     return;
-  if (reconnect_silent (forwarder, peer, sent_ms))
-    set_ping_timer (forwarder, PING_RETRY_MS);
+  check_peer (forwarder, peer);
   mark_unavailable (forwarder, peer);
   time_out_orders (forwarder, address);
 }
@@ -558,8 +593,10 @@
   struct forward_peer *peer
       = sender->address.len > 0 ? find_peer (forwarder, &sender->address) : NULL;
 
-  if (peer != NULL)
-    peer->heard_ms = fl_clock_boot_ms ();
+  if (peer == NULL)
+    return;
+  peer->heard_ms = fl_clock_boot_ms ();
+  peer->is_checked = false;
 }
 
 void
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -64,6 +64,13 @@
                             const struct fl_name *name,
                             const struct fl_name *address);
 
+/* Pings the peer at @address unless a message about orders has arrived from it since @sent_ms, when
+ * something was sent to it that has no reply. Without a reply to the ping its connection is
+ * replaced. */
+void fl_forwarder_check_peer (struct fl_forwarder *forwarder,
+                              const struct fl_name *address,
+                              int64_t sent_ms);
+
 /* Prepares the end of the process: further orders of peers are rejected as not sent, and their
  * heartbeats in flight end at once without a reply of the target. Other orders in flight complete.
  */
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -22,6 +22,7 @@
   struct fl_name address;
   bool is_available; /* replied to a ping and has not been silent since */
   int64_t heard_ms;  /* when its last message arrived */
+  bool is_checked;   /* it is pinged, since it has been silent; until something arrives */
   int64_t pinged_ms; /* when the last ping was sent */
   int64_t reconnected_ms;
 };
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -27,6 +27,8 @@
 /* What arrives on a connection for this long after it was replaced still counts: its peer, not the
  * connection, may have been slow. Replies to orders and relayed calls count no longer. */
 #define RETIRED_MS 6000
+/* A connection that replaced another one is not replaced sooner: its peer may be slow to answer. */
+#define REPLACE_INTERVAL_MS 2000
 /* Peers of the largest cell, each with a connection and a replaced one; above what the descriptors
  * of a process allow. */
 #define SOCKETS_MAX 4096
@@ -53,6 +55,7 @@
   ev_io io;
   bool is_due; /* in link->due */
   int64_t opened_ms;
+  bool is_replacement;
   int64_t unanswered_since_ms; /* the first message since the last one of the peer; 0 if none */
   bool is_silence_logged;
   int64_t heard_ms;   /* when the last message arrived; 0 if none has */
@@ -65,7 +68,7 @@
   void *zmq_context;
   struct socket *router;
   GHashTable *dealers; /* struct fl_name * -> struct socket * */
-  GPtrArray *retired;  /* struct socket, replaced; at most one for each address */
+  GPtrArray *retired;  /* struct socket, replaced */
   struct fl_name address;
   GPtrArray *due; /* struct socket, to be checked for messages */
   GPtrArray *checking;
@@ -470,8 +473,10 @@
 {
   struct socket *old = g_hash_table_lookup (link->dealers, address);
   int64_t now_ms = fl_clock_boot_ms ();
+  void *key = NULL;
 
-  if (old == NULL || old->opened_ms >= sent_ms || old->heard_ms >= sent_ms)
+  if (old == NULL || old->opened_ms >= sent_ms || old->heard_ms >= sent_ms
+      || (old->is_replacement && now_ms - old->opened_ms < REPLACE_INTERVAL_MS))
     return false;
   struct socket *socket = connect_socket (link, address, NULL);
   if (socket == NULL)
@@ -480,11 +485,11 @@
           FL_I ("unanswered_ms", now_ms - sent_ms), FL_I ("age_ms", now_ms - old->opened_ms),
           FL_I ("heard_ms_ago", old->heard_ms > 0 ? now_ms - old->heard_ms : -1));
   fl_stats_add (link->options.stats, "links_replaced_total", 1);
-  close_retired (link, address);
+  socket->is_replacement = true;
   old->closing_ms = now_ms + RETIRED_MS;
   g_ptr_array_add (link->retired, old);
-  g_hash_table_steal (link->dealers, address);
-  g_hash_table_insert (link->dealers, g_memdup2 (address, sizeof *address), socket);
+  g_hash_table_steal_extended (link->dealers, address, &key, NULL);
+  g_hash_table_insert (link->dealers, key, socket);
   return true;
 }
 
--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -167,30 +167,19 @@
   return ((struct query *)value)->forgotten_ms <= *(int64_t *)now_ms;
 }
 
-/* Replaces the connection to the host of @overdue if the host has been silent since. */
-static void
-reconnect_silent (struct fl_advisors *advisors,
-                  const struct fl_advisor_query *overdue,
-                  int64_t now_ms)
-{
-  const struct fl_advisors_options *options = &advisors->options;
-
-  if (overdue->address.len > 0
-      && options->reconnect_silent (options->context, &overdue->address, overdue->sent_ms))
-    fl_advisor_pool_note_reconnect (advisors->pool, &overdue->address, now_ms);
-}
-
 static void
 on_overdue_timer (void *context)
 {
   static const struct fl_advice_reply no_reply = { 0 };
   struct fl_advisors *advisors = context;
+  const struct fl_advisors_options *options = &advisors->options;
   struct fl_advisor_query overdue;
   int64_t now_ms = get_now (advisors);
 
   while (fl_advisor_pool_take_overdue (advisors->pool, now_ms, &overdue))
     {
-      reconnect_silent (advisors, &overdue, now_ms);
+      if (overdue.address.len > 0)
+        options->check_peer (options->context, &overdue.address, overdue.sent_ms);
       const struct query *query = g_hash_table_lookup (advisors->queries, &overdue.number);
       if (query != NULL)
         return_reply (query, &overdue, &no_reply, false);
@@ -358,6 +347,12 @@
   fl_advisor_pool_note_message (advisors->pool, peer, get_now (advisors));
 }
 
+void
+fl_advisors_note_reconnect (struct fl_advisors *advisors, const struct fl_name *address)
+{
+  fl_advisor_pool_note_reconnect (advisors->pool, address, get_now (advisors));
+}
+
 static void
 handle_reply (struct fl_advisors *advisors, const struct message *message)
 {
--- a/lib/poold/advisors.h
+++ b/lib/poold/advisors.h
@@ -29,9 +29,9 @@
                     const struct fl_advice_reply *reply);
   /* Sends @data to a peer. Returns false when the message was certainly not sent. */
   bool (*send) (void *context, const struct fl_route *to, const char *data, size_t len);
-  /* Replaces the connection to the link at @address if nothing has arrived on it since @sent_ms;
-   * see fl_link_reconnect_silent. */
-  bool (*reconnect_silent) (void *context, const struct fl_name *address, int64_t sent_ms);
+  /* Checks whether the connection to the link at @address works, unless something has arrived from
+   * it since @sent_ms; see fl_forwarder_check_peer. */
+  void (*check_peer) (void *context, const struct fl_name *address, int64_t sent_ms);
   void *context;
 };
 
@@ -60,6 +60,9 @@
                            const struct fl_name *host,
                            const struct fl_name *address);
 
+/* Notes that the connection to the link at @address, which was silent, was replaced. */
+void fl_advisors_note_reconnect (struct fl_advisors *advisors, const struct fl_name *address);
+
 /* Appends one line of JSON for each host to @out, for operators. */
 void fl_advisors_dump (const struct fl_advisors *advisors, GString *out);
 
--- a/lib/poold/peers.c
+++ b/lib/poold/peers.c
@@ -78,7 +78,18 @@
 {
   struct fl_poold *poold = context;
 
-  return fl_link_reconnect_silent (poold->link, address, sent_ms);
+  if (!fl_link_reconnect_silent (poold->link, address, sent_ms))
+    return false;
+  fl_advisors_note_reconnect (poold->advisors, address);
+  return true;
+}
+
+static void
+check_peer (void *context, const struct fl_name *address, int64_t sent_ms)
+{
+  struct fl_poold *poold = context;
+
+  fl_forwarder_check_peer (poold->forwarder, address, sent_ms);
 }
 
 static void
@@ -127,7 +138,7 @@
           .calls = fl_platform_target_client_get_advice_calls (poold->own_targets),
           .on_reply = on_advice_reply,
           .send = send_advice,
-          .reconnect_silent = reconnect_silent,
+          .check_peer = check_peer,
           .context = poold };
   struct fl_forwarder_options forwarder = {
     .loop = host->loop,
