Relay: a peer whose connection was replaced is used again after 0.1 s

It was paused for 0.5 s, though the new connection is established after some 50 ms; with all four peers silent calls went directly meanwhile, over a path that had failed (found in the review, read in the code; test_relay covers that the peer is used again).

--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -4,6 +4,8 @@
 
 /* A peer that failed to serve a call gets no calls for this long. */
 #define PEER_PAUSE_MS 500
+/* The same if its connection was replaced: the new one is established by then. */
+#define PEER_RECONNECT_PAUSE_MS 100
 /* A peer whose process is about to end gets no calls for this long. It rejects the first ones,
  * which last up to 2.8 s, as long before its end. */
 #define PEER_STOPPING_PAUSE_MS 3000
@@ -109,10 +111,10 @@
   struct fl_store_reply reply = { .status = FL_STORE_UNKNOWN };
   int64_t left_ms = call->timeout_at_ms - fl_clock_boot_ms ();
 
-  fl_link_reconnect_silent (call->relay->link, &call->peer, call->sent_ms);
+  bool is_replaced = fl_link_reconnect_silent (call->relay->link, &call->peer, call->sent_ms);
   if (left_ms > 0)
     {
-      pause_peer (call->relay, &call->peer, PEER_PAUSE_MS);
+      pause_peer (call->relay, &call->peer, is_replaced ? PEER_RECONNECT_PAUSE_MS : PEER_PAUSE_MS);
       fl_timeout_start (&call->timeout, left_ms);
       return;
     }
