Advice: a silent connection to the service is found when the reply is due

Callers saw steps wait: after the connections of a host to the advice service had gone silent, each further query of that host took another idle one and was lost, and each cost the owner a back-off of the host.

Cause: send_advice_query let the service stay silent for the whole timeout of the call, 30 s and more, so that the reply was never late before the call ended. Its end then closed all idle connections, also those that had replied since.

Change: the expected time of a query is a parameter of fl_advice_calls.query. The reply is due 600 ms after it, at most at the timeout, and late 450 ms later; the call itself goes on. A peer is told the time in the number of the message that only replies used so far (valid_ms): messages are arrays with a fixed number of fields, and an eighth one would be refused by hosts of the earlier version. They ignore this number in queries and send 0, which is read as unknown; the timeout then applies as before.

Why it works: a late reply closes the idle connections on which nothing was heard since it was due. A service that is slow costs idle connections only.

--- a/lib/poold/advisors.c
+++ b/lib/poold/advisors.c
@@ -34,6 +34,9 @@
   struct fl_name step;
   int64_t timeout_ms;
   bool service_replied; /* replies only */
+  /* How long the tickets of a reply are valid. In a query, the time that the service is expected to
+   * take, 0 when unknown: earlier versions read messages with exactly these fields, send 0 here and
+   * ignore it. */
   int64_t valid_ms;
   struct fl_array targets; /* of struct message_target */
 };
@@ -67,6 +70,7 @@
 {
   struct fl_advisors *advisors;
   int64_t number;
+  int64_t expected_ms;  /* at most the timeout */
   int64_t timeout_ms;   /* of its call */
   int64_t forgotten_ms; /* when its call has ended */
   bool is_orphaned;     /* sent in an earlier term of this host */
@@ -255,7 +259,7 @@
 
   *call = (struct own_call){ query->advisors, query->number };
   calls->query (calls->context, &query->step, query->targets, query->target_count,
-                query->timeout_ms, on_own_call_reply, call);
+                query->expected_ms, query->timeout_ms, on_own_call_reply, call);
 }
 
 static bool
@@ -265,6 +269,7 @@
   struct message message = { .query_number = query->number,
                              .step = query->step,
                              .timeout_ms = query->timeout_ms,
+                             .valid_ms = query->expected_ms,
                              .targets = { query->target_count, targets } };
   struct fl_route to = { .address = *address };
 
@@ -337,6 +342,7 @@
     {
       query->number = chosen.number;
       query->timeout_ms = CLAMP (2 * demand->expected_ms, CALL_TIMEOUT_MIN_MS, CALL_TIMEOUT_MAX_MS);
+      query->expected_ms = CLAMP (demand->expected_ms, 0, query->timeout_ms);
       query->forgotten_ms = chosen.sent_ms + query->timeout_ms + REPLY_MARGIN_MS;
       if (send_query (query, &chosen))
         {
@@ -420,8 +426,8 @@
     }
   for (size_t i = 0; i < message->targets.count; i++)
     ids[i] = targets[i].id;
-  calls->query (calls->context, &message->step, ids, message->targets.count, message->timeout_ms,
-                on_peer_query_reply, query);
+  calls->query (calls->context, &message->step, ids, message->targets.count, message->valid_ms,
+                message->timeout_ms, on_peer_query_reply, query);
 }
 
 void
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -211,11 +211,14 @@
 {
   void *context;
   /* Queries which of @targets (ids, at most FL_ADVICE_TARGETS_MAX) are eligible for @step. Calls
-   * @done once, later. */
+   * @done once, later. @expected_ms: the time that the service is expected to take; 0 when unknown.
+   * A connection on which nothing arrives for much longer may have gone silent, and is not waited
+   * for until @timeout_ms. */
   void (*query) (void *context,
                  const struct fl_name *step,
                  const struct fl_name *targets,
                  size_t count,
+                 int64_t expected_ms,
                  int64_t timeout_ms,
                  void (*done) (void *context, const struct fl_advice_reply *reply),
                  void *done_context);
--- a/tests/test_advisors.c
+++ b/tests/test_advisors.c
@@ -57,6 +57,7 @@
                const struct fl_name *step,
                const struct fl_name *targets,
                size_t count,
+               int64_t expected_ms,
                int64_t timeout_ms,
                void (*done) (void *context, const struct fl_advice_reply *reply),
                void *done_context)
@@ -66,6 +67,7 @@
   (void)step;
   (void)targets;
   (void)count;
+  (void)expected_ms;
   (void)timeout_ms;
   (void)done;
   g_free (done_context);
@@ -234,8 +236,9 @@
   GByteArray *to_peer; /* the last message */
   GByteArray *to_owner;
   bool service_replies;
-  int64_t call_timeout_ms; /* of the peer's call to the service */
-  int in_time;             /* replies of the service that the owner's caller got */
+  int64_t call_timeout_ms;  /* of the peer's call to the service */
+  int64_t call_expected_ms; /* the same */
+  int in_time;              /* replies of the service that the owner's caller got */
   int late;
   int unanswered; /* queries that ended without one */
 };
@@ -269,6 +272,7 @@
                 const struct fl_name *step,
                 const struct fl_name *targets,
                 size_t count,
+                int64_t expected_ms,
                 int64_t timeout_ms,
                 void (*done) (void *context, const struct fl_advice_reply *reply),
                 void *done_context)
@@ -280,6 +284,7 @@
   (void)targets;
   (void)count;
   exchange->call_timeout_ms = timeout_ms;
+  exchange->call_expected_ms = expected_ms;
   done (done_context, &reply);
 }
 
@@ -389,6 +394,40 @@
   g_byte_array_unref (exchange.to_owner);
 }
 
+/* A peer didn't know when the reply to its call was due, so that it found a connection silent after
+ * 30 s. */
+static void
+test_peer_knows_expected_time (void **state)
+{
+  /* A query with the number 1 and a timeout of 127 ms, as a host of an earlier version sends it. */
+  static const char earlier[] = "\x97\xc2\x01\xc4\x00\x7f\xc2\x00\x90";
+  struct exchange exchange = { .owner = { .now_ms = 100000 },
+                               .to_peer = g_byte_array_new (),
+                               .to_owner = g_byte_array_new (),
+                               .service_replies = true };
+  struct fl_advice_calls own_calls = { &exchange.owner, query_service };
+  struct fl_advice_calls peer_calls = { &exchange, reply_to_query };
+
+  (void)state;
+  exchange_add_host (&exchange, &exchange.owner, "own", &own_calls);
+  exchange_add_host (&exchange, &exchange.peer, "p1", &peer_calls);
+  fl_advisors_set_peer (exchange.owner.advisors, &peer_route.address, &peer_route.address);
+  assert_true (send_query (&exchange));
+  deliver_reply (&exchange);
+  assert_int_equal (exchange.call_expected_ms, 1);
+  /* Earlier versions read seven fields. */
+  assert_int_equal (exchange.to_peer->data[0], 0x97);
+  fl_advisors_receive (exchange.peer.advisors, &peer_route, earlier, sizeof earlier - 1);
+  assert_int_equal (exchange.call_expected_ms, 0);
+  assert_int_equal (exchange.call_timeout_ms, 127);
+  fl_advisors_free (exchange.owner.advisors);
+  fl_advisors_free (exchange.peer.advisors);
+  fl_stats_free (exchange.owner.host.stats);
+  fl_stats_free (exchange.peer.host.stats);
+  g_byte_array_unref (exchange.to_peer);
+  g_byte_array_unref (exchange.to_owner);
+}
+
 /* The reply of a peer had arrived when the query was overdue, since the owner's process did not run
  * meanwhile; the loop reads it one iteration later. */
 static void
@@ -490,6 +529,7 @@
           cmocka_unit_test (test_lost_hosts_do_not_hold_back_long_queries),
           cmocka_unit_test (test_hosts_are_left_free_for_short_queries_that_come),
           cmocka_unit_test (test_late_reply_of_a_peer_counts),
+          cmocka_unit_test (test_peer_knows_expected_time),
           cmocka_unit_test (test_reply_while_held_up),
           cmocka_unit_test (test_host_that_is_heard_of_again_gets_queries) };
 
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -523,7 +523,7 @@
   (void)state;
   calls->start (calls->context, &start, count_reply, &replies);
   calls->stop (calls->context, &stop, count_reply, &replies);
-  advice->query (advice->context, &odd, &odd, 1, 500, count_advice_reply, &replies);
+  advice->query (advice->context, &odd, &odd, 1, 0, 500, count_advice_reply, &replies);
   for (int i = 0; i < 200 && replies < 3; i++)
     support_run_loop_for (loop, 0.01);
   assert_int_equal (replies, 3);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -656,7 +656,7 @@
       else
         {
           fixture->calls_open++;
-          advice->query (advice->context, &step, &step, 1, CALL_TIMEOUT_MS, on_advice_done,
+          advice->query (advice->context, &step, &step, 1, 0, CALL_TIMEOUT_MS, on_advice_done,
                          fixture);
         }
       wait_until_done (fixture);
--- a/tests/test_http_silence.c
+++ b/tests/test_http_silence.c
@@ -291,13 +291,68 @@
   assert_int_equal (wrong, 0);
 }
 
+#define IDLE_CONNECTIONS 3
+#define QUERY_EXPECTED_MS 10
+#define QUERY_TIMEOUT_MS 6000
+
+static void
+on_advice_done (void *context, const struct fl_advice_reply *reply)
+{
+  struct fixture *fixture = context;
+
+  fixture->calls_open--;
+  fixture->replies += reply->received ? 1 : 0;
+}
+
+/* Each query took another silent connection, since no reply was due before the call's own limit.
+ * Its end then closed the idle connections that had replied meanwhile. */
+static void
+test_queries_lost_after_silence (void **state)
+{
+  struct fixture *fixture
+      = fixture_new (IDLE_CONNECTIONS, SUPPORT_END_SERVED, 200, "{\"good\":[],\"validMs\":3000}");
+  struct fl_name address = fl_name_format ("127.0.0.1:%d", support_proxy_port (fixture->proxy));
+  struct fl_platform_target_client *client
+      = fl_platform_target_client_new (fixture->client, address.data, NULL, NULL);
+  const struct fl_advice_calls *calls = fl_platform_target_client_get_advice_calls (client);
+  struct fl_name step = fl_name_of ("0000000000000001.0.0");
+  int sent = 0;
+
+  (void)state;
+  support_proxy_silence (fixture->proxy);
+  while (fixture->replies == 0 && sent <= IDLE_CONNECTIONS)
+    {
+      sent++;
+      fixture->calls_open++;
+      calls->query (calls->context, &step, &step, 1, QUERY_EXPECTED_MS, QUERY_TIMEOUT_MS,
+                    on_advice_done, fixture);
+      /* Longer than the time after which such a reply is late. */
+      support_run_loop_for (fixture->loop, 1.4);
+    }
+  wait_until_done (fixture);
+  fixture->calls_open++;
+  calls->query (calls->context, &step, &step, 1, QUERY_EXPECTED_MS, QUERY_TIMEOUT_MS,
+                on_advice_done, fixture);
+  wait_until_done (fixture);
+  int opened = support_proxy_accepted (fixture->proxy) - IDLE_CONNECTIONS;
+  print_message ("%d sent, %d replies, %d opened\n", sent, fixture->replies, opened);
+  assert_int_equal (sent, 2);
+  assert_int_equal (fixture->replies, 2);
+  assert_int_equal (opened, 1);
+  fl_platform_target_client_free (client);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_calls_lost_after_silence), cmocka_unit_test (test_silence_within_reply),
-    cmocka_unit_test (test_call_beside_late_call),    cmocka_unit_test (test_connections_kept),
+    cmocka_unit_test (test_calls_lost_after_silence),
+    cmocka_unit_test (test_silence_within_reply),
+    cmocka_unit_test (test_call_beside_late_call),
+    cmocka_unit_test (test_connections_kept),
     cmocka_unit_test (test_connections_to_target),
+    cmocka_unit_test (test_queries_lost_after_silence),
   };
 
   return cmocka_run_group_tests_name ("http_silence", tests, NULL, NULL);
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -274,6 +274,7 @@
              const struct fl_name *step,
              const struct fl_name *targets,
              size_t count,
+             int64_t expected_ms,
              int64_t timeout_ms,
              void (*done) (void *context, const struct fl_advice_reply *reply),
              void *done_context)
@@ -282,6 +283,7 @@
   (void)step;
   (void)targets;
   (void)count;
+  (void)expected_ms;
   (void)timeout_ms;
   (void)done;
   (void)done_context;
