HTTP client: connections are suspected before a heartbeat is repeated

Callers saw two heartbeats of a target lost after its connections had gone silent: the repetition took another idle connection that was silent, too.

Cause: the limit of a heartbeat is 300 ms beyond its wait, but a reply was late, and the idle connections closed, 450 ms beyond it.

Change: a call may give the time after which its reply is late (late_ms), at most the usual 450 ms.

Why it works: the silent idle connections are closed when the heartbeat is repeated, so that it opens another one. A target that is only slow costs idle connections that have been silent since.

--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -17,9 +17,10 @@
 #define RESPONSE_BODY_MAX (16 * 1024 * 1024)
 /* The kernel closes a connection whose sent data stays unacknowledged for this long. */
 #define TCP_USER_TIMEOUT_MS 2000
-/* The connections of a peer are suspected when a reply is overdue for this long. Above the 0.3 s
- * that a reply takes from a store that is 60 times slower than usual, and below the time after
- * which a follower sends a copy of its call, so that the copy is sent over another connection. */
+/* The connections of a peer are usually suspected when a reply is overdue for this long. Above the
+ * 0.3 s that a reply takes from a store that is 60 times slower than usual, and below the time
+ * after which a follower sends a copy of its call, so that the copy is sent over another
+ * connection. */
 #define REPLY_LATE_MS 450
 
 /* An idle connection that is older is closed when another one is looked for. */
@@ -49,6 +50,7 @@
   bool is_busy;                   /* counts as such at the peer */
   struct fl_timeout late_timeout; /* until the first byte of the reply */
   int64_t quiet_ms;
+  int64_t late_ms;
   int64_t sent_ms; /* the last copy, by the boot clock */
   bool is_heard;   /* something of the reply to the last copy has arrived */
   GString *body;
@@ -279,7 +281,7 @@
     fl_stats_add (call->client->stats, "http_calls_resent_total", 1);
   call->sent_ms = fl_clock_boot_ms ();
   call->is_heard = false;
-  fl_timeout_start (&call->late_timeout, call->quiet_ms + REPLY_LATE_MS);
+  fl_timeout_start (&call->late_timeout, call->quiet_ms + call->late_ms);
   return CURL_PREREQFUNC_OK;
 }
 
@@ -521,6 +523,7 @@
   call->easy = easy;
   call->peer = fl_http_peers_get (client->peers, options->url);
   call->quiet_ms = options->quiet_ms;
+  call->late_ms = options->late_ms > 0 ? MIN (options->late_ms, REPLY_LATE_MS) : REPLY_LATE_MS;
   call->connections_max = options->connections_max;
   call->body = g_string_new (NULL);
   call->url = g_strdup (options->url);
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -56,6 +56,9 @@
    * progress, without those whose reply is late. 0: it never waits. */
   int64_t connections_max;
   int64_t quiet_ms; /* for which the peer may stay silent before it replies, by agreement */
+  /* The connections to the peer are suspected when the reply is overdue for this long, so that a
+   * repetition is sent over one that works. 0 or more than the usual time: after the latter. */
+  int64_t late_ms;
   const struct fl_traffic *traffic; /* counters of calls of this kind; NULL for none */
   /* Permits sending the request again when a reused connection ends before the reply. For calls of
    * which only a successful reply counts, and that may arrive twice or late. */
--- a/tests/test_http_silence.c
+++ b/tests/test_http_silence.c
@@ -295,6 +295,33 @@
 #define QUERY_EXPECTED_MS 10
 #define QUERY_TIMEOUT_MS 6000
 
+/* A heartbeat is repeated before a reply is usually late. The repetition was lost as well. */
+static void
+test_repeated_heartbeat_after_silence (void **state)
+{
+  struct fixture *fixture = fixture_new (3, SUPPORT_END_SERVED, 200, NULL);
+  struct fl_platform_target_client *client
+      = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL, NULL);
+  const struct fl_target_calls *calls = fl_platform_target_client_get_calls (client);
+  struct fl_heartbeat_order order
+      = { .target = fl_name_of ("t1"),
+          .address = fl_name_format ("127.0.0.1:%d", support_proxy_port (fixture->proxy)),
+          .fencing_token = 1,
+          .wait_ms = 100 };
+
+  (void)state;
+  support_proxy_silence (fixture->proxy);
+  fixture->calls_open = 2;
+  calls->heartbeat (calls->context, &order, on_order_done, fixture);
+  support_run_loop_for (fixture->loop, (100.0 + FL_HEARTBEAT_LIMIT_MS) / 1000.0 + 0.05);
+  calls->heartbeat (calls->context, &order, on_order_done, fixture);
+  wait_until_done (fixture);
+  assert_int_equal (fixture->orders[FL_ORDER_NO_REPLY], 1);
+  assert_int_equal (support_proxy_accepted (fixture->proxy), 4);
+  fl_platform_target_client_free (client);
+  fixture_free (fixture);
+}
+
 static void
 on_advice_done (void *context, const struct fl_advice_reply *reply)
 {
@@ -353,6 +380,7 @@
     cmocka_unit_test (test_connections_kept),
     cmocka_unit_test (test_connections_to_target),
     cmocka_unit_test (test_queries_lost_after_silence),
+    cmocka_unit_test (test_repeated_heartbeat_after_silence),
   };
 
   return cmocka_run_group_tests_name ("http_silence", tests, NULL, NULL);
