Admission: a closed queue does not outlive its owner

Callers saw: each flamingo-frontd that started, or read the table again, answered 429 for 3 s for a queue whose jobs could be served, for as long as the row of an owner that had ended stayed.

Cause: a new owner has stored nothing and has closed no queue, which counted as "nothing to write"; a front took any row that it read for a current one. A failed write of a row without closed queues was not repeated either.

Change: while the owner does not know the stored row, it writes its own after a second at the latest, which is one write a term. A front counts rows of the feed only; a row that holds is renewed within a second.

Evidence: without the fix, test_term fails at test_new_owner_replaces_closed_queues, and test_front_admission with "left long ago: status 429 instead of 200"; both pass with it.

--- a/lib/frontd/admission.c
+++ b/lib/frontd/admission.c
@@ -20,7 +20,9 @@
   const char *name;
   json_t *value;
 
-  if (strcmp (row->key.data, FL_ADMISSION_CLOSED) != 0)
+  /* What a read finds may be what an owner left that ended long ago. A row that holds is renewed
+   * within a second. */
+  if (admission->is_reading || strcmp (row->key.data, FL_ADMISSION_CLOSED) != 0)
     return;
   json = row->removed ? NULL : fl_json_parse (row->value.data, row->value.len, NULL);
   g_hash_table_remove_all (admission->closed);
@@ -34,6 +36,24 @@
   fl_stats_set (frontd->host->stats, "queues_closed", g_hash_table_size (admission->closed));
 }
 
+static void
+on_read_begin (void *context)
+{
+  struct fl_frontd *frontd = context;
+
+  frontd->admission.is_reading = true;
+  g_hash_table_remove_all (frontd->admission.closed);
+  fl_stats_set (frontd->host->stats, "queues_closed", 0);
+}
+
+static void
+on_read_end (void *context)
+{
+  struct fl_frontd *frontd = context;
+
+  frontd->admission.is_reading = false;
+}
+
 void
 front_admission_start (struct fl_frontd *frontd)
 {
@@ -44,6 +64,8 @@
     .feed_wait_ms = FEED_WAIT_MS,
     .partitions = fl_owner_partitions,
     .on_row = on_row,
+    .on_read_begin = on_read_begin,
+    .on_read_end = on_read_end,
     .context = frontd,
   };
 
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -21,6 +21,7 @@
   struct fl_follower *follower;
   GHashTable *closed; /* set of struct fl_name */
   int64_t received_ms;
+  bool is_reading; /* the follower reads the table */
 };
 
 struct fl_frontd
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -45,7 +45,7 @@
   int64_t admission_checked_ms;
   int64_t admission_sent_ms;
   struct fl_str
-      stored_admission; /* closed queues, as last sent; empty for none or after a failure */
+      stored_admission; /* row of closed queues, as last sent; empty while it is not known */
   int64_t pending_sent_ms;
   int64_t records_paced_ms;     /* see get_paced_ms in records.c */
   int64_t next_store_ms;        /* no record is sent before: interval or back-off */
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -30,7 +30,9 @@
 /* The counts of pending jobs may be up to 2 s old when they are read. */
 #define PENDING_INTERVAL_MS 500
 #define ADMISSION_INTERVAL_MS 100
-/* A row that does not change is written again in time before it expires. */
+/* A row that does not change is written again in time before it expires. While the stored row is
+ * not known, it is written without closed queues only after this time too: a new owner has not yet
+ * seen for long enough that a queue that its predecessor closed has to stay closed. */
 #define ADMISSION_RENEWAL_MS 1000
 
 static void
@@ -249,15 +251,18 @@
   if (fl_store_writer_is_busy (term->admission_writer)
       || now_ms - term->admission_checked_ms < ADMISSION_INTERVAL_MS)
     return;
+  if (term->admission_checked_ms == 0)
+    term->admission_sent_ms = now_ms;
   term->admission_checked_ms = now_ms;
   g_autoptr (GArray) closed
       = fl_core_update_admission (term->core, fl_advisors_count_usable (term->poold->advisors));
   struct fl_str value = encode_closed (closed);
+  bool is_known = term->stored_admission.len > 0;
   bool is_same = value.len == term->stored_admission.len
                  && memcmp (value.data, fl_str_text (&term->stored_admission), value.len) == 0;
-  bool was_empty = term->stored_admission.len == 0 && closed->len == 0;
-  if (was_empty
-      || (is_same && (closed->len == 0 || now_ms - term->admission_sent_ms < ADMISSION_RENEWAL_MS)))
+  bool is_changed = !is_same && (is_known || closed->len > 0);
+  bool is_renewed = !is_known || closed->len > 0;
+  if (!is_changed && (!is_renewed || now_ms - term->admission_sent_ms < ADMISSION_RENEWAL_MS))
     {
       fl_str_clear (&value);
       return;
--- a/lib/store/tables.h
+++ b/lib/store/tables.h
@@ -23,8 +23,9 @@
 #define FL_SUMMARY_TARGETS "targets"
 
 /* Key of the only row in FL_TABLE_ADMISSION: {"QUEUE": true, ...}. The owner writes it when it
- * changes, and again each second while a queue is closed. It holds for FL_ADMISSION_VALID_MS after
- * it has been received, so that no owner that is lost keeps a queue closed. */
+ * changes, again each second while a queue is closed, and once in each term. It holds for
+ * FL_ADMISSION_VALID_MS after the feed has delivered it, so that no owner that is lost keeps a
+ * queue closed. */
 #define FL_ADMISSION_CLOSED "closed"
 #define FL_ADMISSION_VALID_MS 3000
 
--- a/tests/test_term.c
+++ b/tests/test_term.c
@@ -35,6 +35,7 @@
   const char *lost_partition; /* NULL for any */
   const char *late_table;     /* replies to reads of it take LATE_REPLY_DELAY_MS; NULL for none */
   const char *slow_table;     /* sending a read of it takes SEND_DELAY_US; NULL for none */
+  bool awaits_admission;      /* run until the row of closed queues is written */
   int64_t version;
   int64_t acquired_ms;
   int64_t ready_ms; /* when the first decisions were made; 0 for not yet */
@@ -92,7 +93,9 @@
     if (strcmp (transaction->writes[i].key.data, FL_OWNER_POOL_KEY) == 0
         && strcmp (transaction->writes[i].table, FL_OWNER_TABLE) == 0)
       fake->acquired_ms = fl_clock_boot_ms () + REPLY_DELAY_MS;
-    else if (strcmp (transaction->writes[i].key.data, FL_SUMMARY_PENDING) == 0
+    else if (strcmp (transaction->writes[i].key.data,
+                     fake->awaits_admission ? FL_ADMISSION_CLOSED : FL_SUMMARY_PENDING)
+                 == 0
              && fake->ready_ms == 0)
       {
         fake->ready_ms = fl_clock_boot_ms ();
@@ -234,10 +237,22 @@
   assert_int_equal (failed, 0);
 }
 
+/* An owner that ended while a queue was closed left the row, and no later one replaced it, since it
+ * had closed no queue itself. */
+static void
+test_new_owner_replaces_closed_queues (void **state)
+{
+  struct fake fake = { .awaits_admission = true };
+
+  (void)state;
+  assert_true (measure_start_in_child (&fake) >= 0);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_lost_reply_at_each_stage) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_lost_reply_at_each_stage),
+                                      cmocka_unit_test (test_new_owner_replaces_closed_queues) };
 
   return cmocka_run_group_tests_name ("term", tests, NULL, NULL);
 }
