--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -5,8 +5,8 @@
  * the targets, and receives the replies from them. All decisions stay with the owner, and each
  * order carries the fencing token of the owner. An order that gets no reply from the peer ends like
  * one that gets no reply from the target. A peer that sent nothing since such an order then gets no
- * orders until it replies to a ping, over another connection; meanwhile orders go directly to the
- * targets.
+ * orders until it replies to a ping, which is repeated over another connection if it has no reply;
+ * meanwhile orders go directly to the targets.
  *
  * The first starts of several tasks of one job are sent together, through one peer that distributes
  * them; fl_forwarder_flush sends them. */
--- a/lib/forward/forward_internal.h
+++ b/lib/forward/forward_internal.h
@@ -49,8 +49,8 @@
                                                 const struct fl_name *target);
 
 /* Called when an order that was sent at @sent_ms to the peer at @address got no reply in time. If
- * the peer has been silent since, its connection is replaced, it becomes unavailable, and all
- * orders in flight through it end with FL_ORDER_NO_REPLY. */
+ * the peer has been silent since, it is pinged, it becomes unavailable, and all orders in flight
+ * through it end with FL_ORDER_NO_REPLY. */
 void forward_handle_timeout (struct fl_forwarder *forwarder,
                              const struct fl_name *address,
                              int64_t sent_ms);
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -175,10 +175,9 @@
     return;
   peer->is_suspect = true;
   fl_stats_add (client->stats, "http_peers_suspect_total", 1);
-  if (client->log != NULL)
-    fl_log (client->log, FL_LOG_INFO, "connections_suspect", FL_S ("peer", peer->address),
-            FL_I ("unanswered_ms", fl_clock_boot_ms () - due_ms), FL_I ("closed", closed),
-            FL_I ("open", peer->connections->len));
+  fl_log (client->log, FL_LOG_INFO, "connections_suspect", FL_S ("peer", peer->address),
+          FL_I ("unanswered_ms", fl_clock_boot_ms () - due_ms), FL_I ("closed", closed),
+          FL_I ("open", peer->connections->len));
 }
 
 static size_t
