Settings: the limits that the platform gives a process, in place of the computer's memory

Cause: what jobs that are due may take of an owner was a quarter of what sysconf tells, which is the memory of the whole computer wherever a process has a limit of its own: 6 GB of 260 MB. The bound worked only where the computer was the limit.

Change: memory_mb, max_fds and row_bytes are settings (limits.memoryMb, limits.maxFds and platform.rowBytes of the platform). Without memory_mb a process stays within 128 MB, or what the computer has if that is less.

--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -4,11 +4,26 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <glib.h>
 
 #include "common/endpoint.h"
 
+/* Without a configured limit, a process must stay within that of a small host: what the computer
+ * has is no limit where several processes share it. */
+#define MEMORY_MB_DEFAULT 128
+#define MEMORY_MB_MIN 32
+#define MEMORY_MB_MAX (1024 * 1024)
+#define DESCRIPTORS_MIN 64
+#define DESCRIPTORS_DEFAULT 1024
+/* An operating system that allows more is taken to set no limit. */
+#define DESCRIPTORS_MAX 100000
+#define ROW_BYTES_DEFAULT 65536
+#define ROW_BYTES_MIN 4096
+#define ROW_BYTES_MAX (64 * 1024 * 1024)
+
 static const char *const log_level_names[] = { "err", "warning", "notice", "info", "debug", NULL };
 
 /* The _AS forms are for members whose C name differs from the name of the setting. */
@@ -43,6 +58,9 @@
   NAME (cpu_share, false, 10),
   INT (cores, 1, 1024, 1),
   NAME (link_mbps, false, 10),
+  INT (memory_mb, MEMORY_MB_MIN, MEMORY_MB_MAX, MEMORY_MB_DEFAULT),
+  INT_AS (descriptors_max, "max_fds", 0, DESCRIPTORS_MAX, 0),
+  INT_AS (row_bytes_max, "row_bytes", ROW_BYTES_MIN, ROW_BYTES_MAX, ROW_BYTES_DEFAULT),
   INT_AS (forward_min_targets, "carry_from", 0, 1000000, 0),
   INT_AS (lease_max_ms, "hold_max_ms", 1000, 600000, 6000),
   INT_AS (evacuation_ms, "evacuate_ms", 0, 600000, 0),
@@ -65,6 +83,27 @@
   return (int64_t)(g_ascii_strtod (settings->link_mbps.data, NULL) * 1e6 / 8.0);
 }
 
+int64_t
+fl_host_settings_memory_bytes (const struct fl_host_settings *settings)
+{
+  int64_t machine = (int64_t)sysconf (_SC_PHYS_PAGES) * (int64_t)sysconf (_SC_PAGESIZE);
+  int64_t configured = settings->memory_mb * 1024 * 1024;
+
+  return machine > 0 ? MIN (configured, machine) : configured;
+}
+
+int64_t
+fl_host_settings_descriptors (const struct fl_host_settings *settings)
+{
+  struct rlimit limit;
+
+  if (settings->descriptors_max > 0)
+    return MAX (settings->descriptors_max, DESCRIPTORS_MIN);
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > DESCRIPTORS_MAX)
+    return DESCRIPTORS_DEFAULT;
+  return MAX ((int64_t)limit.rlim_cur, DESCRIPTORS_MIN);
+}
+
 static void
 check_decimal (const struct fl_name *value, const char *path, struct fl_problems *problems)
 {
--- a/lib/host/settings.h
+++ b/lib/host/settings.h
@@ -22,6 +22,9 @@
   struct fl_name cpu_share;   /* decimal fraction of each core that the host may use, or empty */
   int64_t cores;              /* number of cores that cpu_share applies to */
   struct fl_name link_mbps;   /* rate of the host's network link in Mbit/s, decimal; or empty */
+  int64_t memory_mb;          /* limit of the memory of each process */
+  int64_t descriptors_max; /* limit of the file descriptors of each process; 0 for that of the OS */
+  int64_t row_bytes_max;   /* longest value that the store accepts in a row */
   /* Peers forward orders if there are at least this many targets, or if the targets need more CPU
    * than the host has. 0: only in the latter case. */
   int64_t forward_min_targets;
@@ -48,5 +51,12 @@
 /* @return the CPU capacity of the host in thousandths of a core; 0 if it is not configured. */
 int64_t fl_host_settings_cpu_milli (const struct fl_host_settings *settings);
 
+/* @return the bytes of memory that this process may use: the configured limit, or what the machine
+ * has if that is less. */
+int64_t fl_host_settings_memory_bytes (const struct fl_host_settings *settings);
+
+/* @return how many file descriptors this process may have open. */
+int64_t fl_host_settings_descriptors (const struct fl_host_settings *settings);
+
 /* @return the rate of the host's network link in bytes a second; 0 if it is not configured. */
 int64_t fl_host_settings_link_bytes_per_s (const struct fl_host_settings *settings);
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -1,7 +1,6 @@
 /* One term of an owner: reads the recorded state at the start of the term and follows the tables of
  * jobs, targets and hosts until its end. */
 #include <string.h>
-#include <unistd.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -32,8 +31,8 @@
 
 /* Share of the host's link, in percent, that start orders may take. */
 #define ORDERS_LINK_PERCENT 40
-/* Share of the machine's memory that the steps and tasks of jobs may take: the records, replies and
- * runs of an owner take several times as much in a burst. */
+/* Share of the memory of the process that the steps and tasks of jobs may take: the records,
+ * replies and runs of an owner take several times as much in a burst. */
 #define SET_UP_MEMORY_PERCENT 25
 
 /* Logs that a part of the recorded state has been read. */
@@ -320,16 +319,6 @@
 
 /* --- public functions --- */
 
-/* @return what the steps and tasks of jobs may take, by the memory of the machine; 0 for no limit.
- */
-static int64_t
-get_set_up_bytes_max (void)
-{
-  int64_t bytes = (int64_t)sysconf (_SC_PHYS_PAGES) * (int64_t)sysconf (_SC_PAGESIZE);
-
-  return MAX (bytes, 0) / 100 * SET_UP_MEMORY_PERCENT;
-}
-
 struct fl_term *
 fl_term_new (struct fl_poold *poold,
              int64_t token,
@@ -338,6 +327,7 @@
 {
   struct fl_term *term = g_new0 (struct fl_term, 1);
   int64_t lease_ms = MIN (TARGET_LEASE_MS, poold->host->settings.lease_max_ms);
+  int64_t memory_bytes = fl_host_settings_memory_bytes (&poold->host->settings);
   struct fl_core_options options = {
     .log = &poold->host->log,
     .stats = poold->host->stats,
@@ -349,7 +339,7 @@
     .target_lease_ms = lease_ms,
     .target_lease_max_ms = poold->host->settings.lease_max_ms,
     .evacuation_ms = poold->host->settings.evacuation_ms,
-    .set_up_bytes_max = get_set_up_bytes_max (),
+    .set_up_bytes_max = memory_bytes * SET_UP_MEMORY_PERCENT / 100,
     .order_bytes_per_s
     = fl_host_settings_link_bytes_per_s (&poold->host->settings) * ORDERS_LINK_PERCENT / 100,
   };
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -135,6 +135,14 @@
         if self.child.poll() is None:
             self.child.send_signal(signal_number)
 
+    def resident_bytes(self):
+        """Returns the resident memory of the process; 0 if it has ended."""
+        try:
+            with open("/proc/%d/statm" % self.child.pid) as file:
+                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+        except (OSError, IndexError):
+            return 0
+
     def ended_by_itself(self):
         """Whether the process ended without a signal that ends it, or reported an error then."""
         code = self.child.poll()
@@ -183,7 +191,8 @@
             "relay_port": self.relay_port, "carry_from": self.cell.carry_from,
             "pool_metrics_port": self.pool_metrics_port,
             "front_metrics_port": self.front_metrics_port,
-            "evacuate_ms": self.cell.evacuate_ms, "graceful_stop_s": 3, "log_level": "info",
+            "evacuate_ms": self.cell.evacuate_ms, "memory_mb": self.cell.memory_mb,
+            "graceful_stop_s": 3, "log_level": "info",
         }
         path = os.path.join(self.cell.work_dir, self.name + ".json")
         # Both daemons of the host read the file, and one may do so while the other is started.
@@ -215,13 +224,16 @@
     """Several hosts, and stand-ins for the platform and the targets."""
 
     def __init__(self, domains, targets=12, hosts=3, uses_store_proxies=False, carry_from=0,
-                 store_delay_s=0.0, target_proxies=0, has_advice_service=False, evacuate_ms=0):
+                 store_delay_s=0.0, target_proxies=0, has_advice_service=False, evacuate_ms=0,
+                 memory_mb=128):
         self.ports = PORT_ALLOCATOR
         # Peers forward orders if there are at least this many targets; 0: only if the targets need
         # more CPU than the host has.
         self.carry_from = carry_from
         # Time after which an evacuation has to hold; 0 if the hosts need not know of one in time.
         self.evacuate_ms = evacuate_ms
+        # Limit of the memory of each process of a host.
+        self.memory_mb = memory_mb
         # Whether each host reaches the store through a fault proxy of its own.
         self.uses_store_proxies = uses_store_proxies
         # Delay of each block of data of these proxies, in both directions.
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,7 +28,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
-from cell import KEY, Cell, LoadGenerator, job  # noqa: E402
+from cell import KEY, Cell, LoadGenerator, job, send_request  # noqa: E402
 import soak_checks as checks  # noqa: E402
 from soak_clients import Client, IdleClient  # noqa: E402
 
@@ -57,6 +57,22 @@
     for steps, fuse, step_options in [
         ([1], 10, {}), ([6], 10, {}), ([2, 3], 30, {}), ([3], 10, {"gang": True}),
         ([2], 10, {"longRunning": True}), ([1], 10, {"fills": True}), ([1], 450, {})]]
+# Played by phases "memory": jobs that hold much of the memory of an owner, each kind with its number.
+# No target has room for their tasks.
+def large_job(steps, count, **options):
+    return dict({"spec": options.pop("spec", "{}"), "steps": [
+        {"count": count, "cpu": 10 ** 9, "memMb": 1, "estimateMs": 500} for _ in range(steps)]},
+                **options)
+
+
+LARGE_JOBS = [
+    (15, lambda now_ms: large_job(3, 4, repeatCount=1000, intervalMs=1, startAtMs=now_ms)),
+    (3, lambda now_ms: large_job(30, 2000)),
+    (400, lambda now_ms: large_job(1, 60)),
+    (400, lambda now_ms: large_job(1, 1, spec="x" * 3900, repeatCount=1, intervalMs=1000,
+                                   startAtMs=now_ms + 3600 * 1000))]
+# Of each process in these phases: idle ones have 6 to 14 MB.
+SCARCE_MEMORY_MB = 48
 # Played by phases "held": processes that do not run for part of a second, as on a host that is short of
 # CPU, long enough for connections that are idle from the beginning of the run to reach their limit.
 HELD_S, HELD_BREAK_S, HELD_PHASE_S, IDLE_CLIENTS = (0.2, 0.9), (0.1, 0.6), (18, 20), 90
@@ -102,8 +118,11 @@
     (3001, "advice", 20),
     # LOST request without an answer: idle connections were closed while a request waited unread.
     (7011, "held", 10),
+    # LOST start: owners took a quarter of the computer's memory for the tasks of accepted jobs, or
+    # all of it for their rows, and were killed one after the other.
+    (8001, "memory", 10),
 ]
-CHECK_SEEDS = REGRESSIONS[:2] + REGRESSIONS[3:4] + REGRESSIONS[-2:]
+CHECK_SEEDS = REGRESSIONS[:2] + REGRESSIONS[3:4] + REGRESSIONS[-3:]
 # Lower seeds play no phase "boots" unless --phase names it, so that they keep the courses of the
 # time when they failed.
 FIRST_BOOTS_SEED = 1000
@@ -589,6 +608,18 @@
                                          row_ms=self.random.randrange(REGISTRY_INTERVAL_MS))
                 time.sleep(duration_s if cpu < 16000 else 0)
 
+    # --- memory ---
+
+    def hold_memory(self, _duration_s):
+        """Submits large jobs of one kind, whose tasks never run, to all hosts."""
+        count, make_job = self.random.choice(LARGE_JOBS)
+        for _ in range(count):
+            host = self.host()
+            status, _ = send_request(
+                "POST", "%s/feeds/%016x" % (host.url(host.front_port), self.random.getrandbits(64)),
+                make_job(int(time.time() * 1000)), KEY, "fair.example", 4)
+            self.soak.large_job_statuses[status] += 1
+
     ADVICE = [disrupt_advice] * 4 + [kill_process, kill_owner, restart_process, restart_host,
                                      pause_owner]
     # Kind of a phase, its faults, the number of threads that inject them.
@@ -610,6 +641,8 @@
     SEVERED = [silence_connections] * 5 + [kill_owner, pause_owner, restart_host, cut_or_crash]
     SEVERED_PHASES = [("severed", [silence_connections], 1), ("severed", SEVERED, 1),
                       ("severed", SEVERED, 2)]
+    MEMORY = [hold_memory] * 4 + [kill_owner]
+    MEMORY_PHASES = [("memory", [hold_memory], 4), ("memory", MEMORY, 4)]
     ADVICE_PHASES = [("advice", [disrupt_advice], 1), ("advice", ADVICE, 1), ("advice", ADVICE, 2)]
 
     def inject(self, kinds, deadline):
@@ -640,7 +673,8 @@
                          store_delay_s=self.random.choice(STORE_DELAYS_S),
                          target_proxies=min(options.targets // 2, 12),
                          has_advice_service=self.plays_advice,
-                         evacuate_ms=int(1000 * checks.EVACUATION_S) if phase == "evacuation" else 0)
+                         evacuate_ms=int(1000 * checks.EVACUATION_S) if phase == "evacuation" else 0,
+                         **({"memory_mb": SCARCE_MEMORY_MB} if phase == "memory" else {}))
         self.load = LoadGenerator(self.cell, seed)
         self.clients = [Client(self.load, self.cell.hosts[i % hosts],
                                ADVICE_KINDS if self.plays_advice
@@ -661,6 +695,8 @@
         # One restart with late orders of a target at a time.
         self.target_locks = [threading.Lock() for _ in self.cell.target_proxies]
         self.late_orders = collections.Counter()
+        self.large_job_statuses = collections.Counter()
+        self.largest_bytes = 0  # of a process
         self.check_lock = threading.Lock()
         self.run_judge, self.judged_events = checks.RunJudge(), 0
         self.crash_judge = checks.CrashJudge()
@@ -750,7 +786,19 @@
                                            calm_s):
             self.report("LOST lasting task", task)
 
+    def check_memory(self):
+        """Kills what exceeds the limit of its memory, as the platform does."""
+        for host in self.cell.hosts:
+            for process in list(host.processes.values()):
+                size = process.resident_bytes()
+                self.largest_bytes = max(self.largest_bytes, size)
+                if size > self.cell.memory_mb * 1024 * 1024:
+                    process.signal_child(signal.SIGKILL)
+                    self.report("daemon exceeded its memory", "%s pid %d, %d MB" % (
+                        process.name, process.child.pid, size / 1024 / 1024))
+
     def check_processes(self):
+        self.check_memory()
         for host in self.cell.hosts:
             for process in list(host.started_processes):
                 if process.ended_by_itself():
@@ -805,6 +853,7 @@
                 + (Faults.ADVICE_PHASES if self.plays_advice else [])
                 + (Faults.DEADLY_PHASES if self.plays_deadly else [])
                 + (Faults.EVACUATION_PHASES if self.phase == "evacuation" else [])
+                + (Faults.MEMORY_PHASES if self.phase == "memory" else [])
                 + (Faults.SEVERED_PHASES if self.phase == "severed" else [])
                 + (Faults.HELD_PHASES if self.plays_held else []))
 
@@ -873,6 +922,9 @@
         entries = self.load.jobs.values()
         attempts = [attempt for client in self.clients for attempt in client.attempts]
         statuses = collections.Counter(attempt.status for attempt in attempts)
+        if self.large_job_statuses:
+            print("  large jobs: %s; largest process: %d MB" % (
+                dict(self.large_job_statuses), self.largest_bytes / 1024 / 1024))
         print("[%s] soak seed=%d hosts=%d jobs=%d accepted=%d refused=%d requests=%d (%s) cut=%d "
               "lost_replies=%d late_orders=(%s) crashed=%d by %d tasks, failed=%d faults=%d %s" % (
             "  FAILED  " if self.problems else "       OK ", self.seed, len(self.cell.hosts),
--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -37,6 +37,7 @@
   host.settings.ready = loopback_endpoint (front->ready_port);
   host.settings.native_api = loopback_endpoint (front->native_port);
   host.settings.graceful_stop_s = FRONT_GRACEFUL_STOP_S;
+  host.settings.memory_mb = FRONT_MEMORY_MB;
   host.store = create_store (host.loop, context);
   relay.loop = host.loop;
   relay.log = &host.log;
--- a/tests/support_front.h
+++ b/tests/support_front.h
@@ -11,6 +11,7 @@
 #define FRONT_CONFIGURATION                                                                        \
   "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"x.example\",\"pathPrefix\":\"/q/\","      \
   "\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}],\"tenants\":[]}"
+#define FRONT_MEMORY_MB 128
 /* The time from SIGTERM until the platform would kill the process. */
 #define FRONT_GRACEFUL_STOP_S 2
 
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -42,6 +42,8 @@
     "settings.link_port: is 70000; allowed is 0 to 65535" },
   { "{" REQUIRED_SETTINGS ",\"link_port\":\"80\"}", "settings.link_port: must be a whole number" },
   { "{" REQUIRED_SETTINGS ",\"link_port\":1.5}", "settings.link_port: must be a whole number" },
+  { "{" REQUIRED_SETTINGS ",\"memory_mb\":1}", "settings.memory_mb: is 1; allowed is 32 to" },
+  { "{" REQUIRED_SETTINGS ",\"row_bytes\":100}", "settings.row_bytes: is 100; allowed is 4096 to" },
   { "{" REQUIRED_SETTINGS ",\"log_level\":\"loud\"}",
     "must be one of: err, warning, notice, info, debug" },
   { "{" REQUIRED_SETTINGS ",\"ready\":\"here\"}",
@@ -54,6 +56,45 @@
   { "{" REQUIRED_SETTINGS "} x", "settings:" },
 };
 
+/* An owner that took a quarter of the computer's memory, of which its process may have a hundredth,
+ * was killed, and so were its successors. */
+static void
+test_limits_of_a_process (void **state)
+{
+  static const struct
+  {
+    const char *settings;
+    int64_t memory_mb_max;
+    int64_t descriptors; /* 0: any number of at least 64 */
+  } cases[] = {
+    { "", 128, 0 },
+    { ",\"memory_mb\":32", 32, 0 },
+    { ",\"memory_mb\":260,\"max_fds\":4100", 260, 4100 },
+    { ",\"memory_mb\":260,\"max_fds\":1", 260, 64 },
+  };
+  g_autofree char *path = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+
+  (void)state;
+  close (fd);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *json = g_strdup_printf ("{" REQUIRED_SETTINGS "%s}", cases[i].settings);
+      struct fl_host_settings settings;
+      struct fl_problems problems = { 0 };
+      g_file_set_contents (path, json, -1, NULL);
+      assert_true (fl_host_settings_load (path, &settings, &problems));
+      int64_t memory = fl_host_settings_memory_bytes (&settings);
+      int64_t descriptors = fl_host_settings_descriptors (&settings);
+      if (memory <= 0 || memory > cases[i].memory_mb_max << 20 || descriptors < 64
+          || (cases[i].descriptors > 0 && descriptors != cases[i].descriptors))
+        fail_msg ("case %zu: %" G_GINT64_FORMAT " bytes, %" G_GINT64_FORMAT " descriptors", i,
+                  memory, descriptors);
+      fl_host_settings_clear (&settings);
+    }
+  unlink (path);
+}
+
 static void
 test_settings_load (void **state)
 {
@@ -1312,6 +1353,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_settings_load),
+    cmocka_unit_test (test_limits_of_a_process),
     cmocka_unit_test (test_endpoints),
     cmocka_unit_test (test_configuration_decode),
     cmocka_unit_test (test_odd_configuration),
