Admission: queues whose accepted jobs hold much of the owner's memory are closed

A job that is accepted is held by each owner until it has ended, some 3 KB and its text of up to 4,000 bytes, also one that is due in an hour, and the tasks of small jobs do not wait for memory. Nothing bounds the sum: computed, not measured, jobs with a text of full length that come at 1.5 a second take 65 MB in two hours.

Change: the core counts about what each queue's jobs hold. A queue is closed (429, which is true: the id is blocked) while its jobs hold more than what is left of a quarter of the process's memory, as buffers are shared dynamically in switches: one queue may hold half of the quarter, two a third each, and a queue with few jobs stays open beside them. Events queue_full and queue_not_full, gauge job_bytes.

Evidence: test_queues_that_hold_much_memory_are_closed (policy), test_accepted_jobs_stay_within_the_memory (by the allocator's count).

--- a/lib/core/admission.c
+++ b/lib/core/admission.c
@@ -63,6 +63,51 @@
     }
 }
 
+/* --- memory --- */
+
+static void
+log_memory_change (const struct fl_core *core,
+                   const struct fl_admission_memory *queue,
+                   int64_t left)
+{
+  fl_log (core->options.log, FL_LOG_NOTICE, queue->is_closed ? "queue_full" : "queue_not_full",
+          FL_N ("queue", &queue->name), FL_I ("bytes", queue->bytes), FL_I ("left", left),
+          FL_I ("max", core->options.job_bytes_max));
+}
+
+/* Adds the queues whose jobs hold too much of the memory to @closed. */
+static void
+update_memory (struct fl_core *core, GArray *closed)
+{
+  g_autoptr (GArray) queues = g_array_new (FALSE, FALSE, sizeof (struct fl_admission_memory));
+  GHashTableIter iter;
+  void *value;
+  int64_t bytes = 0;
+  int64_t left;
+
+  g_hash_table_iter_init (&iter, core->queue_stats);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct core_queue_stats *stats = value;
+      struct fl_admission_memory queue = { stats->name, stats->job_bytes, stats->is_full };
+      g_array_append_val (queues, queue);
+      bytes += queue.bytes;
+    }
+  left = fl_admission_update_memory (queues, core->options.job_bytes_max);
+  for (guint i = 0; i < queues->len; i++)
+    {
+      const struct fl_admission_memory *queue
+          = &g_array_index (queues, struct fl_admission_memory, i);
+      struct core_queue_stats *stats = g_hash_table_lookup (core->queue_stats, &queue->name);
+      if (queue->is_closed != stats->is_full)
+        log_memory_change (core, queue, left);
+      stats->is_full = queue->is_closed;
+      if (queue->is_closed)
+        g_array_append_val (closed, queue->name);
+    }
+  fl_stats_set (core->options.stats, "job_bytes", bytes);
+}
+
 GArray *
 fl_core_update_admission (struct fl_core *core, int hosts)
 {
@@ -88,6 +133,7 @@
   for (guint i = 0; i < queues->len; i++)
     if (g_array_index (queues, struct fl_admission_queue, i).is_closed)
       g_array_append_val (closed, g_array_index (queues, struct fl_admission_queue, i).name);
+  update_memory (core, closed);
   fl_stats_set (core->options.stats, "queues_closed", closed->len);
   return closed;
 }
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -72,6 +72,7 @@
   core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, false);
   core_queue_set_member (&core->lasting_jobs, &job->lasting_link, &job->in_lasting, false);
 
+  job->queue_stats->job_bytes -= job->bytes;
   core_occurrences_clear_job (job);
   g_hash_table_destroy (job->target_states);
   fl_schema_clear (&fl_job_spec_schema, &job->spec);
@@ -857,6 +858,8 @@
   job->final_link.data = job;
   job->scheduled_link.data = job;
   job->ended_link.data = job;
+  job->bytes = core_job_count_bytes (job);
+  job->queue_stats->job_bytes += job->bytes;
   job->added_without_record = progress == NULL;
   if (progress != NULL)
     apply_progress (job, progress);
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -68,6 +68,9 @@
   /* Memory that the steps and tasks of jobs may take: further ones that are due, unless they are
    * few, wait until others have ended. 0 for no limit. */
   int64_t set_up_bytes_max;
+  /* Memory that accepted jobs may hold before they are set up and while they wait: queues that hold
+   * much of it are closed. 0 for no limit. */
+  int64_t job_bytes_max;
 };
 
 struct fl_core *fl_core_new (const struct fl_core_options *options);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -55,6 +55,8 @@
   int64_t advice_replies;
   double mean_run_ms;   /* moving average: duration of successful runs; 0 before the first */
   double failure_share; /* moving average: share of the runs that ended as failed */
+  int64_t job_bytes;    /* about what its jobs hold of the memory, see core_job_count_bytes */
+  bool is_full;         /* closed, since its jobs hold too much */
   /* The last demand for which no host was free, and the tick of that: hosts only become fewer until
    * the next one. */
   int64_t no_host_tick;
@@ -358,6 +360,7 @@
   int64_t next_occurrence;      /* the first that has not been set up yet */
   int64_t unfinished_steps;     /* of all occurrences, also of those that are not set up */
   int64_t run_count;            /* runs that may be in effect */
+  int64_t bytes;                /* part of job_bytes of its queue */
   GHashTable *target_states;    /* hash of a target's id -> enum core_job_target_state */
   bool may_have_record;         /* a record of it may be in the store */
   bool added_without_record;    /* the store had no record of it when the core got to know it */
@@ -593,6 +596,10 @@
  * there is memory, and else adds it to those whose occurrences are set up later. */
 void core_occurrences_init_job (struct core_job *job);
 
+/* @return about what @job holds of the memory while it waits, with its tasks if they are few: these
+ * do not wait for memory. */
+int64_t core_job_count_bytes (const struct core_job *job);
+
 /* Removes @job from the queues of this file and frees its occurrences. */
 void core_occurrences_clear_job (struct core_job *job);
 
--- a/lib/core/occurrences.c
+++ b/lib/core/occurrences.c
@@ -11,6 +11,8 @@
 
 /* What a step takes beside its struct: two hash tables. */
 #define STEP_TABLES_BYTES 400
+/* What a job takes beside its struct and its steps: a hash table, an array and a key. */
+#define JOB_TABLES_BYTES 500
 /* The first occurrence of a job that takes no more does not wait for memory: small jobs are not
  * held up by large ones, nor jobs by the schedules of others. */
 #define SMALL_BYTES 16384
@@ -32,6 +34,20 @@
   return (int64_t)bytes;
 }
 
+int64_t
+core_job_count_bytes (const struct core_job *job)
+{
+  int64_t first = count_bytes (job);
+  size_t bytes = sizeof *job + JOB_TABLES_BYTES + job->spec.text.len;
+
+  for (size_t i = 0; i < job->spec.steps.count; i++)
+    {
+      const struct fl_step_spec *step = fl_job_spec_get_step (&job->spec, i);
+      bytes += sizeof *step + step->after.count * sizeof (struct fl_step_dependency);
+    }
+  return (int64_t)bytes + (first <= SMALL_BYTES ? first : 0);
+}
+
 static void
 step_init (struct core_step *step, struct core_occurrence *occurrence, int64_t number)
 {
--- a/lib/policy/admission.c
+++ b/lib/policy/admission.c
@@ -38,3 +38,20 @@
       update_queue (queue, now_ms);
     }
 }
+
+int64_t
+fl_admission_update_memory (GArray *queues, int64_t bytes_max)
+{
+  int64_t left = bytes_max;
+
+  for (guint i = 0; i < queues->len; i++)
+    left -= g_array_index (queues, struct fl_admission_memory, i).bytes;
+  left = MAX (left, 0);
+  for (guint i = 0; i < queues->len; i++)
+    {
+      struct fl_admission_memory *queue = &g_array_index (queues, struct fl_admission_memory, i);
+      int64_t percent = queue->is_closed ? FL_ADMISSION_OPEN_PERCENT : 100;
+      queue->is_closed = bytes_max > 0 && queue->bytes > left * percent / 100;
+    }
+  return left;
+}
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -34,6 +34,8 @@
 /* Share of the memory of the process that the steps and tasks of jobs may take: the records,
  * replies and runs of an owner take several times as much in a burst. */
 #define SET_UP_MEMORY_PERCENT 25
+/* Share of it that accepted jobs may hold otherwise: their rows, and the tasks of small ones. */
+#define JOBS_MEMORY_PERCENT 25
 
 /* Logs that a part of the recorded state has been read. */
 static void
@@ -340,6 +342,7 @@
     .target_lease_max_ms = poold->host->settings.lease_max_ms,
     .evacuation_ms = poold->host->settings.evacuation_ms,
     .set_up_bytes_max = memory_bytes * SET_UP_MEMORY_PERCENT / 100,
+    .job_bytes_max = memory_bytes * JOBS_MEMORY_PERCENT / 100,
     .order_bytes_per_s
     = fl_host_settings_link_bytes_per_s (&poold->host->settings) * ORDERS_LINK_PERCENT / 100,
   };
--- a/tests/support_core.c
+++ b/tests/support_core.c
@@ -99,6 +99,7 @@
     .order_bytes_per_s = fixture_options->order_bytes_per_s,
     .evacuation_ms = fixture_options->evacuation_ms,
     .set_up_bytes_max = fixture_options->set_up_bytes_max,
+    .job_bytes_max = fixture_options->job_bytes_max,
   };
 
   if (options.acquired_version == 0 && options.reconciled_at_ms > 0)
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1,4 +1,5 @@
 /* Which queues accept further jobs: when they are closed and opened again. */
+#include <malloc.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -139,12 +140,93 @@
     }
 }
 
+/* Jobs that are due in an hour were accepted until each owner had no memory left. */
+static void
+test_queues_that_hold_much_memory_are_closed (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t max;
+    int64_t bytes[3];
+    bool was_closed[3];
+    bool is_closed[3];
+  } cases[] = {
+    { "no bound", 0, { 1000, 5, 0 }, { 0 }, { 0 } },
+    { "little is held", 1000, { 100, 100, 0 }, { 0 }, { 0 } },
+    { "one queue has half", 1000, { 501, 1, 0 }, { 0 }, { true, false, false } },
+    { "two have a third each", 1000, { 335, 335, 0 }, { 0 }, { true, true, false } },
+    { "one with little stays open", 1000, { 330, 330, 150 }, { 0 }, { true, true, false } },
+    { "nothing is left", 1000, { 900, 100, 0 }, { 0 }, { true, true, false } },
+    { "more than all", 1000, { 1900, 100, 0 }, { 0 }, { true, true, false } },
+    { "closed until it has less", 1000, { 490, 0, 0 }, { true }, { true, false, false } },
+    { "open again", 1000, { 440, 0, 0 }, { true }, { 0 } },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GArray) queues = g_array_new (FALSE, TRUE, sizeof (struct fl_admission_memory));
+      for (int q = 0; q < 3; q++)
+        {
+          struct fl_admission_memory queue
+              = { .bytes = cases[i].bytes[q], .is_closed = cases[i].was_closed[q] };
+          g_array_append_val (queues, queue);
+        }
+      fl_admission_update_memory (queues, cases[i].max);
+      for (guint q = 0; q < 3; q++)
+        if (g_array_index (queues, struct fl_admission_memory, q).is_closed
+            != cases[i].is_closed[q])
+          fail_msg ("%s: queue %u is %s", cases[i].name, q,
+                    cases[i].is_closed[q] ? "open" : "closed");
+    }
+}
+
+static guint
+count_closed (struct fixture *fixture)
+{
+  g_autoptr (GArray) names = fl_core_update_admission (fixture->core, 1);
+
+  return names->len;
+}
+
+/* The bound holds for what the allocator hands out, and a queue is open again once its jobs are
+ * gone. */
+static void
+test_accepted_jobs_stay_within_the_memory (void **state)
+{
+  struct fixture_options options = { .job_bytes_max = 4 * 1024 * 1024 };
+  struct fl_step_spec step = { .count = 50, .cpu_milli = 100000 };
+  struct fixture *fixture = fixture_new_with (&options);
+  size_t before;
+  int jobs = 0;
+
+  (void)state;
+  fl_core_set_jobs_known (fixture->core);
+  add_target (fixture, "t1", 1, false);
+  before = mallinfo2 ().uordblks;
+  for (; count_closed (fixture) == 0 && jobs < 10000; jobs++)
+    add_job (fixture, fl_name_format ("%d", jobs).data, "slow", step);
+  assert_in_range (jobs, 50, 9999);
+  assert_in_range (mallinfo2 ().uordblks - before, 0, (size_t)options.job_bytes_max / 2 * 5 / 4);
+  for (int i = 0; i < jobs; i++)
+    {
+      struct fl_name id = fl_name_format ("%d", i);
+      fl_core_cancel_job (fixture->core, &id);
+    }
+  tick_until_recorded (fixture, 10);
+  assert_int_equal (count_closed (fixture), 0);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
   static const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_queues_that_cannot_be_served_are_closed),
     cmocka_unit_test (test_work_that_waits_for_room_closes_no_queue),
+    cmocka_unit_test (test_queues_that_hold_much_memory_are_closed),
+    cmocka_unit_test (test_accepted_jobs_stay_within_the_memory),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
