Frontd: connections and bodies of requests stay within the memory of the process

The descriptors were those that the operating system allows, not those of the platform.

Change: connections by max_fds and by half of the memory; the bodies of all open requests take at most 12 % of it.

Evidence: test_bodies_of_all_requests: without the bound all clients get 200, where the second one has to get 503.

--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -1,7 +1,6 @@
 #include "frontd/frontd.h"
 
 #include <string.h>
-#include <sys/resource.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -20,8 +19,12 @@
 #define CONNECTIONS_MAX 3000
 /* The rest of the descriptors is for the store, peers and files. */
 #define CONNECTIONS_DESCRIPTOR_PERCENT 75
-/* An idle connection keeps a buffer of HEADER_MAX bytes: 50 MB in all, of the 160 MB that the
- * smallest hosts have. */
+/* Shares of the memory of the process: for the buffers of connections, of HEADER_MAX bytes each,
+ * and for the bodies of requests, of which each may be held twice, as it arrived and as it is
+ * stored. */
+#define CONNECTIONS_MEMORY_PERCENT 50
+#define BODIES_MEMORY_PERCENT 12
+/* 50 MB of buffers. */
 #define IDLE_CONNECTIONS_MAX 1500
 #define IDLE_TIMEOUT_MS (10 * 60 * 1000)
 #define UPLOAD_TIMEOUT_MS 3000
@@ -218,13 +221,14 @@
 /* --- start and stop --- */
 
 static int64_t
-get_connections_max (void)
+get_connections_max (const struct fl_host_settings *settings)
 {
-  struct rlimit limit;
+  int64_t descriptors = fl_host_settings_descriptors (settings);
+  int64_t memory_bytes = fl_host_settings_memory_bytes (settings);
+  int64_t max = MIN (descriptors * CONNECTIONS_DESCRIPTOR_PERCENT / 100,
+                     memory_bytes / 100 * CONNECTIONS_MEMORY_PERCENT / HEADER_MAX);
 
-  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= CONNECTIONS_MAX * 100)
-    return CONNECTIONS_MAX;
-  return CLAMP ((int64_t)limit.rlim_cur * CONNECTIONS_DESCRIPTOR_PERCENT / 100, 1, CONNECTIONS_MAX);
+  return CLAMP (max, 1, CONNECTIONS_MAX);
 }
 
 static struct fl_http_server *
@@ -235,13 +239,15 @@
            struct fl_error *error)
 {
   struct fl_name address;
-  int64_t connections_max = get_connections_max ();
+  const struct fl_host_settings *settings = &frontd->host->settings;
+  int64_t connections_max = get_connections_max (settings);
   struct fl_http_server_options options = {
     .loop = frontd->host->loop,
     .name = name,
     .log = &frontd->host->log,
     .stats = frontd->host->stats,
     .body_max = BODY_MAX,
+    .all_bodies_max = fl_host_settings_memory_bytes (settings) / 100 * BODIES_MEMORY_PERCENT,
     .header_max = HEADER_MAX,
     .connections_max = connections_max,
     .idle_connections_max = MIN (connections_max / 2, IDLE_CONNECTIONS_MAX),
--- a/lib/net/http_server.c
+++ b/lib/net/http_server.c
@@ -67,6 +67,7 @@
   bool was_full;             /* connections_max was reached */
   GHashTable *open_requests; /* set of complete requests without a response */
   struct fl_lingering *lingering;
+  int64_t body_bytes;   /* of the bodies of all open requests */
   int unsent_responses; /* complete requests whose response has not been sent completely */
   bool has_stopped_listening;
   MHD_socket listener;  /* from fl_http_server_stop_listening until it is closed */
@@ -113,6 +114,7 @@
   GString *body;
   struct fl_str body_view;
   bool too_large;
+  bool has_no_memory; /* all_bodies_max was reached */
   bool dispatched;
   int64_t arrived_ms;    /* by the boot clock */
   int64_t dispatched_ms; /* by the monotonic clock */
@@ -421,6 +423,7 @@
     MHD_destroy_response (request->response);
   g_free (request->method);
   g_free (request->path);
+  request->server->body_bytes -= (int64_t)request->body->len;
   g_string_free (request->body, TRUE);
   g_free (request);
 }
@@ -449,15 +452,40 @@
   return request;
 }
 
+static bool
+is_memory_left (const struct fl_http_server *server, size_t len)
+{
+  return server->options.all_bodies_max == 0
+         || server->body_bytes + (int64_t)len <= server->options.all_bodies_max;
+}
+
+/* Frees what has arrived of a body that is not going to be used. */
+static void
+drop_body (struct fl_http_request *request)
+{
+  request->server->body_bytes -= (int64_t)request->body->len;
+  g_string_free (request->body, TRUE);
+  request->body = g_string_new (NULL);
+}
+
 static void
 append_to_body (struct fl_http_request *request, const char *data, size_t len)
 {
+  struct fl_http_server *server = request->server;
+
   if (request->connection != NULL)
     request->connection->phase_start_ms = now_ms ();
-  if ((int64_t)(request->body->len + len) > request->server->options.body_max)
+  if ((int64_t)(request->body->len + len) > server->options.body_max)
     request->too_large = true;
-  else
-    g_string_append_len (request->body, data, (gssize)len);
+  else if (!is_memory_left (server, len))
+    request->has_no_memory = true;
+  if (request->too_large || request->has_no_memory)
+    {
+      drop_body (request);
+      return;
+    }
+  g_string_append_len (request->body, data, (gssize)len);
+  server->body_bytes += (int64_t)len;
 }
 
 /* Responds to a request while the server is being freed. */
@@ -509,6 +537,14 @@
                "the body is longer than %" G_GINT64_FORMAT " bytes", server->options.body_max);
       fl_http_respond_error (request, &error);
     }
+  else if (request->has_no_memory)
+    {
+      struct fl_error error = { 0 };
+      fl_stats_add (server->options.stats, "requests_without_memory_total", 1);
+      fl_fail (&error, FL_UNAVAILABLE, "http_body", NULL,
+               "the bodies of other requests take all memory that is set aside for them");
+      fl_http_respond_error (request, &error);
+    }
   else if (server->closing || (request->connection != NULL && request->connection->is_shut_down))
     respond_closing (request, 503);
   else
--- a/lib/net/http_server.h
+++ b/lib/net/http_server.h
@@ -30,6 +30,9 @@
   const char *address;      /* IPv4 address to listen on */
   int64_t port;             /* 0 picks a free port */
   int64_t body_max;         /* bytes; a longer body is rejected with status 413 */
+  /* Bytes that the bodies of all open requests may take; 0 for no limit. A request whose body would
+   * exceed this is rejected with status 503. */
+  int64_t all_bodies_max;
   /* Bytes of memory for the request line and headers; with more than this, less some 2 KB for the
    * response and 64 bytes for each header, a request is rejected with status 431. */
   int64_t header_max;
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -17,6 +17,8 @@
 #define REQUEST "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 #define UPLOAD "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n"
 /* Longer than the interval between the server's checks of its connections, 1 s. */
+#define BODY_BYTES 900
+#define ALL_BODIES_MAX 1000
 #define SUSPENSION_MS 1500
 /* Of idle connections and uploads, in tests that do not concern them. */
 #define TIMEOUT_MS 60000
@@ -87,6 +89,7 @@
     .address = "127.0.0.1",
     .port = port,
     .body_max = 1000,
+    .all_bodies_max = ALL_BODIES_MAX,
     .header_max = 8192,
     .connections_max = 100,
     .idle_timeout_ms = timeout_ms,
@@ -296,6 +299,54 @@
   assert_int_equal (test_wait_for_exit (pid), 0);
 }
 
+/* The bodies of many requests, each within its limit, took the memory of the process. */
+static void
+test_bodies_of_all_requests (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int part; /* bytes that each of two clients sends of BODY_BYTES, one after the other */
+    int statuses[2];
+  } cases[] = { { "within the limit", ALL_BODIES_MAX / 2 - 50, { 200, 503 } },
+                { "beyond the limit", BODY_BYTES - 100, { 200, 503 } },
+                { "one after the other", BODY_BYTES, { 200, 200 } } };
+  char body[BODY_BYTES + 1];
+  int failures = 0;
+  int port = test_free_port ();
+  int pid = start_server (port, RESPONDS, TIMEOUT_MS);
+
+  (void)state;
+  memset (body, 'x', BODY_BYTES);
+  body[BODY_BYTES] = '\0';
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct test_client clients[2] = { { .fd = -1 }, { .fd = -1 } };
+      for (int c = 0; c < 2; c++)
+        {
+          g_autofree char *part
+              = g_strdup_printf ("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%.*s",
+                                 BODY_BYTES, cases[i].part, body);
+          assert_true (test_client_connect (&clients[c], port, true));
+          assert_true (test_client_send (&clients[c], part));
+          usleep (100 * 1000);
+        }
+      for (int c = 1; c >= 0; c--)
+        {
+          assert_true (test_client_send (&clients[c], body + cases[i].part));
+          int status = test_client_await (&clients[c]);
+          test_client_close (&clients[c]);
+          if (status == cases[i].statuses[c])
+            continue;
+          print_error ("%s: client %d got %d\n", cases[i].name, c, status);
+          failures++;
+        }
+    }
+  kill (pid, SIGTERM);
+  assert_int_equal (test_wait_for_exit (pid), 0);
+  assert_int_equal (failures, 0);
+}
+
 /* Each further call closed the descriptor of the listening socket again, which belonged to another
  * connection by then; ZeroMQ aborts the process when this happens to one of its own. */
 static void
@@ -331,6 +382,7 @@
                                       cmocka_unit_test (test_connections_in_accept_queue),
                                       cmocka_unit_test (test_data_arrives_while_suspended),
                                       cmocka_unit_test (test_silent_connections_are_closed),
+                                      cmocka_unit_test (test_bodies_of_all_requests),
                                       cmocka_unit_test (test_listening_socket_is_closed_once) };
 
   return cmocka_run_group_tests_name ("http_server", tests, NULL, NULL);
