HTTP client: starts and stops in flight leave descriptors for everything else

Connections to one target have been bounded since, but not the sum: 1,900 targets with seven each are 13,300.

Change: calls with a limit of connections to their peer also wait while half of the descriptors (max_fds) are taken by such calls to all peers. Store calls and heartbeats never wait.

Evidence: test_connections_to_target, "many, few descriptors": 9 connections without the bound, 4 with it (one of them the heartbeat's), all 8 starts sent.

--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -7,8 +7,13 @@
 #include <argtable2.h>
 
 /* Connections to targets and the store that are kept open for reuse; above this, libcurl closes the
- * least recently used. */
+ * least recently used. At most this share of the descriptors. */
 #define CLIENT_CONNECTIONS_MAX 1024
+#define CLIENT_DESCRIPTOR_PERCENT 25
+/* Share of the descriptors that calls to targets may take at once. The rest is for the store,
+ * peers, files and idle connections: a process that has no descriptor left reaches nothing any
+ * more. */
+#define CALLS_DESCRIPTOR_PERCENT 50
 /* Limits of the metrics server, which serves the short requests of one scraper. */
 #define METRICS_BODY_MAX 1024
 #define METRICS_HEADER_MAX 8192
@@ -237,7 +242,9 @@
   fl_loop_watch_start (&host->loop_watch, host->loop, &host->log, host->stats);
   host->http_client = fl_http_client_new (&(struct fl_http_client_options){
       .loop = host->loop,
-      .connections_max = CLIENT_CONNECTIONS_MAX,
+      .connections_max = MIN (CLIENT_CONNECTIONS_MAX, fl_host_settings_descriptors (&host->settings)
+                                                          * CLIENT_DESCRIPTOR_PERCENT / 100),
+      .busy_max = fl_host_settings_descriptors (&host->settings) * CALLS_DESCRIPTOR_PERCENT / 100,
       .log = &host->log,
       .stats = host->stats,
   });
--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -35,6 +35,9 @@
   ev_timer timer;
   struct fl_http_peers *peers;
   GHashTable *calls; /* set of struct call * */
+  int64_t busy_max;
+  int64_t busy_count; /* calls with a limit of connections that are under way */
+  GQueue waiting;     /* calls that wait until fewer are */
   bool is_closing;
   struct curl_slist *headers;
 };
@@ -46,7 +49,7 @@
   struct fl_http_peer *peer;
   struct fl_http_connection *connection; /* in use by this call */
   int64_t connections_max;
-  bool is_waiting;                /* for other calls to the peer */
+  GQueue *waiting_in;             /* that of the client or of the peer; NULL if it does not wait */
   bool is_busy;                   /* counts as such at the peer */
   struct fl_timeout late_timeout; /* until the first byte of the reply */
   int64_t quiet_ms;
@@ -83,48 +86,84 @@
 
 /* --- limit of the connections to a peer --- */
 
-static bool
-has_to_wait (const struct call *call)
+/* @return the queue in which @call has to wait; NULL if it can be sent. */
+static GQueue *
+find_queue (const struct call *call)
 {
-  return call->connections_max > 0 && call->peer->busy_count >= call->connections_max;
+  struct fl_http_client *client = call->client;
+
+  if (call->connections_max == 0)
+    return NULL;
+  if (call->peer->busy_count >= call->connections_max)
+    return &call->peer->waiting;
+  return client->busy_max > 0 && client->busy_count >= client->busy_max ? &client->waiting : NULL;
+}
+
+static void
+stop_waiting (struct call *call)
+{
+  if (call->waiting_in != NULL)
+    g_queue_remove (call->waiting_in, call);
+  call->waiting_in = NULL;
 }
 
 /* Gives @call to libcurl. */
 static void
 begin_transfer (struct call *call)
 {
-  call->is_waiting = false;
   call->is_busy = true;
   call->peer->busy_count++;
+  call->client->busy_count += call->connections_max > 0 ? 1 : 0;
   fl_timeout_start (&call->timeout, call->timeout_ms);
   curl_multi_add_handle (call->client->multi, call->easy);
 }
 
 static void
-wait_for_others (struct call *call, int64_t timeout_ms)
+wait_for_others (struct call *call, GQueue *queue, int64_t timeout_ms)
 {
-  call->is_waiting = true;
-  g_queue_push_tail (&call->peer->waiting, call);
+  call->waiting_in = queue;
+  g_queue_push_tail (queue, call);
   fl_stats_add (call->client->stats, "http_calls_waited_total", 1);
   fl_timeout_start (&call->timeout, timeout_ms);
 }
 
+/* Sends the calls in @queue that need not wait there any more. One that has waited for all calls
+ * may have to wait for those to its peer then. */
+static void
+send_waiting (GQueue *queue)
+{
+  struct call *next;
+
+  while ((next = g_queue_peek_head (queue)) != NULL)
+    {
+      GQueue *other = find_queue (next);
+      if (other == queue)
+        return;
+      stop_waiting (next);
+      if (other == NULL)
+        begin_transfer (next);
+      else
+        {
+          next->waiting_in = other;
+          g_queue_push_tail (other, next);
+        }
+    }
+}
+
 /* From now on @call does not count towards the limit of other calls, and those that waited for it
  * are sent. */
 static void
 end_busy (struct call *call)
 {
-  struct fl_http_peer *peer = call->peer;
-  struct call *next;
-
   if (!call->is_busy)
     return;
   call->is_busy = false;
-  peer->busy_count--;
+  call->peer->busy_count--;
+  call->client->busy_count -= call->connections_max > 0 ? 1 : 0;
   if (call->client->is_closing)
     return;
-  while ((next = g_queue_peek_head (&peer->waiting)) != NULL && !has_to_wait (next))
-    begin_transfer (g_queue_pop_head (&peer->waiting));
+  send_waiting (&call->peer->waiting);
+  send_waiting (&call->client->waiting);
 }
 
 static void
@@ -134,8 +173,7 @@
 
   fl_timeout_stop (&call->timeout);
   fl_timeout_stop (&call->late_timeout);
-  if (call->is_waiting)
-    g_queue_remove (&call->peer->waiting, call);
+  stop_waiting (call);
   curl_multi_remove_handle (call->client->multi, call->easy);
   curl_easy_cleanup (call->easy);
   if (call->connection != NULL)
@@ -371,7 +409,7 @@
   struct call *call = context;
   int64_t left_ms = call->last_progress_ms + call->stall_timeout_ms - fl_clock_boot_ms ();
 
-  if (call->is_waiting)
+  if (call->waiting_in != NULL)
     {
       fl_stats_add (call->client->stats, "http_calls_waited_too_long_total", 1);
       g_strlcpy (call->error_text, "other calls are in progress", sizeof call->error_text);
@@ -481,6 +519,7 @@
   struct fl_http_client *client = g_new0 (struct fl_http_client, 1);
 
   client->loop = options->loop;
+  client->busy_max = options->busy_max;
   client->log = options->log;
   client->stats = options->stats;
   client->peers = fl_http_peers_new ();
@@ -516,6 +555,7 @@
 {
   struct call *call = g_new0 (struct call, 1);
   CURL *easy = curl_easy_init ();
+  GQueue *queue;
 
   g_assert (easy != NULL && options->on_done != NULL);
   call->client = client;
@@ -570,8 +610,9 @@
   fl_timeout_init (&call->late_timeout, client->loop, on_reply_late, call);
   fl_timeout_init (&call->timeout, client->loop, on_call_timeout, call);
   call->timeout_ms = MAX (options->timeout_ms, 1);
-  if (has_to_wait (call))
-    wait_for_others (call, MAX (options->connect_timeout_ms, 1));
+  queue = find_queue (call);
+  if (queue != NULL)
+    wait_for_others (call, queue, MAX (options->connect_timeout_ms, 1));
   else
     begin_transfer (call);
 }
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -53,7 +53,7 @@
   int64_t stall_timeout_ms;
   int64_t connect_timeout_ms;
   /* The call waits, for @connect_timeout_ms at most, while this many calls to the same peer are in
-   * progress, without those whose reply is late. 0: it never waits. */
+   * progress, without those whose reply is late, or busy_max of the client. 0: it never waits. */
   int64_t connections_max;
   int64_t quiet_ms; /* for which the peer may stay silent before it replies, by agreement */
   /* The connections to the peer are suspected when the reply is overdue for this long, so that a
@@ -76,7 +76,10 @@
 struct fl_http_client_options
 {
   struct ev_loop *loop;
-  int64_t connections_max;  /* limits the connections that are kept open for reuse */
+  int64_t connections_max; /* limits the connections that are kept open for reuse */
+  /* Calls that have a limit of connections to their peer also wait while this many of them are in
+   * progress to all peers. 0 for no limit. */
+  int64_t busy_max;
   const struct fl_log *log; /* NULL logs nothing */
   struct fl_stats *stats;   /* counts the traffic of the calls; NULL counts nothing */
 };
--- a/tests/test_http_silence.c
+++ b/tests/test_http_silence.c
@@ -65,6 +65,15 @@
     ev_run (fixture->loop, EVRUN_ONCE);
 }
 
+static struct fl_http_client *
+new_client (const struct fixture *fixture, int64_t busy_max)
+{
+  return fl_http_client_new (&(struct fl_http_client_options){ .loop = fixture->loop,
+                                                               .connections_max = 16,
+                                                               .busy_max = busy_max,
+                                                               .stats = fixture->stats });
+}
+
 /* Leaves @idle connections open that have served a request each. */
 static struct fixture *
 fixture_new (int idle, enum support_connection_end end, int status, const char *body)
@@ -74,8 +83,7 @@
 
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
   fixture->stats = fl_stats_new ();
-  fixture->client = fl_http_client_new (&(struct fl_http_client_options){
-      .loop = fixture->loop, .connections_max = 16, .stats = fixture->stats });
+  fixture->client = new_client (fixture, 0);
   fixture->server = support_server_new (&options);
   fixture->proxy = support_proxy_new (fixture->loop, support_server_port (fixture->server));
   for (int i = 0; i < idle; i++)
@@ -252,8 +260,8 @@
   calls->heartbeat (calls->context, &heartbeat, on_order_done, fixture);
 }
 
-/* Each order in flight had a connection of its own, and owners that were lost left all of them
- * open, until the target accepted no more. */
+/* Each order in flight had a connection of its own: owners that were lost left all of them open,
+ * until the target accepted no more, and an owner with many orders had no descriptor left. */
 static void
 test_connections_to_target (void **state)
 {
@@ -263,10 +271,16 @@
     int status;              /* of the replies; 0 for none */
     int64_t accepted;        /* connections, by the target */
     int connections, starts; /* expected: opened, and sent */
+    int64_t busy_max;        /* starts and stops in flight, to all targets */
   } cases[] = {
-    { "unknown number", 200, 0, 4, STARTS }, { "many", 200, 400, STARTS + 1, STARTS },
-    { "usual", 200, 64, 4, STARTS },         { "few", 200, 4, 3, STARTS },
-    { "usual, no reply", 0, 64, 4, 3 },
+    { "unknown number", 200, 0, 4, STARTS, 0 },
+    { "many", 200, 400, STARTS + 1, STARTS, 0 },
+    { "usual", 200, 64, 4, STARTS, 0 },
+    { "few", 200, 4, 3, STARTS, 0 },
+    { "usual, no reply", 0, 64, 4, 3, 0 },
+    { "many, few descriptors", 200, 400, 4, STARTS, 3 },
+    { "usual, fewer descriptors", 200, 64, 3, STARTS, 2 },
+    { "many, few descriptors, no reply", 0, 400, 4, 3, 3 },
   };
   int wrong = 0;
 
@@ -274,6 +288,8 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct fixture *fixture = fixture_new (0, SUPPORT_END_SERVED, cases[i].status, NULL);
+      fl_http_client_free (fixture->client);
+      fixture->client = new_client (fixture, cases[i].busy_max);
       struct fl_platform_target_client *client
           = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL, NULL);
       fl_platform_target_client_set_connections_max (client, cases[i].accepted);
