Frontd: an id that was rejected with 429 is not stored by an earlier request

A client gave up a submission, sent it again to another host, and was told 429: the job never runs. The first host, whose write was late, found the marker that blocks the id, took it for that of an older request, stored the job over it, and all its tasks ran.

Cause: a marker does not tell whether the request that finds it is older or newer, and each one replaced it.

Change: a request that is rejected for good leaves a marker of its own kind. A submission replaces it only if the marker's version is one that its host knew, from the feed of the configuration, when the request arrived; else it gets 504. A client comes back after two seconds or more, when the feed, which is confirmed each second, has reached that version. A submission whose own write is resolved by a marker and whose time is over gets 504, not 503: another request may store the job over that marker.

What remains: a 503 of a store that refuses all calls, or of a host that stops, says that this request stored nothing; an earlier request with the same id may still do so. The protocol has hosts answer 503 while they have no store, so that no marker can back it.

Evidence, two hosts and a late write: test_rejected_id_is_not_stored_by_an_earlier_request fails without the check ("its write is late: status 200 and 429, stored 1"; "later than its marker: status 504 and 429, stored 1"), and holds with it; test_rejected_id_is_stored_by_a_later_request holds with both. test_front_late, test_front_cancel and test_front pass.

--- a/lib/frontd/call.c
+++ b/lib/frontd/call.c
@@ -253,6 +253,12 @@
   return fl_clock_boot_ms () < get_respond_by_ms (call);
 }
 
+static bool
+has_value (const struct fl_store_row *row, const char *value)
+{
+  return row->value.len == strlen (value) && memcmp (row->value.data, value, row->value.len) == 0;
+}
+
 struct front_job_rows
 front_find_job_rows (const struct front_call *call, const struct fl_store_reply *reply)
 {
@@ -265,9 +271,8 @@
         {
           job.is_stored = row->value.len > strlen (FL_MARKER_VALUE);
           job.version = row->version;
-          if (row->value.len == strlen (FL_CANCELLED_VALUE)
-              && memcmp (row->value.data, FL_CANCELLED_VALUE, row->value.len) == 0)
-            job.is_cancelled = true;
+          job.is_cancelled = job.is_cancelled || has_value (row, FL_CANCELLED_VALUE);
+          job.is_rejected = has_value (row, FL_REJECTED_VALUE);
         }
       else if (g_str_has_suffix (row->key.data, FL_CANCEL_SUFFIX))
         job.is_cancelled = true;
--- a/lib/frontd/frontd_internal.h
+++ b/lib/frontd/frontd_internal.h
@@ -180,6 +180,7 @@
 {
   bool is_stored;
   bool is_cancelled; /* there is a cancel marker for the job, stored or not */
+  bool is_rejected;  /* the row is a marker of a request that was rejected for good */
   int64_t version;   /* of the row at the job's id, which is a job or a marker; 0 for no row */
 };
 
--- a/lib/frontd/jobs.c
+++ b/lib/frontd/jobs.c
@@ -41,7 +41,16 @@
   else if (front_call_has_time_left (call))
     store_job (call);
   else
-    front_call_respond (call, 503, NULL);
+    /* Another request may store the job over the marker. */
+    front_call_respond (call, 504, NULL);
+}
+
+/* Whether the row, a marker of version @version, may be newer than the request of @call. */
+static bool
+may_be_newer (const struct front_call *call, int64_t version)
+{
+  return version > fl_configuration_watch_get_version_at (&call->frontd->configuration_watch,
+                                                          call->arrived_ms);
 }
 
 /* Handles a transaction whose condition on the row's version did not hold. */
@@ -52,11 +61,13 @@
 
   /* Else the row is a marker: the id is free, and the job may replace this version of the row. A
    * request that is turned away replaces it by a marker, so that writes of earlier requests fail.
-   */
+   * Where a later request was told that the job never runs, an earlier one must not store it. */
   if (job.is_stored)
     respond_accepted (call);
   else if (job.is_cancelled)
     front_call_respond (call, 503, NULL);
+  else if (job.is_rejected && may_be_newer (call, job.version))
+    front_call_respond (call, call->is_turned_away ? 429 : 504, NULL);
   else if (call->is_turned_away)
     turn_away (call, job.version);
   else
@@ -119,7 +130,8 @@
 static void
 resolve_unknown_write (struct front_call *call)
 {
-  struct fl_str marker = { strlen (FL_MARKER_VALUE), (char *)FL_MARKER_VALUE };
+  const char *value = call->is_turned_away ? FL_REJECTED_VALUE : FL_MARKER_VALUE;
+  struct fl_str marker = { strlen (value), (char *)value };
 
   write_job_row (call, &marker, on_marker_written);
 }
--- a/lib/host/configuration_watch.c
+++ b/lib/host/configuration_watch.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/clock.h"
 #include "store/tables.h"
 
 static void
@@ -110,7 +111,14 @@
 static void
 on_confirmed (void *context, int64_t sent_ms)
 {
-  ((struct fl_configuration_watch *)context)->confirmed_ms = sent_ms;
+  struct fl_configuration_watch *watch = context;
+
+  watch->confirmed_ms = sent_ms;
+  if (watch->follower == NULL)
+    return; /* the first read ended before fl_follower_new has returned */
+  watch->last_known = (watch->last_known + 1) % FL_KNOWN_VERSIONS;
+  watch->known_versions[watch->last_known]
+      = (struct fl_known_version){ fl_clock_boot_ms (), fl_follower_get_version (watch->follower) };
 }
 
 void
@@ -155,3 +163,14 @@
     g_array_unref (watch->evacuated);
   watch->evacuated = NULL;
 }
+
+int64_t
+fl_configuration_watch_get_version_at (const struct fl_configuration_watch *watch, int64_t boot_ms)
+{
+  int64_t version = 0;
+
+  for (size_t i = 0; i < FL_KNOWN_VERSIONS; i++)
+    if (watch->known_versions[i].since_ms <= boot_ms)
+      version = MAX (version, watch->known_versions[i].version);
+  return version;
+}
--- a/lib/host/configuration_watch.h
+++ b/lib/host/configuration_watch.h
@@ -13,6 +13,16 @@
   void *context;
 };
 
+/* Versions of the store that are kept with the time since when they were known: one is confirmed
+ * about once a second. */
+#define FL_KNOWN_VERSIONS 8
+
+struct fl_known_version
+{
+  int64_t since_ms; /* boot clock */
+  int64_t version;
+};
+
 struct fl_configuration_watch
 {
   struct fl_host *host;
@@ -20,6 +30,8 @@
   GArray *evacuated;                      /* struct fl_name: domains; NULL until the first start */
   GArray *listed;       /* those that the read in progress has returned so far, or NULL */
   int64_t confirmed_ms; /* when these were last known to be the newest (boot clock) */
+  struct fl_known_version known_versions[FL_KNOWN_VERSIONS]; /* a ring; the newest at last_known */
+  size_t last_known;
   struct fl_follower *follower;
   struct fl_configuration_watch_callbacks callbacks;
 };
@@ -34,3 +46,8 @@
 
 /* Stops following and releases what is known. */
 void fl_configuration_watch_stop (struct fl_configuration_watch *watch);
+
+/* @return a version of the store that was known at @boot_ms, at most a few seconds ago; 0 if none
+ * is known to have been. Rows with a higher version may have been written later. */
+int64_t fl_configuration_watch_get_version_at (const struct fl_configuration_watch *watch,
+                                               int64_t boot_ms);
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -331,6 +331,12 @@
   return follower;
 }
 
+int64_t
+fl_follower_get_version (const struct fl_follower *follower)
+{
+  return follower->delivered_version;
+}
+
 void
 fl_follower_free (struct fl_follower *follower)
 {
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -38,5 +38,8 @@
 
 struct fl_follower *fl_follower_new (const struct fl_follower_options *options);
 
+/* @return the version of the store up to which all changes have been delivered. */
+int64_t fl_follower_get_version (const struct fl_follower *follower);
+
 /* Stops following; the reply of a call in flight is dropped. */
 void fl_follower_free (struct fl_follower *follower);
--- a/lib/store/tables.h
+++ b/lib/store/tables.h
@@ -39,6 +39,10 @@
  * replace it. As long as FL_MARKER_VALUE: rows of this length have no content. */
 #define FL_CANCELLED_VALUE "[]"
 
+/* Value of the marker at the id of a job whose submission was rejected for good: requests that had
+ * arrived before do not replace it, later ones may. */
+#define FL_REJECTED_VALUE "()"
+
 /* The partitions of FL_TABLE_JOBS, NULL-terminated. */
 extern const char *const fl_job_partitions[FL_JOB_PARTITIONS + 1];
 
--- a/tests/test_front_admission.c
+++ b/tests/test_front_admission.c
@@ -25,6 +25,8 @@
 #define FEED_MS 50
 /* Until the feed has delivered a row several times. */
 #define KNOWN_US (6 * FEED_MS * 1000)
+/* The least time after which a client comes back. */
+#define RETRY_AFTER_US (2000 * 1000)
 
 /* What the store holds; shared with the child processes. */
 struct rows
@@ -32,6 +34,7 @@
   int64_t version;
   int64_t job_version; /* of the row at the job's id; 0 for none */
   bool is_job;         /* this row is a job, else a marker */
+  char marker[3];
 };
 
 struct shared_store
@@ -49,7 +52,8 @@
   const struct shared_store *store;
   ev_timer timer;
   int64_t expected_version;
-  bool is_job;         /* writes the job, else a marker */
+  bool is_job; /* writes the job, else a marker */
+  char marker[3];
   bool is_transaction; /* of the row at the job's id */
   const char *closed;  /* a feed: the row that it delivers; NULL for none */
   void (*done) (void *context, const struct fl_store_reply *reply);
@@ -65,12 +69,13 @@
     {
       rows->job_version = ++rows->version;
       rows->is_job = call->is_job;
+      memcpy (rows->marker, call->marker, sizeof rows->marker);
       return FL_STORE_OK;
     }
   row->key = fl_name_of ("00000000000000aa");
   row->version = rows->job_version;
-  row->value = rows->is_job ? (struct fl_str){ 3, (char *)"{ }" }
-                            : (struct fl_str){ 2, (char *)FL_MARKER_VALUE };
+  row->value
+      = rows->is_job ? (struct fl_str){ 3, (char *)"{ }" } : (struct fl_str){ 2, rows->marker };
   return FL_STORE_CONFLICT;
 }
 
@@ -121,6 +126,8 @@
   (void)timeout_ms;
   call->is_transaction = strcmp (transaction->writes[0].table, FL_TABLE_JOBS) == 0;
   call->is_job = transaction->writes[0].value.len > strlen (FL_MARKER_VALUE);
+  if (call->is_transaction && !call->is_job)
+    memcpy (call->marker, transaction->writes[0].value.data, strlen (FL_MARKER_VALUE));
   call->expected_version
       = transaction->condition_count > 0 ? transaction->conditions[0].version : 0;
 }
@@ -250,11 +257,111 @@
     }
 }
 
+/* A host that rejects all submissions, beside another one whose writes take so long that it
+ * resolves them with markers. */
+struct hosts
+{
+  struct rows *rows;
+  struct front slow;
+  struct front rejecting;
+};
+
+static struct hosts
+start_hosts (int64_t apply_ms)
+{
+  struct hosts hosts = { .rows = create_rows () };
+  const struct shared_store slow = { .rows = hosts.rows, .apply_ms = apply_ms };
+  const struct shared_store rejecting = { .rows = hosts.rows, .renewed = CLOSED, .apply_ms = 5 };
+
+  hosts.slow = front_start_with_store (create_store, &slow);
+  hosts.rejecting = front_start_with_store (create_store, &rejecting);
+  usleep (KNOWN_US);
+  return hosts;
+}
+
+static void
+stop_hosts (struct hosts *hosts)
+{
+  stop_front (&hosts->slow);
+  stop_front (&hosts->rejecting);
+  munmap (hosts->rows, sizeof *hosts->rows);
+}
+
+/* A submission was rejected with 429, and an earlier one with the same id, which had no response
+ * yet, stored the job at another host. */
+static void
+test_rejected_id_is_not_stored_by_an_earlier_request (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t apply_ms;
+    int64_t rejected_after_ms; /* the first request */
+    int64_t first_status;
+    int64_t second_status;
+    bool is_stored;
+  } cases[] = {
+    { "its write is late", 900, 300, 504, 429, false },
+    { "its write is later than its marker", 1900, 900, 504, 429, false },
+    { "it was stored before", 5, 300, 200, 200, true },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct hosts hosts = start_hosts (cases[i].apply_ms);
+      struct test_client clients[2] = { { .fd = -1 }, { .fd = -1 } };
+      assert_true (test_client_connect (&clients[0], hosts.slow.port, false));
+      assert_true (test_client_connect (&clients[1], hosts.rejecting.port, false));
+      assert_true (test_client_request (&clients[0], SUBMIT));
+      usleep ((unsigned)cases[i].rejected_after_ms * 1000);
+      assert_true (test_client_request (&clients[1], SUBMIT));
+      int second = test_client_await (&clients[1]);
+      int first = test_client_await (&clients[0]);
+      usleep ((unsigned)cases[i].apply_ms * 1000);
+      if (first != cases[i].first_status || second != cases[i].second_status
+          || hosts.rows->is_job != cases[i].is_stored)
+        {
+          print_error ("%s: status %d and %d, stored %d\n", cases[i].name, first, second,
+                       hosts.rows->is_job);
+          failures++;
+        }
+      test_client_close (&clients[0]);
+      test_client_close (&clients[1]);
+      stop_hosts (&hosts);
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* A client that was told to come back later does so, at another host. */
+static void
+test_rejected_id_is_stored_by_a_later_request (void **state)
+{
+  struct hosts hosts = start_hosts (5);
+  struct test_client clients[2] = { { .fd = -1 }, { .fd = -1 } };
+
+  (void)state;
+  assert_true (test_client_connect (&clients[0], hosts.rejecting.port, false));
+  assert_true (test_client_request (&clients[0], SUBMIT));
+  assert_int_equal (test_client_await (&clients[0]), 429);
+  usleep (RETRY_AFTER_US);
+  assert_true (test_client_connect (&clients[1], hosts.slow.port, false));
+  assert_true (test_client_request (&clients[1], SUBMIT));
+  assert_int_equal (test_client_await (&clients[1]), 200);
+  assert_true (hosts.rows->is_job);
+  test_client_close (&clients[0]);
+  test_client_close (&clients[1]);
+  stop_hosts (&hosts);
+}
+
 int
 main (void)
 {
   static const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_closed_queues_of_an_owner_that_ended),
+    cmocka_unit_test (test_rejected_id_is_not_stored_by_an_earlier_request),
+    cmocka_unit_test (test_rejected_id_is_stored_by_a_later_request),
   };
 
   return cmocka_run_group_tests_name ("front_admission", tests, NULL, NULL);
