Core: a record that is longer than a row of the store leaves parts out

Change: a record is at most row_bytes long. What is left out, in this order, is what a successor can do without: checkpoints (they are needed only if the owner is lost while their task does not run), the list of targets (it then waits for any target that has not reported), failed runs, and at last some of the tasks that are done. Event record_cut, counter records_cut_total.

Not run with the real programs.

--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -68,6 +68,8 @@
   /* Memory that the steps and tasks of jobs may take: further ones that are due, unless they are
    * few, wait until others have ended. 0 for no limit. */
   int64_t set_up_bytes_max;
+  /* Longest record that the store accepts; 0 for no limit. */
+  int64_t record_bytes_max;
   /* Memory that accepted jobs may hold before they are set up and while they wait: queues that hold
    * much of it are closed. 0 for no limit. */
   int64_t job_bytes_max;
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -6,6 +6,10 @@
 /* Most bytes of the records that are collected at once, unless a single record is larger. The store
  * takes transactions of 1 MB, in which records grow by a third. */
 #define COLLECTED_BYTES_MAX (512 * 1024)
+/* Of a share that would fit if all were of one length, this much is kept, and so often a smaller
+ * one is tried. */
+#define CUT_PERCENT 90
+#define CUTS_MAX 5
 /* Weight of one run in the moving average of the run time of a queue. */
 #define RUN_TIME_WEIGHT 0.05
 /* Weight of one run in the moving average of the share that fails. */
@@ -681,8 +685,56 @@
   return rows;
 }
 
+/* What a record leaves out where it would be longer than the store accepts, each with all before:
+ * one that is rejected keeps the others from being stored. */
+enum record_extent
+{
+  RECORD_COMPLETE,
+  /* Without some checkpoints: the targets that have them keep them while the tasks run. */
+  RECORD_FEWER_CHECKPOINTS,
+  /* Without targets: a successor waits for any target that has not reported. */
+  RECORD_ANY_TARGET,
+  /* Without failed runs, which a successor counts anew, and checkpoints. */
+  RECORD_WITHOUT_TASKS,
+  /* Without some of the tasks that are done. */
+  RECORD_FEWER_DONE
+};
+
+static guint
+keep_share (guint count, int64_t kept_permille)
+{
+  return (guint)((int64_t)count * kept_permille / 1000);
+}
+
+/* Keeps @kept_permille of the checkpoints of @tasks. */
+static void
+drop_checkpoints (GArray *tasks, int64_t kept_permille)
+{
+  guint count = 0;
+  guint rows = 0;
+
+  for (guint i = 0; i < tasks->len; i++)
+    count += g_array_index (tasks, struct fl_task_progress, i).checkpoint.len > 0 ? 1 : 0;
+  guint kept = keep_share (count, kept_permille);
+  for (guint i = 0; i < tasks->len; i++)
+    {
+      struct fl_task_progress row = g_array_index (tasks, struct fl_task_progress, i);
+      if (row.checkpoint.len > 0 && kept == 0)
+        row.checkpoint = (struct fl_str){ 0 };
+      else if (row.checkpoint.len > 0)
+        kept--;
+      if (row.checkpoint.len > 0 || row.failed_runs.count > 0)
+        g_array_index (tasks, struct fl_task_progress, rows++) = row;
+    }
+  g_array_set_size (tasks, rows);
+}
+
+/* @return the record of @job; @kept_permille of the checkpoints, or of the ranges of done tasks,
+ * are kept where @extent leaves some of them out. */
 static struct fl_str
-encode_progress (const struct core_job *job)
+encode_progress_within (const struct core_job *job,
+                        enum record_extent extent,
+                        int64_t kept_permille)
 {
   struct fl_job_progress progress = { .state = job->state };
   g_autoptr (GArray) done = NULL;
@@ -701,11 +753,19 @@
       core_job_collect_done (job, done, ended);
       tasks = collect_tasks (job);
       targets = core_job_collect_targets (job);
+      if (extent >= RECORD_FEWER_CHECKPOINTS)
+        drop_checkpoints (tasks, extent == RECORD_FEWER_CHECKPOINTS ? kept_permille : 0);
+      if (extent >= RECORD_ANY_TARGET)
+        g_array_set_size (targets, 0);
+      if (extent >= RECORD_WITHOUT_TASKS)
+        g_array_set_size (tasks, 0);
+      if (extent >= RECORD_FEWER_DONE)
+        g_array_set_size (done, keep_share (done->len, kept_permille));
       progress.done = (struct fl_array){ done->len, done->data };
       progress.ended.ranges = (struct fl_array){ ended->len, ended->data };
       progress.tasks = (struct fl_array){ tasks->len, tasks->data };
       progress.targets = (struct fl_array){ targets->len, targets->data };
-      progress.any_target = core_job_may_run_on_any_target (job);
+      progress.any_target = core_job_may_run_on_any_target (job) || extent >= RECORD_ANY_TARGET;
       steps = core_job_collect_task_targets (job, targets);
       if (steps->len > 0)
         progress.task_targets = (struct fl_task_targets){ job->core->options.fencing_token,
@@ -714,6 +774,42 @@
   return fl_job_progress_encode (&progress);
 }
 
+static bool
+keeps_share (enum record_extent extent)
+{
+  return extent == RECORD_FEWER_CHECKPOINTS || extent == RECORD_FEWER_DONE;
+}
+
+static struct fl_str
+encode_progress (const struct core_job *job)
+{
+  const struct fl_core *core = job->core;
+  int64_t max = core->options.record_bytes_max;
+  struct fl_str record = encode_progress_within (job, RECORD_COMPLETE, 0);
+  enum record_extent extent = RECORD_FEWER_CHECKPOINTS;
+  int64_t kept_permille = 1000;
+  int cuts = 0;
+
+  if (max == 0 || (int64_t)record.len <= max)
+    return record;
+  fl_stats_add (core->options.stats, "records_cut_total", 1);
+  fl_log (core->options.log, FL_LOG_WARNING, "record_cut", FL_N ("job", &job->spec.id),
+          FL_I ("bytes", (int64_t)record.len), FL_I ("max", max));
+  while ((int64_t)record.len > max && extent <= RECORD_FEWER_DONE)
+    {
+      if (keeps_share (extent))
+        kept_permille = kept_permille * max * CUT_PERCENT / ((int64_t)record.len * 100);
+      fl_str_clear (&record);
+      record = encode_progress_within (job, extent, kept_permille);
+      if (keeps_share (extent) && ++cuts < CUTS_MAX)
+        continue;
+      extent++;
+      kept_permille = 1000;
+      cuts = 0;
+    }
+  return record;
+}
+
 /* Marks all applied ends as covered by the records that are being collected. */
 static void
 mark_ends_recording (struct fl_core *core)
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -342,6 +342,7 @@
     .target_lease_max_ms = poold->host->settings.lease_max_ms,
     .evacuation_ms = poold->host->settings.evacuation_ms,
     .set_up_bytes_max = memory_bytes * SET_UP_MEMORY_PERCENT / 100,
+    .record_bytes_max = poold->host->settings.row_bytes_max,
     .job_bytes_max = memory_bytes * JOBS_MEMORY_PERCENT / 100,
     .order_bytes_per_s
     = fl_host_settings_link_bytes_per_s (&poold->host->settings) * ORDERS_LINK_PERCENT / 100,
--- a/tests/support_core.c
+++ b/tests/support_core.c
@@ -99,6 +99,7 @@
     .order_bytes_per_s = fixture_options->order_bytes_per_s,
     .evacuation_ms = fixture_options->evacuation_ms,
     .set_up_bytes_max = fixture_options->set_up_bytes_max,
+    .record_bytes_max = fixture_options->record_bytes_max,
     .job_bytes_max = fixture_options->job_bytes_max,
   };
 
--- a/tests/support_core.h
+++ b/tests/support_core.h
@@ -37,6 +37,7 @@
   int64_t evacuation_ms;     /* see struct fl_core_options */
   bool is_unconfigured;      /* no configuration has been read */
   int64_t set_up_bytes_max;  /* see struct fl_core_options */
+  int64_t record_bytes_max;  /* see struct fl_core_options */
   int64_t job_bytes_max;     /* see struct fl_core_options */
   int64_t acquired_version;  /* 0 for one above those of all jobs, if reconciled_at_ms is set */
 };
