--- a/tests/soak.py
+++ b/tests/soak.py
@@ -323,6 +323,26 @@
                 self.cell.configure(more_routes=MORE_ROUTES)
             time.sleep(duration_s)
 
+    def write_versions(self, duration_s):
+        """Large and small versions of the configuration in turn, one each second."""
+        deadline = time.monotonic() + 2 * duration_s
+        with self.logged("configuration", "operator"):
+            while time.monotonic() < deadline:
+                self.cell.configure(more_routes=self.random.choice([0, MORE_ROUTES]))
+                time.sleep(1)
+
+    def replace_targets(self, duration_s):
+        """Two targets drain each half second, and others come in their place."""
+        deadline = time.monotonic() + 2 * duration_s
+        with self.logged("drain", "targets"):
+            while time.monotonic() < deadline:
+                targets = self.random.sample(range(self.soak.options.targets), 2)
+                for target in targets:
+                    self.cell.control_target(target, "drain")
+                time.sleep(0.5)
+                for target in targets:
+                    self.cell.control_target(target, "crash", 300)
+
     def restart_during_updates(self, duration_s):
         hosts = self.some_hosts()
         self.in_parallel([lambda h=host: self.restart(h, "frontd") for host in hosts]
@@ -644,6 +664,10 @@
     SEVERED = [silence_connections] * 5 + [kill_owner, pause_owner, restart_host, cut_or_crash]
     SEVERED_PHASES = [("severed", [silence_connections], 1), ("severed", SEVERED, 1),
                       ("severed", SEVERED, 2)]
+    VERSIONS = [write_versions, write_versions, replace_targets, delay_store_replies, limit_bandwidth,
+                pause_process]
+    VERSION_PHASES = [("versions", [write_versions, replace_targets], 2), ("versions", VERSIONS, 3),
+                      ("versions", VERSIONS, 5)]
     MEMORY = [hold_memory] * 4 + [kill_owner]
     MEMORY_PHASES = [("memory", [hold_memory], 8), ("memory", MEMORY, 8)]
     ADVICE_PHASES = [("advice", [disrupt_advice], 1), ("advice", ADVICE, 1), ("advice", ADVICE, 2)]
@@ -856,6 +880,7 @@
                 + (Faults.ADVICE_PHASES if self.plays_advice else [])
                 + (Faults.DEADLY_PHASES if self.plays_deadly else [])
                 + (Faults.EVACUATION_PHASES if self.phase == "evacuation" else [])
+                + (Faults.VERSION_PHASES if self.phase == "versions" else [])
                 + (Faults.MEMORY_PHASES if self.phase == "memory" else [])
                 + (Faults.SEVERED_PHASES if self.phase == "severed" else [])
                 + (Faults.HELD_PHASES if self.plays_held else []))
