--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -860,6 +860,7 @@
   job->ended_link.data = job;
   job->bytes = core_job_count_bytes (job);
   job->queue_stats->job_bytes += job->bytes;
+  job->record_kept_permille = 1000;
   job->added_without_record = progress == NULL;
   if (progress != NULL)
     apply_progress (job, progress);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -344,6 +344,21 @@
   CORE_JOB_TARGET_RECORDED
 };
 
+/* What a record leaves out where it would be longer than the store accepts, each with all before:
+ * one that is rejected keeps the others from being stored. */
+enum record_extent
+{
+  RECORD_COMPLETE,
+  /* Without some checkpoints: the targets that have them keep them while the tasks run. */
+  RECORD_FEWER_CHECKPOINTS,
+  /* Without targets: a successor waits for any target that has not reported. */
+  RECORD_ANY_TARGET,
+  /* Without failed runs, which a successor counts anew, and checkpoints. */
+  RECORD_WITHOUT_TASKS,
+  /* Without some of the tasks that are done. */
+  RECORD_FEWER_DONE
+};
+
 struct core_job
 {
   struct fl_core *core;
@@ -380,18 +395,20 @@
   int64_t crash_changes_recorded;  /* of these, those in a stored record */
   bool needs_recording;            /* its progress has changed since the last record */
   bool record_in_flight;
-  int64_t idle_tasks;             /* of the occurrences that are set up */
-  struct fl_job_scale scale;      /* of the run times of its tasks */
-  bool has_turn;                  /* see FL_ORDER_TURN_INTERVAL_MS */
-  int64_t repeated_runs;          /* of run_count, those with is_repeated */
-  int age_part;                   /* to which its time counts now */
-  int64_t age_part_since_ms;      /* 0 before the first part */
-  int64_t age_ms[CORE_AGE_PARTS]; /* of earlier times */
-  bool in_waiting;                /* in core->waiting_jobs */
-  bool in_final;                  /* in core->final_jobs */
-  bool in_lasting;                /* in core->lasting_jobs */
-  bool in_scheduled;              /* in core->scheduled_jobs */
-  bool in_ended;                  /* in core->ended_jobs */
+  enum record_extent record_extent; /* of its last record */
+  int64_t record_kept_permille;     /* of what that leaves out in part */
+  int64_t idle_tasks;               /* of the occurrences that are set up */
+  struct fl_job_scale scale;        /* of the run times of its tasks */
+  bool has_turn;                    /* see FL_ORDER_TURN_INTERVAL_MS */
+  int64_t repeated_runs;            /* of run_count, those with is_repeated */
+  int age_part;                     /* to which its time counts now */
+  int64_t age_part_since_ms;        /* 0 before the first part */
+  int64_t age_ms[CORE_AGE_PARTS];   /* of earlier times */
+  bool in_waiting;                  /* in core->waiting_jobs */
+  bool in_final;                    /* in core->final_jobs */
+  bool in_lasting;                  /* in core->lasting_jobs */
+  bool in_scheduled;                /* in core->scheduled_jobs */
+  bool in_ended;                    /* in core->ended_jobs */
   GList waiting_link;
   GList recording_link; /* in core->unrecorded_jobs while needs_recording is set */
   GList final_link;
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -10,6 +10,8 @@
  * one is tried. */
 #define CUT_PERCENT 90
 #define CUTS_MAX 5
+/* After a record that is shorter than this share of the limit, the next one is complete again. */
+#define COMPLETE_PERCENT 50
 /* Weight of one run in the moving average of the run time of a queue. */
 #define RUN_TIME_WEIGHT 0.05
 /* Weight of one run in the moving average of the share that fails. */
@@ -685,21 +687,6 @@
   return rows;
 }
 
-/* What a record leaves out where it would be longer than the store accepts, each with all before:
- * one that is rejected keeps the others from being stored. */
-enum record_extent
-{
-  RECORD_COMPLETE,
-  /* Without some checkpoints: the targets that have them keep them while the tasks run. */
-  RECORD_FEWER_CHECKPOINTS,
-  /* Without targets: a successor waits for any target that has not reported. */
-  RECORD_ANY_TARGET,
-  /* Without failed runs, which a successor counts anew, and checkpoints. */
-  RECORD_WITHOUT_TASKS,
-  /* Without some of the tasks that are done. */
-  RECORD_FEWER_DONE
-};
-
 static guint
 keep_share (guint count, int64_t kept_permille)
 {
@@ -781,31 +768,60 @@
 }
 
 static struct fl_str
-encode_progress (const struct core_job *job)
+encode_cut_progress (const struct core_job *job)
+{
+  return encode_progress_within (job, job->record_extent, job->record_kept_permille);
+}
+
+/* Leaves out more of the records of @job until one fits; @record is the last, which does not. */
+static struct fl_str
+cut_record (struct core_job *job, struct fl_str record, int64_t max)
 {
-  const struct fl_core *core = job->core;
-  int64_t max = core->options.record_bytes_max;
-  struct fl_str record = encode_progress_within (job, RECORD_COMPLETE, 0);
-  enum record_extent extent = RECORD_FEWER_CHECKPOINTS;
-  int64_t kept_permille = 1000;
   int cuts = 0;
 
-  if (max == 0 || (int64_t)record.len <= max)
-    return record;
-  fl_stats_add (core->options.stats, "records_cut_total", 1);
-  fl_log (core->options.log, FL_LOG_WARNING, "record_cut", FL_N ("job", &job->spec.id),
-          FL_I ("bytes", (int64_t)record.len), FL_I ("max", max));
-  while ((int64_t)record.len > max && extent <= RECORD_FEWER_DONE)
+  while ((int64_t)record.len > max
+         && (job->record_extent < RECORD_FEWER_DONE || job->record_kept_permille > 0))
     {
-      if (keeps_share (extent))
-        kept_permille = kept_permille * max * CUT_PERCENT / ((int64_t)record.len * 100);
+      if (keeps_share (job->record_extent) && cuts++ < CUTS_MAX)
+        job->record_kept_permille
+            = job->record_kept_permille * max * CUT_PERCENT / ((int64_t)record.len * 100);
+      else if (job->record_extent < RECORD_FEWER_DONE)
+        {
+          job->record_extent++;
+          job->record_kept_permille = 1000;
+          cuts = 0;
+          if (keeps_share (job->record_extent))
+            continue;
+        }
+      else
+        job->record_kept_permille = 0;
       fl_str_clear (&record);
-      record = encode_progress_within (job, extent, kept_permille);
-      if (keeps_share (extent) && ++cuts < CUTS_MAX)
-        continue;
-      extent++;
-      kept_permille = 1000;
-      cuts = 0;
+      record = encode_cut_progress (job);
+    }
+  return record;
+}
+
+/* Each record begins with what the one before has left out, since encoding takes time. */
+static struct fl_str
+encode_progress (struct core_job *job)
+{
+  const struct fl_core *core = job->core;
+  int64_t max = core->options.record_bytes_max;
+  struct fl_str record = encode_cut_progress (job);
+  size_t len = record.len;
+
+  if (max > 0 && (int64_t)len > max)
+    {
+      record = cut_record (job, record, max);
+      fl_stats_add (core->options.stats, "records_cut_total", 1);
+      fl_log (core->options.log, FL_LOG_NOTICE, "record_cut", FL_N ("job", &job->spec.id),
+              FL_I ("bytes", (int64_t)len), FL_I ("max", max), FL_I ("extent", job->record_extent),
+              FL_I ("kept_permille", job->record_kept_permille));
+    }
+  else if ((int64_t)len < max / 100 * COMPLETE_PERCENT)
+    {
+      job->record_extent = RECORD_COMPLETE;
+      job->record_kept_permille = 1000;
     }
   return record;
 }
--- a/lib/host/settings.c
+++ b/lib/host/settings.c
@@ -14,15 +14,16 @@
 /* Without a configured limit, a process must stay within that of a small host: what the computer
  * has is no limit where several processes share it. */
 #define MEMORY_MB_DEFAULT 128
-#define MEMORY_MB_MIN 32
+#define MEMORY_MB_MIN 16
 #define MEMORY_MB_MAX (1024 * 1024)
 #define DESCRIPTORS_MIN 64
+#define DESCRIPTORS_MAX 1000000000
+/* Of an operating system that sets no limit, or one above any use. */
 #define DESCRIPTORS_DEFAULT 1024
-/* An operating system that allows more is taken to set no limit. */
-#define DESCRIPTORS_MAX 100000
+#define DESCRIPTORS_UNLIMITED 100000
 #define ROW_BYTES_DEFAULT 65536
-#define ROW_BYTES_MIN 4096
-#define ROW_BYTES_MAX (64 * 1024 * 1024)
+#define ROW_BYTES_MIN 1024
+#define ROW_BYTES_MAX (1024 * 1024 * 1024)
 
 static const char *const log_level_names[] = { "err", "warning", "notice", "info", "debug", NULL };
 
@@ -99,7 +100,7 @@
 
   if (settings->descriptors_max > 0)
     return MAX (settings->descriptors_max, DESCRIPTORS_MIN);
-  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > DESCRIPTORS_MAX)
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > DESCRIPTORS_UNLIMITED)
     return DESCRIPTORS_DEFAULT;
   return MAX ((int64_t)limit.rlim_cur, DESCRIPTORS_MIN);
 }
