--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1966,7 +1966,7 @@
   for (guint i = 0; i < ids->len; i++)
     if (!g_hash_table_contains (listed, g_ptr_array_index (ids, i)))
       fl_core_remove_target (owner->core, g_ptr_array_index (ids, i));
-  /* 0 would say that the registry has never been confirmed, and the clock of a cell begins there. */
+  /* 0 stands for a registry that was never confirmed, and the clock of a cell begins there. */
   fl_core_confirm_registry (owner->core, MAX (cell->now_ms, 1));
 }
 
