--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -99,6 +99,13 @@
   return client->busy_max > 0 && client->busy_count >= client->busy_max ? &client->waiting : NULL;
 }
 
+static void
+wait_in (struct call *call, GQueue *queue)
+{
+  call->waiting_in = queue;
+  g_queue_push_tail (queue, call);
+}
+
 static void
 stop_waiting (struct call *call)
 {
@@ -121,8 +128,7 @@
 static void
 wait_for_others (struct call *call, GQueue *queue, int64_t timeout_ms)
 {
-  call->waiting_in = queue;
-  g_queue_push_tail (queue, call);
+  wait_in (call, queue);
   fl_stats_add (call->client->stats, "http_calls_waited_total", 1);
   fl_timeout_start (&call->timeout, timeout_ms);
 }
@@ -143,10 +149,7 @@
       if (other == NULL)
         begin_transfer (next);
       else
-        {
-          next->waiting_in = other;
-          g_queue_push_tail (other, next);
-        }
+        wait_in (next, other);
     }
 }
 
--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -129,3 +129,25 @@
   fclose (front->log);
   return code;
 }
+
+int
+front_call (const struct front *front, const char *request)
+{
+  struct test_client client = { .fd = -1 };
+  int status;
+
+  assert_true (test_client_connect (&client, front->port, false));
+  assert_true (test_client_request (&client, request));
+  status = test_client_await (&client);
+  test_client_close (&client);
+  return status;
+}
+
+void
+front_stop (struct front *front)
+{
+  int left_open;
+
+  kill (front->pid, SIGTERM);
+  assert_int_equal (front_await_end (front, &left_open), 0);
+}
--- a/tests/support_front.h
+++ b/tests/support_front.h
@@ -39,3 +39,9 @@
  * @return its exit code, or 128 plus the signal that ended it. @open_requests is set to the number
  * of requests that had no response when the process decided to end; -1 if it did not say so. */
 int front_await_end (struct front *front, int *open_requests);
+
+/* Sends @request over a new connection to @front. @return the status of the response. */
+int front_call (const struct front *front, const char *request);
+
+/* Stops @front by SIGTERM; fails the test if it does not end with 0. */
+void front_stop (struct front *front);
--- a/tests/test_front_admission.c
+++ b/tests/test_front_admission.c
@@ -211,15 +211,6 @@
   return rows;
 }
 
-static void
-stop_front (struct front *front)
-{
-  int left_open;
-
-  kill (front->pid, SIGTERM);
-  assert_int_equal (front_await_end (front, &left_open), 0);
-}
-
 /* An owner that ended while a queue was closed left the row: each front that started answered 429
  * for three seconds. */
 static void
@@ -244,13 +235,9 @@
       const struct shared_store store
           = { .rows = rows, .left = cases[i].left, .renewed = cases[i].renewed, .apply_ms = 5 };
       struct front front = front_start_with_store (create_store, &store);
-      struct test_client client = { .fd = -1 };
       usleep (KNOWN_US);
-      assert_true (test_client_connect (&client, front.port, false));
-      assert_true (test_client_request (&client, SUBMIT));
-      int status = test_client_await (&client);
-      test_client_close (&client);
-      stop_front (&front);
+      int status = front_call (&front, SUBMIT);
+      front_stop (&front);
       munmap (rows, sizeof *rows);
       if (status != cases[i].status)
         fail_msg ("%s: status %d instead of %d", cases[i].name, status, cases[i].status);
@@ -282,8 +269,8 @@
 static void
 stop_hosts (struct hosts *hosts)
 {
-  stop_front (&hosts->slow);
-  stop_front (&hosts->rejecting);
+  front_stop (&hosts->slow);
+  front_stop (&hosts->rejecting);
   munmap (hosts->rows, sizeof *hosts->rows);
 }
 
@@ -339,19 +326,12 @@
 test_rejected_id_is_stored_by_a_later_request (void **state)
 {
   struct hosts hosts = start_hosts (5);
-  struct test_client clients[2] = { { .fd = -1 }, { .fd = -1 } };
 
   (void)state;
-  assert_true (test_client_connect (&clients[0], hosts.rejecting.port, false));
-  assert_true (test_client_request (&clients[0], SUBMIT));
-  assert_int_equal (test_client_await (&clients[0]), 429);
+  assert_int_equal (front_call (&hosts.rejecting, SUBMIT), 429);
   usleep (RETRY_AFTER_US);
-  assert_true (test_client_connect (&clients[1], hosts.slow.port, false));
-  assert_true (test_client_request (&clients[1], SUBMIT));
-  assert_int_equal (test_client_await (&clients[1]), 200);
+  assert_int_equal (front_call (&hosts.slow, SUBMIT), 200);
   assert_true (hosts.rows->is_job);
-  test_client_close (&clients[0]);
-  test_client_close (&clients[1]);
   stop_hosts (&hosts);
 }
 
--- a/tests/test_front_cancel.c
+++ b/tests/test_front_cancel.c
@@ -259,28 +259,6 @@
 
 /* --- clients --- */
 
-static int
-call_front (const struct front *front, const char *request)
-{
-  struct test_client client = { .fd = -1 };
-  int status;
-
-  assert_true (test_client_connect (&client, front->port, false));
-  assert_true (test_client_request (&client, request));
-  status = test_client_await (&client);
-  test_client_close (&client);
-  return status;
-}
-
-static void
-stop_front (struct front *front)
-{
-  int left_open;
-
-  kill (front->pid, SIGTERM);
-  assert_int_equal (front_await_end (front, &left_open), 0);
-}
-
 /* A job that was cancelled before it was submitted was stored later. */
 static void
 test_cancelled_id_stays_cancelled (void **state)
@@ -309,7 +287,7 @@
 
       for (int step = 0; step < STEPS_MAX && cases[i].steps[step].request != NULL; step++)
         {
-          int status = call_front (&front, cases[i].steps[step].request);
+          int status = front_call (&front, cases[i].steps[step].request);
           if (status == cases[i].steps[step].status)
             continue;
           print_error ("%s, step %d: status %d\n", cases[i].name, step, status);
@@ -320,7 +298,7 @@
           print_error ("%s: %d rows\n", cases[i].name, (int)count_job_rows (options.rows));
           failures++;
         }
-      stop_front (&front);
+      front_stop (&front);
       munmap (options.rows, sizeof *options.rows);
     }
   assert_int_equal (failures, 0);
@@ -361,7 +339,7 @@
         assert_int_equal (test_client_await (&client), 504);
       else
         usleep (LATE_MS * 1000);
-      int status = call_front (&prompt, CANCEL);
+      int status = front_call (&prompt, CANCEL);
       kill (late.pid, SIGCONT);
       usleep (SETTLED_US);
       const struct shared_row *row = find_row (options.rows, &id);
@@ -372,8 +350,8 @@
           failures++;
         }
       test_client_close (&client);
-      stop_front (&late);
-      stop_front (&prompt);
+      front_stop (&late);
+      front_stop (&prompt);
       munmap (options.rows, sizeof *options.rows);
     }
   assert_int_equal (failures, 0);
@@ -440,7 +418,7 @@
           failures++;
         }
       test_client_close (&client);
-      stop_front (&front);
+      front_stop (&front);
       munmap (options.rows, sizeof *options.rows);
     }
   assert_int_equal (failures, 0);
