Core: logs tell how the last run of a task is known to be over, and runs that were lost in error

A start says neither which owner sent it nor why the run before counts as ended, and a run that goes on after it was taken for lost is told as stop_foreign, as one of a job that has ended is. Now start has owner_token and after, lost_run_listed tells of a lost run that its target lists, and runs_lost_alive_total counts those that run. No decision changes; tests of the core pass.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -194,13 +194,27 @@
   CORE_EARLIER_RUN_NONE
 };
 
+/* How this owner knows that the last run of a task is over. */
+enum core_run_end
+{
+  CORE_RUN_END_NONE,       /* it knows of no earlier run */
+  CORE_RUN_END_LISTED,     /* the target listed its end */
+  CORE_RUN_END_ABSENT,     /* the target listed neither the run nor its end */
+  CORE_RUN_END_REJECTED,   /* the target did not start it */
+  CORE_RUN_END_LAPSED,     /* the lease of its target has expired */
+  CORE_RUN_END_TAKEN_OVER, /* another boot replies at the address of its target */
+  CORE_RUN_END_REFUSED     /* connections to its target were refused */
+};
+
 struct core_task
 {
   struct core_step *step;
   int64_t index;
   bool done;
+  uint8_t last_end;    /* enum core_run_end, of the last run that was ordered or adopted */
   GArray *failed_runs; /* struct fl_failed_run, each run once; NULL for none */
   int64_t last_run_number;
+  int64_t lost_run;     /* the last one that was concluded to be over, not listed so; 0 for none */
   struct core_run *run; /* NULL while the task waits or is done */
   struct fl_str checkpoint;
   /* Hash of the id of the target on which a run last failed or stalled; 0 for none. Another target
@@ -698,6 +712,15 @@
 
 /* Frees a run that is no longer in effect, and releases its resources. */
 void core_run_release (struct core_run *run);
+/* core_run_release for a run that was ordered or adopted, with how this owner knows of its end. */
+void core_run_release_ended (struct core_run *run, enum core_run_end end);
+/* Logs what @target lists of @run of @task, which may be NULL, if this owner took that run for
+ * lost.
+ * @what: "running", or the cause of its end. */
+void core_run_note_lost_run (const struct core_task *task,
+                             int64_t run,
+                             const struct core_target *target,
+                             const char *what);
 
 /* Orders the start of @run, a new run, or plans it until its target is recorded. */
 void core_run_start (struct core_run *run, const char *ticket);
@@ -714,7 +737,7 @@
 struct fl_run_order core_run_make_order (const struct core_run *run);
 
 /* Treats all runs of @target as lost, because its boot has ended. */
-void core_target_lose_runs (struct core_target *target, const char *reason);
+void core_target_lose_runs (struct core_target *target, enum core_run_end end);
 
 /* Treats the runs of @target as lost that were in the boot that had its address and has ended. */
 void core_target_lose_ended_runs (struct core_target *target);
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -250,6 +250,8 @@
       = task->run != NULL && task->run->target == target && task->run->number == end->run;
   int64_t ran_ms = 0;
   bool is_resumed = false;
+  if (!is_current && end->cause != FL_END_LEASE_EXPIRED)
+    core_run_note_lost_run (task, end->run, target, end_cause_name (end->cause));
   if (is_current && task->run->started_at_ms > 0)
     {
       ran_ms = core->now_ms - task->run->started_at_ms;
@@ -258,7 +260,7 @@
   if (is_current)
     {
       core_speed_note_end (task->run, end->cause);
-      core_run_release (task->run);
+      core_run_release_ended (task->run, CORE_RUN_END_LISTED);
     }
   if (is_current && (end->cause == FL_END_DONE || end->cause == FL_END_FAILED))
     learn_failure (task, end->cause == FL_END_FAILED);
@@ -316,6 +318,9 @@
 
   target->stale_runs++;
   fl_stats_add (core->options.stats, "runs_unexpected_total", 1);
+  core_run_note_lost_run (task, row->run, target, "running");
+  if (task != NULL && task->lost_run == row->run)
+    fl_stats_add (core->options.stats, "runs_lost_alive_total", 1);
   fl_log (core->options.log, FL_LOG_NOTICE, "stop_foreign", FL_N ("task", &row->task),
           FL_I ("run", row->run), FL_N ("target", &target->entry.id),
           FL_I ("boot", target->booted_at_ms),
@@ -448,7 +453,7 @@
               FL_I ("boot", target->booted_at_ms),
               FL_I ("ordered_ms", core->now_ms - run->first_ordered_at_ms),
               FL_I ("listed_ms", core_run_known_age_ms (run)));
-      core_run_release (run);
+      core_run_release_ended (run, CORE_RUN_END_ABSENT);
     }
 }
 
@@ -525,7 +530,7 @@
 {
   core_crash_note_boot_end (target, "address_taken_over");
   core_crash_resolve (target, false);
-  core_target_lose_runs (target, "address_taken_over");
+  core_target_lose_runs (target, CORE_RUN_END_TAKEN_OVER);
   target->inherited = false;
   target->reported = target->reported_fully = false;
   /* Until it has told its boot, orders to it carry nothing that concerns one. */
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -123,6 +123,43 @@
   g_ptr_array_remove_fast (run->target->runs, run);
 }
 
+void
+core_run_release_ended (struct core_run *run, enum core_run_end end)
+{
+  run->task->last_end = (uint8_t)end;
+  core_run_release (run);
+}
+
+static const char *
+get_end_name (const struct core_task *task)
+{
+  static const char *const names[] = {
+    [CORE_RUN_END_NONE] = "none",           [CORE_RUN_END_LISTED] = "listed",
+    [CORE_RUN_END_ABSENT] = "absent",       [CORE_RUN_END_REJECTED] = "rejected",
+    [CORE_RUN_END_LAPSED] = "lease_lapsed", [CORE_RUN_END_TAKEN_OVER] = "address_taken_over",
+    [CORE_RUN_END_REFUSED] = "no_listener",
+  };
+
+  return names[task->last_end];
+}
+
+void
+core_run_note_lost_run (const struct core_task *task,
+                        int64_t run,
+                        const struct core_target *target,
+                        const char *what)
+{
+  const struct fl_core *core = target->core;
+
+  if (task == NULL || run == 0 || task->lost_run != run)
+    return;
+  struct fl_name name = core_task_name (task);
+  fl_log (core->options.log, FL_LOG_NOTICE, "lost_run_listed", FL_N ("task", &name),
+          FL_I ("run", run), FL_N ("target", &target->entry.id),
+          FL_I ("boot", target->booted_at_ms), FL_S ("as", what),
+          FL_S ("after", get_end_name (task)), FL_I ("last_run", task->last_run_number));
+}
+
 /* How long a start order to @target may take effect. The clock of the target is known from a reply,
  * which was on its way for some time. */
 static int64_t
@@ -196,7 +233,9 @@
           FL_I ("run", run->number), FL_N ("target", &target->entry.id),
           FL_I ("attempt", run->inconclusive_starts + 1),
           FL_I ("lists_age_ms", core->now_ms - target->last_heartbeat_at_ms),
-          FL_I ("boot", target->booted_at_ms), FL_I ("listed_boot", target->entry.booted_at_ms));
+          FL_I ("boot", target->booted_at_ms), FL_I ("listed_boot", target->entry.booted_at_ms),
+          FL_I ("owner_token", core->options.fencing_token),
+          FL_S ("after", get_end_name (run->task)));
   core->options.actions.start (core->options.context, &order);
 }
 
@@ -282,14 +321,17 @@
 }
 
 static void
-lose_run (struct core_run *run, const char *reason)
+lose_run (struct core_run *run, enum core_run_end end)
 {
   struct fl_core *core = run->task->step->job->core;
-  struct fl_name name = core_task_name (run->task);
+  struct core_task *task = run->task;
+  struct fl_name name = core_task_name (task);
 
+  task->last_end = (uint8_t)end;
+  task->lost_run = run->number;
   fl_log (core->options.log, FL_LOG_NOTICE, "run_lost", FL_N ("task", &name),
           FL_I ("run", run->number), FL_N ("target", &run->target->entry.id),
-          FL_S ("reason", reason), FL_I ("boot", run->target->booted_at_ms),
+          FL_S ("reason", get_end_name (task)), FL_I ("boot", run->target->booted_at_ms),
           FL_I ("ordered_ms", core->now_ms - run->first_ordered_at_ms),
           FL_I ("listed_ms", core_run_known_age_ms (run)));
   fl_stats_add (core->options.stats, "runs_lost_total", 1);
@@ -297,7 +339,7 @@
 }
 
 void
-core_target_lose_runs (struct core_target *target, const char *reason)
+core_target_lose_runs (struct core_target *target, enum core_run_end end)
 {
   while (target->runs->len > 0)
     {
@@ -305,7 +347,7 @@
       if (run->state == CORE_RUN_PLANNED)
         cancel_planned_run (run);
       else
-        lose_run (run, reason);
+        lose_run (run, end);
     }
 }
 
@@ -328,7 +370,7 @@
     {
       struct core_run *run = g_ptr_array_index (target->runs, i - 1);
       if (ended_with_boot (run))
-        lose_run (run, "no_listener");
+        lose_run (run, CORE_RUN_END_REFUSED);
     }
 }
 
@@ -391,7 +433,7 @@
       if (now_ms >= expiry_ms)
         {
           core_crash_note_lapse (run);
-          lose_run (run, "lease_lapsed");
+          lose_run (run, CORE_RUN_END_LAPSED);
         }
       else
         next_ms = MIN (next_ms, expiry_ms);
@@ -485,7 +527,7 @@
       task->backoff_until_ms = core->now_ms + REJECTED_BACKOFF_MS;
       task->step->backoff_until_ms = task->backoff_until_ms;
     }
-  core_run_release (run);
+  core_run_release_ended (run, CORE_RUN_END_REJECTED);
   if (task->step->spec->gang)
     abort_gang (task->step);
 }
