--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -200,7 +200,6 @@
   CORE_RUN_END_NONE,       /* it knows of no earlier run */
   CORE_RUN_END_LISTED,     /* the target listed its end */
   CORE_RUN_END_ABSENT,     /* the target listed neither the run nor its end */
-  CORE_RUN_END_REJECTED,   /* the target did not start it */
   CORE_RUN_END_LAPSED,     /* the lease of its target has expired */
   CORE_RUN_END_TAKEN_OVER, /* another boot replies at the address of its target */
   CORE_RUN_END_REFUSED     /* connections to its target were refused */
@@ -211,7 +210,7 @@
   struct core_step *step;
   int64_t index;
   bool done;
-  uint8_t last_end;    /* enum core_run_end, of the last run that was ordered or adopted */
+  uint8_t last_end;    /* enum core_run_end, of the last run that may have been in effect */
   GArray *failed_runs; /* struct fl_failed_run, each run once; NULL for none */
   int64_t last_run_number;
   int64_t lost_run;     /* the last one that was concluded to be over, not listed so; 0 for none */
@@ -712,7 +711,7 @@
 
 /* Frees a run that is no longer in effect, and releases its resources. */
 void core_run_release (struct core_run *run);
-/* core_run_release for a run that was ordered or adopted, with how this owner knows of its end. */
+/* core_run_release for a run that may have been in effect, with how this owner knows of its end. */
 void core_run_release_ended (struct core_run *run, enum core_run_end end);
 /* Logs what @target lists of @run of @task, which may be NULL, if this owner took that run for
  * lost.
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -134,9 +134,11 @@
 get_end_name (const struct core_task *task)
 {
   static const char *const names[] = {
-    [CORE_RUN_END_NONE] = "none",           [CORE_RUN_END_LISTED] = "listed",
-    [CORE_RUN_END_ABSENT] = "absent",       [CORE_RUN_END_REJECTED] = "rejected",
-    [CORE_RUN_END_LAPSED] = "lease_lapsed", [CORE_RUN_END_TAKEN_OVER] = "address_taken_over",
+    [CORE_RUN_END_NONE] = "none",
+    [CORE_RUN_END_LISTED] = "listed",
+    [CORE_RUN_END_ABSENT] = "absent",
+    [CORE_RUN_END_LAPSED] = "lease_lapsed",
+    [CORE_RUN_END_TAKEN_OVER] = "address_taken_over",
     [CORE_RUN_END_REFUSED] = "no_listener",
   };
 
@@ -527,7 +529,7 @@
       task->backoff_until_ms = core->now_ms + REJECTED_BACKOFF_MS;
       task->step->backoff_until_ms = task->backoff_until_ms;
     }
-  core_run_release_ended (run, CORE_RUN_END_REJECTED);
+  core_run_release (run);
   if (task->step->spec->gang)
     abort_gang (task->step);
 }
