Tests: live targets that refuse connections; they fail

In the cell a heartbeat was refused only while its target was down. Now connections to a target can be refused, and the open ones end, for 20 ms to 4 s while its tasks run on, half of the time without its registry entry (test_core_cell refusals).

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -41,6 +41,7 @@
 #define CALM_MS 7000
 #define LONG_RUNNING_TASKS 6
 #define ISOLATED_MAX_MS 9000
+#define REFUSES_MAX_MS 4000
 
 const struct cell_fault_rates cell_late_order_rates = { .order_reply_lost = 20,
                                                         .order_late_any_boot = 60,
@@ -123,6 +124,8 @@
   bool up;
   bool draining;
   int64_t isolated_until_ms; /* until then no owner reaches it */
+  int64_t refuses_until_ms;  /* until then connections to it are refused; its tasks run on */
+  int64_t unlisted_until_ms; /* until then its registry entry is missing */
   bool is_known;             /* the newest owner has received a report of the present boot */
   int64_t known_at_ms;       /* since when */
   bool is_fenced; /* the present boot has received a heartbeat that was sent after that */
@@ -1115,8 +1118,9 @@
   struct call *call = data;
   struct fake_target *target = find_target_at (cell, &call->address);
 
-  if (call->kind == CALL_HEARTBEAT && target != NULL && !target->up
-      && target->isolated_until_ms <= cell->now_ms)
+  bool is_down = call->kind == CALL_HEARTBEAT && target != NULL && !target->up;
+  bool is_refused = target != NULL && target->up && target->refuses_until_ms > cell->now_ms;
+  if ((is_down || is_refused) && target->isolated_until_ms <= cell->now_ms)
     {
       call->result = FL_ORDER_NO_LISTENER;
       call->replied = true;
@@ -1952,7 +1956,8 @@
                                        .address = target->address,
                                        .draining = target->draining };
       /* A target that stays isolated for over a second is not registered; its tasks run on. */
-      if (!target->up || target->isolated_until_ms > cell->now_ms + 1000)
+      if (!target->up || target->isolated_until_ms > cell->now_ms + 1000
+          || target->unlisted_until_ms > cell->now_ms)
         continue;
       update_listing (target);
       entry.resources = target->listed_capacity;
@@ -2187,6 +2192,22 @@
   schedule (cell, random_between (cell, 1000, 12000), on_target_grows, target);
 }
 
+/* The open connections to @target end without a reply, and new ones are refused. */
+static void
+refuse_connections (struct cell *cell,
+                    struct fake_target *target,
+                    int64_t duration_ms,
+                    bool is_unlisted)
+{
+  target->refuses_until_ms = cell->now_ms + duration_ms;
+  if (is_unlisted)
+    target->unlisted_until_ms = target->refuses_until_ms;
+  for (guint i = 0; i < target->waiting_heartbeats->len; i++)
+    schedule (cell, 1, on_call_done, g_array_index (target->waiting_heartbeats, struct call *, i));
+  g_array_set_size (target->waiting_heartbeats, 0);
+  note_target_fault (cell, target, duration_ms);
+}
+
 static void
 inject_random_target_faults (struct cell *cell)
 {
@@ -2208,6 +2229,9 @@
                                                                 : ISOLATED_MAX_MS);
       note_target_fault (cell, target, target->isolated_until_ms - cell->now_ms);
     }
+  if (rates->target_refuses > 0 && target->up && happens_randomly (cell, rates->target_refuses))
+    refuse_connections (cell, target, random_between (cell, 20, REFUSES_MAX_MS),
+                        happens_randomly (cell, 500));
   if (target->up && !target->draining && happens_randomly (cell, rates->target_drain))
     {
       note_target_fault (cell, target, 11000);
@@ -2294,6 +2318,8 @@
     return;
   if (fault->kind == CELL_FAULT_TARGET_ISOLATED)
     target->isolated_until_ms = cell->now_ms + 6000;
+  else if (fault->kind == CELL_FAULT_TARGET_REFUSES)
+    refuse_connections (cell, target, 2000, true);
   else if (fault->kind == CELL_FAULT_TARGET_DRAIN && !target->draining)
     {
       target->draining = true;
@@ -2448,7 +2474,8 @@
 static bool
 is_reachable (const struct fake_target *target)
 {
-  return target->up && target->isolated_until_ms <= target->cell->now_ms;
+  return target->up && target->isolated_until_ms <= target->cell->now_ms
+         && target->refuses_until_ms <= target->cell->now_ms;
 }
 
 /* Whether a target that an owner can use has capacity for two tasks of @job, a long-running one. */
@@ -2923,3 +2950,25 @@
     options.fault_rates.target_crash = 0;
   return cell_simulate (&options);
 }
+
+struct cell_result
+cell_simulate_refusals (uint64_t seed, const char *trace_prefix)
+{
+  struct cell_options options
+      = { .seed = seed,
+          .target_count = 6,
+          .job_count = 60,
+          .fault_phase_ms = 30000,
+          .advice_required = seed % 3 != 0,
+          .fault_rates = seed % 4 == 3 ? cell_late_order_rates : cell_mixed_fault_rates,
+          .trace_prefix = trace_prefix };
+
+  options.fault_rates.target_refuses = 60;
+  options.fault_rates.gang = seed % 4 == 1 ? 500 : 0;
+  if (seed % 4 == 2)
+    {
+      options.fault_rates.job_deadly = 80;
+      options.fault_rates.deadly_fuse_max_ms = 600;
+    }
+  return cell_simulate (&options);
+}
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -25,6 +25,9 @@
   int target_isolated;        /* a target is unreachable for 0.3 to 9 s, or up to
                                  target_isolated_max_ms; its tasks keep running */
   int target_isolated_max_ms; /* no rate; 0 for 9 s */
+  int target_refuses;     /* connections to a target are refused for 20 ms to 4 s, and the open ones
+                             end; its tasks keep running, and half of the time its registry entry
+                             is missing meanwhile */
   int target_drain;       /* a target drains for 2 to 5 s and then restarts like after a crash */
   int owner_killed;       /* the owner is killed; another one takes over when the lease expires */
   int owner_frozen;       /* the owner is suspended for 0.2 to 8 s */
@@ -64,6 +67,7 @@
   CELL_FAULT_TARGET_CRASH,
   CELL_FAULT_TARGET_REPLACED, /* a crash and a restart with another id */
   CELL_FAULT_TARGET_ISOLATED,
+  CELL_FAULT_TARGET_REFUSES, /* and its registry entry is missing meanwhile */
   CELL_FAULT_TARGET_DRAIN,
   CELL_FAULT_OWNER_KILLED,
   CELL_FAULT_OWNER_FROZEN,
@@ -184,3 +188,8 @@
  * the seed, half of the jobs are gangs, some jobs are long-running, or owners read the jobs slowly
  * (modulo 4). @trace_prefix is NULL for no trace. */
 struct cell_result cell_simulate_evacuations (uint64_t seed, const char *trace_prefix);
+
+/* Runs one simulation of targets that refuse connections while they are up, beside the faults of
+ * another set, by the seed: mixed faults, the same with gangs or with tasks that crash their
+ * targets, late orders (modulo 4). @trace_prefix is NULL for no trace. */
+struct cell_result cell_simulate_refusals (uint64_t seed, const char *trace_prefix);
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -6,6 +6,7 @@
  *   test_core_cell few-eligible SEED COUNT [TASK]  the same with few eligible targets
  *   test_core_cell late-orders SEED COUNT [TASK]  orders that are executed in the next boot
  *   test_core_cell gangs SEED COUNT [TASK]    the same as the first, half of the jobs with gangs
+ *   test_core_cell refusals SEED COUNT [TASK]  live targets refuse connections
  *   test_core_cell evacuations SEED COUNT [TASK]  failure domains are evacuated and taken back
  *   test_core_cell deadly SEED COUNT [TASK]   tasks that crash their targets, which also shrink and
  * grow test_core_cell advice SEED COUNT [TASK]   one of advice_profiles, by the seed test_core_cell
@@ -48,6 +49,10 @@
     { .target_crash = 50, .target_new_id = 700 },
     true },
   { "targets isolated", { .target_isolated = 50 }, true },
+  { "connections to targets refused", { .target_refuses = 60 }, true },
+  { "connections to targets refused, owner killed",
+    { .target_refuses = 60, .owner_killed = 20 },
+    true },
   { "targets drain", { .target_drain = 40, .target_new_id = 1000 }, true },
   { "owner killed", { .owner_killed = 20 }, true },
   { "owner frozen", { .owner_frozen = 20 }, true },
@@ -338,13 +343,16 @@
 }
 
 static int
-simulate_deadly_seeds (uint64_t first_seed, int count, const char *trace_prefix)
+simulate_deadly_seeds (struct cell_result (*simulate) (uint64_t seed, const char *trace_prefix),
+                       uint64_t first_seed,
+                       int count,
+                       const char *trace_prefix)
 {
   int failed = 0;
 
   for (uint64_t seed = first_seed; seed < first_seed + (uint64_t)count; seed++)
     {
-      struct cell_result result = cell_simulate_deadly_tasks (seed, trace_prefix);
+      struct cell_result result = simulate (seed, trace_prefix);
       printf ("seed=%d accepted=%d ended=%d starts=%d owners=%d deadly=%d crashes=%d most=%d "
               "lost_beside=%d innocents=%d %s\n",
               (int)seed, result.jobs_accepted, result.jobs_ended, (int)result.starts,
@@ -446,6 +454,24 @@
   assert_int_equal (failed, 0);
 }
 
+/* A path that refused connections was taken for the end of the target's boot. */
+static void
+test_runs_behind_refused_connections (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (uint64_t seed = 1; seed <= 8 * SEED_COUNT; seed++)
+    {
+      struct cell_result result = cell_simulate_refusals (seed, NULL);
+      if (result.violation[0] == '\0')
+        continue;
+      printf ("refused connections, seed %d: %s\n", (int)seed, result.violation);
+      failed++;
+    }
+  assert_int_equal (failed, 0);
+}
+
 /* Simulates every single fault and every pair of faults in the small cell. */
 static void
 test_fault_pairs (void **state)
@@ -536,12 +562,16 @@
 int
 main (int argc, char **argv)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_fault_profiles), cmocka_unit_test (test_mixed_faults),
-          cmocka_unit_test (test_slow_reading),   cmocka_unit_test (test_long_running_jobs),
-          cmocka_unit_test (test_few_eligible),   cmocka_unit_test (test_regressions),
-          cmocka_unit_test (test_gangs),          cmocka_unit_test (test_evacuations),
-          cmocka_unit_test (test_fault_pairs) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_fault_profiles),
+                                      cmocka_unit_test (test_mixed_faults),
+                                      cmocka_unit_test (test_slow_reading),
+                                      cmocka_unit_test (test_long_running_jobs),
+                                      cmocka_unit_test (test_few_eligible),
+                                      cmocka_unit_test (test_regressions),
+                                      cmocka_unit_test (test_gangs),
+                                      cmocka_unit_test (test_evacuations),
+                                      cmocka_unit_test (test_runs_behind_refused_connections),
+                                      cmocka_unit_test (test_fault_pairs) };
 
   if (argc == 5 && strcmp (argv[1], "trouble") == 0)
     return simulate_profile (atoi (argv[2]), strtoull (argv[3], NULL, 10), argv[4]);
@@ -558,8 +588,11 @@
                              argc > 4 ? argv[4] : NULL);
     }
   if (argc >= 4 && strcmp (argv[1], "deadly") == 0)
-    return simulate_deadly_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]),
-                                  argc > 4 ? argv[4] : NULL);
+    return simulate_deadly_seeds (cell_simulate_deadly_tasks, strtoull (argv[2], NULL, 10),
+                                  atoi (argv[3]), argc > 4 ? argv[4] : NULL);
+  if (argc >= 4 && strcmp (argv[1], "refusals") == 0)
+    return simulate_deadly_seeds (cell_simulate_refusals, strtoull (argv[2], NULL, 10),
+                                  atoi (argv[3]), argc > 4 ? argv[4] : NULL);
   if (argc >= 4 && strcmp (argv[1], "evacuations") == 0)
     return simulate_evacuation_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]),
                                       argc > 4 ? argv[4] : NULL);
