--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -143,14 +143,14 @@
  *            evacuation began, and before it ended
  *   QUOTA    the runs of a team exceed its CPU limit by over a tenth and one task
  *   MIXED    a job is recorded as completed although a task is not done
- *   LOST     a job did not end, or is recorded as failed or cancelled without cause; the cause of a
- *            failure is a task that has used up its attempts, or under which
- *            CELL_DEADLY_CRASHES_MIN targets have crashed while it ran there; or a task of a
- * long-running job was down for over 9 s, with room for it, and the last 7 s without a new fault;
- * or, with an advice profile, a job had nothing running for CELL_IDLE_MAX_MS, though a task of it
- * may start, its team uses less than half of its limit, and an eligible target has room for two
- * such tasks. If the only fault is that the advice service is slow, this holds without a calm time,
- * for CELL_IDLE_MAX_MS and the delay of one query */
+ *   LOST     a job did not end in time, and neither ran nor waited for a team at its limit, or is
+ * recorded as failed or cancelled without cause; the cause of a failure is a task that has used up
+ * its attempts, or under which CELL_DEADLY_CRASHES_MIN targets have crashed while it ran there; or
+ * a task of a long-running job was down for over 9 s, with room for it, and the last 7 s without a
+ * new fault; or, with an advice profile, a job had nothing running for CELL_IDLE_MAX_MS, though a
+ * task of it may start, its team uses less than half of its limit, and an eligible target has room
+ * for two such tasks. If the only fault is that the advice service is slow, this holds without a
+ * calm time, for CELL_IDLE_MAX_MS and the delay of one query */
 struct cell_result
 {
   char violation[256]; /* the first violated rule, with time and task; empty if there is none */
