Core: a refused connection ends no runs

Its listed runs were released and started elsewhere, its tasks were blamed for a crash, and a new owner did not wait for it where its registry entry was missing. A path that refuses (a cut, a device between) says nothing of the boot behind it, and entries lapse with the store.

Now a refused connection is silence.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -197,12 +197,11 @@
 /* How this owner knows that the last run of a task is over. */
 enum core_run_end
 {
-  CORE_RUN_END_NONE,       /* it knows of no earlier run */
-  CORE_RUN_END_LISTED,     /* the target listed its end */
-  CORE_RUN_END_ABSENT,     /* the target listed neither the run nor its end */
-  CORE_RUN_END_LAPSED,     /* the lease of its target has expired */
-  CORE_RUN_END_TAKEN_OVER, /* another boot replies at the address of its target */
-  CORE_RUN_END_REFUSED     /* connections to its target were refused */
+  CORE_RUN_END_NONE,      /* it knows of no earlier run */
+  CORE_RUN_END_LISTED,    /* the target listed its end */
+  CORE_RUN_END_ABSENT,    /* the target listed neither the run nor its end */
+  CORE_RUN_END_LAPSED,    /* the lease of its target has expired */
+  CORE_RUN_END_TAKEN_OVER /* another boot replies at the address of its target */
 };
 
 struct core_task
@@ -738,9 +737,6 @@
 /* Treats all runs of @target as lost, because its boot has ended. */
 void core_target_lose_runs (struct core_target *target, enum core_run_end end);
 
-/* Treats the runs of @target as lost that were in the boot that had its address and has ended. */
-void core_target_lose_ended_runs (struct core_target *target);
-
 /* Extends the expected end of the leases on @target: at @from_ms it may have been asked for one of
  * @lease_ms. */
 void core_target_extend_lease (struct core_target *target, int64_t from_ms, int64_t lease_ms);
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -541,22 +541,6 @@
   fl_stats_add (core->options.stats, "targets_taken_over_total", 1);
 }
 
-/* Handles a refused connection to @target: no process listens there any more.
- *
- * Load pattern: targets are taken away at short notice, or crash, while all is full. Their tasks
- * would wait for the end of the leases, and after a change of owner the jobs that have tasks there
- * would, too. */
-static void
-handle_no_listener (struct fl_core *core, struct core_target *target)
-{
-  core_crash_note_boot_end (target, "no_listener");
-  core_target_lose_ended_runs (target);
-  if (!core->registry_known || target->registered)
-    return;
-  target->inherited = false;
-  core_target_update_reconciled (target);
-}
-
 /* Whether what happens at the present address of @target tells of its boot. Another writer may have
  * replaced the address in its registry entry, while its tasks go on. */
 static bool
@@ -620,8 +604,6 @@
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
   if (reply->result == FL_ORDER_OTHER_BOOT && is_address_conclusive (target))
     handle_address_takeover (core, target);
-  if (reply->result == FL_ORDER_NO_LISTENER && target->silent && is_address_conclusive (target))
-    handle_no_listener (core, target);
   if (report == NULL || target->silent)
     update_silence (core, target, report == NULL, reply->result);
   if (report == NULL)
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -139,7 +139,6 @@
     [CORE_RUN_END_ABSENT] = "absent",
     [CORE_RUN_END_LAPSED] = "lease_lapsed",
     [CORE_RUN_END_TAKEN_OVER] = "address_taken_over",
-    [CORE_RUN_END_REFUSED] = "no_listener",
   };
 
   return names[task->last_end];
@@ -353,29 +352,6 @@
     }
 }
 
-/* Whether the end of the boot of its target has certainly ended @run: its only start order has been
- * executed. A late copy of another order could start the run in the next boot, which may have the
- * same id; once the target has left the registry, there is none. */
-static bool
-ended_with_boot (const struct core_run *run)
-{
-  bool has_left = run->target->core->registry_known && !run->target->registered;
-
-  return run->ever_listed
-         && (has_left || (run->started_at_ms > 0 && run->inconclusive_starts == 0));
-}
-
-void
-core_target_lose_ended_runs (struct core_target *target)
-{
-  for (guint i = target->runs->len; i > 0; i--)
-    {
-      struct core_run *run = g_ptr_array_index (target->runs, i - 1);
-      if (ended_with_boot (run))
-        lose_run (run, CORE_RUN_END_REFUSED);
-    }
-}
-
 /* The time by which a lease of @lease_ms that a target gave at @from_ms has certainly expired. */
 static int64_t
 lease_end_ms (int64_t from_ms, int64_t lease_ms)
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -31,7 +31,7 @@
   int status;         /* HTTP status; 0 when there is no complete response */
   struct fl_str body; /* complete when status is not 0 */
   bool maybe_sent;    /* whether any byte of the request may have left this process */
-  bool is_refused;    /* no process listens at the address: nothing was sent */
+  bool is_refused;    /* the connection was refused, there or on the way: nothing was sent */
   /* The request was sent over a reused connection that ended before the first byte of the reply,
    * and was not resent. This says nothing about new connections to the server. */
   bool is_connection_stale;
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -57,7 +57,8 @@
   FL_ORDER_OTHER_BOOT,      /* another boot now has the address; nothing was started */
   FL_ORDER_NOT_SENT,        /* no connection, or the sender lost its authority before sending */
   FL_ORDER_NO_REPLY,        /* outcome unknown: executed, not executed, or executed later */
-  /* No process listens at the address: the boot that had it has ended; nothing was started. */
+  /* The connection was refused, by the host of the target or on the way to it: this order did
+   * nothing, and its tasks may run on. */
   FL_ORDER_NO_LISTENER,
   FL_ORDER_RESULT_COUNT
 };
