Core: crashes of targets are judged by what they prove, at the time of the silence

Cause: with refusals no longer taken for crashes, a crash is noticed when the next boot replies, seconds later.

Change: the time of a crash is when its target fell silent. A refused connection makes the runs there open cases, judged by what is known then and recorded, which count for nothing until another boot replies and are withdrawn when the same one does; they hold up no other task. A task that would be given up for an open case waits for its verdict, as do the other tasks of its job, and a verdict waits for targets that fell silent at the same time.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -18,11 +18,19 @@
 #define CORE_EXPIRY_MARGIN_MS 50
 /* A target on which tasks of several jobs failed in a row gets no new tasks for this long. */
 #define CORE_QUARANTINE_MS 5000
-/* Number of crashes of targets whose times are kept. */
-#define CORE_CRASH_TIMES 5
+/* Number of crashes of targets that are kept. */
+#define CORE_CRASHES_KEPT 64
 
 struct core_run;
 
+/* The end of a boot without notice. */
+struct core_target_crash
+{
+  int64_t at_ms;
+  uint32_t target;     /* fl_job_target_hash of its id */
+  bool is_unexplained; /* no run there can have been the cause */
+};
+
 /* How slow a run is, measured over the time between some of the reports of its target. */
 struct core_pace
 {
@@ -81,8 +89,13 @@
   struct fl_name confirmed_address;
   bool clock_went_back;  /* since the last report: it has restarted */
   int missed_heartbeats; /* consecutive */
-  int64_t booted_at_ms;  /* identifies its boot */
-  bool boot_known;       /* it has told booted_at_ms */
+  /* Since its last report: when it fell silent (0 if it has not), whether it was examined as one
+   * that may have crashed, and how many fresh runs were there (see crash.c). */
+  int64_t silent_since_ms;
+  bool crash_suspected;
+  int suspects;
+  int64_t booted_at_ms; /* identifies its boot */
+  bool boot_known;      /* it has told booted_at_ms */
   /* Its boot has received a heartbeat with @fencing_token, so that it rejects what was sent to
    * earlier boots. */
   bool is_fenced;
@@ -225,6 +238,7 @@
   GArray *crashes;   /* struct crash_case: runs whose targets crashed, or may have; NULL for none */
   bool is_suspected; /* it may be the cause of a crash: one of these is open or suspected */
   bool is_watched;   /* its runs are kept apart from other new runs */
+  bool is_convicted; /* it is to be given up, unless one of its crashes is withdrawn or excused */
   GList crash_link;  /* in core->crash_tasks while has_crashes is set */
   bool has_crashes;
   int64_t crash_change;  /* value of job->crash_changes that a record must have before a start */
@@ -398,6 +412,7 @@
   bool is_reconciled;           /* an earlier owner left no runs that this one does not know */
   bool started;                 /* a task of it has been started, by this owner or an earlier one */
   int64_t suspected_tasks;      /* tasks with is_suspected */
+  int64_t convicted_tasks;      /* tasks with is_convicted */
   int64_t watched_runs;         /* runs that are the watched_run of their target */
   bool has_unjudged_failures;   /* failed runs were counted while the limit was not known */
   bool is_cleared;             /* since the last suspicion, a run of a suspected task did no harm */
@@ -520,12 +535,10 @@
   GQueue crash_tasks;            /* tasks with crashes, in the order of their first */
   guint watched_runs;            /* targets with a watched run */
   int64_t crash_verdicts_due_ms; /* before, no verdict on them is due */
-  int64_t crash_times_ms[CORE_CRASH_TIMES]; /* when the last targets crashed, as a ring */
+  struct core_target_crash crashes[CORE_CRASHES_KEPT]; /* those noticed last, as a ring */
   guint crash_count;
-  int64_t unexplained_crash_ms;      /* when a target last crashed on which no run is suspected */
-  uint32_t unexplained_crash_target; /* fl_job_target_hash of its id */
-  GArray *free_max;                  /* struct core_free_max, of this tick */
-  GArray *placements;                /* struct placement, of the step that is being placed */
+  GArray *free_max;   /* struct core_free_max, of this tick */
+  GArray *placements; /* struct placement, of the step that is being placed */
   int64_t tick_number;
   GArray *urgent_rooms;           /* struct core_urgent_room, of this tick */
   GPtrArray *urgent_steps;        /* struct core_step: urgent ones that wait, of this tick */
@@ -761,8 +774,14 @@
  * be its cause, unless the target was draining. @evidence is for the log. */
 void core_crash_note_boot_end (struct core_target *target, const char *evidence);
 
-/* Called before @run is released because its lease has lapsed: its target may have crashed. */
-void core_crash_note_lapse (struct core_run *run);
+/* Called when @target is silent and refuses connections: it may have crashed, or the path to it may
+ * refuse them. The cases of its runs stay open until it is known. */
+void core_crash_suspect (struct core_target *target);
+
+/* Called before @runs of @target are released because their leases have lapsed: it may have
+ * crashed.
+ * @runs: struct core_run *, those that lapse now. */
+void core_crash_note_lapses (struct core_target *target, const GPtrArray *runs);
 
 /* Called when @target has reported after a silence or for the first time: the boot that it told is
  * alive, and those before have ended; and without @is_alive, when the boot that it told last has.
--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -13,7 +13,11 @@
  *
  * Each run that counts is recorded before the next start of its task, so that a successor goes on
  * counting. Where it is not known whether the boot of the target has ended, the case stays open
- * until the target reports: a target that was only silent counts for nothing. */
+ * until the target reports: a target that was only silent counts for nothing.
+ *
+ * A crash is known when another boot replies, seconds later. Its time is that at which the target
+ * fell silent, and the runs that count are those that were on it then, though their leases may have
+ * lapsed meanwhile. */
 #include "core/core_internal.h"
 
 /* A run is fresh until it is known to have run for this long: some heartbeats. */
@@ -45,16 +49,18 @@
 #define CRASHES_LIKELY 2
 /* and from this number on, its runs are watched, since a further one decides. */
 #define CRASHES_WATCHED 3
-/* Targets whose crashes are noticed within this time may have crashed for one reason. A heartbeat
- * is in flight to each target, so that a crash is noticed within tens of milliseconds. */
+/* Targets that crash within this time may have done so for one reason. A heartbeat is in flight to
+ * each target, so that one that crashes falls silent within tens of milliseconds. */
 #define CRASH_SIMULTANEOUS_MS 300
-/* With CORE_CRASH_TIMES crashes within this time, they may have one cause: a rack, a network. */
+/* With CRASHES_AT_ONCE crashes within this time, they may have one cause: a rack, a network. */
 #define CRASH_AT_ONCE_MS 1000
+#define CRASHES_AT_ONCE 5
 /* A target that has not been heard of for this long since its leases lapsed counts as crashed, but
  * as no suspicion: it may still be silent only. */
 #define CRASH_OPEN_MAX_MS 30000
-/* A task under which CRASHES_LIKELY targets have crashed waits for so long for the verdict on a
- * further one: a target that crashes is mostly back within seconds. */
+/* A task under which CRASHES_LIKELY targets have crashed, or that would be given up for a further
+ * one, waits for so long for the verdict on that: a target that crashes is mostly back within
+ * seconds. */
 #define CRASH_OPEN_WAIT_MS 10000
 /* Part of the score of a target for a suspected task: for each run that was started last. */
 #define FRESH_RUN_PENALTY INT64_C (1000000000)
@@ -63,7 +69,13 @@
 struct crash_case
 {
   struct fl_crashed_run row;
-  int64_t noted_at_ms; /* 0 for one from the record until the first verdict on its task */
+  int64_t noted_at_ms;   /* 0 for one from the record until the first verdict on its task */
+  int64_t crashed_at_ms; /* when its target fell silent; 0 for one from the record */
+  /* Of an open case: its state if the boot turns out to have ended; OPEN if that is to be judged.
+   */
+  enum fl_crash_state if_crashed;
+  /* The run is in effect, as far as is known, on a target that only may have crashed. */
+  bool is_provisional;
 };
 
 static struct crash_case *
@@ -91,6 +103,16 @@
   return count;
 }
 
+static guint
+count_provisional_cases (const struct core_task *task)
+{
+  guint count = 0;
+
+  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+    count += get_case (task, i)->is_provisional ? 1 : 0;
+  return count;
+}
+
 static guint
 count_all_cases (const struct core_task *task)
 {
@@ -110,12 +132,40 @@
   return task->run != NULL && task->run->number == crash_case->row.run;
 }
 
+static guint
+get_weight (enum fl_crash_state state)
+{
+  if (state == FL_CRASH_OPEN)
+    return 0;
+  return state == FL_CRASH_SUSPECTED ? CRASH_WEIGHT_SUSPECTED : 1;
+}
+
 static bool
 must_be_given_up (const struct core_task *task)
 {
-  return count_crashes (task)
-             + (CRASH_WEIGHT_SUSPECTED - 1) * count_cases (task, FL_CRASH_SUSPECTED)
-         >= CRASH_WEIGHT_MAX;
+  guint weight = 0;
+
+  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+    weight += get_weight ((enum fl_crash_state)get_case (task, i)->row.state);
+  return weight >= CRASH_WEIGHT_MAX;
+}
+
+/* Whether @task has to be given up if the target of @open_case turns out to have crashed. */
+static bool
+may_decide (const struct core_task *task, const struct crash_case *open_case)
+{
+  guint weight = get_weight (open_case->if_crashed);
+
+  for (guint i = 0; i < task->crashes->len; i++)
+    weight += get_weight ((enum fl_crash_state)get_case (task, i)->row.state);
+  return weight >= CRASH_WEIGHT_MAX;
+}
+
+/* When the boot of @target ended, if it did: since then it has not replied. */
+static int64_t
+get_crash_time (const struct core_target *target)
+{
+  return target->silent_since_ms > 0 ? target->silent_since_ms : target->core->now_ms;
 }
 
 /* --- changes of cases --- */
@@ -129,6 +179,15 @@
   task->step->job->suspected_tasks += is_suspected ? 1 : -1;
 }
 
+static void
+set_convicted (struct core_task *task, bool is_convicted)
+{
+  if (task->is_convicted == is_convicted)
+    return;
+  task->is_convicted = is_convicted;
+  task->step->job->convicted_tasks += is_convicted ? 1 : -1;
+}
+
 /* To be called after each change of the cases of @task. */
 static void
 update_task (struct core_task *task)
@@ -136,8 +195,10 @@
   struct core_job *job = task->step->job;
   struct fl_core *core = job->core;
 
-  set_suspected (task, count_all_cases (task) > count_cases (task, FL_CRASH_PRESENT));
+  set_suspected (task, count_all_cases (task)
+                           > count_cases (task, FL_CRASH_PRESENT) + count_provisional_cases (task));
   task->is_watched = task->is_suspected || count_crashes (task) >= CRASHES_WATCHED;
+  set_convicted (task, must_be_given_up (task));
   core_queue_set_member (&core->crash_tasks, &task->crash_link, &task->has_crashes,
                          count_all_cases (task) > 0);
   core->crash_verdicts_due_ms = 0;
@@ -148,7 +209,7 @@
 }
 
 /* @return the case, valid until the cases of @task change. */
-static const struct crash_case *
+static struct crash_case *
 add_case (struct core_task *task,
           const struct core_target *target,
           int64_t run,
@@ -160,7 +221,8 @@
                    .target = fl_job_target_hash (&target->entry.id),
                    .address = fl_job_target_hash (&target->entry.address),
                    .booted_at_ms = target->boot_known ? target->booted_at_ms : 0 },
-          .noted_at_ms = target->core->now_ms };
+          .noted_at_ms = target->core->now_ms,
+          .crashed_at_ms = get_crash_time (target) };
   struct crash_case *known = find_case (task, run);
 
   if (state == FL_CRASH_SUSPECTED || state == FL_CRASH_AT_ONCE)
@@ -202,6 +264,7 @@
              const char *event)
 {
   crash_case->row.state = state;
+  crash_case->is_provisional = false;
   log_case (task, crash_case, target, event);
   update_task (task);
 }
@@ -351,12 +414,19 @@
   return FL_CRASH_SUSPECTED;
 }
 
-/* Turns the cases that were noted within the last @within_ms into @to, except those of @target. */
+static bool
+is_within (int64_t a_ms, int64_t b_ms, int64_t within_ms)
+{
+  return ABS (a_ms - b_ms) <= within_ms;
+}
+
+/* Turns the cases of targets that crashed within @within_ms of @crash into @to, except those of its
+ * own target. */
 static void
-reduce_recent_cases (struct fl_core *core,
-                     uint32_t target,
-                     int64_t within_ms,
-                     enum fl_crash_state to)
+reduce_cases (struct fl_core *core,
+              const struct core_target_crash *crash,
+              int64_t within_ms,
+              enum fl_crash_state to)
 {
   g_autoptr (GPtrArray) tasks = copy_crash_tasks (core);
 
@@ -368,42 +438,78 @@
           struct crash_case *crash_case = get_case (task, i);
           if ((crash_case->row.state != FL_CRASH_SUSPECTED
                && crash_case->row.state != FL_CRASH_AT_ONCE)
-              || crash_case->row.state == (int)to || crash_case->row.target == target
-              || core->now_ms - crash_case->noted_at_ms > within_ms)
+              || crash_case->row.state == (int)to || crash_case->row.target == crash->target
+              || !is_within (crash_case->crashed_at_ms, crash->at_ms, within_ms))
             continue;
           change_case (task, crash_case, to, NULL, "crash_excused");
         }
     }
 }
 
-/* @return whether many targets have crashed within CRASH_AT_ONCE_MS, the present one included. */
-static bool
-note_crash_time (struct fl_core *core)
+/* The crash that was noticed @age crashes ago; at_ms is 0 if there is none. */
+static const struct core_target_crash *
+get_noted_crash (const struct fl_core *core, guint age)
 {
-  int64_t *oldest = &core->crash_times_ms[core->crash_count++ % CORE_CRASH_TIMES];
+  return &core->crashes[(core->crash_count - 1 - age) % CORE_CRASHES_KEPT];
+}
 
-  *oldest = core->now_ms;
-  oldest = &core->crash_times_ms[core->crash_count % CORE_CRASH_TIMES];
-  return *oldest > 0 && core->now_ms - *oldest <= CRASH_AT_ONCE_MS;
+/* @return how many of the crashes that are kept began within CRASH_AT_ONCE_MS from @from_ms on. */
+static int
+count_crashes_from (const struct fl_core *core, int64_t from_ms)
+{
+  int count = 0;
+
+  for (guint i = 0; i < MIN (core->crash_count, CORE_CRASHES_KEPT); i++)
+    {
+      int64_t at_ms = get_noted_crash (core, i)->at_ms;
+      count += at_ms >= from_ms && at_ms - from_ms <= CRASH_AT_ONCE_MS ? 1 : 0;
+    }
+  return count;
 }
 
+/* @return whether @crash, the one that was noticed last, is one of many within CRASH_AT_ONCE_MS. */
 static bool
-is_excused (const struct fl_core *core, const struct core_target *target)
+is_one_of_many (const struct fl_core *core, const struct core_target_crash *crash)
 {
-  return core->unexplained_crash_target != fl_job_target_hash (&target->entry.id)
-         && core->unexplained_crash_ms > 0
-         && core->now_ms - core->unexplained_crash_ms <= CRASH_SIMULTANEOUS_MS;
+  for (guint i = 0; i < MIN (core->crash_count, CORE_CRASHES_KEPT); i++)
+    {
+      int64_t from_ms = get_noted_crash (core, i)->at_ms;
+      if (from_ms <= crash->at_ms && crash->at_ms - from_ms <= CRASH_AT_ONCE_MS
+          && count_crashes_from (core, from_ms) >= CRASHES_AT_ONCE)
+        return true;
+    }
+  return false;
+}
+
+/* Whether another target crashed at the time of @crash for a reason that is none of its runs. */
+static bool
+is_excused (const struct fl_core *core, const struct core_target_crash *crash)
+{
+  for (guint i = 0; i < MIN (core->crash_count, CORE_CRASHES_KEPT); i++)
+    {
+      const struct core_target_crash *other = get_noted_crash (core, i);
+      if (other->is_unexplained && other->target != crash->target
+          && is_within (other->at_ms, crash->at_ms, CRASH_SIMULTANEOUS_MS))
+        return true;
+    }
+  return false;
+}
+
+/* @return what remains of @state for a crash that is excused, or one of many; FL_CRASH_OPEN if it
+ * does not count. */
+static enum fl_crash_state
+reduce_state (enum fl_crash_state state, bool excused, bool at_once)
+{
+  if (excused)
+    return state == FL_CRASH_SUSPECTED ? FL_CRASH_PRESENT : FL_CRASH_OPEN;
+  return state == FL_CRASH_SUSPECTED && at_once ? FL_CRASH_AT_ONCE : state;
 }
 
 static void
 count_run (struct core_run *run, const struct crash_scene *scene, bool excused, bool at_once)
 {
-  enum fl_crash_state state = judge_run (run, scene);
+  enum fl_crash_state state = reduce_state (judge_run (run, scene), excused, at_once);
 
-  if (excused)
-    state = state == FL_CRASH_SUSPECTED ? FL_CRASH_PRESENT : FL_CRASH_OPEN;
-  else if (state == FL_CRASH_SUSPECTED && at_once)
-    state = FL_CRASH_AT_ONCE;
   /* What is known of an attempt is removed with the run. */
   if (state == FL_CRASH_OPEN)
     return;
@@ -412,48 +518,129 @@
             "crash_counted");
 }
 
+/* Decides the open cases of runs on @target, whose boot has ended, that were judged before this was
+ * known. */
+static void
+decide_judged_cases (struct core_target *target, bool excused, bool at_once)
+{
+  g_autoptr (GPtrArray) tasks = copy_crash_tasks (target->core);
+  uint32_t hash = fl_job_target_hash (&target->entry.id);
+
+  for (guint n = 0; n < tasks->len; n++)
+    {
+      struct core_task *task = g_ptr_array_index (tasks, n);
+      for (guint i = task->crashes->len; i > 0; i--)
+        {
+          struct crash_case *crash_case = get_case (task, i - 1);
+          if (crash_case->row.state != FL_CRASH_OPEN || crash_case->if_crashed == FL_CRASH_OPEN
+              || crash_case->row.target != hash
+              || crash_case->row.booted_at_ms != target->booted_at_ms)
+            continue;
+          enum fl_crash_state state = reduce_state (crash_case->if_crashed, excused, at_once);
+          if (is_in_effect (task, crash_case))
+            task->run->is_crash_noted = state != FL_CRASH_OPEN;
+          crash_case->noted_at_ms = target->core->now_ms;
+          if (state != FL_CRASH_OPEN)
+            change_case (task, crash_case, state, target, "crash_counted");
+          else
+            {
+              log_case (task, crash_case, target, "crash_excused");
+              remove_case (task, crash_case);
+            }
+        }
+    }
+}
+
 void
 core_crash_note_boot_end (struct core_target *target, const char *evidence)
 {
   struct fl_core *core = target->core;
   struct crash_scene scene = examine_target (target);
-  bool excused = is_excused (core, target);
 
   /* A target that drains ends as planned. Of one that has not reported to this owner, nothing is
    * known: its boot may have ended long ago. */
   if (target->entry.draining || target->boot_end_noted || !target->reported)
     return;
   target->boot_end_noted = true;
-  bool at_once = note_crash_time (core);
-  uint32_t hash = fl_job_target_hash (&target->entry.id);
+  int suspects = target->suspects + (target->crash_suspected ? 0 : scene.fresh);
+  struct core_target_crash *crash = &core->crashes[core->crash_count++ % CORE_CRASHES_KEPT];
+  *crash = (struct core_target_crash){ .at_ms = get_crash_time (target),
+                                       .target = fl_job_target_hash (&target->entry.id),
+                                       .is_unexplained = suspects == 0 };
+  bool excused = is_excused (core, crash);
+  bool at_once = is_one_of_many (core, crash);
   fl_log (core->options.log, FL_LOG_NOTICE, "target_crashed", FL_N ("target", &target->entry.id),
           FL_I ("boot", target->booted_at_ms), FL_S ("evidence", evidence),
-          FL_I ("runs", scene.runs), FL_I ("fresh", scene.fresh),
-          FL_I ("most", (int64_t)scene.most), FL_I ("excused", excused), FL_I ("at_once", at_once));
+          FL_I ("silent_ms", core->now_ms - crash->at_ms), FL_I ("runs", scene.runs),
+          FL_I ("fresh", suspects), FL_I ("most", (int64_t)scene.most), FL_I ("excused", excused),
+          FL_I ("at_once", at_once));
   fl_stats_add (core->options.stats, "target_crashes_total", 1);
   if (at_once)
-    reduce_recent_cases (core, hash, CRASH_AT_ONCE_MS, FL_CRASH_AT_ONCE);
+    reduce_cases (core, crash, CRASH_AT_ONCE_MS, FL_CRASH_AT_ONCE);
   /* A target on which no run can be the cause crashed for another reason, and so may all targets
    * have that crashed at the same time. */
-  if (scene.fresh == 0)
-    {
-      reduce_recent_cases (core, hash, CRASH_SIMULTANEOUS_MS, FL_CRASH_PRESENT);
-      core->unexplained_crash_ms = core->now_ms;
-      core->unexplained_crash_target = hash;
-    }
-  for (guint i = 0; i < target->runs->len; i++)
+  if (crash->is_unexplained)
+    reduce_cases (core, crash, CRASH_SIMULTANEOUS_MS, FL_CRASH_PRESENT);
+  decide_judged_cases (target, excused, at_once);
+  for (guint i = 0; !target->crash_suspected && i < target->runs->len; i++)
     if (counts_at_crash (g_ptr_array_index (target->runs, i)))
       count_run (g_ptr_array_index (target->runs, i), &scene, excused, at_once);
 }
 
 void
-core_crash_note_lapse (struct core_run *run)
+core_crash_suspect (struct core_target *target)
 {
-  if (run->target->entry.draining || run->is_crash_noted || run->task->done || !is_fresh (run))
+  if (target->entry.draining || target->boot_end_noted || target->crash_suspected
+      || !target->reported)
     return;
-  run->is_crash_noted = true;
-  log_case (run->task, add_case (run->task, run->target, run->number, FL_CRASH_OPEN), run->target,
-            "crash_suspended");
+  struct crash_scene scene = examine_target (target);
+  target->crash_suspected = true;
+  target->suspects = scene.fresh;
+  for (guint i = 0; i < target->runs->len; i++)
+    {
+      struct core_run *run = g_ptr_array_index (target->runs, i);
+      enum fl_crash_state state = counts_at_crash (run) ? judge_run (run, &scene) : FL_CRASH_OPEN;
+      if (state == FL_CRASH_OPEN)
+        continue;
+      struct crash_case *crash_case = find_case (run->task, run->number);
+      /* A watched run has a case since its start. */
+      if (crash_case == NULL)
+        {
+          crash_case = add_case (run->task, target, run->number, FL_CRASH_OPEN);
+          crash_case->is_provisional = true;
+          update_task (run->task);
+        }
+      crash_case->if_crashed = state;
+      crash_case->crashed_at_ms = get_crash_time (target);
+      log_case (run->task, crash_case, target, "crash_suspended");
+    }
+}
+
+void
+core_crash_note_lapses (struct core_target *target, const GPtrArray *runs)
+{
+  for (guint i = 0; i < runs->len; i++)
+    {
+      struct core_run *run = g_ptr_array_index (runs, i);
+      struct crash_case *crash_case = find_case (run->task, run->number);
+      bool is_judged = crash_case != NULL && crash_case->if_crashed != FL_CRASH_OPEN;
+      if (target->entry.draining || run->is_crash_noted || run->task->done
+          || (!is_judged && (target->crash_suspected || !is_fresh (run))))
+        continue;
+      run->is_crash_noted = true;
+      if (is_judged)
+        {
+          crash_case->is_provisional = false;
+          update_task (run->task);
+          continue;
+        }
+      /* Without a sign of a crash, the target may have been out of reach until long after the run
+       * had ended. */
+      target->suspects++;
+      crash_case = add_case (run->task, target, run->number, FL_CRASH_OPEN);
+      crash_case->if_crashed = FL_CRASH_PRESENT;
+      log_case (run->task, crash_case, target, "crash_suspended");
+    }
 }
 
 /* --- what targets and runs tell later --- */
@@ -475,7 +662,7 @@
         {
           /* The case of a run that is in effect is decided by its end. */
           if (is_in_effect (task, crash_case) && task->run->state != CORE_RUN_PLANNED
-              && crash_case->row.state == FL_CRASH_OPEN)
+              && crash_case->row.state == FL_CRASH_OPEN && !crash_case->is_provisional)
             continue;
           log_case (task, crash_case, reporter, "crash_withdrawn");
           remove_case (task, crash_case);
@@ -557,8 +744,9 @@
 
   for (guint i = 0; i < task->crashes->len; i++)
     if (get_case (task, i)->row.state == FL_CRASH_OPEN
-        && now_ms - get_case (task, i)->noted_at_ms < CRASH_OPEN_WAIT_MS)
-      return count_crashes (task) >= CRASHES_LIKELY;
+        && now_ms - get_case (task, i)->noted_at_ms < CRASH_OPEN_WAIT_MS
+        && (count_crashes (task) >= CRASHES_LIKELY || may_decide (task, get_case (task, i))))
+      return true;
   return false;
 }
 
@@ -586,6 +774,8 @@
 {
   const struct core_job *job = task->step->job;
 
+  if (job->convicted_tasks > 0)
+    return true;
   if (job->is_cleared || task->step->spec->gang
       || (task->is_watched ? job->watched_runs : job->suspected_tasks) == 0)
     return false;
@@ -722,6 +912,27 @@
   return false;
 }
 
+/* Whether a target that fell silent at the time of a crash that counts against @task may turn out
+ * to have crashed, too, which would excuse the task. */
+static bool
+may_be_excused (const struct core_task *task)
+{
+  const struct fl_core *core = task->step->job->core;
+
+  for (guint i = 0; i < core->target_list->len; i++)
+    {
+      const struct core_target *target = g_ptr_array_index (core->target_list, i);
+      if (!target->silent || core->now_ms - target->silent_since_ms >= CRASH_OPEN_WAIT_MS)
+        continue;
+      for (guint j = 0; j < task->crashes->len; j++)
+        if (get_case (task, j)->row.state != FL_CRASH_OPEN
+            && is_within (get_case (task, j)->crashed_at_ms, target->silent_since_ms,
+                          CRASH_SIMULTANEOUS_MS))
+          return true;
+    }
+  return false;
+}
+
 /* Decides what can be decided for @task. @return when to look at it again. */
 static int64_t
 judge_task (struct core_task *task)
@@ -754,7 +965,7 @@
   /* Other targets may turn out to have crashed at the same time. */
   if (now_ms < last_ms + CRASH_SIMULTANEOUS_MS)
     return last_ms + CRASH_SIMULTANEOUS_MS;
-  if (may_be_withdrawn (task))
+  if (may_be_withdrawn (task) || may_be_excused (task))
     return now_ms + CRASH_SIMULTANEOUS_MS;
   give_up_job (task);
   return INT64_MAX;
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -557,6 +557,8 @@
                 bool silent,
                 enum fl_order_result result)
 {
+  if (silent && !target->silent)
+    target->silent_since_ms = core->now_ms;
   if (silent != target->silent)
     fl_log (core->options.log, FL_LOG_INFO, silent ? "target_silent" : "target_answers",
             FL_N ("target", &target->entry.id), FL_S ("result", fl_order_result_name (result)),
@@ -604,6 +606,8 @@
   core_queue_set_member (&core->idle_targets, &target->idle_link, &target->in_idle, true);
   if (reply->result == FL_ORDER_OTHER_BOOT && is_address_conclusive (target))
     handle_address_takeover (core, target);
+  if (reply->result == FL_ORDER_NO_LISTENER && target->silent && is_address_conclusive (target))
+    core_crash_suspect (target);
   if (report == NULL || target->silent)
     update_silence (core, target, report == NULL, reply->result);
   if (report == NULL)
@@ -613,6 +617,9 @@
   bool is_known_boot = update_boot (target, report, sent_ms);
   target->end_slack_ms = end_slack_ms (target, sent_ms, now_ms);
   target->boot_end_noted = false;
+  target->silent_since_ms = 0;
+  target->crash_suspected = false;
+  target->suspects = 0;
   target->clock_went_back = false;
   target->report_was_slow = now_ms - sent_ms > target->heartbeat_wait_ms + BOOT_CERTAIN_MS;
   if (!core->jobs_known)
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -396,6 +396,7 @@
 void
 core_target_expire_runs (struct core_target *target, int64_t now_ms)
 {
+  g_autoptr (GPtrArray) lapsed = NULL;
   int64_t next_ms = INT64_MAX;
 
   /* Leases are only extended. The expiry of a run also gets earlier when it is first listed, which
@@ -408,14 +409,19 @@
       if (run->state == CORE_RUN_PLANNED)
         continue;
       int64_t expiry_ms = lease_expiry_ms (run);
-      if (now_ms >= expiry_ms)
+      if (now_ms < expiry_ms)
         {
-          core_crash_note_lapse (run);
-          lose_run (run, CORE_RUN_END_LAPSED);
+          next_ms = MIN (next_ms, expiry_ms);
+          continue;
         }
-      else
-        next_ms = MIN (next_ms, expiry_ms);
+      if (lapsed == NULL)
+        lapsed = g_ptr_array_new ();
+      g_ptr_array_add (lapsed, run);
     }
+  if (lapsed != NULL)
+    core_crash_note_lapses (target, lapsed);
+  for (guint i = 0; lapsed != NULL && i < lapsed->len; i++)
+    lose_run (g_ptr_array_index (lapsed, i), CORE_RUN_END_LAPSED);
   target->next_expiry_check_ms = next_ms;
 }
 
