Core: the list of targets tells the addresses that targets reported from

What callers would see: tasks that run twice (TWICE) after a change of owner, where another writer had replaced the address in the registry entry of their target.

Cause: fl_core_collect_target_list wrote the address of the registry entry. A successor takes the listed address for the one that the target had (confirmed_address), so that 421 from whatever is at the other writer's address was the end of the target's boot (handle_address_takeover), and its tasks were started elsewhere without waiting for its lease. Evidence: test_address_of_another_is_not_listed; before, the successor starts the task at once, whether the owner that wrote the list had a report of the target or had inherited it.

Now the list tells the address from which the target reported, or that an earlier owner listed, and that of the entry only where neither is known. The entry's address differs from it then, which makes 421 from there inconclusive, and the successor waits for a report or the lease.

--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -922,6 +922,14 @@
          || core_target_has_unrecorded_ends (target);
 }
 
+/* The address at which the tasks of @target are. Another writer may have replaced the one in its
+ * registry entry, and whatever is there would tell a successor nothing of them. */
+static const struct fl_name *
+get_known_address (const struct core_target *target)
+{
+  return target->confirmed_address.len > 0 ? &target->confirmed_address : &target->entry.address;
+}
+
 bool
 fl_core_target_list_is_outdated (const struct fl_core *core)
 {
@@ -956,7 +964,7 @@
           continue;
         }
       g_array_append_val (names, target->entry.id);
-      g_array_append_val (names, target->entry.address);
+      g_array_append_vals (names, get_known_address (target), 1);
     }
   return names;
 }
--- a/tests/test_unreadable_entries.c
+++ b/tests/test_unreadable_entries.c
@@ -196,6 +196,77 @@
     }
 }
 
+/* @return the address of t1 in the stored list of targets. */
+static struct fl_name
+get_listed_address (struct fixture *fixture)
+{
+  g_autoptr (GArray) names = fl_core_collect_target_list (fixture->core);
+  struct fl_name address = { 0 };
+
+  for (guint i = 0; i + 1 < names->len; i += 2)
+    if (fl_name_eq (&g_array_index (names, struct fl_name, i), &target_id))
+      address = g_array_index (names, struct fl_name, i + 1);
+  fl_core_finish_target_list (fixture->core, true);
+  return address;
+}
+
+static void
+replace_address (struct fixture *fixture, const char *address)
+{
+  struct fl_target_entry entry = { .id = target_id,
+                                   .service = fl_name_of ("s"),
+                                   .address = fl_name_of (address),
+                                   .resources = { 4000, 100000, 0 } };
+
+  fl_core_update_target (fixture->core, &entry);
+}
+
+/* The owner put an address that another writer had set on its list. Its successor took the target
+ * there for a proof, and started the task a second time. */
+static void
+test_address_of_another_is_not_listed (void **state)
+{
+  static const bool is_inherited[] = { false, true }; /* by the owner that writes the list */
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .any_target = true };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (is_inherited); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_heartbeat_order heartbeat;
+      if (is_inherited[i])
+        fl_core_inherit_target (fixture->core, &target_id, &target_id);
+      else
+        add_target (fixture, "t1", 4, false);
+      replace_address (fixture, "t9");
+      add_entry (fixture, "t2", 4, false);
+      struct fl_name address = get_listed_address (fixture);
+      fixture_free (fixture);
+
+      fixture = fixture_new_unreconciled (0, 100000 + 9000);
+      fl_core_inherit_target (fixture->core, &target_id, &address);
+      add_recorded_job (
+          fixture, "a", "urgent",
+          (struct fl_step_spec){ .count = 1, .cpu_milli = 1000, .disruptions_max = -1 }, &progress);
+      fl_core_set_registry_known (fixture->core);
+      fl_core_set_jobs_known (fixture->core);
+      add_target (fixture, "t2", 4, false);
+      replace_address (fixture, "t9");
+      for (int j = 0; j < 3; j++)
+        {
+          fixture->now_ms += 400;
+          fl_core_prepare_heartbeat (fixture->core, &target_id, fixture->now_ms, &heartbeat);
+          deliver_result (fixture, "t1", FL_ORDER_OTHER_BOOT);
+          deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
+          tick_until_recorded (fixture, 0);
+        }
+      if (fixture->start_orders->len > 0)
+        fail_msg ("case %zu: %u starts after t1 was listed at %s", i, fixture->start_orders->len,
+                  address.data);
+      fixture_free (fixture);
+    }
+}
+
 /* A new owner knows the target only from the list of its predecessor. Whatever its entry says, and
  * where it has none, a refused connection ends nothing. */
 static void
@@ -281,8 +352,11 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_entry_becomes_unreadable), cmocka_unit_test (test_no_advice_queries),
-    cmocka_unit_test (test_address_of_another),       cmocka_unit_test (test_inherited_target),
+    cmocka_unit_test (test_entry_becomes_unreadable),
+    cmocka_unit_test (test_no_advice_queries),
+    cmocka_unit_test (test_address_of_another),
+    cmocka_unit_test (test_address_of_another_is_not_listed),
+    cmocka_unit_test (test_inherited_target),
     cmocka_unit_test (test_unknown_target),
   };
 
