Core: a target whose address has changed is listed anew before its next task

What callers would see: tasks that run twice (TWICE) after a change of owner while registry entries have lapsed with the store, where a target had come back under its id at another address.

Cause: the list of targets was stored with the address of the time and not again when the address changed. The target took tasks at its new address. A successor without its registry entry asked at the old address; 421 from another id there is the end of the boot that had the address, so that inherited became false and the tasks were started elsewhere, without a word from the boot that runs them. Evidence: test_list_tells_the_address_of_the_present_boot; before, the task is started at once in both cases (a target that moved, and one whose first entry told another address), and the list is not outdated.

Now a report from another address than the confirmed one, or another address in the entry of a target that has not reported, makes the list outdated and the target one that is not recorded, so that it gets its next task after the list with the new address is stored. A write of the list that was collected before the change does not count.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -415,6 +415,21 @@
                   g_hash_table_size (core->unreadable_entries));
 }
 
+void
+core_target_outdate_record (struct core_target *target)
+{
+  target->core->target_list_outdated = true;
+  target->recorded = target->record_in_flight = false;
+}
+
+static void
+note_new_address (struct core_target *target)
+{
+  target->address_changed = true;
+  if (target->confirmed_address.len == 0)
+    core_target_outdate_record (target);
+}
+
 void
 fl_core_update_target (struct fl_core *core, const struct fl_target_entry *entry)
 {
@@ -426,7 +441,7 @@
   if (entry->draining && !target->entry.draining)
     target->leaves_at_ms = core->now_ms + entry->drain_remaining_ms;
   if (target->entry.address.len > 0 && !fl_name_eq (&target->entry.address, &entry->address))
-    target->address_changed = true;
+    note_new_address (target);
   target->entry = *entry;
   target->registered = true;
   fl_warm_up_update (&target->warm_up, entry->cold_left_ms, core->now_ms);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -591,6 +591,10 @@
  * sent so far. */
 void core_target_raise_token (struct core_target *target);
 
+/* Notes that the stored list of targets tells an address that @target does not have: it gets no
+ * tasks until the list is stored again. */
+void core_target_outdate_record (struct core_target *target);
+
 /* Adds @target to the queue of targets that an earlier owner used and that have not reported, or
  * removes it. To be called when one of these facts has changed. */
 void core_target_update_reconciled (struct core_target *target);
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -551,6 +551,17 @@
              || fl_name_eq (&target->confirmed_address, &target->entry.address));
 }
 
+/* Notes that @target has reported, unless it may have done so from an earlier address. */
+static void
+confirm_address (struct core_target *target)
+{
+  if (target->address_changed || fl_name_eq (&target->confirmed_address, &target->entry.address))
+    return;
+  if (target->confirmed_address.len > 0)
+    core_target_outdate_record (target);
+  target->confirmed_address = target->entry.address;
+}
+
 static void
 update_silence (struct fl_core *core,
                 struct core_target *target,
@@ -608,8 +619,7 @@
     update_silence (core, target, report == NULL, reply->result);
   if (report == NULL)
     return;
-  if (!target->address_changed)
-    target->confirmed_address = target->entry.address;
+  confirm_address (target);
   bool is_known_boot = update_boot (target, report, sent_ms);
   target->end_slack_ms = end_slack_ms (target, sent_ms, now_ms);
   target->boot_end_noted = false;
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -335,6 +335,53 @@
   fixture_free (fixture);
 }
 
+/* The list of targets went on telling the address of an earlier boot. A new owner, without registry
+ * entries, took the target that had this address by then for a proof that nothing runs. */
+static void
+test_list_tells_the_address_of_the_present_boot (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool has_reported; /* from the earlier address */
+  } cases[] = { { "moved", true }, { "first registered with another address", false } };
+  const struct fl_target_entry entry = { .id = fl_name_of ("t1"),
+                                         .service = fl_name_of ("s"),
+                                         .address = fl_name_of ("t1-next"),
+                                         .booted_at_ms = 2,
+                                         .resources = { 4000, 100000, 0 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      add_entry (fixture, "t1", 4, false);
+      if (cases[i].has_reported)
+        deliver_next_report (fixture, 1, NULL, 0);
+      add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      g_array_unref (fl_core_collect_target_list (fixture->core));
+      fl_core_update_target (fixture->core, &entry);
+      for (int j = 0; j < 3; j++)
+        {
+          prepare_heartbeat (fixture);
+          deliver_next_report (fixture, 2, NULL, 0);
+        }
+      /* The list was collected before the address changed. */
+      fl_core_finish_target_list (fixture->core, true);
+      tick_until_recorded (fixture, 1);
+      if (fixture->start_orders->len > 0 || !fl_core_target_list_is_outdated (fixture->core))
+        fail_msg ("%s: %u starts before the list tells the address", cases[i].name,
+                  fixture->start_orders->len);
+      g_autoptr (GArray) names = fl_core_collect_target_list (fixture->core);
+      assert_string_equal (g_array_index (names, struct fl_name, 1).data, "t1-next");
+      fl_core_finish_target_list (fixture->core, true);
+      assert_false (fl_core_target_list_is_outdated (fixture->core));
+      tick_until_recorded (fixture, 1);
+      assert_int_equal (fixture->start_orders->len, 1);
+      fixture_free (fixture);
+    }
+}
+
 /* --- a target that left and returned --- */
 
 /* The reply to a heartbeat that was sent between two ticks, before the target left, was taken for
@@ -569,6 +616,7 @@
     cmocka_unit_test (test_token_after_address_takeover),
     cmocka_unit_test (test_repeated_address_takeover_uses_up_tokens),
     cmocka_unit_test (test_rejection_from_an_earlier_address),
+    cmocka_unit_test (test_list_tells_the_address_of_the_present_boot),
     cmocka_unit_test (test_heartbeat_sent_before_the_target_left),
     cmocka_unit_test (test_longest_lease_of_a_target_that_is_not_inherited),
     cmocka_unit_test (test_deadline_of_an_earlier_boot_while_jobs_are_unknown),
