Core: of a listed target without a known address, 421 elsewhere tells nothing

Cause: where no address was confirmed, is_address_conclusive took that of the registry entry for the target's, also of a target that an earlier owner used. 421 from there then ended the wait for its report or its lease. Evidence: test_listed_without_an_address; before, the task is started elsewhere at the first such reply.

Now such a target is waited for. One that no earlier owner used has no runs before its first report, so that nothing changes for it.

--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -546,9 +546,12 @@
 static bool
 is_address_conclusive (const struct core_target *target)
 {
-  return !target->address_changed
-         && (target->confirmed_address.len == 0
-             || fl_name_eq (&target->confirmed_address, &target->entry.address));
+  if (target->address_changed)
+    return false;
+  /* Of one that an earlier owner used, the address at that time may be unknown. */
+  return target->confirmed_address.len == 0
+             ? !target->inherited
+             : fl_name_eq (&target->confirmed_address, &target->entry.address);
 }
 
 /* Notes that @target has reported, unless it may have done so from an earlier address. */
--- a/tests/test_unreadable_entries.c
+++ b/tests/test_unreadable_entries.c
@@ -267,6 +267,35 @@
     }
 }
 
+/* The list of the owner before has no usable address of the target. What another writer put into
+ * its entry was taken for its address. */
+static void
+test_listed_without_an_address (void **state)
+{
+  struct fixture *fixture = fixture_new_unreconciled (0, 100000 + 9000);
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .any_target = true };
+  static const struct fl_name unknown = { 0 };
+
+  (void)state;
+  fl_core_inherit_target (fixture->core, &target_id, &unknown);
+  add_recorded_job (fixture, "a", "urgent",
+                    (struct fl_step_spec){ .count = 1, .cpu_milli = 1000, .disruptions_max = -1 },
+                    &progress);
+  fl_core_set_registry_known (fixture->core);
+  fl_core_set_jobs_known (fixture->core);
+  add_target (fixture, "t2", 4, false);
+  replace_address (fixture, "t9");
+  fixture->now_ms += 400;
+  deliver_result (fixture, "t1", FL_ORDER_OTHER_BOOT);
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->start_orders->len, 0);
+  fixture->now_ms += 9000;
+  deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->start_orders->len, 1);
+  fixture_free (fixture);
+}
+
 /* A new owner knows the target only from the list of its predecessor. Whatever its entry says, and
  * where it has none, a refused connection ends nothing. */
 static void
@@ -356,6 +385,7 @@
     cmocka_unit_test (test_no_advice_queries),
     cmocka_unit_test (test_address_of_another),
     cmocka_unit_test (test_address_of_another_is_not_listed),
+    cmocka_unit_test (test_listed_without_an_address),
     cmocka_unit_test (test_inherited_target),
     cmocka_unit_test (test_unknown_target),
   };
