--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -546,9 +546,23 @@
 static bool
 is_address_conclusive (const struct core_target *target)
 {
-  return !target->address_changed
-         && (target->confirmed_address.len == 0
-             || fl_name_eq (&target->confirmed_address, &target->entry.address));
+  if (target->address_changed)
+    return false;
+  /* Of one that an earlier owner used, the address at that time may be unknown. */
+  return target->confirmed_address.len == 0
+             ? !target->inherited
+             : fl_name_eq (&target->confirmed_address, &target->entry.address);
+}
+
+/* Notes that @target has reported, unless it may have done so from an earlier address. */
+static void
+confirm_address (struct core_target *target)
+{
+  if (target->address_changed || fl_name_eq (&target->confirmed_address, &target->entry.address))
+    return;
+  if (target->confirmed_address.len > 0)
+    core_target_outdate_record (target);
+  target->confirmed_address = target->entry.address;
 }
 
 static void
@@ -612,8 +626,7 @@
     update_silence (core, target, report == NULL, reply->result);
   if (report == NULL)
     return;
-  if (!target->address_changed)
-    target->confirmed_address = target->entry.address;
+  confirm_address (target);
   bool is_known_boot = update_boot (target, report, sent_ms);
   target->end_slack_ms = end_slack_ms (target, sent_ms, now_ms);
   target->boot_end_noted = false;
@@ -929,6 +942,14 @@
          || core_target_has_unrecorded_ends (target);
 }
 
+/* The address at which the tasks of @target are. Another writer may have replaced the one in its
+ * registry entry, and whatever is there would tell a successor nothing of them. */
+static const struct fl_name *
+get_known_address (const struct core_target *target)
+{
+  return target->confirmed_address.len > 0 ? &target->confirmed_address : &target->entry.address;
+}
+
 bool
 fl_core_target_list_is_outdated (const struct fl_core *core)
 {
@@ -963,7 +984,7 @@
           continue;
         }
       g_array_append_val (names, target->entry.id);
-      g_array_append_val (names, target->entry.address);
+      g_array_append_vals (names, get_known_address (target), 1);
     }
   return names;
 }
