Soak: an end that is acknowledged after the task was started again counts

begun_again, the check of the stand-in for targets on starts after an end as done, only saw starts that followed the acknowledgement. The cell has judged both orders since its fake targets do (on_end_acknowledged, tests/support_cell.c).

--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -514,6 +514,50 @@
         return all(holds)
 
 
+def starts_after_ends():
+    """Starts a task on a stand-in target, where it ends, and again on another, before or after the end is
+    acknowledged. Returns the number of these starts that the summary tells as begun_again, for each case."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Process("targets", [os.path.join(BIN, "standin-targets"), "--platform",
+                                    "http://127.0.0.1:9", "--domains", "a", "--count", "2"], folder,
+                        prints_port=True)
+        control = "http://127.0.0.1:%d" % fleet.port
+        urls = ["http://127.0.0.1:%d" % port
+                for port in send_request("GET", control + "/ports")[1]["ports"]]
+
+        def order(target, path, **fields):
+            return send_request("POST", urls[target] + path, dict(fields, fencingToken=1))[1]
+
+        def begun_again():
+            return send_request("GET", control + "/summary")[1]["begun_again"]
+
+        found = []
+        for number, (fails, lease_ms, steps) in enumerate(
+                [(False, 6000, ["end", "ack", "start"]), (False, 6000, ["end", "start", "ack"]),
+                 (False, 6000, ["end", "start", "crash", "ack"]), (True, 6000, ["end", "start", "ack"]),
+                 (False, 300, ["end", "lapse", "start", "ack"])]):
+            before, task = begun_again(), "%016x.0.0.0" % number
+            order(0, "/hold", lastSeen=10 ** 6)
+            send_request("POST", control + "/control", {"target": 0, "fault": "crash", "ms": 0})
+            time.sleep(0.05)
+            for step in ["first"] + steps:
+                if step in ("first", "start"):
+                    target = 0 if step == "first" else 1
+                    clock_ms = order(target, "/hold", lastSeen=0)["clockMs"]
+                    order(target, "/run-start", task=task, run=1 + target, spec=json.dumps(
+                        {"ms": 20, "cpu": 10, "fail": fails}),
+                          deadlineMs=clock_ms + (6000 if target else lease_ms))
+                elif step == "ack":
+                    order(0, "/hold", lastSeen=1)
+                elif step == "crash":
+                    send_request("POST", control + "/control", {"target": 0, "fault": "crash", "ms": 0})
+                else:
+                    time.sleep({"end": 0.1, "lapse": 0.4}[step])
+            found.append(begun_again() - before)
+        fleet.stop()
+        return found
+
+
 # A long and a short job of the stand-in for the advice service, and its times without faults.
 LONG_JOB, SHORT_JOB = "a" * 16, "b" * 16
 LONG_TIMES = {"base_ms": 200, "per_target_ms": 50, "valid_ms": 2500}
@@ -635,7 +679,9 @@
         print("[%s] advice: %s%s" % ("       OK " if holds else "  FAILED  ", name,
                                      "" if holds else ": %s" % outcomes))
     for name, holds in [*held_requests_delivered().items(),
-                        ("stand-in target executes starts around cuts", starts_around_cuts())]:
+                        ("stand-in target executes starts around cuts", starts_around_cuts()),
+                        ("stand-in target counts starts after ends as done",
+                         starts_after_ends() == [1, 1, 0, 0, 0])]:
         failed += 0 if holds else 1
         print("[%s] proxy: %s" % ("       OK " if holds else "  FAILED  ", name))
     for next_mode, *expected in PROXY_CASES:
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -6,7 +6,8 @@
  * its target crashes that long after the start, for DEADLY_DOWN_MS. The control port serves an
  * advice service that replies at once, at /advise, and: GET /summary: counters. Three of them count
  * violations of the scheduling rules: in_two_places (start of a task that is already running),
- * begun_again (start after an end as done that the owner has acknowledged) and over_capacity (start
+ * begun_again (start after an end as done that the owner has acknowledged, or acknowledges later
+ * although the lease has not expired since) and over_capacity (start
  * that exceeds the CPU capacity of the target). GET /started?after=N: the ids of jobs of which a
  * task has ever started, in the order of their first start, at most 1000 from the Nth on. GET
  * /lasting: every task with "lasts" that has ever started, with the milliseconds since its last run
@@ -340,6 +341,21 @@
     }
 }
 
+/* Marks the ends of @task that are not acknowledged yet: the task is started again after them. */
+static void
+mark_task_restarted (const struct fleet *fleet, const struct fl_name *task)
+{
+  for (guint i = 0; i < fleet->targets->len; i++)
+    {
+      const struct target *target = g_ptr_array_index (fleet->targets, i);
+      for (guint j = 0; j < target->state.ends->len; j++)
+        {
+          struct target_end *end = &g_array_index (target->state.ends, struct target_end, j);
+          end->task_restarted = end->task_restarted || fl_name_eq (&end->task, task);
+        }
+    }
+}
+
 static void
 on_run_start (void *context, const struct fl_start_order *order)
 {
@@ -352,6 +368,7 @@
     count_violation (&fleet->duplicate_runs, "in_two_places", target, order);
   if (g_hash_table_contains (fleet->acknowledged_done, &order->task))
     count_violation (&fleet->restarts_after_done, "begun_again", target, order);
+  mark_task_restarted (fleet, &order->task);
   /* The judge of the history knows which capacity an owner can know after a restart. */
   if (get_used_cpu (target) + cpu > MAX (fleet->cpu_milli, target->cpu_milli))
     count_violation (&fleet->starts_over_capacity, "over_capacity", target, order);
@@ -389,10 +406,15 @@
 static void
 on_end_acknowledged (void *context, const struct target_end *end)
 {
-  struct fleet *fleet = ((struct target *)context)->fleet;
+  struct target *target = context;
+  struct fleet *fleet = target->fleet;
+  struct fl_start_order order = { .task = end->task, .run = end->run };
 
-  if (end->cause == FL_END_DONE && !end->lease_expired)
-    g_hash_table_add (fleet->acknowledged_done, g_memdup2 (&end->task, sizeof end->task));
+  if (end->cause != FL_END_DONE || end->lease_expired)
+    return;
+  if (end->task_restarted)
+    count_violation (&fleet->restarts_after_done, "begun_again", target, &order);
+  g_hash_table_add (fleet->acknowledged_done, g_memdup2 (&end->task, sizeof end->task));
 }
 
 /* --- replies --- */
--- a/tests/support_target.h
+++ b/tests/support_target.h
@@ -34,7 +34,7 @@
   int64_t run;
   enum fl_end_cause cause;
   bool lease_expired;  /* the lease has expired since; an acknowledgement no longer counts */
-  bool task_restarted; /* set by the cell: the task was started again after this end */
+  bool task_restarted; /* set by the caller: the task was started again after this end */
 };
 
 /* Callbacks; each may be NULL. */
