Soak: phase "refused", live targets that refuse connections

The soak never saw tasks run twice beside refused connections, since none was refused: mode "refuse" of the proxy accepts a connection and resets it (connect returns 0, then ECONNRESET, 5 of 5), and a stand-in target that is down goes on listening. The check of two runs at once was never reached.

refuse_connections of the proxy closes its listening socket and resets what is open; a bound socket that does not listen keeps the port meanwhile. The phase resets connections to several targets, which refuse 10 to 40 ms later for 0.1 to 4 s, in series that overlap; alone, while the owner is killed, and while the store is silent, busy or refuses for 4 to 6 s and entries of the registry lapse ("lapse" of the stand-in). The existing checks judge it.

--- a/scripts/faultproxy.py
+++ b/scripts/faultproxy.py
@@ -119,11 +119,12 @@
 class FaultProxy:
     """Forwards connections from a port of its own to 127.0.0.1:upstream_port.
 
-    mode: "ok"; "refuse" resets new and open connections; "silent" accepts connections and drops
-    all data; "no_requests" and "no_answers" drop the data of one direction; "503" and "429" reply
-    with this status to the first request of each new connection and close it. A direction that has
-    dropped data stays silent after the mode returns to "ok", since a TCP stream cannot continue
-    after a gap. base_delay_s is the delay of each block of data without any fault.
+    mode: "ok"; "refuse" resets open connections, and new ones after it has accepted them; "silent"
+    accepts connections and drops all data; "no_requests" and "no_answers" drop the data of one
+    direction; "503" and "429" reply with this status to the first request of each new connection
+    and close it. A direction that has dropped data stays silent after the mode returns to "ok",
+    since a TCP stream cannot continue after a gap. base_delay_s is the delay of each block of data
+    without any fault.
     """
 
     def __init__(self, upstream_port, base_delay_s=0.0):
@@ -132,9 +133,21 @@
         self.lost_reply_count = 0
         self.held_shares, self.held_random, self.held_requests = {}, None, []
         self.set()
-        self.server = EVENT_LOOP.call(
-            asyncio.start_server(self._handle_connection, "127.0.0.1", 0))
-        self.port = self.server.sockets[0].getsockname()[1]
+        # A socket that never listens keeps the port while the proxy does not listen.
+        self.port_keeper = self._bind(0)
+        self.port = self.port_keeper.getsockname()[1]
+        self.refusal_count = 0
+        EVENT_LOOP.call(self._listen())
+
+    @staticmethod
+    def _bind(port):
+        bound = socket.socket()
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(("127.0.0.1", port))
+        return bound
+
+    async def _listen(self):
+        self.server = await asyncio.start_server(self._handle_connection, sock=self._bind(self.port))
 
     async def _handle_connection(self, reader, writer):
         self.tasks.add(asyncio.current_task())
@@ -238,6 +251,24 @@
         """Resets all open connections."""
         EVENT_LOOP.post(self._reset_all)
 
+    def refuse_connections(self):
+        """Resets all open connections and stops listening: new ones fail with ECONNREFUSED until
+        accept_connections() was called as often. The port stays the same."""
+        async def refuse():
+            self.refusal_count += 1
+            self.server.close()
+            self._reset_all()
+
+        EVENT_LOOP.call(refuse())
+
+    def accept_connections(self):
+        async def accept():
+            self.refusal_count -= 1
+            if self.refusal_count == 0:
+                await self._listen()
+
+        EVENT_LOOP.call(accept())
+
     def silence_open_connections(self):
         """Drops all further data of open connections without a reset; new connections work."""
         for direction in list(self.directions):
@@ -246,6 +277,7 @@
     def stop(self):
         async def close():
             self.server.close()
+            self.port_keeper.close()
             for task in list(self.tasks):
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -3,6 +3,7 @@
 that e2e.py rejects unknown scenarios; what the checks of the soak find in made-up histories; what the
 fault proxy loses; and how long the stand-in for the advice service takes. Reports in the format of cmocka."""
 
+import errno
 import http.client
 import http.server
 import json
@@ -425,6 +426,35 @@
     return outcomes, executed
 
 
+def connects_through_proxy():
+    """Returns whether connections are refused, not accepted and reset, from refuse_connections() to the
+    last of as many accept_connections(), at a port that stays the same."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), CountingHandler)
+    server.request_count = 0
+    server.handle_error = lambda *_: None
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    proxy = FaultProxy(server.server_address[1])
+
+    def connect():
+        with socket.socket() as connection:
+            return connection.connect_ex(("127.0.0.1", proxy.port))
+
+    connection = http.client.HTTPConnection("127.0.0.1", proxy.port, timeout=5)
+    outcomes = [post(connection), connect()]
+    for change in (proxy.refuse_connections, proxy.refuse_connections, proxy.accept_connections,
+                   proxy.accept_connections):
+        change()
+        outcomes.append(connect())
+    outcomes += [post(connection), post(connection)]
+    connection.close()
+    proxy.set("refuse")
+    outcomes += [connect(), post(connection)]
+    proxy.stop()
+    server.shutdown()
+    refused = errno.ECONNREFUSED
+    return outcomes == [200, 0, refused, refused, refused, 0, "reset", 200, 0, "reset"]
+
+
 # mode after the cut, outcomes and executed requests
 PROXY_CASES = [("ok", [200, "reset", 200, 200], 3), ("refuse", [200, "reset", "reset", 200], 2),
                ("503", [200, "reset", 503, 200], 2), ("429", [200, "reset", 429, 200], 2)]
@@ -679,6 +709,7 @@
         print("[%s] advice: %s%s" % ("       OK " if holds else "  FAILED  ", name,
                                      "" if holds else ": %s" % outcomes))
     for name, holds in [*held_requests_delivered().items(),
+                        ("refuses connections and accepts them again", connects_through_proxy()),
                         ("stand-in target executes starts around cuts", starts_around_cuts()),
                         ("stand-in target counts starts after ends as done",
                          starts_after_ends() == [1, 1, 0, 0, 0])]:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -76,6 +76,8 @@
 # Played by phases "held": processes that do not run for part of a second, as on a host that is short of
 # CPU, long enough for connections that are idle from the beginning of the run to reach their limit.
 HELD_S, HELD_BREAK_S, HELD_PHASE_S, IDLE_CLIENTS = (0.2, 0.9), (0.1, 0.6), (18, 20), 90
+# Played by phases "refused": targets refuse connections this long after open ones were reset.
+REFUSED_AFTER_S, STORE_OUTAGE_S = (0.01, 0.04), (4, 6)
 MORE_ROUTES, NARROW_BYTES_PER_S = 1400, 1250000
 # The fields of a row of the registry, and what makes a row of a target unreadable; %d is its port.
 ROW = {"service": "citas", "address": "127.0.0.1:%d", "zone": DOMAINS[0], "version": "v1", "slots": 8,
@@ -121,8 +123,11 @@
     # LOST start: owners took a quarter of the computer's memory for the tasks of accepted jobs, or
     # all of it for their rows, and were killed one after the other.
     (8001, "memory", 10),
+    # A live target that refused connections was taken as crashed:
+    (9001, "refused", 1),  # TWICE, begun_again
+    (9003, "refused", 1),  # begun_again, as the store returns
 ]
-CHECK_SEEDS = REGRESSIONS[:2] + REGRESSIONS[3:4] + REGRESSIONS[-3:]
+CHECK_SEEDS = REGRESSIONS[:2] + REGRESSIONS[3:4] + REGRESSIONS[-5:]
 # Lower seeds play no phase "boots" unless --phase names it, so that they keep the courses of the
 # time when they failed.
 FIRST_BOOTS_SEED = 1000
@@ -490,6 +495,59 @@
             for proxy in proxies:
                 proxy.set()
 
+    def refuse_connections(self, duration_s):
+        """Resets connections to several targets, which refuse new ones soon after and live on; in
+        series that overlap."""
+        deadline = time.monotonic() + duration_s
+
+        def refuse(generator):
+            while time.monotonic() < deadline:
+                proxies = generator.sample(self.cell.target_proxies, generator.randint(
+                    1, len(self.cell.target_proxies)))
+                with self.logged("refused", "targets"):
+                    for proxy in proxies:
+                        proxy.reset_open_connections()
+                    time.sleep(generator.uniform(*REFUSED_AFTER_S))
+                    for proxy in proxies:
+                        proxy.refuse_connections()
+                    time.sleep(generator.choice([generator.uniform(0.1, 1), generator.uniform(1, 4)]))
+                    for proxy in proxies:
+                        proxy.accept_connections()
+                time.sleep(generator.uniform(0, 1))
+
+        self.in_parallel([lambda s=self.random.random(): refuse(random.Random(s)) for _ in range(2)])
+
+    def refuse_and_kill_owner(self, duration_s):
+        delay_s = self.random.uniform(0, duration_s / 2)
+        self.in_parallel([lambda: self.refuse_connections(duration_s),
+                          lambda: (time.sleep(delay_s), self.kill_owner(duration_s))])
+
+    def refuse_during_store_outage(self, duration_s):
+        """The store is out of reach; entries of the registry lapse meanwhile and return after it has,
+        and the owner is killed in one of two cases. Targets refuse until after the outage."""
+        outage_s = self.random.uniform(*STORE_OUTAGE_S)
+        kill_s = self.random.uniform(0, 2 * outage_s)
+        outage = self.random.choice([self.disrupt_store, self.refuse_at_store])
+        self.in_parallel([lambda: outage(outage_s), lambda: self.let_entries_lapse(outage_s),
+                          lambda: (time.sleep(kill_s), kill_s < outage_s and self.kill_owner(1)),
+                          lambda: self.refuse_connections(outage_s + duration_s / 2)])
+
+    def refuse_at_store(self, duration_s):
+        with self.logged("refused", "store"):
+            for host in self.cell.hosts:
+                host.store_proxy.refuse_connections()
+            time.sleep(duration_s)
+            for host in self.cell.hosts:
+                host.store_proxy.accept_connections()
+
+    def let_entries_lapse(self, duration_s):
+        """The registry entries of some targets are gone for a time; the targets live on."""
+        count, gone_s = self.soak.options.targets, duration_s + self.random.uniform(0, 3)
+        with self.logged("lapse", "targets"):
+            for target in self.random.sample(range(count), self.random.randint(1, count)):
+                self.cell.control_target(target, "lapse", int(1000 * gone_s))
+            time.sleep(gone_s)
+
     def owner_and_targets(self, duration_s):
         """The owner is paused, killed or cut off while targets crash or fall silent."""
         def strike_targets():
@@ -664,6 +722,10 @@
     SEVERED = [silence_connections] * 5 + [kill_owner, pause_owner, restart_host, cut_or_crash]
     SEVERED_PHASES = [("severed", [silence_connections], 1), ("severed", SEVERED, 1),
                       ("severed", SEVERED, 2)]
+    REFUSED = [refuse_connections] * 3 + [refuse_and_kill_owner, refuse_during_store_outage] * 2 + [
+        let_entries_lapse, cut_or_crash, pause_owner]
+    REFUSED_PHASES = [("refused", [refuse_connections], 1), ("refused", REFUSED, 2),
+                      ("refused", REFUSED, 3)]
     VERSIONS = [write_versions, write_versions, replace_targets, delay_store_replies, limit_bandwidth,
                 pause_process]
     VERSION_PHASES = [("versions", [write_versions, replace_targets], 2), ("versions", VERSIONS, 3),
@@ -883,6 +945,7 @@
                 + (Faults.VERSION_PHASES if self.phase == "versions" else [])
                 + (Faults.MEMORY_PHASES if self.phase == "memory" else [])
                 + (Faults.SEVERED_PHASES if self.phase == "severed" else [])
+                + (Faults.REFUSED_PHASES if self.phase == "refused" else [])
                 + (Faults.HELD_PHASES if self.plays_held else []))
 
     def play_phase(self, number):
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -25,14 +25,14 @@
  * service.
  *
  * POST /control takes {"target": N, "fault": "crash" | "cut" | "drain" | "address" | "slow" |
- * "resize", "ms": N, "port": N, "cpu": N, "row_ms": N, "delay_ms": N}. "crash" discards the runs of
- * the target and restarts it after "ms", with "cpu" if that is given; its registry row follows
- * "row_ms" later; with -1 it never returns. "cut" makes it unreachable for "ms" while its runs
- * continue; requests that were held up are executed when the cut ends, unless it lasts longer than
- * their senders wait. "drain" registers it as draining until its next crash, and "address"
+ * "resize" | "lapse", "ms": N, "port": N, "cpu": N, "row_ms": N, "delay_ms": N}. "crash" discards
+ * the runs of the target and restarts it after "ms", with "cpu" if that is given; its registry row
+ * follows "row_ms" later; with -1 it never returns. "cut" makes it unreachable for "ms" while its
+ * runs continue; requests that were held up are executed when the cut ends, unless it lasts longer
+ * than their senders wait. "drain" registers it as draining until its next crash, and "address"
  * registers it with another port. "slow" delays its replies by "delay_ms" for "ms"; the requests
  * are executed as they arrive. "resize" changes the capacity to "cpu"; the registry row follows
- * "row_ms" later. */
+ * "row_ms" later. "lapse" removes the registry row of a target that is up for "ms". */
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -84,7 +84,7 @@
   struct target_state state;
   int64_t isolated_until_ms;
   int64_t down_until_ms;
-  int64_t row_due_ms;    /* when the row of a resized target is written; 0 for none */
+  int64_t row_due_ms;    /* when a row that was resized or has lapsed is written; 0 for none */
   int64_t crashes_at_ms; /* when a task ends the boot; 0 for never */
   struct fl_name crashing_task;
   int64_t row_delay_ms;   /* between a restart and the write of the registry row */
@@ -820,6 +820,11 @@
         restart_target (target, ms, get_number (json, "cpu"), get_number (json, "row_ms"));
       else if (strcmp (fault.data, "resize") == 0)
         resize_target (target, get_number (json, "cpu"), get_number (json, "row_ms"));
+      else if (strcmp (fault.data, "lapse") == 0 && target->row_expires_ms == 0)
+        {
+          target->row_due_ms = now_ms () + ms;
+          write_registry_row (target, true);
+        }
       else if (strcmp (fault.data, "cut") == 0)
         target->isolated_until_ms = now_ms () + ms;
       else if (strcmp (fault.data, "slow") == 0)
