Core: what is concluded later from a target that only may have crashed

Found by a review of the last changes, each with a test in test_deadly_tasks that failed before: - a target that refused connections after the lease of a fresh run there had lapsed counted as one without such a run, and excused the task that had crashed another target (test_lapsed_run_explains_the_crash_of_its_target); - refusals of a target that answered again in the same boot decided what its later silence meant for a watched run (test_withdrawn_suspicion_decides_nothing_later); - the verdict on a task waited 10 s for the target that it had crashed, whose address another one had taken over (test_crashed_target_does_not_hold_up_the_verdict); - tasks that had run for some time on a target that refused held up the others of their job once their leases had lapsed (test_bystanders_hold_up_no_others).

--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -74,7 +74,8 @@
   /* Of an open case: its state if the boot turns out to have ended; OPEN if that is to be judged.
    */
   enum fl_crash_state if_crashed;
-  /* The run is in effect, as far as is known, on a target that only may have crashed. */
+  /* The target of the run only may have crashed, and the run is in effect, as far as is known, or is
+   * no suspect even if it has. */
   bool is_provisional;
 };
 
@@ -595,7 +596,7 @@
     return;
   struct crash_scene scene = examine_target (target);
   target->crash_suspected = true;
-  target->suspects = scene.fresh;
+  target->suspects += scene.fresh;
   for (guint i = 0; i < target->runs->len; i++)
     {
       struct core_run *run = g_ptr_array_index (target->runs, i);
@@ -630,7 +631,8 @@
       run->is_crash_noted = true;
       if (is_judged)
         {
-          crash_case->is_provisional = false;
+          crash_case->is_provisional
+              = crash_case->is_provisional && crash_case->if_crashed == FL_CRASH_PRESENT;
           update_task (run->task);
           continue;
         }
@@ -663,7 +665,10 @@
           /* The case of a run that is in effect is decided by its end. */
           if (is_in_effect (task, crash_case) && task->run->state != CORE_RUN_PLANNED
               && crash_case->row.state == FL_CRASH_OPEN && !crash_case->is_provisional)
-            continue;
+            {
+              crash_case->if_crashed = FL_CRASH_OPEN;
+              continue;
+            }
           log_case (task, crash_case, reporter, "crash_withdrawn");
           remove_case (task, crash_case);
           continue;
@@ -922,7 +927,9 @@
   for (guint i = 0; i < core->target_list->len; i++)
     {
       const struct core_target *target = g_ptr_array_index (core->target_list, i);
-      if (!target->silent || core->now_ms - target->silent_since_ms >= CRASH_OPEN_WAIT_MS)
+      /* The crash of a target that has been noted has excused what it can. */
+      if (!target->silent || target->boot_end_noted || !target->reported
+          || core->now_ms - target->silent_since_ms >= CRASH_OPEN_WAIT_MS)
         continue;
       for (guint j = 0; j < task->crashes->len; j++)
         if (get_case (task, j)->row.state != FL_CRASH_OPEN
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -543,6 +543,221 @@
   fixture_free (fixture);
 }
 
+/* A target fell silent at the time at which a task crashed another one, and refused connections
+ * after the lease of a fresh run there had lapsed. It counted as one that had no such run, and
+ * excused that task. */
+static void
+test_lapsed_run_explains_the_crash_of_its_target (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool refuses;
+  } cases[] = { { "silent until it is back", false }, { "refuses before it is back", true } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t boots[G_N_ELEMENTS (target_names)];
+      struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
+      add_job (fixture, "a", "urgent", make_step (1, 5000));
+      add_job (fixture, "b", "urgent", make_step (1, 5000));
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->start_orders->len, 2);
+      bool is_first = strncmp (get_start_order (fixture, 0)->task.data, "a.", 2) == 0;
+      size_t crashed = find_target (get_start_order (fixture, is_first ? 0 : 1));
+      size_t silent = find_target (get_start_order (fixture, is_first ? 1 : 0));
+      assert_int_not_equal (crashed, silent);
+      confirm_start (fixture, 0);
+      confirm_start (fixture, 1);
+      fixture->now_ms += 10;
+      deliver_result (fixture, target_names[silent], FL_ORDER_NO_REPLY);
+      crash_target (fixture, target_names[crashed], &boots[crashed], EVIDENCE_NO_LISTENER);
+      tick_until_recorded (fixture, 0);
+      /* Task "a" crashes its next target, too. */
+      assert_int_equal (fixture->start_orders->len, 3);
+      crashed = find_target (get_start_order (fixture, 2));
+      assert_int_not_equal (crashed, silent);
+      confirm_start (fixture, 2);
+      crash_target (fixture, target_names[crashed], &boots[crashed], EVIDENCE_NO_LISTENER);
+      for (int j = 0; j < 60; j++)
+        {
+          fixture->now_ms += 100;
+          for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
+            if (n == silent)
+              deliver_result (fixture, target_names[n],
+                              cases[i].refuses && j >= 57 ? FL_ORDER_NO_LISTENER
+                                                          : FL_ORDER_NO_REPLY);
+            else
+              deliver_runs (fixture, target_names[n], boots[n], NULL, 0);
+          tick_until_recorded (fixture, 0);
+        }
+      boots[silent]++;
+      let_idle_time_pass (fixture, boots, 1000);
+      if (count_given_up (fixture) != 1)
+        fail_msg ("%s: %d given up", cases[i].name, (int)count_given_up (fixture));
+      fixture_free (fixture);
+    }
+}
+
+/* Refused connections of a target that answered again in the same boot decided what its later
+ * silence meant for a watched run. */
+static void
+test_withdrawn_suspicion_decides_nothing_later (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool refuses;
+  } cases[] = { { "silent", false }, { "had refused connections before", true } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t boots[G_N_ELEMENTS (target_names)];
+      struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
+      add_job (fixture, "a", "urgent", make_step (1, 1000));
+      tick_until_recorded (fixture, 0);
+      size_t target = find_target (get_start_order (fixture, 0));
+      confirm_start (fixture, 0);
+      crash_target (fixture, target_names[target], &boots[target], EVIDENCE_OTHER_BOOT);
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->start_orders->len, 2);
+      struct fl_run_row row = make_row (get_start_order (fixture, 1));
+      target = find_target (get_start_order (fixture, 1));
+      confirm_start (fixture, 1);
+      for (int j = 0; cases[i].refuses && j < 3; j++)
+        {
+          fixture->now_ms += 10;
+          deliver_result (fixture, target_names[target], FL_ORDER_NO_LISTENER);
+        }
+      fixture->now_ms += 10;
+      deliver_runs (fixture, target_names[target], boots[target], &row, 1);
+      tick_until_recorded (fixture, 0);
+      for (int j = 0; j < 65; j++)
+        {
+          fixture->now_ms += 100;
+          for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
+            if (n == target)
+              deliver_result (fixture, target_names[n], FL_ORDER_NO_REPLY);
+            else
+              deliver_runs (fixture, target_names[n], boots[n], NULL, 0);
+          tick_until_recorded (fixture, 0);
+          if (fixture->start_orders->len > 2)
+            break;
+        }
+      boots[target]++;
+      for (int j = 0; j < 2; j++)
+        {
+          fixture->now_ms += 10;
+          deliver_runs (fixture, target_names[target], boots[target], NULL, 0);
+        }
+      for (int j = 0; j < 12; j++)
+        tick_until_recorded (fixture, 100);
+      if (count_given_up (fixture) != 0)
+        fail_msg ("%s: %d given up", cases[i].name, (int)count_given_up (fixture));
+      fixture_free (fixture);
+    }
+}
+
+/* The verdict on a task waited for the target that it had crashed, whose address another one had
+ * taken over. */
+static void
+test_crashed_target_does_not_hold_up_the_verdict (void **state)
+{
+  int64_t boots[G_N_ELEMENTS (target_names)];
+  struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
+
+  (void)state;
+  add_job (fixture, "a", "urgent", make_step (1, 1000));
+  tick_until_recorded (fixture, 0);
+  size_t target = find_target (get_start_order (fixture, 0));
+  confirm_start (fixture, 0);
+  crash_target (fixture, target_names[target], &boots[target], EVIDENCE_OTHER_BOOT);
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->start_orders->len, 2);
+  target = find_target (get_start_order (fixture, 1));
+  confirm_start (fixture, 1);
+  fixture->now_ms += 10;
+  deliver_result (fixture, target_names[target], FL_ORDER_NO_REPLY);
+  fixture->now_ms += 10;
+  deliver_result (fixture, target_names[target], FL_ORDER_OTHER_BOOT);
+  for (int i = 0; i < 10; i++)
+    {
+      fixture->now_ms += 100;
+      for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
+        if (n == target)
+          deliver_result (fixture, target_names[n], FL_ORDER_OTHER_BOOT);
+        else
+          deliver_runs (fixture, target_names[n], boots[n], NULL, 0);
+      tick_until_recorded (fixture, 0);
+    }
+  assert_int_equal (count_given_up (fixture), 1);
+  fixture_free (fixture);
+}
+
+/* Tasks that had run for some time on a target that was lost held up the others of their job, once
+ * their leases had lapsed. */
+static void
+test_bystanders_hold_up_no_others (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum fl_order_result result;
+  } cases[] = { { "silent", FL_ORDER_NO_REPLY }, { "refuses", FL_ORDER_NO_LISTENER } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t boots[G_N_ELEMENTS (target_names)];
+      struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
+      struct fl_run_row rows[G_N_ELEMENTS (target_names)];
+      add_job (fixture, "a", "urgent", make_step (10, 8000));
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->start_orders->len, 6);
+      for (guint j = 0; j < 6; j++)
+        {
+          rows[find_target (get_start_order (fixture, j))] = make_row (get_start_order (fixture, j));
+          confirm_start (fixture, j);
+        }
+      for (int j = 0; j < 70; j++)
+        {
+          fixture->now_ms += 100;
+          for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
+            rows[n].progress_percent = j;
+          for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
+            if (n == 0 && j >= 8)
+              deliver_result (fixture, target_names[n], cases[i].result);
+            else
+              {
+                struct fl_name id = fl_name_of (target_names[n]);
+                struct fl_heartbeat_order order;
+                fl_core_prepare_heartbeat (fixture->core, &id, fixture->now_ms, &order);
+                deliver_runs (fixture, target_names[n], boots[n], &rows[n], 1);
+              }
+          tick_until_recorded (fixture, 0);
+        }
+      assert_int_equal (fixture->start_orders->len, 6);
+      /* The others end. */
+      for (size_t n = 1; n < G_N_ELEMENTS (target_names); n++)
+        {
+          struct fl_end_row end = { .number = 1,
+                                    .task = rows[n].task,
+                                    .run = rows[n].run,
+                                    .cause = FL_END_DONE };
+          deliver_report (fixture, target_names[n],
+                          (struct fl_target_report){ .booted_at_ms = boots[n],
+                                                     .ends = &end,
+                                                     .end_count = 1 });
+        }
+      tick_until_recorded (fixture, 10);
+      if (fixture->start_orders->len != 11)
+        fail_msg ("%s: %u starts", cases[i].name, fixture->start_orders->len);
+      fixture_free (fixture);
+    }
+}
+
 /* Tasks that crashed their targets were started again, on the next target, without a limit. */
 static void
 test_tasks_that_crash_their_targets_in_a_cell (void **state)
@@ -575,6 +790,10 @@
           cmocka_unit_test (test_end_of_a_draining_target_is_no_crash),
           cmocka_unit_test (test_suspected_task_waits_for_its_record),
           cmocka_unit_test (test_successor_goes_on_counting),
+          cmocka_unit_test (test_lapsed_run_explains_the_crash_of_its_target),
+          cmocka_unit_test (test_withdrawn_suspicion_decides_nothing_later),
+          cmocka_unit_test (test_crashed_target_does_not_hold_up_the_verdict),
+          cmocka_unit_test (test_bystanders_hold_up_no_others),
           cmocka_unit_test (test_tasks_that_crash_their_targets_in_a_cell) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
