Core: a crash that was judged counts so when its target was forgotten meanwhile

A target that left the registry and whose leases had lapsed is forgotten with its boot. When it was back, or another id at its address, the judged case of a task that may have crashed it counted as present, not as suspected, so that such a task was started four times in place of two.

--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -647,6 +647,26 @@
 
 /* --- what targets and runs tell later --- */
 
+/* Counts the open @crash_case, since another boot than its own replies. The target that had crashed
+ * may have been forgotten meanwhile. */
+static void
+count_open_case (struct core_task *task,
+                 struct crash_case *crash_case,
+                 const struct core_target *reporter)
+{
+  const struct fl_core *core = task->step->job->core;
+  struct core_target_crash crash
+      = { .at_ms = crash_case->crashed_at_ms, .target = crash_case->row.target };
+  /* Without a sign of a crash, the run may have ended long before the boot did. */
+  enum fl_crash_state state = FL_CRASH_PRESENT;
+
+  if (crash_case->if_crashed == FL_CRASH_SUSPECTED)
+    state = reduce_state (FL_CRASH_SUSPECTED, is_excused (core, &crash),
+                          is_one_of_many (core, &crash));
+  crash_case->noted_at_ms = core->now_ms;
+  change_case (task, crash_case, state, reporter, "crash_counted");
+}
+
 /* Decides the cases of @task that concern the target or the address of @reporter. */
 static void
 resolve_task (struct core_task *task, const struct core_target *reporter, bool is_alive)
@@ -676,9 +696,7 @@
       if (crash_case->row.state != FL_CRASH_OPEN || crash_case->row.booted_at_ms == 0
           || is_in_effect (task, crash_case))
         continue;
-      /* The run may have ended long before the boot did. */
-      crash_case->noted_at_ms = task->step->job->core->now_ms;
-      change_case (task, crash_case, FL_CRASH_PRESENT, reporter, "crash_counted");
+      count_open_case (task, crash_case, reporter);
     }
 }
 
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -758,6 +758,74 @@
     }
 }
 
+/* A target that came back after the leases of its last boot had lapsed, and had left the registry
+ * meanwhile, counted as if its silence had shown no sign of a crash. */
+static void
+test_crash_is_counted_when_the_target_is_known_anew (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool is_unlisted;
+    bool has_new_id;
+  } cases[] = { { "listed all the time", false, false },
+                { "left the registry", true, false },
+                { "came back with another id", true, true } };
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t boots[G_N_ELEMENTS (target_names)];
+      struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
+      int64_t back_ms[G_N_ELEMENTS (target_names)] = { 0 };
+      guint crashed = 0;
+      add_job (fixture, "a", "urgent", make_step (1, 1000));
+      tick_until_recorded (fixture, 0);
+      for (int j = 0; j < 300; j++)
+        {
+          for (; crashed < fixture->start_orders->len && crashed < 2; crashed++)
+            {
+              size_t target = find_target (get_start_order (fixture, crashed));
+              confirm_start (fixture, crashed);
+              back_ms[target] = fixture->now_ms + 8000;
+            }
+          fixture->now_ms += 100;
+          for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
+            {
+              struct fl_name id = fl_name_of (target_names[n]);
+              if (back_ms[n] > fixture->now_ms)
+                deliver_result (fixture, target_names[n], FL_ORDER_NO_LISTENER);
+              else if (back_ms[n] == 0 || !cases[i].has_new_id)
+                deliver_runs (fixture, target_names[n], boots[n], NULL, 0);
+              if (back_ms[n] - 7000 == fixture->now_ms && cases[i].is_unlisted)
+                fl_core_remove_target (fixture->core, &id);
+              if (back_ms[n] - 100 == fixture->now_ms)
+                boots[n]++;
+              if (back_ms[n] != fixture->now_ms || !cases[i].is_unlisted)
+                continue;
+              struct fl_target_entry entry = { .id = id,
+                                               .service = fl_name_of ("s"),
+                                               .address = id,
+                                               .resources = { CORES * 1000, 100000, 0 } };
+              if (cases[i].has_new_id)
+                entry.id = fl_name_format ("%s-new", target_names[n]);
+              fl_core_update_target (fixture->core, &entry);
+              deliver_runs (fixture, entry.id.data, boots[n], NULL, 0);
+            }
+          tick_until_recorded (fixture, 0);
+        }
+      if (fixture->start_orders->len != 2 || count_given_up (fixture) != 1)
+        {
+          printf ("%s: %u starts, %d given up\n", cases[i].name, fixture->start_orders->len,
+                  (int)count_given_up (fixture));
+          failed++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
+}
+
 /* Tasks that crashed their targets were started again, on the next target, without a limit. */
 static void
 test_tasks_that_crash_their_targets_in_a_cell (void **state)
@@ -794,6 +862,7 @@
           cmocka_unit_test (test_withdrawn_suspicion_decides_nothing_later),
           cmocka_unit_test (test_crashed_target_does_not_hold_up_the_verdict),
           cmocka_unit_test (test_bystanders_hold_up_no_others),
+          cmocka_unit_test (test_crash_is_counted_when_the_target_is_known_anew),
           cmocka_unit_test (test_tasks_that_crash_their_targets_in_a_cell) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
