--- a/tests/test_refused_connections.c
+++ b/tests/test_refused_connections.c
@@ -127,6 +127,69 @@
   assert_int_equal (failed, 0);
 }
 
+/* A start whose first order had no reply may be in effect, or take effect later, though connections
+ * are refused then: that of the second order, or those after both. */
+static void
+test_repeated_start_behind_refused_connections_runs_once (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum fl_order_result result; /* of the second order */
+    bool is_unlisted;            /* its registry entry has lapsed */
+  } cases[] = {
+    { "second order refused", FL_ORDER_NO_LISTENER, false },
+    { "second order refused, entry lapsed", FL_ORDER_NO_LISTENER, true },
+    { "listed after the second order", FL_ORDER_DONE, false },
+    { "listed after the second order, entry lapsed", FL_ORDER_DONE, true },
+  };
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_name target = fl_name_of ("t1");
+      fl_core_set_registry_known (fixture->core);
+      add_target (fixture, "t1", 1, false);
+      add_job (fixture, "a", "urgent", one_task);
+      tick_until_recorded (fixture, 0);
+      struct fl_name task = get_start_order (fixture, 0)->task;
+      struct fl_run_row run = { .task = task, .run = 1 };
+      fl_core_handle_start_reply (fixture->core, &task, 1, FL_ORDER_NO_REPLY, fixture->now_ms);
+      tick_until_recorded (fixture, 10);
+      assert_int_equal (fixture->start_orders->len, 2);
+      assert_int_equal (get_start_order (fixture, 1)->run, 1);
+      int64_t ordered_ms = fixture->now_ms;
+      fl_core_handle_start_reply (fixture->core, &task, 1, cases[i].result, fixture->now_ms);
+      fixture->now_ms += 10;
+      if (cases[i].result == FL_ORDER_DONE)
+        deliver_report (
+            fixture, "t1",
+            (struct fl_target_report){ .booted_at_ms = 1, .runs = &run, .run_count = 1 });
+      add_target (fixture, "t2", 4, false);
+      if (cases[i].is_unlisted)
+        fl_core_remove_target (fixture->core, &target);
+      refuse (fixture, "t1", 10);
+      /* The deadline of a start is at least 1500 ms ahead. */
+      tick_until_recorded (fixture, ordered_ms + 1500 - fixture->now_ms);
+      guint starts = fixture->start_orders->len;
+      while (fixture->now_ms < ordered_ms + 6000 * 104 / 100 + 100)
+        {
+          deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
+          refuse (fixture, "t1", 1);
+        }
+      if (starts != 2 || fixture->start_orders->len != 3
+          || get_start_order (fixture, 2)->run <= 1)
+        {
+          printf ("%s: %u and %u starts\n", cases[i].name, starts, fixture->start_orders->len);
+          failed++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
+}
+
 /* A new owner started the tasks of targets that refused connections, and whose entries had lapsed
  * with the store, before their leases had expired. */
 static void
@@ -179,6 +242,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_task_behind_refused_connections_runs_once),
+          cmocka_unit_test (test_repeated_start_behind_refused_connections_runs_once),
           cmocka_unit_test (test_new_owner_waits_for_targets_that_refuse),
           cmocka_unit_test (test_refused_connections_are_no_crash) };
 
