--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -660,7 +660,7 @@
   /* Without a sign of a crash, the run may have ended long before the boot did. */
   enum fl_crash_state state = FL_CRASH_PRESENT;
 
-  if (crash_case->if_crashed == FL_CRASH_SUSPECTED)
+  if (crash_case->if_crashed == FL_CRASH_SUSPECTED && !reporter->entry.draining)
     state = reduce_state (FL_CRASH_SUSPECTED, is_excused (core, &crash),
                           is_one_of_many (core, &crash));
   crash_case->noted_at_ms = core->now_ms;
