--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -74,8 +74,8 @@
   /* Of an open case: its state if the boot turns out to have ended; OPEN if that is to be judged.
    */
   enum fl_crash_state if_crashed;
-  /* The target of the run only may have crashed, and the run is in effect, as far as is known, or is
-   * no suspect even if it has. */
+  /* The target of the run only may have crashed, and the run is in effect, as far as is known, or
+   * is no suspect even if it has. */
   bool is_provisional;
 };
 
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -231,7 +231,7 @@
   int transaction_count; /* store transactions of owners so far */
   int64_t last_fault_ms; /* when the last fault began */
   int64_t finish_ms;     /* until then all jobs must end */
-  int64_t limited_ms;    /* when no job was last seen to wait for anything but its team's limit */
+  int64_t limited_ms;    /* when the rest was last seen to run, or to wait for its team's limit */
   GArray *gang_ends;     /* struct target_end: after which the other members end, too */
   struct fake_domain domains[DOMAINS];
   struct simulated_advice *advice;  /* NULL without an advice profile */
@@ -2646,11 +2646,19 @@
   return false;
 }
 
+/* @return the CPU limit of the team of @job; 0 for none. */
+static int64_t
+get_team_cap (const struct cell *cell, const struct fake_job *job)
+{
+  struct fl_name name = fl_name_format ("w%d", job->team);
+
+  return fl_configuration_find_team (cell->configuration, &name)->cap.cpu_milli;
+}
+
 static bool
 is_team_below_half (const struct cell *cell, const struct fake_job *job)
 {
-  struct fl_name name = fl_name_format ("w%d", job->team);
-  int64_t cap_milli = fl_configuration_find_team (cell->configuration, &name)->cap.cpu_milli;
+  int64_t cap_milli = get_team_cap (cell, job);
 
   return cap_milli == 0 || 2 * cell->team_used[job->team].cpu_milli < cap_milli;
 }
@@ -2701,15 +2709,18 @@
     check_idle_job (cell, g_ptr_array_index (cell->jobs, i), is_calm, idle_max_ms);
 }
 
-/* Whether each job that has not ended runs, or is of a team that uses half of its limit or more. */
+/* Whether each job that has not ended is of a team with a limit, and runs or waits while the team
+ * uses half of its limit or more. */
 static bool
-runs_or_is_limited (struct cell *cell)
+are_rest_limited (struct cell *cell)
 {
   count_usage (cell);
   for (guint i = 0; i < cell->jobs->len; i++)
     {
       const struct fake_job *job = g_ptr_array_index (cell->jobs, i);
-      if (!job->ended && job->running == 0 && is_team_below_half (cell, job))
+      if (!job->ended
+          && (get_team_cap (cell, job) == 0
+              || (job->running == 0 && is_team_below_half (cell, job))))
         return false;
     }
   return true;
@@ -2753,7 +2764,7 @@
     }
   if (cell->now_ms % 100 == 0 && (cell->advice != NULL || faults_enabled (cell)))
     submit_due_jobs (cell);
-  if (cell->now_ms >= cell->finish_ms - CELL_IDLE_MAX_MS && runs_or_is_limited (cell))
+  if (cell->now_ms >= cell->finish_ms - CELL_IDLE_MAX_MS && are_rest_limited (cell))
     cell->limited_ms = cell->now_ms;
   if (cell->now_ms - cell->lease_written_ms > POOL_LEASE_EXPIRY_MS + 200)
     acquire_ownership (cell);
@@ -2772,7 +2783,7 @@
 }
 
 /* Whether the jobs still have time to end: until finish_ms, or longer, up to twice as long after
- * the fault phase, while they run or wait for a team at its limit. */
+ * the fault phase, while they are of a team with a limit, and run or wait for it. */
 static bool
 has_time_left (const struct cell *cell)
 {
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -718,7 +718,8 @@
       assert_int_equal (fixture->start_orders->len, 6);
       for (guint j = 0; j < 6; j++)
         {
-          rows[find_target (get_start_order (fixture, j))] = make_row (get_start_order (fixture, j));
+          rows[find_target (get_start_order (fixture, j))]
+              = make_row (get_start_order (fixture, j));
           confirm_start (fixture, j);
         }
       for (int j = 0; j < 70; j++)
@@ -742,14 +743,11 @@
       /* The others end. */
       for (size_t n = 1; n < G_N_ELEMENTS (target_names); n++)
         {
-          struct fl_end_row end = { .number = 1,
-                                    .task = rows[n].task,
-                                    .run = rows[n].run,
-                                    .cause = FL_END_DONE };
-          deliver_report (fixture, target_names[n],
-                          (struct fl_target_report){ .booted_at_ms = boots[n],
-                                                     .ends = &end,
-                                                     .end_count = 1 });
+          struct fl_end_row end
+              = { .number = 1, .task = rows[n].task, .run = rows[n].run, .cause = FL_END_DONE };
+          deliver_report (
+              fixture, target_names[n],
+              (struct fl_target_report){ .booted_at_ms = boots[n], .ends = &end, .end_count = 1 });
         }
       tick_until_recorded (fixture, 10);
       if (fixture->start_orders->len != 11)
--- a/tests/test_refused_connections.c
+++ b/tests/test_refused_connections.c
@@ -179,8 +179,7 @@
           deliver_report (fixture, "t2", (struct fl_target_report){ .booted_at_ms = 1 });
           refuse (fixture, "t1", 1);
         }
-      if (starts != 2 || fixture->start_orders->len != 3
-          || get_start_order (fixture, 2)->run <= 1)
+      if (starts != 2 || fixture->start_orders->len != 3 || get_start_order (fixture, 2)->run <= 1)
         {
           printf ("%s: %u and %u starts\n", cases[i].name, starts, fixture->start_orders->len);
           failed++;
