Core, tests: one sum of a task's crashes, one place that notes how a run ended, one step of the tests of crashes

Read again as a newcomer. must_be_given_up and may_decide had one loop each; lose_run set what core_run_release_ended sets; the check for a lost run stood in core_run_note_lost_run and, without its exception of run 0, beside its call, so that a listed run 0 was counted in runs_lost_alive_total and not logged: only that changes. Three tests had the same eight lines.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -731,8 +731,8 @@
 void core_run_release_ended (struct core_run *run, enum core_run_end end);
 /* Logs what @target lists of @run of @task, which may be NULL, if this owner took that run for
  * lost.
- * @what: "running", or the cause of its end. */
-void core_run_note_lost_run (const struct core_task *task,
+ * @what: "running", or the cause of its end. @return whether this owner did. */
+bool core_run_note_lost_run (const struct core_task *task,
                              int64_t run,
                              const struct core_target *target,
                              const char *what);
--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -141,25 +141,27 @@
   return state == FL_CRASH_SUSPECTED ? CRASH_WEIGHT_SUSPECTED : 1;
 }
 
-static bool
-must_be_given_up (const struct core_task *task)
+static guint
+sum_weights (const struct core_task *task)
 {
   guint weight = 0;
 
   for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
     weight += get_weight ((enum fl_crash_state)get_case (task, i)->row.state);
-  return weight >= CRASH_WEIGHT_MAX;
+  return weight;
+}
+
+static bool
+must_be_given_up (const struct core_task *task)
+{
+  return sum_weights (task) >= CRASH_WEIGHT_MAX;
 }
 
 /* Whether @task has to be given up if the target of @open_case turns out to have crashed. */
 static bool
 may_decide (const struct core_task *task, const struct crash_case *open_case)
 {
-  guint weight = get_weight (open_case->if_crashed);
-
-  for (guint i = 0; i < task->crashes->len; i++)
-    weight += get_weight ((enum fl_crash_state)get_case (task, i)->row.state);
-  return weight >= CRASH_WEIGHT_MAX;
+  return sum_weights (task) + get_weight (open_case->if_crashed) >= CRASH_WEIGHT_MAX;
 }
 
 /* When the boot of @target ended, if it did: since then it has not replied. */
@@ -447,7 +449,7 @@
     }
 }
 
-/* The crash that was noticed @age crashes ago; at_ms is 0 if there is none. */
+/* The crash that was noticed @age crashes ago, one that is kept. */
 static const struct core_target_crash *
 get_noted_crash (const struct fl_core *core, guint age)
 {
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -318,8 +318,7 @@
 
   target->stale_runs++;
   fl_stats_add (core->options.stats, "runs_unexpected_total", 1);
-  core_run_note_lost_run (task, row->run, target, "running");
-  if (task != NULL && task->lost_run == row->run)
+  if (core_run_note_lost_run (task, row->run, target, "running"))
     fl_stats_add (core->options.stats, "runs_lost_alive_total", 1);
   fl_log (core->options.log, FL_LOG_NOTICE, "stop_foreign", FL_N ("task", &row->task),
           FL_I ("run", row->run), FL_N ("target", &target->entry.id),
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -131,7 +131,7 @@
 }
 
 static const char *
-get_end_name (const struct core_task *task)
+get_end_name (enum core_run_end end)
 {
   static const char *const names[] = {
     [CORE_RUN_END_NONE] = "none",
@@ -141,10 +141,10 @@
     [CORE_RUN_END_TAKEN_OVER] = "address_taken_over",
   };
 
-  return names[task->last_end];
+  return names[end];
 }
 
-void
+bool
 core_run_note_lost_run (const struct core_task *task,
                         int64_t run,
                         const struct core_target *target,
@@ -153,12 +153,14 @@
   const struct fl_core *core = target->core;
 
   if (task == NULL || run == 0 || task->lost_run != run)
-    return;
+    return false;
   struct fl_name name = core_task_name (task);
   fl_log (core->options.log, FL_LOG_NOTICE, "lost_run_listed", FL_N ("task", &name),
           FL_I ("run", run), FL_N ("target", &target->entry.id),
           FL_I ("boot", target->booted_at_ms), FL_S ("as", what),
-          FL_S ("after", get_end_name (task)), FL_I ("last_run", task->last_run_number));
+          FL_S ("after", get_end_name ((enum core_run_end)task->last_end)),
+          FL_I ("last_run", task->last_run_number));
+  return true;
 }
 
 /* How long a start order to @target may take effect. The clock of the target is known from a reply,
@@ -236,7 +238,7 @@
           FL_I ("lists_age_ms", core->now_ms - target->last_heartbeat_at_ms),
           FL_I ("boot", target->booted_at_ms), FL_I ("listed_boot", target->entry.booted_at_ms),
           FL_I ("owner_token", core->options.fencing_token),
-          FL_S ("after", get_end_name (run->task)));
+          FL_S ("after", get_end_name ((enum core_run_end)run->task->last_end)));
   core->options.actions.start (core->options.context, &order);
 }
 
@@ -325,18 +327,16 @@
 lose_run (struct core_run *run, enum core_run_end end)
 {
   struct fl_core *core = run->task->step->job->core;
-  struct core_task *task = run->task;
-  struct fl_name name = core_task_name (task);
+  struct fl_name name = core_task_name (run->task);
 
-  task->last_end = (uint8_t)end;
-  task->lost_run = run->number;
+  run->task->lost_run = run->number;
   fl_log (core->options.log, FL_LOG_NOTICE, "run_lost", FL_N ("task", &name),
           FL_I ("run", run->number), FL_N ("target", &run->target->entry.id),
-          FL_S ("reason", get_end_name (task)), FL_I ("boot", run->target->booted_at_ms),
+          FL_S ("reason", get_end_name (end)), FL_I ("boot", run->target->booted_at_ms),
           FL_I ("ordered_ms", core->now_ms - run->first_ordered_at_ms),
           FL_I ("listed_ms", core_run_known_age_ms (run)));
   fl_stats_add (core->options.stats, "runs_lost_total", 1);
-  core_run_release (run);
+  core_run_release_ended (run, end);
 }
 
 void
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -543,6 +543,23 @@
   fixture_free (fixture);
 }
 
+/* 100 ms later, all targets but the one with the index @silent report that nothing runs there; a
+ * heartbeat to that one has @result. */
+static void
+report_beside_silent_target (struct fixture *fixture,
+                             const int64_t *boots,
+                             size_t silent,
+                             enum fl_order_result result)
+{
+  fixture->now_ms += 100;
+  for (size_t i = 0; i < G_N_ELEMENTS (target_names); i++)
+    if (i == silent)
+      deliver_result (fixture, target_names[i], result);
+    else
+      deliver_runs (fixture, target_names[i], boots[i], NULL, 0);
+  tick_until_recorded (fixture, 0);
+}
+
 /* A target fell silent at the time at which a task crashed another one, and refused connections
  * after the lease of a fresh run there had lapsed. It counted as one that had no such run, and
  * excused that task. */
@@ -581,17 +598,9 @@
       confirm_start (fixture, 2);
       crash_target (fixture, target_names[crashed], &boots[crashed], EVIDENCE_NO_LISTENER);
       for (int j = 0; j < 60; j++)
-        {
-          fixture->now_ms += 100;
-          for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
-            if (n == silent)
-              deliver_result (fixture, target_names[n],
-                              cases[i].refuses && j >= 57 ? FL_ORDER_NO_LISTENER
-                                                          : FL_ORDER_NO_REPLY);
-            else
-              deliver_runs (fixture, target_names[n], boots[n], NULL, 0);
-          tick_until_recorded (fixture, 0);
-        }
+        report_beside_silent_target (fixture, boots, silent,
+                                     cases[i].refuses && j >= 57 ? FL_ORDER_NO_LISTENER
+                                                                 : FL_ORDER_NO_REPLY);
       boots[silent]++;
       let_idle_time_pass (fixture, boots, 1000);
       if (count_given_up (fixture) != 1)
@@ -636,13 +645,7 @@
       tick_until_recorded (fixture, 0);
       for (int j = 0; j < 65; j++)
         {
-          fixture->now_ms += 100;
-          for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
-            if (n == target)
-              deliver_result (fixture, target_names[n], FL_ORDER_NO_REPLY);
-            else
-              deliver_runs (fixture, target_names[n], boots[n], NULL, 0);
-          tick_until_recorded (fixture, 0);
+          report_beside_silent_target (fixture, boots, target, FL_ORDER_NO_REPLY);
           if (fixture->start_orders->len > 2)
             break;
         }
@@ -683,15 +686,7 @@
   fixture->now_ms += 10;
   deliver_result (fixture, target_names[target], FL_ORDER_OTHER_BOOT);
   for (int i = 0; i < 10; i++)
-    {
-      fixture->now_ms += 100;
-      for (size_t n = 0; n < G_N_ELEMENTS (target_names); n++)
-        if (n == target)
-          deliver_result (fixture, target_names[n], FL_ORDER_OTHER_BOOT);
-        else
-          deliver_runs (fixture, target_names[n], boots[n], NULL, 0);
-      tick_until_recorded (fixture, 0);
-    }
+    report_beside_silent_target (fixture, boots, target, FL_ORDER_OTHER_BOOT);
   assert_int_equal (count_given_up (fixture), 1);
   fixture_free (fixture);
 }
