Stop of flamingo-poold: waits for orders as long as their replies count

Cause: a stopping process waited 800 ms for orders in flight, which was once their timeout at the target (700 ms). Since replies count for FL_REPLY_MAX_MS (2 s), and since orders to one target use a share of its connections and wait for one, an order may take longer: in the traces of three failed runs the last stop, sent with the signal, was the 22nd for three connections, its reply was due 853 to 859 ms after the signal, and the process ended after 804 to 848 ms. Its owner then learns the outcome by a timeout of its own. Ruled out: messages lost when the link is freed (all that were returned arrived).

Measured: the new test, 20 orders at once behind three connections, fails 3 of 3 times before (six stops without a reply) and passes 3 of 3 since.

--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "poold/poold_internal.h"
 #include "poold/succession.h"
+#include "targets/calls.h"
 
 /* For the row that announces this host; written again until the store confirms it. */
 #define ANNOUNCE_TIMEOUT_MS 1000
@@ -15,13 +16,11 @@
 /* A stopping process goes on rejecting orders for this long: the owner learns from the replies that
  * it stops, and orders that were on their way have arrived. Covers two transfers between hosts. */
 #define STOP_NOTICE_MS 100
-/* Orders that arrived longer ago have timed out at the owner. */
-#define STOP_MAX_MS 2000
+/* A stopping process waits no longer for the results of orders of peers: the owner counts no reply
+ * to an older order. */
+#define STOP_MAX_MS FL_REPLY_MAX_MS
 /* A longer time between two ticks tells that the process was suspended. */
 #define SUSPENSION_MIN_MS (3 * FL_TICK_INTERVAL_MAX_MS / 2)
-/* Longest wait of a stopping process for orders of peers in flight: their timeout at the target
- * (700 ms for a stop), and the time to return the result. */
-#define STOP_ORDERS_MAX_MS 800
 
 /* --- configuration --- */
 
@@ -232,10 +231,11 @@
   if (now_ms - poold->last_drain_check_ms > SUSPENSION_MIN_MS)
     poold->resumed_ms = now_ms;
   poold->last_drain_check_ms = now_ms;
-  if (poold->stopping && poold->released && stopping_ms >= STOP_NOTICE_MS
-      && (now_ms - poold->resumed_ms >= FL_TICK_INTERVAL_MAX_MS || stopping_ms >= STOP_MAX_MS)
-      && (fl_forwarder_open_peer_orders (poold->forwarder) == 0
-          || stopping_ms >= STOP_ORDERS_MAX_MS))
+  if (!poold->stopping || !poold->released || stopping_ms < STOP_NOTICE_MS)
+    return;
+  if (stopping_ms >= STOP_MAX_MS
+      || (now_ms - poold->resumed_ms >= FL_TICK_INTERVAL_MAX_MS
+          && fl_forwarder_open_peer_orders (poold->forwarder) == 0))
     ev_break (poold->host->loop, EVBREAK_ALL);
 }
 
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -34,6 +34,9 @@
 /* Longer than a stopping process waits for orders that are on their way, and shorter than the
  * timeouts of orders. */
 #define SUSPENSION_S 0.12
+/* Through three connections, the target has replied to so many after 1.1 s: later than any order is
+ * repeated, and sooner than a reply is too late. */
+#define ORDERS_AT_ONCE 20
 /* A start that its target has not replied to for 200 ms has no reply, with or without a stop. */
 #define TARGET_REPLY_MAX_MS 190
 /* An advice query with this expected duration times out later than the test ends. */
@@ -476,6 +479,19 @@
     support_run_loop_for (owner->loop, STEP_S);
 }
 
+/* Stops the process at @pid while it has more orders than the connections that it uses to the
+ * target. */
+static void
+order_many_and_stop (struct owner *owner, int pid, void (*order) (struct owner *owner))
+{
+  for (int i = 0; i < ORDERS_AT_ONCE; i++)
+    order (owner);
+  support_run_loop_for (owner->loop, STEP_S);
+  kill (pid, SIGTERM);
+  for (int s = 0; s < GUARD_STEPS && !has_ended (pid); s++)
+    support_run_loop_for (owner->loop, STEP_S);
+}
+
 /* Stops a process while it forwards each kind of order. */
 static void
 check_stop (void (*order_and_stop) (struct owner *owner,
@@ -530,6 +546,15 @@
   check_stop (order_during_suspension);
 }
 
+/* Orders that waited for a connection to their target got no reply: the process ended 800 ms after
+ * SIGTERM, although their replies were not late yet. */
+static void
+test_orders_behind_others_while_stopping (void **state)
+{
+  (void)state;
+  check_stop (order_many_and_stop);
+}
+
 /* A query that the service has not replied to when the process stops ends at once, although its
  * timeout is far away, so that the owner asks through another host. */
 static void
@@ -572,6 +597,7 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_order_during_a_suspension_while_stopping),
           cmocka_unit_test (test_forwarded_orders_while_stopping),
+          cmocka_unit_test (test_orders_behind_others_while_stopping),
           cmocka_unit_test (test_advice_query_while_stopping) };
 
   return cmocka_run_group_tests_name ("pool_stop", tests, NULL, NULL);
