Core: a task waits for the verdict on all of its open cases

Cause: since a crash is known only when another boot replies, the cases of a task whose targets stay away are open until they are 30 s old, and may_decide added one of them to what is known. Two suspected cases convict, but neither did alone, so that the task was started on the next target whenever a lease had lapsed.

Change: may_decide adds the open cases of the task up, those that are past their wait among them. The wait is that for the cases that are not: until 10 s after the last one was noted, which is at its start for a watched run.

Ruled out: a wait that adds up (no case is added while the task has no run); bystanders (a task whose cases are all provisional is not watched, and does not look at them).

--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -58,9 +58,9 @@
 /* A target that has not been heard of for this long since its leases lapsed counts as crashed, but
  * as no suspicion: it may still be silent only. */
 #define CRASH_OPEN_MAX_MS 30000
-/* A task under which CRASHES_LIKELY targets have crashed, or that would be given up for a further
- * one, waits for so long for the verdict on that: a target that crashes is mostly back within
- * seconds. */
+/* A task under which CRASHES_LIKELY targets have crashed, or that would be given up if the targets
+ * of its open cases had, waits for so long after the last of these: a target that crashes is mostly
+ * back within seconds. */
 #define CRASH_OPEN_WAIT_MS 10000
 /* Part of the score of a target for a suspected task: for each run that was started last. */
 #define FRESH_RUN_PENALTY INT64_C (1000000000)
@@ -157,11 +157,17 @@
   return sum_weights (task) >= CRASH_WEIGHT_MAX;
 }
 
-/* Whether @task has to be given up if the target of @open_case turns out to have crashed. */
+/* Whether @task has to be given up if the targets of its open cases, that of @open_case among them,
+ * turn out to have crashed. */
 static bool
 may_decide (const struct core_task *task, const struct crash_case *open_case)
 {
-  return sum_weights (task) + get_weight (open_case->if_crashed) >= CRASH_WEIGHT_MAX;
+  guint weight = sum_weights (task);
+
+  for (guint i = 0; i < task->crashes->len; i++)
+    if (get_case (task, i)->row.state == FL_CRASH_OPEN)
+      weight += get_weight (get_case (task, i)->if_crashed);
+  return get_weight (open_case->if_crashed) > 0 && weight >= CRASH_WEIGHT_MAX;
 }
 
 /* When the boot of @target ended, if it did: since then it has not replied. */
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -819,6 +819,109 @@
   assert_int_equal (failed, 0);
 }
 
+#define LOST_TARGETS_MAX 9
+#define START_TIMES_MAX 32
+
+/* When each start of the task of @fixture was ordered. */
+struct start_times
+{
+  int64_t at_ms[START_TIMES_MAX];
+  guint count;
+};
+
+/* Runs the only task for @elapsed_ms: each target that starts it lists it for @listed_ms, refuses
+ * connections from then on, and lists nothing after @refused_ms of that, if this is not 0. */
+static struct start_times
+lose_targets (struct fixture *fixture, int64_t elapsed_ms, int64_t listed_ms, int64_t refused_ms)
+{
+  struct start_times starts = { .count = 0 };
+  int64_t end_ms = fixture->now_ms + elapsed_ms;
+
+  while (fixture->now_ms < end_ms && count_given_up (fixture) == 0)
+    {
+      for (; starts.count < fixture->start_orders->len; starts.count++)
+        {
+          assert_true (starts.count < START_TIMES_MAX);
+          starts.at_ms[starts.count] = fixture->now_ms;
+          confirm_start (fixture, starts.count);
+        }
+      fixture->now_ms += 100;
+      for (int n = 0; n < LOST_TARGETS_MAX; n++)
+        {
+          struct fl_name id = fl_name_format ("t%d", n);
+          struct fl_heartbeat_order heartbeat;
+          struct fl_run_row row = { 0 };
+          int64_t age_ms = -1;
+          for (guint i = 0; i < starts.count; i++)
+            if (fl_name_eq (&get_start_order (fixture, i)->target, &id))
+              {
+                row = make_row (get_start_order (fixture, i));
+                age_ms = fixture->now_ms - starts.at_ms[i];
+              }
+          bool is_listed = age_ms >= 0 && age_ms <= listed_ms;
+          if (age_ms > listed_ms && (refused_ms == 0 || age_ms <= listed_ms + refused_ms))
+            {
+              deliver_result (fixture, id.data, FL_ORDER_NO_LISTENER);
+              continue;
+            }
+          fl_core_prepare_heartbeat (fixture->core, &id, fixture->now_ms, &heartbeat);
+          deliver_runs (fixture, id.data, 1, is_listed ? &row : NULL, is_listed ? 1 : 0);
+        }
+      tick_until_recorded (fixture, 0);
+    }
+  return starts;
+}
+
+/* A task that took down one target after the other for good was started on the next one as soon as
+ * the lease had lapsed, though these crashes would convict it. */
+static void
+test_open_cases_hold_up_their_task_together (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t listed_ms;
+    int64_t refused_ms;
+    int64_t apart_min_ms; /* of the starts from the second one on */
+    int64_t apart_max_ms;
+    guint starts_max; /* within 60 s */
+  } cases[] = {
+    { "never back", 0, 0, 9900, 10300, 6 },
+    /* After the lease of the next run has lapsed, and before the wait is over. */
+    { "the same boot is back", 0, 14000, 6200, 8200, 10 },
+    { "bystander", 800, 0, 0, 6000, LOST_TARGETS_MAX },
+  };
+  int failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      fl_core_set_registry_known (fixture->core);
+      for (int n = 0; n < LOST_TARGETS_MAX; n++)
+        add_target (fixture, fl_name_format ("t%d", n).data, CORES, false);
+      add_job (fixture, "a", "urgent", make_step (1, 1000));
+      tick_until_recorded (fixture, 0);
+      struct start_times starts
+          = lose_targets (fixture, 60000, cases[i].listed_ms, cases[i].refused_ms);
+      bool holds = starts.count >= 4 && starts.count <= cases[i].starts_max;
+      for (guint j = 2; j < starts.count; j++)
+        {
+          int64_t apart_ms = starts.at_ms[j] - starts.at_ms[j - 1];
+          holds = holds && apart_ms >= cases[i].apart_min_ms && apart_ms <= cases[i].apart_max_ms;
+        }
+      if (!holds)
+        {
+          printf ("%s: %u starts\n", cases[i].name, starts.count);
+          for (guint j = 1; j < starts.count; j++)
+            printf ("start %u after %d ms\n", j, (int)(starts.at_ms[j] - starts.at_ms[0]));
+          failed++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failed, 0);
+}
+
 /* Tasks that crashed their targets were started again, on the next target, without a limit. */
 static void
 test_tasks_that_crash_their_targets_in_a_cell (void **state)
@@ -856,6 +959,7 @@
           cmocka_unit_test (test_crashed_target_does_not_hold_up_the_verdict),
           cmocka_unit_test (test_bystanders_hold_up_no_others),
           cmocka_unit_test (test_crash_is_counted_when_the_target_is_known_anew),
+          cmocka_unit_test (test_open_cases_hold_up_their_task_together),
           cmocka_unit_test (test_tasks_that_crash_their_targets_in_a_cell) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
