Core: the case of a refused connection is one change of its task

Cause: core_crash_suspect added a case, which updated the task as if the case was not provisional, marked it provisional, and updated the task again: two changes that need recording, and a task that was a suspect in between.

Change: add_case takes whether the case is provisional. The test reads the count from core_internal.h, since nothing outside the core tells it: a start waits for the last change, and both were in one record.

--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -222,7 +222,8 @@
 add_case (struct core_task *task,
           const struct core_target *target,
           int64_t run,
-          enum fl_crash_state state)
+          enum fl_crash_state state,
+          bool is_provisional)
 {
   struct crash_case crash_case
       = { .row = { .run = run,
@@ -231,7 +232,8 @@
                    .address = fl_job_target_hash (&target->entry.address),
                    .booted_at_ms = target->boot_known ? target->booted_at_ms : 0 },
           .noted_at_ms = target->core->now_ms,
-          .crashed_at_ms = get_crash_time (target) };
+          .crashed_at_ms = get_crash_time (target),
+          .is_provisional = is_provisional };
   struct crash_case *known = find_case (task, run);
 
   if (state == FL_CRASH_SUSPECTED || state == FL_CRASH_AT_ONCE)
@@ -523,7 +525,7 @@
   if (state == FL_CRASH_OPEN)
     return;
   run->is_crash_noted = true;
-  log_case (run->task, add_case (run->task, run->target, run->number, state), run->target,
+  log_case (run->task, add_case (run->task, run->target, run->number, state, false), run->target,
             "crash_counted");
 }
 
@@ -614,11 +616,7 @@
       struct crash_case *crash_case = find_case (run->task, run->number);
       /* A watched run has a case since its start. */
       if (crash_case == NULL)
-        {
-          crash_case = add_case (run->task, target, run->number, FL_CRASH_OPEN);
-          crash_case->is_provisional = true;
-          update_task (run->task);
-        }
+        crash_case = add_case (run->task, target, run->number, FL_CRASH_OPEN, true);
       crash_case->if_crashed = state;
       crash_case->crashed_at_ms = get_crash_time (target);
       log_case (run->task, crash_case, target, "crash_suspended");
@@ -647,7 +645,7 @@
       /* Without a sign of a crash, the target may have been out of reach until long after the run
        * had ended. */
       target->suspects++;
-      crash_case = add_case (run->task, target, run->number, FL_CRASH_OPEN);
+      crash_case = add_case (run->task, target, run->number, FL_CRASH_OPEN, false);
       crash_case->if_crashed = FL_CRASH_PRESENT;
       log_case (run->task, crash_case, target, "crash_suspended");
     }
@@ -857,7 +855,7 @@
 core_crash_note_attempt (struct core_run *run)
 {
   if (run->task->is_watched)
-    add_case (run->task, run->target, run->number, FL_CRASH_OPEN);
+    add_case (run->task, run->target, run->number, FL_CRASH_OPEN, false);
 }
 
 bool
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -10,7 +10,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
-#include "core/core.h"
+#include "core/core_internal.h"
 #include "support_cell.h"
 #include "support_core.h"
 
@@ -922,6 +922,33 @@
   assert_int_equal (failed, 0);
 }
 
+/* The case of a run on a target that refuses connections was two changes of its task. */
+static void
+test_refusal_is_one_change (void **state)
+{
+  int64_t boots[G_N_ELEMENTS (target_names)];
+  struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
+
+  (void)state;
+  add_job (fixture, "a", "urgent", make_step (1, 1000));
+  tick_until_recorded (fixture, 0);
+  const char *target = target_names[find_target (get_start_order (fixture, 0))];
+  confirm_start (fixture, 0);
+  for (int i = 0; i < 3; i++)
+    {
+      fixture->now_ms += 10;
+      deliver_result (fixture, target, FL_ORDER_NO_LISTENER);
+    }
+  assert_int_equal (fixture->core->crash_tasks.length, 1);
+  const struct core_task *task = fixture->core->crash_tasks.head->data;
+  assert_int_equal (task->crashes->len, 1);
+  assert_int_equal (task->step->job->crash_changes, 1);
+  assert_false (task->is_suspected);
+  assert_false (task->is_watched);
+  assert_int_equal (task->step->job->suspected_tasks, 0);
+  fixture_free (fixture);
+}
+
 /* Tasks that crashed their targets were started again, on the next target, without a limit. */
 static void
 test_tasks_that_crash_their_targets_in_a_cell (void **state)
@@ -960,6 +987,7 @@
           cmocka_unit_test (test_bystanders_hold_up_no_others),
           cmocka_unit_test (test_crash_is_counted_when_the_target_is_known_anew),
           cmocka_unit_test (test_open_cases_hold_up_their_task_together),
+          cmocka_unit_test (test_refusal_is_one_change),
           cmocka_unit_test (test_tasks_that_crash_their_targets_in_a_cell) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
