Forwarding: results of a batch of starts tell the clocks of the targets

A start in a batch has its reply at the distributor or, through the serving peer, in a forwarded order, both with the clock; the result that the distributor returned to the owner left it out. Ruled out: the second hop, which has had the clock in its reply all along.

Change: struct fl_forward_result has the clock, and the owner passes it on as with any other reply. 0 is unknown: of a start that was not sent or has no reply, and of a distributor of an earlier version.

Versions side by side: the message stays compatible. An earlier version rejects a result with a third field, and so does it a seventh field of the message, but reads the first document of a message only. The clocks are therefore a second one, left out if all are unknown; one that cannot be read leaves them unknown. A flag by which owners ask for clocks was no way, since earlier distributors would reject the batch.

The table of docs/CAPACITY.md was not measured anew. A lost reply still tells no clock.

--- a/lib/forward/batches.c
+++ b/lib/forward/batches.c
@@ -94,9 +94,8 @@
 }
 
 static void
-finish_start (struct outgoing_batch *batch, size_t index, enum fl_order_result result)
+finish_start (struct outgoing_batch *batch, size_t index, const struct fl_order_reply *reply)
 {
-  struct fl_order_reply reply = { .result = result };
   struct queued_start *start = &batch->starts[index];
   void (*done) (void *context, const struct fl_order_reply *reply) = start->done;
 
@@ -104,18 +103,20 @@
     return;
   start->done = NULL;
   batch->unfinished--;
-  if (result == FL_ORDER_NOT_SENT)
+  if (reply->result == FL_ORDER_NOT_SENT)
     forward_start (batch->forwarder, &start->order, done, start->context);
   else
-    done (start->context, &reply);
+    done (start->context, reply);
 }
 
 static void
 end_batch (struct forward_batches *batches, struct outgoing_batch *batch)
 {
+  static const struct fl_order_reply no_reply = { .result = FL_ORDER_NO_REPLY };
+
   g_hash_table_steal (batches->outgoing, &batch->number);
   for (size_t i = 0; i < batch->count; i++)
-    finish_start (batch, i, FL_ORDER_NO_REPLY);
+    finish_start (batch, i, &no_reply);
   outgoing_batch_free (batch);
 }
 
@@ -352,8 +353,12 @@
   if (batch == NULL)
     return;
   for (size_t i = 0; i < message->results.count; i++)
-    if (results[i].index < (int64_t)batch->count)
-      finish_start (batch, (size_t)results[i].index, (enum fl_order_result)results[i].result);
+    {
+      struct fl_order_reply reply
+          = { .result = (enum fl_order_result)results[i].result, .clock_ms = results[i].clock_ms };
+      if (results[i].index < (int64_t)batch->count)
+        finish_start (batch, (size_t)results[i].index, &reply);
+    }
   if (batch->unfinished == 0)
     end_batch (batches, batch);
 }
@@ -398,7 +403,7 @@
 {
   struct distributed_start *start = context;
   struct incoming_batch *batch = start->batch;
-  struct fl_forward_result result = { start->index, (int)reply->result };
+  struct fl_forward_result result = { start->index, (int)reply->result, reply->clock_ms };
 
   g_free (start);
   g_array_append_val (batch->results, result);
--- a/lib/forward/message.c
+++ b/lib/forward/message.c
@@ -127,10 +127,46 @@
 };
 static FL_SCHEMA (batch_schema, fl_forward_batch, batch_fields);
 
+/* The clocks of the results are a second document. Earlier versions read the first one only, and
+ * reject results with more fields than they know. */
+static const struct fl_field clock_fields[] = { INT (fl_forward_result, clock_ms) };
+static FL_SCHEMA (clock_schema, fl_forward_result, clock_fields);
+
+static const struct fl_field clocks_fields[] = { ROWS (fl_forward_batch, results, clock_schema) };
+static FL_SCHEMA (clocks_schema, fl_forward_batch, clocks_fields);
+
+static bool
+has_clocks (const struct fl_forward_batch *batch)
+{
+  const struct fl_forward_result *results = batch->results.items;
+
+  for (size_t i = 0; i < batch->results.count; i++)
+    if (results[i].clock_ms != 0)
+      return true;
+  return false;
+}
+
 void
 fl_forward_batch_encode (const struct fl_forward_batch *batch, msgpack_sbuffer *buffer)
 {
   fl_schema_encode (&batch_schema, batch, buffer);
+  if (has_clocks (batch))
+    fl_schema_encode (&clocks_schema, batch, buffer);
+}
+
+/* Sets the clocks of the results of @batch. They stay unknown if the document is malformed, or is
+ * one of a later version. */
+static void
+decode_clocks (const char *data, size_t len, struct fl_forward_batch *batch)
+{
+  struct fl_forward_result *results = batch->results.items;
+  struct fl_forward_batch clocks;
+
+  if (fl_schema_decode (&clocks_schema, data, len, &clocks, NULL)
+      && clocks.results.count == batch->results.count)
+    for (size_t i = 0; i < batch->results.count; i++)
+      results[i].clock_ms = ((struct fl_forward_result *)clocks.results.items)[i].clock_ms;
+  fl_schema_clear (&clocks_schema, &clocks);
 }
 
 bool
@@ -139,7 +175,13 @@
                          struct fl_forward_batch *batch,
                          struct fl_error *error)
 {
-  return fl_schema_decode (&batch_schema, data, len, batch, error);
+  size_t used = 0;
+
+  if (!fl_schema_decode_first (&batch_schema, data, len, &used, batch, error))
+    return false;
+  if (used < len)
+    decode_clocks (data + used, len - used, batch);
+  return true;
 }
 
 void
--- a/lib/forward/message.h
+++ b/lib/forward/message.h
@@ -59,8 +59,9 @@
 /* The result of one start of a batch. */
 struct fl_forward_result
 {
-  int64_t index; /* of the start */
-  int result;    /* enum fl_order_result */
+  int64_t index;    /* of the start */
+  int result;       /* enum fl_order_result */
+  int64_t clock_ms; /* as in struct fl_order_reply */
 };
 
 /* Starts that share a payload, or results of them. */
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -1349,6 +1349,89 @@
     }
 }
 
+/* The reply to batch 7 with the results FL_ORDER_NO_CAPACITY of start 3 and FL_ORDER_NOT_SENT of
+ * start 5, as a host of 032fb1c writes it. */
+static const char batch_reply_of_earlier_version[]
+    = "\x96\xc3\x07\x00\xc4\x00\x90\x92\x92\x03\x04\x92\x05\x09";
+
+static void
+assert_results (const struct fl_forward_batch *batch, int64_t clock_ms)
+{
+  const struct fl_forward_result *results = batch->results.items;
+
+  assert_true (batch->is_reply);
+  assert_int_equal (batch->number, 7);
+  assert_int_equal (batch->results.count, 2);
+  assert_int_equal (results[0].index, 3);
+  assert_int_equal (results[0].result, FL_ORDER_NO_CAPACITY);
+  assert_int_equal (results[0].clock_ms, clock_ms);
+  assert_int_equal (results[1].index, 5);
+  assert_int_equal (results[1].result, FL_ORDER_NOT_SENT);
+  assert_int_equal (results[1].clock_ms, 0);
+}
+
+/* With the clocks among the fields of the results, a reply to a batch is malformed for hosts of the
+ * earlier version. These read the first document of a message only. */
+static void
+test_batch_replies_beside_the_earlier_version (void **state)
+{
+  static const int64_t clocks_ms[] = { 0, 1, 3000000000, 6000000000, INT64_MAX };
+  size_t earlier_len = sizeof batch_reply_of_earlier_version - 1;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (clocks_ms); i++)
+    {
+      struct fl_forward_result results[]
+          = { { 3, FL_ORDER_NO_CAPACITY, clocks_ms[i] }, { 5, FL_ORDER_NOT_SENT, 0 } };
+      struct fl_forward_batch batch = { .is_reply = true, .number = 7, .results = { 2, results } };
+      struct fl_forward_batch decoded;
+      msgpack_sbuffer buffer;
+
+      msgpack_sbuffer_init (&buffer);
+      fl_forward_batch_encode (&batch, &buffer);
+      assert_true (buffer.size >= earlier_len);
+      assert_memory_equal (buffer.data, batch_reply_of_earlier_version, earlier_len);
+      assert_true ((buffer.size == earlier_len) == (clocks_ms[i] == 0));
+      /* A reply of the earlier version, truncated clocks, and the reply of this version. */
+      for (size_t len = 0; len <= buffer.size; len++)
+        {
+          assert_int_equal (fl_forward_batch_decode (buffer.data, len, &decoded, NULL),
+                            len >= earlier_len);
+          if (len >= earlier_len)
+            assert_results (&decoded, len == buffer.size ? clocks_ms[i] : 0);
+          fl_forward_batch_clear (&decoded);
+        }
+      msgpack_sbuffer_destroy (&buffer);
+    }
+}
+
+/* A second document that is none of this version leaves the clocks unknown. */
+static void
+test_odd_clocks_of_a_batch (void **state)
+{
+  static const char *const documents[] = {
+    "\x05",                             /* no array */
+    "\x91\x91\x91\x05",                 /* one clock for two results */
+    "\x91\x93\x91\x05\x91\x05\x91\x05", /* three */
+    "\x91\x92\x91\x05\x91\xc3",         /* of another type */
+    "\x91\x92\x92\x05\x05\x91\x05",     /* more fields */
+    "\x92\x92\x91\x05\x91\x05\x05",
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (documents); i++)
+    {
+      g_autoptr (GString) message = g_string_new_len (batch_reply_of_earlier_version,
+                                                      sizeof batch_reply_of_earlier_version - 1);
+      struct fl_forward_batch decoded;
+
+      g_string_append (message, documents[i]);
+      assert_true (fl_forward_batch_decode (message->str, message->len, &decoded, NULL));
+      assert_results (&decoded, 0);
+      fl_forward_batch_clear (&decoded);
+    }
+}
+
 int
 main (void)
 {
@@ -1381,6 +1464,8 @@
     cmocka_unit_test (test_job_partition),
     cmocka_unit_test (test_histogram_error_bound),
     cmocka_unit_test (test_messages_for_hosts_of_the_earlier_version),
+    cmocka_unit_test (test_batch_replies_beside_the_earlier_version),
+    cmocka_unit_test (test_odd_clocks_of_a_batch),
   };
 
   return cmocka_run_group_tests_name ("contracts", tests, NULL, NULL);
--- a/tests/test_decoder_fuzz.c
+++ b/tests/test_decoder_fuzz.c
@@ -327,6 +327,50 @@
   return text;
 }
 
+static void
+check_batch (struct fuzz *fuzz, const struct fl_str *text)
+{
+  struct fl_forward_batch batch;
+  struct fl_forward_batch decoded;
+  msgpack_sbuffer buffer;
+
+  msgpack_sbuffer_init (&buffer);
+  if (fl_forward_batch_decode (text->data, text->len, &batch, NULL))
+    {
+      const struct fl_forward_result *results = batch.results.items;
+      fuzz->accepted++;
+      for (size_t i = 0; i < batch.results.count; i++)
+        assert_true (results[i].index >= 0 && results[i].result >= 0
+                     && results[i].result < FL_ORDER_RESULT_COUNT);
+      fl_forward_batch_encode (&batch, &buffer);
+      assert_true (fl_forward_batch_decode (buffer.data, buffer.size, &decoded, NULL));
+      assert_int_equal (decoded.results.count, batch.results.count);
+      for (size_t i = 0; i < batch.results.count; i++)
+        assert_int_equal (((struct fl_forward_result *)decoded.results.items)[i].clock_ms,
+                          results[i].clock_ms);
+      fl_forward_batch_clear (&decoded);
+    }
+  fl_forward_batch_clear (&batch);
+  msgpack_sbuffer_destroy (&buffer);
+}
+
+/* The reply to a batch, in MessagePack. */
+static GString *
+make_batch_reply (void)
+{
+  struct fl_forward_result results[] = { { 0, FL_ORDER_DONE, 482113 },
+                                         { 1, FL_ORDER_NO_CAPACITY, 4821130000 },
+                                         { 2, FL_ORDER_NO_REPLY, 0 } };
+  struct fl_forward_batch batch = { .is_reply = true, .number = 7, .results = { 3, results } };
+  msgpack_sbuffer buffer;
+
+  msgpack_sbuffer_init (&buffer);
+  fl_forward_batch_encode (&batch, &buffer);
+  GString *text = g_string_new_len (buffer.data, (gssize)buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
+  return text;
+}
+
 /* --- runs --- */
 
 static void
@@ -345,9 +389,10 @@
       = { target_document,        report_document,   advice_document,
           configuration_document, job_document,      store_document,
           targets_document,       progress_document, job_row_document };
-  size_t kind = (size_t)g_rand_int_range (fuzz->rand, 0, G_N_ELEMENTS (documents) + 1);
-  g_autoptr (GString) text
-      = kind < G_N_ELEMENTS (documents) ? g_string_new (documents[kind]) : make_progress_record ();
+  size_t kind = (size_t)g_rand_int_range (fuzz->rand, 0, G_N_ELEMENTS (documents) + 2);
+  g_autoptr (GString) text = kind < G_N_ELEMENTS (documents)    ? g_string_new (documents[kind])
+                             : kind == G_N_ELEMENTS (documents) ? make_progress_record ()
+                                                                : make_batch_reply ();
 
   mutate (fuzz, text);
   struct fl_str bytes = { text->len, text->str };
@@ -364,8 +409,10 @@
     check_job (fuzz, &bytes);
   else if (kind == 5)
     fl_platform_read_store_reply (&result, on_rows, fuzz);
-  else
+  else if (kind <= G_N_ELEMENTS (documents))
     check_records (fuzz, &bytes);
+  else
+    check_batch (fuzz, &bytes);
 }
 
 /* @return how many of @count documents were accepted. */
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -22,6 +22,9 @@
 /* Longer than the limit of every order. */
 #define HOLD_UP_MS 1500
 
+/* The clock of target t7 is this plus 7. */
+#define TARGET_CLOCK_MS 5000
+
 /* Target calls that record the orders of one path and reply at once. */
 struct order_recorder
 {
@@ -36,6 +39,12 @@
   struct fl_heartbeat_order last_heartbeat;
 };
 
+static int64_t
+target_clock_ms (const struct fl_name *target)
+{
+  return TARGET_CLOCK_MS + atoi (target->data + 1);
+}
+
 static void
 record_start (void *context,
               const struct fl_start_order *order,
@@ -43,7 +52,8 @@
               void *done_context)
 {
   struct order_recorder *recorder = context;
-  struct fl_order_reply reply = { .result = recorder->start_result, .clock_ms = 5 };
+  struct fl_order_reply reply
+      = { .result = recorder->start_result, .clock_ms = target_clock_ms (&order->target) };
 
   if (recorder->ignores_starts)
     return;
@@ -208,6 +218,7 @@
 {
   bool is_done;
   enum fl_order_result result;
+  int64_t clock_ms;
   int64_t booted_at_ms;
   int64_t progress_percent;
   enum fl_end_cause end_cause;
@@ -218,7 +229,9 @@
 {
   struct order_outcome *outcome = context;
 
-  *outcome = (struct order_outcome){ .is_done = true, .result = reply->result };
+  *outcome = (struct order_outcome){ .is_done = true,
+                                     .result = reply->result,
+                                     .clock_ms = reply->clock_ms };
   if (reply->report == NULL)
     return;
   outcome->booted_at_ms = reply->report->booted_at_ms;
@@ -543,6 +556,39 @@
   stop_hosts (&owner, peers, loop, stats);
 }
 
+/* An owner did not notice that a target had restarted, since the result of its start in a batch had
+ * no clock. */
+static void
+test_clocks_of_batch (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fl_stats *stats = fl_stats_new ();
+  struct order_outcome outcomes[BATCH_TASKS];
+  struct host owner;
+  struct host peers[2];
+
+  (void)state;
+  start_hosts (&owner, peers, loop, stats);
+  do
+    {
+      owner.direct.starts = 0;
+      send_batch (loop, &owner, "what to run", false, 1, outcomes);
+    }
+  while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
+         || peers[1].forwarded.starts == 0);
+  /* One peer is the distributor, which sends starts to its own targets and to the other peer. */
+  peers[0].forwarded.starts = peers[1].forwarded.starts = 0;
+  int64_t batches = fl_stats_get (stats, "start_batches_total");
+  send_batch (loop, &owner, "what to run", false, 1, outcomes);
+  assert_int_equal (fl_stats_get (stats, "start_batches_total"), batches + 1);
+  assert_true (peers[0].forwarded.starts > 0 && peers[1].forwarded.starts > 0);
+  assert_int_equal (owner.direct.starts, 0);
+  for (int i = 0; i < BATCH_TASKS; i++)
+    if (outcomes[i].clock_ms != TARGET_CLOCK_MS + i)
+      fail_msg ("start %d: clock %d", i, (int)outcomes[i].clock_ms);
+  stop_hosts (&owner, peers, loop, stats);
+}
+
 /* Load pattern: a third of the hosts is killed while several steps start in one tick. The first
  * start that cannot be sent makes its peer unavailable; starts of the next job for its targets go
  * directly. */
@@ -795,6 +841,7 @@
                                       cmocka_unit_test (test_start_batch),
                                       cmocka_unit_test (test_start_batch_of_several_tokens),
                                       cmocka_unit_test (test_results_of_batch),
+                                      cmocka_unit_test (test_clocks_of_batch),
                                       cmocka_unit_test (test_peer_lost_between_batches),
                                       cmocka_unit_test (test_late_reply_of_live_peer),
                                       cmocka_unit_test (test_reply_while_held_up),
