HTTP client: the wait for other calls and the connection share one limit of time

Cause: since a start waits up to 90 % of its limit while its host has its share of connections to the target in use, and CURLOPT_CONNECTTIMEOUT_MS then gave it 90 % once more. platform/targets.c and docs/DESIGN.md say that a start that is not sent within 90 % counts as not sent. It was connecting for up to 180 %: its owner's limit was over by then, so that a start that was never sent counted as one without a reply. It is then repeated, stopped, and held until the longest lease has lapsed, instead of being started elsewhere at once; and it could be sent after that limit.

Ruled out: calls without a limit of connections (the store, heartbeats, advice) never wait, and have the same time as before; a call that gets an idle connection after its wait is sent at once, as before.

Change: the time to connect is what the wait has left.

Measured: the new test, a listener that takes no connections, 3 of 3 runs before: not_sent after 261 to 262 ms with a limit of 200 ms, and after 1,392 ms with one of 1,000 ms; 3 of 3 since: 180 to 181 ms and 901 to 902 ms. test_http_silence, test_http_client, test_http_unanswered, test_http_idle and test_late_replies pass.

--- a/lib/net/http_client.c
+++ b/lib/net/http_client.c
@@ -63,6 +63,7 @@
   /* libcurl would end a call whose time is over before it reads the reply from the socket. */
   struct fl_timeout timeout;
   int64_t timeout_ms;
+  int64_t connect_by_ms; /* by the boot clock */
   bool has_begun;
   const struct fl_traffic *traffic;
   bool is_resendable;
@@ -114,10 +115,13 @@
   call->waiting_in = NULL;
 }
 
-/* Gives @call to libcurl. */
+/* Gives @call to libcurl. It has the time to connect that its wait for others has left. */
 static void
 begin_transfer (struct call *call)
 {
+  int64_t connect_ms = call->connect_by_ms - fl_clock_boot_ms ();
+
+  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX (connect_ms, 1));
   call->is_busy = true;
   call->peer->busy_count++;
   call->client->busy_count += call->connections_max > 0 ? 1 : 0;
@@ -587,7 +591,6 @@
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_option);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX (options->connect_timeout_ms, 1));
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
@@ -613,6 +616,7 @@
   fl_timeout_init (&call->late_timeout, client->loop, on_reply_late, call);
   fl_timeout_init (&call->timeout, client->loop, on_call_timeout, call);
   call->timeout_ms = MAX (options->timeout_ms, 1);
+  call->connect_by_ms = fl_clock_boot_ms () + options->connect_timeout_ms;
   queue = find_queue (call);
   if (queue != NULL)
     wait_for_others (call, queue, MAX (options->connect_timeout_ms, 1));
--- a/lib/net/http_client.h
+++ b/lib/net/http_client.h
@@ -51,7 +51,7 @@
   /* A call whose body arrives goes on until nothing of it has arrived for this long. 0 limits the
    * whole call to @timeout_ms. */
   int64_t stall_timeout_ms;
-  int64_t connect_timeout_ms;
+  int64_t connect_timeout_ms; /* includes the wait for other calls */
   /* The call waits, for @connect_timeout_ms at most, while this many calls to the same peer are in
    * progress, without those whose reply is late, or busy_max of the client. 0: it never waits. */
   int64_t connections_max;
--- a/tests/test_http_silence.c
+++ b/tests/test_http_silence.c
@@ -1,14 +1,18 @@
 /* The connections of the HTTP client to a peer: when open ones go silent without a reset while new
  * ones work, and how many a target gets. */
+#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 #include <ev.h>
 #include <glib.h>
 
+#include "common/clock.h"
 #include "net/http_client.h"
 #include "platform/platform.h"
 #include "support_loop.h"
@@ -307,6 +311,115 @@
   assert_int_equal (wrong, 0);
 }
 
+/* A listener that accepts nothing, so that further connections to it stay without a reply. */
+struct silent_listener
+{
+  int fd;
+  int first; /* the only connection that it takes */
+  struct fl_name address;
+};
+
+static struct silent_listener
+open_silent_listener (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+  struct silent_listener listener
+      = { .fd = socket (AF_INET, SOCK_STREAM, 0), .first = socket (AF_INET, SOCK_STREAM, 0) };
+
+  assert_int_equal (bind (listener.fd, (struct sockaddr *)&address, len), 0);
+  assert_int_equal (listen (listener.fd, 0), 0);
+  assert_int_equal (getsockname (listener.fd, (struct sockaddr *)&address, &len), 0);
+  assert_int_equal (connect (listener.first, (struct sockaddr *)&address, len), 0);
+  listener.address = fl_name_format ("127.0.0.1:%d", ntohs (address.sin_port));
+  return listener;
+}
+
+/* A start whose result is awaited. */
+struct awaited_start
+{
+  int64_t ordered_ms;
+  int64_t took_ms; /* -1 until its result */
+  enum fl_order_result result;
+};
+
+static void
+on_awaited_start_done (void *context, const struct fl_order_reply *reply)
+{
+  struct awaited_start *start = context;
+
+  start->took_ms = fl_clock_boot_ms () - start->ordered_ms;
+  start->result = reply->result;
+}
+
+static void
+order_start (const struct fl_target_calls *calls,
+             const struct fl_name *address,
+             int64_t limit_ms,
+             struct awaited_start *start)
+{
+  struct fl_start_order order = { .target = fl_name_of ("t1"),
+                                  .address = *address,
+                                  .task = fl_name_of ("0000000000000001.0.0.0"),
+                                  .run = 1,
+                                  .fencing_token = 1,
+                                  .deadline_ms = 1000,
+                                  .payload = "p",
+                                  .payload_len = 1,
+                                  .checkpoint = "",
+                                  .ticket = "",
+                                  .reply_limit_ms = limit_ms };
+
+  *start = (struct awaited_start){ .ordered_ms = fl_clock_boot_ms (), .took_ms = -1 };
+  calls->start (calls->context, &order, on_awaited_start_done, start);
+}
+
+/* The time to connect began after the wait for others, and ended after the limit of the start. */
+static void
+test_connection_after_the_wait_for_others (void **state)
+{
+  static const struct
+  {
+    int64_t first_limit_ms, delay_ms, limit_ms;
+  } cases[] = { { FL_START_LIMIT_MS, 100, FL_START_LIMIT_MS }, { 600, 50, 1000 } };
+  int wrong = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0, SUPPORT_END_SERVED, 200, NULL);
+      struct silent_listener listener = open_silent_listener ();
+      struct fl_platform_target_client *client
+          = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL, NULL);
+      const struct fl_target_calls *calls = fl_platform_target_client_get_calls (client);
+      /* As many as a host sends at a time to a target that accepts 64 connections, and one more. */
+      struct awaited_start starts[4];
+
+      for (size_t j = 0; j < G_N_ELEMENTS (starts); j++)
+        {
+          bool waits = j == G_N_ELEMENTS (starts) - 1;
+          if (waits)
+            support_run_loop_for (fixture->loop, (double)cases[i].delay_ms / 1000.0);
+          order_start (calls, &listener.address,
+                       waits ? cases[i].limit_ms : cases[i].first_limit_ms, &starts[j]);
+        }
+      const struct awaited_start *last = &starts[G_N_ELEMENTS (starts) - 1];
+      while (last->took_ms < 0)
+        support_run_loop_for (fixture->loop, 0.01);
+      bool is_right = last->result == FL_ORDER_NOT_SENT && last->took_ms <= cases[i].limit_ms;
+      print_message ("%s limit %d ms: %s after %d ms\n", is_right ? "right" : "WRONG",
+                     (int)cases[i].limit_ms, fl_order_result_name (last->result),
+                     (int)last->took_ms);
+      wrong += is_right ? 0 : 1;
+      fl_platform_target_client_free (client);
+      close (listener.first);
+      close (listener.fd);
+      fixture_free (fixture);
+    }
+  assert_int_equal (wrong, 0);
+}
+
 #define IDLE_CONNECTIONS 3
 #define QUERY_EXPECTED_MS 10
 #define QUERY_TIMEOUT_MS 6000
@@ -395,6 +508,7 @@
     cmocka_unit_test (test_call_beside_late_call),
     cmocka_unit_test (test_connections_kept),
     cmocka_unit_test (test_connections_to_target),
+    cmocka_unit_test (test_connection_after_the_wait_for_others),
     cmocka_unit_test (test_queries_lost_after_silence),
     cmocka_unit_test (test_repeated_heartbeat_after_silence),
   };
