Core: the longest lease of a start counts from when the start may be sent

Cause: a start that reaches the next boot of its target gets the longest lease there. The owner counted this lease from the order plus 4 % and 50 ms (290 ms for 6 s), when a start had a limit of 200 ms. Since the limits follow the reply times and double with each repetition, a start may connect, and since wait for others, for up to 90 % of 2 s. Sequence: the replies of a target take 0.6 s, so that a start has a limit of 1.8 s; it is ordered at 0, the target restarts, the start is sent at 1.62 s and runs in the new boot, and the path is then silent. The lease ends at 1.62 + 6 s, later by 2 % if the target's clock is slow; the owner started the task elsewhere from 6.29 s on (TWICE).

Ruled out: the same in one boot, since the deadline of a start is an absolute time of the target's clock; a run that a reply has listed, whose boot is known and whose target's lease is extended with each reboot.

Change: the longest lease counts from the limit of the last start, by as much as it exceeds the usual one. A start that was certainly not sent or not executed does not count. Targets that reply promptly are treated as before; for those, 170 ms remain if the clock is 2 % slow, and 180 ms may pass until a start is sent: left as it is, since test_refused_connections bounds the time at 6.34 s.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -175,6 +175,8 @@
   int64_t confirmed_at_ms;     /* when the target confirmed the last order; 0 if it has not */
   int64_t last_order_at_ms;    /* when the last order was sent */
   int64_t started_at_ms;       /* when the last start order was sent; 0 for an adopted run */
+  int64_t sent_by_ms;          /* no start order is sent later than the usual limit after this */
+  int64_t earlier_sent_by_ms;  /* the same for all but the last one */
   int64_t first_ordered_at_ms; /* when the first start order was sent, or the run was adopted */
   int64_t fencing_token;       /* of its target at the last start order, or when it was adopted */
   int inconclusive_starts;     /* start orders whose effect is unknown */
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -215,6 +215,8 @@
   run->order_in_flight = true;
   run->last_order_at_ms = core->now_ms;
   run->started_at_ms = core->now_ms;
+  run->earlier_sent_by_ms = run->sent_by_ms;
+  run->sent_by_ms = MAX (run->sent_by_ms, core->now_ms + order.reply_limit_ms - FL_START_LIMIT_MS);
   run->fencing_token = target->fencing_token;
   run->start_deadline_ms = MAX (run->start_deadline_ms, order.deadline_ms);
   if (run->inconclusive_starts == 0)
@@ -361,13 +363,14 @@
 
 /* The time by which a lease that the start of @run gave has certainly expired, in whatever boot it
  * arrived. In a boot that began after the last reply, a deadline by the clock of the previous boot
- * may be far ahead, so that the target grants the longest lease. */
+ * may be far ahead, so that the target grants the longest lease. A start may wait for a connection
+ * until its limit; CORE_EXPIRY_MARGIN_MS and the percentage cover the usual one. */
 static int64_t
 longest_lease_expiry_ms (const struct core_run *run)
 {
   const struct fl_core *core = run->task->step->job->core;
 
-  return lease_end_ms (run->started_at_ms, core->options.target_lease_max_ms);
+  return lease_end_ms (run->sent_by_ms, core->options.target_lease_max_ms);
 }
 
 void
@@ -564,6 +567,7 @@
     case FL_ORDER_FENCED: /* a successor owns the pool; the start may have taken effect */
       break;
     default:
+      run->sent_by_ms = run->earlier_sent_by_ms;
       /* If an earlier attempt was inconclusive, its order may still take effect. */
       if (run->inconclusive_starts == 0)
         release_rejected_run (run, result);
--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -164,6 +164,58 @@
   assert_int_equal (failures, 0);
 }
 
+/* Share of the limit of a start within which it is sent, in percent. */
+#define SENT_WITHIN_PERCENT 90
+/* The longest lease that a target grants. */
+#define LEASE_MAX_MS 6000
+
+/* The lease of a start that was sent late, and reached the next boot, was counted from its order.
+ */
+static void
+test_late_start_in_a_new_boot_keeps_the_longest_lease (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t reply_ms; /* how long the replies of the target take */
+  } cases[] = { { "slow replies", 600 }, { "slower replies", 1500 } };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      struct fl_step_spec step = { .count = 1, .cpu_milli = 1000, .memory_mb = 1 };
+      struct fl_order_reply reply = { .result = FL_ORDER_DONE };
+      struct fl_name target = fl_name_of ("t1");
+      add_target (fixture, "t1", 4, false);
+      fl_core_handle_reply_time (fixture->core, &target, &reply,
+                                 fixture->now_ms - cases[i].reply_ms, 0, fixture->now_ms);
+      add_job (fixture, "00000000000000aa", "urgent", step);
+      tick_until_recorded (fixture, 10);
+      assert_int_equal (fixture->start_orders->len, 1);
+      struct fl_start_order order = *get_start_order (fixture, 0);
+      int64_t ends_ms = fixture->now_ms + order.reply_limit_ms * SENT_WITHIN_PERCENT / 100
+                        + LEASE_MAX_MS * 102 / 100;
+      add_target (fixture, "t2", 4, false);
+      for (int j = 0; j < 2; j++)
+        {
+          fixture->now_ms += 10;
+          deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
+        }
+      fixture->now_ms += order.reply_limit_ms;
+      fl_core_handle_start_reply (fixture->core, &order.task, 1, FL_ORDER_NO_REPLY,
+                                  fixture->now_ms);
+      while (fixture->start_orders->len == 1)
+        tick_until_recorded (fixture, 10);
+      print_message ("%s: limit %d ms, started again %d ms after the lease\n", cases[i].name,
+                     (int)order.reply_limit_ms, (int)(fixture->now_ms - ends_ms));
+      failures += fixture->now_ms < ends_ms ? 1 : 0;
+      fixture_free (fixture);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* Longer than any lease of a target. */
 #define WATCHED_MS 20000
 #define HEARTBEAT_MS 300
@@ -268,6 +320,7 @@
       = { cmocka_unit_test (test_reply_from_before_a_suspension_does_not_tell_the_boot),
           cmocka_unit_test (test_run_in_a_new_boot_keeps_the_longest_lease),
           cmocka_unit_test (test_order_for_the_previous_boot),
+          cmocka_unit_test (test_late_start_in_a_new_boot_keeps_the_longest_lease),
           cmocka_unit_test (test_absent_run_is_started_again),
           cmocka_unit_test (test_end_beyond_the_first_report) };
 
