Core: a start that may not have been sent yet is not cleared of a crash

Cause: a start without a reply counts as innocent of its target's crash once the target has reported 200 ms after the first order (is_outlived). 200 ms was the limit of every start; it is up to 2 s since, doubles with each repetition, and a start may wait for a connection for 90 % of it. Sequence: limit 1.8 s; a start ordered at 0 waits, the target reports at 0.3 s, the start is sent at 0.31 s and crashes the target. The crash counted as one that no run explains: the task was started a third time, and crashes of other targets at the same moment were excused.

Ruled out: confirmed starts, whose replies came; starts with the usual limit, cleared after 200 ms as before.

Change: the 200 ms count from the time by which the last order is sent.

Measured: the new test before: 3 starts, none given up, with reports for 300 and for 900 ms; now 2 starts, given up, as for a start that is sent at once (the control, which held before). test_crash_takeover, test_core, test_refused_connections, test_lasting_tasks, test_gangs, test_heartbeats, test_late_replies and test_run_waits pass.

--- a/lib/core/crash.c
+++ b/lib/core/crash.c
@@ -331,12 +331,11 @@
 }
 
 /* Whether the start of @run, which is not confirmed, was certainly not the end of its target: the
- * target has reported since, without the run. */
+ * target has reported since it was sent, without the run. */
 static bool
 is_outlived (const struct core_run *run)
 {
-  return !is_confirmed (run)
-         && run->target->clock_at_ms >= run->first_ordered_at_ms + FL_START_LIMIT_MS;
+  return !is_confirmed (run) && run->target->clock_at_ms >= run->sent_by_ms + FL_START_LIMIT_MS;
 }
 
 /* For how long a run of @task has to be known until it is no longer watched. */
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -196,6 +196,56 @@
     }
 }
 
+/* A task was not blamed for a crash if its target had reported while the start was not sent yet. */
+static void
+test_crash_by_a_start_that_waited (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t reply_ms; /* how long the replies of targets take */
+    int64_t sent_ms;  /* the start, after its order; its target reports meanwhile */
+  } cases[] = {
+    { "sent at once", 5, 0 },
+    { "sent after 300 ms of 1800", 600, 300 },
+    { "sent after 900 ms of 1800", 600, 900 },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t boots[G_N_ELEMENTS (target_names)];
+      struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
+      struct fl_order_reply reply = { .result = FL_ORDER_DONE };
+      for (size_t j = 0; j < G_N_ELEMENTS (target_names); j++)
+        {
+          struct fl_name target = fl_name_of (target_names[j]);
+          fl_core_handle_reply_time (fixture->core, &target, &reply,
+                                     fixture->now_ms - cases[i].reply_ms, 0, fixture->now_ms);
+        }
+      add_job (fixture, "a", "urgent", make_step (1, 1000));
+      tick_until_recorded (fixture, 0);
+      size_t first = find_target (get_start_order (fixture, 0));
+      confirm_start (fixture, 0);
+      crash_target (fixture, target_names[first], &boots[first], EVIDENCE_OTHER_BOOT);
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->start_orders->len, 2);
+      struct fl_start_order order = *get_start_order (fixture, 1);
+      size_t target = find_target (&order);
+      let_idle_time_pass (fixture, boots, cases[i].sent_ms);
+      crash_target (fixture, target_names[target], &boots[target], EVIDENCE_OTHER_BOOT);
+      tick_until_recorded (fixture, 0);
+      let_idle_time_pass (fixture, boots, 5000);
+      print_message ("%s: limit %d ms, %u starts, %d given up\n", cases[i].name,
+                     (int)order.reply_limit_ms, fixture->start_orders->len,
+                     (int)count_given_up (fixture));
+      failures += fixture->start_orders->len != 2 || count_given_up (fixture) != 1 ? 1 : 0;
+      fixture_free (fixture);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* A step whose tasks all crash their targets took down a target for each of them, again and again.
  */
 static void
@@ -842,6 +892,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_task_is_given_up_after_two_crashes),
+          cmocka_unit_test (test_crash_by_a_start_that_waited),
           cmocka_unit_test (test_other_tasks_of_a_job_wait_for_the_suspected_one),
           cmocka_unit_test (test_suspected_task_starts_apart),
           cmocka_unit_test (test_bystander_is_not_given_up),
