Core: a reply that lists a run may have been under way for the limit of its heartbeat

Cause: a run counts as known until 300 ms before the reply that lists it, or until its heartbeat was sent if that is later (last_listed_ms). 300 ms was the limit of every heartbeat; it follows the reply times of the target since, up to 2 s. Sequence: a task crashes its target some ms after its start; the reply that lists it takes 0.9 s. It counted as known for 0.6 s, so that the crash did not count as one by a fresh run: the task was not given up after two crashes, but started a third time.

Ruled out: targets that reply promptly, whose limit is 300 ms as before. The age of a run is used for crashes and logs only.

Change: the limit of the last heartbeat in place of 300 ms.

Measured: the new test before: 3 starts, none given up, with replies of 0.9 and 1.7 s; now 2 starts, given up, as with prompt ones (the control, which held before). test_crash_takeover, test_core, test_refused_connections, test_lasting_tasks, test_gangs, test_heartbeats, test_late_replies and test_run_waits pass.

--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -349,6 +349,13 @@
   return false;
 }
 
+/* How long the reply to the last heartbeat may take after the wait. */
+static int64_t
+get_heartbeat_limit_ms (const struct core_target *target)
+{
+  return MAX (target->heartbeat_limit_ms, FL_HEARTBEAT_LIMIT_MS);
+}
+
 static void
 apply_run (struct fl_core *core,
            struct core_target *target,
@@ -394,7 +401,7 @@
     target->next_expiry_check_ms = 0;
   run->ever_listed = true;
   /* The reply was under way for no longer than this, while the target may have waited. */
-  run->last_listed_ms = MAX (sent_ms, core->now_ms - FL_HEARTBEAT_LIMIT_MS);
+  run->last_listed_ms = MAX (sent_ms, core->now_ms - get_heartbeat_limit_ms (target));
   run->listed_at_ms = core->now_ms;
   core_crash_note_listed (run);
   if (row->progress_percent != run->progress_percent)
@@ -585,9 +592,8 @@
 static bool
 is_reply_outdated (const struct core_target *target, int64_t sent_ms, int64_t now_ms)
 {
-  int64_t limit_ms = MAX (target->heartbeat_limit_ms, FL_HEARTBEAT_LIMIT_MS);
-
-  return now_ms - sent_ms > target->heartbeat_wait_ms + limit_ms + REPLY_SLACK_MS;
+  return now_ms - sent_ms
+         > target->heartbeat_wait_ms + get_heartbeat_limit_ms (target) + REPLY_SLACK_MS;
 }
 
 /* For how long before a reply that arrives at @now_ms its ends may have been unknown: while no
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -246,6 +246,69 @@
   assert_int_equal (failures, 0);
 }
 
+/* The target of @order lists its run in a reply that is under way for @reply_ms. */
+static void
+list_run (struct fixture *fixture,
+          const struct fl_start_order *order,
+          int64_t boot,
+          int64_t reply_ms)
+{
+  struct fl_run_row row = make_row (order);
+  struct fl_target_report report = { .booted_at_ms = boot, .runs = &row, .run_count = 1 };
+  struct fl_order_reply reply = { .result = FL_ORDER_DONE, .report = &report };
+  struct fl_heartbeat_order heartbeat;
+  int64_t sent_ms = fixture->now_ms;
+
+  assert_true (fl_core_prepare_heartbeat (fixture->core, &order->target, sent_ms, &heartbeat));
+  report.clock_ms = sent_ms;
+  fixture->now_ms += reply_ms;
+  fl_core_handle_heartbeat_reply (fixture->core, &order->target, &reply, sent_ms, fixture->now_ms);
+}
+
+/* A run that a late reply listed counted as known until 300 ms before, and not for the cause. */
+static void
+test_crash_after_a_late_reply (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t usual_ms; /* how long the replies of targets take */
+    int64_t reply_ms; /* and the one that lists the run */
+  } cases[] = { { "prompt", 5, 5 }, { "late", 600, 900 }, { "later", 600, 1700 } };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t boots[G_N_ELEMENTS (target_names)];
+      struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
+      struct fl_order_reply reply = { .result = FL_ORDER_DONE };
+      for (size_t j = 0; j < G_N_ELEMENTS (target_names); j++)
+        {
+          struct fl_name target = fl_name_of (target_names[j]);
+          fl_core_handle_reply_time (fixture->core, &target, &reply,
+                                     fixture->now_ms - cases[i].usual_ms, 0, fixture->now_ms);
+        }
+      add_job (fixture, "a", "urgent", make_step (1, 1000));
+      tick_until_recorded (fixture, 0);
+      for (guint j = 0; j < 2 && j < fixture->start_orders->len; j++)
+        {
+          struct fl_start_order order = *get_start_order (fixture, j);
+          size_t target = find_target (&order);
+          confirm_start (fixture, j);
+          list_run (fixture, &order, boots[target], cases[i].reply_ms);
+          crash_target (fixture, target_names[target], &boots[target], EVIDENCE_OTHER_BOOT);
+          tick_until_recorded (fixture, 0);
+        }
+      let_idle_time_pass (fixture, boots, 5000);
+      print_message ("%s: %u starts, %d given up\n", cases[i].name, fixture->start_orders->len,
+                     (int)count_given_up (fixture));
+      failures += fixture->start_orders->len != 2 || count_given_up (fixture) != 1 ? 1 : 0;
+      fixture_free (fixture);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* A step whose tasks all crash their targets took down a target for each of them, again and again.
  */
 static void
@@ -893,6 +956,7 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_task_is_given_up_after_two_crashes),
           cmocka_unit_test (test_crash_by_a_start_that_waited),
+          cmocka_unit_test (test_crash_after_a_late_reply),
           cmocka_unit_test (test_other_tasks_of_a_job_wait_for_the_suspected_one),
           cmocka_unit_test (test_suspected_task_starts_apart),
           cmocka_unit_test (test_bystander_is_not_given_up),
