Tests: ports that are reserved for a test program until it ends

Cause: test_free_port bound a port to see that it was free, and released it. Each program drew a first port and went on from there, so that programs whose ranges met got the same ports.

Change: the kernel chooses the port, and the socket stays open, without listening, until the program ends. SO_REUSEADDR is set after the bind: a listener that sets it, as libmicrohttpd and ZeroMQ do, may bind the port; nobody who asks for any port gets it, also not for an outgoing connection, so that the ports may be among those.

--- a/tests/support_http.c
+++ b/tests/support_http.c
@@ -15,10 +15,6 @@
 
 #include <cmocka.h>
 
-/* Below the ports that the kernel gives to connections of other processes, which could take one
- * before it is used. */
-#define FREE_PORT_MIN 10000
-#define FREE_PORT_MAX 32000
 #define RETRY_MS 10
 
 static struct sockaddr_in
@@ -33,21 +29,20 @@
 int
 test_free_port (void)
 {
-  static int port; /* the last one, so that none is returned twice */
-
-  for (;;)
-    {
-      port = port == 0 || port + 1 == FREE_PORT_MAX
-                 ? g_random_int_range (FREE_PORT_MIN, FREE_PORT_MAX)
-                 : port + 1;
-      struct sockaddr_in address = loopback_address (port);
-      int fd = socket (AF_INET, SOCK_STREAM, 0);
-      bool is_free = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
-
-      close (fd);
-      if (is_free)
-        return port;
-    }
+  struct sockaddr_in address = loopback_address (0);
+  socklen_t len = sizeof address;
+  int reuse = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  assert_true (fd >= 0);
+  assert_int_equal (bind (fd, (struct sockaddr *)&address, len), 0);
+  assert_int_equal (getsockname (fd, (struct sockaddr *)&address, &len), 0);
+  /* Set after the bind, which then gets a port that no other socket has. It lets a listener that
+   * sets it, too, bind the port, while the kernel gives it to nobody who asks for any port. The
+   * socket stays open until the test program ends, and since it does not listen, connections are
+   * refused when the listener is closed. */
+  assert_int_equal (setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse), 0);
+  return ntohs (address.sin_port);
 }
 
 bool
--- a/tests/support_http.h
+++ b/tests/support_http.h
@@ -15,7 +15,8 @@
   bool awaits_response;
 };
 
-/* @return a port of 127.0.0.1 that was free a moment ago. */
+/* @return a port of 127.0.0.1 that is reserved for this test program until it ends: a listener
+ * there has to set SO_REUSEADDR. */
 int test_free_port (void);
 
 /* Connects to @port of 127.0.0.1, retrying until somebody listens there if @retry.
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -374,6 +374,48 @@
       assert_int_equal (close (pipes[i][j]), 0);
 }
 
+#define PORTS 20
+
+static void
+get_ports (int ports[PORTS])
+{
+  for (int i = 0; i < PORTS; i++)
+    ports[i] = test_free_port ();
+}
+
+/* Test programs that ran at the same time could get the same port. One of them could then not
+ * listen, and called the server of the other, or none. */
+static void
+test_ports_of_two_processes (void **state)
+{
+  int ports[2][PORTS];
+  int to_parent[2];
+  int pid;
+
+  (void)state;
+  test_free_port ();
+  assert_int_equal (pipe (to_parent), 0);
+  pid = fork ();
+  assert_true (pid >= 0);
+  if (pid == 0)
+    {
+      get_ports (ports[1]);
+      if (write (to_parent[1], ports[1], sizeof ports[1]) != (ssize_t)sizeof ports[1])
+        _exit (1);
+      for (;;)
+        pause ();
+    }
+  assert_int_equal (read (to_parent[0], ports[1], sizeof ports[1]), sizeof ports[1]);
+  get_ports (ports[0]);
+  kill (pid, SIGTERM);
+  test_wait_for_exit (pid);
+  for (int i = 0; i < PORTS; i++)
+    for (int j = 0; j < PORTS; j++)
+      assert_int_not_equal (ports[0][i], ports[1][j]);
+  for (int i = 0; i < 2; i++)
+    close (to_parent[i]);
+}
+
 int
 main (void)
 {
@@ -383,7 +425,8 @@
                                       cmocka_unit_test (test_data_arrives_while_suspended),
                                       cmocka_unit_test (test_silent_connections_are_closed),
                                       cmocka_unit_test (test_bodies_of_all_requests),
-                                      cmocka_unit_test (test_listening_socket_is_closed_once) };
+                                      cmocka_unit_test (test_listening_socket_is_closed_once),
+                                      cmocka_unit_test (test_ports_of_two_processes) };
 
   return cmocka_run_group_tests_name ("http_server", tests, NULL, NULL);
 }
