Stop of flamingo-frontd: it ends once all requests have a response

KNOWN-RED on test_front_stop: beside busy processes, "20 requests left open" (unanswered 0), and "1 requests left open" of a count that got its 504.

Cause: a stopping process responds 600 ms before it would be killed and ends 400 ms before it, both by the clock. One that is held up over these 200 ms ends in its first update of the drain: it counts the requests as left open, though their timeouts are due in the same iteration of the loop.

--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -345,7 +345,8 @@
   (void)events;
   if (is_in_use (frontd, now_ms))
     frontd->last_open_ms = now_ms;
-  phase = front_drain_update (&frontd->drain, now_ms, frontd->last_open_ms);
+  phase = front_drain_update (&frontd->drain, now_ms, frontd->last_open_ms,
+                              count_open_requests (frontd) > 0);
   if (phase != previous)
     enter_drain_phase (frontd, phase);
 }
--- a/tests/test_front_stop.c
+++ b/tests/test_front_stop.c
@@ -96,6 +96,89 @@
   assert_int_equal (failures, 0);
 }
 
+/* --- a process that is held up while it stops --- */
+
+/* Past the time at which the process ends, before which all requests get their responses. */
+#define HELD_UP_MS ((FRONT_GRACEFUL_STOP_S * 1000) - 200)
+#define LOG_MAX 10000
+
+static const struct
+{
+  const char *name;
+  const char *configuration;
+  bool is_native;
+  const char *request;
+  int status; /* of the response */
+} held_up_cases[] = {
+  { "a submission", FRONT_CONFIGURATION, false, SUBMIT, 504 },
+  { "a query", FRONT_CONFIGURATION, false, SHOW, 504 },
+  { "a cancellation", FRONT_CONFIGURATION, false, CANCEL, 504 },
+  { "a count", FRONT_CONFIGURATION, false, COUNT, 504 },
+  { "a native request", FRONT_CONFIGURATION, true, NATIVE_WAIT, 504 },
+  /* Rejected, since 504 would say that the job may have been accepted. */
+  { "a submission that waits for the configuration", NULL, false, SUBMIT, 503 },
+};
+
+/* Waits until the log of @front, which shares its file position, has the event "stopping". */
+static void
+await_stopping (const struct front *front)
+{
+  int64_t guard_us = g_get_monotonic_time () + SUPPORT_HTTP_GUARD_MS * 1000;
+  char text[LOG_MAX + 1] = "";
+
+  while (strstr (text, "event=stopping") == NULL)
+    {
+      ssize_t len = pread (fileno (front->log), text, LOG_MAX, 0);
+      text[MAX (len, 0)] = '\0';
+      assert_true (g_get_monotonic_time () < guard_us);
+      usleep (1000);
+    }
+}
+
+/* The process gets no CPU from the beginning of the stop until after the time for responses, and
+ * for the end: it responds before it decides to end. */
+static void
+test_held_up_process_responds_before_it_ends (void **state)
+{
+  struct front fronts[G_N_ELEMENTS (held_up_cases)];
+  struct test_client clients[G_N_ELEMENTS (held_up_cases)];
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (held_up_cases); i++)
+    fronts[i] = front_start (NEVER_MS, held_up_cases[i].configuration);
+  for (size_t i = 0; i < G_N_ELEMENTS (held_up_cases); i++)
+    {
+      int port = held_up_cases[i].is_native ? fronts[i].native_port : fronts[i].port;
+      clients[i] = (struct test_client){ .fd = -1 };
+      assert_true (test_client_connect (&clients[i], port, false));
+      assert_true (test_client_request (&clients[i], held_up_cases[i].request));
+    }
+  usleep (100 * 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (held_up_cases); i++)
+    {
+      kill (fronts[i].pid, SIGTERM);
+      await_stopping (&fronts[i]);
+      kill (fronts[i].pid, SIGSTOP);
+    }
+  usleep (HELD_UP_MS * 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (held_up_cases); i++)
+    kill (fronts[i].pid, SIGCONT);
+  for (size_t i = 0; i < G_N_ELEMENTS (held_up_cases); i++)
+    {
+      int status = test_client_await (&clients[i]);
+      int left_open;
+      int code = front_await_end (&fronts[i], &left_open);
+      test_client_close (&clients[i]);
+      if (status == held_up_cases[i].status && code == 0 && left_open == 0)
+        continue;
+      print_error ("%s: status %d instead of %d, exit code %d, %d requests left open\n",
+                   held_up_cases[i].name, status, held_up_cases[i].status, code, left_open);
+      failures++;
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* --- many clients until the process is gone --- */
 
 #define BUSY_CLIENTS 20
@@ -275,6 +358,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_open_request_is_answered),
+          cmocka_unit_test (test_held_up_process_responds_before_it_ends),
           cmocka_unit_test (test_no_request_is_lost_by_a_stop),
           cmocka_unit_test (test_idle_connections_are_served_to_the_end),
           cmocka_unit_test (test_process_ends) };
