Tests: one place that sets the reply times of targets, one that sends batches until all are forwarded

simulate_crash_seeds of test_core_cell was named after deadly tasks alone, but serves refusals, too. No check changes; test_deadly_tasks and test_forward pass.

--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -343,10 +343,10 @@
 }
 
 static int
-simulate_deadly_seeds (struct cell_result (*simulate) (uint64_t seed, const char *trace_prefix),
-                       uint64_t first_seed,
-                       int count,
-                       const char *trace_prefix)
+simulate_crash_seeds (struct cell_result (*simulate) (uint64_t seed, const char *trace_prefix),
+                      uint64_t first_seed,
+                      int count,
+                      const char *trace_prefix)
 {
   int failed = 0;
 
@@ -588,11 +588,11 @@
                              argc > 4 ? argv[4] : NULL);
     }
   if (argc >= 4 && strcmp (argv[1], "deadly") == 0)
-    return simulate_deadly_seeds (cell_simulate_deadly_tasks, strtoull (argv[2], NULL, 10),
-                                  atoi (argv[3]), argc > 4 ? argv[4] : NULL);
+    return simulate_crash_seeds (cell_simulate_deadly_tasks, strtoull (argv[2], NULL, 10),
+                                 atoi (argv[3]), argc > 4 ? argv[4] : NULL);
   if (argc >= 4 && strcmp (argv[1], "refusals") == 0)
-    return simulate_deadly_seeds (cell_simulate_refusals, strtoull (argv[2], NULL, 10),
-                                  atoi (argv[3]), argc > 4 ? argv[4] : NULL);
+    return simulate_crash_seeds (cell_simulate_refusals, strtoull (argv[2], NULL, 10),
+                                 atoi (argv[3]), argc > 4 ? argv[4] : NULL);
   if (argc >= 4 && strcmp (argv[1], "evacuations") == 0)
     return simulate_evacuation_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]),
                                       argc > 4 ? argv[4] : NULL);
--- a/tests/test_deadly_tasks.c
+++ b/tests/test_deadly_tasks.c
@@ -196,6 +196,20 @@
     }
 }
 
+/* The targets have replied to an order after @reply_ms, which their limits follow. */
+static void
+set_reply_times (struct fixture *fixture, int64_t reply_ms)
+{
+  struct fl_order_reply reply = { .result = FL_ORDER_DONE };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (target_names); i++)
+    {
+      struct fl_name target = fl_name_of (target_names[i]);
+      fl_core_handle_reply_time (fixture->core, &target, &reply, fixture->now_ms - reply_ms, 0,
+                                 fixture->now_ms);
+    }
+}
+
 /* A task was not blamed for a crash if its target had reported while the start was not sent yet. */
 static void
 test_crash_by_a_start_that_waited (void **state)
@@ -217,13 +231,7 @@
     {
       int64_t boots[G_N_ELEMENTS (target_names)];
       struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
-      struct fl_order_reply reply = { .result = FL_ORDER_DONE };
-      for (size_t j = 0; j < G_N_ELEMENTS (target_names); j++)
-        {
-          struct fl_name target = fl_name_of (target_names[j]);
-          fl_core_handle_reply_time (fixture->core, &target, &reply,
-                                     fixture->now_ms - cases[i].reply_ms, 0, fixture->now_ms);
-        }
+      set_reply_times (fixture, cases[i].reply_ms);
       add_job (fixture, "a", "urgent", make_step (1, 1000));
       tick_until_recorded (fixture, 0);
       size_t first = find_target (get_start_order (fixture, 0));
@@ -282,13 +290,7 @@
     {
       int64_t boots[G_N_ELEMENTS (target_names)];
       struct fixture *fixture = new_fixture (&(struct fixture_options){ 0 }, boots);
-      struct fl_order_reply reply = { .result = FL_ORDER_DONE };
-      for (size_t j = 0; j < G_N_ELEMENTS (target_names); j++)
-        {
-          struct fl_name target = fl_name_of (target_names[j]);
-          fl_core_handle_reply_time (fixture->core, &target, &reply,
-                                     fixture->now_ms - cases[i].usual_ms, 0, fixture->now_ms);
-        }
+      set_reply_times (fixture, cases[i].usual_ms);
       add_job (fixture, "a", "urgent", make_step (1, 1000));
       tick_until_recorded (fixture, 0);
       for (guint j = 0; j < 2 && j < fixture->start_orders->len; j++)
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -519,6 +519,22 @@
   stop_hosts (&owner, peers, loop, stats);
 }
 
+/* Until both peers have been found to be available, and forward all starts. */
+static void
+send_batches_until_forwarded (struct ev_loop *loop,
+                              struct host *owner,
+                              const struct host *peers,
+                              struct order_outcome *outcomes)
+{
+  do
+    {
+      owner->direct.starts = 0;
+      send_batch (loop, owner, "what to run", false, 1, outcomes);
+    }
+  while (owner->direct.starts > 0 || peers[0].forwarded.starts == 0
+         || peers[1].forwarded.starts == 0);
+}
+
 /* The owner gets the result of each start of a batch as the target's host saw it. Only starts that
  * were certainly not sent are ordered again, once. */
 static void
@@ -532,13 +548,7 @@
 
   (void)state;
   start_hosts (&owner, peers, loop, stats);
-  do
-    {
-      owner.direct.starts = 0;
-      send_batch (loop, &owner, "what to run", false, 1, outcomes);
-    }
-  while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
-         || peers[1].forwarded.starts == 0);
+  send_batches_until_forwarded (loop, &owner, peers, outcomes);
   for (int result = 0; result < FL_ORDER_RESULT_COUNT; result++)
     {
       int orders_per_task = result == FL_ORDER_NOT_SENT ? 2 : 1;
@@ -569,13 +579,7 @@
 
   (void)state;
   start_hosts (&owner, peers, loop, stats);
-  do
-    {
-      owner.direct.starts = 0;
-      send_batch (loop, &owner, "what to run", false, 1, outcomes);
-    }
-  while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
-         || peers[1].forwarded.starts == 0);
+  send_batches_until_forwarded (loop, &owner, peers, outcomes);
   /* One peer is the distributor, which sends starts to its own targets and to the other peer. */
   peers[0].forwarded.starts = peers[1].forwarded.starts = 0;
   int64_t batches = fl_stats_get (stats, "start_batches_total");
@@ -609,13 +613,7 @@
 
   (void)state;
   start_hosts (&owner, peers, loop, stats);
-  do
-    {
-      owner.direct.starts = 0;
-      send_batch (loop, &owner, "what to run", false, 1, outcomes);
-    }
-  while (owner.direct.starts > 0 || peers[0].forwarded.starts == 0
-         || peers[1].forwarded.starts == 0);
+  send_batches_until_forwarded (loop, &owner, peers, outcomes);
   memset (outcomes, 0, sizeof outcomes);
   owner.unreachable = fl_link_address (peers[1].link);
   for (int i = 0; i < SINGLE_STARTS + BATCH_TASKS; i++)
