Review: a team exceeds its limit when its job was cancelled before the owner was lost

Cause: a new owner counts what may run on workers that have not reported for waiting jobs only (charge_unreconciled, lib/core/placement.c), not for jobs that are cancelled or failed.

--- a/review/small_cell.py
+++ b/review/small_cell.py
@@ -69,13 +69,13 @@
 
 
 class Cell:
-    def __init__(self, folder, hosts=3, queues=None, memory_mb=260):
+    def __init__(self, folder, hosts=3, queues=None, memory_mb=260, cap_cpu=0):
         self.started_at = time.time()
         self.record = open(os.path.join(folder, "record.txt"), "w")
         self.lock = threading.Lock()
         self.dir = tempfile.mkdtemp(prefix="review-")
         self.children, self.workers, self.hosts, self.events = [], {}, [], []
-        self.memory_mb = memory_mb
+        self.memory_mb, self.cap_cpu = memory_mb, cap_cpu
         if not os.path.exists(STAND_IN) or not os.path.exists(os.path.join(BIN, "flamingo-poold")):
             raise CannotRun("build the programs and the stand-in first (build-2.sh)")
         self.platform = subprocess.Popen([STAND_IN], stdout=subprocess.PIPE,
@@ -113,7 +113,7 @@
         status, _ = call(self.store_port, "PUT", "/operator/op/config", {
             "version": self.version, "routes": routes,
             "tenants": [{"name": "tenant", "apiKeys": [KEY], "weight": 10,
-                         "cap": {"cpu": 0, "memMb": 0, "gpu": 0}}],
+                         "cap": {"cpu": self.cap_cpu, "memMb": 0, "gpu": 0}}],
             "services": [{"name": SERVICE, "healthPath": "/health", "maxConns": 64,
                           "rejectsOverload": False}], "limits": {}})
         if status != 200:
@@ -197,9 +197,11 @@
 
     # --- workers ---
 
-    def add_worker(self, name, kind="a", rack="r1-1", cpu=16000, mem=32768, port=None):
+    def add_worker(self, name, kind="a", rack="r1-1", cpu=16000, mem=32768, port=None, shown_port=None):
+        """A worker tells @shown_port as its own, if it is reached through a proxy there."""
         port = port or free_ports(1)[0]
-        worker = {"name": name, "port": port, "kind": kind, "rack": rack, "cpu": cpu, "mem": mem}
+        worker = {"name": name, "port": port, "kind": kind, "rack": rack, "cpu": cpu, "mem": mem,
+                  "shown_port": shown_port or port}
         self.workers[name] = worker
         self.start_worker(worker)
         return worker
@@ -208,7 +210,7 @@
         child = subprocess.Popen(
             [sys.executable, "-S", "-E", os.path.join(HERE, "stand_in_worker.py"), "127.0.0.1:%d" % self.store_port,
              worker["name"], str(worker["port"]), SERVICE, worker["kind"], worker["rack"],
-             str(worker["cpu"]), str(worker["mem"])], stdout=subprocess.PIPE)
+             str(worker["cpu"]), str(worker["mem"]), str(worker["shown_port"])], stdout=subprocess.PIPE)
         worker["child"], worker["tasks"], worker["up"] = child, {}, False
         self.children.append(child)
         threading.Thread(target=self.read_worker, args=(worker, child), daemon=True).start()
--- a/review/stand_in_worker.py
+++ b/review/stand_in_worker.py
@@ -1,6 +1,6 @@
 """A worker of the platform, as PROTOCOL.md describes it: one process, one boot.
 
-Arguments: store address, id, own port, service, kind label, rack label, cpu, memMb.
+Arguments: store address, id, own port, service, kind label, rack label, cpu, memMb, the port that it tells.
 A task's spec is JSON: "ms" is its duration, without it the task lasts; "fail": true ends it as failed.
 Each start and end is printed as a line of JSON.
 """
@@ -11,7 +11,7 @@
 import threading
 import time
 
-STORE, ID, PORT, SERVICE, KIND, RACK, CPU, MEM = sys.argv[1:9]
+STORE, ID, PORT, SERVICE, KIND, RACK, CPU, MEM, SHOWN_PORT = sys.argv[1:10]
 MAX_HOLD_MS, STOP_MS, HEARTBEAT_S = 6000, 50, 1.5
 BORN = int(time.time() * 1000)
 T0 = time.monotonic()
@@ -58,7 +58,7 @@
 
 def entry():
     state["seq"] += 1
-    return {"service": SERVICE, "address": "127.0.0.1:" + PORT, "zone": "zone-a", "version": "1",
+    return {"service": SERVICE, "address": "127.0.0.1:" + SHOWN_PORT, "zone": "zone-a", "version": "1",
             "slots": 8, "state": "ready", "coldLeftMs": 0, "seqNo": state["seq"], "born": BORN,
             "capacity": {"cpu": int(CPU), "memMb": int(MEM), "gpu": 0}, "labels": [KIND, RACK]}
 
@@ -158,6 +158,9 @@
     request_queue_size = 128
     allow_reuse_address = True
 
+    def handle_error(self, request, client_address):
+        pass  # a caller that has ended
+
 
 say(event="boot")
 server = Server(("127.0.0.1", int(PORT)), Handler)
