--- a/review/9/case.py
+++ b/review/9/case.py
@@ -133,4 +133,4 @@
 
 
 if __name__ == "__main__":
-    small_cell.play(HERE, sys.modules[__name__])
+    small_cell.play(HERE, sys.modules[__name__], os.environ.get("TROUBLE", "1") != "0")
--- a/review/small_cell.py
+++ b/review/small_cell.py
@@ -270,10 +270,9 @@
             shutil.rmtree(self.dir, ignore_errors=True)
 
 
-def play(folder, scenario):
-    """Runs the scenario; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+def play(folder, scenario, trouble):
+    """Runs the scenario, with its disruption if @trouble; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     cell, code = None, 2
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         cell = Cell(folder, **scenario.CELL)
         cell.wait_until_ready()
