Logs: targets that a new owner waits no longer for, and orders that reach the next boot

Cause: nothing told that an order by the clock of a former boot had been carried out by the next one, nor which targets a new owner stopped waiting for. Change: target_clock_went_back and target_presumed_empty. No decision changes.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -569,8 +569,15 @@
 {
   struct core_target *target = core_find_target (core, id);
 
-  if (target != NULL && clock_ms > 0 && clock_ms < target->clock_ms - CLOCK_TOLERANCE_MS)
-    target->clock_went_back_at_ms = now_ms;
+  if (target == NULL || clock_ms <= 0 || clock_ms >= target->clock_ms - CLOCK_TOLERANCE_MS)
+    return;
+  if (target->clock_went_back_at_ms == 0)
+    fl_log (core->options.log, FL_LOG_NOTICE, "target_clock_went_back",
+            FL_N ("target", &target->entry.id), FL_I ("boot", target->booted_at_ms),
+            FL_I ("clock_ms", clock_ms), FL_I ("known_clock_ms", target->clock_ms),
+            FL_I ("lists_age_ms", now_ms - target->last_heartbeat_at_ms),
+            FL_I ("runs", target->runs->len));
+  target->clock_went_back_at_ms = now_ms;
 }
 
 /* Whether the time from @sent_ms to @now_ms includes one in which this host read no replies. */
@@ -995,6 +1002,10 @@
       if (core->now_ms < target->lease_expires_at_ms)
         continue;
       target->is_settled = true;
+      fl_log (core->options.log, FL_LOG_NOTICE, "target_presumed_empty",
+              FL_N ("target", &target->entry.id), FL_I ("boot", target->booted_at_ms),
+              FL_I ("registered", target->registered), FL_I ("silent", target->silent),
+              FL_I ("renewed", target->lease_expires_at_ms > 0));
       core_target_update_reconciled (target);
     }
 }
