Core: it derives the end of earlier owners' leases itself

Cause: lib/poold computed when the leases of earlier owners end, from a lease that it chose and a percentage of its own, beside the core, which knows both leases and how long one may last on a slow clock. Change: the core is told until when orders of earlier owners may reach targets, and derives the rest; fl_core_reconciled_at. No bound changes.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -130,7 +130,8 @@
   struct fl_core *core = g_new0 (struct fl_core, 1);
 
   core->options = *options;
-  core->inherited_until_ms = options->reconciled_at_ms;
+  core->inherited_until_ms = core_earlier_leases_end_ms (options);
+  core->reconciled_at_ms = core->inherited_until_ms;
   core->order_budget.bytes_per_s = options->order_bytes_per_s;
   core->first_run_number = (options->fencing_token - 1) * RUN_NUMBERS_PER_OWNER + 1;
   core->targets = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, target_free);
@@ -472,7 +473,7 @@
 core_target_remove_if_unused (struct fl_core *core, struct core_target *target)
 {
   bool reconciled = !target->inherited || target->reported_fully || target->is_settled
-                    || core->now_ms >= core->options.reconciled_at_ms;
+                    || core->now_ms >= core->reconciled_at_ms;
 
   if (target->registered || target->runs->len > 0 || !reconciled
       || core_target_has_unrecorded_ends (target))
@@ -552,7 +553,13 @@
 bool
 core_is_unreconciled (const struct fl_core *core)
 {
-  return core->now_ms < core->options.reconciled_at_ms && core->unreconciled_targets.length > 0;
+  return core->now_ms < core->reconciled_at_ms && core->unreconciled_targets.length > 0;
+}
+
+int64_t
+fl_core_reconciled_at (const struct fl_core *core)
+{
+  return core->reconciled_at_ms;
 }
 
 int64_t
@@ -705,8 +712,7 @@
   /* This heartbeat renews the leases of runs that an earlier owner started, and its reply, which
    * would list them, may be lost. */
   if (target->is_unreconciled)
-    core->options.reconciled_at_ms
-        = MAX (core->options.reconciled_at_ms, target->lease_expires_at_ms);
+    core->reconciled_at_ms = MAX (core->reconciled_at_ms, target->lease_expires_at_ms);
   return true;
 }
 
@@ -1021,7 +1027,7 @@
   if (was_reconciling && !core->is_reconciling)
     fl_log (core->options.log, FL_LOG_NOTICE, "reconciled",
             FL_I ("unreported", core->unreconciled_targets.length),
-            FL_I ("left_ms", core->options.reconciled_at_ms - core->now_ms));
+            FL_I ("left_ms", core->reconciled_at_ms - core->now_ms));
   if (!core->is_reconciling
       || core->now_ms - core->reconciling_logged_at_ms < RECONCILING_LOG_INTERVAL_MS)
     return;
@@ -1029,7 +1035,7 @@
   fl_log (core->options.log, FL_LOG_NOTICE, "reconciling",
           FL_I ("unreported", core->unreconciled_targets.length), FL_N ("target", &first->entry.id),
           FL_I ("waiting_jobs", core->waiting_jobs.length),
-          FL_I ("left_ms", core->options.reconciled_at_ms - core->now_ms));
+          FL_I ("left_ms", core->reconciled_at_ms - core->now_ms));
 }
 
 void
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -55,9 +55,9 @@
   /* Store version at which this owner acquired the pool. Jobs accepted at a later version were
    * never started by an earlier owner. */
   int64_t acquired_version;
-  /* Until this time, orders of an earlier owner may be in effect on targets that have not
-   * reported. */
-  int64_t reconciled_at_ms;
+  /* Until when orders of earlier owners may reach targets; 0 if there was none. The leases that
+   * these gave are in effect for longer: see fl_core_reconciled_at. */
+  int64_t earlier_orders_end_ms;
   int64_t target_lease_ms;     /* duration of the lease that each heartbeat renews */
   int64_t target_lease_max_ms; /* longest lease that a target grants */
   /* Rate, in bytes a second, at which start orders may be sent; 0 for no limit. */
@@ -99,7 +99,7 @@
 void fl_core_remove_target (struct fl_core *core, const struct fl_name *id);
 
 /* Adds a target that an earlier owner used. Tasks that may already run on it are not started
- * elsewhere until it reports its runs or options.reconciled_at_ms has passed. */
+ * elsewhere until it reports its runs or fl_core_reconciled_at has passed. */
 void fl_core_inherit_target (struct fl_core *core,
                              const struct fl_name *id,
                              const struct fl_name *address);
@@ -151,6 +151,10 @@
                                 enum fl_order_result result,
                                 int64_t now_ms);
 
+/* Until when, in milliseconds, what earlier owners ordered may be in effect on targets that have
+ * not reported to this one. Later, if this owner has renewed their leases there. */
+int64_t fl_core_reconciled_at (const struct fl_core *core);
+
 /* Handles @clock_ms, the clock of @target in its reply to an order; 0 if it is unknown. A clock
  * that has gone back shows that the target has restarted. */
 void fl_core_handle_clock (struct fl_core *core,
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -556,7 +556,8 @@
   int64_t last_tick_ms;
   int64_t tick_gap_ms;        /* between the last two ticks */
   int64_t runs_checked_at_ms; /* when all runs were last checked for timeouts */
-  int64_t inherited_until_ms; /* options.reconciled_at_ms, before this owner renewed any lease */
+  int64_t inherited_until_ms; /* end of the leases that earlier owners gave */
+  int64_t reconciled_at_ms;   /* the same, and of those that this owner renewed unseen */
   int64_t held_runs_logged_at_ms;   /* see core_log_held_runs */
   int64_t reconciling_logged_at_ms; /* when the targets that have not reported were last logged */
   bool is_reconciling;              /* the last tick found inherited targets without a report */
@@ -765,6 +766,9 @@
  * an order to an earlier boot may be far ahead. */
 void core_target_assume_longest_lease (struct core_target *target);
 
+/* When the leases that earlier owners gave have certainly expired; 0 if there was none. */
+int64_t core_earlier_leases_end_ms (const struct fl_core_options *options);
+
 /* Treats the runs of @target as lost whose lease has certainly expired. */
 void core_target_expire_runs (struct core_target *target, int64_t now_ms);
 
--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -189,7 +189,7 @@
 {
   const struct fl_core *core = job->core;
 
-  return core->now_ms < core->options.reconciled_at_ms
+  return core->now_ms < core->reconciled_at_ms
          && job->accepted_version <= core->options.acquired_version;
 }
 
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -364,6 +364,14 @@
   return from_ms + lease_ms * CORE_EXPIRY_PERCENT / 100 + CORE_EXPIRY_MARGIN_MS;
 }
 
+int64_t
+core_earlier_leases_end_ms (const struct fl_core_options *options)
+{
+  if (options->earlier_orders_end_ms == 0)
+    return 0;
+  return options->earlier_orders_end_ms + options->target_lease_ms * CORE_EXPIRY_PERCENT / 100;
+}
+
 /* The time by which a lease that the start of @run gave has certainly expired, in whatever boot it
  * arrived. In a boot that began after the last reply, a deadline by the clock of the previous boot
  * may be far ahead, so that the target grants the longest lease. A start may wait for a connection
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -49,11 +49,8 @@
 /* An owner whose lease has expired, since it cannot reach the store, goes on sending heartbeats for
  * this long, so that running tasks survive. Together with the leases of the pool and of the targets
  * this bridges store outages of about 9 s. A new owner adds this time to its wait for targets that
- * do not report: see fl_ownership_get_reconciled_at. */
+ * do not report: see fl_ownership_get_earlier_orders_end. */
 #define HEARTBEAT_GRACE_MS 3000
-/* The lease of a target counts as expired after this percentage of its duration, the same as
- * CORE_EXPIRY_PERCENT in the core: the clock of a target may run 2 % slow. */
-#define TARGET_EXPIRY_PERCENT 104
 /* How long another host may measure what the owner's clock measures as 100: the rates of two hosts'
  * clocks differ by up to 2 %. */
 #define HOST_CLOCK_PERCENT 102
@@ -724,7 +721,7 @@
 }
 
 int64_t
-fl_ownership_get_reconciled_at (const struct fl_ownership *ownership, int64_t lease_ms)
+fl_ownership_get_earlier_orders_end (const struct fl_ownership *ownership)
 {
-  return ownership->attempt.earlier_heartbeats_end_ms + lease_ms * TARGET_EXPIRY_PERCENT / 100;
+  return ownership->attempt.earlier_heartbeats_end_ms;
 }
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -57,11 +57,9 @@
 void
 fl_ownership_release (struct fl_ownership *ownership, void (*done) (void *context), void *context);
 
-/* Until when, in milliseconds of the boot clock, orders of earlier owners may still be in effect on
- * targets that have not reported to this host since its last acquisition: the lease that an earlier
- * owner's last heartbeat gave them may last until then. @lease_ms is the lease that a heartbeat
- * gives a target. */
-int64_t fl_ownership_get_reconciled_at (const struct fl_ownership *ownership, int64_t lease_ms);
+/* Until when, in milliseconds of the boot clock, owners before the last acquisition of this host
+ * may send heartbeats; 0 if there was none. */
+int64_t fl_ownership_get_earlier_orders_end (const struct fl_ownership *ownership);
 
 /* How long, in milliseconds, an owner goes on sending heartbeats after its lease has expired. */
 int64_t fl_ownership_get_heartbeat_grace_ms (void);
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -21,7 +21,6 @@
   bool ended;
   int64_t started_ms;
   int64_t earlier_confirmed_ms; /* when the operator's rows were confirmed before this term */
-  int64_t reconciled_at_ms;     /* see struct fl_core_options */
   struct fl_poold *poold;
   struct fl_core *core;
   struct fl_follower *progress_follower; /* read once, before the jobs */
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -286,7 +286,8 @@
 
   term->inherited_reads_in_flight--;
   if (!term->ended && !term->inherited_read && reply->status == FL_STORE_OK
-      && (add_inherited_targets (term, reply) || fl_clock_boot_ms () >= term->reconciled_at_ms))
+      && (add_inherited_targets (term, reply)
+          || fl_clock_boot_ms () >= fl_core_reconciled_at (term->core)))
     {
       term->inherited_read = true;
       term->poold->tick_requested = true;
@@ -328,7 +329,6 @@
              bool previous_owner_may_be_active)
 {
   struct fl_term *term = g_new0 (struct fl_term, 1);
-  int64_t lease_ms = MIN (TARGET_LEASE_MS, poold->host->settings.lease_max_ms);
   int64_t memory_bytes = fl_host_settings_memory_bytes (&poold->host->settings);
   struct fl_core_options options = {
     .log = &poold->host->log,
@@ -337,8 +337,8 @@
     .context = term,
     .fencing_token = token,
     .acquired_version = version,
-    .reconciled_at_ms = fl_ownership_get_reconciled_at (poold->ownership, lease_ms),
-    .target_lease_ms = lease_ms,
+    .earlier_orders_end_ms = fl_ownership_get_earlier_orders_end (poold->ownership),
+    .target_lease_ms = MIN (TARGET_LEASE_MS, poold->host->settings.lease_max_ms),
     .target_lease_max_ms = poold->host->settings.lease_max_ms,
     .evacuation_ms = poold->host->settings.evacuation_ms,
     .set_up_bytes_max = memory_bytes * SET_UP_MEMORY_PERCENT / 100,
@@ -352,13 +352,12 @@
   term->inherited_limit
       = fl_reply_limit_make (READ_LIMIT_MIN_MS, READ_LIMIT_MAX_MS, READ_LIMIT_MAX_MS);
   term->started_ms = fl_clock_boot_ms ();
-  term->reconciled_at_ms = options.reconciled_at_ms;
-  fl_log (&poold->host->log, FL_LOG_NOTICE, "term_started", FL_I ("token", token),
-          FL_I ("previous_may_be_active", previous_owner_may_be_active),
-          FL_I ("reconciled_in_ms", term->reconciled_at_ms - term->started_ms));
   term->earlier_confirmed_ms = poold->watch.confirmed_ms;
   term->poold = poold;
   term->core = fl_core_new (&options);
+  fl_log (&poold->host->log, FL_LOG_NOTICE, "term_started", FL_I ("token", token),
+          FL_I ("previous_may_be_active", previous_owner_may_be_active),
+          FL_I ("reconciled_in_ms", fl_core_reconciled_at (term->core) - term->started_ms));
   term->recorded_progress
       = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, progress_free);
   term->heartbeats_in_flight = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -2057,9 +2057,8 @@
     .context = owner,
     .fencing_token = next_owner_token (cell),
     .acquired_version = ++cell->version,
-    /* The previous owner may send heartbeats for the grace period, and the clock of a target may
-     * run 2 % slow. */
-    .reconciled_at_ms = cell->now_ms + HEARTBEAT_GRACE_MS + TARGET_LEASE_MS * 104 / 100,
+    /* The previous owner may send heartbeats for the grace period. */
+    .earlier_orders_end_ms = cell->now_ms + HEARTBEAT_GRACE_MS,
     .target_lease_ms = TARGET_LEASE_MS,
     .target_lease_max_ms = TARGET_LEASE_MAX_MS,
     .evacuation_ms = cell->options.fault_rates.evacuation > 0 ? CELL_EVACUATION_MS : 0,
--- a/tests/support_core.c
+++ b/tests/support_core.c
@@ -95,7 +95,6 @@
     .target_lease_ms = TARGET_LEASE_MS,
     .target_lease_max_ms = 6000,
     .acquired_version = fixture_options->acquired_version,
-    .reconciled_at_ms = fixture_options->reconciled_at_ms,
     .order_bytes_per_s = fixture_options->order_bytes_per_s,
     .evacuation_ms = fixture_options->evacuation_ms,
     .set_up_bytes_max = fixture_options->set_up_bytes_max,
@@ -103,7 +102,9 @@
     .job_bytes_max = fixture_options->job_bytes_max,
   };
 
-  if (options.acquired_version == 0 && options.reconciled_at_ms > 0)
+  if (fixture_options->reconciled_at_ms > 0)
+    options.earlier_orders_end_ms = fixture_options->reconciled_at_ms - EARLIER_LEASE_MS;
+  if (options.acquired_version == 0 && fixture_options->reconciled_at_ms > 0)
     options.acquired_version = INT64_MAX;
   fixture->now_ms = 100000;
   fixture->stats = fl_stats_new ();
--- a/tests/support_ownership.c
+++ b/tests/support_ownership.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "core/core.h"
 #include "poold/ownership.h"
 #include "targets/calls.h"
 
@@ -281,8 +282,14 @@
 static int64_t
 get_reconciled_at (const struct host *host)
 {
-  int64_t at_ms = fl_ownership_get_reconciled_at (host->ownership, ELECTION_TARGET_LEASE_MS);
-
+  struct fl_core_options options
+      = { .earlier_orders_end_ms = fl_ownership_get_earlier_orders_end (host->ownership),
+          .target_lease_ms = ELECTION_TARGET_LEASE_MS,
+          .target_lease_max_ms = ELECTION_TARGET_LEASE_MAX_MS };
+  struct fl_core *core = fl_core_new (&options);
+  int64_t at_ms = fl_core_reconciled_at (core);
+
+  fl_core_free (core);
   return at_ms * 1000 / get_clock_rate (host);
 }
 
--- a/tests/test_target_list.c
+++ b/tests/test_target_list.c
@@ -96,7 +96,7 @@
                                      .fencing_token = 2,
                                      .target_lease_ms = 4500,
                                      .target_lease_max_ms = 6000,
-                                     .reconciled_at_ms = 107680 };
+                                     .earlier_orders_end_ms = 103000 };
   struct fl_target_entry entry = { .id = fl_name_of ("t1"),
                                    .service = fl_name_of ("s"),
                                    .address = fl_name_of ("127.0.0.1:1"),
