--- a/tests/support_core.c
+++ b/tests/support_core.c
@@ -91,6 +91,7 @@
     .actions
     = { capture_start, capture_stop, capture_throttle, capture_advice_query, may_query_advice },
     .context = fixture,
+    .earlier_orders_end_ms = fixture_options->earlier_orders_end_ms,
     .fencing_token = MAX (fixture_options->fencing_token, 1),
     .target_lease_ms = TARGET_LEASE_MS,
     .target_lease_max_ms = 6000,
@@ -104,7 +105,7 @@
 
   if (fixture_options->reconciled_at_ms > 0)
     options.earlier_orders_end_ms = fixture_options->reconciled_at_ms - EARLIER_LEASE_MS;
-  if (options.acquired_version == 0 && fixture_options->reconciled_at_ms > 0)
+  if (options.acquired_version == 0 && options.earlier_orders_end_ms > 0)
     options.acquired_version = INT64_MAX;
   fixture->now_ms = 100000;
   fixture->stats = fl_stats_new ();
--- a/tests/support_core.h
+++ b/tests/support_core.h
@@ -32,16 +32,17 @@
 
 struct fixture_options
 {
-  int64_t cpu_cap_milli;     /* CPU limit of the team; 0 for none */
-  int64_t reconciled_at_ms;  /* until then orders of an earlier owner may be in effect */
-  int64_t order_bytes_per_s; /* that start orders may take; 0 for no limit */
-  int64_t fencing_token;     /* 0 for 1 */
-  int64_t evacuation_ms;     /* see struct fl_core_options */
-  bool is_unconfigured;      /* no configuration has been read */
-  int64_t set_up_bytes_max;  /* see struct fl_core_options */
-  int64_t record_bytes_max;  /* see struct fl_core_options */
-  int64_t job_bytes_max;     /* see struct fl_core_options */
-  int64_t acquired_version;  /* 0 for one above those of all jobs, if reconciled_at_ms is set */
+  int64_t cpu_cap_milli;         /* CPU limit of the team; 0 for none */
+  int64_t reconciled_at_ms;      /* until then orders of an earlier owner may be in effect */
+  int64_t earlier_orders_end_ms; /* in place of reconciled_at_ms; see struct fl_core_options */
+  int64_t order_bytes_per_s;     /* that start orders may take; 0 for no limit */
+  int64_t fencing_token;         /* 0 for 1 */
+  int64_t evacuation_ms;         /* see struct fl_core_options */
+  bool is_unconfigured;          /* no configuration has been read */
+  int64_t set_up_bytes_max;      /* see struct fl_core_options */
+  int64_t record_bytes_max;      /* see struct fl_core_options */
+  int64_t job_bytes_max;         /* see struct fl_core_options */
+  int64_t acquired_version;      /* 0 for one above those of all jobs, if reconciled_at_ms is set */
 };
 
 /* Passes the configuration to a core that has none. */
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -523,6 +523,33 @@
   fixture_free (fixture);
 }
 
+/* A start by the clock of the boot before gave the next boot the longest lease; its owner stopped
+ * before it knew, or could tell anybody. */
+static void
+test_deadline_of_an_earlier_boot_by_an_earlier_owner (void **state)
+{
+  struct fixture_options options
+      = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER, .earlier_orders_end_ms = 100000 };
+  struct fixture *fixture = fixture_new_with (&options);
+  struct fl_name id = fl_name_of ("t1");
+  struct fl_job_target target = { fl_job_target_hash (&id) };
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &target } };
+
+  (void)state;
+  fl_core_inherit_target (fixture->core, &id, &id);
+  add_recorded_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 },
+                    &progress);
+  fl_core_set_jobs_known (fixture->core);
+  add_target (fixture, "t2", 4, false);
+  while (fixture->start_orders->len == 0 && fixture->now_ms < 120000)
+    tick_until_recorded (fixture, 50);
+  /* 6 s on a clock that is 2 % slow. */
+  if (fixture->now_ms < options.earlier_orders_end_ms + 6120)
+    fail_msg ("started %d ms after the last order that gave a lease of up to 6120 ms",
+              (int)(fixture->now_ms - options.earlier_orders_end_ms));
+  fixture_free (fixture);
+}
+
 /* --- a restart that only the clock tells --- */
 
 /* A target restarted within 20 ms and ended a run at once. The next heartbeat acknowledged this end
@@ -677,6 +704,7 @@
     cmocka_unit_test (test_longest_lease_of_a_target_that_is_not_inherited),
     cmocka_unit_test (test_deadline_of_an_earlier_boot_while_jobs_are_unknown),
     cmocka_unit_test (test_deadline_of_an_earlier_boot_that_left_the_registry),
+    cmocka_unit_test (test_deadline_of_an_earlier_boot_by_an_earlier_owner),
     cmocka_unit_test (test_end_in_a_boot_that_only_its_clock_tells),
     cmocka_unit_test (test_report_overtaken_by_a_reply_of_the_next_boot),
     cmocka_unit_test (test_capacity_of_an_earlier_boot),
--- a/tests/test_reconciliation.c
+++ b/tests/test_reconciliation.c
@@ -13,12 +13,13 @@
 #include "support_ownership.h"
 
 #define HOST_COUNT 2
-/* A lease on a target whose clock is 2 % slow. */
-#define SLOW_TARGET_LEASE_MS (ELECTION_TARGET_LEASE_MS * 102 / 100)
+/* The longest lease on a target whose clock is 2 % slow: an order by the clock of a former boot
+ * gives it. */
+#define SLOW_TARGET_LEASE_MS (ELECTION_TARGET_LEASE_MAX_MS * 102 / 100)
 /* How much later than necessary, besides the time until the successor reads the last renewal: three
  * ticks of the simulation, and the errors of clocks in 4,200 ms of two hosts, in the lease of a
  * target and in the successor's count of the lease. */
-#define LATE_MAX_MS (75 + (4284 - 4158) + 2 * (4680 - 4590))
+#define LATE_MAX_MS (75 + (4284 - 4158) + 2 * (6240 - 6120))
 
 struct reconciliation_case
 {
@@ -42,6 +43,7 @@
     1,
     316 },
   { "owner restarted", HOST_KILLED, 0, { 0 }, 0, 60 },
+  { "owner stopped", HOST_STOPPED, 0, { 0 }, 0, 60 },
   { "owner restarted, acquisition lost",
     HOST_KILLED,
     0,
--- a/tests/test_two_changes_of_owner.c
+++ b/tests/test_two_changes_of_owner.c
@@ -13,13 +13,13 @@
 
 #define HOST_COUNT 2
 #define CUT_OFF_INTERVAL 4
-/* Lease on a target whose clock is 2 % slow. */
-#define SLOW_TARGET_LEASE_MS (ELECTION_TARGET_LEASE_MS * 102 / 100)
+/* The longest lease on a target whose clock is 2 % slow. */
+#define SLOW_TARGET_LEASE_MS (ELECTION_TARGET_LEASE_MAX_MS * 102 / 100)
 /* How much later than necessary: host 1 finds the lease of host 0 expired (poll, three ticks), its
  * own last renewal before its restart, the part of its age that does not count, and errors of
  * clocks: of hosts in 4,200 ms and in the age, of a target in its lease, and in the count of the
  * lease. */
-#define LATE_MAX_MS (316 + 75 + (250 + 60 + 25) + 400 + (4284 - 4158) + 62 + 2 * (4680 - 4590))
+#define LATE_MAX_MS (316 + 75 + (250 + 60 + 25) + 400 + (4284 - 4158) + 62 + 2 * (6240 - 6120))
 
 /* Host 0 is cut off from the store, but not from the target. Host 1 acquires the pool, and releases
  * it or is restarted @intervals later. */
@@ -66,7 +66,7 @@
           /* An owner that has owned the pool for long was the only one. */
           if (intervals >= 28)
             assert_true (result.acquisitions[3].reconciled_at_ms - result.acquisitions[3].at_ms
-                         <= ELECTION_TARGET_LEASE_MS * 106 / 100);
+                         <= ELECTION_TARGET_LEASE_MAX_MS * 106 / 100);
         }
   printf ("  second change of owner: at least %d ms after the last lease\n", (int)least_ms);
   assert_true (least_ms >= 0);
