Takeover: leases of earlier owners count as the longest that a target grants

Cause: an order whose deadline is by the clock of a former boot reaches the next one, which grants its longest lease (6 s) and keeps it for whatever is started there later; a successor counted the 4.5 s that an owner asks for. Ruled out on the traced cases: late orders; targets that a successor did not wait for (it waited for all of them until its bound). Change: a successor counts the longest lease. So that it waits no longer for owners that are lost, an owner that may be losing the pool asks for the longest lease and ends its heartbeats after 1.48 s in place of 3 s. After a release, or on the host of the owner before, the wait is 1.56 s longer.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -675,6 +675,12 @@
          || now_ms - target->last_heartbeat_at_ms >= RECORD_WAIT_MAX_MS;
 }
 
+void
+fl_core_ask_longest_leases (struct fl_core *core, bool asks_longest)
+{
+  core->asks_longest_leases = asks_longest;
+}
+
 static bool
 prepare_heartbeat (struct core_target *target, int64_t now_ms, struct fl_heartbeat_order *order)
 {
@@ -701,14 +707,15 @@
     return true;
   /* An end number is valid for one boot: it may restart in the time that a slow reply takes. */
   order->last_recorded_end = target->report_was_slow ? 0 : target->last_recorded_end;
-  order->deadline_ms = core_target_clock_ms (target, now_ms) + core->options.target_lease_ms;
+  int64_t lease_ms = core->asks_longest_leases ? core->options.target_lease_max_ms
+                                               : core->options.target_lease_ms;
+  order->deadline_ms = core_target_clock_ms (target, now_ms) + lease_ms;
   /* Reports are needed as soon as the jobs are known: no heartbeat then waits for an end. */
   order->wait_ms = core->jobs_known && target->is_fenced ? heartbeat_wait_ms (target) : 0;
   target->heartbeat_wait_ms = order->wait_ms;
-  core_target_extend_lease (target, now_ms,
-                            boot_is_valid && !target->report_was_slow
-                                ? core->options.target_lease_ms
-                                : core->options.target_lease_max_ms);
+  core_target_extend_lease (
+      target, now_ms,
+      boot_is_valid && !target->report_was_slow ? lease_ms : core->options.target_lease_max_ms);
   /* This heartbeat renews the leases of runs that an earlier owner started, and its reply, which
    * would list them, may be lost. */
   if (target->is_unreconciled)
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -155,6 +155,10 @@
  * not reported to this one. Later, if this owner has renewed their leases there. */
 int64_t fl_core_reconciled_at (const struct fl_core *core);
 
+/* Whether heartbeats ask for the longest lease instead of options.target_lease_ms: the next ones
+ * may be far off. */
+void fl_core_ask_longest_leases (struct fl_core *core, bool asks_longest);
+
 /* Handles @clock_ms, the clock of @target in its reply to an order; 0 if it is unknown. A clock
  * that has gone back shows that the target has restarted. */
 void fl_core_handle_clock (struct fl_core *core,
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -554,12 +554,13 @@
   int64_t peaks_decayed_at_ms; /* when urgent_peak of the teams was last updated */
   int64_t wall_ms;
   int64_t last_tick_ms;
-  int64_t tick_gap_ms;        /* between the last two ticks */
-  int64_t runs_checked_at_ms; /* when all runs were last checked for timeouts */
-  int64_t inherited_until_ms; /* end of the leases that earlier owners gave */
-  int64_t reconciled_at_ms;   /* the same, and of those that this owner renewed unseen */
+  int64_t tick_gap_ms;              /* between the last two ticks */
+  int64_t runs_checked_at_ms;       /* when all runs were last checked for timeouts */
+  int64_t inherited_until_ms;       /* end of the leases that earlier owners gave */
+  int64_t reconciled_at_ms;         /* the same, and of those that this owner renewed unseen */
   int64_t held_runs_logged_at_ms;   /* see core_log_held_runs */
   int64_t reconciling_logged_at_ms; /* when the targets that have not reported were last logged */
+  bool asks_longest_leases;         /* see fl_core_ask_longest_leases */
   bool is_reconciling;              /* the last tick found inherited targets without a report */
   int64_t first_run_number;         /* lowest run number of this owner */
   bool registry_known;              /* see fl_core_set_registry_known */
@@ -766,7 +767,8 @@
  * an order to an earlier boot may be far ahead. */
 void core_target_assume_longest_lease (struct core_target *target);
 
-/* When the leases that earlier owners gave have certainly expired; 0 if there was none. */
+/* When the leases that earlier owners gave have certainly expired; 0 if there was no owner. In a
+ * boot that they did not know, their orders gave the longest lease. */
 int64_t core_earlier_leases_end_ms (const struct fl_core_options *options);
 
 /* Treats the runs of @target as lost whose lease has certainly expired. */
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -942,8 +942,7 @@
 belongs_in_target_list (const struct core_target *target)
 {
   const struct fl_core *core = target->core;
-  bool may_have_earlier_runs
-      = target->is_unreconciled && core->now_ms < core->reconciled_at_ms;
+  bool may_have_earlier_runs = target->is_unreconciled && core->now_ms < core->reconciled_at_ms;
 
   return !target->entry.draining || target->runs->len > 0 || may_have_earlier_runs
          || core_target_has_unrecorded_ends (target);
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -369,7 +369,7 @@
 {
   if (options->earlier_orders_end_ms == 0)
     return 0;
-  return options->earlier_orders_end_ms + options->target_lease_ms * CORE_EXPIRY_PERCENT / 100;
+  return options->earlier_orders_end_ms + options->target_lease_max_ms * CORE_EXPIRY_PERCENT / 100;
 }
 
 /* The time by which a lease that the start of @run gave has certainly expired, in whatever boot it
--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -323,6 +323,7 @@
 
   if (!may_send_heartbeats (term->poold, now_ms))
     return;
+  fl_core_ask_longest_leases (term->core, fl_ownership_is_at_risk (term->poold->ownership));
   do
     {
       count = fl_core_prepare_heartbeats (term->core, now_ms, orders, HEARTBEATS_PER_CALL);
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -47,10 +47,13 @@
 #define STANDBY_RETRY_MS 100
 #define RELEASE_TIMEOUT_MS 500
 /* An owner whose lease has expired, since it cannot reach the store, goes on sending heartbeats for
- * this long, so that running tasks survive. Together with the leases of the pool and of the targets
- * this bridges store outages of about 9 s. A new owner adds this time to its wait for targets that
- * do not report: see fl_ownership_get_earlier_orders_end. */
-#define HEARTBEAT_GRACE_MS 3000
+ * this long, so that running tasks survive. Together with the lease of the pool and the longest
+ * ones of the targets this bridges store outages of about 8.5 s. A new owner adds this time to its
+ * wait for targets that do not report: see fl_ownership_get_earlier_orders_end. */
+#define HEARTBEAT_GRACE_MS 1480
+/* An owner whose lease expires within this time may be about to lose it: renewals have failed for
+ * half of LEASE_MS. With a store that is 60 times slower than usual, more is left. */
+#define LEASE_AT_RISK_MS (LEASE_MS / 2)
 /* How long another host may measure what the owner's clock measures as 100: the rates of two hosts'
  * clocks differ by up to 2 %. */
 #define HOST_CLOCK_PERCENT 102
@@ -720,6 +723,12 @@
   return HEARTBEAT_GRACE_MS;
 }
 
+bool
+fl_ownership_is_at_risk (const struct fl_ownership *ownership)
+{
+  return now_ms (ownership) > ownership->authority_until_ms - LEASE_AT_RISK_MS;
+}
+
 int64_t
 fl_ownership_get_earlier_orders_end (const struct fl_ownership *ownership)
 {
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -61,5 +61,9 @@
  * may send heartbeats; 0 if there was none. */
 int64_t fl_ownership_get_earlier_orders_end (const struct fl_ownership *ownership);
 
+/* Whether renewals have failed for so long that this host may lose the pool, or its lease has
+ * expired: heartbeats then have to bridge the time until the next owner sends some. */
+bool fl_ownership_is_at_risk (const struct fl_ownership *ownership);
+
 /* How long, in milliseconds, an owner goes on sending heartbeats after its lease has expired. */
 int64_t fl_ownership_get_heartbeat_grace_ms (void);
--- a/tests/support_core.h
+++ b/tests/support_core.h
@@ -12,7 +12,7 @@
 
 #define TARGET_LEASE_MS 4500
 /* How long a new owner counts the last lease that an earlier one gave. */
-#define EARLIER_LEASE_MS (TARGET_LEASE_MS * 104 / 100)
+#define EARLIER_LEASE_MS (6000 * 104 / 100)
 
 /* A core, and the orders and advice queries that it issued. */
 struct fixture
--- a/tests/test_reconciliation.c
+++ b/tests/test_reconciliation.c
@@ -17,9 +17,9 @@
  * gives it. */
 #define SLOW_TARGET_LEASE_MS (ELECTION_TARGET_LEASE_MAX_MS * 102 / 100)
 /* How much later than necessary, besides the time until the successor reads the last renewal: three
- * ticks of the simulation, and the errors of clocks in 4,200 ms of two hosts, in the lease of a
+ * ticks of the simulation, and the errors of clocks in 2,680 ms of two hosts, in the lease of a
  * target and in the successor's count of the lease. */
-#define LATE_MAX_MS (75 + (4284 - 4158) + 2 * (6240 - 6120))
+#define LATE_MAX_MS (75 + (2733 - 2653) + 2 * (6240 - 6120))
 
 struct reconciliation_case
 {
--- a/tests/test_two_changes_of_owner.c
+++ b/tests/test_two_changes_of_owner.c
@@ -17,9 +17,9 @@
 #define SLOW_TARGET_LEASE_MS (ELECTION_TARGET_LEASE_MAX_MS * 102 / 100)
 /* How much later than necessary: host 1 finds the lease of host 0 expired (poll, three ticks), its
  * own last renewal before its restart, the part of its age that does not count, and errors of
- * clocks: of hosts in 4,200 ms and in the age, of a target in its lease, and in the count of the
+ * clocks: of hosts in 2,680 ms and in the age, of a target in its lease, and in the count of the
  * lease. */
-#define LATE_MAX_MS (316 + 75 + (250 + 60 + 25) + 400 + (4284 - 4158) + 62 + 2 * (6240 - 6120))
+#define LATE_MAX_MS (316 + 75 + (250 + 60 + 25) + 400 + (2733 - 2653) + 62 + 2 * (6240 - 6120))
 
 /* Host 0 is cut off from the store, but not from the target. Host 1 acquires the pool, and releases
  * it or is restarted @intervals later. */
