Heartbeats: those with a deadline leave in time, and only while leases may be renewed

Change: a heartbeat with a deadline has to connect within its limit, and asks right before it leaves whether its host may still renew leases, as starts do. Result: test_heartbeat_after_the_pool_was_lost and test_deadline_that_waits_for_a_connection fail with the two conditions taken out, and pass.

--- a/lib/poold/orders.c
+++ b/lib/poold/orders.c
@@ -294,13 +294,6 @@
   order_call_free (call);
 }
 
-static bool
-may_send_heartbeats (const struct fl_poold *poold, int64_t now_ms)
-{
-  return now_ms < fl_ownership_get_authority_until (poold->ownership)
-                      + fl_ownership_get_heartbeat_grace_ms ();
-}
-
 static void
 send_heartbeat (struct fl_term *term, const struct fl_heartbeat_order *order)
 {
@@ -321,7 +314,7 @@
   struct fl_heartbeat_order orders[HEARTBEATS_PER_CALL];
   size_t count;
 
-  if (!may_send_heartbeats (term->poold, now_ms))
+  if (!fl_poold_may_renew (term->poold))
     return;
   fl_core_ask_longest_leases (term->core, fl_ownership_is_at_risk (term->poold->ownership));
   do
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -106,6 +106,15 @@
   return fl_ownership_has_authority (poold->ownership);
 }
 
+bool
+fl_poold_may_renew (void *context)
+{
+  const struct fl_poold *poold = context;
+
+  return fl_clock_boot_ms () < fl_ownership_get_authority_until (poold->ownership)
+                                   + fl_ownership_get_heartbeat_grace_ms ();
+}
+
 /* --- this host --- */
 
 static void
@@ -317,10 +326,11 @@
     .context = &poold,
   };
 
-  poold.own_targets = fl_platform_target_client_new (host->http_client, host->settings.advice.data,
-                                                     fl_poold_may_send, &poold);
+  poold.own_targets = fl_platform_target_client_new (
+      host->http_client, host->settings.advice.data,
+      &(struct fl_platform_permits){ fl_poold_may_send, fl_poold_may_renew, &poold });
   poold.forwarded_targets
-      = fl_platform_target_client_new (host->http_client, host->settings.advice.data, NULL, NULL);
+      = fl_platform_target_client_new (host->http_client, host->settings.advice.data, NULL);
   if (!open_links (&poold, &error))
     {
       fl_log_error (&host->log, FL_LOG_ERR, "start_failed", &error);
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -85,6 +85,8 @@
 
 /* Whether @context, a struct fl_poold, may send orders now: whether it holds the pool's lease. */
 bool fl_poold_may_send (void *context);
+/* Whether this host may renew leases on targets. */
+bool fl_poold_may_renew (void *context);
 
 /* --- plan.c --- */
 
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -548,7 +548,7 @@
   struct fl_http_client *client
       = fl_http_client_new (&(struct fl_http_client_options){ .loop = loop });
   struct fl_platform_target_client *targets
-      = fl_platform_target_client_new (client, "127.0.0.1:1", NULL, NULL);
+      = fl_platform_target_client_new (client, "127.0.0.1:1", NULL);
   const struct fl_target_calls *calls = fl_platform_target_client_get_calls (targets);
   const struct fl_advice_calls *advice = fl_platform_target_client_get_advice_calls (targets);
   struct fl_name odd = fl_name_of ("\xff");
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -544,8 +544,9 @@
       struct support_server_options options
           = { 1, cases[i].end, cases[i].later_status, cases[i].later_body };
       struct fixture *fixture = fixture_new (&options);
-      struct fl_platform_target_client *client = fl_platform_target_client_new (
-          fixture->client, fixture->address.data, may_send, fixture);
+      struct fl_platform_permits permits = { .may_send = may_send, .context = fixture };
+      struct fl_platform_target_client *client
+          = fl_platform_target_client_new (fixture->client, fixture->address.data, &permits);
       fixture->sends_allowed = cases[i].sends_allowed;
       send_start (fixture, fl_platform_target_client_get_calls (client));
       wait_until_done (fixture);
@@ -645,7 +646,7 @@
       struct fl_platform_store *store
           = fl_platform_store_new (fixture->client, fixture->address.data);
       struct fl_platform_target_client *client
-          = fl_platform_target_client_new (fixture->client, fixture->address.data, NULL, NULL);
+          = fl_platform_target_client_new (fixture->client, fixture->address.data, NULL);
       const struct fl_advice_calls *advice = fl_platform_target_client_get_advice_calls (client);
       fixture->store_status = FL_STORE_UNKNOWN;
       fixture->order_result = FL_ORDER_NO_REPLY;
@@ -673,6 +674,49 @@
   assert_int_equal (wrong, 0);
 }
 
+/* A heartbeat that was ordered shortly before the pool was released left after it, when a successor
+ * had begun to count the leases. */
+static void
+test_heartbeat_after_the_pool_was_lost (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t deadline_ms;
+    int sends_allowed;
+    int copies;
+  } cases[] = {
+    { "renews", 1000, ANY_NUMBER, 1 },
+    { "renews, not permitted", 1000, 0, 0 },
+    { "only asks, not permitted", 0, 0, 1 },
+  };
+  static const struct support_server_options options = { 1, SUPPORT_END_SERVED, 200, "{}" };
+  int wrong = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (&options);
+      struct fl_platform_permits permits = { .may_renew = may_send, .context = fixture };
+      struct fl_platform_target_client *client
+          = fl_platform_target_client_new (fixture->client, fixture->address.data, &permits);
+      const struct fl_target_calls *calls = fl_platform_target_client_get_calls (client);
+      struct fl_heartbeat_order order = { .target = fl_name_of ("t1"),
+                                          .address = fixture->address,
+                                          .deadline_ms = cases[i].deadline_ms };
+      fixture->sends_allowed = cases[i].sends_allowed;
+      fixture->calls_open++;
+      calls->heartbeat (calls->context, &order, on_order_done, fixture);
+      wait_until_done (fixture);
+      fl_platform_target_client_free (client);
+      int copies = fixture_free (fixture).requests;
+      print_message ("%s %s: copies=%d\n", copies == cases[i].copies ? "right" : "WRONG",
+                     cases[i].name, copies);
+      wrong += copies == cases[i].copies ? 0 : 1;
+    }
+  assert_int_equal (wrong, 0);
+}
+
 int
 main (void)
 {
@@ -684,6 +728,7 @@
     cmocka_unit_test (test_transaction_after_reset),
     cmocka_unit_test (test_start_after_reset),
     cmocka_unit_test (test_resent_kinds),
+    cmocka_unit_test (test_heartbeat_after_the_pool_was_lost),
   };
 
   return cmocka_run_group_tests_name ("http_client", tests, NULL, NULL);
--- a/tests/test_http_silence.c
+++ b/tests/test_http_silence.c
@@ -295,7 +295,7 @@
       fl_http_client_free (fixture->client);
       fixture->client = new_client (fixture, cases[i].busy_max);
       struct fl_platform_target_client *client
-          = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL, NULL);
+          = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL);
       fl_platform_target_client_set_connections_max (client, cases[i].accepted);
       send_orders (fixture, fl_platform_target_client_get_calls (client));
       wait_until_done (fixture);
@@ -391,7 +391,7 @@
       struct fixture *fixture = fixture_new (0, SUPPORT_END_SERVED, 200, NULL);
       struct silent_listener listener = open_silent_listener ();
       struct fl_platform_target_client *client
-          = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL, NULL);
+          = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL);
       const struct fl_target_calls *calls = fl_platform_target_client_get_calls (client);
       /* As many as a host sends at a time to a target that accepts 64 connections, and one more. */
       struct awaited_start starts[4];
@@ -434,7 +434,7 @@
 {
   struct fixture *fixture = fixture_new (3, SUPPORT_END_SERVED, 200, NULL);
   struct fl_platform_target_client *client
-      = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL, NULL);
+      = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL);
   const struct fl_target_calls *calls = fl_platform_target_client_get_calls (client);
   struct fl_heartbeat_order order
       = { .target = fl_name_of ("t1"),
@@ -455,6 +455,38 @@
   fixture_free (fixture);
 }
 
+/* A heartbeat waited for a connection for up to 2 s and then prolonged leases by a clock that had
+ * been read before, in whatever boot it reached. */
+static void
+test_deadline_that_waits_for_a_connection (void **state)
+{
+  struct fixture *fixture = fixture_new (0, SUPPORT_END_SERVED, 200, NULL);
+  struct fl_platform_target_client *client
+      = fl_platform_target_client_new (fixture->client, "127.0.0.1:1", NULL);
+  const struct fl_target_calls *calls = fl_platform_target_client_get_calls (client);
+  struct silent_listener listener = open_silent_listener ();
+  struct fl_heartbeat_order renewing = { .target = fl_name_of ("t1"),
+                                         .address = listener.address,
+                                         .fencing_token = 1,
+                                         .deadline_ms = 1000 };
+  struct fl_heartbeat_order asking = renewing;
+
+  (void)state;
+  asking.deadline_ms = 0;
+  fixture->calls_open = 2;
+  calls->heartbeat (calls->context, &renewing, on_order_done, fixture);
+  calls->heartbeat (calls->context, &asking, on_order_done, fixture);
+  support_run_loop_for (fixture->loop, 0.1);
+  close (accept (listener.fd, NULL, NULL));
+  wait_until_done (fixture);
+  assert_int_equal (fixture->orders[FL_ORDER_NOT_SENT], 1);
+  assert_int_equal (fixture->orders[FL_ORDER_NO_REPLY], 1);
+  close (listener.first);
+  close (listener.fd);
+  fl_platform_target_client_free (client);
+  fixture_free (fixture);
+}
+
 static void
 on_advice_done (void *context, const struct fl_advice_reply *reply)
 {
@@ -473,7 +505,7 @@
       = fixture_new (IDLE_CONNECTIONS, SUPPORT_END_SERVED, 200, "{\"good\":[],\"validMs\":3000}");
   struct fl_name address = fl_name_format ("127.0.0.1:%d", support_proxy_port (fixture->proxy));
   struct fl_platform_target_client *client
-      = fl_platform_target_client_new (fixture->client, address.data, NULL, NULL);
+      = fl_platform_target_client_new (fixture->client, address.data, NULL);
   const struct fl_advice_calls *calls = fl_platform_target_client_get_advice_calls (client);
   struct fl_name step = fl_name_of ("0000000000000001.0.0");
   int sent = 0;
@@ -515,6 +547,7 @@
     cmocka_unit_test (test_connection_after_the_wait_for_others),
     cmocka_unit_test (test_queries_lost_after_silence),
     cmocka_unit_test (test_repeated_heartbeat_after_silence),
+    cmocka_unit_test (test_deadline_that_waits_for_a_connection),
   };
 
   return cmocka_run_group_tests_name ("http_silence", tests, NULL, NULL);
