Core: leases by a clock that may have ended, where a heartbeat gave them

The longest lease of a run that no reply has listed counted from its start only, though a heartbeat sent later, by the clock of the boot before, prolongs it; and while a new owner reads the jobs, the leases that it renews on a target that has not told its runs counted as the usual ones. Change: both count as the longest, from the time by which the heartbeat has left. A heartbeat with a deadline has to connect within half its limit, which the margins of the longest lease cover where replies are prompt. Result: test_heartbeat_after_a_start_in_a_new_boot failed (a task was started again 5,960 ms after a heartbeat that gave up to 6,120) and passes, as do 17 other programs of decisions and of the client; the bounds of test_run_waits (6,500 ms) hold.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -19,6 +19,9 @@
  * than this after the previous reply does not use them: the target may have restarted since, which
  * takes longer than this. */
 #define BOOT_VALID_MS 400
+/* Of the margins of the longest lease, 6 s, 170 ms are left if the clock of the target runs 2 %
+ * slow: they cover this part of the time until a heartbeat leaves. */
+#define CONNECT_COVERED_MS 150
 /* Replies may overtake each other by less than this. */
 #define CLOCK_TOLERANCE_MS 2000
 /* With a longer gap between ticks than this, the host was suspended or is overloaded, so that
@@ -675,6 +678,16 @@
          || now_ms - target->last_heartbeat_at_ms >= RECORD_WAIT_MAX_MS;
 }
 
+/* How long the last heartbeat may wait for a connection, beyond what the margins of the longest
+ * lease cover. */
+static int64_t
+heartbeat_delay_ms (const struct core_target *target)
+{
+  int64_t connect_ms = target->heartbeat_limit_ms * FL_HEARTBEAT_CONNECT_PERCENT / 100;
+
+  return MAX (connect_ms - CONNECT_COVERED_MS, 0);
+}
+
 void
 fl_core_ask_longest_leases (struct fl_core *core, bool asks_longest)
 {
@@ -713,9 +726,13 @@
   /* Reports are needed as soon as the jobs are known: no heartbeat then waits for an end. */
   order->wait_ms = core->jobs_known && target->is_fenced ? heartbeat_wait_ms (target) : 0;
   target->heartbeat_wait_ms = order->wait_ms;
-  core_target_extend_lease (
-      target, now_ms,
-      boot_is_valid && !target->report_was_slow ? lease_ms : core->options.target_lease_max_ms);
+  target->renewed_by_ms = now_ms + heartbeat_delay_ms (target);
+  core_target_extend_lease (target, now_ms, lease_ms);
+  /* What another boot may run gets the longest lease, by a clock on which the deadline is far
+   * ahead.
+   */
+  if (!boot_is_valid || target->report_was_slow || target->is_unreconciled)
+    core_target_extend_lease (target, target->renewed_by_ms, core->options.target_lease_max_ms);
   /* This heartbeat renews the leases of runs that an earlier owner started, and its reply, which
    * would list them, may be lost. */
   if (target->is_unreconciled)
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -100,15 +100,16 @@
   /* Its boot has received a heartbeat with @fencing_token, so that it rejects what was sent to
    * earlier boots. */
   bool is_fenced;
-  bool is_evacuated;            /* its failure domain is */
-  int64_t fencing_token;        /* of the orders to it; raised for each boot */
-  bool shares_token;            /* no token was left for its boot: it has that of an earlier one */
-  int64_t token_raised_at_ms;   /* heartbeats sent before this time carried a lower token */
-  int64_t clock_ms;             /* its clock at clock_at_ms */
-  int64_t clock_at_ms;          /* when clock_ms was reported; 0 while its clock is unknown */
-  int64_t clock_offset_ms;      /* from its clock to ours, by the fastest reply */
-  int64_t leaves_at_ms;         /* earliest time at which a draining target leaves */
-  int64_t lease_expires_at_ms;  /* latest end of the leases of its runs, unless renewed */
+  bool is_evacuated;           /* its failure domain is */
+  int64_t fencing_token;       /* of the orders to it; raised for each boot */
+  bool shares_token;           /* no token was left for its boot: it has that of an earlier one */
+  int64_t token_raised_at_ms;  /* heartbeats sent before this time carried a lower token */
+  int64_t clock_ms;            /* its clock at clock_at_ms */
+  int64_t clock_at_ms;         /* when clock_ms was reported; 0 while its clock is unknown */
+  int64_t clock_offset_ms;     /* from its clock to ours, by the fastest reply */
+  int64_t leaves_at_ms;        /* earliest time at which a draining target leaves */
+  int64_t lease_expires_at_ms; /* latest end of the leases of its runs, unless renewed */
+  int64_t renewed_by_ms; /* when the last heartbeat with a deadline has left, but for margins */
   int64_t last_heartbeat_at_ms; /* when the last heartbeat ended, with or without a reply */
   int64_t heartbeat_wait_ms;    /* wait that the last heartbeat permitted */
   int64_t heartbeat_limit_ms;   /* its reply_limit_ms */
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -372,16 +372,19 @@
   return options->earlier_orders_end_ms + options->target_lease_max_ms * CORE_EXPIRY_PERCENT / 100;
 }
 
-/* The time by which a lease that the start of @run gave has certainly expired, in whatever boot it
- * arrived. In a boot that began after the last reply, a deadline by the clock of the previous boot
- * may be far ahead, so that the target grants the longest lease. A start may wait for a connection
- * until its limit. Of the usual limit, the margins of a lease cover all but START_WAIT_MS. */
+/* The time by which a lease that the start of @run or a later heartbeat gave has certainly expired,
+ * in whatever boot they arrived. In a boot that began after the last reply, a deadline by the clock
+ * of the previous boot may be far ahead, so that the target grants the longest lease. A start may
+ * wait for a connection until its limit. Of the usual limit, the margins of a lease cover all but
+ * START_WAIT_MS. */
 static int64_t
 longest_lease_expiry_ms (const struct core_run *run)
 {
   const struct fl_core *core = run->task->step->job->core;
 
-  return lease_end_ms (run->sent_by_ms + START_WAIT_MS, core->options.target_lease_max_ms);
+  int64_t sent_by_ms = MAX (run->sent_by_ms + START_WAIT_MS, run->target->renewed_by_ms);
+
+  return lease_end_ms (sent_by_ms, core->options.target_lease_max_ms);
 }
 
 void
--- a/lib/targets/calls.h
+++ b/lib/targets/calls.h
@@ -24,6 +24,8 @@
 /* The same for stops, and for heartbeats after the wait. */
 #define FL_STOP_LIMIT_MS 700
 #define FL_HEARTBEAT_LIMIT_MS 300
+/* Share of its limit, in percent, within which a heartbeat with a deadline has to be connected. */
+#define FL_HEARTBEAT_CONNECT_PERCENT 50
 /* Most labels of one target. */
 #define FL_TARGET_LABELS_MAX 8
 
--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -164,6 +164,37 @@
   assert_int_equal (failures, 0);
 }
 
+/* A start reached the next boot of its target, and then a heartbeat by the clock of the boot
+ * before, which prolonged the run; its lease was counted from the start. */
+static void
+test_heartbeat_after_a_start_in_a_new_boot (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_name id = fl_name_of ("t1");
+  struct fl_heartbeat_order order;
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+  add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->start_orders->len, 1);
+  fixture->now_ms += 350;
+  assert_true (fl_core_prepare_heartbeat (fixture->core, &id, fixture->now_ms, &order));
+  assert_true (order.deadline_ms > 0);
+  int64_t sent_ms = fixture->now_ms;
+  confirm_start (fixture, 0);
+  deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
+  add_target (fixture, "t2", 4, false);
+  while (fixture->start_orders->len == 1 && fixture->now_ms < sent_ms + 20000)
+    tick_until_recorded (fixture, 10);
+  /* 6 s on a clock that is 2 % slow. */
+  if (fixture->now_ms < sent_ms + 6120)
+    fail_msg ("started again %d ms after a heartbeat that gave a lease of up to 6120 ms",
+              (int)(fixture->now_ms - sent_ms));
+  fixture_free (fixture);
+}
+
 /* Share of the limit of a start within which it is sent, in percent. */
 #define SENT_WITHIN_PERCENT 90
 /* The longest lease that a target grants. */
@@ -321,6 +352,7 @@
           cmocka_unit_test (test_run_in_a_new_boot_keeps_the_longest_lease),
           cmocka_unit_test (test_order_for_the_previous_boot),
           cmocka_unit_test (test_late_start_in_a_new_boot_keeps_the_longest_lease),
+          cmocka_unit_test (test_heartbeat_after_a_start_in_a_new_boot),
           cmocka_unit_test (test_absent_run_is_started_again),
           cmocka_unit_test (test_end_beyond_the_first_report) };
 
