--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1,5 +1,6 @@
 #include "support_cell.h"
 #include "poold/advisor_pool.h"
+#include "poold/ownership.h"
 #include "support_cell_advice.h"
 #include "support_target.h"
 
@@ -15,7 +16,6 @@
 #define POOL_LEASE_MS 1500
 #define POOL_LEASE_EXPIRY_MS 1540
 #define RENEWAL_INTERVAL_MS 300
-#define HEARTBEAT_GRACE_MS 3000
 #define TARGET_LEASE_MS 4500
 #define TICK_INTERVAL_MS 25
 #define CELL_TIMER_MS 20
@@ -1883,7 +1883,7 @@
 {
   struct fl_heartbeat_order order;
 
-  if (owner->cell->now_ms >= owner->authority_until_ms + HEARTBEAT_GRACE_MS)
+  if (owner->cell->now_ms >= owner->authority_until_ms + fl_ownership_get_heartbeat_grace_ms ())
     return;
   while (fl_core_prepare_heartbeats (owner->core, owner->cell->now_ms, &order, 1) > 0)
     {
@@ -2058,7 +2058,7 @@
     .fencing_token = next_owner_token (cell),
     .acquired_version = ++cell->version,
     /* The previous owner may send heartbeats for the grace period. */
-    .earlier_orders_end_ms = cell->now_ms + HEARTBEAT_GRACE_MS,
+    .earlier_orders_end_ms = cell->now_ms + fl_ownership_get_heartbeat_grace_ms (),
     .target_lease_ms = TARGET_LEASE_MS,
     .target_lease_max_ms = TARGET_LEASE_MAX_MS,
     .evacuation_ms = cell->options.fault_rates.evacuation > 0 ? CELL_EVACUATION_MS : 0,
