Cell: bounds of owners come from lib/poold, and an owner that has ended sends nothing

Cause: the simulated cell gave each successor 3 s more for heartbeats of the owner before, also where that one had released the pool or was an earlier process of the same host.

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -1,5 +1,6 @@
 #include "support_cell.h"
 #include "poold/advisor_pool.h"
+#include "poold/ownership.h"
 #include "support_cell_advice.h"
 #include "support_target.h"
 
@@ -15,7 +16,9 @@
 #define POOL_LEASE_MS 1500
 #define POOL_LEASE_EXPIRY_MS 1540
 #define RENEWAL_INTERVAL_MS 300
-#define HEARTBEAT_GRACE_MS 3000
+/* See lib/poold/ownership.c. */
+#define LEASE_AT_RISK_MS (POOL_LEASE_MS / 2)
+#define HOST_CLOCK_PERCENT 102
 #define TARGET_LEASE_MS 4500
 #define TICK_INTERVAL_MS 25
 #define CELL_TIMER_MS 20
@@ -199,6 +202,7 @@
   int64_t renewed_ms;
   int64_t jobs_version; /* jobs up to this store version have been read */
   bool dead;
+  int64_t ended_ms; /* when it died */
   bool records_in_flight;
   bool targets_in_flight;
   GHashTable *heartbeats_in_flight;
@@ -1882,10 +1886,12 @@
 send_heartbeats (struct owner *owner)
 {
   struct fl_heartbeat_order order;
+  int64_t now_ms = owner->cell->now_ms;
 
-  if (owner->cell->now_ms >= owner->authority_until_ms + HEARTBEAT_GRACE_MS)
+  if (now_ms >= owner->authority_until_ms + fl_ownership_get_heartbeat_grace_ms ())
     return;
-  while (fl_core_prepare_heartbeats (owner->core, owner->cell->now_ms, &order, 1) > 0)
+  fl_core_ask_longest_leases (owner->core, now_ms > owner->authority_until_ms - LEASE_AT_RISK_MS);
+  while (fl_core_prepare_heartbeats (owner->core, now_ms, &order, 1) > 0)
     {
       if (g_hash_table_contains (owner->heartbeats_in_flight, &order.target))
         continue;
@@ -1978,6 +1984,14 @@
   fl_core_confirm_registry (owner->core, MAX (cell->now_ms, 1));
 }
 
+/* It sends nothing from now on. */
+static void
+end_owner (struct owner *owner)
+{
+  owner->ended_ms = owner->dead ? owner->ended_ms : owner->cell->now_ms;
+  owner->dead = true;
+}
+
 static void
 renew_ownership (struct owner *owner)
 {
@@ -1987,7 +2001,7 @@
     return;
   if (cell->owner_token != owner->fencing_token)
     {
-      owner->dead = true;
+      end_owner (owner);
       return;
     }
   owner->renewed_ms = cell->now_ms;
@@ -2046,6 +2060,27 @@
   return g_ptr_array_index (cell->owners, i);
 }
 
+/* Until when the owners so far may send heartbeats. One that has ended has released the pool, or
+ * its host owns it again; others may be active, as long as lib/poold/ownership.c counts after their
+ * last renewal. */
+static int64_t
+get_orders_end_ms (const struct cell *cell)
+{
+  int64_t end_ms = 0;
+
+  for (guint i = 0; i < cell->owners->len; i++)
+    {
+      const struct owner *owner = g_ptr_array_index (cell->owners, i);
+      int64_t active_ms = POOL_LEASE_MS + fl_ownership_get_heartbeat_grace_ms ();
+      int64_t owner_end_ms
+          = owner->authority_until_ms - POOL_LEASE_MS + active_ms * HOST_CLOCK_PERCENT / 100;
+      if (owner->dead)
+        owner_end_ms = MIN (owner_end_ms, owner->ended_ms);
+      end_ms = MAX (end_ms, owner_end_ms);
+    }
+  return end_ms;
+}
+
 static void
 acquire_ownership (struct cell *cell)
 {
@@ -2057,8 +2092,7 @@
     .context = owner,
     .fencing_token = next_owner_token (cell),
     .acquired_version = ++cell->version,
-    /* The previous owner may send heartbeats for the grace period. */
-    .earlier_orders_end_ms = cell->now_ms + HEARTBEAT_GRACE_MS,
+    .earlier_orders_end_ms = get_orders_end_ms (cell),
     .target_lease_ms = TARGET_LEASE_MS,
     .target_lease_max_ms = TARGET_LEASE_MAX_MS,
     .evacuation_ms = cell->options.fault_rates.evacuation > 0 ? CELL_EVACUATION_MS : 0,
@@ -2283,7 +2317,8 @@
   struct owner *owner = get_newest_owner (cell);
 
   bool kills = happens_randomly (cell, rates->owner_killed);
-  owner->dead = owner->dead || kills;
+  if (kills)
+    end_owner (owner);
   bool freezes = happens_randomly (cell, rates->owner_frozen);
   int64_t frozen_until_ms = freezes ? cell->now_ms + random_between (cell, 200, 8000) : 0;
   /* Without an advice profile, what arrives in a longer pause before is handled only at its end. */
@@ -2341,7 +2376,7 @@
   struct owner *owner = get_newest_owner (cell);
 
   if (fault->kind == CELL_FAULT_OWNER_KILLED)
-    owner->dead = true;
+    end_owner (owner);
   else if (fault->kind == CELL_FAULT_OWNER_FROZEN)
     owner->frozen_until_ms = cell->now_ms + 5000;
   else if (fault->kind == CELL_FAULT_OWNER_ISOLATED)
