Cell: targets that restart and are cut off soon after, as their owner ends

Cause: no test had a change of owner within 1.5 s after a restart and the same targets cut off until their leases were over: restarts took 500 ms or more, and restarts, cuts and ends of owners were independent of each other. Rejected starts gave no lease in the cell, and clocks of boots began at 0. Change: the fault "reborn and cut" and the profile `test_core_cell released SEED COUNT`; 24 of its seeds in test_next_boot. Targets take a deadline from starts without a valid ticket and from repeated ones, and owners hear the clock of replies to starts and stops.

--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -46,6 +46,12 @@
 #define LONG_RUNNING_TASKS 6
 #define ISOLATED_MAX_MS 9000
 #define REFUSES_MAX_MS 4000
+/* How long targets that have restarted are cut off. */
+#define CUT_MS 9000
+#define WORK_MAX_MS 4000
+#define TASK_CPU_MAX_MILLI 4000
+/* Clocks of boots begin within this time. */
+#define CLOCK_START_MAX_MS 100000
 
 const struct cell_fault_rates cell_late_order_rates = { .order_reply_lost = 20,
                                                         .order_late_any_boot = 60,
@@ -126,6 +132,8 @@
   int64_t down_since_ms;  /* when its last boot ended */
   GArray *resizes;        /* struct resize: capacities that owners may not know to be gone */
   bool up;
+  bool is_reborn; /* to be cut off soon */
+  bool is_dark;   /* while it is down, it refuses no connection either */
   bool draining;
   int64_t isolated_until_ms; /* until then no owner reaches it */
   int64_t refuses_until_ms;  /* until then connections to it are refused; its tasks run on */
@@ -238,6 +246,7 @@
   int64_t limited_ms;    /* when the rest was last seen to run, or to wait for its team's limit */
   GArray *gang_ends;     /* struct target_end: after which the other members end, too */
   struct fake_domain domains[DOMAINS];
+  int64_t cut_until_ms;             /* until then the last reborn targets are cut off */
   struct simulated_advice *advice;  /* NULL without an advice profile */
   struct fl_resources team_used[2]; /* as last counted by count_usage */
   struct cell_result result;
@@ -480,6 +489,12 @@
   work->fails = false;
 }
 
+static int64_t
+longest_work_ms (const struct cell *cell)
+{
+  return cell->options.work_max_ms > 0 ? cell->options.work_max_ms : WORK_MAX_MS;
+}
+
 /* The members of a gang begin to work when all are present, and end at the same time. */
 static void
 begin_work_of_complete_gang (struct cell *cell, const struct fl_name *task, int64_t number)
@@ -489,7 +504,7 @@
 
   if (for_each_gang_run (cell, task, number, NULL, NULL) < job->tasks_per_step)
     return;
-  work.finish_ms = cell->now_ms + random_between (cell, 100, 4000);
+  work.finish_ms = cell->now_ms + random_between (cell, 100, longest_work_ms (cell));
   work.fails = happens_randomly (cell, cell->options.fault_rates.task_failed);
   cell->result.gangs++;
   for_each_gang_run (cell, task, number, begin_work, &work);
@@ -872,7 +887,7 @@
   target->capacity = (struct fl_resources){ draw_cpu_milli (cell), 16000, 0 };
   target->up = true;
   /* The clock of a target may run up to 2 % slow. */
-  target_state_init (&target->state, cell->now_ms - random_between (cell, 0, 100000),
+  target_state_init (&target->state, cell->now_ms - random_between (cell, 0, CLOCK_START_MAX_MS),
                      1.0 - 0.0002 * (double)random_between (cell, 0, 100));
   target->state.observer
       = (struct target_observer){ on_run_start, on_run_end, on_end_acknowledged, target };
@@ -927,7 +942,7 @@
   if (!fl_name_eq (&target->id, &order->target))
     return FL_ORDER_OTHER_BOOT;
   if (cell->options.advice_required && !is_ticket_valid (cell, target, order))
-    return FL_ORDER_NO_TICKET;
+    return target_state_reject_start (&target->state, cell->now_ms, order);
   if (job != NULL && job->long_running)
     return target_state_start_run (
         &target->state, cell->now_ms, order,
@@ -935,7 +950,7 @@
   if (job != NULL && job->gang)
     return start_member (cell, target, order);
   return target_state_start_run (&target->state, cell->now_ms, order,
-                                 random_between (cell, 100, 4000),
+                                 random_between (cell, 100, longest_work_ms (cell)),
                                  happens_randomly (cell, cell->options.fault_rates.task_failed));
 }
 
@@ -973,6 +988,7 @@
   int64_t sent_ms;
   bool replied;
   enum fl_order_result result;
+  int64_t clock_ms; /* in the reply to a start or stop */
   bool has_report;
   struct fl_target_report report;
 };
@@ -1028,6 +1044,11 @@
   if (!owner->dead)
     {
       enum fl_order_result result = call->replied ? call->result : FL_ORDER_NO_REPLY;
+      if (call->replied && call->kind != CALL_HEARTBEAT)
+        fl_core_handle_clock (owner->core,
+                              call->kind == CALL_START ? &call->start_order.target
+                                                       : &call->stop_order.target,
+                              call->clock_ms, cell->now_ms);
       if (call->kind == CALL_START)
         fl_core_handle_start_reply (owner->core, &call->start_order.task, call->start_order.run,
                                     result, cell->now_ms);
@@ -1048,6 +1069,23 @@
   call_free (call);
 }
 
+/* How long after @call was sent lib/poold gives up a call without a reply. */
+static int64_t
+get_limit_ms (const struct call *call)
+{
+  if (call->kind == CALL_HEARTBEAT)
+    return call->heartbeat.wait_ms + call->heartbeat.reply_limit_ms;
+  return call->kind == CALL_START ? call->start_order.reply_limit_ms
+                                  : call->stop_order.reply_limit_ms;
+}
+
+/* Ends @call without a reply, by its limit: nothing tells its sender that the boot has ended. */
+static void
+leave_unanswered (struct cell *cell, struct call *call)
+{
+  schedule (cell, MAX (call->sent_ms + get_limit_ms (call) - cell->now_ms, 0), on_call_done, call);
+}
+
 /* How long a reply takes that arrives within @timeout_ms. */
 static int64_t
 draw_reply_delay (struct cell *cell, int64_t timeout_ms)
@@ -1125,6 +1163,11 @@
   struct call *call = data;
   struct fake_target *target = find_target_at (cell, &call->address);
 
+  if (target != NULL && target->is_dark)
+    {
+      leave_unanswered (cell, call);
+      return;
+    }
   bool is_down = call->kind == CALL_HEARTBEAT && target != NULL && !target->up;
   bool is_refused = target != NULL && target->up && target->refuses_until_ms > cell->now_ms;
   if ((is_down || is_refused) && target->isolated_until_ms <= cell->now_ms)
@@ -1147,6 +1190,7 @@
     }
   call->result = call->kind == CALL_START ? handle_start (cell, target, &call->start_order)
                                           : handle_stop (cell, target, &call->stop_order);
+  call->clock_ms = target_state_get_clock_ms (&target->state, cell->now_ms);
   call->replied
       = !(faults_enabled (cell)
           && (happens_randomly (cell, cell->options.fault_rates.order_reply_lost)
@@ -2131,6 +2175,12 @@
   target->up = true;
   target->draining = false;
   target->state.booted_at_ms = cell->now_ms;
+  if (target->is_dark)
+    {
+      target->is_dark = false;
+      target->state.clock_start_ms = random_between (cell, 0, CLOCK_START_MAX_MS);
+      return;
+    }
   if (happens_randomly (cell, cell->options.fault_rates.target_new_id))
     {
       int former_rate = cell->options.fault_rates.target_former_id;
@@ -2177,18 +2227,30 @@
     }
 }
 
-/* Ends the boot of @target as planned or by a crash. */
 static void
-take_target_down (struct cell *cell, struct fake_target *target)
+end_boot (struct cell *cell, struct fake_target *target, bool is_dark)
 {
   count_crash_under_tasks (cell, target);
   target->down_since_ms = cell->now_ms;
+  target->is_dark = is_dark;
   for (guint i = 0; i < target->waiting_heartbeats->len; i++)
-    schedule (cell, ORDER_TIMEOUT_MS, on_call_done,
-              g_array_index (target->waiting_heartbeats, struct call *, i));
+    {
+      struct call *call = g_array_index (target->waiting_heartbeats, struct call *, i);
+      if (is_dark)
+        leave_unanswered (cell, call);
+      else
+        schedule (cell, ORDER_TIMEOUT_MS, on_call_done, call);
+    }
   g_array_set_size (target->waiting_heartbeats, 0);
   reset_target (cell, target);
   target->up = false;
+}
+
+/* Ends the boot of @target as planned or by a crash. */
+static void
+take_target_down (struct cell *cell, struct fake_target *target)
+{
+  end_boot (cell, target, false);
   schedule (cell, random_between (cell, 500, 6000), on_target_restart, target);
 }
 
@@ -2310,6 +2372,63 @@
   return g_ptr_array_index (cell->owners, cell->owners->len - 1);
 }
 
+static void
+on_owner_succeeded (struct cell *cell, void *data)
+{
+  (void)data;
+  if (get_newest_owner (cell)->dead)
+    acquire_ownership (cell);
+}
+
+/* Cuts off the targets that have restarted, and ends the owner: another host acquires the pool that
+ * it has released, or it comes back on the same host. */
+static void
+cut_reborn_targets (struct cell *cell, void *data)
+{
+  struct owner *owner = get_newest_owner (cell);
+
+  (void)data;
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      if (!target->is_reborn)
+        continue;
+      target->is_reborn = false;
+      target->isolated_until_ms = MAX (target->isolated_until_ms, cell->cut_until_ms);
+      note_target_fault (cell, target, CUT_MS);
+    }
+  end_owner (owner);
+  note_owner_fault (cell, owner, 0);
+  schedule (cell, random_between (cell, 20, 900), on_owner_succeeded, NULL);
+}
+
+/* The targets of a domain, or half of all targets, restart, and are cut off soon after. */
+static void
+inject_rebirth (struct cell *cell)
+{
+  const struct cell_fault_rates *rates = &cell->options.fault_rates;
+
+  if (rates->reborn_and_cut == 0 || cell->now_ms < cell->cut_until_ms
+      || !happens_randomly (cell, rates->reborn_and_cut))
+    return;
+  int64_t cut_after_ms = random_between (cell, 550, 1500);
+  int domain = (int)random_between (cell, 0, DOMAINS);
+  cell->cut_until_ms = cell->now_ms + cut_after_ms + CUT_MS;
+  for (guint i = 0; i < cell->targets->len; i++)
+    {
+      struct fake_target *target = g_ptr_array_index (cell->targets, i);
+      bool is_struck
+          = domain < DOMAINS ? target->index % DOMAINS == domain : happens_randomly (cell, 500);
+      if (!target->up || target->draining || !is_struck)
+        continue;
+      target->is_reborn = true;
+      end_boot (cell, target, true);
+      note_target_fault (cell, target, cut_after_ms);
+      schedule (cell, random_between (cell, 50, 200), on_target_restart, target);
+    }
+  schedule (cell, cut_after_ms, cut_reborn_targets, NULL);
+}
+
 static void
 inject_random_owner_faults (struct cell *cell)
 {
@@ -2445,13 +2564,16 @@
   struct fl_step_spec steps[3] = { 0 };
   struct fl_step_dependency dependencies[3] = { { 0 }, { 0 }, { 1 } };
   struct fl_job_spec spec = { 0 };
+  int64_t cpu_max_milli = cell->options.task_cpu_max_milli > 0 ? cell->options.task_cpu_max_milli
+                                                               : TASK_CPU_MAX_MILLI;
 
   job->id = fl_name_format ("%016x", cell->jobs->len + 1);
   job->step_count = (int)random_between (cell, 1, 3);
   job->tasks_per_step = (int)random_between (cell, 1, 4);
   job->team = (int)random_between (cell, 0, 1);
-  job->task_resources = (struct fl_resources){ random_between (cell, 500, 4000),
-                                               random_between (cell, 100, 3000), 0 };
+  job->task_resources
+      = (struct fl_resources){ random_between (cell, cpu_max_milli / 8, cpu_max_milli),
+                               random_between (cell, 100, 3000), 0 };
   job->gang = cell->options.fault_rates.gang > 0
               && happens_randomly (cell, cell->options.fault_rates.gang);
   /* A whole gang fits on the smallest target, which may be the only eligible one. */
@@ -2794,6 +2916,7 @@
       inject_random_target_faults (cell);
       inject_random_owner_faults (cell);
       inject_evacuation (cell);
+      inject_rebirth (cell);
       cancel_random_job (cell);
     }
   if (cell->now_ms % 100 == 0 && (cell->advice != NULL || faults_enabled (cell)))
@@ -3045,3 +3168,25 @@
     }
   return cell_simulate (&options);
 }
+
+struct cell_result
+cell_simulate_released (uint64_t seed, const char *trace_prefix)
+{
+  const struct cell_fault_rates sets[] = {
+    { .task_failed = 40 }, { .task_failed = 40 }, cell_mixed_fault_rates, cell_late_order_rates
+  };
+  struct cell_options options = { .seed = seed,
+                                  .target_count = 9,
+                                  .job_count = 90,
+                                  .fault_phase_ms = 30000,
+                                  .advice_required = seed % 3 != 0,
+                                  .work_max_ms = 12000,
+                                  .task_cpu_max_milli = 1000,
+                                  .fault_rates = sets[seed % G_N_ELEMENTS (sets)],
+                                  .trace_prefix = trace_prefix };
+
+  /* Starts are repeated, by the clock of the boot that the owner knows. */
+  options.fault_rates.order_reply_lost = 200;
+  options.fault_rates.reborn_and_cut = 100;
+  return cell_simulate (&options);
+}
--- a/tests/support_cell.h
+++ b/tests/support_cell.h
@@ -45,8 +45,10 @@
                              that start it, mostly within 10 ms, at times within deadly_fuse_max_ms */
   int deadly_fuse_max_ms; /* no rate; 0 for 10 ms */
   int target_resized;     /* the capacity of a target changes while it runs */
-  int reply_slow; /* for each order and heartbeat: its reply takes almost up to the timeout, so
-                     that later replies overtake it */
+  int reborn_and_cut; /* targets restart under their ids within 50 to 200 ms, with another clock;
+                         0.5 to 1.3 s later they are unreachable for 9 s, and the owner ends */
+  int reply_slow;     /* for each order and heartbeat: its reply takes almost up to the timeout, so
+                         that later replies overtake it */
 };
 
 /* All kinds of faults but those of the next set. */
@@ -109,8 +111,10 @@
   /* Faults occur only in the first fault_burst_ms of each fault_cycle_ms; 0 for always. */
   int64_t fault_burst_ms;
   int64_t fault_cycle_ms;
-  int64_t jobs_read_ms; /* how long a new owner takes to read the jobs */
-  bool advice_required; /* starts need tickets of the advice service */
+  int64_t task_cpu_max_milli; /* most of a task; 0 for 4000 */
+  int64_t work_max_ms;        /* longest work of a task that ends by itself; 0 for 4 s */
+  int64_t jobs_read_ms;       /* how long a new owner takes to read the jobs */
+  bool advice_required;       /* starts need tickets of the advice service */
   /* Advice is queried through hosts, which lib/poold/advisor_pool chooses, and the queues, jobs and
    * checks are those of this profile. NULL: each query gets a reply within 20 ms after the expected
    * time. */
@@ -193,3 +197,8 @@
  * another set, by the seed: mixed faults, the same with gangs or with tasks that crash their
  * targets, late orders (modulo 4). @trace_prefix is NULL for no trace. */
 struct cell_result cell_simulate_refusals (uint64_t seed, const char *trace_prefix);
+
+/* Runs one simulation of targets that restart under their ids and are cut off soon after, while
+ * their owner releases the pool or is killed, beside lost replies and, by the seed, mixed faults or
+ * late orders. @trace_prefix is NULL for no trace. */
+struct cell_result cell_simulate_released (uint64_t seed, const char *trace_prefix);
--- a/tests/support_target.c
+++ b/tests/support_target.c
@@ -31,12 +31,14 @@
   state->lease_expiry_ms = 0;
   state->last_end_number = 0;
   state->booted_at_ms = now_ms;
+  state->clock_start_ms = 0;
 }
 
 int64_t
 target_state_get_clock_ms (const struct target_state *state, int64_t now_ms)
 {
-  return (int64_t)((double)(now_ms - state->booted_at_ms) * state->clock_rate);
+  return state->clock_start_ms
+         + (int64_t)((double)(now_ms - state->booted_at_ms) * state->clock_rate);
 }
 
 /* Makes later starts of @task fail for @run and lower runs. */
@@ -127,8 +129,10 @@
   for (guint i = 0; i < state->runs->len; i++)
     {
       const struct target_run *other = &g_array_index (state->runs, struct target_run, i);
-      if (fl_name_eq (&other->task, &order->task) && other->run == order->run)
-        return FL_ORDER_DONE;
+      if (!fl_name_eq (&other->task, &order->task) || other->run != order->run)
+        continue;
+      extend_lease (state, now_ms, order->deadline_ms);
+      return FL_ORDER_DONE;
     }
   if ((intptr_t)g_hash_table_lookup (state->closed_runs, &order->task) >= order->run)
     {
@@ -143,6 +147,17 @@
   return FL_ORDER_DONE;
 }
 
+enum fl_order_result
+target_state_reject_start (struct target_state *state,
+                           int64_t now_ms,
+                           const struct fl_start_order *order)
+{
+  if (!accept_fencing_token (state, order->fencing_token))
+    return FL_ORDER_FENCED;
+  return extend_lease (state, now_ms, order->deadline_ms) ? FL_ORDER_NO_TICKET
+                                                          : FL_ORDER_DEADLINE_PASSED;
+}
+
 enum fl_order_result
 target_state_stop_run (struct target_state *state,
                        int64_t now_ms,
--- a/tests/support_target.h
+++ b/tests/support_target.h
@@ -50,7 +50,8 @@
 {
   struct target_observer observer;
   int64_t booted_at_ms;
-  double clock_rate; /* speed of the target's clock, relative to the caller's */
+  double clock_rate;      /* speed of the target's clock, relative to the caller's */
+  int64_t clock_start_ms; /* the target's clock at its boot; set by the caller, else 0 */
   int64_t fencing_token;
   int64_t lease_expiry_ms; /* on the target's clock */
   GArray *runs;            /* struct target_run */
@@ -72,13 +73,17 @@
  * @return whether there were any. */
 bool target_state_advance (struct target_state *state, int64_t now_ms);
 
-/* The next three functions execute an order. A started run ends by itself after @work_ms, as failed
+/* The next four functions execute an order. A started run ends by itself after @work_ms, as failed
  * if @fails; with INT64_MAX it runs until it is stopped. A stopped run ends after @stop_ms. */
 enum fl_order_result target_state_start_run (struct target_state *state,
                                              int64_t now_ms,
                                              const struct fl_start_order *order,
                                              int64_t work_ms,
                                              bool fails);
+/* Rejects a start without a valid ticket, which gives a lease all the same. */
+enum fl_order_result target_state_reject_start (struct target_state *state,
+                                                int64_t now_ms,
+                                                const struct fl_start_order *order);
 enum fl_order_result target_state_stop_run (struct target_state *state,
                                             int64_t now_ms,
                                             const struct fl_run_order *order,
--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -7,6 +7,7 @@
  *   test_core_cell late-orders SEED COUNT [TASK]  orders that are executed in the next boot
  *   test_core_cell gangs SEED COUNT [TASK]    the same as the first, half of the jobs with gangs
  *   test_core_cell refusals SEED COUNT [TASK]  live targets refuse connections
+ *   test_core_cell released SEED COUNT [TASK]  targets restart and are cut off as the owner ends
  *   test_core_cell evacuations SEED COUNT [TASK]  failure domains are evacuated and taken back
  *   test_core_cell deadly SEED COUNT [TASK]   tasks that crash their targets, which also shrink and
  * grow test_core_cell advice SEED COUNT [TASK]   one of advice_profiles, by the seed test_core_cell
@@ -593,6 +594,9 @@
   if (argc >= 4 && strcmp (argv[1], "refusals") == 0)
     return simulate_crash_seeds (cell_simulate_refusals, strtoull (argv[2], NULL, 10),
                                  atoi (argv[3]), argc > 4 ? argv[4] : NULL);
+  if (argc >= 4 && strcmp (argv[1], "released") == 0)
+    return simulate_crash_seeds (cell_simulate_released, strtoull (argv[2], NULL, 10),
+                                 atoi (argv[3]), argc > 4 ? argv[4] : NULL);
   if (argc >= 4 && strcmp (argv[1], "evacuations") == 0)
     return simulate_evacuation_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]),
                                       argc > 4 ? argv[4] : NULL);
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -12,6 +12,7 @@
 #include "support_core.h"
 
 #define SEED_COUNT 40
+#define RELEASED_SEEDS 24
 #define REPORT_INTERVAL_MS 20
 
 struct boot_case
@@ -550,6 +551,24 @@
   fixture_free (fixture);
 }
 
+/* A successor started tasks elsewhere while they ran in a boot that granted its longest lease. */
+static void
+test_targets_reborn_and_cut_off_as_their_owner_ends (void **state)
+{
+  int failed = 0;
+
+  (void)state;
+  for (uint64_t seed = 1; seed <= RELEASED_SEEDS; seed++)
+    {
+      struct cell_result result = cell_simulate_released (seed, NULL);
+      if (result.violation[0] == '\0')
+        continue;
+      printf ("released, seed %d: %s\n", (int)seed, result.violation);
+      failed++;
+    }
+  assert_int_equal (failed, 0);
+}
+
 /* --- a restart that only the clock tells --- */
 
 /* A target restarted within 20 ms and ended a run at once. The next heartbeat acknowledged this end
@@ -705,6 +724,7 @@
     cmocka_unit_test (test_deadline_of_an_earlier_boot_while_jobs_are_unknown),
     cmocka_unit_test (test_deadline_of_an_earlier_boot_that_left_the_registry),
     cmocka_unit_test (test_deadline_of_an_earlier_boot_by_an_earlier_owner),
+    cmocka_unit_test (test_targets_reborn_and_cut_off_as_their_owner_ends),
     cmocka_unit_test (test_end_in_a_boot_that_only_its_clock_tells),
     cmocka_unit_test (test_report_overtaken_by_a_reply_of_the_next_boot),
     cmocka_unit_test (test_capacity_of_an_earlier_boot),
