Daemons: their watchers end with the functions that hold them

Cause: drain_timer stands on the stack of fl_frontd_serve and stayed active. libev moves active timers in its heap when others are stopped, as host_clear does right after, and writes their new index into them: into the stack of whatever runs by then. The class: fl_poold_serve left tick_timer, early_tick_timer and prepare_watcher, and both left their signal watchers. Read, and right: the other ev_*_init of lib/ and all fl_timeout_init are stopped before their memory is freed; the early signals and reload_signal stand in run_program, after which nothing uses the loop; calls in flight at the end are not freed. Change: both stop their watchers when the loop has ended. SIGTERM keeps the early handlers. Tests: the child processes of test_front_stop and test_pool_stop overwrite the stack of the function and let libev verify its heap and lists (ev_verify), and check that no handler is left: a fault with certainty, where a write into a dead frame shows by chance. For the soak, a process that ends by SIGTERM or SIGHUP counted as well stopped at any time; now only in its first second, before it has handlers (memory faults were findings before, too).

--- a/lib/frontd/frontd.c
+++ b/lib/frontd/frontd.c
@@ -422,6 +422,9 @@
                                     &(struct fl_configuration_watch_callbacks){ 0 });
       front_admission_start (&frontd);
       ev_run (host->loop, 0);
+      /* The loop keeps the addresses of active watchers, and these end with this function. */
+      ev_timer_stop (host->loop, &frontd.drain_timer);
+      fl_stop_signals_stop (&frontd.stop_signals, host->loop);
     }
   else
     {
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -110,6 +110,13 @@
   ev_signal_start (loop, &signals->sigint);
 }
 
+void
+fl_stop_signals_stop (struct fl_stop_signals *signals, struct ev_loop *loop)
+{
+  ev_signal_stop (loop, &signals->sigterm);
+  ev_signal_stop (loop, &signals->sigint);
+}
+
 /* --- reload --- */
 
 /* Reloads the settings but applies only the log level; all other settings take effect at the next
--- a/lib/host/host.h
+++ b/lib/host/host.h
@@ -83,3 +83,6 @@
                             struct ev_loop *loop,
                             void (*on_stop) (void *context),
                             void *context);
+
+/* To be called before the memory of @signals ends, if they were started. */
+void fl_stop_signals_stop (struct fl_stop_signals *signals, struct ev_loop *loop);
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -297,6 +297,16 @@
   fl_stop_signals_start (&poold->signals, poold->host->loop, on_stop, poold);
 }
 
+/* The loop keeps the addresses of active watchers. */
+static void
+stop_watchers (struct fl_poold *poold)
+{
+  ev_timer_stop (poold->host->loop, &poold->tick_timer);
+  ev_timer_stop (poold->host->loop, &poold->early_tick_timer);
+  ev_prepare_stop (poold->host->loop, &poold->prepare_watcher);
+  fl_stop_signals_stop (&poold->signals, poold->host->loop);
+}
+
 static bool
 open_links (struct fl_poold *poold, struct fl_error *error)
 {
@@ -342,6 +352,7 @@
   start_watchers (&poold);
   poold.ownership = fl_ownership_new (&ownership);
   ev_run (host->loop, 0);
+  stop_watchers (&poold);
   fl_configuration_watch_stop (&poold.watch);
   fl_peers_close (&poold);
   fl_ownership_free (poold.ownership);
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -110,6 +110,9 @@
 PORT_ALLOCATOR = PortAllocator()
 
 
+HANDLERS_S = 1.0  # after its start, a process handles signals
+
+
 class Process:
     """A child process. With prints_port, its first line of output must be "port=N"."""
 
@@ -121,6 +124,7 @@
                                       start_new_session=True)
         self.started_at = time.monotonic()
         self.was_ended = False  # by a signal of signal_child
+        self.ending_signals = set()  # those that may have ended it without its doing
         if prints_port:
             line = self.child.stdout.readline().decode()
             if not line.startswith("port="):
@@ -128,10 +132,14 @@
             self.port = int(line[5:])
 
     def signal_child(self, signal_number):
-        # Before its handlers are installed, SIGHUP ends a process as well.
+        # Before its handlers are installed, SIGHUP ends a process as well, and SIGTERM by itself.
+        is_young = time.monotonic() - self.started_at < HANDLERS_S
         if signal_number in (signal.SIGTERM, signal.SIGKILL) or (
-                signal_number == signal.SIGHUP and time.monotonic() - self.started_at < 1):
+                signal_number == signal.SIGHUP and is_young):
             self.was_ended = True
+        if signal_number == signal.SIGKILL or (
+                signal_number in (signal.SIGTERM, signal.SIGHUP) and is_young):
+            self.ending_signals.add(signal_number)
         if self.child.poll() is None:
             self.child.send_signal(signal_number)
 
@@ -144,10 +152,11 @@
             return 0
 
     def ended_by_itself(self):
-        """Whether the process ended without a signal that ends it, or reported an error then."""
+        """Whether the process ended without a signal that ends it, or otherwise than by it: a process
+        that handles SIGTERM ends with 0, unless it is killed before."""
         code = self.child.poll()
-        return code is not None and (not self.was_ended or code not in (
-            0, -signal.SIGTERM, -signal.SIGKILL, -signal.SIGHUP))
+        return code is not None and (not self.was_ended or (
+            code != 0 and -code not in self.ending_signals))
 
     def stop(self, timeout_s=8):
         self.signal_child(signal.SIGCONT)
@@ -155,7 +164,7 @@
         try:
             self.child.wait(timeout_s)
         except subprocess.TimeoutExpired:
-            self.child.kill()
+            self.signal_child(signal.SIGKILL)
             self.child.wait()
         self.log_file.close()
 
--- a/tests/check_test_tools.py
+++ b/tests/check_test_tools.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -70,6 +71,19 @@
         checks.Attempt("j", "POST", "h", sent, ended, status, is_cut), log)
 
 
+def finds_end(script, *signals, age_s=5):
+    """Whether the end of a process that got these signals, so long after its start, is found."""
+    with tempfile.TemporaryDirectory() as directory:
+        process = Process("child", ["sh", "-c", script], directory, prints_port=True)
+        process.started_at -= age_s
+        for signal_number in signals:
+            process.signal_child(signal_number)
+        process.child.wait(10)
+        process.child.stdout.close()
+        process.log_file.close()
+        return process.ended_by_itself()
+
+
 def finds_task_down(down_s, room_s=60, calm_s=60, accepted_s=100):
     """down_s: None for a task that never started. Times are ages at the moment of the check."""
     down_ms = {} if down_s is None else {"t": down_s * 1000}
@@ -308,8 +322,20 @@
 ]
 
 TERM, STORE = ("h", "term", 9.0, 10.6), ("store", "store", 9.8, 10.0)
+# A process tells its port when it is ready for signals.
+WAIT = "echo port=1; exec sleep 9"
+TRAP = "trap '%s' TERM; echo port=1; while :; do sleep 0.01; done"
 # name, whether it holds
 SOAK_CASES = [
+    ("ended: without a signal", finds_end("echo port=1; exit 0")),
+    ("ended: by SIGTERM, which it handles by then", finds_end(WAIT, signal.SIGTERM)),
+    ("ended: by SIGHUP after SIGTERM", finds_end(TRAP % "kill -HUP $$", signal.SIGTERM)),
+    ("ended: by a memory fault after SIGTERM", finds_end(TRAP % "kill -SEGV $$", signal.SIGTERM)),
+    ("ended: with 1 after SIGTERM", finds_end(TRAP % "exit 1", signal.SIGTERM)),
+    ("not ended: with 0 after SIGTERM", not finds_end(TRAP % "exit 0", signal.SIGTERM)),
+    ("not ended: by SIGTERM before it has handlers", not finds_end(WAIT, signal.SIGTERM, age_s=0)),
+    ("not ended: by SIGKILL after SIGTERM",
+     not finds_end("trap '' TERM; " + WAIT, signal.SIGTERM, signal.SIGKILL)),
     ("REFUSED: one attempt, 503", finds_refused([503])),
     ("REFUSED: 503 and 429", finds_refused([503, 429])),
     ("not REFUSED: one attempt without an answer", not finds_refused([503, 0])),
--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -49,6 +49,8 @@
   support_watch_loop (&watch, host.loop);
   code = fl_frontd_serve (&host);
   fl_log (&host.log, FL_LOG_NOTICE, "loop_watched", FL_I ("held_up_ms", watch.held_up_ms));
+  if (!support_loop_is_left (host.loop))
+    code = SUPPORT_LEFT_HANDLERS;
   fl_relay_free (host.relay);
   return code;
 }
--- a/tests/support_loop.c
+++ b/tests/support_loop.c
@@ -1,10 +1,16 @@
 #include "support_loop.h"
 
+#include <signal.h>
+#include <string.h>
+
 #include <glib.h>
 
 #include "common/clock.h"
 
 #define WATCH_INTERVAL_MS 10
+/* More than such a function uses, and what no field of a watcher contains. */
+#define STACK_BYTES 65536
+#define STACK_PATTERN 0x5a
 
 static void
 on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
@@ -46,3 +52,27 @@
   watch->timer.data = watch;
   ev_timer_start (loop, &watch->timer);
 }
+
+static void __attribute__ ((noinline)) overwrite_stack (void)
+{
+  char bytes[STACK_BYTES];
+
+  memset (bytes, STACK_PATTERN, sizeof bytes);
+  __asm__ volatile("" : : "r"(bytes) : "memory"); /* otherwise the compiler leaves memset out */
+}
+
+static bool
+has_handler (int signal_number)
+{
+  struct sigaction action;
+
+  return sigaction (signal_number, NULL, &action) == 0 && action.sa_handler != SIG_DFL;
+}
+
+bool
+support_loop_is_left (struct ev_loop *loop)
+{
+  overwrite_stack ();
+  ev_verify (loop);
+  return !has_handler (SIGTERM) && !has_handler (SIGINT);
+}
--- a/tests/test_pool_stop.c
+++ b/tests/test_pool_stop.c
@@ -61,7 +61,8 @@
   host.settings.advice = *advice;
   options.loop = host.loop;
   host.store = slow_store_get_interface (slow_store_new (&options));
-  return fl_poold_serve (&host);
+  int code = fl_poold_serve (&host);
+  return support_loop_is_left (host.loop) ? code : SUPPORT_LEFT_HANDLERS;
 }
 
 /* --- a target that replies to starts and stops late, and never to heartbeats; it also stands for
