Limits: tasks of ended jobs count until their targets have reported to a new owner

Cause: a new owner charged what may run on targets that have not reported to it for the jobs that wait only; and the record of a job in its final state told nothing but the state, so that a successor did not even know the targets. Change: the record of a job in its final state tells where its runs are while they may be in effect, in the documents that records of other jobs have; when all have ended, a record with the state alone follows with the next other records (no transaction of its own). A new owner charges these tasks until their targets have reported or their leases have ended; so too for a job whose cancellation its predecessor has not recorded. Gangs and failed jobs alike. Nothing is placed on the targets themselves before they report, as before. Left: of a job whose occurrences wait for memory, those that run on silent targets count only under the owner that knows of them, not under a third.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -70,6 +70,8 @@
   core_queue_set_member (&core->unrecorded_jobs, &job->recording_link, &job->needs_recording,
                          false);
   core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, false);
+  core_queue_set_member (&core->unreconciled_jobs, &job->unreconciled_link, &job->in_unreconciled,
+                         false);
   core_queue_set_member (&core->lasting_jobs, &job->lasting_link, &job->in_lasting, false);
 
   job->queue_stats->job_bytes -= job->bytes;
@@ -809,6 +811,11 @@
 
   job->state = (enum fl_job_state)progress->state;
   job->started = job->state != FL_JOB_QUEUED;
+  job->final_record_lists_runs
+      = fl_job_state_is_final (job->state) && (progress->targets.count > 0 || progress->any_target);
+  job->record_tells_end
+      = fl_job_state_is_final (job->state)
+        && (progress->task_targets.steps.count > 0 || !job->final_record_lists_runs);
   job->may_run_on_any_target = progress->any_target;
   job->any_target_recorded = progress->any_target;
   job->may_have_record = true;
@@ -852,6 +859,8 @@
   core_lasting_init_job (job);
   core_queue_set_member (&job->core->final_jobs, &job->final_link, &job->in_final,
                          fl_job_state_is_final (job->state));
+  if (job->in_final)
+    core_job_note_final (job);
 }
 
 void
@@ -894,6 +903,7 @@
   job->waiting_link.data = job;
   job->recording_link.data = job;
   job->final_link.data = job;
+  job->unreconciled_link.data = job;
   job->scheduled_link.data = job;
   job->ended_link.data = job;
   job->bytes = core_job_count_bytes (job);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -384,7 +384,8 @@
   RECORD_ANY_TARGET,
   /* Without failed runs, which a successor counts anew, and checkpoints. */
   RECORD_WITHOUT_TASKS,
-  /* Without some of the tasks that are done. */
+  /* Without some of the tasks that are done; of a job in its final state, without the targets of
+   * single tasks, so that all that are not done count as running. */
   RECORD_FEWER_DONE
 };
 
@@ -413,6 +414,8 @@
   bool any_target_recording;    /* the record in flight says that they may */
   bool any_target_recorded;     /* a stored record says that they may */
   bool is_reconciled;           /* an earlier owner left no runs that this one does not know */
+  bool record_tells_end;        /* that of an earlier owner: its final state, and what may run */
+  bool final_record_lists_runs; /* its last record has its final state, and runs in effect */
   bool started;                 /* a task of it has been started, by this owner or an earlier one */
   int64_t suspected_tasks;      /* tasks with is_suspected */
   int64_t convicted_tasks;      /* tasks with is_convicted */
@@ -436,12 +439,14 @@
   int64_t age_ms[CORE_AGE_PARTS];   /* of earlier times */
   bool in_waiting;                  /* in core->waiting_jobs */
   bool in_final;                    /* in core->final_jobs */
+  bool in_unreconciled;             /* in core->unreconciled_jobs */
   bool in_lasting;                  /* in core->lasting_jobs */
   bool in_scheduled;                /* in core->scheduled_jobs */
   bool in_ended;                    /* in core->ended_jobs */
   GList waiting_link;
   GList recording_link; /* in core->unrecorded_jobs while needs_recording is set */
   GList final_link;
+  GList unreconciled_link;
   GList lasting_link;
   GList scheduled_link;
   GList ended_link;
@@ -526,6 +531,7 @@
   GQueue waiting_jobs;                    /* not final, with idle tasks */
   GQueue unrecorded_jobs;                 /* need recording */
   GQueue final_jobs;                      /* final, not yet reduced to their ids */
+  GQueue unreconciled_jobs;               /* final, and core_job_is_unreconciled may hold */
   GQueue lasting_jobs;                    /* with long-running steps */
   int64_t lasting_checked_at_ms;
   int64_t waits_checked_at_ms; /* see core_note_longest_waits */
@@ -665,6 +671,9 @@
  * run on targets that have not reported. */
 void core_occurrences_charge_unreconciled (struct fl_core *core);
 
+/* Charges the occurrences of @job that are due and not set up to its team. */
+void core_job_charge_due (const struct core_job *job);
+
 /* Notes that @occurrence has ended, so that it is freed when no run of it is in effect. */
 void core_occurrence_note_end (struct core_occurrence *occurrence);
 
@@ -879,16 +888,24 @@
  * far as the record tells for the job as a whole. */
 bool core_job_is_unreconciled (struct core_job *job);
 
+/* Adds @job, whose final state has become known, to core->unreconciled_jobs if an earlier owner may
+ * have left runs of it. Its occurrences that an earlier record tells of are set up. */
+void core_job_note_final (struct core_job *job);
+
+/* Whether a task of @job, whose state is final, may still run. */
+bool core_job_may_have_runs (const struct core_job *job);
+
 /* Whether records tell for each task of @step on which target it may be. A start then waits until
  * such a record is stored. */
 bool core_step_records_targets (const struct core_step *step);
 
 /* Whether an earlier owner may have left a run of @task on a target that has not reported. @task is
- * without a run, and of a step for which core_step_records_targets. */
+ * without a run, and of a job whose state is final or a step for which core_step_records_targets.
+ */
 bool core_task_is_unreconciled (const struct core_task *task);
 
 /* Notes whether @progress tells where tasks of @job may be: occurrences that are set up later then
- * have no run of the earlier owner. */
+ * have no run of the earlier owner. The state of @job has been applied. */
 void core_job_note_task_targets (struct core_job *job, const struct fl_job_progress *progress);
 
 /* Applies what the record of an earlier owner tells of the tasks of @job. */
--- a/lib/core/job_targets.c
+++ b/lib/core/job_targets.c
@@ -225,6 +225,17 @@
   return !job->is_reconciled;
 }
 
+void
+core_job_note_final (struct core_job *job)
+{
+  bool may_have_runs
+      = job->record_tells_end ? job->first_step != NULL : job->state != FL_JOB_COMPLETED;
+
+  core_queue_set_member (&job->core->unreconciled_jobs, &job->unreconciled_link,
+                         &job->in_unreconciled,
+                         may_have_runs && earlier_owner_may_have_started (job));
+}
+
 /* --- targets of single tasks --- */
 
 /* Such tasks are few, and start rarely enough for a record before each start. */
@@ -272,6 +283,27 @@
   return g_hash_table_contains (core->unreconciled_hashes, GUINT_TO_POINTER (task->earlier_target));
 }
 
+/* Whether @task, which is of a job whose state is final, may still run. */
+static bool
+may_run (const struct core_task *task)
+{
+  return task->run != NULL || (!task->done && core_task_is_unreconciled (task));
+}
+
+bool
+core_job_may_have_runs (const struct core_job *job)
+{
+  bool may_have_runs = job->run_count > 0;
+
+  if (job->state == FL_JOB_COMPLETED)
+    return false;
+  for (const struct core_step *step = job->first_step; step != NULL && !may_have_runs;
+       step = step->next)
+    for (int64_t i = 0; i < step->spec->count && !may_have_runs; i++)
+      may_have_runs = may_run (&step->tasks[i]);
+  return may_have_runs;
+}
+
 static void
 apply_task_target (struct core_task *task, int64_t position, const struct fl_array *targets)
 {
@@ -290,8 +322,13 @@
 void
 core_job_note_task_targets (struct core_job *job, const struct fl_job_progress *progress)
 {
-  job->record_tells_runs = progress->task_targets.fencing_token + FL_FENCING_TOKENS_PER_OWNER
-                           == job->core->options.fencing_token;
+  bool is_by_previous_owner = progress->task_targets.fencing_token + FL_FENCING_TOKENS_PER_OWNER
+                              == job->core->options.fencing_token;
+
+  /* Nothing of a job in its final state is started any more, by whatever owner. */
+  job->record_tells_runs = fl_job_state_is_final (job->state)
+                               ? progress->task_targets.steps.count > 0
+                               : is_by_previous_owner;
 }
 
 void
@@ -307,7 +344,7 @@
       struct core_step *step = rows[i].tasks.count > 0
                                    ? core_job_require_step (job, rows[i].occurrence, rows[i].step)
                                    : NULL;
-      if (step == NULL || !core_step_records_targets (step))
+      if (step == NULL || !(core_step_records_targets (step) || fl_job_state_is_final (job->state)))
         continue;
       bool is_complete = (int64_t)rows[i].tasks.count == step->spec->count;
       for (int64_t j = 0; j < step->spec->count; j++)
@@ -378,9 +415,10 @@
 core_job_collect_task_targets (const struct core_job *job, const GArray *targets)
 {
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct fl_step_targets));
+  bool is_final = fl_job_state_is_final (job->state);
 
   g_array_set_clear_func (rows, free_step_targets);
-  if (!has_step_that_records_targets (job))
+  if (!is_final && !has_step_that_records_targets (job))
     return rows;
   g_autoptr (GHashTable) positions = g_hash_table_new (NULL, NULL);
   for (guint i = 0; i < targets->len; i++)
@@ -388,10 +426,11 @@
                          GUINT_TO_POINTER (g_array_index (targets, struct fl_job_target, i).hash),
                          GSIZE_TO_POINTER (i + 1));
   for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
-    if (core_step_records_targets (step))
+    if (core_step_records_targets (step) || is_final)
       {
         struct fl_step_targets row = collect_step_targets (step, positions);
-        g_array_append_val (rows, row);
+        if (row.tasks.count > 0 || !is_final)
+          g_array_append_val (rows, row);
       }
   return rows;
 }
--- a/lib/core/occurrences.c
+++ b/lib/core/occurrences.c
@@ -338,28 +338,34 @@
   int64_t left = fl_job_spec_count_occurrences (&job->spec) - job->next_occurrence;
   int64_t late_ms = job->core->wall_ms - next_due_wall_ms (job);
 
-  if (late_ms < 0 || !has_later_occurrences (job))
+  if (late_ms < 0)
     return 0;
   return job->spec.interval_ms > 0 ? MIN (left, late_ms / job->spec.interval_ms + 1) : left;
 }
 
+void
+core_job_charge_due (const struct core_job *job)
+{
+  struct fl_resources *resources = &job->team->unreconciled;
+  int64_t due = count_due (job);
+
+  for (size_t i = 0; i < job->spec.steps.count && due > 0; i++)
+    {
+      const struct fl_step_spec *step = fl_job_spec_get_step (&job->spec, i);
+      resources->cpu_milli += due * step->count * step->cpu_milli;
+      resources->memory_mb += due * step->count * step->memory_mb;
+      resources->gpu += due * step->count * step->gpu;
+    }
+}
+
 void
 core_occurrences_charge_unreconciled (struct fl_core *core)
 {
   for (const GList *link = core->scheduled_jobs.head; link != NULL; link = link->next)
     {
       struct core_job *job = link->data;
-      struct fl_resources *resources = &job->team->unreconciled;
-      int64_t due = count_due (job);
-      if (due == 0 || !core_job_is_unreconciled (job))
-        continue;
-      for (size_t i = 0; i < job->spec.steps.count; i++)
-        {
-          const struct fl_step_spec *step = fl_job_spec_get_step (&job->spec, i);
-          resources->cpu_milli += due * step->count * step->cpu_milli;
-          resources->memory_mb += due * step->count * step->memory_mb;
-          resources->gpu += due * step->count * step->gpu;
-        }
+      if (has_later_occurrences (job) && core_job_is_unreconciled (job))
+        core_job_charge_due (job);
     }
 }
 
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -843,6 +843,16 @@
     ((struct core_team *)value)->unreconciled = (struct fl_resources){ 0 };
 }
 
+/* Whether an earlier owner may have left a run of @task, which is without a run, on a target that
+ * has not reported. */
+static bool
+may_run_unknown (const struct core_task *task, bool by_task, bool job_is_unreconciled)
+{
+  if (!by_task || task->earlier_run == CORE_EARLIER_RUN_UNKNOWN)
+    return job_is_unreconciled;
+  return core_task_is_unreconciled (task);
+}
+
 /* Charges the tasks of @step that may run on targets that have not reported to its team.
  * @job_is_unreconciled says whether this holds for all tasks of the job of which it is not recorded
  * where they may be. @return the number of charged tasks. */
@@ -850,7 +860,7 @@
 charge_unreconciled (const struct core_step *step, bool job_is_unreconciled)
 {
   struct fl_resources *resources = &step->job->team->unreconciled;
-  bool by_task = core_step_records_targets (step);
+  bool by_task = core_step_records_targets (step) || fl_job_state_is_final (step->job->state);
   int64_t charged = 0;
 
   if (!by_task && !job_is_unreconciled)
@@ -858,7 +868,7 @@
   for (int64_t i = 0; i < step->spec->count; i++)
     {
       const struct core_task *task = &step->tasks[i];
-      if (task->done || task->run != NULL || (by_task && !core_task_is_unreconciled (task)))
+      if (task->done || task->run != NULL || !may_run_unknown (task, by_task, job_is_unreconciled))
         continue;
       charged++;
       resources->cpu_milli += step->spec->cpu_milli;
@@ -911,6 +921,32 @@
     }
 }
 
+/* Load pattern: targets are cut off and run on, jobs on them are cancelled, and the owner of the
+ * pool is lost. Other jobs of the team would be started beside what still runs there.
+ *
+ * Charges the tasks of jobs in their final state that may run on targets that have not reported. */
+static void
+charge_final_jobs (struct fl_core *core)
+{
+  GList *link = core->unreconciled_jobs.head;
+
+  while (link != NULL)
+    {
+      struct core_job *job = link->data;
+      link = link->next;
+      if (!core_job_is_unreconciled (job))
+        {
+          core_queue_set_member (&core->unreconciled_jobs, &job->unreconciled_link,
+                                 &job->in_unreconciled, false);
+          continue;
+        }
+      if (!job->record_tells_end)
+        core_job_charge_due (job);
+      for (const struct core_step *step = job->first_step; step != NULL; step = step->next)
+        charge_unreconciled (step, true);
+    }
+}
+
 /* @return the steps that wait, as rows of struct waiting_step in the order in which they are
  * placed. */
 static GArray *
@@ -921,7 +957,10 @@
 
   clear_unreconciled (core);
   if (unreconciled)
-    core_occurrences_charge_unreconciled (core);
+    {
+      core_occurrences_charge_unreconciled (core);
+      charge_final_jobs (core);
+    }
   for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
     ((struct core_job *)link->data)->team->last_waiting_ms = core->now_ms;
   double unit_share = get_unit_share (core);
--- a/lib/core/progress.c
+++ b/lib/core/progress.c
@@ -39,6 +39,7 @@
   job->state = state;
   core_queue_set_member (&core->waiting_jobs, &job->waiting_link, &job->in_waiting, false);
   core_queue_set_member (&core->final_jobs, &job->final_link, &job->in_final, true);
+  core_job_note_final (job);
   core_job_mark_for_recording (job);
   core_job_log_end (job);
   for (struct core_step *step = job->first_step; step != NULL; step = step->next)
@@ -744,15 +745,18 @@
   g_autoptr (GArray) targets = NULL;
   g_autoptr (GArray) steps = NULL;
   g_autoptr (GArray) crashes = core_crash_collect (job);
+  bool is_final = fl_job_state_is_final (job->state);
 
   progress.crashes.tasks = (struct fl_array){ crashes->len, crashes->data };
-  /* A successor needs only the state of a finished job. */
-  if (!fl_job_state_is_final (job->state))
+  /* Of a job in its final state, a successor needs to know besides what may still run where: this
+   * counts against the limit of the team. */
+  if (!is_final || job->final_record_lists_runs)
     {
       done = g_array_new (FALSE, TRUE, sizeof (struct fl_done_range));
       ended = g_array_new (FALSE, TRUE, sizeof (struct fl_ended_range));
       core_job_collect_done (job, done, ended);
-      tasks = collect_tasks (job);
+      tasks = is_final ? g_array_new (FALSE, TRUE, sizeof (struct fl_task_progress))
+                       : collect_tasks (job);
       targets = core_job_collect_targets (job);
       if (extent >= RECORD_FEWER_CHECKPOINTS)
         drop_checkpoints (tasks, extent == RECORD_FEWER_CHECKPOINTS ? kept_permille : 0);
@@ -768,6 +772,8 @@
       progress.targets = (struct fl_array){ targets->len, targets->data };
       progress.any_target = core_job_may_run_on_any_target (job) || extent >= RECORD_ANY_TARGET;
       steps = core_job_collect_task_targets (job, targets);
+      if (is_final && extent >= RECORD_FEWER_DONE)
+        g_array_set_size (steps, 0);
       if (steps->len > 0)
         progress.task_targets = (struct fl_task_targets){ job->core->options.fencing_token,
                                                           { steps->len, steps->data } };
@@ -821,6 +827,7 @@
 {
   const struct fl_core *core = job->core;
   int64_t max = core->options.record_bytes_max;
+  job->final_record_lists_runs = fl_job_state_is_final (job->state) && core_job_may_have_runs (job);
   struct fl_str record = encode_cut_progress (job);
   size_t len = record.len;
 
@@ -840,6 +847,22 @@
   return record;
 }
 
+/* Load pattern: hundreds of jobs were cancelled, and the owner of the pool is lost while targets on
+ * which they ran do not reply. Their teams would be charged for runs that ended long ago. The
+ * shorter records take no transactions of their own. */
+static void
+shorten_final_records (struct fl_core *core)
+{
+  const GList *link = core_is_unreconciled (core) ? NULL : core->final_jobs.head;
+
+  for (; link != NULL; link = link->next)
+    {
+      struct core_job *job = link->data;
+      if (job->final_record_lists_runs && !core_job_may_have_runs (job))
+        core_job_mark_for_recording (job);
+    }
+}
+
 /* Marks all applied ends as covered by the records that are being collected. */
 static void
 mark_ends_recording (struct fl_core *core)
@@ -874,6 +897,8 @@
   size_t bytes = 0;
 
   g_assert (!core->records_in_flight);
+  if (core->unrecorded_jobs.head != NULL)
+    shorten_final_records (core);
   while (count < max && bytes < COLLECTED_BYTES_MAX && core->unrecorded_jobs.head != NULL)
     {
       struct core_job *job = core->unrecorded_jobs.head->data;
@@ -906,7 +931,8 @@
     {
       struct core_job *job = link->data;
       link = link->next;
-      if (job->needs_recording || job->record_in_flight || job->run_count > 0)
+      if (job->needs_recording || job->record_in_flight || job->run_count > 0
+          || job->final_record_lists_runs)
         continue;
       struct fl_name id = job->spec.id;
       fl_core_add_finished_job (core, &id);
