Takeover: targets that are silent to several owners are waited for once

- An owner stores which inherited targets it has not heard (summary/unheard), with the time left until leases of earlier owners there have expired, and gives them neither a deadline nor a start until a row without them is confirmed.
- Advice on long-running steps that wait for silent targets is queried from 1.2 s before the wait ends.

The cell writes the row, loses some of these writes and lets others take effect late.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -132,11 +132,13 @@
   core->options = *options;
   core->inherited_until_ms = core_earlier_leases_end_ms (options);
   core->reconciled_at_ms = core->inherited_until_ms;
+  core->settles_from_ms = core->inherited_until_ms;
   core->order_budget.bytes_per_s = options->order_bytes_per_s;
   core->first_run_number = (options->fencing_token - 1) * RUN_NUMBERS_PER_OWNER + 1;
   core->targets = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, target_free);
   core->unreadable_entries = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
   core->next_tokens = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
+  core->unheard = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
   core->jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, NULL, job_free);
   core->finished_jobs = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, NULL);
   core->unreconciled_hashes = g_hash_table_new (NULL, NULL);
@@ -165,6 +167,7 @@
   g_hash_table_destroy (core->targets);
   g_hash_table_destroy (core->unreadable_entries);
   g_hash_table_destroy (core->next_tokens);
+  g_hash_table_destroy (core->unheard);
   g_hash_table_destroy (core->finished_jobs);
   g_hash_table_destroy (core->teams);
   g_hash_table_destroy (core->queue_stats);
@@ -670,6 +673,9 @@
   if (target->silent)
     return target->missed_heartbeats <= 1
            || now_ms - target->last_heartbeat_at_ms >= SILENT_RETRY_MS;
+  /* Until a record without it is stored, its lease is not renewed. */
+  if (target->is_fenced && core_target_is_recorded_unheard (target))
+    return now_ms - target->last_heartbeat_at_ms >= SILENT_RETRY_MS;
   return !target->is_fenced || target->clock_went_back_at_ms > 0
          || target->last_applied_end == target->last_recorded_end
          || now_ms - target->last_heartbeat_at_ms >= RECORD_WAIT_MAX_MS;
@@ -703,7 +709,7 @@
    * then grant the longest one. */
   bool boot_is_valid = now_ms - target->last_heartbeat_at_ms <= BOOT_VALID_MS;
   if (target->clock_at_ms == 0 || target->silent || target->clock_went_back_at_ms > 0
-      || (core->jobs_known && !boot_is_valid))
+      || core_target_is_recorded_unheard (target) || (core->jobs_known && !boot_is_valid))
     return true;
   /* An end number is valid for one boot: it may restart in the time that a slow reply takes. */
   order->last_recorded_end = target->report_was_slow ? 0 : target->last_recorded_end;
@@ -1006,13 +1012,14 @@
 {
   GList *link = core->unreconciled_targets.head;
 
-  if (core->now_ms < core->inherited_until_ms)
+  if (core->now_ms < core->settles_from_ms)
     return;
   while (link != NULL)
     {
       struct core_target *target = link->data;
       link = link->next;
-      if (core->now_ms < target->lease_expires_at_ms)
+      if (core->now_ms < core_target_inherited_until_ms (target)
+          || core->now_ms < target->lease_expires_at_ms)
         continue;
       target->is_settled = true;
       fl_log (core->options.log, FL_LOG_NOTICE, "target_presumed_empty",
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -255,6 +255,34 @@
 /* Handles the end of the write of the last collected list. @stored: the store confirmed it. */
 void fl_core_finish_target_list (struct fl_core *core, bool stored);
 
+/* An inherited target that this owner has not heard. */
+struct fl_unheard_target
+{
+  struct fl_name id;
+  int64_t left_ms; /* until the leases that earlier owners gave there have expired */
+};
+
+/* Declares that the targets of earlier owners were added at @now_ms. Without it, no record of
+ * unheard targets is collected. */
+void fl_core_set_inherited_known (struct fl_core *core, int64_t now_ms);
+
+/* Declares that the leases that earlier owners gave on the inherited target @id expire by
+ * @until_ms: the record of unheard targets that the previous owner stored names it. */
+void
+fl_core_bound_inherited_target (struct fl_core *core, const struct fl_name *id, int64_t until_ms);
+
+/* Whether the store lacks a record of the targets that this owner has not heard, or it names one
+ * that may get no lease before it is stored without that target. */
+bool fl_core_unheard_record_is_outdated (struct fl_core *core, int64_t now_ms);
+
+/* Collects the record to store (struct fl_unheard_target). Call fl_core_finish_unheard_record when
+ * its write has ended. Free it with g_array_unref. */
+GArray *fl_core_collect_unheard_record (struct fl_core *core, int64_t now_ms);
+
+/* Handles the end of the write of the last collected record. @stored: the store confirmed it, so
+ * that no earlier write can take effect any more. */
+void fl_core_finish_unheard_record (struct fl_core *core, bool stored);
+
 /* Updates which queues accept further jobs, while @hosts hosts send queries for advice.
  * @return the names of those that are closed (struct fl_name). Free them with g_array_unref. */
 GArray *fl_core_update_admission (struct fl_core *core, int hosts);
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -148,6 +148,8 @@
   int64_t next_expiry_check_ms; /* before, no lease of a run can have expired */
   bool is_unreconciled;         /* in core->unreconciled_targets */
   bool is_settled;              /* all leases that earlier owners gave there have expired */
+  bool is_bounded;              /* the record of the previous owner names it: see unheard.c */
+  int64_t bounded_until_ms;     /* then: end of the leases that earlier owners gave there */
   bool in_unrecorded;           /* in core->unrecorded_targets */
   bool in_idle;                 /* in core->idle_targets */
   guint position;               /* in core->target_list */
@@ -557,6 +559,11 @@
   int64_t tick_gap_ms;              /* between the last two ticks */
   int64_t runs_checked_at_ms;       /* when all runs were last checked for timeouts */
   int64_t inherited_until_ms;       /* end of the leases that earlier owners gave */
+  int64_t inherited_at_ms;          /* when the targets of earlier owners were read; 0 for never */
+  int64_t settles_from_ms;          /* the least of these ends by target */
+  GHashTable *unheard;              /* id -> enum unheard_state in unheard.c */
+  bool unheard_chosen;              /* none is added to these any more */
+  bool unheard_outdated;            /* the record of them has to be stored again */
   int64_t reconciled_at_ms;         /* the same, and of those that this owner renewed unseen */
   int64_t held_runs_logged_at_ms;   /* see core_log_held_runs */
   int64_t reconciling_logged_at_ms; /* when the targets that have not reported were last logged */
@@ -930,6 +937,15 @@
 /* Starts the tasks that can be started, and updates the wait reasons of the others. */
 void core_place_tasks (struct fl_core *core);
 
+/* --- unheard.c --- */
+
+/* Until when leases that earlier owners gave on @target, an inherited one, may be in effect. */
+int64_t core_target_inherited_until_ms (const struct core_target *target);
+
+/* Whether the stored record of unheard targets may name @target, so that it must not be given a
+ * lease yet. */
+bool core_target_is_recorded_unheard (const struct core_target *target);
+
 /* --- lasting.c --- */
 
 /* Adds @job, a new job, to the queue of those with long-running steps if it has one. */
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -6,6 +6,9 @@
 
 /* Resolution of the scores of targets. */
 #define SCORE_SCALE 1e6
+/* Advice on tasks that last is queried this long before their wait for silent targets ends: twice
+ * the time of a query for many targets, and less than that for which tickets are valid. */
+#define ADVICE_AHEAD_MS 1200
 /* Score penalty for a target that is used only if no other fits; exceeds any score. */
 #define AVOID_PENALTY INT64_C (1000000000000000)
 /* Time in which the urgent peak of a team decays to about a third; covers several bursts. */
@@ -878,8 +881,36 @@
   return charged > 0 && (step->spec->gang || charged == step->idle_tasks);
 }
 
+/* Whether a wait for targets that have not reported is about to end. */
+static bool
+settles_soon (const struct fl_core *core)
+{
+  int64_t end_ms
+      = core->now_ms < core->settles_from_ms ? core->settles_from_ms : core->inherited_until_ms;
+
+  return core->now_ms >= end_ms - ADVICE_AHEAD_MS;
+}
+
+/* Queries advice on @step, which waits for targets that have not reported, shortly before it may be
+ * started.
+ *
+ * Load pattern: targets with tasks that last leave, and two owners are lost after them. The tasks
+ * have then been down for long, and each query takes half a second more, in which other work takes
+ * the room. */
+static void
+query_ahead (struct core_step *step)
+{
+  if (step->spec->long_running && step->job->queue.advice.required && !core_step_has_ticket (step)
+      && core_team_has_capacity (step) && settles_soon (step->job->core))
+    core_advice_send_query (step, step->idle_tasks);
+}
+
 static void
-collect_waiting_of_job (struct core_job *job, bool unreconciled, double unit_share, GArray *waiting)
+collect_waiting_of_job (struct core_job *job,
+                        bool unreconciled,
+                        double unit_share,
+                        GArray *waiting,
+                        GPtrArray *settling)
 {
   bool blocked = unreconciled && core_job_is_unreconciled (job);
   double share = unit_share * (double)get_weight (job->team);
@@ -898,6 +929,7 @@
       if (unreconciled && is_blocked_by_reconciliation (entry.step, blocked))
         {
           set_wait_reason (entry.step, CORE_WAIT_RECONCILING);
+          g_ptr_array_add (settling, entry.step);
           continue;
         }
       if (!has_waiting_task (entry.step))
@@ -912,9 +944,9 @@
 }
 
 /* @return the steps that wait, as rows of struct waiting_step in the order in which they are
- * placed. */
+ * placed; in @settling (struct core_step) those that wait for targets that have not reported. */
 static GArray *
-collect_waiting (struct fl_core *core)
+collect_waiting (struct fl_core *core, GPtrArray *settling)
 {
   GArray *waiting = g_array_new (FALSE, FALSE, sizeof (struct waiting_step));
   bool unreconciled = core_is_unreconciled (core);
@@ -926,7 +958,7 @@
     ((struct core_job *)link->data)->team->last_waiting_ms = core->now_ms;
   double unit_share = get_unit_share (core);
   for (const GList *link = core->waiting_jobs.head; link != NULL; link = link->next)
-    collect_waiting_of_job (link->data, unreconciled, unit_share, waiting);
+    collect_waiting_of_job (link->data, unreconciled, unit_share, waiting, settling);
   give_turn (core, waiting);
   g_array_sort (waiting, compare_waiting_steps);
   return waiting;
@@ -1020,15 +1052,18 @@
 {
   GArray *waiting;
   g_autoptr (GArray) unadvised = g_array_new (FALSE, FALSE, sizeof (struct unadvised_step));
+  g_autoptr (GPtrArray) settling = g_ptr_array_new ();
 
   g_array_set_size (core->free_max, 0);
   update_urgent_peaks (core);
-  waiting = collect_waiting (core);
+  waiting = collect_waiting (core, settling);
   core_urgent_room_begin (core);
   for (guint i = 0; i < waiting->len; i++)
     core_urgent_room_add (g_array_index (waiting, struct waiting_step, i).step);
   for (guint i = 0; i < waiting->len; i++)
     place_step (&g_array_index (waiting, struct waiting_step, i), unadvised);
+  for (guint i = 0; i < settling->len; i++)
+    query_ahead (g_ptr_array_index (settling, i));
   query_advice (core, unadvised);
   core_urgent_room_preempt (core);
   update_ages (core);
--- a/lib/core/room.c
+++ b/lib/core/room.c
@@ -68,7 +68,7 @@
     return CORE_TARGET_EVACUATED;
   if (!is_registry_current (target->core))
     return CORE_TARGET_REGISTRY_OLD;
-  if (!target->recorded)
+  if (!target->recorded || core_target_is_recorded_unheard (target))
     return CORE_TARGET_NOT_RECORDED;
   if (!target->reported)
     return CORE_TARGET_NOT_REPORTED;
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -70,6 +70,10 @@
 #define AGE_UNIT_MS RENEWAL_RETRY_MS
 #define AGE_UNITS_UNSURE 3
 
+/* Replies of the store that a host remembers the version and the time of: as a standby reads each
+ * STANDBY_POLL_MS, those of its last ten seconds. */
+#define OBSERVATIONS_MAX 32
+
 struct owner_row
 {
   struct fl_name holder;
@@ -115,6 +119,13 @@
   int64_t earlier_heartbeats_end_ms; /* until then, earlier owners may have sent heartbeats */
 };
 
+/* A time at which the store had @version or a later one. */
+struct observation
+{
+  int64_t version;
+  int64_t at_ms;
+};
+
 struct fl_ownership
 {
   struct fl_ownership_options options;
@@ -141,6 +152,8 @@
   int failed_reads;                 /* since then */
   int64_t first_read_ms;            /* when the first read since then was sent; 0 for none */
   int64_t lease_seen_renewed_ms;    /* last read that showed a change of the lease; 0 for none */
+  struct observation observations[OBSERVATIONS_MAX]; /* as a ring */
+  size_t observation_count;                          /* made so far */
   bool release_repeated;
   void (*release_done) (void *context);
   void *release_done_context;
@@ -209,6 +222,14 @@
   return fl_record_encode (&lease_schema, &row);
 }
 
+static void
+observe_version (struct fl_ownership *ownership, int64_t version)
+{
+  ownership->observations[ownership->observation_count % OBSERVATIONS_MAX]
+      = (struct observation){ version, now_ms (ownership) };
+  ownership->observation_count++;
+}
+
 /* --- owner --- */
 
 /* Becomes owner by a call that was sent at @sent_ms and applied. */
@@ -224,6 +245,7 @@
   ownership->calls_in_flight = 0;
   ownership->attempt.token = 0;
   ownership->pool_version = version;
+  observe_version (ownership, version);
   ownership->authority_until_ms = sent_ms + LEASE_MS;
   fl_log (
       ownership->options.log, FL_LOG_NOTICE, "pool_taken", FL_I ("token", ownership->token),
@@ -605,6 +627,7 @@
       return;
     }
   ownership->last_read = call->number;
+  observe_version (ownership, reply->version);
   end_read_gap (ownership);
   is_free = decode_rows (ownership, reply, &lease_version);
   if (has_acquired_unknowingly (ownership))
@@ -734,3 +757,16 @@
 {
   return ownership->attempt.earlier_heartbeats_end_ms;
 }
+
+int64_t
+fl_ownership_count_from_version (const struct fl_ownership *ownership,
+                                 int64_t version,
+                                 int64_t left_ms)
+{
+  int64_t from_ms = now_ms (ownership);
+
+  for (size_t i = 0; i < MIN (ownership->observation_count, OBSERVATIONS_MAX); i++)
+    if (ownership->observations[i].version >= version)
+      from_ms = MIN (from_ms, ownership->observations[i].at_ms);
+  return from_ms + left_ms * HOST_CLOCK_PERCENT / 100 + 1;
+}
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -61,6 +61,13 @@
  * may send heartbeats; 0 if there was none. */
 int64_t fl_ownership_get_earlier_orders_end (const struct fl_ownership *ownership);
 
+/* Until when, in milliseconds of the boot clock, a span of @left_ms has certainly passed that
+ * another host counted from before the store had @version: counted from when this host first knew
+ * of that version, for the errors of clocks. */
+int64_t fl_ownership_count_from_version (const struct fl_ownership *ownership,
+                                         int64_t version,
+                                         int64_t left_ms);
+
 /* Whether renewals have failed for so long that this host may lose the pool, or its lease has
  * expired: heartbeats then have to bridge the time until the next owner sends some. */
 bool fl_ownership_is_at_risk (const struct fl_ownership *ownership);
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -19,6 +19,7 @@
 {
   int ref_count;
   bool ended;
+  int64_t fencing_token;
   int64_t started_ms;
   int64_t earlier_confirmed_ms; /* when the operator's rows were confirmed before this term */
   struct fl_poold *poold;
@@ -35,6 +36,9 @@
   struct fl_reply_limit inherited_limit; /* of reads of the list of targets */
   size_t target_row_count;               /* rows of the list of targets that the store may have */
   int64_t inherited_read_at_ms;
+  int64_t unheard_version; /* of the row of unheard targets, as last known; 0 for none */
+  bool unheard_in_flight;
+  int64_t next_unheard_ms; /* that row is not sent before: back-off */
   bool progress_read;
   bool jobs_read;
   struct fl_store_writer *progress_writer;
@@ -148,6 +152,9 @@
  * outdated. */
 void fl_term_store_records (struct fl_term *term);
 
+/* Stores which inherited targets this owner has not heard, if the stored row is outdated. */
+void fl_term_store_unheard (struct fl_term *term);
+
 /* Stores which queues accept no further jobs, if this has changed or is about to expire. */
 void fl_term_store_admission (struct fl_term *term);
 
--- a/lib/poold/records.c
+++ b/lib/poold/records.c
@@ -164,6 +164,78 @@
     store_targets (term);
 }
 
+/* --- inherited targets that were not heard --- */
+
+/* A conflict tells the version of the row: an earlier write may have taken effect without a reply.
+ */
+static void
+update_unheard_version (struct fl_term *term, const struct fl_store_reply *reply)
+{
+  if (reply->status == FL_STORE_OK)
+    term->unheard_version = reply->version;
+  for (size_t i = 0; reply->status == FL_STORE_CONFLICT && i < reply->count; i++)
+    if (strcmp (reply->rows[i].table.data, FL_TABLE_SUMMARY) == 0
+        && strcmp (reply->rows[i].key.data, FL_SUMMARY_UNHEARD) == 0)
+      term->unheard_version = reply->rows[i].removed ? 0 : reply->rows[i].version;
+}
+
+static void
+on_unheard_stored (void *context, const struct fl_store_reply *reply)
+{
+  struct fl_term *term = context;
+  int64_t known_version = term->unheard_version;
+
+  term->poold->tick_requested = true;
+  term->unheard_in_flight = false;
+  update_unheard_version (term, reply);
+  if (reply->status != FL_STORE_OK)
+    {
+      fl_stats_add (term->poold->host->stats, "records_failed_total", 1);
+      fl_log (&term->poold->host->log, FL_LOG_WARNING, "record_failed", FL_S ("what", "unheard"),
+              FL_I ("status", reply->status), FL_S ("text", reply->error.text));
+      if (term->unheard_version == known_version && !reply->is_connection_stale)
+        term->next_unheard_ms = fl_clock_boot_ms () + RETRY_DELAY_MS;
+    }
+  if (!term->ended)
+    fl_core_finish_unheard_record (term->core, reply->status == FL_STORE_OK);
+  fl_term_unref (term);
+}
+
+/* The row expects its own version, so that a write that takes effect late restores nothing, and
+ * that of the pool row, so that none does after the next acquisition. */
+static void
+store_unheard (struct fl_term *term, int64_t now_ms)
+{
+  const struct fl_store *store = term->poold->host->store;
+  g_autoptr (GArray) targets = fl_core_collect_unheard_record (term->core, now_ms);
+  struct fl_str value = fl_unheard_row_encode (term->fencing_token, targets);
+  struct fl_store_condition conditions[]
+      = { fl_ownership_get_write_condition (term->poold->ownership),
+          { FL_TABLE_SUMMARY, FL_PARTITION_OWNER, fl_name_of (FL_SUMMARY_UNHEARD),
+            term->unheard_version } };
+  struct fl_store_write write
+      = { FL_TABLE_SUMMARY, FL_PARTITION_OWNER, fl_name_of (FL_SUMMARY_UNHEARD), value, false };
+  struct fl_store_transaction transaction = { conditions, 2, &write, 1 };
+
+  fl_log (&term->poold->host->log, FL_LOG_NOTICE, "unheard_recorded",
+          FL_I ("targets", targets->len));
+  term->unheard_in_flight = true;
+  term->ref_count++;
+  store->transact (store->context, &transaction, STORE_TIMEOUT_MS, on_unheard_stored, term);
+  fl_str_clear (&value);
+}
+
+void
+fl_term_store_unheard (struct fl_term *term)
+{
+  int64_t now_ms = fl_clock_boot_ms ();
+
+  if (term->unheard_in_flight || now_ms < term->next_unheard_ms
+      || !fl_core_unheard_record_is_outdated (term->core, now_ms))
+    return;
+  store_unheard (term, now_ms);
+}
+
 /* --- counts of pending jobs --- */
 
 static void
--- a/lib/poold/target_rows.c
+++ b/lib/poold/target_rows.c
@@ -11,6 +11,8 @@
 
 /* Names in one row: an id or an address has up to FL_NAME_MAX bytes, and three more in JSON. */
 #define ROW_NAMES_MAX 600
+/* No lease of an earlier owner is in effect for longer. */
+#define LEFT_MAX_MS 3600000
 
 struct fl_name
 fl_target_rows_key (size_t index)
@@ -85,3 +87,64 @@
   return fl_fail (error, FL_INVALID, "targets_decode", NULL,
                   "must be a list of ids and addresses by turns");
 }
+
+struct fl_str
+fl_unheard_row_encode (int64_t fencing_token, const GArray *targets)
+{
+  json_t *json = json_object ();
+  json_t *left = json_object ();
+
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const struct fl_unheard_target *target
+          = &g_array_index (targets, struct fl_unheard_target, i);
+      json_object_set_new (left, target->id.data, json_integer (target->left_ms));
+    }
+  json_object_set_new (json, "token", json_integer (fencing_token));
+  json_object_set_new (json, "left_ms", left);
+  struct fl_str row = fl_json_encode (json);
+  json_decref (json);
+  return row;
+}
+
+static bool
+decode_unheard_target (const char *id, const json_t *left, struct fl_unheard_target *target)
+{
+  if (strlen (id) > FL_NAME_MAX || !json_is_integer (left) || json_integer_value (left) < 0
+      || json_integer_value (left) > LEFT_MAX_MS)
+    return false;
+  *target = (struct fl_unheard_target){ fl_name_of (id), json_integer_value (left) };
+  return fl_name_is_header_safe (&target->id);
+}
+
+bool
+fl_unheard_row_decode (
+    const char *data, size_t len, int64_t *fencing_token, GArray *targets, struct fl_error *error)
+{
+  json_t *json = fl_json_parse (data, len, error);
+  const json_t *token = json_object_get (json, "token");
+  json_t *left = json_object_get (json, "left_ms");
+  guint before = targets->len;
+  const char *id;
+  json_t *left_ms;
+
+  if (json == NULL)
+    return false;
+  bool is_valid = json_is_integer (token) && json_integer_value (token) > 0
+                  && json_integer_value (token) <= INT32_MAX && json_is_object (left);
+  json_object_foreach (left, id, left_ms)
+  {
+    struct fl_unheard_target target;
+    is_valid = is_valid && decode_unheard_target (id, left_ms, &target);
+    if (!is_valid)
+      break;
+    g_array_append_val (targets, target);
+  }
+  *fencing_token = is_valid ? json_integer_value (token) : 0;
+  json_decref (json);
+  if (is_valid)
+    return true;
+  g_array_set_size (targets, before);
+  return fl_fail (error, FL_INVALID, "unheard_decode", NULL,
+                  "must have a token and the time left by target");
+}
--- a/lib/poold/target_rows.h
+++ b/lib/poold/target_rows.h
@@ -8,6 +8,7 @@
 
 #include "common/error.h"
 #include "common/str.h"
+#include "core/core.h"
 
 /* Most rows of a list, as many as a transaction takes beside its conditions: 27,000 targets. */
 #define FL_TARGET_ROWS_MAX 90
@@ -27,3 +28,14 @@
 /* Appends the names in a row of @len bytes to @names. Addresses are not checked.
  * @return false with @error filled when it is malformed; @names is then unchanged. */
 bool fl_target_rows_decode (const char *data, size_t len, GArray *names, struct fl_error *error);
+
+/* The row of FL_SUMMARY_UNHEARD: {"left_ms": {"ID": ms, ...}, "token": T}, with the fencing token
+ * of the owner that stored it. */
+
+/* Encodes @targets (struct fl_unheard_target). @return the row, owned by the caller. */
+struct fl_str fl_unheard_row_encode (int64_t fencing_token, const GArray *targets);
+
+/* Appends the targets in a row of @len bytes to @targets, and fills @fencing_token.
+ * @return false with @error filled when it is malformed; @targets is then unchanged. */
+bool fl_unheard_row_decode (
+    const char *data, size_t len, int64_t *fencing_token, GArray *targets, struct fl_error *error);
--- a/lib/poold/term.c
+++ b/lib/poold/term.c
@@ -244,6 +244,35 @@
 
 /* --- targets of the previous owner --- */
 
+/* Bounds the wait for the targets that the previous owner had not heard: it gave no lease there.
+ * An owner in between that stored no such row may have; its token was the next one then. */
+static void
+bound_unheard_targets (struct fl_term *term, const struct fl_store_row *row)
+{
+  g_autoptr (GArray) targets = g_array_new (FALSE, FALSE, sizeof (struct fl_unheard_target));
+  struct fl_error error = { 0 };
+  int64_t token;
+
+  term->unheard_version = row->version;
+  if (!fl_unheard_row_decode (row->value.data, row->value.len, &token, targets, &error))
+    {
+      fl_log_error (&term->poold->host->log, FL_LOG_ERR, "unheard_unreadable", &error);
+      return;
+    }
+  if (token + FL_FENCING_TOKENS_PER_OWNER != term->fencing_token)
+    return;
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const struct fl_unheard_target *target
+          = &g_array_index (targets, struct fl_unheard_target, i);
+      fl_core_bound_inherited_target (
+          term->core, &target->id,
+          fl_ownership_count_from_version (term->poold->ownership, row->version, target->left_ms));
+    }
+  fl_log (&term->poold->host->log, FL_LOG_NOTICE, "unheard_inherited",
+          FL_I ("targets", targets->len));
+}
+
 /* Adds the targets in the rows of @reply. @return false when a row is unreadable: an earlier owner
  * may have used targets that this one would not know. */
 static bool
@@ -274,6 +303,10 @@
       fl_core_inherit_target (term->core, &g_array_index (names, struct fl_name, i),
                               fl_endpoint_is_valid (address) ? address : &unknown);
     }
+  for (size_t i = 0; i < reply->count; i++)
+    if (strcmp (reply->rows[i].key.data, FL_SUMMARY_UNHEARD) == 0)
+      bound_unheard_targets (term, &reply->rows[i]);
+  fl_core_set_inherited_known (term->core, fl_clock_boot_ms ());
   return true;
 }
 
@@ -349,6 +382,7 @@
   };
 
   term->ref_count = 1;
+  term->fencing_token = token;
   term->inherited_limit
       = fl_reply_limit_make (READ_LIMIT_MIN_MS, READ_LIMIT_MAX_MS, READ_LIMIT_MAX_MS);
   term->started_ms = fl_clock_boot_ms ();
@@ -426,6 +460,8 @@
   /* The tasks on targets outlive the time that a small host needs to read the jobs. */
   fl_peers_update_forwarding (term->poold, fl_core_target_count (term->core));
   fl_term_send_heartbeats (term);
+  if (term->inherited_read && fl_ownership_has_authority (term->poold->ownership))
+    fl_term_store_unheard (term);
   /* A configuration or a list of evacuated domains that was last confirmed in an earlier term may
    * be outdated: wait until it is confirmed in this term. */
   if (!term->jobs_read || !term->inherited_read
--- a/lib/store/tables.h
+++ b/lib/store/tables.h
@@ -21,6 +21,7 @@
 /* Keys of rows in FL_TABLE_SUMMARY. */
 #define FL_SUMMARY_PENDING "pending"
 #define FL_SUMMARY_TARGETS "targets"
+#define FL_SUMMARY_UNHEARD "unheard" /* inherited targets that the owner has not heard */
 
 /* Key of the only row in FL_TABLE_ADMISSION: {"QUEUE": true, ...}. The owner writes it when it
  * changes, again each second while a queue is closed, and once in each term. It holds for
--- a/tests/support_cell.c
+++ b/tests/support_cell.c
@@ -201,6 +201,8 @@
   bool dead;
   bool records_in_flight;
   bool targets_in_flight;
+  bool unheard_in_flight;
+  int64_t unheard_version; /* of the record of unheard targets, as this owner knows it */
   GHashTable *heartbeats_in_flight;
   int host;                         /* with an advice profile, as are the following */
   struct fl_advisor_pool *advisors; /* chooses the hosts for advice queries */
@@ -208,6 +210,15 @@
   int64_t pinged_ms;                /* when the peers last sent a message */
 };
 
+/* The stored record of unheard targets. */
+struct unheard_row
+{
+  GArray *targets; /* struct fl_unheard_target */
+  int64_t fencing_token;
+  int64_t version;
+  int64_t written_ms;
+};
+
 struct cell
 {
   struct cell_options options;
@@ -224,6 +235,8 @@
   int64_t lease_written_ms; /* when the lease row was last written */
   int64_t owner_token;      /* fencing token in the owner row */
   GArray *recorded_targets; /* struct fl_name: alternating ids and addresses */
+  struct unheard_row unheard;
+  GRand *unheard_random; /* for writes of that row: other events stay as they are without it */
   struct fl_configuration *configuration;
   struct fl_stats *stats;
   struct fl_log log;
@@ -1876,6 +1889,127 @@
     }
 }
 
+/* --- record of unheard targets --- */
+
+/* Time after which a standby has read a row that was written. */
+#define STANDBY_READ_MS 300
+/* A write without a reply may take effect after this long. */
+#define LATE_WRITE_MAX_MS 3000
+
+/* A write of the record; owned by the event that applies it. */
+struct unheard_write
+{
+  struct owner *owner;
+  GArray *targets;
+  int64_t expected_version;
+  bool is_late; /* the owner has been told that there is no reply */
+};
+
+/* The outcome of a write that its owner gets to know. */
+struct unheard_reply
+{
+  struct owner *owner;
+  bool stored;
+};
+
+static void
+on_unheard_reply (struct cell *cell, void *data)
+{
+  g_autofree struct unheard_reply *reply = data;
+  struct owner *owner = reply->owner;
+
+  if (!owner->dead && owner->frozen_until_ms > cell->now_ms)
+    {
+      schedule (cell, owner->frozen_until_ms - cell->now_ms, on_unheard_reply,
+                g_steal_pointer (&reply));
+      return;
+    }
+  if (owner->dead)
+    return;
+  owner->unheard_in_flight = false;
+  fl_core_finish_unheard_record (owner->core, reply->stored);
+}
+
+static void
+reply_to_unheard_write (const struct unheard_write *write, bool stored, int64_t delay_ms)
+{
+  struct unheard_reply *reply = g_new0 (struct unheard_reply, 1);
+
+  *reply = (struct unheard_reply){ write->owner, stored };
+  schedule (write->owner->cell, delay_ms, on_unheard_reply, reply);
+}
+
+/* Applies a write if its conditions hold. A reply that is lost, or that is late itself, says
+ * nothing of that. */
+static void
+on_unheard_write (struct cell *cell, void *data)
+{
+  struct unheard_write *write = data;
+  struct owner *owner = write->owner;
+  int fate = g_rand_int_range (cell->unheard_random, 0, 1000);
+  bool faulty = faults_enabled (cell) && fate < cell->options.fault_rates.store_reply_lost;
+  bool applies = owner->fencing_token == cell->owner_token
+                 && write->expected_version == cell->unheard.version;
+
+  if (!write->is_late && (!can_reach_store (owner) || (faulty && fate % 2 == 0)))
+    {
+      write->is_late = true;
+      reply_to_unheard_write (write, false, 1000);
+      schedule (cell, g_rand_int_range (cell->unheard_random, 1, LATE_WRITE_MAX_MS),
+                on_unheard_write, write);
+      return;
+    }
+  if (applies)
+    {
+      g_array_unref (cell->unheard.targets);
+      cell->unheard = (struct unheard_row){ g_array_ref (write->targets), owner->fencing_token,
+                                            cell->unheard.version + 1, cell->now_ms };
+    }
+  if (!write->is_late && !faulty)
+    {
+      owner->unheard_version = cell->unheard.version;
+      reply_to_unheard_write (write, applies, g_rand_int_range (cell->unheard_random, 1, 20));
+    }
+  else if (!write->is_late)
+    reply_to_unheard_write (write, false, 1000);
+  g_array_unref (write->targets);
+  g_free (write);
+}
+
+static void
+write_unheard (struct owner *owner)
+{
+  struct cell *cell = owner->cell;
+
+  if (owner->unheard_in_flight || !fl_core_unheard_record_is_outdated (owner->core, cell->now_ms))
+    return;
+  struct unheard_write *write = g_new0 (struct unheard_write, 1);
+  write->owner = owner;
+  write->targets = fl_core_collect_unheard_record (owner->core, cell->now_ms);
+  write->expected_version = owner->unheard_version;
+  owner->unheard_in_flight = true;
+  schedule (cell, g_rand_int_range (cell->unheard_random, 2, 30), on_unheard_write, write);
+}
+
+static void
+inherit_unheard (struct owner *owner)
+{
+  const struct cell *cell = owner->cell;
+  int64_t seen_ms = MIN (cell->now_ms, cell->unheard.written_ms + STANDBY_READ_MS);
+
+  owner->unheard_version = cell->unheard.version;
+  if (cell->unheard.fencing_token + FL_FENCING_TOKENS_PER_OWNER == owner->fencing_token)
+    for (guint i = 0; i < cell->unheard.targets->len; i++)
+      {
+        const struct fl_unheard_target *target
+            = &g_array_index (cell->unheard.targets, struct fl_unheard_target, i);
+        fl_core_bound_inherited_target (owner->core, &target->id,
+                                        seen_ms + target->left_ms * 102 / 100 + 1);
+      }
+  /* 0 stands for never, and the clock of a cell begins there. */
+  fl_core_set_inherited_known (owner->core, MAX (cell->now_ms, 1));
+}
+
 /* --- owners --- */
 
 static void
@@ -1905,6 +2039,8 @@
 {
   if (owner->dead || owner->frozen_until_ms > owner->cell->now_ms)
     return;
+  if (has_authority (owner))
+    write_unheard (owner);
   if (owner->jobs_read && has_authority (owner))
     {
       fl_core_tick (owner->core, owner->cell->now_ms, owner->cell->now_ms);
@@ -2075,6 +2211,7 @@
   for (guint i = 0; i + 1 < cell->recorded_targets->len; i += 2)
     fl_core_inherit_target (owner->core, &g_array_index (cell->recorded_targets, struct fl_name, i),
                             &g_array_index (cell->recorded_targets, struct fl_name, i + 1));
+  inherit_unheard (owner);
   owner->jobs_read_at_ms = cell->now_ms + cell->options.jobs_read_ms;
   read_operator_rows (owner);
   read_registry (owner);
@@ -2886,6 +3023,8 @@
   g_hash_table_destroy (cell->job_by_id);
   g_hash_table_destroy (cell->tasks);
   g_array_unref (cell->recorded_targets);
+  g_array_unref (cell->unheard.targets);
+  g_rand_free (cell->unheard_random);
   g_array_unref (cell->gang_ends);
   fl_configuration_unref (cell->configuration);
   fl_stats_free (cell->stats);
@@ -2913,6 +3052,8 @@
   cell.job_by_id = g_hash_table_new (fl_name_hash, fl_name_equal);
   cell.tasks = g_hash_table_new_full (fl_name_hash, fl_name_equal, g_free, g_free);
   cell.recorded_targets = g_array_new (FALSE, FALSE, sizeof (struct fl_name));
+  cell.unheard.targets = g_array_new (FALSE, FALSE, sizeof (struct fl_unheard_target));
+  cell.unheard_random = g_rand_new_with_seed ((guint32)options->seed);
   cell.gang_ends = g_array_new (FALSE, FALSE, sizeof (struct target_end));
   cell.stats = fl_stats_new ();
   cell.log = (struct fl_log){ .level = options->trace_prefix != NULL ? FL_LOG_INFO : 0,
--- a/tests/test_decoder_fuzz.c
+++ b/tests/test_decoder_fuzz.c
@@ -69,6 +69,7 @@
       "{\"table\":\"op\",\"part\":\"\",\"key\":\"evacuate/z\",\"value\":\"\",\"ver\":413}],"
       "\"hasMore\":false,\"ver\":530,\"nowMs\":51230}";
 static const char targets_document[] = "[\"i-1\",\"10.0.0.1:80\",\"i-2\",\"10.0.0.2:80\"]";
+static const char unheard_document[] = "{\"left_ms\":{\"i-1\":7000,\"i-2\":0},\"token\":101}";
 static const char progress_document[]
     = "{\"state\":\"running\",\"tasks\":[{\"occurrence\":0,\"step\":0,\"index\":1,\"done\":true,"
       "\"failed_runs\":[{\"run\":1}],\"checkpoint\":\"c\"}],\"targets\":[{\"id\":\"i-1\"}],"
@@ -289,6 +290,25 @@
   fl_job_progress_clear (&progress);
 }
 
+static void
+check_unheard_row (struct fuzz *fuzz, const struct fl_str *text)
+{
+  g_autoptr (GArray) targets = g_array_new (FALSE, FALSE, sizeof (struct fl_unheard_target));
+  int64_t token;
+
+  if (!fl_unheard_row_decode (text->data, text->len, &token, targets, NULL))
+    return;
+  fuzz->accepted++;
+  assert_in_bounds (token, INT32_MAX);
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const struct fl_unheard_target *target
+          = &g_array_index (targets, struct fl_unheard_target, i);
+      assert_in_bounds (target->left_ms, 3600000);
+      fl_core_bound_inherited_target (fuzz->fixture->core, &target->id, target->left_ms);
+    }
+}
+
 static void
 check_records (struct fuzz *fuzz, const struct fl_str *text)
 {
@@ -297,6 +317,7 @@
   struct fl_relay_message relayed;
 
   fuzz->accepted += fl_target_rows_decode (text->data, text->len, names, NULL);
+  check_unheard_row (fuzz, text);
   check_job_row (fuzz, text);
   check_progress (fuzz, text);
   fl_forward_message_decode (text->data, text->len, &forwarded, NULL);
@@ -386,9 +407,9 @@
 check_document (struct fuzz *fuzz)
 {
   static const char *const documents[]
-      = { target_document,        report_document,   advice_document,
-          configuration_document, job_document,      store_document,
-          targets_document,       progress_document, job_row_document };
+      = { target_document,   report_document, advice_document,  configuration_document,
+          job_document,      store_document,  targets_document, unheard_document,
+          progress_document, job_row_document };
   size_t kind = (size_t)g_rand_int_range (fuzz->rand, 0, G_N_ELEMENTS (documents) + 2);
   g_autoptr (GString) text = kind < G_N_ELEMENTS (documents)    ? g_string_new (documents[kind])
                              : kind == G_N_ELEMENTS (documents) ? make_progress_record ()
--- a/tests/test_lasting_tasks.c
+++ b/tests/test_lasting_tasks.c
@@ -1022,6 +1022,91 @@
   assert_int_equal (failed, 0);
 }
 
+/* --- advice while silent targets are waited for --- */
+
+struct ahead_case
+{
+  const char *name;
+  bool is_lasting;
+  int64_t bound_ms; /* of the wait, from the acquisition; 0 for none */
+  bool is_ahead;    /* whether advice is queried before the wait ends */
+};
+
+/* Delivers a ticket for t2 as the reply to the last query. */
+static void
+advise (struct fixture *owner)
+{
+  struct fl_advised_target eligible[] = { { fl_name_of ("t2"), fl_name_of ("ticket-2") } };
+  struct fl_advice_reply reply
+      = { .received = true, .targets = eligible, .count = 1, .tickets_valid_ms = 2000 };
+  g_autofree struct fl_name *queried = g_memdup2 (
+      owner->queried_targets->data, owner->queried_targets->len * sizeof (struct fl_name));
+
+  fl_core_handle_advice_reply (owner->core, &owner->queried_step, queried,
+                               owner->queried_targets->len, &reply, owner->now_ms);
+}
+
+/* Tasks that last waited for a target that was gone, then for advice, and then for room that other
+ * work had taken meanwhile. */
+static void
+test_advice_before_the_wait_ends (void **state)
+{
+  static const struct ahead_case cases[] = {
+    { "lasting", true, 0, true },
+    { "lasting, bounded wait", true, 3000, true },
+    { "not lasting", false, 0, false },
+  };
+  const struct fl_name silent = fl_name_of ("t1");
+  const struct fl_name sound = fl_name_of ("t2");
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t end_ms = 100000 + (cases[i].bound_ms > 0 ? cases[i].bound_ms : RECONCILIATION_MS);
+      struct fixture_options options = { .reconciled_at_ms = 100000 + RECONCILIATION_MS,
+                                         .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER,
+                                         .acquired_version = 100000 };
+      struct fl_step_spec step = {
+        .count = 1, .cpu_milli = 1000, .long_running = cases[i].is_lasting, .disruptions_max = -1
+      };
+      struct fl_job_progress progress = { .any_target = true };
+      struct fl_heartbeat_order order;
+      struct fixture *owner = fixture_new_with (&options);
+      int64_t queried_ms = 0;
+      owner->now_ms = 100000;
+      fl_core_inherit_target (owner->core, &silent, &silent);
+      if (cases[i].bound_ms > 0)
+        fl_core_bound_inherited_target (owner->core, &silent, end_ms);
+      add_entry (owner, sound.data, 4, false);
+      add_recorded_job (owner, "a", "advised", step, &progress);
+      fl_core_set_jobs_known (owner->core);
+      while (owner->start_orders->len == 0 && owner->now_ms < end_ms + 2000)
+        {
+          int queries = owner->query_count;
+          owner->now_ms += STEP_MS;
+          if (fl_core_prepare_heartbeat (owner->core, &sound, owner->now_ms, &order))
+            deliver_report (
+                owner, sound.data,
+                (struct fl_target_report){ .booted_at_ms = 1, .clock_ms = owner->now_ms });
+          fl_core_tick (owner->core, owner->now_ms, owner->now_ms);
+          store_records (owner);
+          if (owner->query_count == queries)
+            continue;
+          queried_ms = queried_ms > 0 ? queried_ms : owner->now_ms;
+          advise (owner);
+        }
+      printf ("%s: queried %d ms before the end of the wait, started %d ms after\n", cases[i].name,
+              (int)(end_ms - queried_ms), (int)(owner->now_ms - end_ms));
+      assert_int_equal (owner->start_orders->len, 1);
+      assert_in_range (owner->now_ms, end_ms, end_ms + 4 * STEP_MS);
+      if (cases[i].is_ahead)
+        assert_in_range (queried_ms, end_ms - 1200, end_ms - 1000);
+      else
+        assert_true (queried_ms >= end_ms);
+      fixture_free (owner);
+    }
+}
+
 int
 main (void)
 {
@@ -1040,6 +1125,7 @@
     cmocka_unit_test (test_preferences_give_way),
     cmocka_unit_test (test_query_about_an_overdue_step),
     cmocka_unit_test (test_advice_beside_other_queries),
+    cmocka_unit_test (test_advice_before_the_wait_ends),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
