--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -734,17 +734,13 @@
   /* Reports are needed as soon as the jobs are known: no heartbeat then waits for an end. */
   order->wait_ms = core->jobs_known && target->is_fenced ? heartbeat_wait_ms (target) : 0;
   target->heartbeat_wait_ms = order->wait_ms;
-  target->renewed_by_ms = now_ms + heartbeat_delay_ms (target);
+  target->renewed_by_ms = MAX (target->renewed_by_ms, now_ms + heartbeat_delay_ms (target));
   core_target_extend_lease (target, now_ms, lease_ms);
   /* What another boot may run gets the longest lease, by a clock on which the deadline is far
    * ahead.
    */
   if (!boot_is_valid || target->report_was_slow || target->is_unreconciled)
     core_target_extend_lease (target, target->renewed_by_ms, core->options.target_lease_max_ms);
-  /* This heartbeat renews the leases of runs that an earlier owner started, and its reply, which
-   * would list them, may be lost. */
-  if (target->is_unreconciled)
-    core->reconciled_at_ms = MAX (core->reconciled_at_ms, target->lease_expires_at_ms);
   return true;
 }
 
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -100,16 +100,16 @@
   /* Its boot has received a heartbeat with @fencing_token, so that it rejects what was sent to
    * earlier boots. */
   bool is_fenced;
-  bool is_evacuated;           /* its failure domain is */
-  int64_t fencing_token;       /* of the orders to it; raised for each boot */
-  bool shares_token;           /* no token was left for its boot: it has that of an earlier one */
-  int64_t token_raised_at_ms;  /* heartbeats sent before this time carried a lower token */
-  int64_t clock_ms;            /* its clock at clock_at_ms */
-  int64_t clock_at_ms;         /* when clock_ms was reported; 0 while its clock is unknown */
-  int64_t clock_offset_ms;     /* from its clock to ours, by the fastest reply */
-  int64_t leaves_at_ms;        /* earliest time at which a draining target leaves */
-  int64_t lease_expires_at_ms; /* latest end of the leases of its runs, unless renewed */
-  int64_t renewed_by_ms; /* when the last heartbeat with a deadline has left, but for margins */
+  bool is_evacuated;            /* its failure domain is */
+  int64_t fencing_token;        /* of the orders to it; raised for each boot */
+  bool shares_token;            /* no token was left for its boot: it has that of an earlier one */
+  int64_t token_raised_at_ms;   /* heartbeats sent before this time carried a lower token */
+  int64_t clock_ms;             /* its clock at clock_at_ms */
+  int64_t clock_at_ms;          /* when clock_ms was reported; 0 while its clock is unknown */
+  int64_t clock_offset_ms;      /* from its clock to ours, by the fastest reply */
+  int64_t leaves_at_ms;         /* earliest time at which a draining target leaves */
+  int64_t lease_expires_at_ms;  /* latest end of the leases of its runs, unless renewed */
+  int64_t renewed_by_ms;        /* when the last order with a deadline has left, but for margins */
   int64_t last_heartbeat_at_ms; /* when the last heartbeat ended, with or without a reply */
   int64_t heartbeat_wait_ms;    /* wait that the last heartbeat permitted */
   int64_t heartbeat_limit_ms;   /* its reply_limit_ms */
@@ -176,17 +176,18 @@
   struct core_target *target;
   int64_t number;
   enum core_run_state state;
-  int64_t confirmed_at_ms;     /* when the target confirmed the last order; 0 if it has not */
-  int64_t last_order_at_ms;    /* when the last order was sent */
-  int64_t started_at_ms;       /* when the last start order was sent; 0 for an adopted run */
-  int64_t sent_by_ms;          /* no start order is sent later than the usual limit after this */
-  int64_t earlier_sent_by_ms;  /* the same for all but the last one */
-  int64_t first_ordered_at_ms; /* when the first start order was sent, or the run was adopted */
-  int64_t fencing_token;       /* of its target at the last start order, or when it was adopted */
-  int inconclusive_starts;     /* start orders whose effect is unknown */
-  bool order_in_flight;        /* the last order has no reply yet */
-  bool listed;                 /* the last reply of the target listed it */
-  bool ever_listed;            /* some reply of the target listed it, so that its boot is known */
+  int64_t confirmed_at_ms;      /* when the target confirmed the last order; 0 if it has not */
+  int64_t last_order_at_ms;     /* when the last order was sent */
+  int64_t started_at_ms;        /* when the last start order was sent; 0 for an adopted run */
+  int64_t sent_by_ms;           /* no start order is sent later than the usual limit after this */
+  int64_t earlier_sent_by_ms;   /* the same for all but the last one */
+  int64_t target_renewed_by_ms; /* renewed_by_ms of the target before the last one */
+  int64_t first_ordered_at_ms;  /* when the first start order was sent, or the run was adopted */
+  int64_t fencing_token;        /* of its target at the last start order, or when it was adopted */
+  int inconclusive_starts;      /* start orders whose effect is unknown */
+  bool order_in_flight;         /* the last order has no reply yet */
+  bool listed;                  /* the last reply of the target listed it */
+  bool ever_listed;             /* some reply of the target listed it, so that its boot is known */
   int64_t last_listed_ms; /* when the last heartbeat whose reply listed it was sent; 0 for none */
   int64_t listed_at_ms;   /* when the last reply that listed it was handled; 0 for none */
   int64_t
--- a/lib/core/room.c
+++ b/lib/core/room.c
@@ -74,7 +74,7 @@
     return CORE_TARGET_NOT_REPORTED;
   if (target->silent)
     return CORE_TARGET_SILENT;
-  if (!target->is_fenced || target->shares_token)
+  if (!target->is_fenced || target->shares_token || target->clock_went_back_at_ms > 0)
     return CORE_TARGET_NOT_FENCED;
   if (!entry_is_of_present_boot (target))
     return CORE_TARGET_OTHER_BOOT;
--- a/lib/core/runs.c
+++ b/lib/core/runs.c
@@ -229,6 +229,8 @@
     }
   run->progressed_at_ms = core->now_ms;
   target->next_expiry_check_ms = 0;
+  run->target_renewed_by_ms = target->renewed_by_ms;
+  target->renewed_by_ms = MAX (target->renewed_by_ms, run->sent_by_ms + START_WAIT_MS);
   core_target_extend_lease (target, core->now_ms, start_lease_ms (target, deadline_ms));
   if (!job->started)
     {
@@ -372,11 +374,11 @@
   return options->earlier_orders_end_ms + options->target_lease_max_ms * CORE_EXPIRY_PERCENT / 100;
 }
 
-/* The time by which a lease that the start of @run or a later heartbeat gave has certainly expired,
- * in whatever boot they arrived. In a boot that began after the last reply, a deadline by the clock
- * of the previous boot may be far ahead, so that the target grants the longest lease. A start may
- * wait for a connection until its limit. Of the usual limit, the margins of a lease cover all but
- * START_WAIT_MS. */
+/* The time by which a lease that the start of @run or a later order to its target gave has
+ * certainly expired, in whatever boot they arrived. In a boot that began after the last reply, a
+ * deadline by the clock of the previous boot may be far ahead, so that the target grants the
+ * longest lease to all that runs there. A start may wait for a connection until its limit. Of the
+ * usual limit, the margins of a lease cover all but START_WAIT_MS. */
 static int64_t
 longest_lease_expiry_ms (const struct core_run *run)
 {
@@ -390,7 +392,12 @@
 void
 core_target_extend_lease (struct core_target *target, int64_t from_ms, int64_t lease_ms)
 {
+  struct fl_core *core = target->core;
+
   target->lease_expires_at_ms = MAX (target->lease_expires_at_ms, lease_end_ms (from_ms, lease_ms));
+  /* The lease may be of runs that an earlier owner started. */
+  if (target->is_unreconciled)
+    core->reconciled_at_ms = MAX (core->reconciled_at_ms, target->lease_expires_at_ms);
 }
 
 void
@@ -559,6 +566,16 @@
   return run;
 }
 
+/* The last start order of @run did not leave, so that it prolonged nothing on its target. */
+static void
+undo_renewal (const struct core_run *run)
+{
+  struct core_target *target = run->target;
+
+  if (target->renewed_by_ms == run->sent_by_ms + START_WAIT_MS)
+    target->renewed_by_ms = run->target_renewed_by_ms;
+}
+
 void
 fl_core_handle_start_reply (struct fl_core *core,
                             const struct fl_name *name,
@@ -581,6 +598,8 @@
     case FL_ORDER_FENCED: /* a successor owns the pool; the start may have taken effect */
       break;
     default:
+      if (result == FL_ORDER_NOT_SENT || result == FL_ORDER_NO_LISTENER)
+        undo_renewal (run);
       run->sent_by_ms = run->earlier_sent_by_ms;
       /* If an earlier attempt was inconclusive, its order may still take effect. */
       if (run->inconclusive_starts == 0)
--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -164,34 +164,111 @@
   assert_int_equal (failures, 0);
 }
 
-/* A start reached the next boot of its target, and then a heartbeat by the clock of the boot
+enum later_order
+{
+  LATER_HEARTBEAT,
+  LATER_START,
+  LATER_START_REJECTED,
+};
+
+/* Sends an order to "t1" @delay_ms after the first start. */
+static void
+send_later_order (struct fixture *fixture, enum later_order kind, int64_t delay_ms)
+{
+  struct fl_name id = fl_name_of ("t1");
+  struct fl_heartbeat_order heartbeat;
+
+  if (kind != LATER_HEARTBEAT)
+    assert_true (fl_core_prepare_heartbeat (fixture->core, &id, fixture->now_ms, &heartbeat));
+  tick_until_recorded (fixture, delay_ms);
+  if (kind == LATER_HEARTBEAT)
+    {
+      assert_true (fl_core_prepare_heartbeat (fixture->core, &id, fixture->now_ms, &heartbeat));
+      assert_true (heartbeat.deadline_ms > 0);
+      return;
+    }
+  add_job (fixture, "b", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 0);
+  assert_int_equal (fixture->start_orders->len, 2);
+  struct fl_name task = get_start_order (fixture, 1)->task;
+  fl_core_handle_start_reply (fixture->core, &task, 1,
+                              kind == LATER_START ? FL_ORDER_DONE : FL_ORDER_NO_CAPACITY,
+                              fixture->now_ms);
+}
+
+static bool
+is_started_again (const struct fixture *fixture, const struct fl_name *task)
+{
+  for (guint i = 1; i < fixture->start_orders->len; i++)
+    if (fl_name_eq (&get_start_order (fixture, i)->task, task))
+      return true;
+  return false;
+}
+
+/* A start reached the next boot of its target, and then another order by the clock of the boot
  * before, which prolonged the run; its lease was counted from the start. */
 static void
-test_heartbeat_after_a_start_in_a_new_boot (void **state)
+test_later_order_in_a_new_boot_keeps_the_longest_lease (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum later_order kind;
+    int64_t delay_ms;
+  } cases[] = {
+    { "heartbeat", LATER_HEARTBEAT, 350 },
+    { "start", LATER_START, 900 },
+    { "rejected start", LATER_START_REJECTED, 900 },
+  };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      add_target (fixture, "t1", 4, false);
+      deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+      add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+      tick_until_recorded (fixture, 0);
+      assert_int_equal (fixture->start_orders->len, 1);
+      confirm_start (fixture, 0);
+      struct fl_name task = get_start_order (fixture, 0)->task;
+      send_later_order (fixture, cases[i].kind, cases[i].delay_ms);
+      int64_t sent_ms = fixture->now_ms;
+      deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
+      add_target (fixture, "t2", 4, false);
+      while (!is_started_again (fixture, &task) && fixture->now_ms < sent_ms + 20000)
+        tick_until_recorded (fixture, 10);
+      /* 6 s on a clock that is 2 % slow. */
+      if (fixture->now_ms < sent_ms + 6120)
+        {
+          print_error ("%s: started again after %d ms, with a lease of up to 6120 ms\n",
+                       cases[i].name, (int)(fixture->now_ms - sent_ms));
+          failures++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* The clock in the reply to a start told of another boot, and further tasks were started there by
+ * the clock of the boot before. */
+static void
+test_no_start_by_a_clock_that_has_ended (void **state)
 {
   struct fixture *fixture = fixture_new (0);
   struct fl_name id = fl_name_of ("t1");
-  struct fl_heartbeat_order order;
 
   (void)state;
   add_target (fixture, "t1", 4, false);
   deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+  fl_core_handle_clock (fixture->core, &id, 20, fixture->now_ms);
   add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
-  tick_until_recorded (fixture, 0);
+  tick_until_recorded (fixture, 100);
+  assert_int_equal (fixture->start_orders->len, 0);
+  deliver_report (fixture, "t1", (struct fl_target_report){ .booted_at_ms = 1 });
+  tick_until_recorded (fixture, 10);
   assert_int_equal (fixture->start_orders->len, 1);
-  fixture->now_ms += 350;
-  assert_true (fl_core_prepare_heartbeat (fixture->core, &id, fixture->now_ms, &order));
-  assert_true (order.deadline_ms > 0);
-  int64_t sent_ms = fixture->now_ms;
-  confirm_start (fixture, 0);
-  deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
-  add_target (fixture, "t2", 4, false);
-  while (fixture->start_orders->len == 1 && fixture->now_ms < sent_ms + 20000)
-    tick_until_recorded (fixture, 10);
-  /* 6 s on a clock that is 2 % slow. */
-  if (fixture->now_ms < sent_ms + 6120)
-    fail_msg ("started again %d ms after a heartbeat that gave a lease of up to 6120 ms",
-              (int)(fixture->now_ms - sent_ms));
   fixture_free (fixture);
 }
 
@@ -352,7 +429,8 @@
           cmocka_unit_test (test_run_in_a_new_boot_keeps_the_longest_lease),
           cmocka_unit_test (test_order_for_the_previous_boot),
           cmocka_unit_test (test_late_start_in_a_new_boot_keeps_the_longest_lease),
-          cmocka_unit_test (test_heartbeat_after_a_start_in_a_new_boot),
+          cmocka_unit_test (test_later_order_in_a_new_boot_keeps_the_longest_lease),
+          cmocka_unit_test (test_no_start_by_a_clock_that_has_ended),
           cmocka_unit_test (test_absent_run_is_started_again),
           cmocka_unit_test (test_end_beyond_the_first_report) };
 
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -569,6 +569,55 @@
   assert_int_equal (failed, 0);
 }
 
+/* The first report fenced a boot whose leases late orders may have prolonged until then, or came
+ * from the next boot; tasks that may run there were started elsewhere by the bound for targets that
+ * were never heard. */
+static void
+test_target_that_fell_silent_before_the_jobs_were_known (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t second_boot; /* of its second report; 0 for none */
+  } cases[] = { { "heard once", 0 }, { "heard again in the next boot", 2 } };
+  int failures = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture_options options
+          = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER, .earlier_orders_end_ms = 100000 };
+      struct fixture *fixture = fixture_new_with (&options);
+      struct fl_name id = fl_name_of ("t1");
+      struct fl_job_target target = { fl_job_target_hash (&id) };
+      struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &target } };
+      fl_core_inherit_target (fixture->core, &id, &id);
+      add_entry (fixture, "t1", 4, false);
+      tick_until_recorded (fixture, 1300);
+      deliver_next_report (fixture, 1, NULL, 0);
+      if (cases[i].second_boot > 0)
+        deliver_next_report (fixture, cases[i].second_boot, NULL, 0);
+      int64_t heard_ms = fixture->now_ms;
+      tick_until_recorded (fixture, 500);
+      add_recorded_job (fixture, "a", "urgent",
+                        (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 }, &progress);
+      fl_core_set_jobs_known (fixture->core);
+      deliver_next_result (fixture, "t1", FL_ORDER_NO_REPLY);
+      add_target (fixture, "t2", 4, false);
+      while (fixture->start_orders->len == 0 && fixture->now_ms < heard_ms + 20000)
+        tick_until_recorded (fixture, 10);
+      /* 6 s on a clock that is 2 % slow. */
+      if (fixture->now_ms < heard_ms + 6120)
+        {
+          print_error ("%s: started %d ms after leases of up to 6120 ms\n", cases[i].name,
+                       (int)(fixture->now_ms - heard_ms));
+          failures++;
+        }
+      fixture_free (fixture);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* --- a restart that only the clock tells --- */
 
 /* A target restarted within 20 ms and ended a run at once. The next heartbeat acknowledged this end
@@ -725,6 +774,7 @@
     cmocka_unit_test (test_deadline_of_an_earlier_boot_that_left_the_registry),
     cmocka_unit_test (test_deadline_of_an_earlier_boot_by_an_earlier_owner),
     cmocka_unit_test (test_targets_reborn_and_cut_off_as_their_owner_ends),
+    cmocka_unit_test (test_target_that_fell_silent_before_the_jobs_were_known),
     cmocka_unit_test (test_end_in_a_boot_that_only_its_clock_tells),
     cmocka_unit_test (test_report_overtaken_by_a_reply_of_the_next_boot),
     cmocka_unit_test (test_capacity_of_an_earlier_boot),
