Pool: an owner whose tokens for a target are nearly used up begins a new term

What callers saw: LOST. Cause: an owner has 100 fencing tokens (versions before rely on it) and raises that of a target at each of its boots. With the last one, shares_token keeps the target from all tasks, and nothing made the owner get new tokens. Change: the core tells when a target has ten tokens left. 60 s after its term began or later, the owner writes the pool row with the token + 100 and the lease row in one transaction, on condition that the pool row is unchanged. The old term goes on until the store confirms it; then the new one begins as after a release. An unknown outcome leaves the old term in force; if it was applied, the next renewal conflicts, and a read finds the pool row of this process. A stop meanwhile releases the pool after that reply. Why it works: a successor of any version sees the row of an ordinary owner; records and run numbers follow from the new token as after any change of owner; orders of the old term have lower tokens. Such an order may still wait for a connection (2 s at most) and leave in the new term, as the permit of the host says nothing of the term; leases that it may give count from then, so that silent targets are waited for 2 s longer than after a release.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -45,6 +45,9 @@
 #define HEARTBEAT_WAIT_URGENT_MS 300
 /* The same for a target with a watched run, which gets no other task until it is listed. */
 #define HEARTBEAT_WAIT_WATCHED_MS 100
+/* Tokens of a target that are left when a new term is due. The call that begins it may fail twice,
+ * each time 5 s before the next one, until a target that restarts each second has none left. */
+#define TOKENS_SPARE 10
 
 /* --- creation --- */
 
@@ -318,6 +321,16 @@
   return core->options.fencing_token + FL_FENCING_TOKENS_PER_OWNER - 1;
 }
 
+/* Notes that @target has the fencing token that it has now. */
+static void
+note_token (const struct core_target *target)
+{
+  struct fl_core *core = target->core;
+
+  if (target->fencing_token > last_token (core) - TOKENS_SPARE)
+    core->is_short_of_tokens = true;
+}
+
 /* Sets the fencing token of @target, a new one. A target may come back under the id of one that was
  * removed. Its boot is another one then, and the reply to a heartbeat that was sent before may be
  * taken for that of the next one. */
@@ -330,6 +343,7 @@
   target->fencing_token = next != NULL ? *next : core->options.fencing_token;
   target->token_raised_at_ms = next != NULL ? core->now_ms + 1 : INT64_MIN;
   target->shares_token = next != NULL && *next == last_token (core);
+  note_token (target);
 }
 
 static int64_t
@@ -344,7 +358,7 @@
   struct fl_core *core = target->core;
   int64_t token = next_token (target);
 
-  /* Until another host owns the pool, the target then gets no tasks any more. */
+  /* Until the next term, the target then gets no tasks any more. */
   target->shares_token = token == target->fencing_token;
   if (target->shares_token)
     fl_log (core->options.log, FL_LOG_WARNING, "fencing_tokens_used_up",
@@ -352,6 +366,13 @@
   target->is_fenced = false;
   target->fencing_token = token;
   target->token_raised_at_ms = core->now_ms;
+  note_token (target);
+}
+
+bool
+fl_core_is_short_of_tokens (const struct fl_core *core)
+{
+  return core->is_short_of_tokens;
 }
 
 bool
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -220,6 +220,10 @@
                                    struct fl_heartbeat_order *orders,
                                    size_t max);
 
+/* Whether a target has nearly used up the fencing tokens of this owner, or has: one whose tokens
+ * are used up gets no tasks, so that a new term is due. */
+bool fl_core_is_short_of_tokens (const struct fl_core *core);
+
 size_t fl_core_target_count (const struct fl_core *core);
 
 /* Ids (const struct fl_name *) of all known targets and of the registry entries that cannot be
--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -513,6 +513,7 @@
   struct fl_configuration *configuration; /* NULL before the first fl_core_configure */
   GHashTable *targets;                    /* id -> struct core_target */
   GHashTable *unreadable_entries;         /* ids of registry entries that cannot be read */
+  bool is_short_of_tokens;                /* see fl_core_is_short_of_tokens */
   GHashTable *next_tokens;                /* id of a removed target -> its next fencing token */
   GHashTable *jobs;                       /* id -> struct core_job */
   GHashTable *finished_jobs;              /* ids of jobs whose final state is recorded */
--- a/lib/poold/ownership.c
+++ b/lib/poold/ownership.c
@@ -109,7 +109,9 @@
 /* An acquisition that was sent. */
 struct attempt
 {
-  int64_t token; /* 0 if there is none, or if this host has become owner with it */
+  /* 0 if there is none, or if this host has become owner with it. An owner has one while it may
+   * have begun a new term without knowing it. */
+  int64_t token;
   struct fl_name previous;
   bool previous_owner_may_be_active; /* another host owned the pool and had not released it */
   int64_t earlier_heartbeats_end_ms; /* until then, earlier owners may have sent heartbeats */
@@ -141,16 +143,18 @@
   int failed_reads;                 /* since then */
   int64_t first_read_ms;            /* when the first read since then was sent; 0 for none */
   int64_t lease_seen_renewed_ms;    /* last read that showed a change of the lease; 0 for none */
+  bool new_term_in_flight;          /* a call that begins a new term waits for its reply */
+  bool release_follows_new_term;    /* the release is sent after that reply */
   bool release_repeated;
   void (*release_done) (void *context);
   void *release_done_context;
 };
 
-/* A renewal in flight. */
+/* A renewal, or a call that begins a new term, in flight. */
 struct renewal
 {
   struct fl_ownership *ownership;
-  int64_t token;
+  int64_t token; /* of the term in which it was sent */
   int64_t sent_ms;
 };
 
@@ -250,21 +254,41 @@
   renew_lease (ownership);
 }
 
+/* The present term ends, and that of ownership->attempt, which this host has sent as owner, follows
+ * it. Orders of the former may still wait for a connection, and leave in the latter. */
+static void
+pass_to_attempt (struct fl_ownership *ownership)
+{
+  struct attempt *attempt = &ownership->attempt;
+
+  attempt->previous = ownership->options.host;
+  attempt->previous_owner_may_be_active = false;
+  attempt->earlier_heartbeats_end_ms
+      = MAX (attempt->earlier_heartbeats_end_ms, now_ms (ownership) + FL_REPLY_MAX_MS);
+  ownership->token = attempt->token;
+  ownership->acquired_ms = 0;
+}
+
 static void
 become_standby (struct fl_ownership *ownership)
 {
   bool was_owner = ownership->state == OWNER;
+  bool may_own = was_owner && ownership->attempt.token > 0;
 
   fl_log (ownership->options.log, FL_LOG_NOTICE, "pool_lost", FL_I ("token", ownership->token));
   ownership->state = STANDBY;
   ownership->period++;
-  ownership->attempt.token = 0;
+  if (may_own)
+    pass_to_attempt (ownership);
+  else
+    ownership->attempt.token = 0;
   ownership->authority_until_ms = 0;
   ownership->lease_unchanged_since_ms = 0;
   ownership->seen_lease_version = 0;
   ownership->calls_in_flight = 0;
   ownership->first_read_ms = 0;
-  schedule_call (ownership, STANDBY_POLL_MS);
+  /* The pool may be lost to a new term of this host, which the next read shows. */
+  schedule_call (ownership, may_own ? 0 : STANDBY_POLL_MS);
   if (was_owner)
     ownership->options.on_lost (ownership->options.context);
 }
@@ -321,6 +345,77 @@
   write_lease (ownership, false, RENEWAL_TIMEOUT_MS, on_renewal_reply, renewal);
 }
 
+/* --- new terms of the owner --- */
+
+/* The fencing token of the owner that follows the one with @token; 0 for none. */
+static int64_t
+next_owner_token (int64_t token)
+{
+  return token > 0 ? token + FL_FENCING_TOKENS_PER_OWNER : 1;
+}
+
+/* Ends the present term and begins the next one by a call that was sent at @sent_ms and applied. */
+static void
+change_term (struct fl_ownership *ownership, int64_t version, int64_t sent_ms)
+{
+  ownership->options.on_lost (ownership->options.context);
+  pass_to_attempt (ownership);
+  become_owner (ownership, version, sent_ms);
+}
+
+static void
+on_new_term_reply (void *context, const struct fl_store_reply *reply)
+{
+  g_autofree struct renewal *call = context;
+  struct fl_ownership *ownership = call->ownership;
+  bool is_applied = reply->status == FL_STORE_OK;
+
+  ownership->new_term_in_flight = false;
+  if (ownership->release_follows_new_term)
+    {
+      if (is_applied)
+        ownership->pool_version = reply->version;
+      write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
+    }
+  if (ownership->state != OWNER || call->token != ownership->token)
+    return;
+  if (is_applied && now_ms (ownership) < call->sent_ms + LEASE_MS)
+    change_term (ownership, reply->version, call->sent_ms);
+  else if (is_applied || reply->status == FL_STORE_CONFLICT)
+    become_standby (ownership);
+  else /* If it was applied all the same, or will be, the next renewal fails. */
+    fl_log_error (ownership->options.log, FL_LOG_WARNING, "new_term_failed", &reply->error);
+}
+
+void
+fl_ownership_begin_new_term (struct fl_ownership *ownership)
+{
+  struct owner_row row = { ownership->options.host, ownership->incarnation, 0 };
+  const struct fl_store *store = ownership->options.store;
+
+  if (!fl_ownership_has_authority (ownership) || fl_ownership_is_at_risk (ownership)
+      || ownership->new_term_in_flight)
+    return;
+  row.token = next_owner_token (ownership->token);
+  /* No other host has acquired the pool while its row is unchanged, whatever the lease row says. */
+  struct fl_store_condition condition = fl_ownership_get_write_condition (ownership);
+  struct fl_str owner = fl_record_encode (&owner_schema, &row);
+  struct lease_row young = { 0, false };
+  struct fl_str lease = fl_record_encode (&lease_schema, &young);
+  struct fl_store_write writes[]
+      = { make_row_write (FL_OWNER_POOL_KEY, &owner), make_row_write (FL_OWNER_LEASE_KEY, &lease) };
+  struct fl_store_transaction transaction = { &condition, 1, writes, 2 };
+  struct renewal *call = g_new0 (struct renewal, 1);
+
+  *call = (struct renewal){ ownership, ownership->token, now_ms (ownership) };
+  fl_log (ownership->options.log, FL_LOG_NOTICE, "new_term_requested", FL_I ("token", row.token));
+  ownership->attempt.token = row.token;
+  ownership->new_term_in_flight = true;
+  store->transact (store->context, &transaction, RENEWAL_TIMEOUT_MS, on_new_term_reply, call);
+  fl_str_clear (&owner);
+  fl_str_clear (&lease);
+}
+
 /* --- standby --- */
 
 /* Decodes the pool row and the lease row.
@@ -481,13 +576,6 @@
   return seen_ms;
 }
 
-/* The fencing token of the owner that follows the one with @token; 0 for none. */
-static int64_t
-next_owner_token (int64_t token)
-{
-  return token > 0 ? token + FL_FENCING_TOKENS_PER_OWNER : 1;
-}
-
 static void
 acquire_pool (struct fl_ownership *ownership, bool previous_owner_may_be_active)
 {
@@ -707,12 +795,13 @@
   ownership->release_done = done;
   ownership->release_done_context = context;
   ownership->authority_until_ms = 0;
+  /* What a pending acquisition changed is released with the pool, whatever its reply says. */
   if (owned)
-    {
-      /* What this acquisition changed is released now, whatever its reply says. */
-      ownership->pending_acquisition = 0;
-      write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
-    }
+    ownership->pending_acquisition = 0;
+  if (owned && ownership->new_term_in_flight)
+    ownership->release_follows_new_term = true;
+  else if (owned)
+    write_lease (ownership, true, RELEASE_TIMEOUT_MS, on_release_reply, ownership);
   else if (ownership->pending_acquisition == 0)
     done (context);
 }
--- a/lib/poold/ownership.h
+++ b/lib/poold/ownership.h
@@ -28,7 +28,8 @@
                        int64_t token,
                        int64_t version,
                        bool previous_owner_may_be_active);
-  /* Another host owns the pool now. */
+  /* Another host owns the pool now, or a new term of this host begins: while this host still has
+   * authority, before on_acquired, or it has begun without its knowledge. */
   void (*on_lost) (void *context);
   void *context;
 };
@@ -51,6 +52,12 @@
 /* Records that a target has seen a higher fencing token: another host has acquired the pool. */
 void fl_ownership_mark_superseded (struct fl_ownership *ownership);
 
+/* Acquires the pool anew for this host, which owns it, with the tokens of the next owner. The
+ * present term goes on until the store has confirmed that: then on_lost and on_acquired are called.
+ * Without effect if this host may be about to lose the pool, or while an earlier call has no reply;
+ * a call that fails leaves this host owner. */
+void fl_ownership_begin_new_term (struct fl_ownership *ownership);
+
 /* Releases the pool and stops competing for it; if an acquisition is in flight, releases what it
  * acquires. Calls @done when the store has replied or the call has timed out; at once when this
  * host neither owns nor acquires the pool. */
--- a/lib/poold/poold.c
+++ b/lib/poold/poold.c
@@ -22,6 +22,13 @@
 /* A longer time between two ticks tells that the process was suspended. */
 #define SUSPENSION_MIN_MS (3 * FL_TICK_INTERVAL_MAX_MS / 2)
 
+/* From the beginning of a term until this host may begin another one for its tokens, which costs
+ * the time to read the jobs. A target that restarts more than a hundred times meanwhile gets no
+ * tasks for the rest of it. */
+#define NEW_TERM_INTERVAL_MS 60000
+/* After a call that may have failed. */
+#define NEW_TERM_RETRY_MS 5000
+
 /* --- configuration --- */
 
 static void
@@ -72,6 +79,7 @@
 {
   struct fl_poold *poold = context;
 
+  poold->new_term_at_ms = fl_clock_boot_ms () + NEW_TERM_INTERVAL_MS;
   fl_stats_set (poold->host->stats, "pool_owned", 1);
   fl_configuration_watch_start (
       &poold->watch, poold->host,
@@ -95,7 +103,25 @@
 static void
 on_lost (void *context)
 {
-  end_term (context);
+  struct fl_poold *poold = context;
+
+  /* Before a new term of this host, starts leave now or never. */
+  if (fl_ownership_has_authority (poold->ownership))
+    fl_forwarder_flush (poold->forwarder);
+  end_term (poold);
+}
+
+/* Begins a new term if a target has nearly used up the fencing tokens of this one. */
+static void
+renew_tokens (struct fl_poold *poold)
+{
+  int64_t now_ms = fl_clock_boot_ms ();
+
+  if (poold->term == NULL || !poold->term->jobs_read || now_ms < poold->new_term_at_ms
+      || !fl_core_is_short_of_tokens (poold->term->core))
+    return;
+  poold->new_term_at_ms = now_ms + NEW_TERM_RETRY_MS;
+  fl_ownership_begin_new_term (poold->ownership);
 }
 
 bool
@@ -174,6 +200,7 @@
   fl_ownership_tick (poold->ownership);
   if (poold->term != NULL)
     fl_term_tick (poold->term);
+  renew_tokens (poold);
   fl_tick_pace_add (&poold->tick_pace, fl_clock_monotonic_us () - started_us);
 }
 
--- a/lib/poold/poold_internal.h
+++ b/lib/poold/poold_internal.h
@@ -63,7 +63,8 @@
   struct fl_ownership *ownership;
   struct fl_advisors *advisors;
   struct fl_configuration_watch watch;
-  struct fl_term *term; /* NULL while another host owns the pool */
+  struct fl_term *term;   /* NULL while another host owns the pool */
+  int64_t new_term_at_ms; /* before, this host begins no new term for its tokens */
   struct fl_stop_signals signals;
   ev_timer tick_timer;
   ev_timer early_tick_timer; /* the next tick, when the last one was too recent */
--- a/tests/support_ownership.c
+++ b/tests/support_ownership.c
@@ -65,6 +65,7 @@
   guint first_open_call; /* all calls before this index are done */
   int call_count;
   int call_faults_left[8]; /* by index of options->call_faults */
+  int64_t new_term_sent_ms;
 };
 
 static void
@@ -305,6 +306,10 @@
     record_violation (simulation, "the fencing token did not increase by those of one owner");
   if (version != simulation->pool.version)
     record_violation (simulation, "the version is not that of the pool row");
+  if (simulation->options->new_term_from_ms > 0
+      && simulation->now_ms >= simulation->options->new_term_from_ms && number > 1
+      && simulation->result->acquisitions[number - 1].host == host->index)
+    simulation->result->new_terms++;
   simulation->result->last_acquisition = number;
   if (number < ELECTION_ACQUISITIONS_MAX)
     simulation->result->acquisitions[number]
@@ -433,6 +438,22 @@
   g_free (call);
 }
 
+/* Lets host 0 begin a new term, again after a call that failed, until one has begun. */
+static void
+begin_new_term (struct simulation *simulation)
+{
+  struct host *host = &simulation->hosts[0];
+  int64_t from_ms = simulation->options->new_term_from_ms;
+
+  if (from_ms == 0 || simulation->now_ms < from_ms || host->ownership == NULL
+      || host->paused_until_ms > simulation->now_ms
+      || simulation->now_ms < simulation->new_term_sent_ms + ELECTION_NEW_TERM_RETRY_MS
+      || simulation->result->new_terms > 0 || !fl_ownership_has_authority (host->ownership))
+    return;
+  simulation->new_term_sent_ms = simulation->now_ms;
+  fl_ownership_begin_new_term (host->ownership);
+}
+
 /* An owner sends heartbeats while it has authority and for some time after that. */
 static void
 record_heartbeats (struct simulation *simulation)
@@ -456,6 +477,7 @@
     if (simulation->hosts[i].ownership != NULL
         && simulation->hosts[i].paused_until_ms <= simulation->now_ms)
       fl_ownership_tick (simulation->hosts[i].ownership);
+  begin_new_term (simulation);
   record_heartbeats (simulation);
   if (count_hosts_with_authority (simulation) > 0)
     simulation->result->authority_ms += TICK_INTERVAL_MS;
--- a/tests/support_ownership.h
+++ b/tests/support_ownership.h
@@ -10,6 +10,7 @@
 #define ELECTION_HOSTS_MAX 4
 #define ELECTION_ACQUISITIONS_MAX 64
 #define ELECTION_REPLY_DELAY_MS 10
+#define ELECTION_NEW_TERM_RETRY_MS 2000
 /* Lease that a heartbeat gives a target. */
 #define ELECTION_TARGET_LEASE_MS 4500
 #define ELECTION_TARGET_LEASE_MAX_MS 6000
@@ -83,6 +84,7 @@
   int64_t reply_delay_ms;                        /* of all calls; 0 for ELECTION_REPLY_DELAY_MS */
   int64_t acquire_delays_ms[ELECTION_HOSTS_MAX]; /* see struct fl_ownership_options */
   int clock_errors[ELECTION_HOSTS_MAX];          /* of the hosts' clocks, in thousandths */
+  int64_t new_term_from_ms; /* from then on, host 0 begins one new term as owner; 0 for none */
 };
 
 struct acquisition
@@ -101,6 +103,7 @@
   int with_authority;       /* hosts that have authority in the end */
   int64_t authority_ms;     /* for how long in all a host has had authority */
   int64_t last_loss_ms;     /* when a host last lost the pool; 0 for never */
+  int new_terms;            /* acquisitions by the host that owned the pool before */
   struct acquisition acquisitions[ELECTION_ACQUISITIONS_MAX]; /* by number; at_ms is 0 for none */
   int64_t last_heartbeat_ms[ELECTION_HOSTS_MAX];      /* when an owner last sent heartbeats */
   int calls[ELECTION_HOSTS_MAX][ELECTION_CALL_TYPES]; /* sent */
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -223,6 +223,47 @@
   fixture_free (fixture);
 }
 
+/* A target that had restarted a hundred times got no tasks until another host owned the pool, since
+ * nothing told that a new term was due. */
+static void
+test_tokens_nearly_used_up (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int restarts;
+    bool leaves; /* and comes back at each restart */
+    bool is_short;
+  } cases[] = {
+    { "no restart", 0, false, false },
+    { "89 restarts", 89, false, false },
+    { "90 restarts", 90, false, true },
+    { "more than it has tokens", 2 * FL_FENCING_TOKENS_PER_OWNER, false, true },
+    { "leaves 89 times", 89, true, false },
+    { "leaves 90 times", 90, true, true },
+  };
+  struct fl_name id = fl_name_of ("t1");
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture *fixture = fixture_new (0);
+      add_target (fixture, "t1", 4, false);
+      add_target (fixture, "t2", 4, false);
+      for (int j = 0; j < cases[i].restarts; j++)
+        if (cases[i].leaves)
+          {
+            fl_core_remove_target (fixture->core, &id);
+            add_entry (fixture, "t1", 4, false);
+          }
+        else
+          deliver_next_report (fixture, j + 2, NULL, 0);
+      if (fl_core_is_short_of_tokens (fixture->core) != cases[i].is_short)
+        fail_msg ("%s: token %d", cases[i].name, (int)prepare_heartbeat (fixture).fencing_token);
+      fixture_free (fixture);
+    }
+}
+
 /* Once the tokens were used up, a boot counted as fenced though it has the token of the one before.
  */
 static void
@@ -695,6 +736,7 @@
     cmocka_unit_test (test_unlisted_run_of_earlier_boot),
     cmocka_unit_test (test_rejection_of_an_earlier_token),
     cmocka_unit_test (test_tokens_of_an_owner_are_limited),
+    cmocka_unit_test (test_tokens_nearly_used_up),
     cmocka_unit_test (test_boot_without_a_token_of_its_own),
     cmocka_unit_test (test_token_after_address_takeover),
     cmocka_unit_test (test_repeated_address_takeover_uses_up_tokens),
--- a/tests/test_ownership_faults.c
+++ b/tests/test_ownership_faults.c
@@ -253,6 +253,77 @@
   assert_int_equal (failures, 0);
 }
 
+/* --- a new term of the owner --- */
+
+#define NEW_TERM_MS 3000
+
+/* Runs an election of two hosts in which host 0 begins a new term, with @fault of its calls. */
+static void
+simulate_new_term (const struct call_fault *fault, struct election_result *result)
+{
+  const struct election_options options = { .host_count = 2,
+                                            .duration_ms = 12000,
+                                            .call_faults = fault,
+                                            .call_fault_count = fault != NULL ? 1 : 0,
+                                            .new_term_from_ms = NEW_TERM_MS };
+
+  election_simulate (&options, result);
+  assert_string_equal (result->violation, "");
+  assert_int_equal (result->with_authority, 1);
+}
+
+/* An owner got new fencing tokens only after another host had owned the pool. Without a fault, it
+ * always has authority meanwhile, and the new term counts orders of the old one as on their way for
+ * as long as they may wait for a connection. */
+static void
+test_new_term (void **state)
+{
+  struct election_result result;
+
+  (void)state;
+  simulate_new_term (NULL, &result);
+  const struct acquisition *first = &result.acquisitions[1];
+  const struct acquisition *second = &result.acquisitions[2];
+  assert_int_equal (result.last_acquisition, 2);
+  assert_int_equal (first->host, 0);
+  assert_int_equal (second->host, 0);
+  assert_in_range (second->at_ms, NEW_TERM_MS, NEW_TERM_MS + 50);
+  assert_false (second->previous_owner_may_be_active);
+  assert_true (second->reconciled_at_ms >= second->at_ms + 2000 + ELECTION_TARGET_LEASE_MAX_MS);
+  assert_true (result.authority_ms >= 12000 - first->at_ms - 25);
+}
+
+/* Whatever happens to the call that begins the new term, and to the calls around it, the new term
+ * begins, the owner stays the same unless it cannot know that it is the owner, and does so for a
+ * known time. */
+static void
+test_new_term_with_faults (void **state)
+{
+  int64_t worst_ms = 0;
+  int other_owners = 0;
+
+  (void)state;
+  for (int kind = 0; kind < CALL_FAULT_KINDS; kind++)
+    for (int type = 0; type < ELECTION_CALL_TYPES; type++)
+      for (int64_t from_ms = NEW_TERM_MS - 500; from_ms <= NEW_TERM_MS + 500; from_ms += 25)
+        {
+          const struct call_fault fault
+              = { (enum fault_kind)kind, 0, (enum election_call)type, from_ms, 1 };
+          struct election_result result;
+          simulate_new_term (&fault, &result);
+          int64_t without_ms = 12000 - result.acquisitions[1].at_ms - result.authority_ms;
+          worst_ms = MAX (worst_ms, without_ms);
+          other_owners += result.acquisitions[result.last_acquisition].host != 0 ? 1 : 0;
+          if (result.new_terms != 1 || without_ms > 700)
+            fail_msg (
+                "%s, call type %d from %d ms: %d new terms, token %d, %d ms without authority",
+                fault_names[kind], type, (int)from_ms, result.new_terms,
+                (int)result.last_acquisition, (int)without_ms);
+        }
+  printf ("  new term with a fault: at most %d ms without authority\n", (int)worst_ms);
+  assert_int_equal (other_owners, 0);
+}
+
 /* Calls to the store are priced. */
 static void
 test_calls_without_faults (void **state)
@@ -282,6 +353,8 @@
     cmocka_unit_test (test_succession_without_other_faults),
     cmocka_unit_test (test_lost_renewals),
     cmocka_unit_test (test_replies_late_for_good),
+    cmocka_unit_test (test_new_term),
+    cmocka_unit_test (test_new_term_with_faults),
     cmocka_unit_test (test_calls_without_faults),
   };
 
--- a/tests/test_ownership_walk.c
+++ b/tests/test_ownership_walk.c
@@ -18,16 +18,23 @@
 /* Faults are injected into this many store calls from the start; later calls are like these. */
 #define FAULT_CALL_COUNT 36
 
+/* Some calls after the first acquisition, and among the calls with faults. */
+#define NEW_TERM_MS 1500
+#define NEW_TERM_CALL 10
+#define NEW_TERM_CALLS_NEAR 3
+#define NEW_TERM_INTERVAL (NEW_TERM_MS / ELECTION_FAULT_INTERVAL_MS)
+
 /* Runs one simulation with @faults and prints a violation with its faults.
  * @return the fencing token of the last acquisition, or 0 if there was a violation. */
 static int64_t
-simulate (const struct fault *faults, size_t count)
+simulate (const struct fault *faults, size_t count, int64_t new_term_from_ms)
 {
   const struct election_options options = {
     .host_count = HOST_COUNT,
     .duration_ms = SIMULATION_MS,
     .faults = faults,
     .fault_count = count,
+    .new_term_from_ms = new_term_from_ms,
   };
   struct election_result result;
 
@@ -64,6 +71,15 @@
   return faults;
 }
 
+static bool
+is_near_new_term (const struct fault *fault)
+{
+  int distance = fault->kind < CALL_FAULT_KINDS ? fault->position - NEW_TERM_CALL
+                                                : fault->position / HOST_COUNT - NEW_TERM_INTERVAL;
+
+  return ABS (distance) <= (fault->kind < CALL_FAULT_KINDS ? NEW_TERM_CALLS_NEAR : 1);
+}
+
 static void
 test_single_faults_and_pairs (void **state)
 {
@@ -72,13 +88,13 @@
   int runs = 0;
 
   (void)state;
-  assert_int_equal (simulate (NULL, 0), 1);
+  assert_int_equal (simulate (NULL, 0, 0), 1);
   for (guint i = 0; i < faults->len; i++)
     for (guint j = i; j < faults->len && failed < 5; j++)
       {
         struct fault pair[]
             = { g_array_index (faults, struct fault, i), g_array_index (faults, struct fault, j) };
-        failed += simulate (pair, 2) > 0 ? 0 : 1;
+        failed += simulate (pair, 2, 0) > 0 ? 0 : 1;
         runs++;
       }
   printf ("  ownership: %d runs of one or two faults\n", runs);
@@ -86,6 +102,32 @@
   assert_int_equal (failed, 0);
 }
 
+/* The same with a new term of host 0 amid the faults, if it owns the pool: every fault, and every
+ * pair with a fault near the call that begins the term. */
+static void
+test_new_term_with_faults (void **state)
+{
+  GArray *faults = enumerate_faults ();
+  int failed = 0;
+  int runs = 0;
+
+  (void)state;
+  assert_int_equal (simulate (NULL, 0, NEW_TERM_MS), 2);
+  for (guint i = 0; i < faults->len; i++)
+    for (guint j = i; j < faults->len && failed < 5; j++)
+      {
+        struct fault pair[]
+            = { g_array_index (faults, struct fault, i), g_array_index (faults, struct fault, j) };
+        if (!is_near_new_term (&pair[0]) && !is_near_new_term (&pair[1]))
+          continue;
+        failed += simulate (pair, 2, NEW_TERM_MS) > 0 ? 0 : 1;
+        runs++;
+      }
+  printf ("  ownership: %d runs of one or two faults and a new term\n", runs);
+  g_array_unref (faults);
+  assert_int_equal (failed, 0);
+}
+
 /* Both hosts lose the store for the same period: the owner stays the same. */
 static void
 test_outage_keeps_owner (void **state)
@@ -95,7 +137,7 @@
     {
       struct fault pair[] = { { HOST_ISOLATED, interval * HOST_COUNT },
                               { HOST_ISOLATED, interval * HOST_COUNT + 1 } };
-      assert_int_equal (simulate (pair, 2), 1);
+      assert_int_equal (simulate (pair, 2, 0), 1);
     }
 }
 
@@ -111,16 +153,17 @@
         struct fault faults[] = { { HOST_ISOLATED, interval * HOST_COUNT + isolated_longer },
                                   { HOST_ISOLATED, (interval + 1) * HOST_COUNT + isolated_longer },
                                   { HOST_ISOLATED, interval * HOST_COUNT + 1 - isolated_longer } };
-        assert_int_equal (simulate (faults, G_N_ELEMENTS (faults)), 1);
+        assert_int_equal (simulate (faults, G_N_ELEMENTS (faults), 0), 1);
       }
 }
 
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_single_faults_and_pairs),
-                                      cmocka_unit_test (test_outage_keeps_owner),
-                                      cmocka_unit_test (test_outage_ends_for_standby_first) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_single_faults_and_pairs),
+          cmocka_unit_test (test_new_term_with_faults), cmocka_unit_test (test_outage_keeps_owner),
+          cmocka_unit_test (test_outage_ends_for_standby_first) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_release.c
+++ b/tests/test_release.c
@@ -17,6 +17,8 @@
 {
   struct fl_store interface;
   bool holds_acquisition;
+  bool holds_new_term;       /* the second write */
+  int64_t condition_version; /* of the last write */
   void (*acquired) (void *context, const struct fl_store_reply *reply);
   void *acquired_context;
   const struct fl_store_reply *release_replies; /* the last one is repeated */
@@ -34,13 +36,14 @@
   struct stub_store *store = context;
   struct fl_store_reply acquired = { .status = FL_STORE_OK, .version = 1 };
 
-  (void)transaction;
   (void)timeout_ms;
-  if (store->writes++ == 0)
+  store->condition_version = transaction->conditions[0].version;
+  store->writes++;
+  if (store->writes == 1 || (store->writes == 2 && store->holds_new_term))
     {
       store->acquired = done;
       store->acquired_context = done_context;
-      if (!store->holds_acquisition)
+      if (store->writes == 1 && !store->holds_acquisition)
         done (done_context, &acquired);
     }
   else
@@ -195,12 +198,56 @@
     }
 }
 
+/* As above, for a host that begins a new term: the release has to name the row of that term, and
+ * may not be overtaken by it. */
+static void
+test_new_term_in_flight_is_released (void **state)
+{
+  static const struct fl_store_reply ok = { .status = FL_STORE_OK, .version = 2 };
+  static const struct fl_store_reply conflict = { .status = FL_STORE_CONFLICT };
+  static const struct fl_store_reply no_reply = { .status = FL_STORE_UNKNOWN };
+  const struct
+  {
+    const char *name;
+    const struct fl_store_reply *new_term;
+    int64_t released_version; /* expected */
+  } cases[] = {
+    { "begun", &ok, 2 },
+    { "not begun", &conflict, 1 },
+    { "no reply", &no_reply, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct stub_store store
+          = { .holds_new_term = true, .release_replies = &ok, .release_reply_count = 1 };
+      struct fl_ownership *ownership = ownership_new (&store);
+      int released = 0;
+      fl_ownership_tick (ownership);
+      fl_ownership_begin_new_term (ownership);
+      fl_ownership_begin_new_term (ownership);
+      assert_int_equal (store.writes, 2);
+      assert_true (fl_ownership_has_authority (ownership));
+      fl_ownership_release (ownership, on_released, &released);
+      assert_int_equal (store.writes, 2);
+      assert_int_equal (released, 0);
+      store.acquired (store.acquired_context, cases[i].new_term);
+      print_message ("%s: released version %d\n", cases[i].name, (int)store.condition_version);
+      assert_int_equal (store.writes, 3);
+      assert_int_equal (store.condition_version, cases[i].released_version);
+      assert_int_equal (released, 1);
+      fl_ownership_free (ownership);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_release_lost_with_its_connection),
     cmocka_unit_test (test_acquisition_in_flight_is_released),
+    cmocka_unit_test (test_new_term_in_flight_is_released),
   };
 
   return cmocka_run_group_tests_name ("release", tests, NULL, NULL);
