Soak: restarts of targets that are followed by a cut and the end of their owner

Cause: the phase "boots" had restarts and ends of owners, but neither so soon after the other, nor the same targets cut off for longer than leases last. Its stand-in targets took no deadline from starts that they rejected for their ticket. Lower seeds keep their courses.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -57,6 +57,8 @@
     for steps, fuse, step_options in [
         ([1], 10, {}), ([6], 10, {}), ([2, 3], 30, {}), ([3], 10, {"gang": True}),
         ([2], 10, {"longRunning": True}), ([1], 10, {"fills": True}), ([1], 450, {})]]
+# Played beside restarts that are followed by a cut: tasks that outlast most leases.
+LONG_KINDS = [job("rebuild", "/rebuild/", 1, [6], 9000, 500)]
 # Played by phases "memory": jobs that hold much of the memory of an owner, each kind with its number.
 # No target has room for their tasks.
 def large_job(steps, count, **options):
@@ -131,6 +133,9 @@
 # Lower seeds play no phase "boots" unless --phase names it, so that they keep the courses of the
 # time when they failed.
 FIRST_BOOTS_SEED = 1000
+# Lower seeds play no restarts that are followed by a cut, for the same reason.
+FIRST_REBORN_SEED = 12000
+REBORN_CUT_S = 9
 # Requests may be executed this long after they were sent, and so many of one restart are.
 LATE_ORDER_MAX_S, LATE_ORDERS_MAX = 12, 25
 CAPACITIES = [1000, 2000, 4000, 8000, 32000]  # of new boots, in thousandths of a core; else 16000
@@ -619,6 +624,27 @@
                 return
             time.sleep(0.1)
 
+    def restart_and_cut_off(self, _duration_s):
+        """Restarts the targets of a domain, or a share of all, under their ids, and soon cuts them
+        off for longer than leases last, while the owner stops or is killed."""
+        count = self.soak.options.targets
+        targets = self.random.choice([
+            range(self.random.randrange(len(DOMAINS)), count, len(DOMAINS)),
+            self.random.sample(range(count), self.random.randint(1, max(1, count // 2)))])
+        owner = self.owner()
+        with self.logged("reborn", "targets"):
+            for target in targets:
+                self.cell.control_target(target, "crash", self.random.randrange(50, 200))
+            time.sleep(0.1 + self.random.uniform(0.5, 1.3))
+            for target in targets:
+                self.cell.control_target(target, "cut", REBORN_CUT_S * 1000)
+            cut = time.monotonic()
+            if self.random.random() < 0.5:
+                self.restart(owner, "poold")
+            else:
+                self.kill(owner, "poold", 0.5)
+            time.sleep(max(0.0, cut + REBORN_CUT_S - time.monotonic()))
+
     def disrupt_advice(self, duration_s):
         """A share of the advice calls hang, lose their connections or are rejected."""
         share, hang_ms = self.random.uniform(0.2, 1.0), self.random.randrange(1000, 5000)
@@ -707,6 +733,7 @@
     PHASES = [("planned work", PLANNED_WORK, 1), ("planned work", PLANNED_WORK, 2),
               ("network", NETWORK, 2), ("owner", OWNER, 1), ("resets", RESETS, 1), ("all", ALL, 2), ("all", ALL, 3)]
     BOOT_PHASES = [("boots", BOOTS, 2), ("boots", BOOTS, 3), ("boots", BOOTS * 2 + ALL, 3)]
+    REBORN_PHASES = [("boots", [restart_and_cut_off], 1)]
     DEADLY = [resize_target] * 3 + [cut_or_crash, owner_and_targets, kill_owner, pause_owner,
                                     disrupt_target_proxies, disrupt_store, lose_store_replies]
     DEADLY_PHASES = [("deadly", [resize_target], 1), ("deadly", DEADLY, 1), ("deadly", DEADLY, 2)]
@@ -755,6 +782,7 @@
         self.plays_advice = phase == "advice"
         self.plays_deadly = phase == "deadly"
         self.plays_held = phase == "held"
+        self.plays_reborn = phase == "boots" and seed >= FIRST_REBORN_SEED
         hosts = options.hosts or (ADVICE_HOSTS if self.plays_advice
                                   else self.random.choice(HOST_COUNTS))
         self.cell = Cell(DOMAINS, options.targets, hosts, uses_store_proxies=True,
@@ -767,7 +795,8 @@
         self.load = LoadGenerator(self.cell, seed)
         self.clients = [Client(self.load, self.cell.hosts[i % hosts],
                                ADVICE_KINDS if self.plays_advice
-                               else JOB_KINDS + DEADLY_KINDS if self.plays_deadly else JOB_KINDS,
+                               else JOB_KINDS + DEADLY_KINDS if self.plays_deadly
+                               else JOB_KINDS + LONG_KINDS if self.plays_reborn else JOB_KINDS,
                                "%d client %d" % (seed, i),
                                ADVICE_THINK_S if self.plays_advice else options.think_s)
                         for i in range(options.clients)]
@@ -937,6 +966,8 @@
                 self.load.jobs[job_id].update(accepted_at=time.monotonic(), body=kind)
 
     def phases(self):
+        if self.plays_reborn:
+            return Faults.REBORN_PHASES
         has_boots = self.seed >= FIRST_BOOTS_SEED or self.phase
         return (Faults.PHASES + (Faults.BOOT_PHASES if has_boots else [])
                 + (Faults.ADVICE_PHASES if self.plays_advice else [])
--- a/tests/standin-targets.c
+++ b/tests/standin-targets.c
@@ -548,7 +548,7 @@
   if (strchr (order.task.data, '.') == NULL
       || !is_ticket_valid (target, &order.task,
                            json_string_value (json_object_get (json, "ticket"))))
-    return FL_ORDER_NO_TICKET;
+    return target_state_reject_start (&target->state, now_ms (), &order);
   return target_state_start_run (&target->state, now_ms (), &order,
                                  work_ms < 0 ? INT64_MAX : work_ms, fails);
 }
