--- a/tests/test_core_cell.c
+++ b/tests/test_core_cell.c
@@ -5,8 +5,9 @@
  *   test_core_cell lasting SEED COUNT [TASK]  simulates long-running jobs with bursts of faults
  *   test_core_cell few-eligible SEED COUNT [TASK]  the same with few eligible targets
  *   test_core_cell late-orders SEED COUNT [TASK]  orders that are executed in the next boot
- *   test_core_cell gangs SEED COUNT [TASK]    the same as the first, half of the jobs with gangs
- *   test_core_cell refusals SEED COUNT [TASK]  live targets refuse connections
+ *   test_core_cell successions SEED COUNT [TASK]  owners are lost within seconds, targets
+ * unreachable test_core_cell gangs SEED COUNT [TASK]    the same as the first, half of the jobs
+ * with gangs test_core_cell refusals SEED COUNT [TASK]  live targets refuse connections
  *   test_core_cell evacuations SEED COUNT [TASK]  failure domains are evacuated and taken back
  *   test_core_cell deadly SEED COUNT [TASK]   tasks that crash their targets, which also shrink and
  * grow test_core_cell advice SEED COUNT [TASK]   one of advice_profiles, by the seed test_core_cell
@@ -494,6 +495,27 @@
   assert_int_equal (failed, 0);
 }
 
+/* One owner after the other is lost, while targets are unreachable on which tasks run. */
+static const struct cell_fault_rates succession_rates = { .heartbeat_reply_lost = 30,
+                                                          .target_isolated = 40,
+                                                          .owner_killed = 200,
+                                                          .store_reply_lost = 200,
+                                                          .store_delay_max_ms = 50 };
+
+/* What an owner records of targets that it has not heard shortens the wait of the next one. */
+static void
+test_successions (void **state)
+{
+  (void)state;
+  for (uint64_t seed = 1; seed <= 60; seed++)
+    {
+      struct cell_result result
+          = simulate_random_faults (seed, &succession_rates, seed % 4 != 0, 0, NULL);
+      if (result.violation[0] != '\0')
+        fail_msg ("successions, seed %d: %s", (int)seed, result.violation);
+    }
+}
+
 static int
 simulate_seeds (uint64_t first_seed,
                 int count,
@@ -562,16 +584,14 @@
 int
 main (int argc, char **argv)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_fault_profiles),
-                                      cmocka_unit_test (test_mixed_faults),
-                                      cmocka_unit_test (test_slow_reading),
-                                      cmocka_unit_test (test_long_running_jobs),
-                                      cmocka_unit_test (test_few_eligible),
-                                      cmocka_unit_test (test_regressions),
-                                      cmocka_unit_test (test_gangs),
-                                      cmocka_unit_test (test_evacuations),
-                                      cmocka_unit_test (test_runs_behind_refused_connections),
-                                      cmocka_unit_test (test_fault_pairs) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_fault_profiles), cmocka_unit_test (test_mixed_faults),
+    cmocka_unit_test (test_slow_reading),   cmocka_unit_test (test_long_running_jobs),
+    cmocka_unit_test (test_few_eligible),   cmocka_unit_test (test_regressions),
+    cmocka_unit_test (test_gangs),          cmocka_unit_test (test_evacuations),
+    cmocka_unit_test (test_successions),    cmocka_unit_test (test_runs_behind_refused_connections),
+    cmocka_unit_test (test_fault_pairs)
+  };
 
   if (argc == 5 && strcmp (argv[1], "trouble") == 0)
     return simulate_profile (atoi (argv[2]), strtoull (argv[3], NULL, 10), argv[4]);
@@ -581,6 +601,9 @@
   if (argc >= 4 && strcmp (argv[1], "late-orders") == 0)
     return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), &cell_late_order_rates, 0,
                            argc > 4 ? argv[4] : NULL);
+  if (argc >= 4 && strcmp (argv[1], "successions") == 0)
+    return simulate_seeds (strtoull (argv[2], NULL, 10), atoi (argv[3]), &succession_rates, 0,
+                           argc > 4 ? argv[4] : NULL);
   if (argc >= 4 && strcmp (argv[1], "gangs") == 0)
     {
       struct cell_fault_rates rates = mixed_fault_rates_with_gangs ();
