--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -11,6 +11,8 @@
 #include "support_core.h"
 
 #define START_MS 100000
+/* The longest lease that a target grants. */
+#define LEASE_MAX_MS 6000
 
 static void
 deliver_late_report (struct fl_core *core,
@@ -251,6 +253,37 @@
   assert_int_equal (failures, 0);
 }
 
+/* An owner that may be losing the pool asked for longer leases than it counted. */
+static void
+test_longest_leases_that_an_owner_asks_for (void **state)
+{
+  struct fixture *fixture = fixture_new (0);
+  struct fl_name id = fl_name_of ("t1");
+  struct fl_run_row run = { .run = 1 };
+  struct fl_heartbeat_order order;
+
+  (void)state;
+  add_target (fixture, "t1", 4, false);
+  add_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 });
+  tick_until_recorded (fixture, 0);
+  confirm_start (fixture, 0);
+  run.task = get_start_order (fixture, 0)->task;
+  fixture->now_ms += 10;
+  deliver_report (fixture, "t1",
+                  (struct fl_target_report){ .booted_at_ms = 1, .runs = &run, .run_count = 1 });
+  fl_core_ask_longest_leases (fixture->core, true);
+  assert_true (fl_core_prepare_heartbeat (fixture->core, &id, fixture->now_ms, &order));
+  assert_int_equal (order.deadline_ms, fixture->now_ms + LEASE_MAX_MS);
+  int64_t sent_ms = fixture->now_ms;
+  deliver_result (fixture, "t1", FL_ORDER_NO_REPLY);
+  add_target (fixture, "t2", 4, false);
+  while (fixture->start_orders->len == 1 && fixture->now_ms < sent_ms + 20000)
+    tick_until_recorded (fixture, 10);
+  /* On a clock that is 2 % slow. */
+  assert_true (fixture->now_ms >= sent_ms + LEASE_MAX_MS * 102 / 100);
+  fixture_free (fixture);
+}
+
 /* The clock in the reply to a start told of another boot, and further tasks were started there by
  * the clock of the boot before. */
 static void
@@ -274,8 +307,6 @@
 
 /* Share of the limit of a start within which it is sent, in percent. */
 #define SENT_WITHIN_PERCENT 90
-/* The longest lease that a target grants. */
-#define LEASE_MAX_MS 6000
 
 /* The lease of a start that was sent late, and reached the next boot, was counted from its order.
  */
@@ -430,6 +461,7 @@
           cmocka_unit_test (test_order_for_the_previous_boot),
           cmocka_unit_test (test_late_start_in_a_new_boot_keeps_the_longest_lease),
           cmocka_unit_test (test_later_order_in_a_new_boot_keeps_the_longest_lease),
+          cmocka_unit_test (test_longest_leases_that_an_owner_asks_for),
           cmocka_unit_test (test_no_start_by_a_clock_that_has_ended),
           cmocka_unit_test (test_absent_run_is_started_again),
           cmocka_unit_test (test_end_beyond_the_first_report) };
