--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -757,9 +757,7 @@
   target->heartbeat_wait_ms = order->wait_ms;
   target->renewed_by_ms = MAX (target->renewed_by_ms, now_ms + heartbeat_delay_ms (target));
   core_target_extend_lease (target, now_ms, lease_ms);
-  /* What another boot may run gets the longest lease, by a clock on which the deadline is far
-   * ahead.
-   */
+  /* By the clock of another boot, this deadline gives the longest lease. */
   if (!boot_is_valid || target->report_was_slow || target->is_unreconciled)
     core_target_extend_lease (target, target->renewed_by_ms, core->options.target_lease_max_ms);
   return true;
