test_next_boot: one place that reads a job of an earlier owner; members of the core in order

Cause: four tests built the same recorded job on the same target, and a merge had put members between two comments that refer to the one before them. Change: read_job_on; reconciled_at_ms and settles_from_ms follow inherited_until_ms. No behaviour, bound or assertion changes.

--- a/lib/core/core_internal.h
+++ b/lib/core/core_internal.h
@@ -568,12 +568,12 @@
   int64_t tick_gap_ms;              /* between the last two ticks */
   int64_t runs_checked_at_ms;       /* when all runs were last checked for timeouts */
   int64_t inherited_until_ms;       /* end of the leases that earlier owners gave */
+  int64_t reconciled_at_ms;         /* the same, and of those that this owner renewed unseen */
+  int64_t settles_from_ms;          /* the least of inherited_until_ms by target */
   int64_t inherited_at_ms;          /* when the targets of earlier owners were read; 0 for never */
-  int64_t settles_from_ms;          /* the least of these ends by target */
   GHashTable *unheard;              /* id -> enum unheard_state in unheard.c */
   bool unheard_chosen;              /* none is added to these any more */
   bool unheard_outdated;            /* the record of them has to be stored again */
-  int64_t reconciled_at_ms;         /* the same, and of those that this owner renewed unseen */
   int64_t held_runs_logged_at_ms;   /* see core_log_held_runs */
   int64_t reconciling_logged_at_ms; /* when the targets that have not reported were last logged */
   bool asks_longest_leases;         /* see fl_core_ask_longest_leases */
--- a/tests/test_next_boot.c
+++ b/tests/test_next_boot.c
@@ -498,6 +498,19 @@
     }
 }
 
+/* Adds a job with one task, of which the record of an earlier owner says that it may be on @target.
+ * The jobs are known then. */
+static void
+read_job_on (struct fixture *fixture, const struct fl_name *target)
+{
+  struct fl_job_target row = { fl_job_target_hash (target) };
+  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &row } };
+
+  add_recorded_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 },
+                    &progress);
+  fl_core_set_jobs_known (fixture->core);
+}
+
 /* Until the jobs are known, heartbeats carry a deadline by the clock of a boot that may have ended.
  * In the next boot it prolongs a run, which a late start of the earlier owner started there. */
 static void
@@ -507,8 +520,6 @@
       = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER, .reconciled_at_ms = 100000 + 1000 };
   struct fixture *fixture = fixture_new_with (&options);
   struct fl_name id = fl_name_of ("t1");
-  struct fl_job_target target = { fl_job_target_hash (&id) };
-  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &target } };
 
   (void)state;
   fl_core_inherit_target (fixture->core, &id, &id);
@@ -517,9 +528,7 @@
   int64_t sent_ms = fixture->now_ms;
   bool has_deadline = prepare_heartbeat (fixture).deadline_ms > 0;
   deliver_next_result (fixture, "t1", FL_ORDER_NO_REPLY);
-  add_recorded_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 },
-                    &progress);
-  fl_core_set_jobs_known (fixture->core);
+  read_job_on (fixture, &id);
   add_target (fixture, "t2", 4, false);
   while (fixture->start_orders->len == 0 && fixture->now_ms < sent_ms + 20000)
     tick_until_recorded (fixture, 50);
@@ -539,8 +548,6 @@
       = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER, .reconciled_at_ms = 100000 + 3000 };
   struct fixture *fixture = fixture_new_with (&options);
   struct fl_name id = fl_name_of ("t1");
-  struct fl_job_target target = { fl_job_target_hash (&id) };
-  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &target } };
 
   (void)state;
   fl_core_inherit_target (fixture->core, &id, &id);
@@ -553,9 +560,7 @@
   deliver_next_result (fixture, "t1", FL_ORDER_NO_REPLY);
   fl_core_set_registry_known (fixture->core);
   fl_core_remove_target (fixture->core, &id);
-  add_recorded_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 },
-                    &progress);
-  fl_core_set_jobs_known (fixture->core);
+  read_job_on (fixture, &id);
   add_target (fixture, "t2", 4, false);
   while (fixture->start_orders->len == 0 && fixture->now_ms < sent_ms + 20000)
     tick_until_recorded (fixture, 50);
@@ -574,14 +579,10 @@
       = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER, .earlier_orders_end_ms = 100000 };
   struct fixture *fixture = fixture_new_with (&options);
   struct fl_name id = fl_name_of ("t1");
-  struct fl_job_target target = { fl_job_target_hash (&id) };
-  struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &target } };
 
   (void)state;
   fl_core_inherit_target (fixture->core, &id, &id);
-  add_recorded_job (fixture, "a", "urgent", (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 },
-                    &progress);
-  fl_core_set_jobs_known (fixture->core);
+  read_job_on (fixture, &id);
   add_target (fixture, "t2", 4, false);
   while (fixture->start_orders->len == 0 && fixture->now_ms < 120000)
     tick_until_recorded (fixture, 50);
@@ -630,8 +631,6 @@
           = { .fencing_token = 1 + FL_FENCING_TOKENS_PER_OWNER, .earlier_orders_end_ms = 100000 };
       struct fixture *fixture = fixture_new_with (&options);
       struct fl_name id = fl_name_of ("t1");
-      struct fl_job_target target = { fl_job_target_hash (&id) };
-      struct fl_job_progress progress = { .state = FL_JOB_RUNNING, .targets = { 1, &target } };
       fl_core_inherit_target (fixture->core, &id, &id);
       add_entry (fixture, "t1", 4, false);
       tick_until_recorded (fixture, 1300);
@@ -640,9 +639,7 @@
         deliver_next_report (fixture, cases[i].second_boot, NULL, 0);
       int64_t heard_ms = fixture->now_ms;
       tick_until_recorded (fixture, 500);
-      add_recorded_job (fixture, "a", "urgent",
-                        (struct fl_step_spec){ .count = 1, .cpu_milli = 1000 }, &progress);
-      fl_core_set_jobs_known (fixture->core);
+      read_job_on (fixture, &id);
       deliver_next_result (fixture, "t1", FL_ORDER_NO_REPLY);
       add_target (fixture, "t2", 4, false);
       while (fixture->start_orders->len == 0 && fixture->now_ms < heard_ms + 20000)
