--- a/review/13/case.py
+++ b/review/13/case.py
@@ -9,7 +9,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand_ins_3"))
 import case
 
-STEPS, COUNT = 30, 2000  # 60,000 tasks of 5 thousandths of a core: 300 of 768 cores
+STEPS, COUNT = 16, 2000  # 32,000 tasks of 11 thousandths of a core: 352 of 768 cores
+SPEC_BYTES = 3900  # of 4,000 that a spec may have
 
 
 def main(cell):
@@ -18,8 +19,9 @@
     time.sleep(3)
     large = None
     if case.TROUBLE:
-        large, status = cell.submit("rebuild", {"ms": 3000}, [
-            {"count": COUNT, "cpu": 5, "memMb": 5, "estimateMs": 3000} for _ in range(STEPS)])
+        spec = {"ms": 3000, "text": "x" * (SPEC_BYTES - 30)}
+        large, status = cell.submit("rebuild", spec, [
+            {"count": COUNT, "cpu": 11, "memMb": 10, "estimateMs": 3000} for _ in range(STEPS)])
         if status != 200:
             raise case.CannotRun("the large job was answered %d" % status)
     calm_from = time.monotonic() + case.STABLE_S
